Links between entries: sealed messages over pynng, and switches for mechanisms

Cause: membership, configuration relay, tickets and limits all need one way for entries to ask one another.

Ruled out: letting nng send a request again on its own after a lost connection (resend is off: whoever asks decides), and TLS alone (an entry of another deployment with a certificate of the same authority would still be heard).

Change: an envelope with version, deployment, sender, incarnation and a keyed MAC; a listener with several tasks; a size limit. The document can switch single mechanisms off, so that each can be measured against its absence.

Conclusion: the other parts can be built on `ask` and a handler for each message type.

--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -28,6 +28,7 @@
     INSTANCES_CHANGED = (2101, logging.INFO)
     INSTANCES_INVALID = (2102, logging.ERROR)
     INSTANCES_UNREACHABLE = (2103, logging.WARNING)
+    PEER_FRAME_REFUSED = (2201, logging.WARNING)
     REQUEST_ENDED = (3001, logging.INFO)
     ATTEMPT_FAILED = (3101, logging.WARNING)
     ANSWER_DISCARDED = (3102, logging.ERROR)
--- a/boragestream/base/settings.py
+++ b/boragestream/base/settings.py
@@ -46,10 +46,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerSettings:
-    """Where other entries reach this entry."""
+    """Where other entries reach this entry.
+
+    :ivar key: the deployment's peer key, the same on every entry.
+    """
 
     address: str
     port: Port
+    key: Annotated[str, msgspec.Meta(min_length=16, max_length=64)]
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -15,6 +15,8 @@
 from boragestream.caller.server import create_server
 from boragestream.daemon.tasks import take_document, take_instances, watch_platform
 from boragestream.document import ClientAccount
+from boragestream.entry.links import LISTENER_TASKS, PeerLinks, PeerListener
+from boragestream.entry.messages import Envelope, Probe, ProbeReply, Sender
 from boragestream.platform.instances import Instance
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
@@ -29,7 +31,7 @@
 ATTEMPT_THREADS = 256
 # Threads beyond the requests in hand answer refusals and small questions at once.
 SPARE_THREADS = 32
-TASK_THREADS = 8
+TASK_THREADS = 24
 STOP_CHECK_SECONDS = 0.05
 
 
@@ -54,6 +56,18 @@
         self._admission = Admission(max(1, settings.caller.threads - SPARE_THREADS))
         self._tasks = ThreadPoolExecutor(TASK_THREADS, "task")
         self._attempts = ThreadPoolExecutor(ATTEMPT_THREADS, "attempt")
+        sender = Sender(
+            settings.entry.deployment,
+            settings.entry.name,
+            self._incarnation,
+            settings.peer.key.encode(),
+        )
+        self._links = PeerLinks(sender)
+        self._listener = PeerListener(
+            sender,
+            f"{settings.peer.address}:{settings.peer.port}",
+            {Probe: self._answer_probe},
+        )
         self._server = create_server(self._application(), settings.caller)
 
     @property
@@ -95,6 +109,8 @@
                 self._rng,
             )
         )
+        for _ in range(LISTENER_TASKS):
+            self._start(self._listener.run)
         self._start(self._server.run)
         name = self._settings.entry.name
         emit(Event.ENTRY_STARTED, entry=name, incarnation=self._incarnation)
@@ -131,6 +147,7 @@
             emit(Event.STOP_LIMIT_REACHED, in_hand=self._admission.in_hand)
         self._admission.close()
         self._watchdog.stop()
+        self._listener.close()
         self._server.close()
         emit(Event.ENTRY_STOPPED)
 
@@ -154,6 +171,10 @@
             status=self._status,
         )
 
+    def _answer_probe(self, envelope: Envelope, message: Probe) -> ProbeReply:
+        current = self._configuration.current
+        return ProbeReply(current.version if current else 0)
+
     def _take_entries(self, entries: tuple[Instance, ...]) -> None:
         self._entries = entries
 
--- a/boragestream/document/records.py
+++ b/boragestream/document/records.py
@@ -14,6 +14,7 @@
     "SCHEMA_VERSION",
     "ClientAccount",
     "Document",
+    "Mechanism",
     "Model",
     "Pipeline",
     "Policies",
@@ -31,6 +32,17 @@
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 DeadlineMs = Annotated[int, msgspec.Meta(ge=10, le=600_000)]
+Mechanism = Literal[
+    "admission",
+    "fair-queue",
+    "load-reports",
+    "affinity",
+    "concurrency-limit",
+    "easing",
+    "hedging",
+    "retries",
+    "account-limits",
+]
 ServiceKind = Literal["engine", "encoder", "retriever", "reranker", "plain"]
 
 
@@ -123,7 +135,7 @@
     """Settings of the decisions, the same on every entry.
 
     :ivar routing: how a server is chosen.
-    :ivar admission: whether work that cannot make its deadline is refused early.
+    :ivar without: mechanisms that are switched off, to compare with and without.
     :ivar answer_keep_seconds: how long a caller may keep the answer to which
         addresses to use.
     :ivar hedge_share: hedged attempts as a share of requests.
@@ -135,7 +147,7 @@
     routing: Literal["expected-finish", "least-connections", "round-robin"] = (
         "expected-finish"
     )
-    admission: bool = True
+    without: tuple[Mechanism, ...] = ()
     answer_keep_seconds: PositiveFloat = 5.0
     hedge_share: Share = 0.05
     retry_share: Share = 0.1
--- /dev/null
+++ b/boragestream/entry/links.py
@@ -0,0 +1,180 @@
+"""Request and reply between entries over pynng.
+
+A link only carries messages: whom to ask, how often, and what to make of an answer is
+left to its users. nng never sends a request again by itself here.
+"""
+
+import threading
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+import pynng
+
+from boragestream.base.events import Event, emit
+from boragestream.base.outcomes import Failure
+from boragestream.entry.messages import (
+    MAX_MESSAGE_BYTES,
+    Envelope,
+    Message,
+    MessageRefused,
+    Rejected,
+    Sender,
+    open_envelope,
+    seal,
+)
+
+__all__ = [
+    "LISTENER_TASKS",
+    "Handler",
+    "PeerLinks",
+    "PeerListener",
+    "PeerRejected",
+    "PeerUnreachable",
+]
+
+Handler = Callable[[Envelope, Message], Message]
+
+LISTENER_TASKS = 8
+NEVER_MS = -1
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class PeerUnreachable(Failure):
+    """A peer gave no answer.
+
+    :ivar address: its peer address.
+    """
+
+    address: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRejected(Failure):
+    """A peer answered that it did not take the message.
+
+    :ivar code: the code of its failure.
+    """
+
+    address: str
+    code: str
+
+
+class PeerLinks:
+    """Sockets to other entries, one for each peer that was asked.
+
+    :param sender: who this entry is.
+    """
+
+    def __init__(self, sender: Sender) -> None:
+        self._sender = sender
+        self._sockets: dict[str, pynng.Req0] = {}
+        self._lock = threading.Lock()
+
+    def ask(
+        self, address: str, message: Message, seconds: float
+    ) -> Message | PeerUnreachable | PeerRejected | MessageRefused:
+        """Send a message to a peer and wait for its answer.
+
+        :param address: the peer's ``address:port``.
+        :param seconds: the longest to wait.
+        """
+        frame = seal(self._sender, message)
+        limit = max(1, int(seconds * 1000))
+        try:
+            with self._socket(address).new_context() as context:
+                context.send_timeout = limit
+                context.recv_timeout = limit
+                context.send(frame)
+                answer = context.recv()
+        except pynng.NNGException as error:
+            return PeerUnreachable(address, type(error).__name__)
+        opened = open_envelope(self._sender, answer)
+        if isinstance(opened, MessageRefused):
+            return opened
+        if isinstance(opened[1], Rejected):
+            return PeerRejected(address, opened[1].code)
+        return opened[1]
+
+    def forget(self, address: str) -> None:
+        """Close the socket to a peer that is gone."""
+        with self._lock:
+            sock = self._sockets.pop(address, None)
+        if sock is not None:
+            sock.close()
+
+    def close(self) -> None:
+        """Close every socket."""
+        for address in list(self._sockets):
+            self.forget(address)
+
+    def _socket(self, address: str) -> pynng.Req0:
+        with self._lock:
+            sock = self._sockets.get(address)
+            if sock is None:
+                sock = pynng.Req0(
+                    resend_time=NEVER_MS,
+                    reconnect_time_min=RECONNECT_MIN_MS,
+                    reconnect_time_max=RECONNECT_MAX_MS,
+                    recv_max_size=MAX_MESSAGE_BYTES,
+                )
+                sock.dial(f"tcp://{address}", block=False)
+                self._sockets[address] = sock
+        return sock
+
+
+class PeerListener:
+    """Answers the messages of other entries.
+
+    :param sender: who this entry is.
+    :param address: ``address:port`` to listen on.
+    :param handlers: what answers each type of message.
+    """
+
+    def __init__(
+        self, sender: Sender, address: str, handlers: Mapping[type, Handler]
+    ) -> None:
+        self._sender = sender
+        self._handlers = handlers
+        self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
+        self._socket.listen(f"tcp://{address}")
+
+    def run(self) -> None:
+        """Answer one message after the other until ``close``; one task of several."""
+        with self._socket.new_context() as context:
+            while True:
+                try:
+                    frame = context.recv()
+                except pynng.Closed:
+                    return
+                except pynng.NNGException as error:
+                    emit(Event.PEER_FRAME_REFUSED, reason=type(error).__name__)
+                    continue
+                self._reply(context, self._answer(frame))
+
+    def close(self) -> None:
+        """Stop listening; every ``run`` returns."""
+        self._socket.close()
+
+    def _answer(self, frame: bytes) -> Message:
+        opened = open_envelope(self._sender, frame)
+        if isinstance(opened, MessageRefused):
+            emit(Event.PEER_FRAME_REFUSED, reason=opened.reason)
+            return Rejected(opened.code)
+        envelope, message = opened
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return Rejected(MessageRefused("not a request").code)
+        try:
+            return handler(envelope, message)
+        except Exception as error:
+            emit(Event.TASK_FAILED, task="peer handler", error=repr(error))
+            return Rejected("handler-failed")
+
+    def _reply(self, context: pynng.Context, message: Message) -> None:
+        try:
+            context.send(seal(self._sender, message))
+        except pynng.NNGException as error:
+            emit(Event.PEER_FRAME_REFUSED, reason=type(error).__name__)
--- /dev/null
+++ b/boragestream/entry/messages.py
@@ -0,0 +1,150 @@
+"""The messages between entries, as msgspec structs in MessagePack.
+
+Every message travels in an envelope that names its version, deployment and sender and
+is authenticated with the deployment's peer key. A field may be added with a default;
+any other change raises ``PROTOCOL_VERSION``. Sending is left to ``entry.links``.
+"""
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+
+import msgspec
+
+from boragestream.base.outcomes import Failure
+
+__all__ = [
+    "MAX_MESSAGE_BYTES",
+    "PROTOCOL_VERSION",
+    "Envelope",
+    "Message",
+    "MessageRefused",
+    "Probe",
+    "ProbeReply",
+    "Rejected",
+    "Sender",
+    "open_envelope",
+    "seal",
+]
+
+PROTOCOL_VERSION = 1
+MAX_MESSAGE_BYTES = 2 * 1_048_576
+MAC_BYTES = 16
+
+
+class Probe(msgspec.Struct, frozen=True, tag=True):
+    """Asks whether a peer is there."""
+
+
+class ProbeReply(msgspec.Struct, frozen=True, tag=True):
+    """Says that the peer is there.
+
+    :ivar version: the version of the document in force there, 0 for none.
+    """
+
+    version: int
+
+
+class Rejected(msgspec.Struct, frozen=True, tag=True):
+    """Says that a message was not taken, and why, by the failure's code."""
+
+    code: str
+
+
+Message = Probe | ProbeReply | Rejected
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """What travels: who sends, the message's bytes, and their authentication."""
+
+    version: int
+    deployment: str
+    sender: str
+    incarnation: str
+    body: bytes
+    mac: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Sender:
+    """Who sends.
+
+    :ivar key: the deployment's peer key.
+    """
+
+    deployment: str
+    name: str
+    incarnation: str
+    key: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class MessageRefused(Failure):
+    """A frame is no message of this deployment.
+
+    :ivar reason: what is wrong with it.
+    """
+
+    reason: str
+
+
+_encoder = msgspec.msgpack.Encoder()
+_envelopes = msgspec.msgpack.Decoder(Envelope)
+_messages = msgspec.msgpack.Decoder(Message)
+
+
+def seal(sender: Sender, message: Message) -> bytes:
+    """Return the frame of a message."""
+    body = _encoder.encode(message)
+    envelope = Envelope(
+        PROTOCOL_VERSION,
+        sender.deployment,
+        sender.name,
+        sender.incarnation,
+        body,
+        _mac(sender.key, sender.deployment, sender.name, sender.incarnation, body),
+    )
+    return _encoder.encode(envelope)
+
+
+def open_envelope(
+    receiver: Sender, frame: bytes
+) -> tuple[Envelope, Message] | MessageRefused:
+    """Check a frame and return its envelope and message.
+
+    :param receiver: who receives; deployment and key must agree with the sender's.
+    :param frame: bytes from the network.
+    """
+    if len(frame) > MAX_MESSAGE_BYTES:
+        return MessageRefused("too long")
+    try:
+        envelope = _envelopes.decode(frame)
+    except msgspec.DecodeError:
+        return MessageRefused("not an envelope")
+    if envelope.version != PROTOCOL_VERSION:
+        return MessageRefused("another protocol version")
+    if envelope.deployment != receiver.deployment:
+        return MessageRefused("another deployment")
+    mac = _mac(
+        receiver.key,
+        envelope.deployment,
+        envelope.sender,
+        envelope.incarnation,
+        envelope.body,
+    )
+    if not hmac.compare_digest(mac, envelope.mac):
+        return MessageRefused("another key")
+    try:
+        return envelope, _messages.decode(envelope.body)
+    except msgspec.DecodeError:
+        return MessageRefused("not a known message")
+
+
+def _mac(key: bytes, *parts: str | bytes) -> bytes:
+    mac = hashlib.blake2b(key=key, digest_size=MAC_BYTES)
+    for part in parts:
+        data = part.encode() if isinstance(part, str) else part
+        # The length keeps two parts from being shifted into one another.
+        mac.update(len(data).to_bytes(4, "big"))
+        mac.update(data)
+    return mac.digest()
--- /dev/null
+++ b/tests/features/entry_links.feature
@@ -0,0 +1,18 @@
+@fixture.fleet.cooperative
+Feature: entries answer one another and nobody else
+
+  Scenario: an entry answers a peer with its key
+    When a peer of deployment "cooperative" with the key of the tests probes "entry-1"
+    Then it is told the version in force
+
+  Scenario Outline: a stranger is refused and the entry keeps serving
+    When a peer of deployment "<deployment>" with the key "<key>" probes "entry-1"
+    Then it is rejected
+    When 2000 bytes of garbage are sent to the peer port of "entry-1"
+    And "patan-counter" calls "caption" with "still there"
+    Then the outcome is "answered"
+
+    Examples:
+      | deployment  | key                       |
+      | consortium  | peer-key-of-the-tests     |
+      | cooperative | another-key-another-key   |
--- /dev/null
+++ b/tests/features/steps/entry_links.py
@@ -0,0 +1,50 @@
+"""Steps that speak to the peer port of an entry."""
+
+import random
+import socket
+
+from behave import then, when
+
+from boragestream.entry.links import PeerLinks, PeerRejected
+from boragestream.entry.messages import Probe, ProbeReply, Sender
+from tests.standins.fleet import ADDRESS, PEER_KEY
+
+ASK_SECONDS = 5
+
+
+@when('a peer of deployment "{deployment}" with the key of the tests probes "{name}"')
+def step(context, deployment, name):
+    probe(context, deployment, PEER_KEY, name)
+
+
+@when('a peer of deployment "{deployment}" with the key "{key}" probes "{name}"')
+def step(context, deployment, key, name):
+    probe(context, deployment, key, name)
+
+
+def probe(context, deployment, key, name):
+    """Send a probe and keep the answer."""
+    links = PeerLinks(Sender(deployment, "entry-9", "9", key.encode()))
+    address = f"{ADDRESS}:{context.fleet.entries[name].extra['peer_port']}"
+    context.answer = links.ask(address, Probe(), ASK_SECONDS)
+    links.close()
+
+
+@when('{count:d} bytes of garbage are sent to the peer port of "{name}"')
+def step(context, count, name):
+    port = context.fleet.entries[name].extra["peer_port"]
+    with socket.create_connection((ADDRESS, port)) as sock:
+        sock.sendall(random.Random(count).randbytes(count))
+
+
+@then("it is told the version in force")
+def step(context):
+    assert context.answer == ProbeReply(1), context.answer
+
+
+@then("it is rejected")
+def step(context):
+    # A stranger cannot read the refusal either, since it is sealed with our key.
+    refused = not isinstance(context.answer, ProbeReply)
+    assert refused, context.answer
+    assert not isinstance(context.answer, PeerRejected), context.answer
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -20,6 +20,7 @@
 ADDRESS = "127.0.0.1"
 PARENT_DEATH_SIGNAL = 1
 START_SECONDS = 20
+PEER_KEY = "peer-key-of-the-tests"
 LIBC = ctypes.CDLL(None)
 
 
@@ -173,6 +174,7 @@
 [peer]
 address = "{ADDRESS}"
 port = {peer_port}
+key = "{PEER_KEY}"
 [platform]
 configuration = "{platform}"
 instances = "{platform}"
