Peer exchange: bounded rounds and parts that ride on them

Cause: entries could answer a probe but told one another nothing. Ruled out: all-to-all (370 entries would send 740 messages a second each way); one message type for each subject, which would need a round of its own. A missed exchange is confirmed through another peer. Conclusion: not wired into the daemon in this commit.

--- /dev/null
+++ b/boragestream/entry/exchange.py
@@ -0,0 +1,207 @@
+"""The exchange between entries: a few peers a round, never all of them.
+
+Each round an entry swaps one small message with a bounded number of peers: one of its
+own data centre and one of another. What the message says is the parts' business. A
+round can be brought forward when something must travel at once. Who is a peer, and
+what a missed exchange means, is told by the ``PeerDirectory``.
+"""
+
+import random
+import threading
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Protocol
+
+from boragestream.base.events import Event, emit
+from boragestream.entry.links import PeerLinks
+from boragestream.entry.messages import (
+    Envelope,
+    Exchange,
+    ExchangeReply,
+    Probe,
+    ProbeFor,
+    ProbeForReply,
+    ProbeReply,
+)
+from boragestream.entry.parts import ExchangePart, collect, hand_out
+
+__all__ = ["Peer", "PeerDirectory", "PeerExchange", "choose_peers"]
+
+ROUND_SECONDS = 1.0
+FAN_OUT = 2
+# A round that was brought forward reaches more peers, since it carries news.
+URGENT_FAN_OUT = 3
+URGENT_GAP_SECONDS = 0.05
+# One round in this many also tries a suspect, so that a heal is noticed.
+SUSPECT_ROUNDS = 3
+ASK_SECONDS = 1.0
+PROBE_SECONDS = 0.7
+ASK_THREADS = 6
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Another entry as the exchange needs it.
+
+    :ivar address: its peer ``address:port``.
+    :ivar suspect: whether it missed its probes.
+    :ivar missed: whether this entry's own last exchange with it failed.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    suspect: bool = False
+    missed: bool = False
+
+
+class PeerDirectory(Protocol):
+    """Knows the peers and learns from each exchange whether they are there."""
+
+    def peers(self) -> Sequence[Peer]:
+        """Return every other entry that may be asked."""
+
+    def note_reached(self, name: str) -> None:
+        """Take that a peer answered this entry."""
+
+    def note_missed(self, name: str) -> bool:
+        """Take that a peer did not answer; True where others should probe it too."""
+
+    def note_unreached(self, name: str) -> None:
+        """Take that another entry's probe found the peer silent as well."""
+
+
+def choose_peers(
+    peers: Sequence[Peer], data_centre: str, count: int, rng: random.Random
+) -> list[Peer]:
+    """Return the peers of one round.
+
+    A peer whose last exchange failed comes first, so that one lost message is told
+    from a peer that is gone. Of the others, one is of another data centre and the
+    rest are of the entry's own where that is possible.
+
+    :param count: the most peers; one suspect may come on top.
+    """
+    usable = [peer for peer in peers if not peer.suspect]
+    chosen = [peer for peer in usable if peer.missed][:1]
+    near = [p for p in usable if p.data_centre == data_centre and p not in chosen]
+    far = [p for p in usable if p.data_centre != data_centre and p not in chosen]
+    rng.shuffle(near)
+    rng.shuffle(far)
+    order = [*far[:1], *near, *far[1:]]
+    chosen += order[: count - len(chosen)]
+    suspects = [peer for peer in peers if peer.suspect]
+    if suspects and rng.randrange(SUSPECT_ROUNDS) == 0:
+        chosen.append(rng.choice(suspects))
+    return chosen
+
+
+class PeerExchange:
+    """Swaps messages with peers, round by round.
+
+    :param links: carries the messages.
+    :param directory: who the peers are.
+    :param data_centre: the entry's own.
+    :param rng: chooses peers and spreads the rounds.
+    """
+
+    def __init__(
+        self,
+        links: PeerLinks,
+        directory: PeerDirectory,
+        data_centre: str,
+        rng: random.Random,
+    ) -> None:
+        self._links = links
+        self._directory = directory
+        self._data_centre = data_centre
+        self._rng = rng
+        self._parts: list[ExchangePart] = []
+        self._turn = 0
+        self._asked: set[str] = set()
+        self._lock = threading.Lock()
+        self._urgent = threading.Event()
+        self._closed = threading.Event()
+        self._asks = ThreadPoolExecutor(ASK_THREADS, "exchange")
+
+    def add_part(self, part: ExchangePart) -> None:
+        """Let a part ride on the exchange; the first one added goes first."""
+        self._parts.append(part)
+
+    def hurry(self) -> None:
+        """Bring the next round forward, since there is news."""
+        self._urgent.set()
+
+    def run(self) -> None:
+        """Run rounds until ``close``."""
+        while not self._closed.is_set():
+            urgent = self._urgent.is_set()
+            self._urgent.clear()
+            self.round(URGENT_FAN_OUT if urgent else FAN_OUT)
+            self._closed.wait(URGENT_GAP_SECONDS)
+            self._urgent.wait(ROUND_SECONDS * (0.75 + 0.5 * self._rng.random()))
+        self._asks.shutdown(wait=False, cancel_futures=True)
+
+    def round(self, count: int) -> None:
+        """Begin one round with a few peers; a slow one does not hold up the others."""
+        peers = self._directory.peers()
+        for peer in choose_peers(peers, self._data_centre, count, self._rng):
+            with self._lock:
+                if peer.name in self._asked:
+                    continue
+                self._asked.add(peer.name)
+            self._asks.submit(self._exchange, peer)
+
+    def close(self) -> None:
+        """End the rounds; what is under way ends by its own timeout."""
+        self._closed.set()
+        self._urgent.set()
+
+    def answer(self, envelope: Envelope, message: Exchange) -> ExchangeReply:
+        """Take a peer's half of a round and return this entry's."""
+        hand_out(self._parts, envelope.sender, message.parts)
+        self._directory.note_reached(envelope.sender)
+        return ExchangeReply(self._collect())
+
+    def answer_probe_for(self, envelope: Envelope, message: ProbeFor) -> ProbeForReply:
+        """Probe an entry on behalf of a peer that cannot reach it."""
+        for peer in self._directory.peers():
+            if peer.name == message.name:
+                reply = self._links.ask(peer.address, Probe(), PROBE_SECONDS)
+                return ProbeForReply(isinstance(reply, ProbeReply))
+        return ProbeForReply(reached=False)
+
+    def _exchange(self, peer: Peer) -> None:
+        try:
+            message = Exchange(self._collect())
+            reply = self._links.ask(peer.address, message, ASK_SECONDS)
+            if isinstance(reply, ExchangeReply):
+                hand_out(self._parts, peer.name, reply.parts)
+                self._directory.note_reached(peer.name)
+            elif self._directory.note_missed(peer.name):
+                self._probe_through_other(peer)
+        except Exception as error:
+            emit(Event.TASK_FAILED, task="exchange", error=repr(error))
+        finally:
+            with self._lock:
+                self._asked.discard(peer.name)
+
+    def _probe_through_other(self, silent: Peer) -> None:
+        others = [
+            peer
+            for peer in self._directory.peers()
+            if not (peer.suspect or peer.missed or peer.name == silent.name)
+        ]
+        if others:
+            other = self._rng.choice(others)
+            limit = PROBE_SECONDS + ASK_SECONDS
+            reply = self._links.ask(other.address, ProbeFor(silent.name), limit)
+            if isinstance(reply, ProbeForReply) and reply.reached:
+                self._directory.note_reached(silent.name)
+                return
+        self._directory.note_unreached(silent.name)
+
+    def _collect(self) -> dict[str, bytes]:
+        self._turn += 1
+        return collect(self._parts, self._turn)
--- a/boragestream/entry/messages.py
+++ b/boragestream/entry/messages.py
@@ -17,9 +17,13 @@
     "MAX_MESSAGE_BYTES",
     "PROTOCOL_VERSION",
     "Envelope",
+    "Exchange",
+    "ExchangeReply",
     "Message",
     "MessageRefused",
     "Probe",
+    "ProbeFor",
+    "ProbeForReply",
     "ProbeReply",
     "Rejected",
     "Sender",
@@ -51,7 +55,42 @@
     code: str
 
 
-Message = Probe | ProbeReply | Rejected
+class Exchange(msgspec.Struct, frozen=True, tag=True):
+    """One half of a round between two entries.
+
+    :ivar parts: the bytes of each part by the part's name.
+    """
+
+    parts: dict[str, bytes]
+
+
+class ExchangeReply(msgspec.Struct, frozen=True, tag=True):
+    """The other half of the round.
+
+    :ivar parts: the bytes of each part by the part's name.
+    """
+
+    parts: dict[str, bytes]
+
+
+class ProbeFor(msgspec.Struct, frozen=True, tag=True):
+    """Asks a peer to probe an entry that the sender cannot reach.
+
+    :ivar name: the entry's name.
+    """
+
+    name: str
+
+
+class ProbeForReply(msgspec.Struct, frozen=True, tag=True):
+    """Says whether the entry answered."""
+
+    reached: bool
+
+
+Message = (
+    Probe | ProbeReply | Rejected | Exchange | ExchangeReply | ProbeFor | ProbeForReply
+)
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
