--- a/boragestream/document/digest.py
+++ b/boragestream/document/digest.py
@@ -1,23 +1,28 @@
-"""The digest that tells two documents apart.
+"""The canonical text of a published document, and the digest that tells two apart.
 
-It covers the canonical form, so that white space and the order of fields make no
-difference. It is no proof of origin; whoever can publish is trusted.
+White space and the order of fields make no difference. The text is taken from what was
+published and not from the records built of it, so that entries of two releases, of
+which one knows more fields, agree on it. It is no proof of origin; whoever can publish
+is trusted.
 """
 
 import hashlib
 
 import msgspec
 
-from boragestream.document.records import Document
+__all__ = ["canonical_bytes", "canonical_text", "text_digest"]
 
-__all__ = ["canonical_bytes", "document_digest"]
 
-
-def canonical_bytes(document: Document) -> bytes:
-    """Return the document as canonical JSON: fields in one order, no white space."""
+def canonical_bytes(document: object) -> bytes:
+    """Return data as canonical JSON: fields in one order, no white space."""
     return msgspec.json.encode(document, order="sorted")
 
 
-def document_digest(document: Document) -> str:
-    """Return the SHA-256 of the canonical form in hexadecimal."""
-    return hashlib.sha256(canonical_bytes(document)).hexdigest()
+def canonical_text(published: bytes) -> bytes:
+    """Return a published document, which must be JSON, as canonical JSON."""
+    return canonical_bytes(msgspec.json.decode(published))
+
+
+def text_digest(text: bytes) -> str:
+    """Return the SHA-256 of a canonical text in hexadecimal."""
+    return hashlib.sha256(text).hexdigest()
--- a/boragestream/policy/configuration.py
+++ b/boragestream/policy/configuration.py
@@ -6,14 +6,19 @@
 """
 
 import threading
+from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
 from boragestream.document import ClientAccount, Document, Pipeline, Service
-from boragestream.document.digest import document_digest
+from boragestream.document.digest import canonical_bytes, text_digest
 
 __all__ = ["ConfigurationInForce", "DocumentInForce", "Offer"]
 
+# Texts kept as bases of differences; a peer that is further behind gets a whole one.
+KEPT_TEXTS = 4
+
 
 class Offer(Enum):
     """What became of an offered document."""
@@ -27,7 +32,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DocumentInForce:
-    """A document with its look-ups; one request uses one from end to end."""
+    """A document with its look-ups; one request uses one from end to end.
+
+    :ivar digest: of the canonical text.
+    """
 
     document: Document
     digest: str
@@ -50,6 +58,8 @@
     def __init__(self, deployment: str) -> None:
         self._deployment = deployment
         self._current: DocumentInForce | None = None
+        self._texts: OrderedDict[str, bytes] = OrderedDict()
+        self._taken: list[Callable[[], None]] = []
         self._lock = threading.Lock()
 
     @property
@@ -57,16 +67,35 @@
         """The document in force, None while there is none."""
         return self._current
 
-    def offer(self, document: Document) -> Offer:
-        """Take a checked document where it is newer than the one in force."""
+    def when_taken(self, taken: Callable[[], None]) -> None:
+        """Have a function called after each document that comes into force."""
+        self._taken.append(taken)
+
+    def text(self, digest: str) -> bytes | None:
+        """Return a canonical text of the last few that were in force."""
+        return self._texts.get(digest)
+
+    def offer(self, document: Document, text: bytes | None = None) -> Offer:
+        """Take a checked document where it is newer than the one in force.
+
+        :param text: its canonical text as published; made from the document if left
+            out.
+        """
         if document.deployment != self._deployment:
             return Offer.FOREIGN
-        digest = document_digest(document)
+        if text is None:
+            text = canonical_bytes(document)
+        digest = text_digest(text)
         with self._lock:
             current = self._current
             if current is not None and document.version <= current.version:
                 return _not_newer(document, digest, current)
+            self._texts[digest] = text
+            while len(self._texts) > KEPT_TEXTS:
+                self._texts.popitem(last=False)
             self._current = _in_force(document, digest)
+        for taken in self._taken:
+            taken()
         return Offer.TAKEN
 
 
