Entries know one another's state and pass on the configuration

Cause: an entry believed the lagging list alone, and a document reached it from the service alone. Ruled out: heartbeats in every record (370 of them a second do not fit the budget); ordering incarnations by calendar time (nothing compares the calendars of two instances) or by address (a record would not survive a relay or address translation in between); 'gone' by silence (behind a partition an entry may be serving). A server that says it is leaving is told on at once. /v1/entries and status show what is believed.

--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -13,7 +13,14 @@
 from boragestream.base.settings import Settings
 from boragestream.caller.application import Application
 from boragestream.caller.server import create_server
-from boragestream.daemon.tasks import take_document, take_instances, watch_platform
+from boragestream.daemon.peers import join_peers, listed_states
+from boragestream.daemon.tasks import (
+    take_document,
+    take_instances,
+    to_leaving,
+    to_listed,
+    watch_platform,
+)
 from boragestream.document import ClientAccount
 from boragestream.entry.links import LISTENER_TASKS, PeerLinks, PeerListener
 from boragestream.entry.messages import Envelope, Probe, ProbeReply, Sender
@@ -22,7 +29,7 @@
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
 from boragestream.policy.load import LoadTable
 from boragestream.policy.routing import routing_policies
-from boragestream.policy.servers import ServerTable
+from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.stage import StageRunner
 
@@ -48,9 +55,9 @@
         self._incarnation = new_incarnation()
         self._rng = random.Random()
         self._stopping = threading.Event()
-        self._entries: tuple[Instance, ...] = ()
+        self._listed: tuple[Instance, ...] = ()
         self._configuration = ConfigurationInForce(settings.entry.deployment)
-        self._servers = ServerTable()
+        self._servers = ServerTable(told=self._tell_leaving)
         self._loads = LoadTable()
         self._watchdog = Watchdog(self._clock)
         self._admission = Admission(max(1, settings.caller.threads - SPARE_THREADS))
@@ -63,10 +70,19 @@
             settings.peer.key.encode(),
         )
         self._links = PeerLinks(sender)
+        self._peers = join_peers(
+            settings.entry,
+            self._incarnation,
+            self._links,
+            self._configuration,
+            self._servers,
+            self._clock,
+            self._rng,
+        )
         self._listener = PeerListener(
             sender,
             f"{settings.peer.address}:{settings.peer.port}",
-            {Probe: self._answer_probe},
+            {Probe: self._answer_probe, **self._peers.handlers},
         )
         self._server = create_server(self._application(), settings.caller)
 
@@ -91,6 +107,7 @@
                 Event.CONFIGURATION_UNREACHABLE,
                 self._stopping,
                 self._rng,
+                self._peers.duty,
             )
         )
         self._start(
@@ -103,12 +120,14 @@
                     take_instances,
                     servers=self._servers,
                     take_entries=self._take_entries,
+                    take_servers=self._peers.members.take_servers,
                 ),
                 Event.INSTANCES_UNREACHABLE,
                 self._stopping,
                 self._rng,
             )
         )
+        self._start(self._peers.members.exchange.run)
         for _ in range(LISTENER_TASKS):
             self._start(self._listener.run)
         self._start(self._server.run)
@@ -135,6 +154,7 @@
         """Serve callers with older answers, finish what is in hand, then end."""
         stop = self._settings.stop
         emit(Event.ENTRY_LEAVING, in_hand=self._admission.in_hand)
+        self._peers.members.leave()
         began = self._clock.now()
         linger_until = began + stop.linger_seconds
         limit = began + stop.limit_seconds
@@ -147,6 +167,7 @@
             emit(Event.STOP_LIMIT_REACHED, in_hand=self._admission.in_hand)
         self._admission.close()
         self._watchdog.stop()
+        self._peers.members.exchange.close()
         self._listener.close()
         self._server.close()
         emit(Event.ENTRY_STOPPED)
@@ -176,14 +197,21 @@
         return ProbeReply(current.version if current else 0)
 
     def _take_entries(self, entries: tuple[Instance, ...]) -> None:
-        self._entries = entries
+        self._listed = entries
+        self._peers.members.take_entries(map(to_listed, entries))
+
+    def _tell_leaving(self, server: Server) -> None:
+        self._peers.members.tell_leaving(to_leaving(server))
+
+    @property
+    def _entries(self) -> tuple[Instance, ...]:
+        return listed_states(self._listed, self._peers.members.entries)
 
     def _entries_for(self, account: ClientAccount, in_force: DocumentInForce) -> object:
-        mine = self._settings.entry.name
         usable = [
             {"name": e.name, "address": e.host, "data_centre": e.data_centre}
             for e in self._entries
-            if e.state == "live" and not (e.name == mine and self._stopping.is_set())
+            if e.state == "live"
         ]
         keep = in_force.document.policies.answer_keep_seconds
         return {"entries": usable, "keep_seconds": keep}
--- /dev/null
+++ b/boragestream/daemon/peers.py
@@ -0,0 +1,111 @@
+"""Puts an entry among the other entries: membership, exchange and relay together."""
+
+import random
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from boragestream.base.clock import Clock
+from boragestream.base.settings import EntrySettings
+from boragestream.daemon.tasks import take_document
+from boragestream.entry.links import Handler, PeerLinks
+from boragestream.entry.messages import DocumentAsk
+from boragestream.entry.peers import EntryPeers
+from boragestream.entry.relay import ConfigurationRelay
+from boragestream.platform.instances import Instance
+from boragestream.policy.configuration import ConfigurationInForce
+from boragestream.policy.leaving import LeavingServer
+from boragestream.policy.membership import MemberState
+from boragestream.policy.peers import EntryTable
+from boragestream.policy.servers import ServerTable
+from boragestream.policy.watching import direct_read_seconds, watchers
+
+__all__ = ["Peers", "WatchDuty", "join_peers", "listed_states"]
+
+
+class WatchDuty:
+    """Says when this entry watches the configuration service.
+
+    An entry without a document always does, since no peer may have one either.
+
+    :param who: this entry's name and data centre.
+    """
+
+    def __init__(
+        self,
+        who: EntrySettings,
+        entries: EntryTable,
+        configuration: ConfigurationInForce,
+        rng: random.Random,
+    ) -> None:
+        self._who = who
+        self._entries = entries
+        self._configuration = configuration
+        self._rng = rng
+
+    def watches(self) -> bool:
+        """Return whether to watch now."""
+        if self._configuration.current is None:
+            return True
+        usable = self._entries.usable()
+        names = {e.name for e in usable if e.data_centre == self._who.data_centre}
+        # An entry that a lagging list does not name yet counts itself in.
+        return self._who.name in watchers(names | {self._who.name})
+
+    def read_gap_seconds(self) -> float:
+        """Return how long to wait between two reads while not watching."""
+        return direct_read_seconds(len(self._entries.usable()), self._rng)
+
+
+@dataclass(frozen=True, slots=True)
+class Peers:
+    """What the daemon needs of the other entries.
+
+    :ivar members: the other entries, and the exchange that parts can be added to.
+    :ivar duty: when to watch the configuration service.
+    :ivar handlers: what answers the messages of peers.
+    """
+
+    members: EntryPeers
+    duty: WatchDuty
+    handlers: Mapping[type, Handler]
+
+
+def join_peers(
+    who: EntrySettings,
+    incarnation: str,
+    links: PeerLinks,
+    configuration: ConfigurationInForce,
+    servers: ServerTable,
+    clock: Clock,
+    rng: random.Random,
+) -> Peers:
+    """Put an entry among the others; nothing runs yet."""
+
+    def server_left(server: LeavingServer) -> None:
+        servers.take_word((server.name, server.host, server.incarnation))
+
+    def take_text(text: bytes, source: str) -> bool:
+        return take_document(text, configuration, source) is not None
+
+    members = EntryPeers(
+        who.name, incarnation, who.data_centre, links, server_left, clock, rng
+    )
+    relay = ConfigurationRelay(
+        configuration, take_text, links, members.address, members.exchange.submit
+    )
+    members.exchange.add_part(relay)
+    configuration.when_taken(members.exchange.hurry)
+    duty = WatchDuty(who, members.entries, configuration, rng)
+    handlers = {**members.handlers, DocumentAsk: relay.answer}
+    return Peers(members, duty, handlers)
+
+
+def listed_states(
+    listed: Iterable[Instance], entries: EntryTable
+) -> tuple[Instance, ...]:
+    """Return the listed entries with what is believed of each as its state."""
+    return tuple(replace(i, state=_word(entries.state(i.name))) for i in listed)
+
+
+def _word(state: MemberState) -> str:
+    return state.name.lower()
--- a/boragestream/daemon/tasks.py
+++ b/boragestream/daemon/tasks.py
@@ -6,17 +6,30 @@
 import random
 import threading
 from collections.abc import Callable
+from typing import Protocol
 
 from boragestream.base.events import Event, emit
 from boragestream.document import parse_document
+from boragestream.document.digest import canonical_text
 from boragestream.platform.instances import ENTRY_SERVICE, Instance, parse_instances
 from boragestream.platform.reader import PlatformUnreachable, read_platform
 from boragestream.policy.configuration import ConfigurationInForce, Offer
+from boragestream.policy.leaving import LeavingServer
+from boragestream.policy.peers import ListedEntry
 from boragestream.policy.servers import Server, ServerState, ServerTable
 
-__all__ = ["take_document", "take_instances", "to_server", "watch_platform"]
+__all__ = [
+    "Duty",
+    "take_document",
+    "take_instances",
+    "to_leaving",
+    "to_listed",
+    "to_server",
+    "watch_platform",
+]
 
 RETRY_SECONDS = 0.5
+ROLE_CHECK_SECONDS = 0.5
 
 OFFER_EVENTS = {
     Offer.TAKEN: Event.CONFIGURATION_IN_FORCE,
@@ -26,6 +39,31 @@
 }
 
 
+class Duty(Protocol):
+    """Says when this entry watches a value and when it only reads it now and then."""
+
+    def watches(self) -> bool:
+        """Return whether to watch now."""
+
+    def read_gap_seconds(self) -> float:
+        """Return how long to wait between two reads while not watching."""
+
+
+class Always:
+    """Has a value watched without a break."""
+
+    def watches(self) -> bool:
+        """Return whether to watch now."""
+        return True
+
+    def read_gap_seconds(self) -> float:
+        """Return how long to wait between two reads while not watching."""
+        return RETRY_SECONDS
+
+
+ALWAYS = Always()
+
+
 def watch_platform(
     address: str,
     path: str,
@@ -34,6 +72,7 @@
     unreachable: Event,
     stopping: threading.Event,
     rng: random.Random,
+    duty: Duty = ALWAYS,
 ) -> None:
     """Watch one value of the platform until the entry stops.
 
@@ -41,17 +80,25 @@
     :param path: the value's path.
     :param take: takes each value that is new.
     :param unreachable: the event to log where the service gives no answer.
+    :param duty: when to watch and when to read now and then.
     """
     index = 0
     while not stopping.is_set():
-        reading = read_platform(address, path, index, wait_seconds)
+        wait = wait_seconds if duty.watches() else 0.0
+        reading = read_platform(address, path, index, wait)
         if isinstance(reading, PlatformUnreachable):
             emit(unreachable, failure=reading.describe())
             stopping.wait(RETRY_SECONDS * (0.5 + rng.random()))
-            continue
-        if reading.index != index:
+        elif reading.index != index:
             index = reading.index
             take(reading.value)
+        _wait_for_duty(duty, stopping)
+
+
+def _wait_for_duty(duty: Duty, stopping: threading.Event) -> None:
+    left = 0.0 if duty.watches() else duty.read_gap_seconds()
+    while left > 0 and not duty.watches() and not stopping.wait(ROLE_CHECK_SECONDS):
+        left -= ROLE_CHECK_SECONDS
 
 
 def take_document(
@@ -63,7 +110,7 @@
         described = [fault.describe() for fault in faults]
         emit(Event.CONFIGURATION_INVALID, source=source, faults=described)
         return None
-    offer = configuration.offer(document)
+    offer = configuration.offer(document, canonical_text(value))
     event = OFFER_EVENTS.get(offer)
     if event is not None:
         emit(event, source=source, version=document.version, offer=offer.name)
@@ -74,6 +121,7 @@
     value: bytes,
     servers: ServerTable,
     take_entries: Callable[[tuple[Instance, ...]], None],
+    take_servers: Callable[[tuple[LeavingServer, ...]], None],
 ) -> None:
     """Check a published instance list and take it."""
     instances, faults = parse_instances(value)
@@ -81,7 +129,9 @@
         described = [fault.describe() for fault in faults]
         emit(Event.INSTANCES_INVALID, faults=described)
         return
-    servers.take_list(to_server(i) for i in instances if i.service != ENTRY_SERVICE)
+    backends = [i for i in instances if i.service != ENTRY_SERVICE]
+    take_servers(tuple(to_leaving(to_server(i)) for i in backends))
+    servers.take_list(to_server(i) for i in backends)
     take_entries(tuple(i for i in instances if i.service == ENTRY_SERVICE))
     emit(Event.INSTANCES_CHANGED, instances=len(instances))
 
@@ -96,3 +146,19 @@
         incarnation=instance.incarnation,
         state=ServerState(instance.state),
     )
+
+
+def to_leaving(server: Server) -> LeavingServer:
+    """Return a server as the entries name it to one another when it leaves."""
+    return LeavingServer(server.name, server.host, server.incarnation)
+
+
+def to_listed(instance: Instance) -> ListedEntry:
+    """Return a listed entry as the decisions know it."""
+    return ListedEntry(
+        name=instance.name,
+        host=instance.host,
+        peer_address=f"{instance.address}:{instance.peer_port}",
+        data_centre=instance.data_centre,
+        leaving=instance.state == "leaving",
+    )
--- a/boragestream/entry/exchange.py
+++ b/boragestream/entry/exchange.py
@@ -8,11 +8,13 @@
 
 import random
 import threading
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
+from boragestream.base.clock import Clock
 from boragestream.base.events import Event, emit
 from boragestream.entry.links import PeerLinks
 from boragestream.entry.messages import (
@@ -33,6 +35,9 @@
 # A round that was brought forward reaches more peers, since it carries news.
 URGENT_FAN_OUT = 3
 URGENT_GAP_SECONDS = 0.05
+# So many rounds can be brought forward in a row; then one for each so many seconds.
+URGENT_BURST = 5
+URGENT_REFILL_SECONDS = 2.0
 # One round in this many also tries a suspect, so that a heal is noticed.
 SUSPECT_ROUNDS = 3
 ASK_SECONDS = 1.0
@@ -103,6 +108,7 @@
     :param links: carries the messages.
     :param directory: who the peers are.
     :param data_centre: the entry's own.
+    :param clock: paces the rounds that are brought forward.
     :param rng: chooses peers and spreads the rounds.
     """
 
@@ -111,8 +117,10 @@
         links: PeerLinks,
         directory: PeerDirectory,
         data_centre: str,
+        clock: Clock,
         rng: random.Random,
     ) -> None:
+        self._clock = clock
         self._links = links
         self._directory = directory
         self._data_centre = data_centre
@@ -135,14 +143,29 @@
 
     def run(self) -> None:
         """Run rounds until ``close``."""
+        began = self._clock.now()
+        urgent_left = float(URGENT_BURST)
         while not self._closed.is_set():
+            pause = ROUND_SECONDS * (0.75 + 0.5 * self._rng.random())
+            if urgent_left >= 1:
+                self._urgent.wait(pause)
+            else:
+                self._closed.wait(pause)
             urgent = self._urgent.is_set()
             self._urgent.clear()
             self.round(URGENT_FAN_OUT if urgent else FAN_OUT)
             self._closed.wait(URGENT_GAP_SECONDS)
-            self._urgent.wait(ROUND_SECONDS * (0.75 + 0.5 * self._rng.random()))
+            now = self._clock.now()
+            earned = (now - began) / URGENT_REFILL_SECONDS - urgent
+            urgent_left = min(URGENT_BURST, urgent_left + earned)
+            began = now
         self._asks.shutdown(wait=False, cancel_futures=True)
 
+    def submit(self, work: Callable[[], None]) -> None:
+        """Have a question to a peer asked beside the rounds."""
+        if not self._closed.is_set():
+            self._asks.submit(_logged, work)
+
     def round(self, count: int) -> None:
         """Begin one round with a few peers; a slow one does not hold up the others."""
         peers = self._directory.peers()
@@ -151,7 +174,7 @@
                 if peer.name in self._asked:
                     continue
                 self._asked.add(peer.name)
-            self._asks.submit(self._exchange, peer)
+            self.submit(partial(self._exchange, peer))
 
     def close(self) -> None:
         """End the rounds; what is under way ends by its own timeout."""
@@ -181,8 +204,6 @@
                 self._directory.note_reached(peer.name)
             elif self._directory.note_missed(peer.name):
                 self._probe_through_other(peer)
-        except Exception as error:
-            emit(Event.TASK_FAILED, task="exchange", error=repr(error))
         finally:
             with self._lock:
                 self._asked.discard(peer.name)
@@ -205,3 +226,10 @@
     def _collect(self) -> dict[str, bytes]:
         self._turn += 1
         return collect(self._parts, self._turn)
+
+
+def _logged(work: Callable[[], None]) -> None:
+    try:
+        work()
+    except Exception as error:
+        emit(Event.TASK_FAILED, task="exchange", error=repr(error))
--- a/boragestream/entry/messages.py
+++ b/boragestream/entry/messages.py
@@ -16,6 +16,8 @@
 __all__ = [
     "MAX_MESSAGE_BYTES",
     "PROTOCOL_VERSION",
+    "DocumentAsk",
+    "DocumentReply",
     "Envelope",
     "Exchange",
     "ExchangeReply",
@@ -26,6 +28,8 @@
     "ProbeForReply",
     "ProbeReply",
     "Rejected",
+    "Repair",
+    "RepairReply",
     "Sender",
     "open_envelope",
     "seal",
@@ -88,8 +92,59 @@
     reached: bool
 
 
+class Repair(msgspec.Struct, frozen=True, tag=True):
+    """Asks for the records in which two tables differ.
+
+    :ivar digests: the sender's digests of its buckets, by the table's name.
+    """
+
+    digests: dict[str, tuple[int, ...]]
+
+
+class RepairReply(msgspec.Struct, frozen=True, tag=True):
+    """The records of the buckets that differ.
+
+    :ivar records: the table's own encoding of them, by the table's name.
+    """
+
+    records: dict[str, bytes]
+
+
+class DocumentAsk(msgspec.Struct, frozen=True, tag=True):
+    """Asks for the document in force.
+
+    :ivar base: the digest of the document that the sender has; empty for none.
+    """
+
+    base: str = ""
+
+
+class DocumentReply(msgspec.Struct, frozen=True, tag=True):
+    """The document in force, compressed against a base.
+
+    :ivar version: its version, 0 where there is none.
+    :ivar base: the digest of the base; empty where the document is whole.
+    :ivar digest: the digest of the result.
+    """
+
+    version: int
+    base: str = ""
+    digest: str = ""
+    data: bytes = b""
+
+
 Message = (
-    Probe | ProbeReply | Rejected | Exchange | ExchangeReply | ProbeFor | ProbeForReply
+    Probe
+    | ProbeReply
+    | Rejected
+    | Exchange
+    | ExchangeReply
+    | ProbeFor
+    | ProbeForReply
+    | Repair
+    | RepairReply
+    | DocumentAsk
+    | DocumentReply
 )
 
 
--- a/boragestream/policy/servers.py
+++ b/boragestream/policy/servers.py
@@ -6,7 +6,7 @@
 """
 
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -43,9 +43,13 @@
 
 
 class ServerTable:
-    """The servers by service; readers take a snapshot without a lock."""
+    """The servers by service; readers take a snapshot without a lock.
 
-    def __init__(self) -> None:
+    :param told: called with each server that said to this entry that it is leaving.
+    """
+
+    def __init__(self, told: Callable[[Server], None] = lambda server: None) -> None:
+        self._told = told
         self._by_service: dict[str, tuple[Server, ...]] = {}
         self._leaving: set[tuple[str, str, str]] = set()
         self._listed: tuple[Server, ...] = ()
@@ -75,6 +79,14 @@
         with self._lock:
             self._leaving.add(server.identity)
             self._rebuild()
+        self._told(server)
+
+    def take_word(self, identity: tuple[str, str, str]) -> None:
+        """Take another entry's word that a server said that it is leaving."""
+        with self._lock:
+            if identity not in self._leaving:
+                self._leaving.add(identity)
+                self._rebuild()
 
     def _rebuild(self) -> None:
         by_service: dict[str, list[Server]] = {}
