--- a/boragestream/policy/membership.py
+++ b/boragestream/policy/membership.py
@@ -13,7 +13,7 @@
 The tables that hold the records are left to ``policy.peers``.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, replace
 from enum import IntEnum
 
@@ -76,17 +76,20 @@
     return replace(member, state=MemberState.SUSPECT)
 
 
-def answer_to(own: Member, heard: Member) -> Member:
+def answer_to(own: Member, heard: Member, outranked: Collection[str]) -> Member:
     """Return an entry's own record after it heard what is believed of it.
 
+    A leaving entry cannot tell a predecessor from a successor that runs already. It
+    rises above either once; a successor rises again, a predecessor does not.
+
     :param own: its record so far.
     :param heard: a record under its name.
+    :param outranked: the incarnations above which it has already risen.
     """
     if later(own, heard) == own:
         return own
     if heard.incarnation == own.incarnation:
         return replace(own, counter=heard.counter + 1)
-    if own.state is MemberState.LIVE:
+    if own.state is MemberState.LIVE or heard.incarnation not in outranked:
         return replace(own, generation=heard.generation + 1)
-    # One that is leaving does not outrank its successor.
     return own
--- a/boragestream/policy/peers.py
+++ b/boragestream/policy/peers.py
@@ -69,6 +69,7 @@
         # The incarnation that was known when the list first said "leaving": the
         # list's word is not about a successor under the same name.
         self._left: dict[str, str] = {}
+        self._outranked: set[str] = set()
         self._misses: dict[str, int] = {}
         self._lock = threading.RLock()
 
@@ -163,9 +164,10 @@
         return tuple(e for e in self.listed if self.state(e.name) in states)
 
     def _answer(self, heard: Member) -> None:
-        answer = answer_to(self._own, heard)
+        answer = answer_to(self._own, heard, self._outranked)
         self._members.take(heard, spread=False)
         if answer != self._own:
+            self._outranked.add(heard.incarnation)
             self._own = answer
             self._members.take(answer)
             self._changed()
