A question to a silent peer ends in time

Cause: pynng 0.9.0 lets a context's send_timeout and recv_timeout be set and does not heed them; a question to a frozen entry never ended. Ruled out: closing the context from a timer thread (one more thread and a race with the answer); asyncio beside threads. Change: one socket for each open question, whose timeouts hold; up to two are kept idle for each peer, and one that failed is closed, so that a late answer meets no other question. Conclusion: the new scenario hangs for its limit and fails without the change.

--- a/boragestream/entry/links.py
+++ b/boragestream/entry/links.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -35,6 +36,8 @@
 Handler = Callable[[Envelope, Message], Message]
 
 LISTENER_TASKS = 8
+# Sockets to one peer that are kept open; one that failed is never kept.
+IDLE_SOCKETS = 2
 NEVER_MS = -1
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
@@ -63,14 +66,17 @@
 
 
 class PeerLinks:
-    """Sockets to other entries, one for each peer that was asked.
+    """Sockets to other entries, one for each question that is open at a time.
+
+    pynng's contexts would let one socket carry several questions, but do not heed their
+    timeouts (0.9.0): a question to a silent peer would never end.
 
     :param sender: who this entry is.
     """
 
     def __init__(self, sender: Sender) -> None:
         self._sender = sender
-        self._sockets: dict[str, pynng.Req0] = {}
+        self._idle: dict[str, list[pynng.Req0]] = {}
         self._lock = threading.Lock()
 
     def ask(
@@ -82,15 +88,15 @@
         :param seconds: the longest to wait.
         """
         frame = seal(self._sender, message)
-        limit = max(1, int(seconds * 1000))
+        sock = self._take(address)
         try:
-            with self._socket(address).new_context() as context:
-                context.send_timeout = limit
-                context.recv_timeout = limit
-                context.send(frame)
-                answer = context.recv()
+            answer = _ask(sock, frame, seconds)
         except pynng.NNGException as error:
+            # A late answer must not meet the next question, and a new connection
+            # finds its way where an old one leads into a partition.
+            sock.close()
             return PeerUnreachable(address, type(error).__name__)
+        self._keep(address, sock)
         opened = open_envelope(self._sender, answer)
         if isinstance(opened, MessageRefused):
             return opened
@@ -99,31 +105,51 @@
         return opened[1]
 
     def forget(self, address: str) -> None:
-        """Close the socket to a peer that is gone."""
+        """Close the sockets to a peer that is gone."""
         with self._lock:
-            sock = self._sockets.pop(address, None)
-        if sock is not None:
+            socks = self._idle.pop(address, [])
+        for sock in socks:
             sock.close()
 
     def close(self) -> None:
-        """Close every socket."""
-        for address in list(self._sockets):
+        """Close every idle socket."""
+        for address in list(self._idle):
             self.forget(address)
 
-    def _socket(self, address: str) -> pynng.Req0:
+    def _take(self, address: str) -> pynng.Req0:
         with self._lock:
-            sock = self._sockets.get(address)
-            if sock is None:
-                sock = pynng.Req0(
-                    resend_time=NEVER_MS,
-                    reconnect_time_min=RECONNECT_MIN_MS,
-                    reconnect_time_max=RECONNECT_MAX_MS,
-                    recv_max_size=MAX_MESSAGE_BYTES,
-                )
-                sock.dial(f"tcp://{address}", block=False)
-                self._sockets[address] = sock
+            idle = self._idle.get(address)
+            if idle:
+                return idle.pop()
+        sock = pynng.Req0(
+            resend_time=NEVER_MS,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+            recv_max_size=MAX_MESSAGE_BYTES,
+        )
+        sock.dial(f"tcp://{address}", block=False)
         return sock
 
+    def _keep(self, address: str, sock: pynng.Req0) -> None:
+        with self._lock:
+            idle = self._idle.setdefault(address, [])
+            if len(idle) < IDLE_SOCKETS:
+                idle.append(sock)
+                return
+        sock.close()
+
+
+def _ask(sock: pynng.Req0, frame: bytes, seconds: float) -> bytes:
+    began = time.monotonic()
+    sock.send_timeout = _milliseconds(seconds)
+    sock.send(frame)
+    sock.recv_timeout = _milliseconds(seconds - (time.monotonic() - began))
+    return sock.recv()
+
+
+def _milliseconds(seconds: float) -> int:
+    return max(1, int(seconds * 1000))
+
 
 class PeerListener:
     """Answers the messages of other entries.
--- a/tests/features/entry_links.feature
+++ b/tests/features/entry_links.feature
@@ -16,3 +16,7 @@
       | deployment  | key                       |
       | consortium  | peer-key-of-the-tests     |
       | cooperative | another-key-another-key   |
+
+  Scenario: a question to a silent peer ends
+    When a peer is asked that accepts connections and stays silent
+    Then the question ends as "peer-unreachable"
--- a/tests/features/steps/entry_links.py
+++ b/tests/features/steps/entry_links.py
@@ -2,6 +2,7 @@
 
 import random
 import socket
+from concurrent.futures import ThreadPoolExecutor
 
 from behave import then, when
 
@@ -48,3 +49,19 @@
     refused = not isinstance(context.answer, ProbeReply)
     assert refused, context.answer
     assert not isinstance(context.answer, PeerRejected), context.answer
+
+
+@when("a peer is asked that accepts connections and stays silent")
+def step(context):
+    with socket.create_server((ADDRESS, 0)) as silent:
+        links = PeerLinks(Sender("cooperative", "entry-9", "9", PEER_KEY.encode()))
+        address = f"{ADDRESS}:{silent.getsockname()[1]}"
+        with ThreadPoolExecutor(1) as pool:
+            asked = pool.submit(links.ask, address, Probe(), 0.2)
+            context.answer = asked.result(ASK_SECONDS)
+        links.close()
+
+
+@then('the question ends as "{code}"')
+def step(context, code):
+    assert context.answer.code == code, context.answer
