Features: leaving, silence, partition and return among six entries

Cause: membership was proved by properties only. Ruled out: stopping relays by closing them (a refused connection is not a partition). Change: entry_peers.feature on six processes whose peer ports lead through the partition stand-in; the instance list says 'live' of everybody throughout. Conclusion: leaving, frozen, killed and replaced entries, two sides and one cut pair are covered.

--- /dev/null
+++ b/tests/features/entry_peers.feature
@@ -0,0 +1,42 @@
+@fixture.partitioned.cooperative
+Feature: entries tell one another who is there
+  Separate processes; the instance list says "live" of everybody throughout.
+
+  Scenario: a leaving entry is dropped from every answer and its successor comes back
+    Given every entry offers "entry-1, entry-2, entry-3, entry-4, entry-5, entry-6"
+    When "entry-2" is told to stop
+    Then the others come to offer "entry-1, entry-3, entry-4, entry-5, entry-6"
+    And "entry-2" comes to offer "entry-1, entry-3, entry-4, entry-5, entry-6"
+    When "entry-2" has ended
+    And "entry-2" is started again
+    Then every entry offers "entry-1, entry-2, entry-3, entry-4, entry-5, entry-6"
+
+  Scenario Outline: an entry that is silent is dropped until it is back
+    Given every entry offers "entry-1, entry-2, entry-3, entry-4, entry-5, entry-6"
+    When "entry-5" is <lost>
+    Then the others come to offer "entry-1, entry-2, entry-3, entry-4, entry-6"
+    When "entry-5" is <back>
+    Then every entry offers "entry-1, entry-2, entry-3, entry-4, entry-5, entry-6"
+
+    Examples:
+      | lost   | back          |
+      | frozen | woken         |
+      | killed | started again |
+
+  Scenario: both sides of a partition serve with their own, and come together again
+    Given every entry offers "entry-1, entry-2, entry-3, entry-4, entry-5, entry-6"
+    When the network splits into "entry-1, entry-2, entry-3" and "entry-4, entry-5, entry-6"
+    Then "entry-1" comes to offer "entry-1, entry-2, entry-3"
+    And "entry-6" comes to offer "entry-4, entry-5, entry-6"
+    When "patan-counter" calls "caption" with "either side" on every entry
+    Then every outcome is "answered"
+    When the network heals
+    Then every entry offers "entry-1, entry-2, entry-3, entry-4, entry-5, entry-6"
+
+  Scenario: a pair that cannot hear one another is not suspected while others can
+    Given every entry offers "entry-1, entry-2, entry-3, entry-4, entry-5, entry-6"
+    When the network splits into "entry-1" and "entry-2"
+    And 6 rounds of the exchange pass
+    Then every entry offers "entry-1, entry-2, entry-3, entry-4, entry-5, entry-6"
+    When the network heals
+    Then every entry offers "entry-1, entry-2, entry-3, entry-4, entry-5, entry-6"
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -3,9 +3,12 @@
 from behave import fixture, use_fixture
 
 from tests.standins.fleet import Fleet
+from tests.standins.partition import PartitionedNetwork
 from tests.standins.sites import example_document, example_servers
 
 FLEET_TAG = "fixture.fleet."
+PARTITIONED_TAG = "fixture.partitioned."
+LINGER_SETTINGS = "[stop]\nlinger_seconds = 4.0\n"
 
 
 @fixture
@@ -16,7 +19,25 @@
         yield started
 
 
+@fixture
+def partitioned(context, site):
+    """Start a site's fleet whose entries hear one another through relays."""
+    document = example_document(site)
+    instances = example_servers(site)
+    with Fleet(document, instances, settings=LINGER_SETTINGS) as started:
+        ports = {n: p.extra["peer_port"] for n, p in started.entries.items()}
+        with PartitionedNetwork(ports) as network:
+            for name, port in network.ports.items():
+                started.entries[name].extra["peer_port"] = port
+            started.publish_instances()
+            context.fleet = started
+            context.network = network
+            yield started
+
+
 def before_tag(context, tag):
     """Start what a tag asks for."""
     if tag.startswith(FLEET_TAG):
         use_fixture(fleet, context, tag.removeprefix(FLEET_TAG))
+    if tag.startswith(PARTITIONED_TAG):
+        use_fixture(partitioned, context, tag.removeprefix(PARTITIONED_TAG))
