What was sent is noted attempt by attempt

Cause: a request with two calls that may not be repeated could end as "failed, repeat is safe" although the first had run: a refused second one cleared the one flag.

Ruled out: a count of such calls; a connect that failed before anything was noted would lower it for a call that ran.

Change: the record keeps the ids of the attempts that may have run, and one that certainly did not takes only itself out.

Conclusion: "failed" stays true for pipelines with more than one such stage.

--- a/boragestream/serving/request.py
+++ b/boragestream/serving/request.py
@@ -20,7 +20,7 @@
 
     def __init__(self) -> None:
         self._any = False
-        self._unrepeatable = False
+        self._unrepeatable: set[str] = set()
         self._lock = threading.Lock()
 
     @property
@@ -31,18 +31,19 @@
     @property
     def unrepeatable(self) -> bool:
         """Whether a call that may not be repeated may have run."""
-        return self._unrepeatable
+        return bool(self._unrepeatable)
 
-    def note_sending(self, repeatable: bool) -> None:
+    def note_sending(self, attempt_id: str, repeatable: bool) -> None:
         """Note that a call is about to be sent; called before the first byte."""
         with self._lock:
             self._any = True
-            self._unrepeatable = self._unrepeatable or not repeatable
+            if not repeatable:
+                self._unrepeatable.add(attempt_id)
 
-    def note_not_run(self) -> None:
-        """Note that the call that may not be repeated has certainly not run."""
+    def note_not_run(self, attempt_id: str) -> None:
+        """Note that an attempt has certainly not run; others may have."""
         with self._lock:
-            self._unrepeatable = False
+            self._unrepeatable.discard(attempt_id)
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/serving/stage.py
+++ b/boragestream/serving/stage.py
@@ -116,6 +116,7 @@
         self, request: RequestRecord, call: StageCall, server: Server, finish: Any
     ) -> Any | AttemptFailure:
         scope = request.scope.child()
+        attempt_id = new_attempt_id()
         began = self.clock.now()
         self.loads.begin(server.name)
 
@@ -128,18 +129,18 @@
             call,
             server.name,
             server.host,
-            new_attempt_id(),
+            attempt_id,
             self.connections,
             scope,
             self.clock,
-            sending=lambda: request.sent.note_sending(call.repeatable),
+            sending=lambda: request.sent.note_sending(attempt_id, call.repeatable),
         )
         if isinstance(answer, OpenAnswer):
             answer.when_ended(ended)
             return finish(answer)
         ended(whole=False)
         if not call.repeatable and answer.ran is not Ran.MAY_HAVE_RUN:
-            request.sent.note_not_run()
+            request.sent.note_not_run(attempt_id)
         return answer
 
     def _note_failure(
