Fault matrix of the stages, and answers bounded in size and nesting

Cause: nothing held what callers see against what backend servers ran while faults strike. The first run of the matrix found three faults: an answer nested 5000 deep ended the request's thread with a RecursionError (no typed outcome, waitress' own 500); a completion without choices cut a stream without an error event; answers of 9 MB and 960 levels were taken (MAX_ANSWER_BYTES was not used). Ruled out: a higher recursion limit (what decodes near the limit cannot be encoded a few calls further down); counting brackets alone (they stand in texts too).

--- a/boragestream/backend/calls.py
+++ b/boragestream/backend/calls.py
@@ -6,7 +6,7 @@
 """
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -81,7 +81,7 @@
     """One server-sent event of a completion; ``id`` echoes the attempt."""
 
     id: str
-    choices: list[CompletionChoice]
+    choices: Annotated[list[CompletionChoice], msgspec.Meta(min_length=1)]
 
 
 def stage_path(kind: ServiceKind) -> str:
--- a/boragestream/backend/cancellation.py
+++ b/boragestream/backend/cancellation.py
@@ -63,14 +63,19 @@
         """Register a socket; it is shut down at once if the scope is cancelled."""
         with self._lock:
             self._sockets.add(sock)
-            cancelled = self._reason is not None
-        if cancelled:
-            _shut_down(sock)
+            if self._reason is not None:
+                _shut_down(sock)
 
     def remove(self, sock: socket.socket) -> None:
-        """Forget a socket."""
+        """Forget a socket; no shutdown of it is under way when this returns."""
+        with self._lock:
+            self._sockets.discard(sock)
+
+    def release(self, sock: socket.socket) -> bool:
+        """Forget a socket and tell whether it was spared; False once cancelled."""
         with self._lock:
             self._sockets.discard(sock)
+            return self._reason is None
 
     def cancel(self, reason: Failure) -> None:
         """Cancel the scope and its children; the first reason stays."""
@@ -78,10 +83,11 @@
             if self._reason is not None:
                 return
             self._reason = reason
-            sockets = list(self._sockets)
             children = list(self._children)
-        for sock in sockets:
-            _shut_down(sock)
+            # Under the lock, so that no socket is given on or closed meanwhile,
+            # and its number taken by another.
+            for sock in self._sockets:
+                _shut_down(sock)
         for child in children:
             child.cancel(reason)
 
--- /dev/null
+++ b/boragestream/backend/failures.py
@@ -0,0 +1,102 @@
+"""What can go wrong with an attempt of a call on a backend server.
+
+Each failure says whether the server may have run the call, which decides the outcome
+that the caller is told.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from boragestream.base.outcomes import Failure
+
+__all__ = [
+    "AnswerCrossed",
+    "AnswerCut",
+    "AnswerTooLarge",
+    "AttemptCancelled",
+    "AttemptFailure",
+    "ConnectFailed",
+    "Ran",
+    "ServerErred",
+    "ServerRefused",
+]
+
+
+class Ran(Enum):
+    """Whether a server may have run a call."""
+
+    NOT_SENT = "no byte of the call was sent"
+    NOT_RUN = "the server says that it did not run the call"
+    MAY_HAVE_RUN = "the call was sent and not answered whole"
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFailure(Failure):
+    """The base of what can go wrong with an attempt.
+
+    :ivar server: the server's name.
+    :ivar ran: whether the server may have run the call.
+    """
+
+    server: str
+    ran: Ran
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectFailed(AttemptFailure):
+    """The server could not be reached."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRefused(AttemptFailure):
+    """The server says that it did not run the call.
+
+    :ivar status: the HTTP status.
+    :ivar leaving: whether the server says that it is leaving.
+    """
+
+    status: int
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ServerErred(AttemptFailure):
+    """The server answered with an error status."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerCut(AttemptFailure):
+    """The answer ended before its end mark, or could not be read."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerCrossed(AttemptFailure):
+    """The answer echoes the ids of another call and was discarded."""
+
+    echoed: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptCancelled(AttemptFailure):
+    """The attempt was cancelled.
+
+    :ivar reason: why.
+    """
+
+    reason: Failure
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerTooLarge(AttemptFailure):
+    """The answer is longer, or nested deeper, than any answer may be.
+
+    :ivar limit: the limit that it passed, with its unit.
+    """
+
+    limit: str
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -5,16 +5,21 @@
 SPEC is JSON: name, kind, address, port, and optionally slots, service_ms, token_ms,
 tokens. Results are derived from the input, so that a caller can tell its own.
 
-``POST /standin/faults`` queues faults, one taken by each call; ``GET /standin/runs``
-tells how often each request id and attempt id was run.
+``POST /standin/faults`` queues faults, one taken by each call; the folder ``faults``
+holds faults for the calls of one input. A fault strikes at a position of its call:
+arrive, ran, head, middle, end or after. ``GET /standin/runs`` tells how often each
+request id, attempt id and input was run.
 """
 
 import hashlib
 import json
+import os
+import signal
 import sys
 import threading
 import time
 from collections import Counter, deque
+from pathlib import Path
 
 from tests.standins.http import Handler, serve
 
@@ -24,7 +29,25 @@
     "token_ms": 1.0,
     "tokens": 8,
     "incarnation": "1",
+    "service": "",
+    "faults": "",
+    "journal": "",
 }
+# Where a fault strikes that does not name a position.
+DEFAULT_POSITIONS = {
+    "slow": "ran",
+    "late": "ran",
+    "silent": "ran",
+    "reset": "arrive",
+    "cut": "middle",
+    "stream-cut": "middle",
+    "stream-stall": "middle",
+}
+SIGNALS = {"kill": signal.SIGKILL, "freeze": signal.SIGSTOP}
+GARBAGE = b"\x00\xffgarbage\r\n"
+OVERSIZE_BYTES = 9 * 1_048_576
+# Deeper than a JSON decoder goes, and so deep that what decodes can't be encoded.
+DEPTHS = {"deep": 5000, "nested": 960}
 
 
 class State:
@@ -34,6 +57,7 @@
         self.lock = threading.Lock()
         self.requests = Counter()
         self.attempts = Counter()
+        self.inputs = Counter()
         self.finished = Counter()
         self.cancelled = 0
         self.faults = deque()
@@ -52,6 +76,33 @@
     return hashlib.sha256(text).hexdigest()[:12]
 
 
+def claim(folder, mark):
+    """Take one fault that waits in a folder for an input; one server alone gets it.
+
+    The servers of a service share the folder, so that a fault strikes whichever of
+    them is called.
+    """
+    waiting = sorted(Path(folder).glob(f"{mark}-*.json")) if folder else []
+    for path in waiting:
+        try:
+            fault = json.loads(path.read_text())
+            path.unlink()
+        except FileNotFoundError:
+            continue
+        return fault
+    return {}
+
+
+def swollen(content, kind):
+    """Return a JSON object with a field that is far too long or nested too deep."""
+    if kind == "oversize":
+        return content[:-1] + b', "padding": "' + b"x" * OVERSIZE_BYTES + b'"}'
+    depth = DEPTHS.get(kind, 0)
+    if depth:
+        return content[:-1] + b', "deep": ' + b"[" * depth + b"]" * depth + b"}"
+    return content
+
+
 def expected_text(value, tokens):
     """Return the text that an engine generates for an input."""
     return "".join(token_texts(value, tokens))
@@ -73,6 +124,7 @@
                 body = {
                     "requests": dict(STATE.requests),
                     "attempts": dict(STATE.attempts),
+                    "inputs": dict(STATE.inputs),
                     "finished": dict(STATE.finished),
                     "cancelled": STATE.cancelled,
                     "busy_seconds": STATE.busy_seconds,
@@ -91,35 +143,73 @@
         if path == "/standin/leaving":
             STATE.leaving = body["leaving"]
             return self.reply({})
-        fault = self._take_fault()
-        kind = fault.get("fault")
-        if STATE.leaving:
+        if STATE.leaving and STATE.leaving != "silently":
             return self._refuse("leaving")
+        fault = self._take_fault(body)
+        if fault:
+            self._record("struck", body)
+        kind = fault.get("fault")
         if kind == "refuse":
-            return self._refuse("busy")
-        if kind == "reset":
-            return self.reset()
+            return self._refuse(fault.get("reason", "busy"))
+        self._strike("arrive", fault)
         if kind == "crossed-refusal":
             headers = [*self._echo("r-other", "a-other"), ("X-Not-Run", "busy")]
-            self._run_counted()
+            self._run_counted(body)
             return self.reply({"error": "busy"}, 503, headers)
         return self._run(body, fault, kind)
 
-    def _take_fault(self):
+    def _take_fault(self, body):
         with STATE.lock:
-            return STATE.faults.popleft() if STATE.faults else {}
+            if STATE.faults:
+                return STATE.faults.popleft()
+        return claim(SPEC["faults"], fingerprint(body["input"]))
+
+    def _strike(self, position, fault):
+        """Bring a fault about where this is its position."""
+        kind = fault.get("fault")
+        if fault.get("at", DEFAULT_POSITIONS.get(kind)) != position:
+            return
+        if kind in ("slow", "late", "silent", "stream-stall"):
+            self.wfile.flush()
+            time.sleep(fault.get("seconds", 30 if kind == "silent" else 0))
+        if kind in ("kill", "freeze"):
+            self.wfile.flush()
+            os.kill(os.getpid(), SIGNALS[kind])
+        if kind == "signal":
+            self.wfile.flush()
+            os.kill(fault["pid"], fault["number"])
+            time.sleep(fault.get("seconds", 0))
+        if kind == "garbage":
+            self.wfile.write(GARBAGE)
+        if kind in ("cut", "silent", "stream-cut", "garbage"):
+            self.cut()
+            raise ConnectionAbortedError
+        if kind == "reset":
+            self.reset()
+            raise ConnectionAbortedError
 
     def _refuse(self, reason):
         headers = [*self._echo(), ("X-Not-Run", reason)]
         self.reply({"error": reason}, 503, headers)
 
-    def _run_counted(self):
+    def _run_counted(self, body):
         with STATE.lock:
             STATE.requests[self.headers["X-Request-Id"]] += 1
             STATE.attempts[self.headers["X-Attempt-Id"]] += 1
+            STATE.inputs[fingerprint(body["input"])] += 1
+        self._record("ran", body)
+
+    def _record(self, what, body):
+        """Write a line to the fleet's journal, which outlives a killed server."""
+        if not SPEC["journal"]:
+            return
+        ids = self.headers["X-Request-Id"], self.headers["X-Attempt-Id"]
+        line = [what, SPEC["service"], SPEC["name"], *ids, fingerprint(body["input"])]
+        with open(SPEC["journal"], "ab", buffering=0) as journal:
+            journal.write(" ".join(line).encode() + b"\n")
 
     def _run(self, body, fault, kind):
-        self._run_counted()
+        self._run_counted(body)
         with STATE.lock:
             STATE.in_progress += 1
         try:
@@ -138,30 +228,50 @@
 
     def _answer(self, body, fault, kind):
         time.sleep(SPEC["service_ms"] / 1000)
-        if kind in ("slow", "late"):
-            time.sleep(fault["seconds"])
-        if kind == "silent":
-            time.sleep(fault.get("seconds", 30))
-            return self.cut()
+        self._strike("ran", fault)
         if kind == "error":
             return self.reply({"error": "broken"}, 500, self._echo())
-        if body.get("stream"):
-            return self._stream(body, fault, kind)
-        echo = self._echo("r-other", "a-other") if kind == "crossed" else self._echo()
-        content = json.dumps(self._result(body)).encode()
-        self.send_response_only(200)
-        for name, value in echo:
-            self.send_header(name, value)
-        self.send_header("Content-Length", str(len(content)))
-        self.end_headers()
-        if kind == "cut":
-            self.wfile.write(content[: fault.get("bytes", len(content) // 2)])
-            return self.cut()
-        self.wfile.write(content)
-        if kind == "duplicated":
-            self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        stream = bool(body.get("stream"))
+        parts = self._stream_parts(body, kind) if stream else self._parts(body, kind)
+        pause = SPEC["token_ms"] / 1000 if stream else 0
+        self.wfile.write(self._head(stream, kind, sum(map(len, parts))))
+        self._strike("head", fault)
+        for i, part in enumerate(parts):
+            if i == len(parts) // 2:
+                self._strike("middle", fault)
+            if i == len(parts) - 1:
+                self._strike("end", fault)
+            time.sleep(pause)
+            self.wfile.write(part)
+            self.wfile.flush()
         self._finished()
-        self.wfile.flush()
+        self._record("finished", body)
+        if kind == "duplicated":
+            self.wfile.write(self._head(False, kind, 2) + b"{}")
+        if kind == "no-length":
+            self.close_connection = True
+        self._strike("after", fault)
+
+    def _head(self, stream, kind, length):
+        crossed = kind == "crossed"
+        headers = self._echo("r-other", "a-other") if crossed else self._echo()
+        if stream:
+            headers.append(("Content-Type", "text/event-stream"))
+            headers.append(("Transfer-Encoding", "chunked"))
+        elif kind != "no-length":
+            wrong = {"short-length": -2, "long-length": 2}.get(kind, 0)
+            headers.append(("Content-Length", str(length + wrong)))
+        status = "HTTP/1.1 200 OK" if kind != "garbage-status" else "\x00\xff 200 ?"
+        lines = [status, *(f"{name}: {value}" for name, value in headers), "", ""]
+        return "\r\n".join(lines).encode("latin-1")
+
+    def _parts(self, body, kind):
+        """Return a whole answer in three parts, the last of one byte."""
+        content = swollen(json.dumps(self._result(body)).encode(), kind)
+        if kind == "truncated":
+            content = content[: len(content) // 2]
+        half = len(content) // 2
+        return [content[:half], content[half:-1], content[-1:]]
 
     def _result(self, body):
         mark = fingerprint(body["input"])
@@ -181,35 +291,30 @@
     def _tokens(self, body):
         return min(SPEC["tokens"], body.get("max_tokens", SPEC["tokens"]))
 
-    def _stream(self, body, fault, kind):
+    def _stream_parts(self, body, kind):
+        """Return the chunks of a streamed answer; the last is the end mark's."""
         texts = token_texts(body["input"], self._tokens(body))
         attempt = self.headers["X-Attempt-Id"]
-        self.send_response_only(200)
-        for name, value in self._echo():
-            self.send_header(name, value)
-        self.send_header("Content-Type", "text/event-stream")
-        self.send_header("Transfer-Encoding", "chunked")
-        self.end_headers()
+        events = []
         for i, text in enumerate(texts):
-            if kind == "stream-cut" and i == len(texts) // 2:
-                return self.cut()
-            if kind == "stream-stall" and i == len(texts) // 2:
-                time.sleep(fault["seconds"])
-            time.sleep(SPEC["token_ms"] / 1000)
             last = i == len(texts) - 1
             part = {
                 "id": "a-other" if kind == "stream-crossed" and i else attempt,
                 "choices": [{"text": text, "finish_reason": "stop" if last else None}],
             }
-            self._chunk(b"data: " + json.dumps(part).encode() + b"\n\n")
-        if kind != "stream-unended":
-            self._chunk(b"data: [DONE]\n\n")
-        self._chunk(b"")
-        self._finished()
-
-    def _chunk(self, data):
-        self.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
-        self.wfile.flush()
+            if kind == "no-choices" and i:
+                part["choices"] = []
+            content = swollen(json.dumps(part).encode(), kind if i else None)
+            events.append(b"data: " + content + b"\n\n")
+        if kind == "truncated":
+            events[-1] = events[-1][:20]
+        if kind not in ("stream-unended", "truncated"):
+            events.append(b"data: [DONE]\n\n")
+        if kind == "beyond-end":
+            events.append(events[0])
+        chunks = [b"%x\r\n%b\r\n" % (len(event), event) for event in events]
+        chunks[-1] += b"" if kind == "no-last-chunk" else b"0\r\n\r\n"
+        return chunks
 
     def _finished(self):
         with STATE.lock:
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -6,6 +6,7 @@
 
 import ctypes
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -17,6 +18,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from tests.standins.backend import fingerprint
+
 ADDRESS = "127.0.0.1"
 PARENT_DEATH_SIGNAL = 1
 START_SECONDS = 20
@@ -107,7 +110,9 @@
     def __init__(self, document, instances, entries=6, settings="", backend=None):
         """Take the document and the servers as (name, service, kind, data centre)."""
         self.document = document
+        self.marks = itertools.count()
         self.folder = Path(tempfile.mkdtemp(prefix="boragestream-"))
+        self.journal = self.folder / "runs.journal"
         ports = iter(free_ports(1 + len(instances) + 2 * entries))
         self.settings = settings
         self.platform = self._process(
@@ -134,6 +139,9 @@
 
     def _add_server(self, port, spec, service, data_centre):
         spec["port"] = port
+        folder = self.folder / "faults" / service
+        folder.mkdir(parents=True, exist_ok=True)
+        spec.update(service=service, faults=str(folder), journal=str(self.journal))
         process = self._process(
             spec["name"],
             port,
@@ -251,6 +259,20 @@
         """Queue faults on a backend server."""
         fetch(self.servers[server].port, "/standin/faults", list(faults))
 
+    def inject_call(self, service, text, *faults):
+        """Have faults strike calls of one input, whichever server is called.
+
+        Returns the files that wait; a server that takes a fault removes its file.
+        """
+        folder = self.folder / "faults" / service
+        paths = []
+        for fault in faults:
+            path = folder / f"{fingerprint(text)}-{next(self.marks):06d}.json"
+            path.with_suffix(".new").write_text(json.dumps(fault))
+            path.with_suffix(".new").rename(path)
+            paths.append(path)
+        return paths
+
     def runs(self):
         """Return the run counts of every backend server that answers."""
         counts = {}
