Latency histograms, statsd metrics and a status page for operators

Cause: the status page was an untyped map open to anybody, although it names client accounts; nothing measured latency or cost per account and stage. Ruled out: histograms of two or three digits, about 20 MB and more for 730 accounts in two windows; a sliding reservoir, which has no honest maximum; statsd's own client socket, which can wait for room. Change: base.histograms (two rotating windows, one digit), base.metrics (non-blocking UDP), base.observations (one hook for requests, one for attempts), caller.status (typed page), and the operator's key digests in the settings.

--- a/boragestream/base/settings.py
+++ b/boragestream/base/settings.py
@@ -18,6 +18,7 @@
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Digest = Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
 
@@ -89,6 +90,17 @@
     statsd_port: Port = 8125
 
 
+@dataclass(frozen=True, slots=True)
+class OperatorSettings:
+    """Who may read the status page.
+
+    :ivar key_digests: SHA-256 of each operator key in hexadecimal, two during a
+        change of keys; nobody may where there is none.
+    """
+
+    key_digests: tuple[Digest, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """The whole settings file."""
@@ -99,6 +111,7 @@
     platform: PlatformSettings
     stop: StopSettings = field(default_factory=StopSettings)
     metrics: MetricsSettings = field(default_factory=MetricsSettings)
+    operator: OperatorSettings = field(default_factory=OperatorSettings)
 
 
 def read_settings(path: Path) -> tuple[Settings | None, list[Fault]]:
--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -13,9 +13,15 @@
 from boragestream.base.events import Event, emit
 from boragestream.base.failures import NoConfiguration
 from boragestream.base.identifiers import new_request_id
+from boragestream.base.observations import Observations
 from boragestream.base.outcomes import Answered, Failure, Outcome, Refused
 from boragestream.caller.failures import MethodNotAllowed, PathUnknown
-from boragestream.caller.reading import CallerRequest, find_account, read_request
+from boragestream.caller.reading import (
+    CallerRequest,
+    check_operator,
+    find_account,
+    read_request,
+)
 from boragestream.caller.replies import StartResponse, json_reply, outcome_reply
 from boragestream.caller.streaming import StreamedReply
 from boragestream.document import ClientAccount
@@ -39,6 +45,7 @@
 
     :ivar entries_for: returns the answer to which entries an account shall use.
     :ivar status: returns the entry's status page.
+    :ivar operator_digests: of the keys that may read the status page.
     """
 
     configuration: ConfigurationInForce
@@ -49,6 +56,8 @@
     max_body_bytes: int
     entries_for: Callable[[ClientAccount, DocumentInForce], object]
     status: Callable[[], object]
+    observations: Observations
+    operator_digests: tuple[str, ...] = ()
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Reply:
         """Answer one HTTP request."""
@@ -80,6 +89,9 @@
     def _status(
         self, environ: Environ, start_response: StartResponse, request_id: str
     ) -> Reply:
+        refused = check_operator(environ, self.operator_digests)
+        if refused is not None:
+            return self._refuse(start_response, request_id, refused)
         return json_reply(start_response, self.status())
 
     def _pipeline(
@@ -101,7 +113,7 @@
             return self._refuse(start_response, request_id, asked)
         refused = self.admission.enter()
         if refused is not None:
-            self._log_end(request_id, asked, refused)
+            self._log_end(request_id, asked, arrived, refused)
             return outcome_reply(start_response, refused, request_id)
         scope = CancelScope(
             arrived + asked.deadline_ms / 1000,
@@ -118,20 +130,21 @@
         )
         self.watchdog.open(scope)
         if asked.stream:
-            return self._stream(start_response, request, asked)
-        return self._whole(start_response, request, asked)
+            return self._stream(start_response, request, asked, arrived)
+        return self._whole(start_response, request, asked, arrived)
 
     def _whole(
         self,
         start_response: StartResponse,
         request: RequestRecord,
         asked: CallerRequest,
+        arrived: float,
     ) -> Reply:
         try:
             outcome = self._conclude(request, self.pipelines.run(request))
         finally:
             self._release(request)
-        self._log_end(request.request_id, asked, outcome)
+        self._log_end(request.request_id, asked, arrived, outcome)
         return outcome_reply(start_response, outcome, request.request_id)
 
     def _stream(
@@ -139,10 +152,11 @@
         start_response: StartResponse,
         request: RequestRecord,
         asked: CallerRequest,
+        arrived: float,
     ) -> Reply:
         def ended(outcome: Outcome) -> None:
             self._release(request)
-            self._log_end(request.request_id, asked, outcome)
+            self._log_end(request.request_id, asked, arrived, outcome)
 
         opened = False
         try:
@@ -153,7 +167,7 @@
                 self._release(request)
         if isinstance(answer, Failure):
             outcome = request.outcome_of(answer, RETRY_SECONDS)
-            self._log_end(request.request_id, asked, outcome)
+            self._log_end(request.request_id, asked, arrived, outcome)
             return outcome_reply(start_response, outcome, request.request_id)
         headers = [
             ("Content-Type", "text/event-stream"),
@@ -183,13 +197,20 @@
         outcome = Refused(failure, RETRY_SECONDS if worth_retrying else None)
         return outcome_reply(start_response, outcome, request_id)
 
-    def _log_end(self, request_id: str, asked: CallerRequest, outcome: Outcome) -> None:
+    def _log_end(
+        self, request_id: str, asked: CallerRequest, arrived: float, outcome: Outcome
+    ) -> None:
         failure = getattr(outcome, "failure", None)
+        name = type(outcome).__name__.lower()
+        seconds = self.clock.now() - arrived
+        account, pipeline = asked.account.name, asked.pipeline.name
+        self.observations.request_ended(account, pipeline, name, seconds)
         emit(
             Event.REQUEST_ENDED,
             request=request_id,
-            account=asked.account.name,
-            pipeline=asked.pipeline.name,
-            outcome=type(outcome).__name__.lower(),
+            account=account,
+            pipeline=pipeline,
+            outcome=name,
+            milliseconds=int(seconds * 1000),
             failure=failure.describe() if failure else None,
         )
--- a/boragestream/caller/reading.py
+++ b/boragestream/caller/reading.py
@@ -1,7 +1,7 @@
 """Reads what a caller sent and checks it, before anything is run."""
 
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Any
 
@@ -20,7 +20,7 @@
 from boragestream.document import ClientAccount, Pipeline
 from boragestream.policy.configuration import DocumentInForce
 
-__all__ = ["CallerRequest", "find_account", "read_request"]
+__all__ = ["CallerRequest", "check_operator", "find_account", "read_request"]
 
 BEARER = "Bearer "
 EVENT_STREAM = "text/event-stream"
@@ -55,12 +55,14 @@
     environ: dict[str, Any], in_force: DocumentInForce
 ) -> ClientAccount | WrongKey:
     """Return the client account whose key the request carries."""
-    given = environ.get("HTTP_AUTHORIZATION", "")
-    if not given.startswith(BEARER):
-        return WrongKey()
-    key = given.removeprefix(BEARER).strip()
-    digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
-    return in_force.accounts_by_digest.get(digest, WrongKey())
+    return in_force.accounts_by_digest.get(_key_digest(environ), WrongKey())
+
+
+def check_operator(
+    environ: dict[str, Any], key_digests: Collection[str]
+) -> WrongKey | None:
+    """Return None where the request carries the key of an operator."""
+    return None if _key_digest(environ) in key_digests else WrongKey()
 
 
 def read_request(
@@ -97,6 +99,20 @@
     )
 
 
+def _key_digest(environ: dict[str, Any]) -> str:
+    """Return the digest of the bearer key; empty where there is none.
+
+    Keys are compared by their digests, so that the time of a comparison says nothing
+    about a key.
+    """
+    given = environ.get("HTTP_AUTHORIZATION", "")
+    if not given.startswith(BEARER):
+        return ""
+    key = given.removeprefix(BEARER).strip()
+    # WSGI hands headers over as latin-1, whatever their bytes were.
+    return hashlib.sha256(key.encode("latin-1", "replace")).hexdigest()
+
+
 def _read_deadline(environ: dict[str, Any], pipeline: Pipeline) -> int | Failure:
     given = environ.get("HTTP_X_DEADLINE_MS")
     if given is None:
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -10,9 +10,13 @@
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, emit
 from boragestream.base.identifiers import new_incarnation
+from boragestream.base.metrics import open_metrics
+from boragestream.base.observations import Observations
 from boragestream.base.settings import Settings
 from boragestream.caller.application import Application
 from boragestream.caller.server import create_server
+from boragestream.caller.status import StatusPage
+from boragestream.daemon.status import status_page
 from boragestream.daemon.tasks import take_document, take_instances, watch_platform
 from boragestream.document import ClientAccount
 from boragestream.entry.links import LISTENER_TASKS, PeerLinks, PeerListener
@@ -52,6 +56,13 @@
         self._configuration = ConfigurationInForce(settings.entry.deployment)
         self._servers = ServerTable()
         self._loads = LoadTable()
+        metrics = settings.metrics
+        self._observations = Observations(
+            self._clock,
+            open_metrics(
+                metrics.statsd_address, metrics.statsd_port, settings.entry.name
+            ),
+        )
         self._watchdog = Watchdog(self._clock)
         self._admission = Admission(max(1, settings.caller.threads - SPARE_THREADS))
         self._tasks = ThreadPoolExecutor(TASK_THREADS, "task")
@@ -159,6 +170,7 @@
             connections=ConnectionKeeper(),
             attempts=self._attempts,
             clock=self._clock,
+            observations=self._observations,
         )
         return Application(
             configuration=self._configuration,
@@ -169,6 +181,8 @@
             max_body_bytes=self._settings.caller.max_body_bytes,
             entries_for=self._entries_for,
             status=self._status,
+            observations=self._observations,
+            operator_digests=self._settings.operator.key_digests,
         )
 
     def _answer_probe(self, envelope: Envelope, message: Probe) -> ProbeReply:
@@ -188,15 +202,15 @@
         keep = in_force.document.policies.answer_keep_seconds
         return {"entries": usable, "keep_seconds": keep}
 
-    def _status(self) -> object:
-        current = self._configuration.current
-        return {
-            "entry": self._settings.entry.name,
-            "incarnation": self._incarnation,
-            "version": current.version if current else 0,
-            "digest": current.digest if current else "",
-            "leaving": self._stopping.is_set(),
-            "in_hand": self._admission.in_hand,
-            "servers": len(self._servers.all),
-            "entries": [entry.name for entry in self._entries],
-        }
+    def _status(self) -> StatusPage:
+        return status_page(
+            self._settings.entry,
+            self._incarnation,
+            self._stopping.is_set(),
+            self._configuration,
+            self._admission,
+            self._servers,
+            self._loads,
+            self._entries,
+            self._observations,
+        )
--- a/boragestream/serving/stage.py
+++ b/boragestream/serving/stage.py
@@ -23,6 +23,7 @@
 from boragestream.base.events import Event, emit
 from boragestream.base.failures import NoLiveServer
 from boragestream.base.identifiers import new_attempt_id
+from boragestream.base.observations import Observations
 from boragestream.base.outcomes import Failure
 from boragestream.document import Stage
 from boragestream.policy.load import LoadTable
@@ -48,6 +49,7 @@
     connections: ConnectionKeeper
     attempts: ThreadPoolExecutor
     clock: Clock
+    observations: Observations
 
     def run(
         self, request: RequestRecord, stage: Stage, stage_input: StageInput
@@ -91,7 +93,7 @@
             if server is None:
                 return failure
             tried.add(server.name)
-            result = self._attempt(request, call, server, finish)
+            result = self._attempt(request, stage, call, server, finish)
             if not isinstance(result, AttemptFailure):
                 return result
             failure = result
@@ -113,15 +115,22 @@
         return policy.choose(fresh)
 
     def _attempt(
-        self, request: RequestRecord, call: StageCall, server: Server, finish: Any
+        self,
+        request: RequestRecord,
+        stage: Stage,
+        call: StageCall,
+        server: Server,
+        finish: Any,
     ) -> Any | AttemptFailure:
         scope = request.scope.child()
         began = self.clock.now()
         self.loads.begin(server.name)
 
         def ended(whole: bool) -> None:
-            seconds = self.clock.now() - began if whole else None
-            self.loads.end(server.name, seconds)
+            seconds = self.clock.now() - began
+            self.loads.end(server.name, seconds if whole else None)
+            pipeline = request.pipeline.name
+            self.observations.attempt_ended(pipeline, stage.name, whole, seconds)
             request.scope.close_child(scope)
 
         answer = open_attempt(
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import ctypes
+import hashlib
 import http.client
 import json
 import os
@@ -21,6 +22,7 @@
 PARENT_DEATH_SIGNAL = 1
 START_SECONDS = 20
 PEER_KEY = "peer-key-of-the-tests"
+OPERATOR_KEY = "operator-key-of-the-tests"
 LIBC = ctypes.CDLL(None)
 
 
@@ -36,12 +38,13 @@
             sock.close()
 
 
-def fetch(port, path, body=None, timeout=10):
+def fetch(port, path, body=None, timeout=10, key=None):
     """Send a GET, or a POST where there is a body; return the JSON answer."""
     connection = http.client.HTTPConnection(ADDRESS, port, timeout=timeout)
     try:
         content = None if body is None else json.dumps(body)
-        connection.request("GET" if body is None else "POST", path, content)
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        connection.request("GET" if body is None else "POST", path, content, headers)
         return json.loads(connection.getresponse().read())
     finally:
         connection.close()
@@ -175,6 +178,8 @@
 address = "{ADDRESS}"
 port = {peer_port}
 key = "{PEER_KEY}"
+[operator]
+key_digests = ["{hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()}"]
 [platform]
 configuration = "{platform}"
 instances = "{platform}"
@@ -223,7 +228,7 @@
 
     def status(self, name):
         """Return the status page of an entry."""
-        return fetch(self.entries[name].port, "/v1/status")
+        return fetch(self.entries[name].port, "/v1/status", key=OPERATOR_KEY)
 
     def publish(self, document, index=None):
         """Publish a configuration document."""
