The command line: check, show, status, entries, call, replay, report

Cause: only `check` existed; an operator could not see the fleet, make a call or replay a trace, and exit codes were not stated. Ruled out: keys as arguments, which everybody on the machine can read; one module for all commands; merging percentiles of entries, which has no meaning, so the status page carries encoded histograms that are merged instead. Change: one module a command, typed records for traces, results, summaries and the fleet's status, `GET /v1/document` for operators, and an example trace. A connect that failed is tried at the next entry; nothing sent is repeated.

--- a/boragestream/base/histograms.py
+++ b/boragestream/base/histograms.py
@@ -7,13 +7,14 @@
 """
 
 import threading
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram
 
 from boragestream.base.clock import Clock
 
-__all__ = ["Histograms", "LatencySummary"]
+__all__ = ["Histograms", "LatencySummary", "merge_summaries"]
 
 WINDOW_SECONDS = 60.0
 UNITS_PER_SECOND = 10_000
@@ -29,6 +30,7 @@
     """What a histogram shows; milliseconds, within 7 in 100 of the true value.
 
     :ivar count: how many values the last one to two windows hold.
+    :ivar encoded: the histogram itself in HdrHistogram's format, to be merged.
     """
 
     count: int
@@ -36,6 +38,7 @@
     p95_ms: float
     p99_ms: float
     max_ms: float
+    encoded: str
 
 
 class _Windows:
@@ -121,4 +124,16 @@
     units = [histogram.get_value_at_percentile(p) for p in SHOWN_PERCENTILES]
     units.append(histogram.get_max_value())
     milliseconds = (round(u * 1000 / UNITS_PER_SECOND, 1) for u in units)
-    return LatencySummary(histogram.get_total_count(), *milliseconds)
+    encoded = histogram.encode().decode()
+    return LatencySummary(histogram.get_total_count(), *milliseconds, encoded)
+
+
+def merge_summaries(summaries: Iterable[LatencySummary]) -> LatencySummary | None:
+    """Return one summary of several entries' values; None for no entries.
+
+    :param summaries: from entries, which are trusted to encode histograms.
+    """
+    merged = _new_histogram()
+    for summary in summaries:
+        merged.decode_and_add(summary.encoded)
+    return _summary(merged) if merged.get_total_count() else None
--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -25,6 +25,7 @@
 from boragestream.caller.replies import StartResponse, json_reply, outcome_reply
 from boragestream.caller.streaming import StreamedReply
 from boragestream.document import ClientAccount
+from boragestream.document.shown import shown_document
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
 from boragestream.serving.pipeline import PipelineRunner
@@ -66,7 +67,11 @@
         if path.startswith(PIPELINES):
             name = path.removeprefix(PIPELINES)
             return self._pipeline(environ, start_response, request_id, name)
-        handlers = {"/v1/entries": self._entries, "/v1/status": self._status}
+        handlers = {
+            "/v1/document": self._document,
+            "/v1/entries": self._entries,
+            "/v1/status": self._status,
+        }
         handler = handlers.get(path)
         if handler is None:
             return self._refuse(start_response, request_id, PathUnknown(path[:200]))
@@ -94,6 +99,17 @@
             return self._refuse(start_response, request_id, refused)
         return json_reply(start_response, self.status())
 
+    def _document(
+        self, environ: Environ, start_response: StartResponse, request_id: str
+    ) -> Reply:
+        refused = check_operator(environ, self.operator_digests)
+        if refused is not None:
+            return self._refuse(start_response, request_id, refused)
+        in_force = self.configuration.current
+        if in_force is None:
+            return self._refuse(start_response, request_id, NoConfiguration())
+        return json_reply(start_response, shown_document(in_force.document))
+
     def _pipeline(
         self,
         environ: Environ,
--- a/boragestream/operator/client.py
+++ b/boragestream/operator/client.py
@@ -1,84 +1,89 @@
 """A caller's side of the system: asks which entries to use and calls them.
 
-It checks what it gets: an answer counts only with its request id and, where it is
-streamed, with an end event whose counts agree.
+Nothing is repeated but a connect that failed, which is tried at the next entry.
 """
 
-import http.client
+import itertools
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
-from boragestream.base.outcomes import Failure
+from boragestream.caller.status import StatusPage
+from boragestream.operator.exchange import (
+    CallReply,
+    EntryUnreachable,
+    get_json,
+    post_call,
+)
 
-__all__ = ["CallReply", "Client", "EntryUnreachable"]
+__all__ = [
+    "CallReply",
+    "Client",
+    "EntriesAnswer",
+    "EntryAddress",
+    "EntryUnreachable",
+]
 
-KNOWN_OUTCOMES = ("answered", "refused", "failed", "unknown")
-MARGIN_SECONDS = 2.0
-EVENT_NAME = b"event: "
-EVENT_DATA = b"data: "
+LONGEST_SECONDS = 600.0
 
+Shape = TypeVar("Shape")
 
-@dataclass(frozen=True, slots=True)
-class EntryUnreachable(Failure):
-    """No whole reply came from an entry.
 
-    :ivar address: the entry.
-    :ivar sent: whether any byte of the request may have reached it.
-    """
+@dataclass(frozen=True, slots=True)
+class EntryAddress:
+    """One entry that callers may use."""
 
+    name: str
     address: str
-    sent: bool
-    reason: str
+    data_centre: str
 
 
 @dataclass(frozen=True, slots=True)
-class CallReply:
-    """What an entry replied.
-
-    :ivar outcome: ``answered``, ``refused``, ``failed`` or ``unknown``.
-    :ivar result: the answer's JSON data; the whole text where it was streamed.
-    :ivar problem: the problem document of any other outcome.
-    :ivar seconds: from the first byte sent to the last received.
-    :ivar first_seconds: to the first token, where it was streamed.
-    """
+class EntriesAnswer:
+    """Which entries to use, in order, and for how long to keep the answer."""
 
-    outcome: str
-    request_id: str
-    result: Any
-    problem: dict[str, Any]
-    seconds: float
-    first_seconds: float | None = None
+    entries: tuple[EntryAddress, ...]
+    keep_seconds: float
 
 
 class Client:
-    """Calls pipelines on behalf of one client account.
+    """Calls pipelines on behalf of one client account; safe for many threads.
 
-    :param key: the account's key.
+    :param key: the account's key, or an operator's.
     :param addresses: entries to ask first, as ``address:port``.
     """
 
     def __init__(self, key: str, addresses: tuple[str, ...]) -> None:
-        self._key = key
+        self._headers = {"Authorization": f"Bearer {key}".encode()}
         self._seeds = addresses
         self._addresses = addresses
         self._keep_until = 0.0
+        self._turn = itertools.count()
 
     def addresses(self) -> tuple[str, ...]:
         """Return the entries to use, asking again when the answer is too old."""
-        if time.monotonic() < self._keep_until:
-            return self._addresses
-        for address in (*self._addresses, *self._seeds):
-            reply = self._get(address, "/v1/entries")
-            if isinstance(reply, dict) and reply.get("entries"):
-                self._addresses = tuple(e["address"] for e in reply["entries"])
-                self._keep_until = time.monotonic() + reply["keep_seconds"]
-                break
+        if time.monotonic() >= self._keep_until:
+            answer = self.ask_entries()
+            if isinstance(answer, EntriesAnswer) and answer.entries:
+                self._addresses = tuple(e.address for e in answer.entries)
+                self._keep_until = time.monotonic() + answer.keep_seconds
         return self._addresses
 
+    def ask_entries(self) -> EntriesAnswer | EntryUnreachable:
+        """Ask the entries known, one after the other, which ones to use."""
+        return self._ask("/v1/entries", EntriesAnswer)
+
+    def document(self) -> dict[str, Any] | EntryUnreachable:
+        """Return the document in force at the first entry that answers."""
+        return self._ask("/v1/document", dict[str, Any])
+
+    def status(self, address: str) -> StatusPage | EntryUnreachable:
+        """Return the status page of an entry; the key is an operator's."""
+        return get_json(address, "/v1/status", self._headers, StatusPage)
+
     def call(
         self,
         pipeline: str,
@@ -88,101 +93,48 @@
         address: str | None = None,
         on_token: Callable[[str], None] | None = None,
     ) -> CallReply | EntryUnreachable:
-        """Make one request; it is not repeated.
+        """Make one request; it is not repeated once a byte of it was sent.
 
         :param pipeline: the pipeline's name.
         :param body: the input, JSON data.
         :param deadline_ms: milliseconds for the whole; None for the pipeline's own.
         :param stream: ask for a streamed answer.
-        :param address: the entry; None for the first that the system names.
+        :param address: the entry; None for those that the system names, in turn.
         :param on_token: is given each text of a streamed answer.
         """
-        target = address or self.addresses()[0]
-        headers = {
-            "Authorization": f"Bearer {self._key}",
-            "Content-Type": "application/json",
-        }
+        headers = {**self._headers, "Content-Type": "application/json"}
         if deadline_ms is not None:
             headers["X-Deadline-Ms"] = str(deadline_ms)
         if stream:
             headers["Accept"] = "text/event-stream"
         content = msgspec.json.encode({"input": body})
-        seconds = (deadline_ms or 60_000) / 1000 + MARGIN_SECONDS
-        connection = http.client.HTTPConnection(target, timeout=seconds)
-        sent = False
-        began = time.monotonic()
-        try:
-            connection.connect()
-            sent = True
-            connection.request("POST", f"/v1/pipelines/{pipeline}", content, headers)
-            response = connection.getresponse()
-            if response.headers.get_content_type() == "text/event-stream":
-                return _read_stream(response, began, on_token)
-            return _read_whole(response, began)
-        except (OSError, http.client.HTTPException, msgspec.DecodeError) as error:
-            return EntryUnreachable(target, sent, repr(error))
-        finally:
-            connection.close()
-
-    def status(self, address: str) -> dict[str, Any] | EntryUnreachable:
-        """Return the status page of an entry."""
-        return self._get(address, "/v1/status")
-
-    def _get(self, address: str, path: str) -> dict[str, Any] | EntryUnreachable:
-        connection = http.client.HTTPConnection(address, timeout=MARGIN_SECONDS)
-        try:
-            headers = {"Authorization": f"Bearer {self._key}"}
-            connection.request("GET", path, headers=headers)
-            return msgspec.json.decode(connection.getresponse().read())
-        except (OSError, http.client.HTTPException, msgspec.DecodeError) as error:
-            return EntryUnreachable(address, True, repr(error))
-        finally:
-            connection.close()
-
-
-def _read_whole(response: http.client.HTTPResponse, began: float) -> CallReply:
-    body = msgspec.json.decode(response.read())
-    return CallReply(
-        outcome=body["outcome"],
-        request_id=body["request_id"],
-        result=body.get("result"),
-        problem=body if body["outcome"] != "answered" else {},
-        seconds=time.monotonic() - began,
-    )
-
-
-def _read_stream(
-    response: http.client.HTTPResponse,
-    began: float,
-    on_token: Callable[[str], None] | None,
-) -> CallReply | EntryUnreachable:
-    texts: list[str] = []
-    first_seconds = None
-    for name, data in _events(response):
-        if name == "token":
-            first_seconds = first_seconds or time.monotonic() - began
-            texts.append(data["text"])
-            if on_token is not None:
-                on_token(data["text"])
-            continue
-        whole = name == "end" and data["tokens"] == len(texts)
-        if name == "end" and not whole:
-            break
-        return CallReply(
-            outcome=data["outcome"],
-            request_id=data["request_id"],
-            result="".join(texts),
-            problem={} if whole else data,
-            seconds=time.monotonic() - began,
-            first_seconds=first_seconds,
-        )
-    return EntryUnreachable("", True, "the stream has no end event")
-
-
-def _events(response: http.client.HTTPResponse) -> Iterator[tuple[str, dict]]:
-    name = ""
-    for line in response:
-        if line.startswith(EVENT_NAME):
-            name = line.removeprefix(EVENT_NAME).strip().decode()
-        elif line.startswith(EVENT_DATA):
-            yield name, msgspec.json.decode(line.removeprefix(EVENT_DATA))
+        limit = LONGEST_SECONDS if deadline_ms is None else deadline_ms / 1000
+        reply = EntryUnreachable("", False, "no entry is known")
+        for target in (address,) if address else self._in_turn():
+            reply = post_call(
+                target,
+                f"/v1/pipelines/{pipeline}",
+                content,
+                headers,
+                limit,
+                on_token,
+            )
+            if not isinstance(reply, EntryUnreachable) or reply.sent:
+                break
+        return reply
+
+    def _in_turn(self) -> tuple[str, ...]:
+        """Return the entries to use, beginning with another one each time."""
+        addresses = self.addresses()
+        if not addresses:
+            return ()
+        first = next(self._turn) % len(addresses)
+        return addresses[first:] + addresses[:first]
+
+    def _ask(self, path: str, shape: type[Shape]) -> Shape | EntryUnreachable:
+        reply = EntryUnreachable("", False, "no entry is known")
+        for address in dict.fromkeys((*self._addresses, *self._seeds)):
+            reply = get_json(address, path, self._headers, shape)
+            if not isinstance(reply, EntryUnreachable):
+                break
+        return reply
