--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -5,10 +5,12 @@
 """
 
 import ctypes
+import hashlib
 import http.client
 import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -23,28 +25,38 @@
 ADDRESS = "127.0.0.1"
 PARENT_DEATH_SIGNAL = 1
 START_SECONDS = 20
+LISTENING_PORTS = range(10240, 32768)
 PEER_KEY = "peer-key-of-the-tests"
+OPERATOR_KEY = "operator-key-of-the-tests"
 LIBC = ctypes.CDLL(None)
 
 
 def free_ports(count):
-    """Return ports that nothing listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind((ADDRESS, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
-
-
-def fetch(port, path, body=None, timeout=10):
+    """Return ports that nothing listens on now.
+
+    They lie below those that the kernel gives to outgoing connections, which could
+    otherwise take one before its process does.
+    """
+    ports = []
+    for port in random.SystemRandom().sample(LISTENING_PORTS, len(LISTENING_PORTS)):
+        with socket.socket() as sock:
+            try:
+                sock.bind((ADDRESS, port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            break
+    return ports
+
+
+def fetch(port, path, body=None, timeout=10, key=None):
     """Send a GET, or a POST where there is a body; return the JSON answer."""
     connection = http.client.HTTPConnection(ADDRESS, port, timeout=timeout)
     try:
         content = None if body is None else json.dumps(body)
-        connection.request("GET" if body is None else "POST", path, content)
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        connection.request("GET" if body is None else "POST", path, content, headers)
         return json.loads(connection.getresponse().read())
     finally:
         connection.close()
@@ -183,6 +195,8 @@
 address = "{ADDRESS}"
 port = {peer_port}
 key = "{PEER_KEY}"
+[operator]
+key_digests = ["{hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()}"]
 [platform]
 configuration = "{platform}"
 instances = "{platform}"
@@ -231,7 +245,7 @@
 
     def status(self, name):
         """Return the status page of an entry."""
-        return fetch(self.entries[name].port, "/v1/status")
+        return fetch(self.entries[name].port, "/v1/status", key=OPERATOR_KEY)
 
     def publish(self, document, index=None):
         """Publish a configuration document."""
