Send a streamed token directly where the socket takes it

Cause: waitress copies each chunk through a BytesIO buffer before it sends it. Ruled out: a larger send_bytes, which would hold tokens back. Change: a channel that sends first and buffers only what the socket did not take.

--- a/bench/streaming.py
+++ b/bench/streaming.py
@@ -11,6 +11,8 @@
   --rounds N      How often each run is made [default: 2].
   --result NAME   The result's name [default: streaming].
   --saturate      Also run three times as many streams.
+  --together      Run the entries at the same time and leave out the direct runs; the
+                  ratio of two versions is then free of the machine's other load.
 
 Engine stand-ins in several processes stream to callers in several processes: directly,
 through this version of the entry and through the earlier one, in turn.
@@ -21,6 +23,8 @@
 import subprocess
 import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 from docopt import docopt
 
@@ -127,12 +131,18 @@
         settings=SETTINGS,
         backend={"token_ms": token_ms, "tokens": TOKENS},
     )
-    kinds = ["direct", "entry-1", *earlier]
-    runs = {kind: [] for kind in kinds}
+    entries = ["entry-1", *earlier]
+    groups = (
+        [entries] if arguments["--together"] else [[k] for k in ["direct", *entries]]
+    )
+    runs = {kind: [] for group in groups for kind in group}
     with fleet:
         for _ in range(int(arguments["--rounds"])):
-            for kind in kinds:
-                runs[kind].append(run_callers(fleet, kind, streams, seconds))
+            for group in groups:
+                with ThreadPoolExecutor(len(group)) as pool:
+                    one = partial(run_callers, fleet, streams=streams, seconds=seconds)
+                    for kind, run in zip(group, pool.map(one, group), strict=True):
+                        runs[kind].append(run)
         if arguments["--saturate"]:
             run = run_callers(fleet, "entry-1", streams * SATURATION, seconds)
             runs["saturated"] = [run]
--- a/boragestream/caller/server.py
+++ b/boragestream/caller/server.py
@@ -6,6 +6,7 @@
 from waitress.server import BaseWSGIServer
 
 from boragestream.base.settings import CallerSettings
+from boragestream.caller.channel import DirectChannel
 
 __all__ = ["create_server"]
 
@@ -23,7 +24,7 @@
     Request lookahead is on, so that an application can learn that its caller has
     closed the connection.
     """
-    return waitress.create_server(
+    server = waitress.create_server(
         application,
         host=settings.address,
         port=settings.port,
@@ -37,3 +38,5 @@
         clear_untrusted_proxy_headers=True,
         asyncore_use_poll=True,
     )
+    server.channel_class = DirectChannel
+    return server
