Stand-ins have slots, a queue by priority, and records of their work

Fleet ports came from the range of outgoing connections, so that a server that was started again, or an entry on a busy machine, found its port taken (an entry failed to start in a trial). Change: tests/standins/capacity.py holds slots, queue, slowdown and work records; calls whose caller has gone are dropped; ports lie below the outgoing range. Before and after: none, nothing measured the capacity before. Conclusion: servers can be made to straggle and their cost can be read.

--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -2,11 +2,12 @@
 
 Usage: python -m tests.standins.backend SPEC
 
-SPEC is JSON: name, kind, address, port, and optionally slots, service_ms, token_ms,
-tokens. Results are derived from the input, so that a caller can tell its own.
+SPEC is JSON: name, kind, address, port, and optionally slots, queue, service_ms,
+token_ms, tokens. Results are derived from the input, so that a caller can tell its own.
 
 ``POST /standin/faults`` queues faults, one taken by each call; ``GET /standin/runs``
-tells how often each request id and attempt id was run.
+tells how often each request id and attempt id was run, ``GET /standin/work`` what each
+call cost, and ``POST /standin/slowdown`` makes a straggler of the server.
 """
 
 import hashlib
@@ -16,10 +17,12 @@
 import time
 from collections import Counter, deque
 
+from tests.standins.capacity import Capacity, QueueFullError, Slot
 from tests.standins.http import Handler, serve
 
 SPEC = {
     "slots": 8,
+    "queue": None,
     "service_ms": 2.0,
     "token_ms": 1.0,
     "tokens": 8,
@@ -39,8 +42,7 @@
         self.faults = deque()
         self.leaving = False
         self.in_progress = 0
-        self.busy_seconds = 0.0
-        self.slots = threading.Semaphore(8)
+        self.capacity = Capacity(8)
 
 
 STATE = State()
@@ -75,10 +77,16 @@
                     "attempts": dict(STATE.attempts),
                     "finished": dict(STATE.finished),
                     "cancelled": STATE.cancelled,
-                    "busy_seconds": STATE.busy_seconds,
+                    "busy_seconds": STATE.capacity.busy_seconds,
                 }
+            elif path == "/standin/work":
+                body = STATE.capacity.report()
             else:
-                body = {"in_progress": STATE.in_progress, "slots": SPEC["slots"]}
+                body = {
+                    "in_progress": STATE.in_progress,
+                    "slots": SPEC["slots"],
+                    "queued": STATE.capacity.queued,
+                }
         self.reply(body)
 
     def post(self, path, body):
@@ -91,6 +99,9 @@
         if path == "/standin/leaving":
             STATE.leaving = body["leaving"]
             return self.reply({})
+        if path == "/standin/slowdown":
+            STATE.capacity.slowdown = body["factor"]
+            return self.reply({})
         fault = self._take_fault()
         kind = fault.get("fault")
         if STATE.leaving:
@@ -119,16 +130,17 @@
             STATE.attempts[self.headers["X-Attempt-Id"]] += 1
 
     def _run(self, body, fault, kind):
-        self._run_counted()
+        priority = int(self.headers.get("X-Priority", 0))
+        ids = (self.headers["X-Request-Id"], self.headers["X-Attempt-Id"])
         with STATE.lock:
             STATE.in_progress += 1
+        self.slot = Slot(STATE.capacity, self.connection, *ids, priority)
         try:
-            with STATE.slots:
-                began = time.monotonic()
-                try:
-                    self._answer(body, fault, kind)
-                finally:
-                    STATE.busy_seconds += time.monotonic() - began
+            with self.slot:
+                self._run_counted()
+                self._answer(body, fault, kind)
+        except QueueFullError:
+            return self._refuse("busy")
         except OSError:
             STATE.cancelled += 1
             raise
@@ -137,7 +149,7 @@
                 STATE.in_progress -= 1
 
     def _answer(self, body, fault, kind):
-        time.sleep(SPEC["service_ms"] / 1000)
+        self.slot.spend(SPEC["service_ms"])
         if kind in ("slow", "late"):
             time.sleep(fault["seconds"])
         if kind == "silent":
@@ -167,7 +179,7 @@
         mark = fingerprint(body["input"])
         kind = SPEC["kind"]
         if kind == "engine":
-            time.sleep(SPEC["token_ms"] * self._tokens(body) / 1000)
+            self.slot.spend(SPEC["token_ms"] * self._tokens(body))
             text = expected_text(body["input"], self._tokens(body))
             return {"text": text, "tokens": self._tokens(body), "mark": mark}
         if kind == "encoder":
@@ -195,7 +207,7 @@
                 return self.cut()
             if kind == "stream-stall" and i == len(texts) // 2:
                 time.sleep(fault["seconds"])
-            time.sleep(SPEC["token_ms"] / 1000)
+            self.slot.spend(SPEC["token_ms"])
             last = i == len(texts) - 1
             part = {
                 "id": "a-other" if kind == "stream-crossed" and i else attempt,
@@ -214,6 +226,7 @@
     def _finished(self):
         with STATE.lock:
             STATE.finished[self.headers["X-Request-Id"]] += 1
+        self.slot.work.finished = True
 
     def _echo(self, request=None, attempt=None):
         return [
@@ -224,5 +237,5 @@
 
 if __name__ == "__main__":
     SPEC.update(json.loads(sys.argv[1]))
-    STATE.slots = threading.Semaphore(SPEC["slots"])
+    STATE.capacity = Capacity(SPEC["slots"], SPEC["queue"])
     serve(SPEC["address"], SPEC["port"], BackendHandler)
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -8,6 +8,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,6 +19,7 @@
 from pathlib import Path
 
 ADDRESS = "127.0.0.1"
+PORTS = (10_000, 32_000)
 PARENT_DEATH_SIGNAL = 1
 START_SECONDS = 20
 PEER_KEY = "peer-key-of-the-tests"
@@ -25,11 +27,20 @@
 
 
 def free_ports(count):
-    """Return ports that nothing listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Return ports that nothing listens on now.
+
+    They lie below those that the system hands out for outgoing connections, so that
+    none is taken between here and the start of the process that shall listen on it.
+    """
+    sockets = []
     try:
-        for sock in sockets:
-            sock.bind((ADDRESS, 0))
+        while len(sockets) < count:
+            sock = socket.socket()
+            sockets.append(sock)
+            try:
+                sock.bind((ADDRESS, random.randint(*PORTS)))
+            except OSError:
+                sockets.pop().close()
         return [sock.getsockname()[1] for sock in sockets]
     finally:
         for sock in sockets:
@@ -74,7 +85,7 @@
     extra: dict = field(default_factory=dict)
 
     def start(self):
-        """Start the process."""
+        """Start the process; it ends with the thread that calls this."""
         environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
         with self.log.open("ab") as log:
             self.popen = subprocess.Popen(
@@ -104,8 +115,19 @@
 class Fleet:
     """A deployment: the platform, backend servers and entries."""
 
-    def __init__(self, document, instances, entries=6, settings="", backend=None):
-        """Take the document and the servers as (name, service, kind, data centre)."""
+    def __init__(
+        self,
+        document,
+        instances,
+        entries=6,
+        settings="",
+        backend=None,
+        backend_of=None,
+    ):
+        """Take the document and the servers as (name, service, kind, data centre).
+
+        ``backend`` holds fields of every server's SPEC, ``backend_of`` by service.
+        """
         self.document = document
         self.folder = Path(tempfile.mkdtemp(prefix="boragestream-"))
         ports = iter(free_ports(1 + len(instances) + 2 * entries))
@@ -118,6 +140,7 @@
         self.servers = {}
         for name, service, kind, data_centre in instances:
             spec = {"name": name, "kind": kind, "address": ADDRESS, **(backend or {})}
+            spec.update((backend_of or {}).get(service, {}))
             self._add_server(next(ports), spec, service, data_centre)
         centres = sorted({i[3] for i in instances})
         self.entries = {}
