--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -89,7 +89,7 @@
     extra: dict = field(default_factory=dict)
 
     def start(self):
-        """Start the process."""
+        """Start the process; it ends with the thread that calls this."""
         environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
         with self.log.open("ab") as log:
             self.popen = subprocess.Popen(
@@ -119,8 +119,19 @@
 class Fleet:
     """A deployment: the platform, backend servers and entries."""
 
-    def __init__(self, document, instances, entries=6, settings="", backend=None):
-        """Take the document and the servers as (name, service, kind, data centre)."""
+    def __init__(
+        self,
+        document,
+        instances,
+        entries=6,
+        settings="",
+        backend=None,
+        backend_of=None,
+    ):
+        """Take the document and the servers as (name, service, kind, data centre).
+
+        ``backend`` holds fields of every server's SPEC, ``backend_of`` by service.
+        """
         self.document = document
         self.marks = itertools.count()
         self.folder = Path(tempfile.mkdtemp(prefix="boragestream-"))
@@ -135,6 +146,7 @@
         self.servers = {}
         for name, service, kind, data_centre in instances:
             spec = {"name": name, "kind": kind, "address": ADDRESS, **(backend or {})}
+            spec.update((backend_of or {}).get(service, {}))
             self._add_server(next(ports), spec, service, data_centre)
         centres = sorted({i[3] for i in instances})
         self.entries = {}
