Features: the configuration relayed, restarted, split and raced; peers speak first

Ruled out: waiting for peers without a limit (a deployment that starts as a whole, or whose peers are gone, would never serve). Change: an entry takes its first document from the service only when the peers of one round have been heard, 2.5 s at most, at once where it is alone.

--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -19,8 +19,8 @@
 from boragestream.daemon.peers import join_peers, listed_states
 from boragestream.daemon.status import status_page
 from boragestream.daemon.tasks import (
-    take_document,
     take_instances,
+    take_published,
     to_leaving,
     to_listed,
     watch_platform,
@@ -113,7 +113,11 @@
                 "/v1/document",
                 platform.watch_seconds,
                 partial(
-                    take_document, configuration=self._configuration, source="platform"
+                    take_published,
+                    configuration=self._configuration,
+                    before_first=partial(
+                        self._peers.first_word.wait, self._clock, self._stopping
+                    ),
                 ),
                 Event.CONFIGURATION_UNREACHABLE,
                 self._stopping,
--- a/boragestream/daemon/peers.py
+++ b/boragestream/daemon/peers.py
@@ -1,6 +1,7 @@
 """Puts an entry among the other entries: membership, exchange and relay together."""
 
 import random
+import threading
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 
@@ -19,7 +20,11 @@
 from boragestream.policy.servers import ServerTable
 from boragestream.policy.watching import direct_read_seconds, watchers
 
-__all__ = ["Peers", "WatchDuty", "join_peers", "listed_states"]
+__all__ = ["FirstWord", "Peers", "WatchDuty", "join_peers", "listed_states"]
+
+# Longer than one question to a peer, so that a peer that is gone does not count.
+FIRST_WORD_SECONDS = 2.5
+CHECK_SECONDS = 0.01
 
 
 class WatchDuty:
@@ -47,6 +52,8 @@
         if self._configuration.current is None:
             return True
         usable = self._entries.usable()
+        if not usable:
+            return False
         names = {e.name for e in usable if e.data_centre == self._who.data_centre}
         # An entry that a lagging list does not name yet counts itself in.
         return self._who.name in watchers(names | {self._who.name})
@@ -56,17 +63,44 @@
         return direct_read_seconds(len(self._entries.usable()), self._rng)
 
 
+class FirstWord:
+    """Lets peers speak before a fresh entry takes the service's document.
+
+    The service can be stale. An entry that came into service with what the service
+    has would revert what its predecessor had in force.
+
+    :param members: tells when the first round is over, or that there are no peers.
+    :param relay: tells whether a peer's document is on its way.
+    """
+
+    def __init__(self, members: EntryPeers, relay: ConfigurationRelay) -> None:
+        self._members = members
+        self._relay = relay
+
+    def wait(self, clock: Clock, stopping: threading.Event) -> None:
+        """Return once the peers of a round have been heard, or after the limit."""
+        limit = clock.now() + FIRST_WORD_SECONDS
+        while clock.now() < limit and not stopping.is_set():
+            alone = self._members.entries.listed and not self._members.peers()
+            met = alone or self._members.exchange.met.is_set()
+            if met and not self._relay.asking:
+                return
+            stopping.wait(CHECK_SECONDS)
+
+
 @dataclass(frozen=True, slots=True)
 class Peers:
     """What the daemon needs of the other entries.
 
     :ivar members: the other entries, and the exchange that parts can be added to.
     :ivar duty: when to watch the configuration service.
+    :ivar first_word: what a fresh entry waits for before it takes a document.
     :ivar handlers: what answers the messages of peers.
     """
 
     members: EntryPeers
     duty: WatchDuty
+    first_word: FirstWord
     handlers: Mapping[type, Handler]
 
 
@@ -97,7 +131,8 @@
     configuration.when_taken(members.exchange.hurry)
     duty = WatchDuty(who, members.entries, configuration, rng)
     handlers = {**members.handlers, DocumentAsk: relay.answer}
-    return Peers(members, duty, handlers)
+    first_word = FirstWord(members, relay)
+    return Peers(members, duty, first_word, handlers)
 
 
 def listed_states(
--- a/boragestream/daemon/tasks.py
+++ b/boragestream/daemon/tasks.py
@@ -22,6 +22,7 @@
     "Duty",
     "take_document",
     "take_instances",
+    "take_published",
     "to_leaving",
     "to_listed",
     "to_server",
@@ -117,6 +118,20 @@
     return offer
 
 
+def take_published(
+    value: bytes,
+    configuration: ConfigurationInForce,
+    before_first: Callable[[], None],
+) -> None:
+    """Take what the configuration service published.
+
+    :param before_first: called before the first document is taken.
+    """
+    if configuration.current is None:
+        before_first()
+    take_document(value, configuration, source="platform")
+
+
 def take_instances(
     value: bytes,
     servers: ServerTable,
--- a/boragestream/entry/exchange.py
+++ b/boragestream/entry/exchange.py
@@ -129,6 +129,7 @@
         self._turn = 0
         self._asked: set[str] = set()
         self._lock = threading.Lock()
+        self._met = threading.Event()
         self._urgent = threading.Event()
         self._closed = threading.Event()
         self._asks = ThreadPoolExecutor(ASK_THREADS, "exchange")
@@ -141,6 +142,11 @@
         """Bring the next round forward, since there is news."""
         self._urgent.set()
 
+    @property
+    def met(self) -> threading.Event:
+        """Set once the peers of a round have all answered or been given up."""
+        return self._met
+
     def run(self) -> None:
         """Run rounds until ``close``."""
         began = self._clock.now()
@@ -207,6 +213,8 @@
         finally:
             with self._lock:
                 self._asked.discard(peer.name)
+                if not self._asked:
+                    self._met.set()
 
     def _probe_through_other(self, silent: Peer) -> None:
         others = [
--- a/boragestream/entry/relay.py
+++ b/boragestream/entry/relay.py
@@ -90,6 +90,11 @@
         self._differences: OrderedDict[tuple[str, str], Difference] = OrderedDict()
         self._lock = threading.Lock()
 
+    @property
+    def asking(self) -> bool:
+        """Whether a question to a peer is open."""
+        return bool(self._asking)
+
     def offer(self, budget: int) -> bytes:
         """Return the version and digest in force."""
         current = self._configuration.current
--- a/tests/features/entry_peers.feature
+++ b/tests/features/entry_peers.feature
@@ -40,3 +40,15 @@
     Then every entry offers "entry-1, entry-2, entry-3, entry-4, entry-5, entry-6"
     When the network heals
     Then every entry offers "entry-1, entry-2, entry-3, entry-4, entry-5, entry-6"
+
+  Scenario: a backend server's word that it is leaving reaches entries that never asked it
+    Given every entry holds "writer-2" to be "live"
+    When "writer-2" begins to refuse new work since it is leaving
+    And "patan-counter" calls "caption" on "entry-1" until it holds "writer-2" to be "leaving"
+    Then every entry holds "writer-2" to be "leaving"
+    When the instance list is published again
+    And "entry-4" is killed
+    And "entry-4" is started again
+    Then every entry holds "writer-2" to be "leaving"
+    When "writer-2" is replaced at the same address
+    Then every entry holds "writer-2" to be "live"
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -9,6 +9,7 @@
 
 FLEET_TAG = "fixture.fleet."
 PARTITIONED_TAG = "fixture.partitioned."
+ONE_CENTRE_TAG = "fixture.one-centre."
 LINGER_SETTINGS = "[stop]\nlinger_seconds = 4.0\n"
 
 
@@ -36,6 +37,15 @@
             yield started
 
 
+@fixture
+def one_centre(context, site):
+    """Start a site's fleet with everything in one data centre."""
+    instances = [(*i[:3], "only-hall") for i in example_servers(site)]
+    with Fleet(example_document(site), instances) as started:
+        context.fleet = started
+        yield started
+
+
 def before_all(context):
     """Begin to count the faults that strike."""
     context.injected = Injected()
@@ -47,6 +57,8 @@
         use_fixture(fleet, context, tag.removeprefix(FLEET_TAG))
     if tag.startswith(PARTITIONED_TAG):
         use_fixture(partitioned, context, tag.removeprefix(PARTITIONED_TAG))
+    if tag.startswith(ONE_CENTRE_TAG):
+        use_fixture(one_centre, context, tag.removeprefix(ONE_CENTRE_TAG))
 
 
 def after_all(context):
--- a/tests/features/steps/entry_peers.py
+++ b/tests/features/steps/entry_peers.py
@@ -7,7 +7,7 @@
 
 from boragestream.entry.exchange import ROUND_SECONDS
 from boragestream.operator.client import Client
-from tests.standins.fleet import ADDRESS, wait_until
+from tests.standins.fleet import ADDRESS, fetch, wait_until
 from tests.standins.sites import example_key
 
 ACCOUNT = "patan-counter"
@@ -113,3 +113,56 @@
         client.call(pipeline, text, address=address)
         for address in context.fleet.addresses()
     ]
+
+
+def server_state(fleet, name, server):
+    """Return what an entry believes of a backend server."""
+    servers = fleet.status(name)["servers"]
+    return {s["name"]: s["state"] for s in servers}.get(server)
+
+
+@given('every entry holds "{server}" to be "{state}"')
+@then('every entry holds "{server}" to be "{state}"')
+def step(context, server, state):
+    for name in context.fleet.entries:
+        wait_until(
+            lambda n=name: server_state(context.fleet, n, server) == state,
+            LIMIT_SECONDS,
+            f"{name} holding {server} to be {state}",
+        )
+
+
+@when('"{server}" begins to refuse new work since it is leaving')
+def step(context, server):
+    port = context.fleet.servers[server].port
+    fetch(port, "/standin/leaving", {"leaving": True})
+
+
+@when(
+    '"{account}" calls "{pipeline}" on "{name}" '
+    'until it holds "{server}" to be "{state}"'
+)
+def step(context, account, pipeline, name, server, state):
+    address = f"{ADDRESS}:{context.fleet.entries[name].port}"
+    client = Client(example_key(account), ())
+
+    def called():
+        client.call(pipeline, "who is there", address=address)
+        return server_state(context.fleet, name, server) == state
+
+    wait_until(called, LIMIT_SECONDS, f"{name} holding {server} to be {state}")
+
+
+@when("the instance list is published again")
+def step(context):
+    context.fleet.publish_instances()
+
+
+@when('"{server}" is replaced at the same address')
+def step(context, server):
+    process = context.fleet.servers[server]
+    process.kill()
+    process.start()
+    context.fleet.wait_for_port(process)
+    process.extra["incarnation"] = "2"
+    context.fleet.publish_instances()
--- /dev/null
+++ b/tests/features/steps/entry_relay.py
@@ -0,0 +1,204 @@
+"""Steps on the configuration in force, over separate processes."""
+
+import copy
+import json
+import signal
+import time
+
+from behave import given, then, when
+
+from boragestream.entry.exchange import ROUND_SECONDS
+from boragestream.policy.watching import watchers
+from tests.standins.fleet import fetch, wait_until
+
+LIMIT_SECONDS = 40
+DOCUMENT = "/v1/document"
+RESTORED_INDEX = 1
+SETTLE_SECONDS = 0.2
+
+
+def document(context, version, **policies):
+    """Return the fleet's document in a version."""
+    changed = copy.deepcopy(context.fleet.document)
+    changed["version"] = version
+    changed["policies"] = {**changed.get("policies", {}), **policies}
+    return changed
+
+
+def newest(context):
+    """Return the newest version that was published."""
+    return getattr(context.fleet, "newest", 1)
+
+
+def publish_next(context, **policies):
+    """Publish a document of the next version."""
+    context.fleet.newest = newest(context) + 1
+    context.fleet.publish(document(context, context.fleet.newest, **policies))
+
+
+def wait_for_version(context, names):
+    """Wait until entries have the newest version in force."""
+    wanted = newest(context)
+    for name in names:
+        wait_until(
+            lambda n=name: context.fleet.status(n)["version"] == wanted,
+            LIMIT_SECONDS,
+            f"{name} having version {wanted}",
+        )
+
+
+def events(fleet, name):
+    """Return the logged events of every life of an entry."""
+    lines = fleet.entries[name].log.read_text().splitlines()
+    return [json.loads(line[line.index("{") :]) for line in lines if '{"event"' in line]
+
+
+@when("the next version is published")
+def step(context):
+    publish_next(context)
+
+
+@given("the next version is in force everywhere")
+def step(context):
+    context.fleet.platform_mode(down=[])
+    publish_next(context)
+    wait_for_version(context, context.fleet.entries)
+
+
+@then("it is in force on every entry")
+def step(context):
+    wait_for_version(context, context.fleet.entries)
+
+
+@then('it is in force on "{names}"')
+def step(context, names):
+    wait_for_version(context, names.split(", "))
+
+
+@when("the configuration service is down")
+def step(context):
+    context.fleet.platform_mode(down=[DOCUMENT])
+    context.add_cleanup(context.fleet.platform_mode, down=[])
+
+
+@when("the configuration service goes back to version {version:d}")
+def step(context, version):
+    context.logged = {n: len(events(context.fleet, n)) for n in context.fleet.entries}
+    context.fleet.platform_mode(down=[])
+    context.fleet.publish(document(context, version), RESTORED_INDEX)
+
+
+@when("every entry is killed and started again in turn")
+def step(context):
+    for process in context.fleet.entries.values():
+        process.kill()
+        process.start()
+        context.fleet.wait_for_entry(process)
+
+
+@then("since then no entry took an older version")
+def step(context):
+    for name, logged in context.logged.items():
+        for event in events(context.fleet, name)[logged:]:
+            if event["name"] == "configuration_in_force":
+                assert event["version"] == newest(context), (name, event)
+
+
+@when("an invalid document of the next version is published")
+def step(context):
+    broken = document(context, newest(context) + 1)
+    broken["pipelines"][0]["stages"][0]["service"] = "nowhere"
+    context.fleet.publish(broken)
+
+
+@then('every entry logs "{event}"')
+def step(context, event):
+    for name in context.fleet.entries:
+        wait_until(
+            lambda n=name: event in {e["name"] for e in events(context.fleet, n)},
+            LIMIT_SECONDS,
+            f"{name} logging {event}",
+        )
+
+
+@then('some entry logs "{event}"')
+def step(context, event):
+    logged = {
+        e["name"] for n in context.fleet.entries for e in events(context.fleet, n)
+    }
+    assert event in logged, logged
+
+
+@when("two documents of the next version are published in a race")
+def step(context):
+    publish_next(context, answer_keep_seconds=1.0)
+    context.fleet.publish(document(context, newest(context), answer_keep_seconds=2.0))
+
+
+@then("every entry has one of them and keeps it for {rounds:d} rounds")
+def step(context, rounds):
+    wait_for_version(context, context.fleet.entries)
+    digests = {n: context.fleet.status(n)["digest"] for n in context.fleet.entries}
+    time.sleep(rounds * ROUND_SECONDS)
+    for name, digest in digests.items():
+        assert context.fleet.status(name)["digest"] == digest, name
+
+
+@when('the next version is published while "{names}" sleep')
+def step(context, names):
+    asleep = names.split(", ")
+    fleet = context.fleet
+    # The service is down at both ends of the sleep, so that no sleeper finds the
+    # answer to an earlier watch when it wakes up.
+    fleet.platform_mode(down=[DOCUMENT])
+    wait_for_calls(context, 0)
+    for name in asleep:
+        fleet.entries[name].signal(signal.SIGSTOP)
+    time.sleep(SETTLE_SECONDS)
+    try:
+        fleet.platform_mode(down=[])
+        publish_next(context)
+        wait_for_version(context, [n for n in fleet.entries if n not in asleep])
+        fleet.platform_mode(down=[DOCUMENT])
+        context.add_cleanup(fleet.platform_mode, down=[])
+    finally:
+        for name in asleep:
+            fleet.entries[name].signal(signal.SIGCONT)
+
+
+@then('the earlier one stays on "{names}" for {rounds:d} rounds')
+def step(context, names, rounds):
+    time.sleep(rounds * ROUND_SECONDS)
+    for name in names.split(", "):
+        assert context.fleet.status(name)["version"] == newest(context) - 1, name
+
+
+@given("{count:d} calls wait at the configuration service")
+@then("{count:d} calls wait at the configuration service")
+def step(context, count):
+    wait_for_calls(context, count)
+
+
+def wait_for_calls(context, count):
+    """Wait until so many calls wait at the configuration service."""
+    port = context.fleet.platform.port
+    wait_until(
+        lambda: fetch(port, "/standin/calls")["waiting"][DOCUMENT] == count,
+        LIMIT_SECONDS,
+        f"{count} waiting calls",
+    )
+
+
+@when("the watching entries are frozen")
+def step(context):
+    context.frozen = watchers(context.fleet.entries)
+    for name in context.frozen:
+        process = context.fleet.entries[name]
+        process.signal(signal.SIGSTOP)
+        context.add_cleanup(process.signal, signal.SIGCONT)
+
+
+@then("it is in force on the entries that are not frozen")
+def step(context):
+    names = [n for n in context.fleet.entries if n not in context.frozen]
+    wait_for_version(context, names)
