--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -3,10 +3,14 @@
 from behave import fixture, use_fixture
 
 from tests.standins.fleet import Fleet
+from tests.standins.partition import PartitionedNetwork
 from tests.standins.sites import example_document, example_servers
 from tests.standins.verdicts import Injected
 
 FLEET_TAG = "fixture.fleet."
+PARTITIONED_TAG = "fixture.partitioned."
+ONE_CENTRE_TAG = "fixture.one-centre."
+LINGER_SETTINGS = "[stop]\nlinger_seconds = 4.0\n"
 
 
 @fixture
@@ -17,6 +21,31 @@
         yield started
 
 
+@fixture
+def partitioned(context, site):
+    """Start a site's fleet whose entries hear one another through relays."""
+    document = example_document(site)
+    instances = example_servers(site)
+    with Fleet(document, instances, settings=LINGER_SETTINGS) as started:
+        ports = {n: p.extra["peer_port"] for n, p in started.entries.items()}
+        with PartitionedNetwork(ports) as network:
+            for name, port in network.ports.items():
+                started.entries[name].extra["peer_port"] = port
+            started.publish_instances()
+            context.fleet = started
+            context.network = network
+            yield started
+
+
+@fixture
+def one_centre(context, site):
+    """Start a site's fleet with everything in one data centre."""
+    instances = [(*i[:3], "only-hall") for i in example_servers(site)]
+    with Fleet(example_document(site), instances) as started:
+        context.fleet = started
+        yield started
+
+
 def before_all(context):
     """Begin to count the faults that strike."""
     context.injected = Injected()
@@ -26,6 +55,10 @@
     """Start what a tag asks for."""
     if tag.startswith(FLEET_TAG):
         use_fixture(fleet, context, tag.removeprefix(FLEET_TAG))
+    if tag.startswith(PARTITIONED_TAG):
+        use_fixture(partitioned, context, tag.removeprefix(PARTITIONED_TAG))
+    if tag.startswith(ONE_CENTRE_TAG):
+        use_fixture(one_centre, context, tag.removeprefix(ONE_CENTRE_TAG))
 
 
 def after_all(context):
--- /dev/null
+++ b/tests/features/steps/entry_peers.py
@@ -0,0 +1,168 @@
+"""Steps on entries that know one another, as separate processes."""
+
+import signal
+import time
+
+from behave import given, then, when
+
+from boragestream.entry.exchange import ROUND_SECONDS
+from boragestream.operator.client import Client
+from tests.standins.fleet import ADDRESS, fetch, wait_until
+from tests.standins.sites import example_key
+
+ACCOUNT = "patan-counter"
+LIMIT_SECONDS = 40
+
+
+def split_names(text):
+    """Return the names of a list in a step."""
+    return text.split(", ")
+
+
+def offered(fleet, name):
+    """Return the entries that one entry tells callers to use."""
+    client = Client(example_key(ACCOUNT), (f"{ADDRESS}:{fleet.entries[name].port}",))
+    addresses = set(client.addresses())
+    return sorted(
+        other
+        for other, process in fleet.entries.items()
+        if f"{ADDRESS}:{process.port}" in addresses
+    )
+
+
+def wait_for_offer(fleet, names, wanted):
+    """Wait until entries tell callers to use certain entries."""
+    for name in names:
+        try:
+            wait_until(lambda n=name: offered(fleet, n) == wanted, LIMIT_SECONDS)
+        except TimeoutError:
+            raise AssertionError((name, offered(fleet, name))) from None
+
+
+@given('every entry offers "{wanted}"')
+@then('every entry offers "{wanted}"')
+def step(context, wanted):
+    wait_for_offer(context.fleet, context.fleet.entries, split_names(wanted))
+
+
+@then('the others come to offer "{wanted}"')
+def step(context, wanted):
+    names = split_names(wanted)
+    wait_for_offer(context.fleet, names, names)
+
+
+@then('"{name}" comes to offer "{wanted}"')
+def step(context, name, wanted):
+    wait_for_offer(context.fleet, [name], split_names(wanted))
+
+
+@when('"{name}" is told to stop')
+def step(context, name):
+    context.fleet.entries[name].signal(signal.SIGTERM)
+
+
+@when('"{name}" has ended')
+def step(context, name):
+    context.fleet.entries[name].popen.wait(LIMIT_SECONDS)
+
+
+@when('"{name}" is started again')
+def step(context, name):
+    process = context.fleet.entries[name]
+    process.start()
+    context.fleet.wait_for_entry(process)
+
+
+@when('"{name}" is frozen')
+def step(context, name):
+    process = context.fleet.entries[name]
+    process.signal(signal.SIGSTOP)
+    context.add_cleanup(process.signal, signal.SIGCONT)
+
+
+@when('"{name}" is woken')
+def step(context, name):
+    context.fleet.entries[name].signal(signal.SIGCONT)
+
+
+@when('"{name}" is killed')
+def step(context, name):
+    context.fleet.entries[name].kill()
+
+
+@when('the network splits into "{one}" and "{other}"')
+def step(context, one, other):
+    context.network.split(split_names(one), split_names(other))
+    context.add_cleanup(context.network.heal)
+
+
+@when("the network heals")
+def step(context):
+    context.network.heal()
+
+
+@when("{count:d} rounds of the exchange pass")
+def step(context, count):
+    time.sleep(count * ROUND_SECONDS)
+
+
+@when('"{account}" calls "{pipeline}" with "{text}" on every entry')
+def step(context, account, pipeline, text):
+    client = Client(example_key(account), ())
+    context.replies = [
+        client.call(pipeline, text, address=address)
+        for address in context.fleet.addresses()
+    ]
+
+
+def server_state(fleet, name, server):
+    """Return what an entry believes of a backend server."""
+    servers = fleet.status(name)["servers"]
+    return {s["name"]: s["state"] for s in servers}.get(server)
+
+
+@given('every entry holds "{server}" to be "{state}"')
+@then('every entry holds "{server}" to be "{state}"')
+def step(context, server, state):
+    for name in context.fleet.entries:
+        wait_until(
+            lambda n=name: server_state(context.fleet, n, server) == state,
+            LIMIT_SECONDS,
+            f"{name} holding {server} to be {state}",
+        )
+
+
+@when('"{server}" begins to refuse new work since it is leaving')
+def step(context, server):
+    port = context.fleet.servers[server].port
+    fetch(port, "/standin/leaving", {"leaving": True})
+
+
+@when(
+    '"{account}" calls "{pipeline}" on "{name}" '
+    'until it holds "{server}" to be "{state}"'
+)
+def step(context, account, pipeline, name, server, state):
+    address = f"{ADDRESS}:{context.fleet.entries[name].port}"
+    client = Client(example_key(account), ())
+
+    def called():
+        client.call(pipeline, "who is there", address=address)
+        return server_state(context.fleet, name, server) == state
+
+    wait_until(called, LIMIT_SECONDS, f"{name} holding {server} to be {state}")
+
+
+@when("the instance list is published again")
+def step(context):
+    context.fleet.publish_instances()
+
+
+@when('"{server}" is replaced at the same address')
+def step(context, server):
+    process = context.fleet.servers[server]
+    process.kill()
+    process.start()
+    context.fleet.wait_for_port(process)
+    process.extra["incarnation"] = "2"
+    context.fleet.publish_instances()
