A question to a silent peer ends in its time

Cause: a pynng context takes any attribute, but has no time limit of its own to set, so that a question to a peer that only took the connection, or heard it and was frozen, never ended; a caller's post to a frozen issuer hung with it.

Ruled out: a socket for each question (a connect each time), and a timer that closes contexts (a second task for what nng does itself).

Change: the limits are set on the peer's socket while the context is made, under the lock of the links.

Conclusion: every ask is bounded, which membership and tickets rely on.

--- a/boragestream/entry/links.py
+++ b/boragestream/entry/links.py
@@ -84,9 +84,7 @@
         frame = seal(self._sender, message)
         limit = max(1, int(seconds * 1000))
         try:
-            with self._socket(address).new_context() as context:
-                context.send_timeout = limit
-                context.recv_timeout = limit
+            with self._context(address, limit) as context:
                 context.send(frame)
                 answer = context.recv()
         except pynng.NNGException as error:
@@ -110,19 +108,31 @@
         for address in list(self._sockets):
             self.forget(address)
 
-    def _socket(self, address: str) -> pynng.Req0:
+    def _context(self, address: str, limit_ms: int) -> pynng.Context:
+        """Return a context for one question, with its time limit.
+
+        A pynng context has no limit of its own to set: it takes over the limits that
+        its socket has while it is made.
+        """
         with self._lock:
             sock = self._sockets.get(address)
             if sock is None:
-                sock = pynng.Req0(
-                    resend_time=NEVER_MS,
-                    reconnect_time_min=RECONNECT_MIN_MS,
-                    reconnect_time_max=RECONNECT_MAX_MS,
-                    recv_max_size=MAX_MESSAGE_BYTES,
-                )
-                sock.dial(f"tcp://{address}", block=False)
+                sock = _dial(address)
                 self._sockets[address] = sock
-        return sock
+            sock.send_timeout = limit_ms
+            sock.recv_timeout = limit_ms
+            return sock.new_context()
+
+
+def _dial(address: str) -> pynng.Req0:
+    sock = pynng.Req0(
+        resend_time=NEVER_MS,
+        reconnect_time_min=RECONNECT_MIN_MS,
+        reconnect_time_max=RECONNECT_MAX_MS,
+        recv_max_size=MAX_MESSAGE_BYTES,
+    )
+    sock.dial(f"tcp://{address}", block=False)
+    return sock
 
 
 class PeerListener:
--- a/tests/features/entry_links.feature
+++ b/tests/features/entry_links.feature
@@ -16,3 +16,13 @@
       | deployment  | key                       |
       | consortium  | peer-key-of-the-tests     |
       | cooperative | another-key-another-key   |
+
+  Scenario Outline: a question to a peer that stays silent ends in its time
+    Given a peer that <does> and answers nothing
+    When it is probed twice from one link
+    Then both questions end as unreachable
+
+    Examples:
+      | does                 |
+      | only takes connections |
+      | hears messages       |
--- a/tests/features/steps/entry_links.py
+++ b/tests/features/steps/entry_links.py
@@ -2,10 +2,12 @@
 
 import random
 import socket
+from concurrent.futures import ThreadPoolExecutor
 
-from behave import then, when
+import pynng
+from behave import given, then, when
 
-from boragestream.entry.links import PeerLinks, PeerRejected
+from boragestream.entry.links import PeerLinks, PeerRejected, PeerUnreachable
 from boragestream.entry.messages import Probe, ProbeReply, Sender
 from tests.standins.fleet import ADDRESS, PEER_KEY
 
@@ -48,3 +50,35 @@
     refused = not isinstance(context.answer, ProbeReply)
     assert refused, context.answer
     assert not isinstance(context.answer, PeerRejected), context.answer
+
+
+@given("a peer that only takes connections and answers nothing")
+def step(context):
+    listener = socket.create_server((ADDRESS, 0))
+    context.add_cleanup(listener.close)
+    context.silent = f"{ADDRESS}:{listener.getsockname()[1]}"
+
+
+@given("a peer that hears messages and answers nothing")
+def step(context):
+    peer = pynng.Rep0(listen=f"tcp://{ADDRESS}:0")
+    context.add_cleanup(peer.close)
+    context.silent = str(peer.listeners[0].local_address)
+
+
+@when("it is probed twice from one link")
+def step(context):
+    links = PeerLinks(Sender("cooperative", "entry-9", "9", PEER_KEY.encode()))
+    pool = ThreadPoolExecutor(2)
+    # Closing the links ends a question that would wait for ever.
+    context.add_cleanup(links.close)
+    context.asked = [
+        pool.submit(links.ask, context.silent, Probe(), seconds)
+        for seconds in (0.2, 0.4)
+    ]
+
+
+@then("both questions end as unreachable")
+def step(context):
+    answers = [asked.result(ASK_SECONDS) for asked in context.asked]
+    assert [type(a) for a in answers] == [PeerUnreachable] * 2, answers
