--- a/tests/features/entry_links.feature
+++ b/tests/features/entry_links.feature
@@ -20,3 +20,13 @@
   Scenario: a question to a silent peer ends
     When a peer is asked that accepts connections and stays silent
     Then the question ends as "peer-unreachable"
+
+  Scenario Outline: a question to a peer that stays silent ends in its time
+    Given a peer that <does> and answers nothing
+    When it is probed twice from one link
+    Then both questions end as unreachable
+
+    Examples:
+      | does                 |
+      | only takes connections |
+      | hears messages       |
