Graceful shutdown in a module of its own; connections of callers that end in time

Cause: a stopping entry waited for admitted requests alone, which are released before their answer has left, kept serving for its setting alone, exited 0 at the stop limit, said nothing at a second signal, heard no more of leaving servers, and kept its callers' connections open. Besides: a caller that stops reading blocked a thread for ever behind 16 MB, time in waitress' own queue was not counted against the deadline, and bodies over 512 KB and output over 1 MB went to temporary files. Ruled out: "Connection: close" as a header of the application (waitress forbids it); a signal handler that sets events (it can interrupt the thread that holds their lock). Change: daemon/shutdown.py: linger is the longest of the setting, the answers given and what others may still give; then the listener closes; the end comes when nothing is read, run or unwritten at three looks. Exit codes 0, 2, 3, 4; events 1004 and 1006 count the cut. caller/connections.py: arrival at the first byte, waits that end with the deadline, "Connection: close" while leaving, nothing to disk. One thread takes signals. The watchdog outlives a faulty scope.

--- a/boragestream/backend/cancellation.py
+++ b/boragestream/backend/cancellation.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from boragestream.base.clock import Clock
+from boragestream.base.events import Event, emit
 from boragestream.base.failures import CallerGone, DeadlinePassed
 from boragestream.base.outcomes import Failure
 
@@ -24,13 +25,18 @@
 
     :param deadline: the clock's seconds at which the scope is cancelled.
     :param caller_gone: tells whether the caller has closed its connection.
+    :param cancelled: called once when the scope is cancelled.
     """
 
     def __init__(
-        self, deadline: float, caller_gone: Callable[[], bool] | None = None
+        self,
+        deadline: float,
+        caller_gone: Callable[[], bool] | None = None,
+        cancelled: Callable[[], None] | None = None,
     ) -> None:
         self._deadline = deadline
         self._caller_gone = caller_gone
+        self._cancelled = cancelled
         self._reason: Failure | None = None
         self._sockets: set[socket.socket] = set()
         self._children: set[CancelScope] = set()
@@ -90,6 +96,8 @@
                 _shut_down(sock)
         for child in children:
             child.cancel(reason)
+        if self._cancelled is not None:
+            self._cancelled()
 
     def check(self, now: float) -> None:
         """Cancel the scope where its deadline has passed or its caller has gone."""
@@ -134,7 +142,15 @@
                 scopes = list(self._scopes)
             now = self._clock.now()
             for scope in scopes:
-                scope.check(now)
+                self._check(scope, now)
+
+    def _check(self, scope: CancelScope, now: float) -> None:
+        # Every deadline of the entry hangs on this thread, so that one faulty scope
+        # may not end it.
+        try:
+            scope.check(now)
+        except Exception as error:
+            emit(Event.TASK_FAILED, task="watchdog", error=repr(error))
 
 
 def _shut_down(sock: socket.socket) -> None:
--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -20,6 +20,7 @@
     ENTRY_STOPPED = (1003, logging.INFO)
     STOP_LIMIT_REACHED = (1004, logging.ERROR)
     TASK_FAILED = (1005, logging.ERROR)
+    STOP_FORCED = (1006, logging.ERROR)
     CONFIGURATION_IN_FORCE = (2001, logging.INFO)
     CONFIGURATION_INVALID = (2002, logging.ERROR)
     CONFIGURATION_OLDER = (2003, logging.WARNING)
--- a/boragestream/base/settings.py
+++ b/boragestream/base/settings.py
@@ -72,9 +72,10 @@
 class StopSettings:
     """How a graceful shutdown goes.
 
-    :ivar linger_seconds: how long callers with an older answer are still served; at
-        least the time for which answers may be kept.
-    :ivar limit_seconds: after this the process exits with work in hand.
+    :ivar linger_seconds: how long new requests are still served at the least; it is
+        longer where an answer that names the entry may be kept for longer.
+    :ivar limit_seconds: how long, after that, to wait for the work in hand; then the
+        process exits with code 4 and an event that counts what it cut.
     """
 
     linger_seconds: Seconds = 5.0
--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -14,6 +14,7 @@
 from boragestream.base.failures import NoConfiguration
 from boragestream.base.identifiers import new_request_id
 from boragestream.base.outcomes import Answered, Failure, Outcome, Refused
+from boragestream.caller.connections import ARRIVED, STOP_WAITING
 from boragestream.caller.failures import MethodNotAllowed, PathUnknown
 from boragestream.caller.reading import CallerRequest, find_account, read_request
 from boragestream.caller.replies import StartResponse, json_reply, outcome_reply
@@ -92,7 +93,7 @@
         if environ["REQUEST_METHOD"] != "POST":
             wrong = MethodNotAllowed(environ["REQUEST_METHOD"])
             return self._refuse(start_response, request_id, wrong)
-        arrived = self.clock.now()
+        arrived = environ.get(ARRIVED, self.clock.now())
         in_force = self.configuration.current
         if in_force is None:
             return self._refuse(start_response, request_id, NoConfiguration())
@@ -106,6 +107,7 @@
         scope = CancelScope(
             arrived + asked.deadline_ms / 1000,
             environ.get("waitress.client_disconnected"),
+            environ.get(STOP_WAITING),
         )
         request = RequestRecord(
             request_id=request_id,
--- a/boragestream/daemon/command.py
+++ b/boragestream/daemon/command.py
@@ -5,12 +5,14 @@
   boragestream-entry --help
 
 SETTINGS is a TOML file. SIGTERM begins a graceful shutdown; a second one ends the
-process at once.
+process at once. Exit codes: 0 everything was answered, 2 the settings are invalid,
+3 ended by a second signal, 4 the stop limit was reached.
 """
 
 import os
 import signal
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from absl import logging
@@ -18,11 +20,11 @@
 
 from boragestream.base.settings import read_settings
 from boragestream.daemon.entry import Entry
+from boragestream.daemon.shutdown import ExitCode
 
 __all__ = ["main"]
 
-EXIT_SETTINGS = 2
-EXIT_CUT = 3
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -32,26 +34,26 @@
     if settings is None:
         for fault in faults:
             print(fault.describe(), file=sys.stderr)
-        return EXIT_SETTINGS
+        return ExitCode.SETTINGS
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold("info")
+    # Blocked in every thread and taken by one alone, so that a stop never interrupts
+    # a thread that holds a lock which the stop needs.
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
     entry = Entry(settings)
-    signals = iter([entry.stop])
-
-    def on_signal(*_: object) -> None:
-        stop = next(signals, None)
-        if stop is None:
-            os._exit(EXIT_CUT)
-        stop()
-
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
-    entry.run()
+    ThreadPoolExecutor(1, "signals").submit(_take_signals, entry)
+    code = entry.run()
     # Threads still blocked in a watch hold nothing; waiting for them would only
     # delay the end.
     sys.stdout.flush()
-    os._exit(0)
+    os._exit(code)
+
+
+def _take_signals(entry: Entry) -> None:
+    while True:
+        signal.sigwait(STOP_SIGNALS)
+        entry.stop()
 
 
 if __name__ == "__main__":
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -12,7 +12,13 @@
 from boragestream.base.identifiers import new_incarnation
 from boragestream.base.settings import Settings
 from boragestream.caller.application import Application
-from boragestream.caller.server import create_server
+from boragestream.caller.server import (
+    busy_connections,
+    create_server,
+    leave,
+    stop_listening,
+)
+from boragestream.daemon.shutdown import ExitCode, GracefulStop, KeptAnswers
 from boragestream.daemon.tasks import take_document, take_instances, watch_platform
 from boragestream.document import ClientAccount
 from boragestream.entry.links import LISTENER_TASKS, PeerLinks, PeerListener
@@ -32,7 +38,6 @@
 # Threads beyond the requests in hand answer refusals and small questions at once.
 SPARE_THREADS = 32
 TASK_THREADS = 24
-STOP_CHECK_SECONDS = 0.05
 
 
 class Entry:
@@ -47,7 +52,11 @@
         self._clock = clock or SystemClock()
         self._incarnation = new_incarnation()
         self._rng = random.Random()
-        self._stopping = threading.Event()
+        self._stop = GracefulStop(settings.stop, self._clock)
+        self._stopping = self._stop.begun
+        # While it stops, an entry still hears which servers leave.
+        self._ended = threading.Event()
+        self._kept_answers = KeptAnswers(self._clock)
         self._entries: tuple[Instance, ...] = ()
         self._configuration = ConfigurationInForce(settings.entry.deployment)
         self._servers = ServerTable()
@@ -68,14 +77,14 @@
             f"{settings.peer.address}:{settings.peer.port}",
             {Probe: self._answer_probe},
         )
-        self._server = create_server(self._application(), settings.caller)
+        self._server = create_server(self._application(), settings.caller, self._clock)
 
     @property
     def incarnation(self) -> str:
         """This life of the entry."""
         return self._incarnation
 
-    def run(self) -> None:
+    def run(self) -> ExitCode:
         """Serve until ``stop`` is called, then finish what is in hand."""
         platform = self._settings.platform
         self._start(self._watchdog.run)
@@ -89,7 +98,7 @@
                     take_document, configuration=self._configuration, source="platform"
                 ),
                 Event.CONFIGURATION_UNREACHABLE,
-                self._stopping,
+                self._ended,
                 self._rng,
             )
         )
@@ -105,7 +114,7 @@
                     take_entries=self._take_entries,
                 ),
                 Event.INSTANCES_UNREACHABLE,
-                self._stopping,
+                self._ended,
                 self._rng,
             )
         )
@@ -115,11 +124,11 @@
         name = self._settings.entry.name
         emit(Event.ENTRY_STARTED, entry=name, incarnation=self._incarnation)
         self._stopping.wait()
-        self._finish()
+        return self._finish()
 
     def stop(self) -> None:
-        """Begin the graceful shutdown; safe in a signal handler."""
-        self._stopping.set()
+        """Begin the graceful shutdown; a second call ends it."""
+        self._stop.signal()
 
     def _start(self, task: partial) -> None:
         def run() -> None:
@@ -131,25 +140,26 @@
 
         self._tasks.submit(run)
 
-    def _finish(self) -> None:
+    def _finish(self) -> ExitCode:
         """Serve callers with older answers, finish what is in hand, then end."""
-        stop = self._settings.stop
         emit(Event.ENTRY_LEAVING, in_hand=self._admission.in_hand)
-        began = self._clock.now()
-        linger_until = began + stop.linger_seconds
-        limit = began + stop.limit_seconds
-        while self._clock.now() < limit:
-            lingering = self._clock.now() < linger_until
-            if not lingering and self._admission.in_hand == 0:
-                break
-            threading.Event().wait(STOP_CHECK_SECONDS)
-        else:
-            emit(Event.STOP_LIMIT_REACHED, in_hand=self._admission.in_hand)
+        leave(self._server)
+        current = self._configuration.current
+        keep = current.document.policies.answer_keep_seconds if current else 0.0
+        code = self._stop.finish(
+            self._stop.linger_until(self._kept_answers.until, keep),
+            partial(stop_listening, self._server),
+            self._in_progress,
+        )
+        self._ended.set()
         self._admission.close()
         self._watchdog.stop()
         self._listener.close()
-        self._server.close()
-        emit(Event.ENTRY_STOPPED)
+        emit(Event.ENTRY_STOPPED, exit_code=int(code))
+        return code
+
+    def _in_progress(self) -> int:
+        return max(self._admission.in_hand, busy_connections(self._server))
 
     def _application(self) -> Application:
         stages = StageRunner(
@@ -186,6 +196,7 @@
             if e.state == "live" and not (e.name == mine and self._stopping.is_set())
         ]
         keep = in_force.document.policies.answer_keep_seconds
+        self._kept_answers.give(keep)
         return {"entries": usable, "keep_seconds": keep}
 
     def _status(self) -> object:
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -9,10 +9,25 @@
 FLEET_TAG = "fixture.fleet."
 
 
+# A fleet whose entries can be stopped within a test.
+STOPPING = ".stopping"
+STOP_SETTINGS = "[stop]\nlinger_seconds = 0.1\nlimit_seconds = 6.0"
+KEEP_SECONDS = 0.3
+LONG_DEADLINE_MS = 30_000
+
+
 @fixture
-def fleet(context, site):
+def fleet(context, name):
     """Start a site's fleet for a feature or scenario."""
-    with Fleet(example_document(site), example_servers(site)) as started:
+    site = name.removesuffix(STOPPING)
+    document = example_document(site)
+    settings = ""
+    if name.endswith(STOPPING):
+        settings = STOP_SETTINGS
+        document["policies"]["answer_keep_seconds"] = KEEP_SECONDS
+        for pipeline in document["pipelines"]:
+            pipeline["deadline_ms"] = LONG_DEADLINE_MS
+    with Fleet(document, example_servers(site), settings=settings) as started:
         context.fleet = started
         yield started
 
--- /dev/null
+++ b/tests/features/steps/caller_connections.py
@@ -0,0 +1,156 @@
+"""Steps that run the server for callers with an application of their own."""
+
+import socket
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+
+from boragestream.base.settings import CallerSettings
+from boragestream.caller.connections import ARRIVED, STOP_WAITING
+from boragestream.caller.server import UNREAD_BYTES, busy_connections, create_server
+from tests.standins.fleet import free_ports, wait_until
+
+PART = b"x" * 65536
+SECONDS = 30
+
+
+class HandClock:
+    """A clock that is set by hand."""
+
+    seconds = 0.0
+
+    def now(self):
+        """Return the time."""
+        return self.seconds
+
+
+def start(context, application, threads=2):
+    """Run a server until the scenario ends."""
+    context.clock = HandClock()
+    settings = CallerSettings("127.0.0.1", free_ports(1)[0], threads)
+    context.server = create_server(application, settings, context.clock)
+    context.address = ("127.0.0.1", settings.port)
+    pool = ThreadPoolExecutor(1)
+    future = pool.submit(context.server.run)
+    context.add_cleanup(future.result, SECONDS)
+    context.add_cleanup(context.server.trigger.pull_trigger, context.server.close)
+    context.environs = []
+    context.ended = threading.Event()
+
+
+@given("a server whose application writes {count:d} MB")
+def step(context, count):
+    def application(environ, start_response):
+        context.environs.append(environ)
+        start_response("200 OK", [])
+        try:
+            for _ in range(count * 16):
+                yield PART
+        finally:
+            context.ended.set()
+
+    start(context, application)
+
+
+@given("a server of {threads:d} thread whose application waits to be let go")
+def step(context, threads):
+    context.go = threading.Event()
+
+    def application(environ, start_response):
+        context.go.wait(SECONDS)
+        context.environs.append((environ[ARRIVED], context.clock.now()))
+        start_response("200 OK", [("Content-Length", "0")])
+        return []
+
+    start(context, application, threads)
+
+
+@given("a server whose application answers with the path")
+def step(context):
+    def application(environ, start_response):
+        body = environ["PATH_INFO"].encode()
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+    start(context, application)
+
+
+def send(context, count):
+    """Send requests over one connection that the scenario keeps open."""
+    sock = socket.create_connection(context.address)
+    context.add_cleanup(sock.close)
+    requests = [b"GET /p%d HTTP/1.1\r\nHost: x\r\n\r\n" % i for i in range(count)]
+    sock.sendall(b"".join(requests))
+    return sock
+
+
+@when("a caller sends {count:d} request and reads nothing")
+@when("a caller sends {count:d} requests at once")
+def step(context, count):
+    context.sock = send(context, count)
+
+
+@when("another caller sends a request")
+def step(context):
+    send(context, 1)
+    wait_until(lambda: busy_connections(context.server) == 2)
+
+
+@then("the application waits")
+def step(context):
+    channels = context.server.active_channels
+    wait_until(
+        lambda: any(c.total_outbufs_len > UNREAD_BYTES for c in channels.values())
+    )
+    assert not context.ended.is_set()
+
+
+@when("the deadline of the request passes")
+def step(context):
+    context.environs[0][STOP_WAITING]()
+
+
+@then("the application has ended")
+def step(context):
+    assert context.ended.wait(SECONDS)
+
+
+@then("the connection counts as busy until its caller has read or gone")
+def step(context):
+    assert busy_connections(context.server) == 1
+    context.sock.close()
+    wait_until(lambda: busy_connections(context.server) == 0)
+
+
+@when("{seconds:d} s go by on the clock and the application is let go")
+def step(context, seconds):
+    context.clock.seconds += seconds
+    context.go.set()
+
+
+@then("the second request arrived {seconds:d} s before it was run")
+def step(context, seconds):
+    wait_until(lambda: len(context.environs) == 2)
+    arrived, run = context.environs[1]
+    assert run - arrived == seconds, context.environs
+
+
+@then("it reads {count:d} answers, each with its own path")
+def step(context, count):
+    context.sock.settimeout(SECONDS)
+    expected = [b"/p%d" % i for i in range(count)]
+    read = b""
+    while not read.endswith(expected[-1]):
+        data = context.sock.recv(65536)
+        assert data, read
+        read += data
+    bodies = [part.split(b"HTTP/1.1")[0] for part in read.split(b"\r\n\r\n")[1:]]
+    assert bodies == expected, bodies
+
+
+@then("no buffer of it overflows to a file")
+def step(context):
+    settings = context.server.adj
+    largest = settings.max_request_body_size + UNREAD_BYTES + len(PART)
+    assert min(settings.inbuf_overflow, settings.outbuf_overflow) > largest
--- a/tests/standins/verdicts.py
+++ b/tests/standins/verdicts.py
@@ -72,7 +72,7 @@
         """Note a fault that struck."""
         with self.lock:
             self.scenarios.add(scenario)
-            self.combinations[combination] += 1
+            self.combinations[(scenario, *combination)] += 1
 
     def text(self):
         """Return an input that no other call has."""
