--- a/boragestream/caller/connections.py
+++ b/boragestream/caller/connections.py
@@ -1,4 +1,4 @@
-"""One connection of a caller, on top of waitress' channel.
+"""One connection of a caller, on top of the channel that sends at once.
 
 It notes when a request began to arrive, ends a wait for a caller that does not read
 once the request's deadline has passed, and closes kept connections while the entry is
@@ -8,10 +8,11 @@
 from typing import Any
 
 from waitress.adjustments import Adjustments
-from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.task import WSGITask
 
+from boragestream.caller.channel import DirectChannel
+
 __all__ = ["ARRIVED", "STOP_WAITING", "CallerConnection"]
 
 ARRIVED = "boragestream.arrived"
@@ -41,7 +42,7 @@
         return super().build_response_header()
 
 
-class CallerConnection(HTTPChannel):
+class CallerConnection(DirectChannel):
     """One connection of a caller."""
 
     task_class = CallerTask
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -10,6 +10,8 @@
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, emit
 from boragestream.base.identifiers import new_incarnation
+from boragestream.base.metrics import open_metrics
+from boragestream.base.observations import Observations
 from boragestream.base.settings import Settings
 from boragestream.caller.application import Application
 from boragestream.caller.server import (
@@ -18,8 +20,17 @@
     leave,
     stop_listening,
 )
+from boragestream.caller.status import StatusPage
+from boragestream.daemon.peers import join_peers, listed_states
 from boragestream.daemon.shutdown import ExitCode, GracefulStop, KeptAnswers
-from boragestream.daemon.tasks import take_document, take_instances, watch_platform
+from boragestream.daemon.status import status_page
+from boragestream.daemon.tasks import (
+    take_document,
+    take_instances,
+    to_leaving,
+    to_listed,
+    watch_platform,
+)
 from boragestream.document import ClientAccount
 from boragestream.entry.links import LISTENER_TASKS, PeerLinks, PeerListener
 from boragestream.entry.messages import Envelope, Probe, ProbeReply, Sender
@@ -28,7 +39,7 @@
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
 from boragestream.policy.load import LoadTable
 from boragestream.policy.routing import routing_policies
-from boragestream.policy.servers import ServerTable
+from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.stage import StageRunner
 
@@ -57,10 +68,17 @@
         # While it stops, an entry still hears which servers leave.
         self._ended = threading.Event()
         self._kept_answers = KeptAnswers(self._clock)
-        self._entries: tuple[Instance, ...] = ()
+        self._listed: tuple[Instance, ...] = ()
         self._configuration = ConfigurationInForce(settings.entry.deployment)
-        self._servers = ServerTable()
+        self._servers = ServerTable(told=self._tell_leaving)
         self._loads = LoadTable()
+        metrics = settings.metrics
+        self._observations = Observations(
+            self._clock,
+            open_metrics(
+                metrics.statsd_address, metrics.statsd_port, settings.entry.name
+            ),
+        )
         self._watchdog = Watchdog(self._clock)
         self._admission = Admission(max(1, settings.caller.threads - SPARE_THREADS))
         self._tasks = ThreadPoolExecutor(TASK_THREADS, "task")
@@ -72,10 +90,19 @@
             settings.peer.key.encode(),
         )
         self._links = PeerLinks(sender)
+        self._peers = join_peers(
+            settings.entry,
+            self._incarnation,
+            self._links,
+            self._configuration,
+            self._servers,
+            self._clock,
+            self._rng,
+        )
         self._listener = PeerListener(
             sender,
             f"{settings.peer.address}:{settings.peer.port}",
-            {Probe: self._answer_probe},
+            {Probe: self._answer_probe, **self._peers.handlers},
         )
         self._server = create_server(self._application(), settings.caller, self._clock)
 
@@ -100,6 +127,7 @@
                 Event.CONFIGURATION_UNREACHABLE,
                 self._ended,
                 self._rng,
+                self._peers.duty,
             )
         )
         self._start(
@@ -112,12 +140,14 @@
                     take_instances,
                     servers=self._servers,
                     take_entries=self._take_entries,
+                    take_servers=self._peers.members.take_servers,
                 ),
                 Event.INSTANCES_UNREACHABLE,
                 self._ended,
                 self._rng,
             )
         )
+        self._start(self._peers.members.exchange.run)
         for _ in range(LISTENER_TASKS):
             self._start(self._listener.run)
         self._start(self._server.run)
@@ -143,6 +173,7 @@
     def _finish(self) -> ExitCode:
         """Serve callers with older answers, finish what is in hand, then end."""
         emit(Event.ENTRY_LEAVING, in_hand=self._admission.in_hand)
+        self._peers.members.leave()
         leave(self._server)
         current = self._configuration.current
         keep = current.document.policies.answer_keep_seconds if current else 0.0
@@ -154,6 +185,7 @@
         self._ended.set()
         self._admission.close()
         self._watchdog.stop()
+        self._peers.members.exchange.close()
         self._listener.close()
         emit(Event.ENTRY_STOPPED, exit_code=int(code))
         return code
@@ -169,6 +201,7 @@
             connections=ConnectionKeeper(),
             attempts=self._attempts,
             clock=self._clock,
+            observations=self._observations,
         )
         return Application(
             configuration=self._configuration,
@@ -179,6 +212,8 @@
             max_body_bytes=self._settings.caller.max_body_bytes,
             entries_for=self._entries_for,
             status=self._status,
+            observations=self._observations,
+            operator_digests=self._settings.operator.key_digests,
         )
 
     def _answer_probe(self, envelope: Envelope, message: Probe) -> ProbeReply:
@@ -186,28 +221,35 @@
         return ProbeReply(current.version if current else 0)
 
     def _take_entries(self, entries: tuple[Instance, ...]) -> None:
-        self._entries = entries
+        self._listed = entries
+        self._peers.members.take_entries(map(to_listed, entries))
+
+    def _tell_leaving(self, server: Server) -> None:
+        self._peers.members.tell_leaving(to_leaving(server))
+
+    @property
+    def _entries(self) -> tuple[Instance, ...]:
+        return listed_states(self._listed, self._peers.members.entries)
 
     def _entries_for(self, account: ClientAccount, in_force: DocumentInForce) -> object:
-        mine = self._settings.entry.name
         usable = [
             {"name": e.name, "address": e.host, "data_centre": e.data_centre}
             for e in self._entries
-            if e.state == "live" and not (e.name == mine and self._stopping.is_set())
+            if e.state == "live"
         ]
         keep = in_force.document.policies.answer_keep_seconds
         self._kept_answers.give(keep)
         return {"entries": usable, "keep_seconds": keep}
 
-    def _status(self) -> object:
-        current = self._configuration.current
-        return {
-            "entry": self._settings.entry.name,
-            "incarnation": self._incarnation,
-            "version": current.version if current else 0,
-            "digest": current.digest if current else "",
-            "leaving": self._stopping.is_set(),
-            "in_hand": self._admission.in_hand,
-            "servers": len(self._servers.all),
-            "entries": [entry.name for entry in self._entries],
-        }
+    def _status(self) -> StatusPage:
+        return status_page(
+            self._settings.entry,
+            self._incarnation,
+            self._stopping.is_set(),
+            self._configuration,
+            self._admission,
+            self._servers,
+            self._loads,
+            self._entries,
+            self._observations,
+        )
