Leaving servers stay remembered when the list drops and names them again

Cause: a server's word that it is leaving was forgotten with the first instance list that did not name it, so that a list that contradicts itself brought new work back to the same incarnation. Idle connections to a server that left or was replaced were kept. Ruled out: a time after which to forget (the table would need a clock, and a lagging list has no bound); remembering servers without an incarnation (they can't be told from their replacement, and would never serve again). Change: leaving is kept for the 8192 newest incarnations; a host that is used no more has its idle connections closed. Replacing every entry in turn now runs while the list says that all are live, and each call goes to one entry alone. Conclusion: leaving holds for one incarnation, and its replacement is served at once.

--- a/boragestream/backend/connections.py
+++ b/boragestream/backend/connections.py
@@ -58,7 +58,7 @@
         connection.close()
 
     def forget(self, host: str) -> None:
-        """Close every idle connection to a server."""
+        """Close every idle connection to a server that is leaving or replaced."""
         with self._lock:
             idle = self._idle.pop(host, [])
         for connection in idle:
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -194,11 +194,13 @@
         return max(self._admission.in_hand, busy_connections(self._server))
 
     def _application(self) -> Application:
+        connections = ConnectionKeeper()
+        self._servers.when_unused(connections.forget)
         stages = StageRunner(
             servers=self._servers,
             loads=self._loads,
             routing=routing_policies(self._loads, self._rng),
-            connections=ConnectionKeeper(),
+            connections=connections,
             attempts=self._attempts,
             clock=self._clock,
             observations=self._observations,
--- a/boragestream/policy/servers.py
+++ b/boragestream/policy/servers.py
@@ -12,6 +12,9 @@
 
 __all__ = ["Server", "ServerState", "ServerTable"]
 
+# More than the replacements of a week in a large fleet.
+MAX_REMEMBERED_LEAVING = 8192
+
 
 class ServerState(Enum):
     """What an entry believes of a server."""
@@ -50,9 +53,13 @@
 
     def __init__(self, told: Callable[[Server], None] = lambda server: None) -> None:
         self._told = told
+        self._unused: Callable[[str], None] = lambda host: None
         self._by_service: dict[str, tuple[Server, ...]] = {}
-        self._leaving: set[tuple[str, str, str]] = set()
+        # A dictionary for its order: the oldest is forgotten first.
+        self._leaving: dict[tuple[str, str, str], None] = {}
         self._listed: tuple[Server, ...] = ()
+        self._identities: set[tuple[str, str, str]] = set()
+        self._usable: dict[tuple[str, str, str], str] = {}
         self._lock = threading.Lock()
 
     @property
@@ -64,33 +71,67 @@
         """Return the servers of a service that may take new work."""
         return self._by_service.get(service, ())
 
+    def when_unused(self, unused: Callable[[str], None]) -> None:
+        """Have a function called with the host of each server that is used no more."""
+        self._unused = unused
+
     def take_list(self, listed: Iterable[Server]) -> None:
         """Take a published instance list."""
         with self._lock:
             self._listed = tuple(listed)
-            leaving = (s for s in self._listed if s.state is ServerState.LEAVING)
-            self._leaving.update(server.identity for server in leaving)
-            # What the list does not name any more need not be remembered.
-            self._leaving &= {server.identity for server in self._listed}
-            self._rebuild()
+            self._identities = {server.identity for server in self._listed}
+            self._forget_nameless()
+            for server in self._listed:
+                if server.state is ServerState.LEAVING:
+                    self._remember(server.identity)
+            dropped = self._rebuild()
+        self._drop(dropped)
 
     def note_leaving(self, server: Server) -> None:
         """Take a server's own word that it is leaving."""
-        with self._lock:
-            self._leaving.add(server.identity)
-            self._rebuild()
+        self.take_word(server.identity)
         self._told(server)
 
     def take_word(self, identity: tuple[str, str, str]) -> None:
         """Take another entry's word that a server said that it is leaving."""
         with self._lock:
-            if identity not in self._leaving:
-                self._leaving.add(identity)
-                self._rebuild()
-
-    def _rebuild(self) -> None:
+            if identity in self._leaving:
+                return
+            self._remember(identity)
+            dropped = self._rebuild()
+        self._drop(dropped)
+
+    def _remember(self, identity: tuple[str, str, str]) -> None:
+        """Remember a leaving server, and forget the oldest that is not listed.
+
+        An instance that a lagging list drops and names again is still the same, so
+        that its leaving outlives the list.
+        """
+        self._leaving[identity] = None
+        if len(self._leaving) > MAX_REMEMBERED_LEAVING:
+            unlisted = (i for i in self._leaving if i not in self._identities)
+            self._leaving.pop(next(unlisted, identity))
+
+    def _forget_nameless(self) -> None:
+        """Forget servers without an incarnation that the list no longer names.
+
+        One can't be told from its replacement, so that only this ends its leaving.
+        """
+        for identity in self._leaving.keys() - self._identities:
+            if not identity[2]:
+                del self._leaving[identity]
+
+    def _rebuild(self) -> set[str]:
+        """Work out which servers may take new work; return hosts that no longer do."""
+        usable = [s for s in self._listed if s.identity not in self._leaving]
         by_service: dict[str, list[Server]] = {}
-        for server in self._listed:
-            if server.identity not in self._leaving:
-                by_service.setdefault(server.service, []).append(server)
+        for server in usable:
+            by_service.setdefault(server.service, []).append(server)
         self._by_service = {name: tuple(s) for name, s in by_service.items()}
+        before = self._usable
+        self._usable = {server.identity: server.host for server in usable}
+        return {host for key, host in before.items() if key not in self._usable}
+
+    def _drop(self, hosts: set[str]) -> None:
+        for host in hosts:
+            self._unused(host)
--- a/tests/features/daemon_shutdown.feature
+++ b/tests/features/daemon_shutdown.feature
@@ -1,6 +1,7 @@
 @fixture.fleet.cooperative.stopping
 Feature: an entry stops without cutting anything
-  Answers may be kept for 0.3 s here, and a request may last for 30 s.
+  Answers may be kept for 0.3 s here, and a request may last for 30 s. The instance list
+  says all the time that every entry is live.
 
   Scenario: what is in progress is finished, streams and calls that may not be repeated
     Given "entry-1" has a streamed "caption", a whole "caption" and an "order-status" in progress for 4 s
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -11,6 +11,8 @@
 
 # A fleet whose entries can be stopped within a test.
 STOPPING = ".stopping"
+# A fleet whose entries call the servers of a service in turn.
+IN_TURN = ".in-turn"
 STOP_SETTINGS = "[stop]\nlinger_seconds = 0.1\nlimit_seconds = 6.0"
 KEEP_SECONDS = 0.3
 LONG_DEADLINE_MS = 30_000
@@ -19,9 +21,11 @@
 @fixture
 def fleet(context, name):
     """Start a site's fleet for a feature or scenario."""
-    site = name.removesuffix(STOPPING)
+    site = name.removesuffix(STOPPING).removesuffix(IN_TURN)
     document = example_document(site)
     settings = ""
+    if name.endswith(IN_TURN):
+        document["policies"]["routing"] = "round-robin"
     if name.endswith(STOPPING):
         settings = STOP_SETTINGS
         document["policies"]["answer_keep_seconds"] = KEEP_SECONDS
--- a/tests/features/steps/daemon_shutdown.py
+++ b/tests/features/steps/daemon_shutdown.py
@@ -131,25 +131,22 @@
 def trickle(context, pipeline, stream, done):
     """Call one pipeline again and again as the system names the entries."""
     client = Client(KEY, context.fleet.addresses())
-    for _ in range(MAX_CALLS):
+    for turn in range(MAX_CALLS):
         if done.wait(TRICKLE_SECONDS):
             return
+        # Each call goes to one entry alone, so that none hides an entry's refusal.
+        addresses = client.addresses()
         call = Call(pipeline, context.injected.text(), stream, DEADLINE_MS)
-        call.reply = client.call(pipeline, call.text, DEADLINE_MS, stream)
-        context.calls.append(call)
+        context.calls.append(call.make(addresses[turn % len(addresses)]))
 
 
 def replace(fleet, name, entry):
-    """Stop an entry, as the platform lists it, and start the next at its address."""
-    entry.extra["state"] = "leaving"
+    """Stop an entry and start the next at its address; the list says live all along."""
     entry.signal(signal.SIGTERM)
-    fleet.publish_instances()
     ended = entry.popen.wait(timeout=60)
     assert ended == 0, (name, ended)
-    entry.extra["state"] = "live"
     entry.start()
     fleet.wait_for_entry(entry)
-    fleet.publish_instances()
 
 
 @then("every call ended answered")
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -61,6 +61,7 @@
         self.requests = Counter()
         self.attempts = Counter()
         self.inputs = Counter()
+        self.offered = 0
         self.finished = Counter()
         self.cancelled = 0
         self.faults = deque()
@@ -127,6 +128,7 @@
                     "requests": dict(STATE.requests),
                     "attempts": dict(STATE.attempts),
                     "inputs": dict(STATE.inputs),
+                    "offered": STATE.offered,
                     "finished": dict(STATE.finished),
                     "cancelled": STATE.cancelled,
                     "busy_seconds": STATE.capacity.busy_seconds,
@@ -154,6 +156,8 @@
         if path == "/standin/slowdown":
             STATE.capacity.slowdown = body["factor"]
             return self.reply({})
+        with STATE.lock:
+            STATE.offered += 1
         if STATE.leaving and STATE.leaving != "silently":
             return self._refuse("leaving")
         fault = self._take_fault(body)
