--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -15,6 +15,7 @@
 from boragestream.base.identifiers import new_request_id
 from boragestream.base.observations import Observations
 from boragestream.base.outcomes import Answered, Failure, Outcome, Refused
+from boragestream.caller.connections import ARRIVED, STOP_WAITING
 from boragestream.caller.failures import MethodNotAllowed, PathUnknown
 from boragestream.caller.reading import (
     CallerRequest,
@@ -120,7 +121,7 @@
         if environ["REQUEST_METHOD"] != "POST":
             wrong = MethodNotAllowed(environ["REQUEST_METHOD"])
             return self._refuse(start_response, request_id, wrong)
-        arrived = self.clock.now()
+        arrived = environ.get(ARRIVED, self.clock.now())
         in_force = self.configuration.current
         if in_force is None:
             return self._refuse(start_response, request_id, NoConfiguration())
@@ -134,6 +135,7 @@
         scope = CancelScope(
             arrived + asked.deadline_ms / 1000,
             environ.get("waitress.client_disconnected"),
+            environ.get(STOP_WAITING),
         )
         request = RequestRecord(
             request_id=request_id,
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -14,9 +14,15 @@
 from boragestream.base.observations import Observations
 from boragestream.base.settings import Settings
 from boragestream.caller.application import Application
-from boragestream.caller.server import create_server
+from boragestream.caller.server import (
+    busy_connections,
+    create_server,
+    leave,
+    stop_listening,
+)
 from boragestream.caller.status import StatusPage
 from boragestream.daemon.peers import join_peers, listed_states
+from boragestream.daemon.shutdown import ExitCode, GracefulStop, KeptAnswers
 from boragestream.daemon.status import status_page
 from boragestream.daemon.tasks import (
     take_instances,
@@ -43,7 +49,6 @@
 # Threads beyond the requests in hand answer refusals and small questions at once.
 SPARE_THREADS = 32
 TASK_THREADS = 24
-STOP_CHECK_SECONDS = 0.05
 
 
 class Entry:
@@ -58,7 +63,11 @@
         self._clock = clock or SystemClock()
         self._incarnation = new_incarnation()
         self._rng = random.Random()
-        self._stopping = threading.Event()
+        self._stop = GracefulStop(settings.stop, self._clock)
+        self._stopping = self._stop.begun
+        # While it stops, an entry still hears which servers leave.
+        self._ended = threading.Event()
+        self._kept_answers = KeptAnswers(self._clock)
         self._listed: tuple[Instance, ...] = ()
         self._configuration = ConfigurationInForce(settings.entry.deployment)
         self._servers = ServerTable(told=self._tell_leaving)
@@ -95,14 +104,14 @@
             f"{settings.peer.address}:{settings.peer.port}",
             {Probe: self._answer_probe, **self._peers.handlers},
         )
-        self._server = create_server(self._application(), settings.caller)
+        self._server = create_server(self._application(), settings.caller, self._clock)
 
     @property
     def incarnation(self) -> str:
         """This life of the entry."""
         return self._incarnation
 
-    def run(self) -> None:
+    def run(self) -> ExitCode:
         """Serve until ``stop`` is called, then finish what is in hand."""
         platform = self._settings.platform
         self._start(self._watchdog.run)
@@ -120,7 +129,7 @@
                     ),
                 ),
                 Event.CONFIGURATION_UNREACHABLE,
-                self._stopping,
+                self._ended,
                 self._rng,
                 self._peers.duty,
             )
@@ -138,7 +147,7 @@
                     take_servers=self._peers.members.take_servers,
                 ),
                 Event.INSTANCES_UNREACHABLE,
-                self._stopping,
+                self._ended,
                 self._rng,
             )
         )
@@ -149,11 +158,11 @@
         name = self._settings.entry.name
         emit(Event.ENTRY_STARTED, entry=name, incarnation=self._incarnation)
         self._stopping.wait()
-        self._finish()
+        return self._finish()
 
     def stop(self) -> None:
-        """Begin the graceful shutdown; safe in a signal handler."""
-        self._stopping.set()
+        """Begin the graceful shutdown; a second call ends it."""
+        self._stop.signal()
 
     def _start(self, task: partial) -> None:
         def run() -> None:
@@ -165,34 +174,37 @@
 
         self._tasks.submit(run)
 
-    def _finish(self) -> None:
+    def _finish(self) -> ExitCode:
         """Serve callers with older answers, finish what is in hand, then end."""
-        stop = self._settings.stop
         emit(Event.ENTRY_LEAVING, in_hand=self._admission.in_hand)
         self._peers.members.leave()
-        began = self._clock.now()
-        linger_until = began + stop.linger_seconds
-        limit = began + stop.limit_seconds
-        while self._clock.now() < limit:
-            lingering = self._clock.now() < linger_until
-            if not lingering and self._admission.in_hand == 0:
-                break
-            threading.Event().wait(STOP_CHECK_SECONDS)
-        else:
-            emit(Event.STOP_LIMIT_REACHED, in_hand=self._admission.in_hand)
+        leave(self._server)
+        current = self._configuration.current
+        keep = current.document.policies.answer_keep_seconds if current else 0.0
+        code = self._stop.finish(
+            self._stop.linger_until(self._kept_answers.until, keep),
+            partial(stop_listening, self._server),
+            self._in_progress,
+        )
+        self._ended.set()
         self._admission.close()
         self._watchdog.stop()
         self._peers.members.exchange.close()
         self._listener.close()
-        self._server.close()
-        emit(Event.ENTRY_STOPPED)
+        emit(Event.ENTRY_STOPPED, exit_code=int(code))
+        return code
+
+    def _in_progress(self) -> int:
+        return max(self._admission.in_hand, busy_connections(self._server))
 
     def _application(self) -> Application:
+        connections = ConnectionKeeper()
+        self._servers.when_unused(connections.forget)
         stages = StageRunner(
             servers=self._servers,
             loads=self._loads,
             routing=routing_policies(self._loads, self._rng),
-            connections=ConnectionKeeper(),
+            connections=connections,
             attempts=self._attempts,
             clock=self._clock,
             observations=self._observations,
@@ -232,6 +244,7 @@
             if e.state == "live"
         ]
         keep = in_force.document.policies.answer_keep_seconds
+        self._kept_answers.give(keep)
         return {"entries": usable, "keep_seconds": keep}
 
     def _status(self) -> StatusPage:
