Bad input gets a typed answer or a closed connection

Cause: requests that waitress itself refused got plain text; a request with both a length and a transfer encoding, or with a folded header, was taken; a body sent byte by byte held its connection for ever, because each byte counted as activity; errors repeated what the caller had sent, which can be a key; an unexpected error in the application ended in waitress's own log with the path in it. Ruled out: checking in the application, which sees the headers only after the parser has merged them; a thread for each slow body. Conclusion: a half-sent request ends after caller.read_seconds, however it drips.

--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -5,11 +5,12 @@
 """
 
 import enum
+import traceback
 
 import msgspec
 from absl import logging
 
-__all__ = ["Event", "emit"]
+__all__ = ["Event", "describe_error", "emit"]
 
 
 class Event(enum.Enum):
@@ -33,6 +34,7 @@
     ATTEMPT_FAILED = (3101, logging.WARNING)
     ANSWER_DISCARDED = (3102, logging.ERROR)
     REQUEST_BROKEN = (3901, logging.ERROR)
+    HTTP_COMPLAINT = (3902, logging.WARNING)
 
     @property
     def number(self) -> int:
@@ -54,3 +56,13 @@
     record = {"event": event.number, "name": event.name.lower(), **details}
     line = msgspec.json.encode(record, enc_hook=str).decode()
     logging.log(event.level, "%s", line)
+
+
+def describe_error(error: BaseException) -> str:
+    """Return an unexpected error's type and place.
+
+    Its text is left out, because it can quote what a caller sent.
+    """
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f" at {frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+    return type(error).__name__ + place
--- a/boragestream/base/failures.py
+++ b/boragestream/base/failures.py
@@ -12,6 +12,7 @@
     "CallerGone",
     "CannotMeetDeadline",
     "DeadlinePassed",
+    "EntryBroken",
     "EntryLeaving",
     "NoConfiguration",
     "NoLiveServer",
@@ -83,6 +84,11 @@
     """The entry is stopping and takes no new request."""
 
 
+@dataclass(frozen=True, slots=True)
+class EntryBroken(Failure):
+    """The entry met an error of its own."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallerGone(Failure):
     """The caller closed its connection before the answer was complete."""
--- a/boragestream/base/settings.py
+++ b/boragestream/base/settings.py
@@ -37,12 +37,15 @@
 
     :ivar threads: how many requests can be in hand at once, refusals included.
     :ivar max_body_bytes: a larger request body is refused.
+    :ivar read_seconds: a request that has not arrived whole by then, and a
+        connection that was idle for as long, is closed.
     """
 
     address: str
     port: Port
     threads: Count = 192
     max_body_bytes: Count = 1_048_576
+    read_seconds: Count = 30
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -10,11 +10,11 @@
 
 from boragestream.backend.cancellation import CancelScope, Watchdog
 from boragestream.base.clock import Clock
-from boragestream.base.events import Event, emit
-from boragestream.base.failures import NoConfiguration
+from boragestream.base.events import Event, describe_error, emit
+from boragestream.base.failures import EntryBroken, NoConfiguration
 from boragestream.base.identifiers import new_request_id
 from boragestream.base.observations import Observations
-from boragestream.base.outcomes import Answered, Failure, Outcome, Refused
+from boragestream.base.outcomes import Answered, Failure, Outcome, Refused, Unknown
 from boragestream.caller.failures import MethodNotAllowed, PathUnknown
 from boragestream.caller.reading import (
     CallerRequest,
@@ -63,6 +63,17 @@
     def __call__(self, environ: Environ, start_response: StartResponse) -> Reply:
         """Answer one HTTP request."""
         request_id = new_request_id()
+        try:
+            return self._answer(environ, start_response, request_id)
+        except Exception as error:
+            emit(Event.REQUEST_BROKEN, request=request_id, error=describe_error(error))
+            # What may have run is not known here.
+            outcome = Unknown(EntryBroken(), f"/v1/requests/{request_id}")
+            return outcome_reply(start_response, outcome, request_id)
+
+    def _answer(
+        self, environ: Environ, start_response: StartResponse, request_id: str
+    ) -> Reply:
         path = environ["PATH_INFO"]
         if path.startswith(PIPELINES):
             name = path.removeprefix(PIPELINES)
@@ -74,9 +85,9 @@
         }
         handler = handlers.get(path)
         if handler is None:
-            return self._refuse(start_response, request_id, PathUnknown(path[:200]))
+            return self._refuse(start_response, request_id, PathUnknown())
         if environ["REQUEST_METHOD"] != "GET":
-            wrong = MethodNotAllowed(environ["REQUEST_METHOD"])
+            wrong = MethodNotAllowed()
             return self._refuse(start_response, request_id, wrong)
         return handler(environ, start_response, request_id)
 
@@ -118,7 +129,7 @@
         name: str,
     ) -> Reply:
         if environ["REQUEST_METHOD"] != "POST":
-            wrong = MethodNotAllowed(environ["REQUEST_METHOD"])
+            wrong = MethodNotAllowed()
             return self._refuse(start_response, request_id, wrong)
         arrived = self.clock.now()
         in_force = self.configuration.current
--- a/boragestream/caller/failures.py
+++ b/boragestream/caller/failures.py
@@ -1,6 +1,7 @@
 """The failures that a caller's own request can have.
 
-Each stands for a refusal: nothing was run.
+Each stands for a refusal: nothing was run. None repeats what the caller sent, which
+could be a key in the wrong place.
 """
 
 from dataclasses import dataclass
@@ -10,7 +11,11 @@
 __all__ = [
     "BodyTooLong",
     "DeadlineAbsurd",
+    "EncodingUnsupported",
+    "HeaderTooLong",
     "MalformedBody",
+    "MalformedHeader",
+    "MalformedRequest",
     "MethodNotAllowed",
     "PathUnknown",
     "PipelineNotAllowed",
@@ -28,22 +33,16 @@
 class PathUnknown(Failure):
     """There is nothing under this path."""
 
-    path: str
-
 
 @dataclass(frozen=True, slots=True)
 class MethodNotAllowed(Failure):
     """The path does not take this method."""
 
-    method: str
-
 
 @dataclass(frozen=True, slots=True)
 class PipelineUnknown(Failure):
     """No pipeline has this name."""
 
-    pipeline: str
-
 
 @dataclass(frozen=True, slots=True)
 class PipelineNotAllowed(Failure):
@@ -56,20 +55,44 @@
 class DeadlineAbsurd(Failure):
     """The deadline header is no whole number of milliseconds of a usable size."""
 
-    given: str
-
 
 @dataclass(frozen=True, slots=True)
 class MalformedBody(Failure):
     """The body is not the JSON object that is asked for.
 
-    :ivar place: the field, empty for the whole body.
+    :ivar reason: what is wrong with it.
     """
 
-    place: str
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class MalformedHeader(Failure):
+    """A header's value can't be used.
+
+    :ivar header: its name.
+    """
+
+    header: str
+
+
+@dataclass(frozen=True, slots=True)
+class MalformedRequest(Failure):
+    """The bytes are no HTTP request, or one that can be read in two ways."""
+
+
+@dataclass(frozen=True, slots=True)
+class EncodingUnsupported(Failure):
+    """The transfer encoding is none that is taken."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderTooLong(Failure):
+    """The request line and headers together are longer than is taken."""
+
+    limit_bytes: int
+
+
 @dataclass(frozen=True, slots=True)
 class BodyTooLong(Failure):
     """The body is longer than is taken."""
--- a/boragestream/caller/reading.py
+++ b/boragestream/caller/reading.py
@@ -13,6 +13,7 @@
     BodyTooLong,
     DeadlineAbsurd,
     MalformedBody,
+    MalformedHeader,
     PipelineNotAllowed,
     PipelineUnknown,
     WrongKey,
@@ -77,7 +78,7 @@
         return account
     pipeline = in_force.pipelines.get(pipeline_name)
     if pipeline is None:
-        return PipelineUnknown(pipeline_name)
+        return PipelineUnknown()
     if pipeline.client_accounts and account.name not in pipeline.client_accounts:
         return PipelineNotAllowed(pipeline_name)
     deadline_ms = _read_deadline(environ, pipeline)
@@ -85,7 +86,7 @@
         return deadline_ms
     ticket = environ.get("HTTP_IDEMPOTENCY_KEY", "")
     if len(ticket) > MAX_TICKET_CHARACTERS:
-        return MalformedBody("Idempotency-Key", "too long")
+        return MalformedHeader("Idempotency-Key")
     body = _read_body(environ, max_body_bytes)
     if isinstance(body, Failure):
         return body
@@ -120,7 +121,7 @@
     unsigned = given.removeprefix("-")
     usable = unsigned.isascii() and unsigned.isdigit()
     if not usable or len(unsigned) > MAX_DEADLINE_DIGITS:
-        return DeadlineAbsurd(given[:MAX_DEADLINE_DIGITS])
+        return DeadlineAbsurd()
     if int(given) <= 0:
         return DeadlinePassed("arrival")
     return min(int(given), pipeline.deadline_ms)
@@ -133,5 +134,7 @@
         return BodyTooLong(limit)
     try:
         return msgspec.json.decode(text, type=RequestBody).input
-    except (msgspec.DecodeError, RecursionError) as error:
-        return MalformedBody("", str(error))
+    except msgspec.ValidationError:
+        return MalformedBody("not an object with the one field 'input'")
+    except (msgspec.DecodeError, RecursionError):
+        return MalformedBody("not JSON")
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -183,6 +183,7 @@
 [caller]
 address = "{ADDRESS}"
 port = {port}
+read_seconds = 5
 [peer]
 address = "{ADDRESS}"
 port = {peer_port}
