--- a/boragestream/caller/protocol.py
+++ b/boragestream/caller/protocol.py
@@ -10,12 +10,12 @@
 from typing import Any
 
 import msgspec
-from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.utilities import Error
 
 from boragestream.base.identifiers import new_request_id
 from boragestream.base.outcomes import Failure, Refused
+from boragestream.caller.channel import DirectChannel
 from boragestream.caller.failures import (
     BodyTooLong,
     EncodingUnsupported,
@@ -72,7 +72,7 @@
             raise ParsingError("two lengths")
 
 
-class StrictChannel(HTTPChannel):
+class StrictChannel(DirectChannel):
     """A caller's connection; a request that is slow to arrive closes it."""
 
     parser_class = _StrictParser
