Wait for a streamed part in the kernel, without a poll before each read

Cause: a socket with a timeout polls before each read, so that every token cost two system calls and twice the interpreter lock. Ruled out: reading without any limit: a watchdog that died would leave the thread there. Change: the socket blocks with SO_RCVTIMEO; the watchdog still ends it at the deadline.

--- a/boragestream/backend/attempt.py
+++ b/boragestream/backend/attempt.py
@@ -7,6 +7,7 @@
 
 import http.client
 import socket
+import struct
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum
@@ -46,6 +47,8 @@
 DATA_PREFIX = b"data:"
 MAX_ANSWER_BYTES = 8 * 1_048_576
 READ_BYTES = 65536
+KERNEL_TIMEVAL = struct.Struct("ll")
+WATCHDOG_MARGIN_SECONDS = 2.0
 
 
 class Ran(Enum):
@@ -175,6 +178,7 @@
     def tokens(self) -> Iterator[Completion | AttemptFailure]:
         """Yield each part of a streamed answer; a failure is the last item."""
         rest = b""
+        self._wait_in_kernel()
         try:
             while True:
                 data = self._response.read1(READ_BYTES)
@@ -210,6 +214,17 @@
         self._connection.close()
         self._call_ended(whole=False)
 
+    def _wait_in_kernel(self) -> None:
+        """Have the kernel wait for each part, which saves a poll before each read.
+
+        At the deadline the watchdog shuts the socket down; the kernel's own limit is
+        there in case it does not.
+        """
+        left = self._sock.gettimeout() or 0.0
+        limit = KERNEL_TIMEVAL.pack(int(left + WATCHDOG_MARGIN_SECONDS), 0)
+        self._sock.settimeout(None)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, limit)
+
     def _read_to_end(self) -> AttemptFailure | None:
         """Take what follows the end mark, so that the connection can be kept."""
         if self._response.read(1):
