--- a/bench/load/faults.py
+++ b/bench/load/faults.py
@@ -58,6 +58,14 @@
     fleet.servers[target].start()
 
 
+def _freeze(fleet: Fleet, target: str, fault: Fault) -> None:
+    fleet.servers[target].signal(signal.SIGSTOP)
+
+
+def _thaw(fleet: Fleet, target: str, fault: Fault) -> None:
+    fleet.servers[target].signal(signal.SIGCONT)
+
+
 def _replace_entry(fleet: Fleet, target: str, fault: Fault) -> None:
     entry = fleet.entries[target]
     entry.signal(signal.SIGTERM)
@@ -75,5 +83,7 @@
     ("slow", "end"): _quick,
     ("kill", "begin"): _kill,
     ("kill", "end"): _start,
+    ("freeze", "begin"): _freeze,
+    ("freeze", "end"): _thaw,
     ("replace-entry", "begin"): _replace_entry,
 }
