--- a/boragestream/entry/messages.py
+++ b/boragestream/entry/messages.py
@@ -16,12 +16,20 @@
 __all__ = [
     "MAX_MESSAGE_BYTES",
     "PROTOCOL_VERSION",
+    "DocumentAsk",
+    "DocumentReply",
     "Envelope",
+    "Exchange",
+    "ExchangeReply",
     "Message",
     "MessageRefused",
     "Probe",
+    "ProbeFor",
+    "ProbeForReply",
     "ProbeReply",
     "Rejected",
+    "Repair",
+    "RepairReply",
     "Sender",
     "open_envelope",
     "seal",
@@ -51,7 +59,93 @@
     code: str
 
 
-Message = Probe | ProbeReply | Rejected
+class Exchange(msgspec.Struct, frozen=True, tag=True):
+    """One half of a round between two entries.
+
+    :ivar parts: the bytes of each part by the part's name.
+    """
+
+    parts: dict[str, bytes]
+
+
+class ExchangeReply(msgspec.Struct, frozen=True, tag=True):
+    """The other half of the round.
+
+    :ivar parts: the bytes of each part by the part's name.
+    """
+
+    parts: dict[str, bytes]
+
+
+class ProbeFor(msgspec.Struct, frozen=True, tag=True):
+    """Asks a peer to probe an entry that the sender cannot reach.
+
+    :ivar name: the entry's name.
+    """
+
+    name: str
+
+
+class ProbeForReply(msgspec.Struct, frozen=True, tag=True):
+    """Says whether the entry answered."""
+
+    reached: bool
+
+
+class Repair(msgspec.Struct, frozen=True, tag=True):
+    """Asks for the records in which two tables differ.
+
+    :ivar digests: the sender's digests of its buckets, by the table's name.
+    """
+
+    digests: dict[str, tuple[int, ...]]
+
+
+class RepairReply(msgspec.Struct, frozen=True, tag=True):
+    """The records of the buckets that differ.
+
+    :ivar records: the table's own encoding of them, by the table's name.
+    """
+
+    records: dict[str, bytes]
+
+
+class DocumentAsk(msgspec.Struct, frozen=True, tag=True):
+    """Asks for the document in force.
+
+    :ivar base: the digest of the document that the sender has; empty for none.
+    """
+
+    base: str = ""
+
+
+class DocumentReply(msgspec.Struct, frozen=True, tag=True):
+    """The document in force, compressed against a base.
+
+    :ivar version: its version, 0 where there is none.
+    :ivar base: the digest of the base; empty where the document is whole.
+    :ivar digest: the digest of the result.
+    """
+
+    version: int
+    base: str = ""
+    digest: str = ""
+    data: bytes = b""
+
+
+Message = (
+    Probe
+    | ProbeReply
+    | Rejected
+    | Exchange
+    | ExchangeReply
+    | ProbeFor
+    | ProbeForReply
+    | Repair
+    | RepairReply
+    | DocumentAsk
+    | DocumentReply
+)
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -5,7 +5,9 @@
 """
 
 import ctypes
+import hashlib
 import http.client
+import itertools
 import json
 import os
 import random
@@ -18,41 +20,43 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from tests.standins.backend import fingerprint
+
 ADDRESS = "127.0.0.1"
-PORTS = (10_000, 32_000)
 PARENT_DEATH_SIGNAL = 1
 START_SECONDS = 20
+LISTENING_PORTS = range(10240, 32768)
 PEER_KEY = "peer-key-of-the-tests"
+OPERATOR_KEY = "operator-key-of-the-tests"
 LIBC = ctypes.CDLL(None)
 
 
 def free_ports(count):
     """Return ports that nothing listens on now.
 
-    They lie below those that the system hands out for outgoing connections, so that
-    none is taken between here and the start of the process that shall listen on it.
+    They lie below those that the kernel gives to outgoing connections, which could
+    otherwise take one before its process does.
     """
-    sockets = []
-    try:
-        while len(sockets) < count:
-            sock = socket.socket()
-            sockets.append(sock)
+    ports = []
+    for port in random.SystemRandom().sample(LISTENING_PORTS, len(LISTENING_PORTS)):
+        with socket.socket() as sock:
             try:
-                sock.bind((ADDRESS, random.randint(*PORTS)))
+                sock.bind((ADDRESS, port))
             except OSError:
-                sockets.pop().close()
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            break
+    return ports
 
 
-def fetch(port, path, body=None, timeout=10):
+def fetch(port, path, body=None, timeout=10, key=None):
     """Send a GET, or a POST where there is a body; return the JSON answer."""
     connection = http.client.HTTPConnection(ADDRESS, port, timeout=timeout)
     try:
         content = None if body is None else json.dumps(body)
-        connection.request("GET" if body is None else "POST", path, content)
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        connection.request("GET" if body is None else "POST", path, content, headers)
         return json.loads(connection.getresponse().read())
     finally:
         connection.close()
@@ -129,7 +133,9 @@
         ``backend`` holds fields of every server's SPEC, ``backend_of`` by service.
         """
         self.document = document
+        self.marks = itertools.count()
         self.folder = Path(tempfile.mkdtemp(prefix="boragestream-"))
+        self.journal = self.folder / "runs.journal"
         ports = iter(free_ports(1 + len(instances) + 2 * entries))
         self.settings = settings
         self.platform = self._process(
@@ -157,6 +163,9 @@
 
     def _add_server(self, port, spec, service, data_centre):
         spec["port"] = port
+        folder = self.folder / "faults" / service
+        folder.mkdir(parents=True, exist_ok=True)
+        spec.update(service=service, faults=str(folder), journal=str(self.journal))
         process = self._process(
             spec["name"],
             port,
@@ -198,6 +207,8 @@
 address = "{ADDRESS}"
 port = {peer_port}
 key = "{PEER_KEY}"
+[operator]
+key_digests = ["{hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()}"]
 [platform]
 configuration = "{platform}"
 instances = "{platform}"
@@ -246,7 +257,7 @@
 
     def status(self, name):
         """Return the status page of an entry."""
-        return fetch(self.entries[name].port, "/v1/status")
+        return fetch(self.entries[name].port, "/v1/status", key=OPERATOR_KEY)
 
     def publish(self, document, index=None):
         """Publish a configuration document."""
@@ -274,6 +285,20 @@
         """Queue faults on a backend server."""
         fetch(self.servers[server].port, "/standin/faults", list(faults))
 
+    def inject_call(self, service, text, *faults):
+        """Have faults strike calls of one input, whichever server is called.
+
+        Returns the files that wait; a server that takes a fault removes its file.
+        """
+        folder = self.folder / "faults" / service
+        paths = []
+        for fault in faults:
+            path = folder / f"{fingerprint(text)}-{next(self.marks):06d}.json"
+            path.with_suffix(".new").write_text(json.dumps(fault))
+            path.with_suffix(".new").rename(path)
+            paths.append(path)
+        return paths
+
     def runs(self):
         """Return the run counts of every backend server that answers."""
         counts = {}
