--- a/bench/load/__main__.py
+++ b/bench/load/__main__.py
@@ -62,11 +62,23 @@
         "runs": [asdict(run) for run in runs],
     }
     if arguments["--json"]:
-        Path(arguments["--json"]).write_text(json.dumps(result, indent=1) + "\n")
+        write_result(Path(arguments["--json"]), result)
     broken = any(count for run in runs for count in run.invariants.values())
     return 1 if broken else 0
 
 
+def write_result(path: Path, result: dict) -> None:
+    """Write a result as JSON, with the spread readable and each run on a line."""
+    *head, last = [f"{json.dumps(k)}: {_lines(v)}" for k, v in result.items()]
+    path.write_text("{\n" + "".join(f"{line},\n" for line in head) + last + "\n}\n")
+
+
+def _lines(value: object) -> str:
+    if isinstance(value, list):
+        return "[\n" + ",\n".join(json.dumps(item) for item in value) + "\n]"
+    return json.dumps(value, indent=1)
+
+
 @contextmanager
 def locked(path: str | None) -> Iterator[None]:
     """Hold a lock on a file, where there is one."""
