Load tool: recorded traces with stated outcomes

Cause: the policy shall be proved by replay of recorded traces too. Conclusion: a trace can be compared over variants like a scenario.

--- a/bench/load/__main__.py
+++ b/bench/load/__main__.py
@@ -1,12 +1,15 @@
 """Offers load to real entries before stand-ins, and writes what came of it as JSON.
 
 Usage:
-  bench.load SCENARIO [--seed N]... [--variant V]... [--json OUT] [--policies JSON]
-             [--spread] [--lock FILE]
+  bench.load (SCENARIO | --trace FILE) [--seed N]... [--variant V]...
+             [--json OUT] [--policies JSON] [--spread] [--lock FILE]
+  bench.load --record FILE SCENARIO [--seed N]
   bench.load --list
   bench.load --help
 
 Options:
+  --trace FILE     Replay a recorded trace in place of a scenario.
+  --record FILE    Write a scenario's arrivals as a trace with stated outcomes.
   --seed N         Seed of the arrivals; may stand several times [default: 1].
   --variant V      own, round-robin, least-connections or own-without-MECHANISM; may
                    stand several times [default: own].
@@ -23,17 +26,18 @@
 import json
 import signal
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 from pathlib import Path
 
 from docopt import docopt
 
 from bench.load.report import headline, spread_of
 from bench.load.runner import Run, start_bench
-from bench.load.scenarios import SCENARIOS, scenario_named
-from bench.load.schedule import arrivals_of
+from bench.load.scenarios import SCENARIOS, Scenario, scenario_named
+from bench.load.schedule import Arrival, arrivals_of
+from bench.load.traces import read_scenario, trace_text
 from bench.load.variants import BASELINES, MECHANISMS, OWN
 
 __all__ = ["main"]
@@ -46,15 +50,21 @@
         print("scenarios:", *(scenario.name for scenario in SCENARIOS))
         print("variants:", OWN, *BASELINES, *(f"own-without-{m}" for m in MECHANISMS))
         return 0
+    seeds = [int(seed) for seed in arguments["--seed"]]
+    if arguments["--record"]:
+        phases = scenario_named(arguments["SCENARIO"]).phases
+        text = trace_text(arrivals_of(phases, seeds[0]), phases)
+        Path(arguments["--record"]).write_text(text)
+        return 0
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
-    runs = run_comparison(
-        arguments["SCENARIO"],
-        [int(seed) for seed in arguments["--seed"]],
-        arguments["--variant"],
-        json.loads(arguments["--policies"] or "{}"),
-        arguments["--spread"],
-        arguments["--lock"],
+    comparison = Comparison(
+        load=_load(arguments),
+        variants=arguments["--variant"],
+        overrides=json.loads(arguments["--policies"] or "{}"),
+        spread=arguments["--spread"],
+        lock=arguments["--lock"],
     )
+    runs = run_comparison(comparison, seeds)
     result = {
         "command": "python -m bench.load " + " ".join(argv or sys.argv[1:]),
         "machine": "shared with other work; compare within this file only",
@@ -90,29 +100,51 @@
         yield
 
 
-def run_comparison(
-    name: str,
-    seeds: list[int],
-    variants: list[str],
-    overrides: dict,
-    spread: bool,
-    lock: str | None,
-) -> list[Run]:
-    """Run every variant for every seed on one fleet; print a line for each run.
+Load = Callable[[int], tuple[Scenario, Sequence[Arrival], dict | None]]
+
 
-    :param overrides: fields of the document's policies for every variant.
-    :param spread: whether callers take entries in orders of their own.
-    :param lock: a file to lock during the runs of each seed.
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    """What is compared.
+
+    :ivar load: returns scenario, arrivals and stated outcomes for a seed.
+    :ivar overrides: fields of the document's policies for every variant.
+    :ivar spread: whether callers take entries in orders of their own.
+    :ivar lock: a file to lock during the runs of each seed.
     """
-    scenario = scenario_named(name)
+
+    load: Load
+    variants: Sequence[str]
+    overrides: dict
+    spread: bool
+    lock: str | None
+
+
+def _load(arguments: dict) -> Load:
+    if arguments["--trace"]:
+        recorded = read_scenario(Path(arguments["--trace"]))
+        return lambda seed: recorded
+    scenario = scenario_named(arguments["SCENARIO"])
+    return lambda seed: (scenario, arrivals_of(scenario.phases, seed), None)
+
+
+def run_comparison(comparison: Comparison, seeds: Sequence[int]) -> list[Run]:
+    """Run every variant for every seed on one fleet; print a line for each run."""
     runs = []
-    fleet, bench = start_bench(spread)
+    fleet, bench = start_bench(comparison.spread)
     with fleet:
         for seed in seeds:
-            arrivals = arrivals_of(scenario.phases, seed)
-            with locked(lock):
-                for variant in variants:
-                    run = bench.run(scenario, variant, seed, arrivals, overrides)
+            scenario, arrivals, expected = comparison.load(seed)
+            with locked(comparison.lock):
+                for variant in comparison.variants:
+                    run = bench.run(
+                        scenario,
+                        variant,
+                        seed,
+                        arrivals,
+                        comparison.overrides,
+                        expected,
+                    )
                     runs.append(run)
                     print(headline(run), flush=True)
     return runs
--- a/bench/load/report.py
+++ b/bench/load/report.py
@@ -26,6 +26,7 @@
     "nominal_during_fault": ("during_fault", "nominal_per_answer"),
     "attainment_during_fault": ("during_fault", "attainment"),
     "recovery_seconds": ("recovery_seconds",),
+    "not_as_stated": ("not_as_stated",),
     "lag_p99": ("lag_p99",),
 }
 HEADLINE = (
@@ -41,6 +42,7 @@
     "p99_before_fault",
     "p99_during_fault",
     "recovery_seconds",
+    "not_as_stated",
     "lag_p99",
 )
 
--- a/bench/load/runner.py
+++ b/bench/load/runner.py
@@ -20,6 +20,7 @@
 from bench.load.metrics import recovery_seconds, summarise, timeline
 from bench.load.scenarios import WARM_SECONDS, Scenario
 from bench.load.schedule import Arrival, total_seconds
+from bench.load.traces import not_as_stated
 from bench.load.variants import variant_policies
 from tests.standins.fleet import Fleet, fetch, wait_until
 
@@ -69,8 +70,13 @@
         seed: int,
         arrivals: Sequence[Arrival],
         overrides: dict | None = None,
+        expected: dict[int, tuple[str, ...]] | None = None,
     ) -> Run:
-        """Run a scenario for one variant and seed."""
+        """Run a scenario for one variant and seed.
+
+        :param overrides: fields of the document's policies.
+        :param expected: stated outcomes by the arrivals' numbers.
+        """
         self._publish(scenario, variant, overrides)
         samples, events = self._offer(scenario, arrivals)
         self._wait_idle()
@@ -80,6 +86,8 @@
             work.setdefault(service, []).extend(records)
             runs.setdefault(service, Counter()).update(counts)
         figures, windows = _figures(scenario, samples, work, events)
+        if expected is not None:
+            figures["not_as_stated"] = not_as_stated(samples, expected)
         invariants = invariant_counts(samples, runs)
         return Run(scenario.name, variant, seed, figures, invariants, windows, events)
 
--- a/tests/features/bench_load.feature
+++ b/tests/features/bench_load.feature
@@ -73,3 +73,10 @@
       | 0.3 | large   | lost     | 0.1     |         |
     When the ledger ran "r-1" 1 times and "r-2" 2 times
     Then 1 is lost, 1 doubled, 0 crossed and 1 refused but run
+
+  Scenario: a trace that was written is read again, with its stated outcomes
+    Given a trace written from 1 s at load 0.5 and 1 s at load 3
+    When it is read
+    Then its arrivals are those of the schedule
+    And until 1 s it states "answered" and after it "answered, refused"
+    And a refusal at 0.5 s is not as stated, a refusal at 1.5 s is
--- a/tests/features/steps/bench_load.py
+++ b/tests/features/steps/bench_load.py
@@ -1,5 +1,8 @@
 """Steps on the load tool's schedules and figures."""
 
+import tempfile
+from pathlib import Path
+
 from behave import given, then, when
 
 from bench.load.client import Sample
@@ -7,6 +10,7 @@
 from bench.load.invariants import invariant_counts
 from bench.load.metrics import fair_shares, jain, recovery_seconds, summarise
 from bench.load.schedule import Phase, arrivals_of
+from bench.load.traces import not_as_stated, read_scenario, trace_text
 
 
 def drawn(load, seconds, seed):
@@ -152,3 +156,46 @@
         "crossed": crossed,
         "refused_but_run": run,
     }, context.counts
+
+
+@given("a trace written from 1 s at load {calm:g} and 1 s at load {overload:g}")
+def step(context, calm, overload):
+    phases = (Phase(1.0, calm), Phase(1.0, overload))
+    context.arrivals = arrivals_of(phases, 1)
+    context.trace = trace_text(context.arrivals, phases)
+
+
+@when("it is read")
+def step(context):
+    with tempfile.NamedTemporaryFile("w", suffix=".jsonl") as file:
+        file.write(context.trace)
+        file.flush()
+        _, context.read, context.expected = read_scenario(Path(file.name))
+
+
+@then("its arrivals are those of the schedule")
+def step(context):
+    def fields(arrivals):
+        return [(a.number, round(a.at, 4), a.account, a.stream) for a in arrivals]
+
+    assert fields(context.read) == fields(context.arrivals)
+
+
+@then('until {end:d} s it states "{calm}" and after it "{overload}"')
+def step(context, end, calm, overload):
+    stated = {calm: set(), overload: set()}
+    for arrival in context.read:
+        outcomes = ", ".join(context.expected[arrival.number])
+        stated[outcomes].add(arrival.at < end)
+    assert stated == {calm: {True}, overload: {False}}, stated
+
+
+@then("a refusal at {calm:g} s is not as stated, a refusal at {overload:g} s is")
+def step(context, calm, overload):
+    def wrong(at):
+        arrival = min(context.read, key=lambda a: abs(a.at - at))
+        fields = dict.fromkeys(Sample.__slots__, 0)
+        sample = Sample(**{**fields, "number": arrival.number, "outcome": "refused"})
+        return not_as_stated([sample], context.expected)
+
+    assert (wrong(calm), wrong(overload)) == (1, 0)
