Server-side decisions: routing, limits, hedging, retries, costs

Cause: a stage chose between two servers by its own calls alone, tried again up to three times whatever the load, waited for nothing and accounted for nothing. Change: a load record for each server (own calls, smoothed and least times, reports with their age, limit, circuit, easing); a sampled choice by expected finish with prefix affinity under a load bound; a line before each service, earliest deadline first, bounded by the time that a call can spare; budgets for retries and hedges; attempts with futures of their own, the loser cancelled; costs by client account and stage on the status page. Each mechanism has its switch; "ejection" is a new one.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: real entries as processes against stand-ins, results as JSON."""
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -6,7 +6,6 @@
 from functools import partial
 
 from boragestream.backend.cancellation import Watchdog
-from boragestream.backend.connections import ConnectionKeeper
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, emit
 from boragestream.base.identifiers import new_incarnation
@@ -21,8 +20,9 @@
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
 from boragestream.policy.load import LoadTable
-from boragestream.policy.routing import routing_policies
+from boragestream.policy.routing import Place
 from boragestream.policy.servers import ServerTable
+from boragestream.serving.parts import make_parts
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.stage import StageRunner
 
@@ -51,11 +51,22 @@
         self._entries: tuple[Instance, ...] = ()
         self._configuration = ConfigurationInForce(settings.entry.deployment)
         self._servers = ServerTable()
-        self._loads = LoadTable()
+        self._loads = LoadTable(self._clock, self._rng)
         self._watchdog = Watchdog(self._clock)
         self._admission = Admission(max(1, settings.caller.threads - SPARE_THREADS))
         self._tasks = ThreadPoolExecutor(TASK_THREADS, "task")
+        # Stages that run side by side wait for attempts, so that the two never share
+        # threads.
         self._attempts = ThreadPoolExecutor(ATTEMPT_THREADS, "attempt")
+        self._side_by_side = ThreadPoolExecutor(ATTEMPT_THREADS, "stage")
+        self._parts = make_parts(
+            self._servers,
+            self._loads,
+            self._attempts,
+            self._clock,
+            self._rng,
+            self._home,
+        )
         sender = Sender(
             settings.entry.deployment,
             settings.entry.name,
@@ -102,6 +113,7 @@
                 partial(
                     take_instances,
                     servers=self._servers,
+                    loads=self._loads,
                     take_entries=self._take_entries,
                 ),
                 Event.INSTANCES_UNREACHABLE,
@@ -152,18 +164,11 @@
         emit(Event.ENTRY_STOPPED)
 
     def _application(self) -> Application:
-        stages = StageRunner(
-            servers=self._servers,
-            loads=self._loads,
-            routing=routing_policies(self._loads, self._rng),
-            connections=ConnectionKeeper(),
-            attempts=self._attempts,
-            clock=self._clock,
-        )
+        stages = StageRunner(self._parts)
         return Application(
             configuration=self._configuration,
             admission=self._admission,
-            pipelines=PipelineRunner(stages, self._attempts),
+            pipelines=PipelineRunner(stages, self._side_by_side),
             watchdog=self._watchdog,
             clock=self._clock,
             max_body_bytes=self._settings.caller.max_body_bytes,
@@ -175,6 +180,11 @@
         current = self._configuration.current
         return ProbeReply(current.version if current else 0)
 
+    def _home(self) -> Place:
+        """Return where this entry is; its region is that of a server beside it."""
+        centre = self._settings.entry.data_centre
+        return Place(centre, self._loads.region_of(centre))
+
     def _take_entries(self, entries: tuple[Instance, ...]) -> None:
         self._entries = entries
 
@@ -198,5 +208,6 @@
             "leaving": self._stopping.is_set(),
             "in_hand": self._admission.in_hand,
             "servers": len(self._servers.all),
+            "costs": self._parts.costs.snapshot(),
             "entries": [entry.name for entry in self._entries],
         }
--- a/boragestream/daemon/tasks.py
+++ b/boragestream/daemon/tasks.py
@@ -12,6 +12,7 @@
 from boragestream.platform.instances import ENTRY_SERVICE, Instance, parse_instances
 from boragestream.platform.reader import PlatformUnreachable, read_platform
 from boragestream.policy.configuration import ConfigurationInForce, Offer
+from boragestream.policy.load import LoadTable
 from boragestream.policy.servers import Server, ServerState, ServerTable
 
 __all__ = ["take_document", "take_instances", "to_server", "watch_platform"]
@@ -73,6 +74,7 @@
 def take_instances(
     value: bytes,
     servers: ServerTable,
+    loads: LoadTable,
     take_entries: Callable[[tuple[Instance, ...]], None],
 ) -> None:
     """Check a published instance list and take it."""
@@ -82,6 +84,7 @@
         emit(Event.INSTANCES_INVALID, faults=described)
         return
     servers.take_list(to_server(i) for i in instances if i.service != ENTRY_SERVICE)
+    loads.take_list(servers.all)
     take_entries(tuple(i for i in instances if i.service == ENTRY_SERVICE))
     emit(Event.INSTANCES_CHANGED, instances=len(instances))
 
@@ -95,4 +98,5 @@
         data_centre=instance.data_centre,
         incarnation=instance.incarnation,
         state=ServerState(instance.state),
+        region=instance.region,
     )
--- a/boragestream/document/records.py
+++ b/boragestream/document/records.py
@@ -37,6 +37,7 @@
     "fair-queue",
     "load-reports",
     "affinity",
+    "ejection",
     "concurrency-limit",
     "easing",
     "hedging",
--- a/boragestream/policy/load.py
+++ b/boragestream/policy/load.py
@@ -1,61 +1,202 @@
-"""What an entry has itself seen of each server's load.
+"""What an entry knows of each server's load.
 
-Counts of calls in progress and smoothed times come from the entry's own calls, so
-they are never old. What other entries and load reports say is left out here.
+Counts, times, limits and failures come from the entry's own calls; what other
+entries do there is known from the server's reports alone. Choosing among the servers
+is left to ``policy.routing``.
 """
 
+import random
 import threading
-from dataclasses import dataclass
-
-__all__ = ["LoadTable", "ServerLoad"]
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from boragestream.base.clock import Clock
+from boragestream.policy.circuits import (
+    CLOSED,
+    Circuit,
+    after_failure,
+    after_probe_cancelled,
+    probing,
+)
+from boragestream.policy.concurrency import INITIAL_LIMIT, is_queueing, next_limit
+from boragestream.policy.reports import LoadReport, calls_of_others
+from boragestream.policy.servers import Server
+
+__all__ = ["FORGET_SECONDS", "CallEnd", "LoadTable", "ServerLoad"]
 
 SMOOTHING = 0.2
+# What was measured longer ago says nothing of a server any more.
+FORGET_SECONDS = 3.0
+# The least time creeps up, so that a server that has become slower for good is
+# measured by what it can do now.
+LEAST_GROWTH = 1.002
+
+
+class CallEnd(Enum):
+    """How a call on a server ended."""
+
+    ANSWERED = "the answer is whole"
+    CUT = "the answer was an error or not whole"
+    UNREACHED = "the server could not be reached"
+    REFUSED = "the server refused the call"
+    CANCELLED = "the call was cancelled and says only how long it took at least"
 
 
 @dataclass(slots=True)
 class ServerLoad:
-    """The load of one server as seen by this entry.
+    """The load of one server as known to this entry.
 
     :ivar in_progress: calls that this entry has open there.
     :ivar seconds: smoothed time of a call; 0 before the first.
+    :ivar seconds_at: when ``seconds`` was last measured.
+    :ivar least: the least time seen, by kind of call.
+    :ivar report: the server's last report; None before the first.
+    :ivar report_at: when it came.
+    :ivar own_at_report: calls of this entry at that moment.
+    :ivar limit: how many calls this entry may have open there.
+    :ivar limit_at: when the limit was last lowered.
+    :ivar circuit: what recent failures say.
+    :ivar eased_from: when its share began to grow; None where it is whole.
     """
 
     in_progress: int = 0
     seconds: float = 0.0
+    seconds_at: float = 0.0
+    least: dict[str, float] = field(default_factory=dict)
+    report: LoadReport | None = None
+    report_at: float = 0.0
+    own_at_report: int = 0
+    limit: float = INITIAL_LIMIT
+    limit_at: float = 0.0
+    circuit: Circuit = CLOSED
+    eased_from: float | None = None
+
+    def calls(self, now: float, with_reports: bool = True) -> float:
+        """Return the expected calls in progress, those of other entries included."""
+        if self.report is None or not with_reports:
+            return self.in_progress
+        age = now - self.report_at
+        others = calls_of_others(self.report, self.own_at_report, age)
+        return self.in_progress + others
 
 
 class LoadTable:
-    """The loads by server name."""
+    """The loads by server.
+
+    :param clock: times reports, failures and easing.
+    :param rng: spreads the probes of ejected servers.
+    """
 
-    def __init__(self) -> None:
-        self._loads: dict[str, ServerLoad] = {}
+    def __init__(self, clock: Clock, rng: random.Random) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._loads: dict[tuple[str, str, str], ServerLoad] = {}
         self._lock = threading.Lock()
+        self._regions: dict[str, str] = {}
+        self._listed = False
 
-    def get(self, server: str) -> ServerLoad:
+    def get(self, server: Server) -> ServerLoad:
         """Return the load of a server; an empty one for a server not yet called."""
-        return self._loads.get(server) or ServerLoad()
+        return self._loads.get(server.identity) or ServerLoad()
 
-    def begin(self, server: str) -> None:
+    def take_list(self, servers: Iterable[Server]) -> None:
+        """Take the listed servers: ease new ones in and forget those that are gone.
+
+        The servers of the first list are new to this entry alone and need no easing.
+        """
+        now = self._clock.now()
+        with self._lock:
+            kept = {}
+            regions = {}
+            for server in servers:
+                regions[server.data_centre] = server.region
+                load = self._loads.get(server.identity) or ServerLoad()
+                if self._listed and server.identity not in self._loads:
+                    load.eased_from = now
+                kept[server.identity] = load
+            self._loads = kept
+            self._regions = regions
+            self._listed = True
+
+    def region_of(self, data_centre: str) -> str:
+        """Return the region of a data centre; empty where it is not known."""
+        return self._regions.get(data_centre, "")
+
+    def begin(self, server: Server) -> None:
         """Count a call that begins."""
         with self._lock:
-            self._loads.setdefault(server, ServerLoad()).in_progress += 1
+            load = self._loads.setdefault(server.identity, ServerLoad())
+            load.in_progress += 1
+            load.circuit = probing(load.circuit)
+
+    def note_report(self, server: Server, report: LoadReport) -> None:
+        """Take a server's report of its load."""
+        with self._lock:
+            load = self._loads.setdefault(server.identity, ServerLoad())
+            load.report = report
+            load.report_at = self._clock.now()
+            load.own_at_report = load.in_progress
 
-    def end(self, server: str, seconds: float | None) -> None:
+    def end(self, server: Server, end: CallEnd, seconds: float, kind: str = "") -> None:
         """Count a call that has ended.
 
-        :param seconds: how long it took; None where it brought no answer.
+        :param seconds: how long it took.
+        :param kind: calls of one kind need about the same time on an idle server.
         """
+        now = self._clock.now()
         with self._lock:
-            load = self._loads.setdefault(server, ServerLoad())
+            load = self._loads.setdefault(server.identity, ServerLoad())
+            if end is CallEnd.ANSWERED:
+                _take_answer(load, seconds, kind, now)
+            elif end is CallEnd.CANCELLED:
+                _take_cancelled(load, seconds, now)
+            elif end is CallEnd.REFUSED:
+                _take_refusal(load, now)
+            else:
+                reached = end is CallEnd.CUT
+                load.circuit = after_failure(load.circuit, now, reached, self._rng)
             load.in_progress = max(0, load.in_progress - 1)
-            if seconds is None:
-                return
-            known = load.seconds or seconds
-            load.seconds = known + SMOOTHING * (seconds - known)
 
     def snapshot(self) -> dict[str, ServerLoad]:
-        """Return a copy for status pages."""
+        """Return a copy, by server name, of what was called, for status pages."""
         with self._lock:
-            return {
-                k: ServerLoad(v.in_progress, v.seconds) for k, v in self._loads.items()
-            }
+            called = [(k, v) for k, v in self._loads.items() if v.seconds_at]
+            return {name: replace(load) for (name, _, _), load in called}
+
+
+def _take_answer(load: ServerLoad, seconds: float, kind: str, now: float) -> None:
+    _smooth(load, seconds, now)
+    least = min(load.least.get(kind, seconds) * LEAST_GROWTH, seconds)
+    load.least[kind] = least
+    if load.circuit.until:
+        load.eased_from = now
+    load.circuit = CLOSED
+    report = load.report if load.report_at >= now - seconds else None
+    queueing = is_queueing(seconds, least, report)
+    # One queue at the server is seen by every call that waited in it, and shall
+    # lower the limit once.
+    if queueing and now - load.limit_at < load.seconds:
+        return
+    load.limit = next_limit(load.limit, load.in_progress, queueing)
+    load.limit_at = now if queueing else load.limit_at
+
+
+def _take_cancelled(load: ServerLoad, seconds: float, now: float) -> None:
+    load.circuit = after_probe_cancelled(load.circuit)
+    if seconds > load.seconds:
+        _smooth(load, seconds, now)
+
+
+def _take_refusal(load: ServerLoad, now: float) -> None:
+    load.circuit = CLOSED
+    load.limit = next_limit(load.limit, load.in_progress, queueing=True)
+    load.limit_at = now
+
+
+def _smooth(load: ServerLoad, seconds: float, now: float) -> None:
+    """Take a measured time; the older the last one, the more the new one counts."""
+    known = load.seconds or seconds
+    weight = max(SMOOTHING, min(1.0, (now - load.seconds_at) / FORGET_SECONDS))
+    load.seconds = known + weight * (seconds - known)
+    load.seconds_at = now
--- a/boragestream/policy/servers.py
+++ b/boragestream/policy/servers.py
@@ -27,6 +27,7 @@
     """One backend server in one incarnation.
 
     :ivar host: ``address:port``.
+    :ivar region: empty where it is not known.
     """
 
     name: str
@@ -35,6 +36,7 @@
     data_centre: str
     incarnation: str = ""
     state: ServerState = ServerState.LIVE
+    region: str = ""
 
     @property
     def identity(self) -> tuple[str, str, str]:
--- /dev/null
+++ b/boragestream/serving/parts.py
@@ -0,0 +1,68 @@
+"""What running stages needs, shared by all requests of an entry."""
+
+import random
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from boragestream.backend.connections import ConnectionKeeper
+from boragestream.base.clock import Clock
+from boragestream.policy.budgets import BudgetTable
+from boragestream.policy.costs import CostTable
+from boragestream.policy.load import LoadTable
+from boragestream.policy.routing import Place, RoutingPolicy, routing_policies
+from boragestream.policy.servers import ServerTable
+from boragestream.policy.times import RecentTimes
+from boragestream.policy.waiting import WaitingLines
+
+__all__ = ["ServingParts", "make_parts"]
+
+
+@dataclass(frozen=True, slots=True)
+class ServingParts:
+    """The parts.
+
+    :ivar attempts: runs attempts beside the request's own thread.
+    :ivar times: recent times of attempts, by kind of call.
+    """
+
+    servers: ServerTable
+    loads: LoadTable
+    routing: dict[str, RoutingPolicy]
+    lines: WaitingLines
+    connections: ConnectionKeeper
+    attempts: ThreadPoolExecutor
+    times: RecentTimes
+    retries: BudgetTable
+    hedges: BudgetTable
+    costs: CostTable
+    clock: Clock
+    rng: random.Random
+
+
+def make_parts(
+    servers: ServerTable,
+    loads: LoadTable,
+    attempts: ThreadPoolExecutor,
+    clock: Clock,
+    rng: random.Random,
+    home: Callable[[], Place],
+) -> ServingParts:
+    """Return the parts of an entry.
+
+    :param home: returns where the entry is.
+    """
+    return ServingParts(
+        servers=servers,
+        loads=loads,
+        routing=routing_policies(loads, clock, rng, home),
+        lines=WaitingLines(clock, rng),
+        connections=ConnectionKeeper(),
+        attempts=attempts,
+        times=RecentTimes(),
+        retries=BudgetTable(),
+        hedges=BudgetTable(),
+        costs=CostTable(),
+        clock=clock,
+        rng=rng,
+    )
--- a/boragestream/serving/request.py
+++ b/boragestream/serving/request.py
@@ -11,6 +11,7 @@
 from boragestream.base.outcomes import Failed, Failure, Outcome, Refused, Unknown
 from boragestream.document import ClientAccount, Pipeline
 from boragestream.policy.configuration import DocumentInForce
+from boragestream.policy.waiting import ServiceSaturated
 
 __all__ = ["RequestRecord", "SentRecord"]
 
@@ -66,6 +67,8 @@
         """Return the true outcome of a request that could not be answered."""
         if self.sent.unrepeatable:
             return Unknown(failure, f"/v1/requests/{self.request_id}")
+        if isinstance(failure, ServiceSaturated):
+            retry_after = failure.retry_after
         if self.sent.any:
             return Failed(failure, retry_after)
         return Refused(failure, retry_after)
--- a/boragestream/serving/stage.py
+++ b/boragestream/serving/stage.py
@@ -1,156 +1,212 @@
-"""Runs one stage: chooses a server, makes an attempt, tries again where that is safe.
+"""Runs one stage: takes a server, makes an attempt, tries again where that is safe.
 
-A call that may not be repeated is tried again only where it certainly was not run. The
-order of the stages is left to ``serving.pipeline``.
+A call that may not be repeated is tried again only where it certainly was not run, and
+is never hedged. The order of the stages is left to ``serving.pipeline``.
 """
 
-from concurrent.futures import ThreadPoolExecutor
+import threading
 from dataclasses import dataclass
 from typing import Any
 
 from boragestream.backend.attempt import (
-    AnswerCrossed,
     AttemptCancelled,
     AttemptFailure,
+    ConnectFailed,
     OpenAnswer,
     Ran,
     ServerRefused,
-    open_attempt,
 )
 from boragestream.backend.calls import StageCall, StageInput, stage_body, stage_path
-from boragestream.backend.connections import ConnectionKeeper
-from boragestream.base.clock import Clock
-from boragestream.base.events import Event, emit
 from boragestream.base.failures import NoLiveServer
-from boragestream.base.identifiers import new_attempt_id
 from boragestream.base.outcomes import Failure
 from boragestream.document import Stage
-from boragestream.policy.load import LoadTable
-from boragestream.policy.routing import RoutingPolicy
-from boragestream.policy.servers import Server, ServerTable
+from boragestream.document.records import Policies
+from boragestream.policy.affinity import prefix_key
+from boragestream.policy.candidates import RoutingNeed
+from boragestream.policy.costs import Purpose
+from boragestream.policy.hedging import has_spare_room, hedge_delay, hedge_share
+from boragestream.policy.retries import (
+    FailedAttempt,
+    Retry,
+    pause_seconds,
+    retry_verdict,
+)
+from boragestream.policy.servers import Server
+from boragestream.serving.attempts import AttemptRun, StageRun
+from boragestream.serving.parts import ServingParts
+from boragestream.serving.race import race
 from boragestream.serving.request import RequestRecord
 
 __all__ = ["StageRunner"]
 
-MAX_ATTEMPTS = 3
+USUAL_QUANTILE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class StageRunner:
-    """What running stages needs, shared by all requests of an entry.
+    """Runs stages.
 
-    :ivar attempts: runs attempts beside the request's own thread.
+    :ivar parts: what the entry's requests share.
     """
 
-    servers: ServerTable
-    loads: LoadTable
-    routing: dict[str, RoutingPolicy]
-    connections: ConnectionKeeper
-    attempts: ThreadPoolExecutor
-    clock: Clock
+    parts: ServingParts
 
     def run(
         self, request: RequestRecord, stage: Stage, stage_input: StageInput
     ) -> Any | Failure:
         """Run a stage and return its result, JSON data, or why there is none."""
-        call = self._call(request, stage, stage_input, stream=False)
-        return self._try(request, stage, call, _read)
+        return self._run(_stage_run(request, stage, stage_input, stream=False))
 
     def open_stream(
         self, request: RequestRecord, stage: Stage, stage_input: StageInput
     ) -> OpenAnswer | Failure:
         """Run a generating stage up to the headers of its streamed answer."""
-        call = self._call(request, stage, stage_input, stream=True)
-        return self._try(request, stage, call, lambda answer: answer)
-
-    def _call(
-        self,
-        request: RequestRecord,
-        stage: Stage,
-        stage_input: StageInput,
-        stream: bool,
-    ) -> StageCall:
-        kind = request.in_force.services[stage.service].kind
-        priority = max(request.pipeline.priority, request.account.priority)
-        return StageCall(
-            request_id=request.request_id,
-            path=stage_path(kind),
-            body=stage_body(kind, stage, stage_input, stream),
-            repeatable=stage.repeatable,
-            priority=priority,
-            stream=stream,
+        return self._run(_stage_run(request, stage, stage_input, stream=True))
+
+    def _run(self, run: StageRun) -> Any | Failure:
+        policies = _policies(run)
+        service = run.stage.service
+        self.parts.retries.of(service).earn(policies.retry_share)
+        self.parts.hedges.of(service).earn(
+            hedge_share(policies.hedge_share, policies.cost_weight)
         )
-
-    def _try(
-        self, request: RequestRecord, stage: Stage, call: StageCall, finish: Any
-    ) -> Any | Failure:
+        failure: AttemptFailure | None = None
         tried: set[str] = set()
-        failure: Failure = NoLiveServer(stage.service)
-        for _ in range(MAX_ATTEMPTS):
-            server = self._choose(request, stage, tried)
-            if server is None:
-                return failure
-            tried.add(server.name)
-            result = self._attempt(request, call, server, finish)
+        attempts = 0
+        while True:
+            server = self._take_server(run, tried)
+            if isinstance(server, Failure):
+                return failure or server
+            purpose = Purpose.RETRY if attempts else Purpose.FIRST
+            result = self._attempt(run, server, purpose, tried)
             if not isinstance(result, AttemptFailure):
                 return result
-            failure = result
-            self._note_failure(request, server, result)
             if isinstance(result, AttemptCancelled):
                 return result.reason
-            if not call.repeatable and result.ran is Ran.MAY_HAVE_RUN:
-                return result
-        return failure
-
-    def _choose(
-        self, request: RequestRecord, stage: Stage, tried: set[str]
-    ) -> Server | None:
-        live = self.servers.live(stage.service)
-        fresh = [server for server in live if server.name not in tried]
-        if not fresh:
+            attempts += 1
+            failure = result
+            if not self._may_retry(run, result, attempts):
+                return failure
+            self._pause_before_same(run, tried, attempts)
+
+    def _take_server(self, run: StageRun, tried: set[str]) -> Server | Failure:
+        """Take a server with room and count the call there."""
+        service = run.stage.service
+        if not self.parts.servers.live(service):
+            return NoLiveServer(service)
+        scope = run.request.scope
+        return self.parts.lines.of(service).take(
+            choose=lambda: self._choose(run, tried),
+            latest=scope.deadline - self._usual_seconds(run),
+            cancelled=lambda: scope.reason is not None,
+        )
+
+    def _choose(self, run: StageRun, tried: set[str]) -> Server | None:
+        live = self.parts.servers.live(run.stage.service)
+        if not live:
             return None
-        policy = self.routing[request.in_force.document.policies.routing]
-        return policy.choose(fresh)
+        policies = _policies(run)
+        need = RoutingNeed(frozenset(tried), run.prefix, policies.without)
+        server = self.parts.routing[policies.routing].choose(live, need)
+        if server is not None:
+            self.parts.loads.begin(server)
+        return server
 
     def _attempt(
-        self, request: RequestRecord, call: StageCall, server: Server, finish: Any
+        self, run: StageRun, server: Server, purpose: Purpose, tried: set[str]
     ) -> Any | AttemptFailure:
-        scope = request.scope.child()
-        began = self.clock.now()
-        self.loads.begin(server.name)
-
-        def ended(whole: bool) -> None:
-            seconds = self.clock.now() - began if whole else None
-            self.loads.end(server.name, seconds)
-            request.scope.close_child(scope)
-
-        answer = open_attempt(
-            call,
-            server.name,
-            server.host,
-            new_attempt_id(),
-            self.connections,
-            scope,
-            self.clock,
-            sending=lambda: request.sent.note_sending(call.repeatable),
+        tried.add(server.name)
+        first = AttemptRun(self.parts, run, server, purpose)
+        delay = self._hedge_delay(run)
+        if delay is None:
+            return first.send()
+        return race(self.parts, first, delay, lambda: self._hedge(run, tried))
+
+    def _hedge_delay(self, run: StageRun) -> float | None:
+        """Return when to hedge; None where no hedge could be launched anyway.
+
+        Without a hedge the attempt runs in the request's own thread, which saves the
+        hand-over to another one; see bench/handover.py.
+        """
+        if not run.call.repeatable or "hedging" in _policies(run).without:
+            return None
+        service = run.stage.service
+        if len(self.parts.servers.live(service)) == 1:
+            return None
+        saturated = self.parts.lines.of(service).waiting > 0
+        if saturated or self.parts.hedges.of(service).tokens < 1.0:
+            return None
+        delay = hedge_delay(self.parts.times, run.kind)
+        left = run.request.scope.deadline - self.parts.clock.now()
+        return delay if delay is not None and delay < left else None
+
+    def _hedge(self, run: StageRun, tried: set[str]) -> AttemptRun | None:
+        service = run.stage.service
+        if self.parts.lines.of(service).waiting:
+            return None
+        server = self._choose_spare(run, tried)
+        if server is None or not self.parts.hedges.of(service).spend():
+            return None
+        tried.add(server.name)
+        self.parts.loads.begin(server)
+        return AttemptRun(self.parts, run, server, Purpose.HEDGE)
+
+    def _choose_spare(self, run: StageRun, tried: set[str]) -> Server | None:
+        policies = _policies(run)
+        need = RoutingNeed(frozenset(tried), None, policies.without)
+        live = self.parts.servers.live(run.stage.service)
+        server = self.parts.routing[policies.routing].choose(live, need)
+        if server is None:
+            return None
+        load = self.parts.loads.get(server)
+        return server if has_spare_room(load, self.parts.clock.now()) else None
+
+    def _may_retry(self, run: StageRun, failure: AttemptFailure, attempts: int) -> bool:
+        leaving = isinstance(failure, ServerRefused) and failure.leaving
+        failed = FailedAttempt(
+            may_have_run=failure.ran is Ran.MAY_HAVE_RUN,
+            free=leaving or isinstance(failure, ConnectFailed),
+        )
+        verdict = retry_verdict(
+            failed,
+            attempts,
+            run.call.repeatable,
+            run.request.scope.deadline - self.parts.clock.now(),
+            self._usual_seconds(run),
+            "retries" in _policies(run).without,
+            self.parts.retries.of(run.stage.service).spend,
         )
-        if isinstance(answer, OpenAnswer):
-            answer.when_ended(ended)
-            return finish(answer)
-        ended(whole=False)
-        if not call.repeatable and answer.ran is not Ran.MAY_HAVE_RUN:
-            request.sent.note_not_run()
-        return answer
-
-    def _note_failure(
-        self, request: RequestRecord, server: Server, failure: AttemptFailure
-    ) -> None:
-        if isinstance(failure, ServerRefused) and failure.leaving:
-            self.servers.note_leaving(server)
-        crossed = isinstance(failure, AnswerCrossed)
-        event = Event.ANSWER_DISCARDED if crossed else Event.ATTEMPT_FAILED
-        emit(event, request=request.request_id, failure=failure.describe())
-
-
-def _read(answer: OpenAnswer) -> Any | AttemptFailure:
-    return answer.read()
+        return verdict is Retry.AGAIN
+
+    def _pause_before_same(self, run: StageRun, tried: set[str], attempts: int) -> None:
+        """Let servers be tried again, after a pause, where all have been."""
+        live = self.parts.servers.live(run.stage.service)
+        if any(server.name not in tried for server in live):
+            return
+        tried.clear()
+        threading.Event().wait(pause_seconds(attempts, self.parts.rng))
+
+    def _usual_seconds(self, run: StageRun) -> float:
+        return self.parts.times.quantile(run.kind, USUAL_QUANTILE) or 0.0
+
+
+def _stage_run(
+    request: RequestRecord, stage: Stage, stage_input: StageInput, stream: bool
+) -> StageRun:
+    kind = request.in_force.services[stage.service].kind
+    call = StageCall(
+        request_id=request.request_id,
+        path=stage_path(kind),
+        body=stage_body(kind, stage, stage_input, stream),
+        repeatable=stage.repeatable,
+        priority=max(request.pipeline.priority, request.account.priority),
+        stream=stream,
+    )
+    prefix = None
+    if kind == "engine":
+        prefix = prefix_key(stage.model, str(stage_input.request))
+    return StageRun(request, stage, call, prefix)
+
+
+def _policies(run: StageRun) -> Policies:
+    return run.request.in_force.document.policies
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -219,6 +219,7 @@
         return [
             ("X-Request-Id", request or self.headers["X-Request-Id"]),
             ("X-Attempt-Id", attempt or self.headers["X-Attempt-Id"]),
+            ("X-Load", f"{STATE.in_progress}/{SPEC['slots']}"),
         ]
 
 
