Scenarios: a straggler, a dying server and calls that may not be repeated

Cause: the decisions of a stage were shown on a clock of their own only, not between processes. Ruled out: calls one after the other to reach a certain server: an idle entry keeps to its nearest one, as it shall, so calls run side by side. Conclusion: the loser of a hedge is cancelled and counted, and no call that may not be repeated ran twice.

--- /dev/null
+++ b/tests/features/steps/serving_stage.py
@@ -0,0 +1,113 @@
+"""Steps that make backend servers fail or straggle and look at their calls."""
+
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+
+from boragestream.operator.client import Client
+from tests.standins.backend import expected_text
+from tests.standins.fleet import fetch, wait_until
+from tests.standins.sites import example_key
+
+MOST_ROUNDS = 50
+CALLS_SIDE_BY_SIDE = 8
+FAULT_SECONDS = 1.5
+TOKENS = 8
+
+
+@given("a document whose budget of hedges is never spent")
+def step(context):
+    # Every call that is slow by chance takes from the budget, too.
+    document = dict(context.fleet.document, version=2)
+    document["policies"] = {"hedge_share": 1.0, "cost_weight": 0.0}
+    context.fleet.publish(document)
+    for name in context.fleet.entries:
+        wait_until(lambda name=name: context.fleet.status(name)["version"] == 2)
+
+
+@when('"{server}" has the fault "{fault}" for one call of "{pipeline}"')
+def step(context, server, fault, pipeline):
+    call_until_struck(context, server, fault, pipeline, stream=False)
+
+
+@when('"{server}" has the fault "{fault}" for one stream of "{pipeline}"')
+def step(context, server, fault, pipeline):
+    call_until_struck(context, server, fault, pipeline, stream=True)
+
+
+def call_until_struck(context, server, fault, pipeline, stream):
+    """Give a server one fault, and call until it has run a call; keep every reply.
+
+    An idle entry keeps to its nearest server; calls side by side reach the others.
+    """
+    client = Client(example_key("members-web"), context.fleet.addresses())
+    address = context.fleet.addresses()[0]
+    context.replies = getattr(context, "replies", [])
+    context.inputs = {}
+    before = attempts(context, server)
+    context.fleet.inject(server, {"fault": fault, "seconds": FAULT_SECONDS})
+
+    def call(text):
+        reply = client.call(pipeline, text, stream=stream, address=address)
+        context.replies.append(reply)
+        context.inputs[reply.request_id] = text
+
+    with ThreadPoolExecutor(CALLS_SIDE_BY_SIDE) as callers:
+        for number in range(MOST_ROUNDS):
+            texts = [f"{server} {number} {i}" for i in range(CALLS_SIDE_BY_SIDE)]
+            list(callers.map(call, texts))
+            if attempts(context, server) > before:
+                return
+    raise AssertionError(f"no call reached {server}")
+
+
+def attempts(context, server):
+    """Return how many attempts a server has begun."""
+    return len(context.fleet.runs()[server]["attempts"])
+
+
+@when('"{first}" and "{second}" die')
+def step(context, first, second):
+    for name in (first, second):
+        context.fleet.servers[name].kill()
+
+
+@then('"{entry}" counts a hedge of "{stage}" and the seconds that it cost')
+def step(context, entry, stage):
+    def counted():
+        pages = context.fleet.status(entry)["costs"].values()
+        costs = [page[stage] for page in pages if stage in page]
+        hedges = sum(cost["hedges"] for cost in costs)
+        return hedges and sum(cost["hedged_seconds"] for cost in costs) > 0
+
+    wait_until(counted, what="the hedge's cost")
+
+
+@then('one outcome is "{one}" and the others are "{others}"')
+def step(context, one, others):
+    outcomes = Counter(reply.outcome for reply in context.replies)
+    assert outcomes == {one: 1, others: len(context.replies) - 1}, outcomes
+
+
+@then("no server has a call in progress")
+def step(context):
+    ports = [process.port for process in context.fleet.servers.values()]
+    wait_until(lambda: not any(fetch(p, "/load")["in_progress"] for p in ports))
+
+
+@then("every streamed answer is whole and made from its own input")
+def step(context):
+    for reply in context.replies:
+        text = context.inputs.get(reply.request_id)
+        if text is not None:
+            assert reply.result == expected_text(text, TOKENS), reply
+
+
+@then('"{service}" ran each call once')
+def step(context, service):
+    runs = context.fleet.runs()
+    names = [n for n in runs if context.fleet.servers[n].extra["service"] == service]
+    for reply in context.replies:
+        ran = sum(runs[n]["requests"].get(reply.request_id, 0) for n in names)
+        assert ran == 1, (reply, ran)
