--- a/boragestream/serving/attempts.py
+++ b/boragestream/serving/attempts.py
@@ -79,6 +79,7 @@
         self._purpose = purpose
         self._began = parts.clock.now()
         self._lost = False
+        self._id = new_attempt_id()
         self._scope = run.request.scope.child()
 
     @property
@@ -93,11 +94,13 @@
             run.call,
             self._server.name,
             self._server.host,
-            new_attempt_id(),
+            self._id,
             self._parts.connections,
             self._scope,
             self._parts.clock,
-            sending=lambda: run.request.sent.note_sending(run.call.repeatable),
+            sending=lambda: run.request.sent.note_sending(
+                self._id, run.call.repeatable
+            ),
         )
         if isinstance(answer, AttemptFailure):
             self._note_failure(answer)
@@ -157,7 +160,7 @@
     def _note_failure(self, failure: AttemptFailure) -> None:
         request = self._run.request
         if not self._run.call.repeatable and failure.ran is not Ran.MAY_HAVE_RUN:
-            request.sent.note_not_run()
+            request.sent.note_not_run(self._id)
         if self._lost:
             return
         if isinstance(failure, ServerRefused) and failure.leaving:
