--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements: real entries as processes against stand-ins, results as JSON."""
+"""Benchmarks: what the system costs and what its decisions bring, measured."""
--- a/boragestream/policy/costs.py
+++ b/boragestream/policy/costs.py
@@ -6,7 +6,7 @@
 """
 
 import threading
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 __all__ = ["CostTable", "Purpose", "Spent", "StageCost"]
@@ -71,10 +71,10 @@
             cost.retries += purpose is Purpose.RETRY
             setattr(cost, spent.value, getattr(cost, spent.value) + seconds)
 
-    def snapshot(self) -> dict[str, dict[str, dict[str, float]]]:
+    def snapshot(self) -> dict[str, dict[str, StageCost]]:
         """Return the costs by client account, then by stage, for status pages."""
-        pages: dict[str, dict[str, dict[str, float]]] = {}
+        pages: dict[str, dict[str, StageCost]] = {}
         with self._lock:
             for (account, stage), cost in self._costs.items():
-                pages.setdefault(account, {})[stage] = asdict(cost)
+                pages.setdefault(account, {})[stage] = replace(cost)
         return pages
--- a/boragestream/serving/attempts.py
+++ b/boragestream/serving/attempts.py
@@ -142,6 +142,12 @@
         parts.loads.end(self._server, end, seconds, run.kind)
         if end is CallEnd.ANSWERED and not run.call.stream:
             parts.times.add(run.kind, seconds)
+        parts.observations.attempt_ended(
+            run.request.pipeline.name,
+            run.stage.name,
+            end is CallEnd.ANSWERED,
+            seconds,
+        )
         account = run.request.account.name
         parts.costs.add(account, run.name, self._purpose, self._spent(end), seconds)
         run.request.scope.close_child(self._scope)
--- a/boragestream/serving/parts.py
+++ b/boragestream/serving/parts.py
@@ -7,6 +7,7 @@
 
 from boragestream.backend.connections import ConnectionKeeper
 from boragestream.base.clock import Clock
+from boragestream.base.observations import Observations
 from boragestream.policy.budgets import BudgetTable
 from boragestream.policy.costs import CostTable
 from boragestream.policy.load import LoadTable
@@ -36,6 +37,7 @@
     retries: BudgetTable
     hedges: BudgetTable
     costs: CostTable
+    observations: Observations
     clock: Clock
     rng: random.Random
 
@@ -47,6 +49,7 @@
     clock: Clock,
     rng: random.Random,
     home: Callable[[], Place],
+    observations: Observations,
 ) -> ServingParts:
     """Return the parts of an entry.
 
@@ -63,6 +66,7 @@
         retries=BudgetTable(),
         hedges=BudgetTable(),
         costs=CostTable(),
+        observations=observations,
         clock=clock,
         rng=rng,
     )
--- a/tests/features/policy_routing.feature
+++ b/tests/features/policy_routing.feature
@@ -13,14 +13,14 @@
 
   Scenario: an old measurement of a straggler is forgotten
     When 400 calls run one by one and "s-0" takes 10 times as long
-    And 4 seconds pass
+    And the table is 4 s older
     And 80 calls run one by one
     Then "s-0" got at least 5 of them
 
   Scenario: other entries' calls count as long as their report is fresh
     Given every server but "s-3" reports 6 calls on 8 slots
     Then "s-3" is chosen always among those sampled with it
-    When 10 seconds pass
+    When the table is 10 s older
     Then every server is chosen at times
 
   Scenario: a server that just failed is avoided, but never the last one
@@ -31,7 +31,7 @@
 
   Scenario: a server back from ejection is probed by one call and then eased in
     When "s-1" can't be reached
-    And 2 seconds pass
+    And the table is 2 s older
     And a call begins on "s-1"
     Then "s-1" is never chosen
     When the call on "s-1" is answered
--- a/tests/features/steps/policy_attempts.py
+++ b/tests/features/steps/policy_attempts.py
@@ -184,5 +184,5 @@
     pages = context.costs.snapshot()
     for account, seconds in (("first", 3.0), ("second", 6.0)):
         page = pages[account]["p.s"]
-        assert {page[spent.value] for spent in Spent} == {seconds}, page
-        assert (page["attempts"], page["hedges"], page["retries"]) == (15, 5, 5)
+        assert {getattr(page, spent.value) for spent in Spent} == {seconds}, page
+        assert (page.attempts, page.hedges, page.retries) == (15, 5, 5)
--- a/tests/features/steps/policy_routing.py
+++ b/tests/features/steps/policy_routing.py
@@ -98,7 +98,7 @@
     assert len(context.got) == 1, context.got
 
 
-@when("{seconds:d} seconds pass")
+@when("the table is {seconds:d} s older")
 def step(context, seconds):
     context.clock.seconds += seconds
 
