--- a/boragestream/caller/status.py
+++ b/boragestream/caller/status.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from boragestream.base.observations import AccountReport, StageReport
+from boragestream.policy.costs import StageCost
 
 __all__ = ["PeerReport", "ServerReport", "StatusPage"]
 
@@ -49,6 +50,7 @@
     :ivar in_hand: admitted requests that have not ended.
     :ivar accounts: by client account.
     :ivar stages: by ``PIPELINE.STAGE``.
+    :ivar costs: by client account, then by ``PIPELINE.STAGE``.
     """
 
     entry: str
@@ -63,3 +65,4 @@
     entries: tuple[PeerReport, ...]
     accounts: dict[str, AccountReport]
     stages: dict[str, StageReport]
+    costs: dict[str, dict[str, StageCost]]
