Calls under tickets: run by their issuer alone, forwarded, and asked about

Cause: a caller that lost its answer could neither send a charge again nor learn what became of it, and `ask` in a problem document led nowhere.

Ruled out: waiting for a forwarded run inside the peer listener (eight such posts would silence the entry towards its peers; the issuer answers at once and is asked again); refusing a wrong post under a ticket on the spot (an earlier post of the ticket may have run, so that "not run" could be untrue: the issuer ends an unused ticket first); streaming under a ticket (the answer is kept whole and comes whole).

Change: POST /v1/tickets, GET /v1/tickets/TICKET, GET /v1/requests/ID; a post with Idempotency-Key runs in the issuing incarnation only and goes on when its caller goes away; others forward it; the expiry is checked right before the first byte of a call that may not be repeated; a pipeline that does not end in an engine is answered whole where a stream was asked for (it ended as unknown after the charge before).

--- a/boragestream/backend/attempt.py
+++ b/boragestream/backend/attempt.py
@@ -33,6 +33,7 @@
 )
 from boragestream.base.clock import Clock
 from boragestream.base.failures import DeadlinePassed
+from boragestream.policy.tickets import TicketExpired
 
 __all__ = [
     "AnswerCrossed",
@@ -79,11 +80,13 @@
     scope.add(sock)
     # The time is read after the connect and directly before the send, so that a
     # process that was paused in between does not send what has expired.
-    left = scope.deadline - clock.now()
-    if left <= 0 or scope.reason is not None:
+    now = clock.now()
+    left = scope.deadline - now
+    if left <= 0 or now >= call.run_by or scope.reason is not None:
         scope.remove(sock)
         connection.close()
-        reason = scope.reason or DeadlinePassed("send")
+        expired = DeadlinePassed("send") if left <= 0 else TicketExpired()
+        reason = scope.reason or expired
         return AttemptCancelled(server, Ran.NOT_SENT, reason)
     try:
         sock.settimeout(left)
--- a/boragestream/backend/calls.py
+++ b/boragestream/backend/calls.py
@@ -5,6 +5,7 @@
 those protocols; sending them is left to ``backend.attempt``.
 """
 
+import math
 from dataclasses import dataclass
 from typing import Annotated, Any
 
@@ -60,6 +61,8 @@
     :ivar repeatable: whether running it twice does no harm.
     :ivar priority: 0 (lowest) to 9, as engines honour it.
     :ivar stream: whether the answer comes as server-sent events.
+    :ivar run_by: the clock's seconds after which it may not be sent, because the
+        ticket that gives the right to run it has expired.
     """
 
     request_id: str
@@ -68,6 +71,7 @@
     repeatable: bool
     priority: int
     stream: bool
+    run_by: float = math.inf
 
 
 class CompletionChoice(msgspec.Struct, frozen=True):
--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -4,6 +4,7 @@
 HTTP server itself is waitress, set up in ``caller.server``.
 """
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -24,6 +25,8 @@
 )
 from boragestream.caller.replies import StartResponse, json_reply, outcome_reply
 from boragestream.caller.streaming import StreamedReply
+from boragestream.caller.ticket_runs import Ending
+from boragestream.caller.tickets import REQUESTS_PATH, TICKETS_PATH, TicketCalls
 from boragestream.document import ClientAccount
 from boragestream.document.shown import shown_document
 from boragestream.policy.admission import Admission
@@ -57,6 +60,7 @@
     max_body_bytes: int
     entries_for: Callable[[ClientAccount, DocumentInForce], object]
     status: Callable[[], object]
+    tickets: TicketCalls
     observations: Observations
     operator_digests: tuple[str, ...] = ()
 
@@ -67,6 +71,9 @@
         if path.startswith(PIPELINES):
             name = path.removeprefix(PIPELINES)
             return self._pipeline(environ, start_response, request_id, name)
+        if path.startswith((TICKETS_PATH, REQUESTS_PATH)):
+            in_force = self.configuration.current
+            return self.tickets.answer(environ, start_response, request_id, in_force)
         handlers = {
             "/v1/document": self._document,
             "/v1/entries": self._entries,
@@ -124,17 +131,59 @@
         in_force = self.configuration.current
         if in_force is None:
             return self._refuse(start_response, request_id, NoConfiguration())
+        if "HTTP_IDEMPOTENCY_KEY" in environ:
+            return self.tickets.post(
+                environ, start_response, request_id, name, in_force, self.run_ticketed
+            )
         asked = read_request(environ, name, in_force, self.max_body_bytes)
         if isinstance(asked, Failure):
             return self._refuse(start_response, request_id, asked)
+        gone = environ.get("waitress.client_disconnected")
+        ask = self.tickets.ask_path(request_id)
+        request = self._admit(request_id, asked, in_force, arrived, ask, gone)
+        if isinstance(request, Refused):
+            return outcome_reply(start_response, request, request_id)
+        if asked.stream and request.is_streamable:
+            return self._stream(start_response, request, asked, arrived)
+        ending = self._run(request, asked, arrived)
+        self.tickets.runs.remember(asked.account.name, request_id, ending)
+        return outcome_reply(start_response, ending.told, request_id)
+
+    def run_ticketed(
+        self,
+        request_id: str,
+        asked: CallerRequest,
+        in_force: DocumentInForce,
+        arrived: float,
+        run_by: float,
+        ask: str,
+    ) -> Ending:
+        """Run a request under a ticket; it goes on when its caller goes away.
+
+        :param arrived: the clock's seconds at which the request came in.
+        :param run_by: the ticket's expiry.
+        :param ask: where to ask for the ticket.
+        """
+        request = self._admit(request_id, asked, in_force, arrived, ask, None, run_by)
+        if isinstance(request, Refused):
+            return Ending(request, request)
+        return self._run(request, asked, arrived)
+
+    def _admit(
+        self,
+        request_id: str,
+        asked: CallerRequest,
+        in_force: DocumentInForce,
+        arrived: float,
+        ask: str,
+        caller_gone: Callable[[], bool] | None,
+        run_by: float = math.inf,
+    ) -> RequestRecord | Refused:
         refused = self.admission.enter()
         if refused is not None:
             self._log_end(request_id, asked, arrived, refused)
-            return outcome_reply(start_response, refused, request_id)
-        scope = CancelScope(
-            arrived + asked.deadline_ms / 1000,
-            environ.get("waitress.client_disconnected"),
-        )
+            return refused
+        scope = CancelScope(arrived + asked.deadline_ms / 1000, caller_gone)
         request = RequestRecord(
             request_id=request_id,
             account=asked.account,
@@ -143,25 +192,21 @@
             body=asked.body,
             scope=scope,
             sent=SentRecord(),
+            run_by=run_by,
+            ask=ask,
         )
         self.watchdog.open(scope)
-        if asked.stream:
-            return self._stream(start_response, request, asked, arrived)
-        return self._whole(start_response, request, asked, arrived)
+        return request
 
-    def _whole(
-        self,
-        start_response: StartResponse,
-        request: RequestRecord,
-        asked: CallerRequest,
-        arrived: float,
-    ) -> Reply:
+    def _run(
+        self, request: RequestRecord, asked: CallerRequest, arrived: float
+    ) -> Ending:
         try:
-            outcome = self._conclude(request, self.pipelines.run(request))
+            ending = self._conclude(request, self.pipelines.run(request))
         finally:
             self._release(request)
-        self._log_end(request.request_id, asked, arrived, outcome)
-        return outcome_reply(start_response, outcome, request.request_id)
+        self._log_end(request.request_id, asked, arrived, ending.told)
+        return ending
 
     def _stream(
         self,
@@ -172,6 +217,9 @@
     ) -> Reply:
         def ended(outcome: Outcome) -> None:
             self._release(request)
+            ending = Ending(outcome, outcome)
+            account = asked.account.name
+            self.tickets.runs.remember(account, request.request_id, ending)
             self._log_end(request.request_id, asked, arrived, outcome)
 
         opened = False
@@ -193,14 +241,16 @@
         start_response("200 OK", headers)
         return StreamedReply(answer, request, ended)
 
-    def _conclude(self, request: RequestRecord, result: Any) -> Outcome:
-        late = self.clock.now() >= request.scope.deadline
-        if late:
-            request.scope.check(self.clock.now())
-            result = request.scope.reason
+    def _conclude(self, request: RequestRecord, result: Any) -> Ending:
         if isinstance(result, Failure):
-            return request.outcome_of(result, RETRY_SECONDS)
-        return Answered(result)
+            failed = request.outcome_of(result, RETRY_SECONDS)
+            return Ending(failed, failed)
+        answered = Answered(result)
+        if self.clock.now() < request.scope.deadline:
+            return Ending(answered, answered)
+        request.scope.check(self.clock.now())
+        late = request.outcome_of(request.scope.reason, RETRY_SECONDS)
+        return Ending(late, answered)
 
     def _release(self, request: RequestRecord) -> None:
         self.watchdog.close(request.scope)
--- a/boragestream/caller/reading.py
+++ b/boragestream/caller/reading.py
@@ -20,12 +20,17 @@
 from boragestream.document import ClientAccount, Pipeline
 from boragestream.policy.configuration import DocumentInForce
 
-__all__ = ["CallerRequest", "check_operator", "find_account", "read_request"]
+__all__ = [
+    "CallerRequest",
+    "check_operator",
+    "find_account",
+    "find_pipeline",
+    "read_request",
+]
 
 BEARER = "Bearer "
 EVENT_STREAM = "text/event-stream"
 MAX_DEADLINE_DIGITS = 9
-MAX_TICKET_CHARACTERS = 256
 
 
 class RequestBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -40,7 +45,6 @@
 
     :ivar deadline_ms: milliseconds left when it arrived.
     :ivar stream: whether the answer shall come as server-sent events.
-    :ivar ticket: the ticket under which it runs, empty for none.
     """
 
     account: ClientAccount
@@ -48,7 +52,6 @@
     body: Any
     deadline_ms: int
     stream: bool
-    ticket: str
 
 
 def find_account(
@@ -65,6 +68,18 @@
     return None if _key_digest(environ) in key_digests else WrongKey()
 
 
+def find_pipeline(
+    account: ClientAccount, name: str, in_force: DocumentInForce
+) -> Pipeline | PipelineUnknown | PipelineNotAllowed:
+    """Return a pipeline that the client account may call."""
+    pipeline = in_force.pipelines.get(name)
+    if pipeline is None:
+        return PipelineUnknown(name)
+    if pipeline.client_accounts and account.name not in pipeline.client_accounts:
+        return PipelineNotAllowed(name)
+    return pipeline
+
+
 def read_request(
     environ: dict[str, Any],
     pipeline_name: str,
@@ -75,17 +90,12 @@
     account = find_account(environ, in_force)
     if isinstance(account, Failure):
         return account
-    pipeline = in_force.pipelines.get(pipeline_name)
-    if pipeline is None:
-        return PipelineUnknown(pipeline_name)
-    if pipeline.client_accounts and account.name not in pipeline.client_accounts:
-        return PipelineNotAllowed(pipeline_name)
+    pipeline = find_pipeline(account, pipeline_name, in_force)
+    if isinstance(pipeline, Failure):
+        return pipeline
     deadline_ms = _read_deadline(environ, pipeline)
     if isinstance(deadline_ms, Failure):
         return deadline_ms
-    ticket = environ.get("HTTP_IDEMPOTENCY_KEY", "")
-    if len(ticket) > MAX_TICKET_CHARACTERS:
-        return MalformedBody("Idempotency-Key", "too long")
     body = _read_body(environ, max_body_bytes)
     if isinstance(body, Failure):
         return body
@@ -95,7 +105,6 @@
         body=body,
         deadline_ms=deadline_ms,
         stream=EVENT_STREAM in environ.get("HTTP_ACCEPT", ""),
-        ticket=ticket,
     )
 
 
--- a/boragestream/caller/replies.py
+++ b/boragestream/caller/replies.py
@@ -19,6 +19,14 @@
     PipelineUnknown,
     WrongKey,
 )
+from boragestream.policy.tickets import (
+    TicketExpired,
+    TicketForeign,
+    TicketForged,
+    TicketMalformed,
+    TicketNotUsed,
+    TicketReused,
+)
 
 __all__ = ["StartResponse", "json_reply", "outcome_reply", "problem"]
 
@@ -34,6 +42,12 @@
     MalformedBody: HTTPStatus.BAD_REQUEST,
     BodyTooLong: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     AccountLimitReached: HTTPStatus.TOO_MANY_REQUESTS,
+    TicketMalformed: HTTPStatus.BAD_REQUEST,
+    TicketForged: HTTPStatus.BAD_REQUEST,
+    TicketForeign: HTTPStatus.FORBIDDEN,
+    TicketExpired: HTTPStatus.CONFLICT,
+    TicketNotUsed: HTTPStatus.CONFLICT,
+    TicketReused: HTTPStatus.UNPROCESSABLE_ENTITY,
 }
 
 
--- /dev/null
+++ b/boragestream/caller/tickets.py
@@ -0,0 +1,299 @@
+"""Tickets towards callers: issuing them, posting under them, asking about them.
+
+A post under a ticket is never run by any entry but the ticket's issuer; others forward
+it. Whatever is wrong with such a post, it is refused only after the issuer has ended
+the ticket, because an earlier post of it may have run.
+"""
+
+import secrets
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from boragestream.base.clock import Clock
+from boragestream.base.failures import EntryLeaving, NoConfiguration, QueueFull
+from boragestream.base.outcomes import Failure, Refused, Unknown
+from boragestream.base.settings import Settings
+from boragestream.caller.failures import BodyTooLong, MethodNotAllowed
+from boragestream.caller.reading import CallerRequest, find_account, read_request
+from boragestream.caller.replies import StartResponse, json_reply, outcome_reply
+from boragestream.caller.ticket_runs import (
+    ASK_PATH,
+    RunWhole,
+    StillRunning,
+    TicketRuns,
+    render,
+)
+from boragestream.document import ClientAccount
+from boragestream.entry.forwarding import Forwarder, IssuerGone
+from boragestream.entry.messages import CallState, RequestAsk, TicketAsk, TicketPost
+from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
+from boragestream.policy.request_memory import RequestMemory
+from boragestream.policy.ticket_book import TicketBook
+from boragestream.policy.tickets import (
+    Ticket,
+    TicketForeign,
+    TicketsExhausted,
+    read_ticket,
+)
+
+__all__ = ["REQUESTS_PATH", "TICKETS_PATH", "TicketCalls", "ticket_calls"]
+
+TICKETS_PATH = "/v1/tickets"
+REQUESTS_PATH = "/v1/requests/"
+RETRY_SECONDS = 1.0
+MAX_FORWARDED_BYTES = 1_572_864
+FORWARDED_POSTS = 64
+KEY_BYTES = 32
+
+Environ = dict[str, Any]
+Reply = list[bytes]
+
+
+class IssuedTicket(msgspec.Struct):
+    """The answer to ``POST /v1/tickets``."""
+
+    ticket: str
+    issuer: str
+    expires_ms: int
+
+
+class StateReport(msgspec.Struct):
+    """The answer to a question about a ticket or a request.
+
+    :ivar state: an outcome's name, or ``in-progress``.
+    :ivar reply: the reply of the request, where it has ended.
+    """
+
+    state: str
+    request_id: str
+    reply: msgspec.Raw | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TicketCalls:
+    """What callers can do with tickets.
+
+    :ivar name: this entry's name.
+    :ivar is_leaving: tells whether this entry is stopping.
+    :ivar forwarding: bounds the posts that wait for another entry.
+    """
+
+    name: str
+    runs: TicketRuns
+    forwarder: Forwarder
+    clock: Clock
+    max_body_bytes: int
+    is_leaving: Callable[[], bool]
+    forwarding: threading.Semaphore = field(
+        default_factory=lambda: threading.Semaphore(FORWARDED_POSTS)
+    )
+
+    def ask_path(self, request_id: str) -> str:
+        """Return where to ask for a request of this entry without a ticket."""
+        return f"{REQUESTS_PATH}{request_id}?entry={self.name}"
+
+    def answer(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        request_id: str,
+        in_force: DocumentInForce | None,
+    ) -> Reply:
+        """Answer what is neither a pipeline nor a page of the entry."""
+        path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
+        wanted = "POST" if path == TICKETS_PATH else "GET"
+        if method != wanted:
+            return _refuse(start_response, request_id, MethodNotAllowed(method))
+        if in_force is None:
+            return _refuse(start_response, request_id, NoConfiguration())
+        account = find_account(environ, in_force)
+        if isinstance(account, Failure):
+            return _refuse(start_response, request_id, account)
+        if path == TICKETS_PATH:
+            return self._issue(start_response, request_id, account, in_force)
+        if path.startswith(REQUESTS_PATH):
+            state = self._ask_request(environ, account)
+            return _report(start_response, state)
+        text = path.removeprefix(ASK_PATH)
+        ticket = _own_ticket(text, account)
+        if isinstance(ticket, Failure):
+            return _refuse(start_response, request_id, ticket)
+        return _report(start_response, self._ask(ticket, text, account, request_id))
+
+    def post(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        request_id: str,
+        pipeline: str,
+        in_force: DocumentInForce,
+        run: RunWhole,
+    ) -> Reply:
+        """Answer a post to a pipeline that carries a ticket.
+
+        :param run: admits a request and runs it whole.
+        """
+        arrived = self.clock.now()
+        account = find_account(environ, in_force)
+        if isinstance(account, Failure):
+            return _refuse(start_response, request_id, account)
+        text = environ["HTTP_IDEMPOTENCY_KEY"]
+        ticket = _own_ticket(text, account)
+        if isinstance(ticket, Failure):
+            return _refuse(start_response, request_id, ticket)
+        asked = read_request(environ, pipeline, in_force, self.max_body_bytes)
+        if isinstance(asked, Failure):
+            state = self._refuse_unused(ticket, text, account, request_id, asked)
+        elif self.runs.book.is_issuer(ticket):
+            state = self.runs.post(
+                ticket, text, request_id, asked, in_force, arrived, run
+            )
+        else:
+            state = self._forward(ticket, text, request_id, asked, arrived)
+        start_response(state.status, list(state.headers))
+        return [state.content]
+
+    def _issue(
+        self,
+        start_response: StartResponse,
+        request_id: str,
+        account: ClientAccount,
+        in_force: DocumentInForce,
+    ) -> Reply:
+        if self.is_leaving():
+            return _refuse(start_response, request_id, EntryLeaving())
+        seconds = in_force.document.policies.ticket_seconds
+        text = self.runs.book.issue(account.name, seconds)
+        if isinstance(text, TicketsExhausted):
+            return _refuse(start_response, request_id, text)
+        issued = IssuedTicket(text, self.name, int(seconds * 1000))
+        return json_reply(start_response, issued, HTTPStatus.CREATED)
+
+    def _forward(
+        self,
+        ticket: Ticket,
+        text: str,
+        request_id: str,
+        asked: CallerRequest,
+        arrived: float,
+    ) -> CallState:
+        body = msgspec.json.encode(asked.body)
+        if len(body) > MAX_FORWARDED_BYTES:
+            too_long = BodyTooLong(MAX_FORWARDED_BYTES)
+            return self._refuse_unused(
+                ticket, text, asked.account, request_id, too_long
+            )
+        if not self.forwarding.acquire(blocking=False):
+            full = QueueFull(FORWARDED_POSTS)
+            return self._refuse_unused(ticket, text, asked.account, request_id, full)
+        try:
+            deadline = arrived + asked.deadline_ms / 1000
+            left_ms = int((deadline - self.clock.now()) * 1000)
+            message = TicketPost(
+                text, asked.account.name, request_id, asked.pipeline.name, body, left_ms
+            )
+            state = self._reach(ticket, message, deadline)
+        finally:
+            self.forwarding.release()
+        return _ended(state, text, request_id)
+
+    def _reach(
+        self, ticket: Ticket, message: TicketPost, deadline: float
+    ) -> CallState | Failure:
+        if ticket.issuer == self.name:
+            return IssuerGone(self.name)
+        return self.forwarder.post(ticket.issuer, message, deadline)
+
+    def _ask(
+        self, ticket: Ticket, text: str, account: ClientAccount, request_id: str
+    ) -> CallState:
+        if self.runs.book.is_issuer(ticket):
+            return self.runs.ask(ticket, text, account.name, request_id)
+        state: CallState | Failure = IssuerGone(self.name)
+        if ticket.issuer != self.name:
+            question = TicketAsk(text, account.name, request_id)
+            state = self.forwarder.ask(ticket.issuer, question)
+        if isinstance(state, Failure):
+            return render(Unknown(state, ASK_PATH + text), request_id)
+        return state
+
+    def _ask_request(self, environ: Environ, account: ClientAccount) -> CallState:
+        request_id = environ["PATH_INFO"].removeprefix(REQUESTS_PATH)
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        entry = query.get("entry", [self.name])[0]
+        if entry == self.name:
+            return self.runs.ask_request(account.name, request_id)
+        question = RequestAsk(account.name, request_id)
+        state = self.forwarder.ask(entry, question)
+        if isinstance(state, Failure):
+            ask = f"{REQUESTS_PATH}{request_id}?entry={entry}"
+            return render(Unknown(state, ask), request_id)
+        return state
+
+    def _refuse_unused(
+        self,
+        ticket: Ticket,
+        text: str,
+        account: ClientAccount,
+        request_id: str,
+        failure: Failure,
+    ) -> CallState:
+        """Refuse a post where its ticket is unused, or say what became of it."""
+        state = self._ask(ticket, text, account, request_id)
+        if state.outcome != "refused":
+            return _ended(state, text, request_id)
+        passing = isinstance(failure, QueueFull)
+        refused = Refused(failure, RETRY_SECONDS if passing else None)
+        return render(refused, request_id)
+
+
+def ticket_calls(
+    settings: Settings,
+    incarnation: str,
+    clock: Clock,
+    configuration: ConfigurationInForce,
+    forwarder: Forwarder,
+    is_leaving: Callable[[], bool],
+) -> TicketCalls:
+    """Return what callers can do with the tickets of one incarnation."""
+    name = settings.entry.name
+    key = secrets.token_bytes(KEY_BYTES)
+    book = TicketBook(name, incarnation, key, clock)
+    runs = TicketRuns(book, RequestMemory(clock), configuration, clock)
+    limit = settings.caller.max_body_bytes
+    return TicketCalls(name, runs, forwarder, clock, limit, is_leaving)
+
+
+def _own_ticket(text: str, account: ClientAccount) -> Ticket | Failure:
+    ticket = read_ticket(text)
+    if isinstance(ticket, Failure):
+        return ticket
+    return ticket if ticket.account == account.name else TicketForeign()
+
+
+def _ended(state: CallState | Failure, text: str, request_id: str) -> CallState:
+    """Return the reply to a post; one still in progress is "unknown" to it."""
+    if isinstance(state, Failure):
+        return render(Unknown(state, ASK_PATH + text), request_id)
+    if not state.outcome:
+        still = StillRunning(state.request_id)
+        return render(Unknown(still, ASK_PATH + text), request_id)
+    return state
+
+
+def _report(start_response: StartResponse, state: CallState) -> Reply:
+    reply = msgspec.Raw(state.content) if state.content else None
+    report = StateReport(state.outcome or "in-progress", state.request_id, reply)
+    return json_reply(start_response, report)
+
+
+def _refuse(start_response: StartResponse, request_id: str, failure: Failure) -> Reply:
+    passing = isinstance(failure, NoConfiguration | EntryLeaving | TicketsExhausted)
+    outcome = Refused(failure, RETRY_SECONDS if passing else None)
+    return outcome_reply(start_response, outcome, request_id)
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -16,6 +16,7 @@
 from boragestream.caller.application import Application
 from boragestream.caller.server import create_server
 from boragestream.caller.status import StatusPage
+from boragestream.caller.tickets import TicketCalls, ticket_calls
 from boragestream.daemon.peers import join_peers, listed_states
 from boragestream.daemon.status import status_page
 from boragestream.daemon.tasks import (
@@ -26,8 +27,17 @@
     watch_platform,
 )
 from boragestream.document import ClientAccount
+from boragestream.entry.forwarding import Forwarder
 from boragestream.entry.links import LISTENER_TASKS, PeerLinks, PeerListener
-from boragestream.entry.messages import Envelope, Probe, ProbeReply, Sender
+from boragestream.entry.messages import (
+    Envelope,
+    Probe,
+    ProbeReply,
+    RequestAsk,
+    Sender,
+    TicketAsk,
+    TicketPost,
+)
 from boragestream.platform.instances import Instance
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
@@ -90,12 +100,20 @@
             self._clock,
             self._rng,
         )
+        application = self._application()
+        runs = application.tickets.runs
         self._listener = PeerListener(
             sender,
             f"{settings.peer.address}:{settings.peer.port}",
-            {Probe: self._answer_probe, **self._peers.handlers},
+            {
+                Probe: self._answer_probe,
+                **self._peers.handlers,
+                TicketPost: partial(runs.answer_post, run=application.run_ticketed),
+                TicketAsk: runs.answer_ask,
+                RequestAsk: runs.answer_request_ask,
+            },
         )
-        self._server = create_server(self._application(), settings.caller)
+        self._server = create_server(application, settings.caller)
 
     @property
     def incarnation(self) -> str:
@@ -202,10 +220,26 @@
             max_body_bytes=self._settings.caller.max_body_bytes,
             entries_for=self._entries_for,
             status=self._status,
+            tickets=self._ticket_calls(),
             observations=self._observations,
             operator_digests=self._settings.operator.key_digests,
         )
 
+    def _ticket_calls(self) -> TicketCalls:
+        return ticket_calls(
+            self._settings,
+            self._incarnation,
+            self._clock,
+            self._configuration,
+            Forwarder(self._links, self._peer_address, self._clock),
+            self._stopping.is_set,
+        )
+
+    def _peer_address(self, name: str) -> str | None:
+        named = (e for e in self._entries if e.name == name and e.peer_port)
+        entry = next(named, None)
+        return f"{entry.address}:{entry.peer_port}" if entry else None
+
     def _answer_probe(self, envelope: Envelope, message: Probe) -> ProbeReply:
         current = self._configuration.current
         return ProbeReply(current.version if current else 0)
--- a/boragestream/entry/messages.py
+++ b/boragestream/entry/messages.py
@@ -16,6 +16,7 @@
 __all__ = [
     "MAX_MESSAGE_BYTES",
     "PROTOCOL_VERSION",
+    "CallState",
     "DocumentAsk",
     "DocumentReply",
     "Envelope",
@@ -30,7 +31,10 @@
     "Rejected",
     "Repair",
     "RepairReply",
+    "RequestAsk",
     "Sender",
+    "TicketAsk",
+    "TicketPost",
     "open_envelope",
     "seal",
 ]
@@ -133,6 +137,54 @@
     data: bytes = b""
 
 
+class TicketPost(msgspec.Struct, frozen=True, tag=True):
+    """Asks the issuer of a ticket to run a call under it; answered at once.
+
+    :ivar account: the client account whose key the caller gave.
+    :ivar body: the caller's input, JSON text.
+    :ivar left_ms: milliseconds left when it was sent.
+    """
+
+    ticket: str
+    account: str
+    request_id: str
+    pipeline: str
+    body: bytes
+    left_ms: int
+
+
+class TicketAsk(msgspec.Struct, frozen=True, tag=True):
+    """Asks the issuer of a ticket what became of it; an unused one ends by it."""
+
+    ticket: str
+    account: str
+    request_id: str
+
+
+class RequestAsk(msgspec.Struct, frozen=True, tag=True):
+    """Asks an entry what became of a request that it ran without a ticket."""
+
+    account: str
+    request_id: str
+
+
+class CallState(msgspec.Struct, frozen=True, tag=True):
+    """Says what became of a call.
+
+    :ivar outcome: the outcome's name, empty while the call is in progress.
+    :ivar request_id: the request that runs or ran it.
+    :ivar status: the HTTP status line of the reply.
+    :ivar headers: the HTTP headers of the reply.
+    :ivar content: the reply, JSON text.
+    """
+
+    outcome: str
+    request_id: str
+    status: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
+    content: bytes = b""
+
+
 Message = (
     Probe
     | ProbeReply
@@ -145,6 +197,10 @@
     | RepairReply
     | DocumentAsk
     | DocumentReply
+    | TicketPost
+    | TicketAsk
+    | RequestAsk
+    | CallState
 )
 
 
--- a/boragestream/operator/client.py
+++ b/boragestream/operator/client.py
@@ -63,6 +63,11 @@
         self._keep_until = 0.0
         self._turn = itertools.count()
 
+    @property
+    def headers(self) -> dict[str, bytes]:
+        """The headers that name the account to an entry."""
+        return self._headers
+
     def addresses(self) -> tuple[str, ...]:
         """Return the entries to use, asking again when the answer is too old."""
         if time.monotonic() >= self._keep_until:
@@ -92,6 +97,7 @@
         stream: bool = False,
         address: str | None = None,
         on_token: Callable[[str], None] | None = None,
+        ticket: str | None = None,
     ) -> CallReply | EntryUnreachable:
         """Make one request; it is not repeated once a byte of it was sent.
 
@@ -101,12 +107,15 @@
         :param stream: ask for a streamed answer.
         :param address: the entry; None for those that the system names, in turn.
         :param on_token: is given each text of a streamed answer.
+        :param ticket: the ticket under which it may be sent again to any entry.
         """
         headers = {**self._headers, "Content-Type": "application/json"}
         if deadline_ms is not None:
             headers["X-Deadline-Ms"] = str(deadline_ms)
         if stream:
             headers["Accept"] = "text/event-stream"
+        if ticket is not None:
+            headers["Idempotency-Key"] = ticket
         content = msgspec.json.encode({"input": body})
         limit = LONGEST_SECONDS if deadline_ms is None else deadline_ms / 1000
         reply = EntryUnreachable("", False, "no entry is known")
--- a/boragestream/policy/ticket_book.py
+++ b/boragestream/policy/ticket_book.py
@@ -19,13 +19,14 @@
     TicketForeign,
     TicketForged,
     TicketForgotten,
+    TicketReused,
     TicketsExhausted,
     is_genuine,
     write_ticket,
 )
 
 __all__ = [
-    "AnswerTooLarge",
+    "AnswerNotKept",
     "Ended",
     "Grant",
     "InProgress",
@@ -41,8 +42,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerTooLarge(Failure):
-    """The call ran once and was answered, but its answer was too large to keep.
+class AnswerNotKept(Failure):
+    """The call ran once and was answered, but its answer was not kept.
 
     :ivar size: the bytes of the answer.
     """
@@ -91,6 +92,7 @@
     expiry: float
     forget_at: float
     state: TicketState | None = None
+    content: bytes = b""
     kept_bytes: int = 0
     ended: threading.Event = field(default_factory=threading.Event)
 
@@ -172,22 +174,27 @@
         return write_ticket(self._key, ticket)
 
     def claim(
-        self, ticket: Ticket, account: str, request_id: str
+        self, ticket: Ticket, account: str, request_id: str, content: bytes
     ) -> Grant | TicketState | Failure:
         """Take the right to run, or learn what became of the ticket.
 
         :param account: the client account that asks.
         :param request_id: the request that would run.
+        :param content: a digest of what it asks for; an answer is not given to a
+            post of the ticket that asks for something else.
         """
         with self._lock:
             now = self._clock.now()
             record = self._find(ticket, account, now)
             if isinstance(record, Failure):
                 return record
+            if record.content not in (b"", content):
+                return TicketReused()
             if record.state is not None:
                 return record.state
             if now >= record.expiry:
                 return self._end(record, Ended(request_id, Refused(TicketExpired())))
+            record.content = content
             record.state = InProgress(request_id)
             return Grant(ticket.sequence, record.expiry)
 
@@ -257,7 +264,7 @@
             return outcome
         size = len(bytes(outcome.body))
         if size > MAX_ANSWER_BYTES or self._kept_bytes + size > self._max_bytes:
-            return Unknown(AnswerTooLarge(size), ask)
+            return Unknown(AnswerNotKept(size), ask)
         record.kept_bytes = size
         self._kept_bytes += size
         return outcome
--- a/boragestream/policy/tickets.py
+++ b/boragestream/policy/tickets.py
@@ -24,6 +24,7 @@
     "TicketForgotten",
     "TicketMalformed",
     "TicketNotUsed",
+    "TicketReused",
     "TicketsExhausted",
     "is_genuine",
     "read_ticket",
@@ -83,6 +84,11 @@
     """The ticket had not been used when its state was asked for, and now never can."""
 
 
+@dataclass(frozen=True, slots=True)
+class TicketReused(Failure):
+    """The ticket was used for another pipeline or input; this one was not run."""
+
+
 @dataclass(frozen=True, slots=True)
 class TicketsExhausted(Failure):
     """The entry remembers as many tickets or answers as it may and issues none.
--- a/boragestream/serving/request.py
+++ b/boragestream/serving/request.py
@@ -3,6 +3,7 @@
 The record of what was sent decides which outcome is true when something fails.
 """
 
+import math
 import threading
 from dataclasses import dataclass
 from typing import Any
@@ -53,6 +54,9 @@
     :ivar in_force: the document that the request uses from end to end.
     :ivar body: the caller's input, JSON data.
     :ivar scope: cancels the request; holds its deadline.
+    :ivar run_by: the clock's seconds after which no call that may not be repeated is
+        sent; the expiry of the ticket where there is one.
+    :ivar ask: the path under which a caller can ask what became of it.
     """
 
     request_id: str
@@ -62,11 +66,19 @@
     body: Any
     scope: CancelScope
     sent: SentRecord
+    run_by: float = math.inf
+    ask: str = ""
+
+    @property
+    def is_streamable(self) -> bool:
+        """Whether the last stage generates, so that its answer can be streamed."""
+        last = self.pipeline.stages[-1]
+        return self.in_force.services[last.service].kind == "engine"
 
     def outcome_of(self, failure: Failure, retry_after: float) -> Outcome:
         """Return the true outcome of a request that could not be answered."""
         if self.sent.unrepeatable:
-            return Unknown(failure, f"/v1/requests/{self.request_id}")
+            return Unknown(failure, self.ask)
         if self.sent.any:
             return Failed(failure, retry_after)
         return Refused(failure, retry_after)
--- a/boragestream/serving/stage.py
+++ b/boragestream/serving/stage.py
@@ -4,6 +4,7 @@
 order of the stages is left to ``serving.pipeline``.
 """
 
+import math
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any
@@ -81,6 +82,7 @@
             repeatable=stage.repeatable,
             priority=priority,
             stream=stream,
+            run_by=math.inf if stage.repeatable else request.run_by,
         )
 
     def _try(
--- a/tests/features/policy_ticket_book.feature
+++ b/tests/features/policy_ticket_book.feature
@@ -24,7 +24,7 @@
   Scenario: an answer that can't be kept is never run again for
     Given a book of 100 tickets and 1000 bytes
     When a ticket is run and its answer has 2000 bytes
-    Then its state is "unknown" for "answer-too-large"
+    Then its state is "unknown" for "answer-not-kept"
 
   Scenario Outline: a run that outlasts its ticket is remembered for the margin
     Given a book of 100 tickets and 1000 bytes
@@ -40,3 +40,4 @@
     Given a book of 100 tickets and 1000 bytes
     Then a ticket with any field changed is not granted
     And a ticket used by another account is not granted
+    And a ticket used for another input is not answered by the first one's answer
--- a/tests/features/steps/policy_ticket_book.py
+++ b/tests/features/steps/policy_ticket_book.py
@@ -24,6 +24,7 @@
     TicketForged,
     TicketForgotten,
     TicketNotUsed,
+    TicketReused,
     TicketsExhausted,
     read_ticket,
 )
@@ -32,6 +33,7 @@
 # Threads change places so often that a missing lock shows.
 SWITCH_SECONDS = 1e-6
 EXAMPLES = 300
+CONTENT = b"digest"
 ACTIONS = st.tuples(
     st.sampled_from(["issue", "claim", "claim", "burn", "finish", "restart"]),
     st.integers(0, 3),
@@ -94,7 +96,7 @@
             return None
         answer = Answered(msgspec.Raw(b"{}"))
         return book.finish(held[1], "r-1", answer, "/ask")
-    reply = book.claim(ticket, "ledger-desk", "r-1")
+    reply = book.claim(ticket, "ledger-desk", "r-1", CONTENT)
     if isinstance(reply, Grant):
         assert text not in grants, "granted twice"
         grants[text] = (book, reply)
@@ -124,7 +126,7 @@
 
     def claim(ticket):
         barrier.wait()
-        return context.book.claim(ticket, "a", "r")
+        return context.book.claim(ticket, "a", "r", CONTENT)
 
     usual = sys.getswitchinterval()
     sys.setswitchinterval(SWITCH_SECONDS)
@@ -165,7 +167,9 @@
 @then("no ticket is forgotten before its margin has passed")
 def step(context):
     for ticket in context.issued:
-        assert isinstance(context.book.claim(ticket, ticket.account, "r"), Grant)
+        assert isinstance(
+            context.book.claim(ticket, ticket.account, "r", CONTENT), Grant
+        )
     context.clock.seconds += LIFE + KEEP_SECONDS - 0.1
     assert isinstance(context.book.issue("a-0", LIFE), TicketsExhausted)
     for ticket in context.issued:
@@ -187,14 +191,14 @@
 @when("a ticket is run and its answer has {size:d} bytes")
 def step(context, size):
     context.ticket = read_ticket(context.book.issue("a", LIFE))
-    grant = context.book.claim(context.ticket, "a", "r")
+    grant = context.book.claim(context.ticket, "a", "r", CONTENT)
     answer = Answered(msgspec.Raw(b"1" * size))
     context.book.finish(grant, "r", answer, "/ask")
 
 
 @then('its state is "{outcome}" for "{code}"')
 def step(context, outcome, code):
-    state = context.book.claim(context.ticket, "a", "r-2")
+    state = context.book.claim(context.ticket, "a", "r-2", CONTENT)
     assert type(state.outcome).__name__.lower() == outcome
     assert state.outcome.failure.code == code
 
@@ -202,20 +206,20 @@
 @when("a ticket's run takes {seconds:d} s")
 def step(context, seconds):
     context.ticket = read_ticket(context.book.issue("a", LIFE))
-    context.grant = context.book.claim(context.ticket, "a", "r")
+    context.grant = context.book.claim(context.ticket, "a", "r", CONTENT)
     context.clock.seconds += seconds
 
 
 @then("it is in progress before the end and ended for the margin after it")
 def step(context):
-    assert context.book.claim(context.ticket, "a", "r-2") == InProgress("r")
+    assert context.book.claim(context.ticket, "a", "r-2", CONTENT) == InProgress("r")
     outcome = Refused(CallerGone())
     ended = context.book.finish(context.grant, "r", outcome, "/ask")
     for seconds in (0.0, KEEP_SECONDS - 0.1):
         context.clock.seconds += seconds
-        assert context.book.claim(context.ticket, "a", "r-2") == ended
+        assert context.book.claim(context.ticket, "a", "r-2", CONTENT) == ended
     context.clock.seconds += 0.2
-    assert context.book.claim(context.ticket, "a", "r-2") == TicketForgotten()
+    assert context.book.claim(context.ticket, "a", "r-2", CONTENT) == TicketForgotten()
 
 
 @then("a ticket with any field changed is not granted")
@@ -225,10 +229,19 @@
         value = getattr(ticket, name)
         other = value + 1 if isinstance(value, int) else value[:-1]
         changed = msgspec.structs.replace(ticket, **{name: other})
-        assert context.book.claim(changed, changed.account, "r") == TicketForged()
+        assert (
+            context.book.claim(changed, changed.account, "r", CONTENT) == TicketForged()
+        )
 
 
 @then("a ticket used by another account is not granted")
 def step(context):
     ticket = read_ticket(context.book.issue("a", LIFE))
-    assert context.book.claim(ticket, "b", "r") == TicketForeign()
+    assert context.book.claim(ticket, "b", "r", CONTENT) == TicketForeign()
+
+
+@then("a ticket used for another input is not answered by the first one's answer")
+def step(context):
+    ticket = read_ticket(context.book.issue("a", LIFE))
+    assert isinstance(context.book.claim(ticket, "a", "r", CONTENT), Grant)
+    assert context.book.claim(ticket, "a", "r", b"other") == TicketReused()
