--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -16,6 +16,7 @@
 from boragestream.base.identifiers import new_request_id
 from boragestream.base.observations import Observations
 from boragestream.base.outcomes import Answered, Failure, Outcome, Refused
+from boragestream.caller.connections import ARRIVED, STOP_WAITING
 from boragestream.caller.failures import MethodNotAllowed, PathUnknown
 from boragestream.caller.reading import (
     CallerRequest,
@@ -127,7 +128,7 @@
         if environ["REQUEST_METHOD"] != "POST":
             wrong = MethodNotAllowed(environ["REQUEST_METHOD"])
             return self._refuse(start_response, request_id, wrong)
-        arrived = self.clock.now()
+        arrived = environ.get(ARRIVED, self.clock.now())
         in_force = self.configuration.current
         if in_force is None:
             return self._refuse(start_response, request_id, NoConfiguration())
@@ -138,9 +139,8 @@
         asked = read_request(environ, name, in_force, self.max_body_bytes)
         if isinstance(asked, Failure):
             return self._refuse(start_response, request_id, asked)
-        gone = environ.get("waitress.client_disconnected")
         ask = self.tickets.ask_path(request_id)
-        request = self._admit(request_id, asked, in_force, arrived, ask, gone)
+        request = self._admit(request_id, asked, in_force, arrived, ask, environ)
         if isinstance(request, Refused):
             return outcome_reply(start_response, request, request_id)
         if asked.stream and request.is_streamable:
@@ -164,7 +164,7 @@
         :param run_by: the ticket's expiry.
         :param ask: where to ask for the ticket.
         """
-        request = self._admit(request_id, asked, in_force, arrived, ask, None, run_by)
+        request = self._admit(request_id, asked, in_force, arrived, ask, {}, run_by)
         if isinstance(request, Refused):
             return Ending(request, request)
         return self._run(request, asked, arrived)
@@ -176,14 +176,18 @@
         in_force: DocumentInForce,
         arrived: float,
         ask: str,
-        caller_gone: Callable[[], bool] | None,
+        watched: Environ,
         run_by: float = math.inf,
     ) -> RequestRecord | Refused:
         refused = self.admission.enter()
         if refused is not None:
             self._log_end(request_id, asked, arrived, refused)
             return refused
-        scope = CancelScope(arrived + asked.deadline_ms / 1000, caller_gone)
+        scope = CancelScope(
+            arrived + asked.deadline_ms / 1000,
+            watched.get("waitress.client_disconnected"),
+            watched.get(STOP_WAITING),
+        )
         request = RequestRecord(
             request_id=request_id,
             account=asked.account,
--- a/boragestream/caller/tickets.py
+++ b/boragestream/caller/tickets.py
@@ -19,6 +19,7 @@
 from boragestream.base.failures import EntryLeaving, NoConfiguration, QueueFull
 from boragestream.base.outcomes import Failure, Refused, Unknown
 from boragestream.base.settings import Settings
+from boragestream.caller.connections import ARRIVED
 from boragestream.caller.failures import BodyTooLong, MethodNotAllowed
 from boragestream.caller.reading import CallerRequest, find_account, read_request
 from boragestream.caller.replies import StartResponse, json_reply, outcome_reply
@@ -139,7 +140,7 @@
 
         :param run: admits a request and runs it whole.
         """
-        arrived = self.clock.now()
+        arrived = environ.get(ARRIVED, self.clock.now())
         account = find_account(environ, in_force)
         if isinstance(account, Failure):
             return _refuse(start_response, request_id, account)
--- a/tests/features/entry_links.feature
+++ b/tests/features/entry_links.feature
@@ -17,6 +17,10 @@
       | consortium  | peer-key-of-the-tests     |
       | cooperative | another-key-another-key   |
 
+  Scenario: a question to a silent peer ends
+    When a peer is asked that accepts connections and stays silent
+    Then the question ends as "peer-unreachable"
+
   Scenario Outline: a question to a peer that stays silent ends in its time
     Given a peer that <does> and answers nothing
     When it is probed twice from one link
