A planned stop of an issuer waits for the tickets that it issued

Cause: an entry that stopped in good order took the right to run with it, so that a ticket posted in the seconds after ended as "unknown" although nothing had failed.

Ruled out: handing unused tickets to another entry (two would believe that they own one), and telling "not run" after the stop (nobody is left who knows).

Change: an issued ticket counts like an answer that names this entry: the stop lingers until it has expired. A leaving entry issues none.

Conclusion: a planned stop takes up to `policies.ticket_seconds` longer where tickets were issued just before; no request becomes unknown through it.

--- a/boragestream/caller/tickets.py
+++ b/boragestream/caller/tickets.py
@@ -82,6 +82,8 @@
 
     :ivar name: this entry's name.
     :ivar is_leaving: tells whether this entry is stopping.
+    :ivar keep: told for how many seconds a ticket may be used, so that a planned stop
+        waits for it; nobody else could run a call under it.
     :ivar forwarding: bounds the posts that wait for another entry.
     """
 
@@ -91,6 +93,7 @@
     clock: Clock
     max_body_bytes: int
     is_leaving: Callable[[], bool]
+    keep: Callable[[float], None]
     forwarding: threading.Semaphore = field(
         default_factory=lambda: threading.Semaphore(FORWARDED_POSTS)
     )
@@ -173,6 +176,7 @@
         text = self.runs.book.issue(account.name, seconds)
         if isinstance(text, TicketsExhausted):
             return _refuse(start_response, request_id, text)
+        self.keep(seconds)
         issued = IssuedTicket(text, self.name, int(seconds * 1000))
         return json_reply(start_response, issued, HTTPStatus.CREATED)
 
@@ -261,6 +265,7 @@
     configuration: ConfigurationInForce,
     forwarder: Forwarder,
     is_leaving: Callable[[], bool],
+    keep: Callable[[float], None],
 ) -> TicketCalls:
     """Return what callers can do with the tickets of one incarnation."""
     name = settings.entry.name
@@ -268,7 +273,7 @@
     book = TicketBook(name, incarnation, key, clock)
     runs = TicketRuns(book, RequestMemory(clock), configuration, clock)
     limit = settings.caller.max_body_bytes
-    return TicketCalls(name, runs, forwarder, clock, limit, is_leaving)
+    return TicketCalls(name, runs, forwarder, clock, limit, is_leaving, keep)
 
 
 def _own_ticket(text: str, account: ClientAccount) -> Ticket | Failure:
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -249,6 +249,7 @@
             self._configuration,
             Forwarder(self._links, self._peer_address, self._clock),
             self._stopping.is_set,
+            self._kept_answers.give,
         )
 
     def _peer_address(self, name: str) -> str | None:
--- a/tests/features/caller_tickets.feature
+++ b/tests/features/caller_tickets.feature
@@ -197,3 +197,13 @@
     When a client calls once and the first entry dies meanwhile
     Then the outcome is "unknown"
     And the charge ran 1 times
+
+  Scenario: a planned stop of the issuer waits for the tickets that it issued
+    Given tickets that live 20 s and one server for each stage of "order-status"
+    And a ticket of "entry-6"
+    When "entry-6" is told to stop
+    Then it issues no ticket any more
+    When "entry-6" has lingered as long as answers may be kept
+    And it is posted to "entry-2"
+    Then the outcome is "answered"
+    And the charge ran 1 times
--- a/tests/features/steps/caller_tickets.py
+++ b/tests/features/steps/caller_tickets.py
@@ -25,6 +25,8 @@
 LOOK_UP = "counter-app-1"
 DEADLINE_MS = 2000
 SHORT_MS = 600
+# The fleet's answers are kept 5 s; 2 s more until all have heard of the stop.
+LINGER_SECONDS = 7.5
 FAULTS = {
     "slow": {"seconds": 0.5},
     "late": {"seconds": 1.0},
@@ -346,3 +348,23 @@
         process.kill()
         context.reply = calling.result()
     replace(context, process.name)
+
+
+@then("it issues no ticket any more")
+def step(context):
+    reply = fetch_ticket(client(), address(context, "entry-6"))
+    assert reply.problem["type"].endswith(":entry-leaving"), reply
+
+
+@when('"{name}" has lingered as long as answers may be kept')
+def step(context, name):
+    process = context.fleet.entries[name]
+    context.add_cleanup(restart, context, process)
+    # A stop without tickets would have ended by then: see GracefulStop.
+    time.sleep(LINGER_SECONDS)
+
+
+def restart(context, process):
+    """End an entry and start it anew."""
+    process.kill()
+    replace(context, process.name)
