--- a/boragestream/caller/connections.py
+++ b/boragestream/caller/connections.py
@@ -1,4 +1,4 @@
-"""One connection of a caller, on top of the channel that sends at once.
+"""One connection of a caller, on top of the strict channel.
 
 It notes when a request began to arrive, ends a wait for a caller that does not read
 once the request's deadline has passed, and closes kept connections while the entry is
@@ -8,10 +8,9 @@
 from typing import Any
 
 from waitress.adjustments import Adjustments
-from waitress.parser import HTTPRequestParser
 from waitress.task import WSGITask
 
-from boragestream.caller.channel import DirectChannel
+from boragestream.caller.protocol import StrictChannel, StrictParser
 
 __all__ = ["ARRIVED", "STOP_WAITING", "CallerConnection"]
 
@@ -42,7 +41,7 @@
         return super().build_response_header()
 
 
-class CallerConnection(DirectChannel):
+class CallerConnection(StrictChannel):
     """One connection of a caller."""
 
     task_class = CallerTask
@@ -53,9 +52,9 @@
         """Whether a request is being read, run or answered."""
         return bool(self.requests or self.request or self.total_outbufs_len)
 
-    def parser_class(self, adjustments: Adjustments) -> HTTPRequestParser:
+    def parser_class(self, adjustments: Adjustments) -> StrictParser:
         """Return the parser of a request whose first bytes are there."""
-        request = HTTPRequestParser(adjustments)
+        request = StrictParser(adjustments)
         request.arrived = self.server.clock.now()
         return request
 
--- a/boragestream/caller/reading.py
+++ b/boragestream/caller/reading.py
@@ -74,7 +74,7 @@
     """Return a pipeline that the client account may call."""
     pipeline = in_force.pipelines.get(name)
     if pipeline is None:
-        return PipelineUnknown(name)
+        return PipelineUnknown()
     if pipeline.client_accounts and account.name not in pipeline.client_accounts:
         return PipelineNotAllowed(name)
     return pipeline
@@ -129,7 +129,7 @@
     unsigned = given.removeprefix("-")
     usable = unsigned.isascii() and unsigned.isdigit()
     if not usable or len(unsigned) > MAX_DEADLINE_DIGITS:
-        return DeadlineAbsurd(given[:MAX_DEADLINE_DIGITS])
+        return DeadlineAbsurd()
     if int(given) <= 0:
         return DeadlinePassed("arrival")
     return min(int(given), pipeline.deadline_ms)
@@ -142,5 +142,7 @@
         return BodyTooLong(limit)
     try:
         return msgspec.json.decode(text, type=RequestBody).input
-    except (msgspec.DecodeError, RecursionError) as error:
-        return MalformedBody("", str(error))
+    except msgspec.ValidationError:
+        return MalformedBody("not an object with the one field 'input'")
+    except (msgspec.DecodeError, RecursionError):
+        return MalformedBody("not JSON")
--- a/boragestream/caller/tickets.py
+++ b/boragestream/caller/tickets.py
@@ -20,7 +20,7 @@
 from boragestream.base.outcomes import Failure, Refused, Unknown
 from boragestream.base.settings import Settings
 from boragestream.caller.connections import ARRIVED
-from boragestream.caller.failures import BodyTooLong, MethodNotAllowed
+from boragestream.caller.failures import BodyTooLong, MalformedHeader, MethodNotAllowed
 from boragestream.caller.reading import CallerRequest, find_account, read_request
 from boragestream.caller.replies import StartResponse, json_reply, outcome_reply
 from boragestream.caller.ticket_runs import (
@@ -39,6 +39,7 @@
 from boragestream.policy.tickets import (
     Ticket,
     TicketForeign,
+    TicketMalformed,
     TicketsExhausted,
     read_ticket,
 )
@@ -149,6 +150,8 @@
             return _refuse(start_response, request_id, account)
         text = environ["HTTP_IDEMPOTENCY_KEY"]
         ticket = _own_ticket(text, account)
+        if isinstance(ticket, TicketMalformed):
+            ticket = MalformedHeader("Idempotency-Key")
         if isinstance(ticket, Failure):
             return _refuse(start_response, request_id, ticket)
         asked = read_request(environ, pipeline, in_force, self.max_body_bytes)
