--- a/boragestream/serving/stage.py
+++ b/boragestream/serving/stage.py
@@ -4,6 +4,7 @@
 is never hedged. The order of the stages is left to ``serving.pipeline``.
 """
 
+import math
 import threading
 from dataclasses import dataclass
 from typing import Any
@@ -201,6 +202,7 @@
         repeatable=stage.repeatable,
         priority=max(request.pipeline.priority, request.account.priority),
         stream=stream,
+        run_by=math.inf if stage.repeatable else request.run_by,
     )
     prefix = None
     if kind == "engine":
