--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -25,8 +25,8 @@
 from boragestream.daemon.shutdown import ExitCode, GracefulStop, KeptAnswers
 from boragestream.daemon.status import status_page
 from boragestream.daemon.tasks import (
-    take_document,
     take_instances,
+    take_published,
     to_leaving,
     to_listed,
     watch_platform,
@@ -122,7 +122,11 @@
                 "/v1/document",
                 platform.watch_seconds,
                 partial(
-                    take_document, configuration=self._configuration, source="platform"
+                    take_published,
+                    configuration=self._configuration,
+                    before_first=partial(
+                        self._peers.first_word.wait, self._clock, self._stopping
+                    ),
                 ),
                 Event.CONFIGURATION_UNREACHABLE,
                 self._ended,
