Rename a step that two features had

Ruled out: sharing the one step; this one also waits until the entry says it is leaving. Change: the shutdown feature's step reads "is sent SIGTERM". Before: no feature ran. Conclusion: both features run together.

--- a/tests/features/daemon_shutdown.feature
+++ b/tests/features/daemon_shutdown.feature
@@ -5,7 +5,7 @@
 
   Scenario: what is in progress is finished, streams and calls that may not be repeated
     Given "entry-1" has a streamed "caption", a whole "caption" and an "order-status" in progress for 4 s
-    When "entry-1" is told to stop
+    When "entry-1" is sent SIGTERM
     Then "entry-1" no longer names itself to callers
     And "entry-1" still serves a caller and closes the connection
     And everything in progress ends answered
@@ -13,14 +13,14 @@
 
   Scenario: a second signal ends it at once and says how many it cut
     Given "entry-2" has a streamed "caption", a whole "caption" and an "order-status" in progress for 20 s
-    When "entry-2" is told to stop
-    And "entry-2" is told to stop
+    When "entry-2" is sent SIGTERM
+    And "entry-2" is sent SIGTERM
     Then "entry-2" ends with exit code 3
     And the log of "entry-2" has the event "stop_forced" that counts 3 cut
 
   Scenario: the stop limit ends it and says how many it cut
     Given "entry-3" has a streamed "caption", a whole "caption" and an "order-status" in progress for 20 s
-    When "entry-3" is told to stop
+    When "entry-3" is sent SIGTERM
     Then "entry-3" ends with exit code 4
     And the log of "entry-3" has the event "stop_limit_reached" that counts 3 cut
 
--- a/tests/features/steps/daemon_shutdown.py
+++ b/tests/features/steps/daemon_shutdown.py
@@ -48,7 +48,7 @@
     return {m for m, lines in journal.items() if any(x[0] == "struck" for x in lines)}
 
 
-@when('"{name}" is told to stop')
+@when('"{name}" is sent SIGTERM')
 def step(context, name):
     entry = context.fleet.entries[name]
     entry.signal(signal.SIGTERM)
