--- a/boragestream/backend/answer.py
+++ b/boragestream/backend/answer.py
@@ -7,6 +7,7 @@
 import contextlib
 import http.client
 import socket
+import struct
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -35,6 +36,8 @@
 READ_BYTES = 65536
 COMMENT = b":"
 DRAIN_SECONDS = 0.05
+KERNEL_TIMEVAL = struct.Struct("ll")
+WATCHDOG_MARGIN_SECONDS = 2.0
 
 
 class _StreamTooLargeError(Exception):
@@ -134,6 +137,7 @@
         """Yield the data of each server-sent event as it comes."""
         rest = b""
         total = 0
+        self._wait_in_kernel()
         while data := self._response.read1(READ_BYTES):
             total += len(data)
             if total > MAX_ANSWER_BYTES:
@@ -144,6 +148,17 @@
                 if not event.startswith(COMMENT):
                     yield event.removeprefix(DATA_PREFIX).strip()
 
+    def _wait_in_kernel(self) -> None:
+        """Have the kernel wait for each part, which saves a poll before each read.
+
+        At the deadline the watchdog shuts the socket down; the kernel's own limit is
+        there in case it does not.
+        """
+        left = self._sock.gettimeout() or 0.0
+        limit = KERNEL_TIMEVAL.pack(int(left + WATCHDOG_MARGIN_SECONDS), 0)
+        self._sock.settimeout(None)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, limit)
+
     def _part(self, event: bytes) -> Completion | AttemptFailure:
         part = decode_bounded(event, Completion)
         if part.id != self._attempt_id:
--- a/boragestream/caller/reading.py
+++ b/boragestream/caller/reading.py
@@ -8,12 +8,13 @@
 import msgspec
 
 from boragestream.base.failures import DeadlinePassed
-from boragestream.base.nesting import decode_bounded
+from boragestream.base.nesting import MAX_DEPTH, TooDeep, decode_bounded
 from boragestream.base.outcomes import Failure
 from boragestream.caller.failures import (
     BodyTooLong,
     DeadlineAbsurd,
     MalformedBody,
+    MalformedHeader,
     PipelineNotAllowed,
     PipelineUnknown,
     WrongKey,
@@ -78,7 +79,7 @@
         return account
     pipeline = in_force.pipelines.get(pipeline_name)
     if pipeline is None:
-        return PipelineUnknown(pipeline_name)
+        return PipelineUnknown()
     if pipeline.client_accounts and account.name not in pipeline.client_accounts:
         return PipelineNotAllowed(pipeline_name)
     deadline_ms = _read_deadline(environ, pipeline)
@@ -86,7 +87,7 @@
         return deadline_ms
     ticket = environ.get("HTTP_IDEMPOTENCY_KEY", "")
     if len(ticket) > MAX_TICKET_CHARACTERS:
-        return MalformedBody("Idempotency-Key", "too long")
+        return MalformedHeader("Idempotency-Key")
     body = _read_body(environ, max_body_bytes)
     if isinstance(body, Failure):
         return body
@@ -121,7 +122,7 @@
     unsigned = given.removeprefix("-")
     usable = unsigned.isascii() and unsigned.isdigit()
     if not usable or len(unsigned) > MAX_DEADLINE_DIGITS:
-        return DeadlineAbsurd(given[:MAX_DEADLINE_DIGITS])
+        return DeadlineAbsurd()
     if int(given) <= 0:
         return DeadlinePassed("arrival")
     return min(int(given), pipeline.deadline_ms)
@@ -134,5 +135,9 @@
         return BodyTooLong(limit)
     try:
         return decode_bounded(text, RequestBody).input
-    except msgspec.DecodeError as error:
-        return MalformedBody("", str(error))
+    except TooDeep:
+        return MalformedBody(f"nested deeper than {MAX_DEPTH} levels")
+    except msgspec.ValidationError:
+        return MalformedBody("not an object with the one field 'input'")
+    except msgspec.DecodeError:
+        return MalformedBody("not JSON")
--- a/boragestream/daemon/status.py
+++ b/boragestream/daemon/status.py
@@ -8,6 +8,7 @@
 from boragestream.platform.instances import Instance
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce
+from boragestream.policy.costs import CostTable
 from boragestream.policy.load import LoadTable
 from boragestream.policy.servers import ServerTable
 
@@ -24,6 +25,7 @@
     loads: LoadTable,
     entries: Iterable[Instance],
     observations: Observations,
+    costs: CostTable,
 ) -> StatusPage:
     """Return the status page; each part is read once, not all at one moment."""
     current = configuration.current
@@ -40,6 +42,7 @@
         entries=tuple(_peer(entry) for entry in entries),
         accounts=observations.accounts(),
         stages=observations.stages(),
+        costs=costs.snapshot(),
     )
 
 
@@ -47,7 +50,7 @@
     live = {s.identity for kind in _services(servers) for s in servers.live(kind)}
     reports = []
     for server in servers.all:
-        load = loads.get(server.name)
+        load = loads.get(server)
         usable = server.identity in live
         reports.append(
             ServerReport(
