--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -135,7 +135,9 @@
                 RequestAsk: runs.answer_request_ask,
             },
         )
-        self._server = create_server(application, settings.caller, self._clock)
+        self._server = create_server(
+            application, settings.caller, self._watchdog.arrivals
+        )
 
     @property
     def incarnation(self) -> str:
