A straggler is known before it has answered, and probed ever more rarely

Ruled out: a longer memory for all servers (a server that has recovered would stay unused). Change: the age of the oldest open call counts; a much slower answer weighs more; one open call is enough to measure a forgotten server, and each time that it is as slow as before it is remembered for twice as long; the expected finish counts rounds over the server's slots; a hedge waits for at least 1.5 medians. A call that is never counted out by an error is closed all the same.

--- a/boragestream/policy/hedging.py
+++ b/boragestream/policy/hedging.py
@@ -14,6 +14,9 @@
 HIGH_QUANTILE = 0.95
 # With a straggler among few servers the high quantile is the straggler's own time.
 MOST_MEDIANS = 3.0
+# Where times hardly differ, the high quantile is passed without any straggler, and
+# such hedges would use up the budget before there is one.
+LEAST_MEDIANS = 1.5
 # Below this, a hedge costs about what it could gain.
 LEAST_DELAY_SECONDS = 0.01
 
@@ -24,7 +27,8 @@
     median = times.quantile(kind, 0.5)
     if high is None or median is None:
         return None
-    return max(LEAST_DELAY_SECONDS, min(high, MOST_MEDIANS * median))
+    delay = min(max(high, LEAST_MEDIANS * median), MOST_MEDIANS * median)
+    return max(LEAST_DELAY_SECONDS, delay)
 
 
 def hedge_share(share: float, cost_weight: float) -> float:
@@ -40,5 +44,4 @@
     """Tell whether a hedge on a server would take nothing from other calls."""
     if is_open(load.circuit, now):
         return False
-    slots = load.report.slots if load.report else load.limit
-    return load.calls(now) < slots
+    return load.calls(now) < load.slots()
--- a/boragestream/policy/load.py
+++ b/boragestream/policy/load.py
@@ -5,6 +5,8 @@
 is left to ``policy.routing``.
 """
 
+import contextlib
+import itertools
 import random
 import threading
 from collections.abc import Iterable
@@ -23,11 +25,19 @@
 from boragestream.policy.reports import LoadReport, calls_of_others
 from boragestream.policy.servers import Server
 
-__all__ = ["FORGET_SECONDS", "CallEnd", "LoadTable", "ServerLoad"]
+__all__ = ["CallEnd", "LoadTable", "ServerLoad"]
 
 SMOOTHING = 0.2
-# What was measured longer ago says nothing of a server any more.
+# A much slower answer counts for more than a usual one: a straggler must be known
+# before it has spoilt many calls.
+SLOWER = 2.0
+SLOWER_SMOOTHING = 0.5
+# What was measured longer ago says nothing of a server any more. Each time that a
+# forgotten server turns out to be as it was, it is believed for longer, so that the
+# probes of a lasting straggler become rare.
 FORGET_SECONDS = 3.0
+MOST_FORGET_SECONDS = 24.0
+UNCHANGED_SHARE = 0.5
 # The least time creeps up, so that a server that has become slower for good is
 # measured by what it can do now.
 LEAST_GROWTH = 1.002
@@ -47,9 +57,10 @@
 class ServerLoad:
     """The load of one server as known to this entry.
 
-    :ivar in_progress: calls that this entry has open there.
+    :ivar open_calls: when each call that this entry has open there began.
     :ivar seconds: smoothed time of a call; 0 before the first.
     :ivar seconds_at: when ``seconds`` was last measured.
+    :ivar forget_seconds: after how long a measurement says nothing any more.
     :ivar least: the least time seen, by kind of call.
     :ivar report: the server's last report; None before the first.
     :ivar report_at: when it came.
@@ -60,9 +71,10 @@
     :ivar eased_from: when its share began to grow; None where it is whole.
     """
 
-    in_progress: int = 0
+    open_calls: dict[int, float] = field(default_factory=dict)
     seconds: float = 0.0
     seconds_at: float = 0.0
+    forget_seconds: float = FORGET_SECONDS
     least: dict[str, float] = field(default_factory=dict)
     report: LoadReport | None = None
     report_at: float = 0.0
@@ -72,6 +84,24 @@
     circuit: Circuit = CLOSED
     eased_from: float | None = None
 
+    @property
+    def in_progress(self) -> int:
+        """How many calls this entry has open there."""
+        return len(self.open_calls)
+
+    def oldest_seconds(self, now: float) -> float:
+        """Return for how long the oldest open call has been waiting; 0 for none."""
+        with contextlib.suppress(StopIteration, RuntimeError):
+            # Another thread may end a call meanwhile; then the next look tells.
+            return now - next(iter(self.open_calls.values()))
+        return 0.0
+
+    def slots(self, with_reports: bool = True) -> float:
+        """Return how many calls run at once; the limit where none was reported."""
+        if self.report is None or not with_reports:
+            return self.limit
+        return self.report.slots
+
     def calls(self, now: float, with_reports: bool = True) -> float:
         """Return the expected calls in progress, those of other entries included."""
         if self.report is None or not with_reports:
@@ -95,6 +125,7 @@
         self._lock = threading.Lock()
         self._regions: dict[str, str] = {}
         self._listed = False
+        self._numbers = itertools.count()
 
     def get(self, server: Server) -> ServerLoad:
         """Return the load of a server; an empty one for a server not yet called."""
@@ -123,12 +154,15 @@
         """Return the region of a data centre; empty where it is not known."""
         return self._regions.get(data_centre, "")
 
-    def begin(self, server: Server) -> None:
-        """Count a call that begins."""
+    def begin(self, server: Server) -> int:
+        """Count a call that begins; return its number, which ``end`` asks for."""
+        number = next(self._numbers)
+        now = self._clock.now()
         with self._lock:
             load = self._loads.setdefault(server.identity, ServerLoad())
-            load.in_progress += 1
+            load.open_calls[number] = now
             load.circuit = probing(load.circuit)
+        return number
 
     def note_report(self, server: Server, report: LoadReport) -> None:
         """Take a server's report of its load."""
@@ -138,9 +172,12 @@
             load.report_at = self._clock.now()
             load.own_at_report = load.in_progress
 
-    def end(self, server: Server, end: CallEnd, seconds: float, kind: str = "") -> None:
+    def end(
+        self, server: Server, number: int, end: CallEnd, seconds: float, kind: str = ""
+    ) -> None:
         """Count a call that has ended.
 
+        :param number: the call's number.
         :param seconds: how long it took.
         :param kind: calls of one kind need about the same time on an idle server.
         """
@@ -156,13 +193,16 @@
             else:
                 reached = end is CallEnd.CUT
                 load.circuit = after_failure(load.circuit, now, reached, self._rng)
-            load.in_progress = max(0, load.in_progress - 1)
+            load.open_calls.pop(number, None)
 
     def snapshot(self) -> dict[str, ServerLoad]:
         """Return a copy, by server name, of what was called, for status pages."""
         with self._lock:
             called = [(k, v) for k, v in self._loads.items() if v.seconds_at]
-            return {name: replace(load) for (name, _, _), load in called}
+            return {
+                name: replace(load, open_calls=dict(load.open_calls))
+                for (name, _, _), load in called
+            }
 
 
 def _take_answer(load: ServerLoad, seconds: float, kind: str, now: float) -> None:
@@ -197,6 +237,12 @@
 def _smooth(load: ServerLoad, seconds: float, now: float) -> None:
     """Take a measured time; the older the last one, the more the new one counts."""
     known = load.seconds or seconds
-    weight = max(SMOOTHING, min(1.0, (now - load.seconds_at) / FORGET_SECONDS))
+    faded = min(1.0, (now - load.seconds_at) / load.forget_seconds)
+    if seconds < UNCHANGED_SHARE * known:
+        load.forget_seconds = FORGET_SECONDS
+    elif faded >= UNCHANGED_SHARE:
+        load.forget_seconds = min(MOST_FORGET_SECONDS, 2 * load.forget_seconds)
+    smoothing = SLOWER_SMOOTHING if seconds > SLOWER * known else SMOOTHING
+    weight = max(smoothing, faded)
     load.seconds = known + weight * (seconds - known)
     load.seconds_at = now
--- a/boragestream/policy/routing.py
+++ b/boragestream/policy/routing.py
@@ -15,7 +15,7 @@
 from boragestream.policy.affinity import AffinityTable
 from boragestream.policy.candidates import RoutingNeed, usable_servers
 from boragestream.policy.easing import eased_share
-from boragestream.policy.load import FORGET_SECONDS, LoadTable, ServerLoad
+from boragestream.policy.load import LoadTable, ServerLoad
 from boragestream.policy.servers import Server
 
 __all__ = [
@@ -31,6 +31,11 @@
 # Where none of the first sample has room, some more are looked at, never all.
 WIDER_SAMPLE = 16
 LEAST_SECONDS = 0.0005
+# How often its usual time a call is open before its server counts as a straggler.
+OVERDUE = 1.5
+# Calls below the slots of a server do not wait for one another, yet equal servers
+# shall have equally many.
+SPREAD = 0.5
 OTHER_CENTRE_SECONDS = 0.0002
 OTHER_REGION_SECONDS = 0.03
 PREFERRED_SERVERS = 2
@@ -152,8 +157,10 @@
         def expected(pair: tuple[Server, ServerLoad]) -> float:
             server, load = pair
             seconds = _believed_seconds(load, usual, now)
+            slots = load.slots(with_reports)
             calls = load.calls(now, with_reports)
-            return (calls + 1) * seconds + _distance_seconds(home, server)
+            rounds = max(1.0, (calls + 1) / slots) + SPREAD * calls / slots
+            return rounds * seconds + _distance_seconds(home, server)
 
         return min(zip(servers, loads, strict=True), key=expected)[0]
 
@@ -185,11 +192,22 @@
 
 
 def _believed_seconds(load: ServerLoad, usual: float, now: float) -> float:
-    """Return a server's time for a call; an old measurement fades to the usual one."""
-    if not load.seconds:
-        return max(usual, LEAST_SECONDS)
-    trust = max(0.0, 1.0 - (now - load.seconds_at) / FORGET_SECONDS)
-    return max(usual + trust * (load.seconds - usual), LEAST_SECONDS)
+    """Return a server's time for a call.
+
+    An old measurement fades to the usual time, but not while a call is open there:
+    one is enough to measure it again. A call that has been open for longer than it
+    should tells of a straggler before any answer does; as long as it took, it will
+    take once more.
+    """
+    believed = usual
+    open_seconds = load.oldest_seconds(now)
+    if load.seconds:
+        age = 0.0 if open_seconds else now - load.seconds_at
+        trust = max(0.0, 1.0 - age / load.forget_seconds)
+        believed += trust * (load.seconds - usual)
+    if open_seconds > OVERDUE * believed:
+        believed = 2 * open_seconds
+    return max(believed, LEAST_SECONDS)
 
 
 def _distance_seconds(home: Place, server: Server) -> float:
--- a/boragestream/policy/times.py
+++ b/boragestream/policy/times.py
@@ -10,7 +10,7 @@
 __all__ = ["RecentTimes"]
 
 KEPT_TIMES = 256
-LEAST_TIMES = 20
+LEAST_TIMES = 8
 # Quantiles are worked out anew after so many further times.
 REFRESH_TIMES = 16
 
--- a/boragestream/policy/waiting.py
+++ b/boragestream/policy/waiting.py
@@ -12,10 +12,12 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from boragestream.base.clock import Clock
 from boragestream.base.outcomes import Failure
-from boragestream.policy.servers import Server
+
+Chosen = TypeVar("Chosen")
 
 __all__ = ["ServiceSaturated", "WaitingLine", "WaitingLines"]
 
@@ -74,22 +76,22 @@
 
     def take(
         self,
-        choose: Callable[[], Server | None],
+        choose: Callable[[], Chosen | None],
         latest: float,
         cancelled: Callable[[], bool],
-    ) -> Server | ServiceSaturated:
-        """Return a server with room, waiting for one where there is none.
+    ) -> Chosen | ServiceSaturated:
+        """Return what was chosen, waiting for room where there is none.
 
-        :param choose: takes a server with room, or returns None; it is called by one
+        :param choose: takes room on a server, or returns None; it is called by one
             thread at a time.
         :param latest: the clock's seconds up to which the call can wait.
         :param cancelled: tells whether the call is not wanted any more.
         """
         with self._lock:
             first = not self._waiters or latest < self._waiters[0].latest
-            server = choose() if first else None
-            if server is not None:
-                return server
+            chosen = choose() if first else None
+            if chosen is not None:
+                return chosen
             if self._is_hopeless(latest):
                 return self._saturated()
             waiter = _Waiter(latest, next(self._numbers))
@@ -120,9 +122,9 @@
     def _wait(
         self,
         waiter: _Waiter,
-        choose: Callable[[], Server | None],
+        choose: Callable[[], Chosen | None],
         cancelled: Callable[[], bool],
-    ) -> Server | ServiceSaturated:
+    ) -> Chosen | ServiceSaturated:
         while True:
             first = self._waiters[0] is waiter
             look = FIRST_LOOKS_SECONDS if first else OTHERS_LOOK_SECONDS
@@ -131,9 +133,9 @@
             waiter.woken.clear()
             with self._lock:
                 first = self._waiters[0] is waiter
-                server = choose() if first else None
-                if server is not None:
-                    return server
+                chosen = choose() if first else None
+                if chosen is not None:
+                    return chosen
                 if self._clock.now() >= waiter.latest or cancelled():
                     return self._saturated()
 
--- a/boragestream/serving/attempts.py
+++ b/boragestream/serving/attempts.py
@@ -63,7 +63,7 @@
 
 
 class AttemptRun:
-    """One attempt; its load was counted when its server was chosen.
+    """One attempt; its load is counted from here to its end.
 
     :param run: the stage and its call.
     :param server: the chosen server.
@@ -78,7 +78,9 @@
         self._server = server
         self._purpose = purpose
         self._began = parts.clock.now()
+        self._call = parts.loads.begin(server)
         self._lost = False
+        self._closed = False
         self._id = new_attempt_id()
         self._scope = run.request.scope.child()
 
@@ -89,6 +91,14 @@
 
     def send(self) -> Any | AttemptFailure:
         """Make the attempt; return the result, an open stream, or why there is none."""
+        try:
+            return self._send()
+        except BaseException:
+            # A call that is never counted out would keep its server from others.
+            self._close(CallEnd.CANCELLED)
+            raise
+
+    def _send(self) -> Any | AttemptFailure:
         run = self._run
         answer = open_attempt(
             run.call,
@@ -137,9 +147,12 @@
         return late or self._scope.reason is not None
 
     def _close(self, end: CallEnd) -> None:
+        if self._closed:
+            return
+        self._closed = True
         parts, run = self._parts, self._run
         seconds = parts.clock.now() - self._began
-        parts.loads.end(self._server, end, seconds, run.kind)
+        parts.loads.end(self._server, self._call, end, seconds, run.kind)
         if end is CallEnd.ANSWERED and not run.call.stream:
             parts.times.add(run.kind, seconds)
         parts.observations.attempt_ended(
--- a/boragestream/serving/stage.py
+++ b/boragestream/serving/stage.py
@@ -74,11 +74,11 @@
         tried: set[str] = set()
         attempts = 0
         while True:
-            server = self._take_server(run, tried)
-            if isinstance(server, Failure):
-                return failure or server
             purpose = Purpose.RETRY if attempts else Purpose.FIRST
-            result = self._attempt(run, server, purpose, tried)
+            attempt = self._take(run, purpose, tried)
+            if isinstance(attempt, Failure):
+                return failure or attempt
+            result = self._attempt(run, attempt, tried)
             if not isinstance(result, AttemptFailure):
                 return result
             if isinstance(result, AttemptCancelled):
@@ -89,34 +89,37 @@
                 return failure
             self._pause_before_same(run, tried, attempts)
 
-    def _take_server(self, run: StageRun, tried: set[str]) -> Server | Failure:
-        """Take a server with room and count the call there."""
+    def _take(
+        self, run: StageRun, purpose: Purpose, tried: set[str]
+    ) -> AttemptRun | Failure:
+        """Take room on a server for an attempt."""
         service = run.stage.service
         if not self.parts.servers.live(service):
             return NoLiveServer(service)
         scope = run.request.scope
         return self.parts.lines.of(service).take(
-            choose=lambda: self._choose(run, tried),
+            choose=lambda: self._choose(run, purpose, tried),
             latest=scope.deadline - self._usual_seconds(run),
             cancelled=lambda: scope.reason is not None,
         )
 
-    def _choose(self, run: StageRun, tried: set[str]) -> Server | None:
+    def _choose(
+        self, run: StageRun, purpose: Purpose, tried: set[str]
+    ) -> AttemptRun | None:
         live = self.parts.servers.live(run.stage.service)
         if not live:
             return None
         policies = _policies(run)
         need = RoutingNeed(frozenset(tried), run.prefix, policies.without)
         server = self.parts.routing[policies.routing].choose(live, need)
-        if server is not None:
-            self.parts.loads.begin(server)
-        return server
+        if server is None:
+            return None
+        return AttemptRun(self.parts, run, server, purpose)
 
     def _attempt(
-        self, run: StageRun, server: Server, purpose: Purpose, tried: set[str]
+        self, run: StageRun, first: AttemptRun, tried: set[str]
     ) -> Any | AttemptFailure:
-        tried.add(server.name)
-        first = AttemptRun(self.parts, run, server, purpose)
+        tried.add(first.server.name)
         delay = self._hedge_delay(run)
         if delay is None:
             return first.send()
@@ -148,7 +151,6 @@
         if server is None or not self.parts.hedges.of(service).spend():
             return None
         tried.add(server.name)
-        self.parts.loads.begin(server)
         return AttemptRun(self.parts, run, server, Purpose.HEDGE)
 
     def _choose_spare(self, run: StageRun, tried: set[str]) -> Server | None:
--- a/tests/features/policy_routing.feature
+++ b/tests/features/policy_routing.feature
@@ -17,6 +17,15 @@
     And 80 calls run one by one
     Then "s-0" got at least 5 of them
 
+  Scenario: a straggler is known before it has answered
+    When 80 calls run one by one
+    And a call on "s-0" has been open for 0.5 s
+    Then "s-0" is never chosen
+
+  Scenario: a lasting straggler is probed ever more rarely
+    When "s-0" stays 10 times as slow for 60 s of calls
+    Then its later 30 s have at most half of the calls of its first
+
   Scenario: other entries' calls count as long as their report is fresh
     Given every server but "s-3" reports 6 calls on 8 slots
     Then "s-3" is chosen always among those sampled with it
