--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements against real entries and stand-ins as processes."""
--- a/boragestream/backend/cancellation.py
+++ b/boragestream/backend/cancellation.py
@@ -46,9 +46,13 @@
         """Why the scope was cancelled; None while it is not."""
         return self._reason
 
-    def child(self) -> "CancelScope":
-        """Return a scope that is cancelled with this one, or alone."""
-        scope = CancelScope(self._deadline)
+    def child(self, deadline: float | None = None) -> "CancelScope":
+        """Return a scope that is cancelled with this one, or alone.
+
+        :param deadline: its own deadline, None for this scope's; never a later one.
+        """
+        own = self._deadline if deadline is None else min(deadline, self._deadline)
+        scope = CancelScope(own)
         with self._lock:
             scope._reason = self._reason
             self._children.add(scope)
--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -20,6 +20,7 @@
 from boragestream.caller.streaming import StreamedReply
 from boragestream.document import ClientAccount
 from boragestream.policy.admission import Admission
+from boragestream.policy.admitted import Candidate
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.request import RequestRecord, SentRecord
@@ -27,7 +28,6 @@
 __all__ = ["Application"]
 
 PIPELINES = "/v1/pipelines/"
-RETRY_SECONDS = 1.0
 
 Environ = dict[str, Any]
 Reply = Iterable[bytes]
@@ -99,14 +99,16 @@
         asked = read_request(environ, name, in_force, self.max_body_bytes)
         if isinstance(asked, Failure):
             return self._refuse(start_response, request_id, asked)
-        refused = self.admission.enter()
-        if refused is not None:
-            self._log_end(request_id, asked, refused)
-            return outcome_reply(start_response, refused, request_id)
-        scope = CancelScope(
-            arrived + asked.deadline_ms / 1000,
-            environ.get("waitress.client_disconnected"),
+        deadline = arrived + asked.deadline_ms / 1000
+        caller_gone = environ.get("waitress.client_disconnected")
+        policies = in_force.document.policies
+        admitted = self.admission.enter(
+            Candidate(asked.account, asked.pipeline, deadline, policies, caller_gone)
         )
+        if isinstance(admitted, Refused):
+            self._log_end(request_id, asked, admitted)
+            return outcome_reply(start_response, admitted, request_id)
+        scope = CancelScope(deadline, caller_gone)
         request = RequestRecord(
             request_id=request_id,
             account=asked.account,
@@ -115,6 +117,7 @@
             body=asked.body,
             scope=scope,
             sent=SentRecord(),
+            admitted=admitted,
         )
         self.watchdog.open(scope)
         if asked.stream:
@@ -140,7 +143,10 @@
         request: RequestRecord,
         asked: CallerRequest,
     ) -> Reply:
+        last = request.pipeline.stages[-1].name
+
         def ended(outcome: Outcome) -> None:
+            request.admitted.end_stage(last, isinstance(outcome, Answered))
             self._release(request)
             self._log_end(request.request_id, asked, outcome)
 
@@ -152,7 +158,7 @@
             if not opened:
                 self._release(request)
         if isinstance(answer, Failure):
-            outcome = request.outcome_of(answer, RETRY_SECONDS)
+            outcome = request.outcome_of(answer, self._retry_after(request))
             self._log_end(request.request_id, asked, outcome)
             return outcome_reply(start_response, outcome, request.request_id)
         headers = [
@@ -161,7 +167,7 @@
             ("X-Request-Id", request.request_id),
         ]
         start_response("200 OK", headers)
-        return StreamedReply(answer, request, ended)
+        return StreamedReply(answer, request, ended, self._retry_after)
 
     def _conclude(self, request: RequestRecord, result: Any) -> Outcome:
         late = self.clock.now() >= request.scope.deadline
@@ -169,18 +175,22 @@
             request.scope.check(self.clock.now())
             result = request.scope.reason
         if isinstance(result, Failure):
-            return request.outcome_of(result, RETRY_SECONDS)
+            return request.outcome_of(result, self._retry_after(request))
         return Answered(result)
 
     def _release(self, request: RequestRecord) -> None:
         self.watchdog.close(request.scope)
-        self.admission.leave()
+        self.admission.leave(request.admitted)
+
+    def _retry_after(self, request: RequestRecord) -> float:
+        return self.admission.retry_after(request.pipeline)
 
     def _refuse(
         self, start_response: StartResponse, request_id: str, failure: Failure
     ) -> Reply:
         worth_retrying = isinstance(failure, NoConfiguration)
-        outcome = Refused(failure, RETRY_SECONDS if worth_retrying else None)
+        retry_after = self.admission.retry_unknown() if worth_retrying else None
+        outcome = Refused(failure, retry_after)
         return outcome_reply(start_response, outcome, request_id)
 
     def _log_end(self, request_id: str, asked: CallerRequest, outcome: Outcome) -> None:
--- a/boragestream/caller/streaming.py
+++ b/boragestream/caller/streaming.py
@@ -16,8 +16,6 @@
 
 __all__ = ["StreamedReply"]
 
-RETRY_SECONDS = 1.0
-
 
 class Token(msgspec.Struct):
     """The data of a ``token`` event."""
@@ -43,6 +41,7 @@
 
     :param answer: the open answer of the last stage.
     :param request: the request that it answers.
+    :param retry_after: returns when a caller whose answer was cut shall come back.
     :param ended: told the outcome exactly once, also when the caller goes away.
     """
 
@@ -51,17 +50,20 @@
         answer: OpenAnswer,
         request: RequestRecord,
         ended: Callable[[Outcome], None],
+        retry_after: Callable[[RequestRecord], float],
     ) -> None:
         self._answer = answer
         self._request = request
         self._ended: Callable[[Outcome], None] | None = ended
+        self._retry_after = retry_after
 
     def __iter__(self) -> Iterator[bytes]:
         tokens = 0
         characters = 0
         for part in self._answer.tokens():
             if isinstance(part, AttemptFailure):
-                outcome = self._request.outcome_of(_cause(part), RETRY_SECONDS)
+                retry_after = self._retry_after(self._request)
+                outcome = self._request.outcome_of(_cause(part), retry_after)
                 self._end(outcome)
                 yield _event("error", problem(outcome, self._request.request_id))
                 return
@@ -76,7 +78,9 @@
     def close(self) -> None:
         """Release what the answer holds; waitress calls it in every case."""
         self._answer.close()
-        self._end(self._request.outcome_of(CallerGone(), RETRY_SECONDS))
+        if self._ended is not None:
+            retry_after = self._retry_after(self._request)
+            self._end(self._request.outcome_of(CallerGone(), retry_after))
 
     def _end(self, outcome: Outcome) -> None:
         ended, self._ended = self._ended, None
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -53,7 +53,9 @@
         self._servers = ServerTable()
         self._loads = LoadTable()
         self._watchdog = Watchdog(self._clock)
-        self._admission = Admission(max(1, settings.caller.threads - SPARE_THREADS))
+        self._admission = Admission(
+            max(1, settings.caller.threads - SPARE_THREADS), self._clock, self._rng
+        )
         self._tasks = ThreadPoolExecutor(TASK_THREADS, "task")
         self._attempts = ThreadPoolExecutor(ATTEMPT_THREADS, "attempt")
         sender = Sender(
@@ -197,6 +199,8 @@
             "digest": current.digest if current else "",
             "leaving": self._stopping.is_set(),
             "in_hand": self._admission.in_hand,
+            "queued": self._admission.queued,
+            "windows": self._admission.windows(),
             "servers": len(self._servers.all),
             "entries": [entry.name for entry in self._entries],
         }
--- a/boragestream/document/records.py
+++ b/boragestream/document/records.py
@@ -34,6 +34,7 @@
 DeadlineMs = Annotated[int, msgspec.Meta(ge=10, le=600_000)]
 Mechanism = Literal[
     "admission",
+    "deadline-budgets",
     "fair-queue",
     "load-reports",
     "affinity",
--- a/boragestream/serving/pipeline.py
+++ b/boragestream/serving/pipeline.py
@@ -4,41 +4,21 @@
 the answer; where it generates, it can be streamed.
 """
 
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from boragestream.backend.attempt import OpenAnswer
 from boragestream.backend.calls import StageInput
+from boragestream.base.failures import DeadlinePassed
 from boragestream.base.outcomes import Failure
-from boragestream.document import Pipeline, Stage
+from boragestream.document import Stage
+from boragestream.document.waves import stage_needs, stage_waves
 from boragestream.serving.request import RequestRecord
 from boragestream.serving.stage import StageRunner
 
-__all__ = ["PipelineRunner", "stage_needs", "stage_waves"]
-
-
-def stage_needs(pipeline: Pipeline) -> dict[str, tuple[str, ...]]:
-    """Return the names of the stages that each stage needs."""
-    needs = {}
-    previous: tuple[str, ...] = ()
-    for stage in pipeline.stages:
-        needs[stage.name] = previous if stage.after is None else stage.after
-        previous = (stage.name,)
-    return needs
-
-
-def stage_waves(pipeline: Pipeline) -> list[list[Stage]]:
-    """Return the stages in waves; a stage needs only stages of earlier waves."""
-    needs = stage_needs(pipeline)
-    depth: dict[str, int] = {}
-    waves: list[list[Stage]] = []
-    for stage in pipeline.stages:
-        level = 1 + max((depth[name] for name in needs[stage.name]), default=-1)
-        depth[stage.name] = level
-        waves.extend([] for _ in range(level + 1 - len(waves)))
-        waves[level].append(stage)
-    return waves
+__all__ = ["PipelineRunner"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,10 +47,14 @@
             return results
         stage = last[0]
         stage_input = _input(request, stage, results)
-        return self.stages.open_stream(request, stage, stage_input)
+        timed = _with_own_deadline(request, stage)
+        answer = self.stages.open_stream(timed, stage, stage_input)
+        if isinstance(answer, Failure):
+            _end_stage(request, stage, answer)
+        return answer
 
     def _run_waves(
-        self, request: RequestRecord, waves: list[list[Stage]]
+        self, request: RequestRecord, waves: Sequence[tuple[Stage, ...]]
     ) -> dict[str, Any] | Failure:
         results: dict[str, Any] = {}
         for wave in waves:
@@ -83,19 +67,38 @@
         return results
 
     def _run_wave(
-        self, request: RequestRecord, wave: list[Stage], results: dict[str, Any]
+        self, request: RequestRecord, wave: tuple[Stage, ...], results: dict[str, Any]
     ) -> list[Any | Failure]:
         first, *others = wave
         futures = [
-            self.side_by_side.submit(
-                self.stages.run, request, stage, _input(request, stage, results)
-            )
+            self.side_by_side.submit(self._run_stage, request, stage, results)
             for stage in others
         ]
-        mine = self.stages.run(request, first, _input(request, first, results))
+        mine = self._run_stage(request, first, results)
         return [mine, *(future.result() for future in futures)]
 
+    def _run_stage(
+        self, request: RequestRecord, stage: Stage, results: dict[str, Any]
+    ) -> Any | Failure:
+        timed = _with_own_deadline(request, stage)
+        result = self.stages.run(timed, stage, _input(request, stage, results))
+        _end_stage(request, stage, result)
+        return result
+
 
 def _input(request: RequestRecord, stage: Stage, results: dict[str, Any]) -> StageInput:
     needs = stage_needs(request.pipeline)[stage.name]
     return StageInput(request.body, {name: results[name] for name in needs})
+
+
+def _with_own_deadline(request: RequestRecord, stage: Stage) -> RequestRecord:
+    """Note that a stage begins; return the request with the stage's own deadline."""
+    deadline = request.admitted.begin_stage(stage.name)
+    return replace(request, scope=request.scope.child(deadline))
+
+
+def _end_stage(request: RequestRecord, stage: Stage, result: Any | Failure) -> None:
+    # A stage that ran into its deadline took at least that long; one that failed
+    # otherwise says nothing about how long the servers need.
+    timed = not isinstance(result, Failure) or isinstance(result, DeadlinePassed)
+    request.admitted.end_stage(stage.name, timed)
--- a/boragestream/serving/request.py
+++ b/boragestream/serving/request.py
@@ -10,6 +10,7 @@
 from boragestream.backend.cancellation import CancelScope
 from boragestream.base.outcomes import Failed, Failure, Outcome, Refused, Unknown
 from boragestream.document import ClientAccount, Pipeline
+from boragestream.policy.admitted import Admitted
 from boragestream.policy.configuration import DocumentInForce
 
 __all__ = ["RequestRecord", "SentRecord"]
@@ -52,6 +53,7 @@
     :ivar in_force: the document that the request uses from end to end.
     :ivar body: the caller's input, JSON data.
     :ivar scope: cancels the request; holds its deadline.
+    :ivar admitted: is told the begin and end of each stage.
     """
 
     request_id: str
@@ -61,6 +63,7 @@
     body: Any
     scope: CancelScope
     sent: SentRecord
+    admitted: Admitted
 
     def outcome_of(self, failure: Failure, retry_after: float) -> Outcome:
         """Return the true outcome of a request that could not be answered."""
--- /dev/null
+++ b/tests/features/steps/admission.py
@@ -0,0 +1,216 @@
+"""Steps that stand at the door of an entry, with a clock of their own."""
+
+import random
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+
+from boragestream.base.outcomes import Refused
+from boragestream.document import check_document
+from boragestream.policy.admission import Admission
+from boragestream.policy.admitted import Admitted, Candidate
+from boragestream.policy.service_window import (
+    MIN_LIMIT,
+    START_LIMIT,
+    ServiceWindow,
+)
+from tests.standins.fleet import wait_until
+from tests.standins.sites import example_document
+
+
+class ManualClock:
+    """A clock that the steps move."""
+
+    def __init__(self):
+        self.seconds = 1000.0
+
+    def now(self):
+        """Return the time."""
+        return self.seconds
+
+
+def set_up(context, limit):
+    """Make a door and what its steps share."""
+    document, _ = check_document(example_document("cooperative"))
+    context.document = document
+    context.clock = ManualClock()
+    context.door = Admission(limit, context.clock, random.Random(1))
+    context.pool = ThreadPoolExecutor(256)
+    context.gone = threading.Event()
+    context.stage_seconds = 0.1
+    context.verdicts = []
+    context.add_cleanup(let_go, context)
+
+
+def let_go(context):
+    """End every request, so that no thread keeps waiting."""
+    context.gone.set()
+    for future in context.verdicts:
+        if future.done() and isinstance(future.result(), Admitted):
+            context.door.leave(future.result())
+    context.pool.shutdown()
+
+
+def candidate(context, account, left):
+    """Return a request for captions."""
+    accounts = {a.name: a for a in context.document.client_accounts}
+    pipelines = {p.name: p for p in context.document.pipelines}
+    deadline = context.clock.now() + left
+    policies = context.document.policies
+    gone = context.gone.is_set
+    return Candidate(accounts[account], pipelines["caption"], deadline, policies, gone)
+
+
+def answer(context, admitted):
+    """Take an admitted request through its stages."""
+    for stage in admitted.candidate.pipeline.stages:
+        admitted.begin_stage(stage.name)
+        context.clock.seconds += context.stage_seconds
+        admitted.end_stage(stage.name, True)
+    context.door.leave(admitted)
+
+
+def came(context):
+    """Return what is decided so far: begun, refused."""
+    done = [f.result() for f in context.verdicts if f.done()]
+    begun = [v for v in done if isinstance(v, Admitted)]
+    return begun, [v for v in done if isinstance(v, Refused)]
+
+
+def settled(context):
+    """Wait until every request has begun, waits or was refused."""
+    count = len(context.verdicts)
+    wait_until(
+        lambda: sum(f.done() for f in context.verdicts) + context.door.queued == count,
+        what="every request at the door",
+    )
+
+
+@given('a door whose "caption" stages take {seconds:g} seconds')
+def step(context, seconds):
+    set_up(context, 160)
+    context.stage_seconds = seconds
+
+
+@given("a door of {limit:d} threads")
+def step(context, limit):
+    set_up(context, limit)
+    # One request begins and holds its place; the window stays at one.
+    context.door._window("writer")._limit = MIN_LIMIT
+
+
+@given("{count:d} requests have been answered")
+def step(context, count):
+    for _ in range(count):
+        answer(context, context.door.enter(candidate(context, "scan-desk", 9.0)))
+
+
+@when('a request of "{account}" with {left:g} seconds left comes')
+def step(context, account, left):
+    asked = candidate(context, account, left)
+    context.verdicts.append(context.pool.submit(context.door.enter, asked))
+    settled(context)
+
+
+@when('{count:d} requests of "{account}" with {left:g} seconds left come at once')
+def step(context, count, account, left):
+    for _ in range(count):
+        asked = candidate(context, account, left)
+        context.verdicts.append(context.pool.submit(context.door.enter, asked))
+    settled(context)
+
+
+@when("{seconds:d} seconds pass and one request ends")
+def step(context, seconds):
+    context.clock.seconds += seconds
+    end_one(context)
+
+
+@when("their callers go and one request ends")
+def step(context):
+    context.gone.set()
+    end_one(context)
+
+
+def end_one(context):
+    """End one request that has begun; keep how many had."""
+    begun, _ = came(context)
+    context.begun = len(begun)
+    context.door.leave(begun[0])
+    settled(context)
+
+
+@then("it begins")
+def step(context):
+    assert isinstance(context.verdicts[-1].result(), Admitted)
+
+
+@then('it is refused with "{code}" and a time to return')
+def step(context, code):
+    refused = context.verdicts[-1].result()
+    assert isinstance(refused, Refused), refused
+    assert refused.failure.code == code, refused
+    assert refused.retry_after > 0, refused
+
+
+@then('some begin, some wait and the others are refused with "{code}"')
+def step(context, code):
+    begun, refused = came(context)
+    assert begun and refused and context.door.queued, (len(begun), len(refused))
+    assert {r.failure.code for r in refused} == {code}
+
+
+@then("the times to return are spread over more than {seconds:d} second")
+def step(context, seconds):
+    times = [r.retry_after for r in came(context)[1]]
+    assert max(times) - min(times) > seconds, times
+
+
+@then("no request waits and none of them has begun")
+def step(context):
+    wait_until(lambda: all(f.done() for f in context.verdicts), what="every verdict")
+    assert len(came(context)[0]) == context.begun
+    assert context.door.queued == 0
+
+
+@then('one of "{account}" is refused with "{code}"')
+def step(context, account, code):
+    wait_until(lambda: came(context)[1], what="a refusal")
+    refused = came(context)[1]
+    assert [r.failure.code for r in refused] == [code], refused
+    assert context.door.queued == 3
+
+
+@then("a window grows while it is used and stages are quick")
+def step(context):
+    window = drive(ServiceWindow(0.0), lambda limit: 1.0)
+    assert window.limit > START_LIMIT
+
+
+@then("a window is cut while stages are slow, but never closed")
+def step(context):
+    window = drive(ServiceWindow(0.0), lambda limit: 10.0)
+    assert window.limit == MIN_LIMIT
+    assert window.open
+
+
+@then("a window whose cuts change nothing corrects the baseline")
+def step(context):
+    corrections = []
+    drive(ServiceWindow(0.0), lambda limit: 10.0, corrections)
+    assert corrections
+
+
+def drive(window, multiple, corrections=None, rounds=20):
+    """Use a window fully for some rounds of one second each."""
+    for round_ in range(1, rounds):
+        count = window.limit
+        for _ in range(count):
+            window.take()
+        for _ in range(count):
+            correction = window.observe(multiple(count), round_, round_ + 0.5)
+            if correction is not None and corrections is not None:
+                corrections.append(correction)
+            window.release()
+    return window
