--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements against real entries and stand-ins as processes."""
+"""Benchmarks: what the system costs and what its decisions bring, measured."""
--- a/boragestream/policy/admission.py
+++ b/boragestream/policy/admission.py
@@ -340,9 +340,13 @@
             now = self._clock.now()
             window = self._windows[end.service]
             if end.timed:
-                multiple = self._times.add(
-                    pipeline.name, end.stage, now - end.began, now
-                )
+                seconds = now - end.began
+                # A time that a deadline cut short says that the servers are slow, but
+                # counted among the whole ones it would shut the door on requests that
+                # another server can answer.
+                if end.whole:
+                    self._times.add(pipeline.name, end.stage, seconds, now)
+                multiple = self._times.multiple(pipeline.name, end.stage, seconds)
                 correction = window.observe(multiple, admitted.began, now)
                 if correction is not None:
                     self._raise_baselines(end.service, correction)
--- a/boragestream/policy/admitted.py
+++ b/boragestream/policy/admitted.py
@@ -41,6 +41,7 @@
     :ivar began: when the stage began.
     :ivar timed: whether its time says something about the servers; a stage that
         failed at once does not.
+    :ivar whole: whether it brought its result.
     :ivar passed: whether the request needs the stage's service no more.
     """
 
@@ -48,6 +49,7 @@
     service: str
     began: float
     timed: bool
+    whole: bool
     passed: bool
 
 
@@ -101,7 +103,7 @@
             return self._candidate.deadline
         return self._stage_deadline(self._candidate, name)
 
-    def end_stage(self, name: str, timed: bool) -> None:
+    def end_stage(self, name: str, timed: bool, whole: bool) -> None:
         """Note that a stage has ended; does nothing the second time."""
         service = self._stages[name].service
         with self._lock:
@@ -110,7 +112,7 @@
                 return
             self._to_come[service] -= 1
             passed = self._to_come[service] == 0
-        self._stage_ended(self, StageEnd(name, service, began, timed, passed))
+        self._stage_ended(self, StageEnd(name, service, began, timed, whole, passed))
 
     def give_up(self) -> tuple[str, ...]:
         """Return the services that it still held, and hold none any more."""
--- a/boragestream/policy/stage_times.py
+++ b/boragestream/policy/stage_times.py
@@ -13,10 +13,13 @@
 
 SAMPLE_SIZE = 128
 SAMPLE_SECONDS = 6.0
+# The tail of fewer times is one odd time, and would close the door on all requests.
+MIN_TAIL_SAMPLE = 10
 BASELINE_GROUP = 16
 # Quantiles are sorted out again after this long at the most; sorting for every request
 # would cost more than the answer is worth.
 CACHE_SECONDS = 0.1
+MIN_BASELINE_SECONDS = 1e-6
 
 
 class StageSample:
@@ -60,6 +63,8 @@
         ordered = self._ordered(now)
         if not ordered:
             return 0.0
+        if len(ordered) < MIN_TAIL_SAMPLE:
+            share = min(share, 0.5)
         return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
     def mean(self, now: float) -> float:
@@ -82,12 +87,18 @@
         self._samples: dict[tuple[str, str], StageSample] = {}
         self._lock = threading.Lock()
 
-    def add(self, pipeline: str, stage: str, seconds: float, now: float) -> float:
-        """Take one measured time; return it as a multiple of the stage's baseline."""
+    def add(self, pipeline: str, stage: str, seconds: float, now: float) -> None:
+        """Take one measured time."""
         with self._lock:
             sample = self._samples.setdefault((pipeline, stage), StageSample())
             sample.add(seconds, now)
-            return seconds / max(sample.baseline or seconds, 1e-6)
+
+    def multiple(self, pipeline: str, stage: str, seconds: float) -> float:
+        """Return a time as a multiple of the stage's baseline."""
+        with self._lock:
+            sample = self._samples.get((pipeline, stage))
+            baseline = sample.baseline if sample else None
+        return seconds / max(baseline or seconds, MIN_BASELINE_SECONDS)
 
     def quantile(self, pipeline: str, stage: str, share: float, now: float) -> float:
         """Return a quantile of a stage in seconds; 0 where nothing is known."""
--- a/boragestream/serving/pipeline.py
+++ b/boragestream/serving/pipeline.py
@@ -100,5 +100,6 @@
 def _end_stage(request: RequestRecord, stage: Stage, result: Any | Failure) -> None:
     # A stage that ran into its deadline took at least that long; one that failed
     # otherwise says nothing about how long the servers need.
-    timed = not isinstance(result, Failure) or isinstance(result, DeadlinePassed)
-    request.admitted.end_stage(stage.name, timed)
+    whole = not isinstance(result, Failure)
+    timed = whole or isinstance(result, DeadlinePassed)
+    request.admitted.end_stage(stage.name, timed, whole)
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -12,6 +12,12 @@
     When a request of "scan-desk" with 0.2 seconds left comes
     Then it is refused with "cannot-meet-deadline" and a time to return
 
+  Scenario: a stage that was cut short by its deadline does not close the door
+    Given a door whose "caption" stages take 0.1 seconds
+    And 3 requests were cut short after 5 seconds
+    When a request of "scan-desk" with 1.0 seconds left comes
+    Then it begins
+
   Scenario: the queue holds no more than can be begun in time
     Given a door whose "caption" stages take 0.1 seconds
     And 20 requests have been answered
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -67,7 +67,7 @@
     for stage in admitted.candidate.pipeline.stages:
         admitted.begin_stage(stage.name)
         context.clock.seconds += context.stage_seconds
-        admitted.end_stage(stage.name, True)
+        admitted.end_stage(stage.name, timed=True, whole=True)
     context.door.leave(admitted)
 
 
@@ -106,6 +106,16 @@
         answer(context, context.door.enter(candidate(context, "scan-desk", 9.0)))
 
 
+@given("{count:d} requests were cut short after {seconds:d} seconds")
+def step(context, count, seconds):
+    for _ in range(count):
+        admitted = context.door.enter(candidate(context, "scan-desk", 9.0))
+        admitted.begin_stage("encode")
+        context.clock.seconds += seconds
+        admitted.end_stage("encode", timed=True, whole=False)
+        context.door.leave(admitted)
+
+
 @when('a request of "{account}" with {left:g} seconds left comes')
 def step(context, account, left):
     asked = candidate(context, account, left)
