--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -15,6 +15,7 @@
 from boragestream.base.identifiers import new_request_id
 from boragestream.base.observations import Observations
 from boragestream.base.outcomes import Answered, Failure, Outcome, Refused
+from boragestream.caller.connections import ARRIVED, STOP_WAITING
 from boragestream.caller.failures import MethodNotAllowed, PathUnknown
 from boragestream.caller.reading import (
     CallerRequest,
@@ -120,7 +121,7 @@
         if environ["REQUEST_METHOD"] != "POST":
             wrong = MethodNotAllowed(environ["REQUEST_METHOD"])
             return self._refuse(start_response, request_id, wrong)
-        arrived = self.clock.now()
+        arrived = environ.get(ARRIVED, self.clock.now())
         in_force = self.configuration.current
         if in_force is None:
             return self._refuse(start_response, request_id, NoConfiguration())
@@ -136,7 +137,7 @@
         if isinstance(admitted, Refused):
             self._log_end(request_id, asked, arrived, admitted)
             return outcome_reply(start_response, admitted, request_id)
-        scope = CancelScope(deadline, caller_gone)
+        scope = CancelScope(deadline, caller_gone, environ.get(STOP_WAITING))
         request = RequestRecord(
             request_id=request_id,
             account=asked.account,
--- a/boragestream/policy/admission.py
+++ b/boragestream/policy/admission.py
@@ -123,6 +123,15 @@
         """The measured times of the stages."""
         return self._times
 
+    @property
+    def load(self) -> float:
+        """How much of what this entry can take is in use, 0 to 1."""
+        with self._lock:
+            if len(self._queue):
+                return 1.0
+            used = [w.in_use / w.limit for w in self._windows.values()]
+            return min(1.0, max([*used, self._in_hand / self._limit]))
+
     def windows(self) -> dict[str, tuple[int, int]]:
         """Return the limit and the use of every service's window, for status pages."""
         with self._lock:
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -2,13 +2,14 @@
 
 Usage: python -m tests.standins.backend SPEC
 
-SPEC is JSON: name, kind, address, port, and optionally slots, service_ms, token_ms,
-tokens. Results are derived from the input, so that a caller can tell its own.
+SPEC is JSON: name, kind, address, port, and optionally slots, queue, service_ms,
+token_ms, tokens. Results are derived from the input, so that a caller can tell its own.
 
 ``POST /standin/faults`` queues faults, one taken by each call; the folder ``faults``
 holds faults for the calls of one input. A fault strikes at a position of its call:
 arrive, ran, head, middle, end or after. ``GET /standin/runs`` tells how often each
-request id, attempt id and input was run.
+request id, attempt id and input was run, ``GET /standin/work`` what each call cost,
+and ``POST /standin/slowdown`` makes a straggler of the server.
 """
 
 import hashlib
@@ -21,10 +22,12 @@
 from collections import Counter, deque
 from pathlib import Path
 
+from tests.standins.capacity import Capacity, QueueFullError, Slot
 from tests.standins.http import Handler, serve
 
 SPEC = {
     "slots": 8,
+    "queue": None,
     "service_ms": 2.0,
     "token_ms": 1.0,
     "tokens": 8,
@@ -58,13 +61,13 @@
         self.requests = Counter()
         self.attempts = Counter()
         self.inputs = Counter()
+        self.offered = 0
         self.finished = Counter()
         self.cancelled = 0
         self.faults = deque()
         self.leaving = False
         self.in_progress = 0
-        self.busy_seconds = 0.0
-        self.slots = threading.Semaphore(8)
+        self.capacity = Capacity(8)
 
 
 STATE = State()
@@ -125,12 +128,19 @@
                     "requests": dict(STATE.requests),
                     "attempts": dict(STATE.attempts),
                     "inputs": dict(STATE.inputs),
+                    "offered": STATE.offered,
                     "finished": dict(STATE.finished),
                     "cancelled": STATE.cancelled,
-                    "busy_seconds": STATE.busy_seconds,
+                    "busy_seconds": STATE.capacity.busy_seconds,
                 }
+            elif path == "/standin/work":
+                body = STATE.capacity.report()
             else:
-                body = {"in_progress": STATE.in_progress, "slots": SPEC["slots"]}
+                body = {
+                    "in_progress": STATE.in_progress,
+                    "slots": SPEC["slots"],
+                    "queued": STATE.capacity.queued,
+                }
         self.reply(body)
 
     def post(self, path, body):
@@ -143,6 +153,11 @@
         if path == "/standin/leaving":
             STATE.leaving = body["leaving"]
             return self.reply({})
+        if path == "/standin/slowdown":
+            STATE.capacity.slowdown = body["factor"]
+            return self.reply({})
+        with STATE.lock:
+            STATE.offered += 1
         if STATE.leaving and STATE.leaving != "silently":
             return self._refuse("leaving")
         fault = self._take_fault(body)
@@ -209,16 +224,17 @@
             journal.write(" ".join(line).encode() + b"\n")
 
     def _run(self, body, fault, kind):
-        self._run_counted(body)
+        priority = int(self.headers.get("X-Priority", 0))
+        ids = (self.headers["X-Request-Id"], self.headers["X-Attempt-Id"])
         with STATE.lock:
             STATE.in_progress += 1
+        self.slot = Slot(STATE.capacity, self.connection, *ids, priority)
         try:
-            with STATE.slots:
-                began = time.monotonic()
-                try:
-                    self._answer(body, fault, kind)
-                finally:
-                    STATE.busy_seconds += time.monotonic() - began
+            with self.slot:
+                self._run_counted(body)
+                self._answer(body, fault, kind)
+        except QueueFullError:
+            return self._refuse("busy")
         except OSError:
             STATE.cancelled += 1
             raise
@@ -227,13 +243,13 @@
                 STATE.in_progress -= 1
 
     def _answer(self, body, fault, kind):
-        time.sleep(SPEC["service_ms"] / 1000)
+        self.slot.spend(SPEC["service_ms"])
         self._strike("ran", fault)
         if kind == "error":
             return self.reply({"error": "broken"}, 500, self._echo())
         stream = bool(body.get("stream"))
         parts = self._stream_parts(body, kind) if stream else self._parts(body, kind)
-        pause = SPEC["token_ms"] / 1000 if stream else 0
+        pause_ms = SPEC["token_ms"] if stream else 0
         self.wfile.write(self._head(stream, kind, sum(map(len, parts))))
         self._strike("head", fault)
         for i, part in enumerate(parts):
@@ -241,7 +257,7 @@
                 self._strike("middle", fault)
             if i == len(parts) - 1:
                 self._strike("end", fault)
-            time.sleep(pause)
+            self.slot.spend(pause_ms)
             self.wfile.write(part)
             self.wfile.flush()
         self._finished()
@@ -277,7 +293,7 @@
         mark = fingerprint(body["input"])
         kind = SPEC["kind"]
         if kind == "engine":
-            time.sleep(SPEC["token_ms"] * self._tokens(body) / 1000)
+            self.slot.spend(SPEC["token_ms"] * self._tokens(body))
             text = expected_text(body["input"], self._tokens(body))
             return {"text": text, "tokens": self._tokens(body), "mark": mark}
         if kind == "encoder":
@@ -319,6 +335,7 @@
     def _finished(self):
         with STATE.lock:
             STATE.finished[self.headers["X-Request-Id"]] += 1
+        self.slot.work.finished = True
 
     def _echo(self, request=None, attempt=None):
         return [
@@ -329,5 +346,5 @@
 
 if __name__ == "__main__":
     SPEC.update(json.loads(sys.argv[1]))
-    STATE.slots = threading.Semaphore(SPEC["slots"])
+    STATE.capacity = Capacity(SPEC["slots"], SPEC["queue"])
     serve(SPEC["address"], SPEC["port"], BackendHandler)
