--- a/boragestream/caller/server.py
+++ b/boragestream/caller/server.py
@@ -1,5 +1,6 @@
 """Sets up waitress for callers."""
 
+import logging
 from typing import Any
 
 import waitress
@@ -7,22 +8,20 @@
 from waitress.server import BaseWSGIServer
 
 from boragestream.base.clock import Clock, SystemClock
+from boragestream.base.events import Event, emit
 from boragestream.base.settings import CallerSettings
 from boragestream.caller.connections import CallerConnection
 
 __all__ = ["busy_connections", "create_server", "leave", "stop_listening"]
 
 MAX_HEADER_BYTES = 16384
-CHANNEL_SECONDS = 30
 SPARE_CONNECTIONS = 512
-# A body somewhat over the limit still reaches the application, whose refusal is a
-# problem document; waitress cuts off what is far longer.
-BODY_SLACK = 2
 # What is written and not yet read by a caller before its stream waits.
 UNREAD_BYTES = 262_144
-# Nothing is put into temporary files: instances have no disks.
-NEVER_TO_DISK = 1 << 40
 BACKLOG = 1024
+CLEANUP_SECONDS = 1
+# Instances have no disks: nothing is ever spooled to a file.
+NEVER_SPOOLED_BYTES = 1 << 40
 
 
 def create_server(
@@ -35,6 +34,7 @@
 
     :param clock: tells when requests arrive.
     """
+    _send_complaints_to_events()
     server = waitress.create_server(
         application,
         host=settings.address,
@@ -43,11 +43,13 @@
         backlog=BACKLOG,
         connection_limit=settings.threads + SPARE_CONNECTIONS,
         channel_request_lookahead=1,
-        channel_timeout=CHANNEL_SECONDS,
+        channel_timeout=settings.read_seconds,
+        cleanup_interval=CLEANUP_SECONDS,
         max_request_header_size=MAX_HEADER_BYTES,
-        max_request_body_size=settings.max_body_bytes * BODY_SLACK,
-        inbuf_overflow=NEVER_TO_DISK,
-        outbuf_overflow=NEVER_TO_DISK,
+        # waitress refuses a body of this size, not only a longer one.
+        max_request_body_size=settings.max_body_bytes + 1,
+        inbuf_overflow=NEVER_SPOOLED_BYTES,
+        outbuf_overflow=NEVER_SPOOLED_BYTES,
         outbuf_high_watermark=UNREAD_BYTES,
         ident="boragestream",
         clear_untrusted_proxy_headers=True,
@@ -79,3 +81,24 @@
     """Return how many connections have a request that is not answered whole."""
     channels = list(server.active_channels.values())
     return sum(channel.busy for channel in channels)
+
+
+class _ComplaintHandler(logging.Handler):
+    """Emits an event for what waitress logs.
+
+    Its messages can name paths, and a path can hold a key; so the event names the
+    place in waitress only.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Emit the event."""
+        error = record.exc_info[0].__name__ if record.exc_info else None
+        place = f"{record.module}.{record.funcName}"
+        emit(Event.HTTP_COMPLAINT, level=record.levelname, place=place, error=error)
+
+
+def _send_complaints_to_events() -> None:
+    logger = logging.getLogger("waitress")
+    logger.propagate = False
+    logger.setLevel(logging.WARNING)
+    logger.handlers = [_ComplaintHandler()]
