--- a/boragestream/serving/request.py
+++ b/boragestream/serving/request.py
@@ -11,6 +11,7 @@
 from boragestream.backend.cancellation import CancelScope
 from boragestream.base.outcomes import Failed, Failure, Outcome, Refused, Unknown
 from boragestream.document import ClientAccount, Pipeline
+from boragestream.policy.admitted import Admitted
 from boragestream.policy.configuration import DocumentInForce
 from boragestream.policy.waiting import ServiceSaturated
 
@@ -55,6 +56,7 @@
     :ivar in_force: the document that the request uses from end to end.
     :ivar body: the caller's input, JSON data.
     :ivar scope: cancels the request; holds its deadline.
+    :ivar admitted: is told the begin and end of each stage.
     :ivar run_by: the clock's seconds after which no call that may not be repeated is
         sent; the expiry of the ticket where there is one.
     :ivar ask: the path under which a caller can ask what became of it.
@@ -67,6 +69,7 @@
     body: Any
     scope: CancelScope
     sent: SentRecord
+    admitted: Admitted
     run_by: float = math.inf
     ask: str = ""
 
