--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -6,7 +6,6 @@
 from functools import partial
 
 from boragestream.backend.cancellation import Watchdog
-from boragestream.backend.connections import ConnectionKeeper
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, describe_error, emit
 from boragestream.base.identifiers import new_incarnation
@@ -39,8 +38,9 @@
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
 from boragestream.policy.load import LoadTable
-from boragestream.policy.routing import routing_policies
+from boragestream.policy.routing import Place
 from boragestream.policy.servers import Server, ServerTable
+from boragestream.serving.parts import make_parts
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.stage import StageRunner
 
@@ -72,7 +72,7 @@
         self._listed: tuple[Instance, ...] = ()
         self._configuration = ConfigurationInForce(settings.entry.deployment)
         self._servers = ServerTable(told=self._tell_leaving)
-        self._loads = LoadTable()
+        self._loads = LoadTable(self._clock, self._rng)
         metrics = settings.metrics
         self._observations = Observations(
             self._clock,
@@ -89,7 +89,20 @@
             self._demand.limits,
         )
         self._tasks = ThreadPoolExecutor(TASK_THREADS, "task")
+        # Stages that run side by side wait for attempts, so that the two never share
+        # threads.
         self._attempts = ThreadPoolExecutor(ATTEMPT_THREADS, "attempt")
+        self._side_by_side = ThreadPoolExecutor(ATTEMPT_THREADS, "stage")
+        self._parts = make_parts(
+            self._servers,
+            self._loads,
+            self._attempts,
+            self._clock,
+            self._rng,
+            self._home,
+            self._observations,
+        )
+        self._servers.when_unused(self._parts.connections.forget)
         sender = Sender(
             settings.entry.deployment,
             settings.entry.name,
@@ -152,6 +165,7 @@
                 partial(
                     take_instances,
                     servers=self._servers,
+                    loads=self._loads,
                     take_entries=self._take_entries,
                     take_servers=self._peers.members.take_servers,
                 ),
@@ -208,21 +222,11 @@
         return max(self._admission.in_hand, busy_connections(self._server))
 
     def _application(self) -> Application:
-        connections = ConnectionKeeper()
-        self._servers.when_unused(connections.forget)
-        stages = StageRunner(
-            servers=self._servers,
-            loads=self._loads,
-            routing=routing_policies(self._loads, self._rng),
-            connections=connections,
-            attempts=self._attempts,
-            clock=self._clock,
-            observations=self._observations,
-        )
+        stages = StageRunner(self._parts)
         return Application(
             configuration=self._configuration,
             admission=self._admission,
-            pipelines=PipelineRunner(stages, self._attempts),
+            pipelines=PipelineRunner(stages, self._side_by_side),
             watchdog=self._watchdog,
             clock=self._clock,
             max_body_bytes=self._settings.caller.max_body_bytes,
@@ -236,6 +240,11 @@
         current = self._configuration.current
         return ProbeReply(current.version if current else 0)
 
+    def _home(self) -> Place:
+        """Return where this entry is; its region is that of a server beside it."""
+        centre = self._settings.entry.data_centre
+        return Place(centre, self._loads.region_of(centre))
+
     def _take_entries(self, entries: tuple[Instance, ...]) -> None:
         self._listed = entries
         self._demand.table.expect(live_entries(entries))
@@ -276,4 +285,5 @@
             self._loads,
             self._entries,
             self._observations,
+            self._parts.costs,
         )
--- a/boragestream/document/records.py
+++ b/boragestream/document/records.py
@@ -38,6 +38,7 @@
     "fair-queue",
     "load-reports",
     "affinity",
+    "ejection",
     "concurrency-limit",
     "easing",
     "hedging",
--- a/boragestream/serving/request.py
+++ b/boragestream/serving/request.py
@@ -12,6 +12,7 @@
 from boragestream.document import ClientAccount, Pipeline
 from boragestream.policy.admitted import Admitted
 from boragestream.policy.configuration import DocumentInForce
+from boragestream.policy.waiting import ServiceSaturated
 
 __all__ = ["RequestRecord", "SentRecord"]
 
@@ -70,6 +71,8 @@
         """Return the true outcome of a request that could not be answered."""
         if self.sent.unrepeatable:
             return Unknown(failure, f"/v1/requests/{self.request_id}")
+        if isinstance(failure, ServiceSaturated):
+            retry_after = failure.retry_after
         if self.sent.any:
             return Failed(failure, retry_after)
         return Refused(failure, retry_after)
