Result files name their command without paths of the machine

Cause: the recorded command held absolute paths. Ruled out: no command at all; a result must be repeatable. Change: the options that take paths are left out.

--- a/bench/load/__main__.py
+++ b/bench/load/__main__.py
@@ -24,6 +24,7 @@
 
 import fcntl
 import json
+import shlex
 import signal
 import sys
 from collections.abc import Callable, Iterator, Sequence
@@ -42,6 +43,8 @@
 
 __all__ = ["main"]
 
+PATH_OPTIONS = ("--json", "--lock")
+
 
 def main(argv: list[str] | None = None) -> int:
     """Run the comparison; return the exit code."""
@@ -66,7 +69,7 @@
     )
     runs = run_comparison(comparison, seeds)
     result = {
-        "command": "python -m bench.load " + " ".join(argv or sys.argv[1:]),
+        "command": command_line(argv or sys.argv[1:]),
         "machine": "shared with other work; compare within this file only",
         "spread": spread_of(runs),
         "runs": [asdict(run) for run in runs],
@@ -77,6 +80,18 @@
     return 1 if broken else 0
 
 
+def command_line(arguments: Sequence[str]) -> str:
+    """Return the command of a result, without the paths of the machine it ran on."""
+    kept = []
+    rest = iter(arguments)
+    for argument in rest:
+        if argument in PATH_OPTIONS:
+            next(rest)
+            continue
+        kept.append(argument)
+    return shlex.join(["python", "-m", "bench.load", *kept])
+
+
 def write_result(path: Path, result: dict) -> None:
     """Write a result as JSON, with the spread readable and each run on a line."""
     *head, last = [f"{json.dumps(k)}: {_lines(v)}" for k, v in result.items()]
