Figures before a fault leave out what is in hand as it begins

Change: the calm time ends 0.75 s before the fault. Conclusion: the ratio of p99 with and without a fault means what it says.

--- a/bench/load/runner.py
+++ b/bench/load/runner.py
@@ -29,6 +29,7 @@
 CLIENT_PROCESSES = 5
 LEAD_SECONDS = 0.3
 IDLE_SECONDS = 30
+SETTLED_SECONDS = 0.75
 STOP_SETTINGS = "[stop]\nlinger_seconds = 1.5\nlimit_seconds = 20.0\n"
 
 
@@ -198,7 +199,9 @@
         began = scenario.faults[0].at
         # A fault that ends by itself is over when its last step is done.
         ended = max(event["done"] for event in events)
-        figures["before_fault"] = summarise(samples, work, phases, WARM_SECONDS, began)
+        # What is in hand when the fault begins belongs neither before it nor in it.
+        calm = began - SETTLED_SECONDS
+        figures["before_fault"] = summarise(samples, work, phases, WARM_SECONDS, calm)
         figures["during_fault"] = summarise(samples, work, phases, began, ended)
         figures["recovery_seconds"] = recovery_seconds(
             windows, began, ended, WARM_SECONDS
