--- a/boragestream/policy/service_window.py
+++ b/boragestream/policy/service_window.py
@@ -20,7 +20,6 @@
 TARGET_MULTIPLE = 2.5
 MAX_CUT = 0.8
 START_GROWTH = 1.5
-START_MULTIPLE = 1.3
 STEP = 1.0
 MIN_SAMPLES = 6
 MIN_SECONDS = 0.05
@@ -81,17 +80,14 @@
         if not enough or now - self._changed_at < MIN_SECONDS:
             return None
         mean = sum(self._multiples) / len(self._multiples)
-        correction = self._cut(mean) if mean > TARGET_MULTIPLE else self._grow(mean)
+        correction = self._cut(mean) if mean > TARGET_MULTIPLE else self._grow()
         self._multiples.clear()
         self._most_in_use = self._in_use
         self._changed_at = now
         return correction
 
-    def _grow(self, multiple: float) -> None:
+    def _grow(self) -> None:
         self._cuts = 0
-        # Times lag behind the window, so that fast growth ends at the first sign of a
-        # queue and not at the target.
-        self._starting = self._starting and multiple < START_MULTIPLE
         if self._most_in_use < self.limit:
             return
         grown = self._limit * START_GROWTH if self._starting else self._limit + STEP
