--- a/bench/load/metrics.py
+++ b/bench/load/metrics.py
@@ -27,6 +27,7 @@
 WINDOW_SECONDS = 0.5
 RECOVERED_SHARE = 0.95
 NOT_RUN_OUTCOME = "refused"
+LARGE_ACCOUNT = "large"
 
 
 def in_time(sample: Sample) -> bool:
@@ -236,6 +237,10 @@
     return {
         "attainment": attainment,
         "worst": min(attainment.values(), default=None),
+        "small": share(
+            sum(good[n] for n in names if n != LARGE_ACCOUNT),
+            sum(sent[n] for n in names if n != LARGE_ACCOUNT),
+        ),
         "jain_by_weight": jain([good[n] / ACCOUNTS[n] for n in names]),
         "jain_by_fair_share": jain([good[n] / fair[n] for n in names if fair[n]]),
     }
--- a/bench/load/report.py
+++ b/bench/load/report.py
@@ -11,6 +11,7 @@
     "attainment": ("attainment",),
     "attainment_admitted": ("attainment_admitted",),
     "worst_account": ("accounts", "worst"),
+    "small_accounts": ("accounts", "small"),
     "goodput_of_ideal": ("goodput_of_ideal",),
     "fast_refusals": ("fast_refusals",),
     "wasted_share": ("work", "wasted_share"),
