Load tool: the example documents' policies as variants

Cause: the weight of cost against attainment is set differently in the two examples and its effect was not measured. Change: the examples' names are variants with their documents' policies. Before and after: none yet.

--- a/bench/load/__main__.py
+++ b/bench/load/__main__.py
@@ -11,8 +11,9 @@
   --trace FILE     Replay a recorded trace in place of a scenario.
   --record FILE    Write a scenario's arrivals as a trace with stated outcomes.
   --seed N         Seed of the arrivals; may stand several times [default: 1].
-  --variant V      own, round-robin, least-connections or own-without-MECHANISM; may
-                   stand several times [default: own].
+  --variant V      own, round-robin, least-connections, own-without-MECHANISM, or an
+                   example document, whose policies are taken; may stand several
+                   times [default: own].
   --json OUT       Where to write the result.
   --policies JSON  Fields of the document's policies, the same for every variant.
   --spread         Callers take the entries that they are told in orders of their own.
@@ -39,7 +40,7 @@
 from bench.load.scenarios import SCENARIOS, Scenario, scenario_named
 from bench.load.schedule import Arrival, arrivals_of
 from bench.load.traces import read_scenario, trace_text
-from bench.load.variants import BASELINES, MECHANISMS, OWN
+from bench.load.variants import BASELINES, EXAMPLES, MECHANISMS, OWN
 
 __all__ = ["main"]
 
@@ -51,7 +52,8 @@
     arguments = docopt(__doc__, argv)
     if arguments["--list"]:
         print("scenarios:", *(scenario.name for scenario in SCENARIOS))
-        print("variants:", OWN, *BASELINES, *(f"own-without-{m}" for m in MECHANISMS))
+        without = (f"own-without-{mechanism}" for mechanism in MECHANISMS)
+        print("variants:", OWN, *BASELINES, *EXAMPLES, *without)
         return 0
     seeds = [int(seed) for seed in arguments["--seed"]]
     if arguments["--record"]:
