--- a/boragestream/base/settings.py
+++ b/boragestream/base/settings.py
@@ -17,6 +17,7 @@
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+PeerKey = Annotated[str, msgspec.Meta(min_length=16, max_length=64)]
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
 Digest = Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
 Count = Annotated[int, msgspec.Meta(ge=1)]
@@ -37,12 +38,15 @@
 
     :ivar threads: how many requests can be in hand at once, refusals included.
     :ivar max_body_bytes: a larger request body is refused.
+    :ivar read_seconds: a request that has not arrived whole by then, and a
+        connection that was idle for as long, is closed.
     """
 
     address: str
     port: Port
     threads: Count = 192
     max_body_bytes: Count = 1_048_576
+    read_seconds: Count = 30
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +58,7 @@
 
     address: str
     port: Port
-    key: Annotated[str, msgspec.Meta(min_length=16, max_length=64)]
+    key: PeerKey = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/caller/replies.py
+++ b/boragestream/caller/replies.py
@@ -12,13 +12,25 @@
 from boragestream.caller.failures import (
     BodyTooLong,
     DeadlineAbsurd,
+    EncodingUnsupported,
+    HeaderTooLong,
     MalformedBody,
+    MalformedHeader,
+    MalformedRequest,
     MethodNotAllowed,
     PathUnknown,
     PipelineNotAllowed,
     PipelineUnknown,
     WrongKey,
 )
+from boragestream.policy.tickets import (
+    TicketExpired,
+    TicketForeign,
+    TicketForged,
+    TicketMalformed,
+    TicketNotUsed,
+    TicketReused,
+)
 
 __all__ = ["StartResponse", "json_reply", "outcome_reply", "problem"]
 
@@ -31,9 +43,20 @@
     PipelineUnknown: HTTPStatus.NOT_FOUND,
     PipelineNotAllowed: HTTPStatus.FORBIDDEN,
     DeadlineAbsurd: HTTPStatus.BAD_REQUEST,
+    DeadlinePassed: HTTPStatus.GATEWAY_TIMEOUT,
+    EncodingUnsupported: HTTPStatus.NOT_IMPLEMENTED,
+    HeaderTooLong: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     MalformedBody: HTTPStatus.BAD_REQUEST,
+    MalformedHeader: HTTPStatus.BAD_REQUEST,
+    MalformedRequest: HTTPStatus.BAD_REQUEST,
     BodyTooLong: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     AccountLimitReached: HTTPStatus.TOO_MANY_REQUESTS,
+    TicketMalformed: HTTPStatus.BAD_REQUEST,
+    TicketForged: HTTPStatus.BAD_REQUEST,
+    TicketForeign: HTTPStatus.FORBIDDEN,
+    TicketExpired: HTTPStatus.CONFLICT,
+    TicketNotUsed: HTTPStatus.CONFLICT,
+    TicketReused: HTTPStatus.UNPROCESSABLE_ENTITY,
 }
 
 
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -6,9 +6,8 @@
 from functools import partial
 
 from boragestream.backend.cancellation import Watchdog
-from boragestream.backend.connections import ConnectionKeeper
 from boragestream.base.clock import Clock, SystemClock
-from boragestream.base.events import Event, emit
+from boragestream.base.events import Event, describe_error, emit
 from boragestream.base.identifiers import new_incarnation
 from boragestream.base.metrics import open_metrics
 from boragestream.base.observations import Observations
@@ -21,6 +20,7 @@
     stop_listening,
 )
 from boragestream.caller.status import StatusPage
+from boragestream.caller.tickets import TicketCalls, ticket_calls
 from boragestream.daemon.peers import join_peers, listed_states
 from boragestream.daemon.shutdown import ExitCode, GracefulStop, KeptAnswers
 from boragestream.daemon.status import status_page
@@ -32,14 +32,24 @@
     watch_platform,
 )
 from boragestream.document import ClientAccount
+from boragestream.entry.forwarding import Forwarder
 from boragestream.entry.links import LISTENER_TASKS, PeerLinks, PeerListener
-from boragestream.entry.messages import Envelope, Probe, ProbeReply, Sender
+from boragestream.entry.messages import (
+    Envelope,
+    Probe,
+    ProbeReply,
+    RequestAsk,
+    Sender,
+    TicketAsk,
+    TicketPost,
+)
 from boragestream.platform.instances import Instance
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
 from boragestream.policy.load import LoadTable
-from boragestream.policy.routing import routing_policies
+from boragestream.policy.routing import Place
 from boragestream.policy.servers import Server, ServerTable
+from boragestream.serving.parts import make_parts
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.stage import StageRunner
 
@@ -71,7 +81,7 @@
         self._listed: tuple[Instance, ...] = ()
         self._configuration = ConfigurationInForce(settings.entry.deployment)
         self._servers = ServerTable(told=self._tell_leaving)
-        self._loads = LoadTable()
+        self._loads = LoadTable(self._clock, self._rng)
         metrics = settings.metrics
         self._observations = Observations(
             self._clock,
@@ -82,7 +92,20 @@
         self._watchdog = Watchdog(self._clock)
         self._admission = Admission(max(1, settings.caller.threads - SPARE_THREADS))
         self._tasks = ThreadPoolExecutor(TASK_THREADS, "task")
+        # Stages that run side by side wait for attempts, so that the two never share
+        # threads.
         self._attempts = ThreadPoolExecutor(ATTEMPT_THREADS, "attempt")
+        self._side_by_side = ThreadPoolExecutor(ATTEMPT_THREADS, "stage")
+        self._parts = make_parts(
+            self._servers,
+            self._loads,
+            self._attempts,
+            self._clock,
+            self._rng,
+            self._home,
+            self._observations,
+        )
+        self._servers.when_unused(self._parts.connections.forget)
         sender = Sender(
             settings.entry.deployment,
             settings.entry.name,
@@ -99,12 +122,22 @@
             self._clock,
             self._rng,
         )
+        application = self._application()
+        runs = application.tickets.runs
         self._listener = PeerListener(
             sender,
             f"{settings.peer.address}:{settings.peer.port}",
-            {Probe: self._answer_probe, **self._peers.handlers},
+            {
+                Probe: self._answer_probe,
+                **self._peers.handlers,
+                TicketPost: partial(runs.answer_post, run=application.run_ticketed),
+                TicketAsk: runs.answer_ask,
+                RequestAsk: runs.answer_request_ask,
+            },
+        )
+        self._server = create_server(
+            application, settings.caller, self._watchdog.arrivals
         )
-        self._server = create_server(self._application(), settings.caller, self._clock)
 
     @property
     def incarnation(self) -> str:
@@ -143,6 +176,7 @@
                 partial(
                     take_instances,
                     servers=self._servers,
+                    loads=self._loads,
                     take_entries=self._take_entries,
                     take_servers=self._peers.members.take_servers,
                 ),
@@ -169,7 +203,8 @@
             try:
                 task()
             except Exception as error:
-                emit(Event.TASK_FAILED, task=repr(task), error=repr(error))
+                name = getattr(task, "func", task).__qualname__
+                emit(Event.TASK_FAILED, task=name, error=describe_error(error))
                 raise
 
         self._tasks.submit(run)
@@ -198,34 +233,46 @@
         return max(self._admission.in_hand, busy_connections(self._server))
 
     def _application(self) -> Application:
-        connections = ConnectionKeeper()
-        self._servers.when_unused(connections.forget)
-        stages = StageRunner(
-            servers=self._servers,
-            loads=self._loads,
-            routing=routing_policies(self._loads, self._rng),
-            connections=connections,
-            attempts=self._attempts,
-            clock=self._clock,
-            observations=self._observations,
-        )
+        stages = StageRunner(self._parts)
         return Application(
             configuration=self._configuration,
             admission=self._admission,
-            pipelines=PipelineRunner(stages, self._attempts),
+            pipelines=PipelineRunner(stages, self._side_by_side),
             watchdog=self._watchdog,
             clock=self._clock,
             max_body_bytes=self._settings.caller.max_body_bytes,
             entries_for=self._entries_for,
             status=self._status,
+            tickets=self._ticket_calls(),
             observations=self._observations,
             operator_digests=self._settings.operator.key_digests,
         )
 
+    def _ticket_calls(self) -> TicketCalls:
+        return ticket_calls(
+            self._settings,
+            self._incarnation,
+            self._clock,
+            self._configuration,
+            Forwarder(self._links, self._peer_address, self._clock),
+            self._stopping.is_set,
+            self._kept_answers.give,
+        )
+
+    def _peer_address(self, name: str) -> str | None:
+        named = (e for e in self._entries if e.name == name and e.peer_port)
+        entry = next(named, None)
+        return f"{entry.address}:{entry.peer_port}" if entry else None
+
     def _answer_probe(self, envelope: Envelope, message: Probe) -> ProbeReply:
         current = self._configuration.current
         return ProbeReply(current.version if current else 0)
 
+    def _home(self) -> Place:
+        """Return where this entry is; its region is that of a server beside it."""
+        centre = self._settings.entry.data_centre
+        return Place(centre, self._loads.region_of(centre))
+
     def _take_entries(self, entries: tuple[Instance, ...]) -> None:
         self._listed = entries
         self._peers.members.take_entries(map(to_listed, entries))
@@ -258,4 +305,5 @@
             self._loads,
             self._entries,
             self._observations,
+            self._parts.costs,
         )
