--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -15,6 +15,7 @@
 __all__ = ["ACCOUNT", "BenchFleet", "bench_document", "caller_headers"]
 
 ACCOUNT = "bench"
+LATER_SETTINGS = ("[operator]", "key_digests", "read_seconds")
 RUN_EARLIER = (
     "import os, sys; os.chdir(sys.argv[1]); sys.path.insert(0, sys.argv[1]);"
     "from boragestream.daemon.command import main; sys.exit(main(sys.argv[2:]))"
@@ -66,7 +67,7 @@
         for name, tree in (earlier or {}).items():
             process = self.entries[name]
             settings = process.command[-1]
-            _leave_out_operator(Path(settings))
+            _leave_out_later_settings(Path(settings))
             command = [sys.executable, "-c", RUN_EARLIER, str(Path(tree)), settings]
             process.command[:] = command
 
@@ -80,8 +81,8 @@
         return ADDRESS, process.port
 
 
-def _leave_out_operator(path):
-    """Take out the one section of the settings that the first version lacks."""
+def _leave_out_later_settings(path):
+    """Take out the settings that the first version does not know."""
     lines = path.read_text().splitlines()
-    at = lines.index("[operator]")
-    path.write_text("\n".join(lines[:at] + lines[at + 2 :]))
+    kept = [line for line in lines if not line.startswith(LATER_SETTINGS)]
+    path.write_text("\n".join(kept))
--- a/boragestream/policy/ownership.py
+++ b/boragestream/policy/ownership.py
@@ -10,7 +10,7 @@
 orders are left out here.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -73,7 +73,6 @@
     def __init__(self, me: str) -> None:
         self._me = me
         self._index = 0
-        self._candidates: tuple[Candidate, ...] = ()
         self._confirmed_at: float | None = None
         self._owned_since: dict[str, float] = {}
 
@@ -109,11 +108,11 @@
         # still run; only the very next list keeps what was owned before.
         kept = self._owned_since if index <= self._index + 1 and not lapsed else {}
         self._index = index
-        self._candidates = tuple(candidates)
+        near = _by_data_centre(candidates)
         self._owned_since = {
             name: kept.get(name, answered_at)
             for name, data_centre in servers
-            if owner_of(name, data_centre, self._candidates) == self._me
+            if owner_of(name, data_centre, near(data_centre)) == self._me
         }
 
     def standing(self, server: str, now: float) -> Standing:
@@ -130,5 +129,16 @@
         return at is None or now - at >= LEASE_SECONDS
 
 
+def _by_data_centre(
+    candidates: Iterable[Candidate],
+) -> Callable[[str], list[Candidate]]:
+    """Return a look-up of the candidates that can own a data centre's servers."""
+    everybody = list(candidates)
+    centres: dict[str, list[Candidate]] = {}
+    for candidate in everybody:
+        centres.setdefault(candidate.data_centre, []).append(candidate)
+    return lambda data_centre: centres.get(data_centre, everybody)
+
+
 def _weight(server: str, candidate: Candidate) -> int:
     return xxhash.xxh64_intdigest(f"order {server} {candidate.name}".encode())
