--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -31,6 +31,7 @@
 from boragestream.document import ClientAccount
 from boragestream.document.shown import shown_document
 from boragestream.policy.admission import Admission
+from boragestream.policy.admitted import Candidate
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.request import RequestRecord, SentRecord
@@ -38,7 +39,6 @@
 __all__ = ["Application"]
 
 PIPELINES = "/v1/pipelines/"
-RETRY_SECONDS = 1.0
 
 Environ = dict[str, Any]
 Reply = Iterable[bytes]
@@ -190,15 +190,16 @@
         watched: Environ,
         run_by: float = math.inf,
     ) -> RequestRecord | Refused:
-        refused = self.admission.enter()
-        if refused is not None:
-            self._log_end(request_id, asked, arrived, refused)
-            return refused
-        scope = CancelScope(
-            arrived + asked.deadline_ms / 1000,
-            watched.get("waitress.client_disconnected"),
-            watched.get(STOP_WAITING),
+        deadline = arrived + asked.deadline_ms / 1000
+        caller_gone = watched.get("waitress.client_disconnected")
+        policies = in_force.document.policies
+        admitted = self.admission.enter(
+            Candidate(asked.account, asked.pipeline, deadline, policies, caller_gone)
         )
+        if isinstance(admitted, Refused):
+            self._log_end(request_id, asked, arrived, admitted)
+            return admitted
+        scope = CancelScope(deadline, caller_gone, watched.get(STOP_WAITING))
         request = RequestRecord(
             request_id=request_id,
             account=asked.account,
@@ -209,6 +210,7 @@
             sent=SentRecord(),
             run_by=run_by,
             ask=ask,
+            admitted=admitted,
         )
         self.watchdog.open(scope)
         return request
@@ -230,7 +232,11 @@
         asked: CallerRequest,
         arrived: float,
     ) -> Reply:
+        last = request.pipeline.stages[-1].name
+
         def ended(outcome: Outcome) -> None:
+            whole = isinstance(outcome, Answered)
+            request.admitted.end_stage(last, whole, whole)
             self._release(request)
             ending = Ending(outcome, outcome)
             account = asked.account.name
@@ -245,7 +251,7 @@
             if not opened:
                 self._release(request)
         if isinstance(answer, Failure):
-            outcome = request.outcome_of(answer, RETRY_SECONDS)
+            outcome = request.outcome_of(answer, self._retry_after(request))
             self._log_end(request.request_id, asked, arrived, outcome)
             return outcome_reply(start_response, outcome, request.request_id)
         headers = [
@@ -254,28 +260,32 @@
             ("X-Request-Id", request.request_id),
         ]
         start_response("200 OK", headers)
-        return StreamedReply(answer, request, ended)
+        return StreamedReply(answer, request, ended, self._retry_after)
 
     def _conclude(self, request: RequestRecord, result: Any) -> Ending:
         if isinstance(result, Failure):
-            failed = request.outcome_of(result, RETRY_SECONDS)
+            failed = request.outcome_of(result, self._retry_after(request))
             return Ending(failed, failed)
         answered = Answered(result)
         if self.clock.now() < request.scope.deadline:
             return Ending(answered, answered)
         request.scope.check(self.clock.now())
-        late = request.outcome_of(request.scope.reason, RETRY_SECONDS)
+        late = request.outcome_of(request.scope.reason, self._retry_after(request))
         return Ending(late, answered)
 
     def _release(self, request: RequestRecord) -> None:
         self.watchdog.close(request.scope)
-        self.admission.leave()
+        self.admission.leave(request.admitted)
+
+    def _retry_after(self, request: RequestRecord) -> float:
+        return self.admission.retry_after(request.pipeline)
 
     def _refuse(
         self, start_response: StartResponse, request_id: str, failure: Failure
     ) -> Reply:
         worth_retrying = isinstance(failure, NoConfiguration)
-        outcome = Refused(failure, RETRY_SECONDS if worth_retrying else None)
+        retry_after = self.admission.retry_unknown() if worth_retrying else None
+        outcome = Refused(failure, retry_after)
         return outcome_reply(start_response, outcome, request_id)
 
     def _log_end(
--- /dev/null
+++ b/boragestream/entry/demand.py
@@ -0,0 +1,153 @@
+"""Load and account demand on the exchange between entries.
+
+Each message carries the sender's own report and, as room allows, the youngest reports
+of others that it has not passed on yet in this turn. What the reports mean is left to
+``policy.demand`` and its users.
+"""
+
+import itertools
+import threading
+from collections.abc import Callable
+
+import msgspec
+
+from boragestream.base.events import Event, emit
+from boragestream.policy.demand import AccountDemand, DemandTable, EntryReport
+
+__all__ = ["DemandPart"]
+
+MAX_ACCOUNTS = 24
+RATE_UNITS = 100
+LOAD_UNITS = 100
+
+PackedAccount = tuple[int, int, int, int, int]
+
+
+class PackedReport(msgspec.Struct, frozen=True, array_like=True):
+    """A report on the wire.
+
+    :ivar age_ms: how old it is.
+    :ivar load: in hundredths.
+    :ivar accounts: key, rate and held rate in hundredths, slots and held slots.
+    """
+
+    age_ms: int
+    entry: str
+    incarnation: str
+    sequence: int
+    load: int
+    accounts: tuple[PackedAccount, ...] = ()
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(tuple[PackedReport, ...])
+
+
+class DemandPart:
+    """The part of the exchange that carries reports.
+
+    :param own: this entry's name.
+    :param table: the reports of the other entries.
+    :param demands: returns this entry's own demand by account key.
+    :param load: returns this entry's own load.
+    """
+
+    name = "d"
+
+    def __init__(
+        self,
+        own: str,
+        incarnation: str,
+        table: DemandTable,
+        demands: Callable[[], dict[int, AccountDemand]],
+        load: Callable[[], float],
+    ) -> None:
+        self._own = own
+        self._incarnation = incarnation
+        self._table = table
+        self._demands = demands
+        self._load = load
+        self._sequence = itertools.count(1)
+        self._passed_on: dict[str, int] = {}
+        self._lock = threading.Lock()
+
+    def offer(self, budget: int) -> bytes:
+        """Return the own report and as many of the others' as there is room for."""
+        accounts = self._demands()
+        busiest = sorted(accounts, key=lambda key: -accounts[key].rate)[:MAX_ACCOUNTS]
+        own = EntryReport(
+            self._own,
+            self._incarnation,
+            next(self._sequence),
+            self._load(),
+            {key: accounts[key] for key in busiest},
+        )
+        packed = [_pack(own, 0.0)]
+        left = budget - len(_encoder.encode(packed))
+        if left < 0:
+            return b""
+        with self._lock:
+            for age, report in self._by_turn():
+                one = _pack(report, age)
+                size = len(_encoder.encode(one))
+                if size <= left:
+                    packed.append(one)
+                    left -= size
+                    self._passed_on[report.entry] = report.sequence
+        return _encoder.encode(packed)
+
+    def take(self, sender: str, data: bytes) -> None:
+        """Take the reports that a peer offered."""
+        try:
+            reports = _decoder.decode(data)
+        except msgspec.DecodeError as error:
+            emit(Event.PEER_FRAME_REFUSED, peer=sender, reason=repr(error))
+            return
+        for packed in reports:
+            self._table.take(_unpack(packed), packed.age_ms / 1000)
+
+    def _by_turn(self) -> list[tuple[float, EntryReport]]:
+        """Return the others' reports: those not passed on yet first, youngest first."""
+        fresh = self._table.fresh()
+        return sorted(
+            fresh.values(),
+            key=lambda aged: (
+                self._passed_on.get(aged[1].entry) == aged[1].sequence,
+                aged[0],
+            ),
+        )
+
+
+def _pack(report: EntryReport, age: float) -> PackedReport:
+    accounts = tuple(
+        (
+            key,
+            round(demand.rate * RATE_UNITS),
+            round(demand.held_rate * RATE_UNITS),
+            demand.slots,
+            demand.held_slots,
+        )
+        for key, demand in report.accounts.items()
+    )
+    return PackedReport(
+        round(age * 1000),
+        report.entry,
+        report.incarnation,
+        report.sequence,
+        round(report.load * LOAD_UNITS),
+        accounts,
+    )
+
+
+def _unpack(packed: PackedReport) -> EntryReport:
+    accounts = {
+        key: AccountDemand(rate / RATE_UNITS, slots, held / RATE_UNITS, held_slots)
+        for key, rate, held, slots, held_slots in packed.accounts
+    }
+    return EntryReport(
+        packed.entry,
+        packed.incarnation,
+        packed.sequence,
+        packed.load / LOAD_UNITS,
+        accounts,
+    )
--- a/tests/features/steps/serving_request.py
+++ b/tests/features/steps/serving_request.py
@@ -24,6 +24,6 @@
 
 @then('a failure of the request ends as "{outcome}"')
 def step(context, outcome):
-    request = RequestRecord("r-1", None, None, None, None, None, context.sent)
+    request = RequestRecord("r-1", *[None] * 5, context.sent, None)
     ended = request.outcome_of(NoLiveServer("member-ledger"), 1.0)
     assert type(ended).__name__.lower() == outcome, ended
