--- a/bench/streaming.py
+++ b/bench/streaming.py
@@ -29,7 +29,7 @@
 from docopt import docopt
 
 from bench.deployment import BenchFleet, bench_document, caller_headers
-from bench.usage import quantile, used_seconds, write_result
+from bench.usage import quantile, resident_bytes, used_seconds, write_result
 
 ENGINES = 4
 CALLERS = 4
@@ -88,14 +88,16 @@
         command = [sys.executable, "-m", "bench.stream_caller", text]
         processes.append(subprocess.Popen(command, stdout=subprocess.PIPE))
     used = 0.0
+    resident = 0
     if not direct:
         pid = fleet.entries[kind].popen.pid
         time.sleep(max(0.0, begin - time.monotonic()))
         before = used_seconds(pid)
         time.sleep(max(0.0, end - time.monotonic()))
         used = used_seconds(pid) - before
+        resident = resident_bytes(pid)
     seen = [json.loads(process.communicate()[0]) for process in processes]
-    return summarise(seen, used, seconds)
+    return {**summarise(seen, used, seconds), "resident_bytes": resident}
 
 
 def summarise(seen, used, seconds):
