--- a/boragestream/entry/links.py
+++ b/boragestream/entry/links.py
@@ -40,7 +40,9 @@
 IDLE_SOCKETS = 2
 NEVER_MS = -1
 RECONNECT_MIN_MS = 50
-RECONNECT_MAX_MS = 1000
+# Idle sockets to a region that is out of reach must not dial all the time; a question
+# that fails closes its socket, so that the next one dials at once.
+RECONNECT_MAX_MS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
