--- a/boragestream/base/settings.py
+++ b/boragestream/base/settings.py
@@ -17,7 +17,7 @@
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
-PeerKey = Annotated[str, msgspec.Meta(min_length=16, max_length=64)]
+PeerKey = Annotated[str, msgspec.Meta(pattern="^[!-~]{16,64}$")]
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
 Digest = Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
 Count = Annotated[int, msgspec.Meta(ge=1)]
@@ -49,16 +49,34 @@
     read_seconds: Count = 30
 
 
+@dataclass(frozen=True, slots=True)
+class PeerTlsSettings:
+    """The files of TLS between entries, in PEM.
+
+    :ivar certificate: this entry's certificate, issued for the deployment's name.
+    :ivar private_key: its private key.
+    :ivar authority: the certificate of the deployment's own authority.
+    """
+
+    certificate: str
+    private_key: str
+    authority: str
+
+
 @dataclass(frozen=True, slots=True)
 class PeerSettings:
     """Where other entries reach this entry.
 
     :ivar key: the deployment's peer key, the same on every entry.
+    :ivar also_accepted: other keys whose messages are taken, during a change of keys.
+    :ivar tls: links are in clear, though authenticated, where it is missing.
     """
 
     address: str
     port: Port
     key: PeerKey = field(repr=False)
+    also_accepted: tuple[PeerKey, ...] = field(default=(), repr=False)
+    tls: PeerTlsSettings | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/daemon/command.py
+++ b/boragestream/daemon/command.py
@@ -6,6 +6,9 @@
 
 SETTINGS is a TOML file. SIGTERM begins a graceful shutdown; a second one ends the
 process at once.
+
+Exit codes: 0 after a graceful shutdown, 2 unusable settings, 3 ended at once, 4 an
+address of the settings can't be listened on.
 """
 
 import os
@@ -13,16 +16,20 @@
 import sys
 from pathlib import Path
 
+import pynng
 from absl import logging
 from docopt import docopt
 
 from boragestream.base.settings import read_settings
+from boragestream.base.shapes import Fault
 from boragestream.daemon.entry import Entry
+from boragestream.entry.tls import load_peer_tls
 
 __all__ = ["main"]
 
 EXIT_SETTINGS = 2
 EXIT_CUT = 3
+EXIT_ADDRESS = 4
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -30,13 +37,20 @@
     arguments = docopt(__doc__, argv)
     settings, faults = read_settings(Path(arguments["SETTINGS"]))
     if settings is None:
-        for fault in faults:
-            print(fault.describe(), file=sys.stderr)
-        return EXIT_SETTINGS
+        return _refuse(faults)
+    peer_tls = None
+    if settings.peer.tls is not None:
+        peer_tls = load_peer_tls(settings.peer.tls, settings.entry.deployment)
+        if isinstance(peer_tls, Fault):
+            return _refuse([peer_tls])
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold("info")
-    entry = Entry(settings)
+    try:
+        entry = Entry(settings, peer_tls)
+    except (OSError, pynng.NNGException) as error:
+        print(f"can't listen: {error}", file=sys.stderr)
+        return EXIT_ADDRESS
     signals = iter([entry.stop])
 
     def on_signal(*_: object) -> None:
@@ -54,5 +68,11 @@
     os._exit(0)
 
 
+def _refuse(faults: list[Fault]) -> int:
+    for fault in faults:
+        print(fault.describe(), file=sys.stderr)
+    return EXIT_SETTINGS
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -28,6 +28,7 @@
 from boragestream.document import ClientAccount
 from boragestream.entry.links import LISTENER_TASKS, PeerLinks, PeerListener
 from boragestream.entry.messages import Envelope, Probe, ProbeReply, Sender
+from boragestream.entry.tls import PeerTls
 from boragestream.platform.instances import Instance
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
@@ -50,10 +51,17 @@
     """One entry daemon.
 
     :param settings: its settings.
+    :param peer_tls: TLS towards other entries; None for links in clear.
     :param clock: the clock of all its decisions.
+    :raises OSError, pynng.NNGException: where an address can't be listened on.
     """
 
-    def __init__(self, settings: Settings, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        peer_tls: PeerTls | None = None,
+        clock: Clock | None = None,
+    ) -> None:
         self._settings = settings
         self._clock = clock or SystemClock()
         self._incarnation = new_incarnation()
@@ -79,8 +87,9 @@
             settings.entry.name,
             self._incarnation,
             settings.peer.key.encode(),
+            tuple(key.encode() for key in settings.peer.also_accepted),
         )
-        self._links = PeerLinks(sender)
+        self._links = PeerLinks(sender, peer_tls)
         self._peers = join_peers(
             settings.entry,
             self._incarnation,
@@ -94,6 +103,7 @@
             sender,
             f"{settings.peer.address}:{settings.peer.port}",
             {Probe: self._answer_probe, **self._peers.handlers},
+            peer_tls,
         )
         self._server = create_server(self._application(), settings.caller)
 
--- a/boragestream/entry/links.py
+++ b/boragestream/entry/links.py
@@ -22,6 +22,7 @@
     open_envelope,
     seal,
 )
+from boragestream.entry.tls import PeerTls
 
 __all__ = [
     "LISTENER_TASKS",
@@ -62,14 +63,20 @@
     code: str
 
 
+def _url(address: str, tls: PeerTls | None) -> str:
+    return f"tls+tcp://{address}" if tls else f"tcp://{address}"
+
+
 class PeerLinks:
     """Sockets to other entries, one for each peer that was asked.
 
     :param sender: who this entry is.
+    :param tls: None for links in clear.
     """
 
-    def __init__(self, sender: Sender) -> None:
+    def __init__(self, sender: Sender, tls: PeerTls | None = None) -> None:
         self._sender = sender
+        self._tls = tls
         self._sockets: dict[str, pynng.Req0] = {}
         self._lock = threading.Lock()
 
@@ -119,8 +126,9 @@
                     reconnect_time_min=RECONNECT_MIN_MS,
                     reconnect_time_max=RECONNECT_MAX_MS,
                     recv_max_size=MAX_MESSAGE_BYTES,
+                    tls_config=self._tls.dialling if self._tls else None,
                 )
-                sock.dial(f"tcp://{address}", block=False)
+                sock.dial(_url(address, self._tls), block=False)
                 self._sockets[address] = sock
         return sock
 
@@ -131,15 +139,23 @@
     :param sender: who this entry is.
     :param address: ``address:port`` to listen on.
     :param handlers: what answers each type of message.
+    :param tls: None for links in clear.
     """
 
     def __init__(
-        self, sender: Sender, address: str, handlers: Mapping[type, Handler]
+        self,
+        sender: Sender,
+        address: str,
+        handlers: Mapping[type, Handler],
+        tls: PeerTls | None = None,
     ) -> None:
         self._sender = sender
         self._handlers = handlers
-        self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
-        self._socket.listen(f"tcp://{address}")
+        self._socket = pynng.Rep0(
+            recv_max_size=MAX_MESSAGE_BYTES,
+            tls_config=tls.listening if tls else None,
+        )
+        self._socket.listen(_url(address, tls))
 
     def run(self) -> None:
         """Answer one message after the other until ``close``; one task of several."""
--- a/boragestream/entry/messages.py
+++ b/boragestream/entry/messages.py
@@ -164,12 +164,14 @@
     """Who sends.
 
     :ivar key: the deployment's peer key.
+    :ivar also_accepted: keys that are accepted beside it while the key is changed.
     """
 
     deployment: str
     name: str
     incarnation: str
     key: bytes = field(repr=False)
+    also_accepted: tuple[bytes, ...] = field(default=(), repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,14 +221,7 @@
         return MessageRefused("another protocol version")
     if envelope.deployment != receiver.deployment:
         return MessageRefused("another deployment")
-    mac = _mac(
-        receiver.key,
-        envelope.deployment,
-        envelope.sender,
-        envelope.incarnation,
-        envelope.body,
-    )
-    if not hmac.compare_digest(mac, envelope.mac):
+    if not _is_authentic(receiver, envelope):
         return MessageRefused("another key")
     try:
         return envelope, _messages.decode(envelope.body)
@@ -234,6 +229,20 @@
         return MessageRefused("not a known message")
 
 
+def _is_authentic(receiver: Sender, envelope: Envelope) -> bool:
+    for key in (receiver.key, *receiver.also_accepted):
+        mac = _mac(
+            key,
+            envelope.deployment,
+            envelope.sender,
+            envelope.incarnation,
+            envelope.body,
+        )
+        if hmac.compare_digest(mac, envelope.mac):
+            return True
+    return False
+
+
 def _mac(key: bytes, *parts: str | bytes) -> bytes:
     mac = hashlib.blake2b(key=key, digest_size=MAC_BYTES)
     for part in parts:
--- /dev/null
+++ b/boragestream/entry/tls.py
@@ -0,0 +1,48 @@
+"""TLS for the links between entries, beside the authentication of each message.
+
+Both sides show a certificate of the deployment's own authority, issued for the
+deployment's name; addresses are IP numbers and change, so that no name of a machine
+is checked. Issuing certificates is left to the operators.
+"""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import pynng
+
+from boragestream.base.settings import PeerTlsSettings
+from boragestream.base.shapes import Fault
+
+__all__ = ["PeerTls", "load_peer_tls"]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerTls:
+    """The two sides' configurations, shared by all sockets of an entry."""
+
+    dialling: pynng.TLSConfig
+    listening: pynng.TLSConfig
+
+
+def load_peer_tls(settings: PeerTlsSettings, deployment: str) -> PeerTls | Fault:
+    """Read the certificate files.
+
+    :param deployment: the name that a peer's certificate must carry.
+    """
+    try:
+        files = {
+            "own_cert_string": Path(settings.certificate).read_text(),
+            "own_key_string": Path(settings.private_key).read_text(),
+            "ca_string": Path(settings.authority).read_text(),
+        }
+        client, server = pynng.TLSConfig.MODE_CLIENT, pynng.TLSConfig.MODE_SERVER
+        required = pynng.TLSConfig.AUTH_MODE_REQUIRED
+        return PeerTls(
+            pynng.TLSConfig(
+                client, server_name=deployment, auth_mode=required, **files
+            ),
+            pynng.TLSConfig(server, auth_mode=required, **files),
+        )
+    except (OSError, UnicodeDecodeError, pynng.NNGException) as error:
+        # The text of an error could quote a file.
+        return Fault("peer.tls", type(error).__name__)
