--- a/boragestream/caller/protocol.py
+++ b/boragestream/caller/protocol.py
@@ -24,7 +24,7 @@
 )
 from boragestream.caller.replies import problem
 
-__all__ = ["StrictChannel"]
+__all__ = ["StrictChannel", "StrictParser"]
 
 PROBLEM_TYPE = "application/problem+json"
 FOLDED_LINE = re.compile(rb"\r\n[ \t]")
@@ -51,7 +51,7 @@
         return status, headers, msgspec.json.encode(report, enc_hook=str)
 
 
-class _StrictParser(HTTPRequestParser):
+class StrictParser(HTTPRequestParser):
     """Refuses what has two readings, and answers with problem documents."""
 
     def received(self, data: bytes) -> int:
@@ -75,7 +75,7 @@
 class StrictChannel(DirectChannel):
     """A caller's connection; a request that is slow to arrive closes it."""
 
-    parser_class = _StrictParser
+    parser_class = StrictParser
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         self._began: float | None = None
--- a/boragestream/caller/server.py
+++ b/boragestream/caller/server.py
@@ -4,26 +4,35 @@
 from typing import Any
 
 import waitress
+from waitress import wasyncore
 from waitress.server import BaseWSGIServer
 
+from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, emit
 from boragestream.base.settings import CallerSettings
-from boragestream.caller.protocol import StrictChannel
+from boragestream.caller.connections import CallerConnection
 
-__all__ = ["create_server"]
+__all__ = ["busy_connections", "create_server", "leave", "stop_listening"]
 
 MAX_HEADER_BYTES = 16384
 SPARE_CONNECTIONS = 512
+# What is written and not yet read by a caller before its stream waits.
+UNREAD_BYTES = 262_144
+BACKLOG = 1024
 CLEANUP_SECONDS = 1
 # Instances have no disks: nothing is ever spooled to a file.
 NEVER_SPOOLED_BYTES = 1 << 40
 
 
-def create_server(application: Any, settings: CallerSettings) -> BaseWSGIServer:
+def create_server(
+    application: Any, settings: CallerSettings, clock: Clock | None = None
+) -> BaseWSGIServer:
     """Return a server bound to the address of the settings, not yet running.
 
     Request lookahead is on, so that an application can learn that its caller has
     closed the connection.
+
+    :param clock: tells when requests arrive.
     """
     _send_complaints_to_events()
     server = waitress.create_server(
@@ -31,6 +40,7 @@
         host=settings.address,
         port=settings.port,
         threads=settings.threads,
+        backlog=BACKLOG,
         connection_limit=settings.threads + SPARE_CONNECTIONS,
         channel_request_lookahead=1,
         channel_timeout=settings.read_seconds,
@@ -40,14 +50,39 @@
         max_request_body_size=settings.max_body_bytes + 1,
         inbuf_overflow=NEVER_SPOOLED_BYTES,
         outbuf_overflow=NEVER_SPOOLED_BYTES,
+        outbuf_high_watermark=UNREAD_BYTES,
         ident="boragestream",
         clear_untrusted_proxy_headers=True,
         asyncore_use_poll=True,
     )
-    server.channel_class = StrictChannel
+    server.channel_class = CallerConnection
+    server.clock = clock or SystemClock()
+    server.leaving = False
     return server
 
 
+def leave(server: BaseWSGIServer) -> None:
+    """Close each kept connection with its next answer."""
+    server.leaving = True
+
+
+def stop_listening(server: BaseWSGIServer) -> None:
+    """Accept what has connected already and refuse further connections."""
+
+    def accept_and_close() -> None:
+        for _ in range(BACKLOG):
+            server.handle_accept()
+        wasyncore.dispatcher.close(server)
+
+    server.trigger.pull_trigger(accept_and_close)
+
+
+def busy_connections(server: BaseWSGIServer) -> int:
+    """Return how many connections have a request that is not answered whole."""
+    channels = list(server.active_channels.values())
+    return sum(channel.busy for channel in channels)
+
+
 class _ComplaintHandler(logging.Handler):
     """Emits an event for what waitress logs.
 
--- a/boragestream/daemon/command.py
+++ b/boragestream/daemon/command.py
@@ -5,15 +5,15 @@
   boragestream-entry --help
 
 SETTINGS is a TOML file. SIGTERM begins a graceful shutdown; a second one ends the
-process at once.
-
-Exit codes: 0 after a graceful shutdown, 2 unusable settings, 3 ended at once, 4 an
-address of the settings can't be listened on.
+process at once. Exit codes: 0 everything was answered, 2 the settings are invalid,
+3 ended by a second signal, 4 the stop limit was reached,
+5 an address of the settings can't be listened on.
 """
 
 import os
 import signal
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pynng
@@ -23,13 +23,12 @@
 from boragestream.base.settings import read_settings
 from boragestream.base.shapes import Fault
 from boragestream.daemon.entry import Entry
+from boragestream.daemon.shutdown import ExitCode
 from boragestream.entry.tls import load_peer_tls
 
 __all__ = ["main"]
 
-EXIT_SETTINGS = 2
-EXIT_CUT = 3
-EXIT_ADDRESS = 4
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -46,32 +45,32 @@
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold("info")
+    # Blocked in every thread and taken by one alone, so that a stop never interrupts
+    # a thread that holds a lock which the stop needs.
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
     try:
         entry = Entry(settings, peer_tls)
     except (OSError, pynng.NNGException) as error:
         print(f"can't listen: {error}", file=sys.stderr)
-        return EXIT_ADDRESS
-    signals = iter([entry.stop])
-
-    def on_signal(*_: object) -> None:
-        stop = next(signals, None)
-        if stop is None:
-            os._exit(EXIT_CUT)
-        stop()
-
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
-    entry.run()
+        return ExitCode.ADDRESS
+    ThreadPoolExecutor(1, "signals").submit(_take_signals, entry)
+    code = entry.run()
     # Threads still blocked in a watch hold nothing; waiting for them would only
     # delay the end.
     sys.stdout.flush()
-    os._exit(0)
+    os._exit(code)
+
+
+def _take_signals(entry: Entry) -> None:
+    while True:
+        signal.sigwait(STOP_SIGNALS)
+        entry.stop()
 
 
 def _refuse(faults: list[Fault]) -> int:
     for fault in faults:
         print(fault.describe(), file=sys.stderr)
-    return EXIT_SETTINGS
+    return ExitCode.SETTINGS
 
 
 if __name__ == "__main__":
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -6,7 +6,6 @@
 from functools import partial
 
 from boragestream.backend.cancellation import Watchdog
-from boragestream.backend.connections import ConnectionKeeper
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, describe_error, emit
 from boragestream.base.identifiers import new_incarnation
@@ -14,13 +13,19 @@
 from boragestream.base.observations import Observations
 from boragestream.base.settings import Settings
 from boragestream.caller.application import Application
-from boragestream.caller.server import create_server
+from boragestream.caller.server import (
+    busy_connections,
+    create_server,
+    leave,
+    stop_listening,
+)
 from boragestream.caller.status import StatusPage
 from boragestream.daemon.peers import join_peers, listed_states
+from boragestream.daemon.shutdown import ExitCode, GracefulStop, KeptAnswers
 from boragestream.daemon.status import status_page
 from boragestream.daemon.tasks import (
-    take_document,
     take_instances,
+    take_published,
     to_leaving,
     to_listed,
     watch_platform,
@@ -33,8 +38,9 @@
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
 from boragestream.policy.load import LoadTable
-from boragestream.policy.routing import routing_policies
+from boragestream.policy.routing import Place
 from boragestream.policy.servers import Server, ServerTable
+from boragestream.serving.parts import make_parts
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.stage import StageRunner
 
@@ -44,7 +50,6 @@
 # Threads beyond the requests in hand answer refusals and small questions at once.
 SPARE_THREADS = 32
 TASK_THREADS = 24
-STOP_CHECK_SECONDS = 0.05
 
 
 class Entry:
@@ -66,11 +71,15 @@
         self._clock = clock or SystemClock()
         self._incarnation = new_incarnation()
         self._rng = random.Random()
-        self._stopping = threading.Event()
+        self._stop = GracefulStop(settings.stop, self._clock)
+        self._stopping = self._stop.begun
+        # While it stops, an entry still hears which servers leave.
+        self._ended = threading.Event()
+        self._kept_answers = KeptAnswers(self._clock)
         self._listed: tuple[Instance, ...] = ()
         self._configuration = ConfigurationInForce(settings.entry.deployment)
         self._servers = ServerTable(told=self._tell_leaving)
-        self._loads = LoadTable()
+        self._loads = LoadTable(self._clock, self._rng)
         metrics = settings.metrics
         self._observations = Observations(
             self._clock,
@@ -81,7 +90,20 @@
         self._watchdog = Watchdog(self._clock)
         self._admission = Admission(max(1, settings.caller.threads - SPARE_THREADS))
         self._tasks = ThreadPoolExecutor(TASK_THREADS, "task")
+        # Stages that run side by side wait for attempts, so that the two never share
+        # threads.
         self._attempts = ThreadPoolExecutor(ATTEMPT_THREADS, "attempt")
+        self._side_by_side = ThreadPoolExecutor(ATTEMPT_THREADS, "stage")
+        self._parts = make_parts(
+            self._servers,
+            self._loads,
+            self._attempts,
+            self._clock,
+            self._rng,
+            self._home,
+            self._observations,
+        )
+        self._servers.when_unused(self._parts.connections.forget)
         sender = Sender(
             settings.entry.deployment,
             settings.entry.name,
@@ -105,14 +127,14 @@
             {Probe: self._answer_probe, **self._peers.handlers},
             peer_tls,
         )
-        self._server = create_server(self._application(), settings.caller)
+        self._server = create_server(self._application(), settings.caller, self._clock)
 
     @property
     def incarnation(self) -> str:
         """This life of the entry."""
         return self._incarnation
 
-    def run(self) -> None:
+    def run(self) -> ExitCode:
         """Serve until ``stop`` is called, then finish what is in hand."""
         platform = self._settings.platform
         self._start(self._watchdog.run)
@@ -123,10 +145,14 @@
                 "/v1/document",
                 platform.watch_seconds,
                 partial(
-                    take_document, configuration=self._configuration, source="platform"
+                    take_published,
+                    configuration=self._configuration,
+                    before_first=partial(
+                        self._peers.first_word.wait, self._clock, self._stopping
+                    ),
                 ),
                 Event.CONFIGURATION_UNREACHABLE,
-                self._stopping,
+                self._ended,
                 self._rng,
                 self._peers.duty,
             )
@@ -140,11 +166,12 @@
                 partial(
                     take_instances,
                     servers=self._servers,
+                    loads=self._loads,
                     take_entries=self._take_entries,
                     take_servers=self._peers.members.take_servers,
                 ),
                 Event.INSTANCES_UNREACHABLE,
-                self._stopping,
+                self._ended,
                 self._rng,
             )
         )
@@ -155,11 +182,11 @@
         name = self._settings.entry.name
         emit(Event.ENTRY_STARTED, entry=name, incarnation=self._incarnation)
         self._stopping.wait()
-        self._finish()
+        return self._finish()
 
     def stop(self) -> None:
-        """Begin the graceful shutdown; safe in a signal handler."""
-        self._stopping.set()
+        """Begin the graceful shutdown; a second call ends it."""
+        self._stop.signal()
 
     def _start(self, task: partial) -> None:
         def run() -> None:
@@ -172,42 +199,35 @@
 
         self._tasks.submit(run)
 
-    def _finish(self) -> None:
+    def _finish(self) -> ExitCode:
         """Serve callers with older answers, finish what is in hand, then end."""
-        stop = self._settings.stop
         emit(Event.ENTRY_LEAVING, in_hand=self._admission.in_hand)
         self._peers.members.leave()
-        began = self._clock.now()
-        linger_until = began + stop.linger_seconds
-        limit = began + stop.limit_seconds
-        while self._clock.now() < limit:
-            lingering = self._clock.now() < linger_until
-            if not lingering and self._admission.in_hand == 0:
-                break
-            threading.Event().wait(STOP_CHECK_SECONDS)
-        else:
-            emit(Event.STOP_LIMIT_REACHED, in_hand=self._admission.in_hand)
+        leave(self._server)
+        current = self._configuration.current
+        keep = current.document.policies.answer_keep_seconds if current else 0.0
+        code = self._stop.finish(
+            self._stop.linger_until(self._kept_answers.until, keep),
+            partial(stop_listening, self._server),
+            self._in_progress,
+        )
+        self._ended.set()
         self._admission.close()
         self._watchdog.stop()
         self._peers.members.exchange.close()
         self._listener.close()
-        self._server.close()
-        emit(Event.ENTRY_STOPPED)
+        emit(Event.ENTRY_STOPPED, exit_code=int(code))
+        return code
+
+    def _in_progress(self) -> int:
+        return max(self._admission.in_hand, busy_connections(self._server))
 
     def _application(self) -> Application:
-        stages = StageRunner(
-            servers=self._servers,
-            loads=self._loads,
-            routing=routing_policies(self._loads, self._rng),
-            connections=ConnectionKeeper(),
-            attempts=self._attempts,
-            clock=self._clock,
-            observations=self._observations,
-        )
+        stages = StageRunner(self._parts)
         return Application(
             configuration=self._configuration,
             admission=self._admission,
-            pipelines=PipelineRunner(stages, self._attempts),
+            pipelines=PipelineRunner(stages, self._side_by_side),
             watchdog=self._watchdog,
             clock=self._clock,
             max_body_bytes=self._settings.caller.max_body_bytes,
@@ -221,6 +241,11 @@
         current = self._configuration.current
         return ProbeReply(current.version if current else 0)
 
+    def _home(self) -> Place:
+        """Return where this entry is; its region is that of a server beside it."""
+        centre = self._settings.entry.data_centre
+        return Place(centre, self._loads.region_of(centre))
+
     def _take_entries(self, entries: tuple[Instance, ...]) -> None:
         self._listed = entries
         self._peers.members.take_entries(map(to_listed, entries))
@@ -239,6 +264,7 @@
             if e.state == "live"
         ]
         keep = in_force.document.policies.answer_keep_seconds
+        self._kept_answers.give(keep)
         return {"entries": usable, "keep_seconds": keep}
 
     def _status(self) -> StatusPage:
@@ -252,4 +278,5 @@
             self._loads,
             self._entries,
             self._observations,
+            self._parts.costs,
         )
--- a/tests/features/entry_links.feature
+++ b/tests/features/entry_links.feature
@@ -16,3 +16,17 @@
       | deployment  | key                       |
       | consortium  | peer-key-of-the-tests     |
       | cooperative | another-key-another-key   |
+
+  Scenario: a question to a silent peer ends
+    When a peer is asked that accepts connections and stays silent
+    Then the question ends as "peer-unreachable"
+
+  Scenario Outline: a question to a peer that stays silent ends in its time
+    Given a peer that <does> and answers nothing
+    When it is probed twice from one link
+    Then both questions end as unreachable
+
+    Examples:
+      | does                 |
+      | only takes connections |
+      | hears messages       |
--- a/tests/features/steps/entry_tls.py
+++ b/tests/features/steps/entry_tls.py
@@ -78,7 +78,7 @@
 def step(context, text):
     path = Path(tempfile.mkdtemp(prefix="boragestream-tls-")) / "file"
     path.write_text(text)
-    context.text = text
+    context.secret = text
     context.tls_settings = PeerTlsSettings(*[str(path)] * 3)
 
 
@@ -87,7 +87,7 @@
     fault = load_peer_tls(context.tls_settings, "cooperative")
     assert isinstance(fault, Fault), fault
     assert fault.place == place
-    assert context.text not in fault.describe()
+    assert context.secret not in fault.describe()
 
 
 @given('an entry with the key "{key}" that accepts "{other}"')
