The command line and traces make calls under tickets; a wrong method is told

Cause: call and replay could not use tickets; a wrong method on /v1/tickets ended in an unexpected error (the failure no longer takes the method), found by a new case that failed first; an unexpected error named a path to ask that no entry knows.

--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -73,7 +73,7 @@
         except Exception as error:
             emit(Event.REQUEST_BROKEN, request=request_id, error=describe_error(error))
             # What may have run is not known here.
-            outcome = Unknown(EntryBroken(), f"/v1/requests/{request_id}")
+            outcome = Unknown(EntryBroken(), self.tickets.ask_path(request_id))
             return outcome_reply(start_response, outcome, request_id)
 
     def _answer(
--- a/boragestream/caller/tickets.py
+++ b/boragestream/caller/tickets.py
@@ -114,7 +114,7 @@
         path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
         wanted = "POST" if path == TICKETS_PATH else "GET"
         if method != wanted:
-            return _refuse(start_response, request_id, MethodNotAllowed(method))
+            return _refuse(start_response, request_id, MethodNotAllowed())
         if in_force is None:
             return _refuse(start_response, request_id, NoConfiguration())
         account = find_account(environ, in_force)
--- a/boragestream/operator/command.py
+++ b/boragestream/operator/command.py
@@ -8,7 +8,7 @@
   boragestream status --entry=LIST [--key-file=FILE] [--json]
   boragestream entries --entry=LIST [--key-file=FILE] [--json]
   boragestream call PIPELINE (TEXT | --input=FILE) --entry=LIST [--key-file=FILE]
-                    [--deadline=MS] [--stream] [--json]
+                    [--deadline=MS] [--stream | --once] [--json]
   boragestream replay TRACE --entry=LIST --keys=FILE [--speed=FACTOR]
                       [--callers=N] [--results=FILE] [--json]
   boragestream report FILE... [--json]
@@ -32,6 +32,7 @@
   --input=FILE      The request's input as JSON; - for standard input.
   --deadline=MS     Milliseconds that the request has; the pipeline's own without.
   --stream          Ask for a streamed answer and print tokens as they come.
+  --once            Call under a ticket, so that it runs at most once.
   --speed=FACTOR    2 replays twice as fast as recorded [default: 1].
   --callers=N       The most requests of a replay in hand at once [default: 128].
   --results=FILE    Write each request's result as a line of JSON.
@@ -140,8 +141,15 @@
             print_failure(fault, arguments["--json"])
             return ExitCode.USAGE
     pipeline = arguments["PIPELINE"]
-    stream = arguments["--stream"]
-    return call_pipeline(client, pipeline, body, deadline, stream, arguments["--json"])
+    return call_pipeline(
+        client,
+        pipeline,
+        body,
+        deadline,
+        arguments["--stream"],
+        arguments["--once"],
+        arguments["--json"],
+    )
 
 
 def _replay(arguments: Arguments) -> ExitCode:
--- a/boragestream/operator/replay.py
+++ b/boragestream/operator/replay.py
@@ -16,10 +16,13 @@
 from boragestream.operator.output import print_failure, print_json
 from boragestream.operator.report import Report, make_report, markdown
 from boragestream.operator.results import LOST, RequestResult, write_results
+from boragestream.operator.tickets import call_once
 from boragestream.operator.trace import TraceLine, read_trace
 
 __all__ = ["ReplayOptions", "replay_file", "replay_trace"]
 
+LONGEST_MS = 60_000
+
 
 @dataclass(frozen=True, slots=True)
 class ReplayOptions:
@@ -84,11 +87,18 @@
 def _send(line: TraceLine, client: Client, due: float) -> RequestResult:
     client.addresses()
     sent_at = time.monotonic()
-    reply = client.call(line.pipeline, line.input, line.deadline_ms, line.stream)
+    reply = _call(line, client)
     seconds = time.monotonic() - sent_at
     return _result(line, reply, seconds * 1000, (sent_at - due) * 1000)
 
 
+def _call(line: TraceLine, client: Client) -> CallReply | EntryUnreachable:
+    if line.once:
+        limit = line.deadline_ms or LONGEST_MS
+        return call_once(client, line.pipeline, line.input, limit)
+    return client.call(line.pipeline, line.input, line.deadline_ms, line.stream)
+
+
 def _result(
     line: TraceLine,
     reply: CallReply | EntryUnreachable,
--- a/boragestream/operator/trace.py
+++ b/boragestream/operator/trace.py
@@ -26,6 +26,7 @@
     :ivar input: its input, JSON data.
     :ivar deadline_ms: milliseconds that it has; None for the pipeline's own.
     :ivar stream: whether it asks for a streamed answer.
+    :ivar once: whether it is made under a ticket, to run at most once.
     :ivar expect: the outcomes that are allowed; any where empty.
     :ivar within_ms: the longest that the outcome may take; None for the deadline.
     """
@@ -36,6 +37,7 @@
     input: Any
     deadline_ms: Annotated[int, msgspec.Meta(ge=1)] | None = None
     stream: bool = False
+    once: bool = False
     expect: tuple[StatedOutcome, ...] = ()
     within_ms: Milliseconds | None = None
 
--- a/tests/features/caller_protocol.feature
+++ b/tests/features/caller_protocol.feature
@@ -35,6 +35,7 @@
       | path of raw bytes             | 400    | malformed-request    |
       | path with a zero byte         | 404    | path-unknown         |
       | wrong method                  | 405    | method-not-allowed   |
+      | wrong method for a ticket     | 405    | method-not-allowed   |
       | deadline of letters           | 400    | deadline-absurd      |
       | deadline of other digits      | 400    | deadline-absurd      |
       | deadline of a thousand digits | 400    | deadline-absurd      |
--- a/tests/features/operator_command.feature
+++ b/tests/features/operator_command.feature
@@ -93,4 +93,6 @@
       | writer        | none  | caption      | --json        | 0    | answered  |
       | writer        | none  | no-such      | --json        | 4    | refused   |
       | writer        | error | caption      |               | 5    | failed    |
+      | member-ledger | none  | order-status | --once        | 0    | mark      |
       | member-ledger | reset | order-status |               | 6    | unknown   |
+      | member-ledger | none  | order-status | --once --json | 6    | ask       |
--- a/tests/features/steps/caller_protocol.py
+++ b/tests/features/steps/caller_protocol.py
@@ -55,6 +55,7 @@
     "path of raw bytes": sized(GOOD, path=b"/v1/\xff\xfe"),
     "path with a zero byte": sized(GOOD, path=b"/v1/%00"),
     "wrong method": sized(GOOD).replace(b"POST", b"BREW"),
+    "wrong method for a ticket": sized(GOOD, path=b"/v1/tickets/x"),
     "deadline of letters": sized(GOOD, [b"X-Deadline-Ms: soon"]),
     "deadline of other digits": sized(GOOD, [b"X-Deadline-Ms: \xb2\xb3"]),
     "deadline of a thousand digits": sized(GOOD, [b"X-Deadline-Ms: " + b"9" * 1000]),
