--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -44,6 +44,7 @@
     TicketAsk,
     TicketPost,
 )
+from boragestream.entry.tls import PeerTls
 from boragestream.platform.instances import Instance
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
@@ -66,10 +67,17 @@
     """One entry daemon.
 
     :param settings: its settings.
+    :param peer_tls: TLS towards other entries; None for links in clear.
     :param clock: the clock of all its decisions.
+    :raises OSError, pynng.NNGException: where an address can't be listened on.
     """
 
-    def __init__(self, settings: Settings, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        peer_tls: PeerTls | None = None,
+        clock: Clock | None = None,
+    ) -> None:
         self._settings = settings
         self._clock = clock or SystemClock()
         self._incarnation = new_incarnation()
@@ -118,8 +126,9 @@
             settings.entry.name,
             self._incarnation,
             settings.peer.key.encode(),
+            tuple(key.encode() for key in settings.peer.also_accepted),
         )
-        self._links = PeerLinks(sender)
+        self._links = PeerLinks(sender, peer_tls)
         self._peers = join_peers(
             settings.entry,
             self._incarnation,
@@ -143,6 +152,7 @@
                 TicketAsk: runs.answer_ask,
                 RequestAsk: runs.answer_request_ask,
             },
+            peer_tls,
         )
         self._server = create_server(
             application, settings.caller, self._watchdog.arrivals
