--- a/boragestream/daemon/demand.py
+++ b/boragestream/daemon/demand.py
@@ -1,15 +1,17 @@
-"""Puts the accounts' limits and the choice of entries on the exchange."""
+"""Puts the accounts' limits, the entries' load and stage times on the exchange."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from boragestream.base.clock import Clock
 from boragestream.document import ClientAccount, Document
+from boragestream.entry.baselines import BaselinePart
 from boragestream.entry.demand import DemandPart
 from boragestream.entry.exchange import PeerExchange
 from boragestream.platform.instances import Instance
 from boragestream.policy.account_limits import AccountLimits
+from boragestream.policy.admission import Admission
 from boragestream.policy.demand import DemandTable
 from boragestream.policy.entry_choice import ChoosableEntry, entry_order
 
@@ -34,11 +36,17 @@
         return cls(own, table, AccountLimits(own, table, clock))
 
     def join(
-        self, exchange: PeerExchange, incarnation: str, load: Callable[[], float]
+        self, exchange: PeerExchange, incarnation: str, admission: Admission
     ) -> None:
         """Let the reports ride on the exchange."""
-        part = DemandPart(self.own, incarnation, self.table, self.limits.demands, load)
+        demands = self.limits.demands
+
+        def load() -> float:
+            return admission.load
+
+        part = DemandPart(self.own, incarnation, self.table, demands, load)
         exchange.add_part(part)
+        exchange.add_part(BaselinePart(admission.times))
 
     def order(
         self,
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -107,7 +107,7 @@
             self._rng,
         )
         exchange = self._peers.members.exchange
-        self._demand.join(exchange, self._incarnation, lambda: self._admission.load)
+        self._demand.join(exchange, self._incarnation, self._admission)
         self._listener = PeerListener(
             sender,
             f"{settings.peer.address}:{settings.peer.port}",
--- a/boragestream/policy/admission.py
+++ b/boragestream/policy/admission.py
@@ -22,27 +22,18 @@
 from boragestream.base.outcomes import Refused
 from boragestream.document import ClientAccount, Pipeline
 from boragestream.policy.admitted import Admitted, Candidate, StageEnd
-from boragestream.policy.deadlines import (
-    needed_seconds,
-    running_seconds,
-    stage_deadline,
-)
-from boragestream.policy.drain_rate import DrainRate
+from boragestream.policy.deadlines import stage_deadline
+from boragestream.policy.expectations import Expectations
 from boragestream.policy.fair_queue import FairQueue, account_weight
-from boragestream.policy.retry_after import ReturnSchedule, spread
-from boragestream.policy.service_window import ServiceWindow
+from boragestream.policy.service_windows import ServiceWindows
 from boragestream.policy.stage_times import StageTimes
 
 __all__ = ["AccountGate", "Admission", "OpenGate"]
 
-# A caller that another entry can serve at once need not wait.
-ELSEWHERE_SECONDS = 0.1
-UNKNOWN_SECONDS = 1.0
 # A queue that used up all the time there is would leave none for an error of the
 # estimate, and every error is a late answer.
 WAIT_SHARE = 0.5
 MAX_WAIT_SECONDS = 2.0
-MIN_COST_SECONDS = 0.001
 
 
 class AccountGate(Protocol):
@@ -95,19 +86,21 @@
     ) -> None:
         self._limit = limit
         self._clock = clock
-        self._rng = rng
         self._gate = gate or OpenGate()
-        self._times = StageTimes()
+        self._expected = Expectations(rng)
+        self._windows = ServiceWindows(self._expected.times)
         self._queue: FairQueue[Waiting] = FairQueue()
-        self._windows: dict[str, ServiceWindow] = {}
         self._pipelines: dict[str, Pipeline] = {}
-        self._drains: dict[str, DrainRate] = {}
-        self._returns: dict[str, ReturnSchedule] = {}
         self._in_hand = 0
         self._closed = False
         self._windows_hold = True
         self._lock = threading.Lock()
 
+    @property
+    def times(self) -> StageTimes:
+        """The measured times of the stages."""
+        return self._expected.times
+
     @property
     def in_hand(self) -> int:
         """How many requests have come in and not ended, waiting ones included."""
@@ -118,24 +111,19 @@
         """How many requests wait."""
         return len(self._queue)
 
-    @property
-    def times(self) -> StageTimes:
-        """The measured times of the stages."""
-        return self._times
-
     @property
     def load(self) -> float:
         """How much of what this entry can take is in use, 0 to 1."""
         with self._lock:
             if len(self._queue):
                 return 1.0
-            used = [w.in_use / w.limit for w in self._windows.values()]
+            used = [use / limit for limit, use in self._windows.used().values()]
             return min(1.0, max([*used, self._in_hand / self._limit]))
 
     def windows(self) -> dict[str, tuple[int, int]]:
         """Return the limit and the use of every service's window, for status pages."""
         with self._lock:
-            return {name: (w.limit, w.in_use) for name, w in self._windows.items()}
+            return self._windows.used()
 
     def enter(self, candidate: Candidate) -> Admitted | Refused:
         """Admit a request, at once or after a wait, or say why not.
@@ -154,7 +142,7 @@
             verdict = waiting.verdict
         if verdict is not None:
             return verdict
-        latest = candidate.deadline - self._needed(candidate, now)
+        latest = candidate.deadline - self._expected.needed(candidate.pipeline, now)
         waiting.decided.wait(max(0.0, latest - now))
         with self._lock:
             if waiting.verdict is None:
@@ -166,9 +154,8 @@
         """Count an admitted request that has ended."""
         with self._lock:
             now = self._clock.now()
-            for service in admitted.give_up():
-                self._windows[service].release()
-            self._drains[admitted.candidate.pipeline.name].end(now)
+            self._windows.give_up(admitted)
+            self._expected.end(admitted.candidate.pipeline, now)
             self._out(admitted.candidate)
             self._begin_next(now)
 
@@ -179,7 +166,7 @@
 
     def retry_unknown(self) -> float:
         """Return when to come back where nothing is known of the backlog."""
-        return spread(UNKNOWN_SECONDS, self._rng)
+        return self._expected.retry_unknown()
 
     def close(self) -> None:
         """Admit nothing more."""
@@ -189,24 +176,26 @@
     def _refuse(self, candidate: Candidate, now: float) -> Refused | None:
         """Say why a request is refused at the door; None where it may come in."""
         if self._closed:
-            return Refused(EntryLeaving(), spread(ELSEWHERE_SECONDS, self._rng))
+            return Refused(EntryLeaving(), self._expected.retry_elsewhere())
         pipeline = candidate.pipeline
         self._pipelines[pipeline.name] = pipeline
         self._windows_hold = candidate.uses("admission")
         if self._windows_hold:
             wait = self._expected_wait(candidate, now)
-            left = candidate.deadline - now - self._needed(candidate, now)
+            left = self._left(candidate, now)
             if left < 0 or wait > self._longest_wait(candidate, left):
                 return self._cannot(candidate, now, wait)
         if self._in_hand >= self._limit and not self._push_out(candidate, now):
             failure = QueueFull(self._in_hand)
             return Refused(failure, self._retry_after(pipeline, now))
         over = candidate.uses("account-limits") and self._gate.enter(candidate.account)
-        return Refused(over[0], spread(over[1], self._rng)) if over else None
+        if not over:
+            return None
+        return Refused(over[0], self._expected.retry_about(over[1]))
 
     def _cannot(self, candidate: Candidate, now: float, wait: float = 0.0) -> Refused:
         left = candidate.deadline - now
-        needed = wait + self._needed(candidate, now)
+        needed = wait + self._expected.needed(candidate.pipeline, now)
         failure = CannotMeetDeadline(int(left * 1000), int(needed * 1000))
         return Refused(failure, self._retry_after(candidate.pipeline, now))
 
@@ -214,7 +203,7 @@
         """Make room by dropping from the account that holds most for its weight."""
         mine, weight = self._account(candidate)
         name, load = self._queue.heaviest()
-        queued = self._queue.queued(mine, candidate.pipeline.name)
+        queued = self._queue.queued(mine, self._pipelines)
         if not name or name == mine or load <= (queued + 1) / weight:
             return False
         latest = self._queue.take_latest(name)
@@ -263,30 +252,20 @@
         admitted = Admitted(
             candidate, now, self._clock.now, self._stage_ended, self._stage_deadline
         )
-        for service in admitted.services:
-            self._window(service).take()
-        self._drains.setdefault(candidate.pipeline.name, DrainRate()).begin()
+        self._windows.take(admitted, now)
+        self._expected.begin(candidate.pipeline)
         return admitted
 
     def _too_late(self, candidate: Candidate, now: float) -> bool:
-        return candidate.deadline - now < self._needed(candidate, now)
+        return self._left(candidate, now) < 0
 
     def _can_begin(self, name: str) -> bool:
-        if not self._windows_hold:
-            return True
-        stages = self._pipelines[name].stages
-        return all(self._window(stage.service).open for stage in stages)
+        pipeline = self._pipelines[name]
+        now = self._clock.now()
+        return not self._windows_hold or self._windows.open_for(pipeline, now)
 
     def _cost(self, name: str) -> float:
-        seconds = running_seconds(self._times, self._pipelines[name], self._clock.now())
-        return max(seconds, MIN_COST_SECONDS)
-
-    def _window(self, service: str) -> ServiceWindow:
-        window = self._windows.get(service)
-        if window is None:
-            window = ServiceWindow(self._clock.now())
-            self._windows[service] = window
-        return window
+        return self._expected.cost(self._pipelines[name], self._clock.now())
 
     def _account(self, candidate: Candidate) -> tuple[str, float]:
         if not candidate.uses("fair-queue"):
@@ -295,8 +274,10 @@
         priority = account.priority + candidate.pipeline.priority
         return account.name, account_weight(account.weight, priority)
 
-    def _needed(self, candidate: Candidate, now: float) -> float:
-        return needed_seconds(self._times, candidate.pipeline, now)
+    def _left(self, candidate: Candidate, now: float) -> float:
+        """Return the seconds that a request can wait and still be answered in time."""
+        needed = self._expected.needed(candidate.pipeline, now)
+        return candidate.deadline - now - needed
 
     def _longest_wait(self, candidate: Candidate, left: float) -> float:
         """Return the longest wait that is taken on.
@@ -305,38 +286,42 @@
         time there is; a longer queue keeps some back for errors of the estimate.
         """
         account, _ = self._account(candidate)
-        if self._queue.queued(account, candidate.pipeline.name) == 0:
+        if self._queue.queued(account, self._pipelines) == 0:
             return left
         return min(MAX_WAIT_SECONDS, left * WAIT_SHARE)
 
-    def _drain_rate(self, pipeline: Pipeline, now: float) -> float:
-        drain = self._drains.get(pipeline.name)
-        if drain is None:
-            return 0.0
-        return drain.per_second(now, running_seconds(self._times, pipeline, now))
-
     def _expected_wait(self, candidate: Candidate, now: float) -> float:
         pipeline = candidate.pipeline
         account, weight = self._account(candidate)
-        queued = self._queue.queued(account, pipeline.name)
+        related = self._related(pipeline)
+        names = {other.name for other in related}
+        queued = self._queue.queued(account, names)
         if queued == 0 and self._can_begin(pipeline.name):
             return 0.0
-        rate = self._drain_rate(pipeline, now)
-        share = self._queue.share(account, weight, pipeline.name)
-        return (queued + 1) / (rate * share) if rate > 0 else 0.0
+        rivals = self._queue.rivals(account, names)
+        # An account with nothing in the queue is next in its turn, however small its
+        # share; one with a queue waits until its share has drained it.
+        ahead = queued * (1 + sum(rivals) / weight) + len(rivals)
+        return self._expected.wait(related, ahead, now)
+
+    def _related(self, pipeline: Pipeline) -> list[Pipeline]:
+        """Return the pipelines that share a service with one, itself included."""
+        services = {stage.service for stage in pipeline.stages}
+        return [
+            other
+            for other in self._pipelines.values()
+            if any(stage.service in services for stage in other.stages)
+        ]
 
     def _retry_after(self, pipeline: Pipeline, now: float) -> float:
-        schedule = self._returns.setdefault(pipeline.name, ReturnSchedule(self._rng))
-        rate = self._drain_rate(pipeline, now)
         waiting = self._queue.length(pipeline.name)
-        wait = waiting / rate if rate > 0 else UNKNOWN_SECONDS
-        return schedule.retry_after(now, wait, rate)
+        return self._expected.retry_after(pipeline, waiting, now)
 
     def _stage_deadline(self, candidate: Candidate, stage: str) -> float:
         if not candidate.uses("deadline-budgets"):
             return candidate.deadline
         return stage_deadline(
-            self._times,
+            self._expected.times,
             candidate.pipeline,
             stage,
             candidate.deadline,
@@ -347,24 +332,11 @@
         pipeline = admitted.candidate.pipeline
         with self._lock:
             now = self._clock.now()
-            window = self._windows[end.service]
-            if end.timed:
+            # A time that a deadline cut short says that the servers are slow, but
+            # counted among the whole ones it would shut the door on requests that
+            # another server can answer.
+            if end.whole:
                 seconds = now - end.began
-                # A time that a deadline cut short says that the servers are slow, but
-                # counted among the whole ones it would shut the door on requests that
-                # another server can answer.
-                if end.whole:
-                    self._times.add(pipeline.name, end.stage, seconds, now)
-                multiple = self._times.multiple(pipeline.name, end.stage, seconds)
-                correction = window.observe(multiple, admitted.began, now)
-                if correction is not None:
-                    self._raise_baselines(end.service, correction)
-            if end.passed:
-                window.release()
+                self._expected.times.add(pipeline.name, end.stage, seconds, now)
+            self._windows.end_stage(admitted, end, now)
             self._begin_next(now)
-
-    def _raise_baselines(self, service: str, factor: float) -> None:
-        for pipeline in self._pipelines.values():
-            for stage in pipeline.stages:
-                if stage.service == service:
-                    self._times.raise_baseline(pipeline.name, stage.name, factor)
--- a/boragestream/policy/deadlines.py
+++ b/boragestream/policy/deadlines.py
@@ -5,6 +5,8 @@
 have measured.
 """
 
+import math
+
 from boragestream.document import Pipeline
 from boragestream.document.waves import stage_waves
 from boragestream.policy.stage_times import StageTimes
@@ -14,11 +16,19 @@
 # A higher quantile refuses requests that would have made it; a lower one starts
 # requests that end late. See docs/design/admission.md.
 NEEDED_QUANTILE = 0.9
+MEDIAN = 0.5
 
 
 def needed_seconds(times: StageTimes, pipeline: Pipeline, now: float) -> float:
-    """Return the seconds that a request of a pipeline needs once it has begun."""
-    return sum(_wave_seconds(times, pipeline, now))
+    """Return the seconds that a request of a pipeline needs once it has begun.
+
+    Stages are seldom slow together, so that what they take beyond their medians is
+    added as independent amounts are: the root of the sum of the squares.
+    """
+    medians = _wave_seconds(times, pipeline, MEDIAN, now)
+    highs = _wave_seconds(times, pipeline, NEEDED_QUANTILE, now)
+    squares = ((h - m) ** 2 for h, m in zip(highs, medians, strict=True))
+    return sum(medians) + math.sqrt(sum(squares))
 
 
 def running_seconds(times: StageTimes, pipeline: Pipeline, now: float) -> float:
@@ -40,7 +50,7 @@
     :param deadline: the request's deadline.
     """
     waves = stage_waves(pipeline)
-    needs = _wave_seconds(times, pipeline, now)
+    needs = _wave_seconds(times, pipeline, NEEDED_QUANTILE, now)
     here = next(i for i, w in enumerate(waves) if any(s.name == stage for s in w))
     later = sum(needs[here + 1 :])
     if later == 0:
@@ -50,11 +60,10 @@
     return max(deadline - later, now + share)
 
 
-def _wave_seconds(times: StageTimes, pipeline: Pipeline, now: float) -> list[float]:
+def _wave_seconds(
+    times: StageTimes, pipeline: Pipeline, quantile: float, now: float
+) -> list[float]:
     return [
-        max(
-            times.quantile(pipeline.name, stage.name, NEEDED_QUANTILE, now)
-            for stage in wave
-        )
+        max(times.quantile(pipeline.name, stage.name, quantile, now) for stage in wave)
         for wave in stage_waves(pipeline)
     ]
--- a/boragestream/policy/fair_queue.py
+++ b/boragestream/policy/fair_queue.py
@@ -9,7 +9,7 @@
 
 import heapq
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -40,6 +40,10 @@
         """How many items wait."""
         return sum(len(heap) for heap in self.heaps.values())
 
+    def length(self, pipelines: Iterable[str]) -> int:
+        """Return how many items of some pipelines wait."""
+        return sum(len(self.heaps.get(name, ())) for name in pipelines)
+
 
 class FairQueue(Generic[Item]):
     """The queue; not safe without its owner's lock."""
@@ -105,23 +109,22 @@
                 return True
         return False
 
-    def queued(self, account: str, pipeline: str) -> int:
-        """Return how many items of a pipeline wait for an account."""
+    def queued(self, account: str, pipelines: Iterable[str]) -> int:
+        """Return how many items of some pipelines wait for an account."""
         queue = self._accounts.get(account)
-        return len(queue.heaps.get(pipeline, ())) if queue else 0
+        return queue.length(pipelines) if queue else 0
 
     def length(self, pipeline: str) -> int:
         """Return how many items of a pipeline wait for all accounts."""
-        return sum(len(q.heaps.get(pipeline, ())) for q in self._accounts.values())
+        return sum(queue.length((pipeline,)) for queue in self._accounts.values())
 
-    def share(self, account: str, weight: float, pipeline: str) -> float:
-        """Return the share of a pipeline's drain rate that an account gets now."""
-        others = sum(
+    def rivals(self, account: str, pipelines: Collection[str]) -> list[float]:
+        """Return the weights of the other accounts with items of some pipelines."""
+        return [
             queue.weight
             for name, queue in self._accounts.items()
-            if name != account and queue.heaps.get(pipeline)
-        )
-        return weight / (weight + others)
+            if name != account and queue.length(pipelines)
+        ]
 
     def heaviest(self) -> tuple[str, float]:
         """Return the account with the most items for its weight, and that number."""
--- a/boragestream/policy/service_window.py
+++ b/boragestream/policy/service_window.py
@@ -9,17 +9,21 @@
 """
 
 import math
+import statistics
 
 __all__ = ["ServiceWindow"]
 
 START_LIMIT = 8.0
-MIN_LIMIT = 1.0
+MIN_LIMIT = 2.0
 MAX_LIMIT = 256.0
 # At this multiple more work waits at the servers than runs there: neither a cut nor an
 # uneven choice among the servers leaves one idle.
-TARGET_MULTIPLE = 2.5
+TARGET_MULTIPLE = 2.2
 MAX_CUT = 0.8
 START_GROWTH = 1.5
+# Stages that take longer than this already queue: from then on the window grows by
+# steps.
+QUIET_MULTIPLE = 1.3
 STEP = 1.0
 MIN_SAMPLES = 6
 MIN_SECONDS = 0.05
@@ -79,15 +83,19 @@
         enough = len(self._multiples) >= min(MIN_SAMPLES, self.limit)
         if not enough or now - self._changed_at < MIN_SECONDS:
             return None
-        mean = sum(self._multiples) / len(self._multiples)
-        correction = self._cut(mean) if mean > TARGET_MULTIPLE else self._grow()
+        # A queue delays all calls; one silent server of several delays a part of them,
+        # and is no reason to hold back work from the others.
+        middle = statistics.median_low(self._multiples)
+        slow = middle > TARGET_MULTIPLE
+        correction = self._cut(middle) if slow else self._grow(middle)
         self._multiples.clear()
         self._most_in_use = self._in_use
         self._changed_at = now
         return correction
 
-    def _grow(self) -> None:
+    def _grow(self, multiple: float) -> None:
         self._cuts = 0
+        self._starting = self._starting and multiple < QUIET_MULTIPLE
         if self._most_in_use < self.limit:
             return
         grown = self._limit * START_GROWTH if self._starting else self._limit + STEP
--- /dev/null
+++ b/boragestream/policy/service_windows.py
@@ -0,0 +1,69 @@
+"""The windows of an entry towards all services.
+
+A request holds a place in the window of each service of its pipeline until it has
+passed that service. How one window adapts is left to ``policy.service_window``.
+"""
+
+from boragestream.document import Pipeline
+from boragestream.policy.admitted import Admitted, StageEnd
+from boragestream.policy.service_window import ServiceWindow
+from boragestream.policy.stage_times import StageTimes
+
+__all__ = ["ServiceWindows"]
+
+
+class ServiceWindows:
+    """The windows by service; not safe without its owner's lock.
+
+    :param times: the measured times of the stages.
+    """
+
+    def __init__(self, times: StageTimes) -> None:
+        self._times = times
+        self._windows: dict[str, ServiceWindow] = {}
+        self._pipelines: dict[str, Pipeline] = {}
+
+    def open_for(self, pipeline: Pipeline, now: float) -> bool:
+        """Tell whether a request may begin."""
+        return all(self._window(s.service, now).open for s in pipeline.stages)
+
+    def take(self, admitted: Admitted, now: float) -> None:
+        """Count a request that begins."""
+        pipeline = admitted.candidate.pipeline
+        self._pipelines[pipeline.name] = pipeline
+        for service in admitted.services:
+            self._window(service, now).take()
+
+    def give_up(self, admitted: Admitted) -> None:
+        """Count a request that has ended."""
+        for service in admitted.give_up():
+            self._windows[service].release()
+
+    def end_stage(self, admitted: Admitted, end: StageEnd, now: float) -> None:
+        """Take the end of a stage: its time, and the place that it held."""
+        window = self._windows[end.service]
+        if end.timed:
+            name = admitted.candidate.pipeline.name
+            multiple = self._times.multiple(name, end.stage, now - end.began)
+            correction = window.observe(multiple, admitted.began, now)
+            if correction is not None:
+                self._raise_baselines(end.service, correction)
+        if end.passed:
+            window.release()
+
+    def used(self) -> dict[str, tuple[int, int]]:
+        """Return the limit and the use of each window."""
+        return {name: (w.limit, w.in_use) for name, w in self._windows.items()}
+
+    def _window(self, service: str, now: float) -> ServiceWindow:
+        window = self._windows.get(service)
+        if window is None:
+            window = ServiceWindow(now)
+            self._windows[service] = window
+        return window
+
+    def _raise_baselines(self, service: str, factor: float) -> None:
+        for pipeline in self._pipelines.values():
+            for stage in pipeline.stages:
+                if stage.service == service:
+                    self._times.raise_baseline(pipeline.name, stage.name, factor)
--- a/boragestream/policy/stage_times.py
+++ b/boragestream/policy/stage_times.py
@@ -12,14 +12,18 @@
 __all__ = ["StageSample", "StageTimes"]
 
 SAMPLE_SIZE = 128
-SAMPLE_SECONDS = 6.0
+SAMPLE_SECONDS = 3.0
 # The tail of fewer times is one odd time, and would close the door on all requests.
 MIN_TAIL_SAMPLE = 10
 BASELINE_GROUP = 16
 # Quantiles are sorted out again after this long at the most; sorting for every request
 # would cost more than the answer is worth.
 CACHE_SECONDS = 0.1
-MIN_BASELINE_SECONDS = 1e-6
+# Below this the entry's own delays and the way to another data centre are most of a
+# stage's time, and say nothing of a queue at the servers.
+MIN_BASELINE_SECONDS = 0.02
+# So many groups of times make an entry's own baseline better than that of another.
+OWN_GROUPS = 4
 
 
 class StageSample:
@@ -31,6 +35,7 @@
         self._sorted_at = float("-inf")
         self._group: list[float] = []
         self._baseline: float | None = None
+        self._groups = 0
 
     @property
     def baseline(self) -> float | None:
@@ -46,6 +51,7 @@
         if len(self._group) == BASELINE_GROUP:
             mean = sum(self._group) / BASELINE_GROUP
             self._baseline = min(self._baseline, mean)
+            self._groups += 1
             self._group.clear()
 
     def raise_baseline(self, factor: float) -> None:
@@ -53,10 +59,11 @@
         if self._baseline is not None:
             self._baseline *= factor
 
-    def lower_baseline(self, seconds: float) -> None:
-        """Take a lower baseline that another entry measured."""
-        if self._baseline is not None:
-            self._baseline = min(self._baseline, seconds)
+    def take_baseline(self, seconds: float) -> None:
+        """Take a baseline that another entry measured, while the own is new."""
+        if self._groups < OWN_GROUPS:
+            known = seconds if self._baseline is None else self._baseline
+            self._baseline = min(known, seconds)
 
     def quantile(self, share: float, now: float) -> float:
         """Return a quantile in seconds; 0 where nothing recent is known."""
@@ -125,11 +132,11 @@
             known = self._samples.items()
             return {k: s.baseline for k, s in known if s.baseline is not None}
 
-    def lower_baselines(self, others: dict[tuple[str, str], float]) -> None:
-        """Take the baselines of another entry where they are lower.
+    def take_baseline(self, pipeline: str, stage: str, seconds: float) -> None:
+        """Take a baseline of another entry, where it is lower and the own is new.
 
         An entry that starts under load has never seen its servers without a queue.
         """
         with self._lock:
-            for key, seconds in others.items():
-                self._samples.setdefault(key, StageSample()).lower_baseline(seconds)
+            sample = self._samples.setdefault((pipeline, stage), StageSample())
+            sample.take_baseline(seconds)
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -40,12 +40,13 @@
     Then no request waits and none of them has begun
 
   Scenario: a large account gives up its place when the threads run out
-    Given a door of 4 threads
-    When 4 requests of "members-web" with 9.0 seconds left come at once
+    Given a door of 5 threads
+    When 5 requests of "members-web" with 9.0 seconds left come at once
     And a request of "scan-desk" with 9.0 seconds left comes
     Then one of "members-web" is refused with "queue-full"
 
   Scenario: windows of services adapt
     Then a window grows while it is used and stages are quick
     And a window is cut while stages are slow, but never closed
+    And a window is not cut where a third of the stages are slow
     And a window whose cuts change nothing corrects the baseline
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -1,5 +1,6 @@
 """Steps that stand at the door of an entry, with a clock of their own."""
 
+import itertools
 import random
 import threading
 from concurrent.futures import ThreadPoolExecutor
@@ -97,7 +98,7 @@
 def step(context, limit):
     set_up(context, limit)
     # One request begins and holds its place; the window stays at one.
-    context.door._window("writer")._limit = MIN_LIMIT
+    context.door._windows._window("writer", 0.0)._limit = MIN_LIMIT
 
 
 @given("{count:d} requests have been answered")
@@ -205,6 +206,13 @@
     assert window.open
 
 
+@then("a window is not cut where a third of the stages are slow")
+def step(context):
+    multiples = itertools.cycle((1.0, 1.0, 30.0))
+    window = drive(ServiceWindow(0.0), lambda limit: next(multiples))
+    assert window.limit >= START_LIMIT
+
+
 @then("a window whose cuts change nothing corrects the baseline")
 def step(context):
     corrections = []
--- a/tests/features/steps/deadlines.py
+++ b/tests/features/steps/deadlines.py
@@ -5,12 +5,14 @@
 from behave import given, then, when
 
 from boragestream.document import check_document
+from boragestream.entry.baselines import BaselinePart
 from boragestream.policy.deadlines import stage_deadline
 from boragestream.policy.retry_after import ReturnSchedule
 from boragestream.policy.stage_times import StageTimes
 from tests.standins.sites import example_document
 
 SAMPLES = 20
+BUDGET = 200
 
 
 @given('stages of "{name}" that took {a:g}, {b:g} and {c:g} seconds')
@@ -30,6 +32,29 @@
     context.now += seconds
 
 
+@when("an entry that only saw them take {seconds:g} seconds hears of these times")
+def step(context, seconds):
+    started = StageTimes()
+    for stage in context.pipeline.stages:
+        started.add(context.pipeline.name, stage.name, seconds, context.now)
+    sender, taker = BaselinePart(context.times), BaselinePart(started)
+    for _ in context.pipeline.stages:
+        taker.take("entry-1", sender.offer(BUDGET))
+    taker.take("entry-1", b"\xc1")
+    context.times = started
+
+
+@then('{seconds:g} seconds of "{stage}" are {n:d} times its time without a queue there')
+def step(context, seconds, stage, n):
+    multiple = context.times.multiple(context.pipeline.name, stage, seconds)
+    assert abs(multiple - n) < 0.01, multiple
+
+
+@then('{seconds:g} seconds of "{stage}" are less than its time without a queue')
+def step(context, seconds, stage):
+    assert context.times.multiple(context.pipeline.name, stage, seconds) < 1
+
+
 @then('"{stage}" with {left:g} seconds left has {own:g} seconds of its own')
 def step(context, stage, left, own):
     deadline = context.now + left
