The door opens again once a load has gone

Ruled out: forgetting sooner alone; it shortens the time and keeps the trap. Change: with none of a pipeline under way, the need is at most that on idle servers.

--- a/boragestream/policy/deadlines.py
+++ b/boragestream/policy/deadlines.py
@@ -11,7 +11,7 @@
 from boragestream.document.waves import stage_waves
 from boragestream.policy.stage_times import StageTimes
 
-__all__ = ["needed_seconds", "running_seconds", "stage_deadline"]
+__all__ = ["idle_seconds", "needed_seconds", "running_seconds", "stage_deadline"]
 
 # A higher quantile refuses requests that would have made it; a lower one starts
 # requests that end late. See docs/design/admission.md.
@@ -31,6 +31,14 @@
     return sum(medians) + math.sqrt(sum(squares))
 
 
+def idle_seconds(times: StageTimes, pipeline: Pipeline) -> float:
+    """Return the seconds that a request of a pipeline needs on idle servers."""
+    return sum(
+        max(times.baseline(pipeline.name, stage.name) for stage in wave)
+        for wave in stage_waves(pipeline)
+    )
+
+
 def running_seconds(times: StageTimes, pipeline: Pipeline, now: float) -> float:
     """Return the mean seconds that a request of a pipeline spends running."""
     return sum(
--- a/boragestream/policy/expectations.py
+++ b/boragestream/policy/expectations.py
@@ -8,7 +8,11 @@
 from collections.abc import Iterable
 
 from boragestream.document import Pipeline
-from boragestream.policy.deadlines import needed_seconds, running_seconds
+from boragestream.policy.deadlines import (
+    idle_seconds,
+    needed_seconds,
+    running_seconds,
+)
 from boragestream.policy.drain_rate import DrainRate
 from boragestream.policy.retry_after import ReturnSchedule, spread
 from boragestream.policy.stage_times import StageTimes
@@ -47,8 +51,17 @@
         self._drains[pipeline.name].end(now)
 
     def needed(self, pipeline: Pipeline, now: float) -> float:
-        """Return the seconds that a request needs once it has begun."""
-        return needed_seconds(self._times, pipeline, now)
+        """Return the seconds that a request needs once it has begun.
+
+        With none under way the latest times tell of a load that has gone. Keeping to
+        them would refuse every request until they are forgotten, since only requests
+        that begin can bring newer ones.
+        """
+        needed = needed_seconds(self._times, pipeline, now)
+        drain = self._drains.get(pipeline.name)
+        if drain is not None and drain.running:
+            return needed
+        return min(needed, idle_seconds(self._times, pipeline))
 
     def cost(self, pipeline: Pipeline, now: float) -> float:
         """Return what a request costs in a fair queue."""
--- a/boragestream/policy/stage_times.py
+++ b/boragestream/policy/stage_times.py
@@ -126,6 +126,12 @@
             if sample is not None:
                 sample.raise_baseline(factor)
 
+    def baseline(self, pipeline: str, stage: str) -> float:
+        """Return a stage's seconds without queueing; 0 where nothing is known."""
+        with self._lock:
+            sample = self._samples.get((pipeline, stage))
+            return (sample.baseline if sample else None) or 0.0
+
     def baselines(self) -> dict[tuple[str, str], float]:
         """Return every baseline in seconds, by pipeline and stage."""
         with self._lock:
