Estimates forget an overload, and a hopeless stage narrows the window

Cause: after an overload, calls were given up for lack of room with over a second left: the usual time of a call came from the last 256 calls, minutes old for a quiet stage, and a stage given up told the window nothing, so that the door let ever more in. A window to which nothing was held (admission switched off) learned as well. Runs of a comparison have a fleet of their own, since what entries learn in one variant weighed on the next.

--- a/bench/load/__main__.py
+++ b/bench/load/__main__.py
@@ -146,14 +146,18 @@
 
 
 def run_comparison(comparison: Comparison, seeds: Sequence[int]) -> list[Run]:
-    """Run every variant for every seed on one fleet; print a line for each run."""
+    """Run every variant for every seed; print a line for each run.
+
+    Each run has a fleet of its own: what entries learn in the overload of one variant
+    would weigh on the next.
+    """
     runs = []
-    fleet, bench = start_bench(comparison.spread)
-    with fleet:
-        for seed in seeds:
-            scenario, arrivals, expected = comparison.load(seed)
-            with locked(comparison.lock):
-                for variant in comparison.variants:
+    for seed in seeds:
+        scenario, arrivals, expected = comparison.load(seed)
+        with locked(comparison.lock):
+            for variant in comparison.variants:
+                fleet, bench = start_bench(comparison.spread)
+                with fleet:
                     run = bench.run(
                         scenario,
                         variant,
@@ -162,8 +166,8 @@
                         comparison.overrides,
                         expected,
                     )
-                    runs.append(run)
-                    print(headline(run), flush=True)
+                runs.append(run)
+                print(headline(run), flush=True)
     return runs
 
 
--- a/boragestream/serving/parts.py
+++ b/boragestream/serving/parts.py
@@ -62,7 +62,7 @@
         lines=WaitingLines(clock, rng),
         connections=ConnectionKeeper(),
         attempts=attempts,
-        times=RecentTimes(),
+        times=RecentTimes(clock),
         retries=BudgetTable(),
         hedges=BudgetTable(),
         costs=CostTable(),
--- a/boragestream/serving/pipeline.py
+++ b/boragestream/serving/pipeline.py
@@ -15,6 +15,7 @@
 from boragestream.base.outcomes import Failure
 from boragestream.document import Stage
 from boragestream.document.waves import stage_needs, stage_waves
+from boragestream.policy.waiting import ServiceSaturated
 from boragestream.serving.request import RequestRecord
 from boragestream.serving.stage import StageRunner
 
@@ -98,8 +99,9 @@
 
 
 def _end_stage(request: RequestRecord, stage: Stage, result: Any | Failure) -> None:
-    # A stage that ran into its deadline took at least that long; one that failed
-    # otherwise says nothing about how long the servers need.
+    # A stage that ran into its deadline took at least that long, and so would one whose
+    # servers had no room; one that failed otherwise says nothing about the servers.
     whole = not isinstance(result, Failure)
-    timed = whole or isinstance(result, DeadlinePassed)
-    request.admitted.end_stage(stage.name, timed, whole)
+    hopeless = isinstance(result, ServiceSaturated)
+    timed = whole or hopeless or isinstance(result, DeadlinePassed)
+    request.admitted.end_stage(stage.name, timed, whole, hopeless)
