--- a/boragestream/daemon/command.py
+++ b/boragestream/daemon/command.py
@@ -6,7 +6,8 @@
 
 SETTINGS is a TOML file. SIGTERM begins a graceful shutdown; a second one ends the
 process at once. Exit codes: 0 everything was answered, 2 the settings are invalid,
-3 ended by a second signal, 4 the stop limit was reached.
+3 ended by a second signal, 4 the stop limit was reached,
+5 an address of the settings can't be listened on.
 """
 
 import os
@@ -15,12 +16,15 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+import pynng
 from absl import logging
 from docopt import docopt
 
 from boragestream.base.settings import read_settings
+from boragestream.base.shapes import Fault
 from boragestream.daemon.entry import Entry
 from boragestream.daemon.shutdown import ExitCode
+from boragestream.entry.tls import load_peer_tls
 
 __all__ = ["main"]
 
@@ -32,16 +36,23 @@
     arguments = docopt(__doc__, argv)
     settings, faults = read_settings(Path(arguments["SETTINGS"]))
     if settings is None:
-        for fault in faults:
-            print(fault.describe(), file=sys.stderr)
-        return ExitCode.SETTINGS
+        return _refuse(faults)
+    peer_tls = None
+    if settings.peer.tls is not None:
+        peer_tls = load_peer_tls(settings.peer.tls, settings.entry.deployment)
+        if isinstance(peer_tls, Fault):
+            return _refuse([peer_tls])
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold("info")
     # Blocked in every thread and taken by one alone, so that a stop never interrupts
     # a thread that holds a lock which the stop needs.
     signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
-    entry = Entry(settings)
+    try:
+        entry = Entry(settings, peer_tls)
+    except (OSError, pynng.NNGException) as error:
+        print(f"can't listen: {error}", file=sys.stderr)
+        return ExitCode.ADDRESS
     ThreadPoolExecutor(1, "signals").submit(_take_signals, entry)
     code = entry.run()
     # Threads still blocked in a watch hold nothing; waiting for them would only
@@ -56,5 +67,11 @@
         entry.stop()
 
 
+def _refuse(faults: list[Fault]) -> int:
+    for fault in faults:
+        print(fault.describe(), file=sys.stderr)
+    return ExitCode.SETTINGS
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/boragestream/daemon/shutdown.py
+++ b/boragestream/daemon/shutdown.py
@@ -29,6 +29,7 @@
     SETTINGS = 2
     FORCED = 3
     LIMIT = 4
+    ADDRESS = 5
 
 
 class KeptAnswers:
--- a/boragestream/daemon/tasks.py
+++ b/boragestream/daemon/tasks.py
@@ -15,6 +15,7 @@
 from boragestream.platform.reader import PlatformUnreachable, read_platform
 from boragestream.policy.configuration import ConfigurationInForce, Offer
 from boragestream.policy.leaving import LeavingServer
+from boragestream.policy.load import LoadTable
 from boragestream.policy.peers import ListedEntry
 from boragestream.policy.servers import Server, ServerState, ServerTable
 
@@ -135,6 +136,7 @@
 def take_instances(
     value: bytes,
     servers: ServerTable,
+    loads: LoadTable,
     take_entries: Callable[[tuple[Instance, ...]], None],
     take_servers: Callable[[tuple[LeavingServer, ...]], None],
 ) -> None:
@@ -147,6 +149,7 @@
     backends = [i for i in instances if i.service != ENTRY_SERVICE]
     take_servers(tuple(to_leaving(to_server(i)) for i in backends))
     servers.take_list(to_server(i) for i in backends)
+    loads.take_list(servers.all)
     take_entries(tuple(i for i in instances if i.service == ENTRY_SERVICE))
     emit(Event.INSTANCES_CHANGED, instances=len(instances))
 
@@ -160,6 +163,7 @@
         data_centre=instance.data_centre,
         incarnation=instance.incarnation,
         state=ServerState(instance.state),
+        region=instance.region,
     )
 
 
--- a/boragestream/entry/links.py
+++ b/boragestream/entry/links.py
@@ -4,6 +4,7 @@
 left to its users. nng never sends a request again by itself here.
 """
 
+import contextlib
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -23,6 +24,7 @@
     open_envelope,
     seal,
 )
+from boragestream.entry.tls import PeerTls
 
 __all__ = [
     "LISTENER_TASKS",
@@ -40,7 +42,9 @@
 IDLE_SOCKETS = 2
 NEVER_MS = -1
 RECONNECT_MIN_MS = 50
-RECONNECT_MAX_MS = 1000
+# Idle sockets to a region that is out of reach must not dial all the time; a question
+# that fails closes its socket, so that the next one dials at once.
+RECONNECT_MAX_MS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +69,10 @@
     code: str
 
 
+def _url(address: str, tls: PeerTls | None) -> str:
+    return f"tls+tcp://{address}" if tls else f"tcp://{address}"
+
+
 class PeerLinks:
     """Sockets to other entries, one for each question that is open at a time.
 
@@ -72,10 +80,12 @@
     timeouts (0.9.0): a question to a silent peer would never end.
 
     :param sender: who this entry is.
+    :param tls: None for links in clear.
     """
 
-    def __init__(self, sender: Sender) -> None:
+    def __init__(self, sender: Sender, tls: PeerTls | None = None) -> None:
         self._sender = sender
+        self._tls = tls
         self._idle: dict[str, list[pynng.Req0]] = {}
         self._lock = threading.Lock()
 
@@ -126,8 +136,9 @@
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
             recv_max_size=MAX_MESSAGE_BYTES,
+            tls_config=self._tls.dialling if self._tls else None,
         )
-        sock.dial(f"tcp://{address}", block=False)
+        sock.dial(_url(address, self._tls), block=False)
         return sock
 
     def _keep(self, address: str, sock: pynng.Req0) -> None:
@@ -157,19 +168,28 @@
     :param sender: who this entry is.
     :param address: ``address:port`` to listen on.
     :param handlers: what answers each type of message.
+    :param tls: None for links in clear.
     """
 
     def __init__(
-        self, sender: Sender, address: str, handlers: Mapping[type, Handler]
+        self,
+        sender: Sender,
+        address: str,
+        handlers: Mapping[type, Handler],
+        tls: PeerTls | None = None,
     ) -> None:
         self._sender = sender
         self._handlers = handlers
-        self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
-        self._socket.listen(f"tcp://{address}")
+        self._socket = pynng.Rep0(
+            recv_max_size=MAX_MESSAGE_BYTES,
+            tls_config=tls.listening if tls else None,
+        )
+        self._socket.listen(_url(address, tls))
 
     def run(self) -> None:
         """Answer one message after the other until ``close``; one task of several."""
-        with self._socket.new_context() as context:
+        # The context of a closed socket can't be closed again.
+        with contextlib.suppress(pynng.Closed), self._socket.new_context() as context:
             while True:
                 try:
                     frame = context.recv()
