News of which an entry is the source travels at once

Change: an entry that leaves, or hears a server say so, begins a round at once whatever is left; the first record of a live entry brings no round forward.

--- a/boragestream/entry/exchange.py
+++ b/boragestream/entry/exchange.py
@@ -37,7 +37,7 @@
 URGENT_GAP_SECONDS = 0.05
 # So many rounds can be brought forward in a row; then one for each so many seconds.
 URGENT_BURST = 5
-URGENT_REFILL_SECONDS = 2.0
+URGENT_REFILL_SECONDS = 1.0
 # One round in this many also tries a suspect, so that a heal is noticed.
 SUSPECT_ROUNDS = 3
 ASK_SECONDS = 1.0
@@ -167,6 +167,10 @@
             began = now
         self._asks.shutdown(wait=False, cancel_futures=True)
 
+    def tell(self) -> None:
+        """Begin a round at once, for news of which this entry is the source."""
+        self.round(URGENT_FAN_OUT)
+
     def submit(self, work: Callable[[], None]) -> None:
         """Have a question to a peer asked beside the rounds."""
         if not self._closed.is_set():
--- a/boragestream/entry/peers.py
+++ b/boragestream/entry/peers.py
@@ -143,11 +143,12 @@
     def tell_leaving(self, server: LeavingServer) -> None:
         """Tell the other entries what a backend server said of itself."""
         if self._leaving.take(server):
-            self._hurry()
+            self._exchange.tell()
 
     def leave(self) -> None:
         """Tell the other entries that this one is leaving."""
         self._entries.say(MemberState.LEAVING)
+        self._exchange.tell()
 
     def _addresses(self) -> set[str]:
         return {entry.peer_address for entry in self._entries.listed}
--- a/boragestream/policy/peers.py
+++ b/boragestream/policy/peers.py
@@ -108,7 +108,13 @@
         with self._lock:
             if member.name == self._name:
                 self._answer(member)
-            elif member.name in self._listed and self._members.take(member):
+                return
+            known = self._members.get(member.name)
+            if member.name not in self._listed or not self._members.take(member):
+                return
+            # That an entry is there can wait for the next round; that it is not, or
+            # is again, cannot.
+            if known is not None or member.state is not MemberState.LIVE:
                 self._changed()
 
     def note_reached(self, name: str) -> None:
