--- a/tests/features/steps/entry_relay.py
+++ b/tests/features/steps/entry_relay.py
@@ -118,7 +118,7 @@
 def step(context, event):
     entries = context.fleet.entries.values()
     wait_until(
-        lambda: event in {e["name"] for p in entries for e in p.events()},
+        lambda: event in {e["name"] for process in entries for e in process.events()},
         LIMIT_SECONDS,
         f"some entry logging {event}",
     )
@@ -127,7 +127,7 @@
 @when("two documents of the next version are published in a race")
 def step(context):
     publish_next(context, answer_keep_seconds=1.0)
-    # One entry has the first for certain; the others may meet either first.
+    # A watch that came back after both publications would see the second alone.
     wait_for_version(context, ["entry-1"])
     context.fleet.publish(document(context, newest(context), answer_keep_seconds=2.0))
 
