--- a/boragestream/policy/ticket_book.py
+++ b/boragestream/policy/ticket_book.py
@@ -9,7 +9,7 @@
 import heapq
 import threading
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from boragestream.base.clock import Clock
 from boragestream.base.outcomes import Answered, Failure, Outcome, Refused, Unknown
@@ -94,7 +94,7 @@
     state: TicketState | None = None
     content: bytes = b""
     kept_bytes: int = 0
-    ended: threading.Event = field(default_factory=threading.Event)
+    ended: threading.Event | None = None
 
 
 class TicketBook:
@@ -239,9 +239,12 @@
 
         :returns: its state after the wait, None where it is not remembered.
         """
-        record = self._records.get(ticket.sequence)
-        if record is None:
-            return None
+        with self._lock:
+            record = self._records.get(ticket.sequence)
+            if record is None or isinstance(record.state, Ended):
+                return record and record.state
+            # Few tickets are waited for, and an event takes more than the record.
+            record.ended = record.ended or threading.Event()
         record.ended.wait(max(0.0, seconds))
         return record.state
 
@@ -255,7 +258,8 @@
 
     def _end(self, record: _Record, ended: Ended) -> Ended:
         record.state = ended
-        record.ended.set()
+        if record.ended is not None:
+            record.ended.set()
         return ended
 
     def _keep(self, record: _Record, outcome: Outcome, ask: str) -> Outcome:
