--- a/boragestream/caller/reading.py
+++ b/boragestream/caller/reading.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from boragestream.base.failures import DeadlinePassed
+from boragestream.base.nesting import MAX_DEPTH, TooDeep, decode_bounded
 from boragestream.base.outcomes import Failure
 from boragestream.caller.failures import (
     BodyTooLong,
@@ -141,8 +142,10 @@
     if len(text) > limit:
         return BodyTooLong(limit)
     try:
-        return msgspec.json.decode(text, type=RequestBody).input
+        return decode_bounded(text, RequestBody).input
+    except TooDeep:
+        return MalformedBody(f"nested deeper than {MAX_DEPTH} levels")
     except msgspec.ValidationError:
         return MalformedBody("not an object with the one field 'input'")
-    except (msgspec.DecodeError, RecursionError):
+    except msgspec.DecodeError:
         return MalformedBody("not JSON")
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -21,6 +21,7 @@
 )
 from boragestream.caller.status import StatusPage
 from boragestream.caller.tickets import TicketCalls, ticket_calls
+from boragestream.daemon.demand import Demand, live_entries
 from boragestream.daemon.peers import join_peers, listed_states
 from boragestream.daemon.shutdown import ExitCode, GracefulStop, KeptAnswers
 from boragestream.daemon.status import status_page
@@ -43,6 +44,7 @@
     TicketAsk,
     TicketPost,
 )
+from boragestream.entry.tls import PeerTls
 from boragestream.platform.instances import Instance
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
@@ -65,10 +67,17 @@
     """One entry daemon.
 
     :param settings: its settings.
+    :param peer_tls: TLS towards other entries; None for links in clear.
     :param clock: the clock of all its decisions.
+    :raises OSError, pynng.NNGException: where an address can't be listened on.
     """
 
-    def __init__(self, settings: Settings, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        peer_tls: PeerTls | None = None,
+        clock: Clock | None = None,
+    ) -> None:
         self._settings = settings
         self._clock = clock or SystemClock()
         self._incarnation = new_incarnation()
@@ -90,7 +99,13 @@
             ),
         )
         self._watchdog = Watchdog(self._clock)
-        self._admission = Admission(max(1, settings.caller.threads - SPARE_THREADS))
+        self._demand = Demand.create(settings.entry.name, self._clock)
+        self._admission = Admission(
+            max(1, settings.caller.threads - SPARE_THREADS),
+            self._clock,
+            self._rng,
+            self._demand.limits,
+        )
         self._tasks = ThreadPoolExecutor(TASK_THREADS, "task")
         # Stages that run side by side wait for attempts, so that the two never share
         # threads.
@@ -111,8 +126,9 @@
             settings.entry.name,
             self._incarnation,
             settings.peer.key.encode(),
+            tuple(key.encode() for key in settings.peer.also_accepted),
         )
-        self._links = PeerLinks(sender)
+        self._links = PeerLinks(sender, peer_tls)
         self._peers = join_peers(
             settings.entry,
             self._incarnation,
@@ -122,6 +138,8 @@
             self._clock,
             self._rng,
         )
+        exchange = self._peers.members.exchange
+        self._demand.join(exchange, self._incarnation, lambda: self._admission.load)
         application = self._application()
         runs = application.tickets.runs
         self._listener = PeerListener(
@@ -134,8 +152,11 @@
                 TicketAsk: runs.answer_ask,
                 RequestAsk: runs.answer_request_ask,
             },
+            peer_tls,
+        )
+        self._server = create_server(
+            application, settings.caller, self._watchdog.arrivals
         )
-        self._server = create_server(application, settings.caller, self._clock)
 
     @property
     def incarnation(self) -> str:
@@ -273,6 +294,7 @@
 
     def _take_entries(self, entries: tuple[Instance, ...]) -> None:
         self._listed = entries
+        self._demand.table.expect(live_entries(entries))
         self._peers.members.take_entries(map(to_listed, entries))
 
     def _tell_leaving(self, server: Server) -> None:
@@ -283,10 +305,17 @@
         return listed_states(self._listed, self._peers.members.entries)
 
     def _entries_for(self, account: ClientAccount, in_force: DocumentInForce) -> object:
+        order = self._demand.order(
+            account,
+            in_force.document,
+            self._entries,
+            self._admission.load,
+            self._settings.entry.data_centre,
+            self._rng,
+        )
         usable = [
             {"name": e.name, "address": e.host, "data_centre": e.data_centre}
-            for e in self._entries
-            if e.state == "live"
+            for e in order
         ]
         keep = in_force.document.policies.answer_keep_seconds
         self._kept_answers.give(keep)
