--- a/boragestream/backend/answer.py
+++ b/boragestream/backend/answer.py
@@ -35,6 +35,7 @@
 MAX_ANSWER_BYTES = 8 * 1_048_576
 READ_BYTES = 65536
 COMMENT = b":"
+PART = msgspec.json.Decoder(Completion)
 DRAIN_SECONDS = 0.05
 KERNEL_TIMEVAL = struct.Struct("ll")
 WATCHDOG_MARGIN_SECONDS = 2.0
@@ -160,7 +161,7 @@
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, limit)
 
     def _part(self, event: bytes) -> Completion | AttemptFailure:
-        part = decode_bounded(event, Completion)
+        part = decode_bounded(event, PART)
         if part.id != self._attempt_id:
             return AnswerCrossed(*self._may_have_run(), part.id)
         return part
--- a/boragestream/base/nesting.py
+++ b/boragestream/base/nesting.py
@@ -4,43 +4,53 @@
 be encoded again a few calls further down. The bound here is far below that.
 """
 
+from typing import Any
+
 import msgspec
 
 __all__ = ["MAX_DEPTH", "TooDeep", "decode_bounded"]
 
 MAX_DEPTH = 64
+# A shorter text can't open and close that many levels.
+SHORT_BYTES = 2 * MAX_DEPTH
+CONTAINERS = (dict, list)
+ANYTHING = msgspec.json.Decoder()
 
 
 class TooDeep(msgspec.DecodeError):
     """The JSON is nested deeper than ``MAX_DEPTH``."""
 
 
-def decode_bounded(text: bytes, shape: type = object) -> object:
+def decode_bounded(text: bytes, decoder: msgspec.json.Decoder = ANYTHING) -> Any:
     """Decode JSON that is nested no deeper than ``MAX_DEPTH``.
 
     :param text: the JSON.
-    :param shape: the type that it must have.
+    :param decoder: decodes it to the shape that it must have.
     :raises msgspec.DecodeError: where it is malformed, of another shape or too deep.
     """
     try:
-        # Few answers hold this many brackets at all; the count is cheap.
-        if text.count(b"[") + text.count(b"{") > MAX_DEPTH:
-            _check_depth(msgspec.json.decode(text))
-        return msgspec.json.decode(text, type=shape)
+        data = decoder.decode(text)
+        # Few answers hold this many brackets at all, and the count is cheap.
+        if len(text) > SHORT_BYTES and _count_brackets(text) > MAX_DEPTH:
+            _check_depth(data if decoder is ANYTHING else ANYTHING.decode(text))
     except RecursionError:
         raise TooDeep("nested deeper than the stack") from None
+    return data
+
+
+def _count_brackets(text: bytes) -> int:
+    return text.count(b"[") + text.count(b"{")
 
 
-def _check_depth(data: object) -> None:
-    level = [data]
+def _check_depth(data: Any) -> None:
+    level = [data] if type(data) in CONTAINERS else []
     for _ in range(MAX_DEPTH):
-        level = [child for value in level for child in _children(value)]
+        level = [
+            child
+            for value in level
+            for child in (value.values() if type(value) is dict else value)
+            if type(child) in CONTAINERS
+        ]
         if not level:
             return
     raise TooDeep(f"nested deeper than {MAX_DEPTH}")
-
-
-def _children(value: object) -> list:
-    if isinstance(value, dict):
-        return list(value.values())
-    return value if isinstance(value, list) else []
--- a/boragestream/caller/reading.py
+++ b/boragestream/caller/reading.py
@@ -36,6 +36,9 @@
     input: Any
 
 
+BODY = msgspec.json.Decoder(RequestBody)
+
+
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
     """A checked request of a caller.
@@ -134,7 +137,7 @@
     if len(text) > limit:
         return BodyTooLong(limit)
     try:
-        return decode_bounded(text, RequestBody).input
+        return decode_bounded(text, BODY).input
     except TooDeep:
         return MalformedBody(f"nested deeper than {MAX_DEPTH} levels")
     except msgspec.ValidationError:
