--- a/bench/load/__main__.py
+++ b/bench/load/__main__.py
@@ -11,8 +11,9 @@
   --trace FILE     Replay a recorded trace in place of a scenario.
   --record FILE    Write a scenario's arrivals as a trace with stated outcomes.
   --seed N         Seed of the arrivals; may stand several times [default: 1].
-  --variant V      own, round-robin, least-connections or own-without-MECHANISM; may
-                   stand several times [default: own].
+  --variant V      own, round-robin, least-connections, own-without-MECHANISM, or an
+                   example document, whose policies are taken; may stand several
+                   times [default: own].
   --json OUT       Where to write the result.
   --policies JSON  Fields of the document's policies, the same for every variant.
   --spread         Callers take the entries that they are told in orders of their own.
@@ -24,6 +25,7 @@
 
 import fcntl
 import json
+import shlex
 import signal
 import sys
 from collections.abc import Callable, Iterator, Sequence
@@ -38,17 +40,20 @@
 from bench.load.scenarios import SCENARIOS, Scenario, scenario_named
 from bench.load.schedule import Arrival, arrivals_of
 from bench.load.traces import read_scenario, trace_text
-from bench.load.variants import BASELINES, MECHANISMS, OWN
+from bench.load.variants import BASELINES, EXAMPLES, MECHANISMS, OWN
 
 __all__ = ["main"]
 
+PATH_OPTIONS = ("--json", "--lock")
+
 
 def main(argv: list[str] | None = None) -> int:
     """Run the comparison; return the exit code."""
     arguments = docopt(__doc__, argv)
     if arguments["--list"]:
         print("scenarios:", *(scenario.name for scenario in SCENARIOS))
-        print("variants:", OWN, *BASELINES, *(f"own-without-{m}" for m in MECHANISMS))
+        without = (f"own-without-{mechanism}" for mechanism in MECHANISMS)
+        print("variants:", OWN, *BASELINES, *EXAMPLES, *without)
         return 0
     seeds = [int(seed) for seed in arguments["--seed"]]
     if arguments["--record"]:
@@ -66,7 +71,7 @@
     )
     runs = run_comparison(comparison, seeds)
     result = {
-        "command": "python -m bench.load " + " ".join(argv or sys.argv[1:]),
+        "command": command_line(argv or sys.argv[1:]),
         "machine": "shared with other work; compare within this file only",
         "spread": spread_of(runs),
         "runs": [asdict(run) for run in runs],
@@ -77,6 +82,18 @@
     return 1 if broken else 0
 
 
+def command_line(arguments: Sequence[str]) -> str:
+    """Return the command of a result, without the paths of the machine it ran on."""
+    kept = []
+    rest = iter(arguments)
+    for argument in rest:
+        if argument in PATH_OPTIONS:
+            next(rest)
+            continue
+        kept.append(argument)
+    return shlex.join(["python", "-m", "bench.load", *kept])
+
+
 def write_result(path: Path, result: dict) -> None:
     """Write a result as JSON, with the spread readable and each run on a line."""
     *head, last = [f"{json.dumps(k)}: {_lines(v)}" for k, v in result.items()]
--- a/boragestream/caller/status.py
+++ b/boragestream/caller/status.py
@@ -48,6 +48,8 @@
     :ivar digest: of the document in force, empty for none.
     :ivar leaving: whether the entry is stopping.
     :ivar in_hand: admitted requests that have not ended.
+    :ivar queued: requests in hand that have not begun.
+    :ivar windows: by service, the most requests under way and how many there are.
     :ivar accounts: by client account.
     :ivar stages: by ``PIPELINE.STAGE``.
     :ivar costs: by client account, then by ``PIPELINE.STAGE``.
@@ -61,6 +63,8 @@
     digest: str
     leaving: bool
     in_hand: int
+    queued: int
+    windows: dict[str, tuple[int, int]]
     servers: tuple[ServerReport, ...]
     entries: tuple[PeerReport, ...]
     accounts: dict[str, AccountReport]
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -20,6 +20,8 @@
     stop_listening,
 )
 from boragestream.caller.status import StatusPage
+from boragestream.caller.tickets import TicketCalls, ticket_calls
+from boragestream.daemon.demand import Demand, live_entries
 from boragestream.daemon.peers import join_peers, listed_states
 from boragestream.daemon.shutdown import ExitCode, GracefulStop, KeptAnswers
 from boragestream.daemon.status import status_page
@@ -31,8 +33,18 @@
     watch_platform,
 )
 from boragestream.document import ClientAccount
+from boragestream.entry.forwarding import Forwarder
 from boragestream.entry.links import LISTENER_TASKS, PeerLinks, PeerListener
-from boragestream.entry.messages import Envelope, Probe, ProbeReply, Sender
+from boragestream.entry.messages import (
+    Envelope,
+    Probe,
+    ProbeReply,
+    RequestAsk,
+    Sender,
+    TicketAsk,
+    TicketPost,
+)
+from boragestream.entry.tls import PeerTls
 from boragestream.platform.instances import Instance
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
@@ -55,10 +67,17 @@
     """One entry daemon.
 
     :param settings: its settings.
+    :param peer_tls: TLS towards other entries; None for links in clear.
     :param clock: the clock of all its decisions.
+    :raises OSError, pynng.NNGException: where an address can't be listened on.
     """
 
-    def __init__(self, settings: Settings, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        peer_tls: PeerTls | None = None,
+        clock: Clock | None = None,
+    ) -> None:
         self._settings = settings
         self._clock = clock or SystemClock()
         self._incarnation = new_incarnation()
@@ -80,7 +99,13 @@
             ),
         )
         self._watchdog = Watchdog(self._clock)
-        self._admission = Admission(max(1, settings.caller.threads - SPARE_THREADS))
+        self._demand = Demand.create(settings.entry.name, self._clock)
+        self._admission = Admission(
+            max(1, settings.caller.threads - SPARE_THREADS),
+            self._clock,
+            self._rng,
+            self._demand.limits,
+        )
         self._tasks = ThreadPoolExecutor(TASK_THREADS, "task")
         # Stages that run side by side wait for attempts, so that the two never share
         # threads.
@@ -101,8 +126,9 @@
             settings.entry.name,
             self._incarnation,
             settings.peer.key.encode(),
+            tuple(key.encode() for key in settings.peer.also_accepted),
         )
-        self._links = PeerLinks(sender)
+        self._links = PeerLinks(sender, peer_tls)
         self._peers = join_peers(
             settings.entry,
             self._incarnation,
@@ -112,13 +138,24 @@
             self._clock,
             self._rng,
         )
+        exchange = self._peers.members.exchange
+        self._demand.join(exchange, self._incarnation, lambda: self._admission.load)
+        application = self._application()
+        runs = application.tickets.runs
         self._listener = PeerListener(
             sender,
             f"{settings.peer.address}:{settings.peer.port}",
-            {Probe: self._answer_probe, **self._peers.handlers},
+            {
+                Probe: self._answer_probe,
+                **self._peers.handlers,
+                TicketPost: partial(runs.answer_post, run=application.run_ticketed),
+                TicketAsk: runs.answer_ask,
+                RequestAsk: runs.answer_request_ask,
+            },
+            peer_tls,
         )
         self._server = create_server(
-            self._application(), settings.caller, self._watchdog.arrivals
+            application, settings.caller, self._watchdog.arrivals
         )
 
     @property
@@ -225,10 +262,27 @@
             max_body_bytes=self._settings.caller.max_body_bytes,
             entries_for=self._entries_for,
             status=self._status,
+            tickets=self._ticket_calls(),
             observations=self._observations,
             operator_digests=self._settings.operator.key_digests,
         )
 
+    def _ticket_calls(self) -> TicketCalls:
+        return ticket_calls(
+            self._settings,
+            self._incarnation,
+            self._clock,
+            self._configuration,
+            Forwarder(self._links, self._peer_address, self._clock),
+            self._stopping.is_set,
+            self._kept_answers.give,
+        )
+
+    def _peer_address(self, name: str) -> str | None:
+        named = (e for e in self._entries if e.name == name and e.peer_port)
+        entry = next(named, None)
+        return f"{entry.address}:{entry.peer_port}" if entry else None
+
     def _answer_probe(self, envelope: Envelope, message: Probe) -> ProbeReply:
         current = self._configuration.current
         return ProbeReply(current.version if current else 0)
@@ -240,6 +294,7 @@
 
     def _take_entries(self, entries: tuple[Instance, ...]) -> None:
         self._listed = entries
+        self._demand.table.expect(live_entries(entries))
         self._peers.members.take_entries(map(to_listed, entries))
 
     def _tell_leaving(self, server: Server) -> None:
@@ -250,10 +305,17 @@
         return listed_states(self._listed, self._peers.members.entries)
 
     def _entries_for(self, account: ClientAccount, in_force: DocumentInForce) -> object:
+        order = self._demand.order(
+            account,
+            in_force.document,
+            self._entries,
+            self._admission.load,
+            self._settings.entry.data_centre,
+            self._rng,
+        )
         usable = [
             {"name": e.name, "address": e.host, "data_centre": e.data_centre}
-            for e in self._entries
-            if e.state == "live"
+            for e in order
         ]
         keep = in_force.document.policies.answer_keep_seconds
         self._kept_answers.give(keep)
--- a/boragestream/daemon/status.py
+++ b/boragestream/daemon/status.py
@@ -38,6 +38,8 @@
         digest=current.digest if current else "",
         leaving=leaving,
         in_hand=admission.in_hand,
+        queued=admission.queued,
+        windows=admission.windows(),
         servers=_servers(servers, loads),
         entries=tuple(_peer(entry) for entry in entries),
         accounts=observations.accounts(),
