Engine stand-ins keep prompt prefixes, and all entries prefer one server for one

Cause: prefix affinity was shown on a clock of its own only, and no stand-in gained from it. Ruled out: modelling memory in tokens; a count of kept prefixes is enough to tell a hit from a miss.

--- a/tests/features/serving_stage.feature
+++ b/tests/features/serving_stage.feature
@@ -1,6 +1,11 @@
 @fixture.fleet.cooperative
 Feature: a stage is answered although one of its servers fails or straggles
 
+  Scenario: prompts with one prefix meet one server's cache, from whatever entry
+    When "members-web" calls "caption" at every entry with one long prefix
+    Then every outcome is "answered"
+    And one "writer" alone had to learn the prefix
+
   Scenario: a straggler's call is hedged, and the loser cancelled and accounted for
     Given a document whose budget of hedges is never spent
     When "members-web" calls "caption" with "usual" 40 times
--- a/tests/features/steps/serving_stage.py
+++ b/tests/features/steps/serving_stage.py
@@ -14,6 +14,29 @@
 CALLS_SIDE_BY_SIDE = 8
 FAULT_SECONDS = 1.5
 TOKENS = 8
+PREFIX = "Namaste, dear member. " * 40
+
+
+@when('"{account}" calls "{pipeline}" at every entry with one long prefix')
+def step(context, account, pipeline):
+    client = Client(example_key(account), context.fleet.addresses())
+    context.misses_before = prefix_misses(context)
+    context.replies = [
+        client.call(pipeline, PREFIX + str(number), address=address)
+        for number, address in enumerate(context.fleet.addresses())
+    ]
+
+
+def prefix_misses(context):
+    """Return how many prefixes each server had to learn."""
+    runs = context.fleet.runs()
+    return Counter({name: run["prefix_misses"] for name, run in runs.items()})
+
+
+@then('one "{service}" alone had to learn the prefix')
+def step(context, service):
+    learnt = prefix_misses(context) - context.misses_before
+    assert learnt.total() == 1 and min(learnt).startswith(service), learnt
 
 
 @given("a document whose budget of hedges is never spent")
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -3,7 +3,8 @@
 Usage: python -m tests.standins.backend SPEC
 
 SPEC is JSON: name, kind, address, port, and optionally slots, queue, service_ms,
-token_ms, tokens. Results are derived from the input, so that a caller can tell its own.
+token_ms, tokens, and prefill_ms, which an engine needs for a prompt whose prefix it
+does not know. Results are derived from the input, so that a caller can tell its own.
 
 ``POST /standin/faults`` queues faults, one taken by each call; the folder ``faults``
 holds faults for the calls of one input. A fault strikes at a position of its call:
@@ -24,10 +25,12 @@
 
 from tests.standins.capacity import Capacity, QueueFullError, Slot
 from tests.standins.http import Handler, serve
+from tests.standins.prefixes import PrefixCache
 
 SPEC = {
     "slots": 8,
     "queue": None,
+    "prefill_ms": 0.0,
     "service_ms": 2.0,
     "token_ms": 1.0,
     "tokens": 8,
@@ -59,6 +62,7 @@
 
     def __init__(self):
         self.lock = threading.Lock()
+        self.prefixes = PrefixCache()
         self.requests = Counter()
         self.attempts = Counter()
         self.inputs = Counter()
@@ -133,6 +137,7 @@
                     "finished": dict(STATE.finished),
                     "cancelled": STATE.cancelled,
                     "busy_seconds": STATE.capacity.busy_seconds,
+                    "prefix_misses": STATE.prefixes.misses,
                 }
             elif path == "/standin/work":
                 body = STATE.capacity.report()
@@ -247,6 +252,9 @@
 
     def _answer(self, body, fault, kind):
         self.slot.spend(SPEC["service_ms"])
+        if SPEC["kind"] == "engine":
+            whole = SPEC["prefill_ms"]
+            self.slot.spend(STATE.prefixes.milliseconds(body["prompt"], whole))
         self._strike("ran", fault)
         if kind == "error":
             return self.reply({"error": "broken"}, 500, self._echo())
