Windows: smaller target, cuts in proportion, saturation counts; bursts may wait

Windows overshot at a step of the load. Change: a saturated stage cuts the window; the target is 1.6; cuts are in proportion. An account with fewer than three queued requests may use all the time it has.

--- a/boragestream/policy/admission.py
+++ b/boragestream/policy/admission.py
@@ -33,6 +33,7 @@
 # A queue that used up all the time there is would leave none for an error of the
 # estimate, and every error is a late answer.
 WAIT_SHARE = 0.5
+SHORT_QUEUE = 3
 MAX_WAIT_SECONDS = 2.0
 
 
@@ -282,11 +283,12 @@
     def _longest_wait(self, candidate: Candidate, left: float) -> float:
         """Return the longest wait that is taken on.
 
-        An account with nothing in the queue is within its share and may use all the
-        time there is; a longer queue keeps some back for errors of the estimate.
+        An account with a few requests in the queue is taken to have come in a burst
+        and may use all the time there is; a longer queue keeps some back for errors of
+        the estimate.
         """
         account, _ = self._account(candidate)
-        if self._queue.queued(account, self._pipelines) == 0:
+        if self._queue.queued(account, self._pipelines) < SHORT_QUEUE:
             return left
         return min(MAX_WAIT_SECONDS, left * WAIT_SHARE)
 
--- a/boragestream/policy/admitted.py
+++ b/boragestream/policy/admitted.py
@@ -42,6 +42,7 @@
     :ivar timed: whether its time says something about the servers; a stage that
         failed at once does not.
     :ivar whole: whether it brought its result.
+    :ivar saturated: whether it found no room on the service.
     :ivar passed: whether the request needs the stage's service no more.
     """
 
@@ -50,6 +51,7 @@
     began: float
     timed: bool
     whole: bool
+    saturated: bool
     passed: bool
 
 
@@ -103,7 +105,9 @@
             return self._candidate.deadline
         return self._stage_deadline(self._candidate, name)
 
-    def end_stage(self, name: str, timed: bool, whole: bool) -> None:
+    def end_stage(
+        self, name: str, timed: bool, whole: bool, saturated: bool = False
+    ) -> None:
         """Note that a stage has ended; does nothing the second time."""
         service = self._stages[name].service
         with self._lock:
@@ -112,7 +116,9 @@
                 return
             self._to_come[service] -= 1
             passed = self._to_come[service] == 0
-        self._stage_ended(self, StageEnd(name, service, began, timed, whole, passed))
+        self._stage_ended(
+            self, StageEnd(name, service, began, timed, whole, saturated, passed)
+        )
 
     def give_up(self) -> tuple[str, ...]:
         """Return the services that it still held, and hold none any more."""
--- a/boragestream/policy/service_window.py
+++ b/boragestream/policy/service_window.py
@@ -13,17 +13,17 @@
 
 __all__ = ["ServiceWindow"]
 
-START_LIMIT = 8.0
+START_LIMIT = 4.0
 MIN_LIMIT = 2.0
 MAX_LIMIT = 256.0
 # At this multiple more work waits at the servers than runs there: neither a cut nor an
 # uneven choice among the servers leaves one idle.
-TARGET_MULTIPLE = 2.2
-MAX_CUT = 0.8
+TARGET_MULTIPLE = 1.6
+MAX_CUT = 0.5
 START_GROWTH = 1.5
 # Stages that take longer than this already queue: from then on the window grows by
 # steps.
-QUIET_MULTIPLE = 1.3
+QUIET_MULTIPLE = 1.15
 STEP = 1.0
 MIN_SAMPLES = 6
 MIN_SECONDS = 0.05
@@ -93,6 +93,20 @@
         self._changed_at = now
         return correction
 
+    def overflow(self, began: float, now: float) -> None:
+        """Cut the window, since a stage found no room on the service at all.
+
+        :param began: when the stage's request began.
+        """
+        if began < self._changed_at:
+            return
+        self._starting = False
+        self._cuts = 0
+        self._limit = max(MIN_LIMIT, min(self._limit, self._in_use) * MAX_CUT)
+        self._multiples.clear()
+        self._most_in_use = self._in_use
+        self._changed_at = now
+
     def _grow(self, multiple: float) -> None:
         self._cuts = 0
         self._starting = self._starting and multiple < QUIET_MULTIPLE
--- a/boragestream/policy/service_windows.py
+++ b/boragestream/policy/service_windows.py
@@ -42,7 +42,9 @@
     def end_stage(self, admitted: Admitted, end: StageEnd, now: float) -> None:
         """Take the end of a stage: its time, and the place that it held."""
         window = self._windows[end.service]
-        if end.timed:
+        if end.saturated:
+            window.overflow(admitted.began, now)
+        elif end.timed:
             name = admitted.candidate.pipeline.name
             multiple = self._times.multiple(name, end.stage, now - end.began)
             correction = window.observe(multiple, admitted.began, now)
--- a/boragestream/policy/stage_times.py
+++ b/boragestream/policy/stage_times.py
@@ -12,7 +12,7 @@
 __all__ = ["StageSample", "StageTimes"]
 
 SAMPLE_SIZE = 128
-SAMPLE_SECONDS = 3.0
+SAMPLE_SECONDS = 2.0
 # The tail of fewer times is one odd time, and would close the door on all requests.
 MIN_TAIL_SAMPLE = 10
 BASELINE_GROUP = 16
--- a/boragestream/serving/pipeline.py
+++ b/boragestream/serving/pipeline.py
@@ -15,6 +15,7 @@
 from boragestream.base.outcomes import Failure
 from boragestream.document import Stage
 from boragestream.document.waves import stage_needs, stage_waves
+from boragestream.policy.waiting import ServiceSaturated
 from boragestream.serving.request import RequestRecord
 from boragestream.serving.stage import StageRunner
 
@@ -102,4 +103,5 @@
     # otherwise says nothing about how long the servers need.
     whole = not isinstance(result, Failure)
     timed = whole or isinstance(result, DeadlinePassed)
-    request.admitted.end_stage(stage.name, timed, whole)
+    saturated = isinstance(result, ServiceSaturated)
+    request.admitted.end_stage(stage.name, timed, whole, saturated)
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -49,4 +49,5 @@
     Then a window grows while it is used and stages are quick
     And a window is cut while stages are slow, but never closed
     And a window is not cut where a third of the stages are slow
+    And a window is cut when a stage finds no room, once for what began before
     And a window whose cuts change nothing corrects the baseline
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -213,6 +213,18 @@
     assert window.limit >= START_LIMIT
 
 
+@then("a window is cut when a stage finds no room, once for what began before")
+def step(context):
+    window = drive(ServiceWindow(0.0), lambda limit: 1.0)
+    before = window.limit
+    for _ in range(before):
+        window.take()
+    window.overflow(began=100.0, now=101.0)
+    cut = window.limit
+    window.overflow(began=100.0, now=101.1)
+    assert cut < before and window.limit == cut, (before, cut, window.limit)
+
+
 @then("a window whose cuts change nothing corrects the baseline")
 def step(context):
     corrections = []
