--- /dev/null
+++ b/boragestream/daemon/demand.py
@@ -0,0 +1,66 @@
+"""Puts the accounts' limits and the choice of entries on the exchange."""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from boragestream.base.clock import Clock
+from boragestream.document import ClientAccount, Document
+from boragestream.entry.demand import DemandPart
+from boragestream.entry.exchange import PeerExchange
+from boragestream.platform.instances import Instance
+from boragestream.policy.account_limits import AccountLimits
+from boragestream.policy.demand import DemandTable
+from boragestream.policy.entry_choice import ChoosableEntry, entry_order
+
+__all__ = ["Demand", "live_entries"]
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What this entry knows of the others' load and the accounts' demand.
+
+    :ivar limits: the accounts' limits at this entry.
+    """
+
+    own: str
+    table: DemandTable
+    limits: AccountLimits
+
+    @classmethod
+    def create(cls, own: str, clock: Clock) -> "Demand":
+        """Return what an entry knows when it starts."""
+        table = DemandTable(own, clock)
+        return cls(own, table, AccountLimits(own, table, clock))
+
+    def join(
+        self, exchange: PeerExchange, incarnation: str, load: Callable[[], float]
+    ) -> None:
+        """Let the reports ride on the exchange."""
+        part = DemandPart(self.own, incarnation, self.table, self.limits.demands, load)
+        exchange.add_part(part)
+
+    def order(
+        self,
+        account: ClientAccount,
+        document: Document,
+        entries: Iterable[Instance],
+        own_load: float,
+        data_centre: str,
+        rng: random.Random,
+    ) -> list[Instance]:
+        """Return the entries that an account is told to use, the first one first."""
+        usable = {entry.name: entry for entry in entries if entry.state == "live"}
+        reports = self.table.fresh()
+        loads = {name: report.load for name, (_, report) in reports.items()}
+        loads[self.own] = own_load
+        weights = sum(other.weight for other in document.client_accounts)
+        choosable = [ChoosableEntry(e.name, e.data_centre) for e in usable.values()]
+        share = account.weight / weights
+        order = entry_order(account.name, share, choosable, loads, data_centre, rng)
+        return [usable[name] for name in order]
+
+
+def live_entries(entries: Iterable[Instance]) -> list[str]:
+    """Return the names of the entries that are listed as live."""
+    return [entry.name for entry in entries if entry.state == "live"]
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -21,6 +21,7 @@
 )
 from boragestream.caller.status import StatusPage
 from boragestream.caller.tickets import TicketCalls, ticket_calls
+from boragestream.daemon.demand import Demand, live_entries
 from boragestream.daemon.peers import join_peers, listed_states
 from boragestream.daemon.shutdown import ExitCode, GracefulStop, KeptAnswers
 from boragestream.daemon.status import status_page
@@ -98,7 +99,13 @@
             ),
         )
         self._watchdog = Watchdog(self._clock)
-        self._admission = Admission(max(1, settings.caller.threads - SPARE_THREADS))
+        self._demand = Demand.create(settings.entry.name, self._clock)
+        self._admission = Admission(
+            max(1, settings.caller.threads - SPARE_THREADS),
+            self._clock,
+            self._rng,
+            self._demand.limits,
+        )
         self._tasks = ThreadPoolExecutor(TASK_THREADS, "task")
         # Stages that run side by side wait for attempts, so that the two never share
         # threads.
@@ -131,6 +138,8 @@
             self._clock,
             self._rng,
         )
+        exchange = self._peers.members.exchange
+        self._demand.join(exchange, self._incarnation, lambda: self._admission.load)
         application = self._application()
         runs = application.tickets.runs
         self._listener = PeerListener(
@@ -285,6 +294,7 @@
 
     def _take_entries(self, entries: tuple[Instance, ...]) -> None:
         self._listed = entries
+        self._demand.table.expect(live_entries(entries))
         self._peers.members.take_entries(map(to_listed, entries))
 
     def _tell_leaving(self, server: Server) -> None:
@@ -295,10 +305,17 @@
         return listed_states(self._listed, self._peers.members.entries)
 
     def _entries_for(self, account: ClientAccount, in_force: DocumentInForce) -> object:
+        order = self._demand.order(
+            account,
+            in_force.document,
+            self._entries,
+            self._admission.load,
+            self._settings.entry.data_centre,
+            self._rng,
+        )
         usable = [
             {"name": e.name, "address": e.host, "data_centre": e.data_centre}
-            for e in self._entries
-            if e.state == "live"
+            for e in order
         ]
         keep = in_force.document.policies.answer_keep_seconds
         self._kept_answers.give(keep)
