--- a/tests/features/steps/documentation.py
+++ b/tests/features/steps/documentation.py
@@ -10,6 +10,7 @@
 import boragestream
 from boragestream.backend import failures as backend_failures
 from boragestream.base import failures as base_failures
+from boragestream.base.clock import SystemClock
 from boragestream.base.metrics import PREFIX
 from boragestream.base.observations import Observations
 from boragestream.base.outcomes import Refused
@@ -18,7 +19,6 @@
 from boragestream.daemon.shutdown import ExitCode as EntryExitCode
 from boragestream.document import records
 from boragestream.operator.exits import ExitCode
-from tests.features.steps.base_observations import SetClock
 
 ROOT = Path(boragestream.__file__).parents[1]
 PAGES = [*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")]
@@ -117,7 +117,7 @@
 def step(context):
     rows = section("OPERATING.md", "Metrics")
     metrics = Names()
-    observations = Observations(SetClock(), metrics)
+    observations = Observations(SystemClock(), metrics)
     observations.request_ended("ACCOUNT", "PIPELINE", "OUTCOME", 0.1)
     observations.attempt_ended("PIPELINE", "STAGE", True, 0.1)
     observations.attempt_ended("PIPELINE", "STAGE", False, 0.1)
