The status command shows queues, windows and what each client account costs

Cause: the status page had gained queued requests, windows and costs, which the command did not show. Ruled out: nothing. Conclusion: one picture has every part of the page.

--- a/tests/features/operator_command.feature
+++ b/tests/features/operator_command.feature
@@ -46,6 +46,8 @@
     And its JSON at "disputed" is {}
     And its JSON at "accounts.patan-counter.latency.count" exceeds 0
     And its JSON at "stages.caption.write.server_seconds" exceeds 0
+    And its JSON at "costs.patan-counter.used_seconds" exceeds 0
+    And its JSON at "windows.writer.limit" exceeds 0
     When boragestream runs "status --entry=ENTRY-1"
     Then its output holds "patan-counter"
     When boragestream runs "show --entry=ENTRY-1"
