The status page says whom an entry suspects

Cause: the page named entries as the instance list had them and servers as live or leaving only, although the entry knows suspicions and ejections (the new scenario failed first). Ruled out: showing ejected servers as gone; a call of them may be answered. Change: daemon.status reads the entry table and the servers' circuits. Conclusion: live, suspect and leaving are shown; a server is never shown as gone, since one that the list drops is no longer on the page.

--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -330,7 +330,7 @@
             self._admission,
             self._servers,
             self._loads,
-            self._entries,
+            self._peers.members.entries,
             self._observations,
             self._parts.costs,
         )
--- a/boragestream/daemon/status.py
+++ b/boragestream/daemon/status.py
@@ -1,16 +1,14 @@
 """Collects the status page of an entry from its parts."""
 
-from collections.abc import Iterable
-
 from boragestream.base.observations import Observations
 from boragestream.base.settings import EntrySettings
 from boragestream.caller.status import PeerReport, ServerReport, StatusPage
-from boragestream.platform.instances import Instance
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce
 from boragestream.policy.costs import CostTable
-from boragestream.policy.load import LoadTable
-from boragestream.policy.servers import ServerTable
+from boragestream.policy.load import LoadTable, ServerLoad
+from boragestream.policy.peers import EntryTable, ListedEntry
+from boragestream.policy.servers import ServerState, ServerTable
 
 __all__ = ["status_page"]
 
@@ -23,7 +21,7 @@
     admission: Admission,
     servers: ServerTable,
     loads: LoadTable,
-    entries: Iterable[Instance],
+    entries: EntryTable,
     observations: Observations,
     costs: CostTable,
 ) -> StatusPage:
@@ -41,7 +39,7 @@
         queued=admission.queued,
         windows=admission.windows(),
         servers=_servers(servers, loads),
-        entries=tuple(_peer(entry) for entry in entries),
+        entries=tuple(_peer(entry, entries) for entry in entries.listed),
         accounts=observations.accounts(),
         stages=observations.stages(),
         costs=costs.snapshot(),
@@ -60,7 +58,7 @@
                 service=server.service,
                 host=server.host,
                 data_centre=server.data_centre,
-                state="live" if usable else "leaving",
+                state=_state(usable, load).value,
                 in_progress=load.in_progress,
                 smoothed_ms=round(load.seconds * 1000, 1),
             )
@@ -68,9 +66,17 @@
     return tuple(reports)
 
 
+def _state(usable: bool, load: ServerLoad) -> ServerState:
+    if not usable:
+        return ServerState.LEAVING
+    # An ejected server stays suspect until a call of it is answered.
+    return ServerState.SUSPECT if load.circuit.until else ServerState.LIVE
+
+
 def _services(servers: ServerTable) -> set[str]:
     return {server.service for server in servers.all}
 
 
-def _peer(entry: Instance) -> PeerReport:
-    return PeerReport(entry.name, entry.host, entry.data_centre, entry.state)
+def _peer(entry: ListedEntry, entries: EntryTable) -> PeerReport:
+    state = entries.state(entry.name).name.lower()
+    return PeerReport(entry.name, entry.host, entry.data_centre, state)
--- a/tests/features/caller_status.feature
+++ b/tests/features/caller_status.feature
@@ -17,3 +17,10 @@
     Then it counts an answered request of "patan-counter" with its latency
     And it counts an attempt of each stage of "caption" with its cost
     And it names every server as live
+
+  Scenario: it says whom the entry suspects and who is leaving
+    When "entry-6" and "writer-1" are killed
+    Then the status page of "entry-1" says "suspect" of "entry-6"
+    And the status page of "entry-1" says "suspect" of "writer-1" while it is called
+    When the instance list says that "writer-2" is leaving
+    Then the status page of "entry-1" says "leaving" of "writer-2"
--- a/tests/features/steps/caller_status.py
+++ b/tests/features/steps/caller_status.py
@@ -50,3 +50,39 @@
 def step(context):
     states = {s["name"]: s["state"] for s in context.page["servers"]}
     assert states == dict.fromkeys(context.fleet.servers, "live"), states
+
+
+def believed(context, name, other):
+    """Return what an entry believes of another entry or of a server."""
+    page = context.fleet.status(name)
+    states = {r["name"]: r["state"] for r in [*page["servers"], *page["entries"]]}
+    return states[other]
+
+
+@when('"{entry}" and "{server}" are killed')
+def step(context, entry, server):
+    context.fleet.entries[entry].kill()
+    context.fleet.servers[server].kill()
+
+
+@then('the status page of "{name}" says "{state}" of "{other}"')
+def step(context, name, state, other):
+    wait_until(lambda: believed(context, name, other) == state)
+
+
+@then('the status page of "{name}" says "{state}" of "{other}" while it is called')
+def step(context, name, state, other):
+    address = f"{ADDRESS}:{context.fleet.entries[name].port}"
+    client = Client(example_key("patan-counter"), (address,))
+
+    def is_believed():
+        client.call("caption", "x", address=address)
+        return believed(context, name, other) == state
+
+    wait_until(is_believed)
+
+
+@when('the instance list says that "{server}" is leaving')
+def step(context, server):
+    context.fleet.servers[server].extra["state"] = "leaving"
+    context.fleet.publish_instances()
