--- a/boragestream/policy/admitted.py
+++ b/boragestream/policy/admitted.py
@@ -42,6 +42,7 @@
     :ivar timed: whether its time says something about the servers; a stage that
         failed at once does not.
     :ivar whole: whether it brought its result.
+    :ivar saturated: whether it found no room on the service.
     :ivar passed: whether the request needs the stage's service no more.
     """
 
@@ -50,6 +51,7 @@
     began: float
     timed: bool
     whole: bool
+    saturated: bool
     passed: bool
 
 
@@ -102,27 +104,23 @@
         deadline = self._candidate.deadline
         if self._stages[name].repeatable:
             deadline = self._stage_deadline(self._candidate, name)
-        self._under_way[name] = (self._now(), deadline)
+        self._under_way[name] = self._now()
         return deadline
 
     def end_stage(
-        self, name: str, timed: bool, whole: bool, hopeless: bool = False
+        self, name: str, timed: bool, whole: bool, saturated: bool = False
     ) -> None:
-        """Note that a stage has ended; does nothing the second time.
-
-        :param hopeless: whether it was given up since its servers had no room before
-            its deadline; it counts as if it had run into that deadline.
-        """
+        """Note that a stage has ended; does nothing the second time."""
         service = self._stages[name].service
         with self._lock:
             if name not in self._under_way:
                 return
-            began, deadline = self._under_way.pop(name)
-            if hopeless:
-                began -= max(0.0, deadline - self._now())
+            began = self._under_way.pop(name)
             self._to_come[service] -= 1
             passed = self._to_come[service] == 0
-        self._stage_ended(self, StageEnd(name, service, began, timed, whole, passed))
+        self._stage_ended(
+            self, StageEnd(name, service, began, timed, whole, saturated, passed)
+        )
 
     def give_up(self) -> tuple[str, ...]:
         """Return the services that it still held, and hold none any more."""
--- a/boragestream/policy/service_windows.py
+++ b/boragestream/policy/service_windows.py
@@ -44,12 +44,8 @@
         window = self._windows[end.service]
         # A window to which nothing is held would learn that no cut helps, and take
         # the times of an overload for the servers' own.
-        if end.timed and admitted.candidate.uses("admission"):
-            name = admitted.candidate.pipeline.name
-            multiple = self._times.multiple(name, end.stage, now - end.began)
-            correction = window.observe(multiple, admitted.began, now)
-            if correction is not None:
-                self._raise_baselines(end.service, correction)
+        if admitted.candidate.uses("admission"):
+            self._learn(admitted, end, now)
         if end.passed:
             window.release()
 
@@ -64,6 +60,17 @@
             self._windows[service] = window
         return window
 
+    def _learn(self, admitted: Admitted, end: StageEnd, now: float) -> None:
+        window = self._windows[end.service]
+        if end.saturated:
+            window.overflow(admitted.began, now)
+        elif end.timed:
+            name = admitted.candidate.pipeline.name
+            multiple = self._times.multiple(name, end.stage, now - end.began)
+            correction = window.observe(multiple, admitted.began, now)
+            if correction is not None:
+                self._raise_baselines(end.service, correction)
+
     def _raise_baselines(self, service: str, factor: float) -> None:
         for pipeline in self._pipelines.values():
             for stage in pipeline.stages:
--- a/boragestream/serving/pipeline.py
+++ b/boragestream/serving/pipeline.py
@@ -99,9 +99,9 @@
 
 
 def _end_stage(request: RequestRecord, stage: Stage, result: Any | Failure) -> None:
-    # A stage that ran into its deadline took at least that long, and so would one whose
-    # servers had no room; one that failed otherwise says nothing about the servers.
+    # A stage that ran into its deadline took at least that long; one that failed
+    # otherwise says nothing about how long the servers need.
     whole = not isinstance(result, Failure)
-    hopeless = isinstance(result, ServiceSaturated)
-    timed = whole or hopeless or isinstance(result, DeadlinePassed)
-    request.admitted.end_stage(stage.name, timed, whole, hopeless)
+    timed = whole or isinstance(result, DeadlinePassed)
+    saturated = isinstance(result, ServiceSaturated)
+    request.admitted.end_stage(stage.name, timed, whole, saturated)
