--- a/boragestream/policy/admitted.py
+++ b/boragestream/policy/admitted.py
@@ -38,7 +38,7 @@
 class StageEnd:
     """The end of one stage of an admitted request.
 
-    :ivar began: when the stage began; earlier for a hopeless one.
+    :ivar began: when the stage began.
     :ivar timed: whether its time says something about the servers; a stage that
         failed at once does not.
     :ivar whole: whether it brought its result.
@@ -79,7 +79,7 @@
         self._stage_deadline = stage_deadline
         self._stages = {stage.name: stage for stage in candidate.pipeline.stages}
         self._to_come = Counter(s.service for s in candidate.pipeline.stages)
-        self._under_way: dict[str, tuple[float, float]] = {}
+        self._under_way: dict[str, float] = {}
         self._lock = threading.Lock()
 
     @property
@@ -99,13 +99,11 @@
 
     def begin_stage(self, name: str) -> float:
         """Note that a stage begins; return its own deadline."""
-        # Cutting a call that may not be repeated early would only turn answers into
-        # unknown ones.
-        deadline = self._candidate.deadline
-        if self._stages[name].repeatable:
-            deadline = self._stage_deadline(self._candidate, name)
         self._under_way[name] = self._now()
-        return deadline
+        if not self._stages[name].repeatable:
+            # Cutting such a call early would only turn answers into unknown ones.
+            return self._candidate.deadline
+        return self._stage_deadline(self._candidate, name)
 
     def end_stage(
         self, name: str, timed: bool, whole: bool, saturated: bool = False
@@ -113,9 +111,9 @@
         """Note that a stage has ended; does nothing the second time."""
         service = self._stages[name].service
         with self._lock:
-            if name not in self._under_way:
+            began = self._under_way.pop(name, None)
+            if began is None:
                 return
-            began = self._under_way.pop(name)
             self._to_come[service] -= 1
             passed = self._to_come[service] == 0
         self._stage_ended(
