--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -139,7 +139,7 @@
             self._rng,
         )
         exchange = self._peers.members.exchange
-        self._demand.join(exchange, self._incarnation, lambda: self._admission.load)
+        self._demand.join(exchange, self._incarnation, self._admission)
         application = self._application()
         runs = application.tickets.runs
         self._listener = PeerListener(
@@ -330,7 +330,7 @@
             self._admission,
             self._servers,
             self._loads,
-            self._entries,
+            self._peers.members.entries,
             self._observations,
             self._parts.costs,
         )
