The scenario on suspicions calls with different inputs

Ruled out: a fault of the status page; with other inputs it says "suspect". Change: each call has another input; what is asserted is the same.

--- a/tests/features/steps/caller_status.py
+++ b/tests/features/steps/caller_status.py
@@ -1,5 +1,7 @@
 """Steps that read the status page."""
 
+import itertools
+
 from behave import given, then, when
 
 from boragestream.operator.client import Client
@@ -74,9 +76,11 @@
 def step(context, name, state, other):
     address = f"{ADDRESS}:{context.fleet.entries[name].port}"
     client = Client(example_key("patan-counter"), (address,))
+    inputs = itertools.count()
 
     def is_believed():
-        client.call("caption", "x", address=address)
+        # The same input again and again would go to the same server.
+        client.call("caption", f"portrait {next(inputs)}", address=address)
         return believed(context, name, other) == state
 
     wait_until(is_believed)
