Fleets that run side by side reserve their ports

Cause: a fleet looked for free ports and its processes bound them later; another suite on the same machine could take one meanwhile. Logs of five fleets that did not start hold "Address already in use" or "can't listen: Address in use". Ruled out: a fork with other threads running (1,500 starts with and without a function run before exec, beside eight busy threads: none hung). Change: each fleet keeps a socket bound to every port that it uses; listeners reuse addresses and are not hindered. Conclusion: two fleets no longer meet on a port.

--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -31,23 +31,37 @@
 LIBC = ctypes.CDLL(None)
 
 
-def free_ports(count):
-    """Return ports that nothing listens on now.
+def reserve_ports(count):
+    """Return sockets bound to ports that nothing else gets while they are open.
 
-    They lie below those that the kernel gives to outgoing connections, which could
-    otherwise take one before its process does.
+    A process may still listen on such a port, since listeners reuse addresses; two
+    fleets can't be given the same one. The ports lie below those that the kernel gives
+    to outgoing connections.
     """
-    ports = []
+    sockets = []
     for port in random.SystemRandom().sample(LISTENING_PORTS, len(LISTENING_PORTS)):
-        with socket.socket() as sock:
-            try:
-                sock.bind((ADDRESS, port))
-            except OSError:
-                continue
-        ports.append(port)
-        if len(ports) == count:
+        sock = socket.socket()
+        try:
+            sock.bind((ADDRESS, port))
+        except OSError:
+            sock.close()
+            continue
+        # Set after the bind, so that the bind itself shares a port with nobody.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sockets.append(sock)
+        if len(sockets) == count:
             break
-    return ports
+    return sockets
+
+
+def free_ports(count):
+    """Return ports that nothing listens on now."""
+    sockets = reserve_ports(count)
+    try:
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
 
 
 def fetch(port, path, body=None, timeout=10, key=None):
@@ -142,7 +156,8 @@
         self.marks = itertools.count()
         self.folder = Path(tempfile.mkdtemp(prefix="boragestream-"))
         self.journal = self.folder / "runs.journal"
-        ports = iter(free_ports(1 + len(instances) + 2 * entries))
+        self.reserved = reserve_ports(1 + len(instances) + 2 * entries)
+        ports = (sock.getsockname()[1] for sock in self.reserved)
         self.settings = settings
         self.platform = self._process(
             "platform",
@@ -244,6 +259,8 @@
         """End everything."""
         for process in [*self.entries.values(), *self.servers.values(), self.platform]:
             process.kill()
+        for sock in self.reserved:
+            sock.close()
 
     def wait_for_port(self, process):
         """Wait until a process accepts connections."""
