A window opens by the slots that servers report, not by completions alone

Cause: a window starts at 4 requests and grows when stages end. A burst of long streams ends nothing for seconds, so that a fresh entry refuses it with idle servers.

Ruled out: a higher fixed start, which would overrun small services with many entries. A cut window that stays cut over weeks of idleness was a second way to the same refusal.

Change: until the first sign of a queue a window is at least the entry's share of the reported slots (mean slots x live servers / live entries) times the target multiple; after 30 s without a request a window starts again. The first report of a service makes the door look at its queue again, since nothing may end for seconds. Growing on the time of a stream's head was not built: it needs a baseline of its own.

Failed first: with the three changed lines of the window taken out, 3 of the 6 scenarios of slot_shares fail (burst, restart, wide share).

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -67,7 +67,8 @@
         for name, tree in (earlier or {}).items():
             process = self.entries[name]
             settings = process.command[-1]
-            _leave_out_later_settings(Path(settings))
+            if not _knows_operators(Path(tree)):
+                _leave_out_later_settings(Path(settings))
             command = [sys.executable, "-c", RUN_EARLIER, str(Path(tree)), settings]
             process.command[:] = command
 
@@ -81,6 +82,12 @@
         return ADDRESS, process.port
 
 
+def _knows_operators(tree):
+    """Tell whether a version gives its status to operators alone."""
+    settings = tree / "boragestream" / "base" / "settings.py"
+    return settings.exists() and "OperatorSettings" in settings.read_text()
+
+
 def _leave_out_later_settings(path):
     """Take out the settings that the first version does not know."""
     lines = path.read_text().splitlines()
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -51,6 +51,7 @@
 from boragestream.policy.load import LoadTable
 from boragestream.policy.routing import Place
 from boragestream.policy.servers import Server, ServerTable
+from boragestream.policy.slot_shares import SlotShares
 from boragestream.serving.parts import make_parts
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.stage import StageRunner
@@ -100,12 +101,17 @@
         )
         self._watchdog = Watchdog(self._clock)
         self._demand = Demand.create(settings.entry.name, self._clock)
+        self._slots = SlotShares(
+            self._servers, self._loads, self._live_entries, self._clock
+        )
         self._admission = Admission(
             max(1, settings.caller.threads - SPARE_THREADS),
             self._clock,
             self._rng,
             self._demand.limits,
+            self._slots.share,
         )
+        self._loads.when_first_reported(self._take_first_report)
         self._tasks = ThreadPoolExecutor(TASK_THREADS, "task")
         # Stages that run side by side wait for attempts, so that the two never share
         # threads.
@@ -304,6 +310,13 @@
     def _entries(self) -> tuple[Instance, ...]:
         return listed_states(self._listed, self._peers.members.entries)
 
+    def _live_entries(self) -> int:
+        return len(live_entries(self._entries))
+
+    def _take_first_report(self, service: str) -> None:
+        if self._slots.note_reported(service):
+            self._admission.look_again()
+
     def _entries_for(self, account: ClientAccount, in_force: DocumentInForce) -> object:
         order = self._demand.order(
             account,
--- a/boragestream/policy/admission.py
+++ b/boragestream/policy/admission.py
@@ -8,6 +8,7 @@
 
 import random
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -76,6 +77,7 @@
     :param limit: the most requests in hand at once, waiting ones included; each
         holds a thread.
     :param gate: holds the client accounts' own limits.
+    :param share: returns this entry's share of a service's slots; 0 for not known.
     """
 
     def __init__(
@@ -84,12 +86,13 @@
         clock: Clock,
         rng: random.Random,
         gate: AccountGate | None = None,
+        share: Callable[[str], float] = lambda service: 0.0,
     ) -> None:
         self._limit = limit
         self._clock = clock
         self._gate = gate or OpenGate()
         self._expected = Expectations(rng)
-        self._windows = ServiceWindows(self._expected.times)
+        self._windows = ServiceWindows(self._expected.times, share)
         self._queue: FairQueue[Waiting] = FairQueue()
         self._pipelines: dict[str, Pipeline] = {}
         self._in_hand = 0
@@ -160,6 +163,11 @@
             self._out(admitted.candidate)
             self._begin_next(now)
 
+    def look_again(self) -> None:
+        """Begin what may begin now that more is known of the servers' slots."""
+        with self._lock:
+            self._begin_next(self._clock.now())
+
     def retry_after(self, pipeline: Pipeline) -> float:
         """Return when a caller of a pipeline shall come back, in seconds."""
         with self._lock:
--- a/boragestream/policy/load.py
+++ b/boragestream/policy/load.py
@@ -9,7 +9,7 @@
 import itertools
 import random
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
@@ -126,6 +126,11 @@
         self._regions: dict[str, str] = {}
         self._listed = False
         self._numbers = itertools.count()
+        self._first_report: Callable[[str], None] = lambda service: None
+
+    def when_first_reported(self, told: Callable[[str], None]) -> None:
+        """Have a function called with the service of a server's first report."""
+        self._first_report = told
 
     def get(self, server: Server) -> ServerLoad:
         """Return the load of a server; an empty one for a server not yet called."""
@@ -168,9 +173,12 @@
         """Take a server's report of its load."""
         with self._lock:
             load = self._loads.setdefault(server.identity, ServerLoad())
+            first = load.report is None
             load.report = report
             load.report_at = self._clock.now()
             load.own_at_report = load.in_progress
+        if first:
+            self._first_report(server.service)
 
     def end(
         self, server: Server, number: int, end: CallEnd, seconds: float, kind: str = ""
--- a/boragestream/policy/service_window.py
+++ b/boragestream/policy/service_window.py
@@ -6,6 +6,11 @@
 Additive increase and multiplicative decrease on a signal that all entries see makes
 their windows equal. Only requests that began after the last change count, since the
 others speak of the window as it was before.
+
+Until the first sign of a queue, a window is at least as wide as the entry's share of
+the slots that the servers report: nothing completes while a burst of long streams
+begins. The same holds after idleness, since an old cut says nothing of the servers.
+How the share is known is left to ``policy.slot_shares``.
 """
 
 import math
@@ -31,6 +36,8 @@
 # the servers themselves have become slower.
 VAIN_CUTS = 6
 IMPROVEMENT = 0.9
+# Whatever queue there was has gone after this long without a request.
+IDLE_SECONDS = 30.0
 
 
 class ServiceWindow:
@@ -41,6 +48,8 @@
         self._in_use = 0
         self._most_in_use = 0
         self._changed_at = now
+        # What was never asked for has not been idle.
+        self._asked_at = math.inf
         self._starting = True
         self._multiples: list[float] = []
         self._cuts = 0
@@ -61,6 +70,17 @@
         """Whether one more request may begin."""
         return self._in_use < self.limit
 
+    def ask(self, share: float, now: float) -> None:
+        """Note that a request asks for room, and widen a window that is starting.
+
+        :param share: this entry's share of the servers' slots; 0 for not known.
+        """
+        if not self._in_use and now - self._asked_at > IDLE_SECONDS:
+            self._start_again(now)
+        self._asked_at = now
+        if self._starting:
+            self._limit = max(self._limit, share * TARGET_MULTIPLE)
+
     def take(self) -> None:
         """Count a request that begins."""
         self._in_use += 1
@@ -113,7 +133,16 @@
         if self._most_in_use < self.limit:
             return
         grown = self._limit * START_GROWTH if self._starting else self._limit + STEP
-        self._limit = min(MAX_LIMIT, grown)
+        # A share of reported slots may be wider than what may be grown to.
+        self._limit = max(self._limit, min(MAX_LIMIT, grown))
+
+    def _start_again(self, now: float) -> None:
+        self._starting = True
+        self._limit = max(START_LIMIT, self._limit)
+        self._cuts = 0
+        self._multiples.clear()
+        self._most_in_use = 0
+        self._changed_at = now
 
     def _cut(self, multiple: float) -> float | None:
         self._starting = False
--- a/boragestream/policy/service_windows.py
+++ b/boragestream/policy/service_windows.py
@@ -4,6 +4,8 @@
 passed that service. How one window adapts is left to ``policy.service_window``.
 """
 
+from collections.abc import Callable
+
 from boragestream.document import Pipeline
 from boragestream.policy.admitted import Admitted, StageEnd
 from boragestream.policy.service_window import ServiceWindow
@@ -16,16 +18,20 @@
     """The windows by service; not safe without its owner's lock.
 
     :param times: the measured times of the stages.
+    :param share: returns this entry's share of a service's slots; 0 for not known.
     """
 
-    def __init__(self, times: StageTimes) -> None:
+    def __init__(
+        self, times: StageTimes, share: Callable[[str], float] = lambda service: 0.0
+    ) -> None:
         self._times = times
+        self._share = share
         self._windows: dict[str, ServiceWindow] = {}
         self._pipelines: dict[str, Pipeline] = {}
 
     def open_for(self, pipeline: Pipeline, now: float) -> bool:
         """Tell whether a request may begin."""
-        return all(self._window(s.service, now).open for s in pipeline.stages)
+        return all(self._asked(s.service, now).open for s in pipeline.stages)
 
     def take(self, admitted: Admitted, now: float) -> None:
         """Count a request that begins."""
@@ -53,6 +59,11 @@
         """Return the limit and the use of each window."""
         return {name: (w.limit, w.in_use) for name, w in self._windows.items()}
 
+    def _asked(self, service: str, now: float) -> ServiceWindow:
+        window = self._window(service, now)
+        window.ask(self._share(service), now)
+        return window
+
     def _window(self, service: str, now: float) -> ServiceWindow:
         window = self._windows.get(service)
         if window is None:
