The entry daemon is built from frozen parts, in modules of one job

Cause: one constructor of a hundred lines in daemon.entry wired everything, and the class held twenty fields, so that start and stop were hard to find. Change: daemon.parts builds an immutable EntryParts; daemon.listing holds the listed entries; daemon.listeners makes the application and the peer listener; daemon.background the tasks. Entry keeps start, run and shutdown. Behaviour is as it was; no test changed. Conclusion: Entry reads in one go.

--- /dev/null
+++ b/boragestream/daemon/background.py
@@ -0,0 +1,80 @@
+"""The tasks of an entry that run beside its requests, each in a thread of its own."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+
+from boragestream.base.events import Event, describe_error, emit
+from boragestream.daemon.listing import EntryListing
+from boragestream.daemon.parts import EntryParts
+from boragestream.daemon.tasks import take_instances, take_published, watch_platform
+
+__all__ = ["BackgroundTasks", "watch_configuration", "watch_instances"]
+
+TASK_THREADS = 24
+
+
+class BackgroundTasks:
+    """Runs tasks, and logs the one that fails."""
+
+    def __init__(self) -> None:
+        self._threads = ThreadPoolExecutor(TASK_THREADS, "task")
+
+    def start(self, task: Callable[[], object]) -> None:
+        """Run a task until it returns."""
+        self._threads.submit(_run, task)
+
+
+def watch_configuration(
+    parts: EntryParts, stopping: threading.Event, ended: threading.Event
+) -> None:
+    """Take published documents until the entry has ended.
+
+    :param stopping: set once the entry begins to stop.
+    """
+    first_word = partial(parts.peers.first_word.wait, parts.clock, stopping)
+    platform = parts.settings.platform
+    watch_platform(
+        platform.configuration,
+        "/v1/document",
+        platform.watch_seconds,
+        partial(
+            take_published, configuration=parts.configuration, before_first=first_word
+        ),
+        Event.CONFIGURATION_UNREACHABLE,
+        ended,
+        parts.rng,
+        parts.peers.duty,
+    )
+
+
+def watch_instances(
+    parts: EntryParts, listing: EntryListing, ended: threading.Event
+) -> None:
+    """Take published instance lists until the entry has ended."""
+    platform = parts.settings.platform
+    watch_platform(
+        platform.instances,
+        "/v1/instances",
+        platform.watch_seconds,
+        partial(
+            take_instances,
+            servers=parts.servers,
+            loads=parts.loads,
+            take_entries=listing.take,
+            take_servers=parts.peers.members.take_servers,
+        ),
+        Event.INSTANCES_UNREACHABLE,
+        ended,
+        parts.rng,
+    )
+
+
+def _run(task: Callable[[], object]) -> None:
+    try:
+        task()
+    except Exception as error:
+        name = getattr(task, "func", task).__qualname__
+        emit(Event.TASK_FAILED, task=name, error=describe_error(error))
+        raise
--- /dev/null
+++ b/boragestream/daemon/listeners.py
@@ -0,0 +1,91 @@
+"""What an entry listens with: the HTTP application, and the listener for peers."""
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+
+from boragestream.caller.application import Application
+from boragestream.caller.tickets import ticket_calls
+from boragestream.daemon.listing import EntryListing
+from boragestream.daemon.parts import ATTEMPT_THREADS, EntryParts
+from boragestream.daemon.shutdown import KeptAnswers
+from boragestream.daemon.status import status_page
+from boragestream.entry.forwarding import Forwarder
+from boragestream.entry.links import PeerListener
+from boragestream.entry.messages import (
+    Envelope,
+    Probe,
+    ProbeReply,
+    RequestAsk,
+    TicketAsk,
+    TicketPost,
+)
+from boragestream.entry.tls import PeerTls
+from boragestream.serving.pipeline import PipelineRunner
+from boragestream.serving.stage import StageRunner
+
+__all__ = ["make_application", "open_peer_listener"]
+
+
+def make_application(
+    parts: EntryParts,
+    listing: EntryListing,
+    kept_answers: KeptAnswers,
+    is_leaving: Callable[[], bool],
+) -> Application:
+    """Return the application that callers talk to.
+
+    :param kept_answers: told until when tickets may be used.
+    :param is_leaving: tells whether the entry is stopping.
+    """
+    settings = parts.settings
+    forwarder = Forwarder(parts.links, listing.peer_address, parts.clock)
+    tickets = ticket_calls(
+        settings,
+        parts.incarnation,
+        parts.clock,
+        parts.configuration,
+        forwarder,
+        is_leaving,
+        kept_answers.give,
+    )
+    # Stages that run side by side wait for attempts, so that the two never share
+    # threads.
+    side_by_side = ThreadPoolExecutor(ATTEMPT_THREADS, "stage")
+    return Application(
+        configuration=parts.configuration,
+        admission=parts.admission,
+        pipelines=PipelineRunner(StageRunner(parts.serving), side_by_side),
+        watchdog=parts.watchdog,
+        clock=parts.clock,
+        max_body_bytes=settings.caller.max_body_bytes,
+        entries_for=listing.entries_for,
+        status=lambda: status_page(parts, is_leaving()),
+        tickets=tickets,
+        observations=parts.observations,
+        operator_digests=settings.operator.key_digests,
+    )
+
+
+def open_peer_listener(
+    parts: EntryParts, application: Application, peer_tls: PeerTls | None
+) -> PeerListener:
+    """Listen to the other entries; what they send waits until a task serves it.
+
+    :raises pynng.NNGException: where the address can't be listened on.
+    """
+    runs = application.tickets.runs
+
+    def answer_probe(envelope: Envelope, message: Probe) -> ProbeReply:
+        current = parts.configuration.current
+        return ProbeReply(current.version if current else 0)
+
+    handlers = {
+        Probe: answer_probe,
+        **parts.peers.handlers,
+        TicketPost: partial(runs.answer_post, run=application.run_ticketed),
+        TicketAsk: runs.answer_ask,
+        RequestAsk: runs.answer_request_ask,
+    }
+    peer = parts.settings.peer
+    return PeerListener(parts.sender, f"{peer.address}:{peer.port}", handlers, peer_tls)
--- a/boragestream/daemon/status.py
+++ b/boragestream/daemon/status.py
@@ -1,11 +1,7 @@
 """Collects the status page of an entry from its parts."""
 
-from boragestream.base.observations import Observations
-from boragestream.base.settings import EntrySettings
 from boragestream.caller.status import PeerReport, ServerReport, StatusPage
-from boragestream.policy.admission import Admission
-from boragestream.policy.configuration import ConfigurationInForce
-from boragestream.policy.costs import CostTable
+from boragestream.daemon.parts import EntryParts
 from boragestream.policy.load import LoadTable, ServerLoad
 from boragestream.policy.peers import EntryTable, ListedEntry
 from boragestream.policy.servers import ServerState, ServerTable
@@ -13,36 +9,27 @@
 __all__ = ["status_page"]
 
 
-def status_page(
-    who: EntrySettings,
-    incarnation: str,
-    leaving: bool,
-    configuration: ConfigurationInForce,
-    admission: Admission,
-    servers: ServerTable,
-    loads: LoadTable,
-    entries: EntryTable,
-    observations: Observations,
-    costs: CostTable,
-) -> StatusPage:
+def status_page(parts: EntryParts, leaving: bool) -> StatusPage:
     """Return the status page; each part is read once, not all at one moment."""
-    current = configuration.current
+    who = parts.settings.entry
+    current = parts.configuration.current
+    entries = parts.peers.members.entries
     return StatusPage(
         entry=who.name,
         data_centre=who.data_centre,
-        incarnation=incarnation,
+        incarnation=parts.incarnation,
         deployment=who.deployment,
         version=current.version if current else 0,
         digest=current.digest if current else "",
         leaving=leaving,
-        in_hand=admission.in_hand,
-        queued=admission.queued,
-        windows=admission.windows(),
-        servers=_servers(servers, loads),
+        in_hand=parts.admission.in_hand,
+        queued=parts.admission.queued,
+        windows=parts.admission.windows(),
+        servers=_servers(parts.servers, parts.loads),
         entries=tuple(_peer(entry, entries) for entry in entries.listed),
-        accounts=observations.accounts(),
-        stages=observations.stages(),
-        costs=costs.snapshot(),
+        accounts=parts.observations.accounts(),
+        stages=parts.observations.stages(),
+        costs=parts.serving.costs.snapshot(),
     )
 
 
