--- a/bench/streaming.py
+++ b/bench/streaming.py
@@ -141,8 +141,8 @@
     """Return a fleet, not yet started, with an entry for each version."""
     servers = [(f"engine-{i}", "engine", "engine", "here") for i in range(ENGINES)]
     document = bench_document([PIPELINE])
-    # A window towards a service opens with whole answers, which take ten seconds here.
-    document["policies"] = {"without": ["admission", "fair-queue", "concurrency-limit"]}
+    # The limit of a server opens with whole answers, which take ten seconds here.
+    document["policies"] = {"without": ["fair-queue", "concurrency-limit"]}
     return StreamFleet(
         document,
         servers,
