The small pages of an entry have a module of their own

Cause: caller.application handled entries, status and document beside the pipelines. Ruled out: a table of routes with a decorator, which hides four paths behind machinery. Change: caller.pages answers the three pages, caller.refusals refuses what is turned down before admission. Behaviour is as it was; no test changed. Conclusion: the application reads as the way of one request.

--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,19 +17,14 @@
 from boragestream.base.observations import Observations
 from boragestream.base.outcomes import Answered, Failure, Outcome, Refused, Unknown
 from boragestream.caller.connections import ARRIVED, STOP_WAITING
-from boragestream.caller.failures import MethodNotAllowed, PathUnknown
-from boragestream.caller.reading import (
-    CallerRequest,
-    check_operator,
-    find_account,
-    read_request,
-)
-from boragestream.caller.replies import StartResponse, json_reply, outcome_reply
+from boragestream.caller.failures import MethodNotAllowed
+from boragestream.caller.pages import Pages
+from boragestream.caller.reading import CallerRequest, read_request
+from boragestream.caller.refusals import Refusals
+from boragestream.caller.replies import StartResponse, outcome_reply
 from boragestream.caller.streaming import StreamedReply
 from boragestream.caller.ticket_runs import Ending
 from boragestream.caller.tickets import REQUESTS_PATH, TICKETS_PATH, TicketCalls
-from boragestream.document import ClientAccount
-from boragestream.document.shown import shown_document
 from boragestream.policy.admission import Admission
 from boragestream.policy.admitted import Candidate
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
@@ -48,9 +43,7 @@
 class Application:
     """The application; waitress calls it in a thread for each request.
 
-    :ivar entries_for: returns the answer to which entries an account shall use.
-    :ivar status: returns the entry's status page.
-    :ivar operator_digests: of the keys that may read the status page.
+    :ivar pages: answers what is neither a pipeline nor about tickets.
     """
 
     configuration: ConfigurationInForce
@@ -59,11 +52,10 @@
     watchdog: Watchdog
     clock: Clock
     max_body_bytes: int
-    entries_for: Callable[[ClientAccount, DocumentInForce], object]
-    status: Callable[[], object]
+    refusals: Refusals
+    pages: Pages
     tickets: TicketCalls
     observations: Observations
-    operator_digests: tuple[str, ...] = ()
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Reply:
         """Answer one HTTP request."""
@@ -86,48 +78,7 @@
         if path.startswith((TICKETS_PATH, REQUESTS_PATH)):
             in_force = self.configuration.current
             return self.tickets.answer(environ, start_response, request_id, in_force)
-        handlers = {
-            "/v1/document": self._document,
-            "/v1/entries": self._entries,
-            "/v1/status": self._status,
-        }
-        handler = handlers.get(path)
-        if handler is None:
-            return self._refuse(start_response, request_id, PathUnknown())
-        if environ["REQUEST_METHOD"] != "GET":
-            wrong = MethodNotAllowed()
-            return self._refuse(start_response, request_id, wrong)
-        return handler(environ, start_response, request_id)
-
-    def _entries(
-        self, environ: Environ, start_response: StartResponse, request_id: str
-    ) -> Reply:
-        in_force = self.configuration.current
-        if in_force is None:
-            return self._refuse(start_response, request_id, NoConfiguration())
-        account = find_account(environ, in_force)
-        if isinstance(account, Failure):
-            return self._refuse(start_response, request_id, account)
-        return json_reply(start_response, self.entries_for(account, in_force))
-
-    def _status(
-        self, environ: Environ, start_response: StartResponse, request_id: str
-    ) -> Reply:
-        refused = check_operator(environ, self.operator_digests)
-        if refused is not None:
-            return self._refuse(start_response, request_id, refused)
-        return json_reply(start_response, self.status())
-
-    def _document(
-        self, environ: Environ, start_response: StartResponse, request_id: str
-    ) -> Reply:
-        refused = check_operator(environ, self.operator_digests)
-        if refused is not None:
-            return self._refuse(start_response, request_id, refused)
-        in_force = self.configuration.current
-        if in_force is None:
-            return self._refuse(start_response, request_id, NoConfiguration())
-        return json_reply(start_response, shown_document(in_force.document))
+        return self.pages.answer(environ, start_response, request_id)
 
     def _pipeline(
         self,
@@ -138,18 +89,18 @@
     ) -> Reply:
         if environ["REQUEST_METHOD"] != "POST":
             wrong = MethodNotAllowed()
-            return self._refuse(start_response, request_id, wrong)
+            return self.refusals.reply(start_response, request_id, wrong)
         arrived = environ.get(ARRIVED, self.clock.now())
         in_force = self.configuration.current
         if in_force is None:
-            return self._refuse(start_response, request_id, NoConfiguration())
+            return self.refusals.reply(start_response, request_id, NoConfiguration())
         if "HTTP_IDEMPOTENCY_KEY" in environ:
             return self.tickets.post(
                 environ, start_response, request_id, name, in_force, self.run_ticketed
             )
         asked = read_request(environ, name, in_force, self.max_body_bytes)
         if isinstance(asked, Failure):
-            return self._refuse(start_response, request_id, asked)
+            return self.refusals.reply(start_response, request_id, asked)
         ask = self.tickets.ask_path(request_id)
         request = self._admit(request_id, asked, in_force, arrived, ask, environ)
         if isinstance(request, Refused):
@@ -280,14 +231,6 @@
     def _retry_after(self, request: RequestRecord) -> float:
         return self.admission.retry_after(request.pipeline)
 
-    def _refuse(
-        self, start_response: StartResponse, request_id: str, failure: Failure
-    ) -> Reply:
-        worth_retrying = isinstance(failure, NoConfiguration)
-        retry_after = self.admission.retry_unknown() if worth_retrying else None
-        outcome = Refused(failure, retry_after)
-        return outcome_reply(start_response, outcome, request_id)
-
     def _log_end(
         self, request_id: str, asked: CallerRequest, arrived: float, outcome: Outcome
     ) -> None:
--- a/boragestream/daemon/listeners.py
+++ b/boragestream/daemon/listeners.py
@@ -5,6 +5,8 @@
 from functools import partial
 
 from boragestream.caller.application import Application
+from boragestream.caller.pages import Pages
+from boragestream.caller.refusals import Refusals
 from boragestream.caller.tickets import ticket_calls
 from boragestream.daemon.listing import EntryListing
 from boragestream.daemon.parts import ATTEMPT_THREADS, EntryParts
@@ -49,6 +51,14 @@
         is_leaving,
         kept_answers.give,
     )
+    refusals = Refusals(parts.admission)
+    pages = Pages(
+        configuration=parts.configuration,
+        refusals=refusals,
+        entries_for=listing.entries_for,
+        status=lambda: status_page(parts, is_leaving()),
+        operator_digests=settings.operator.key_digests,
+    )
     # Stages that run side by side wait for attempts, so that the two never share
     # threads.
     side_by_side = ThreadPoolExecutor(ATTEMPT_THREADS, "stage")
@@ -59,11 +69,10 @@
         watchdog=parts.watchdog,
         clock=parts.clock,
         max_body_bytes=settings.caller.max_body_bytes,
-        entries_for=listing.entries_for,
-        status=lambda: status_page(parts, is_leaving()),
+        refusals=refusals,
+        pages=pages,
         tickets=tickets,
         observations=parts.observations,
-        operator_digests=settings.operator.key_digests,
     )
 
 
