The backend stand-in keeps its faults and its answers apart from its HTTP handler

Cause: tests/standins/backend.py held the handler, the faults, the answers and the ways in which they are wrong. Ruled out: re-exporting the moved functions from the old module. Change: tests.standins.faults claims and strikes, tests.standins.answers makes answers; importers name the new modules. No scenario or assertion changed. Conclusion: a new fault or answer has one place.

--- a/bench/load/client.py
+++ b/bench/load/client.py
@@ -17,7 +17,7 @@
 
 from bench.load.deployment import DEADLINE_SECONDS, TOKENS, account_key
 from boragestream.operator.client import CallReply, Client
-from tests.standins.backend import expected_text, fingerprint
+from tests.standins.answers import expected_text, fingerprint
 
 __all__ = ["Sample", "main"]
 
--- a/demo/calls.py
+++ b/demo/calls.py
@@ -6,7 +6,7 @@
 
 from boragestream.operator.client import CallReply, Client, EntryUnreachable
 from boragestream.operator.tickets import call_once
-from tests.standins.backend import expected_text, fingerprint
+from tests.standins.answers import expected_text, fingerprint
 
 TOKENS = 8
 STREAMED_SHARE = 0.7
--- a/tests/features/steps/daemon_shutdown.py
+++ b/tests/features/steps/daemon_shutdown.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from boragestream.operator.client import Client
-from tests.standins.backend import fingerprint
+from tests.standins.answers import fingerprint
 from tests.standins.fleet import wait_until
 from tests.standins.sites import example_key
 from tests.standins.verdicts import Call, read_journal
--- a/tests/features/steps/fault_matrix_entries.py
+++ b/tests/features/steps/fault_matrix_entries.py
@@ -13,7 +13,7 @@
 from behave import then, when
 
 from boragestream.operator.client import Client
-from tests.standins.backend import fingerprint
+from tests.standins.answers import fingerprint
 from tests.standins.fleet import ADDRESS, fetch, wait_until
 from tests.standins.sites import example_key
 from tests.standins.strikes import (
--- a/tests/features/steps/operator_command.py
+++ b/tests/features/steps/operator_command.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 
 from boragestream.operator.command import main
-from tests.standins.backend import expected_text
+from tests.standins.answers import expected_text
 from tests.standins.fleet import ADDRESS, OPERATOR_KEY
 from tests.standins.sites import example_key
 
--- a/tests/features/steps/serving_pipeline.py
+++ b/tests/features/steps/serving_pipeline.py
@@ -3,7 +3,7 @@
 from behave import then, when
 
 from boragestream.operator.client import Client
-from tests.standins.backend import expected_text, fingerprint
+from tests.standins.answers import expected_text, fingerprint
 from tests.standins.sites import example_key
 
 TOKENS = 8
--- a/tests/features/steps/serving_stage.py
+++ b/tests/features/steps/serving_stage.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from boragestream.operator.client import Client
-from tests.standins.backend import expected_text
+from tests.standins.answers import expected_text
 from tests.standins.fleet import fetch, wait_until
 from tests.standins.sites import example_key
 
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from tests.standins.backend import fingerprint
+from tests.standins.answers import fingerprint
 
 ADDRESS = "127.0.0.1"
 PARENT_DEATH_SIGNAL = 1
--- a/tests/standins/verdicts.py
+++ b/tests/standins/verdicts.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from boragestream.operator.client import CallReply, Client
-from tests.standins.backend import expected_text, fingerprint
+from tests.standins.answers import expected_text, fingerprint
 from tests.standins.sites import example_key
 
 OUTCOMES = ("answered", "refused", "failed", "unknown")
