Refusals around tickets give the retry time of admission

Cause: caller.tickets and caller.ticket_runs told every refused caller exactly 1 s, so that those who were refused together came back together. Ruled out: a spread of their own around a constant, beside that of admission. Change: caller.refusals asks admission: the time of the pipeline where no thread is free, the spread time where the backlog is not known. An entry that leaves still gives the latter, although another entry could be tried sooner. Before and after: two constants of 1 s and none. Conclusion: all refusals of caller/ take their time from one place.

--- a/boragestream/caller/refusals.py
+++ b/boragestream/caller/refusals.py
@@ -6,14 +6,16 @@
 
 from dataclasses import dataclass
 
-from boragestream.base.failures import NoConfiguration
+from boragestream.base.failures import EntryLeaving, NoConfiguration, QueueFull
 from boragestream.base.outcomes import Failure, Refused
 from boragestream.caller.replies import StartResponse, outcome_reply
+from boragestream.document import Pipeline
 from boragestream.policy.admission import Admission
+from boragestream.policy.tickets import TicketsExhausted
 
 __all__ = ["Refusals"]
 
-PASSING = NoConfiguration
+PASSING = NoConfiguration | EntryLeaving | TicketsExhausted
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +24,13 @@
 
     admission: Admission
 
+    def full(self, limit: int, pipeline: Pipeline) -> Refused:
+        """Return the refusal of a request for which there is no thread.
+
+        :param limit: how many requests hold the threads.
+        """
+        return Refused(QueueFull(limit), self.admission.retry_after(pipeline))
+
     def reply(
         self, start_response: StartResponse, request_id: str, failure: Failure
     ) -> list[bytes]:
--- a/boragestream/caller/ticket_runs.py
+++ b/boragestream/caller/ticket_runs.py
@@ -14,10 +14,11 @@
 
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, emit
-from boragestream.base.failures import NoConfiguration, QueueFull
+from boragestream.base.failures import NoConfiguration
 from boragestream.base.outcomes import Answered, Failure, Outcome, Refused, Unknown
 from boragestream.caller.failures import WrongKey
 from boragestream.caller.reading import CallerRequest, find_pipeline
+from boragestream.caller.refusals import Refusals
 from boragestream.caller.replies import outcome_reply
 from boragestream.document import ClientAccount
 from boragestream.entry.forwarding import IssuerGone
@@ -107,6 +108,7 @@
     book: TicketBook
     memory: RequestMemory
     configuration: ConfigurationInForce
+    refusals: Refusals
     clock: Clock
     pool: ThreadPoolExecutor = field(
         default_factory=lambda: ThreadPoolExecutor(FORWARDED_RUNS, "ticket")
@@ -184,7 +186,7 @@
             return self._state(claimed, message.ticket, message.request_id)
         arguments = (claimed, message.ticket, message.request_id, asked, in_force)
         if not self.forwarded.acquire(blocking=False):
-            full = Refused(QueueFull(FORWARDED_RUNS), 1.0)
+            full = self.refusals.full(FORWARDED_RUNS, asked.pipeline)
             ended = self._finish(claimed, message.ticket, message.request_id, full)
             return render(ended.outcome, ended.request_id)
         self.pool.submit(self._run_forwarded, *arguments, arrived, run)
--- a/boragestream/caller/tickets.py
+++ b/boragestream/caller/tickets.py
@@ -16,13 +16,14 @@
 import msgspec
 
 from boragestream.base.clock import Clock
-from boragestream.base.failures import EntryLeaving, NoConfiguration, QueueFull
+from boragestream.base.failures import EntryLeaving, NoConfiguration
 from boragestream.base.outcomes import Failure, Refused, Unknown
 from boragestream.base.settings import Settings
 from boragestream.caller.connections import ARRIVED
 from boragestream.caller.failures import BodyTooLong, MalformedHeader, MethodNotAllowed
 from boragestream.caller.reading import CallerRequest, find_account, read_request
-from boragestream.caller.replies import StartResponse, json_reply, outcome_reply
+from boragestream.caller.refusals import Refusals
+from boragestream.caller.replies import StartResponse, json_reply
 from boragestream.caller.ticket_runs import (
     ASK_PATH,
     RunWhole,
@@ -48,7 +49,6 @@
 
 TICKETS_PATH = "/v1/tickets"
 REQUESTS_PATH = "/v1/requests/"
-RETRY_SECONDS = 1.0
 MAX_FORWARDED_BYTES = 1_572_864
 FORWARDED_POSTS = 64
 KEY_BYTES = 32
@@ -90,6 +90,7 @@
 
     name: str
     runs: TicketRuns
+    refusals: Refusals
     forwarder: Forwarder
     clock: Clock
     max_body_bytes: int
@@ -114,12 +115,12 @@
         path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
         wanted = "POST" if path == TICKETS_PATH else "GET"
         if method != wanted:
-            return _refuse(start_response, request_id, MethodNotAllowed())
+            return self.refusals.reply(start_response, request_id, MethodNotAllowed())
         if in_force is None:
-            return _refuse(start_response, request_id, NoConfiguration())
+            return self.refusals.reply(start_response, request_id, NoConfiguration())
         account = find_account(environ, in_force)
         if isinstance(account, Failure):
-            return _refuse(start_response, request_id, account)
+            return self.refusals.reply(start_response, request_id, account)
         if path == TICKETS_PATH:
             return self._issue(start_response, request_id, account, in_force)
         if path.startswith(REQUESTS_PATH):
@@ -128,7 +129,7 @@
         text = path.removeprefix(ASK_PATH)
         ticket = _own_ticket(text, account)
         if isinstance(ticket, Failure):
-            return _refuse(start_response, request_id, ticket)
+            return self.refusals.reply(start_response, request_id, ticket)
         return _report(start_response, self._ask(ticket, text, account, request_id))
 
     def post(
@@ -147,16 +148,17 @@
         arrived = environ.get(ARRIVED, self.clock.now())
         account = find_account(environ, in_force)
         if isinstance(account, Failure):
-            return _refuse(start_response, request_id, account)
+            return self.refusals.reply(start_response, request_id, account)
         text = environ["HTTP_IDEMPOTENCY_KEY"]
         ticket = _own_ticket(text, account)
         if isinstance(ticket, TicketMalformed):
             ticket = MalformedHeader("Idempotency-Key")
         if isinstance(ticket, Failure):
-            return _refuse(start_response, request_id, ticket)
+            return self.refusals.reply(start_response, request_id, ticket)
         asked = read_request(environ, pipeline, in_force, self.max_body_bytes)
         if isinstance(asked, Failure):
-            state = self._refuse_unused(ticket, text, account, request_id, asked)
+            refused = Refused(asked)
+            state = self._refuse_unused(ticket, text, account, request_id, refused)
         elif self.runs.book.is_issuer(ticket):
             state = self.runs.post(
                 ticket, text, request_id, asked, in_force, arrived, run
@@ -174,11 +176,11 @@
         in_force: DocumentInForce,
     ) -> Reply:
         if self.is_leaving():
-            return _refuse(start_response, request_id, EntryLeaving())
+            return self.refusals.reply(start_response, request_id, EntryLeaving())
         seconds = in_force.document.policies.ticket_seconds
         text = self.runs.book.issue(account.name, seconds)
         if isinstance(text, TicketsExhausted):
-            return _refuse(start_response, request_id, text)
+            return self.refusals.reply(start_response, request_id, text)
         self.keep(seconds)
         issued = IssuedTicket(text, self.name, int(seconds * 1000))
         return json_reply(start_response, issued, HTTPStatus.CREATED)
@@ -193,13 +195,11 @@
     ) -> CallState:
         body = msgspec.json.encode(asked.body)
         if len(body) > MAX_FORWARDED_BYTES:
-            too_long = BodyTooLong(MAX_FORWARDED_BYTES)
-            return self._refuse_unused(
-                ticket, text, asked.account, request_id, too_long
-            )
+            refused = Refused(BodyTooLong(MAX_FORWARDED_BYTES))
+            return self._refuse_unused(ticket, text, asked.account, request_id, refused)
         if not self.forwarding.acquire(blocking=False):
-            full = QueueFull(FORWARDED_POSTS)
-            return self._refuse_unused(ticket, text, asked.account, request_id, full)
+            refused = self.refusals.full(FORWARDED_POSTS, asked.pipeline)
+            return self._refuse_unused(ticket, text, asked.account, request_id, refused)
         try:
             deadline = arrived + asked.deadline_ms / 1000
             left_ms = int((deadline - self.clock.now()) * 1000)
@@ -250,14 +250,12 @@
         text: str,
         account: ClientAccount,
         request_id: str,
-        failure: Failure,
+        refused: Refused,
     ) -> CallState:
         """Refuse a post where its ticket is unused, or say what became of it."""
         state = self._ask(ticket, text, account, request_id)
         if state.outcome != "refused":
             return _ended(state, text, request_id)
-        passing = isinstance(failure, QueueFull)
-        refused = Refused(failure, RETRY_SECONDS if passing else None)
         return render(refused, request_id)
 
 
@@ -266,6 +264,7 @@
     incarnation: str,
     clock: Clock,
     configuration: ConfigurationInForce,
+    refusals: Refusals,
     forwarder: Forwarder,
     is_leaving: Callable[[], bool],
     keep: Callable[[float], None],
@@ -274,9 +273,9 @@
     name = settings.entry.name
     key = secrets.token_bytes(KEY_BYTES)
     book = TicketBook(name, incarnation, key, clock)
-    runs = TicketRuns(book, RequestMemory(clock), configuration, clock)
+    runs = TicketRuns(book, RequestMemory(clock), configuration, refusals, clock)
     limit = settings.caller.max_body_bytes
-    return TicketCalls(name, runs, forwarder, clock, limit, is_leaving, keep)
+    return TicketCalls(name, runs, refusals, forwarder, clock, limit, is_leaving, keep)
 
 
 def _own_ticket(text: str, account: ClientAccount) -> Ticket | Failure:
@@ -300,9 +299,3 @@
     reply = msgspec.Raw(state.content) if state.content else None
     report = StateReport(state.outcome or "in-progress", state.request_id, reply)
     return json_reply(start_response, report)
-
-
-def _refuse(start_response: StartResponse, request_id: str, failure: Failure) -> Reply:
-    passing = isinstance(failure, NoConfiguration | EntryLeaving | TicketsExhausted)
-    outcome = Refused(failure, RETRY_SECONDS if passing else None)
-    return outcome_reply(start_response, outcome, request_id)
--- a/boragestream/daemon/listeners.py
+++ b/boragestream/daemon/listeners.py
@@ -42,16 +42,17 @@
     """
     settings = parts.settings
     forwarder = Forwarder(parts.links, listing.peer_address, parts.clock)
+    refusals = Refusals(parts.admission)
     tickets = ticket_calls(
         settings,
         parts.incarnation,
         parts.clock,
         parts.configuration,
+        refusals,
         forwarder,
         is_leaving,
         kept_answers.give,
     )
-    refusals = Refusals(parts.admission)
     pages = Pages(
         configuration=parts.configuration,
         refusals=refusals,
