Tests share one clock that is set

Ruled out: a stepping clock with more methods; no scenario needs one. Change: they use tests.standins.clock.SetClock; none drops a scenario or an assertion. Conclusion: one clock for tests.

--- a/tests/features/steps/account_limits.py
+++ b/tests/features/steps/account_limits.py
@@ -11,7 +11,7 @@
 from boragestream.entry.demand import DemandPart
 from boragestream.policy.account_limits import AccountLimits
 from boragestream.policy.demand import DemandTable
-from tests.features.steps.admission import ManualClock
+from tests.standins.clock import SetClock
 
 STEP_SECONDS = 0.05
 ROUND_SECONDS = 1.0
@@ -36,7 +36,7 @@
     """Some entries that share the limits of one account."""
 
     def __init__(self, count, **limits):
-        self.clock = ManualClock()
+        self.clock = SetClock()
         self.account = ClientAccount("lab", ("0" * 64,), **limits)
         names = [chr(ord("a") + i) for i in range(count)]
         self.members = {n: Member(n, names, self.clock) for n in names}
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -16,26 +16,16 @@
     START_LIMIT,
     ServiceWindow,
 )
+from tests.standins.clock import SetClock
 from tests.standins.fleet import wait_until
 from tests.standins.sites import example_document
 
 
-class ManualClock:
-    """A clock that the steps move."""
-
-    def __init__(self):
-        self.seconds = 1000.0
-
-    def now(self):
-        """Return the time."""
-        return self.seconds
-
-
 def set_up(context, limit):
     """Make a door and what its steps share."""
     document, _ = check_document(example_document("cooperative"))
     context.document = document
-    context.clock = ManualClock()
+    context.clock = SetClock()
     context.door = Admission(limit, context.clock, random.Random(1))
     context.pool = ThreadPoolExecutor(256)
     context.gone = threading.Event()
--- a/tests/features/steps/backend_attempt.py
+++ b/tests/features/steps/backend_attempt.py
@@ -13,6 +13,7 @@
 from boragestream.backend.cancellation import CancelScope, Watchdog
 from boragestream.backend.connections import ConnectionKeeper
 from boragestream.base.failures import CallerGone, DeadlinePassed
+from tests.standins.clock import SetClock
 from tests.standins.fleet import wait_until
 
 SECONDS = 30
@@ -22,16 +23,6 @@
 PART = 'data: {{"id": "{attempt}", "choices": [{{"text": "{attempt}"}}]}}\n\n'
 
 
-class HandClock:
-    """A clock that is set by hand."""
-
-    seconds = 0.0
-
-    def now(self):
-        """Return the time."""
-        return self.seconds
-
-
 class Server:
     """Answers every call with its attempt's id; notes the connection of each."""
 
@@ -93,7 +84,7 @@
 def prepare(context, host):
     """Keep what every attempt of a scenario shares."""
     context.host = host
-    context.clock = HandClock()
+    context.clock = SetClock(0.0)
     context.connections = ConnectionKeeper()
     context.results = []
 
@@ -247,7 +238,7 @@
 
 @given("a watchdog with a scope that fails when it is checked")
 def step(context):
-    context.clock = HandClock()
+    context.clock = SetClock(0.0)
     context.watchdog = Watchdog(context.clock)
     checked = threading.Event()
 
--- a/tests/features/steps/backend_attempt_expiry.py
+++ b/tests/features/steps/backend_attempt_expiry.py
@@ -9,6 +9,7 @@
 from boragestream.backend.cancellation import CancelScope
 from boragestream.backend.connections import ConnectionKeeper
 from boragestream.backend.failures import AttemptCancelled, Ran
+from tests.standins.clock import SetClock
 from tests.standins.fleet import ADDRESS
 
 START = 1000.0
@@ -30,16 +31,6 @@
         return connection
 
 
-class Clock:
-    """A clock that the test sets."""
-
-    seconds = START
-
-    def now(self):
-        """Return the seconds that were set."""
-        return self.seconds
-
-
 @given("a call that may not be repeated, to be sent within {run_by:g} s")
 def step(context, run_by):
     context.call = StageCall(
@@ -54,7 +45,7 @@
 
 @when("the process is paused for {pause:g} s while it connects")
 def step(context, pause):
-    clock = Clock()
+    clock = SetClock(START)
     listener = socket.create_server((ADDRESS, 0))
     host = f"{ADDRESS}:{listener.getsockname()[1]}"
     context.sent = []
--- a/tests/features/steps/base_observations.py
+++ b/tests/features/steps/base_observations.py
@@ -9,25 +9,14 @@
 from boragestream.base.histograms import WINDOW_SECONDS, Histograms
 from boragestream.base.metrics import open_metrics
 from boragestream.base.observations import Observations
+from tests.standins.clock import SetClock
 
 PRECISION = 0.07
 
 
-class SetClock:
-    """A clock that stands still until a test moves it."""
-
-    def __init__(self):
-        """Begin at zero."""
-        self.seconds = 0.0
-
-    def now(self):
-        """Return the time that the test has set."""
-        return self.seconds
-
-
 @given("histograms on a clock that the test moves")
 def step(context):
-    context.clock = SetClock()
+    context.clock = SetClock(0.0)
     context.histograms = Histograms(context.clock)
 
 
@@ -86,7 +75,7 @@
     context.statsd.settimeout(10)
     address, port = context.statsd.getsockname()
     metrics = open_metrics(address, port, "entry-1")
-    context.observations = Observations(SetClock(), metrics)
+    context.observations = Observations(SetClock(0.0), metrics)
 
 
 @when('a request of "{account}" to "{pipeline}" is answered in {number:d} milliseconds')
--- a/tests/features/steps/base_pauses.py
+++ b/tests/features/steps/base_pauses.py
@@ -3,21 +3,12 @@
 from behave import given, then, when
 
 from boragestream.base.pauses import PauseMeter
-
-
-class HandClock:
-    """A clock that is set by hand."""
-
-    seconds = 0.0
-
-    def now(self):
-        """Return the time."""
-        return self.seconds
+from tests.standins.clock import SetClock
 
 
 @given("a process that last ticked at {seconds:d} s")
 def step(context, seconds):
-    context.clock = HandClock()
+    context.clock = SetClock(0.0)
     context.clock.seconds = seconds
     context.meter = PauseMeter(context.clock)
 
--- a/tests/features/steps/caller_connections.py
+++ b/tests/features/steps/caller_connections.py
@@ -9,25 +9,16 @@
 from boragestream.base.settings import CallerSettings
 from boragestream.caller.connections import ARRIVED, STOP_WAITING
 from boragestream.caller.server import UNREAD_BYTES, busy_connections, create_server
+from tests.standins.clock import SetClock
 from tests.standins.fleet import free_ports, wait_until
 
 PART = b"x" * 65536
 SECONDS = 30
 
 
-class HandClock:
-    """A clock that is set by hand."""
-
-    seconds = 0.0
-
-    def now(self):
-        """Return the time."""
-        return self.seconds
-
-
 def start(context, application, threads=2):
     """Run a server until the scenario ends."""
-    context.clock = HandClock()
+    context.clock = SetClock(0.0)
     settings = CallerSettings("127.0.0.1", free_ports(1)[0], threads)
     context.server = create_server(application, settings, context.clock)
     context.address = ("127.0.0.1", settings.port)
--- a/tests/features/steps/load_gone.py
+++ b/tests/features/steps/load_gone.py
@@ -9,25 +9,15 @@
 from boragestream.policy.service_windows import ServiceWindows
 from boragestream.policy.stage_times import StageTimes
 from boragestream.policy.times import RecentTimes
+from tests.standins.clock import SetClock
 from tests.standins.sites import example_document
 
 KIND = "caption.write"
 
 
-class SteppedClock:
-    """A clock that the steps move."""
-
-    def __init__(self):
-        self.seconds = 50.0
-
-    def now(self):
-        """Return the time."""
-        return self.seconds
-
-
 @given("{count:d} calls of {seconds:g} seconds")
 def step(context, count, seconds):
-    context.clock = SteppedClock()
+    context.clock = SetClock(50.0)
     context.times = RecentTimes(context.clock)
     for _ in range(count):
         context.times.add(KIND, seconds)
@@ -58,7 +48,7 @@
 def under_way(context, left, without):
     """Begin a request; its stages report to windows of their own."""
     document, _ = check_document(example_document("cooperative"))
-    context.clock = SteppedClock()
+    context.clock = SetClock(50.0)
     now = context.clock.now
     deadline = now() + left
     candidate = Candidate(
--- a/tests/features/steps/policy_ticket_book.py
+++ b/tests/features/steps/policy_ticket_book.py
@@ -28,6 +28,7 @@
     TicketsExhausted,
     read_ticket,
 )
+from tests.standins.clock import SetClock
 
 LIFE = 30.0
 # Threads change places so often that a missing lock shows.
@@ -41,16 +42,6 @@
 )
 
 
-class SetClock:
-    """A clock that a test sets, backwards too."""
-
-    seconds = 1000.0
-
-    def now(self):
-        """Return the seconds that were set."""
-        return self.seconds
-
-
 def new_book(clock, life=0, **bounds):
     """Return the book of one incarnation."""
     key = b"key of incarnation %d" % life
--- a/tests/features/steps/serving_orders.py
+++ b/tests/features/steps/serving_orders.py
@@ -15,6 +15,7 @@
 from boragestream.policy.servers import Server
 from boragestream.policy.weight_store import WeightStoreShare
 from boragestream.serving.orders import OrderGiver
+from tests.standins.clock import SetClock
 from tests.standins.orders import OrderServer
 from tests.standins.sites import example_document
 
@@ -24,23 +25,12 @@
 PLENTY = 1000.0
 
 
-class Clock:
-    """A clock that the test moves."""
-
-    def __init__(self):
-        self.time = 100.0
-
-    def now(self):
-        """Return the time."""
-        return self.time
-
-
 @given("a server that {treats} fencing numbers")
 def step(context, treats):
     context.stand_in = OrderServer(honours=treats == "honours")
     context.add_cleanup(context.stand_in.close)
     if not hasattr(context, "givers"):
-        context.clock = Clock()
+        context.clock = SetClock(100.0)
         context.document = check_document(example_document("cooperative"))[0]
         context.givers = {}
         context.rate = PLENTY
@@ -58,13 +48,13 @@
 
 def own_for_long(context, name, index):
     """Have an entry confirm a list until it has waited long enough."""
-    until = context.clock.time + WAIT_SECONDS + LEASE_SECONDS
-    while context.clock.time < until:
+    until = context.clock.seconds + WAIT_SECONDS + LEASE_SECONDS
+    while context.clock.seconds < until:
         confirm(context, name, index)
-        context.clock.time += LEASE_SECONDS / 4
+        context.clock.seconds += LEASE_SECONDS / 4
     confirm(context, name, index)
     context.givers[name].store.set_share(context.rate, 1, 1)
-    context.clock.time += 1.0
+    context.clock.seconds += 1.0
 
 
 @when('list {index:d} makes "{name}" the owner')
@@ -111,7 +101,7 @@
 @when('"{name}" is paused beyond its lease while it reads the server')
 def step(context, name):
     def pause():
-        context.clock.time += LEASE_SECONDS
+        context.clock.seconds += LEASE_SECONDS
 
     context.stand_in.when_read = pause
     make_rounds(context, name, 1)
@@ -125,7 +115,7 @@
 
 @when("the owners' clock moves on by {seconds:d} seconds")
 def step(context, seconds):
-    context.clock.time += seconds
+    context.clock.seconds += seconds
 
 
 @then('"{name}" may not order it')
