Names and pages say admission and initial sync

Cause: steps, features and pages spoke of a door, the daemon of a first word; the field says admission and initial sync. Change: names, step texts and sentences; no scenario or assertion changed. Conclusion: the docstrings of policy still speak of a door and are left to do.

--- a/boragestream/daemon/background.py
+++ b/boragestream/daemon/background.py
@@ -33,14 +33,14 @@
 
     :param stopping: set once the entry begins to stop.
     """
-    first_word = partial(parts.peers.first_word.wait, parts.clock, stopping)
+    initial_sync = partial(parts.peers.initial_sync.wait, parts.clock, stopping)
     platform = parts.settings.platform
     watch_platform(
         platform.configuration,
         "/v1/document",
         platform.watch_seconds,
         partial(
-            take_published, configuration=parts.configuration, before_first=first_word
+            take_published, configuration=parts.configuration, before_first=initial_sync
         ),
         Event.CONFIGURATION_UNREACHABLE,
         ended,
--- a/boragestream/daemon/peers.py
+++ b/boragestream/daemon/peers.py
@@ -20,10 +20,10 @@
 from boragestream.policy.servers import ServerTable
 from boragestream.policy.watching import direct_read_seconds, watchers
 
-__all__ = ["FirstWord", "Peers", "WatchDuty", "join_peers", "listed_states"]
+__all__ = ["InitialSync", "Peers", "WatchDuty", "join_peers", "listed_states"]
 
 # Longer than one question to a peer, so that a peer that is gone does not count.
-FIRST_WORD_SECONDS = 2.5
+INITIAL_SYNC_SECONDS = 2.5
 CHECK_SECONDS = 0.01
 
 
@@ -63,8 +63,8 @@
         return direct_read_seconds(len(self._entries.usable()), self._rng)
 
 
-class FirstWord:
-    """Lets peers speak before a fresh entry takes the service's document.
+class InitialSync:
+    """Hears the peers before a fresh entry takes the service's document.
 
     The service can be stale. An entry that came into service with what the service
     has would revert what its predecessor had in force.
@@ -79,7 +79,7 @@
 
     def wait(self, clock: Clock, stopping: threading.Event) -> None:
         """Return once the peers of a round have been heard, or after the limit."""
-        limit = clock.now() + FIRST_WORD_SECONDS
+        limit = clock.now() + INITIAL_SYNC_SECONDS
         while clock.now() < limit and not stopping.is_set():
             alone = self._members.entries.listed and not self._members.peers()
             met = alone or self._members.exchange.met.is_set()
@@ -94,13 +94,13 @@
 
     :ivar members: the other entries, and the exchange that parts can be added to.
     :ivar duty: when to watch the configuration service.
-    :ivar first_word: what a fresh entry waits for before it takes a document.
+    :ivar initial_sync: what a fresh entry waits for before it takes a document.
     :ivar handlers: what answers the messages of peers.
     """
 
     members: EntryPeers
     duty: WatchDuty
-    first_word: FirstWord
+    initial_sync: InitialSync
     handlers: Mapping[type, Handler]
 
 
@@ -131,8 +131,8 @@
     configuration.when_taken(members.exchange.hurry)
     duty = WatchDuty(who, members.entries, configuration, rng)
     handlers = {**members.handlers, DocumentAsk: relay.answer}
-    first_word = FirstWord(members, relay)
-    return Peers(members, duty, first_word, handlers)
+    initial_sync = InitialSync(members, relay)
+    return Peers(members, duty, initial_sync, handlers)
 
 
 def listed_states(
--- a/tests/features/admission_overload.feature
+++ b/tests/features/admission_overload.feature
@@ -1,4 +1,4 @@
-Feature: under overload work is refused at the door and not given up later
+Feature: under overload work is refused at admission and not given up later
   Separate processes; the writer has two slots.
 
   Scenario: 4 times the callers that the servers can carry
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -1,4 +1,4 @@
-"""Steps that stand at the door of an entry, with a clock of their own."""
+"""Steps that stand at the admission of an entry, with a clock of their own."""
 
 import itertools
 import random
@@ -22,11 +22,11 @@
 
 
 def set_up(context, limit):
-    """Make a door and what its steps share."""
+    """Make an admission and what its steps share."""
     document, _ = check_document(example_document("cooperative"))
     context.document = document
     context.clock = SetClock()
-    context.door = Admission(limit, context.clock, random.Random(1))
+    context.admission = Admission(limit, context.clock, random.Random(1))
     context.pool = ThreadPoolExecutor(256)
     context.gone = threading.Event()
     context.stage_seconds = 0.1
@@ -39,7 +39,7 @@
     context.gone.set()
     for future in context.verdicts:
         if future.done() and isinstance(future.result(), Admitted):
-            context.door.leave(future.result())
+            context.admission.leave(future.result())
     context.pool.shutdown()
 
 
@@ -59,7 +59,7 @@
         admitted.begin_stage(stage.name)
         context.clock.seconds += context.stage_seconds
         admitted.end_stage(stage.name, timed=True, whole=True)
-    context.door.leave(admitted)
+    context.admission.leave(admitted)
 
 
 def came(context):
@@ -69,48 +69,53 @@
     return begun, [v for v in done if isinstance(v, Refused)]
 
 
+def decided(context):
+    """Return how many requests have a verdict."""
+    return sum(future.done() for future in context.verdicts)
+
+
 def settled(context):
     """Wait until every request has begun, waits or was refused."""
     count = len(context.verdicts)
     wait_until(
-        lambda: sum(f.done() for f in context.verdicts) + context.door.queued == count,
-        what="every request at the door",
+        lambda: decided(context) + context.admission.queued == count,
+        what="every request to be queued or decided",
     )
 
 
-@given('a door whose "caption" stages take {seconds:g} seconds')
+@given('an admission whose "caption" stages take {seconds:g} seconds')
 def step(context, seconds):
     set_up(context, 160)
     context.stage_seconds = seconds
 
 
-@given("a door of {limit:d} threads")
+@given("an admission with {limit:d} threads")
 def step(context, limit):
     set_up(context, limit)
     # One request begins and holds its place; the window stays at one.
-    context.door._windows._window("writer", 0.0)._limit = MIN_LIMIT
+    context.admission._windows._window("writer", 0.0)._limit = MIN_LIMIT
 
 
 @given("{count:d} requests have been answered")
 def step(context, count):
     for _ in range(count):
-        answer(context, context.door.enter(candidate(context, "scan-desk", 9.0)))
+        answer(context, context.admission.enter(candidate(context, "scan-desk", 9.0)))
 
 
 @given("{count:d} requests were cut short after {seconds:d} seconds")
 def step(context, count, seconds):
     for _ in range(count):
-        admitted = context.door.enter(candidate(context, "scan-desk", 9.0))
+        admitted = context.admission.enter(candidate(context, "scan-desk", 9.0))
         admitted.begin_stage("encode")
         context.clock.seconds += seconds
         admitted.end_stage("encode", timed=True, whole=False)
-        context.door.leave(admitted)
+        context.admission.leave(admitted)
 
 
 @when('a request of "{account}" with {left:g} seconds left comes')
 def step(context, account, left):
     asked = candidate(context, account, left)
-    context.verdicts.append(context.pool.submit(context.door.enter, asked))
+    context.verdicts.append(context.pool.submit(context.admission.enter, asked))
     settled(context)
 
 
@@ -118,7 +123,7 @@
 def step(context, count, account, left):
     for _ in range(count):
         asked = candidate(context, account, left)
-        context.verdicts.append(context.pool.submit(context.door.enter, asked))
+        context.verdicts.append(context.pool.submit(context.admission.enter, asked))
     settled(context)
 
 
@@ -138,7 +143,7 @@
     """End one request that has begun; keep how many had."""
     begun, _ = came(context)
     context.begun = len(begun)
-    context.door.leave(begun[0])
+    context.admission.leave(begun[0])
     settled(context)
 
 
@@ -158,7 +163,7 @@
 @then('some begin, some wait and the others are refused with "{code}"')
 def step(context, code):
     begun, refused = came(context)
-    assert begun and refused and context.door.queued, (len(begun), len(refused))
+    assert begun and refused and context.admission.queued, (len(begun), len(refused))
     assert {r.failure.code for r in refused} == {code}
 
 
@@ -172,7 +177,7 @@
 def step(context):
     wait_until(lambda: all(f.done() for f in context.verdicts), what="every verdict")
     assert len(came(context)[0]) == context.begun
-    assert context.door.queued == 0
+    assert context.admission.queued == 0
 
 
 @then('one of "{account}" is refused with "{code}"')
@@ -180,7 +185,7 @@
     wait_until(lambda: came(context)[1], what="a refusal")
     refused = came(context)[1]
     assert [r.failure.code for r in refused] == [code], refused
-    assert context.door.queued == 3
+    assert context.admission.queued == 3
 
 
 @then("a window grows while it is used and stages are quick")
--- a/tests/features/steps/admission_reopens.py
+++ b/tests/features/steps/admission_reopens.py
@@ -1,4 +1,4 @@
-"""Steps that make a load come and go at the door of an entry."""
+"""Steps that make a load come and go at the admission of an entry."""
 
 from behave import given
 
@@ -13,7 +13,7 @@
     pipeline = next(p for p in document.pipelines if p.name == "caption")
     deadline = context.clock.now() + PLENTY_SECONDS
     account = document.client_accounts[0]
-    return context.door.enter(
+    return context.admission.enter(
         Candidate(account, pipeline, deadline, document.policies, lambda: False)
     )
 
@@ -26,10 +26,10 @@
             admitted.begin_stage(stage.name)
             context.clock.seconds += seconds
             admitted.end_stage(stage.name, timed=True, whole=True)
-        context.door.leave(admitted)
+        context.admission.leave(admitted)
 
 
 @given("one is under way")
 def step(context):
     admitted = begin(context)
-    context.add_cleanup(context.door.leave, admitted)
+    context.add_cleanup(context.admission.leave, admitted)
