--- a/tests/features/caller_tickets.feature
+++ b/tests/features/caller_tickets.feature
@@ -80,7 +80,7 @@
     Then the outcome is "unknown"
     And the failure is "issuer-unreachable"
     And asked of "entry-3" its state is "unknown"
-    When "entry-1" goes on
+    When "entry-1" is woken
     And it is posted to "<entry>" until its outcome is known
     Then the charge ran once where it was answered and not at all where refused
 
--- a/tests/features/steps/caller_protocol.py
+++ b/tests/features/steps/caller_protocol.py
@@ -8,7 +8,6 @@
 
 from boragestream.operator.client import Client
 from tests.standins import caller
-from tests.standins.fleet import ADDRESS
 from tests.standins.sites import example_key
 
 KEY = example_key("patan-counter")
@@ -82,7 +81,7 @@
 
 @then('"{name}" still serves')
 def step(context, name):
-    address = f"{ADDRESS}:{context.fleet.entries[name].port}"
+    address = context.fleet.entries[name].address
     reply = Client(KEY, ()).call("caption", "x", address=address)
     assert reply.outcome == "answered", reply
 
--- a/tests/features/steps/caller_status.py
+++ b/tests/features/steps/caller_status.py
@@ -5,13 +5,13 @@
 from behave import given, then, when
 
 from boragestream.operator.client import Client
-from tests.standins.fleet import ADDRESS, fetch, wait_until
+from tests.standins.fleet import fetch, wait_until
 from tests.standins.sites import example_key
 
 
 @given('"{account}" has called "{pipeline}" through "{name}"')
 def step(context, account, pipeline, name):
-    address = f"{ADDRESS}:{context.fleet.entries[name].port}"
+    address = context.fleet.entries[name].address
     client = Client(example_key(account), (address,))
     reply = client.call(pipeline, "x", address=address)
     assert reply.outcome == "answered", reply
@@ -74,7 +74,7 @@
 
 @then('the status page of "{name}" says "{state}" of "{other}" while it is called')
 def step(context, name, state, other):
-    address = f"{ADDRESS}:{context.fleet.entries[name].port}"
+    address = context.fleet.entries[name].address
     client = Client(example_key("patan-counter"), (address,))
     inputs = itertools.count()
 
--- a/tests/features/steps/caller_tickets.py
+++ b/tests/features/steps/caller_tickets.py
@@ -2,7 +2,6 @@
 
 import http.client
 import json
-import signal
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -73,7 +72,7 @@
 
 def address(context, name):
     """Return an entry's address towards callers."""
-    return f"{ADDRESS}:{context.fleet.entries[name].port}"
+    return context.fleet.entries[name].address
 
 
 def client(account=ACCOUNT):
@@ -222,10 +221,9 @@
 
 def meanwhile(context, name, server, act):
     """Post in another thread and act once a server runs the request."""
-    port = context.fleet.servers[server].port
     with ThreadPoolExecutor(1) as pool:
         posting = pool.submit(post, context, name)
-        wait_until(lambda: fetch(port, "/load")["in_progress"])
+        wait_until(lambda: context.fleet.in_progress(server))
         act()
         return posting.result()
 
@@ -235,27 +233,15 @@
     process = context.fleet.entries[frozen]
 
     def freeze():
-        process.signal(signal.SIGSTOP)
+        process.freeze()
         # The pause, not the test, decides: the ticket's life and then some.
         time.sleep(context.life + 0.3)
-        process.signal(signal.SIGCONT)
+        process.wake()
 
     context.deadline_ms = DEADLINE_MS * 10
     context.reply = meanwhile(context, name, LOOK_UP, freeze)
 
 
-@given('"{name}" is frozen')
-def step(context, name):
-    process = context.fleet.entries[name]
-    process.signal(signal.SIGSTOP)
-    context.add_cleanup(process.signal, signal.SIGCONT)
-
-
-@when('"{name}" goes on')
-def step(context, name):
-    context.fleet.entries[name].signal(signal.SIGCONT)
-
-
 @given('no other entry reaches "{name}"')
 def step(context, name):
     silent = socket.create_server((ADDRESS, 0))
@@ -285,10 +271,6 @@
 
 
 @when('"{name}" is replaced')
-def step(context, name):
-    replace(context, name)
-
-
 def replace(context, name):
     """Start an entry anew at its address."""
     process = context.fleet.entries[name]
@@ -299,8 +281,7 @@
 @when('it is posted to "{name}" and "{killed}" is killed meanwhile')
 def step(context, name, killed):
     process = context.fleet.entries[killed]
-    reply = meanwhile(context, name, LEDGER, process.kill)
-    context.reply = reply
+    context.reply = meanwhile(context, name, LEDGER, process.kill)
 
 
 @when('it is posted to "{name}" by a caller that goes away meanwhile')
@@ -312,8 +293,7 @@
     }
     body = json.dumps({"input": "one order"})
     connection.request("POST", f"/v1/pipelines/{PIPELINE}", body, headers)
-    port = context.fleet.servers[LEDGER].port
-    wait_until(lambda: fetch(port, "/load")["in_progress"])
+    wait_until(lambda: context.fleet.in_progress(LEDGER))
     connection.close()
 
 
@@ -343,16 +323,8 @@
 
 
 @then('asked where it says its state is "{state}" for "{code}"')
-def step(context, state, code):
-    reply = ask_state(
-        client(), context.reply.problem["ask"], address(context, "entry-5")
-    )
-    assert reply.outcome == state, reply
-    assert reply.problem["type"].endswith(f":{code}"), reply
-
-
 @then('asked by "{account}" its state is "{state}" for "{code}"')
-def step(context, account, state, code):
+def step(context, state, code, account=ACCOUNT):
     path = context.reply.problem["ask"]
     reply = ask_state(client(account), path, address(context, "entry-5"))
     assert reply.outcome == state, reply
@@ -364,11 +336,10 @@
     fleet = context.fleet
     caller = Client(example_key(ACCOUNT), fleet.addresses())
     first = caller.addresses()[0]
-    port = fleet.servers[LEDGER].port
-    process = next(p for p in fleet.entries.values() if first.endswith(f":{p.port}"))
+    process = next(p for p in fleet.entries.values() if p.address == first)
     with ThreadPoolExecutor(1) as pool:
         calling = pool.submit(call_once, caller, PIPELINE, "one order", 4000)
-        wait_until(lambda: fetch(port, "/load")["in_progress"])
+        wait_until(lambda: fleet.in_progress(LEDGER))
         process.kill()
         context.reply = calling.result()
     replace(context, process.name)
--- a/tests/features/steps/daemon_shutdown.py
+++ b/tests/features/steps/daemon_shutdown.py
@@ -10,9 +10,9 @@
 
 from boragestream.operator.client import Client
 from tests.standins.answers import fingerprint
-from tests.standins.fleet import wait_until
+from tests.standins.fleet import fetch, wait_until
 from tests.standins.sites import example_key
-from tests.standins.verdicts import Call, read_journal
+from tests.standins.verdicts import Call, struck_marks
 
 KEY = example_key("patan-counter")
 DEADLINE_MS = 30_000
@@ -37,15 +37,12 @@
         slow = {"fault": "slow", "at": "middle", "seconds": seconds}
         context.fleet.inject_call(LAST_SERVICE[pipeline], call.text, slow)
         context.calls.append(call)
-        context.futures.append(pool.submit(call.make, f"127.0.0.1:{entry.port}"))
+        context.futures.append(pool.submit(call.make, entry.address))
     marks = {fingerprint(call.text) for call in context.calls}
-    wait_until(lambda: marks <= struck(context.fleet), what="the work in progress")
-
-
-def struck(fleet):
-    """Return the marks of the inputs whose last stage runs."""
-    journal = read_journal(fleet.journal)
-    return {m for m, lines in journal.items() if any(x[0] == "struck" for x in lines)}
+    wait_until(
+        lambda: marks <= struck_marks(context.fleet.journal),
+        what="the work in progress",
+    )
 
 
 @when('"{name}" is told to stop')
@@ -60,10 +57,7 @@
 @then('"{name}" no longer names itself to callers')
 def step(context, name):
     port = context.fleet.entries[name].port
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
-    connection.request("GET", "/v1/entries", headers={"Authorization": f"Bearer {KEY}"})
-    named = json.loads(connection.getresponse().read())["entries"]
-    connection.close()
+    named = fetch(port, "/v1/entries", key=KEY)["entries"]
     assert named, named
     assert name not in [entry["name"] for entry in named], named
 
--- a/tests/features/steps/entry_links.py
+++ b/tests/features/steps/entry_links.py
@@ -15,16 +15,8 @@
 
 
 @when('a peer of deployment "{deployment}" with the key of the tests probes "{name}"')
-def step(context, deployment, name):
-    probe(context, deployment, PEER_KEY, name)
-
-
 @when('a peer of deployment "{deployment}" with the key "{key}" probes "{name}"')
-def step(context, deployment, key, name):
-    probe(context, deployment, key, name)
-
-
-def probe(context, deployment, key, name):
+def step(context, deployment, name, key=PEER_KEY):
     """Send a probe and keep the answer."""
     links = PeerLinks(Sender(deployment, "entry-9", "9", key.encode()))
     address = f"{ADDRESS}:{context.fleet.entries[name].extra['peer_port']}"
--- a/tests/features/steps/entry_peers.py
+++ b/tests/features/steps/entry_peers.py
@@ -1,14 +1,13 @@
 """Steps on entries that know one another, as separate processes."""
 
 import itertools
-import signal
 import time
 
 from behave import given, then, when
 
 from boragestream.entry.exchange import ROUND_SECONDS
 from boragestream.operator.client import Client
-from tests.standins.fleet import ADDRESS, fetch, wait_until
+from tests.standins.fleet import fetch, wait_until
 from tests.standins.sites import example_key
 
 ACCOUNT = "patan-counter"
@@ -22,12 +21,12 @@
 
 def offered(fleet, name):
     """Return the entries that one entry tells callers to use."""
-    client = Client(example_key(ACCOUNT), (f"{ADDRESS}:{fleet.entries[name].port}",))
+    client = Client(example_key(ACCOUNT), (fleet.entries[name].address,))
     addresses = set(client.addresses())
     return sorted(
         other
         for other, process in fleet.entries.items()
-        if f"{ADDRESS}:{process.port}" in addresses
+        if process.address in addresses
     )
 
 
@@ -69,16 +68,17 @@
     context.fleet.wait_for_entry(process)
 
 
+@given('"{name}" is frozen')
 @when('"{name}" is frozen')
 def step(context, name):
     process = context.fleet.entries[name]
-    process.signal(signal.SIGSTOP)
-    context.add_cleanup(process.signal, signal.SIGCONT)
+    process.freeze()
+    context.add_cleanup(process.wake)
 
 
 @when('"{name}" is woken')
 def step(context, name):
-    context.fleet.entries[name].signal(signal.SIGCONT)
+    context.fleet.entries[name].wake()
 
 
 @when('"{name}" is killed')
@@ -151,7 +151,7 @@
     'until it holds "{server}" to be "{state}"'
 )
 def step(context, account, pipeline, name, server, state):
-    address = f"{ADDRESS}:{context.fleet.entries[name].port}"
+    address = context.fleet.entries[name].address
     client = Client(example_key(account), ())
 
     inputs = itertools.count()
@@ -171,9 +171,5 @@
 
 @when('"{server}" is replaced at the same address')
 def step(context, server):
-    process = context.fleet.servers[server]
-    process.kill()
-    process.start()
-    context.fleet.wait_for_port(process)
-    process.extra["incarnation"] = "2"
+    context.fleet.replace_server(server)
     context.fleet.publish_instances()
--- a/tests/features/steps/entry_relay.py
+++ b/tests/features/steps/entry_relay.py
@@ -1,7 +1,6 @@
 """Steps on the configuration in force, over separate processes."""
 
 import copy
-import signal
 import time
 
 from behave import given, then, when
@@ -37,13 +36,7 @@
 
 def wait_for_version(context, names):
     """Wait until entries have the newest version in force."""
-    wanted = newest(context)
-    for name in names:
-        wait_until(
-            lambda n=name: context.fleet.status(n)["version"] == wanted,
-            LIMIT_SECONDS,
-            f"{name} having version {wanted}",
-        )
+    context.fleet.wait_for_version(newest(context), names, LIMIT_SECONDS)
 
 
 @when("the next version is published")
@@ -150,7 +143,7 @@
     fleet.platform_mode(down=[DOCUMENT])
     wait_for_calls(context, 0)
     for name in asleep:
-        fleet.entries[name].signal(signal.SIGSTOP)
+        fleet.entries[name].freeze()
     time.sleep(SETTLE_SECONDS)
     try:
         fleet.platform_mode(down=[])
@@ -160,7 +153,7 @@
         context.add_cleanup(fleet.platform_mode, down=[])
     finally:
         for name in asleep:
-            fleet.entries[name].signal(signal.SIGCONT)
+            fleet.entries[name].wake()
 
 
 @then('the earlier one stays on "{names}" for {rounds:d} rounds')
@@ -191,8 +184,8 @@
     context.frozen = watchers(context.fleet.entries)
     for name in context.frozen:
         process = context.fleet.entries[name]
-        process.signal(signal.SIGSTOP)
-        context.add_cleanup(process.signal, signal.SIGCONT)
+        process.freeze()
+        context.add_cleanup(process.wake)
 
 
 @then("it is in force on the entries that are not frozen")
--- a/tests/features/steps/entry_tls.py
+++ b/tests/features/steps/entry_tls.py
@@ -22,7 +22,7 @@
 )
 from boragestream.entry.tls import load_peer_tls
 from boragestream.operator.client import Client
-from tests.standins.fleet import ADDRESS, PEER_KEY, free_ports, wait_until
+from tests.standins.fleet import ADDRESS, PEER_KEY, free_ports
 from tests.standins.sites import example_key
 
 SENDER = Sender("cooperative", "entry-1", "1", PEER_KEY.encode())
@@ -119,10 +119,7 @@
     owner["key_digests"] = [hashlib.sha256(key.encode()).hexdigest() for key in keys]
     context.fleet.document = document
     context.fleet.publish(document)
-    for name in context.fleet.entries:
-        wait_until(
-            lambda n=name: context.fleet.status(n)["version"] == document["version"]
-        )
+    context.fleet.wait_for_version(document["version"])
 
 
 @when('the document gives "{account}" a second key "{key}"')
--- a/tests/features/steps/fault_matrix.py
+++ b/tests/features/steps/fault_matrix.py
@@ -16,7 +16,7 @@
     restart_ended,
     strike,
     strike_all,
-    wake,
+    woken,
 )
 from tests.standins.verdicts import read_journal, violations
 
@@ -57,14 +57,8 @@
 @when('a backend server is {fault} at each stage, "{position}"')
 def step(context, fault, position):
     struck = {"fault": DEATHS[fault], "at": position}
-    until = threading.Event()
-    waker = threading.Thread(target=wake, args=(context.fleet, until))
-    waker.start()
-    try:
+    with woken(context.fleet.servers.values()):
         strike_all(context, [(*stage, [struck]) for stage in STAGES])
-    finally:
-        until.set()
-        waker.join()
     restart_ended(context.fleet, context.fleet.servers.values())
     for process in context.fleet.servers.values():
         context.fleet.wait_for_port(process)
@@ -101,7 +95,7 @@
     waker = threading.Timer(FROZEN_SECONDS, os.kill, (entry.popen.pid, signal.SIGCONT))
     if fault == "frozen":
         waker.start()
-    strike(context, *stage, [struck], f"127.0.0.1:{entry.port}")
+    strike(context, *stage, [struck], entry.address)
     if fault == "killed":
         wait_until(lambda: entry.popen.poll() is not None, what="the entry's end")
     else:
--- a/tests/features/steps/fault_matrix_entries.py
+++ b/tests/features/steps/fault_matrix_entries.py
@@ -24,9 +24,9 @@
     restart_ended,
     service_of,
     strike,
-    wake,
+    woken,
 )
-from tests.standins.verdicts import Call, read_journal
+from tests.standins.verdicts import Call, read_journal, struck_marks
 
 KEY = example_key("patan-counter")
 VALUES = ["/v1/document", "/v1/instances"]
@@ -96,14 +96,14 @@
 
 BREAK = {
     "down": lambda fleet: fleet.platform_mode(down=VALUES),
-    "silent": lambda fleet: fleet.platform.signal(signal.SIGSTOP),
+    "silent": lambda fleet: fleet.platform.freeze(),
     "killed": lambda fleet: fleet.platform.kill(),
     "lagging": lambda fleet: fleet.platform_mode(lag_seconds=5.0),
     "talking nonsense": publish_nonsense,
 }
 MEND = {
     "down": lambda fleet: fleet.platform_mode(down=[]),
-    "silent": lambda fleet: fleet.platform.signal(signal.SIGCONT),
+    "silent": lambda fleet: fleet.platform.wake(),
     "killed": revive_platform,
     "lagging": lambda fleet: fleet.platform_mode(lag_seconds=0.0),
     "talking nonsense": publish,
@@ -115,7 +115,7 @@
     entry = context.fleet.entries[name]
     entry.signal({**NUMBERS, "stopping": signal.SIGTERM}[fault])
     context.injected.note(context.scenario.name, "choosing an entry", fault)
-    waker = threading.Timer(FROZEN_SECONDS, entry.signal, (signal.SIGCONT,))
+    waker = threading.Timer(FROZEN_SECONDS, entry.wake)
     waker.start()
     client = Client(KEY, context.fleet.addresses())
     context.calls = new_calls(context, 6, struck=True, deadline_ms=6000)
@@ -131,12 +131,12 @@
 @when('"{name}" is frozen for {seconds:g} s while calls of {left:d} ms come in')
 def step(context, name, seconds, left):
     entry = context.fleet.entries[name]
-    entry.signal(signal.SIGSTOP)
+    entry.freeze()
     context.injected.note(context.scenario.name, "admission", "frozen", seconds)
-    waker = threading.Timer(seconds, entry.signal, (signal.SIGCONT,))
+    waker = threading.Timer(seconds, entry.wake)
     waker.start()
     calls = new_calls(context, len(FORMS), struck=True, deadline_ms=left)
-    call_all(context, [f"{ADDRESS}:{entry.port}"], calls)
+    call_all(context, [entry.address], calls)
     waker.join()
 
 
@@ -150,13 +150,13 @@
         stage = next(p for p in first if p["name"] == call.pipeline)["stages"][0]
         fleet.inject_call(stage["service"], call.text, SLOW)
     with ThreadPoolExecutor(1) as pool:
-        made = pool.submit(call_all, context, [f"{ADDRESS}:{entry.port}"], calls)
+        made = pool.submit(call_all, context, [entry.address], calls)
         marks = {fingerprint(call.text) for call in calls}
         wait_until(lambda: marks & read_journal(fleet.journal).keys())
         entry.signal(NUMBERS[fault])
         context.injected.note(context.scenario.name, "queueing", fault)
         time.sleep(FROZEN_SECONDS)
-        entry.signal(signal.SIGCONT)
+        entry.wake()
         made.result()
     restart_ended(fleet, [entry])
     fleet.wait_for_entry(entry)
@@ -170,12 +170,10 @@
     fleet = context.fleet
     entries = list(fleet.entries.values())
     context.calls = []
-    until = threading.Event()
-    waker = threading.Thread(target=wake_all, args=(fleet, until))
-    waker.start()
     names = thens.split(", ")
     futures = []
-    with ThreadPoolExecutor(len(names)) as pool:
+    everyone = [*entries, *fleet.servers.values()]
+    with woken(everyone), ThreadPoolExecutor(len(names)) as pool:
         for entry, then_does in zip(entries, names, strict=False):
             both = {
                 "fault": "signal",
@@ -185,32 +183,17 @@
                 "number": NUMBERS[fault],
                 "then": then_does,
             }
-            address = f"{ADDRESS}:{entry.port}"
-            job = (context, pipeline, stage, form, [both], address)
+            job = (context, pipeline, stage, form, [both], entry.address)
             futures.append(pool.submit(strike, *job))
-    until.set()
-    waker.join()
     for future in futures:
         future.result()
-    restart_ended(fleet, [*entries, *fleet.servers.values()])
+    restart_ended(fleet, everyone)
     for process in fleet.servers.values():
         fleet.wait_for_port(process)
     for entry in entries:
         fleet.wait_for_entry(entry)
 
 
-def wake_all(fleet, until):
-    """Wake frozen entries and servers after a while, until told to end."""
-    waker = threading.Thread(target=wake, args=(fleet, until))
-    waker.start()
-    while True:
-        told = until.wait(FROZEN_SECONDS)
-        for entry in fleet.entries.values():
-            entry.signal(signal.SIGCONT)
-        if told:
-            return waker.join()
-
-
 @when(
     'callers of "{name}" {do} while "{a}" of "{b}", "{c}" of "{d}" and "{e}" of "{f}" '
     "are run"
@@ -222,7 +205,10 @@
         service = service_of(context.fleet.document, pipeline, stage)
         context.fleet.inject_call(service, text, STUCK)
         sock = post(context.fleet.entries[name].port, pipeline, text)
-        wait_until(lambda t=text: struck(context.fleet, t), what="the stage")
+        wait_until(
+            lambda t=text: fingerprint(t) in struck_marks(context.fleet.journal),
+            what="the stage",
+        )
         LEAVE[do](sock)
         context.injected.note(context.scenario.name, pipeline, stage, "caller", do)
         context.texts.append((text, service))
@@ -240,12 +226,6 @@
     return sock
 
 
-def struck(fleet, text):
-    """Tell whether the fault of a call has struck."""
-    lines = read_journal(fleet.journal).get(fingerprint(text), [])
-    return any(line[0] == "struck" for line in lines)
-
-
 def reset(sock):
     """Close a connection with a reset."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
--- a/tests/features/steps/policy_attempts.py
+++ b/tests/features/steps/policy_attempts.py
@@ -115,6 +115,7 @@
     context.least = context.seconds
 
 
+@when("an entry keeps as many calls there as its limit allows, {times:d} times")
 def keep_used(context, times):
     """Answer calls of an entry that uses its whole limit, with and without reports."""
     for reports in context.limits:
@@ -127,11 +128,6 @@
             context.limits[reports] = limit
 
 
-@when("an entry keeps as many calls there as its limit allows, {times:d} times")
-def step(context, times):
-    keep_used(context, times)
-
-
 @when("the server is half as fast, and an entry keeps the limit used {times:d} times")
 def step(context, times):
     context.seconds *= 2
--- a/tests/features/steps/policy_routing.py
+++ b/tests/features/steps/policy_routing.py
@@ -53,6 +53,8 @@
     return Counter(choose(context, without).name for _ in range(CHOICES))
 
 
+@when('{count:d} calls run one by one and "{slow}" takes {factor:d} times as long')
+@when("{count:d} calls run one by one")
 def run_calls(context, count, slow="", factor=1):
     """Run calls one after the other and count them by server."""
     context.got = Counter()
@@ -66,21 +68,12 @@
 
 
 @when("{count:d} calls begin and none ends")
+@when("{count:d} calls with one prefix begin and none ends")
 def step(context, count):
     for _ in range(count):
         context.loads.begin(choose(context))
 
 
-@when('{count:d} calls run one by one and "{name}" takes {factor:d} times as long')
-def step(context, count, name, factor):
-    run_calls(context, count, name, factor)
-
-
-@when("{count:d} calls run one by one")
-def step(context, count):
-    run_calls(context, count)
-
-
 @when('a call on "{name}" has been open for {seconds:g} s')
 def step(context, name, seconds):
     context.loads.begin(named(context, name))
@@ -111,12 +104,6 @@
     assert 0 < later <= first / 2, context.halves
 
 
-@when("{count:d} calls with one prefix begin and none ends")
-def step(context, count):
-    for _ in range(count):
-        context.loads.begin(choose(context))
-
-
 @then("one server got all of them")
 def step(context):
     assert len(context.got) == 1, context.got
--- a/tests/features/steps/policy_servers.py
+++ b/tests/features/steps/policy_servers.py
@@ -1,6 +1,5 @@
 """Steps on servers that leave and are replaced."""
 
-import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
@@ -79,15 +78,10 @@
     slow = {"fault": "slow", "at": "ran", "seconds": 1.0}
     fetch(fleet.servers[name].port, "/standin/faults", [slow])
     context.future = pool.submit(call_until_slow, context, name, call)
-    wait_until(lambda: in_progress(fleet, name), what="the call in progress")
+    wait_until(lambda: fleet.in_progress(name), what="the call in progress")
     fetch(fleet.servers[name].port, "/standin/leaving", {"leaving": True})
 
 
-def in_progress(fleet, name):
-    """Return how many calls a server has in progress."""
-    return fetch(fleet.servers[name].port, "/load")["in_progress"]
-
-
 def call_until_slow(context, name, call):
     """Call until the slow server has taken the call; the servers come in turn."""
     address = context.fleet.addresses()[1]
@@ -107,7 +101,7 @@
 @when('"{name}" has been refused by it')
 def step(context, name):
     before = offered(context.fleet, "encoder-2")
-    address = f"127.0.0.1:{context.fleet.entries[name].port}"
+    address = context.fleet.entries[name].address
 
     def refused():
         context.calls.append(Call("caption", context.injected.text()).make(address))
@@ -160,12 +154,7 @@
 
 @when('"{name}" is replaced at its address')
 def step(context, name):
-    process = context.fleet.servers[name]
-    process.signal(signal.SIGKILL)
-    process.popen.wait()
-    process.start()
-    context.fleet.wait_for_port(process)
-    process.extra["incarnation"] = "2"
+    context.fleet.replace_server(name)
     publish(context, 21)
     context.injected.note(context.scenario.name, name, "replaced")
 
--- a/tests/features/steps/serving_orders.py
+++ b/tests/features/steps/serving_orders.py
@@ -37,15 +37,7 @@
 
 
 @given('"{name}" has owned it for long by list {index:d}')
-def step(context, name, index):
-    own_for_long(context, name, index)
-
-
 @when('list {index:d} makes "{name}" the owner and it has waited')
-def step(context, index, name):
-    own_for_long(context, name, index)
-
-
 def own_for_long(context, name, index):
     """Have an entry confirm a list until it has waited long enough."""
     until = context.clock.seconds + WAIT_SECONDS + LEASE_SECONDS
@@ -58,10 +50,6 @@
 
 
 @when('list {index:d} makes "{name}" the owner')
-def step(context, index, name):
-    confirm(context, name, index)
-
-
 def confirm(context, name, index):
     """Have an entry read a list that names it alone."""
     clock = context.clock
@@ -82,15 +70,7 @@
 
 
 @when('"{name}" makes {count:d} rounds')
-def step(context, name, count):
-    make_rounds(context, name, count)
-
-
 @when('"{name}" makes {count:d} round')
-def step(context, name, count):
-    make_rounds(context, name, count)
-
-
 def make_rounds(context, name, count):
     """Have an entry look after its servers."""
     server = Server(NAME, SERVICE, context.stand_in.host, CENTRE)
--- a/tests/features/steps/serving_pipeline.py
+++ b/tests/features/steps/serving_pipeline.py
@@ -9,6 +9,7 @@
 TOKENS = 8
 
 
+@when('a caller with the key "{key}" calls "{pipeline}" with "{text}"')
 def call(context, key, pipeline, text, **options):
     """Call a pipeline and keep the reply."""
     client = Client(key, context.fleet.addresses())
@@ -17,12 +18,8 @@
 
 
 @when('"{account}" calls "{pipeline}" with "{text}"')
-def step(context, account, pipeline, text):
-    call(context, example_key(account), pipeline, text)
-
-
 @when('"{account}" calls "{pipeline}" with "{text}" and {left:d} ms left')
-def step(context, account, pipeline, text, left):
+def step(context, account, pipeline, text, left=None):
     call(context, example_key(account), pipeline, text, deadline_ms=left)
 
 
@@ -31,11 +28,6 @@
     call(context, example_key(account), pipeline, text, stream=True)
 
 
-@when('a caller with the key "{key}" calls "{pipeline}" with "{text}"')
-def step(context, key, pipeline, text):
-    call(context, key, pipeline, text)
-
-
 @then('the outcome is "{outcome}"')
 def step(context, outcome):
     assert context.reply.outcome == outcome, context.reply
--- a/tests/features/steps/serving_stage.py
+++ b/tests/features/steps/serving_stage.py
@@ -7,7 +7,7 @@
 
 from boragestream.operator.client import Client
 from tests.standins.answers import expected_text
-from tests.standins.fleet import fetch, wait_until
+from tests.standins.fleet import wait_until
 from tests.standins.sites import example_key
 
 MOST_ROUNDS = 50
@@ -45,8 +45,7 @@
     document = dict(context.fleet.document, version=2)
     document["policies"] = {"hedge_share": 1.0, "cost_weight": 0.0}
     context.fleet.publish(document)
-    for name in context.fleet.entries:
-        wait_until(lambda name=name: context.fleet.status(name)["version"] == 2)
+    context.fleet.wait_for_version(2)
 
 
 @when('"{server}" has the fault "{fault}" for one call of "{pipeline}"')
@@ -115,8 +114,8 @@
 
 @then("no server has a call in progress")
 def step(context):
-    ports = [process.port for process in context.fleet.servers.values()]
-    wait_until(lambda: not any(fetch(p, "/load")["in_progress"] for p in ports))
+    fleet = context.fleet
+    wait_until(lambda: not any(map(fleet.in_progress, fleet.servers)))
 
 
 @then("every streamed answer is whole and made from its own input")
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -88,6 +88,11 @@
     popen: subprocess.Popen = None
     extra: dict = field(default_factory=dict)
 
+    @property
+    def address(self):
+        """Where the process listens, as ``address:port``."""
+        return f"{ADDRESS}:{self.port}"
+
     def start(self):
         """Start the process; it ends with the thread that calls this."""
         environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
@@ -111,6 +116,14 @@
         """Send a signal."""
         self.popen.send_signal(number)
 
+    def freeze(self):
+        """Pause the process, as a machine that sleeps does."""
+        self.signal(signal.SIGSTOP)
+
+    def wake(self):
+        """Let a frozen process go on."""
+        self.signal(signal.SIGCONT)
+
     def kill(self):
         """End the process at once."""
         if self.popen is not None and self.popen.poll() is None:
@@ -262,6 +275,27 @@
             what=f"{process.name} serving",
         )
 
+    def wait_for_version(self, version, names=None, seconds=START_SECONDS):
+        """Wait until entries, or all of them, have a version in force."""
+        for name in self.entries if names is None else names:
+            wait_until(
+                lambda n=name: self.status(n)["version"] == version,
+                seconds,
+                f"{name} having version {version}",
+            )
+
+    def replace_server(self, name):
+        """End a server and start another life of it at its address."""
+        process = self.servers[name]
+        process.kill()
+        process.start()
+        self.wait_for_port(process)
+        process.extra["incarnation"] = "2"
+
+    def in_progress(self, server):
+        """Return how many calls a backend server has in progress."""
+        return fetch(self.servers[server].port, "/load")["in_progress"]
+
     def status(self, name):
         """Return the status page of an entry."""
         return fetch(self.entries[name].port, "/v1/status", key=OPERATOR_KEY)
@@ -316,4 +350,4 @@
 
     def addresses(self):
         """Return the addresses of the entries towards callers."""
-        return tuple(f"{ADDRESS}:{p.port}" for p in self.entries.values())
+        return tuple(p.address for p in self.entries.values())
--- a/tests/standins/strikes.py
+++ b/tests/standins/strikes.py
@@ -1,7 +1,9 @@
 """Strikes calls with faults and brings struck processes back."""
 
+import contextlib
 import itertools
 import signal
+import threading
 from concurrent.futures import ThreadPoolExecutor
 
 from tests.standins.verdicts import Call
@@ -60,14 +62,25 @@
             future.result()
 
 
-def wake(fleet, until):
-    """Wake every frozen server after a while, until told to end."""
-    while True:
+@contextlib.contextmanager
+def woken(processes):
+    """Wake frozen processes after a while, again and again until the block ends."""
+    until = threading.Event()
+    waker = threading.Thread(target=_wake, args=(tuple(processes), until))
+    waker.start()
+    try:
+        yield
+    finally:
+        until.set()
+        waker.join()
+
+
+def _wake(processes, until):
+    told = False
+    while not told:
         told = until.wait(FROZEN_SECONDS)
-        for process in fleet.servers.values():
-            process.signal(signal.SIGCONT)
-        if told:
-            return
+        for process in processes:
+            process.wake()
 
 
 def restart_ended(fleet, processes):
--- a/tests/standins/verdicts.py
+++ b/tests/standins/verdicts.py
@@ -96,6 +96,12 @@
     return by_mark
 
 
+def struck_marks(path):
+    """Return the marks of the inputs of calls that a fault has struck."""
+    journal = read_journal(path)
+    return {m for m, lines in journal.items() if any(x[0] == "struck" for x in lines)}
+
+
 def violations(document, journal, call):
     """Return every promise that a call's end breaks."""
     lines = journal.get(fingerprint(call.text), [])
