--- a/boragestream/daemon/listeners.py
+++ b/boragestream/daemon/listeners.py
@@ -8,10 +8,10 @@
 from boragestream.caller.pages import Pages
 from boragestream.caller.refusals import Refusals
 from boragestream.caller.tickets import ticket_calls
-from boragestream.daemon.listing import EntryListing
 from boragestream.daemon.parts import ATTEMPT_THREADS, EntryParts
 from boragestream.daemon.shutdown import KeptAnswers
 from boragestream.daemon.status import status_page
+from boragestream.document import ClientAccount
 from boragestream.entry.forwarding import Forwarder
 from boragestream.entry.links import PeerListener
 from boragestream.entry.messages import (
@@ -23,6 +23,7 @@
     TicketPost,
 )
 from boragestream.entry.tls import PeerTls
+from boragestream.policy.configuration import DocumentInForce
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.stage import StageRunner
 
@@ -31,17 +32,16 @@
 
 def make_application(
     parts: EntryParts,
-    listing: EntryListing,
     kept_answers: KeptAnswers,
     is_leaving: Callable[[], bool],
 ) -> Application:
     """Return the application that callers talk to.
 
-    :param kept_answers: told until when tickets may be used.
+    :param kept_answers: told until when answers and tickets may be used.
     :param is_leaving: tells whether the entry is stopping.
     """
     settings = parts.settings
-    forwarder = Forwarder(parts.links, listing.peer_address, parts.clock)
+    forwarder = Forwarder(parts.links, parts.listing.peer_address, parts.clock)
     refusals = Refusals(parts.admission)
     tickets = ticket_calls(
         settings,
@@ -56,7 +56,7 @@
     pages = Pages(
         configuration=parts.configuration,
         refusals=refusals,
-        entries_for=listing.entries_for,
+        entries_for=partial(_entries_for, parts, kept_answers),
         status=lambda: status_page(parts, is_leaving()),
         operator_digests=settings.operator.key_digests,
     )
@@ -99,3 +99,26 @@
     }
     peer = parts.settings.peer
     return PeerListener(parts.sender, f"{peer.address}:{peer.port}", handlers, peer_tls)
+
+
+def _entries_for(
+    parts: EntryParts,
+    kept_answers: KeptAnswers,
+    account: ClientAccount,
+    in_force: DocumentInForce,
+) -> object:
+    """Return the answer to which entries an account shall use."""
+    order = parts.demand.order(
+        account,
+        in_force.document,
+        parts.listing.entries,
+        parts.admission.load,
+        parts.settings.entry.data_centre,
+        parts.rng,
+    )
+    usable = [
+        {"name": e.name, "address": e.host, "data_centre": e.data_centre} for e in order
+    ]
+    keep = in_force.document.policies.answer_keep_seconds
+    kept_answers.give(keep)
+    return {"entries": usable, "keep_seconds": keep}
--- a/boragestream/daemon/listing.py
+++ b/boragestream/daemon/listing.py
@@ -1,60 +1,43 @@
-"""The entries of the published list, and what callers and peers are told of them."""
+"""The entries of the published list, each with what is believed of it."""
 
-from boragestream.daemon.demand import live_entries
-from boragestream.daemon.parts import EntryParts
-from boragestream.daemon.peers import listed_states
-from boragestream.daemon.shutdown import KeptAnswers
+from boragestream.daemon.demand import Demand, live_entries
+from boragestream.daemon.peers import Peers, listed_states
 from boragestream.daemon.tasks import to_listed
-from boragestream.document import ClientAccount
 from boragestream.platform.instances import Instance
-from boragestream.policy.configuration import DocumentInForce
 
 __all__ = ["EntryListing"]
 
 
 class EntryListing:
-    """The entries as listed, each with what is believed of it.
+    """The entries as listed.
 
-    :param parts: the parts of this entry.
-    :param kept_answers: told of each answer that callers may keep.
+    :param peers: told of each list, and asked what is believed of its entries.
+    :param demand: told of the entries that are listed as live.
     """
 
-    def __init__(self, parts: EntryParts, kept_answers: KeptAnswers) -> None:
-        self._parts = parts
-        self._kept_answers = kept_answers
+    def __init__(self, peers: Peers, demand: Demand) -> None:
+        self._members = peers.members
+        self._demand = demand
         self._listed: tuple[Instance, ...] = ()
 
     @property
     def entries(self) -> tuple[Instance, ...]:
         """The listed entries."""
-        return listed_states(self._listed, self._parts.peers.members.entries)
+        return listed_states(self._listed, self._members.entries)
+
+    @property
+    def live_count(self) -> int:
+        """How many of them are believed to be live."""
+        return len(live_entries(self.entries))
 
     def take(self, entries: tuple[Instance, ...]) -> None:
         """Take the entries of a new list."""
         self._listed = entries
-        self._parts.demand.table.expect(live_entries(entries))
-        self._parts.peers.members.take_entries(map(to_listed, entries))
+        self._demand.table.expect(live_entries(entries))
+        self._members.take_entries(map(to_listed, entries))
 
     def peer_address(self, name: str) -> str | None:
         """Return where an entry listens to other entries; None where not known."""
         named = (e for e in self.entries if e.name == name and e.peer_port)
         entry = next(named, None)
         return f"{entry.address}:{entry.peer_port}" if entry else None
-
-    def entries_for(self, account: ClientAccount, in_force: DocumentInForce) -> object:
-        """Return the answer to which entries an account shall use."""
-        order = self._parts.demand.order(
-            account,
-            in_force.document,
-            self.entries,
-            self._parts.admission.load,
-            self._parts.settings.entry.data_centre,
-            self._parts.rng,
-        )
-        usable = [
-            {"name": e.name, "address": e.host, "data_centre": e.data_centre}
-            for e in order
-        ]
-        keep = in_force.document.policies.answer_keep_seconds
-        self._kept_answers.give(keep)
-        return {"entries": usable, "keep_seconds": keep}
--- a/boragestream/daemon/parts.py
+++ b/boragestream/daemon/parts.py
@@ -15,6 +15,7 @@
 from boragestream.base.observations import Observations
 from boragestream.base.settings import Settings
 from boragestream.daemon.demand import Demand
+from boragestream.daemon.listing import EntryListing
 from boragestream.daemon.peers import Peers, join_peers
 from boragestream.daemon.tasks import to_leaving
 from boragestream.entry.links import PeerLinks
@@ -25,6 +26,7 @@
 from boragestream.policy.load import LoadTable
 from boragestream.policy.routing import Place
 from boragestream.policy.servers import Server, ServerTable
+from boragestream.policy.slot_shares import SlotShares
 from boragestream.serving.parts import ServingParts, make_parts
 
 __all__ = ["EntryParts", "make_entry_parts"]
@@ -41,6 +43,7 @@
     :ivar incarnation: this life of the entry.
     :ivar sender: signs what this entry sends to other entries.
     :ivar peers: the other entries.
+    :ivar listing: the entries of the published list.
     :ivar serving: what running stages needs.
     """
 
@@ -58,6 +61,7 @@
     sender: Sender
     links: PeerLinks
     peers: Peers
+    listing: EntryListing
     serving: ServingParts
 
 
@@ -75,17 +79,29 @@
     loads = LoadTable(clock, rng)
     observations = _observations(settings, clock)
     demand = Demand.create(who.name, clock)
-    requests = max(1, settings.caller.threads - SPARE_THREADS)
-    admission = Admission(requests, clock, rng, demand.limits)
 
+    # Peers need the table of servers first; neither of these two is called before all
+    # parts stand.
     def tell_leaving(server: Server) -> None:
-        # The peers need the table of servers first; no server leaves before both stand.
         peers.members.tell_leaving(to_leaving(server))
 
+    def live_count() -> int:
+        return listing.live_count
+
     servers = ServerTable(told=tell_leaving)
+    slots = SlotShares(servers, loads, live_count, clock)
+    requests = max(1, settings.caller.threads - SPARE_THREADS)
+    admission = Admission(requests, clock, rng, demand.limits, slots.share)
+
+    def take_first_report(service: str) -> None:
+        if slots.note_reported(service):
+            admission.look_again()
+
+    loads.when_first_reported(take_first_report)
     sender = _sender(settings, incarnation)
     links = PeerLinks(sender, peer_tls)
     peers = join_peers(who, incarnation, links, configuration, servers, clock, rng)
+    listing = EntryListing(peers, demand)
     demand.join(peers.members.exchange, incarnation, admission)
 
     def home() -> Place:
@@ -110,6 +126,7 @@
         sender=sender,
         links=links,
         peers=peers,
+        listing=listing,
         serving=serving,
     )
 
