--- a/boragestream/daemon/background.py
+++ b/boragestream/daemon/background.py
@@ -6,7 +6,6 @@
 from functools import partial
 
 from boragestream.base.events import Event, describe_error, emit
-from boragestream.daemon.listing import EntryListing
 from boragestream.daemon.parts import EntryParts
 from boragestream.daemon.tasks import take_instances, take_published, watch_platform
 
@@ -33,14 +32,14 @@
 
     :param stopping: set once the entry begins to stop.
     """
-    first_word = partial(parts.peers.first_word.wait, parts.clock, stopping)
+    initial_sync = partial(parts.peers.initial_sync.wait, parts.clock, stopping)
     platform = parts.settings.platform
     watch_platform(
         platform.configuration,
         "/v1/document",
         platform.watch_seconds,
         partial(
-            take_published, configuration=parts.configuration, before_first=first_word
+            take_published, configuration=parts.configuration, before_first=initial_sync
         ),
         Event.CONFIGURATION_UNREACHABLE,
         ended,
@@ -49,9 +48,7 @@
     )
 
 
-def watch_instances(
-    parts: EntryParts, listing: EntryListing, ended: threading.Event
-) -> None:
+def watch_instances(parts: EntryParts, ended: threading.Event) -> None:
     """Take published instance lists until the entry has ended."""
     platform = parts.settings.platform
     watch_platform(
@@ -62,7 +59,7 @@
             take_instances,
             servers=parts.servers,
             loads=parts.loads,
-            take_entries=listing.take,
+            take_entries=parts.listing.take,
             take_servers=parts.peers.members.take_servers,
         ),
         Event.INSTANCES_UNREACHABLE,
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -22,7 +22,6 @@
     watch_instances,
 )
 from boragestream.daemon.listeners import make_application, open_peer_listener
-from boragestream.daemon.listing import EntryListing
 from boragestream.daemon.parts import make_entry_parts
 from boragestream.daemon.shutdown import ExitCode, GracefulStop, KeptAnswers
 from boragestream.entry.links import LISTENER_TASKS
@@ -52,10 +51,9 @@
         # While it stops, an entry still hears which servers leave.
         self._ended = threading.Event()
         self._kept_answers = KeptAnswers(clock)
-        self._listing = EntryListing(self._parts, self._kept_answers)
         self._tasks = BackgroundTasks()
         application = make_application(
-            self._parts, self._listing, self._kept_answers, self._stop.begun.is_set
+            self._parts, self._kept_answers, self._stop.begun.is_set
         )
         self._listener = open_peer_listener(self._parts, application, peer_tls)
         self._server = create_server(
@@ -72,7 +70,7 @@
         parts, start = self._parts, self._tasks.start
         start(parts.watchdog.run)
         start(partial(watch_configuration, parts, self._stop.begun, self._ended))
-        start(partial(watch_instances, parts, self._listing, self._ended))
+        start(partial(watch_instances, parts, self._ended))
         start(parts.peers.members.exchange.run)
         for _ in range(LISTENER_TASKS):
             start(self._listener.run)
--- a/boragestream/daemon/parts.py
+++ b/boragestream/daemon/parts.py
@@ -15,6 +15,7 @@
 from boragestream.base.observations import Observations
 from boragestream.base.settings import Settings
 from boragestream.daemon.demand import Demand
+from boragestream.daemon.listing import EntryListing
 from boragestream.daemon.peers import Peers, join_peers
 from boragestream.daemon.tasks import to_leaving
 from boragestream.entry.links import PeerLinks
@@ -42,6 +43,7 @@
     :ivar incarnation: this life of the entry.
     :ivar sender: signs what this entry sends to other entries.
     :ivar peers: the other entries.
+    :ivar listing: the entries of the published list.
     :ivar serving: what running stages needs.
     """
 
@@ -59,6 +61,7 @@
     sender: Sender
     links: PeerLinks
     peers: Peers
+    listing: EntryListing
     serving: ServingParts
 
 
@@ -77,15 +80,16 @@
     observations = _observations(settings, clock)
     demand = Demand.create(who.name, clock)
 
-    # The peers need the table of servers first; neither is called before both stand.
+    # Peers need the table of servers first; neither of these two is called before all
+    # parts stand.
     def tell_leaving(server: Server) -> None:
         peers.members.tell_leaving(to_leaving(server))
 
-    def count_entries() -> int:
-        return len(peers.members.entries.usable())
+    def live_count() -> int:
+        return listing.live_count
 
     servers = ServerTable(told=tell_leaving)
-    slots = SlotShares(servers, loads, count_entries, clock)
+    slots = SlotShares(servers, loads, live_count, clock)
     requests = max(1, settings.caller.threads - SPARE_THREADS)
     admission = Admission(requests, clock, rng, demand.limits, slots.share)
 
@@ -97,6 +101,7 @@
     sender = _sender(settings, incarnation)
     links = PeerLinks(sender, peer_tls)
     peers = join_peers(who, incarnation, links, configuration, servers, clock, rng)
+    listing = EntryListing(peers, demand)
     demand.join(peers.members.exchange, incarnation, admission)
 
     def home() -> Place:
@@ -121,6 +126,7 @@
         sender=sender,
         links=links,
         peers=peers,
+        listing=listing,
         serving=serving,
     )
 
