--- a/tests/features/bench_load.feature
+++ b/tests/features/bench_load.feature
@@ -1,5 +1,5 @@
 Feature: the load tool's own arithmetic
-  No process is started here; a tiny recorded sample stands for a run.
+  A tiny recorded sample stands for a run; one stand-in is the only process.
 
   Scenario: a schedule is the same for the same seed only
     Given arrivals at load 2 for 3 s with seed 5
@@ -25,6 +25,11 @@
       | search  | 150  |
       | ping    | 1200 |
 
+  Scenario: a call costs what the capacity is computed from, streamed or whole
+    Given a stand-in for a writer
+    When it is called once for a stream and once for a whole answer
+    Then each call cost the seconds that the pool's rate is computed from
+
   Scenario: the figures of a recorded sample
     Given the recorded samples
       | at  | account | outcome  | seconds | request |
--- a/tests/features/steps/bench_load.py
+++ b/tests/features/steps/bench_load.py
@@ -1,16 +1,20 @@
 """Steps on the load tool's schedules and figures."""
 
+import http.client
+import json
+import sys
 import tempfile
 from pathlib import Path
 
 from behave import given, then, when
 
 from bench.load.client import Sample
-from bench.load.deployment import capacity_rate
+from bench.load.deployment import POOLS, capacity_rate, server_specs
 from bench.load.invariants import invariant_counts
 from bench.load.metrics import fair_shares, jain, recovery_seconds, summarise
 from bench.load.schedule import Phase, arrivals_of
 from bench.load.traces import not_as_stated, read_scenario, trace_text
+from tests.standins.fleet import ADDRESS, Process, fetch, free_ports, wait_until
 
 
 def drawn(load, seconds, seed):
@@ -63,6 +67,38 @@
     assert round(capacity_rate({mix: 1.0}), 6) == rate
 
 
+@given("a stand-in for a writer")
+def step(context):
+    (port,) = free_ports(1)
+    spec = {"name": "writer", "kind": "engine", "address": ADDRESS, "port": port}
+    spec.update(server_specs()["writer"])
+    command = [sys.executable, "-m", "tests.standins.backend", json.dumps(spec)]
+    log = Path(tempfile.mkdtemp()) / "writer.log"
+    context.writer = Process("writer", port, command, log)
+    context.add_cleanup(context.writer.kill)
+    context.writer.start()
+    wait_until(lambda: fetch(port, "/load"))
+
+
+@when("it is called once for a stream and once for a whole answer")
+def step(context):
+    for number, stream in enumerate((True, False)):
+        connection = http.client.HTTPConnection(ADDRESS, context.writer.port)
+        ids = {"X-Request-Id": f"r-{number}", "X-Attempt-Id": f"a-{number}"}
+        body = {"input": "a", "prompt": "a", "stream": stream}
+        connection.request("POST", "/v1/completions", json.dumps(body), ids)
+        assert connection.getresponse().read()
+        connection.close()
+
+
+@then("each call cost the seconds that the pool's rate is computed from")
+def step(context):
+    wait_until(lambda: len(fetch(context.writer.port, "/standin/work")) == 2)
+    work = fetch(context.writer.port, "/standin/work")
+    nominal = [round(call["nominal"], 6) for call in work]
+    assert nominal == [POOLS["writer"].seconds] * 2, nominal
+
+
 @given("the recorded samples")
 def step(context):
     context.samples = [
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -268,7 +268,8 @@
                 self._strike("middle", fault)
             if i == len(parts) - 1:
                 self._strike("end", fault)
-            self.slot.spend(pause_ms)
+            # The end mark of a stream is no token and takes no time.
+            self.slot.spend(pause_ms if i < self._tokens(body) else 0)
             self.wfile.write(part)
             self.wfile.flush()
         self._finished()
