The stand-in's pause for a stream's tokens after its split

Ruled out: a fault of the entries; the server's log names the missing method. Change: the pause asks the function that took its place.

--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -186,7 +186,7 @@
             if i == len(parts) - 1:
                 strike(self, "end", fault)
             # The end mark of a stream is no token and takes no time.
-            self.slot.spend(pause_ms if i < self._tokens(body) else 0)
+            self.slot.spend(pause_ms if i < token_count(SPEC, body) else 0)
             self.wfile.write(part)
             self.wfile.flush()
         self._finished()
