--- a/boragestream/backend/connections.py
+++ b/boragestream/backend/connections.py
@@ -7,14 +7,22 @@
 
 import contextlib
 import http.client
+import math
 import select
 import threading
+from dataclasses import dataclass
 
 __all__ = ["ConnectionKeeper"]
 
 MAX_IDLE_PER_SERVER = 8
 
 
+@dataclass(frozen=True, slots=True)
+class _Kept:
+    connection: http.client.HTTPConnection
+    until: float
+
+
 class ConnectionKeeper:
     """Idle connections by server, newest first.
 
@@ -23,18 +31,26 @@
 
     def __init__(self, connect_seconds: float = 0.5) -> None:
         self._connect_seconds = connect_seconds
-        self._idle: dict[str, list[http.client.HTTPConnection]] = {}
+        self._idle: dict[str, list[_Kept]] = {}
         self._lock = threading.Lock()
 
-    def take(self, host: str) -> http.client.HTTPConnection | None:
-        """Return an idle connection that its server has not closed, or None."""
+    def take(
+        self, host: str, now: float = -math.inf
+    ) -> http.client.HTTPConnection | None:
+        """Return an idle connection that its server has not closed, or None.
+
+        :param now: the clock's seconds; connections kept until an earlier time are
+            closed.
+        """
         while True:
             with self._lock:
                 idle = self._idle.get(host)
-                connection = idle.pop() if idle else None
-            if connection is None or not _has_input(connection):
-                return connection
-            connection.close()
+                kept = idle.pop() if idle else None
+            if kept is None:
+                return None
+            if now < kept.until and not _has_input(kept.connection):
+                return kept.connection
+            kept.connection.close()
 
     def connect(self, host: str, seconds: float) -> http.client.HTTPConnection:
         """Open a fresh connection.
@@ -51,12 +67,20 @@
         connection.connect()
         return connection
 
-    def keep(self, host: str, connection: http.client.HTTPConnection) -> None:
-        """Keep a connection whose answer was read to its end."""
+    def keep(
+        self,
+        host: str,
+        connection: http.client.HTTPConnection,
+        until: float = math.inf,
+    ) -> None:
+        """Keep a connection whose answer was read to its end.
+
+        :param until: the clock's seconds after which it is not used any more.
+        """
         with self._lock:
             idle = self._idle.setdefault(host, [])
             if len(idle) < MAX_IDLE_PER_SERVER:
-                idle.append(connection)
+                idle.append(_Kept(connection, until))
                 return
         connection.close()
 
@@ -64,8 +88,8 @@
         """Close every idle connection to a server that is leaving or replaced."""
         with self._lock:
             idle = self._idle.pop(host, [])
-        for connection in idle:
-            connection.close()
+        for kept in idle:
+            kept.connection.close()
 
 
 def _has_input(connection: http.client.HTTPConnection) -> bool:
--- /dev/null
+++ b/boragestream/backend/forwarded_call.py
@@ -0,0 +1,269 @@
+"""One forwarded call to a backend server: sent byte for byte, answered byte for byte.
+
+An answer counts only when it is whole and belongs to the call. What the headers mean
+is decoded by the ``ReadHead`` that the daemon hands in. Whether a call is sent again
+is left to ``serving``.
+"""
+
+import contextlib
+import http.client
+import socket
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Protocol
+
+from boragestream.backend.cancellation import CancelScope
+from boragestream.backend.connections import ConnectionKeeper
+from boragestream.backend.failures import (
+    AnswerCrossed,
+    AnswerCut,
+    AnswerTooLarge,
+    AttemptCancelled,
+    AttemptFailure,
+    ConnectFailed,
+    Ran,
+)
+from boragestream.base.clock import Clock
+from boragestream.base.failures import DeadlinePassed
+from boragestream.document.calls import AnswerHead
+from boragestream.policy.servers import Server
+
+__all__ = ["CallLine", "OpenForwardedAnswer", "OutgoingCall", "open_forwarded_call"]
+
+MAX_ANSWER_BYTES = 16 * 1_048_576
+READ_BYTES = 65536
+# A server that has lost power answers no probe: its connections end after about
+# IDLE + INTERVAL x COUNT seconds. Callers give a stream up after two seconds at the
+# least, so that a resumed one should be found earlier.
+KEEPALIVE_IDLE_SECONDS = 1
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_COUNT = 2
+UNACKNOWLEDGED_MS = 2500
+# A kept connection is used only well before its server closes it.
+IDLE_MARGIN_SECONDS = 1.0
+WATCHDOG_MARGIN_SECONDS = 1.0
+LONGEST_IDLE_SECONDS = 3.0
+
+
+class ReadHead(Protocol):
+    """Decodes the head of an answer."""
+
+    def __call__(self, response: http.client.HTTPResponse) -> AnswerHead:
+        """Return the head as a record."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallLine:
+    """What all forwarded calls of an entry share."""
+
+    read_head: ReadHead
+    connections: ConnectionKeeper
+    clock: Clock
+
+
+@dataclass(frozen=True, slots=True)
+class OutgoingCall:
+    """A call that is about to be sent.
+
+    :ivar request_id: the id that its answer must carry if it carries any.
+    :ivar encode: makes the bytes right before they are sent, given the seconds that are
+        left; a failure where the call may not be sent any more.
+    :ivar fresh: whether only a new connection may be used, since the call may not be
+        repeated where a kept one turns out to be closed.
+    """
+
+    method: str
+    request_id: str
+    encode: Callable[[float], bytes | AttemptFailure]
+    fresh: bool = False
+
+
+class OpenForwardedAnswer:
+    """An answer whose head is there; ``read`` or ``parts`` is called once."""
+
+    def __init__(
+        self,
+        line: CallLine,
+        server: Server,
+        connection: http.client.HTTPConnection,
+        response: http.client.HTTPResponse,
+        head: AnswerHead,
+        scope: CancelScope,
+        reusable: bool,
+    ) -> None:
+        self._line = line
+        self._server = server
+        self._connection = connection
+        self._response = response
+        self._head = head
+        self._scope = scope
+        self._reusable = reusable
+        self._open = True
+
+    @property
+    def head(self) -> AnswerHead:
+        """The answer's head."""
+        return self._head
+
+    @property
+    def server(self) -> Server:
+        """The server that answers."""
+        return self._server
+
+    def read(self) -> bytes | AttemptFailure:
+        """Read the whole body, or tell why there is none."""
+        try:
+            body = self._response.read()
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            return self._fail(error)
+        if len(body) > MAX_ANSWER_BYTES:
+            self.close()
+            limit = f"{MAX_ANSWER_BYTES} bytes"
+            return AnswerTooLarge(self._server.name, Ran.MAY_HAVE_RUN, limit)
+        self._keep()
+        return body
+
+    def parts(self) -> Iterator[bytes | AttemptFailure]:
+        """Yield the bytes of the body as they come; a failure is the last item."""
+        left = self._response.length
+        try:
+            while data := self._response.read1(READ_BYTES):
+                if left is not None:
+                    left -= len(data)
+                yield data
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            yield self._fail(error)
+            return
+        if left:
+            yield self._fail(http.client.IncompleteRead(b"", left))
+            return
+        if self._scope.reason is not None:
+            # A connection that was shut down here also reads as ended.
+            yield self._fail(OSError("shut down"))
+            return
+        self._keep()
+
+    def close(self) -> None:
+        """Drop the connection; the server sees that nobody waits any more."""
+        if not self._open:
+            return
+        self._open = False
+        sock = self._connection.sock
+        if sock is not None:
+            self._scope.remove(sock)
+        self._response.close()
+        self._connection.close()
+
+    def _keep(self) -> None:
+        sock = self._connection.sock
+        kept = self._open and sock is not None and self._reusable
+        if not kept or self._head.closing or not self._scope.release(sock):
+            self.close()
+            return
+        self._open = False
+        idle = self._head.idle_seconds
+        seconds = LONGEST_IDLE_SECONDS
+        if idle is not None:
+            seconds = min(seconds, idle - IDLE_MARGIN_SECONDS)
+        if seconds <= 0:
+            self._connection.close()
+            return
+        until = self._line.clock.now() + seconds
+        self._line.connections.keep(self._server.host, self._connection, until)
+
+    def _fail(self, error: Exception) -> AttemptFailure:
+        self.close()
+        return _broken(self._server, self._scope, error)
+
+
+def open_forwarded_call(
+    line: CallLine, server: Server, call: OutgoingCall, scope: CancelScope
+) -> OpenForwardedAnswer | AttemptFailure:
+    """Send a call and return its answer once the head is there.
+
+    :param scope: cancels the call.
+    """
+    now = line.clock.now()
+    left = scope.deadline - now
+    if left <= 0:
+        passed = DeadlinePassed("before the call")
+        return AttemptCancelled(server.name, Ran.NOT_SENT, passed)
+    connection = None if call.fresh else line.connections.take(server.host, now)
+    if connection is None:
+        try:
+            connection = line.connections.connect(server.host, left)
+        except OSError as error:
+            return ConnectFailed(server.name, Ran.NOT_SENT, repr(error))
+        _detect_dead_peers(connection.sock)
+    scope.add(connection.sock)
+    # A process that was paused while it connected may be past the deadline.
+    left = scope.deadline - line.clock.now()
+    data = _ready_bytes(server, call, scope, left)
+    if isinstance(data, AttemptFailure):
+        scope.remove(connection.sock)
+        connection.close()
+        return data
+    return _exchange(line, server, call, scope, connection, data)
+
+
+def _ready_bytes(
+    server: Server, call: OutgoingCall, scope: CancelScope, left: float
+) -> bytes | AttemptFailure:
+    if scope.reason is not None or left <= 0:
+        reason = scope.reason or DeadlinePassed("before the call")
+        return AttemptCancelled(server.name, Ran.NOT_SENT, reason)
+    return call.encode(left)
+
+
+def _exchange(
+    line: CallLine,
+    server: Server,
+    call: OutgoingCall,
+    scope: CancelScope,
+    connection: http.client.HTTPConnection,
+    data: bytes,
+) -> OpenForwardedAnswer | AttemptFailure:
+    sock = connection.sock
+    # The deadline is the watchdog's; the socket's own limit is there in case.
+    left = scope.deadline - line.clock.now()
+    sock.settimeout(max(0.0, left) + WATCHDOG_MARGIN_SECONDS)
+    whole = True
+    try:
+        sock.sendall(data)
+    except OSError:
+        # A server may answer before it has read everything, and close.
+        whole = False
+    response = http.client.HTTPResponse(sock, method=call.method)
+    try:
+        response.begin()
+    except (OSError, http.client.HTTPException, ValueError) as error:
+        response.close()
+        scope.remove(sock)
+        connection.close()
+        return _broken(server, scope, error)
+    head = line.read_head(response)
+    answer = OpenForwardedAnswer(line, server, connection, response, head, scope, whole)
+    # An answer that carries another id is an extra or a late one of another call.
+    if head.request_id and head.request_id != call.request_id:
+        answer.close()
+        return AnswerCrossed(server.name, Ran.MAY_HAVE_RUN, head.request_id)
+    return answer
+
+
+def _detect_dead_peers(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        tcp = socket.IPPROTO_TCP
+        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+        sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
+        sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+def _broken(server: Server, scope: CancelScope, error: Exception) -> AttemptFailure:
+    if scope.reason is not None:
+        return AttemptCancelled(server.name, Ran.MAY_HAVE_RUN, scope.reason)
+    if isinstance(error, TimeoutError):
+        passed = DeadlinePassed("answer")
+        return AttemptCancelled(server.name, Ran.MAY_HAVE_RUN, passed)
+    return AnswerCut(server.name, Ran.MAY_HAVE_RUN, repr(error))
--- /dev/null
+++ b/boragestream/base/route_settings.py
@@ -0,0 +1,145 @@
+"""The settings of an entry that forwards calls by published routes, from a TOML file.
+
+They hold what differs between instances and what the platform fixes for all of them.
+What operators change while the system runs stands in the published routes instead.
+Fields that are not known are left alone, so that a newer platform can name more.
+"""
+
+import tomllib
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from boragestream.base.outcomes import Failure
+
+__all__ = ["RouteSettings", "SettingsInvalid", "read_route_settings"]
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Share = Annotated[float, msgspec.Meta(ge=0)]
+
+
+@dataclass(frozen=True, slots=True)
+class EntryPlace:
+    """Who this entry is."""
+
+    name: Name
+    data_centre: Name
+
+
+@dataclass(frozen=True, slots=True)
+class EntryAddresses:
+    """What this entry listens on, each as ``address:port``.
+
+    :ivar callers: forwarded calls.
+    :ivar ready: whether the entry is ready.
+    :ivar directory: where callers should connect.
+    :ivar entries: the other entries.
+    :ivar metrics: metrics as text; empty for nowhere.
+    :ivar metrics_path: under which path.
+    """
+
+    callers: Address
+    ready: Address
+    directory: Address
+    entries: Address
+    metrics: str = ""
+    metrics_path: str = "/metrics"
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSeeds:
+    """How entries find one another.
+
+    :ivar seeds: addresses of some entries, which may be out of date.
+    :ivar key: authenticates what entries send one another.
+    """
+
+    seeds: tuple[Address, ...]
+    key: Annotated[str, msgspec.Meta(min_length=16, max_length=64)] = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """The platform's store.
+
+    :ivar address: ``address:port``.
+    :ivar watch_seconds: how long one watch may wait. A watch that was cut off without
+        a word is noticed only after it, and calls are counted, so that it is a few
+        seconds.
+    """
+
+    address: Address
+    watch_seconds: Seconds = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class RetrySettings:
+    """The bound on repeats, over all entries; see ``policy.retry_window``."""
+
+    share: Share
+    window_seconds: Seconds
+    slack: Share
+
+
+@dataclass(frozen=True, slots=True)
+class RouteStopSettings:
+    """How a graceful shutdown goes.
+
+    :ivar grace_seconds: after this long the platform kills the process.
+    """
+
+    grace_seconds: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class ResourceSettings:
+    """What the process may use.
+
+    :ivar descriptors: open files and sockets.
+    :ivar threads: how many requests can be in hand at once, refusals included. More
+        than a quarter of a gigabyte's worth of stacks would not fit an instance.
+    """
+
+    descriptors: Count = 1024
+    threads: Count = 160
+
+
+@dataclass(frozen=True, slots=True)
+class RouteSettings:
+    """The whole settings file."""
+
+    entry: EntryPlace
+    listen: EntryAddresses
+    peers: PeerSeeds
+    store: StoreSettings
+    retries: RetrySettings
+    stop: RouteStopSettings
+    resources: ResourceSettings = field(default_factory=ResourceSettings)
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsInvalid(Failure):
+    """The settings file can't be used.
+
+    :ivar reason: the first fault, with its place.
+    """
+
+    place: str
+    reason: str
+
+
+def read_route_settings(path: Path) -> RouteSettings | SettingsInvalid:
+    """Read and check a settings file.
+
+    :param path: the TOML file.
+    """
+    try:
+        data = tomllib.loads(path.read_text(encoding="utf-8"))
+        return msgspec.convert(data, RouteSettings)
+    except (OSError, ValueError, msgspec.ValidationError) as error:
+        return SettingsInvalid(str(path), str(error))
--- a/boragestream/caller/connections.py
+++ b/boragestream/caller/connections.py
@@ -12,10 +12,11 @@
 
 from boragestream.caller.protocol import StrictChannel, StrictParser
 
-__all__ = ["ARRIVED", "STOP_WAITING", "CallerConnection"]
+__all__ = ["ARRIVED", "RAW_HEADERS", "STOP_WAITING", "CallerConnection"]
 
 ARRIVED = "boragestream.arrived"
 STOP_WAITING = "boragestream.stop_waiting"
+RAW_HEADERS = "boragestream.headers"
 
 
 class CallerTask(WSGITask):
@@ -26,11 +27,13 @@
 
         ``ARRIVED`` is the clock's seconds at the request's first byte, so that time
         in waitress' own queue counts; ``STOP_WAITING`` is called without arguments
-        when the deadline has passed.
+        when the deadline has passed; ``RAW_HEADERS`` holds the headers under names in
+        capitals with underscores.
         """
         environ = super().get_environment()
         environ[ARRIVED] = self.request.arrived
         environ[STOP_WAITING] = self.channel.stop_waiting
+        environ[RAW_HEADERS] = self.request.headers
         self.channel.begin_waiting()
         return environ
 
--- /dev/null
+++ b/boragestream/caller/directory.py
@@ -0,0 +1,83 @@
+"""The small application that tells callers where to connect, and the platform whether.
+
+It is served on addresses of its own, so that questions are answered while requests
+fill the entry.
+"""
+
+import random
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, Protocol
+
+from boragestream.caller.replies import StartResponse, json_reply
+
+__all__ = ["DirectoryApplication", "DirectoryFormat"]
+
+# Callers use no more addresses of one answer.
+MOST_ADDRESSES = 64
+
+
+class DirectoryFormat(Protocol):
+    """The paths of the questions, and the form of the answers."""
+
+    @property
+    def ready_path(self) -> str:
+        """The path under which the platform asks whether the entry is ready."""
+
+    @property
+    def directory_path(self) -> str:
+        """The path under which callers ask for addresses."""
+
+    def directory_body(self, addresses: Sequence[str], keep_seconds: float) -> object:
+        """Return the answer to a caller, JSON data."""
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryApplication:
+    """Answers callers and the platform.
+
+    :ivar ready: tells whether this entry serves requests.
+    :ivar addresses: returns the callers' addresses of the entries that serve.
+    :ivar keep_seconds: how long a caller may keep an answer.
+    :ivar metrics: returns the metrics as text.
+    :ivar metrics_path: where they are served; empty for nowhere.
+    """
+
+    format: DirectoryFormat
+    ready: Callable[[], bool]
+    addresses: Callable[[], Sequence[str]]
+    keep_seconds: float
+    rng: random.Random
+    metrics: Callable[[], str] = str
+    metrics_path: str = ""
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one HTTP request."""
+        path = environ["PATH_INFO"]
+        if path == self.format.ready_path:
+            status = HTTPStatus.OK if self.ready() else HTTPStatus.SERVICE_UNAVAILABLE
+            return json_reply(start_response, {"ready": self.ready()}, status)
+        if path == self.format.directory_path:
+            return self._directory(start_response)
+        if self.metrics_path and path == self.metrics_path:
+            return _text(start_response, self.metrics())
+        return json_reply(start_response, {}, HTTPStatus.NOT_FOUND)
+
+    def _directory(self, start_response: StartResponse) -> Iterable[bytes]:
+        known = list(self.addresses())
+        if not known:
+            unavailable = HTTPStatus.SERVICE_UNAVAILABLE
+            return json_reply(start_response, {}, unavailable)
+        chosen = self.rng.sample(known, min(len(known), MOST_ADDRESSES))
+        body = self.format.directory_body(chosen, self.keep_seconds)
+        return json_reply(start_response, body)
+
+
+def _text(start_response: StartResponse, text: str) -> Iterable[bytes]:
+    body = text.encode()
+    headers = [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))]
+    start_response("200 OK", headers)
+    return [body]
--- /dev/null
+++ b/boragestream/caller/forwarding.py
@@ -0,0 +1,264 @@
+"""The application of callers whose requests are forwarded byte for byte.
+
+Every answer of the system's own tells by its status whether the request ran: 429 and
+503 promise that it did not and never will, 502 and 504 promise nothing. How requests
+and answers are put on the wire is told by the ``RequestFormat`` that the daemon hands
+in.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, Protocol
+
+from boragestream.backend.cancellation import CancelScope, Watchdog
+from boragestream.base.clock import Clock
+from boragestream.base.events import Event, describe_error, emit
+from boragestream.base.failures import (
+    DeadlinePassed,
+    EntryBroken,
+    EntryLeaving,
+    NoConfiguration,
+)
+from boragestream.base.observations import Observations
+from boragestream.base.outcomes import Failed, Failure, Refused, Unknown
+from boragestream.caller.connections import ARRIVED, RAW_HEADERS, STOP_WAITING
+from boragestream.caller.failures import BodyTooLong
+from boragestream.caller.replies import StartResponse
+from boragestream.document.calls import ForwardedRequest, RequestMalformed
+from boragestream.policy.route_table import KeyUnknown, RoutesInForce, RouteUnknown
+from boragestream.policy.waiting import ServiceSaturated
+from boragestream.serving.forwarded_run import ForwardedRun, outcome_of
+from boragestream.serving.forwarder import (
+    Forwarder,
+    StreamedAnswer,
+    WholeAnswer,
+    choose_service,
+)
+from boragestream.serving.request import SentRecord
+
+__all__ = ["ForwardingApplication", "RequestFormat"]
+
+Environ = dict[str, Any]
+Reply = Iterable[bytes]
+
+OWN_FAULT_STATUS: dict[type[Failure], HTTPStatus] = {
+    RouteUnknown: HTTPStatus.NOT_FOUND,
+    KeyUnknown: HTTPStatus.UNAUTHORIZED,
+    RequestMalformed: HTTPStatus.BAD_REQUEST,
+    BodyTooLong: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+}
+# Where the entry itself is the reason, another one can serve the caller at once.
+ELSEWHERE_SECONDS = 0.05
+
+
+class RequestFormat(Protocol):
+    """How callers' requests and the system's own answers are put on the wire."""
+
+    def read_request(
+        self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
+    ) -> ForwardedRequest | RequestMalformed:
+        """Decode a request."""
+
+    def refusal_headers(
+        self, request_id: str, retry_after: float | None
+    ) -> list[tuple[str, str]]:
+        """Return the headers of an answer of the system's own."""
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardingApplication:
+    """The application; waitress calls it in a thread for each request.
+
+    :ivar refusing: tells whether new requests are refused since the entry stops.
+    """
+
+    routes: RoutesInForce
+    forwarder: Forwarder
+    format: RequestFormat
+    watchdog: Watchdog
+    clock: Clock
+    observations: Observations
+    refusing: Callable[[], bool]
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Reply:
+        """Answer one HTTP request."""
+        try:
+            return self._answer(environ, start_response)
+        except Exception as error:
+            emit(Event.REQUEST_BROKEN, request="", error=describe_error(error))
+            # What may have run is not known here.
+            return self._own_answer(start_response, "", Unknown(EntryBroken(), ""))
+
+    def _answer(self, environ: Environ, start_response: StartResponse) -> Reply:
+        arrived = environ.get(ARRIVED, self.clock.now())
+        table = self.routes.current
+        if table is None:
+            refused = Refused(NoConfiguration(), ELSEWHERE_SECONDS)
+            return self._own_answer(start_response, "", refused)
+        request = self._read(environ, table.document.limits.body_bytes)
+        if isinstance(request, Failure):
+            return self._own_answer(start_response, "", Refused(request))
+        if self.refusing():
+            refused = Refused(EntryLeaving(), ELSEWHERE_SECONDS)
+            return self._own_answer(start_response, request.request_id, refused)
+        route = table.route(request.host, request.path)
+        if isinstance(route, Failure):
+            refused = Refused(route)
+            return self._own_answer(start_response, request.request_id, refused)
+        account = table.account(route, request.key)
+        if isinstance(account, Failure):
+            refused = Refused(account)
+            return self._own_answer(start_response, request.request_id, refused)
+        wait = route.timeout_seconds
+        if request.wait_seconds is not None:
+            wait = min(wait, request.wait_seconds)
+        gone = environ.get("waitress.client_disconnected")
+        scope = CancelScope(arrived + wait, gone, environ.get(STOP_WAITING))
+        own_priority = account.priority if account is not None else None
+        run = ForwardedRun(
+            request=request,
+            route=route,
+            table=table,
+            account=account.name if account is not None else "",
+            priority=route.priority if own_priority is None else own_priority,
+            service=choose_service(route, self.forwarder.parts.rng),
+            scope=scope,
+            arrived=arrived,
+            sent=SentRecord(),
+        )
+        return self._forward(start_response, run)
+
+    def _read(
+        self, environ: Environ, body_bytes: int
+    ) -> ForwardedRequest | RequestMalformed | BodyTooLong:
+        body = environ["wsgi.input"].read()
+        if len(body) > body_bytes:
+            return BodyTooLong(body_bytes)
+        headers = [
+            (name.replace("_", "-").title(), value)
+            for name, value in environ[RAW_HEADERS].items()
+        ]
+        method, target = environ["REQUEST_METHOD"], environ["REQUEST_URI"]
+        return self.format.read_request(method, target, headers, body)
+
+    def _forward(self, start_response: StartResponse, run: ForwardedRun) -> Reply:
+        self.watchdog.open(run.scope)
+        streaming = False
+        try:
+            answer = self.forwarder.run(run)
+            streaming = isinstance(answer, StreamedAnswer)
+        finally:
+            if not streaming:
+                self.watchdog.close(run.scope)
+        request_id = run.request.request_id
+        if isinstance(answer, StreamedAnswer):
+            start_response(
+                _status(answer.head.status, answer.head.reason), _headers(answer)
+            )
+            return _StreamReply(self, run, answer.events)
+        if isinstance(answer, WholeAnswer):
+            self.log_end(run, "answered", answer.head.status, None)
+            headers = [*_headers(answer), ("Content-Length", str(len(answer.body)))]
+            start_response(_status(answer.head.status, answer.head.reason), headers)
+            return [answer.body]
+        outcome = outcome_of(run, answer)
+        self.log_end(run, type(outcome).__name__.lower(), 0, answer)
+        return self._own_answer(start_response, request_id, outcome)
+
+    def _own_answer(
+        self,
+        start_response: StartResponse,
+        request_id: str,
+        outcome: Refused | Failed | Unknown,
+    ) -> Reply:
+        status = _own_status(outcome)
+        wait = getattr(outcome, "retry_after", None)
+        promised = status in (
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            HTTPStatus.TOO_MANY_REQUESTS,
+        )
+        headers = self.format.refusal_headers(request_id, wait if promised else None)
+        body = f"{outcome.failure.code}\n".encode()
+        headers += [
+            ("Content-Type", "text/plain"),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response(_status(status.value, status.phrase), headers)
+        return [body]
+
+    def log_end(
+        self, run: ForwardedRun, outcome: str, status: int, failure: Failure | None
+    ) -> None:
+        """Log and count how a request ended."""
+        seconds = self.clock.now() - run.arrived
+        account = run.account or "none"
+        self.observations.request_ended(account, run.route.name, outcome, seconds)
+        emit(
+            Event.REQUEST_ENDED,
+            request=run.request.request_id,
+            account=account,
+            pipeline=run.route.name,
+            outcome=outcome,
+            status=status,
+            milliseconds=int(seconds * 1000),
+            failure=failure.describe() if failure is not None else None,
+        )
+
+
+class _StreamReply:
+    """The events of a stream, as waitress iterates over them."""
+
+    def __init__(
+        self,
+        application: ForwardingApplication,
+        run: ForwardedRun,
+        events: Iterator[bytes | Failure],
+    ) -> None:
+        self._application = application
+        self._run = run
+        self._events = events
+        self._ended = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        for part in self._events:
+            if isinstance(part, Failure):
+                self._end("cut", part)
+                # waitress closes the connection without the end of the answer, so that
+                # the caller sees that it is not whole.
+                raise StreamCutError
+            yield part
+        self._end("answered", None)
+
+    def close(self) -> None:
+        """Release what the stream holds; waitress calls it in every case."""
+        self._events.close()
+        self._application.watchdog.close(self._run.scope)
+        self._end("abandoned", self._run.scope.reason)
+
+    def _end(self, outcome: str, failure: Failure | None) -> None:
+        if not self._ended:
+            self._ended = True
+            self._application.log_end(self._run, outcome, 200, failure)
+
+
+class StreamCutError(Exception):
+    """A stream ends before its end mark."""
+
+
+def _own_status(outcome: Refused | Failed | Unknown) -> HTTPStatus:
+    failure = outcome.failure
+    if isinstance(outcome, Refused):
+        status = OWN_FAULT_STATUS.get(type(failure))
+        return status or HTTPStatus.SERVICE_UNAVAILABLE
+    if isinstance(failure, DeadlinePassed | ServiceSaturated):
+        return HTTPStatus.GATEWAY_TIMEOUT
+    return HTTPStatus.BAD_GATEWAY
+
+
+def _status(code: int, reason: str) -> str:
+    return f"{code} {reason or 'Status'}"
+
+
+def _headers(answer: WholeAnswer | StreamedAnswer) -> list[tuple[str, str]]:
+    return list(answer.head.headers)
--- /dev/null
+++ b/boragestream/daemon/route_entry.py
@@ -0,0 +1,210 @@
+"""One entry that forwards calls by published routes: its start, its run and its stop.
+
+What it consists of is built in ``daemon.route_parts``.
+"""
+
+import random
+import threading
+from functools import partial
+
+import waitress
+from waitress.server import BaseWSGIServer
+
+from boragestream.base.clock import Clock, SystemClock
+from boragestream.base.events import Event, emit
+from boragestream.base.route_settings import RouteSettings
+from boragestream.base.settings import CallerSettings, StopSettings
+from boragestream.caller.directory import DirectoryApplication
+from boragestream.caller.forwarding import ForwardingApplication
+from boragestream.caller.server import (
+    busy_connections,
+    create_server,
+    leave,
+    stop_listening,
+)
+from boragestream.daemon.background import BackgroundTasks
+from boragestream.daemon.publication import Publication
+from boragestream.daemon.route_parts import RouteParts, make_route_parts
+from boragestream.daemon.shutdown import ExitCode, GracefulStop
+from boragestream.entry.links import LISTENER_TASKS, PeerListener
+from boragestream.platform.directory import PlatformDirectory
+from boragestream.platform.store import CONFIGURATION_KEY, SERVERS_PREFIX, Store
+from boragestream.platform.wire import read_request, refusal_headers
+from boragestream.policy.publication import PublishedTable
+from boragestream.policy.route_table import RouteTable
+
+__all__ = ["RouteEntry"]
+
+# How long callers may keep an answer that names entries. Some keep it three times as
+# long, and all of it must fit into the time that a stopping entry still serves.
+KEEP_SECONDS = 1.0
+# While an entry stops it serves new requests for as long as answers that name it may be
+# kept, and then refuses them.
+LINGER_SHARE = 0.35
+# The process ends this long before it would be killed.
+END_MARGIN_SECONDS = 0.5
+DIRECTORY_THREADS = 4
+LOOK_AGAIN_SECONDS = 0.25
+# Descriptors for files, peers, kept connections to servers and calls under way.
+OTHER_DESCRIPTORS = 1200
+IDLE_MARGIN_SECONDS = 2.0
+
+
+class _RequestFormat:
+    """Requests and refusals in the platform's form."""
+
+    read_request = staticmethod(read_request)
+    refusal_headers = staticmethod(refusal_headers)
+
+
+class RouteEntry:
+    """One entry daemon.
+
+    :param settings: its settings.
+    :param clock: the clock of all its decisions.
+    :raises OSError, pynng.NNGException: where an address can't be listened on.
+    """
+
+    def __init__(self, settings: RouteSettings, clock: Clock | None = None) -> None:
+        clock = clock or SystemClock()
+        self._settings = settings
+        self._clock = clock
+        self._parts = make_route_parts(settings, clock)
+        grace = settings.stop.grace_seconds
+        self._linger_seconds = grace * LINGER_SHARE
+        left = grace - self._linger_seconds - END_MARGIN_SECONDS
+        stop = StopSettings(self._linger_seconds, max(0.1, left))
+        self._stop = GracefulStop(stop, clock)
+        self._refusing = threading.Event()
+        self._ended = threading.Event()
+        self._tasks = BackgroundTasks()
+        self._server = self._open_callers()
+        self._directory = self._open_directory()
+        self._listener = PeerListener(
+            self._parts.sender, settings.listen.entries, self._parts.handlers
+        )
+        self._parts.routes.when_taken(self._apply_limits)
+        self._parts.book.add_seeds(settings.peers.seeds)
+
+    def run(self) -> ExitCode:
+        """Serve until ``stop`` is called, then finish what is in hand."""
+        parts, start = self._parts, self._tasks.start
+        start(parts.watchdog.run)
+        start(self._publication(CONFIGURATION_KEY, parts.take_configuration).run)
+        start(self._publication(SERVERS_PREFIX, parts.take_servers).run)
+        start(parts.members.exchange.run)
+        start(self._look_again)
+        for _ in range(LISTENER_TASKS):
+            start(self._listener.run)
+        start(self._server.run)
+        start(self._directory.run)
+        name = self._settings.entry.name
+        emit(Event.ENTRY_STARTED, entry=name, incarnation=parts.incarnation)
+        self._stop.begun.wait()
+        return self._finish()
+
+    def stop(self) -> None:
+        """Begin the graceful shutdown; a second call ends it."""
+        self._stop.signal()
+
+    def _ready(self) -> bool:
+        parts = self._parts
+        known = parts.routes.current is not None and bool(parts.servers.all)
+        return known and not self._stop.begun.is_set()
+
+    def _addresses(self) -> list[str]:
+        if self._parts.routes.current is None:
+            return []
+        entries = self._parts.serving_entries()
+        return [entry.host for entry in entries]
+
+    def _finish(self) -> ExitCode:
+        emit(Event.ENTRY_LEAVING, in_hand=busy_connections(self._server))
+        self._parts.members.leave()
+        leave(self._server)
+        code = self._stop.finish(
+            self._clock.now() + self._linger_seconds,
+            self._refuse,
+            partial(busy_connections, self._server),
+        )
+        self._ended.set()
+        emit(Event.ENTRY_STOPPED, exit_code=int(code))
+        return code
+
+    def _refuse(self) -> None:
+        self._refusing.set()
+        stop_listening(self._server)
+
+    def _open_callers(self) -> BaseWSGIServer:
+        settings, parts = self._settings, self._parts
+        application = ForwardingApplication(
+            routes=parts.routes,
+            forwarder=parts.forwarder,
+            format=_RequestFormat(),
+            watchdog=parts.watchdog,
+            clock=self._clock,
+            observations=parts.observations,
+            refusing=self._refusing.is_set,
+        )
+        address, _, port = settings.listen.callers.rpartition(":")
+        callers = CallerSettings(address, int(port), settings.resources.threads)
+        server = create_server(application, callers, parts.watchdog.arrivals)
+        room = settings.resources.descriptors - OTHER_DESCRIPTORS
+        server.adj.connection_limit = max(room, settings.resources.threads)
+        return server
+
+    def _open_directory(self) -> BaseWSGIServer:
+        listen = self._settings.listen
+        application = DirectoryApplication(
+            format=PlatformDirectory(),
+            ready=self._ready,
+            addresses=self._addresses,
+            keep_seconds=KEEP_SECONDS,
+            rng=random.Random(),
+            metrics_path=listen.metrics_path if listen.metrics else "",
+        )
+        addresses = dict.fromkeys([listen.ready, listen.directory, listen.metrics])
+        return waitress.create_server(
+            application,
+            listen=" ".join(address for address in addresses if address),
+            threads=DIRECTORY_THREADS,
+            ident="boragestream",
+            asyncore_use_poll=True,
+        )
+
+    def _publication(self, prefix: str, take: object) -> Publication:
+        store = self._settings.store
+        servers = prefix == SERVERS_PREFIX
+        return Publication(
+            store=Store(store.address),
+            prefix=prefix,
+            watch_seconds=store.watch_seconds,
+            table=PublishedTable(self._clock.now),
+            take=take,
+            unreachable=(
+                Event.INSTANCES_UNREACHABLE
+                if servers
+                else Event.CONFIGURATION_UNREACHABLE
+            ),
+            stopping=self._ended,
+            rng=self._parts.rng,
+        )
+
+    def _apply_limits(self, table: RouteTable) -> None:
+        limits, adj = table.document.limits, self._server.adj
+        adj.max_request_header_size = limits.header_bytes
+        # waitress refuses a body of this size, not only a longer one.
+        adj.max_request_body_size = limits.body_bytes + 1
+        adj.channel_timeout = limits.idle_seconds + IDLE_MARGIN_SECONDS
+
+    def _look_again(self) -> None:
+        """Keep the address book and the queues of pieces in order."""
+        while not self._ended.wait(LOOK_AGAIN_SECONDS):
+            self._parts.batches.look_again()
+            self._parts.orders.look_again()
+            self._parts.book.tell_again()
+
+
+def parts_of(entry: RouteEntry) -> RouteParts:
+    """Return the parts of an entry, for tests."""
+    return entry._parts
--- /dev/null
+++ b/boragestream/daemon/route_parts.py
@@ -0,0 +1,241 @@
+"""What an entry that forwards calls consists of, built once from its settings.
+
+Building starts nothing and opens no listener: ``daemon.route_entry`` does both.
+"""
+
+import itertools
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from boragestream.backend.cancellation import Watchdog
+from boragestream.backend.connections import ConnectionKeeper
+from boragestream.backend.forwarded_call import CallLine
+from boragestream.base.clock import Clock
+from boragestream.base.events import Event, emit
+from boragestream.base.identifiers import new_incarnation
+from boragestream.base.observations import Observations
+from boragestream.base.route_settings import RouteSettings
+from boragestream.daemon.tasks import OFFER_EVENTS, to_leaving
+from boragestream.document.routes import PieceLimits
+from boragestream.entry.addresses import AddressBook
+from boragestream.entry.links import Handler, PeerLinks
+from boragestream.entry.messages import (
+    DocumentAsk,
+    PiecesCancel,
+    PiecesDone,
+    PiecesOrder,
+    PiecesRelease,
+    Sender,
+)
+from boragestream.entry.peers import EntryPeers
+from boragestream.entry.relay import ConfigurationRelay
+from boragestream.platform.pieces import (
+    encode_piece_call,
+    encode_release,
+    read_piece_results,
+)
+from boragestream.platform.published import (
+    PublishedMalformed,
+    read_route_document,
+    read_server,
+)
+from boragestream.platform.store import CONFIGURATION_KEY
+from boragestream.platform.wire import encode_call, read_answer_head
+from boragestream.policy.leaving import LeavingServer
+from boragestream.policy.load import LoadTable
+from boragestream.policy.peers import ListedEntry
+from boragestream.policy.retry_window import RetryBounds, RetryWindows
+from boragestream.policy.route_table import RoutesInForce
+from boragestream.policy.server_choice import ServerChoice
+from boragestream.policy.servers import Server, ServerTable
+from boragestream.serving.forward_attempt import ForwardParts
+from boragestream.serving.forwarder import Forwarder
+from boragestream.serving.piece_batches import BatchParts, PieceBatches
+from boragestream.serving.piece_orders import PieceOrders
+from boragestream.serving.stage_pieces import StagePieces
+
+__all__ = ["RouteParts", "make_route_parts"]
+
+# What entries send one another is meant for this deployment alone.
+DEPLOYMENT = "routes"
+CONNECT_SECONDS = 0.4
+
+
+class _PieceCalls:
+    """Calls of stage servers in the platform's form."""
+
+    encode_piece_call = staticmethod(encode_piece_call)
+    encode_release = staticmethod(encode_release)
+    read_piece_results = staticmethod(read_piece_results)
+
+
+@dataclass(frozen=True, slots=True)
+class RouteParts:
+    """The parts of one entry.
+
+    :ivar incarnation: this life of the entry.
+    :ivar book: the addresses of the other entries.
+    :ivar members: how the other entries are.
+    :ivar orders: the pieces of this entry's requests.
+    :ivar batches: the queues of pieces that this entry owns.
+    """
+
+    settings: RouteSettings
+    clock: Clock
+    rng: random.Random
+    incarnation: str
+    routes: RoutesInForce
+    servers: ServerTable
+    loads: LoadTable
+    watchdog: Watchdog
+    observations: Observations
+    sender: Sender
+    book: AddressBook
+    members: EntryPeers
+    relay: ConfigurationRelay
+    orders: PieceOrders
+    batches: PieceBatches
+    forwarder: Forwarder
+
+    @property
+    def handlers(self) -> dict[type, Handler]:
+        """What answers the messages of other entries."""
+        return {
+            **self.members.handlers,
+            DocumentAsk: self.relay.answer,
+            PiecesOrder: self.orders.answer_order,
+            PiecesDone: self.orders.answer_done,
+            PiecesCancel: self.orders.answer_cancel,
+            PiecesRelease: self.orders.answer_release,
+        }
+
+    def serving_entries(self) -> list[ListedEntry]:
+        """Return the entries that serve callers, this one included."""
+        return [entry for entry in self.members.entries.usable() if entry.host]
+
+    def take_configuration(self, values: dict[str, bytes]) -> None:
+        """Take the routes that the platform published."""
+        text = values.get(CONFIGURATION_KEY)
+        if text is not None:
+            self.take_text(text, "platform")
+
+    def take_text(self, text: bytes, source: str) -> bool:
+        """Check published routes and offer them; True where they are valid."""
+        return _take_text(self.routes, text, source)
+
+    def take_servers(self, values: dict[str, bytes]) -> None:
+        """Take the backend servers that the platform published."""
+        servers = []
+        for key, value in values.items():
+            server = read_server(key, value)
+            if isinstance(server, PublishedMalformed):
+                emit(Event.INSTANCES_INVALID, faults=[server.describe()])
+            else:
+                servers.append(server)
+        self.members.take_servers(tuple(to_leaving(server) for server in servers))
+        self.servers.take_list(servers)
+        self.loads.take_list(servers)
+        emit(Event.INSTANCES_CHANGED, instances=len(servers))
+        self.batches.look_again()
+
+
+def make_route_parts(settings: RouteSettings, clock: Clock) -> RouteParts:
+    """Build the parts of an entry; nothing runs yet."""
+    rng = random.Random()
+    own = settings.listen.entries
+    incarnation = new_incarnation()
+    sender = Sender(DEPLOYMENT, own, incarnation, settings.peers.key.encode())
+    links = PeerLinks(sender)
+    routes = RoutesInForce()
+    loads = LoadTable(clock, rng)
+    watchdog = Watchdog(clock)
+
+    # Peers need the table of servers first; it is not called before all parts stand.
+    def tell_leaving(server: Server) -> None:
+        members.tell_leaving(to_leaving(server))
+
+    def server_left(server: LeavingServer) -> None:
+        servers.take_word((server.name, server.host, server.incarnation))
+
+    servers = ServerTable(told=tell_leaving)
+    centre = settings.entry.data_centre
+    members = EntryPeers(own, incarnation, centre, links, server_left, clock, rng)
+    listed = ListedEntry(own, settings.listen.callers, own, centre)
+    book = AddressBook(listed, rng, members.take_entries)
+    relay = ConfigurationRelay(
+        routes,
+        lambda text, source: _take_text(routes, text, source),
+        links,
+        members.address,
+        members.exchange.submit,
+    )
+    members.exchange.add_part(relay)
+    members.exchange.add_part(book)
+    routes.when_taken(lambda table: members.exchange.hurry())
+
+    def live() -> Sequence[str]:
+        heard = [e.name for e in members.entries.usable() if e.host]
+        return heard if own in heard else [*heard, own]
+
+    bounds = settings.retries
+    retry_bounds = RetryBounds(bounds.share, bounds.window_seconds, bounds.slack)
+    retries = RetryWindows(clock.now, lambda: retry_bounds, lambda: len(book.entries))
+    connections = ConnectionKeeper(CONNECT_SECONDS)
+    servers.when_unused(connections.forget)
+    line = CallLine(read_answer_head, connections, clock)
+
+    def limits(service: str) -> PieceLimits | None:
+        table = routes.current
+        known = table.services.get(service) if table is not None else None
+        return known.pieces if known is not None else None
+
+    orders = PieceOrders(own, live, links, clock)
+    batch_parts = BatchParts(
+        line, _PieceCalls(), servers, loads, retries, watchdog, clock, limits
+    )
+    batches = PieceBatches(batch_parts, orders.done)
+    orders.join(batches)
+    forwarder = Forwarder(
+        ForwardParts(
+            line=line,
+            encode=encode_call,
+            servers=servers,
+            loads=loads,
+            choice=ServerChoice(loads, clock, centre),
+            retries=retries,
+            stages=StagePieces(orders, clock, itertools.count()),
+            clock=clock,
+            rng=rng,
+        )
+    )
+    return RouteParts(
+        settings=settings,
+        clock=clock,
+        rng=rng,
+        incarnation=incarnation,
+        routes=routes,
+        servers=servers,
+        loads=loads,
+        watchdog=watchdog,
+        observations=Observations(clock),
+        sender=sender,
+        book=book,
+        members=members,
+        relay=relay,
+        orders=orders,
+        batches=batches,
+        forwarder=forwarder,
+    )
+
+
+def _take_text(routes: RoutesInForce, text: bytes, source: str) -> bool:
+    document = read_route_document(text)
+    if isinstance(document, PublishedMalformed):
+        emit(Event.CONFIGURATION_INVALID, source=source, faults=[document.describe()])
+        return False
+    offer = routes.offer(document, text)
+    event = OFFER_EVENTS.get(offer)
+    if event is not None:
+        emit(event, source=source, version=document.version, offer=offer.name)
+    return True
--- a/boragestream/entry/messages.py
+++ b/boragestream/entry/messages.py
@@ -24,6 +24,11 @@
     "ExchangeReply",
     "Message",
     "MessageRefused",
+    "PiecesAnswer",
+    "PiecesCancel",
+    "PiecesDone",
+    "PiecesOrder",
+    "PiecesRelease",
     "Probe",
     "ProbeFor",
     "ProbeForReply",
@@ -185,6 +190,60 @@
     content: bytes = b""
 
 
+class PiecesOrder(msgspec.Struct, frozen=True, tag=True):
+    """Asks the owner of a queue to have pieces made; it takes or refuses at once.
+
+    :ivar order_id: names the order; taking it twice changes nothing.
+    :ivar key: the request's piece key, for a stage that needs no results.
+    :ivar inputs: the handles of the results that each piece needs.
+    :ivar start_ms: until the latest start that meets the objective.
+    :ivar left_ms: until nobody waits any more.
+    """
+
+    order_id: str
+    service: str
+    request_id: str
+    stage: int
+    numbers: tuple[int, ...]
+    key: str
+    inputs: tuple[str, ...]
+    result_bytes: float
+    priority: int
+    invested: bool
+    start_ms: int
+    left_ms: int
+
+
+class PiecesAnswer(msgspec.Struct, frozen=True, tag=True):
+    """Says whether an order was taken.
+
+    :ivar wait_ms: the expected wait where it was not.
+    """
+
+    taken: bool
+    wait_ms: int = 0
+
+
+class PiecesDone(msgspec.Struct, frozen=True, tag=True):
+    """Tells results of an order: piece number, handle, and the fault's name if any."""
+
+    order_id: str
+    results: tuple[tuple[int, str, str], ...]
+
+
+class PiecesCancel(msgspec.Struct, frozen=True, tag=True):
+    """Says that nobody waits for an order any more."""
+
+    service: str
+    order_id: str
+
+
+class PiecesRelease(msgspec.Struct, frozen=True, tag=True):
+    """Says that results are not needed any more."""
+
+    handles: tuple[str, ...]
+
+
 Message = (
     Probe
     | ProbeReply
@@ -201,6 +260,11 @@
     | TicketAsk
     | RequestAsk
     | CallState
+    | PiecesOrder
+    | PiecesAnswer
+    | PiecesDone
+    | PiecesCancel
+    | PiecesRelease
 )
 
 
--- a/boragestream/entry/relay.py
+++ b/boragestream/entry/relay.py
@@ -2,7 +2,7 @@
 
 The exchange carries version and digest; an entry that hears of a newer one asks for it
 and gets a compressed difference from what it has, or the whole where that fails. What
-is taken is decided by ``policy.configuration`` alone.
+is taken is decided by ``policy`` alone.
 """
 
 import threading
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
+from typing import Protocol
 
 import msgspec
 
@@ -22,7 +23,6 @@
 )
 from boragestream.entry.links import PeerLinks
 from boragestream.entry.messages import DocumentAsk, DocumentReply, Envelope
-from boragestream.policy.configuration import ConfigurationInForce
 
 __all__ = ["ConfigurationRelay", "TakeText"]
 
@@ -38,6 +38,29 @@
 TakeText = Callable[[bytes, str], bool]
 
 
+class RelayedVersion(Protocol):
+    """A version in force."""
+
+    @property
+    def version(self) -> int:
+        """It rises with every change."""
+
+    @property
+    def digest(self) -> str:
+        """The digest of its text."""
+
+
+class RelayedConfiguration(Protocol):
+    """Holds the version in force and the texts of the last few."""
+
+    @property
+    def current(self) -> RelayedVersion | None:
+        """The version in force; None while there is none."""
+
+    def text(self, digest: str) -> bytes | None:
+        """Return the text of one of the last few versions in force."""
+
+
 class VersionOffer(msgspec.Struct, frozen=True, array_like=True):
     """What an entry has in force.
 
@@ -73,7 +96,7 @@
 
     def __init__(
         self,
-        configuration: ConfigurationInForce,
+        configuration: RelayedConfiguration,
         take_text: TakeText,
         links: PeerLinks,
         address: Callable[[str], str | None],
--- /dev/null
+++ b/boragestream/platform/pieces.py
@@ -0,0 +1,97 @@
+"""Calls to stage servers, translated to and from the platform's form."""
+
+import msgspec
+
+from boragestream.document.calls import Piece, PieceFault, PieceResult
+from boragestream.policy.servers import Server
+
+__all__ = ["encode_piece_call", "encode_release", "read_piece_results"]
+
+RUN_CALL = "/boragestream/stage-run"
+FREE_CALL = "/boragestream/stage-free"
+SERVER_ID = "Expect-Instance"
+FAULTS = {
+    "late": PieceFault.LATE,
+    "gone": PieceFault.INPUT_GONE,
+    "room": PieceFault.NO_ROOM,
+    "error": PieceFault.ERROR,
+}
+
+
+class _Item(msgspec.Struct, omit_defaults=True):
+    # The id of the request, not of the piece.
+    id: str
+    stage: int
+    piece: int
+    remaining_ms: int
+    key: str = ""
+    inputs: tuple[str, ...] = ()
+
+
+class _Run(msgspec.Struct):
+    items: tuple[_Item, ...]
+
+
+class _Result(msgspec.Struct):
+    handle: str = ""
+    reason: str = ""
+
+
+class _Results(msgspec.Struct):
+    items: tuple[_Result, ...]
+
+
+class _Free(msgspec.Struct):
+    handles: tuple[str, ...]
+
+
+_results = msgspec.json.Decoder(_Results)
+
+
+def encode_piece_call(server: Server, pieces: list[tuple[Piece, float]]) -> bytes:
+    """Return the bytes of a call.
+
+    :param pieces: each with the seconds that are left for it.
+    """
+    items = tuple(
+        _Item(
+            piece.request_id,
+            piece.stage,
+            piece.number,
+            max(1, int(left * 1000)),
+            "" if piece.inputs else piece.key,
+            piece.inputs,
+        )
+        for piece, left in pieces
+    )
+    return _post(server, RUN_CALL, msgspec.json.encode(_Run(items)))
+
+
+def encode_release(server: Server, handles: tuple[str, ...]) -> bytes:
+    """Return the bytes of a call that gives results up."""
+    return _post(server, FREE_CALL, msgspec.json.encode(_Free(handles)))
+
+
+def read_piece_results(body: bytes) -> list[PieceResult] | None:
+    """Decode the answer to a call, in the order of its pieces; None if unreadable."""
+    try:
+        items = _results.decode(body).items
+    except (msgspec.DecodeError, RecursionError):
+        return None
+    return [
+        PieceResult(item.handle, _fault(item.reason) if not item.handle else None)
+        for item in items
+    ]
+
+
+def _fault(reason: str) -> PieceFault:
+    return FAULTS.get(reason, PieceFault.ERROR)
+
+
+def _post(server: Server, path: str, body: bytes) -> bytes:
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {server.host}\r\n"
+        f"Content-Type: application/json\r\n{SERVER_ID}: {server.name}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode("latin-1") + body
--- /dev/null
+++ b/boragestream/platform/published.py
@@ -0,0 +1,215 @@
+"""The platform's published routes and backend servers, decoded into records."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from boragestream.base.outcomes import Failure
+from boragestream.document.routes import (
+    CallerLimits,
+    CallKind,
+    EngineLimits,
+    PieceLimits,
+    Route,
+    RouteAccount,
+    RouteDocument,
+    RouteService,
+    RouteStage,
+    RouteTarget,
+    key_digest,
+)
+from boragestream.policy.servers import Server, ServerState
+
+__all__ = ["PublishedMalformed", "read_route_document", "read_server"]
+
+KINDS = {
+    "safe": CallKind.IDEMPOTENT,
+    "unsafe": CallKind.ONCE,
+    "stream": CallKind.STREAM,
+}
+STATES = {"ready": ServerState.LIVE, "draining": ServerState.LEAVING}
+
+
+@dataclass(frozen=True, slots=True)
+class PublishedMalformed(Failure):
+    """A published value can't be read.
+
+    :ivar reason: why.
+    """
+
+    reason: str
+
+
+class _Target(msgspec.Struct, frozen=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Stage(msgspec.Struct, frozen=True):
+    service: str
+    after: tuple[int, ...] = ()
+    # The approximate size of one result.
+    bytes: float = 0.0
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    goal_ms: float = 0.0
+    priority: int = 0
+    service: str = ""
+    # The services among which calls are divided, in place of ``service``.
+    backends: tuple[_Target, ...] = ()
+    attempts: int = 1
+    stages: tuple[_Stage, ...] = ()
+    public: bool = False
+    resumable: bool = False
+
+
+class _Pieces(msgspec.Struct, frozen=True):
+    slots: int = 1
+    batch: int = 1
+    call_ms: float = 0.0
+    item_ms: float = 0.0
+    # Room for results, not head room.
+    headroom_mb: float = 0.0
+    handle_s: float = 1.0
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    slots: int = 1
+    kv_cap_tokens: float = 0.0
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    max_conns: int = 64
+    pieces: _Pieces | None = None
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct, frozen=True):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Config(msgspec.Struct, frozen=True):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
+
+
+class _Server(msgspec.Struct, frozen=True):
+    service: str
+    addr: str
+    zone: str = ""
+    state: str = "ready"
+
+
+_configs = msgspec.json.Decoder(_Config)
+_servers = msgspec.json.Decoder(_Server)
+
+
+def read_route_document(value: bytes) -> RouteDocument | PublishedMalformed:
+    """Decode the published configuration; unknown fields are left alone."""
+    try:
+        config = _configs.decode(value)
+        return RouteDocument(
+            version=config.version,
+            routes=tuple(_route(route) for route in config.routes),
+            services=tuple(_service(service) for service in config.services),
+            accounts=tuple(_account(tenant) for tenant in config.tenants),
+            limits=_limits(config.limits),
+        )
+    except (msgspec.DecodeError, KeyError, RecursionError) as error:
+        return PublishedMalformed(repr(error))
+
+
+def read_server(key: str, value: bytes) -> Server | PublishedMalformed:
+    """Decode the entry of a backend server.
+
+    :param key: its key in the store; the last part is the server's id, which changes
+        with each of its starts.
+    """
+    try:
+        entry = _servers.decode(value)
+    except (msgspec.DecodeError, RecursionError) as error:
+        return PublishedMalformed(repr(error))
+    identity = key.rpartition("/")[2]
+    return Server(
+        name=identity,
+        service=entry.service,
+        host=entry.addr,
+        data_centre=entry.zone,
+        incarnation=identity,
+        state=STATES.get(entry.state, ServerState.LIVE),
+    )
+
+
+def _route(route: _Route) -> Route:
+    targets = tuple(RouteTarget(t.service, t.weight) for t in route.backends)
+    stages = tuple(RouteStage(s.service, s.after, s.bytes) for s in route.stages)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=KINDS[route.kind],
+        targets=targets or (RouteTarget(route.service),),
+        timeout_seconds=route.timeout_ms / 1000,
+        objective_seconds=(route.goal_ms or route.timeout_ms) / 1000,
+        priority=route.priority,
+        attempts=max(1, route.attempts),
+        public=route.public,
+        resumable=route.resumable,
+        stages=stages,
+    )
+
+
+def _service(service: _Service) -> RouteService:
+    pieces, engine = service.pieces, service.engine
+    return RouteService(
+        name=service.name,
+        max_connections=service.max_conns,
+        pieces=None if pieces is None else _piece_limits(pieces),
+        engine=None
+        if engine is None
+        else EngineLimits(engine.slots, engine.kv_cap_tokens),
+    )
+
+
+def _piece_limits(pieces: _Pieces) -> PieceLimits:
+    return PieceLimits(
+        concurrent_calls=max(1, pieces.slots),
+        batch=max(1, pieces.batch),
+        call_seconds=pieces.call_ms / 1000,
+        piece_seconds=pieces.item_ms / 1000,
+        memory_mb=pieces.headroom_mb,
+        result_seconds=pieces.handle_s,
+    )
+
+
+def _account(tenant: _Tenant) -> RouteAccount:
+    digests = frozenset(key_digest(key) for key in tenant.api_keys)
+    return RouteAccount(tenant.name, digests, tenant.priority)
+
+
+def _limits(limits: _Limits) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        header_seconds=limits.header_timeout_ms / 1000,
+        idle_seconds=limits.idle_timeout_ms / 1000,
+    )
--- a/boragestream/platform/reader.py
+++ b/boragestream/platform/reader.py
@@ -9,7 +9,13 @@
 
 from boragestream.base.outcomes import Failure
 
-__all__ = ["PlatformUnreachable", "Reading", "read_platform"]
+__all__ = [
+    "PlatformAnswer",
+    "PlatformUnreachable",
+    "Reading",
+    "get_value",
+    "read_platform",
+]
 
 INDEX_HEADER = "X-Platform-Index"
 MAX_VALUE_BYTES = 4 * 1_048_576
@@ -41,6 +47,42 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class PlatformAnswer:
+    """The answer to one HTTP call, whole.
+
+    :ivar headers: the answer's headers.
+    """
+
+    status: int
+    headers: http.client.HTTPMessage
+    value: bytes
+
+
+def get_value(
+    address: str, target: str, seconds: float
+) -> PlatformAnswer | PlatformUnreachable:
+    """Make one GET call on a connection of its own.
+
+    :param address: ``address:port`` of the service.
+    :param target: path and query.
+    :param seconds: the longest to wait for each part of the answer.
+    """
+    place = address + target.partition("?")[0]
+    connection = http.client.HTTPConnection(address, timeout=seconds)
+    try:
+        connection.request("GET", target)
+        response = connection.getresponse()
+        value = response.read(MAX_VALUE_BYTES + 1)
+        if len(value) > MAX_VALUE_BYTES or response.length:
+            return PlatformUnreachable(place, "value too long or cut")
+        return PlatformAnswer(response.status, response.headers, value)
+    except (OSError, http.client.HTTPException, ValueError) as error:
+        return PlatformUnreachable(place, repr(error))
+    finally:
+        connection.close()
+
+
 def read_platform(
     address: str, path: str, index: int = 0, wait_seconds: float = 0.0
 ) -> Reading | PlatformUnreachable:
@@ -52,19 +94,12 @@
     :param wait_seconds: how long the service may wait for a change.
     """
     target = f"{path}?index={index}&wait={wait_seconds:g}"
-    connection = http.client.HTTPConnection(
-        address, timeout=wait_seconds + ANSWER_MARGIN_SECONDS
-    )
+    answer = get_value(address, target, wait_seconds + ANSWER_MARGIN_SECONDS)
+    if isinstance(answer, PlatformUnreachable):
+        return answer
+    if answer.status != http.HTTPStatus.OK:
+        return PlatformUnreachable(address + path, f"status {answer.status}")
     try:
-        connection.request("GET", target)
-        response = connection.getresponse()
-        value = response.read(MAX_VALUE_BYTES + 1)
-        if response.status != http.HTTPStatus.OK:
-            return PlatformUnreachable(address + path, f"status {response.status}")
-        if len(value) > MAX_VALUE_BYTES or response.length:
-            return PlatformUnreachable(address + path, "value too long or cut")
-        return Reading(int(response.headers[INDEX_HEADER]), value)
-    except (OSError, http.client.HTTPException, TypeError, ValueError) as error:
+        return Reading(int(answer.headers[INDEX_HEADER]), answer.value)
+    except (TypeError, ValueError) as error:
         return PlatformUnreachable(address + path, repr(error))
-    finally:
-        connection.close()
--- /dev/null
+++ b/boragestream/platform/store.py
@@ -0,0 +1,135 @@
+"""The platform's store, read and watched; nothing is ever written there.
+
+It shares its one HTTP call with ``platform.reader``. When to read, to wait or to come
+back is left to the watch tasks of the daemon.
+"""
+
+import base64
+from dataclasses import dataclass
+from urllib.parse import urlencode
+
+import msgspec
+
+from boragestream.platform.reader import PlatformUnreachable, get_value
+from boragestream.policy.publication import Change, Changes, HistoryGone, Snapshot
+
+__all__ = ["CONFIGURATION_KEY", "SERVERS_PREFIX", "Store"]
+
+CONFIGURATION_KEY = "op/config"
+SERVERS_PREFIX = "servers/"
+RANGE_CALL = "/boragestream/kv-range"
+WATCH_CALL = "/boragestream/kv-watch"
+GONE_STATUS = 410
+# A read that takes longer finds the store slow or out of reach, and is tried again.
+READ_SECONDS = 3.0
+MAX_PAGES = 1000
+
+
+class _Item(msgspec.Struct, frozen=True):
+    key: str
+    # The revision of its last change.
+    rev: int = 0
+    # Base64 with padding.
+    value: str = ""
+    # Whether the key was removed.
+    tombstone: bool = False
+
+
+class _Range(msgspec.Struct, frozen=True):
+    items: tuple[_Item, ...]
+    # Whether more items follow.
+    truncated: bool
+    store_revision: int
+
+
+class _Events(msgspec.Struct, frozen=True):
+    events: tuple[_Item, ...]
+    # The revision from which to go on.
+    store_revision: int
+
+
+_ranges = msgspec.json.Decoder(_Range)
+_events = msgspec.json.Decoder(_Events)
+
+
+@dataclass(frozen=True, slots=True)
+class Store:
+    """The store at an address.
+
+    :ivar address: ``address:port``.
+    """
+
+    address: str
+
+    def read(self, prefix: str) -> Snapshot | PlatformUnreachable:
+        """Read all items whose keys begin with a prefix.
+
+        Pages are not a snapshot, so that the lowest revision of them is returned: a
+        watch from there on sees again what changed meanwhile.
+        """
+        values: dict[str, bytes] = {}
+        revision: int | None = None
+        after = ""
+        for _ in range(MAX_PAGES):
+            query = {"prefix": prefix, **({"after": after} if after else {})}
+            page = self._call(RANGE_CALL, query, READ_SECONDS, _ranges)
+            if not isinstance(page, _Range):
+                return _unreachable(page, self.address)
+            values.update((item.key, _value(item)) for item in page.items)
+            revision = min(revision or page.store_revision, page.store_revision)
+            if not page.truncated or not page.items:
+                return Snapshot(revision, values)
+            after = page.items[-1].key
+        return PlatformUnreachable(self.address, "too many pages")
+
+    def watch(
+        self, prefix: str, revision: int, wait_seconds: float
+    ) -> Changes | HistoryGone | PlatformUnreachable:
+        """Wait for changes after a revision.
+
+        :param wait_seconds: the longest that the store may wait for one.
+        """
+        query = {
+            "prefix": prefix,
+            "after": str(revision),
+            "wait_ms": str(int(wait_seconds * 1000)),
+        }
+        found = self._call(WATCH_CALL, query, wait_seconds + READ_SECONDS / 2, _events)
+        if not isinstance(found, _Events):
+            return found
+        changes = tuple(_change(item) for item in found.events)
+        return Changes(max(found.store_revision, revision), changes)
+
+    def _call(
+        self,
+        path: str,
+        query: dict[str, str],
+        seconds: float,
+        decoder: msgspec.json.Decoder,
+    ) -> _Range | _Events | HistoryGone | PlatformUnreachable:
+        target = f"{path}?{urlencode(query, safe='/')}"
+        answer = get_value(self.address, target, seconds)
+        if isinstance(answer, PlatformUnreachable):
+            return answer
+        if answer.status == GONE_STATUS:
+            return HistoryGone()
+        if answer.status != 200:
+            return PlatformUnreachable(self.address + path, f"status {answer.status}")
+        try:
+            return decoder.decode(answer.value)
+        except (msgspec.DecodeError, ValueError) as error:
+            return PlatformUnreachable(self.address + path, repr(error))
+
+
+def _unreachable(failure: object, address: str) -> PlatformUnreachable:
+    if isinstance(failure, PlatformUnreachable):
+        return failure
+    return PlatformUnreachable(address, repr(failure))
+
+
+def _value(item: _Item) -> bytes:
+    return base64.b64decode(item.value)
+
+
+def _change(item: _Item) -> Change:
+    return Change(item.key, item.rev, None if item.tombstone else _value(item))
--- /dev/null
+++ b/boragestream/platform/wire.py
@@ -0,0 +1,235 @@
+"""The platform's HTTP headers, translated into the project's records and back.
+
+Nothing is decided here: what may be sent, retried or passed on is told by the records
+that this module fills and reads.
+"""
+
+import http.client
+from collections.abc import Iterable
+
+from boragestream.document.calls import (
+    AnswerHead,
+    CallHead,
+    ForwardedRequest,
+    PromptPart,
+    RequestMalformed,
+    RunClaim,
+)
+
+__all__ = [
+    "encode_call",
+    "read_answer_head",
+    "read_request",
+    "refusal_headers",
+]
+
+REQUEST_ID = "Request-Id"
+# Milliseconds that are left, not a point in time.
+LEFT_MS = "Deadline-Ms"
+RESUME_AFTER = "Last-Event-Id"
+PROMPT_PARTS = "Prompt-Prefix"
+# Tokens of the prompt, and the most tokens of the answer.
+TOKENS = "Token-Counts"
+PIECE_COUNTS = "Pieces"
+PIECE_KEY = "Piece-Key"
+KEY = "Authorization"
+KEY_SCHEME = "bearer "
+ACCOUNT = "Tenant"
+SERVER_ID = "Expect-Instance"
+PRIORITY = "Request-Priority"
+INPUTS = "Inputs"
+PROOF_OF_ORIGIN = "Server-Seal"
+DID_NOT_RUN = "Not-Run"
+# Calls running, calls waiting, places.
+LOAD = "Server-Load"
+RETRY_AFTER = "Retry-After"
+IDLE_TIMEOUT = "timeout="
+OTHER_SERVER_STATUS = 421
+
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# What the system alone says to a backend server, whatever a caller sent.
+SYSTEM_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        KEY,
+        ACCOUNT,
+        SERVER_ID,
+        PRIORITY,
+        INPUTS,
+        LEFT_MS,
+        RESUME_AFTER,
+        "Expect-Version",
+        "Hold",
+        "Pin-Ms",
+        "Kv-Backup",
+        "Kv-Fetch",
+        "Kv-From",
+    )
+)
+# What a backend server says to the system alone.
+SERVER_HEADERS = frozenset({DID_NOT_RUN.lower(), LOAD.lower()})
+MAX_PROMPT_PARTS = 256
+MAX_PIECES = 4096
+
+
+def read_request(
+    method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
+) -> ForwardedRequest | RequestMalformed:
+    """Decode a caller's request.
+
+    :param target: path and query as they were sent.
+    :param headers: name and value of each header.
+    :returns: the request, or what it lacks.
+    """
+    pairs = tuple(headers)
+    known = {name.lower(): value for name, value in pairs}
+    request_id = known.get(REQUEST_ID.lower(), "")
+    host_header = known.get("host", "").strip()
+    host = host_header.lower()
+    if not request_id:
+        return RequestMalformed("request id")
+    if not host:
+        return RequestMalformed("host")
+    try:
+        left_ms = known.get(LEFT_MS.lower())
+        resume = known.get(RESUME_AFTER.lower())
+        return ForwardedRequest(
+            request_id=request_id,
+            method=method,
+            target=target,
+            host=host.rsplit(":", 1)[0] if ":" in host else host,
+            host_header=host_header,
+            path=target.partition("?")[0],
+            body=body,
+            key=_key(known.get(KEY.lower(), "")),
+            wait_seconds=None if left_ms is None else float(left_ms) / 1000,
+            last_event=None if resume is None else int(resume),
+            prompt=_prompt(known.get(PROMPT_PARTS.lower(), "")),
+            output_tokens=_output_tokens(known.get(TOKENS.lower(), "")),
+            pieces=_counts(known.get(PIECE_COUNTS.lower(), "")),
+            piece_key=known.get(PIECE_KEY.lower(), ""),
+            headers=_passed_on(pairs, known.get("connection", "")),
+        )
+    except ValueError:
+        return RequestMalformed("number")
+
+
+def encode_call(request: ForwardedRequest, call: CallHead, host: str) -> bytes:
+    """Return a call's head as bytes: request line, headers and the empty line.
+
+    :param host: the ``Host`` header, the caller's own.
+    """
+    lines = [f"{request.method} {request.target} HTTP/1.1", f"Host: {host}"]
+    lines += [f"{name}: {value}" for name, value in request.headers]
+    lines.append(f"{LEFT_MS}: {max(1, int(call.left_seconds * 1000))}")
+    lines.append(f"{SERVER_ID}: {call.server_id}")
+    if call.account:
+        lines.append(f"{ACCOUNT}: {call.account}")
+    if call.priority is not None:
+        lines.append(f"{PRIORITY}: {call.priority}")
+    if call.last_event is not None:
+        lines.append(f"{RESUME_AFTER}: {call.last_event}")
+    if call.inputs:
+        lines.append(f"{INPUTS}: {','.join(call.inputs)}")
+    if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+        lines.append(f"Content-Length: {len(request.body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def read_answer_head(response: http.client.HTTPResponse) -> AnswerHead:
+    """Decode the head of a backend server's answer."""
+    headers = response.headers
+    not_run = headers.get(DID_NOT_RUN) is not None
+    if response.status == OTHER_SERVER_STATUS:
+        claim = RunClaim.OTHER_SERVER
+    else:
+        claim = RunClaim.NOT_RUN if not_run else RunClaim.RAN
+    named = _listed(headers.get("Connection", ""))
+    hidden = CONNECTION_HEADERS | SERVER_HEADERS | named
+    return AnswerHead(
+        status=response.status,
+        reason=response.reason,
+        request_id=headers.get(REQUEST_ID, ""),
+        sealed=headers.get(PROOF_OF_ORIGIN) is not None,
+        encoded=headers.get("Content-Encoding", "identity").lower() != "identity",
+        claim=claim,
+        closing="close" in named or response.will_close,
+        idle_seconds=_idle_seconds(headers.get("Keep-Alive", "")),
+        load=_load(headers.get(LOAD, "")),
+        headers=tuple((n, v) for n, v in headers.items() if n.lower() not in hidden),
+    )
+
+
+def refusal_headers(
+    request_id: str, retry_after: float | None
+) -> list[tuple[str, str]]:
+    """Return the headers of an answer of the system's own.
+
+    :param retry_after: seconds after which to come back; None where it can't help.
+    """
+    headers = [(REQUEST_ID, request_id)] if request_id else []
+    if retry_after is not None:
+        headers.append((RETRY_AFTER, f"{retry_after:.3f}"))
+    return headers
+
+
+def _key(value: str) -> str:
+    return value[len(KEY_SCHEME) :].strip() if value[:7].lower() == KEY_SCHEME else ""
+
+
+def _listed(value: str) -> frozenset[str]:
+    return frozenset(name.strip().lower() for name in value.split(",") if name.strip())
+
+
+def _passed_on(
+    pairs: tuple[tuple[str, str], ...], connection: str
+) -> tuple[tuple[str, str], ...]:
+    dropped = CONNECTION_HEADERS | SYSTEM_HEADERS | _listed(connection)
+    return tuple((n, v) for n, v in pairs if n.lower() not in dropped)
+
+
+def _prompt(value: str) -> tuple[PromptPart, ...]:
+    parts = [p for p in value.split(",") if p][:MAX_PROMPT_PARTS]
+    split = (part.strip().rpartition(":") for part in parts)
+    return tuple(PromptPart(identity, int(tokens)) for identity, _, tokens in split)
+
+
+def _output_tokens(value: str) -> int:
+    return int(value.partition(",")[2] or 0)
+
+
+def _counts(value: str) -> tuple[int, ...]:
+    counts = tuple(int(count) for count in value.split(",") if count.strip())
+    if sum(counts) > MAX_PIECES or any(count < 0 for count in counts):
+        raise ValueError("pieces")
+    return counts
+
+
+def _idle_seconds(value: str) -> float | None:
+    for part in value.split(","):
+        if part.strip().lower().startswith(IDLE_TIMEOUT):
+            digits = part.strip()[len(IDLE_TIMEOUT) :]
+            return float(digits) if digits.isdigit() else None
+    return None
+
+
+def _load(value: str) -> tuple[int, int, int] | None:
+    parts = value.split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    return int(parts[0]), int(parts[1]), int(parts[2])
--- /dev/null
+++ b/boragestream/policy/piece_queue.py
@@ -0,0 +1,131 @@
+"""The queue of pieces for one stage service, and which of them go out together.
+
+One entry at a time keeps the queue of a service, so that the pieces of all entries meet
+in one batch: a call has a fixed time that is longer than that of most of its pieces.
+Orders go out by their latest start; those that would be late anyway go last, because a
+late answer is worth a fraction. Whether an order can still be met is told when it
+comes, so that its caller hears a refusal at once. Sending the batches is left to
+``serving``.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from boragestream.document.calls import Piece
+from boragestream.document.routes import PieceLimits
+
+__all__ = [
+    "PieceOrder",
+    "QueuedOrder",
+    "ServerRoom",
+    "choose_batch",
+    "expected_wait",
+    "is_admitted",
+]
+
+# How much of the time until its latest start an order may be expected to wait before it
+# is refused, by priority; what is less urgent is refused earlier.
+ADMITTED_SHARE = (1.0, 0.9, 0.75)
+
+
+@dataclass(frozen=True, slots=True)
+class PieceOrder:
+    """Pieces of one stage that one request needs.
+
+    :ivar order_id: names the order on all entries.
+    :ivar result_bytes: the approximate size of one result.
+    :ivar priority: 0 is the most urgent.
+    :ivar invested: whether results of earlier stages would be lost with it.
+    """
+
+    order_id: str
+    service: str
+    pieces: tuple[Piece, ...]
+    result_bytes: float
+    priority: int
+    invested: bool
+
+
+@dataclass(slots=True)
+class QueuedOrder:
+    """An order in the queue.
+
+    :ivar start_by: the clock's seconds at which it must start to meet the objective.
+    :ivar expires: the clock's seconds at which nobody waits for it any more.
+    :ivar left: its pieces that are not under way.
+    """
+
+    order: PieceOrder
+    start_by: float
+    expires: float
+    left: list[Piece] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRoom:
+    """What a server can take now.
+
+    :ivar free_bytes: room for results.
+    """
+
+    free_bytes: float
+
+
+def choose_batch(
+    queue: Iterable[QueuedOrder], limits: PieceLimits, room: ServerRoom, now: float
+) -> list[tuple[QueuedOrder, list[Piece]]]:
+    """Return the pieces of the next call, by order.
+
+    An order is kept together where it fits, since its results are then read from one
+    place; a larger one than a whole batch is divided.
+    """
+    chosen: list[tuple[QueuedOrder, list[Piece]]] = []
+    places = limits.batch
+    free = room.free_bytes
+    for queued in sorted(queue, key=lambda q: _urgency(q, now)):
+        if places <= 0:
+            break
+        size = queued.order.result_bytes
+        fitting = min(places, int(free // size) if size > 0 else places)
+        count = min(len(queued.left), fitting)
+        divided = count < len(queued.left)
+        if count <= 0 or (divided and chosen and len(queued.left) <= limits.batch):
+            continue
+        chosen.append((queued, queued.left[:count]))
+        places -= count
+        free -= count * size
+    return chosen
+
+
+def expected_wait(
+    pieces_ahead: int, free_servers: int, servers: int, limits: PieceLimits
+) -> float:
+    """Return the seconds until an order that joins the queue begins.
+
+    :param pieces_ahead: pieces in the queue that go before it.
+    :param free_servers: how many servers have nothing to do.
+    """
+    if free_servers > 0:
+        return 0.0
+    if servers == 0:
+        return float("inf")
+    call = limits.call_seconds + limits.batch * limits.piece_seconds
+    calls_ahead = pieces_ahead // limits.batch
+    # The servers end their calls one after the other, evenly spread.
+    return call * (calls_ahead + 1) / servers
+
+
+def is_admitted(order: PieceOrder, wait: float, left: float) -> bool:
+    """Tell whether an order is taken.
+
+    :param wait: the expected wait in seconds.
+    :param left: the seconds until its latest start.
+    """
+    if order.invested or wait <= 0:
+        return True
+    share = ADMITTED_SHARE[min(order.priority, len(ADMITTED_SHARE) - 1)]
+    return wait <= share * left
+
+
+def _urgency(queued: QueuedOrder, now: float) -> tuple[bool, float]:
+    return queued.start_by < now, queued.start_by
--- /dev/null
+++ b/boragestream/policy/route_table.py
@@ -0,0 +1,131 @@
+"""The routes in force: versions rise only, and one request uses one version throughout.
+
+Reading a published text is left to ``platform``, telling other entries of it to
+``entry.relay``.
+"""
+
+import threading
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from boragestream.base.outcomes import Failure
+from boragestream.document.digest import text_digest
+from boragestream.document.routes import (
+    Route,
+    RouteAccount,
+    RouteDocument,
+    RouteService,
+    key_digest,
+)
+from boragestream.policy.configuration import KEPT_TEXTS, Offer
+
+__all__ = ["KeyUnknown", "RouteTable", "RouteUnknown", "RoutesInForce", "make_table"]
+
+
+@dataclass(frozen=True, slots=True)
+class RouteUnknown(Failure):
+    """No route of the request's host begins its path."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyUnknown(Failure):
+    """The request's key is missing or belongs to no client account."""
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """One version with its look-ups.
+
+    :ivar digest: of the published text.
+    :ivar routes: by host, the longest prefix first.
+    :ivar accounts: by the digest of each key.
+    """
+
+    document: RouteDocument
+    digest: str
+    routes: dict[str, tuple[Route, ...]] = field(repr=False)
+    accounts: dict[str, RouteAccount] = field(repr=False)
+    services: dict[str, RouteService] = field(repr=False)
+
+    @property
+    def version(self) -> int:
+        """The document's version."""
+        return self.document.version
+
+    def route(self, host: str, path: str) -> Route | RouteUnknown:
+        """Return the route with the longest prefix that begins the path."""
+        for route in self.routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return RouteUnknown()
+
+    def account(self, route: Route, key: str) -> RouteAccount | KeyUnknown | None:
+        """Return whose key it is; None where a request needs none and has none."""
+        if not self.accounts:
+            return None
+        found = self.accounts.get(key_digest(key)) if key else None
+        if found is None and not route.public:
+            return KeyUnknown()
+        return found
+
+
+def make_table(document: RouteDocument, digest: str) -> RouteTable:
+    """Return a document with its look-ups."""
+    by_host: dict[str, list[Route]] = {}
+    for route in document.routes:
+        by_host.setdefault(route.host, []).append(route)
+    return RouteTable(
+        document=document,
+        digest=digest,
+        routes={
+            host: tuple(sorted(routes, key=lambda r: -len(r.prefix)))
+            for host, routes in by_host.items()
+        },
+        accounts={d: a for a in document.accounts for d in a.key_digests},
+        services={service.name: service for service in document.services},
+    )
+
+
+class RoutesInForce:
+    """Holds the version in force and decides on offered ones."""
+
+    def __init__(self) -> None:
+        self._current: RouteTable | None = None
+        self._texts: OrderedDict[str, bytes] = OrderedDict()
+        self._taken: list[Callable[[RouteTable], None]] = []
+        self._lock = threading.Lock()
+
+    @property
+    def current(self) -> RouteTable | None:
+        """The version in force; None while there is none."""
+        return self._current
+
+    def when_taken(self, taken: Callable[[RouteTable], None]) -> None:
+        """Have a function called after each version that comes into force."""
+        self._taken.append(taken)
+
+    def text(self, digest: str) -> bytes | None:
+        """Return the text of one of the last few versions in force."""
+        return self._texts.get(digest)
+
+    def offer(self, document: RouteDocument, text: bytes) -> Offer:
+        """Take a version where it is newer than the one in force.
+
+        :param text: as it was published.
+        """
+        digest = text_digest(text)
+        with self._lock:
+            current = self._current
+            if current is not None and document.version <= current.version:
+                if document.version < current.version:
+                    return Offer.OLDER
+                return Offer.SAME if digest == current.digest else Offer.CONFLICT
+            self._texts[digest] = text
+            while len(self._texts) > KEPT_TEXTS:
+                self._texts.popitem(last=False)
+            table = make_table(document, digest)
+            self._current = table
+        for taken in self._taken:
+            taken(table)
+        return Offer.TAKEN
--- /dev/null
+++ b/boragestream/policy/server_choice.py
@@ -0,0 +1,126 @@
+"""Chooses the backend server of a forwarded call.
+
+Engines keep the prompts that they have read. Requests that share the longest part of
+their prompts are sent to the same engine, as long as it has not far more work than the
+others. All entries rank the engines alike, so that they agree without a word. Plain
+services have no memory, and the server with the least to do is taken.
+"""
+
+import threading
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import xxhash
+
+from boragestream.base.clock import Clock
+from boragestream.document.calls import PromptPart
+from boragestream.policy.candidates import RoutingNeed, usable_servers
+from boragestream.policy.load import LoadTable
+from boragestream.policy.servers import Server
+
+__all__ = ["OpenCalls", "ServerChoice", "shared_part"]
+
+# A preferred engine may have this many times the average of the calls of this entry,
+# and so many more, before another is taken.
+AFFINITY_BOUND = 2.0
+AFFINITY_SLACK = 4.0
+# Calls that differ by less than one are spread by distance: a server in the own data
+# centre counts as this many calls less.
+NEAR_CALLS = 0.5
+# The first attempts keep away from servers that failed lately; limits by queueing are
+# left out, since streams differ in length by far more than any queue costs.
+WITHOUT = ("concurrency-limit", "easing", "load-reports")
+
+
+class OpenCalls:
+    """How many calls this entry has open at each server, streams included."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[str] = Counter()
+        self._lock = threading.Lock()
+
+    def count(self, server: Server) -> int:
+        """Return the open calls at a server."""
+        return self._counts[server.name]
+
+    def begin(self, server: Server) -> None:
+        """Count a call that begins."""
+        with self._lock:
+            self._counts[server.name] += 1
+
+    def end(self, server: Server) -> None:
+        """Count a call that has ended."""
+        with self._lock:
+            self._counts[server.name] -= 1
+            if self._counts[server.name] <= 0:
+                del self._counts[server.name]
+
+
+@dataclass(frozen=True, slots=True)
+class ServerChoice:
+    """Chooses servers.
+
+    :ivar loads: which servers failed lately.
+    :ivar data_centre: this entry's own.
+    """
+
+    loads: LoadTable
+    clock: Clock
+    data_centre: str
+    open_calls: OpenCalls = field(default_factory=OpenCalls)
+
+    def plain(
+        self, servers: Sequence[Server], avoid: frozenset[str] = frozenset()
+    ) -> Server | None:
+        """Return the server with the fewest calls of this entry; None for none."""
+        usable = self._usable(servers, avoid)
+        return min(usable, key=self._work, default=None)
+
+    def engine(
+        self,
+        servers: Sequence[Server],
+        part: str,
+        near: str = "",
+        avoid: frozenset[str] = frozenset(),
+    ) -> Server | None:
+        """Return the engine that most likely holds a part of a prompt.
+
+        :param part: the part; empty where nothing is shared.
+        :param near: the data centre whose engines go first, where results to be
+            fetched lie there; empty for none.
+        """
+        usable = self._usable(servers, avoid)
+        usable = [s for s in usable if s.data_centre == near] or usable
+        if not usable or not part:
+            return min(usable, key=self._work, default=None)
+        counts = [self.open_calls.count(server) for server in usable]
+        bound = AFFINITY_BOUND * sum(counts) / len(counts) + AFFINITY_SLACK
+        ranked = sorted(usable, key=lambda s: _rank(part, s), reverse=True)
+        for server in ranked:
+            if self.open_calls.count(server) <= bound:
+                return server
+        return min(usable, key=self._work)
+
+    def _usable(self, servers: Sequence[Server], avoid: frozenset[str]) -> list[Server]:
+        need = RoutingNeed(avoid=avoid, without=WITHOUT)
+        return usable_servers(servers, self.loads, need, self.clock.now())
+
+    def _work(self, server: Server) -> tuple[float, int]:
+        near = NEAR_CALLS if server.data_centre == self.data_centre else 0.0
+        # The own name breaks ties differently on each entry.
+        tie = _rank(self.data_centre, server)
+        return self.open_calls.count(server) - near, tie
+
+
+def shared_part(prompt: Sequence[PromptPart]) -> str:
+    """Return the part of a prompt by which its engine is chosen; empty for none.
+
+    The last part belongs to the request or its session, so that it is the one that a
+    follow-up shares; where there are others, everything before it is found there too.
+    """
+    return prompt[-1].identity if prompt else ""
+
+
+def _rank(part: str, server: Server) -> int:
+    return xxhash.xxh3_64_intdigest(f"{part}\0{server.name}".encode())
--- /dev/null
+++ b/boragestream/serving/forward_attempt.py
@@ -0,0 +1,161 @@
+"""One attempt of a forwarded request at one server, and its accounts.
+
+Whether another attempt follows is left to ``serving.forwarder``.
+"""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Protocol
+
+from boragestream.backend.failures import (
+    AttemptCancelled,
+    AttemptFailure,
+    ConnectFailed,
+)
+from boragestream.backend.forwarded_call import (
+    CallLine,
+    OpenForwardedAnswer,
+    OutgoingCall,
+    open_forwarded_call,
+)
+from boragestream.base.clock import Clock
+from boragestream.document.calls import AnswerHead, CallHead, ForwardedRequest
+from boragestream.policy.load import CallEnd, LoadTable
+from boragestream.policy.retry_window import RetryWindows
+from boragestream.policy.server_choice import ServerChoice
+from boragestream.policy.servers import Server, ServerTable
+from boragestream.serving.forwarded_run import ForwardedRun
+from boragestream.serving.stage_pieces import StagePieces
+
+__all__ = ["EncodeCall", "ForwardAttempt", "ForwardParts"]
+
+LEAST_URGENT = 9
+
+
+class EncodeCall(Protocol):
+    """Puts the head of a call on the wire."""
+
+    def __call__(self, request: ForwardedRequest, call: CallHead, host: str) -> bytes:
+        """Return the head's bytes."""
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardParts:
+    """What forwarding needs of the entry."""
+
+    line: CallLine
+    encode: EncodeCall
+    servers: ServerTable
+    loads: LoadTable
+    choice: ServerChoice
+    retries: RetryWindows
+    stages: StagePieces
+    clock: Clock
+    rng: random.Random
+
+
+class ForwardAttempt:
+    """One attempt at one server, and its accounts."""
+
+    def __init__(self, parts: ForwardParts, run: ForwardedRun, server: Server) -> None:
+        self._server = server
+        self._parts = parts
+        self._run = run
+        self._began = parts.clock.now()
+        self._number = parts.loads.begin(server)
+        parts.choice.open_calls.begin(server)
+        self._scope = run.scope.child()
+        self._answer: OpenForwardedAnswer | None = None
+        self._counted = True
+        self._first_seconds: float | None = None
+        self._parts_iterator: Iterator[bytes | AttemptFailure] | None = None
+
+    @property
+    def server(self) -> Server:
+        """The server that it is made at."""
+        return self._server
+
+    @property
+    def head(self) -> AnswerHead:
+        """The head of its answer."""
+        return self._answer.head
+
+    def open(
+        self, inputs: tuple[str, ...], last_event: int | None
+    ) -> OpenForwardedAnswer | AttemptFailure:
+        """Send the request; return the open answer or why there is none."""
+        run, server = self._run, self._server
+        request = run.request
+
+        def encode(left: float) -> bytes:
+            run.sent.note_sending(server.name, run.route.repeatable)
+            call = CallHead(
+                server_id=server.name,
+                left_seconds=left,
+                account=run.account,
+                priority=self._priority(),
+                last_event=last_event,
+                inputs=inputs,
+            )
+            return self._parts.encode(request, call, request.host_header) + request.body
+
+        fresh = not run.route.repeatable
+        call = OutgoingCall(request.method, request.request_id, encode, fresh)
+        try:
+            answer = open_forwarded_call(self._parts.line, server, call, self._scope)
+        except BaseException:
+            self.end(CallEnd.CANCELLED)
+            raise
+        if isinstance(answer, AttemptFailure):
+            self.end(_end_of(answer))
+            return answer
+        self._answer = answer
+        return answer
+
+    def _priority(self) -> int | None:
+        service = self._run.table.services.get(self._run.service)
+        engine = service is not None and service.engine is not None
+        return min(self._run.priority, LEAST_URGENT) if engine else None
+
+    def parts(self) -> Iterator[bytes | AttemptFailure]:
+        """Return the parts of the answer; the same ones at each call."""
+        if self._parts_iterator is None:
+            self._parts_iterator = self._answer.parts()
+        return self._parts_iterator
+
+    def note_first(self) -> None:
+        """Take that the first event came."""
+        if self._first_seconds is None:
+            self._first_seconds = self._parts.clock.now() - self._began
+            kind = self._run.route.name
+            self._parts.loads.end(
+                self._server, self._number, CallEnd.ANSWERED, self._first_seconds, kind
+            )
+
+    def end(self, end: CallEnd) -> None:
+        """Count the attempt out; a second call does nothing."""
+        if not self._counted:
+            return
+        self._counted = False
+        parts = self._parts
+        parts.choice.open_calls.end(self._server)
+        self._run.scope.close_child(self._scope)
+        if self._first_seconds is None or end is not CallEnd.ANSWERED:
+            seconds = parts.clock.now() - self._began
+            kind = self._run.route.name
+            parts.loads.end(self._server, self._number, end, seconds, kind)
+
+    def close(self) -> None:
+        """Drop the answer where it is not read to its end."""
+        if self._answer is not None:
+            self._answer.close()
+        self.end(CallEnd.CANCELLED)
+
+
+def _end_of(failure: AttemptFailure) -> CallEnd:
+    if isinstance(failure, AttemptCancelled):
+        return CallEnd.CANCELLED
+    if isinstance(failure, ConnectFailed):
+        return CallEnd.UNREACHED
+    return CallEnd.CUT
--- /dev/null
+++ b/boragestream/serving/forwarded_run.py
@@ -0,0 +1,79 @@
+"""One forwarded request on its way: what it uses from end to end."""
+
+from dataclasses import dataclass
+
+from boragestream.backend.cancellation import CancelScope
+from boragestream.base.outcomes import Failed, Failure, Refused, Unknown
+from boragestream.document.calls import ForwardedRequest
+from boragestream.document.routes import Route
+from boragestream.policy.route_table import RouteTable
+from boragestream.policy.servers import Server
+from boragestream.serving.piece_orders import StageSaturated
+from boragestream.serving.request import SentRecord
+
+__all__ = ["ForwardedRun", "InputsGone", "ServerDidNotRun", "outcome_of"]
+
+# A caller that comes back after this finds a server free or another entry, where
+# nothing is known of a queue.
+USUAL_RETURN_SECONDS = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class ServerDidNotRun(Failure):
+    """The last server asked says that it did not run the request."""
+
+    server: str
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class InputsGone(Failure):
+    """The results of the stages were gone before the server read them."""
+
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedRun:
+    """One request.
+
+    :ivar table: the version of the routes that the request uses from end to end.
+    :ivar account: the client account's name; empty where there is none.
+    :ivar priority: the client account's or the route's; 0 is the most urgent.
+    :ivar service: the service that was chosen of the route's targets.
+    :ivar arrived: the clock's seconds of its first byte.
+    """
+
+    request: ForwardedRequest
+    route: Route
+    table: RouteTable
+    account: str
+    priority: int
+    service: str
+    scope: CancelScope
+    arrived: float
+    sent: SentRecord
+
+    @property
+    def objective_at(self) -> float:
+        """The clock's seconds at which the answer must begin to be worth most."""
+        return self.arrived + self.route.objective_seconds
+
+    def note_not_run(self, server: Server) -> None:
+        """Take a server's word that it did not run the request."""
+        self.sent.note_not_run(server.name)
+
+
+def outcome_of(run: ForwardedRun, failure: Failure) -> Refused | Failed | Unknown:
+    """Return the true outcome of a request that was not answered.
+
+    It was refused, and never runs, only where no server may have run it.
+    """
+    if run.sent.may_have_run:
+        return (
+            Unknown(failure, "") if not run.route.repeatable else Failed(failure, 0.0)
+        )
+    wait = USUAL_RETURN_SECONDS
+    if isinstance(failure, StageSaturated):
+        wait = max(wait, failure.wait_ms / 1000)
+    return Refused(failure, wait)
--- /dev/null
+++ b/boragestream/serving/piece_orders.py
@@ -0,0 +1,359 @@
+"""Has the pieces of requests made by whichever entry owns the queue of their service.
+
+All live entries rank each other alike for a service, and the first owns its queue. An
+order is acknowledged at once and its results come in messages of their own. While an
+owner is silent the next in rank is asked; at the last the entry does it itself. Two
+owners for a moment make some pieces twice, and nothing worse. The batches are formed
+in ``serving.piece_batches``.
+"""
+
+import threading
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+import xxhash
+
+from boragestream.backend.cancellation import CancelScope
+from boragestream.base.clock import Clock
+from boragestream.base.events import Event, describe_error, emit
+from boragestream.base.failures import DeadlinePassed
+from boragestream.base.outcomes import Failure
+from boragestream.document.calls import Piece, PieceFault, PieceResult
+from boragestream.entry.links import PeerLinks
+from boragestream.entry.messages import (
+    Envelope,
+    PiecesAnswer,
+    PiecesCancel,
+    PiecesDone,
+    PiecesOrder,
+    PiecesRelease,
+    ProbeReply,
+)
+from boragestream.policy.piece_queue import PieceOrder
+from boragestream.serving.piece_batches import PieceBatches
+
+__all__ = ["OpenOrder", "PieceFailed", "PieceOrders", "StageSaturated", "owner_order"]
+
+# An owner acknowledges at once; one that is silent for longer is passed over.
+ACKNOWLEDGE_SECONDS = 0.3
+PASSED_OVER_SECONDS = 2.0
+# How often the owner of an order is asked whether it still has it.
+ASK_AGAIN_SECONDS = 0.8
+MESSAGE_SECONDS = 0.5
+MESSAGE_THREADS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class StageSaturated(Failure):
+    """A stage can't be done in time.
+
+    :ivar service: the service that does it.
+    :ivar wait_ms: the expected wait.
+    """
+
+    service: str
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class PieceFailed(Failure):
+    """A piece could not be made.
+
+    :ivar service: the service that does it.
+    :ivar fault: why.
+    """
+
+    service: str
+    fault: PieceFault
+
+
+def owner_order(service: str, entries: Sequence[str]) -> list[str]:
+    """Return the entries in their rank for a service; the first owns its queue."""
+
+    def rank(entry: str) -> int:
+        return xxhash.xxh3_64_intdigest(f"{service}\0{entry}".encode())
+
+    return sorted(entries, key=rank)
+
+
+@dataclass(slots=True)
+class OpenOrder:
+    """An order whose results are awaited here.
+
+    :ivar owner: the entry that took it.
+    :ivar start_by: the clock's seconds at which it must start at the latest.
+    :ivar changed: set once all results are there or one is a fault.
+    :ivar asked_at: when the owner was last known to have it.
+    """
+
+    order: PieceOrder
+    start_by: float
+    changed: threading.Event
+    missing: set[int]
+    owner: str = ""
+    asked_at: float = 0.0
+    made: dict[int, str] = field(default_factory=dict)
+    fault: PieceFault | None = None
+
+    @property
+    def finished(self) -> bool:
+        """Whether all results are there or one is a fault."""
+        return self.fault is not None or not self.missing
+
+    @property
+    def handles(self) -> tuple[str, ...]:
+        """The handles in the order of the pieces, once all are there."""
+        return tuple(self.made[piece.number] for piece in self.order.pieces)
+
+
+class PieceOrders:
+    """The orders of this entry's requests, and those of others that it owns.
+
+    :param own: this entry's name, its address for other entries.
+    :param live: returns the names of the live entries, this one included.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        live: Callable[[], Sequence[str]],
+        links: PeerLinks,
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._live = live
+        self._links = links
+        self._clock = clock
+        self._open: dict[str, OpenOrder] = {}
+        # Who awaits the orders that this entry owns for others.
+        self._askers: dict[str, str] = {}
+        self._passed_over: dict[str, float] = {}
+        self._owner_of_handle: dict[str, str] = {}
+        self._lock = threading.Lock()
+        self._messages = ThreadPoolExecutor(MESSAGE_THREADS, "piece messages")
+        self._batches: PieceBatches | None = None
+
+    def join(self, batches: PieceBatches) -> None:
+        """Take the batches that this entry forms as an owner."""
+        self._batches = batches
+
+    def begin(
+        self,
+        order: PieceOrder,
+        start_by: float,
+        scope: CancelScope,
+        changed: threading.Event,
+    ) -> OpenOrder | Failure:
+        """Have pieces made; the results come later.
+
+        :param start_by: the clock's seconds at which they must start at the latest.
+        :param scope: ends the asking.
+        :param changed: set once all results are there or one is a fault.
+        """
+        numbers = {piece.number for piece in order.pieces}
+        opened = OpenOrder(order, start_by, changed, numbers)
+        with self._lock:
+            self._open[order.order_id] = opened
+        refused = self._place(opened, scope)
+        if refused is not None:
+            self._forget(opened)
+            return refused
+        return opened
+
+    def ask_again(self, opened: OpenOrder, scope: CancelScope) -> Failure | None:
+        """Make sure now and then that an owner still has an order."""
+        if self._clock.now() - opened.asked_at < ASK_AGAIN_SECONDS:
+            return None
+        return self._place(opened, scope)
+
+    def end(self, opened: OpenOrder) -> None:
+        """Await an order no longer; what was made of an unfinished one is given up."""
+        self._forget(opened)
+        if opened.finished and opened.fault is None:
+            return
+        if opened.owner == self._own:
+            self._batches.cancel(opened.order.service, opened.order.order_id)
+        elif opened.owner:
+            order = opened.order
+            self._send(opened.owner, PiecesCancel(order.service, order.order_id))
+        self.release(list(opened.made.values()))
+
+    def release(self, handles: Sequence[str]) -> None:
+        """Give results up that are not needed any more."""
+        by_owner: dict[str, list[str]] = {}
+        with self._lock:
+            for handle in handles:
+                owner = self._owner_of_handle.pop(handle, None)
+                if owner is not None:
+                    by_owner.setdefault(owner, []).append(handle)
+        for owner, owned in by_owner.items():
+            if owner == self._own:
+                self._batches.release(owned)
+            else:
+                self._send(owner, PiecesRelease(tuple(owned)))
+
+    def take_results(
+        self, owner: str, order_id: str, results: Sequence[tuple[int, PieceResult]]
+    ) -> None:
+        """Take results of an order; what nobody awaits here is given up."""
+        with self._lock:
+            opened = self._open.get(order_id)
+            unwanted = []
+            for number, result in results:
+                if result.handle:
+                    self._owner_of_handle[result.handle] = owner
+                if opened is None or number not in opened.missing:
+                    unwanted.append(result.handle)
+                elif result.handle:
+                    opened.missing.discard(number)
+                    opened.made[number] = result.handle
+                else:
+                    opened.fault = result.fault
+        self.release([handle for handle in unwanted if handle])
+        if opened is not None and opened.finished:
+            opened.changed.set()
+
+    def done(self, order_id: str, results: Sequence[tuple[int, PieceResult]]) -> None:
+        """Pass results of an order that this entry owns on to whoever awaits it."""
+        asker = self._askers.get(order_id, self._own)
+        if asker == self._own:
+            self.take_results(self._own, order_id, results)
+            return
+        packed = tuple(
+            (number, r.handle, r.fault.name if r.fault else "") for number, r in results
+        )
+        self._send(asker, PiecesDone(order_id, packed))
+
+    def answer_order(self, envelope: Envelope, message: PiecesOrder) -> PiecesAnswer:
+        """Take an order of another entry."""
+        order = PieceOrder(
+            message.order_id,
+            message.service,
+            tuple(
+                Piece(message.request_id, message.stage, n, message.key, message.inputs)
+                for n in message.numbers
+            ),
+            message.result_bytes,
+            message.priority,
+            message.invested,
+        )
+        with self._lock:
+            self._askers[message.order_id] = envelope.sender
+        refused = self._batches.submit(
+            order, message.start_ms / 1000, message.left_ms / 1000
+        )
+        if refused is None:
+            return PiecesAnswer(taken=True)
+        return PiecesAnswer(taken=False, wait_ms=_milliseconds(refused))
+
+    def answer_done(self, envelope: Envelope, message: PiecesDone) -> ProbeReply:
+        """Take results from an owner."""
+        results = [
+            (number, PieceResult(handle, PieceFault[fault] if fault else None))
+            for number, handle, fault in message.results
+        ]
+        self.take_results(envelope.sender, message.order_id, results)
+        return ProbeReply(0)
+
+    def answer_cancel(self, envelope: Envelope, message: PiecesCancel) -> ProbeReply:
+        """Drop an order of another entry."""
+        self._batches.cancel(message.service, message.order_id)
+        return ProbeReply(0)
+
+    def answer_release(self, envelope: Envelope, message: PiecesRelease) -> ProbeReply:
+        """Give up results of another entry's orders."""
+        self._batches.release(message.handles)
+        return ProbeReply(0)
+
+    def look_again(self) -> None:
+        """Forget what nobody awaits any more."""
+        with self._lock:
+            known = [
+                order_id
+                for order_id in self._askers
+                if not self._batches.knows_order(order_id)
+            ]
+            for order_id in known:
+                del self._askers[order_id]
+
+    def _place(self, opened: OpenOrder, scope: CancelScope) -> Failure | None:
+        """Give an order to the first owner that takes it, or return its refusal."""
+        order = opened.order
+        for owner in self._owners(order.service):
+            now = self._clock.now()
+            start, left = opened.start_by - now, scope.deadline - now
+            if left <= 0 or scope.reason is not None:
+                return scope.reason or DeadlinePassed("stage")
+            opened.owner, opened.asked_at = owner, now
+            if owner == self._own:
+                return _refusal(order, self._batches.submit(order, start, left))
+            reply = self._links.ask(
+                owner, _message(order, start, left), ACKNOWLEDGE_SECONDS
+            )
+            if isinstance(reply, PiecesAnswer):
+                wait = None if reply.taken else reply.wait_ms / 1000
+                return _refusal(order, wait)
+            self._pass_over(owner, reply)
+        return StageSaturated(order.service, 0)
+
+    def _forget(self, opened: OpenOrder) -> None:
+        with self._lock:
+            self._open.pop(opened.order.order_id, None)
+
+    def _owners(self, service: str) -> list[str]:
+        now = self._clock.now()
+        ranked = owner_order(service, self._live())
+        heard = [e for e in ranked if self._passed_over.get(e, 0.0) <= now]
+        # This entry itself is the last resort, wherever it ranks.
+        until_own = heard[: heard.index(self._own) + 1] if self._own in heard else heard
+        return until_own if self._own in until_own else [*until_own, self._own]
+
+    def _pass_over(self, owner: str, reply: object) -> None:
+        self._passed_over[owner] = self._clock.now() + PASSED_OVER_SECONDS
+        described = reply.describe() if isinstance(reply, Failure) else repr(reply)
+        emit(Event.OWNER_SILENT, entry=owner, failure=described)
+
+    def _send(self, entry: str, message: object) -> None:
+        self._messages.submit(self._deliver, entry, message)
+
+    def _deliver(self, entry: str, message: object) -> None:
+        try:
+            reply = self._links.ask(entry, message, MESSAGE_SECONDS)
+        except Exception as error:
+            emit(Event.TASK_FAILED, task="pieces", error=describe_error(error))
+            return
+        if isinstance(reply, Failure):
+            name = type(message).__name__
+            emit(
+                Event.PIECE_MESSAGE_LOST,
+                entry=entry,
+                message=name,
+                failure=reply.describe(),
+            )
+
+
+def _message(order: PieceOrder, start: float, left: float) -> PiecesOrder:
+    first = order.pieces[0]
+    return PiecesOrder(
+        order_id=order.order_id,
+        service=order.service,
+        request_id=first.request_id,
+        stage=first.stage,
+        numbers=tuple(piece.number for piece in order.pieces),
+        key=first.key,
+        inputs=first.inputs,
+        result_bytes=order.result_bytes,
+        priority=order.priority,
+        invested=order.invested,
+        start_ms=_milliseconds(start),
+        left_ms=_milliseconds(left),
+    )
+
+
+def _refusal(order: PieceOrder, wait: float | None) -> StageSaturated | None:
+    return None if wait is None else StageSaturated(order.service, _milliseconds(wait))
+
+
+def _milliseconds(seconds: float) -> int:
+    return int(min(seconds, 3600.0) * 1000)
--- a/boragestream/serving/request.py
+++ b/boragestream/serving/request.py
@@ -24,6 +24,7 @@
     def __init__(self) -> None:
         self._any = False
         self._unrepeatable: set[str] = set()
+        self._open: set[str] = set()
         self._lock = threading.Lock()
 
     @property
@@ -36,10 +37,16 @@
         """Whether a call that may not be repeated may have run."""
         return bool(self._unrepeatable)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any attempt was sent that did not certainly fail to run."""
+        return bool(self._open)
+
     def note_sending(self, attempt_id: str, repeatable: bool) -> None:
         """Note that a call is about to be sent; called before the first byte."""
         with self._lock:
             self._any = True
+            self._open.add(attempt_id)
             if not repeatable:
                 self._unrepeatable.add(attempt_id)
 
@@ -47,6 +54,7 @@
         """Note that an attempt has certainly not run; others may have."""
         with self._lock:
             self._unrepeatable.discard(attempt_id)
+            self._open.discard(attempt_id)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/boragestream/serving/stage_pieces.py
@@ -0,0 +1,174 @@
+"""Takes a forwarded request through its stages, in the order of their needs.
+
+A stage begins as soon as the results that it needs are there; stages that need nothing
+of one another run side by side. Results are given up as soon as nothing needs them any
+more. Who makes the pieces is left to ``serving.piece_orders``.
+"""
+
+import itertools
+import threading
+from dataclasses import dataclass
+
+from boragestream.base.clock import Clock
+from boragestream.base.failures import DeadlinePassed
+from boragestream.base.outcomes import Failure
+from boragestream.document.calls import Piece
+from boragestream.document.routes import PieceLimits, Route
+from boragestream.policy.piece_queue import PieceOrder
+from boragestream.serving.forwarded_run import ForwardedRun
+from boragestream.serving.piece_orders import OpenOrder, PieceFailed, PieceOrders
+
+__all__ = ["StagePieces", "seconds_after"]
+
+# What a model needs from its call to its first event, to plan by.
+MODEL_SECONDS = 0.25
+# How full a batch is expected to be, to plan by.
+EXPECTED_FILL = 0.6
+WAKE_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class StagePieces:
+    """Runs the stages of requests.
+
+    :ivar numbers: tells the orders of one request apart that are made again.
+    """
+
+    orders: PieceOrders
+    clock: Clock
+    numbers: itertools.count
+
+    def run(self, run: ForwardedRun) -> tuple[str, ...] | Failure:
+        """Run all stages; return the handles that the last call reads."""
+        if not run.route.stages:
+            return ()
+        return _StageRun(self, run).finish()
+
+    def release(self, handles: tuple[str, ...]) -> None:
+        """Give results up once the last call has read them."""
+        if handles:
+            self.orders.release(handles)
+
+
+class _StageRun:
+    """The stages of one request under way."""
+
+    def __init__(self, stages: StagePieces, run: ForwardedRun) -> None:
+        self._stages = stages
+        self._run = run
+        self._changed = threading.Event()
+        self._results: dict[int, tuple[str, ...]] = {}
+        self._open: dict[int, OpenOrder] = {}
+        self._released: set[int] = set()
+        self._after = seconds_after(run)
+
+    def finish(self) -> tuple[str, ...] | Failure:
+        """Run until every stage is done or one has failed."""
+        failure: Failure | None = None
+        try:
+            while failure is None and len(self._results) < len(self._run.route.stages):
+                failure = self._begin_ready() or self._wait()
+        finally:
+            for opened in self._open.values():
+                self._stages.orders.end(opened)
+        if failure is not None:
+            for number, handles in self._results.items():
+                if number not in self._released:
+                    self._stages.orders.release(handles)
+            return failure
+        last = _last_stages(self._run.route)
+        return tuple(h for number in last for h in self._results[number])
+
+    def _begin_ready(self) -> Failure | None:
+        for number, stage in enumerate(self._run.route.stages):
+            known = number in self._results or number in self._open
+            if known or any(n not in self._results for n in stage.after):
+                continue
+            count = self._piece_count(number)
+            if count == 0:
+                self._results[number] = ()
+                self._changed.set()
+                continue
+            failure = self._begin(number, count)
+            if failure is not None:
+                return failure
+        return None
+
+    def _begin(self, number: int, count: int) -> Failure | None:
+        run, stage = self._run, self._run.route.stages[number]
+        inputs = tuple(h for n in stage.after for h in self._results[n])
+        request_id = run.request.request_id
+        key = run.request.piece_key
+        pieces = tuple(Piece(request_id, number, n, key, inputs) for n in range(count))
+        order = PieceOrder(
+            order_id=f"{request_id}/{number}/{next(self._stages.numbers)}",
+            service=stage.service,
+            pieces=pieces,
+            result_bytes=stage.result_bytes,
+            priority=run.priority,
+            invested=bool(inputs),
+        )
+        start_by = run.objective_at - self._after[number]
+        opened = self._stages.orders.begin(order, start_by, run.scope, self._changed)
+        if isinstance(opened, Failure):
+            return opened
+        self._open[number] = opened
+        return None
+
+    def _wait(self) -> Failure | None:
+        self._changed.wait(WAKE_SECONDS)
+        self._changed.clear()
+        run = self._run
+        if run.scope.reason is not None:
+            return run.scope.reason
+        if self._stages.clock.now() >= run.scope.deadline:
+            return DeadlinePassed("stage")
+        for number, opened in list(self._open.items()):
+            if opened.fault is not None:
+                return PieceFailed(opened.order.service, opened.fault)
+            if not opened.finished:
+                failure = self._stages.orders.ask_again(opened, run.scope)
+                if failure is not None:
+                    return failure
+                continue
+            self._results[number] = opened.handles
+            self._stages.orders.end(self._open.pop(number))
+            self._release_inputs()
+        return None
+
+    def _release_inputs(self) -> None:
+        stages = self._run.route.stages
+        for number in list(self._results):
+            followers = [n for n, stage in enumerate(stages) if number in stage.after]
+            done = followers and all(n in self._results for n in followers)
+            if done and number not in self._released:
+                self._released.add(number)
+                self._stages.orders.release(self._results[number])
+
+    def _piece_count(self, number: int) -> int:
+        counts = self._run.request.pieces
+        return counts[number] if number < len(counts) else 0
+
+
+def seconds_after(run: ForwardedRun) -> dict[int, float]:
+    """Return how long before the objective each stage must begin, in seconds."""
+    stages = run.route.stages
+    after: dict[int, float] = {}
+    for number in reversed(range(len(stages))):
+        followers = [
+            n for n, s in enumerate(stages) if number in s.after and n in after
+        ]
+        rest = max((after[n] for n in followers), default=MODEL_SECONDS)
+        service = run.table.services.get(stages[number].service)
+        limits = service.pieces if service is not None else None
+        after[number] = rest + (0.0 if limits is None else _usual_seconds(limits))
+    return after
+
+
+def _usual_seconds(limits: PieceLimits) -> float:
+    return limits.call_seconds + EXPECTED_FILL * limits.batch * limits.piece_seconds
+
+
+def _last_stages(route: Route) -> list[int]:
+    needed = {n for stage in route.stages for n in stage.after}
+    return [n for n in range(len(route.stages)) if n not in needed]
--- a/tests/run.py
+++ b/tests/run.py
@@ -39,6 +39,16 @@
     return names
 
 
+def describe_failure(scenario):
+    """Return which step of a scenario failed, and with what error."""
+    lines = [f"failed: {scenario.name.strip()} ({scenario.location})"]
+    for step in scenario.all_steps:
+        if step.status.name in ("failed", "error", "undefined"):
+            lines.append(f"  {step.keyword} {step.name}")
+            lines.append(f"  {step.error_message or step.status.name}")
+    return "\n".join(lines)
+
+
 def main():
     """Run the features; return the exit code."""
     arguments = [str(FEATURES), "--no-capture", "--format=progress", "--summary"]
@@ -53,6 +63,8 @@
     allowed = known_red()
     failed = [s for s in scenarios if s.status.name != "passed"]
     red = [s for s in failed if s.name.strip() in allowed]
+    for scenario in failed:
+        print(describe_failure(scenario))
     for scenario in red:
         print(f"known red: {scenario.name}")
     unexpected = len(failed) - len(red)
