Engines and stages near the results that they read

Change: results carry the data centre where they lie; engines there go first, and an order waits for a server beside its inputs while one will be free in time.

--- a/boragestream/document/calls.py
+++ b/boragestream/document/calls.py
@@ -20,6 +20,7 @@
     "PromptPart",
     "RequestMalformed",
     "RunClaim",
+    "StageResult",
 ]
 
 HeaderList = tuple[tuple[str, str], ...]
@@ -167,7 +168,23 @@
     """What became of a piece.
 
     :ivar handle: names the result; empty where there is none.
+    :ivar data_centre: where it lies; empty where that is not known.
     """
 
     handle: str
     fault: PieceFault | None = None
+    data_centre: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class StageResult:
+    """A result that later calls read.
+
+    :ivar handle: names it.
+    :ivar data_centre: where it lies; empty where that is not known.
+    :ivar size: its approximate size in bytes.
+    """
+
+    handle: str
+    data_centre: str
+    size: float
--- a/boragestream/entry/messages.py
+++ b/boragestream/entry/messages.py
@@ -198,6 +198,7 @@
     :ivar inputs: the handles of the results that each piece needs.
     :ivar start_ms: until the latest start that meets the objective.
     :ivar left_ms: until nobody waits any more.
+    :ivar near: the data centre where much that it reads lies; empty for none.
     """
 
     order_id: str
@@ -212,6 +213,7 @@
     invested: bool
     start_ms: int
     left_ms: int
+    near: str = ""
 
 
 class PiecesAnswer(msgspec.Struct, frozen=True, tag=True):
@@ -225,10 +227,14 @@
 
 
 class PiecesDone(msgspec.Struct, frozen=True, tag=True):
-    """Tells results of an order: piece number, handle, and the fault's name if any."""
+    """Tells results of an order.
+
+    :ivar results: of each piece its number, handle, the fault's name if any, and the
+        data centre where the result lies.
+    """
 
     order_id: str
-    results: tuple[tuple[int, str, str], ...]
+    results: tuple[tuple[int, str, str, str], ...]
 
 
 class PiecesCancel(msgspec.Struct, frozen=True, tag=True):
--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -8,7 +8,8 @@
 ``serving``.
 """
 
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from boragestream.document.calls import Piece
@@ -36,6 +37,7 @@
     :ivar result_bytes: the approximate size of one result.
     :ivar priority: 0 is the most urgent.
     :ivar invested: whether results of earlier stages would be lost with it.
+    :ivar near: the data centre where much that it reads lies; empty for none.
     """
 
     order_id: str
@@ -44,6 +46,7 @@
     result_bytes: float
     priority: int
     invested: bool
+    near: str = ""
 
 
 @dataclass(slots=True)
@@ -66,9 +69,14 @@
     """What a server can take now.
 
     :ivar free_bytes: room for results.
+    :ivar data_centre: where it is.
+    :ivar free_at: by data centre, when a server of the service is expected to be free
+        there, in the clock's seconds.
     """
 
     free_bytes: float
+    data_centre: str = ""
+    free_at: Mapping[str, float] = field(default_factory=dict)
 
 
 def choose_batch(
@@ -85,6 +93,8 @@
     for queued in sorted(queue, key=lambda q: _urgency(q, now)):
         if places <= 0:
             break
+        if _waits_for_near(queued, room):
+            continue
         size = queued.order.result_bytes
         fitting = min(places, int(free // size) if size > 0 else places)
         count = min(len(queued.left), fitting)
@@ -127,5 +137,18 @@
     return wait <= share * left
 
 
+def _waits_for_near(queued: QueuedOrder, room: ServerRoom) -> bool:
+    """Tell whether an order should wait for a server beside its inputs.
+
+    Each of its pieces reads all of its inputs, so that going elsewhere costs many times
+    their size on the links between data centres. It waits while a server there will be
+    free in time.
+    """
+    near = queued.order.near
+    if not near or near == room.data_centre:
+        return False
+    return room.free_at.get(near, math.inf) <= queued.start_by
+
+
 def _urgency(queued: QueuedOrder, now: float) -> tuple[bool, float]:
     return queued.start_by < now, queued.start_by
--- a/boragestream/policy/server_choice.py
+++ b/boragestream/policy/server_choice.py
@@ -14,12 +14,12 @@
 import xxhash
 
 from boragestream.base.clock import Clock
-from boragestream.document.calls import PromptPart
+from boragestream.document.calls import PromptPart, StageResult
 from boragestream.policy.candidates import RoutingNeed, usable_servers
 from boragestream.policy.load import LoadTable
 from boragestream.policy.servers import Server
 
-__all__ = ["OpenCalls", "ServerChoice", "shared_part"]
+__all__ = ["OpenCalls", "ServerChoice", "near_results", "shared_part"]
 
 # A preferred engine may have this many times the average of the calls of this entry,
 # and so many more, before another is taken.
@@ -28,6 +28,9 @@
 # Calls that differ by less than one are spread by distance: a server in the own data
 # centre counts as this many calls less.
 NEAR_CALLS = 0.5
+# Results below this size are read over any link in less than a millisecond and cost
+# next to nothing between data centres; larger ones are a hundred times as large.
+LARGE_RESULT_BYTES = 300_000.0
 # The first attempts keep away from servers that failed lately; limits by queueing are
 # left out, since streams differ in length by far more than any queue costs.
 WITHOUT = ("concurrency-limit", "easing", "load-reports")
@@ -123,5 +126,19 @@
     return prompt[-min(len(prompt), 2)].identity if prompt else ""
 
 
+def near_results(results: Sequence[StageResult]) -> str:
+    """Return the data centre near which a call that reads results should run.
+
+    :returns: empty where there is too little to read to care.
+    """
+    sizes: Counter[str] = Counter()
+    for result in results:
+        sizes[result.data_centre] += result.size
+    if not sizes:
+        return ""
+    centre, size = sizes.most_common(1)[0]
+    return centre if size >= LARGE_RESULT_BYTES else ""
+
+
 def _rank(part: str, server: Server) -> int:
     return xxhash.xxh3_64_intdigest(f"{part}\0{server.name}".encode())
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -24,10 +24,11 @@
 from boragestream.document.calls import (
     AnswerHead,
     RunClaim,
+    StageResult,
 )
 from boragestream.document.routes import CallKind, Route
 from boragestream.policy.load import CallEnd
-from boragestream.policy.server_choice import shared_part
+from boragestream.policy.server_choice import near_results, shared_part
 from boragestream.policy.servers import Server
 from boragestream.serving.event_stream import EventSplitter, StreamBroken
 from boragestream.serving.forward_attempt import ForwardAttempt, ForwardParts
@@ -99,7 +100,7 @@
         self._parts = parts
         self._run = run
         self._stream = run.route.kind is CallKind.STREAM
-        self._inputs: tuple[str, ...] = ()
+        self._inputs: tuple[StageResult, ...] = ()
         self._inputs_made = False
         self._tried: set[str] = set()
         # Attempts that may have run, and attempts that a server refused.
@@ -130,7 +131,8 @@
             if server is None:
                 return
             attempt = ForwardAttempt(self._parts, self._run, server)
-            result = attempt.open(self._inputs, self._splitter.last)
+            handles = tuple(result.handle for result in self._inputs)
+            result = attempt.open(handles, self._splitter.last)
             if isinstance(result, AttemptFailure):
                 if not self._may_go_on(result):
                     self._give_inputs_up()
@@ -216,7 +218,7 @@
         service = run.table.services.get(run.service)
         if service is not None and service.engine is not None:
             part = shared_part(run.request.prompt)
-            server = choice.engine(live, part, "", avoid)
+            server = choice.engine(live, part, near_results(self._inputs), avoid)
         else:
             server = choice.plain(live, avoid)
         if server is not None:
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -5,10 +5,11 @@
 by ``policy.piece_queue``; which entry owns a queue, by ``serving.piece_orders``.
 """
 
+import math
 import threading
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from boragestream.backend.cancellation import CancelScope, Watchdog
@@ -101,11 +102,13 @@
     """The queue of one service.
 
     :ivar busy: calls under way by server.
+    :ivar free_at: when the calls under way are expected to end, by server.
     :ivar held: the room that is taken at each server.
     """
 
     orders: dict[str, QueuedOrder] = field(default_factory=dict)
     busy: dict[str, int] = field(default_factory=dict)
+    free_at: dict[str, float] = field(default_factory=dict)
     held: dict[str, _Held] = field(default_factory=dict)
 
 
@@ -222,7 +225,13 @@
         with self._lock:
             queue = self._queues[service]
             now = self._parts.clock.now()
-            for server in self._usable(service):
+            usable = self._usable(service)
+            free_at: dict[str, float] = {}
+            for server in usable:
+                known = free_at.get(server.data_centre, math.inf)
+                free = max(now, queue.free_at.get(server.name, now))
+                free_at[server.data_centre] = min(known, free)
+            for server in usable:
                 if queue.busy.get(server.name, 0) >= limits.concurrent_calls:
                     continue
                 waiting = [q for q in queue.orders.values() if q.left]
@@ -230,7 +239,8 @@
                     return
                 held = queue.held.setdefault(server.name, _Held())
                 free = limits.memory_mb * MEGABYTE - held.used(now)
-                batch = choose_batch(waiting, limits, ServerRoom(free), now)
+                room = ServerRoom(free, server.data_centre, free_at)
+                batch = choose_batch(waiting, limits, room, now)
                 if batch:
                     self._begin(queue, server, limits, batch)
 
@@ -247,6 +257,9 @@
         size = sum(q.order.result_bytes * len(pieces) for q, pieces in batch)
         queue.held[server.name].under_way += size
         queue.busy[server.name] = queue.busy.get(server.name, 0) + 1
+        count = sum(len(pieces) for _, pieces in batch)
+        seconds = limits.call_seconds + count * limits.piece_seconds
+        queue.free_at[server.name] = self._parts.clock.now() + seconds
         self._calls.submit(_logged, self._call, server, limits, batch, size)
 
     def _call(
@@ -333,6 +346,7 @@
         with self._lock:
             queue = self._queues[service]
             queue.busy[server.name] -= 1
+            queue.free_at.pop(server.name, None)
             held = queue.held[server.name]
             held.under_way -= size
             until = self._parts.clock.now() + limits.result_seconds
@@ -351,6 +365,7 @@
                     queued.left.append(piece)
                     continue
                 outcome = done or PieceResult("", PieceFault.ERROR)
+                outcome = replace(outcome, data_centre=server.data_centre)
                 told.setdefault(order.order_id, []).append((piece.number, outcome))
             finished = [flat_order for flat_order in told if flat_order in queue.orders]
             for order_id in finished:
@@ -370,14 +385,7 @@
         if not rest:
             del queue.orders[order_id]
             return
-        queued.order = PieceOrder(
-            order.order_id,
-            order.service,
-            rest,
-            order.result_bytes,
-            order.priority,
-            order.invested,
-        )
+        queued.order = replace(order, pieces=rest)
 
     def _goes_back(self, service: str, done: PieceResult | None, ran: bool) -> bool:
         if done is None:
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -19,7 +19,7 @@
 from boragestream.base.events import Event, describe_error, emit
 from boragestream.base.failures import DeadlinePassed
 from boragestream.base.outcomes import Failure
-from boragestream.document.calls import Piece, PieceFault, PieceResult
+from boragestream.document.calls import Piece, PieceFault, PieceResult, StageResult
 from boragestream.entry.links import PeerLinks
 from boragestream.entry.messages import (
     Envelope,
@@ -93,7 +93,7 @@
     missing: set[int]
     owner: str = ""
     asked_at: float = 0.0
-    made: dict[int, str] = field(default_factory=dict)
+    made: dict[int, StageResult] = field(default_factory=dict)
     fault: PieceFault | None = None
 
     @property
@@ -102,8 +102,8 @@
         return self.fault is not None or not self.missing
 
     @property
-    def handles(self) -> tuple[str, ...]:
-        """The handles in the order of the pieces, once all are there."""
+    def results(self) -> tuple[StageResult, ...]:
+        """The results in the order of the pieces, once all are there."""
         return tuple(self.made[piece.number] for piece in self.order.pieces)
 
 
@@ -177,7 +177,7 @@
         elif opened.owner:
             order = opened.order
             self._send(opened.owner, PiecesCancel(order.service, order.order_id))
-        self.release(list(opened.made.values()))
+        self.release([made.handle for made in opened.made.values()])
 
     def release(self, handles: Sequence[str]) -> None:
         """Give results up that are not needed any more."""
@@ -207,7 +207,10 @@
                     unwanted.append(result.handle)
                 elif result.handle:
                     opened.missing.discard(number)
-                    opened.made[number] = result.handle
+                    size = opened.order.result_bytes
+                    opened.made[number] = StageResult(
+                        result.handle, result.data_centre, size
+                    )
                 else:
                     opened.fault = result.fault
         self.release([handle for handle in unwanted if handle])
@@ -221,7 +224,8 @@
             self.take_results(self._own, order_id, results)
             return
         packed = tuple(
-            (number, r.handle, r.fault.name if r.fault else "") for number, r in results
+            (number, r.handle, r.fault.name if r.fault else "", r.data_centre)
+            for number, r in results
         )
         self._send(asker, PiecesDone(order_id, packed))
 
@@ -237,6 +241,7 @@
             message.result_bytes,
             message.priority,
             message.invested,
+            message.near,
         )
         with self._lock:
             self._askers[message.order_id] = envelope.sender
@@ -250,8 +255,8 @@
     def answer_done(self, envelope: Envelope, message: PiecesDone) -> ProbeReply:
         """Take results from an owner."""
         results = [
-            (number, PieceResult(handle, PieceFault[fault] if fault else None))
-            for number, handle, fault in message.results
+            (number, PieceResult(handle, PieceFault[fault] if fault else None, place))
+            for number, handle, fault, place in message.results
         ]
         self.take_results(envelope.sender, message.order_id, results)
         return ProbeReply(0)
@@ -348,6 +353,7 @@
         invested=order.invested,
         start_ms=_milliseconds(start),
         left_ms=_milliseconds(left),
+        near=order.near,
     )
 
 
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -12,9 +12,10 @@
 from boragestream.base.clock import Clock
 from boragestream.base.failures import DeadlinePassed
 from boragestream.base.outcomes import Failure
-from boragestream.document.calls import Piece
+from boragestream.document.calls import Piece, StageResult
 from boragestream.document.routes import PieceLimits, Route
 from boragestream.policy.piece_queue import PieceOrder
+from boragestream.policy.server_choice import near_results
 from boragestream.serving.forwarded_run import ForwardedRun
 from boragestream.serving.piece_orders import OpenOrder, PieceFailed, PieceOrders
 
@@ -38,16 +39,16 @@
     clock: Clock
     numbers: itertools.count
 
-    def run(self, run: ForwardedRun) -> tuple[str, ...] | Failure:
-        """Run all stages; return the handles that the last call reads."""
+    def run(self, run: ForwardedRun) -> tuple[StageResult, ...] | Failure:
+        """Run all stages; return the results that the last call reads."""
         if not run.route.stages:
             return ()
         return _StageRun(self, run).finish()
 
-    def release(self, handles: tuple[str, ...]) -> None:
-        """Give results up once the last call has read them."""
-        if handles:
-            self.orders.release(handles)
+    def release(self, results: tuple[StageResult, ...]) -> None:
+        """Give results up once nothing needs them any more."""
+        if results:
+            self.orders.release([result.handle for result in results])
 
 
 class _StageRun:
@@ -57,12 +58,12 @@
         self._stages = stages
         self._run = run
         self._changed = threading.Event()
-        self._results: dict[int, tuple[str, ...]] = {}
+        self._results: dict[int, tuple[StageResult, ...]] = {}
         self._open: dict[int, OpenOrder] = {}
         self._released: set[int] = set()
         self._after = seconds_after(run)
 
-    def finish(self) -> tuple[str, ...] | Failure:
+    def finish(self) -> tuple[StageResult, ...] | Failure:
         """Run until every stage is done or one has failed."""
         failure: Failure | None = None
         try:
@@ -72,12 +73,12 @@
             for opened in self._open.values():
                 self._stages.orders.end(opened)
         if failure is not None:
-            for number, handles in self._results.items():
+            for number, results in self._results.items():
                 if number not in self._released:
-                    self._stages.orders.release(handles)
+                    self._stages.release(results)
             return failure
         last = _last_stages(self._run.route)
-        return tuple(h for number in last for h in self._results[number])
+        return tuple(r for number in last for r in self._results[number])
 
     def _begin_ready(self) -> Failure | None:
         for number, stage in enumerate(self._run.route.stages):
@@ -96,7 +97,8 @@
 
     def _begin(self, number: int, count: int) -> Failure | None:
         run, stage = self._run, self._run.route.stages[number]
-        inputs = tuple(h for n in stage.after for h in self._results[n])
+        read = tuple(r for n in stage.after for r in self._results[n])
+        inputs = tuple(result.handle for result in read)
         request_id = run.request.request_id
         key = run.request.piece_key
         pieces = tuple(Piece(request_id, number, n, key, inputs) for n in range(count))
@@ -107,6 +109,8 @@
             result_bytes=stage.result_bytes,
             priority=run.priority,
             invested=bool(inputs),
+            # Each piece reads all results by itself.
+            near=near_results(read * count),
         )
         start_by = run.objective_at - self._after[number]
         opened = self._stages.orders.begin(order, start_by, run.scope, self._changed)
@@ -131,7 +135,7 @@
                 if failure is not None:
                     return failure
                 continue
-            self._results[number] = opened.handles
+            self._results[number] = opened.results
             self._stages.orders.end(self._open.pop(number))
             self._release_inputs()
         return None
@@ -143,7 +147,7 @@
             done = followers and all(n in self._results for n in followers)
             if done and number not in self._released:
                 self._released.add(number)
-                self._stages.orders.release(self._results[number])
+                self._stages.release(self._results[number])
 
     def _piece_count(self, number: int) -> int:
         counts = self._run.request.pieces
