The settings file is read again at SIGHUP and when it changes without a word

Cause: SIGHUP ended the process, and a changed file was taken with the next start alone. Ruled out: watching the file by the system, which the platform does not offer.

--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -22,6 +22,8 @@
     STOP_LIMIT_REACHED = (1004, logging.ERROR)
     TASK_FAILED = (1005, logging.ERROR)
     STOP_FORCED = (1006, logging.ERROR)
+    SETTINGS_RELOADED = (1007, logging.INFO)
+    SETTINGS_REFUSED = (1008, logging.ERROR)
     CONFIGURATION_IN_FORCE = (2001, logging.INFO)
     CONFIGURATION_INVALID = (2002, logging.ERROR)
     CONFIGURATION_OLDER = (2003, logging.WARNING)
--- a/boragestream/daemon/route_command.py
+++ b/boragestream/daemon/route_command.py
@@ -5,9 +5,10 @@
   boragestream-route-entry --help
 
 SETTINGS is a TOML file; without it the environment variable BORAGESTREAM_CONFIG names
-it. SIGTERM begins a graceful shutdown; a second one ends the process at once. Exit
-codes: 0 everything was answered, 2 the settings are invalid, 3 ended by a second
-signal, 4 the time to stop was over, 5 an address can't be listened on.
+it. SIGHUP has it read again. SIGTERM begins a graceful shutdown; a second one ends the
+process at once. Exit codes: 0 everything was answered, 2 the settings are invalid,
+3 ended by a second signal, 4 the time to stop was over, 5 an address can't be listened
+on.
 """
 
 import os
@@ -22,12 +23,13 @@
 from boragestream.base.line_writer import LineWriter, log_lines_to
 from boragestream.base.route_settings import SettingsInvalid, read_route_settings
 from boragestream.daemon.route_entry import RouteEntry
+from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.shutdown import ExitCode
 
 __all__ = ["main"]
 
 SETTINGS_VARIABLE = "BORAGESTREAM_CONFIG"
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+TAKEN_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -41,9 +43,9 @@
     writer = log_lines_to(sys.stdout)
     # Blocked in every thread and taken by one alone, so that a stop never interrupts
     # a thread that holds a lock which the stop needs.
-    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    signal.pthread_sigmask(signal.SIG_BLOCK, TAKEN_SIGNALS)
     try:
-        entry = RouteEntry(settings)
+        entry = RouteEntry(SettingsInForce(Path(path), settings))
     except (OSError, pynng.NNGException) as error:
         print(f"can't listen: {error}", file=sys.stderr)
         return ExitCode.ADDRESS
@@ -61,8 +63,10 @@
 
 def _take_signals(entry: RouteEntry) -> None:
     while True:
-        signal.sigwait(STOP_SIGNALS)
-        entry.stop()
+        if signal.sigwait(TAKEN_SIGNALS) == signal.SIGHUP:
+            entry.reload()
+        else:
+            entry.stop()
 
 
 if __name__ == "__main__":
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -24,7 +24,8 @@
 )
 from boragestream.daemon.background import BackgroundTasks
 from boragestream.daemon.publication import Publication
-from boragestream.daemon.route_parts import RouteParts, make_route_parts
+from boragestream.daemon.route_parts import make_route_parts
+from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.shutdown import ExitCode, GracefulStop
 from boragestream.entry.links import LISTENER_TASKS, PeerListener
 from boragestream.platform.directory import PlatformDirectory
@@ -45,6 +46,8 @@
 END_MARGIN_SECONDS = 0.5
 DIRECTORY_THREADS = 4
 LOOK_AGAIN_SECONDS = 0.25
+# The settings file is read again every two seconds or so.
+RELOAD_ROUNDS = 8
 # Descriptors for files, peers, kept connections to servers and calls under way.
 OTHER_DESCRIPTORS = 1200
 IDLE_MARGIN_SECONDS = 2.0
@@ -60,16 +63,18 @@
 class RouteEntry:
     """One entry daemon.
 
-    :param settings: its settings.
+    :param in_force: its settings.
     :param clock: the clock of all its decisions.
     :raises OSError, pynng.NNGException: where an address can't be listened on.
     """
 
-    def __init__(self, settings: RouteSettings, clock: Clock | None = None) -> None:
+    def __init__(self, in_force: SettingsInForce, clock: Clock | None = None) -> None:
         clock = clock or SystemClock()
+        settings = in_force.current
+        self._in_force = in_force
         self._settings = settings
         self._clock = clock
-        self._parts = make_route_parts(settings, clock)
+        self._parts = make_route_parts(in_force, clock)
         grace = settings.stop.grace_seconds
         self._linger_seconds = grace * LINGER_SHARE
         left = grace - self._linger_seconds - END_MARGIN_SECONDS
@@ -84,7 +89,8 @@
             self._parts.sender, settings.listen.entries, self._parts.handlers
         )
         self._parts.routes.when_taken(self._apply_limits)
-        self._parts.book.add_seeds(settings.peers.seeds)
+        self._take_settings(settings)
+        in_force.when_changed(self._take_settings)
 
     def run(self) -> ExitCode:
         """Serve until ``stop`` is called, then finish what is in hand."""
@@ -107,6 +113,13 @@
         """Begin the graceful shutdown; a second call ends it."""
         self._stop.signal()
 
+    def reload(self) -> None:
+        """Read the settings file again."""
+        self._in_force.reload()
+
+    def _take_settings(self, settings: RouteSettings) -> None:
+        self._parts.book.add_seeds(settings.peers.seeds)
+
     def _ready(self) -> bool:
         parts = self._parts
         known = parts.routes.current is not None and bool(parts.servers.all)
@@ -198,13 +211,13 @@
         adj.channel_timeout = limits.idle_seconds + IDLE_MARGIN_SECONDS
 
     def _look_again(self) -> None:
-        """Keep the address book and the queues of pieces in order."""
+        """Keep the address book, the queues of pieces and the settings in order."""
+        rounds = 0
         while not self._ended.wait(LOOK_AGAIN_SECONDS):
             self._parts.batches.look_again()
             self._parts.orders.look_again()
-            self._parts.book.tell_again()
-
-
-def parts_of(entry: RouteEntry) -> RouteParts:
-    """Return the parts of an entry, for tests."""
-    return entry._parts
+            rounds += 1
+            if rounds % RELOAD_ROUNDS == 0:
+                self._parts.book.tell_again()
+                # The file may change without a signal.
+                self._in_force.reload()
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -16,6 +16,7 @@
 from boragestream.base.identifiers import new_incarnation
 from boragestream.base.observations import Observations
 from boragestream.base.route_settings import RouteSettings
+from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.tasks import OFFER_EVENTS, to_leaving
 from boragestream.document.routes import PieceLimits
 from boragestream.entry.addresses import AddressBook
@@ -140,8 +141,9 @@
         self.batches.look_again()
 
 
-def make_route_parts(settings: RouteSettings, clock: Clock) -> RouteParts:
+def make_route_parts(in_force: SettingsInForce, clock: Clock) -> RouteParts:
     """Build the parts of an entry; nothing runs yet."""
+    settings = in_force.current
     rng = random.Random()
     own = settings.listen.entries
     incarnation = new_incarnation()
@@ -178,9 +180,11 @@
         heard = [e.name for e in members.entries.usable() if e.host]
         return heard if own in heard else [*heard, own]
 
-    bounds = settings.retries
-    retry_bounds = RetryBounds(bounds.share, bounds.window_seconds, bounds.slack)
-    retries = RetryWindows(clock.now, lambda: retry_bounds, lambda: len(book.entries))
+    def retry_bounds() -> RetryBounds:
+        bounds = in_force.current.retries
+        return RetryBounds(bounds.share, bounds.window_seconds, bounds.slack)
+
+    retries = RetryWindows(clock.now, retry_bounds, lambda: len(book.entries))
     connections = ConnectionKeeper(CONNECT_SECONDS)
     servers.when_unused(connections.forget)
     line = CallLine(read_answer_head, connections, clock)
