Callers' threads are started when they are needed

Cause: waitress starts all threads at once; 83 entries with 160 each did not fit this machine ('no room for more threads'), and a small instance pays for each stack. Ruled out: fewer threads, since bursts need them. Change: a dispatcher on a pool that grows; with as many requests in hand as it serves, an entry refuses at once and names another.

--- a/boragestream/base/route_settings.py
+++ b/boragestream/base/route_settings.py
@@ -106,7 +106,7 @@
     """
 
     descriptors: Count = 1024
-    threads: Count = 160
+    threads: Count = 184
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -6,6 +6,7 @@
 in.
 """
 
+import threading
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -19,6 +20,7 @@
     EntryBroken,
     EntryLeaving,
     NoConfiguration,
+    QueueFull,
 )
 from boragestream.base.observations import Observations
 from boragestream.base.outcomes import Failed, Failure, Refused, Unknown
@@ -37,7 +39,7 @@
 )
 from boragestream.serving.request import SentRecord
 
-__all__ = ["ForwardingApplication", "RequestFormat"]
+__all__ = ["ForwardingApplication", "InHand", "RequestFormat"]
 
 Environ = dict[str, Any]
 Reply = Iterable[bytes]
@@ -66,11 +68,36 @@
         """Return the headers of an answer of the system's own."""
 
 
+class InHand:
+    """How many requests are being served."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._lock = threading.Lock()
+
+    @property
+    def count(self) -> int:
+        """The requests in hand."""
+        return self._count
+
+    def begin(self) -> None:
+        """Count a request that begins."""
+        with self._lock:
+            self._count += 1
+
+    def end(self) -> None:
+        """Count a request that has ended."""
+        with self._lock:
+            self._count -= 1
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardingApplication:
     """The application; waitress calls it in a thread for each request.
 
     :ivar refusing: tells whether new requests are refused since the entry stops.
+    :ivar in_hand: counts the requests that are being served.
+    :ivar limit: with as many in hand, further requests are refused at once.
     """
 
     routes: RoutesInForce
@@ -80,6 +107,8 @@
     clock: Clock
     observations: Observations
     refusing: Callable[[], bool]
+    in_hand: "InHand"
+    limit: int
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Reply:
         """Answer one HTTP request."""
@@ -102,6 +131,9 @@
         if self.refusing():
             refused = Refused(EntryLeaving(), ELSEWHERE_SECONDS)
             return self._own_answer(start_response, request.request_id, refused)
+        if self.in_hand.count >= self.limit:
+            refused = Refused(QueueFull(self.in_hand.count), ELSEWHERE_SECONDS)
+            return self._own_answer(start_response, request.request_id, refused)
         route = table.route(request.host, request.path)
         if isinstance(route, Failure):
             refused = Refused(route)
@@ -144,13 +176,14 @@
 
     def _forward(self, start_response: StartResponse, run: ForwardedRun) -> Reply:
         self.watchdog.open(run.scope)
+        self.in_hand.begin()
         streaming = False
         try:
             answer = self.forwarder.run(run)
             streaming = isinstance(answer, StreamedAnswer)
         finally:
             if not streaming:
-                self.watchdog.close(run.scope)
+                self.release(run)
         request_id = run.request.request_id
         if isinstance(answer, StreamedAnswer):
             start_response(
@@ -187,6 +220,11 @@
         start_response(_status(status.value, status.phrase), headers)
         return [body]
 
+    def release(self, run: ForwardedRun) -> None:
+        """Take that a request is in hand no longer."""
+        self.watchdog.close(run.scope)
+        self.in_hand.end()
+
     def log_end(
         self, run: ForwardedRun, outcome: str, status: int, failure: Failure | None
     ) -> None:
@@ -219,6 +257,7 @@
         self._run = run
         self._events = events
         self._ended = False
+        self._released = False
 
     def __iter__(self) -> Iterator[bytes]:
         for part in self._events:
@@ -233,7 +272,9 @@
     def close(self) -> None:
         """Release what the stream holds; waitress calls it in every case."""
         self._events.close()
-        self._application.watchdog.close(self._run.scope)
+        if not self._released:
+            self._released = True
+            self._application.release(self._run)
         self._end("abandoned", self._run.scope.reason)
 
     def _end(self, outcome: str, failure: Failure | None) -> None:
--- a/boragestream/caller/server.py
+++ b/boragestream/caller/server.py
@@ -11,6 +11,7 @@
 from boragestream.base.events import Event, emit
 from boragestream.base.settings import CallerSettings
 from boragestream.caller.connections import CallerConnection
+from boragestream.caller.dispatcher import GrowingDispatcher
 
 __all__ = ["busy_connections", "create_server", "leave", "stop_listening"]
 
@@ -54,6 +55,7 @@
         ident="boragestream",
         clear_untrusted_proxy_headers=True,
         asyncore_use_poll=True,
+        _dispatcher=GrowingDispatcher(settings.threads),
     )
     server.channel_class = CallerConnection
     server.clock = clock or SystemClock()
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -15,7 +15,8 @@
 from boragestream.base.route_settings import RouteSettings
 from boragestream.base.settings import CallerSettings, StopSettings
 from boragestream.caller.directory import DirectoryApplication
-from boragestream.caller.forwarding import ForwardingApplication
+from boragestream.caller.dispatcher import GrowingDispatcher
+from boragestream.caller.forwarding import ForwardingApplication, InHand
 from boragestream.caller.server import (
     busy_connections,
     create_server,
@@ -45,6 +46,8 @@
 # The process ends this long before it would be killed.
 END_MARGIN_SECONDS = 0.5
 DIRECTORY_THREADS = 4
+# Threads beyond the requests in hand answer refusals at once.
+SPARE_THREADS = 24
 LOOK_AGAIN_SECONDS = 0.25
 # The settings file is read again every two seconds or so.
 RELOAD_ROUNDS = 8
@@ -158,6 +161,8 @@
             clock=self._clock,
             observations=parts.observations,
             refusing=self._refusing.is_set,
+            in_hand=InHand(),
+            limit=settings.resources.threads - SPARE_THREADS,
         )
         address, _, port = settings.listen.callers.rpartition(":")
         callers = CallerSettings(address, int(port), settings.resources.threads)
@@ -180,7 +185,7 @@
         return waitress.create_server(
             application,
             listen=" ".join(address for address in addresses if address),
-            threads=DIRECTORY_THREADS,
+            _dispatcher=GrowingDispatcher(DIRECTORY_THREADS),
             ident="boragestream",
             asyncore_use_poll=True,
         )
