--- /dev/null
+++ b/boragestream/policy/service_queue.py
@@ -0,0 +1,200 @@
+"""The state of one stage service's queue: orders, calls under way, room at the servers.
+
+Not safe without its owner's lock. Which pieces go together is decided by
+``policy.piece_queue``; sending the calls is left to ``serving.piece_batches``.
+"""
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
+
+from boragestream.document.calls import Piece, PieceResult
+from boragestream.document.routes import PieceLimits
+from boragestream.policy.piece_queue import (
+    QueuedOrder,
+    ServerRoom,
+    choose_batch,
+    expected_wait,
+    is_admitted,
+)
+from boragestream.policy.servers import Server
+
+__all__ = ["Batch", "ServiceQueue"]
+
+MEGABYTE = 1_000_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """The pieces of one call.
+
+    :ivar pieces: each with the order that it belongs to.
+    """
+
+    server: Server
+    limits: PieceLimits
+    pieces: tuple[tuple[QueuedOrder, Piece], ...]
+
+    @property
+    def result_bytes(self) -> float:
+        """The approximate size of all results."""
+        return sum(queued.order.result_bytes for queued, _ in self.pieces)
+
+    @property
+    def seconds(self) -> float:
+        """How long the call usually takes."""
+        return self.limits.call_seconds + len(self.pieces) * self.limits.piece_seconds
+
+
+@dataclass(slots=True)
+class _ServerState:
+    """What a server has in hand.
+
+    :ivar calls: calls under way.
+    :ivar free_at: when they are expected to end, in the clock's seconds.
+    :ivar coming: bytes of results that are being made.
+    :ivar held: results by handle: their size, and until when they are kept.
+    """
+
+    calls: int = 0
+    free_at: float = 0.0
+    coming: float = 0.0
+    held: dict[str, tuple[float, float]] = field(default_factory=dict)
+
+    def used_bytes(self, now: float) -> float:
+        gone = [handle for handle, (_, until) in self.held.items() if now >= until]
+        for handle in gone:
+            del self.held[handle]
+        return self.coming + sum(size for size, _ in self.held.values())
+
+
+class ServiceQueue:
+    """The queue of one service."""
+
+    def __init__(self) -> None:
+        self._orders: dict[str, QueuedOrder] = {}
+        self._servers: dict[str, _ServerState] = {}
+
+    @property
+    def orders(self) -> Mapping[str, QueuedOrder]:
+        """The orders that are not done, by their ids."""
+        return self._orders
+
+    def submit(
+        self,
+        queued: QueuedOrder,
+        limits: PieceLimits,
+        usable: Sequence[Server],
+        now: float,
+    ) -> float | None:
+        """Take an order; return the expected wait in seconds where it is refused."""
+        if queued.order.order_id in self._orders:
+            return None
+        others = self._orders.values()
+        ahead = sum(len(q.left) for q in others if q.start_by <= queued.start_by)
+        busy = [self._state(server).calls for server in usable]
+        free = sum(calls < limits.concurrent_calls for calls in busy)
+        wait = expected_wait(ahead, 0 if ahead else free, len(usable), limits)
+        if not is_admitted(queued.order, wait, queued.start_by - now):
+            return wait
+        self._orders[queued.order.order_id] = queued
+        return None
+
+    def drop(self, order_id: str) -> None:
+        """Drop an order; what is under way for it is made in vain."""
+        self._orders.pop(order_id, None)
+
+    def drop_expired(self, now: float) -> None:
+        """Drop the orders that nobody awaits any more."""
+        for order_id in [k for k, q in self._orders.items() if now >= q.expires]:
+            del self._orders[order_id]
+
+    def next_batches(
+        self, limits: PieceLimits, usable: Sequence[Server], now: float
+    ) -> list[Batch]:
+        """Return a batch for each server that is free, and count them as under way."""
+        free_at: dict[str, float] = {}
+        for server in usable:
+            known = free_at.get(server.data_centre, math.inf)
+            free = max(now, self._state(server).free_at)
+            free_at[server.data_centre] = min(known, free)
+        batches = []
+        for server in usable:
+            batch = self._next_batch(server, limits, free_at, now)
+            if batch is not None:
+                batches.append(batch)
+        return batches
+
+    def end(
+        self,
+        batch: Batch,
+        results: Sequence[PieceResult] | None,
+        now: float,
+    ) -> None:
+        """Count a call as ended, and its results as held by the server.
+
+        :param results: in the order of the pieces; None where there are none.
+        """
+        state = self._state(batch.server)
+        state.calls -= 1
+        state.free_at = 0.0
+        state.coming = max(0.0, state.coming - batch.result_bytes)
+        until = now + batch.limits.result_seconds
+        for (queued, _), result in zip(batch.pieces, results or (), strict=False):
+            if result.handle:
+                state.held[result.handle] = (queued.order.result_bytes, until)
+
+    def put_back(self, order_id: str, piece: Piece) -> bool:
+        """Have a piece made once more; False where nobody awaits its order."""
+        queued = self._orders.get(order_id)
+        if queued is not None:
+            queued.left.append(piece)
+        return queued is not None
+
+    def note_told(self, order_id: str, numbers: set[int]) -> None:
+        """Take that results were told; an order with no other pieces is done."""
+        queued = self._orders.get(order_id)
+        if queued is None:
+            return
+        rest = tuple(p for p in queued.order.pieces if p.number not in numbers)
+        if rest:
+            queued.order = replace(queued.order, pieces=rest)
+        else:
+            del self._orders[order_id]
+
+    def release(self, server: Server, handle: str) -> None:
+        """Take that a result is given up."""
+        self._state(server).held.pop(handle, None)
+
+    def holds(self, server: Server, handle: str) -> bool:
+        """Tell whether a server still holds a result."""
+        return handle in self._state(server).held
+
+    def _next_batch(
+        self,
+        server: Server,
+        limits: PieceLimits,
+        free_at: Mapping[str, float],
+        now: float,
+    ) -> Batch | None:
+        state = self._state(server)
+        waiting = [queued for queued in self._orders.values() if queued.left]
+        if state.calls >= limits.concurrent_calls or not waiting:
+            return None
+        free_bytes = limits.memory_mb * MEGABYTE - state.used_bytes(now)
+        room = ServerRoom(free_bytes, server.data_centre, free_at)
+        chosen = choose_batch(waiting, limits, room, now)
+        if not chosen:
+            return None
+        pieces = tuple((queued, piece) for queued, taken in chosen for piece in taken)
+        batch = Batch(server, limits, pieces)
+        for queued, taken in chosen:
+            numbers = {piece.number for piece in taken}
+            queued.left = [p for p in queued.left if p.number not in numbers]
+        state.calls += 1
+        state.coming += batch.result_bytes
+        state.free_at = now + batch.seconds
+        return batch
+
+    def _state(self, server: Server) -> _ServerState:
+        return self._servers.setdefault(server.name, _ServerState())
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -5,15 +5,21 @@
 by ``policy.piece_queue``; which entry owns a queue, by ``serving.piece_orders``.
 """
 
-import math
 import threading
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
+from http import HTTPStatus
 from typing import Protocol
 
 from boragestream.backend.cancellation import CancelScope, Watchdog
-from boragestream.backend.failures import AttemptFailure, ConnectFailed, Ran
+from boragestream.backend.failures import (
+    AnswerCut,
+    AttemptFailure,
+    ConnectFailed,
+    Ran,
+    ServerErred,
+)
 from boragestream.backend.forwarded_call import (
     CallLine,
     OutgoingCall,
@@ -25,17 +31,11 @@
 from boragestream.document.routes import PieceLimits
 from boragestream.policy.candidates import RoutingNeed, usable_servers
 from boragestream.policy.load import CallEnd, LoadTable
-from boragestream.policy.piece_queue import (
-    PieceOrder,
-    QueuedOrder,
-    ServerRoom,
-    choose_batch,
-    expected_wait,
-    is_admitted,
-)
+from boragestream.policy.piece_queue import PieceOrder, QueuedOrder
 from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.server_choice import WITHOUT
 from boragestream.policy.servers import Server, ServerTable
+from boragestream.policy.service_queue import Batch, ServiceQueue
 
 __all__ = ["BatchParts", "PieceBatches", "PieceDone", "PieceFormat"]
 
@@ -45,7 +45,6 @@
 CALL_TIME_FACTOR = 4.0
 CALL_TIME_SLACK_SECONDS = 1.0
 RELEASE_SECONDS = 1.0
-MEGABYTE = 1_000_000.0
 
 # Told the results of pieces of one order, by piece number.
 PieceDone = Callable[[str, Sequence[tuple[int, PieceResult]]], None]
@@ -83,35 +82,6 @@
     limits: Callable[[str], PieceLimits | None]
 
 
-@dataclass(slots=True)
-class _Held:
-    """Results at a server that take up its room, by handle, until when."""
-
-    by_handle: dict[str, tuple[float, float]] = field(default_factory=dict)
-    under_way: float = 0.0
-
-    def used(self, now: float) -> float:
-        gone = [h for h, (_, until) in self.by_handle.items() if now >= until]
-        for handle in gone:
-            del self.by_handle[handle]
-        return self.under_way + sum(size for size, _ in self.by_handle.values())
-
-
-@dataclass(slots=True)
-class _Queue:
-    """The queue of one service.
-
-    :ivar busy: calls under way by server.
-    :ivar free_at: when the calls under way are expected to end, by server.
-    :ivar held: the room that is taken at each server.
-    """
-
-    orders: dict[str, QueuedOrder] = field(default_factory=dict)
-    busy: dict[str, int] = field(default_factory=dict)
-    free_at: dict[str, float] = field(default_factory=dict)
-    held: dict[str, _Held] = field(default_factory=dict)
-
-
 class PieceBatches:
     """The queues that this entry owns, and the calls made for them.
 
@@ -121,9 +91,10 @@
     def __init__(self, parts: BatchParts, done: PieceDone) -> None:
         self._parts = parts
         self._done = done
-        self._queues: dict[str, _Queue] = {}
+        self._queues: dict[str, ServiceQueue] = {}
         self._lock = threading.Lock()
         self._calls = ThreadPoolExecutor(CALL_THREADS, "pieces")
+        # Who made each result, and of which service it is.
         self._makers: dict[str, tuple[str, Server]] = {}
 
     def submit(
@@ -137,29 +108,27 @@
         :param left_seconds: until nobody waits for it any more.
         :returns: the expected wait in seconds where it is refused, None if it is taken.
         """
-        now = self._parts.clock.now()
         limits = self._parts.limits(order.service)
         if limits is None:
             return 0.0
+        now = self._parts.clock.now()
+        queued = QueuedOrder(
+            order, now + start_seconds, now + left_seconds, list(order.pieces)
+        )
+        usable = self._usable(order.service)
         with self._lock:
-            queue = self._queues.setdefault(order.service, _Queue())
-            if order.order_id in queue.orders:
-                return None
-            wait = self._wait(queue, order, limits, now + start_seconds)
-            if not is_admitted(order, wait, start_seconds):
-                return wait
-            queue.orders[order.order_id] = QueuedOrder(
-                order, now + start_seconds, now + left_seconds, list(order.pieces)
-            )
-        self._pump(order.service)
-        return None
+            queue = self._queues.setdefault(order.service, ServiceQueue())
+            wait = queue.submit(queued, limits, usable, now)
+        if wait is None:
+            self._pump(order.service)
+        return wait
 
     def cancel(self, service: str, order_id: str) -> None:
         """Drop an order; what is under way is made in vain."""
         with self._lock:
             queue = self._queues.get(service)
             if queue is not None:
-                queue.orders.pop(order_id, None)
+                queue.drop(order_id)
 
     def knows_order(self, order_id: str) -> bool:
         """Tell whether an order is in a queue or under way here."""
@@ -173,11 +142,9 @@
                 service, server = self._makers.pop(handle, ("", None))
                 if server is None:
                     continue
-                held = self._queues[service].held.get(server.name)
-                if held is not None:
-                    held.by_handle.pop(handle, None)
-                entry = by_server.setdefault(server.name, (service, server, []))
-                entry[2].append(handle)
+                self._queues[service].release(server, handle)
+                freed = by_server.setdefault(server.name, (service, server, []))
+                freed[2].append(handle)
         for service, server, freed in by_server.values():
             self._calls.submit(_logged, self._release, server, tuple(freed))
             self._pump(service)
@@ -188,30 +155,13 @@
         with self._lock:
             services = list(self._queues)
             for service in services:
-                self._expire(self._queues[service], now)
-            for handle in list(self._makers):
-                service, server = self._makers[handle]
-                held = self._queues[service].held.get(server.name)
-                if held is None or handle not in held.by_handle:
+                self._queues[service].drop_expired(now)
+            for handle, (service, server) in list(self._makers.items()):
+                if not self._queues[service].holds(server, handle):
                     del self._makers[handle]
         for service in services:
             self._pump(service)
 
-    def _expire(self, queue: _Queue, now: float) -> None:
-        expired = [k for k, q in queue.orders.items() if now >= q.expires]
-        for key in expired:
-            del queue.orders[key]
-
-    def _wait(
-        self, queue: _Queue, order: PieceOrder, limits: PieceLimits, start_by: float
-    ) -> float:
-        live = self._usable(order.service)
-        free = sum(queue.busy.get(s.name, 0) < limits.concurrent_calls for s in live)
-        ahead = sum(
-            len(q.left) for q in queue.orders.values() if q.start_by <= start_by
-        )
-        return expected_wait(ahead, free if not ahead else 0, len(live), limits)
-
     def _usable(self, service: str) -> list[Server]:
         live = self._parts.servers.live(service)
         need = RoutingNeed(without=WITHOUT)
@@ -222,82 +172,40 @@
         limits = self._parts.limits(service)
         if limits is None:
             return
+        usable = self._usable(service)
         with self._lock:
             queue = self._queues[service]
-            now = self._parts.clock.now()
-            usable = self._usable(service)
-            free_at: dict[str, float] = {}
-            for server in usable:
-                known = free_at.get(server.data_centre, math.inf)
-                free = max(now, queue.free_at.get(server.name, now))
-                free_at[server.data_centre] = min(known, free)
-            for server in usable:
-                if queue.busy.get(server.name, 0) >= limits.concurrent_calls:
-                    continue
-                waiting = [q for q in queue.orders.values() if q.left]
-                if not waiting:
-                    return
-                held = queue.held.setdefault(server.name, _Held())
-                free = limits.memory_mb * MEGABYTE - held.used(now)
-                room = ServerRoom(free, server.data_centre, free_at)
-                batch = choose_batch(waiting, limits, room, now)
-                if batch:
-                    self._begin(queue, server, limits, batch)
-
-    def _begin(
-        self,
-        queue: _Queue,
-        server: Server,
-        limits: PieceLimits,
-        batch: list[tuple[QueuedOrder, list[Piece]]],
-    ) -> None:
-        for queued, pieces in batch:
-            taken = {piece.number for piece in pieces}
-            queued.left = [p for p in queued.left if p.number not in taken]
-        size = sum(q.order.result_bytes * len(pieces) for q, pieces in batch)
-        queue.held[server.name].under_way += size
-        queue.busy[server.name] = queue.busy.get(server.name, 0) + 1
-        count = sum(len(pieces) for _, pieces in batch)
-        seconds = limits.call_seconds + count * limits.piece_seconds
-        queue.free_at[server.name] = self._parts.clock.now() + seconds
-        self._calls.submit(_logged, self._call, server, limits, batch, size)
-
-    def _call(
-        self,
-        server: Server,
-        limits: PieceLimits,
-        batch: list[tuple[QueuedOrder, list[Piece]]],
-        size: float,
-    ) -> None:
+            batches = queue.next_batches(limits, usable, self._parts.clock.now())
+        for batch in batches:
+            self._calls.submit(_logged, self._call, service, batch)
+
+    def _call(self, service: str, batch: Batch) -> None:
         parts = self._parts
         began = parts.clock.now()
-        number = parts.loads.begin(server)
-        flat = [(queued, piece) for queued, pieces in batch for piece in pieces]
-        usual = limits.call_seconds + len(flat) * limits.piece_seconds
-        result: list[PieceResult] | AttemptFailure | None = None
+        number = parts.loads.begin(batch.server)
+        result: list[PieceResult] | AttemptFailure = _no_results(batch.server)
         try:
-            longest = usual * CALL_TIME_FACTOR + CALL_TIME_SLACK_SECONDS
-            result = self._exchange(server, flat, began + longest)
+            longest = batch.seconds * CALL_TIME_FACTOR + CALL_TIME_SLACK_SECONDS
+            result = self._exchange(batch, began + longest)
         finally:
-            end = CallEnd.ANSWERED
+            end = CallEnd.ANSWERED if isinstance(result, list) else CallEnd.CUT
             if isinstance(result, ConnectFailed):
                 end = CallEnd.UNREACHED
-            elif not isinstance(result, list):
-                end = CallEnd.CUT
             seconds = parts.clock.now() - began
-            parts.loads.end(server, number, end, seconds, str(len(flat)))
-            self._end(server, limits, flat, size, result)
-        self._pump(batch[0][0].order.service)
+            kind = str(len(batch.pieces))
+            parts.loads.end(batch.server, number, end, seconds, kind)
+            self._end(service, batch, result)
+        self._pump(service)
 
     def _exchange(
-        self, server: Server, flat: list[tuple[QueuedOrder, Piece]], deadline: float
-    ) -> list[PieceResult] | AttemptFailure | None:
-        parts = self._parts
+        self, batch: Batch, deadline: float
+    ) -> list[PieceResult] | AttemptFailure:
+        parts, server = self._parts, batch.server
         scope = CancelScope(deadline)
 
         def encode(left: float) -> bytes:
             now = parts.clock.now()
-            pieces = [(piece, queued.expires - now) for queued, piece in flat]
+            pieces = [(piece, q.expires - now) for q, piece in batch.pieces]
             return parts.format.encode_piece_call(server, pieces)
 
         parts.watchdog.open(scope)
@@ -311,82 +219,58 @@
             parts.watchdog.close(scope)
         if isinstance(body, AttemptFailure):
             return body
-        if answer.head.claim is RunClaim.OTHER_SERVER:
+        head = answer.head
+        if head.claim is RunClaim.OTHER_SERVER:
             parts.servers.note_leaving(server)
-        if answer.head.claim is not RunClaim.RAN:
-            return ConnectFailed(server.name, Ran.NOT_RUN, f"{answer.head.status}")
-        if answer.head.status != 200:
-            return None
+        if head.claim is not RunClaim.RAN:
+            return ConnectFailed(server.name, Ran.NOT_RUN, f"status {head.status}")
+        if head.status != HTTPStatus.OK:
+            return ServerErred(server.name, Ran.MAY_HAVE_RUN, head.status)
         results = parts.format.read_piece_results(body)
-        return results if results and len(results) == len(flat) else None
+        if results is None or len(results) != len(batch.pieces):
+            return _no_results(server)
+        return results
 
     def _end(
         self,
-        server: Server,
-        limits: PieceLimits,
-        flat: list[tuple[QueuedOrder, Piece]],
-        size: float,
-        result: list[PieceResult] | AttemptFailure | None,
+        service: str,
+        batch: Batch,
+        result: list[PieceResult] | AttemptFailure,
     ) -> None:
         """Take the results, put back what failed, and tell whoever waits."""
-        service = flat[0][0].order.service
+        results = result if isinstance(result, list) else None
+        ran = True
+        if isinstance(result, AttemptFailure):
+            ran = result.ran is Ran.MAY_HAVE_RUN
+            pieces, failure = len(batch.pieces), result.describe()
+            server = batch.server.name
+            emit(Event.BATCH_FAILED, server=server, pieces=pieces, failure=failure)
         told: dict[str, list[tuple[int, PieceResult]]] = {}
         unwanted: list[str] = []
-        ran = not (
-            isinstance(result, AttemptFailure) and result.ran is not Ran.MAY_HAVE_RUN
-        )
-        if not isinstance(result, list):
-            described = result.describe() if result is not None else "no results"
-            emit(
-                Event.BATCH_FAILED,
-                server=server.name,
-                pieces=len(flat),
-                failure=described,
-            )
         with self._lock:
             queue = self._queues[service]
-            queue.busy[server.name] -= 1
-            queue.free_at.pop(server.name, None)
-            held = queue.held[server.name]
-            held.under_way -= size
-            until = self._parts.clock.now() + limits.result_seconds
-            for index, (queued, piece) in enumerate(flat):
-                order = queued.order
-                wanted = order.order_id in queue.orders
-                done = result[index] if isinstance(result, list) else None
+            queue.end(batch, results, self._parts.clock.now())
+            for index, (queued, piece) in enumerate(batch.pieces):
+                order_id = queued.order.order_id
+                done = results[index] if results is not None else None
                 if done is not None and done.handle:
-                    held.by_handle[done.handle] = (order.result_bytes, until)
-                    self._makers[done.handle] = (service, server)
-                    if not wanted:
+                    self._makers[done.handle] = (service, batch.server)
+                if order_id not in queue.orders:
+                    if done is not None and done.handle:
                         unwanted.append(done.handle)
-                if not wanted:
-                    continue
-                if self._goes_back(service, done, ran):
-                    queued.left.append(piece)
-                    continue
-                outcome = done or PieceResult("", PieceFault.ERROR)
-                outcome = replace(outcome, data_centre=server.data_centre)
-                told.setdefault(order.order_id, []).append((piece.number, outcome))
-            finished = [flat_order for flat_order in told if flat_order in queue.orders]
-            for order_id in finished:
-                self._note_told(queue, order_id, told[order_id])
-        for order_id, results in told.items():
-            self._done(order_id, results)
+                elif self._goes_back(service, done, ran):
+                    queue.put_back(order_id, piece)
+                else:
+                    outcome = done or PieceResult("", PieceFault.ERROR)
+                    placed = replace(outcome, data_centre=batch.server.data_centre)
+                    told.setdefault(order_id, []).append((piece.number, placed))
+            for order_id, numbered in told.items():
+                queue.note_told(order_id, {number for number, _ in numbered})
+        for order_id, numbered in told.items():
+            self._done(order_id, numbered)
         if unwanted:
             self.release(unwanted)
 
-    def _note_told(
-        self, queue: _Queue, order_id: str, results: list[tuple[int, PieceResult]]
-    ) -> None:
-        queued = queue.orders[order_id]
-        numbers = {number for number, _ in results}
-        rest = tuple(p for p in queued.order.pieces if p.number not in numbers)
-        order = queued.order
-        if not rest:
-            del queue.orders[order_id]
-            return
-        queued.order = replace(order, pieces=rest)
-
     def _goes_back(self, service: str, done: PieceResult | None, ran: bool) -> bool:
         if done is None:
             return not ran or self._parts.retries.spend(service)
@@ -410,6 +294,10 @@
             emit(Event.RELEASE_FAILED, server=server.name, failure=failed.describe())
 
 
+def _no_results(server: Server) -> AttemptFailure:
+    return AnswerCut(server.name, Ran.MAY_HAVE_RUN, "no results that can be read")
+
+
 def _logged(work: Callable[..., None], *arguments: object) -> None:
     try:
         work(*arguments)
--- /dev/null
+++ b/tests/features/piece_queue.feature
@@ -0,0 +1,47 @@
+Feature: which pieces go out together
+
+  Scenario Outline: a batch takes the most urgent orders that fit
+    Given stage servers with a batch of <batch> and room for <room> results
+    And the orders "<orders>" wait, each with its pieces and latest start
+    Then the next batch at 100 is "<chosen>"
+
+    Examples:
+      | batch | room | orders                     | chosen        |
+      | 4     | 99   | a 2 101, b 2 102, c 2 103  | a 2, b 2      |
+      | 4     | 99   | c 2 103, a 2 101           | a 2, c 2      |
+      | 4     | 99   | a 2 99, b 2 102            | b 2, a 2      |
+      | 4     | 99   | a 9 101                    | a 4           |
+      | 4     | 3    | a 2 101, b 2 102           | a 2           |
+      | 4     | 99   | a 3 101, b 2 102, c 1 103  | a 3, c 1      |
+      | 4     | 0    | a 2 101                    | nothing       |
+
+  Scenario Outline: an order waits for a server beside its inputs while that is in time
+    Given stage servers with a batch of 4 and room for 99 results
+    And an order that reads in "here" and must start by 100.5
+    And a server in "here" is free at <free_at>
+    Then a server in "there" takes it at 100: <taken>
+
+    Examples:
+      | free_at | taken |
+      | 100.2   | no    |
+      | 100.8   | yes   |
+      | never   | yes   |
+
+  Scenario Outline: an order that can't be met is refused at once, the less urgent first
+    Then an order of priority <priority> with <left> s left and a wait of <wait> s is <verdict>
+
+    Examples:
+      | priority | left | wait | verdict  |
+      | 0        | 1.0  | 0.95 | taken    |
+      | 1        | 1.0  | 0.95 | refused  |
+      | 2        | 1.0  | 0.8  | refused  |
+      | 9        | 1.0  | 0.7  | taken    |
+      | 2        | 0.1  | 0.0  | taken    |
+
+  Scenario: an order whose earlier stages are done is never refused
+    Then an order with earlier results, 0.1 s left and a wait of 9 s is taken
+
+  Scenario: the wait is that of the calls ahead
+    Then with a free server an order waits 0 s
+    And behind 8 pieces at 2 busy servers with a batch of 4 it waits three calls of two
+    And without a server it waits for ever
--- /dev/null
+++ b/tests/features/route_decisions.feature
@@ -0,0 +1,73 @@
+Feature: what an entry decides about forwarded calls
+
+  Scenario Outline: the longest prefix of the host begins the path
+    Given routes "<routes>"
+    Then "<host>" "<path>" goes to "<route>"
+
+    Examples:
+      | routes                                | host | path        | route   |
+      | a.example/x/, a.example/x/y/          | a.example | /x/y/z | a.example/x/y/ |
+      | a.example/x/, a.example/x/y/          | a.example | /x/yy  | a.example/x/ |
+      | a.example/x/                          | a.example | /xx    | none    |
+      | a.example/x/                          | b.example | /x/1   | none    |
+      | a.example/                            | a.example | /q     | a.example/ |
+
+  Scenario Outline: versions rise only
+    Given the versions "<offered>" are offered in this order
+    Then version <in_force> is in force
+
+    Examples:
+      | offered | in_force |
+      | 3, 7    | 7        |
+      | 7, 3    | 7        |
+      | 7, 7    | 7        |
+
+  Scenario Outline: a key is looked up by its digest
+    Given an account with the key "good" and a route that is "<kind>"
+    Then the key "<key>" is "<verdict>"
+
+    Examples:
+      | kind    | key  | verdict   |
+      | private | good | account   |
+      | private | bad  | refused   |
+      | private |      | refused   |
+      | public  |      | anonymous |
+      | public  | good | account   |
+
+  Scenario: repeats keep to the part of the bound that is this entry's
+    Given a bound of 0.2 and 52 in 10 s over 6 entries
+    When 100 requests come
+    Then 20 repeats may be sent and no more
+    When the window moves on by 11 seconds
+    Then 6 repeats may be sent and no more
+
+  Scenario Outline: a removed server lapses only around an outage
+    Given a published table with "a, b"
+    When "<events>" happen
+    Then the table holds "<left>"
+
+    Examples:
+      | events                                             | left |
+      | remove b                                           | a    |
+      | outage, answer, remove b                           | a, b |
+      | outage, answer, remove b, wait 3                   | a    |
+      | outage, answer, remove b, put b, wait 3            | a, b |
+      | outage, answer, snapshot a                         | a, b |
+      | outage, answer, snapshot a, wait 3                 | a    |
+      | outage, answer, wait 3, remove b                   | a    |
+      | snapshot a                                         | a    |
+
+  Scenario: engines are chosen by the part that requests share
+    Given 9 engines of which none has work
+    Then 200 prompts with the same shared part and other ends go to one engine
+    And prompts with 200 shared parts go to all of them
+    When that engine has far more calls than the others
+    Then the next prompt with the same shared part goes to another one
+
+  Scenario: a call runs near the large results that it reads
+    Given 9 engines of which none has work
+    Then a call that reads 1500000 bytes in "hall-2" runs in "hall-2"
+    And a call that reads 8000 bytes in "hall-2" may run anywhere
+
+  Scenario: each entry has the same order of owners
+    Then any order of the same entries gives the same owner, and another when it is gone
--- /dev/null
+++ b/tests/features/steps/piece_queue.py
@@ -0,0 +1,107 @@
+"""Steps on the queue of pieces, without a process."""
+
+import math
+
+from behave import given, then
+
+from boragestream.document.calls import Piece
+from boragestream.document.routes import PieceLimits
+from boragestream.policy.piece_queue import (
+    PieceOrder,
+    QueuedOrder,
+    ServerRoom,
+    choose_batch,
+    expected_wait,
+    is_admitted,
+)
+
+RESULT_BYTES = 10.0
+
+
+def order(name, count=1, priority=0, invested=False, near=""):
+    """Return an order of some pieces."""
+    pieces = tuple(Piece(name, 0, n, "key", ()) for n in range(count))
+    return PieceOrder(name, "service", pieces, RESULT_BYTES, priority, invested, near)
+
+
+def queued(made, start_by):
+    """Return an order in the queue."""
+    return QueuedOrder(made, start_by, start_by + 10, list(made.pieces))
+
+
+@given("stage servers with a batch of {batch:d} and room for {room:d} results")
+def step(context, batch, room):
+    context.limits = PieceLimits(1, batch, 0.2, 0.01, 1.0, 4.0)
+    context.room = room * RESULT_BYTES
+    context.free_at = {}
+
+
+@given('the orders "{orders}" wait, each with its pieces and latest start')
+def step(context, orders):
+    context.queue = []
+    for text in orders.split(", "):
+        name, count, start_by = text.split()
+        context.queue.append(queued(order(name, int(count)), float(start_by)))
+
+
+@then('the next batch at {now:d} is "{chosen}"')
+def step(context, now, chosen):
+    room = ServerRoom(context.room)
+    batch = choose_batch(context.queue, context.limits, room, float(now))
+    found = [f"{q.order.order_id} {len(pieces)}" for q, pieces in batch]
+    assert (", ".join(found) or "nothing") == chosen, found
+
+
+@given('an order that reads in "{centre}" and must start by {start_by:g}')
+def step(context, centre, start_by):
+    context.queue = [queued(order("a", near=centre), start_by)]
+
+
+@given('a server in "{centre}" is free at {free_at}')
+def step(context, centre, free_at):
+    if free_at != "never":
+        context.free_at[centre] = float(free_at)
+
+
+@then('a server in "{centre}" takes it at {now:g}: {taken}')
+def step(context, centre, now, taken):
+    room = ServerRoom(context.room, centre, context.free_at)
+    batch = choose_batch(context.queue, context.limits, room, now)
+    assert bool(batch) is (taken == "yes"), batch
+
+
+@then(
+    "an order of priority {priority:d} with {left:g} s left and a wait of {wait:g} s "
+    "is {verdict}"
+)
+def step(context, priority, left, wait, verdict):
+    admitted = is_admitted(order("a", priority=priority), wait, left)
+    assert admitted is (verdict == "taken")
+
+
+@then(
+    "an order with earlier results, {left:g} s left and a wait of {wait:g} s is taken"
+)
+def step(context, left, wait):
+    assert is_admitted(order("a", priority=2, invested=True), wait, left)
+
+
+@then("with a free server an order waits 0 s")
+def step(context):
+    context.limits = PieceLimits(1, 4, 0.2, 0.05, 1.0, 4.0)
+    assert expected_wait(0, 1, 2, context.limits) == 0
+
+
+@then(
+    "behind {ahead:d} pieces at {servers:d} busy servers with a batch of 4 it waits "
+    "three calls of two"
+)
+def step(context, ahead, servers):
+    call = 0.2 + 4 * 0.05
+    found = expected_wait(ahead, 0, servers, context.limits)
+    assert math.isclose(found, call * 3 / 2), found
+
+
+@then("without a server it waits for ever")
+def step(context):
+    assert expected_wait(0, 0, 0, context.limits) == math.inf
--- /dev/null
+++ b/tests/features/steps/route_decisions.py
@@ -0,0 +1,226 @@
+"""Steps on the decisions about forwarded calls, without a process."""
+
+import random
+
+from behave import given, then, when
+
+from boragestream.document.calls import PromptPart, StageResult
+from boragestream.document.routes import (
+    CallerLimits,
+    CallKind,
+    Route,
+    RouteAccount,
+    RouteDocument,
+    RouteTarget,
+    key_digest,
+)
+from boragestream.policy.load import LoadTable
+from boragestream.policy.publication import Change, PublishedTable, Snapshot
+from boragestream.policy.retry_window import RetryBounds, RetryWindows
+from boragestream.policy.route_table import (
+    KeyUnknown,
+    RoutesInForce,
+    RouteUnknown,
+    make_table,
+)
+from boragestream.policy.server_choice import (
+    ServerChoice,
+    near_results,
+    shared_part,
+)
+from boragestream.policy.servers import Server
+from boragestream.serving.piece_orders import owner_order
+from tests.standins.clock import SetClock
+
+LIMITS = CallerLimits(16384, 4096, 3.0, 15.0)
+
+
+def route(text, public=False):
+    """Return a route for ``host/prefix/``."""
+    host, _, prefix = text.partition("/")
+    target = RouteTarget("service")
+    kind = CallKind.IDEMPOTENT
+    return Route(text, host, f"/{prefix}", kind, (target,), 1.0, 0.1, public=public)
+
+
+def document(routes=(), accounts=(), version=1):
+    """Return a document of routes and accounts."""
+    return RouteDocument(version, tuple(routes), (), tuple(accounts), LIMITS)
+
+
+@given('routes "{routes}"')
+def step(context, routes):
+    context.published = make_table(document(map(route, routes.split(", "))), "digest")
+
+
+@then('"{host}" "{path}" goes to "{name}"')
+def step(context, host, path, name):
+    found = context.published.route(host, path)
+    assert isinstance(found, RouteUnknown) if name == "none" else found.name == name
+
+
+@given('the versions "{offered}" are offered in this order')
+def step(context, offered):
+    context.routes = RoutesInForce()
+    for version in offered.split(", "):
+        context.routes.offer(document(version=int(version)), version.encode())
+
+
+@then("version {version:d} is in force")
+def step(context, version):
+    assert context.routes.current.version == version
+    digest = context.routes.current.digest
+    assert context.routes.text(digest) == str(version).encode()
+
+
+@given('an account with the key "{key}" and a route that is "{kind}"')
+def step(context, key, kind):
+    account = RouteAccount("account", frozenset({key_digest(key)}))
+    context.route = route("a.example/", public=kind == "public")
+    context.published = make_table(document([context.route], [account]), "digest")
+
+
+@then('the key "{key}" is "{verdict}"')
+@then('the key "" is "{verdict}"')
+def step(context, verdict, key=""):
+    found = context.published.account(context.route, key)
+    if verdict == "refused":
+        assert isinstance(found, KeyUnknown)
+    elif verdict == "anonymous":
+        assert found is None
+    else:
+        assert found.name == "account"
+
+
+@given("a bound of {share:g} and {slack:d} in {seconds:d} s over {entries:d} entries")
+def step(context, share, slack, seconds, entries):
+    context.clock = SetClock()
+    bounds = RetryBounds(share, seconds, slack)
+    context.windows = RetryWindows(context.clock.now, lambda: bounds, lambda: entries)
+
+
+@when("{count:d} requests come")
+def step(context, count):
+    for _ in range(count):
+        context.windows.note_request("service")
+
+
+@when("the window moves on by {seconds:d} seconds")
+def step(context, seconds):
+    context.clock.seconds += seconds
+
+
+@then("{count:d} repeats may be sent and no more")
+def step(context, count):
+    sent = 0
+    while sent < 1000 and context.windows.spend("service"):
+        sent += 1
+    assert sent == count, sent
+
+
+@given('a published table with "{keys}"')
+def step(context, keys):
+    context.clock = SetClock()
+    context.published = PublishedTable(context.clock.now)
+    context.published.note_answer()
+    values = {key: key.encode() for key in keys.split(", ")}
+    context.published.take_snapshot(Snapshot(1, values))
+
+
+@when('"{events}" happen')
+def step(context, events):
+    table = context.published
+    for event in events.split(", "):
+        verb, _, key = event.partition(" ")
+        if verb == "outage":
+            table.note_failure()
+        elif verb == "answer":
+            table.note_answer()
+        elif verb == "wait":
+            context.clock.seconds += float(key)
+            table.drop_lapsed()
+        elif verb == "snapshot":
+            table.take_snapshot(Snapshot(2, {key: key.encode()}))
+        else:
+            value = key.encode() if verb == "put" else None
+            table.take_changes([Change(key, 2, value)])
+
+
+@then('the table holds "{keys}"')
+def step(context, keys):
+    assert sorted(context.published.values) == keys.split(", "), (
+        context.published.values
+    )
+
+
+@given("{count:d} engines of which none has work")
+def step(context, count):
+    clock = SetClock()
+    context.engines = [
+        Server(f"e-{n}", "engines", f"10.0.0.{n}:80", f"hall-{n % 3}", f"e-{n}")
+        for n in range(count)
+    ]
+    loads = LoadTable(clock, random.Random(1))
+    context.choice = ServerChoice(loads, clock, "hall-0")
+
+
+def prompt(shared, own):
+    """Return a prompt of a beginning, a shared part and a part of its own."""
+    parts = (("all", 100), (shared, 3000), (own, 900))
+    return tuple(PromptPart(identity, tokens) for identity, tokens in parts)
+
+
+def engine_for(context, shared, own):
+    """Return the engine chosen for a prompt."""
+    part = shared_part(prompt(shared, own))
+    return context.choice.engine(context.engines, part)
+
+
+@then("{count:d} prompts with the same shared part and other ends go to one engine")
+def step(context, count):
+    chosen = {engine_for(context, "shared", f"own-{n}").name for n in range(count)}
+    assert len(chosen) == 1, chosen
+    context.engine = engine_for(context, "shared", "own")
+
+
+@then("prompts with {count:d} shared parts go to all of them")
+def step(context, count):
+    chosen = {engine_for(context, f"part-{n}", "own").name for n in range(count)}
+    assert len(chosen) == len(context.engines), chosen
+
+
+@when("that engine has far more calls than the others")
+def step(context):
+    for _ in range(10):
+        context.choice.open_calls.begin(context.engine)
+
+
+@then("the next prompt with the same shared part goes to another one")
+def step(context):
+    assert engine_for(context, "shared", "own").name != context.engine.name
+
+
+@then('a call that reads {size:d} bytes in "{centre}" runs in "{expected}"')
+def step(context, size, centre, expected):
+    near = near_results([StageResult("handle", centre, float(size))])
+    for number in range(50):
+        engine = context.choice.engine(context.engines, f"part-{number}", near)
+        assert engine.data_centre == expected
+
+
+@then('a call that reads {size:d} bytes in "{centre}" may run anywhere')
+def step(context, size, centre):
+    near = near_results([StageResult("handle", centre, float(size))])
+    engines = [
+        context.choice.engine(context.engines, f"part-{number}", near)
+        for number in range(50)
+    ]
+    assert len({engine.data_centre for engine in engines}) == 3
+
+
+@then("any order of the same entries gives the same owner, and another when it is gone")
+def step(context):
+    entries = [f"10.0.0.{n}:80" for n in range(6)]
+    owner, second, *_ = owner_order("service", entries)
+    assert owner_order("service", entries[::-1])[0] == owner
+    assert owner_order("service", [e for e in entries if e != owner])[0] == second
