Chains are planned by how long the stages behind take now

Ruled out: too few calls; the batches were full. Change: each entry measures how long the stages of a service take, waits included, and plans the latest start of a stage by those behind it.

--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -50,6 +50,7 @@
 from boragestream.policy.route_table import RoutesInForce
 from boragestream.policy.server_choice import ServerChoice
 from boragestream.policy.servers import Server, ServerTable
+from boragestream.policy.stage_delays import StageDelays
 from boragestream.serving.forward_attempt import ForwardParts
 from boragestream.serving.forwarder import Forwarder
 from boragestream.serving.piece_batches import BatchParts, PieceBatches
@@ -208,7 +209,9 @@
             loads=loads,
             choice=ServerChoice(loads, clock, centre),
             retries=retries,
-            stages=StagePieces(orders, clock, itertools.count()),
+            stages=StagePieces(
+                orders, clock, itertools.count(), StageDelays(clock.now)
+            ),
             clock=clock,
             rng=rng,
         )
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -84,6 +84,7 @@
     :ivar owner: the entry that took it.
     :ivar start_by: the clock's seconds at which it must start at the latest.
     :ivar changed: set once all results are there or one is a fault.
+    :ivar began_at: when it was first asked for.
     :ivar asked_at: when the owner was last known to have it.
     """
 
@@ -91,6 +92,7 @@
     start_by: float
     changed: threading.Event
     missing: set[int]
+    began_at: float
     owner: str = ""
     asked_at: float = 0.0
     made: dict[int, StageResult] = field(default_factory=dict)
@@ -152,7 +154,8 @@
         :param changed: set once all results are there or one is a fault.
         """
         numbers = {piece.number for piece in order.pieces}
-        opened = OpenOrder(order, start_by, changed, numbers)
+        began = self._clock.now()
+        opened = OpenOrder(order, start_by, changed, numbers, began)
         with self._lock:
             self._open[order.order_id] = opened
         refused = self._place(opened, scope)
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -16,6 +16,7 @@
 from boragestream.document.routes import PieceLimits, Route
 from boragestream.policy.piece_queue import PieceOrder
 from boragestream.policy.server_choice import near_results
+from boragestream.policy.stage_delays import StageDelays
 from boragestream.serving.forwarded_run import ForwardedRun
 from boragestream.serving.piece_orders import OpenOrder, PieceFailed, PieceOrders
 
@@ -38,6 +39,7 @@
     orders: PieceOrders
     clock: Clock
     numbers: itertools.count
+    delays: StageDelays
 
     def run(self, run: ForwardedRun) -> tuple[StageResult, ...] | Failure:
         """Run all stages; return the results that the last call reads."""
@@ -61,7 +63,7 @@
         self._results: dict[int, tuple[StageResult, ...]] = {}
         self._open: dict[int, OpenOrder] = {}
         self._released: set[int] = set()
-        self._after = seconds_after(run)
+        self._after = seconds_after(run, stages.delays)
 
     def finish(self) -> tuple[StageResult, ...] | Failure:
         """Run until every stage is done or one has failed."""
@@ -136,6 +138,8 @@
                     return failure
                 continue
             self._results[number] = opened.results
+            took = self._stages.clock.now() - opened.began_at
+            self._stages.delays.note(opened.order.service, took)
             self._stages.orders.end(self._open.pop(number))
             self._release_inputs()
         return None
@@ -154,18 +158,26 @@
         return counts[number] if number < len(counts) else 0
 
 
-def seconds_after(run: ForwardedRun) -> dict[int, float]:
-    """Return how long before the objective each stage must begin, in seconds."""
+def seconds_after(run: ForwardedRun, delays: StageDelays) -> dict[int, float]:
+    """Return how long before the objective each stage must begin, in seconds.
+
+    Of the stage itself its work alone counts; of those behind it their waits as well.
+    """
     stages = run.route.stages
     after: dict[int, float] = {}
+    # From the beginning of a stage's wait to the objective.
+    whole: dict[int, float] = {}
     for number in reversed(range(len(stages))):
         followers = [
-            n for n, s in enumerate(stages) if number in s.after and n in after
+            n for n, s in enumerate(stages) if number in s.after and n in whole
         ]
-        rest = max((after[n] for n in followers), default=MODEL_SECONDS)
-        service = run.table.services.get(stages[number].service)
-        limits = service.pieces if service is not None else None
-        after[number] = rest + (0.0 if limits is None else _usual_seconds(limits))
+        rest = max((whole[n] for n in followers), default=MODEL_SECONDS)
+        service = stages[number].service
+        known = run.table.services.get(service)
+        limits = known.pieces if known is not None else None
+        usual = 0.0 if limits is None else _usual_seconds(limits)
+        after[number] = rest + usual
+        whole[number] = rest + delays.expected(service, usual)
     return after
 
 
