Late orders that find no place are given up, and their callers told

Ruled out: giving them up at once; where places are left over, a late answer is still worth a fraction and costs little. Change: an order without a place is given up 0.5 s after its latest start, 1.5 s where earlier stages were done for it; shares admitted are 1, 0.9 and 0.8 by priority.

--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -22,17 +22,25 @@
     "choose_batch",
     "expected_wait",
     "is_admitted",
+    "is_hopeless",
 ]
 
 # How much of the time until its latest start an order may be expected to wait before it
 # is refused, by priority; what is less urgent is refused earlier.
-ADMITTED_SHARE = (1.0, 0.85, 0.6)
+ADMITTED_SHARE = (1.0, 0.9, 0.8)
 # An order goes before one that is more urgent by a level of priority only where its
 # latest start is so much earlier. Less, and a chain of several stages, which has little
 # time to spare, is served less often than less urgent requests of one stage.
 PRIORITY_SECONDS = 0.2
 
 
+# An order that is late takes places that are left over. One that finds none for so long
+# is given up; where earlier stages were done for it, a late answer is still worth more
+# than theirs thrown away.
+LATE_SECONDS = 0.5
+INVESTED_LATE_SECONDS = 1.5
+
+
 @dataclass(frozen=True, slots=True)
 class PieceOrder:
     """Pieces of one stage that one request needs.
@@ -146,6 +154,15 @@
     return wait <= share * left
 
 
+def is_hopeless(queued: QueuedOrder, now: float) -> bool:
+    """Tell whether an order has been late for so long that it is given up."""
+    order = queued.order
+    if len(queued.left) < len(order.pieces):
+        return False
+    patience = INVESTED_LATE_SECONDS if order.invested else LATE_SECONDS
+    return now > queued.start_by + patience
+
+
 def _waits_for_near(queued: QueuedOrder, room: ServerRoom) -> bool:
     """Tell whether an order should wait for a server beside its inputs.
 
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -16,6 +16,7 @@
     choose_batch,
     expected_wait,
     is_admitted,
+    is_hopeless,
 )
 from boragestream.policy.servers import Server
 
@@ -109,6 +110,17 @@
         for order_id in [k for k, q in self._orders.items() if now >= q.expires]:
             del self._orders[order_id]
 
+    def drop_late(self, now: float) -> list[QueuedOrder]:
+        """Drop and return the orders that are late and have found no place since.
+
+        A caller that is told now can come back in time, and is not kept waiting for an
+        answer that is worth a fraction.
+        """
+        late = [queued for queued in self._orders.values() if is_hopeless(queued, now)]
+        for queued in late:
+            del self._orders[queued.order.order_id]
+        return late
+
     def next_batches(
         self, limits: PieceLimits, usable: Sequence[Server], now: float
     ) -> list[Batch]:
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -150,15 +150,20 @@
             self._pump(service)
 
     def look_again(self) -> None:
-        """Drop orders that expired, and use servers that have come."""
+        """Drop orders that expired or are late, and use servers that have come."""
         now = self._parts.clock.now()
+        late: list[QueuedOrder] = []
         with self._lock:
             services = list(self._queues)
             for service in services:
                 self._queues[service].drop_expired(now)
+                late += self._queues[service].drop_late(now)
             for handle, (service, server) in list(self._makers.items()):
                 if not self._queues[service].holds(server, handle):
                     del self._makers[handle]
+        for queued in late:
+            pieces, given_up = queued.order.pieces, PieceResult("", PieceFault.LATE)
+            self._done(queued.order.order_id, [(p.number, given_up) for p in pieces])
         for service in services:
             self._pump(service)
 
