Failures are explained from logs and metrics; repeats go out on fresh connections

Cause: a failed request left one line, and no metric told of accounts, routes, attempts, stages or the age of what was believed. Beside a busy machine the test of extra answers failed once: both attempts of an idempotent call met a late extra answer on kept connections. Ruled out for the finding: answers given to another request; none was. Change: a line for the stages and for each chosen server with version, age of the list and time left; lines for ejected servers and owned queues; metrics as text by prometheus_client with bounded labels; boragestream explain; a repeat never uses a kept connection.

--- /dev/null
+++ b/boragestream/base/route_metrics.py
@@ -0,0 +1,164 @@
+"""Metrics of forwarded requests, served as text.
+
+Labels hold what the published routes name: client accounts, routes, services. Their
+number is bounded, and what comes beyond it is counted together, so that neither memory
+nor the time of a scrape can grow without end. Nothing is decided by them.
+"""
+
+import threading
+from collections.abc import Callable
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+__all__ = ["RouteMetrics"]
+
+# 730 client accounts and 8 pipelines of up to two dozen routes are the planned size.
+MOST_ACCOUNTS = 800
+MOST_ROUTES = 256
+MOST_SERVICES = 64
+OTHER = "other"
+# From a plain call on an idle server to the longest timeout of a stream.
+SECONDS = (0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
+AGE_SECONDS = (0.1, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 60.0)
+
+
+class _Bounded:
+    """Label values, up to so many different ones."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._known: set[str] = set()
+        self._lock = threading.Lock()
+
+    def __call__(self, value: str) -> str:
+        """Return the value, or the one for all others."""
+        if value in self._known:
+            return value
+        with self._lock:
+            if len(self._known) >= self._most:
+                return OTHER
+            self._known.add(value)
+        return value
+
+
+class RouteMetrics:
+    """The metrics of one entry."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._account = _Bounded(MOST_ACCOUNTS)
+        self._route = _Bounded(MOST_ROUTES)
+        self._service = _Bounded(MOST_SERVICES)
+        registry = self._registry
+        self._requests = Counter(
+            "boragestream_requests",
+            "Requests that ended, by outcome and reason.",
+            ["route", "outcome", "reason"],
+            registry=registry,
+        )
+        self._accounts = Histogram(
+            "boragestream_account_seconds",
+            "Time of a request from its first byte to its end, by client account.",
+            ["account"],
+            buckets=SECONDS,
+            registry=registry,
+        )
+        self._routes = Histogram(
+            "boragestream_route_seconds",
+            "Time of a request from its first byte to its end, by route.",
+            ["route"],
+            buckets=SECONDS,
+            registry=registry,
+        )
+        self._attempts = Counter(
+            "boragestream_attempts",
+            "Attempts at servers, by how they ended.",
+            ["service", "end"],
+            registry=registry,
+        )
+        self._first = Histogram(
+            "boragestream_first_seconds",
+            "Time of an attempt to its whole answer or first event, by service.",
+            ["service"],
+            buckets=SECONDS,
+            registry=registry,
+        )
+        self._stages = Histogram(
+            "boragestream_stage_seconds",
+            "Time of a stage from its order to its results, by service.",
+            ["service"],
+            buckets=SECONDS,
+            registry=registry,
+        )
+        self._batches = Counter(
+            "boragestream_batches",
+            "Calls of stage servers made as the owner of a queue.",
+            ["service", "end"],
+            registry=registry,
+        )
+        self._pieces = Counter(
+            "boragestream_pieces",
+            "Pieces in these calls.",
+            ["service"],
+            registry=registry,
+        )
+        self._list_age = Histogram(
+            "boragestream_server_list_age_seconds",
+            "Age of the server list when a server was chosen.",
+            buckets=AGE_SECONDS,
+            registry=registry,
+        )
+
+    def gauge(self, name: str, meaning: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read with each scrape."""
+        gauge = Gauge(f"boragestream_{name}", meaning, registry=self._registry)
+        gauge.set_function(read)
+
+    def request_ended(
+        self, account: str, route: str, outcome: str, reason: str, seconds: float
+    ) -> None:
+        """Count a request.
+
+        :param reason: the code of its failure; empty for none.
+        """
+        route = self._route(route)
+        self._requests.labels(route, outcome, reason).inc()
+        self._accounts.labels(self._account(account)).observe(seconds)
+        self._routes.labels(route).observe(seconds)
+
+    def server_chosen(self, list_age: float) -> None:
+        """Count a choice of a server.
+
+        :param list_age: the seconds since the server list was last confirmed.
+        """
+        self._list_age.observe(list_age)
+
+    def attempt_ended(self, service: str, end: str, first: float | None) -> None:
+        """Count an attempt.
+
+        :param first: seconds to its whole answer or first event; None for neither.
+        """
+        service = self._service(service)
+        self._attempts.labels(service, end).inc()
+        if first is not None:
+            self._first.labels(service).observe(first)
+
+    def stage_ended(self, service: str, seconds: float) -> None:
+        """Count a stage whose results are there."""
+        self._stages.labels(self._service(service)).observe(seconds)
+
+    def batch_ended(self, service: str, end: str, pieces: int) -> None:
+        """Count a call of a stage server."""
+        service = self._service(service)
+        self._batches.labels(service, end).inc()
+        self._pieces.labels(service).inc(pieces)
+
+    def text(self) -> str:
+        """Return all metrics as text."""
+        return generate_latest(self._registry).decode()
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -23,8 +23,8 @@
     NoConfiguration,
     QueueFull,
 )
-from boragestream.base.observations import Observations
 from boragestream.base.outcomes import Failed, Failure, Refused, Unknown
+from boragestream.base.route_metrics import RouteMetrics
 from boragestream.caller.connections import ARRIVED, RAW_HEADERS, STOP_WAITING
 from boragestream.caller.failures import BodyTooLong
 from boragestream.caller.replies import StartResponse
@@ -106,7 +106,7 @@
     format: RequestFormat
     watchdog: Watchdog
     clock: Clock
-    observations: Observations
+    metrics: RouteMetrics
     refusing: Callable[[], bool]
     in_hand: "InHand"
     limit: int
@@ -232,12 +232,16 @@
         """Log and count how a request ended."""
         seconds = self.clock.now() - run.arrived
         account = run.account or "none"
-        self.observations.request_ended(account, run.route.name, outcome, seconds)
+        reason = failure.code if failure is not None else ""
+        route = run.route.name
+        self.metrics.request_ended(account, route, outcome, reason, seconds)
         emit(
             Event.REQUEST_ENDED,
             request=run.request.request_id,
             account=account,
-            pipeline=run.route.name,
+            pipeline=route,
+            service=run.service,
+            version=run.table.version,
             outcome=outcome,
             status=status,
             milliseconds=int(seconds * 1000),
--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -33,6 +33,7 @@
     :ivar watch_seconds: how long one watch may wait.
     :ivar take: takes the values by key after each change.
     :ivar unreachable: the event to log where the store gives no answer.
+    :ivar confirmed: called with each answer, also where nothing has changed.
     """
 
     store: PublishedStore
@@ -43,6 +44,7 @@
     unreachable: Event
     stopping: threading.Event
     rng: random.Random
+    confirmed: Callable[[], None] = lambda: None
 
     def run(self) -> None:
         """Read and watch until the entry stops."""
@@ -73,6 +75,7 @@
 
     def _take(self, answer: Snapshot | Changes) -> int:
         self.table.note_answer()
+        self.confirmed()
         changed = isinstance(answer, Snapshot) or bool(answer.changes)
         if isinstance(answer, Snapshot):
             self.table.take_snapshot(answer)
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -85,7 +85,9 @@
         self._stop = GracefulStop(stop, clock)
         self._refusing = threading.Event()
         self._ended = threading.Event()
+        self._in_hand = InHand()
         self._tasks = BackgroundTasks()
+        self._add_gauges()
         self._server = self._open_callers()
         self._directory = self._open_directory()
         self._listener = PeerListener(
@@ -159,9 +161,9 @@
             format=_RequestFormat(),
             watchdog=parts.watchdog,
             clock=self._clock,
-            observations=parts.observations,
+            metrics=parts.metrics,
             refusing=self._refusing.is_set,
-            in_hand=InHand(),
+            in_hand=self._in_hand,
             limit=settings.resources.threads - SPARE_THREADS,
         )
         address, _, port = settings.listen.callers.rpartition(":")
@@ -179,6 +181,7 @@
             addresses=self._addresses,
             keep_seconds=KEEP_SECONDS,
             rng=random.Random(),
+            metrics=self._parts.metrics.text,
             metrics_path=listen.metrics_path if listen.metrics else "",
         )
         addresses = dict.fromkeys([listen.ready, listen.directory, listen.metrics])
@@ -190,6 +193,19 @@
             asyncore_use_poll=True,
         )
 
+    def _add_gauges(self) -> None:
+        parts, gauge = self._parts, self._parts.metrics.gauge
+        gauge("in_hand", "Requests in hand.", lambda: self._in_hand.count)
+        gauge("servers", "Servers listed.", lambda: len(parts.servers.all))
+        gauge("entries", "Entries that serve.", lambda: len(parts.serving_entries()))
+        gauge("server_list_age", "Seconds since confirmed.", parts.list_heard.age)
+
+        def version() -> float:
+            current = parts.routes.current
+            return current.version if current is not None else 0
+
+        gauge("version", "Version of the routes in force; 0 for none.", version)
+
     def _publication(self, prefix: str, take: object) -> Publication:
         store = self._settings.store
         servers = prefix == SERVERS_PREFIX
@@ -206,6 +222,7 @@
             ),
             stopping=self._ended,
             rng=self._parts.rng,
+            confirmed=self._parts.list_heard.confirm if servers else lambda: None,
         )
 
     def _apply_limits(self, table: RouteTable) -> None:
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -14,7 +14,7 @@
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, emit
 from boragestream.base.identifiers import new_incarnation
-from boragestream.base.observations import Observations
+from boragestream.base.route_metrics import RouteMetrics
 from boragestream.base.route_settings import RouteSettings
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.tasks import OFFER_EVENTS, to_leaving
@@ -72,6 +72,25 @@
     read_piece_results = staticmethod(read_piece_results)
 
 
+class ListHeard:
+    """When the server list was last confirmed by the platform.
+
+    :param clock: the clock of ages.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._heard_at = clock.now()
+
+    def confirm(self) -> None:
+        """Take that the platform answered."""
+        self._heard_at = self._clock.now()
+
+    def age(self) -> float:
+        """Return the seconds since then."""
+        return self._clock.now() - self._heard_at
+
+
 @dataclass(frozen=True, slots=True)
 class RouteParts:
     """The parts of one entry.
@@ -79,6 +98,7 @@
     :ivar incarnation: this life of the entry.
     :ivar book: the addresses of the other entries.
     :ivar members: how the other entries are.
+    :ivar list_heard: when the server list was last confirmed.
     :ivar orders: the pieces of this entry's requests.
     :ivar batches: the queues of pieces that this entry owns.
     """
@@ -91,7 +111,8 @@
     servers: ServerTable
     loads: LoadTable
     watchdog: Watchdog
-    observations: Observations
+    metrics: RouteMetrics
+    list_heard: "ListHeard"
     sender: Sender
     book: AddressBook
     members: EntryPeers
@@ -128,6 +149,7 @@
 
     def take_servers(self, values: dict[str, bytes]) -> None:
         """Take the backend servers that the platform published."""
+        before = {server.name for server in self.servers.all}
         servers = []
         for key, value in values.items():
             server = read_server(key, value)
@@ -138,7 +160,13 @@
         self.members.take_servers(tuple(to_leaving(server) for server in servers))
         self.servers.take_list(servers)
         self.loads.take_list(servers)
-        emit(Event.INSTANCES_CHANGED, instances=len(servers))
+        now = {server.name for server in servers}
+        emit(
+            Event.INSTANCES_CHANGED,
+            instances=len(servers),
+            added=sorted(now - before),
+            removed=sorted(before - now),
+        )
         self.batches.look_again()
 
 
@@ -195,9 +223,11 @@
         known = table.services.get(service) if table is not None else None
         return known.pieces if known is not None else None
 
+    metrics = RouteMetrics()
+    heard = ListHeard(clock)
     orders = PieceOrders(own, live, links, clock)
     batch_parts = BatchParts(
-        line, _PieceCalls(), servers, loads, retries, watchdog, clock, limits
+        line, _PieceCalls(), servers, loads, retries, watchdog, clock, metrics, limits
     )
     batches = PieceBatches(batch_parts, orders.done)
     orders.join(batches)
@@ -210,10 +240,16 @@
             choice=ServerChoice(loads, clock, centre),
             retries=retries,
             stages=StagePieces(
-                orders, clock, itertools.count(), StageDelays(clock.now)
+                orders,
+                clock,
+                itertools.count(),
+                StageDelays(clock.now),
+                metrics,
             ),
             clock=clock,
             rng=rng,
+            metrics=metrics,
+            list_age=heard.age,
         )
     )
     return RouteParts(
@@ -225,7 +261,8 @@
         servers=servers,
         loads=loads,
         watchdog=watchdog,
-        observations=Observations(clock),
+        metrics=metrics,
+        list_heard=heard,
         sender=sender,
         book=book,
         members=members,
--- a/boragestream/operator/command.py
+++ b/boragestream/operator/command.py
@@ -12,6 +12,7 @@
   boragestream replay TRACE --entry=LIST --keys=FILE [--speed=FACTOR]
                       [--callers=N] [--results=FILE] [--json]
   boragestream report FILE... [--json]
+  boragestream explain REQUEST FILE... [--json]
   boragestream --help
   boragestream --version
 
@@ -22,6 +23,7 @@
   entries  Print which entries the client account is told to use.
   call     Make one request. TEXT is sent as a JSON string.
   replay   Send a recorded trace at its recorded times; compare with its statement.
+  explain  Print one request's story from entries' logs; - for standard input.
   report   Print a Markdown report of results of replays, or of entries' logs.
 
 Options:
@@ -59,6 +61,7 @@
 from boragestream.operator.client import Client
 from boragestream.operator.entries import print_entries
 from boragestream.operator.exits import ExitCode
+from boragestream.operator.explain import explain_files
 from boragestream.operator.keys import (
     ACCOUNT_KEY_VARIABLE,
     OPERATOR_KEY_VARIABLE,
@@ -92,6 +95,7 @@
         "call": _call,
         "replay": _replay,
         "report": _report,
+        "explain": _explain,
     }
     run = next(run for name, run in commands.items() if arguments[name])
     try:
@@ -176,6 +180,11 @@
     return report_files(paths, arguments["--json"])
 
 
+def _explain(arguments: Arguments) -> ExitCode:
+    names = arguments["FILE"]
+    return explain_files(arguments["REQUEST"], names, arguments["--json"])
+
+
 def _path(arguments: Arguments) -> Path:
     return Path(arguments["FILE"][0])
 
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -4,7 +4,7 @@
 """
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -20,11 +20,13 @@
     open_forwarded_call,
 )
 from boragestream.base.clock import Clock
+from boragestream.base.route_metrics import RouteMetrics
 from boragestream.document.calls import AnswerHead, CallHead, ForwardedRequest
 from boragestream.policy.load import CallEnd, LoadTable
 from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.server_choice import ServerChoice
 from boragestream.policy.servers import Server, ServerTable
+from boragestream.serving.ejections import note_ejection
 from boragestream.serving.forwarded_run import ForwardedRun
 from boragestream.serving.stage_pieces import StagePieces
 
@@ -42,7 +44,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardParts:
-    """What forwarding needs of the entry."""
+    """What forwarding needs of the entry.
+
+    :ivar list_age: returns the seconds since the server list was last confirmed.
+    """
 
     line: CallLine
     encode: EncodeCall
@@ -53,6 +58,8 @@
     stages: StagePieces
     clock: Clock
     rng: random.Random
+    metrics: RouteMetrics
+    list_age: Callable[[], float]
 
 
 class ForwardAttempt:
@@ -82,9 +89,14 @@
         return self._answer.head
 
     def open(
-        self, inputs: tuple[str, ...], last_event: int | None
+        self, inputs: tuple[str, ...], last_event: int | None, repeat: bool
     ) -> OpenForwardedAnswer | AttemptFailure:
-        """Send the request; return the open answer or why there is none."""
+        """Send the request; return the open answer or why there is none.
+
+        :param repeat: whether it may have run already. A repeat goes out on a fresh
+            connection: what spoilt the first attempt, such as an extra answer that
+            came late, may lie in wait on other kept connections too.
+        """
         run, server = self._run, self._server
         request = run.request
 
@@ -100,7 +112,7 @@
             )
             return self._parts.encode(request, call, request.host_header) + request.body
 
-        fresh = not run.route.repeatable
+        fresh = repeat or not run.route.repeatable
         call = OutgoingCall(request.method, request.request_id, encode, fresh)
         try:
             answer = open_forwarded_call(self._parts.line, server, call, self._scope)
@@ -145,6 +157,12 @@
             seconds = parts.clock.now() - self._began
             kind = self._run.route.name
             parts.loads.end(self._server, self._number, end, seconds, kind)
+            if end is CallEnd.ANSWERED:
+                self._first_seconds = seconds
+            elif end is not CallEnd.CANCELLED:
+                note_ejection(parts.loads, self._server, parts.clock.now())
+        service, first = self._run.service, self._first_seconds
+        parts.metrics.attempt_ended(service, end.name.lower(), first)
 
     def close(self) -> None:
         """Drop the answer where it is not read to its end."""
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -132,7 +132,7 @@
                 return
             attempt = ForwardAttempt(self._parts, self._run, server)
             handles = tuple(result.handle for result in self._inputs)
-            result = attempt.open(handles, self._splitter.last)
+            result = attempt.open(handles, self._splitter.last, self._runs > 0)
             if isinstance(result, AttemptFailure):
                 if not self._may_go_on(result):
                     self._give_inputs_up()
@@ -223,8 +223,26 @@
             server = choice.plain(live, avoid)
         if server is not None:
             self._tried.add(server.name)
+            self._note_choice(server, len(live))
         return server
 
+    def _note_choice(self, server: Server, live: int) -> None:
+        run, parts = self._run, self._parts
+        age = parts.list_age()
+        parts.metrics.server_chosen(age)
+        emit(
+            Event.SERVER_CHOSEN,
+            request=run.request.request_id,
+            service=run.service,
+            server=server.name,
+            of=live,
+            open_calls=parts.choice.open_calls.count(server),
+            attempt=self._runs + self._refusals + 1,
+            version=run.table.version,
+            list_age_ms=int(age * 1000),
+            left_ms=int((run.scope.deadline - parts.clock.now()) * 1000),
+        )
+
     def _note_failure(self, failure: Failure) -> None:
         self._failure = failure
         request = self._run.request.request_id
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -27,6 +27,7 @@
 )
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, describe_error, emit
+from boragestream.base.route_metrics import RouteMetrics
 from boragestream.document.calls import Piece, PieceFault, PieceResult, RunClaim
 from boragestream.document.routes import PieceLimits
 from boragestream.policy.candidates import RoutingNeed, usable_servers
@@ -36,6 +37,7 @@
 from boragestream.policy.server_choice import WITHOUT
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.service_queue import Batch, ServiceQueue
+from boragestream.serving.ejections import note_ejection
 
 __all__ = ["BatchParts", "PieceBatches", "PieceDone", "PieceFormat"]
 
@@ -79,6 +81,7 @@
     retries: RetryWindows
     watchdog: Watchdog
     clock: Clock
+    metrics: RouteMetrics
     limits: Callable[[str], PieceLimits | None]
 
 
@@ -117,7 +120,10 @@
         )
         usable = self._usable(order.service)
         with self._lock:
-            queue = self._queues.setdefault(order.service, ServiceQueue())
+            if order.service not in self._queues:
+                self._queues[order.service] = ServiceQueue()
+                emit(Event.QUEUE_OWNED, service=order.service)
+            queue = self._queues[order.service]
             wait = queue.submit(queued, limits, usable, now)
         if wait is None:
             self._pump(order.service)
@@ -199,6 +205,10 @@
             seconds = parts.clock.now() - began
             kind = str(len(batch.pieces))
             parts.loads.end(batch.server, number, end, seconds, kind)
+            name = end.name.lower()
+            parts.metrics.batch_ended(service, name, len(batch.pieces))
+            if end is not CallEnd.ANSWERED:
+                note_ejection(parts.loads, batch.server, parts.clock.now())
             self._end(service, batch, result)
         self._pump(service)
 
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -10,8 +10,10 @@
 from dataclasses import dataclass
 
 from boragestream.base.clock import Clock
+from boragestream.base.events import Event, emit
 from boragestream.base.failures import DeadlinePassed
 from boragestream.base.outcomes import Failure
+from boragestream.base.route_metrics import RouteMetrics
 from boragestream.document.calls import Piece, StageResult
 from boragestream.document.routes import PieceLimits, Route
 from boragestream.policy.piece_queue import PieceOrder
@@ -40,6 +42,7 @@
     clock: Clock
     numbers: itertools.count
     delays: StageDelays
+    metrics: RouteMetrics
 
     def run(self, run: ForwardedRun) -> tuple[StageResult, ...] | Failure:
         """Run all stages; return the results that the last call reads."""
@@ -63,6 +66,7 @@
         self._results: dict[int, tuple[StageResult, ...]] = {}
         self._open: dict[int, OpenOrder] = {}
         self._released: set[int] = set()
+        self._done: list[dict[str, object]] = []
         self._after = seconds_after(run, stages.delays)
 
     def finish(self) -> tuple[StageResult, ...] | Failure:
@@ -74,6 +78,7 @@
         finally:
             for opened in self._open.values():
                 self._stages.orders.end(opened)
+        self._log(failure)
         if failure is not None:
             for number, results in self._results.items():
                 if number not in self._released:
@@ -82,6 +87,18 @@
         last = _last_stages(self._run.route)
         return tuple(r for number in last for r in self._results[number])
 
+    def _log(self, failure: Failure | None) -> None:
+        run = self._run
+        slack = run.objective_at - self._stages.clock.now()
+        emit(
+            Event.STAGES_DONE,
+            request=run.request.request_id,
+            version=run.table.version,
+            stages=self._done,
+            slack_ms=int(slack * 1000),
+            failure=failure.describe() if failure is not None else None,
+        )
+
     def _begin_ready(self) -> Failure | None:
         for number, stage in enumerate(self._run.route.stages):
             known = number in self._results or number in self._open
@@ -140,6 +157,16 @@
             self._results[number] = opened.results
             took = self._stages.clock.now() - opened.began_at
             self._stages.delays.note(opened.order.service, took)
+            self._stages.metrics.stage_ended(opened.order.service, took)
+            self._done.append(
+                {
+                    "stage": number,
+                    "service": opened.order.service,
+                    "owner": opened.owner,
+                    "pieces": len(opened.order.pieces),
+                    "milliseconds": int(took * 1000),
+                }
+            )
             self._stages.orders.end(self._open.pop(number))
             self._release_inputs()
         return None
--- /dev/null
+++ b/tests/features/explaining.feature
@@ -0,0 +1,29 @@
+Feature: a failed request is explained from logs and metrics alone
+
+  @fixture.route-site.2
+  Scenario: three kinds of failure are traced from their ids to their causes
+    When a calm request and a calm staged one are sent
+    Then they logged 2 lines and 3 lines
+    When an unsafe request is sent whose server breaks its answer off
+    Then explaining it names the server and "answer-cut", and that it may have run
+    When a staged request is sent that no stage server can make in time
+    Then explaining it names the service and "stage-saturated"
+    When a stream is cut because its entry is killed
+    Then explaining it says that no line tells of its end
+    And the metrics count the requests by outcome and reason, the attempts and the stages
+    And the metrics tell the version in force and the age of the server list
+
+  Scenario: damaged lines are skipped and counted, and lines of others left out
+    Given a log with the request "r-1", a damaged line and another request
+    Then the story of "r-1" has 2 lines, the version 7 in force and 1 damaged line
+    And the story of "r-9" is empty and the command says so
+
+  Scenario: a reader that does not read does not hold a request up
+    Given a log writer whose pipe nobody reads
+    When 10000 lines of successes and 100 of failures are logged
+    Then logging took no longer than its buffer, and what was dropped is counted
+    And once the pipe is read every failure is there
+
+  Scenario: labels are bounded
+    Given metrics that saw 2000 client accounts and 1000 routes
+    Then their text names at most 801 accounts and 257 routes
--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -5,6 +5,8 @@
 
 import http.client
 import json
+import os
+import random
 import re
 import signal
 import sys
@@ -20,7 +22,7 @@
 
 ADDRESS = "127.0.0.1"
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "entry.toml"
-PLACEHOLDER = re.compile(r"\{\{([a-z_.]+)\|json\}\}")
+PLACEHOLDER = re.compile(r"\{\{([a-z_.]+)(\|json)?\}\}")
 KEY = "key-of-a-caller-0123456789"
 HOST = "site.example"
 ZONES = ("hall-a", "hall-b", "hall-c")
@@ -33,7 +35,7 @@
         found = fields
         for part in match.group(1).split("."):
             found = found[part]
-        return json.dumps(found)
+        return json.dumps(found) if match.group(2) else str(found)
 
     return PLACEHOLDER.sub(value, template)
 
@@ -151,12 +153,15 @@
 
     def add_entry(self, name, zone, ports):
         """Make an entry; the first one is everybody's seed."""
+        hosts = iter(random.sample(range(1, 250), 1))
         kinds = ("front", "ready", "directory", "control")
         listen = {kind: f"{ADDRESS}:{next(ports)}" for kind in kinds}
         seed = next(iter(self.fields.values()), {"listen": listen})["listen"]["control"]
         self.fields[name] = {
             "node": name,
             "zone": zone,
+            # The metrics' port is fixed, so that each entry has an address of its own.
+            "ip": f"127.{os.getpid() % 200 + 20}.{len(self.fields)}.{next(hosts)}",
             "listen": listen,
             "seeds": [seed],
             "platform": {"addr": self.store.address},
