--- a/boragestream/base/metrics.py
+++ b/boragestream/base/metrics.py
@@ -1,6 +1,6 @@
 """Metrics towards statsd over UDP; they never block and never fail.
 
-A datagram that can't be sent is dropped. The names are listed in docs/OPERATING.md.
+A datagram that can't be sent is dropped. The names are listed in docs/OPERATIONS.md.
 """
 
 import contextlib
--- a/boragestream/operator/exits.py
+++ b/boragestream/operator/exits.py
@@ -1,4 +1,4 @@
-"""The exit codes of the command line; docs/OPERATING.md lists them too."""
+"""The exit codes of the command line; docs/OPERATIONS.md lists them too."""
 
 import enum
 
--- a/boragestream/operator/trace.py
+++ b/boragestream/operator/trace.py
@@ -1,6 +1,6 @@
 """Recorded traces: JSON lines, one request a line, with its stated outcomes.
 
-docs/OPERATING.md documents the format for people. Sending them is left to
+docs/OPERATIONS.md documents the format for people. Sending them is left to
 ``operator.replay``.
 """
 
--- a/tests/features/documentation.feature
+++ b/tests/features/documentation.feature
@@ -7,7 +7,7 @@
   Scenario: docs/CALLERS.md lists each failure that a caller can be told
     Then each failure has a row there, with the status that a refusal has
 
-  Scenario: docs/OPERATING.md lists the exit codes and the metrics
+  Scenario: docs/OPERATIONS.md lists the exit codes and the metrics
     Then its exit codes are those of the two programs
     And its metrics are those that the code sends
 
--- a/tests/features/steps/documentation.py
+++ b/tests/features/steps/documentation.py
@@ -91,9 +91,9 @@
 
 @then("its exit codes are those of the two programs")
 def step(context):
-    rows = section("OPERATING.md", "Stop and replace")
+    rows = section("OPERATIONS.md", "Stop and replace")
     assert {int(row[0]) for row in rows} == {1, *EntryExitCode}, rows
-    rows = section("OPERATING.md", "See what it does")
+    rows = section("OPERATIONS.md", "See what it does")
     assert {int(row[0]) for row in rows} == set(ExitCode), rows
 
 
@@ -115,14 +115,14 @@
 
 @then("its metrics are those that the code sends")
 def step(context):
-    rows = section("OPERATING.md", "Metrics")
+    rows = section("OPERATIONS.md", "Metrics")
     metrics = Names()
     observations = Observations(SystemClock(), metrics)
     observations.request_ended("ACCOUNT", "PIPELINE", "OUTCOME", 0.1)
     observations.attempt_ended("PIPELINE", "STAGE", True, 0.1)
     observations.attempt_ended("PIPELINE", "STAGE", False, 0.1)
     assert {row[0].strip("`") for row in rows} == metrics.names, metrics.names
-    assert PREFIX in (ROOT / "docs" / "OPERATING.md").read_text()
+    assert PREFIX in (ROOT / "docs" / "OPERATIONS.md").read_text()
 
 
 @then("each relative link in a page names a file")
