--- /dev/null
+++ b/tests/features/steps/standins_strikes.py
@@ -0,0 +1,85 @@
+"""Steps on strikes, against an entry that answers by script."""
+
+import tempfile
+import threading
+from pathlib import Path
+from types import SimpleNamespace
+
+from behave import given, then
+
+from tests.standins.http import Handler, Server
+from tests.standins.strikes import MAX_TRIES, strike
+from tests.standins.verdicts import Injected
+
+DOCUMENT = {"pipelines": [{"name": "p", "stages": [{"name": "s", "service": "v"}]}]}
+REFUSED = {
+    "type": "urn:boragestream:refused:cannot-meet-deadline",
+    "title": "no time",
+    "status": 503,
+    "outcome": "refused",
+    "request_id": "r",
+    "failure": {"left_ms": -1, "needed_ms": 0},
+    "retry_after_ms": 5,
+}
+
+
+def entry(context, refusals, takes=True):
+    """Start an entry that refuses some calls; return the context of a strike."""
+    folder = Path(tempfile.mkdtemp())
+    made = []
+
+    class Entry(Handler):
+        """Refuses at once, then takes the fault that waits."""
+
+        def post(self, path, body):
+            """Answer a call."""
+            made.append(path)
+            if len(made) <= refusals:
+                self.reply(REFUSED, 503)
+                return
+            if takes:
+                (folder / "fault.json").unlink(missing_ok=True)
+            self.reply({"request_id": "r", "outcome": "answered", "result": 1})
+
+    def inject_call(service, text, *faults):
+        path = folder / "fault.json"
+        path.write_text("{}")
+        return [path]
+
+    server = Server(("127.0.0.1", 0), Entry)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    context.struck = SimpleNamespace(
+        fleet=SimpleNamespace(document=DOCUMENT, inject_call=inject_call),
+        injected=Injected(),
+        calls=[],
+        scenario=SimpleNamespace(name="scenario"),
+    )
+    context.made = made
+    context.address = f"127.0.0.1:{server.server_address[1]}"
+
+
+@given("an entry that refuses {refusals:d} calls at once and then serves")
+def step(context, refusals):
+    entry(context, refusals)
+
+
+@given("an entry that serves and a fault that nothing takes")
+def step(context):
+    entry(context, 0, takes=False)
+
+
+@then("a strike of one fault strikes within its calls, and keeps each of them")
+def step(context):
+    strike(context.struck, "p", "s", "whole", [{"fault": "cut"}], context.address)
+    assert len(context.struck.calls) == len(context.made)
+    assert context.struck.calls[-1].outcome == "answered"
+
+
+@then("a strike of one fault fails after its tries")
+def step(context):
+    try:
+        strike(context.struck, "p", "s", "whole", [{"fault": "cut"}], context.address)
+    except AssertionError:
+        assert len(context.made) == MAX_TRIES
+        return
+    raise AssertionError("the strike says that it struck")
--- a/tests/standins/strikes.py
+++ b/tests/standins/strikes.py
@@ -4,12 +4,16 @@
 import itertools
 import signal
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 from tests.standins.verdicts import Call
 
 SIDE_BY_SIDE = 16
 MAX_TRIES = 4
+# Far longer than servers are frozen or an entry holds a past load against calls.
+STRIKE_SECONDS = 30.0
+REFUSED_PAUSE_SECONDS = 0.1
 # Faults that end by the deadline get a short one; they outlast it by far.
 SHORT_MS = 700
 LONG_MS = 3000
@@ -31,7 +35,9 @@
     fleet = context.fleet
     service = service_of(fleet.document, pipeline, stage)
     waits = any(fault["fault"] in WAITING for fault in faults)
-    for _ in range(MAX_TRIES):
+    until = time.monotonic() + STRIKE_SECONDS
+    tries = 0
+    while tries < MAX_TRIES and time.monotonic() < until:
         call = Call(pipeline, context.injected.text(), form == "streamed")
         call.deadline_ms = SHORT_MS if waits else LONG_MS
         call.faults = (stage, *faults)
@@ -49,6 +55,12 @@
             )
         if struck:
             return
+        # A call that is refused at once meets no server, so that it can't strike one.
+        # Beside frozen servers an entry refuses many in a moment.
+        if call.outcome == "refused":
+            time.sleep(REFUSED_PAUSE_SECONDS)
+        else:
+            tries += 1
     raise AssertionError(f"{faults} never struck {stage} of {pipeline}: {call}")
 
 
