--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -197,7 +197,8 @@
             start_response(_status(answer.head.status, answer.head.reason), headers)
             return [answer.body]
         outcome = outcome_of(run, answer)
-        self.log_end(run, type(outcome).__name__.lower(), 0, answer)
+        name, status = type(outcome).__name__.lower(), _own_status(outcome)
+        self.log_end(run, name, int(status), answer)
         return self._own_answer(start_response, request_id, outcome)
 
     def _own_answer(
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
-from boragestream.document.calls import Piece, PieceResult
+from boragestream.document.calls import Piece, PieceFault, PieceResult
 from boragestream.document.routes import PieceLimits
 from boragestream.policy.piece_queue import (
     QueuedOrder,
@@ -26,6 +26,8 @@
 # A server that did not take a call is full or out of reach. Asked again at once it says
 # the same, a thousand times a second where it is the only one left.
 REFUSED_PAUSE_SECONDS = 0.1
+# A result is given up as soon as the next call has read it, mostly within this time.
+NO_ROOM_SECONDS = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,9 +163,16 @@
             state.paused_until = now + REFUSED_PAUSE_SECONDS
         state.coming = max(0.0, state.coming - batch.result_bytes)
         until = now + batch.limits.result_seconds
-        for (queued, _), result in zip(batch.pieces, results or (), strict=False):
+        for (queued, piece), result in zip(batch.pieces, results or (), strict=False):
+            size = queued.order.result_bytes
             if result.handle:
-                state.held[result.handle] = (queued.order.result_bytes, until)
+                state.held[result.handle] = (size, until)
+            elif result.fault is PieceFault.NO_ROOM:
+                # Results of which this queue knows nothing, such as those of an
+                # earlier owner, take up the place.
+                unknown = f"{piece.request_id}/{piece.stage}/{piece.number}"
+                state.held[unknown] = (size, now + NO_ROOM_SECONDS)
+                state.paused_until = now + REFUSED_PAUSE_SECONDS
 
     def put_back(self, order_id: str, piece: Piece) -> bool:
         """Have a piece made once more; False where nobody awaits its order."""
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -289,9 +289,10 @@
     def _goes_back(self, service: str, done: PieceResult | None, ran: bool) -> bool:
         if done is None:
             return not ran or self._parts.retries.spend(service)
-        if done.fault in (PieceFault.NO_ROOM, PieceFault.ERROR):
-            return self._parts.retries.spend(service)
-        return False
+        if done.fault is PieceFault.NO_ROOM:
+            # Nothing was made, so that it is no repeat.
+            return True
+        return done.fault is PieceFault.ERROR and self._parts.retries.spend(service)
 
     def _release(self, server: Server, handles: tuple[str, ...]) -> None:
         parts = self._parts
--- a/tests/features/piece_queue.feature
+++ b/tests/features/piece_queue.feature
@@ -54,6 +54,13 @@
   Scenario: an order whose earlier stages are done is never refused
     Then an order with earlier results, 0.1 s left and a wait of 9 s is taken
 
+  Scenario: pieces that found no room wait until there may be some
+    Given stage servers with a batch of 4 and room for 4 results
+    And a queue with the order "a" of 2 pieces and one server
+    When the server answers that there is no room for them
+    Then the pieces wait, and the server gets none of them at once
+    And it gets them once what takes its room has had time to go
+
   Scenario: the wait is that of the calls ahead
     Then with a free server an order waits 0 s
     And behind 8 pieces at 2 busy servers with a batch of 4 it waits three calls of two
--- a/tests/features/steps/forwarded_path.py
+++ b/tests/features/steps/forwarded_path.py
@@ -251,7 +251,8 @@
 def step(context):
     # The stand-in would be at work for several seconds; its entry logs the end.
     def ended():
-        return [e for e in context.site.events() if e.get("request") == "leaver"]
+        mine = [e for e in context.site.events() if e.get("request") == "leaver"]
+        return [event for event in mine if event["name"] == "request_ended"]
 
     last = wait_until(ended, what="the end of the request")[-1]
     assert last["outcome"] == "abandoned", last
--- a/tests/features/steps/piece_queue.py
+++ b/tests/features/steps/piece_queue.py
@@ -1,10 +1,11 @@
 """Steps on the queue of pieces, without a process."""
 
 import math
+from dataclasses import replace
 
-from behave import given, then
+from behave import given, then, when
 
-from boragestream.document.calls import Piece
+from boragestream.document.calls import Piece, PieceFault, PieceResult
 from boragestream.document.routes import PieceLimits
 from boragestream.policy.piece_queue import (
     PieceOrder,
@@ -15,6 +16,8 @@
     is_admitted,
     is_hopeless,
 )
+from boragestream.policy.servers import Server
+from boragestream.policy.service_queue import ServiceQueue
 
 RESULT_BYTES = 10.0
 
@@ -98,6 +101,41 @@
     assert is_admitted(order("a", priority=2, invested=True), wait, left)
 
 
+@given('a queue with the order "{name}" of {count:d} pieces and one server')
+def step(context, name, count):
+    context.limits = replace(context.limits, memory_mb=context.room / 1e6)
+    context.service_queue = ServiceQueue()
+    context.server = Server("s", "service", "10.0.0.1:80", "hall", "s")
+    waiting = queued(order(name, count), 200.0)
+    context.service_queue.submit(waiting, context.limits, [context.server], 100.0)
+
+
+def batches(context, now):
+    """Return what the server is given."""
+    queue = context.service_queue
+    return queue.next_batches(context.limits, [context.server], now)
+
+
+@when("the server answers that there is no room for them")
+def step(context):
+    (batch,) = batches(context, 100.0)
+    results = [PieceResult("", PieceFault.NO_ROOM)] * len(batch.pieces)
+    context.service_queue.end(batch, results, True, 100.1)
+    for waiting, piece in batch.pieces:
+        context.service_queue.put_back(waiting.order.order_id, piece)
+
+
+@then("the pieces wait, and the server gets none of them at once")
+def step(context):
+    assert batches(context, 100.1) == []
+
+
+@then("it gets them once what takes its room has had time to go")
+def step(context):
+    (batch,) = batches(context, 101.0)
+    assert len(batch.pieces) == 2
+
+
 @then("with a free server an order waits 0 s")
 def step(context):
     context.limits = PieceLimits(1, 4, 0.2, 0.05, 1.0, 4.0)
