--- a/tests/features/documentation.feature
+++ b/tests/features/documentation.feature
@@ -10,6 +10,7 @@
   Scenario: docs/OPERATIONS.md lists the exit codes and the metrics
     Then its exit codes are those of the two programs
     And its metrics are those that the code sends
+    And its metrics as text are those that an entry serves
 
   Scenario: links between pages lead somewhere
     Then each relative link in a page names a file
--- a/tests/features/steps/documentation.py
+++ b/tests/features/steps/documentation.py
@@ -14,6 +14,7 @@
 from boragestream.base.metrics import PREFIX
 from boragestream.base.observations import Observations
 from boragestream.base.outcomes import Refused
+from boragestream.base.route_metrics import RouteMetrics
 from boragestream.caller import failures as caller_failures
 from boragestream.caller.replies import problem
 from boragestream.daemon.shutdown import ExitCode as EntryExitCode
@@ -125,6 +126,20 @@
     assert PREFIX in (ROOT / "docs" / "OPERATIONS.md").read_text()
 
 
+@then("its metrics as text are those that an entry serves")
+def step(context):
+    rows = section("OPERATIONS.md", "Metrics as text")
+    listed = {
+        name for row in rows for name in re.findall(r"`(boragestream_\w+)`", row[0])
+    }
+    metrics = RouteMetrics()
+    served = set(re.findall(r"^# TYPE (\w+) ", metrics.text(), re.MULTILINE))
+    served = {name for name in served if not name.endswith("_created")}
+    source = (ROOT / "boragestream" / "daemon" / "route_entry.py").read_text()
+    gauges = re.findall(r'gauge\("(\w+)"', source)
+    assert listed == served | {f"boragestream_{name}" for name in gauges}, listed
+
+
 @then("each relative link in a page names a file")
 def step(context):
     broken = [
