One slow stage no longer makes all chains of an entry look hopeless

Ruled out: the wait told by the owner, which was true. Change: a measurement counts for a part of the difference from what was expected, also the first one after a quiet while.

--- a/boragestream/policy/stage_delays.py
+++ b/boragestream/policy/stage_delays.py
@@ -33,14 +33,18 @@
         self._delays: dict[str, _Delay] = {}
         self._lock = threading.Lock()
 
-    def note(self, service: str, seconds: float) -> None:
-        """Take how long a stage took from its order to its results."""
-        now = self._now()
+    def note(self, service: str, seconds: float, usual: float) -> None:
+        """Take how long a stage took from its order to its results.
+
+        One slow stage after a quiet while may be chance: taken whole, it had an entry
+        refuse all chains for two seconds, in which nothing was measured anew.
+
+        :param usual: what it takes on an idle server.
+        """
         with self._lock:
-            known = self._delays.get(service)
-            if known is not None and now - known.measured_at < FORGET_SECONDS:
-                seconds = known.seconds + SMOOTHING * (seconds - known.seconds)
-            self._delays[service] = _Delay(seconds, now)
+            expected = self.expected(service, usual)
+            smoothed = expected + SMOOTHING * (seconds - expected)
+            self._delays[service] = _Delay(smoothed, self._now())
 
     def expected(self, service: str, usual: float) -> float:
         """Return how long a stage is expected to take, in seconds.
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -15,7 +15,7 @@
 from boragestream.base.outcomes import Failure
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.document.calls import Piece, StageResult
-from boragestream.document.routes import PieceLimits, Route
+from boragestream.document.routes import Route
 from boragestream.policy.piece_queue import PieceOrder
 from boragestream.policy.server_choice import near_results
 from boragestream.policy.stage_delays import StageDelays
@@ -156,7 +156,8 @@
                 continue
             self._results[number] = opened.results
             took = self._stages.clock.now() - opened.began_at
-            self._stages.delays.note(opened.order.service, took)
+            usual = usual_seconds(self._run, opened.order.service)
+            self._stages.delays.note(opened.order.service, took, usual)
             self._stages.metrics.stage_ended(opened.order.service, took)
             self._done.append(
                 {
@@ -200,15 +201,18 @@
         ]
         rest = max((whole[n] for n in followers), default=MODEL_SECONDS)
         service = stages[number].service
-        known = run.table.services.get(service)
-        limits = known.pieces if known is not None else None
-        usual = 0.0 if limits is None else _usual_seconds(limits)
+        usual = usual_seconds(run, service)
         after[number] = rest + usual
         whole[number] = rest + delays.expected(service, usual)
     return after
 
 
-def _usual_seconds(limits: PieceLimits) -> float:
+def usual_seconds(run: ForwardedRun, service: str) -> float:
+    """Return how long a stage of a service usually takes on an idle server."""
+    known = run.table.services.get(service)
+    limits = known.pieces if known is not None else None
+    if limits is None:
+        return 0.0
     return limits.call_seconds + EXPECTED_FILL * limits.batch * limits.piece_seconds
 
 
--- a/tests/features/route_decisions.feature
+++ b/tests/features/route_decisions.feature
@@ -71,3 +71,12 @@
 
   Scenario: each entry has the same order of owners
     Then any order of the same entries gives the same owner, and another when it is gone
+
+  Scenario: one slow stage does not make all chains look hopeless
+    Given a service whose stages usually take 0.3 s
+    When one of its stages takes 3.3 s
+    Then its next one is expected to take 1.2 s
+    When 10 more take 3.3 s each
+    Then its next one is expected to take more than 3 s
+    When nothing is measured for 2 s
+    Then its next one is expected to take 0.3 s
--- a/tests/features/steps/route_decisions.py
+++ b/tests/features/steps/route_decisions.py
@@ -29,6 +29,7 @@
     shared_part,
 )
 from boragestream.policy.servers import Server
+from boragestream.policy.stage_delays import StageDelays
 from boragestream.serving.piece_orders import owner_order
 from tests.standins.clock import SetClock
 
@@ -224,3 +225,37 @@
     owner, second, *_ = owner_order("service", entries)
     assert owner_order("service", entries[::-1])[0] == owner
     assert owner_order("service", [e for e in entries if e != owner])[0] == second
+
+
+@given("a service whose stages usually take {seconds:g} s")
+def step(context, seconds):
+    context.clock = SetClock()
+    context.usual = seconds
+    context.delays = StageDelays(context.clock.now)
+
+
+@when("one of its stages takes {seconds:g} s")
+def step(context, seconds):
+    context.delays.note("service", seconds, context.usual)
+
+
+@when("{count:d} more take {seconds:g} s each")
+def step(context, count, seconds):
+    for _ in range(count):
+        context.delays.note("service", seconds, context.usual)
+
+
+@when("nothing is measured for {seconds:g} s")
+def step(context, seconds):
+    context.clock.seconds += seconds
+
+
+@then("its next one is expected to take {seconds:g} s")
+def step(context, seconds):
+    expected = context.delays.expected("service", context.usual)
+    assert abs(expected - seconds) < 0.001, expected
+
+
+@then("its next one is expected to take more than {seconds:g} s")
+def step(context, seconds):
+    assert context.delays.expected("service", context.usual) > seconds
