--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -2,7 +2,8 @@
 
 It starts the platform stand-in, the backend stand-ins and six entries, calls every
 pipeline from every client account, half of the requests streamed and some under
-tickets, replaces one entry in the middle, and ends with a line of JSON. Exit code 1
+tickets, replaces one entry in the middle, does the same with calls forwarded by
+published routes, and ends with a line of JSON. Exit code 1
 says that something was lost, doubled or crossed, 130 that it was interrupted.
 """
 
@@ -19,6 +20,7 @@
 from boragestream.operator.results import write_results
 from demo.calls import call_one
 from demo.counts import is_bad, summarise, to_result
+from demo.routes import run_routes
 from tests.standins.fleet import Fleet
 from tests.standins.sites import example_document, example_key, example_servers
 
@@ -99,7 +101,8 @@
     RESULTS.parent.mkdir(exist_ok=True)
     write_results(RESULTS, [to_result(sample) for sample in samples])
     print(f"each request's result is in {RESULTS}", flush=True)
-    return summary
+    print("calls by published routes, through 3 entries", flush=True)
+    return {**summary, "routes": run_routes()}
 
 
 def main():
@@ -113,7 +116,7 @@
         # Requests that were being made have nobody to answer them any more.
         os._exit(EXIT_INTERRUPTED)
     print(json.dumps(summary))
-    sys.exit(1 if is_bad(summary) else 0)
+    sys.exit(1 if is_bad(summary) or is_bad(summary["routes"]) else 0)
 
 
 if __name__ == "__main__":
--- a/tests/features/demo.feature
+++ b/tests/features/demo.feature
@@ -4,6 +4,7 @@
     When the demo runs to its end
     Then it exits with 0
     And its last line counts at least 300 requests, half streamed, some not repeatable
+    And it counts the calls by published routes, of which nothing was lost either
     And none of its processes remains
 
   Scenario Outline: it leaves no process behind when it is ended
--- a/tests/features/steps/demo.py
+++ b/tests/features/steps/demo.py
@@ -86,6 +86,13 @@
     assert sum(summary[name] for name in ends) == summary["sent"], summary
 
 
+@then("it counts the calls by published routes, of which nothing was lost either")
+def step(context):
+    routes = json.loads(context.last_line)["routes"]
+    assert routes["sent"] == routes["answered"] > 0, routes
+    assert not any(routes[name] for name in MUST_BE_NONE), routes
+
+
 @then("none of its processes remains")
 def step(context):
     assert context.children
--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -8,6 +8,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import sys
 import tempfile
@@ -212,6 +213,7 @@
         for server in self.servers:
             server.close()
         self.store.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def publish(self, published):
         """Publish a configuration."""
