--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -31,7 +31,7 @@
 # An order goes before one that is more urgent by a level of priority only where its
 # latest start is so much earlier. Less, and a chain of several stages, which has little
 # time to spare, is served less often than less urgent requests of one stage.
-PRIORITY_SECONDS = 0.2
+PRIORITY_SECONDS = 0.5
 
 
 # An order that is late takes places that are left over. One that finds none for so long
