--- a/tests/features/route_entries.feature
+++ b/tests/features/route_entries.feature
@@ -69,6 +69,12 @@
     When the entry "entry-1" is started again
     Then all entries name 3 entries
 
+  Scenario: a stream that outlasts the stop is cut in plain sight, and in time
+    When "entry-1" gets SIGTERM while a stream runs there that takes longer
+    Then the stream ends without its end and the entry ends with exit code 4
+    When the entry "entry-1" is started again
+    Then all entries name 3 entries
+
   Scenario: a changed settings file is read at SIGHUP, and a broken one changes nothing
     When the settings of "entry-1" change and it gets SIGHUP
     Then "entry-1" logs "settings_reloaded" and serves "/safe/ok"
--- a/tests/features/steps/route_entries.py
+++ b/tests/features/steps/route_entries.py
@@ -246,6 +246,31 @@
     context.stopped = name
 
 
+@when('"{name}" gets SIGTERM while a stream runs there that takes longer')
+def step(context, name):
+    context.results = []
+
+    def call():
+        context.results.append(context.site.call("/chat/slow", entry=name))
+
+    context.caller = threading.Thread(target=call)
+    context.caller.start()
+    time.sleep(0.3)
+    context.site.signal(name, signal.SIGTERM)
+    context.stopped = name
+
+
+@then("the stream ends without its end and the entry ends with exit code {code:d}")
+def step(context, code):
+    # The settings say when the platform would kill it.
+    grace = context.site.fields[context.stopped]["bounds"]["grace_s"]
+    assert context.site.entries[context.stopped].popen.wait(grace) == code
+    context.caller.join()
+    answer = context.results[0]
+    assert answer.status == 200 and not answer.whole, answer.events
+    assert answer.events == list(range(1, len(answer.events) + 1))
+
+
 @then('it is not ready at once, and "{one}" and "{two}" name {count:d} entries')
 def step(context, one, two, count):
     wait_until(lambda: context.site.ready(context.stopped) == 503, what="not ready")
