--- a/boragestream/operator/check.py
+++ b/boragestream/operator/check.py
@@ -1,10 +1,13 @@
 """``boragestream check``: checks a document or a settings file, or prints a schema."""
 
+import contextlib
+import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 
+from boragestream.base.route_settings import RouteSettings
 from boragestream.base.settings import Settings, read_settings
-from boragestream.base.shapes import Fault, json_schema
+from boragestream.base.shapes import Fault, build, json_schema
 from boragestream.document import Document, parse_document
 from boragestream.operator.exits import ExitCode
 from boragestream.operator.output import print_json
@@ -19,7 +22,7 @@
     """What a check found.
 
     :ivar valid: whether there is no fault.
-    :ivar kind: ``document`` or ``settings``.
+    :ivar kind: ``document``, ``settings`` or ``route settings``.
     """
 
     valid: bool
@@ -51,12 +54,22 @@
 def _check(path: Path) -> CheckResult:
     text = path.read_bytes()
     if path.suffix == SETTINGS_SUFFIX:
-        settings, faults = read_settings(path)
-        return CheckResult(settings is not None, "settings", faults)
+        return _check_settings(path, text)
     document, faults = parse_document(text)
     return CheckResult(document is not None, "document", faults)
 
 
+def _check_settings(path: Path, text: bytes) -> CheckResult:
+    """Check settings of either daemon; those with a store are for published routes."""
+    with contextlib.suppress(ValueError):
+        data = tomllib.loads(text.decode())
+        if "store" in data:
+            routes, faults = build(data, RouteSettings)
+            return CheckResult(routes is not None, "route settings", faults)
+    settings, faults = read_settings(path)
+    return CheckResult(settings is not None, "settings", faults)
+
+
 def _print(result: CheckResult, as_json: bool) -> None:
     if as_json:
         print_json(result)
--- a/tests/features/operator_command.feature
+++ b/tests/features/operator_command.feature
@@ -11,6 +11,7 @@
       | arguments                                  | code | text                   |
       | check examples/cooperative.json            | 0    | document: valid        |
       | check examples/entry.toml                  | 0    | settings: valid        |
+      | check examples/route-entry.toml            | 0    | route settings: valid  |
       | check examples/cooperative-trace.jsonl     | 1    | not JSON               |
       | check no-such-file                         | 2    | No such file           |
       | check --schema                             | 0    | schema_version         |
--- a/tests/features/route_entries.feature
+++ b/tests/features/route_entries.feature
@@ -75,6 +75,16 @@
     When the entry "entry-1" is started again
     Then all entries name 3 entries
 
+  Scenario Outline: a settings file with faults is checked, all of them at once
+    Given the settings of an entry with "<old>" in place of "<new>"
+    Then checking them names "<fault>" and the entry ends with exit code 2
+
+    Examples:
+      | new                 | old                 | fault            |
+      | share = 0.2         | share = -1          | retries.share    |
+      | grace_seconds = 8   | grace_seconds = true | stop.grace       |
+      | descriptors = 1024  | descriptors = 0     | resources.descr  |
+
   Scenario: a changed settings file is read at SIGHUP, and a broken one changes nothing
     When the settings of "entry-1" change and it gets SIGHUP
     Then "entry-1" logs "settings_reloaded" and serves "/safe/ok"
--- a/tests/features/steps/route_entries.py
+++ b/tests/features/steps/route_entries.py
@@ -1,17 +1,24 @@
 """Steps on several entries on the platform's forms."""
 
+import contextlib
+import io
 import itertools
 import signal
+import subprocess
+import sys
 import threading
 import time
+from pathlib import Path
 
 from behave import given, then, when
 
+from boragestream.operator.command import main
 from tests.standins.fleet import wait_until
 from tests.standins.route_server import RouteServer
 from tests.standins.route_site import ADDRESS, KEY, configuration, route
 from tests.standins.route_store import RouteStore
 
+EXAMPLE = Path(__file__).parents[3] / "examples" / "route-entry.toml"
 NAMES = ("entry-0", "entry-1", "entry-2")
 
 
@@ -305,3 +312,22 @@
     )
     assert context.site.call(path, "GET", None, name).status == 200
     assert KEY not in context.site.log(name)
+
+
+@given('the settings of an entry with "{old}" in place of "{new}"')
+def step(context, old, new):
+    text = EXAMPLE.read_text()
+    assert new in text
+    context.faulty = context.site.folder / "faulty.toml"
+    context.faulty.write_text(text.replace(new, old))
+
+
+@then('checking them names "{fault}" and the entry ends with exit code {code:d}')
+def step(context, fault, code):
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output):
+        assert main(["check", str(context.faulty)]) == 1
+    assert fault in output.getvalue(), output.getvalue()
+    command = [sys.executable, "-m", "boragestream.daemon.route_command"]
+    ended = subprocess.run([*command, str(context.faulty)], capture_output=True)
+    assert ended.returncode == code, ended
