Queues of pieces are owned by entries that can carry them

Two of the three owners were instances with a small part of a core or a link of a few megabits, over which all orders and batches of 83 entries went. Ruled out: silent owners (5 lines) and lost messages (none). Change: entries tell their capacity in the address book; only those with half of the largest or more can own. At equal instances nothing changes.

--- a/boragestream/base/route_settings.py
+++ b/boragestream/base/route_settings.py
@@ -14,7 +14,12 @@
 
 from boragestream.base.outcomes import Failure
 
-__all__ = ["RouteSettings", "SettingsInvalid", "read_route_settings"]
+__all__ = [
+    "ResourceSettings",
+    "RouteSettings",
+    "SettingsInvalid",
+    "read_route_settings",
+]
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
@@ -22,6 +27,10 @@
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Share = Annotated[float, msgspec.Meta(ge=0)]
 
+# The owner of a queue at 83 entries sends and receives some megabits a second, bursts
+# of them at once; a link of this speed carries them without a queue.
+FAST_MBPS = 50.0
+
 
 @dataclass(frozen=True, slots=True)
 class EntryPlace:
@@ -101,13 +110,24 @@
     """What the process may use.
 
     :ivar descriptors: open files and sockets.
+    :ivar cpu_share: the share of a core.
+    :ivar cpu_speed: how many times as fast as a usual core it is.
+    :ivar link_mbps: the instance's own link, in megabits a second.
     :ivar threads: how many requests can be in hand at once, refusals included. More
         than a quarter of a gigabyte's worth of stacks would not fit an instance.
     """
 
     descriptors: Count = 1024
+    cpu_share: Seconds = 1.0
+    cpu_speed: Seconds = 1.0
+    link_mbps: Seconds = 1000.0
     threads: Count = 184
 
+    @property
+    def capacity(self) -> float:
+        """What the entry can do for others: cores, less where its link is slow."""
+        return self.cpu_share * self.cpu_speed * min(1.0, self.link_mbps / FAST_MBPS)
+
 
 @dataclass(frozen=True, slots=True)
 class RouteSettings:
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -54,7 +54,7 @@
 from boragestream.serving.forward_attempt import ForwardParts
 from boragestream.serving.forwarder import Forwarder
 from boragestream.serving.piece_batches import BatchParts, PieceBatches
-from boragestream.serving.piece_orders import PieceOrders
+from boragestream.serving.piece_orders import PieceOrders, able_entries
 from boragestream.serving.stage_pieces import StagePieces
 
 __all__ = ["RouteParts", "make_route_parts"]
@@ -192,7 +192,9 @@
     servers = ServerTable(told=tell_leaving)
     centre = settings.entry.data_centre
     members = EntryPeers(own, incarnation, centre, links, server_left, clock, rng)
-    listed = ListedEntry(own, settings.listen.callers, own, centre)
+    capacity = settings.resources.capacity
+    callers = settings.listen.callers
+    listed = ListedEntry(own, callers, own, centre, capacity=capacity)
     book = AddressBook(listed, rng, members.take_entries)
     relay = ConfigurationRelay(
         routes,
@@ -206,8 +208,8 @@
     routes.when_taken(lambda table: members.exchange.hurry())
 
     def live() -> Sequence[str]:
-        heard = [e.name for e in members.entries.usable() if e.host]
-        return heard if own in heard else [*heard, own]
+        heard = [e for e in members.entries.usable() if e.host and e.name != own]
+        return able_entries([*heard, listed])
 
     def retry_bounds() -> RetryBounds:
         bounds = in_force.current.retries
--- a/boragestream/entry/addresses.py
+++ b/boragestream/entry/addresses.py
@@ -26,6 +26,7 @@
     name: str
     host: str
     data_centre: str
+    capacity: float = 1.0
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -102,7 +103,8 @@
             return False
         if known is None and len(self._known) >= MAX_RECORDS:
             return False
-        entry = ListedEntry(record.name, record.host, record.name, record.data_centre)
+        name, host, centre = record.name, record.host, record.data_centre
+        entry = ListedEntry(name, host, name, centre, capacity=record.capacity)
         if known is not None and replace(known, leaving=False) == entry:
             return False
         self._known[record.name] = entry
@@ -110,4 +112,5 @@
 
 
 def _pack(entry: ListedEntry) -> _Record:
-    return _Record(entry.name, entry.host, entry.data_centre)
+    capacity = round(entry.capacity, 3)
+    return _Record(entry.name, entry.host, entry.data_centre, capacity)
--- a/boragestream/policy/peers.py
+++ b/boragestream/policy/peers.py
@@ -33,6 +33,7 @@
     :ivar host: ``address:port`` towards callers.
     :ivar peer_address: ``address:port`` towards other entries.
     :ivar leaving: whether the list says that it is leaving.
+    :ivar capacity: what it can do for others; a core with a fast link has 1.
     """
 
     name: str
@@ -40,6 +41,7 @@
     peer_address: str
     data_centre: str
     leaving: bool = False
+    capacity: float = 1.0
 
 
 class EntryTable:
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -30,10 +30,18 @@
     PiecesRelease,
     ProbeReply,
 )
+from boragestream.policy.peers import ListedEntry
 from boragestream.policy.piece_queue import PieceOrder
 from boragestream.serving.piece_batches import PieceBatches
 
-__all__ = ["OpenOrder", "PieceFailed", "PieceOrders", "StageSaturated", "owner_order"]
+__all__ = [
+    "OpenOrder",
+    "PieceFailed",
+    "PieceOrders",
+    "StageSaturated",
+    "able_entries",
+    "owner_order",
+]
 
 # An owner acknowledges at once; one that is silent for longer is passed over.
 ACKNOWLEDGE_SECONDS = 0.3
@@ -41,6 +49,7 @@
 # How often the owner of an order is asked whether it still has it.
 ASK_AGAIN_SECONDS = 0.8
 MESSAGE_SECONDS = 0.5
+ABLE_SHARE = 0.5
 MESSAGE_THREADS = 16
 
 
@@ -68,6 +77,16 @@
     fault: PieceFault
 
 
+def able_entries(entries: Sequence[ListedEntry]) -> list[str]:
+    """Return the names of the entries that can own queues.
+
+    Instances differ: a queue on one with a slow link or a small part of a core holds up
+    the stages of all entries. Those with half of the largest capacity or more can own.
+    """
+    most = max((entry.capacity for entry in entries), default=0.0)
+    return [e.name for e in entries if e.capacity >= ABLE_SHARE * most]
+
+
 def owner_order(service: str, entries: Sequence[str]) -> list[str]:
     """Return the entries in their rank for a service; the first owns its queue."""
 
@@ -113,7 +132,7 @@
     """The orders of this entry's requests, and those of others that it owns.
 
     :param own: this entry's name, its address for other entries.
-    :param live: returns the names of the live entries, this one included.
+    :param live: returns the names of the live entries that can own queues.
     """
 
     def __init__(
--- a/tests/features/route_decisions.feature
+++ b/tests/features/route_decisions.feature
@@ -72,6 +72,25 @@
   Scenario: each entry has the same order of owners
     Then any order of the same entries gives the same owner, and another when it is gone
 
+  Scenario Outline: queues are owned by entries that can carry them
+    Then of entries with the capacities "<capacities>" those that can own are "<able>"
+
+    Examples:
+      | capacities    | able       |
+      | 1, 1, 1       | 0, 1, 2    |
+      | 1, 0.6, 0.4   | 0, 1       |
+      | 0.05, 0.1, 2  | 2          |
+      | 0.05          | 0          |
+
+  Scenario Outline: a slow link takes an entry's capacity away
+    Then <share> of a core <speed> times as fast behind <mbps> Mbit/s are worth <capacity>
+
+    Examples:
+      | share | speed | mbps | capacity |
+      | 0.5   | 2     | 1000 | 1.0      |
+      | 0.5   | 2     | 5    | 0.1      |
+      | 1.0   | 1     | 25   | 0.5      |
+
   Scenario: one slow stage does not make all chains look hopeless
     Given a service whose stages usually take 0.3 s
     When one of its stages takes 3.3 s
--- a/tests/features/steps/route_decisions.py
+++ b/tests/features/steps/route_decisions.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from boragestream.base.route_settings import ResourceSettings
 from boragestream.document.calls import PromptPart, StageResult
 from boragestream.document.routes import (
     CallerLimits,
@@ -15,6 +16,7 @@
     key_digest,
 )
 from boragestream.policy.load import LoadTable
+from boragestream.policy.peers import ListedEntry
 from boragestream.policy.publication import Change, PublishedTable, Snapshot
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.route_table import (
@@ -30,7 +32,7 @@
 )
 from boragestream.policy.servers import Server
 from boragestream.policy.stage_delays import StageDelays
-from boragestream.serving.piece_orders import owner_order
+from boragestream.serving.piece_orders import able_entries, owner_order
 from tests.standins.clock import SetClock
 
 LIMITS = CallerLimits(16384, 4096, 3.0, 15.0)
@@ -259,3 +261,21 @@
 @then("its next one is expected to take more than {seconds:g} s")
 def step(context, seconds):
     assert context.delays.expected("service", context.usual) > seconds
+
+
+@then('of entries with the capacities "{capacities}" those that can own are "{able}"')
+def step(context, capacities, able):
+    entries = [
+        ListedEntry(str(n), "host", str(n), "hall", capacity=float(capacity))
+        for n, capacity in enumerate(capacities.split(", "))
+    ]
+    assert able_entries(entries) == able.split(", ")
+
+
+@then(
+    "{share:g} of a core {speed:g} times as fast behind {mbps:g} Mbit/s are worth "
+    "{capacity:g}"
+)
+def step(context, share, speed, mbps, capacity):
+    resources = ResourceSettings(cpu_share=share, cpu_speed=speed, link_mbps=mbps)
+    assert abs(resources.capacity - capacity) < 1e-9
--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -172,7 +172,12 @@
                 "retry_slack": 500,
                 "grace_s": 4,
             },
-            "limits": {"max_fds": 2048},
+            "limits": {
+                "max_fds": 2048,
+                "cpu_share": 0.5,
+                "cores": 2,
+                "link_mbps": 1000.0,
+            },
         }
         command = [sys.executable, "-m", "boragestream.daemon.route_command"]
         command.append(str(self.settings_path(name)))
