--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -5,9 +5,7 @@
 is left to ``serving``.
 """
 
-import contextlib
 import http.client
-import socket
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
@@ -25,6 +23,7 @@
 )
 from boragestream.base.clock import Clock
 from boragestream.base.failures import DeadlinePassed
+from boragestream.base.liveness import detect_dead_peer
 from boragestream.document.calls import AnswerHead
 from boragestream.policy.servers import Server
 
@@ -32,13 +31,6 @@
 
 MAX_ANSWER_BYTES = 16 * 1_048_576
 READ_BYTES = 65536
-# A server that has lost power answers no probe: its connections end after about
-# IDLE + INTERVAL x COUNT seconds. Callers give a stream up after two seconds at the
-# least, so that a resumed one should be found earlier.
-KEEPALIVE_IDLE_SECONDS = 1
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_COUNT = 2
-UNACKNOWLEDGED_MS = 2500
 # A kept connection is used only well before its server closes it.
 IDLE_MARGIN_SECONDS = 1.0
 WATCHDOG_MARGIN_SECONDS = 1.0
@@ -194,7 +186,7 @@
             connection = line.connections.connect(server.host, left)
         except OSError as error:
             return ConnectFailed(server.name, Ran.NOT_SENT, repr(error))
-        _detect_dead_peers(connection.sock)
+        detect_dead_peer(connection.sock)
     scope.add(connection.sock)
     # A process that was paused while it connected may be past the deadline.
     left = scope.deadline - line.clock.now()
@@ -250,16 +242,6 @@
     return answer
 
 
-def _detect_dead_peers(sock: socket.socket) -> None:
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        tcp = socket.IPPROTO_TCP
-        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
-        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
-        sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
-        sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
-
-
 def _broken(server: Server, scope: CancelScope, error: Exception) -> AttemptFailure:
     if scope.reason is not None:
         return AttemptCancelled(server.name, Ran.MAY_HAVE_RUN, scope.reason)
--- a/boragestream/base/route_settings.py
+++ b/boragestream/base/route_settings.py
@@ -77,13 +77,12 @@
     """The platform's store.
 
     :ivar address: ``address:port``.
-    :ivar watch_seconds: how long one watch may wait. A watch that was cut off without
-        a word is noticed only after it, and calls are counted, so that it is a few
-        seconds.
+    :ivar watch_seconds: how long one watch may wait. Each call is counted; a service
+        that is cut off without a word is noticed by probes, long before.
     """
 
     address: Address
-    watch_seconds: Seconds = 3.0
+    watch_seconds: Seconds = 10.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -33,6 +33,8 @@
     :ivar watch_seconds: how long one watch may wait.
     :ivar take: takes the values by key after each change.
     :ivar unreachable: the event to log where the store gives no answer.
+    :ivar gap_seconds: how long to wait after changes, so that others that follow come
+        in one answer.
     :ivar confirmed: called with each answer, also where nothing has changed.
     """
 
@@ -45,6 +47,7 @@
     stopping: threading.Event
     rng: random.Random
     confirmed: Callable[[], None] = lambda: None
+    gap_seconds: float = 0.0
 
     def run(self) -> None:
         """Read and watch until the entry stops."""
@@ -63,6 +66,7 @@
                 emit(Event.STORE_REGAINED, prefix=self.prefix, revision=answer.revision)
             failing = False
             revision = self._take(answer)
+            self.stopping.wait(self.gap_seconds)
 
     def _ask(self, revision: int | None) -> Snapshot | Changes | HistoryGone | Failure:
         if revision is None:
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -53,6 +53,9 @@
 RELOAD_ROUNDS = 8
 # Descriptors for files, peers, kept connections to servers and calls under way.
 OTHER_DESCRIPTORS = 1200
+# At the start of a deployment its servers are listed one by one, and each change would
+# be an answer of its own to each entry. A server that leaves serves on for seconds.
+SERVERS_GAP_SECONDS = 0.25
 IDLE_MARGIN_SECONDS = 2.0
 
 
@@ -222,6 +225,7 @@
             ),
             stopping=self._ended,
             rng=self._parts.rng,
+            gap_seconds=SERVERS_GAP_SECONDS if servers else 0.0,
             confirmed=self._parts.list_heard.confirm if servers else lambda: None,
         )
 
--- a/boragestream/platform/reader.py
+++ b/boragestream/platform/reader.py
@@ -7,6 +7,7 @@
 import http.client
 from dataclasses import dataclass
 
+from boragestream.base.liveness import detect_dead_peer
 from boragestream.base.outcomes import Failure
 
 __all__ = [
@@ -71,6 +72,9 @@
     place = address + target.partition("?")[0]
     connection = http.client.HTTPConnection(address, timeout=seconds)
     try:
+        connection.connect()
+        # A watch that waits could not tell a service that is cut off from a quiet one.
+        detect_dead_peer(connection.sock)
         connection.request("GET", target)
         response = connection.getresponse()
         value = response.read(MAX_VALUE_BYTES + 1)
