An order of pieces stays with its owner; a stream with a gap is left at once

Cause: found by reading the change: an order was asked after at whoever ranked first by then, so that an entry that joined had pieces made twice; a stream with a gap was closed only when nothing referred to it any more, and an encoded stream would have passed as proved. Change: the owner that took an order is asked first while it is there; a broken stream's connection is closed before another goes on; a stream must be proved as a whole answer must.

--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -155,10 +155,11 @@
             return None
         self._runs += 1
         good = head.status < SERVER_ERROR
-        if self._stream and 200 <= head.status < 300 and head.sealed:
+        proved = head.sealed and not head.encoded
+        if self._stream and 200 <= head.status < 300 and proved:
             return attempt
         body = answer.read()
-        whole = isinstance(body, bytes) and head.sealed and not head.encoded
+        whole = isinstance(body, bytes) and proved
         attempt.end(CallEnd.ANSWERED if whole and good else CallEnd.CUT)
         if not whole:
             failed = body if isinstance(body, Failure) else _unproved(attempt.server)
@@ -295,6 +296,8 @@
 
     def _broken(self, attempt: ForwardAttempt, failure: Failure) -> None:
         attempt.end(CallEnd.CUT)
+        # The server must not be at work on it any more when another goes on.
+        attempt.close()
         self._splitter.drop_rest()
         cancelled = isinstance(failure, AttemptCancelled)
         self._note_failure(failure.reason if cancelled else failure)
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -307,7 +307,7 @@
     def _place(self, opened: OpenOrder, scope: CancelScope) -> Failure | None:
         """Give an order to the first owner that takes it, or return its refusal."""
         order = opened.order
-        for owner in self._owners(order.service):
+        for owner in self._owners(order.service, opened.owner):
             now = self._clock.now()
             start, left = opened.start_by - now, scope.deadline - now
             if left <= 0 or scope.reason is not None:
@@ -328,9 +328,17 @@
         with self._lock:
             self._open.pop(opened.order.order_id, None)
 
-    def _owners(self, service: str) -> list[str]:
+    def _owners(self, service: str, known: str) -> list[str]:
+        """Return the entries to ask, in their order.
+
+        :param known: the owner that took the order; it stays the owner while it is
+            there, whoever ranks before it since, so that nothing is made twice.
+        """
         now = self._clock.now()
         ranked = owner_order(service, self._live())
+        if known in ranked:
+            ranked.remove(known)
+            ranked.insert(0, known)
         heard = [e for e in ranked if self._passed_over.get(e, 0.0) <= now]
         # This entry itself is the last resort, wherever it ranks.
         until_own = heard[: heard.index(self._own) + 1] if self._own in heard else heard
--- a/tests/features/forwarded_path.feature
+++ b/tests/features/forwarded_path.feature
@@ -63,6 +63,13 @@
       | /draft/ok    | 1, 2, 3, 4, 5, 6 | whole     | 1    |
       | /draft/cut   | 1, 2, 3          | cut       | 1    |
       | /draft/half  | 1, 2             | cut       | 1    |
+      | /chat/gap    | 1, 2, 3, 4, 5, 6 | whole     | 2    |
+      | /draft/gap   | 1, 2             | cut       | 1    |
+
+  Scenario: a server whose stream has a gap is left at once, before another goes on
+    When the request "POST" "/chat/gap" is sent
+    Then the events are "1, 2, 3, 4, 5, 6", whole, and it ran 2 times
+    And the server that left an event out saw its caller leave
 
   Scenario: a caller that goes on behind an event gets the rest
     When a stream is asked for behind event 4
--- a/tests/features/route_decisions.feature
+++ b/tests/features/route_decisions.feature
@@ -69,6 +69,13 @@
     Then a call that reads 1500000 bytes in "hall-2" runs in "hall-2"
     And a call that reads 8000 bytes in "hall-2" may run anywhere
 
+  Scenario: an order stays with the owner that took it while that one is there
+    Given an entry that placed an order when "a" was the only other entry
+    When entries come that rank before "a"
+    Then the order is asked after at "a", and a new one elsewhere
+    When "a" is gone
+    Then the order is asked after elsewhere
+
   Scenario: each entry has the same order of owners
     Then any order of the same entries gives the same owner, and another when it is gone
 
--- a/tests/features/steps/forwarded_path.py
+++ b/tests/features/steps/forwarded_path.py
@@ -84,6 +84,13 @@
     assert context.site.runs(answer.request_id) == runs
 
 
+@then("the server that left an event out saw its caller leave")
+def step(context):
+    engines = context.site.of_kind("engine")
+    wait_until(lambda: any(engine.cut_off for engine in engines), what="the end")
+    assert False not in [engine.cut_off for engine in engines]
+
+
 @when("a stream is asked for behind event {last:d}")
 def step(context, last):
     context.answer = context.site.call("/chat/ok", Last_Event_Id=str(last))
--- a/tests/features/steps/route_decisions.py
+++ b/tests/features/steps/route_decisions.py
@@ -1,11 +1,13 @@
 """Steps on the decisions about forwarded calls, without a process."""
 
 import random
+import threading
 
 from behave import given, then, when
 
+from boragestream.backend.cancellation import CancelScope
 from boragestream.base.route_settings import ResourceSettings
-from boragestream.document.calls import PromptPart, StageResult
+from boragestream.document.calls import Piece, PromptPart, StageResult
 from boragestream.document.routes import (
     CallerLimits,
     CallKind,
@@ -15,8 +17,10 @@
     RouteTarget,
     key_digest,
 )
+from boragestream.entry.messages import PiecesAnswer
 from boragestream.policy.load import LoadTable
 from boragestream.policy.peers import ListedEntry
+from boragestream.policy.piece_queue import PieceOrder
 from boragestream.policy.publication import Change, PublishedTable, Snapshot
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.route_table import (
@@ -32,7 +36,7 @@
 )
 from boragestream.policy.servers import Server
 from boragestream.policy.stage_delays import StageDelays
-from boragestream.serving.piece_orders import able_entries, owner_order
+from boragestream.serving.piece_orders import PieceOrders, able_entries, owner_order
 from tests.standins.clock import SetClock
 
 LIMITS = CallerLimits(16384, 4096, 3.0, 15.0)
@@ -279,3 +283,63 @@
 def step(context, share, speed, mbps, capacity):
     resources = ResourceSettings(cpu_share=share, cpu_speed=speed, link_mbps=mbps)
     assert abs(resources.capacity - capacity) < 1e-9
+
+
+class AskedLinks:
+    """Links that take every order and note whom it went to."""
+
+    def __init__(self):
+        """Begin with nobody asked."""
+        self.asked = []
+
+    def ask(self, address, message, seconds):
+        """Take an order."""
+        self.asked.append(address)
+        return PiecesAnswer(taken=True)
+
+
+def place(context, order_id):
+    """Place an order and return it."""
+    piece = Piece("r-1", 0, 0, "key", ())
+    made = PieceOrder(order_id, "service", (piece,), 1.0, 0, False)
+    scope = CancelScope(context.clock.seconds + 100)
+    return context.orders.begin(made, 0.0, scope, threading.Event()), scope
+
+
+@given('an entry that placed an order when "{name}" was the only other entry')
+def step(context, name):
+    context.clock = SetClock()
+    context.live = [name]
+    context.links = AskedLinks()
+    context.orders = PieceOrders(
+        "own", lambda: list(context.live), context.links, context.clock
+    )
+    context.order, context.scope = place(context, "order-1")
+    assert context.links.asked == [name]
+
+
+@when('entries come that rank before "{name}"')
+def step(context, name):
+    context.live += [f"entry-{number}" for number in range(20)]
+    assert owner_order("service", context.live)[0] != name
+
+
+@then('the order is asked after at "{name}", and a new one elsewhere')
+def step(context, name):
+    context.clock.seconds += 1.0
+    assert context.orders.ask_again(context.order, context.scope) is None
+    assert context.links.asked[-1] == name
+    place(context, "order-2")
+    assert context.links.asked[-1] != name
+
+
+@when('"{name}" is gone')
+def step(context, name):
+    context.live.remove(name)
+
+
+@then("the order is asked after elsewhere")
+def step(context):
+    context.clock.seconds += 1.0
+    context.orders.ask_again(context.order, context.scope)
+    assert context.links.asked[-1] in context.live
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -19,6 +19,17 @@
 RESET = struct.pack("ii", 1, 0)
 
 
+def wait_closed(sock):
+    """Return whether the other end closes a connection within some time."""
+    sock.settimeout(5)
+    try:
+        return not sock.recv(1)
+    except TimeoutError:
+        return False
+    except OSError:
+        return True
+
+
 class RouteServer:
     """One backend server; ``kind`` is plain, engine or stage."""
 
@@ -42,6 +53,7 @@
         self.held = {}
         self.left = []
         self.others_asked = 0
+        self.cut_off = None
         self.lock = threading.Lock()
         self.listener = socket.create_server((address, 0), backlog=256)
         self.address = f"{address}:{self.listener.getsockname()[1]}"
@@ -182,6 +194,8 @@
         self.send(sock, headers, 200, None, head)
         for number in range(first, EVENTS + 1):
             event = b"id: %d\ndata: %d %s\n\n" % (number, number, b"w" * 20)
+            if fault == "gap" and number == first + 2:
+                continue
             if fault == "half" and number == first + 2:
                 event = event[:7]
             sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
@@ -191,6 +205,9 @@
                 raise OSError("cut")
             if fault == "slow":
                 time.sleep(SLOW_SECONDS)
+            if fault == "gap" and number == first + 3:
+                # At work for much longer than its caller should wait.
+                self.cut_off = wait_closed(sock)
             time.sleep(0.005)
         sock.sendall(b"0\r\n\r\n")
 
