--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -46,6 +46,7 @@
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.load import LoadTable
 from boragestream.policy.peers import ListedEntry
+from boragestream.policy.queue_owners import able_entries
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.route_table import RoutesInForce
 from boragestream.policy.server_choice import ServerChoice
@@ -54,7 +55,7 @@
 from boragestream.serving.forward_attempt import ForwardParts
 from boragestream.serving.forwarder import Forwarder
 from boragestream.serving.piece_batches import BatchParts, PieceBatches
-from boragestream.serving.piece_orders import PieceOrders, able_entries
+from boragestream.serving.piece_orders import PieceOrders
 from boragestream.serving.stage_pieces import StagePieces
 
 __all__ = ["RouteParts", "make_route_parts"]
--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -8,7 +8,7 @@
 from boragestream.document.routes import Route
 from boragestream.policy.route_table import RouteTable
 from boragestream.policy.servers import Server
-from boragestream.serving.piece_orders import StageSaturated
+from boragestream.serving.piece_failures import StageSaturated
 from boragestream.serving.request import SentRecord
 
 __all__ = ["ForwardedRun", "InputsGone", "ServerDidNotRun", "outcome_of"]
--- /dev/null
+++ b/boragestream/serving/piece_failures.py
@@ -0,0 +1,32 @@
+"""The failures of stages whose pieces are made by the owner of a queue."""
+
+from dataclasses import dataclass
+
+from boragestream.base.outcomes import Failure
+from boragestream.document.calls import PieceFault
+
+__all__ = ["PieceFailed", "StageSaturated"]
+
+
+@dataclass(frozen=True, slots=True)
+class StageSaturated(Failure):
+    """A stage can't be done in time.
+
+    :ivar service: the service that does it.
+    :ivar wait_ms: the expected wait.
+    """
+
+    service: str
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class PieceFailed(Failure):
+    """A piece could not be made.
+
+    :ivar service: the service that does it.
+    :ivar fault: why.
+    """
+
+    service: str
+    fault: PieceFault
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -12,8 +12,6 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
-import xxhash
-
 from boragestream.backend.cancellation import CancelScope
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, describe_error, emit
@@ -30,18 +28,12 @@
     PiecesRelease,
     ProbeReply,
 )
-from boragestream.policy.peers import ListedEntry
 from boragestream.policy.piece_queue import PieceOrder
+from boragestream.policy.queue_owners import owner_order
 from boragestream.serving.piece_batches import PieceBatches
+from boragestream.serving.piece_failures import StageSaturated
 
-__all__ = [
-    "OpenOrder",
-    "PieceFailed",
-    "PieceOrders",
-    "StageSaturated",
-    "able_entries",
-    "owner_order",
-]
+__all__ = ["OpenOrder", "PieceOrders"]
 
 # An owner acknowledges at once; one that is silent for longer is passed over.
 ACKNOWLEDGE_SECONDS = 0.3
@@ -49,53 +41,9 @@
 # How often the owner of an order is asked whether it still has it.
 ASK_AGAIN_SECONDS = 0.8
 MESSAGE_SECONDS = 0.5
-ABLE_SHARE = 0.5
 MESSAGE_THREADS = 16
 
 
-@dataclass(frozen=True, slots=True)
-class StageSaturated(Failure):
-    """A stage can't be done in time.
-
-    :ivar service: the service that does it.
-    :ivar wait_ms: the expected wait.
-    """
-
-    service: str
-    wait_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class PieceFailed(Failure):
-    """A piece could not be made.
-
-    :ivar service: the service that does it.
-    :ivar fault: why.
-    """
-
-    service: str
-    fault: PieceFault
-
-
-def able_entries(entries: Sequence[ListedEntry]) -> list[str]:
-    """Return the names of the entries that can own queues.
-
-    Instances differ: a queue on one with a slow link or a small part of a core holds up
-    the stages of all entries. Those with half of the largest capacity or more can own.
-    """
-    most = max((entry.capacity for entry in entries), default=0.0)
-    return [e.name for e in entries if e.capacity >= ABLE_SHARE * most]
-
-
-def owner_order(service: str, entries: Sequence[str]) -> list[str]:
-    """Return the entries in their rank for a service; the first owns its queue."""
-
-    def rank(entry: str) -> int:
-        return xxhash.xxh3_64_intdigest(f"{service}\0{entry}".encode())
-
-    return sorted(entries, key=rank)
-
-
 @dataclass(slots=True)
 class OpenOrder:
     """An order whose results are awaited here.
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -20,7 +20,8 @@
 from boragestream.policy.server_choice import near_results
 from boragestream.policy.stage_delays import StageDelays
 from boragestream.serving.forwarded_run import ForwardedRun
-from boragestream.serving.piece_orders import OpenOrder, PieceFailed, PieceOrders
+from boragestream.serving.piece_failures import PieceFailed
+from boragestream.serving.piece_orders import OpenOrder, PieceOrders
 
 __all__ = ["StagePieces", "seconds_after"]
 
--- a/tests/features/steps/route_decisions.py
+++ b/tests/features/steps/route_decisions.py
@@ -22,6 +22,7 @@
 from boragestream.policy.peers import ListedEntry
 from boragestream.policy.piece_queue import PieceOrder
 from boragestream.policy.publication import Change, PublishedTable, Snapshot
+from boragestream.policy.queue_owners import able_entries, owner_order
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.route_table import (
     KeyUnknown,
@@ -36,7 +37,7 @@
 )
 from boragestream.policy.servers import Server
 from boragestream.policy.stage_delays import StageDelays
-from boragestream.serving.piece_orders import PieceOrders, able_entries, owner_order
+from boragestream.serving.piece_orders import PieceOrders
 from tests.standins.clock import SetClock
 
 LIMITS = CallerLimits(16384, 4096, 3.0, 15.0)
