--- a/boragestream/policy/queue_owners.py
+++ b/boragestream/policy/queue_owners.py
@@ -14,8 +14,8 @@
 __all__ = ["able_entries", "owner_order"]
 
 # Among equal instances all can own. At 83 unequal ones, with 0.5 to 2.2 cores and links
-# of 5 to 100 megabits a second, owners by rank alone took four fifths of what a calm day
-# was worth.
+# of 5 to 100 megabits a second, owners by rank alone took four fifths of what a calm
+# day was worth.
 ABLE_SHARE = 0.5
 
 
