Only answered calls use a strike's tries up

Change: a call counts as a try only if it was answered; all others are kept for the verdict and repeated for 30 s at the most.

--- a/tests/features/steps/standins_strikes.py
+++ b/tests/features/steps/standins_strikes.py
@@ -23,19 +23,20 @@
 }
 
 
-def entry(context, refusals, takes=True):
-    """Start an entry that refuses some calls; return the context of a strike."""
+def entry(context, count, outcome="refused", takes=True):
+    """Start an entry without answers to some calls, and make a strike's context."""
+    problem = {**REFUSED, "outcome": outcome}
     folder = Path(tempfile.mkdtemp())
     made = []
 
     class Entry(Handler):
-        """Refuses at once, then takes the fault that waits."""
+        """Gives no answer at first, then takes the fault that waits."""
 
         def post(self, path, body):
             """Answer a call."""
             made.append(path)
-            if len(made) <= refusals:
-                self.reply(REFUSED, 503)
+            if len(made) <= count:
+                self.reply(problem, 503)
                 return
             if takes:
                 (folder / "fault.json").unlink(missing_ok=True)
@@ -58,9 +59,9 @@
     context.address = f"127.0.0.1:{server.server_address[1]}"
 
 
-@given("an entry that refuses {refusals:d} calls at once and then serves")
-def step(context, refusals):
-    entry(context, refusals)
+@given("an entry that has {count:d} calls {outcome} and then serves")
+def step(context, count, outcome):
+    entry(context, count, outcome)
 
 
 @given("an entry that serves and a fault that nothing takes")
--- a/tests/standins/strikes.py
+++ b/tests/standins/strikes.py
@@ -13,7 +13,7 @@
 MAX_TRIES = 4
 # Far longer than servers are frozen or an entry holds a past load against calls.
 STRIKE_SECONDS = 30.0
-REFUSED_PAUSE_SECONDS = 0.1
+UNANSWERED_PAUSE_SECONDS = 0.1
 # Faults that end by the deadline get a short one; they outlast it by far.
 SHORT_MS = 700
 LONG_MS = 3000
@@ -55,12 +55,13 @@
             )
         if struck:
             return
-        # A call that is refused at once meets no server, so that it can't strike one.
-        # Beside frozen servers an entry refuses many in a moment.
-        if call.outcome == "refused":
-            time.sleep(REFUSED_PAUSE_SECONDS)
-        else:
+        # Only a call that was answered went past the server that was to be struck. One
+        # that was refused at once, or that met a frozen server of an earlier stage,
+        # says nothing of this one.
+        if call.outcome == "answered":
             tries += 1
+        else:
+            time.sleep(UNANSWERED_PAUSE_SECONDS)
     raise AssertionError(f"{faults} never struck {stage} of {pipeline}: {call}")
 
 
