One function tells why a call broke; a dead branch and a wrapper go

Cause: read once more as a whole: forwarded_call had a copy of backend.answer.broken; the status of an answer looked for a failure that forwarding never meets; a method only passed on to a function. Ruled out: a change of behaviour; the copy was the same but for its argument. Change: the project's own function is called; the branch, the wrapper and two needless quotes around names go.

--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -10,11 +10,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from boragestream.backend.answer import broken
 from boragestream.backend.cancellation import CancelScope
 from boragestream.backend.connections import ConnectionKeeper
 from boragestream.backend.failures import (
     AnswerCrossed,
-    AnswerCut,
     AnswerTooLarge,
     AttemptCancelled,
     AttemptFailure,
@@ -165,7 +165,7 @@
 
     def _fail(self, error: Exception) -> AttemptFailure:
         self.close()
-        return _broken(self._server, self._scope, error)
+        return broken(self._server.name, self._scope, error)
 
 
 def open_forwarded_call(
@@ -232,7 +232,7 @@
         response.close()
         scope.remove(sock)
         connection.close()
-        return _broken(server, scope, error)
+        return broken(server.name, scope, error)
     head = line.read_head(response)
     answer = OpenForwardedAnswer(line, server, connection, response, head, scope, whole)
     # An answer that carries another id is an extra or a late one of another call.
@@ -240,12 +240,3 @@
         answer.close()
         return AnswerCrossed(server.name, Ran.MAY_HAVE_RUN, head.request_id)
     return answer
-
-
-def _broken(server: Server, scope: CancelScope, error: Exception) -> AttemptFailure:
-    if scope.reason is not None:
-        return AttemptCancelled(server.name, Ran.MAY_HAVE_RUN, scope.reason)
-    if isinstance(error, TimeoutError):
-        passed = DeadlinePassed("answer")
-        return AttemptCancelled(server.name, Ran.MAY_HAVE_RUN, passed)
-    return AnswerCut(server.name, Ran.MAY_HAVE_RUN, repr(error))
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -30,7 +30,6 @@
 from boragestream.caller.replies import StartResponse
 from boragestream.document.calls import ForwardedRequest, RequestMalformed
 from boragestream.policy.route_table import KeyUnknown, RoutesInForce, RouteUnknown
-from boragestream.policy.waiting import ServiceSaturated
 from boragestream.serving.forwarded_run import ForwardedRun, outcome_of
 from boragestream.serving.forwarder import (
     Forwarder,
@@ -108,7 +107,7 @@
     clock: Clock
     metrics: RouteMetrics
     refusing: Callable[[], bool]
-    in_hand: "InHand"
+    in_hand: InHand
     limit: int
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Reply:
@@ -298,7 +297,7 @@
     if isinstance(outcome, Refused):
         status = OWN_FAULT_STATUS.get(type(failure))
         return status or HTTPStatus.SERVICE_UNAVAILABLE
-    if isinstance(failure, DeadlinePassed | ServiceSaturated):
+    if isinstance(failure, DeadlinePassed):
         return HTTPStatus.GATEWAY_TIMEOUT
     return HTTPStatus.BAD_GATEWAY
 
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -113,7 +113,7 @@
     loads: LoadTable
     watchdog: Watchdog
     metrics: RouteMetrics
-    list_heard: "ListHeard"
+    list_heard: ListHeard
     sender: Sender
     book: AddressBook
     members: EntryPeers
@@ -142,11 +142,7 @@
         """Take the routes that the platform published."""
         text = values.get(CONFIGURATION_KEY)
         if text is not None:
-            self.take_text(text, "platform")
-
-    def take_text(self, text: bytes, source: str) -> bool:
-        """Check published routes and offer them; True where they are valid."""
-        return _take_text(self.routes, text, source)
+            _take_text(self.routes, text, "platform")
 
     def take_servers(self, values: dict[str, bytes]) -> None:
         """Take the backend servers that the platform published."""
