Streamed answers have a baseline of their own in the windows of admission

Cause: a stage's time without queueing was measured over whole and streamed answers together. Change: baselines are kept by pipeline, stage and whether the answer is streamed, also in the exchange between entries. Quantiles, which tell what a request needs, still hold both. A scenario fails without the change.

--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -187,7 +187,7 @@
 
         def ended(outcome: Outcome) -> None:
             whole = isinstance(outcome, Answered)
-            request.admitted.end_stage(last, whole, whole)
+            request.admitted.end_stage(last, whole, whole, streamed=True)
             self._release(request)
             ending = Ending(outcome, outcome)
             account = asked.account.name
--- a/boragestream/entry/baselines.py
+++ b/boragestream/entry/baselines.py
@@ -14,8 +14,8 @@
 
 MAX_BASELINES = 64
 
-# Pipeline, stage, and microseconds.
-PackedBaseline = tuple[str, str, int]
+# Pipeline, stage, whether the answers are streamed, and microseconds.
+PackedBaseline = tuple[str, str, bool, int]
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(tuple[PackedBaseline, ...])
@@ -41,8 +41,8 @@
         shift = self._turn % len(known)
         packed: list[PackedBaseline] = []
         left = budget // 4
-        for (pipeline, stage), seconds in [*known[shift:], *known[:shift]]:
-            one = (pipeline, stage, round(seconds * 1_000_000))
+        for (pipeline, stage, streamed), seconds in [*known[shift:], *known[:shift]]:
+            one = (pipeline, stage, streamed, round(seconds * 1_000_000))
             left -= len(_encoder.encode(one))
             if left < 0:
                 break
@@ -57,6 +57,7 @@
         except msgspec.DecodeError as error:
             emit(Event.PEER_FRAME_REFUSED, peer=sender, reason=repr(error))
             return
-        for pipeline, stage, micros in baselines[:MAX_BASELINES]:
+        for pipeline, stage, streamed, micros in baselines[:MAX_BASELINES]:
             if micros > 0:
-                self._times.take_baseline(pipeline, stage, micros / 1_000_000)
+                seconds = micros / 1_000_000
+                self._times.take_baseline(pipeline, stage, seconds, streamed)
--- a/boragestream/policy/admission.py
+++ b/boragestream/policy/admission.py
@@ -347,6 +347,7 @@
             # another server can answer.
             if end.whole:
                 seconds = now - end.began
-                self._expected.times.add(pipeline.name, end.stage, seconds, now)
+                times = self._expected.times
+                times.add(pipeline.name, end.stage, seconds, now, end.streamed)
             self._windows.end_stage(admitted, end, now)
             self._begin_next(now)
--- a/boragestream/policy/admitted.py
+++ b/boragestream/policy/admitted.py
@@ -43,6 +43,7 @@
         failed at once does not.
     :ivar whole: whether it brought its result.
     :ivar saturated: whether it found no room on the service.
+    :ivar streamed: whether its answer was passed on as a stream.
     :ivar passed: whether the request needs the stage's service no more.
     """
 
@@ -53,6 +54,7 @@
     whole: bool
     saturated: bool
     passed: bool
+    streamed: bool
 
 
 class Admitted:
@@ -106,7 +108,12 @@
         return self._stage_deadline(self._candidate, name)
 
     def end_stage(
-        self, name: str, timed: bool, whole: bool, saturated: bool = False
+        self,
+        name: str,
+        timed: bool,
+        whole: bool,
+        saturated: bool = False,
+        streamed: bool = False,
     ) -> None:
         """Note that a stage has ended; does nothing the second time."""
         service = self._stages[name].service
@@ -117,7 +124,8 @@
             self._to_come[service] -= 1
             passed = self._to_come[service] == 0
         self._stage_ended(
-            self, StageEnd(name, service, began, timed, whole, saturated, passed)
+            self,
+            StageEnd(name, service, began, timed, whole, saturated, passed, streamed),
         )
 
     def give_up(self) -> tuple[str, ...]:
--- a/boragestream/policy/service_windows.py
+++ b/boragestream/policy/service_windows.py
@@ -77,7 +77,8 @@
             window.overflow(admitted.began, now)
         elif end.timed:
             name = admitted.candidate.pipeline.name
-            multiple = self._times.multiple(name, end.stage, now - end.began)
+            seconds = now - end.began
+            multiple = self._times.multiple(name, end.stage, seconds, end.streamed)
             correction = window.observe(multiple, admitted.began, now)
             if correction is not None:
                 self._raise_baselines(end.service, correction)
--- a/tests/features/load_gone.feature
+++ b/tests/features/load_gone.feature
@@ -19,3 +19,9 @@
     Given a request without admission that is under way with 1.5 seconds left
     When its first stage is given up after 0.1 seconds for lack of room
     Then the stage's service has the window that it had before
+
+  Scenario: streams that last longer than whole answers are no queue
+    Given a request that is under way with 60 seconds left
+    And its last stage took 0.001 seconds for each of 32 whole answers
+    When 40 streams of 0.08 seconds end, one after the other
+    Then the last stage's service has no narrower window than before
--- a/tests/features/steps/load_gone.py
+++ b/tests/features/steps/load_gone.py
@@ -57,7 +57,8 @@
         deadline,
         replace(document.policies, without=without),
     )
-    context.windows = ServiceWindows(StageTimes())
+    context.times = StageTimes()
+    context.windows = ServiceWindows(context.times)
     context.request = Admitted(
         candidate,
         now(),
@@ -86,3 +87,43 @@
 @then("the stage's service has the window that it had before")
 def step(context):
     assert context.windows.used()[context.service][0] == context.limits[context.service]
+
+
+@given("its last stage took {seconds:g} seconds for each of {count:d} whole answers")
+def step(context, seconds, count):
+    context.last = context.request.candidate.pipeline.stages[-1]
+    end_in_turn(context, count, seconds, streamed=False)
+    context.limits = {k: limit for k, (limit, _) in context.windows.used().items()}
+
+
+@when("{count:d} streams of {seconds:g} seconds end, one after the other")
+def step(context, count, seconds):
+    end_in_turn(context, count, seconds, streamed=True)
+
+
+def end_in_turn(context, count, seconds, streamed):
+    """End requests whose last stage takes the same time each."""
+    candidate, last = context.request.candidate, context.last
+    now = context.clock.now
+
+    def ended(admitted, end):
+        took = now() - end.began
+        name = candidate.pipeline.name
+        context.times.add(name, end.stage, took, now(), end.streamed)
+        context.windows.end_stage(admitted, end, now())
+
+    for _ in range(count):
+        admitted = Admitted(
+            candidate, now(), now, ended, lambda _, stage: candidate.deadline
+        )
+        context.windows.take(admitted, now())
+        admitted.begin_stage(last.name)
+        context.clock.seconds += seconds
+        admitted.end_stage(last.name, timed=True, whole=True, streamed=streamed)
+        context.windows.give_up(admitted)
+
+
+@then("the last stage's service has no narrower window than before")
+def step(context):
+    service = context.last.service
+    assert context.windows.used()[service][0] >= context.limits[service]
