A randomized soak of real entries: links, signals, store and servers fail, promises are held to

What it is: entries as separate processes behind relays that delay, reset, cut one way, silence or leave connections stale; entries paused, killed, stopped, restarted in series; the store down, slow, forgetful; servers drained, crashed, replaced; versions published and a key taken away meanwhile. It checks from what callers were told and servers ran: at most once, truthful refusals, whole and own answers, streams without gaps, versions that only rise, no foreign results, no ends by itself, recovery, servers that left. Clocks are not struck: no decision reads the time of day. Needed in the product: entries_advertised, the address under which others reach an entry. The checks are proved by made-up broken promises, each found.

--- a/boragestream/base/route_settings.py
+++ b/boragestream/base/route_settings.py
@@ -48,6 +48,8 @@
     :ivar ready: whether the entry is ready.
     :ivar directory: where callers should connect.
     :ivar entries: the other entries.
+    :ivar entries_advertised: where the other entries reach this one, where that is
+        not the address that it listens on; empty for the same.
     :ivar metrics: metrics as text; empty for nowhere.
     :ivar metrics_path: under which path.
     """
@@ -56,9 +58,15 @@
     ready: Address
     directory: Address
     entries: Address
+    entries_advertised: str = ""
     metrics: str = ""
     metrics_path: str = "/metrics"
 
+    @property
+    def peer_name(self) -> str:
+        """The address under which the other entries know this one."""
+        return self.entries_advertised or self.entries
+
 
 @dataclass(frozen=True, slots=True)
 class PeerSeeds:
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -171,7 +171,7 @@
     """Build the parts of an entry; nothing runs yet."""
     settings = in_force.current
     rng = random.Random()
-    own = settings.listen.entries
+    own = settings.listen.peer_name
     incarnation = new_incarnation()
     sender = Sender(DEPLOYMENT, own, incarnation, settings.peers.key.encode())
     links = PeerLinks(sender)
--- /dev/null
+++ b/tests/features/soak.feature
@@ -0,0 +1,33 @@
+Feature: real entries keep their promises while links, processes, store and servers fail
+
+  Scenario Outline: faults of one seed, in series and overlapping
+    When faults of seed <seed> strike 3 entries for 6 seconds
+    Then the soak sees no broken promise, and requests were served
+
+    Examples: seeds that also run by themselves
+      | seed |
+      | 1    |
+      | 2    |
+
+  Scenario Outline: the soak sees <what>
+    Given a soaked request "<kind>" that ran <runs> times and was told <status> with "<body>"
+    Then the soak finds "<found>"
+
+    Examples:
+      | what                          | kind   | runs | status | body       | found                     |
+      | a call made twice             | unsafe | 2    | 200    | i-1 s-1 5  | ran twice                 |
+      | an untruthful refusal         | unsafe | 1    | 503    | busy       | refused, and has run      |
+      | another request's answer      | safe   | 1    | 200    | i-1 s-2 5  | not its own or not whole  |
+      | a cut answer that looks whole | safe   | 1    | 200    | i-1 s      | not its own or not whole  |
+      | a success out of nothing      | safe   | 0    | 200    | i-1 s-1 5  | a success that no server  |
+      | a stream with a gap           | chat   | 1    | 200    | events 1,3 | a stream with events      |
+      | a refused key                 | safe   | 0    | 401    | key        | denied                    |
+      | a fourth run                  | safe   | 4    | 200    | i-1 s-1 5  | ran more often            |
+      | nothing where all is well     | safe   | 1    | 200    | i-1 s-1 5  |                           |
+
+  Scenario: the soak sees an entry that forgets a version
+    Given an entry answered version 5 and 3 seconds later 404 to it
+    Then the soak finds "forgot version 5"
+
+  Scenario: a plan depends on its seed alone
+    Then two plans of seed 7 are the same, and one of seed 8 is another
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,50 @@
+"""Runs the soak and prints a line of JSON for each seed.
+
+Usage:
+  tests.soak [options]
+
+Options:
+  --seeds N       How many fresh seeds [default: 5].
+  --only SEED     Run this one seed alone.
+  --entries N     How many entries [default: 3].
+  --seconds S     How long faults strike in each run [default: 12].
+  --keep DIR      Where the logs of failed runs are kept [default: out/soak].
+
+The exit code is 1 where a promise was broken. Ended are only processes that a run
+started itself.
+"""
+
+import dataclasses
+import json
+import random
+import sys
+
+from docopt import docopt
+
+from tests.soak.run import run_seed
+
+
+def main(argv=None):
+    """Run the seeds; return the exit code."""
+    arguments = docopt(__doc__, argv)
+    if arguments["--only"]:
+        seeds = [int(arguments["--only"])]
+    else:
+        fresh = random.SystemRandom()
+        seeds = [fresh.randrange(1 << 30) for _ in range(int(arguments["--seeds"]))]
+    failed = 0
+    for seed in seeds:
+        verdict = run_seed(
+            seed,
+            int(arguments["--entries"]),
+            float(arguments["--seconds"]),
+            arguments["--keep"],
+        )
+        print(json.dumps(dataclasses.asdict(verdict)), flush=True)
+        failed += bool(verdict.broken)
+    print(f"{len(seeds) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,145 @@
+"""Callers of the soak, which keep connections open and note what they were told."""
+
+import contextlib
+import http.client
+import itertools
+import random
+import threading
+import time
+from dataclasses import dataclass
+
+from tests.standins.route_site import HOST, KEY, RouteSite
+
+CALL_SECONDS = 3.0
+# An entry that is not paused ends each request by its deadline; the slack is for the
+# relays and for a machine with other work.
+HANG_SECONDS = CALL_SECONDS + 6.0
+PATHS = {
+    "safe": ("ok", "ok", "slow", "cut", "error", "refuse", "extra", "late-extra")
+    + ("garbage", "unframed", "unframed-reset", "silent", "crossed", "unsealed"),
+    "unsafe": ("ok", "ok", "slow", "cut", "error", "refuse", "extra", "garbage")
+    + ("unframed-reset", "silent", "crossed"),
+    "chat": ("ok", "cut", "half", "before", "slow"),
+    "draft": ("ok", "cut", "before"),
+    "staged": ("ok", "ok", "cut"),
+}
+LEAVES_SHARE = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a caller was told of one request.
+
+    :ivar kind: the route's name; ``probe`` for one that shows a version.
+    :ivar version: of a probe, the version that brought its route.
+    :ivar life: which entry, in which of its lives, as far as the caller knows.
+    :ivar status: 0 where the connection ended without a head.
+    :ivar left: the caller went away on purpose.
+    """
+
+    request_id: str
+    kind: str
+    fault: str
+    version: int
+    life: tuple[str, int]
+    sent_at: float
+    ended_at: float
+    status: int
+    sealed: bool
+    body: bytes
+    whole: bool
+    left: bool
+
+
+class Callers:
+    """Threads that call until they are told to stop."""
+
+    numbers = itertools.count(1)
+
+    def __init__(self, site, seed, count):
+        """Take the site; ``start`` begins."""
+        self.site = site
+        self.told = []
+        self.lock = threading.Lock()
+        self.ending = threading.Event()
+        self.threads = [
+            threading.Thread(
+                target=self._run, args=(random.Random((seed, i).__hash__()),)
+            )
+            for i in range(count)
+        ]
+
+    def start(self):
+        """Begin to call."""
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self):
+        """Call no more and wait for the last answers.
+
+        :returns: whether all callers ended in time.
+        """
+        self.ending.set()
+        until = time.monotonic() + HANG_SECONDS + CALL_SECONDS
+        for thread in self.threads:
+            thread.join(max(0.0, until - time.monotonic()))
+        return not any(thread.is_alive() for thread in self.threads)
+
+    def _run(self, rng):
+        connection, entry = None, ""
+        while not self.ending.is_set():
+            if connection is None:
+                entry = rng.choice(self.site.told_entries() or list(self.site.entries))
+                connection = http.client.HTTPConnection(
+                    self.site.caller_address(entry), timeout=HANG_SECONDS
+                )
+            told, kept = self._call(rng, connection, entry)
+            with self.lock:
+                self.told.append(told)
+            if not kept or rng.random() < 0.02:
+                connection.close()
+                connection = None
+            if told.status in (0, 503):
+                time.sleep(0.1)
+            time.sleep(rng.uniform(0.0, 0.08))
+
+    def _call(self, rng, connection, entry):
+        kind, fault, version = self._pick(rng)
+        request_id = f"s-{next(self.numbers)}"
+        headers = {
+            "Host": HOST,
+            "Request-Id": request_id,
+            "Deadline-Ms": str(int(CALL_SECONDS * 1000)),
+            "Authorization": f"Bearer {KEY}",
+        }
+        if kind == "staged":
+            headers |= {"Pieces": "2,1", "Piece-Key": f"key-{request_id}"}
+        prefix = f"/v{version}/" if kind == "probe" else f"/{kind}/"
+        life = (entry, self.site.lives[entry])
+        status, sealed, body, whole, kept, left = 0, False, b"", False, False, False
+        sent_at = time.monotonic()
+        with contextlib.suppress(http.client.HTTPException, OSError):
+            connection.request("POST", f"{prefix}{fault}", b"hello", headers)
+            if rng.random() < LEAVES_SHARE:
+                left = True
+            else:
+                response = connection.getresponse()
+                status = response.status
+                sealed = response.headers.get("Server-Seal") is not None
+                body, whole = RouteSite.read(response)
+                # Else the connection would take no further request.
+                response.close()
+                kept = whole and not response.will_close
+        ended_at = time.monotonic()
+        told = Told(
+            request_id, kind, fault, version, life, sent_at, ended_at, status, sealed,
+            body, whole, left,
+        )  # fmt: skip
+        return told, kept
+
+    def _pick(self, rng):
+        version = self.site.route_version
+        if version and rng.random() < 0.15:
+            return "probe", "ok", version
+        kind = rng.choice(list(PATHS))
+        return kind, rng.choice(PATHS[kind]), 0
--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,94 @@
+"""Which faults strike when, drawn from a seed."""
+
+import random
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from tests.soak.relay import LinkFault
+
+# Strikes overlap: they come faster than they end.
+GAP_SECONDS = 0.7
+LONGEST_SECONDS = 4.0
+PEER_PAIRS = ("both", "one-way")
+STORE_TROUBLES = ("503", "429", "reset", "silent")
+
+
+class StrikeKind(Enum):
+    """What is done, and to what."""
+
+    CALLER_LINK = auto()
+    STORE_LINK = auto()
+    SERVER_LINK = auto()
+    PEER_LINK = auto()
+    PAUSE = auto()
+    KILL = auto()
+    KILL_ALL = auto()
+    TERM = auto()
+    HANG_UP = auto()
+    STORE_DOWN = auto()
+    STORE_FORGETS = auto()
+    SERVER_DRAINS = auto()
+    SERVER_DIES = auto()
+    PUBLISH = auto()
+    REVOKE = auto()
+
+
+WEIGHTS = {
+    StrikeKind.CALLER_LINK: 3,
+    StrikeKind.STORE_LINK: 3,
+    StrikeKind.SERVER_LINK: 4,
+    StrikeKind.PEER_LINK: 4,
+    StrikeKind.PAUSE: 3,
+    StrikeKind.KILL: 3,
+    StrikeKind.KILL_ALL: 0.5,
+    StrikeKind.TERM: 3,
+    StrikeKind.HANG_UP: 1,
+    StrikeKind.STORE_DOWN: 2,
+    StrikeKind.STORE_FORGETS: 1,
+    StrikeKind.SERVER_DRAINS: 2,
+    StrikeKind.SERVER_DIES: 2,
+    StrikeKind.PUBLISH: 3,
+    StrikeKind.REVOKE: 1,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Strike:
+    """One fault.
+
+    :ivar at: seconds from the start.
+    :ivar seconds: how long it lasts, where it lasts.
+    :ivar how: the variant; empty for the only one.
+    :ivar target: picks the entry, the server or the pair, a number below a million.
+    """
+
+    at: float
+    seconds: float
+    kind: StrikeKind
+    how: str
+    target: int
+
+
+def make_plan(seed, seconds):
+    """Return the strikes of a run, in the order of their times."""
+    rng = random.Random(seed)
+    strikes = []
+    at = 1.0
+    while at < seconds:
+        kind = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+        lasts = round(rng.uniform(0.2, LONGEST_SECONDS), 2)
+        target = rng.randrange(1_000_000)
+        strikes.append(Strike(round(at, 2), lasts, kind, _variant(kind, rng), target))
+        # Series of signals come close together.
+        at += rng.choice((0.05, GAP_SECONDS, 2 * GAP_SECONDS)) * rng.uniform(0.5, 1.5)
+    return strikes
+
+
+def _variant(kind, rng):
+    if kind is StrikeKind.PEER_LINK:
+        return rng.choice(PEER_PAIRS)
+    if kind is StrikeKind.STORE_DOWN:
+        return rng.choice(STORE_TROUBLES)
+    if kind in (StrikeKind.CALLER_LINK, StrikeKind.STORE_LINK, StrikeKind.SERVER_LINK):
+        return rng.choice(list(LinkFault)).name
+    return ""
--- /dev/null
+++ b/tests/soak/site.py
@@ -0,0 +1,283 @@
+"""The site of a soak: entries as processes, with a relay on each of their links."""
+
+import contextlib
+import signal
+import threading
+import time
+
+from tests.soak.plan import PEER_PAIRS, StrikeKind
+from tests.soak.relay import LinkFault, Relay
+from tests.standins.partition import PartitionedNetwork
+from tests.standins.route_server import RouteServer
+from tests.standins.route_site import (
+    ADDRESS,
+    HOST,
+    KEY,
+    ZONES,
+    RouteSite,
+    configuration,
+    route,
+)
+
+RETURN_SECONDS = 0.3
+SPARE_KEY = "spare-key-of-a-caller-0123456789"
+
+
+class SoakSite(RouteSite):
+    """A site whose links and processes can be struck.
+
+    Callers, the store and the servers are reached through relays; entries reach one
+    another through those of a network that can be divided by pairs.
+    """
+
+    def __init__(self, entries, servers):
+        """Make everything; ``start`` starts the entries."""
+        super().__init__(entries)
+        self.lives = dict.fromkeys(self.entries, 0)
+        self.route_version = 0
+        self.version = 1
+        self.keys = (KEY, SPARE_KEY)
+        self.key_was_revoked_at = None
+        self.lock = threading.RLock()
+        self.paused = {}
+        # Servers that left, each with when it was said.
+        self.drained = []
+        # Entries that ended by themselves, with their exit codes.
+        self.own_ends = []
+        self.stopping = set()
+        self.server_relays = {}
+        for server in self.servers:
+            self._put_behind_relay(server)
+        kinds = sorted({server.kind for server in self.servers})
+        for number in range(servers - 2):
+            for kind in kinds:
+                self._add_server(kind, ZONES[(number + 2) % 3])
+        self.caller_relays = {
+            name: Relay(fields["listen"]["front"])
+            for name, fields in self.fields.items()
+        }
+        self.store_relays = {name: Relay(self.store.address) for name in self.fields}
+        self.network = PartitionedNetwork(
+            {
+                name: int(fields["listen"]["control"].rpartition(":")[2])
+                for name, fields in self.fields.items()
+            }
+        )
+        self._advertise()
+
+    def close(self):
+        """End everything."""
+        super().close()
+        self.network.close()
+        relays = [*self.caller_relays.values(), *self.store_relays.values()]
+        for relay in [*relays, *self.server_relays.values()]:
+            relay.close()
+
+    def caller_address(self, name):
+        """Return where callers connect to an entry."""
+        return self.caller_relays[name].address
+
+    def told_entries(self):
+        """Return the entries that one of the entries tells callers to use."""
+        by_address = {f["listen"]["front"]: n for n, f in self.fields.items()}
+        for name in self.entries:
+            with contextlib.suppress(OSError, ValueError, KeyError):
+                return [by_address[a] for a in self.directory(name) if a in by_address]
+        return []
+
+    def publish_next(self, revoke=False):
+        """Publish a version with one more route, or with a key fewer."""
+        with self.lock:
+            self.version += 1
+            if revoke:
+                self.keys = (KEY,)
+            self._publish_routes()
+            self.route_version = self.version
+            if revoke:
+                self.key_was_revoked_at = time.monotonic()
+
+    def _publish_routes(self):
+        versions = range(2, self.version + 1)
+        extra = [route(f"/v{n}/", "safe", "plain") for n in versions]
+        self.publish(configuration(self.version, extra=extra, keys=self.keys))
+
+    def strike(self, strike):
+        """Begin one fault; return what ends it, None where it ends by itself."""
+        names = sorted(self.entries)
+        name = names[strike.target % len(names)]
+        kind = strike.kind
+        if kind is StrikeKind.CALLER_LINK:
+            return self._strike_relay(self.caller_relays[name], strike)
+        if kind is StrikeKind.STORE_LINK:
+            return self._strike_relay(self.store_relays[name], strike)
+        if kind is StrikeKind.SERVER_LINK:
+            server = self._server(strike)
+            return self._strike_relay(self.server_relays[server.identity], strike)
+        if kind is StrikeKind.PEER_LINK:
+            return self._divide(names, name, strike)
+        if kind is StrikeKind.PAUSE:
+            return self._pause(name)
+        return self._strike_at_once(name, strike)
+
+    def heal(self):
+        """End all faults, wake and start all entries."""
+        for relay in [*self.caller_relays.values(), *self.store_relays.values()]:
+            relay.heal()
+        for relay in self.server_relays.values():
+            relay.heal()
+        self.network.heal()
+        self.store.down = None
+        for name in list(self.paused):
+            self._wake(name)
+        for name in self.entries:
+            self.wait_started(name)
+
+    def wait_started(self, name):
+        """Start an entry again where it has ended."""
+        with self.lock:
+            process = self.entries[name]
+            if process.popen.poll() is not None:
+                self._start_again(name)
+
+    def look_after(self):
+        """Start what ended again, and note what ended by itself."""
+        with self.lock:
+            for name, process in self.entries.items():
+                code = process.popen.poll()
+                if code is None:
+                    continue
+                if name not in self.stopping and code != -signal.SIGKILL:
+                    self.own_ends.append((name, code))
+                self._start_again(name)
+
+    def _start_again(self, name):
+        self.stopping.discard(name)
+        self.lives[name] += 1
+        self.entries[name].start()
+
+    def _strike_at_once(self, name, strike):
+        kind = strike.kind
+        if kind is StrikeKind.KILL:
+            self._signal(name, signal.SIGKILL)
+        elif kind is StrikeKind.KILL_ALL:
+            for entry in self.entries:
+                self._signal(entry, signal.SIGKILL)
+        elif kind is StrikeKind.TERM:
+            self._signal(name, signal.SIGTERM)
+        elif kind is StrikeKind.HANG_UP:
+            self._signal(name, signal.SIGHUP)
+        elif kind is StrikeKind.STORE_DOWN:
+            self.store.down = strike.how
+            return lambda: setattr(self.store, "down", None)
+        elif kind is StrikeKind.STORE_FORGETS:
+            self.publish_next()
+            self.store.drop_history()
+        elif kind is StrikeKind.PUBLISH:
+            self.publish_next()
+        elif kind is StrikeKind.REVOKE:
+            self.publish_next(revoke=True)
+        else:
+            self._replace_server(strike)
+        return None
+
+    def _signal(self, name, number):
+        with self.lock:
+            # One that has ended or never ran has no handler to meet the signal.
+            if self.entries[name].popen.poll() is not None:
+                return
+            if number == signal.SIGHUP and not self._handles_signals(name):
+                return
+            if number == signal.SIGTERM:
+                self.stopping.add(name)
+            self.signal(name, number)
+
+    def _handles_signals(self, name):
+        """Tell whether this life of an entry has begun to serve."""
+        started = sum(e.get("event") == "entry_started" for e in self.events(name))
+        return started > self.lives[name]
+
+    @staticmethod
+    def _strike_relay(relay, strike):
+        relay.strike(LinkFault[strike.how])
+        return relay.heal
+
+    def _divide(self, names, name, strike):
+        other = names[strike.target // len(names) % len(names)]
+        if other == name:
+            rest = [n for n in names if n != name]
+            self.network.split([name], rest)
+        elif strike.how == PEER_PAIRS[0]:
+            self.network.split([name], [other])
+        else:
+            self.network.drop((name, other))
+        return self.network.heal
+
+    def _pause(self, name):
+        with self.lock:
+            if self.entries[name].popen.poll() is not None:
+                return None
+            self.paused[name] = time.monotonic()
+            self.entries[name].freeze()
+        return lambda: self._wake(name)
+
+    def _wake(self, name):
+        with self.lock:
+            self.paused.pop(name, None)
+            if self.entries[name].popen.poll() is None:
+                self.entries[name].wake()
+
+    def _server(self, strike):
+        present = [s for s in self.servers if not s.gone]
+        return present[strike.target % len(present)]
+
+    def _replace_server(self, strike):
+        """Have a server leave, and another come."""
+        server = self._server(strike)
+        server.gone = True
+        kind, zone = server.kind, server.zone
+        if strike.kind is StrikeKind.SERVER_DRAINS:
+            self.list(server, "draining")
+            self.drained.append((server, time.monotonic()))
+        else:
+            self.store.put(f"servers/{server.identity}", None)
+            server.close()
+            self.server_relays[server.identity].strike(LinkFault.RESET)
+        time.sleep(RETURN_SECONDS)
+        self._add_server(kind, zone)
+
+    def _add_server(self, kind, zone):
+        server = RouteServer(ADDRESS, kind, kind, zone, self.servers[0].struck)
+        self._put_behind_relay(server)
+        self.servers.append(server)
+        self.list(server)
+
+    def _put_behind_relay(self, server):
+        relay = Relay(server.address)
+        server.address = relay.address
+        server.gone = False
+        self.server_relays[server.identity] = relay
+        self.list(server)
+
+    def _advertise(self):
+        """Have the entries reach the store and one another through the relays."""
+        ports = self.network.ports
+        seeds = [f"{ADDRESS}:{port}" for port in list(ports.values())[:3]]
+        for name, fields in self.fields.items():
+            fields["seeds"] = seeds
+            fields["platform"] = {"addr": self.store_relays[name].address}
+            self.write_settings(name)
+
+    def write_settings(self, name):
+        """Write an entry's settings, with the address that its relay has."""
+        super().write_settings(name)
+        if not hasattr(self, "network"):
+            return
+        path = self.settings_path(name)
+        advertised = f'entries_advertised = "{ADDRESS}:{self.network.ports[name]}"'
+        text = path.read_text().replace("[listen]", f"[listen]\n{advertised}")
+        path.write_text(text)
+
+    @property
+    def host(self):
+        """The host of all routes."""
+        return HOST
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -51,6 +51,8 @@
         self.piece_fault = None
         self.full = False
         self.held = {}
+        # Every result ever made here, by its handle: request, stage, number.
+        self.made = {}
         self.left = []
         self.others_asked = 0
         self.cut_off = None
@@ -245,6 +247,7 @@
                     continue
                 handle = f"{self.address}/{number}-{index}"
                 self.held[handle] = (item["id"], item["stage"], item["piece"])
+                self.made[handle] = self.held[handle]
                 results.append({"handle": handle})
         self.send(sock, headers, 200, json.dumps({"items": results}).encode())
 
