--- a/boragestream/operator/command.py
+++ b/boragestream/operator/command.py
@@ -6,6 +6,7 @@
   boragestream show FILE
   boragestream show --entry=LIST [--key-file=FILE]
   boragestream status --entry=LIST [--key-file=FILE] [--json]
+  boragestream status --metrics=LIST [--json]
   boragestream entries --entry=LIST [--key-file=FILE] [--json]
   boragestream call PIPELINE (TEXT | --input=FILE) --entry=LIST [--key-file=FILE]
                     [--deadline=MS] [--stream | --once] [--json]
@@ -28,6 +29,7 @@
 
 Options:
   --entry=LIST      Entries to ask first: address:port, several joined by commas.
+  --metrics=LIST    Metrics addresses of entries that forward by routes, joined alike.
   --key-file=FILE   Holds the key. Without it: $BORAGESTREAM_KEY for entries and call,
                     $BORAGESTREAM_OPERATOR_KEY for show and status.
   --keys=FILE       TOML file; its table [keys] gives each client account's key.
@@ -72,6 +74,7 @@
 from boragestream.operator.output import print_failure
 from boragestream.operator.replay import ReplayOptions, replay_file
 from boragestream.operator.report import report_files
+from boragestream.operator.route_status import print_route_status
 from boragestream.operator.show import show_entry, show_file
 from boragestream.operator.status import print_status
 
@@ -121,6 +124,9 @@
 
 
 def _status(arguments: Arguments) -> ExitCode:
+    if arguments["--metrics"]:
+        addresses = arguments["--metrics"].split(",")
+        return print_route_status(addresses, arguments["--json"])
     client = _client(arguments, OPERATOR_KEY_VARIABLE)
     if not isinstance(client, Client):
         return client
--- a/tests/features/explaining.feature
+++ b/tests/features/explaining.feature
@@ -12,6 +12,7 @@
     Then explaining it says that no line tells of its end
     And the metrics count the requests by outcome and reason, the attempts and the stages
     And the metrics tell the version in force and the age of the server list
+    And one picture of both entries adds up what they ended, and names one that is gone
 
   Scenario: damaged lines are skipped and counted, and lines of others left out
     Given a log with the request "r-1", a damaged line and another request
--- a/tests/features/operator_command.feature
+++ b/tests/features/operator_command.feature
@@ -23,6 +23,7 @@
       | call caption x --entry=x --deadline=nan    | 2    | is no number           |
       | call caption x --entry=x --key-file=nofile | 2    | key-unusable           |
       | status --entry=127.0.0.1:1                 | 3    | unreachable            |
+      | status --metrics=127.0.0.1:1               | 3    | unreachable            |
       | replay no-file --entry=x --keys=no-keys    | 2    | key-unusable           |
       | report no-such-file                        | 2    | No such file           |
       | --version                                  | 0    | 0.1                    |
--- a/tests/features/steps/explaining.py
+++ b/tests/features/steps/explaining.py
@@ -251,3 +251,24 @@
     text = context.route_metrics.text()
     assert len(set(re.findall(r'account="([^"]+)"', text))) <= accounts
     assert len(set(re.findall(r'route="([^"]+)"', text))) <= routes
+
+
+@then("one picture of both entries adds up what they ended, and names one that is gone")
+def step(context):
+    site = context.site
+    gone = "127.0.0.1:1"
+    # One of the two was killed a step before.
+    addresses = [f"{fields['ip']}:9464" for fields in site.fields.values()]
+    picture, code = run(
+        ["status", f"--metrics={','.join([*addresses, gone])}", "--json"]
+    )
+    assert code == ExitCode.UNREACHABLE
+    assert gone in [failure["address"] for failure in picture["unreachable"]]
+    told = {entry["address"]: entry for entry in picture["entries"]}
+    live = next(entry for entry in told.values() if entry["version"] == 1)
+    assert live["servers"] == 4 and live["list_age"] >= 0.0, live
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output):
+        main(["status", f"--metrics={live['address']}"])
+    assert "version 1 to 1" in output.getvalue()
+    assert "route" in output.getvalue() and "engine" in output.getvalue()
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -193,7 +193,7 @@
 
     def _handles_signals(self, name):
         """Tell whether this life of an entry has begun to serve."""
-        started = sum(e.get("event") == "entry_started" for e in self.events(name))
+        started = sum(e["name"] == "entry_started" for e in self.events(name))
         return started > self.lives[name]
 
     @staticmethod
