Later stages of a chain are booked before its first stage begins

Cause: a chain learnt only at its last stage that the queue there was full. Ruled out: processor at the owners (0.18 of a core at the busiest), messages lost (none), the first stage's queue (it has room; its owner admits whatever finds a free server). Change: before its first order an entry asks the owners of all later queues, which count the pieces to come from then on; a refusal goes out at once. What reaches owners moves to serving.owner_links. Scenarios of piece_queue.feature cover the booking of queues.

--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -23,6 +23,7 @@
 from boragestream.entry.links import Handler, PeerLinks
 from boragestream.entry.messages import (
     DocumentAsk,
+    PiecesBook,
     PiecesCancel,
     PiecesDone,
     PiecesOrder,
@@ -54,7 +55,9 @@
 from boragestream.policy.stage_delays import StageDelays
 from boragestream.serving.forward_attempt import ForwardParts
 from boragestream.serving.forwarder import Forwarder
+from boragestream.serving.owner_links import OwnerLinks
 from boragestream.serving.piece_batches import BatchParts, PieceBatches
+from boragestream.serving.piece_bookings import PieceBookings
 from boragestream.serving.piece_orders import PieceOrders
 from boragestream.serving.stage_pieces import StagePieces
 
@@ -101,6 +104,7 @@
     :ivar members: how the other entries are.
     :ivar list_heard: when the server list was last confirmed.
     :ivar orders: the pieces of this entry's requests.
+    :ivar bookings: places in queues for what this entry's requests will order.
     :ivar batches: the queues of pieces that this entry owns.
     """
 
@@ -119,6 +123,7 @@
     members: EntryPeers
     relay: ConfigurationRelay
     orders: PieceOrders
+    bookings: PieceBookings
     batches: PieceBatches
     forwarder: Forwarder
 
@@ -129,6 +134,7 @@
             **self.members.handlers,
             DocumentAsk: self.relay.answer,
             PiecesOrder: self.orders.answer_order,
+            PiecesBook: self.bookings.answer_booking,
             PiecesDone: self.orders.answer_done,
             PiecesCancel: self.orders.answer_cancel,
             PiecesRelease: self.orders.answer_release,
@@ -224,12 +230,14 @@
 
     metrics = RouteMetrics()
     heard = ListHeard(clock)
-    orders = PieceOrders(own, live, links, clock)
+    owners = OwnerLinks(own, live, links, clock)
+    orders = PieceOrders(owners, clock)
     batch_parts = BatchParts(
         line, _PieceCalls(), servers, loads, retries, watchdog, clock, metrics, limits
     )
     batches = PieceBatches(batch_parts, orders.done)
     orders.join(batches)
+    bookings = PieceBookings(owners, batches, clock)
     forwarder = Forwarder(
         ForwardParts(
             line=line,
@@ -240,6 +248,7 @@
             retries=retries,
             stages=StagePieces(
                 orders,
+                bookings,
                 clock,
                 itertools.count(),
                 StageDelays(clock.now),
@@ -267,6 +276,7 @@
         members=members,
         relay=relay,
         orders=orders,
+        bookings=bookings,
         batches=batches,
         forwarder=forwarder,
     )
--- a/boragestream/entry/messages.py
+++ b/boragestream/entry/messages.py
@@ -25,6 +25,7 @@
     "Message",
     "MessageRefused",
     "PiecesAnswer",
+    "PiecesBook",
     "PiecesCancel",
     "PiecesDone",
     "PiecesOrder",
@@ -216,8 +217,22 @@
     near: str = ""
 
 
+class PiecesBook(msgspec.Struct, frozen=True, tag=True):
+    """Asks the owner of a queue whether an order that will come can be met.
+
+    :ivar order_id: names the order to come.
+    :ivar start_ms: until its latest start.
+    """
+
+    order_id: str
+    service: str
+    count: int
+    priority: int
+    start_ms: int
+
+
 class PiecesAnswer(msgspec.Struct, frozen=True, tag=True):
-    """Says whether an order was taken.
+    """Says whether an order or a booking was taken.
 
     :ivar wait_ms: the expected wait where it was not.
     """
@@ -238,7 +253,7 @@
 
 
 class PiecesCancel(msgspec.Struct, frozen=True, tag=True):
-    """Says that nobody waits for an order any more."""
+    """Says that an order is not waited for any more, or will not come."""
 
     service: str
     order_id: str
@@ -267,6 +282,7 @@
     | RequestAsk
     | CallState
     | PiecesOrder
+    | PiecesBook
     | PiecesAnswer
     | PiecesDone
     | PiecesCancel
--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -16,18 +16,25 @@
 from boragestream.document.routes import PieceLimits
 
 __all__ = [
+    "PieceBooking",
     "PieceOrder",
     "QueuedOrder",
     "ServerRoom",
     "choose_batch",
     "expected_wait",
     "is_admitted",
+    "is_bookable",
     "is_hopeless",
+    "turn_of",
 ]
 
 # How much of the time until its latest start an order may be expected to wait before it
 # is refused, by priority; what is less urgent is refused earlier.
 ADMITTED_SHARE = (1.0, 0.9, 0.8)
+# The same for a later stage of a chain that has not begun. The rest is kept back: the
+# stages before it take their time, and an answer that is late for want of a margin is
+# worth a seventh.
+BOOKED_SHARE = (0.85, 0.75, 0.65)
 # An order goes before one that is more urgent by a level of priority only where its
 # latest start is so much earlier. Less, and a chain of several stages, which has little
 # time to spare, is served less often than less urgent requests of one stage.
@@ -61,6 +68,19 @@
     near: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class PieceBooking:
+    """Pieces of a later stage that a chain will order once its earlier stages are done.
+
+    :ivar order_id: of the order to come.
+    """
+
+    order_id: str
+    service: str
+    count: int
+    priority: int
+
+
 @dataclass(slots=True)
 class QueuedOrder:
     """An order in the queue.
@@ -78,7 +98,7 @@
     @property
     def turn(self) -> float:
         """Its place in the queue; the smaller goes first."""
-        return self.start_by + PRIORITY_SECONDS * self.order.priority
+        return turn_of(self.start_by, self.order.priority)
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +116,11 @@
     free_at: Mapping[str, float] = field(default_factory=dict)
 
 
+def turn_of(start_by: float, priority: int) -> float:
+    """Return the place in the queue of what must start by a time."""
+    return start_by + PRIORITY_SECONDS * priority
+
+
 def choose_batch(
     queue: Iterable[QueuedOrder], limits: PieceLimits, room: ServerRoom, now: float
 ) -> list[tuple[QueuedOrder, list[Piece]]]:
@@ -150,8 +175,19 @@
     """
     if order.invested or wait <= 0:
         return True
-    share = ADMITTED_SHARE[min(order.priority, len(ADMITTED_SHARE) - 1)]
-    return wait <= share * left
+    return wait <= _of_priority(ADMITTED_SHARE, order.priority) * left
+
+
+def is_bookable(booking: PieceBooking, wait: float, left: float) -> bool:
+    """Tell whether a later stage of a chain is likely to be met.
+
+    A chain that meets a full queue at its last stage has used up the servers of all
+    stages before it.
+
+    :param wait: the expected wait in seconds, if it were ordered now.
+    :param left: the seconds until its latest start.
+    """
+    return wait <= _of_priority(BOOKED_SHARE, booking.priority) * left
 
 
 def is_hopeless(queued: QueuedOrder, now: float) -> bool:
@@ -163,6 +199,10 @@
     return now > queued.start_by + patience
 
 
+def _of_priority(shares: tuple[float, ...], priority: int) -> float:
+    return shares[min(priority, len(shares) - 1)]
+
+
 def _waits_for_near(queued: QueuedOrder, room: ServerRoom) -> bool:
     """Tell whether an order should wait for a server beside its inputs.
 
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -11,12 +11,15 @@
 from boragestream.document.calls import Piece, PieceFault, PieceResult
 from boragestream.document.routes import PieceLimits
 from boragestream.policy.piece_queue import (
+    PieceBooking,
     QueuedOrder,
     ServerRoom,
     choose_batch,
     expected_wait,
     is_admitted,
+    is_bookable,
     is_hopeless,
+    turn_of,
 )
 from boragestream.policy.servers import Server
 
@@ -26,6 +29,8 @@
 # A server that did not take a call is full or out of reach. Asked again at once it says
 # the same, a thousand times a second where it is the only one left.
 REFUSED_PAUSE_SECONDS = 0.1
+# An order that has not come so long after its latest start will not come any more.
+BOOKING_SECONDS = 0.5
 # A result is given up as soon as the next call has read it, mostly within this time.
 NO_ROOM_SECONDS = 0.4
 
@@ -52,6 +57,19 @@
         return self.limits.call_seconds + len(self.pieces) * self.limits.piece_seconds
 
 
+@dataclass(frozen=True, slots=True)
+class _Booked:
+    """Pieces that will be ordered.
+
+    :ivar turn: the place that the order will have in the queue.
+    :ivar until: the clock's seconds after which the order is not awaited any more.
+    """
+
+    count: int
+    turn: float
+    until: float
+
+
 @dataclass(slots=True)
 class _ServerState:
     """What a server has in hand.
@@ -81,6 +99,7 @@
 
     def __init__(self) -> None:
         self._orders: dict[str, QueuedOrder] = {}
+        self._bookings: dict[str, _Booked] = {}
         self._servers: dict[str, _ServerState] = {}
 
     @property
@@ -98,22 +117,44 @@
         """Take an order; return the expected wait in seconds where it is refused."""
         if queued.order.order_id in self._orders:
             return None
-        others = self._orders.values()
-        ahead = sum(len(q.left) for q in others if q.turn <= queued.turn)
-        busy = [self._state(server).calls for server in usable]
-        free = sum(calls < limits.concurrent_calls for calls in busy)
-        wait = expected_wait(ahead, 0 if ahead else free, len(usable), limits)
+        self._bookings.pop(queued.order.order_id, None)
+        wait = self._wait(queued.turn, limits, usable)
         if not is_admitted(queued.order, wait, queued.start_by - now):
             return wait
         self._orders[queued.order.order_id] = queued
         return None
 
+    def book(
+        self,
+        booking: PieceBooking,
+        start_by: float,
+        limits: PieceLimits,
+        usable: Sequence[Server],
+        now: float,
+    ) -> float | None:
+        """Book an order to come; return the expected wait where it is refused.
+
+        :param start_by: the clock's seconds at which it must start at the latest.
+        """
+        if booking.order_id in self._bookings or booking.order_id in self._orders:
+            return None
+        turn = turn_of(start_by, booking.priority)
+        wait = self._wait(turn, limits, usable)
+        if not is_bookable(booking, wait, start_by - now):
+            return wait
+        until = start_by + BOOKING_SECONDS
+        self._bookings[booking.order_id] = _Booked(booking.count, turn, until)
+        return None
+
     def drop(self, order_id: str) -> None:
-        """Drop an order; what is under way for it is made in vain."""
+        """Drop an order or a booking; what is under way for it is made in vain."""
         self._orders.pop(order_id, None)
+        self._bookings.pop(order_id, None)
 
     def drop_expired(self, now: float) -> None:
-        """Drop the orders that nobody awaits any more."""
+        """Drop the orders and bookings that nobody awaits any more."""
+        for order_id in [k for k, b in self._bookings.items() if now >= b.until]:
+            del self._bookings[order_id]
         for order_id in [k for k, q in self._orders.items() if now >= q.expires]:
             del self._orders[order_id]
 
@@ -200,6 +241,16 @@
         """Tell whether a server still holds a result."""
         return handle in self._state(server).held
 
+    def _wait(
+        self, turn: float, limits: PieceLimits, usable: Sequence[Server]
+    ) -> float:
+        """Return the expected wait in seconds of an order at a place in the queue."""
+        ahead = sum(len(q.left) for q in self._orders.values() if q.turn <= turn)
+        ahead += sum(b.count for b in self._bookings.values() if b.turn <= turn)
+        busy = [self._state(server).calls for server in usable]
+        free = sum(calls < limits.concurrent_calls for calls in busy)
+        return expected_wait(ahead, 0 if ahead else free, len(usable), limits)
+
     def _next_batch(
         self,
         server: Server,
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -32,7 +32,7 @@
 from boragestream.document.routes import PieceLimits
 from boragestream.policy.candidates import RoutingNeed, usable_servers
 from boragestream.policy.load import CallEnd, LoadTable
-from boragestream.policy.piece_queue import PieceOrder, QueuedOrder
+from boragestream.policy.piece_queue import PieceBooking, PieceOrder, QueuedOrder
 from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.server_choice import WITHOUT
 from boragestream.policy.servers import Server, ServerTable
@@ -120,17 +120,29 @@
         )
         usable = self._usable(order.service)
         with self._lock:
-            if order.service not in self._queues:
-                self._queues[order.service] = ServiceQueue()
-                emit(Event.QUEUE_OWNED, service=order.service)
-            queue = self._queues[order.service]
+            queue = self._queue(order.service)
             wait = queue.submit(queued, limits, usable, now)
         if wait is None:
             self._pump(order.service)
         return wait
 
+    def book(self, booking: PieceBooking, start_seconds: float) -> float | None:
+        """Book an order that comes once the stages before it are done.
+
+        :param start_seconds: until its latest start.
+        :returns: the expected wait in seconds where it is refused, None if it is taken.
+        """
+        limits = self._parts.limits(booking.service)
+        if limits is None:
+            return 0.0
+        now = self._parts.clock.now()
+        usable = self._usable(booking.service)
+        with self._lock:
+            queue = self._queue(booking.service)
+            return queue.book(booking, now + start_seconds, limits, usable, now)
+
     def cancel(self, service: str, order_id: str) -> None:
-        """Drop an order; what is under way is made in vain."""
+        """Drop an order or a booking; what is under way is made in vain."""
         with self._lock:
             queue = self._queues.get(service)
             if queue is not None:
@@ -173,6 +185,12 @@
         for service in services:
             self._pump(service)
 
+    def _queue(self, service: str) -> ServiceQueue:
+        if service not in self._queues:
+            self._queues[service] = ServiceQueue()
+            emit(Event.QUEUE_OWNED, service=service)
+        return self._queues[service]
+
     def _usable(self, service: str) -> list[Server]:
         live = self._parts.servers.live(service)
         need = RoutingNeed(without=WITHOUT)
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -1,24 +1,20 @@
 """Has the pieces of requests made by whichever entry owns the queue of their service.
 
-All live entries rank each other alike for a service, and the first owns its queue. An
-order is acknowledged at once and its results come in messages of their own. While an
+An order is acknowledged at once and its results come in messages of their own. While an
 owner is silent the next in rank is asked; at the last the entry does it itself. Two
-owners for a moment make some pieces twice, and nothing worse. The batches are formed
-in ``serving.piece_batches``.
+owners for a moment make some pieces twice, and nothing worse. Who owns a queue is told
+by ``serving.owner_links``, the batches are formed in ``serving.piece_batches``.
 """
 
 import threading
-from collections.abc import Callable, Sequence
-from concurrent.futures import ThreadPoolExecutor
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from boragestream.backend.cancellation import CancelScope
 from boragestream.base.clock import Clock
-from boragestream.base.events import Event, describe_error, emit
 from boragestream.base.failures import DeadlinePassed
 from boragestream.base.outcomes import Failure
 from boragestream.document.calls import Piece, PieceFault, PieceResult, StageResult
-from boragestream.entry.links import PeerLinks
 from boragestream.entry.messages import (
     Envelope,
     PiecesAnswer,
@@ -29,19 +25,14 @@
     ProbeReply,
 )
 from boragestream.policy.piece_queue import PieceOrder
-from boragestream.policy.queue_owners import owner_order
+from boragestream.serving.owner_links import OwnerLinks, milliseconds
 from boragestream.serving.piece_batches import PieceBatches
 from boragestream.serving.piece_failures import StageSaturated
 
 __all__ = ["OpenOrder", "PieceOrders"]
 
-# An owner acknowledges at once; one that is silent for longer is passed over.
-ACKNOWLEDGE_SECONDS = 0.3
-PASSED_OVER_SECONDS = 2.0
 # How often the owner of an order is asked whether it still has it.
 ASK_AGAIN_SECONDS = 0.8
-MESSAGE_SECONDS = 0.5
-MESSAGE_THREADS = 16
 
 
 @dataclass(slots=True)
@@ -77,30 +68,17 @@
 
 
 class PieceOrders:
-    """The orders of this entry's requests, and those of others that it owns.
+    """The orders of this entry's requests, and those of others that it owns."""
 
-    :param own: this entry's name, its address for other entries.
-    :param live: returns the names of the live entries that can own queues.
-    """
-
-    def __init__(
-        self,
-        own: str,
-        live: Callable[[], Sequence[str]],
-        links: PeerLinks,
-        clock: Clock,
-    ) -> None:
-        self._own = own
-        self._live = live
-        self._links = links
+    def __init__(self, owners: OwnerLinks, clock: Clock) -> None:
+        self._owners = owners
+        self._own = owners.own
         self._clock = clock
         self._open: dict[str, OpenOrder] = {}
         # Who awaits the orders that this entry owns for others.
         self._askers: dict[str, str] = {}
-        self._passed_over: dict[str, float] = {}
         self._owner_of_handle: dict[str, str] = {}
         self._lock = threading.Lock()
-        self._messages = ThreadPoolExecutor(MESSAGE_THREADS, "piece messages")
         self._batches: PieceBatches | None = None
 
     def join(self, batches: PieceBatches) -> None:
@@ -146,7 +124,7 @@
             self._batches.cancel(opened.order.service, opened.order.order_id)
         elif opened.owner:
             order = opened.order
-            self._send(opened.owner, PiecesCancel(order.service, order.order_id))
+            self._owners.send(opened.owner, PiecesCancel(order.service, order.order_id))
         self.release([made.handle for made in opened.made.values()])
 
     def release(self, handles: Sequence[str]) -> None:
@@ -161,7 +139,7 @@
             if owner == self._own:
                 self._batches.release(owned)
             else:
-                self._send(owner, PiecesRelease(tuple(owned)))
+                self._owners.send(owner, PiecesRelease(tuple(owned)))
 
     def take_results(
         self, owner: str, order_id: str, results: Sequence[tuple[int, PieceResult]]
@@ -197,7 +175,7 @@
             (number, r.handle, r.fault.name if r.fault else "", r.data_centre)
             for number, r in results
         )
-        self._send(asker, PiecesDone(order_id, packed))
+        self._owners.send(asker, PiecesDone(order_id, packed))
 
     def answer_order(self, envelope: Envelope, message: PiecesOrder) -> PiecesAnswer:
         """Take an order of another entry."""
@@ -220,7 +198,7 @@
         )
         if refused is None:
             return PiecesAnswer(taken=True)
-        return PiecesAnswer(taken=False, wait_ms=_milliseconds(refused))
+        return PiecesAnswer(taken=False, wait_ms=milliseconds(refused))
 
     def answer_done(self, envelope: Envelope, message: PiecesDone) -> ProbeReply:
         """Take results from an owner."""
@@ -255,7 +233,7 @@
     def _place(self, opened: OpenOrder, scope: CancelScope) -> Failure | None:
         """Give an order to the first owner that takes it, or return its refusal."""
         order = opened.order
-        for owner in self._owners(order.service, opened.owner):
+        for owner in self._owners.owners(order.service, opened.owner):
             now = self._clock.now()
             start, left = opened.start_by - now, scope.deadline - now
             if left <= 0 or scope.reason is not None:
@@ -263,58 +241,16 @@
             opened.owner, opened.asked_at = owner, now
             if owner == self._own:
                 return _refusal(order, self._batches.submit(order, start, left))
-            reply = self._links.ask(
-                owner, _message(order, start, left), ACKNOWLEDGE_SECONDS
-            )
-            if isinstance(reply, PiecesAnswer):
+            reply = self._owners.ask(owner, _message(order, start, left))
+            if reply is not None:
                 wait = None if reply.taken else reply.wait_ms / 1000
                 return _refusal(order, wait)
-            self._pass_over(owner, reply)
         return StageSaturated(order.service, 0)
 
     def _forget(self, opened: OpenOrder) -> None:
         with self._lock:
             self._open.pop(opened.order.order_id, None)
 
-    def _owners(self, service: str, known: str) -> list[str]:
-        """Return the entries to ask, in their order.
-
-        :param known: the owner that took the order; it stays the owner while it is
-            there, whoever ranks before it since, so that nothing is made twice.
-        """
-        now = self._clock.now()
-        ranked = owner_order(service, self._live())
-        if known in ranked:
-            ranked.remove(known)
-            ranked.insert(0, known)
-        heard = [e for e in ranked if self._passed_over.get(e, 0.0) <= now]
-        # This entry itself is the last resort, wherever it ranks.
-        until_own = heard[: heard.index(self._own) + 1] if self._own in heard else heard
-        return until_own if self._own in until_own else [*until_own, self._own]
-
-    def _pass_over(self, owner: str, reply: object) -> None:
-        self._passed_over[owner] = self._clock.now() + PASSED_OVER_SECONDS
-        described = reply.describe() if isinstance(reply, Failure) else repr(reply)
-        emit(Event.OWNER_SILENT, entry=owner, failure=described)
-
-    def _send(self, entry: str, message: object) -> None:
-        self._messages.submit(self._deliver, entry, message)
-
-    def _deliver(self, entry: str, message: object) -> None:
-        try:
-            reply = self._links.ask(entry, message, MESSAGE_SECONDS)
-        except Exception as error:
-            emit(Event.TASK_FAILED, task="pieces", error=describe_error(error))
-            return
-        if isinstance(reply, Failure):
-            name = type(message).__name__
-            emit(
-                Event.PIECE_MESSAGE_LOST,
-                entry=entry,
-                message=name,
-                failure=reply.describe(),
-            )
-
 
 def _message(order: PieceOrder, start: float, left: float) -> PiecesOrder:
     first = order.pieces[0]
@@ -329,15 +265,11 @@
         result_bytes=order.result_bytes,
         priority=order.priority,
         invested=order.invested,
-        start_ms=_milliseconds(start),
-        left_ms=_milliseconds(left),
+        start_ms=milliseconds(start),
+        left_ms=milliseconds(left),
         near=order.near,
     )
 
 
 def _refusal(order: PieceOrder, wait: float | None) -> StageSaturated | None:
-    return None if wait is None else StageSaturated(order.service, _milliseconds(wait))
-
-
-def _milliseconds(seconds: float) -> int:
-    return int(min(seconds, 3600.0) * 1000)
+    return None if wait is None else StageSaturated(order.service, milliseconds(wait))
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -16,10 +16,11 @@
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.document.calls import Piece, StageResult
 from boragestream.document.routes import Route
-from boragestream.policy.piece_queue import PieceOrder
+from boragestream.policy.piece_queue import PieceBooking, PieceOrder
 from boragestream.policy.server_choice import near_results
 from boragestream.policy.stage_delays import StageDelays
 from boragestream.serving.forwarded_run import ForwardedRun
+from boragestream.serving.piece_bookings import BookedOrder, PieceBookings
 from boragestream.serving.piece_failures import PieceFailed
 from boragestream.serving.piece_orders import OpenOrder, PieceOrders
 
@@ -36,10 +37,12 @@
 class StagePieces:
     """Runs the stages of requests.
 
+    :ivar bookings: asks for places in the queues of the later stages.
     :ivar numbers: tells the orders of one request apart that are made again.
     """
 
     orders: PieceOrders
+    bookings: PieceBookings
     clock: Clock
     numbers: itertools.count
     delays: StageDelays
@@ -69,16 +72,25 @@
         self._released: set[int] = set()
         self._done: list[dict[str, object]] = []
         self._after = seconds_after(run, stages.delays)
+        self._order_ids = {
+            number: f"{run.request.request_id}/{number}/{next(stages.numbers)}"
+            for number in range(len(run.route.stages))
+        }
+        # What is booked and not yet ordered, by stage.
+        self._booked: dict[int, BookedOrder] = {}
 
     def finish(self) -> tuple[StageResult, ...] | Failure:
         """Run until every stage is done or one has failed."""
         failure: Failure | None = None
         try:
+            failure = self._book_later_stages()
             while failure is None and len(self._results) < len(self._run.route.stages):
                 failure = self._begin_ready() or self._wait()
         finally:
             for opened in self._open.values():
                 self._stages.orders.end(opened)
+            for booked in self._booked.values():
+                self._stages.bookings.cancel(booked)
         self._log(failure)
         if failure is not None:
             for number, results in self._results.items():
@@ -100,6 +112,23 @@
             failure=failure.describe() if failure is not None else None,
         )
 
+    def _book_later_stages(self) -> Failure | None:
+        """Book every stage that waits for others, the last one first."""
+        run = self._run
+        for number, stage in reversed(list(enumerate(run.route.stages))):
+            count = self._piece_count(number)
+            if not stage.after or not count:
+                continue
+            order_id = self._order_ids[number]
+            booking = PieceBooking(order_id, stage.service, count, run.priority)
+            start_by = run.objective_at - self._after[number]
+            booked = self._stages.bookings.book(booking, start_by)
+            if isinstance(booked, Failure):
+                return booked
+            if booked is not None:
+                self._booked[number] = booked
+        return None
+
     def _begin_ready(self) -> Failure | None:
         for number, stage in enumerate(self._run.route.stages):
             known = number in self._results or number in self._open
@@ -123,7 +152,7 @@
         key = run.request.piece_key
         pieces = tuple(Piece(request_id, number, n, key, inputs) for n in range(count))
         order = PieceOrder(
-            order_id=f"{request_id}/{number}/{next(self._stages.numbers)}",
+            order_id=self._order_ids[number],
             service=stage.service,
             pieces=pieces,
             result_bytes=stage.result_bytes,
@@ -133,6 +162,8 @@
             near=near_results(read * count),
         )
         start_by = run.objective_at - self._after[number]
+        # The order takes its booking's place.
+        self._booked.pop(number, None)
         opened = self._stages.orders.begin(order, start_by, run.scope, self._changed)
         if isinstance(opened, Failure):
             return opened
--- a/tests/features/piece_queue.feature
+++ b/tests/features/piece_queue.feature
@@ -65,3 +65,28 @@
     Then with a free server an order waits 0 s
     And behind 8 pieces at 2 busy servers with a batch of 4 it waits three calls of two
     And without a server it waits for ever
+
+  Scenario: chains are refused before they begin where their last queue is booked out
+    Given stage servers with a batch of 4 and room for 99 results
+    And a queue of one server in which chains book 4 pieces each for 1.0 s from now
+    Then the first 3 chains are booked and the next is refused with a wait of 0.96 s
+    And a chain of priority 2 that must start by then is refused as well
+    And one that has 2 s more is booked
+
+  Scenario: what is booked counts for orders that need no booking
+    Given stage servers with a batch of 4 and room for 99 results
+    And a queue of one server in which chains book 4 pieces each for 1.0 s from now
+    When 3 chains are booked
+    Then an order that must start by 0.5 s later is taken
+    And one of priority 1 that must start by 0.9 s later is refused
+
+  Scenario: an order takes its booking's place, and one that never comes frees it
+    Given stage servers with a batch of 4 and room for 99 results
+    And a queue of one server in which chains book 4 pieces each for 1.0 s from now
+    When 3 chains are booked
+    And the order of the first chain comes
+    Then no other chain is booked
+    When the second chain is given up
+    Then one other chain is booked
+    When the time of the bookings is over
+    Then two other chains are booked
--- a/tests/features/steps/piece_queue.py
+++ b/tests/features/steps/piece_queue.py
@@ -8,6 +8,7 @@
 from boragestream.document.calls import Piece, PieceFault, PieceResult
 from boragestream.document.routes import PieceLimits
 from boragestream.policy.piece_queue import (
+    PieceBooking,
     PieceOrder,
     QueuedOrder,
     ServerRoom,
@@ -20,6 +21,7 @@
 from boragestream.policy.service_queue import ServiceQueue
 
 RESULT_BYTES = 10.0
+SERVER = Server("s", "service", "10.0.0.1:80", "hall", "s")
 
 
 def order(name, count=1, priority=0, invested=False, near=""):
@@ -105,7 +107,7 @@
 def step(context, name, count):
     context.limits = replace(context.limits, memory_mb=context.room / 1e6)
     context.service_queue = ServiceQueue()
-    context.server = Server("s", "service", "10.0.0.1:80", "hall", "s")
+    context.server = SERVER
     waiting = queued(order(name, count), 200.0)
     context.service_queue.submit(waiting, context.limits, [context.server], 100.0)
 
@@ -155,3 +157,102 @@
 @then("without a server it waits for ever")
 def step(context):
     assert expected_wait(0, 0, 0, context.limits) == math.inf
+
+
+@given(
+    "a queue of one server in which chains book {count:d} pieces each for {left:g} s "
+    "from now"
+)
+def step(context, count, left):
+    context.service_queue = ServiceQueue()
+    context.now, context.count, context.left = 100.0, count, left
+    context.chains = 0
+
+
+def book(context, priority=0, more=0.0):
+    """Book the next chain; return the wait with which it is refused."""
+    context.chains += 1
+    booking = PieceBooking(
+        f"chain-{context.chains}", "service", context.count, priority
+    )
+    start_by = 100.0 + context.left + more
+    return context.service_queue.book(
+        booking, start_by, context.limits, [SERVER], context.now
+    )
+
+
+@then(
+    "the first {taken:d} chains are booked and the next is refused with a wait of "
+    "{wait:g} s"
+)
+def step(context, taken, wait):
+    assert [book(context) for _ in range(taken)] == [None] * taken
+    assert math.isclose(book(context), wait)
+
+
+@then("a chain of priority {priority:d} that must start by then is refused as well")
+def step(context, priority):
+    assert book(context, priority) is not None
+
+
+@then("one that has {more:g} s more is booked")
+def step(context, more):
+    assert book(context, more=more) is None
+
+
+@when("{count:d} chains are booked")
+def step(context, count):
+    assert [book(context) for _ in range(count)] == [None] * count
+
+
+def submit(context, name, left, priority=0, invested=False):
+    """Submit an order of one piece, or the whole order of a chain."""
+    made = order(name, context.count if invested else 1, priority, invested)
+    return context.service_queue.submit(
+        queued(made, context.now + left), context.limits, [SERVER], context.now
+    )
+
+
+@then("an order that must start by {left:g} s later is taken")
+def step(context, left):
+    assert submit(context, "early", left) is None
+
+
+@then("one of priority {priority:d} that must start by {left:g} s later is refused")
+def step(context, priority, left):
+    assert submit(context, "late", left, priority) is not None
+
+
+@when("the order of the first chain comes")
+def step(context):
+    assert submit(context, "chain-1", context.left, invested=True) is None
+    assert list(context.service_queue.orders) == ["chain-1"]
+
+
+@then("no other chain is booked")
+def step(context):
+    assert book(context) is not None
+
+
+@when("the second chain is given up")
+def step(context):
+    context.service_queue.drop("chain-2")
+
+
+@then("one other chain is booked")
+def step(context):
+    assert book(context) is None
+    assert book(context) is not None
+
+
+@when("the time of the bookings is over")
+def step(context):
+    context.now += context.left + 1.0
+    context.service_queue.drop_expired(context.now)
+    context.left += 2.0
+
+
+@then("two other chains are booked")
+def step(context):
+    assert book(context) is None and book(context) is None
+    assert book(context) is not None
--- a/tests/features/steps/route_decisions.py
+++ b/tests/features/steps/route_decisions.py
@@ -37,6 +37,7 @@
 )
 from boragestream.policy.servers import Server
 from boragestream.policy.stage_delays import StageDelays
+from boragestream.serving.owner_links import OwnerLinks
 from boragestream.serving.piece_orders import PieceOrders
 from tests.standins.clock import SetClock
 
@@ -312,9 +313,8 @@
     context.clock = SetClock()
     context.live = [name]
     context.links = AskedLinks()
-    context.orders = PieceOrders(
-        "own", lambda: list(context.live), context.links, context.clock
-    )
+    owners = OwnerLinks("own", lambda: list(context.live), context.links, context.clock)
+    context.orders = PieceOrders(owners, context.clock)
     context.order, context.scope = place(context, "order-1")
     assert context.links.asked == [name]
 
