--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -227,10 +227,19 @@
         self.in_hand.end()
 
     def log_end(
-        self, run: ForwardedRun, outcome: str, status: int, failure: Failure | None
+        self,
+        run: ForwardedRun,
+        outcome: str,
+        status: int,
+        failure: Failure | None,
+        pace: "StreamPace | None" = None,
     ) -> None:
-        """Log and count how a request ended."""
+        """Log and count how a request ended.
+
+        :param pace: how its events came; None where it was no stream.
+        """
         seconds = self.clock.now() - run.arrived
+        wait = run.request.wait_seconds
         account = run.account or "none"
         reason = failure.code if failure is not None else ""
         route = run.route.name
@@ -245,10 +254,38 @@
             outcome=outcome,
             status=status,
             milliseconds=int(seconds * 1000),
+            wait_ms=int(wait * 1000) if wait is not None else None,
+            first_ms=pace.first_ms(run.arrived) if pace is not None else None,
+            pause_ms=int(pace.longest_pause * 1000) if pace is not None else None,
             failure=failure.describe() if failure is not None else None,
         )
 
 
+class StreamPace:
+    """When the events of a stream went out, for its last log line.
+
+    :ivar longest_pause: the longest time between two of them, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self._first_at: float | None = None
+        self._last_at = 0.0
+        self.longest_pause = 0.0
+
+    def note(self, now: float) -> None:
+        """Take that events go out now."""
+        if self._first_at is None:
+            self._first_at = now
+        else:
+            self.longest_pause = max(self.longest_pause, now - self._last_at)
+        self._last_at = now
+
+    def first_ms(self, arrived: float) -> int | None:
+        """Return the milliseconds to the first event; None where there was none."""
+        first = self._first_at
+        return int((first - arrived) * 1000) if first is not None else None
+
+
 class _StreamReply:
     """The events of a stream, as waitress iterates over them."""
 
@@ -261,6 +298,7 @@
         self._application = application
         self._run = run
         self._events = events
+        self._pace = StreamPace()
         self._ended = False
         self._released = False
 
@@ -271,6 +309,7 @@
                 # waitress closes the connection without the end of the answer, so that
                 # the caller sees that it is not whole.
                 raise StreamCutError
+            self._pace.note(self._application.clock.now())
             yield part
         self._end("answered", None)
 
@@ -285,7 +324,7 @@
     def _end(self, outcome: str, failure: Failure | None) -> None:
         if not self._ended:
             self._ended = True
-            self._application.log_end(self._run, outcome, 200, failure)
+            self._application.log_end(self._run, outcome, 200, failure, self._pace)
 
 
 class StreamCutError(Exception):
