Idle connections to a server are shared out over the entries

Cause: each entry kept up to eight idle connections to each server, whatever the server takes from all of them. Ruled out: the servers' places (0.08 s a call, 18 calls under way of 24 places). Change: an entry keeps half of its share, none where that is less than one. Six entries keep eight or four as before.

--- a/boragestream/backend/connections.py
+++ b/boragestream/backend/connections.py
@@ -14,7 +14,7 @@
 
 __all__ = ["ConnectionKeeper"]
 
-MAX_IDLE_PER_SERVER = 8
+MOST_IDLE = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,14 +72,16 @@
         host: str,
         connection: http.client.HTTPConnection,
         until: float = math.inf,
+        most: int = MOST_IDLE,
     ) -> None:
         """Keep a connection whose answer was read to its end.
 
         :param until: the clock's seconds after which it is not used any more.
+        :param most: with as many idle ones to the server, it is closed instead.
         """
         with self._lock:
             idle = self._idle.setdefault(host, [])
-            if len(idle) < MAX_IDLE_PER_SERVER:
+            if len(idle) < most:
                 idle.append(_Kept(connection, until))
                 return
         connection.close()
--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -46,11 +46,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CallLine:
-    """What all forwarded calls of an entry share."""
+    """What all forwarded calls of an entry share.
+
+    :ivar most_idle: returns how many idle connections are kept to each server of a
+        service.
+    """
 
     read_head: ReadHead
     connections: ConnectionKeeper
     clock: Clock
+    most_idle: Callable[[str], int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,7 +166,9 @@
             self._connection.close()
             return
         until = self._line.clock.now() + seconds
-        self._line.connections.keep(self._server.host, self._connection, until)
+        line, server = self._line, self._server
+        most = line.most_idle(server.service)
+        line.connections.keep(server.host, self._connection, until, most)
 
     def _fail(self, error: Exception) -> AttemptFailure:
         self.close()
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -18,7 +18,7 @@
 from boragestream.base.route_settings import RouteSettings
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.tasks import OFFER_EVENTS, to_leaving
-from boragestream.document.routes import PieceLimits
+from boragestream.document.routes import PieceLimits, RouteService
 from boragestream.entry.addresses import AddressBook
 from boragestream.entry.links import Handler, PeerLinks
 from boragestream.entry.messages import (
@@ -44,6 +44,7 @@
 )
 from boragestream.platform.store import CONFIGURATION_KEY
 from boragestream.platform.wire import encode_call, read_answer_head
+from boragestream.policy.connection_shares import idle_connections
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.load import LoadTable
 from boragestream.policy.peers import ListedEntry
@@ -221,11 +222,20 @@
     retries = RetryWindows(clock.now, retry_bounds, lambda: len(book.entries))
     connections = ConnectionKeeper(CONNECT_SECONDS)
     servers.when_unused(connections.forget)
-    line = CallLine(read_answer_head, connections, clock)
 
-    def limits(service: str) -> PieceLimits | None:
+    def published(service: str) -> RouteService | None:
         table = routes.current
-        known = table.services.get(service) if table is not None else None
+        return table.services.get(service) if table is not None else None
+
+    def most_idle(service: str) -> int:
+        known = published(service)
+        count = len(book.entries)
+        return idle_connections(known.max_connections, count) if known else 0
+
+    line = CallLine(read_answer_head, connections, clock, most_idle)
+
+    def limits(service: str) -> PieceLimits | None:
+        known = published(service)
         return known.pieces if known is not None else None
 
     metrics = RouteMetrics()
