One kind of fault again and again: partitions, freezes, a slow or lossy store, silent connections

Change: nine scenarios run one kind of strike alone, overlapping, on three real entries, and hold all promises of the soak to them. Clocks: no decision reads the time of day, so nothing is to be struck.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -9,6 +9,22 @@
       | 1    |
       | 2    |
 
+  Scenario Outline: <what> again and again
+    When the kind "<kind>" strikes 3 entries every second for <seconds> s as "<how>"
+    Then the soak sees no broken promise, and requests were served
+
+    Examples:
+      | what                                   | kind        | how       | seconds |
+      | entries freeze and wake                | PAUSE       |           | 5       |
+      | entries can't hear one another         | PEER_LINK   | both      | 5       |
+      | one entry hears another, not back      | PEER_LINK   | one-way   | 5       |
+      | the store answers late                 | STORE_LINK  | DELAY     | 4       |
+      | answers of the store are lost          | STORE_LINK  | CUT_BACK  | 4       |
+      | connections go silent, new ones work   | SERVER_LINK | STALE     | 4       |
+      | connections of callers go silent       | CALLER_LINK | STALE     | 4       |
+      | all entries are killed at once         | KILL_ALL    |           | 3       |
+      | entries are stopped in turn            | TERM        |           | 4       |
+
   Scenario Outline: the soak sees <what>
     Given a soaked request "<kind>" that ran <runs> times and was told <status> with "<body>"
     Then the soak finds "<found>"
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -6,7 +6,7 @@
 
 from tests.soak.callers import Told
 from tests.soak.checks import broken_promises
-from tests.soak.plan import make_plan
+from tests.soak.plan import Strike, StrikeKind, make_plan
 from tests.soak.run import run_seed
 
 REQUEST = "s-1"
@@ -18,6 +18,30 @@
     context.verdict = run_seed(seed, entries, seconds)
 
 
+@when(
+    'the kind "{kind}" strikes {entries:d} entries every second for {seconds:d} s '
+    'as "{how}"'
+)
+def step(context, kind, entries, seconds, how):
+    strike_every_second(context, kind, entries, seconds, how)
+
+
+@when(
+    'the kind "{kind}" strikes {entries:d} entries every second for {seconds:d} s as ""'
+)
+def step(context, kind, entries, seconds):
+    strike_every_second(context, kind, entries, seconds, "")
+
+
+def strike_every_second(context, kind, entries, seconds, how):
+    """Run one kind of fault alone; strikes overlap by half a second."""
+    plan = [
+        Strike(1.0 + number, 1.5, StrikeKind[kind], how, 7 * number)
+        for number in range(seconds)
+    ]
+    context.verdict = run_seed(0, entries, seconds + 1, plan=plan)
+
+
 @then("the soak sees no broken promise, and requests were served")
 def step(context):
     assert not context.verdict.broken, context.verdict
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -40,13 +40,14 @@
     broken: list
 
 
-def run_seed(seed, entries, seconds, keep=None):
+def run_seed(seed, entries, seconds, keep=None, plan=None):
     """Run one seed.
 
     :param keep: the folder in which the logs of a failed run are kept; None for none.
+    :param plan: strikes to run in place of the seed's own.
     """
     site = SoakSite(entries, SERVERS_A_KIND)
-    plan = make_plan(seed, seconds)
+    plan = make_plan(seed, seconds) if plan is None else plan
     callers = Callers(site, seed, CALLERS_AN_ENTRY * entries)
     broken = []
     try:
