--- /dev/null
+++ b/boragestream/caller/forwarded_stream.py
@@ -0,0 +1,105 @@
+"""The events of a forwarded stream on their way to its caller.
+
+Where they come from, and from which servers, is told by ``serving.forwarder``.
+"""
+
+from collections.abc import Iterator
+from typing import Protocol
+
+from boragestream.base.clock import Clock
+from boragestream.base.failures import CallerGone
+from boragestream.base.outcomes import Failure
+from boragestream.serving.forwarded_run import ForwardedRun
+
+__all__ = ["ForwardedStream", "StreamCutError", "StreamOwner", "StreamPace"]
+
+
+class StreamPace:
+    """When the events of a stream went out, for its last log line."""
+
+    def __init__(self) -> None:
+        self._first_at: float | None = None
+        self._last_at = 0.0
+        self._longest_pause = 0.0
+
+    @property
+    def longest_pause(self) -> float:
+        """The longest time between two of them, in seconds."""
+        return self._longest_pause
+
+    def note(self, now: float) -> None:
+        """Take that events go out now."""
+        if self._first_at is None:
+            self._first_at = now
+        else:
+            self._longest_pause = max(self._longest_pause, now - self._last_at)
+        self._last_at = now
+
+    def first_ms(self, arrived: float) -> int | None:
+        """Return the milliseconds to the first event; None where there was none."""
+        first = self._first_at
+        return int((first - arrived) * 1000) if first is not None else None
+
+
+class StreamOwner(Protocol):
+    """What a stream needs of the application that answers with it."""
+
+    clock: Clock
+
+    def release(self, run: ForwardedRun) -> None:
+        """Take that a request is in hand no longer."""
+
+    def log_end(
+        self,
+        run: ForwardedRun,
+        outcome: str,
+        status: int,
+        failure: Failure | None,
+        pace: StreamPace | None = None,
+    ) -> None:
+        """Log and count how a request ended."""
+
+
+class ForwardedStream:
+    """The events of a stream, as waitress iterates over them."""
+
+    def __init__(
+        self,
+        owner: StreamOwner,
+        run: ForwardedRun,
+        events: Iterator[bytes | Failure],
+    ) -> None:
+        self._owner = owner
+        self._run = run
+        self._events = events
+        self._pace = StreamPace()
+        self._ended = False
+        self._released = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        for part in self._events:
+            if isinstance(part, Failure):
+                self._end("abandoned" if isinstance(part, CallerGone) else "cut", part)
+                # waitress closes the connection without the end of the answer, so that
+                # the caller sees that it is not whole.
+                raise StreamCutError
+            self._pace.note(self._owner.clock.now())
+            yield part
+        self._end("answered", None)
+
+    def close(self) -> None:
+        """Release what the stream holds; waitress calls it in every case."""
+        self._events.close()
+        if not self._released:
+            self._released = True
+            self._owner.release(self._run)
+        self._end("abandoned", self._run.scope.reason)
+
+    def _end(self, outcome: str, failure: Failure | None) -> None:
+        if not self._ended:
+            self._ended = True
+            self._owner.log_end(self._run, outcome, 200, failure, self._pace)
+
+
+class StreamCutError(Exception):
+    """A stream ends before its end mark."""
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -7,7 +7,7 @@
 """
 
 import threading
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -16,7 +16,6 @@
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, describe_error, emit
 from boragestream.base.failures import (
-    CallerGone,
     DeadlinePassed,
     EntryBroken,
     EntryLeaving,
@@ -27,17 +26,19 @@
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.caller.connections import ARRIVED, RAW_HEADERS, STOP_WAITING
 from boragestream.caller.failures import BodyTooLong
+from boragestream.caller.forwarded_stream import ForwardedStream, StreamPace
 from boragestream.caller.replies import StartResponse
 from boragestream.document.calls import ForwardedRequest, RequestMalformed
 from boragestream.policy.caller_waits import CallerWaits
-from boragestream.policy.route_table import KeyUnknown, RoutesInForce, RouteUnknown
-from boragestream.serving.forwarded_run import ForwardedRun, outcome_of
-from boragestream.serving.forwarder import (
-    Forwarder,
-    StreamedAnswer,
-    WholeAnswer,
+from boragestream.policy.route_table import (
+    KeyUnknown,
+    RoutesInForce,
+    RouteUnknown,
     choose_service,
 )
+from boragestream.serving.forwarded_answer import StreamedAnswer, WholeAnswer
+from boragestream.serving.forwarded_run import ForwardedRun, outcome_of
+from boragestream.serving.forwarder import Forwarder
 from boragestream.serving.request import SentRecord
 
 __all__ = ["ForwardingApplication", "InHand", "RequestFormat"]
@@ -194,7 +195,7 @@
             start_response(
                 _status(answer.head.status, answer.head.reason), _headers(answer)
             )
-            return _StreamReply(self, run, answer.events)
+            return ForwardedStream(self, run, answer.events)
         if isinstance(answer, WholeAnswer):
             self.log_end(run, "answered", answer.head.status, None)
             headers = [*_headers(answer), ("Content-Length", str(len(answer.body)))]
@@ -237,7 +238,7 @@
         outcome: str,
         status: int,
         failure: Failure | None,
-        pace: "StreamPace | None" = None,
+        pace: StreamPace | None = None,
     ) -> None:
         """Log and count how a request ended.
 
@@ -267,76 +268,6 @@
         )
 
 
-class StreamPace:
-    """When the events of a stream went out, for its last log line.
-
-    :ivar longest_pause: the longest time between two of them, in seconds.
-    """
-
-    def __init__(self) -> None:
-        self._first_at: float | None = None
-        self._last_at = 0.0
-        self.longest_pause = 0.0
-
-    def note(self, now: float) -> None:
-        """Take that events go out now."""
-        if self._first_at is None:
-            self._first_at = now
-        else:
-            self.longest_pause = max(self.longest_pause, now - self._last_at)
-        self._last_at = now
-
-    def first_ms(self, arrived: float) -> int | None:
-        """Return the milliseconds to the first event; None where there was none."""
-        first = self._first_at
-        return int((first - arrived) * 1000) if first is not None else None
-
-
-class _StreamReply:
-    """The events of a stream, as waitress iterates over them."""
-
-    def __init__(
-        self,
-        application: ForwardingApplication,
-        run: ForwardedRun,
-        events: Iterator[bytes | Failure],
-    ) -> None:
-        self._application = application
-        self._run = run
-        self._events = events
-        self._pace = StreamPace()
-        self._ended = False
-        self._released = False
-
-    def __iter__(self) -> Iterator[bytes]:
-        for part in self._events:
-            if isinstance(part, Failure):
-                self._end("abandoned" if isinstance(part, CallerGone) else "cut", part)
-                # waitress closes the connection without the end of the answer, so that
-                # the caller sees that it is not whole.
-                raise StreamCutError
-            self._pace.note(self._application.clock.now())
-            yield part
-        self._end("answered", None)
-
-    def close(self) -> None:
-        """Release what the stream holds; waitress calls it in every case."""
-        self._events.close()
-        if not self._released:
-            self._released = True
-            self._application.release(self._run)
-        self._end("abandoned", self._run.scope.reason)
-
-    def _end(self, outcome: str, failure: Failure | None) -> None:
-        if not self._ended:
-            self._ended = True
-            self._application.log_end(self._run, outcome, 200, failure, self._pace)
-
-
-class StreamCutError(Exception):
-    """A stream ends before its end mark."""
-
-
 def _own_status(outcome: Refused | Failed | Unknown) -> HTTPStatus:
     failure = outcome.failure
     if isinstance(outcome, Refused):
--- a/boragestream/policy/route_table.py
+++ b/boragestream/policy/route_table.py
@@ -4,6 +4,7 @@
 ``entry.relay``.
 """
 
+import random
 import threading
 from collections import OrderedDict
 from collections.abc import Callable
@@ -20,7 +21,14 @@
 )
 from boragestream.policy.configuration import KEPT_TEXTS, Offer
 
-__all__ = ["KeyUnknown", "RouteTable", "RouteUnknown", "RoutesInForce", "make_table"]
+__all__ = [
+    "KeyUnknown",
+    "RouteTable",
+    "RouteUnknown",
+    "RoutesInForce",
+    "choose_service",
+    "make_table",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,3 +137,13 @@
         for taken in self._taken:
             taken(table)
         return Offer.TAKEN
+
+
+def choose_service(route: Route, rng: random.Random) -> str:
+    """Return one of the route's services, by their weights."""
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    weights = [target.weight for target in route.targets]
+    if sum(weights) <= 0:
+        return route.targets[0].service
+    return rng.choices(route.targets, weights)[0].service
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -5,7 +5,6 @@
 another server when its own breaks off; any other one ends without its end mark.
 """
 
-import random
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -22,65 +21,29 @@
 from boragestream.base.failures import NoLiveServer
 from boragestream.base.outcomes import Failure
 from boragestream.document.calls import (
-    AnswerHead,
     RunClaim,
     StageResult,
 )
-from boragestream.document.routes import CallKind, Route
+from boragestream.document.routes import CallKind
 from boragestream.policy.load import CallEnd
 from boragestream.policy.server_choice import near_results, shared_part, shared_tokens
 from boragestream.policy.servers import Server
 from boragestream.serving.event_stream import EventSplitter, StreamBroken
 from boragestream.serving.forward_attempt import ForwardAttempt, ForwardParts
+from boragestream.serving.forwarded_answer import StreamedAnswer, WholeAnswer
 from boragestream.serving.forwarded_run import (
     ForwardedRun,
     InputsGone,
     ServerDidNotRun,
 )
 
-__all__ = [
-    "ForwardParts",
-    "Forwarder",
-    "StreamedAnswer",
-    "WholeAnswer",
-    "choose_service",
-]
+__all__ = ["Forwarder"]
 
 SERVER_ERROR = 500
 # Most servers that one request asks in vain before it is given up.
 MOST_REFUSALS = 4
 
 
-@dataclass(frozen=True, slots=True)
-class WholeAnswer:
-    """A server's answer, whole."""
-
-    head: AnswerHead
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class StreamedAnswer:
-    """A server's stream, with its first events; the rest follows.
-
-    :ivar head: of the first server, also where others go on.
-    :ivar events: whole events as they come; a failure is the last item.
-    """
-
-    head: AnswerHead
-    events: Iterator[bytes | Failure]
-
-
-def choose_service(route: Route, rng: random.Random) -> str:
-    """Return one of the route's services, by their weights."""
-    if len(route.targets) == 1:
-        return route.targets[0].service
-    weights = [target.weight for target in route.targets]
-    if sum(weights) <= 0:
-        return route.targets[0].service
-    return rng.choices(route.targets, weights)[0].service
-
-
 @dataclass(frozen=True, slots=True)
 class Forwarder:
     """Forwards requests."""
