--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -21,16 +21,15 @@
 from boragestream.document.routes import PieceLimits, RouteService
 from boragestream.entry.addresses import AddressBook
 from boragestream.entry.links import Handler, PeerLinks
-from boragestream.entry.messages import (
-    DocumentAsk,
+from boragestream.entry.messages import DocumentAsk, Sender
+from boragestream.entry.peers import EntryPeers
+from boragestream.entry.piece_messages import (
     PiecesBook,
     PiecesCancel,
     PiecesDone,
     PiecesOrder,
     PiecesRelease,
-    Sender,
 )
-from boragestream.entry.peers import EntryPeers
 from boragestream.entry.relay import ConfigurationRelay
 from boragestream.platform.pieces import (
     encode_piece_call,
--- a/boragestream/policy/admission.py
+++ b/boragestream/policy/admission.py
@@ -10,18 +10,17 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from boragestream.base.clock import Clock
 from boragestream.base.failures import (
-    AccountLimitReached,
     CallerGone,
     CannotMeetDeadline,
     EntryLeaving,
     QueueFull,
 )
 from boragestream.base.outcomes import Refused
-from boragestream.document import ClientAccount, Pipeline
+from boragestream.document import Pipeline
+from boragestream.policy.account_gate import AccountGate, OpenGate
 from boragestream.policy.admitted import Admitted, Candidate, StageEnd
 from boragestream.policy.deadlines import stage_deadline
 from boragestream.policy.expectations import Expectations
@@ -29,7 +28,7 @@
 from boragestream.policy.service_windows import ServiceWindows
 from boragestream.policy.stage_times import StageTimes
 
-__all__ = ["AccountGate", "Admission", "OpenGate"]
+__all__ = ["Admission"]
 
 # A queue that used up all the time there is would leave none for an error of the
 # estimate, and every error is a late answer.
@@ -38,27 +37,6 @@
 MAX_WAIT_SECONDS = 2.0
 
 
-class AccountGate(Protocol):
-    """Holds the client accounts' own limits."""
-
-    def enter(self, account: ClientAccount) -> tuple[AccountLimitReached, float] | None:
-        """Count a request in, or say why not and after how many seconds to return."""
-
-    def leave(self, account: ClientAccount) -> None:
-        """Count a request out."""
-
-
-class OpenGate:
-    """Holds no limits."""
-
-    def enter(self, account: ClientAccount) -> tuple[AccountLimitReached, float] | None:
-        """Let every request in."""
-        return None
-
-    def leave(self, account: ClientAccount) -> None:
-        """Count nothing."""
-
-
 @dataclass(slots=True, eq=False)
 class Waiting:
     """A request in the queue.
--- a/boragestream/serving/owner_links.py
+++ b/boragestream/serving/owner_links.py
@@ -13,7 +13,8 @@
 from boragestream.base.events import Event, describe_error, emit
 from boragestream.base.outcomes import Failure
 from boragestream.entry.links import PeerLinks
-from boragestream.entry.messages import Message, PiecesAnswer
+from boragestream.entry.messages import Message
+from boragestream.entry.piece_messages import PiecesAnswer
 from boragestream.policy.queue_owners import owner_order
 
 __all__ = ["OwnerLinks", "milliseconds"]
--- a/boragestream/serving/piece_bookings.py
+++ b/boragestream/serving/piece_bookings.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass
 
 from boragestream.base.clock import Clock
-from boragestream.entry.messages import Envelope, PiecesAnswer, PiecesBook, PiecesCancel
+from boragestream.entry.messages import Envelope
+from boragestream.entry.piece_messages import PiecesAnswer, PiecesBook, PiecesCancel
 from boragestream.policy.piece_queue import PieceBooking
 from boragestream.serving.owner_links import OwnerLinks, milliseconds
 from boragestream.serving.piece_batches import PieceBatches
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -15,14 +15,13 @@
 from boragestream.base.failures import DeadlinePassed
 from boragestream.base.outcomes import Failure
 from boragestream.document.calls import Piece, PieceFault, PieceResult, StageResult
-from boragestream.entry.messages import (
-    Envelope,
+from boragestream.entry.messages import Envelope, ProbeReply
+from boragestream.entry.piece_messages import (
     PiecesAnswer,
     PiecesCancel,
     PiecesDone,
     PiecesOrder,
     PiecesRelease,
-    ProbeReply,
 )
 from boragestream.policy.piece_queue import PieceOrder
 from boragestream.serving.owner_links import OwnerLinks, milliseconds
--- a/tests/features/steps/route_decisions.py
+++ b/tests/features/steps/route_decisions.py
@@ -17,7 +17,7 @@
     RouteTarget,
     key_digest,
 )
-from boragestream.entry.messages import PiecesAnswer
+from boragestream.entry.piece_messages import PiecesAnswer
 from boragestream.policy.load import LoadTable
 from boragestream.policy.peers import ListedEntry
 from boragestream.policy.piece_queue import PieceOrder
