The soak holds a silent caller's connection against nobody

By the relay's code a connection that goes stale stays silent after the fault, and is reset only if it had lost bytes before the fault's end; a scenario shows that. Change: a relay tells on which connections bytes were lost, and the check leaves out only requests of callers on these. Shown by: two scenarios that fail without the change, one on made-up requests, one on a real relay.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -45,5 +45,17 @@
     Given an entry answered version 5 and 3 seconds later 404 to it
     Then the soak finds "forgot version 5"
 
+  Scenario: a request that hangs counts, unless bytes were lost on its caller's own way
+    Given a soaked request that had no answer for 9.5 seconds
+    Then the soak finds "left without an answer"
+    Given a soaked request that had none since its caller's connection had gone silent
+    Then the soak finds ""
+
+  Scenario: a stale connection stays silent, a new one works, and the relay tells which
+    Given a relay to an echo with an open connection
+    When the relay's connections go stale and the fault is over
+    Then what is sent on the old connection is lost, and the relay says so
+    And a new connection echoes, and the relay says that nothing was lost on it
+
   Scenario: a plan depends on its seed alone
     Then two plans of seed 7 are the same, and one of seed 8 is another
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -1,5 +1,8 @@
 """Steps on the soak: short runs of it, and what its checks see."""
 
+import contextlib
+import socket
+import threading
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -7,6 +10,7 @@
 from tests.soak.callers import Told
 from tests.soak.checks import broken_promises
 from tests.soak.plan import Strike, StrikeKind, make_plan
+from tests.soak.relay import LinkFault, Relay
 from tests.soak.run import run_seed
 
 REQUEST = "s-1"
@@ -111,3 +115,80 @@
 def step(context, seed, other):
     assert make_plan(seed, 20) == make_plan(seed, 20)
     assert make_plan(seed, 20) != make_plan(other, 20)
+
+
+@given("a soaked request that had no answer for {seconds:g} seconds")
+def step(context, seconds):
+    hanging = told("safe", 0, b"", whole=False, ended_at=10.0 + seconds)
+    context.found = broken_promises(soaked(1), [hanging])
+
+
+@given("a soaked request that had none since its caller's connection had gone silent")
+def step(context):
+    hanging = told("safe", 0, b"", whole=False, ended_at=19.5, silenced=True)
+    context.found = broken_promises(soaked(1), [hanging])
+
+
+def echo(listener):
+    """Send back what comes, on every connection."""
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except OSError:
+            return
+        threading.Thread(target=echo_one, args=(sock,), daemon=True).start()
+
+
+def echo_one(sock):
+    """Send back what comes on one connection."""
+    with contextlib.suppress(OSError):
+        while data := sock.recv(100):
+            sock.sendall(data)
+
+
+def connect(context):
+    """Connect through the relay."""
+    host, _, port = context.relay.address.rpartition(":")
+    sock = socket.create_connection((host, int(port)))
+    context.add_cleanup(sock.close)
+    return sock
+
+
+def echoes(sock):
+    """Tell whether a connection still echoes."""
+    sock.settimeout(2.0)
+    sock.sendall(b"x")
+    try:
+        return sock.recv(1) == b"x"
+    except TimeoutError:
+        return False
+
+
+@given("a relay to an echo with an open connection")
+def step(context):
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+    threading.Thread(target=echo, args=(listener,), daemon=True).start()
+    context.relay = Relay(f"127.0.0.1:{listener.getsockname()[1]}")
+    context.add_cleanup(context.relay.close)
+    context.old = connect(context)
+    assert echoes(context.old)
+
+
+@when("the relay's connections go stale and the fault is over")
+def step(context):
+    context.relay.strike(LinkFault.STALE)
+    context.relay.heal()
+
+
+@then("what is sent on the old connection is lost, and the relay says so")
+def step(context):
+    assert not echoes(context.old)
+    assert context.relay.lost(context.old.getsockname()[1])
+
+
+@then("a new connection echoes, and the relay says that nothing was lost on it")
+def step(context):
+    sock = connect(context)
+    assert echoes(sock)
+    assert not context.relay.lost(sock.getsockname()[1])
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -41,6 +41,8 @@
         self._fault = None
         self._lock = threading.Lock()
         self._connections = set()
+        # The connecting sides' ports of connections on which bytes were lost.
+        self._lost_ports = set()
         self._listener = socket.create_server((ADDRESS, 0), backlog=256)
         self.address = f"{ADDRESS}:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -75,6 +77,16 @@
         for connection in list(self._connections):
             connection.close()
 
+    def lost(self, port):
+        """Tell whether bytes were lost on the connection from a port."""
+        with self._lock:
+            return port in self._lost_ports
+
+    def note_lost(self, port):
+        """Take that bytes are lost on the connection from a port."""
+        with self._lock:
+            self._lost_ports.add(port)
+
     def forget(self, connection):
         """Take that a connection is over."""
         with self._lock:
@@ -112,6 +124,7 @@
 
     def __init__(self, relay, near, far):
         self.relay, self.near, self.far = relay, near, far
+        self.port = near.getpeername()[1]
         self.stale = False
         self.lost = False
 
@@ -141,6 +154,7 @@
                     time.sleep(DELAY_SECONDS)
                 if self.stale or fault in (cut, LinkFault.SILENT):
                     self.lost = True
+                    self.relay.note_lost(self.port)
                 if not self.lost:
                     target.sendall(data)
         except OSError:
