A caller refused for want of servers is not told to stay away for an hour

Cause: read while going over the change: with no server listed, a queue's expected wait is without end, which messages carry as an hour, and the caller's answer said to come back after 3,600 s. Ruled out: the bookings as its origin; refused orders had it before. Change: 5 s at the most. Shown by: a scenario that failed with 3,600.

--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -16,6 +16,9 @@
 # A caller that comes back after this finds a server free or another entry, where
 # nothing is known of a queue.
 USUAL_RETURN_SECONDS = 0.25
+# Without a server a queue's wait has no end, and a caller that believed it would stay
+# away for an hour. Servers that lapsed or crashed are mostly back within this time.
+LONGEST_RETURN_SECONDS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,5 +80,5 @@
         )
     wait = USUAL_RETURN_SECONDS
     if isinstance(failure, StageSaturated):
-        wait = max(wait, failure.wait_ms / 1000)
+        wait = min(LONGEST_RETURN_SECONDS, max(wait, failure.wait_ms / 1000))
     return Refused(failure, wait)
--- a/tests/features/route_planning.feature
+++ b/tests/features/route_planning.feature
@@ -53,3 +53,12 @@
     Given a store that answers after "0.0 0.0 0.0 0.0 5.0 0.0" seconds, each with a change
     Then an entry that follows it with a gap of 0.25 s waits "0.5 1.0 1.0 1.0 0.25 0.5"
     And one that follows it without a gap never waits
+
+  Scenario Outline: a caller that a stage refuses hears when to come back, soon at the most
+    Then one refused with an expected wait of <wait> s comes back after <after> s
+
+    Examples:
+      | wait | after |
+      | 0    | 0.25  |
+      | 1.2  | 1.2   |
+      | inf  | 5     |
--- a/tests/features/steps/route_planning.py
+++ b/tests/features/steps/route_planning.py
@@ -1,6 +1,7 @@
 """Steps on what an entry reckons with when it plans a request, without a process."""
 
 import random
+from types import SimpleNamespace
 
 from behave import given, then, when
 
@@ -12,6 +13,9 @@
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.publication import Change, Changes, PublishedTable, Snapshot
 from boragestream.policy.server_choice import near_results, shared_tokens, stage_place
+from boragestream.serving.forwarded_run import outcome_of
+from boragestream.serving.owner_links import milliseconds
+from boragestream.serving.piece_failures import StageSaturated
 from tests.standins.clock import SetClock
 
 
@@ -152,3 +156,10 @@
 @then("one that follows it without a gap never waits")
 def step(context):
     assert not any(follow(context, 0.0))
+
+
+@then("one refused with an expected wait of {wait:g} s comes back after {after:g} s")
+def step(context, wait, after):
+    run = SimpleNamespace(sent=SimpleNamespace(may_have_run=False))
+    refused = outcome_of(run, StageSaturated("service", milliseconds(wait)))
+    assert refused.retry_after == after
