The test of dropped lines counts them where they are told

Where the machine is so busy that logging 10,100 lines takes longer than 0.2 s, it has done so, and nothing is dropped after it. Ruled out: lost lines; the count had moved into a line that the pipe held up. Change: a stricter check where the pipe is read: every line is written or counted as dropped, to the last one, and some are dropped.

--- a/tests/features/steps/explaining.py
+++ b/tests/features/steps/explaining.py
@@ -211,6 +211,7 @@
     levels = [logging.INFO] * successes
     for number in range(failures):
         levels.insert(number * (successes // failures), logging.WARNING)
+    context.logged = len(levels)
     for level in levels:
         text = json.dumps({"name": "event", "level": level, "pad": "x" * 60})
         record = logging.LogRecord("absl", level, "", 0, text, None, None)
@@ -219,8 +220,9 @@
 
 @then("logging took no longer than its buffer, and what was dropped is counted")
 def step(context):
+    # The writer may have told a part of the drops already, on its way to the pipe: they
+    # are counted where the pipe is read.
     assert len(context.writer._lines) <= MAX_LINES
-    assert context.writer._dropped > 0
 
 
 @then("once the pipe is read every failure is there")
@@ -231,9 +233,12 @@
         nonlocal text
         if select.select([context.reader], [], [], 0)[0]:
             text += os.read(context.reader, 65536).decode()
-        return text.count('"level": 30') == 100 and "lines_dropped" in text
+        written = text.count('"level": ')
+        dropped = sum(map(int, re.findall(r'"lines_dropped","count":(\d+)}', text)))
+        failures = text.count('"level": 30')
+        return failures == 100 and dropped > 0 and written + dropped == context.logged
 
-    wait_until(complete, what="every failure")
+    wait_until(complete, what="every failure, and every line written or counted")
     context.writer.close()
     os.close(context.reader)
 
