The log writer's end flag has a name of its own

Cause: its attribute _closed is also one of the standard library's handlers, whose close makes it a truth value: a second close, at the end of the interpreter, raised, and the writing task ended by an AttributeError in place of its loop's condition. Ruled out: a lost line; the lines are written out before the handler is closed. Change: _ended. Shown by: a scenario that fails with the old name.

--- a/boragestream/base/line_writer.py
+++ b/boragestream/base/line_writer.py
@@ -31,7 +31,7 @@
         self._stream = stream
         self._lines: deque[str] = deque()
         self._dropped = 0
-        self._closed = threading.Event()
+        self._ended = threading.Event()
 
     def emit(self, record: logging.LogRecord) -> None:
         """Take a line, or drop it where the buffer is full."""
@@ -44,7 +44,7 @@
 
     def run(self) -> None:
         """Write lines until ``close``; the task of one thread."""
-        while not self._closed.wait(FLUSH_SECONDS):
+        while not self._ended.wait(FLUSH_SECONDS):
             self.write_out()
 
     def write_out(self) -> None:
@@ -61,7 +61,7 @@
 
     def close(self) -> None:
         """End ``run``."""
-        self._closed.set()
+        self._ended.set()
         super().close()
 
 
--- a/tests/features/explaining.feature
+++ b/tests/features/explaining.feature
@@ -25,6 +25,11 @@
     Then logging took no longer than its buffer, and what was dropped is counted
     And once the pipe is read every failure is there
 
+  Scenario: a log writer may be closed twice, and its task ends
+    Given a log writer whose pipe nobody reads
+    When it is closed twice
+    Then its task has ended without an error
+
   Scenario: labels are bounded
     Given metrics that saw 2000 client accounts and 1000 routes
     Then their text names at most 801 accounts and 257 routes
--- a/tests/features/steps/explaining.py
+++ b/tests/features/steps/explaining.py
@@ -243,6 +243,23 @@
     os.close(context.reader)
 
 
+@when("it is closed twice")
+def step(context):
+    context.errors = []
+    hook, threading.excepthook = threading.excepthook, context.errors.append
+    context.writer.close()
+    context.writer.close()
+    context.thread.join(5.0)
+    threading.excepthook = hook
+    os.close(context.reader)
+
+
+@then("its task has ended without an error")
+def step(context):
+    assert not context.thread.is_alive()
+    assert not context.errors, context.errors
+
+
 @given("metrics that saw {accounts:d} client accounts and {routes:d} routes")
 def step(context, accounts, routes):
     context.route_metrics = RouteMetrics()
