Dead state leaves the soak's site

Cause: read once more as a whole: when a key was taken away was written and never read, and a property named the host that nobody asked for. No check read either; none changes.

--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -11,7 +11,6 @@
 from tests.standins.route_server import RouteServer
 from tests.standins.route_site import (
     ADDRESS,
-    HOST,
     KEY,
     ZONES,
     RouteSite,
@@ -37,7 +36,6 @@
         self.route_version = 0
         self.version = 1
         self.keys = (KEY, SPARE_KEY)
-        self.key_was_revoked_at = None
         self.lock = threading.RLock()
         self.paused = {}
         # Servers that left, each with when it was said.
@@ -93,8 +91,6 @@
                 self.keys = (KEY,)
             self._publish_routes()
             self.route_version = self.version
-            if revoke:
-                self.key_was_revoked_at = time.monotonic()
 
     def _publish_routes(self):
         versions = range(2, self.version + 1)
@@ -276,8 +272,3 @@
         advertised = f'entries_advertised = "{ADDRESS}:{self.network.ports[name]}"'
         text = path.read_text().replace("[listen]", f"[listen]\n{advertised}")
         path.write_text(text)
-
-    @property
-    def host(self):
-        """The host of all routes."""
-        return HOST
