No guess any more of how long a caller has waited before a try

Cause: the guess took what is missing from the usual wait of a route's callers for time that had passed. Change: every try is planned from its own arrival; the module, its field in `request_ended` and its scenario go with it.

--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -29,7 +29,6 @@
 from boragestream.caller.forwarded_stream import ForwardedStream, StreamPace
 from boragestream.caller.replies import StartResponse
 from boragestream.document.calls import ForwardedRequest, RequestMalformed
-from boragestream.policy.caller_waits import CallerWaits
 from boragestream.policy.route_table import (
     KeyUnknown,
     RoutesInForce,
@@ -99,7 +98,6 @@
 
     :ivar refusing: tells whether new requests are refused since the entry stops.
     :ivar in_hand: counts the requests that are being served.
-    :ivar waits: tells how long a caller has waited before this try.
     :ivar limit: with as many in hand, further requests are refused at once.
     """
 
@@ -111,7 +109,6 @@
     metrics: RouteMetrics
     refusing: Callable[[], bool]
     in_hand: InHand
-    waits: CallerWaits
     limit: int
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Reply:
@@ -146,10 +143,9 @@
         if isinstance(account, Failure):
             refused = Refused(account)
             return self._own_answer(start_response, request.request_id, refused)
-        wait, waited = route.timeout_seconds, 0.0
+        wait = route.timeout_seconds
         if request.wait_seconds is not None:
             wait = min(wait, request.wait_seconds)
-            waited = self.waits.waited(route.name, request.wait_seconds)
         gone = environ.get("waitress.client_disconnected")
         scope = CancelScope(arrived + wait, gone, environ.get(STOP_WAITING))
         run = ForwardedRun(
@@ -161,7 +157,6 @@
             service=choose_service(route, self.forwarder.parts.rng),
             scope=scope,
             arrived=arrived,
-            waited=waited,
             sent=SentRecord(),
         )
         return self._forward(start_response, run)
@@ -260,7 +255,6 @@
             status=status,
             milliseconds=int(seconds * 1000),
             wait_ms=int(wait * 1000) if wait is not None else None,
-            waited_ms=int(run.waited * 1000),
             first_ms=pace.first_ms(run.arrived) if pace is not None else None,
             pause_ms=int(pace.longest_pause * 1000) if pace is not None else None,
             failure=failure.describe() if failure is not None else None,
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -35,7 +35,6 @@
 from boragestream.platform.directory import PlatformDirectory
 from boragestream.platform.store import CONFIGURATION_KEY, SERVERS_PREFIX, Store
 from boragestream.platform.wire import read_request, refusal_headers
-from boragestream.policy.caller_waits import CallerWaits
 from boragestream.policy.publication import PublishedTable
 from boragestream.policy.route_table import RouteTable
 
@@ -184,7 +183,6 @@
             metrics=parts.metrics,
             refusing=self._refusing.is_set,
             in_hand=self._in_hand,
-            waits=CallerWaits(),
             limit=settings.resources.threads - SPARE_THREADS,
         )
         address, _, port = settings.listen.callers.rpartition(":")
--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -45,7 +45,6 @@
     :ivar priority: by client account and route; 0 is the most urgent.
     :ivar service: the service that was chosen of the route's targets.
     :ivar arrived: the clock's seconds of its first byte.
-    :ivar waited: the seconds that its caller has waited before, through other tries.
     """
 
     request: ForwardedRequest
@@ -56,13 +55,12 @@
     service: str
     scope: CancelScope
     arrived: float
-    waited: float
     sent: SentRecord
 
     @property
     def objective_at(self) -> float:
         """The clock's seconds at which the answer must begin to be worth most."""
-        return self.arrived - self.waited + self.route.objective_seconds
+        return self.arrived + self.route.objective_seconds
 
     def note_not_run(self, server: Server) -> None:
         """Take a server's word that it did not run the request."""
--- a/tests/features/route_planning.feature
+++ b/tests/features/route_planning.feature
@@ -1,17 +1,5 @@
 Feature: what an entry reckons with when it plans a request
 
-  Scenario Outline: what a caller has waited before is told by the wait that it has left
-    Given callers of a route that wait "<waits>" seconds
-    Then one that waits <wait> s has waited <waited> s before
-
-    Examples:
-      | waits                       | wait | waited |
-      | 6 6 6 5.98 6 5.95 5.2 6     | 5.5  | 0.5    |
-      | 6 6 6 5.98 6 5.95 5.2 6     | 6    | 0      |
-      | 6 6 6 6 6 6                 | 7    | 0      |
-      | 6 6 2 2 6 2 6 2             | 2    | 0      |
-      | 6 6 6 6                     | 5    | 0      |
-
   Scenario Outline: idle connections leave room for the calls of all entries
     Then <entries> entries keep <most> idle connections each to a server that takes <all>
 
--- a/tests/features/steps/route_planning.py
+++ b/tests/features/steps/route_planning.py
@@ -8,7 +8,6 @@
 from boragestream.base.events import Event
 from boragestream.daemon.publication import Publication
 from boragestream.document.calls import PromptPart, StageResult
-from boragestream.policy.caller_waits import CallerWaits
 from boragestream.policy.connection_shares import idle_connections
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.publication import Change, Changes, PublishedTable, Snapshot
@@ -19,20 +18,6 @@
 from tests.standins.clock import SetClock
 
 
-@given('callers of a route that wait "{waits}" seconds')
-def step(context, waits):
-    context.waits = CallerWaits()
-    for wait in waits.split():
-        context.waits.waited("route", float(wait))
-
-
-@then("one that waits {wait:g} s has waited {waited:g} s before")
-def step(context, wait, waited):
-    found = context.waits.waited("route", wait)
-    assert abs(found - waited) < 0.01, found
-    assert context.waits.waited("another route", wait) == 0.0
-
-
 @then(
     "{entries:d} entries keep {most:d} idle connections each to a server that takes "
     "{limit:d}"
