Stage servers with overdue calls are asked whether they work on them

Ruled out: a shorter limit on every call; a slow server works for as long, and what it makes would hold room for its whole time. The calls leave `serving.piece_batches` for `serving.piece_calls`.

--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -34,7 +34,10 @@
 from boragestream.platform.pieces import (
     encode_piece_call,
     encode_release,
+    encode_report_call,
     read_piece_results,
+    read_stage_report,
+    result_host,
 )
 from boragestream.platform.published import (
     PublishedMalformed,
@@ -57,8 +60,9 @@
 from boragestream.serving.forward_attempt import ForwardParts
 from boragestream.serving.forwarder import Forwarder
 from boragestream.serving.owner_links import OwnerLinks
-from boragestream.serving.piece_batches import BatchParts, PieceBatches
+from boragestream.serving.piece_batches import PieceBatches
 from boragestream.serving.piece_bookings import PieceBookings
+from boragestream.serving.piece_calls import BatchParts
 from boragestream.serving.piece_orders import PieceOrders
 from boragestream.serving.stage_pieces import StagePieces
 
@@ -74,7 +78,10 @@
 
     encode_piece_call = staticmethod(encode_piece_call)
     encode_release = staticmethod(encode_release)
+    encode_report_call = staticmethod(encode_report_call)
     read_piece_results = staticmethod(read_piece_results)
+    read_stage_report = staticmethod(read_stage_report)
+    result_host = staticmethod(result_host)
 
 
 class ListHeard:
--- a/boragestream/document/calls.py
+++ b/boragestream/document/calls.py
@@ -20,6 +20,7 @@
     "PromptPart",
     "RequestMalformed",
     "RunClaim",
+    "StageReport",
     "StageResult",
 ]
 
@@ -154,6 +155,20 @@
     inputs: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class StageReport:
+    """What a stage server says of itself; some hundred milliseconds old.
+
+    :ivar queued: calls that wait there.
+    :ivar working: whether it works on a call.
+    :ivar free_mb: room for results, in megabytes.
+    """
+
+    queued: int
+    working: bool
+    free_mb: float
+
+
 class PieceFault(Enum):
     """Why a server made no result of a piece."""
 
--- a/boragestream/platform/pieces.py
+++ b/boragestream/platform/pieces.py
@@ -2,13 +2,21 @@
 
 import msgspec
 
-from boragestream.document.calls import Piece, PieceFault, PieceResult
+from boragestream.document.calls import Piece, PieceFault, PieceResult, StageReport
 from boragestream.policy.servers import Server
 
-__all__ = ["encode_piece_call", "encode_release", "read_piece_results"]
+__all__ = [
+    "encode_piece_call",
+    "encode_release",
+    "encode_report_call",
+    "read_piece_results",
+    "read_stage_report",
+    "result_host",
+]
 
 RUN_CALL = "/boragestream/stage-run"
 FREE_CALL = "/boragestream/stage-free"
+REPORT_CALL = "/boragestream/report"
 SERVER_ID = "Expect-Instance"
 FAULTS = {
     "late": PieceFault.LATE,
@@ -45,7 +53,15 @@
     handles: tuple[str, ...]
 
 
+class _Report(msgspec.Struct):
+    queued: int = 0
+    # How many calls it works on, or whether it works on one.
+    busy: int | bool = 0
+    free_mb: float = 0.0
+
+
 _results = msgspec.json.Decoder(_Results)
+_reports = msgspec.json.Decoder(_Report)
 
 
 def encode_piece_call(server: Server, pieces: list[tuple[Piece, float]]) -> bytes:
@@ -72,6 +88,26 @@
     return _post(server, FREE_CALL, msgspec.json.encode(_Free(handles)))
 
 
+def encode_report_call(server: Server) -> bytes:
+    """Return the bytes of a question for a server's report."""
+    head = f"GET {REPORT_CALL} HTTP/1.1\r\nHost: {server.host}\r\n"
+    return f"{head}{SERVER_ID}: {server.name}\r\n\r\n".encode("latin-1")
+
+
+def read_stage_report(body: bytes) -> StageReport | None:
+    """Decode a server's report; None if unreadable."""
+    try:
+        report = _reports.decode(body)
+    except (msgspec.DecodeError, RecursionError):
+        return None
+    return StageReport(report.queued, bool(report.busy), report.free_mb)
+
+
+def result_host(handle: str) -> str:
+    """Return the ``address:port`` of the server that holds a result."""
+    return handle.partition("/")[0]
+
+
 def read_piece_results(body: bytes) -> list[PieceResult] | None:
     """Decode the answer to a call, in the order of its pieces; None if unreadable."""
     try:
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -2,89 +2,32 @@
 
 A batch leaves when a server is free, never on a timer. Pieces whose call failed go back
 into the queue while the bound on repeats allows it. Which pieces go together is decided
-by ``policy.piece_queue``; which entry owns a queue, by ``serving.piece_orders``.
+by ``policy.piece_queue``, which entry owns a queue by ``serving.piece_orders``; the
+calls are made by ``serving.piece_calls``.
 """
 
 import threading
 from collections.abc import Callable, Sequence
-from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, replace
-from http import HTTPStatus
-from typing import Protocol
+from dataclasses import replace
 
-from boragestream.backend.cancellation import CancelScope, Watchdog
-from boragestream.backend.failures import (
-    AnswerCut,
-    AttemptFailure,
-    ConnectFailed,
-    Ran,
-    ServerErred,
-)
-from boragestream.backend.forwarded_call import (
-    CallLine,
-    OutgoingCall,
-    open_forwarded_call,
-)
-from boragestream.base.clock import Clock
-from boragestream.base.events import Event, describe_error, emit
-from boragestream.base.route_metrics import RouteMetrics
-from boragestream.document.calls import Piece, PieceFault, PieceResult, RunClaim
-from boragestream.document.routes import PieceLimits
+from boragestream.backend.failures import AttemptFailure, ConnectFailed, Ran
+from boragestream.base.events import Event, emit
+from boragestream.document.calls import PieceFault, PieceResult
 from boragestream.policy.candidates import RoutingNeed, usable_servers
-from boragestream.policy.load import CallEnd, LoadTable
+from boragestream.policy.load import CallEnd
 from boragestream.policy.piece_queue import PieceBooking, PieceOrder, QueuedOrder
-from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.server_choice import WITHOUT
-from boragestream.policy.servers import Server, ServerTable
+from boragestream.policy.servers import Server
 from boragestream.policy.service_queue import Batch, ServiceQueue
 from boragestream.serving.ejections import note_ejection
+from boragestream.serving.piece_calls import BatchParts, PieceCalls, no_results
 
-__all__ = ["BatchParts", "PieceBatches", "PieceDone", "PieceFormat"]
-
-CALL_THREADS = 64
-# A call may take this many times its usual time, and so many seconds more, before its
-# server is taken for one that hangs.
-CALL_TIME_FACTOR = 4.0
-CALL_TIME_SLACK_SECONDS = 1.0
-RELEASE_SECONDS = 1.0
+__all__ = ["PieceBatches", "PieceDone"]
 
 # Told the results of pieces of one order, by piece number.
 PieceDone = Callable[[str, Sequence[tuple[int, PieceResult]]], None]
 
 
-class PieceFormat(Protocol):
-    """How calls of stage servers are put on the wire."""
-
-    def encode_piece_call(
-        self, server: Server, pieces: list[tuple[Piece, float]]
-    ) -> bytes:
-        """Return the bytes of a call; each piece with the seconds left for it."""
-
-    def encode_release(self, server: Server, handles: tuple[str, ...]) -> bytes:
-        """Return the bytes of a call that gives results up."""
-
-    def read_piece_results(self, body: bytes) -> list[PieceResult] | None:
-        """Decode an answer in the order of its pieces; None if unreadable."""
-
-
-@dataclass(frozen=True, slots=True)
-class BatchParts:
-    """What the batches need of the entry.
-
-    :ivar limits: returns the limits of a service's servers; None if unknown.
-    """
-
-    line: CallLine
-    format: PieceFormat
-    servers: ServerTable
-    loads: LoadTable
-    retries: RetryWindows
-    watchdog: Watchdog
-    clock: Clock
-    metrics: RouteMetrics
-    limits: Callable[[str], PieceLimits | None]
-
-
 class PieceBatches:
     """The queues that this entry owns, and the calls made for them.
 
@@ -96,7 +39,7 @@
         self._done = done
         self._queues: dict[str, ServiceQueue] = {}
         self._lock = threading.Lock()
-        self._calls = ThreadPoolExecutor(CALL_THREADS, "pieces")
+        self._calls = PieceCalls(parts)
         # Who made each result, and of which service it is.
         self._makers: dict[str, tuple[str, Server]] = {}
 
@@ -164,7 +107,7 @@
                 freed = by_server.setdefault(server.name, (service, server, []))
                 freed[2].append(handle)
         for service, server, freed in by_server.values():
-            self._calls.submit(_logged, self._release, server, tuple(freed))
+            self._calls.submit(self._calls.release, server, tuple(freed))
             self._pump(service)
 
     def look_again(self) -> None:
@@ -184,6 +127,7 @@
             self._done(queued.order.order_id, [(p.number, given_up) for p in pieces])
         for service in services:
             self._pump(service)
+        self._calls.look_again()
 
     def _queue(self, service: str) -> ServiceQueue:
         if service not in self._queues:
@@ -206,16 +150,15 @@
             queue = self._queues[service]
             batches = queue.next_batches(limits, usable, self._parts.clock.now())
         for batch in batches:
-            self._calls.submit(_logged, self._call, service, batch)
+            self._calls.submit(self._call, service, batch)
 
     def _call(self, service: str, batch: Batch) -> None:
         parts = self._parts
         began = parts.clock.now()
         number = parts.loads.begin(batch.server)
-        result: list[PieceResult] | AttemptFailure = _no_results(batch.server)
+        result: list[PieceResult] | AttemptFailure = no_results(batch.server)
         try:
-            longest = batch.seconds * CALL_TIME_FACTOR + CALL_TIME_SLACK_SECONDS
-            result = self._exchange(batch, began + longest)
+            result = self._calls.make(batch)
         finally:
             end = CallEnd.ANSWERED if isinstance(result, list) else CallEnd.CUT
             if isinstance(result, ConnectFailed):
@@ -230,40 +173,6 @@
             self._end(service, batch, result)
         self._pump(service)
 
-    def _exchange(
-        self, batch: Batch, deadline: float
-    ) -> list[PieceResult] | AttemptFailure:
-        parts, server = self._parts, batch.server
-        scope = CancelScope(deadline)
-
-        def encode(left: float) -> bytes:
-            now = parts.clock.now()
-            pieces = [(piece, q.expires - now) for q, piece in batch.pieces]
-            return parts.format.encode_piece_call(server, pieces)
-
-        parts.watchdog.open(scope)
-        try:
-            call = OutgoingCall("POST", "", encode)
-            answer = open_forwarded_call(parts.line, server, call, scope)
-            if isinstance(answer, AttemptFailure):
-                return answer
-            body = answer.read()
-        finally:
-            parts.watchdog.close(scope)
-        if isinstance(body, AttemptFailure):
-            return body
-        head = answer.head
-        if head.claim is RunClaim.OTHER_SERVER:
-            parts.servers.note_leaving(server)
-        if head.claim is not RunClaim.RAN:
-            return ConnectFailed(server.name, Ran.NOT_RUN, f"status {head.status}")
-        if head.status != HTTPStatus.OK:
-            return ServerErred(server.name, Ran.MAY_HAVE_RUN, head.status)
-        results = parts.format.read_piece_results(body)
-        if results is None or len(results) != len(batch.pieces):
-            return _no_results(server)
-        return results
-
     def _end(
         self,
         service: str,
@@ -311,29 +220,3 @@
             # Nothing was made, so that it is no repeat.
             return True
         return done.fault is PieceFault.ERROR and self._parts.retries.spend(service)
-
-    def _release(self, server: Server, handles: tuple[str, ...]) -> None:
-        parts = self._parts
-        scope = CancelScope(parts.clock.now() + RELEASE_SECONDS)
-        data = parts.format.encode_release(server, handles)
-        parts.watchdog.open(scope)
-        try:
-            call = OutgoingCall("POST", "", lambda left: data)
-            answer = open_forwarded_call(parts.line, server, call, scope)
-            failed = answer if isinstance(answer, AttemptFailure) else answer.read()
-        finally:
-            parts.watchdog.close(scope)
-        if isinstance(failed, AttemptFailure):
-            # The server forgets the results by itself after their time.
-            emit(Event.RELEASE_FAILED, server=server.name, failure=failed.describe())
-
-
-def _no_results(server: Server) -> AttemptFailure:
-    return AnswerCut(server.name, Ran.MAY_HAVE_RUN, "no results that can be read")
-
-
-def _logged(work: Callable[..., None], *arguments: object) -> None:
-    try:
-        work(*arguments)
-    except Exception as error:
-        emit(Event.TASK_FAILED, task=work.__name__, error=describe_error(error))
--- /dev/null
+++ b/boragestream/serving/piece_calls.py
@@ -0,0 +1,225 @@
+"""Makes the calls of stage servers: batches, releases of results, reports.
+
+Which pieces go together and what becomes of their results is left to
+``serving.piece_batches``, when an answer is taken for lost to
+``policy.overdue_calls``.
+"""
+
+import itertools
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Protocol
+
+from boragestream.backend.cancellation import CancelScope, Watchdog
+from boragestream.backend.failures import (
+    AnswerCut,
+    AttemptFailure,
+    ConnectFailed,
+    Ran,
+    ServerErred,
+)
+from boragestream.backend.forwarded_call import (
+    CallLine,
+    OutgoingCall,
+    open_forwarded_call,
+)
+from boragestream.base.clock import Clock
+from boragestream.base.events import Event, describe_error, emit
+from boragestream.base.route_metrics import RouteMetrics
+from boragestream.document.calls import Piece, PieceResult, RunClaim, StageReport
+from boragestream.document.routes import PieceLimits
+from boragestream.policy.load import LoadTable
+from boragestream.policy.overdue_calls import (
+    ASK_AGAIN_SECONDS,
+    answer_is_lost,
+    ask_after_seconds,
+)
+from boragestream.policy.retry_window import RetryWindows
+from boragestream.policy.servers import Server, ServerTable
+from boragestream.policy.service_queue import Batch
+from boragestream.serving.piece_failures import AnswerLost
+
+__all__ = ["BatchParts", "PieceCalls", "PieceFormat", "logged", "no_results"]
+
+CALL_THREADS = 64
+# A call may take this many times its usual time, and so many seconds more, before its
+# server is taken for one that hangs.
+CALL_TIME_FACTOR = 4.0
+CALL_TIME_SLACK_SECONDS = 1.0
+RELEASE_SECONDS = 1.0
+# A report is there at once or of no use.
+REPORT_SECONDS = 0.4
+
+
+class PieceFormat(Protocol):
+    """How calls of stage servers are put on the wire."""
+
+    def encode_piece_call(
+        self, server: Server, pieces: list[tuple[Piece, float]]
+    ) -> bytes:
+        """Return the bytes of a call; each piece with the seconds left for it."""
+
+    def encode_release(self, server: Server, handles: tuple[str, ...]) -> bytes:
+        """Return the bytes of a call that gives results up."""
+
+    def encode_report_call(self, server: Server) -> bytes:
+        """Return the bytes of a question for a server's report."""
+
+    def read_piece_results(self, body: bytes) -> list[PieceResult] | None:
+        """Decode an answer in the order of its pieces; None if unreadable."""
+
+    def read_stage_report(self, body: bytes) -> StageReport | None:
+        """Decode a server's report; None if unreadable."""
+
+    def result_host(self, handle: str) -> str:
+        """Return the ``address:port`` of the server that holds a result."""
+
+
+@dataclass(frozen=True, slots=True)
+class BatchParts:
+    """What the batches need of the entry.
+
+    :ivar limits: returns the limits of a service's servers; None if unknown.
+    """
+
+    line: CallLine
+    format: PieceFormat
+    servers: ServerTable
+    loads: LoadTable
+    retries: RetryWindows
+    watchdog: Watchdog
+    clock: Clock
+    metrics: RouteMetrics
+    limits: Callable[[str], PieceLimits | None]
+
+
+@dataclass(slots=True)
+class _OpenCall:
+    """A batch that is under way.
+
+    :ivar ask_at: when its server is asked about it, in the clock's seconds.
+    """
+
+    server: Server
+    scope: CancelScope
+    ask_at: float
+
+
+class PieceCalls:
+    """The calls of this entry to stage servers; each blocks its thread."""
+
+    def __init__(self, parts: BatchParts) -> None:
+        self._parts = parts
+        self._threads = ThreadPoolExecutor(CALL_THREADS, "pieces")
+        self._numbers = itertools.count()
+        self._open: dict[int, _OpenCall] = {}
+        self._lock = threading.Lock()
+
+    def submit(self, work: Callable[..., None], *arguments: object) -> None:
+        """Have work that makes calls done by the next free thread."""
+        self._threads.submit(logged, work, *arguments)
+
+    def make(self, batch: Batch) -> list[PieceResult] | AttemptFailure:
+        """Have a batch made; return the results in the order of its pieces."""
+        parts = self._parts
+        began = parts.clock.now()
+        longest = batch.seconds * CALL_TIME_FACTOR + CALL_TIME_SLACK_SECONDS
+        scope = CancelScope(began + longest)
+        number = next(self._numbers)
+        ask_at = began + ask_after_seconds(batch.seconds)
+        with self._lock:
+            self._open[number] = _OpenCall(batch.server, scope, ask_at)
+        try:
+            return self._exchange(batch, scope)
+        finally:
+            with self._lock:
+                del self._open[number]
+
+    def look_again(self) -> None:
+        """Ask the servers whose answers should have come about them."""
+        now = self._parts.clock.now()
+        with self._lock:
+            overdue = [call for call in self._open.values() if now >= call.ask_at]
+            for call in overdue:
+                call.ask_at = now + ASK_AGAIN_SECONDS
+        for call in overdue:
+            self.submit(self._ask, call)
+
+    def release(self, server: Server, handles: tuple[str, ...]) -> None:
+        """Tell a server that results are not needed any more."""
+        data = self._parts.format.encode_release(server, handles)
+        failed = self._call(server, "POST", data, RELEASE_SECONDS)
+        if isinstance(failed, AttemptFailure):
+            # The server forgets the results by itself after their time.
+            emit(Event.RELEASE_FAILED, server=server.name, failure=failed.describe())
+
+    def _ask(self, call: _OpenCall) -> None:
+        server, wire = call.server, self._parts.format
+        data = wire.encode_report_call(server)
+        body = self._call(server, "GET", data, REPORT_SECONDS)
+        report = wire.read_stage_report(body) if isinstance(body, bytes) else None
+        # Without a report the call goes on until it has taken too long.
+        if report is not None and answer_is_lost(report):
+            call.scope.cancel(AnswerLost(server.name))
+
+    def _call(
+        self, server: Server, method: str, data: bytes, seconds: float
+    ) -> bytes | AttemptFailure:
+        parts = self._parts
+        scope = CancelScope(parts.clock.now() + seconds)
+        parts.watchdog.open(scope)
+        try:
+            call = OutgoingCall(method, "", lambda left: data)
+            answer = open_forwarded_call(parts.line, server, call, scope)
+            return answer if isinstance(answer, AttemptFailure) else answer.read()
+        finally:
+            parts.watchdog.close(scope)
+
+    def _exchange(
+        self, batch: Batch, scope: CancelScope
+    ) -> list[PieceResult] | AttemptFailure:
+        parts, server = self._parts, batch.server
+
+        def encode(left: float) -> bytes:
+            now = parts.clock.now()
+            pieces = [(piece, q.expires - now) for q, piece in batch.pieces]
+            return parts.format.encode_piece_call(server, pieces)
+
+        parts.watchdog.open(scope)
+        try:
+            call = OutgoingCall("POST", "", encode)
+            answer = open_forwarded_call(parts.line, server, call, scope)
+            if isinstance(answer, AttemptFailure):
+                return answer
+            body = answer.read()
+        finally:
+            parts.watchdog.close(scope)
+        if isinstance(body, AttemptFailure):
+            return body
+        head = answer.head
+        if head.claim is RunClaim.OTHER_SERVER:
+            parts.servers.note_leaving(server)
+        if head.claim is not RunClaim.RAN:
+            return ConnectFailed(server.name, Ran.NOT_RUN, f"status {head.status}")
+        if head.status != HTTPStatus.OK:
+            return ServerErred(server.name, Ran.MAY_HAVE_RUN, head.status)
+        results = parts.format.read_piece_results(body)
+        if results is None or len(results) != len(batch.pieces):
+            return no_results(server)
+        return results
+
+
+def no_results(server: Server) -> AttemptFailure:
+    """Return the failure of an answer that is no list of results."""
+    return AnswerCut(server.name, Ran.MAY_HAVE_RUN, "no results that can be read")
+
+
+def logged(work: Callable[..., None], *arguments: object) -> None:
+    """Do some work, and log the error that it ends with."""
+    try:
+        work(*arguments)
+    except Exception as error:
+        emit(Event.TASK_FAILED, task=work.__name__, error=describe_error(error))
--- a/boragestream/serving/piece_failures.py
+++ b/boragestream/serving/piece_failures.py
@@ -5,7 +5,7 @@
 from boragestream.base.outcomes import Failure
 from boragestream.document.calls import PieceFault
 
-__all__ = ["PieceFailed", "StageSaturated"]
+__all__ = ["AnswerLost", "PieceFailed", "StageSaturated"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,3 +30,10 @@
 
     service: str
     fault: PieceFault
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerLost(Failure):
+    """A stage server has nothing to do, and an answer that it owes never came."""
+
+    server: str
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -115,6 +115,9 @@
             self.send(sock, headers, 421, b"other", own, sealed=False)
         elif target == "/boragestream/stage-run":
             self.make_pieces(sock, headers, json.loads(body))
+        elif target == "/boragestream/report":
+            report = {"queued": 0, "busy": 0, "free_mb": 40.0}
+            self.send(sock, headers, 200, json.dumps(report).encode())
         elif target == "/boragestream/stage-free":
             for handle in json.loads(body)["handles"]:
                 self.held.pop(handle, None)
@@ -234,6 +237,10 @@
             fault, self.piece_fault = self.piece_fault, None
         if fault == "cut":
             raise OSError("cut")
+        if fault == "lost":
+            # The call runs, and its answer never arrives.
+            wait_closed(sock)
+            raise OSError("lost")
         if fault == "refuse" or self.full:
             self.send(sock, headers, 503, b"", [("Not-Run", "1")], sealed=False)
             return
