Callers without configuration come back when the platform may be back

Cause: after a loss of all entries, callers that came in the milliseconds before the platform's first answer were refused, and while the platform was away all were told to come back after 0.05 s: the next try, mostly the last, was lost as well. Change: policy.first_knowledge: requests are held for the first answers, 0.1 s at the most; without configuration callers come back after 2 to 5 s, as long as the platform has been away.

--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -29,6 +29,7 @@
 from boragestream.caller.forwarded_stream import ForwardedStream, StreamPace
 from boragestream.caller.replies import StartResponse
 from boragestream.document.calls import ForwardedRequest, RequestMalformed
+from boragestream.policy.first_knowledge import FirstKnowledge
 from boragestream.policy.route_table import (
     KeyUnknown,
     RoutesInForce,
@@ -96,12 +97,14 @@
 class ForwardingApplication:
     """The application; waitress calls it in a thread for each request.
 
+    :ivar first: what is done with requests until the platform has answered.
     :ivar refusing: tells whether new requests are refused since the entry stops.
     :ivar in_hand: counts the requests that are being served.
     :ivar limit: with as many in hand, further requests are refused at once.
     """
 
     routes: RoutesInForce
+    first: FirstKnowledge
     forwarder: Forwarder
     format: RequestFormat
     watchdog: Watchdog
@@ -122,9 +125,10 @@
 
     def _answer(self, environ: Environ, start_response: StartResponse) -> Reply:
         arrived = environ.get(ARRIVED, self.clock.now())
+        self.first.hold()
         table = self.routes.current
         if table is None:
-            refused = Refused(NoConfiguration(), ELSEWHERE_SECONDS)
+            refused = Refused(NoConfiguration(), self.first.return_seconds())
             return self._own_answer(start_response, "", refused)
         request = self._read(environ, table.document.limits.body_bytes)
         if isinstance(request, Failure):
--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -41,7 +41,8 @@
     :ivar clock: tells how long an answer took.
     :ivar gap_seconds: how long to wait after changes, so that others that follow come
         in one answer; longer while they keep coming.
-    :ivar confirmed: called with each answer, also where nothing has changed.
+    :ivar confirmed: called after each answer, also where nothing has changed.
+    :ivar failed: called each time that the store gave no answer.
     """
 
     store: PublishedStore
@@ -54,6 +55,7 @@
     rng: random.Random
     clock: Clock
     confirmed: Callable[[], None] = lambda: None
+    failed: Callable[[], None] = lambda: None
     gap_seconds: float = 0.0
 
     def run(self) -> None:
@@ -90,7 +92,6 @@
 
     def _take(self, answer: Snapshot | Changes) -> int:
         self.table.note_answer()
-        self.confirmed()
         changed = isinstance(answer, Snapshot) or bool(answer.changes)
         if isinstance(answer, Snapshot):
             self.table.take_snapshot(answer)
@@ -98,10 +99,12 @@
             self.table.take_changes(answer.changes)
         if self.table.drop_lapsed() or changed:
             self.take(dict(self.table.values))
+        self.confirmed()
         return answer.revision
 
     def _note_failure(self, failure: Failure, failing: bool) -> None:
         self.table.note_failure()
+        self.failed()
         if self.table.drop_lapsed():
             self.take(dict(self.table.values))
         if not failing:
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -176,6 +176,7 @@
         settings, parts = self._settings, self._parts
         application = ForwardingApplication(
             routes=parts.routes,
+            first=parts.first,
             forwarder=parts.forwarder,
             format=_RequestFormat(),
             watchdog=parts.watchdog,
@@ -243,7 +244,8 @@
             rng=self._parts.rng,
             clock=self._clock,
             gap_seconds=SERVERS_GAP_SECONDS if servers else 0.0,
-            confirmed=self._parts.list_heard.confirm if servers else lambda: None,
+            confirmed=partial(self._parts.note_answer, prefix),
+            failed=self._parts.first.note_unreachable,
         )
 
     def _apply_limits(self, table: RouteTable) -> None:
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -44,10 +44,11 @@
     read_route_document,
     read_server,
 )
-from boragestream.platform.store import CONFIGURATION_KEY
+from boragestream.platform.store import CONFIGURATION_KEY, SERVERS_PREFIX
 from boragestream.platform.wire import encode_call, read_answer_head
 from boragestream.policy.connection_shares import idle_connections
 from boragestream.policy.engine_delays import EngineDelays
+from boragestream.policy.first_knowledge import FirstKnowledge
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.load import LoadTable
 from boragestream.policy.peers import ListedEntry
@@ -111,6 +112,7 @@
     :ivar book: the addresses of the other entries.
     :ivar members: how the other entries are.
     :ivar list_heard: when the server list was last confirmed.
+    :ivar first: whether the first answers of the platform are still awaited.
     :ivar orders: the pieces of this entry's requests.
     :ivar bookings: places in queues for what this entry's requests will order.
     :ivar batches: the queues of pieces that this entry owns.
@@ -126,6 +128,7 @@
     watchdog: Watchdog
     metrics: RouteMetrics
     list_heard: ListHeard
+    first: FirstKnowledge
     sender: Sender
     book: AddressBook
     members: EntryPeers
@@ -152,6 +155,12 @@
         """Return the entries that serve callers, this one included."""
         return [entry for entry in self.members.entries.usable() if entry.host]
 
+    def note_answer(self, prefix: str) -> None:
+        """Take that the platform answered what is published under a prefix."""
+        if prefix == SERVERS_PREFIX:
+            self.list_heard.confirm()
+        self.first.note_known(prefix)
+
     def take_configuration(self, values: dict[str, bytes]) -> None:
         """Take the routes that the platform published."""
         text = values.get(CONFIGURATION_KEY)
@@ -291,6 +300,7 @@
         watchdog=watchdog,
         metrics=metrics,
         list_heard=heard,
+        first=FirstKnowledge(clock, (CONFIGURATION_KEY, SERVERS_PREFIX)),
         sender=sender,
         book=book,
         members=members,
