The queue of a stage service recognizes callers that come back

Their objective counts from the first try, and they took places from callers that could still be in time. Change: policy.returning_callers: a later try names the same key and has the same deadline, and the owner of a queue sees both. Such an order is planned from the first try. What is late goes behind all that is not in the forecast too, as it does when batches are chosen, and is taken where 0.5 s of waiting is enough.

--- a/boragestream/entry/piece_messages.py
+++ b/boragestream/entry/piece_messages.py
@@ -20,7 +20,7 @@
     """Asks the owner of a queue to have pieces made; it takes or refuses at once.
 
     :ivar order_id: names the order; taking it twice changes nothing.
-    :ivar key: the request's piece key, for a stage that needs no results.
+    :ivar key: the request's piece key.
     :ivar inputs: the handles of the results that each piece needs.
     :ivar start_ms: until the latest start that meets the objective.
     :ivar left_ms: until nobody waits any more.
@@ -46,14 +46,19 @@
     """Asks the owner of a queue whether an order that will come can be met.
 
     :ivar order_id: names the order to come.
+    :ivar key: the request's piece key.
     :ivar start_ms: until its latest start.
+    :ivar left_ms: until nobody waits any more.
     """
 
     order_id: str
     service: str
+    request_id: str
+    key: str
     count: int
     priority: int
     start_ms: int
+    left_ms: int
 
 
 class PiecesAnswer(msgspec.Struct, frozen=True, tag=True):
--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -25,6 +25,7 @@
     "is_admitted",
     "is_bookable",
     "is_hopeless",
+    "place_of",
     "turn_of",
 ]
 
@@ -47,6 +48,9 @@
 PRIORITY_SECONDS = 0.25
 
 
+# An order that is late when it comes is taken where it need not wait longer than this
+# for places that are left over.
+LATE_WAIT_SECONDS = 0.5
 # An order that is late takes places that are left over. One that finds none for so long
 # is given up; where earlier stages were done for it, a late answer is still worth more
 # than theirs thrown away.
@@ -79,10 +83,13 @@
     """Pieces of a later stage that a chain will order once its earlier stages are done.
 
     :ivar order_id: of the order to come.
+    :ivar key: the request's piece key, the same in each try of its caller.
     """
 
     order_id: str
     service: str
+    request_id: str
+    key: str
     count: int
     priority: int
 
@@ -94,17 +101,18 @@
     :ivar start_by: the clock's seconds at which it must start to meet the objective.
     :ivar expires: the clock's seconds at which nobody waits for it any more.
     :ivar left: its pieces that are not under way.
+    :ivar came: when it came, in the clock's seconds.
     """
 
     order: PieceOrder
     start_by: float
     expires: float
     left: list[Piece] = field(default_factory=list)
+    came: float = -math.inf
 
-    @property
-    def turn(self) -> float:
-        """Its place in the queue; the smaller goes first."""
-        return turn_of(self.start_by, self.order.priority)
+    def place(self, now: float) -> tuple[bool, float]:
+        """Return its place in the queue; the smaller goes first."""
+        return place_of(self.start_by, self.order.priority, now)
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +135,11 @@
     return start_by + PRIORITY_SECONDS * priority
 
 
+def place_of(start_by: float, priority: int, now: float) -> tuple[bool, float]:
+    """Return the place in the queue, with what is late behind all that is not."""
+    return start_by < now, turn_of(start_by, priority)
+
+
 def choose_batch(
     queue: Iterable[QueuedOrder], limits: PieceLimits, room: ServerRoom, now: float
 ) -> list[tuple[QueuedOrder, list[Piece]]]:
@@ -138,7 +151,7 @@
     chosen: list[tuple[QueuedOrder, list[Piece]]] = []
     places = limits.batch
     free = room.free_bytes
-    for queued in sorted(queue, key=lambda q: _urgency(q, now)):
+    for queued in sorted(queue, key=lambda q: q.place(now)):
         if places <= 0:
             break
         if _waits_for_near(queued, room):
@@ -181,6 +194,8 @@
     """
     if order.invested or wait <= 0:
         return True
+    if left < 0:
+        return wait <= LATE_WAIT_SECONDS
     share = _of_priority(ADMITTED_SHARE, order.priority)
     return wait <= max(SHORT_WAIT_SECONDS, share * left)
 
@@ -194,6 +209,8 @@
     :param wait: the expected wait in seconds, if it were ordered now.
     :param left: the seconds until its latest start.
     """
+    if left < 0:
+        return wait <= LATE_WAIT_SECONDS
     share = _of_priority(BOOKED_SHARE, booking.priority)
     return wait <= max(SHORT_WAIT_SECONDS, share * left)
 
@@ -204,7 +221,7 @@
     if len(queued.left) < len(order.pieces):
         return False
     patience = INVESTED_LATE_SECONDS if order.invested else LATE_SECONDS
-    return now > queued.start_by + patience
+    return now > max(queued.start_by, queued.came) + patience
 
 
 def _of_priority(shares: tuple[float, ...], priority: int) -> float:
@@ -222,7 +239,3 @@
     if not near or near == room.data_centre:
         return False
     return room.free_at.get(near, math.inf) <= queued.start_by
-
-
-def _urgency(queued: QueuedOrder, now: float) -> tuple[bool, float]:
-    return queued.start_by < now, queued.turn
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -19,8 +19,9 @@
     is_admitted,
     is_bookable,
     is_hopeless,
-    turn_of,
+    place_of,
 )
+from boragestream.policy.returning_callers import ReturningCallers
 from boragestream.policy.servers import Server
 
 __all__ = ["Batch", "ServiceQueue"]
@@ -61,12 +62,13 @@
 class _Booked:
     """Pieces that will be ordered.
 
-    :ivar turn: the place that the order will have in the queue.
+    :ivar start_by: the latest start of the order, in the clock's seconds.
     :ivar until: the clock's seconds after which the order is not awaited any more.
     """
 
     count: int
-    turn: float
+    priority: int
+    start_by: float
     until: float
 
 
@@ -101,6 +103,7 @@
         self._orders: dict[str, QueuedOrder] = {}
         self._bookings: dict[str, _Booked] = {}
         self._servers: dict[str, _ServerState] = {}
+        self._callers = ReturningCallers()
 
     @property
     def orders(self) -> Mapping[str, QueuedOrder]:
@@ -115,19 +118,26 @@
         now: float,
     ) -> float | None:
         """Take an order; return the expected wait in seconds where it is refused."""
-        if queued.order.order_id in self._orders:
+        order = queued.order
+        if order.order_id in self._orders:
             return None
-        self._bookings.pop(queued.order.order_id, None)
-        wait = self._wait(queued.turn, limits, usable)
+        self._bookings.pop(order.order_id, None)
+        first = order.pieces[0]
+        queued.came = now
+        queued.start_by -= self._callers.waited(
+            first.key, first.request_id, queued.expires, now
+        )
+        wait = self._wait(queued.place(now), limits, usable, now)
         if not is_admitted(queued.order, wait, queued.start_by - now):
             return wait
-        self._orders[queued.order.order_id] = queued
+        self._orders[order.order_id] = queued
         return None
 
     def book(
         self,
         booking: PieceBooking,
         start_by: float,
+        expires: float,
         limits: PieceLimits,
         usable: Sequence[Server],
         now: float,
@@ -135,15 +145,18 @@
         """Book an order to come; return the expected wait where it is refused.
 
         :param start_by: the clock's seconds at which it must start at the latest.
+        :param expires: the clock's seconds at which its caller stops waiting.
         """
         if booking.order_id in self._bookings or booking.order_id in self._orders:
             return None
-        turn = turn_of(start_by, booking.priority)
-        wait = self._wait(turn, limits, usable)
+        start_by -= self._callers.waited(booking.key, booking.request_id, expires, now)
+        place = place_of(start_by, booking.priority, now)
+        wait = self._wait(place, limits, usable, now)
         if not is_bookable(booking, wait, start_by - now):
             return wait
-        until = start_by + BOOKING_SECONDS
-        self._bookings[booking.order_id] = _Booked(booking.count, turn, until)
+        until = max(start_by, now) + BOOKING_SECONDS
+        booked = _Booked(booking.count, booking.priority, start_by, until)
+        self._bookings[booking.order_id] = booked
         return None
 
     def drop(self, order_id: str) -> None:
@@ -242,11 +255,23 @@
         return handle in self._state(server).held
 
     def _wait(
-        self, turn: float, limits: PieceLimits, usable: Sequence[Server]
+        self,
+        place: tuple[bool, float],
+        limits: PieceLimits,
+        usable: Sequence[Server],
+        now: float,
     ) -> float:
         """Return the expected wait in seconds of an order at a place in the queue."""
-        ahead = sum(len(q.left) for q in self._orders.values() if q.turn <= turn)
-        ahead += sum(b.count for b in self._bookings.values() if b.turn <= turn)
+        ahead = sum(
+            len(queued.left)
+            for queued in self._orders.values()
+            if queued.place(now) <= place
+        )
+        ahead += sum(
+            booked.count
+            for booked in self._bookings.values()
+            if place_of(booked.start_by, booked.priority, now) <= place
+        )
         busy = [self._state(server).calls for server in usable]
         free = sum(calls < limits.concurrent_calls for calls in busy)
         return expected_wait(ahead, 0 if ahead else free, len(usable), limits)
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -69,10 +69,13 @@
             self._pump(order.service)
         return wait
 
-    def book(self, booking: PieceBooking, start_seconds: float) -> float | None:
+    def book(
+        self, booking: PieceBooking, start_seconds: float, left_seconds: float
+    ) -> float | None:
         """Book an order that comes once the stages before it are done.
 
         :param start_seconds: until its latest start.
+        :param left_seconds: until nobody waits for it any more.
         :returns: the expected wait in seconds where it is refused, None if it is taken.
         """
         limits = self._parts.limits(booking.service)
@@ -82,7 +85,8 @@
         usable = self._usable(booking.service)
         with self._lock:
             queue = self._queue(booking.service)
-            return queue.book(booking, now + start_seconds, limits, usable, now)
+            start_by, expires = now + start_seconds, now + left_seconds
+            return queue.book(booking, start_by, expires, limits, usable, now)
 
     def cancel(self, service: str, order_id: str) -> None:
         """Drop an order or a booking; what is under way is made in vain."""
--- a/boragestream/serving/piece_bookings.py
+++ b/boragestream/serving/piece_bookings.py
@@ -40,24 +40,29 @@
         self._clock = clock
 
     def book(
-        self, booking: PieceBooking, start_by: float
+        self, booking: PieceBooking, start_by: float, deadline: float
     ) -> BookedOrder | StageSaturated | None:
         """Book an order to come.
 
         :param start_by: the clock's seconds at which it must start at the latest.
+        :param deadline: the clock's seconds at which its caller stops waiting.
         :returns: the booking, why it was refused, or None where no owner answered.
         """
         owner = self._owners.owners(booking.service)[0]
-        start = start_by - self._clock.now()
+        now = self._clock.now()
+        start, left = start_by - now, deadline - now
         if owner == self._owners.own:
-            wait = self._batches.book(booking, start)
+            wait = self._batches.book(booking, start, left)
         else:
             message = PiecesBook(
                 booking.order_id,
                 booking.service,
+                booking.request_id,
+                booking.key,
                 booking.count,
                 booking.priority,
                 milliseconds(start),
+                milliseconds(left),
             )
             reply = self._owners.ask(owner, message)
             if reply is None:
@@ -78,9 +83,16 @@
     def answer_booking(self, envelope: Envelope, message: PiecesBook) -> PiecesAnswer:
         """Take or refuse a booking of another entry."""
         booking = PieceBooking(
-            message.order_id, message.service, message.count, message.priority
+            message.order_id,
+            message.service,
+            message.request_id,
+            message.key,
+            message.count,
+            message.priority,
+        )
+        refused = self._batches.book(
+            booking, message.start_ms / 1000, message.left_ms / 1000
         )
-        refused = self._batches.book(booking, message.start_ms / 1000)
         if refused is None:
             return PiecesAnswer(taken=True)
         return PiecesAnswer(taken=False, wait_ms=milliseconds(refused))
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -128,9 +128,18 @@
             if not stage.after or not count:
                 continue
             order_id = self._order_ids[number]
-            booking = PieceBooking(order_id, stage.service, count, run.priority)
+            request = run.request
+            booking = PieceBooking(
+                order_id,
+                stage.service,
+                request.request_id,
+                request.piece_key,
+                count,
+                run.priority,
+            )
             start_by = run.objective_at - self._after[number]
-            booked = self._stages.bookings.book(booking, start_by)
+            deadline = run.scope.deadline
+            booked = self._stages.bookings.book(booking, start_by, deadline)
             if isinstance(booked, Failure):
                 return booked
             if booked is not None:
