--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -37,7 +37,6 @@
     encode_report_call,
     read_piece_results,
     read_stage_report,
-    result_host,
 )
 from boragestream.platform.published import (
     PublishedMalformed,
@@ -82,7 +81,6 @@
     encode_report_call = staticmethod(encode_report_call)
     read_piece_results = staticmethod(read_piece_results)
     read_stage_report = staticmethod(read_stage_report)
-    result_host = staticmethod(result_host)
 
 
 class ListHeard:
--- a/boragestream/document/calls.py
+++ b/boragestream/document/calls.py
@@ -161,12 +161,10 @@
 
     :ivar queued: calls that wait there.
     :ivar working: whether it works on a call.
-    :ivar free_mb: room for results, in megabytes.
     """
 
     queued: int
     working: bool
-    free_mb: float
 
 
 class PieceFault(Enum):
--- a/boragestream/platform/pieces.py
+++ b/boragestream/platform/pieces.py
@@ -11,7 +11,6 @@
     "encode_report_call",
     "read_piece_results",
     "read_stage_report",
-    "result_host",
 ]
 
 RUN_CALL = "/boragestream/stage-run"
@@ -57,7 +56,6 @@
     queued: int = 0
     # How many calls it works on, or whether it works on one.
     busy: int | bool = 0
-    free_mb: float = 0.0
 
 
 _results = msgspec.json.Decoder(_Results)
@@ -100,12 +98,7 @@
         report = _reports.decode(body)
     except (msgspec.DecodeError, RecursionError):
         return None
-    return StageReport(report.queued, bool(report.busy), report.free_mb)
-
-
-def result_host(handle: str) -> str:
-    """Return the ``address:port`` of the server that holds a result."""
-    return handle.partition("/")[0]
+    return StageReport(report.queued, bool(report.busy))
 
 
 def read_piece_results(body: bytes) -> list[PieceResult] | None:
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -74,9 +74,6 @@
     def read_stage_report(self, body: bytes) -> StageReport | None:
         """Decode a server's report; None if unreadable."""
 
-    def result_host(self, handle: str) -> str:
-        """Return the ``address:port`` of the server that holds a result."""
-
 
 @dataclass(frozen=True, slots=True)
 class BatchParts:
--- a/tests/features/steps/overdue_calls.py
+++ b/tests/features/steps/overdue_calls.py
@@ -21,7 +21,7 @@
 
 @then('a report of {queued:d} calls queued and "{work}" says that the answer is {fate}')
 def step(context, queued, work, fate):
-    report = StageReport(queued, work == "working", 1.0)
+    report = StageReport(queued, work == "working")
     assert answer_is_lost(report) is (fate == "lost")
 
 
