The measured log line has the fields that are logged

Cause: the measurement of log lines still wrote waited_ms, which request_ended no longer has. Ruled out: other users of the field; none is left. Change: the field goes from the measured line. Conclusion: the line is as long as the logged one.

--- a/bench/log_lines.py
+++ b/bench/log_lines.py
@@ -71,7 +71,6 @@
         status=200,
         milliseconds=1500,
         wait_ms=6000,
-        waited_ms=0,
         first_ms=1400,
         pause_ms=40,
         failure=None,
