Two functions that one place alone uses are no public names any more

Change: turn_of goes into place_of, logged is private; behaviour and tests are unchanged. Conclusion: less to read.

--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -26,7 +26,6 @@
     "is_bookable",
     "is_hopeless",
     "place_of",
-    "turn_of",
 ]
 
 # How much of the time until its latest start an order may be expected to wait before it
@@ -130,14 +129,9 @@
     free_at: Mapping[str, float] = field(default_factory=dict)
 
 
-def turn_of(start_by: float, priority: int) -> float:
-    """Return the place in the queue of what must start by a time."""
-    return start_by + PRIORITY_SECONDS * priority
-
-
 def place_of(start_by: float, priority: int, now: float) -> tuple[bool, float]:
     """Return the place in the queue, with what is late behind all that is not."""
-    return start_by < now, turn_of(start_by, priority)
+    return start_by < now, start_by + PRIORITY_SECONDS * priority
 
 
 def choose_batch(
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -42,7 +42,7 @@
 from boragestream.policy.service_queue import Batch
 from boragestream.serving.piece_failures import AnswerLost
 
-__all__ = ["BatchParts", "PieceCalls", "PieceFormat", "logged", "no_results"]
+__all__ = ["BatchParts", "PieceCalls", "PieceFormat", "no_results"]
 
 CALL_THREADS = 64
 # A call may take this many times its usual time, and so many seconds more, before its
@@ -117,7 +117,7 @@
 
     def submit(self, work: Callable[..., None], *arguments: object) -> None:
         """Have work that makes calls done by the next free thread."""
-        self._threads.submit(logged, work, *arguments)
+        self._threads.submit(_logged, work, *arguments)
 
     def make(self, batch: Batch) -> list[PieceResult] | AttemptFailure:
         """Have a batch made; return the results in the order of its pieces."""
@@ -214,7 +214,7 @@
     return AnswerCut(server.name, Ran.MAY_HAVE_RUN, "no results that can be read")
 
 
-def logged(work: Callable[..., None], *arguments: object) -> None:
+def _logged(work: Callable[..., None], *arguments: object) -> None:
     """Do some work, and log the error that it ends with."""
     try:
         work(*arguments)
