A server's incarnation is the moment of its start; entries of other writers name none

Cause: a published entry was read leniently. Unknown states counted as live, an address that is none, or a port that is none, gave a server to call, and a missing field a default. A server that starts again under its name was taken for the one before, with its sticky leaving, its measured times, its results and the room they take up. Ruled out: comparing the moments of start alone. Change: `policy.server_lives` tells which of two lives is meant; open calls and the room at stage servers are kept by identity, not by name; the decoder demands every field, a known state, an address that can be called and a key that can stand in a header. What names no server is logged once for each change, five at the most in a line, and counted by a gauge. The server list's take has a module of its own. Before: the untouched decoder took an unknown state, port 99999 and an empty address as servers and knew no moment of start. The platform's entries today tell no moment of start: the id stays the incarnation there.

--- /dev/null
+++ b/boragestream/daemon/published_servers.py
@@ -0,0 +1,114 @@
+"""Takes what is published of backend servers into the tables of an entry.
+
+An entry of another writer, or one that was overwritten by one, names no server to use;
+the others hold. Each is logged once, and a count of those that stand now is a metric.
+"""
+
+import threading
+from collections.abc import Callable
+
+from boragestream.base.events import Event, emit
+from boragestream.daemon.tasks import to_leaving
+from boragestream.entry.peers import EntryPeers
+from boragestream.platform.published import PublishedMalformed, read_server
+from boragestream.policy.load import LoadTable
+from boragestream.policy.server_lives import ServerLives
+from boragestream.policy.servers import Server, ServerTable
+
+__all__ = ["PublishedServers"]
+
+# A writer that has gone wrong can spoil every entry; the log names the first few of
+# each change and tells how many there are.
+LOGGED_FAULTS = 5
+# The text of a fault can quote what was published.
+FAULT_CHARACTERS = 160
+
+
+class PublishedServers:
+    """The published servers, decoded.
+
+    :param lives: tells the latest life of each.
+    :param changed: called after each change of the list.
+    """
+
+    def __init__(
+        self,
+        lives: ServerLives,
+        members: EntryPeers,
+        servers: ServerTable,
+        loads: LoadTable,
+        changed: Callable[[], None],
+    ) -> None:
+        self._lives = lives
+        self._members = members
+        self._servers = servers
+        self._loads = loads
+        self._changed = changed
+        self._values: dict[str, bytes] = {}
+        self._decoded: dict[str, tuple[bytes, Server | PublishedMalformed]] = {}
+        self._malformed: dict[str, bytes] = {}
+        self._lock = threading.Lock()
+
+    @property
+    def malformed(self) -> int:
+        """How many entries stand now that name no server to use."""
+        return len(self._malformed)
+
+    def take(self, values: dict[str, bytes]) -> None:
+        """Take all entries by key."""
+        with self._lock:
+            self._values = values
+            self._take()
+
+    def look_again(self) -> None:
+        """Take the entries once more where an earlier life of a server may prevail."""
+        if not self._lives.settling:
+            return
+        with self._lock:
+            self._take()
+
+    def _take(self) -> None:
+        before = {server.identity: server.name for server in self._servers.all}
+        listed = self._lives.take_list(self._decode())
+        self._members.take_servers(tuple(to_leaving(server) for server in listed))
+        self._servers.take_list(listed)
+        self._loads.take_list(listed)
+        now = {server.identity: server.name for server in listed}
+        added = sorted(now[key] for key in now.keys() - before.keys())
+        removed = sorted(before[key] for key in before.keys() - now.keys())
+        emit(
+            Event.INSTANCES_CHANGED,
+            instances=len(listed),
+            added=added,
+            removed=removed,
+        )
+        self._changed()
+
+    def _decode(self) -> list[Server]:
+        decoded = {}
+        for key, value in self._values.items():
+            known = self._decoded.get(key)
+            same = known is not None and known[0] == value
+            decoded[key] = known if same else (value, read_server(key, value))
+        self._decoded = decoded
+        self._note_malformed()
+        return [s for _, s in decoded.values() if isinstance(s, Server)]
+
+    def _note_malformed(self) -> None:
+        malformed = {
+            key: (value, read)
+            for key, (value, read) in self._decoded.items()
+            if isinstance(read, PublishedMalformed)
+        }
+        news = [
+            f"{key}: {read.describe()}"[:FAULT_CHARACTERS]
+            for key, (value, read) in malformed.items()
+            if self._malformed.get(key) != value
+        ]
+        self._malformed = {key: value for key, (value, _) in malformed.items()}
+        if news:
+            emit(
+                Event.INSTANCES_INVALID,
+                faults=news[:LOGGED_FAULTS],
+                malformed=len(malformed),
+            )
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -217,6 +217,12 @@
         parts, gauge = self._parts, self._parts.metrics.gauge
         gauge("in_hand", "Requests in hand.", lambda: self._in_hand.count)
         gauge("servers", "Servers listed.", lambda: len(parts.servers.all))
+        malformed = parts.published_servers
+        gauge(
+            "malformed_servers",
+            "Published entries that name no server to use.",
+            lambda: malformed.malformed,
+        )
         gauge("entries", "Entries that serve.", lambda: len(parts.serving_entries()))
         gauge("server_list_age", "Seconds since confirmed.", parts.list_heard.age)
 
@@ -259,6 +265,7 @@
         """Keep the address book, the queues of pieces and the settings in order."""
         rounds = 0
         while not self._ended.wait(LOOK_AGAIN_SECONDS):
+            self._parts.published_servers.look_again()
             self._parts.batches.look_again()
             self._parts.orders.look_again()
             rounds += 1
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -16,6 +16,7 @@
 from boragestream.base.identifiers import new_incarnation
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.base.route_settings import RouteSettings
+from boragestream.daemon.published_servers import PublishedServers
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.tasks import OFFER_EVENTS, to_leaving
 from boragestream.document.routes import PieceLimits, RouteService
@@ -38,11 +39,7 @@
     read_piece_results,
     read_stage_report,
 )
-from boragestream.platform.published import (
-    PublishedMalformed,
-    read_route_document,
-    read_server,
-)
+from boragestream.platform.published import PublishedMalformed, read_route_document
 from boragestream.platform.store import CONFIGURATION_KEY, SERVERS_PREFIX
 from boragestream.platform.wire import encode_call, read_answer_head
 from boragestream.policy.connection_shares import idle_connections
@@ -55,6 +52,7 @@
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.route_table import RoutesInForce
 from boragestream.policy.server_choice import ServerChoice
+from boragestream.policy.server_lives import ServerLives
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.stage_delays import StageDelays
 from boragestream.serving.forward_attempt import ForwardParts
@@ -109,6 +107,7 @@
     :ivar incarnation: this life of the entry.
     :ivar book: the addresses of the other entries.
     :ivar members: how the other entries are.
+    :ivar published_servers: takes the published entries of servers.
     :ivar list_heard: when the server list was last confirmed.
     :ivar first: whether the first answers of the platform are still awaited.
     :ivar orders: the pieces of this entry's requests.
@@ -123,6 +122,7 @@
     routes: RoutesInForce
     servers: ServerTable
     loads: LoadTable
+    published_servers: PublishedServers
     watchdog: Watchdog
     metrics: RouteMetrics
     list_heard: ListHeard
@@ -167,25 +167,7 @@
 
     def take_servers(self, values: dict[str, bytes]) -> None:
         """Take the backend servers that the platform published."""
-        before = {server.name for server in self.servers.all}
-        servers = []
-        for key, value in values.items():
-            server = read_server(key, value)
-            if isinstance(server, PublishedMalformed):
-                emit(Event.INSTANCES_INVALID, faults=[server.describe()])
-            else:
-                servers.append(server)
-        self.members.take_servers(tuple(to_leaving(server) for server in servers))
-        self.servers.take_list(servers)
-        self.loads.take_list(servers)
-        now = {server.name for server in servers}
-        emit(
-            Event.INSTANCES_CHANGED,
-            instances=len(servers),
-            added=sorted(now - before),
-            removed=sorted(before - now),
-        )
-        self.batches.look_again()
+        self.published_servers.take(values)
 
 
 def make_route_parts(in_force: SettingsInForce, clock: Clock) -> RouteParts:
@@ -263,6 +245,9 @@
     orders.join(batches)
     bookings = PieceBookings(owners, batches, clock)
     engine_delays = EngineDelays()
+    published_servers = PublishedServers(
+        ServerLives(clock), members, servers, loads, batches.look_again
+    )
     forwarder = Forwarder(
         ForwardParts(
             line=line,
@@ -295,6 +280,7 @@
         routes=routes,
         servers=servers,
         loads=loads,
+        published_servers=published_servers,
         watchdog=watchdog,
         metrics=metrics,
         list_heard=heard,
--- a/boragestream/platform/published.py
+++ b/boragestream/platform/published.py
@@ -1,5 +1,7 @@
 """The platform's published routes and backend servers, decoded into records."""
 
+import re
+import socket
 from dataclasses import dataclass
 
 import msgspec
@@ -18,6 +20,7 @@
     RouteTarget,
     key_digest,
 )
+from boragestream.platform.store import SERVERS_PREFIX
 from boragestream.policy.servers import Server, ServerState
 
 __all__ = ["PublishedMalformed", "read_route_document", "read_server"]
@@ -27,6 +30,13 @@
     "unsafe": CallKind.ONCE,
     "stream": CallKind.STREAM,
 }
+# What can stand in a header as it is, without a slash; the store's keys have 200 bytes
+# at the most.
+NAME = re.compile(r"[!-.0-~]{1,200}", re.ASCII)
+PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
+MAX_PORT = 65535
+# Addresses whose first byte is this or more belong to no single machine.
+FIRST_MULTICAST = 224
 STATES = {"ready": ServerState.LIVE, "draining": ServerState.LEAVING}
 
 
@@ -113,10 +123,22 @@
 
 
 class _Server(msgspec.Struct, frozen=True):
+    """An entry of a server; one that lacks a field is of another writer."""
+
     service: str
+    # The address and port of its calls.
     addr: str
-    zone: str = ""
-    state: str = "ready"
+    zone: str
+    # Of its software.
+    version: str
+    # How many requests it works on at once.
+    slots: int
+    state: str
+    cold_left_ms: float
+    # The number of orders that it has accepted.
+    seq: int
+    # The Unix millisecond of its start; not told on every platform.
+    born: int | msgspec.UnsetType = msgspec.UNSET
 
 
 _configs = msgspec.json.Decoder(_Config)
@@ -141,24 +163,45 @@
 def read_server(key: str, value: bytes) -> Server | PublishedMalformed:
     """Decode the entry of a backend server.
 
-    :param key: its key in the store; the last part is the server's id, which changes
-        with each of its starts.
+    :param key: its key in the store; what follows the prefix is the server's id.
+    :returns: why, where the entry is not one that a server wrote.
     """
+    name = key.removeprefix(SERVERS_PREFIX)
+    if not NAME.fullmatch(name):
+        return PublishedMalformed("no server's key")
     try:
         entry = _servers.decode(value)
     except (msgspec.DecodeError, RecursionError) as error:
         return PublishedMalformed(repr(error))
-    identity = key.rpartition("/")[2]
+    state = STATES.get(entry.state)
+    if state is None:
+        return PublishedMalformed("unknown state")
+    if not _is_address(entry.addr):
+        return PublishedMalformed("no address")
+    told = entry.born is not msgspec.UNSET
     return Server(
-        name=identity,
+        name=name,
         service=entry.service,
         host=entry.addr,
         data_centre=entry.zone,
-        incarnation=identity,
-        state=STATES.get(entry.state, ServerState.LIVE),
+        incarnation=str(entry.born) if told else name,
+        state=state,
+        started_ms=entry.born if told else 0,
     )
 
 
+def _is_address(text: str) -> bool:
+    """Tell whether a text is an IPv4 address that can be called, with a port."""
+    address, _, port = text.rpartition(":")
+    if not PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        return False
+    try:
+        first = socket.inet_pton(socket.AF_INET, address)[0]
+    except (OSError, ValueError):
+        return False
+    return 0 < first < FIRST_MULTICAST
+
+
 def _route(route: _Route) -> Route:
     targets = tuple(RouteTarget(t.service, t.weight) for t in route.backends)
     stages = tuple(RouteStage(s.service, s.after, s.bytes) for s in route.stages)
--- a/boragestream/platform/store.py
+++ b/boragestream/platform/store.py
@@ -128,7 +128,11 @@
 
 
 def _value(item: _Item) -> bytes:
-    return base64.b64decode(item.value)
+    """Return an item's value; empty, and so malformed to its reader, if unreadable."""
+    try:
+        return base64.b64decode(item.value, validate=True)
+    except ValueError:
+        return b""
 
 
 def _change(item: _Item) -> Change:
--- a/boragestream/policy/server_choice.py
+++ b/boragestream/policy/server_choice.py
@@ -52,24 +52,24 @@
     """How many calls this entry has open at each server, streams included."""
 
     def __init__(self) -> None:
-        self._counts: Counter[str] = Counter()
+        self._counts: Counter[tuple[str, str, str]] = Counter()
         self._lock = threading.Lock()
 
     def count(self, server: Server) -> int:
         """Return the open calls at a server."""
-        return self._counts[server.name]
+        return self._counts[server.identity]
 
     def begin(self, server: Server) -> None:
         """Count a call that begins."""
         with self._lock:
-            self._counts[server.name] += 1
+            self._counts[server.identity] += 1
 
     def end(self, server: Server) -> None:
         """Count a call that has ended."""
         with self._lock:
-            self._counts[server.name] -= 1
-            if self._counts[server.name] <= 0:
-                del self._counts[server.name]
+            self._counts[server.identity] -= 1
+            if self._counts[server.identity] <= 0:
+                del self._counts[server.identity]
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/policy/servers.py
+++ b/boragestream/policy/servers.py
@@ -30,7 +30,10 @@
     """One backend server in one incarnation.
 
     :ivar host: ``address:port``.
+    :ivar incarnation: tells two lives under one name apart.
     :ivar region: empty where it is not known.
+    :ivar started_ms: when this life began, in Unix milliseconds by the server's own
+        clock; 0 where it is not told.
     """
 
     name: str
@@ -40,6 +43,7 @@
     incarnation: str = ""
     state: ServerState = ServerState.LIVE
     region: str = ""
+    started_ms: int = 0
 
     @property
     def identity(self) -> tuple[str, str, str]:
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
 from boragestream.document.calls import Piece, PieceFault, PieceResult
@@ -102,7 +102,8 @@
     def __init__(self) -> None:
         self._orders: dict[str, QueuedOrder] = {}
         self._bookings: dict[str, _Booked] = {}
-        self._servers: dict[str, _ServerState] = {}
+        # By the server's identity: one that starts again holds nothing of before.
+        self._servers: dict[tuple[str, str, str], _ServerState] = {}
         self._callers = ReturningCallers()
 
     @property
@@ -250,6 +251,19 @@
         """Take that a result is given up."""
         self._state(server).held.pop(handle, None)
 
+    def forget(self, listed: Iterable[Server], now: float) -> None:
+        """Forget servers that are gone, and at once the earlier lives of others.
+
+        A server that has left may still serve the results that it holds; one that has
+        started again under its name holds none of them.
+        """
+        latest = {server.name: server.identity for server in listed}
+        for identity, state in list(self._servers.items()):
+            replaced = latest.get(identity[0], identity) != identity
+            gone = identity[0] not in latest and not state.used_bytes(now)
+            if not state.calls and (replaced or gone):
+                del self._servers[identity]
+
     def holds(self, server: Server, handle: str) -> bool:
         """Tell whether a server still holds a result."""
         return handle in self._state(server).held
@@ -304,4 +318,4 @@
         return batch
 
     def _state(self, server: Server) -> _ServerState:
-        return self._servers.setdefault(server.name, _ServerState())
+        return self._servers.setdefault(server.identity, _ServerState())
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -101,14 +101,14 @@
 
     def release(self, handles: Sequence[str]) -> None:
         """Give results up, so that their servers have room again."""
-        by_server: dict[str, tuple[str, Server, list[str]]] = {}
+        by_server: dict[tuple[str, str, str], tuple[str, Server, list[str]]] = {}
         with self._lock:
             for handle in handles:
                 service, server = self._makers.pop(handle, ("", None))
                 if server is None:
                     continue
                 self._queues[service].release(server, handle)
-                freed = by_server.setdefault(server.name, (service, server, []))
+                freed = by_server.setdefault(server.identity, (service, server, []))
                 freed[2].append(handle)
         for service, server, freed in by_server.values():
             self._calls.submit(self._calls.release, server, tuple(freed))
@@ -118,11 +118,14 @@
         """Drop orders that expired or are late, and use servers that have come."""
         now = self._parts.clock.now()
         late: list[QueuedOrder] = []
+        listed = self._parts.servers.all
         with self._lock:
             services = list(self._queues)
             for service in services:
-                self._queues[service].drop_expired(now)
-                late += self._queues[service].drop_late(now)
+                queue = self._queues[service]
+                queue.drop_expired(now)
+                queue.forget(listed, now)
+                late += queue.drop_late(now)
             for handle, (service, server) in list(self._makers.items()):
                 if not self._queues[service].holds(server, handle):
                     del self._makers[handle]
