--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -27,9 +27,15 @@
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.tasks import OFFER_EVENTS, to_leaving
 from boragestream.document.routes import PieceLimits, RouteService
+from boragestream.entry.address_sync import AddressSync
 from boragestream.entry.addresses import AddressBook
 from boragestream.entry.links import Handler, PeerLinks
-from boragestream.entry.messages import DocumentAsk, PublishedAsk, Sender
+from boragestream.entry.messages import (
+    AddressesAsk,
+    DocumentAsk,
+    PublishedAsk,
+    Sender,
+)
 from boragestream.entry.peers import EntryPeers
 from boragestream.entry.piece_messages import (
     PiecesBook,
@@ -94,6 +100,7 @@
 
     :ivar incarnation: this life of the entry.
     :ivar book: the addresses of the other entries.
+    :ivar address_sync: finds where the books of other entries differ.
     :ivar members: how the other entries are.
     :ivar published_servers: takes the published entries of servers.
     :ivar publications: what is followed of the platform's store.
@@ -119,6 +126,7 @@
     first: FirstKnowledge
     sender: Sender
     book: AddressBook
+    address_sync: AddressSync
     members: EntryPeers
     relay: ConfigurationRelay
     orders: PieceOrders
@@ -132,6 +140,7 @@
         return {
             **self.members.handlers,
             DocumentAsk: self.relay.answer,
+            AddressesAsk: self.address_sync.answer,
             PublishedAsk: self.publications.relay.answer,
             PiecesOrder: self.orders.answer_order,
             PiecesBook: self.bookings.answer_booking,
@@ -180,6 +189,9 @@
     )
     members.exchange.add_part(relay)
     members.exchange.add_part(book)
+    address = members.address
+    sync = AddressSync(book, links, address, members.exchange.submit, clock)
+    members.exchange.add_part(sync)
     routes.when_taken(lambda table: members.exchange.hurry())
 
     def live() -> Sequence[str]:
@@ -279,6 +291,7 @@
         first=first,
         sender=sender,
         book=book,
+        address_sync=sync,
         members=members,
         relay=relay,
         orders=orders,
--- a/boragestream/entry/addresses.py
+++ b/boragestream/entry/addresses.py
@@ -1,7 +1,8 @@
 """Who the other entries are, learnt from them: an address book on the exchange.
 
 It begins with a few seeds, which may be out of date or gone, and grows by what each
-peer tells. How the entries are, and whether they leave, is told by ``entry.members``.
+peer tells. How the entries are, and whether they leave, is told by ``entry.members``;
+that whole books are asked for where they differ, by ``entry.address_sync``.
 """
 
 import random
@@ -10,6 +11,7 @@
 from dataclasses import replace
 
 import msgspec
+import xxhash
 
 from boragestream.base.events import Event, emit
 from boragestream.policy.peers import ListedEntry
@@ -56,6 +58,7 @@
         self._rng = rng
         self._changed = changed
         self._known: dict[str, ListedEntry] = {own.name: own}
+        self._digest = _digest(own.name)
         self._lock = threading.Lock()
 
     @property
@@ -63,6 +66,17 @@
         """Every entry known; the host of one that was never heard is empty."""
         return tuple(self._known.values())
 
+    @property
+    def digest(self) -> int:
+        """Of the names of all entries that were heard; equal books have equal ones."""
+        return self._digest
+
+    def packed(self) -> bytes:
+        """Return the records of all entries that were heard, as ``take`` reads them."""
+        with self._lock:
+            heard = [entry for entry in self._known.values() if entry.host]
+        return _encoder.encode([_pack(entry) for entry in heard])
+
     def add_seeds(self, addresses: Iterable[str]) -> None:
         """Take the seeds of the settings."""
         with self._lock:
@@ -110,10 +124,16 @@
         entry = ListedEntry(name, host, name, centre, capacity=record.capacity)
         if known is not None and replace(known, leaving=False) == entry:
             return False
+        if known is None or not known.host:
+            self._digest ^= _digest(name)
         self._known[record.name] = entry
         return True
 
 
+def _digest(name: str) -> int:
+    return xxhash.xxh32_intdigest(name.encode())
+
+
 def _pack(entry: ListedEntry) -> _Record:
     capacity = round(entry.capacity, 3)
     return _Record(entry.name, entry.host, entry.data_centre, capacity)
--- a/boragestream/entry/messages.py
+++ b/boragestream/entry/messages.py
@@ -24,6 +24,8 @@
 __all__ = [
     "MAX_MESSAGE_BYTES",
     "PROTOCOL_VERSION",
+    "AddressesAsk",
+    "AddressesReply",
     "CallState",
     "DocumentAsk",
     "DocumentReply",
@@ -147,6 +149,19 @@
     data: bytes = b""
 
 
+class AddressesAsk(msgspec.Struct, frozen=True, tag=True):
+    """Asks which entries a peer knows."""
+
+
+class AddressesReply(msgspec.Struct, frozen=True, tag=True):
+    """The entries that a peer knows.
+
+    :ivar records: the address book's own encoding of them.
+    """
+
+    records: bytes
+
+
 class PublishedAsk(msgspec.Struct, frozen=True, tag=True):
     """Asks what is published of the servers.
 
@@ -232,6 +247,8 @@
     | RepairReply
     | DocumentAsk
     | DocumentReply
+    | AddressesAsk
+    | AddressesReply
     | PublishedAsk
     | PublishedReply
     | TicketPost
