The owner of a stage's queue repeats pieces in proportion to what it was ordered

Ruled out: pieces that were late (216, another fault); calls that servers refused as full (put back without a repeat). Change: an owner counts the pieces ordered of it with the bound's share.

--- a/boragestream/policy/retry_window.py
+++ b/boragestream/policy/retry_window.py
@@ -57,10 +57,16 @@
         self._counts: dict[str, _Counts] = {}
         self._lock = threading.Lock()
 
-    def note_request(self, service: str) -> None:
-        """Count a request that a caller made of a service."""
+    def note_request(self, service: str, count: int = 1) -> None:
+        """Count what was asked of a service: callers' requests, or pieces of a stage.
+
+        The owner of a stage service's queue repeats for all entries. Were their pieces
+        not counted with it, its part of the slack alone would be left to it: two
+        repeats in ten seconds among 195 entries. On a day of these with lost answers
+        and spoilt results 189 of 12,500 staged requests failed for that.
+        """
         with self._lock:
-            self._of(service).requests.append(self._now())
+            self._of(service).requests.extend([self._now()] * count)
 
     def spend(self, service: str, count: int = 1) -> bool:
         """Take some repeats; False, and none taken, where the bound forbids them."""
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -64,8 +64,11 @@
         usable = self._usable(order.service)
         with self._lock:
             queue = self._queue(order.service)
+            known = order.order_id in queue.orders
             wait = queue.submit(queued, limits, usable, now)
         if wait is None:
+            if not known:
+                self._parts.retries.note_request(order.service, len(order.pieces))
             self._pump(order.service)
         return wait
 
