An empty answer at once is no reason to ask at once; incidents of lost entries closed

Cause, found by reading: a watch that the platform ended early without a change was asked again without a pause; a relayed answer that brought nothing marked the servers as known. Change: 0.05 s between such answers; known only with a revision.

--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -28,6 +28,8 @@
 # entries, when servers are listed one by one for five seconds, the gap alone left 17
 # calls an entry; it is well below the seconds that a leaving server still serves.
 MOST_GAP_SECONDS = 1.0
+# A platform that answers without any change, at once, is not asked in a closed loop.
+QUIET_GAP_SECONDS = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,16 +84,17 @@
             if failing:
                 emit(Event.STORE_REGAINED, prefix=self.prefix, revision=answer.revision)
             failing = False
-            self._take(answer)
+            changed = self._take(answer)
             at_once = self.clock.now() - asked_at < self.gap_seconds
             gap = min(MOST_GAP_SECONDS, 2 * gap) if at_once else self.gap_seconds
-            self.stopping.wait(gap)
+            self.stopping.wait(gap if changed else max(gap, QUIET_GAP_SECONDS))
 
     def take_relayed(self, relayed: Relayed) -> None:
         """Take what another entry told."""
         if self.table.take_relayed(relayed):
             self._publish()
-        self.known()
+        if self.table.revision is not None:
+            self.known()
 
     def look_again(self) -> None:
         """Drop what lapsed in an outage and did not come back."""
@@ -106,15 +109,16 @@
         wait = 0.0 if at_once else self.watch_seconds
         return self.store.watch(self.prefix, revision, wait)
 
-    def _take(self, answer: Snapshot | Changes) -> None:
+    def _take(self, answer: Snapshot | Changes) -> bool:
         first = self.table.revision is None
         self.table.note_answer()
-        changed = self.table.take(answer)
+        changed = self.table.take(answer) or first
         # Before others are told, who may ask for it at once.
-        if changed or first:
+        if changed:
             self._publish()
         self.following.note_answer(self.prefix)
         self.known()
+        return changed
 
     def _publish(self) -> None:
         with self.lock:
