A fresh entry watches the servers while it settles; quiet answers lengthen no gap

It settles for two seconds and hears of changes from peers meanwhile, who have it in their books late. Besides, the first call of a row, answered at once without a change, counted as changes that keep coming and doubled the gap. Change: a fresh entry watches the servers itself for two seconds, one call more a start; only answers with changes lengthen the gap. One class for open questions in place of two copies; the messages of knowledge have a module of their own; publications are built by one partial call.

--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -86,8 +86,11 @@
             failing = False
             changed = self._take(answer)
             at_once = self.clock.now() - asked_at < self.gap_seconds
-            gap = min(MOST_GAP_SECONDS, 2 * gap) if at_once else self.gap_seconds
-            self.stopping.wait(gap if changed else max(gap, QUIET_GAP_SECONDS))
+            if changed and at_once:
+                gap = min(MOST_GAP_SECONDS, 2 * gap)
+            else:
+                gap = self.gap_seconds
+            self.stopping.wait(gap if changed else QUIET_GAP_SECONDS)
 
     def take_relayed(self, relayed: Relayed) -> None:
         """Take what another entry told."""
@@ -105,8 +108,7 @@
         revision = self.table.revision
         if revision is None or again:
             return self.store.read(self.prefix)
-        at_once = self.following.confirms_first(self.prefix)
-        wait = 0.0 if at_once else self.watch_seconds
+        wait = self.following.wait_seconds(self.prefix, self.watch_seconds)
         return self.store.watch(self.prefix, revision, wait)
 
     def _take(self, answer: Snapshot | Changes) -> bool:
--- a/boragestream/daemon/publications.py
+++ b/boragestream/daemon/publications.py
@@ -76,39 +76,34 @@
     following = StoreFollowing(
         clock,
         rng,
-        PREFIXES,
+        {CONFIGURATION_KEY: False, SERVERS_PREFIX: True},
         settings.bound_seconds,
         designated,
         lambda: len(members.entries.usable()) + 1,
     )
-    store = Store(settings.address)
-    configuration = Publication(
-        store=store,
-        prefix=CONFIGURATION_KEY,
+    follow = partial(
+        Publication,
+        store=Store(settings.address),
         watch_seconds=settings.watch_seconds,
-        table=PublishedTable(clock.now),
         following=following,
-        take=take_configuration,
         changed=members.exchange.hurry,
-        unreachable=Event.CONFIGURATION_UNREACHABLE,
         stopping=stopping,
         clock=clock,
-        known=partial(first.note_known, CONFIGURATION_KEY),
         failed=first.note_unreachable,
     )
-    servers = Publication(
-        store=store,
+    configuration = follow(
+        prefix=CONFIGURATION_KEY,
+        table=PublishedTable(clock.now),
+        take=take_configuration,
+        unreachable=Event.CONFIGURATION_UNREACHABLE,
+        known=partial(first.note_known, CONFIGURATION_KEY),
+    )
+    servers = follow(
         prefix=SERVERS_PREFIX,
-        watch_seconds=settings.watch_seconds,
         table=PublishedTable(clock.now, KEPT_CHANGES),
-        following=following,
         take=take_servers,
-        changed=members.exchange.hurry,
         unreachable=Event.INSTANCES_UNREACHABLE,
-        stopping=stopping,
-        clock=clock,
         known=partial(first.note_known, SERVERS_PREFIX),
-        failed=first.note_unreachable,
         gap_seconds=SERVERS_GAP_SECONDS,
     )
     relay = PublishedRelay(
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -29,13 +29,9 @@
 from boragestream.document.routes import PieceLimits, RouteService
 from boragestream.entry.address_sync import AddressSync
 from boragestream.entry.addresses import AddressBook
+from boragestream.entry.knowledge_messages import AddressesAsk, PublishedAsk
 from boragestream.entry.links import Handler, PeerLinks
-from boragestream.entry.messages import (
-    AddressesAsk,
-    DocumentAsk,
-    PublishedAsk,
-    Sender,
-)
+from boragestream.entry.messages import DocumentAsk, Sender
 from boragestream.entry.peers import EntryPeers
 from boragestream.entry.piece_messages import (
     PiecesBook,
--- a/boragestream/entry/address_sync.py
+++ b/boragestream/entry/address_sync.py
@@ -22,8 +22,9 @@
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, emit
 from boragestream.entry.addresses import AddressBook
+from boragestream.entry.knowledge_messages import AddressesAsk, AddressesReply
 from boragestream.entry.links import PeerLinks
-from boragestream.entry.messages import AddressesAsk, AddressesReply, Envelope
+from boragestream.entry.messages import Envelope
 
 __all__ = ["AddressSync"]
 
--- /dev/null
+++ b/boragestream/entry/knowledge_messages.py
@@ -0,0 +1,55 @@
+"""The messages by which entries tell each other what they know.
+
+Who the entries are, and what the platform publishes of the servers. The envelope, and
+the rule for fields that are added, are those of ``entry.messages``.
+"""
+
+import msgspec
+
+__all__ = ["AddressesAsk", "AddressesReply", "PublishedAsk", "PublishedReply"]
+
+
+class AddressesAsk(msgspec.Struct, frozen=True, tag=True):
+    """Asks which entries a peer knows, and tells it of the sender.
+
+    :ivar digest: of the names that the sender knows.
+    :ivar record: the address book's own encoding of the sender's record.
+    """
+
+    digest: int
+    record: bytes = b""
+
+
+class AddressesReply(msgspec.Struct, frozen=True, tag=True):
+    """The entries that a peer knows.
+
+    :ivar book: the address book's own encoding of them, compressed; empty where both
+        know the same.
+    """
+
+    book: bytes = b""
+
+
+class PublishedAsk(msgspec.Struct, frozen=True, tag=True):
+    """Asks what is published of the servers.
+
+    :ivar after: the revision that the sender knows; None for none.
+    """
+
+    after: int | None = None
+
+
+class PublishedReply(msgspec.Struct, frozen=True, tag=True):
+    """What is published of the servers.
+
+    :ivar after: the revision from which the changes lead on; None where they are all
+        values.
+    :ivar revision: up to which they are complete; 0 where nothing is known.
+    :ivar changes: of each its key, its revision and its value, None for a removal.
+    :ivar lapsed: for how many milliseconds keys that lapsed are still kept.
+    """
+
+    after: int | None = None
+    revision: int = 0
+    changes: tuple[tuple[str, int, bytes | None], ...] = ()
+    lapsed: dict[str, int] = {}
--- a/boragestream/entry/messages.py
+++ b/boragestream/entry/messages.py
@@ -12,6 +12,12 @@
 import msgspec
 
 from boragestream.base.outcomes import Failure
+from boragestream.entry.knowledge_messages import (
+    AddressesAsk,
+    AddressesReply,
+    PublishedAsk,
+    PublishedReply,
+)
 from boragestream.entry.piece_messages import (
     PiecesAnswer,
     PiecesBook,
@@ -24,8 +30,6 @@
 __all__ = [
     "MAX_MESSAGE_BYTES",
     "PROTOCOL_VERSION",
-    "AddressesAsk",
-    "AddressesReply",
     "CallState",
     "DocumentAsk",
     "DocumentReply",
@@ -38,8 +42,6 @@
     "ProbeFor",
     "ProbeForReply",
     "ProbeReply",
-    "PublishedAsk",
-    "PublishedReply",
     "Rejected",
     "Repair",
     "RepairReply",
@@ -149,52 +151,6 @@
     data: bytes = b""
 
 
-class AddressesAsk(msgspec.Struct, frozen=True, tag=True):
-    """Asks which entries a peer knows, and tells it of the sender.
-
-    :ivar digest: of the names that the sender knows.
-    :ivar record: the address book's own encoding of the sender's record.
-    """
-
-    digest: int
-    record: bytes = b""
-
-
-class AddressesReply(msgspec.Struct, frozen=True, tag=True):
-    """The entries that a peer knows.
-
-    :ivar book: the address book's own encoding of them, compressed; empty where both
-        know the same.
-    """
-
-    book: bytes = b""
-
-
-class PublishedAsk(msgspec.Struct, frozen=True, tag=True):
-    """Asks what is published of the servers.
-
-    :ivar after: the revision that the sender knows; None for none.
-    """
-
-    after: int | None = None
-
-
-class PublishedReply(msgspec.Struct, frozen=True, tag=True):
-    """What is published of the servers.
-
-    :ivar after: the revision from which the changes lead on; None where they are all
-        values.
-    :ivar revision: up to which they are complete; 0 where nothing is known.
-    :ivar changes: of each its key, its revision and its value, None for a removal.
-    :ivar lapsed: for how many milliseconds keys that lapsed are still kept.
-    """
-
-    after: int | None = None
-    revision: int = 0
-    changes: tuple[tuple[str, int, bytes | None], ...] = ()
-    lapsed: dict[str, int] = {}
-
-
 class TicketPost(msgspec.Struct, frozen=True, tag=True):
     """Asks the issuer of a ticket to run a call under it; answered at once.
 
--- a/boragestream/entry/published_relay.py
+++ b/boragestream/entry/published_relay.py
@@ -7,7 +7,6 @@
 """
 
 import math
-import threading
 from collections.abc import Callable
 from functools import partial
 from typing import Protocol
@@ -17,16 +16,16 @@
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, emit
 from boragestream.base.outcomes import Failure
+from boragestream.entry.knowledge_messages import PublishedAsk, PublishedReply
 from boragestream.entry.links import PeerLinks
-from boragestream.entry.messages import Envelope, PublishedAsk, PublishedReply
+from boragestream.entry.messages import Envelope
+from boragestream.entry.open_questions import OpenQuestions
 from boragestream.policy.publication import Change, PublishedTable, Relayed
 from boragestream.policy.watching import StoreFollowing
 
 __all__ = ["PublishedRelay"]
 
 ASK_SECONDS = 1.0
-# One question may hang on a peer that was paused; another peer is asked beside it.
-QUESTIONS_AT_ONCE = 2
 # Ages are told in milliseconds up to this; what is older says nothing.
 MOST_AGE_MS = 60_000
 
@@ -96,8 +95,7 @@
         self._address = address
         self._submit = submit
         self._clock = clock
-        self._asking: set[str] = set()
-        self._lock = threading.Lock()
+        self._questions = OpenQuestions()
 
     def offer(self, budget: int) -> bytes:
         """Return what is known here; empty while that is nothing."""
@@ -127,11 +125,8 @@
         if known is not None and word.revision <= known:
             self._adopt(word, came)
             return
-        with self._lock:
-            if sender in self._asking or len(self._asking) >= QUESTIONS_AT_ONCE:
-                return
-            self._asking.add(sender)
-        self._submit(partial(self._ask, sender, word, came))
+        if self._questions.begin(sender):
+            self._submit(partial(self._ask, sender, word, came))
 
     def answer(self, envelope: Envelope, message: PublishedAsk) -> PublishedReply:
         """Tell a peer what has changed since what it knows."""
@@ -158,8 +153,7 @@
                 self._take_servers(_relayed(reply))
                 self._adopt(word, came)
         finally:
-            with self._lock:
-                self._asking.discard(peer)
+            self._questions.end(peer)
 
     def _adopt(self, word: PublishedWord, came: float) -> None:
         """Take a word as one's own where all that it speaks of is known here."""
--- a/boragestream/entry/relay.py
+++ b/boragestream/entry/relay.py
@@ -23,6 +23,7 @@
 )
 from boragestream.entry.links import PeerLinks
 from boragestream.entry.messages import DocumentAsk, DocumentReply, Envelope
+from boragestream.entry.open_questions import OpenQuestions
 
 __all__ = ["ConfigurationRelay", "TakeText"]
 
@@ -30,8 +31,6 @@
 DIGEST_CHARACTERS = 16
 KEPT_DIFFERENCES = 4
 KEPT_REFUSALS = 8
-# One question may hang on a peer that was paused; another peer is asked beside it.
-QUESTIONS_AT_ONCE = 2
 
 # Checks a canonical text from a peer, named second, and offers the document; True
 # where the text is valid, whatever became of the offer.
@@ -107,7 +106,7 @@
         self._links = links
         self._address = address
         self._submit = submit
-        self._asking: set[str] = set()
+        self._questions = OpenQuestions()
         self._refused: OrderedDict[VersionOffer, None] = OrderedDict()
         self._conflicts: OrderedDict[VersionOffer, None] = OrderedDict()
         self._differences: OrderedDict[tuple[str, str], Difference] = OrderedDict()
@@ -116,7 +115,7 @@
     @property
     def asking(self) -> bool:
         """Whether a question to a peer is open."""
-        return bool(self._asking)
+        return bool(self._questions)
 
     def offer(self, budget: int) -> bytes:
         """Return the version and digest in force."""
@@ -138,12 +137,8 @@
             self._note_conflict(sender, offer, current.digest[:DIGEST_CHARACTERS])
         if current is not None and offer.version <= current.version:
             return
-        with self._lock:
-            busy = sender in self._asking or len(self._asking) >= QUESTIONS_AT_ONCE
-            if busy or offer in self._refused:
-                return
-            self._asking.add(sender)
-        self._submit(partial(self._ask, sender, offer))
+        if offer not in self._refused and self._questions.begin(sender):
+            self._submit(partial(self._ask, sender, offer))
 
     def answer(self, envelope: Envelope, message: DocumentAsk) -> DocumentReply:
         """Return the document in force as a difference from what the peer has."""
@@ -166,8 +161,7 @@
             elif not self._take_text(text, peer):
                 self._remember(self._refused, offer)
         finally:
-            with self._lock:
-                self._asking.discard(peer)
+            self._questions.end(peer)
 
     def _fetch(self, peer: str, base: str) -> bytes | Failure:
         address = self._address(peer)
--- a/boragestream/policy/watching.py
+++ b/boragestream/policy/watching.py
@@ -17,7 +17,7 @@
 import math
 import random
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 import xxhash
@@ -40,7 +40,9 @@
 ASK_MARGIN_SECONDS = 1.0
 # A part of shorter bounds.
 ASK_MARGIN_SHARE = 0.5
-# An entry that has just started does not know yet who else watches.
+# An entry that has just started does not know yet who else watches, nor is it known to
+# those who would tell it. For so long it watches by itself what changes fastest: one
+# call more a start, for which it knows of a leaving server as soon as a watcher does.
 SETTLE_SECONDS = 2.0
 # A platform that gave no answer may serve this entry again at any moment, but each call
 # counts. The pause doubles up to the second figure, which the return of an outage may
@@ -82,12 +84,14 @@
 class _Following:
     """What is known under one prefix by this entry's own calls.
 
+    :ivar at_once: whether this entry watches it while it settles.
     :ivar known_at: everything published until then is known here.
     :ivar waits: whether a call is under way.
     :ivar in_row: whether the call before it was answered, so that one that waits on
         its connection says that nothing has changed.
     """
 
+    at_once: bool
     known_at: float = -math.inf
     waits: bool = False
     in_row: bool = False
@@ -102,7 +106,8 @@
     word is older than the bound less a margin, and so keeps the bound also where it is
     cut off from its peers or all watchers are gone.
 
-    :param prefixes: what is followed, by the keys' beginnings.
+    :param prefixes: what is followed, by the keys' beginnings; of each whether it is
+        watched from the start on.
     :param bound_seconds: the longest until a published change must be in force here.
     :param designated: tells whether this entry is one of the watchers.
     :param entries: returns how many entries are known to be alive.
@@ -112,7 +117,7 @@
         self,
         clock: Clock,
         rng: random.Random,
-        prefixes: Iterable[str],
+        prefixes: Mapping[str, bool],
         bound_seconds: float,
         designated: Callable[[], bool],
         entries: Callable[[], int],
@@ -122,7 +127,7 @@
         self._designated = designated
         self._entries = entries
         self._began = clock.now()
-        self._own = {prefix: _Following() for prefix in prefixes}
+        self._own = {prefix: _Following(once) for prefix, once in prefixes.items()}
         self._heard_at = -math.inf
         margin = min(ASK_MARGIN_SECONDS, ASK_MARGIN_SHARE * bound_seconds)
         self._patience = bound_seconds - margin
@@ -154,13 +159,19 @@
             own.waits = True
             return True
 
-    def confirms_first(self, prefix: str) -> bool:
-        """Tell whether a call shall be answered at once, so that it says something.
+    def wait_seconds(self, prefix: str, longest: float) -> float:
+        """Return how long the call that begins may wait for a change.
 
-        A watch that waits on a connection that leads nowhere would pass for one at
-        which nothing changes.
+        The first of several is answered at once, so that it says something: a watch
+        that waits on a connection that leads nowhere would pass for one at which
+        nothing changes.
+
+        :param longest: what the store allows.
         """
-        return not self._own[prefix].in_row
+        if not self._own[prefix].in_row:
+            return 0.0
+        settles = self._began + SETTLE_SECONDS - self._clock.now()
+        return min(longest, settles) if settles > 0 else longest
 
     def pause_seconds(self) -> float:
         """Return after how long it may be time to ask."""
@@ -226,7 +237,9 @@
         nothing_known = max(own.known_at, self._heard_at) == -math.inf
         if nothing_known or self._is_silent(own, now):
             return True
-        return now - self._began >= SETTLE_SECONDS and self._designated()
+        if now - self._began < SETTLE_SECONDS:
+            return own.at_once
+        return self._designated()
 
     def _is_silent(self, own: _Following, now: float) -> bool:
         """Tell whether the peers have said nothing in time."""
--- a/tests/features/following.feature
+++ b/tests/features/following.feature
@@ -35,6 +35,14 @@
     And 3 changes are published over 15 seconds
     Then each was known everywhere within 4 s
 
+  Scenario: an entry that has just started hears of a change as soon as a watcher
+    Given 60 entries in 3 data centres, each change to be known within 4 s
+    And they have run for 20 seconds
+    When one entry begins anew
+    And the entries run for 0.5 seconds
+    And a change is published
+    Then that entry knows it within 0.1 s
+
   Scenario Outline: an outage costs few calls, and its end is known soon
     Given <count> entries in 5 data centres, each change to be known within 4 s
     And they have run for 20 seconds
--- a/tests/features/route_planning.feature
+++ b/tests/features/route_planning.feature
@@ -42,6 +42,10 @@
     Then an entry that follows it with a gap of 0.25 s waits "0.5 1.0 1.0 1.0 0.25 0.5"
     And one that follows it without a gap never waits
 
+  Scenario: answers without a change say nothing of how fast changes come
+    Given a store that answers after "0.0 -0.001 -0.001 -0.001 0.0 -5.0" seconds, below 0 without a change
+    Then an entry that follows it with a gap of 0.25 s waits "0.5 0.05 0.05 0.05 0.5 0.05"
+
   Scenario Outline: a caller that a stage refuses hears when to come back, soon at the most
     Then one refused with an expected wait of <wait> s comes back after <after> s
 
--- a/tests/features/steps/following.py
+++ b/tests/features/steps/following.py
@@ -104,6 +104,19 @@
     next(e for e in site.entries if e not in watching).alone = True
 
 
+@when("one entry begins anew")
+def step(context):
+    context.started = context.site.entries[-1]
+    context.started.starts()
+
+
+@then("that entry knows it within {seconds:g} s")
+def step(context, seconds):
+    site, entry = context.site, context.started
+    site.run(seconds, lambda: entry.table.revision == site.store.revision)
+    assert entry.table.revision == site.store.revision
+
+
 @when("the store is down for {seconds:g} seconds")
 def step(context, seconds):
     site = context.site
--- a/tests/features/steps/route_planning.py
+++ b/tests/features/steps/route_planning.py
@@ -75,7 +75,7 @@
 
 
 class ChangingStore:
-    """A store that answers each call with a change, after so many seconds."""
+    """A store that answers each call after so many seconds, mostly with a change."""
 
     def __init__(self, clock, seconds):
         """Take how long each answer takes."""
@@ -89,7 +89,10 @@
 
     def watch(self, prefix, revision, seconds):
         """Answer a call that waits."""
-        self.clock.seconds += self.left.pop(0)
+        answer = self.left.pop(0)
+        self.clock.seconds += abs(answer)
+        if answer < 0:
+            return Changes(revision, ())
         return Changes(revision + 1, (Change("servers/a", revision + 1, b"x"),))
 
 
@@ -110,6 +113,7 @@
 
 
 @given('a store that answers after "{seconds}" seconds, each with a change')
+@given('a store that answers after "{seconds}" seconds, below 0 without a change')
 def step(context, seconds):
     context.answers = [float(s) for s in seconds.split()]
 
@@ -120,7 +124,7 @@
     store = ChangingStore(clock, context.answers)
     stopping = Stopping(store)
     following = StoreFollowing(
-        clock, random.Random(1), ["servers/"], 1.0, lambda: True, lambda: 1
+        clock, random.Random(1), {"servers/": True}, 1.0, lambda: True, lambda: 1
     )
     # Long after the start, when this entry knows that it is the one to watch.
     clock.seconds += 60
--- a/tests/standins/following.py
+++ b/tests/standins/following.py
@@ -18,7 +18,7 @@
 NEWS_BURST = 5
 # A cut connection is noticed by probes after so long.
 PROBES_SECONDS = 3.0
-PREFIXES = ("configuration", "servers")
+PREFIXES = {"configuration": False, "servers": True}
 KEPT_CHANGES = 64
 
 
@@ -98,10 +98,10 @@
                 self.try_to_end(prefix)
             elif self.following.asks(prefix):
                 self.site.store.calls += 1
-                known = prefix == PREFIXES[0] or self.table.revision is not None
-                quick = self.following.confirms_first(prefix) or not known
+                known = prefix == "configuration" or self.table.revision is not None
+                wait = self.following.wait_seconds(prefix, WATCH_SECONDS)
                 now = self.site.clock.now()
-                self.pending[prefix] = (now, now if quick else now + WATCH_SECONDS)
+                self.pending[prefix] = (now, now + wait if known else now)
                 self.try_to_end(prefix)
 
     def try_to_end(self, prefix):
@@ -113,7 +113,7 @@
             self.table.note_failure()
             self.following.note_failure(prefix)
             return
-        if prefix == PREFIXES[0]:
+        if prefix == "configuration":
             news = not self.configuration_known
             self.configuration_known = True
         else:
@@ -123,7 +123,7 @@
             return
         del self.pending[prefix]
         self.table.note_answer()
-        if prefix == PREFIXES[1] and not self.take():
+        if prefix == "servers" and not self.take():
             self.following.note_unusable(prefix)
             return
         self.following.note_answer(prefix)
