An age is always finite; a question put off for an outage is not put off after it

Causes, found by reading: the age of what peers alone have told was infinite, which the log line of a chosen server can't take (an entry whose first read of the configuration failed and that had it from a peer would have broken its requests). An entry without any word looked fifty times a second whether to ask. Change: the age told is an hour at the most; a word that is younger than the last trouble ends the pause of those who do not watch; two looks a second. Tests: three steps of following.feature.

--- a/boragestream/entry/published_relay.py
+++ b/boragestream/entry/published_relay.py
@@ -102,7 +102,7 @@
         # The age goes first: what comes in between makes it too old, never too young.
         age = self._following.age()
         in_force, revision = self._in_force(), self._servers.revision
-        if in_force is None or revision is None or age == math.inf:
+        if in_force is None or revision is None:
             return b""
         word = PublishedWord(
             _milliseconds(age),
--- a/boragestream/policy/watching.py
+++ b/boragestream/policy/watching.py
@@ -25,6 +25,7 @@
 from boragestream.base.clock import Clock
 
 __all__ = [
+    "MOST_AGE_SECONDS",
     "StoreFollowing",
     "direct_read_seconds",
     "watchers",
@@ -55,6 +56,8 @@
 PROBES_PER_SECOND = 4.0
 # A failure that was told longer ago says nothing of the platform any more.
 TROUBLE_SECONDS = 3.0
+# An age that is told and logged; older knowledge is as good as none.
+MOST_AGE_SECONDS = 3600.0
 # Whether an entry has become a watcher is looked at this often.
 LOOK_SECONDS = 0.5
 LEAST_PAUSE_SECONDS = 0.02
@@ -138,11 +141,6 @@
         self._drawn = False
         self._lock = threading.RLock()
 
-    @property
-    def failing(self) -> bool:
-        """Whether the store did not answer the last call."""
-        return self._failures > 0
-
     def asks(self, prefix: str) -> bool:
         """Tell whether to ask the store now; a call begins where it does."""
         now = self._clock.now()
@@ -150,6 +148,7 @@
             own = self._own[prefix]
             if not self._wants(own, now):
                 own.in_row = False
+                self._drawn = False
                 return False
             if now < self._not_before or self._waits_for_turn(now):
                 return False
@@ -177,9 +176,9 @@
         """Return after how long it may be time to ask."""
         now = self._clock.now()
         with self._lock:
-            due = self._heard_at + self._patience
-            if self._not_before > now:
-                due = max(due, self._not_before)
+            due = max(self._heard_at + self._patience, self._not_before)
+            if due == -math.inf:
+                return LOOK_SECONDS
             return min(LOOK_SECONDS, max(LEAST_PAUSE_SECONDS, due - now))
 
     def note_answer(self, prefix: str) -> None:
@@ -221,13 +220,22 @@
         with self._lock:
             self._heard_at = max(self._heard_at, now - age_seconds)
             self._trouble_at = max(self._trouble_at, now - trouble_seconds)
+            if now - age_seconds > self._trouble_at and not self._designated():
+                # Somebody was answered since, so that there is no outage any more to
+                # spread this entry's questions over.
+                self._failures = 0
+                self._not_before = -math.inf
 
     def age(self) -> float:
-        """Return how old what is known here can be, in seconds."""
+        """Return how old what is known here can be, in seconds.
+
+        Where nothing is known for certain, such as after a start with what peers told
+        alone, it is ``MOST_AGE_SECONDS``.
+        """
         now = self._clock.now()
         with self._lock:
             known = min(self._known_at(own, now) for own in self._own.values())
-            return now - max(known, self._heard_at)
+            return min(MOST_AGE_SECONDS, now - max(known, self._heard_at))
 
     def trouble_seconds(self) -> float:
         """Return how long ago the store did not answer somebody; may be infinite."""
--- a/tests/features/following.feature
+++ b/tests/features/following.feature
@@ -87,5 +87,19 @@
     When the entries run for 6 seconds
     Then no entry holds "b"
 
+  Scenario: an entry that was turned away asks at once when its peers fall silent later
+    Given 60 entries in 3 data centres, each change to be known within 4 s
+    And they have run for 20 seconds
+    When the store is down for 8 seconds
+    And the entries run for 4 seconds
+    And the watchers are killed
+    And a change is published
+    Then it is known everywhere within 4 s
+
+  Scenario: the age of what peers alone have told can be logged
+    Given an entry that has just started and has not been answered
+    Then the age of what it knows is a finite number of milliseconds
+    And it looks whether to ask twice a second, not all the time
+
   Scenario: words of peers and own answers may come in any order
     Then whatever order tables of three entries meet in, none loses or revives a value
--- a/tests/features/steps/following.py
+++ b/tests/features/steps/following.py
@@ -173,6 +173,22 @@
         assert key not in entry.table.values
 
 
+@given("an entry that has just started and has not been answered")
+def step(context):
+    context.site = SimulatedSite(1, 1, 2.0)
+    context.site.store.down = True
+
+
+@then("the age of what it knows is a finite number of milliseconds")
+def step(context):
+    assert int(context.site.entries[0].following.age() * 1000) > 0
+
+
+@then("it looks whether to ask twice a second, not all the time")
+def step(context):
+    assert context.site.entries[0].following.pause_seconds() == 0.5
+
+
 @then("whatever order tables of three entries meet in, none loses or revives a value")
 def step(context):
     moves = st.lists(
