One function tells whether an entry watches; a state nobody reads and a twin type go

Cause, found by reading the whole change: which entry watches was worked out alike in `daemon.peers` and `daemon.publications`; the version that relays tell of had two equal protocols; `RouteParts.rng` had no reader any more. Ruled out: the constructors of the two relays and of the parts of the exchange, which look alike and share no logic. Change: `policy.watching.is_watcher`, `entry.relay.RelayedVersion` for both, the field removed. Behaviour is the same. Checks: formatter and linter; 151 scenarios of eight features that meet these parts (entries on the platform, relay, watching, decoder, forwarding, layering, pages) pass.

--- a/boragestream/daemon/peers.py
+++ b/boragestream/daemon/peers.py
@@ -18,7 +18,7 @@
 from boragestream.policy.membership import MemberState
 from boragestream.policy.peers import EntryTable
 from boragestream.policy.servers import ServerTable
-from boragestream.policy.watching import direct_read_seconds, watchers
+from boragestream.policy.watching import direct_read_seconds, is_watcher
 
 __all__ = ["InitialSync", "Peers", "WatchDuty", "join_peers", "listed_states"]
 
@@ -54,9 +54,7 @@
         usable = self._entries.usable()
         if not usable:
             return False
-        names = {e.name for e in usable if e.data_centre == self._who.data_centre}
-        # An entry that a lagging list does not name yet counts itself in.
-        return self._who.name in watchers(names | {self._who.name})
+        return is_watcher(self._who.name, self._who.data_centre, usable)
 
     def read_gap_seconds(self) -> float:
         """Return how long to wait between two reads while not watching."""
--- a/boragestream/daemon/publications.py
+++ b/boragestream/daemon/publications.py
@@ -21,7 +21,7 @@
 from boragestream.policy.first_knowledge import FirstKnowledge
 from boragestream.policy.publication import PublishedTable
 from boragestream.policy.route_table import RoutesInForce
-from boragestream.policy.watching import StoreFollowing, watchers
+from boragestream.policy.watching import StoreFollowing, is_watcher
 
 __all__ = ["PREFIXES", "Publications", "make_publications"]
 
@@ -69,9 +69,7 @@
     """
 
     def designated() -> bool:
-        usable = members.entries.usable()
-        names = {e.name for e in usable if e.data_centre == data_centre}
-        return own in watchers(names | {own})
+        return is_watcher(own, data_centre, members.entries.usable())
 
     following = StoreFollowing(
         clock,
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -109,7 +109,6 @@
 
     settings: RouteSettings
     clock: Clock
-    rng: random.Random
     incarnation: str
     routes: RoutesInForce
     servers: ServerTable
@@ -273,7 +272,6 @@
     return RouteParts(
         settings=settings,
         clock=clock,
-        rng=rng,
         incarnation=incarnation,
         routes=routes,
         servers=servers,
--- a/boragestream/entry/published_relay.py
+++ b/boragestream/entry/published_relay.py
@@ -9,7 +9,6 @@
 import math
 from collections.abc import Callable
 from functools import partial
-from typing import Protocol
 
 import msgspec
 
@@ -20,6 +19,7 @@
 from boragestream.entry.links import PeerLinks
 from boragestream.entry.messages import Envelope
 from boragestream.entry.open_questions import OpenQuestions
+from boragestream.entry.relay import RelayedVersion
 from boragestream.policy.publication import Change, PublishedTable, Relayed
 from boragestream.policy.watching import StoreFollowing
 
@@ -30,14 +30,6 @@
 MOST_AGE_MS = 60_000
 
 
-class VersionInForce(Protocol):
-    """A configuration in force."""
-
-    @property
-    def version(self) -> int:
-        """It rises with every change."""
-
-
 class PublishedWord(msgspec.Struct, frozen=True, array_like=True):
     """What an entry knows of what is published.
 
@@ -79,7 +71,7 @@
         following: StoreFollowing,
         servers: PublishedTable,
         configuration: PublishedTable,
-        in_force: Callable[[], VersionInForce | None],
+        in_force: Callable[[], RelayedVersion | None],
         take_servers: Callable[[Relayed], None],
         links: PeerLinks,
         address: Callable[[str], str | None],
--- a/boragestream/entry/relay.py
+++ b/boragestream/entry/relay.py
@@ -25,7 +25,7 @@
 from boragestream.entry.messages import DocumentAsk, DocumentReply, Envelope
 from boragestream.entry.open_questions import OpenQuestions
 
-__all__ = ["ConfigurationRelay", "TakeText"]
+__all__ = ["ConfigurationRelay", "RelayedVersion", "TakeText"]
 
 ASK_SECONDS = 3.0
 DIGEST_CHARACTERS = 16
--- a/boragestream/policy/watching.py
+++ b/boragestream/policy/watching.py
@@ -23,11 +23,13 @@
 import xxhash
 
 from boragestream.base.clock import Clock
+from boragestream.policy.peers import ListedEntry
 
 __all__ = [
     "MOST_AGE_SECONDS",
     "StoreFollowing",
     "direct_read_seconds",
+    "is_watcher",
     "watchers",
 ]
 
@@ -69,6 +71,15 @@
     return frozenset(ranked[:WATCHERS_PER_DATA_CENTRE])
 
 
+def is_watcher(name: str, data_centre: str, usable: Iterable[ListedEntry]) -> bool:
+    """Return whether an entry is one of its data centre's watchers.
+
+    :param usable: the live entries; one that they do not name yet counts itself in.
+    """
+    names = {entry.name for entry in usable if entry.data_centre == data_centre}
+    return name in watchers(names | {name})
+
+
 def direct_read_seconds(entries: int, rng: random.Random) -> float:
     """Return how long an entry that does not watch waits until it reads directly.
 
