Red: a lost question to the platform keeps an entry from what is published

Cause: an open watch counts as word that nothing has changed for as long as it may wait. The age of what it knows is told as 0 meanwhile.

Ruled out: the leave was forgotten (it had not arrived: the list was taken again at the moment the limit ended); an order that aged in a queue (the request came 2.4 s after the leave).

--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -335,6 +335,10 @@
         body = {"path": path, "value": value, "index": index}
         fetch(self.platform.port, "/standin/publish", body)
 
+    def platform_calls(self, path):
+        """Return how often a path of the platform was asked for."""
+        return fetch(self.platform.port, "/standin/calls")["calls"].get(path, 0)
+
     def platform_mode(self, **mode):
         """Set how the platform misbehaves."""
         fetch(self.platform.port, "/standin/mode", mode)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -3,8 +3,9 @@
 Usage: python -m tests.standins.platform ADDRESS PORT
 
 ``POST /standin/publish`` sets a value by its path; ``POST /standin/mode`` makes the
-service refuse, go silent or lag; ``GET /standin/calls`` counts the calls by path, a
-waiting watch as one. Tests drive it through these; the system never does.
+service refuse, go silent, lag or lose questions; ``GET /standin/calls`` counts the
+calls by path, a waiting watch as one. Tests drive it through these; the system never
+does.
 """
 
 import sys
@@ -25,7 +26,9 @@
         self.values = {}
         self.calls = Counter()
         self.waiting = Counter()
-        self.mode = {"down": [], "lag_seconds": 0.0}
+        # Questions to a path that is ``lost`` are never answered, also not later; those
+        # that wait already are.
+        self.mode = {"down": [], "lag_seconds": 0.0, "lost": []}
 
 
 STATE = State()
@@ -43,6 +46,9 @@
                 )
         with STATE.changed:
             STATE.calls[path] += 1
+        if path in STATE.mode["lost"]:
+            time.sleep(MAX_WAIT_SECONDS)
+            return self.reset()
         if path in STATE.mode["down"]:
             return self.reset()
         wait = min(float(query.get("wait", 0)), MAX_WAIT_SECONDS)
--- a/tests/standins/route_store.py
+++ b/tests/standins/route_store.py
@@ -1,7 +1,8 @@
 """A stand-in for the platform's store: read, watched, and made to fail.
 
-It runs in a thread of the test. ``refuse`` turns some or all callers away as the
-platform can: with a status, with a reset or with silence.
+It runs in a thread of the test. ``down`` turns all callers away as the platform can:
+with a status, with a reset or with silence. While ``loses`` is set, new questions are
+never answered, also not later; those that wait already are.
 """
 
 import base64
@@ -25,6 +26,9 @@
         self.oldest = 0
         self.down = None
         self.calls = 0
+        self.loses = False
+        self.lost = 0
+        self.closing = threading.Event()
         store = self
 
         class StoreHandler(Handler):
@@ -40,6 +44,7 @@
 
     def close(self):
         """Stop answering."""
+        self.closing.set()
         self.server.shutdown()
         self.server.server_close()
 
@@ -63,6 +68,11 @@
     def answer(self, handler, path, query):
         """Answer a call."""
         self.calls += 1
+        if self.loses:
+            self.lost += 1
+            self.closing.wait()
+            handler.reset()
+            return
         if self.down == "reset":
             handler.reset()
             return
