A server that was chosen is looked at again right before the first byte

Cause: between the choice of a server and the first byte lie a wait for one of 64 threads (batches of pieces) and a connect of up to half a second, on a process that may be paused. What was learnt of a leave meanwhile did not count.

Change: batches of pieces, forwarded requests and streams, and attempts of the own interface look at the table of servers once more; what was not sent says so, its pieces go back, the next server is asked, and nothing speaks against the one that leaves. Releases of results and questions for reports go to leaving servers as before.

--- a/boragestream/backend/attempt.py
+++ b/boragestream/backend/attempt.py
@@ -29,6 +29,7 @@
     ConnectFailed,
     Ran,
     ServerErred,
+    ServerLeft,
     ServerRefused,
 )
 from boragestream.base.clock import Clock
@@ -45,6 +46,7 @@
     "OpenAnswer",
     "Ran",
     "ServerErred",
+    "ServerLeft",
     "ServerRefused",
     "open_attempt",
 ]
@@ -58,7 +60,7 @@
     connections: ConnectionKeeper,
     scope: CancelScope,
     clock: Clock,
-    sending: Callable[[], None],
+    sending: Callable[[], AttemptFailure | None],
 ) -> OpenAnswer | AttemptFailure:
     """Send a call and wait for the headers of its answer.
 
@@ -67,7 +69,8 @@
     :param host: the server's ``address:port``.
     :param attempt_id: an id that no other attempt has.
     :param scope: cancels the attempt; its deadline is the attempt's.
-    :param sending: called directly before the first byte is sent.
+    :param sending: called directly before the first byte is sent; returns why it may
+        not be, or None.
     :returns: the open answer, or a failure that says whether the call may have run.
     """
     connection = connections.take(host) if call.repeatable else None
@@ -88,11 +91,15 @@
         expired = DeadlinePassed("send") if left <= 0 else TicketExpired()
         reason = scope.reason or expired
         return AttemptCancelled(server, Ran.NOT_SENT, reason)
+    unsent = sending()
+    if unsent is not None:
+        scope.remove(sock)
+        connection.close()
+        return unsent
     try:
         sock.settimeout(left)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         headers = _headers(call, attempt_id, left)
-        sending()
         connection.request("POST", call.path, call.body, headers)
         response = connection.getresponse()
     except (OSError, http.client.HTTPException) as error:
--- a/boragestream/backend/failures.py
+++ b/boragestream/backend/failures.py
@@ -18,6 +18,7 @@
     "ConnectFailed",
     "Ran",
     "ServerErred",
+    "ServerLeft",
     "ServerRefused",
 ]
 
@@ -49,6 +50,11 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLeft(AttemptFailure):
+    """The server began to leave between its choice and the first byte."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServerRefused(AttemptFailure):
     """The server says that it did not run the call.
--- a/boragestream/policy/servers.py
+++ b/boragestream/policy/servers.py
@@ -77,6 +77,10 @@
         """Return the servers of a service that may take new work."""
         return self._by_service.get(service, ())
 
+    def takes_work(self, server: Server) -> bool:
+        """Tell whether a server that was chosen a while ago may still take new work."""
+        return server.identity in self._usable
+
     def when_unused(self, unused: Callable[[str], None]) -> None:
         """Have a function called with the host of each server that is used no more."""
         self._unused = unused
--- a/boragestream/serving/attempts.py
+++ b/boragestream/serving/attempts.py
@@ -15,6 +15,7 @@
     ConnectFailed,
     OpenAnswer,
     Ran,
+    ServerLeft,
     ServerRefused,
     open_attempt,
 )
@@ -108,9 +109,7 @@
             self._parts.connections,
             self._scope,
             self._parts.clock,
-            sending=lambda: run.request.sent.note_sending(
-                self._id, run.call.repeatable
-            ),
+            sending=self._sending,
         )
         if isinstance(answer, AttemptFailure):
             self._note_failure(answer)
@@ -126,6 +125,13 @@
             self._note_failure(result)
         return result
 
+    def _sending(self) -> AttemptFailure | None:
+        # The choice has aged by a connect, and by whatever this process waited for.
+        if not self._parts.servers.takes_work(self._server):
+            return ServerLeft(self._server.name, Ran.NOT_SENT)
+        self._run.request.sent.note_sending(self._id, self._run.call.repeatable)
+        return None
+
     def lose(self) -> None:
         """Cancel the attempt, since another one was answered first."""
         self._lost = True
@@ -190,7 +196,7 @@
 
 
 def _end_of(failure: AttemptFailure) -> CallEnd:
-    if isinstance(failure, AttemptCancelled):
+    if isinstance(failure, AttemptCancelled | ServerLeft):
         return CallEnd.CANCELLED
     if isinstance(failure, ConnectFailed):
         return CallEnd.UNREACHED
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -12,6 +12,8 @@
     AttemptCancelled,
     AttemptFailure,
     ConnectFailed,
+    Ran,
+    ServerLeft,
 )
 from boragestream.backend.forwarded_call import (
     CallLine,
@@ -103,7 +105,10 @@
         run, server = self._run, self._server
         request = run.request
 
-        def encode(left: float) -> bytes:
+        def encode(left: float) -> bytes | AttemptFailure:
+            # The choice has aged by a connect, and by whatever this process waited for.
+            if not self._parts.servers.takes_work(server):
+                return ServerLeft(server.name, Ran.NOT_SENT)
             run.sent.note_sending(server.name, run.route.repeatable)
             call = CallHead(
                 server_id=server.name,
@@ -176,7 +181,7 @@
 
 
 def _end_of(failure: AttemptFailure) -> CallEnd:
-    if isinstance(failure, AttemptCancelled):
+    if isinstance(failure, AttemptCancelled | ServerLeft):
         return CallEnd.CANCELLED
     if isinstance(failure, ConnectFailed):
         return CallEnd.UNREACHED
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -10,7 +10,12 @@
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 
-from boragestream.backend.failures import AttemptFailure, ConnectFailed, Ran
+from boragestream.backend.failures import (
+    AttemptFailure,
+    ConnectFailed,
+    Ran,
+    ServerLeft,
+)
 from boragestream.base.events import Event, emit
 from boragestream.document.calls import PieceFault, PieceResult
 from boragestream.policy.candidates import RoutingNeed, usable_servers
@@ -173,12 +178,14 @@
             end = CallEnd.ANSWERED if isinstance(result, list) else CallEnd.CUT
             if isinstance(result, ConnectFailed):
                 end = CallEnd.UNREACHED
+            if isinstance(result, ServerLeft):
+                end = CallEnd.CANCELLED
             seconds = parts.clock.now() - began
             kind = str(len(batch.pieces))
             parts.loads.end(batch.server, number, end, seconds, kind)
             name = end.name.lower()
             parts.metrics.batch_ended(service, name, len(batch.pieces))
-            if end is not CallEnd.ANSWERED:
+            if end not in (CallEnd.ANSWERED, CallEnd.CANCELLED):
                 note_ejection(parts.loads, batch.server, parts.clock.now())
             self._end(service, batch, result)
         self._pump(service)
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -20,6 +20,7 @@
     ConnectFailed,
     Ran,
     ServerErred,
+    ServerLeft,
 )
 from boragestream.backend.forwarded_call import (
     CallLine,
@@ -180,7 +181,10 @@
     ) -> list[PieceResult] | AttemptFailure:
         parts, server = self._parts, batch.server
 
-        def encode(left: float) -> bytes:
+        def encode(left: float) -> bytes | AttemptFailure:
+            # The choice has aged by a connect and by the wait for a free thread.
+            if not parts.servers.takes_work(server):
+                return ServerLeft(server.name, Ran.NOT_SENT)
             now = parts.clock.now()
             pieces = [(piece, q.expires - now) for q, piece in batch.pieces]
             return parts.format.encode_piece_call(server, pieces)
--- a/boragestream/serving/stage.py
+++ b/boragestream/serving/stage.py
@@ -15,6 +15,7 @@
     ConnectFailed,
     OpenAnswer,
     Ran,
+    ServerLeft,
     ServerRefused,
 )
 from boragestream.backend.calls import StageCall, StageInput, stage_body, stage_path
@@ -168,7 +169,7 @@
         leaving = isinstance(failure, ServerRefused) and failure.leaving
         failed = FailedAttempt(
             may_have_run=failure.ran is Ran.MAY_HAVE_RUN,
-            free=leaving or isinstance(failure, ConnectFailed),
+            free=leaving or isinstance(failure, ConnectFailed | ServerLeft),
         )
         verdict = retry_verdict(
             failed,
--- /dev/null
+++ b/tests/features/leaving_before_the_send.feature
@@ -0,0 +1,20 @@
+Feature: a decision ages until its first byte is sent, and is looked at again then
+  A server is chosen, then a thread is waited for and a connection made, which takes up
+  to half a second and as long as the process was paused. What is learnt of a leave in
+  between counts: not a byte is sent, and another server is chosen at once.
+
+  Scenario Outline: a server that begins to leave while <call> connects gets nothing
+    Given a server that has been chosen for <call>
+    When it begins to leave while the connection is made
+    Then no byte was sent, the failure is "server-left", and nothing speaks against it
+
+    Examples:
+      | call                |
+      | a batch of pieces   |
+      | a forwarded request |
+      | a stage's attempt   |
+
+  Scenario: pieces whose server left are sent to another one at once
+    Given two servers, of which the first begins to leave while its call connects
+    When the owner of their queue is given an order
+    Then the second one makes its pieces, and the first one gets none
--- /dev/null
+++ b/tests/features/steps/leaving_before_the_send.py
@@ -0,0 +1,229 @@
+"""Steps on servers that begin to leave between their choice and the first byte."""
+
+import random
+import socket
+import threading
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from boragestream.backend.calls import StageCall
+from boragestream.backend.cancellation import CancelScope, Watchdog
+from boragestream.backend.connections import ConnectionKeeper
+from boragestream.backend.failures import ServerLeft
+from boragestream.backend.forwarded_call import CallLine
+from boragestream.base.clock import SystemClock
+from boragestream.base.route_metrics import RouteMetrics
+from boragestream.document.calls import Piece
+from boragestream.document.routes import PieceLimits
+from boragestream.policy.costs import Purpose
+from boragestream.policy.load import LoadTable
+from boragestream.policy.piece_queue import PieceOrder, QueuedOrder
+from boragestream.policy.retry_window import RetryBounds, RetryWindows
+from boragestream.policy.server_choice import OpenCalls
+from boragestream.policy.servers import Server, ServerTable
+from boragestream.policy.service_queue import Batch
+from boragestream.serving.attempts import AttemptRun
+from boragestream.serving.forward_attempt import ForwardAttempt
+from boragestream.serving.piece_batches import PieceBatches
+from boragestream.serving.piece_calls import BatchParts, PieceCalls
+from boragestream.serving.request import SentRecord
+from tests.standins.fleet import wait_until
+
+ADDRESS = "127.0.0.1"
+SERVICE = "service"
+LIMITS = PieceLimits(1, 4, 0.2, 0.01, 1000.0, 4.0)
+CALL_SECONDS = 2.0
+
+
+class Listener:
+    """A server that notes what it is sent, and answers nothing."""
+
+    def __init__(self, name):
+        """Listen."""
+        self.socket = socket.create_server((ADDRESS, 0))
+        host = f"{ADDRESS}:{self.socket.getsockname()[1]}"
+        self.server = Server(name, SERVICE, host, "hall", "1")
+        self.bytes = b""
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            connection, _ = self.socket.accept()
+            self.bytes += connection.recv(65536)
+            connection.close()
+
+
+class LeavingWhileConnecting(ConnectionKeeper):
+    """Connects to a server that begins to leave meanwhile."""
+
+    def __init__(self, servers, leaving):
+        """Take the table that hears of the leave, and the server's host."""
+        super().__init__()
+        self.servers, self.leaving = servers, leaving
+
+    def connect(self, host, seconds):
+        """Connect."""
+        connection = super().connect(host, seconds)
+        if host == self.leaving.host:
+            self.servers.take_word(self.leaving.identity)
+        return connection
+
+
+class Wire:
+    """Puts calls on the wire, each with the name of its server."""
+
+    def encode_piece_call(self, server, pieces):
+        """Return a call's bytes."""
+        return f"POST /{server.name} HTTP/1.1\r\n\r\n".encode()
+
+    def read_piece_results(self, body):
+        """Return no results."""
+
+
+def batch_parts(context):
+    """Return what calls of stage servers need."""
+    clock = SystemClock()
+    return BatchParts(
+        line=CallLine(lambda head: None, context.keeper, clock, lambda service: 0),
+        format=Wire(),
+        servers=context.known,
+        loads=context.loads,
+        retries=RetryWindows(clock.now, lambda: RetryBounds(0.0, 10.0, 0.0), lambda: 1),
+        watchdog=Watchdog(clock),
+        clock=clock,
+        metrics=RouteMetrics(),
+        limits=lambda service: LIMITS,
+    )
+
+
+def order():
+    """Return an order of one piece."""
+    piece = Piece("r-1", 0, 0, "key", ())
+    return PieceOrder("r-1/0/0", SERVICE, (piece,), 100.0, 0, False)
+
+
+def call_pieces(context, server):
+    """Send a batch of pieces."""
+    made = order()
+    queued = QueuedOrder(made, 1e9, 1e9, list(made.pieces))
+    batch = Batch(server, LIMITS, tuple((queued, piece) for piece in made.pieces))
+    return PieceCalls(batch_parts(context)).make(batch)
+
+
+def call_forwarded(context, server):
+    """Send a forwarded request."""
+    clock = SystemClock()
+    scope = CancelScope(clock.now() + CALL_SECONDS)
+    parts = SimpleNamespace(
+        line=CallLine(lambda head: None, context.keeper, clock, lambda service: 0),
+        encode=lambda request, call, host: b"GET / HTTP/1.1\r\n\r\n",
+        servers=context.known,
+        loads=context.loads,
+        choice=SimpleNamespace(open_calls=OpenCalls()),
+        clock=clock,
+        metrics=RouteMetrics(),
+    )
+    run = SimpleNamespace(
+        scope=scope,
+        request=SimpleNamespace(
+            method="GET", request_id="r-1", host_header="", body=b""
+        ),
+        route=SimpleNamespace(name="route", repeatable=True),
+        table=SimpleNamespace(services={}),
+        service=SERVICE,
+        account="",
+        priority=0,
+        sent=SentRecord(),
+    )
+    answer = ForwardAttempt(parts, run, server).open((), None, False)
+    assert not run.sent.any
+    return answer
+
+
+def call_stage(context, server):
+    """Send a stage's attempt."""
+    clock = SystemClock()
+    request = SimpleNamespace(
+        request_id="r-1",
+        scope=CancelScope(clock.now() + CALL_SECONDS),
+        sent=SentRecord(),
+        account=SimpleNamespace(name="account"),
+        pipeline=SimpleNamespace(name="pipeline"),
+    )
+    run = SimpleNamespace(
+        request=request,
+        call=StageCall("r-1", "/", b"{}", False, 0, False),
+        stage=SimpleNamespace(name="stage", service=SERVICE),
+        name="pipeline.stage",
+        kind="pipeline.stage",
+    )
+    parts = SimpleNamespace(
+        clock=clock,
+        loads=context.loads,
+        servers=context.known,
+        connections=context.keeper,
+        observations=SimpleNamespace(attempt_ended=lambda *a: None),
+        costs=SimpleNamespace(add=lambda *a: None),
+        lines=SimpleNamespace(of=lambda s: SimpleNamespace(note_end=lambda: None)),
+    )
+    answer = AttemptRun(parts, run, server, Purpose.FIRST).send()
+    assert not request.sent.any
+    return answer
+
+
+CALLS = {
+    "a batch of pieces": call_pieces,
+    "a forwarded request": call_forwarded,
+    "a stage's attempt": call_stage,
+}
+
+
+def listen(context, *names):
+    """Have servers listen, of which the first leaves while it is connected to."""
+    context.listeners = [Listener(name) for name in names]
+    servers = [listener.server for listener in context.listeners]
+    context.known = ServerTable()
+    context.known.take_list(servers)
+    context.loads = LoadTable(SystemClock(), random.Random(1))
+    context.loads.take_list(servers)
+    context.keeper = LeavingWhileConnecting(context.known, servers[0])
+
+
+@given("a server that has been chosen for {call}")
+def step(context, call):
+    listen(context, "s-1")
+    context.call = CALLS[call]
+
+
+@when("it begins to leave while the connection is made")
+def step(context):
+    context.server = context.listeners[0].server
+    context.failure = context.call(context, context.server)
+
+
+@then('no byte was sent, the failure is "{code}", and nothing speaks against it')
+def step(context, code):
+    assert context.failure.code == code, context.failure
+    assert isinstance(context.failure, ServerLeft)
+    assert not context.listeners[0].bytes
+    assert context.loads.get(context.server).in_progress == 0
+
+
+@given("two servers, of which the first begins to leave while its call connects")
+def step(context):
+    listen(context, "s-1", "s-2")
+
+
+@when("the owner of their queue is given an order")
+def step(context):
+    context.done = {}
+    batches = PieceBatches(batch_parts(context), context.done.__setitem__)
+    assert batches.submit(order(), 5.0, 5.0) is None
+    wait_until(lambda: context.listeners[1].bytes, what="the call of the second server")
+
+
+@then("the second one makes its pieces, and the first one gets none")
+def step(context):
+    assert b"/s-2" in context.listeners[1].bytes
+    assert not context.listeners[0].bytes
