Entries make sure of what they know beside a watch that waits

Cause: an open watch was taken for word that nothing has changed. One that is lost (sent while the store says nothing, or on a connection that falls silent) is never answered; entries waited for its limit of 29.5 s and told one another an age of 0.

Ruled out: shorter watches alone. At two seconds they would be 120 calls an entry and minute at six entries, and the age would still be told as 0 meanwhile.

Change: policy.confirming asks a question that does not wait, by the first of the watchers after a quarter of the bound, by the others after three quarters, an eighth as often where nothing is decided. A doubted watch is no knowledge any more. A 410 counts as an answer, so that the history's loss costs one question in place of two pauses. The own interface watches for 2 s in place of 30, and is not sent a value again that it has. The log tells leaving servers, lost watches and the age of the last confirmation.

The fixture of one scenario that counts waiting calls keeps watches of 30 s, as it had by default.

--- a/boragestream/base/settings.py
+++ b/boragestream/base/settings.py
@@ -83,12 +83,16 @@
 class PlatformSettings:
     """Where the platform's services are, each as ``address:port``.
 
-    :ivar watch_seconds: how long one watch may wait for a change.
+    :ivar watch_seconds: how long one watch may wait for a change. A watch that waits
+        may have been lost, and what it would have told is not known here until this
+        time and the answer's margin have passed. Two seconds keep a server that leaves
+        from new work within three; of 370 entries that all watch the instance list
+        they are 185 calls a second, a tenth of what the platform serves.
     """
 
     configuration: str
     instances: str
-    watch_seconds: Seconds = 30.0
+    watch_seconds: Seconds = 2.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -101,6 +101,7 @@
     :ivar refusing: tells whether new requests are refused since the entry stops.
     :ivar in_hand: counts the requests that are being served.
     :ivar limit: with as many in hand, further requests are refused at once.
+    :ivar used: told of each request, since it is decided by what is published.
     """
 
     routes: RoutesInForce
@@ -113,6 +114,7 @@
     refusing: Callable[[], bool]
     in_hand: InHand
     limit: int
+    used: Callable[[], None]
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Reply:
         """Answer one HTTP request."""
@@ -125,6 +127,7 @@
 
     def _answer(self, environ: Environ, start_response: StartResponse) -> Reply:
         arrived = environ.get(ARRIVED, self.clock.now())
+        self.used()
         self.first.hold()
         table = self.routes.current
         if table is None:
--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -1,8 +1,9 @@
 """The tasks that follow the platform's store: one for each prefix.
 
 Each is a loop written straight down, run by one thread until the entry stops. When to
-ask is decided by ``policy.watching``, what is taken by ``policy.publication``; what is
-published is decoded by the adapter. Other entries' words come in by ``take_relayed``.
+ask is decided by ``policy.watching`` and, beside a watch that waits, by
+``policy.confirming``; what is taken by ``policy.publication``; what is published is
+decoded by the adapter. Other entries' words come in by ``take_relayed``.
 """
 
 import threading
@@ -12,6 +13,7 @@
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, emit
 from boragestream.base.outcomes import Failure
+from boragestream.policy.confirming import Confirming
 from boragestream.policy.publication import (
     Changes,
     HistoryGone,
@@ -30,6 +32,10 @@
 MOST_GAP_SECONDS = 1.0
 # A platform that answers without any change, at once, is not asked in a closed loop.
 QUIET_GAP_SECONDS = 0.05
+# A watch that ends without an answer was lost alone where the platform has answered
+# another question, of whichever entry, within this time and since it began. Else the
+# platform is away.
+LOST_ALONE_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +58,7 @@
     watch_seconds: float
     table: PublishedTable
     following: StoreFollowing
+    confirming: Confirming
     take: Callable[[dict[str, bytes]], None]
     changed: Callable[[], None]
     unreachable: Event
@@ -78,8 +85,7 @@
                 self.following.note_unusable(self.prefix)
                 continue
             if isinstance(answer, Failure):
-                self._note_failure(answer, failing)
-                failing = True
+                failing = self._end_unanswered(answer, asked_at, failing)
                 continue
             if failing:
                 emit(Event.STORE_REGAINED, prefix=self.prefix, revision=answer.revision)
@@ -92,6 +98,34 @@
                 gap = self.gap_seconds
             self.stopping.wait(gap if changed else QUIET_GAP_SECONDS)
 
+    def confirm(self) -> bool:
+        """Ask a question that does not wait where the watch may be lost.
+
+        :returns: False where the store gave no answer.
+        """
+        if not self.following.waits(self.prefix):
+            return True
+        if not self.confirming.asks(self.prefix):
+            return True
+        asked_at = self.clock.now()
+        answer = self.store.watch(self.prefix, self.table.revision, 0.0)
+        if isinstance(answer, HistoryGone):
+            answer = self.store.read(self.prefix)
+        if isinstance(answer, Failure):
+            if not self.confirming.failing:
+                emit(self.unreachable, failure=answer.describe())
+            self.table.note_failure()
+            self.following.note_unanswered()
+            self.confirming.note_failure()
+            self.failed()
+            return False
+        if self.confirming.failing:
+            emit(Event.STORE_REGAINED, prefix=self.prefix, revision=answer.revision)
+        self._apply(answer)
+        self.following.note_confirmed(self.prefix, asked_at)
+        self.confirming.note_answer(self.prefix, asked_at)
+        return True
+
     def take_relayed(self, relayed: Relayed) -> None:
         """Take what another entry told."""
         if self.table.take_relayed(relayed):
@@ -112,13 +146,18 @@
         return self.store.watch(self.prefix, revision, wait)
 
     def _take(self, answer: Snapshot | Changes) -> bool:
+        changed = self._apply(answer)
+        self.following.note_answer(self.prefix)
+        self.confirming.note_answer(self.prefix, self.clock.now())
+        return changed
+
+    def _apply(self, answer: Snapshot | Changes) -> bool:
         first = self.table.revision is None
         self.table.note_answer()
         changed = self.table.take(answer) or first
         # Before others are told, who may ask for it at once.
         if changed:
             self._publish()
-        self.following.note_answer(self.prefix)
         self.known()
         return changed
 
@@ -127,9 +166,23 @@
             self.take(self.table.values)
         self.changed()
 
-    def _note_failure(self, failure: Failure, failing: bool) -> None:
+    def _end_unanswered(self, failure: Failure, asked_at: float, failing: bool) -> bool:
+        """Take that a call was not answered; True where the store is away."""
+        now = self.clock.now()
+        lately = max(asked_at, now - LOST_ALONE_SECONDS)
+        waited = self.following.waits(self.prefix)
+        if waited and self.confirming.confirmed_since(self.prefix, lately):
+            emit(
+                Event.WATCH_LOST,
+                prefix=self.prefix,
+                waited_ms=int((now - asked_at) * 1000),
+                failure=failure.describe(),
+            )
+            self.following.note_lost(self.prefix)
+            return failing
         self.table.note_failure()
         self.following.note_failure(self.prefix)
         self.failed()
         if not failing:
             emit(self.unreachable, failure=failure.describe())
+        return True
--- a/boragestream/daemon/publications.py
+++ b/boragestream/daemon/publications.py
@@ -18,10 +18,15 @@
 from boragestream.entry.peers import EntryPeers
 from boragestream.entry.published_relay import PublishedRelay
 from boragestream.platform.store import CONFIGURATION_KEY, SERVERS_PREFIX, Store
+from boragestream.policy.confirming import Confirming
 from boragestream.policy.first_knowledge import FirstKnowledge
 from boragestream.policy.publication import PublishedTable
 from boragestream.policy.route_table import RoutesInForce
-from boragestream.policy.watching import StoreFollowing, is_watcher
+from boragestream.policy.watching import (
+    StoreFollowing,
+    is_first_watcher,
+    is_watcher,
+)
 
 __all__ = ["PREFIXES", "Publications", "make_publications"]
 
@@ -39,13 +44,24 @@
     """What is followed.
 
     :ivar following: when this entry asks the store itself.
+    :ivar confirming: when it makes sure of what it knows.
     :ivar relay: the part of the exchange that carries what is published.
+    :ivar stopping: set once the entry ends.
     """
 
     following: StoreFollowing
+    confirming: Confirming
     configuration: Publication
     servers: Publication
     relay: PublishedRelay
+    stopping: threading.Event
+
+    def confirm(self) -> None:
+        """Make sure of what is known until the entry ends."""
+        while not self.stopping.wait(self.confirming.pause_seconds()):
+            # One question tells whether the store is there.
+            if self.configuration.confirm():
+                self.servers.confirm()
 
 
 def make_publications(
@@ -79,11 +95,17 @@
         designated,
         lambda: len(members.entries.usable()) + 1,
     )
+
+    def first_watcher() -> bool:
+        return is_first_watcher(own, members.entries.usable())
+
+    confirming = Confirming(clock, rng, PREFIXES, settings.bound_seconds, first_watcher)
     follow = partial(
         Publication,
         store=Store(settings.address),
         watch_seconds=settings.watch_seconds,
         following=following,
+        confirming=confirming,
         changed=members.exchange.hurry,
         stopping=stopping,
         clock=clock,
@@ -106,6 +128,7 @@
     )
     relay = PublishedRelay(
         following,
+        confirming,
         servers.table,
         configuration.table,
         lambda: routes.current,
@@ -115,4 +138,4 @@
         members.exchange.submit,
         clock,
     )
-    return Publications(following, configuration, servers, relay)
+    return Publications(following, confirming, configuration, servers, relay, stopping)
--- a/boragestream/daemon/published_servers.py
+++ b/boragestream/daemon/published_servers.py
@@ -5,7 +5,7 @@
 """
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from boragestream.base.events import Event, emit
 from boragestream.daemon.tasks import to_leaving
@@ -13,7 +13,7 @@
 from boragestream.platform.published import PublishedMalformed, read_server
 from boragestream.policy.load import LoadTable
 from boragestream.policy.server_lives import ServerLives
-from boragestream.policy.servers import Server, ServerTable
+from boragestream.policy.servers import Server, ServerState, ServerTable
 
 __all__ = ["PublishedServers"]
 
@@ -69,6 +69,7 @@
 
     def _take(self) -> None:
         before = {server.identity: server.name for server in self._servers.all}
+        left_before = _leaving(self._servers.all)
         listed = self._lives.take_list(self._decode())
         self._members.take_servers(tuple(to_leaving(server) for server in listed))
         self._servers.take_list(listed)
@@ -81,6 +82,7 @@
             instances=len(listed),
             added=added,
             removed=removed,
+            leaving=sorted(_leaving(listed) - left_before),
         )
         self._changed()
 
@@ -112,3 +114,7 @@
                 faults=news[:LOGGED_FAULTS],
                 malformed=len(malformed),
             )
+
+
+def _leaving(servers: Iterable[Server]) -> set[str]:
+    return {s.name for s in servers if s.state is ServerState.LEAVING}
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -109,6 +109,7 @@
         start(parts.watchdog.run)
         start(parts.publications.configuration.run)
         start(parts.publications.servers.run)
+        start(parts.publications.confirm)
         start(parts.members.exchange.run)
         start(self._look_again)
         for _ in range(LISTENER_TASKS):
@@ -177,6 +178,7 @@
             clock=self._clock,
             metrics=parts.metrics,
             refusing=self._refusing.is_set,
+            used=parts.publications.confirming.note_use,
             in_hand=self._in_hand,
             limit=settings.resources.threads - SPARE_THREADS,
         )
@@ -214,7 +216,7 @@
         malformed = partial(getattr, parts.published_servers, "malformed")
         gauge("malformed_servers", "Entries that name no server to use.", malformed)
         gauge("entries", "Entries that serve.", lambda: len(parts.serving_entries()))
-        age = parts.publications.following.age
+        age = parts.publications.confirming.age
         gauge("server_list_age", "How old the server list can be, in seconds.", age)
 
         def version() -> float:
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -215,13 +215,26 @@
         known = published(service)
         return known.pieces if known is not None else None
 
+    # Orders come once the entry listens, when all parts stand.
+    def used() -> None:
+        publications.confirming.note_use()
+
     metrics = RouteMetrics()
     first = FirstKnowledge(clock, PREFIXES)
     ended = threading.Event()
     owners = OwnerLinks(own, live, links, clock)
     orders = PieceOrders(owners, clock)
     batch_parts = BatchParts(
-        line, _PieceCalls(), servers, loads, retries, watchdog, clock, metrics, limits
+        line=line,
+        format=_PieceCalls(),
+        servers=servers,
+        loads=loads,
+        retries=retries,
+        watchdog=watchdog,
+        clock=clock,
+        metrics=metrics,
+        limits=limits,
+        used=used,
     )
     batches = PieceBatches(batch_parts, orders.done)
     orders.join(batches)
@@ -266,7 +279,7 @@
             clock=clock,
             rng=rng,
             metrics=metrics,
-            list_age=publications.following.age,
+            list_age=publications.confirming.age,
         )
     )
     return RouteParts(
--- a/boragestream/entry/published_relay.py
+++ b/boragestream/entry/published_relay.py
@@ -20,6 +20,7 @@
 from boragestream.entry.messages import Envelope
 from boragestream.entry.open_questions import OpenQuestions
 from boragestream.entry.relay import RelayedVersion
+from boragestream.policy.confirming import Confirming
 from boragestream.policy.publication import Change, PublishedTable, Relayed
 from boragestream.policy.watching import StoreFollowing
 
@@ -38,6 +39,8 @@
     :ivar revision: of the servers.
     :ivar configuration_revision: up to which ``version`` is the latest.
     :ivar version: of the configuration in force.
+    :ivar confirmed_ms: how long ago all of it was confirmed; an earlier release does
+        not tell.
     """
 
     age_ms: int
@@ -45,6 +48,7 @@
     revision: int
     configuration_revision: int
     version: int
+    confirmed_ms: int = MOST_AGE_MS
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -55,6 +59,7 @@
     """The part of the exchange that carries what the platform publishes.
 
     :param following: how old what is known here can be.
+    :param confirming: how long ago that was confirmed.
     :param servers: the published servers.
     :param configuration: the published configuration.
     :param in_force: returns the configuration in force; None while there is none.
@@ -69,6 +74,7 @@
     def __init__(
         self,
         following: StoreFollowing,
+        confirming: Confirming,
         servers: PublishedTable,
         configuration: PublishedTable,
         in_force: Callable[[], RelayedVersion | None],
@@ -79,6 +85,7 @@
         clock: Clock,
     ) -> None:
         self._following = following
+        self._confirming = confirming
         self._servers = servers
         self._configuration = configuration
         self._in_force = in_force
@@ -91,8 +98,8 @@
 
     def offer(self, budget: int) -> bytes:
         """Return what is known here; empty while that is nothing."""
-        # The age goes first: what comes in between makes it too old, never too young.
-        age = self._following.age()
+        # The ages go first: what comes in between makes them too old, never too young.
+        age, confirmed = self._following.age(), self._confirming.age()
         in_force, revision = self._in_force(), self._servers.revision
         if in_force is None or revision is None:
             return b""
@@ -102,6 +109,7 @@
             revision,
             self._configuration.revision or 0,
             in_force.version,
+            _milliseconds(confirmed),
         )
         return _encoder.encode(word)
 
@@ -161,6 +169,8 @@
         if word.trouble_ms < MOST_AGE_MS:
             trouble = word.trouble_ms / 1000 + waited
         self._following.take_word(word.age_ms / 1000 + waited, trouble)
+        if word.confirmed_ms < MOST_AGE_MS:
+            self._confirming.take_word(word.confirmed_ms / 1000 + waited)
 
 
 def _milliseconds(seconds: float) -> int:
--- a/boragestream/platform/reader.py
+++ b/boragestream/platform/reader.py
@@ -20,7 +20,8 @@
 
 INDEX_HEADER = "X-Platform-Index"
 MAX_VALUE_BYTES = 4 * 1_048_576
-ANSWER_MARGIN_SECONDS = 2.0
+# A watch that has not been answered so long after its end was lost.
+ANSWER_MARGIN_SECONDS = 1.0
 # A watch may wait long, a connect not: the first packet is sent again after a second.
 CONNECT_SECONDS = 1.5
 
@@ -63,13 +64,15 @@
 
 
 def get_value(
-    address: str, target: str, seconds: float
+    address: str, target: str, seconds: float, known: int = 0
 ) -> PlatformAnswer | PlatformUnreachable:
     """Make one GET call on a connection of its own.
 
     :param address: ``address:port`` of the service.
     :param target: path and query.
     :param seconds: the longest to wait for each part of the answer.
+    :param known: the index of the value that is known already, which need not be sent
+        again; 0 for none.
     """
     place = address + target.partition("?")[0]
     limit = min(seconds, CONNECT_SECONDS)
@@ -79,7 +82,8 @@
         connection.sock.settimeout(seconds)
         # A watch that waits could not tell a service that is cut off from a quiet one.
         detect_dead_peer(connection.sock)
-        connection.request("GET", target)
+        headers = {"If-None-Match": f'"{known}"'} if known else {}
+        connection.request("GET", target, headers=headers)
         response = connection.getresponse()
         value = response.read(MAX_VALUE_BYTES + 1)
         if len(value) > MAX_VALUE_BYTES or response.length:
@@ -100,11 +104,15 @@
     :param path: for example ``/v1/document``.
     :param index: the index already known; 0 for none.
     :param wait_seconds: how long the service may wait for a change.
+    :returns: a reading of the index that is known already may lack its value: a watch
+        ends every few seconds, and the list of a large fleet has a megabyte.
     """
     target = f"{path}?index={index}&wait={wait_seconds:g}"
-    answer = get_value(address, target, wait_seconds + ANSWER_MARGIN_SECONDS)
+    answer = get_value(address, target, wait_seconds + ANSWER_MARGIN_SECONDS, index)
     if isinstance(answer, PlatformUnreachable):
         return answer
+    if answer.status == http.HTTPStatus.NOT_MODIFIED:
+        return Reading(index, b"")
     if answer.status != http.HTTPStatus.OK:
         return PlatformUnreachable(address + path, f"status {answer.status}")
     try:
--- /dev/null
+++ b/boragestream/policy/confirming.py
@@ -0,0 +1,155 @@
+"""When an open watch of the platform is not enough to go by.
+
+A watch that waits says nothing: neither that nothing has changed nor that it still
+waits anywhere. One that was sent while the platform said nothing, or whose connection
+has fallen silent, is never answered, and an entry that took it for word that nothing
+has changed went on calling servers for as long as a watch may wait after they had
+left. So an entry that relies on a watch asks a question that does not wait once nobody
+has confirmed what it knows for a part of the bound; one that is not in use, a few times
+as long.
+
+One entry asks earlier than all others, which find what it was told confirmed with the
+next words of their peers. Where that entry is gone, cut off or turned away the others
+ask by themselves, still within the bound.
+
+Load patterns: a platform that falls silent right after a change, when all watches are
+sent anew; connections of all entries that fall silent at once; a fleet that is idle all
+summer, where each call counts. With a change every five seconds an entry that is in use
+makes 53 calls a minute where all of six watch (12 before), 8 of 59 entries (2), 1.7 of
+195 (0.7), in simulated time. What a watch brings is left to ``daemon.publication``, who
+watches to ``policy.watching``.
+"""
+
+import math
+import random
+import threading
+from collections.abc import Callable, Iterable
+
+from boragestream.base.clock import Clock
+from boragestream.policy.watching import MOST_AGE_SECONDS
+
+__all__ = ["Confirming"]
+
+# The entry that asks first does so after this part of the bound: a change that its
+# watch has lost is known there at once and everywhere a second later.
+FIRST_SHARE = 0.25
+# The others. By then they have heard from the first one where it is there. What is
+# left of the bound is for an answer that comes late.
+OTHERS_SHARE = 0.75
+# An entry that has had nothing to decide for so long asks so many times as seldom. Its
+# first decision then goes by what it knows, and has it ask at once.
+USED_SECONDS = 30.0
+IDLE_FACTOR = 8.0
+# Without an answer the pause doubles up to the second figure, as for those who watch.
+RETRY_SECONDS = 0.3
+MOST_RETRY_SECONDS = 2.0
+# How often it is looked whether to ask: as soon as it may be time, but not all the time
+# while a watch that ended is about to be sent anew, and soon after the first use.
+LEAST_PAUSE_SECONDS = 0.1
+MOST_PAUSE_SECONDS = 0.25
+
+
+class Confirming:
+    """When this entry makes sure of what it knows; any thread may ask.
+
+    :param prefixes: what is followed, by the keys' beginnings.
+    :param bound_seconds: the longest until a published change must be in force here.
+    :param is_first: tells whether this entry asks before the others.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        prefixes: Iterable[str],
+        bound_seconds: float,
+        is_first: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._bound = bound_seconds
+        self._is_first = is_first
+        self._answered_at = dict.fromkeys(prefixes, -math.inf)
+        self._heard_at = -math.inf
+        self._used_at = -math.inf
+        self._failures = 0
+        self._not_before = -math.inf
+        self._lock = threading.Lock()
+
+    @property
+    def failing(self) -> bool:
+        """Whether the last question got no answer."""
+        return self._failures > 0
+
+    def note_use(self) -> None:
+        """Take that this entry decides by what is published."""
+        self._used_at = self._clock.now()
+
+    def note_answer(self, prefix: str, known_until: float) -> None:
+        """Take that the platform answered.
+
+        :param known_until: everything published until then is known here, in the
+            clock's seconds.
+        """
+        with self._lock:
+            known = self._answered_at[prefix]
+            self._answered_at[prefix] = max(known, known_until)
+            self._failures = 0
+            self._not_before = -math.inf
+
+    def note_failure(self) -> None:
+        """Take that a question got no answer."""
+        with self._lock:
+            self._failures += 1
+            # The power is bounded as well, since an outage may last.
+            pause = RETRY_SECONDS * 2 ** min(self._failures - 1, 16)
+            pause = min(pause, MOST_RETRY_SECONDS) * (0.5 + self._rng.random())
+            self._not_before = self._clock.now() + pause
+
+    def take_word(self, age_seconds: float) -> None:
+        """Take a peer's word whose content is known here.
+
+        :param age_seconds: how long ago all that the peer knows was confirmed.
+        """
+        with self._lock:
+            self._heard_at = max(self._heard_at, self._clock.now() - age_seconds)
+
+    def age(self) -> float:
+        """Return how long ago all that is known here was confirmed, in seconds.
+
+        Where it never was, it is ``MOST_AGE_SECONDS``.
+        """
+        now = self._clock.now()
+        with self._lock:
+            confirmed = min(self._confirmed_at(p) for p in self._answered_at)
+        return min(MOST_AGE_SECONDS, now - confirmed)
+
+    def confirmed_since(self, prefix: str, moment: float) -> bool:
+        """Tell whether anybody has confirmed what is known here since then.
+
+        :param moment: the clock's seconds.
+        """
+        return self._confirmed_at(prefix) > moment
+
+    def asks(self, prefix: str) -> bool:
+        """Tell whether to ask a question that does not wait now."""
+        now = self._clock.now()
+        with self._lock:
+            due = self._confirmed_at(prefix) + self._patience()
+            return now >= max(due, self._not_before)
+
+    def pause_seconds(self) -> float:
+        """Return after how long it may be time to ask."""
+        now = self._clock.now()
+        with self._lock:
+            confirmed = min(self._confirmed_at(p) for p in self._answered_at)
+            due = max(confirmed + self._patience(), self._not_before)
+            return min(MOST_PAUSE_SECONDS, max(LEAST_PAUSE_SECONDS, due - now))
+
+    def _patience(self) -> float:
+        share = FIRST_SHARE if self._is_first() else OTHERS_SHARE
+        idle = self._clock.now() - self._used_at > USED_SECONDS
+        return self._bound * share * (IDLE_FACTOR if idle else 1.0)
+
+    def _confirmed_at(self, prefix: str) -> float:
+        return max(self._answered_at[prefix], self._heard_at)
--- a/boragestream/policy/watching.py
+++ b/boragestream/policy/watching.py
@@ -29,6 +29,7 @@
     "MOST_AGE_SECONDS",
     "StoreFollowing",
     "direct_read_seconds",
+    "is_first_watcher",
     "is_watcher",
     "watchers",
 ]
@@ -80,6 +81,14 @@
     return name in watchers(names | {name})
 
 
+def is_first_watcher(name: str, usable: Iterable[ListedEntry]) -> bool:
+    """Return whether an entry comes first among the watchers of all data centres.
+
+    :param usable: the live entries; one that they do not name yet counts itself in.
+    """
+    return max({name, *(entry.name for entry in usable)}, key=_weight) == name
+
+
 def direct_read_seconds(entries: int, rng: random.Random) -> float:
     """Return how long an entry that does not watch waits until it reads directly.
 
@@ -103,22 +112,34 @@
     :ivar waits: whether a call is under way.
     :ivar in_row: whether the call before it was answered, so that one that waits on
         its connection says that nothing has changed.
+    :ivar doubted: whether the platform has not answered another question since the
+        call under way began, so that this one may be lost as well.
     """
 
     at_once: bool
     known_at: float = -math.inf
     waits: bool = False
     in_row: bool = False
+    doubted: bool = False
+
+    def end(self, answered: bool) -> None:
+        """Take that the call under way has ended."""
+        self.waits = False
+        self.in_row = answered
+        self.doubted = False
 
 
 class StoreFollowing:
     """When this entry asks the platform's store itself; any thread may ask.
 
     How old what it knows can be: everything published until ``age`` seconds ago is in
-    force here. The age is 0 while a watch waits, and travels with each message between
-    entries, so that it counts the whole way. An entry asks by itself once its peers'
-    word is older than the bound less a margin, and so keeps the bound also where it is
-    cut off from its peers or all watchers are gone.
+    force here. The age is 0 while a watch waits that nothing speaks against, and
+    travels with each message between entries, so that it counts the whole way. Whether
+    such a watch is still there is made sure of by ``policy.confirming``.
+
+    An entry asks by itself once its peers' word is older than the bound less a margin,
+    and so keeps the bound also where it is cut off from its peers or all watchers are
+    gone.
 
     :param prefixes: what is followed, by the keys' beginnings; of each whether it is
         watched from the start on.
@@ -197,19 +218,36 @@
         with self._lock:
             own = self._own[prefix]
             own.known_at = self._clock.now()
-            own.waits = False
-            own.in_row = True
-            self._failures = 0
-            self._not_before = -math.inf
-            self._drawn = False
+            own.end(answered=True)
+            self._note_there()
+
+    def note_confirmed(self, prefix: str, known_until: float) -> None:
+        """Take that the store answered a question beside the call under way.
+
+        :param known_until: everything published until then is known here, in the
+            clock's seconds.
+        """
+        with self._lock:
+            own = self._own[prefix]
+            own.known_at = max(own.known_at, known_until)
+
+    def note_unanswered(self) -> None:
+        """Take that the store gave no answer to a question beside the calls."""
+        with self._lock:
+            self._trouble_at = self._clock.now()
+            for own in self._own.values():
+                own.doubted = own.waits
+
+    def note_lost(self, prefix: str) -> None:
+        """Take that a call was lost, while the store answered other questions."""
+        with self._lock:
+            self._own[prefix].end(answered=False)
 
     def note_failure(self, prefix: str) -> None:
         """Take that the store gave no answer to a call."""
         now = self._clock.now()
         with self._lock:
-            own = self._own[prefix]
-            own.waits = False
-            own.in_row = False
+            self._own[prefix].end(answered=False)
             self._trouble_at = now
             self._failures += 1
             # The pause is spread already.
@@ -217,9 +255,20 @@
             self._not_before = now + self._pause()
 
     def note_unusable(self, prefix: str) -> None:
-        """Take that the store answered, but not what was asked for."""
+        """Take that the store answered, but not what was asked for.
+
+        It is there, so that nothing is put off: an entry whose watch is cut as the
+        history is dropped reads all at once, in place of two seconds later.
+        """
         with self._lock:
-            self._own[prefix].waits = False
+            own = self._own[prefix]
+            own.end(answered=own.in_row)
+            self._note_there()
+
+    def waits(self, prefix: str) -> bool:
+        """Tell whether this entry relies on a watch that waits."""
+        own = self._own[prefix]
+        return own.waits and own.in_row
 
     def take_word(self, age_seconds: float, trouble_seconds: float) -> None:
         """Take a peer's word whose content is known here.
@@ -288,5 +337,11 @@
             pause = max(pause, self._spread())
         return pause * (0.5 + self._rng.random())
 
+    def _note_there(self) -> None:
+        self._failures = 0
+        self._not_before = -math.inf
+        self._drawn = False
+
     def _known_at(self, own: _Following, now: float) -> float:
-        return now if own.waits and own.in_row else own.known_at
+        trusted = own.waits and own.in_row and not own.doubted
+        return now if trusted else own.known_at
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -59,6 +59,7 @@
         :param left_seconds: until nobody waits for it any more.
         :returns: the expected wait in seconds where it is refused, None if it is taken.
         """
+        self._parts.used()
         limits = self._parts.limits(order.service)
         if limits is None:
             return 0.0
@@ -86,6 +87,7 @@
         :param left_seconds: until nobody waits for it any more.
         :returns: the expected wait in seconds where it is refused, None if it is taken.
         """
+        self._parts.used()
         limits = self._parts.limits(booking.service)
         if limits is None:
             return 0.0
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -81,6 +81,7 @@
     """What the batches need of the entry.
 
     :ivar limits: returns the limits of a service's servers; None if unknown.
+    :ivar used: told of each order, since it is decided by what is published.
     """
 
     line: CallLine
@@ -92,6 +93,7 @@
     clock: Clock
     metrics: RouteMetrics
     limits: Callable[[str], PieceLimits | None]
+    used: Callable[[], None]
 
 
 @dataclass(slots=True)
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -12,6 +12,8 @@
 PARTITIONED_TAG = "fixture.partitioned."
 ONE_CENTRE_TAG = "fixture.one-centre."
 ROUTE_SITE_TAG = "fixture.route-site."
+# A watcher that falls silent leaves its waiting call behind, which can be counted.
+LONG_WATCHES = "watch_seconds = 30.0"
 LINGER_SETTINGS = "[stop]\nlinger_seconds = 4.0\n"
 
 
@@ -67,7 +69,7 @@
 def one_centre(context, site):
     """Start a site's fleet with everything in one data centre."""
     instances = [(*i[:3], "only-hall") for i in example_servers(site)]
-    with Fleet(example_document(site), instances) as started:
+    with Fleet(example_document(site), instances, settings=LONG_WATCHES) as started:
         context.fleet = started
         yield started
 
--- a/tests/features/following.feature
+++ b/tests/features/following.feature
@@ -96,6 +96,74 @@
     And a change is published
     Then it is known everywhere within 4 s
 
+  Scenario Outline: a change is known in time though all watches were lost
+    Given <count> entries in <centres> data centres, each change to be known within <bound> s
+    And requests come to all of them
+    And they have run for 20 seconds
+    When a change is published, and then for <seconds> s the store loses all questions
+    And a change is published
+    Then it is known everywhere within <bound> s
+
+    Examples:
+      | count | centres | bound | seconds |
+      | 6     | 3       | 2     | 0.5     |
+      | 6     | 3       | 2     | 1       |
+      | 6     | 3       | 2     | 9       |
+      | 59    | 3       | 3     | 1       |
+      | 59    | 3       | 3     | 9       |
+      | 195   | 5       | 4     | 1       |
+      | 195   | 5       | 4     | 3       |
+      | 195   | 5       | 4     | 20      |
+
+  Scenario Outline: watches that were lost are found out though who asks first is <trouble>
+    Given 60 entries in 3 data centres, each change to be known within 4 s
+    And requests come to all of them
+    And they have run for 20 seconds
+    When the first of the watchers is <trouble>
+    And a change is published, and then for 1 s the store loses all questions
+    And a change is published
+    Then it is known everywhere within 4 s
+
+    Examples:
+      | trouble                        |
+      | killed                         |
+      | cut off from the other entries |
+      | turned away by the store       |
+
+  Scenario: entries that are not in use find out as well, later
+    Given 60 entries in 3 data centres, each change to be known within 4 s
+    And they have run for 20 seconds
+    When a change is published, and then for 1 s the store loses all questions
+    And a change is published
+    Then it is known everywhere within 10 s
+
+  Scenario Outline: making sure of what is known costs few calls
+    Given <count> entries in <centres> data centres, each change to be known within <bound> s
+    And requests come to all of them
+    And they have run for 20 seconds
+    When 12 changes are published over 60 seconds
+    Then each was known everywhere within <bound> s
+    And an entry made at most <calls> calls of the store a minute
+
+    Examples:
+      | count | centres | bound | calls |
+      | 6     | 3       | 2     | 60    |
+      | 59    | 3       | 3     | 9     |
+      | 195   | 5       | 4     | 2     |
+
+  Scenario: an entry says how long ago what it knows was confirmed, not that it waits
+    Given 6 entries in 3 data centres, each change to be known within 2 s
+    And they have run for 20 seconds
+    When a change is published, and then for 3 s the store loses all questions
+    Then what each entry knows was confirmed at least 3 s ago
+
+  Scenario: watches that are cut as the history is dropped are sent anew at once
+    Given 6 entries in 3 data centres, each change to be known within 2 s
+    And they have run for 20 seconds
+    When the store is down for 0.1 seconds
+    And the history is dropped after a change
+    Then it is known everywhere within 0.6 s
+
   Scenario: the age of what peers alone have told can be logged
     Given an entry that has just started and has not been answered
     Then the age of what it knows is a finite number of milliseconds
--- a/tests/features/steps/entry_relay.py
+++ b/tests/features/steps/entry_relay.py
@@ -6,8 +6,9 @@
 from behave import given, then, when
 
 from boragestream.entry.exchange import ROUND_SECONDS
+from boragestream.platform.reader import Reading, read_platform
 from boragestream.policy.watching import watchers
-from tests.standins.fleet import fetch, wait_until
+from tests.standins.fleet import ADDRESS, fetch, wait_until
 
 LIMIT_SECONDS = 40
 DOCUMENT = "/v1/document"
@@ -192,3 +193,27 @@
 def step(context):
     names = [n for n in context.fleet.entries if n not in context.frozen]
     wait_for_version(context, names)
+
+
+def read_document(context, index):
+    """Read the document as an entry does that knows an index."""
+    platform = context.fleet.platform
+    return read_platform(f"{ADDRESS}:{platform.port}", DOCUMENT, index, 0.1)
+
+
+@when("the document is read, and read again as a watch that ends would")
+def step(context):
+    context.first_reading = read_document(context, 0)
+    context.reading = read_document(context, context.first_reading.index)
+
+
+@then("the second reading has the same index and no value")
+def step(context):
+    assert context.first_reading.value
+    assert context.reading == Reading(context.first_reading.index, b"")
+
+
+@then("a third reading has it")
+def step(context):
+    reading = read_document(context, context.reading.index)
+    assert reading.index > context.reading.index and reading.value
--- a/tests/features/steps/following.py
+++ b/tests/features/steps/following.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies as st
 
 from boragestream.policy.publication import Change, Changes, PublishedTable, Snapshot
+from boragestream.policy.watching import is_first_watcher
 from tests.standins.clock import SetClock
-from tests.standins.following import SimulatedSite
+from tests.standins.following import TICK_SECONDS, SimulatedSite
 
 CHECKS = settings(max_examples=200, derandomize=True, deadline=None, database=None)
 
@@ -23,6 +24,11 @@
     context.calls = 0
 
 
+@given("requests come to all of them")
+def step(context):
+    context.site.used = True
+
+
 @given("they have run for {seconds:g} seconds")
 def step(context, seconds):
     context.site.run(seconds)
@@ -80,6 +86,44 @@
     assert calls <= most, calls
 
 
+@when("a change is published, and then for {seconds:g} s the store loses all questions")
+def step(context, seconds):
+    site = context.site
+    site.publish()
+    # Whoever waits hears of it, and asks anew in the silence.
+    site.run(TICK_SECONDS)
+    site.store.loses = True
+    site.run(seconds)
+    site.store.loses = False
+
+
+@then("what each entry knows was confirmed at least {seconds:g} s ago")
+def step(context, seconds):
+    ages = [entry.confirming.age() for entry in context.site.entries]
+    assert min(ages) >= seconds, ages
+
+
+def first_watcher(site):
+    """Return the entry that asks before all others."""
+    running = site.running()
+    return next(e for e in running if is_first_watcher(e.name, running))
+
+
+@when("the first of the watchers is killed")
+def step(context):
+    first_watcher(context.site).alive = False
+
+
+@when("the first of the watchers is cut off from the other entries")
+def step(context):
+    first_watcher(context.site).alone = True
+
+
+@when("the first of the watchers is turned away by the store")
+def step(context):
+    context.site.store.turned_away = {first_watcher(context.site).name}
+
+
 @when("the watchers are killed")
 def step(context):
     for entry in context.site.watching():
--- a/tests/features/steps/leaving_before_the_send.py
+++ b/tests/features/steps/leaving_before_the_send.py
@@ -94,6 +94,7 @@
         clock=clock,
         metrics=RouteMetrics(),
         limits=lambda service: LIMITS,
+        used=lambda: None,
     )
 
 
--- a/tests/features/steps/piece_repeats.py
+++ b/tests/features/steps/piece_repeats.py
@@ -67,6 +67,7 @@
     context.clock = clock
     context.done = {}
     parts = SimpleNamespace(
+        used=lambda: None,
         servers=SimpleNamespace(live=lambda service: SERVERS, all=SERVERS),
         loads=LoadTable(clock, None),
         retries=RetryWindows(clock.now, lambda: BOUNDS, lambda: entries),
--- a/tests/features/steps/route_planning.py
+++ b/tests/features/steps/route_planning.py
@@ -8,6 +8,7 @@
 from boragestream.base.events import Event
 from boragestream.daemon.publication import Publication
 from boragestream.document.calls import PromptPart, StageResult
+from boragestream.policy.confirming import Confirming
 from boragestream.policy.connection_shares import idle_connections
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.publication import Change, Changes, PublishedTable, Snapshot
@@ -134,6 +135,7 @@
         watch_seconds=10.0,
         table=PublishedTable(clock.now),
         following=following,
+        confirming=Confirming(clock, random.Random(1), ["servers/"], 1.0, lambda: True),
         take=lambda values: None,
         changed=lambda: None,
         unreachable=Event.INSTANCES_UNREACHABLE,
--- a/tests/standins/following.py
+++ b/tests/standins/following.py
@@ -1,16 +1,21 @@
 """Many entries that follow one store, in simulated time, without a process or socket.
 
-The entries run the project's own decisions (``policy.watching``) and tables; the store,
-the calls at it and the rounds between entries are simulated: a round each second with
-one entry of the own data centre and one of another, three at once after news.
+The entries run the project's own decisions (``policy.watching``, ``policy.confirming``)
+and tables; the store, the calls at it and the rounds between entries are simulated: a
+round each second with one entry of the own data centre and one of another, three at
+once after news. While the store loses questions, those that come are never answered;
+those that wait already are, once it answers again.
 """
 
 import random
 
+from boragestream.daemon.publication import LOST_ALONE_SECONDS
+from boragestream.policy.confirming import Confirming
 from boragestream.policy.publication import Change, Changes, PublishedTable, Snapshot
 from boragestream.policy.watching import (
     MOST_AGE_SECONDS,
     StoreFollowing,
+    is_first_watcher,
     watchers,
 )
 from tests.standins.clock import SetClock
@@ -22,6 +27,8 @@
 NEWS_BURST = 5
 # A cut connection is noticed by probes after so long.
 PROBES_SECONDS = 3.0
+# A question that is lost ends so long after the time for which it may wait.
+UNANSWERED_SECONDS = 1.5
 PREFIXES = {"configuration": False, "servers": True}
 KEPT_CHANGES = 64
 
@@ -36,6 +43,7 @@
         self.history = []
         self.oldest = 0
         self.down = False
+        self.loses = False
         self.turned_away = set()
         self.calls = 0
 
@@ -80,8 +88,18 @@
             self.designated,
             lambda: len(site.running()),
         )
+        self.confirming = Confirming(
+            site.clock,
+            site.rng,
+            PREFIXES,
+            site.bound,
+            lambda: is_first_watcher(self.name, site.running()),
+        )
         self.table = PublishedTable(site.clock.now, KEPT_CHANGES)
         self.configuration_known = False
+        # Calls that are never answered, and when the entry gives them up.
+        self.lost = {}
+        self.lost_question_until = None
         # By prefix: when the call began and until when it waits.
         self.pending = {}
         self.reread = set()
@@ -106,16 +124,56 @@
                 wait = self.following.wait_seconds(prefix, WATCH_SECONDS)
                 now = self.site.clock.now()
                 self.pending[prefix] = (now, now + wait if known else now)
+                if self.site.store.loses:
+                    self.lost[prefix] = now + wait + UNANSWERED_SECONDS
                 self.try_to_end(prefix)
 
+    def confirm(self):
+        """Ask questions that do not wait where it is time."""
+        now = self.site.clock.now()
+        if self.lost_question_until is not None:
+            if now >= self.lost_question_until:
+                self.lost_question_until = None
+                self.note_unanswered()
+            return
+        for prefix in PREFIXES:
+            waits = self.following.waits(prefix)
+            if not waits or not self.confirming.asks(prefix):
+                continue
+            self.site.store.calls += 1
+            if self.site.store.loses:
+                self.lost_question_until = now + UNANSWERED_SECONDS
+                return
+            if not self.site.store.serves(self.name):
+                self.note_unanswered()
+                return
+            self.table.note_answer()
+            if prefix == "servers" and not self.take():
+                self.site.store.calls += 1
+                self.take()
+            self.following.note_confirmed(prefix, now)
+            self.confirming.note_answer(prefix, now)
+
+    def note_unanswered(self):
+        """Take that a question that does not wait was not answered."""
+        self.table.note_failure()
+        self.following.note_unanswered()
+        self.confirming.note_failure()
+
     def try_to_end(self, prefix):
         """End a call that has an answer or fails."""
         store, now = self.site.store, self.site.clock.now()
         began, until = self.pending[prefix]
+        if prefix in self.lost:
+            if now >= self.lost[prefix]:
+                del self.lost[prefix], self.pending[prefix]
+                self.end_unanswered(prefix, began)
+            return
+        if store.loses:
+            return
         if not store.serves(self.name):
             del self.pending[prefix]
-            self.table.note_failure()
-            self.following.note_failure(prefix)
+            self.end_unanswered(prefix, began)
             return
         if prefix == "configuration":
             news = not self.configuration_known
@@ -131,6 +189,17 @@
             self.following.note_unusable(prefix)
             return
         self.following.note_answer(prefix)
+        self.confirming.note_answer(prefix, now)
+
+    def end_unanswered(self, prefix, began):
+        """Take that a call was not answered."""
+        waited = self.following.waits(prefix)
+        lately = max(began, self.site.clock.now() - LOST_ALONE_SECONDS)
+        if waited and self.confirming.confirmed_since(prefix, lately):
+            self.following.note_lost(prefix)
+            return
+        self.table.note_failure()
+        self.following.note_failure(prefix)
 
     def changes(self):
         """Return what the store has published since this entry's revision."""
@@ -184,19 +253,23 @@
         age = self.following.age()
         if self.table.revision is None or age >= MOST_AGE_SECONDS:
             return None
-        return age, self.following.trouble_seconds(), self.table.revision
+        confirmed = self.confirming.age()
+        trouble = self.following.trouble_seconds()
+        return age, trouble, self.table.revision, confirmed
 
     def hear(self, other, word):
         """Take another entry's word, and what it knows more."""
         if word is None:
             return
-        age, trouble, revision = word
+        age, trouble, revision, confirmed = word
         if self.table.revision is None or self.table.revision < revision:
             self.configuration_known = True
             relayed = other.table.since(self.table.revision)
             if self.table.take_relayed(relayed):
                 self.note_news()
         self.following.take_word(age, trouble)
+        if confirmed < MOST_AGE_SECONDS:
+            self.confirming.take_word(confirmed)
 
 
 class SimulatedSite:
@@ -212,6 +285,8 @@
             SimulatedEntry(f"entry-{n}", n % centres, self) for n in range(count)
         ]
         self.worst = 0.0
+        # Whether requests come to all entries.
+        self.used = False
         # When each revision was published.
         self.published = {1: self.clock.now()}
 
@@ -242,14 +317,17 @@
         while self.clock.now() - began < seconds and not until():
             self.clock.seconds += TICK_SECONDS
             for entry in self.running():
+                if self.used:
+                    entry.confirming.note_use()
                 entry.step()
+                entry.confirm()
                 entry.rounds()
             self.note_worst()
         return self.clock.now() - began
 
     def note_worst(self):
         """Note how far behind the entries are that the store answers."""
-        if self.store.down:
+        if self.store.down or self.store.loses:
             return
         now = self.clock.now()
         for entry in self.running():
--- a/tests/standins/http.py
+++ b/tests/standins/http.py
@@ -37,6 +37,14 @@
         self.wfile.write(content)
         self.wfile.flush()
 
+    def not_modified(self, headers=()):
+        """Answer that what the caller knows is still so."""
+        self.send_response_only(304)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.end_headers()
+        self.wfile.flush()
+
     def reset(self):
         """Close the connection with a reset."""
         linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -58,7 +58,10 @@
         time.sleep(STATE.mode["lag_seconds"])
         if path in STATE.mode["down"]:
             return self.reset()
-        return self.reply(value, headers=[("X-Platform-Index", str(index))])
+        known = [("X-Platform-Index", str(index))]
+        if self.headers.get("If-None-Match") == f'"{index}"':
+            return self.not_modified(known)
+        return self.reply(value, headers=known)
 
     def post(self, path, body):
         """Publish a value or set a mode."""
