--- a/boragestream/policy/confirming.py
+++ b/boragestream/policy/confirming.py
@@ -43,6 +43,8 @@
 # Without an answer the pause doubles up to the second figure, as for those who watch.
 RETRY_SECONDS = 0.3
 MOST_RETRY_SECONDS = 2.0
+# Who asks first is looked up this often: it takes a hash of each live entry's name.
+LOOK_SECONDS = 0.5
 # How often it is looked whether to ask: as soon as it may be time, but not all the time
 # while a watch that ended is about to be sent anew, and soon after the first use.
 LEAST_PAUSE_SECONDS = 0.1
@@ -69,6 +71,8 @@
         self._rng = rng
         self._bound = bound_seconds
         self._is_first = is_first
+        self._first = False
+        self._looked_at = -math.inf
         self._answered_at = dict.fromkeys(prefixes, -math.inf)
         self._heard_at = -math.inf
         self._used_at = -math.inf
@@ -147,8 +151,11 @@
             return min(MOST_PAUSE_SECONDS, max(LEAST_PAUSE_SECONDS, due - now))
 
     def _patience(self) -> float:
-        share = FIRST_SHARE if self._is_first() else OTHERS_SHARE
-        idle = self._clock.now() - self._used_at > USED_SECONDS
+        now = self._clock.now()
+        if now - self._looked_at >= LOOK_SECONDS:
+            self._first, self._looked_at = self._is_first(), now
+        share = FIRST_SHARE if self._first else OTHERS_SHARE
+        idle = now - self._used_at > USED_SECONDS
         return self._bound * share * (IDLE_FACTOR if idle else 1.0)
 
     def _confirmed_at(self, prefix: str) -> float:
