--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -20,6 +20,7 @@
       | one entry hears another, not back      | PEER_LINK   | one-way   | 5       |
       | the store answers late                 | STORE_LINK  | DELAY     | 4       |
       | answers of the store are lost          | STORE_LINK  | CUT_BACK  | 4       |
+      | questions to the store are lost        | STORE_DOWN  | lost      | 4       |
       | connections go silent, new ones work   | SERVER_LINK | STALE     | 4       |
       | connections of callers go silent       | CALLER_LINK | STALE     | 4       |
       | all entries are killed at once         | KILL_ALL    |           | 3       |
--- a/tests/features/steps/lost_questions.py
+++ b/tests/features/steps/lost_questions.py
@@ -8,6 +8,7 @@
 from tests.standins.fleet import wait_until
 from tests.standins.route_server import RouteServer
 from tests.standins.route_site import ADDRESS, configuration
+from tests.standins.route_store import LOST
 
 ENTRIES = ("entry-0", "entry-1", "entry-2")
 # A lost question was believed for eleven seconds and more; the promise is two. The rest
@@ -23,7 +24,7 @@
 def asked_anew(store, before, count):
     """Wait until so many questions came since then; all of them are lost."""
     wait_until(lambda: store.lost >= before + count, what="lost questions")
-    store.loses = False
+    store.down = None
 
 
 @given("every entry has asked about the servers anew, and all these questions are lost")
@@ -31,7 +32,7 @@
     site = context.site
     store = site.store
     site.wait(SETTLED_SECONDS)
-    store.loses = True
+    store.down = LOST
     before = store.lost
     other = RouteServer(ADDRESS, "plain", "plain", "hall-a", set())
     site.servers.append(other)
@@ -43,7 +44,7 @@
 def step(context):
     store = context.site.store
     context.site.wait(SETTLED_SECONDS)
-    store.loses = True
+    store.down = LOST
     before = store.lost
     context.site.publish(configuration(2))
     asked_anew(store, before, len(ENTRIES))
--- a/tests/standins/route_store.py
+++ b/tests/standins/route_store.py
@@ -1,8 +1,8 @@
 """A stand-in for the platform's store: read, watched, and made to fail.
 
 It runs in a thread of the test. ``down`` turns all callers away as the platform can:
-with a status, with a reset or with silence. While ``loses`` is set, new questions are
-never answered, also not later; those that wait already are.
+with a status, with a reset, with silence, or by losing questions: new ones are never
+answered, also not later; those that wait already are.
 """
 
 import base64
@@ -12,6 +12,7 @@
 from tests.standins.http import Handler, Server
 
 WATCH_SECONDS = 0.02
+LOST = "lost"
 
 
 class RouteStore:
@@ -26,7 +27,6 @@
         self.oldest = 0
         self.down = None
         self.calls = 0
-        self.loses = False
         self.lost = 0
         self.closing = threading.Event()
         store = self
@@ -68,7 +68,7 @@
     def answer(self, handler, path, query):
         """Answer a call."""
         self.calls += 1
-        if self.loses:
+        if self.down == LOST:
             self.lost += 1
             self.closing.wait()
             handler.reset()
@@ -115,11 +115,11 @@
                     if revision > after and key.startswith(query["prefix"])
                 ]
                 left = until - time.monotonic()
-                if found or left <= 0 or self.down is not None:
+                if found or left <= 0 or self.down not in (None, LOST):
                     break
                 self.lock.wait(min(left, WATCH_SECONDS))
             revision = self.revision
-        if self.down is not None:
+        if self.down not in (None, LOST):
             handler.reset()
         elif after < self.oldest:
             handler.reply({"error": "history"}, 410)
