One function gives the pause after questions without an answer

Cause: policy.confirming had its own copy of the two figures and of the doubling in policy.watching. Change: retry_pause_seconds serves both; behaviour and the order of random numbers are as before. Ruled out: one shared pause for both, since each counts its own failures.

--- a/boragestream/policy/confirming.py
+++ b/boragestream/policy/confirming.py
@@ -26,7 +26,7 @@
 from collections.abc import Callable, Iterable
 
 from boragestream.base.clock import Clock
-from boragestream.policy.watching import MOST_AGE_SECONDS
+from boragestream.policy.watching import MOST_AGE_SECONDS, retry_pause_seconds
 
 __all__ = ["Confirming"]
 
@@ -40,9 +40,6 @@
 # first decision then goes by what it knows, and has it ask at once.
 USED_SECONDS = 30.0
 IDLE_FACTOR = 8.0
-# Without an answer the pause doubles up to the second figure, as for those who watch.
-RETRY_SECONDS = 0.3
-MOST_RETRY_SECONDS = 2.0
 # Who asks first is looked up this often: it takes a hash of each live entry's name.
 LOOK_SECONDS = 0.5
 # How often it is looked whether to ask: as soon as it may be time, but not all the time
@@ -105,10 +102,9 @@
         """Take that a question got no answer."""
         with self._lock:
             self._failures += 1
-            # The power is bounded as well, since an outage may last.
-            pause = RETRY_SECONDS * 2 ** min(self._failures - 1, 16)
-            pause = min(pause, MOST_RETRY_SECONDS) * (0.5 + self._rng.random())
-            self._not_before = self._clock.now() + pause
+            pause = retry_pause_seconds(self._failures)
+            spread = 0.5 + self._rng.random()
+            self._not_before = self._clock.now() + pause * spread
 
     def take_word(self, age_seconds: float) -> None:
         """Take a peer's word whose content is known here.
--- a/boragestream/policy/watching.py
+++ b/boragestream/policy/watching.py
@@ -31,6 +31,7 @@
     "direct_read_seconds",
     "is_first_watcher",
     "is_watcher",
+    "retry_pause_seconds",
     "watchers",
 ]
 
@@ -99,6 +100,12 @@
     return mean * (0.5 + rng.random())
 
 
+def retry_pause_seconds(failures: int) -> float:
+    """Return how long to wait after so many questions in a row without an answer."""
+    # The power is bounded as well, since an outage may last.
+    return min(MOST_RETRY_SECONDS, RETRY_SECONDS * 2 ** min(failures - 1, 16))
+
+
 def _weight(name: str) -> int:
     return xxhash.xxh64_intdigest(f"configuration {name}".encode())
 
@@ -330,9 +337,7 @@
         return self._entries() / PROBES_PER_SECOND
 
     def _pause(self) -> float:
-        # The power is bounded as well, since an outage may last.
-        pause = RETRY_SECONDS * 2 ** min(self._failures - 1, 16)
-        pause = min(pause, MOST_RETRY_SECONDS)
+        pause = retry_pause_seconds(self._failures)
         if not self._designated():
             pause = max(pause, self._spread())
         return pause * (0.5 + self._rng.random())
