--- a/boragestream/backend/failures.py
+++ b/boragestream/backend/failures.py
@@ -17,6 +17,7 @@
     "AttemptFailure",
     "ConnectFailed",
     "Ran",
+    "ServerCold",
     "ServerErred",
     "ServerLeft",
     "ServerRefused",
@@ -55,6 +56,11 @@
     """The server began to leave between its choice and the first byte."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerCold(AttemptFailure):
+    """The server has just started and may get no further request now."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServerRefused(AttemptFailure):
     """The server says that it did not run the call.
--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -34,6 +34,7 @@
     INSTANCES_UNREACHABLE = (2103, logging.WARNING)
     STORE_REGAINED = (2104, logging.INFO)
     WATCH_LOST = (2105, logging.WARNING)
+    DATA_CENTRES_DRAINED = (2106, logging.WARNING)
     PEER_FRAME_REFUSED = (2201, logging.WARNING)
     ENTRY_SUSPECTED = (2202, logging.WARNING)
     OWNER_SILENT = (2203, logging.WARNING)
--- a/boragestream/base/failures.py
+++ b/boragestream/base/failures.py
@@ -11,12 +11,14 @@
     "AccountLimitReached",
     "CallerGone",
     "CannotMeetDeadline",
+    "CentresDrained",
     "DeadlinePassed",
     "EntryBroken",
     "EntryLeaving",
     "NoConfiguration",
     "NoLiveServer",
     "QueueFull",
+    "ServersCold",
 ]
 
 
@@ -74,6 +76,26 @@
     service: str
 
 
+@dataclass(frozen=True, slots=True)
+class CentresDrained(Failure):
+    """Every server of the service that is left stands in a drained data centre.
+
+    :ivar service: the service's name.
+    """
+
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServersCold(Failure):
+    """The servers of the service have just started and get few requests yet.
+
+    :ivar service: the service's name.
+    """
+
+    service: str
+
+
 @dataclass(frozen=True, slots=True)
 class NoConfiguration(Failure):
     """No document is in force yet."""
--- a/boragestream/base/route_settings.py
+++ b/boragestream/base/route_settings.py
@@ -15,6 +15,7 @@
 from boragestream.base.outcomes import Failure
 
 __all__ = [
+    "ColdSettings",
     "ResourceSettings",
     "RouteSettings",
     "SettingsInvalid",
@@ -93,17 +94,35 @@
         be in force.
     :ivar leaving_ms: within how many milliseconds a server that is leaving gets no new
         work.
+    :ivar draining_ms: within how many milliseconds the servers of a drained data centre
+        get no new work; absent where data centres are never drained, which are then
+        not followed.
     """
 
     address: Address
     watch_seconds: Seconds = 28.0
     configuration_ms: Milliseconds = 2000
     leaving_ms: Milliseconds = 2000
+    draining_ms: Milliseconds | None = None
 
     @property
     def bound_seconds(self) -> float:
         """The seconds within which every change must be known."""
-        return min(self.configuration_ms, self.leaving_ms) / 1000
+        bounds = (self.configuration_ms, self.leaving_ms, self.draining_ms)
+        return min(bound for bound in bounds if bound is not None) / 1000
+
+
+@dataclass(frozen=True, slots=True)
+class ColdSettings:
+    """The bound on requests to a cold server, from all entries together.
+
+    In any second it is the service's published rate times ``factor``, plus ``slack``.
+
+    :ivar slack: requests.
+    """
+
+    factor: Share
+    slack: Share
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,7 +170,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteSettings:
-    """The whole settings file."""
+    """The whole settings file.
+
+    :ivar cold: absent where servers tolerate any number of requests.
+    :ivar regions: by data centre the region that it is part of; data centres that are
+        missing here are in no region.
+    """
 
     entry: EntryPlace
     listen: EntryAddresses
@@ -160,6 +184,8 @@
     retries: RetrySettings
     stop: RouteStopSettings
     resources: ResourceSettings = field(default_factory=ResourceSettings)
+    cold: ColdSettings | None = None
+    regions: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/caller/directory.py
+++ b/boragestream/caller/directory.py
@@ -29,6 +29,9 @@
     def directory_path(self) -> str:
         """The path under which callers ask for addresses."""
 
+    def caller_region(self, query: str) -> str:
+        """Return the region that a question names; empty for none."""
+
     def directory_body(self, addresses: Sequence[str], keep_seconds: float) -> object:
         """Return the answer to a caller, JSON data."""
 
@@ -38,7 +41,8 @@
     """Answers callers and the platform.
 
     :ivar ready: tells whether this entry serves requests.
-    :ivar addresses: returns the callers' addresses of the entries that serve.
+    :ivar addresses: returns the callers' addresses of the entries that serve, given the
+        caller's region; empty where it does not tell.
     :ivar keep_seconds: how long a caller may keep an answer.
     :ivar metrics: returns the metrics as text.
     :ivar metrics_path: where they are served; empty for nowhere.
@@ -46,7 +50,7 @@
 
     format: DirectoryFormat
     ready: Callable[[], bool]
-    addresses: Callable[[], Sequence[str]]
+    addresses: Callable[[str], Sequence[str]]
     keep_seconds: float
     rng: random.Random
     metrics: Callable[[], str] = str
@@ -61,13 +65,14 @@
             status = HTTPStatus.OK if self.ready() else HTTPStatus.SERVICE_UNAVAILABLE
             return json_reply(start_response, {"ready": self.ready()}, status)
         if path == self.format.directory_path:
-            return self._directory(start_response)
+            region = self.format.caller_region(environ.get("QUERY_STRING", ""))
+            return self._directory(region, start_response)
         if self.metrics_path and path == self.metrics_path:
             return _text(start_response, self.metrics())
         return json_reply(start_response, {}, HTTPStatus.NOT_FOUND)
 
-    def _directory(self, start_response: StartResponse) -> Iterable[bytes]:
-        known = list(self.addresses())
+    def _directory(self, region: str, start_response: StartResponse) -> Iterable[bytes]:
+        known = list(self.addresses(region))
         if not known:
             unavailable = HTTPStatus.SERVICE_UNAVAILABLE
             return json_reply(start_response, {}, unavailable)
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -165,6 +165,7 @@
             scope=scope,
             arrived=arrived,
             sent=SentRecord(),
+            account_regions=account.regions if account is not None else frozenset(),
         )
         return self._forward(start_response, run)
 
--- /dev/null
+++ b/boragestream/daemon/operator_values.py
@@ -0,0 +1,77 @@
+"""Takes what operators publish into the tables of an entry.
+
+The configuration is offered to the routes in force, drained data centres are withheld
+from the choice of servers. Data centres that no server stands in are named in the log
+and withheld as well: their servers may be about to come.
+"""
+
+import threading
+from collections.abc import Callable
+
+from boragestream.base.events import Event, emit
+from boragestream.platform.published import PublishedMalformed, read_drained_centre
+from boragestream.platform.store import CONFIGURATION_KEY
+from boragestream.policy.cold_servers import ColdServers
+from boragestream.policy.servers import ServerTable
+
+__all__ = ["OperatorValues"]
+
+
+class OperatorValues:
+    """The operators' values, decoded.
+
+    :param take_text: takes the text of a configuration.
+    :param changed: called after each change of the drained data centres.
+    :param age: returns how long ago what is published was confirmed, in seconds.
+    """
+
+    def __init__(
+        self,
+        take_text: Callable[[bytes], None],
+        servers: ServerTable,
+        cold: ColdServers,
+        changed: Callable[[], None],
+        age: Callable[[], float],
+    ) -> None:
+        self._take_text = take_text
+        self._servers = servers
+        self._cold = cold
+        self._changed = changed
+        self._age = age
+        self._text: bytes | None = None
+        self._keys: frozenset[str] = frozenset()
+        self._lock = threading.Lock()
+
+    def take(self, values: dict[str, bytes]) -> None:
+        """Take all values by key."""
+        with self._lock:
+            # First, since a configuration can take long to decode.
+            self._take_drained(frozenset(values.keys() - {CONFIGURATION_KEY}))
+            text = values.get(CONFIGURATION_KEY)
+            if text is not None and text != self._text:
+                self._text = text
+                self._take_text(text)
+
+    def _take_drained(self, keys: frozenset[str]) -> None:
+        if keys == self._keys:
+            return
+        self._keys = keys
+        read = {key: read_drained_centre(key) for key in sorted(keys)}
+        centres = frozenset(name for name in read.values() if isinstance(name, str))
+        before = self._servers.drained
+        listed = self._servers.all
+        # Before they are used again.
+        restored = before - centres
+        self._cold.assume_cold(s for s in listed if s.data_centre in restored)
+        self._servers.take_drained(centres)
+        known = {server.data_centre for server in listed}
+        emit(
+            Event.DATA_CENTRES_DRAINED,
+            drained=sorted(centres),
+            added=sorted(centres - before),
+            restored=sorted(restored),
+            without_servers=sorted(centres - known),
+            malformed=[k for k, v in read.items() if isinstance(v, PublishedMalformed)],
+            list_age_ms=int(self._age() * 1000),
+        )
+        self._changed()
--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -14,6 +14,7 @@
 from boragestream.base.events import Event, emit
 from boragestream.base.outcomes import Failure
 from boragestream.policy.confirming import Confirming
+from boragestream.policy.operator_table import OperatorTable
 from boragestream.policy.publication import (
     Changes,
     HistoryGone,
@@ -56,7 +57,7 @@
     store: PublishedStore
     prefix: str
     watch_seconds: float
-    table: PublishedTable
+    table: PublishedTable | OperatorTable
     following: StoreFollowing
     confirming: Confirming
     take: Callable[[dict[str, bytes]], None]
--- a/boragestream/daemon/publications.py
+++ b/boragestream/daemon/publications.py
@@ -1,4 +1,7 @@
-"""What an entry follows of the platform's store, built once: routes and servers.
+"""What an entry follows of the platform's store, built once.
+
+These are the servers, and what operators publish: the configuration and, where the
+settings name a bound for them, the drained data centres.
 
 Building starts nothing. Each publication is run as a task of its own by
 ``daemon.route_entry``; between entries they travel by ``entry.published_relay``.
@@ -17,9 +20,16 @@
 from boragestream.entry.links import PeerLinks
 from boragestream.entry.peers import EntryPeers
 from boragestream.entry.published_relay import PublishedRelay
-from boragestream.platform.store import CONFIGURATION_KEY, SERVERS_PREFIX, Store
+from boragestream.platform.store import (
+    CONFIGURATION_KEY,
+    DRAINED_PREFIX,
+    OPERATOR_PREFIX,
+    SERVERS_PREFIX,
+    Store,
+)
 from boragestream.policy.confirming import Confirming
 from boragestream.policy.first_knowledge import FirstKnowledge
+from boragestream.policy.operator_table import OperatorTable
 from boragestream.policy.publication import PublishedTable
 from boragestream.policy.route_table import RoutesInForce
 from boragestream.policy.watching import (
@@ -28,9 +38,10 @@
     is_watcher,
 )
 
-__all__ = ["PREFIXES", "Publications", "make_publications"]
+__all__ = ["AWAITED", "Publications", "make_publications"]
 
-PREFIXES = (CONFIGURATION_KEY, SERVERS_PREFIX)
+# What must be known before requests can be served.
+AWAITED = (CONFIGURATION_KEY, SERVERS_PREFIX)
 # Changes of servers that are kept for entries that are behind: some minutes of a
 # rolling release of thousands of servers, half a megabyte.
 KEPT_CHANGES = 2048
@@ -45,13 +56,14 @@
 
     :ivar following: when this entry asks the store itself.
     :ivar confirming: when it makes sure of what it knows.
+    :ivar operators: follows what operators publish.
     :ivar relay: the part of the exchange that carries what is published.
     :ivar stopping: set once the entry ends.
     """
 
     following: StoreFollowing
     confirming: Confirming
-    configuration: Publication
+    operators: Publication
     servers: Publication
     relay: PublishedRelay
     stopping: threading.Event
@@ -60,7 +72,7 @@
         """Make sure of what is known until the entry ends."""
         while not self.stopping.wait(self.confirming.pause_seconds()):
             # One question tells whether the store is there.
-            if self.configuration.confirm():
+            if self.operators.confirm():
                 self.servers.confirm()
             else:
                 # What lapses meanwhile comes back; without this every server was gone
@@ -75,7 +87,7 @@
     members: EntryPeers,
     links: PeerLinks,
     routes: RoutesInForce,
-    take_configuration: Callable[[dict[str, bytes]], None],
+    take_operators: Callable[[dict[str, bytes]], None],
     take_servers: Callable[[dict[str, bytes]], None],
     first: FirstKnowledge,
     stopping: threading.Event,
@@ -87,6 +99,7 @@
     :param own: this entry's name among the entries.
     :param stopping: set once the entry ends.
     """
+    prefix = CONFIGURATION_KEY if settings.draining_ms is None else OPERATOR_PREFIX
 
     def designated() -> bool:
         return is_watcher(own, data_centre, members.entries.usable())
@@ -94,7 +107,7 @@
     following = StoreFollowing(
         clock,
         rng,
-        {CONFIGURATION_KEY: False, SERVERS_PREFIX: True},
+        {prefix: False, SERVERS_PREFIX: True},
         settings.bound_seconds,
         designated,
         lambda: len(members.entries.usable()) + 1,
@@ -103,7 +116,8 @@
     def first_watcher() -> bool:
         return is_first_watcher(own, members.entries.usable())
 
-    confirming = Confirming(clock, rng, PREFIXES, settings.bound_seconds, first_watcher)
+    prefixes = (prefix, SERVERS_PREFIX)
+    confirming = Confirming(clock, rng, prefixes, settings.bound_seconds, first_watcher)
     follow = partial(
         Publication,
         store=Store(settings.address),
@@ -115,10 +129,10 @@
         clock=clock,
         failed=first.note_unreachable,
     )
-    configuration = follow(
-        prefix=CONFIGURATION_KEY,
-        table=PublishedTable(clock.now),
-        take=take_configuration,
+    operators = follow(
+        prefix=prefix,
+        table=OperatorTable(clock.now, DRAINED_PREFIX),
+        take=take_operators,
         unreachable=Event.CONFIGURATION_UNREACHABLE,
         known=partial(first.note_known, CONFIGURATION_KEY),
     )
@@ -134,12 +148,13 @@
         following,
         confirming,
         servers.table,
-        configuration.table,
+        operators.table,
         lambda: routes.current,
         servers.take_relayed,
+        operators.take_relayed,
         links,
         members.address,
         members.exchange.submit,
         clock,
     )
-    return Publications(following, confirming, configuration, servers, relay, stopping)
+    return Publications(following, confirming, operators, servers, relay, stopping)
--- a/boragestream/daemon/published_servers.py
+++ b/boragestream/daemon/published_servers.py
@@ -5,12 +5,14 @@
 """
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 
 from boragestream.base.events import Event, emit
 from boragestream.daemon.tasks import to_leaving
 from boragestream.entry.peers import EntryPeers
 from boragestream.platform.published import PublishedMalformed, read_server
+from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.load import LoadTable
 from boragestream.policy.server_lives import ServerLives
 from boragestream.policy.servers import Server, ServerState, ServerTable
@@ -28,6 +30,9 @@
     """The published servers, decoded.
 
     :param lives: tells the latest life of each.
+    :param cold: told of each entry that is new, since a server says there that it is
+        cold.
+    :param regions: by data centre the region that it is part of.
     :param changed: called after each change of the list.
     """
 
@@ -37,16 +42,22 @@
         members: EntryPeers,
         servers: ServerTable,
         loads: LoadTable,
+        cold: ColdServers,
+        regions: Mapping[str, str],
         changed: Callable[[], None],
     ) -> None:
         self._lives = lives
         self._members = members
         self._servers = servers
         self._loads = loads
+        self._cold = cold
+        self._regions = regions
         self._changed = changed
         self._values: dict[str, bytes] = {}
         self._decoded: dict[str, tuple[bytes, Server | PublishedMalformed]] = {}
         self._malformed: dict[str, bytes] = {}
+        # Those that said so in the list that is being taken.
+        self._told_cold: list[str] = []
         self._lock = threading.Lock()
 
     @property
@@ -70,6 +81,7 @@
     def _take(self) -> None:
         before = {server.identity: server.name for server in self._servers.all}
         left_before = _leaving(self._servers.all)
+        self._told_cold = []
         listed = self._lives.take_list(self._decode())
         self._members.take_servers(tuple(to_leaving(server) for server in listed))
         self._servers.take_list(listed)
@@ -83,6 +95,7 @@
             added=added,
             removed=removed,
             leaving=sorted(_leaving(listed) - left_before),
+            cold=sorted(self._told_cold),
         )
         self._changed()
 
@@ -91,11 +104,21 @@
         for key, value in self._values.items():
             known = self._decoded.get(key)
             same = known is not None and known[0] == value
-            decoded[key] = known if same else (value, read_server(key, value))
+            decoded[key] = known if same else (value, self._read(key, value))
         self._decoded = decoded
         self._note_malformed()
         return [s for _, s in decoded.values() if isinstance(s, Server)]
 
+    def _read(self, key: str, value: bytes) -> Server | PublishedMalformed:
+        server = read_server(key, value)
+        if isinstance(server, PublishedMalformed):
+            return server
+        server = replace(server, region=self._regions.get(server.data_centre, ""))
+        if server.cold_seconds > 0:
+            self._cold.take(server)
+            self._told_cold.append(server.name)
+        return server
+
     def _note_malformed(self) -> None:
         malformed = {
             key: (value, read)
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -107,7 +107,7 @@
         """Serve until ``stop`` is called, then finish what is in hand."""
         parts, start = self._parts, self._tasks.start
         start(parts.watchdog.run)
-        start(parts.publications.configuration.run)
+        start(parts.publications.operators.run)
         start(parts.publications.servers.run)
         start(parts.publications.confirm)
         start(parts.members.exchange.run)
@@ -144,11 +144,15 @@
         known = parts.routes.current is not None and bool(parts.servers.all)
         return known and not self._stop.begun.is_set()
 
-    def _addresses(self) -> list[str]:
+    def _addresses(self, region: str) -> list[str]:
         if self._parts.routes.current is None:
             return []
         entries = self._parts.serving_entries()
-        return [entry.host for entry in entries]
+        regions = self._settings.regions
+        near = [e for e in entries if region and regions.get(e.data_centre) == region]
+        # A caller's request may not leave its region where its route says so. An entry
+        # far away refuses truthfully, none at all leaves the caller without an answer.
+        return [entry.host for entry in near or entries]
 
     def _finish(self) -> ExitCode:
         emit(Event.ENTRY_LEAVING, in_hand=busy_connections(self._server))
@@ -213,6 +217,9 @@
         parts, gauge = self._parts, self._parts.metrics.gauge
         gauge("in_hand", "Requests in hand.", lambda: self._in_hand.count)
         gauge("servers", "Servers listed.", lambda: len(parts.servers.all))
+        gauge("cold_servers", "Servers that started lately.", lambda: parts.cold.count)
+        drained = "Data centres that get no requests."
+        gauge("drained_centres", drained, lambda: len(parts.servers.drained))
         malformed = partial(getattr, parts.published_servers, "malformed")
         gauge("malformed_servers", "Entries that name no server to use.", malformed)
         gauge("entries", "Entries that serve.", lambda: len(parts.serving_entries()))
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -8,7 +8,6 @@
 import threading
 from collections.abc import Sequence
 from dataclasses import dataclass
-from functools import partial
 
 from boragestream.backend.cancellation import Watchdog
 from boragestream.backend.connections import ConnectionKeeper
@@ -18,8 +17,9 @@
 from boragestream.base.identifiers import new_incarnation
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.base.route_settings import RouteSettings
+from boragestream.daemon.operator_values import OperatorValues
 from boragestream.daemon.publications import (
-    PREFIXES,
+    AWAITED,
     Publications,
     make_publications,
 )
@@ -49,15 +49,15 @@
     read_stage_report,
 )
 from boragestream.platform.published import PublishedMalformed, read_route_document
-from boragestream.platform.store import CONFIGURATION_KEY
 from boragestream.platform.wire import encode_call, read_answer_head
+from boragestream.policy.cold_servers import ColdBound, ColdServers, senders
 from boragestream.policy.connection_shares import idle_connections
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.first_knowledge import FirstKnowledge
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.load import LoadTable
 from boragestream.policy.peers import ListedEntry
-from boragestream.policy.queue_owners import able_entries
+from boragestream.policy.queue_owners import able_entries, owner_order
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.route_table import RoutesInForce
 from boragestream.policy.server_choice import ServerChoice
@@ -98,6 +98,7 @@
     :ivar book: the addresses of the other entries.
     :ivar address_sync: finds where the books of other entries differ.
     :ivar members: how the other entries are.
+    :ivar cold: which servers have just started.
     :ivar published_servers: takes the published entries of servers.
     :ivar publications: what is followed of the platform's store.
     :ivar ended: set once the entry has ended.
@@ -113,6 +114,7 @@
     routes: RoutesInForce
     servers: ServerTable
     loads: LoadTable
+    cold: ColdServers
     published_servers: PublishedServers
     watchdog: Watchdog
     metrics: RouteMetrics
@@ -215,12 +217,28 @@
         known = published(service)
         return known.pieces if known is not None else None
 
+    def cold_bound(service: str) -> ColdBound | None:
+        known, cold = published(service), in_force.current.cold
+        if known is None or cold is None or known.cold_rate <= 0:
+            return None
+        most = known.cold_rate * cold.factor + cold.slack
+        return ColdBound(known.cold_rate, most, known.cold_seconds)
+
+    def cold_senders(server: Server) -> list[str]:
+        if limits(server.service) is not None:
+            # Only the owner of a stage's queue calls its servers.
+            return owner_order(server.service, live())
+        heard = {entry.name for entry in members.entries.usable() if entry.host}
+        return senders(server, heard | {own})
+
+    cold = ColdServers(own, cold_bound, cold_senders, lambda: sync.agreed, clock)
+
     # Orders come once the entry listens, when all parts stand.
     def used() -> None:
         publications.confirming.note_use()
 
     metrics = RouteMetrics()
-    first = FirstKnowledge(clock, PREFIXES)
+    first = FirstKnowledge(clock, AWAITED)
     ended = threading.Event()
     owners = OwnerLinks(own, live, links, clock)
     orders = PieceOrders(owners, clock)
@@ -228,6 +246,7 @@
         line=line,
         format=_PieceCalls(),
         servers=servers,
+        cold=cold,
         loads=loads,
         retries=retries,
         watchdog=watchdog,
@@ -241,7 +260,20 @@
     bookings = PieceBookings(owners, batches, clock)
     engine_delays = EngineDelays()
     published_servers = PublishedServers(
-        ServerLives(clock), members, servers, loads, batches.look_again
+        ServerLives(clock),
+        members,
+        servers,
+        loads,
+        cold,
+        settings.regions,
+        batches.look_again,
+    )
+    operator_values = OperatorValues(
+        lambda text: _take_text(routes, text, "platform"),
+        servers,
+        cold,
+        batches.look_again,
+        lambda: publications.confirming.age(),
     )
     publications = make_publications(
         settings.store,
@@ -250,7 +282,7 @@
         members,
         links,
         routes,
-        partial(_take_configuration, routes),
+        operator_values.take,
         published_servers.take,
         first,
         ended,
@@ -263,6 +295,7 @@
             line=line,
             encode=encode_call,
             servers=servers,
+            cold=cold,
             loads=loads,
             choice=ServerChoice(loads, clock, centre),
             retries=retries,
@@ -289,6 +322,7 @@
         routes=routes,
         servers=servers,
         loads=loads,
+        cold=cold,
         published_servers=published_servers,
         watchdog=watchdog,
         metrics=metrics,
@@ -307,12 +341,6 @@
     )
 
 
-def _take_configuration(routes: RoutesInForce, values: dict[str, bytes]) -> None:
-    text = values.get(CONFIGURATION_KEY)
-    if text is not None:
-        _take_text(routes, text, "platform")
-
-
 def _take_text(routes: RoutesInForce, text: bytes, source: str) -> bool:
     document = read_route_document(text)
     if isinstance(document, PublishedMalformed):
--- a/boragestream/document/calls.py
+++ b/boragestream/document/calls.py
@@ -174,6 +174,7 @@
     INPUT_GONE = "a result that it needs is gone"
     NO_ROOM = "there is no room for the result"
     ERROR = "the server failed"
+    NO_SERVER = "no server is left that could make it"
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/document/routes.py
+++ b/boragestream/document/routes.py
@@ -66,6 +66,7 @@
     :ivar attempts: the most servers to which one request is sent.
     :ivar public: whether it is served without a key.
     :ivar resumable: whether a stream may go on at another server.
+    :ivar regions: where alone it may be served; empty for anywhere.
     """
 
     name: str
@@ -80,6 +81,7 @@
     public: bool = False
     resumable: bool = False
     stages: tuple[RouteStage, ...] = ()
+    regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -126,12 +128,17 @@
     :ivar max_connections: connections that one server accepts from all entries.
     :ivar pieces: set for services that run stages.
     :ivar engine: set for model engines.
+    :ivar cold_rate: requests a second that a server tolerates while it is cold; 0 where
+        that is not bounded.
+    :ivar cold_seconds: how long a server is cold after its start.
     """
 
     name: str
     max_connections: int
     pieces: PieceLimits | None = None
     engine: EngineLimits | None = None
+    cold_rate: float = 0.0
+    cold_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,11 +147,13 @@
 
     :ivar key_digests: SHA-256 of each key in force, in hexadecimal.
     :ivar priority: goes before the route's; None where the account has none.
+    :ivar regions: where alone its requests may be served; empty for anywhere.
     """
 
     name: str
     key_digests: frozenset[str] = field(repr=False)
     priority: int | None = None
+    regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/entry/address_sync.py
+++ b/boragestream/entry/address_sync.py
@@ -69,6 +69,11 @@
         self._not_before = clock.now()
         self._lock = threading.Lock()
 
+    @property
+    def agreed(self) -> bool:
+        """Whether the last few entries that were asked know the same ones."""
+        return self._agreed >= ENOUGH or not self._book.others()
+
     def offer(self, budget: int) -> bytes:
         """Return the digest of the known names."""
         return _encoder.encode(self._book.digest)
--- a/boragestream/entry/addresses.py
+++ b/boragestream/entry/addresses.py
@@ -19,9 +19,10 @@
 __all__ = ["AddressBook"]
 
 RECORDS_IN_OFFER = 12
-# What is told of the published versions goes with every message; the addresses, which
-# fill all the room that they are given, leave this much for it.
-OTHERS_BYTES = 90
+# What is told of the published versions and of two drained data centres goes with every
+# message; the addresses, which fill all the room that they are given, leave this much
+# for it.
+OTHERS_BYTES = 150
 MAX_RECORDS = 4096
 
 
--- a/boragestream/entry/piece_messages.py
+++ b/boragestream/entry/piece_messages.py
@@ -25,6 +25,7 @@
     :ivar start_ms: until the latest start that meets the objective.
     :ivar left_ms: until nobody waits any more.
     :ivar near: the data centre where much that it reads lies; empty for none.
+    :ivar regions: where alone the pieces may be made; empty for anywhere.
     """
 
     order_id: str
@@ -40,6 +41,7 @@
     start_ms: int
     left_ms: int
     near: str = ""
+    regions: tuple[str, ...] = ()
 
 
 class PiecesBook(msgspec.Struct, frozen=True, tag=True):
@@ -49,6 +51,7 @@
     :ivar key: the request's piece key.
     :ivar start_ms: until its latest start.
     :ivar left_ms: until nobody waits any more.
+    :ivar regions: where alone the pieces may be made; empty for anywhere.
     """
 
     order_id: str
@@ -59,6 +62,7 @@
     priority: int
     start_ms: int
     left_ms: int
+    regions: tuple[str, ...] = ()
 
 
 class PiecesAnswer(msgspec.Struct, frozen=True, tag=True):
--- a/boragestream/entry/published_relay.py
+++ b/boragestream/entry/published_relay.py
@@ -21,6 +21,7 @@
 from boragestream.entry.open_questions import OpenQuestions
 from boragestream.entry.relay import RelayedVersion
 from boragestream.policy.confirming import Confirming
+from boragestream.policy.operator_table import OperatorTable
 from boragestream.policy.publication import Change, PublishedTable, Relayed
 from boragestream.policy.watching import StoreFollowing
 
@@ -41,6 +42,9 @@
     :ivar version: of the configuration in force.
     :ivar confirmed_ms: how long ago all of it was confirmed; an earlier release does
         not tell.
+    :ivar drained_revision: up to which ``drained`` is known; 0 where an earlier release
+        does not tell.
+    :ivar drained: the keys of the drained data centres, all of them.
     """
 
     age_ms: int
@@ -49,6 +53,8 @@
     configuration_revision: int
     version: int
     confirmed_ms: int = MOST_AGE_MS
+    drained_revision: int = 0
+    drained: tuple[str, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -61,9 +67,10 @@
     :param following: how old what is known here can be.
     :param confirming: how long ago that was confirmed.
     :param servers: the published servers.
-    :param configuration: the published configuration.
+    :param operators: what operators publish.
     :param in_force: returns the configuration in force; None while there is none.
     :param take_servers: takes what a peer told of the servers.
+    :param take_drained: takes what a peer told of the drained data centres.
     :param links: carries the questions.
     :param address: returns a peer's address by its name.
     :param submit: has a question asked beside the rounds.
@@ -76,9 +83,10 @@
         following: StoreFollowing,
         confirming: Confirming,
         servers: PublishedTable,
-        configuration: PublishedTable,
+        operators: OperatorTable,
         in_force: Callable[[], RelayedVersion | None],
         take_servers: Callable[[Relayed], None],
+        take_drained: Callable[[Relayed], None],
         links: PeerLinks,
         address: Callable[[str], str | None],
         submit: Callable[[Callable[[], None]], None],
@@ -87,9 +95,10 @@
         self._following = following
         self._confirming = confirming
         self._servers = servers
-        self._configuration = configuration
+        self._operators = operators
         self._in_force = in_force
         self._take_servers = take_servers
+        self._take_drained = take_drained
         self._links = links
         self._address = address
         self._submit = submit
@@ -103,13 +112,16 @@
         in_force, revision = self._in_force(), self._servers.revision
         if in_force is None or revision is None:
             return b""
+        drained_revision, drained = self._operators.drained()
         word = PublishedWord(
             _milliseconds(age),
             _milliseconds(self._following.trouble_seconds()),
             revision,
-            self._configuration.revision or 0,
+            self._operators.configuration_revision or 0,
             in_force.version,
             _milliseconds(confirmed),
+            drained_revision or 0,
+            drained,
         )
         return _encoder.encode(word)
 
@@ -121,6 +133,9 @@
             emit(Event.PEER_FRAME_REFUSED, peer=sender, reason=repr(error))
             return
         came = self._clock.now()
+        if word.drained_revision:
+            # At once, whatever else the sender knows more.
+            self._take_drained(_drained(word))
         known = self._servers.revision
         if known is not None and word.revision <= known:
             self._adopt(word, came)
@@ -162,8 +177,11 @@
             return
         if in_force.version < word.version or word.age_ms >= MOST_AGE_MS:
             return
+        if word.drained_revision < word.configuration_revision:
+            # An earlier release, whose age says nothing of drained data centres.
+            return
         if in_force.version == word.version:
-            self._configuration.take_revision(word.configuration_revision)
+            self._operators.take_revision(word.configuration_revision)
         waited = self._clock.now() - came
         trouble = math.inf
         if word.trouble_ms < MOST_AGE_MS:
@@ -177,6 +195,12 @@
     return math.ceil(min(MOST_AGE_MS, seconds * 1000))
 
 
+def _drained(word: PublishedWord) -> Relayed:
+    revision = word.drained_revision
+    changes = tuple(Change(key, revision, b"") for key in word.drained)
+    return Relayed(None, revision, changes, {})
+
+
 def _relayed(reply: PublishedReply) -> Relayed:
     changes = tuple(Change(*change) for change in reply.changes)
     lapsed = {key: left / 1000 for key, left in reply.lapsed.items()}
--- a/boragestream/operator/explain.py
+++ b/boragestream/operator/explain.py
@@ -24,6 +24,7 @@
 BELIEFS = (
     "configuration_in_force",
     "instances_changed",
+    "data_centres_drained",
     "instances_unreachable",
     "configuration_unreachable",
     "store_regained",
@@ -34,6 +35,8 @@
     "entry_leaving",
     "settings_reloaded",
 )
+# The last of each is in force until the next.
+IN_FORCE = ("configuration_in_force", "instances_changed", "data_centres_drained")
 # How long before a request's first line a change still counts as close to it.
 CLOSE_SECONDS = 3.0
 KEPT_BELIEFS = 50
@@ -140,7 +143,7 @@
     for index, line in enumerate(lines[: last + 1]):
         if line.name not in BELIEFS:
             continue
-        if line.name in ("configuration_in_force", "instances_changed"):
+        if line.name in IN_FORCE:
             if index < first:
                 latest[line.name] = line
                 continue
--- a/boragestream/operator/route_status.py
+++ b/boragestream/operator/route_status.py
@@ -32,6 +32,8 @@
     :ivar servers: backend servers that it lists.
     :ivar entries: entries that it believes to serve, itself included.
     :ivar list_age: seconds since the platform confirmed its list of servers.
+    :ivar cold_servers: servers that it takes for cold.
+    :ivar drained_centres: data centres whose servers it sends nothing.
     """
 
     address: str
@@ -40,6 +42,8 @@
     servers: int
     entries: int
     list_age: float
+    cold_servers: int = 0
+    drained_centres: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +124,8 @@
         servers=int(gauges.get("servers", 0)),
         entries=int(gauges.get("entries", 0)),
         list_age=round(gauges.get("server_list_age", 0.0), 1),
+        cold_servers=int(gauges.get("cold_servers", 0)),
+        drained_centres=int(gauges.get("drained_centres", 0)),
     )
 
 
@@ -136,9 +142,27 @@
     if versions:
         print(f"version {min(versions)} to {max(versions)}")
     print_table(
-        ("entry", "version", "in hand", "servers", "entries", "list age s"),
+        (
+            "entry",
+            "version",
+            "in hand",
+            "servers",
+            "cold",
+            "drained centres",
+            "entries",
+            "list age s",
+        ),
         [
-            (e.address, e.version, e.in_hand, e.servers, e.entries, e.list_age)
+            (
+                e.address,
+                e.version,
+                e.in_hand,
+                e.servers,
+                e.cold_servers,
+                e.drained_centres,
+                e.entries,
+                e.list_age,
+            )
             for e in status.entries
         ],
     )
--- a/boragestream/platform/published.py
+++ b/boragestream/platform/published.py
@@ -20,10 +20,15 @@
     RouteTarget,
     key_digest,
 )
-from boragestream.platform.store import SERVERS_PREFIX
+from boragestream.platform.store import DRAINED_PREFIX, SERVERS_PREFIX
 from boragestream.policy.servers import Server, ServerState
 
-__all__ = ["PublishedMalformed", "read_route_document", "read_server"]
+__all__ = [
+    "PublishedMalformed",
+    "read_drained_centre",
+    "read_route_document",
+    "read_server",
+]
 
 KINDS = {
     "safe": CallKind.IDEMPOTENT,
@@ -77,6 +82,7 @@
     stages: tuple[_Stage, ...] = ()
     public: bool = False
     resumable: bool = False
+    home_regions: tuple[str, ...] = ()
 
 
 class _Pieces(msgspec.Struct, frozen=True):
@@ -97,6 +103,10 @@
 class _Service(msgspec.Struct, frozen=True):
     name: str
     max_conns: int = 64
+    # How long a server is cold after its start, and the requests a second that it
+    # tolerates meanwhile; 0 for any number.
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
     pieces: _Pieces | None = None
     engine: _Engine | None = None
 
@@ -105,6 +115,7 @@
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
+    home_regions: tuple[str, ...] = ()
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -134,6 +145,7 @@
     # How many requests it works on at once.
     slots: int
     state: str
+    # How much longer it is cold, when it wrote this.
     cold_left_ms: float
     # The number of orders that it has accepted.
     seq: int
@@ -187,9 +199,21 @@
         incarnation=str(entry.born) if told else name,
         state=state,
         started_ms=entry.born if told else 0,
+        cold_seconds=max(0.0, entry.cold_left_ms / 1000),
     )
 
 
+def read_drained_centre(key: str) -> str | PublishedMalformed:
+    """Decode the key of an order to drain a data centre.
+
+    The key alone is the order: one whose value can't be read is obeyed as well.
+    """
+    name = key.removeprefix(DRAINED_PREFIX)
+    if name == key or not NAME.fullmatch(name):
+        return PublishedMalformed("no data centre's key")
+    return name
+
+
 def _is_address(text: str) -> bool:
     """Tell whether a text is an IPv4 address that can be called, with a port."""
     address, _, port = text.rpartition(":")
@@ -218,6 +242,7 @@
         public=route.public,
         resumable=route.resumable,
         stages=stages,
+        regions=frozenset(route.home_regions),
     )
 
 
@@ -230,6 +255,8 @@
         engine=None
         if engine is None
         else EngineLimits(engine.slots, engine.kv_cap_tokens),
+        cold_rate=max(0.0, service.cold_per_s),
+        cold_seconds=max(0.0, service.cold_s),
     )
 
 
@@ -246,7 +273,8 @@
 
 def _account(tenant: _Tenant) -> RouteAccount:
     digests = frozenset(key_digest(key) for key in tenant.api_keys)
-    return RouteAccount(tenant.name, digests, tenant.priority)
+    regions = frozenset(tenant.home_regions)
+    return RouteAccount(tenant.name, digests, tenant.priority, regions)
 
 
 def _limits(limits: _Limits) -> CallerLimits:
--- a/boragestream/platform/store.py
+++ b/boragestream/platform/store.py
@@ -13,9 +13,19 @@
 from boragestream.platform.reader import PlatformUnreachable, get_value
 from boragestream.policy.publication import Change, Changes, HistoryGone, Snapshot
 
-__all__ = ["CONFIGURATION_KEY", "SERVERS_PREFIX", "Store"]
-
+__all__ = [
+    "CONFIGURATION_KEY",
+    "DRAINED_PREFIX",
+    "OPERATOR_PREFIX",
+    "SERVERS_PREFIX",
+    "Store",
+]
+
+# What the operator publishes: the configuration, and a key for each data centre that is
+# drained while the key stands.
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
+DRAINED_PREFIX = "op/evacuate/"
 SERVERS_PREFIX = "servers/"
 RANGE_CALL = "/boragestream/kv-range"
 WATCH_CALL = "/boragestream/kv-watch"
--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -66,6 +66,7 @@
     :ivar priority: 0 is the most urgent.
     :ivar invested: whether results of earlier stages would be lost with it.
     :ivar near: the data centre where much that it reads lies; empty for none.
+    :ivar regions: where alone its pieces may be made; empty for anywhere.
     """
 
     order_id: str
@@ -75,6 +76,7 @@
     priority: int
     invested: bool
     near: str = ""
+    regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +85,7 @@
 
     :ivar order_id: of the order to come.
     :ivar key: the request's piece key, the same in each try of its caller.
+    :ivar regions: where alone its pieces may be made; empty for anywhere.
     """
 
     order_id: str
@@ -91,6 +94,7 @@
     key: str
     count: int
     priority: int
+    regions: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
@@ -127,6 +131,7 @@
     free_bytes: float
     data_centre: str = ""
     free_at: Mapping[str, float] = field(default_factory=dict)
+    region: str = ""
 
 
 def place_of(start_by: float, priority: int, now: float) -> tuple[bool, float]:
@@ -148,7 +153,7 @@
     for queued in sorted(queue, key=lambda q: q.place(now)):
         if places <= 0:
             break
-        if _waits_for_near(queued, room):
+        if _is_barred(queued, room) or _waits_for_near(queued, room):
             continue
         size = queued.order.result_bytes
         fitting = min(places, int(free // size) if size > 0 else places)
@@ -186,6 +191,9 @@
     :param wait: the expected wait in seconds.
     :param left: the seconds until its latest start.
     """
+    if math.isinf(wait):
+        # There is no server: waiting for one only delays the refusal.
+        return False
     if order.invested or wait <= 0:
         return True
     if left < 0:
@@ -222,6 +230,12 @@
     return shares[min(priority, len(shares) - 1)]
 
 
+def _is_barred(queued: QueuedOrder, room: ServerRoom) -> bool:
+    """Tell whether an order may not be made in a server's region."""
+    regions = queued.order.regions
+    return bool(regions) and room.region not in regions
+
+
 def _waits_for_near(queued: QueuedOrder, room: ServerRoom) -> bool:
     """Tell whether an order should wait for a server beside its inputs.
 
--- a/boragestream/policy/servers.py
+++ b/boragestream/policy/servers.py
@@ -1,8 +1,9 @@
 """The backend servers that an entry knows, and which may take new work.
 
 Sources are the instance list and the servers' own words. Leaving is sticky within
-one incarnation: a list that still says "live" does not undo it. Choosing among the
-servers is left to ``policy.routing``.
+one incarnation: a list that still says "live" does not undo it. A drained data centre
+is passed over until the order is taken back. Choosing among the servers is left to
+``policy.routing`` and ``policy.server_choice``.
 """
 
 import threading
@@ -34,6 +35,7 @@
     :ivar region: empty where it is not known.
     :ivar started_ms: when this life began, in Unix milliseconds by the server's own
         clock; 0 where it is not told.
+    :ivar cold_seconds: for how much longer it was cold when it was listed.
     """
 
     name: str
@@ -44,6 +46,7 @@
     state: ServerState = ServerState.LIVE
     region: str = ""
     started_ms: int = 0
+    cold_seconds: float = 0.0
 
     @property
     def identity(self) -> tuple[str, str, str]:
@@ -66,8 +69,14 @@
         self._listed: tuple[Server, ...] = ()
         self._identities: set[tuple[str, str, str]] = set()
         self._usable: dict[tuple[str, str, str], str] = {}
+        self._drained: frozenset[str] = frozenset()
         self._lock = threading.Lock()
 
+    @property
+    def drained(self) -> frozenset[str]:
+        """The data centres whose servers get no work."""
+        return self._drained
+
     @property
     def all(self) -> tuple[Server, ...]:
         """Every listed server, whatever its state."""
@@ -81,6 +90,14 @@
         """Tell whether a server that was chosen a while ago may still take new work."""
         return server.identity in self._usable
 
+    def awaits_centre(self, service: str) -> bool:
+        """Tell whether servers of a service stand in a drained data centre."""
+        drained = self._drained
+        return any(
+            server.service == service and server.data_centre in drained
+            for server in self._listed
+        )
+
     def when_unused(self, unused: Callable[[str], None]) -> None:
         """Have a function called with the host of each server that is used no more."""
         self._unused = unused
@@ -97,6 +114,13 @@
             dropped = self._rebuild()
         self._drop(dropped)
 
+    def take_drained(self, data_centres: frozenset[str]) -> None:
+        """Take which data centres are drained: all of them, not what has changed."""
+        with self._lock:
+            self._drained = data_centres
+            dropped = self._rebuild()
+        self._drop(dropped)
+
     def note_leaving(self, server: Server) -> None:
         """Take a server's own word that it is leaving."""
         self.take_word(server.identity)
@@ -133,7 +157,12 @@
 
     def _rebuild(self) -> set[str]:
         """Work out which servers may take new work; return hosts that no longer do."""
-        usable = [s for s in self._listed if s.identity not in self._leaving]
+        usable = [
+            server
+            for server in self._listed
+            if server.identity not in self._leaving
+            and server.data_centre not in self._drained
+        ]
         by_service: dict[str, list[Server]] = {}
         for server in usable:
             by_service.setdefault(server.service, []).append(server)
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -128,7 +128,8 @@
         queued.start_by -= self._callers.waited(
             first.key, first.request_id, queued.expires, now
         )
-        wait = self._wait(queued.place(now), limits, usable, now)
+        fit = _in_regions(usable, order.regions)
+        wait = self._wait(queued.place(now), limits, fit, now)
         if not is_admitted(queued.order, wait, queued.start_by - now):
             return wait
         self._orders[order.order_id] = queued
@@ -152,7 +153,8 @@
             return None
         start_by -= self._callers.waited(booking.key, booking.request_id, expires, now)
         place = place_of(start_by, booking.priority, now)
-        wait = self._wait(place, limits, usable, now)
+        fit = _in_regions(usable, booking.regions)
+        wait = self._wait(place, limits, fit, now)
         if not is_bookable(booking, wait, start_by - now):
             return wait
         until = max(start_by, now) + BOOKING_SECONDS
@@ -183,6 +185,13 @@
             del self._orders[queued.order.order_id]
         return late
 
+    def drop_unserved(self) -> list[QueuedOrder]:
+        """Drop and return the orders with pieces that no server is left to make."""
+        unserved = [queued for queued in self._orders.values() if queued.left]
+        for queued in unserved:
+            del self._orders[queued.order.order_id]
+        return unserved
+
     def next_batches(
         self, limits: PieceLimits, usable: Sequence[Server], now: float
     ) -> list[Batch]:
@@ -303,7 +312,7 @@
         if busy or not waiting:
             return None
         free_bytes = limits.memory_mb * MEGABYTE - state.used_bytes(now)
-        room = ServerRoom(free_bytes, server.data_centre, free_at)
+        room = ServerRoom(free_bytes, server.data_centre, free_at, server.region)
         chosen = choose_batch(waiting, limits, room, now)
         if not chosen:
             return None
@@ -319,3 +328,7 @@
 
     def _state(self, server: Server) -> _ServerState:
         return self._servers.setdefault(server.identity, _ServerState())
+
+
+def _in_regions(servers: Sequence[Server], regions: frozenset[str]) -> Sequence[Server]:
+    return [s for s in servers if s.region in regions] if regions else servers
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -13,6 +13,7 @@
     AttemptFailure,
     ConnectFailed,
     Ran,
+    ServerCold,
     ServerLeft,
 )
 from boragestream.backend.forwarded_call import (
@@ -24,6 +25,7 @@
 from boragestream.base.clock import Clock
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.document.calls import AnswerHead, CallHead, ForwardedRequest
+from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.load import CallEnd, LoadTable
 from boragestream.policy.retry_window import RetryWindows
@@ -49,6 +51,7 @@
 class ForwardParts:
     """What forwarding needs of the entry.
 
+    :ivar cold: which servers have just started.
     :ivar engine_delays: how long engines take to their first event.
     :ivar list_age: returns the seconds since the server list was last confirmed.
     """
@@ -56,6 +59,7 @@
     line: CallLine
     encode: EncodeCall
     servers: ServerTable
+    cold: ColdServers
     loads: LoadTable
     choice: ServerChoice
     retries: RetryWindows
@@ -109,6 +113,8 @@
             # The choice has aged by a connect, and by whatever this process waited for.
             if not self._parts.servers.takes_work(server):
                 return ServerLeft(server.name, Ran.NOT_SENT)
+            if not self._parts.cold.admit(server):
+                return ServerCold(server.name, Ran.NOT_SENT)
             run.sent.note_sending(server.name, run.route.repeatable)
             call = CallHead(
                 server_id=server.name,
@@ -181,7 +187,7 @@
 
 
 def _end_of(failure: AttemptFailure) -> CallEnd:
-    if isinstance(failure, AttemptCancelled | ServerLeft):
+    if isinstance(failure, AttemptCancelled | ServerCold | ServerLeft):
         return CallEnd.CANCELLED
     if isinstance(failure, ConnectFailed):
         return CallEnd.UNREACHED
--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from boragestream.backend.cancellation import CancelScope
+from boragestream.base.failures import CentresDrained
 from boragestream.base.outcomes import Failed, Failure, Refused, Unknown
 from boragestream.document.calls import ForwardedRequest
 from boragestream.document.routes import Route
@@ -19,6 +20,9 @@
 # Without a server a queue's wait has no end, and a caller that believed it would stay
 # away for an hour. Servers that lapsed or crashed are mostly back within this time.
 LONGEST_RETURN_SECONDS = 5.0
+# A data centre is drained for seconds at the least. A caller with one more try that
+# comes back at once has lost it.
+DRAINED_RETURN_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +49,8 @@
     :ivar priority: by client account and route; 0 is the most urgent.
     :ivar service: the service that was chosen of the route's targets.
     :ivar arrived: the clock's seconds of its first byte.
+    :ivar account_regions: where alone its client account may be served; empty for
+        anywhere.
     """
 
     request: ForwardedRequest
@@ -56,6 +62,16 @@
     scope: CancelScope
     arrived: float
     sent: SentRecord
+    account_regions: frozenset[str] = frozenset()
+
+    @property
+    def regions(self) -> frozenset[str] | None:
+        """Where alone the request may be served; None for anywhere.
+
+        Where both its route and its client account name regions, both bind.
+        """
+        named = [r for r in (self.route.regions, self.account_regions) if r]
+        return frozenset.intersection(*named) if named else None
 
     @property
     def objective_at(self) -> float:
@@ -77,6 +93,8 @@
             Unknown(failure, "") if not run.route.repeatable else Failed(failure, 0.0)
         )
     wait = USUAL_RETURN_SECONDS
+    if isinstance(failure, CentresDrained):
+        wait = DRAINED_RETURN_SECONDS
     if isinstance(failure, StageSaturated):
         wait = min(LONGEST_RETURN_SECONDS, max(wait, failure.wait_ms / 1000))
     return Refused(failure, wait)
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -5,7 +5,7 @@
 another server when its own breaks off; any other one ends without its end mark.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from boragestream.backend.failures import (
@@ -18,7 +18,7 @@
     OpenForwardedAnswer,
 )
 from boragestream.base.events import Event, emit
-from boragestream.base.failures import NoLiveServer
+from boragestream.base.failures import CentresDrained, NoLiveServer, ServersCold
 from boragestream.base.outcomes import Failure
 from boragestream.document.calls import (
     RunClaim,
@@ -81,12 +81,14 @@
             first = self._first_events(opened)
             if first is not None:
                 return StreamedAnswer(opened.head, self._events(opened, first))
-        return self._error or self._failure or NoLiveServer(self._run.service)
+        return self._error or self._failure or self._no_server()
 
     def _attempts(self) -> Iterator[WholeAnswer | ForwardAttempt]:
         """Yield the outcome of attempt after attempt, as long as one may follow."""
         while True:
-            failure = self._make_inputs()
+            # Stages would be done in vain where no server can take their results.
+            failure = None if self._servers() else self._no_server()
+            failure = failure or self._make_inputs()
             if failure is not None:
                 self._failure = self._failure or failure
                 return
@@ -169,7 +171,7 @@
         run = self._run
         if not shared_tokens(run.request.prompt):
             return ""
-        live = self._parts.servers.live(run.service)
+        live = self._servers()
         engine = self._parts.choice.engine(live, shared_part(run.request.prompt))
         return engine.data_centre if engine is not None else ""
 
@@ -181,7 +183,7 @@
 
     def _choose(self) -> Server | None:
         run, choice = self._run, self._parts.choice
-        live = self._parts.servers.live(run.service)
+        live = self._servers()
         if not live or run.scope.reason is not None:
             self._failure = self._failure or run.scope.reason
             return None
@@ -200,6 +202,24 @@
             self._note_choice(server, len(live))
         return server
 
+    def _servers(self) -> Sequence[Server]:
+        """Return the servers that may be sent this request now."""
+        live = self._parts.servers.live(self._run.service)
+        regions = self._run.regions
+        if regions is not None:
+            live = [server for server in live if server.region in regions]
+        return self._parts.cold.usable(live)
+
+    def _no_server(self) -> Failure:
+        """Return why there is no server."""
+        service, servers = self._run.service, self._parts.servers
+        if servers.live(service):
+            cold = self._run.regions is None
+            return ServersCold(service) if cold else NoLiveServer(service)
+        if servers.awaits_centre(service):
+            return CentresDrained(service)
+        return NoLiveServer(service)
+
     def _note_choice(self, server: Server, live: int) -> None:
         run, parts = self._run, self._parts
         age = parts.list_age()
@@ -209,6 +229,7 @@
             request=run.request.request_id,
             service=run.service,
             server=server.name,
+            data_centre=server.data_centre,
             of=live,
             open_calls=parts.choice.open_calls.count(server),
             attempt=self._runs + self._refusals + 1,
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -14,6 +14,7 @@
     AttemptFailure,
     ConnectFailed,
     Ran,
+    ServerCold,
     ServerLeft,
 )
 from boragestream.base.events import Event, emit
@@ -128,6 +129,7 @@
         """Drop orders that expired or are late, and use servers that have come."""
         now = self._parts.clock.now()
         late: list[QueuedOrder] = []
+        unserved: list[QueuedOrder] = []
         listed = self._parts.servers.all
         with self._lock:
             services = list(self._queues)
@@ -136,16 +138,23 @@
                 queue.drop_expired(now)
                 queue.forget(listed, now)
                 late += queue.drop_late(now)
+                if not self._parts.servers.live(service):
+                    unserved += queue.drop_unserved()
             for handle, (service, server) in list(self._makers.items()):
                 if not self._queues[service].holds(server, handle):
                     del self._makers[handle]
-        for queued in late:
-            pieces, given_up = queued.order.pieces, PieceResult("", PieceFault.LATE)
-            self._done(queued.order.order_id, [(p.number, given_up) for p in pieces])
+        self._give_up(late, PieceFault.LATE)
+        self._give_up(unserved, PieceFault.NO_SERVER)
         for service in services:
             self._pump(service)
         self._calls.look_again()
 
+    def _give_up(self, orders: Sequence[QueuedOrder], fault: PieceFault) -> None:
+        given_up = PieceResult("", fault)
+        for queued in orders:
+            order = queued.order
+            self._done(order.order_id, [(p.number, given_up) for p in order.pieces])
+
     def _queue(self, service: str) -> ServiceQueue:
         if service not in self._queues:
             self._queues[service] = ServiceQueue()
@@ -153,7 +162,7 @@
         return self._queues[service]
 
     def _usable(self, service: str) -> list[Server]:
-        live = self._parts.servers.live(service)
+        live = self._parts.cold.usable(self._parts.servers.live(service))
         need = RoutingNeed(without=WITHOUT)
         return usable_servers(live, self._parts.loads, need, self._parts.clock.now())
 
@@ -180,7 +189,7 @@
             end = CallEnd.ANSWERED if isinstance(result, list) else CallEnd.CUT
             if isinstance(result, ConnectFailed):
                 end = CallEnd.UNREACHED
-            if isinstance(result, ServerLeft):
+            if isinstance(result, ServerCold | ServerLeft):
                 end = CallEnd.CANCELLED
             seconds = parts.clock.now() - began
             kind = str(len(batch.pieces))
--- a/boragestream/serving/piece_bookings.py
+++ b/boragestream/serving/piece_bookings.py
@@ -63,6 +63,7 @@
                 booking.priority,
                 milliseconds(start),
                 milliseconds(left),
+                tuple(booking.regions),
             )
             reply = self._owners.ask(owner, message)
             if reply is None:
@@ -89,6 +90,7 @@
             message.key,
             message.count,
             message.priority,
+            frozenset(message.regions),
         )
         refused = self._batches.book(
             booking, message.start_ms / 1000, message.left_ms / 1000
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -19,6 +19,7 @@
     AttemptFailure,
     ConnectFailed,
     Ran,
+    ServerCold,
     ServerErred,
     ServerLeft,
 )
@@ -32,6 +33,7 @@
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.document.calls import Piece, PieceResult, RunClaim, StageReport
 from boragestream.document.routes import PieceLimits
+from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.load import LoadTable
 from boragestream.policy.overdue_calls import (
     ASK_AGAIN_SECONDS,
@@ -80,6 +82,7 @@
 class BatchParts:
     """What the batches need of the entry.
 
+    :ivar cold: which servers have just started.
     :ivar limits: returns the limits of a service's servers; None if unknown.
     :ivar used: told of each order, since it is decided by what is published.
     """
@@ -87,6 +90,7 @@
     line: CallLine
     format: PieceFormat
     servers: ServerTable
+    cold: ColdServers
     loads: LoadTable
     retries: RetryWindows
     watchdog: Watchdog
@@ -149,7 +153,12 @@
             self.submit(self._ask, call)
 
     def release(self, server: Server, handles: tuple[str, ...]) -> None:
-        """Tell a server that results are not needed any more."""
+        """Tell a server that results are not needed any more.
+
+        One in a drained data centre is told nothing: it forgets them by itself.
+        """
+        if self._is_drained(server):
+            return
         data = self._parts.format.encode_release(server, handles)
         failed = self._call(server, "POST", data, RELEASE_SECONDS)
         if isinstance(failed, AttemptFailure):
@@ -158,6 +167,8 @@
 
     def _ask(self, call: _OpenCall) -> None:
         server, wire = call.server, self._parts.format
+        if self._is_drained(server):
+            return
         data = wire.encode_report_call(server)
         body = self._call(server, "GET", data, REPORT_SECONDS)
         report = wire.read_stage_report(body) if isinstance(body, bytes) else None
@@ -165,6 +176,9 @@
         if report is not None and answer_is_lost(report):
             call.scope.cancel(AnswerLost(server.name))
 
+    def _is_drained(self, server: Server) -> bool:
+        return server.data_centre in self._parts.servers.drained
+
     def _call(
         self, server: Server, method: str, data: bytes, seconds: float
     ) -> bytes | AttemptFailure:
@@ -187,6 +201,8 @@
             # The choice has aged by a connect and by the wait for a free thread.
             if not parts.servers.takes_work(server):
                 return ServerLeft(server.name, Ran.NOT_SENT)
+            if not parts.cold.admit(server):
+                return ServerCold(server.name, Ran.NOT_SENT)
             now = parts.clock.now()
             pieces = [(piece, q.expires - now) for q, piece in batch.pieces]
             return parts.format.encode_piece_call(server, pieces)
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -189,6 +189,7 @@
             message.priority,
             message.invested,
             message.near,
+            frozenset(message.regions),
         )
         with self._lock:
             self._askers[message.order_id] = envelope.sender
@@ -267,6 +268,7 @@
         start_ms=milliseconds(start),
         left_ms=milliseconds(left),
         near=order.near,
+        regions=tuple(order.regions),
     )
 
 
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -136,6 +136,7 @@
                 request.piece_key,
                 count,
                 run.priority,
+                run.regions or frozenset(),
             )
             start_by = run.objective_at - self._after[number]
             deadline = run.scope.deadline
@@ -176,6 +177,7 @@
             priority=run.priority,
             invested=bool(inputs),
             near=stage_place(read, count, stage.result_bytes, self._home),
+            regions=run.regions or frozenset(),
         )
         start_by = run.objective_at - self._after[number]
         # The order takes its booking's place.
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -75,9 +75,10 @@
 
 
 @fixture
-def route_site(context, entries):
-    """Start a site on the platform's forms."""
-    site = RouteSite(int(entries))
+def route_site(context, name):
+    """Start a site on the platform's forms, with orders to drain if it is named so."""
+    entries, _, drains = name.partition(".")
+    site = RouteSite(int(entries), bool(drains))
     try:
         site.start()
         context.site = site
--- a/tests/features/leaving_before_the_send.feature
+++ b/tests/features/leaving_before_the_send.feature
@@ -14,6 +14,28 @@
       | a forwarded request |
       | a stage's attempt   |
 
+  Scenario Outline: <call> is not sent to a server <what> while it connects
+    Given a server that has been chosen for <call>
+    When <what> while the connection is made
+    Then no byte was sent, the failure is "<failure>", and nothing speaks against it
+
+    Examples:
+      | call                | what                       | failure     |
+      | a batch of pieces   | its data centre is drained | server-left |
+      | a forwarded request | its data centre is drained | server-left |
+      | a batch of pieces   | it turns out to be cold    | server-cold |
+      | a forwarded request | it turns out to be cold    | server-cold |
+
+  Scenario Outline: a server in a drained data centre is told nothing more
+    Given a server that has been chosen for a batch of pieces
+    When its data centre is drained and <word> is due
+    Then not a byte is sent
+
+    Examples:
+      | word                     |
+      | a release of results     |
+      | a question for a report  |
+
   Scenario: pieces whose server left are sent to another one at once
     Given two servers, of which the first begins to leave while its call connects
     When the owner of their queue is given an order
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -9,6 +9,14 @@
       | 1    |
       | 2    |
 
+  Scenario Outline: faults of one seed beside data centres that are drained or cold
+    When faults of seed <seed> and of data centres strike 3 entries for 6 seconds
+    Then the soak sees no broken promise, and requests were served
+
+    Examples:
+      | seed |
+      | 1    |
+
   Scenario Outline: <what> again and again
     When the kind "<kind>" strikes 3 entries every second for <seconds> s as "<how>"
     Then the soak sees no broken promise, and requests were served
--- /dev/null
+++ b/tests/features/steps/drained_centres.py
@@ -0,0 +1,397 @@
+"""Steps on drained data centres, without a process."""
+
+import json
+import logging
+import random
+
+import msgspec
+from absl import logging as absl_logging
+from behave import given, then, use_fixture, when
+from behave.fixture import fixture
+from hypothesis import given as any_of
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from boragestream.daemon.operator_values import OperatorValues
+from boragestream.document.calls import Piece, PieceFault
+from boragestream.document.routes import PieceLimits
+from boragestream.entry.published_relay import PublishedRelay, PublishedWord
+from boragestream.policy.cold_servers import ColdServers
+from boragestream.policy.load import LoadTable
+from boragestream.policy.operator_table import OperatorTable
+from boragestream.policy.piece_queue import PieceOrder
+from boragestream.policy.publication import (
+    Change,
+    Changes,
+    PublishedTable,
+    Relayed,
+    Snapshot,
+)
+from boragestream.policy.servers import Server, ServerTable
+from boragestream.serving.piece_batches import PieceBatches
+from tests.standins.clock import SetClock
+from tests.standins.following import DRAINED
+
+CHECKS = settings(max_examples=200, derandomize=True, deadline=None, database=None)
+SERVICE = "service"
+PREFIX = "op/evacuate/"
+LIMITS = PieceLimits(1, 10, 0.2, 0.01, 1000.0, 4.0)
+
+
+@when("nothing happens")
+def step(context):
+    pass
+
+
+@given('"{name}" is ordered to be drained')
+@when('"{name}" is ordered to be drained')
+def step(context, name):
+    context.site.publish(f"{DRAINED}{name}", b"{}")
+
+
+@when('"{name}" is taken back')
+def step(context, name):
+    context.site.publish(f"{DRAINED}{name}", None)
+
+
+@when('the order moves from "{name}" to "{other}"')
+def step(context, name, other):
+    context.site.publish(f"{DRAINED}{name}", None)
+    context.site.publish(f"{DRAINED}{other}", b"{}")
+
+
+@when('the history is dropped right after "{name}" was drained')
+def step(context, name):
+    context.site.publish(f"{DRAINED}{name}", b"{}")
+    context.site.store.forget()
+
+
+@then("it is drained everywhere within {seconds:g} s")
+@then("it is drained nowhere within {seconds:g} s")
+@then('just "yard" is drained everywhere within {seconds:g} s')
+def step(context, seconds):
+    site = context.site
+    took = site.run(seconds, site.drained_everywhere)
+    assert site.drained_everywhere(), took
+
+
+@then("whatever order tables of operators meet in, none drains what the store did not")
+def step(context):
+    moves = st.lists(
+        st.sampled_from(["drain", "restore", "own", "word", "stale", "version"]),
+        max_size=40,
+    )
+
+    @CHECKS
+    @any_of(moves, st.integers())
+    def check(steps, seed):
+        mixed_tables(steps, random.Random(seed))
+
+    check()
+
+
+def mixed_tables(steps, rng):
+    """Let three tables meet a store and one another; compare them with the store."""
+    clock = SetClock()
+    tables = [OperatorTable(clock.now, PREFIX) for _ in range(3)]
+    truth = {1: frozenset()}
+    history = []
+    for table in tables:
+        table.take(Snapshot(1, {"op/config": b"1"}))
+    old = tables[0].drained()
+    for move in steps:
+        newest = max(truth)
+        table, other = rng.sample(tables, 2)
+        if move in ("drain", "restore", "version"):
+            key = f"{PREFIX}{rng.choice('abc')}" if move != "version" else "op/config"
+            value = None if move == "restore" else b"{}"
+            drained = set(truth[newest])
+            if move == "drain":
+                drained.add(key)
+            elif move == "restore":
+                drained.discard(key)
+            truth[newest + 1] = frozenset(drained)
+            history.append(Change(key, newest + 1, value))
+        elif move == "own":
+            after = table.revision
+            changes = tuple(c for c in history if c.revision > after)
+            table.take(Changes(newest, changes))
+        elif move == "word":
+            hear(table, other.drained(), other.configuration_revision)
+        else:
+            hear(table, old, 0)
+            old = other.drained()
+        for one in tables:
+            revision, keys = one.drained()
+            assert frozenset(keys) == truth[revision], (move, keys)
+            assert one.revision <= revision
+
+
+def hear(table, drained, configuration_revision):
+    """Have a table take what another entry tells."""
+    revision, keys = drained
+    changes = tuple(Change(key, revision, b"") for key in keys)
+    table.take_relayed(Relayed(None, revision, changes, {}))
+    table.take_revision(configuration_revision)
+
+
+class Lines(logging.Handler):
+    """Keeps the log lines on drained data centres."""
+
+    def __init__(self):
+        """Begin with none."""
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        """Keep a line."""
+        if '"event":2106' in record.getMessage():
+            self.lines.append(json.loads(record.getMessage()))
+
+
+@fixture
+def log_lines(context):
+    """Listen to the log while a scenario runs."""
+    context.lines = Lines()
+    logger = absl_logging.get_absl_logger()
+    logger.addHandler(context.lines)
+    yield
+    logger.removeHandler(context.lines)
+
+
+@given('servers in "{one}" and "{other}"')
+def step(context, one, other):
+    use_fixture(log_lines, context)
+    clock = SetClock()
+    context.clock = clock
+    context.servers = ServerTable()
+    context.servers.take_list(
+        Server(f"s-{n}", SERVICE, f"10.0.0.{n}:80", centre, f"{n}")
+        for n, centre in enumerate((one, other))
+    )
+    context.cold = ColdServers(
+        "e", lambda service: None, lambda server: ["e"], lambda: True, clock
+    )
+    context.used_then = None
+    context.batches = None
+    context.operators = OperatorValues(
+        lambda text: take_text(context),
+        context.servers,
+        context.cold,
+        lambda: context.batches and context.batches.look_again(),
+        lambda: 0.25,
+    )
+
+
+def take_text(context):
+    """Note which servers are to be used as a configuration is decoded."""
+    context.used_then = used(context)
+
+
+def used(context):
+    """Return the data centres of the servers to be used."""
+    return {server.data_centre for server in context.servers.live(SERVICE)}
+
+
+@when('"{name}" is drained, and with it a configuration comes that takes long')
+def step(context, name):
+    context.operators.take({f"{PREFIX}{name}": b"{}", "op/config": b"{}"})
+
+
+@then('only servers in "{centre}" were to be used when the configuration was decoded')
+def step(context, centre):
+    assert context.used_then == {centre}
+
+
+@when('the keys "{keys}" are published')
+def step(context, keys):
+    context.operators.take({key: b"?" for key in keys.split(",")})
+
+
+@when('the keys "" are published')
+def step(context):
+    context.operators.take({})
+
+
+@then('servers in "{centres}" are to be used')
+def step(context, centres):
+    assert used(context) == set(centres.split(","))
+
+
+@then('servers in "" are to be used')
+def step(context):
+    assert not used(context)
+
+
+@then(
+    'one line tells of drained "{drained}", without servers "{unknown}", '
+    "malformed {malformed:d}"
+)
+def step(context, drained, unknown, malformed):
+    check_line(context, drained.split(","), unknown.split(","), malformed)
+
+
+@then(
+    'one line tells of drained "{drained}", without servers "", malformed {malformed:d}'
+)
+def step(context, drained, malformed):
+    check_line(context, drained.split(","), [], malformed)
+
+
+@then('one line tells of drained "", without servers "", malformed {malformed:d}')
+def step(context, malformed):
+    check_line(context, [], [], malformed)
+
+
+def check_line(context, drained, unknown, malformed):
+    """Check the one line on drained data centres."""
+    (line,) = context.lines.lines
+    assert line["drained"] == drained and line["added"] == drained, line
+    assert line["without_servers"] == unknown, line
+    assert len(line["malformed"]) == malformed, line
+    assert line["list_age_ms"] == 250
+
+
+@when('the server in "{centre}" says that it is leaving')
+def step(context, centre):
+    server = next(s for s in context.servers.all if s.data_centre == centre)
+    context.servers.note_leaving(server)
+
+
+class Unanswered:
+    """Calls of stage servers that are never answered."""
+
+    def submit(self, work, *arguments):
+        """Take a call."""
+
+    def look_again(self):
+        """Look for overdue calls; there are none."""
+
+
+@given(
+    'servers in "{one}" and "{other}", of which the owner of a queue has one order of '
+    "{pieces:d} pieces"
+)
+def step(context, one, other, pieces):
+    context.execute_steps(f'given servers in "{one}" and "{other}"')
+    context.done = {}
+    context.batches = PieceBatches(queue_parts(context), context.done.__setitem__)
+    context.batches._calls = Unanswered()
+    assert context.batches.submit(order("first", pieces), 9.0, 9.0) is None
+
+
+def queue_parts(context):
+    """Return what the owner of a queue needs."""
+
+    class Parts:
+        servers, cold, clock = context.servers, context.cold, context.clock
+        loads = LoadTable(context.clock, None)
+
+        class Retries:
+            """Counts nothing."""
+
+            def note_request(self, service, count=1):
+                """Take a request."""
+
+        retries = Retries()
+
+        def used(self):
+            """Take a use."""
+
+        def limits(self, service):
+            """Return the limits of the service."""
+            return LIMITS
+
+    return Parts()
+
+
+def order(name, pieces, invested=False):
+    """Return an order."""
+    made = tuple(Piece(name, 0, n, "key", ()) for n in range(pieces))
+    return PieceOrder(f"{name}/0", SERVICE, made, 1.0, 0, invested)
+
+
+@then("the order is given up at once for want of a server")
+def step(context):
+    results = context.done["first/0"]
+    assert {result.fault for _, result in results} == {PieceFault.NO_SERVER}
+
+
+@then("a further order is refused at once, also one in which work was invested")
+def step(context):
+    for invested in (False, True):
+        wait = context.batches.submit(order(f"{invested}", 1, invested), 9.0, 9.0)
+        assert wait == float("inf"), wait
+
+
+def expected(context):
+    """Return the wait that an order is told which cannot be met."""
+    return context.batches.submit(order(f"o-{random.random()}", 1), 9.5, 9.5)
+
+
+@then("an order would wait for some time")
+def step(context):
+    context.wait = expected(context)
+    assert context.wait > 0
+
+
+@then("an order would wait for twice that time")
+def step(context):
+    assert abs(expected(context) - 2 * context.wait) < 1e-9
+
+
+class Ages:
+    """Notes the ages that are taken."""
+
+    def __init__(self):
+        """Begin with none."""
+        self.taken = []
+
+    def take_word(self, age, trouble=None):
+        """Take an age."""
+        self.taken.append(age)
+
+
+@given("an entry that follows drained data centres up to revision {revision:d}")
+def step(context, revision):
+    clock = SetClock()
+    servers = PublishedTable(clock.now)
+    servers.take(Snapshot(20, {}))
+    operators = OperatorTable(clock.now, PREFIX)
+    operators.take(Snapshot(revision, {"op/config": b"{}"}))
+    context.operators = operators
+    context.following, context.confirming = Ages(), Ages()
+
+    class InForce:
+        version, digest = 3, ""
+
+    context.relay = PublishedRelay(
+        context.following,
+        context.confirming,
+        servers,
+        operators,
+        InForce,
+        lambda relayed: None,
+        operators.take_relayed,
+        None,
+        None,
+        None,
+        clock,
+    )
+
+
+@when("another entry tells what it knows up to revision {revision:d}, {release}")
+def step(context, revision, release):
+    drained = (revision, ("op/evacuate/hall",)) if "like" in release else (0, ())
+    word = PublishedWord(100, 60_000, 20, revision, 3, 100, *drained)
+    context.relay.take("other", msgspec.msgpack.encode(word))
+    context.revision = revision
+
+
+@then("its age is {taken}")
+def step(context, taken):
+    is_taken = taken == "taken"
+    assert bool(context.following.taken) is is_taken
+    assert bool(context.confirming.taken) is is_taken
+    expected = context.revision if is_taken else 7
+    assert context.operators.revision == expected
--- a/tests/features/steps/leaving_before_the_send.py
+++ b/tests/features/steps/leaving_before_the_send.py
@@ -3,6 +3,7 @@
 import random
 import socket
 import threading
+from dataclasses import replace
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -10,12 +11,13 @@
 from boragestream.backend.calls import StageCall
 from boragestream.backend.cancellation import CancelScope, Watchdog
 from boragestream.backend.connections import ConnectionKeeper
-from boragestream.backend.failures import ServerLeft
+from boragestream.backend.failures import ServerCold, ServerLeft
 from boragestream.backend.forwarded_call import CallLine
 from boragestream.base.clock import SystemClock
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.document.calls import Piece
 from boragestream.document.routes import PieceLimits
+from boragestream.policy.cold_servers import ColdBound, ColdServers
 from boragestream.policy.costs import Purpose
 from boragestream.policy.load import LoadTable
 from boragestream.policy.piece_queue import PieceOrder, QueuedOrder
@@ -61,14 +63,19 @@
         """Take the table that hears of the leave, and the server's host."""
         super().__init__()
         self.servers, self.leaving = servers, leaving
+        self.happens = self.leave
 
     def connect(self, host, seconds):
         """Connect."""
         connection = super().connect(host, seconds)
         if host == self.leaving.host:
-            self.servers.take_word(self.leaving.identity)
+            self.happens()
         return connection
 
+    def leave(self):
+        """Have the server begin to leave."""
+        self.servers.take_word(self.leaving.identity)
+
 
 class Wire:
     """Puts calls on the wire, each with the name of its server."""
@@ -88,6 +95,7 @@
         line=CallLine(lambda head: None, context.keeper, clock, lambda service: 0),
         format=Wire(),
         servers=context.known,
+        cold=context.cold,
         loads=context.loads,
         retries=RetryWindows(clock.now, lambda: RetryBounds(0.0, 10.0, 0.0), lambda: 1),
         watchdog=Watchdog(clock),
@@ -120,6 +128,7 @@
         line=CallLine(lambda head: None, context.keeper, clock, lambda service: 0),
         encode=lambda request, call, host: b"GET / HTTP/1.1\r\n\r\n",
         servers=context.known,
+        cold=context.cold,
         loads=context.loads,
         choice=SimpleNamespace(open_calls=OpenCalls()),
         clock=clock,
@@ -186,6 +195,14 @@
     servers = [listener.server for listener in context.listeners]
     context.known = ServerTable()
     context.known.take_list(servers)
+    # The cold servers tolerate nothing here.
+    context.cold = ColdServers(
+        "e",
+        lambda service: ColdBound(1.0, 1.0, 9.0),
+        lambda server: ["e"],
+        lambda: True,
+        SystemClock(),
+    )
     context.loads = LoadTable(SystemClock(), random.Random(1))
     context.loads.take_list(servers)
     context.keeper = LeavingWhileConnecting(context.known, servers[0])
@@ -203,10 +220,42 @@
     context.failure = context.call(context, context.server)
 
 
+@when("its data centre is drained while the connection is made")
+def step(context):
+    context.server = context.listeners[0].server
+    centre = context.server.data_centre
+    context.keeper.happens = lambda: context.known.take_drained(frozenset({centre}))
+    context.failure = context.call(context, context.server)
+
+
+@when("it turns out to be cold while the connection is made")
+def step(context):
+    context.server = context.listeners[0].server
+    cold = replace(context.server, cold_seconds=9.0)
+    context.keeper.happens = lambda: context.cold.take(cold)
+    context.failure = context.call(context, context.server)
+
+
+@when("its data centre is drained and {word} is due")
+def step(context, word):
+    server = context.listeners[0].server
+    context.known.take_drained(frozenset({server.data_centre}))
+    calls = PieceCalls(batch_parts(context))
+    if word == "a release of results":
+        calls.release(server, ("handle",))
+    else:
+        calls._ask(SimpleNamespace(server=server))
+
+
+@then("not a byte is sent")
+def step(context):
+    assert not context.listeners[0].bytes
+
+
 @then('no byte was sent, the failure is "{code}", and nothing speaks against it')
 def step(context, code):
     assert context.failure.code == code, context.failure
-    assert isinstance(context.failure, ServerLeft)
+    assert isinstance(context.failure, ServerLeft | ServerCold)
     assert not context.listeners[0].bytes
     assert context.loads.get(context.server).in_progress == 0
 
--- a/tests/features/steps/piece_repeats.py
+++ b/tests/features/steps/piece_repeats.py
@@ -69,6 +69,7 @@
     parts = SimpleNamespace(
         used=lambda: None,
         servers=SimpleNamespace(live=lambda service: SERVERS, all=SERVERS),
+        cold=SimpleNamespace(usable=lambda servers: servers),
         loads=LoadTable(clock, None),
         retries=RetryWindows(clock.now, lambda: BOUNDS, lambda: entries),
         clock=clock,
--- a/tests/features/steps/published_servers.py
+++ b/tests/features/steps/published_servers.py
@@ -19,6 +19,7 @@
 from boragestream.entry.messages import Sender
 from boragestream.entry.peers import EntryPeers
 from boragestream.platform.published import PublishedMalformed, read_server
+from boragestream.policy.cold_servers import ColdBound, ColdServers
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.load import CallEnd, LoadTable
 from boragestream.policy.piece_queue import PieceOrder, QueuedOrder
@@ -98,11 +99,20 @@
             self.clock,
             random.Random(1),
         )
+        self.cold = ColdServers(
+            "10.0.0.9:1",
+            lambda service: ColdBound(22.0, 38.0, 3.0),
+            lambda server: ["10.0.0.9:1"],
+            lambda: True,
+            self.clock,
+        )
         self.published = PublishedServers(
             ServerLives(self.clock),
             self.members,
             self.servers,
             self.loads,
+            self.cold,
+            {"hall": "valley"},
             lambda: None,
         )
         self.values = {}
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -22,6 +22,14 @@
     context.verdict = run_seed(seed, entries, seconds)
 
 
+@when(
+    "faults of seed {seed:d} and of data centres strike {entries:d} entries for "
+    "{seconds:d} seconds"
+)
+def step(context, seed, entries, seconds):
+    context.verdict = run_seed(seed, entries, seconds, centres=True)
+
+
 @when(
     'the kind "{kind}" strikes {entries:d} entries every second for {seconds:d} s '
     'as "{how}"'
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,6 +8,7 @@
   --only SEED     Run this one seed alone.
   --entries N     How many entries [default: 3].
   --seconds S     How long faults strike in each run [default: 12].
+  --plain         Strike no whole data centres, as the first seeds were run.
   --keep DIR      Where the logs of failed runs are kept [default: out/soak].
 
 The exit code is 1 where a promise was broken. Ended are only processes that a run
@@ -39,6 +40,7 @@
             int(arguments["--entries"]),
             float(arguments["--seconds"]),
             arguments["--keep"],
+            centres=not arguments["--plain"],
         )
         print(json.dumps(dataclasses.asdict(verdict)), flush=True)
         failed += bool(verdict.broken)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -31,6 +31,8 @@
     SERVER_DIES = auto()
     PUBLISH = auto()
     REVOKE = auto()
+    CENTRE_DRAINED = auto()
+    CENTRE_COLD = auto()
 
 
 WEIGHTS = {
@@ -52,6 +54,12 @@
 }
 
 
+# Whole data centres are struck beside the others, so that seeds of before stay as they
+# were.
+CENTRE_KINDS = (StrikeKind.CENTRE_DRAINED, StrikeKind.CENTRE_COLD)
+CENTRE_GAP_SECONDS = 2.0
+
+
 @dataclass(frozen=True, slots=True)
 class Strike:
     """One fault.
@@ -69,8 +77,11 @@
     target: int
 
 
-def make_plan(seed, seconds):
-    """Return the strikes of a run, in the order of their times."""
+def make_plan(seed, seconds, centres=False):
+    """Return the strikes of a run, in the order of their times.
+
+    :param centres: whether whole data centres are struck as well.
+    """
     rng = random.Random(seed)
     strikes = []
     at = 1.0
@@ -81,7 +92,18 @@
         strikes.append(Strike(round(at, 2), lasts, kind, _variant(kind, rng), target))
         # Series of signals come close together.
         at += rng.choice((0.05, GAP_SECONDS, 2 * GAP_SECONDS)) * rng.uniform(0.5, 1.5)
-    return strikes
+    if centres:
+        strikes += _centre_strikes(random.Random(f"centres {seed}"), seconds)
+    return sorted(strikes, key=lambda strike: strike.at)
+
+
+def _centre_strikes(rng, seconds):
+    at = rng.uniform(0.5, CENTRE_GAP_SECONDS)
+    while at < seconds:
+        lasts = round(rng.uniform(0.2, LONGEST_SECONDS), 2)
+        kind, target = rng.choice(CENTRE_KINDS), rng.randrange(1_000_000)
+        yield Strike(round(at, 2), lasts, kind, "", target)
+        at += CENTRE_GAP_SECONDS * rng.uniform(0.5, 1.5)
 
 
 def _variant(kind, rng):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
 from tests.soak.plan import make_plan
 from tests.soak.site import SoakSite
 from tests.standins.fleet import wait_until
+from tests.standins.route_site import DRAIN_BOUNDS, ZONES
 
 CALLERS_AN_ENTRY = 4
 SERVERS_A_KIND = 3
@@ -23,6 +24,8 @@
 # A server that has left is reached no more after this time, where nothing else is in
 # the way.
 LEAVE_SECONDS = 5.0
+# The bound that the settings of the entries name for a drained data centre.
+DRAIN_SECONDS = DRAIN_BOUNDS["evacuate_ms"] / 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,14 +43,15 @@
     broken: list
 
 
-def run_seed(seed, entries, seconds, keep=None, plan=None):
+def run_seed(seed, entries, seconds, keep=None, plan=None, centres=False):
     """Run one seed.
 
     :param keep: the folder in which the logs of a failed run are kept; None for none.
     :param plan: strikes to run in place of the seed's own.
+    :param centres: whether whole data centres are struck as well.
     """
     site = SoakSite(entries, SERVERS_A_KIND)
-    plan = make_plan(seed, seconds) if plan is None else plan
+    plan = make_plan(seed, seconds, centres) if plan is None else plan
     callers = Callers(site, seed, CALLERS_AN_ENTRY * entries)
     broken = []
     try:
@@ -60,6 +64,8 @@
             broken.append("a caller hangs")
         broken += broken_promises(site, callers.told)
         broken += reached_after_leaving(site)
+        if centres:
+            broken += reached_while_drained(site)
     finally:
         callers.ending.set()
         if broken and keep is not None:
@@ -129,6 +135,23 @@
     ]
 
 
+def reached_while_drained(site):
+    """Return which servers of a drained data centre were reached, in calm times."""
+    site.drain(ZONES[0])
+    time.sleep(DRAIN_SECONDS)
+    drained = [server for server in site.servers if server.zone == ZONES[0]]
+    before = {server.identity: sum(server.runs.values()) for server in drained}
+    for name in site.entries:
+        for _ in range(10):
+            site.call("/safe/ok", entry=name)
+    site.drain()
+    return [
+        f"{server.identity} was reached in a drained data centre"
+        for server in drained
+        if sum(server.runs.values()) > before[server.identity]
+    ]
+
+
 def keep_logs(site, seed, plan, broken, told, folder):
     """Keep what tells how a run failed."""
     target = folder / f"seed-{seed}"
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -31,7 +31,7 @@
 
     def __init__(self, entries, servers):
         """Make everything; ``start`` starts the entries."""
-        super().__init__(entries)
+        super().__init__(entries, drains=True)
         self.lives = dict.fromkeys(self.entries, 0)
         self.route_version = 0
         self.version = 1
@@ -123,6 +123,7 @@
             relay.heal()
         self.network.heal()
         self.store.down = None
+        self.drain()
         for name in list(self.paused):
             self._wake(name)
         for name in self.entries:
@@ -172,10 +173,21 @@
             self.publish_next()
         elif kind is StrikeKind.REVOKE:
             self.publish_next(revoke=True)
+        elif kind is StrikeKind.CENTRE_DRAINED:
+            self.drain(ZONES[strike.target % len(ZONES)])
+            return self.drain
+        elif kind is StrikeKind.CENTRE_COLD:
+            self._cool(ZONES[strike.target % len(ZONES)], strike.seconds)
         else:
             self._replace_server(strike)
         return None
 
+    def _cool(self, zone, seconds):
+        """Have the servers of a zone say that they are cold."""
+        for server in self.servers:
+            if server.zone == zone and not server.gone:
+                self.list(server, cold_ms=int(seconds * 1000))
+
     def _signal(self, name, number):
         with self.lock:
             # One that has ended or never ran has no handler to meet the signal.
--- a/tests/standins/following.py
+++ b/tests/standins/following.py
@@ -11,7 +11,14 @@
 
 from boragestream.daemon.publication import LOST_ALONE_SECONDS
 from boragestream.policy.confirming import Confirming
-from boragestream.policy.publication import Change, Changes, PublishedTable, Snapshot
+from boragestream.policy.operator_table import OperatorTable
+from boragestream.policy.publication import (
+    Change,
+    Changes,
+    PublishedTable,
+    Relayed,
+    Snapshot,
+)
 from boragestream.policy.watching import (
     MOST_AGE_SECONDS,
     StoreFollowing,
@@ -30,9 +37,16 @@
 # A question that is lost ends so long after the time for which it may wait.
 UNANSWERED_SECONDS = 1.5
 PREFIXES = {"configuration": False, "servers": True}
+# Begins the keys of drained data centres, which are told with the configuration.
+DRAINED = "drained/"
 KEPT_CHANGES = 64
 
 
+def is_of(key, prefix):
+    """Tell whether a key is published under a prefix."""
+    return key.startswith(DRAINED) is (prefix == "configuration")
+
+
 class SimulatedStore:
     """What is published, and whom it turns away."""
 
@@ -96,6 +110,7 @@
             lambda: is_first_watcher(self.name, site.running()),
         )
         self.table = PublishedTable(site.clock.now, KEPT_CHANGES)
+        self.operators = OperatorTable(site.clock.now, DRAINED)
         self.configuration_known = False
         # Calls that are never answered, and when the entry gives them up.
         self.lost = {}
@@ -113,6 +128,10 @@
         peers = [e for e in self.site.running() if e.centre == self.centre]
         return self.name in watchers(e.name for e in peers)
 
+    def table_of(self, prefix):
+        """Return the table of what is published under a prefix."""
+        return self.table if prefix == "servers" else self.operators
+
     def step(self):
         """Begin and end calls."""
         for prefix in PREFIXES:
@@ -120,7 +139,7 @@
                 self.try_to_end(prefix)
             elif self.following.asks(prefix):
                 self.site.store.calls += 1
-                known = prefix == "configuration" or self.table.revision is not None
+                known = self.table_of(prefix).revision is not None
                 wait = self.following.wait_seconds(prefix, WATCH_SECONDS)
                 now = self.site.clock.now()
                 self.pending[prefix] = (now, now + wait if known else now)
@@ -148,9 +167,9 @@
                 self.note_unanswered()
                 return
             self.table.note_answer()
-            if prefix == "servers" and not self.take():
+            if not self.take(prefix):
                 self.site.store.calls += 1
-                self.take()
+                self.take(prefix)
             self.following.note_confirmed(prefix, now)
             self.confirming.note_answer(prefix, now)
 
@@ -175,17 +194,14 @@
             del self.pending[prefix]
             self.end_unanswered(prefix, began)
             return
-        if prefix == "configuration":
-            news = not self.configuration_known
-            self.configuration_known = True
-        else:
-            news = self.table.revision is None or self.table.revision < store.revision
-            news = news and (began == now or self.changes())
+        known = self.table_of(prefix).revision
+        news = known is None or known < store.revision
+        news = news and (began == now or known is None or self.changes(prefix))
         if not news and now < until:
             return
         del self.pending[prefix]
         self.table.note_answer()
-        if prefix == "servers" and not self.take():
+        if not self.take(prefix):
             self.following.note_unusable(prefix)
             return
         self.following.note_answer(prefix)
@@ -201,23 +217,28 @@
         self.table.note_failure()
         self.following.note_failure(prefix)
 
-    def changes(self):
+    def changes(self, prefix):
         """Return what the store has published since this entry's revision."""
-        after = self.table.revision
-        return [c for c in self.site.store.history if c.revision > after]
+        after = self.table_of(prefix).revision
+        history = self.site.store.history
+        return [c for c in history if c.revision > after and is_of(c.key, prefix)]
 
-    def take(self):
+    def take(self, prefix):
         """Take an answer; False where the history is gone."""
-        store, known = self.site.store, self.table.revision
-        if known is None or "servers" in self.reread:
-            self.reread.discard("servers")
-            answer = Snapshot(store.revision, dict(store.values))
+        store, table = self.site.store, self.table_of(prefix)
+        known = table.revision
+        if known is None or prefix in self.reread:
+            self.reread.discard(prefix)
+            values = {k: v for k, v in store.values.items() if is_of(k, prefix)}
+            answer = Snapshot(store.revision, values)
         elif known < store.oldest:
-            self.reread.add("servers")
+            self.reread.add(prefix)
             return False
         else:
-            answer = Changes(store.revision, tuple(self.changes()))
-        if self.table.take(answer):
+            answer = Changes(store.revision, tuple(self.changes(prefix)))
+        if prefix == "configuration":
+            self.configuration_known = True
+        if table.take(answer):
             self.note_news()
         return True
 
@@ -255,13 +276,19 @@
             return None
         confirmed = self.confirming.age()
         trouble = self.following.trouble_seconds()
-        return age, trouble, self.table.revision, confirmed
+        drained = self.operators.drained()
+        return age, trouble, self.table.revision, confirmed, drained
 
     def hear(self, other, word):
         """Take another entry's word, and what it knows more."""
         if word is None:
             return
-        age, trouble, revision, confirmed = word
+        age, trouble, revision, confirmed, (drained_revision, keys) = word
+        if drained_revision is not None:
+            changes = tuple(Change(key, drained_revision, b"") for key in keys)
+            drained = Relayed(None, drained_revision, changes, {})
+            if self.operators.take_relayed(drained):
+                self.note_news()
         if self.table.revision is None or self.table.revision < revision:
             self.configuration_known = True
             relayed = other.table.since(self.table.revision)
@@ -336,6 +363,11 @@
             if missing and self.store.serves(entry.name):
                 self.worst = max(self.worst, now - min(missing))
 
+    def drained_everywhere(self):
+        """Tell whether all running entries drain just what the store says."""
+        drained = tuple(sorted(k for k in self.store.values if k.startswith(DRAINED)))
+        return all(e.operators.drained()[1] == drained for e in self.running())
+
     def known_everywhere(self):
         """Tell whether all running entries have the newest revision."""
         newest = self.store.revision
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -55,14 +55,16 @@
         self.made = {}
         self.left = []
         self.others_asked = 0
+        self.orders = 0
         self.cut_off = None
         self.lock = threading.Lock()
         self.listener = socket.create_server((address, 0), backlog=256)
         self.address = f"{address}:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
 
-    def entry(self, state="ready"):
-        """Return its entry in the store."""
+    def entry(self, state="ready", cold_ms=0):
+        """Return its entry in the store, which differs from each one before."""
+        self.orders += 1
         return json.dumps(
             {
                 "service": self.service,
@@ -71,8 +73,8 @@
                 "version": "v1",
                 "slots": 8,
                 "state": state,
-                "cold_left_ms": 0,
-                "seq": 1,
+                "cold_left_ms": cold_ms,
+                "seq": self.orders,
             }
         ).encode()
 
--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -23,22 +23,39 @@
 
 ADDRESS = "127.0.0.1"
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "entry.toml"
-PLACEHOLDER = re.compile(r"\{\{([a-z_.]+)(\|json)?\}\}")
+PLACEHOLDER = re.compile(r"\{\{([a-z_.@]+)(\|json)?\}\}")
+SECTION = re.compile(r"\{\{#([a-z_.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 KEY = "key-of-a-caller-0123456789"
 HOST = "site.example"
 ZONES = ("hall-a", "hall-b", "hall-c")
+REGIONS = {"hall-a": "valley", "hall-b": "hills", "hall-c": "valley"}
+# What settings name where data centres are drained and cold servers are bounded.
+DRAIN_BOUNDS = {"evacuate_ms": 5000, "cold_over": 1.5, "cold_slack": 5}
 
 
 def fill(template, fields):
     """Fill a template's placeholders in."""
 
-    def value(match):
+    def field(path):
         found = fields
-        for part in match.group(1).split("."):
-            found = found[part]
+        for part in path.split("."):
+            found = found.get(part)
+            if found is None:
+                return None
+        return found
+
+    def value(match):
+        found = fields["."] if match.group(1) == "." else field(match.group(1))
         return json.dumps(found) if match.group(2) else str(found)
 
-    return PLACEHOLDER.sub(value, template)
+    def section(match):
+        found, inner = field(match.group(1)), match.group(2)
+        if found is None:
+            return ""
+        entries = found.items() if isinstance(found, dict) else [("", found)]
+        return "".join(fill(inner, {**fields, "@": k, ".": v}) for k, v in entries)
+
+    return PLACEHOLDER.sub(value, SECTION.sub(section, template))
 
 
 def route(prefix, kind, service, **more):
@@ -101,7 +118,13 @@
         "routes": [r for r in routes if r["prefix"] not in without],
         "services": [
             {"name": "plain", "max_conns": 64, "health_path": "/health"},
-            {"name": "engine", "max_conns": 64, "engine": engine},
+            {
+                "name": "engine",
+                "max_conns": 64,
+                "engine": engine,
+                "cold_s": 3.0,
+                "cold_per_s": 22.0,
+            },
             {"name": "stage", "max_conns": 64, "pieces": pieces},
         ],
         "limits": {
@@ -133,8 +156,12 @@
 
     numbers = iter(range(1, 1_000_000))
 
-    def __init__(self, entries=1):
-        """Make everything; ``start`` starts the entries."""
+    def __init__(self, entries=1, drains=False):
+        """Make everything; ``start`` starts the entries.
+
+        ``drains`` says whether the settings name the bounds of draining.
+        """
+        self.drains = drains
         self.folder = Path(tempfile.mkdtemp(prefix="route-site-"))
         self.store = RouteStore(ADDRESS)
         faults = set()
@@ -161,6 +188,7 @@
         self.fields[name] = {
             "node": name,
             "zone": zone,
+            "zones": REGIONS,
             # The metrics' port is fixed, so that each entry has an address of its own.
             "ip": f"127.{os.getpid() % 200 + 20}.{len(self.fields)}.{next(hosts)}",
             "listen": listen,
@@ -173,6 +201,7 @@
                 "grace_s": 4,
                 "config_ms": 2000,
                 "drain_ms": 2000,
+                **(DRAIN_BOUNDS if self.drains else {}),
             },
             "limits": {
                 "max_fds": 2048,
@@ -226,9 +255,18 @@
         """Publish a configuration."""
         self.store.put("op/config", json.dumps(published).encode())
 
-    def list(self, server, state="ready"):
+    def list(self, server, state="ready", cold_ms=0):
         """Publish a server's entry."""
-        self.store.put(f"servers/{server.identity}", server.entry(state))
+        self.store.put(f"servers/{server.identity}", server.entry(state, cold_ms))
+
+    def drain(self, *zones):
+        """Order that zones are drained, and all others are not."""
+        for zone in ZONES:
+            key = f"op/evacuate/{zone}"
+            if zone in zones:
+                self.store.put(key, b"{}")
+            elif key in self.store.items:
+                self.store.put(key, None)
 
     def ask(self, name, kind, path):
         """Send a GET to one of an entry's addresses; return the connection's answer."""
@@ -246,9 +284,9 @@
         """Return the status with which an entry says whether it is ready."""
         return self.ask(name, "ready", "/boragestream/ready")[0]
 
-    def directory(self, name):
+    def directory(self, name, region="r"):
         """Return the addresses that an entry tells callers."""
-        path = f"/boragestream/resolve?name={HOST}&region=r&zone=hall-a"
+        path = f"/boragestream/resolve?name={HOST}&region={region}&zone=hall-a"
         status, body = self.ask(name, "directory", path)
         return json.loads(body)["addrs"] if status == 200 else []
 
