Each publication logs by itself that the platform is away

Cause, traced from the known red: an entry makes sure of the configuration and of the servers by questions of their own, and whether questions fail was one state for both. Where the servers' question failed first, the configuration's line was never logged while its watch waited, up to 28 s. Ruled out: load; the new scenario shows it in simulated time without any. Change: the state is kept by publication; a line tells of the loss and one of the return for each.

--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -113,14 +113,14 @@
         if isinstance(answer, HistoryGone):
             answer = self.store.read(self.prefix)
         if isinstance(answer, Failure):
-            if not self.confirming.failing:
+            if not self.confirming.failing(self.prefix):
                 emit(self.unreachable, failure=answer.describe())
             self.table.note_failure()
             self.following.note_unanswered()
-            self.confirming.note_failure()
+            self.confirming.note_failure(self.prefix)
             self.failed()
             return False
-        if self.confirming.failing:
+        if self.confirming.failing(self.prefix):
             emit(Event.STORE_REGAINED, prefix=self.prefix, revision=answer.revision)
         self._apply(answer)
         self.following.note_confirmed(self.prefix, asked_at)
--- a/boragestream/policy/confirming.py
+++ b/boragestream/policy/confirming.py
@@ -74,13 +74,13 @@
         self._heard_at = -math.inf
         self._used_at = -math.inf
         self._failures = 0
+        self._failing: set[str] = set()
         self._not_before = -math.inf
         self._lock = threading.Lock()
 
-    @property
-    def failing(self) -> bool:
-        """Whether the last question got no answer."""
-        return self._failures > 0
+    def failing(self, prefix: str) -> bool:
+        """Tell whether the last question about a prefix got no answer."""
+        return prefix in self._failing
 
     def note_use(self) -> None:
         """Take that this entry decides by what is published."""
@@ -95,12 +95,14 @@
         with self._lock:
             known = self._answered_at[prefix]
             self._answered_at[prefix] = max(known, known_until)
+            self._failing.discard(prefix)
             self._failures = 0
             self._not_before = -math.inf
 
-    def note_failure(self) -> None:
-        """Take that a question got no answer."""
+    def note_failure(self, prefix: str) -> None:
+        """Take that a question about a prefix got no answer."""
         with self._lock:
+            self._failing.add(prefix)
             self._failures += 1
             pause = retry_pause_seconds(self._failures)
             spread = 0.5 + self._rng.random()
--- a/tests/features/lost_questions.feature
+++ b/tests/features/lost_questions.feature
@@ -32,6 +32,13 @@
     When the entries of all plain servers lapse and come back after the silence
     Then no request was refused meanwhile
 
+  Scenario: each of two publications logs by itself that the platform is away
+    Given an entry that has just been answered about the configuration, not the servers
+    When the store gives no answer to what the entry asks to make sure
+    Then both the servers and the configuration are logged as out of reach, once each
+    When the store answers again
+    Then both are logged as regained, once each
+
   @fixture.fleet.cooperative
   Scenario: an entry that watches the instance list hears of a leave though it was lost
     Given every entry has asked for the instance list anew, and these questions are lost
--- a/tests/features/steps/drained_centres.py
+++ b/tests/features/steps/drained_centres.py
@@ -1,13 +1,9 @@
 """Steps on drained data centres, without a process."""
 
-import json
-import logging
 import random
 
 import msgspec
-from absl import logging as absl_logging
 from behave import given, then, use_fixture, when
-from behave.fixture import fixture
 from hypothesis import given as any_of
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -31,9 +27,11 @@
 from boragestream.serving.piece_batches import PieceBatches
 from tests.standins.clock import SetClock
 from tests.standins.following import DRAINED
+from tests.standins.log_lines import log_lines
 
 CHECKS = settings(max_examples=200, derandomize=True, deadline=None, database=None)
 SERVICE = "service"
+DRAINED_EVENT = 2106
 PREFIX = "op/evacuate/"
 LIMITS = PieceLimits(1, 10, 0.2, 0.01, 1000.0, 4.0)
 
@@ -135,30 +133,6 @@
     table.take_revision(configuration_revision)
 
 
-class Lines(logging.Handler):
-    """Keeps the log lines on drained data centres."""
-
-    def __init__(self):
-        """Begin with none."""
-        super().__init__()
-        self.lines = []
-
-    def emit(self, record):
-        """Keep a line."""
-        if '"event":2106' in record.getMessage():
-            self.lines.append(json.loads(record.getMessage()))
-
-
-@fixture
-def log_lines(context):
-    """Listen to the log while a scenario runs."""
-    context.lines = Lines()
-    logger = absl_logging.get_absl_logger()
-    logger.addHandler(context.lines)
-    yield
-    logger.removeHandler(context.lines)
-
-
 @given('servers in "{one}" and "{other}"')
 def step(context, one, other):
     use_fixture(log_lines, context)
@@ -245,7 +219,7 @@
 
 def check_line(context, drained, unknown, malformed):
     """Check the one line on drained data centres."""
-    (line,) = context.lines.lines
+    (line,) = context.lines.of(DRAINED_EVENT)
     assert line["drained"] == drained and line["added"] == drained, line
     assert line["without_servers"] == unknown, line
     assert len(line["malformed"]) == malformed, line
--- a/tests/features/steps/lost_questions.py
+++ b/tests/features/steps/lost_questions.py
@@ -1,11 +1,21 @@
 """Steps on questions to the platform that are never answered."""
 
 import itertools
+import random
+import threading
 import time
 
-from behave import given, then, when
+from behave import given, then, use_fixture, when
 
+from boragestream.base.events import Event
+from boragestream.daemon.publication import Publication
+from boragestream.platform.reader import PlatformUnreachable
+from boragestream.policy.confirming import Confirming
+from boragestream.policy.publication import Changes, PublishedTable, Snapshot
+from boragestream.policy.watching import StoreFollowing
+from tests.standins.clock import SetClock
 from tests.standins.fleet import wait_until
+from tests.standins.log_lines import log_lines
 from tests.standins.route_server import RouteServer
 from tests.standins.route_site import ADDRESS, configuration
 from tests.standins.route_store import LOST, MUTE
@@ -19,6 +29,8 @@
 INSTANCES = "/v1/instances"
 # An entry that has just started asks more often.
 SETTLED_SECONDS = 3.0
+# How often the entry looks whether to make sure, in simulated time.
+STEP_SECONDS = 0.1
 # Servers whose entries lapsed publish themselves again so soon after the silence.
 LISTED_AGAIN_SECONDS = 0.5
 
@@ -117,6 +129,98 @@
     assert set(context.statuses) == {200}, context.statuses
 
 
+class SometimesAway:
+    """A store that gives no answer while it is away."""
+
+    def __init__(self):
+        """Be there."""
+        self.away = False
+
+    def read(self, prefix):
+        """Read what is published: nothing."""
+        return Snapshot(1, {})
+
+    def watch(self, prefix, revision, wait_seconds):
+        """Answer that nothing has changed, or fail."""
+        if self.away:
+            return PlatformUnreachable("10.0.0.1:80", "timed out")
+        return Changes(revision, ())
+
+
+def make_sure(context, seconds):
+    """Let time pass in which the entry makes sure of what it knows."""
+    until = context.clock.seconds + seconds
+    while context.clock.seconds < until:
+        context.clock.seconds += STEP_SECONDS
+        context.confirming.note_use()
+        if context.publications[0].confirm():
+            context.publications[1].confirm()
+
+
+@given("an entry that has just been answered about the configuration, not the servers")
+def step(context):
+    use_fixture(log_lines, context)
+    clock, rng = SetClock(), random.Random(1)
+    context.clock, context.store = clock, SometimesAway()
+    prefixes = ("configuration", "servers")
+    following = StoreFollowing(
+        clock, rng, dict.fromkeys(prefixes, False), 2.0, lambda: True, lambda: 1
+    )
+    context.confirming = Confirming(clock, rng, prefixes, 2.0, lambda: True)
+    events = (Event.CONFIGURATION_UNREACHABLE, Event.INSTANCES_UNREACHABLE)
+    context.publications = [
+        Publication(
+            store=context.store,
+            prefix=prefix,
+            watch_seconds=28.0,
+            table=PublishedTable(clock.now),
+            following=following,
+            confirming=context.confirming,
+            take=lambda values: None,
+            changed=lambda: None,
+            unreachable=event,
+            stopping=threading.Event(),
+            clock=clock,
+        )
+        for prefix, event in zip(prefixes, events, strict=True)
+    ]
+    for publication in context.publications:
+        publication.table.take(Snapshot(1, {}))
+        # An answer, and a watch behind it that waits.
+        assert following.asks(publication.prefix)
+        following.note_answer(publication.prefix)
+    clock.seconds += SETTLED_SECONDS
+    for publication in context.publications:
+        assert following.asks(publication.prefix)
+    context.confirming.note_answer("configuration", clock.now() + 0.4)
+    context.confirming.note_answer("servers", clock.now())
+
+
+@when("the store gives no answer to what the entry asks to make sure")
+def step(context):
+    context.store.away = True
+    make_sure(context, 6.0)
+
+
+@then("both the servers and the configuration are logged as out of reach, once each")
+def step(context):
+    names = [line["name"] for line in context.lines.told]
+    assert names == ["instances_unreachable", "configuration_unreachable"], names
+    context.lines.told.clear()
+
+
+@when("the store answers again")
+def step(context):
+    context.store.away = False
+    make_sure(context, 6.0)
+
+
+@then("both are logged as regained, once each")
+def step(context):
+    regained = [line["prefix"] for line in context.lines.told]
+    assert sorted(regained) == ["configuration", "servers"], context.lines.told
+
+
 @given("every entry has asked for the instance list anew, and these questions are lost")
 def step(context):
     fleet = context.fleet
--- a/tests/features/steps/published_servers.py
+++ b/tests/features/steps/published_servers.py
@@ -2,12 +2,9 @@
 
 import codecs
 import json
-import logging
 import random
 
-from absl import logging as absl_logging
 from behave import given, then, use_fixture, when
-from behave.fixture import fixture
 from hypothesis import given as any_of
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -27,6 +24,7 @@
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.service_queue import ServiceQueue
 from tests.standins.clock import SetClock
+from tests.standins.log_lines import log_lines
 
 SERVICE = "service"
 BORN_MS = 1_700_000_000_000
@@ -52,31 +50,9 @@
 )
 
 
-class Lines(logging.Handler):
-    """Keeps the log lines of an entry."""
-
-    def __init__(self):
-        """Begin with none."""
-        super().__init__()
-        self.lines = []
-
-    def emit(self, record):
-        """Keep a line."""
-        self.lines.append(record.getMessage())
-
-    def invalid(self):
-        """Return the lines on entries that name no server."""
-        return [line for line in self.lines if '"event":2102' in line]
-
-
-@fixture
-def log_lines(context):
-    """Listen to the log while a scenario runs."""
-    context.lines = Lines()
-    logger = absl_logging.get_absl_logger()
-    logger.addHandler(context.lines)
-    yield
-    logger.removeHandler(context.lines)
+def invalid_lines(context):
+    """Return the texts of the lines on entries that name no server."""
+    return [line for line in context.lines.texts if '"event":2102' in line]
 
 
 class Published:
@@ -185,7 +161,7 @@
 
 @then('one line in the log names "{key}"')
 def step(context, key):
-    lines = context.lines.invalid()
+    lines = invalid_lines(context)
     assert len(lines) == 1 and key in lines[0], lines
 
 
@@ -198,7 +174,7 @@
 
 @then("the log has one line of at most {most:d} characters")
 def step(context, most):
-    lines = context.lines.invalid()
+    lines = invalid_lines(context)
     assert len(lines) == 1 and len(lines[0]) <= most, lines
     assert '"malformed":400' in lines[0], lines[0]
 
--- a/tests/standins/following.py
+++ b/tests/standins/following.py
@@ -115,6 +115,7 @@
         # Calls that are never answered, and when the entry gives them up.
         self.lost = {}
         self.lost_question_until = None
+        self.lost_question = ""
         # By prefix: when the call began and until when it waits.
         self.pending = {}
         self.reread = set()
@@ -153,7 +154,7 @@
         if self.lost_question_until is not None:
             if now >= self.lost_question_until:
                 self.lost_question_until = None
-                self.note_unanswered()
+                self.note_unanswered(self.lost_question)
             return
         for prefix in PREFIXES:
             waits = self.following.waits(prefix)
@@ -162,9 +163,10 @@
             self.site.store.calls += 1
             if self.site.store.loses:
                 self.lost_question_until = now + UNANSWERED_SECONDS
+                self.lost_question = prefix
                 return
             if not self.site.store.serves(self.name):
-                self.note_unanswered()
+                self.note_unanswered(prefix)
                 return
             self.table.note_answer()
             if not self.take(prefix):
@@ -173,11 +175,11 @@
             self.following.note_confirmed(prefix, now)
             self.confirming.note_answer(prefix, now)
 
-    def note_unanswered(self):
+    def note_unanswered(self, prefix):
         """Take that a question that does not wait was not answered."""
         self.table.note_failure()
         self.following.note_unanswered()
-        self.confirming.note_failure()
+        self.confirming.note_failure(prefix)
 
     def try_to_end(self, prefix):
         """End a call that has an answer or fails."""
