One look-up tells why no server may be sent a request

Cause: a request that is bound to regions was told that no server lives where all of its regions' servers were cold. Change: the servers of its regions are looked up in one place, for the choice and for the reason.

--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -204,19 +204,22 @@
 
     def _servers(self) -> Sequence[Server]:
         """Return the servers that may be sent this request now."""
+        return self._parts.cold.usable(self._allowed())
+
+    def _allowed(self) -> Sequence[Server]:
+        """Return the live servers in the regions where the request may be served."""
         live = self._parts.servers.live(self._run.service)
         regions = self._run.regions
-        if regions is not None:
-            live = [server for server in live if server.region in regions]
-        return self._parts.cold.usable(live)
+        if regions is None:
+            return live
+        return [server for server in live if server.region in regions]
 
     def _no_server(self) -> Failure:
         """Return why there is no server."""
-        service, servers = self._run.service, self._parts.servers
-        if servers.live(service):
-            cold = self._run.regions is None
-            return ServersCold(service) if cold else NoLiveServer(service)
-        if servers.awaits_centre(service):
+        service = self._run.service
+        if self._allowed():
+            return ServersCold(service)
+        if self._parts.servers.awaits_centre(service):
             return CentresDrained(service)
         return NoLiveServer(service)
 
