--- a/boragestream/policy/cold_servers.py
+++ b/boragestream/policy/cold_servers.py
@@ -188,8 +188,12 @@
         )
 
     def _may_send(self, server: Server, now: float) -> bool:
+        bound = self._bound(server.service)
+        if bound is None:
+            # A configuration without it came into force meanwhile.
+            return True
         cold = self._cold[server.identity]
-        count, rate = sender_rate(self._bound(server.service))
+        count, rate = sender_rate(bound)
         gained = (now - cold.filled_at) * rate
         cold.tokens = min(BURST, cold.tokens + max(0.0, gained))
         cold.filled_at = now
