An entry that starts uses no server before it knows which data centres are drained

Cause, found in reading: an entry hears of the servers, the configuration and the orders by calls of their own and by peers' words in whatever order, so that one that started beside an order could send requests to a drained data centre for as long as the answer about orders took. Ruled out: the exchange, whose words carry the orders before the servers. Change: where orders are followed no server is used until the first word of them; the first word counts as news also when it drains nothing. Other values that operators publish are no malformed orders.

Figures: four cases of the first word in simulated calls, red before, green now; nothing changes where no bound for draining is set.

--- a/boragestream/daemon/operator_values.py
+++ b/boragestream/daemon/operator_values.py
@@ -10,7 +10,7 @@
 
 from boragestream.base.events import Event, emit
 from boragestream.platform.published import PublishedMalformed, read_drained_centre
-from boragestream.platform.store import CONFIGURATION_KEY
+from boragestream.platform.store import CONFIGURATION_KEY, DRAINED_PREFIX
 from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.servers import ServerTable
 
@@ -39,14 +39,16 @@
         self._changed = changed
         self._age = age
         self._text: bytes | None = None
-        self._keys: frozenset[str] = frozenset()
+        # None until something is known of them.
+        self._keys: frozenset[str] | None = None
         self._lock = threading.Lock()
 
     def take(self, values: dict[str, bytes]) -> None:
         """Take all values by key."""
         with self._lock:
             # First, since a configuration can take long to decode.
-            self._take_drained(frozenset(values.keys() - {CONFIGURATION_KEY}))
+            drained = (key for key in values if key.startswith(DRAINED_PREFIX))
+            self._take_drained(frozenset(drained))
             text = values.get(CONFIGURATION_KEY)
             if text is not None and text != self._text:
                 self._text = text
@@ -55,6 +57,7 @@
     def _take_drained(self, keys: frozenset[str]) -> None:
         if keys == self._keys:
             return
+        first = self._keys is None
         self._keys = keys
         read = {key: read_drained_centre(key) for key in sorted(keys)}
         centres = frozenset(name for name in read.values() if isinstance(name, str))
@@ -64,6 +67,8 @@
         restored = before - centres
         self._cold.assume_cold(s for s in listed if s.data_centre in restored)
         self._servers.take_drained(centres)
+        if first and not keys:
+            return
         known = {server.data_centre for server in listed}
         emit(
             Event.DATA_CENTRES_DRAINED,
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -170,7 +170,8 @@
     def server_left(server: LeavingServer) -> None:
         servers.take_word((server.name, server.host, server.incarnation))
 
-    servers = ServerTable(told=tell_leaving)
+    drains = settings.store.draining_ms is not None
+    servers = ServerTable(tell_leaving, awaits_orders=drains)
     centre = settings.entry.data_centre
     members = EntryPeers(own, incarnation, centre, links, server_left, clock, rng)
     capacity = settings.resources.capacity
--- a/boragestream/policy/operator_table.py
+++ b/boragestream/policy/operator_table.py
@@ -77,12 +77,13 @@
     def take_relayed(self, relayed: Relayed) -> bool:
         """Take what another entry told of the drained data centres, all of them.
 
-        :returns: True where it changed anything.
+        :returns: True where it changed anything, or nothing was known before.
         """
         with self._lock:
+            first = self._drained.revision is None
             before = self._drained.values.keys()
             self._drained.take_relayed(relayed)
-            return self._drained.values.keys() != before
+            return first or self._drained.values.keys() != before
 
     def take_revision(self, revision: int) -> None:
         """Take that the configuration has not changed up to a revision."""
--- a/boragestream/policy/servers.py
+++ b/boragestream/policy/servers.py
@@ -58,10 +58,17 @@
     """The servers by service; readers take a snapshot without a lock.
 
     :param told: called with each server that said to this entry that it is leaving.
+    :param awaits_orders: whether no server is used until it is known which data centres
+        are drained: an entry that starts hears of the servers in whatever order.
     """
 
-    def __init__(self, told: Callable[[Server], None] = lambda server: None) -> None:
+    def __init__(
+        self,
+        told: Callable[[Server], None] = lambda server: None,
+        awaits_orders: bool = False,
+    ) -> None:
         self._told = told
+        self._awaits_orders = awaits_orders
         self._unused: Callable[[str], None] = lambda host: None
         self._by_service: dict[str, tuple[Server, ...]] = {}
         # A dictionary for its order: the oldest is forgotten first.
@@ -118,6 +125,7 @@
         """Take which data centres are drained: all of them, not what has changed."""
         with self._lock:
             self._drained = data_centres
+            self._awaits_orders = False
             dropped = self._rebuild()
         self._drop(dropped)
 
@@ -160,7 +168,8 @@
         usable = [
             server
             for server in self._listed
-            if server.identity not in self._leaving
+            if not self._awaits_orders
+            and server.identity not in self._leaving
             and server.data_centre not in self._drained
         ]
         by_service: dict[str, list[Server]] = {}
--- a/tests/features/drained_centres.feature
+++ b/tests/features/drained_centres.feature
@@ -76,6 +76,25 @@
       | op/evacuate/a/b                                             | hall,yard |      |         | 1         |
       | op/evacuate/hall,op/evacuate/yard                           |      | hall,yard |         | 0         |
 
+  Scenario Outline: an entry that has just started uses no server before it knows of orders
+    Given servers in "hall" and "yard", and an entry that knows no orders yet
+    Then servers in "" are to be used
+    When the first word of orders comes from <source>, and drains "<drained>"
+    Then servers in "<used>" are to be used
+
+    Examples:
+      | source        | drained | used      |
+      | the platform  | hall    | yard      |
+      | the platform  |         | hall,yard |
+      | another entry | hall    | yard      |
+      | another entry |         | hall,yard |
+
+  Scenario: other values that operators publish are no orders
+    Given servers in "hall" and "yard"
+    When the keys "op/other,op/config" are published
+    Then servers in "hall,yard" are to be used
+    And no line tells of drained data centres
+
   Scenario: a server that leaves a drained data centre does not come back with it
     Given servers in "hall" and "yard"
     When the keys "op/evacuate/hall" are published
--- a/tests/features/steps/drained_centres.py
+++ b/tests/features/steps/drained_centres.py
@@ -157,6 +157,44 @@
     )
 
 
+@given('servers in "{one}" and "{other}", and an entry that knows no orders yet')
+def step(context, one, other):
+    context.execute_steps(f'given servers in "{one}" and "{other}"')
+    listed = context.servers.all
+    context.servers = ServerTable(awaits_orders=True)
+    context.servers.take_list(listed)
+    context.operators = OperatorValues(
+        lambda text: None, context.servers, context.cold, lambda: None, lambda: 0.0
+    )
+
+
+@when('the first word of orders comes from {source}, and drains "{centre}"')
+def step(context, source, centre):
+    first_word(context, source, [f"{PREFIX}{centre}"])
+
+
+@when('the first word of orders comes from {source}, and drains ""')
+def step(context, source):
+    first_word(context, source, [])
+
+
+def first_word(context, source, keys):
+    """Have a table take a first word, and the entry what follows from it."""
+    table = OperatorTable(context.clock.now, PREFIX)
+    if source == "the platform":
+        answer = Snapshot(7, {"op/config": b"{}", **dict.fromkeys(keys, b"{}")})
+        assert table.take(answer)
+    else:
+        changes = tuple(Change(key, 7, b"") for key in keys)
+        assert table.take_relayed(Relayed(None, 7, changes, {}))
+    context.operators.take(table.values)
+
+
+@then("no line tells of drained data centres")
+def step(context):
+    assert not context.lines.of(DRAINED_EVENT)
+
+
 def take_text(context):
     """Note which servers are to be used as a configuration is decoded."""
     context.used_then = used(context)
