The tests' log reader takes lines of all levels

Cause, traced: in a whole run, which captures nothing, only warnings and worse were written, so that a scenario that awaits a line of the information level found none; alone, with the runner's capture, it passed. Shown by the same scenario without capture. Ruled out: the product, whose daemons log that level. Change: the reader sets the level that daemons have while a scenario runs.

Figures: red without capture before, green with and without after.

--- a/tests/standins/log_lines.py
+++ b/tests/standins/log_lines.py
@@ -33,9 +33,12 @@
 
 @fixture
 def log_lines(context):
-    """Keep the log as ``context.lines`` while a scenario runs."""
+    """Keep the log as ``context.lines`` while a scenario runs, as daemons log it."""
     context.lines = LogLines()
     logger = absl_logging.get_absl_logger()
     logger.addHandler(context.lines)
+    verbosity = absl_logging.get_verbosity()
+    absl_logging.set_verbosity(absl_logging.INFO)
     yield
+    absl_logging.set_verbosity(verbosity)
     logger.removeHandler(context.lines)
