--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -5,6 +5,7 @@
 ``always-`` strike each run.
 """
 
+import contextlib
 import http.client
 import itertools
 import json
@@ -16,6 +17,8 @@
 
 EVENTS = 6
 SLOW_SECONDS = 0.8
+# A server that crashed is back after so long.
+BACK_SECONDS = 0.25
 RESET = struct.pack("ii", 1, 0)
 
 
@@ -57,7 +60,11 @@
         self.others_asked = 0
         self.orders = 0
         self.cut_off = None
+        self.crashes = 0
+        # Told with each new life after a crash, so that the store can list it.
+        self.when_back = lambda server, before: None
         self.lock = threading.Lock()
+        self.open = set()
         self.listener = socket.create_server((address, 0), backlog=256)
         self.address = f"{address}:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
@@ -80,8 +87,31 @@
 
     def close(self):
         """Stop listening."""
+        # A close alone leaves the port open for as long as a thread waits in accept.
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
+    def crash(self):
+        """End like a process that crashes, and start anew after a while."""
+        with self.lock:
+            self.crashes += 1
+            cut, self.open = self.open, set()
+        self.close()
+        for sock in cut:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                sock.shutdown(socket.SHUT_RDWR)
+        threading.Timer(BACK_SECONDS, self.start_again).start()
+
+    def start_again(self):
+        """Listen at the same address in a new life."""
+        before, self.identity = self.identity, f"i-{next(self.numbers)}"
+        host, _, port = self.address.rpartition(":")
+        self.listener = socket.create_server((host, int(port)), backlog=256)
+        threading.Thread(target=self.accept, daemon=True).start()
+        self.when_back(self, before)
+
     def accept(self):
         """Serve each connection in a thread of its own."""
         while True:
@@ -89,6 +119,8 @@
                 sock, _ = self.listener.accept()
             except OSError:
                 return
+            with self.lock:
+                self.open.add(sock)
             threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
 
     def serve(self, sock):
@@ -107,6 +139,8 @@
         except (OSError, ValueError):
             pass
         finally:
+            with self.lock:
+                self.open.discard(sock)
             sock.close()
 
     def call(self, sock, method, target, headers, body):
@@ -143,6 +177,9 @@
             self.send(sock, headers, 503, b"", [("Not-Run", "1")], sealed=False)
             return
         self.note_run(headers, body)
+        if fault == "crash":
+            self.crash()
+            raise OSError("crash")
         if self.kind == "engine":
             self.stream(sock, headers, fault)
         else:
--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -174,6 +174,7 @@
         self.fields = {}
         self.publish(configuration())
         for server in self.servers:
+            server.when_back = self.list_again
             self.list(server)
         ports = iter(free_ports(entries * 4))
         for number in range(entries):
@@ -259,6 +260,15 @@
         """Publish a server's entry."""
         self.store.put(f"servers/{server.identity}", server.entry(state, cold_ms))
 
+    def list_again(self, server, before):
+        """Publish the new life of a server that crashed, in place of the one before."""
+        self.store.put(f"servers/{before}", None)
+        self.list(server)
+
+    def crashes(self):
+        """Return how many servers have crashed."""
+        return sum(server.crashes for server in self.servers)
+
     def drain(self, *zones):
         """Order that zones are drained, and all others are not."""
         for zone in ZONES:
