--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -48,6 +48,8 @@
     RELEASE_FAILED = (3104, logging.WARNING)
     SERVER_EJECTED = (3105, logging.WARNING)
     QUEUE_OWNED = (3106, logging.INFO)
+    SERVER_CRASHED = (3107, logging.WARNING)
+    CRASHES_HEARD = (3108, logging.INFO)
     REQUEST_BROKEN = (3901, logging.ERROR)
     HTTP_COMPLAINT = (3902, logging.WARNING)
 
--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from boragestream.backend.cancellation import CancelScope, Watchdog
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, describe_error, emit
@@ -28,6 +30,7 @@
 from boragestream.policy.admission import Admission
 from boragestream.policy.admitted import Candidate
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
+from boragestream.policy.quarantine import fingerprint
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.request import RequestRecord, SentRecord
 
@@ -162,6 +165,7 @@
             run_by=run_by,
             ask=ask,
             admitted=admitted,
+            fingerprint=_fingerprint(asked),
         )
         self.watchdog.open(scope)
         return request
@@ -248,3 +252,8 @@
             milliseconds=int(seconds * 1000),
             failure=failure.describe() if failure else None,
         )
+
+
+def _fingerprint(asked: CallerRequest) -> bytes:
+    body = msgspec.json.encode(asked.body, order="sorted")
+    return fingerprint(asked.account.name, asked.pipeline.name, body)
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -30,6 +30,7 @@
 from boragestream.caller.replies import StartResponse
 from boragestream.document.calls import ForwardedRequest, RequestMalformed
 from boragestream.policy.first_knowledge import FirstKnowledge
+from boragestream.policy.quarantine import request_fingerprint
 from boragestream.policy.route_table import (
     KeyUnknown,
     RoutesInForce,
@@ -155,16 +156,18 @@
             wait = min(wait, request.wait_seconds)
         gone = environ.get("waitress.client_disconnected")
         scope = CancelScope(arrived + wait, gone, environ.get(STOP_WAITING))
+        name = account.name if account is not None else ""
         run = ForwardedRun(
             request=request,
             route=route,
             table=table,
-            account=account.name if account is not None else "",
+            account=name,
             priority=table.urgency(route, account),
             service=choose_service(route, self.forwarder.parts.rng),
             scope=scope,
             arrived=arrived,
             sent=SentRecord(),
+            fingerprint=request_fingerprint(name, request),
             account_regions=account.regions if account is not None else frozenset(),
         )
         return self._forward(start_response, run)
--- a/boragestream/daemon/parts.py
+++ b/boragestream/daemon/parts.py
@@ -109,7 +109,9 @@
         return Place(who.data_centre, loads.region_of(who.data_centre))
 
     attempts = ThreadPoolExecutor(ATTEMPT_THREADS, "attempt")
-    serving = make_parts(servers, loads, attempts, clock, rng, home, observations)
+    serving = make_parts(
+        servers, peers.quarantine, loads, attempts, clock, rng, home, observations
+    )
     servers.when_unused(serving.connections.forget)
     return EntryParts(
         settings=settings,
--- a/boragestream/daemon/peers.py
+++ b/boragestream/daemon/peers.py
@@ -8,19 +8,29 @@
 from boragestream.base.clock import Clock
 from boragestream.base.settings import EntrySettings
 from boragestream.daemon.tasks import take_document
+from boragestream.entry.knowledge_messages import QuarantineAsk
 from boragestream.entry.links import Handler, PeerLinks
 from boragestream.entry.messages import DocumentAsk
 from boragestream.entry.peers import EntryPeers
+from boragestream.entry.quarantine import QuarantinePart
 from boragestream.entry.relay import ConfigurationRelay
 from boragestream.platform.instances import Instance
 from boragestream.policy.configuration import ConfigurationInForce
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.membership import MemberState
 from boragestream.policy.peers import EntryTable
+from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.servers import ServerTable
 from boragestream.policy.watching import direct_read_seconds, is_watcher
 
-__all__ = ["InitialSync", "Peers", "WatchDuty", "join_peers", "listed_states"]
+__all__ = [
+    "InitialSync",
+    "Peers",
+    "WatchDuty",
+    "join_peers",
+    "join_quarantine",
+    "listed_states",
+]
 
 # Longer than one question to a peer, so that a peer that is gone does not count.
 INITIAL_SYNC_SECONDS = 2.5
@@ -93,12 +103,14 @@
     :ivar members: the other entries, and the exchange that parts can be added to.
     :ivar duty: when to watch the configuration service.
     :ivar initial_sync: what a fresh entry waits for before it takes a document.
+    :ivar quarantine: which requests crash servers.
     :ivar handlers: what answers the messages of peers.
     """
 
     members: EntryPeers
     duty: WatchDuty
     initial_sync: InitialSync
+    quarantine: Quarantine
     handlers: Mapping[type, Handler]
 
 
@@ -128,9 +140,31 @@
     members.exchange.add_part(relay)
     configuration.when_taken(members.exchange.hurry)
     duty = WatchDuty(who, members.entries, configuration, rng)
-    handlers = {**members.handlers, DocumentAsk: relay.answer}
+    quarantine, part = join_quarantine(who.name, members, links, clock)
+    handlers = {
+        **members.handlers,
+        DocumentAsk: relay.answer,
+        QuarantineAsk: part.answer,
+    }
     initial_sync = InitialSync(members, relay)
-    return Peers(members, duty, initial_sync, handlers)
+    return Peers(members, duty, initial_sync, quarantine, handlers)
+
+
+def join_quarantine(
+    own: str, members: EntryPeers, links: PeerLinks, clock: Clock
+) -> tuple[Quarantine, QuarantinePart]:
+    """Have the entries tell one another which requests crash servers.
+
+    :param own: this entry's name.
+    """
+
+    def entries() -> list[str]:
+        return [entry.name for entry in members.entries.usable()]
+
+    quarantine = Quarantine(own, entries, clock, members.exchange.hurry)
+    part = QuarantinePart(quarantine, links, members.address, members.exchange.submit)
+    members.exchange.add_part(part)
+    return quarantine, part
 
 
 def listed_states(
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -18,6 +18,7 @@
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.base.route_settings import RouteSettings
 from boragestream.daemon.operator_values import OperatorValues
+from boragestream.daemon.peers import join_quarantine
 from boragestream.daemon.publications import (
     AWAITED,
     Publications,
@@ -29,7 +30,11 @@
 from boragestream.document.routes import PieceLimits, RouteService
 from boragestream.entry.address_sync import AddressSync
 from boragestream.entry.addresses import AddressBook
-from boragestream.entry.knowledge_messages import AddressesAsk, PublishedAsk
+from boragestream.entry.knowledge_messages import (
+    AddressesAsk,
+    PublishedAsk,
+    QuarantineAsk,
+)
 from boragestream.entry.links import Handler, PeerLinks
 from boragestream.entry.messages import DocumentAsk, Sender
 from boragestream.entry.peers import EntryPeers
@@ -40,6 +45,7 @@
     PiecesOrder,
     PiecesRelease,
 )
+from boragestream.entry.quarantine import QuarantinePart
 from boragestream.entry.relay import ConfigurationRelay
 from boragestream.platform.pieces import (
     encode_piece_call,
@@ -57,6 +63,7 @@
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.load import LoadTable
 from boragestream.policy.peers import ListedEntry
+from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.queue_owners import able_entries, owner_order
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.route_table import RoutesInForce
@@ -99,6 +106,8 @@
     :ivar address_sync: finds where the books of other entries differ.
     :ivar members: how the other entries are.
     :ivar cold: which servers have just started.
+    :ivar quarantine: which requests crash servers.
+    :ivar quarantine_part: tells the other entries of them.
     :ivar published_servers: takes the published entries of servers.
     :ivar publications: what is followed of the platform's store.
     :ivar ended: set once the entry has ended.
@@ -115,6 +124,8 @@
     servers: ServerTable
     loads: LoadTable
     cold: ColdServers
+    quarantine: Quarantine
+    quarantine_part: QuarantinePart
     published_servers: PublishedServers
     watchdog: Watchdog
     metrics: RouteMetrics
@@ -139,6 +150,7 @@
             DocumentAsk: self.relay.answer,
             AddressesAsk: self.address_sync.answer,
             PublishedAsk: self.publications.relay.answer,
+            QuarantineAsk: self.quarantine_part.answer,
             PiecesOrder: self.orders.answer_order,
             PiecesBook: self.bookings.answer_booking,
             PiecesDone: self.orders.answer_done,
@@ -186,6 +198,7 @@
         members.exchange.submit,
     )
     members.exchange.add_part(relay)
+    quarantine, quarantine_part = join_quarantine(own, members, links, clock)
     members.exchange.add_part(book)
     sync = AddressSync(book, links, members.exchange.submit, clock, rng)
     members.exchange.add_part(sync)
@@ -248,6 +261,7 @@
         format=_PieceCalls(),
         servers=servers,
         cold=cold,
+        quarantine=quarantine,
         loads=loads,
         retries=retries,
         watchdog=watchdog,
@@ -297,6 +311,7 @@
             encode=encode_call,
             servers=servers,
             cold=cold,
+            quarantine=quarantine,
             loads=loads,
             choice=ServerChoice(loads, clock, centre),
             retries=retries,
@@ -324,6 +339,8 @@
         servers=servers,
         loads=loads,
         cold=cold,
+        quarantine=quarantine,
+        quarantine_part=quarantine_part,
         published_servers=published_servers,
         watchdog=watchdog,
         metrics=metrics,
--- a/boragestream/entry/knowledge_messages.py
+++ b/boragestream/entry/knowledge_messages.py
@@ -1,12 +1,25 @@
 """The messages by which entries tell each other what they know.
 
-Who the entries are, and what the platform publishes of the servers. The envelope, and
-the rule for fields that are added, are those of ``entry.messages``.
+Who the entries are, what the platform publishes of the servers, and which requests
+crash servers. The envelope, and the rule for fields that are added, are those of
+``entry.messages``.
 """
 
 import msgspec
 
-__all__ = ["AddressesAsk", "AddressesReply", "PublishedAsk", "PublishedReply"]
+__all__ = [
+    "AddressesAsk",
+    "AddressesReply",
+    "PackedCrashes",
+    "PublishedAsk",
+    "PublishedReply",
+    "QuarantineAsk",
+    "QuarantineReply",
+]
+
+# A request's fingerprint, its rows of crashes that were ended by an answer, its crashes
+# in a row since, and how many milliseconds ago the last one was noticed.
+PackedCrashes = tuple[bytes, int, int, int]
 
 
 class AddressesAsk(msgspec.Struct, frozen=True, tag=True):
@@ -53,3 +66,13 @@
     revision: int = 0
     changes: tuple[tuple[str, int, bytes | None], ...] = ()
     lapsed: dict[str, int] = {}
+
+
+class QuarantineAsk(msgspec.Struct, frozen=True, tag=True):
+    """Asks which requests are quarantined."""
+
+
+class QuarantineReply(msgspec.Struct, frozen=True, tag=True):
+    """The requests that are quarantined."""
+
+    records: tuple[PackedCrashes, ...] = ()
--- a/boragestream/entry/messages.py
+++ b/boragestream/entry/messages.py
@@ -17,6 +17,8 @@
     AddressesReply,
     PublishedAsk,
     PublishedReply,
+    QuarantineAsk,
+    QuarantineReply,
 )
 from boragestream.entry.piece_messages import (
     PiecesAnswer,
@@ -215,6 +217,8 @@
     | AddressesReply
     | PublishedAsk
     | PublishedReply
+    | QuarantineAsk
+    | QuarantineReply
     | TicketPost
     | TicketAsk
     | RequestAsk
--- a/boragestream/entry/piece_messages.py
+++ b/boragestream/entry/piece_messages.py
@@ -26,6 +26,7 @@
     :ivar left_ms: until nobody waits any more.
     :ivar near: the data centre where much that it reads lies; empty for none.
     :ivar regions: where alone the pieces may be made; empty for anywhere.
+    :ivar fingerprint: tells the request from others over all its returns.
     """
 
     order_id: str
@@ -42,6 +43,7 @@
     left_ms: int
     near: str = ""
     regions: tuple[str, ...] = ()
+    fingerprint: bytes = b""
 
 
 class PiecesBook(msgspec.Struct, frozen=True, tag=True):
--- /dev/null
+++ b/boragestream/entry/quarantine.py
@@ -0,0 +1,124 @@
+"""Crash records on the exchange between entries.
+
+A new record is offered a bounded number of times and brings the next rounds forward.
+What that misses, and what an entry that starts has to learn, is found by a digest of
+the records that quarantine a request. What the records mean is decided by
+``policy.quarantine``.
+"""
+
+from collections.abc import Callable, Iterable
+from functools import partial
+
+import msgspec
+
+from boragestream.base.events import Event, emit
+from boragestream.entry.knowledge_messages import (
+    PackedCrashes,
+    QuarantineAsk,
+    QuarantineReply,
+)
+from boragestream.entry.links import PeerLinks
+from boragestream.entry.messages import Envelope
+from boragestream.entry.open_questions import OpenQuestions
+from boragestream.policy.quarantine import CrashRecord, Quarantine
+
+__all__ = ["QuarantinePart"]
+
+ASK_SECONDS = 1.0
+# Records in one message; what does not fit is offered in the next.
+NEWS = 10
+
+
+class CrashesOffer(msgspec.Struct, frozen=True, array_like=True):
+    """What one message says.
+
+    :ivar digest: of the records that quarantine a request.
+    """
+
+    digest: int
+    news: tuple[PackedCrashes, ...] = ()
+
+
+_encoder = msgspec.msgpack.Encoder()
+_offers = msgspec.msgpack.Decoder(CrashesOffer)
+
+
+class QuarantinePart:
+    """The part of the exchange that carries crash records.
+
+    :param links: carries the questions.
+    :param address: returns a peer's address by its name.
+    :param submit: has a question asked beside the rounds.
+    """
+
+    name = "q"
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        links: PeerLinks,
+        address: Callable[[str], str | None],
+        submit: Callable[[Callable[[], None]], None],
+    ) -> None:
+        self._quarantine = quarantine
+        self._links = links
+        self._address = address
+        self._submit = submit
+        self._questions = OpenQuestions()
+
+    def offer(self, budget: int) -> bytes:
+        """Return the digest and some news."""
+        news = _pack(self._quarantine.news(NEWS))
+        data = _encoder.encode(CrashesOffer(self._quarantine.digest, news))
+        while len(data) > budget and news:
+            news = news[: len(news) // 2]
+            data = _encoder.encode(CrashesOffer(self._quarantine.digest, news))
+        return data if len(data) <= budget else b""
+
+    def take(self, sender: str, data: bytes) -> None:
+        """Merge what a peer offered, and ask it for more where digests differ."""
+        try:
+            offer = _offers.decode(data)
+        except msgspec.DecodeError as error:
+            emit(Event.PEER_FRAME_REFUSED, peer=sender, reason=repr(error))
+            return
+        self._merge(sender, offer.news)
+        differs = offer.digest != self._quarantine.digest
+        if differs and offer.digest and self._questions.begin(sender):
+            self._submit(partial(self._ask, sender))
+
+    def answer(self, envelope: Envelope, message: QuarantineAsk) -> QuarantineReply:
+        """Return the records that quarantine a request."""
+        return QuarantineReply(_pack(self._quarantine.lasting()))
+
+    def _ask(self, peer: str) -> None:
+        try:
+            address = self._address(peer)
+            if address is None:
+                return
+            reply = self._links.ask(address, QuarantineAsk(), ASK_SECONDS)
+            # A peer that gives no answer is noticed by the rounds.
+            if isinstance(reply, QuarantineReply):
+                self._merge(peer, reply.records)
+        finally:
+            self._questions.end(peer)
+
+    def _merge(self, peer: str, packed: Iterable[PackedCrashes]) -> None:
+        for of, cleared, crashes, age_ms in packed:
+            record = CrashRecord(of, cleared, crashes)
+            if self._quarantine.take(record, age_ms / 1000):
+                emit(
+                    Event.CRASHES_HEARD,
+                    fingerprint=of.hex(),
+                    crashes=crashes,
+                    cleared=cleared,
+                    peer=peer,
+                    age_ms=age_ms,
+                )
+
+
+def _pack(aged: Iterable[tuple[CrashRecord, float]]) -> tuple[PackedCrashes, ...]:
+    return tuple(
+        (record.fingerprint, record.cleared, record.crashes, max(0, int(age * 1000)))
+        for record, age in aged
+    )
--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -67,6 +67,8 @@
     :ivar invested: whether results of earlier stages would be lost with it.
     :ivar near: the data centre where much that it reads lies; empty for none.
     :ivar regions: where alone its pieces may be made; empty for anywhere.
+    :ivar fingerprint: tells the request from others over all its returns; empty where
+        that is not known.
     """
 
     order_id: str
@@ -77,6 +79,7 @@
     invested: bool
     near: str = ""
     regions: frozenset[str] = frozenset()
+    fingerprint: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +108,7 @@
     :ivar expires: the clock's seconds at which nobody waits for it any more.
     :ivar left: its pieces that are not under way.
     :ivar came: when it came, in the clock's seconds.
+    :ivar suspected: whether a server has crashed while it ran the request.
     """
 
     order: PieceOrder
@@ -112,6 +116,7 @@
     expires: float
     left: list[Piece] = field(default_factory=list)
     came: float = -math.inf
+    suspected: bool = False
 
     def place(self, now: float) -> tuple[bool, float]:
         """Return its place in the queue; the smaller goes first."""
@@ -145,7 +150,9 @@
     """Return the pieces of the next call, by order.
 
     An order is kept together where it fits, since its results are then read from one
-    place; a larger one than a whole batch is divided.
+    place; a larger one than a whole batch is divided. A call takes one order at the
+    most under which a server has crashed: all that was cut together would be cut
+    together again.
     """
     chosen: list[tuple[QueuedOrder, list[Piece]]] = []
     places = limits.batch
@@ -155,6 +162,8 @@
             break
         if _is_barred(queued, room) or _waits_for_near(queued, room):
             continue
+        if queued.suspected and any(other.suspected for other, _ in chosen):
+            continue
         size = queued.order.result_bytes
         fitting = min(places, int(free // size) if size > 0 else places)
         count = min(len(queued.left), fitting)
--- /dev/null
+++ b/boragestream/policy/quarantine.py
@@ -0,0 +1,272 @@
+"""Requests that crash the backend servers that run them, and who may still send them.
+
+Load pattern: one request comes again and again, at any entry and under new ids, and
+each server that begins to run it ends. Whatever ran beside it is cut as well, is sent
+once more, and may meet it again. Requests are told apart by a fingerprint of what
+decides what runs.
+
+What is counted are crashes in a row: an attempt that is cut by a crash raises the count
+to one more than was known when it was sent. Servers that are lost together so count
+once for a request that ran on all of them, and an answer of any server ends the row.
+With the second crash in a row a request is quarantined. One crash less would strike all
+that ran beside the cause; one more would cost a small service its last server.
+
+A quarantine ends with a probe. Each entry has a moment of its own for it, so that the
+first probe's outcome is known to the others before theirs. A probe that crashes its
+server begins a longer quarantine.
+
+Left out: how a crash is noticed (``serving.request_guard``), how entries tell one
+another (``entry.quarantine``).
+"""
+
+import hashlib
+import threading
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, field
+
+import xxhash
+
+from boragestream.base.clock import Clock
+from boragestream.base.outcomes import Failure
+from boragestream.document.calls import ForwardedRequest
+
+__all__ = [
+    "CrashRecord",
+    "Quarantine",
+    "RequestQuarantined",
+    "fingerprint",
+    "request_fingerprint",
+]
+
+FINGERPRINT_BYTES = 8
+CRASHES_TO_QUARANTINE = 2
+# A server that was wrongly held against a request has long been replaced by then.
+FIRST_QUARANTINE_SECONDS = 30.0
+# Releases that mend a server are rolled out in this time.
+QUARANTINE_SECONDS = 600.0
+# The outcome of one entry's probe reaches all others within this time.
+PROBE_GAP_SECONDS = 3.0
+# Callers that were cut by a crash have come back or given up by then.
+SUSPECT_SECONDS = 60.0
+FORGET_SECONDS = 3600.0
+MOST_RECORDS = 4096
+# Each record is offered so many times; what that misses is found by comparing digests.
+OFFERS = 16
+
+
+def fingerprint(*parts: str | bytes) -> bytes:
+    """Return what tells a request from others over all its returns."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in parts:
+        data = part.encode() if isinstance(part, str) else part
+        # The length keeps two parts from being shifted into one another.
+        digest.update(len(data).to_bytes(4, "big"))
+        digest.update(data)
+    return digest.digest()
+
+
+def request_fingerprint(account: str, request: ForwardedRequest) -> bytes:
+    """Return what tells a forwarded request from others over all its returns.
+
+    Its id is new with each of them.
+
+    :param account: the client account's name; empty where there is none.
+    """
+    asked = (request.method, request.host, request.target, request.body)
+    return fingerprint(account, *asked)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestQuarantined(Failure):
+    """The request crashed the servers that ran it and is sent to none for a while.
+
+    :ivar crashes: how many in a row.
+    :ivar left_seconds: for how long.
+    """
+
+    crashes: int
+    left_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """What is known of one request.
+
+    :ivar cleared: how many rows of crashes have been ended by an answer.
+    :ivar crashes: crashes in a row since.
+    """
+
+    fingerprint: bytes
+    cleared: int = 0
+    crashes: int = 0
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """The record with the greater rank prevails."""
+        return (self.cleared, self.crashes)
+
+    @property
+    def lasting(self) -> bool:
+        """Whether every entry must know it, also one that starts later."""
+        return self.crashes >= CRASHES_TO_QUARANTINE
+
+
+@dataclass(slots=True)
+class _Kept:
+    record: CrashRecord
+    since: float
+    offers: int = OFFERS
+    # No probe of this entry before then, in the clock's seconds.
+    probe_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Quarantine:
+    """The crashes that one entry knows of.
+
+    :ivar own: this entry's name.
+    :ivar entries: returns the names of the entries that serve.
+    :ivar changed: called after each change that others should hear at once.
+    """
+
+    own: str
+    entries: Callable[[], Collection[str]]
+    clock: Clock
+    changed: Callable[[], None] = lambda: None
+    _kept: dict[bytes, _Kept] = field(default_factory=dict)
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing is held against any request."""
+        return not self._kept
+
+    @property
+    def count(self) -> int:
+        """How many requests are quarantined."""
+        return sum(kept.record.lasting for kept in list(self._kept.values()))
+
+    def known(self, of: bytes) -> CrashRecord:
+        """Return what is known of a request."""
+        kept = self._kept.get(of)
+        return kept.record if kept is not None else CrashRecord(of)
+
+    def admit(self, of: bytes) -> RequestQuarantined | None:
+        """Return why a request may not be sent now; None where it may.
+
+        An entry that is let through to probe is not let through again until the
+        outcome must be known.
+        """
+        with self._lock:
+            kept = self._kept.get(of)
+            if kept is None or not kept.record.lasting:
+                return None
+            now = self.clock.now()
+            if now >= kept.probe_at:
+                turns = max(1, len(self.entries()))
+                kept.probe_at = now + turns * PROBE_GAP_SECONDS
+                return None
+            return RequestQuarantined(kept.record.crashes, kept.probe_at - now)
+
+    def note_crash(self, sent_with: CrashRecord) -> CrashRecord | None:
+        """Take that a server crashed while it ran a request.
+
+        :param sent_with: what was known right before the request was sent.
+        :returns: the new record; None where it says nothing new.
+        """
+        of = sent_with.fingerprint
+        known = self.known(of)
+        crashes = sent_with.crashes + 1 if sent_with.cleared == known.cleared else 1
+        record = CrashRecord(of, known.cleared, crashes)
+        return record if self.take(record, 0.0) else None
+
+    def note_answered(self, of: bytes) -> None:
+        """Take that a server answered a request, which ends its row of crashes."""
+        known = self._kept.get(of)
+        if known is not None and known.record.crashes:
+            self.take(CrashRecord(of, known.record.cleared + 1), 0.0)
+
+    def take(self, record: CrashRecord, age_seconds: float) -> bool:
+        """Merge a record; False where it says nothing new.
+
+        :param age_seconds: how long ago its last crash was noticed.
+        """
+        if age_seconds >= _keep_seconds(record):
+            return False
+        with self._lock:
+            known = self._kept.get(record.fingerprint)
+            if known is not None and known.record.rank >= record.rank:
+                return False
+            if known is None and len(self._kept) >= MOST_RECORDS:
+                self._make_room()
+            since = self.clock.now() - age_seconds
+            kept = _Kept(record, since, probe_at=self._probe_at(record, since))
+            self._kept[record.fingerprint] = kept
+        self.changed()
+        return True
+
+    def news(self, most: int) -> list[tuple[CrashRecord, float]]:
+        """Return records to offer, each with its age, and count the offer.
+
+        The longest rows go first, and what was offered least often.
+        """
+        with self._lock:
+            self._forget()
+            fresh = [kept for kept in self._kept.values() if kept.offers > 0]
+            fresh.sort(key=lambda kept: (-kept.record.crashes, -kept.offers))
+            for kept in fresh[:most]:
+                kept.offers -= 1
+            return self._aged(fresh[:most])
+
+    def lasting(self) -> list[tuple[CrashRecord, float]]:
+        """Return the records that every entry must know, each with its age."""
+        with self._lock:
+            self._forget()
+            return self._aged(k for k in self._kept.values() if k.record.lasting)
+
+    @property
+    def digest(self) -> int:
+        """A 32-bit digest of the records that every entry must know."""
+        digest = 0
+        for kept in list(self._kept.values()):
+            record = kept.record
+            if record.lasting:
+                text = f"{record.cleared} {record.crashes} ".encode()
+                digest ^= xxhash.xxh32_intdigest(text + record.fingerprint)
+        return digest
+
+    def _aged(self, kept: Iterable[_Kept]) -> list[tuple[CrashRecord, float]]:
+        now = self.clock.now()
+        return [(each.record, now - each.since) for each in kept]
+
+    def _probe_at(self, record: CrashRecord, since: float) -> float:
+        if not record.lasting:
+            return since
+        first = record.crashes == CRASHES_TO_QUARANTINE
+        seconds = FIRST_QUARANTINE_SECONDS if first else QUARANTINE_SECONDS
+        return since + seconds + self._turn(record) * PROBE_GAP_SECONDS
+
+    def _turn(self, record: CrashRecord) -> int:
+        """Return how many entries probe a request before this one."""
+        mine = _turn_digest(self.own, record)
+        others = (name for name in self.entries() if name != self.own)
+        return sum(_turn_digest(name, record) < mine for name in others)
+
+    def _forget(self) -> None:
+        now = self.clock.now()
+        for of, kept in list(self._kept.items()):
+            if now - kept.since >= _keep_seconds(kept.record):
+                del self._kept[of]
+
+    def _make_room(self) -> None:
+        """Forget the oldest record that quarantines nothing, or else the oldest."""
+        passing = (of for of, kept in self._kept.items() if not kept.record.lasting)
+        del self._kept[next(passing, next(iter(self._kept)))]
+
+
+def _keep_seconds(record: CrashRecord) -> float:
+    return FORGET_SECONDS if record.lasting else SUSPECT_SECONDS
+
+
+def _turn_digest(entry: str, record: CrashRecord) -> int:
+    return xxhash.xxh3_64_intdigest(record.fingerprint + entry.encode())
--- a/boragestream/serving/attempts.py
+++ b/boragestream/serving/attempts.py
@@ -20,6 +20,7 @@
     open_attempt,
 )
 from boragestream.backend.calls import StageCall
+from boragestream.backend.failures import AnswerCut
 from boragestream.backend.load import read_load
 from boragestream.base.events import Event, emit
 from boragestream.base.failures import DeadlinePassed
@@ -31,6 +32,7 @@
 from boragestream.policy.servers import Server
 from boragestream.serving.parts import ServingParts
 from boragestream.serving.request import RequestRecord
+from boragestream.serving.request_guard import RequestGuard
 
 __all__ = ["AttemptRun", "HedgeLost", "StageRun"]
 
@@ -44,12 +46,14 @@
 class StageRun:
     """One stage of one request, the same for each of its attempts.
 
+    :ivar guard: of the request.
     :ivar prefix: the key of the prompt's prefix; None for services without a cache.
     """
 
     request: RequestRecord
     stage: Stage
     call: StageCall
+    guard: RequestGuard
     prefix: int | None = None
 
     @property
@@ -57,6 +61,11 @@
         """``pipeline.stage``."""
         return f"{self.request.pipeline.name}.{self.stage.name}"
 
+    @property
+    def is_last(self) -> bool:
+        """Whether its result is the request's answer."""
+        return self.stage is self.request.pipeline.stages[-1]
+
     @property
     def kind(self) -> str:
         """Under which name its times are kept; a stream's end when its head comes."""
@@ -114,6 +123,8 @@
         if isinstance(answer, AttemptFailure):
             self._note_failure(answer)
             self._close(_end_of(answer))
+            if isinstance(answer, AnswerCut):
+                run.guard.note_cut(self._server)
             return answer
         self._take_report(answer)
         answer.when_ended(self._answer_ended)
@@ -129,6 +140,9 @@
         # The choice has aged by a connect, and by whatever this process waited for.
         if not self._parts.servers.takes_work(self._server):
             return ServerLeft(self._server.name, Ran.NOT_SENT)
+        quarantined = self._run.guard.sending()
+        if quarantined is not None:
+            return AttemptCancelled(self._server.name, Ran.NOT_SENT, quarantined)
         self._run.request.sent.note_sending(self._id, self._run.call.repeatable)
         return None
 
@@ -145,8 +159,14 @@
     def _answer_ended(self, whole: bool) -> None:
         if whole:
             self._close(CallEnd.ANSWERED)
+            if self._run.is_last:
+                self._run.guard.note_answered()
             return
-        self._close(CallEnd.CANCELLED if self._is_cancelled() else CallEnd.CUT)
+        if self._is_cancelled():
+            self._close(CallEnd.CANCELLED)
+            return
+        self._close(CallEnd.CUT)
+        self._run.guard.note_cut(self._server)
 
     def _is_cancelled(self) -> bool:
         late = self._parts.clock.now() >= self._scope.deadline
@@ -192,7 +212,12 @@
             self._parts.servers.note_leaving(self._server)
         crossed = isinstance(failure, AnswerCrossed)
         event = Event.ANSWER_DISCARDED if crossed else Event.ATTEMPT_FAILED
-        emit(event, request=request.request_id, failure=failure.describe())
+        emit(
+            event,
+            request=request.request_id,
+            fingerprint=request.fingerprint.hex(),
+            failure=failure.describe(),
+        )
 
 
 def _end_of(failure: AttemptFailure) -> CallEnd:
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -28,11 +28,13 @@
 from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.load import CallEnd, LoadTable
+from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.server_choice import ServerChoice
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving.ejections import note_ejection
 from boragestream.serving.forwarded_run import ForwardedRun
+from boragestream.serving.request_guard import RequestGuard
 from boragestream.serving.stage_pieces import StagePieces
 
 __all__ = ["EncodeCall", "ForwardAttempt", "ForwardParts"]
@@ -52,6 +54,7 @@
     """What forwarding needs of the entry.
 
     :ivar cold: which servers have just started.
+    :ivar quarantine: which requests crash servers.
     :ivar engine_delays: how long engines take to their first event.
     :ivar list_age: returns the seconds since the server list was last confirmed.
     """
@@ -60,6 +63,7 @@
     encode: EncodeCall
     servers: ServerTable
     cold: ColdServers
+    quarantine: Quarantine
     loads: LoadTable
     choice: ServerChoice
     retries: RetryWindows
@@ -72,9 +76,19 @@
 
 
 class ForwardAttempt:
-    """One attempt at one server, and its accounts."""
+    """One attempt at one server, and its accounts.
 
-    def __init__(self, parts: ForwardParts, run: ForwardedRun, server: Server) -> None:
+    :param guard: of the request.
+    """
+
+    def __init__(
+        self,
+        parts: ForwardParts,
+        run: ForwardedRun,
+        guard: RequestGuard,
+        server: Server,
+    ) -> None:
+        self._guard = guard
         self._server = server
         self._parts = parts
         self._run = run
@@ -115,6 +129,9 @@
                 return ServerLeft(server.name, Ran.NOT_SENT)
             if not self._parts.cold.admit(server):
                 return ServerCold(server.name, Ran.NOT_SENT)
+            quarantined = self._guard.sending()
+            if quarantined is not None:
+                return AttemptCancelled(server.name, Ran.NOT_SENT, quarantined)
             run.sent.note_sending(server.name, run.route.repeatable)
             call = CallHead(
                 server_id=server.name,
--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -7,6 +7,7 @@
 from boragestream.base.outcomes import Failed, Failure, Refused, Unknown
 from boragestream.document.calls import ForwardedRequest
 from boragestream.document.routes import Route
+from boragestream.policy.quarantine import RequestQuarantined
 from boragestream.policy.route_table import RouteTable
 from boragestream.policy.servers import Server
 from boragestream.serving.piece_failures import StageSaturated
@@ -49,6 +50,7 @@
     :ivar priority: by client account and route; 0 is the most urgent.
     :ivar service: the service that was chosen of the route's targets.
     :ivar arrived: the clock's seconds of its first byte.
+    :ivar fingerprint: tells the request from others over all its returns.
     :ivar account_regions: where alone its client account may be served; empty for
         anywhere.
     """
@@ -62,6 +64,7 @@
     scope: CancelScope
     arrived: float
     sent: SentRecord
+    fingerprint: bytes = b""
     account_regions: frozenset[str] = frozenset()
 
     @property
@@ -86,8 +89,11 @@
 def outcome_of(run: ForwardedRun, failure: Failure) -> Refused | Failed | Unknown:
     """Return the true outcome of a request that was not answered.
 
-    It was refused, and never runs, only where no server may have run it.
+    It was refused, and never runs, only where no server may have run it. One that is
+    quarantined has run, on servers that it crashed.
     """
+    if isinstance(failure, RequestQuarantined):
+        return Failed(failure, failure.left_seconds)
     if run.sent.may_have_run:
         return (
             Unknown(failure, "") if not run.route.repeatable else Failed(failure, 0.0)
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -36,6 +36,7 @@
     InputsGone,
     ServerDidNotRun,
 )
+from boragestream.serving.request_guard import RequestGuard
 
 __all__ = ["Forwarder"]
 
@@ -62,6 +63,12 @@
     def __init__(self, parts: ForwardParts, run: ForwardedRun) -> None:
         self._parts = parts
         self._run = run
+        self._guard = RequestGuard(
+            parts.quarantine,
+            parts.line.connections,
+            run.request.request_id,
+            run.fingerprint,
+        )
         self._stream = run.route.kind is CallKind.STREAM
         self._inputs: tuple[StageResult, ...] = ()
         self._inputs_made = False
@@ -86,6 +93,11 @@
     def _attempts(self) -> Iterator[WholeAnswer | ForwardAttempt]:
         """Yield the outcome of attempt after attempt, as long as one may follow."""
         while True:
+            quarantined = self._guard.refusal()
+            if quarantined is not None:
+                self._failure = quarantined
+                self._give_inputs_up()
+                return
             # Stages would be done in vain where no server can take their results.
             failure = None if self._servers() else self._no_server()
             failure = failure or self._make_inputs()
@@ -95,10 +107,11 @@
             server = self._choose()
             if server is None:
                 return
-            attempt = ForwardAttempt(self._parts, self._run, server)
+            attempt = ForwardAttempt(self._parts, self._run, self._guard, server)
             handles = tuple(result.handle for result in self._inputs)
             result = attempt.open(handles, self._splitter.last, self._runs > 0)
             if isinstance(result, AttemptFailure):
+                self._note_cut(server, result)
                 if not self._may_go_on(result):
                     self._give_inputs_up()
                     return
@@ -128,8 +141,10 @@
         attempt.end(CallEnd.ANSWERED if whole and good else CallEnd.CUT)
         if not whole:
             failed = body if isinstance(body, Failure) else _unproved(attempt.server)
+            self._note_cut(attempt.server, failed)
             self._note_failure(failed)
             return None
+        self._guard.note_answered()
         self._give_inputs_up()
         if good or not self._run.route.repeatable:
             return WholeAnswer(head, body)
@@ -191,7 +206,9 @@
         if len(avoid) >= len(live):
             avoid = frozenset()
         service = run.table.services.get(run.service)
-        if service is not None and service.engine is not None:
+        if self._guard.suspected:
+            server = choice.spread(live, run.fingerprint, avoid)
+        elif service is not None and service.engine is not None:
             prompt = run.request.prompt
             near = near_results(self._inputs, shared_tokens(prompt))
             server = choice.engine(live, shared_part(prompt), near, avoid)
@@ -243,8 +260,17 @@
 
     def _note_failure(self, failure: Failure) -> None:
         self._failure = failure
-        request = self._run.request.request_id
-        emit(Event.ATTEMPT_FAILED, request=request, failure=failure.describe())
+        emit(
+            Event.ATTEMPT_FAILED,
+            request=self._run.request.request_id,
+            fingerprint=self._run.fingerprint.hex(),
+            failure=failure.describe(),
+        )
+
+    def _note_cut(self, server: Server, failure: Failure) -> None:
+        """Have it checked whether a server crashed under the request."""
+        if isinstance(failure, AnswerCut) and failure.ran is Ran.MAY_HAVE_RUN:
+            self._guard.note_cut(server)
 
     def _may_go_on(self, failure: AttemptFailure) -> bool:
         """Tell whether another attempt may follow one without an answer."""
@@ -295,6 +321,7 @@
         attempt.end(CallEnd.CUT)
         # The server must not be at work on it any more when another goes on.
         attempt.close()
+        self._note_cut(attempt.server, failure)
         self._splitter.drop_rest()
         cancelled = isinstance(failure, AttemptCancelled)
         self._note_failure(failure.reason if cancelled else failure)
@@ -341,6 +368,7 @@
             self._broken(attempt, rest)
             return True
         attempt.end(CallEnd.ANSWERED)
+        self._guard.note_answered()
         return False
 
 
--- a/boragestream/serving/parts.py
+++ b/boragestream/serving/parts.py
@@ -11,6 +11,7 @@
 from boragestream.policy.budgets import BudgetTable
 from boragestream.policy.costs import CostTable
 from boragestream.policy.load import LoadTable
+from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.routing import Place, RoutingPolicy, routing_policies
 from boragestream.policy.servers import ServerTable
 from boragestream.policy.times import RecentTimes
@@ -23,11 +24,13 @@
 class ServingParts:
     """The parts.
 
+    :ivar quarantine: which requests crash servers.
     :ivar attempts: runs attempts beside the request's own thread.
     :ivar times: recent times of attempts, by kind of call.
     """
 
     servers: ServerTable
+    quarantine: Quarantine
     loads: LoadTable
     routing: dict[str, RoutingPolicy]
     lines: WaitingLines
@@ -44,6 +47,7 @@
 
 def make_parts(
     servers: ServerTable,
+    quarantine: Quarantine,
     loads: LoadTable,
     attempts: ThreadPoolExecutor,
     clock: Clock,
@@ -53,10 +57,12 @@
 ) -> ServingParts:
     """Return the parts of an entry.
 
+    :param quarantine: which requests crash servers.
     :param home: returns where the entry is.
     """
     return ServingParts(
         servers=servers,
+        quarantine=quarantine,
         loads=loads,
         routing=routing_policies(loads, clock, rng, home),
         lines=WaitingLines(clock, rng),
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 
 from boragestream.backend.failures import (
+    AnswerCut,
     AttemptFailure,
     ConnectFailed,
     Ran,
@@ -22,11 +23,13 @@
 from boragestream.policy.candidates import RoutingNeed, usable_servers
 from boragestream.policy.load import CallEnd
 from boragestream.policy.piece_queue import PieceBooking, PieceOrder, QueuedOrder
+from boragestream.policy.quarantine import CrashRecord
 from boragestream.policy.server_choice import WITHOUT
 from boragestream.policy.servers import Server
 from boragestream.policy.service_queue import Batch, ServiceQueue
 from boragestream.serving.ejections import note_ejection
 from boragestream.serving.piece_calls import BatchParts, PieceCalls, no_results
+from boragestream.serving.request_guard import count_crash, has_crashed
 
 __all__ = ["PieceBatches", "PieceDone"]
 
@@ -68,6 +71,7 @@
         queued = QueuedOrder(
             order, now + start_seconds, now + left_seconds, list(order.pieces)
         )
+        queued.suspected = self._parts.quarantine.known(order.fingerprint).crashes > 0
         usable = self._usable(order.service)
         with self._lock:
             queue = self._queue(order.service)
@@ -182,6 +186,7 @@
         parts = self._parts
         began = parts.clock.now()
         number = parts.loads.begin(batch.server)
+        sent_with = self._known_crashes(batch)
         result: list[PieceResult] | AttemptFailure = no_results(batch.server)
         try:
             result = self._calls.make(batch)
@@ -198,9 +203,23 @@
             parts.metrics.batch_ended(service, name, len(batch.pieces))
             if end not in (CallEnd.ANSWERED, CallEnd.CANCELLED):
                 note_ejection(parts.loads, batch.server, parts.clock.now())
+            if isinstance(result, AnswerCut):
+                self._note_cut(batch.server, sent_with)
             self._end(service, batch, result)
         self._pump(service)
 
+    def _known_crashes(self, batch: Batch) -> list[CrashRecord]:
+        """Return what is known of each request that a batch has pieces of."""
+        wanted = {queued.order.fingerprint for queued, _ in batch.pieces}
+        return [self._parts.quarantine.known(of) for of in wanted if of]
+
+    def _note_cut(self, server: Server, sent_with: list[CrashRecord]) -> None:
+        """Count a crash against each request of a batch that its server cut."""
+        if not sent_with or not has_crashed(self._parts.line.connections, server):
+            return
+        for known in sent_with:
+            count_crash(self._parts.quarantine, known, server, request_id="")
+
     def _end(
         self,
         service: str,
@@ -228,7 +247,7 @@
                 if order_id not in queue.orders:
                     if done is not None and done.handle:
                         unwanted.append(done.handle)
-                elif self._goes_back(service, done, ran):
+                elif self._goes_back(queued, done, ran):
                     queue.put_back(order_id, piece)
                 else:
                     outcome = done or PieceResult("", PieceFault.ERROR)
@@ -241,7 +260,14 @@
         if unwanted:
             self.release(unwanted)
 
-    def _goes_back(self, service: str, done: PieceResult | None, ran: bool) -> bool:
+    def _goes_back(
+        self, queued: QueuedOrder, done: PieceResult | None, ran: bool
+    ) -> bool:
+        service = queued.order.service
+        crashes = self._parts.quarantine.known(queued.order.fingerprint)
+        queued.suspected = crashes.crashes > 0
+        if crashes.lasting:
+            return False
         if done is None:
             return not ran or self._parts.retries.spend(service)
         if done.fault is PieceFault.NO_ROOM:
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -40,6 +40,7 @@
     answer_is_lost,
     ask_after_seconds,
 )
+from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.service_queue import Batch
@@ -83,6 +84,7 @@
     """What the batches need of the entry.
 
     :ivar cold: which servers have just started.
+    :ivar quarantine: which requests crash servers.
     :ivar limits: returns the limits of a service's servers; None if unknown.
     :ivar used: told of each order, since it is decided by what is published.
     """
@@ -91,6 +93,7 @@
     format: PieceFormat
     servers: ServerTable
     cold: ColdServers
+    quarantine: Quarantine
     loads: LoadTable
     retries: RetryWindows
     watchdog: Watchdog
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -190,6 +190,7 @@
             message.invested,
             message.near,
             frozenset(message.regions),
+            message.fingerprint,
         )
         with self._lock:
             self._askers[message.order_id] = envelope.sender
@@ -269,6 +270,7 @@
         left_ms=milliseconds(left),
         near=order.near,
         regions=tuple(order.regions),
+        fingerprint=order.fingerprint,
     )
 
 
--- a/boragestream/serving/request.py
+++ b/boragestream/serving/request.py
@@ -13,6 +13,7 @@
 from boragestream.document import ClientAccount, Pipeline
 from boragestream.policy.admitted import Admitted
 from boragestream.policy.configuration import DocumentInForce
+from boragestream.policy.quarantine import RequestQuarantined
 from boragestream.policy.waiting import ServiceSaturated
 
 __all__ = ["RequestRecord", "SentRecord"]
@@ -68,6 +69,7 @@
     :ivar run_by: the clock's seconds after which no call that may not be repeated is
         sent; the expiry of the ticket where there is one.
     :ivar ask: the path under which a caller can ask what became of it.
+    :ivar fingerprint: tells the request from others over all its returns.
     """
 
     request_id: str
@@ -80,6 +82,7 @@
     admitted: Admitted
     run_by: float = math.inf
     ask: str = ""
+    fingerprint: bytes = b""
 
     @property
     def is_streamable(self) -> bool:
@@ -91,6 +94,9 @@
         """Return the true outcome of a request that could not be answered."""
         if self.sent.unrepeatable:
             return Unknown(failure, self.ask)
+        if isinstance(failure, RequestQuarantined):
+            # It has run, on servers that it crashed.
+            return Failed(failure, failure.left_seconds)
         if isinstance(failure, ServiceSaturated):
             retry_after = failure.retry_after
         if self.sent.any:
--- a/boragestream/serving/stage.py
+++ b/boragestream/serving/stage.py
@@ -38,6 +38,7 @@
 from boragestream.serving.parts import ServingParts
 from boragestream.serving.race import race
 from boragestream.serving.request import RequestRecord
+from boragestream.serving.request_guard import RequestGuard
 
 __all__ = ["StageRunner"]
 
@@ -57,13 +58,13 @@
         self, request: RequestRecord, stage: Stage, stage_input: StageInput
     ) -> Any | Failure:
         """Run a stage and return its result, JSON data, or why there is none."""
-        return self._run(_stage_run(request, stage, stage_input, stream=False))
+        return self._run(self._stage_run(request, stage, stage_input, stream=False))
 
     def open_stream(
         self, request: RequestRecord, stage: Stage, stage_input: StageInput
     ) -> OpenAnswer | Failure:
         """Run a generating stage up to the headers of its streamed answer."""
-        return self._run(_stage_run(request, stage, stage_input, stream=True))
+        return self._run(self._stage_run(request, stage, stage_input, stream=True))
 
     def _run(self, run: StageRun) -> Any | Failure:
         policies = _policies(run)
@@ -76,6 +77,9 @@
         tried: set[str] = set()
         attempts = 0
         while True:
+            quarantined = run.guard.refusal()
+            if quarantined is not None:
+                return quarantined
             purpose = Purpose.RETRY if attempts else Purpose.FIRST
             attempt = self._take(run, purpose, tried)
             if isinstance(attempt, Failure):
@@ -135,6 +139,9 @@
         """
         if not run.call.repeatable or "hedging" in _policies(run).without:
             return None
+        if run.guard.suspected:
+            # Two servers at once would be lost.
+            return None
         service = run.stage.service
         if len(self.parts.servers.live(service)) == 1:
             return None
@@ -193,24 +200,34 @@
     def _usual_seconds(self, run: StageRun) -> float:
         return self.parts.times.quantile(run.kind, USUAL_QUANTILE) or 0.0
 
-
-def _stage_run(
-    request: RequestRecord, stage: Stage, stage_input: StageInput, stream: bool
-) -> StageRun:
-    kind = request.in_force.services[stage.service].kind
-    call = StageCall(
-        request_id=request.request_id,
-        path=stage_path(kind),
-        body=stage_body(kind, stage, stage_input, stream),
-        repeatable=stage.repeatable,
-        priority=max(request.pipeline.priority, request.account.priority),
-        stream=stream,
-        run_by=math.inf if stage.repeatable else request.run_by,
-    )
-    prefix = None
-    if kind == "engine":
-        prefix = prefix_key(stage.model, str(stage_input.request))
-    return StageRun(request, stage, call, prefix)
+    def _stage_run(
+        self,
+        request: RequestRecord,
+        stage: Stage,
+        stage_input: StageInput,
+        stream: bool,
+    ) -> StageRun:
+        parts = self.parts
+        kind = request.in_force.services[stage.service].kind
+        call = StageCall(
+            request_id=request.request_id,
+            path=stage_path(kind),
+            body=stage_body(kind, stage, stage_input, stream),
+            repeatable=stage.repeatable,
+            priority=max(request.pipeline.priority, request.account.priority),
+            stream=stream,
+            run_by=math.inf if stage.repeatable else request.run_by,
+        )
+        guard = RequestGuard(
+            parts.quarantine,
+            parts.connections,
+            request.request_id,
+            request.fingerprint,
+        )
+        prefix = None
+        if kind == "engine":
+            prefix = prefix_key(stage.model, str(stage_input.request))
+        return StageRun(request, stage, call, guard, prefix)
 
 
 def _policies(run: StageRun) -> Policies:
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -178,6 +178,7 @@
             invested=bool(inputs),
             near=stage_place(read, count, stage.result_bytes, self._home),
             regions=run.regions or frozenset(),
+            fingerprint=run.fingerprint,
         )
         start_by = run.objective_at - self._after[number]
         # The order takes its booking's place.
--- a/tests/features/leaving_before_the_send.feature
+++ b/tests/features/leaving_before_the_send.feature
@@ -26,6 +26,16 @@
       | a batch of pieces   | it turns out to be cold    | server-cold |
       | a forwarded request | it turns out to be cold    | server-cold |
 
+  Scenario Outline: <call> is not sent once it is known to crash servers
+    Given a server that has been chosen for <call>
+    When the request turns out to crash servers while the connection is made
+    Then no byte was sent, and the request is quarantined
+
+    Examples:
+      | call                |
+      | a forwarded request |
+      | a stage's attempt   |
+
   Scenario Outline: a server in a drained data centre is told nothing more
     Given a server that has been chosen for a batch of pieces
     When its data centre is drained and <word> is due
--- /dev/null
+++ b/tests/features/quarantine.feature
@@ -0,0 +1,108 @@
+Feature: requests that crash servers are quarantined, innocent ones go on
+  The load: one request comes again and again at any entry, and each server that begins
+  to run it ends; what ran beside it is cut, sent once more and may meet it again.
+
+  Scenario: two crashes in a row quarantine a request, one does not
+    Given an entry that knows of no crash
+    When a server crashes under the request "a"
+    Then the request "a" may be sent
+    When a server crashes under the request "a"
+    Then the request "a" may not be sent
+    And the request "b" may be sent
+
+  Scenario: servers that are lost together count as one crash
+    Given an entry that knows of no crash
+    When 3 servers that run the request "a" at the same time crash
+    Then the request "a" may be sent
+
+  Scenario: an answer ends the row of crashes
+    Given an entry that knows of no crash
+    When a server crashes under the request "a"
+    And a server answers the request "a"
+    And a server crashes under the request "a"
+    Then the request "a" may be sent
+
+  Scenario: a crash that was heard of after an answer counts as the first
+    Given an entry that knows of no crash
+    When a server crashes under the request "a"
+    And the request "a" is sent to two servers, one answers and then the other crashes
+    Then 1 crash in a row is known of the request "a"
+
+  Scenario: neither distinct requests nor many crashes push a quarantined one out
+    Given an entry that knows of no crash
+    When a server crashes under the request "a"
+    And a server crashes under the request "a"
+    And 6000 other requests are each cut by a crash
+    Then the request "a" may not be sent
+    And no more than 4096 requests are kept
+
+  Scenario: a quarantine ends with a probe, and one that crashes makes it longer
+    Given an entry that knows of no crash
+    When a server crashes under the request "a"
+    And a server crashes under the request "a"
+    And 31 seconds of its quarantine pass
+    Then the request "a" may be sent once
+    When a server crashes under the request "a"
+    And 590 seconds of its quarantine pass
+    Then the request "a" may not be sent
+    When 11 seconds of its quarantine pass
+    Then the request "a" may be sent once
+
+  Scenario: a quarantine goes on while the process is suspended
+    Given an entry that knows of no crash
+    When a server crashes under the request "a"
+    And a server crashes under the request "a"
+    And the process is suspended for 31 seconds
+    Then the request "a" may be sent once
+
+  Scenario: a probe that is answered frees the request
+    Given an entry that knows of no crash
+    When a server crashes under the request "a"
+    And a server crashes under the request "a"
+    And 31 seconds of its quarantine pass
+    Then the request "a" may be sent once
+    When a server answers the request "a"
+    Then the request "a" may be sent
+
+  Scenario Outline: entries probe one after the other
+    Given <count> entries that serve
+    When every entry knows that the request "a" is quarantined
+    Then no two of them probe within 3 seconds
+
+    Examples:
+      | count |
+      | 6     |
+      | 195   |
+
+  Scenario Outline: all of <count> entries soon know a request that crashes servers
+    Given <count> entries that exchange crash records, by seed <seed>
+    When the request "a" crashes two servers at one entry, and cuts <noise> others
+    And the others run for 3 seconds, while <lost> in 100 messages are lost
+    Then no entry would send the request "a"
+
+    Examples:
+      | count | noise | lost | seed |
+      | 6     | 20    | 0    | 1    |
+      | 6     | 20    | 20   | 2    |
+      | 74    | 60    | 0    | 3    |
+      | 195   | 60    | 0    | 4    |
+      | 195   | 120   | 10   | 5    |
+
+  Scenario Outline: crashes that <count> entries see one each add up
+    Given <count> entries that exchange crash records, by seed <seed>
+    When the request "a" comes every <gap> seconds, at a random entry, for 20 seconds
+    Then it crashed <most> servers at the most
+
+    Examples:
+      | count | gap | seed | most |
+      | 6     | 0.5 | 1    | 6    |
+      | 6     | 2.0 | 2    | 3    |
+      | 195   | 1.0 | 3    | 6    |
+      | 195   | 2.0 | 4    | 3    |
+
+  Scenario: an entry that starts learns which requests are quarantined
+    Given 6 entries that exchange crash records, by seed 7
+    When the request "a" crashes two servers at one entry, and cuts 20 others
+    And the others run for 15 seconds, while 0 in 100 messages are lost
+    And an entry starts anew, and 2 seconds pass
+    Then no entry would send the request "a"
--- a/tests/features/steps/leaving_before_the_send.py
+++ b/tests/features/steps/leaving_before_the_send.py
@@ -11,7 +11,7 @@
 from boragestream.backend.calls import StageCall
 from boragestream.backend.cancellation import CancelScope, Watchdog
 from boragestream.backend.connections import ConnectionKeeper
-from boragestream.backend.failures import ServerCold, ServerLeft
+from boragestream.backend.failures import AttemptCancelled, ServerCold, ServerLeft
 from boragestream.backend.forwarded_call import CallLine
 from boragestream.base.clock import SystemClock
 from boragestream.base.route_metrics import RouteMetrics
@@ -21,6 +21,12 @@
 from boragestream.policy.costs import Purpose
 from boragestream.policy.load import LoadTable
 from boragestream.policy.piece_queue import PieceOrder, QueuedOrder
+from boragestream.policy.quarantine import (
+    CRASHES_TO_QUARANTINE,
+    CrashRecord,
+    Quarantine,
+    RequestQuarantined,
+)
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.server_choice import OpenCalls
 from boragestream.policy.servers import Server, ServerTable
@@ -30,12 +36,14 @@
 from boragestream.serving.piece_batches import PieceBatches
 from boragestream.serving.piece_calls import BatchParts, PieceCalls
 from boragestream.serving.request import SentRecord
+from boragestream.serving.request_guard import RequestGuard
 from tests.standins.fleet import wait_until
 
 ADDRESS = "127.0.0.1"
 SERVICE = "service"
 LIMITS = PieceLimits(1, 4, 0.2, 0.01, 1000.0, 4.0)
 CALL_SECONDS = 2.0
+FINGERPRINT = b"12345678"
 
 
 class Listener:
@@ -96,6 +104,7 @@
         format=Wire(),
         servers=context.known,
         cold=context.cold,
+        quarantine=Quarantine("e", lambda: ["e"], clock),
         loads=context.loads,
         retries=RetryWindows(clock.now, lambda: RetryBounds(0.0, 10.0, 0.0), lambda: 1),
         watchdog=Watchdog(clock),
@@ -146,7 +155,7 @@
         priority=0,
         sent=SentRecord(),
     )
-    answer = ForwardAttempt(parts, run, server).open((), None, False)
+    answer = ForwardAttempt(parts, run, context.guard, server).open((), None, False)
     assert not run.sent.any
     return answer
 
@@ -156,6 +165,7 @@
     clock = SystemClock()
     request = SimpleNamespace(
         request_id="r-1",
+        fingerprint=FINGERPRINT,
         scope=CancelScope(clock.now() + CALL_SECONDS),
         sent=SentRecord(),
         account=SimpleNamespace(name="account"),
@@ -165,6 +175,7 @@
         request=request,
         call=StageCall("r-1", "/", b"{}", False, 0, False),
         stage=SimpleNamespace(name="stage", service=SERVICE),
+        guard=context.guard,
         name="pipeline.stage",
         kind="pipeline.stage",
     )
@@ -206,6 +217,8 @@
     context.loads = LoadTable(SystemClock(), random.Random(1))
     context.loads.take_list(servers)
     context.keeper = LeavingWhileConnecting(context.known, servers[0])
+    context.quarantine = Quarantine("e", lambda: ["e"], SystemClock())
+    context.guard = RequestGuard(context.quarantine, context.keeper, "r-1", FINGERPRINT)
 
 
 @given("a server that has been chosen for {call}")
@@ -236,6 +249,23 @@
     context.failure = context.call(context, context.server)
 
 
+@when("the request turns out to crash servers while the connection is made")
+def step(context):
+    context.server = context.listeners[0].server
+    assert context.guard.refusal() is None
+    heard = CrashRecord(FINGERPRINT, 0, CRASHES_TO_QUARANTINE)
+    context.keeper.happens = lambda: context.quarantine.take(heard, 0.0)
+    context.failure = context.call(context, context.server)
+
+
+@then("no byte was sent, and the request is quarantined")
+def step(context):
+    assert isinstance(context.failure, AttemptCancelled), context.failure
+    assert isinstance(context.failure.reason, RequestQuarantined)
+    assert not context.listeners[0].bytes
+    assert context.loads.get(context.server).in_progress == 0
+
+
 @when("its data centre is drained and {word} is due")
 def step(context, word):
     server = context.listeners[0].server
--- a/tests/features/steps/piece_repeats.py
+++ b/tests/features/steps/piece_repeats.py
@@ -11,6 +11,7 @@
 from boragestream.document.routes import PieceLimits
 from boragestream.policy.load import LoadTable
 from boragestream.policy.piece_queue import PieceOrder
+from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.servers import Server
 from boragestream.serving.piece_batches import PieceBatches
@@ -70,6 +71,7 @@
         used=lambda: None,
         servers=SimpleNamespace(live=lambda service: SERVERS, all=SERVERS),
         cold=SimpleNamespace(usable=lambda servers: servers),
+        quarantine=Quarantine("entry", lambda: ["entry"], clock),
         loads=LoadTable(clock, None),
         retries=RetryWindows(clock.now, lambda: BOUNDS, lambda: entries),
         clock=clock,
--- /dev/null
+++ b/tests/features/steps/quarantine.py
@@ -0,0 +1,182 @@
+"""Steps on requests that crash servers, and on what entries tell one another."""
+
+from behave import given, then, when
+
+from boragestream.policy.quarantine import (
+    CRASHES_TO_QUARANTINE,
+    CrashRecord,
+    Quarantine,
+    fingerprint,
+)
+from tests.standins.clock import SetClock
+from tests.standins.quarantines import CrashCrowd
+
+# How long a server takes to crash under a request.
+CRASH_SECONDS = 0.1
+
+
+def crash(quarantine, name):
+    """Have a server crash under a request that is sent now."""
+    quarantine.note_crash(quarantine.known(fingerprint(name)))
+
+
+@given("an entry that knows of no crash")
+def step(context):
+    context.clock = SetClock()
+    context.quarantine = Quarantine("entry", lambda: ["entry"], context.clock)
+
+
+@when('a server crashes under the request "{name}"')
+def step(context, name):
+    crash(context.quarantine, name)
+
+
+@when('{count:d} servers that run the request "{name}" at the same time crash')
+def step(context, count, name):
+    sent_with = [context.quarantine.known(fingerprint(name)) for _ in range(count)]
+    for known in sent_with:
+        context.quarantine.note_crash(known)
+
+
+@when('a server answers the request "{name}"')
+def step(context, name):
+    context.quarantine.note_answered(fingerprint(name))
+
+
+@when(
+    'the request "{name}" is sent to two servers, '
+    "one answers and then the other crashes"
+)
+def step(context, name):
+    sent_with = context.quarantine.known(fingerprint(name))
+    context.quarantine.note_answered(fingerprint(name))
+    context.quarantine.note_crash(sent_with)
+
+
+@then('{count:d} crash in a row is known of the request "{name}"')
+def step(context, count, name):
+    assert context.quarantine.known(fingerprint(name)).crashes == count
+
+
+@when("{count:d} other requests are each cut by a crash")
+def step(context, count):
+    for number in range(count):
+        crash(context.quarantine, f"other {number}")
+
+
+@then("no more than {most:d} requests are kept")
+def step(context, most):
+    kept = context.quarantine.news(10 * most)
+    assert len(kept) <= most, len(kept)
+
+
+@when("{seconds:d} seconds of its quarantine pass")
+@when("the process is suspended for {seconds:d} seconds")
+def step(context, seconds):
+    context.clock.seconds += seconds
+
+
+@then('the request "{name}" may be sent')
+def step(context, name):
+    for _ in range(3):
+        assert context.quarantine.admit(fingerprint(name)) is None
+
+
+@then('the request "{name}" may not be sent')
+def step(context, name):
+    refused = context.quarantine.admit(fingerprint(name))
+    assert refused is not None and refused.left_seconds > 0
+
+
+@then('the request "{name}" may be sent once')
+def step(context, name):
+    assert context.quarantine.admit(fingerprint(name)) is None
+    assert context.quarantine.admit(fingerprint(name)) is not None
+
+
+@given("{count:d} entries that serve")
+def step(context, count):
+    clock = SetClock()
+    names = [f"entry {number}" for number in range(count)]
+    context.tables = [Quarantine(name, lambda: names, clock) for name in names]
+
+
+@when('every entry knows that the request "{name}" is quarantined')
+def step(context, name):
+    context.record = CrashRecord(fingerprint(name), 0, CRASHES_TO_QUARANTINE)
+    for table in context.tables:
+        assert table.take(context.record, 0.0)
+
+
+@then("no two of them probe within {seconds:d} seconds")
+def step(context, seconds):
+    of = context.record.fingerprint
+    moments = sorted(table.admit(of).left_seconds for table in context.tables)
+    gaps = [b - a for a, b in zip(moments, moments[1:], strict=False)]
+    assert all(gap >= seconds - 1e-6 for gap in gaps), gaps
+
+
+@given("{count:d} entries that exchange crash records, by seed {seed:d}")
+def step(context, count, seed):
+    context.crowd = CrashCrowd(count, seed)
+    context.crowd.run(1.0)
+
+
+@when(
+    'the request "{name}" crashes two servers at one entry, and cuts {noise:d} others'
+)
+def step(context, name, noise):
+    crowd = context.crowd
+    first = next(iter(crowd.entries.values())).quarantine
+    crash(first, name)
+    for number in range(noise):
+        entry = crowd.rng.choice(list(crowd.entries.values()))
+        crash(entry.quarantine, f"other {number}")
+    crowd.run(CRASH_SECONDS)
+    crash(first, name)
+
+
+@when("the others run for {seconds:d} seconds, while {lost:d} in 100 messages are lost")
+def step(context, seconds, lost):
+    context.crowd.lost_share = lost / 100
+    context.crowd.run(seconds)
+
+
+@when("an entry starts anew, and {seconds:d} seconds pass")
+def step(context, seconds):
+    *_, last = context.crowd.entries
+    context.crowd.start(last)
+    context.crowd.run(seconds)
+
+
+@then('no entry would send the request "{name}"')
+def step(context, name):
+    of = fingerprint(name)
+    tables = [entry.quarantine for entry in context.crowd.entries.values()]
+    unaware = sum(table.admit(of) is None for table in tables)
+    assert not unaware, f"{unaware} of {len(tables)} would send it"
+
+
+@when(
+    'the request "{name}" comes every {gap:g} seconds, at a random entry, '
+    "for {seconds:d} seconds"
+)
+def step(context, name, gap, seconds):
+    crowd, of = context.crowd, fingerprint(name)
+    context.crashed = 0
+
+    def cut(table, sent_with):
+        context.crashed += 1
+        table.note_crash(sent_with)
+
+    for _ in range(int(seconds / gap)):
+        table = crowd.rng.choice(list(crowd.entries.values())).quarantine
+        if table.admit(of) is None:
+            sent_with = table.known(of)
+            crowd.after(CRASH_SECONDS, lambda t=table, s=sent_with: cut(t, s))
+        crowd.run(gap)
+
+
+@then("it crashed {most:d} servers at the most")
+def step(context, most):
+    assert 2 <= context.crashed <= most, context.crashed
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -19,6 +19,8 @@
 SLOW_SECONDS = 0.8
 # A server that crashed is back after so long.
 BACK_SECONDS = 0.25
+# Pieces with this key crash the stage server that begins to make them.
+DEADLY_KEY = "deadly"
 RESET = struct.pack("ii", 1, 0)
 
 
@@ -269,7 +271,10 @@
         return True
 
     def make_pieces(self, sock, headers, call):
-        """Make the results of a batch."""
+        """Make the results of a batch; pieces of one key crash the server."""
+        if any(item.get("key") == DEADLY_KEY for item in call["items"]):
+            self.crash()
+            raise OSError("crash")
         with self.lock:
             self.piece_calls += 1
             number = self.piece_calls
--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -164,9 +164,9 @@
         self.drains = drains
         self.folder = Path(tempfile.mkdtemp(prefix="route-site-"))
         self.store = RouteStore(ADDRESS)
-        faults = set()
+        self.faults = set()
         self.servers = [
-            RouteServer(ADDRESS, kind, kind, zone, faults)
+            RouteServer(ADDRESS, kind, kind, zone, self.faults)
             for kind in ("plain", "engine", "stage")
             for zone in ZONES[:2]
         ]
@@ -260,6 +260,13 @@
         """Publish a server's entry."""
         self.store.put(f"servers/{server.identity}", server.entry(state, cold_ms))
 
+    def add_server(self, kind):
+        """Add a server of a kind, and list it."""
+        server = RouteServer(ADDRESS, kind, kind, ZONES[0], self.faults)
+        server.when_back = self.list_again
+        self.servers.append(server)
+        self.list(server)
+
     def list_again(self, server, before):
         """Publish the new life of a server that crashed, in place of the one before."""
         self.store.put(f"servers/{before}", None)
