--- /dev/null
+++ b/tests/features/steps/server_words.py
@@ -0,0 +1,137 @@
+"""Steps on what backend servers say with their answers."""
+
+import time
+from collections import Counter
+
+from behave import given, then, when
+
+from tests.standins.fleet import wait_until
+
+MOST_CALLS = 60
+# A call that was on its way when the server answered still arrives in this time.
+ON_ITS_WAY_SECONDS = 0.5
+ENTRY, OTHER_ENTRY = "entry-0", "entry-1"
+AT_ONCE_SECONDS = 0.3
+# Between two requests, so that what has to be repeated stays within its bound.
+GAP_SECONDS = 0.02
+
+
+def send(context, path, entry=ENTRY):
+    """Send one request of its own."""
+    context.number = getattr(context, "number", 0) + 1
+    method = "GET" if path.startswith("/safe") else "POST"
+    body = None if method == "GET" else f"body {context.number}".encode()
+    target = path.replace("/ok", f"/{context.number}/ok")
+    headers = {}
+    if path.startswith("/staged"):
+        headers = {"Pieces": "2,1", "Piece_Key": f"k{context.number}"}
+    return context.site.call(target, method, body, entry=entry, **headers)
+
+
+@given('a "{kind}" server that says so with its answers, and a store that does not')
+def step(context, kind):
+    context.server = context.site.of_kind(kind)[0]
+    context.server.leaving = True
+
+
+@when('requests "{path}" are sent until it has answered one')
+def step(context, path):
+    for _ in range(MOST_CALLS):
+        send(context, path)
+        if context.server.arrivals:
+            return
+    raise AssertionError("it was never called")
+
+
+@then('of the next {count:d} requests "{path}" to that entry none reaches it')
+def step(context, count, path):
+    context.path = path
+    before = len(context.server.arrivals)
+    for _ in range(count):
+        send(context, path)
+    assert len(context.server.arrivals) == before
+
+
+@then("soon none of the other entry does")
+def step(context):
+    def unreached():
+        before = len(context.server.arrivals)
+        for _ in range(4):
+            send(context, context.path, OTHER_ENTRY)
+        return len(context.server.arrivals) == before
+
+    wait_until(unreached, seconds=2.0, what="the other entry to know")
+
+
+@given('a "{kind}" server that turns calls away and asks for "{pause}" seconds')
+def step(context, kind, pause):
+    context.server = context.site.of_kind(kind)[0]
+    context.server.pause = pause
+
+
+@given(
+    'all "{kind}" servers turn calls away and ask for "{longer}" and "{pause}" seconds'
+)
+def step(context, kind, longer, pause):
+    for server in context.site.of_kind(kind):
+        server.pause = longer
+    server.pause = pause
+    context.pause = float(pause)
+
+
+@when('requests "{path}" are sent for {seconds:g} seconds')
+def step(context, path, seconds):
+    context.answers = []
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        began = time.monotonic()
+        context.answers.append((send(context, path), began, time.monotonic() - began))
+        time.sleep(GAP_SECONDS)
+
+
+@then("in the pause it got {most:d} calls at the most, and all are answered")
+def step(context, most):
+    server = context.server
+    first, pause = server.arrivals[0], float(server.pause)
+    inside = [at for at in server.arrivals if ON_ITS_WAY_SECONDS < at - first < pause]
+    assert len(inside) <= most, len(inside)
+    statuses = Counter(answer.status for answer, _, _ in context.answers)
+    assert set(statuses) == {200}, statuses
+
+
+@when("it takes calls again and the pause is over")
+def step(context):
+    server = context.server
+    left = server.arrivals[-1] + float(server.pause) - time.monotonic()
+    server.pause = None
+    time.sleep(max(0.0, left) + 0.1)
+
+
+@then('requests "{path}" reach it again')
+def step(context, path):
+    before = len(context.server.arrivals)
+
+    def reached():
+        assert send(context, path).status == 200
+        return len(context.server.arrivals) > before
+
+    wait_until(reached, what="a call of the server")
+
+
+@then("the later ones are refused at once, to come back at the earliest end")
+def step(context):
+    first = context.answers[0][1]
+    later = [a for a in context.answers if a[1] - first > ON_ITS_WAY_SECONDS]
+    assert later
+    for answer, began, took in later:
+        assert answer.status == 503 and took < AT_ONCE_SECONDS, (answer.status, took)
+        wait = float(answer.headers["Retry-After"])
+        left = first + context.pause - began
+        assert left - 0.3 < wait < left + 0.6, (wait, left)
+
+
+@then("it got more than {least:d} calls, and all are answered")
+def step(context, least):
+    assert len(context.server.arrivals) > least, len(context.server.arrivals)
+    statuses = Counter(answer.status for answer, _, _ in context.answers)
+    assert set(statuses) == {200}, statuses
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -63,6 +63,12 @@
         self.orders = 0
         self.cut_off = None
         self.crashes = 0
+        # Whether it says in each answer that it leaves.
+        self.leaving = False
+        # What it asks for in Retry-After while it turns every call away; None for none.
+        self.pause = None
+        # When each call came, whatever it asked for.
+        self.arrivals = []
         # Told with each new life after a crash, so that the store can list it.
         self.when_back = lambda server, before: None
         self.lock = threading.Lock()
@@ -147,7 +153,11 @@
 
     def call(self, sock, method, target, headers, body):
         """Answer one call."""
-        if headers["Expect-Instance"] not in (None, self.identity):
+        self.arrivals.append(time.monotonic())
+        if self.pause is not None:
+            more = [("Not-Run", "1"), ("Retry-After", self.pause)]
+            self.send(sock, headers, 503, b"", more, sealed=False)
+        elif headers["Expect-Instance"] not in (None, self.identity):
             self.others_asked += 1
             own = [("Instance-Id", self.identity)]
             self.send(sock, headers, 421, b"other", own, sealed=False)
@@ -326,6 +336,8 @@
         if sealed:
             lines.append(f"Server-Seal: seal-of-{self.identity}")
         lines += [f"{name}: {value}" for name, value in more]
+        if self.leaving:
+            lines.append("Server-Leaving: 1")
         if body is not None and framed:
             lines.append(f"Content-Length: {len(body)}")
         content = b"" if body is None else body[:sent]
