A server's word in any answer that it is leaving is heeded at once

Callers saw nothing yet; requests went on being sent to a server that had told the entry that it was leaving, 2.8 and 3.9 s later, while the store could not say so.

Cause: of what servers say with an answer only a 421 was read. Ruled out by reading: a decision that aged (each call looks at its server right before the first byte), a word that was not told on (it was never taken).

Change: the head of each answer is decoded once and told on before anything else is made of it, for whole answers, failures, refusals, streams, stage calls and reports; a server is passed over from there on, the others are told as with the words that are known so far. The own interface takes the same word in a header of its own. Logged once (2107).

--- a/boragestream/backend/attempt.py
+++ b/boragestream/backend/attempt.py
@@ -13,6 +13,7 @@
 from boragestream.backend.calls import (
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
+    LEAVING_HEADER,
     NOT_RUN_HEADER,
     PRIORITY_HEADER,
     REQUEST_HEADER,
@@ -49,6 +50,7 @@
     "ServerLeft",
     "ServerRefused",
     "open_attempt",
+    "says_leaving",
 ]
 
 
@@ -117,6 +119,11 @@
     )
 
 
+def says_leaving(headers: http.client.HTTPMessage) -> bool:
+    """Tell whether a server says with its answer that it is leaving."""
+    return headers.get(LEAVING_HEADER) is not None
+
+
 def _headers(call: StageCall, attempt_id: str, left: float) -> dict[str, str]:
     return {
         "Content-Type": "application/json",
@@ -137,10 +144,11 @@
     # A server's word that it did not run the call counts only where it speaks of
     # this attempt; a crossed one would be an untrue "not run".
     if own and not_run is not None:
-        leaving = not_run == "leaving"
+        leaving = not_run == "leaving" or says_leaving(response.headers)
         return ServerRefused(server, Ran.NOT_RUN, response.status, leaving)
     if response.status != http.HTTPStatus.OK:
-        return ServerErred(server, Ran.MAY_HAVE_RUN, response.status)
+        leaving = says_leaving(response.headers)
+        return ServerErred(server, Ran.MAY_HAVE_RUN, response.status, leaving)
     if not own:
         echoed = f"{echoed_request} {echoed_attempt}"
         return AnswerCrossed(server, Ran.MAY_HAVE_RUN, echoed)
--- a/boragestream/backend/calls.py
+++ b/boragestream/backend/calls.py
@@ -17,6 +17,7 @@
 __all__ = [
     "ATTEMPT_HEADER",
     "DEADLINE_HEADER",
+    "LEAVING_HEADER",
     "NOT_RUN_HEADER",
     "PRIORITY_HEADER",
     "REQUEST_HEADER",
@@ -32,6 +33,8 @@
 DEADLINE_HEADER = "X-Deadline-Ms"
 PRIORITY_HEADER = "X-Priority"
 NOT_RUN_HEADER = "X-Not-Run"
+# In any answer of a server that is leaving.
+LEAVING_HEADER = "X-Leaving"
 
 PATHS: dict[ServiceKind, str] = {
     "engine": "/v1/completions",
--- a/boragestream/backend/failures.py
+++ b/boragestream/backend/failures.py
@@ -75,9 +75,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerErred(AttemptFailure):
-    """The server answered with an error status."""
+    """The server answered with an error status.
+
+    :ivar status: the HTTP status.
+    :ivar leaving: whether the server says that it is leaving.
+    """
 
     status: int
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -48,6 +48,8 @@
 class CallLine:
     """What all forwarded calls of an entry share.
 
+    :ivar heard: told of each answer's head as soon as it is there, since a server also
+        speaks of itself with it.
     :ivar most_idle: returns how many idle connections are kept to each server of a
         service.
     """
@@ -56,6 +58,7 @@
     connections: ConnectionKeeper
     clock: Clock
     most_idle: Callable[[str], int]
+    heard: Callable[[Server, AnswerHead], None] = lambda server, head: None
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,4 +249,5 @@
     if head.request_id and head.request_id != call.request_id:
         answer.close()
         return AnswerCrossed(server.name, Ran.MAY_HAVE_RUN, head.request_id)
+    line.heard(server, head)
     return answer
--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -35,6 +35,7 @@
     STORE_REGAINED = (2104, logging.INFO)
     WATCH_LOST = (2105, logging.WARNING)
     DATA_CENTRES_DRAINED = (2106, logging.WARNING)
+    SERVER_SAID_LEAVING = (2107, logging.INFO)
     PEER_FRAME_REFUSED = (2201, logging.WARNING)
     ENTRY_SUSPECTED = (2202, logging.WARNING)
     OWNER_SILENT = (2203, logging.WARNING)
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -27,6 +27,7 @@
 from boragestream.daemon.published_servers import PublishedServers
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.tasks import OFFER_EVENTS, to_leaving
+from boragestream.document.calls import AnswerHead
 from boragestream.document.routes import PieceLimits, RouteService
 from boragestream.entry.address_sync import AddressSync
 from boragestream.entry.addresses import AddressBook
@@ -225,7 +226,12 @@
         count = len(book.entries)
         return idle_connections(known.max_connections, count) if known else 0
 
-    line = CallLine(read_answer_head, connections, clock, most_idle)
+    def heard(server: Server, head: AnswerHead) -> None:
+        # Also where the list says nothing of it, such as while the store is away.
+        if head.leaving and servers.note_leaving(server):
+            emit(Event.SERVER_SAID_LEAVING, server=server.name, service=server.service)
+
+    line = CallLine(read_answer_head, connections, clock, most_idle, heard)
 
     def limits(service: str) -> PieceLimits | None:
         known = published(service)
--- a/boragestream/document/calls.py
+++ b/boragestream/document/calls.py
@@ -121,6 +121,7 @@
     :ivar sealed: whether it carries the server's proof of origin.
     :ivar encoded: whether its body is encoded, which no caller asked for.
     :ivar closing: whether the server closes the connection after it.
+    :ivar leaving: whether the server says that it is leaving.
     :ivar idle_seconds: how long the server keeps the connection; None if not said.
     :ivar load: calls running and waiting and the places of the server, where it says.
     :ivar headers: what the caller is given.
@@ -133,6 +134,7 @@
     encoded: bool
     claim: RunClaim
     closing: bool
+    leaving: bool
     idle_seconds: float | None
     load: tuple[int, int, int] | None
     headers: HeaderList
--- a/boragestream/platform/wire.py
+++ b/boragestream/platform/wire.py
@@ -42,6 +42,7 @@
 DID_NOT_RUN = "Not-Run"
 # Calls running, calls waiting, places.
 LOAD = "Server-Load"
+LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
 IDLE_TIMEOUT = "timeout="
 OTHER_SERVER_STATUS = 421
@@ -82,7 +83,7 @@
     )
 )
 # What a backend server says to the system alone.
-SERVER_HEADERS = frozenset({DID_NOT_RUN.lower(), LOAD.lower()})
+SERVER_HEADERS = frozenset(name.lower() for name in (DID_NOT_RUN, LOAD, LEAVING))
 MAX_PROMPT_PARTS = 256
 MAX_PIECES = 4096
 
@@ -169,6 +170,7 @@
         encoded=headers.get("Content-Encoding", "identity").lower() != "identity",
         claim=claim,
         closing="close" in named or response.will_close,
+        leaving=headers.get(LEAVING, "0").strip() != "0",
         idle_seconds=_idle_seconds(headers.get("Keep-Alive", "")),
         load=_load(headers.get(LOAD, "")),
         headers=tuple((n, v) for n, v in headers.items() if n.lower() not in hidden),
--- a/boragestream/policy/servers.py
+++ b/boragestream/policy/servers.py
@@ -129,19 +129,25 @@
             dropped = self._rebuild()
         self._drop(dropped)
 
-    def note_leaving(self, server: Server) -> None:
-        """Take a server's own word that it is leaving."""
-        self.take_word(server.identity)
+    def note_leaving(self, server: Server) -> bool:
+        """Take a server's own word that it is leaving; False where it was known."""
+        if not self.take_word(server.identity):
+            return False
         self._told(server)
+        return True
 
-    def take_word(self, identity: tuple[str, str, str]) -> None:
-        """Take another entry's word that a server said that it is leaving."""
+    def take_word(self, identity: tuple[str, str, str]) -> bool:
+        """Take another entry's word that a server said that it is leaving.
+
+        :returns: whether it was not known yet.
+        """
         with self._lock:
             if identity in self._leaving:
-                return
+                return False
             self._remember(identity)
             dropped = self._rebuild()
         self._drop(dropped)
+        return True
 
     def _remember(self, identity: tuple[str, str, str]) -> None:
         """Remember a leaving server, and forget the oldest that is not listed.
--- a/boragestream/serving/attempts.py
+++ b/boragestream/serving/attempts.py
@@ -15,9 +15,11 @@
     ConnectFailed,
     OpenAnswer,
     Ran,
+    ServerErred,
     ServerLeft,
     ServerRefused,
     open_attempt,
+    says_leaving,
 )
 from boragestream.backend.calls import StageCall
 from boragestream.backend.failures import AnswerCut
@@ -127,6 +129,8 @@
                 run.guard.note_cut(self._server)
             return answer
         self._take_report(answer)
+        if says_leaving(answer.headers):
+            self._parts.servers.note_leaving(self._server)
         answer.when_ended(self._answer_ended)
         if run.call.stream:
             self._parts.times.add(run.kind, self._parts.clock.now() - self._began)
@@ -208,7 +212,7 @@
             request.sent.note_not_run(self._id)
         if self._lost:
             return
-        if isinstance(failure, ServerRefused) and failure.leaving:
+        if isinstance(failure, ServerErred | ServerRefused) and failure.leaving:
             self._parts.servers.note_leaving(self._server)
         crossed = isinstance(failure, AnswerCrossed)
         event = Event.ANSWER_DISCARDED if crossed else Event.ATTEMPT_FAILED
--- a/tests/features/entry_peers.feature
+++ b/tests/features/entry_peers.feature
@@ -51,3 +51,11 @@
     Then every entry holds "writer-2" to be "leaving"
     When "writer-2" is replaced at the same address
     Then every entry holds "writer-2" to be "live"
+
+  Scenario: a backend server says in whole answers that it is leaving
+    Given every entry holds "writer-1" to be "live"
+    When "writer-1" begins to say in its answers that it is leaving
+    And "patan-counter" calls "caption" on "entry-1" until it holds "writer-1" to be "leaving"
+    Then every entry holds "writer-1" to be "leaving"
+    When "writer-1" is replaced at the same address
+    Then every entry holds "writer-1" to be "live"
--- a/tests/features/server_words.feature
+++ b/tests/features/server_words.feature
@@ -17,6 +17,11 @@
     Examples:
       | answer             | kind   | path         |
       | an answer          | plain  | /safe/ok     |
+      | a failure          | plain  | /safe/error  |
+      | a refusal          | plain  | /safe/refuse |
+      | a call once only   | plain  | /unsafe/ok   |
+      | a stream's head    | engine | /chat/ok     |
+      | a call of a stage  | stage  | /staged/ok   |
 
   @fixture.route-site.1
   Scenario Outline: a server that asks for a pause of <pause> s gets two calls in it
--- a/tests/features/steps/entry_peers.py
+++ b/tests/features/steps/entry_peers.py
@@ -146,6 +146,12 @@
     fetch(port, "/standin/leaving", {"leaving": True})
 
 
+@when('"{server}" begins to say in its answers that it is leaving')
+def step(context, server):
+    port = context.fleet.servers[server].port
+    fetch(port, "/standin/leaving", {"leaving": "in-answers"})
+
+
 @when(
     '"{account}" calls "{pipeline}" on "{name}" '
     'until it holds "{server}" to be "{state}"'
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -107,7 +107,7 @@
             return self.reply({})
         with STATE.lock:
             STATE.offered += 1
-        if STATE.leaving and STATE.leaving != "silently":
+        if STATE.leaving and STATE.leaving not in ("silently", "in-answers"):
             return self._refuse("leaving")
         fault = self._take_fault(body)
         if fault:
@@ -215,10 +215,12 @@
         self.slot.work.finished = True
 
     def _echo(self, request=None, attempt=None):
+        leaving = STATE.leaving == "in-answers"
         return [
             ("X-Request-Id", request or self.headers["X-Request-Id"]),
             ("X-Attempt-Id", attempt or self.headers["X-Attempt-Id"]),
             ("X-Load", f"{STATE.in_progress}/{SPEC['slots']}"),
+            *([("X-Leaving", "1")] if leaving else []),
         ]
 
 
