A server that tells when to come back is left alone until then

Callers saw little: each request that met such a server was turned away there and was answered by the next one, and the server got the calls that it had asked not to get.

Cause: the time that a server tells with a refusal was read nowhere; a refusal counted for the one request alone. Ruled out by reading, as with the word that it leaves.

Change: until the end of that time this entry makes no call there: it is left out of each choice and looked at right before the first byte, for requests, repeats, streams that go on, batches of pieces, releases and reports; own interface alike. The word binds the entry that was told alone, for the life of the server; the latest end holds; what is no positive number of seconds is none, more than an hour is an hour. Where all servers of a service ask for it, requests, orders and bookings are refused at once with the earliest end. A crash is now told by a refused connection alone: one that takes its time may be busy.

--- a/boragestream/backend/attempt.py
+++ b/boragestream/backend/attempt.py
@@ -17,6 +17,7 @@
     NOT_RUN_HEADER,
     PRIORITY_HEADER,
     REQUEST_HEADER,
+    RETRY_AFTER_HEADER,
     StageCall,
 )
 from boragestream.backend.cancellation import CancelScope
@@ -29,12 +30,14 @@
     AttemptFailure,
     ConnectFailed,
     Ran,
+    ServerBackedOff,
     ServerErred,
     ServerLeft,
     ServerRefused,
 )
 from boragestream.base.clock import Clock
 from boragestream.base.failures import DeadlinePassed
+from boragestream.policy.server_backoffs import parse_backoff
 from boragestream.policy.tickets import TicketExpired
 
 __all__ = [
@@ -46,6 +49,7 @@
     "ConnectFailed",
     "OpenAnswer",
     "Ran",
+    "ServerBackedOff",
     "ServerErred",
     "ServerLeft",
     "ServerRefused",
@@ -145,7 +149,8 @@
     # this attempt; a crossed one would be an untrue "not run".
     if own and not_run is not None:
         leaving = not_run == "leaving" or says_leaving(response.headers)
-        return ServerRefused(server, Ran.NOT_RUN, response.status, leaving)
+        backoff = parse_backoff(response.headers.get(RETRY_AFTER_HEADER))
+        return ServerRefused(server, Ran.NOT_RUN, response.status, leaving, backoff)
     if response.status != http.HTTPStatus.OK:
         leaving = says_leaving(response.headers)
         return ServerErred(server, Ran.MAY_HAVE_RUN, response.status, leaving)
--- a/boragestream/backend/calls.py
+++ b/boragestream/backend/calls.py
@@ -21,6 +21,7 @@
     "NOT_RUN_HEADER",
     "PRIORITY_HEADER",
     "REQUEST_HEADER",
+    "RETRY_AFTER_HEADER",
     "Completion",
     "StageCall",
     "StageInput",
@@ -33,6 +34,8 @@
 DEADLINE_HEADER = "X-Deadline-Ms"
 PRIORITY_HEADER = "X-Priority"
 NOT_RUN_HEADER = "X-Not-Run"
+# Beside a refusal: after how many seconds to call again.
+RETRY_AFTER_HEADER = "Retry-After"
 # In any answer of a server that is leaving.
 LEAVING_HEADER = "X-Leaving"
 
--- a/boragestream/backend/failures.py
+++ b/boragestream/backend/failures.py
@@ -17,6 +17,7 @@
     "AttemptFailure",
     "ConnectFailed",
     "Ran",
+    "ServerBackedOff",
     "ServerCold",
     "ServerErred",
     "ServerLeft",
@@ -56,6 +57,11 @@
     """The server began to leave between its choice and the first byte."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerBackedOff(AttemptFailure):
+    """The server told this entry to come back later, and it is not later yet."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServerCold(AttemptFailure):
     """The server has just started and may get no further request now."""
@@ -67,10 +73,13 @@
 
     :ivar status: the HTTP status.
     :ivar leaving: whether the server says that it is leaving.
+    :ivar backoff_seconds: after how long it wants to be called again; None where it
+        does not say.
     """
 
     status: int
     leaving: bool
+    backoff_seconds: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -51,6 +51,7 @@
     QUEUE_OWNED = (3106, logging.INFO)
     SERVER_CRASHED = (3107, logging.WARNING)
     CRASHES_HEARD = (3108, logging.INFO)
+    SERVER_BACKED_OFF = (3109, logging.INFO)
     REQUEST_BROKEN = (3901, logging.ERROR)
     HTTP_COMPLAINT = (3902, logging.WARNING)
 
--- a/boragestream/base/failures.py
+++ b/boragestream/base/failures.py
@@ -18,6 +18,7 @@
     "NoConfiguration",
     "NoLiveServer",
     "QueueFull",
+    "ServersBackedOff",
     "ServersCold",
 ]
 
@@ -86,6 +87,17 @@
     service: str
 
 
+@dataclass(frozen=True, slots=True)
+class ServersBackedOff(Failure):
+    """Every server of the service has told this entry to come back later.
+
+    :ivar left_seconds: until the first of them may be called.
+    """
+
+    service: str
+    left_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class ServersCold(Failure):
     """The servers of the service have just started and get few requests yet.
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -68,10 +68,12 @@
 from boragestream.policy.queue_owners import able_entries, owner_order
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.route_table import RoutesInForce
+from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.server_choice import ServerChoice
 from boragestream.policy.server_lives import ServerLives
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.stage_delays import StageDelays
+from boragestream.serving.ejections import note_backoff
 from boragestream.serving.forward_attempt import ForwardParts
 from boragestream.serving.forwarder import Forwarder
 from boragestream.serving.owner_links import OwnerLinks
@@ -226,8 +228,13 @@
         count = len(book.entries)
         return idle_connections(known.max_connections, count) if known else 0
 
+    backoffs = ServerBackoffs(clock)
+
     def heard(server: Server, head: AnswerHead) -> None:
         # Also where the list says nothing of it, such as while the store is away.
+        if head.backoff_seconds is not None:
+            backoffs.note(server, head.backoff_seconds)
+            note_backoff(server, head.backoff_seconds)
         if head.leaving and servers.note_leaving(server):
             emit(Event.SERVER_SAID_LEAVING, server=server.name, service=server.service)
 
@@ -267,6 +274,7 @@
         format=_PieceCalls(),
         servers=servers,
         cold=cold,
+        backoffs=backoffs,
         quarantine=quarantine,
         loads=loads,
         retries=retries,
@@ -317,6 +325,7 @@
             encode=encode_call,
             servers=servers,
             cold=cold,
+            backoffs=backoffs,
             quarantine=quarantine,
             loads=loads,
             choice=ServerChoice(loads, clock, centre),
--- a/boragestream/document/calls.py
+++ b/boragestream/document/calls.py
@@ -122,6 +122,8 @@
     :ivar encoded: whether its body is encoded, which no caller asked for.
     :ivar closing: whether the server closes the connection after it.
     :ivar leaving: whether the server says that it is leaving.
+    :ivar backoff_seconds: after how long a server that turned the call away wants to be
+        called again; None where it does not say.
     :ivar idle_seconds: how long the server keeps the connection; None if not said.
     :ivar load: calls running and waiting and the places of the server, where it says.
     :ivar headers: what the caller is given.
@@ -135,6 +137,7 @@
     claim: RunClaim
     closing: bool
     leaving: bool
+    backoff_seconds: float | None
     idle_seconds: float | None
     load: tuple[int, int, int] | None
     headers: HeaderList
--- a/boragestream/platform/wire.py
+++ b/boragestream/platform/wire.py
@@ -6,6 +6,7 @@
 
 import http.client
 from collections.abc import Iterable
+from http import HTTPStatus
 
 from boragestream.document.calls import (
     AnswerHead,
@@ -15,6 +16,7 @@
     RequestMalformed,
     RunClaim,
 )
+from boragestream.policy.server_backoffs import parse_backoff
 
 __all__ = [
     "encode_call",
@@ -170,6 +172,7 @@
         encoded=headers.get("Content-Encoding", "identity").lower() != "identity",
         claim=claim,
         closing="close" in named or response.will_close,
+        backoff_seconds=_backoff(response),
         leaving=headers.get(LEAVING, "0").strip() != "0",
         idle_seconds=_idle_seconds(headers.get("Keep-Alive", "")),
         load=_load(headers.get(LOAD, "")),
@@ -222,6 +225,12 @@
     return counts
 
 
+def _backoff(response: http.client.HTTPResponse) -> float | None:
+    if response.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return None
+    return parse_backoff(response.headers.get(RETRY_AFTER))
+
+
 def _idle_seconds(value: str) -> float | None:
     for part in value.split(","):
         if part.strip().lower().startswith(IDLE_TIMEOUT):
--- a/boragestream/policy/server_choice.py
+++ b/boragestream/policy/server_choice.py
@@ -117,20 +117,6 @@
                 return server
         return min(usable, key=self._work)
 
-    def spread(
-        self,
-        servers: Sequence[Server],
-        fingerprint: bytes,
-        avoid: frozenset[str] = frozenset(),
-    ) -> Server | None:
-        """Return a server for a request under which another one has crashed.
-
-        All that was cut by the crash is sent once more. By its prompts most of it would
-        meet the cause again at one server; each by its own fingerprint goes elsewhere.
-        """
-        usable = self._usable(servers, avoid)
-        return max(usable, key=lambda s: _rank(fingerprint.hex(), s), default=None)
-
     def _usable(self, servers: Sequence[Server], avoid: frozenset[str]) -> list[Server]:
         need = RoutingNeed(avoid=avoid, without=WITHOUT)
         return usable_servers(servers, self.loads, need, self.clock.now())
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -185,6 +185,14 @@
             del self._orders[queued.order.order_id]
         return late
 
+    def drop_starting_before(self, moment: float) -> list[QueuedOrder]:
+        """Drop and return the orders with pieces that must start before a moment."""
+        waiting = self._orders.values()
+        early = [q for q in waiting if q.left and q.start_by < moment]
+        for queued in early:
+            del self._orders[queued.order.order_id]
+        return early
+
     def drop_unserved(self) -> list[QueuedOrder]:
         """Drop and return the orders with pieces that no server is left to make."""
         unserved = [queued for queued in self._orders.values() if queued.left]
--- a/boragestream/serving/attempts.py
+++ b/boragestream/serving/attempts.py
@@ -15,6 +15,7 @@
     ConnectFailed,
     OpenAnswer,
     Ran,
+    ServerBackedOff,
     ServerErred,
     ServerLeft,
     ServerRefused,
@@ -32,6 +33,7 @@
 from boragestream.policy.costs import Purpose, Spent
 from boragestream.policy.load import CallEnd
 from boragestream.policy.servers import Server
+from boragestream.serving.ejections import note_backoff
 from boragestream.serving.parts import ServingParts
 from boragestream.serving.request import RequestRecord
 from boragestream.serving.request_guard import RequestGuard
@@ -144,6 +146,8 @@
         # The choice has aged by a connect, and by whatever this process waited for.
         if not self._parts.servers.takes_work(self._server):
             return ServerLeft(self._server.name, Ran.NOT_SENT)
+        if not self._parts.backoffs.takes_calls(self._server):
+            return ServerBackedOff(self._server.name, Ran.NOT_SENT)
         quarantined = self._run.guard.sending()
         if quarantined is not None:
             return AttemptCancelled(self._server.name, Ran.NOT_SENT, quarantined)
@@ -214,6 +218,9 @@
             return
         if isinstance(failure, ServerErred | ServerRefused) and failure.leaving:
             self._parts.servers.note_leaving(self._server)
+        if isinstance(failure, ServerRefused) and failure.backoff_seconds is not None:
+            self._parts.backoffs.note(self._server, failure.backoff_seconds)
+            note_backoff(self._server, failure.backoff_seconds)
         crossed = isinstance(failure, AnswerCrossed)
         event = Event.ANSWER_DISCARDED if crossed else Event.ATTEMPT_FAILED
         emit(
@@ -225,7 +232,7 @@
 
 
 def _end_of(failure: AttemptFailure) -> CallEnd:
-    if isinstance(failure, AttemptCancelled | ServerLeft):
+    if isinstance(failure, AttemptCancelled | ServerBackedOff | ServerLeft):
         return CallEnd.CANCELLED
     if isinstance(failure, ConnectFailed):
         return CallEnd.UNREACHED
--- a/boragestream/serving/ejections.py
+++ b/boragestream/serving/ejections.py
@@ -1,6 +1,7 @@
-"""Says in the log when a failure keeps a server from further calls for a while.
+"""Says in the log what keeps a server from further calls for a while.
 
-The decision itself is that of ``policy.circuits``.
+The decisions themselves are those of ``policy.circuits`` and
+``policy.server_backoffs``.
 """
 
 from boragestream.base.events import Event, emit
@@ -8,7 +9,17 @@
 from boragestream.policy.load import LoadTable
 from boragestream.policy.servers import Server
 
-__all__ = ["note_ejection"]
+__all__ = ["note_backoff", "note_ejection"]
+
+
+def note_backoff(server: Server, seconds: float) -> None:
+    """Log that a server wants no calls of this entry for a while."""
+    emit(
+        Event.SERVER_BACKED_OFF,
+        server=server.name,
+        service=server.service,
+        seconds=round(seconds, 3),
+    )
 
 
 def note_ejection(loads: LoadTable, server: Server, now: float) -> None:
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -13,6 +13,7 @@
     AttemptFailure,
     ConnectFailed,
     Ran,
+    ServerBackedOff,
     ServerCold,
     ServerLeft,
 )
@@ -30,6 +31,7 @@
 from boragestream.policy.load import CallEnd, LoadTable
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.retry_window import RetryWindows
+from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.server_choice import ServerChoice
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving.ejections import note_ejection
@@ -54,6 +56,7 @@
     """What forwarding needs of the entry.
 
     :ivar cold: which servers have just started.
+    :ivar backoffs: which servers want no calls now.
     :ivar quarantine: which requests crash servers.
     :ivar engine_delays: how long engines take to their first event.
     :ivar list_age: returns the seconds since the server list was last confirmed.
@@ -63,6 +66,7 @@
     encode: EncodeCall
     servers: ServerTable
     cold: ColdServers
+    backoffs: ServerBackoffs
     quarantine: Quarantine
     loads: LoadTable
     choice: ServerChoice
@@ -127,6 +131,8 @@
             # The choice has aged by a connect, and by whatever this process waited for.
             if not self._parts.servers.takes_work(server):
                 return ServerLeft(server.name, Ran.NOT_SENT)
+            if not self._parts.backoffs.takes_calls(server):
+                return ServerBackedOff(server.name, Ran.NOT_SENT)
             if not self._parts.cold.admit(server):
                 return ServerCold(server.name, Ran.NOT_SENT)
             quarantined = self._guard.sending()
@@ -204,7 +210,9 @@
 
 
 def _end_of(failure: AttemptFailure) -> CallEnd:
-    if isinstance(failure, AttemptCancelled | ServerCold | ServerLeft):
+    if isinstance(
+        failure, AttemptCancelled | ServerBackedOff | ServerCold | ServerLeft
+    ):
         return CallEnd.CANCELLED
     if isinstance(failure, ConnectFailed):
         return CallEnd.UNREACHED
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -18,7 +18,12 @@
     OpenForwardedAnswer,
 )
 from boragestream.base.events import Event, emit
-from boragestream.base.failures import CentresDrained, NoLiveServer, ServersCold
+from boragestream.base.failures import (
+    CentresDrained,
+    NoLiveServer,
+    ServersBackedOff,
+    ServersCold,
+)
 from boragestream.base.outcomes import Failure
 from boragestream.document.calls import (
     RunClaim,
@@ -102,7 +107,8 @@
             failure = None if self._servers() else self._no_server()
             failure = failure or self._make_inputs()
             if failure is not None:
-                self._failure = self._failure or failure
+                if self._failure is None or isinstance(failure, ServersBackedOff):
+                    self._failure = failure
                 return
             server = self._choose()
             if server is None:
@@ -206,9 +212,7 @@
         if len(avoid) >= len(live):
             avoid = frozenset()
         service = run.table.services.get(run.service)
-        if self._guard.suspected:
-            server = choice.spread(live, run.fingerprint, avoid)
-        elif service is not None and service.engine is not None:
+        if service is not None and service.engine is not None:
             prompt = run.request.prompt
             near = near_results(self._inputs, shared_tokens(prompt))
             server = choice.engine(live, shared_part(prompt), near, avoid)
@@ -221,7 +225,8 @@
 
     def _servers(self) -> Sequence[Server]:
         """Return the servers that may be sent this request now."""
-        return self._parts.cold.usable(self._allowed())
+        parts = self._parts
+        return parts.cold.usable(parts.backoffs.usable(self._allowed()))
 
     def _allowed(self) -> Sequence[Server]:
         """Return the live servers in the regions where the request may be served."""
@@ -234,7 +239,11 @@
     def _no_server(self) -> Failure:
         """Return why there is no server."""
         service = self._run.service
-        if self._allowed():
+        allowed = self._allowed()
+        left = self._parts.backoffs.seconds_left(allowed)
+        if left is not None:
+            return ServersBackedOff(service, left)
+        if allowed:
             return ServersCold(service)
         if self._parts.servers.awaits_centre(service):
             return CentresDrained(service)
--- a/boragestream/serving/parts.py
+++ b/boragestream/serving/parts.py
@@ -13,6 +13,7 @@
 from boragestream.policy.load import LoadTable
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.routing import Place, RoutingPolicy, routing_policies
+from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.servers import ServerTable
 from boragestream.policy.times import RecentTimes
 from boragestream.policy.waiting import WaitingLines
@@ -24,12 +25,14 @@
 class ServingParts:
     """The parts.
 
+    :ivar backoffs: which servers want no calls now.
     :ivar quarantine: which requests crash servers.
     :ivar attempts: runs attempts beside the request's own thread.
     :ivar times: recent times of attempts, by kind of call.
     """
 
     servers: ServerTable
+    backoffs: ServerBackoffs
     quarantine: Quarantine
     loads: LoadTable
     routing: dict[str, RoutingPolicy]
@@ -62,6 +65,7 @@
     """
     return ServingParts(
         servers=servers,
+        backoffs=ServerBackoffs(clock),
         quarantine=quarantine,
         loads=loads,
         routing=routing_policies(loads, clock, rng, home),
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -15,6 +15,7 @@
     AttemptFailure,
     ConnectFailed,
     Ran,
+    ServerBackedOff,
     ServerCold,
     ServerLeft,
 )
@@ -67,6 +68,9 @@
         limits = self._parts.limits(order.service)
         if limits is None:
             return 0.0
+        left = self._backed_off_seconds(order.service)
+        if left is not None and not self.knows_order(order.order_id):
+            return left
         now = self._parts.clock.now()
         queued = QueuedOrder(
             order, now + start_seconds, now + left_seconds, list(order.pieces)
@@ -96,6 +100,9 @@
         limits = self._parts.limits(booking.service)
         if limits is None:
             return 0.0
+        left = self._backed_off_seconds(booking.service)
+        if left is not None:
+            return left
         now = self._parts.clock.now()
         usable = self._usable(booking.service)
         with self._lock:
@@ -142,6 +149,9 @@
                 queue.drop_expired(now)
                 queue.forget(listed, now)
                 late += queue.drop_late(now)
+                left = self._backed_off_seconds(service)
+                if left is not None:
+                    late += queue.drop_starting_before(now + left)
                 if not self._parts.servers.live(service):
                     unserved += queue.drop_unserved()
             for handle, (service, server) in list(self._makers.items()):
@@ -166,10 +176,16 @@
         return self._queues[service]
 
     def _usable(self, service: str) -> list[Server]:
-        live = self._parts.cold.usable(self._parts.servers.live(service))
+        parts = self._parts
+        called = parts.backoffs.usable(parts.servers.live(service))
+        live = parts.cold.usable(called)
         need = RoutingNeed(without=WITHOUT)
         return usable_servers(live, self._parts.loads, need, self._parts.clock.now())
 
+    def _backed_off_seconds(self, service: str) -> float | None:
+        """Return until when all servers want no calls; None where one takes some."""
+        return self._parts.backoffs.seconds_left(self._parts.servers.live(service))
+
     def _pump(self, service: str) -> None:
         """Send a batch to each server that is free."""
         limits = self._parts.limits(service)
@@ -194,7 +210,7 @@
             end = CallEnd.ANSWERED if isinstance(result, list) else CallEnd.CUT
             if isinstance(result, ConnectFailed):
                 end = CallEnd.UNREACHED
-            if isinstance(result, ServerCold | ServerLeft):
+            if isinstance(result, ServerBackedOff | ServerCold | ServerLeft):
                 end = CallEnd.CANCELLED
             seconds = parts.clock.now() - began
             kind = str(len(batch.pieces))
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -19,6 +19,7 @@
     AttemptFailure,
     ConnectFailed,
     Ran,
+    ServerBackedOff,
     ServerCold,
     ServerErred,
     ServerLeft,
@@ -42,6 +43,7 @@
 )
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.retry_window import RetryWindows
+from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.service_queue import Batch
 from boragestream.serving.piece_failures import AnswerLost
@@ -84,6 +86,7 @@
     """What the batches need of the entry.
 
     :ivar cold: which servers have just started.
+    :ivar backoffs: which servers want no calls now.
     :ivar quarantine: which requests crash servers.
     :ivar limits: returns the limits of a service's servers; None if unknown.
     :ivar used: told of each order, since it is decided by what is published.
@@ -93,6 +96,7 @@
     format: PieceFormat
     servers: ServerTable
     cold: ColdServers
+    backoffs: ServerBackoffs
     quarantine: Quarantine
     loads: LoadTable
     retries: RetryWindows
@@ -158,9 +162,10 @@
     def release(self, server: Server, handles: tuple[str, ...]) -> None:
         """Tell a server that results are not needed any more.
 
-        One in a drained data centre is told nothing: it forgets them by itself.
+        One that is drained or wants no calls now is told nothing: it forgets them by
+        itself.
         """
-        if self._is_drained(server):
+        if not self._takes_words(server):
             return
         data = self._parts.format.encode_release(server, handles)
         failed = self._call(server, "POST", data, RELEASE_SECONDS)
@@ -170,7 +175,7 @@
 
     def _ask(self, call: _OpenCall) -> None:
         server, wire = call.server, self._parts.format
-        if self._is_drained(server):
+        if not self._takes_words(server):
             return
         data = wire.encode_report_call(server)
         body = self._call(server, "GET", data, REPORT_SECONDS)
@@ -179,8 +184,9 @@
         if report is not None and answer_is_lost(report):
             call.scope.cancel(AnswerLost(server.name))
 
-    def _is_drained(self, server: Server) -> bool:
-        return server.data_centre in self._parts.servers.drained
+    def _takes_words(self, server: Server) -> bool:
+        drained = server.data_centre in self._parts.servers.drained
+        return not drained and self._parts.backoffs.takes_calls(server)
 
     def _call(
         self, server: Server, method: str, data: bytes, seconds: float
@@ -204,6 +210,8 @@
             # The choice has aged by a connect and by the wait for a free thread.
             if not parts.servers.takes_work(server):
                 return ServerLeft(server.name, Ran.NOT_SENT)
+            if not parts.backoffs.takes_calls(server):
+                return ServerBackedOff(server.name, Ran.NOT_SENT)
             if not parts.cold.admit(server):
                 return ServerCold(server.name, Ran.NOT_SENT)
             now = parts.clock.now()
--- a/boragestream/serving/request_guard.py
+++ b/boragestream/serving/request_guard.py
@@ -1,8 +1,8 @@
 """Watches over one request: whether it may be sent, and whether it crashed a server.
 
 A cut answer is no crash by itself: connections are reset, answers spoilt and servers
-drained. It counts where the server takes no connection any more right after it, as a
-process that has ended. A server that hangs, refuses or answers with a failure, a link
+drained. It counts where the server refuses connections right after it, as a process
+that has ended. A server that hangs, refuses or answers with a failure, a link
 that is cut without a word, and a call that was cancelled here don't count.
 """
 
@@ -18,17 +18,21 @@
 
 __all__ = ["RequestGuard", "count_crash", "has_crashed"]
 
-# A process that has ended refuses within a round trip; an instance without power says
-# nothing, and the caller waits for this check.
+# A process that has ended refuses within a round trip; the caller waits for this check.
 CHECK_SECONDS = 0.15
 
 
 def has_crashed(connections: ConnectionKeeper, server: Server) -> bool:
-    """Tell whether a server that has just cut an answer takes no connection."""
+    """Tell whether a server that has just cut an answer refuses connections.
+
+    One that takes its time may be busy, or behind a link that is cut.
+    """
     try:
         connection = connections.connect(server.host, CHECK_SECONDS)
-    except OSError:
+    except ConnectionRefusedError:
         return True
+    except OSError:
+        return False
     connection.close()
     return False
 
--- a/boragestream/serving/stage.py
+++ b/boragestream/serving/stage.py
@@ -6,6 +6,7 @@
 
 import math
 import threading
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,11 +16,12 @@
     ConnectFailed,
     OpenAnswer,
     Ran,
+    ServerBackedOff,
     ServerLeft,
     ServerRefused,
 )
 from boragestream.backend.calls import StageCall, StageInput, stage_body, stage_path
-from boragestream.base.failures import NoLiveServer
+from boragestream.base.failures import NoLiveServer, ServersBackedOff
 from boragestream.base.outcomes import Failure
 from boragestream.document import Stage
 from boragestream.document.records import Policies
@@ -100,8 +102,12 @@
     ) -> AttemptRun | Failure:
         """Take room on a server for an attempt."""
         service = run.stage.service
-        if not self.parts.servers.live(service):
+        live = self.parts.servers.live(service)
+        if not live:
             return NoLiveServer(service)
+        left = self.parts.backoffs.seconds_left(live)
+        if left is not None:
+            return ServersBackedOff(service, left)
         scope = run.request.scope
         return self.parts.lines.of(service).take(
             choose=lambda: self._choose(run, purpose, tried),
@@ -112,7 +118,7 @@
     def _choose(
         self, run: StageRun, purpose: Purpose, tried: set[str]
     ) -> AttemptRun | None:
-        live = self.parts.servers.live(run.stage.service)
+        live = self._callable(run)
         if not live:
             return None
         policies = _policies(run)
@@ -165,18 +171,23 @@
     def _choose_spare(self, run: StageRun, tried: set[str]) -> Server | None:
         policies = _policies(run)
         need = RoutingNeed(frozenset(tried), None, policies.without)
-        live = self.parts.servers.live(run.stage.service)
+        live = self._callable(run)
         server = self.parts.routing[policies.routing].choose(live, need)
         if server is None:
             return None
         load = self.parts.loads.get(server)
         return server if has_spare_room(load, self.parts.clock.now()) else None
 
+    def _callable(self, run: StageRun) -> Sequence[Server]:
+        parts = self.parts
+        return parts.backoffs.usable(parts.servers.live(run.stage.service))
+
     def _may_retry(self, run: StageRun, failure: AttemptFailure, attempts: int) -> bool:
         leaving = isinstance(failure, ServerRefused) and failure.leaving
+        unsent = ConnectFailed | ServerBackedOff | ServerLeft
         failed = FailedAttempt(
             may_have_run=failure.ran is Ran.MAY_HAVE_RUN,
-            free=leaving or isinstance(failure, ConnectFailed | ServerLeft),
+            free=leaving or isinstance(failure, unsent),
         )
         verdict = retry_verdict(
             failed,
--- a/tests/features/crashing_requests.feature
+++ b/tests/features/crashing_requests.feature
@@ -26,12 +26,13 @@
 
   @fixture.route-site.3
   Scenario: innocent calls beside one that crashes their servers are answered
-    Given 4 more plain servers
+    Given 4 more "plain" servers
     When the repeatable call "/safe/always-crash" comes 8 times, each beside 4 innocent "/safe/slow"
     Then every innocent call is answered, of 32
 
   @fixture.route-site.3
   Scenario: a request whose pieces crash stage servers reaches few, those beside it are answered
+    Given 4 more "stage" servers
     When the staged request whose pieces crash servers comes 8 times, each beside 4 innocent ones
     Then no more than 6 servers have crashed, and the last 3 calls were refused at once
     And every innocent call is answered, of 32
--- a/tests/features/server_words.feature
+++ b/tests/features/server_words.feature
@@ -34,13 +34,31 @@
     Examples:
       | kind   | path       | pause |
       | plain  | /safe/ok   | 2     |
+      | plain  | /unsafe/ok | 1.5   |
+      | engine | /chat/ok   | 2.0   |
+      | stage  | /staged/ok | 2     |
 
   @fixture.route-site.1
   Scenario Outline: requests "<path>" are refused at once while all servers ask for a pause
     Given all "<kind>" servers turn calls away and ask for "3" and "2" seconds
-    When requests "<path>" are sent for 1.5 seconds
+    When requests "<path>" are sent side by side for 1.5 seconds
     Then the later ones are refused at once, to come back at the earliest end
 
     Examples:
       | kind   | path       |
       | plain  | /safe/ok   |
+      | engine | /chat/ok   |
+      | stage  | /staged/ok |
+
+  @fixture.route-site.1
+  Scenario Outline: a pause of "<pause>" is none
+    Given a "plain" server that turns calls away and asks for "<pause>" seconds
+    When requests "/safe/ok" are sent for 1.0 seconds
+    Then it got more than 2 calls, and all are answered
+
+    Examples:
+      | pause                         |
+      | -3                            |
+      | nan                           |
+      | soon                          |
+      | Wed, 21 Oct 2026 07:28:00 GMT |
--- a/tests/features/steps/crashing_requests.py
+++ b/tests/features/steps/crashing_requests.py
@@ -62,10 +62,10 @@
             time.sleep(GAP_SECONDS)
 
 
-@given("{count:d} more plain servers")
-def step(context, count):
+@given('{count:d} more "{kind}" servers')
+def step(context, count, kind):
     for _ in range(count):
-        context.site.add_server("plain")
+        context.site.add_server(kind)
     time.sleep(GAP_SECONDS)
 
 
--- a/tests/features/steps/drained_centres.py
+++ b/tests/features/steps/drained_centres.py
@@ -23,6 +23,8 @@
     Relayed,
     Snapshot,
 )
+from boragestream.policy.quarantine import Quarantine
+from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving.piece_batches import PieceBatches
 from tests.standins.clock import SetClock
@@ -298,6 +300,8 @@
     class Parts:
         servers, cold, clock = context.servers, context.cold, context.clock
         loads = LoadTable(context.clock, None)
+        backoffs = ServerBackoffs(context.clock)
+        quarantine = Quarantine("e", lambda: ["e"], context.clock)
 
         class Retries:
             """Counts nothing."""
--- a/tests/features/steps/leaving_before_the_send.py
+++ b/tests/features/steps/leaving_before_the_send.py
@@ -28,6 +28,7 @@
     RequestQuarantined,
 )
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
+from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.server_choice import OpenCalls
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.service_queue import Batch
@@ -104,6 +105,7 @@
         format=Wire(),
         servers=context.known,
         cold=context.cold,
+        backoffs=ServerBackoffs(clock),
         quarantine=Quarantine("e", lambda: ["e"], clock),
         loads=context.loads,
         retries=RetryWindows(clock.now, lambda: RetryBounds(0.0, 10.0, 0.0), lambda: 1),
@@ -138,6 +140,7 @@
         encode=lambda request, call, host: b"GET / HTTP/1.1\r\n\r\n",
         servers=context.known,
         cold=context.cold,
+        backoffs=ServerBackoffs(clock),
         loads=context.loads,
         choice=SimpleNamespace(open_calls=OpenCalls()),
         clock=clock,
@@ -183,6 +186,7 @@
         clock=clock,
         loads=context.loads,
         servers=context.known,
+        backoffs=ServerBackoffs(clock),
         connections=context.keeper,
         observations=SimpleNamespace(attempt_ended=lambda *a: None),
         costs=SimpleNamespace(add=lambda *a: None),
--- a/tests/features/steps/piece_repeats.py
+++ b/tests/features/steps/piece_repeats.py
@@ -13,6 +13,7 @@
 from boragestream.policy.piece_queue import PieceOrder
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
+from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.servers import Server
 from boragestream.serving.piece_batches import PieceBatches
 from tests.standins.clock import SetClock
@@ -71,6 +72,7 @@
         used=lambda: None,
         servers=SimpleNamespace(live=lambda service: SERVERS, all=SERVERS),
         cold=SimpleNamespace(usable=lambda servers: servers),
+        backoffs=ServerBackoffs(clock),
         quarantine=Quarantine("entry", lambda: ["entry"], clock),
         loads=LoadTable(clock, None),
         retries=RetryWindows(clock.now, lambda: BOUNDS, lambda: entries),
--- /dev/null
+++ b/tests/features/steps/server_backoffs.py
@@ -0,0 +1,105 @@
+"""Steps on servers that want no calls for a while, and on servers that are gone."""
+
+import contextlib
+import socket
+from dataclasses import replace
+
+from behave import given, then, when
+
+from boragestream.backend.connections import ConnectionKeeper
+from boragestream.policy.server_backoffs import ServerBackoffs, parse_backoff
+from boragestream.policy.servers import Server
+from boragestream.serving.request_guard import has_crashed
+from tests.standins.clock import SetClock
+
+ADDRESS = "127.0.0.1"
+# More than a listener without a backlog takes.
+PENDING = 8
+
+
+def server(name):
+    """Return a server."""
+    return Server(name, "service", f"{name}:80", "hall", "1")
+
+
+@given("an entry that calls servers")
+def step(context):
+    context.clock = SetClock()
+    context.backoffs = ServerBackoffs(context.clock)
+    context.asked = set()
+
+
+@when('the server "{name}" asks for {first:g} s, and after {gap:g} s for {second:g} s')
+def step(context, name, first, gap, second):
+    context.server = server(name)
+    context.asked.add(context.server)
+    context.backoffs.note(context.server, first)
+    context.clock.seconds += gap
+    context.backoffs.note(context.server, second)
+
+
+@then("after {seconds:g} s more it is left alone")
+def step(context, seconds):
+    context.clock.seconds += seconds
+    assert not context.backoffs.takes_calls(context.server)
+
+
+@then("after {seconds:g} s more it is called")
+def step(context, seconds):
+    context.clock.seconds += seconds
+    assert context.backoffs.takes_calls(context.server)
+
+
+@then('the server "{name}" is called')
+def step(context, name):
+    assert context.backoffs.takes_calls(server(name))
+
+
+@then('a new life of the server "{name}" is called')
+def step(context, name):
+    assert context.backoffs.takes_calls(replace(server(name), incarnation="2"))
+
+
+@then("the first of them is called after {seconds:g} s")
+def step(context, seconds):
+    servers = list(context.asked)
+    assert not context.backoffs.usable(servers)
+    assert context.backoffs.seconds_left(servers) == seconds
+
+
+@then('the backoff "{text}" is {seconds}')
+def step(context, text, seconds):
+    expected = None if seconds == "none" else float(seconds)
+    assert parse_backoff(text) == expected
+
+
+@given("a server that refuses connections")
+def step(context):
+    with socket.create_server((ADDRESS, 0)) as listener:
+        context.host = f"{ADDRESS}:{listener.getsockname()[1]}"
+
+
+@given("a server that takes connections")
+def step(context):
+    listener = socket.create_server((ADDRESS, 0))
+    context.add_cleanup(listener.close)
+    context.host = f"{ADDRESS}:{listener.getsockname()[1]}"
+
+
+@given("a server that leaves connections without a word")
+def step(context):
+    listener = socket.create_server((ADDRESS, 0), backlog=0)
+    context.add_cleanup(listener.close)
+    context.host = f"{ADDRESS}:{listener.getsockname()[1]}"
+    for _ in range(PENDING):
+        pending = socket.socket()
+        context.add_cleanup(pending.close)
+        pending.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            pending.connect(listener.getsockname())
+
+
+@then("it {verdict} crashed")
+def step(context, verdict):
+    gone = has_crashed(ConnectionKeeper(), replace(server("a"), host=context.host))
+    assert gone is (verdict == "has")
--- a/tests/features/steps/server_words.py
+++ b/tests/features/steps/server_words.py
@@ -14,6 +14,7 @@
 AT_ONCE_SECONDS = 0.3
 # Between two requests, so that what has to be repeated stays within its bound.
 GAP_SECONDS = 0.02
+SIDE_BY_SIDE_GAP_SECONDS = 0.1
 
 
 def send(context, path, entry=ENTRY):
@@ -89,6 +90,21 @@
         time.sleep(GAP_SECONDS)
 
 
+@when('requests "{path}" are sent side by side for {seconds:g} seconds')
+def step(context, path, seconds):
+    context.answers = []
+    count = int(seconds / SIDE_BY_SIDE_GAP_SECONDS)
+
+    def one(number):
+        time.sleep(number * SIDE_BY_SIDE_GAP_SECONDS)
+        began = time.monotonic()
+        answer = send(context, path)
+        context.answers.append((answer, began, time.monotonic() - began))
+
+    context.site.at_once(count, one)
+    context.answers.sort(key=lambda sent: sent[1])
+
+
 @then("in the pause it got {most:d} calls at the most, and all are answered")
 def step(context, most):
     server = context.server
