--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -30,7 +30,7 @@
 from boragestream.policy.admission import Admission
 from boragestream.policy.admitted import Candidate
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
-from boragestream.policy.quarantine import fingerprint
+from boragestream.policy.fingerprints import fingerprint
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.request import RequestRecord, SentRecord
 
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -29,8 +29,8 @@
 from boragestream.caller.forwarded_stream import ForwardedStream, StreamPace
 from boragestream.caller.replies import StartResponse
 from boragestream.document.calls import ForwardedRequest, RequestMalformed
+from boragestream.policy.fingerprints import request_fingerprint
 from boragestream.policy.first_knowledge import FirstKnowledge
-from boragestream.policy.quarantine import request_fingerprint
 from boragestream.policy.route_table import (
     KeyUnknown,
     RoutesInForce,
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -25,9 +25,9 @@
     make_publications,
 )
 from boragestream.daemon.published_servers import PublishedServers
+from boragestream.daemon.server_words import server_words
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.tasks import OFFER_EVENTS, to_leaving
-from boragestream.document.calls import AnswerHead
 from boragestream.document.routes import PieceLimits, RouteService
 from boragestream.entry.address_sync import AddressSync
 from boragestream.entry.addresses import AddressBook
@@ -73,7 +73,6 @@
 from boragestream.policy.server_lives import ServerLives
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.stage_delays import StageDelays
-from boragestream.serving.ejections import note_backoff
 from boragestream.serving.forward_attempt import ForwardParts
 from boragestream.serving.forwarder import Forwarder
 from boragestream.serving.owner_links import OwnerLinks
@@ -230,14 +229,7 @@
 
     backoffs = ServerBackoffs(clock)
 
-    def heard(server: Server, head: AnswerHead) -> None:
-        # Also where the list says nothing of it, such as while the store is away.
-        if head.backoff_seconds is not None:
-            backoffs.note(server, head.backoff_seconds)
-            note_backoff(server, head.backoff_seconds)
-        if head.leaving and servers.note_leaving(server):
-            emit(Event.SERVER_SAID_LEAVING, server=server.name, service=server.service)
-
+    heard = server_words(servers, backoffs)
     line = CallLine(read_answer_head, connections, clock, most_idle, heard)
 
     def limits(service: str) -> PieceLimits | None:
--- a/boragestream/policy/quarantine.py
+++ b/boragestream/policy/quarantine.py
@@ -21,7 +21,7 @@
 another (``entry.quarantine``).
 """
 
-import hashlib
+import heapq
 import threading
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
@@ -30,18 +30,14 @@
 
 from boragestream.base.clock import Clock
 from boragestream.base.outcomes import Failure
-from boragestream.document.calls import ForwardedRequest
 
 __all__ = [
     "CrashRecord",
     "Quarantine",
     "RequestQuarantined",
     "RequestSuspected",
-    "fingerprint",
-    "request_fingerprint",
 ]
 
-FINGERPRINT_BYTES = 8
 CRASHES_TO_QUARANTINE = 2
 # A server that was wrongly held against a request has long been replaced by then.
 FIRST_QUARANTINE_SECONDS = 30.0
@@ -57,33 +53,12 @@
 # Callers that were cut by a crash have come back or given up by then.
 SUSPECT_SECONDS = 60.0
 FORGET_SECONDS = 3600.0
+FORGET_GAP_SECONDS = 1.0
 MOST_RECORDS = 4096
 # Each record is offered so many times; what that misses is found by comparing digests.
 OFFERS = 16
 
 
-def fingerprint(*parts: str | bytes) -> bytes:
-    """Return what tells a request from others over all its returns."""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in parts:
-        data = part.encode() if isinstance(part, str) else part
-        # The length keeps two parts from being shifted into one another.
-        digest.update(len(data).to_bytes(4, "big"))
-        digest.update(data)
-    return digest.digest()
-
-
-def request_fingerprint(account: str, request: ForwardedRequest) -> bytes:
-    """Return what tells a forwarded request from others over all its returns.
-
-    Its id is new with each of them.
-
-    :param account: the client account's name; empty where there is none.
-    """
-    asked = (request.method, request.host, request.target, request.body)
-    return fingerprint(account, *asked)
-
-
 @dataclass(frozen=True, slots=True)
 class RequestQuarantined(Failure):
     """The request crashed the servers that ran it and is sent to none for a while.
@@ -152,6 +127,8 @@
     clock: Clock
     changed: Callable[[], None] = lambda: None
     _kept: dict[bytes, _Kept] = field(default_factory=dict)
+    _digest: int = 0
+    _forget_at: float = 0.0
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
     @property
@@ -222,7 +199,7 @@
             if known is None and len(self._kept) >= MOST_RECORDS:
                 self._make_room()
             since = self.clock.now() - age_seconds
-            self._kept[record.fingerprint] = _Kept(record, since)
+            self._put(_Kept(record, since))
         self.changed()
         return True
 
@@ -233,11 +210,11 @@
         """
         with self._lock:
             self._forget()
-            fresh = [kept for kept in self._kept.values() if kept.offers > 0]
-            fresh.sort(key=lambda kept: (-kept.record.crashes, -kept.offers))
-            for kept in fresh[:most]:
+            fresh = (kept for kept in self._kept.values() if kept.offers > 0)
+            offered = heapq.nsmallest(most, fresh, key=_offer_order)
+            for kept in offered:
                 kept.offers -= 1
-            return self._aged(fresh[:most])
+            return self._aged(offered)
 
     def lasting(self) -> list[tuple[CrashRecord, float]]:
         """Return the records that every entry must know, each with its age."""
@@ -248,13 +225,17 @@
     @property
     def digest(self) -> int:
         """A 32-bit digest of the records that every entry must know."""
-        digest = 0
-        for kept in list(self._kept.values()):
-            record = kept.record
-            if record.lasting:
-                text = f"{record.cleared} {record.crashes} ".encode()
-                digest ^= xxhash.xxh32_intdigest(text + record.fingerprint)
-        return digest
+        return self._digest
+
+    def _put(self, kept: _Kept) -> None:
+        of = kept.record.fingerprint
+        if of in self._kept:
+            self._drop(of)
+        self._kept[of] = kept
+        self._digest ^= _digest(kept.record)
+
+    def _drop(self, of: bytes) -> None:
+        self._digest ^= _digest(self._kept.pop(of).record)
 
     def _aged(self, kept: Iterable[_Kept]) -> list[tuple[CrashRecord, float]]:
         now = self.clock.now()
@@ -283,14 +264,17 @@
 
     def _forget(self) -> None:
         now = self.clock.now()
+        if now < self._forget_at:
+            return
+        self._forget_at = now + FORGET_GAP_SECONDS
         for of, kept in list(self._kept.items()):
             if now - kept.since >= _keep_seconds(kept.record):
-                del self._kept[of]
+                self._drop(of)
 
     def _make_room(self) -> None:
         """Forget the oldest record that quarantines nothing, or else the oldest."""
         passing = (of for of, kept in self._kept.items() if not kept.record.lasting)
-        del self._kept[next(passing, next(iter(self._kept)))]
+        self._drop(next(passing, next(iter(self._kept))))
 
 
 def _pause_seconds(record: CrashRecord) -> float:
@@ -306,5 +290,17 @@
     return FORGET_SECONDS if record.lasting else SUSPECT_SECONDS
 
 
+def _offer_order(kept: _Kept) -> tuple[int, int]:
+    return (-kept.record.crashes, -kept.offers)
+
+
+def _digest(record: CrashRecord) -> int:
+    """Return the part of a record in the digest of all; 0 where it is left out."""
+    if not record.lasting:
+        return 0
+    text = f"{record.cleared} {record.crashes} ".encode()
+    return xxhash.xxh32_intdigest(text + record.fingerprint)
+
+
 def _turn_digest(entry: str, record: CrashRecord) -> int:
     return xxhash.xxh3_64_intdigest(record.fingerprint + entry.encode())
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -2,11 +2,11 @@
 
 from behave import given, then, when
 
+from boragestream.policy.fingerprints import fingerprint
 from boragestream.policy.quarantine import (
     CRASHES_TO_QUARANTINE,
     CrashRecord,
     Quarantine,
-    fingerprint,
 )
 from tests.standins.clock import SetClock
 from tests.standins.quarantines import CrashCrowd
