The own interface tells a quarantined request at once, before admission

Found in reading: a quarantined request waited for its turn at admission before it was told; what is known not to be served is told at once. A look that uses no turn up.

--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -17,7 +17,14 @@
 from boragestream.base.failures import EntryBroken, NoConfiguration
 from boragestream.base.identifiers import new_request_id
 from boragestream.base.observations import Observations
-from boragestream.base.outcomes import Answered, Failure, Outcome, Refused, Unknown
+from boragestream.base.outcomes import (
+    Answered,
+    Failed,
+    Failure,
+    Outcome,
+    Refused,
+    Unknown,
+)
 from boragestream.caller.connections import ARRIVED, STOP_WAITING
 from boragestream.caller.failures import MethodNotAllowed
 from boragestream.caller.pages import Pages
@@ -31,6 +38,7 @@
 from boragestream.policy.admitted import Candidate
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
 from boragestream.policy.fingerprints import fingerprint
+from boragestream.policy.quarantine import Quarantine, RequestQuarantined
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.request import RequestRecord, SentRecord
 
@@ -46,10 +54,12 @@
 class Application:
     """The application; waitress calls it in a thread for each request.
 
+    :ivar quarantine: which requests crash servers.
     :ivar pages: answers what is neither a pipeline nor about tickets.
     """
 
     configuration: ConfigurationInForce
+    quarantine: Quarantine
     admission: Admission
     pipelines: PipelineRunner
     watchdog: Watchdog
@@ -106,7 +116,7 @@
             return self.refusals.reply(start_response, request_id, asked)
         ask = self.tickets.ask_path(request_id)
         request = self._admit(request_id, asked, in_force, arrived, ask, environ)
-        if isinstance(request, Refused):
+        if isinstance(request, Refused | Failed):
             return outcome_reply(start_response, request, request_id)
         if asked.stream and request.is_streamable:
             return self._stream(start_response, request, asked, arrived)
@@ -130,7 +140,7 @@
         :param ask: where to ask for the ticket.
         """
         request = self._admit(request_id, asked, in_force, arrived, ask, {}, run_by)
-        if isinstance(request, Refused):
+        if isinstance(request, Refused | Failed):
             return Ending(request, request)
         return self._run(request, asked, arrived)
 
@@ -143,7 +153,15 @@
         ask: str,
         watched: Environ,
         run_by: float = math.inf,
-    ) -> RequestRecord | Refused:
+    ) -> RequestRecord | Refused | Failed:
+        request_print = _fingerprint(asked)
+        held = self.quarantine.held(request_print)
+        if held is not None:
+            # It has run where it is quarantined; a copy that waits its turn has not.
+            ran = isinstance(held, RequestQuarantined)
+            outcome = (Failed if ran else Refused)(held, held.left_seconds)
+            self._log_end(request_id, asked, arrived, outcome)
+            return outcome
         deadline = arrived + asked.deadline_ms / 1000
         caller_gone = watched.get("waitress.client_disconnected")
         policies = in_force.document.policies
@@ -165,7 +183,7 @@
             run_by=run_by,
             ask=ask,
             admitted=admitted,
-            fingerprint=_fingerprint(asked),
+            fingerprint=request_print,
         )
         self.watchdog.open(scope)
         return request
--- a/boragestream/daemon/listeners.py
+++ b/boragestream/daemon/listeners.py
@@ -65,6 +65,7 @@
     side_by_side = ThreadPoolExecutor(ATTEMPT_THREADS, "stage")
     return Application(
         configuration=parts.configuration,
+        quarantine=parts.peers.quarantine,
         admission=parts.admission,
         pipelines=PipelineRunner(StageRunner(parts.serving), side_by_side),
         watchdog=parts.watchdog,
--- a/boragestream/policy/quarantine.py
+++ b/boragestream/policy/quarantine.py
@@ -157,15 +157,22 @@
             kept = self._kept.get(of)
             if kept is None or not kept.record.crashes:
                 return None
-            record = kept.record
-            if was_cut and not record.lasting:
+            if was_cut and not kept.record.lasting:
                 return None
-            left = self._until_turn(kept)
+            turn, left = self._next_turn(kept)
             if left <= 0:
+                kept.used = turn
                 return None
-            if record.lasting:
-                return RequestQuarantined(record.crashes, left)
-            return RequestSuspected(left)
+            return _held(kept.record, left)
+
+    def held(self, of: bytes) -> RequestQuarantined | RequestSuspected | None:
+        """Return why a request that has just come is not sent; uses no turn up."""
+        with self._lock:
+            kept = self._kept.get(of)
+            if kept is None or not kept.record.crashes:
+                return None
+            _, left = self._next_turn(kept)
+            return _held(kept.record, left) if left > 0 else None
 
     def note_crash(self, sent_with: CrashRecord) -> CrashRecord | None:
         """Take that a server crashed while it ran a request.
@@ -241,8 +248,8 @@
         now = self.clock.now()
         return [(each.record, now - each.since) for each in kept]
 
-    def _until_turn(self, kept: _Kept) -> float:
-        """Return the seconds until this entry's turn; 0 uses it up."""
+    def _next_turn(self, kept: _Kept) -> tuple[int, float]:
+        """Return this entry's next turn, and the seconds until it begins."""
         record = kept.record
         length = PROBE_TURN_SECONDS if record.lasting else SUSPECT_TURN_SECONDS
         digests = sorted(_turn_digest(name, record) for name in self._all_entries())
@@ -254,10 +261,7 @@
         turn += (own - turn) % turns
         if turn <= kept.used:
             turn += turns
-        left = turn * length - elapsed
-        if left <= 0:
-            kept.used = turn
-        return max(0.0, left)
+        return turn, max(0.0, turn * length - elapsed)
 
     def _all_entries(self) -> set[str]:
         return {*self.entries(), self.own}
@@ -277,6 +281,12 @@
         self._drop(next(passing, next(iter(self._kept))))
 
 
+def _held(record: CrashRecord, left: float) -> RequestQuarantined | RequestSuspected:
+    if record.lasting:
+        return RequestQuarantined(record.crashes, left)
+    return RequestSuspected(left)
+
+
 def _pause_seconds(record: CrashRecord) -> float:
     """Return for how long a request is sent to no server after its last crash."""
     if not record.lasting:
