One stand-in of what a queue's owner needs; offers of crash records fit their room

An offer takes as many records as its room holds, in place of counting ones as offered that it cuts off; a record from a peer that is none is refused and logged.

--- a/boragestream/entry/quarantine.py
+++ b/boragestream/entry/quarantine.py
@@ -20,6 +20,7 @@
 from boragestream.entry.links import PeerLinks
 from boragestream.entry.messages import Envelope
 from boragestream.entry.open_questions import OpenQuestions
+from boragestream.policy.fingerprints import FINGERPRINT_BYTES
 from boragestream.policy.quarantine import CrashRecord, Quarantine
 
 __all__ = ["QuarantinePart"]
@@ -27,6 +28,9 @@
 ASK_SECONDS = 1.0
 # Records in one message; what does not fit is offered in the next.
 NEWS = 10
+# What a record and all else of an offer take at the most.
+RECORD_BYTES = 19
+OFFER_BYTES = 8
 
 
 class CrashesOffer(msgspec.Struct, frozen=True, array_like=True):
@@ -68,11 +72,9 @@
 
     def offer(self, budget: int) -> bytes:
         """Return the digest and some news."""
-        news = _pack(self._quarantine.news(NEWS))
+        room = max(0, budget - OFFER_BYTES) // RECORD_BYTES
+        news = _pack(self._quarantine.news(min(NEWS, room)))
         data = _encoder.encode(CrashesOffer(self._quarantine.digest, news))
-        while len(data) > budget and news:
-            news = news[: len(news) // 2]
-            data = _encoder.encode(CrashesOffer(self._quarantine.digest, news))
         return data if len(data) <= budget else b""
 
     def take(self, sender: str, data: bytes) -> None:
@@ -106,6 +108,9 @@
     def _merge(self, peer: str, packed: Iterable[PackedCrashes]) -> None:
         for of, cleared, crashes, age_ms in packed:
             record = CrashRecord(of, cleared, crashes)
+            if len(of) != FINGERPRINT_BYTES or age_ms < 0:
+                emit(Event.PEER_FRAME_REFUSED, peer=peer, reason="no crash record")
+                continue
             if self._quarantine.take(record, age_ms / 1000):
                 emit(
                     Event.CRASHES_HEARD,
--- a/boragestream/policy/fingerprints.py
+++ b/boragestream/policy/fingerprints.py
@@ -8,7 +8,7 @@
 
 from boragestream.document.calls import ForwardedRequest
 
-__all__ = ["fingerprint", "request_fingerprint"]
+__all__ = ["FINGERPRINT_BYTES", "fingerprint", "request_fingerprint"]
 
 FINGERPRINT_BYTES = 8
 
--- a/tests/features/steps/drained_centres.py
+++ b/tests/features/steps/drained_centres.py
@@ -13,7 +13,6 @@
 from boragestream.document.routes import PieceLimits
 from boragestream.entry.published_relay import PublishedRelay, PublishedWord
 from boragestream.policy.cold_servers import ColdServers
-from boragestream.policy.load import LoadTable
 from boragestream.policy.operator_table import OperatorTable
 from boragestream.policy.piece_queue import PieceOrder
 from boragestream.policy.publication import (
@@ -23,13 +22,12 @@
     Relayed,
     Snapshot,
 )
-from boragestream.policy.quarantine import Quarantine
-from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving.piece_batches import PieceBatches
 from tests.standins.clock import SetClock
 from tests.standins.following import DRAINED
 from tests.standins.log_lines import log_lines
+from tests.standins.queue_parts import queue_parts
 
 CHECKS = settings(max_examples=200, derandomize=True, deadline=None, database=None)
 SERVICE = "service"
@@ -289,38 +287,12 @@
 def step(context, one, other, pieces):
     context.execute_steps(f'given servers in "{one}" and "{other}"')
     context.done = {}
-    context.batches = PieceBatches(queue_parts(context), context.done.__setitem__)
+    parts = queue_parts(context.clock, context.servers, context.cold, LIMITS)
+    context.batches = PieceBatches(parts, context.done.__setitem__)
     context.batches._calls = Unanswered()
     assert context.batches.submit(order("first", pieces), 9.0, 9.0) is None
 
 
-def queue_parts(context):
-    """Return what the owner of a queue needs."""
-
-    class Parts:
-        servers, cold, clock = context.servers, context.cold, context.clock
-        loads = LoadTable(context.clock, None)
-        backoffs = ServerBackoffs(context.clock)
-        quarantine = Quarantine("e", lambda: ["e"], context.clock)
-
-        class Retries:
-            """Counts nothing."""
-
-            def note_request(self, service, count=1):
-                """Take a request."""
-
-        retries = Retries()
-
-        def used(self):
-            """Take a use."""
-
-        def limits(self, service):
-            """Return the limits of the service."""
-            return LIMITS
-
-    return Parts()
-
-
 def order(name, pieces, invested=False):
     """Return an order."""
     made = tuple(Piece(name, 0, n, "key", ()) for n in range(pieces))
--- a/tests/features/steps/piece_repeats.py
+++ b/tests/features/steps/piece_repeats.py
@@ -9,14 +9,12 @@
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.document.calls import Piece, PieceFault, PieceResult
 from boragestream.document.routes import PieceLimits
-from boragestream.policy.load import LoadTable
 from boragestream.policy.piece_queue import PieceOrder
-from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
-from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.servers import Server
 from boragestream.serving.piece_batches import PieceBatches
 from tests.standins.clock import SetClock
+from tests.standins.queue_parts import queue_parts
 
 SERVICE = "service"
 SERVERS = [Server(f"s-{n}", SERVICE, f"10.0.0.{n}:80", "hall", "1") for n in (1, 2, 3)]
@@ -68,17 +66,13 @@
     clock: Clock = SetClock()
     context.clock = clock
     context.done = {}
-    parts = SimpleNamespace(
-        used=lambda: None,
-        servers=SimpleNamespace(live=lambda service: SERVERS, all=SERVERS),
-        cold=SimpleNamespace(usable=lambda servers: servers),
-        backoffs=ServerBackoffs(clock),
-        quarantine=Quarantine("entry", lambda: ["entry"], clock),
-        loads=LoadTable(clock, None),
+    parts = queue_parts(
+        clock,
+        SimpleNamespace(live=lambda service: SERVERS, all=SERVERS),
+        SimpleNamespace(usable=lambda servers: servers),
+        LIMITS,
         retries=RetryWindows(clock.now, lambda: BOUNDS, lambda: entries),
-        clock=clock,
         metrics=RouteMetrics(),
-        limits=lambda service: LIMITS,
     )
     context.batches = PieceBatches(parts, context.done.setdefault)
 
--- /dev/null
+++ b/tests/standins/queue_parts.py
@@ -0,0 +1,30 @@
+"""What the owner of a stage service's queue needs, without a process or a socket."""
+
+from types import SimpleNamespace
+
+from boragestream.policy.load import LoadTable
+from boragestream.policy.quarantine import Quarantine
+from boragestream.policy.server_backoffs import ServerBackoffs
+
+
+class UncountedRetries:
+    """Counts nothing."""
+
+    def note_request(self, service, count=1):
+        """Take a request."""
+
+
+def queue_parts(clock, servers, cold, limits, **more):
+    """Return the parts; ``limits`` are those of every service."""
+    parts = {
+        "used": lambda: None,
+        "clock": clock,
+        "servers": servers,
+        "cold": cold,
+        "limits": lambda service: limits,
+        "loads": LoadTable(clock, None),
+        "backoffs": ServerBackoffs(clock),
+        "quarantine": Quarantine("entry", lambda: ["entry"], clock),
+        "retries": UncountedRetries(),
+    }
+    return SimpleNamespace(**{**parts, **more})
