A quarantined request is explained from its id to the crashes under earlier ones

On-call engineers could see that a request was quarantined, not why: the crashes stand under the ids of earlier returns, maybe at other entries. The end of a forwarded request now names its fingerprint, and explain lists the crashes under the same one from all logs. A scenario with logs of two entries; explaining and documentation pass.

--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -258,6 +258,7 @@
         emit(
             Event.REQUEST_ENDED,
             request=run.request.request_id,
+            fingerprint=run.fingerprint.hex(),
             account=account,
             pipeline=route,
             service=run.service,
--- a/boragestream/operator/explain.py
+++ b/boragestream/operator/explain.py
@@ -3,7 +3,8 @@
 Lines of one entry keep their order, since its calendar time may jump; entries are told
 apart by the name in their start line or by the file. Beside the request's own lines
 stand the beliefs that were in force on its entry: the version, the server list, servers
-kept out, owners that were silent. Damaged lines are counted and skipped.
+kept out, owners that were silent. Crashes of servers under the same request are told
+from all entries, also under its earlier ids. Damaged lines are counted and skipped.
 """
 
 import sys
@@ -29,6 +30,8 @@
     "configuration_unreachable",
     "store_regained",
     "server_ejected",
+    "server_backed_off",
+    "server_said_leaving",
     "owner_silent",
     "entry_suspected",
     "batch_failed",
@@ -37,6 +40,8 @@
 )
 # The last of each is in force until the next.
 IN_FORCE = ("configuration_in_force", "instances_changed", "data_centres_drained")
+# What is told of all returns of a request, by its fingerprint.
+OF_ALL_RETURNS = ("server_crashed", "crashes_heard")
 # How long before a request's first line a change still counts as close to it.
 CLOSE_SECONDS = 3.0
 KEPT_BELIEFS = 50
@@ -61,6 +66,7 @@
 
     :ivar lines: its own lines, entry by entry.
     :ivar beliefs: the changes shortly before and during it, on the same entries.
+    :ivar crashes: of servers that ran it, under whatever id, on all entries.
     :ivar cause: the failure that decided its end; empty where it was answered.
     :ivar damaged: lines that could not be read.
     """
@@ -68,6 +74,7 @@
     request: str
     lines: tuple[Line, ...]
     beliefs: tuple[Line, ...]
+    crashes: tuple[Line, ...]
     cause: str
     damaged: int
 
@@ -97,6 +104,7 @@
     """
     own: list[Line] = []
     near: list[Line] = []
+    returns: list[Line] = []
     damaged = 0
     for source, text in texts:
         lines: list[Line] = []
@@ -105,11 +113,19 @@
                 damaged += 1
             else:
                 lines.append(line)
+        returns += [line for line in lines if line.name in OF_ALL_RETURNS]
         mine = [line for line in lines if line.fields.get("request") == request]
         if mine:
             own += mine
             near += _beliefs(lines, mine)
-    return Story(request, tuple(own), tuple(near), _cause(own), damaged)
+    crashes = _of_same_request(returns, own)
+    return Story(request, tuple(own), tuple(near), crashes, _cause(own), damaged)
+
+
+def _of_same_request(returns: list[Line], own: list[Line]) -> tuple[Line, ...]:
+    known = {line.fields.get("fingerprint") for line in own} - {None}
+    same = [line for line in returns if line.fields.get("fingerprint") in known]
+    return tuple(sorted(same, key=lambda line: line.at))
 
 
 def _lines(source: str, text: str) -> Iterator[Line | None]:
@@ -172,6 +188,9 @@
     if story.beliefs:
         rows += ["", "in force and changed around it:"]
         rows += [_row(line) for line in story.beliefs]
+    if story.crashes:
+        rows += ["", "servers that crashed while they ran it, under whatever id:"]
+        rows += [_row(line) for line in story.crashes]
     rows += ["", "its own lines:", *(_row(line) for line in story.lines)]
     rows += ["", f"cause: {story.cause or 'it was answered'}"]
     if story.damaged:
--- a/tests/features/explaining.feature
+++ b/tests/features/explaining.feature
@@ -14,6 +14,10 @@
     And the metrics tell the version in force and the age of the server list
     And one picture of both entries adds up what they ended, and names one that is gone
 
+  Scenario: a quarantined request is traced to the crashes under its earlier ids
+    Given logs of two entries, at one of which servers crashed under an earlier return
+    Then the story of "r-5" at the other entry names both crashes and "request-quarantined"
+
   Scenario: damaged lines are skipped and counted, and lines of others left out
     Given a log with the request "r-1", a damaged line and another request
     Then the story of "r-1" has 2 lines, the version 7 in force and 1 damaged line
--- a/tests/features/steps/explaining.py
+++ b/tests/features/steps/explaining.py
@@ -30,6 +30,31 @@
 """
 
 
+def crashed(request, fingerprint, server, crashes):
+    """Return the line of a crash."""
+    fields = {"request": request, "server": server, "crashes": crashes}
+    return {"name": "server_crashed", "fingerprint": fingerprint, **fields}
+
+
+CRASHED = (
+    {"name": "entry_started", "entry": "entry-a"},
+    crashed("r-3", "f1", "i-1", 1),
+    crashed("r-3", "f1", "i-2", 2),
+    crashed("r-4", "f2", "i-2", 1),
+)
+QUARANTINED = (
+    {"name": "entry_started", "entry": "entry-b"},
+    {"name": "crashes_heard", "fingerprint": "f1", "crashes": 2, "peer": "entry-a"},
+    {
+        "name": "request_ended",
+        "request": "r-5",
+        "fingerprint": "f1",
+        "status": 502,
+        "failure": "request-quarantined crashes=2 left_seconds=23.5",
+    },
+)
+
+
 def explain(context, request_id):
     """Run the command on the logs of a site; return its JSON and exit code."""
     files = [str(process.log) for process in context.site.entries.values()]
@@ -294,3 +319,22 @@
         main(["status", f"--metrics={live['address']}"])
     assert "version 1 to 1" in output.getvalue()
     assert "route" in output.getvalue() and "engine" in output.getvalue()
+
+
+@given("logs of two entries, at one of which servers crashed under an earlier return")
+def step(context):
+    context.files = []
+    for lines in (CRASHED, QUARANTINED):
+        with tempfile.NamedTemporaryFile("w", suffix=".log", delete=False) as log:
+            for at, line in enumerate(lines):
+                log.write(json.dumps({"at": float(at), **line}) + "\n")
+        context.add_cleanup(os.unlink, log.name)
+        context.files.append(log.name)
+
+
+@then('the story of "{request}" at the other entry names both crashes and "{code}"')
+def step(context, request, code):
+    story, exit_code = run(["explain", request, *context.files, "--json"])
+    assert exit_code is ExitCode.OK and story["cause"].startswith(code), story
+    told = {(line["source"], line["fields"].get("server")) for line in story["crashes"]}
+    assert told == {("entry-a", "i-1"), ("entry-a", "i-2"), ("entry-b", None)}, told
