--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -67,6 +67,10 @@
         self.leaving = False
         # What it asks for in Retry-After while it turns every call away; None for none.
         self.pause = None
+        # The requests a second that it names in each answer, as text; None for none.
+        self.limit = None
+        # When it named a limit first.
+        self.limited_at = None
         # When each call came, whatever it asked for.
         self.arrivals = []
         # Told with each new life after a crash, so that the store can list it.
@@ -341,6 +345,9 @@
         lines += [f"{name}: {value}" for name, value in more]
         if self.leaving:
             lines.append("Server-Leaving: 1")
+        if self.limit is not None:
+            lines.append(f"Server-Limit: {self.limit}")
+            self.limited_at = self.limited_at or time.monotonic()
         if body is not None and framed:
             lines.append(f"Content-Length: {len(body)}")
         content = b"" if body is None else body[:sent]
