The limit that a server names is read, logged, and kept from callers

Seen: by its logs an entry that never read a limit can't be told from one that held it for itself.

No request is sent elsewhere for it yet: the red tests stay red.

--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -52,6 +52,7 @@
     SERVER_CRASHED = (3107, logging.WARNING)
     CRASHES_HEARD = (3108, logging.INFO)
     SERVER_BACKED_OFF = (3109, logging.INFO)
+    SERVER_LIMIT_CHANGED = (3110, logging.WARNING)
     REQUEST_BROKEN = (3901, logging.ERROR)
     HTTP_COMPLAINT = (3902, logging.WARNING)
 
--- a/boragestream/document/calls.py
+++ b/boragestream/document/calls.py
@@ -13,6 +13,7 @@
     "AnswerHead",
     "CallHead",
     "ForwardedRequest",
+    "LimitMalformed",
     "HeaderList",
     "Piece",
     "PieceFault",
@@ -105,6 +106,11 @@
     inputs: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class LimitMalformed(Failure):
+    """A server's limit can't be read, so that what was known of it still holds."""
+
+
 class RunClaim(Enum):
     """What an answer says about whether its request ran."""
 
@@ -122,6 +128,8 @@
     :ivar encoded: whether its body is encoded, which no caller asked for.
     :ivar closing: whether the server closes the connection after it.
     :ivar leaving: whether the server says that it is leaving.
+    :ivar request_limit: the requests a second that the server takes from all entries
+        together; None where it names no limit.
     :ivar backoff_seconds: after how long a server that turned the call away wants to be
         called again; None where it does not say.
     :ivar idle_seconds: how long the server keeps the connection; None if not said.
@@ -137,6 +145,7 @@
     claim: RunClaim
     closing: bool
     leaving: bool
+    request_limit: float | LimitMalformed | None
     backoff_seconds: float | None
     idle_seconds: float | None
     load: tuple[int, int, int] | None
--- a/boragestream/platform/wire.py
+++ b/boragestream/platform/wire.py
@@ -17,6 +17,7 @@
     RunClaim,
 )
 from boragestream.policy.server_backoffs import parse_backoff
+from boragestream.policy.server_limits import parse_limit
 
 __all__ = [
     "encode_call",
@@ -45,6 +46,8 @@
 # Calls running, calls waiting, places.
 LOAD = "Server-Load"
 LEAVING = "Server-Leaving"
+# Requests a second, from all entries together.
+LIMIT = "Server-Limit"
 RETRY_AFTER = "Retry-After"
 IDLE_TIMEOUT = "timeout="
 OTHER_SERVER_STATUS = 421
@@ -85,7 +88,7 @@
     )
 )
 # What a backend server says to the system alone.
-SERVER_HEADERS = frozenset(name.lower() for name in (DID_NOT_RUN, LOAD, LEAVING))
+SERVER_HEADERS = frozenset(name.lower() for name in (DID_NOT_RUN, LOAD, LEAVING, LIMIT))
 MAX_PROMPT_PARTS = 256
 MAX_PIECES = 4096
 
@@ -174,6 +177,7 @@
         closing="close" in named or response.will_close,
         backoff_seconds=_backoff(response),
         leaving=headers.get(LEAVING, "0").strip() != "0",
+        request_limit=parse_limit(headers.get_all(LIMIT, [])),
         idle_seconds=_idle_seconds(headers.get("Keep-Alive", "")),
         load=_load(headers.get(LOAD, "")),
         headers=tuple((n, v) for n, v in headers.items() if n.lower() not in hidden),
--- a/tests/features/steps/server_limits.py
+++ b/tests/features/steps/server_limits.py
@@ -32,7 +32,10 @@
     since = server.limited_at + KNOWN_SECONDS
     at = [moment for moment in server.arrivals if moment >= since]
     return max(
-        (sum(first <= moment < first + WINDOW_SECONDS for moment in at) for first in at),
+        (
+            sum(first <= moment < first + WINDOW_SECONDS for moment in at)
+            for first in at
+        ),
         default=0,
     )
 
