--- a/boragestream/backend/attempt.py
+++ b/boragestream/backend/attempt.py
@@ -14,6 +14,7 @@
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
     LEAVING_HEADER,
+    LIMIT_HEADER,
     NOT_RUN_HEADER,
     PRIORITY_HEADER,
     REQUEST_HEADER,
@@ -33,11 +34,14 @@
     ServerBackedOff,
     ServerErred,
     ServerLeft,
+    ServerLimited,
     ServerRefused,
 )
 from boragestream.base.clock import Clock
 from boragestream.base.failures import DeadlinePassed
+from boragestream.document.calls import LimitMalformed
 from boragestream.policy.server_backoffs import parse_backoff
+from boragestream.policy.server_limits import parse_limit
 from boragestream.policy.tickets import TicketExpired
 
 __all__ = [
@@ -52,12 +56,18 @@
     "ServerBackedOff",
     "ServerErred",
     "ServerLeft",
+    "ServerLimited",
     "ServerRefused",
     "open_attempt",
     "says_leaving",
 ]
 
 
+# Takes the requests a second that a server names, None for no limit; when its call was
+# sent, in the clock's seconds; and whether it answers with success.
+NoteLimit = Callable[[float | None, float, bool], None]
+
+
 def open_attempt(
     call: StageCall,
     server: str,
@@ -67,6 +77,7 @@
     scope: CancelScope,
     clock: Clock,
     sending: Callable[[], AttemptFailure | None],
+    note_limit: NoteLimit = lambda limit, sent_at, whole: None,
 ) -> OpenAnswer | AttemptFailure:
     """Send a call and wait for the headers of its answer.
 
@@ -77,6 +88,7 @@
     :param scope: cancels the attempt; its deadline is the attempt's.
     :param sending: called directly before the first byte is sent; returns why it may
         not be, or None.
+    :param note_limit: takes the limit that the server names, or that it names none.
     :returns: the open answer, or a failure that says whether the call may have run.
     """
     connection = connections.take(host) if call.repeatable else None
@@ -114,6 +126,10 @@
         connection.close()
         return failure
     failure = _check_head(call, server, attempt_id, response)
+    if not isinstance(failure, AnswerCrossed):
+        limit = parse_limit(response.headers.get_all(LIMIT_HEADER, []))
+        if not isinstance(limit, LimitMalformed):
+            note_limit(limit, now, response.status == http.HTTPStatus.OK)
     if failure is not None:
         scope.remove(sock)
         connection.close()
--- a/boragestream/backend/calls.py
+++ b/boragestream/backend/calls.py
@@ -18,6 +18,7 @@
     "ATTEMPT_HEADER",
     "DEADLINE_HEADER",
     "LEAVING_HEADER",
+    "LIMIT_HEADER",
     "NOT_RUN_HEADER",
     "PRIORITY_HEADER",
     "REQUEST_HEADER",
@@ -38,6 +39,9 @@
 RETRY_AFTER_HEADER = "Retry-After"
 # In any answer of a server that is leaving.
 LEAVING_HEADER = "X-Leaving"
+# In any answer of a server in need: the requests a second that it takes from all
+# entries together.
+LIMIT_HEADER = "X-Request-Limit"
 
 PATHS: dict[ServiceKind, str] = {
     "engine": "/v1/completions",
--- a/boragestream/backend/failures.py
+++ b/boragestream/backend/failures.py
@@ -21,6 +21,7 @@
     "ServerCold",
     "ServerErred",
     "ServerLeft",
+    "ServerLimited",
     "ServerRefused",
 ]
 
@@ -67,6 +68,11 @@
     """The server has just started and may get no further request now."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLimited(AttemptFailure):
+    """The server has a limit, and there is no valid permit to call it."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServerRefused(AttemptFailure):
     """The server says that it did not run the call.
--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -27,7 +27,13 @@
 from boragestream.document.calls import AnswerHead
 from boragestream.policy.servers import Server
 
-__all__ = ["CallLine", "OpenForwardedAnswer", "OutgoingCall", "open_forwarded_call"]
+__all__ = [
+    "CallLine",
+    "NoteHead",
+    "OpenForwardedAnswer",
+    "OutgoingCall",
+    "open_forwarded_call",
+]
 
 MAX_ANSWER_BYTES = 16 * 1_048_576
 READ_BYTES = 65536
@@ -44,12 +50,17 @@
         """Return the head as a record."""
 
 
+# Takes the head of a server's answer, and when its call was sent.
+NoteHead = Callable[[Server, AnswerHead, float], None]
+
+
 @dataclass(frozen=True, slots=True)
 class CallLine:
     """What all forwarded calls of an entry share.
 
-    :ivar heard: told of each answer's head as soon as it is there, since a server also
-        speaks of itself with it.
+    :ivar note_head: takes each answer's head as soon as it is there, since a server
+        also speaks of itself with it; and when its call was sent, in the clock's
+        seconds.
     :ivar most_idle: returns how many idle connections are kept to each server of a
         service.
     """
@@ -58,7 +69,7 @@
     connections: ConnectionKeeper
     clock: Clock
     most_idle: Callable[[str], int]
-    heard: Callable[[Server, AnswerHead], None] = lambda server, head: None
+    note_head: NoteHead = lambda server, head, sent_at: None
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,7 +238,8 @@
 ) -> OpenForwardedAnswer | AttemptFailure:
     sock = connection.sock
     # The deadline is the watchdog's; the socket's own limit is there in case.
-    left = scope.deadline - line.clock.now()
+    sent_at = line.clock.now()
+    left = scope.deadline - sent_at
     sock.settimeout(max(0.0, left) + WATCHDOG_MARGIN_SECONDS)
     whole = True
     try:
@@ -249,5 +261,5 @@
     if head.request_id and head.request_id != call.request_id:
         answer.close()
         return AnswerCrossed(server.name, Ran.MAY_HAVE_RUN, head.request_id)
-    line.heard(server, head)
+    line.note_head(server, head, sent_at)
     return answer
--- a/boragestream/base/failures.py
+++ b/boragestream/base/failures.py
@@ -20,6 +20,7 @@
     "QueueFull",
     "ServersBackedOff",
     "ServersCold",
+    "ServersLimited",
 ]
 
 
@@ -108,6 +109,18 @@
     service: str
 
 
+@dataclass(frozen=True, slots=True)
+class ServersLimited(Failure):
+    """Every server of the service has a limit, and none takes the call in time.
+
+    :ivar service: the service's name.
+    :ivar left_seconds: until the first of them has room.
+    """
+
+    service: str
+    left_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class NoConfiguration(Failure):
     """No document is in force yet."""
--- a/boragestream/base/route_metrics.py
+++ b/boragestream/base/route_metrics.py
@@ -108,6 +108,12 @@
             ["service"],
             registry=registry,
         )
+        self._permits = Counter(
+            "boragestream_permits",
+            "Permits asked for to call servers with a limit.",
+            ["service", "end"],
+            registry=registry,
+        )
         self._list_age = Histogram(
             "boragestream_server_list_age_seconds",
             "Age of the server list when a server was chosen.",
@@ -159,6 +165,11 @@
         self._batches.labels(service, end).inc()
         self._pieces.labels(service).inc(pieces)
 
+    def permit_ended(self, service: str, granted: bool) -> None:
+        """Count a permit that was asked for."""
+        end = "granted" if granted else "refused"
+        self._permits.labels(self._service(service), end).inc()
+
     def text(self) -> str:
         """Return all metrics as text."""
         return generate_latest(self._registry).decode()
--- a/boragestream/caller/status.py
+++ b/boragestream/caller/status.py
@@ -19,6 +19,8 @@
     :ivar state: ``live``, ``suspect``, ``leaving`` or ``gone``.
     :ivar in_progress: calls that this entry has open there.
     :ivar smoothed_ms: the smoothed time of a call in milliseconds.
+    :ivar limit: requests a second that it takes from all entries together; None for
+        any number.
     """
 
     name: str
@@ -28,6 +30,7 @@
     state: str
     in_progress: int
     smoothed_ms: float
+    limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/daemon/background.py
+++ b/boragestream/daemon/background.py
@@ -44,6 +44,7 @@
             take_instances,
             servers=parts.servers,
             loads=parts.loads,
+            limits=parts.limits.limits,
             take_entries=parts.listing.take,
             take_servers=parts.peers.members.take_servers,
         ),
--- a/boragestream/daemon/listeners.py
+++ b/boragestream/daemon/listeners.py
@@ -94,6 +94,7 @@
     handlers = {
         Probe: answer_probe,
         **parts.peers.handlers,
+        **parts.limits.handlers,
         TicketPost: partial(runs.answer_post, run=application.run_ticketed),
         TicketAsk: runs.answer_ask,
         RequestAsk: runs.answer_request_ask,
--- a/boragestream/daemon/parts.py
+++ b/boragestream/daemon/parts.py
@@ -15,6 +15,7 @@
 from boragestream.base.observations import Observations
 from boragestream.base.settings import Settings
 from boragestream.daemon.demand import Demand
+from boragestream.daemon.limits import JoinedLimits, join_limits
 from boragestream.daemon.listing import EntryListing
 from boragestream.daemon.peers import Peers, join_peers
 from boragestream.daemon.tasks import to_leaving
@@ -43,6 +44,7 @@
     :ivar incarnation: this life of the entry.
     :ivar sender: signs what this entry sends to other entries.
     :ivar peers: the other entries.
+    :ivar limits: which servers have a limit on their requests.
     :ivar listing: the entries of the published list.
     :ivar serving: what running stages needs.
     """
@@ -61,6 +63,7 @@
     sender: Sender
     links: PeerLinks
     peers: Peers
+    limits: JoinedLimits
     listing: EntryListing
     serving: ServingParts
 
@@ -80,8 +83,8 @@
     observations = _observations(settings, clock)
     demand = Demand.create(who.name, clock)
 
-    # Peers need the table of servers first; neither of these two is called before all
-    # parts stand.
+    # Peers need the table of servers first; none of these is called before all parts
+    # stand.
     def tell_leaving(server: Server) -> None:
         peers.members.tell_leaving(to_leaving(server))
 
@@ -89,7 +92,11 @@
         return listing.live_count
 
     servers = ServerTable(told=tell_leaving)
-    slots = SlotShares(servers, loads, live_count, clock)
+
+    def call_rate(server: Server) -> float:
+        return limits.limits.rate(server)
+
+    slots = SlotShares(servers, loads, live_count, clock, call_rate)
     requests = max(1, settings.caller.threads - SPARE_THREADS)
     admission = Admission(requests, clock, rng, demand.limits, slots.share)
 
@@ -108,9 +115,31 @@
         # The region of an entry is that of a server beside it.
         return Place(who.data_centre, loads.region_of(who.data_centre))
 
+    def live() -> list[str]:
+        usable = peers.members.entries.usable()
+        return [who.name, *(e.name for e in usable if e.name != who.name)]
+
+    limits = join_limits(
+        who.name,
+        peers.members,
+        links,
+        live,
+        lambda server: server.name,
+        lambda: True,
+        clock,
+        rng,
+    )
     attempts = ThreadPoolExecutor(ATTEMPT_THREADS, "attempt")
     serving = make_parts(
-        servers, peers.quarantine, loads, attempts, clock, rng, home, observations
+        servers,
+        limits.limited,
+        peers.quarantine,
+        loads,
+        attempts,
+        clock,
+        rng,
+        home,
+        observations,
     )
     servers.when_unused(serving.connections.forget)
     return EntryParts(
@@ -128,6 +157,7 @@
         sender=sender,
         links=links,
         peers=peers,
+        limits=limits,
         listing=listing,
         serving=serving,
     )
--- a/boragestream/daemon/published_servers.py
+++ b/boragestream/daemon/published_servers.py
@@ -14,6 +14,7 @@
 from boragestream.platform.published import PublishedMalformed, read_server
 from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.load import LoadTable
+from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.server_lives import ServerLives
 from boragestream.policy.servers import Server, ServerState, ServerTable
 
@@ -32,6 +33,7 @@
     :param lives: tells the latest life of each.
     :param cold: told of each entry that is new, since a server says there that it is
         cold.
+    :param limits: forgets the limits of servers that are gone.
     :param regions: by data centre the region that it is part of.
     :param changed: called after each change of the list.
     """
@@ -43,6 +45,7 @@
         servers: ServerTable,
         loads: LoadTable,
         cold: ColdServers,
+        limits: ServerLimits,
         regions: Mapping[str, str],
         changed: Callable[[], None],
     ) -> None:
@@ -51,6 +54,7 @@
         self._servers = servers
         self._loads = loads
         self._cold = cold
+        self._limits = limits
         self._regions = regions
         self._changed = changed
         self._values: dict[str, bytes] = {}
@@ -86,6 +90,7 @@
         self._members.take_servers(tuple(to_leaving(server) for server in listed))
         self._servers.take_list(listed)
         self._loads.take_list(listed)
+        self._limits.take_list(listed)
         now = {server.identity: server.name for server in listed}
         added = sorted(now[key] for key in now.keys() - before.keys())
         removed = sorted(before[key] for key in before.keys() - now.keys())
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -218,6 +218,8 @@
         gauge("in_hand", "Requests in hand.", lambda: self._in_hand.count)
         gauge("servers", "Servers listed.", lambda: len(parts.servers.all))
         gauge("cold_servers", "Servers that started lately.", lambda: parts.cold.count)
+        limited = "Servers that take few requests from all entries together."
+        gauge("limited_servers", limited, lambda: parts.limits.limits.count)
         quarantined = "Requests that are sent to no server, since they crash it."
         gauge("quarantined", quarantined, lambda: parts.quarantine.count)
         drained = "Data centres that get no requests."
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -17,6 +17,7 @@
 from boragestream.base.identifiers import new_incarnation
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.base.route_settings import RouteSettings
+from boragestream.daemon.limits import JoinedLimits, join_limits
 from boragestream.daemon.operator_values import OperatorValues
 from boragestream.daemon.peers import join_quarantine
 from boragestream.daemon.publications import (
@@ -48,13 +49,7 @@
 )
 from boragestream.entry.quarantine import QuarantinePart
 from boragestream.entry.relay import ConfigurationRelay
-from boragestream.platform.pieces import (
-    encode_piece_call,
-    encode_release,
-    encode_report_call,
-    read_piece_results,
-    read_stage_report,
-)
+from boragestream.platform.pieces import PieceCallFormat
 from boragestream.platform.published import PublishedMalformed, read_route_document
 from boragestream.platform.wire import encode_call, read_answer_head
 from boragestream.policy.cold_servers import ColdBound, ColdServers, senders
@@ -89,16 +84,6 @@
 CONNECT_SECONDS = 0.4
 
 
-class _PieceCalls:
-    """Calls of stage servers in the platform's form."""
-
-    encode_piece_call = staticmethod(encode_piece_call)
-    encode_release = staticmethod(encode_release)
-    encode_report_call = staticmethod(encode_report_call)
-    read_piece_results = staticmethod(read_piece_results)
-    read_stage_report = staticmethod(read_stage_report)
-
-
 @dataclass(frozen=True, slots=True)
 class RouteParts:
     """The parts of one entry.
@@ -108,6 +93,7 @@
     :ivar address_sync: finds where the books of other entries differ.
     :ivar members: how the other entries are.
     :ivar cold: which servers have just started.
+    :ivar limits: which servers have a limit on their requests.
     :ivar quarantine: which requests crash servers.
     :ivar quarantine_part: tells the other entries of them.
     :ivar published_servers: takes the published entries of servers.
@@ -126,6 +112,7 @@
     servers: ServerTable
     loads: LoadTable
     cold: ColdServers
+    limits: JoinedLimits
     quarantine: Quarantine
     quarantine_part: QuarantinePart
     published_servers: PublishedServers
@@ -149,6 +136,7 @@
         """What answers the messages of other entries."""
         return {
             **self.members.handlers,
+            **self.limits.handlers,
             DocumentAsk: self.relay.answer,
             AddressesAsk: self.address_sync.answer,
             PublishedAsk: self.publications.relay.answer,
@@ -176,6 +164,7 @@
     routes = RoutesInForce()
     loads = LoadTable(clock, rng)
     watchdog = Watchdog(clock)
+    metrics = RouteMetrics()
 
     # Peers need the table of servers first; it is not called before all parts stand.
     def tell_leaving(server: Server) -> None:
@@ -229,13 +218,29 @@
 
     backoffs = ServerBackoffs(clock)
 
-    heard = server_words(servers, backoffs)
-    line = CallLine(read_answer_head, connections, clock, most_idle, heard)
-
-    def limits(service: str) -> PieceLimits | None:
+    def piece_limits(service: str) -> PieceLimits | None:
         known = published(service)
         return known.pieces if known is not None else None
 
+    def granted_by(server: Server) -> str:
+        # Only the owner of a stage's queue calls its servers.
+        staged = piece_limits(server.service) is not None
+        return server.service if staged else server.name
+
+    limits = join_limits(
+        own,
+        members,
+        links,
+        live,
+        granted_by,
+        lambda: sync.agreed,
+        clock,
+        rng,
+        metrics.permit_ended,
+    )
+    note_head = server_words(servers, backoffs, limits.limits)
+    line = CallLine(read_answer_head, connections, clock, most_idle, note_head)
+
     def cold_bound(service: str) -> ColdBound | None:
         known, cold = published(service), in_force.current.cold
         if known is None or cold is None or known.cold_rate <= 0:
@@ -244,7 +249,7 @@
         return ColdBound(known.cold_rate, most, known.cold_seconds)
 
     def cold_senders(server: Server) -> list[str]:
-        if limits(server.service) is not None:
+        if piece_limits(server.service) is not None:
             # Only the owner of a stage's queue calls its servers.
             return owner_order(server.service, live())
         heard = {entry.name for entry in members.entries.usable() if entry.host}
@@ -256,24 +261,24 @@
     def used() -> None:
         publications.confirming.note_use()
 
-    metrics = RouteMetrics()
     first = FirstKnowledge(clock, AWAITED)
     ended = threading.Event()
     owners = OwnerLinks(own, live, links, clock)
     orders = PieceOrders(owners, clock)
     batch_parts = BatchParts(
         line=line,
-        format=_PieceCalls(),
+        format=PieceCallFormat(),
         servers=servers,
         cold=cold,
         backoffs=backoffs,
+        limited=limits.limited,
         quarantine=quarantine,
         loads=loads,
         retries=retries,
         watchdog=watchdog,
         clock=clock,
         metrics=metrics,
-        limits=limits,
+        limits=piece_limits,
         used=used,
     )
     batches = PieceBatches(batch_parts, orders.done)
@@ -286,6 +291,7 @@
         servers,
         loads,
         cold,
+        limits.limits,
         settings.regions,
         batches.look_again,
     )
@@ -318,6 +324,7 @@
             servers=servers,
             cold=cold,
             backoffs=backoffs,
+            limited=limits.limited,
             quarantine=quarantine,
             loads=loads,
             choice=ServerChoice(loads, clock, centre),
@@ -347,6 +354,7 @@
         servers=servers,
         loads=loads,
         cold=cold,
+        limits=limits,
         quarantine=quarantine,
         quarantine_part=quarantine_part,
         published_servers=published_servers,
--- a/boragestream/daemon/server_words.py
+++ b/boragestream/daemon/server_words.py
@@ -1,10 +1,13 @@
 """What backend servers say of themselves with answers, whatever the store says."""
 
-from collections.abc import Callable
+from http import HTTPStatus
 
+from boragestream.backend.forwarded_call import NoteHead
 from boragestream.base.events import Event, emit
-from boragestream.document.calls import AnswerHead, LimitMalformed
+from boragestream.document.calls import AnswerHead, LimitMalformed, RunClaim
+from boragestream.entry.limits import note_limit_change
 from boragestream.policy.server_backoffs import ServerBackoffs
+from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving.ejections import note_backoff
 
@@ -12,34 +15,21 @@
 
 
 def server_words(
-    servers: ServerTable, backoffs: ServerBackoffs
-) -> Callable[[Server, AnswerHead], None]:
+    servers: ServerTable, backoffs: ServerBackoffs, limits: ServerLimits
+) -> NoteHead:
     """Return what takes the head of each answer."""
-    limits: dict[tuple[str, str, str], float] = {}
 
-    def note_limit(server: Server, limit: float | None) -> None:
-        before = limits.get(server.identity)
-        if limit == before:
-            return
-        if limit is None:
-            del limits[server.identity]
-        else:
-            limits[server.identity] = limit
-        emit(
-            Event.SERVER_LIMIT_CHANGED,
-            server=server.name,
-            service=server.service,
-            per_second=limit,
-            before=before,
-        )
-
-    def heard(server: Server, head: AnswerHead) -> None:
+    def note_head(server: Server, head: AnswerHead, sent_at: float) -> None:
         if head.backoff_seconds is not None:
             backoffs.note(server, head.backoff_seconds)
             note_backoff(server, head.backoff_seconds)
         if head.leaving and servers.note_leaving(server):
             emit(Event.SERVER_SAID_LEAVING, server=server.name, service=server.service)
-        if not isinstance(head.request_limit, LimitMalformed):
-            note_limit(server, head.request_limit)
-
-    return heard
+        limit = head.request_limit
+        # Where another server has the address now, the limit is that one's.
+        own = head.claim is not RunClaim.OTHER_SERVER
+        if own and not isinstance(limit, LimitMalformed):
+            whole = head.status == HTTPStatus.OK
+            note_limit_change(limits.note_answer(server, limit, sent_at, whole))
+
+    return note_head
--- a/boragestream/daemon/status.py
+++ b/boragestream/daemon/status.py
@@ -4,6 +4,7 @@
 from boragestream.daemon.parts import EntryParts
 from boragestream.policy.load import LoadTable, ServerLoad
 from boragestream.policy.peers import EntryTable, ListedEntry
+from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.servers import ServerState, ServerTable
 
 __all__ = ["status_page"]
@@ -25,7 +26,7 @@
         in_hand=parts.admission.in_hand,
         queued=parts.admission.queued,
         windows=parts.admission.windows(),
-        servers=_servers(parts.servers, parts.loads),
+        servers=_servers(parts.servers, parts.loads, parts.limits.limits),
         entries=tuple(_peer(entry, entries) for entry in entries.listed),
         accounts=parts.observations.accounts(),
         stages=parts.observations.stages(),
@@ -33,7 +34,9 @@
     )
 
 
-def _servers(servers: ServerTable, loads: LoadTable) -> tuple[ServerReport, ...]:
+def _servers(
+    servers: ServerTable, loads: LoadTable, limits: ServerLimits
+) -> tuple[ServerReport, ...]:
     live = {s.identity for kind in _services(servers) for s in servers.live(kind)}
     reports = []
     for server in servers.all:
@@ -48,6 +51,7 @@
                 state=_state(usable, load).value,
                 in_progress=load.in_progress,
                 smoothed_ms=round(load.seconds * 1000, 1),
+                limit=limits.limit(server),
             )
         )
     return tuple(reports)
--- a/boragestream/daemon/tasks.py
+++ b/boragestream/daemon/tasks.py
@@ -17,6 +17,7 @@
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.load import LoadTable
 from boragestream.policy.peers import ListedEntry
+from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.servers import Server, ServerState, ServerTable
 
 __all__ = [
@@ -137,6 +138,7 @@
     value: bytes,
     servers: ServerTable,
     loads: LoadTable,
+    limits: ServerLimits,
     take_entries: Callable[[tuple[Instance, ...]], None],
     take_servers: Callable[[tuple[LeavingServer, ...]], None],
 ) -> None:
@@ -150,6 +152,7 @@
     take_servers(tuple(to_leaving(to_server(i)) for i in backends))
     servers.take_list(to_server(i) for i in backends)
     loads.take_list(servers.all)
+    limits.take_list(servers.all)
     take_entries(tuple(i for i in instances if i.service == ENTRY_SERVICE))
     emit(Event.INSTANCES_CHANGED, instances=len(instances))
 
--- /dev/null
+++ b/boragestream/entry/limits.py
@@ -0,0 +1,150 @@
+"""Limits of servers on the exchange between entries.
+
+A new record is offered a bounded number of times and brings the next rounds forward.
+What that misses, and what an entry that starts has to learn, is found by digests. What
+the records mean is decided by ``policy.server_limits``.
+"""
+
+from collections.abc import Callable, Iterable
+from functools import partial, reduce
+from operator import xor
+
+import msgspec
+
+from boragestream.base.events import Event, emit
+from boragestream.entry.links import PeerLinks
+from boragestream.entry.messages import Envelope
+from boragestream.entry.open_questions import OpenQuestions
+from boragestream.entry.permit_messages import LimitsAsk, LimitsReply, PackedLimit
+from boragestream.policy.server_limits import (
+    SERVER_KEY_BYTES,
+    LimitChange,
+    LimitRecord,
+    ServerLimits,
+)
+
+__all__ = ["LimitsPart", "note_limit_change", "pack_limit", "unpack_limit"]
+
+ASK_SECONDS = 1.0
+# Records in one message; what does not fit is offered in the next.
+NEW_RECORDS = 8
+# What a record and all else of an offer take at the most.
+RECORD_BYTES = 20
+OFFER_BYTES = 8
+ENDED = -1
+
+
+class LimitsOffer(msgspec.Struct, frozen=True, array_like=True):
+    """What one message says.
+
+    :ivar digest: of the sender's records.
+    """
+
+    digest: int
+    records: tuple[PackedLimit, ...] = ()
+
+
+_encoder = msgspec.msgpack.Encoder()
+_offers = msgspec.msgpack.Decoder(LimitsOffer)
+
+
+class LimitsPart:
+    """The part of the exchange that carries limits.
+
+    :param links: carries the questions.
+    :param address: returns a peer's address by its name.
+    :param submit: has a question asked beside the rounds.
+    """
+
+    name = "l"
+
+    def __init__(
+        self,
+        limits: ServerLimits,
+        links: PeerLinks,
+        address: Callable[[str], str | None],
+        submit: Callable[[Callable[[], None]], None],
+    ) -> None:
+        self._limits = limits
+        self._links = links
+        self._address = address
+        self._submit = submit
+        self._questions = OpenQuestions()
+
+    def offer(self, budget: int) -> bytes:
+        """Return the digest and some new records."""
+        room = max(0, budget - OFFER_BYTES) // RECORD_BYTES
+        new = self._limits.table.news(min(NEW_RECORDS, room))
+        records = tuple(pack_limit(record) for record in new)
+        data = _encoder.encode(LimitsOffer(self._digest(), records))
+        return data if len(data) <= budget else b""
+
+    def take(self, sender: str, data: bytes) -> None:
+        """Merge what a peer offered, and ask it for more where digests differ."""
+        try:
+            offer = _offers.decode(data)
+        except msgspec.DecodeError as error:
+            emit(Event.PEER_FRAME_REFUSED, peer=sender, reason=repr(error))
+            return
+        self._merge(sender, offer.records)
+        differs = offer.digest != self._digest()
+        if differs and offer.digest and self._questions.begin(sender):
+            self._submit(partial(self._ask, sender))
+
+    def answer(self, envelope: Envelope, message: LimitsAsk) -> LimitsReply:
+        """Return the records of the buckets in which a peer differs."""
+        table = self._limits.table
+        records = table.in_buckets(table.differing(message.digests))
+        return LimitsReply(tuple(pack_limit(record) for record in records))
+
+    def _digest(self) -> int:
+        return reduce(xor, self._limits.table.digests)
+
+    def _ask(self, peer: str) -> None:
+        try:
+            address = self._address(peer)
+            if address is None:
+                return
+            message = LimitsAsk(self._limits.table.digests)
+            reply = self._links.ask(address, message, ASK_SECONDS)
+            # A peer that gives no answer is noticed by the rounds.
+            if isinstance(reply, LimitsReply):
+                self._merge(peer, reply.records)
+        finally:
+            self._questions.end(peer)
+
+    def _merge(self, peer: str, packed: Iterable[PackedLimit]) -> None:
+        for each in packed:
+            record = unpack_limit(each)
+            if len(record.server) != SERVER_KEY_BYTES or record.revision < 1:
+                emit(Event.PEER_FRAME_REFUSED, peer=peer, reason="no limit")
+                continue
+            note_limit_change(self._limits.take(record), peer)
+
+
+def pack_limit(record: LimitRecord) -> PackedLimit:
+    """Return a record as messages carry it."""
+    ended = record.hundredths is None
+    return record.server, record.revision, ENDED if ended else record.hundredths
+
+
+def unpack_limit(packed: PackedLimit) -> LimitRecord:
+    """Return a record that a message carries."""
+    server, revision, hundredths = packed
+    return LimitRecord(server, revision, None if hundredths < 0 else hundredths)
+
+
+def note_limit_change(change: LimitChange | None, peer: str = "") -> None:
+    """Log that a server's limit has changed.
+
+    :param peer: the entry from which this is known; empty where an answer named it.
+    """
+    if change is None:
+        return
+    emit(
+        Event.SERVER_LIMIT_CHANGED,
+        server=change.server,
+        per_second=change.after,
+        before=change.before,
+        peer=peer,
+    )
--- a/boragestream/entry/messages.py
+++ b/boragestream/entry/messages.py
@@ -20,6 +20,13 @@
     QuarantineAsk,
     QuarantineReply,
 )
+from boragestream.entry.permit_messages import (
+    LimitsAsk,
+    LimitsReply,
+    PermitAsk,
+    PermitReply,
+    PermitReturn,
+)
 from boragestream.entry.piece_messages import (
     PiecesAnswer,
     PiecesBook,
@@ -219,6 +226,11 @@
     | PublishedReply
     | QuarantineAsk
     | QuarantineReply
+    | LimitsAsk
+    | LimitsReply
+    | PermitAsk
+    | PermitReply
+    | PermitReturn
     | TicketPost
     | TicketAsk
     | RequestAsk
--- a/boragestream/operator/explain.py
+++ b/boragestream/operator/explain.py
@@ -32,6 +32,7 @@
     "server_ejected",
     "server_backed_off",
     "server_said_leaving",
+    "server_limit_changed",
     "owner_silent",
     "entry_suspected",
     "batch_failed",
@@ -40,6 +41,8 @@
 )
 # The last of each is in force until the next.
 IN_FORCE = ("configuration_in_force", "instances_changed", "data_centres_drained")
+# The last for each server is in force until the next.
+IN_FORCE_BY_SERVER = ("server_limit_changed",)
 # What is told of all returns of a request, by its fingerprint.
 OF_ALL_RETURNS = ("server_crashed", "crashes_heard")
 # How long before a request's first line a change still counts as close to it.
@@ -159,9 +162,9 @@
     for index, line in enumerate(lines[: last + 1]):
         if line.name not in BELIEFS:
             continue
-        if line.name in IN_FORCE:
+        if line.name in IN_FORCE + IN_FORCE_BY_SERVER:
             if index < first:
-                latest[line.name] = line
+                latest[_subject(line)] = line
                 continue
         elif index < first and abs(mine[0].at - line.at) > CLOSE_SECONDS:
             continue
@@ -169,6 +172,13 @@
     return [*latest.values(), *close[-KEPT_BELIEFS:]]
 
 
+def _subject(line: Line) -> str:
+    """Return what a line tells the state of."""
+    if line.name in IN_FORCE_BY_SERVER:
+        return f"{line.name} {line.fields.get('server')}"
+    return line.name
+
+
 def _cause(lines: list[Line]) -> str:
     """Return the failure that decided the end: the last one that the end names."""
     ends = [line for line in lines if line.name == "request_ended"]
--- a/boragestream/operator/fleet_status.py
+++ b/boragestream/operator/fleet_status.py
@@ -69,6 +69,8 @@
     :ivar digests: the digests in force by version; two of one version are a conflict.
     :ivar servers: by service, how many entries' views hold a server in each state.
     :ivar disputed: servers of which entries believe different states.
+    :ivar limited: by server, the lowest limit on its requests a second that an entry
+        knows.
     :ivar windows: by service.
     :ivar costs: by client account; the costs of each stage are in ``stages``.
     """
@@ -80,6 +82,7 @@
     unreachable: list[EntryUnreachable]
     servers: dict[str, dict[str, int]]
     disputed: dict[str, list[str]]
+    limited: dict[str, float]
     accounts: dict[str, AccountReport]
     stages: dict[str, StageReport]
     windows: dict[str, Window]
@@ -120,6 +123,7 @@
         unreachable=unreachable,
         servers=servers,
         disputed=disputed,
+        limited=_limited(pages),
         accounts=_accounts(pages),
         stages=_stages(pages),
         windows=_windows(pages),
@@ -153,6 +157,16 @@
     return {service: dict(c) for service, c in counts.items()}, disputed
 
 
+def _limited(pages: list[StatusPage]) -> dict[str, float]:
+    limited: dict[str, float] = {}
+    for page in pages:
+        for server in page.servers:
+            if server.limit is not None:
+                known = limited.get(server.name, server.limit)
+                limited[server.name] = min(known, server.limit)
+    return dict(sorted(limited.items()))
+
+
 def _accounts(pages: list[StatusPage]) -> dict[str, AccountReport]:
     outcomes: dict[str, Counter[str]] = defaultdict(Counter)
     latencies: dict[str, list[LatencySummary]] = defaultdict(list)
--- a/boragestream/operator/route_status.py
+++ b/boragestream/operator/route_status.py
@@ -34,6 +34,7 @@
     :ivar list_age: seconds since the platform confirmed its list of servers.
     :ivar cold_servers: servers that it takes for cold.
     :ivar drained_centres: data centres whose servers it sends nothing.
+    :ivar limited_servers: servers that take few requests from all entries together.
     """
 
     address: str
@@ -44,6 +45,7 @@
     list_age: float
     cold_servers: int = 0
     drained_centres: int = 0
+    limited_servers: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +128,7 @@
         list_age=round(gauges.get("server_list_age", 0.0), 1),
         cold_servers=int(gauges.get("cold_servers", 0)),
         drained_centres=int(gauges.get("drained_centres", 0)),
+        limited_servers=int(gauges.get("limited_servers", 0)),
     )
 
 
@@ -148,6 +151,7 @@
             "in hand",
             "servers",
             "cold",
+            "limited",
             "drained centres",
             "entries",
             "list age s",
@@ -159,6 +163,7 @@
                 e.in_hand,
                 e.servers,
                 e.cold_servers,
+                e.limited_servers,
                 e.drained_centres,
                 e.entries,
                 e.list_age,
--- a/boragestream/platform/pieces.py
+++ b/boragestream/platform/pieces.py
@@ -6,6 +6,7 @@
 from boragestream.policy.servers import Server
 
 __all__ = [
+    "PieceCallFormat",
     "encode_piece_call",
     "encode_release",
     "encode_report_call",
@@ -124,3 +125,13 @@
         f"Content-Length: {len(body)}\r\n\r\n"
     )
     return head.encode("latin-1") + body
+
+
+class PieceCallFormat:
+    """Calls of stage servers in the platform's form."""
+
+    encode_piece_call = staticmethod(encode_piece_call)
+    encode_release = staticmethod(encode_release)
+    encode_report_call = staticmethod(encode_report_call)
+    read_piece_results = staticmethod(read_piece_results)
+    read_stage_report = staticmethod(read_stage_report)
--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -25,6 +25,7 @@
     "is_admitted",
     "is_bookable",
     "is_hopeless",
+    "longest_wait",
     "place_of",
 ]
 
@@ -177,12 +178,13 @@
 
 
 def expected_wait(
-    pieces_ahead: int, free_servers: int, servers: int, limits: PieceLimits
+    pieces_ahead: int, free_servers: int, servers: float, limits: PieceLimits
 ) -> float:
     """Return the seconds until an order that joins the queue begins.
 
     :param pieces_ahead: pieces in the queue that go before it.
     :param free_servers: how many servers have nothing to do.
+    :param servers: how many there are; one that takes few calls is a part of one.
     """
     if free_servers > 0:
         return 0.0
@@ -205,10 +207,19 @@
         return False
     if order.invested or wait <= 0:
         return True
+    return wait <= longest_wait(order.priority, left)
+
+
+def longest_wait(priority: int, left: float) -> float:
+    """Return how long a request may be expected to wait before it is refused.
+
+    :param priority: 0 is the most urgent.
+    :param left: the seconds until its latest start.
+    """
     if left < 0:
-        return wait <= LATE_WAIT_SECONDS
-    share = _of_priority(ADMITTED_SHARE, order.priority)
-    return wait <= max(SHORT_WAIT_SECONDS, share * left)
+        return LATE_WAIT_SECONDS
+    share = _of_priority(ADMITTED_SHARE, priority)
+    return max(SHORT_WAIT_SECONDS, share * left)
 
 
 def is_bookable(booking: PieceBooking, wait: float, left: float) -> bool:
--- a/boragestream/policy/server_limits.py
+++ b/boragestream/policy/server_limits.py
@@ -1,17 +1,76 @@
-"""The requests a second that a server in need takes from all entries together.
+"""The requests a second that servers in need take from all entries together.
 
-A server names its limit in its answers, and it holds for as long as they name it.
+A server names its limit in its answers, and it holds for as long as they name it. It
+bounds the sum over all entries, which none of them can see: of 195 entries that send
+one request each, a server with a limit of one a second gets twenty times too many. So
+each limited server has one entry that grants permits for it, the first by rank among
+the live ones, and nobody calls the server without one.
+
+The arithmetic, for a promise of ``FACTOR`` times the limit and ``SLACK`` more in any
+``WINDOW_SECONDS``: an entry that grants ``rate`` permits a second, each valid for
+``PERMIT_SECONDS``, lets ``1 + (WINDOW_SECONDS + PERMIT_SECONDS) * rate`` requests
+through. Two entries can grant for a while, after the first one was lost or while each
+half of the entries knows nothing of the other, so that ``VIEWS`` times as many have to
+stay within the promise. What is left is the limit itself up to 1.2 requests a second,
+and never less than 0.7 of it.
+
+An answer without a limit ends it, if its call was sent after the limit became known;
+so does the end of the server's life. Servers without a limit go first, so that a
+limited one may get hardly any requests: now and then one is sent there all the same, to
+notice the end. The limit of a server that gets none stays known, and costs nothing.
+
+Entries pass records on. Each change of a limit raises the revision of its record; of
+two records of one revision the lower limit prevails. A wrong one is corrected by the
+next answer.
+
+Left out: who grants, and how entries ask (``entry.server_permits``); which server is
+chosen (``serving.limited_servers``).
 """
 
 import math
-from collections.abc import Sequence
+import threading
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from functools import lru_cache
 
+import xxhash
+
+from boragestream.base.clock import Clock
 from boragestream.document.calls import LimitMalformed
+from boragestream.policy.gossip import GossipTable
+from boragestream.policy.permit_schedule import PermitSchedule
+from boragestream.policy.servers import Server
 
-__all__ = ["parse_limit"]
+__all__ = [
+    "PERMIT_SECONDS",
+    "SERVER_KEY_BYTES",
+    "LimitChange",
+    "LimitRecord",
+    "ServerLimits",
+    "granted_rate",
+    "parse_limit",
+    "server_key",
+]
 
 # No single server serves as much; a higher figure limits nothing.
 MOST_PER_SECOND = 100_000.0
+WINDOW_SECONDS = 4.0
+FACTOR = 1.5
+SLACK = 5.0
+VIEWS = 2
+# Between the grant of a permit and the first byte of its request.
+PERMIT_SECONDS = 0.25
+# A server that takes nothing is still asked so often whether its limit has ended.
+LEAST_RATE = 0.25
+# How long a limited server may be without an answer before one is sought.
+CHECK_SECONDS = 1.0
+# Limits that differ by less are one limit.
+SAME_SHARE = 0.05
+SERVER_KEY_BYTES = 8
+HUNDREDTHS = 100
+# A list that omits a server by mistake costs nothing within this time.
+FORGET_SECONDS = 120.0
+MOST_RECORDS = 16_384
 
 
 def parse_limit(texts: Sequence[str]) -> float | LimitMalformed | None:
@@ -31,3 +90,244 @@
         named.append(limit)
     lowest = min(named, default=math.inf)
     return lowest if lowest <= MOST_PER_SECOND else None
+
+
+def granted_rate(limit: float) -> float:
+    """Return the permits that one entry grants for a server, in a second.
+
+    :param limit: the requests a second that the server takes.
+    """
+    promised = FACTOR * WINDOW_SECONDS * limit + SLACK
+    rate = (promised / VIEWS - 1) / (WINDOW_SECONDS + PERMIT_SECONDS)
+    return max(LEAST_RATE, min(limit, rate))
+
+
+@lru_cache(MOST_RECORDS)
+def _identity_key(identity: tuple[str, str, str]) -> bytes:
+    return xxhash.xxh3_64_digest("\0".join(identity).encode())
+
+
+def server_key(server: Server) -> bytes:
+    """Return the short form of one life of a server, the same at every entry."""
+    return _identity_key(server.identity)
+
+
+@dataclass(frozen=True, slots=True)
+class LimitRecord:
+    """What is known of one server's limit.
+
+    :ivar server: the short form of one life of the server.
+    :ivar revision: rises with each change.
+    :ivar hundredths: of a request a second; None where the limit has ended.
+    """
+
+    server: bytes
+    revision: int
+    hundredths: int | None
+
+    @property
+    def per_second(self) -> float | None:
+        """The limit in requests a second; None where it has ended."""
+        return None if self.hundredths is None else self.hundredths / HUNDREDTHS
+
+    @property
+    def rank(self) -> tuple[int, float]:
+        """The record with the greater rank prevails."""
+        limit = math.inf if self.hundredths is None else self.hundredths
+        return (self.revision, -limit)
+
+
+@dataclass(frozen=True, slots=True)
+class LimitChange:
+    """A change of what is known of a server's limit.
+
+    :ivar server: the server's name; empty where it is not listed here.
+    :ivar before: requests a second; None for no limit.
+    :ivar after: requests a second; None for no limit.
+    """
+
+    server: str
+    before: float | None
+    after: float | None
+
+
+def _prevailing(known: LimitRecord, other: LimitRecord) -> LimitRecord:
+    return other if other.rank > known.rank else known
+
+
+class ServerLimits:
+    """The limits that one entry knows, and the permits that it grants.
+
+    :param changed: called after each change that other entries should know at once.
+    """
+
+    def __init__(
+        self, clock: Clock, changed: Callable[[], None] = lambda: None
+    ) -> None:
+        self._clock = clock
+        self._changed = changed
+        self._table = GossipTable[LimitRecord](lambda r: r.server.hex(), _prevailing)
+        # What is limited now, in requests a second.
+        self._limits: dict[bytes, float] = {}
+        self._known_at: dict[bytes, float] = {}
+        self._answered_at: dict[bytes, float] = {}
+        self._free_at: dict[bytes, float] = {}
+        self._schedules: dict[bytes, PermitSchedule] = {}
+        self._names: dict[bytes, str] = {}
+        self._listed_at: dict[bytes, float] = {}
+        self._lock = threading.RLock()
+
+    @property
+    def table(self) -> GossipTable[LimitRecord]:
+        """The records, to be exchanged."""
+        return self._table
+
+    @property
+    def count(self) -> int:
+        """How many servers are limited now."""
+        return len(self._limits)
+
+    def limit(self, server: Server) -> float | None:
+        """Return a server's limit in requests a second; None where it has none."""
+        return self._limits.get(server_key(server)) if self._limits else None
+
+    def rate(self, server: Server) -> float:
+        """Return the calls a second that a server can be sent; infinite for any."""
+        limit = self.limit(server)
+        return math.inf if limit is None else granted_rate(limit)
+
+    def split(
+        self, servers: Sequence[Server]
+    ) -> tuple[Sequence[Server], Sequence[Server]]:
+        """Return the servers without a limit, and those with one."""
+        if not self._limits:
+            return servers, ()
+        free = [server for server in servers if self.limit(server) is None]
+        limited = [server for server in servers if self.limit(server) is not None]
+        return free, limited
+
+    def needs_check(self, server: Server) -> bool:
+        """Tell whether a limited server has not answered this entry for a while."""
+        at = self._answered_at.get(server_key(server), -math.inf)
+        return self._clock.now() - at >= CHECK_SECONDS
+
+    def seconds_left(self, server: Server) -> float:
+        """Return the seconds until a permit is to be had, as far as known here."""
+        key, now = server_key(server), self._clock.now()
+        free_at = self._free_at.get(key, now)
+        with self._lock:
+            schedule, limit = self._schedules.get(key), self._limits.get(key)
+            if schedule is not None and limit is not None:
+                free_at = max(free_at, schedule.next_free(now, 1 / granted_rate(limit)))
+        return max(0.0, free_at - now)
+
+    def note_busy(self, server: Server, seconds: float) -> None:
+        """Take that no permit is to be had for some seconds."""
+        self._free_at[server_key(server)] = self._clock.now() + seconds
+
+    def note_answer(
+        self, server: Server, limit: float | None, sent_at: float, whole: bool
+    ) -> LimitChange | None:
+        """Take the limit that an answer names; None where it is known.
+
+        :param limit: requests a second; None for no limit.
+        :param sent_at: the clock's seconds at which its call was sent.
+        :param whole: whether it is one that names the limit if there is one.
+        """
+        if limit is None and self.limit(server) is None:
+            return None
+        key = server_key(server)
+        with self._lock:
+            known = self._table.get(key.hex())
+            self._answered_at[key] = self._clock.now()
+            before = known.per_second if known is not None else None
+            if _same(before, limit):
+                return None
+            # An answer that was under way is older than what ended or changed a limit.
+            stale = sent_at < self._known_at.get(key, -math.inf)
+            if limit is None and (stale or not whole):
+                return None
+            revision = known.revision + 1 if known is not None else 1
+            hundredths = None if limit is None else int(limit * HUNDREDTHS)
+            self._names.setdefault(key, server.name)
+            return self.take(LimitRecord(key, revision, hundredths))
+
+    def take(self, record: LimitRecord) -> LimitChange | None:
+        """Merge a record; None where it changes nothing."""
+        key = record.server
+        with self._lock:
+            known = self._table.get(key.hex())
+            if not self._table.take(record):
+                return None
+            self._known_at[key] = self._clock.now()
+            limit = record.per_second
+            if limit is None:
+                self._limits.pop(key, None)
+                self._free_at.pop(key, None)
+            else:
+                self._limits[key] = limit
+        self._changed()
+        before = known.per_second if known is not None else None
+        return LimitChange(self._names.get(key, ""), before, record.per_second)
+
+    def known(self, server: Server) -> LimitRecord | None:
+        """Return the record of a server; None where it never named a limit."""
+        return self._table.get(server_key(server).hex())
+
+    def reserve(self, key: bytes, wait_seconds: float) -> tuple[float | None, float]:
+        """Grant a permit for a server, as the one entry that does.
+
+        :param key: the server's short form.
+        :param wait_seconds: the longest wait for its beginning.
+        :returns: when it begins, in the clock's seconds, None where it was refused; and
+            the seconds until it begins, or until the next one would.
+        """
+        now = self._clock.now()
+        with self._lock:
+            limit = self._limits.get(key)
+            if limit is None:
+                return now, 0.0
+            gap = 1 / granted_rate(limit)
+            schedule = self._schedules.get(key)
+            if schedule is None:
+                schedule = self._schedules[key] = PermitSchedule()
+            moment = schedule.reserve(now, now + wait_seconds, gap)
+            begins = schedule.next_free(now, gap) if moment is None else moment
+            return moment, begins - now
+
+    def give_back(self, key: bytes, moment: float) -> None:
+        """Take a permit back that was not used."""
+        with self._lock:
+            schedule = self._schedules.get(key)
+            if schedule is not None:
+                schedule.give_back(moment)
+
+    def take_list(self, servers: Iterable[Server]) -> None:
+        """Take which servers are listed, and forget those that are gone."""
+        now = self._clock.now()
+        with self._lock:
+            self._names = {server_key(server): server.name for server in servers}
+            for record in self._table.records.values():
+                key = record.server
+                if key in self._names:
+                    self._listed_at[key] = now
+                elif now - self._listed_at.setdefault(key, now) > FORGET_SECONDS:
+                    self._forget(key)
+
+    def _forget(self, key: bytes) -> None:
+        self._table.drop([key.hex()])
+        for kept in (
+            self._limits,
+            self._known_at,
+            self._answered_at,
+            self._free_at,
+            self._schedules,
+            self._listed_at,
+        ):
+            kept.pop(key, None)
+
+
+def _same(before: float | None, after: float | None) -> bool:
+    if before is None or after is None:
+        return before is after
+    return abs(before - after) <= max(SAME_SHARE * before, 1 / HUNDREDTHS)
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
 from boragestream.document.calls import Piece, PieceFault, PieceResult
@@ -24,7 +24,7 @@
 from boragestream.policy.returning_callers import ReturningCallers
 from boragestream.policy.servers import Server
 
-__all__ = ["Batch", "ServiceQueue"]
+__all__ = ["Batch", "CallRoom", "ServiceQueue"]
 
 MEGABYTE = 1_000_000.0
 # A server that did not take a call is full or out of reach. Asked again at once it says
@@ -58,6 +58,21 @@
         return self.limits.call_seconds + len(self.pieces) * self.limits.piece_seconds
 
 
+@dataclass(frozen=True, slots=True)
+class CallRoom:
+    """How many calls a server may be sent, beside what it can make.
+
+    :ivar per_second: infinite for any number.
+    :ivar wait_seconds: until the next one may be sent.
+    """
+
+    per_second: float = math.inf
+    wait_seconds: float = 0.0
+
+
+ANY_CALLS = CallRoom()
+
+
 @dataclass(frozen=True, slots=True)
 class _Booked:
     """Pieces that will be ordered.
@@ -97,9 +112,15 @@
 
 
 class ServiceQueue:
-    """The queue of one service."""
+    """The queue of one service.
+
+    :param room: returns how many calls a server may be sent.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, room: Callable[[Server], CallRoom] = lambda server: ANY_CALLS
+    ) -> None:
+        self._room = room
         self._orders: dict[str, QueuedOrder] = {}
         self._bookings: dict[str, _Booked] = {}
         # By the server's identity: one that starts again holds nothing of before.
@@ -303,9 +324,15 @@
             for booked in self._bookings.values()
             if place_of(booked.start_by, booked.priority, now) <= place
         )
-        busy = [self._state(server).calls for server in usable]
-        free = sum(calls < limits.concurrent_calls for calls in busy)
-        return expected_wait(ahead, 0 if ahead else free, len(usable), limits)
+        whole_call = limits.call_seconds + limits.batch * limits.piece_seconds
+        free, servers = 0, 0.0
+        for server in usable:
+            room = self._room(server)
+            idle = self._state(server).calls < limits.concurrent_calls
+            free += idle and room.wait_seconds <= 0
+            # One that may be sent few calls counts as a part of a server.
+            servers += min(1.0, room.per_second * whole_call)
+        return expected_wait(ahead, 0 if ahead else free, servers, limits)
 
     def _next_batch(
         self,
--- a/boragestream/serving/attempts.py
+++ b/boragestream/serving/attempts.py
@@ -18,6 +18,7 @@
     ServerBackedOff,
     ServerErred,
     ServerLeft,
+    ServerLimited,
     ServerRefused,
     open_attempt,
     says_leaving,
@@ -30,10 +31,12 @@
 from boragestream.base.identifiers import new_attempt_id
 from boragestream.base.outcomes import Failure
 from boragestream.document import Stage
+from boragestream.entry.limits import note_limit_change
 from boragestream.policy.costs import Purpose, Spent
 from boragestream.policy.load import CallEnd
 from boragestream.policy.servers import Server
 from boragestream.serving.ejections import note_backoff
+from boragestream.serving.limited_servers import PermittedServer
 from boragestream.serving.parts import ServingParts
 from boragestream.serving.request import RequestRecord
 from boragestream.serving.request_guard import RequestGuard
@@ -75,16 +78,21 @@
     """One attempt; its load is counted from here to its end.
 
     :param run: the stage and its call.
-    :param server: the chosen server.
+    :param chosen: the server, with the permit to call it.
     :param purpose: why it is made.
     """
 
     def __init__(
-        self, parts: ServingParts, run: StageRun, server: Server, purpose: Purpose
+        self,
+        parts: ServingParts,
+        run: StageRun,
+        chosen: PermittedServer,
+        purpose: Purpose,
     ) -> None:
         self._parts = parts
         self._run = run
-        self._server = server
+        self._server = server = chosen.server
+        self._permit = chosen.permit
         self._purpose = purpose
         self._began = parts.clock.now()
         self._call = parts.loads.begin(server)
@@ -118,10 +126,13 @@
             self._scope,
             self._parts.clock,
             sending=self._sending,
+            note_limit=self._note_limit,
         )
         if isinstance(answer, AttemptFailure):
             self._note_failure(answer)
             self._close(_end_of(answer))
+            if answer.ran is Ran.NOT_SENT and self._permit is not None:
+                self._parts.limited.permits.give_back(self._permit)
             if isinstance(answer, AnswerCut):
                 run.guard.note_cut(self._server)
             return answer
@@ -143,12 +154,18 @@
             return ServerLeft(self._server.name, Ran.NOT_SENT)
         if not self._parts.backoffs.takes_calls(self._server):
             return ServerBackedOff(self._server.name, Ran.NOT_SENT)
+        if not self._parts.limited.permits.is_valid(self._server, self._permit):
+            return ServerLimited(self._server.name, Ran.NOT_SENT)
         quarantined = self._run.guard.sending()
         if quarantined is not None:
             return AttemptCancelled(self._server.name, Ran.NOT_SENT, quarantined)
         self._run.request.sent.note_sending(self._id, self._run.call.repeatable)
         return None
 
+    def _note_limit(self, limit: float | None, sent_at: float, whole: bool) -> None:
+        limits = self._parts.limited.limits
+        note_limit_change(limits.note_answer(self._server, limit, sent_at, whole))
+
     def lose(self) -> None:
         """Cancel the attempt, since another one was answered first."""
         self._lost = True
@@ -226,7 +243,8 @@
 
 
 def _end_of(failure: AttemptFailure) -> CallEnd:
-    if isinstance(failure, AttemptCancelled | ServerBackedOff | ServerLeft):
+    unsent = AttemptCancelled | ServerBackedOff | ServerLeft | ServerLimited
+    if isinstance(failure, unsent):
         return CallEnd.CANCELLED
     if isinstance(failure, ConnectFailed):
         return CallEnd.UNREACHED
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -16,6 +16,7 @@
     ServerBackedOff,
     ServerCold,
     ServerLeft,
+    ServerLimited,
 )
 from boragestream.backend.forwarded_call import (
     CallLine,
@@ -36,6 +37,7 @@
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving.ejections import note_ejection
 from boragestream.serving.forwarded_run import ForwardedRun
+from boragestream.serving.limited_servers import LimitedServers, PermittedServer
 from boragestream.serving.request_guard import RequestGuard
 from boragestream.serving.stage_pieces import StagePieces
 
@@ -57,6 +59,7 @@
 
     :ivar cold: which servers have just started.
     :ivar backoffs: which servers want no calls now.
+    :ivar limited: which servers have a limit, and permits to call them.
     :ivar quarantine: which requests crash servers.
     :ivar engine_delays: how long engines take to their first event.
     :ivar list_age: returns the seconds since the server list was last confirmed.
@@ -67,6 +70,7 @@
     servers: ServerTable
     cold: ColdServers
     backoffs: ServerBackoffs
+    limited: LimitedServers
     quarantine: Quarantine
     loads: LoadTable
     choice: ServerChoice
@@ -90,10 +94,11 @@
         parts: ForwardParts,
         run: ForwardedRun,
         guard: RequestGuard,
-        server: Server,
+        chosen: PermittedServer,
     ) -> None:
         self._guard = guard
-        self._server = server
+        self._server = server = chosen.server
+        self._permit = chosen.permit
         self._parts = parts
         self._run = run
         self._began = parts.clock.now()
@@ -135,6 +140,8 @@
                 return ServerBackedOff(server.name, Ran.NOT_SENT)
             if not self._parts.cold.admit(server):
                 return ServerCold(server.name, Ran.NOT_SENT)
+            if not self._parts.limited.permits.is_valid(server, self._permit):
+                return ServerLimited(server.name, Ran.NOT_SENT)
             quarantined = self._guard.sending()
             if quarantined is not None:
                 return AttemptCancelled(server.name, Ran.NOT_SENT, quarantined)
@@ -158,6 +165,8 @@
             raise
         if isinstance(answer, AttemptFailure):
             self.end(_end_of(answer))
+            if answer.ran is Ran.NOT_SENT and self._permit is not None:
+                self._parts.limited.permits.give_back(self._permit)
             return answer
         self._answer = answer
         return answer
@@ -211,7 +220,8 @@
 
 def _end_of(failure: AttemptFailure) -> CallEnd:
     if isinstance(
-        failure, AttemptCancelled | ServerBackedOff | ServerCold | ServerLeft
+        failure,
+        AttemptCancelled | ServerBackedOff | ServerCold | ServerLeft | ServerLimited,
     ):
         return CallEnd.CANCELLED
     if isinstance(failure, ConnectFailed):
--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from boragestream.backend.cancellation import CancelScope
-from boragestream.base.failures import CentresDrained, ServersBackedOff
+from boragestream.base.failures import CentresDrained, ServersBackedOff, ServersLimited
 from boragestream.base.outcomes import Failed, Failure, Refused, Unknown
 from boragestream.document.calls import ForwardedRequest
 from boragestream.document.routes import Route
@@ -101,7 +101,7 @@
     wait = USUAL_RETURN_SECONDS
     if isinstance(failure, RequestSuspected):
         wait = min(LONGEST_RETURN_SECONDS, failure.left_seconds)
-    if isinstance(failure, ServersBackedOff):
+    if isinstance(failure, ServersBackedOff | ServersLimited):
         wait = failure.left_seconds
     if isinstance(failure, CentresDrained):
         wait = DRAINED_RETURN_SECONDS
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -5,7 +5,7 @@
 another server when its own breaks off; any other one ends without its end mark.
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from boragestream.backend.failures import (
@@ -19,10 +19,9 @@
 )
 from boragestream.base.events import Event, emit
 from boragestream.base.failures import (
-    CentresDrained,
     NoLiveServer,
     ServersBackedOff,
-    ServersCold,
+    ServersLimited,
 )
 from boragestream.base.outcomes import Failure
 from boragestream.document.calls import (
@@ -31,16 +30,17 @@
 )
 from boragestream.document.routes import CallKind
 from boragestream.policy.load import CallEnd
-from boragestream.policy.server_choice import near_results, shared_part, shared_tokens
 from boragestream.policy.servers import Server
 from boragestream.serving.event_stream import EventSplitter, StreamBroken
 from boragestream.serving.forward_attempt import ForwardAttempt, ForwardParts
 from boragestream.serving.forwarded_answer import StreamedAnswer, WholeAnswer
+from boragestream.serving.forwarded_choice import ForwardedChoice
 from boragestream.serving.forwarded_run import (
     ForwardedRun,
     InputsGone,
     ServerDidNotRun,
 )
+from boragestream.serving.limited_servers import PermittedServer
 from boragestream.serving.request_guard import RequestGuard
 
 __all__ = ["Forwarder"]
@@ -77,7 +77,7 @@
         self._stream = run.route.kind is CallKind.STREAM
         self._inputs: tuple[StageResult, ...] = ()
         self._inputs_made = False
-        self._tried: set[str] = set()
+        self._choice = ForwardedChoice(parts, run)
         # Attempts that may have run, and attempts that a server refused.
         self._runs = 0
         self._refusals = 0
@@ -93,7 +93,7 @@
             first = self._first_events(opened)
             if first is not None:
                 return StreamedAnswer(opened.head, self._events(opened, first))
-        return self._error or self._failure or self._no_server()
+        return self._error or self._failure or NoLiveServer(self._run.service)
 
     def _attempts(self) -> Iterator[WholeAnswer | ForwardAttempt]:
         """Yield the outcome of attempt after attempt, as long as one may follow."""
@@ -103,17 +103,15 @@
                 self._failure = quarantined
                 self._give_inputs_up()
                 return
-            # Stages would be done in vain where no server can take their results.
-            failure = None if self._servers() else self._no_server()
-            failure = failure or self._make_inputs()
-            if failure is not None:
-                if self._failure is None or isinstance(failure, ServersBackedOff):
-                    self._failure = failure
-                return
-            server = self._choose()
-            if server is None:
+            chosen = self._choose()
+            if isinstance(chosen, Failure):
+                tells_return = isinstance(chosen, ServersBackedOff | ServersLimited)
+                if self._failure is None or tells_return:
+                    self._failure = chosen
+                self._give_inputs_up()
                 return
-            attempt = ForwardAttempt(self._parts, self._run, self._guard, server)
+            server = chosen.server
+            attempt = ForwardAttempt(self._parts, self._run, self._guard, chosen)
             handles = tuple(result.handle for result in self._inputs)
             result = attempt.open(handles, self._splitter.last, self._runs > 0)
             if isinstance(result, AttemptFailure):
@@ -129,6 +127,15 @@
                 self._give_inputs_up()
                 return
 
+    def _choose(self) -> PermittedServer | Failure:
+        """Return the server of the next attempt, once the stages are done."""
+        failure = self._choice.refusal(self._inputs_made) or self._make_inputs()
+        if failure is not None:
+            return failure
+        number = self._runs + self._refusals + 1
+        chosen = self._choice.take(self._inputs, number)
+        return chosen or NoLiveServer(self._run.service)
+
     def _take_answer(
         self, attempt: ForwardAttempt, answer: OpenForwardedAnswer
     ) -> WholeAnswer | ForwardAttempt | None:
@@ -173,100 +180,26 @@
         if head.status == 409:
             self._inputs_made = False
             self._note_failure(InputsGone(server.name))
-            self._tried.discard(server.name)
+            self._choice.forgive(server)
             return
         self._note_failure(ServerDidNotRun(server.name, head.status))
 
     def _make_inputs(self) -> Failure | None:
         if self._inputs_made or not self._run.route.stages:
             return None
-        made = self._parts.stages.run(self._run, self._home())
+        made = self._parts.stages.run(self._run, self._choice.home())
         if isinstance(made, Failure):
             return made
         self._inputs = made
         self._inputs_made = True
         return None
 
-    def _home(self) -> str:
-        """Return the data centre of the engine that holds most of the prompt."""
-        run = self._run
-        if not shared_tokens(run.request.prompt):
-            return ""
-        live = self._servers()
-        engine = self._parts.choice.engine(live, shared_part(run.request.prompt))
-        return engine.data_centre if engine is not None else ""
-
     def _give_inputs_up(self) -> None:
         if self._inputs_made:
             self._parts.stages.release(self._inputs)
             self._inputs = ()
             self._inputs_made = False
 
-    def _choose(self) -> Server | None:
-        run, choice = self._run, self._parts.choice
-        live = self._servers()
-        if not live or run.scope.reason is not None:
-            self._failure = self._failure or run.scope.reason
-            return None
-        avoid = frozenset(self._tried)
-        if len(avoid) >= len(live):
-            avoid = frozenset()
-        service = run.table.services.get(run.service)
-        if service is not None and service.engine is not None:
-            prompt = run.request.prompt
-            near = near_results(self._inputs, shared_tokens(prompt))
-            server = choice.engine(live, shared_part(prompt), near, avoid)
-        else:
-            server = choice.plain(live, avoid)
-        if server is not None:
-            self._tried.add(server.name)
-            self._note_choice(server, len(live))
-        return server
-
-    def _servers(self) -> Sequence[Server]:
-        """Return the servers that may be sent this request now."""
-        parts = self._parts
-        return parts.cold.usable(parts.backoffs.usable(self._allowed()))
-
-    def _allowed(self) -> Sequence[Server]:
-        """Return the live servers in the regions where the request may be served."""
-        live = self._parts.servers.live(self._run.service)
-        regions = self._run.regions
-        if regions is None:
-            return live
-        return [server for server in live if server.region in regions]
-
-    def _no_server(self) -> Failure:
-        """Return why there is no server."""
-        service = self._run.service
-        allowed = self._allowed()
-        left = self._parts.backoffs.seconds_left(allowed)
-        if left is not None:
-            return ServersBackedOff(service, left)
-        if allowed:
-            return ServersCold(service)
-        if self._parts.servers.awaits_centre(service):
-            return CentresDrained(service)
-        return NoLiveServer(service)
-
-    def _note_choice(self, server: Server, live: int) -> None:
-        run, parts = self._run, self._parts
-        age = parts.list_age()
-        parts.metrics.server_chosen(age)
-        emit(
-            Event.SERVER_CHOSEN,
-            request=run.request.request_id,
-            service=run.service,
-            server=server.name,
-            data_centre=server.data_centre,
-            of=live,
-            open_calls=parts.choice.open_calls.count(server),
-            attempt=self._runs + self._refusals + 1,
-            version=run.table.version,
-            list_age_ms=int(age * 1000),
-            left_ms=int((run.scope.deadline - parts.clock.now()) * 1000),
-        )
-
     def _note_failure(self, failure: Failure) -> None:
         self._failure = failure
         emit(
--- a/boragestream/serving/parts.py
+++ b/boragestream/serving/parts.py
@@ -17,6 +17,7 @@
 from boragestream.policy.servers import ServerTable
 from boragestream.policy.times import RecentTimes
 from boragestream.policy.waiting import WaitingLines
+from boragestream.serving.limited_servers import LimitedServers
 
 __all__ = ["ServingParts", "make_parts"]
 
@@ -26,6 +27,7 @@
     """The parts.
 
     :ivar backoffs: which servers want no calls now.
+    :ivar limited: which servers have a limit, and permits to call them.
     :ivar quarantine: which requests crash servers.
     :ivar attempts: runs attempts beside the request's own thread.
     :ivar times: recent times of attempts, by kind of call.
@@ -33,6 +35,7 @@
 
     servers: ServerTable
     backoffs: ServerBackoffs
+    limited: LimitedServers
     quarantine: Quarantine
     loads: LoadTable
     routing: dict[str, RoutingPolicy]
@@ -50,6 +53,7 @@
 
 def make_parts(
     servers: ServerTable,
+    limited: LimitedServers,
     quarantine: Quarantine,
     loads: LoadTable,
     attempts: ThreadPoolExecutor,
@@ -60,12 +64,14 @@
 ) -> ServingParts:
     """Return the parts of an entry.
 
+    :param limited: which servers have a limit, and permits to call them.
     :param quarantine: which requests crash servers.
     :param home: returns where the entry is.
     """
     return ServingParts(
         servers=servers,
         backoffs=ServerBackoffs(clock),
+        limited=limited,
         quarantine=quarantine,
         loads=loads,
         routing=routing_policies(loads, clock, rng, home),
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -18,22 +18,29 @@
     ServerBackedOff,
     ServerCold,
     ServerLeft,
+    ServerLimited,
 )
 from boragestream.base.events import Event, emit
 from boragestream.document.calls import PieceFault, PieceResult
+from boragestream.entry.server_permits import PermitRefused
 from boragestream.policy.candidates import RoutingNeed, usable_servers
 from boragestream.policy.load import CallEnd
 from boragestream.policy.piece_queue import PieceBooking, PieceOrder, QueuedOrder
 from boragestream.policy.quarantine import CrashRecord
 from boragestream.policy.server_choice import WITHOUT
 from boragestream.policy.servers import Server
-from boragestream.policy.service_queue import Batch, ServiceQueue
+from boragestream.policy.service_queue import Batch, CallRoom, ServiceQueue
 from boragestream.serving.ejections import note_ejection
 from boragestream.serving.piece_calls import BatchParts, PieceCalls, no_results
 from boragestream.serving.request_guard import count_crash, has_crashed
 
 __all__ = ["PieceBatches", "PieceDone"]
 
+# Queues are looked at again so often, and no permit is missed in between.
+PERMIT_WAIT_SECONDS = 0.25
+# How a call ends that was not made after all.
+NOT_CALLED = ServerBackedOff | ServerCold | ServerLeft | ServerLimited
+
 # Told the results of pieces of one order, by piece number.
 PieceDone = Callable[[str, Sequence[tuple[int, PieceResult]]], None]
 
@@ -126,9 +133,11 @@
         by_server: dict[tuple[str, str, str], tuple[str, Server, list[str]]] = {}
         with self._lock:
             for handle in handles:
-                service, server = self._makers.pop(handle, ("", None))
-                if server is None:
+                service, server = self._makers.get(handle, ("", None))
+                # Where nothing is sent, results take up room until they expire.
+                if server is None or not self._calls.takes_messages(server):
                     continue
+                del self._makers[handle]
                 self._queues[service].release(server, handle)
                 freed = by_server.setdefault(server.identity, (service, server, []))
                 freed[2].append(handle)
@@ -171,7 +180,7 @@
 
     def _queue(self, service: str) -> ServiceQueue:
         if service not in self._queues:
-            self._queues[service] = ServiceQueue()
+            self._queues[service] = ServiceQueue(self._room)
             emit(Event.QUEUE_OWNED, service=service)
         return self._queues[service]
 
@@ -182,6 +191,17 @@
         need = RoutingNeed(without=WITHOUT)
         return usable_servers(live, self._parts.loads, need, self._parts.clock.now())
 
+    def _room(self, server: Server) -> CallRoom:
+        limits = self._parts.limited.limits
+        return CallRoom(limits.rate(server), limits.seconds_left(server))
+
+    def _callable(self, service: str) -> list[Server]:
+        """Return the servers that may be sent a batch, those without a limit first."""
+        limits = self._parts.limited.limits
+        free, held = limits.split(self._usable(service))
+        soon = [s for s in held if limits.seconds_left(s) <= PERMIT_WAIT_SECONDS]
+        return [*free, *soon]
+
     def _backed_off_seconds(self, service: str) -> float | None:
         """Return until when all servers want no calls; None where one takes some."""
         return self._parts.backoffs.seconds_left(self._parts.servers.live(service))
@@ -191,7 +211,7 @@
         limits = self._parts.limits(service)
         if limits is None:
             return
-        usable = self._usable(service)
+        usable = self._callable(service)
         with self._lock:
             queue = self._queues[service]
             batches = queue.next_batches(limits, usable, self._parts.clock.now())
@@ -205,12 +225,12 @@
         sent_with = self._known_crashes(batch)
         result: list[PieceResult] | AttemptFailure = no_results(batch.server)
         try:
-            result = self._calls.make(batch)
+            result = self._make(batch)
         finally:
             end = CallEnd.ANSWERED if isinstance(result, list) else CallEnd.CUT
             if isinstance(result, ConnectFailed):
                 end = CallEnd.UNREACHED
-            if isinstance(result, ServerBackedOff | ServerCold | ServerLeft):
+            if isinstance(result, NOT_CALLED):
                 end = CallEnd.CANCELLED
             seconds = parts.clock.now() - began
             kind = str(len(batch.pieces))
@@ -224,6 +244,20 @@
             self._end(service, batch, result)
         self._pump(service)
 
+    def _make(self, batch: Batch) -> list[PieceResult] | AttemptFailure:
+        """Make a batch's call, with a permit where its server has a limit."""
+        limited, server = self._parts.limited, batch.server
+        if limited.limits.limit(server) is None:
+            return self._calls.make(batch)
+        permit = limited.permits.acquire(server, PERMIT_WAIT_SECONDS)
+        if isinstance(permit, PermitRefused):
+            return ServerLimited(server.name, Ran.NOT_SENT)
+        limited.wait(permit, lambda: False)
+        result = self._calls.make(batch, permit)
+        if isinstance(result, AttemptFailure) and result.ran is Ran.NOT_SENT:
+            limited.permits.give_back(permit)
+        return result
+
     def _known_crashes(self, batch: Batch) -> list[CrashRecord]:
         """Return what is known of each request that a batch has pieces of."""
         wanted = {queued.order.fingerprint for queued, _ in batch.pieces}
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -23,6 +23,7 @@
     ServerCold,
     ServerErred,
     ServerLeft,
+    ServerLimited,
 )
 from boragestream.backend.forwarded_call import (
     CallLine,
@@ -34,6 +35,7 @@
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.document.calls import Piece, PieceResult, RunClaim, StageReport
 from boragestream.document.routes import PieceLimits
+from boragestream.entry.server_permits import Permit
 from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.load import LoadTable
 from boragestream.policy.overdue_calls import (
@@ -46,6 +48,7 @@
 from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.service_queue import Batch
+from boragestream.serving.limited_servers import LimitedServers
 from boragestream.serving.piece_failures import AnswerLost
 
 __all__ = ["BatchParts", "PieceCalls", "PieceFormat", "no_results"]
@@ -87,6 +90,7 @@
 
     :ivar cold: which servers have just started.
     :ivar backoffs: which servers want no calls now.
+    :ivar limited: which servers have a limit, and permits to call them.
     :ivar quarantine: which requests crash servers.
     :ivar limits: returns the limits of a service's servers; None if unknown.
     :ivar used: told of each order, since it is decided by what is published.
@@ -97,6 +101,7 @@
     servers: ServerTable
     cold: ColdServers
     backoffs: ServerBackoffs
+    limited: LimitedServers
     quarantine: Quarantine
     loads: LoadTable
     retries: RetryWindows
@@ -133,8 +138,13 @@
         """Have work that makes calls done by the next free thread."""
         self._threads.submit(_logged, work, *arguments)
 
-    def make(self, batch: Batch) -> list[PieceResult] | AttemptFailure:
-        """Have a batch made; return the results in the order of its pieces."""
+    def make(
+        self, batch: Batch, permit: Permit | None = None
+    ) -> list[PieceResult] | AttemptFailure:
+        """Have a batch made; return the results in the order of its pieces.
+
+        :param permit: to call the server; None where it has no limit.
+        """
         parts = self._parts
         began = parts.clock.now()
         longest = batch.seconds * CALL_TIME_FACTOR + CALL_TIME_SLACK_SECONDS
@@ -144,7 +154,7 @@
         with self._lock:
             self._open[number] = _OpenCall(batch.server, scope, ask_at)
         try:
-            return self._exchange(batch, scope)
+            return self._exchange(batch, permit, scope)
         finally:
             with self._lock:
                 del self._open[number]
@@ -162,10 +172,10 @@
     def release(self, server: Server, handles: tuple[str, ...]) -> None:
         """Tell a server that results are not needed any more.
 
-        One that is drained or wants no calls now is told nothing: it forgets them by
-        itself.
+        One that is drained, wants no calls now or takes few is sent nothing: it
+        forgets them by itself.
         """
-        if not self._takes_words(server):
+        if not self.takes_messages(server):
             return
         data = self._parts.format.encode_release(server, handles)
         failed = self._call(server, "POST", data, RELEASE_SECONDS)
@@ -175,7 +185,7 @@
 
     def _ask(self, call: _OpenCall) -> None:
         server, wire = call.server, self._parts.format
-        if not self._takes_words(server):
+        if not self.takes_messages(server):
             return
         data = wire.encode_report_call(server)
         body = self._call(server, "GET", data, REPORT_SECONDS)
@@ -184,9 +194,12 @@
         if report is not None and answer_is_lost(report):
             call.scope.cancel(AnswerLost(server.name))
 
-    def _takes_words(self, server: Server) -> bool:
-        drained = server.data_centre in self._parts.servers.drained
-        return not drained and self._parts.backoffs.takes_calls(server)
+    def takes_messages(self, server: Server) -> bool:
+        """Tell whether a server may be sent what is no call for pieces."""
+        parts = self._parts
+        drained = server.data_centre in parts.servers.drained
+        limited = parts.limited.limits.limit(server) is not None
+        return not drained and not limited and parts.backoffs.takes_calls(server)
 
     def _call(
         self, server: Server, method: str, data: bytes, seconds: float
@@ -202,7 +215,7 @@
             parts.watchdog.close(scope)
 
     def _exchange(
-        self, batch: Batch, scope: CancelScope
+        self, batch: Batch, permit: Permit | None, scope: CancelScope
     ) -> list[PieceResult] | AttemptFailure:
         parts, server = self._parts, batch.server
 
@@ -214,6 +227,8 @@
                 return ServerBackedOff(server.name, Ran.NOT_SENT)
             if not parts.cold.admit(server):
                 return ServerCold(server.name, Ran.NOT_SENT)
+            if not parts.limited.permits.is_valid(server, permit):
+                return ServerLimited(server.name, Ran.NOT_SENT)
             now = parts.clock.now()
             pieces = [(piece, q.expires - now) for q, piece in batch.pieces]
             return parts.format.encode_piece_call(server, pieces)
--- a/boragestream/serving/request.py
+++ b/boragestream/serving/request.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from boragestream.backend.cancellation import CancelScope
-from boragestream.base.failures import ServersBackedOff
+from boragestream.base.failures import ServersBackedOff, ServersLimited
 from boragestream.base.outcomes import Failed, Failure, Outcome, Refused, Unknown
 from boragestream.document import ClientAccount, Pipeline
 from boragestream.policy.admitted import Admitted
@@ -98,7 +98,7 @@
         if isinstance(failure, RequestQuarantined):
             # It has run, on servers that it crashed.
             return Failed(failure, failure.left_seconds)
-        if isinstance(failure, RequestSuspected | ServersBackedOff):
+        if isinstance(failure, RequestSuspected | ServersBackedOff | ServersLimited):
             retry_after = failure.left_seconds
         if isinstance(failure, ServiceSaturated):
             retry_after = failure.retry_after
--- a/boragestream/serving/stage.py
+++ b/boragestream/serving/stage.py
@@ -18,6 +18,7 @@
     Ran,
     ServerBackedOff,
     ServerLeft,
+    ServerLimited,
     ServerRefused,
 )
 from boragestream.backend.calls import StageCall, StageInput, stage_body, stage_path
@@ -38,6 +39,7 @@
 )
 from boragestream.policy.servers import Server
 from boragestream.serving.attempts import AttemptRun, StageRun
+from boragestream.serving.limited_servers import PermittedServer
 from boragestream.serving.parts import ServingParts
 from boragestream.serving.race import race
 from boragestream.serving.request import RequestRecord
@@ -110,24 +112,45 @@
         if left is not None:
             return ServersBackedOff(service, left)
         scope = run.request.scope
+        latest = scope.deadline - self._usual_seconds(run)
+        limited = self.parts.limited
+        free, held = limited.limits.split(self._callable(run))
+        left = latest - self.parts.clock.now()
+        if held and not free and limited.soonest(held) > left:
+            return limited.refusal(held)
         return self.parts.lines.of(service).take(
             choose=lambda: self._choose(run, purpose, tried),
-            latest=scope.deadline - self._usual_seconds(run),
+            latest=latest,
             cancelled=lambda: scope.reason is not None,
         )
 
     def _choose(
         self, run: StageRun, purpose: Purpose, tried: set[str]
     ) -> AttemptRun | None:
-        live = self._callable(run)
-        if not live:
+        limited = self.parts.limited
+        free, held = limited.limits.split(self._callable(run))
+        ready = limited.ready(held)
+        chosen = limited.check(held)
+        if chosen is None:
+            server = self._route(run, [*free, *ready], tried)
+            # Other entries grant the rest, and are asked where nothing else has room.
+            others = [s for s in held if limited.limits.seconds_left(s) <= 0]
+            server = server or self._route(run, others, tried)
+            if server is None:
+                return None
+            chosen = PermittedServer(server)
+            if server in held:
+                chosen = limited.at_once(server)
+        return AttemptRun(self.parts, run, chosen, purpose) if chosen else None
+
+    def _route(
+        self, run: StageRun, servers: Sequence[Server], tried: set[str]
+    ) -> Server | None:
+        if not servers:
             return None
         policies = _policies(run)
         need = RoutingNeed(frozenset(tried), run.prefix, policies.without)
-        server = self.parts.routing[policies.routing].choose(live, need)
-        if server is None:
-            return None
-        return AttemptRun(self.parts, run, server, purpose)
+        return self.parts.routing[policies.routing].choose(servers, need)
 
     def _attempt(
         self, run: StageRun, first: AttemptRun, tried: set[str]
@@ -167,12 +190,15 @@
         if server is None or not self.parts.hedges.of(service).spend():
             return None
         tried.add(server.name)
-        return AttemptRun(self.parts, run, server, Purpose.HEDGE)
+        return AttemptRun(self.parts, run, PermittedServer(server), Purpose.HEDGE)
 
     def _choose_spare(self, run: StageRun, tried: set[str]) -> Server | None:
         policies = _policies(run)
         need = RoutingNeed(frozenset(tried), None, policies.without)
-        live = self._callable(run)
+        # A server in need is no place for what can do without.
+        live, _ = self.parts.limited.limits.split(self._callable(run))
+        if not live:
+            return None
         server = self.parts.routing[policies.routing].choose(live, need)
         if server is None:
             return None
@@ -185,7 +211,7 @@
 
     def _may_retry(self, run: StageRun, failure: AttemptFailure, attempts: int) -> bool:
         leaving = isinstance(failure, ServerRefused) and failure.leaving
-        unsent = ConnectFailed | ServerBackedOff | ServerLeft
+        unsent = ConnectFailed | ServerBackedOff | ServerLeft | ServerLimited
         failed = FailedAttempt(
             may_have_run=failure.ran is Ran.MAY_HAVE_RUN,
             free=leaving or isinstance(failure, unsent),
--- a/tests/features/leaving_before_the_send.feature
+++ b/tests/features/leaving_before_the_send.feature
@@ -22,9 +22,12 @@
     Examples:
       | call                | what                       | failure     |
       | a batch of pieces   | its data centre is drained | server-left |
-      | a forwarded request | its data centre is drained | server-left |
+      | a forwarded request | its data centre is drained | server-left    |
       | a batch of pieces   | it turns out to be cold    | server-cold |
       | a forwarded request | it turns out to be cold    | server-cold |
+      | a batch of pieces   | it names a limit           | server-limited |
+      | a forwarded request | it names a limit           | server-limited |
+      | a stage's attempt   | it names a limit           | server-limited |
 
   Scenario Outline: <call> is not sent once it is known to crash servers
     Given a server that has been chosen for <call>
@@ -46,6 +49,16 @@
       | a release of results     |
       | a question for a report  |
 
+  Scenario Outline: a limited server is sent nothing but calls for pieces
+    Given a server that has been chosen for a batch of pieces
+    When it has named a limit and <message> is due
+    Then not a byte is sent
+
+    Examples:
+      | message                |
+      | a release of results   |
+      | a question for a report |
+
   Scenario: pieces whose server left are sent to another one at once
     Given two servers, of which the first begins to leave while its call connects
     When the owner of their queue is given an order
--- a/tests/features/steps/published_servers.py
+++ b/tests/features/steps/published_servers.py
@@ -20,6 +20,7 @@
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.load import CallEnd, LoadTable
 from boragestream.policy.piece_queue import PieceOrder, QueuedOrder
+from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.server_lives import ServerLives
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.service_queue import ServiceQueue
@@ -88,6 +89,7 @@
             self.servers,
             self.loads,
             self.cold,
+            ServerLimits(self.clock),
             {"hall": "valley"},
             lambda: None,
         )
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -16,6 +16,7 @@
 import json
 import sys
 import threading
+import time
 from collections import Counter, deque
 
 from tests.standins.answers import (
@@ -58,6 +59,10 @@
         self.cancelled = 0
         self.faults = deque()
         self.leaving = False
+        # The requests a second that it names in each answer, as text; None for none.
+        self.limit = None
+        # When each call came.
+        self.arrivals = []
         self.in_progress = 0
         self.capacity = Capacity(8)
 
@@ -82,6 +87,8 @@
                     "busy_seconds": STATE.capacity.busy_seconds,
                     "prefix_misses": STATE.prefixes.misses,
                 }
+            elif path == "/standin/arrivals":
+                body = STATE.arrivals
             elif path == "/standin/work":
                 body = STATE.capacity.report()
             else:
@@ -102,11 +109,15 @@
         if path == "/standin/leaving":
             STATE.leaving = body["leaving"]
             return self.reply({})
+        if path == "/standin/limit":
+            STATE.limit = body["limit"]
+            return self.reply({})
         if path == "/standin/slowdown":
             STATE.capacity.slowdown = body["factor"]
             return self.reply({})
         with STATE.lock:
             STATE.offered += 1
+            STATE.arrivals.append(time.monotonic())
         if STATE.leaving and STATE.leaving not in ("silently", "in-answers"):
             return self._refuse("leaving")
         fault = self._take_fault(body)
@@ -221,6 +232,7 @@
             ("X-Attempt-Id", attempt or self.headers["X-Attempt-Id"]),
             ("X-Load", f"{STATE.in_progress}/{SPEC['slots']}"),
             *([("X-Leaving", "1")] if leaving else []),
+            *([("X-Request-Limit", STATE.limit)] if STATE.limit is not None else []),
         ]
 
 
--- /dev/null
+++ b/tests/standins/limits.py
@@ -0,0 +1,28 @@
+"""The limits of servers at one entry that is alone, without a process or a socket."""
+
+import random
+from types import SimpleNamespace
+
+from boragestream.entry.server_permits import ServerPermits
+from boragestream.policy.granters import Granters
+from boragestream.policy.server_limits import ServerLimits
+from boragestream.serving.limited_servers import LimitedServers
+
+OWN = "entry"
+
+
+def lone_limits(clock):
+    """Return the limits of an entry that grants all permits itself."""
+    limits = ServerLimits(clock)
+    granters = Granters(lambda: [OWN], lambda server: server.name, clock)
+    permits = ServerPermits(
+        OWN,
+        limits,
+        granters,
+        lambda name: name,
+        lambda: True,
+        SimpleNamespace(ask=lambda *question: None),
+        lambda work: work(),
+        clock,
+    )
+    return LimitedServers(limits, permits, lambda: 1, clock, random.Random(1))
--- a/tests/standins/queue_parts.py
+++ b/tests/standins/queue_parts.py
@@ -5,6 +5,7 @@
 from boragestream.policy.load import LoadTable
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.server_backoffs import ServerBackoffs
+from tests.standins.limits import lone_limits
 
 
 class UncountedRetries:
@@ -24,6 +25,7 @@
         "limits": lambda service: limits,
         "loads": LoadTable(clock, None),
         "backoffs": ServerBackoffs(clock),
+        "limited": lone_limits(clock),
         "quarantine": Quarantine("entry", lambda: ["entry"], clock),
         "retries": UncountedRetries(),
     }
