Parts of the exchange ask for what differs through one class; limits are indexed by server

entry.quarantine and the new entry.limits decoded, asked and merged alike; PeerQuestions and decode_offer serve both. A list of servers is taken by the limits before it is put to use, so that a limit known from another entry holds for a server that is listed later; a scenario holds that.

--- a/boragestream/daemon/published_servers.py
+++ b/boragestream/daemon/published_servers.py
@@ -33,7 +33,7 @@
     :param lives: tells the latest life of each.
     :param cold: told of each entry that is new, since a server says there that it is
         cold.
-    :param limits: forgets the limits of servers that are gone.
+    :param limits: which servers have a limit on their requests.
     :param regions: by data centre the region that it is part of.
     :param changed: called after each change of the list.
     """
@@ -88,9 +88,9 @@
         self._told_cold = []
         listed = self._lives.take_list(self._decode())
         self._members.take_servers(tuple(to_leaving(server) for server in listed))
+        self._limits.take_list(listed)
         self._servers.take_list(listed)
         self._loads.take_list(listed)
-        self._limits.take_list(listed)
         now = {server.identity: server.name for server in listed}
         added = sorted(now[key] for key in now.keys() - before.keys())
         removed = sorted(before[key] for key in before.keys() - now.keys())
--- a/boragestream/daemon/tasks.py
+++ b/boragestream/daemon/tasks.py
@@ -150,9 +150,10 @@
         return
     backends = [i for i in instances if i.service != ENTRY_SERVICE]
     take_servers(tuple(to_leaving(to_server(i)) for i in backends))
-    servers.take_list(to_server(i) for i in backends)
+    listed = tuple(to_server(instance) for instance in backends)
+    limits.take_list(listed)
+    servers.take_list(listed)
     loads.take_list(servers.all)
-    limits.take_list(servers.all)
     take_entries(tuple(i for i in instances if i.service == ENTRY_SERVICE))
     emit(Event.INSTANCES_CHANGED, instances=len(instances))
 
--- a/boragestream/entry/limits.py
+++ b/boragestream/entry/limits.py
@@ -6,15 +6,15 @@
 """
 
 from collections.abc import Callable, Iterable
-from functools import partial, reduce
+from functools import reduce
 from operator import xor
 
 import msgspec
 
 from boragestream.base.events import Event, emit
 from boragestream.entry.links import PeerLinks
-from boragestream.entry.messages import Envelope
-from boragestream.entry.open_questions import OpenQuestions
+from boragestream.entry.messages import Envelope, Message
+from boragestream.entry.peer_questions import PeerQuestions, decode_offer
 from boragestream.entry.permit_messages import LimitsAsk, LimitsReply, PackedLimit
 from boragestream.policy.server_limits import (
     SERVER_KEY_BYTES,
@@ -25,7 +25,6 @@
 
 __all__ = ["LimitsPart", "note_limit_change", "pack_limit", "unpack_limit"]
 
-ASK_SECONDS = 1.0
 # Records in one message; what does not fit is offered in the next.
 NEW_RECORDS = 8
 # What a record and all else of an offer take at the most.
@@ -66,10 +65,13 @@
         submit: Callable[[Callable[[], None]], None],
     ) -> None:
         self._limits = limits
-        self._links = links
-        self._address = address
-        self._submit = submit
-        self._questions = OpenQuestions()
+        self._questions = PeerQuestions(
+            links,
+            address,
+            submit,
+            lambda: LimitsAsk(self._limits.table.digests),
+            self._take_reply,
+        )
 
     def offer(self, budget: int) -> bytes:
         """Return the digest and some new records."""
@@ -81,15 +83,13 @@
 
     def take(self, sender: str, data: bytes) -> None:
         """Merge what a peer offered, and ask it for more where digests differ."""
-        try:
-            offer = _offers.decode(data)
-        except msgspec.DecodeError as error:
-            emit(Event.PEER_FRAME_REFUSED, peer=sender, reason=repr(error))
+        offer = decode_offer(_offers, sender, data)
+        if offer is None:
             return
         self._merge(sender, offer.records)
         differs = offer.digest != self._digest()
-        if differs and offer.digest and self._questions.begin(sender):
-            self._submit(partial(self._ask, sender))
+        if differs and offer.digest:
+            self._questions.ask(sender)
 
     def answer(self, envelope: Envelope, message: LimitsAsk) -> LimitsReply:
         """Return the records of the buckets in which a peer differs."""
@@ -100,18 +100,9 @@
     def _digest(self) -> int:
         return reduce(xor, self._limits.table.digests)
 
-    def _ask(self, peer: str) -> None:
-        try:
-            address = self._address(peer)
-            if address is None:
-                return
-            message = LimitsAsk(self._limits.table.digests)
-            reply = self._links.ask(address, message, ASK_SECONDS)
-            # A peer that gives no answer is noticed by the rounds.
-            if isinstance(reply, LimitsReply):
-                self._merge(peer, reply.records)
-        finally:
-            self._questions.end(peer)
+    def _take_reply(self, peer: str, reply: Message) -> None:
+        if isinstance(reply, LimitsReply):
+            self._merge(peer, reply.records)
 
     def _merge(self, peer: str, packed: Iterable[PackedLimit]) -> None:
         for each in packed:
--- a/boragestream/entry/quarantine.py
+++ b/boragestream/entry/quarantine.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable, Iterable
-from functools import partial
 
 import msgspec
 
@@ -18,14 +17,13 @@
     QuarantineReply,
 )
 from boragestream.entry.links import PeerLinks
-from boragestream.entry.messages import Envelope
-from boragestream.entry.open_questions import OpenQuestions
+from boragestream.entry.messages import Envelope, Message
+from boragestream.entry.peer_questions import PeerQuestions, decode_offer
 from boragestream.policy.fingerprints import FINGERPRINT_BYTES
 from boragestream.policy.quarantine import CrashRecord, Quarantine
 
 __all__ = ["QuarantinePart"]
 
-ASK_SECONDS = 1.0
 # Records in one message; what does not fit is offered in the next.
 NEWS = 10
 # What a record and all else of an offer take at the most.
@@ -65,10 +63,9 @@
         submit: Callable[[Callable[[], None]], None],
     ) -> None:
         self._quarantine = quarantine
-        self._links = links
-        self._address = address
-        self._submit = submit
-        self._questions = OpenQuestions()
+        self._questions = PeerQuestions(
+            links, address, submit, QuarantineAsk, self._take_reply
+        )
 
     def offer(self, budget: int) -> bytes:
         """Return the digest and some news."""
@@ -79,31 +76,21 @@
 
     def take(self, sender: str, data: bytes) -> None:
         """Merge what a peer offered, and ask it for more where digests differ."""
-        try:
-            offer = _offers.decode(data)
-        except msgspec.DecodeError as error:
-            emit(Event.PEER_FRAME_REFUSED, peer=sender, reason=repr(error))
+        offer = decode_offer(_offers, sender, data)
+        if offer is None:
             return
         self._merge(sender, offer.news)
         differs = offer.digest != self._quarantine.digest
-        if differs and offer.digest and self._questions.begin(sender):
-            self._submit(partial(self._ask, sender))
+        if differs and offer.digest:
+            self._questions.ask(sender)
 
     def answer(self, envelope: Envelope, message: QuarantineAsk) -> QuarantineReply:
         """Return the records that quarantine a request."""
         return QuarantineReply(_pack(self._quarantine.lasting()))
 
-    def _ask(self, peer: str) -> None:
-        try:
-            address = self._address(peer)
-            if address is None:
-                return
-            reply = self._links.ask(address, QuarantineAsk(), ASK_SECONDS)
-            # A peer that gives no answer is noticed by the rounds.
-            if isinstance(reply, QuarantineReply):
-                self._merge(peer, reply.records)
-        finally:
-            self._questions.end(peer)
+    def _take_reply(self, peer: str, reply: Message) -> None:
+        if isinstance(reply, QuarantineReply):
+            self._merge(peer, reply.records)
 
     def _merge(self, peer: str, packed: Iterable[PackedCrashes]) -> None:
         for of, freed, cleared, crashes, age_ms in packed:
--- a/boragestream/policy/server_limits.py
+++ b/boragestream/policy/server_limits.py
@@ -167,13 +167,15 @@
         self._clock = clock
         self._changed = changed
         self._table = GossipTable[LimitRecord](lambda r: r.server.hex(), _prevailing)
-        # What is limited now, in requests a second.
+        # What is limited now, in requests a second; the same of servers known here, by
+        # their identity, since each choice looks at all servers of a service.
         self._limits: dict[bytes, float] = {}
+        self._by_identity: dict[tuple[str, str, str], float] = {}
         self._known_at: dict[bytes, float] = {}
         self._answered_at: dict[bytes, float] = {}
         self._free_at: dict[bytes, float] = {}
         self._schedules: dict[bytes, PermitSchedule] = {}
-        self._names: dict[bytes, str] = {}
+        self._servers: dict[bytes, Server] = {}
         self._listed_at: dict[bytes, float] = {}
         self._lock = threading.RLock()
 
@@ -189,7 +191,7 @@
 
     def limit(self, server: Server) -> float | None:
         """Return a server's limit in requests a second; None where it has none."""
-        return self._limits.get(server_key(server)) if self._limits else None
+        return self._by_identity.get(server.identity) if self._limits else None
 
     def rate(self, server: Server) -> float:
         """Return the calls a second that a server can be sent; infinite for any."""
@@ -202,9 +204,11 @@
         """Return the servers without a limit, and those with one."""
         if not self._limits:
             return servers, ()
-        free = [server for server in servers if self.limit(server) is None]
-        limited = [server for server in servers if self.limit(server) is not None]
-        return free, limited
+        known = self._by_identity
+        free = [server for server in servers if server.identity not in known]
+        if len(free) == len(servers):
+            return servers, ()
+        return free, [server for server in servers if server.identity in known]
 
     def needs_check(self, server: Server) -> bool:
         """Tell whether a limited server has not answered this entry for a while."""
@@ -238,6 +242,9 @@
             return None
         key = server_key(server)
         with self._lock:
+            if key not in self._servers:
+                self._servers[key] = server
+                self._index()
             known = self._table.get(key.hex())
             self._answered_at[key] = self._clock.now()
             before = known.per_second if known is not None else None
@@ -249,7 +256,6 @@
                 return None
             revision = known.revision + 1 if known is not None else 1
             hundredths = None if limit is None else int(limit * HUNDREDTHS)
-            self._names.setdefault(key, server.name)
             return self.take(LimitRecord(key, revision, hundredths))
 
     def take(self, record: LimitRecord) -> LimitChange | None:
@@ -266,9 +272,12 @@
                 self._free_at.pop(key, None)
             else:
                 self._limits[key] = limit
+            self._index()
+            server = self._servers.get(key)
         self._changed()
         before = known.per_second if known is not None else None
-        return LimitChange(self._names.get(key, ""), before, record.per_second)
+        name = server.name if server is not None else ""
+        return LimitChange(name, before, record.per_second)
 
     def known(self, server: Server) -> LimitRecord | None:
         """Return the record of a server; None where it never named a limit."""
@@ -303,16 +312,25 @@
                 schedule.give_back(moment)
 
     def take_list(self, servers: Iterable[Server]) -> None:
-        """Take which servers are listed, and forget those that are gone."""
+        """Take which servers are listed, before they are put to use.
+
+        Limits of servers that are gone are forgotten.
+        """
         now = self._clock.now()
         with self._lock:
-            self._names = {server_key(server): server.name for server in servers}
+            self._servers = {server_key(server): server for server in servers}
             for record in self._table.records.values():
                 key = record.server
-                if key in self._names:
+                if key in self._servers:
                     self._listed_at[key] = now
                 elif now - self._listed_at.setdefault(key, now) > FORGET_SECONDS:
                     self._forget(key)
+            self._index()
+
+    def _index(self) -> None:
+        limits = self._limits.items()
+        known = ((self._servers.get(key), limit) for key, limit in limits)
+        self._by_identity = {s.identity: limit for s, limit in known if s is not None}
 
     def _forget(self, key: bytes) -> None:
         self._table.drop([key.hex()])
--- a/tests/features/limits_over_entries.feature
+++ b/tests/features/limits_over_entries.feature
@@ -114,3 +114,10 @@
     Given a server that named a limit of 1 requests a second at one entry
     When a permit is taken and given back
     Then the next permit begins at once
+
+  Scenario: a limit that another entry read holds for a server that is listed later
+    Given a record of another entry with a limit of 2 requests a second
+    When the server is listed here
+    Then it is limited to 2 requests a second
+    When it has not been listed for 121 seconds
+    Then it is not limited
--- a/tests/features/steps/limits_over_entries.py
+++ b/tests/features/steps/limits_over_entries.py
@@ -239,3 +239,24 @@
     permit = context.limited.permits.acquire(SERVER, 0.0)
     assert isinstance(permit, Permit)
     assert permit.begins == context.clock.now()
+
+
+@given("a record of another entry with a limit of {limit:g} requests a second")
+def step(context, limit):
+    other = ServerLimits(SetClock())
+    other.note_answer(SERVER, limit, 0.0, True)
+    context.clock = SetClock()
+    context.limits = ServerLimits(context.clock)
+    context.limits.take(other.known(SERVER))
+
+
+@when("the server is listed here")
+def step(context):
+    context.limits.take_list([SERVER])
+
+
+@when("it has not been listed for {seconds:d} seconds")
+def step(context, seconds):
+    context.limits.take_list([])
+    context.clock.seconds += seconds
+    context.limits.take_list([])
--- a/tests/standins/limit_crowd.py
+++ b/tests/standins/limit_crowd.py
@@ -36,6 +36,7 @@
         self.known, self.agreed, self.frozen = None, True, False
         self.answered_at = {}
         self.limits = ServerLimits(crowd.clock, self.hurry)
+        self.limits.take_list(crowd.servers)
         granters = Granters(
             lambda: self.known or crowd.names(), lambda s: s.name, crowd.clock
         )
