--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -18,6 +18,20 @@
       | 1        |
       | 45166770 |
 
+  Scenario Outline: faults of one seed beside servers that name limits
+    When faults of seed <seed> and limits of servers strike 3 entries for 9 seconds
+    Then the soak sees no broken promise, and requests were served
+
+    Examples:
+      | seed |
+      | 3    |
+
+  Scenario: the soak sees a server that was sent more than its limit allows
+    Given a server with a limit of 1 that 12 requests of two entries reached in 4 seconds
+    Then the soak finds that it got more than its limit allows
+    Given one of these entries was suspended
+    Then the soak finds that it got no more than its limit allows
+
   Scenario Outline: an answer of which <came> of <announced> bytes came before the end
     When an answer that announces <announced> bytes ends after <came>
     Then its caller takes it for <taken>
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -10,6 +10,7 @@
 
 from tests.soak.callers import Told
 from tests.soak.checks import broken_promises
+from tests.soak.limits import over_limits
 from tests.soak.plan import Strike, StrikeKind, make_plan
 from tests.soak.relay import LinkFault, Relay
 from tests.soak.run import run_seed
@@ -32,6 +33,50 @@
     context.verdict = run_seed(seed, entries, seconds, centres=True)
 
 
+@when(
+    "faults of seed {seed:d} and limits of servers strike {entries:d} entries for "
+    "{seconds:d} seconds"
+)
+def step(context, seed, entries, seconds):
+    context.verdict = run_seed(seed, entries, seconds, limits=True)
+
+
+@given(
+    "a server with a limit of {limit:d} that {count:d} requests of two entries reached "
+    "in {seconds:d} seconds"
+)
+def step(context, limit, count, seconds):
+    at = [10.0 + number * seconds / (count + 1) for number in range(count)]
+    # Each entry has passed an answer on long before.
+    at = [1.0, 1.1, *at]
+    server = SimpleNamespace(identity="i-1", calls=[])
+    context.told = []
+    for number, moment in enumerate(at):
+        request_id, life = f"s-{number}", (f"entry-{number % 2}", 0)
+        server.calls.append((moment, request_id))
+        one = SimpleNamespace(
+            request_id=request_id, life=life, status=200, ended_at=moment
+        )
+        context.told.append(one)
+    limited = [(server, float(limit), 0.0, 20.0)]
+    context.site = SimpleNamespace(limited=limited, excused=set())
+
+
+@given("one of these entries was suspended")
+def step(context):
+    context.site.excused.add(("entry-1", 0))
+
+
+@then("the soak finds that it got more than its limit allows")
+def step(context):
+    assert over_limits(context.site, context.told)
+
+
+@then("the soak finds that it got no more than its limit allows")
+def step(context):
+    assert not over_limits(context.site, context.told)
+
+
 @when(
     'the kind "{kind}" strikes {entries:d} entries every second for {seconds:d} s '
     'as "{how}"'
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
   --entries N     How many entries [default: 3].
   --seconds S     How long faults strike in each run [default: 12].
   --plain         Strike no whole data centres, as the first seeds were run.
+  --limits        Have servers name limits as well.
   --keep DIR      Where the logs of failed runs are kept [default: out/soak].
 
 The exit code is 1 where a promise was broken. Ended are only processes that a run
@@ -41,6 +42,7 @@
             float(arguments["--seconds"]),
             arguments["--keep"],
             centres=not arguments["--plain"],
+            limits=arguments["--limits"],
         )
         print(json.dumps(dataclasses.asdict(verdict)), flush=True)
         failed += bool(verdict.broken)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -33,6 +33,7 @@
     REVOKE = auto()
     CENTRE_DRAINED = auto()
     CENTRE_COLD = auto()
+    SERVER_LIMITED = auto()
 
 
 WEIGHTS = {
@@ -58,6 +59,9 @@
 # were.
 CENTRE_KINDS = (StrikeKind.CENTRE_DRAINED, StrikeKind.CENTRE_COLD)
 CENTRE_GAP_SECONDS = 2.0
+# Servers name limits beside the others, and for long enough to see the sum of a window.
+LIMIT_STRIKES = 3
+LIMITS = ("0", "1", "2.5")
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,10 +81,11 @@
     target: int
 
 
-def make_plan(seed, seconds, centres=False):
+def make_plan(seed, seconds, centres=False, limits=False):
     """Return the strikes of a run, in the order of their times.
 
     :param centres: whether whole data centres are struck as well.
+    :param limits: whether servers name limits as well.
     """
     rng = random.Random(seed)
     strikes = []
@@ -94,6 +99,8 @@
         at += rng.choice((0.05, GAP_SECONDS, 2 * GAP_SECONDS)) * rng.uniform(0.5, 1.5)
     if centres:
         strikes += _centre_strikes(random.Random(f"centres {seed}"), seconds)
+    if limits:
+        strikes += _limit_strikes(random.Random(f"limits {seed}"), seconds)
     return sorted(strikes, key=lambda strike: strike.at)
 
 
@@ -106,6 +113,13 @@
         at += CENTRE_GAP_SECONDS * rng.uniform(0.5, 1.5)
 
 
+def _limit_strikes(rng, seconds):
+    for number in range(LIMIT_STRIKES):
+        at, target = round(rng.uniform(0.2, 1.0), 2), 7 * number + rng.randrange(7)
+        kind = StrikeKind.SERVER_LIMITED
+        yield Strike(at, seconds - at, kind, rng.choice(LIMITS), target)
+
+
 def _variant(kind, rng):
     if kind is StrikeKind.PEER_LINK:
         return rng.choice(PEER_PAIRS)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,7 @@
 
 from tests.soak.callers import Callers
 from tests.soak.checks import broken_promises
+from tests.soak.limits import over_limits
 from tests.soak.plan import make_plan
 from tests.soak.site import SoakSite
 from tests.standins.fleet import wait_until
@@ -43,15 +44,16 @@
     broken: list
 
 
-def run_seed(seed, entries, seconds, keep=None, plan=None, centres=False):
+def run_seed(seed, entries, seconds, keep=None, plan=None, centres=False, limits=False):
     """Run one seed.
 
     :param keep: the folder in which the logs of a failed run are kept; None for none.
     :param plan: strikes to run in place of the seed's own.
     :param centres: whether whole data centres are struck as well.
+    :param limits: whether servers name limits as well.
     """
     site = SoakSite(entries, SERVERS_A_KIND)
-    plan = make_plan(seed, seconds, centres) if plan is None else plan
+    plan = make_plan(seed, seconds, centres, limits) if plan is None else plan
     callers = Callers(site, seed, CALLERS_AN_ENTRY * entries)
     broken = []
     try:
@@ -63,6 +65,7 @@
         if not callers.stop():
             broken.append("a caller hangs")
         broken += broken_promises(site, callers.told)
+        broken += over_limits(site, callers.told)
         broken += reached_after_leaving(site)
         if centres:
             broken += reached_while_drained(site)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -43,6 +43,10 @@
         # Entries that ended by themselves, with their exit codes.
         self.own_ends = []
         self.stopping = set()
+        # Lives of entries that were suspended or cut off.
+        self.excused = set()
+        # Servers that named a limit: the limit, when it was named, and until when.
+        self.limited = []
         self.server_relays = {}
         for server in self.servers:
             self._put_behind_relay(server)
@@ -178,10 +182,25 @@
             return self.drain
         elif kind is StrikeKind.CENTRE_COLD:
             self._cool(ZONES[strike.target % len(ZONES)], strike.seconds)
+        elif kind is StrikeKind.SERVER_LIMITED:
+            return self._limit(strike)
         else:
             self._replace_server(strike)
         return None
 
+    def _limit(self, strike):
+        """Have a server that serves callers' requests name a limit."""
+        servers = [s for s in self.servers if not s.gone and s.kind != "stage"]
+        server, began = servers[strike.target % len(servers)], time.monotonic()
+        server.limit = strike.how
+
+        def end():
+            server.limit = None
+            ended = time.monotonic()
+            self.limited.append((server, float(strike.how), began, ended))
+
+        return end
+
     def _cool(self, zone, seconds):
         """Have the servers of a zone say that they are cold."""
         for server in self.servers:
@@ -209,8 +228,12 @@
         relay.strike(LinkFault[strike.how])
         return relay.heal
 
+    def _excuse(self, *names):
+        self.excused.update((name, self.lives[name]) for name in names)
+
     def _divide(self, names, name, strike):
         other = names[strike.target // len(names) % len(names)]
+        self._excuse(name, other)
         if other == name:
             rest = [n for n in names if n != name]
             self.network.split([name], rest)
@@ -225,6 +248,7 @@
             if self.entries[name].popen.poll() is not None:
                 return None
             self.paused[name] = time.monotonic()
+            self._excuse(name)
             self.entries[name].freeze()
         return lambda: self._wake(name)
 
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -73,6 +73,8 @@
         self.limited_at = None
         # When each call came, whatever it asked for.
         self.arrivals = []
+        # The same with the ids of requests, where they have one.
+        self.calls = []
         # Told with each new life after a crash, so that the store can list it.
         self.when_back = lambda server, before: None
         self.lock = threading.Lock()
@@ -158,6 +160,7 @@
     def call(self, sock, method, target, headers, body):
         """Answer one call."""
         self.arrivals.append(time.monotonic())
+        self.calls.append((self.arrivals[-1], headers["Request-Id"]))
         if self.pause is not None:
             more = [("Not-Run", "1"), ("Retry-After", self.pause)]
             self.send(sock, headers, 503, b"", more, sealed=False)
