Records of limits carry their age, and the log tells it

Of two readings an answer without a limit is the later one only if its call was sent after the reading that named it, at whichever entry that was; until now after this entry heard of it. A scenario holds that.

--- a/boragestream/entry/limits.py
+++ b/boragestream/entry/limits.py
@@ -28,7 +28,7 @@
 # Records in one message; what does not fit is offered in the next.
 NEW_RECORDS = 8
 # What a record and all else of an offer take at the most.
-RECORD_BYTES = 20
+RECORD_BYTES = 24
 OFFER_BYTES = 8
 ENDED = -1
 
@@ -77,7 +77,7 @@
         """Return the digest and some new records."""
         room = max(0, budget - OFFER_BYTES) // RECORD_BYTES
         new = self._limits.table.news(min(NEW_RECORDS, room))
-        records = tuple(pack_limit(record) for record in new)
+        records = self._pack(new)
         data = _encoder.encode(LimitsOffer(self._digest(), records))
         return data if len(data) <= budget else b""
 
@@ -95,7 +95,10 @@
         """Return the records of the buckets in which a peer differs."""
         table = self._limits.table
         records = table.in_buckets(table.differing(message.digests))
-        return LimitsReply(tuple(pack_limit(record) for record in records))
+        return LimitsReply(self._pack(records))
+
+    def _pack(self, records: Iterable[LimitRecord]) -> tuple[PackedLimit, ...]:
+        return tuple(pack_limit(each, self._limits.age(each)) for each in records)
 
     def _digest(self) -> int:
         return reduce(xor, self._limits.table.digests)
@@ -106,29 +109,34 @@
 
     def _merge(self, peer: str, packed: Iterable[PackedLimit]) -> None:
         for each in packed:
-            record = unpack_limit(each)
-            if len(record.server) != SERVER_KEY_BYTES or record.revision < 1:
+            record, age = unpack_limit(each)
+            malformed = len(record.server) != SERVER_KEY_BYTES or record.revision < 1
+            if malformed or age < 0:
                 emit(Event.PEER_FRAME_REFUSED, peer=peer, reason="no limit")
                 continue
-            note_limit_change(self._limits.take(record), peer)
+            note_limit_change(self._limits.take(record, age), peer, age)
 
 
-def pack_limit(record: LimitRecord) -> PackedLimit:
+def pack_limit(record: LimitRecord, age_seconds: float) -> PackedLimit:
     """Return a record as messages carry it."""
-    ended = record.hundredths is None
-    return record.server, record.revision, ENDED if ended else record.hundredths
+    hundredths = ENDED if record.hundredths is None else record.hundredths
+    return record.server, record.revision, hundredths, int(age_seconds * 1000)
 
 
-def unpack_limit(packed: PackedLimit) -> LimitRecord:
-    """Return a record that a message carries."""
-    server, revision, hundredths = packed
-    return LimitRecord(server, revision, None if hundredths < 0 else hundredths)
+def unpack_limit(packed: PackedLimit) -> tuple[LimitRecord, float]:
+    """Return a record that a message carries, and its age in seconds."""
+    server, revision, hundredths, age_ms = packed
+    limit = None if hundredths < 0 else hundredths
+    return LimitRecord(server, revision, limit), age_ms / 1000
 
 
-def note_limit_change(change: LimitChange | None, peer: str = "") -> None:
+def note_limit_change(
+    change: LimitChange | None, peer: str = "", age_seconds: float = 0.0
+) -> None:
     """Log that a server's limit has changed.
 
-    :param peer: the entry from which this is known; empty where an answer named it.
+    :param peer: the entry from which this is known; empty where an answer showed it.
+    :param age_seconds: how long ago an answer showed it.
     """
     if change is None:
         return
@@ -138,4 +146,5 @@
         per_second=change.after,
         before=change.before,
         peer=peer,
+        age_ms=int(age_seconds * 1000),
     )
--- a/boragestream/entry/permit_messages.py
+++ b/boragestream/entry/permit_messages.py
@@ -14,9 +14,9 @@
     "PermitReturn",
 ]
 
-# A server's short form, the record's revision, and the limit in hundredths of a request
-# a second; -1 where it has ended.
-PackedLimit = tuple[bytes, int, int]
+# A server's short form, the record's revision, the limit in hundredths of a request a
+# second, -1 where it has ended, and the milliseconds since an answer showed it.
+PackedLimit = tuple[bytes, int, int, int]
 
 
 class PermitAsk(msgspec.Struct, frozen=True, tag=True):
--- a/boragestream/entry/server_permits.py
+++ b/boragestream/entry/server_permits.py
@@ -153,8 +153,8 @@
 
     def answer(self, envelope: Envelope, message: PermitAsk) -> PermitReply:
         """Grant another entry a permit, or refuse it."""
-        record = unpack_limit(message.limit)
-        note_limit_change(self._limits.take(record), envelope.sender)
+        record, age = unpack_limit(message.limit)
+        note_limit_change(self._limits.take(record, age), envelope.sender, age)
         name, host, service = message.server, message.host, message.service
         server = Server(name, service, host, "", message.incarnation)
         if not self._is_settled() or self._own not in self._granters.of(server):
@@ -205,7 +205,7 @@
             server.host,
             server.incarnation,
             server.service,
-            pack_limit(record),
+            pack_limit(record, self._limits.age(record)),
             int(wait_seconds * 1000),
         )
         reply = self._links.ask(address, message, ASK_SECONDS)
--- a/boragestream/policy/server_limits.py
+++ b/boragestream/policy/server_limits.py
@@ -14,7 +14,7 @@
 stay within the promise. What is left is the limit itself up to 1.2 requests a second,
 and never less than 0.7 of it.
 
-An answer without a limit ends it, if its call was sent after the limit became known;
+An answer without a limit ends it, if its call was sent after the one that named it;
 so does the end of the server's life. Servers without a limit go first, so that a
 limited one may get hardly any requests: now and then one is sent there all the same, to
 notice the end. The limit of a server that gets none stays known, and costs nothing.
@@ -171,7 +171,8 @@
         # their identity, since each choice looks at all servers of a service.
         self._limits: dict[bytes, float] = {}
         self._by_identity: dict[tuple[str, str, str], float] = {}
-        self._known_at: dict[bytes, float] = {}
+        # When an answer showed the record, at whichever entry.
+        self._read_at: dict[bytes, float] = {}
         self._answered_at: dict[bytes, float] = {}
         self._free_at: dict[bytes, float] = {}
         self._schedules: dict[bytes, PermitSchedule] = {}
@@ -251,21 +252,24 @@
             if _same(before, limit):
                 return None
             # An answer that was under way is older than what ended or changed a limit.
-            stale = sent_at < self._known_at.get(key, -math.inf)
+            stale = sent_at < self._read_at.get(key, -math.inf)
             if limit is None and (stale or not whole):
                 return None
             revision = known.revision + 1 if known is not None else 1
             hundredths = None if limit is None else int(limit * HUNDREDTHS)
             return self.take(LimitRecord(key, revision, hundredths))
 
-    def take(self, record: LimitRecord) -> LimitChange | None:
-        """Merge a record; None where it changes nothing."""
+    def take(self, record: LimitRecord, age_seconds: float = 0.0) -> LimitChange | None:
+        """Merge a record; None where it changes nothing.
+
+        :param age_seconds: how long ago an answer showed it.
+        """
         key = record.server
         with self._lock:
             known = self._table.get(key.hex())
             if not self._table.take(record):
                 return None
-            self._known_at[key] = self._clock.now()
+            self._read_at[key] = self._clock.now() - age_seconds
             limit = record.per_second
             if limit is None:
                 self._limits.pop(key, None)
@@ -279,6 +283,11 @@
         name = server.name if server is not None else ""
         return LimitChange(name, before, record.per_second)
 
+    def age(self, record: LimitRecord) -> float:
+        """Return how many seconds ago an answer showed a record."""
+        now = self._clock.now()
+        return max(0.0, now - self._read_at.get(record.server, now))
+
     def known(self, server: Server) -> LimitRecord | None:
         """Return the record of a server; None where it never named a limit."""
         return self._table.get(server_key(server).hex())
@@ -336,7 +345,7 @@
         self._table.drop([key.hex()])
         for kept in (
             self._limits,
-            self._known_at,
+            self._read_at,
             self._answered_at,
             self._free_at,
             self._schedules,
--- a/tests/features/limits_over_entries.feature
+++ b/tests/features/limits_over_entries.feature
@@ -121,3 +121,11 @@
     Then it is limited to 2 requests a second
     When it has not been listed for 121 seconds
     Then it is not limited
+
+  Scenario: an answer that is older than another entry's reading does not end a limit
+    Given a record that another entry read 2 seconds ago, with a limit of 2
+    When the server is listed here
+    And the answer of a call that was sent 3 seconds ago names none
+    Then it is limited to 2 requests a second
+    When the answer of a call that was sent 1 seconds ago names none
+    Then it is not limited
--- a/tests/features/steps/limits_over_entries.py
+++ b/tests/features/steps/limits_over_entries.py
@@ -260,3 +260,17 @@
     context.limits.take_list([])
     context.clock.seconds += seconds
     context.limits.take_list([])
+
+
+@given("a record that another entry read {age:d} seconds ago, with a limit of {limit:g}")
+def step(context, age, limit):
+    other = ServerLimits(SetClock())
+    other.note_answer(SERVER, limit, 0.0, True)
+    context.clock = SetClock()
+    context.limits = ServerLimits(context.clock)
+    context.limits.take(other.known(SERVER), float(age))
+
+
+@when("the answer of a call that was sent {age:d} seconds ago names none")
+def step(context, age):
+    context.limits.note_answer(SERVER, None, context.clock.now() - age, True)
