A request refused for limits is traced to them, and status shows limited servers: a scenario

Real entries, both servers of a service limited: the story of a refused request names both limits, however long ago they were named, and its cause; status tells the number.

--- a/tests/features/explaining.feature
+++ b/tests/features/explaining.feature
@@ -37,3 +37,10 @@
   Scenario: labels are bounded
     Given metrics that saw 2000 client accounts and 1000 routes
     Then their text names at most 801 accounts and 257 routes
+
+  @fixture.route-site.2
+  Scenario: a request that no server with a limit could take is traced to the limits
+    Given all servers of "plain" that name a limit of "0.5" requests a second
+    When 40 requests "/safe/ok" a second come to all entries for 2 seconds
+    Then the story of a refused one names the limits of both servers and "servers-limited"
+    And one picture of both entries tells that 2 servers are limited
--- a/tests/features/steps/explaining.py
+++ b/tests/features/steps/explaining.py
@@ -338,3 +338,22 @@
     assert exit_code is ExitCode.OK and story["cause"].startswith(code), story
     told = {(line["source"], line["fields"].get("server")) for line in story["crashes"]}
     assert told == {("entry-a", "i-1"), ("entry-a", "i-2"), ("entry-b", None)}, told
+
+
+@then('the story of a refused one names the limits of both servers and "{code}"')
+def step(context, code):
+    refused = [answer for answer, _, _ in context.answers if answer.status == 503]
+    story = story_of(context, refused[-1].request_id)
+    assert story["cause"].startswith(code), story["cause"]
+    beliefs = [b for b in story["beliefs"] if b["name"] == "server_limit_changed"]
+    named = {belief["fields"]["server"] for belief in beliefs}
+    assert named == {server.identity for server in context.limited}, named
+
+
+@then("one picture of both entries tells that {count:d} servers are limited")
+def step(context, count):
+    addresses = [f"{fields['ip']}:9464" for fields in context.site.fields.values()]
+    picture, _ = run(
+        ["status", "--metrics", f"--entry={','.join(addresses)}", "--json"]
+    )
+    assert [e["limited_servers"] for e in picture["entries"]] == [count, count], picture
--- a/tests/features/steps/limits_over_entries.py
+++ b/tests/features/steps/limits_over_entries.py
@@ -262,7 +262,9 @@
     context.limits.take_list([])
 
 
-@given("a record that another entry read {age:d} seconds ago, with a limit of {limit:g}")
+@given(
+    "a record that another entry read {age:d} seconds ago, with a limit of {limit:g}"
+)
 def step(context, age, limit):
     other = ServerLimits(SetClock())
     other.note_answer(SERVER, limit, 0.0, True)
