--- a/tests/features/steps/explaining.py
+++ b/tests/features/steps/explaining.py
@@ -353,7 +353,5 @@
 @then("one picture of both entries tells that {count:d} servers are limited")
 def step(context, count):
     addresses = [f"{fields['ip']}:9464" for fields in context.site.fields.values()]
-    picture, _ = run(
-        ["status", "--metrics", f"--entry={','.join(addresses)}", "--json"]
-    )
+    picture, _ = run(["status", f"--metrics={','.join(addresses)}", "--json"])
     assert [e["limited_servers"] for e in picture["entries"]] == [count, count], picture
