Terms of the field for what entries learn from others; tuning stories leave the code

server_words is response_hints, told and heard are reported, received, offered or known as the case is; behaviour is the same.

--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -126,7 +126,7 @@
             return self._stream(start_response, request, asked, arrived)
         ending = self._run(request, asked, arrived)
         self.tickets.runs.remember(asked.account.name, request_id, ending)
-        return outcome_reply(start_response, ending.told, request_id)
+        return outcome_reply(start_response, ending.reported, request_id)
 
     def run_ticketed(
         self,
@@ -212,7 +212,7 @@
             ending = self._conclude(request, self.pipelines.run(request))
         finally:
             self._release(request)
-        self._log_end(request.request_id, asked, arrived, ending.told)
+        self._log_end(request.request_id, asked, arrived, ending.reported)
         return ending
 
     def _stream(
--- a/boragestream/caller/ticket_runs.py
+++ b/boragestream/caller/ticket_runs.py
@@ -75,12 +75,12 @@
 class Ending:
     """How a request ended.
 
-    :ivar told: the outcome that its caller is told.
+    :ivar reported: the outcome that its caller receives.
     :ivar known: the outcome for whoever asks later; it differs where a whole answer
         came after the deadline.
     """
 
-    told: Outcome
+    reported: Outcome
     known: Outcome
 
 
@@ -155,7 +155,7 @@
 
     def remember(self, account: str, request_id: str, ending: Ending) -> None:
         """Remember a request without a ticket whose caller is told "unknown"."""
-        if isinstance(ending.told, Unknown):
+        if isinstance(ending.reported, Unknown):
             ended = Ended(request_id, _encoded(ending.known))
             self.memory.remember(account, ended)
 
@@ -229,7 +229,7 @@
             broken = Unknown(RequestBroken(), ask)
             ending = Ending(broken, broken)
         self._finish(grant, text, request_id, _encoded(ending.known))
-        return render(ending.told, request_id)
+        return render(ending.reported, request_id)
 
     def _finish(
         self, grant: Grant, text: str, request_id: str, outcome: Outcome
--- a/boragestream/daemon/parts.py
+++ b/boragestream/daemon/parts.py
@@ -91,7 +91,7 @@
     def live_count() -> int:
         return listing.live_count
 
-    servers = ServerTable(told=tell_leaving)
+    servers = ServerTable(left=tell_leaving)
 
     def call_rate(server: Server) -> float:
         return limits.limits.rate(server)
--- a/boragestream/daemon/peers.py
+++ b/boragestream/daemon/peers.py
@@ -126,7 +126,7 @@
     """Put an entry among the others; nothing runs yet."""
 
     def server_left(server: LeavingServer) -> None:
-        servers.take_word((server.name, server.host, server.incarnation))
+        servers.take_notice((server.name, server.host, server.incarnation))
 
     def take_text(text: bytes, source: str) -> bool:
         return take_document(text, configuration, source) is not None
--- a/boragestream/daemon/server_words.py
+++ b/boragestream/daemon/response_hints.py
@@ -1,4 +1,4 @@
-"""What backend servers say of themselves with answers, whatever the store says."""
+"""Takes the hints that backend servers give of themselves in their responses."""
 
 from http import HTTPStatus
 
@@ -11,13 +11,13 @@
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving.ejections import note_backoff
 
-__all__ = ["server_words"]
+__all__ = ["response_hints"]
 
 
-def server_words(
+def response_hints(
     servers: ServerTable, backoffs: ServerBackoffs, limits: ServerLimits
 ) -> NoteHead:
-    """Return what takes the head of each answer."""
+    """Return what takes the hints in the head of each answer."""
 
     def note_head(server: Server, head: AnswerHead, sent_at: float) -> None:
         if head.backoff_seconds is not None:
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -26,7 +26,7 @@
     make_publications,
 )
 from boragestream.daemon.published_servers import PublishedServers
-from boragestream.daemon.server_words import server_words
+from boragestream.daemon.response_hints import response_hints
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.tasks import OFFER_EVENTS, to_leaving
 from boragestream.document.routes import PieceLimits, RouteService
@@ -171,7 +171,7 @@
         members.tell_leaving(to_leaving(server))
 
     def server_left(server: LeavingServer) -> None:
-        servers.take_word((server.name, server.host, server.incarnation))
+        servers.take_notice((server.name, server.host, server.incarnation))
 
     drains = settings.store.draining_ms is not None
     servers = ServerTable(tell_leaving, awaits_orders=drains)
@@ -196,8 +196,8 @@
     routes.when_taken(lambda table: members.exchange.hurry())
 
     def live() -> Sequence[str]:
-        heard = [e for e in members.entries.usable() if e.host and e.name != own]
-        return able_entries([*heard, listed])
+        others = [e for e in members.entries.usable() if e.host and e.name != own]
+        return able_entries([*others, listed])
 
     def retry_bounds() -> RetryBounds:
         bounds = in_force.current.retries
@@ -238,7 +238,7 @@
         rng,
         metrics.permit_ended,
     )
-    note_head = server_words(servers, backoffs, limits.limits)
+    note_head = response_hints(servers, backoffs, limits.limits)
     line = CallLine(read_answer_head, connections, clock, most_idle, note_head)
 
     def cold_bound(service: str) -> ColdBound | None:
@@ -252,8 +252,8 @@
         if piece_limits(server.service) is not None:
             # Only the owner of a stage's queue calls its servers.
             return owner_order(server.service, live())
-        heard = {entry.name for entry in members.entries.usable() if entry.host}
-        return senders(server, heard | {own})
+        usable = {entry.name for entry in members.entries.usable() if entry.host}
+        return senders(server, usable | {own})
 
     cold = ColdServers(own, cold_bound, cold_senders, lambda: sync.agreed, clock)
 
--- a/boragestream/entry/addresses.py
+++ b/boragestream/entry/addresses.py
@@ -75,8 +75,8 @@
     def packed(self) -> bytes:
         """Return the records of all entries that were heard, as ``take`` reads them."""
         with self._lock:
-            heard = [entry for entry in self._known.values() if entry.host]
-        return _encoder.encode([_pack(entry) for entry in heard])
+            known = [entry for entry in self._known.values() if entry.host]
+        return _encoder.encode([_pack(entry) for entry in known])
 
     def packed_own(self) -> bytes:
         """Return the record of this entry, as ``take`` reads it."""
@@ -104,12 +104,12 @@
         with self._lock:
             others = [e for e in self._known.values() if e.host and e != self._own]
         count = min(RECORDS_IN_OFFER, len(others))
-        told = [self._own, *self._rng.sample(others, count)]
-        while told:
-            data = _encoder.encode([_pack(entry) for entry in told])
+        offered = [self._own, *self._rng.sample(others, count)]
+        while offered:
+            data = _encoder.encode([_pack(entry) for entry in offered])
             if len(data) <= budget - OTHERS_BYTES:
                 return data
-            told.pop()
+            offered.pop()
         return b""
 
     def take(self, sender: str, data: bytes) -> None:
--- a/boragestream/entry/published_relay.py
+++ b/boragestream/entry/published_relay.py
@@ -186,9 +186,9 @@
         trouble = math.inf
         if word.trouble_ms < MOST_AGE_MS:
             trouble = word.trouble_ms / 1000 + waited
-        self._following.take_word(word.age_ms / 1000 + waited, trouble)
+        self._following.take_notice(word.age_ms / 1000 + waited, trouble)
         if word.confirmed_ms < MOST_AGE_MS:
-            self._confirming.take_word(word.confirmed_ms / 1000 + waited)
+            self._confirming.take_notice(word.confirmed_ms / 1000 + waited)
 
 
 def _milliseconds(seconds: float) -> int:
--- a/boragestream/platform/published.py
+++ b/boragestream/platform/published.py
@@ -190,15 +190,15 @@
         return PublishedMalformed("unknown state")
     if not _is_address(entry.addr):
         return PublishedMalformed("no address")
-    told = entry.born is not msgspec.UNSET
+    born_known = entry.born is not msgspec.UNSET
     return Server(
         name=name,
         service=entry.service,
         host=entry.addr,
         data_centre=entry.zone,
-        incarnation=str(entry.born) if told else name,
+        incarnation=str(entry.born) if born_known else name,
         state=state,
-        started_ms=entry.born if told else 0,
+        started_ms=entry.born if born_known else 0,
         cold_seconds=max(0.0, entry.cold_left_ms / 1000),
     )
 
--- a/boragestream/policy/confirming.py
+++ b/boragestream/policy/confirming.py
@@ -108,7 +108,7 @@
             spread = 0.5 + self._rng.random()
             self._not_before = self._clock.now() + pause * spread
 
-    def take_word(self, age_seconds: float) -> None:
+    def take_notice(self, age_seconds: float) -> None:
         """Take a peer's word whose content is known here.
 
         :param age_seconds: how long ago all that the peer knows was confirmed.
--- a/boragestream/policy/connection_shares.py
+++ b/boragestream/policy/connection_shares.py
@@ -14,9 +14,6 @@
 def idle_connections(max_connections: int, entries: int) -> int:
     """Return the most idle connections to one server.
 
-    At 60 entries before servers that take 100 connections each, eight to each server
-    had a fifth of the unsafe calls reset in a burst; a fresh connection costs 1 ms.
-
     :param max_connections: what a server accepts from all entries.
     :param entries: the live entries, this one included.
     """
--- a/boragestream/policy/load.py
+++ b/boragestream/policy/load.py
@@ -128,9 +128,9 @@
         self._numbers = itertools.count()
         self._first_report: Callable[[str], None] = lambda service: None
 
-    def when_first_reported(self, told: Callable[[str], None]) -> None:
+    def when_first_reported(self, reported: Callable[[str], None]) -> None:
         """Have a function called with the service of a server's first report."""
-        self._first_report = told
+        self._first_report = reported
 
     def get(self, server: Server) -> ServerLoad:
         """Return the load of a server; an empty one for a server not yet called."""
--- a/boragestream/policy/membership.py
+++ b/boragestream/policy/membership.py
@@ -76,20 +76,20 @@
     return replace(member, state=MemberState.SUSPECT)
 
 
-def answer_to(own: Member, heard: Member, outranked: Collection[str]) -> Member:
-    """Return an entry's own record after it heard what is believed of it.
+def answer_to(own: Member, received: Member, outranked: Collection[str]) -> Member:
+    """Return an entry's own record after it received what is believed of it.
 
     A leaving entry cannot tell a predecessor from a successor that runs already. It
     rises above either once; a successor rises again, a predecessor does not.
 
     :param own: its record so far.
-    :param heard: a record under its name.
+    :param received: a record under its name.
     :param outranked: the incarnations above which it has already risen.
     """
-    if later(own, heard) == own:
+    if later(own, received) == own:
         return own
-    if heard.incarnation == own.incarnation:
-        return replace(own, counter=heard.counter + 1)
-    if own.state is MemberState.LIVE or heard.incarnation not in outranked:
-        return replace(own, generation=heard.generation + 1)
+    if received.incarnation == own.incarnation:
+        return replace(own, counter=received.counter + 1)
+    if own.state is MemberState.LIVE or received.incarnation not in outranked:
+        return replace(own, generation=received.generation + 1)
     return own
--- a/boragestream/policy/peers.py
+++ b/boragestream/policy/peers.py
@@ -187,11 +187,11 @@
         """Return the listed entries that are in one of some states."""
         return tuple(e for e in self.listed if self.state(e.name) in states)
 
-    def _answer(self, heard: Member) -> None:
-        answer = answer_to(self._own, heard, self._outranked)
-        self._members.take(heard, spread=False)
+    def _answer(self, received: Member) -> None:
+        answer = answer_to(self._own, received, self._outranked)
+        self._members.take(received, spread=False)
         if answer != self._own:
-            self._outranked.add(heard.incarnation)
+            self._outranked.add(received.incarnation)
             self._own = answer
             self._members.take(answer)
             self._changed()
--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -37,14 +37,12 @@
 # worth a seventh.
 BOOKED_SHARE = (0.85, 0.75, 0.65)
 # A short queue is joined also by what seems to be late already: nobody is kept waiting,
-# and what is kept back for the engine is more than most need. Without it 2.4 in 100
-# requests of a calm day of six entries were refused, with it 0.6.
+# and what is kept back for the engine is more than most need.
 SHORT_WAIT_SECONDS = 0.25
 # An order goes before one that is more urgent by a level of priority only where its
 # latest start is so much earlier. Less, and a chain of several stages, which has little
-# time to spare, is served less often than less urgent requests of one stage. With twice
-# as much a kind two levels below is served in a third of its requests in bursts, with
-# this in half of them, at the same credit altogether.
+# time to spare, is served less often than less urgent requests of one stage; more, and
+# what is two levels below is hardly served in bursts.
 PRIORITY_SECONDS = 0.25
 
 
--- a/boragestream/policy/queue_owners.py
+++ b/boragestream/policy/queue_owners.py
@@ -13,9 +13,8 @@
 
 __all__ = ["able_entries", "owner_order"]
 
-# Among equal instances all can own. At 83 unequal ones, with 0.5 to 2.2 cores and links
-# of 5 to 100 megabits a second, owners by rank alone took four fifths of what a calm
-# day was worth.
+# Among equal instances all can own; among unequal ones a queue on a small instance
+# holds up the stages of all entries.
 ABLE_SHARE = 0.5
 
 
--- a/boragestream/policy/server_choice.py
+++ b/boragestream/policy/server_choice.py
@@ -39,9 +39,7 @@
 # next to nothing between data centres; larger ones are a hundred times as large.
 LARGE_RESULT_BYTES = 300_000.0
 # To read a shared token again costs about as much as this many bytes of results between
-# data centres, by what users count for both. The long kind of request shares 6,300
-# tokens and reads 2 to 4 MB: sent to wherever its results lay, it had an eighth of all
-# shared tokens read again.
+# data centres, so that long prompts go where they are cached and not to their results.
 BYTES_A_TOKEN = 1_200
 # The first attempts keep away from servers that failed lately; limits by queueing are
 # left out, since streams differ in length by far more than any queue costs.
@@ -133,7 +131,6 @@
 
     The last part is the request's own. The one before it is the longest beginning that
     other requests share: an engine that holds it holds everything before it too.
-    Choosing by the last part instead reads two thirds more shared tokens again.
     """
     return prompt[-min(len(prompt), 2)].identity if prompt else ""
 
@@ -166,8 +163,7 @@
     """Return the data centre where a stage's pieces should be made; empty for any.
 
     Large results of a first stage are made beside the engine that holds the prompt of
-    their request: on the calm day of 83 entries 5.6 GB of results between data centres
-    became 1.6, and shared tokens read again fell by a quarter at the same time.
+    their request: neither do they cross data centres, nor is the prompt read again.
 
     :param read: the results that each of the pieces reads.
     :param count: how many pieces are made.
--- a/boragestream/policy/servers.py
+++ b/boragestream/policy/servers.py
@@ -57,17 +57,17 @@
 class ServerTable:
     """The servers by service; readers take a snapshot without a lock.
 
-    :param told: called with each server that said to this entry that it is leaving.
+    :param left: called with each server that said to this entry that it is leaving.
     :param awaits_orders: whether no server is used until it is known which data centres
         are drained: an entry that starts hears of the servers in whatever order.
     """
 
     def __init__(
         self,
-        told: Callable[[Server], None] = lambda server: None,
+        left: Callable[[Server], None] = lambda server: None,
         awaits_orders: bool = False,
     ) -> None:
-        self._told = told
+        self._left = left
         self._awaits_orders = awaits_orders
         self._unused: Callable[[str], None] = lambda host: None
         self._by_service: dict[str, tuple[Server, ...]] = {}
@@ -131,13 +131,13 @@
 
     def note_leaving(self, server: Server) -> bool:
         """Take a server's own word that it is leaving; False where it was known."""
-        if not self.take_word(server.identity):
+        if not self.take_notice(server.identity):
             return False
-        self._told(server)
+        self._left(server)
         return True
 
-    def take_word(self, identity: tuple[str, str, str]) -> bool:
-        """Take another entry's word that a server said that it is leaving.
+    def take_notice(self, identity: tuple[str, str, str]) -> bool:
+        """Take another entry's notice that a server said that it is leaving.
 
         :returns: whether it was not known yet.
         """
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -274,8 +274,8 @@
             queued.left.append(piece)
         return queued is not None
 
-    def note_told(self, order_id: str, numbers: set[int]) -> None:
-        """Take that results were told; an order with no other pieces is done."""
+    def note_reported(self, order_id: str, numbers: set[int]) -> None:
+        """Take that results were reported; an order with no other pieces is done."""
         queued = self._orders.get(order_id)
         if queued is None:
             return
--- a/boragestream/policy/watching.py
+++ b/boragestream/policy/watching.py
@@ -170,7 +170,7 @@
         self._entries = entries
         self._began = clock.now()
         self._own = {prefix: _Following(once) for prefix, once in prefixes.items()}
-        self._heard_at = -math.inf
+        self._relayed_at = -math.inf
         margin = min(ASK_MARGIN_SECONDS, ASK_MARGIN_SHARE * bound_seconds)
         self._patience = bound_seconds - margin
         self._trouble_at = -math.inf
@@ -215,7 +215,7 @@
         """Return after how long it may be time to ask."""
         now = self._clock.now()
         with self._lock:
-            due = max(self._heard_at + self._patience, self._not_before)
+            due = max(self._relayed_at + self._patience, self._not_before)
             if due == -math.inf:
                 return LOOK_SECONDS
             return min(LOOK_SECONDS, max(LEAST_PAUSE_SECONDS, due - now))
@@ -277,7 +277,7 @@
         own = self._own[prefix]
         return own.waits and own.in_row
 
-    def take_word(self, age_seconds: float, trouble_seconds: float) -> None:
+    def take_notice(self, age_seconds: float, trouble_seconds: float) -> None:
         """Take a peer's word whose content is known here.
 
         :param age_seconds: how old what the peer knows can be.
@@ -285,7 +285,7 @@
         """
         now = self._clock.now()
         with self._lock:
-            self._heard_at = max(self._heard_at, now - age_seconds)
+            self._relayed_at = max(self._relayed_at, now - age_seconds)
             self._trouble_at = max(self._trouble_at, now - trouble_seconds)
             if now - age_seconds > self._trouble_at and not self._designated():
                 # Somebody was answered since, so that there is no outage any more to
@@ -302,14 +302,14 @@
         now = self._clock.now()
         with self._lock:
             known = min(self._known_at(own, now) for own in self._own.values())
-            return min(MOST_AGE_SECONDS, now - max(known, self._heard_at))
+            return min(MOST_AGE_SECONDS, now - max(known, self._relayed_at))
 
     def trouble_seconds(self) -> float:
         """Return how long ago the store did not answer somebody; may be infinite."""
         return self._clock.now() - self._trouble_at
 
     def _wants(self, own: _Following, now: float) -> bool:
-        nothing_known = max(own.known_at, self._heard_at) == -math.inf
+        nothing_known = max(own.known_at, self._relayed_at) == -math.inf
         if nothing_known or self._is_silent(own, now):
             return True
         if now - self._began < SETTLE_SECONDS:
@@ -318,11 +318,11 @@
 
     def _is_silent(self, own: _Following, now: float) -> bool:
         """Tell whether the peers have said nothing in time."""
-        heard = self._heard_at
-        if heard == -math.inf:
+        confirmed_at = self._relayed_at
+        if confirmed_at == -math.inf:
             # Until the peers' first word, own answers count.
-            heard = own.known_at if not own.in_row else self._began
-        return now - heard > self._patience
+            confirmed_at = own.known_at if not own.in_row else self._began
+        return now - confirmed_at > self._patience
 
     def _waits_for_turn(self, now: float) -> bool:
         """Tell whether this entry's turn among all those that probe is yet to come."""
--- a/boragestream/serving/owner_links.py
+++ b/boragestream/serving/owner_links.py
@@ -63,9 +63,11 @@
         if known in ranked:
             ranked.remove(known)
             ranked.insert(0, known)
-        heard = [e for e in ranked if self._passed_over.get(e, 0.0) <= now]
+        answering = [e for e in ranked if self._passed_over.get(e, 0.0) <= now]
         # This entry itself is the last resort, wherever it ranks.
-        until_own = heard[: heard.index(self._own) + 1] if self._own in heard else heard
+        until_own = answering
+        if self._own in answering:
+            until_own = answering[: answering.index(self._own) + 1]
         return until_own if self._own in until_own else [*until_own, self._own]
 
     def ask(self, owner: str, message: Message) -> PiecesAnswer | None:
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -293,7 +293,7 @@
             pieces, failure = len(batch.pieces), result.describe()
             server = batch.server.name
             emit(Event.BATCH_FAILED, server=server, pieces=pieces, failure=failure)
-        told: dict[str, list[tuple[int, PieceResult]]] = {}
+        reported: dict[str, list[tuple[int, PieceResult]]] = {}
         unwanted: list[str] = []
         with self._lock:
             queue = self._queues[service]
@@ -311,11 +311,11 @@
                 else:
                     outcome = done or PieceResult("", PieceFault.ERROR)
                     placed = replace(outcome, data_centre=batch.server.data_centre)
-                    told.setdefault(order_id, []).append((piece.number, placed))
-            for order_id, numbered in told.items():
-                queue.note_told(order_id, {number for number, _ in numbered})
+                    reported.setdefault(order_id, []).append((piece.number, placed))
+            for order_id, numbered in reported.items():
+                queue.note_reported(order_id, {number for number, _ in numbered})
         self._note_answered(batch, results)
-        for order_id, numbered in told.items():
+        for order_id, numbered in reported.items():
             self._done(order_id, numbered)
         if unwanted:
             self.release(unwanted)
--- a/tests/features/steps/drained_centres.py
+++ b/tests/features/steps/drained_centres.py
@@ -335,7 +335,7 @@
         """Begin with none."""
         self.taken = []
 
-    def take_word(self, age, trouble=None):
+    def take_notice(self, age, trouble=None):
         """Take an age."""
         self.taken.append(age)
 
--- a/tests/features/steps/leaving_before_the_send.py
+++ b/tests/features/steps/leaving_before_the_send.py
@@ -90,7 +90,7 @@
 
     def leave(self):
         """Have the server begin to leave."""
-        self.servers.take_word(self.leaving.identity)
+        self.servers.take_notice(self.leaving.identity)
 
 
 class Wire:
--- a/tests/features/steps/policy_servers.py
+++ b/tests/features/steps/policy_servers.py
@@ -29,7 +29,7 @@
     if source == "the server":
         context.servers.note_leaving(context.server)
     elif source == "a peer":
-        context.servers.take_word(context.server.identity)
+        context.servers.take_notice(context.server.identity)
     else:
         context.servers.take_list([replace(context.server, state=ServerState.LEAVING)])
 
@@ -58,7 +58,7 @@
 @when("{count:d} other servers leave and vanish")
 def step(context, count):
     for number in range(count):
-        context.servers.take_word((f"server-{number}", HOST, "1"))
+        context.servers.take_notice((f"server-{number}", HOST, "1"))
 
 
 @then("the table remembers at most {count:d} of them")
--- a/tests/features/steps/published_servers.py
+++ b/tests/features/steps/published_servers.py
@@ -72,7 +72,7 @@
             "1",
             "hall",
             links,
-            self.take_word,
+            self.take_notice,
             self.clock,
             random.Random(1),
         )
@@ -98,9 +98,9 @@
             self.values[f"servers/{name}"] = entry(addr=f"10.0.0.{number + 1}:80")
         self.take()
 
-    def take_word(self, server):
+    def take_notice(self, server):
         """Take another entry's word."""
-        self.servers.take_word((server.name, server.host, server.incarnation))
+        self.servers.take_notice((server.name, server.host, server.incarnation))
 
     def take(self):
         """Take all entries."""
@@ -296,4 +296,4 @@
 def step(context, name):
     earlier: Server = context.earlier
     word = LeavingServer(earlier.name, earlier.host, earlier.incarnation)
-    context.site.take_word(word)
+    context.site.take_notice(word)
--- a/tests/standins/following.py
+++ b/tests/standins/following.py
@@ -296,9 +296,9 @@
             relayed = other.table.since(self.table.revision)
             if self.table.take_relayed(relayed):
                 self.note_news()
-        self.following.take_word(age, trouble)
+        self.following.take_notice(age, trouble)
         if confirmed < MOST_AGE_SECONDS:
-            self.confirming.take_word(confirmed)
+            self.confirming.take_notice(confirmed)
 
 
 class SimulatedSite:
--- a/tests/standins/stage_load.py
+++ b/tests/standins/stage_load.py
@@ -147,7 +147,7 @@
         self.queue.end(batch, results, True, now)
         for (held, piece), result in zip(batch.pieces, results, strict=True):
             self.queue.release(batch.server, result.handle)
-            self.queue.note_told(held.order.order_id, {piece.number})
+            self.queue.note_reported(held.order.order_id, {piece.number})
 
 
 def play(kinds, limits, servers, seconds, seed, returning=False, recognized=True):
