Records of limits in a module of their own; one class asks those that own something

OwnerQuestions serves the owners of queues and the entries that grant permits, which asked and passed over alike.

--- a/bench/server_limits.py
+++ b/bench/server_limits.py
@@ -27,8 +27,9 @@
 from boragestream.base.clock import SystemClock
 from boragestream.entry.limits import LimitsPart
 from boragestream.policy.granters import Granters
+from boragestream.policy.limit_records import LimitRecord, server_key
 from boragestream.policy.queue_owners import owner_order
-from boragestream.policy.server_limits import LimitRecord, ServerLimits, server_key
+from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.servers import Server
 from boragestream.policy.shares import next_share, split
 from boragestream.policy.token_bucket import TokenBucket
--- a/boragestream/backend/attempt.py
+++ b/boragestream/backend/attempt.py
@@ -40,8 +40,8 @@
 from boragestream.base.clock import Clock
 from boragestream.base.failures import DeadlinePassed
 from boragestream.document.calls import LimitMalformed
+from boragestream.policy.limit_records import parse_limit
 from boragestream.policy.server_backoffs import parse_backoff
-from boragestream.policy.server_limits import parse_limit
 from boragestream.policy.tickets import TicketExpired
 
 __all__ = [
--- a/boragestream/entry/limits.py
+++ b/boragestream/entry/limits.py
@@ -16,12 +16,8 @@
 from boragestream.entry.messages import Envelope, Message
 from boragestream.entry.peer_questions import PeerQuestions, decode_offer
 from boragestream.entry.permit_messages import LimitsAsk, LimitsReply, PackedLimit
-from boragestream.policy.server_limits import (
-    SERVER_KEY_BYTES,
-    LimitChange,
-    LimitRecord,
-    ServerLimits,
-)
+from boragestream.policy.limit_records import SERVER_KEY_BYTES, LimitChange, LimitRecord
+from boragestream.policy.server_limits import ServerLimits
 
 __all__ = ["LimitsPart", "note_limit_change", "pack_limit", "unpack_limit"]
 
--- a/boragestream/entry/server_permits.py
+++ b/boragestream/entry/server_permits.py
@@ -18,26 +18,21 @@
 from dataclasses import dataclass
 
 from boragestream.base.clock import Clock
-from boragestream.base.events import Event, emit
 from boragestream.base.outcomes import Failure
 from boragestream.entry.limits import note_limit_change, pack_limit, unpack_limit
 from boragestream.entry.links import PeerLinks
 from boragestream.entry.messages import Envelope, ProbeReply
+from boragestream.entry.owner_questions import OwnerQuestions
 from boragestream.entry.permit_messages import PermitAsk, PermitReply, PermitReturn
 from boragestream.policy.granters import Granters
-from boragestream.policy.server_limits import (
-    PERMIT_SECONDS,
-    LimitRecord,
-    ServerLimits,
-    server_key,
-)
+from boragestream.policy.limit_records import LimitRecord, server_key
+from boragestream.policy.server_limits import PERMIT_SECONDS, ServerLimits
 from boragestream.policy.servers import Server
 
 __all__ = ["Permit", "PermitRefused", "ServerPermits"]
 
-ASK_SECONDS = 0.3
-# An entry that was silent is not asked for so long.
-PASSED_OVER_SECONDS = 2.0
+# A permit that is not given back in time is lost, and nothing more.
+RETURN_SECONDS = 0.3
 # Entries agree on who is there, or find out who is silent, in about this time.
 UNSETTLED_SECONDS = 0.5
 # No caller waits longer for a permit.
@@ -112,7 +107,7 @@
         self._clock = clock
         self._ended = ended
         self._settled = False
-        self._passed_over: dict[str, float] = {}
+        self._questions = OwnerQuestions(links, clock)
         self._numbers = itertools.count(1)
         self._granted: dict[int, _Granted] = {}
         self._lock = threading.Lock()
@@ -149,7 +144,7 @@
         address = self._address(permit.granted_by)
         if address is not None:
             message = PermitReturn(permit.number)
-            self._submit(lambda: self._links.ask(address, message, ASK_SECONDS))
+            self._submit(lambda: self._links.ask(address, message, RETURN_SECONDS))
 
     def answer(self, envelope: Envelope, message: PermitAsk) -> PermitReply:
         """Grant another entry a permit, or refuse it."""
@@ -180,7 +175,7 @@
             asked_at = self._clock.now()
             if entry == self._own:
                 number, left = self._grant(record.server, wait_seconds)
-            elif self._passed_over.get(entry, 0.0) > asked_at:
+            elif self._questions.is_passed_over(entry):
                 continue
             else:
                 reply = self._ask(entry, server, record, wait_seconds)
@@ -208,13 +203,7 @@
             pack_limit(record, self._limits.age(record)),
             int(wait_seconds * 1000),
         )
-        reply = self._links.ask(address, message, ASK_SECONDS)
-        if isinstance(reply, PermitReply):
-            return reply
-        self._passed_over[entry] = self._clock.now() + PASSED_OVER_SECONDS
-        described = reply.describe() if isinstance(reply, Failure) else repr(reply)
-        emit(Event.OWNER_SILENT, entry=entry, failure=described)
-        return None
+        return self._questions.ask(entry, address, message, PermitReply)
 
     def _grant(self, key: bytes, wait_seconds: float) -> tuple[int, float]:
         """Return the number of a permit, 0 for none, and the seconds to its begin."""
--- a/boragestream/platform/wire.py
+++ b/boragestream/platform/wire.py
@@ -16,8 +16,8 @@
     RequestMalformed,
     RunClaim,
 )
+from boragestream.policy.limit_records import parse_limit
 from boragestream.policy.server_backoffs import parse_backoff
-from boragestream.policy.server_limits import parse_limit
 
 __all__ = [
     "encode_call",
--- a/boragestream/policy/server_limits.py
+++ b/boragestream/policy/server_limits.py
@@ -30,30 +30,21 @@
 import math
 import threading
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
-from functools import lru_cache
-
-import xxhash
 
 from boragestream.base.clock import Clock
-from boragestream.document.calls import LimitMalformed
 from boragestream.policy.gossip import GossipTable
+from boragestream.policy.limit_records import (
+    HUNDREDTHS,
+    LimitChange,
+    LimitRecord,
+    prevailing,
+    server_key,
+)
 from boragestream.policy.permit_schedule import PermitSchedule
 from boragestream.policy.servers import Server
 
-__all__ = [
-    "PERMIT_SECONDS",
-    "SERVER_KEY_BYTES",
-    "LimitChange",
-    "LimitRecord",
-    "ServerLimits",
-    "granted_rate",
-    "parse_limit",
-    "server_key",
-]
-
-# No single server serves as much; a higher figure limits nothing.
-MOST_PER_SECOND = 100_000.0
+__all__ = ["PERMIT_SECONDS", "ServerLimits", "granted_rate"]
+
 WINDOW_SECONDS = 4.0
 FACTOR = 1.5
 SLACK = 5.0
@@ -66,30 +57,8 @@
 CHECK_SECONDS = 1.0
 # Limits that differ by less are one limit.
 SAME_SHARE = 0.05
-SERVER_KEY_BYTES = 8
-HUNDREDTHS = 100
 # A list that omits a server by mistake costs nothing within this time.
 FORGET_SECONDS = 120.0
-MOST_RECORDS = 16_384
-
-
-def parse_limit(texts: Sequence[str]) -> float | LimitMalformed | None:
-    """Decode the limits that an answer names.
-
-    :param texts: one for each time that it names one.
-    :returns: requests a second, the lowest of several; None where there is no limit.
-    """
-    named = []
-    for text in texts:
-        try:
-            limit = float(text)
-        except ValueError:
-            return LimitMalformed()
-        if math.isnan(limit) or limit < 0:
-            return LimitMalformed()
-        named.append(limit)
-    lowest = min(named, default=math.inf)
-    return lowest if lowest <= MOST_PER_SECOND else None
 
 
 def granted_rate(limit: float) -> float:
@@ -102,59 +71,6 @@
     return max(LEAST_RATE, min(limit, rate))
 
 
-@lru_cache(MOST_RECORDS)
-def _identity_key(identity: tuple[str, str, str]) -> bytes:
-    return xxhash.xxh3_64_digest("\0".join(identity).encode())
-
-
-def server_key(server: Server) -> bytes:
-    """Return the short form of one life of a server, the same at every entry."""
-    return _identity_key(server.identity)
-
-
-@dataclass(frozen=True, slots=True)
-class LimitRecord:
-    """What is known of one server's limit.
-
-    :ivar server: the short form of one life of the server.
-    :ivar revision: rises with each change.
-    :ivar hundredths: of a request a second; None where the limit has ended.
-    """
-
-    server: bytes
-    revision: int
-    hundredths: int | None
-
-    @property
-    def per_second(self) -> float | None:
-        """The limit in requests a second; None where it has ended."""
-        return None if self.hundredths is None else self.hundredths / HUNDREDTHS
-
-    @property
-    def rank(self) -> tuple[int, float]:
-        """The record with the greater rank prevails."""
-        limit = math.inf if self.hundredths is None else self.hundredths
-        return (self.revision, -limit)
-
-
-@dataclass(frozen=True, slots=True)
-class LimitChange:
-    """A change of what is known of a server's limit.
-
-    :ivar server: the server's name; empty where it is not listed here.
-    :ivar before: requests a second; None for no limit.
-    :ivar after: requests a second; None for no limit.
-    """
-
-    server: str
-    before: float | None
-    after: float | None
-
-
-def _prevailing(known: LimitRecord, other: LimitRecord) -> LimitRecord:
-    return other if other.rank > known.rank else known
-
-
 class ServerLimits:
     """The limits that one entry knows, and the permits that it grants.
 
@@ -166,7 +82,7 @@
     ) -> None:
         self._clock = clock
         self._changed = changed
-        self._table = GossipTable[LimitRecord](lambda r: r.server.hex(), _prevailing)
+        self._table = GossipTable[LimitRecord](lambda r: r.server.hex(), prevailing)
         # What is limited now, in requests a second; the same of servers known here, by
         # their identity, since each choice looks at all servers of a service.
         self._limits: dict[bytes, float] = {}
--- a/boragestream/serving/owner_links.py
+++ b/boragestream/serving/owner_links.py
@@ -14,14 +14,12 @@
 from boragestream.base.outcomes import Failure
 from boragestream.entry.links import PeerLinks
 from boragestream.entry.messages import Message
+from boragestream.entry.owner_questions import OwnerQuestions
 from boragestream.entry.piece_messages import PiecesAnswer
 from boragestream.policy.queue_owners import owner_order
 
 __all__ = ["OwnerLinks", "milliseconds"]
 
-# An owner acknowledges at once; one that is silent for longer is passed over.
-ACKNOWLEDGE_SECONDS = 0.3
-PASSED_OVER_SECONDS = 2.0
 MESSAGE_SECONDS = 0.5
 MESSAGE_THREADS = 16
 
@@ -43,8 +41,7 @@
         self._own = own
         self._live = live
         self._links = links
-        self._clock = clock
-        self._passed_over: dict[str, float] = {}
+        self._questions = OwnerQuestions(links, clock)
         self._messages = ThreadPoolExecutor(MESSAGE_THREADS, "piece messages")
 
     @property
@@ -58,12 +55,11 @@
         :param known: the owner that took an order; it stays the owner while it is
             there, whoever ranks before it since, so that nothing is made twice.
         """
-        now = self._clock.now()
         ranked = owner_order(service, self._live())
         if known in ranked:
             ranked.remove(known)
             ranked.insert(0, known)
-        answering = [e for e in ranked if self._passed_over.get(e, 0.0) <= now]
+        answering = [e for e in ranked if not self._questions.is_passed_over(e)]
         # This entry itself is the last resort, wherever it ranks.
         until_own = answering
         if self._own in answering:
@@ -72,13 +68,7 @@
 
     def ask(self, owner: str, message: Message) -> PiecesAnswer | None:
         """Ask an owner; one that is silent is passed over, and None returned."""
-        reply = self._links.ask(owner, message, ACKNOWLEDGE_SECONDS)
-        if isinstance(reply, PiecesAnswer):
-            return reply
-        self._passed_over[owner] = self._clock.now() + PASSED_OVER_SECONDS
-        described = reply.describe() if isinstance(reply, Failure) else repr(reply)
-        emit(Event.OWNER_SILENT, entry=owner, failure=described)
-        return None
+        return self._questions.ask(owner, owner, message, PiecesAnswer)
 
     def send(self, entry: str, message: Message) -> None:
         """Send a message that needs no answer, without waiting for it."""
