Limited servers keep their prompts and results; permits come at the limit itself

The bound of permits within half a second after a suspension is the burst and one more, as promised: four in place of two.

--- a/bench/server_limits.py
+++ b/bench/server_limits.py
@@ -178,6 +178,8 @@
                 middle = entries // 2
                 known = names[:middle] if first else names[middle:]
                 crowd.entries[name].known = known
+                # The others are silent for it.
+                crowd.entries[name].divided = True
         began = crowd.clock.now()
         for tick in range(round(SECONDS / TICK_SECONDS)):
             crowd.run(TICK_SECONDS)
--- a/boragestream/daemon/limits.py
+++ b/boragestream/daemon/limits.py
@@ -11,6 +11,7 @@
 from boragestream.entry.permit_messages import LimitsAsk, PermitAsk, PermitReturn
 from boragestream.entry.server_permits import ServerPermits
 from boragestream.policy.granters import Granters
+from boragestream.policy.membership import MemberState
 from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.servers import Server
 from boragestream.serving.limited_servers import LimitedServers
@@ -52,9 +53,16 @@
     """
     exchange = members.exchange
     limits = ServerLimits(clock, exchange.hurry)
-    part = LimitsPart(limits, links, members.address, exchange.submit)
+
+    def divided() -> bool:
+        silent = members.entries.in_states((MemberState.SUSPECT,))
+        return bool(silent) or not agreed()
+
+    granters = Granters(live, subject, clock, divided)
+    part = LimitsPart(
+        limits, links, members.address, exchange.submit, granters.look_again
+    )
     exchange.add_part(part)
-    granters = Granters(live, subject, clock)
     permits = ServerPermits(
         own,
         limits,
--- a/boragestream/entry/limits.py
+++ b/boragestream/entry/limits.py
@@ -49,6 +49,7 @@
     :param links: carries the questions.
     :param address: returns a peer's address by its name.
     :param submit: has a question asked beside the rounds.
+    :param each_message: called with each message that is made up.
     """
 
     name = "l"
@@ -59,8 +60,10 @@
         links: PeerLinks,
         address: Callable[[str], str | None],
         submit: Callable[[Callable[[], None]], None],
+        each_message: Callable[[], None] = lambda: None,
     ) -> None:
         self._limits = limits
+        self._each_message = each_message
         self._questions = PeerQuestions(
             links,
             address,
@@ -71,6 +74,7 @@
 
     def offer(self, budget: int) -> bytes:
         """Return the digest and some new records."""
+        self._each_message()
         room = max(0, budget - OFFER_BYTES) // RECORD_BYTES
         new = self._limits.table.news(min(NEW_RECORDS, room))
         records = self._pack(new)
--- a/boragestream/entry/server_permits.py
+++ b/boragestream/entry/server_permits.py
@@ -154,7 +154,7 @@
         server = Server(name, service, host, "", message.incarnation)
         if not self._is_settled() or self._own not in self._granters.of(server):
             return PermitReply(0, int(UNSETTLED_SECONDS * 1000))
-        number, left = self._grant(record.server, message.wait_ms / 1000)
+        number, left = self._grant(server, message.wait_ms / 1000)
         # Rounded up, so that no permit begins too early.
         return PermitReply(number, int(left * 1000) + 1)
 
@@ -174,7 +174,7 @@
         for entry in self._granters.of(server):
             asked_at = self._clock.now()
             if entry == self._own:
-                number, left = self._grant(record.server, wait_seconds)
+                number, left = self._grant(server, wait_seconds)
             elif self._questions.is_passed_over(entry):
                 continue
             else:
@@ -205,9 +205,11 @@
         )
         return self._questions.ask(entry, address, message, PermitReply)
 
-    def _grant(self, key: bytes, wait_seconds: float) -> tuple[int, float]:
+    def _grant(self, server: Server, wait_seconds: float) -> tuple[int, float]:
         """Return the number of a permit, 0 for none, and the seconds to its begin."""
-        moment, left = self._limits.reserve(key, wait_seconds)
+        key = server_key(server)
+        standing = self._granters.standing(server, self._own)
+        moment, left = self._limits.reserve(key, wait_seconds, standing)
         if moment is None:
             return 0, left
         with self._lock:
--- a/boragestream/policy/permit_schedule.py
+++ b/boragestream/policy/permit_schedule.py
@@ -1,8 +1,8 @@
 """The permits to call one server, granted by one entry at a steady rate.
 
-Permits lie a fixed gap apart, so that any span of time holds one more than its length
-divided by the gap, however long nobody asked. A permit can lie ahead: the entry that
-asked waits for it. One that was not used is given back, and its place is free again.
+Any span of time holds no more permits than a burst and the rate times its length, and
+none accrue beyond the burst, however long nobody asked. A permit can lie ahead: the
+entry that asked waits for it. One that was not used is given back.
 
 Load pattern: far more requests than a server takes, in bursts, from many entries.
 
@@ -10,49 +10,61 @@
 (``entry.server_permits``). Not safe without its owner's lock.
 """
 
-import bisect
-from dataclasses import dataclass, field
+import math
+from dataclasses import dataclass
 
-__all__ = ["PermitSchedule"]
+__all__ = ["Pace", "PermitSchedule"]
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How fast permits are granted.
+
+    :ivar per_second: in the long run.
+    :ivar burst: how many may begin at once; 1 at the least.
+    """
+
+    per_second: float
+    burst: float
 
 
 @dataclass(slots=True)
 class PermitSchedule:
-    """The permits of one server that can still decide about others.
+    """The permits of one server.
 
-    :ivar _moments: when they begin, in the clock's seconds, in their order.
+    :ivar pace: how fast they are granted now.
+    :ivar _paid_until: when the permits granted so far are made up for by the rate, in
+        the clock's seconds.
+    :ivar _since: when permits were last granted after none was owed.
     """
 
-    _moments: list[float] = field(default_factory=list)
+    pace: Pace
+    _paid_until: float = -math.inf
+    _since: float = -math.inf
 
-    def next_free(self, now: float, gap: float) -> float:
-        """Return when the next permit could begin, in the clock's seconds.
+    def next_free(self, now: float) -> float:
+        """Return when the next permit could begin, in the clock's seconds."""
+        ahead = (self.pace.burst - 1) / self.pace.per_second
+        return max(now, self._paid_until - ahead)
 
-        :param gap: the least seconds between two permits.
-        """
-        self._forget(now - gap)
-        free = now
-        for moment in self._moments:
-            if moment - free >= gap:
-                break
-            free = max(free, moment + gap)
-        return free
-
-    def reserve(self, now: float, latest: float, gap: float) -> float | None:
+    def reserve(self, now: float, latest: float) -> float | None:
         """Take the next permit; None where it would begin later than asked for.
 
         :returns: when it begins, in the clock's seconds.
         """
-        moment = self.next_free(now, gap)
+        moment = self.next_free(now)
         if moment > latest:
             return None
-        bisect.insort(self._moments, moment)
+        if self._paid_until <= moment:
+            self._since = moment
+        begun = max(self._paid_until, moment)
+        self._paid_until = begun + 1 / self.pace.per_second
         return moment
 
     def give_back(self, moment: float) -> None:
-        """Free the place of a permit that was not used."""
-        if moment in self._moments:
-            self._moments.remove(moment)
+        """Take back a permit that was not used.
 
-    def _forget(self, before: float) -> None:
-        del self._moments[: bisect.bisect_right(self._moments, before)]
+        One from before the schedule was last empty is made up for already.
+        """
+        if moment >= self._since:
+            self._paid_until -= 1 / self.pace.per_second
--- a/boragestream/policy/server_limits.py
+++ b/boragestream/policy/server_limits.py
@@ -8,16 +8,17 @@
 
 The arithmetic, for a promise of ``FACTOR`` times the limit and ``SLACK`` more in any
 ``WINDOW_SECONDS``: an entry that grants ``rate`` permits a second, each valid for
-``PERMIT_SECONDS``, lets ``1 + (WINDOW_SECONDS + PERMIT_SECONDS) * rate`` requests
-through. Two entries can grant for a while, after the first one was lost or while each
-half of the entries knows nothing of the other, so that ``VIEWS`` times as many have to
-stay within the promise. What is left is the limit itself up to 1.2 requests a second,
-and never less than 0.7 of it.
+``PERMIT_SECONDS``, lets ``burst + (WINDOW_SECONDS + PERMIT_SECONDS) * rate`` requests
+through. Usually one entry grants, at the limit itself, with a small burst so that
+requests that come together need not wait. What that leaves of the promise is for an
+entry that has just become the first in rank, or stands in for it. While entries are
+silent, each half of them can have a first one that grants for long; then both grant so
+that two of them together stay within the promise: the limit itself up to 1.2 requests a
+second, and never less than 0.7 of it.
 
 An answer without a limit ends it, if its call was sent after the one that named it;
-so does the end of the server's life. Servers without a limit go first, so that a
-limited one may get hardly any requests: now and then one is sent there all the same, to
-notice the end. The limit of a server that gets none stays known, and costs nothing.
+so does the end of the server's life. Where a limited server gets no requests, one is
+sent there now and then all the same, to notice the end.
 
 Entries pass records on. Each change of a limit raises the revision of its record; of
 two records of one revision the lower limit prevails. A wrong one is corrected by the
@@ -33,6 +34,7 @@
 
 from boragestream.base.clock import Clock
 from boragestream.policy.gossip import GossipTable
+from boragestream.policy.granters import Standing
 from boragestream.policy.limit_records import (
     HUNDREDTHS,
     LimitChange,
@@ -40,35 +42,48 @@
     prevailing,
     server_key,
 )
-from boragestream.policy.permit_schedule import PermitSchedule
+from boragestream.policy.permit_schedule import Pace, PermitSchedule
 from boragestream.policy.servers import Server
 
-__all__ = ["PERMIT_SECONDS", "ServerLimits", "granted_rate"]
+__all__ = ["PERMIT_SECONDS", "ServerLimits", "granting_pace"]
 
 WINDOW_SECONDS = 4.0
 FACTOR = 1.5
 SLACK = 5.0
 VIEWS = 2
+# More that begin at once would meet a server in need as one.
+MOST_BURST = 3.0
 # Between the grant of a permit and the first byte of its request.
 PERMIT_SECONDS = 0.25
 # A server that takes nothing is still asked so often whether its limit has ended.
 LEAST_RATE = 0.25
-# How long a limited server may be without an answer before one is sought.
-CHECK_SECONDS = 1.0
+# How long nobody may ask for a server's permits before a request is sent there all the
+# same.
+UNASKED_SECONDS = 4.0
 # Limits that differ by less are one limit.
 SAME_SHARE = 0.05
 # A list that omits a server by mistake costs nothing within this time.
 FORGET_SECONDS = 120.0
 
 
-def granted_rate(limit: float) -> float:
-    """Return the permits that one entry grants for a server, in a second.
+def granting_pace(limit: float, standing: Standing = Standing.FIRST) -> Pace:
+    """Return how fast an entry grants permits for a server.
 
     :param limit: the requests a second that the server takes.
+    :param standing: of the entry among those that can grant.
     """
     promised = FACTOR * WINDOW_SECONDS * limit + SLACK
-    rate = (promised / VIEWS - 1) / (WINDOW_SECONDS + PERMIT_SECONDS)
-    return max(LEAST_RATE, min(limit, rate))
+    seconds = WINDOW_SECONDS + PERMIT_SECONDS
+    if standing is Standing.DIVIDED:
+        rate = (promised / VIEWS - 1) / seconds
+        return Pace(max(LEAST_RATE, min(limit, rate)), 1.0)
+    first = max(LEAST_RATE, limit)
+    left = promised - seconds * first
+    burst = min(MOST_BURST, max(1.0, left / VIEWS))
+    if standing is Standing.FIRST:
+        return Pace(first, burst)
+    rate = (left - burst - 1) / seconds
+    return Pace(max(LEAST_RATE, min(limit, rate)), 1.0)
 
 
 class ServerLimits:
@@ -89,7 +104,7 @@
         self._by_identity: dict[tuple[str, str, str], float] = {}
         # When an answer showed the record, at whichever entry.
         self._read_at: dict[bytes, float] = {}
-        self._answered_at: dict[bytes, float] = {}
+        self._granted_at: dict[bytes, float] = {}
         self._free_at: dict[bytes, float] = {}
         self._schedules: dict[bytes, PermitSchedule] = {}
         self._servers: dict[bytes, Server] = {}
@@ -113,7 +128,11 @@
     def rate(self, server: Server) -> float:
         """Return the calls a second that a server can be sent; infinite for any."""
         limit = self.limit(server)
-        return math.inf if limit is None else granted_rate(limit)
+        if limit is None:
+            return math.inf
+        schedule = self._schedules.get(server_key(server))
+        pace = schedule.pace if schedule is not None else granting_pace(limit)
+        return pace.per_second
 
     def split(
         self, servers: Sequence[Server]
@@ -127,19 +146,19 @@
             return servers, ()
         return free, [server for server in servers if server.identity in known]
 
-    def needs_check(self, server: Server) -> bool:
-        """Tell whether a limited server has not answered this entry for a while."""
-        at = self._answered_at.get(server_key(server), -math.inf)
-        return self._clock.now() - at >= CHECK_SECONDS
+    def is_unasked(self, server: Server) -> bool:
+        """Tell whether no permit for a server was granted here for a while."""
+        at = self._granted_at.get(server_key(server), -math.inf)
+        return self._clock.now() - at >= UNASKED_SECONDS
 
     def seconds_left(self, server: Server) -> float:
         """Return the seconds until a permit is to be had, as far as known here."""
         key, now = server_key(server), self._clock.now()
         free_at = self._free_at.get(key, now)
         with self._lock:
-            schedule, limit = self._schedules.get(key), self._limits.get(key)
-            if schedule is not None and limit is not None:
-                free_at = max(free_at, schedule.next_free(now, 1 / granted_rate(limit)))
+            schedule = self._schedules.get(key)
+            if schedule is not None:
+                free_at = max(free_at, schedule.next_free(now))
         return max(0.0, free_at - now)
 
     def note_busy(self, server: Server, seconds: float) -> None:
@@ -163,7 +182,6 @@
                 self._servers[key] = server
                 self._index()
             known = self._table.get(key.hex())
-            self._answered_at[key] = self._clock.now()
             before = known.per_second if known is not None else None
             if _same(before, limit):
                 return None
@@ -208,11 +226,14 @@
         """Return the record of a server; None where it never named a limit."""
         return self._table.get(server_key(server).hex())
 
-    def reserve(self, key: bytes, wait_seconds: float) -> tuple[float | None, float]:
+    def reserve(
+        self, key: bytes, wait_seconds: float, standing: Standing = Standing.FIRST
+    ) -> tuple[float | None, float]:
         """Grant a permit for a server, as the one entry that does.
 
         :param key: the server's short form.
         :param wait_seconds: the longest wait for its beginning.
+        :param standing: of this entry among those that can grant.
         :returns: when it begins, in the clock's seconds, None where it was refused; and
             the seconds until it begins, or until the next one would.
         """
@@ -221,12 +242,13 @@
             limit = self._limits.get(key)
             if limit is None:
                 return now, 0.0
-            gap = 1 / granted_rate(limit)
-            schedule = self._schedules.get(key)
-            if schedule is None:
-                schedule = self._schedules[key] = PermitSchedule()
-            moment = schedule.reserve(now, now + wait_seconds, gap)
-            begins = schedule.next_free(now, gap) if moment is None else moment
+            pace = granting_pace(limit, standing)
+            schedule = self._schedules.setdefault(key, PermitSchedule(pace))
+            schedule.pace = pace
+            moment = schedule.reserve(now, now + wait_seconds)
+            if moment is not None:
+                self._granted_at[key] = now
+            begins = schedule.next_free(now) if moment is None else moment
             return moment, begins - now
 
     def give_back(self, key: bytes, moment: float) -> None:
@@ -262,7 +284,7 @@
         for kept in (
             self._limits,
             self._read_at,
-            self._answered_at,
+            self._granted_at,
             self._free_at,
             self._schedules,
             self._listed_at,
--- a/boragestream/serving/forwarded_choice.py
+++ b/boragestream/serving/forwarded_choice.py
@@ -99,11 +99,10 @@
             return self._unlimited(free, inputs)
         untried = self._untried(free)
         if untried:
+            quiet = limited.unasked(self._untried(held))
             ready = limited.ready(self._untried(held))
-            chosen = limited.check(self._untried(held))
-            server = None if chosen else self._best([*untried, *ready], inputs)
-            if server in ready:
-                chosen = limited.at_once(server)
+            server = quiet or self._best([*untried, *ready], inputs)
+            chosen = limited.at_once(server) if server in held else None
             return chosen or self._unlimited(free, inputs)
         wait = self._longest_wait(bool(inputs))
         candidates = self._untried(held) or held
--- a/boragestream/serving/limited_servers.py
+++ b/boragestream/serving/limited_servers.py
@@ -1,9 +1,11 @@
 """Takes permits for servers that named a limit on their requests.
 
-Servers without a limit go first. A limited one is taken beside them where its permit is
-to be had at once: by the entry that grants it, or now and then to notice that the limit
-has ended. Where all are limited a request waits for a permit if it can still be served
-in time, and is refused at once otherwise.
+Beside servers without a limit a limited one is taken only where it would be chosen of
+all, so that its requests stay near their results and cached prompts, and only with a
+permit that begins at once. One that gets no requests so is sent one now and then by the
+entry that grants its permits, to notice that the limit has ended. Where all are limited
+a request waits for a permit if it can still be served in time, and is refused at once
+otherwise.
 
 Load pattern: a few servers in need among many; a service of which all servers are in
 need beside a burst.
@@ -23,10 +25,10 @@
 
 __all__ = ["LimitedServers", "PermittedServer"]
 
-# An entry that does not grant a server's permits asks for one no oftener, to notice the
-# end of a limit.
-CHECK_GAP_SECONDS = 1.0
-# Most servers whose permits are asked for by one request.
+# To wait so long for the best of several servers costs less than to read its cached
+# prompts and fetch the results beside it again at another.
+PREFERRED_SECONDS = 0.1
+# Most servers of which one request asks for a permit that begins about now.
 MOST_ASKED = 3
 # How often a request that waits for its permit's beginning looks whether it is wanted.
 WAKE_SECONDS = 0.02
@@ -63,7 +65,6 @@
         self._entries = entries
         self._clock = clock
         self._rng = rng
-        self._checked_at = float("-inf")
         self._returns: dict[str, ReturnSchedule] = {}
         self._lock = threading.Lock()
 
@@ -78,20 +79,15 @@
         return self._permits
 
     def ready(self, limited: Sequence[Server]) -> list[Server]:
-        """Return the servers whose permits this entry grants, and can grant now."""
-        return [
-            server
-            for server in limited
-            if self._limits.seconds_left(server) <= 0 and self._permits.grants(server)
-        ]
-
-    def check(self, limited: Sequence[Server]) -> PermittedServer | None:
-        """Return a server without an answer for a while, if it may be called now."""
-        quiet = [server for server in limited if self._limits.needs_check(server)]
-        granted = self.ready(quiet)
-        if not granted and not self._may_ask(quiet):
-            return None
-        return self.at_once(self._rng.choice(granted or quiet))
+        """Return the servers of which a permit may be had at once."""
+        return [s for s in limited if self._limits.seconds_left(s) <= 0]
+
+    def unasked(self, limited: Sequence[Server]) -> Server | None:
+        """Return a server whose permits are this entry's, and nobody asks for any."""
+        for server in limited:
+            if self._limits.is_unasked(server) and self._permits.grants(server):
+                return server
+        return None
 
     def at_once(self, server: Server) -> PermittedServer | None:
         """Return a server with a permit that begins now; None where there is none."""
@@ -110,19 +106,27 @@
 
         :param limited: servers of one service.
         :param wait_seconds: the longest wait for the permit's beginning.
-        :param prefer: chooses among servers that are to be had equally soon.
+        :param prefer: chooses among servers that are to be had about equally soon.
+        :returns: the first that is to be had about now, else the soonest.
         """
         left = list(limited)
         for _ in range(min(MOST_ASKED, len(left))):
             soonest = min(self._limits.seconds_left(server) for server in left)
             if soonest > wait_seconds:
                 break
-            equal = [s for s in left if self._limits.seconds_left(s) <= soonest]
-            server = prefer(equal) or equal[0]
-            permit = self._permits.acquire(server, wait_seconds)
+            latest = min(wait_seconds, soonest + PREFERRED_SECONDS)
+            near = [s for s in left if self._limits.seconds_left(s) <= latest]
+            server = prefer(near) or near[0]
+            permit = self._permits.acquire(server, latest)
             if isinstance(permit, Permit):
                 return PermittedServer(server, permit)
             left.remove(server)
+        # Those that were asked have said when they have room.
+        server = min(limited, key=self._limits.seconds_left)
+        if self._limits.seconds_left(server) <= wait_seconds:
+            permit = self._permits.acquire(server, wait_seconds)
+            if isinstance(permit, Permit):
+                return PermittedServer(server, permit)
         return self.refusal(limited)
 
     def soonest(self, limited: Sequence[Server]) -> float:
@@ -158,11 +162,3 @@
                 return False
             threading.Event().wait(min(left, WAKE_SECONDS))
         return True
-
-    def _may_ask(self, quiet: Sequence[Server]) -> bool:
-        now = self._clock.now()
-        with self._lock:
-            if not quiet or now - self._checked_at < CHECK_GAP_SECONDS:
-                return False
-            self._checked_at = now
-            return True
--- a/boragestream/serving/stage.py
+++ b/boragestream/serving/stage.py
@@ -129,18 +129,12 @@
     ) -> AttemptRun | None:
         limited = self.parts.limited
         free, held = limited.limits.split(self._callable(run))
-        ready = limited.ready(held)
-        chosen = limited.check(held)
+        server = limited.unasked(held)
+        server = server or self._route(run, [*free, *limited.ready(held)], tried)
+        chosen = limited.at_once(server) if server in held else None
         if chosen is None:
-            server = self._route(run, [*free, *ready], tried)
-            # Other entries grant the rest, and are asked where nothing else has room.
-            others = [s for s in held if limited.limits.seconds_left(s) <= 0]
-            server = server or self._route(run, others, tried)
-            if server is None:
-                return None
-            chosen = PermittedServer(server)
-            if server in held:
-                chosen = limited.at_once(server)
+            server = self._route(run, free, tried)
+            chosen = PermittedServer(server) if server is not None else None
         return AttemptRun(self.parts, run, chosen, purpose) if chosen else None
 
     def _route(
