--- a/tests/standins/route_store.py
+++ b/tests/standins/route_store.py
@@ -3,8 +3,8 @@
 It runs in a thread of the test. ``down`` turns all callers away as the platform can:
 with a status, with a reset, with silence, or by losing questions: new ones are never
 answered, also not later. Those that wait already are answered, at once (``LOST``) or as
-soon as the store is back (``MUTE``). ``return_from`` has it come back from a copy: what was
-published since is lost, revisions are given out again, and the era rises.
+soon as the store is back (``MUTE``). ``return_from`` has it come back from a copy: what
+was published since is lost, revisions are given out again, and the era rises.
 """
 
 import base64
