Tests of what a returned store's copy may undo, and until when

Tables in simulated time: leaves, removals, new servers, orders given and taken back, written again or not; two returns in a row; entries that start in between, were cut off, or alone knew of a removal; late answers; stores that name no era; any order of returns, writes, reads and messages (300 drawn cases). Real entries: the five losses with an entry started anew meanwhile, and four stores whose answers are of no use.

--- /dev/null
+++ b/tests/features/steps/returned_copy.py
@@ -0,0 +1,385 @@
+"""Steps on tables of published values whose store comes back from a copy."""
+
+import codecs
+import http.client
+import json
+import random
+
+from behave import given, then, when
+from hypothesis import given as any_of
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from boragestream.platform import store as store_module
+from boragestream.platform.reader import PlatformAnswer
+from boragestream.platform.store import Store
+from boragestream.policy.operator_table import OperatorTable
+from boragestream.policy.publication import Change, Changes, Position, Snapshot
+from boragestream.policy.published_table import PublishedTable, Standing
+from tests.standins.clock import SetClock
+
+CHECKS = settings(max_examples=300, derandomize=True, deadline=None, database=None)
+ORDERS = "op/"
+# Longer than anything is held.
+LONG_SECONDS = 60.0
+KEPT_CHANGES = 4
+
+
+class CopiedStore:
+    """A store of servers and orders that can come back from a copy."""
+
+    def __init__(self):
+        """Be empty."""
+        self.era, self.revision = 1, 0
+        self.values, self.written, self.history = {}, {}, []
+        self.names_era = True
+
+    def write(self, text):
+        """Write "a=1" (a value), "op/1" (an order) or "a-" (a removal), in turn."""
+        for word in text.split():
+            self.revision += 1
+            key, _, value = word.rstrip("-").partition("=")
+            removed = word.endswith("-")
+            self.history.append(
+                Change(key, self.revision, None if removed else value.encode())
+            )
+            if removed:
+                self.values.pop(key, None)
+            else:
+                self.values[key] = value.encode()
+                self.written[key] = self.revision
+
+    def copy(self):
+        """Return what stands now."""
+        return dict(self.values), dict(self.written), list(self.history), self.revision
+
+    def return_from(self, copy):
+        """Come back from a copy."""
+        values, written, history, self.revision = copy
+        self.values, self.written = dict(values), dict(written)
+        self.history = list(history)
+        self.era += 1
+
+    def named_era(self):
+        """Return the era of the answers."""
+        return self.era if self.names_era else 0
+
+    def read(self, orders):
+        """Answer a read of the servers or of the orders."""
+        values = {
+            k: v for k, v in self.values.items() if k.startswith(ORDERS) is orders
+        }
+        return Snapshot(self.revision, values, self.named_era(), dict(self.written))
+
+    def watch(self, orders, revision):
+        """Answer a watch; None where the history is not there."""
+        if revision > self.revision:
+            return None
+        changes = tuple(
+            c
+            for c in self.history
+            if c.revision > revision and c.key.startswith(ORDERS) is orders
+        )
+        return Changes(self.revision, changes, self.named_era())
+
+
+class Follower:
+    """One entry's tables."""
+
+    def __init__(self, clock, store):
+        """Know nothing."""
+        self.store = store
+        self.servers = PublishedTable(clock.now, KEPT_CHANGES)
+        self.operators = OperatorTable(clock.now, ORDERS)
+
+    @property
+    def tables(self):
+        """Both tables, each with whether it is that of the orders."""
+        return (self.servers, False), (self.operators, True)
+
+    def ask(self):
+        """Ask the store as an entry does: watch, and read where that is no use."""
+        for table, orders in self.tables:
+            answer = None
+            if table.position is not None:
+                answer = self.store.watch(orders, table.revision)
+            if answer is None or table.standing(answer) is Standing.UNCONNECTED:
+                answer = self.store.read(orders)
+            table.take(answer)
+
+    def hear(self, other):
+        """Take what another entry passes on."""
+        drained = other.operators.drained_centres()
+        if drained is not None:
+            self.operators.take_relayed(drained)
+        relayed = other.servers.since(self.servers.revision, self.servers.era)
+        if relayed is not None:
+            self.servers.take_relayed(relayed)
+
+    def look_again(self):
+        """End what is over."""
+        self.servers.drop_lapsed()
+        self.operators.drop_lapsed()
+
+    def shown(self, key):
+        """Return what is used of a key."""
+        self.look_again()
+        if key.startswith(ORDERS):
+            return "given" if key in self.operators.values else "gone"
+        return self.servers.values.get(key, b"gone").decode()
+
+
+@given('a copy of the store with "{text}"')
+def step(context, text):
+    context.clock = SetClock()
+    context.store = CopiedStore()
+    context.store.write(text)
+    context.first = Follower(context.clock, context.store)
+    context.first.ask()
+    context.copy = context.store.copy()
+    context.late = None
+
+
+@given('after the copy "{text}" was acknowledged')
+def step(context, text):
+    for word in text.split():
+        context.store.write(word)
+        context.first.ask()
+    context.late = context.first.servers.since(None)
+    context.late_read = context.store.read(orders=False)
+    context.late_watch = context.store.watch(False, context.copy[3])
+
+
+@given("the other entry knows of it too")
+def step(context):
+    context.other.ask()
+
+
+@given('"{text}" was written, and all is read as the history is gone')
+def step(context, text):
+    context.store.write(text)
+    for table, orders in context.first.tables:
+        table.take(context.store.read(orders))
+
+
+@given('another copy, after which "{text}" was acknowledged')
+@given('a later copy, after which "{text}" was acknowledged')
+def step(context, text):
+    context.later_copy = context.store.copy()
+    context.store.write(text)
+    context.first.ask()
+
+
+@given("another entry that knows as much, and is then cut off")
+def step(context):
+    context.other = Follower(context.clock, context.store)
+    context.other.ask()
+
+
+@when("the store comes back from the copy")
+def step(context):
+    context.store.return_from(context.copy)
+    context.first.ask()
+
+
+@when("the store comes back from the later copy")
+def step(context):
+    context.store.return_from(context.later_copy)
+    context.first.ask()
+
+
+@when('the store comes back from the copy and "{text}" is written before anybody asks')
+def step(context, text):
+    context.store.return_from(context.copy)
+    context.store.write(text)
+    context.first.ask()
+
+
+@when('the store comes back from the copy and passes "{text}", and a watch is answered')
+def step(context, text):
+    context.store.return_from(context.copy)
+    context.store.write(text)
+    table = context.first.servers
+    answer = context.store.watch(False, table.revision)
+    context.standing = table.standing(answer)
+    assert not table.take(answer)
+
+
+@then("all is to be read")
+def step(context):
+    assert context.standing is Standing.UNCONNECTED
+
+
+@when('"{text}" is written')
+def step(context, text):
+    context.store.write(text)
+    context.first.ask()
+
+
+@when('the store stops naming its era and "{text}" is written')
+def step(context, text):
+    context.store.names_era = False
+    context.execute_steps(f'when "{text}" is written')
+
+
+@when("{seconds:g} seconds pass")
+def step(context, seconds):
+    context.clock.seconds += seconds
+
+
+@when("a new entry reads the store, and then hears of the first")
+def step(context):
+    context.new = Follower(context.clock, context.store)
+    context.new.ask()
+    context.new.hear(context.first)
+
+
+@when("the other entry reads the store, and then hears of the first")
+def step(context):
+    context.other.ask()
+    context.other.hear(context.first)
+
+
+@when("the other entry reads the store")
+def step(context):
+    context.other.ask()
+
+
+@when("the other entry hears of the first")
+def step(context):
+    context.other.hear(context.first)
+
+
+@when("{answer} of the era before comes late")
+def step(context, answer):
+    table = context.first.servers
+    if "message" in answer:
+        table.take_relayed(context.late)
+    else:
+        late = context.late_read if "read" in answer else context.late_watch
+        assert table.standing(late) is Standing.OUTDATED
+        table.take(late)
+
+
+@then('"{key}" counts as {shown}')
+def step(context, key, shown):
+    found = context.first.shown(key)
+    assert found == shown, found
+
+
+@then('at the {which} entry "{listed}')
+def step(context, which, listed):
+    entry = getattr(context, which)
+    for part in listed.split(", "):
+        key, _, shown = part.replace('"', "").partition(" is ")
+        found = entry.shown(key)
+        assert found == shown, (key, found)
+
+
+@then("nothing is held")
+def step(context):
+    first = context.first
+    assert not first.servers.held and not first.operators.held
+
+
+@then("at the other entry nothing is held")
+def step(context):
+    other = context.other
+    other.look_again()
+    assert not other.servers.held and not other.operators.held
+
+
+@when("the store names its era as {named}")
+def step(context, named):
+    headers = http.client.HTTPMessage()
+    if named != "nothing":
+        headers["Store-Era"] = codecs.decode(json.loads(named), "unicode_escape")
+    body = json.dumps({"events": [], "store_revision": 3}).encode()
+    answered, store_module.get_value = (
+        store_module.get_value,
+        lambda address, target, seconds: PlatformAnswer(200, headers, body),
+    )
+    try:
+        context.changes = Store("10.0.0.1:80").watch("servers/", 2, 0.0)
+    finally:
+        store_module.get_value = answered
+
+
+@then("the era is {era:d}")
+def step(context, era):
+    assert context.changes.era == era
+
+
+@then("after any returns, writes, reads and messages all tables end as the store is")
+def step(context):
+    moves = st.lists(
+        st.sampled_from(
+            ["write", "write", "copy", "return", "ask", "ask", "hear", "hear", "wait"]
+            + ["start", "late"]
+        ),
+        max_size=40,
+    )
+
+    @CHECKS
+    @any_of(moves, st.integers())
+    def check(steps, seed):
+        mixed_followers(steps, random.Random(seed))
+
+    check()
+
+
+def mixed_followers(steps, rng):
+    """Let three entries meet a store and one another, and compare them at the end."""
+    clock, store = SetClock(), CopiedStore()
+    store.write("a=0 b=0 op/a")
+    entries = [Follower(clock, store) for _ in range(3)]
+    for entry in entries:
+        entry.ask()
+    copies, late = [store.copy()], entries[0].servers.since(None)
+    for move in steps:
+        entry, other = rng.sample(entries, 2)
+        if move == "write":
+            key = rng.choice(["a", "b", "c", "op/a", "op/b"])
+            if rng.random() < 0.4:
+                store.write(f"{key}-")
+            else:
+                store.write(key if "/" in key else f"{key}={rng.randrange(4)}")
+        elif move == "copy":
+            copies.append(store.copy())
+        elif move == "return":
+            store.return_from(copies[-rng.randint(1, min(2, len(copies)))])
+        elif move == "ask":
+            entry.ask()
+        elif move == "hear":
+            entry.hear(other)
+        elif move == "start":
+            started = Follower(clock, store)
+            entries[entries.index(entry)] = started
+            if rng.random() < 0.5:
+                started.ask()
+        elif move == "late":
+            entry.servers.take_relayed(late)
+            late = other.servers.since(None) or late
+        else:
+            clock.seconds += rng.choice([0.5, 3.0, 10.0, 40.0])
+        positions = [e.servers.position or Position(0, 0) for e in entries]
+        assert max(positions) <= Position(store.era, store.revision)
+    settle(clock, store, entries, rng)
+
+
+def settle(clock, store, entries, rng):
+    """Have all entries meet the store or one that has, and the time of holds end."""
+    first, *others = rng.sample(entries, len(entries))
+    first.ask()
+    for entry in others:
+        entry.hear(first)
+        if entry.servers.position != first.servers.position:
+            entry.ask()
+    clock.seconds += LONG_SECONDS
+    for entry in entries:
+        entry.look_again()
+        entry.ask()
+        servers = {k: v for k, v in store.values.items() if not k.startswith(ORDERS)}
+        assert entry.servers.values == servers, (entry.servers.values, servers)
+        orders = {k for k in store.values if k.startswith(ORDERS)}
+        assert set(entry.operators.values) == orders
--- a/tests/features/store_return.feature
+++ b/tests/features/store_return.feature
@@ -30,3 +30,32 @@
     When version 40 is published with the route "/after/"
     And 8 other changes pass the lost revisions before entries are answered again
     Then all entries soon serve "/after/ok"
+
+  # Guards against a copy that undoes what was acknowledged before the return.
+  @fixture.route-site.3.drains
+  Scenario Outline: <what> that a copy undoes holds at all entries, also at a new one
+    Given <what> that the store has acknowledged, and a copy of before
+    When the store comes back from the copy, and one entry is started anew
+    Then for 3 seconds requests to all entries are served as before the return
+
+    Examples:
+      | what                 |
+      | a leave              |
+      | a removal            |
+      | a new server         |
+      | an order to drain    |
+      | the end of a drain   |
+
+  # Guards against questions in a closed loop to a store whose answers are of no use.
+  @fixture.route-site.3.drains
+  Scenario Outline: entries ask a store that <refuses> few questions
+    Given the store has come back from a copy that lacks its last 8 revisions
+    When the store <refuses> for 5 seconds
+    Then each entry has asked it at most 10 times a second
+
+    Examples:
+      | refuses                                  |
+      | answers as usual                         |
+      | has no history to any watch              |
+      | answers from earlier copies than before  |
+      | names another era in each page of a read |
--- a/tests/standins/route_store.py
+++ b/tests/standins/route_store.py
@@ -43,6 +43,8 @@
         self.era = 1
         # Whether each watch is told that its history is gone.
         self.refuses_watches = False
+        # Whether it comes back anew in the middle of each read.
+        self.changes_era = False
         self.down = None
         self.calls = 0
         self.lost = 0
@@ -104,6 +106,8 @@
 
     def reply(self, handler, body, status=200):
         """Answer with the era."""
+        if self.changes_era:
+            self.era += 1
         headers = () if self.era is None else ((ERA_HEADER, str(self.era)),)
         handler.reply(body, status, headers)
 
