The end of an outage is dated by the first answer about anything

Cause: the time of an observation was taken for the time of the event. The outage of the servers' entries ended, for an entry, with its first answer about servers. Where a watch outlives the outage, that is the next change, any time later; a leave given while the store is well was then kept for 2.2 s as an entry that had lapsed.

Evidence: in an entry's own parts before a stand-in store, a server removed 1.4 s after the return stays in the first list after it with the wiring of before, and is gone with this one.

Change: each answer of the store ends the outage; after that the servers are asked once without waiting, which tells lapses from later removals; nothing is kept for longer than 2.2 s from the end.

--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -61,6 +61,7 @@
     :ivar changed: called after each change, so that other entries hear of it.
     :ivar unreachable: the event to log where the store gives no answer.
     :ivar clock: tells how long an answer took.
+    :ivar answered: called for each answer of the store, before it is taken.
     :ivar gap_seconds: how long to wait after changes, so that others that follow come
         in one answer; longer while they keep coming.
     :ivar known: called after each answer, also where nothing has changed.
@@ -75,6 +76,7 @@
     confirming: Confirming
     take: Callable[[dict[str, bytes]], None]
     changed: Callable[[], None]
+    answered: Callable[[], None]
     unreachable: Event
     stopping: threading.Event
     clock: Clock
@@ -116,11 +118,15 @@
     def confirm(self) -> bool:
         """Ask a question that does not wait where the watch may be lost.
 
+        So is one asked after an outage that the watch has outlived, as only the first
+        answer after it tells what lapsed from what is removed later.
+
         :returns: False where the store gave no answer.
         """
         if not self.following.waits(self.prefix):
             return True
-        if not self.confirming.asks(self.prefix):
+        settles = self.table.unsettled and not self.confirming.put_off
+        if not settles and not self.confirming.asks(self.prefix):
             return True
         asked_at = self.clock.now()
         answer = self.store.watch(self.prefix, self.table.revision, 0.0)
@@ -188,7 +194,7 @@
     def _apply(self, answer: Snapshot | Changes) -> bool:
         before = self._state()
         first = before.position is None
-        self.table.note_answer()
+        self.answered()
         changed = self.table.take(answer) or first
         self._log_return(before, "platform")
         # Before others are told, who may ask for it at once.
--- a/boragestream/daemon/publications.py
+++ b/boragestream/daemon/publications.py
@@ -122,6 +122,7 @@
 
     prefixes = (prefix, SERVERS_PREFIX)
     confirming = Confirming(clock, rng, prefixes, settings.bound_seconds, first_watcher)
+    servers_table = PublishedTable(clock.now, KEPT_CHANGES)
     follow = partial(
         Publication,
         store=Store(settings.address),
@@ -129,6 +130,9 @@
         following=following,
         confirming=confirming,
         changed=members.exchange.hurry,
+        # Whatever it was asked about: a watch of the servers that outlives an outage
+        # answers only with their next change, which can be a long time after.
+        answered=servers_table.note_answer,
         stopping=stopping,
         clock=clock,
         failed=first.note_unreachable,
@@ -142,7 +146,7 @@
     )
     servers = follow(
         prefix=SERVERS_PREFIX,
-        table=PublishedTable(clock.now, KEPT_CHANGES),
+        table=servers_table,
         take=take_servers,
         unreachable=Event.INSTANCES_UNREACHABLE,
         known=partial(first.note_known, SERVERS_PREFIX),
--- a/boragestream/policy/confirming.py
+++ b/boragestream/policy/confirming.py
@@ -82,6 +82,11 @@
         """Tell whether the last question about a prefix got no answer."""
         return prefix in self._failing
 
+    @property
+    def put_off(self) -> bool:
+        """Whether questions wait, since the last ones brought nothing."""
+        return self._clock.now() < self._not_before
+
     def note_use(self) -> None:
         """Take that this entry decides by what is published."""
         self._used_at = self._clock.now()
--- a/boragestream/policy/operator_table.py
+++ b/boragestream/policy/operator_table.py
@@ -76,6 +76,11 @@
         """The revision up to which the configuration is known."""
         return self._configuration.revision
 
+    @property
+    def unsettled(self) -> bool:
+        """Whether removals may be lapses in an outage: never."""
+        return False
+
     @property
     def held(self) -> tuple[Held, ...]:
         """What is used against what a returned store says."""
@@ -98,9 +103,6 @@
             return Standing.UNCONNECTED
         return Standing.USABLE if Standing.USABLE in both else Standing.OUTDATED
 
-    def note_answer(self) -> None:
-        """Take that the platform answered."""
-
     def note_failure(self) -> None:
         """Take that the platform gave no answer."""
 
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -62,6 +62,8 @@
         self._held = HeldValues(now, retention, self._stored)
         self._failing = False
         self._outage_ended = float("-inf")
+        # The first answer under this prefix since then; None while there is none.
+        self._settled_at: float | None = float("-inf")
         self._position: Position | None = None
         # What was known last of the era before, and first of this one.
         self._era_left: Position | None = None
@@ -104,6 +106,11 @@
         with self._lock:
             return self._held.digest
 
+    @property
+    def unsettled(self) -> bool:
+        """Whether an outage has ended, and nothing under this prefix was answered."""
+        return self._settled_at is None and not self._failing
+
     def standing(self, answer: Snapshot | Changes) -> Standing:
         """Return what an answer of the store is to this table."""
         known = self._position
@@ -118,10 +125,11 @@
         return Standing.OUTDATED if outdated else Standing.USABLE
 
     def note_answer(self) -> None:
-        """Take that the store answered."""
+        """Take that the store answered, also about another prefix."""
         with self._lock:
             if self._failing:
                 self._outage_ended = self._now()
+                self._settled_at = None
             self._failing = False
 
     def note_failure(self) -> None:
@@ -139,8 +147,7 @@
             known = self._position
             # A store that stops naming its era is taken to be in the one known.
             position = Position(answer.era or self.era, answer.revision)
-            lapses = self._now() - self._outage_ended < SETTLE_SECONDS
-            until = self._outage_ended + self._lapsed_seconds if lapses else None
+            until = self._lapsed_until()
             if isinstance(answer, Changes):
                 return self._apply(answer.changes, position, lambda key: until)
             writes = answer.writes
@@ -211,6 +218,15 @@
         with self._lock:
             return self._held.drop_ended()
 
+    def _lapsed_until(self) -> float | None:
+        """Return until when to keep what an answer that came now says is removed."""
+        now = self._now()
+        if self._settled_at is None:
+            self._settled_at = now
+        until = self._outage_ended + self._lapsed_seconds
+        lapsed = now - self._settled_at < SETTLE_SECONDS and now < until
+        return until if lapsed else None
+
     def _begin(
         self, stored: dict[str, Write], position: Position, era_began: float
     ) -> bool:
--- a/tests/features/lost_questions.feature
+++ b/tests/features/lost_questions.feature
@@ -39,6 +39,12 @@
     When the store answers again
     Then both are logged as regained, once each
 
+  # Guards against a removal that is taken for a lapse in an outage that ended before.
+  Scenario: a watch that outlives an outage brings a removal that is heeded at once
+    Given an entry whose watch of the servers outlives an outage of the store
+    When a server is removed 1.4 seconds after the store's return
+    Then it is gone from the first list after that
+
   @fixture.fleet.cooperative
   Scenario: an entry that watches the instance list hears of a leave though it was lost
     Given every entry has asked for the instance list anew, and these questions are lost
--- a/tests/features/steps/lost_questions.py
+++ b/tests/features/steps/lost_questions.py
@@ -5,21 +5,29 @@
 import threading
 import time
 
-from behave import given, then, use_fixture, when
+from behave import fixture, given, then, use_fixture, when
 
+from boragestream.base.clock import SystemClock
 from boragestream.base.events import Event
+from boragestream.base.route_settings import StoreSettings
 from boragestream.daemon.publication import Publication
+from boragestream.daemon.publications import AWAITED, make_publications
+from boragestream.entry.links import PeerLinks
+from boragestream.entry.messages import Sender
+from boragestream.entry.peers import EntryPeers
 from boragestream.platform.reader import PlatformUnreachable
 from boragestream.policy.confirming import Confirming
+from boragestream.policy.first_knowledge import FirstKnowledge
 from boragestream.policy.publication import Changes, Snapshot
 from boragestream.policy.published_table import PublishedTable
+from boragestream.policy.route_table import RoutesInForce
 from boragestream.policy.watching import StoreFollowing
 from tests.standins.clock import SetClock
 from tests.standins.fleet import wait_until
 from tests.standins.log_lines import log_lines
 from tests.standins.route_server import RouteServer
 from tests.standins.route_site import ADDRESS, configuration
-from tests.standins.route_store import LOST, MUTE
+from tests.standins.route_store import LOST, MUTE, RouteStore
 
 ENTRIES = ("entry-0", "entry-1", "entry-2")
 # A lost question was believed for eleven seconds and more; the promise is two. The rest
@@ -179,6 +187,7 @@
             confirming=context.confirming,
             take=lambda values: None,
             changed=lambda: None,
+            answered=lambda: None,
             unreachable=event,
             stopping=threading.Event(),
             clock=clock,
@@ -249,3 +258,92 @@
 def state_of(page, server):
     """Return what a status page says of a server."""
     return next(s["state"] for s in page["servers"] if s["name"] == server)
+
+
+class TakenLists:
+    """The servers that were listed after each change, and what follows the store."""
+
+    def __init__(self, store):
+        """Follow a store, with no other entry."""
+        clock, rng, own = SystemClock(), random.Random(1), "127.0.0.1:1"
+        self.store, self.taken = store, []
+        self.stopping = threading.Event()
+        links = PeerLinks(Sender("routes", own, "1", b"a-key-of-16-bytes"))
+        members = EntryPeers(own, "1", "hall", links, lambda _: None, clock, rng)
+        self.followed = make_publications(
+            StoreSettings(store.address, draining_ms=2000),
+            "hall",
+            own,
+            members,
+            links,
+            RoutesInForce(),
+            lambda values: None,
+            lambda values: self.taken.append(sorted(values)),
+            FirstKnowledge(clock, AWAITED),
+            self.stopping,
+            clock,
+            rng,
+        )
+        self.clock = clock
+
+    def start(self):
+        """Begin to follow."""
+        for run in (
+            self.followed.operators.run,
+            self.followed.servers.run,
+            self.followed.confirm,
+        ):
+            threading.Thread(target=run, daemon=True).start()
+
+    def close(self):
+        """End."""
+        self.stopping.set()
+        self.store.close()
+
+
+@fixture
+def taken_lists(context):
+    """Follow a store with a server and a configuration."""
+    store = RouteStore(ADDRESS)
+    store.put("op/config", b"{}")
+    store.put("servers/a", b"{}")
+    lists = TakenLists(store)
+    lists.start()
+    yield lists
+    lists.close()
+
+
+@given("an entry whose watch of the servers outlives an outage of the store")
+def step(context):
+    use_fixture(log_lines, context)
+    lists = context.lists = use_fixture(taken_lists, context)
+    confirming, store = lists.followed.confirming, lists.store
+
+    def names():
+        confirming.note_use()
+        return [line["name"] for line in context.lines.told]
+
+    wait_until(lambda: lists.taken, what="the servers are listed")
+    lists.stopping.wait(SETTLED_SECONDS)
+    # Other entries have confirmed what is known of the servers.
+    confirming.note_answer("servers/", lists.clock.now() + 1000)
+    # Questions are lost, and the watch that waits already is not.
+    store.down = LOST
+    wait_until(lambda: "configuration_unreachable" in names(), what="an outage")
+    store.down = None
+    wait_until(lambda: "store_regained" in names(), what="the store's return")
+
+
+@when("a server is removed {seconds:g} seconds after the store's return")
+def step(context, seconds):
+    lists = context.lists
+    lists.stopping.wait(seconds)
+    context.before = len(lists.taken)
+    lists.store.put("servers/a", None)
+
+
+@then("it is gone from the first list after that")
+def step(context):
+    lists = context.lists
+    wait_until(lambda: len(lists.taken) > context.before, what="a list")
+    assert lists.taken[context.before] == [], lists.taken
--- a/tests/features/steps/route_planning.py
+++ b/tests/features/steps/route_planning.py
@@ -139,6 +139,7 @@
         confirming=Confirming(clock, random.Random(1), ["servers/"], 1.0, lambda: True),
         take=lambda values: None,
         changed=lambda: None,
+        answered=lambda: None,
         unreachable=Event.INSTANCES_UNREACHABLE,
         stopping=stopping,
         clock=clock,
