An index of the own interface is known by its era, and forgotten with an outage

The same cause elsewhere: the project's own platform services name an index, and an entry that knew it was told 304 for another document of the same index after the service had come back from a copy. The service may name X-Platform-Era; where it names none, an entry reads the whole value again after each outage, and takes it only where it differs.

Metrics of the list's position are named list_era and list_revision, as the words of the platform stay in its folder.

--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -232,9 +232,9 @@
 
         table = parts.publications.servers.table
         era = "The era of the store that the server list goes by; 0 for none."
-        gauge("store_era", era, lambda: table.era)
+        gauge("list_era", era, lambda: table.era)
         revision = "The revision of the store that the server list goes by."
-        gauge("store_revision", revision, lambda: table.revision or 0)
+        gauge("list_revision", revision, lambda: table.revision or 0)
         held = "Values that are used against what a store says that came back."
         gauge("held_values", held, parts.publications.held_count)
 
--- a/boragestream/daemon/tasks.py
+++ b/boragestream/daemon/tasks.py
@@ -10,9 +10,9 @@
 
 from boragestream.base.events import Event, emit
 from boragestream.document import parse_document
-from boragestream.document.digest import canonical_text
+from boragestream.document.digest import canonical_text, text_digest
 from boragestream.platform.instances import ENTRY_SERVICE, Instance, parse_instances
-from boragestream.platform.reader import PlatformUnreachable, read_platform
+from boragestream.platform.reader import PlatformUnreachable, Reading, read_platform
 from boragestream.policy.configuration import ConfigurationInForce, Offer
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.load import LoadTable
@@ -85,16 +85,22 @@
     :param unreachable: the event to log where the service gives no answer.
     :param duty: when to watch and when to read now and then.
     """
-    index = 0
+    known = Reading(0, b"")
+    digest = ""
     while not stopping.is_set():
         wait = wait_seconds if duty.watches() else 0.0
-        reading = read_platform(address, path, index, wait)
+        reading = read_platform(address, path, known.index, wait, known.era)
         if isinstance(reading, PlatformUnreachable):
             emit(unreachable, failure=reading.describe())
+            # It may come back from a copy without saying so, in which the index that
+            # is known stands for another value.
+            known = Reading(0, b"")
             stopping.wait(RETRY_SECONDS * (0.5 + rng.random()))
-        elif reading.index != index:
-            index = reading.index
-            take(reading.value)
+        elif (reading.era, reading.index) != (known.era, known.index):
+            known = Reading(reading.index, b"", reading.era)
+            before, digest = digest, text_digest(reading.value)
+            if digest != before:
+                take(reading.value)
         _wait_for_duty(duty, stopping)
 
 
--- a/boragestream/operator/route_status.py
+++ b/boragestream/operator/route_status.py
@@ -35,8 +35,8 @@
     :ivar cold_servers: servers that it takes for cold.
     :ivar drained_centres: data centres whose servers it sends nothing.
     :ivar limited_servers: servers that take few requests from all entries together.
-    :ivar store_era: of the store, as far as its list of servers is known.
-    :ivar store_revision: of that era.
+    :ivar list_era: of the store, as far as its list of servers is known.
+    :ivar list_revision: of that era.
     :ivar held_values: values used against what a store says that came back from a copy.
     """
 
@@ -49,8 +49,8 @@
     cold_servers: int = 0
     drained_centres: int = 0
     limited_servers: int = 0
-    store_era: int = 0
-    store_revision: int = 0
+    list_era: int = 0
+    list_revision: int = 0
     held_values: int = 0
 
 
@@ -135,8 +135,8 @@
         cold_servers=int(gauges.get("cold_servers", 0)),
         drained_centres=int(gauges.get("drained_centres", 0)),
         limited_servers=int(gauges.get("limited_servers", 0)),
-        store_era=int(gauges.get("store_era", 0)),
-        store_revision=int(gauges.get("store_revision", 0)),
+        list_era=int(gauges.get("list_era", 0)),
+        list_revision=int(gauges.get("list_revision", 0)),
         held_values=int(gauges.get("held_values", 0)),
     )
 
@@ -179,8 +179,8 @@
                 e.drained_centres,
                 e.entries,
                 e.list_age,
-                e.store_era,
-                e.store_revision,
+                e.list_era,
+                e.list_revision,
                 e.held_values,
             )
             for e in status.entries
--- a/boragestream/platform/reader.py
+++ b/boragestream/platform/reader.py
@@ -5,6 +5,7 @@
 """
 
 import http.client
+import re
 from dataclasses import dataclass
 
 from boragestream.base.liveness import detect_dead_peer
@@ -15,10 +16,14 @@
     "PlatformUnreachable",
     "Reading",
     "get_value",
+    "read_era",
     "read_platform",
 ]
 
 INDEX_HEADER = "X-Platform-Index"
+ERA_HEADER = "X-Platform-Era"
+# A longer number is no count of returns.
+ERA = re.compile(r"[0-9]{1,9}", re.ASCII)
 MAX_VALUE_BYTES = 4 * 1_048_576
 # A watch that has not been answered so long after its end was lost.
 ANSWER_MARGIN_SECONDS = 1.0
@@ -33,10 +38,13 @@
     :ivar index: the service's index of this value; it rises with each change, but a
         restored service can go backwards.
     :ivar value: the value's bytes, not yet checked.
+    :ivar era: how often the service has come back from a copy, after which an index can
+        stand for another value; 0 where it does not say.
     """
 
     index: int
     value: bytes
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,8 +103,18 @@
         connection.close()
 
 
+def read_era(headers: http.client.HTTPMessage, name: str) -> int:
+    """Return the era that an answer names in a header; 0 for none that can be read."""
+    text = headers.get(name, "")
+    return int(text) if ERA.fullmatch(text) else 0
+
+
 def read_platform(
-    address: str, path: str, index: int = 0, wait_seconds: float = 0.0
+    address: str,
+    path: str,
+    index: int = 0,
+    wait_seconds: float = 0.0,
+    era: int = 0,
 ) -> Reading | PlatformUnreachable:
     """Read a value, or wait for a change of it.
 
@@ -104,6 +122,7 @@
     :param path: for example ``/v1/document``.
     :param index: the index already known; 0 for none.
     :param wait_seconds: how long the service may wait for a change.
+    :param era: the era of that index.
     :returns: a reading of the index that is known already may lack its value: a watch
         ends every few seconds, and the list of a large fleet has a megabyte.
     """
@@ -111,11 +130,14 @@
     answer = get_value(address, target, wait_seconds + ANSWER_MARGIN_SECONDS, index)
     if isinstance(answer, PlatformUnreachable):
         return answer
+    now = read_era(answer.headers, ERA_HEADER)
     if answer.status == http.HTTPStatus.NOT_MODIFIED:
-        return Reading(index, b"")
+        if now != era:
+            return read_platform(address, path)
+        return Reading(index, b"", era)
     if answer.status != http.HTTPStatus.OK:
         return PlatformUnreachable(address + path, f"status {answer.status}")
     try:
-        return Reading(int(answer.headers[INDEX_HEADER]), answer.value)
+        return Reading(int(answer.headers[INDEX_HEADER]), answer.value, now)
     except (TypeError, ValueError) as error:
         return PlatformUnreachable(address + path, repr(error))
--- a/boragestream/platform/store.py
+++ b/boragestream/platform/store.py
@@ -5,14 +5,12 @@
 """
 
 import base64
-import http.client
-import re
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
 import msgspec
 
-from boragestream.platform.reader import PlatformUnreachable, get_value
+from boragestream.platform.reader import PlatformUnreachable, get_value, read_era
 from boragestream.policy.publication import Change, Changes, HistoryGone, Snapshot
 
 __all__ = [
@@ -34,8 +32,6 @@
 GONE_STATUS = 410
 # Rises by one each time that the store comes back from a copy.
 ERA_HEADER = "Store-Era"
-# A longer number is no count of returns.
-ERA = re.compile(r"[0-9]{1,9}", re.ASCII)
 # A read that takes longer finds the store slow or out of reach, and is tried again.
 READ_SECONDS = 3.0
 MAX_PAGES = 1000
@@ -147,17 +143,12 @@
         if answer.status != 200:
             return PlatformUnreachable(self.address + path, f"status {answer.status}")
         try:
-            return _Answer(decoder.decode(answer.value), _era(answer.headers))
+            era = read_era(answer.headers, ERA_HEADER)
+            return _Answer(decoder.decode(answer.value), era)
         except (msgspec.DecodeError, ValueError) as error:
             return PlatformUnreachable(self.address + path, repr(error))
 
 
-def _era(headers: http.client.HTTPMessage) -> int:
-    """Return the era that an answer names; 0 where it names none that can be read."""
-    text = headers.get(ERA_HEADER, "")
-    return int(text) if ERA.fullmatch(text) else 0
-
-
 def _unreachable(failure: object, address: str) -> PlatformUnreachable:
     if isinstance(failure, PlatformUnreachable):
         return failure
--- a/tests/features/steps/entry_relay.py
+++ b/tests/features/steps/entry_relay.py
@@ -217,3 +217,31 @@
 def step(context):
     reading = read_document(context, context.reading.index)
     assert reading.index > context.reading.index and reading.value
+
+
+def publish_with(context, index):
+    """Publish the next version with an index."""
+    context.fleet.newest = newest(context) + 1
+    context.fleet.publish(document(context, context.fleet.newest), index)
+
+
+@when(
+    "the configuration service names its return from a copy, "
+    "and the next version has the last index"
+)
+def step(context):
+    publish_with(context, read_document(context, 0).index)
+    context.fleet.platform_mode(era=1)
+    context.add_cleanup(context.fleet.platform_mode, era=0)
+
+
+@when(
+    "the configuration service was away and names no return, "
+    "and the next version has the last index"
+)
+def step(context):
+    index = read_document(context, 0).index
+    context.fleet.platform_mode(down=[DOCUMENT])
+    time.sleep(SETTLE_SECONDS)
+    publish_with(context, index)
+    context.fleet.platform_mode(down=[])
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -28,7 +28,8 @@
         self.waiting = Counter()
         # Questions to a path that is ``lost`` are never answered, also not later; those
         # that wait already are.
-        self.mode = {"down": [], "lag_seconds": 0.0, "lost": []}
+        # The era rises as the service comes back from a copy; 0 names none.
+        self.mode = {"down": [], "lag_seconds": 0.0, "lost": [], "era": 0}
 
 
 STATE = State()
@@ -59,6 +60,8 @@
         if path in STATE.mode["down"]:
             return self.reset()
         known = [("X-Platform-Index", str(index))]
+        if STATE.mode["era"]:
+            known.append(("X-Platform-Era", str(STATE.mode["era"])))
         if self.headers.get("If-None-Match") == f'"{index}"':
             return self.not_modified(known)
         return self.reply(value, headers=known)
