Soak: the store comes back from copies beside all other faults

A copy is taken, up to four seconds pass, the store is away for 0.3 s by one of four ways, comes back from the copy, and 0.3 s later what was lost is written again; overlapping with kills, cuts, changes, drains and other returns.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -26,6 +26,14 @@
       | seed |
       | 3    |
 
+  Scenario Outline: faults of one seed beside a store that comes back from copies
+    When faults of seed <seed> and returns of the store strike 3 entries for 9 seconds
+    Then the soak sees no broken promise, and requests were served
+
+    Examples:
+      | seed |
+      | 4    |
+
   Scenario: the soak sees a server that was sent more than its limit allows
     Given a server with a limit of 1 that 12 requests of two entries reached in 4 seconds
     Then the soak finds that it got more than its limit allows
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -33,6 +33,14 @@
     context.verdict = run_seed(seed, entries, seconds, centres=True)
 
 
+@when(
+    "faults of seed {seed:d} and returns of the store strike {entries:d} entries for "
+    "{seconds:d} seconds"
+)
+def step(context, seed, entries, seconds):
+    context.verdict = run_seed(seed, entries, seconds, returns=True)
+
+
 @when(
     "faults of seed {seed:d} and limits of servers strike {entries:d} entries for "
     "{seconds:d} seconds"
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,8 @@
   --only SEED     Run this one seed alone.
   --entries N     How many entries [default: 3].
   --seconds S     How long faults strike in each run [default: 12].
-  --plain         Strike no whole data centres, as the first seeds were run.
+  --plain         Strike no whole data centres, and have the store not come back from
+                  copies, as the first seeds were run.
   --limits        Have servers name limits as well.
   --keep DIR      Where the logs of failed runs are kept [default: out/soak].
 
@@ -43,6 +44,7 @@
             arguments["--keep"],
             centres=not arguments["--plain"],
             limits=arguments["--limits"],
+            returns=not arguments["--plain"],
         )
         print(json.dumps(dataclasses.asdict(verdict)), flush=True)
         failed += bool(verdict.broken)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -34,6 +34,7 @@
     CENTRE_DRAINED = auto()
     CENTRE_COLD = auto()
     SERVER_LIMITED = auto()
+    STORE_RETURNS = auto()
 
 
 WEIGHTS = {
@@ -61,6 +62,8 @@
 CENTRE_GAP_SECONDS = 2.0
 # Servers name limits beside the others, and for long enough to see the sum of a window.
 LIMIT_STRIKES = 3
+# The store comes back from a copy beside the others; a copy is some seconds old.
+RETURN_GAP_SECONDS = 3.0
 LIMITS = ("0", "1", "2.5")
 
 
@@ -81,11 +84,12 @@
     target: int
 
 
-def make_plan(seed, seconds, centres=False, limits=False):
+def make_plan(seed, seconds, centres=False, limits=False, returns=False):
     """Return the strikes of a run, in the order of their times.
 
     :param centres: whether whole data centres are struck as well.
     :param limits: whether servers name limits as well.
+    :param returns: whether the store comes back from copies as well.
     """
     rng = random.Random(seed)
     strikes = []
@@ -101,6 +105,8 @@
         strikes += _centre_strikes(random.Random(f"centres {seed}"), seconds)
     if limits:
         strikes += _limit_strikes(random.Random(f"limits {seed}"), seconds)
+    if returns:
+        strikes += _return_strikes(random.Random(f"returns {seed}"), seconds)
     return sorted(strikes, key=lambda strike: strike.at)
 
 
@@ -113,6 +119,15 @@
         at += CENTRE_GAP_SECONDS * rng.uniform(0.5, 1.5)
 
 
+def _return_strikes(rng, seconds):
+    at = rng.uniform(0.2, RETURN_GAP_SECONDS)
+    while at < seconds:
+        lasts = round(rng.uniform(0.2, LONGEST_SECONDS), 2)
+        how = rng.choice(STORE_TROUBLES)
+        yield Strike(round(at, 2), lasts, StrikeKind.STORE_RETURNS, how, 0)
+        at += RETURN_GAP_SECONDS * rng.uniform(0.3, 1.7)
+
+
 def _limit_strikes(rng, seconds):
     for number in range(LIMIT_STRIKES):
         at, target = round(rng.uniform(0.2, 1.0), 2), 7 * number + rng.randrange(7)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -44,16 +44,27 @@
     broken: list
 
 
-def run_seed(seed, entries, seconds, keep=None, plan=None, centres=False, limits=False):
+def run_seed(
+    seed,
+    entries,
+    seconds,
+    keep=None,
+    plan=None,
+    centres=False,
+    limits=False,
+    returns=False,
+):
     """Run one seed.
 
     :param keep: the folder in which the logs of a failed run are kept; None for none.
     :param plan: strikes to run in place of the seed's own.
     :param centres: whether whole data centres are struck as well.
     :param limits: whether servers name limits as well.
+    :param returns: whether the store comes back from copies as well.
     """
     site = SoakSite(entries, SERVERS_A_KIND)
-    plan = make_plan(seed, seconds, centres, limits) if plan is None else plan
+    if plan is None:
+        plan = make_plan(seed, seconds, centres, limits, returns)
     callers = Callers(site, seed, CALLERS_AN_ENTRY * entries)
     broken = []
     try:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -184,6 +184,9 @@
             self._cool(ZONES[strike.target % len(ZONES)], strike.seconds)
         elif kind is StrikeKind.SERVER_LIMITED:
             return self._limit(strike)
+        elif kind is StrikeKind.STORE_RETURNS:
+            copy = self.store.copy()
+            return lambda: self._return_store(copy, strike.how)
         else:
             self._replace_server(strike)
         return None
@@ -201,6 +204,19 @@
 
         return end
 
+    def _return_store(self, copy, trouble):
+        """Have the store come back from a copy, and what it lost written again."""
+        store = self.store
+        store.down = trouble
+        time.sleep(RETURN_SECONDS)
+        lost = {key: value for key, (value, _) in store.items.items()}
+        stands = {key: value for key, (value, _) in copy.items.items()}
+        store.return_from(copy)
+        time.sleep(RETURN_SECONDS)
+        for key in sorted(lost.keys() | stands.keys()):
+            if lost.get(key) != stands.get(key):
+                store.put(key, lost.get(key))
+
     def _cool(self, zone, seconds):
         """Have the servers of a zone say that they are cold."""
         for server in self.servers:
