Adopting held values builds no copy of all values

An answer of another entry that leads to a later position built the table of values twice to see whether a held value had changed it; adopting says so itself.

--- a/boragestream/policy/held_values.py
+++ b/boragestream/policy/held_values.py
@@ -166,10 +166,14 @@
         now = self._now()
         self._kept = {key: one for key, one in kept.items() if one.until > now}
 
-    def adopt(self, relayed: Relayed) -> None:
-        """Take what another entry uses, for which the same is stored."""
+    def adopt(self, relayed: Relayed) -> bool:
+        """Take what another entry uses at the same position.
+
+        :returns: whether any of it was not used here.
+        """
         self._adopt_era(relayed.era_seconds)
         now = self._now()
+        adopted = False
         for held in relayed.held:
             known = self._kept.get(held.key)
             until = min(now + held.seconds, self._latest_end(held.key))
@@ -183,6 +187,8 @@
             if held.stored is not None:
                 self._superseded.note(held.key, held.stored)
             self._kept[held.key] = _Kept(until, held.used, returned=True)
+            adopted = True
+        return adopted
 
     def drop_ended(self) -> bool:
         """Believe the store again where the time is over; True where any was."""
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -172,9 +172,7 @@
                 taken = False
             if position != self._position:
                 return taken
-            before = self._held.values
-            self._held.adopt(relayed)
-            return self._held.values != before or taken
+            return self._held.adopt(relayed) or taken
 
     def take_position(self, position: Position) -> None:
         """Take that nothing has changed up to a position, which another entry said."""
