What was asked before the store's return is no answer after it

Two ways were left in which changes lead on from a position of the era before: a watch that reaches the returned store late, and an answer of another entry to a question asked before the return. Both move a table past changes that it lacks, for good. An answer's standing now goes by the position asked from, and another entry's changes must lead on from the same era. Found by reading; both scenarios fail without the change to its place.

--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -94,9 +94,9 @@
             if not self.following.asks(self.prefix):
                 self.stopping.wait(self.following.pause_seconds(self.prefix))
                 continue
-            asked_at = self.clock.now()
+            asked_at, asked = self.clock.now(), self.table.position
             answer = self._ask(again)
-            standing = self._standing(answer)
+            standing = self._standing(answer, asked)
             again = standing is Standing.UNCONNECTED
             if again or standing is Standing.OUTDATED:
                 self.following.note_unusable(self.prefix)
@@ -128,9 +128,9 @@
         settles = self.table.unsettled and not self.confirming.put_off
         if not settles and not self.confirming.asks(self.prefix):
             return True
-        asked_at = self.clock.now()
-        answer = self.store.watch(self.prefix, self.table.revision, 0.0)
-        if self._standing(answer) is Standing.UNCONNECTED:
+        asked_at, asked = self.clock.now(), self.table.position
+        answer = self.store.watch(self.prefix, asked.revision, 0.0)
+        if self._standing(answer, asked) is Standing.UNCONNECTED:
             answer = self.store.read(self.prefix)
         if isinstance(answer, HistoryGone):
             # The store came back from a copy as it was read.
@@ -144,7 +144,7 @@
             self.confirming.note_failure(self.prefix)
             self.failed()
             return False
-        if self._standing(answer) is Standing.OUTDATED:
+        if self._standing(answer, asked) is Standing.OUTDATED:
             self.confirming.note_unusable()
             return True
         if self.confirming.failing(self.prefix):
@@ -171,11 +171,15 @@
             self._log_return(before, "time")
             self._publish()
 
-    def _standing(self, answer: Snapshot | Changes | Failure) -> Standing | None:
+    def _standing(
+        self, answer: Snapshot | Changes | Failure, asked: Position | None
+    ) -> Standing | None:
         """Return what an answer is to the table; None where there is no answer."""
         if isinstance(answer, HistoryGone):
             return Standing.UNCONNECTED
-        return None if isinstance(answer, Failure) else self.table.standing(answer)
+        if isinstance(answer, Failure):
+            return None
+        return self.table.standing(answer, asked)
 
     def _ask(self, again: bool) -> Snapshot | Changes | HistoryGone | Failure:
         revision = self.table.revision
--- a/boragestream/policy/operator_table.py
+++ b/boragestream/policy/operator_table.py
@@ -96,9 +96,16 @@
         with self._lock:
             return self._drained.since(None)
 
-    def standing(self, answer: Snapshot | Changes) -> Standing:
-        """Return what an answer of the platform is to this table."""
-        both = {self._configuration.standing(answer), self._drained.standing(answer)}
+    def standing(
+        self, answer: Snapshot | Changes, asked: Position | None = None
+    ) -> Standing:
+        """Return what an answer of the platform is to this table.
+
+        :param asked: the position from which changes were asked for; None for the one
+            that is known now.
+        """
+        tables = (self._configuration, self._drained)
+        both = {table.standing(answer, asked) for table in tables}
         if Standing.UNCONNECTED in both:
             return Standing.UNCONNECTED
         return Standing.USABLE if Standing.USABLE in both else Standing.OUTDATED
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -111,18 +111,28 @@
         """Whether an outage has ended, and nothing under this prefix was answered."""
         return self._settled_at is None and not self._failing
 
-    def standing(self, answer: Snapshot | Changes) -> Standing:
-        """Return what an answer of the store is to this table."""
+    def standing(
+        self, answer: Snapshot | Changes, asked: Position | None = None
+    ) -> Standing:
+        """Return what an answer of the store is to this table.
+
+        :param asked: the position from which changes were asked for; None for the one
+            that is known now.
+        """
         known = self._position
         if known is None:
             return Standing.USABLE
         era = answer.era or known.era
         if era < known.era:
             return Standing.OUTDATED
-        if isinstance(answer, Changes):
-            return Standing.USABLE if era == known.era else Standing.UNCONNECTED
-        outdated = Position(era, answer.revision) < known
-        return Standing.OUTDATED if outdated else Standing.USABLE
+        if isinstance(answer, Snapshot):
+            outdated = Position(era, answer.revision) < known
+            return Standing.OUTDATED if outdated else Standing.USABLE
+        if era > known.era:
+            return Standing.UNCONNECTED
+        # A question of the era before can reach the store after its return.
+        connected = asked is None or asked.era == era
+        return Standing.USABLE if connected else Standing.OUTDATED
 
     def note_answer(self) -> None:
         """Take that the store answered, also about another prefix."""
@@ -266,7 +276,9 @@
             changes = () if later_era else self._differences(stored, position.revision)
         else:
             after = Position(relayed.after_era, relayed.after)
-            if known is None or after > known or (later_era and after != known):
+            if known is None or after > known:
+                return None
+            if (later_era and after != known) or after.era < known.era:
                 return None
             stored = self._changed(changes) if later_era else {}
         now = self._now()
--- a/tests/features/returned_copy.feature
+++ b/tests/features/returned_copy.feature
@@ -145,6 +145,33 @@
     Then all is to be read
     And "a" counts as 2
 
+  # Guards against a watch of the era before that the store answers in the next one.
+  Scenario: a watch that was sent before the return is no answer after it
+    Given a copy of the store with "a=1 b=1 op/1"
+    And after the copy "c=1 c=2 c=3" was acknowledged
+    And a watch that is on its way
+    When the store comes back from the copy
+    And "a=2" is written, but nobody asks
+    And "b=2 b=3 b=4" is written, but nobody asks
+    And the watch is answered
+    Then "a" counts as 1
+    When all is asked again
+    Then "a" counts as 2
+
+  # Guards against another entry's answer that leads on from the era before.
+  Scenario: changes since what was known before the return are not taken after it
+    Given a copy of the store with "a=1 b=1 op/1"
+    And another entry that knows as much, and is then cut off
+    And after the copy "c=1" was acknowledged
+    And the other entry knows of it too, and asks the first what has changed since
+    When the store comes back from the copy, and the other entry asks it first
+    And "c=1" is written
+    And "a=5" is written
+    And the first answers what the other entry asked before the return
+    And 3 seconds pass
+    And the other entry hears of the first
+    Then at the other entry "a" is 5, "c" is 1
+
   Scenario Outline: a store that names its era as <named> is taken to be in the one known
     When the store names its era as <named>
     Then the era is <era>
--- a/tests/features/steps/returned_copy.py
+++ b/tests/features/steps/returned_copy.py
@@ -210,6 +210,49 @@
     assert context.standing is Standing.UNCONNECTED
 
 
+@given("the other entry knows of it too, and asks the first what has changed since")
+def step(context):
+    context.other.ask()
+    context.question = context.other.servers.position
+
+
+@when("the store comes back from the copy, and the other entry asks it first")
+def step(context):
+    context.store.return_from(context.copy)
+    context.other.ask()
+
+
+@when("the first answers what the other entry asked before the return")
+def step(context):
+    asked = context.question
+    answer = context.first.servers.since(asked.revision, asked.era)
+    context.other.servers.take_relayed(answer)
+
+
+@given("a watch that is on its way")
+def step(context):
+    context.asked = context.first.servers.position
+
+
+@when('"{text}" is written, but nobody asks')
+def step(context, text):
+    context.store.write(text)
+
+
+@when("the watch is answered")
+def step(context):
+    table = context.first.servers
+    answer = context.store.watch(False, context.asked.revision)
+    assert table.standing(answer, context.asked) is Standing.OUTDATED
+    # The next one that the entry sends itself is connected.
+    assert table.standing(answer, table.position) is Standing.USABLE
+
+
+@when("all is asked again")
+def step(context):
+    context.first.ask()
+
+
 @when('"{text}" is written')
 def step(context, text):
     context.store.write(text)
@@ -315,7 +358,7 @@
     moves = st.lists(
         st.sampled_from(
             ["write", "write", "copy", "return", "ask", "ask", "hear", "hear", "wait"]
-            + ["start", "late"]
+            + ["start", "late", "late", "late watch"]
         ),
         max_size=40,
     )
@@ -336,6 +379,7 @@
     for entry in entries:
         entry.ask()
     copies, late = [store.copy()], entries[0].servers.since(None)
+    watched = None
     for move in steps:
         entry, other = rng.sample(entries, 2)
         if move == "write":
@@ -359,7 +403,14 @@
                 started.ask()
         elif move == "late":
             entry.servers.take_relayed(late)
-            late = other.servers.since(None) or late
+            after = rng.choice([None, entry.servers.revision])
+            late = other.servers.since(after, entry.servers.era) or late
+        elif move == "late watch":
+            if watched is not None:
+                table, asked, answer = watched
+                if table.standing(answer, asked) is Standing.USABLE:
+                    table.take(answer)
+            watched = late_watch(entry, store, rng)
         else:
             clock.seconds += rng.choice([0.5, 3.0, 10.0, 40.0])
         positions = [e.servers.position or Position(0, 0) for e in entries]
@@ -367,6 +418,17 @@
     settle(clock, store, entries, rng)
 
 
+def late_watch(entry, store, rng):
+    """Return a watch that is answered now, from what the entry knew before a return."""
+    table, known = entry.servers, entry.servers.position
+    if known is None:
+        return None
+    if rng.random() < 0.5:
+        entry.ask()
+    answer = store.watch(False, known.revision)
+    return None if answer is None else (table, known, answer)
+
+
 def settle(clock, store, entries, rng):
     """Have all entries meet the store or one that has, and the time of holds end."""
     first, *others = rng.sample(entries, len(entries))
