Terms of the field in what follows the store; one stand-in of a store with copies

The stand-in store that can come back from a copy stands once, for tables and for the simulated site. No behaviour changes.

--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -40,7 +40,7 @@
 LOST_ALONE_SECONDS = 3.0
 
 
-# The log names the first few keys of a change and tells how many there are.
+# The log names the first few keys of a change and says how many there are.
 LOGGED_KEYS = 5
 
 
@@ -58,9 +58,9 @@
 
     :ivar watch_seconds: how long one watch may wait.
     :ivar take: takes the values by key after each change.
-    :ivar changed: called after each change, so that other entries hear of it.
+    :ivar changed: called after each change, so that it is passed on to other entries.
     :ivar unreachable: the event to log where the store gives no answer.
-    :ivar clock: tells how long an answer took.
+    :ivar clock: times the answers.
     :ivar answered: called for each answer of the store, before it is taken.
     :ivar gap_seconds: how long to wait after changes, so that others that follow come
         in one answer; longer while they keep coming.
@@ -119,7 +119,7 @@
         """Ask a question that does not wait where the watch may be lost.
 
         So is one asked after an outage that the watch has outlived, as only the first
-        answer after it tells what lapsed from what is removed later.
+        answer after it separates what lapsed from what is removed later.
 
         :returns: False where the store gave no answer.
         """
@@ -201,7 +201,7 @@
         self.answered()
         changed = self.table.take(answer) or first
         self._log_return(before, "platform")
-        # Before others are told, who may ask for it at once.
+        # Before it is passed on to others, who may ask for it at once.
         if changed:
             self._publish()
         self.known()
--- a/boragestream/daemon/publications.py
+++ b/boragestream/daemon/publications.py
@@ -75,7 +75,7 @@
     def confirm(self) -> None:
         """Make sure of what is known until the entry ends."""
         while not self.stopping.wait(self.confirming.pause_seconds()):
-            # One question tells whether the store is there.
+            # One question shows whether the store is there.
             if self.operators.confirm():
                 self.servers.confirm()
             else:
--- a/boragestream/daemon/published_servers.py
+++ b/boragestream/daemon/published_servers.py
@@ -22,7 +22,7 @@
 __all__ = ["PublishedServers"]
 
 # A writer that has gone wrong can spoil every entry; the log names the first few of
-# each change and tells how many there are.
+# each change and says how many there are.
 LOGGED_FAULTS = 5
 # The text of a fault can quote what was published.
 FAULT_CHARACTERS = 160
@@ -31,8 +31,8 @@
 class PublishedServers:
     """The published servers, decoded.
 
-    :param lives: tells the latest life of each.
-    :param cold: told of each entry that is new, since a server says there that it is
+    :param lives: returns the latest life of each.
+    :param cold: takes each entry that is new, since a server says there that it is
         cold.
     :param limits: which servers have a limit on their requests.
     :param regions: by data centre the region that it is part of.
@@ -65,7 +65,7 @@
         self._decoded: dict[str, tuple[bytes, Server | PublishedMalformed]] = {}
         self._malformed: dict[str, bytes] = {}
         # Those that said so in the list that is being taken.
-        self._told_cold: list[str] = []
+        self._listed_cold: list[str] = []
         self._lock = threading.Lock()
 
     @property
@@ -89,7 +89,7 @@
     def _take(self) -> None:
         before = {server.identity: server.name for server in self._servers.all}
         left_before = _leaving(self._servers.all)
-        self._told_cold = []
+        self._listed_cold = []
         listed = self._lives.take_list(self._decode())
         self._members.take_servers(tuple(to_leaving(server) for server in listed))
         self._limits.take_list(listed)
@@ -105,7 +105,7 @@
             added=added,
             removed=removed,
             leaving=sorted(_leaving(listed) - left_before),
-            cold=sorted(self._told_cold),
+            cold=sorted(self._listed_cold),
             era=position.era if position else 0,
             revision=position.revision if position else 0,
         )
@@ -128,7 +128,7 @@
         server = replace(server, region=self._regions.get(server.data_centre, ""))
         if server.cold_seconds > 0:
             self._cold.take(server)
-            self._told_cold.append(server.name)
+            self._listed_cold.append(server.name)
         return server
 
     def _note_malformed(self) -> None:
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -93,7 +93,7 @@
     :ivar cold: which servers have just started.
     :ivar limits: which servers have a limit on their requests.
     :ivar quarantine: which requests crash servers.
-    :ivar quarantine_part: tells the other entries of them.
+    :ivar quarantine_part: passes them on to other entries.
     :ivar published_servers: takes the published entries of servers.
     :ivar publications: what is followed of the platform's store.
     :ivar ended: set once the entry has ended.
--- a/boragestream/entry/published_relay.py
+++ b/boragestream/entry/published_relay.py
@@ -111,8 +111,8 @@
     :param servers: the published servers.
     :param operators: what operators publish.
     :param in_force: returns the configuration in force; None while there is none.
-    :param take_servers: takes what a peer told of the servers.
-    :param take_drained: takes what a peer told of the drained data centres.
+    :param take_servers: takes what a peer passes on of the servers.
+    :param take_drained: takes what a peer passes on of the drained data centres.
     :param links: carries the questions.
     :param address: returns a peer's address by its name.
     :param submit: has a question asked beside the rounds.
@@ -179,7 +179,7 @@
         return _encoder.encode(word)
 
     def take(self, sender: str, data: bytes) -> None:
-        """Take a peer's word, and ask it for what is not known here."""
+        """Take what a peer knows, and ask it for what is not known here."""
         try:
             word = _words.decode(data)
         except msgspec.DecodeError as error:
--- a/boragestream/platform/published.py
+++ b/boragestream/platform/published.py
@@ -149,7 +149,7 @@
     cold_left_ms: float
     # The number of orders that it has accepted.
     seq: int
-    # The Unix millisecond of its start; not told on every platform.
+    # The Unix millisecond of its start; not published on every platform.
     born: int | msgspec.UnsetType = msgspec.UNSET
 
 
--- a/boragestream/policy/confirming.py
+++ b/boragestream/policy/confirming.py
@@ -8,9 +8,9 @@
 has confirmed what it knows for a part of the bound; one that is not in use, a few times
 as long.
 
-One entry asks earlier than all others, which find what it was told confirmed with the
-next words of their peers. Where that entry is gone, cut off or turned away the others
-ask by themselves, still within the bound.
+One entry asks earlier than all others, which find what it was answered confirmed with
+the next messages of their peers. Where that entry is gone, cut off or turned away the
+others ask by themselves, still within the bound.
 
 Load patterns: a platform that falls silent right after a change, when all watches are
 sent anew; connections of all entries that fall silent at once; a fleet that is idle all
@@ -33,7 +33,7 @@
 # The entry that asks first does so after this part of the bound: a change that its
 # watch has lost is known there at once and everywhere a second later.
 FIRST_SHARE = 0.25
-# The others. By then they have heard from the first one where it is there. What is
+# The others. By then they have an answer of the first one where it is there. What is
 # left of the bound is for an answer that comes late.
 OTHERS_SHARE = 0.75
 # An entry that has had nothing to decide for so long asks so many times as seldom. Its
@@ -53,7 +53,7 @@
 
     :param prefixes: what is followed, by the keys' beginnings.
     :param bound_seconds: the longest until a published change must be in force here.
-    :param is_first: tells whether this entry asks before the others.
+    :param is_first: returns whether this entry asks before the others.
     """
 
     def __init__(
@@ -116,7 +116,7 @@
             self._put_off()
 
     def take_notice(self, age_seconds: float) -> None:
-        """Take a peer's word whose content is known here.
+        """Take the age of a peer's message whose content is known here.
 
         :param age_seconds: how long ago all that the peer knows was confirmed.
         """
--- a/boragestream/policy/server_lives.py
+++ b/boragestream/policy/server_lives.py
@@ -1,7 +1,7 @@
 """Which of two lives of a backend server under one name is listed in earnest.
 
 A server that starts again keeps its name; the moment of its start tells its lives
-apart. A word of the earlier life can be published after the later one has begun, for
+apart. A state of the earlier life can be published after the later one has begun, for
 example a write that the platform carried out late. It is not taken for a while: the
 server would lose its calls, its measured times and its connections, and be called as if
 it still held the results of before. Where it stays published the server's clock was set
@@ -26,7 +26,7 @@
 class ServerLives:
     """The latest life of each listed server.
 
-    :param clock: tells for how long an earlier life has been published.
+    :param clock: times for how long an earlier life has been published.
     """
 
     def __init__(self, clock: Clock) -> None:
--- a/boragestream/policy/servers.py
+++ b/boragestream/policy/servers.py
@@ -34,7 +34,7 @@
     :ivar incarnation: tells two lives under one name apart.
     :ivar region: empty where it is not known.
     :ivar started_ms: when this life began, in Unix milliseconds by the server's own
-        clock; 0 where it is not told.
+        clock; 0 where it is not known.
     :ivar cold_seconds: for how much longer it was cold when it was listed.
     """
 
@@ -59,7 +59,7 @@
 
     :param left: called with each server that said to this entry that it is leaving.
     :param awaits_orders: whether no server is used until it is known which data centres
-        are drained: an entry that starts hears of the servers in whatever order.
+        are drained: an entry that starts learns of the servers in whatever order.
     """
 
     def __init__(
--- a/boragestream/policy/watching.py
+++ b/boragestream/policy/watching.py
@@ -5,7 +5,7 @@
 all watched, calls took 0.04 to 0.11 of what a day was worth. Two entries of each data
 centre watch, chosen alike by all entries from those that they believe to be alive;
 where beliefs differ for a moment, one too many or too few watches, which does no harm.
-The others hear from their peers.
+The others learn it from their peers.
 
 Load patterns: hundreds of entries and a change every second; all watchers gone at once;
 an outage of the platform, in which everybody would ask all the time; a platform that
@@ -40,7 +40,7 @@
 # relay that is silent without anybody noticing.
 DIRECT_READS_PER_SECOND = 2.0
 MIN_DIRECT_READ_SECONDS = 5.0
-# An entry that hears nothing from its peers asks the platform so long before a change
+# An entry that gets nothing from its peers asks the platform so long before a change
 # must be in force: time for a call, a lost packet and a slow core.
 ASK_MARGIN_SECONDS = 1.0
 # A part of shorter bounds.
@@ -51,16 +51,16 @@
 SETTLE_SECONDS = 2.0
 # A platform that gave no answer may serve this entry again at any moment, but each call
 # counts. The pause doubles up to the second figure, which the return of an outage may
-# take to be noticed by one watcher; of several the first tells the others.
+# take to be noticed by one watcher; of several the first informs the others.
 RETRY_SECONDS = 0.3
 MOST_RETRY_SECONDS = 2.0
 # While the platform does not answer the watchers, the other entries together ask it
 # this often. A platform that turns the watchers alone away is found in a quarter of a
 # second, and an outage costs the same whatever the number of entries.
 PROBES_PER_SECOND = 4.0
-# A failure that was told longer ago says nothing of the platform any more.
+# A failure that was reported longer ago says nothing of the platform any more.
 TROUBLE_SECONDS = 3.0
-# An age that is told and logged; older knowledge is as good as none.
+# The highest age that is sent and logged; older knowledge is as good as none.
 MOST_AGE_SECONDS = 3600.0
 # Whether an entry has become a watcher is looked at this often.
 LOOK_SECONDS = 0.5
@@ -148,14 +148,14 @@
     travels with each message between entries, so that it counts the whole way. Whether
     such a watch is still there is made sure of by ``policy.confirming``.
 
-    An entry asks by itself once its peers' word is older than the bound less a margin,
-    and so keeps the bound also where it is cut off from its peers or all watchers are
-    gone.
+    An entry asks by itself once what its peers sent is older than the bound less a
+    margin, and so keeps the bound also where it is cut off from its peers or all
+    watchers are gone.
 
     :param prefixes: what is followed, by the keys' beginnings; of each whether it is
         watched from the start on.
     :param bound_seconds: the longest until a published change must be in force here.
-    :param designated: tells whether this entry is one of the watchers.
+    :param designated: returns whether this entry is one of the watchers.
     :param entries: returns how many entries are known to be alive.
     """
 
@@ -198,7 +198,7 @@
             if self._waits_for_turn(now):
                 return False
             if self._failures:
-                # One prefix tells of the store; the other is asked once that answers.
+                # One prefix shows whether the store is there; the other is asked then.
                 self._not_before = now + self._pause()
             own.waits = True
             return True
@@ -299,7 +299,7 @@
         return own.waits and own.in_row
 
     def take_notice(self, age_seconds: float, trouble_seconds: float) -> None:
-        """Take a peer's word whose content is known here.
+        """Take the age of a peer's message whose content is known here.
 
         :param age_seconds: how old what the peer knows can be.
         :param trouble_seconds: how long ago the store did not answer somebody.
@@ -317,7 +317,7 @@
     def age(self) -> float:
         """Return how old what is known here can be, in seconds.
 
-        Where nothing is known for certain, such as after a start with what peers told
+        Where nothing is known for certain, such as after a start with what peers sent
         alone, it is ``MOST_AGE_SECONDS``.
         """
         now = self._clock.now()
--- a/tests/standins/following.py
+++ b/tests/standins/following.py
@@ -21,6 +21,7 @@
     watchers,
 )
 from tests.standins.clock import SetClock
+from tests.standins.copied_store import Copied
 
 TICK_SECONDS = 0.1
 WATCH_SECONDS = 28.0
@@ -42,7 +43,7 @@
     return key.startswith(DRAINED) is (prefix == "configuration")
 
 
-class SimulatedStore:
+class SimulatedStore(Copied):
     """What is published, and whom it turns away."""
 
     def __init__(self):
@@ -74,17 +75,6 @@
             self.written[key] = self.revision
         self.history.append(Change(key, self.revision, value))
 
-    def copy(self):
-        """Return what is published now."""
-        return dict(self.values), dict(self.written), list(self.history), self.revision
-
-    def return_from(self, copy):
-        """Come back from a copy."""
-        values, written, history, self.revision = copy
-        self.values, self.written = dict(values), dict(written)
-        self.history = list(history)
-        self.era += 1
-
     def has_history(self, revision):
         """Tell whether it has the changes since a revision."""
         if self.refuses_watches:
