A service that answers 304 to a first read gives no value

The read after a change of era asked again without an index; a service that goes on with 304 in ever other eras was asked without end. Found by reading; the scenario fails before.

--- a/boragestream/platform/reader.py
+++ b/boragestream/platform/reader.py
@@ -131,7 +131,7 @@
     if isinstance(answer, PlatformUnreachable):
         return answer
     now = read_era(answer.headers, ERA_HEADER)
-    if answer.status == http.HTTPStatus.NOT_MODIFIED:
+    if answer.status == http.HTTPStatus.NOT_MODIFIED and index:
         if now != era:
             return read_platform(address, path)
         return Reading(index, b"", era)
--- a/tests/features/entry_relay_return.feature
+++ b/tests/features/entry_relay_return.feature
@@ -11,3 +11,8 @@
       | return                        |
       | names its return from a copy  |
       | was away and names no return  |
+
+  # Guards against a read that repeats itself for ever.
+  Scenario: a service that answers every read with 304 and another era gives no value
+    When a service answers 304 to all, each time in another era
+    Then reading it fails after 2 questions
--- a/tests/features/steps/entry_relay.py
+++ b/tests/features/steps/entry_relay.py
@@ -1,14 +1,16 @@
 """Steps on the configuration in force, over separate processes."""
 
 import copy
+import threading
 import time
 
 from behave import given, then, when
 
 from boragestream.entry.exchange import ROUND_SECONDS
-from boragestream.platform.reader import Reading, read_platform
+from boragestream.platform.reader import PlatformUnreachable, Reading, read_platform
 from boragestream.policy.watching import watchers
 from tests.standins.fleet import ADDRESS, fetch, wait_until
+from tests.standins.http import Handler, Server
 
 LIMIT_SECONDS = 40
 DOCUMENT = "/v1/document"
@@ -245,3 +247,29 @@
     time.sleep(SETTLE_SECONDS)
     publish_with(context, index)
     context.fleet.platform_mode(down=[])
+
+
+@when("a service answers 304 to all, each time in another era")
+def step(context):
+    context.questions = 0
+
+    class Never(Handler):
+        """Says that nothing was modified."""
+
+        def get(self, path, query):
+            """Answer in another era than before."""
+            context.questions += 1
+            self.not_modified([("X-Platform-Era", str(context.questions))])
+
+    server = Server((ADDRESS, 0), Never)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    context.add_cleanup(server.server_close)
+    context.add_cleanup(server.shutdown)
+    address = f"{ADDRESS}:{server.server_address[1]}"
+    context.reading = read_platform(address, DOCUMENT, index=5)
+
+
+@then("reading it fails after {count:d} questions")
+def step(context, count):
+    assert isinstance(context.reading, PlatformUnreachable), context.reading
+    assert context.questions == count
