An era of the number 0 is an era, not none

A store whose first era is 0 would have had late answers of it taken for answers without an era, and so for ones of the era after its return: a late read moved a table to a lost revision, from where it ignored what was written until that was passed. No era is a value of its own now, below all numbers, in answers, tables and messages (-1 in log and metrics). Found by reading; the scenario fails before.

--- a/boragestream/daemon/operator_values.py
+++ b/boragestream/daemon/operator_values.py
@@ -17,7 +17,7 @@
 )
 from boragestream.platform.store import CONFIGURATION_KEY, DRAINED_PREFIX
 from boragestream.policy.cold_servers import ColdServers
-from boragestream.policy.publication import Position
+from boragestream.policy.publication import NO_ERA, Position
 from boragestream.policy.route_table import RoutesInForce
 from boragestream.policy.servers import ServerTable
 
@@ -108,7 +108,7 @@
             source=source,
             version=document.version,
             offer=offer.name,
-            era=position.era if position else 0,
+            era=position.era if position else NO_ERA,
             revision=position.revision if position else 0,
         )
     return True
--- a/boragestream/daemon/published_servers.py
+++ b/boragestream/daemon/published_servers.py
@@ -14,7 +14,7 @@
 from boragestream.platform.published import PublishedMalformed, read_server
 from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.load import LoadTable
-from boragestream.policy.publication import Position
+from boragestream.policy.publication import NO_ERA, Position
 from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.server_lives import ServerLives
 from boragestream.policy.servers import Server, ServerState, ServerTable
@@ -106,7 +106,7 @@
             removed=removed,
             leaving=sorted(_leaving(listed) - left_before),
             cold=sorted(self._listed_cold),
-            era=position.era if position else 0,
+            era=position.era if position else NO_ERA,
             revision=position.revision if position else 0,
         )
         self._changed()
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -231,7 +231,7 @@
         gauge("server_list_age", "How old the server list can be, in seconds.", age)
 
         table = parts.publications.servers.table
-        era = "The era of the store that the server list goes by; 0 for none."
+        era = "The era of the store that the server list goes by; -1 for none."
         gauge("list_era", era, lambda: table.era)
         revision = "The revision of the store that the server list goes by."
         gauge("list_revision", revision, lambda: table.revision or 0)
--- a/boragestream/entry/knowledge_messages.py
+++ b/boragestream/entry/knowledge_messages.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from boragestream.policy.publication import NO_ERA
+
 __all__ = [
     "AddressesAsk",
     "AddressesReply",
@@ -54,11 +56,12 @@
     """Asks what is published of the servers.
 
     :ivar after: the revision that the sender knows; None for none.
-    :ivar era: of that revision; 0 where the store, or an earlier release, names none.
+    :ivar era: of that revision; ``NO_ERA`` where the store, or an earlier release,
+        names none.
     """
 
     after: int | None = None
-    era: int = 0
+    era: int = NO_ERA
 
 
 class PublishedReply(msgspec.Struct, frozen=True, tag=True):
@@ -69,7 +72,8 @@
     :ivar revision: up to which they are complete; 0 where nothing is known.
     :ivar changes: of each its key, its revision and its value, None for a removal.
     :ivar lapsed: for how many milliseconds keys that lapsed are still kept.
-    :ivar era: of the revision; 0 where the store, or an earlier release, names none.
+    :ivar era: of the revision; ``NO_ERA`` where the store, or an earlier release,
+        names none.
     :ivar after_era: of the revision from which the changes lead on.
     :ivar era_ms: how long ago the era was first seen; None where that is unknown.
     :ivar held: what is used against what a returned store says.
@@ -79,8 +83,8 @@
     revision: int = 0
     changes: tuple[tuple[str, int, bytes | None], ...] = ()
     lapsed: dict[str, int] = {}
-    era: int = 0
-    after_era: int = 0
+    era: int = NO_ERA
+    after_era: int = NO_ERA
     era_ms: int | None = None
     held: tuple[PackedHeld, ...] = ()
 
--- a/boragestream/entry/published_relay.py
+++ b/boragestream/entry/published_relay.py
@@ -29,7 +29,14 @@
 from boragestream.entry.relay import RelayedVersion
 from boragestream.policy.confirming import Confirming
 from boragestream.policy.operator_table import ORDER, OperatorTable
-from boragestream.policy.publication import Change, Held, Position, Relayed, Write
+from boragestream.policy.publication import (
+    NO_ERA,
+    Change,
+    Held,
+    Position,
+    Relayed,
+    Write,
+)
 from boragestream.policy.published_table import PublishedTable
 from boragestream.policy.watching import StoreFollowing
 
@@ -75,9 +82,9 @@
     confirmed_ms: int = MOST_AGE_MS
     drained_revision: int = 0
     drained: tuple[str, ...] = ()
-    era: int = 0
-    configuration_era: int = 0
-    drained_era: int = 0
+    era: int = NO_ERA
+    configuration_era: int = NO_ERA
+    drained_era: int = NO_ERA
     drained_written: tuple[int, ...] = ()
     drained_held: tuple[tuple[str, int, int, int], ...] = ()
     era_ms: int | None = None
@@ -155,7 +162,7 @@
         in_force, servers = self._in_force(), self._servers.position
         if in_force is None or servers is None:
             return b""
-        configuration = self._operators.configuration_position or Position(0, 0)
+        configuration = self._operators.configuration_position or Position(NO_ERA, 0)
         drained = self._operators.drained_centres() or Relayed(None, 0, (), {})
         withheld = {held.key for held in drained.held if held.used is None}
         orders = [c for c in drained.changes if c.key not in withheld]
--- a/boragestream/platform/reader.py
+++ b/boragestream/platform/reader.py
@@ -10,6 +10,7 @@
 
 from boragestream.base.liveness import detect_dead_peer
 from boragestream.base.outcomes import Failure
+from boragestream.policy.publication import NO_ERA
 
 __all__ = [
     "PlatformAnswer",
@@ -39,12 +40,12 @@
         restored service can go backwards.
     :ivar value: the value's bytes, not yet checked.
     :ivar era: how often the service has come back from a copy, after which an index can
-        stand for another value; 0 where it does not say.
+        stand for another value; ``NO_ERA`` where it does not say.
     """
 
     index: int
     value: bytes
-    era: int = 0
+    era: int = NO_ERA
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,9 +105,9 @@
 
 
 def read_era(headers: http.client.HTTPMessage, name: str) -> int:
-    """Return the era that an answer names in a header; 0 for none that can be read."""
+    """Return the era that an answer names; ``NO_ERA`` for none that can be read."""
     text = headers.get(name, "")
-    return int(text) if ERA.fullmatch(text) else 0
+    return int(text) if ERA.fullmatch(text) else NO_ERA
 
 
 def read_platform(
@@ -114,7 +115,7 @@
     path: str,
     index: int = 0,
     wait_seconds: float = 0.0,
-    era: int = 0,
+    era: int = NO_ERA,
 ) -> Reading | PlatformUnreachable:
     """Read a value, or wait for a change of it.
 
--- a/boragestream/platform/store.py
+++ b/boragestream/platform/store.py
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Answer:
-    """A body with the era of its answer; 0 where the store names none."""
+    """A body with the era of its answer; ``NO_ERA`` where the store names none."""
 
     body: _Range | _Events
     era: int
--- a/boragestream/policy/operator_table.py
+++ b/boragestream/policy/operator_table.py
@@ -19,6 +19,7 @@
 
 from boragestream.policy.held_values import OPERATOR_RETENTION
 from boragestream.policy.publication import (
+    NO_ERA,
     Change,
     Changes,
     Held,
@@ -130,7 +131,7 @@
             self._drained.take_relayed(relayed)
             return first or self._drained.values.keys() != before
 
-    def take_revision(self, revision: int, era: int = 0) -> None:
+    def take_revision(self, revision: int, era: int = NO_ERA) -> None:
         """Take that the configuration has not changed up to a revision."""
         self._configuration.take_position(Position(era, revision))
 
--- a/boragestream/policy/publication.py
+++ b/boragestream/policy/publication.py
@@ -10,6 +10,7 @@
 from boragestream.base.outcomes import Failure
 
 __all__ = [
+    "NO_ERA",
     "Change",
     "Changes",
     "Held",
@@ -22,12 +23,16 @@
 ]
 
 
+# Of an answer that names no era, and of messages of an earlier release.
+NO_ERA = -1
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class Position:
     """Where an answer stands among all that the store has ever answered.
 
     :ivar era: rises each time that the store comes back from a copy, which can lack its
-        last changes; 0 where the store names none.
+        last changes; ``NO_ERA`` where the store names none.
     :ivar revision: rises with each change of an era. After a return it goes on from the
         copy's, so that the same revisions are given out again.
     """
@@ -52,26 +57,26 @@
 class Changes:
     """What changed, and the revision from which to go on.
 
-    :ivar era: of the answer; 0 where the store names none.
+    :ivar era: of the answer; ``NO_ERA`` where the store names none.
     """
 
     revision: int
     changes: tuple[Change, ...]
-    era: int = 0
+    era: int = NO_ERA
 
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """All values under a prefix by key, at least as new as the revision.
 
-    :ivar era: of the answer; 0 where the store names none.
+    :ivar era: of the answer; ``NO_ERA`` where the store names none.
     :ivar written: by key the revision of its last write; that of the snapshot for keys
         that are missing here.
     """
 
     revision: int
     values: dict[str, bytes]
-    era: int = 0
+    era: int = NO_ERA
     written: dict[str, int] = field(default_factory=dict)
 
     @property
@@ -136,7 +141,8 @@
     :ivar revision: up to which they are complete.
     :ivar lapsed: keys that lapsed in an outage, with the seconds for which they are
         still kept.
-    :ivar era: of the revision; 0 where the store, or an earlier release, names none.
+    :ivar era: of the revision; ``NO_ERA`` where the store, or an earlier release, names
+        none.
     :ivar after_era: the era of ``after``.
     :ivar era_seconds: how long ago the era was first seen; None where that is unknown.
     :ivar held: what is used against what the returned store says.
@@ -146,7 +152,7 @@
     revision: int
     changes: tuple[Change, ...]
     lapsed: dict[str, float]
-    era: int = 0
-    after_era: int = 0
+    era: int = NO_ERA
+    after_era: int = NO_ERA
     era_seconds: float | None = None
     held: tuple[Held, ...] = ()
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -15,6 +15,7 @@
 
 from boragestream.policy.held_values import SERVER_RETENTION, HeldValues, Retention
 from boragestream.policy.publication import (
+    NO_ERA,
     Change,
     Changes,
     Held,
@@ -67,10 +68,10 @@
         self._position: Position | None = None
         # What was known last of the era before, and first of this one.
         self._era_left: Position | None = None
-        self._era_entered = Position(0, 0)
+        self._era_entered = Position(NO_ERA, 0)
         # The latest changes, and the position from which they are complete.
         self._changes: deque[tuple[Position, Change]] = deque(maxlen=kept_changes)
-        self._changes_after = Position(0, 0)
+        self._changes_after = Position(NO_ERA, 0)
         self._lock = threading.RLock()
 
     @property
@@ -91,8 +92,8 @@
 
     @property
     def era(self) -> int:
-        """The era of the position; 0 where none is known."""
-        return 0 if self._position is None else self._position.era
+        """The era of the position; ``NO_ERA`` where none is known."""
+        return NO_ERA if self._position is None else self._position.era
 
     @property
     def held(self) -> tuple[Held, ...]:
@@ -122,7 +123,7 @@
         known = self._position
         if known is None:
             return Standing.USABLE
-        era = answer.era or known.era
+        era = self._era_of(answer)
         if era < known.era:
             return Standing.OUTDATED
         if isinstance(answer, Snapshot):
@@ -155,8 +156,7 @@
             if self.standing(answer) is not Standing.USABLE:
                 return False
             known = self._position
-            # A store that stops naming its era is taken to be in the one known.
-            position = Position(answer.era or self.era, answer.revision)
+            position = Position(self._era_of(answer), answer.revision)
             until = self._lapsed_until()
             if isinstance(answer, Changes):
                 return self._apply(answer.changes, position, lambda key: until)
@@ -216,7 +216,7 @@
                 changes=tuple(changes),
                 lapsed={key: left for key, (_, left) in lapsed.items()},
                 era=position.era,
-                after_era=0 if after is None else after.era,
+                after_era=NO_ERA if after is None else after.era,
                 era_seconds=self._held.era_seconds,
                 held=self._held.held,
             )
@@ -226,6 +226,10 @@
         with self._lock:
             return self._held.drop_ended()
 
+    def _era_of(self, answer: Snapshot | Changes) -> int:
+        """Return the era of an answer; one that names none is of the era known."""
+        return self.era if answer.era == NO_ERA else answer.era
+
     def _lapsed_until(self) -> float | None:
         """Return until when to keep what an answer that came now says is removed."""
         now = self._now()
--- a/tests/features/steps/returned_copy.py
+++ b/tests/features/steps/returned_copy.py
@@ -25,8 +25,19 @@
 
 @given('a copy of the store with "{text}"')
 def step(context, text):
+    copied(context, text, 1)
+
+
+@given('a copy of the store with "{text}", in era {era:d}')
+def step(context, text, era):
+    copied(context, text, era)
+
+
+def copied(context, text, era):
+    """Begin with an entry that knows what a copy holds."""
     context.clock = SetClock()
     context.store = CopiedStore()
+    context.store.era = era
     context.store.write(text)
     context.first = Follower(context.clock, context.store)
     context.first.ask()
