--- a/boragestream/base/route_settings.py
+++ b/boragestream/base/route_settings.py
@@ -15,7 +15,10 @@
 from boragestream.base.outcomes import Failure
 
 __all__ = [
+    "AccountSettings",
     "ColdSettings",
+    "LateSettings",
+    "PlatformSettings",
     "ResourceSettings",
     "RouteSettings",
     "SettingsInvalid",
@@ -32,6 +35,9 @@
 # The owner of a queue at 83 entries sends and receives some megabits a second, bursts
 # of them at once; a link of this speed carries them without a queue.
 FAST_MBPS = 50.0
+# An entry with its libraries, threads and published values takes up about this much
+# before it holds anything for a caller.
+LEAST_MEMORY_MB = 96
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +160,8 @@
     :ivar link_mbps: the instance's own link, in megabits a second.
     :ivar threads: how many requests can be in hand at once, refusals included. More
         than a quarter of a gigabyte's worth of stacks would not fit an instance.
+    :ivar memory_mb: the memory above which the platform ends the process; absent where
+        it is not bounded.
     """
 
     descriptors: Count = 1024
@@ -161,6 +169,7 @@
     cpu_speed: Seconds = 1.0
     link_mbps: Seconds = 1000.0
     threads: Count = 184
+    memory_mb: Annotated[int, msgspec.Meta(ge=LEAST_MEMORY_MB)] | None = None
 
     @property
     def capacity(self) -> float:
@@ -168,6 +177,39 @@
         return self.cpu_share * self.cpu_speed * min(1.0, self.link_mbps / FAST_MBPS)
 
 
+@dataclass(frozen=True, slots=True)
+class AccountSettings:
+    """How client accounts share what is scarce.
+
+    :ivar fair_shares: whether an account that exceeds its usual demand is refused its
+        surplus first; absent for what the platform's contracts say.
+    """
+
+    fair_shares: bool | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LateSettings:
+    """How requests that can't be answered within their objective are treated.
+
+    :ivar until_deadline: whether they are served from spare capacity up to their
+        deadline; absent for yes where the settings name several regions.
+    """
+
+    until_deadline: bool | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What the platform says of itself.
+
+    :ivar contracts: the names of the parts of its rules that are in force;
+        ``platform.contracts`` translates them.
+    """
+
+    contracts: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class RouteSettings:
     """The whole settings file.
@@ -186,6 +228,9 @@
     resources: ResourceSettings = field(default_factory=ResourceSettings)
     cold: ColdSettings | None = None
     regions: dict[str, str] = field(default_factory=dict)
+    accounts: AccountSettings = field(default_factory=AccountSettings)
+    late: LateSettings = field(default_factory=LateSettings)
+    platform: PlatformSettings = field(default_factory=PlatformSettings)
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,6 +251,11 @@
     """
     try:
         data = tomllib.loads(path.read_text(encoding="utf-8"))
-        return msgspec.convert(data, RouteSettings)
+        settings = msgspec.convert(data, RouteSettings)
     except (OSError, ValueError, msgspec.ValidationError) as error:
         return SettingsInvalid(str(path), str(error))
+    data_centre = settings.entry.data_centre
+    if settings.regions and data_centre not in settings.regions:
+        reason = f"data centre {data_centre!r} is in none of the regions"
+        return SettingsInvalid(str(path), reason)
+    return settings
