Late service of last attempts in stage queues; interface of the region links

Cause: a caller that was refused in a burst comes back once, mostly into the same burst, and is refused for good, although its deadline is far and spare capacity follows. With late.until_deadline the owner keeps a last attempt until it could no longer be answered, in places that no order in time needs; entries pass the time since the first attempt on to the owners of all stages.

--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -54,11 +54,14 @@
 from boragestream.policy.connection_shares import idle_connections
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.first_knowledge import StartupReadiness
+from boragestream.policy.late_service import refuse_late, serve_until_deadline
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.load import LoadTable
 from boragestream.policy.peers import ListedEntry
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.queue_owners import eligible_entries, owner_ranking
+from boragestream.policy.region_links import RegionLinks
+from boragestream.policy.regions import Regions
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.route_table import RoutesInForce
 from boragestream.policy.server_backoffs import ServerBackoffs
@@ -99,6 +102,7 @@
     :ivar publications: the values of the platform's store that the entry follows.
     :ivar ended: set once the entry has ended.
     :ivar first: tells whether the first answers of the platform are still missing.
+    :ivar region_links: the links to the other regions.
     :ivar orders: the orders for pieces of this entry's requests.
     :ivar bookings: the bookings of queue positions for later orders of this entry's
         requests.
@@ -126,6 +130,7 @@
     address_sync: AddressSync
     members: EntryPeers
     relay: ConfigurationRelay
+    region_links: RegionLinks
     orders: PieceOrders
     bookings: PieceBookings
     batches: PieceBatches
@@ -177,6 +182,11 @@
     drains_centres = settings.store.draining_ms is not None
     servers = ServerTable(announce_leaving, awaits_orders=drains_centres)
     data_centre = settings.entry.data_centre
+    regions = Regions(data_centre, settings.regions)
+    region_links = RegionLinks(regions, clock)
+    until_deadline = settings.late.until_deadline
+    if until_deadline is None:
+        until_deadline = regions.several
     members = EntryPeers(
         own, incarnation, data_centre, links, note_server_leaving, clock, rng
     )
@@ -287,6 +297,7 @@
         metrics=metrics,
         piece_limits=piece_limits,
         note_use=record_use,
+        late=serve_until_deadline if until_deadline else refuse_late,
     )
     batches = PieceBatches(batch_parts, orders.report_results)
     orders.set_batches(batches)
@@ -348,6 +359,7 @@
                 StageDelays(clock.now),
                 engine_delays,
                 metrics,
+                until_deadline,
             ),
             engine_delays=engine_delays,
             clock=clock,
@@ -378,6 +390,7 @@
         address_sync=sync,
         members=members,
         relay=relay,
+        region_links=region_links,
         orders=orders,
         bookings=bookings,
         batches=batches,
--- a/boragestream/entry/piece_messages.py
+++ b/boragestream/entry/piece_messages.py
@@ -27,6 +27,10 @@
     :ivar near: the data centre that holds much of the input; empty for none.
     :ivar regions: the only regions where the pieces may be made; empty for any.
     :ivar fingerprint: identifies the request, also when its caller returns.
+    :ivar lead_ms: the time from the pieces' start to the request's answer; 0 if it is
+        unknown.
+    :ivar waited_ms: the time since the caller's first attempt, as far as ``start_ms``
+        includes it.
     """
 
     order_id: str
@@ -44,6 +48,8 @@
     near: str = ""
     regions: tuple[str, ...] = ()
     fingerprint: bytes = b""
+    lead_ms: int = 0
+    waited_ms: int = 0
 
 
 class PiecesBook(msgspec.Struct, frozen=True, tag=True):
@@ -54,6 +60,8 @@
     :ivar start_ms: the time until its latest start.
     :ivar left_ms: the time until no caller waits for the pieces any more.
     :ivar regions: the only regions where the pieces may be made; empty for any.
+    :ivar lead_ms: see ``PiecesOrder``.
+    :ivar waited_ms: see ``PiecesOrder``.
     """
 
     order_id: str
@@ -65,6 +73,8 @@
     start_ms: int
     left_ms: int
     regions: tuple[str, ...] = ()
+    lead_ms: int = 0
+    waited_ms: int = 0
 
 
 class PiecesAnswer(msgspec.Struct, frozen=True, tag=True):
@@ -72,10 +82,12 @@
 
     :ivar taken: whether it was accepted.
     :ivar wait_ms: the expected wait if it was refused.
+    :ivar waited_ms: the time since the caller's first attempt, as its owner knows it.
     """
 
     taken: bool
     wait_ms: int = 0
+    waited_ms: int = 0
 
 
 class PiecesDone(msgspec.Struct, frozen=True, tag=True):
--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -14,6 +14,7 @@
 
 from boragestream.document.calls import Piece
 from boragestream.document.routes import PieceLimits
+from boragestream.policy.late_service import LateOrder, LateService, refuse_late
 
 __all__ = [
     "PieceBooking",
@@ -66,6 +67,10 @@
     :ivar near: the data centre that holds much of its input; empty for none.
     :ivar regions: the only regions where its pieces may run; empty for any.
     :ivar fingerprint: identifies the request over all its retries; empty if unknown.
+    :ivar lead_seconds: the time from its start to the answer of its request; infinite
+        if unknown.
+    :ivar waited_seconds: the time from its caller's first attempt to this one, as far
+        as its latest start already includes it.
     """
 
     order_id: str
@@ -77,6 +82,8 @@
     near: str = ""
     regions: frozenset[str] = frozenset()
     fingerprint: bytes = b""
+    lead_seconds: float = math.inf
+    waited_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +93,8 @@
     :ivar order_id: the id of the later order.
     :ivar key: the request's piece key, the same in each attempt of its caller.
     :ivar regions: the only regions where its pieces may run; empty for any.
+    :ivar lead_seconds: see ``PieceOrder``.
+    :ivar waited_seconds: see ``PieceOrder``.
     """
 
     order_id: str
@@ -95,6 +104,8 @@
     count: int
     priority: int
     regions: frozenset[str] = frozenset()
+    lead_seconds: float = math.inf
+    waited_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -106,6 +117,7 @@
     :ivar left: its pieces that are in no call.
     :ivar arrived_at: the clock's seconds at which it arrived.
     :ivar suspected: whether a server has crashed while it ran the request.
+    :ivar returning: whether its caller was refused before.
     """
 
     order: PieceOrder
@@ -114,6 +126,13 @@
     left: list[Piece] = field(default_factory=list)
     arrived_at: float = -math.inf
     suspected: bool = False
+    returning: bool = False
+
+    @property
+    def as_late(self) -> LateOrder:
+        """What decides whether it is kept although it is late."""
+        last_start = self.expires - self.order.lead_seconds
+        return LateOrder(last_start, self.returning, self.order.invested)
 
     def sort_key(self, now: float) -> tuple[bool, float]:
         """Return its sort key in the queue; the smallest is first."""
@@ -234,15 +253,21 @@
     return wait <= max(SHORT_WAIT_SECONDS, share * left)
 
 
-def is_abandoned(queued: QueuedOrder, now: float) -> bool:
-    """Return whether an order has been late long enough to be abandoned."""
+def is_abandoned(
+    queued: QueuedOrder, now: float, late: LateService = refuse_late
+) -> bool:
+    """Return whether an order has been late long enough to be abandoned.
+
+    :param late: decides which late orders are kept longer.
+    """
     order = queued.order
     if len(queued.left) < len(order.pieces):
         return False
     grace_seconds = (
         INVESTED_LATE_GRACE_SECONDS if order.invested else LATE_GRACE_SECONDS
     )
-    return now > max(queued.start_by, queued.arrived_at) + grace_seconds
+    grace_ends = max(queued.start_by, queued.arrived_at) + grace_seconds
+    return now > max(grace_ends, late(queued.as_late) or grace_ends)
 
 
 def _share_for_priority(shares: tuple[float, ...], priority: int) -> float:
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -15,6 +15,7 @@
 
 from boragestream.document.calls import Piece, PieceFault, PieceResult
 from boragestream.document.routes import PieceLimits
+from boragestream.policy.late_service import LateOrder, LateService, refuse_late
 from boragestream.policy.piece_queue import (
     PieceBooking,
     QueuedOrder,
@@ -125,12 +126,16 @@
     """The queue of one service.
 
     :param room: returns the rate at which a server may be called.
+    :param late: decides which orders are kept although they are late.
     """
 
     def __init__(
-        self, room: Callable[[Server], CallRoom] = lambda server: UNLIMITED_CALLS
+        self,
+        room: Callable[[Server], CallRoom] = lambda server: UNLIMITED_CALLS,
+        late: LateService = refuse_late,
     ) -> None:
         self._room = room
+        self._late = late
         self._orders: dict[str, QueuedOrder] = {}
         self._bookings: dict[str, _Booked] = {}
         # By identity, since a server that has restarted has lost its earlier results.
@@ -156,12 +161,13 @@
         self._bookings.pop(order.order_id, None)
         first = order.pieces[0]
         queued.arrived_at = now
-        queued.start_by -= self._callers.waited(
-            first.key, first.request_id, queued.expires, now
-        )
+        waited = self.waited(first.key, first.request_id, queued.expires, now)
+        queued.returning = max(waited, order.waited_seconds) > 0
+        queued.start_by -= max(0.0, waited - order.waited_seconds)
         eligible = _in_regions(usable, order.regions)
         wait = self._wait(queued.sort_key(now), limits, eligible, now)
-        if not is_admitted(queued.order, wait, queued.start_by - now):
+        kept = self._is_kept(queued.as_late, wait, now)
+        if not (kept or is_admitted(queued.order, wait, queued.start_by - now)):
             return wait
         self._orders[order.order_id] = queued
         return None
@@ -182,17 +188,34 @@
         """
         if booking.order_id in self._bookings or booking.order_id in self._orders:
             return None
-        start_by -= self._callers.waited(booking.key, booking.request_id, expires, now)
+        waited = self.waited(booking.key, booking.request_id, expires, now)
+        returning = max(waited, booking.waited_seconds) > 0
+        start_by -= max(0.0, waited - booking.waited_seconds)
         sort_key = order_sort_key(start_by, booking.priority, now)
         eligible = _in_regions(usable, booking.regions)
         wait = self._wait(sort_key, limits, eligible, now)
-        if not is_bookable(booking, wait, start_by - now):
+        last_start = expires - booking.lead_seconds
+        kept = self._is_kept(LateOrder(last_start, returning, False), wait, now)
+        if not (kept or is_bookable(booking, wait, start_by - now)):
             return wait
         until = max(start_by, now) + BOOKING_GRACE_SECONDS
         booked = _Booked(booking.count, booking.priority, start_by, until)
         self._bookings[booking.order_id] = booked
         return None
 
+    def waited(self, key: str, request_id: str, expires: float, now: float) -> float:
+        """Return the seconds from a caller's first attempt to the present one.
+
+        :param key: the key that all attempts of a caller share; empty for none.
+        :param expires: when its caller stops waiting.
+        """
+        return self._callers.waited(key, request_id, expires, now)
+
+    def _is_kept(self, order: LateOrder, wait: float, now: float) -> bool:
+        """Return whether an order is accepted even if it will be late."""
+        keep_until = self._late(order)
+        return keep_until is not None and now + wait <= keep_until
+
     def drop(self, order_id: str) -> None:
         """Drop an order or a booking; results of pieces in progress are discarded."""
         self._orders.pop(order_id, None)
@@ -211,7 +234,8 @@
         A caller that is refused now can retry in time. Otherwise it would wait for a
         late answer, which is worth only a fraction of one in time.
         """
-        late = [queued for queued in self._orders.values() if is_abandoned(queued, now)]
+        orders = self._orders.values()
+        late = [queued for queued in orders if is_abandoned(queued, now, self._late)]
         for queued in late:
             del self._orders[queued.order.order_id]
         return late
--- a/boragestream/serving/owner_links.py
+++ b/boragestream/serving/owner_links.py
@@ -6,6 +6,7 @@
 define what an owner is asked.
 """
 
+import math
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 
@@ -18,7 +19,7 @@
 from boragestream.entry.piece_messages import PiecesAnswer
 from boragestream.policy.queue_owners import owner_ranking
 
-__all__ = ["OwnerLinks", "milliseconds"]
+__all__ = ["OwnerLinks", "milliseconds", "seconds_or_unknown"]
 
 MESSAGE_SECONDS = 0.5
 MESSAGE_THREADS = 16
@@ -94,3 +95,8 @@
 def milliseconds(seconds: float) -> int:
     """Return seconds as whole milliseconds for a message; at most an hour."""
     return int(min(seconds, 3600.0) * 1000)
+
+
+def seconds_or_unknown(milliseconds: int) -> float:
+    """Return the seconds of a message's field; infinite for 0, which means unknown."""
+    return milliseconds / 1000 if milliseconds else math.inf
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -126,6 +126,17 @@
             start_by, expires = now + start_seconds, now + left_seconds
             return queue.book(booking, start_by, expires, limits, usable, now)
 
+    def waited(self, booking: PieceBooking, left_seconds: float) -> float:
+        """Return the seconds from the first attempt of a booking's caller to this one.
+
+        :param left_seconds: the time until its request stops waiting for it.
+        """
+        now = self._parts.clock.now()
+        with self._lock:
+            queue = self._queue(booking.service)
+            expires = now + left_seconds
+            return queue.waited(booking.key, booking.request_id, expires, now)
+
     def cancel(self, service: str, order_id: str) -> None:
         """Drop an order or a booking.
 
@@ -199,7 +210,7 @@
 
     def _queue(self, service: str) -> ServiceQueue:
         if service not in self._queues:
-            self._queues[service] = ServiceQueue(self._call_room)
+            self._queues[service] = ServiceQueue(self._call_room, self._parts.late)
             emit(Event.QUEUE_OWNED, service=service)
         return self._queues[service]
 
--- a/boragestream/serving/piece_bookings.py
+++ b/boragestream/serving/piece_bookings.py
@@ -13,7 +13,11 @@
 from boragestream.entry.messages import Envelope
 from boragestream.entry.piece_messages import PiecesAnswer, PiecesBook, PiecesCancel
 from boragestream.policy.piece_queue import PieceBooking
-from boragestream.serving.owner_links import OwnerLinks, milliseconds
+from boragestream.serving.owner_links import (
+    OwnerLinks,
+    milliseconds,
+    seconds_or_unknown,
+)
 from boragestream.serving.piece_batches import PieceBatches
 from boragestream.serving.piece_failures import StageSaturated
 
@@ -25,10 +29,12 @@
     """A booking that its owner accepted.
 
     :ivar owner: the entry that accepted it.
+    :ivar waited_seconds: the time since the caller's first attempt, as its owner knows.
     """
 
     booking: PieceBooking
     owner: str
+    waited_seconds: float = 0.0
 
 
 class PieceBookings:
@@ -51,8 +57,10 @@
         owner = self._owners.owners(booking.service)[0]
         now = self._clock.now()
         start, left = start_by - now, deadline - now
+        waited = 0.0
         if owner == self._owners.own:
             wait = self._batches.book(booking, start, left)
+            waited = self._batches.waited(booking, left)
         else:
             message = PiecesBook(
                 booking.order_id,
@@ -64,13 +72,16 @@
                 milliseconds(start),
                 milliseconds(left),
                 tuple(booking.regions),
+                milliseconds(booking.lead_seconds),
+                milliseconds(booking.waited_seconds),
             )
             reply = self._owners.ask(owner, message)
             if reply is None:
                 return None
             wait = None if reply.taken else reply.wait_ms / 1000
+            waited = reply.waited_ms / 1000
         if wait is None:
-            return BookedOrder(booking, owner)
+            return BookedOrder(booking, owner, waited)
         return StageSaturated(booking.service, milliseconds(wait))
 
     def cancel(self, booked: BookedOrder) -> None:
@@ -91,10 +102,12 @@
             message.count,
             message.priority,
             frozenset(message.regions),
+            seconds_or_unknown(message.lead_ms),
+            message.waited_ms / 1000,
         )
-        wait = self._batches.book(
-            booking, message.start_ms / 1000, message.left_ms / 1000
-        )
+        left = message.left_ms / 1000
+        wait = self._batches.book(booking, message.start_ms / 1000, left)
+        waited_ms = milliseconds(self._batches.waited(booking, left))
         if wait is None:
-            return PiecesAnswer(taken=True)
-        return PiecesAnswer(taken=False, wait_ms=milliseconds(wait))
+            return PiecesAnswer(taken=True, waited_ms=waited_ms)
+        return PiecesAnswer(False, milliseconds(wait), waited_ms)
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -36,6 +36,7 @@
 from boragestream.document.routes import PieceLimits
 from boragestream.entry.server_permits import Permit
 from boragestream.policy.cold_servers import ColdServers
+from boragestream.policy.late_service import LateService, refuse_late
 from boragestream.policy.load import LoadTable
 from boragestream.policy.overdue_calls import (
     QUERY_INTERVAL_SECONDS,
@@ -94,6 +95,7 @@
     :ivar limits: returns the limits of a service's servers; None if unknown.
     :ivar used: called for each order and booking, because published values decide
         whether it is accepted.
+    :ivar late: decides which orders are kept although they are late.
     """
 
     line: CallLine
@@ -110,6 +112,7 @@
     metrics: RouteMetrics
     piece_limits: Callable[[str], PieceLimits | None]
     note_use: Callable[[], None]
+    late: LateService = refuse_late
 
 
 @dataclass(slots=True)
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -25,7 +25,11 @@
     PiecesRelease,
 )
 from boragestream.policy.piece_queue import PieceOrder
-from boragestream.serving.owner_links import OwnerLinks, milliseconds
+from boragestream.serving.owner_links import (
+    OwnerLinks,
+    milliseconds,
+    seconds_or_unknown,
+)
 from boragestream.serving.piece_batches import PieceBatches
 from boragestream.serving.piece_failures import StageSaturated
 
@@ -201,6 +205,8 @@
             message.near,
             frozenset(message.regions),
             message.fingerprint,
+            seconds_or_unknown(message.lead_ms),
+            message.waited_ms / 1000,
         )
         with self._lock:
             self._requesters[message.order_id] = envelope.sender
@@ -284,6 +290,8 @@
         near=order.near,
         regions=tuple(order.regions),
         fingerprint=order.fingerprint,
+        lead_ms=milliseconds(order.lead_seconds),
+        waited_ms=milliseconds(order.waited_seconds),
     )
 
 
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -44,7 +44,10 @@
     :ivar quarantine: which requests crash servers.
     :ivar numbers: makes order ids unique when the stages of a request run again.
     :ivar delays: how long stages have recently taken, waits included, by service.
-    :ivar engines: how long engines have recently taken to their first event, by route.
+    :ivar engine_delays: how long engines have recently taken to their first event, by
+        route.
+    :ivar until_deadline: whether the time since a caller's first attempt counts at the
+        owners of all stages, which then keep a last attempt although it is late.
     """
 
     orders: PieceOrders
@@ -55,6 +58,7 @@
     stage_delays: StageDelays
     engine_delays: EngineDelays
     metrics: RouteMetrics
+    until_deadline: bool = False
 
     def run(
         self, run: ForwardedRun, home: str = ""
@@ -94,6 +98,8 @@
         }
         # The bookings whose orders have not been sent, by stage.
         self._booked: dict[int, BookedOrder] = {}
+        # The time since the caller's first attempt, as far as an owner knows it.
+        self._waited_seconds = 0.0
 
     def finish(self) -> tuple[StageResult, ...] | Failure:
         """Run until every stage is done or one has failed; return the last results."""
@@ -158,16 +164,26 @@
                 count,
                 run.priority,
                 run.regions or frozenset(),
+                self._lead_seconds[number],
+                self._waited_seconds,
             )
-            start_by = run.objective_at - self._lead_seconds[number]
+            start_by = self._start_by(number)
             deadline = run.scope.deadline
             booked = self._stages.bookings.book(booking, start_by, deadline)
             if isinstance(booked, Failure):
                 return booked
             if booked is not None:
                 self._booked[number] = booked
+                if self._stages.until_deadline:
+                    waited = max(self._waited_seconds, booked.waited_seconds)
+                    self._waited_seconds = waited
         return None
 
+    def _start_by(self, number: int) -> float:
+        """Return the latest start of a stage that meets the objective."""
+        lead_seconds = self._lead_seconds[number]
+        return self._run.objective_at - lead_seconds - self._waited_seconds
+
     def _begin_ready(self) -> Failure | None:
         for number, stage in enumerate(self._run.route.stages):
             begun = number in self._results or number in self._open
@@ -200,8 +216,10 @@
             near=stage_data_centre(needed, count, stage.result_bytes, self._home),
             regions=run.regions or frozenset(),
             fingerprint=stage_fingerprint(run.fingerprint, stage.service),
+            lead_seconds=self._lead_seconds[number],
+            waited_seconds=self._waited_seconds,
         )
-        start_by = run.objective_at - self._lead_seconds[number]
+        start_by = self._start_by(number)
         # The order replaces its booking in the queue, so the booking is not cancelled.
         self._booked.pop(number, None)
         opened = self._stages.orders.begin(order, start_by, run.scope, self._changed)
--- a/tests/standins/queue_parts.py
+++ b/tests/standins/queue_parts.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+from boragestream.policy.late_service import refuse_late
 from boragestream.policy.load import LoadTable
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.server_backoffs import ServerBackoffs
@@ -28,5 +29,6 @@
         "limited": lone_limits(clock),
         "quarantine": Quarantine("entry", lambda: ["entry"], clock),
         "retries": UncountedRetries(),
+        "late": refuse_late,
     }
     return SimpleNamespace(**{**parts, **more})
--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -23,8 +23,8 @@
 
 ADDRESS = "127.0.0.1"
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "entry.toml"
-PLACEHOLDER = re.compile(r"\{\{([a-z_.@]+)(\|json)?\}\}")
-SECTION = re.compile(r"\{\{#([a-z_.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+PLACEHOLDER = re.compile(r"\{\{([a-z_.@0-9]+)(\|json)?\}\}")
+SECTION = re.compile(r"\{\{#([a-z_.0-9]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 KEY = "key-of-a-caller-0123456789"
 HOST = "site.example"
 ZONES = ("hall-a", "hall-b", "hall-c")
@@ -39,7 +39,10 @@
     def field(path):
         found = fields
         for part in path.split("."):
-            found = found.get(part)
+            if isinstance(found, list):
+                found = dict(enumerate(found)).get(int(part))
+            else:
+                found = found.get(part)
             if found is None:
                 return None
         return found
