--- a/boragestream/base/route_metrics.py
+++ b/boragestream/base/route_metrics.py
@@ -62,6 +62,12 @@
             ["route", "outcome", "reason"],
             registry=registry,
         )
+        self._unserved = Counter(
+            "boragestream_unserved",
+            "Requests that were not served, by cause.",
+            ["route", "cause"],
+            registry=registry,
+        )
         self._accounts = Histogram(
             "boragestream_account_seconds",
             "Time of a request from its first byte to its end, by client account.",
@@ -138,6 +144,13 @@
         self._accounts.labels(self._account(account)).observe(seconds)
         self._routes.labels(route).observe(seconds)
 
+    def request_unserved(self, route: str, cause: str) -> None:
+        """Count a request that was not served.
+
+        :param cause: one of the causes of ``serving.unserved``.
+        """
+        self._unserved.labels(self._route(route), cause).inc()
+
     def server_chosen(self, list_age: float) -> None:
         """Count a choice of a server.
 
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -41,6 +41,7 @@
 from boragestream.serving.forwarded_run import ForwardedRun, outcome_of
 from boragestream.serving.forwarder import Forwarder
 from boragestream.serving.request import SentRecord
+from boragestream.serving.unserved import unserved_cause
 
 __all__ = ["ForwardingApplication", "RequestCounter", "RequestFormat"]
 
@@ -256,6 +257,9 @@
         reason = failure.code if failure is not None else ""
         route = run.route.name
         self.metrics.request_ended(account, route, outcome, reason, seconds)
+        cause = unserved_cause(status, failure)
+        if cause:
+            self.metrics.request_unserved(route, cause)
         emit(
             Event.REQUEST_ENDED,
             request=run.request.request_id,
--- a/boragestream/serving/piece_bookings.py
+++ b/boragestream/serving/piece_bookings.py
@@ -82,7 +82,8 @@
             waited = reply.waited_ms / 1000
         if wait is None:
             return BookedOrder(booking, owner, waited)
-        return StageSaturated(booking.service, milliseconds(wait))
+        returning = max(waited, booking.waited_seconds) > 0
+        return StageSaturated(booking.service, milliseconds(wait), returning)
 
     def cancel(self, booked: BookedOrder) -> None:
         """Tell the owner that a booked order will not be sent."""
--- a/boragestream/serving/piece_failures.py
+++ b/boragestream/serving/piece_failures.py
@@ -14,10 +14,12 @@
 
     :ivar service: the service of the stage.
     :ivar wait_ms: the expected wait in milliseconds.
+    :ivar returning: whether its caller was refused before.
     """
 
     service: str
     wait_ms: int
+    returning: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/standins/stage_load.py
+++ b/tests/standins/stage_load.py
@@ -6,10 +6,12 @@
 
 import heapq
 import itertools
+import math
 import random
 from dataclasses import dataclass
 
 from boragestream.document.calls import Piece, PieceResult
+from boragestream.policy.late_service import refuse_late
 from boragestream.policy.piece_queue import PieceOrder, QueuedOrder
 from boragestream.policy.servers import Server
 from boragestream.policy.service_queue import ServiceQueue
@@ -18,6 +20,7 @@
 WAIT_SECONDS = 6.0
 LOOK_AGAIN_SECONDS = 0.25
 LEAST_RETURN_SECONDS = 0.25
+LEAD_SECONDS = 1.0
 
 
 @dataclass(frozen=True)
@@ -28,6 +31,8 @@
     :ivar pieces: of each request.
     :ivar per_second: how many come.
     :ivar slack: seconds from a request's coming to its latest start.
+    :ivar wait: seconds after which its caller gives up.
+    :ivar until: when the last one comes; infinite for the whole play.
     """
 
     name: str
@@ -35,6 +40,8 @@
     pieces: int
     per_second: float
     slack: float
+    wait: float = WAIT_SECONDS
+    until: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -57,14 +64,15 @@
 
     :param returning: whether callers come back once after a refusal.
     :param recognized: whether each names the same key again.
+    :param late: decides which orders the queue keeps although they are late.
     """
 
-    def __init__(self, limits, servers, seed, returning, recognized):
+    def __init__(self, limits, servers, seed, returning, recognized, late=refuse_late):
         """Begin with nothing waiting."""
         self.limits = limits
         self.returning, self.recognized = returning, recognized
         self.rng = random.Random(seed)
-        self.queue = ServiceQueue()
+        self.queue = ServiceQueue(late=late)
         self.usable = [
             Server(f"s-{n}", "service", f"10.0.0.{n}:80", "hall", f"s-{n}")
             for n in range(servers)
@@ -83,12 +91,13 @@
         for kind in kinds:
             self.begun[kind.name] = [0, 0, 0]
             now = self.rng.expovariate(kind.per_second)
-            while now < seconds:
+            while now < min(seconds, kind.until):
                 name = f"{kind.name}-{next(self.numbers)}"
-                caller = Caller(kind, name, now + kind.slack, now + WAIT_SECONDS)
+                caller = Caller(kind, name, now + kind.slack, now + kind.wait)
                 self.at(now, self.come, caller)
                 now += self.rng.expovariate(kind.per_second)
-        for turn in range(int((seconds + 2 * WAIT_SECONDS) / LOOK_AGAIN_SECONDS)):
+        longest = max(kind.wait for kind in kinds)
+        for turn in range(int((seconds + 2 * longest) / LOOK_AGAIN_SECONDS)):
             self.at(turn * LOOK_AGAIN_SECONDS, self.look_again)
         while self.moments:
             now, _, what, more = heapq.heappop(self.moments)
@@ -111,7 +120,13 @@
         key = caller.name if self.recognized else request_id
         pieces = tuple(Piece(request_id, 0, n, key, ()) for n in range(kind.pieces))
         order = PieceOrder(
-            request_id, "service", pieces, RESULT_BYTES, kind.urgency, invested=False
+            request_id,
+            "service",
+            pieces,
+            RESULT_BYTES,
+            kind.urgency,
+            invested=False,
+            lead_seconds=LEAD_SECONDS,
         )
         queued = QueuedOrder(order, now + kind.slack, caller.deadline, list(pieces))
         wait = self.queue.submit(queued, self.limits, self.usable, now)
@@ -150,7 +165,16 @@
             self.queue.record_reported(held.order.order_id, {piece.number})
 
 
-def play(kinds, limits, servers, seconds, seed, returning=False, recognized=True):
+def play(
+    kinds,
+    limits,
+    servers,
+    seconds,
+    seed,
+    returning=False,
+    recognized=True,
+    late=refuse_late,
+):
     """Play a load; return by kind the shares that began in time, late and never."""
-    load = StageLoad(limits, servers, seed, returning, recognized)
+    load = StageLoad(limits, servers, seed, returning, recognized, late)
     return load.run(kinds, seconds)
