Late service keeps a last attempt only where it is likely to be served

Cause: kept whenever the wait fitted, callers with 5 to 6 s left waited in vain through a burst. Change: the owner estimates the spare capacity of the coming seconds by that of as many past seconds and accepts late orders up to half of it; a new owner knows of none.

--- a/boragestream/policy/late_service.py
+++ b/boragestream/policy/late_service.py
@@ -9,13 +9,32 @@
 the queue until it could no longer be answered. It takes only places in batches that no
 order in time needs. A first attempt is still refused at once: its retry may find
 another owner or an emptier queue, and the refusal costs the caller nothing.
+
+A last attempt is kept only if it is likely to be served, since a caller that waits in
+vain is worse off than one that is refused at once. The spare capacity of the coming
+seconds is unknown; that of as many past seconds is taken as its estimate. A caller with
+six seconds left is therefore refused in the middle of a burst, and one with twenty is
+kept.
 """
 
 import math
+from collections import deque
 from dataclasses import dataclass
 from typing import Protocol
 
-__all__ = ["LateOrder", "LateService", "refuse_late", "serve_until_deadline"]
+__all__ = [
+    "LateOrder",
+    "LateService",
+    "SpareCapacity",
+    "refuse_late",
+    "serve_until_deadline",
+]
+
+# Late orders are accepted up to this share of the estimated spare capacity. The rest is
+# a margin for a burst that goes on.
+MAX_SPARE_SHARE = 0.5
+# Longer than any caller waits.
+KEEP_SECONDS = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,12 +44,10 @@
     :ivar last_start: the latest start that still ends by its caller's deadline, in the
         clock's seconds.
     :ivar returning: whether its caller has been refused before and won't retry.
-    :ivar invested: whether results of earlier stages are lost if it is dropped.
     """
 
     last_start: float
     returning: bool
-    invested: bool
 
 
 class LateService(Protocol):
@@ -50,6 +67,36 @@
 
 def serve_until_deadline(order: LateOrder) -> float | None:
     """Keep an order without a further attempt as long as it can be answered."""
-    if not (order.returning or order.invested) or math.isinf(order.last_start):
+    if not order.returning or math.isinf(order.last_start):
         return None
     return order.last_start
+
+
+class SpareCapacity:
+    """The capacity of a queue's servers that its orders in time did not need.
+
+    :param now: when the queue began to record them, in the clock's seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._since = now
+        self._started: deque[tuple[float, int]] = deque()
+
+    def note_started(self, pieces: int, now: float) -> None:
+        """Record pieces of orders in time that were sent."""
+        self._started.append((now, pieces))
+        while self._started[0][0] < now - KEEP_SECONDS:
+            self._started.popleft()
+
+    def accepts(
+        self, pieces: int, seconds: float, per_second: float, now: float
+    ) -> bool:
+        """Return whether late pieces are likely to be started.
+
+        :param pieces: all late pieces, including those of the order in question.
+        :param seconds: the time until the last useful start.
+        :param per_second: the pieces that the servers do in a second.
+        """
+        span = min(seconds, now - self._since)
+        used = sum(count for at, count in self._started if at > now - span)
+        return pieces <= MAX_SPARE_SHARE * (per_second * span - used)
--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -28,6 +28,7 @@
     "is_bookable",
     "longest_wait",
     "order_sort_key",
+    "pieces_per_second",
 ]
 
 # The maximum expected wait of an order, by priority, as a share of the time until its
@@ -132,7 +133,7 @@
     def as_late(self) -> LateOrder:
         """What decides whether it is kept although it is late."""
         last_start = self.expires - self.order.lead_seconds
-        return LateOrder(last_start, self.returning, self.order.invested)
+        return LateOrder(last_start, self.returning)
 
     def sort_key(self, now: float) -> tuple[bool, float]:
         """Return its sort key in the queue; the smallest is first."""
@@ -212,6 +213,12 @@
     return call * (calls_ahead + 1) / servers
 
 
+def pieces_per_second(limits: PieceLimits, servers: int) -> float:
+    """Return how many pieces some servers do in a second with full batches."""
+    call = limits.call_seconds + limits.batch * limits.piece_seconds
+    return servers * limits.concurrent_calls * limits.batch / call
+
+
 def is_admitted(order: PieceOrder, wait: float, left: float) -> bool:
     """Return whether an order is accepted.
 
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -15,7 +15,12 @@
 
 from boragestream.document.calls import Piece, PieceFault, PieceResult
 from boragestream.document.routes import PieceLimits
-from boragestream.policy.late_service import LateOrder, LateService, refuse_late
+from boragestream.policy.late_service import (
+    LateOrder,
+    LateService,
+    SpareCapacity,
+    refuse_late,
+)
 from boragestream.policy.piece_queue import (
     PieceBooking,
     QueuedOrder,
@@ -26,6 +31,7 @@
     is_admitted,
     is_bookable,
     order_sort_key,
+    pieces_per_second,
 )
 from boragestream.policy.returning_callers import ReturningCallers
 from boragestream.policy.servers import Server
@@ -141,6 +147,8 @@
         # By identity, since a server that has restarted has lost its earlier results.
         self._servers: dict[tuple[str, str, str], _ServerState] = {}
         self._callers = ReturningCallers()
+        # Set with the first batches, when the queue begins to have servers.
+        self._spare: SpareCapacity | None = None
 
     @property
     def orders(self) -> Mapping[str, QueuedOrder]:
@@ -166,7 +174,9 @@
         queued.start_by -= max(0.0, waited - order.waited_seconds)
         eligible = _in_regions(usable, order.regions)
         wait = self._wait(queued.sort_key(now), limits, eligible, now)
-        kept = self._is_kept(queued.as_late, wait, now)
+        per_second = pieces_per_second(limits, len(eligible))
+        count = len(order.pieces)
+        kept = self._is_kept(queued.as_late, count, wait, per_second, now)
         if not (kept or is_admitted(queued.order, wait, queued.start_by - now)):
             return wait
         self._orders[order.order_id] = queued
@@ -195,7 +205,9 @@
         eligible = _in_regions(usable, booking.regions)
         wait = self._wait(sort_key, limits, eligible, now)
         last_start = expires - booking.lead_seconds
-        kept = self._is_kept(LateOrder(last_start, returning, False), wait, now)
+        late = LateOrder(last_start, returning)
+        per_second = pieces_per_second(limits, len(eligible))
+        kept = self._is_kept(late, booking.count, wait, per_second, now)
         if not (kept or is_bookable(booking, wait, start_by - now)):
             return wait
         until = max(start_by, now) + BOOKING_GRACE_SECONDS
@@ -211,10 +223,24 @@
         """
         return self._callers.waited(key, request_id, expires, now)
 
-    def _is_kept(self, order: LateOrder, wait: float, now: float) -> bool:
-        """Return whether an order is accepted even if it will be late."""
+    def _is_kept(
+        self,
+        order: LateOrder,
+        pieces: int,
+        wait: float,
+        per_second: float,
+        now: float,
+    ) -> bool:
+        """Return whether an order is accepted even if it will be late.
+
+        :param per_second: the pieces that its servers do in a second.
+        """
         keep_until = self._late(order)
-        return keep_until is not None and now + wait <= keep_until
+        if keep_until is None or now + wait > keep_until or self._spare is None:
+            return False
+        late = sum(len(q.left) for q in self._orders.values() if q.start_by < now)
+        seconds = keep_until - now
+        return self._spare.accepts(late + pieces, seconds, per_second, now)
 
     def drop(self, order_id: str) -> None:
         """Drop an order or a booking; results of pieces in progress are discarded."""
@@ -259,6 +285,7 @@
         self, limits: PieceLimits, usable: Sequence[Server], now: float
     ) -> list[Batch]:
         """Return a batch for each free server, and record it as in progress."""
+        self._spare = self._spare or SpareCapacity(now)
         free_at: dict[str, float] = {}
         for server in usable:
             earliest = free_at.get(server.data_centre, math.inf)
@@ -392,6 +419,8 @@
         for queued, taken in chosen:
             numbers = {piece.number for piece in taken}
             queued.left = [p for p in queued.left if p.number not in numbers]
+        in_time = sum(len(taken) for queued, taken in chosen if queued.start_by >= now)
+        self._spare.note_started(in_time, now)
         state.calls += 1
         state.pending_bytes += batch.result_bytes
         state.free_at = now + batch.seconds
