Stage queues by region, and chains that another region lends capacity to

Cause: one entry owned the queue of a stage service over all regions, so that half of all orders and results crossed the link between the regions.

Change: where several regions are named, StageQueue(service, region) is the key of a queue. An eligible entry of that region owns it, and it sends calls only to that region's servers. The chain of a request runs in one region, which policy.stage_regions chooses when it begins. If the own region refuses it before a piece was ordered, or has no servers for it, the chain is offered once to another region as borrowed. That region accepts it only if the wait behind all that its queue holds is at most half of what its own orders may wait. An offer without an answer is cancelled and not made elsewhere. The owner of a queue grants the permits for its region's servers and sends to its cold ones.

Messages omit fields with defaults, so one region transmits nothing new. ChainResults tells the forwarder where the chain ran. The computation of the latest starts has moved unchanged to serving/stage_leads.py.

The step in route_decisions passes a function of the region, since OwnerLinks requests the live entries by region; what it checks is unchanged.

--- a/boragestream/base/route_metrics.py
+++ b/boragestream/base/route_metrics.py
@@ -114,6 +114,12 @@
             ["service", "end"],
             registry=registry,
         )
+        self._chains = Counter(
+            "boragestream_borrowed_chains",
+            "Requests whose stages were offered to another region.",
+            ["region", "end"],
+            registry=registry,
+        )
         self._list_age = Histogram(
             "boragestream_server_list_age_seconds",
             "Age of the server list when a server was chosen.",
@@ -170,6 +176,10 @@
         end = "granted" if granted else "refused"
         self._permits.labels(self._service(service), end).inc()
 
+    def chain_offered(self, region: str, accepted: bool) -> None:
+        """Count a chain of stages that was offered to another region."""
+        self._chains.labels(region, "accepted" if accepted else "refused").inc()
+
     def text(self) -> str:
         """Return all metrics as text."""
         return generate_latest(self._registry).decode()
--- a/boragestream/daemon/limits.py
+++ b/boragestream/daemon/limits.py
@@ -43,6 +43,7 @@
     clock: Clock,
     rng: random.Random,
     permit_ended: Callable[[str, bool], None] = lambda service, granted: None,
+    among: Callable[[Server, Sequence[str]], Sequence[str]] = lambda server, live: live,
 ) -> SharedLimits:
     """Connect this entry to its peers to enforce server limits jointly.
 
@@ -53,6 +54,7 @@
         entries.
     :param permit_ended: called for each requested permit with the service and
         whether the permit was granted.
+    :param among: returns those of the live entries that are ranked for a server.
     """
     exchange = members.exchange
     limits = ServerLimits(clock, exchange.request_round)
@@ -61,7 +63,7 @@
         suspects = members.entries.in_states((MemberState.SUSPECT,))
         return bool(suspects) or not membership_agreed()
 
-    granters = Granters(live, ranking_key, clock, membership_uncertain)
+    granters = Granters(live, ranking_key, clock, membership_uncertain, among)
     part = LimitsPart(limits, links, members.address, exchange.submit, granters.refresh)
     exchange.add_part(part)
     permits = ServerPermits(
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -6,7 +6,6 @@
 import itertools
 import random
 import threading
-from collections.abc import Sequence
 from dataclasses import dataclass
 
 from boragestream.backend.cancellation import Watchdog
@@ -27,6 +26,7 @@
 from boragestream.daemon.published_servers import PublishedServers
 from boragestream.daemon.response_hints import response_hints
 from boragestream.daemon.settings_in_force import SettingsInForce
+from boragestream.daemon.stage_owners import StageOwners
 from boragestream.daemon.tasks import to_leaving_server
 from boragestream.document.routes import PieceLimits, RouteService
 from boragestream.entry.address_sync import AddressSync
@@ -50,7 +50,7 @@
 from boragestream.entry.relay import ConfigurationRelay
 from boragestream.platform.pieces import PieceCallFormat
 from boragestream.platform.wire import encode_call, read_answer_head
-from boragestream.policy.cold_servers import ColdBound, ColdServers, senders
+from boragestream.policy.cold_servers import ColdBound, ColdServers
 from boragestream.policy.connection_shares import idle_connections
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.first_knowledge import StartupReadiness
@@ -59,7 +59,6 @@
 from boragestream.policy.load import LoadTable
 from boragestream.policy.peers import ListedEntry
 from boragestream.policy.quarantine import Quarantine
-from boragestream.policy.queue_owners import eligible_entries, owner_ranking
 from boragestream.policy.region_links import RegionLinks
 from boragestream.policy.regions import Regions
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
@@ -69,6 +68,7 @@
 from boragestream.policy.server_lives import ServerIncarnations
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.stage_delays import StageDelays
+from boragestream.policy.stage_regions import StageRegions
 from boragestream.serving.forward_attempt import ForwardParts
 from boragestream.serving.forwarder import Forwarder
 from boragestream.serving.owner_links import OwnerLinks
@@ -208,12 +208,6 @@
     members.exchange.add_part(sync)
     routes.add_listener(lambda table: members.exchange.request_round())
 
-    def eligible() -> Sequence[str]:
-        other_entries = [
-            e for e in members.entries.usable() if e.host and e.name != own
-        ]
-        return eligible_entries([*other_entries, listed])
-
     def retry_bounds() -> RetryBounds:
         bounds = in_force.current.retries
         return RetryBounds(bounds.share, bounds.window_seconds, bounds.slack)
@@ -237,21 +231,21 @@
         definition = service_definition(service)
         return definition.pieces if definition is not None else None
 
-    def granted_by(server: Server) -> str:
-        # Only the owner of a stage's queue calls its servers.
-        staged = piece_limits(server.service) is not None
-        return server.service if staged else server.name
+    def is_staged(service: str) -> bool:
+        return piece_limits(service) is not None
 
+    stage_owners = StageOwners(listed, members.entries.usable, regions, is_staged)
     limits = make_shared_limits(
         own,
         members,
         links,
-        eligible,
-        granted_by,
+        stage_owners.granting,
+        stage_owners.granted_by,
         lambda: sync.has_converged,
         clock,
         rng,
         metrics.permit_ended,
+        stage_owners.granting_among,
     )
     apply_response_hints = response_hints(servers, backoffs, limits.limits)
     line = CallLine(
@@ -265,14 +259,9 @@
         max_per_second = definition.cold_rate * cold.factor + cold.slack
         return ColdBound(definition.cold_rate, max_per_second, definition.cold_seconds)
 
-    def cold_senders(server: Server) -> list[str]:
-        if piece_limits(server.service) is not None:
-            # Only the owner of a stage's queue calls its servers.
-            return owner_ranking(server.service, eligible())
-        usable = {entry.name for entry in members.entries.usable() if entry.host}
-        return senders(server, usable | {own})
-
-    cold = ColdServers(own, cold_bound, cold_senders, lambda: sync.has_converged, clock)
+    cold = ColdServers(
+        own, cold_bound, stage_owners.cold_senders, lambda: sync.has_converged, clock
+    )
 
     # Orders arrive only once the entry listens, when all objects are built.
     def record_use() -> None:
@@ -280,7 +269,9 @@
 
     first = StartupReadiness(clock, AWAITED_KEYS)
     ended = threading.Event()
-    owners = OwnerLinks(own, eligible, links, clock)
+    owners = OwnerLinks(
+        own, stage_owners.eligible, links, clock, region_links, stage_owners.region_of
+    )
     orders = PieceOrders(owners, clock)
     batch_parts = BatchParts(
         line=line,
@@ -303,6 +294,10 @@
     orders.set_batches(batches)
     bookings = PieceBookings(owners, batches, clock)
     engine_delays = EngineDelays()
+
+    def has_servers(service: str, region: str) -> bool:
+        return any(server.region == region for server in servers.live(service))
+
     published_servers = PublishedServers(
         ServerIncarnations(clock),
         members,
@@ -360,6 +355,7 @@
                 engine_delays,
                 metrics,
                 until_deadline,
+                StageRegions(regions, region_links, has_servers),
             ),
             engine_delays=engine_delays,
             clock=clock,
--- a/boragestream/entry/owner_questions.py
+++ b/boragestream/entry/owner_questions.py
@@ -34,14 +34,21 @@
         return self._skipped_until.get(entry, 0.0) > self._clock.now()
 
     def request(
-        self, entry: str, address: str, message: Message, reply_type: type[Reply]
+        self,
+        entry: str,
+        address: str,
+        message: Message,
+        reply_type: type[Reply],
+        more_seconds: float = 0.0,
     ) -> Reply | None:
         """Send a request; return the reply, or None and skip the entry for a time.
 
         :param reply_type: the expected type of the reply; any other answer counts as a
             failure.
+        :param more_seconds: added to the time-out for an entry that is far away.
         """
-        answer = self._links.ask(address, message, REPLY_TIMEOUT_SECONDS)
+        timeout = REPLY_TIMEOUT_SECONDS + more_seconds
+        answer = self._links.ask(address, message, timeout)
         if isinstance(answer, reply_type):
             return answer
         self._skipped_until[entry] = self._clock.now() + SKIP_SECONDS
--- a/boragestream/entry/piece_messages.py
+++ b/boragestream/entry/piece_messages.py
@@ -1,7 +1,9 @@
 """The messages between entries about the pieces of stages.
 
 ``entry.messages`` describes how they are sent. ``serving.piece_orders`` and
-``serving.piece_bookings`` send and handle them.
+``serving.piece_bookings`` send and handle them. Orders, bookings and cancels omit the
+fields that have their defaults, so that a deployment of one region sends none about
+regions.
 """
 
 import msgspec
@@ -16,7 +18,7 @@
 ]
 
 
-class PiecesOrder(msgspec.Struct, frozen=True, tag=True):
+class PiecesOrder(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
     """Orders pieces from the owner of a queue, which accepts or refuses at once.
 
     :ivar order_id: identifies the order; accepting it twice changes nothing.
@@ -31,6 +33,8 @@
         unknown.
     :ivar waited_ms: the time since the caller's first attempt, as far as ``start_ms``
         includes it.
+    :ivar region: the region of the queue; empty for the queue over all regions.
+    :ivar borrowed: whether the sender's own region could not take the chain.
     """
 
     order_id: str
@@ -50,9 +54,11 @@
     fingerprint: bytes = b""
     lead_ms: int = 0
     waited_ms: int = 0
+    region: str = ""
+    borrowed: bool = False
 
 
-class PiecesBook(msgspec.Struct, frozen=True, tag=True):
+class PiecesBook(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
     """Asks the owner of a queue whether it can meet a future order.
 
     :ivar order_id: identifies the future order.
@@ -62,6 +68,8 @@
     :ivar regions: the only regions where the pieces may be made; empty for any.
     :ivar lead_ms: see ``PiecesOrder``.
     :ivar waited_ms: see ``PiecesOrder``.
+    :ivar region: see ``PiecesOrder``.
+    :ivar borrowed: see ``PiecesOrder``.
     """
 
     order_id: str
@@ -75,6 +83,8 @@
     regions: tuple[str, ...] = ()
     lead_ms: int = 0
     waited_ms: int = 0
+    region: str = ""
+    borrowed: bool = False
 
 
 class PiecesAnswer(msgspec.Struct, frozen=True, tag=True):
@@ -101,11 +111,15 @@
     results: tuple[tuple[int, str, str, str], ...]
 
 
-class PiecesCancel(msgspec.Struct, frozen=True, tag=True):
-    """Cancels an order or a booking that is no longer needed."""
+class PiecesCancel(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
+    """Cancels an order or a booking that is no longer needed.
+
+    :ivar region: see ``PiecesOrder``.
+    """
 
     service: str
     order_id: str
+    region: str = ""
 
 
 class PiecesRelease(msgspec.Struct, frozen=True, tag=True):
--- a/boragestream/policy/granters.py
+++ b/boragestream/policy/granters.py
@@ -39,6 +39,7 @@
 
     :param live: returns the names of the live entries, including this one.
     :param subject: returns the key by which the entries are ranked for a server.
+    :param among: returns those of the live entries that are ranked for a server.
     :param divided: returns whether some entries do not answer, or have a different set
         of live entries than this one.
     """
@@ -49,17 +50,22 @@
         subject: Callable[[Server], str],
         clock: Clock,
         divided: Callable[[], bool] = lambda: False,
+        among: Callable[[Server, Sequence[str]], Sequence[str]] = (
+            lambda server, live: live
+        ),
     ) -> None:
         self._live = live
         self._divided = divided
+        self._among = among
         self._subject = subject
         self._clock = clock
         self._entries: Sequence[str] = ()
         self._refreshed_at = float("-inf")
         self._changed_at = clock.now()
         self._ranked: dict[str, Sequence[str]] = {}
-        # The first entry for each subject, and the time since which it has been first.
-        self._first: dict[str, tuple[str, float]] = {}
+        # The first entry for each subject, the time since which it has been first, and
+        # a server of the subject.
+        self._first: dict[str, tuple[str, float, Server]] = {}
         self._lock = threading.Lock()
 
     @property
@@ -80,7 +86,7 @@
             self._refresh()
             ranked = self._ranked.get(subject)
             if ranked is None:
-                ranked = owner_ranking(subject, self._entries)[:GRANTERS_PER_SERVER]
+                ranked = self._rank(subject, server)[:GRANTERS_PER_SERVER]
                 self._ranked[subject] = ranked
             return ranked
 
@@ -91,8 +97,8 @@
             return Standing.NEW
         subject = self._subject(server)
         with self._lock:
-            default = (entry, self._changed_at)
-            _, since = self._first.setdefault(subject, default)
+            default = (entry, self._changed_at, server)
+            _, since, _ = self._first.setdefault(subject, default)
         if self._clock.now() - since < SETTLED_SECONDS:
             return Standing.NEW
         return Standing.DIVIDED if self._divided() else Standing.FIRST
@@ -107,7 +113,10 @@
             self._entries = live
             self._changed_at = now
             self._ranked.clear()
-            for subject, (before, _) in self._first.items():
-                first = owner_ranking(subject, live)[0]
+            for subject, (before, _, server) in self._first.items():
+                first = self._rank(subject, server)[0]
                 if first != before:
-                    self._first[subject] = (first, now)
+                    self._first[subject] = (first, now, server)
+
+    def _rank(self, subject: str, server: Server) -> list[str]:
+        return owner_ranking(subject, self._among(server, self._entries))
--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -15,9 +15,11 @@
 from boragestream.document.calls import Piece
 from boragestream.document.routes import PieceLimits
 from boragestream.policy.late_service import LateOrder, LateService, refuse_late
+from boragestream.policy.queue_owners import StageQueue
 
 __all__ = [
     "PieceBooking",
+    "BEHIND_ALL",
     "PieceOrder",
     "QueuedOrder",
     "ServerRoom",
@@ -36,6 +38,10 @@
 # The same for a booked stage of a chain that has not begun. The remaining share is a
 # margin for the earlier stages; an answer that is late without it is worth a seventh.
 BOOKED_SHARE = (0.85, 0.75, 0.65)
+# The maximum expected wait of a borrowed order, as a share of the wait that an order of
+# the queue's own region and of the same urgency may have. The rest of that wait remains
+# for orders of the own region that arrive before the borrowed one begins.
+BORROWED_SHARE = 0.5
 # A wait of this length is always accepted, even by an order that seems to be late: it
 # delays no caller noticeably, and the time reserved for the engine exceeds most needs.
 SHORT_WAIT_SECONDS = 0.25
@@ -46,6 +52,9 @@
 PRIORITY_SECONDS = 0.25
 
 
+# The sort key behind all orders. A borrowed order is expected to wait for all that the
+# queue holds, also for less urgent orders that it would in fact precede.
+BEHIND_ALL = (True, math.inf)
 # An order that is late on arrival is accepted if it is expected to wait no longer than
 # this for spare places in a batch.
 LATE_WAIT_SECONDS = 0.5
@@ -71,6 +80,9 @@
         if unknown.
     :ivar waited_seconds: the time from its caller's first attempt to this one, as far
         as its latest start already includes it.
+    :ivar region: the region of its queue; empty for a queue over all regions.
+    :ivar borrowed: whether its chain runs in that region only because its own region
+        could not take it.
     """
 
     order_id: str
@@ -84,6 +96,22 @@
     fingerprint: bytes = b""
     lead_seconds: float = math.inf
     waited_seconds: float = 0.0
+    region: str = ""
+    borrowed: bool = False
+
+    @property
+    def queue(self) -> StageQueue:
+        """The queue that the order is for."""
+        return StageQueue(self.service, self.region)
+
+    @property
+    def needs_spare_capacity(self) -> bool:
+        """Whether it is accepted only with capacity that the own region doesn't need.
+
+        A borrowed chain that has begun is treated as one of the region, since its
+        results are there.
+        """
+        return self.borrowed and not self.invested
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +123,8 @@
     :ivar regions: the only regions where its pieces may run; empty for any.
     :ivar lead_seconds: see ``PieceOrder``.
     :ivar waited_seconds: see ``PieceOrder``.
+    :ivar region: see ``PieceOrder``.
+    :ivar borrowed: see ``PieceOrder``.
     """
 
     order_id: str
@@ -106,6 +136,13 @@
     regions: frozenset[str] = frozenset()
     lead_seconds: float = math.inf
     waited_seconds: float = 0.0
+    region: str = ""
+    borrowed: bool = False
+
+    @property
+    def queue(self) -> StageQueue:
+        """The queue of the later order."""
+        return StageQueue(self.service, self.region)
 
 
 @dataclass(slots=True)
@@ -223,6 +260,9 @@
         return False
     if order.invested or wait <= 0:
         return True
+    if order.borrowed:
+        share = BORROWED_SHARE * _share_for_priority(ADMITTED_SHARE, order.priority)
+        return wait <= share * left
     return wait <= longest_wait(order.priority, left)
 
 
@@ -247,9 +287,11 @@
     :param wait: the expected wait in seconds if the stage were ordered now.
     :param left: the seconds until its latest start.
     """
+    share = _share_for_priority(BOOKED_SHARE, booking.priority)
+    if booking.borrowed:
+        return wait <= max(0.0, BORROWED_SHARE * share * left)
     if left < 0:
         return wait <= LATE_WAIT_SECONDS
-    share = _share_for_priority(BOOKED_SHARE, booking.priority)
     return wait <= max(SHORT_WAIT_SECONDS, share * left)
 
 
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -17,6 +17,7 @@
 from boragestream.document.routes import PieceLimits
 from boragestream.policy.late_service import LateOrder, LateService, refuse_late
 from boragestream.policy.piece_queue import (
+    BEHIND_ALL,
     PieceBooking,
     QueuedOrder,
     ServerRoom,
@@ -165,8 +166,10 @@
         queued.returning = max(waited, order.waited_seconds) > 0
         queued.start_by -= max(0.0, waited - order.waited_seconds)
         eligible = _in_regions(usable, order.regions)
-        wait = self._wait(queued.sort_key(now), limits, eligible, now)
-        kept = self._is_kept(queued.as_late, wait, now)
+        spare = order.needs_spare_capacity
+        sort_key = BEHIND_ALL if spare else queued.sort_key(now)
+        wait = self._wait(sort_key, limits, eligible, now)
+        kept = not spare and self._is_kept(queued.as_late, wait, now)
         if not (kept or is_admitted(queued.order, wait, queued.start_by - now)):
             return wait
         self._orders[order.order_id] = queued
@@ -192,10 +195,12 @@
         returning = max(waited, booking.waited_seconds) > 0
         start_by -= max(0.0, waited - booking.waited_seconds)
         sort_key = order_sort_key(start_by, booking.priority, now)
+        sort_key = BEHIND_ALL if booking.borrowed else sort_key
         eligible = _in_regions(usable, booking.regions)
         wait = self._wait(sort_key, limits, eligible, now)
         last_start = expires - booking.lead_seconds
-        kept = self._is_kept(LateOrder(last_start, returning, False), wait, now)
+        late = LateOrder(last_start, returning, False)
+        kept = not booking.borrowed and self._is_kept(late, wait, now)
         if not (kept or is_bookable(booking, wait, start_by - now)):
             return wait
         until = max(start_by, now) + BOOKING_GRACE_SECONDS
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -194,10 +194,10 @@
     def _run_stages(self) -> Failure | None:
         if self._inputs_ready or not self._run.route.stages:
             return None
-        results = self._parts.stages.run(self._run, self._choice.engine_data_centre())
-        if isinstance(results, Failure):
-            return results
-        self._inputs = results
+        chain = self._parts.stages.run(self._run, self._choice.engine_data_centre())
+        if isinstance(chain, Failure):
+            return chain
+        self._inputs = chain.results
         self._inputs_ready = True
         return None
 
--- a/boragestream/serving/owner_links.py
+++ b/boragestream/serving/owner_links.py
@@ -1,15 +1,18 @@
 """Sends messages to the entries that own the queues of stage services.
 
-All entries compute the same ranking of the live entries for a service, and the first in
-rank owns its queue. An entry that does not answer is skipped for some time; this entry
-itself is the last resort. ``serving.piece_orders`` and ``serving.piece_bookings``
-define what an owner is asked.
+All entries compute the same ranking of the live entries for a queue, and the first in
+rank owns it. An entry that does not answer is skipped for some time. This entry itself
+is the last resort, but not for a queue of another region that has entries: if those
+can't be reached, neither can the region's servers. ``serving.piece_orders`` and
+``serving.piece_bookings`` define what an owner is asked.
 """
 
 import math
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 
+import msgspec
+
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, describe_error, emit
 from boragestream.base.outcomes import Failure
@@ -17,7 +20,8 @@
 from boragestream.entry.messages import Message
 from boragestream.entry.owner_questions import OwnerRequests
 from boragestream.entry.piece_messages import PiecesAnswer
-from boragestream.policy.queue_owners import owner_ranking
+from boragestream.policy.queue_owners import StageQueue, owner_ranking
+from boragestream.policy.region_links import RegionLinks, TrafficKind
 
 __all__ = ["OwnerLinks", "milliseconds", "seconds_or_unknown"]
 
@@ -29,19 +33,27 @@
     """The owners of queues, as this entry sees them.
 
     :param own: this entry's name, which is its address for other entries.
-    :param live: returns the names of the live entries that can own queues.
+    :param live: returns the names of the live entries that can own queues of a region;
+        the region is empty for the queues over all regions.
+    :param region_links: counts the bytes to other regions; None if there is only one.
+    :param region_of: returns the region of an entry; empty if it is not known.
     """
 
     def __init__(
         self,
         own: str,
-        live: Callable[[], Sequence[str]],
+        live: Callable[[str], Sequence[str]],
         links: PeerLinks,
         clock: Clock,
+        region_links: RegionLinks | None = None,
+        region_of: Callable[[str], str] = lambda entry: "",
     ) -> None:
         self._own = own
         self._live = live
         self._links = links
+        self._region_links = region_links
+        self._own_region = region_links.regions.own if region_links is not None else ""
+        self._region_of = region_of
         self._questions = OwnerRequests(links, clock)
         self._messages = ThreadPoolExecutor(MESSAGE_THREADS, "piece messages")
 
@@ -50,32 +62,64 @@
         """This entry's name."""
         return self._own
 
-    def owners(self, service: str, current: str = "") -> list[str]:
-        """Return the entries to ask, first choice first; the last is this entry.
+    def owners(self, queue: StageQueue, current: str = "") -> list[str]:
+        """Return the entries to ask, first choice first.
+
+        The last is this entry. There may be none for a queue of another region, if its
+        entries gave no answer.
 
         :param current: the owner that accepted an order. It remains the first choice
             while it is live, even if another entry ranks before it by now, so that
             no piece is made twice.
         """
-        ranked = owner_ranking(service, self._live())
+        ranked = owner_ranking(queue.ranking_key, self._live(queue.region))
         if current in ranked:
             ranked.remove(current)
             ranked.insert(0, current)
         responsive = [e for e in ranked if not self._questions.is_skipped(e)]
         # This entry itself is the last resort, whatever its rank.
-        candidates = responsive
         if self._own in responsive:
-            candidates = responsive[: responsive.index(self._own) + 1]
-        return candidates if self._own in candidates else [*candidates, self._own]
+            return responsive[: responsive.index(self._own) + 1]
+        if queue.region and queue.region != self._own_region and ranked:
+            return responsive
+        return [*responsive, self._own]
+
+    def lender(self, queue: StageQueue) -> str:
+        """Return the owner that a borrowed order is offered to.
+
+        Only the first in rank is asked. The next one would not know the orders of the
+        owner, and could not tell which of its capacity is spare.
+
+        :returns: empty if it gave no answer a short time ago.
+        """
+        first = owner_ranking(queue.ranking_key, self._live(queue.region))[0]
+        return "" if self._questions.is_skipped(first) else first
 
     def ask(self, owner: str, message: Message) -> PiecesAnswer | None:
         """Ask an owner; return None and skip it for some time if it does not answer."""
-        return self._questions.request(owner, owner, message, PiecesAnswer)
+        region = self._other_region(owner)
+        self._count(region, message)
+        seconds = self._region_links.round_trip_seconds(region) if region else 0.0
+        return self._questions.request(owner, owner, message, PiecesAnswer, seconds)
 
     def send(self, entry: str, message: Message) -> None:
         """Send a message in the background; its reply is not needed."""
+        self._count(self._other_region(entry), message)
         self._messages.submit(self._deliver, entry, message)
 
+    def _other_region(self, entry: str) -> str:
+        """Return the region of an entry; empty if it is this entry's own or unknown."""
+        if self._region_links is None or not self._region_links.regions.several:
+            return ""
+        region = self._region_of(entry)
+        return "" if region == self._own_region else region
+
+    def _count(self, region: str, message: Message) -> None:
+        """Count the bytes of a message to another region."""
+        if region:
+            size = len(msgspec.msgpack.encode(message))
+            self._region_links.count(region, TrafficKind.ORDER, size)
+
     def _deliver(self, entry: str, message: Message) -> None:
         try:
             reply = self._links.ask(entry, message, MESSAGE_SECONDS)
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -30,6 +30,7 @@
 from boragestream.policy.load import CallEnd
 from boragestream.policy.piece_queue import PieceBooking, PieceOrder, QueuedOrder
 from boragestream.policy.quarantine import CrashRecord
+from boragestream.policy.queue_owners import StageQueue
 from boragestream.policy.server_choice import DISABLED_MECHANISMS
 from boragestream.policy.servers import Server
 from boragestream.policy.service_queue import Batch, CallRoom, ServiceQueue
@@ -59,11 +60,11 @@
     def __init__(self, parts: BatchParts, on_results: ResultsCallback) -> None:
         self._parts = parts
         self._on_results = on_results
-        self._queues: dict[str, ServiceQueue] = {}
+        self._queues: dict[StageQueue, ServiceQueue] = {}
         self._lock = threading.Lock()
         self._calls = PieceCalls(parts)
-        # The service and the server of each result, by its handle.
-        self._result_servers: dict[str, tuple[str, Server]] = {}
+        # The queue and the server of each result, by its handle.
+        self._result_servers: dict[str, tuple[StageQueue, Server]] = {}
 
     def submit(
         self, order: PieceOrder, start_seconds: float, left_seconds: float
@@ -81,7 +82,7 @@
         limits = self._parts.piece_limits(order.service)
         if limits is None:
             return 0.0
-        left = self._backed_off_seconds(order.service)
+        left = self._backed_off_seconds(order.queue)
         if left is not None and not self.has_order(order.order_id):
             return left
         now = self._parts.clock.now()
@@ -91,15 +92,15 @@
         queued.suspected = (
             self._parts.quarantine.record_for(order.fingerprint).crashes > 0
         )
-        usable = self._usable_servers(order.service)
+        usable = self._usable_servers(order.queue)
         with self._lock:
-            queue = self._queue(order.service)
+            queue = self._queue(order.queue)
             already_queued = order.order_id in queue.orders
             wait = queue.submit(queued, limits, usable, now)
         if wait is None:
             if not already_queued:
                 self._parts.retries.note_request(order.service, len(order.pieces))
-            self._send_batches(order.service)
+            self._send_batches(order.queue)
         return wait
 
     def book(
@@ -116,13 +117,13 @@
         limits = self._parts.piece_limits(booking.service)
         if limits is None:
             return 0.0
-        left = self._backed_off_seconds(booking.service)
+        left = self._backed_off_seconds(booking.queue)
         if left is not None:
             return left
         now = self._parts.clock.now()
-        usable = self._usable_servers(booking.service)
+        usable = self._usable_servers(booking.queue)
         with self._lock:
-            queue = self._queue(booking.service)
+            queue = self._queue(booking.queue)
             start_by, expires = now + start_seconds, now + left_seconds
             return queue.book(booking, start_by, expires, limits, usable, now)
 
@@ -133,17 +134,17 @@
         """
         now = self._parts.clock.now()
         with self._lock:
-            queue = self._queue(booking.service)
+            queue = self._queue(booking.queue)
             expires = now + left_seconds
             return queue.waited(booking.key, booking.request_id, expires, now)
 
-    def cancel(self, service: str, order_id: str) -> None:
+    def cancel(self, queue_id: StageQueue, order_id: str) -> None:
         """Drop an order or a booking.
 
         Calls in progress are not cancelled; their results are released.
         """
         with self._lock:
-            queue = self._queues.get(service)
+            queue = self._queues.get(queue_id)
             if queue is not None:
                 queue.drop(order_id)
 
@@ -153,21 +154,21 @@
 
     def release(self, handles: Sequence[str]) -> None:
         """Release results, which frees their room on the servers."""
-        by_server: dict[tuple[str, str, str], tuple[str, Server, list[str]]] = {}
+        by_server: dict[tuple[str, str, str], tuple[StageQueue, Server, list[str]]] = {}
         with self._lock:
             for handle in handles:
-                service, server = self._result_servers.get(handle, ("", None))
+                queue_id, server = self._result_servers.get(handle, (None, None))
                 # A server that is drained, limited or backed off is sent no releases;
                 # its results take up room until they expire.
                 if server is None or not self._calls.takes_messages(server):
                     continue
                 del self._result_servers[handle]
-                self._queues[service].release(server, handle)
-                freed = by_server.setdefault(server.identity, (service, server, []))
+                self._queues[queue_id].release(server, handle)
+                freed = by_server.setdefault(server.identity, (queue_id, server, []))
                 freed[2].append(handle)
-        for service, server, freed in by_server.values():
+        for queue_id, server, freed in by_server.values():
             self._calls.submit(self._calls.release, server, tuple(freed))
-            self._send_batches(service)
+            self._send_batches(queue_id)
 
     def update_queues(self) -> None:
         """Check all queues, results and calls; call this periodically.
@@ -182,24 +183,24 @@
         unserved: list[QueuedOrder] = []
         listed = self._parts.servers.all
         with self._lock:
-            services = list(self._queues)
-            for service in services:
-                queue = self._queues[service]
+            queue_ids = list(self._queues)
+            for queue_id in queue_ids:
+                queue = self._queues[queue_id]
                 queue.drop_expired(now)
                 queue.drop_stale_servers(listed, now)
                 late += queue.drop_late(now)
-                left = self._backed_off_seconds(service)
+                left = self._backed_off_seconds(queue_id)
                 if left is not None:
                     late += queue.drop_due_before(now + left)
-                if not self._parts.servers.live(service):
+                if not self._live_servers(queue_id):
                     unserved += queue.drop_unserved()
-            for handle, (service, server) in list(self._result_servers.items()):
-                if not self._queues[service].holds(server, handle):
+            for handle, (queue_id, server) in list(self._result_servers.items()):
+                if not self._queues[queue_id].holds(server, handle):
                     del self._result_servers[handle]
         self._fail_orders(late, PieceFault.LATE)
         self._fail_orders(unserved, PieceFault.NO_SERVER)
-        for service in services:
-            self._send_batches(service)
+        for queue_id in queue_ids:
+            self._send_batches(queue_id)
         self._calls.check_overdue_calls()
 
     def _fail_orders(self, orders: Sequence[QueuedOrder], fault: PieceFault) -> None:
@@ -208,15 +209,20 @@
             order = queued.order
             self._on_results(order.order_id, [(p.number, failed) for p in order.pieces])
 
-    def _queue(self, service: str) -> ServiceQueue:
-        if service not in self._queues:
-            self._queues[service] = ServiceQueue(self._call_room, self._parts.late)
-            emit(Event.QUEUE_OWNED, service=service)
-        return self._queues[service]
+    def _queue(self, queue_id: StageQueue) -> ServiceQueue:
+        if queue_id not in self._queues:
+            self._queues[queue_id] = ServiceQueue(self._call_room, self._parts.late)
+            service, region = queue_id.service, queue_id.region
+            emit(Event.QUEUE_OWNED, service=service, region=region)
+        return self._queues[queue_id]
 
-    def _usable_servers(self, service: str) -> list[Server]:
+    def _live_servers(self, queue_id: StageQueue) -> Sequence[Server]:
+        live = self._parts.servers.live(queue_id.service)
+        return [server for server in live if queue_id.has_server_in(server.region)]
+
+    def _usable_servers(self, queue_id: StageQueue) -> list[Server]:
         parts = self._parts
-        accepting = parts.backoffs.usable(parts.servers.live(service))
+        accepting = parts.backoffs.usable(self._live_servers(queue_id))
         live = parts.cold.usable(accepting)
         need = RoutingNeed(without=DISABLED_MECHANISMS)
         return usable_servers(live, self._parts.loads, need, self._parts.clock.now())
@@ -225,33 +231,33 @@
         limits = self._parts.limited.limits
         return CallRoom(limits.rate(server), limits.seconds_left(server))
 
-    def _sendable_servers(self, service: str) -> list[Server]:
+    def _sendable_servers(self, queue_id: StageQueue) -> list[Server]:
         """Return the servers that may be sent a batch, those without a limit first.
 
         Servers with a limit are included if a permit begins soon.
         """
         limits = self._parts.limited.limits
-        without_limit, with_limit = limits.split(self._usable_servers(service))
+        without_limit, with_limit = limits.split(self._usable_servers(queue_id))
         soon = [s for s in with_limit if limits.seconds_left(s) <= PERMIT_WAIT_SECONDS]
         return [*without_limit, *soon]
 
-    def _backed_off_seconds(self, service: str) -> float | None:
+    def _backed_off_seconds(self, queue_id: StageQueue) -> float | None:
         """Return the seconds until a server may be called; None if one may be now."""
-        return self._parts.backoffs.seconds_left(self._parts.servers.live(service))
+        return self._parts.backoffs.seconds_left(self._live_servers(queue_id))
 
-    def _send_batches(self, service: str) -> None:
+    def _send_batches(self, queue_id: StageQueue) -> None:
         """Send a batch to each free server."""
-        limits = self._parts.piece_limits(service)
+        limits = self._parts.piece_limits(queue_id.service)
         if limits is None:
             return
-        usable = self._sendable_servers(service)
+        usable = self._sendable_servers(queue_id)
         with self._lock:
-            queue = self._queues[service]
+            queue = self._queues[queue_id]
             batches = queue.next_batches(limits, usable, self._parts.clock.now())
         for batch in batches:
-            self._calls.submit(self._call, service, batch)
+            self._calls.submit(self._call, queue_id, batch)
 
-    def _call(self, service: str, batch: Batch) -> None:
+    def _call(self, queue_id: StageQueue, batch: Batch) -> None:
         parts = self._parts
         began = parts.clock.now()
         number = parts.loads.begin(batch.server)
@@ -269,13 +275,13 @@
             kind = str(len(batch.pieces))
             parts.loads.end(batch.server, number, end, seconds, kind)
             name = end.name.lower()
-            parts.metrics.batch_ended(service, name, len(batch.pieces))
+            parts.metrics.batch_ended(queue_id.service, name, len(batch.pieces))
             if end not in (CallEnd.ANSWERED, CallEnd.CANCELLED):
                 log_ejection(parts.loads, batch.server, parts.clock.now())
             if isinstance(result, AnswerCut):
                 self._count_crashes(batch.server, crash_records)
-            self._end_batch(service, batch, result)
-        self._send_batches(service)
+            self._end_batch(queue_id, batch, result)
+        self._send_batches(queue_id)
 
     def _make_call(self, batch: Batch) -> list[PieceResult] | AttemptFailure:
         """Make a batch's call, with a permit if its server has a limit."""
@@ -320,7 +326,7 @@
 
     def _end_batch(
         self,
-        service: str,
+        queue_id: StageQueue,
         batch: Batch,
         result: list[PieceResult] | AttemptFailure,
     ) -> None:
@@ -338,13 +344,13 @@
         reported: dict[str, list[tuple[int, PieceResult]]] = {}
         unwanted: list[str] = []
         with self._lock:
-            queue = self._queues[service]
+            queue = self._queues[queue_id]
             queue.end(batch, results, ran, self._parts.clock.now())
             for index, (queued, piece) in enumerate(batch.pieces):
                 order_id = queued.order.order_id
                 done = results[index] if results is not None else None
                 if done is not None and done.handle:
-                    self._result_servers[done.handle] = (service, batch.server)
+                    self._result_servers[done.handle] = (queue_id, batch.server)
                 if order_id not in queue.orders:
                     if done is not None and done.handle:
                         unwanted.append(done.handle)
--- a/boragestream/serving/piece_bookings.py
+++ b/boragestream/serving/piece_bookings.py
@@ -19,7 +19,7 @@
     seconds_or_unknown,
 )
 from boragestream.serving.piece_batches import PieceBatches
-from boragestream.serving.piece_failures import StageSaturated
+from boragestream.serving.piece_failures import OfferUnanswered, StageSaturated
 
 __all__ = ["BookedOrder", "PieceBookings"]
 
@@ -47,14 +47,17 @@
 
     def book(
         self, booking: PieceBooking, start_by: float, deadline: float
-    ) -> BookedOrder | StageSaturated | None:
+    ) -> BookedOrder | StageSaturated | OfferUnanswered | None:
         """Book a future order.
 
         :param start_by: its latest start, in seconds of the clock.
         :param deadline: when its caller stops waiting, in seconds of the clock.
         :returns: the booking, why it was refused, or None if the owner did not answer.
+            A borrowed booking that is not answered is cancelled at the owner.
         """
-        owner = self._owners.owners(booking.service)[0]
+        owner = self._owner(booking)
+        if not owner:
+            return StageSaturated(booking.service, 0)
         now = self._clock.now()
         start, left = start_by - now, deadline - now
         waited = 0.0
@@ -74,8 +77,13 @@
                 tuple(booking.regions),
                 milliseconds(booking.lead_seconds),
                 milliseconds(booking.waited_seconds),
+                booking.region,
+                booking.borrowed,
             )
             reply = self._owners.ask(owner, message)
+            if reply is None and booking.borrowed:
+                self._owners.send(owner, _cancel_message(booking))
+                return OfferUnanswered(booking.service)
             if reply is None:
                 return None
             wait = None if reply.taken else reply.wait_ms / 1000
@@ -84,13 +92,19 @@
             return BookedOrder(booking, owner, waited)
         return StageSaturated(booking.service, milliseconds(wait))
 
+    def _owner(self, booking: PieceBooking) -> str:
+        """Return the owner to ask; empty if the region has none that answers."""
+        if booking.borrowed:
+            return self._owners.lender(booking.queue)
+        return next(iter(self._owners.owners(booking.queue)), "")
+
     def cancel(self, booked: BookedOrder) -> None:
         """Tell the owner that a booked order will not be sent."""
-        service, order_id = booked.booking.service, booked.booking.order_id
+        booking = booked.booking
         if booked.owner == self._owners.own:
-            self._batches.cancel(service, order_id)
+            self._batches.cancel(booking.queue, booking.order_id)
         else:
-            self._owners.send(booked.owner, PiecesCancel(service, order_id))
+            self._owners.send(booked.owner, _cancel_message(booking))
 
     def answer_booking(self, envelope: Envelope, message: PiecesBook) -> PiecesAnswer:
         """Accept or refuse a booking of another entry."""
@@ -104,6 +118,8 @@
             frozenset(message.regions),
             seconds_or_unknown(message.lead_ms),
             message.waited_ms / 1000,
+            message.region,
+            message.borrowed,
         )
         left = message.left_ms / 1000
         wait = self._batches.book(booking, message.start_ms / 1000, left)
@@ -111,3 +127,7 @@
         if wait is None:
             return PiecesAnswer(taken=True, waited_ms=waited_ms)
         return PiecesAnswer(False, milliseconds(wait), waited_ms)
+
+
+def _cancel_message(booking: PieceBooking) -> PiecesCancel:
+    return PiecesCancel(booking.service, booking.order_id, booking.region)
--- a/boragestream/serving/piece_failures.py
+++ b/boragestream/serving/piece_failures.py
@@ -5,7 +5,7 @@
 from boragestream.base.outcomes import Failure
 from boragestream.document.calls import PieceFault
 
-__all__ = ["AnswerLost", "PieceFailed", "StageSaturated"]
+__all__ = ["AnswerLost", "OfferUnanswered", "PieceFailed", "StageSaturated"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,3 +37,16 @@
     """A stage server has nothing to do, and an answer that it owes never came."""
 
     server: str
+
+
+@dataclass(frozen=True, slots=True)
+class OfferUnanswered(Failure):
+    """The owner of a queue of another region did not answer the offer of a chain.
+
+    It may have accepted the offer and may run pieces of it, so that the chain must not
+    be ordered elsewhere. The caller is told that the stage is saturated.
+
+    :ivar service: the service of the stage.
+    """
+
+    service: str
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -25,13 +25,14 @@
     PiecesRelease,
 )
 from boragestream.policy.piece_queue import PieceOrder
+from boragestream.policy.queue_owners import StageQueue
 from boragestream.serving.owner_links import (
     OwnerLinks,
     milliseconds,
     seconds_or_unknown,
 )
 from boragestream.serving.piece_batches import PieceBatches
-from boragestream.serving.piece_failures import StageSaturated
+from boragestream.serving.piece_failures import OfferUnanswered, StageSaturated
 
 __all__ = ["OpenOrder", "PieceOrders"]
 
@@ -132,10 +133,9 @@
         if opened.finished and opened.fault is None:
             return
         if opened.owner == self._own:
-            self._batches.cancel(opened.order.service, opened.order.order_id)
+            self._batches.cancel(opened.order.queue, opened.order.order_id)
         elif opened.owner:
-            order = opened.order
-            self._owners.send(opened.owner, PiecesCancel(order.service, order.order_id))
+            self._owners.send(opened.owner, _cancel_message(opened.order))
         self.release([result.handle for result in opened.received.values()])
 
     def release(self, handles: Sequence[str]) -> None:
@@ -207,6 +207,8 @@
             message.fingerprint,
             seconds_or_unknown(message.lead_ms),
             message.waited_ms / 1000,
+            message.region,
+            message.borrowed,
         )
         with self._lock:
             self._requesters[message.order_id] = envelope.sender
@@ -231,7 +233,8 @@
 
     def answer_cancel(self, envelope: Envelope, message: PiecesCancel) -> ProbeReply:
         """Cancel an order of another entry."""
-        self._batches.cancel(message.service, message.order_id)
+        queue_id = StageQueue(message.service, message.region)
+        self._batches.cancel(queue_id, message.order_id)
         return ProbeReply(0)
 
     def answer_release(self, envelope: Envelope, message: PiecesRelease) -> ProbeReply:
@@ -253,7 +256,9 @@
     def _place(self, opened: OpenOrder, scope: CancelScope) -> Failure | None:
         """Send an order to the first owner that answers; return any refusal."""
         order = opened.order
-        for owner in self._owners.owners(order.service, opened.owner):
+        if order.needs_spare_capacity and not opened.owner:
+            return self._offer(opened, scope)
+        for owner in self._owners.owners(order.queue, opened.owner):
             now = self._clock.now()
             start, left = opened.start_by - now, scope.deadline - now
             if left <= 0 or scope.reason is not None:
@@ -267,6 +272,28 @@
                 return _refusal(order, wait)
         return StageSaturated(order.service, 0)
 
+    def _offer(self, opened: OpenOrder, scope: CancelScope) -> Failure | None:
+        """Offer the first order of a borrowed chain to one owner; return any refusal.
+
+        If the owner gives no answer, the offer is cancelled there. No other entry is
+        asked: it would make the same pieces if only the answer was lost.
+        """
+        order, now = opened.order, self._clock.now()
+        start, left = opened.start_by - now, scope.deadline - now
+        if left <= 0 or scope.reason is not None:
+            return scope.reason or DeadlinePassed("stage")
+        owner = self._owners.lender(order.queue)
+        if not owner:
+            return StageSaturated(order.service, 0)
+        opened.owner, opened.checked_at = owner, now
+        if owner == self._own:
+            return _refusal(order, self._batches.submit(order, start, left))
+        reply = self._owners.ask(owner, _order_message(order, start, left))
+        if reply is None:
+            self._owners.send(owner, _cancel_message(order))
+            return OfferUnanswered(order.service)
+        return _refusal(order, None if reply.taken else reply.wait_ms / 1000)
+
     def _forget(self, opened: OpenOrder) -> None:
         with self._lock:
             self._open.pop(opened.order.order_id, None)
@@ -292,8 +319,14 @@
         fingerprint=order.fingerprint,
         lead_ms=milliseconds(order.lead_seconds),
         waited_ms=milliseconds(order.waited_seconds),
+        region=order.region,
+        borrowed=order.borrowed,
     )
 
 
+def _cancel_message(order: PieceOrder) -> PiecesCancel:
+    return PiecesCancel(order.service, order.order_id, order.region)
+
+
 def _refusal(order: PieceOrder, wait: float | None) -> StageSaturated | None:
     return None if wait is None else StageSaturated(order.service, milliseconds(wait))
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -2,12 +2,13 @@
 
 A stage begins as soon as the results that it depends on have arrived; independent
 stages run concurrently. Results are released as soon as no stage needs them any more.
+All stages run in one region, which ``policy.stage_regions`` chooses when they begin.
 ``serving.piece_orders`` decides which entry makes the pieces.
 """
 
 import itertools
 import threading
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, emit
@@ -22,16 +23,20 @@
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.server_choice import stage_data_centre
 from boragestream.policy.stage_delays import StageDelays
+from boragestream.policy.stage_regions import ChainRegion, StageRegions
+from boragestream.serving.chains import ChainResults, note_offer
 from boragestream.serving.forwarded_run import ForwardedRun
 from boragestream.serving.piece_bookings import BookedOrder, PieceBookings
-from boragestream.serving.piece_failures import PieceFailed
+from boragestream.serving.piece_failures import (
+    OfferUnanswered,
+    PieceFailed,
+    StageSaturated,
+)
 from boragestream.serving.piece_orders import OpenOrder, PieceOrders
+from boragestream.serving.stage_leads import lead_seconds, usual_seconds
 
-__all__ = ["StagePieces", "lead_seconds"]
+__all__ = ["StagePieces"]
 
-# The share of a batch's places that is assumed to be filled when the usual time of a
-# stage is estimated.
-EXPECTED_FILL = 0.6
 # Interval of the checks of cancellation, deadline and owners while no result arrives.
 POLL_SECONDS = 0.1
 
@@ -48,6 +53,7 @@
         route.
     :ivar until_deadline: whether the time since a caller's first attempt counts at the
         owners of all stages, which then keep a last attempt although it is late.
+    :ivar stage_regions: the regions in which the chains can run.
     """
 
     orders: PieceOrders
@@ -59,17 +65,16 @@
     engine_delays: EngineDelays
     metrics: RouteMetrics
     until_deadline: bool = False
+    stage_regions: StageRegions = field(default_factory=StageRegions)
 
-    def run(
-        self, run: ForwardedRun, home: str = ""
-    ) -> tuple[StageResult, ...] | Failure:
-        """Run all stages and return the results that the engine's call reads.
+    def run(self, run: ForwardedRun, home: str = "") -> ChainResults | Failure:
+        """Run all stages; return the results that the engine's call reads.
 
         :param home: the data centre of the engine that will most likely read them;
             empty for any.
         """
         if not run.route.stages:
-            return ()
+            return ChainResults()
         return _StageRun(self, run, home).finish()
 
     def release(self, results: tuple[StageResult, ...]) -> None:
@@ -100,19 +105,20 @@
         self._booked: dict[int, BookedOrder] = {}
         # The time since the caller's first attempt, as far as an owner knows it.
         self._waited_seconds = 0.0
+        # Where the chain runs.
+        self._place = ChainRegion()
 
-    def finish(self) -> tuple[StageResult, ...] | Failure:
+    def finish(self) -> ChainResults | Failure:
         """Run until every stage is done or one has failed; return the last results."""
         failure: Failure | None = None
         try:
-            failure = self._quarantine_refusal() or self._book_later_stages()
+            failure = self._quarantine_refusal() or self._start()
             while failure is None and len(self._results) < len(self._run.route.stages):
-                failure = self._begin_ready() or self._wait()
+                failure = self._wait() or self._begin_ready()
         finally:
             for opened in self._open.values():
                 self._stages.orders.end(opened)
-            for booked in self._booked.values():
-                self._stages.bookings.cancel(booked)
+            self._cancel_bookings()
         self._log_end(failure)
         if failure is not None:
             for number, results in self._results.items():
@@ -120,7 +126,38 @@
                     self._stages.release(results)
             return failure
         last = _last_stages(self._run.route)
-        return tuple(r for number in last for r in self._results[number])
+        results = tuple(r for number in last for r in self._results[number])
+        return ChainResults(results, self._place.region)
+
+    def _start(self) -> Failure | None:
+        """Book the later stages and order the first, in the first region that accepts.
+
+        A chain that no region accepts is refused with the wait of its own region.
+        """
+        run, refusal = self._run, None
+        stages = enumerate(run.route.stages)
+        services = [s.service for number, s in stages if self._piece_count(number)]
+        regions = self._stages.stage_regions.candidates(
+            [*services, run.service], run.regions
+        )
+        for place in regions:
+            self._place = place
+            failure = self._book_later_stages() or self._begin_ready()
+            if place.borrowed:
+                request_id = run.request.request_id
+                note_offer(self._stages.metrics, request_id, place.region, failure)
+            if isinstance(failure, OfferUnanswered):
+                return refusal or StageSaturated(failure.service, 0)
+            if not isinstance(failure, StageSaturated) or self._open:
+                return failure
+            self._cancel_bookings()
+            refusal = failure if refusal is None or not place.borrowed else refusal
+        return refusal
+
+    def _cancel_bookings(self) -> None:
+        for booked in self._booked.values():
+            self._stages.bookings.cancel(booked)
+        self._booked.clear()
 
     def _log_end(self, failure: Failure | None) -> None:
         run = self._run
@@ -166,6 +203,8 @@
                 run.regions or frozenset(),
                 self._lead_seconds[number],
                 self._waited_seconds,
+                self._place.region,
+                self._place.borrowed,
             )
             start_by = self._start_by(number)
             deadline = run.scope.deadline
@@ -180,10 +219,22 @@
         return None
 
     def _start_by(self, number: int) -> float:
-        """Return the latest start of a stage that meets the objective."""
+        """Return the latest start of a stage that meets the objective.
+
+        In another region, each stage from this one on costs a round trip for its order
+        and its results.
+        """
+        stages_left = len(self._run.route.stages) - number
         lead_seconds = self._lead_seconds[number]
+        lead_seconds += stages_left * self._place.round_trip_seconds
         return self._run.objective_at - lead_seconds - self._waited_seconds
 
+    @property
+    def _home_here(self) -> str:
+        """The data centre of the engine, if it is in the region of the chain."""
+        region = self._stages.stage_regions.regions.of(self._home)
+        return self._home if self._place.region in ("", region) else ""
+
     def _begin_ready(self) -> Failure | None:
         for number, stage in enumerate(self._run.route.stages):
             begun = number in self._results or number in self._open
@@ -213,11 +264,13 @@
             result_bytes=stage.result_bytes,
             priority=run.priority,
             invested=bool(inputs),
-            near=stage_data_centre(needed, count, stage.result_bytes, self._home),
+            near=stage_data_centre(needed, count, stage.result_bytes, self._home_here),
             regions=run.regions or frozenset(),
             fingerprint=stage_fingerprint(run.fingerprint, stage.service),
             lead_seconds=self._lead_seconds[number],
             waited_seconds=self._waited_seconds,
+            region=self._place.region,
+            borrowed=self._place.borrowed,
         )
         start_by = self._start_by(number)
         # The order replaces its booking in the queue, so the booking is not cancelled.
@@ -276,43 +329,6 @@
         return counts[number] if number < len(counts) else 0
 
 
-def lead_seconds(
-    run: ForwardedRun, delays: StageDelays, engine_seconds: float
-) -> dict[int, float]:
-    """Return how many seconds before the objective each stage must begin.
-
-    For the stage itself only its usual time counts; for the stages after it their
-    expected waits count as well.
-
-    :param engine_seconds: the time reserved for the engine after the last stage.
-    """
-    stages = run.route.stages
-    leads: dict[int, float] = {}
-    # The same, measured from the beginning of the stage's wait in the queue.
-    leads_with_wait: dict[int, float] = {}
-    for number in reversed(range(len(stages))):
-        followers = [
-            n
-            for n, s in enumerate(stages)
-            if number in s.after and n in leads_with_wait
-        ]
-        rest = max((leads_with_wait[n] for n in followers), default=engine_seconds)
-        service = stages[number].service
-        usual = usual_seconds(run, service)
-        leads[number] = rest + usual
-        leads_with_wait[number] = rest + delays.expected(service, usual)
-    return leads
-
-
-def usual_seconds(run: ForwardedRun, service: str) -> float:
-    """Return the usual seconds of a stage on an idle server; 0 if unknown."""
-    published = run.table.services.get(service)
-    limits = published.pieces if published is not None else None
-    if limits is None:
-        return 0.0
-    return limits.call_seconds + EXPECTED_FILL * limits.batch * limits.piece_seconds
-
-
 def _last_stages(route: Route) -> list[int]:
     needed = {n for stage in route.stages for n in stage.after}
     return [n for n in range(len(route.stages)) if n not in needed]
--- a/tests/features/steps/route_decisions.py
+++ b/tests/features/steps/route_decisions.py
@@ -315,7 +315,8 @@
     context.clock = SetClock()
     context.live = [name]
     context.links = RecordingLinks()
-    owners = OwnerLinks("own", lambda: list(context.live), context.links, context.clock)
+    links, clock = context.links, context.clock
+    owners = OwnerLinks("own", lambda region: list(context.live), links, clock)
     context.orders = PieceOrders(owners, context.clock)
     context.order, context.scope = place(context, "order-1")
     assert context.links.addresses == [name]
