--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -300,7 +300,9 @@
             self._results[number] = opened.results
             took = self._stages.clock.now() - opened.began_at
             usual = usual_seconds(self._run, opened.order.service)
-            self._stages.stage_delays.record(opened.order.service, took, usual)
+            if not self._place.borrowed:
+                # Delays of another region say nothing about the own region's queues.
+                self._stages.stage_delays.record(opened.order.service, took, usual)
             self._stages.metrics.stage_ended(opened.order.service, took)
             self._stage_reports.append(
                 {
