Tests of who owns a region's queues, permits and cold servers

Guard against owners of another region, small owners, and granting entries that differ from the owner of the queue.

--- /dev/null
+++ b/tests/features/steps/stage_owners.py
@@ -0,0 +1,125 @@
+"""Steps on the entries that own queues of stages, permits and cold servers."""
+
+from behave import given, then, when
+
+from boragestream.daemon.stage_owners import StageOwners
+from boragestream.policy.granters import REFRESH_SECONDS, Granters, Standing
+from boragestream.policy.peers import ListedEntry
+from boragestream.policy.queue_owners import StageQueue, owner_ranking, queue_entries
+from boragestream.policy.regions import Regions
+from boragestream.policy.servers import Server
+from tests.standins.clock import SetClock
+
+STAGE, PLAIN = "embed", "plain"
+
+
+def set_entries(context, capacities):
+    """List entries by data centre; each data centre is named after its region."""
+    context.listed = [
+        ListedEntry(f"{centre}-{n}", f"{centre}-{n}", "", centre, capacity=capacity)
+        for centre, of in capacities.items()
+        for n, capacity in enumerate(map(float, of.replace("none", "").split()))
+    ]
+    context.clock = SetClock()
+    context.owners, context.granters = {}, {}
+    for own in context.listed:
+        regions = Regions(own.data_centre, context.regions)
+        owners = StageOwners(
+            own, lambda: context.listed, regions, lambda service: service == STAGE
+        )
+        context.owners[own.name] = owners
+        context.granters[own.name] = Granters(
+            owners.granting,
+            owners.granted_by,
+            context.clock,
+            among=owners.granting_among,
+        )
+
+
+@given('entries of valley with the capacities "{valley}" and of hills with "{hills}"')
+def step(context, valley, hills):
+    context.regions = {"valley": "valley", "hills": "hills"}
+    set_entries(context, {"valley": valley, "hills": hills})
+
+
+@given('entries of one region with the capacities "{capacities}"')
+def step(context, capacities):
+    context.regions = {"valley": "valley"}
+    set_entries(context, {"valley": capacities})
+
+
+@when("the entry that grants the permits for the stage servers of hills is gone")
+def step(context):
+    for granters in context.granters.values():
+        for server in servers(STAGE):
+            granters.standing(server, granters.for_server(server)[0])
+    context.clock.seconds += 10
+    hills = next(server for server in servers(STAGE) if server.region == "hills")
+    granters = next(iter(context.granters.values()))
+    gone = granters.for_server(hills)[0]
+    assert granters.standing(hills, gone) is Standing.FIRST
+    context.listed = [entry for entry in context.listed if entry.name != gone]
+    del context.owners[gone], context.granters[gone]
+    context.clock.seconds += REFRESH_SECONDS
+
+
+def servers(service):
+    """Return two servers of a service in each region."""
+    return [
+        Server(f"{service}-{region}-{n}", service, "", region, "1", region=region)
+        for region in ("valley", "hills")
+        for n in range(2)
+    ]
+
+
+@then('the entries ranked for "{region}" are "{ranked}"')
+def step(context, region, ranked):
+    regions = Regions("valley", context.regions)
+    found = queue_entries(context.listed, regions, region.replace("all", ""))
+    assert found == ranked.split(), found
+
+
+@then("for each stage server all entries name the owner of its region's queue first")
+def step(context):
+    for server in servers(STAGE):
+        entries = queue_entries(
+            context.listed, Regions("", context.regions), server.region
+        )
+        key = StageQueue(STAGE, server.region).ranking_key
+        first = owner_ranking(key, entries)[0]
+        assert first.startswith(server.region), first
+        for name, granters in context.granters.items():
+            assert granters.for_server(server)[0] == first, (name, server)
+            assert context.owners[name].cold_senders(server)[0] == first
+
+
+@then("for other servers all entries name the same one, and any may send to cold ones")
+def step(context):
+    entries = {entry.name for entry in context.listed}
+    for server in servers(PLAIN):
+        named = {g.for_server(server)[0] for g in context.granters.values()}
+        assert len(named) == 1, named
+        for owners in context.owners.values():
+            assert set(owners.cold_senders(server)) == entries
+
+
+@then(
+    "the entry that grants for the stage servers of hills has not been first for long"
+)
+def step(context):
+    for server in servers(STAGE):
+        for granters in context.granters.values():
+            first = granters.for_server(server)[0]
+            standing = granters.standing(server, first)
+            new = server.region == "hills"
+            assert standing is (Standing.NEW if new else Standing.FIRST), standing
+
+
+@then("for each stage server all entries name the first in rank for its service")
+def step(context):
+    eligible = [entry.name for entry in context.listed if entry.capacity >= 1]
+    ranked = owner_ranking(STAGE, eligible)
+    for server in servers(STAGE):
+        for name, granters in context.granters.items():
+            assert granters.for_server(server) == ranked[:2], name
+            assert context.owners[name].cold_senders(server) == ranked
