More tests of borrowed chains; release results that arrive before a refusal

Tests for what trial changes of the code left unnoticed: bookings behind all that the queue holds, unanswered offers of a first stage, a home region that is cut off, a chain with an independent stage that was already ordered, the round trips in the latest start, the delays of the own region, and the engine's data centre.

The independent stages showed a fault that existed before: if the results of one first stage arrive before another first stage is refused, they were never released and took up the memory of their server until they expired. They are released now.

--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -118,6 +118,8 @@
         finally:
             for opened in self._open.values():
                 self._stages.orders.end(opened)
+                if opened.finished and opened.fault is None:
+                    self._stages.release(opened.results)
             self._cancel_bookings()
         self._log_end(failure)
         if failure is not None:
--- a/tests/features/stages_by_region.feature
+++ b/tests/features/stages_by_region.feature
@@ -19,6 +19,8 @@
     And "valley" was first asked for the same orders
     And nothing of it waits in "valley"
     And the bytes of its orders were counted as sent to "hills"
+    And its orders there had two round trips less time
+    And no delay was recorded for the queues of its own region
     And each piece was made once, and no result is left but those returned
 
   # Guards against lending capacity that the region's own callers are about to need.
@@ -34,9 +36,35 @@
   # Guards against borrowed orders that skip the less urgent orders of the region.
   Scenario: a borrowed order waits behind all that the queue holds
     Given two regions
-    And "hills" has 4 calls waiting that may start late
+    And "hills" has 4 calls of "embed" waiting that may start late
     Then an order of "hills" is accepted there, and the same one borrowed is refused
 
+  # Guards against the same at a later stage, which is booked.
+  Scenario: a borrowed booking is refused behind all that the queue holds
+    Given two regions
+    And "valley" has 6 calls waiting
+    And "hills" has 6 calls of "rank" waiting that may start late
+    When a request comes to "valley"
+    Then it is refused with the wait of "valley"
+    And nothing of it waits in "hills"
+
+  # Guards against pieces that wait for the engine's data centre, which is elsewhere.
+  Scenario: a borrowed chain is not held back for the data centre of its own engine
+    Given two regions
+    And "valley" has 6 calls waiting
+    When a request whose prompt is cached in "hall-a" comes to "valley"
+    Then its chain ran in "hills"
+    And the first stage was ordered near "hall-a" there and near no data centre here
+
+  # Guards against a chain whose pieces are ordered in two regions.
+  Scenario: a chain is not offered after one of its stages was ordered
+    Given two regions
+    And "valley" has 8 calls of "rank" waiting
+    When a request of two independent stages comes to "valley"
+    Then it is refused
+    And no message crossed between the regions
+    And no piece was made twice, and no result is left
+
   # Guards against offers over a link that is short of capacity or cut.
   Scenario Outline: no chain is offered while the link <link>
     Given two regions
@@ -115,13 +143,29 @@
     Then its chain ran in "valley"
 
   # Guards against two orders of the same pieces after an offer without an answer.
-  Scenario: stages are not ordered in the own region after an unanswered offer
+  Scenario Outline: stages are not ordered in the own region after an unanswered offer
     Given two regions
     And "valley" has no servers of "engine"
     And messages from "hills" to "valley" are lost
-    When a request comes to "valley"
+    And calls of servers of "embed" in "hills" are held
+    When a request of <stages> stages comes to "valley"
     Then it is refused
-    And no piece was made twice, and no result is left
+    And no order or booking of it was sent to an entry of "valley"
+    When the held calls of "hills" end
+    Then no piece was made twice, and no result is left
+
+    Examples:
+      | stages |
+      | 1      |
+      | 2      |
+
+  # Guards against an entry that calls the servers of a region that it can't reach.
+  Scenario: a request whose home is cut off is refused, and makes nobody an owner there
+    Given two regions
+    And all messages between the regions are lost
+    When a request with the home "hills" comes to "valley"
+    Then it is refused
+    And no piece was made
 
   # Guards against servers in backoff that make a region refuse although another is idle.
   Scenario: a region whose servers are all backed off borrows
--- a/tests/features/steps/stages_by_region.py
+++ b/tests/features/steps/stages_by_region.py
@@ -8,7 +8,12 @@
 from boragestream.policy.region_links import TrafficKind
 from boragestream.serving.piece_failures import StageSaturated
 from boragestream.serving.piece_orders import OpenOrder
-from tests.standins.stage_network import REGIONS, SERVICES, StageNetwork
+from tests.standins.stage_network import (
+    REGIONS,
+    ROUND_TRIP_SECONDS,
+    SERVICES,
+    StageNetwork,
+)
 
 # The fields of the messages in the release before the queues by region.
 ORDER_FIELDS = """
@@ -52,13 +57,14 @@
     context.wait_ms[region] = (calls + 1) * 200
 
 
-@given('"{region}" has {calls:d} calls waiting that may start late')
-def step(context, region, calls):
-    network = context.network
-    owner = network.owner(SERVICES[0], region)
-    owner.calls.held = True
-    for _ in range(calls + 2):
-        network.place(owner, SERVICES[0], region, 4, invested=True, start=5.0)
+@given('"{region}" has {calls:d} calls of "{service}" waiting')
+def step(context, region, calls, service):
+    context.network.fill(region, calls, service)
+
+
+@given('"{region}" has {calls:d} calls of "{service}" waiting that may start late')
+def step(context, region, calls, service):
+    context.network.fill(region, calls, service, start=5.0)
 
 
 @given("the link {state}")
@@ -155,6 +161,16 @@
     request(context, region, homes=frozenset([home]))
 
 
+@when('a request of two independent stages comes to "{region}"')
+def step(context, region):
+    request(context, region, chained=False)
+
+
+@when('a request whose prompt is cached in "{home}" comes to "{region}"')
+def step(context, home, region):
+    request(context, region, home=home)
+
+
 @when('an order of a request with the home "{home}" comes to "{region}"')
 def step(context, home, region):
     network = context.network
@@ -271,6 +287,11 @@
     assert made and set(made.values()) == {1}, made
 
 
+@then("no piece was made")
+def step(context):
+    assert not context.network.made, context.network.made
+
+
 @then("no piece was made twice")
 def step(context):
     made = context.network.made
@@ -320,6 +341,37 @@
     assert set(asked(network, region)) <= set(asked(network, "hills"))
 
 
+@then("its orders there had two round trips less time")
+def step(context):
+    orders = [
+        (context.network.region_of(receiver), message)
+        for sender, receiver, message in context.network.sent
+        if isinstance(message, PiecesOrder) and sender == context.entry.name
+    ]
+    own = next(message for region, message in orders if region == "valley")
+    there = next(message for region, message in orders if region == "hills")
+    assert own.order_id == there.order_id, orders
+    # In whole milliseconds, each of them rounded down.
+    less = own.start_ms - there.start_ms
+    assert abs(less - 2000 * ROUND_TRIP_SECONDS) <= 1, less
+
+
+@then("no delay was recorded for the queues of its own region")
+def step(context):
+    delays = context.entry.stages.stage_delays
+    assert [delays.expected(service, 0.0) for service in SERVICES] == [0.0, 0.0]
+
+
+@then('the first stage was ordered near "{own}" there and near no data centre here')
+def step(context, own):
+    near = {
+        message.region: message.near
+        for _, _, message in context.network.sent
+        if isinstance(message, PiecesOrder) and not message.invested
+    }
+    assert near == {"valley": own, "hills": ""}, near
+
+
 @then('nothing of it waits in "{region}"')
 def step(context, region):
     network = context.network
--- a/tests/standins/stage_network.py
+++ b/tests/standins/stage_network.py
@@ -50,6 +50,8 @@
 ENGINE = "engine"
 # A whole call takes 0.4 s.
 LIMITS = PieceLimits(1, 4, 0.2, 0.05, 1000.0, 4.0)
+# Two results are large enough to be made near the engine that reads them.
+RESULT_BYTES = 200_000.0
 ROUND_TRIP_SECONDS = 0.024
 OBJECTIVE_SECONDS = 2.0
 DEADLINE_SECONDS = 6.0
@@ -287,10 +289,12 @@
             if self.region_of(sender) != self.region_of(receiver)
         ]
 
-    def request(self, entry, stages=SERVICES, homes=None, pieces=1, name=""):
+    def request(
+        self, entry, stages=SERVICES, homes=None, pieces=1, chained=True, home=""
+    ):
         """Run the stages of a request; return its id and the outcome."""
         now = self.clock.seconds
-        request_id = name or f"r-{next(self.numbers)}"
+        request_id = f"r-{next(self.numbers)}"
         services = {service: SimpleNamespace(pieces=LIMITS) for service in SERVICES}
         run = SimpleNamespace(
             request=SimpleNamespace(
@@ -299,7 +303,7 @@
             route=SimpleNamespace(
                 name="route",
                 stages=tuple(
-                    RouteStage(service, (n - 1,) if n else (), 1000.0)
+                    RouteStage(service, (n - 1,) if n and chained else (), RESULT_BYTES)
                     for n, service in enumerate(stages)
                 ),
             ),
@@ -315,11 +319,11 @@
         guard = threading.Timer(GUARD_SECONDS, run.scope.cancel, [DeadlinePassed("")])
         guard.start()
         try:
-            return request_id, entry.stages.run(run)
+            return request_id, entry.stages.run(run, home)
         finally:
             guard.cancel()
 
-    def fill(self, region, batches, service=SERVICES[0]):
+    def fill(self, region, batches, service=SERVICES[0], start=0.6):
         """Have orders of a region wait at its owner for so many calls.
 
         Its servers are busy, and their calls are held.
@@ -328,7 +332,7 @@
         owner.calls.held = True
         busy = len([s for s in self.live(service) if s.region == region])
         for _ in range(busy + batches):
-            self.place(owner, service, region, LIMITS.batch, invested=True)
+            self.place(owner, service, region, LIMITS.batch, invested=True, start=start)
         return owner
 
     def place(
