--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -56,6 +56,7 @@
     CRASHES_HEARD = (3108, logging.INFO)
     SERVER_BACKED_OFF = (3109, logging.INFO)
     SERVER_LIMIT_CHANGED = (3110, logging.WARNING)
+    SURPLUS_REFUSED = (3111, logging.INFO)
     REQUEST_BROKEN = (3901, logging.ERROR)
     HTTP_COMPLAINT = (3902, logging.WARNING)
 
--- a/boragestream/base/failures.py
+++ b/boragestream/base/failures.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "AccountLimitReached",
+    "AccountOverShare",
     "CallerGone",
     "CannotMeetDeadline",
     "CentresDrained",
@@ -68,6 +69,19 @@
     limit: str
 
 
+@dataclass(frozen=True, slots=True)
+class AccountOverShare(Failure):
+    """The client account exceeds its share of what is scarce.
+
+    :ivar account: the client account's name.
+    :ivar wait_ms: when the account's own backlog will have been served, in
+        milliseconds.
+    """
+
+    account: str
+    wait_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class NoLiveServer(Failure):
     """No backend server of the service can take the call.
--- a/boragestream/base/route_metrics.py
+++ b/boragestream/base/route_metrics.py
@@ -121,6 +121,25 @@
             registry=registry,
         )
 
+        self._shares = Gauge(
+            "boragestream_account_share",
+            "Share of an account at its last refused surplus, by place.",
+            ["place", "account"],
+            registry=registry,
+        )
+        self._demands = Gauge(
+            "boragestream_account_demand",
+            "Demand of an account at its last refused surplus, by place.",
+            ["place", "account"],
+            registry=registry,
+        )
+        self._surplus = Counter(
+            "boragestream_account_surplus_refused",
+            "Requests refused as surplus of their account, by place.",
+            ["place", "account"],
+            registry=registry,
+        )
+
     def gauge(self, name: str, meaning: str, read: Callable[[], float]) -> None:
         """Add a gauge that is read with each scrape."""
         gauge = Gauge(f"boragestream_{name}", meaning, registry=self._registry)
@@ -170,6 +189,18 @@
         end = "granted" if granted else "refused"
         self._permits.labels(self._service(service), end).inc()
 
+    def surplus_refused(
+        self, place: str, account: str, share: float, demand: float
+    ) -> None:
+        """Count a request that was refused as surplus of its account.
+
+        :param place: the service, or a name for the threads of the entry.
+        """
+        labels = self._service(place), self._account(account)
+        self._surplus.labels(*labels).inc()
+        self._shares.labels(*labels).set(share)
+        self._demands.labels(*labels).set(demand)
+
     def text(self) -> str:
         """Return all metrics as text."""
         return generate_latest(self._registry).decode()
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -29,6 +29,7 @@
 from boragestream.caller.forwarded_stream import ForwardedStream, StreamTiming
 from boragestream.caller.replies import StartResponse
 from boragestream.document.calls import ForwardedRequest, RequestMalformed
+from boragestream.policy.account_shares import Surplus
 from boragestream.policy.fingerprints import request_fingerprint
 from boragestream.policy.first_knowledge import StartupReadiness
 from boragestream.policy.route_table import (
@@ -37,10 +38,12 @@
     RouteUnknown,
     choose_service,
 )
+from boragestream.policy.thread_shares import ThreadShares
 from boragestream.serving.forwarded_answer import StreamedAnswer, WholeAnswer
 from boragestream.serving.forwarded_run import ForwardedRun, outcome_of
 from boragestream.serving.forwarder import Forwarder
 from boragestream.serving.request import SentRecord
+from boragestream.serving.surplus import THREADS, refuse_surplus
 
 __all__ = ["ForwardingApplication", "RequestCounter", "RequestFormat"]
 
@@ -104,6 +107,8 @@
     :ivar limit: the number of requests in service at which further ones are refused.
     :ivar used: called for each request, because published values determine its
         handling.
+    :ivar shares: divides the threads between client accounts; None to treat all
+        requests alike.
     """
 
     routes: RoutesInForce
@@ -117,6 +122,7 @@
     in_hand: RequestCounter
     limit: int
     used: Callable[[], None]
+    shares: ThreadShares | None = None
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Reply:
         """Answer one HTTP request."""
@@ -171,8 +177,21 @@
             fingerprint=request_fingerprint(name, request),
             account_regions=account.regions if account is not None else frozenset(),
         )
+        if self.shares is not None:
+            surplus = self.shares.begin(name)
+            if surplus is not None:
+                return self._refuse_surplus(start_response, run, surplus)
         return self._forward(start_response, run)
 
+    def _refuse_surplus(
+        self, start_response: StartResponse, run: ForwardedRun, surplus: Surplus
+    ) -> Reply:
+        request_id = run.request.request_id
+        failure = refuse_surplus(self.metrics, THREADS, request_id, surplus)
+        outcome = outcome_of(run, failure)
+        self.log_end(run, "refused", int(_error_status(outcome)), failure)
+        return self._error_reply(start_response, request_id, outcome)
+
     def _read(
         self, environ: Environ, body_bytes: int
     ) -> ForwardedRequest | RequestMalformed | BodyTooLong:
@@ -237,6 +256,8 @@
         """Release a request that is no longer being served."""
         self.watchdog.close(run.scope)
         self.in_hand.end()
+        if self.shares is not None:
+            self.shares.end(run.account, self.clock.now() - run.arrived)
 
     def log_end(
         self,
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -175,6 +175,7 @@
 
     def _open_callers(self, sockets: ListeningSockets) -> BaseWSGIServer:
         settings, parts = self._settings, self._parts
+        limit = settings.resources.threads - SPARE_THREADS
         application = ForwardingApplication(
             routes=parts.routes,
             first=parts.first,
@@ -186,7 +187,8 @@
             refusing=self._refusing.is_set,
             used=parts.publications.confirming.note_use,
             in_hand=self._in_hand,
-            limit=settings.resources.threads - SPARE_THREADS,
+            limit=limit,
+            shares=parts.accounts.threads(limit),
         )
         address, _, port = settings.listen.callers.rpartition(":")
         callers = CallerSettings(address, int(port), settings.resources.threads)
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -16,6 +16,8 @@
 from boragestream.base.identifiers import new_incarnation
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.base.route_settings import RouteSettings
+from boragestream.daemon.account_parts import AccountParts, make_account_parts
+from boragestream.daemon.bounds import cold_bound, retry_bounds
 from boragestream.daemon.limits import SharedLimits, make_shared_limits
 from boragestream.daemon.operator_values import OperatorValues, offer_route_text
 from boragestream.daemon.peers import make_quarantine
@@ -50,7 +52,7 @@
 from boragestream.entry.relay import ConfigurationRelay
 from boragestream.platform.pieces import PieceCallFormat
 from boragestream.platform.wire import encode_call, read_answer_head
-from boragestream.policy.cold_servers import ColdBound, ColdServers, senders
+from boragestream.policy.cold_servers import ColdServers, senders
 from boragestream.policy.connection_shares import idle_connections
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.first_knowledge import StartupReadiness
@@ -62,7 +64,7 @@
 from boragestream.policy.queue_owners import eligible_entries, owner_ranking
 from boragestream.policy.region_links import RegionLinks
 from boragestream.policy.regions import Regions
-from boragestream.policy.retry_window import RetryBounds, RetryWindows
+from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.route_table import RoutesInForce
 from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.server_choice import ServerChoice
@@ -102,6 +104,7 @@
     :ivar publications: the values of the platform's store that the entry follows.
     :ivar ended: set once the entry has ended.
     :ivar first: tells whether the first answers of the platform are still missing.
+    :ivar accounts: divides shortages between client accounts.
     :ivar region_links: the links to the other regions.
     :ivar orders: the orders for pieces of this entry's requests.
     :ivar bookings: the bookings of queue positions for later orders of this entry's
@@ -130,6 +133,7 @@
     address_sync: AddressSync
     members: EntryPeers
     relay: ConfigurationRelay
+    accounts: AccountParts
     region_links: RegionLinks
     orders: PieceOrders
     bookings: PieceBookings
@@ -214,11 +218,9 @@
         ]
         return eligible_entries([*other_entries, listed])
 
-    def retry_bounds() -> RetryBounds:
-        bounds = in_force.current.retries
-        return RetryBounds(bounds.share, bounds.window_seconds, bounds.slack)
-
-    retries = RetryWindows(clock.now, retry_bounds, lambda: len(book.entries))
+    accounts = make_account_parts(settings, own, incarnation, members, clock)
+    bounds = retry_bounds(in_force)
+    retries = RetryWindows(clock.now, bounds, lambda: len(book.entries))
     connections = ConnectionKeeper(CONNECT_SECONDS)
     servers.on_unused(connections.forget)
 
@@ -258,13 +260,6 @@
         read_answer_head, connections, clock, max_idle, apply_response_hints
     )
 
-    def cold_bound(service: str) -> ColdBound | None:
-        definition, cold = service_definition(service), in_force.current.cold
-        if definition is None or cold is None or definition.cold_rate <= 0:
-            return None
-        max_per_second = definition.cold_rate * cold.factor + cold.slack
-        return ColdBound(definition.cold_rate, max_per_second, definition.cold_seconds)
-
     def cold_senders(server: Server) -> list[str]:
         if piece_limits(server.service) is not None:
             # Only the owner of a stage's queue calls its servers.
@@ -272,7 +267,8 @@
         usable = {entry.name for entry in members.entries.usable() if entry.host}
         return senders(server, usable | {own})
 
-    cold = ColdServers(own, cold_bound, cold_senders, lambda: sync.has_converged, clock)
+    bound = cold_bound(in_force, service_definition)
+    cold = ColdServers(own, bound, cold_senders, lambda: sync.has_converged, clock)
 
     # Orders arrive only once the entry listens, when all objects are built.
     def record_use() -> None:
@@ -298,6 +294,7 @@
         piece_limits=piece_limits,
         note_use=record_use,
         late=serve_until_deadline if until_deadline else refuse_late,
+        shares=accounts.new_queue,
     )
     batches = PieceBatches(batch_parts, orders.report_results)
     orders.set_batches(batches)
@@ -360,12 +357,14 @@
                 engine_delays,
                 metrics,
                 until_deadline,
+                accounts.active,
             ),
             engine_delays=engine_delays,
             clock=clock,
             rng=rng,
             metrics=metrics,
             list_age=publications.confirming.age,
+            shares=accounts.services,
         )
     )
     return RouteParts(
@@ -390,6 +389,7 @@
         address_sync=sync,
         members=members,
         relay=relay,
+        accounts=accounts,
         region_links=region_links,
         orders=orders,
         bookings=bookings,
--- a/boragestream/entry/piece_messages.py
+++ b/boragestream/entry/piece_messages.py
@@ -31,6 +31,8 @@
         unknown.
     :ivar waited_ms: the time since the caller's first attempt, as far as ``start_ms``
         includes it.
+    :ivar account: the client account; empty for none, and from entries that do not
+        divide shortages between accounts.
     """
 
     order_id: str
@@ -50,6 +52,7 @@
     fingerprint: bytes = b""
     lead_ms: int = 0
     waited_ms: int = 0
+    account: str = ""
 
 
 class PiecesBook(msgspec.Struct, frozen=True, tag=True):
@@ -62,6 +65,7 @@
     :ivar regions: the only regions where the pieces may be made; empty for any.
     :ivar lead_ms: see ``PiecesOrder``.
     :ivar waited_ms: see ``PiecesOrder``.
+    :ivar account: see ``PiecesOrder``.
     """
 
     order_id: str
@@ -75,6 +79,7 @@
     regions: tuple[str, ...] = ()
     lead_ms: int = 0
     waited_ms: int = 0
+    account: str = ""
 
 
 class PiecesAnswer(msgspec.Struct, frozen=True, tag=True):
@@ -83,11 +88,13 @@
     :ivar taken: whether it was accepted.
     :ivar wait_ms: the expected wait if it was refused.
     :ivar waited_ms: the time since the caller's first attempt, as its owner knows it.
+    :ivar over_share: whether it was refused as surplus of its client account.
     """
 
     taken: bool
     wait_ms: int = 0
     waited_ms: int = 0
+    over_share: bool = False
 
 
 class PiecesDone(msgspec.Struct, frozen=True, tag=True):
--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -21,15 +21,22 @@
     "PieceOrder",
     "QueuedOrder",
     "ServerRoom",
+    "SortKey",
     "choose_batch",
     "expected_wait",
     "is_abandoned",
     "is_admitted",
     "is_bookable",
+    "longest_booked_wait",
     "longest_wait",
     "order_sort_key",
+    "surplus_sort_key",
 ]
 
+# A rank (in time, late, and both beyond the share), then a time.
+SortKey = tuple[int, float]
+SURPLUS_RANK = 2
+
 # The maximum expected wait of an order, by priority, as a share of the time until its
 # latest start. Less urgent orders are refused earlier.
 ADMITTED_SHARE = (1.0, 0.9, 0.8)
@@ -71,6 +78,7 @@
         if unknown.
     :ivar waited_seconds: the time from its caller's first attempt to this one, as far
         as its latest start already includes it.
+    :ivar account: the client account that it counts for; empty for none.
     """
 
     order_id: str
@@ -84,6 +92,7 @@
     fingerprint: bytes = b""
     lead_seconds: float = math.inf
     waited_seconds: float = 0.0
+    account: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +104,7 @@
     :ivar regions: the only regions where its pieces may run; empty for any.
     :ivar lead_seconds: see ``PieceOrder``.
     :ivar waited_seconds: see ``PieceOrder``.
+    :ivar account: see ``PieceOrder``.
     """
 
     order_id: str
@@ -106,6 +116,7 @@
     regions: frozenset[str] = frozenset()
     lead_seconds: float = math.inf
     waited_seconds: float = 0.0
+    account: str = ""
 
 
 @dataclass(slots=True)
@@ -118,6 +129,7 @@
     :ivar arrived_at: the clock's seconds at which it arrived.
     :ivar suspected: whether a server has crashed while it ran the request.
     :ivar returning: whether its caller was refused before.
+    :ivar surplus: whether it is beyond its client account's share.
     """
 
     order: PieceOrder
@@ -127,6 +139,7 @@
     arrived_at: float = -math.inf
     suspected: bool = False
     returning: bool = False
+    surplus: bool = False
 
     @property
     def as_late(self) -> LateOrder:
@@ -134,9 +147,10 @@
         last_start = self.expires - self.order.lead_seconds
         return LateOrder(last_start, self.returning, self.order.invested)
 
-    def sort_key(self, now: float) -> tuple[bool, float]:
+    def sort_key(self, now: float) -> SortKey:
         """Return its sort key in the queue; the smallest is first."""
-        return order_sort_key(self.start_by, self.order.priority, now)
+        key = order_sort_key(self.start_by, self.order.priority, now)
+        return surplus_sort_key(key) if self.surplus else key
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,11 +170,16 @@
     region: str = ""
 
 
-def order_sort_key(start_by: float, priority: int, now: float) -> tuple[bool, float]:
+def order_sort_key(start_by: float, priority: int, now: float) -> SortKey:
     """Return the sort key of an order; late orders are behind all others."""
     return start_by < now, start_by + PRIORITY_SECONDS * priority
 
 
+def surplus_sort_key(key: SortKey) -> SortKey:
+    """Return the sort key of an order beyond its account's share, behind all others."""
+    return SURPLUS_RANK + key[0], key[1]
+
+
 def choose_batch(
     queue: Iterable[QueuedOrder], limits: PieceLimits, room: ServerRoom, now: float
 ) -> list[tuple[QueuedOrder, list[Piece]]]:
@@ -247,10 +266,19 @@
     :param wait: the expected wait in seconds if the stage were ordered now.
     :param left: the seconds until its latest start.
     """
+    return wait <= longest_booked_wait(booking.priority, left)
+
+
+def longest_booked_wait(priority: int, left: float) -> float:
+    """Return the longest expected wait in seconds with which a booking is accepted.
+
+    :param priority: 0 is the most urgent.
+    :param left: the seconds until its latest start.
+    """
     if left < 0:
-        return wait <= LATE_WAIT_SECONDS
-    share = _share_for_priority(BOOKED_SHARE, booking.priority)
-    return wait <= max(SHORT_WAIT_SECONDS, share * left)
+        return LATE_WAIT_SECONDS
+    share = _share_for_priority(BOOKED_SHARE, priority)
+    return max(SHORT_WAIT_SECONDS, share * left)
 
 
 def is_abandoned(
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -11,115 +11,40 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
-from boragestream.document.calls import Piece, PieceFault, PieceResult
+from boragestream.document.calls import Piece, PieceResult
 from boragestream.document.routes import PieceLimits
+from boragestream.policy.account_shares import Surplus
 from boragestream.policy.late_service import LateOrder, LateService, refuse_late
 from boragestream.policy.piece_queue import (
     PieceBooking,
     QueuedOrder,
     ServerRoom,
+    SortKey,
     choose_batch,
     expected_wait,
     is_abandoned,
     is_admitted,
     is_bookable,
+    longest_booked_wait,
+    longest_wait,
     order_sort_key,
 )
+from boragestream.policy.queue_bookings import BOOKING_GRACE_SECONDS, BookedOrder
+from boragestream.policy.queue_shares import QueueShares, ShareRequest
 from boragestream.policy.returning_callers import ReturningCallers
 from boragestream.policy.servers import Server
+from boragestream.policy.stage_servers import (
+    UNLIMITED_CALLS,
+    Batch,
+    CallRoom,
+    StageServerState,
+)
 
 __all__ = ["Batch", "CallRoom", "ServiceQueue"]
 
 MEGABYTE = 1_000_000.0
-# A server that did not take a call or had no room for a result is full or unreachable.
-# Without a pause it would be called again at once, a thousand times a second if it is
-# the only server left.
-REFUSED_PAUSE_SECONDS = 0.1
-# A booking is dropped if its order has not arrived this long after its latest start.
-BOOKING_GRACE_SECONDS = 0.5
-# After a NO_ROOM fault, results that are not recorded here are assumed to occupy the
-# server's memory for this time. Most results are read and released sooner.
-NO_ROOM_HOLD_SECONDS = 0.4
-
-
-@dataclass(frozen=True, slots=True)
-class Batch:
-    """The pieces of one call.
-
-    :ivar pieces: each piece with its order.
-    """
-
-    server: Server
-    limits: PieceLimits
-    pieces: tuple[tuple[QueuedOrder, Piece], ...]
-
-    @property
-    def result_bytes(self) -> float:
-        """The approximate size of all results in bytes."""
-        return sum(queued.order.result_bytes for queued, _ in self.pieces)
-
-    @property
-    def seconds(self) -> float:
-        """The usual duration of the call in seconds."""
-        return self.limits.call_seconds + len(self.pieces) * self.limits.piece_seconds
-
-
-@dataclass(frozen=True, slots=True)
-class CallRoom:
-    """The rate at which a server may be called, apart from its own capacity.
-
-    :ivar per_second: calls per second; infinite if not limited.
-    :ivar wait_seconds: seconds until the next call may be sent.
-    """
-
-    per_second: float = math.inf
-    wait_seconds: float = 0.0
-
-
-UNLIMITED_CALLS = CallRoom()
-
-
-@dataclass(frozen=True, slots=True)
-class _Booked:
-    """A booking: pieces whose order is expected.
-
-    :ivar start_by: the latest start of the order.
-    :ivar until: when the booking is dropped.
-    """
-
-    count: int
-    priority: int
-    start_by: float
-    until: float
-
-
-@dataclass(slots=True)
-class _ServerState:
-    """The calls and results of one server.
-
-    :ivar calls: the number of calls in progress.
-    :ivar free_at: when the call that was sent last is expected to end; 0 after any call
-        has ended.
-    :ivar paused_until: no call is sent before this time.
-    :ivar pending_bytes: the expected bytes of the results of calls in progress.
-    :ivar held: stored results by handle: size in bytes, and the time until which the
-        server keeps them. Assumed results, recorded after a NO_ROOM fault, have a label
-        of their piece instead of a handle.
-    """
-
-    calls: int = 0
-    free_at: float = 0.0
-    paused_until: float = 0.0
-    pending_bytes: float = 0.0
-    held: dict[str, tuple[float, float]] = field(default_factory=dict)
-
-    def used_bytes(self, now: float) -> float:
-        expired = [handle for handle, (_, until) in self.held.items() if now >= until]
-        for handle in expired:
-            del self.held[handle]
-        return self.pending_bytes + sum(size for size, _ in self.held.values())
 
 
 class ServiceQueue:
@@ -127,19 +52,23 @@
 
     :param room: returns the rate at which a server may be called.
     :param late: decides which orders are kept although they are late.
+    :param shares: divides a shortage between client accounts; None to treat all orders
+        alike.
     """
 
     def __init__(
         self,
         room: Callable[[Server], CallRoom] = lambda server: UNLIMITED_CALLS,
         late: LateService = refuse_late,
+        shares: QueueShares | None = None,
     ) -> None:
         self._room = room
         self._late = late
+        self._shares = shares
         self._orders: dict[str, QueuedOrder] = {}
-        self._bookings: dict[str, _Booked] = {}
+        self._bookings: dict[str, BookedOrder] = {}
         # By identity, since a server that has restarted has lost its earlier results.
-        self._servers: dict[tuple[str, str, str], _ServerState] = {}
+        self._servers: dict[tuple[str, str, str], StageServerState] = {}
         self._callers = ReturningCallers()
 
     @property
@@ -153,12 +82,16 @@
         limits: PieceLimits,
         usable: Sequence[Server],
         now: float,
-    ) -> float | None:
-        """Add an order; return the expected wait in seconds if it is refused."""
+    ) -> float | Surplus | None:
+        """Add an order; return the expected wait in seconds if it is refused.
+
+        :returns: the surplus if it is refused as surplus of its account; None if it is
+            accepted.
+        """
         order = queued.order
         if order.order_id in self._orders:
             return None
-        self._bookings.pop(order.order_id, None)
+        booked = self._bookings.pop(order.order_id, None)
         first = order.pieces[0]
         queued.arrived_at = now
         waited = self.waited(first.key, first.request_id, queued.expires, now)
@@ -166,8 +99,25 @@
         queued.start_by -= max(0.0, waited - order.waited_seconds)
         eligible = _in_regions(usable, order.regions)
         wait = self._wait(queued.sort_key(now), limits, eligible, now)
+        left = queued.start_by - now
+        if booked is not None:
+            # Its booking has been counted and admitted already.
+            queued.surplus = booked.surplus
+        elif not order.invested:
+            share = ShareRequest(
+                order.account,
+                len(order.pieces),
+                order.priority,
+                queued.returning,
+                wait,
+                longest_wait(order.priority, left),
+            )
+            surplus = self._surplus(share, limits, usable, now)
+            if isinstance(surplus, Surplus):
+                return surplus
+            queued.surplus = surplus
         kept = self._is_kept(queued.as_late, wait, now)
-        if not (kept or is_admitted(queued.order, wait, queued.start_by - now)):
+        if not (kept or is_admitted(queued.order, wait, left)):
             return wait
         self._orders[order.order_id] = queued
         return None
@@ -180,11 +130,12 @@
         limits: PieceLimits,
         usable: Sequence[Server],
         now: float,
-    ) -> float | None:
+    ) -> float | Surplus | None:
         """Book a later order; return the expected wait in seconds if it is refused.
 
         :param start_by: the latest start of the order.
         :param expires: when its caller stops waiting.
+        :returns: see ``submit``.
         """
         if booking.order_id in self._bookings or booking.order_id in self._orders:
             return None
@@ -194,12 +145,24 @@
         sort_key = order_sort_key(start_by, booking.priority, now)
         eligible = _in_regions(usable, booking.regions)
         wait = self._wait(sort_key, limits, eligible, now)
+        left = start_by - now
+        share = ShareRequest(
+            booking.account,
+            booking.count,
+            booking.priority,
+            returning,
+            wait,
+            longest_booked_wait(booking.priority, left),
+        )
+        surplus = self._surplus(share, limits, usable, now)
+        if isinstance(surplus, Surplus):
+            return surplus
         last_start = expires - booking.lead_seconds
         kept = self._is_kept(LateOrder(last_start, returning, False), wait, now)
-        if not (kept or is_bookable(booking, wait, start_by - now)):
+        if not (kept or is_bookable(booking, wait, left)):
             return wait
         until = max(start_by, now) + BOOKING_GRACE_SECONDS
-        booked = _Booked(booking.count, booking.priority, start_by, until)
+        booked = BookedOrder(booking.count, booking.priority, start_by, until, surplus)
         self._bookings[booking.order_id] = booked
         return None
 
@@ -283,23 +246,7 @@
         :param results: in the order of the pieces; None if there are none.
         :param taken: whether the server took the call; if not, it gets a pause.
         """
-        state = self._state(batch.server)
-        state.calls -= 1
-        state.free_at = 0.0
-        if not taken:
-            state.paused_until = now + REFUSED_PAUSE_SECONDS
-        state.pending_bytes = max(0.0, state.pending_bytes - batch.result_bytes)
-        until = now + batch.limits.result_seconds
-        for (queued, piece), result in zip(batch.pieces, results or (), strict=False):
-            size = queued.order.result_bytes
-            if result.handle:
-                state.held[result.handle] = (size, until)
-            elif result.fault is PieceFault.NO_ROOM:
-                # Results that are not recorded here, such as those of an earlier
-                # owner, occupy the server's memory.
-                label = f"{piece.request_id}/{piece.stage}/{piece.number}"
-                state.held[label] = (size, now + NO_ROOM_HOLD_SECONDS)
-                state.paused_until = now + REFUSED_PAUSE_SECONDS
+        self._state(batch.server).end(batch, results, taken, now)
 
     def requeue(self, order_id: str, piece: Piece) -> bool:
         """Requeue a piece; return False if its order has been dropped."""
@@ -344,7 +291,7 @@
 
     def _wait(
         self,
-        sort_key: tuple[bool, float],
+        sort_key: SortKey,
         limits: PieceLimits,
         usable: Sequence[Server],
         now: float,
@@ -358,18 +305,36 @@
         ahead += sum(
             booked.count
             for booked in self._bookings.values()
-            if order_sort_key(booked.start_by, booked.priority, now) <= sort_key
+            if booked.sort_key(now) <= sort_key
         )
-        whole_call = limits.call_seconds + limits.batch * limits.piece_seconds
-        free, servers = 0, 0.0
+        free = 0
         for server in usable:
-            room = self._room(server)
             idle = self._state(server).calls < limits.concurrent_calls
-            free += idle and room.wait_seconds <= 0
-            # A server whose calls are limited counts as a fraction.
-            servers += min(1.0, room.per_second * whole_call)
+            free += idle and self._room(server).wait_seconds <= 0
+        servers = self._server_count(limits, usable)
         return expected_wait(ahead, 0 if ahead else free, servers, limits)
 
+    def _server_count(self, limits: PieceLimits, usable: Sequence[Server]) -> float:
+        """Return the number of servers; one whose calls are limited is a fraction."""
+        whole_call = limits.call_seconds + limits.batch * limits.piece_seconds
+        return sum(min(1.0, self._room(s).per_second * whole_call) for s in usable)
+
+    def _surplus(
+        self,
+        share: ShareRequest,
+        limits: PieceLimits,
+        usable: Sequence[Server],
+        now: float,
+    ) -> Surplus | bool:
+        """Return whether an order is beyond its account's share, or its refusal."""
+        if self._shares is None:
+            return False
+        whole_call = limits.call_seconds + limits.batch * limits.piece_seconds
+        capacity = self._server_count(limits, usable) * limits.batch / whole_call
+        queued = sum(len(waiting.left) for waiting in self._orders.values())
+        queued += sum(booked.count for booked in self._bookings.values())
+        return self._shares.judge(share, capacity, queued, now)
+
     def _next_batch(
         self,
         server: Server,
@@ -397,8 +362,8 @@
         state.free_at = now + batch.seconds
         return batch
 
-    def _state(self, server: Server) -> _ServerState:
-        return self._servers.setdefault(server.identity, _ServerState())
+    def _state(self, server: Server) -> StageServerState:
+        return self._servers.setdefault(server.identity, StageServerState())
 
 
 def _in_regions(servers: Sequence[Server], regions: frozenset[str]) -> Sequence[Server]:
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -35,6 +35,7 @@
 from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.server_choice import ServerChoice
 from boragestream.policy.servers import Server, ServerTable
+from boragestream.policy.service_shares import ServiceShares
 from boragestream.serving.ejections import log_ejection
 from boragestream.serving.forwarded_run import ForwardedRun
 from boragestream.serving.limited_servers import LimitedServers, PermittedServer
@@ -63,6 +64,8 @@
     :ivar quarantine: tracks the requests that crash servers.
     :ivar engine_delays: estimates the time to the first event of an engine's stream.
     :ivar list_age: returns the seconds since the server list was last confirmed.
+    :ivar shares: divides a shortage of servers between client accounts; None to treat
+        all requests alike.
     """
 
     line: CallLine
@@ -81,6 +84,7 @@
     rng: random.Random
     metrics: RouteMetrics
     list_age: Callable[[], float]
+    shares: ServiceShares | None = None
 
 
 class ForwardAttempt:
--- a/boragestream/serving/forwarded_choice.py
+++ b/boragestream/serving/forwarded_choice.py
@@ -27,6 +27,7 @@
 from boragestream.serving.forward_attempt import ForwardParts
 from boragestream.serving.forwarded_run import ForwardedRun
 from boragestream.serving.limited_servers import PermittedServer
+from boragestream.serving.surplus import refuse_surplus
 
 __all__ = ["ForwardedChoice"]
 
@@ -38,6 +39,7 @@
         self._parts = parts
         self._run = run
         self._tried: set[str] = set()
+        self._has_share = False
 
     def refusal(self, has_results: bool) -> Failure | None:
         """Return why the request can't be sent in time; None if it can.
@@ -49,15 +51,44 @@
         """
         servers = self._servers()
         if not servers:
-            return self._no_server_failure()
+            failure = self._no_server_failure()
+            if isinstance(failure, ServersBackedOff):
+                self.note_full()
+            return failure
+        surplus = None if self._has_share else self._surplus()
+        if surplus is not None:
+            return surplus
         limited = self._parts.limited
         unlimited, with_limit = limited.limits.split(servers)
         if unlimited or limited.seconds_until_permit(with_limit) <= self._longest_wait(
             has_results
         ):
             return None
+        self.note_full()
         return limited.refusal(with_limit)
 
+    def note_served(self) -> None:
+        """Record that a server ran the request."""
+        if self._parts.shares is not None:
+            self._parts.shares.note_served(self._run.service)
+
+    def note_full(self) -> None:
+        """Record that servers have no capacity for the request."""
+        if self._parts.shares is not None:
+            self._parts.shares.note_full(self._run.service)
+
+    def _surplus(self) -> Failure | None:
+        """Count the request for its account, and return its refusal as surplus."""
+        shares, run = self._parts.shares, self._run
+        if shares is None:
+            return None
+        self._has_share = True
+        surplus = shares.admit(run.service, run.account, run.priority)
+        if surplus is None:
+            return None
+        request_id = run.request.request_id
+        return refuse_surplus(self._parts.metrics, run.service, request_id, surplus)
+
     def engine_data_centre(self) -> str:
         """Return the data centre of the engine that most likely caches the prompt.
 
--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -3,7 +3,12 @@
 from dataclasses import dataclass
 
 from boragestream.backend.cancellation import CancelScope
-from boragestream.base.failures import CentresDrained, ServersBackedOff, ServersLimited
+from boragestream.base.failures import (
+    AccountOverShare,
+    CentresDrained,
+    ServersBackedOff,
+    ServersLimited,
+)
 from boragestream.base.outcomes import Failed, Failure, Refused, Unknown
 from boragestream.document.calls import ForwardedRequest
 from boragestream.document.routes import Route
@@ -105,7 +110,7 @@
         retry_after = failure.left_seconds
     if isinstance(failure, CentresDrained):
         retry_after = DRAINED_RETRY_AFTER_SECONDS
-    if isinstance(failure, StageSaturated):
+    if isinstance(failure, StageSaturated | AccountOverShare):
         retry_after = min(
             MAX_RETRY_AFTER_SECONDS, max(retry_after, failure.wait_ms / 1000)
         )
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -47,6 +47,7 @@
 __all__ = ["Forwarder"]
 
 SERVER_ERROR = 500
+INPUTS_GONE = 409
 # The request fails after more attempts than this that certainly did not run, such as
 # refusals by servers and failed connections.
 MAX_REFUSALS = 4
@@ -152,6 +153,7 @@
             self._handle_refusal(attempt, answer)
             return None
         self._possible_runs += 1
+        self._choice.note_served()
         successful = head.status < SERVER_ERROR
         verified = head.sealed and not head.encoded
         if self._stream and 200 <= head.status < 300 and verified:
@@ -184,7 +186,9 @@
             self._parts.servers.note_leaving(server)
         else:
             attempt.end(CallEnd.REFUSED)
-        if head.status == 409:
+            if head.status != INPUTS_GONE:
+                self._choice.note_full()
+        if head.status == INPUTS_GONE:
             self._inputs_ready = False
             self._note_failure(InputsGone(server.name))
             self._choice.allow_again(server)
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -26,6 +26,7 @@
 from boragestream.base.events import Event, emit
 from boragestream.document.calls import PieceFault, PieceResult
 from boragestream.entry.server_permits import PermitRefused
+from boragestream.policy.account_shares import Surplus
 from boragestream.policy.candidates import RoutingNeed, usable_servers
 from boragestream.policy.load import CallEnd
 from boragestream.policy.piece_queue import PieceBooking, PieceOrder, QueuedOrder
@@ -36,6 +37,7 @@
 from boragestream.serving.ejections import log_ejection
 from boragestream.serving.piece_calls import BatchParts, PieceCalls, unreadable_results
 from boragestream.serving.request_guard import count_crash, has_crashed
+from boragestream.serving.surplus import report_surplus
 
 __all__ = ["PieceBatches", "ResultsCallback"]
 
@@ -67,7 +69,7 @@
 
     def submit(
         self, order: PieceOrder, start_seconds: float, left_seconds: float
-    ) -> float | None:
+    ) -> float | Surplus | None:
         """Add an order to its queue.
 
         Adding an order that is already in the queue changes nothing.
@@ -75,7 +77,8 @@
         :param start_seconds: the time until its latest start.
         :param left_seconds: the time until its request stops waiting for it.
         :returns: the expected wait in seconds if it is refused, 0.0 if the limits of
-            the service are unknown; None if it is accepted.
+            the service are unknown; the surplus if its account exceeds its share; None
+            if it is accepted.
         """
         self._parts.note_use()
         limits = self._parts.piece_limits(order.service)
@@ -100,17 +103,18 @@
             if not already_queued:
                 self._parts.retries.note_request(order.service, len(order.pieces))
             self._send_batches(order.service)
-        return wait
+        return self._reported(order.service, order.pieces[0].request_id, wait)
 
     def book(
         self, booking: PieceBooking, start_seconds: float, left_seconds: float
-    ) -> float | None:
+    ) -> float | Surplus | None:
         """Book an order that will be sent once the stages before it are done.
 
         :param start_seconds: the time until its latest start.
         :param left_seconds: the time until its request stops waiting for it.
         :returns: the expected wait in seconds if it is refused, 0.0 if the limits of
-            the service are unknown; None if it is accepted.
+            the service are unknown; the surplus if its account exceeds its share; None
+            if it is accepted.
         """
         self._parts.note_use()
         limits = self._parts.piece_limits(booking.service)
@@ -124,7 +128,16 @@
         with self._lock:
             queue = self._queue(booking.service)
             start_by, expires = now + start_seconds, now + left_seconds
-            return queue.book(booking, start_by, expires, limits, usable, now)
+            wait = queue.book(booking, start_by, expires, limits, usable, now)
+        return self._reported(booking.service, booking.request_id, wait)
+
+    def _reported(
+        self, service: str, request_id: str, wait: float | Surplus | None
+    ) -> float | Surplus | None:
+        """Return a queue's decision; log and count it if it refuses a surplus."""
+        if isinstance(wait, Surplus):
+            report_surplus(self._parts.metrics, service, request_id, wait)
+        return wait
 
     def waited(self, booking: PieceBooking, left_seconds: float) -> float:
         """Return the seconds from the first attempt of a booking's caller to this one.
@@ -210,7 +223,9 @@
 
     def _queue(self, service: str) -> ServiceQueue:
         if service not in self._queues:
-            self._queues[service] = ServiceQueue(self._call_room, self._parts.late)
+            parts = self._parts
+            queue = ServiceQueue(self._call_room, parts.late, parts.shares())
+            self._queues[service] = queue
             emit(Event.QUEUE_OWNED, service=service)
         return self._queues[service]
 
--- a/boragestream/serving/piece_bookings.py
+++ b/boragestream/serving/piece_bookings.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from boragestream.base.clock import Clock
+from boragestream.base.failures import AccountOverShare
 from boragestream.entry.messages import Envelope
 from boragestream.entry.piece_messages import PiecesAnswer, PiecesBook, PiecesCancel
 from boragestream.policy.piece_queue import PieceBooking
@@ -20,6 +21,11 @@
 )
 from boragestream.serving.piece_batches import PieceBatches
 from boragestream.serving.piece_failures import StageSaturated
+from boragestream.serving.piece_refusals import (
+    answer_refusal,
+    wait_answer,
+    wait_refusal,
+)
 
 __all__ = ["BookedOrder", "PieceBookings"]
 
@@ -47,7 +53,7 @@
 
     def book(
         self, booking: PieceBooking, start_by: float, deadline: float
-    ) -> BookedOrder | StageSaturated | None:
+    ) -> BookedOrder | StageSaturated | AccountOverShare | None:
         """Book a future order.
 
         :param start_by: its latest start, in seconds of the clock.
@@ -60,6 +66,7 @@
         waited = 0.0
         if owner == self._owners.own:
             wait = self._batches.book(booking, start, left)
+            refusal = wait_refusal(booking.service, wait)
             waited = self._batches.waited(booking, left)
         else:
             message = PiecesBook(
@@ -74,15 +81,14 @@
                 tuple(booking.regions),
                 milliseconds(booking.lead_seconds),
                 milliseconds(booking.waited_seconds),
+                booking.account,
             )
             reply = self._owners.ask(owner, message)
             if reply is None:
                 return None
-            wait = None if reply.taken else reply.wait_ms / 1000
+            refusal = answer_refusal(booking.service, booking.account, reply)
             waited = reply.waited_ms / 1000
-        if wait is None:
-            return BookedOrder(booking, owner, waited)
-        return StageSaturated(booking.service, milliseconds(wait))
+        return refusal or BookedOrder(booking, owner, waited)
 
     def cancel(self, booked: BookedOrder) -> None:
         """Tell the owner that a booked order will not be sent."""
@@ -104,10 +110,9 @@
             frozenset(message.regions),
             seconds_or_unknown(message.lead_ms),
             message.waited_ms / 1000,
+            message.account,
         )
         left = message.left_ms / 1000
         wait = self._batches.book(booking, message.start_ms / 1000, left)
         waited_ms = milliseconds(self._batches.waited(booking, left))
-        if wait is None:
-            return PiecesAnswer(taken=True, waited_ms=waited_ms)
-        return PiecesAnswer(False, milliseconds(wait), waited_ms)
+        return wait_answer(wait, waited_ms)
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -44,6 +44,7 @@
     query_delay_seconds,
 )
 from boragestream.policy.quarantine import Quarantine
+from boragestream.policy.queue_shares import QueueShares
 from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.servers import Server, ServerTable
@@ -96,6 +97,8 @@
     :ivar used: called for each order and booking, because published values decide
         whether it is accepted.
     :ivar late: decides which orders are kept although they are late.
+    :ivar shares: returns what divides a new queue between client accounts; None to
+        treat all orders alike.
     """
 
     line: CallLine
@@ -113,6 +116,7 @@
     piece_limits: Callable[[str], PieceLimits | None]
     note_use: Callable[[], None]
     late: LateService = refuse_late
+    shares: Callable[[], QueueShares | None] = lambda: None
 
 
 @dataclass(slots=True)
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -32,6 +32,11 @@
 )
 from boragestream.serving.piece_batches import PieceBatches
 from boragestream.serving.piece_failures import StageSaturated
+from boragestream.serving.piece_refusals import (
+    answer_refusal,
+    wait_answer,
+    wait_refusal,
+)
 
 __all__ = ["OpenOrder", "PieceOrders"]
 
@@ -207,15 +212,14 @@
             message.fingerprint,
             seconds_or_unknown(message.lead_ms),
             message.waited_ms / 1000,
+            message.account,
         )
         with self._lock:
             self._requesters[message.order_id] = envelope.sender
         wait = self._batches.submit(
             order, message.start_ms / 1000, message.left_ms / 1000
         )
-        if wait is None:
-            return PiecesAnswer(taken=True)
-        return PiecesAnswer(taken=False, wait_ms=milliseconds(wait))
+        return wait_answer(wait)
 
     def answer_done(self, envelope: Envelope, message: PiecesDone) -> ProbeReply:
         """Record results that an owner sent."""
@@ -260,11 +264,11 @@
                 return scope.reason or DeadlinePassed("stage")
             opened.owner, opened.checked_at = owner, now
             if owner == self._own:
-                return _refusal(order, self._batches.submit(order, start, left))
+                wait = self._batches.submit(order, start, left)
+                return wait_refusal(order.service, wait)
             reply = self._owners.ask(owner, _order_message(order, start, left))
             if reply is not None:
-                wait = None if reply.taken else reply.wait_ms / 1000
-                return _refusal(order, wait)
+                return answer_refusal(order.service, order.account, reply)
         return StageSaturated(order.service, 0)
 
     def _forget(self, opened: OpenOrder) -> None:
@@ -292,8 +296,5 @@
         fingerprint=order.fingerprint,
         lead_ms=milliseconds(order.lead_seconds),
         waited_ms=milliseconds(order.waited_seconds),
+        account=order.account,
     )
-
-
-def _refusal(order: PieceOrder, wait: float | None) -> StageSaturated | None:
-    return None if wait is None else StageSaturated(order.service, milliseconds(wait))
--- /dev/null
+++ b/boragestream/serving/piece_refusals.py
@@ -0,0 +1,42 @@
+"""Translates an owner's refusals of orders and bookings between entries."""
+
+from boragestream.base.failures import AccountOverShare
+from boragestream.entry.piece_messages import PiecesAnswer
+from boragestream.policy.account_shares import Surplus
+from boragestream.serving.owner_links import milliseconds
+from boragestream.serving.piece_failures import StageSaturated
+
+__all__ = ["answer_refusal", "wait_answer", "wait_refusal"]
+
+
+def wait_answer(wait: float | Surplus | None, waited_ms: int = 0) -> PiecesAnswer:
+    """Return the answer to another entry.
+
+    :param wait: the decision of the queue, see ``PieceBatches.submit``.
+    """
+    if wait is None:
+        return PiecesAnswer(taken=True, waited_ms=waited_ms)
+    if isinstance(wait, Surplus):
+        wait_ms = milliseconds(wait.wait_seconds)
+        return PiecesAnswer(False, wait_ms, waited_ms, over_share=True)
+    return PiecesAnswer(False, milliseconds(wait), waited_ms)
+
+
+def answer_refusal(
+    service: str, account: str, answer: PiecesAnswer
+) -> StageSaturated | AccountOverShare | None:
+    """Return the refusal in an owner's answer; None if it accepted."""
+    if answer.taken:
+        return None
+    if answer.over_share:
+        return AccountOverShare(account, answer.wait_ms)
+    return StageSaturated(service, answer.wait_ms)
+
+
+def wait_refusal(
+    service: str, wait: float | Surplus | None
+) -> StageSaturated | AccountOverShare | None:
+    """Return the refusal of a queue of this entry; None if it accepted."""
+    if isinstance(wait, Surplus):
+        return AccountOverShare(wait.account, milliseconds(wait.wait_seconds))
+    return None if wait is None else StageSaturated(service, milliseconds(wait))
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -48,6 +48,7 @@
         route.
     :ivar until_deadline: whether the time since a caller's first attempt counts at the
         owners of all stages, which then keep a last attempt although it is late.
+    :ivar fair_shares: whether owners divide a shortage between client accounts.
     """
 
     orders: PieceOrders
@@ -59,6 +60,7 @@
     engine_delays: EngineDelays
     metrics: RouteMetrics
     until_deadline: bool = False
+    fair_shares: bool = False
 
     def run(
         self, run: ForwardedRun, home: str = ""
@@ -100,6 +102,8 @@
         self._booked: dict[int, BookedOrder] = {}
         # The time since the caller's first attempt, as far as an owner knows it.
         self._waited_seconds = 0.0
+        # Without shares, messages are as those of the previous release.
+        self._account = run.account if stages.fair_shares else ""
 
     def finish(self) -> tuple[StageResult, ...] | Failure:
         """Run until every stage is done or one has failed; return the last results."""
@@ -166,6 +170,7 @@
                 run.regions or frozenset(),
                 self._lead_seconds[number],
                 self._waited_seconds,
+                self._account,
             )
             start_by = self._start_by(number)
             deadline = run.scope.deadline
@@ -218,6 +223,7 @@
             fingerprint=stage_fingerprint(run.fingerprint, stage.service),
             lead_seconds=self._lead_seconds[number],
             waited_seconds=self._waited_seconds,
+            account=self._account,
         )
         start_by = self._start_by(number)
         # The order replaces its booking in the queue, so the booking is not cancelled.
--- a/tests/standins/queue_parts.py
+++ b/tests/standins/queue_parts.py
@@ -30,5 +30,6 @@
         "quarantine": Quarantine("entry", lambda: ["entry"], clock),
         "retries": UncountedRetries(),
         "late": refuse_late,
+        "shares": lambda: None,
     }
     return SimpleNamespace(**{**parts, **more})
