--- a/boragestream/policy/thread_shares.py
+++ b/boragestream/policy/thread_shares.py
@@ -56,6 +56,12 @@
         self._in_hand = 0
         self._lock = threading.Lock()
 
+    @property
+    def in_hand(self) -> dict[str, int]:
+        """The threads in use, by account."""
+        with self._lock:
+            return {name: u.in_hand for name, u in self._uses.items() if u.in_hand}
+
     def begin(self, account: str) -> Surplus | None:
         """Count a request that begins, or return the surplus if it is refused."""
         now = self._clock.now()
--- a/tests/standins/account_entries.py
+++ b/tests/standins/account_entries.py
@@ -48,7 +48,9 @@
         }
         self.active = shares
         self.numbers, self.moments = itertools.count(), []
+        # By kind in the surge, and by account in the whole run.
         self.served, self.came, self.surplus = {}, {}, {}
+        self.requests = 0
 
     def at(self, when, what, *more):
         """Have something happen at a time."""
@@ -94,6 +96,7 @@
         """Have a request arrive at an entry."""
         in_surge = self.counted[0] <= now < self.counted[1]
         kind = (account, urgency)
+        self.requests += first
         if first and in_surge:
             self.came[kind] = self.came.get(kind, 0) + 1
         shares = self.shares[self.rng.choice(self.names)]
