--- a/boragestream/policy/account_shares.py
+++ b/boragestream/policy/account_shares.py
@@ -20,12 +20,14 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
+from boragestream.policy.max_min import weighted_max_min
 from boragestream.policy.urgency import ROUTE_LEVELS
 
-__all__ = ["AccountShares", "Surplus", "TotalDemand", "weighted_max_min"]
+__all__ = ["AccountShares", "Surplus", "TotalDemand"]
 
-# Demand is averaged over about this time. An account at eight times its demand is
-# recognized after 0.3 s; a shorter time confuses it with random arrivals.
+# Demand is averaged over about this time. The average of an account that begins to send
+# eight times its demand is doubled after 0.3 s; over a shorter time, random arrivals
+# change it as much.
 RECENT_SECONDS = 2.0
 # Typical demand is averaged over about this time once it is known that long.
 TYPICAL_SECONDS = 60.0
@@ -131,27 +133,6 @@
     return_at: float = 0.0
 
 
-def weighted_max_min(
-    capacity: float, demands: Mapping[A, float], weights: Mapping[A, float]
-) -> float:
-    """Return the level: each account gets at most so much per unit of its weight.
-
-    The lower of demand and level times weight add up to the capacity. The level is
-    infinite if the demands fit into the capacity.
-    """
-    by_growth = sorted(
-        demands, key=lambda a: demands[a] / weights[a] if weights[a] else math.inf
-    )
-    left, weight_left = capacity, sum(weights[a] for a in demands)
-    for account in by_growth:
-        level = max(0.0, left) / weight_left if weight_left > 0 else 0.0
-        if demands[account] > level * weights[account]:
-            return level
-        left -= demands[account]
-        weight_left -= weights[account]
-    return math.inf
-
-
 class AccountShares(Generic[A]):
     """The shares at one place where requests wait or are refused.
 
@@ -213,6 +194,11 @@
         self._update(now)
         return self._demand
 
+    def typical_demand(self, now: float) -> float:
+        """Return the part of the total demand that is within the weights."""
+        self._update(now)
+        return sum(min(s.total, s.weight) for s in self._accounts.values())
+
     def weights(self, now: float) -> dict[A, float]:
         """Return the weights, by account."""
         self._update(now)
--- a/boragestream/policy/service_shares.py
+++ b/boragestream/policy/service_shares.py
@@ -39,6 +39,10 @@
 SUM_SECONDS = 1.0
 # Above this multiple of the demand, the capacity counts as sufficient again.
 ENOUGH = 1.5
+# The capacity also counts as sufficient this long after the last refusal by a server.
+# One of 195 entries with a request every two seconds sees a refusal about that often
+# during a shortage.
+SHORTAGE_SECONDS = 30.0
 
 
 @dataclass(slots=True)
@@ -47,10 +51,12 @@
 
     :ivar capacity: the estimated capacity a second at all entries; infinite if there is
         no shortage.
+    :ivar full_at: when a server last refused a request because it is full.
     """
 
     shares: AccountShares[int]
     capacity: float = math.inf
+    full_at: float = -math.inf
 
 
 def demand_key(service: str, account: str) -> int:
@@ -92,7 +98,8 @@
             shares, key = state.shares, demand_key(service, account)
             shares.record(key, 1, now)
             demand = shares.total_demand(now)
-            if state.capacity > ENOUGH * demand:
+            over = now - state.full_at > SHORTAGE_SECONDS
+            if over or state.capacity > ENOUGH * demand:
                 state.capacity = math.inf
             if math.isinf(state.capacity):
                 return None
@@ -118,9 +125,12 @@
         now = self._clock.now()
         with self._lock:
             state = self._service(service)
+            state.full_at = now
             demand = state.shares.total_demand(now)
             if demand > 0:
-                state.capacity = FALL * min(state.capacity, demand)
+                fallen = FALL * min(state.capacity, demand)
+                # Below the typical demand, all accounts are refused alike.
+                state.capacity = max(fallen, state.shares.typical_demand(now))
 
     def demands(self) -> dict[int, AccountDemand]:
         """Return this entry's demand to report to other entries, by key."""
--- a/boragestream/policy/thread_shares.py
+++ b/boragestream/policy/thread_shares.py
@@ -16,8 +16,8 @@
     NOISE_DEVIATIONS,
     AccountShares,
     Surplus,
-    weighted_max_min,
 )
+from boragestream.policy.max_min import weighted_max_min
 
 __all__ = ["ThreadShares"]
 
--- a/tests/features/account_shares.feature
+++ b/tests/features/account_shares.feature
@@ -90,6 +90,28 @@
     When account 0 sends 1 times its demand to them for 12 s
     Then less than 0.01 of all requests there are refused as surplus
 
+  # A surplus must be refused before the stages of its request have run, and by the entry
+  # that received it.
+  Scenario: an entry whose servers are full refuses a surplus at once
+    Given an entry that forwards 10 requests a second of each of 4 accounts to servers
+    When its servers are full and account "a" sends 8 times its demand
+    Then requests of "a" are refused as surplus and no request of the others is
+    And each refusal has an event
+    And once servers refuse nothing, requests of "a" are refused no more
+
+  Scenario: without shares an entry whose servers are full refuses no surplus
+    Given an entry without shares that forwards 10 requests a second of 4 accounts
+    When its servers are full and account "a" sends 8 times its demand
+    Then no request is refused as surplus
+
+  # The entry that sent the order must learn why it was refused, and that it never runs.
+  Scenario: the owner of a queue refuses a surplus of another entry's orders
+    Given the owner of a queue with shares
+    When accounts use 0.6 of it for 30 s, and then account "a" sends 8 times as many for 6 s
+    Then other entries are told which orders of "a" are over its share
+    And no order of the others is refused
+    And no piece of a refused order is in the queue
+
   # Slow requests of one account must not occupy all threads of an entry.
   Scenario: one account occupies the threads of an entry
     Given an entry of 100 threads that 16 accounts use to 0.6
--- a/tests/features/steps/account_shares.py
+++ b/tests/features/steps/account_shares.py
@@ -17,16 +17,25 @@
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.base.route_settings import AccountSettings, PlatformSettings
 from boragestream.daemon.account_parts import make_account_parts, shares_fairly
+from boragestream.document.calls import PieceResult
 from boragestream.document.routes import PieceLimits, RouteAccount, key_digest
 from boragestream.entry.piece_messages import PiecesAnswer, PiecesOrder
 from boragestream.policy.account_shares import (
     AccountShares,
     Surplus,
-    weighted_max_min,
 )
+from boragestream.policy.demand import DemandTable
+from boragestream.policy.max_min import weighted_max_min
+from boragestream.policy.queue_shares import QueueShares
 from boragestream.policy.route_table import RouteTable
+from boragestream.policy.servers import Server
+from boragestream.policy.service_shares import ServiceShares
+from boragestream.policy.stage_servers import Batch
 from boragestream.policy.thread_shares import ThreadShares
+from boragestream.serving.forwarded_choice import ForwardedChoice
 from boragestream.serving.forwarded_run import outcome_of
+from boragestream.serving.piece_batches import PieceBatches
+from boragestream.serving.piece_orders import PieceOrders
 from boragestream.serving.piece_refusals import (
     answer_refusal,
     wait_answer,
@@ -37,6 +46,8 @@
 from tests.standins.account_entries import CALL_SECONDS, AccountEntries
 from tests.standins.account_load import AccountKind, AccountLoad
 from tests.standins.clock import SetClock
+from tests.standins.limits import lone_limits
+from tests.standins.queue_parts import queue_parts
 
 LIMITS = PieceLimits(1, 12, 0.2, 0.01, 100.0, 4.0)
 # Four large accounts and twelve small ones.
@@ -335,6 +346,221 @@
     assert refused < part * requests, (refused, requests)
 
 
+FORWARD_SERVERS = [Server("s-1", "service", "10.0.0.1:80", "hall", "1")]
+
+
+def forwarding_entry(context, shares):
+    """Set up the choice of servers of an entry."""
+    context.clock = SetClock()
+    table = DemandTable("entry", context.clock)
+    context.parts = SimpleNamespace(
+        servers=SimpleNamespace(live=lambda service: FORWARD_SERVERS),
+        cold=SimpleNamespace(usable=lambda servers: servers),
+        backoffs=SimpleNamespace(usable=lambda servers: servers),
+        limited=lone_limits(context.clock),
+        metrics=RouteMetrics(),
+        shares=ServiceShares(table, lambda: 1, context.clock) if shares else None,
+    )
+
+
+def forward(context, rates, seconds, full):
+    """Forward requests; return the refusals before their stages, by account."""
+    rng, refused = random.Random(1), {account: [] for account in rates}
+    moments = sorted(
+        (context.clock.seconds + rng.random() * seconds, account)
+        for account, rate in rates.items()
+        for _ in range(int(rate * seconds))
+    )
+    for number, (now, account) in enumerate(moments):
+        context.clock.seconds = now
+        run = SimpleNamespace(
+            service="service",
+            account=account,
+            priority=0,
+            regions=None,
+            request=SimpleNamespace(request_id=f"r-{number}"),
+        )
+        choice = ForwardedChoice(context.parts, run)
+        refusal = choice.refusal(has_results=False)
+        if refusal is not None:
+            refused[account].append(refusal)
+        elif full and rng.random() < 0.5:
+            choice.note_full()
+        else:
+            choice.note_served()
+        # It is counted once, whatever number of attempts follows.
+        assert choice.refusal(has_results=True) is None or refusal is not None
+    return refused
+
+
+@given(
+    "an entry that forwards {rate:g} requests a second of each of 4 accounts to servers"
+)
+def step(context, rate):
+    forwarding_entry(context, True)
+    context.rates = dict.fromkeys("abcd", rate)
+    forward(context, context.rates, 30, full=False)
+
+
+@given("an entry without shares that forwards {rate:g} requests a second of 4 accounts")
+def step(context, rate):
+    forwarding_entry(context, False)
+    context.rates = dict.fromkeys("abcd", rate)
+    forward(context, context.rates, 30, full=False)
+
+
+@when('its servers are full and account "{account}" sends {factor:g} times its demand')
+def step(context, account, factor):
+    context.surge = {**context.rates, account: factor * context.rates[account]}
+    context.events = []
+    emitted = unittest.mock.patch(
+        "boragestream.serving.surplus.emit",
+        lambda event, **details: context.events.append((event, details)),
+    )
+    with emitted:
+        context.refused = forward(context, context.surge, 6, full=True)
+
+
+@then('requests of "{account}" are refused as surplus and no request of the others is')
+def step(context, account):
+    refused = context.refused.pop(account)
+    assert len(refused) > 100, len(refused)
+    assert all(isinstance(failure, AccountOverShare) for failure in refused)
+    assert not any(context.refused.values()), context.refused
+    context.refused[account] = refused
+
+
+@then("each refusal has an event")
+def step(context):
+    refused = sum(len(failures) for failures in context.refused.values())
+    assert len(context.events) == refused
+    assert {details["account"] for _, details in context.events} == {"a"}
+
+
+@then('once servers refuse nothing, requests of "{account}" are refused no more')
+def step(context, account):
+    forward(context, context.surge, 10, full=False)
+    refused = forward(context, context.surge, 5, full=False)
+    assert not refused[account], len(refused[account])
+
+
+@then("no request is refused as surplus")
+def step(context):
+    assert not any(context.refused.values())
+    assert not context.events
+
+
+@given("the owner of a queue with shares")
+def step(context):
+    context.clock = SetClock()
+    context.servers = [
+        Server(f"s-{n}", "service", f"10.0.0.{n}:80", "hall", "1") for n in range(3)
+    ]
+    parts = queue_parts(
+        context.clock,
+        SimpleNamespace(live=lambda service: context.servers, all=context.servers),
+        SimpleNamespace(usable=lambda servers: servers),
+        LIMITS,
+        metrics=RouteMetrics(),
+        shares=QueueShares,
+    )
+    context.batches = PieceBatches(parts, lambda order_id, results: None)
+    # Calls are made by the test, each at the end of its usual time.
+    context.submitted = []
+    context.batches._calls = SimpleNamespace(
+        submit=lambda work, *arguments: context.submitted.append(arguments),
+        takes_messages=lambda server: True,
+        release=None,
+        check_overdue_calls=lambda: None,
+    )
+
+
+@when(
+    'accounts use {load:g} of it for {calm:g} s, and then account "{account}" sends '
+    "{factor:g} times as many for {surge:g} s"
+)
+def step(context, load, calm, account, factor, surge):
+    rng, numbers = random.Random(1), itertools.count()
+    owners = SimpleNamespace(own="owner")
+    orders = PieceOrders(owners, context.clock)
+    orders.set_batches(context.batches)
+    context.answers = {}
+    began, ending = context.clock.seconds, []
+    call = LIMITS.call_seconds + LIMITS.batch * LIMITS.piece_seconds
+    rate = load * len(context.servers) * LIMITS.batch / call / PIECES / 4
+    rates = {name: rate for name in "abcd"}
+    moments = sorted(
+        (began + start + rng.random() * seconds, name)
+        for name in rates
+        for start, seconds, times in (
+            (0, calm, 1.0),
+            (calm, surge, factor if name == account else 1.0),
+        )
+        for _ in range(int(rates[name] * seconds * times))
+    )
+    for now, name in moments:
+        while ending and ending[0][0] <= now:
+            context.clock.seconds, _, batch = heapq.heappop(ending)
+            results = [PieceResult(f"h{next(numbers)}", None, "") for _ in batch.pieces]
+            context.batches._end_batch("service", batch, results)
+            context.batches.release([result.handle for result in results])
+            context.batches._send_batches("service")
+            start_calls(context, ending, numbers)
+        context.clock.seconds = now
+        order_id = f"{name}/{next(numbers)}"
+        message = PiecesOrder(
+            order_id=order_id,
+            service="service",
+            request_id=order_id,
+            stage=0,
+            numbers=tuple(range(PIECES)),
+            key=order_id,
+            inputs=(),
+            result_bytes=10.0,
+            priority=0,
+            invested=False,
+            start_ms=900,
+            left_ms=6000,
+            account=name,
+        )
+        envelope = SimpleNamespace(sender="other")
+        answer = orders.answer_order(envelope, message)
+        context.answers.setdefault(name, []).append((order_id, answer))
+        start_calls(context, ending, numbers)
+
+
+def start_calls(context, ending, numbers):
+    """Let each call that was submitted end after its usual time."""
+    while context.submitted:
+        arguments = context.submitted.pop(0)
+        # Releases of results have other arguments than calls.
+        batch = arguments[-1]
+        if not isinstance(batch, Batch):
+            continue
+        end = context.clock.seconds + batch.seconds
+        heapq.heappush(ending, (end, next(numbers), batch))
+
+
+@then('other entries are told which orders of "{account}" are over its share')
+def step(context, account):
+    over = [a for _, a in context.answers[account] if a.over_share]
+    assert len(over) > 50, len(over)
+    assert all(not answer.taken and 0 <= answer.wait_ms <= 5000 for answer in over)
+
+
+@then("no order of the others is refused")
+def step(context):
+    for name in "bcd":
+        assert all(answer.taken for _, answer in context.answers[name]), name
+
+
+@then("no piece of a refused order is in the queue")
+def step(context):
+    for _, answers in context.answers.items():
+        for order_id, answer in answers:
+            assert answer.taken or not context.batches.has_order(order_id)
+
+
 @given("an entry of {threads:d} threads that 16 accounts use to {load:g}")
 def step(context, threads, load):
     context.threads, context.load = threads, load
