--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -15,6 +15,8 @@
 from boragestream.base.identifiers import new_incarnation
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.base.route_settings import RouteSettings
+from boragestream.daemon.account_parts import AccountParts, make_account_parts
+from boragestream.daemon.bounds import cold_bound, retry_bounds
 from boragestream.daemon.limits import SharedLimits, make_shared_limits
 from boragestream.daemon.operator_values import OperatorValues, offer_route_text
 from boragestream.daemon.peers import make_quarantine
@@ -50,7 +52,7 @@
 from boragestream.entry.relay import ConfigurationRelay
 from boragestream.platform.pieces import PieceCallFormat
 from boragestream.platform.wire import encode_call, read_answer_head
-from boragestream.policy.cold_servers import ColdBound, ColdServers
+from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.connection_shares import idle_connections
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.first_knowledge import StartupReadiness
@@ -61,7 +63,7 @@
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.region_links import RegionLinks
 from boragestream.policy.regions import Regions
-from boragestream.policy.retry_window import RetryBounds, RetryWindows
+from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.route_table import RoutesInForce
 from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.server_choice import ServerChoice
@@ -102,6 +104,7 @@
     :ivar publications: the values of the platform's store that the entry follows.
     :ivar ended: set once the entry has ended.
     :ivar first: tells whether the first answers of the platform are still missing.
+    :ivar accounts: divides shortages between client accounts.
     :ivar region_links: the links to the other regions.
     :ivar orders: the orders for pieces of this entry's requests.
     :ivar bookings: the bookings of queue positions for later orders of this entry's
@@ -130,6 +133,7 @@
     address_sync: AddressSync
     members: EntryPeers
     relay: ConfigurationRelay
+    accounts: AccountParts
     region_links: RegionLinks
     orders: PieceOrders
     bookings: PieceBookings
@@ -208,11 +212,9 @@
     members.exchange.add_part(sync)
     routes.add_listener(lambda table: members.exchange.request_round())
 
-    def retry_bounds() -> RetryBounds:
-        bounds = in_force.current.retries
-        return RetryBounds(bounds.share, bounds.window_seconds, bounds.slack)
-
-    retries = RetryWindows(clock.now, retry_bounds, lambda: len(book.entries))
+    accounts = make_account_parts(settings, own, incarnation, members, clock)
+    bounds = retry_bounds(in_force)
+    retries = RetryWindows(clock.now, bounds, lambda: len(book.entries))
     connections = ConnectionKeeper(CONNECT_SECONDS)
     servers.on_unused(connections.forget)
 
@@ -252,15 +254,9 @@
         read_answer_head, connections, clock, max_idle, apply_response_hints
     )
 
-    def cold_bound(service: str) -> ColdBound | None:
-        definition, cold = service_definition(service), in_force.current.cold
-        if definition is None or cold is None or definition.cold_rate <= 0:
-            return None
-        max_per_second = definition.cold_rate * cold.factor + cold.slack
-        return ColdBound(definition.cold_rate, max_per_second, definition.cold_seconds)
-
+    bound = cold_bound(in_force, service_definition)
     cold = ColdServers(
-        own, cold_bound, stage_owners.cold_senders, lambda: sync.has_converged, clock
+        own, bound, stage_owners.cold_senders, lambda: sync.has_converged, clock
     )
 
     # Orders arrive only once the entry listens, when all objects are built.
@@ -289,6 +285,7 @@
         piece_limits=piece_limits,
         note_use=record_use,
         late=serve_until_deadline if until_deadline else refuse_late,
+        shares=accounts.new_queue,
     )
     batches = PieceBatches(batch_parts, orders.report_results)
     orders.set_batches(batches)
@@ -356,12 +353,14 @@
                 metrics,
                 until_deadline,
                 StageRegions(regions, region_links, has_servers),
+                accounts.active,
             ),
             engine_delays=engine_delays,
             clock=clock,
             rng=rng,
             metrics=metrics,
             list_age=publications.confirming.age,
+            shares=accounts.services,
         )
     )
     return RouteParts(
@@ -386,6 +385,7 @@
         address_sync=sync,
         members=members,
         relay=relay,
+        accounts=accounts,
         region_links=region_links,
         orders=orders,
         bookings=bookings,
--- a/boragestream/entry/piece_messages.py
+++ b/boragestream/entry/piece_messages.py
@@ -35,6 +35,8 @@
         includes it.
     :ivar region: the region of the queue; empty for the queue over all regions.
     :ivar borrowed: whether the sender's own region could not take the chain.
+    :ivar account: the client account; empty for none, and from entries that do not
+        divide shortages between accounts.
     """
 
     order_id: str
@@ -56,6 +58,7 @@
     waited_ms: int = 0
     region: str = ""
     borrowed: bool = False
+    account: str = ""
 
 
 class PiecesBook(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
@@ -70,6 +73,7 @@
     :ivar waited_ms: see ``PiecesOrder``.
     :ivar region: see ``PiecesOrder``.
     :ivar borrowed: see ``PiecesOrder``.
+    :ivar account: see ``PiecesOrder``.
     """
 
     order_id: str
@@ -85,6 +89,7 @@
     waited_ms: int = 0
     region: str = ""
     borrowed: bool = False
+    account: str = ""
 
 
 class PiecesAnswer(msgspec.Struct, frozen=True, tag=True):
@@ -93,11 +98,13 @@
     :ivar taken: whether it was accepted.
     :ivar wait_ms: the expected wait if it was refused.
     :ivar waited_ms: the time since the caller's first attempt, as its owner knows it.
+    :ivar over_share: whether it was refused as surplus of its client account.
     """
 
     taken: bool
     wait_ms: int = 0
     waited_ms: int = 0
+    over_share: bool = False
 
 
 class PiecesDone(msgspec.Struct, frozen=True, tag=True):
--- a/boragestream/policy/late_service.py
+++ b/boragestream/policy/late_service.py
@@ -23,6 +23,7 @@
 from typing import Protocol
 
 __all__ = [
+    "LateAdmission",
     "LateOrder",
     "LateService",
     "SpareCapacity",
@@ -100,3 +101,48 @@
         span = min(seconds, now - self._since)
         used = sum(count for at, count in self._started if at > now - span)
         return pieces <= MAX_SPARE_SHARE * (per_second * span - used)
+
+
+class LateAdmission:
+    """Decides which late orders a queue accepts.
+
+    :param rule: decides until when a late order is kept.
+    """
+
+    def __init__(self, rule: LateService) -> None:
+        self._rule = rule
+        # Set with the first batches, when the queue begins to have servers.
+        self._spare: SpareCapacity | None = None
+
+    @property
+    def rule(self) -> LateService:
+        """Decides until when a late order is kept."""
+        return self._rule
+
+    def begin(self, now: float) -> None:
+        """Begin to record the spare capacity; later calls do nothing."""
+        if self._spare is None:
+            self._spare = SpareCapacity(now)
+
+    def note_started(self, pieces: int, now: float) -> None:
+        """Record pieces of orders in time that were sent."""
+        self._spare.note_started(pieces, now)
+
+    def keeps(
+        self,
+        order: LateOrder,
+        pieces: int,
+        wait: float,
+        per_second: float,
+        now: float,
+    ) -> bool:
+        """Return whether an order is accepted even if it will be late.
+
+        :param pieces: all late pieces, including those of the order.
+        :param wait: its expected wait in seconds.
+        :param per_second: the pieces that its servers do in a second.
+        """
+        until = self._rule(order)
+        if until is None or now + wait > until or self._spare is None:
+            return False
+        return self._spare.accepts(pieces, until - now, per_second, now)
--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -23,16 +23,23 @@
     "PieceOrder",
     "QueuedOrder",
     "ServerRoom",
+    "SortKey",
     "choose_batch",
     "expected_wait",
     "is_abandoned",
     "is_admitted",
     "is_bookable",
+    "longest_booked_wait",
     "longest_wait",
     "order_sort_key",
     "pieces_per_second",
+    "surplus_sort_key",
 ]
 
+# A rank (in time, late, and both beyond the share), then a time.
+SortKey = tuple[int, float]
+SURPLUS_RANK = 2
+
 # The maximum expected wait of an order, by priority, as a share of the time until its
 # latest start. Less urgent orders are refused earlier.
 ADMITTED_SHARE = (1.0, 0.9, 0.8)
@@ -84,6 +91,7 @@
     :ivar region: the region of its queue; empty for a queue over all regions.
     :ivar borrowed: whether its chain runs in that region only because its own region
         could not take it.
+    :ivar account: the client account that it counts for; empty for none.
     """
 
     order_id: str
@@ -99,6 +107,7 @@
     waited_seconds: float = 0.0
     region: str = ""
     borrowed: bool = False
+    account: str = ""
 
     @property
     def queue(self) -> StageQueue:
@@ -126,6 +135,7 @@
     :ivar waited_seconds: see ``PieceOrder``.
     :ivar region: see ``PieceOrder``.
     :ivar borrowed: see ``PieceOrder``.
+    :ivar account: see ``PieceOrder``.
     """
 
     order_id: str
@@ -139,6 +149,7 @@
     waited_seconds: float = 0.0
     region: str = ""
     borrowed: bool = False
+    account: str = ""
 
     @property
     def queue(self) -> StageQueue:
@@ -156,6 +167,7 @@
     :ivar arrived_at: the clock's seconds at which it arrived.
     :ivar suspected: whether a server has crashed while it ran the request.
     :ivar returning: whether its caller was refused before.
+    :ivar surplus: whether it is beyond its client account's share.
     """
 
     order: PieceOrder
@@ -165,6 +177,7 @@
     arrived_at: float = -math.inf
     suspected: bool = False
     returning: bool = False
+    surplus: bool = False
 
     @property
     def as_late(self) -> LateOrder:
@@ -172,9 +185,10 @@
         last_start = self.expires - self.order.lead_seconds
         return LateOrder(last_start, self.returning)
 
-    def sort_key(self, now: float) -> tuple[bool, float]:
+    def sort_key(self, now: float) -> SortKey:
         """Return its sort key in the queue; the smallest is first."""
-        return order_sort_key(self.start_by, self.order.priority, now)
+        key = order_sort_key(self.start_by, self.order.priority, now)
+        return surplus_sort_key(key) if self.surplus else key
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,11 +208,16 @@
     region: str = ""
 
 
-def order_sort_key(start_by: float, priority: int, now: float) -> tuple[bool, float]:
+def order_sort_key(start_by: float, priority: int, now: float) -> SortKey:
     """Return the sort key of an order; late orders are behind all others."""
     return start_by < now, start_by + PRIORITY_SECONDS * priority
 
 
+def surplus_sort_key(key: SortKey) -> SortKey:
+    """Return the sort key of an order beyond its account's share, behind all others."""
+    return SURPLUS_RANK + key[0], key[1]
+
+
 def choose_batch(
     queue: Iterable[QueuedOrder], limits: PieceLimits, room: ServerRoom, now: float
 ) -> list[tuple[QueuedOrder, list[Piece]]]:
@@ -294,12 +313,22 @@
     :param wait: the expected wait in seconds if the stage were ordered now.
     :param left: the seconds until its latest start.
     """
-    share = _share_for_priority(BOOKED_SHARE, booking.priority)
     if booking.borrowed:
+        share = _share_for_priority(BOOKED_SHARE, booking.priority)
         return wait <= max(0.0, BORROWED_SHARE * share * left)
+    return wait <= longest_booked_wait(booking.priority, left)
+
+
+def longest_booked_wait(priority: int, left: float) -> float:
+    """Return the longest expected wait in seconds with which a booking is accepted.
+
+    :param priority: 0 is the most urgent.
+    :param left: the seconds until its latest start.
+    """
     if left < 0:
-        return wait <= LATE_WAIT_SECONDS
-    return wait <= max(SHORT_WAIT_SECONDS, share * left)
+        return LATE_WAIT_SECONDS
+    share = _share_for_priority(BOOKED_SHARE, priority)
+    return max(SHORT_WAIT_SECONDS, share * left)
 
 
 def is_abandoned(
--- a/boragestream/serving/piece_bookings.py
+++ b/boragestream/serving/piece_bookings.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from boragestream.base.clock import Clock
+from boragestream.base.failures import AccountOverShare
 from boragestream.entry.messages import Envelope
 from boragestream.entry.piece_messages import PiecesAnswer, PiecesBook, PiecesCancel
 from boragestream.policy.piece_queue import PieceBooking
@@ -20,6 +21,11 @@
 )
 from boragestream.serving.piece_batches import PieceBatches
 from boragestream.serving.piece_failures import OfferUnanswered, StageSaturated
+from boragestream.serving.piece_refusals import (
+    answer_refusal,
+    wait_answer,
+    wait_refusal,
+)
 
 __all__ = ["BookedOrder", "PieceBookings"]
 
@@ -47,7 +53,7 @@
 
     def book(
         self, booking: PieceBooking, start_by: float, deadline: float
-    ) -> BookedOrder | StageSaturated | OfferUnanswered | None:
+    ) -> BookedOrder | StageSaturated | AccountOverShare | OfferUnanswered | None:
         """Book a future order.
 
         :param start_by: its latest start, in seconds of the clock.
@@ -64,6 +70,7 @@
         if owner == self._owners.own:
             wait = self._batches.book(booking, start, left)
             waited = self._batches.waited(booking, left)
+            refusal = wait_refusal(booking.service, wait, waited)
         else:
             message = PiecesBook(
                 booking.order_id,
@@ -79,6 +86,7 @@
                 milliseconds(booking.waited_seconds),
                 booking.region,
                 booking.borrowed,
+                booking.account,
             )
             reply = self._owners.ask(owner, message)
             if reply is None and booking.borrowed:
@@ -86,12 +94,9 @@
                 return OfferUnanswered(booking.service)
             if reply is None:
                 return None
-            wait = None if reply.taken else reply.wait_ms / 1000
+            refusal = answer_refusal(booking.service, booking.account, reply)
             waited = reply.waited_ms / 1000
-        if wait is None:
-            return BookedOrder(booking, owner, waited)
-        returning = max(waited, booking.waited_seconds) > 0
-        return StageSaturated(booking.service, milliseconds(wait), returning)
+        return refusal or BookedOrder(booking, owner, waited)
 
     def _owner(self, booking: PieceBooking) -> str:
         """Return the owner to ask; empty if the region has none that answers."""
@@ -121,13 +126,12 @@
             message.waited_ms / 1000,
             message.region,
             message.borrowed,
+            message.account,
         )
         left = message.left_ms / 1000
         wait = self._batches.book(booking, message.start_ms / 1000, left)
         waited_ms = milliseconds(self._batches.waited(booking, left))
-        if wait is None:
-            return PiecesAnswer(taken=True, waited_ms=waited_ms)
-        return PiecesAnswer(False, milliseconds(wait), waited_ms)
+        return wait_answer(wait, waited_ms)
 
 
 def _cancel_message(booking: PieceBooking) -> PiecesCancel:
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -33,6 +33,11 @@
 )
 from boragestream.serving.piece_batches import PieceBatches
 from boragestream.serving.piece_failures import OfferUnanswered, StageSaturated
+from boragestream.serving.piece_refusals import (
+    answer_refusal,
+    wait_answer,
+    wait_refusal,
+)
 
 __all__ = ["OpenOrder", "PieceOrders"]
 
@@ -209,15 +214,14 @@
             message.waited_ms / 1000,
             message.region,
             message.borrowed,
+            message.account,
         )
         with self._lock:
             self._requesters[message.order_id] = envelope.sender
         wait = self._batches.submit(
             order, message.start_ms / 1000, message.left_ms / 1000
         )
-        if wait is None:
-            return PiecesAnswer(taken=True)
-        return PiecesAnswer(taken=False, wait_ms=milliseconds(wait))
+        return wait_answer(wait)
 
     def answer_done(self, envelope: Envelope, message: PiecesDone) -> ProbeReply:
         """Record results that an owner sent."""
@@ -265,11 +269,11 @@
                 return scope.reason or DeadlinePassed("stage")
             opened.owner, opened.checked_at = owner, now
             if owner == self._own:
-                return _refusal(order, self._batches.submit(order, start, left))
+                wait = self._batches.submit(order, start, left)
+                return wait_refusal(order.service, wait)
             reply = self._owners.ask(owner, _order_message(order, start, left))
             if reply is not None:
-                wait = None if reply.taken else reply.wait_ms / 1000
-                return _refusal(order, wait)
+                return answer_refusal(order.service, order.account, reply)
         return StageSaturated(order.service, 0)
 
     def _offer(self, opened: OpenOrder, scope: CancelScope) -> Failure | None:
@@ -287,12 +291,13 @@
             return StageSaturated(order.service, 0)
         opened.owner, opened.checked_at = owner, now
         if owner == self._own:
-            return _refusal(order, self._batches.submit(order, start, left))
+            wait = self._batches.submit(order, start, left)
+            return wait_refusal(order.service, wait)
         reply = self._owners.ask(owner, _order_message(order, start, left))
         if reply is None:
             self._owners.send(owner, _cancel_message(order))
             return OfferUnanswered(order.service)
-        return _refusal(order, None if reply.taken else reply.wait_ms / 1000)
+        return answer_refusal(order.service, order.account, reply)
 
     def _forget(self, opened: OpenOrder) -> None:
         with self._lock:
@@ -321,12 +326,9 @@
         waited_ms=milliseconds(order.waited_seconds),
         region=order.region,
         borrowed=order.borrowed,
+        account=order.account,
     )
 
 
 def _cancel_message(order: PieceOrder) -> PiecesCancel:
     return PiecesCancel(order.service, order.order_id, order.region)
-
-
-def _refusal(order: PieceOrder, wait: float | None) -> StageSaturated | None:
-    return None if wait is None else StageSaturated(order.service, milliseconds(wait))
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -54,6 +54,7 @@
     :ivar until_deadline: whether the time since a caller's first attempt counts at the
         owners of all stages, which then keep a last attempt although it is late.
     :ivar stage_regions: the regions in which the chains can run.
+    :ivar fair_shares: whether owners divide a shortage between client accounts.
     """
 
     orders: PieceOrders
@@ -66,6 +67,7 @@
     metrics: RouteMetrics
     until_deadline: bool = False
     stage_regions: StageRegions = field(default_factory=StageRegions)
+    fair_shares: bool = False
 
     def run(self, run: ForwardedRun, home: str = "") -> ChainResults | Failure:
         """Run all stages; return the results that the engine's call reads.
@@ -107,6 +109,8 @@
         self._waited_seconds = 0.0
         # Where the chain runs.
         self._place = ChainRegion()
+        # Without shares, messages are as those of the previous release.
+        self._account = run.account if stages.fair_shares else ""
 
     def finish(self) -> ChainResults | Failure:
         """Run until every stage is done or one has failed; return the last results."""
@@ -207,6 +211,7 @@
                 self._waited_seconds,
                 self._place.region,
                 self._place.borrowed,
+                self._account,
             )
             start_by = self._start_by(number)
             deadline = run.scope.deadline
@@ -273,6 +278,7 @@
             waited_seconds=self._waited_seconds,
             region=self._place.region,
             borrowed=self._place.borrowed,
+            account=self._account,
         )
         start_by = self._start_by(number)
         # The order replaces its booking in the queue, so the booking is not cancelled.
