--- a/boragestream/policy/queue_shares.py
+++ b/boragestream/policy/queue_shares.py
@@ -55,36 +55,27 @@
         self.accounts = AccountShares()
         self._short_until = -math.inf
 
+    def record(self, request: ShareRequest, now: float) -> bool:
+        """Record a request; return whether a shortage has to be divided."""
+        if not request.account:
+            return False
+        if not request.returning:
+            self.accounts.record(request.account, request.count, now)
+        if request.wait > SHORTAGE_PART * request.longest_wait:
+            self._short_until = now + SHORTAGE_SECONDS
+        # Without a server there is nothing to divide.
+        return now <= self._short_until and math.isfinite(request.wait)
+
     def judge(
         self, request: ShareRequest, capacity: float, pieces_queued: int, now: float
     ) -> Surplus | bool:
-        """Record a request and return whether it is beyond its account's share.
+        """Return whether a recorded request is beyond its account's share.
 
         :param capacity: the pieces a second that the servers can run.
         :param pieces_queued: all pieces that are queued or booked.
         :returns: whether it is beyond the share, or the surplus if it is refused.
         """
-        surplus = self._surplus(request, capacity, now)
-        if surplus is None:
-            return False
-        wait = self._surplus_wait(surplus, pieces_queued, capacity, now)
-        if max(request.wait, wait) <= SURPLUS_WAIT_PART * request.longest_wait:
-            return True
-        wait = self.accounts.retry_after(surplus, request.count, now)
-        return replace(surplus, wait_seconds=wait)
-
-    def _surplus(
-        self, request: ShareRequest, capacity: float, now: float
-    ) -> Surplus | None:
-        if not request.account:
-            return None
-        if not request.returning:
-            self.accounts.record(request.account, request.count, now)
-        if request.wait > SHORTAGE_PART * request.longest_wait:
-            self._short_until = now + SHORTAGE_SECONDS
-        if now > self._short_until or math.isinf(request.wait) or capacity <= 0:
-            return None
-        return self.accounts.take(
+        surplus = self.accounts.take(
             request.account,
             request.count,
             request.urgency,
@@ -92,6 +83,13 @@
             now,
             guaranteed=True,
         )
+        if surplus is None:
+            return False
+        wait = self._surplus_wait(surplus, pieces_queued, capacity, now)
+        if max(request.wait, wait) <= SURPLUS_WAIT_PART * request.longest_wait:
+            return True
+        wait = self.accounts.retry_after(surplus, request.count, now)
+        return replace(surplus, wait_seconds=wait)
 
     def _surplus_wait(
         self, surplus: Surplus, pieces_queued: int, capacity: float, now: float
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -327,7 +327,7 @@
         now: float,
     ) -> Surplus | bool:
         """Return whether an order is beyond its account's share, or its refusal."""
-        if self._shares is None:
+        if self._shares is None or not self._shares.record(share, now):
             return False
         whole_call = limits.call_seconds + limits.batch * limits.piece_seconds
         capacity = self._server_count(limits, usable) * limits.batch / whole_call
--- a/tests/features/account_shares.feature
+++ b/tests/features/account_shares.feature
@@ -42,6 +42,15 @@
     Then all kinds of account 0 have an attainment of 0.99 or more
     And no surplus is refused
 
+  # A chain whose last stage is booked must not count twice, nor be refused after its
+  # first stages have run.
+  Scenario: a booked order is counted once and keeps its place
+    Given the queue of 1 server with shares, and orders of accounts "a b c" for 20 s
+    When account "a" books 40 orders of 4 pieces within a second
+    Then some of its bookings are refused as surplus
+    And the orders of its accepted bookings are accepted
+    And its demand is that of 40 orders
+
   # A new owner knows no weights; it must not refuse large accounts for being large.
   Scenario: the owner of a queue dies and the next one knows nothing
     Given a stage of 9 servers with 0.9 of its capacity asked for by 16 accounts
--- a/tests/features/steps/account_shares.py
+++ b/tests/features/steps/account_shares.py
@@ -17,7 +17,7 @@
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.base.route_settings import AccountSettings, PlatformSettings
 from boragestream.daemon.account_parts import make_account_parts, shares_fairly
-from boragestream.document.calls import PieceResult
+from boragestream.document.calls import Piece, PieceResult
 from boragestream.document.routes import PieceLimits, RouteAccount, key_digest
 from boragestream.entry.piece_messages import PiecesAnswer, PiecesOrder
 from boragestream.policy.account_shares import (
@@ -26,9 +26,11 @@
 )
 from boragestream.policy.demand import DemandTable
 from boragestream.policy.max_min import weighted_max_min
+from boragestream.policy.piece_queue import PieceBooking, PieceOrder, QueuedOrder
 from boragestream.policy.queue_shares import QueueShares
 from boragestream.policy.route_table import RouteTable
 from boragestream.policy.servers import Server
+from boragestream.policy.service_queue import ServiceQueue
 from boragestream.policy.service_shares import ServiceShares
 from boragestream.policy.stage_servers import Batch
 from boragestream.policy.thread_shares import ThreadShares
@@ -226,6 +228,67 @@
     assert found[0] > found[-1] + 0.2, found
 
 
+@given('the queue of 1 server with shares, and orders of accounts "{names}" for 20 s')
+def step(context, names):
+    context.shares = QueueShares()
+    context.queue = ServiceQueue(shares=context.shares)
+    context.now = 0.0
+    for number in range(20):
+        for name in names.split():
+            book(context, f"{name}/{number}", name)
+            context.queue.drop(f"{name}/{number}")
+        context.now += 1.0
+    context.calm = context.shares.accounts.demands(context.now)
+
+
+def book(context, order_id, account):
+    """Book an order and return the decision."""
+    booking = PieceBooking(
+        order_id, "service", order_id, order_id, PIECES, 0, account=account
+    )
+    start_by, expires = context.now + 1.5, context.now + 6.0
+    return context.queue.book(
+        booking, start_by, expires, LIMITS, FORWARD_SERVERS, context.now
+    )
+
+
+@when('account "{account}" books {count:d} orders of 4 pieces within a second')
+def step(context, account, count):
+    context.booked = {}
+    for number in range(count):
+        context.now += 1.0 / count
+        order_id = f"{account}/surge-{number}"
+        context.booked[order_id] = book(context, order_id, account)
+
+
+@then("some of its bookings are refused as surplus")
+def step(context):
+    over = [wait for wait in context.booked.values() if isinstance(wait, Surplus)]
+    assert 0 < len(over) < len(context.booked), context.booked
+
+
+@then("the orders of its accepted bookings are accepted")
+def step(context):
+    for order_id, refused in context.booked.items():
+        if refused is not None:
+            continue
+        pieces = tuple(Piece(order_id, 0, n, order_id, ()) for n in range(PIECES))
+        order = PieceOrder(
+            order_id, "service", pieces, 10.0, 0, invested=True, account="a"
+        )
+        queued = QueuedOrder(order, context.now + 1, context.now + 5, list(pieces))
+        wait = context.queue.submit(queued, LIMITS, FORWARD_SERVERS, context.now)
+        assert wait is None, (order_id, wait)
+
+
+@then("its demand is that of {count:d} orders")
+def step(context, count):
+    # Recent demand is an average over two seconds, of which the surge took one.
+    demand = context.shares.accounts.demands(context.now + 0.25)["a"]
+    most = context.calm["a"] + count * PIECES * 0.5
+    assert 0.5 * most <= demand <= most, (demand, most)
+
+
 @given("shares without recorded demand")
 def step(context):
     context.shares = AccountShares()
