--- a/boragestream/policy/service_shares.py
+++ b/boragestream/policy/service_shares.py
@@ -40,8 +40,7 @@
 # Above this multiple of the demand, the capacity counts as sufficient again.
 ENOUGH = 1.5
 # The capacity also counts as sufficient this long after the last refusal by a server.
-# One of 195 entries with a request every two seconds sees a refusal about that often
-# during a shortage.
+# An entry that forwards a request a second sees one about every 20 s in a shortage.
 SHORTAGE_SECONDS = 30.0
 
 
--- a/boragestream/policy/thread_shares.py
+++ b/boragestream/policy/thread_shares.py
@@ -84,8 +84,6 @@
             use.in_hand -= 1
             use.seconds += (seconds - use.seconds) / 8
             self._shares.record(account, seconds, now)
-            if not use.in_hand and account not in self._shares.weights(now):
-                del self._uses[account]
 
     def _surplus(self, account: str, now: float) -> Surplus | None:
         if not account or self._in_hand < SHORTAGE_PART * self._limit:
