Directory lists a stable weighted subset of a region's entries for each caller

With several regions and hundreds of entries, each answer of the directory was a new random sample of 64: callers connected anew all the time, and an entry with a tenth of the capacity got as many connections as the largest.

Where the settings name several regions, an answer is now the first 64 of the caller address's weighted rendezvous ranking. With one region it is the same random sample as before. The application takes the entries and a DirectoryChoice in place of addresses and a random source.

directory_choice.feature shows: the sample without regions is unchanged for the same seed, few entries are all listed, an answer does not change with the order of the entries, one departed entry changes one address, shares follow capacity, and capacities that are no numbers break nothing.

--- a/boragestream/caller/directory.py
+++ b/boragestream/caller/directory.py
@@ -4,19 +4,17 @@
 the entry's threads.
 """
 
-import random
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Protocol
 
 from boragestream.caller.replies import StartResponse, json_reply
+from boragestream.policy.directory_choice import DirectoryChoice
+from boragestream.policy.peers import ListedEntry
 
 __all__ = ["DirectoryApplication", "DirectoryFormat"]
 
-# Callers use at most this many addresses of one answer.
-MAX_ADDRESSES = 64
-
 
 class DirectoryFormat(Protocol):
     """The paths of the directory's endpoints and the format of its answers."""
@@ -41,8 +39,9 @@
     """Answers callers and the platform.
 
     :ivar ready: returns whether this entry serves requests.
-    :ivar addresses: returns the addresses for callers of the entries that serve, given
-        the caller's region; the region is empty if the caller names none.
+    :ivar entries: returns the entries that serve callers of a region; the region is
+        empty if the caller names none.
+    :ivar choice: chooses those that one answer lists.
     :ivar keep_seconds: how long a caller may cache an answer.
     :ivar metrics: returns the metrics as text.
     :ivar metrics_path: the path of the metrics; empty if they are not served.
@@ -50,9 +49,9 @@
 
     format: DirectoryFormat
     ready: Callable[[], bool]
-    addresses: Callable[[str], Sequence[str]]
+    entries: Callable[[str], Sequence[ListedEntry]]
+    choice: DirectoryChoice
     keep_seconds: float
-    rng: random.Random
     metrics: Callable[[], str] = str
     metrics_path: str = ""
 
@@ -66,17 +65,20 @@
             return json_reply(start_response, {"ready": self.ready()}, status)
         if path == self.format.directory_path:
             region = self.format.caller_region(environ.get("QUERY_STRING", ""))
-            return self._directory(region, start_response)
+            caller = environ.get("REMOTE_ADDR", "")
+            return self._directory(region, caller, start_response)
         if self.metrics_path and path == self.metrics_path:
             return _text(start_response, self.metrics())
         return json_reply(start_response, {}, HTTPStatus.NOT_FOUND)
 
-    def _directory(self, region: str, start_response: StartResponse) -> Iterable[bytes]:
-        addresses = list(self.addresses(region))
-        if not addresses:
+    def _directory(
+        self, region: str, caller: str, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        entries = self.entries(region)
+        if not entries:
             unavailable = HTTPStatus.SERVICE_UNAVAILABLE
             return json_reply(start_response, {}, unavailable)
-        chosen = self.rng.sample(addresses, min(len(addresses), MAX_ADDRESSES))
+        chosen = [entry.host for entry in self.choice.choose(entries, caller)]
         body = self.format.directory_body(chosen, self.keep_seconds)
         return json_reply(start_response, body)
 
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -33,6 +33,8 @@
 from boragestream.entry.links import LISTENER_TASKS, PeerListener
 from boragestream.platform.directory import PlatformDirectory
 from boragestream.platform.wire import read_request, refusal_headers
+from boragestream.policy.directory_choice import RandomEntries, RankedEntries
+from boragestream.policy.peers import ListedEntry
 from boragestream.policy.route_table import RouteTable
 
 __all__ = ["RouteEntry"]
@@ -145,7 +147,7 @@
         initialised = parts.routes.current is not None and bool(parts.servers.all)
         return initialised and not self._stop.begun.is_set()
 
-    def _addresses(self, region: str) -> list[str]:
+    def _listed_entries(self, region: str) -> list[ListedEntry]:
         if self._parts.routes.current is None:
             return []
         entries = self._parts.serving_entries()
@@ -154,7 +156,7 @@
         # A route may forbid a request to leave the caller's region. If no entry of that
         # region serves, a remote entry returns a proper refusal; an empty list would
         # leave the caller without an answer.
-        return [entry.host for entry in near or entries]
+        return near or entries
 
     def _finish(self) -> ExitCode:
         emit(Event.ENTRY_LEAVING, in_hand=busy_connections(self._server))
@@ -198,12 +200,13 @@
 
     def _open_directory(self, sockets: ListeningSockets) -> BaseWSGIServer:
         listen = self._settings.listen
+        several = self._parts.region_links.regions.several
         application = DirectoryApplication(
             format=PlatformDirectory(),
             ready=self._ready,
-            addresses=self._addresses,
+            entries=self._listed_entries,
+            choice=RankedEntries() if several else RandomEntries(random.Random()),
             keep_seconds=KEEP_SECONDS,
-            rng=random.Random(),
             metrics=self._parts.metrics.text,
             metrics_path=listen.metrics_path if listen.metrics else "",
         )
