Servers are chosen in the entry's own region unless the other one has to help

Engines and plain services were ranked over all regions, so that half of the calls crossed the link and each region cached the prompts of both.

The region is now chosen before the server, for each attempt: the own one unless it has no usable server or is measured as too late while another region is in time. Optional crossings need RegionLinks.admits, all need reachable. A chain's engine is in the region of its results; a second attempt goes to the other region if the own one has no other server. Bytes of calls, answers and results that cross are counted, and event 3013 leads from a request id to region and reason. Without several regions no code path of the choice changes.

--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -46,6 +46,7 @@
     REQUEST_ENDED = (3001, logging.INFO)
     STAGES_DONE = (3011, logging.INFO)
     SERVER_CHOSEN = (3012, logging.INFO)
+    SERVED_IN_OTHER_REGION = (3013, logging.INFO)
     ATTEMPT_FAILED = (3101, logging.WARNING)
     ANSWER_DISCARDED = (3102, logging.ERROR)
     BATCH_FAILED = (3103, logging.WARNING)
--- a/boragestream/base/route_metrics.py
+++ b/boragestream/base/route_metrics.py
@@ -114,6 +114,12 @@
             ["service", "end"],
             registry=registry,
         )
+        self._crossings = Counter(
+            "boragestream_other_region_attempts",
+            "Attempts at servers of another region, by region and reason.",
+            ["region", "reason"],
+            registry=registry,
+        )
         self._list_age = Histogram(
             "boragestream_server_list_age_seconds",
             "Age of the server list when a server was chosen.",
@@ -145,6 +151,10 @@
         """
         self._list_age.observe(list_age)
 
+    def region_crossed(self, region: str, reason: str) -> None:
+        """Count an attempt at a server of another region."""
+        self._crossings.labels(region, reason).inc()
+
     def attempt_ended(self, service: str, end: str, first: float | None) -> None:
         """Count an attempt.
 
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -60,6 +60,7 @@
 from boragestream.policy.peers import ListedEntry
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.queue_owners import eligible_entries, owner_ranking
+from boragestream.policy.region_choice import RegionChoice
 from boragestream.policy.region_links import RegionLinks
 from boragestream.policy.regions import Regions
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
@@ -349,6 +350,7 @@
             quarantine=quarantine,
             loads=loads,
             choice=ServerChoice(loads, clock, data_centre),
+            regions=RegionChoice(region_links, clock),
             retries=retries,
             stages=StagePieces(
                 orders,
--- a/boragestream/policy/server_choice.py
+++ b/boragestream/policy/server_choice.py
@@ -4,7 +4,8 @@
 their prompts are sent to the same engine, unless it has far more open calls than the
 others. All entries compute the same ranking of engines, so that they agree without
 communication. Plain services have no cache, so that the server with the fewest open
-calls is chosen.
+calls is chosen. Where there are several regions, the servers passed in are of one
+region, which ``policy.region_choice`` has chosen; each region caches its own prompts.
 """
 
 import threading
@@ -23,6 +24,7 @@
 __all__ = [
     "OpenCalls",
     "ServerChoice",
+    "reread_bytes",
     "results_data_centre",
     "shared_part",
     "shared_tokens",
@@ -117,6 +119,12 @@
                 return server
         return min(usable, key=self._work)
 
+    def sound(self, servers: Sequence[Server]) -> list[Server]:
+        """Return the servers that did not fail recently; it may return none."""
+        need = RoutingNeed(without=DISABLED_MECHANISMS)
+        now = self.clock.now()
+        return usable_servers(servers, self.loads, need, now, strict=True)
+
     def _usable(self, servers: Sequence[Server], avoid: frozenset[str]) -> list[Server]:
         need = RoutingNeed(avoid=avoid, without=DISABLED_MECHANISMS)
         return usable_servers(servers, self.loads, need, self.clock.now())
@@ -144,6 +152,11 @@
     return sum(part.tokens for part in prompt[:-1])
 
 
+def reread_bytes(prompt: Sequence[PromptPart]) -> float:
+    """Return how many bytes of transfer reading a shared prompt again is worth."""
+    return shared_tokens(prompt) * BYTES_PER_TOKEN
+
+
 def results_data_centre(results: Sequence[StageResult], shared_tokens: int = 0) -> str:
     """Return the data centre in which a call that reads results should run.
 
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -31,6 +31,7 @@
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.load import CallEnd, LoadTable
 from boragestream.policy.quarantine import Quarantine
+from boragestream.policy.region_choice import RegionChoice
 from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.server_choice import ServerChoice
@@ -61,6 +62,7 @@
     :ivar backoffs: tracks the servers that asked this entry to back off.
     :ivar limited: grants permits to call servers with a request limit.
     :ivar quarantine: tracks the requests that crash servers.
+    :ivar regions: chooses the region of a request's server.
     :ivar engine_delays: estimates the time to the first event of an engine's stream.
     :ivar list_age: returns the seconds since the server list was last confirmed.
     """
@@ -74,6 +76,7 @@
     quarantine: Quarantine
     loads: LoadTable
     choice: ServerChoice
+    regions: RegionChoice
     retries: RetryWindows
     stages: StagePieces
     engine_delays: EngineDelays
@@ -104,6 +107,7 @@
         self._started_at = parts.clock.now()
         self._load_call = parts.loads.begin(server)
         parts.choice.open_calls.begin(server)
+        self._region_call = parts.regions.calls.begin(server)
         self._scope = run.scope.child()
         self._answer: OpenForwardedAnswer | None = None
         self._is_open = True
@@ -157,7 +161,9 @@
                 last_event=last_event,
                 inputs=inputs,
             )
-            return self._parts.encode(request, call, request.host_header) + request.body
+            head = self._parts.encode(request, call, request.host_header)
+            self._region_call.note_sent(len(head) + len(request.body))
+            return head + request.body
 
         fresh = repeat or not run.route.repeatable
         call = OutgoingCall(request.method, request.request_id, encode, fresh)
@@ -172,6 +178,7 @@
                 self._parts.limited.permits.release(self._permit)
             return answer
         self._answer = answer
+        self._region_call.note_received(_head_size(answer.head))
         return answer
 
     def _priority(self) -> int | None:
@@ -179,15 +186,29 @@
         engine = service is not None and service.engine is not None
         return min(self._run.priority, LOWEST_PRIORITY) if engine else None
 
+    def read(self) -> bytes | AttemptFailure:
+        """Read the whole body of the answer; return the failure if there is none."""
+        body = self._answer.read()
+        if isinstance(body, bytes):
+            self._region_call.note_received(len(body))
+        return body
+
     def chunks(self) -> Iterator[bytes | AttemptFailure]:
         """Return the iterator over the answer's chunks; it is created once."""
         if self._chunk_iterator is None:
-            self._chunk_iterator = self._answer.parts()
+            self._chunk_iterator = self._counted_chunks()
         return self._chunk_iterator
 
+    def _counted_chunks(self) -> Iterator[bytes | AttemptFailure]:
+        for chunk in self._answer.parts():
+            if isinstance(chunk, bytes):
+                self._region_call.note_received(len(chunk))
+            yield chunk
+
     def note_first_event(self) -> None:
         """Record the delay of the stream's first event; later calls do nothing."""
         if self._first_seconds is None:
+            self._region_call.note_answer()
             self._first_seconds = self._parts.clock.now() - self._started_at
             kind = self._run.route.name
             self._parts.engine_delays.note(kind, self._first_seconds)
@@ -206,6 +227,11 @@
         self._is_open = False
         parts = self._parts
         parts.choice.open_calls.end(self._server)
+        if end is CallEnd.ANSWERED:
+            self._region_call.note_answer()
+        elif end in (CallEnd.REFUSED, CallEnd.UNREACHED):
+            self._region_call.note_refused()
+        self._region_call.end()
         self._run.scope.close_child(self._scope)
         if self._first_seconds is None or end is not CallEnd.ANSWERED:
             seconds = parts.clock.now() - self._started_at
@@ -225,6 +251,12 @@
         self.end(CallEnd.CANCELLED)
 
 
+def _head_size(head: AnswerHead) -> int:
+    """Return the approximate size of an answer's head in bytes."""
+    # Each line has a separator and an end of two bytes each.
+    return sum(len(name) + len(value) + 4 for name, value in head.headers)
+
+
 def _call_end(failure: AttemptFailure) -> CallEnd:
     if isinstance(
         failure,
--- a/boragestream/serving/forwarded_choice.py
+++ b/boragestream/serving/forwarded_choice.py
@@ -1,5 +1,6 @@
 """Chooses the server of each attempt of a forwarded request.
 
+``policy.region_choice`` chooses the region if there are several, and
 ``policy.server_choice`` ranks the candidates; ``serving.limited_servers`` obtains
 permits for servers with a request limit.
 """
@@ -18,6 +19,7 @@
 from boragestream.document.calls import StageResult
 from boragestream.document.routes import CallKind
 from boragestream.policy.piece_queue import longest_wait
+from boragestream.policy.region_choice import RegionSelection
 from boragestream.policy.server_choice import (
     results_data_centre,
     shared_part,
@@ -27,6 +29,7 @@
 from boragestream.serving.forward_attempt import ForwardParts
 from boragestream.serving.forwarded_run import ForwardedRun
 from boragestream.serving.limited_servers import PermittedServer
+from boragestream.serving.region_options import RegionOptions
 
 __all__ = ["ForwardedChoice"]
 
@@ -38,6 +41,9 @@
         self._parts = parts
         self._run = run
         self._tried: set[str] = set()
+        self._regional = parts.regions.several
+        self._region_options = RegionOptions(parts, run)
+        self._region: RegionSelection | None = None
 
     def refusal(self, has_results: bool) -> Failure | None:
         """Return why the request can't be sent in time; None if it can.
@@ -47,6 +53,8 @@
 
         :param has_results: whether a refusal would discard results of its stages.
         """
+        if not has_results:
+            self._region_options.set_results(())
         servers = self._servers()
         if not servers:
             return self._no_server_failure()
@@ -84,6 +92,7 @@
         :param inputs: the stage results that the call reads.
         :param number: the attempt's number, for the log.
         """
+        self._region_options.set_results(inputs)
         servers = self._servers()
         reason = self._run.scope.reason
         if not servers or reason is not None:
@@ -98,6 +107,8 @@
             chosen.permit, lambda: scope.reason is not None
         ):
             return scope.reason
+        if self._regional:
+            self._region_options.count_results(chosen.server)
         return chosen
 
     def _choose_permitted(
@@ -127,6 +138,9 @@
         self, unlimited: Sequence[Server], inputs: tuple[StageResult, ...]
     ) -> PermittedServer | None:
         avoid = frozenset(self._tried)
+        if self._regional:
+            # Servers that were tried in another region don't count here.
+            avoid &= {server.name for server in unlimited}
         if len(avoid) >= len(unlimited):
             avoid = frozenset()
         server = self._choose_best(unlimited, inputs, avoid)
@@ -165,8 +179,14 @@
         return min(until_deadline, longest_wait(run.priority, left))
 
     def _servers(self) -> Sequence[Server]:
-        """Return the allowed servers that are neither backed off nor cold."""
+        """Return the allowed servers that are neither backed off nor cold.
+
+        If there are several regions, they are the servers of the chosen one.
+        """
         parts = self._parts
+        if self._regional:
+            self._region = self._region_options.select(self._allowed(), self._tried)
+            return self._region.servers if self._region is not None else ()
         return parts.cold.usable(parts.backoffs.usable(self._allowed()))
 
     def _allowed(self) -> Sequence[Server]:
@@ -177,10 +197,15 @@
             return live
         return [server for server in live if server.region in regions]
 
+    def _awaited(self) -> Sequence[Server]:
+        """Return the servers whose state determines when a refused caller returns."""
+        allowed = self._allowed()
+        return self._region_options.nearest(allowed) if self._regional else allowed
+
     def _no_server_failure(self) -> Failure:
         """Return the failure that explains why no server is available."""
         service = self._run.service
-        allowed = self._allowed()
+        allowed = self._awaited()
         left = self._parts.backoffs.seconds_left(allowed)
         if left is not None:
             return ServersBackedOff(service, left)
@@ -207,3 +232,15 @@
             list_age_ms=int(age * 1000),
             left_ms=int((run.scope.deadline - parts.clock.now()) * 1000),
         )
+        region = self._region
+        if region is not None and region.reason is not None:
+            reason = region.reason.value
+            parts.metrics.region_crossed(region.region, reason)
+            emit(
+                Event.SERVED_IN_OTHER_REGION,
+                request=run.request.request_id,
+                region=region.region,
+                reason=reason,
+                service=run.service,
+                attempt=number,
+            )
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -156,7 +156,7 @@
         verified = head.sealed and not head.encoded
         if self._stream and 200 <= head.status < 300 and verified:
             return attempt
-        body = answer.read()
+        body = attempt.read()
         whole = isinstance(body, bytes) and verified
         attempt.end(CallEnd.ANSWERED if whole and successful else CallEnd.CUT)
         if not whole:
@@ -175,7 +175,7 @@
     def _handle_refusal(
         self, attempt: ForwardAttempt, answer: OpenForwardedAnswer
     ) -> None:
-        answer.read()
+        attempt.read()
         self._refusals += 1
         server, head = attempt.server, answer.head
         self._run.note_not_run(server)
--- a/tests/features/steps/leaving_before_the_send.py
+++ b/tests/features/steps/leaving_before_the_send.py
@@ -32,6 +32,9 @@
     Quarantine,
     RequestQuarantined,
 )
+from boragestream.policy.region_choice import RegionChoice
+from boragestream.policy.region_links import RegionLinks
+from boragestream.policy.regions import Regions
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.server_choice import OpenCalls
@@ -154,6 +157,7 @@
         limited=context.limited,
         loads=context.loads,
         choice=SimpleNamespace(open_calls=OpenCalls()),
+        regions=RegionChoice(RegionLinks(Regions("hall"), clock), clock),
         clock=clock,
         metrics=RouteMetrics(),
     )
