Choice of regions: cold servers, waits for permits, checks only where needed

A cold server of the own region was used although the other region had a warm one; a request whose urgency allows no wait for a permit was refused although the other region has servers without a limit; an own region that backs off sent its requests to a region measured as too late; and the servers of all regions were checked for each attempt.

Cold servers are now a reserve, waits beyond the allowed one count as too late, optional crossings need a region that is not measured as too late, and other regions are described only if the own one is not enough.

--- a/boragestream/policy/region_choice.py
+++ b/boragestream/policy/region_choice.py
@@ -13,7 +13,7 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -56,6 +56,7 @@
     :ivar begin_by: when its answer should begin, in the clock's seconds.
     :ivar crossing_bytes: the bytes that would cross between regions, with the bytes
         that reading its shared prompt again is worth.
+    :ivar longest_wait: how many seconds it may wait for a permit.
     :ivar slots: the number of calls that one server of the service runs at a time.
     :ivar own_allowed: whether its home regions include the own one.
     :ivar staged: whether it has stages. Its engine is in the region of their results.
@@ -66,6 +67,7 @@
     service: str
     begin_by: float
     crossing_bytes: float = 0.0
+    longest_wait: float = math.inf
     slots: int = 1
     own_allowed: bool = True
     staged: bool = False
@@ -77,9 +79,11 @@
 class RegionOption:
     """The servers of one region that may serve a request.
 
-    :ivar usable: the live servers that are neither backed off nor cold.
+    :ivar usable: the live servers that are neither backed off nor cold; if all regions
+        have only cold ones, those that may be sent to now.
     :ivar sound: those of them that did not fail recently.
     :ivar untried: those of them that the request has not tried.
+    :ivar reserve: the cold servers that may be sent to now, if there is no usable one.
     :ivar open_calls: the number of this entry's open calls at the sound servers.
     :ivar wait_seconds: the wait for a permit if all usable servers have a limit.
     """
@@ -88,6 +92,7 @@
     usable: Sequence[Server]
     sound: Sequence[Server]
     untried: Sequence[Server]
+    reserve: Sequence[Server] = ()
     open_calls: int = 0
     wait_seconds: float = 0.0
 
@@ -96,7 +101,7 @@
 class RegionSelection:
     """The chosen region.
 
-    :ivar servers: its usable servers.
+    :ivar servers: its usable servers, or else its reserve.
     :ivar reason: why it is not the own region; None if it is.
     """
 
@@ -137,42 +142,51 @@
         return region == self.own or self._links.reachable(region)
 
     def select(
-        self, need: RegionNeed, options: Sequence[RegionOption]
+        self,
+        need: RegionNeed,
+        regions: Collection[str],
+        option: Callable[[str], RegionOption],
     ) -> RegionSelection | None:
         """Return the region whose servers serve the request; None if there is none.
 
-        :param options: the regions that have live servers for the request.
+        :param regions: the regions that have live servers for the request.
+        :param option: returns the servers of a region. It is called for other regions
+            only if the own one is not enough, since it checks each server.
         """
-        options = [o for o in options if self.reachable(o.region)]
         base_region = need.results_region or self.own
-        base = next((o for o in options if o.region == base_region), None)
-        others = [o for o in options if o is not base]
+        usable = [r for r in regions if self.reachable(r)]
+        base = option(base_region) if base_region in usable else None
+        others = [r for r in usable if r != base_region]
         if base is not None and base.untried:
-            faster = None if need.staged else self._faster(need, base, others)
+            faster = None
+            if not need.staged:
+                faster = self._faster(need, base, map(option, others))
             return faster or self._selection(base, CrossingReason.RESULTS)
         reason, optional = _reason_to_leave(need, base)
-        candidates = [o for o in others if o.untried and self._may_use(o, optional)]
-        if candidates:
-            return self._selection(min(candidates, key=self._distance), reason)
+        options = [option(r) for r in others if self._may_use(r, optional)]
+        if optional:
+            options = [o for o in options if self._is_in_time(need, o)]
+        options.sort(key=self._distance)
+        untried = next((o for o in options if o.untried), None)
+        if untried is not None:
+            return self._selection(untried, reason)
         # Every server that did not fail was tried. As with a single region, failures
         # and earlier attempts then don't exclude a server.
-        if base is not None and base.usable:
+        if base is not None and (base.usable or base.reserve):
             return self._selection(base, CrossingReason.RESULTS)
-        candidates = [o for o in others if o.usable and self._may_use(o, optional)]
-        if candidates:
-            return self._selection(min(candidates, key=self._distance), reason)
-        return None
+        tried = next((o for o in options if o.usable or o.reserve), None)
+        return self._selection(tried, reason) if tried is not None else None
 
     def _selection(
         self, option: RegionOption, reason: CrossingReason
     ) -> RegionSelection:
         """Return an option as the selection; a reason applies to other regions only."""
         crossing = reason if option.region != self.own else None
-        return RegionSelection(option.region, option.usable, crossing)
+        servers = option.usable or option.reserve
+        return RegionSelection(option.region, servers, crossing)
 
-    def _may_use(self, option: RegionOption, optional: bool) -> bool:
-        own = option.region == self.own
-        return own or not optional or self._links.admits(option.region)
+    def _may_use(self, region: str, optional: bool) -> bool:
+        return region == self.own or not optional or self._links.admits(region)
 
     def _distance(self, option: RegionOption) -> tuple[float, str]:
         """Return a key by which the own region sorts first and the nearest second."""
@@ -181,7 +195,7 @@
         return self._links.round_trip_seconds(option.region), option.region
 
     def _faster(
-        self, need: RegionNeed, base: RegionOption, others: Sequence[RegionOption]
+        self, need: RegionNeed, base: RegionOption, others: Iterable[RegionOption]
     ) -> RegionSelection | None:
         """Return another region that is in time while the own one is not."""
         left = need.begin_by - self._clock.now()
@@ -192,7 +206,7 @@
         best: tuple[float, RegionOption] | None = None
         unmeasured: list[RegionOption] = []
         for option in others:
-            if not option.untried or not self._may_use(option, optional=True):
+            if not option.untried or not self._may_use(option.region, optional=True):
                 continue
             estimate = self._calls.estimate(need.service, option.region)
             if not estimate.known:
@@ -211,6 +225,12 @@
                 return self._selection(option, CrossingReason.TRIAL)
         return None
 
+    def _is_in_time(self, need: RegionNeed, option: RegionOption) -> bool:
+        """Return whether nothing measured says that a region begins too late."""
+        estimate = self._calls.estimate(need.service, option.region)
+        left = need.begin_by - self._clock.now()
+        return self._expected_seconds(need, option, estimate) <= left
+
     def _expected_seconds(
         self, need: RegionNeed, option: RegionOption, estimate: RegionEstimate
     ) -> float:
@@ -219,6 +239,8 @@
         An unknown time to the first answer counts as none, so that an unmeasured own
         region is used.
         """
+        if option.wait_seconds > need.longest_wait:
+            return math.inf
         if estimate.refused_share >= MAX_REFUSED_SHARE:
             return math.inf
         # Each accepted call takes this many attempts on average.
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -196,7 +196,9 @@
     def chunks(self) -> Iterator[bytes | AttemptFailure]:
         """Return the iterator over the answer's chunks; it is created once."""
         if self._chunk_iterator is None:
-            self._chunk_iterator = self._counted_chunks()
+            region = self._region_call.region
+            parts = self._counted_chunks() if region else self._answer.parts()
+            self._chunk_iterator = parts
         return self._chunk_iterator
 
     def _counted_chunks(self) -> Iterator[bytes | AttemptFailure]:
--- a/boragestream/serving/forwarded_choice.py
+++ b/boragestream/serving/forwarded_choice.py
@@ -185,7 +185,9 @@
         """
         parts = self._parts
         if self._regional:
-            self._region = self._region_options.select(self._allowed(), self._tried)
+            self._region = self._region_options.select(
+                self._allowed(), self._tried, self._longest_wait(has_results=False)
+            )
             return self._region.servers if self._region is not None else ()
         return parts.cold.usable(parts.backoffs.usable(self._allowed()))
 
--- a/boragestream/serving/region_options.py
+++ b/boragestream/serving/region_options.py
@@ -35,18 +35,28 @@
         self._results = results
 
     def select(
-        self, allowed: Sequence[Server], tried: Collection[str]
+        self, allowed: Sequence[Server], tried: Collection[str], longest_wait: float
     ) -> RegionSelection | None:
         """Return the region of the next attempt.
 
         :param allowed: the live servers in the home regions of the request.
         :param tried: the names of the servers that the request has tried.
+        :param longest_wait: how many seconds it may wait for a permit.
         """
-        options = [
-            self._option(region, servers, tried)
-            for region, servers in self._by_region(allowed).items()
-        ]
-        return self._parts.regions.select(self._need(), options)
+        parts = self._parts
+        ready = parts.backoffs.usable(allowed)
+        ready_by_region = self._by_region(ready)
+        # Cold servers are used only if no region has a warm one.
+        usable_by_region = self._by_region(parts.cold.usable(ready))
+
+        def option(region: str) -> RegionOption:
+            usable = usable_by_region.get(region, ())
+            ready = ready_by_region.get(region, ())
+            reserve = () if usable else parts.cold.usable(ready)
+            return self._option(region, usable, reserve, tried)
+
+        need = self._need(longest_wait)
+        return parts.regions.select(need, self._by_region(allowed), option)
 
     def nearest(self, allowed: Sequence[Server]) -> Sequence[Server]:
         """Return the servers of the own region, or of reachable ones if it has none."""
@@ -78,10 +88,13 @@
         return by_region
 
     def _option(
-        self, region: str, servers: Sequence[Server], tried: Collection[str]
+        self,
+        region: str,
+        usable: Sequence[Server],
+        reserve: Sequence[Server],
+        tried: Collection[str],
     ) -> RegionOption:
         parts = self._parts
-        usable = parts.cold.usable(parts.backoffs.usable(servers))
         sound = parts.choice.sound(usable)
         unlimited, with_limit = parts.limited.limits.split(usable)
         wait = 0.0
@@ -92,11 +105,12 @@
             usable=usable,
             sound=sound,
             untried=[server for server in sound if server.name not in tried],
+            reserve=reserve,
             open_calls=sum(parts.choice.open_calls.count(s) for s in sound),
             wait_seconds=wait,
         )
 
-    def _need(self) -> RegionNeed:
+    def _need(self, longest_wait: float) -> RegionNeed:
         run, regions = self._run, self._parts.regions
         service = run.table.services.get(run.service)
         engine = service.engine if service is not None else None
@@ -114,6 +128,7 @@
             service=run.service,
             begin_by=run.scope.deadline if late else run.objective_at,
             crossing_bytes=crossing_bytes,
+            longest_wait=longest_wait,
             slots=max(1, slots),
             own_allowed=run.regions is None or regions.own in run.regions,
             staged=bool(run.route.stages) and any(request.pieces),
--- a/tests/features/drained_entries.feature
+++ b/tests/features/drained_entries.feature
@@ -87,3 +87,22 @@
       | valley  | entry-0, entry-2          |
       | hills   | entry-1                   |
       | nowhere | entry-0, entry-1, entry-2 |
+
+  Scenario Outline: an entry sends requests to the servers of its region
+    Guards against calls that cross between regions without need, and against an entry
+    that is started without its choice of regions.
+
+    Given no server is cold any more
+    Then 24 requests "<path>" at "<entry>" reach no server in "<other>"
+
+    Examples:
+      | path     | entry   | other  |
+      | /safe/ok | entry-0 | hall-b |
+      | /safe/ok | entry-1 | hall-a |
+      | /chat/ok | entry-0 | hall-b |
+      | /chat/ok | entry-1 | hall-a |
+
+  Scenario: callers are named the same addresses in the same order each time
+    Guards against an entry with regions that answers with a new sample each time.
+
+    Then 20 answers to callers in "nowhere" are the same at each entry
--- a/tests/features/steps/drained_entries.py
+++ b/tests/features/steps/drained_entries.py
@@ -259,3 +259,19 @@
             lambda e=entry: set(context.site.directory(e, region)) == expected,
             what=f"{entry} names {named}",
         )
+
+
+@then('{count:d} requests "{path}" at "{entry}" reach no server in "{zone}"')
+def step(context, count, path, entry, zone):
+    before = calls_in(context, zone)
+    for _ in range(count):
+        answer = ask(context, path, entry)
+        assert answer.status == 200 and answer.whole, answer.status
+    assert calls_in(context, zone) == before
+
+
+@then('{count:d} answers to callers in "{region}" are the same at each entry')
+def step(context, count, region):
+    for entry in context.site.entries:
+        answers = {tuple(context.site.directory(entry, region)) for _ in range(count)}
+        assert len(answers) == 1, answers
