Tests of the choice of regions: cases that no scenario told apart

Removing single lines in a scratch copy showed rules that no scenario guarded: the addition of the wait for a permit, the round trip within measured times, the counts of streams, recorded refusals, and the single region's rule on servers that have left. Each has a scenario now, and each of these removals fails one. The stand-in's permits begin at once, since its clock stands still and a wrong choice would wait forever.

--- a/tests/features/region_choice.feature
+++ b/tests/features/region_choice.feature
@@ -15,6 +15,12 @@
       | 6    | 5   | one region |
       | 1    | 1   | one region |
 
+  Scenario: with one region attempts at servers that left count as they did
+    Guards against another second choice where a tried server has left meanwhile.
+
+    Given an entry before 2 and 1 servers in data centres of "one region"
+    Then after two attempts and the leave of the first server, choices are as before
+
   Scenario Outline: the own region serves, and caches its own prompts
     Guards against requests that cross the link without need.
 
@@ -99,6 +105,23 @@
       | 2.0  | 1.5 | served near             |
       | 2.0  | 2.5 | served near             |
 
+  Scenario: the wait for a permit adds to the time of an answer
+    Guards against a permit that begins in time for an answer that does not.
+
+    Given an entry before 2 engines in its region and 2 in the other
+    When answers take 0.9 s here and 0.3 s there
+    And the servers of its region take 2 requests a second and had their burst
+    Then the request is "served far, not-in-time"
+
+  Scenario: the way to the other region counts once
+    Guards against a region that seems slower than it is because its times are measured
+    from here.
+
+    Given an entry before 3 engines in its region and 3 in the other
+    When the round trip takes 0.08 s
+    And answers take 2.0 s here and 0.9 s there
+    Then the request is "served far, not-in-time"
+
   Scenario: an overloaded region gets nothing that the own one could serve later
     Guards against requests that leave a region whose servers are backed off for one that
     is just as full.
@@ -112,7 +135,7 @@
     Guards against a refusal for a permit that is in time but too long a wait.
 
     Given an entry before 2 engines in its region and 2 in the other
-    When the servers of its region take 1.2 requests a second and had one
+    When the servers of its region take 5 requests a second and had their burst
     Then a request that waits for no permit is "served far, not-in-time"
 
   Scenario: the link's window also holds back what would be faster elsewhere
@@ -174,7 +197,7 @@
     Guards against refusals for a permit while the other region has servers without limit.
 
     Given an entry before 2 engines in its region and 2 in the other
-    When the servers of its region take 0.01 requests a second and had one
+    When the servers of its region take 0.01 requests a second and had their burst
     Then the request is "served far, not-in-time"
     When the link admits no optional traffic
     Then the request is "refused, servers-limited"
@@ -262,8 +285,15 @@
     When calls of 700 bytes with answers of 9000 bytes go to both regions
     Then 700 bytes of calls and 9000 of answers were counted for the other region alone
 
-  Scenario: a forwarded request counts its bytes on the wire
+  Scenario Outline: a forwarded request counts its bytes on the wire
     Guards against an attempt that doesn't report what it sent or received.
 
     Given an entry before a real server of the other region
-    Then an answer of 5000 bytes counts at least these, and the call its bytes
+    When an answer of 5000 bytes is read <how>
+    Then the bytes of call and answer were counted, and <measured>
+
+    Examples:
+      | how        | measured       |
+      | whole      | its time       |
+      | as events  | its time       |
+      | as refusal | the refusal    |
--- a/tests/features/steps/region_choice.py
+++ b/tests/features/steps/region_choice.py
@@ -115,7 +115,27 @@
         call = entry.parts.regions.calls.begin(chosen)
         call.note_sent(100)
         call.note_refused()
+        assert not call.region
     assert not entry.links.counted
+    assert not entry.parts.regions.calls.estimate(SERVICE, "one").known
+
+
+@then("after two attempts and the leave of the first server, choices are as before")
+def step(context):
+    entry = context.entry
+    before = ServerChoice(entry.loads, entry.clock, "hall-a")
+    again = 0
+    for number in range(40):
+        entry.table.take_list(entry.servers)
+        choice, run = entry.choice(part=f"part-{number}")
+        tried = [attempt(context, choice, run) for _ in range(2)]
+        left = [server for server in entry.servers if server != tried[0]]
+        entry.table.take_list(left)
+        # As many servers were tried as are left, so that no server is avoided.
+        expected = before.engine(left, shared_part(run.request.prompt))
+        assert attempt(context, choice, run) == expected
+        again += expected == tried[1]
+    assert again, "no case tells the rules apart"
 
 
 @given("an entry before {near:d} {kind} in its region and {far:d} in the other")
@@ -290,7 +310,7 @@
         context.entry.refused(servers[number % len(servers)])
 
 
-@when("the servers of its region take {limit:g} requests a second and had one")
+@when("the servers of its region take {limit:g} requests a second and had their burst")
 def step(context, limit):
     entry = context.entry
     for server in entry.of("near"):
@@ -445,8 +465,8 @@
     begin(context, 1, 1)
 
 
-@then("an answer of {size:d} bytes counts at least these, and the call its bytes")
-def step(context, size):
+@when("an answer of {size:d} bytes is read {how}")
+def step(context, size, how):
     entry = context.entry
     clock = SystemClock()
     server = Server("far-1", SERVICE, context.host, "hall-c", "1", region="far")
@@ -466,9 +486,24 @@
     sent = ForwardAttempt(ForwardParts(**fields), run, guard, PermittedServer(server))
     opened = sent.open((), None, False)
     assert not isinstance(opened, Failure), opened
-    assert sent.read() == context.body
-    sent.end(CallEnd.ANSWERED)
-    counted = entry.links.counted
-    assert counted["far", "call"] == len(head) + 3, counted
-    assert counted["far", "answer"] >= size, counted
-    assert entry.parts.regions.calls.estimate(SERVICE, "far").known
+    if how == "as events":
+        assert b"".join(sent.chunks()) == context.body
+        sent.note_first_event()
+        # A caller that leaves after the first event does not undo the measurement.
+        sent.end(CallEnd.CANCELLED)
+    else:
+        assert sent.read() == context.body
+        sent.end(CallEnd.ANSWERED if how == "whole" else CallEnd.REFUSED)
+    context.sent_bytes, context.received_bytes = len(head) + 3, size
+
+
+@then("the bytes of call and answer were counted, and {measured}")
+def step(context, measured):
+    counted = context.entry.links.counted
+    assert counted["far", "call"] == context.sent_bytes, counted
+    assert counted["far", "answer"] >= context.received_bytes, counted
+    estimate = context.entry.parts.regions.calls.estimate(SERVICE, "far")
+    if measured == "its time":
+        assert estimate.first_seconds is not None and not estimate.refused_share
+    else:
+        assert estimate.first_seconds is None and estimate.refused_share
--- a/tests/standins/regions.py
+++ b/tests/standins/regions.py
@@ -89,6 +89,8 @@
         )
         self.metrics = RouteMetrics()
         self.limited = lone_limits(clock)
+        # The clock stands still, so that a wait for a permit would not end.
+        self.limited.wait = lambda permit, cancelled: True
         limits = EngineLimits(SLOTS, 1e6) if engine else None
         self.service = RouteService(SERVICE, SLOTS, engine=limits)
         self.parts = ForwardParts(
