--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -46,6 +46,7 @@
     REQUEST_ENDED = (3001, logging.INFO)
     STAGES_DONE = (3011, logging.INFO)
     SERVER_CHOSEN = (3012, logging.INFO)
+    SERVED_IN_OTHER_REGION = (3013, logging.INFO)
     CHAIN_BORROWED = (3021, logging.INFO)
     CHAIN_NOT_BORROWED = (3022, logging.INFO)
     ATTEMPT_FAILED = (3101, logging.WARNING)
