Measure links between regions, and keep control traffic within regions

Entries chose peers, watchers, granting entries and senders over all data centres, so that control messages grew with the number of entries on the link between regions, and a slow or cut link looked like failed entries.

Where the settings name several regions: peers are chosen within the region and a few exchanges a second cross; a peer of another region is suspected only through an entry of that region, and all of a region's entries count as suspects while none answers; watchers and the confirming entry are selected by region; permits and senders are ranked among the entries of a server's region. RegionLinks records round trips, missing answers, bytes and the window.

--- a/boragestream/base/route_metrics.py
+++ b/boragestream/base/route_metrics.py
@@ -6,7 +6,8 @@
 """
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from dataclasses import dataclass
 
 from prometheus_client import (
     CollectorRegistry,
@@ -15,8 +16,9 @@
     Histogram,
     generate_latest,
 )
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
-__all__ = ["RouteMetrics"]
+__all__ = ["RegionFigures", "RouteMetrics"]
 
 # 730 client accounts and 8 pipelines of up to two dozen routes are the planned size.
 MOST_ACCOUNTS = 800
@@ -47,6 +49,56 @@
         return value
 
 
+@dataclass(frozen=True, slots=True)
+class RegionFigures:
+    """The figures of the link to one other region.
+
+    :ivar round_trip_seconds: the recent round trip; 0 if unknown.
+    :ivar window: the optional bytes a second that may be exchanged with the region.
+    :ivar bytes_by_kind: the bytes that this entry exchanged with the region.
+    """
+
+    region: str
+    round_trip_seconds: float
+    window: float
+    bytes_by_kind: dict[str, int]
+
+
+class _RegionCollector:
+    """Reads the figures of the links with each scrape."""
+
+    def __init__(self, read: Callable[[], Sequence[RegionFigures]]) -> None:
+        self._read = read
+
+    def collect(self) -> Iterator[Metric]:
+        """Return the metrics of all links."""
+        sizes = CounterMetricFamily(
+            "boragestream_region_bytes",
+            "Bytes exchanged with another region, by what they are for.",
+            labels=["region", "kind"],
+        )
+        delays = GaugeMetricFamily(
+            "boragestream_region_round_trip_seconds",
+            "Recent round trip to another region; 0 if unknown.",
+            labels=["region"],
+        )
+        windows = GaugeMetricFamily(
+            "boragestream_region_window",
+            "Optional bytes a second that may be exchanged with another region.",
+            labels=["region"],
+        )
+        for figures in self._read():
+            delays.add_metric([figures.region], figures.round_trip_seconds)
+            windows.add_metric([figures.region], figures.window)
+            for kind, size in figures.bytes_by_kind.items():
+                sizes.add_metric([figures.region, kind], size)
+        yield from (sizes, delays, windows)
+
+    def describe(self) -> Iterable[Metric]:
+        """Return nothing, so that registering reads no figures."""
+        return ()
+
+
 class RouteMetrics:
     """The metrics of one entry."""
 
@@ -126,6 +178,10 @@
         gauge = Gauge(f"boragestream_{name}", meaning, registry=self._registry)
         gauge.set_function(read)
 
+    def region_figures(self, read: Callable[[], Sequence[RegionFigures]]) -> None:
+        """Add the figures of the links to other regions, read with each scrape."""
+        self._registry.register(_RegionCollector(read))
+
     def request_ended(
         self, account: str, route: str, outcome: str, reason: str, seconds: float
     ) -> None:
--- a/boragestream/daemon/limits.py
+++ b/boragestream/daemon/limits.py
@@ -10,8 +10,10 @@
 from boragestream.entry.peers import EntryPeers
 from boragestream.entry.permit_messages import LimitsAsk, PermitAsk, PermitReturn
 from boragestream.entry.server_permits import ServerPermits
-from boragestream.policy.granters import Granters
+from boragestream.policy.granters import Granters, RegionGranters
 from boragestream.policy.membership import MemberState
+from boragestream.policy.queue_owners import eligible_entries
+from boragestream.policy.region_entries import RegionEntries
 from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.servers import Server
 from boragestream.serving.limited_servers import LimitedServers
@@ -43,6 +45,7 @@
     clock: Clock,
     rng: random.Random,
     permit_ended: Callable[[str, bool], None] = lambda service, granted: None,
+    region_entries: RegionEntries | None = None,
 ) -> SharedLimits:
     """Connect this entry to its peers to enforce server limits jointly.
 
@@ -53,15 +56,31 @@
         entries.
     :param permit_ended: called for each requested permit with the service and
         whether the permit was granted.
+    :param region_entries: selects the entries that are ranked for a server of a region;
+        None if all live entries are ranked for each server.
     """
     exchange = members.exchange
     limits = ServerLimits(clock, exchange.request_round)
 
-    def membership_uncertain() -> bool:
-        suspects = members.entries.in_states((MemberState.SUSPECT,))
-        return bool(suspects) or not membership_agreed()
+    def region_of(server: Server) -> str:
+        return region_entries.region_of(server) if region_entries is not None else ""
 
-    granters = Granters(live, ranking_key, clock, membership_uncertain)
+    def make_granters(region: str) -> Granters:
+        def ranked() -> Sequence[str]:
+            entries = region_entries.in_charge(region) if region else []
+            return eligible_entries(entries) or live()
+
+        def membership_uncertain() -> bool:
+            suspects = members.entries.in_states((MemberState.SUSPECT,))
+            if region:
+                # Entries of other regions are not ranked, so that a different view of
+                # them changes nothing.
+                suspects = region_entries.of_region(region, suspects)
+            return bool(suspects) or not membership_agreed()
+
+        return Granters(ranked, ranking_key, clock, membership_uncertain)
+
+    granters = RegionGranters(region_of, make_granters)
     part = LimitsPart(limits, links, members.address, exchange.submit, granters.refresh)
     exchange.add_part(part)
     permits = ServerPermits(
--- a/boragestream/daemon/publications.py
+++ b/boragestream/daemon/publications.py
@@ -31,12 +31,10 @@
 from boragestream.policy.first_knowledge import StartupReadiness
 from boragestream.policy.operator_table import OperatorTable
 from boragestream.policy.published_table import PublishedTable
+from boragestream.policy.region_watching import confirms_watches, watches_store
+from boragestream.policy.regions import Regions
 from boragestream.policy.route_table import RoutesInForce
-from boragestream.policy.watching import (
-    StoreCallSchedule,
-    is_first_watcher,
-    is_watcher,
-)
+from boragestream.policy.watching import StoreCallSchedule
 
 __all__ = ["AWAITED_KEYS", "Publications", "make_publications"]
 
@@ -99,16 +97,20 @@
     stopping: threading.Event,
     clock: Clock,
     rng: random.Random,
+    regions: Regions | None = None,
 ) -> Publications:
     """Build the objects that follow the store, without starting any.
 
     :param own: this entry's name among the entries.
     :param stopping: set once the entry ends.
+    :param regions: if there are several, the watchers are selected by region.
     """
+    if regions is None:
+        regions = Regions(data_centre)
     prefix = CONFIGURATION_KEY if settings.draining_ms is None else OPERATOR_PREFIX
 
     def is_designated() -> bool:
-        return is_watcher(own, data_centre, members.entries.usable())
+        return watches_store(own, regions, members.entries.usable())
 
     following = StoreCallSchedule(
         clock,
@@ -120,7 +122,7 @@
     )
 
     def is_first() -> bool:
-        return is_first_watcher(own, members.entries.usable())
+        return confirms_watches(own, regions, members.entries.usable())
 
     prefixes = (prefix, SERVERS_PREFIX)
     confirming = ConfirmationSchedule(
--- /dev/null
+++ b/boragestream/daemon/regional.py
@@ -0,0 +1,54 @@
+"""Builds the objects of an entry that concern the other regions."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from boragestream.base.clock import Clock
+from boragestream.base.route_metrics import RouteMetrics
+from boragestream.base.route_settings import RouteSettings
+from boragestream.entry.link_meter import RegionMeter
+from boragestream.entry.links import PeerMeter
+from boragestream.entry.peers import EntryPeers
+from boragestream.entry.region_part import log_link_change
+from boragestream.policy.region_entries import RegionEntries
+from boragestream.policy.region_links import RegionLinks
+from boragestream.policy.regions import Regions
+
+__all__ = ["Regional", "make_regional"]
+
+
+@dataclass(frozen=True, slots=True)
+class Regional:
+    """The objects of one entry that concern the other regions.
+
+    :ivar meter: measures the requests to other entries; None if there is one region.
+    :ivar entries: selects the entries that are ranked for a server.
+    """
+
+    regions: Regions
+    links: RegionLinks
+    meter: PeerMeter | None
+    entries: RegionEntries
+
+
+def make_regional(
+    settings: RouteSettings,
+    members: Callable[[], EntryPeers],
+    staged: Callable[[str], bool],
+    clock: Clock,
+    rng: random.Random,
+    metrics: RouteMetrics,
+) -> Regional:
+    """Build the objects without starting any.
+
+    :param members: returns the state of the other entries, which is built later.
+    :param staged: returns whether a service is a stage service.
+    """
+    regions = Regions(settings.entry.data_centre, settings.regions)
+    links = RegionLinks(regions, clock, rng, log_link_change)
+    meter = RegionMeter(links, lambda address: members().region_at(address))
+    entries = RegionEntries(links, lambda: members().entries.recorded_live(), staged)
+    if regions.several:
+        metrics.region_figures(links.figures)
+    return Regional(regions, links, meter if regions.several else None, entries)
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -25,10 +25,11 @@
     make_publications,
 )
 from boragestream.daemon.published_servers import PublishedServers
+from boragestream.daemon.regional import make_regional
 from boragestream.daemon.response_hints import response_hints
+from boragestream.daemon.service_definitions import ServiceDefinitions
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.tasks import to_leaving_server
-from boragestream.document.routes import PieceLimits, RouteService
 from boragestream.entry.address_sync import AddressSync
 from boragestream.entry.addresses import AddressBook
 from boragestream.entry.knowledge_messages import (
@@ -51,7 +52,6 @@
 from boragestream.platform.pieces import PieceCallFormat
 from boragestream.platform.wire import encode_call, read_answer_head
 from boragestream.policy.cold_servers import ColdBound, ColdServers, senders
-from boragestream.policy.connection_shares import idle_connections
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.first_knowledge import StartupReadiness
 from boragestream.policy.late_service import refuse_late, serve_until_deadline
@@ -61,7 +61,6 @@
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.queue_owners import eligible_entries, owner_ranking
 from boragestream.policy.region_links import RegionLinks
-from boragestream.policy.regions import Regions
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.route_table import RoutesInForce
 from boragestream.policy.server_backoffs import ServerBackoffs
@@ -165,30 +164,34 @@
     own = settings.listen.peer_name
     incarnation = new_incarnation()
     sender = Sender(DEPLOYMENT, own, incarnation, settings.peers.key.encode())
-    links = PeerLinks(sender)
     routes = RoutesInForce()
+    services = ServiceDefinitions(routes, lambda: len(book.entries))
+    service_definition, piece_limits = services.definition, services.piece_limits
     loads = LoadTable(clock, rng)
     watchdog = Watchdog(clock)
     metrics = RouteMetrics()
+    regional = make_regional(
+        settings, lambda: members, services.is_staged, clock, rng, metrics
+    )
+    links = PeerLinks(sender, meter=regional.meter)
 
     # These functions refer to objects that are built below, and nothing calls them
     # before all objects are built.
     def announce_leaving(server: Server) -> None:
         members.announce_leaving_server(to_leaving_server(server))
 
-    def note_server_leaving(server: LeavingServer) -> None:
+    def note_leaving(server: LeavingServer) -> None:
         servers.note_leaving_identity((server.name, server.host, server.incarnation))
 
     drains_centres = settings.store.draining_ms is not None
     servers = ServerTable(announce_leaving, awaits_orders=drains_centres)
     data_centre = settings.entry.data_centre
-    regions = Regions(data_centre, settings.regions)
-    region_links = RegionLinks(regions, clock)
+    regions, region_links = regional.regions, regional.links
     until_deadline = settings.late.until_deadline
     if until_deadline is None:
         until_deadline = regions.several
     members = EntryPeers(
-        own, incarnation, data_centre, links, note_server_leaving, clock, rng
+        own, incarnation, data_centre, links, note_leaving, clock, rng, region_links
     )
     capacity = settings.resources.capacity
     callers = settings.listen.callers
@@ -204,7 +207,9 @@
     members.exchange.add_part(relay)
     quarantine, quarantine_part = make_quarantine(own, members, links, clock)
     members.exchange.add_part(book)
-    sync = AddressSync(book, links, members.exchange.submit, clock, rng)
+    sync = AddressSync(
+        book, links, members.exchange.submit, clock, rng, members.of_own_region
+    )
     members.exchange.add_part(sync)
     routes.add_listener(lambda table: members.exchange.request_round())
 
@@ -222,21 +227,8 @@
     connections = ConnectionKeeper(CONNECT_SECONDS)
     servers.on_unused(connections.forget)
 
-    def service_definition(service: str) -> RouteService | None:
-        table = routes.current
-        return table.services.get(service) if table is not None else None
-
-    def max_idle(service: str) -> int:
-        definition = service_definition(service)
-        count = len(book.entries)
-        return idle_connections(definition.max_connections, count) if definition else 0
-
     backoffs = ServerBackoffs(clock)
 
-    def piece_limits(service: str) -> PieceLimits | None:
-        definition = service_definition(service)
-        return definition.pieces if definition is not None else None
-
     def granted_by(server: Server) -> str:
         # Only the owner of a stage's queue calls its servers.
         staged = piece_limits(server.service) is not None
@@ -252,10 +244,11 @@
         clock,
         rng,
         metrics.permit_ended,
+        regional.entries,
     )
     apply_response_hints = response_hints(servers, backoffs, limits.limits)
     line = CallLine(
-        read_answer_head, connections, clock, max_idle, apply_response_hints
+        read_answer_head, connections, clock, services.max_idle, apply_response_hints
     )
 
     def cold_bound(service: str) -> ColdBound | None:
@@ -270,7 +263,7 @@
             # Only the owner of a stage's queue calls its servers.
             return owner_ranking(server.service, eligible())
         usable = {entry.name for entry in members.entries.usable() if entry.host}
-        return senders(server, usable | {own})
+        return senders(server, regional.entries.ranked(server, [*usable | {own}]))
 
     cold = ColdServers(own, cold_bound, cold_senders, lambda: sync.has_converged, clock)
 
@@ -336,6 +329,7 @@
         ended,
         clock,
         rng,
+        regions,
     )
     members.exchange.add_part(publications.relay)
     forwarder = Forwarder(
--- a/boragestream/entry/address_sync.py
+++ b/boragestream/entry/address_sync.py
@@ -15,7 +15,7 @@
 
 import random
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import msgspec
@@ -50,6 +50,8 @@
     :param links: carries the requests.
     :param submit: runs a request in the background, independently of the rounds.
     :param rng: chooses the peer to contact.
+    :param preferred: returns the addresses that are requested without a difference, so
+        that a start of many entries requests books within each region.
     """
 
     name = "b"
@@ -61,7 +63,11 @@
         submit: Callable[[Callable[[], None]], None],
         clock: Clock,
         rng: random.Random,
+        preferred: Callable[[Sequence[str]], Sequence[str]] = lambda addresses: (
+            addresses
+        ),
     ) -> None:
+        self._preferred = preferred
         self._book = book
         self._links = links
         self._submit = submit
@@ -100,7 +106,8 @@
             return
         other_addresses = self._book.other_addresses()
         if other_addresses:
-            self._start_request(self._rng.choice(other_addresses))
+            preferred = self._preferred(other_addresses)
+            self._start_request(self._rng.choice(preferred or other_addresses))
 
     def answer(self, envelope: Envelope, message: AddressesAsk) -> AddressesReply:
         """Add the sender's record, and return the whole book if the books differ."""
--- a/boragestream/entry/exchange.py
+++ b/boragestream/entry/exchange.py
@@ -1,15 +1,21 @@
 """Periodic message exchange between entries, with a bounded number of peers a round.
 
 In each round an entry exchanges one small message with a few peers: one of its own data
-centre and one of another. The registered parts define the content of the messages. A
-round can be started early to spread an update. The ``PeerDirectory`` supplies the peers
-and interprets failed exchanges.
+centre and one of another. Where the settings name several regions, these are peers of
+its own region, and ``entry.crossings`` adds a few of other regions. The registered
+parts define the content of the messages. A round can be started early to spread an
+update. The ``PeerDirectory`` supplies the peers and interprets failed exchanges.
 
 Callers must not be referred to an entry that is gone. A peer that did not answer is
 probed at once, first directly and then through another peer; this takes at most 2.4 s.
 Where half of all entries fail together, rounds of two peers detected the last failure
 after 9 s among 74 entries and after 12 s among 195, in simulated time. Each recently
 lost entry therefore adds one peer to the rounds, which reduces this to 5.5 and 6.5 s.
+
+A slow or cut link between regions must not be mistaken for lost entries. A peer of
+another region is therefore probed through an entry of that region, and is suspected
+only if that entry could not reach it either. While no entry of a region answers at all,
+the ``PeerDirectory`` reports all of its entries as suspects.
 """
 
 import math
@@ -23,11 +29,14 @@
 
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, describe_error, emit
-from boragestream.entry.links import PeerLinks
+from boragestream.entry.crossings import Crossings
+from boragestream.entry.links import PeerLinks, PeerRejected, PeerUnreachable
 from boragestream.entry.messages import (
     Envelope,
     Exchange,
     ExchangeReply,
+    Message,
+    MessageRefused,
     Probe,
     ProbeFor,
     ProbeForReply,
@@ -56,6 +65,12 @@
 # An entry that answered this entry within this time is most likely reachable and can
 # probe another one.
 RECENTLY_REACHED_SECONDS = 2.0
+# Entries of another region that are asked one after another whether they reach an
+# entry of theirs. The second is asked only if the first does not answer.
+REGION_WITNESSES = 2
+# Exchanges in progress with one other region. While the link is cut, each occupies a
+# thread until its long time-out.
+MAX_CROSSINGS_IN_PROGRESS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +80,7 @@
     :ivar address: its peer ``address:port``.
     :ivar suspect: whether it failed its probes.
     :ivar missed: whether this entry's own last exchange with it failed.
+    :ivar region: its region; empty if it is in the region of this entry or in none.
     """
 
     name: str
@@ -72,6 +88,7 @@
     data_centre: str
     suspect: bool = False
     missed: bool = False
+    region: str = ""
 
 
 class PeerDirectory(Protocol):
@@ -92,6 +109,9 @@
     def recent_losses(self) -> int:
         """Return how many entries became unreachable in the last seconds."""
 
+    def region_reachable(self, region: str) -> bool:
+        """Return whether any entry of another region answers this region."""
+
 
 def choose_peers(
     peers: Sequence[Peer], data_centre: str, count: int, rng: random.Random
@@ -143,7 +163,9 @@
         self._rng = rng
         self._parts: list[ExchangePart] = []
         self._messages_sent = 0
-        self._in_progress: set[str] = set()
+        # The region of each peer whose exchange is in progress.
+        self._in_progress: dict[str, str] = {}
+        self._crossings = Crossings(clock, rng)
         # Time of the last answer of each peer to this entry.
         self._reached_at: dict[str, float] = {}
         self._lock = threading.Lock()
@@ -198,11 +220,17 @@
         """Start one round with a few peers; a slow peer does not delay the others."""
         peers = self._directory.peers()
         count += min(MAX_EXTRA_PEERS, self._directory.recent_losses())
-        for peer in choose_peers(peers, self._data_centre, count, self._rng):
+        near = [peer for peer in peers if not peer.region]
+        chosen = choose_peers(near, self._data_centre, count, self._rng)
+        if len(near) < len(peers):
+            entries = 1 + sum(not peer.suspect for peer in near)
+            far = [peer for peer in peers if peer.region]
+            chosen += self._crossings.choose(far, entries)
+        for peer in chosen:
             with self._lock:
-                if peer.name in self._in_progress:
+                if peer.name in self._in_progress or self._is_occupied(peer.region):
                     continue
-                self._in_progress.add(peer.name)
+                self._in_progress[peer.name] = peer.region
             self.submit(partial(self._exchange, peer))
 
     def close(self) -> None:
@@ -235,7 +263,7 @@
                 self._confirm_missed(peer)
         finally:
             with self._lock:
-                self._in_progress.discard(peer.name)
+                self._in_progress.pop(peer.name, None)
                 if not self._in_progress:
                     self._round_completed.set()
 
@@ -246,31 +274,67 @@
     def _confirm_missed(self, unresponsive: Peer) -> None:
         """Probe a peer that did not answer, first directly and then indirectly."""
         self._directory.note_missed(unresponsive.name)
+        if not self._directory.region_reachable(unresponsive.region):
+            return
         reply = self._links.ask(unresponsive.address, Probe(), PROBE_TIMEOUT_SECONDS)
         if isinstance(reply, ProbeReply):
             self._note_reached(unresponsive.name)
         elif self._directory.note_missed(unresponsive.name):
-            self._probe_indirectly(unresponsive)
+            if unresponsive.region:
+                self._probe_in_region(unresponsive)
+            else:
+                self._probe_indirectly(unresponsive)
+
+    def _is_occupied(self, region: str) -> bool:
+        if not region:
+            return False
+        crossings = sum(other == region for other in self._in_progress.values())
+        return crossings >= MAX_CROSSINGS_IN_PROGRESS
 
     def _probe_indirectly(self, unresponsive: Peer) -> None:
-        others = [
-            peer
-            for peer in self._directory.peers()
-            if not (peer.suspect or peer.missed or peer.name == unresponsive.name)
-        ]
+        others = self._probers(unresponsive)
         since = self._clock.now() - RECENTLY_REACHED_SECONDS
         recently_reached = [
             p for p in others if self._reached_at.get(p.name, -math.inf) > since
         ]
         if others:
             other = self._rng.choice(recently_reached or others)
-            limit = PROBE_TIMEOUT_SECONDS + EXCHANGE_TIMEOUT_SECONDS
-            reply = self._links.ask(other.address, ProbeFor(unresponsive.name), limit)
+            reply = self._ask_to_probe(other, unresponsive)
             if isinstance(reply, ProbeForReply) and reply.reached:
                 self._directory.note_reached(unresponsive.name)
                 return
         self._directory.note_unreached(unresponsive.name)
 
+    def _probe_in_region(self, unresponsive: Peer) -> None:
+        """Suspect a peer of another region only if an entry of that region does.
+
+        A region without any other entry that answers is handled by its reachability.
+        """
+        others = self._probers(unresponsive)
+        for other in self._rng.sample(others, min(REGION_WITNESSES, len(others))):
+            reply = self._ask_to_probe(other, unresponsive)
+            if isinstance(reply, ProbeForReply):
+                if reply.reached:
+                    self._directory.note_reached(unresponsive.name)
+                else:
+                    self._directory.note_unreached(unresponsive.name)
+                return
+
+    def _probers(self, unresponsive: Peer) -> list[Peer]:
+        """Return the entries of a peer's region that can probably probe it."""
+        return [
+            peer
+            for peer in self._directory.peers()
+            if not (peer.suspect or peer.missed or peer.name == unresponsive.name)
+            and peer.region == unresponsive.region
+        ]
+
+    def _ask_to_probe(
+        self, other: Peer, unresponsive: Peer
+    ) -> Message | PeerUnreachable | PeerRejected | MessageRefused:
+        limit = PROBE_TIMEOUT_SECONDS + EXCHANGE_TIMEOUT_SECONDS
+        return self._links.ask(other.address, ProbeFor(unresponsive.name), limit)
+
     def _collect(self) -> dict[str, bytes]:
         self._messages_sent += 1
         return collect_offers(self._parts, self._messages_sent)
--- a/boragestream/entry/links.py
+++ b/boragestream/entry/links.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import Protocol
 
 import pynng
 
@@ -31,6 +32,7 @@
     "Handler",
     "PeerLinks",
     "PeerListener",
+    "PeerMeter",
     "PeerRejected",
     "PeerUnreachable",
 ]
@@ -71,6 +73,28 @@
     code: str
 
 
+class PeerMeter(Protocol):
+    """Measures requests to peers and extends their time-outs."""
+
+    def allowance_seconds(self, address: str, message: Message) -> float:
+        """Return the seconds by which the time-out of a request is longer."""
+
+    def note_answer(
+        self, address: str, message: Message, size: int, seconds: float
+    ) -> None:
+        """Record an answer.
+
+        :param size: the bytes of the request and the answer.
+        :param seconds: the time from the sending of the request to the answer.
+        """
+
+    def note_missed(self, address: str, message: Message, size: int) -> None:
+        """Record that an answer was missing.
+
+        :param size: the bytes of the request.
+        """
+
+
 def _url(address: str, tls: PeerTls | None) -> str:
     return f"tls+tcp://{address}" if tls else f"tcp://{address}"
 
@@ -83,11 +107,18 @@
 
     :param sender: this entry's identity.
     :param tls: the TLS configuration; None for unencrypted connections.
+    :param meter: measures the requests; None if nothing depends on them.
     """
 
-    def __init__(self, sender: Sender, tls: PeerTls | None = None) -> None:
+    def __init__(
+        self,
+        sender: Sender,
+        tls: PeerTls | None = None,
+        meter: PeerMeter | None = None,
+    ) -> None:
         self._sender = sender
         self._tls = tls
+        self._meter = meter
         self._idle: dict[str, list[pynng.Req0]] = {}
         self._lock = threading.Lock()
 
@@ -97,18 +128,25 @@
         """Send a message to a peer and wait for its answer.
 
         :param address: the peer's ``address:port``.
-        :param seconds: the timeout.
+        :param seconds: the timeout; the meter may extend it.
         """
         frame = seal(self._sender, message)
+        if self._meter is not None:
+            seconds += self._meter.allowance_seconds(address, message)
         sock = self._acquire(address)
         try:
-            answer = _request(sock, frame, seconds)
+            answer, answer_seconds = _request(sock, frame, seconds)
         except pynng.NNGException as error:
             # A late answer must not be read by the next request, and a new connection
             # can succeed where the old one is cut off by a network partition.
             sock.close()
+            if self._meter is not None:
+                self._meter.note_missed(address, message, len(frame))
             return PeerUnreachable(address, type(error).__name__)
         self._release(address, sock)
+        if self._meter is not None:
+            size = len(frame) + len(answer)
+            self._meter.note_answer(address, message, size, answer_seconds)
         opened = open_envelope(self._sender, answer)
         if isinstance(opened, MessageRefused):
             return opened
@@ -152,12 +190,18 @@
         sock.close()
 
 
-def _request(sock: pynng.Req0, frame: bytes, seconds: float) -> bytes:
+def _request(sock: pynng.Req0, frame: bytes, seconds: float) -> tuple[bytes, float]:
+    """Return the answer and the time from the sending of the frame to the answer.
+
+    nng sends the frame once the connection is established, so that the time does not
+    contain the round trips of a new connection.
+    """
     started_at = time.monotonic()
     sock.send_timeout = _milliseconds(seconds)
     sock.send(frame)
-    sock.recv_timeout = _milliseconds(seconds - (time.monotonic() - started_at))
-    return sock.recv()
+    sent_at = time.monotonic()
+    sock.recv_timeout = _milliseconds(seconds - (sent_at - started_at))
+    return sock.recv(), time.monotonic() - sent_at
 
 
 def _milliseconds(seconds: float) -> int:
--- a/boragestream/entry/peers.py
+++ b/boragestream/entry/peers.py
@@ -14,9 +14,11 @@
 from boragestream.entry.links import Handler, PeerLinks
 from boragestream.entry.members import MembershipPart
 from boragestream.entry.messages import Exchange, ProbeFor, Repair, RepairReply
+from boragestream.entry.region_part import RegionLinksPart
 from boragestream.policy.leaving import LeavingServer, new_leaving_table
 from boragestream.policy.membership import MemberState
 from boragestream.policy.peers import FORGET_SECONDS, EntryTable, ListedEntry
+from boragestream.policy.region_links import RegionLinks
 
 __all__ = ["EntryPeers"]
 
@@ -32,6 +34,7 @@
     :param links: carries the messages.
     :param server_left: called with each leaving backend server that another entry
         reports.
+    :param region_links: the links to other regions; None if there are no regions.
     """
 
     def __init__(
@@ -43,12 +46,18 @@
         server_left: Callable[[LeavingServer], None],
         clock: Clock,
         rng: random.Random,
+        region_links: RegionLinks | None = None,
     ) -> None:
+        several = region_links is not None and region_links.regions.several
+        self._region_links = region_links if several else None
+        self._region_by_address: dict[str, str] = {}
         self._name = name
         self._links = links
         self._clock = clock
         self._on_server_leaving = server_left
-        self._entries = EntryTable(name, incarnation, clock, self._schedule_round)
+        self._entries = EntryTable(
+            name, incarnation, clock, self._schedule_round, self._is_hidden
+        )
         self._leaving_servers = new_leaving_table()
         self._server_listed_at: dict[str, float] = {}
         self._exchange = PeerExchange(links, self, data_centre, clock, rng)
@@ -60,6 +69,9 @@
             clock,
         )
         self._exchange.add_part(self._membership)
+        if self._region_links is not None:
+            part = RegionLinksPart(self._region_links, self._is_of_own_region)
+            self._exchange.add_part(part)
 
     @property
     def entries(self) -> EntryTable:
@@ -87,8 +99,27 @@
                 return entry.peer_address
         return None
 
+    def region_at(self, address: str) -> str:
+        """Return the region of the entry at a peer address; empty if unknown."""
+        return self._region_by_address.get(address, "")
+
+    def of_own_region(self, addresses: Iterable[str]) -> list[str]:
+        """Return the peer addresses that are not known to be in another region."""
+        if self._region_links is None:
+            return list(addresses)
+        own = self._region_links.regions.own
+        return [a for a in addresses if self.region_at(a) in ("", own)]
+
+    def region_reachable(self, region: str) -> bool:
+        """Return whether any entry of another region answers this region."""
+        if self._region_links is None:
+            return True
+        return region not in self._region_links.unreachable_regions
+
     def peers(self) -> Sequence[Peer]:
         """Return every other entry that may be contacted."""
+        if self._region_links is not None:
+            self._region_links.check()
         states = (MemberState.LIVE, MemberState.SUSPECT, MemberState.LEAVING)
         return [
             Peer(
@@ -97,6 +128,7 @@
                 entry.data_centre,
                 self._entries.state(entry.name) is MemberState.SUSPECT,
                 self._entries.last_exchange_failed(entry.name),
+                self._other_region(entry),
             )
             for entry in self._entries.in_states(states)
             if entry.name != self._name
@@ -123,6 +155,12 @@
         """Replace the list of entries with the published one."""
         before = self._peer_addresses()
         self._entries.apply_list(listed)
+        if self._region_links is not None:
+            regions = self._region_links.regions
+            self._region_by_address = {
+                entry.peer_address: regions.of(entry.data_centre)
+                for entry in self._entries.listed
+            }
         after = self._peer_addresses()
         for address in before - after:
             self._links.forget(address)
@@ -159,6 +197,26 @@
         self._entries.announce_state(MemberState.LEAVING)
         self._exchange.start_round()
 
+    def _other_region(self, entry: ListedEntry) -> str:
+        """Return the region of an entry; empty if it is this entry's or unknown."""
+        if self._region_links is None:
+            return ""
+        regions = self._region_links.regions
+        region = regions.of(entry.data_centre)
+        return "" if region == regions.own else region
+
+    def _is_hidden(self, entry: ListedEntry) -> bool:
+        if self._region_links is None or not self._region_links.unreachable_regions:
+            return False
+        return self._other_region(entry) in self._region_links.unreachable_regions
+
+    def _is_of_own_region(self, name: str) -> bool:
+        if self._region_links is None:
+            return False
+        address = self.address(name)
+        own = self._region_links.regions.own
+        return address is not None and self.region_at(address) == own
+
     def _peer_addresses(self) -> set[str]:
         return {entry.peer_address for entry in self._entries.listed}
 
--- a/boragestream/entry/permit_messages.py
+++ b/boragestream/entry/permit_messages.py
@@ -25,6 +25,7 @@
 
     :ivar limit: the sender's record of the limit.
     :ivar wait_ms: the longest acceptable wait until the permit is valid.
+    :ivar data_centre: the server's data centre; earlier releases do not send it.
     """
 
     server: str
@@ -33,6 +34,7 @@
     service: str
     limit: PackedLimit
     wait_ms: int
+    data_centre: str = ""
 
 
 class PermitReply(msgspec.Struct, frozen=True, tag=True):
--- a/boragestream/entry/server_permits.py
+++ b/boragestream/entry/server_permits.py
@@ -26,7 +26,7 @@
 from boragestream.entry.messages import Envelope, ProbeReply
 from boragestream.entry.owner_questions import OwnerRequests
 from boragestream.entry.permit_messages import PermitAsk, PermitReply, PermitReturn
-from boragestream.policy.granters import Granters
+from boragestream.policy.granters import GrantingEntries
 from boragestream.policy.limit_records import LimitRecord, server_key
 from boragestream.policy.server_limits import PERMIT_SECONDS, ServerLimits
 from boragestream.policy.servers import Server
@@ -91,7 +91,7 @@
         self,
         own: str,
         limits: ServerLimits,
-        granters: Granters,
+        granters: GrantingEntries,
         address: Callable[[str], str | None],
         agreed: Callable[[], bool],
         links: PeerLinks,
@@ -160,7 +160,8 @@
         record, age = unpack_limit(message.limit)
         log_limit_change(self._limits.take(record, age), envelope.sender, age)
         name, host, service = message.server, message.host, message.service
-        server = Server(name, service, host, "", message.incarnation)
+        centre = message.data_centre
+        server = Server(name, service, host, centre, message.incarnation)
         if not self._is_settled() or self._own not in self._granters.for_server(server):
             return PermitReply(0, int(UNSETTLED_RETRY_SECONDS * 1000))
         number, delay = self._grant(server, message.wait_ms / 1000)
@@ -211,6 +212,7 @@
             server.service,
             pack_limit(record, self._limits.age(record)),
             int(wait_seconds * 1000),
+            server.data_centre,
         )
         return self._owner_requests.request(entry, address, message, PermitReply)
 
--- a/boragestream/policy/granters.py
+++ b/boragestream/policy/granters.py
@@ -7,17 +7,22 @@
 Entries can disagree on the first entry for a short time after an entry has started or
 stopped, and for as long as some of them can't reach one another. An entry's standing
 states whether such a disagreement is possible now.
+
+Where the settings name several regions, the entries of a server's region are ranked, so
+that both sides of a cut link between regions agree on them. ``RegionGranters`` keeps a
+ranking for each region.
 """
 
 import threading
 from collections.abc import Callable, Sequence
 from enum import Enum
+from typing import Protocol
 
 from boragestream.base.clock import Clock
 from boragestream.policy.queue_owners import owner_ranking
 from boragestream.policy.servers import Server
 
-__all__ = ["Granters", "Standing"]
+__all__ = ["Granters", "GrantingEntries", "RegionGranters", "Standing"]
 
 # The first in rank and its substitute.
 GRANTERS_PER_SERVER = 2
@@ -34,6 +39,16 @@
     DIVIDED = "first in rank, but other entries may have a different first one"
 
 
+class GrantingEntries(Protocol):
+    """The entries that grant the permits for each server."""
+
+    def for_server(self, server: Server) -> Sequence[str]:
+        """Return the entries that grant permits for a server, the first one first."""
+
+    def standing(self, server: Server, entry: str) -> Standing:
+        """Return the standing of an entry among the granting entries of a server."""
+
+
 class Granters:
     """The granting entries by server; safe to use from any thread.
 
@@ -111,3 +126,47 @@
                 first = owner_ranking(subject, live)[0]
                 if first != before:
                     self._first[subject] = (first, now)
+
+
+class RegionGranters:
+    """The granting entries by server, ranked among the entries of its region.
+
+    :param region: returns the region whose entries are ranked for a server; empty if
+        all entries are.
+    :param make: returns the granting entries of a region; those of all entries for an
+        empty name.
+    """
+
+    def __init__(
+        self, region: Callable[[Server], str], make: Callable[[str], Granters]
+    ) -> None:
+        self._region = region
+        self._make = make
+        self._all = make("")
+        self._by_region: dict[str, Granters] = {"": self._all}
+        self._lock = threading.Lock()
+
+    @property
+    def count(self) -> int:
+        """The number of live entries of all regions."""
+        return self._all.count
+
+    def refresh(self) -> None:
+        """Update the live entries; called periodically, even without look-ups."""
+        for granters in list(self._by_region.values()):
+            granters.refresh()
+
+    def for_server(self, server: Server) -> Sequence[str]:
+        """Return the entries that grant permits for a server, the first one first."""
+        return self._of(server).for_server(server)
+
+    def standing(self, server: Server, entry: str) -> Standing:
+        """Return the standing of an entry among the granting entries of a server."""
+        return self._of(server).standing(server, entry)
+
+    def _of(self, server: Server) -> Granters:
+        region = self._region(server)
+        with self._lock:
+            if region not in self._by_region:
+                self._by_region[region] = self._make(region)
+            return self._by_region[region]
--- a/boragestream/policy/peers.py
+++ b/boragestream/policy/peers.py
@@ -58,6 +58,9 @@
     :param incarnation: this entry's incarnation.
     :param clock: gives the time at which a name was last listed.
     :param changed: called after each change that should be sent to others at once.
+    :param hidden: returns whether an entry that is recorded as live can't be reached
+        because of its region. It counts as a suspect here, but its record does not
+        change: it returns at once with its region, and has no suspicion to refute.
     """
 
     def __init__(
@@ -66,8 +69,10 @@
         incarnation: str,
         clock: Clock,
         changed: Callable[[], None] = lambda: None,
+        hidden: Callable[[ListedEntry], bool] = lambda entry: False,
     ) -> None:
         self._name = name
+        self._hidden = hidden
         self._clock = clock
         self._changed = changed
         self._own = Member(name, incarnation)
@@ -184,6 +189,14 @@
 
     def state(self, name: str) -> MemberState:
         """Return the believed state of an entry, combined with its mark in the list."""
+        state = self.recorded_state(name)
+        listed = self._listed.get(name)
+        if state is MemberState.LIVE and listed is not None and self._hidden(listed):
+            return MemberState.SUSPECT
+        return state
+
+    def recorded_state(self, name: str) -> MemberState:
+        """Return the state of an entry whether or not its region can be reached."""
         if name == self._name:
             return self._own.state
         member = self._members.get(name)
@@ -199,6 +212,11 @@
         """Return the entries that callers should use."""
         return self.in_states((MemberState.LIVE,))
 
+    def recorded_live(self) -> tuple[ListedEntry, ...]:
+        """Return the live entries, also of regions that can't be reached."""
+        live = MemberState.LIVE
+        return tuple(e for e in self.listed if self.recorded_state(e.name) is live)
+
     def in_states(self, states: Collection[MemberState]) -> tuple[ListedEntry, ...]:
         """Return the listed entries whose state is one of those given."""
         return tuple(e for e in self.listed if self.state(e.name) in states)
--- a/boragestream/policy/region_links.py
+++ b/boragestream/policy/region_links.py
@@ -1,12 +1,67 @@
-"""What an entry knows of the links to the other regions."""
+"""What an entry knows of the links to the other regions.
 
-from dataclasses import dataclass
+Load patterns: one link carries all traffic between two regions and fills up; the link
+is cut for minutes, in both directions or in one; its delay rises to a second; all
+entries of a region are lost at once while its servers still answer.
+
+A measurement is the time of one request to an entry of another region. The entries of a
+region exchange their latest measurements (``entry.region_part``), since each of
+hundreds of entries sends a request to another region only every minute. A measurement
+has an id and is used once, so that its relaying does not make it look recent.
+
+A region is unreachable once no entry of it has answered any entry of this region for
+some seconds although one was asked. Requests that arrive from a region do not count: if
+the link is cut in one direction only, they arrive while no answer does.
+
+``policy.region_window`` bounds the optional bytes that this entry exchanges with a
+region by the delay above its minimum.
+"""
+
+import math
+import random
+import threading
+from collections import Counter, deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
 from enum import Enum
+from statistics import median
 
 from boragestream.base.clock import Clock
+from boragestream.base.route_metrics import RegionFigures
+from boragestream.policy.region_window import OptionalWindow
 from boragestream.policy.regions import Regions
 
-__all__ = ["RegionLinks", "TrafficKind"]
+__all__ = [
+    "LinkChange",
+    "LinkReport",
+    "LinkStatus",
+    "RegionLinks",
+    "TrafficKind",
+]
+
+# All entries of a region receive a measurement within 5 s of it (370 entries, simulated
+# time), so that a longer silence means that no entry of the region gets an answer.
+UNREACHABLE_SECONDS = 6.5
+# The added time-out of a request to another region. It allows for the three round trips
+# of a request on a new connection after the delay has risen to 0.8 s each way.
+MIN_ALLOWANCE_SECONDS = 4.0
+MAX_ALLOWANCE_SECONDS = 16.0
+# A new connection takes two round trips more; the fourth allows for variation.
+ALLOWANCE_ROUND_TRIPS = 4
+# The median of this many measurements ignores a single peer that was slow to answer.
+RECENT_SAMPLES = 5
+# The minimum covers ten minutes, as in RFC 6817, so that a new route of the link with a
+# longer delay does not count as a queue for ever.
+MINIMUM_BUCKET_SECONDS = 60.0
+MINIMUM_BUCKETS = 10
+# The delay that is tolerated above the minimum: as much again, and at least 50 ms,
+# since an entry with a small share of a core answers tens of milliseconds late.
+MIN_TARGET_SECONDS = 0.05
+REMEMBERED_SAMPLES = 64
+# Servers of a region that answer while none of its entries has done so for
+# ``UNREACHABLE_SECONDS`` show that the entries are lost and not the link. Older answers
+# show nothing.
+SERVER_ANSWER_SECONDS = 30.0
 
 
 class TrafficKind(Enum):
@@ -20,30 +75,321 @@
     STORE = "store"
 
 
+# The kinds whose bytes are taken from the window.
+WINDOW_KINDS = frozenset(
+    {TrafficKind.CALL, TrafficKind.ANSWER, TrafficKind.RESULT, TrafficKind.ORDER}
+)
+
+
+class LinkStatus(Enum):
+    """The state of a link, in the order of severity."""
+
+    REACHABLE = "reachable"
+    SLOW = "slow"
+    UNREACHABLE = "unreachable"
+
+
 @dataclass(frozen=True, slots=True)
+class LinkChange:
+    """A link that has changed its status.
+
+    :ivar seconds: the recent round trip; 0 if unknown.
+    :ivar minimum_seconds: the shortest round trip of the last minutes; 0 if unknown.
+    """
+
+    region: str
+    before: LinkStatus
+    status: LinkStatus
+    seconds: float
+    minimum_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class LinkReport:
+    """The latest measurement of a link that one entry knows, for the others.
+
+    :ivar number: identifies the measurement; 0 if there is none.
+    :ivar answered_age: the seconds since an entry of the region answered.
+    :ivar seconds: the measured round trip.
+    :ivar missed_age: the seconds since an answer was last missing; infinite if never.
+    """
+
+    region: str
+    number: int
+    answered_age: float
+    seconds: float
+    missed_age: float
+
+
+@dataclass(slots=True)
+class _Link:
+    """The state of the link to one region.
+
+    :ivar answered_at: when an entry of the region last answered; at first the start.
+    :ivar missed_at: when an answer was last missing.
+    :ivar misses: the missing answers since the last answer to this entry.
+    :ivar minima: the shortest round trip of each of the last minutes.
+    """
+
+    answered_at: float
+    window: OptionalWindow
+    missed_at: float = -math.inf
+    server_answered_at: float = -math.inf
+    misses: int = 0
+    number: int = 0
+    latest_seconds: float = 0.0
+    recent: deque[float] = field(default_factory=lambda: deque(maxlen=RECENT_SAMPLES))
+    minima: deque[tuple[int, float]] = field(
+        default_factory=lambda: deque(maxlen=MINIMUM_BUCKETS)
+    )
+    sizes: Counter[TrafficKind] = field(default_factory=Counter)
+    status: LinkStatus = LinkStatus.REACHABLE
+    seen: deque[int] = field(default_factory=lambda: deque(maxlen=REMEMBERED_SAMPLES))
+
+    @property
+    def seconds(self) -> float:
+        """The recent round trip; 0 if unknown."""
+        return median(self.recent) if self.recent else 0.0
+
+    @property
+    def minimum(self) -> float:
+        """The shortest round trip of the last minutes; 0 if unknown."""
+        return min((seconds for _, seconds in self.minima), default=0.0)
+
+    @property
+    def queueing_seconds(self) -> float:
+        """The recent delay above the minimum."""
+        return self.seconds - self.minimum
+
+    @property
+    def target_seconds(self) -> float:
+        """The tolerated delay above the minimum."""
+        return max(MIN_TARGET_SECONDS, self.minimum)
+
+
 class RegionLinks:
     """The links to the other regions; safe to use from any thread.
 
-    :ivar regions: the regions, this entry's own included.
+    :param regions: the regions, this entry's own included.
+    :param rng: numbers the measurements.
+    :param changed: called after a link has changed its status.
     """
 
-    regions: Regions
-    clock: Clock
+    def __init__(
+        self,
+        regions: Regions,
+        clock: Clock,
+        rng: random.Random | None = None,
+        changed: Callable[[LinkChange], None] = lambda change: None,
+    ) -> None:
+        self._regions = regions
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._on_change = changed
+        self._lock = threading.RLock()
+        self._unreachable: frozenset[str] = frozenset()
+        now = clock.now()
+        others = set(regions.names) - {regions.own} if regions.several else set()
+        self._links = {
+            region: _Link(now, OptionalWindow(now)) for region in sorted(others)
+        }
+
+    @property
+    def regions(self) -> Regions:
+        """The regions, this entry's own included."""
+        return self._regions
+
+    @property
+    def unreachable_regions(self) -> frozenset[str]:
+        """The regions of which no entry answers."""
+        return self._unreachable
 
     def reachable(self, region: str) -> bool:
         """Return whether entries or servers of a region answered recently."""
-        return True
+        link = self._links.get(region)
+        if link is None:
+            return True
+        self.check()
+        server_age = self._clock.now() - link.server_answered_at
+        return region not in self._unreachable or server_age < UNREACHABLE_SECONDS
 
     def admits(self, region: str) -> bool:
         """Return whether optional traffic may be sent to a region now."""
-        return True
+        link = self._links.get(region)
+        if link is None:
+            return True
+        if not self.reachable(region):
+            return False
+        with self._lock:
+            return link.window.is_open(self._clock.now())
 
     def round_trip_seconds(self, region: str) -> float:
-        """Return the recent round trip to a region in seconds; 0 for the own one."""
-        return 0.0
+        """Return the recent round trip to a region in seconds.
+
+        :returns: 0 for the own region, and while no measurement is known.
+        """
+        link = self._links.get(region)
+        if link is None:
+            return 0.0
+        with self._lock:
+            return link.seconds
+
+    def allowance_seconds(self, region: str) -> float:
+        """Return the seconds by which a time-out is longer for a region.
+
+        The allowance grows with the measured delay, and doubles with each answer that
+        is missing in a row, since a delay longer than the time-out is never measured.
+        """
+        link = self._links.get(region)
+        if link is None:
+            return 0.0
+        with self._lock:
+            measured = max(MIN_ALLOWANCE_SECONDS, ALLOWANCE_ROUND_TRIPS * link.seconds)
+            # The exponent is bounded to prevent an overflow while the link is cut.
+            return min(MAX_ALLOWANCE_SECONDS, measured * 2.0 ** min(link.misses, 8))
+
+    def entries_lost(self, region: str) -> bool:
+        """Return whether a region has lost its entries, as far as can be known.
+
+        Its servers answer this entry although none of its entries answers. If nothing
+        in the region answers, the link may be cut while its entries serve.
+        """
+        link = self._links.get(region)
+        if link is None or region not in self._unreachable:
+            return False
+        with self._lock:
+            since = link.answered_at + UNREACHABLE_SECONDS
+            age = self._clock.now() - link.server_answered_at
+            return link.server_answered_at > since and age < SERVER_ANSWER_SECONDS
 
     def count(self, region: str, kind: TrafficKind, size: int) -> None:
         """Count bytes sent to a region or received from it.
 
         :param size: in bytes.
         """
+        link = self._links.get(region)
+        if link is None:
+            return
+        with self._lock:
+            link.sizes[kind] += size
+            if kind is TrafficKind.ANSWER:
+                link.server_answered_at = self._clock.now()
+            if kind in WINDOW_KINDS:
+                link.window.use(self._clock.now(), size)
+
+    def note_answer(self, region: str, seconds: float | None) -> None:
+        """Record that an entry of a region answered.
+
+        :param seconds: the round trip; None if the answer does not measure it.
+        """
+        link = self._links.get(region)
+        if link is None:
+            return
+        with self._lock:
+            link.misses = 0
+            link.answered_at = self._clock.now()
+            if seconds is not None:
+                self._add_sample(link, self._rng.getrandbits(32) | 1, seconds)
+        self.check()
+
+    def note_missed(self, region: str) -> None:
+        """Record that an entry of a region did not answer in time."""
+        link = self._links.get(region)
+        if link is None:
+            return
+        with self._lock:
+            link.misses += 1
+            link.missed_at = self._clock.now()
+            link.window.shrink(link.missed_at, link.seconds)
+        self.check()
+
+    def reports(self) -> list[LinkReport]:
+        """Return the latest measurement of each link, for the entries of the region."""
+        now = self._clock.now()
+        with self._lock:
+            return [
+                LinkReport(
+                    region,
+                    link.number,
+                    now - link.answered_at,
+                    link.latest_seconds,
+                    now - link.missed_at,
+                )
+                for region, link in self._links.items()
+            ]
+
+    def take(self, report: LinkReport) -> None:
+        """Use the measurement of another entry of the own region."""
+        link = self._links.get(report.region)
+        if link is None:
+            return
+        with self._lock:
+            now = self._clock.now()
+            link.missed_at = max(link.missed_at, now - report.missed_age)
+            if report.number and report.number not in link.seen:
+                link.answered_at = max(link.answered_at, now - report.answered_age)
+                self._add_sample(link, report.number, report.seconds)
+        self.check()
+
+    def check(self) -> None:
+        """Update the status of each link; called periodically."""
+        changes = []
+        with self._lock:
+            now = self._clock.now()
+            for region, link in self._links.items():
+                status = self._status(link, now)
+                if status is not link.status:
+                    changes.append(
+                        LinkChange(
+                            region, link.status, status, link.seconds, link.minimum
+                        )
+                    )
+                    link.status = status
+            if changes:
+                self._unreachable = frozenset(
+                    region
+                    for region, link in self._links.items()
+                    if link.status is LinkStatus.UNREACHABLE
+                )
+        for change in changes:
+            self._on_change(change)
+
+    def figures(self) -> Sequence[RegionFigures]:
+        """Return the figures of each link for the metrics."""
+        with self._lock:
+            return [
+                RegionFigures(
+                    region,
+                    link.seconds,
+                    link.window.size,
+                    {kind.value: size for kind, size in link.sizes.items()},
+                )
+                for region, link in self._links.items()
+            ]
+
+    def _status(self, link: _Link, now: float) -> LinkStatus:
+        silent = now - link.answered_at > UNREACHABLE_SECONDS + 2 * link.seconds
+        if silent and link.missed_at > link.answered_at:
+            return LinkStatus.UNREACHABLE
+        # A slow link is reachable again at half of the tolerated delay, so that a delay
+        # near the limit does not change the status with each measurement.
+        slow = link.status is LinkStatus.SLOW
+        limit = link.target_seconds * (0.5 if slow else 1.0)
+        return (
+            LinkStatus.SLOW if link.queueing_seconds > limit else LinkStatus.REACHABLE
+        )
+
+    def _add_sample(self, link: _Link, number: int, seconds: float) -> None:
+        link.number, link.latest_seconds = number, seconds
+        link.seen.append(number)
+        link.recent.append(seconds)
+        now = self._clock.now()
+        minute = int(now // MINIMUM_BUCKET_SECONDS)
+        if link.minima and link.minima[-1][0] == minute:
+            link.minima[-1] = (minute, min(seconds, link.minima[-1][1]))
+        else:
+            link.minima.append((minute, seconds))
+        if link.queueing_seconds > link.target_seconds:
+            link.window.shrink(now, link.seconds)
+        else:
+            link.window.grow(now)
--- a/boragestream/policy/watching.py
+++ b/boragestream/policy/watching.py
@@ -3,7 +3,8 @@
 The platform charges for each call, and a pending watch counts as one call. The number
 of calls must therefore not grow with the number of entries times the number of changes:
 with 195 entries that all watched, calls cost 0.04 to 0.11 of a day's value. Two entries
-of each data centre watch. All entries select them by the same rule from the entries
+of each data centre watch (of each region where the settings name several, see
+``policy.region_watching``). All entries select them by the same rule from the entries
 that they consider live. While their views differ, a data centre can briefly have one
 watcher too many or too few, which is harmless. The other entries receive the published
 values from their peers.
@@ -34,6 +35,7 @@
     "is_watcher",
     "retry_delay_seconds",
     "select_watchers",
+    "watcher_ranking",
 ]
 
 WATCHERS_PER_DATA_CENTRE = 2
@@ -69,10 +71,14 @@
 MIN_PAUSE_SECONDS = 0.02
 
 
+def watcher_ranking(names: Iterable[str]) -> list[str]:
+    """Return the names of entries ranked for watching, by rendezvous hashing."""
+    return sorted(names, key=_rendezvous_weight, reverse=True)
+
+
 def select_watchers(names: Iterable[str]) -> frozenset[str]:
-    """Return the watchers among a data centre's live entries, by rendezvous hashing."""
-    ranked = sorted(names, key=_rendezvous_weight, reverse=True)
-    return frozenset(ranked[:WATCHERS_PER_DATA_CENTRE])
+    """Return the watchers among a data centre's live entries."""
+    return frozenset(watcher_ranking(names)[:WATCHERS_PER_DATA_CENTRE])
 
 
 def is_watcher(name: str, data_centre: str, usable: Iterable[ListedEntry]) -> bool:
