--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -38,7 +38,7 @@
     QuarantineAsk,
 )
 from boragestream.entry.links import Handler, PeerLinks
-from boragestream.entry.messages import DocumentAsk, Sender
+from boragestream.entry.messages import DocumentAsk, Probe, Sender
 from boragestream.entry.peers import EntryPeers
 from boragestream.entry.piece_messages import (
     PiecesBook,
@@ -141,6 +141,7 @@
         return {
             **self.members.handlers,
             **self.limits.handlers,
+            Probe: self.members.exchange.answer_probe,
             DocumentAsk: self.relay.answer,
             AddressesAsk: self.address_sync.answer,
             PublishedAsk: self.publications.relay.answer,
--- a/boragestream/entry/exchange.py
+++ b/boragestream/entry/exchange.py
@@ -244,6 +244,10 @@
         self._directory.note_reached(envelope.sender)
         return ExchangeReply(self._collect())
 
+    def answer_probe(self, envelope: Envelope, message: Probe) -> ProbeReply:
+        """Confirm that this entry is running."""
+        return ProbeReply(0)
+
     def answer_probe_for(self, envelope: Envelope, message: ProbeFor) -> ProbeForReply:
         """Probe an entry on behalf of a peer that cannot reach it."""
         for peer in self._directory.peers():
