Keep requests to a cut region short, and report the latest measurement only

Where the link is cut in one direction, messages from the other region still cause repairs and reads of values there, each of which held a thread of the exchange for up to 18 s. While a region is unreachable only exchanges have the longer time-out. A relayed measurement that is older than the known one no longer takes its place in the reports.

--- a/boragestream/entry/link_meter.py
+++ b/boragestream/entry/link_meter.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from boragestream.entry.knowledge_messages import PublishedAsk
-from boragestream.entry.messages import DocumentAsk, Message, ProbeFor
+from boragestream.entry.messages import DocumentAsk, Exchange, Message, ProbeFor
 from boragestream.entry.permit_messages import PermitAsk, PermitReturn
 from boragestream.entry.piece_messages import (
     PiecesBook,
@@ -48,11 +48,17 @@
         """Return the seconds by which the time-out of a request is longer.
 
         Requests on behalf of a caller keep their time-out: the caller's deadline bounds
-        it.
+        it. So do all requests to an unreachable region except the exchanges, which
+        detect its return: where the link is cut in one direction only, messages from
+        there still cause requests, and these would occupy every thread of the exchange.
         """
+        region = self._region_at(address)
+        cut = region in self._links.unreachable_regions
         if _kind(message) is TrafficKind.ORDER:
             return 0.0
-        return self._links.allowance_seconds(self._region_at(address))
+        if cut and not isinstance(message, Exchange):
+            return 0.0
+        return self._links.allowance_seconds(region)
 
     def note_answer(
         self, address: str, message: Message, size: int, seconds: float
--- a/boragestream/policy/region_links.py
+++ b/boragestream/policy/region_links.py
@@ -289,7 +289,8 @@
             link.misses = 0
             link.answered_at = self._clock.now()
             if seconds is not None:
-                self._add_sample(link, self._rng.getrandbits(32) | 1, seconds)
+                number = self._rng.getrandbits(32) | 1
+                self._add_sample(link, number, seconds, latest=True)
         self.check()
 
     def note_missed(self, region: str) -> None:
@@ -327,8 +328,11 @@
             now = self._clock.now()
             link.missed_at = max(link.missed_at, now - report.missed_age)
             if report.number and report.number not in link.seen:
-                link.answered_at = max(link.answered_at, now - report.answered_age)
-                self._add_sample(link, report.number, report.seconds)
+                answered_at = now - report.answered_age
+                self._add_sample(
+                    link, report.number, report.seconds, answered_at > link.answered_at
+                )
+                link.answered_at = max(link.answered_at, answered_at)
         self.check()
 
     def check(self) -> None:
@@ -379,8 +383,12 @@
             LinkStatus.SLOW if link.queueing_seconds > limit else LinkStatus.REACHABLE
         )
 
-    def _add_sample(self, link: _Link, number: int, seconds: float) -> None:
-        link.number, link.latest_seconds = number, seconds
+    def _add_sample(
+        self, link: _Link, number: int, seconds: float, latest: bool
+    ) -> None:
+        # An older measurement must not take the place of the latest in the reports.
+        if latest:
+            link.number, link.latest_seconds = number, seconds
         link.seen.append(number)
         link.recent.append(seconds)
         now = self._clock.now()
--- a/tests/features/regions_links.feature
+++ b/tests/features/regions_links.feature
@@ -49,8 +49,10 @@
     Then "coast" is not reachable
     And optional traffic to "coast" is not admitted
     And the link to "coast" became "unreachable"
+    And the time-out of a repair from "coast" is longer by 0 s
     When 1 answers of "coast" take 0.024 s each, one a second
     Then "coast" is reachable
+    And the time-out of a repair from "coast" is longer by 4 s
 
   Scenario: a region that nobody has asked is not unreachable
     Given the links of an entry of "valley"
@@ -96,3 +98,11 @@
     Given an entry that answers messages, and links with a meter
     When it is probed twice and a silent peer once
     Then two answers and one missing answer were recorded, with their bytes
+
+  Scenario: an entry that starts requests the addresses that its own region knows
+    Given an entry of "valley" that knows addresses of both regions
+    When it requests whole address books until they agree
+    Then it requests them from entries of "valley" only
+    When it knows addresses of "coast" only
+    And it requests whole address books until they agree
+    Then it requests them from entries of "coast" only
--- a/tests/features/steps/regions_links.py
+++ b/tests/features/steps/regions_links.py
@@ -8,10 +8,19 @@
 from behave import given, then, when
 
 from boragestream.base.route_metrics import RouteMetrics
+from boragestream.entry.address_sync import AddressSync
+from boragestream.entry.addresses import AddressBook
 from boragestream.entry.knowledge_messages import PublishedAsk
 from boragestream.entry.link_meter import RegionMeter
 from boragestream.entry.links import PeerLinks, PeerListener
-from boragestream.entry.messages import Exchange, Probe, ProbeReply, Sender
+from boragestream.entry.messages import (
+    Exchange,
+    Probe,
+    ProbeReply,
+    Repair,
+    Sender,
+)
+from boragestream.entry.peers import EntryPeers
 from boragestream.entry.permit_messages import PermitReturn
 from boragestream.entry.region_part import RegionLinksPart
 from boragestream.policy.cold_servers import senders
@@ -152,6 +161,12 @@
     assert meter.allowance_seconds(region, PermitReturn(1)) == seconds
 
 
+@then('the time-out of a repair from "{region}" is longer by {seconds:g} s')
+def step(context, region, seconds):
+    meter = context.region_meter
+    assert meter.allowance_seconds(region, Repair({})) == seconds
+
+
 @then('"{region}" is not reachable')
 def step(context, region):
     assert not context.links.reachable(region)
@@ -391,3 +406,76 @@
     # An answer counts with its request.
     assert all(size > request_size > 0 for _, size, _ in meter.answers)
     assert all(0 < seconds < math.inf for _, _, seconds in meter.answers)
+
+
+class RecordingLinks:
+    """Records whom requests go to, and answers none."""
+
+    def __init__(self):
+        """Start without requests."""
+        self.asked = []
+
+    def ask(self, address, message, seconds):
+        """Record a request."""
+        self.asked.append(address)
+
+    def forget(self, address):
+        """Do nothing."""
+
+
+def start_sync(context, centres):
+    """Build an entry's address book and its synchronisation with others."""
+    clock, rng = context.clock, random.Random(6)
+    context.requests = RecordingLinks()
+    members = EntryPeers(
+        "own",
+        "1",
+        "hall-a",
+        context.requests,
+        lambda server: None,
+        clock,
+        rng,
+        make_links(clock, []),
+    )
+    own = ListedEntry("own", "host", "own", "hall-a")
+    book = AddressBook(own, rng, members.set_listed_entries)
+    for n in range(30):
+        centre = centres[n % len(centres)]
+        record = AddressBook(
+            ListedEntry(f"{REGIONS[centre]}-{n}", "host", "", centre),
+            rng,
+            lambda e: None,
+        )
+        book.take("peer", record.encoded_own_record())
+    context.sync = AddressSync(
+        book,
+        context.requests,
+        lambda task: task(),
+        clock,
+        rng,
+        members.of_own_region,
+    )
+
+
+@given('an entry of "valley" that knows addresses of both regions')
+def step(context):
+    context.clock = SetClock()
+    start_sync(context, ["hall-a", "pier-a"])
+
+
+@when('it knows addresses of "coast" only')
+def step(context):
+    start_sync(context, ["pier-a"])
+
+
+@when("it requests whole address books until they agree")
+def step(context):
+    for _ in range(40):
+        context.clock.seconds += 1.0
+        context.sync.request_until_agreed()
+
+
+@then('it requests them from entries of "{region}" only')
+def step(context, region):
+    regions = {address.partition("-")[0] for address in context.requests.asked}
+    assert regions == {region}, regions
