Merge the communication of entries between regions

Conflicts: granting entries are ranked by region for plain servers and engines, and among the owners of a region's queues for stage servers; both rankings stay.

--- a/boragestream/daemon/stage_owners.py
+++ b/boragestream/daemon/stage_owners.py
@@ -28,12 +28,15 @@
     :ivar own: this entry.
     :ivar usable: returns the live entries that are listed, maybe with this one.
     :ivar is_staged: returns whether a service is a stage service.
+    :ivar ranked: returns those of the live entries that are ranked for a server of any
+        other service.
     """
 
     own: ListedEntry
     usable: Callable[[], Sequence[ListedEntry]]
     regions: Regions
     is_staged: Callable[[str], bool]
+    ranked: Callable[[Server, Sequence[str]], Sequence[str]] = lambda server, live: live
 
     def eligible(self, region: str = "") -> list[str]:
         """Return the entries that are ranked for the queues of a region.
@@ -69,7 +72,8 @@
         if self.is_staged(server.service):
             queue = self._queue(server)
             return owner_ranking(queue.ranking_key, self.eligible(queue.region))
-        return senders(server, {entry.name for entry in self._entries()})
+        names = {entry.name for entry in self._entries()}
+        return senders(server, self.ranked(server, [*names]))
 
     def region_of(self, entry: str) -> str:
         """Return the region of an entry; empty if it is not known."""
