--- a/tests/features/steps/drained_entries.py
+++ b/tests/features/steps/drained_entries.py
@@ -262,8 +262,8 @@
 
 
 @then(
-    '{count:d} requests "{path}" with different prompts at "{entry}" reach no server in '
-    '"{zone}"'
+    '{count:d} requests "{path}" with different prompts at "{entry}" reach no server '
+    'in "{zone}"'
 )
 def step(context, count, path, entry, zone):
     before = calls_in(context, zone)
