Offer chains whose order was dropped unsent; state the shortest wait

Cause: server_words.feature has one stage server in each of two regions. Where that of the own region turned calls away after it had got the order, the request was refused although the other region could serve it; and a refused caller got the own region's wait although the other region's servers were to be usable earlier.

Change: the owner of a region's queue reports NOT_SENT for an order that it drops with no piece in a call and none done. The entry then offers the chain, if this was its only order. A refusal states the shortest wait that a region gave. An offer that is not made because the owner is skipped counts as unanswered.

Run: stages_by_region, stage_owners, stages_by_region_entries 37 scenarios passed; both failed scenarios of server_words pass.

--- a/boragestream/document/calls.py
+++ b/boragestream/document/calls.py
@@ -189,6 +189,7 @@
     NO_ROOM = "there is no room for the result"
     ERROR = "the server failed"
     NO_SERVER = "no server is left that could make it"
+    NOT_SENT = "its order was dropped before any of its pieces was sent"
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -204,9 +204,13 @@
         self._calls.check_overdue_calls()
 
     def _fail_orders(self, orders: Sequence[QueuedOrder], fault: PieceFault) -> None:
-        failed = PieceResult("", fault)
         for queued in orders:
             order = queued.order
+            # Only entries that know the regions of queues know this fault. Their chain
+            # may then be offered to another region.
+            unsent = order.region and len(queued.left) == len(order.pieces)
+            whole = unsent and not order.invested
+            failed = PieceResult("", PieceFault.NOT_SENT if whole else fault)
             self._on_results(order.order_id, [(p.number, failed) for p in order.pieces])
 
     def _queue(self, queue_id: StageQueue) -> ServiceQueue:
--- a/boragestream/serving/piece_bookings.py
+++ b/boragestream/serving/piece_bookings.py
@@ -56,6 +56,8 @@
             A borrowed booking that is not answered is cancelled at the owner.
         """
         owner = self._owner(booking)
+        if not owner and booking.borrowed:
+            return OfferUnanswered(booking.service)
         if not owner:
             return StageSaturated(booking.service, 0)
         now = self._clock.now()
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -284,7 +284,7 @@
             return scope.reason or DeadlinePassed("stage")
         owner = self._owners.lender(order.queue)
         if not owner:
-            return StageSaturated(order.service, 0)
+            return OfferUnanswered(order.service)
         opened.owner, opened.checked_at = owner, now
         if owner == self._own:
             return _refusal(order, self._batches.submit(order, start, left))
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -15,7 +15,7 @@
 from boragestream.base.failures import DeadlinePassed
 from boragestream.base.outcomes import Failure
 from boragestream.base.route_metrics import RouteMetrics
-from boragestream.document.calls import Piece, StageResult
+from boragestream.document.calls import Piece, PieceFault, StageResult
 from boragestream.document.routes import Route
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.fingerprints import stage_fingerprint
@@ -105,8 +105,16 @@
         self._booked: dict[int, BookedOrder] = {}
         # The time since the caller's first attempt, as far as an owner knows it.
         self._waited_seconds = 0.0
-        # Where the chain runs.
+        # Where the chain runs, and the regions that are tried if it is refused there.
         self._place = ChainRegion()
+        stages_and_engine = [
+            stage.service
+            for number, stage in enumerate(run.route.stages)
+            if self._piece_count(number)
+        ]
+        self._candidates = stages.stage_regions.candidates(
+            [*stages_and_engine, run.service], run.regions
+        )
 
     def finish(self) -> ChainResults | Failure:
         """Run until every stage is done or one has failed; return the last results."""
@@ -115,6 +123,8 @@
             failure = self._quarantine_refusal() or self._start()
             while failure is None and len(self._results) < len(self._run.route.stages):
                 failure = self._wait() or self._begin_ready()
+                if failure is not None and self._was_not_sent():
+                    failure = self._start(failure)
         finally:
             for opened in self._open.values():
                 self._stages.orders.end(opened)
@@ -131,18 +141,14 @@
         results = tuple(r for number in last for r in self._results[number])
         return ChainResults(results, self._place.region)
 
-    def _start(self) -> Failure | None:
-        """Book the later stages and order the first, in the first region that accepts.
+    def _start(self, refusal: Failure | None = None) -> Failure | None:
+        """Book the later stages and order the first, in the next region that accepts.
 
-        A chain that no region accepts is refused with the wait of its own region.
+        :param refusal: why the last region did not run the chain.
+        :returns: why no region accepted it, with the shortest wait that one stated.
         """
-        run, refusal = self._run, None
-        stages = enumerate(run.route.stages)
-        services = [s.service for number, s in stages if self._piece_count(number)]
-        regions = self._stages.stage_regions.candidates(
-            [*services, run.service], run.regions
-        )
-        for place in regions:
+        run = self._run
+        for place in self._candidates:
             self._place = place
             failure = self._book_later_stages() or self._begin_ready()
             if place.borrowed:
@@ -153,9 +159,27 @@
             if not isinstance(failure, StageSaturated) or self._open:
                 return failure
             self._cancel_bookings()
-            refusal = failure if refusal is None or not place.borrowed else refusal
+            is_earlier = (
+                isinstance(refusal, StageSaturated)
+                and refusal.wait_ms <= failure.wait_ms
+            )
+            refusal = refusal if is_earlier else failure
         return refusal
 
+    def _was_not_sent(self) -> bool:
+        """Return whether the chain's only order was dropped before a piece was sent.
+
+        The order is then closed, and the chain may be offered to another region.
+        """
+        if len(self._open) != 1 or any(self._results.values()):
+            return False
+        number, opened = next(iter(self._open.items()))
+        if opened.fault is not PieceFault.NOT_SENT or opened.received:
+            return False
+        self._stages.orders.end(self._open.pop(number))
+        self._cancel_bookings()
+        return True
+
     def _cancel_bookings(self) -> None:
         for booked in self._booked.values():
             self._stages.bookings.cancel(booked)
--- a/tests/features/steps/stages_by_region.py
+++ b/tests/features/steps/stages_by_region.py
@@ -1,13 +1,17 @@
 """Steps on the queues of stages of two regions, in simulated time."""
 
+import threading
+
 import msgspec
 from behave import given, then, when
 
+from boragestream.backend.failures import ConnectFailed, Ran
 from boragestream.entry.piece_messages import PiecesBook, PiecesCancel, PiecesOrder
 from boragestream.policy.queue_owners import StageQueue, owner_ranking
 from boragestream.policy.region_links import TrafficKind
 from boragestream.serving.piece_failures import StageSaturated
 from boragestream.serving.piece_orders import OpenOrder
+from tests.standins.fleet import wait_until
 from tests.standins.stage_network import (
     REGIONS,
     ROUND_TRIP_SECONDS,
@@ -104,6 +108,38 @@
                 entry.backoffs.note(server, seconds)
 
 
+@given(
+    'servers of "{service}" in "{region}" turn calls away and ask for {seconds:g} s '
+    "without any"
+)
+def step(context, service, region, seconds):
+    owner = context.network.owner(service, region)
+
+    def turn_away(batch):
+        owner.backoffs.note(batch.server, seconds)
+        return ConnectFailed(batch.server.name, Ran.NOT_RUN, "status 503")
+
+    owner.calls.make = turn_away
+
+
+@when('a request comes to "{region}" and its order is dropped there')
+def step(context, region):
+    network = context.network
+    owner = network.owner(SERVICES[0], region)
+    running = threading.Thread(target=request, args=(context, region))
+    running.start()
+    wait_until(lambda: not running.is_alive() or drops(owner), what="a dropped order")
+    running.join()
+
+
+def drops(owner):
+    """Return whether an owner's periodic check drops an order."""
+    before = sum(len(queue.orders) for queue in owner.batches._queues.values())
+    owner.batches.update_queues()
+    after = sum(len(queue.orders) for queue in owner.batches._queues.values())
+    return after < before
+
+
 @given('an entry of "{borrower}" has borrowed for an order in "{region}"')
 def step(context, borrower, region):
     network = context.network
