--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 
 from boragestream.base.clock import Clock
-from boragestream.base.events import Event, emit
 from boragestream.base.failures import DeadlinePassed
 from boragestream.base.outcomes import Failure
 from boragestream.base.route_metrics import RouteMetrics
@@ -24,7 +23,7 @@
 from boragestream.policy.server_choice import stage_data_centre
 from boragestream.policy.stage_delays import StageDelays
 from boragestream.policy.stage_regions import ChainRegion, StageRegions
-from boragestream.serving.chains import ChainResults, note_offer
+from boragestream.serving.chains import ChainResults, log_end, note_offer
 from boragestream.serving.forwarded_run import ForwardedRun
 from boragestream.serving.piece_bookings import BookedOrder, PieceBookings
 from boragestream.serving.piece_failures import (
@@ -131,7 +130,8 @@
                 if opened.finished and opened.fault is None:
                     self._stages.release(opened.results)
             self._cancel_bookings()
-        self._log_end(failure)
+        slack = self._run.objective_at - self._stages.clock.now()
+        log_end(self._run, self._stage_reports, slack, failure)
         if failure is not None:
             for number, results in self._results.items():
                 if number not in self._released:
@@ -185,18 +185,6 @@
             self._stages.bookings.cancel(booked)
         self._booked.clear()
 
-    def _log_end(self, failure: Failure | None) -> None:
-        run = self._run
-        slack = run.objective_at - self._stages.clock.now()
-        emit(
-            Event.STAGES_DONE,
-            request=run.request.request_id,
-            version=run.table.version,
-            stages=self._stage_reports,
-            slack_ms=int(slack * 1000),
-            failure=failure.describe() if failure is not None else None,
-        )
-
     def _quarantine_refusal(self) -> Failure | None:
         """Return the quarantine's refusal of any stage; None if all are admitted."""
         run = self._run
