--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -283,6 +283,9 @@
         piece_limits=piece_limits,
         note_use=record_use,
         late=serve_until_deadline if until_deadline else refuse_late,
+        note_server_answer=lambda server: region_links.note_server_answer(
+            server.region
+        ),
         shares=accounts.new_queue,
     )
     batches = PieceBatches(batch_parts, orders.report_results)
--- a/boragestream/policy/region_links.py
+++ b/boragestream/policy/region_links.py
@@ -23,11 +23,16 @@
 from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from enum import Enum
 from statistics import median
 
 from boragestream.base.clock import Clock
 from boragestream.base.route_metrics import RegionFigures
+from boragestream.policy.link_reports import (
+    LinkChange,
+    LinkReport,
+    LinkStatus,
+    TrafficKind,
+)
 from boragestream.policy.region_window import OptionalWindow
 from boragestream.policy.regions import Regions
 
@@ -62,17 +67,11 @@
 # ``UNREACHABLE_SECONDS`` show that the entries are lost and not the link. Older answers
 # show nothing.
 SERVER_ANSWER_SECONDS = 30.0
-
-
-class TrafficKind(Enum):
-    """What bytes between regions are for; the values are labels of metrics."""
-
-    CALL = "call"
-    ANSWER = "answer"
-    RESULT = "result"
-    ORDER = "order"
-    EXCHANGE = "exchange"
-    STORE = "store"
+# While no entry of a region answers, its servers are tried from time to time by the
+# requests that the own region can't serve. Otherwise a region that has lost all of its
+# entries would never be used again.
+TRIAL_INTERVAL_SECONDS = 5.0
+TRIAL_SECONDS = 0.5
 
 
 # The kinds whose bytes are taken from the window.
@@ -81,46 +80,6 @@
 )
 
 
-class LinkStatus(Enum):
-    """The state of a link, in the order of severity."""
-
-    REACHABLE = "reachable"
-    SLOW = "slow"
-    UNREACHABLE = "unreachable"
-
-
-@dataclass(frozen=True, slots=True)
-class LinkChange:
-    """A link that has changed its status.
-
-    :ivar seconds: the recent round trip; 0 if unknown.
-    :ivar minimum_seconds: the shortest round trip of the last minutes; 0 if unknown.
-    """
-
-    region: str
-    before: LinkStatus
-    status: LinkStatus
-    seconds: float
-    minimum_seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class LinkReport:
-    """The latest measurement of a link that one entry knows, for the others.
-
-    :ivar number: identifies the measurement; 0 if there is none.
-    :ivar answered_age: the seconds since an entry of the region answered.
-    :ivar seconds: the measured round trip.
-    :ivar missed_age: the seconds since an answer was last missing; infinite if never.
-    """
-
-    region: str
-    number: int
-    answered_age: float
-    seconds: float
-    missed_age: float
-
-
 @dataclass(slots=True)
 class _Link:
     """The state of the link to one region.
@@ -205,13 +164,19 @@
         return self._unreachable
 
     def reachable(self, region: str) -> bool:
-        """Return whether entries or servers of a region answered recently."""
+        """Return whether entries or servers of a region answered recently.
+
+        An unreachable region counts as reachable while its servers are to be tried.
+        """
         link = self._links.get(region)
         if link is None:
             return True
         self.check()
-        server_age = self._clock.now() - link.server_answered_at
-        return region not in self._unreachable or server_age < UNREACHABLE_SECONDS
+        now = self._clock.now()
+        server_age = now - link.server_answered_at
+        if region not in self._unreachable or server_age < UNREACHABLE_SECONDS:
+            return True
+        return (now - link.answered_at) % TRIAL_INTERVAL_SECONDS < TRIAL_SECONDS
 
     def admits(self, region: str) -> bool:
         """Return whether optional traffic may be sent to a region now."""
@@ -277,6 +242,12 @@
             if kind in WINDOW_KINDS:
                 link.window.use(self._clock.now(), size)
 
+    def note_server_answer(self, region: str) -> None:
+        """Record that a server of a region answered a call."""
+        link = self._links.get(region)
+        if link is not None:
+            link.server_answered_at = self._clock.now()
+
     def note_answer(self, region: str, seconds: float | None) -> None:
         """Record that an entry of a region answered.
 
--- a/boragestream/policy/stage_regions.py
+++ b/boragestream/policy/stage_regions.py
@@ -74,9 +74,9 @@
             return
         if self._serves(services, own):
             yield ChainRegion(own)
-            yield from self._lenders(services, allowed)
+            yield from self._lenders(services, allowed, optional=True)
             return
-        lenders = list(self._lenders(services, allowed))
+        lenders = list(self._lenders(services, allowed, optional=False))
         yield from lenders
         if not lenders or self._serves(services[:-1], own):
             yield ChainRegion(own)
@@ -88,15 +88,18 @@
         return self._at(next(iter(reachable or serving)), borrowed=False)
 
     def _lenders(
-        self, services: Sequence[str], allowed: list[str]
+        self, services: Sequence[str], allowed: list[str], optional: bool
     ) -> Iterator[ChainRegion]:
         """Yield the region that the chain may be offered to, if there is one.
 
         A second offer would take another round trip of the time until the objective.
+
+        :param optional: whether the own region could serve the chain later.
         """
         for name in allowed:
             usable = name != self.regions.own and self._serves(services, name)
-            if usable and self.links.reachable(name) and self.links.admits(name):
+            admitted = not optional or self.links.admits(name)
+            if usable and self.links.reachable(name) and admitted:
                 yield self._at(name, borrowed=True)
                 return
 
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -97,6 +97,7 @@
     :ivar used: called for each order and booking, because published values decide
         whether it is accepted.
     :ivar late: decides which orders are kept although they are late.
+    :ivar note_server_answer: called with each server that answered a call.
     :ivar shares: returns what divides a new queue between client accounts; None to
         treat all orders alike.
     """
@@ -116,6 +117,7 @@
     piece_limits: Callable[[str], PieceLimits | None]
     note_use: Callable[[], None]
     late: LateService = refuse_late
+    note_server_answer: Callable[[Server], None] = lambda server: None
     shares: Callable[[], QueueShares | None] = lambda: None
 
 
@@ -161,7 +163,10 @@
         with self._lock:
             self._open[number] = _OpenCall(batch.server, scope, check_at)
         try:
-            return self._exchange(batch, permit, scope)
+            results = self._exchange(batch, permit, scope)
+            if isinstance(results, list):
+                parts.note_server_answer(batch.server)
+            return results
         finally:
             with self._lock:
                 del self._open[number]
--- a/tests/features/steps/account_shares.py
+++ b/tests/features/steps/account_shares.py
@@ -418,6 +418,7 @@
     context.clock = SetClock()
     table = DemandTable("entry", context.clock)
     context.parts = SimpleNamespace(
+        regions=SimpleNamespace(several=False),
         servers=SimpleNamespace(live=lambda service: FORWARD_SERVERS),
         cold=SimpleNamespace(usable=lambda servers: servers),
         backoffs=SimpleNamespace(usable=lambda servers: servers),
--- a/tests/standins/queue_parts.py
+++ b/tests/standins/queue_parts.py
@@ -30,6 +30,7 @@
         "quarantine": Quarantine("entry", lambda: ["entry"], clock),
         "retries": UncountedRetries(),
         "late": refuse_late,
+        "note_server_answer": lambda server: None,
         "shares": lambda: None,
     }
     return SimpleNamespace(**{**parts, **more})
