--- /dev/null
+++ b/boragestream/backend/bounded_io.py
@@ -0,0 +1,122 @@
+"""Reading and sending with a bound on what a server's connection may hold.
+
+It answers the load of servers that stop reading and of answers that together exceed the
+entry's memory: a call that is not read is given up after some seconds, and an answer is
+read only once its bytes are granted.
+"""
+
+import http.client
+import select
+import socket
+from collections.abc import Sequence
+
+from boragestream.backend.cancellation import CancelScope
+from boragestream.backend.failures import (
+    AnswerTooLarge,
+    AnswerUnread,
+    AttemptFailure,
+    CallUnread,
+    Ran,
+)
+from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
+
+__all__ = ["read_bounded", "send_bounded"]
+
+# A server that reads no byte for this long has stopped reading. The kernel ends such a
+# connection after 2.5 s (``base.liveness``) and does not tell it from a lost one.
+UNREAD_CALL_SECONDS = 2.0
+# Servers cut off an answer that remains unread for some seconds.
+WAIT_FOR_MEMORY_SECONDS = 2.0
+CHUNK_BYTES = 65_536
+
+
+def send_bounded(
+    sock: socket.socket, server: str, parts: Sequence[bytes]
+) -> CallUnread | None:
+    """Send a call unless the server stops reading it.
+
+    :param server: the server's name.
+    :param parts: the bytes of the call.
+    :returns: the failure of a call that made no progress; None if it was sent, or if
+        the server answers before it has read everything.
+    :raises OSError: if the connection breaks.
+    """
+    limit = sock.gettimeout()
+    seconds = UNREAD_CALL_SECONDS
+    if limit is not None:
+        seconds = min(limit, UNREAD_CALL_SECONDS)
+    size, sent = sum(len(part) for part in parts), 0
+    sock.settimeout(seconds)
+    try:
+        for part in parts:
+            rest = memoryview(part)
+            while rest:
+                count = sock.send(rest)
+                sent += count
+                rest = rest[count:]
+    except TimeoutError:
+        if _has_input(sock):
+            raise
+        ran = Ran.MAY_HAVE_RUN if sent else Ran.NOT_SENT
+        return CallUnread(server, ran, sent, size, seconds)
+    finally:
+        sock.settimeout(limit)
+    return None
+
+
+def read_bounded(
+    response: http.client.HTTPResponse,
+    server: str,
+    memory: MemoryBudget,
+    scope: CancelScope,
+    limit: int,
+) -> bytes | AttemptFailure:
+    """Read the whole body of an answer once its bytes are granted.
+
+    The bytes stay charged to the scope's charge, or, if it has none, while they are
+    read.
+
+    :param server: the server's name.
+    :param limit: the most bytes that an answer may have.
+    :raises OSError: if the connection breaks.
+    :raises http.client.HTTPException: if the answer is cut.
+    """
+    held = scope.held
+    charge = held or MemoryCharge(memory, MemoryKind.ANSWER)
+    try:
+        length = response.length
+        if length is not None:
+            if length > limit:
+                return _too_large(server, limit)
+            if not _granted(charge, length, scope):
+                return AnswerUnread(server, Ran.MAY_HAVE_RUN, length)
+            return response.read()
+        chunks: list[bytes] = []
+        size = 0
+        while data := response.read1(CHUNK_BYTES):
+            chunks.append(data)
+            size += len(data)
+            if size > limit:
+                return _too_large(server, limit)
+            if not _granted(charge, len(data), scope):
+                return AnswerUnread(server, Ran.MAY_HAVE_RUN, size)
+        return b"".join(chunks)
+    finally:
+        if held is None:
+            charge.release()
+
+
+def _granted(charge: MemoryCharge, size: int, scope: CancelScope) -> bool:
+    return charge.wait_and_reserve(
+        size, WAIT_FOR_MEMORY_SECONDS, lambda: scope.reason is not None
+    )
+
+
+def _too_large(server: str, limit: int) -> AnswerTooLarge:
+    return AnswerTooLarge(server, Ran.MAY_HAVE_RUN, f"{limit} bytes")
+
+
+def _has_input(sock: socket.socket) -> bool:
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
--- a/boragestream/backend/cancellation.py
+++ b/boragestream/backend/cancellation.py
@@ -13,6 +13,7 @@
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, emit
 from boragestream.base.failures import CallerGone, DeadlinePassed
+from boragestream.base.memory_budget import MemoryCharge
 from boragestream.base.outcomes import Failure
 from boragestream.base.pauses import PauseMeter
 
@@ -27,6 +28,8 @@
     :param deadline: the clock's seconds at which the scope is cancelled.
     :param caller_gone: tells whether the caller has closed its connection.
     :param cancelled: called once when the scope is cancelled.
+    :param held: the charge for answers that are read within the scope; None if they are
+        not counted.
     """
 
     def __init__(
@@ -34,8 +37,10 @@
         deadline: float,
         caller_gone: Callable[[], bool] | None = None,
         cancelled: Callable[[], None] | None = None,
+        held: MemoryCharge | None = None,
     ) -> None:
         self._deadline = deadline
+        self._held = held
         self._caller_gone = caller_gone
         self._cancelled = cancelled
         self._reason: Failure | None = None
@@ -48,6 +53,11 @@
         """The clock's seconds at which the scope is cancelled."""
         return self._deadline
 
+    @property
+    def held(self) -> MemoryCharge | None:
+        """The charge for answers that are read within the scope."""
+        return self._held
+
     @property
     def reason(self) -> Failure | None:
         """Why the scope was cancelled; None while it is not."""
@@ -59,7 +69,7 @@
         :param deadline: its own deadline, None for this scope's; never a later one.
         """
         own = self._deadline if deadline is None else min(deadline, self._deadline)
-        scope = CancelScope(own)
+        scope = CancelScope(own, held=self._held)
         with self._lock:
             scope._reason = self._reason
             self._children.add(scope)
--- a/boragestream/backend/failures.py
+++ b/boragestream/backend/failures.py
@@ -13,8 +13,10 @@
     "AnswerCrossed",
     "AnswerCut",
     "AnswerTooLarge",
+    "AnswerUnread",
     "AttemptCancelled",
     "AttemptFailure",
+    "CallUnread",
     "ConnectFailed",
     "Ran",
     "ServerBackedOff",
@@ -132,3 +134,27 @@
     """
 
     limit: str
+
+
+@dataclass(frozen=True, slots=True)
+class CallUnread(AttemptFailure):
+    """The server stopped reading the call.
+
+    :ivar sent: the bytes of the call that had been sent.
+    :ivar size: the bytes of the whole call.
+    :ivar seconds: how long no further byte could be sent.
+    """
+
+    sent: int
+    size: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerUnread(AttemptFailure):
+    """The entry had no memory to read the answer.
+
+    :ivar size: the bytes that were not granted.
+    """
+
+    size: int
--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from boragestream.backend.answer import broken
+from boragestream.backend.bounded_io import read_bounded, send_bounded
 from boragestream.backend.cancellation import CancelScope
 from boragestream.backend.connections import ConnectionKeeper
 from boragestream.backend.failures import (
@@ -24,6 +25,7 @@
 from boragestream.base.clock import Clock
 from boragestream.base.failures import DeadlinePassed
 from boragestream.base.liveness import detect_dead_peer
+from boragestream.base.memory_budget import MemoryBudget
 from boragestream.document.calls import AnswerHead
 from boragestream.policy.servers import Server
 
@@ -36,6 +38,8 @@
 ]
 
 MAX_ANSWER_BYTES = 16 * 1_048_576
+# A call up to this size is sent as one piece of memory, and mostly as one packet.
+JOINED_BYTES = 65_536
 READ_BYTES = 65536
 # A kept connection is used only well before its server closes it.
 IDLE_MARGIN_SECONDS = 1.0
@@ -63,6 +67,8 @@
         seconds.
     :ivar most_idle: returns how many idle connections are kept to each server of a
         service.
+    :ivar memory: grants the bytes of whole answers; None where memory is not bounded.
+        If it is there, a call that a server does not read is given up.
     """
 
     read_head: ReadHead
@@ -70,6 +76,7 @@
     clock: Clock
     most_idle: Callable[[str], int]
     note_head: NoteHead = lambda server, head, sent_at: None
+    memory: MemoryBudget | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +86,7 @@
     :ivar request_id: the id that its answer must carry if it carries any.
     :ivar encode: makes the bytes right before they are sent, given the seconds that are
         left; a failure where the call may not be sent any more.
+    :ivar body: is sent after them, and is not copied if it is large.
     :ivar fresh: whether only a new connection may be used, since the call may not be
         repeated where a kept one turns out to be closed.
     """
@@ -87,6 +95,7 @@
     request_id: str
     encode: Callable[[float], bytes | AttemptFailure]
     fresh: bool = False
+    body: bytes = b""
 
 
 class OpenForwardedAnswer:
@@ -123,10 +132,23 @@
 
     def read(self) -> bytes | AttemptFailure:
         """Read the whole body, or tell why there is none."""
+        memory = self._line.memory
         try:
-            body = self._response.read()
+            if memory is None:
+                body = self._response.read()
+            else:
+                body = read_bounded(
+                    self._response,
+                    self._server.name,
+                    memory,
+                    self._scope,
+                    MAX_ANSWER_BYTES,
+                )
         except (OSError, http.client.HTTPException, ValueError) as error:
             return self._fail(error)
+        if isinstance(body, AttemptFailure):
+            self.close()
+            return body
         if len(body) > MAX_ANSWER_BYTES:
             self.close()
             limit = f"{MAX_ANSWER_BYTES} bytes"
@@ -241,9 +263,19 @@
     sent_at = line.clock.now()
     left = scope.deadline - sent_at
     sock.settimeout(max(0.0, left) + WATCHDOG_MARGIN_SECONDS)
+    parts = [data, call.body]
+    if len(data) + len(call.body) <= JOINED_BYTES or line.memory is None:
+        parts = [data + call.body]
     whole = True
     try:
-        sock.sendall(data)
+        if line.memory is None:
+            sock.sendall(parts[0])
+        else:
+            unread = send_bounded(sock, server.name, parts)
+            if unread is not None:
+                scope.remove(sock)
+                connection.close()
+                return unread
     except OSError:
         # A server may answer before it has read everything, and close.
         whole = False
--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -56,6 +56,9 @@
     CRASHES_HEARD = (3108, logging.INFO)
     SERVER_BACKED_OFF = (3109, logging.INFO)
     SERVER_LIMIT_CHANGED = (3110, logging.WARNING)
+    SERVER_BOUNDED = (3120, logging.WARNING)
+    MEMORY_REFUSED = (3201, logging.WARNING)
+    SLOW_READER_ABANDONED = (3202, logging.WARNING)
     REQUEST_BROKEN = (3901, logging.ERROR)
     HTTP_COMPLAINT = (3902, logging.WARNING)
 
--- a/boragestream/base/failures.py
+++ b/boragestream/base/failures.py
@@ -15,6 +15,7 @@
     "DeadlinePassed",
     "EntryBroken",
     "EntryLeaving",
+    "MemoryExhausted",
     "NoConfiguration",
     "NoLiveServer",
     "QueueFull",
@@ -131,6 +132,18 @@
     """The entry is stopping and takes no new request."""
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryExhausted(Failure):
+    """The entry has no memory left for the request.
+
+    :ivar size: the number of bytes that were not granted.
+    :ivar limit: the number of bytes that the entry may hold for others.
+    """
+
+    size: int
+    limit: int
+
+
 @dataclass(frozen=True, slots=True)
 class EntryBroken(Failure):
     """The entry met an error of its own."""
--- /dev/null
+++ b/boragestream/base/memory_budget.py
@@ -0,0 +1,243 @@
+"""One byte budget for everything that an entry holds for others.
+
+It answers the load of callers and servers that send much, read slowly or read nothing:
+what they leave behind is counted by kind, and what can still be refused is refused
+before the process reaches the memory limit at which the platform ends it.
+
+Not counted are the interpreter's objects, which the budget leaves out beforehand.
+"""
+
+import enum
+import threading
+from collections import Counter, deque
+from collections.abc import Callable
+
+from boragestream.base.clock import Clock
+
+__all__ = [
+    "MemoryBudget",
+    "MemoryCharge",
+    "MemoryKind",
+    "budget_bytes",
+]
+
+MEGABYTE = 1_048_576
+# An entry with its libraries, threads and published values.
+PROCESS_BYTES = 96 * MEGABYTE
+# The allocator keeps part of what was freed, and buffers grow in steps: this share of
+# the memory that is left may be charged.
+USABLE_SHARE = 0.75
+# The platform's smallest entries must still be able to answer small requests.
+MIN_BUDGET_BYTES = 4 * MEGABYTE
+# Requests up to this size may use memory that larger ones leave free.
+SMALL_BYTES = 65_536
+# The shares of the budget up to which more bytes are granted. What was admitted must
+# still be answered, so that answers may use more than requests; and a few callers with
+# large bodies, or that read nothing, leave memory for the others.
+LARGE_REQUEST_SHARE = 0.5
+UNREAD_SHARE = 0.6
+SMALL_REQUEST_SHARE = 0.8
+ANSWER_SHARE = 0.95
+# The releases of this many seconds predict when bytes become free.
+RATE_SECONDS = 2.0
+MIN_RETRY_SECONDS = 0.05
+MAX_RETRY_SECONDS = 5.0
+POLL_SECONDS = 0.05
+
+
+class MemoryKind(enum.Enum):
+    """What bytes are held for."""
+
+    REQUEST = "request"
+    ANSWER = "answer"
+    OUTPUT = "output"
+    PEER = "peer"
+
+
+class MemoryBudget:
+    """The bytes that an entry holds for others, by kind.
+
+    :param limit: the bytes that may be held.
+    """
+
+    def __init__(self, limit: int, clock: Clock) -> None:
+        self._limit = limit
+        self._clock = clock
+        self._charged: Counter[MemoryKind] = Counter()
+        self._total = 0
+        self._released: deque[tuple[float, int]] = deque()
+        self._changed = threading.Condition()
+        self._on_short: Callable[[], None] = lambda: None
+
+    @property
+    def limit(self) -> int:
+        """The bytes that may be held."""
+        return self._limit
+
+    @property
+    def total(self) -> int:
+        """The bytes that are held."""
+        return self._total
+
+    @property
+    def short(self) -> bool:
+        """Whether output that callers do not read should be given up."""
+        return self._total > self._limit * LARGE_REQUEST_SHARE
+
+    @property
+    def grants_unread(self) -> bool:
+        """Whether output may grow that its caller does not read."""
+        return self._total <= self._limit * UNREAD_SHARE
+
+    def charged(self, kind: MemoryKind) -> int:
+        """Return the bytes that are held for one purpose."""
+        return self._charged[kind]
+
+    def on_short(self, free: Callable[[], None]) -> None:
+        """Have a function called, without a lock, when bytes were not granted."""
+        self._on_short = free
+
+    def reserve(self, kind: MemoryKind, size: int, whole: int = 0) -> bool:
+        """Charge bytes if the budget grants them.
+
+        :param whole: the size of what the bytes are a part of, if larger.
+        """
+        with self._changed:
+            granted = self._total + size <= self._ceiling(kind, max(size, whole))
+            if granted:
+                self._add(kind, size)
+        if not granted:
+            self._on_short()
+        return granted
+
+    def wait_and_reserve(
+        self,
+        kind: MemoryKind,
+        size: int,
+        seconds: float,
+        cancelled: Callable[[], bool],
+    ) -> bool:
+        """Charge bytes as soon as the budget grants them.
+
+        :param seconds: the longest time to wait.
+        :param cancelled: whether to stop waiting.
+        """
+        end = self._clock.now() + seconds
+        while not self.reserve(kind, size):
+            if cancelled() or self._clock.now() >= end:
+                return False
+            with self._changed:
+                self._changed.wait(POLL_SECONDS)
+        return True
+
+    def charge(self, kind: MemoryKind, size: int) -> None:
+        """Charge bytes that are held already, whether or not they are granted."""
+        with self._changed:
+            self._add(kind, size)
+
+    def release(self, kind: MemoryKind, size: int) -> None:
+        """Return bytes to the budget."""
+        if not size:
+            return
+        with self._changed:
+            self._add(kind, -size)
+            self._released.append((self._clock.now(), size))
+            self._drop_old_releases()
+            self._changed.notify_all()
+
+    def retry_seconds(self, size: int) -> float:
+        """Return after how many seconds bytes will probably be granted."""
+        with self._changed:
+            self._drop_old_releases()
+            rate = sum(released for _, released in self._released) / RATE_SECONDS
+            missing = self._total + size - self._ceiling(MemoryKind.REQUEST, size)
+        if rate <= 0:
+            return MAX_RETRY_SECONDS
+        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, missing / rate))
+
+    def _add(self, kind: MemoryKind, size: int) -> None:
+        self._charged[kind] += size
+        self._total += size
+
+    def _ceiling(self, kind: MemoryKind, size: int) -> float:
+        share = ANSWER_SHARE
+        if kind is MemoryKind.REQUEST:
+            small = size <= SMALL_BYTES
+            share = SMALL_REQUEST_SHARE if small else LARGE_REQUEST_SHARE
+        return self._limit * share
+
+    def _drop_old_releases(self) -> None:
+        oldest = self._clock.now() - RATE_SECONDS
+        while self._released and self._released[0][0] < oldest:
+            self._released.popleft()
+
+
+class MemoryCharge:
+    """The bytes that one holder has charged; released once, however often it ends."""
+
+    def __init__(self, budget: MemoryBudget, kind: MemoryKind) -> None:
+        self._budget = budget
+        self._kind = kind
+        self._size = 0
+        self._ended = False
+        self._lock = threading.Lock()
+
+    @property
+    def budget(self) -> MemoryBudget:
+        """The budget to which the bytes are charged."""
+        return self._budget
+
+    @property
+    def size(self) -> int:
+        """The bytes that are charged."""
+        return self._size
+
+    def reserve(self, size: int) -> bool:
+        """Charge further bytes if the budget grants them."""
+        with self._lock:
+            if self._ended:
+                return False
+            granted = self._budget.reserve(self._kind, size, self._size + size)
+            if granted:
+                self._size += size
+            return granted
+
+    def wait_and_reserve(
+        self, size: int, seconds: float, cancelled: Callable[[], bool]
+    ) -> bool:
+        """Charge further bytes as soon as the budget grants them."""
+        if not self._budget.wait_and_reserve(self._kind, size, seconds, cancelled):
+            return False
+        with self._lock:
+            self._size += size
+            ended = self._ended
+        if ended:
+            self.release()
+        return not ended
+
+    def set(self, size: int) -> None:
+        """Charge exactly this many bytes, which are held already."""
+        with self._lock:
+            if self._ended:
+                return
+            change, self._size = size - self._size, size
+            if change > 0:
+                self._budget.charge(self._kind, change)
+            else:
+                self._budget.release(self._kind, -change)
+
+    def release(self) -> None:
+        """Return all bytes to the budget, and charge none any more."""
+        with self._lock:
+            self._ended = True
+            size, self._size = self._size, 0
+            self._budget.release(self._kind, size)
+
+
+def budget_bytes(memory_mb: int) -> int:
+    """Return the bytes that an entry may hold for others.
+
+    :param memory_mb: the memory at which the platform ends the process.
+    """
+    left = memory_mb * MEGABYTE - PROCESS_BYTES
+    return max(MIN_BUDGET_BYTES, int(left * USABLE_SHARE))
--- a/boragestream/base/route_metrics.py
+++ b/boragestream/base/route_metrics.py
@@ -7,6 +7,7 @@
 
 import threading
 from collections.abc import Callable
+from functools import partial
 
 from prometheus_client import (
     CollectorRegistry,
@@ -16,6 +17,8 @@
     generate_latest,
 )
 
+from boragestream.base.memory_budget import MemoryBudget, MemoryKind
+
 __all__ = ["RouteMetrics"]
 
 # 730 client accounts and 8 pipelines of up to two dozen routes are the planned size.
@@ -120,12 +123,48 @@
             buckets=AGE_SECONDS,
             registry=registry,
         )
+        self._memory = Gauge(
+            "boragestream_memory_bytes",
+            "Bytes held for others, by kind.",
+            ["kind"],
+            registry=registry,
+        )
+        self._memory_limit = Gauge(
+            "boragestream_memory_limit_bytes",
+            "Bytes that may be held for others; 0 for no limit.",
+            registry=registry,
+        )
+        self._memory_refused = Counter(
+            "boragestream_memory_refused",
+            "Requests refused for memory.",
+            registry=registry,
+        )
+        self._abandoned = Counter(
+            "boragestream_slow_readers_abandoned",
+            "Connections closed because their callers did not read.",
+            registry=registry,
+        )
 
     def gauge(self, name: str, meaning: str, read: Callable[[], float]) -> None:
         """Add a gauge that is read with each scrape."""
         gauge = Gauge(f"boragestream_{name}", meaning, registry=self._registry)
         gauge.set_function(read)
 
+    def set_memory(self, budget: MemoryBudget) -> None:
+        """Set the budget whose bytes are served."""
+        for kind in MemoryKind:
+            labelled = self._memory.labels(kind.value)
+            labelled.set_function(partial(budget.charged, kind))
+        self._memory_limit.set(budget.limit)
+
+    def memory_refused(self) -> None:
+        """Count a request that was refused for memory."""
+        self._memory_refused.inc()
+
+    def reader_abandoned(self) -> None:
+        """Count a connection that was closed because its caller did not read."""
+        self._abandoned.inc()
+
     def request_ended(
         self, account: str, route: str, outcome: str, reason: str, seconds: float
     ) -> None:
--- /dev/null
+++ b/boragestream/caller/caller_memory.py
@@ -0,0 +1,220 @@
+"""Decides what callers' connections may hold, and whose unread output is given up.
+
+It answers the load of many callers that send large bodies or read nothing: a request
+beyond the budget is refused before its body is read, and when memory is short, the
+output that its caller has not read for longest after its deadline is given up.
+"""
+
+import math
+import threading
+from collections.abc import Callable, Mapping
+from http import HTTPStatus
+from typing import Any, Protocol
+
+from waitress.utilities import Error
+
+from boragestream.base.clock import Clock
+from boragestream.base.events import Event, emit
+from boragestream.base.failures import MemoryExhausted
+from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
+
+__all__ = ["CallerMemory", "RefusalFormat", "UnreadOutput", "read_body"]
+
+# Output without progress for less time belongs to a caller that reads.
+STALLED_SECONDS = 1.0
+# A connection whose caller reads nothing for this long is closed even if memory is not
+# short, so that its descriptor is returned.
+UNREAD_SECONDS = 60.0
+# From this share of the allowed connections on, stalled ones are closed for others.
+CONNECTIONS_SHARE = 0.85
+FREE_INTERVAL_SECONDS = 0.05
+
+
+class RefusalFormat(Protocol):
+    """The wire format of the entry's own refusals."""
+
+    def request_id(self, headers: Mapping[str, str]) -> str:
+        """Return a request's id, given its headers by upper-case name."""
+
+    def refusal_headers(
+        self, request_id: str, retry_after: float | None
+    ) -> list[tuple[str, str]]:
+        """Return the headers of an answer that the entry generates."""
+
+
+class UnreadOutput(Protocol):
+    """A caller's connection."""
+
+    unread_bytes: int
+    progress_at: float
+    deadline: float
+    request_id: str
+
+    def abandon(self) -> None:
+        """Close the connection so that its caller sees that the answer is cut."""
+
+    def count_kernel_bytes(self) -> None:
+        """Charge the bytes that the kernel holds for the connection."""
+
+
+class MemoryRefusedError(Error):
+    """An error of waitress: 503, not run, with the time to return."""
+
+    def __init__(self, headers: list[tuple[str, str]], failure: MemoryExhausted):
+        super().__init__(failure.code)
+        self._headers = headers
+        self._failure = failure
+
+    def to_response(self, ident: str | None = None) -> tuple[str, list, bytes]:
+        """Return status, headers and body in the form that waitress expects."""
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        headers = [("Content-Type", "text/plain"), *self._headers]
+        body = f"{self._failure.code}\n".encode()
+        return f"{status.value} {status.phrase}", headers, body
+
+
+class CallerMemory:
+    """The part of the budget that callers' connections use.
+
+    :param clock: the clock of requests' deadlines.
+    :param refused: called for each request that is refused for memory.
+    :param abandoned: called for each connection that is given up because its caller
+        does not read.
+    """
+
+    def __init__(
+        self,
+        budget: MemoryBudget,
+        refusals: RefusalFormat,
+        clock: Clock,
+        refused: Callable[[], None] = lambda: None,
+        abandoned: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._budget = budget
+        self._refusals = refusals
+        self._clock = clock
+        self._server: Any = None
+        self._count_refused = refused
+        self._count_abandoned = abandoned
+        self._freed_at = float("-inf")
+        self._lock = threading.Lock()
+        budget.on_short(self.free)
+
+    @property
+    def budget(self) -> MemoryBudget:
+        """The budget of the entry."""
+        return self._budget
+
+    def now(self) -> float:
+        """Return the clock's seconds."""
+        return self._clock.now()
+
+    def attach(self, server: Any) -> None:
+        """Set the waitress server whose connections are managed."""
+        self._server = server
+        server.maintenance = self._maintain
+
+    def charge(self, kind: MemoryKind) -> MemoryCharge:
+        """Return a new charge without bytes."""
+        return MemoryCharge(self._budget, kind)
+
+    def refusal(self, headers: Mapping[str, str], size: int) -> MemoryRefusedError:
+        """Return the answer to a request whose bytes were not granted, and log it."""
+        budget = self._budget
+        self._count_refused()
+        request_id = self._refusals.request_id(headers)
+        wait = budget.retry_seconds(size)
+        emit(
+            Event.MEMORY_REFUSED,
+            request=request_id,
+            kind=MemoryKind.REQUEST.value,
+            bytes=size,
+            budget=budget.limit,
+            retry_ms=int(wait * 1000),
+            **{f"{kind.value}_bytes": budget.charged(kind) for kind in MemoryKind},
+        )
+        failure = MemoryExhausted(size, budget.limit)
+        return MemoryRefusedError(
+            self._refusals.refusal_headers(request_id, wait), failure
+        )
+
+    def free(self) -> None:
+        """Give up output that is past its deadline while memory is short.
+
+        The one without progress for longest goes first. The event loop closes the
+        connections. The caller may not hold a connection's lock, because a close needs
+        it.
+        """
+        now = self._clock.now()
+        with self._lock:
+            if self._server is None or now - self._freed_at < FREE_INTERVAL_SECONDS:
+                return
+            self._freed_at = now
+        if self._budget.short:
+            self._server.trigger.pull_trigger(self._abandon_while_short)
+
+    def _abandon_while_short(self) -> None:
+        budget = self._budget
+        for output in self._stalled():
+            if not budget.short:
+                return
+            self._abandon(output)
+
+    def _stalled(self) -> list[UnreadOutput]:
+        """Return output past its deadline, the one without progress longest first."""
+        now = self._clock.now()
+        stalled = [
+            output
+            for output in list(self._server.active_channels.values())
+            if output.unread_bytes
+            and now >= output.deadline
+            and now - output.progress_at >= STALLED_SECONDS
+        ]
+        return sorted(stalled, key=lambda output: output.progress_at)
+
+    def _abandon(self, output: UnreadOutput) -> None:
+        self._count_abandoned()
+        emit(
+            Event.SLOW_READER_ABANDONED,
+            request=output.request_id,
+            bytes=output.unread_bytes,
+            seconds=round(self._clock.now() - output.progress_at, 1),
+            budget=self._budget.limit,
+            held=self._budget.total,
+        )
+        output.abandon()
+
+    def _maintain(self, now: float) -> None:
+        """Close idle connections, and count what the kernel holds for the others.
+
+        The event loop calls this about once a second in place of waitress' own
+        function, which also closes connections whose callers pause while they read.
+
+        :param now: the system's time in seconds.
+        """
+        server = self._server
+        cutoff = now - server.adj.channel_timeout
+        unread_cutoff = now - max(UNREAD_SECONDS, server.adj.channel_timeout)
+        for channel in list(server.active_channels.values()):
+            channel.count_kernel_bytes()
+            idle_since = math.inf if channel.requests else channel.last_activity
+            if channel.unread_bytes:
+                if idle_since < unread_cutoff:
+                    self._later(channel)
+            elif channel.discards_too_long or idle_since < cutoff:
+                channel.will_close = True
+        self.free()
+        full = CONNECTIONS_SHARE * server.adj.connection_limit
+        excess = len(server.active_channels) - full
+        for output in self._stalled()[: max(0, int(excess))]:
+            self._later(output)
+
+    def _later(self, output: UnreadOutput) -> None:
+        """Give up a connection outside of the event loop's pass over the sockets."""
+        self._server.trigger.pull_trigger(lambda: self._abandon(output))
+
+
+def read_body(stream: Any) -> bytes:
+    """Return a request's whole body without a copy of it."""
+    take: Any = getattr(stream, "getvalue", stream.read)
+    return take()
--- a/boragestream/caller/connections.py
+++ b/boragestream/caller/connections.py
@@ -2,38 +2,68 @@
 
 It records when a request began to arrive, stops blocking on a caller that does not read
 once the request's deadline has passed, and closes keep-alive connections while the
-entry is leaving. ``caller.server`` configures the server.
+entry is leaving. If the server has a ``CallerMemory``, the bytes that the connection
+holds are charged to it: writes then block only while memory is short, and a request
+without memory is refused and its body dropped. ``caller.server`` configures the server.
 """
 
+import array
+import fcntl
+import socket
+import struct
+import termios
+import time
 from typing import Any
 
 from waitress.adjustments import Adjustments
 from waitress.task import WSGITask
 
+from boragestream.base.memory_budget import MemoryKind
+from boragestream.caller.caller_memory import CallerMemory
 from boragestream.caller.protocol import StrictChannel, StrictParser
 
-__all__ = ["ARRIVED", "RAW_HEADERS", "STOP_WAITING", "CallerConnection"]
+__all__ = [
+    "ARRIVED",
+    "NOTE_DEADLINE",
+    "RAW_HEADERS",
+    "STOP_WAITING",
+    "CallerConnection",
+]
 
 ARRIVED = "boragestream.arrived"
 STOP_WAITING = "boragestream.stop_waiting"
 RAW_HEADERS = "boragestream.headers"
+NOTE_DEADLINE = "boragestream.note_deadline"
+
+# How long the body of a refused request is read and dropped, so that a caller that is
+# still sending gets the answer and not a connection reset.
+DISCARD_SECONDS = 5.0
+DISCARD_BYTES = 65_536
+# Less unread output of one caller does not block writes even if memory is short.
+SMALL_OUTPUT_BYTES = 16_384
+BLOCKED_POLL_SECONDS = 0.05
+# A closed connection without activity for longer holds nothing in the kernel.
+KERNEL_SECONDS = 2.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class CallerTask(WSGITask):
     """One request of a connection."""
 
     def get_environment(self) -> dict[str, Any]:
-        """Return the WSGI environment, extended by three keys for the application.
+        """Return the WSGI environment, extended by four keys for the application.
 
         ``ARRIVED`` holds the clock's seconds at the request's first byte, so that time
         in waitress' own queue counts. ``STOP_WAITING`` holds a function without
         arguments that is called when the deadline has passed. ``RAW_HEADERS`` holds
-        the headers by name, in upper case with underscores.
+        the headers by name, in upper case with underscores. ``NOTE_DEADLINE`` holds a
+        function that is called with the request's id and its deadline.
         """
         environ = super().get_environment()
         environ[ARRIVED] = self.request.arrived
         environ[STOP_WAITING] = self.channel.stop_waiting
         environ[RAW_HEADERS] = self.request.headers
+        environ[NOTE_DEADLINE] = self.channel.note_deadline
         self.channel.begin_waiting()
         return environ
 
@@ -45,22 +75,56 @@
 
 
 class CallerConnection(StrictChannel):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    :ivar request_id: the id of the latest request; empty if it has none.
+    :ivar deadline: the clock's seconds by which that request was to be answered.
+    :ivar progress_at: the clock's seconds when the caller last read output.
+    """
 
     task_class = CallerTask
     _blocks_on_output = True
 
+    def __init__(self, server: Any, *arguments: Any, **options: Any) -> None:
+        self._memory: CallerMemory | None = getattr(server, "caller_memory", None)
+        self._output = self._received = self._unsent = None
+        self._discard_until: float | None = None
+        self._discard_left: int | None = None
+        self.request_id = ""
+        self.deadline = self.progress_at = 0.0
+        if self._memory is not None:
+            self._output = self._memory.charge(MemoryKind.OUTPUT)
+            # What the kernel holds.
+            self._received = self._memory.charge(MemoryKind.REQUEST)
+            self._unsent = self._memory.charge(MemoryKind.OUTPUT)
+        super().__init__(server, *arguments, **options)
+
     @property
     def busy(self) -> bool:
         """Whether a request is being read, run or answered."""
         return bool(self.requests or self.request or self.total_outbufs_len)
 
+    @property
+    def unread_bytes(self) -> int:
+        """The bytes that the process holds because the caller has not read them."""
+        return self.total_outbufs_len
+
+    @property
+    def discards_too_long(self) -> bool:
+        """Whether the body of a refused request has been dropped for long enough."""
+        until = self._discard_until
+        return until is not None and self._memory.now() >= until
+
     def parser_class(self, adjustments: Adjustments) -> StrictParser:
         """Return the parser of a request whose first bytes have arrived."""
-        request = StrictParser(adjustments)
+        request = StrictParser(adjustments, self._memory, self._discard_rest)
         request.arrived = self.server.clock.now()
         return request
 
+    def note_deadline(self, request_id: str, deadline: float) -> None:
+        """Record the request whose answer is written next."""
+        self.request_id, self.deadline = request_id, deadline
+
     def begin_waiting(self) -> None:
         """Let writes block until the caller reads."""
         self._blocks_on_output = True
@@ -71,8 +135,133 @@
         with self.outbuf_lock:
             self.outbuf_lock.notify_all()
 
+    def service(self) -> None:
+        """Run one request, and return what it held."""
+        request = self.requests[0]
+        try:
+            super().service()
+        finally:
+            request.release()
+
+    def readable(self) -> bool:
+        """Return whether the event loop should read."""
+        if self._discard_until is not None:
+            return not self.will_close
+        return super().readable()
+
+    def handle_read(self) -> None:
+        """Read bytes; drop them after a request that was refused."""
+        if self._discard_until is None:
+            super().handle_read()
+            return
+        try:
+            # An end of the stream closes the connection.
+            dropped = len(self.recv(DISCARD_BYTES))
+        except OSError:
+            self.handle_close()
+            return
+        if self._discard_left is not None:
+            self._discard_left -= dropped
+        self._close_after_discarding()
+
+    def handle_write(self) -> None:
+        """Send output; after a refusal, keep reading until the body is dropped."""
+        if self._discard_until is None or not self.close_when_flushed:
+            super().handle_write()
+            return
+        self._flush_exception(self._flush_some)
+        if not self.total_outbufs_len:
+            self.close_when_flushed = False
+            self._shut_down_output()
+            self._close_after_discarding()
+        if self.will_close:
+            self.handle_close()
+
+    def abandon(self) -> None:
+        """Close the connection with a reset, so that no cut answer looks complete."""
+        if self.connected:
+            linger = socket.SO_LINGER
+            self.socket.setsockopt(socket.SOL_SOCKET, linger, RESET_ON_CLOSE)
+            self.handle_close()
+
+    def handle_close(self) -> None:
+        """Close the connection, and return what it held."""
+        super().handle_close()
+        with self.outbuf_lock:
+            self.outbuf_lock.notify_all()
+        if self._memory is None:
+            return
+        self._output.release()
+        self._received.release()
+        self._unsent.release()
+        if self.request is not None:
+            self.request.release()
+
+    def write_soon(self, data: Any) -> int:
+        """Send data, and charge what the socket does not accept."""
+        if self._memory is None:
+            return super().write_soon(data)
+        length = super().write_soon(data)
+        with self.outbuf_lock:
+            self._count_output()
+        return length
+
+    def count_kernel_bytes(self) -> None:
+        """Charge what the kernel has received or not sent for the connection.
+
+        What it holds can't change without activity unless it is being sent.
+        """
+        recent = time.time() - self.last_activity < KERNEL_SECONDS
+        if not (recent or self.busy or self._received.size or self._unsent.size):
+            return
+        try:
+            self._received.set(self._kernel_bytes(termios.FIONREAD))
+            self._unsent.set(self._kernel_bytes(termios.TIOCOUTQ))
+        except OSError:
+            # The connection is being closed, which releases both.
+            return
+
+    def _kernel_bytes(self, kind: int) -> int:
+        size = array.array("i", [0])
+        fcntl.ioctl(self.socket, kind, size)
+        return size[0]
+
+    def _discard_rest(self, left: int | None) -> None:
+        self._discard_until = self._memory.now() + DISCARD_SECONDS
+        self._discard_left = left
+
+    def _shut_down_output(self) -> None:
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.will_close = True
+
+    def _close_after_discarding(self) -> None:
+        answered = not (self.requests or self.close_when_flushed or self.busy)
+        left = self._discard_left
+        if answered and (self.discards_too_long or (left is not None and left <= 0)):
+            self.will_close = True
+
+    def _flush_some(self, do_close: bool = True) -> bool:
+        if self._memory is None:
+            return super()._flush_some(do_close)
+        with self.outbuf_lock:
+            sent = super()._flush_some(do_close)
+            if sent:
+                self.progress_at = self._memory.now()
+            self._count_output()
+            return sent
+
+    def _count_output(self) -> None:
+        if self.total_outbufs_len and not self._output.size:
+            self.progress_at = self._memory.now()
+        self._output.set(self.total_outbufs_len)
+
     def _flush_outbufs_below_high_watermark(self) -> None:
         """Block until the caller reads or waiting stops; waitress has no bound."""
+        if self._memory is not None:
+            self._wait_for_memory()
+            return
         limit = self.adj.outbuf_high_watermark
         with self.outbuf_lock:
             while (
@@ -82,3 +271,16 @@
             ):
                 self.server.pull_trigger()
                 self.outbuf_lock.wait()
+
+    def _wait_for_memory(self) -> None:
+        """Block while memory is short and the caller has unread output."""
+        budget = self._memory.budget
+        with self.outbuf_lock:
+            while (
+                self.connected
+                and self._blocks_on_output
+                and self.total_outbufs_len > SMALL_OUTPUT_BYTES
+                and not budget.grants_unread
+            ):
+                self.server.pull_trigger()
+                self.outbuf_lock.wait(BLOCKED_POLL_SECONDS)
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -22,9 +22,16 @@
     NoConfiguration,
     QueueFull,
 )
+from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
 from boragestream.base.outcomes import Failed, Failure, Refused, Unknown
 from boragestream.base.route_metrics import RouteMetrics
-from boragestream.caller.connections import ARRIVED, RAW_HEADERS, STOP_WAITING
+from boragestream.caller.caller_memory import read_body
+from boragestream.caller.connections import (
+    ARRIVED,
+    NOTE_DEADLINE,
+    RAW_HEADERS,
+    STOP_WAITING,
+)
 from boragestream.caller.failures import BodyTooLong
 from boragestream.caller.forwarded_stream import ForwardedStream, StreamTiming
 from boragestream.caller.replies import StartResponse
@@ -104,6 +111,7 @@
     :ivar limit: the number of requests in service at which further ones are refused.
     :ivar used: called for each request, because published values determine its
         handling.
+    :ivar memory: grants the bytes of answers; None for no limit.
     """
 
     routes: RoutesInForce
@@ -117,6 +125,7 @@
     in_hand: RequestCounter
     limit: int
     used: Callable[[], None]
+    memory: MemoryBudget | None = None
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Reply:
         """Answer one HTTP request."""
@@ -156,7 +165,10 @@
         if request.wait_seconds is not None:
             wait = min(wait, request.wait_seconds)
         gone = environ.get("waitress.client_disconnected")
-        scope = CancelScope(arrived + wait, gone, environ.get(STOP_WAITING))
+        held = MemoryCharge(self.memory, MemoryKind.ANSWER) if self.memory else None
+        scope = CancelScope(arrived + wait, gone, environ.get(STOP_WAITING), held)
+        if NOTE_DEADLINE in environ:
+            environ[NOTE_DEADLINE](request.request_id, scope.deadline)
         name = account.name if account is not None else ""
         run = ForwardedRun(
             request=request,
@@ -176,7 +188,7 @@
     def _read(
         self, environ: Environ, body_bytes: int
     ) -> ForwardedRequest | RequestMalformed | BodyTooLong:
-        body = environ["wsgi.input"].read()
+        body = read_body(environ["wsgi.input"])
         if len(body) > body_bytes:
             return BodyTooLong(body_bytes)
         headers = [
@@ -236,6 +248,9 @@
     def release(self, run: ForwardedRun) -> None:
         """Release a request that is no longer being served."""
         self.watchdog.close(run.scope)
+        if run.scope.held is not None:
+            # From now on what is written counts as output.
+            run.scope.held.release()
         self.in_hand.end()
 
     def log_end(
--- a/boragestream/caller/protocol.py
+++ b/boragestream/caller/protocol.py
@@ -3,10 +3,12 @@
 A request of ambiguous length is refused, because a proxy between the caller and the
 entry could interpret it differently. A request must arrive completely within a time
 limit, however slowly its bytes come. Errors contain nothing that a caller sent, since
-it could be a key.
+it could be a key. If the server has a ``CallerMemory``, a request is charged for its
+head and body, and refused where the budget does not grant them.
 """
 
 import re
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -14,7 +16,9 @@
 from waitress.utilities import Error
 
 from boragestream.base.identifiers import new_request_id
+from boragestream.base.memory_budget import MemoryKind
 from boragestream.base.outcomes import Failure, Refused
+from boragestream.caller.caller_memory import CallerMemory
 from boragestream.caller.channel import DirectChannel
 from boragestream.caller.failures import (
     BodyTooLong,
@@ -52,15 +56,78 @@
 
 
 class StrictParser(HTTPRequestParser):
-    """Refuses ambiguous requests and reports errors as problem documents."""
+    """Refuses ambiguous requests and reports errors as problem documents.
+
+    :param memory: grants the bytes of the request; None for no limit.
+    :param refused: called when the request is refused for memory, with the number of
+        bytes of its body that are still to come; None if that is not known.
+    """
+
+    def __init__(
+        self,
+        adj: Any,
+        memory: CallerMemory | None = None,
+        refused: Callable[[int | None], None] = lambda left: None,
+    ) -> None:
+        super().__init__(adj)
+        self._memory = memory
+        self._note_refused = refused
+        self._charge = memory.charge(MemoryKind.REQUEST) if memory else None
 
     def received(self, data: bytes) -> int:
         """Parse bytes of a request; return how many were consumed."""
+        if self._charge is None:
+            return self._parse(data)
+        before = self._charge.size
+        # A body of stated length is charged as a whole when its head is complete.
+        grows = self.body_rcv is None or self.chunked
+        if grows and not self._charge.reserve(len(data)):
+            return self._refuse(before + len(data), data)
+        used = self._parse(data)
+        if grows:
+            self._charge.set(before + used)
+        stated = self.content_length if grows and not self.completed else 0
+        if stated and not self._charge.reserve(stated):
+            return self._refuse(stated, data, stated - (len(data) - used))
+        if self.empty:
+            # waitress drops blank lines between requests without closing them.
+            self.release()
+        return used
+
+    def release(self) -> None:
+        """Return the request's bytes to the budget; a second call does nothing."""
+        if self._charge is not None:
+            self._charge.release()
+
+    def close(self) -> None:
+        """Drop the body."""
+        super().close()
+        self.release()
+
+    def _parse(self, data: bytes) -> int:
         used = super().received(data)
         if self.error is not None and not isinstance(self.error, _ProblemError):
             self.error = _ProblemError(_failure(self.error, self.adj))
         return used
 
+    def _refuse(self, size: int, data: bytes, left: int | None = None) -> int:
+        """End the request with a refusal; the rest of the data is dropped with it.
+
+        :param left: the bytes of the body that are still to come, if known.
+        """
+        if not self.headers_finished:
+            # The connection reads the version and headers of every request.
+            super().parse_header(b"GET / HTTP/1.0\r\n")
+        self.error = self._memory.refusal(self.headers, size)
+        self._note_refused(left)
+        self.completed = True
+        # Otherwise waitress would ask the caller to send the body.
+        self.expect_continue = False
+        if self.body_rcv is not None:
+            self.body_rcv.getbuf().close()
+        self.release()
+        return len(data)
+
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the request line and the headers."""
         super().parse_header(header_plus)
--- a/boragestream/caller/server.py
+++ b/boragestream/caller/server.py
@@ -11,6 +11,7 @@
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, emit
 from boragestream.base.settings import CallerSettings
+from boragestream.caller.caller_memory import CallerMemory
 from boragestream.caller.connections import CallerConnection
 from boragestream.caller.dispatcher import GrowingDispatcher
 
@@ -29,6 +30,11 @@
 CLEANUP_SECONDS = 1
 # Instances have no disks, so waitress must never spool to a file.
 NEVER_SPOOLED_BYTES = 1 << 40
+# With bounded memory, the kernel receives about this much of a connection before the
+# entry reads it, and keeps about this much unsent for a caller that does not read.
+# The kernel counts up to twice as much for its own records.
+RECEIVE_BUFFER_BYTES = 32_768
+UNSENT_BYTES = 16_384
 
 
 def create_server(
@@ -36,6 +42,7 @@
     settings: CallerSettings,
     clock: Clock | None = None,
     listening: socket.socket | None = None,
+    memory: CallerMemory | None = None,
 ) -> BaseWSGIServer:
     """Return a server bound to the address of the settings, not yet running.
 
@@ -44,6 +51,7 @@
 
     :param clock: gives the arrival times of requests.
     :param listening: a listening socket to use in place of the address.
+    :param memory: bounds what the connections hold; None for no bound.
     """
     place: dict[str, Any] = {"host": settings.address, "port": settings.port}
     if listening is not None:
@@ -72,9 +80,22 @@
     server.channel_class = CallerConnection
     server.clock = clock or SystemClock()
     server.leaving = False
+    server.caller_memory = memory
+    if memory is not None:
+        _bound_kernel_buffers(server)
+        memory.attach(server)
     return server
 
 
+def _bound_kernel_buffers(server: BaseWSGIServer) -> None:
+    # Accepted connections inherit the receive buffer, which must be set before their
+    # window is announced.
+    option = socket.SO_RCVBUF
+    server.socket.setsockopt(socket.SOL_SOCKET, option, RECEIVE_BUFFER_BYTES)
+    unsent = (socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
+    server.adj.socket_options = [*server.adj.socket_options, unsent]
+
+
 def close_after_next_answers(server: BaseWSGIServer) -> None:
     """Close each keep-alive connection after its next answer."""
     server.leaving = True
--- /dev/null
+++ b/boragestream/daemon/memory.py
@@ -0,0 +1,49 @@
+"""Builds what bounds the memory of an entry that forwards calls."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from boragestream.base.clock import Clock
+from boragestream.base.memory_budget import MemoryBudget, MemoryKind, budget_bytes
+from boragestream.base.route_settings import ResourceSettings
+from boragestream.entry.links import Handler
+from boragestream.policy.outstanding import OutstandingWork
+
+__all__ = ["charged_handlers", "make_budget", "make_outstanding"]
+
+
+def make_budget(resources: ResourceSettings, clock: Clock) -> MemoryBudget | None:
+    """Return the entry's budget; None where its memory is not bounded."""
+    if resources.memory_mb is None:
+        return None
+    return MemoryBudget(budget_bytes(resources.memory_mb), clock)
+
+
+def make_outstanding(
+    resources: ResourceSettings, clock: Clock
+) -> OutstandingWork | None:
+    """Return the bounds on work at servers; None where memory is not bounded."""
+    return OutstandingWork(clock) if resources.memory_mb is not None else None
+
+
+def charged_handlers(
+    handlers: Mapping[type, Handler], budget: MemoryBudget | None
+) -> Mapping[type, Handler]:
+    """Return handlers that charge each message of a peer while it is handled."""
+    if budget is None:
+        return handlers
+    return {kind: _charged(handler, budget) for kind, handler in handlers.items()}
+
+
+def _charged(handler: Handler, budget: MemoryBudget) -> Handler:
+    def handle(envelope: Any, message: Any) -> Any:
+        size = len(msgspec.msgpack.encode(message))
+        budget.charge(MemoryKind.PEER, size)
+        try:
+            return handler(envelope, message)
+        finally:
+            budget.release(MemoryKind.PEER, size)
+
+    return handle
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -15,6 +15,7 @@
 from boragestream.base.events import Event, emit
 from boragestream.base.route_settings import RouteSettings
 from boragestream.base.settings import CallerSettings, StopSettings
+from boragestream.caller.caller_memory import CallerMemory
 from boragestream.caller.directory import DirectoryApplication
 from boragestream.caller.dispatcher import GrowingDispatcher
 from boragestream.caller.forwarding import ForwardingApplication, RequestCounter
@@ -27,12 +28,17 @@
 from boragestream.daemon.background_tasks import BackgroundTasks
 from boragestream.daemon.exit_codes import ExitCode
 from boragestream.daemon.listening import ListeningSockets
+from boragestream.daemon.memory import charged_handlers
 from boragestream.daemon.route_parts import make_route_parts
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.shutdown import GracefulStop
 from boragestream.entry.links import LISTENER_TASKS, PeerListener
 from boragestream.platform.directory import PlatformDirectory
-from boragestream.platform.wire import read_request, refusal_headers
+from boragestream.platform.wire import (
+    read_request,
+    refusal_headers,
+    request_id_of,
+)
 from boragestream.policy.route_table import RouteTable
 
 __all__ = ["RouteEntry"]
@@ -63,6 +69,7 @@
 
     read_request = staticmethod(read_request)
     refusal_headers = staticmethod(refusal_headers)
+    request_id = staticmethod(request_id_of)
 
 
 class RouteEntry:
@@ -94,11 +101,14 @@
         self._refusing = threading.Event()
         self._in_hand = RequestCounter()
         self._tasks = BackgroundTasks()
+        self._budget = self._parts.forwarder.parts.line.memory
         self._add_gauges()
         self._server = self._open_callers(sockets)
         self._directory = self._open_directory(sockets)
         self._listener = PeerListener(
-            self._parts.sender, settings.listen.entries, self._parts.handlers
+            self._parts.sender,
+            settings.listen.entries,
+            charged_handlers(self._parts.handlers, self._budget),
         )
         self._parts.routes.add_listener(self._apply_limits)
         self._apply_settings(settings)
@@ -187,11 +197,23 @@
             used=parts.publications.confirming.note_use,
             in_hand=self._in_hand,
             limit=settings.resources.threads - SPARE_THREADS,
+            memory=self._budget,
         )
         address, _, port = settings.listen.callers.rpartition(":")
         callers = CallerSettings(address, int(port), settings.resources.threads)
         arrivals = parts.watchdog.arrivals
-        server = create_server(application, callers, arrivals, sockets.callers)
+        memory = None
+        if self._budget is not None:
+            metrics = parts.metrics
+            memory = CallerMemory(
+                self._budget,
+                _RequestFormat(),
+                self._clock,
+                metrics.memory_refused,
+                metrics.reader_abandoned,
+            )
+            metrics.set_memory(self._budget)
+        server = create_server(application, callers, arrivals, sockets.callers, memory)
         connection_limit = settings.resources.descriptors - OTHER_DESCRIPTORS
         server.adj.connection_limit = max(connection_limit, settings.resources.threads)
         return server
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -17,6 +17,7 @@
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.base.route_settings import RouteSettings
 from boragestream.daemon.limits import SharedLimits, make_shared_limits
+from boragestream.daemon.memory import make_budget, make_outstanding
 from boragestream.daemon.operator_values import OperatorValues, offer_route_text
 from boragestream.daemon.peers import make_quarantine
 from boragestream.daemon.publications import (
@@ -232,6 +233,7 @@
         return idle_connections(definition.max_connections, count) if definition else 0
 
     backoffs = ServerBackoffs(clock)
+    memory = make_budget(settings.resources, clock)
 
     def piece_limits(service: str) -> PieceLimits | None:
         definition = service_definition(service)
@@ -255,7 +257,7 @@
     )
     apply_response_hints = response_hints(servers, backoffs, limits.limits)
     line = CallLine(
-        read_answer_head, connections, clock, max_idle, apply_response_hints
+        read_answer_head, connections, clock, max_idle, apply_response_hints, memory
     )
 
     def cold_bound(service: str) -> ColdBound | None:
@@ -274,10 +276,6 @@
 
     cold = ColdServers(own, cold_bound, cold_senders, lambda: sync.has_converged, clock)
 
-    # Orders arrive only once the entry listens, when all objects are built.
-    def record_use() -> None:
-        publications.confirming.note_use()
-
     first = StartupReadiness(clock, AWAITED_KEYS)
     ended = threading.Event()
     owners = OwnerLinks(own, eligible, links, clock)
@@ -296,7 +294,8 @@
         clock=clock,
         metrics=metrics,
         piece_limits=piece_limits,
-        note_use=record_use,
+        # Orders arrive only once the entry listens, when all objects are built.
+        note_use=lambda: publications.confirming.note_use(),
         late=serve_until_deadline if until_deadline else refuse_late,
     )
     batches = PieceBatches(batch_parts, orders.report_results)
@@ -366,6 +365,7 @@
             rng=rng,
             metrics=metrics,
             list_age=publications.confirming.age,
+            outstanding=make_outstanding(settings.resources, clock),
         )
     )
     return RouteParts(
--- a/boragestream/platform/wire.py
+++ b/boragestream/platform/wire.py
@@ -5,7 +5,7 @@
 """
 
 import http.client
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from http import HTTPStatus
 
 from boragestream.document.calls import (
@@ -24,6 +24,7 @@
     "read_answer_head",
     "read_request",
     "refusal_headers",
+    "request_id_of",
 ]
 
 REQUEST_ID = "Request-Id"
@@ -184,6 +185,11 @@
     )
 
 
+def request_id_of(headers: Mapping[str, str]) -> str:
+    """Return a request's id, given its headers by upper-case name; empty for none."""
+    return headers.get(REQUEST_ID.upper().replace("-", "_"), "")
+
+
 def refusal_headers(
     request_id: str, retry_after: float | None
 ) -> list[tuple[str, str]]:
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -30,6 +30,7 @@
 from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.load import CallEnd, LoadTable
+from boragestream.policy.outstanding import OutstandingWork
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.server_backoffs import ServerBackoffs
@@ -63,6 +64,8 @@
     :ivar quarantine: tracks the requests that crash servers.
     :ivar engine_delays: estimates the time to the first event of an engine's stream.
     :ivar list_age: returns the seconds since the server list was last confirmed.
+    :ivar outstanding: bounds the work at servers that crash under it; None to set no
+        bound.
     """
 
     line: CallLine
@@ -81,6 +84,7 @@
     rng: random.Random
     metrics: RouteMetrics
     list_age: Callable[[], float]
+    outstanding: OutstandingWork | None = None
 
 
 class ForwardAttempt:
@@ -104,6 +108,10 @@
         self._started_at = parts.clock.now()
         self._load_call = parts.loads.begin(server)
         parts.choice.open_calls.begin(server)
+        self._outstanding = None
+        if parts.outstanding is not None:
+            work = run.work_size
+            self._outstanding = parts.outstanding.begin(server, run.fingerprint, work)
         self._scope = run.scope.child()
         self._answer: OpenForwardedAnswer | None = None
         self._is_open = True
@@ -157,10 +165,12 @@
                 last_event=last_event,
                 inputs=inputs,
             )
-            return self._parts.encode(request, call, request.host_header) + request.body
+            return self._parts.encode(request, call, request.host_header)
 
         fresh = repeat or not run.route.repeatable
-        call = OutgoingCall(request.method, request.request_id, encode, fresh)
+        call = OutgoingCall(
+            request.method, request.request_id, encode, fresh, request.body
+        )
         try:
             answer = open_forwarded_call(self._parts.line, server, call, self._scope)
         except BaseException:
@@ -206,6 +216,8 @@
         self._is_open = False
         parts = self._parts
         parts.choice.open_calls.end(self._server)
+        if self._outstanding is not None:
+            parts.outstanding.end(self._outstanding, end is CallEnd.CUT)
         self._run.scope.close_child(self._scope)
         if self._first_seconds is None or end is not CallEnd.ANSWERED:
             seconds = parts.clock.now() - self._started_at
--- a/boragestream/serving/forwarded_choice.py
+++ b/boragestream/serving/forwarded_choice.py
@@ -167,7 +167,15 @@
     def _servers(self) -> Sequence[Server]:
         """Return the allowed servers that are neither backed off nor cold."""
         parts = self._parts
-        return parts.cold.usable(parts.backoffs.usable(self._allowed()))
+        usable = parts.cold.usable(parts.backoffs.usable(self._allowed()))
+        return self._below_bounds(usable)
+
+    def _below_bounds(self, servers: Sequence[Server]) -> Sequence[Server]:
+        """Leave out servers that crash under what this entry leaves outstanding."""
+        run, outstanding = self._run, self._parts.outstanding
+        if outstanding is None:
+            return servers
+        return outstanding.usable(servers, run.fingerprint, run.work_size)
 
     def _allowed(self) -> Sequence[Server]:
         """Return the live servers in the regions where the request may be served."""
@@ -184,6 +192,8 @@
         left = self._parts.backoffs.seconds_left(allowed)
         if left is not None:
             return ServersBackedOff(service, left)
+        if allowed and not self._below_bounds(allowed):
+            return NoLiveServer(service)
         if allowed:
             return ServersCold(service)
         if self._parts.servers.has_drained_servers(service):
--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -7,6 +7,7 @@
 from boragestream.base.outcomes import Failed, Failure, Refused, Unknown
 from boragestream.document.calls import ForwardedRequest
 from boragestream.document.routes import Route
+from boragestream.policy.outstanding import WorkSize
 from boragestream.policy.quarantine import RequestQuarantined, RequestSuspected
 from boragestream.policy.route_table import RouteTable
 from boragestream.policy.servers import Server
@@ -81,6 +82,12 @@
         """The clock's time, in seconds, by which the answer should begin."""
         return self.arrived + self.route.objective_seconds
 
+    @property
+    def work_size(self) -> WorkSize:
+        """What the request makes a server hold."""
+        tokens = sum(part.tokens for part in self.request.prompt)
+        return WorkSize(len(self.request.body), tokens)
+
     def note_not_run(self, server: Server) -> None:
         """Record that a server states that it did not run the request."""
         self.sent.note_not_run(server.name)
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -219,7 +219,21 @@
     def _check_for_crash(self, server: Server, failure: Failure) -> None:
         """Check for a crash of the server if its answer was cut."""
         if isinstance(failure, AnswerCut) and failure.ran is Ran.MAY_HAVE_RUN:
-            self._guard.check_for_crash(server)
+            crashed = self._guard.check_for_crash(server)
+            if crashed and self._parts.outstanding is not None:
+                self._note_outstanding_at_crash(server)
+
+    def _note_outstanding_at_crash(self, server: Server) -> None:
+        bound = self._parts.outstanding.note_crash(server)
+        if bound is not None:
+            emit(
+                Event.SERVER_BOUNDED,
+                request=self._run.request.request_id,
+                server=server.name,
+                service=server.service,
+                bytes=bound.size,
+                tokens=bound.tokens,
+            )
 
     def _may_retry_after(self, failure: AttemptFailure) -> bool:
         """Record an attempt without an answer; return whether another may follow."""
--- a/boragestream/serving/request_guard.py
+++ b/boragestream/serving/request_guard.py
@@ -114,13 +114,17 @@
         self._record_at_send = known
         return None
 
-    def check_for_crash(self, server: Server) -> None:
-        """Check whether the server that cut the answer crashed, and count a crash."""
+    def check_for_crash(self, server: Server) -> bool:
+        """Check whether the server that cut the answer crashed, and count a crash.
+
+        :returns: whether it crashed.
+        """
         if not has_crashed(self._connections, server):
-            return
+            return False
         self._was_cut = True
         record_at_send = self._record_at_send or CrashRecord(self._fingerprint)
         count_crash(self._quarantine, record_at_send, server, self._request_id)
+        return True
 
     def note_answered(self) -> None:
         """Record that a server answered the request completely."""
