Test the bounded memory of an entry; give up output for what is missing only

The features bounded_memory and memory_budget run an entry process under 2,000 silent callers, 4 MB bodies, chunked bodies, late readers and servers that stop reading.

--- a/boragestream/base/memory_budget.py
+++ b/boragestream/base/memory_budget.py
@@ -54,6 +54,10 @@
     PEER = "peer"
 
 
+# Takes the bytes that were not granted.
+ShortListener = Callable[[MemoryKind, int], None]
+
+
 class MemoryBudget:
     """The bytes that an entry holds for others, by kind.
 
@@ -67,7 +71,7 @@
         self._total = 0
         self._released: deque[tuple[float, int]] = deque()
         self._changed = threading.Condition()
-        self._on_short: Callable[[], None] = lambda: None
+        self._on_short: ShortListener = lambda kind, size: None
 
     @property
     def limit(self) -> int:
@@ -79,11 +83,6 @@
         """The bytes that are held."""
         return self._total
 
-    @property
-    def short(self) -> bool:
-        """Whether output that callers do not read should be given up."""
-        return self._total > self._limit * LARGE_REQUEST_SHARE
-
     @property
     def grants_unread(self) -> bool:
         """Whether output may grow that its caller does not read."""
@@ -93,8 +92,12 @@
         """Return the bytes that are held for one purpose."""
         return self._charged[kind]
 
-    def on_short(self, free: Callable[[], None]) -> None:
-        """Have a function called, without a lock, when bytes were not granted."""
+    def grants(self, kind: MemoryKind, size: int) -> bool:
+        """Return whether bytes would be granted now."""
+        return self._total + size <= self._ceiling(kind, size)
+
+    def on_short(self, free: ShortListener) -> None:
+        """Have a function called, without a lock, when bytes are waited for."""
         self._on_short = free
 
     def reserve(self, kind: MemoryKind, size: int, whole: int = 0) -> bool:
@@ -106,8 +109,6 @@
             granted = self._total + size <= self._ceiling(kind, max(size, whole))
             if granted:
                 self._add(kind, size)
-        if not granted:
-            self._on_short()
         return granted
 
     def wait_and_reserve(
@@ -126,6 +127,7 @@
         while not self.reserve(kind, size):
             if cancelled() or self._clock.now() >= end:
                 return False
+            self._on_short(kind, size)
             with self._changed:
                 self._changed.wait(POLL_SECONDS)
         return True
--- a/boragestream/caller/caller_memory.py
+++ b/boragestream/caller/caller_memory.py
@@ -6,8 +6,8 @@
 """
 
 import math
-import threading
 from collections.abc import Callable, Mapping
+from functools import partial
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -27,7 +27,9 @@
 UNREAD_SECONDS = 60.0
 # From this share of the allowed connections on, stalled ones are closed for others.
 CONNECTIONS_SHARE = 0.85
-FREE_INTERVAL_SECONDS = 0.05
+# A search of all connections takes milliseconds; one that found too little is repeated
+# after this long.
+SEARCH_SECONDS = 0.05
 
 
 class RefusalFormat(Protocol):
@@ -96,9 +98,9 @@
         self._server: Any = None
         self._count_refused = refused
         self._count_abandoned = abandoned
-        self._freed_at = float("-inf")
-        self._lock = threading.Lock()
-        budget.on_short(self.free)
+        self._next_search = float("-inf")
+        self._wanted: Callable[[], bool] | None = None
+        budget.on_short(self._free)
 
     @property
     def budget(self) -> MemoryBudget:
@@ -113,6 +115,7 @@
         """Set the waitress server whose connections are managed."""
         self._server = server
         server.maintenance = self._maintain
+        server.readable = partial(self._before_poll, server.readable)
 
     def charge(self, kind: MemoryKind) -> MemoryCharge:
         """Return a new charge without bytes."""
@@ -138,27 +141,44 @@
             self._refusals.refusal_headers(request_id, wait), failure
         )
 
-    def free(self) -> None:
-        """Give up output that is past its deadline while memory is short.
+    def reserve(self, charge: MemoryCharge, size: int) -> bool:
+        """Charge bytes of a request, and give up unread output for them if needed.
 
-        The one without progress for longest goes first. The event loop closes the
-        connections. The caller may not hold a connection's lock, because a close needs
-        it.
+        Only the event loop calls this, since it closes connections.
         """
-        now = self._clock.now()
-        with self._lock:
-            if self._server is None or now - self._freed_at < FREE_INTERVAL_SECONDS:
-                return
-            self._freed_at = now
-        if self._budget.short:
-            self._server.trigger.pull_trigger(self._abandon_while_short)
+        if charge.reserve(size):
+            return True
+        self._abandon_until(partial(self._budget.grants, MemoryKind.REQUEST, size))
+        return charge.reserve(size)
+
+    def _free(self, kind: MemoryKind, size: int) -> None:
+        """Have the event loop give up unread output for bytes."""
+        self._wanted = partial(self._budget.grants, kind, size)
+        if self._server is not None:
+            self._server.pull_trigger()
+
+    def _before_poll(self, readable: Callable[[], bool]) -> bool:
+        """Give up output if it is wanted; return whether the server accepts.
+
+        The event loop asks the server first of all whether to poll it. Only here, or
+        after the server has accepted, can connections be closed without the risk that
+        a new one gets the same descriptor and then the events of the closed one.
+        """
+        wanted, self._wanted = self._wanted, None
+        if wanted is not None:
+            self._abandon_until(wanted)
+        return readable()
 
-    def _abandon_while_short(self) -> None:
-        budget = self._budget
+    def _abandon_until(self, enough: Callable[[], bool]) -> None:
+        """Give up output past its deadline, the longest without progress first."""
+        now = self._clock.now()
+        if now < self._next_search:
+            return
         for output in self._stalled():
-            if not budget.short:
+            if enough():
                 return
             self._abandon(output)
+        self._next_search = now + SEARCH_SECONDS
 
     def _stalled(self) -> list[UnreadOutput]:
         """Return output past its deadline, the one without progress longest first."""
@@ -200,18 +220,14 @@
             idle_since = math.inf if channel.requests else channel.last_activity
             if channel.unread_bytes:
                 if idle_since < unread_cutoff:
-                    self._later(channel)
+                    self._abandon(channel)
             elif channel.discards_too_long or idle_since < cutoff:
                 channel.will_close = True
-        self.free()
+        self._abandon_until(lambda: self._budget.grants_unread)
         full = CONNECTIONS_SHARE * server.adj.connection_limit
         excess = len(server.active_channels) - full
         for output in self._stalled()[: max(0, int(excess))]:
-            self._later(output)
-
-    def _later(self, output: UnreadOutput) -> None:
-        """Give up a connection outside of the event loop's pass over the sockets."""
-        self._server.trigger.pull_trigger(lambda: self._abandon(output))
+            self._abandon(output)
 
 
 def read_body(stream: Any) -> bytes:
--- a/boragestream/caller/connections.py
+++ b/boragestream/caller/connections.py
@@ -106,8 +106,9 @@
 
     @property
     def unread_bytes(self) -> int:
-        """The bytes that the process holds because the caller has not read them."""
-        return self.total_outbufs_len
+        """The bytes that are held because the caller has not read them."""
+        unsent = self._unsent.size if self._unsent is not None else 0
+        return self.total_outbufs_len + unsent
 
     @property
     def discards_too_long(self) -> bool:
@@ -146,9 +147,17 @@
     def readable(self) -> bool:
         """Return whether the event loop should read."""
         if self._discard_until is not None:
-            return not self.will_close
+            return self.connected and not self.will_close
+        if self._memory is not None and not self.connected:
+            return False
         return super().readable()
 
+    def writable(self) -> bool:
+        """Return whether the event loop should write or close."""
+        if self._memory is not None and self.socket is None:
+            return False
+        return super().writable()
+
     def handle_read(self) -> None:
         """Read bytes; drop them after a request that was refused."""
         if self._discard_until is None:
@@ -216,7 +225,10 @@
             return
         try:
             self._received.set(self._kernel_bytes(termios.FIONREAD))
-            self._unsent.set(self._kernel_bytes(termios.TIOCOUTQ))
+            before, unsent = self._unsent.size, self._kernel_bytes(termios.TIOCOUTQ)
+            if not before or unsent < before:
+                self.progress_at = self._memory.now()
+            self._unsent.set(unsent)
         except OSError:
             # The connection is being closed, which releases both.
             return
--- a/boragestream/caller/protocol.py
+++ b/boragestream/caller/protocol.py
@@ -78,21 +78,35 @@
         """Parse bytes of a request; return how many were consumed."""
         if self._charge is None:
             return self._parse(data)
-        before = self._charge.size
-        # A body of stated length is charged as a whole when its head is complete.
-        grows = self.body_rcv is None or self.chunked
-        if grows and not self._charge.reserve(len(data)):
-            return self._refuse(before + len(data), data)
+        if self.body_rcv is None:
+            return self._receive_head(data)
+        if not self.chunked:
+            # The whole body was charged when the head was complete.
+            return self._parse(data)
+        if not self._memory.reserve(self._charge, len(data)):
+            return self._refuse(self._charge.size + len(data), data)
+        return self._parse(data)
+
+    def _receive_head(self, data: bytes) -> int:
+        """Parse bytes that begin with the head; return how many were consumed.
+
+        Heads are short and parsed in any case, so that a refusal names the request.
+        """
         used = self._parse(data)
-        if grows:
-            self._charge.set(before + used)
-        stated = self.content_length if grows and not self.completed else 0
-        if stated and not self._charge.reserve(stated):
-            return self._refuse(stated, data, stated - (len(data) - used))
         if self.empty:
             # waitress drops blank lines between requests without closing them.
-            self.release()
-        return used
+            return used
+        if self.error is not None:
+            return used
+        stated = self.content_length
+        if not self.headers_finished:
+            if self._memory.reserve(self._charge, used):
+                return used
+            return self._refuse(self._charge.size + used, data)
+        if self._memory.reserve(self._charge, used + stated):
+            return used
+        left = None if self.chunked else stated - (len(data) - used)
+        return self._refuse(stated or used, data, left)
 
     def release(self) -> None:
         """Return the request's bytes to the budget; a second call does nothing."""
--- a/boragestream/caller/server.py
+++ b/boragestream/caller/server.py
@@ -2,6 +2,8 @@
 
 import logging
 import socket
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import waitress
@@ -33,8 +35,13 @@
 # With bounded memory, the kernel receives about this much of a connection before the
 # entry reads it, and keeps about this much unsent for a caller that does not read.
 # The kernel counts up to twice as much for its own records.
-RECEIVE_BUFFER_BYTES = 32_768
+RECEIVE_BUFFER_BYTES = 65_536
 UNSENT_BYTES = 16_384
+# The event loop looks at every connection in each pass. With thousands of connections
+# of callers that do not read, one new connection and 8 KB of a body in each pass would
+# keep other callers waiting for seconds.
+ACCEPTED_AT_ONCE = 16
+READ_BYTES = 65_536
 
 
 def create_server(
@@ -83,10 +90,18 @@
     server.caller_memory = memory
     if memory is not None:
         _bound_kernel_buffers(server)
+        server.adj.recv_bytes = READ_BYTES
+        server.handle_accept = partial(_accept_several, server, server.handle_accept)
         memory.attach(server)
     return server
 
 
+def _accept_several(server: BaseWSGIServer, accept: Callable[[], None]) -> None:
+    for _ in range(ACCEPTED_AT_ONCE):
+        if len(server._map) < server.adj.connection_limit:
+            accept()
+
+
 def _bound_kernel_buffers(server: BaseWSGIServer) -> None:
     # Accepted connections inherit the receive buffer, which must be set before their
     # window is announced.
--- a/boragestream/daemon/memory.py
+++ b/boragestream/daemon/memory.py
@@ -1,5 +1,6 @@
 """Builds what bounds the memory of an entry that forwards calls."""
 
+import ctypes
 from collections.abc import Mapping
 from typing import Any
 
@@ -11,7 +12,20 @@
 from boragestream.entry.links import Handler
 from boragestream.policy.outstanding import OutstandingWork
 
-__all__ = ["charged_handlers", "make_budget", "make_outstanding"]
+__all__ = [
+    "charged_handlers",
+    "make_budget",
+    "make_outstanding",
+    "return_freed_memory",
+]
+
+# Options of glibc's mallopt.
+MMAP_THRESHOLD = -3
+ARENA_MAX = -8
+# Larger blocks are mapped one by one and returned when they are freed. Without a fixed
+# value glibc raises its threshold, and an entry kept 70 MB of freed bodies and answers.
+MAPPED_BYTES = 65_536
+ARENAS = 2
 
 
 def make_budget(resources: ResourceSettings, clock: Clock) -> MemoryBudget | None:
@@ -47,3 +61,11 @@
             budget.release(MemoryKind.PEER, size)
 
     return handle
+
+
+def return_freed_memory() -> None:
+    """Have the allocator return large blocks to the system when they are freed."""
+    mallopt = getattr(ctypes.CDLL(None), "mallopt", None)
+    if mallopt is not None:
+        mallopt(MMAP_THRESHOLD, MAPPED_BYTES)
+        mallopt(ARENA_MAX, ARENAS)
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -28,7 +28,7 @@
 from boragestream.daemon.background_tasks import BackgroundTasks
 from boragestream.daemon.exit_codes import ExitCode
 from boragestream.daemon.listening import ListeningSockets
-from boragestream.daemon.memory import charged_handlers
+from boragestream.daemon.memory import charged_handlers, return_freed_memory
 from boragestream.daemon.route_parts import make_route_parts
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.shutdown import GracefulStop
@@ -204,6 +204,7 @@
         arrivals = parts.watchdog.arrivals
         memory = None
         if self._budget is not None:
+            return_freed_memory()
             metrics = parts.metrics
             memory = CallerMemory(
                 self._budget,
--- /dev/null
+++ b/tests/features/steps/memory_budget.py
@@ -0,0 +1,183 @@
+"""Steps on the byte budget and on the bounds learned from crashes.
+
+They guard against a budget that loses or invents bytes, and against bounds that keep a
+service from being served.
+"""
+
+import threading
+from dataclasses import replace
+
+from behave import given, then, when
+
+from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
+from boragestream.policy.outstanding import OutstandingWork, WorkSize
+from boragestream.policy.servers import Server
+from tests.standins.clock import SetClock
+
+SECONDS = 10
+FINGERPRINT = b"request-%d"
+NEW = b"another request"
+
+
+@given("a budget of {limit:d} bytes of which {held:d} are held as output")
+def step(context, limit, held):
+    context.clock = SetClock(0.0)
+    context.budget = MemoryBudget(limit, context.clock)
+    context.budget.charge(MemoryKind.OUTPUT, held)
+
+
+@then("a {kind} of {size:d} bytes is {granted}")
+def step(context, kind, size, granted):
+    reserved = context.budget.reserve(MemoryKind(kind), size)
+    assert reserved is (granted == "granted")
+
+
+@when("a request grows by {size:d} bytes until it is not granted")
+def step(context, size):
+    context.charge = MemoryCharge(context.budget, MemoryKind.REQUEST)
+    while context.charge.reserve(size):
+        pass
+
+
+@then("it holds {size:d} bytes")
+def step(context, size):
+    assert context.charge.size == context.budget.charged(MemoryKind.REQUEST) == size
+
+
+@when(
+    "{threads:d} threads charge, grow, shrink and release {count:d} charges each, some "
+    "twice"
+)
+def step(context, threads, count):
+    def work():
+        for number in range(count):
+            charge = MemoryCharge(context.budget, MemoryKind.ANSWER)
+            charge.reserve(100)
+            charge.set(50 + number)
+            charge.set(10)
+            charge.release()
+            charge.set(70)
+            if number % 2:
+                charge.release()
+
+    started = [threading.Thread(target=work) for _ in range(threads)]
+    for thread in started:
+        thread.start()
+    for thread in started:
+        thread.join(SECONDS)
+
+
+@then("the budget holds {size:d} bytes")
+def step(context, size):
+    assert context.budget.total == size
+    assert sum(context.budget.charged(kind) for kind in MemoryKind) == size
+
+
+@when("an answer of {size:d} bytes waits for memory")
+def step(context, size):
+    context.waits = threading.Event()
+    context.granted = []
+    context.budget.on_short(lambda kind, missing: context.waits.set())
+
+    def wait():
+        granted = context.budget.wait_and_reserve(
+            MemoryKind.ANSWER, size, SECONDS, lambda: False
+        )
+        context.granted.append(granted)
+
+    context.thread = threading.Thread(target=wait)
+    context.thread.start()
+    assert context.waits.wait(SECONDS)
+
+
+@when("{size:d} bytes of output are returned")
+def step(context, size):
+    context.budget.release(MemoryKind.OUTPUT, size)
+
+
+@then("the answer is granted")
+def step(context):
+    context.thread.join(SECONDS)
+    assert context.granted == [True]
+
+
+@then("a request of {size:d} bytes is told to return after {seconds:f} s")
+def step(context, size, seconds):
+    told = context.budget.retry_seconds(size)
+    assert abs(told - seconds) < 0.01, told
+
+
+@given('servers "{one}" and "{two}" at which typically {size:d} bytes are outstanding')
+def step(context, one, two, size):
+    context.clock = SetClock(0.0)
+    context.work = OutstandingWork(context.clock)
+    context.servers = {
+        name: Server(name, "service", f"{name}:1", "hall", "1") for name in (one, two)
+    }
+    context.open = {name: [] for name in context.servers}
+    for server in context.servers.values():
+        for _ in range(100):
+            call = context.work.begin(server, NEW, WorkSize(size))
+            context.work.end(call, cut=False)
+
+
+def begin(context, name, count, size):
+    """Begin calls at a server."""
+    server = context.servers[name]
+    context.open[name] += [
+        context.work.begin(server, FINGERPRINT % number, WorkSize(size))
+        for number in range(count)
+    ]
+
+
+def end_cut(context, name):
+    """End all calls at a server as cut."""
+    for call in context.open[name]:
+        context.work.end(call, cut=True)
+    context.open[name] = []
+
+
+@when('"{name}" crashes while {count:d} requests of {size:d} bytes are outstanding')
+def step(context, name, count, size):
+    begin(context, name, count, size)
+    # Half of the calls are found cut before the first of them reports the crash.
+    cut = context.open[name][: (count + 1) // 2]
+    for call in cut:
+        context.work.end(call, cut=True)
+        context.open[name].remove(call)
+    context.crashed = context.servers[name]
+    context.work.note_crash(context.crashed)
+    end_cut(context, name)
+    context.servers[name] = replace(context.crashed, incarnation="2")
+
+
+@when('the same crash of "{name}" is reported again after its calls have ended')
+def step(context, name):
+    context.clock.seconds += 5
+    context.work.note_crash(context.crashed)
+
+
+@when(
+    '{count:d} requests of {size:d} bytes are outstanding at "{name}" in its next life'
+)
+def step(context, count, size, name):
+    begin(context, name, count, size)
+
+
+@when("{seconds:d} s have passed")
+def step(context, seconds):
+    context.clock.seconds += seconds
+
+
+@then('a request of {size:d} bytes may be sent to "{names}"')
+def step(context, size, names):
+    servers = list(context.servers.values())
+    usable = context.work.usable(servers, NEW, WorkSize(size))
+    assert [server.name for server in usable] == names.split(", "), usable
+
+
+@then('the request that was on "{name}" may be sent to "{names}"')
+def step(context, name, names):
+    servers = list(context.servers.values())
+    usable = context.work.usable(servers, FINGERPRINT % 0, WorkSize(1))
+    assert [server.name for server in usable] == names.split(", "), usable
--- a/tests/standins/memory_site.py
+++ b/tests/standins/memory_site.py
@@ -16,6 +16,8 @@
 EVENT_BYTES = 8_000
 EVENTS = 100
 SMALL_BUFFER = 4096
+# Longer than a server may leave a call unread.
+TIMEOUT_MS = 10_000
 SECONDS = 30
 SAMPLE = re.compile(r"^(boragestream_memory\w+|\w+abandoned_total)(\S*) (\S+)$", re.M)
 
@@ -86,6 +88,8 @@
                 self.list(server)
         published = base_configuration()
         published["limits"]["max_body_bytes"] = BODY_BYTES
+        for published_route in published["routes"]:
+            published_route["timeout_ms"] = TIMEOUT_MS
         self.publish(published)
         limits = {"max_fds": 4100, "memory_mb": memory_mb}
         self.fields["entry-0"]["limits"].update(limits)
@@ -107,6 +111,11 @@
             found[key] = float(value)
         return found
 
+    def in_hand(self):
+        """Return how many requests occupy a thread of the entry."""
+        text = self.ask("entry-0", "ready", "/metrics")[1].decode()
+        return float(re.search(r"^boragestream_in_hand (\S+)$", text, re.M).group(1))
+
     def held(self):
         """Return the bytes that the entry holds for others."""
         memory = self.memory()
@@ -128,7 +137,10 @@
             **({} if length is None else {"Content-Length": str(length)}),
             **{name.replace("_", "-"): value for name, value in more.items()},
         }
-        lines = [f"{method} {path} HTTP/1.1", *(f"{n}: {v}" for n, v in headers.items())]
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            *(f"{n}: {v}" for n, v in headers.items()),
+        ]
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
     def connect(self, receive_bytes=None):
