--- a/boragestream/caller/caller_memory.py
+++ b/boragestream/caller/caller_memory.py
@@ -134,7 +134,10 @@
             bytes=size,
             budget=budget.limit,
             retry_ms=int(wait * 1000),
-            **{f"{kind.value}_bytes": budget.charged(kind) for kind in MemoryKind},
+            request_bytes=budget.charged(MemoryKind.REQUEST),
+            answer_bytes=budget.charged(MemoryKind.ANSWER),
+            output_bytes=budget.charged(MemoryKind.OUTPUT),
+            peer_bytes=budget.charged(MemoryKind.PEER),
         )
         failure = MemoryExhausted(size, budget.limit)
         return MemoryRefusedError(
--- a/boragestream/caller/connections.py
+++ b/boragestream/caller/connections.py
@@ -26,6 +26,7 @@
     "ARRIVED",
     "NOTE_DEADLINE",
     "RAW_HEADERS",
+    "RECEIVE_BUFFER_BYTES",
     "STOP_WAITING",
     "CallerConnection",
 ]
@@ -39,6 +40,14 @@
 # still sending gets the answer and not a connection reset.
 DISCARD_SECONDS = 5.0
 DISCARD_BYTES = 65_536
+# With bounded memory, the kernel receives about this much of a connection before the
+# entry reads it. It receives more of a large body, whose bytes are all charged already.
+# The kernel counts up to twice as much for its own records.
+RECEIVE_BUFFER_BYTES = 65_536
+BODY_BUFFER_BYTES = 524_288
+# A body is read so often in one pass of the event loop, which takes milliseconds where
+# there are thousands of connections.
+READS_AT_ONCE = 8
 # Less unread output of one caller does not block writes even if memory is short.
 SMALL_OUTPUT_BYTES = 16_384
 BLOCKED_POLL_SECONDS = 0.05
@@ -90,6 +99,7 @@
         self._output = self._received = self._unsent = None
         self._discard_until: float | None = None
         self._discard_left: int | None = None
+        self._receives_body = False
         self.request_id = ""
         self.deadline = self.progress_at = 0.0
         if self._memory is not None:
@@ -160,9 +170,34 @@
 
     def handle_read(self) -> None:
         """Read bytes; drop them after a request that was refused."""
-        if self._discard_until is None:
+        if self._memory is None:
             super().handle_read()
             return
+        for _ in range(READS_AT_ONCE):
+            if self._discard_until is not None:
+                self._discard_some()
+            else:
+                super().handle_read()
+                self._fit_receive_buffer()
+            more = self._body_expected or self._discard_until is not None
+            if not (more and self.connected and self._kernel_bytes(termios.FIONREAD)):
+                return
+
+    @property
+    def _body_expected(self) -> bool:
+        return self.request is not None and self.request.body_rcv is not None
+
+    def _fit_receive_buffer(self) -> None:
+        """Let the kernel receive more while it receives a large body."""
+        large = (
+            self._body_expected and self.request.content_length > RECEIVE_BUFFER_BYTES
+        )
+        if large is not self._receives_body and self.connected:
+            self._receives_body = large
+            size = BODY_BUFFER_BYTES if large else RECEIVE_BUFFER_BYTES
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+    def _discard_some(self) -> None:
         try:
             # An end of the stream closes the connection.
             dropped = len(self.recv(DISCARD_BYTES))
--- a/boragestream/caller/server.py
+++ b/boragestream/caller/server.py
@@ -14,7 +14,7 @@
 from boragestream.base.events import Event, emit
 from boragestream.base.settings import CallerSettings
 from boragestream.caller.caller_memory import CallerMemory
-from boragestream.caller.connections import CallerConnection
+from boragestream.caller.connections import RECEIVE_BUFFER_BYTES, CallerConnection
 from boragestream.caller.dispatcher import GrowingDispatcher
 
 __all__ = [
@@ -32,10 +32,8 @@
 CLEANUP_SECONDS = 1
 # Instances have no disks, so waitress must never spool to a file.
 NEVER_SPOOLED_BYTES = 1 << 40
-# With bounded memory, the kernel receives about this much of a connection before the
-# entry reads it, and keeps about this much unsent for a caller that does not read.
-# The kernel counts up to twice as much for its own records.
-RECEIVE_BUFFER_BYTES = 65_536
+# With bounded memory, the kernel keeps about this much unsent for a caller that reads
+# nothing.
 UNSENT_BYTES = 16_384
 # The event loop looks at every connection in each pass. With thousands of connections
 # of callers that do not read, one new connection and 8 KB of a body in each pass would
@@ -103,12 +101,10 @@
 
 
 def _bound_kernel_buffers(server: BaseWSGIServer) -> None:
-    # Accepted connections inherit the receive buffer, which must be set before their
-    # window is announced.
-    option = socket.SO_RCVBUF
-    server.socket.setsockopt(socket.SOL_SOCKET, option, RECEIVE_BUFFER_BYTES)
+    # A fixed size also keeps the kernel from raising it by itself.
+    received = (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     unsent = (socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
-    server.adj.socket_options = [*server.adj.socket_options, unsent]
+    server.adj.socket_options = [*server.adj.socket_options, received, unsent]
 
 
 def close_after_next_answers(server: BaseWSGIServer) -> None:
--- a/tests/features/bounded_memory.feature
+++ b/tests/features/bounded_memory.feature
@@ -14,6 +14,14 @@
     When the callers that do not read have gone
     Then the entry holds nothing
 
+  Scenario: bodies that many callers begin and do not end are bounded
+    Given an entry of 160 MB
+    When 2000 callers send 500000 bytes of a body of 4000000 bytes and then nothing
+    Then the entry stays within its budget and under 160 MB
+    And 20 other callers are answered at once or when they return
+    When the callers that do not read have gone
+    Then the entry holds nothing
+
   Scenario Outline: a body beyond the budget is refused before it is read
     Given an entry of 96 MB
     When a caller sends the head of a request with a body of 3000000 bytes, <how>
--- a/tests/features/steps/bounded_memory.py
+++ b/tests/features/steps/bounded_memory.py
@@ -55,6 +55,19 @@
         ask_and_read_nothing(context)
 
 
+@when(
+    "{count:d} callers send {part:d} bytes of a body of {size:d} bytes and then nothing"
+)
+def step(context, count, part, size):
+    body = b"x" * part
+    for _ in range(count):
+        sock = context.site.connect()
+        context.silent.append(sock)
+        sock.setblocking(False)
+        try_send(sock, context.site.head("/safe/ok", size))
+        try_send(sock, body)
+
+
 @when("{count:d} callers ask for large answers one after another and read nothing")
 def step(context, count):
     for number in range(count):
