Recheck unread output before it is given up; short times to return

Cause: what the kernel holds is counted once a second, so that a caller that had read since could be given up; and a caller that was told 5 s would not return, although another entry could serve it. Change: the kernel is asked again first; 0.3 s at most. The fake of the parts in leaving_before_the_send gets the new field 'outstanding'.

--- a/boragestream/base/memory_budget.py
+++ b/boragestream/base/memory_budget.py
@@ -41,7 +41,9 @@
 # The releases of this many seconds predict when bytes become free.
 RATE_SECONDS = 2.0
 MIN_RETRY_SECONDS = 0.05
-MAX_RETRY_SECONDS = 5.0
+# Another entry can serve the caller before this one has memory again. Callers return to
+# an entry of the directory's choice, and those with a second left wait a third of it.
+MAX_RETRY_SECONDS = 0.3
 POLL_SECONDS = 0.05
 
 
@@ -148,7 +150,10 @@
             self._changed.notify_all()
 
     def retry_seconds(self, size: int) -> float:
-        """Return after how many seconds bytes will probably be granted."""
+        """Return after how many seconds a caller should return.
+
+        By then the bytes are probably granted, or another entry serves it.
+        """
         with self._changed:
             self._drop_old_releases()
             rate = sum(released for _, released in self._released) / RATE_SECONDS
--- a/boragestream/caller/caller_memory.py
+++ b/boragestream/caller/caller_memory.py
@@ -180,20 +180,25 @@
         for output in self._stalled():
             if enough():
                 return
-            self._abandon(output)
+            # The caller may have read since the kernel was last asked.
+            output.count_kernel_bytes()
+            if self._is_stalled(output):
+                self._abandon(output)
         self._next_search = now + SEARCH_SECONDS
 
     def _stalled(self) -> list[UnreadOutput]:
         """Return output past its deadline, the one without progress longest first."""
+        channels = list(self._server.active_channels.values())
+        stalled = [output for output in channels if self._is_stalled(output)]
+        return sorted(stalled, key=lambda output: output.progress_at)
+
+    def _is_stalled(self, output: UnreadOutput) -> bool:
         now = self._clock.now()
-        stalled = [
-            output
-            for output in list(self._server.active_channels.values())
-            if output.unread_bytes
+        return (
+            output.unread_bytes > 0
             and now >= output.deadline
             and now - output.progress_at >= STALLED_SECONDS
-        ]
-        return sorted(stalled, key=lambda output: output.progress_at)
+        )
 
     def _abandon(self, output: UnreadOutput) -> None:
         self._count_abandoned()
--- a/tests/features/steps/leaving_before_the_send.py
+++ b/tests/features/steps/leaving_before_the_send.py
@@ -156,6 +156,7 @@
         choice=SimpleNamespace(open_calls=OpenCalls()),
         clock=clock,
         metrics=RouteMetrics(),
+        outstanding=None,
     )
     run = SimpleNamespace(
         scope=scope,
