--- a/boragestream/caller/connections.py
+++ b/boragestream/caller/connections.py
@@ -256,7 +256,8 @@
         What it holds can't change without activity unless it is being sent.
         """
         recent = time.time() - self.last_activity < KERNEL_SECONDS
-        if not (recent or self.busy or self._received.size or self._unsent.size):
+        held = self._received.size or self._unsent.size
+        if self.socket is None or not (recent or self.busy or held):
             return
         try:
             self._received.set(self._kernel_bytes(termios.FIONREAD))
