Merge bounded memory and slow readers

Conflicts in events, metrics, forwarding and the choice of servers: all kept; the bounds of servers that crash under outstanding work apply after the choice of a region.

--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -63,6 +63,9 @@
     SERVER_BACKED_OFF = (3109, logging.INFO)
     SERVER_LIMIT_CHANGED = (3110, logging.WARNING)
     SURPLUS_REFUSED = (3111, logging.INFO)
+    SERVER_BOUNDED = (3120, logging.WARNING)
+    MEMORY_REFUSED = (3201, logging.WARNING)
+    SLOW_READER_ABANDONED = (3202, logging.WARNING)
     REQUEST_BROKEN = (3901, logging.ERROR)
     HTTP_COMPLAINT = (3902, logging.WARNING)
 
--- a/boragestream/base/route_settings.py
+++ b/boragestream/base/route_settings.py
@@ -198,6 +198,11 @@
 
     until_deadline: bool | None = None
 
+    def applies(self, several_regions: bool) -> bool:
+        """Return whether late requests are served up to their deadline."""
+        chosen = self.until_deadline
+        return several_regions if chosen is None else chosen
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
--- /dev/null
+++ b/boragestream/caller/caller_memory.py
@@ -0,0 +1,244 @@
+"""Decides what callers' connections may hold, and whose unread output is given up.
+
+It answers the load of many callers that send large bodies or read nothing: a request
+beyond the budget is refused before its body is read, and when memory is short, the
+output that its caller has not read for longest after its deadline is given up.
+"""
+
+import math
+from collections.abc import Callable, Mapping
+from functools import partial
+from http import HTTPStatus
+from typing import Any, Protocol
+
+from waitress.utilities import Error
+
+from boragestream.base.clock import Clock
+from boragestream.base.events import Event, emit
+from boragestream.base.failures import MemoryExhausted
+from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
+
+__all__ = ["CallerMemory", "RefusalFormat", "UnreadOutput", "read_body"]
+
+# Output without progress for less time belongs to a caller that reads.
+STALLED_SECONDS = 1.0
+# A connection whose caller reads nothing for this long is closed even if memory is not
+# short, so that its descriptor is returned.
+UNREAD_SECONDS = 60.0
+# From this share of the allowed connections on, stalled ones are closed for others.
+CONNECTIONS_SHARE = 0.85
+# A search of all connections takes milliseconds; one that found too little is repeated
+# after this long.
+SEARCH_SECONDS = 0.05
+
+
+class RefusalFormat(Protocol):
+    """The wire format of the entry's own refusals."""
+
+    def request_id(self, headers: Mapping[str, str]) -> str:
+        """Return a request's id, given its headers by upper-case name."""
+
+    def refusal_headers(
+        self, request_id: str, retry_after: float | None
+    ) -> list[tuple[str, str]]:
+        """Return the headers of an answer that the entry generates."""
+
+
+class UnreadOutput(Protocol):
+    """A caller's connection."""
+
+    unread_bytes: int
+    progress_at: float
+    deadline: float
+    request_id: str
+
+    def abandon(self) -> None:
+        """Close the connection so that its caller sees that the answer is cut."""
+
+    def count_kernel_bytes(self) -> None:
+        """Charge the bytes that the kernel holds for the connection."""
+
+
+class MemoryRefusedError(Error):
+    """An error of waitress: 503, not run, with the time to return."""
+
+    def __init__(self, headers: list[tuple[str, str]], failure: MemoryExhausted):
+        super().__init__(failure.code)
+        self._headers = headers
+        self._failure = failure
+
+    def to_response(self, ident: str | None = None) -> tuple[str, list, bytes]:
+        """Return status, headers and body in the form that waitress expects."""
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        headers = [("Content-Type", "text/plain"), *self._headers]
+        body = f"{self._failure.code}\n".encode()
+        return f"{status.value} {status.phrase}", headers, body
+
+
+class CallerMemory:
+    """The part of the budget that callers' connections use.
+
+    :param clock: the clock of requests' deadlines.
+    :param refused: called for each request that is refused for memory.
+    :param abandoned: called for each connection that is given up because its caller
+        does not read.
+    """
+
+    def __init__(
+        self,
+        budget: MemoryBudget,
+        refusals: RefusalFormat,
+        clock: Clock,
+        refused: Callable[[], None] = lambda: None,
+        abandoned: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._budget = budget
+        self._refusals = refusals
+        self._clock = clock
+        self._server: Any = None
+        self._count_refused = refused
+        self._count_abandoned = abandoned
+        self._next_search = float("-inf")
+        self._wanted: Callable[[], bool] | None = None
+        budget.on_short(self._free)
+
+    @property
+    def budget(self) -> MemoryBudget:
+        """The budget of the entry."""
+        return self._budget
+
+    def now(self) -> float:
+        """Return the clock's seconds."""
+        return self._clock.now()
+
+    def attach(self, server: Any) -> None:
+        """Set the waitress server whose connections are managed."""
+        self._server = server
+        server.maintenance = self._maintain
+        server.readable = partial(self._before_poll, server.readable)
+
+    def charge(self, kind: MemoryKind) -> MemoryCharge:
+        """Return a new charge without bytes."""
+        return MemoryCharge(self._budget, kind)
+
+    def refusal(self, headers: Mapping[str, str], size: int) -> MemoryRefusedError:
+        """Return the answer to a request whose bytes were not granted, and log it."""
+        budget = self._budget
+        self._count_refused()
+        request_id = self._refusals.request_id(headers)
+        wait = budget.retry_seconds(size)
+        emit(
+            Event.MEMORY_REFUSED,
+            request=request_id,
+            kind=MemoryKind.REQUEST.value,
+            bytes=size,
+            budget=budget.limit,
+            retry_ms=int(wait * 1000),
+            request_bytes=budget.charged(MemoryKind.REQUEST),
+            answer_bytes=budget.charged(MemoryKind.ANSWER),
+            output_bytes=budget.charged(MemoryKind.OUTPUT),
+            peer_bytes=budget.charged(MemoryKind.PEER),
+        )
+        failure = MemoryExhausted(size, budget.limit)
+        return MemoryRefusedError(
+            self._refusals.refusal_headers(request_id, wait), failure
+        )
+
+    def reserve(self, charge: MemoryCharge, size: int) -> bool:
+        """Charge bytes of a request, and give up unread output for them if needed.
+
+        Only the event loop calls this, since it closes connections.
+        """
+        if charge.reserve(size):
+            return True
+        self._abandon_until(partial(self._budget.grants, MemoryKind.REQUEST, size))
+        return charge.reserve(size)
+
+    def _free(self, kind: MemoryKind, size: int) -> None:
+        """Have the event loop give up unread output for bytes."""
+        self._wanted = partial(self._budget.grants, kind, size)
+        if self._server is not None:
+            self._server.pull_trigger()
+
+    def _before_poll(self, readable: Callable[[], bool]) -> bool:
+        """Give up output if it is wanted; return whether the server accepts.
+
+        The event loop asks the server first of all whether to poll it. Only here, or
+        after the server has accepted, can connections be closed without the risk that
+        a new one gets the same descriptor and then the events of the closed one.
+        """
+        wanted, self._wanted = self._wanted, None
+        if wanted is not None:
+            self._abandon_until(wanted)
+        return readable()
+
+    def _abandon_until(self, enough: Callable[[], bool]) -> None:
+        """Give up output past its deadline, the longest without progress first."""
+        now = self._clock.now()
+        if now < self._next_search:
+            return
+        for output in self._stalled():
+            if enough():
+                return
+            # The caller may have read since the kernel was last asked.
+            output.count_kernel_bytes()
+            if self._is_stalled(output):
+                self._abandon(output)
+        self._next_search = now + SEARCH_SECONDS
+
+    def _stalled(self) -> list[UnreadOutput]:
+        """Return output past its deadline, the one without progress longest first."""
+        channels = list(self._server.active_channels.values())
+        stalled = [output for output in channels if self._is_stalled(output)]
+        return sorted(stalled, key=lambda output: output.progress_at)
+
+    def _is_stalled(self, output: UnreadOutput) -> bool:
+        now = self._clock.now()
+        return (
+            output.unread_bytes > 0
+            and now >= output.deadline
+            and now - output.progress_at >= STALLED_SECONDS
+        )
+
+    def _abandon(self, output: UnreadOutput) -> None:
+        self._count_abandoned()
+        emit(
+            Event.SLOW_READER_ABANDONED,
+            request=output.request_id,
+            bytes=output.unread_bytes,
+            seconds=round(self._clock.now() - output.progress_at, 1),
+            budget=self._budget.limit,
+            held=self._budget.total,
+        )
+        output.abandon()
+
+    def _maintain(self, now: float) -> None:
+        """Close idle connections, and count what the kernel holds for the others.
+
+        The event loop calls this about once a second in place of waitress' own
+        function, which also closes connections whose callers pause while they read.
+
+        :param now: the system's time in seconds.
+        """
+        server = self._server
+        cutoff = now - server.adj.channel_timeout
+        unread_cutoff = now - max(UNREAD_SECONDS, server.adj.channel_timeout)
+        for channel in list(server.active_channels.values()):
+            channel.count_kernel_bytes()
+            idle_since = math.inf if channel.requests else channel.last_activity
+            if channel.unread_bytes:
+                if idle_since < unread_cutoff:
+                    self._abandon(channel)
+            elif channel.discards_too_long or idle_since < cutoff:
+                channel.will_close = True
+        self._abandon_until(lambda: self._budget.grants_unread)
+        full = CONNECTIONS_SHARE * server.adj.connection_limit
+        excess = len(server.active_channels) - full
+        for output in self._stalled()[: max(0, int(excess))]:
+            self._abandon(output)
+
+
+def read_body(stream: Any) -> bytes:
+    """Return a request's whole body without a copy of it."""
+    take: Any = getattr(stream, "getvalue", stream.read)
+    return take()
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -22,9 +22,16 @@
     NoConfiguration,
     QueueFull,
 )
+from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
 from boragestream.base.outcomes import Failed, Failure, Refused, Unknown
 from boragestream.base.route_metrics import RouteMetrics
-from boragestream.caller.connections import ARRIVED, RAW_HEADERS, STOP_WAITING
+from boragestream.caller.caller_memory import read_body
+from boragestream.caller.connections import (
+    ARRIVED,
+    NOTE_DEADLINE,
+    RAW_HEADERS,
+    STOP_WAITING,
+)
 from boragestream.caller.failures import BodyTooLong
 from boragestream.caller.forwarded_stream import ForwardedStream, StreamTiming
 from boragestream.caller.replies import StartResponse
@@ -110,6 +117,7 @@
         handling.
     :ivar shares: divides the threads between client accounts; None to treat all
         requests alike.
+    :ivar memory: grants the bytes of answers; None for no limit.
     """
 
     routes: RoutesInForce
@@ -124,6 +132,7 @@
     limit: int
     used: Callable[[], None]
     shares: ThreadShares | None = None
+    memory: MemoryBudget | None = None
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Reply:
         """Answer one HTTP request."""
@@ -163,7 +172,10 @@
         if request.wait_seconds is not None:
             wait = min(wait, request.wait_seconds)
         gone = environ.get("waitress.client_disconnected")
-        scope = CancelScope(arrived + wait, gone, environ.get(STOP_WAITING))
+        held = MemoryCharge(self.memory, MemoryKind.ANSWER) if self.memory else None
+        scope = CancelScope(arrived + wait, gone, environ.get(STOP_WAITING), held)
+        if NOTE_DEADLINE in environ:
+            environ[NOTE_DEADLINE](request.request_id, scope.deadline)
         name = account.name if account is not None else ""
         run = ForwardedRun(
             request=request,
@@ -196,7 +208,7 @@
     def _read(
         self, environ: Environ, body_bytes: int
     ) -> ForwardedRequest | RequestMalformed | BodyTooLong:
-        body = environ["wsgi.input"].read()
+        body = read_body(environ["wsgi.input"])
         if len(body) > body_bytes:
             return BodyTooLong(body_bytes)
         headers = [
@@ -256,6 +268,9 @@
     def release(self, run: ForwardedRun) -> None:
         """Release a request that is no longer being served."""
         self.watchdog.close(run.scope)
+        if run.scope.held is not None:
+            # From now on what is written counts as output.
+            run.scope.held.release()
         self.in_hand.end()
         if self.shares is not None:
             self.shares.end(run.account, self.clock.now() - run.arrived)
--- a/boragestream/caller/server.py
+++ b/boragestream/caller/server.py
@@ -2,6 +2,8 @@
 
 import logging
 import socket
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import waitress
@@ -11,7 +13,8 @@
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, emit
 from boragestream.base.settings import CallerSettings
-from boragestream.caller.connections import CallerConnection
+from boragestream.caller.caller_memory import CallerMemory
+from boragestream.caller.connections import RECEIVE_BUFFER_BYTES, CallerConnection
 from boragestream.caller.dispatcher import GrowingDispatcher
 
 __all__ = [
@@ -29,6 +32,14 @@
 CLEANUP_SECONDS = 1
 # Instances have no disks, so waitress must never spool to a file.
 NEVER_SPOOLED_BYTES = 1 << 40
+# With bounded memory, the kernel keeps about this much unsent for a caller that reads
+# nothing.
+UNSENT_BYTES = 16_384
+# The event loop looks at every connection in each pass. With thousands of connections
+# of callers that do not read, one new connection and 8 KB of a body in each pass would
+# keep other callers waiting for seconds.
+ACCEPTED_AT_ONCE = 16
+READ_BYTES = 65_536
 
 
 def create_server(
@@ -36,6 +47,7 @@
     settings: CallerSettings,
     clock: Clock | None = None,
     listening: socket.socket | None = None,
+    memory: CallerMemory | None = None,
 ) -> BaseWSGIServer:
     """Return a server bound to the address of the settings, not yet running.
 
@@ -44,6 +56,7 @@
 
     :param clock: gives the arrival times of requests.
     :param listening: a listening socket to use in place of the address.
+    :param memory: bounds what the connections hold; None for no bound.
     """
     place: dict[str, Any] = {"host": settings.address, "port": settings.port}
     if listening is not None:
@@ -72,9 +85,28 @@
     server.channel_class = CallerConnection
     server.clock = clock or SystemClock()
     server.leaving = False
+    server.caller_memory = memory
+    if memory is not None:
+        _bound_kernel_buffers(server)
+        server.adj.recv_bytes = READ_BYTES
+        server.handle_accept = partial(_accept_several, server, server.handle_accept)
+        memory.attach(server)
     return server
 
 
+def _accept_several(server: BaseWSGIServer, accept: Callable[[], None]) -> None:
+    for _ in range(ACCEPTED_AT_ONCE):
+        if len(server._map) < server.adj.connection_limit:
+            accept()
+
+
+def _bound_kernel_buffers(server: BaseWSGIServer) -> None:
+    # A fixed size also keeps the kernel from raising it by itself.
+    received = (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    unsent = (socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
+    server.adj.socket_options = [*server.adj.socket_options, received, unsent]
+
+
 def close_after_next_answers(server: BaseWSGIServer) -> None:
     """Close each keep-alive connection after its next answer."""
     server.leaving = True
--- a/boragestream/daemon/regional.py
+++ b/boragestream/daemon/regional.py
@@ -14,6 +14,7 @@
 from boragestream.policy.region_entries import RegionEntries
 from boragestream.policy.region_links import RegionLinks
 from boragestream.policy.regions import Regions
+from boragestream.policy.servers import Server
 
 __all__ = ["Regional", "make_regional"]
 
@@ -31,6 +32,10 @@
     meter: PeerMeter | None
     entries: RegionEntries
 
+    def note_server_answer(self, server: Server) -> None:
+        """Record that a backend server answered a call."""
+        self.links.note_server_answer(server.region)
+
 
 def make_regional(
     settings: RouteSettings,
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -18,6 +18,7 @@
 from boragestream.daemon.account_parts import AccountParts, make_account_parts
 from boragestream.daemon.bounds import cold_bound, retry_bounds
 from boragestream.daemon.limits import SharedLimits, make_shared_limits
+from boragestream.daemon.memory import make_budget, make_outstanding
 from boragestream.daemon.operator_values import OperatorValues, offer_route_text
 from boragestream.daemon.peers import make_quarantine
 from boragestream.daemon.publications import (
@@ -193,9 +194,7 @@
     servers = ServerTable(announce_leaving, awaits_orders=drains_centres)
     data_centre = settings.entry.data_centre
     regions, region_links = regional.regions, regional.links
-    until_deadline = settings.late.until_deadline
-    if until_deadline is None:
-        until_deadline = regions.several
+    until_deadline = settings.late.applies(regions.several)
     members = EntryPeers(
         own, incarnation, data_centre, links, note_leaving, clock, rng, region_links
     )
@@ -226,6 +225,7 @@
     servers.on_unused(connections.forget)
 
     backoffs = ServerBackoffs(clock)
+    memory = make_budget(settings.resources, clock)
 
     stage_owners = StageOwners(
         listed,
@@ -249,7 +249,12 @@
     )
     apply_response_hints = response_hints(servers, backoffs, limits.limits)
     line = CallLine(
-        read_answer_head, connections, clock, services.max_idle, apply_response_hints
+        read_answer_head,
+        connections,
+        clock,
+        services.max_idle,
+        apply_response_hints,
+        memory,
     )
 
     bound = cold_bound(in_force, service_definition)
@@ -257,10 +262,6 @@
         own, bound, stage_owners.cold_senders, lambda: sync.has_converged, clock
     )
 
-    # Orders arrive only once the entry listens, when all objects are built.
-    def record_use() -> None:
-        publications.confirming.note_use()
-
     first = StartupReadiness(clock, AWAITED_KEYS)
     ended = threading.Event()
     owners = OwnerLinks(
@@ -281,11 +282,10 @@
         clock=clock,
         metrics=metrics,
         piece_limits=piece_limits,
-        note_use=record_use,
+        # Orders arrive only once the entry listens, when all objects are built.
+        note_use=lambda: publications.confirming.note_use(),
         late=serve_until_deadline if until_deadline else refuse_late,
-        note_server_answer=lambda server: region_links.note_server_answer(
-            server.region
-        ),
+        note_server_answer=regional.note_server_answer,
         shares=accounts.new_queue,
     )
     batches = PieceBatches(batch_parts, orders.report_results)
@@ -364,6 +364,7 @@
             metrics=metrics,
             list_age=publications.confirming.age,
             shares=accounts.services,
+            outstanding=make_outstanding(settings.resources, clock),
         )
     )
     return RouteParts(
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -30,6 +30,7 @@
 from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.load import CallEnd, LoadTable
+from boragestream.policy.outstanding import OutstandingWork
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.region_choice import RegionChoice
 from boragestream.policy.retry_window import RetryWindows
@@ -68,6 +69,8 @@
     :ivar list_age: returns the seconds since the server list was last confirmed.
     :ivar shares: divides a shortage of servers between client accounts; None to treat
         all requests alike.
+    :ivar outstanding: bounds the work at servers that crash under it; None to set no
+        bound.
     """
 
     line: CallLine
@@ -88,6 +91,7 @@
     metrics: RouteMetrics
     list_age: Callable[[], float]
     shares: ServiceShares | None = None
+    outstanding: OutstandingWork | None = None
 
 
 class ForwardAttempt:
@@ -112,6 +116,10 @@
         self._load_call = parts.loads.begin(server)
         parts.choice.open_calls.begin(server)
         self._region_call = parts.regions.calls.begin(server)
+        self._outstanding = None
+        if parts.outstanding is not None:
+            work = run.work_size
+            self._outstanding = parts.outstanding.begin(server, run.fingerprint, work)
         self._scope = run.scope.child()
         self._answer: OpenForwardedAnswer | None = None
         self._is_open = True
@@ -167,10 +175,12 @@
             )
             head = self._parts.encode(request, call, request.host_header)
             self._region_call.note_sent(len(head) + len(request.body))
-            return head + request.body
+            return head
 
         fresh = repeat or not run.route.repeatable
-        call = OutgoingCall(request.method, request.request_id, encode, fresh)
+        call = OutgoingCall(
+            request.method, request.request_id, encode, fresh, request.body
+        )
         try:
             answer = open_forwarded_call(self._parts.line, server, call, self._scope)
         except BaseException:
@@ -238,6 +248,8 @@
         elif end in (CallEnd.REFUSED, CallEnd.UNREACHED):
             self._region_call.note_refused()
         self._region_call.end()
+        if self._outstanding is not None:
+            parts.outstanding.end(self._outstanding, end is CallEnd.CUT)
         self._run.scope.close_child(self._scope)
         if self._first_seconds is None or end is not CallEnd.ANSWERED:
             seconds = parts.clock.now() - self._started_at
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -114,9 +114,7 @@
 
         :param start_seconds: the time until its latest start.
         :param left_seconds: the time until its request stops waiting for it.
-        :returns: the expected wait in seconds if it is refused, 0.0 if the limits of
-            the service are unknown; the surplus if its account exceeds its share; None
-            if it is accepted.
+        :returns: see ``submit``.
         """
         self._parts.note_use()
         limits = self._parts.piece_limits(booking.service)
--- a/tests/features/steps/leaving_before_the_send.py
+++ b/tests/features/steps/leaving_before_the_send.py
@@ -160,6 +160,7 @@
         regions=RegionChoice(RegionLinks(Regions("hall"), clock), clock),
         clock=clock,
         metrics=RouteMetrics(),
+        outstanding=None,
     )
     run = SimpleNamespace(
         scope=scope,
