--- a/boragestream/base/route_metrics.py
+++ b/boragestream/base/route_metrics.py
@@ -104,6 +104,8 @@
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
+        self._read_regions: Callable[[], Sequence[RegionFigures]] = tuple
+        self._registry.register(_RegionCollector(lambda: self._read_regions()))
         self._account = _Bounded(MOST_ACCOUNTS)
         self._route = _Bounded(MOST_ROUTES)
         self._service = _Bounded(MOST_SERVICES)
@@ -179,8 +181,8 @@
         gauge.set_function(read)
 
     def region_figures(self, read: Callable[[], Sequence[RegionFigures]]) -> None:
-        """Add the figures of the links to other regions, read with each scrape."""
-        self._registry.register(_RegionCollector(read))
+        """Set what returns the figures of the links to other regions."""
+        self._read_regions = read
 
     def request_ended(
         self, account: str, route: str, outcome: str, reason: str, seconds: float
--- a/boragestream/entry/link_meter.py
+++ b/boragestream/entry/link_meter.py
@@ -74,16 +74,19 @@
         measured = None if isinstance(message, ProbeFor) else seconds
         self._links.note_answer(region, measured)
 
-    def note_missed(self, address: str, message: Message, size: int) -> None:
+    def note_missed(
+        self, address: str, message: Message, size: int, seconds: float
+    ) -> None:
         """Record that an answer was missing.
 
         :param size: the bytes of the request.
+        :param seconds: the time since the request began.
         """
         region, kind = self._region_at(address), _kind(message)
         self._links.count(region, kind, size)
         # A short time-out for the sake of a caller says little of the link.
         if kind is not TrafficKind.ORDER:
-            self._links.note_missed(region)
+            self._links.note_missed(region, seconds)
 
 
 def _kind(message: Message) -> TrafficKind:
--- a/boragestream/entry/links.py
+++ b/boragestream/entry/links.py
@@ -88,10 +88,13 @@
         :param seconds: the time from the sending of the request to the answer.
         """
 
-    def note_missed(self, address: str, message: Message, size: int) -> None:
+    def note_missed(
+        self, address: str, message: Message, size: int, seconds: float
+    ) -> None:
         """Record that an answer was missing.
 
         :param size: the bytes of the request.
+        :param seconds: the time since the request began.
         """
 
 
@@ -141,7 +144,7 @@
             # can succeed where the old one is cut off by a network partition.
             sock.close()
             if self._meter is not None:
-                self._meter.note_missed(address, message, len(frame))
+                self._meter.note_missed(address, message, len(frame), seconds)
             return PeerUnreachable(address, type(error).__name__)
         self._release(address, sock)
         if self._meter is not None:
--- a/boragestream/policy/region_links.py
+++ b/boragestream/policy/region_links.py
@@ -24,12 +24,12 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
-from statistics import median
 
 from boragestream.base.clock import Clock
 from boragestream.base.route_metrics import RegionFigures
 from boragestream.policy.region_window import OptionalWindow
 from boragestream.policy.regions import Regions
+from boragestream.policy.round_trips import RoundTrips
 
 __all__ = [
     "LinkChange",
@@ -48,15 +48,6 @@
 MAX_ALLOWANCE_SECONDS = 16.0
 # A new connection takes two round trips more; the fourth allows for variation.
 ALLOWANCE_ROUND_TRIPS = 4
-# The median of this many measurements ignores a single peer that was slow to answer.
-RECENT_SAMPLES = 5
-# The minimum covers ten minutes, as in RFC 6817, so that a new route of the link with a
-# longer delay does not count as a queue for ever.
-MINIMUM_BUCKET_SECONDS = 60.0
-MINIMUM_BUCKETS = 10
-# The delay that is tolerated above the minimum: as much again, and at least 50 ms,
-# since an entry with a small share of a core answers tens of milliseconds late.
-MIN_TARGET_SECONDS = 0.05
 REMEMBERED_SAMPLES = 64
 # Servers of a region that answer while none of its entries has done so for
 # ``UNREACHABLE_SECONDS`` show that the entries are lost and not the link. Older answers
@@ -111,7 +102,8 @@
     :ivar number: identifies the measurement; 0 if there is none.
     :ivar answered_age: the seconds since an entry of the region answered.
     :ivar seconds: the measured round trip.
-    :ivar missed_age: the seconds since an answer was last missing; infinite if never.
+    :ivar missed_age: the seconds since the latest request began whose answer is
+        missing; infinite if none is.
     """
 
     region: str
@@ -126,9 +118,8 @@
     """The state of the link to one region.
 
     :ivar answered_at: when an entry of the region last answered; at first the start.
-    :ivar missed_at: when an answer was last missing.
+    :ivar missed_at: when the latest request began whose answer is missing.
     :ivar misses: the missing answers since the last answer to this entry.
-    :ivar minima: the shortest round trip of each of the last minutes.
     """
 
     answered_at: float
@@ -138,34 +129,11 @@
     misses: int = 0
     number: int = 0
     latest_seconds: float = 0.0
-    recent: deque[float] = field(default_factory=lambda: deque(maxlen=RECENT_SAMPLES))
-    minima: deque[tuple[int, float]] = field(
-        default_factory=lambda: deque(maxlen=MINIMUM_BUCKETS)
-    )
+    round_trips: RoundTrips = field(default_factory=RoundTrips)
     sizes: Counter[TrafficKind] = field(default_factory=Counter)
     status: LinkStatus = LinkStatus.REACHABLE
     seen: deque[int] = field(default_factory=lambda: deque(maxlen=REMEMBERED_SAMPLES))
 
-    @property
-    def seconds(self) -> float:
-        """The recent round trip; 0 if unknown."""
-        return median(self.recent) if self.recent else 0.0
-
-    @property
-    def minimum(self) -> float:
-        """The shortest round trip of the last minutes; 0 if unknown."""
-        return min((seconds for _, seconds in self.minima), default=0.0)
-
-    @property
-    def queueing_seconds(self) -> float:
-        """The recent delay above the minimum."""
-        return self.seconds - self.minimum
-
-    @property
-    def target_seconds(self) -> float:
-        """The tolerated delay above the minimum."""
-        return max(MIN_TARGET_SECONDS, self.minimum)
-
 
 class RegionLinks:
     """The links to the other regions; safe to use from any thread.
@@ -232,7 +200,7 @@
         if link is None:
             return 0.0
         with self._lock:
-            return link.seconds
+            return link.round_trips.recent
 
     def allowance_seconds(self, region: str) -> float:
         """Return the seconds by which a time-out is longer for a region.
@@ -244,7 +212,9 @@
         if link is None:
             return 0.0
         with self._lock:
-            measured = max(MIN_ALLOWANCE_SECONDS, ALLOWANCE_ROUND_TRIPS * link.seconds)
+            measured = max(
+                MIN_ALLOWANCE_SECONDS, ALLOWANCE_ROUND_TRIPS * link.round_trips.recent
+            )
             # The exponent is bounded to prevent an overflow while the link is cut.
             return min(MAX_ALLOWANCE_SECONDS, measured * 2.0 ** min(link.misses, 8))
 
@@ -293,15 +263,22 @@
                 self._add_sample(link, number, seconds, latest=True)
         self.check()
 
-    def note_missed(self, region: str) -> None:
-        """Record that an entry of a region did not answer in time."""
+    def note_missed(self, region: str, seconds: float = 0.0) -> None:
+        """Record that an entry of a region did not answer in time.
+
+        A request that began before the last answer of the region says nothing about the
+        time since: one that began while the link was cut ends long after its return.
+
+        :param seconds: the time since the request began.
+        """
         link = self._links.get(region)
         if link is None:
             return
         with self._lock:
+            now = self._clock.now()
             link.misses += 1
-            link.missed_at = self._clock.now()
-            link.window.shrink(link.missed_at, link.seconds)
+            link.missed_at = max(link.missed_at, now - seconds)
+            link.window.shrink(now, link.round_trips.recent)
         self.check()
 
     def reports(self) -> list[LinkReport]:
@@ -345,7 +322,11 @@
                 if status is not link.status:
                     changes.append(
                         LinkChange(
-                            region, link.status, status, link.seconds, link.minimum
+                            region,
+                            link.status,
+                            status,
+                            link.round_trips.recent,
+                            link.round_trips.minimum,
                         )
                     )
                     link.status = status
@@ -364,7 +345,7 @@
             return [
                 RegionFigures(
                     region,
-                    link.seconds,
+                    link.round_trips.recent,
                     link.window.size,
                     {kind.value: size for kind, size in link.sizes.items()},
                 )
@@ -372,15 +353,19 @@
             ]
 
     def _status(self, link: _Link, now: float) -> LinkStatus:
-        silent = now - link.answered_at > UNREACHABLE_SECONDS + 2 * link.seconds
+        silent = (
+            now - link.answered_at > UNREACHABLE_SECONDS + 2 * link.round_trips.recent
+        )
         if silent and link.missed_at > link.answered_at:
             return LinkStatus.UNREACHABLE
         # A slow link is reachable again at half of the tolerated delay, so that a delay
         # near the limit does not change the status with each measurement.
         slow = link.status is LinkStatus.SLOW
-        limit = link.target_seconds * (0.5 if slow else 1.0)
+        limit = link.round_trips.target * (0.5 if slow else 1.0)
         return (
-            LinkStatus.SLOW if link.queueing_seconds > limit else LinkStatus.REACHABLE
+            LinkStatus.SLOW
+            if link.round_trips.queueing > limit
+            else LinkStatus.REACHABLE
         )
 
     def _add_sample(
@@ -390,14 +375,9 @@
         if latest:
             link.number, link.latest_seconds = number, seconds
         link.seen.append(number)
-        link.recent.append(seconds)
         now = self._clock.now()
-        minute = int(now // MINIMUM_BUCKET_SECONDS)
-        if link.minima and link.minima[-1][0] == minute:
-            link.minima[-1] = (minute, min(seconds, link.minima[-1][1]))
-        else:
-            link.minima.append((minute, seconds))
-        if link.queueing_seconds > link.target_seconds:
-            link.window.shrink(now, link.seconds)
+        link.round_trips.add(now, seconds)
+        if link.round_trips.queueing > link.round_trips.target:
+            link.window.shrink(now, link.round_trips.recent)
         else:
             link.window.grow(now)
--- a/tests/features/regions_links.feature
+++ b/tests/features/regions_links.feature
@@ -60,6 +60,15 @@
     And nobody asks the other region for 60 seconds
     Then "coast" is reachable
 
+  Scenario: a request of before the last answer does not make a region unreachable
+    Given the links of an entry of "valley"
+    When 2 answers of "coast" take 0.024 s each, one a second
+    And nobody asks the other region for 7 seconds
+    And a request to "coast" that began 9 s ago is missing its answer
+    Then "coast" is reachable
+    When a request to "coast" that began 6 s ago is missing its answer
+    Then "coast" is not reachable
+
   Scenario: a measurement that is relayed in a circle does not stay recent
     Given the links of two entries of "valley"
     When one of them measures the link to "coast", and both relay it for 20 seconds
--- a/tests/features/steps/regions_links.py
+++ b/tests/features/steps/regions_links.py
@@ -95,6 +95,11 @@
         context.links.note_missed(region)
 
 
+@when('a request to "{region}" that began {seconds:g} s ago is missing its answer')
+def step(context, region, seconds):
+    context.links.note_missed(region, seconds)
+
+
 @when("nobody asks the other region for {seconds:d} seconds")
 def step(context, seconds):
     context.clock.seconds += seconds
@@ -334,7 +339,7 @@
     meter = context.region_meter
     meter.note_answer("coast", Exchange({}), 1000, 0.024)
     meter.note_answer("coast", PublishedAsk(1, 1), 2000, 0.024)
-    meter.note_missed("coast", PermitReturn(1), 30)
+    meter.note_missed("coast", PermitReturn(1), 30, 0.3)
 
 
 @then('the metrics name bytes to "{region}" by kind, its round trip and its window')
@@ -365,7 +370,7 @@
         """Record an answer."""
         self.answers.append((address, size, seconds))
 
-    def note_missed(self, address, message, size):
+    def note_missed(self, address, message, size, seconds):
         """Record a missing answer."""
         self.missed.append((address, size))
 
--- a/tests/standins/regions.py
+++ b/tests/standins/regions.py
@@ -93,7 +93,7 @@
             left = began + seconds - crowd.clock.now()
             crowd.scheduler.sleep(max(0.0, left))
             if entry.alive:
-                entry.meter.note_missed(address, message, size)
+                entry.meter.note_missed(address, message, size, seconds)
             return PeerUnreachable(address, "Timeout")
         self.idle[address] = min(MAX_IDLE, self.idle[address] + 1)
         size += len(msgspec.msgpack.encode(answer))
