--- a/boragestream/base/route_metrics.py
+++ b/boragestream/base/route_metrics.py
@@ -107,6 +107,8 @@
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
+        self._read_regions: Callable[[], Sequence[RegionFigures]] = tuple
+        self._registry.register(_RegionCollector(lambda: self._read_regions()))
         self._account = _Bounded(MOST_ACCOUNTS)
         self._route = _Bounded(MOST_ROUTES)
         self._service = _Bounded(MOST_SERVICES)
@@ -240,8 +242,8 @@
         gauge.set_function(read)
 
     def region_figures(self, read: Callable[[], Sequence[RegionFigures]]) -> None:
-        """Add the figures of the links to other regions, read with each scrape."""
-        self._registry.register(_RegionCollector(read))
+        """Set what returns the figures of the links to other regions."""
+        self._read_regions = read
 
     def set_memory(self, budget: MemoryBudget) -> None:
         """Set the budget whose bytes are served."""
--- a/boragestream/policy/link_reports.py
+++ b/boragestream/policy/link_reports.py
@@ -47,7 +47,8 @@
     :ivar number: identifies the measurement; 0 if there is none.
     :ivar answered_age: the seconds since an entry of the region answered.
     :ivar seconds: the measured round trip.
-    :ivar missed_age: the seconds since an answer was last missing; infinite if never.
+    :ivar missed_age: the seconds since the latest request began whose answer is
+        missing; infinite if none is.
     """
 
     region: str
