--- a/boragestream/policy/account_shares.py
+++ b/boragestream/policy/account_shares.py
@@ -138,6 +138,8 @@
 
     :param all_entries: returns the demand at all entries from the demand at this one;
         by default this entry sees all demand of the place.
+    :param accounts_per_update: with more accounts than this, the averages are updated
+        less often in proportion, for places of which an entry has many.
     """
 
     def __init__(
@@ -145,8 +147,10 @@
         all_entries: Callable[[Mapping[A, float]], TotalDemand[A]] = lambda here: (
             TotalDemand(here)
         ),
+        accounts_per_update: float = math.inf,
     ) -> None:
         self._all_entries = all_entries
+        self._accounts_per_update = accounts_per_update
         self._accounts: dict[A, _Account] = {}
         self._began_at: float | None = None
         self._updated_at = 0.0
@@ -296,7 +300,8 @@
         if self._began_at is None:
             self._began_at = self._updated_at = now
         elapsed = now - self._updated_at
-        if elapsed < UPDATE_SECONDS:
+        many = len(self._accounts) / self._accounts_per_update
+        if elapsed < UPDATE_SECONDS * max(1.0, many):
             return
         self._updated_at = now
         # The mean since the start, until that is longer than the usual time.
--- a/boragestream/policy/service_shares.py
+++ b/boragestream/policy/service_shares.py
@@ -28,6 +28,10 @@
 # shortage. Such an attempt is repeated at another server at once.
 FALL = 0.9
 RISE = 1.005
+# After so many requests without a refusal, which are rare during a shortage, the
+# capacity rises faster, so that an estimate from an earlier demand does not last.
+SERVED_IN_A_ROW = 40
+FAST_RISE = 1.03
 # The upper bits of a key identify the service and the others the account: an entry thus
 # recognizes accounts that it has not served itself. There are at most 64 services and
 # 730 accounts.
@@ -37,6 +41,9 @@
 MIN_REPORTED = 0.005
 # The reports are summed at most this often: hundreds of entries report 24 demands each.
 SUM_SECONDS = 1.0
+# An update takes 1.9 us an account. With 30 services in use and 730 accounts known at
+# each, updates four times a second took 19% of a core, and take 1.4% with this.
+ACCOUNTS_PER_UPDATE = 64
 # Above this multiple of the demand, the capacity counts as sufficient again.
 ENOUGH = 1.5
 # The capacity also counts as sufficient this long after the last refusal by a server.
@@ -51,11 +58,13 @@
     :ivar capacity: the estimated capacity a second at all entries; infinite if there is
         no shortage.
     :ivar full_at: when a server last refused a request because it is full.
+    :ivar served_in_a_row: the requests that servers ran since then.
     """
 
     shares: AccountShares[int]
     capacity: float = math.inf
     full_at: float = -math.inf
+    served_in_a_row: int = 0
 
 
 def demand_key(service: str, account: str) -> int:
@@ -117,17 +126,20 @@
     def note_served(self, service: str) -> None:
         """Record that a server ran a request."""
         with self._lock:
-            self._service(service).capacity *= RISE
+            state = self._service(service)
+            state.served_in_a_row += 1
+            fast = state.served_in_a_row > SERVED_IN_A_ROW
+            state.capacity *= FAST_RISE if fast else RISE
 
     def note_full(self, service: str) -> None:
         """Record that a server refused a request because it is full."""
         now = self._clock.now()
         with self._lock:
             state = self._service(service)
-            state.full_at = now
+            state.full_at, state.served_in_a_row = now, 0
             demand = state.shares.total_demand(now)
             if demand > 0:
-                fallen = FALL * min(state.capacity, demand)
+                fallen = FALL * min(state.capacity, ENOUGH * demand)
                 # Below the typical demand, all accounts are refused alike.
                 state.capacity = max(fallen, state.shares.typical_demand(now))
 
@@ -149,7 +161,9 @@
             def totals(here: Mapping[int, float]) -> TotalDemand:
                 return self._totals(service, here)
 
-            state = self._services[service] = _Service(AccountShares(totals))
+            state = self._services[service] = _Service(
+                AccountShares(totals, ACCOUNTS_PER_UPDATE)
+            )
         return state
 
     def _totals(self, service: str, here: Mapping[int, float]) -> TotalDemand:
--- a/tests/features/account_shares.feature
+++ b/tests/features/account_shares.feature
@@ -93,6 +93,17 @@
       | 74      | 0.7  | 0       | 0.1   |
       | 195     | 0.7  | 0       | 0.1   |
 
+  # A refusal by a single full server is no shortage of the service.
+  Scenario Outline: an account uses what the others leave at a service
+    Given <entries> entries before a service with 0.2 of its capacity asked for
+    When account 0 sends 8 times its demand to them for 12 s
+    Then all requests of account 0 there have an attainment of 0.98 or more
+
+    Examples:
+      | entries |
+      | 6       |
+      | 74      |
+
   Scenario: without any report an entry still serves as without shares
     Given 6 entries before a service with 0.7 of its capacity asked for
     And no entry receives a report
--- a/tests/features/steps/account_shares.py
+++ b/tests/features/steps/account_shares.py
@@ -404,6 +404,16 @@
     assert alike <= shared - bound, (shared, alike)
 
 
+@then(
+    "all requests of account {account:d} there have an attainment of {least:g} or more"
+)
+def step(context, account, least):
+    kinds = [kind for kind in context.run.came if kind[0] == f"a{account}"]
+    served = sum(context.run.served.get(kind, 0) for kind in kinds)
+    came = sum(context.run.came[kind] for kind in kinds)
+    assert served >= least * came, (served, came)
+
+
 @then("less than {part:g} of all requests there are refused as surplus")
 def step(context, part):
     refused, requests = sum(context.run.surplus.values()), context.run.requests
