--- a/boragestream/policy/stage_regions.py
+++ b/boragestream/policy/stage_regions.py
@@ -81,6 +81,27 @@
         if not lenders or self._serves(services[:-1], own):
             yield ChainRegion(own)
 
+    def for_later_stage(
+        self, place: ChainRegion, service: str, homes: frozenset[str] | None
+    ) -> ChainRegion:
+        """Return where a later stage of a chain runs.
+
+        It is the region of the chain, unless this has lost all servers of the service.
+        The results of the earlier stages then cross to another region, since nothing
+        else can serve the request.
+
+        :param place: where the chain has run so far.
+        :param homes: see ``candidates``.
+        """
+        if not place.region or self.has_servers(service, place.region):
+            return place
+        own = self.regions.own
+        for name in sorted(self.regions.names, key=lambda name: name != own):
+            allowed = homes is None or name in homes
+            if allowed and self._serves([service], name) and self.links.reachable(name):
+                return self._at(name, borrowed=name != own)
+        return place
+
     def _first_home(self, services: Sequence[str], allowed: list[str]) -> ChainRegion:
         """Return the first region with servers among those the request must run in."""
         serving = [name for name in allowed if self._serves(services, name)] or allowed
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -276,6 +276,10 @@
         request_id = run.request.request_id
         key = run.request.piece_key
         pieces = tuple(Piece(request_id, number, n, key, inputs) for n in range(count))
+        place = self._place
+        if inputs:
+            regions = self._stages.stage_regions
+            place = regions.for_later_stage(place, stage.service, run.regions)
         order = PieceOrder(
             order_id=self._order_ids[number],
             service=stage.service,
@@ -288,13 +292,15 @@
             fingerprint=stage_fingerprint(run.fingerprint, stage.service),
             lead_seconds=self._lead_seconds[number],
             waited_seconds=self._waited_seconds,
-            region=self._place.region,
-            borrowed=self._place.borrowed,
+            region=place.region,
+            borrowed=place.borrowed,
             account=self._account,
         )
         start_by = self._start_by(number)
-        # The order replaces its booking in the queue, so the booking is not cancelled.
-        self._booked.pop(number, None)
+        booked = self._booked.pop(number, None)
+        if booked is not None and place.region != self._place.region:
+            self._stages.bookings.cancel(booked)
+        # In the same queue the order replaces its booking.
         opened = self._stages.orders.begin(order, start_by, run.scope, self._changed)
         if isinstance(opened, Failure):
             return opened
--- a/tests/standins/queue_parts.py
+++ b/tests/standins/queue_parts.py
@@ -29,6 +29,7 @@
         "limited": lone_limits(clock),
         "quarantine": Quarantine("entry", lambda: ["entry"], clock),
         "retries": UncountedRetries(),
+        "metrics": None,
         "late": refuse_late,
         "note_server_answer": lambda server: None,
         "shares": lambda: None,
