Try the servers of an unreachable region only for what the own region can't serve

Change: may_use tells apart reachable regions and those whose servers are to be tried; it is used where the own region can't serve a request.

--- a/boragestream/policy/region_choice.py
+++ b/boragestream/policy/region_choice.py
@@ -142,7 +142,7 @@
 
     def reachable(self, region: str) -> bool:
         """Return whether a region can be used; the own one always can."""
-        return region == self.own or self._links.reachable(region)
+        return region == self.own or self._links.may_use(region)
 
     def admits(self, region: str) -> bool:
         """Return whether optional traffic may be sent to a region."""
--- a/boragestream/policy/region_links.py
+++ b/boragestream/policy/region_links.py
@@ -131,19 +131,23 @@
         return self._unreachable
 
     def reachable(self, region: str) -> bool:
-        """Return whether entries or servers of a region answered recently.
-
-        An unreachable region counts as reachable while its servers are to be tried.
-        """
+        """Return whether entries or servers of a region answered recently."""
         link = self._links.get(region)
         if link is None:
             return True
         self.check()
-        now = self._clock.now()
-        server_age = now - link.server_answered_at
-        if region not in self._unreachable or server_age < UNREACHABLE_SECONDS:
+        server_age = self._clock.now() - link.server_answered_at
+        return region not in self._unreachable or server_age < UNREACHABLE_SECONDS
+
+    def may_use(self, region: str) -> bool:
+        """Return whether a region is reachable or its servers are to be tried.
+
+        For requests that the own region can't serve.
+        """
+        if self.reachable(region):
             return True
-        return (now - link.answered_at) % TRIAL_INTERVAL_SECONDS < TRIAL_SECONDS
+        since = self._clock.now() - self._links[region].answered_at
+        return since % TRIAL_INTERVAL_SECONDS < TRIAL_SECONDS
 
     def admits(self, region: str) -> bool:
         """Return whether optional traffic may be sent to a region now."""
--- a/boragestream/policy/stage_regions.py
+++ b/boragestream/policy/stage_regions.py
@@ -98,7 +98,7 @@
         own = self.regions.own
         for name in sorted(self.regions.names, key=lambda name: name != own):
             allowed = homes is None or name in homes
-            if allowed and self._serves([service], name) and self.links.reachable(name):
+            if allowed and self._serves([service], name) and self.links.may_use(name):
                 return self._at(name, borrowed=name != own)
         return place
 
@@ -119,11 +119,15 @@
         """
         for name in allowed:
             usable = name != self.regions.own and self._serves(services, name)
-            admitted = not optional or self.links.admits(name)
-            if usable and self.links.reachable(name) and admitted:
+            if usable and self._may_offer(name, optional):
                 yield self._at(name, borrowed=True)
                 return
 
+    def _may_offer(self, region: str, optional: bool) -> bool:
+        if optional:
+            return self.links.reachable(region) and self.links.admits(region)
+        return self.links.may_use(region)
+
     def _at(self, region: str, borrowed: bool) -> ChainRegion:
         return ChainRegion(region, borrowed, self.links.round_trip_seconds(region))
 
--- a/tests/features/regions_links.feature
+++ b/tests/features/regions_links.feature
@@ -69,6 +69,14 @@
     When a request to "coast" that began 6 s ago is missing its answer
     Then "coast" is not reachable
 
+  # Guards against a region that is never used again after it has lost all its entries.
+  Scenario: while no entry of a region answers, its servers are tried from time to time
+    Given the links of an entry of "valley"
+    When 2 answers of "coast" take 0.024 s each, one a second
+    And a request to "coast" is missing its answer for 30 seconds
+    Then "coast" is not reachable
+    And in 10 seconds its servers are tried during 1 second
+
   Scenario: a measurement that is relayed in a circle does not stay recent
     Given the links of two entries of "valley"
     When one of them measures the link to "coast", and both relay it for 20 seconds
--- a/tests/features/steps/regions_links.py
+++ b/tests/features/steps/regions_links.py
@@ -484,3 +484,18 @@
 def step(context, region):
     regions = {address.partition("-")[0] for address in context.requests.asked}
     assert regions == {region}, regions
+
+
+@when('a request to "{region}" is missing its answer for {seconds:d} seconds')
+def step(context, region, seconds):
+    context.clock.seconds += seconds
+    context.links.note_missed(region)
+
+
+@then("in {seconds:d} seconds its servers are tried during {tried:d} second")
+def step(context, seconds, tried):
+    used = 0
+    for _ in range(seconds * 10):
+        context.clock.seconds += 0.1
+        used += context.links.may_use("coast")
+    assert abs(used / 10 - tried) <= 0.1, used
--- a/tests/standins/regions.py
+++ b/tests/standins/regions.py
@@ -57,6 +57,10 @@
         """Return whether a region is not cut off."""
         return region not in self.cut_off
 
+    def may_use(self, region):
+        """Return whether a region is not cut off; none is tried here."""
+        return self.reachable(region)
+
     def admits(self, region):
         """Return whether optional traffic may be sent."""
         return region not in self.closed | self.cut_off
--- a/tests/standins/stage_network.py
+++ b/tests/standins/stage_network.py
@@ -139,6 +139,10 @@
         """Return what the test says."""
         return self.network.reachable
 
+    def may_use(self, region):
+        """Return whether a region is not cut off; none is tried here."""
+        return self.reachable(region)
+
     def admits(self, region):
         """Return what the test says."""
         return self.network.admits
