--- a/boragestream/base/route_settings.py
+++ b/boragestream/base/route_settings.py
@@ -192,16 +192,11 @@
 class LateSettings:
     """How requests that can't be answered within their objective are treated.
 
-    :ivar until_deadline: whether they are served from spare capacity up to their
-        deadline; absent for yes where the settings name several regions.
+    :ivar until_deadline: whether a caller's last attempt is served from spare capacity
+        up to its deadline.
     """
 
-    until_deadline: bool | None = None
-
-    def applies(self, several_regions: bool) -> bool:
-        """Return whether late requests are served up to their deadline."""
-        chosen = self.until_deadline
-        return several_regions if chosen is None else chosen
+    until_deadline: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -194,7 +194,7 @@
     servers = ServerTable(announce_leaving, awaits_orders=drains_centres)
     data_centre = settings.entry.data_centre
     regions, region_links = regional.regions, regional.links
-    until_deadline = settings.late.applies(regions.several)
+    until_deadline = settings.late.until_deadline
     members = EntryPeers(
         own, incarnation, data_centre, links, note_leaving, clock, rng, region_links
     )
