Answers use at most 0.85 of the memory budget

Cause: beside a load of 17 on the machine, 2,000 callers that read nothing charged 50.41 MB of a budget of 50.33 MB (bounded_memory, first scenario, once): bytes in the kernel's buffers are counted once a second and charged without being granted. Ruled out: a leak, since the budget is empty at the end. Change: answers are granted up to 0.85 instead of 0.95; the rows of memory_budget that state the ceiling follow, with the same distance. The fakes of account_shares get the fields that other parts added; no check changed. 29 scenarios of bounded_memory and 54 of memory_budget, account_shares and layering pass.

--- a/boragestream/base/memory_budget.py
+++ b/boragestream/base/memory_budget.py
@@ -33,11 +33,13 @@
 SMALL_BYTES = 65_536
 # The shares of the budget up to which more bytes are granted. What was admitted must
 # still be answered, so that answers may use more than requests; and a few callers with
-# large bodies, or that read nothing, leave memory for the others.
+# large bodies, or that read nothing, leave memory for the others. What is above the
+# share of answers is for bytes that are charged without being granted: the kernel's
+# buffers are counted once a second, and grow meanwhile under thousands of callers.
 LARGE_REQUEST_SHARE = 0.5
 UNREAD_SHARE = 0.6
 SMALL_REQUEST_SHARE = 0.8
-ANSWER_SHARE = 0.95
+ANSWER_SHARE = 0.85
 # The releases of this many seconds predict when bytes become free.
 RATE_SECONDS = 2.0
 MIN_RETRY_SECONDS = 0.05
--- a/tests/features/memory_budget.feature
+++ b/tests/features/memory_budget.feature
@@ -11,8 +11,8 @@
       | 700000 | request | 70000  | not granted |
       | 700000 | request | 60000  | granted     |
       | 780000 | request | 60000  | not granted |
-      | 780000 | answer  | 170000 | granted     |
-      | 780000 | answer  | 170001 | not granted |
+      | 780000 | answer  | 70000  | granted     |
+      | 780000 | answer  | 70001  | not granted |
 
   Scenario: parts of a large request are not granted as small ones
     Given a budget of 1000000 bytes of which 0 are held as output
@@ -26,7 +26,7 @@
 
   Scenario: an answer waits until bytes are returned
     Given a budget of 1000000 bytes of which 900000 are held as output
-    When an answer of 400000 bytes waits for memory
+    When an answer of 350000 bytes waits for memory
     And 400000 bytes of output are returned
     Then the answer is granted
 
--- a/tests/features/steps/account_shares.py
+++ b/tests/features/steps/account_shares.py
@@ -33,6 +33,7 @@
 from boragestream.policy.servers import Server
 from boragestream.policy.service_queue import ServiceQueue
 from boragestream.policy.service_shares import ServiceShares
+from boragestream.policy.stage_regions import StageRegions
 from boragestream.policy.stage_servers import Batch
 from boragestream.policy.thread_shares import ThreadShares
 from boragestream.serving.forwarded_choice import ForwardedChoice
@@ -429,6 +430,7 @@
     table = DemandTable("entry", context.clock)
     context.parts = SimpleNamespace(
         regions=SimpleNamespace(several=False),
+        outstanding=None,
         servers=SimpleNamespace(live=lambda service: FORWARD_SERVERS),
         cold=SimpleNamespace(usable=lambda servers: servers),
         backoffs=SimpleNamespace(usable=lambda servers: servers),
@@ -810,8 +812,11 @@
         account="a",
         route=SimpleNamespace(name="route", stages=()),
         request=SimpleNamespace(request_id="r"),
+        service="service",
+        regions=None,
     )
     stages = SimpleNamespace(
+        stage_regions=StageRegions(),
         engine_delays=SimpleNamespace(reserve_seconds=lambda route: 0.0),
         stage_delays=None,
         order_numbers=itertools.count(),
