Count bytes of orders once; look at late orders only where they may be kept

The bytes of orders between regions were counted by serving.owner_links, which encoded each message a second time for it, and again by entry.link_meter, which counts requests and answers of all messages. And a stage's queue looked at all its orders with each order and booking, also where late service is off. Change: the meter alone counts; the queue counts late pieces when a late order may be kept. The metric and the window of optional traffic now see each order once. The stand-in of stages by region uses the real meter; its step asserts the same two equalities, with the answers in the expected bytes. The whole suite was not run again.

--- a/boragestream/policy/late_service.py
+++ b/boragestream/policy/late_service.py
@@ -19,6 +19,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -131,18 +132,19 @@
     def keeps(
         self,
         order: LateOrder,
-        pieces: int,
+        pieces: Callable[[], int],
         wait: float,
         per_second: float,
         now: float,
     ) -> bool:
         """Return whether an order is accepted even if it will be late.
 
-        :param pieces: all late pieces, including those of the order.
+        :param pieces: returns the number of all late pieces, including those of the
+            order. It looks at each order, and is called only for orders to be kept.
         :param wait: its expected wait in seconds.
         :param per_second: the pieces that its servers do in a second.
         """
         until = self._rule(order)
         if until is None or now + wait > until or self._spare is None:
             return False
-        return self._spare.accepts(pieces, until - now, per_second, now)
+        return self._spare.accepts(pieces(), until - now, per_second, now)
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -12,6 +12,7 @@
 import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
+from functools import partial
 
 from boragestream.document.calls import Piece, PieceResult
 from boragestream.document.routes import PieceLimits
@@ -126,8 +127,7 @@
                 return surplus
             queued.surplus = surplus
         per_second = pieces_per_second(limits, len(eligible))
-        count = len(order.pieces)
-        late = self._late_pieces(now) + count
+        late = partial(self._late_pieces, len(order.pieces), now)
         kept = not spare and self._late.keeps(
             queued.as_late, late, wait, per_second, now
         )
@@ -172,11 +172,11 @@
         surplus = self._surplus(share, limits, usable, now)
         if isinstance(surplus, Surplus):
             return surplus
-        last_start = expires - booking.lead_seconds
         per_second = pieces_per_second(limits, len(eligible))
-        late = self._late_pieces(now) + booking.count
+        late = partial(self._late_pieces, booking.count, now)
+        as_late = LateOrder(expires - booking.lead_seconds, returning)
         kept = not booking.borrowed and self._late.keeps(
-            LateOrder(last_start, returning), late, wait, per_second, now
+            as_late, late, wait, per_second, now
         )
         if not (kept or is_bookable(booking, wait, left)):
             return wait
@@ -193,9 +193,10 @@
         """
         return self._callers.waited(key, request_id, expires, now)
 
-    def _late_pieces(self, now: float) -> int:
-        """Return the number of unsent pieces of late orders."""
-        return sum(len(q.left) for q in self._orders.values() if q.start_by < now)
+    def _late_pieces(self, count: int, now: float) -> int:
+        """Return the number of unsent pieces of late orders, and so many more."""
+        orders = self._orders.values()
+        return count + sum(len(q.left) for q in orders if q.start_by < now)
 
     def drop(self, order_id: str) -> None:
         """Drop an order or a booking; results of pieces in progress are discarded."""
--- a/boragestream/serving/owner_links.py
+++ b/boragestream/serving/owner_links.py
@@ -11,8 +11,6 @@
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 
-import msgspec
-
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, describe_error, emit
 from boragestream.base.outcomes import Failure
@@ -21,7 +19,7 @@
 from boragestream.entry.owner_questions import OwnerRequests
 from boragestream.entry.piece_messages import PiecesAnswer
 from boragestream.policy.queue_owners import StageQueue, owner_ranking
-from boragestream.policy.region_links import RegionLinks, TrafficKind
+from boragestream.policy.region_links import RegionLinks
 
 __all__ = ["OwnerLinks", "milliseconds", "seconds_or_unknown"]
 
@@ -35,7 +33,7 @@
     :param own: this entry's name, which is its address for other entries.
     :param live: returns the names of the live entries that can own queues of a region;
         the region is empty for the queues over all regions.
-    :param region_links: counts the bytes to other regions; None if there is only one.
+    :param region_links: the links to other regions; None if there is only one.
     :param region_of: returns the region of an entry; empty if it is not known.
     """
 
@@ -98,13 +96,11 @@
     def ask(self, owner: str, message: Message) -> PiecesAnswer | None:
         """Ask an owner; return None and skip it for some time if it does not answer."""
         region = self._other_region(owner)
-        self._count(region, message)
         seconds = self._region_links.round_trip_seconds(region) if region else 0.0
         return self._questions.request(owner, owner, message, PiecesAnswer, seconds)
 
     def send(self, entry: str, message: Message) -> None:
         """Send a message in the background; its reply is not needed."""
-        self._count(self._other_region(entry), message)
         self._messages.submit(self._deliver, entry, message)
 
     def _other_region(self, entry: str) -> str:
@@ -114,12 +110,6 @@
         region = self._region_of(entry)
         return "" if region == self._own_region else region
 
-    def _count(self, region: str, message: Message) -> None:
-        """Count the bytes of a message to another region."""
-        if region:
-            size = len(msgspec.msgpack.encode(message))
-            self._region_links.count(region, TrafficKind.ORDER, size)
-
     def _deliver(self, entry: str, message: Message) -> None:
         try:
             reply = self._links.ask(entry, message, MESSAGE_SECONDS)
--- a/tests/features/steps/stages_by_region.py
+++ b/tests/features/steps/stages_by_region.py
@@ -424,8 +424,14 @@
 def step(context, region):
     counted = context.entry.view.bytes
     assert set(counted) == {(region, TrafficKind.ORDER)}, counted
-    sent = [m for s, _, m in context.network.crossed() if s == context.entry.name]
-    size = sum(len(msgspec.msgpack.encode(message)) for message in sent)
+    network, name = context.network, context.entry.name
+    sent = [m for s, _, m in network.crossed() if s == name]
+    answers = [
+        answer
+        for asking, owner, answer in network.answers
+        if asking == name and network.region_of(owner) == region
+    ]
+    size = sum(len(msgspec.msgpack.encode(m)) for m in [*sent, *answers])
     assert counted[region, TrafficKind.ORDER] == size, (counted, size)
 
 
--- a/tests/standins/stage_network.py
+++ b/tests/standins/stage_network.py
@@ -16,9 +16,11 @@
 
 from boragestream.backend.cancellation import CancelScope
 from boragestream.base.failures import DeadlinePassed
+from boragestream.base.outcomes import Failure
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.document.calls import Piece, PieceResult
 from boragestream.document.routes import PieceLimits, RouteStage
+from boragestream.entry.link_meter import RegionMeter
 from boragestream.entry.messages import Message
 from boragestream.entry.piece_messages import (
     PiecesBook,
@@ -118,13 +120,21 @@
 class Links:
     """The links of one entry to all others."""
 
-    def __init__(self, network, own):
-        """Send by a network."""
+    def __init__(self, network, own, view):
+        """Send by a network, and meter as real links do."""
         self.network, self.own = network, own
+        self.meter = RegionMeter(view, network.region_of)
 
     def ask(self, address, message, seconds):
         """Deliver a message, and return its answer if it arrives in time."""
-        return self.network.deliver(self.own, address, message, seconds)
+        reply = self.network.deliver(self.own, address, message, seconds)
+        size = len(msgspec.msgpack.encode(message))
+        if isinstance(reply, Failure):
+            self.meter.note_missed(address, message, size, seconds)
+        else:
+            size += len(msgspec.msgpack.encode(reply))
+            self.meter.note_answer(address, message, size, ROUND_TRIP_SECONDS)
+        return reply
 
 
 class RegionLinksView:
@@ -152,8 +162,12 @@
         return 0.0 if region == self.regions.own else ROUND_TRIP_SECONDS
 
     def count(self, region, kind, size):
-        """Count bytes."""
-        self.bytes[region, kind] += size
+        """Count bytes to other regions."""
+        if region != self.regions.own:
+            self.bytes[region, kind] += size
+
+    def note_answer(self, region, seconds):
+        """Take the time of an answer; a test sets what the entry knows."""
 
 
 class Entry:
@@ -165,7 +179,7 @@
         regions = Regions(listed.data_centre, network.regions)
         self.region = network.region_of(listed.name)
         self.view = RegionLinksView(network, regions)
-        links, clock = Links(network, self.name), network.clock
+        links, clock = Links(network, self.name, self.view), network.clock
         owners = OwnerLinks(
             self.name, network.eligible, links, clock, self.view, network.region_of
         )
@@ -216,6 +230,7 @@
         self.made, self.made_at, self.stored = Counter(), {}, set()
         # Messages as (sender, receiver, message), also those that were lost.
         self.sent = []
+        self.answers = []
         # The directions in which messages are lost, as (from region, to region).
         self.cut = set()
         self.killed, self.removed = set(), set()
@@ -282,6 +297,7 @@
         if receiver not in self.killed and way not in self.cut:
             envelope = SimpleNamespace(sender=sender)
             reply = self.entries[receiver].handlers[type(message)](envelope, message)
+            self.answers.append((sender, receiver, reply))
         if reply is None or way[::-1] in self.cut:
             # Only the answers to orders and bookings are waited for.
             if isinstance(message, PiecesOrder | PiecesBook):
