--- a/boragestream/base/route_metrics.py
+++ b/boragestream/base/route_metrics.py
@@ -171,6 +171,13 @@
             ["service"],
             registry=registry,
         )
+        self._returns = Histogram(
+            "boragestream_return_seconds",
+            "Time after which refused callers should return, as the owner of a queue.",
+            ["service"],
+            buckets=SECONDS,
+            registry=registry,
+        )
         self._permits = Counter(
             "boragestream_permits",
             "Permits asked for to call servers with a limit.",
@@ -310,6 +317,10 @@
         self._batches.labels(service, end).inc()
         self._pieces.labels(service).inc(pieces)
 
+    def return_planned(self, service: str, seconds: float) -> None:
+        """Count a refused caller that is told when to return."""
+        self._returns.labels(self._service(service)).observe(seconds)
+
     def permit_ended(self, service: str, granted: bool) -> None:
         """Count a permit that was asked for."""
         end = "granted" if granted else "refused"
--- a/boragestream/base/route_settings.py
+++ b/boragestream/base/route_settings.py
@@ -194,9 +194,13 @@
 
     :ivar until_deadline: whether a caller's last attempt is served from spare capacity
         up to its deadline.
+    :ivar planned_returns: whether refused callers of stages are told when capacity is
+        expected, and not only the present wait; absent to decide it by the other
+        settings, see ``daemon.late_parts``.
     """
 
     until_deadline: bool = False
+    planned_returns: bool | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/boragestream/daemon/late_parts.py
@@ -0,0 +1,36 @@
+"""Builds what decides about requests that are refused or late, from the settings."""
+
+from boragestream.base.route_settings import RouteSettings
+from boragestream.daemon.account_parts import shares_fairly
+from boragestream.policy.late_service import (
+    LateService,
+    refuse_late,
+    serve_until_deadline,
+)
+from boragestream.policy.return_times import ReturnTimes
+
+__all__ = ["make_late_service", "new_return_times", "plans_returns"]
+
+
+def make_late_service(settings: RouteSettings) -> LateService:
+    """Return what decides until when late orders are kept."""
+    return serve_until_deadline if settings.late.until_deadline else refuse_late
+
+
+def plans_returns(settings: RouteSettings) -> bool:
+    """Return whether refused callers of stages are told when capacity is expected.
+
+    Unless a setting decides it, they are where a burst hits only a part of the
+    callers: those of one region, or of client accounts beside one that exceeds its
+    share.
+    """
+    required = settings.late.planned_returns
+    if required is None:
+        several_regions = len(set(settings.regions.values())) > 1
+        return several_regions or shares_fairly(settings)
+    return required
+
+
+def new_return_times(settings: RouteSettings) -> ReturnTimes | None:
+    """Return what plans the returns of one queue; None to state expected waits."""
+    return ReturnTimes() if plans_returns(settings) else None
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -17,6 +17,7 @@
 from boragestream.base.route_settings import RouteSettings
 from boragestream.daemon.account_parts import AccountParts, make_account_parts
 from boragestream.daemon.bounds import cold_bound, retry_bounds
+from boragestream.daemon.late_parts import make_late_service, new_return_times
 from boragestream.daemon.limits import SharedLimits, make_shared_limits
 from boragestream.daemon.memory import make_budget, make_outstanding
 from boragestream.daemon.operator_values import OperatorValues, offer_route_text
@@ -57,7 +58,6 @@
 from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.first_knowledge import StartupReadiness
-from boragestream.policy.late_service import refuse_late, serve_until_deadline
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.load import LoadTable
 from boragestream.policy.peers import ListedEntry
@@ -284,9 +284,10 @@
         piece_limits=piece_limits,
         # Orders arrive only once the entry listens, when all objects are built.
         note_use=lambda: publications.confirming.note_use(),
-        late=serve_until_deadline if until_deadline else refuse_late,
+        late=make_late_service(settings),
         note_server_answer=regional.note_server_answer,
         shares=accounts.new_queue,
+        returns=lambda: new_return_times(settings),
     )
     batches = PieceBatches(batch_parts, orders.report_results)
     orders.set_batches(batches)
--- a/boragestream/entry/piece_messages.py
+++ b/boragestream/entry/piece_messages.py
@@ -99,12 +99,14 @@
     :ivar wait_ms: the expected wait if it was refused.
     :ivar waited_ms: the time since the caller's first attempt, as its owner knows it.
     :ivar over_share: whether it was refused as surplus of its client account.
+    :ivar planned: whether ``wait_ms`` is when the caller should return.
     """
 
     taken: bool
     wait_ms: int = 0
     waited_ms: int = 0
     over_share: bool = False
+    planned: bool = False
 
 
 class PiecesDone(msgspec.Struct, frozen=True, tag=True):
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -41,6 +41,7 @@
 )
 from boragestream.policy.queue_bookings import BOOKING_GRACE_SECONDS, BookedOrder
 from boragestream.policy.queue_shares import QueueShares, ShareRequest
+from boragestream.policy.return_times import RefusedOrder, ReturnTime, ReturnTimes
 from boragestream.policy.returning_callers import ReturningCallers
 from boragestream.policy.servers import Server
 from boragestream.policy.stage_servers import (
@@ -50,7 +51,10 @@
     StageServerState,
 )
 
-__all__ = ["Batch", "CallRoom", "ServiceQueue"]
+__all__ = ["Batch", "CallRoom", "QueueRefusal", "ServiceQueue"]
+
+# The expected wait in seconds, when to return, or the surplus of a client account.
+QueueRefusal = float | ReturnTime | Surplus
 
 MEGABYTE = 1_000_000.0
 
@@ -62,6 +66,8 @@
     :param late: decides which orders are kept although they are late.
     :param shares: divides a shortage between client accounts; None to treat all orders
         alike.
+    :param returns: decides when refused callers return; None to state the expected
+        wait.
     """
 
     def __init__(
@@ -69,10 +75,12 @@
         room: Callable[[Server], CallRoom] = lambda server: UNLIMITED_CALLS,
         late: LateService = refuse_late,
         shares: QueueShares | None = None,
+        returns: ReturnTimes | None = None,
     ) -> None:
         self._room = room
         self._late = LateAdmission(late)
         self._shares = shares
+        self._returns = returns
         self._orders: dict[str, QueuedOrder] = {}
         self._bookings: dict[str, BookedOrder] = {}
         # By identity, since a server that has restarted has lost its earlier results.
@@ -90,11 +98,11 @@
         limits: PieceLimits,
         usable: Sequence[Server],
         now: float,
-    ) -> float | Surplus | None:
+    ) -> QueueRefusal | None:
         """Add an order; return the expected wait in seconds if it is refused.
 
-        :returns: the surplus if it is refused as surplus of its account; None if it is
-            accepted.
+        :returns: when its caller should return, if that was planned; the surplus if it
+            is refused as surplus of its account; None if it is accepted.
         """
         order = queued.order
         if order.order_id in self._orders:
@@ -131,8 +139,12 @@
         kept = not spare and self._late.keeps(
             queued.as_late, late, wait, per_second, now
         )
+        if booked is None and not queued.returning and not order.borrowed:
+            self._record_demand(len(order.pieces), now)
         if not (kept or is_admitted(queued.order, wait, left)):
-            return wait
+            count, expires = len(order.pieces), queued.expires
+            refused = RefusedOrder(count, wait, expires, queued.returning)
+            return wait if spare else self._refuse(refused, per_second, now)
         self._orders[order.order_id] = queued
         return None
 
@@ -144,7 +156,7 @@
         limits: PieceLimits,
         usable: Sequence[Server],
         now: float,
-    ) -> float | Surplus | None:
+    ) -> QueueRefusal | None:
         """Book a later order; return the expected wait in seconds if it is refused.
 
         :param start_by: the latest start of the order.
@@ -178,8 +190,11 @@
         kept = not booking.borrowed and self._late.keeps(
             as_late, late, wait, per_second, now
         )
+        if not returning and not booking.borrowed:
+            self._record_demand(booking.count, now)
         if not (kept or is_bookable(booking, wait, left)):
-            return wait
+            refused = RefusedOrder(booking.count, wait, expires, returning)
+            return wait if booking.borrowed else self._refuse(refused, per_second, now)
         until = max(start_by, now) + BOOKING_GRACE_SECONDS
         booked = BookedOrder(booking.count, booking.priority, start_by, until, surplus)
         self._bookings[booking.order_id] = booked
@@ -193,6 +208,18 @@
         """
         return self._callers.waited(key, request_id, expires, now)
 
+    def _record_demand(self, count: int, now: float) -> None:
+        if self._returns is not None:
+            self._returns.record(count, now)
+
+    def _refuse(
+        self, refused: RefusedOrder, per_second: float, now: float
+    ) -> float | ReturnTime:
+        """Return when a refused caller should return, or its expected wait."""
+        if self._returns is None:
+            return refused.wait
+        return self._returns.plan(refused, per_second, now) or refused.wait
+
     def _late_pieces(self, count: int, now: float) -> int:
         """Return the number of unsent pieces of late orders, and so many more."""
         orders = self._orders.values()
--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -117,6 +117,9 @@
         retry_after = failure.left_seconds
     if isinstance(failure, CentresDrained):
         retry_after = DRAINED_RETRY_AFTER_SECONDS
+    if isinstance(failure, StageSaturated) and failure.planned:
+        # The queue knows how long this caller can stay away.
+        return Refused(failure, max(retry_after, failure.wait_ms / 1000))
     if isinstance(failure, StageSaturated | AccountOverShare):
         retry_after = min(
             MAX_RETRY_AFTER_SECONDS, max(retry_after, failure.wait_ms / 1000)
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -26,7 +26,6 @@
 from boragestream.base.events import Event, emit
 from boragestream.document.calls import PieceFault, PieceResult
 from boragestream.entry.server_permits import PermitRefused
-from boragestream.policy.account_shares import Surplus
 from boragestream.policy.candidates import RoutingNeed, usable_servers
 from boragestream.policy.load import CallEnd
 from boragestream.policy.piece_queue import PieceBooking, PieceOrder, QueuedOrder
@@ -34,7 +33,12 @@
 from boragestream.policy.queue_owners import StageQueue
 from boragestream.policy.server_choice import DISABLED_MECHANISMS
 from boragestream.policy.servers import Server
-from boragestream.policy.service_queue import Batch, CallRoom, ServiceQueue
+from boragestream.policy.service_queue import (
+    Batch,
+    CallRoom,
+    QueueRefusal,
+    ServiceQueue,
+)
 from boragestream.serving.ejections import log_ejection
 from boragestream.serving.piece_calls import BatchParts, PieceCalls, unreadable_results
 from boragestream.serving.request_guard import count_crash, has_crashed
@@ -70,16 +74,15 @@
 
     def submit(
         self, order: PieceOrder, start_seconds: float, left_seconds: float
-    ) -> float | Surplus | None:
+    ) -> QueueRefusal | None:
         """Add an order to its queue.
 
         Adding an order that is already in the queue changes nothing.
 
         :param start_seconds: the time until its latest start.
         :param left_seconds: the time until its request stops waiting for it.
-        :returns: the expected wait in seconds if it is refused, 0.0 if the limits of
-            the service are unknown; the surplus if its account exceeds its share; None
-            if it is accepted.
+        :returns: the refusal, 0.0 if the limits of the service are unknown; None if it
+            is accepted.
         """
         self._parts.note_use()
         limits = self._parts.piece_limits(order.service)
@@ -109,7 +112,7 @@
 
     def book(
         self, booking: PieceBooking, start_seconds: float, left_seconds: float
-    ) -> float | Surplus | None:
+    ) -> QueueRefusal | None:
         """Book an order that will be sent once the stages before it are done.
 
         :param start_seconds: the time until its latest start.
@@ -221,7 +224,9 @@
     def _queue(self, queue_id: StageQueue) -> ServiceQueue:
         if queue_id not in self._queues:
             parts = self._parts
-            queue = ServiceQueue(self._call_room, parts.late, parts.shares())
+            queue = ServiceQueue(
+                self._call_room, parts.late, parts.shares(), parts.returns()
+            )
             self._queues[queue_id] = queue
             service, region = queue_id.service, queue_id.region
             emit(Event.QUEUE_OWNED, service=service, region=region)
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -44,6 +44,7 @@
     query_delay_seconds,
 )
 from boragestream.policy.quarantine import Quarantine
+from boragestream.policy.return_times import ReturnTimes
 from boragestream.policy.queue_shares import QueueShares
 from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.server_backoffs import ServerBackoffs
@@ -100,6 +101,8 @@
     :ivar note_server_answer: called with each server that answered a call.
     :ivar shares: returns what divides a new queue between client accounts; None to
         treat all orders alike.
+    :ivar returns: returns what plans the returns of a new queue's refused callers; None
+        to state expected waits.
     """
 
     line: CallLine
@@ -119,6 +122,7 @@
     late: LateService = refuse_late
     note_server_answer: Callable[[Server], None] = lambda server: None
     shares: Callable[[], QueueShares | None] = lambda: None
+    returns: Callable[[], ReturnTimes | None] = lambda: None
 
 
 @dataclass(slots=True)
--- a/boragestream/serving/piece_failures.py
+++ b/boragestream/serving/piece_failures.py
@@ -15,11 +15,13 @@
     :ivar service: the service of the stage.
     :ivar wait_ms: the expected wait in milliseconds.
     :ivar returning: whether its caller was refused before.
+    :ivar planned: whether the wait is when the queue plans to serve its caller.
     """
 
     service: str
     wait_ms: int
     returning: bool = False
+    planned: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/serving/piece_refusals.py
+++ b/boragestream/serving/piece_refusals.py
@@ -3,13 +3,15 @@
 from boragestream.base.failures import AccountOverShare
 from boragestream.entry.piece_messages import PiecesAnswer
 from boragestream.policy.account_shares import Surplus
+from boragestream.policy.return_times import ReturnTime
+from boragestream.policy.service_queue import QueueRefusal
 from boragestream.serving.owner_links import milliseconds
 from boragestream.serving.piece_failures import StageSaturated
 
 __all__ = ["answer_refusal", "wait_answer", "wait_refusal"]
 
 
-def wait_answer(wait: float | Surplus | None, waited_ms: int = 0) -> PiecesAnswer:
+def wait_answer(wait: QueueRefusal | None, waited_ms: int = 0) -> PiecesAnswer:
     """Return the answer to another entry.
 
     :param wait: the decision of the queue, see ``PieceBatches.submit``.
@@ -19,6 +21,9 @@
     if isinstance(wait, Surplus):
         wait_ms = milliseconds(wait.wait_seconds)
         return PiecesAnswer(False, wait_ms, waited_ms, over_share=True)
+    if isinstance(wait, ReturnTime):
+        wait_ms = milliseconds(wait.wait_seconds)
+        return PiecesAnswer(False, wait_ms, waited_ms, planned=True)
     return PiecesAnswer(False, milliseconds(wait), waited_ms)
 
 
@@ -30,11 +35,12 @@
         return None
     if answer.over_share:
         return AccountOverShare(account, answer.wait_ms)
-    return StageSaturated(service, answer.wait_ms, answer.waited_ms > 0)
+    returning = answer.waited_ms > 0
+    return StageSaturated(service, answer.wait_ms, returning, answer.planned)
 
 
 def wait_refusal(
-    service: str, wait: float | Surplus | None, waited_seconds: float = 0.0
+    service: str, wait: QueueRefusal | None, waited_seconds: float = 0.0
 ) -> StageSaturated | AccountOverShare | None:
     """Return the refusal of a queue of this entry; None if it accepted.
 
@@ -44,4 +50,8 @@
         return AccountOverShare(wait.account, milliseconds(wait.wait_seconds))
     if wait is None:
         return None
-    return StageSaturated(service, milliseconds(wait), waited_seconds > 0)
+    returning = waited_seconds > 0
+    if isinstance(wait, ReturnTime):
+        wait_ms = milliseconds(wait.wait_seconds)
+        return StageSaturated(service, wait_ms, returning, planned=True)
+    return StageSaturated(service, milliseconds(wait), returning)
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -163,11 +163,7 @@
             if not isinstance(failure, StageSaturated) or self._open:
                 return failure
             self._cancel_bookings()
-            is_earlier = (
-                isinstance(refusal, StageSaturated)
-                and refusal.wait_ms <= failure.wait_ms
-            )
-            refusal = refusal if is_earlier else failure
+            refusal = _preferred_refusal(refusal, failure)
         return refusal
 
     def _was_not_sent(self) -> bool:
@@ -360,3 +356,15 @@
 def _last_stages(route: Route) -> list[int]:
     needed = {n for stage in route.stages for n in stage.after}
     return [n for n in range(len(route.stages)) if n not in needed]
+
+
+def _preferred_refusal(earlier: Failure | None, latest: StageSaturated) -> Failure:
+    """Return which of the refusals of two regions the caller gets.
+
+    A region that lends capacity plans no return, since the caller returns to its own.
+    """
+    if not isinstance(earlier, StageSaturated):
+        return latest
+    if earlier.planned and not latest.planned:
+        return earlier
+    return earlier if earlier.wait_ms <= latest.wait_ms else latest
--- a/boragestream/serving/surplus.py
+++ b/boragestream/serving/surplus.py
@@ -1,9 +1,11 @@
-"""Reports requests that are refused as surplus of their client account."""
+"""Reports requests that queues refuse as surplus of their account, or until later."""
 
 from boragestream.base.events import Event, emit
 from boragestream.base.failures import AccountOverShare
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.policy.account_shares import Surplus
+from boragestream.policy.return_times import ReturnTime
+from boragestream.policy.service_queue import QueueRefusal
 
 __all__ = ["THREADS", "refuse_surplus", "report_surplus", "reported"]
 
@@ -32,12 +34,14 @@
 
 
 def reported(
-    metrics: RouteMetrics, service: str, request_id: str, wait: float | Surplus | None
-) -> float | Surplus | None:
-    """Return the decision of a stage's queue; report it if it refuses a surplus."""
-    if isinstance(wait, Surplus):
-        report_surplus(metrics, service, request_id, wait)
-    return wait
+    metrics: RouteMetrics, service: str, request_id: str, refusal: QueueRefusal | None
+) -> QueueRefusal | None:
+    """Return the decision of a stage's queue; report a surplus or a planned return."""
+    if isinstance(refusal, Surplus):
+        report_surplus(metrics, service, request_id, refusal)
+    if isinstance(refusal, ReturnTime):
+        metrics.return_planned(service, refusal.wait_seconds)
+    return refusal
 
 
 def refuse_surplus(
--- a/tests/standins/queue_parts.py
+++ b/tests/standins/queue_parts.py
@@ -33,5 +33,6 @@
         "late": refuse_late,
         "note_server_answer": lambda server: None,
         "shares": lambda: None,
+        "returns": lambda: None,
     }
     return SimpleNamespace(**{**parts, **more})
--- a/tests/standins/stage_load.py
+++ b/tests/standins/stage_load.py
@@ -14,6 +14,7 @@
 from boragestream.policy.late_service import refuse_late
 from boragestream.policy.piece_queue import PieceOrder, QueuedOrder
 from boragestream.policy.servers import Server
+from boragestream.policy.return_times import ReturnTime, ReturnTimes
 from boragestream.policy.service_queue import ServiceQueue
 
 RESULT_BYTES = 1000.0
@@ -67,14 +68,25 @@
     :param returning: whether callers come back once after a refusal.
     :param recognized: whether each names the same key again.
     :param late: decides which orders the queue keeps although they are late.
+    :param planned: whether the queue plans when refused callers return.
     """
 
-    def __init__(self, limits, servers, seed, returning, recognized, late=refuse_late):
+    def __init__(
+        self,
+        limits,
+        servers,
+        seed,
+        returning,
+        recognized,
+        late=refuse_late,
+        planned=False,
+    ):
         """Begin with nothing waiting."""
         self.limits = limits
         self.returning, self.recognized = returning, recognized
         self.rng = random.Random(seed)
-        self.queue = ServiceQueue(late=late)
+        returns = ReturnTimes() if planned else None
+        self.queue = ServiceQueue(late=late, returns=returns)
         self.usable = [
             Server(f"s-{n}", "service", f"10.0.0.{n}:80", "hall", f"s-{n}")
             for n in range(servers)
@@ -135,6 +147,7 @@
         if wait is None:
             self.waiting[request_id] = (caller, may_return)
         elif may_return:
+            wait = wait.wait_seconds if isinstance(wait, ReturnTime) else wait
             back = now + max(LEAST_RETURN_SECONDS, wait)
             self.at(back, self.order, caller, False)
 
@@ -176,7 +189,8 @@
     returning=False,
     recognized=True,
     late=refuse_late,
+    planned=False,
 ):
     """Play a load; return by kind the shares that began in time, late and never."""
-    load = StageLoad(limits, servers, seed, returning, recognized, late)
+    load = StageLoad(limits, servers, seed, returning, recognized, late, planned)
     return load.run(kinds, seconds)
