--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -44,9 +44,9 @@
     query_delay_seconds,
 )
 from boragestream.policy.quarantine import Quarantine
-from boragestream.policy.return_times import ReturnTimes
 from boragestream.policy.queue_shares import QueueShares
 from boragestream.policy.retry_window import RetryWindows
+from boragestream.policy.return_times import ReturnTimes
 from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.service_queue import Batch
--- a/tests/standins/stage_load.py
+++ b/tests/standins/stage_load.py
@@ -13,8 +13,8 @@
 from boragestream.document.calls import Piece, PieceResult
 from boragestream.policy.late_service import refuse_late
 from boragestream.policy.piece_queue import PieceOrder, QueuedOrder
-from boragestream.policy.servers import Server
 from boragestream.policy.return_times import ReturnTime, ReturnTimes
+from boragestream.policy.servers import Server
 from boragestream.policy.service_queue import ServiceQueue
 
 RESULT_BYTES = 1000.0
