--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -9,20 +9,13 @@
 the calls.
 """
 
-import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
-from functools import partial
 
 from boragestream.document.calls import Piece, PieceResult
 from boragestream.document.routes import PieceLimits
 from boragestream.policy.account_shares import Surplus
-from boragestream.policy.late_service import (
-    LateAdmission,
-    LateOrder,
-    LateService,
-    refuse_late,
-)
+from boragestream.policy.late_service import LateOrder, LateService, refuse_late
 from boragestream.policy.piece_queue import (
     BEHIND_ALL,
     PieceBooking,
@@ -39,23 +32,25 @@
     order_sort_key,
     pieces_per_second,
 )
+from boragestream.policy.queue_admission import (
+    QueueAdmission,
+    QueueClaim,
+    QueueRefusal,
+)
 from boragestream.policy.queue_bookings import BOOKING_GRACE_SECONDS, BookedOrder
-from boragestream.policy.queue_shares import QueueShares, ShareRequest
-from boragestream.policy.return_times import RefusedOrder, ReturnTime, ReturnTimes
+from boragestream.policy.queue_shares import QueueShares
+from boragestream.policy.return_times import ReturnTimes
 from boragestream.policy.returning_callers import ReturningCallers
 from boragestream.policy.servers import Server
 from boragestream.policy.stage_servers import (
     UNLIMITED_CALLS,
     Batch,
     CallRoom,
-    StageServerState,
+    StageServers,
 )
 
 __all__ = ["Batch", "CallRoom", "QueueRefusal", "ServiceQueue"]
 
-# The expected wait in seconds, when to return, or the surplus of a client account.
-QueueRefusal = float | ReturnTime | Surplus
-
 MEGABYTE = 1_000_000.0
 
 
@@ -63,11 +58,7 @@
     """The queue of one service.
 
     :param room: returns the rate at which a server may be called.
-    :param late: decides which orders are kept although they are late.
-    :param shares: divides a shortage between client accounts; None to treat all orders
-        alike.
-    :param returns: decides when refused callers return; None to state the expected
-        wait.
+    :param late: see ``policy.queue_admission``, like the other parameters.
     """
 
     def __init__(
@@ -77,14 +68,10 @@
         shares: QueueShares | None = None,
         returns: ReturnTimes | None = None,
     ) -> None:
-        self._room = room
-        self._late = LateAdmission(late)
-        self._shares = shares
-        self._returns = returns
+        self._admission = QueueAdmission(late, shares, returns)
         self._orders: dict[str, QueuedOrder] = {}
         self._bookings: dict[str, BookedOrder] = {}
-        # By identity, since a server that has restarted has lost its earlier results.
-        self._servers: dict[tuple[str, str, str], StageServerState] = {}
+        self._servers = StageServers(room)
         self._callers = ReturningCallers()
 
     @property
@@ -114,37 +101,33 @@
         queued.returning = max(waited, order.waited_seconds) > 0
         queued.start_by -= max(0.0, waited - order.waited_seconds)
         eligible = _in_regions(usable, order.regions)
-        spare = order.needs_spare_capacity
-        sort_key = BEHIND_ALL if spare else queued.sort_key(now)
-        wait = self._wait(sort_key, limits, eligible, now)
+        sort_key = queued.sort_key(now)
+        if order.needs_spare_capacity:
+            sort_key = BEHIND_ALL
         left = queued.start_by - now
+        claim = QueueClaim(
+            order.account,
+            len(order.pieces),
+            order.priority,
+            queued.as_late,
+            queued.expires,
+            self._wait(sort_key, limits, eligible, now),
+            longest_wait(order.priority, left),
+            order.needs_spare_capacity,
+        )
         if booked is not None:
             # Its booking has been counted and admitted already.
             queued.surplus = booked.surplus
         elif not order.invested:
-            share = ShareRequest(
-                order.account,
-                len(order.pieces),
-                order.priority,
-                queued.returning,
-                wait,
-                longest_wait(order.priority, left),
-            )
-            surplus = self._surplus(share, limits, usable, now)
+            surplus = self._judge_share(claim, limits, usable, now)
             if isinstance(surplus, Surplus):
                 return surplus
             queued.surplus = surplus
+            self._admission.record_demand(claim, now)
         per_second = pieces_per_second(limits, len(eligible))
-        late = partial(self._late_pieces, len(order.pieces), now)
-        kept = not spare and self._late.keeps(
-            queued.as_late, late, wait, per_second, now
-        )
-        if booked is None and not queued.returning and not order.borrowed:
-            self._record_demand(len(order.pieces), now)
-        if not (kept or is_admitted(queued.order, wait, left)):
-            count, expires = len(order.pieces), queued.expires
-            refused = RefusedOrder(count, wait, expires, queued.returning)
-            return wait if spare else self._refuse(refused, per_second, now)
+        kept = self._keeps_late(claim, per_second, now)
+        if not (kept or is_admitted(queued.order, claim.wait, left)):
+            return self._admission.refuse(claim, per_second, now)
         self._orders[order.order_id] = queued
         return None
 
@@ -169,32 +152,28 @@
         returning = max(waited, booking.waited_seconds) > 0
         start_by -= max(0.0, waited - booking.waited_seconds)
         sort_key = order_sort_key(start_by, booking.priority, now)
-        sort_key = BEHIND_ALL if booking.borrowed else sort_key
+        if booking.borrowed:
+            sort_key = BEHIND_ALL
         eligible = _in_regions(usable, booking.regions)
-        wait = self._wait(sort_key, limits, eligible, now)
         left = start_by - now
-        share = ShareRequest(
+        claim = QueueClaim(
             booking.account,
             booking.count,
             booking.priority,
-            returning,
-            wait,
+            LateOrder(expires - booking.lead_seconds, returning),
+            expires,
+            self._wait(sort_key, limits, eligible, now),
             longest_booked_wait(booking.priority, left),
+            booking.borrowed,
         )
-        surplus = self._surplus(share, limits, usable, now)
+        surplus = self._judge_share(claim, limits, usable, now)
         if isinstance(surplus, Surplus):
             return surplus
+        self._admission.record_demand(claim, now)
         per_second = pieces_per_second(limits, len(eligible))
-        late = partial(self._late_pieces, booking.count, now)
-        as_late = LateOrder(expires - booking.lead_seconds, returning)
-        kept = not booking.borrowed and self._late.keeps(
-            as_late, late, wait, per_second, now
-        )
-        if not returning and not booking.borrowed:
-            self._record_demand(booking.count, now)
-        if not (kept or is_bookable(booking, wait, left)):
-            refused = RefusedOrder(booking.count, wait, expires, returning)
-            return wait if booking.borrowed else self._refuse(refused, per_second, now)
+        kept = self._keeps_late(claim, per_second, now)
+        if not (kept or is_bookable(booking, claim.wait, left)):
+            return self._admission.refuse(claim, per_second, now)
         until = max(start_by, now) + BOOKING_GRACE_SECONDS
         booked = BookedOrder(booking.count, booking.priority, start_by, until, surplus)
         self._bookings[booking.order_id] = booked
@@ -208,23 +187,6 @@
         """
         return self._callers.waited(key, request_id, expires, now)
 
-    def _record_demand(self, count: int, now: float) -> None:
-        if self._returns is not None:
-            self._returns.record(count, now)
-
-    def _refuse(
-        self, refused: RefusedOrder, per_second: float, now: float
-    ) -> float | ReturnTime:
-        """Return when a refused caller should return, or its expected wait."""
-        if self._returns is None:
-            return refused.wait
-        return self._returns.plan(refused, per_second, now) or refused.wait
-
-    def _late_pieces(self, count: int, now: float) -> int:
-        """Return the number of unsent pieces of late orders, and so many more."""
-        orders = self._orders.values()
-        return count + sum(len(q.left) for q in orders if q.start_by < now)
-
     def drop(self, order_id: str) -> None:
         """Drop an order or a booking; results of pieces in progress are discarded."""
         self._orders.pop(order_id, None)
@@ -245,7 +207,9 @@
         """
         orders = self._orders.values()
         late = [
-            queued for queued in orders if is_abandoned(queued, now, self._late.rule)
+            queued
+            for queued in orders
+            if is_abandoned(queued, now, self._admission.late.rule)
         ]
         for queued in late:
             del self._orders[queued.order.order_id]
@@ -270,12 +234,8 @@
         self, limits: PieceLimits, usable: Sequence[Server], now: float
     ) -> list[Batch]:
         """Return a batch for each free server, and record it as in progress."""
-        self._late.begin(now)
-        free_at: dict[str, float] = {}
-        for server in usable:
-            earliest = free_at.get(server.data_centre, math.inf)
-            free = max(now, self._state(server).free_at)
-            free_at[server.data_centre] = min(earliest, free)
+        self._admission.late.begin(now)
+        free_at = self._servers.free_at(usable, now)
         batches = []
         for server in usable:
             batch = self._next_batch(server, limits, free_at, now)
@@ -295,7 +255,7 @@
         :param results: in the order of the pieces; None if there are none.
         :param taken: whether the server took the call; if not, it gets a pause.
         """
-        self._state(batch.server).end(batch, results, taken, now)
+        self._servers.state(batch.server).end(batch, results, taken, now)
 
     def requeue(self, order_id: str, piece: Piece) -> bool:
         """Requeue a piece; return False if its order has been dropped."""
@@ -317,26 +277,15 @@
 
     def release(self, server: Server, handle: str) -> None:
         """Record that a server no longer stores a result."""
-        self._state(server).held.pop(handle, None)
+        self._servers.state(server).held.pop(handle, None)
 
     def drop_stale_servers(self, listed: Iterable[Server], now: float) -> None:
-        """Drop the state of servers that have left or restarted.
-
-        A server that has left may still serve its stored results, so its state is kept
-        until they expire. A server that has restarted under the same name has lost
-        them, so its earlier state is dropped without that delay. State with calls in
-        progress is kept until they end.
-        """
-        latest = {server.name: server.identity for server in listed}
-        for identity, state in list(self._servers.items()):
-            replaced = latest.get(identity[0], identity) != identity
-            gone = identity[0] not in latest and not state.used_bytes(now)
-            if not state.calls and (replaced or gone):
-                del self._servers[identity]
+        """Drop the state of servers that have left or restarted."""
+        self._servers.drop_stale(listed, now)
 
     def holds(self, server: Server, handle: str) -> bool:
         """Return whether a server still stores a result."""
-        return handle in self._state(server).held
+        return handle in self._servers.state(server).held
 
     def _wait(
         self,
@@ -356,33 +305,33 @@
             for booked in self._bookings.values()
             if booked.sort_key(now) <= sort_key
         )
-        free = 0
-        for server in usable:
-            idle = self._state(server).calls < limits.concurrent_calls
-            free += idle and self._room(server).wait_seconds <= 0
-        servers = self._server_count(limits, usable)
-        return expected_wait(ahead, 0 if ahead else free, servers, limits)
-
-    def _server_count(self, limits: PieceLimits, usable: Sequence[Server]) -> float:
-        """Return the number of servers; one whose calls are limited is a fraction."""
-        whole_call = limits.call_seconds + limits.batch * limits.piece_seconds
-        return sum(min(1.0, self._room(s).per_second * whole_call) for s in usable)
+        idle = 0 if ahead else self._servers.idle_count(limits, usable)
+        return expected_wait(ahead, idle, self._servers.count(limits, usable), limits)
 
-    def _surplus(
+    def _judge_share(
         self,
-        share: ShareRequest,
+        claim: QueueClaim,
         limits: PieceLimits,
         usable: Sequence[Server],
         now: float,
     ) -> Surplus | bool:
-        """Return whether an order is beyond its account's share, or its refusal."""
-        if self._shares is None or not self._shares.record(share, now):
-            return False
-        whole_call = limits.call_seconds + limits.batch * limits.piece_seconds
-        capacity = self._server_count(limits, usable) * limits.batch / whole_call
+        """Return whether a claim is beyond its account's share, or its refusal."""
+        capacity = self._servers.capacity(limits, usable)
+        return self._admission.judge_share(claim, capacity, self._pieces_queued, now)
+
+    def _pieces_queued(self) -> int:
+        """Return the number of pieces that are queued or booked."""
         queued = sum(len(waiting.left) for waiting in self._orders.values())
-        queued += sum(booked.count for booked in self._bookings.values())
-        return self._shares.judge(share, capacity, queued, now)
+        return queued + sum(booked.count for booked in self._bookings.values())
+
+    def _keeps_late(self, claim: QueueClaim, per_second: float, now: float) -> bool:
+        """Return whether a claim is accepted even if it will be late."""
+
+        def late_pieces() -> int:
+            orders = self._orders.values()
+            return claim.count + sum(len(q.left) for q in orders if q.start_by < now)
+
+        return self._admission.keeps_late(claim, late_pieces, per_second, now)
 
     def _next_batch(
         self,
@@ -391,7 +340,7 @@
         free_at: Mapping[str, float],
         now: float,
     ) -> Batch | None:
-        state = self._state(server)
+        state = self._servers.state(server)
         waiting = [queued for queued in self._orders.values() if queued.left]
         busy = state.calls >= limits.concurrent_calls or now < state.paused_until
         if busy or not waiting:
@@ -407,15 +356,12 @@
             numbers = {piece.number for piece in taken}
             queued.left = [p for p in queued.left if p.number not in numbers]
         in_time = sum(len(taken) for queued, taken in chosen if queued.start_by >= now)
-        self._late.note_started(in_time, now)
+        self._admission.late.note_started(in_time, now)
         state.calls += 1
         state.pending_bytes += batch.result_bytes
         state.free_at = now + batch.seconds
         return batch
 
-    def _state(self, server: Server) -> StageServerState:
-        return self._servers.setdefault(server.identity, StageServerState())
-
 
 def _in_regions(servers: Sequence[Server], regions: frozenset[str]) -> Sequence[Server]:
     return [s for s in servers if s.region in regions] if regions else servers
--- a/boragestream/policy/stage_servers.py
+++ b/boragestream/policy/stage_servers.py
@@ -4,7 +4,7 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from boragestream.document.calls import Piece, PieceFault, PieceResult
@@ -12,7 +12,7 @@
 from boragestream.policy.piece_queue import QueuedOrder
 from boragestream.policy.servers import Server
 
-__all__ = ["UNLIMITED_CALLS", "Batch", "CallRoom", "StageServerState"]
+__all__ = ["UNLIMITED_CALLS", "Batch", "CallRoom", "StageServerState", "StageServers"]
 
 # A server that did not take a call or had no room for a result is full or unreachable.
 # Without a pause it would be called again at once, a thousand times a second if it is
@@ -111,3 +111,64 @@
                 label = f"{piece.request_id}/{piece.stage}/{piece.number}"
                 self.held[label] = (size, now + NO_ROOM_HOLD_SECONDS)
                 self.paused_until = now + REFUSED_PAUSE_SECONDS
+
+
+class StageServers:
+    """The servers of one queue; the owner must hold a lock.
+
+    :param room: returns the rate at which a server may be called.
+    """
+
+    def __init__(self, room: Callable[[Server], CallRoom]) -> None:
+        self._room = room
+        # By identity, since a server that has restarted has lost its earlier results.
+        self._states: dict[tuple[str, str, str], StageServerState] = {}
+
+    def state(self, server: Server) -> StageServerState:
+        """Return the calls and results of a server."""
+        return self._states.setdefault(server.identity, StageServerState())
+
+    def free_at(self, usable: Sequence[Server], now: float) -> dict[str, float]:
+        """Return by data centre when one of its servers is expected to be free.
+
+        :returns: the clock's seconds.
+        """
+        free_at: dict[str, float] = {}
+        for server in usable:
+            earliest = free_at.get(server.data_centre, math.inf)
+            free = max(now, self.state(server).free_at)
+            free_at[server.data_centre] = min(earliest, free)
+        return free_at
+
+    def idle_count(self, limits: PieceLimits, usable: Sequence[Server]) -> int:
+        """Return the number of servers that may be called now."""
+        return sum(
+            self.state(server).calls < limits.concurrent_calls
+            and self._room(server).wait_seconds <= 0
+            for server in usable
+        )
+
+    def count(self, limits: PieceLimits, usable: Sequence[Server]) -> float:
+        """Return the number of servers; one whose calls are limited is a fraction."""
+        whole_call = limits.call_seconds + limits.batch * limits.piece_seconds
+        return sum(min(1.0, self._room(s).per_second * whole_call) for s in usable)
+
+    def capacity(self, limits: PieceLimits, usable: Sequence[Server]) -> float:
+        """Return the pieces a second that servers do with one full call each."""
+        whole_call = limits.call_seconds + limits.batch * limits.piece_seconds
+        return self.count(limits, usable) * limits.batch / whole_call
+
+    def drop_stale(self, listed: Iterable[Server], now: float) -> None:
+        """Drop the state of servers that have left or restarted.
+
+        A server that has left may still serve its stored results, so its state is kept
+        until they expire. A server that has restarted under the same name has lost
+        them, so its earlier state is dropped without that delay. State with calls in
+        progress is kept until they end.
+        """
+        latest = {server.name: server.identity for server in listed}
+        for identity, state in list(self._states.items()):
+            replaced = latest.get(identity[0], identity) != identity
+            gone = identity[0] not in latest and not state.used_bytes(now)
+            if not state.calls and (replaced or gone):
+                del self._states[identity]
