Print the reason of each refusal where all requests must be answered

It now prints for each request without status 200 its id, the answer's body, its time and all events with its id at all entries. The check itself is the same.

--- a/tests/features/steps/server_limits.py
+++ b/tests/features/steps/server_limits.py
@@ -94,7 +94,21 @@
 @then("all are answered")
 def step(context):
     statuses = Counter(answer.status for answer, _, _ in context.answers)
-    assert set(statuses) == {200}, statuses
+    assert set(statuses) == {200}, (statuses, *refusal_reasons(context))
+
+
+def refusal_reasons(context):
+    """Describe each request that was not answered, with its events at all entries."""
+    events = [
+        {"entry": name, **event}
+        for name in context.site.entries
+        for event in context.site.events(name)
+    ]
+    for answer, _, took in context.answers:
+        if answer.status != 200:
+            request_id = answer.request_id
+            about = [event for event in events if event.get("request") == request_id]
+            yield request_id, answer.status, answer.body, f"{took:.3f} s", about
 
 
 @then("the limits are used and not exceeded")
