Show that entries get no permits from the owner of their region's queue

Cause: a request for a permit names the server's data centre but not its region. The granting entry ranks the granting entries of a stage server by its region, and takes the queue over all regions for a server without one. It is then mostly not among the entries that it ranks, and answers that no permit is free.

Seen in a trial of server_limits.feature:24: the owner of the queue gave no answer within 0.3 s, another entry owned the queue for 2 s, its batches failed six times as server-limited, and an order was dropped as late (one 503 of 65 answers).

Change: a scenario in which each entry asks for permits for the stage servers of its region.

--- a/tests/features/stage_owners.feature
+++ b/tests/features/stage_owners.feature
@@ -27,6 +27,14 @@
     Then for each stage server all entries name the owner of its region's queue first
     And the entry that grants for the stage servers of hills has not been first for long
 
+  # Guards against an entry that owns a queue for a while, because the first in rank was
+  # slow to answer, and gets no permit for the limited server of its region: its orders
+  # were dropped as late.
+  Scenario: the entries of a region get permits for its stage servers from the first
+    Given entries of valley with the capacities "2 2 2 2" and of hills with "2 2 2 2"
+    And all stage servers have a request limit
+    Then each entry gets a permit for each stage server of its region
+
   # Guards against a change for deployments of one region.
   Scenario: with one region, the first in rank for a service grants for its servers
     Given entries of one region with the capacities "2 2 1 0.5"
--- a/tests/features/steps/stage_owners.py
+++ b/tests/features/steps/stage_owners.py
@@ -1,12 +1,17 @@
 """Steps on the entries that own queues of stages, permits and cold servers."""
 
+from types import SimpleNamespace
+
 from behave import given, then, when
 
 from boragestream.daemon.stage_owners import StageOwners
+from boragestream.entry.permit_messages import PermitAsk
+from boragestream.entry.server_permits import Permit, ServerPermits
 from boragestream.policy.granters import REFRESH_SECONDS, Granters, Standing
 from boragestream.policy.peers import ListedEntry
 from boragestream.policy.queue_owners import StageQueue, owner_ranking, queue_entries
 from boragestream.policy.regions import Regions
+from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.servers import Server
 from tests.standins.clock import SetClock
 
@@ -48,6 +53,32 @@
     set_entries(context, {"valley": capacities})
 
 
+@given("all stage servers have a request limit")
+def step(context):
+    context.permits = {}
+
+    def deliver(address, message, timeout):
+        assert isinstance(message, PermitAsk), message
+        envelope = SimpleNamespace(sender="")
+        return context.permits[address].answer(envelope, message)
+
+    for name, granters in context.granters.items():
+        limits = ServerLimits(context.clock)
+        limits.take_list(servers(STAGE))
+        for server in servers(STAGE):
+            limits.note_answer(server, 100.0, context.clock.now(), whole=True)
+        context.permits[name] = ServerPermits(
+            name,
+            limits,
+            granters,
+            lambda entry: entry,
+            lambda: True,
+            SimpleNamespace(ask=deliver),
+            lambda work: work(),
+            context.clock,
+        )
+
+
 @when("the entry that grants the permits for the stage servers of hills is gone")
 def step(context):
     for granters in context.granters.values():
@@ -93,6 +124,19 @@
             assert context.owners[name].cold_senders(server)[0] == first
 
 
+@then("each entry gets a permit for each stage server of its region")
+def step(context):
+    refused = []
+    for entry in context.listed:
+        for server in servers(STAGE):
+            if server.region != entry.data_centre:
+                continue
+            permit = context.permits[entry.name].acquire(server, wait_seconds=1.0)
+            if not isinstance(permit, Permit):
+                refused.append((entry.name, server.name, permit))
+    assert not refused, refused
+
+
 @then("for other servers all entries name the same one, and any may send to cold ones")
 def step(context):
     entries = {entry.name for entry in context.listed}
