Rank the granting entries of a stage server by the region of its data centre

Cause: StageOwners read the region that the server record names. A server that is made from a request for a permit has none, so that the granting entry ranked the entries of all regions for it and refused the permit as one that it does not grant.

Change: the region is that of the server's data centre, which the request names. Listed servers get their region from the same table, so nothing changes for them.

--- a/boragestream/daemon/stage_owners.py
+++ b/boragestream/daemon/stage_owners.py
@@ -87,5 +87,6 @@
         return [*others, self.own]
 
     def _queue(self, server: Server) -> StageQueue:
-        region = server.region if self.regions.several else ""
+        # Requests for permits name the data centre of a server and not its region.
+        region = self.regions.of(server.data_centre) if self.regions.several else ""
         return StageQueue(server.service, region)
