Show chains that a limited server's queue accepts and cannot finish in time

Cause: a chain whose stages run in one queue needs a later call for each stage. Its booking is accepted by the wait that the stage would have now, and its first order by a latest start that leaves the usual time of the second stage. Where all servers of the queue are limited, calls are further apart: 0.667 s at 1.5 a second, 0.058 s without a limit. The second order is then late by up to one interval, goes behind all others, and is given up 1.5 s later although its first stage has run.

In server_limits.feature:24 this happens with any load: the site has two stage servers in two regions, so that the limited one is the only server of the queue of its region, and two thirds of the requests come there. Seen for a refused request: booked with an expected wait of 2.0 s of 2.70 s, ordered with 2.0 s of 2.23 s, first stage done after 2.25 s, second stage ordered with 0.44 s left and the next permit 0.61 s away, refused after 4.27 s.

Change: a scenario that plays such chains in simulated time on the real queue.

--- a/tests/features/piece_queue.feature
+++ b/tests/features/piece_queue.feature
@@ -93,3 +93,18 @@
     Then one other chain is booked
     When the time of the bookings is over
     Then three other chains are booked, ahead of the order that is late by now
+
+  # Guards against chains that are accepted, run their first stage and are given up at the
+  # second: it can only be in a later call, and the calls of a limited server are further
+  # apart than one takes.
+  Scenario Outline: a limited server's queue accepts chains whose last stage is in time
+    Given a queue whose only server takes <calls> calls a second
+    When <chains> chains of two stages a second come to it for 6.5 s
+    Then at least <accepted> are accepted, and their last stages begin in time
+
+    Examples:
+      | calls | chains | accepted |
+      | 1.5   | 6.67   | 30       |
+      | 1.5   | 10     | 30       |
+      | 1.0   | 5      | 18       |
+      | 1.0   | 4.2    | 18       |
--- a/tests/features/steps/piece_queue.py
+++ b/tests/features/steps/piece_queue.py
@@ -19,6 +19,7 @@
 )
 from boragestream.policy.servers import Server
 from boragestream.policy.service_queue import ServiceQueue
+from tests.standins.limited_stage import LimitedStage
 
 RESULT_BYTES = 10.0
 SERVER = Server("s", "service", "10.0.0.1:80", "hall", "s")
@@ -262,3 +263,21 @@
     assert context.service_queue.orders["chain-1"].start_by < context.now
     assert [book(context) for _ in range(3)] == [None] * 3
     assert book(context) is not None
+
+
+@given("a queue whose only server takes {calls:g} calls a second")
+def step(context, calls):
+    context.stage = LimitedStage(calls)
+
+
+@when("{chains:g} chains of two stages a second come to it for {seconds:g} s")
+def step(context, chains, seconds):
+    context.stage.play(chains, seconds)
+
+
+@then("at least {least:d} are accepted, and their last stages begin in time")
+def step(context, least):
+    chains = context.stage.chains.values()
+    assert len(chains) >= least, len(chains)
+    late = [chain for chain in chains if not chain.in_time]
+    assert not late, late
