Begin a chain early enough for its next stage in the queue of limited servers

The latest start of a chain's first order left the usual time of one call for the second stage, and not the interval between the calls of limited servers.

Change: where the servers that an order may use do less than one server's calls together, the latest start of a chain's first order is at most that of the next stage booked in the same queue, less the interval of calls. The chain is refused earlier (another region may then run it), and its first order goes ahead of those that have more time. Nothing changes with a server without a limit.

A first order can still be overtaken, and is then given up unsent and offered to the other region.

--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -39,7 +39,7 @@
     order_sort_key,
     pieces_per_second,
 )
-from boragestream.policy.queue_bookings import BOOKING_GRACE_SECONDS, BookedOrder
+from boragestream.policy.queue_bookings import BookedOrder, start_before_booked
 from boragestream.policy.queue_shares import QueueShares, ShareRequest
 from boragestream.policy.returning_callers import ReturningCallers
 from boragestream.policy.servers import Server
@@ -106,6 +106,10 @@
         queued.returning = max(waited, order.waited_seconds) > 0
         queued.start_by -= max(0.0, waited - order.waited_seconds)
         eligible = _in_regions(usable, order.regions)
+        servers = self._server_count(limits, eligible)
+        queued.start_by = start_before_booked(
+            queued, self._bookings.values(), limits, servers
+        )
         spare = order.needs_spare_capacity
         sort_key = BEHIND_ALL if spare else queued.sort_key(now)
         wait = self._wait(sort_key, limits, eligible, now)
@@ -180,8 +184,7 @@
         )
         if not (kept or is_bookable(booking, wait, left)):
             return wait
-        until = max(start_by, now) + BOOKING_GRACE_SECONDS
-        booked = BookedOrder(booking.count, booking.priority, start_by, until, surplus)
+        booked = BookedOrder.accept(booking, start_by, surplus, now)
         self._bookings[booking.order_id] = booked
         return None
 
