Show that a borrowed chain's own booking delays its first order

Cause: the first order of a borrowed chain is expected to wait behind all that the queue holds, which includes the booking of its own second stage. An idle server then seems to be busy for a call, and an order without time left is refused.

Change: a scenario on the queue.

--- a/tests/features/piece_queue.feature
+++ b/tests/features/piece_queue.feature
@@ -108,3 +108,12 @@
       | 1.5   | 10     | 30       |
       | 1.0   | 5      | 18       |
       | 1.0   | 4.2    | 18       |
+
+  # Guards against an idle region that refuses a late chain of another one, because the
+  # chain's own booking counts as ahead of its first order.
+  Scenario: the booking of a borrowed chain is not ahead of its first order
+    Given stage servers with a batch of 4 and room for 99 results
+    And a queue of one idle server
+    When a borrowed chain books its second stage
+    Then its first order is accepted, even if it is 0.5 s late
+    And the first order of another one is not, if it is 0.5 s late
--- a/tests/features/steps/piece_queue.py
+++ b/tests/features/steps/piece_queue.py
@@ -281,3 +281,36 @@
     assert len(chains) >= least, len(chains)
     late = [chain for chain in chains if not chain.in_time]
     assert not late, late
+
+
+@given("a queue of one idle server")
+def step(context):
+    context.service_queue, context.now = ServiceQueue(), 100.0
+
+
+@when("a borrowed chain books its second stage")
+def step(context):
+    booking = PieceBooking("chain/1", "service", "chain", "", 1, 0, borrowed=True)
+    wait = context.service_queue.book(
+        booking, context.now + 0.1, context.now + 9, context.limits, [SERVER], 100.0
+    )
+    assert wait is None, wait
+
+
+def submit_borrowed(context, name, late):
+    """Submit the first order of a borrowed chain that is late."""
+    made = replace(order(name), borrowed=True)
+    return context.service_queue.submit(
+        queued(made, context.now - late), context.limits, [SERVER], context.now
+    )
+
+
+@then("its first order is accepted, even if it is {late:g} s late")
+def step(context, late):
+    wait = submit_borrowed(context, "chain", late)
+    assert wait is None, wait
+
+
+@then("the first order of another one is not, if it is {late:g} s late")
+def step(context, late):
+    assert submit_borrowed(context, "other", late) is not None
