Don't count a chain's own booking as ahead of its orders

Change: the expected wait of an order or booking leaves out the bookings of its own request. They are for stages that depend on it. Orders of the queue's own region are hardly affected: their later bookings sort behind them.

Conclusion: an idle region takes over a chain whose first order was given up unsent, also if that has no time left for a wait.

--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -112,7 +112,7 @@
         )
         spare = order.needs_spare_capacity
         sort_key = BEHIND_ALL if spare else queued.sort_key(now)
-        wait = self._wait(sort_key, limits, eligible, now)
+        wait = self._wait(first.request_id, sort_key, limits, eligible, now)
         left = queued.start_by - now
         if booked is not None:
             # Its booking has been counted and admitted already.
@@ -163,7 +163,7 @@
         sort_key = order_sort_key(start_by, booking.priority, now)
         sort_key = BEHIND_ALL if booking.borrowed else sort_key
         eligible = _in_regions(usable, booking.regions)
-        wait = self._wait(sort_key, limits, eligible, now)
+        wait = self._wait(booking.request_id, sort_key, limits, eligible, now)
         left = start_by - now
         share = ShareRequest(
             booking.account,
@@ -316,12 +316,13 @@
 
     def _wait(
         self,
+        request_id: str,
         sort_key: SortKey,
         limits: PieceLimits,
         usable: Sequence[Server],
         now: float,
     ) -> float:
-        """Return the expected wait in seconds of an order with a sort key."""
+        """Return the expected wait in seconds of an order or booking of a request."""
         ahead = sum(
             len(queued.left)
             for queued in self._orders.values()
@@ -330,7 +331,7 @@
         ahead += sum(
             booked.count
             for booked in self._bookings.values()
-            if booked.sort_key(now) <= sort_key
+            if booked.sort_key(now) <= sort_key and booked.request_id != request_id
         )
         free = 0
         for server in usable:
