Show that entries of two regions refuse parts of their exchange

Cause: the parts that carry the limits of servers and the measurements of links both have the name l. A message is a table by name, so that only the later one of them is in it, and its receiver gives it to both parts.

Found while server_limits.feature:24 was traced: each run had about 400 events peer_frame_refused, from the entries of the site itself.

Change: a scenario with real entries.

--- a/tests/features/stages_by_region_entries.feature
+++ b/tests/features/stages_by_region_entries.feature
@@ -22,3 +22,9 @@
     Then "entry-0" and "entry-2" name 2 entries
     When the stage servers of "valley" are listed no more
     Then staged requests to "entry-0" are answered by the stage servers of "hills"
+
+  # Guards against two parts of the exchange with one name: each message carried only one
+  # of them, and its receiver refused it for the other.
+  Scenario: entries of two regions read all that they exchange
+    When the entries have exchanged messages for 3 s
+    Then no entry has refused a part of a message
--- a/tests/features/steps/stages_by_region_entries.py
+++ b/tests/features/steps/stages_by_region_entries.py
@@ -1,5 +1,7 @@
 """Steps on stages of two regions, with real entries."""
 
+from collections import Counter
+
 from behave import then, when
 
 from tests.standins.fleet import wait_until
@@ -114,3 +116,19 @@
         )
 
     wait_until(logged, what=f"{entry} logs the loan")
+
+
+@when("the entries have exchanged messages for {seconds:g} s")
+def step(context, seconds):
+    context.site.wait(seconds)
+
+
+@then("no entry has refused a part of a message")
+def step(context):
+    refused = Counter(
+        (name, event.get("reason"))
+        for name in context.site.entries
+        for event in context.site.events(name)
+        if event["name"] == "peer_frame_refused"
+    )
+    assert not refused, refused
