Name the part of the exchange with link measurements r

The name l belongs to the part with the limits of servers, which is the older one.

Change: the part with the measurements of links is named r.

Conclusion: limits of servers and link measurements reach other entries with each message that has space for them.

--- a/boragestream/entry/region_part.py
+++ b/boragestream/entry/region_part.py
@@ -46,7 +46,7 @@
     :param same_region: returns whether the named entry is in this entry's region.
     """
 
-    name = "l"
+    name = "r"
 
     def __init__(self, links: RegionLinks, same_region: Callable[[str], bool]) -> None:
         self._links = links
