--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -37,7 +37,7 @@
     QueueClaim,
     QueueRefusal,
 )
-from boragestream.policy.queue_bookings import BOOKING_GRACE_SECONDS, BookedOrder
+from boragestream.policy.queue_bookings import BookedOrder, start_before_booked
 from boragestream.policy.queue_shares import QueueShares
 from boragestream.policy.return_times import ReturnTimes
 from boragestream.policy.returning_callers import ReturningCallers
@@ -101,6 +101,12 @@
         queued.returning = max(waited, order.waited_seconds) > 0
         queued.start_by -= max(0.0, waited - order.waited_seconds)
         eligible = _in_regions(usable, order.regions)
+        queued.start_by = start_before_booked(
+            queued,
+            self._bookings.values(),
+            limits,
+            self._servers.count(limits, eligible),
+        )
         sort_key = queued.sort_key(now)
         if order.needs_spare_capacity:
             sort_key = BEHIND_ALL
@@ -111,7 +117,7 @@
             order.priority,
             queued.as_late,
             queued.expires,
-            self._wait(sort_key, limits, eligible, now),
+            self._wait(first.request_id, sort_key, limits, eligible, now),
             longest_wait(order.priority, left),
             order.needs_spare_capacity,
         )
@@ -162,7 +168,7 @@
             booking.priority,
             LateOrder(expires - booking.lead_seconds, returning),
             expires,
-            self._wait(sort_key, limits, eligible, now),
+            self._wait(booking.request_id, sort_key, limits, eligible, now),
             longest_booked_wait(booking.priority, left),
             booking.borrowed,
         )
@@ -174,8 +180,7 @@
         kept = self._keeps_late(claim, per_second, now)
         if not (kept or is_bookable(booking, claim.wait, left)):
             return self._admission.refuse(claim, per_second, now)
-        until = max(start_by, now) + BOOKING_GRACE_SECONDS
-        booked = BookedOrder(booking.count, booking.priority, start_by, until, surplus)
+        booked = BookedOrder.accept(booking, start_by, surplus, now)
         self._bookings[booking.order_id] = booked
         return None
 
@@ -289,12 +294,13 @@
 
     def _wait(
         self,
+        request_id: str,
         sort_key: SortKey,
         limits: PieceLimits,
         usable: Sequence[Server],
         now: float,
     ) -> float:
-        """Return the expected wait in seconds of an order with a sort key."""
+        """Return the expected wait in seconds of an order or booking of a request."""
         ahead = sum(
             len(queued.left)
             for queued in self._orders.values()
@@ -303,7 +309,7 @@
         ahead += sum(
             booked.count
             for booked in self._bookings.values()
-            if booked.sort_key(now) <= sort_key
+            if booked.sort_key(now) <= sort_key and booked.request_id != request_id
         )
         idle = 0 if ahead else self._servers.idle_count(limits, usable)
         return expected_wait(ahead, idle, self._servers.count(limits, usable), limits)
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -34,7 +34,7 @@
 from boragestream.serving.piece_orders import OpenOrder, PieceOrders
 from boragestream.serving.stage_leads import lead_seconds, usual_seconds
 
-__all__ = ["StagePieces"]
+__all__ = ["StagePieces", "preferred_refusal"]
 
 # Interval of the checks of cancellation, deadline and owners while no result arrives.
 POLL_SECONDS = 0.1
@@ -163,7 +163,7 @@
             if not isinstance(failure, StageSaturated) or self._open:
                 return failure
             self._cancel_bookings()
-            refusal = _preferred_refusal(refusal, failure)
+            refusal = preferred_refusal(refusal, failure)
         return refusal
 
     def _was_not_sent(self) -> bool:
@@ -358,7 +358,7 @@
     return [n for n in range(len(route.stages)) if n not in needed]
 
 
-def _preferred_refusal(earlier: Failure | None, latest: StageSaturated) -> Failure:
+def preferred_refusal(earlier: Failure | None, latest: StageSaturated) -> Failure:
     """Return which of the refusals of two regions the caller gets.
 
     A region that lends capacity plans no return, since the caller returns to its own.
--- a/tests/features/steps/piece_queue.py
+++ b/tests/features/steps/piece_queue.py
@@ -19,6 +19,7 @@
 )
 from boragestream.policy.servers import Server
 from boragestream.policy.service_queue import ServiceQueue
+from tests.standins.limited_stage import LimitedStage
 
 RESULT_BYTES = 10.0
 SERVER = Server("s", "service", "10.0.0.1:80", "hall", "s")
@@ -262,3 +263,54 @@
     assert context.service_queue.orders["chain-1"].start_by < context.now
     assert [book(context) for _ in range(3)] == [None] * 3
     assert book(context) is not None
+
+
+@given("a queue whose only server takes {calls:g} calls a second")
+def step(context, calls):
+    context.stage = LimitedStage(calls)
+
+
+@when("{chains:g} chains of two stages a second come to it for {seconds:g} s")
+def step(context, chains, seconds):
+    context.stage.play(chains, seconds)
+
+
+@then("at least {least:d} are accepted, and their last stages begin in time")
+def step(context, least):
+    chains = context.stage.chains.values()
+    assert len(chains) >= least, len(chains)
+    late = [chain for chain in chains if not chain.in_time]
+    assert not late, late
+
+
+@given("a queue of one idle server")
+def step(context):
+    context.service_queue, context.now = ServiceQueue(), 100.0
+
+
+@when("a borrowed chain books its second stage")
+def step(context):
+    booking = PieceBooking("chain/1", "service", "chain", "", 1, 0, borrowed=True)
+    wait = context.service_queue.book(
+        booking, context.now + 0.1, context.now + 9, context.limits, [SERVER], 100.0
+    )
+    assert wait is None, wait
+
+
+def submit_borrowed(context, name, late):
+    """Submit the first order of a borrowed chain that is late."""
+    made = replace(order(name), borrowed=True)
+    return context.service_queue.submit(
+        queued(made, context.now - late), context.limits, [SERVER], context.now
+    )
+
+
+@then("its first order is accepted, even if it is {late:g} s late")
+def step(context, late):
+    wait = submit_borrowed(context, "chain", late)
+    assert wait is None, wait
+
+
+@then("the first order of another one is not, if it is {late:g} s late")
+def step(context, late):
+    assert submit_borrowed(context, "other", late) is not None
