Keep the queue of the test full for its second attempt

Cause: a second later the order ahead was late and no longer ahead, so that the second attempt was accepted.

--- a/tests/features/steps/return_times.py
+++ b/tests/features/steps/return_times.py
@@ -169,7 +169,7 @@
 def step(context):
     orders = queued("a", 1, 10), queued("a", 2, 10), queued("b", 1, 10, borrowed=True)
     context.refusals = [
-        context.queue.submit(order, LIMITS, context.usable, NOW + turn)
+        context.queue.submit(order, LIMITS, context.usable, NOW + turn / 100)
         for turn, order in enumerate(orders)
     ]
     assert None not in context.refusals, context.refusals
