--- a/tests/features/steps/operator_command.py
+++ b/tests/features/steps/operator_command.py
@@ -134,7 +134,7 @@
         joined = ".".join(parts[:2])
         key = joined if isinstance(value, dict) and joined in value else parts[0]
         parts = parts[len(key.split(".")) :]
-        value = value[key]
+        value = value[int(key) if isinstance(value, list) else key]
     return value
 
 
