Explain names the cause of a request refused for memory

Cause: an entry refuses such a request before it reads its body, so that its only line is memory_refused (3201) without a request_ended. `boragestream explain` said "no line of its end: the entry ended, or its lines were dropped", which leads operators to look for a crash. Change: where all lines of a request are memory_refused, the cause is memory-exhausted with the bytes of the request and the budget.

--- a/boragestream/operator/explain.py
+++ b/boragestream/operator/explain.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from boragestream.base.failures import MemoryExhausted
 from boragestream.base.shapes import Fault
 from boragestream.operator.exits import ExitCode
 from boragestream.operator.output import print_failure, print_json
@@ -183,6 +184,10 @@
     """Return the failure that decided the end: the last one that the end names."""
     ends = [line for line in lines if line.name == "request_ended"]
     if not ends:
+        # Requests refused for memory have no other line: their bodies are not read.
+        if lines and all(line.name == "memory_refused" for line in lines):
+            size, limit = (lines[-1].fields.get(f, 0) for f in ("bytes", "budget"))
+            return MemoryExhausted(size, limit).describe()
         return "no line of its end: the entry ended, or its lines were dropped"
     failure = ends[-1].fields.get("failure")
     if failure:
--- a/tests/features/explaining.feature
+++ b/tests/features/explaining.feature
@@ -23,6 +23,11 @@
     Then the story of "r-1" has 2 lines, the version 7 in force and 1 damaged line
     And the story of "r-9" is empty and the command says so
 
+  # Guards against a cause that blames a lost entry: such a request has no other line.
+  Scenario: a request that was refused for memory is traced to the budget
+    Given a log of an entry that refused a request for memory before its body was read
+    Then the story of "r-6" has the cause "memory-exhausted size=4000000 limit=3000"
+
   Scenario: a reader that does not read does not hold a request up
     Given a log writer whose pipe nobody reads
     When 10000 lines of successes and 100 of failures are logged
--- a/tests/features/steps/explaining.py
+++ b/tests/features/steps/explaining.py
@@ -53,6 +53,10 @@
         "failure": "request-quarantined crashes=2 left_seconds=23.5",
     },
 )
+MEMORY_REFUSED = (
+    {"name": "entry_started", "entry": "entry-c"},
+    {"name": "memory_refused", "request": "r-6", "bytes": 4_000_000, "budget": 3000},
+)
 
 
 def explain(context, request_id):
@@ -215,6 +219,21 @@
     assert story["cause"] == ""
 
 
+@given("a log of an entry that refused a request for memory before its body was read")
+def step(context):
+    with tempfile.NamedTemporaryFile("w", suffix=".log", delete=False) as log:
+        log.writelines(json.dumps(line) + "\n" for line in MEMORY_REFUSED)
+    context.add_cleanup(os.unlink, log.name)
+    context.log_path = log.name
+
+
+@then('the story of "{request}" has the cause "{cause}"')
+def step(context, request, cause):
+    story, code = run(["explain", request, context.log_path, "--json"])
+    assert code == ExitCode.OK
+    assert story["cause"] == cause, story
+
+
 @then('the story of "{request}" is empty and the command says so')
 def step(context, request):
     story, code = run(["explain", request, context.log_path, "--json"])
