Split serving.piece_batches by responsibility

Change: `serving.queue_servers` selects the servers that the batches of a queue may be sent to, `serving.batch_records` records the load, failures and crashes that calls show. The queues, the calls and the handling of results stay.

--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -5,50 +5,31 @@
 timer. Pieces whose call failed return to the queue as long as the bound on repeats
 allows it.
 ``policy.piece_queue`` decides which pieces form a batch, ``serving.piece_orders`` which
-entry (instance that takes requests of callers) owns a queue, and
-``serving.piece_calls`` makes the calls.
+entry (instance that takes requests of callers) owns a queue,
+``serving.queue_servers`` which servers a batch may be sent to, ``serving.piece_calls``
+makes the calls, and ``serving.batch_records`` records how they end.
 """
 
 import threading
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 
-from boragestream.backend.failures import (
-    AnswerCut,
-    AttemptFailure,
-    ConnectFailed,
-    Ran,
-    ServerBackedOff,
-    ServerCold,
-    ServerLeft,
-    ServerLimited,
-)
+from boragestream.backend.failures import AttemptFailure, Ran, ServerLimited
 from boragestream.base.events import Event, emit
 from boragestream.document.calls import PieceFault, PieceResult
 from boragestream.entry.server_permits import PermitRefused
 from boragestream.policy.account_shares import Surplus
-from boragestream.policy.candidates import RoutingNeed, usable_servers
-from boragestream.policy.load import CallEnd
 from boragestream.policy.piece_queue import PieceBooking, PieceOrder, QueuedOrder
-from boragestream.policy.quarantine import CrashRecord
 from boragestream.policy.queue_owners import StageQueue
-from boragestream.policy.server_choice import DISABLED_MECHANISMS
 from boragestream.policy.servers import Server
-from boragestream.policy.service_queue import Batch, CallRoom, ServiceQueue
-from boragestream.serving.ejections import log_ejection
+from boragestream.policy.service_queue import Batch, ServiceQueue
+from boragestream.serving.batch_records import BatchRecords
 from boragestream.serving.piece_calls import BatchParts, PieceCalls, unreadable_results
-from boragestream.serving.request_guard import count_crash, has_crashed
+from boragestream.serving.queue_servers import PERMIT_WAIT_SECONDS, QueueServers
 from boragestream.serving.surplus import reported
 
 __all__ = ["PieceBatches", "ResultsCallback"]
 
-# A server with a limit may be called only with a permit, which is valid from a certain
-# time. It is sent a batch if that time is at most this far away. Queues are checked at
-# this interval, so no permit is missed between two checks.
-PERMIT_WAIT_SECONDS = 0.25
-# The failures of calls that were abandoned before anything was sent.
-NOT_CALLED = ServerBackedOff | ServerCold | ServerLeft | ServerLimited
-
 # Receives the id of an order and results of its pieces, by piece number.
 ResultsCallback = Callable[[str, Sequence[tuple[int, PieceResult]]], None]
 
@@ -65,6 +46,8 @@
         self._queues: dict[StageQueue, ServiceQueue] = {}
         self._lock = threading.Lock()
         self._calls = PieceCalls(parts)
+        self._records = BatchRecords(parts)
+        self._servers = QueueServers(parts)
         # The queue and the server of each result, by its handle.
         self._result_servers: dict[str, tuple[StageQueue, Server]] = {}
 
@@ -85,7 +68,7 @@
         limits = self._parts.piece_limits(order.service)
         if limits is None:
             return 0.0
-        left = self._backed_off_seconds(order.queue)
+        left = self._servers.backed_off_seconds(order.queue)
         if left is not None and not self.has_order(order.order_id):
             return left
         now = self._parts.clock.now()
@@ -95,7 +78,7 @@
         queued.suspected = (
             self._parts.quarantine.record_for(order.fingerprint).crashes > 0
         )
-        usable = self._usable_servers(order.queue)
+        usable = self._servers.usable(order.queue)
         with self._lock:
             queue = self._queue(order.queue)
             already_queued = order.order_id in queue.orders
@@ -120,11 +103,11 @@
         limits = self._parts.piece_limits(booking.service)
         if limits is None:
             return 0.0
-        left = self._backed_off_seconds(booking.queue)
+        left = self._servers.backed_off_seconds(booking.queue)
         if left is not None:
             return left
         now = self._parts.clock.now()
-        usable = self._usable_servers(booking.queue)
+        usable = self._servers.usable(booking.queue)
         with self._lock:
             queue = self._queue(booking.queue)
             start_by, expires = now + start_seconds, now + left_seconds
@@ -194,10 +177,10 @@
                 queue.drop_expired(now)
                 queue.drop_stale_servers(listed, now)
                 late += queue.drop_late(now)
-                left = self._backed_off_seconds(queue_id)
+                left = self._servers.backed_off_seconds(queue_id)
                 if left is not None:
                     late += queue.drop_due_before(now + left)
-                if not self._live_servers(queue_id):
+                if not self._servers.live(queue_id):
                     unserved += queue.drop_unserved()
             for handle, (queue_id, server) in list(self._result_servers.items()):
                 if not self._queues[queue_id].holds(server, handle):
@@ -221,47 +204,18 @@
     def _queue(self, queue_id: StageQueue) -> ServiceQueue:
         if queue_id not in self._queues:
             parts = self._parts
-            queue = ServiceQueue(self._call_room, parts.late, parts.shares())
+            queue = ServiceQueue(self._servers.call_room, parts.late, parts.shares())
             self._queues[queue_id] = queue
             service, region = queue_id.service, queue_id.region
             emit(Event.QUEUE_OWNED, service=service, region=region)
         return self._queues[queue_id]
 
-    def _live_servers(self, queue_id: StageQueue) -> Sequence[Server]:
-        live = self._parts.servers.live(queue_id.service)
-        return [server for server in live if queue_id.has_server_in(server.region)]
-
-    def _usable_servers(self, queue_id: StageQueue) -> list[Server]:
-        parts = self._parts
-        accepting = parts.backoffs.usable(self._live_servers(queue_id))
-        live = parts.cold.usable(accepting)
-        need = RoutingNeed(without=DISABLED_MECHANISMS)
-        return usable_servers(live, self._parts.loads, need, self._parts.clock.now())
-
-    def _call_room(self, server: Server) -> CallRoom:
-        limits = self._parts.limited.limits
-        return CallRoom(limits.rate(server), limits.seconds_left(server))
-
-    def _sendable_servers(self, queue_id: StageQueue) -> list[Server]:
-        """Return the servers that may be sent a batch, those without a limit first.
-
-        Servers with a limit are included if a permit begins soon.
-        """
-        limits = self._parts.limited.limits
-        without_limit, with_limit = limits.split(self._usable_servers(queue_id))
-        soon = [s for s in with_limit if limits.seconds_left(s) <= PERMIT_WAIT_SECONDS]
-        return [*without_limit, *soon]
-
-    def _backed_off_seconds(self, queue_id: StageQueue) -> float | None:
-        """Return the seconds until a server may be called; None if one may be now."""
-        return self._parts.backoffs.seconds_left(self._live_servers(queue_id))
-
     def _send_batches(self, queue_id: StageQueue) -> None:
         """Send a batch to each free server."""
         limits = self._parts.piece_limits(queue_id.service)
         if limits is None:
             return
-        usable = self._sendable_servers(queue_id)
+        usable = self._servers.sendable(queue_id)
         with self._lock:
             queue = self._queues[queue_id]
             batches = queue.next_batches(limits, usable, self._parts.clock.now())
@@ -269,28 +223,12 @@
             self._calls.submit(self._call, queue_id, batch)
 
     def _call(self, queue_id: StageQueue, batch: Batch) -> None:
-        parts = self._parts
-        began = parts.clock.now()
-        number = parts.loads.begin(batch.server)
-        crash_records = self._crash_records(batch)
+        call = self._records.begin(batch)
         result: list[PieceResult] | AttemptFailure = unreadable_results(batch.server)
         try:
             result = self._make_call(batch)
         finally:
-            end = CallEnd.ANSWERED if isinstance(result, list) else CallEnd.CUT
-            if isinstance(result, ConnectFailed):
-                end = CallEnd.UNREACHED
-            if isinstance(result, NOT_CALLED):
-                end = CallEnd.CANCELLED
-            seconds = parts.clock.now() - began
-            kind = str(len(batch.pieces))
-            parts.loads.end(batch.server, number, end, seconds, kind)
-            name = end.name.lower()
-            parts.metrics.batch_ended(queue_id.service, name, len(batch.pieces))
-            if end not in (CallEnd.ANSWERED, CallEnd.CANCELLED):
-                log_ejection(parts.loads, batch.server, parts.clock.now())
-            if isinstance(result, AnswerCut):
-                self._count_crashes(batch.server, crash_records)
+            self._records.end(call, queue_id.service, result)
             self._end_batch(queue_id, batch, result)
         self._send_batches(queue_id)
 
@@ -308,33 +246,6 @@
             limited.permits.release(permit)
         return result
 
-    def _crash_records(self, batch: Batch) -> list[CrashRecord]:
-        """Return the crash record of each request that a batch has pieces of."""
-        fingerprints = {queued.order.fingerprint for queued, _ in batch.pieces}
-        return [
-            self._parts.quarantine.record_for(fingerprint)
-            for fingerprint in fingerprints
-            if fingerprint
-        ]
-
-    def _count_crashes(self, server: Server, crash_records: list[CrashRecord]) -> None:
-        """Count a crash against each request of a batch if its server has crashed."""
-        if not crash_records or not has_crashed(self._parts.line.connections, server):
-            return
-        for record in crash_records:
-            count_crash(self._parts.quarantine, record, server, request_id="")
-
-    def _note_answered(self, batch: Batch, results: list[PieceResult] | None) -> None:
-        """Record the requests whose pieces a server made without crashing."""
-        quarantine = self._parts.quarantine
-        if quarantine.empty or results is None:
-            return
-        made = zip(batch.pieces, results, strict=True)
-        for fingerprint in {
-            q.order.fingerprint for (q, _), done in made if done.handle
-        }:
-            quarantine.note_answered(fingerprint)
-
     def _end_batch(
         self,
         queue_id: StageQueue,
@@ -373,7 +284,7 @@
                     reported.setdefault(order_id, []).append((piece.number, placed))
             for order_id, numbered in reported.items():
                 queue.record_reported(order_id, {number for number, _ in numbered})
-        self._note_answered(batch, results)
+        self._records.note_answered(batch, results)
         for order_id, numbered in reported.items():
             self._on_results(order_id, numbered)
         if unwanted:
