Split entry.exchange by responsibility

Change: `entry.peer_choice` has the peers, their directory and the choice of those of a round; `entry.peer_probes` probes peers that did not answer. The rounds and the messages stay. The code is moved, and peers are drawn from the same random source in the same order.

--- a/boragestream/entry/exchange.py
+++ b/boragestream/entry/exchange.py
@@ -4,47 +4,45 @@
 centre and one of another. Where the settings name several regions, these are peers of
 its own region, and ``entry.crossings`` adds a few of other regions. The registered
 parts define the content of the messages. A round can be started early to spread an
-update. The ``PeerDirectory`` supplies the peers and interprets failed exchanges.
+update. The ``PeerDirectory`` supplies the peers and interprets failed exchanges,
+``entry.peer_choice`` chooses those of a round.
 
 Callers must not be referred to an entry that is gone. A peer that did not answer is
-probed at once, first directly and then through another peer; this takes at most 2.4 s.
+probed at once, first directly and then through another peer (``entry.peer_probes``);
+this takes at most 2.4 s.
 Where half of all entries fail together, rounds of two peers detected the last failure
 after 9 s among 74 entries and after 12 s among 195, in simulated time. Each recently
 lost entry therefore adds one peer to the rounds, which reduces this to 5.5 and 6.5 s.
-
-A slow or cut link between regions must not be mistaken for lost entries. A peer of
-another region is therefore probed through an entry of that region, and is suspected
-only if that entry could not reach it either. While no entry of a region answers at all,
-the ``PeerDirectory`` reports all of its entries as suspects.
 """
 
-import math
 import random
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 from functools import partial
-from typing import Protocol
 
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, describe_error, emit
 from boragestream.entry.crossings import Crossings
-from boragestream.entry.links import PeerLinks, PeerRejected, PeerUnreachable
+from boragestream.entry.links import PeerLinks
 from boragestream.entry.messages import (
     Envelope,
     Exchange,
     ExchangeReply,
-    Message,
-    MessageRefused,
     Probe,
     ProbeFor,
     ProbeForReply,
     ProbeReply,
 )
 from boragestream.entry.parts import ExchangePart, collect_offers, distribute_offers
+from boragestream.entry.peer_choice import Peer, PeerDirectory, choose_peers
+from boragestream.entry.peer_probes import (
+    EXCHANGE_TIMEOUT_SECONDS,
+    PROBE_TIMEOUT_SECONDS,
+    PeerProbes,
+)
 
-__all__ = ["Peer", "PeerDirectory", "PeerExchange", "choose_peers"]
+__all__ = ["PeerExchange"]
 
 ROUND_SECONDS = 1.0
 FAN_OUT = 2
@@ -54,90 +52,15 @@
 # Token bucket of the rounds that start early: its size, and the time per new token.
 URGENT_BURST = 5
 URGENT_REFILL_SECONDS = 1.0
-# One round in this many also contacts a suspect, to detect its recovery.
-SUSPECT_ROUNDS = 3
-EXCHANGE_TIMEOUT_SECONDS = 1.0
-PROBE_TIMEOUT_SECONDS = 0.7
 # An unreachable peer occupies a thread until its request times out.
 EXCHANGE_THREADS = 16
 # Upper bound on the peers added to a round because of recently lost entries.
 MAX_EXTRA_PEERS = 8
-# An entry that answered this entry within this time is most likely reachable and can
-# probe another one.
-RECENTLY_REACHED_SECONDS = 2.0
-# Entries of another region that are asked one after another whether they reach an
-# entry of theirs. The second is asked only if the first does not answer.
-REGION_WITNESSES = 2
 # Exchanges in progress with one other region. While the link is cut, each occupies a
 # thread until its long time-out.
 MAX_CROSSINGS_IN_PROGRESS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Peer:
-    """Another entry as seen by the exchange.
-
-    :ivar address: its peer ``address:port``.
-    :ivar suspect: whether it failed its probes.
-    :ivar missed: whether this entry's own last exchange with it failed.
-    :ivar region: its region; empty if it is in the region of this entry or in none.
-    """
-
-    name: str
-    address: str
-    data_centre: str
-    suspect: bool = False
-    missed: bool = False
-    region: str = ""
-
-
-class PeerDirectory(Protocol):
-    """Lists the peers and records whether each exchange reached them."""
-
-    def peers(self) -> Sequence[Peer]:
-        """Return every other entry that may be contacted."""
-
-    def note_reached(self, name: str) -> None:
-        """Record that a peer answered this entry."""
-
-    def note_missed(self, name: str) -> bool:
-        """Record that a peer did not answer; True if others should probe it too."""
-
-    def note_unreached(self, name: str) -> None:
-        """Record that the probe of another entry also failed to reach the peer."""
-
-    def recent_losses(self) -> int:
-        """Return how many entries became unreachable in the last seconds."""
-
-    def region_reachable(self, region: str) -> bool:
-        """Return whether any entry of another region answers this region."""
-
-
-def choose_peers(
-    peers: Sequence[Peer], data_centre: str, count: int, rng: random.Random
-) -> list[Peer]:
-    """Return the peers of one round.
-
-    A peer whose last exchange failed comes first, to distinguish a single lost message
-    from an unreachable peer. Of the others, one belongs to another data centre and the
-    rest belong to the entry's own data centre where possible.
-
-    :param count: the maximum number of peers; one suspect may be added to them.
-    """
-    usable = [peer for peer in peers if not peer.suspect]
-    chosen = [peer for peer in usable if peer.missed][:1]
-    near = [p for p in usable if p.data_centre == data_centre and p not in chosen]
-    far = [p for p in usable if p.data_centre != data_centre and p not in chosen]
-    rng.shuffle(near)
-    rng.shuffle(far)
-    order = [*far[:1], *near, *far[1:]]
-    chosen += order[: count - len(chosen)]
-    suspects = [peer for peer in peers if peer.suspect]
-    if suspects and rng.randrange(SUSPECT_ROUNDS) == 0:
-        chosen.append(rng.choice(suspects))
-    return chosen
-
-
 class PeerExchange:
     """Exchanges messages with peers in rounds.
 
@@ -166,8 +89,7 @@
         # The region of each peer whose exchange is in progress.
         self._in_progress: dict[str, str] = {}
         self._crossings = Crossings(clock, rng)
-        # Time of the last answer of each peer to this entry.
-        self._reached_at: dict[str, float] = {}
+        self._probes = PeerProbes(links, directory, clock, rng)
         self._lock = threading.Lock()
         self._round_completed = threading.Event()
         self._urgent = threading.Event()
@@ -262,83 +184,21 @@
             reply = self._links.ask(peer.address, message, EXCHANGE_TIMEOUT_SECONDS)
             if isinstance(reply, ExchangeReply):
                 distribute_offers(self._parts, peer.name, reply.parts)
-                self._note_reached(peer.name)
+                self._probes.note_reached(peer.name)
             else:
-                self._confirm_missed(peer)
+                self._probes.confirm_missed(peer)
         finally:
             with self._lock:
                 self._in_progress.pop(peer.name, None)
                 if not self._in_progress:
                     self._round_completed.set()
 
-    def _note_reached(self, name: str) -> None:
-        self._reached_at[name] = self._clock.now()
-        self._directory.note_reached(name)
-
-    def _confirm_missed(self, unresponsive: Peer) -> None:
-        """Probe a peer that did not answer, first directly and then indirectly."""
-        self._directory.note_missed(unresponsive.name)
-        if not self._directory.region_reachable(unresponsive.region):
-            return
-        reply = self._links.ask(unresponsive.address, Probe(), PROBE_TIMEOUT_SECONDS)
-        if isinstance(reply, ProbeReply):
-            self._note_reached(unresponsive.name)
-        elif self._directory.note_missed(unresponsive.name):
-            if unresponsive.region:
-                self._probe_in_region(unresponsive)
-            else:
-                self._probe_indirectly(unresponsive)
-
     def _is_occupied(self, region: str) -> bool:
         if not region:
             return False
         crossings = sum(other == region for other in self._in_progress.values())
         return crossings >= MAX_CROSSINGS_IN_PROGRESS
 
-    def _probe_indirectly(self, unresponsive: Peer) -> None:
-        others = self._probers(unresponsive)
-        since = self._clock.now() - RECENTLY_REACHED_SECONDS
-        recently_reached = [
-            p for p in others if self._reached_at.get(p.name, -math.inf) > since
-        ]
-        if others:
-            other = self._rng.choice(recently_reached or others)
-            reply = self._ask_to_probe(other, unresponsive)
-            if isinstance(reply, ProbeForReply) and reply.reached:
-                self._directory.note_reached(unresponsive.name)
-                return
-        self._directory.note_unreached(unresponsive.name)
-
-    def _probe_in_region(self, unresponsive: Peer) -> None:
-        """Suspect a peer of another region only if an entry of that region does.
-
-        A region without any other entry that answers is handled by its reachability.
-        """
-        others = self._probers(unresponsive)
-        for other in self._rng.sample(others, min(REGION_WITNESSES, len(others))):
-            reply = self._ask_to_probe(other, unresponsive)
-            if isinstance(reply, ProbeForReply):
-                if reply.reached:
-                    self._directory.note_reached(unresponsive.name)
-                else:
-                    self._directory.note_unreached(unresponsive.name)
-                return
-
-    def _probers(self, unresponsive: Peer) -> list[Peer]:
-        """Return the entries of a peer's region that can probably probe it."""
-        return [
-            peer
-            for peer in self._directory.peers()
-            if not (peer.suspect or peer.missed or peer.name == unresponsive.name)
-            and peer.region == unresponsive.region
-        ]
-
-    def _ask_to_probe(
-        self, other: Peer, unresponsive: Peer
-    ) -> Message | PeerUnreachable | PeerRejected | MessageRefused:
-        limit = PROBE_TIMEOUT_SECONDS + EXCHANGE_TIMEOUT_SECONDS
-        return self._links.ask(other.address, ProbeFor(unresponsive.name), limit)
-
     def _collect(self) -> dict[str, bytes]:
         self._messages_sent += 1
         return collect_offers(self._parts, self._messages_sent)
--- a/boragestream/entry/peers.py
+++ b/boragestream/entry/peers.py
@@ -10,10 +10,11 @@
 
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, emit
-from boragestream.entry.exchange import Peer, PeerExchange
+from boragestream.entry.exchange import PeerExchange
 from boragestream.entry.links import Handler, PeerLinks
 from boragestream.entry.members import MembershipPart
 from boragestream.entry.messages import Exchange, ProbeFor, Repair, RepairReply
+from boragestream.entry.peer_choice import Peer
 from boragestream.entry.region_part import RegionLinksPart
 from boragestream.policy.leaving import LeavingServer, new_leaving_table
 from boragestream.policy.membership import MemberState
--- a/tests/features/steps/regions_control.py
+++ b/tests/features/steps/regions_control.py
@@ -4,9 +4,10 @@
 
 from behave import given, then, when
 
-from boragestream.entry.exchange import FAN_OUT, SUSPECT_ROUNDS, Peer, PeerExchange
+from boragestream.entry.exchange import FAN_OUT, PeerExchange
 from boragestream.entry.link_meter import RegionMeter
 from boragestream.entry.messages import Exchange, Probe
+from boragestream.entry.peer_choice import SUSPECT_ROUNDS, Peer
 from boragestream.entry.peers import EntryPeers
 from boragestream.policy.granters import Granters, RegionGranters
 from boragestream.policy.peers import ListedEntry
--- a/tests/standins/membership.py
+++ b/tests/standins/membership.py
@@ -10,21 +10,22 @@
 import random
 
 from boragestream.entry.exchange import (
-    EXCHANGE_TIMEOUT_SECONDS,
     FAN_OUT,
     MAX_EXTRA_PEERS,
-    PROBE_TIMEOUT_SECONDS,
-    RECENTLY_REACHED_SECONDS,
     ROUND_SECONDS,
     URGENT_BURST,
     URGENT_FAN_OUT,
     URGENT_GAP_SECONDS,
     URGENT_REFILL_SECONDS,
-    Peer,
-    choose_peers,
 )
 from boragestream.entry.members import MembershipPart
 from boragestream.entry.parts import EXCHANGE_BYTES
+from boragestream.entry.peer_choice import Peer, choose_peers
+from boragestream.entry.peer_probes import (
+    EXCHANGE_TIMEOUT_SECONDS,
+    PROBE_TIMEOUT_SECONDS,
+    RECENTLY_REACHED_SECONDS,
+)
 from boragestream.policy.leaving import new_leaving_table
 from boragestream.policy.membership import MemberState
 from boragestream.policy.peers import EntryTable, ListedEntry
