Split daemon.route_parts by responsibility

Change: `daemon.route_assembly` builds the objects of an entry from its settings, `daemon.route_parts` is their record with the handlers of messages.

--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -1,6 +1,6 @@
 """Starts, runs and stops one entry that forwards calls by published routes.
 
-``daemon.route_parts`` builds its components.
+``daemon.route_assembly`` builds its components.
 """
 
 import random
@@ -29,7 +29,7 @@
 from boragestream.daemon.exit_codes import ExitCode
 from boragestream.daemon.listening import ListeningSockets
 from boragestream.daemon.memory import charged_handlers, return_freed_memory
-from boragestream.daemon.route_parts import make_route_parts
+from boragestream.daemon.route_assembly import make_route_parts
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.shutdown import GracefulStop
 from boragestream.entry.links import LISTENER_TASKS, PeerListener
