--- a/tests/standins/regions.py
+++ b/tests/standins/regions.py
@@ -193,3 +193,11 @@
         for _ in range(FAILURES):
             call = self.loads.begin(server)
             self.loads.end(server, call, CallEnd.UNREACHED, 0.0, "route")
+
+
+def begin(context, near, far, centres=CENTRES, engine=True):
+    """Make an entry before so many servers in each region."""
+    context.entry = RegionEntry(centres, engine)
+    near_b = near // 2
+    counts = {"hall-a": near - near_b, "hall-b": near_b, "hall-c": far}
+    context.entry.list_servers(counts)
