Split the steps on links between regions by subject

Change: the steps on address books are in region_address_sync.py; `make_links` and the regions, which both use, are in tests.standins.region_links.

--- a/tests/features/steps/regions_links.py
+++ b/tests/features/steps/regions_links.py
@@ -1,15 +1,12 @@
 """Steps on the links between regions and the entries that are ranked by region."""
 
 import math
-import random
 import socket
 import threading
 
 from behave import given, then, when
 
 from boragestream.base.route_metrics import RouteMetrics
-from boragestream.entry.address_sync import AddressSync
-from boragestream.entry.addresses import AddressBook
 from boragestream.entry.knowledge_messages import PublishedAsk
 from boragestream.entry.link_meter import RegionMeter
 from boragestream.entry.links import PeerLinks, PeerListener
@@ -20,31 +17,23 @@
     Repair,
     Sender,
 )
-from boragestream.entry.peers import EntryPeers
 from boragestream.entry.permit_messages import PermitReturn
 from boragestream.entry.region_part import RegionLinksPart
 from boragestream.policy.cold_servers import senders
 from boragestream.policy.granters import Granters, RegionGranters
 from boragestream.policy.peers import ListedEntry
 from boragestream.policy.region_entries import RegionEntries
-from boragestream.policy.region_links import RegionLinks, TrafficKind
+from boragestream.policy.region_links import TrafficKind
 from boragestream.policy.region_window import INITIAL_WINDOW, WINDOW_STEP
-from boragestream.policy.regions import Regions
 from boragestream.policy.servers import Server
 from tests.standins.clock import SetClock
+from tests.standins.region_links import REGIONS, make_links
 
-REGIONS = {"hall-a": "valley", "pier-a": "coast"}
 ADDRESS = "127.0.0.1"
 KEY = b"a-key-of-16-bytes"
 RELAY_SECONDS = 0.25
 
 
-def make_links(clock, changes, centre="hall-a", seed=1):
-    """Return the links of an entry."""
-    regions = Regions(centre, REGIONS)
-    return RegionLinks(regions, clock, random.Random(seed), changes.append)
-
-
 @given('the links of an entry of "valley"')
 def step(context):
     context.clock, context.changes = SetClock(), []
@@ -413,79 +402,6 @@
     assert all(0 < seconds < math.inf for _, _, seconds in meter.answers)
 
 
-class RecordingLinks:
-    """Records whom requests go to, and answers none."""
-
-    def __init__(self):
-        """Start without requests."""
-        self.asked = []
-
-    def ask(self, address, message, seconds):
-        """Record a request."""
-        self.asked.append(address)
-
-    def forget(self, address):
-        """Do nothing."""
-
-
-def start_sync(context, centres):
-    """Build an entry's address book and its synchronisation with others."""
-    clock, rng = context.clock, random.Random(6)
-    context.requests = RecordingLinks()
-    members = EntryPeers(
-        "own",
-        "1",
-        "hall-a",
-        context.requests,
-        lambda server: None,
-        clock,
-        rng,
-        make_links(clock, []),
-    )
-    own = ListedEntry("own", "host", "own", "hall-a")
-    book = AddressBook(own, rng, members.set_listed_entries)
-    for n in range(30):
-        centre = centres[n % len(centres)]
-        record = AddressBook(
-            ListedEntry(f"{REGIONS[centre]}-{n}", "host", "", centre),
-            rng,
-            lambda e: None,
-        )
-        book.take("peer", record.encoded_own_record())
-    context.sync = AddressSync(
-        book,
-        context.requests,
-        lambda task: task(),
-        clock,
-        rng,
-        members.of_own_region,
-    )
-
-
-@given('an entry of "valley" that knows addresses of both regions')
-def step(context):
-    context.clock = SetClock()
-    start_sync(context, ["hall-a", "pier-a"])
-
-
-@when('it knows addresses of "coast" only')
-def step(context):
-    start_sync(context, ["pier-a"])
-
-
-@when("it requests whole address books until they agree")
-def step(context):
-    for _ in range(40):
-        context.clock.seconds += 1.0
-        context.sync.request_until_agreed()
-
-
-@then('it requests them from entries of "{region}" only')
-def step(context, region):
-    regions = {address.partition("-")[0] for address in context.requests.asked}
-    assert regions == {region}, regions
-
-
 @when('a request to "{region}" is missing its answer for {seconds:d} seconds')
 def step(context, region, seconds):
     context.clock.seconds += seconds
