--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -29,13 +29,8 @@
 from boragestream.document import parse_document
 from boragestream.document.difference import apply_difference, encode_difference
 from boragestream.document.digest import canonical_text
-from boragestream.entry.exchange import (
-    FAN_OUT,
-    ROUND_SECONDS,
-    URGENT_FAN_OUT,
-    Peer,
-    choose_peers,
-)
+from boragestream.entry.exchange import FAN_OUT, ROUND_SECONDS, URGENT_FAN_OUT
+from boragestream.entry.peer_choice import Peer, choose_peers
 from boragestream.policy.configuration import ConfigurationInForce
 
 SIZES = (8_000, 64_000, 250_000, 500_000, 1_000_000)
