Test shares over two regions, with partitions, drains and cold servers

Cause: no test runs shares of accounts and queues by region together. The stand-in takes shares and cold servers for that, and gives each request its own piece key; with one key for all requests, owners took each for the return of the one before.

--- /dev/null
+++ b/tests/features/parts_together.feature
@@ -0,0 +1,77 @@
+Feature: shares, regions, drains and cold servers hold together
+  Two regions with four entries and four servers of each stage service, under the load of
+  8 client accounts in simulated time.
+
+  # Guards against a surplus that moves to the other region's owner once its own refuses it.
+  Scenario Outline: a surplus in <where> is refused there, and lent nothing
+    Given two regions under the load of 8 accounts, at 0.6 of their capacity
+    When account "a0" sends 8 times its demand in "<where>"
+    Then its surplus is refused in "<where>" and no other account's is
+    And no surplus was offered to the other region
+    And the other accounts of both regions are served
+    And no piece was made twice
+
+    Examples:
+      | where         |
+      | valley        |
+      | valley, hills |
+
+  # Guards against spare capacity that goes to a surplus which its region had accepted last.
+  Scenario: a surplus order that is dropped unsent is offered to no other region
+    Given two regions that count account "a" as beyond its share
+    And servers of "embed" in "valley" turn calls away and ask for 2 s without any
+    When a request of account "a" comes to "valley" and its order is dropped there
+    Then it is refused, although its region had accepted it
+    And no message crossed between the regions
+
+  # Guards against a lender that gives a surplus the places that nobody needs.
+  Scenario Outline: a region without servers borrows nothing for a surplus of <stages> stages
+    Given two regions that count account "a" as beyond its share
+    And "valley" has no servers of "embed"
+    When a request of account "a" and <stages> stages comes to "valley"
+    Then it is refused as surplus of "a"
+    And nothing of it waits in "hills"
+    When a request of account "b" and <stages> stages comes to "valley"
+    Then its chain ran in "hills"
+
+    Examples:
+      | stages |
+      | 1      |
+      | 2      |
+
+  # Guards against a region that counts refused loans as a shortage of its own accounts.
+  Scenario: offers of the other region make no shortage
+    Given two regions under the load of 8 accounts, at 0.6 of their capacity
+    When all accounts send 3 times their demand in "valley", and account "a0" as much in "hills"
+    Then loans of "hills" were refused
+    And no request of "hills" is refused
+
+  # Guards against shares that depend on the link, and against orders that both sides make.
+  Scenario Outline: regions are cut off <cut> while an account sends its surplus
+    Given two regions under the load of 8 accounts, at 0.6 of their capacity
+    When account "a0" sends 8 times its demand in "valley, hills" and messages <cut> are lost
+    Then its surplus is refused in "valley, hills" and no other account's is
+    And the other accounts of both regions are served
+    And no piece was made twice
+
+    Examples:
+      | cut                  |
+      | from valley to hills |
+      | from hills to valley |
+      | in both directions   |
+
+  # Guards against shares of capacity that may not be used, which the others then lack.
+  Scenario Outline: shares divide what may be used where <servers>
+    Given two regions under the load of 8 accounts, where in "valley" <servers>
+    When account "a0" sends 8 times its demand in "valley"
+    Then its surplus is refused in "valley" and no other account's is
+    And <pieces> pieces a second were divided in "valley", or <more> more while a lost server is tried
+    And the other accounts of both regions are served
+    And no cold server got more calls than its bound in any second
+
+    Examples:
+      | servers                           | pieces | more |
+      | all may be used                   | 40     | 0    |
+      | those of "hall-b" are drained     | 20     | 0    |
+      | those of "hall-b" are lost        | 20     | 10   |
+      | all are cold and tolerate 8 calls | 18     | 0    |
--- /dev/null
+++ b/tests/features/steps/parts_together.py
@@ -0,0 +1,255 @@
+"""Steps on shares, regions, drains and cold servers together."""
+
+import threading
+from collections import Counter
+
+from behave import given, then, when
+
+from boragestream.base.failures import AccountOverShare
+from boragestream.entry.piece_messages import PiecesBook, PiecesOrder
+from boragestream.policy.account_shares import Surplus
+from boragestream.policy.cold_servers import ColdBound
+from boragestream.policy.queue_shares import QueueShares
+from boragestream.serving.piece_failures import PieceFailed
+from tests.standins.fleet import wait_until
+from tests.standins.region_load import REGION_PIECES, SERVICES, RegionLoad
+from tests.standins.stage_network import StageNetwork
+
+LOAD = 0.6
+ACCOUNTS = 8
+# Longer than a new owner needs for the weights of the accounts.
+CALM_SECONDS = 10.0
+SURGE_SECONDS = 5.0
+# All requests that came have ended after this.
+END_SECONDS = 4.0
+COLD_SECONDS = 60.0
+CUTS = {
+    "from valley to hills": {("valley", "hills")},
+    "from hills to valley": {("hills", "valley")},
+    "in both directions": {("valley", "hills"), ("hills", "valley")},
+}
+
+
+@given(
+    "two regions under the load of {count:d} accounts, at {load:g} of their capacity"
+)
+def step(context, count, load):
+    assert (count, load) == (ACCOUNTS, LOAD)
+    begin(context, RegionLoad(), REGION_PIECES)
+
+
+@given('two regions under the load of {count:d} accounts, where in "valley" {servers}')
+def step(context, count, servers):
+    assert count == ACCOUNTS
+    centre = servers.split('"')[1] if '"' in servers else ""
+    if "cold" in servers:
+        rate = float(servers.split()[-2])
+        bound = ColdBound(rate, 1.5 * rate + 5.0, COLD_SECONDS)
+        load = RegionLoad(cold_bound=bound)
+        for entry in load.entries.values():
+            entry.cold.assume_cold(s for s in load.servers if s.region == "valley")
+        # Each of the four owners may send each server 1.125 calls a second.
+        begin(context, load, 18.0)
+        return
+    load = RegionLoad()
+    if "drained" in servers:
+        load.drained.add(centre)
+    if "lost" in servers:
+        load.lost.add(centre)
+    begin(context, load, REGION_PIECES / 2 if centre else REGION_PIECES)
+
+
+def begin(context, load, pieces):
+    """Let accounts send their typical demand, which ``valley`` serves easily."""
+    context.network = load
+    each = {
+        "valley": LOAD * pieces / ACCOUNTS,
+        "hills": LOAD * REGION_PIECES / ACCOUNTS,
+    }
+    context.rates = {
+        (region, f"a{n}"): rate
+        for region, rate in each.items()
+        for n in range(ACCOUNTS)
+    }
+    load.run(CALM_SECONDS, context.rates)
+    assert not any(one.is_surplus for one in load.ended)
+
+
+@when('account "{account}" sends {factor:g} times its demand in "{regions}"')
+def step(context, account, factor, regions):
+    surge(context, account, factor, regions)
+
+
+@when(
+    'account "{account}" sends {factor:g} times its demand in "{regions}" and messages '
+    "{cut} are lost"
+)
+def step(context, account, factor, regions, cut):
+    context.network.cut = CUTS[cut]
+    surge(context, account, factor, regions)
+
+
+@when(
+    'all accounts send {factor:g} times their demand in "{busy}", and account '
+    '"{account}" as much in "{idle}"'
+)
+def step(context, factor, busy, account, idle):
+    context.rates = {
+        key: rate * factor if key[0] == busy else rate
+        for key, rate in context.rates.items()
+    }
+    surge(context, account, factor, idle)
+
+
+@then('no request of "{region}" is refused')
+def step(context, region):
+    ended = context.network.ended
+    refused = [o for o in ended if o.region == region and not o.answered]
+    assert not refused, refused
+
+
+@then('loans of "{region}" were refused')
+def step(context, region):
+    lent = {o.request_id for o in context.network.ended if o.answered}
+    offered = {
+        message.order_id.partition("/")[0]
+        for _, receiver, message in context.network.crossed()
+        if isinstance(message, PiecesOrder | PiecesBook)
+        and context.network.region_of(receiver) == region
+    }
+    assert offered - lent
+
+
+def surge(context, account, factor, regions):
+    """Let one account send a multiple of its demand for some time."""
+    load, context.account = context.network, account
+    context.surge_at = load.clock.now()
+    raised = {(region, account) for region in regions.split(", ")}
+    rates = {k: r * factor if k in raised else r for k, r in context.rates.items()}
+    load.run(SURGE_SECONDS, rates)
+    context.surge_until = load.clock.now()
+    load.run(END_SECONDS, {})
+
+
+@then('its surplus is refused in "{regions}" and no other account\'s is')
+def step(context, regions):
+    refused = {(o.region, o.account) for o in context.network.ended if o.is_surplus}
+    assert refused == {(r, context.account) for r in regions.split(", ")}, refused
+
+
+@then("no surplus was offered to the other region")
+def step(context):
+    network = context.network
+    offered = {
+        message.order_id
+        for _, _, message in network.crossed()
+        if isinstance(message, PiecesOrder | PiecesBook)
+    }
+    refused = {one.request_id for one in network.ended if one.is_surplus}
+    held = offered & network.surplus_orders
+    assert not held, held
+    assert not refused & {order_id.partition("/")[0] for order_id in offered}
+
+
+@then("the other accounts of both regions are served")
+def step(context):
+    found = context.network.attainment(context.surge_at, context.surge_until)
+    for region in ("valley", "hills"):
+        of = [v for k, v in found.items() if k[0] == region and k[1] != context.account]
+        assert sum(of) / len(of) >= 0.95, found
+
+
+@then(
+    '{pieces:g} pieces a second were divided in "{region}", or {more:g} more while a '
+    "lost server is tried"
+)
+def step(context, pieces, region, more):
+    divided = Counter(round(p, 6) for p in context.network.divided[region])
+    assert set(divided) <= {pieces, pieces + more}, divided
+    assert divided.most_common(1)[0][0] == pieces, divided
+
+
+@then("no cold server got more calls than its bound in any second")
+def step(context):
+    load = context.network
+    if load.cold_bound is None:
+        return
+    for server in load.servers:
+        times = load.arrivals[server.name]
+        if server.region == "valley":
+            most = max(sum(t <= u < t + 1.0 for u in times) for t in times)
+            assert most <= load.cold_bound.max_per_second, (server.name, most)
+
+
+@given('two regions that count account "{account}" as beyond its share')
+def step(context, account):
+    class Shares(QueueShares):
+        """Shares in a shortage, with spare capacity, that one account exceeds."""
+
+        def record(self, request, now):
+            """Find a shortage."""
+            super().record(request, now)
+            return True
+
+    def new_shares():
+        shares = Shares()
+        found = Surplus(account, 1.0, 8.0, 1.0, 1.0)
+        shares.accounts.take = lambda name, *more, **options: (
+            found if name == account else None
+        )
+        shares.accounts.retry_after = lambda *more: found.wait_seconds
+        return shares
+
+    class Network(StageNetwork):
+        """Entries with these shares."""
+
+        def new_shares(self, region=""):
+            """Return the shares of a new queue."""
+            return new_shares()
+
+    context.network = Network()
+    context.returned = set()
+
+
+def request(context, account, region, stages=1):
+    """Have a request of an account come to an entry that owns no queue."""
+    network = context.network
+    owners = {network.owner(service, region).name for service in SERVICES}
+    entries = network.entries.values()
+    entry = next(e for e in entries if e.region == region and e.name not in owners)
+    network.sent.clear()
+    context.request_id, context.outcome = network.request(
+        entry, SERVICES[:stages], account=account
+    )
+
+
+@when('a request of account "{account}" and {stages:d} stages comes to "{region}"')
+def step(context, account, stages, region):
+    request(context, account, region, stages)
+
+
+@when(
+    'a request of account "{account}" comes to "{region}" and its order is dropped '
+    "there"
+)
+def step(context, account, region):
+    owner = context.network.owner(SERVICES[0], region)
+    running = threading.Thread(target=request, args=(context, account, region))
+    running.start()
+
+    def ended():
+        owner.batches.update_queues()
+        return not running.is_alive()
+
+    wait_until(ended, what="a dropped order")
+
+
+@then("it is refused, although its region had accepted it")
+def step(context):
+    assert isinstance(context.outcome, PieceFailed), context.outcome
+
+
+@then('it is refused as surplus of "{account}"')
+def step(context, account):
+    assert isinstance(context.outcome, AccountOverShare), context.outcome
+    assert context.outcome.account == account
--- a/tests/standins/stage_network.py
+++ b/tests/standins/stage_network.py
@@ -186,10 +186,16 @@
         owners._messages = AtOnce()
         self.orders = PieceOrders(owners, clock)
         servers = SimpleNamespace(live=network.live, all=network.servers)
-        cold = SimpleNamespace(usable=lambda servers: servers)
-        loads = LoadTable(clock, random.Random(1))
-        metrics = RouteMetrics()
-        parts = queue_parts(clock, servers, cold, LIMITS, metrics=metrics, loads=loads)
+        self.cold = network.new_cold_servers(self.name)
+        parts = queue_parts(
+            clock,
+            servers,
+            self.cold,
+            LIMITS,
+            metrics=RouteMetrics(),
+            loads=LoadTable(clock, random.Random(1)),
+            shares=lambda: network.new_shares(self.region),
+        )
         self.backoffs = parts.backoffs
         self.batches = PieceBatches(parts, self.orders.report_results)
         self.calls = self.batches._calls = StageCalls(network)
@@ -205,6 +211,7 @@
             EngineDelays(),
             RouteMetrics(),
             stage_regions=StageRegions(regions, self.view, network.has_servers),
+            fair_shares=network.new_shares() is not None,
         )
         self.handlers = {
             PiecesOrder: self.orders.answer_order,
@@ -219,9 +226,10 @@
     """The entries, the servers and the network between them.
 
     :param regions: by data centre.
+    :param centre_servers: the servers of each service in a data centre.
     """
 
-    def __init__(self, regions=REGIONS):
+    def __init__(self, regions=REGIONS, centre_servers=SERVERS_PER_CENTRE):
         """Begin with everything connected and idle."""
         self.regions = regions
         self.clock = SetClock()
@@ -253,10 +261,21 @@
             )
             for service in (*SERVICES, ENGINE)
             for centre in centres
-            for n in range(SERVERS_PER_CENTRE)
+            for n in range(centre_servers)
         ]
         self.entries = {listed.name: Entry(self, listed) for listed in self.listed}
 
+    def new_shares(self, region=""):
+        """Return the shares of a new queue in a region; accounts have none here."""
+
+    def new_cold_servers(self, name):
+        """Return an entry's cold servers; all servers are warm here."""
+        return SimpleNamespace(usable=lambda servers: servers)
+
+    def pass_time(self, seconds):
+        """Let time pass for a sender that gets no answer."""
+        self.clock.seconds += seconds
+
     def region_of(self, name):
         """Return the region of an entry."""
         centres = {e.name: e.data_centre for e in self.listed}
@@ -301,7 +320,7 @@
         if reply is None or way[::-1] in self.cut:
             # Only the answers to orders and bookings are waited for.
             if isinstance(message, PiecesOrder | PiecesBook):
-                self.clock.seconds += seconds
+                self.pass_time(seconds)
             return DeadlinePassed("peer")
         return reply
 
@@ -314,7 +333,14 @@
         ]
 
     def request(
-        self, entry, stages=SERVICES, homes=None, pieces=1, chained=True, home=""
+        self,
+        entry,
+        stages=SERVICES,
+        homes=None,
+        pieces=1,
+        chained=True,
+        home="",
+        account="",
     ):
         """Run the stages of a request; return its id and the outcome."""
         now = self.clock.seconds
@@ -322,7 +348,9 @@
         services = {service: SimpleNamespace(pieces=LIMITS) for service in SERVICES}
         run = SimpleNamespace(
             request=SimpleNamespace(
-                request_id=request_id, piece_key="key", pieces=(pieces,) * len(stages)
+                request_id=request_id,
+                piece_key=request_id,
+                pieces=(pieces,) * len(stages),
             ),
             route=SimpleNamespace(
                 name="route",
@@ -334,6 +362,7 @@
             table=SimpleNamespace(version=1, services=services),
             priority=0,
             service=ENGINE,
+            account=account,
             regions=homes,
             fingerprint=b"",
             scope=CancelScope(now + DEADLINE_SECONDS),
