Offer no chain to another region that its own region took as surplus

Cause: an owner accepts an order or a booking of an account beyond its share behind all others. If the order was then dropped unsent, or another stage of the chain was saturated, the entry offered the chain to the other region, which lent its capacity to the surplus. Change: a dropped surplus order has the fault LATE, after which no offer is made. The answer to an accepted booking has over_share if it was accepted as surplus, and the entry makes no offer for its chain. Without shares nothing is a surplus.

--- a/boragestream/entry/piece_messages.py
+++ b/boragestream/entry/piece_messages.py
@@ -98,7 +98,8 @@
     :ivar taken: whether it was accepted.
     :ivar wait_ms: the expected wait if it was refused.
     :ivar waited_ms: the time since the caller's first attempt, as its owner knows it.
-    :ivar over_share: whether it was refused as surplus of its client account.
+    :ivar over_share: whether it was refused as surplus of its client account, or
+        accepted as such behind all others.
     """
 
     taken: bool
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -193,6 +193,11 @@
         """
         return self._callers.waited(key, request_id, expires, now)
 
+    def is_booked_surplus(self, order_id: str) -> bool:
+        """Return whether an order is booked as surplus of its account."""
+        booked = self._bookings.get(order_id)
+        return booked is not None and booked.surplus
+
     def _late_pieces(self, count: int, now: float) -> int:
         """Return the number of unsent pieces of late orders, and so many more."""
         orders = self._orders.values()
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -143,6 +143,11 @@
             expires = now + left_seconds
             return queue.waited(booking.key, booking.request_id, expires, now)
 
+    def is_surplus(self, booking: PieceBooking) -> bool:
+        """Return whether a booking was accepted as surplus of its account."""
+        with self._lock:
+            return self._queue(booking.queue).is_booked_surplus(booking.order_id)
+
     def cancel(self, queue_id: StageQueue, order_id: str) -> None:
         """Drop an order or a booking.
 
@@ -214,7 +219,8 @@
             # Only entries that know the regions of queues know this fault. Their chain
             # may then be offered to another region.
             unsent = order.region and len(queued.left) == len(order.pieces)
-            whole = unsent and not order.invested
+            # No region lends its capacity to a surplus.
+            whole = unsent and not order.invested and not queued.surplus
             failed = PieceResult("", PieceFault.NOT_SENT if whole else fault)
             self._on_results(order.order_id, [(p.number, failed) for p in order.pieces])
 
--- a/boragestream/serving/piece_bookings.py
+++ b/boragestream/serving/piece_bookings.py
@@ -36,11 +36,14 @@
 
     :ivar owner: the entry that accepted it.
     :ivar waited_seconds: the time since the caller's first attempt, as its owner knows.
+    :ivar surplus: whether it is beyond the share of its account, so that its chain may
+        not run in another region.
     """
 
     booking: PieceBooking
     owner: str
     waited_seconds: float = 0.0
+    surplus: bool = False
 
 
 class PieceBookings:
@@ -68,10 +71,10 @@
             return StageSaturated(booking.service, 0)
         now = self._clock.now()
         start, left = start_by - now, deadline - now
-        waited = 0.0
         if owner == self._owners.own:
             wait = self._batches.book(booking, start, left)
             waited = self._batches.waited(booking, left)
+            surplus = self._batches.is_surplus(booking)
             refusal = wait_refusal(booking.service, wait, waited)
         else:
             message = PiecesBook(
@@ -97,8 +100,8 @@
             if reply is None:
                 return None
             refusal = answer_refusal(booking.service, booking.account, reply)
-            waited = reply.waited_ms / 1000
-        return refusal or BookedOrder(booking, owner, waited)
+            waited, surplus = reply.waited_ms / 1000, reply.over_share
+        return refusal or BookedOrder(booking, owner, waited, surplus)
 
     def _owner(self, booking: PieceBooking) -> str:
         """Return the owner to ask; empty if the region has none that answers."""
@@ -133,7 +136,7 @@
         left = message.left_ms / 1000
         wait = self._batches.book(booking, message.start_ms / 1000, left)
         waited_ms = milliseconds(self._batches.waited(booking, left))
-        return wait_answer(wait, waited_ms)
+        return wait_answer(wait, waited_ms, self._batches.is_surplus(booking))
 
 
 def _cancel_message(booking: PieceBooking) -> PiecesCancel:
--- a/boragestream/serving/piece_refusals.py
+++ b/boragestream/serving/piece_refusals.py
@@ -9,13 +9,16 @@
 __all__ = ["answer_refusal", "wait_answer", "wait_refusal"]
 
 
-def wait_answer(wait: float | Surplus | None, waited_ms: int = 0) -> PiecesAnswer:
+def wait_answer(
+    wait: float | Surplus | None, waited_ms: int = 0, surplus: bool = False
+) -> PiecesAnswer:
     """Return the answer to another entry.
 
     :param wait: the decision of the queue, see ``PieceBatches.submit``.
+    :param surplus: whether it was accepted as surplus of its account.
     """
     if wait is None:
-        return PiecesAnswer(taken=True, waited_ms=waited_ms)
+        return PiecesAnswer(taken=True, waited_ms=waited_ms, over_share=surplus)
     if isinstance(wait, Surplus):
         wait_ms = milliseconds(wait.wait_seconds)
         return PiecesAnswer(False, wait_ms, waited_ms, over_share=True)
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -160,7 +160,8 @@
                 note_offer(self._stages.metrics, request_id, place.region, failure)
             if isinstance(failure, OfferUnanswered):
                 return refusal or StageSaturated(failure.service, 0)
-            if not isinstance(failure, StageSaturated) or self._open:
+            surplus = any(booked.surplus for booked in self._booked.values())
+            if not isinstance(failure, StageSaturated) or self._open or surplus:
                 return failure
             self._cancel_bookings()
             is_earlier = (
