Lend nothing to a surplus, and keep loans out of the shares of the own region

Cause: an owner that divides a shortage accepted borrowed orders beyond their account's share as it accepts its own, with places that nobody needs. Accounts of a region with spare capacity were then refused as surplus because another region offered it chains. Change: borrowed orders have shares of their own, of the capacity that the own region's demand leaves, while borrowed orders are refused. A surplus among them is always refused. Accounts of borrowed orders begin with equal weights, as at any new owner.

--- a/boragestream/policy/queue_shares.py
+++ b/boragestream/policy/queue_shares.py
@@ -8,6 +8,10 @@
 
 There is a shortage while orders are expected to wait for much of the time that they
 may wait. ``policy.account_shares`` computes the shares.
+
+Borrowed orders are of chains that another region can't take. They divide what the own
+region leaves, and a surplus gets none of it. They count neither as demand nor as a
+shortage of the own region, whose accounts would lose their shares to them.
 """
 
 import math
@@ -38,6 +42,7 @@
     :ivar returning: whether its caller was refused before.
     :ivar wait: the expected wait in seconds without shares.
     :ivar longest_wait: the seconds that it may wait.
+    :ivar borrowed: whether it needs capacity that the own region does not need.
     """
 
     account: str
@@ -46,25 +51,32 @@
     returning: bool
     wait: float
     longest_wait: float
+    borrowed: bool = False
 
 
 class QueueShares:
-    """The shares of one queue; the owner must hold a lock."""
+    """The shares of one queue; the owner must hold a lock.
+
+    :ivar accounts: the shares of the own region's orders.
+    """
 
     def __init__(self) -> None:
         self.accounts = AccountShares()
-        self._short_until = -math.inf
+        self._borrowers = AccountShares()
+        # Until when there is a shortage for own and for borrowed orders.
+        self._short_until = {False: -math.inf, True: -math.inf}
 
     def record(self, request: ShareRequest, now: float) -> bool:
         """Record a request; return whether a shortage has to be divided."""
         if not request.account:
             return False
         if not request.returning:
-            self.accounts.record(request.account, request.count, now)
+            self._shares_of(request).record(request.account, request.count, now)
         if request.wait > SHORTAGE_PART * request.longest_wait:
-            self._short_until = now + SHORTAGE_SECONDS
+            self._short_until[request.borrowed] = now + SHORTAGE_SECONDS
+        is_short = now <= self._short_until[request.borrowed]
         # Without a server there is nothing to divide.
-        return now <= self._short_until and math.isfinite(request.wait)
+        return is_short and math.isfinite(request.wait)
 
     def judge(
         self, request: ShareRequest, capacity: float, pieces_queued: int, now: float
@@ -75,7 +87,10 @@
         :param pieces_queued: all pieces that are queued or booked.
         :returns: whether it is beyond the share, or the surplus if it is refused.
         """
-        surplus = self.accounts.take(
+        shares = self._shares_of(request)
+        if request.borrowed:
+            capacity = max(0.0, capacity - self.accounts.total_demand(now))
+        surplus = shares.take(
             request.account,
             request.count,
             request.urgency,
@@ -86,11 +101,15 @@
         if surplus is None:
             return False
         wait = self._surplus_wait(surplus, pieces_queued, capacity, now)
-        if max(request.wait, wait) <= SURPLUS_WAIT_PART * request.longest_wait:
+        longest = SURPLUS_WAIT_PART * request.longest_wait
+        if max(request.wait, wait) <= longest and not request.borrowed:
             return True
-        wait = self.accounts.retry_after(surplus, request.count, now)
+        wait = shares.retry_after(surplus, request.count, now)
         return replace(surplus, wait_seconds=wait)
 
+    def _shares_of(self, request: ShareRequest) -> AccountShares:
+        return self._borrowers if request.borrowed else self.accounts
+
     def _surplus_wait(
         self, surplus: Surplus, pieces_queued: int, capacity: float, now: float
     ) -> float:
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -121,6 +121,7 @@
                 queued.returning,
                 wait,
                 longest_wait(order.priority, left),
+                spare,
             )
             surplus = self._surplus(share, limits, usable, now)
             if isinstance(surplus, Surplus):
@@ -168,6 +169,7 @@
             returning,
             wait,
             longest_booked_wait(booking.priority, left),
+            booking.borrowed,
         )
         surplus = self._surplus(share, limits, usable, now)
         if isinstance(surplus, Surplus):
--- a/tests/features/steps/parts_together.py
+++ b/tests/features/steps/parts_together.py
@@ -195,10 +195,11 @@
     def new_shares():
         shares = Shares()
         found = Surplus(account, 1.0, 8.0, 1.0, 1.0)
-        shares.accounts.take = lambda name, *more, **options: (
-            found if name == account else None
-        )
-        shares.accounts.retry_after = lambda *more: found.wait_seconds
+        for divided in (shares.accounts, shares._borrowers):
+            divided.take = lambda name, *more, **options: (
+                found if name == account else None
+            )
+            divided.retry_after = lambda *more: found.wait_seconds
         return shares
 
     class Network(StageNetwork):
