Test a data centre that is lost as another one is drained

Cause: no test loses a data centre, with its entry, at the moment at which another one is drained and only cold engines are left. Change: a scenario with three real entries and servers in three data centres; requests go on at two entries meanwhile. The stand-in of a server can end without a new life, and a site adds servers in any data centre. The cold engine ran no request within 20 s: the lost engine, still listed and warm, kept the cold one out of use, and 208 requests were refused as connect-failed.

--- a/tests/features/parts_together.feature
+++ b/tests/features/parts_together.feature
@@ -75,3 +75,20 @@
       | those of "hall-b" are drained     | 20     | 0    |
       | those of "hall-b" are lost        | 20     | 10   |
       | all are cold and tolerate 8 calls | 18     | 0    |
+
+  # Guards against calls to drained servers and too many to cold ones where a loss comes at
+  # the same moment, and against callers that are not told at once when to return.
+  @fixture.route-site.3.drains
+  Scenario: a data centre is lost at the same moment as another one is drained
+    Given no server is cold any more
+    And servers of each kind in "hall-c" besides, of which the engine is cold for 30 s
+    And requests that go on at "entry-1" and "entry-2"
+    When data centre "hall-a" is lost as the order to drain "hall-b" comes
+    Then all entries drain 1 data centres
+    And the cold engine in "hall-c" runs requests of "entry-2", of the same region
+    And of 150 requests "/chat/ok" within a second some run and none runs more than once
+    And no engine got more than 38 of them
+    And 24 requests "/safe/ok" are answered and none reaches a server in "hall-b"
+    When the requests that went on have been answered
+    Then those that began after the loss ran in "hall-c", or nowhere with a time to return
+    And those that began after the drain was known reached no server in "hall-b"
--- a/tests/features/steps/parts_together.py
+++ b/tests/features/steps/parts_together.py
@@ -1,6 +1,8 @@
 """Steps on shares, regions, drains and cold servers together."""
 
+import itertools
 import threading
+import time
 from collections import Counter
 
 from behave import given, then, when
@@ -11,6 +13,7 @@
 from boragestream.policy.cold_servers import ColdBound
 from boragestream.policy.queue_shares import QueueShares
 from boragestream.serving.piece_failures import PieceFailed
+from tests.features.steps.drained_entries import ask, gauge
 from tests.standins.fleet import wait_until
 from tests.standins.region_load import REGION_PIECES, SERVICES, RegionLoad
 from tests.standins.stage_network import StageNetwork
@@ -256,3 +259,107 @@
 def step(context, account):
     assert isinstance(context.outcome, AccountOverShare), context.outcome
     assert context.outcome.account == account
+
+
+@given(
+    'servers of each kind in "{zone}" besides, of which the engine is cold for '
+    "{seconds:g} s"
+)
+def step(context, zone, seconds):
+    site = context.site
+    for kind in ("plain", "engine", "stage"):
+        site.add_server(kind, zone)
+    site.list(site.of_kind("engine")[-1], cold_ms=1000 * seconds)
+    for entry in site.entries:
+        wait_until(
+            lambda e=entry: gauge(context, "cold_servers", e) == 1,
+            what=f"{entry} knows the cold engine",
+        )
+
+
+@given('requests that go on at "{one}" and "{other}"')
+def step(context, one, other):
+    context.going_on, context.answers = True, []
+
+    def call(entry):
+        for path in itertools.cycle(("/safe/ok", "/chat/ok", "/staged/ok")):
+            if not context.going_on:
+                return
+            began = time.monotonic()
+            context.answers.append((began, ask(context, path, entry)))
+
+    context.callers = [threading.Thread(target=call, args=(e,)) for e in (one, other)]
+    for caller in context.callers:
+        caller.start()
+    wait_until(lambda: len(context.answers) > 12, what="some answers")
+
+
+@when('data centre "{lost}" is lost as the order to drain "{drained}" comes')
+def step(context, lost, drained):
+    site = context.site
+    site.drain(drained)
+    for server in site.servers:
+        if server.zone == lost:
+            server.lose()
+    entries = [n for n in site.entries if site.fields[n]["zone"] == lost]
+    for name in entries:
+        site.kill(name)
+        del site.entries[name]
+    context.lost_at = time.monotonic()
+    for name in site.entries:
+        wait_until(
+            lambda n=name: gauge(context, "drained_centres", n) == 1,
+            what=f"{name} drains {drained}",
+        )
+    context.drain_known_at = time.monotonic()
+
+
+@then('the cold engine in "{zone}" runs requests of "{entry}", of the same region')
+def step(context, zone, entry):
+    engine = next(s for s in context.site.of_kind("engine") if s.zone == zone)
+    wait_until(
+        lambda: engine.runs[ask(context, "/chat/ok", entry).request_id],
+        what=f"{entry} uses {engine.identity}",
+    )
+
+
+@when("the requests that went on have been answered")
+def step(context):
+    context.going_on = False
+    for caller in context.callers:
+        caller.join()
+
+
+def reached(context, zone):
+    """Return the ids of the requests that servers of a zone were sent."""
+    servers = [server for server in context.site.servers if server.zone == zone]
+    calls = {request_id for server in servers for _, request_id in server.calls}
+    return calls | {key[0] for server in servers for key in server.pieces}
+
+
+@then(
+    'those that began after the loss ran in "{zone}", or nowhere with a time to return'
+)
+def step(context, zone):
+    site, drained = context.site, reached(context, "hall-b")
+    statuses = Counter()
+    for began, answer in context.answers:
+        if began < context.lost_at:
+            continue
+        statuses[answer.status] += 1
+        if answer.status == 200:
+            assert answer.whole and site.runs(answer.request_id) == 1
+            # Until an entry knows of the drain, it may use the drained servers.
+            used = reached(context, zone) | drained
+            assert answer.request_id in used, answer.request_id
+        else:
+            assert answer.status == 503, (answer.status, answer.body)
+            assert float(answer.headers["Retry-After"]) > 0, answer.headers
+            assert not site.runs(answer.request_id)
+    assert statuses[200], statuses
+
+
+@then('those that began after the drain was known reached no server in "{zone}"')
+def step(context, zone):
+    late = {a.request_id for at, a in context.answers if at > context.drain_known_at}
+    assert late and not late & reached(context, zone)
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -110,13 +110,18 @@
         """End like a process that crashes, and start anew after a while."""
         with self.lock:
             self.crashes += 1
+        self.lose()
+        threading.Timer(BACK_SECONDS, self.start_again).start()
+
+    def lose(self):
+        """End like a process that is killed, with all its connections."""
+        with self.lock:
             cut, self.open = self.open, set()
         self.close()
         for sock in cut:
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                 sock.shutdown(socket.SHUT_RDWR)
-        threading.Timer(BACK_SECONDS, self.start_again).start()
 
     def start_again(self):
         """Listen at the same address in a new life."""
--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -263,9 +263,9 @@
         """Publish a server's entry."""
         self.store.put(f"servers/{server.identity}", server.entry(state, cold_ms))
 
-    def add_server(self, kind):
+    def add_server(self, kind, zone=ZONES[0]):
         """Add a server of a kind, and list it."""
-        server = RouteServer(ADDRESS, kind, kind, ZONES[0], self.faults)
+        server = RouteServer(ADDRESS, kind, kind, zone, self.faults)
         server.when_back = self.list_again
         self.servers.append(server)
         self.list(server)
