Use cold servers while all warm ones have failed

Cause: a lost data centre's servers stay listed for some time. They counted as warm, so that cold servers got nothing, while each request was refused after up to six attempts at a lost server. Change: warm servers that are ejected after failures keep no cold server out of use. Cold servers are used within their bound, as if there were no warm one; without a bound nothing is cold, and nothing changes. If no cold server may be used either, the warm ones are returned as before. Conclusion: the bound on cold servers is unchanged, since admission is.

--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -54,6 +54,7 @@
 from boragestream.entry.relay import ConfigurationRelay
 from boragestream.platform.pieces import PieceCallFormat
 from boragestream.platform.wire import encode_call, read_answer_head
+from boragestream.policy.circuits import is_open
 from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.first_knowledge import StartupReadiness
@@ -259,7 +260,12 @@
 
     bound = cold_bound(in_force, service_definition)
     cold = ColdServers(
-        own, bound, stage_owners.cold_senders, lambda: sync.has_converged, clock
+        own,
+        bound,
+        stage_owners.cold_senders,
+        lambda: sync.has_converged,
+        clock,
+        lambda server: is_open(loads.get(server).circuit, clock.now()),
     )
 
     first = StartupReadiness(clock, AWAITED_KEYS)
--- a/boragestream/policy/cold_servers.py
+++ b/boragestream/policy/cold_servers.py
@@ -121,6 +121,8 @@
     :param ranked: returns the live entries ranked for a server, the preferred sender
         first.
     :param agreed: returns whether other entries have the same set of live entries.
+    :param failed: returns whether a server failed recently. The warm servers of a lost
+        data centre are listed for some time, and keep no cold one out of use.
     """
 
     def __init__(
@@ -130,12 +132,14 @@
         ranked: Callable[[Server], Sequence[str]],
         agreed: Callable[[], bool],
         clock: Clock,
+        failed: Callable[[Server], bool] = lambda server: False,
     ) -> None:
         self._own = own
         self._bound = bound
         self._ranked = ranked
         self._agreed = agreed
         self._clock = clock
+        self._failed = failed
         self._cold: dict[tuple[str, str, str], _Cold] = {}
         # When the last cold server becomes warm; each choice before checks ``_cold``.
         self._all_warm_at = float("-inf")
@@ -164,8 +168,7 @@
         if now >= self._all_warm_at:
             return servers
         with self._lock:
-            warm = [server for server in servers if not self._is_cold(server, now)]
-            return warm or [s for s in servers if self._may_send(s, now)]
+            return self._preferred(servers, now, lambda s: self._may_send(s, now))
 
     def within_bound(self, servers: Sequence[Server]) -> Sequence[Server]:
         """Return the warm servers; if there are none, the cold ones of this sender.
@@ -176,8 +179,9 @@
         if now >= self._all_warm_at:
             return servers
         with self._lock:
-            warm = [server for server in servers if not self._is_cold(server, now)]
-            return warm or [s for s in servers if self._wait(s, now) < math.inf]
+            return self._preferred(
+                servers, now, lambda s: self._wait(s, now) < math.inf
+            )
 
     def room(self, server: Server) -> tuple[float, float]:
         """Return the requests a second to a server, and the seconds until the next.
@@ -222,6 +226,19 @@
             and self._bound(server.service) is not None
         )
 
+    def _preferred(
+        self, servers: Sequence[Server], now: float, in_bound: Callable[[Server], bool]
+    ) -> Sequence[Server]:
+        """Return the warm servers, or the cold ones in their bound if all have failed.
+
+        Warm servers that have failed are returned if there is no cold one either.
+        """
+        warm = [server for server in servers if not self._is_cold(server, now)]
+        if not all(self._failed(server) for server in warm):
+            return warm
+        cold = [s for s in servers if self._is_cold(s, now) and in_bound(s)]
+        return cold or warm
+
     def _may_send(self, server: Server, now: float) -> bool:
         return self._wait(server, now) <= 0
 
