--- a/boragestream/policy/queue_admission.py
+++ b/boragestream/policy/queue_admission.py
@@ -94,6 +94,7 @@
             claim.late.returning,
             claim.wait,
             claim.longest_wait,
+            claim.spare_only,
         )
         if self._shares is None or not self._shares.record(request, now):
             return False
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -192,6 +192,11 @@
         """
         return self._callers.waited(key, request_id, expires, now)
 
+    def is_booked_surplus(self, order_id: str) -> bool:
+        """Return whether an order is booked as surplus of its account."""
+        booked = self._bookings.get(order_id)
+        return booked is not None and booked.surplus
+
     def drop(self, order_id: str) -> None:
         """Drop an order or a booking; results of pieces in progress are discarded."""
         self._orders.pop(order_id, None)
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -76,7 +76,7 @@
         queued.suspected = (
             self._parts.quarantine.record_for(order.fingerprint).crashes > 0
         )
-        usable = self._servers.usable(order.queue)
+        usable = self._servers.planned(order.queue)
         with self._lock:
             queue = self._queue(order.queue)
             already_queued = order.order_id in queue.orders
@@ -105,7 +105,7 @@
         if left is not None:
             return left
         now = self._parts.clock.now()
-        usable = self._servers.usable(booking.queue)
+        usable = self._servers.planned(booking.queue)
         with self._lock:
             queue = self._queue(booking.queue)
             start_by, expires = now + start_seconds, now + left_seconds
@@ -124,6 +124,11 @@
             expires = now + left_seconds
             return queue.waited(booking.key, booking.request_id, expires, now)
 
+    def is_surplus(self, booking: PieceBooking) -> bool:
+        """Return whether a booking was accepted as surplus of its account."""
+        with self._lock:
+            return self._queue(booking.queue).is_booked_surplus(booking.order_id)
+
     def cancel(self, queue_id: StageQueue, order_id: str) -> None:
         """Drop an order or a booking.
 
@@ -195,7 +200,8 @@
             # Only entries that know the regions of queues know this fault. Their chain
             # may then be offered to another region.
             unsent = order.region and len(queued.left) == len(order.pieces)
-            whole = unsent and not order.invested
+            # No region lends its capacity to a surplus.
+            whole = unsent and not order.invested and not queued.surplus
             failed = PieceResult("", PieceFault.NOT_SENT if whole else fault)
             self._on_results(order.order_id, [(p.number, failed) for p in order.pieces])
 
--- a/boragestream/serving/queue_servers.py
+++ b/boragestream/serving/queue_servers.py
@@ -4,7 +4,7 @@
 batches to them, ``serving.piece_batches`` sends these.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from boragestream.policy.candidates import RoutingNeed, usable_servers
 from boragestream.policy.queue_owners import StageQueue
@@ -26,6 +26,8 @@
 
     def __init__(self, parts: BatchParts) -> None:
         self._parts = parts
+        # Shares divide what cold servers may do, also while none may be called.
+        self._plans_cold = parts.shares() is not None
 
     def live(self, queue_id: StageQueue) -> Sequence[Server]:
         """Return the live servers of a queue."""
@@ -37,11 +39,14 @@
 
         Cold servers are included only as far as ``policy.cold_servers`` permits.
         """
-        parts = self._parts
-        accepting = parts.backoffs.usable(self.live(queue_id))
-        live = parts.cold.usable(accepting)
-        need = RoutingNeed(without=DISABLED_MECHANISMS)
-        return usable_servers(live, self._parts.loads, need, self._parts.clock.now())
+        return self._usable(queue_id, self._parts.cold.usable)
+
+    def planned(self, queue_id: StageQueue) -> list[Server]:
+        """Return the servers whose capacity decides whether an order is accepted."""
+        cold = self._parts.cold
+        return self._usable(
+            queue_id, cold.within_bound if self._plans_cold else cold.usable
+        )
 
     def sendable(self, queue_id: StageQueue) -> list[Server]:
         """Return the servers that may be sent a batch, those without a limit first.
@@ -58,6 +63,20 @@
         return self._parts.backoffs.seconds_left(self.live(queue_id))
 
     def call_room(self, server: Server) -> CallRoom:
-        """Return how many calls the limit of a server leaves, and when."""
+        """Return how many calls the bounds of a server leave, and when."""
         limits = self._parts.limited.limits
-        return CallRoom(limits.rate(server), limits.seconds_left(server))
+        per_second, wait = limits.rate(server), limits.seconds_left(server)
+        if self._plans_cold:
+            cold_rate, cold_wait = self._parts.cold.room(server)
+            per_second, wait = min(per_second, cold_rate), max(wait, cold_wait)
+        return CallRoom(per_second, wait)
+
+    def _usable(
+        self,
+        queue_id: StageQueue,
+        select: Callable[[Sequence[Server]], Sequence[Server]],
+    ) -> list[Server]:
+        parts = self._parts
+        live = select(parts.backoffs.usable(self.live(queue_id)))
+        need = RoutingNeed(without=DISABLED_MECHANISMS)
+        return usable_servers(live, parts.loads, need, parts.clock.now())
--- a/tests/features/steps/account_owner.py
+++ b/tests/features/steps/account_owner.py
@@ -10,6 +10,7 @@
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.document.calls import PieceResult
 from boragestream.entry.piece_messages import PiecesOrder
+from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.queue_owners import StageQueue
 from boragestream.policy.queue_shares import QueueShares
 from boragestream.policy.servers import Server
@@ -30,7 +31,9 @@
     parts = queue_parts(
         context.clock,
         SimpleNamespace(live=lambda service: context.servers, all=context.servers),
-        SimpleNamespace(usable=lambda servers: servers),
+        ColdServers(
+            "own", lambda service: None, lambda server: [], bool, context.clock
+        ),
         LIMITS,
         metrics=RouteMetrics(),
         shares=QueueShares,
