Move the choice of a queue's servers into a module of its own

Change: serving/stage_room.py has the methods of serving/piece_batches.py that decide which servers may be used and at what rate; LoadTable.is_ejected replaces a lambda in daemon/route_parts.py. No decision changes.

--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -54,7 +54,6 @@
 from boragestream.entry.relay import ConfigurationRelay
 from boragestream.platform.pieces import PieceCallFormat
 from boragestream.platform.wire import encode_call, read_answer_head
-from boragestream.policy.circuits import is_open
 from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.first_knowledge import StartupReadiness
@@ -259,13 +258,9 @@
     )
 
     bound = cold_bound(in_force, service_definition)
+    senders = stage_owners.cold_senders
     cold = ColdServers(
-        own,
-        bound,
-        stage_owners.cold_senders,
-        lambda: sync.has_converged,
-        clock,
-        lambda server: is_open(loads.get(server).circuit, clock.now()),
+        own, bound, senders, lambda: sync.has_converged, clock, loads.is_ejected
     )
 
     first = StartupReadiness(clock, AWAITED_KEYS)
--- a/boragestream/policy/load.py
+++ b/boragestream/policy/load.py
@@ -19,6 +19,7 @@
     Circuit,
     after_failure,
     after_probe_cancelled,
+    is_open,
     probing,
 )
 from boragestream.policy.concurrency import INITIAL_LIMIT, is_queueing, next_limit
@@ -133,6 +134,10 @@
         """Set the callback for the service of each server that first reports a load."""
         self._first_report = reported
 
+    def is_ejected(self, server: Server) -> bool:
+        """Return whether a server failed recently and is avoided."""
+        return is_open(self.get(server).circuit, self._clock.now())
+
     def get(self, server: Server) -> ServerLoad:
         """Return the load of a server; an empty one for a server not yet called."""
         return self._loads.get(server.identity) or ServerLoad()
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -197,8 +197,7 @@
 
     def is_booked_surplus(self, order_id: str) -> bool:
         """Return whether an order is booked as surplus of its account."""
-        booked = self._bookings.get(order_id)
-        return booked is not None and booked.surplus
+        return order_id in self._bookings and self._bookings[order_id].surplus
 
     def _late_pieces(self, count: int, now: float) -> int:
         """Return the number of unsent pieces of late orders, and so many more."""
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -27,17 +27,16 @@
 from boragestream.document.calls import PieceFault, PieceResult
 from boragestream.entry.server_permits import PermitRefused
 from boragestream.policy.account_shares import Surplus
-from boragestream.policy.candidates import RoutingNeed, usable_servers
 from boragestream.policy.load import CallEnd
 from boragestream.policy.piece_queue import PieceBooking, PieceOrder, QueuedOrder
 from boragestream.policy.quarantine import CrashRecord
 from boragestream.policy.queue_owners import StageQueue
-from boragestream.policy.server_choice import DISABLED_MECHANISMS
 from boragestream.policy.servers import Server
-from boragestream.policy.service_queue import Batch, CallRoom, ServiceQueue
+from boragestream.policy.service_queue import Batch, ServiceQueue
 from boragestream.serving.ejections import log_ejection
 from boragestream.serving.piece_calls import BatchParts, PieceCalls, unreadable_results
 from boragestream.serving.request_guard import count_crash, has_crashed
+from boragestream.serving.stage_room import StageRoom
 from boragestream.serving.surplus import reported
 
 __all__ = ["PieceBatches", "ResultsCallback"]
@@ -65,8 +64,7 @@
         self._queues: dict[StageQueue, ServiceQueue] = {}
         self._lock = threading.Lock()
         self._calls = PieceCalls(parts)
-        # Shares divide what cold servers may do, also while none may be called.
-        self._plans_cold = parts.shares() is not None
+        self._room = StageRoom(parts)
         # The queue and the server of each result, by its handle.
         self._result_servers: dict[str, tuple[StageQueue, Server]] = {}
 
@@ -97,7 +95,7 @@
         queued.suspected = (
             self._parts.quarantine.record_for(order.fingerprint).crashes > 0
         )
-        usable = self._planned_servers(order.queue)
+        usable = self._room.planned(order.queue)
         with self._lock:
             queue = self._queue(order.queue)
             already_queued = order.order_id in queue.orders
@@ -126,7 +124,7 @@
         if left is not None:
             return left
         now = self._parts.clock.now()
-        usable = self._planned_servers(booking.queue)
+        usable = self._room.planned(booking.queue)
         with self._lock:
             queue = self._queue(booking.queue)
             start_by, expires = now + start_seconds, now + left_seconds
@@ -204,7 +202,7 @@
                 left = self._backed_off_seconds(queue_id)
                 if left is not None:
                     late += queue.drop_due_before(now + left)
-                if not self._live_servers(queue_id):
+                if not self._room.live(queue_id):
                     unserved += queue.drop_unserved()
             for handle, (queue_id, server) in list(self._result_servers.items()):
                 if not self._queues[queue_id].holds(server, handle):
@@ -229,51 +227,25 @@
     def _queue(self, queue_id: StageQueue) -> ServiceQueue:
         if queue_id not in self._queues:
             parts = self._parts
-            queue = ServiceQueue(self._call_room, parts.late, parts.shares())
+            queue = ServiceQueue(self._room.calls, parts.late, parts.shares())
             self._queues[queue_id] = queue
             service, region = queue_id.service, queue_id.region
             emit(Event.QUEUE_OWNED, service=service, region=region)
         return self._queues[queue_id]
 
-    def _live_servers(self, queue_id: StageQueue) -> Sequence[Server]:
-        live = self._parts.servers.live(queue_id.service)
-        return [server for server in live if queue_id.has_server_in(server.region)]
-
-    def _planned_servers(self, queue_id: StageQueue) -> list[Server]:
-        """Return the servers whose capacity decides whether an order is accepted."""
-        return self._usable_servers(queue_id, self._plans_cold)
-
-    def _usable_servers(
-        self, queue_id: StageQueue, plans_cold: bool = False
-    ) -> list[Server]:
-        parts = self._parts
-        accepting = parts.backoffs.usable(self._live_servers(queue_id))
-        cold = parts.cold
-        live = cold.within_bound(accepting) if plans_cold else cold.usable(accepting)
-        need = RoutingNeed(without=DISABLED_MECHANISMS)
-        return usable_servers(live, self._parts.loads, need, self._parts.clock.now())
-
-    def _call_room(self, server: Server) -> CallRoom:
-        limits = self._parts.limited.limits
-        per_second, wait = limits.rate(server), limits.seconds_left(server)
-        if self._plans_cold:
-            cold_rate, cold_wait = self._parts.cold.room(server)
-            per_second, wait = min(per_second, cold_rate), max(wait, cold_wait)
-        return CallRoom(per_second, wait)
-
     def _sendable_servers(self, queue_id: StageQueue) -> list[Server]:
         """Return the servers that may be sent a batch, those without a limit first.
 
         Servers with a limit are included if a permit begins soon.
         """
         limits = self._parts.limited.limits
-        without_limit, with_limit = limits.split(self._usable_servers(queue_id))
+        without_limit, with_limit = limits.split(self._room.usable(queue_id))
         soon = [s for s in with_limit if limits.seconds_left(s) <= PERMIT_WAIT_SECONDS]
         return [*without_limit, *soon]
 
     def _backed_off_seconds(self, queue_id: StageQueue) -> float | None:
         """Return the seconds until a server may be called; None if one may be now."""
-        return self._parts.backoffs.seconds_left(self._live_servers(queue_id))
+        return self._parts.backoffs.seconds_left(self._room.live(queue_id))
 
     def _send_batches(self, queue_id: StageQueue) -> None:
         """Send a batch to each free server."""
