Recognize entries by their address in the stand-in network

Cause: entries that forward by published routes name themselves in messages by the address of their peer port. The stand-in for the network between entries compared it with their names, so no strike on a link between entries lost a byte in the soak of these entries.

Change: the network maps the address of a relay to the entry's name. It can also lose the bytes of one direction on whichever connection (`loses`), and closes stuck connections without ending other faults (`close_stuck`).

Conclusion: the soak of these entries had no faults of peer links until now.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -34,6 +34,24 @@
       | seed |
       | 4    |
 
+  # Guards against strikes between entries that let everything through: entries that
+  # forward by published routes name themselves by their address.
+  Scenario Outline: the network between entries loses what <how> entries send
+    Given a network before an echo in the place of "entry-b"
+    And an entry "entry-a" that names itself by its <name>
+    When the network is <how>
+    Then what it sends to "entry-b" has <answer>
+
+    Examples:
+      | name    | how            | answer    |
+      | name    | whole          | an answer |
+      | address | whole          | an answer |
+      | name    | split          | no answer |
+      | address | split          | no answer |
+      | address | lossy there    | no answer |
+      | address | lossy back     | no answer |
+      | address | lossy at first | an answer |
+
   Scenario: the soak sees a server that was sent more than its limit allows
     Given a server with a limit of 1 that 12 requests of two entries reached in 4 seconds
     Then the soak finds that it got more than its limit allows
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -6,6 +6,7 @@
 import threading
 from types import SimpleNamespace
 
+import msgspec
 from behave import given, then, when
 
 from tests.soak.callers import Told
@@ -14,6 +15,12 @@
 from tests.soak.plan import Strike, StrikeKind, make_plan
 from tests.soak.relay import LinkFault, Relay
 from tests.soak.run import run_seed
+from tests.standins.partition import (
+    GREETING_BYTES,
+    LENGTH_BYTES,
+    REQUEST_ID_BYTES,
+    PartitionedNetwork,
+)
 from tests.standins.route_site import RouteSite
 
 REQUEST = "s-1"
@@ -272,3 +279,68 @@
     sock = connect(context)
     assert echoes(sock)
     assert not context.relay.lost(sock.getsockname()[1])
+
+
+@given('a network before an echo in the place of "{name}"')
+def step(context, name):
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+    threading.Thread(target=echo, args=(listener,), daemon=True).start()
+    context.lost_ways = set()
+    ports = {name: listener.getsockname()[1], "entry-a": 1}
+    context.network = PartitionedNetwork(ports, lambda *way: way in context.lost_ways)
+    context.add_cleanup(context.network.close)
+
+
+@given('an entry "{name}" that names itself by its {what}')
+def step(context, name, what):
+    by_address = f"127.0.0.1:{context.network.ports[name]}"
+    message = [1, "routes", name if what == "name" else by_address, b""]
+    data = b"\0" * REQUEST_ID_BYTES + msgspec.msgpack.encode(message)
+    length = len(data).to_bytes(LENGTH_BYTES, "big")
+    context.message = b"\0" * GREETING_BYTES + length + data
+
+
+@when("the network is {how}")
+def step(context, how):
+    there = ("entry-a", "entry-b")
+    if how == "split":
+        context.network.split(*([name] for name in there))
+    elif how == "lossy back":
+        context.lost_ways.add(there[::-1])
+    elif how != "whole":
+        context.lost_ways.add(there)
+    if how == "lossy at first":
+        sock = send_between(context)
+        assert not answers(sock, context.message)
+        context.lost_ways.clear()
+        context.network.close_stuck()
+
+
+@then('what it sends to "{name}" has {answer}')
+def step(context, name, answer):
+    sock = send_between(context)
+    assert answers(sock, context.message) is (answer == "an answer")
+
+
+def send_between(context):
+    """Send the message of one entry to another; return the connection."""
+    sock = socket.create_connection(("127.0.0.1", context.network.ports["entry-b"]))
+    context.add_cleanup(sock.close)
+    sock.sendall(context.message)
+    return sock
+
+
+def answers(sock, message):
+    """Tell whether a message comes back on a connection."""
+    sock.settimeout(1.0)
+    received = b""
+    try:
+        while len(received) < len(message):
+            part = sock.recv(100)
+            if not part:
+                return False
+            received += part
+    except TimeoutError:
+        return False
+    return received == message
--- a/tests/standins/partition.py
+++ b/tests/standins/partition.py
@@ -24,17 +24,25 @@
 class PartitionedNetwork:
     """Relays between entries; ``split`` drops between groups, ``heal`` ends it."""
 
-    def __init__(self, peer_ports):
-        """Take the real peer ports by entry name; a context manager."""
+    def __init__(self, peer_ports, loses=lambda sender, receiver: False):
+        """Take the real peer ports by entry name; a context manager.
+
+        :param loses: tells whether the bytes that one entry sends to another are lost,
+            whichever of the two has connected.
+        """
         self._dropped = set()
+        self.loses = loses
         self._lock = threading.Lock()
         self._connections = set()
         self._listeners = []
         self.ports = {}
+        # Entries that forward by published routes name themselves by their address.
+        self._names = {}
         for name, port in peer_ports.items():
             listener = socket.create_server((ADDRESS, 0), backlog=64)
             self._listeners.append(listener)
             self.ports[name] = listener.getsockname()[1]
+            self._names[f"{ADDRESS}:{self.ports[name]}"] = name
             self._run(self._accept, listener, name, port)
 
     def split(self, *groups):
@@ -58,10 +66,19 @@
         """Let everything through again."""
         with self._lock:
             self._dropped.clear()
+        self.close_stuck()
+
+    def close_stuck(self):
+        """Close the connections that carry nothing any more."""
+        with self._lock:
             stuck = [c for c in self._connections if c.stuck]
         for connection in stuck:
             connection.close()
 
+    def name(self, sender):
+        """Return the name of an entry, given what it calls itself in its messages."""
+        return self._names.get(sender, sender)
+
     def passes(self, source, target):
         """Return whether one entry's messages reach another."""
         return (source, target) not in self._dropped
@@ -124,19 +141,20 @@
         while data := self._read(self.near):
             if self.source is None:
                 seen += data
-                self.source = first_sender(seen)
+                sender = first_sender(seen)
+                self.source = sender and self.network.name(sender)
                 greeting_only = len(seen) <= GREETING_BYTES
                 if self.source is None and not greeting_only:
                     held += data
                     continue
                 data, held = held + data, b""
-            self._pass(data, self.far)
+            self._pass(data, self.far, self.source, self.target)
         self.close()
 
     def backward(self):
         """Pass on the answers."""
         while data := self._read(self.far):
-            self._pass(data, self.near)
+            self._pass(data, self.near, self.target, self.source)
         self.close()
 
     def close(self):
@@ -153,8 +171,12 @@
         except OSError:
             return b""
 
-    def _pass(self, data, sock):
-        if self.source and not self.network.passes(self.source, self.target):
+    def _pass(self, data, sock, sender, receiver):
+        network = self.network
+        if self.source and (
+            not network.passes(self.source, self.target)
+            or network.loses(sender, receiver)
+        ):
             self.stuck = True
         if self.stuck:
             return
