Add slow readers, busy accounts and parted regions to the soak

Cause: the soak struck nothing that the two new deployments bring: callers that don't read their answers, a client account at eight times its demand, and regions whose links are lost.

Change: three families of faults (`plan.Family`) with draws of their own, so that plans of earlier seeds stay the same. Between regions, bytes are lost in one direction or both on links between entries, to the store and to the servers; the process that owns a connection tells whose it is. Checked beside the promises so far: peak memory of each process, and, in calm times, that others are served beside silent callers and a surge, and that both regions serve apart and list one another once healed. Verdicts show the peak and what entries logged of the faults. `links.py` and `calm.py` take parts of `site.py` and `run.py` over. A directory that is killed while it answers no longer ends a calling thread, and an entry that isn't ready in time fails the run with its logs.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -34,6 +34,25 @@
       | seed |
       | 4    |
 
+  # Guards against entries that outgrow their memory or serve nobody beside callers that
+  # don't read, against a busy account that costs other accounts their service, and
+  # against regions that don't serve apart, repeat calls or don't find one another again.
+  Scenario Outline: faults of one seed beside <what>
+    When faults of seed <seed> and "<family>" strike 3 entries for 5 seconds
+    Then the soak sees no broken promise, and requests were served
+    And the entries have noticed these faults
+
+    Examples:
+      | what                                              | seed | family     |
+      | callers that don't read their answers             | 5    | readers    |
+      | an account that sends eight times its demand      | 6    | surges     |
+      | regions that are parted in one direction or both  | 7    | partitions |
+
+  # Guards against a check of memory that no entry can fail.
+  Scenario: the soak sees an entry that has used more than its memory
+    Given a process that has used memory
+    Then the soak finds that it has used more than 1 MB, and no more than it has
+
   # Guards against strikes between entries that let everything through: entries that
   # forward by published routes name themselves by their address.
   Scenario Outline: the network between entries loses what <how> entries send
@@ -52,6 +71,21 @@
       | address | lossy back     | no answer |
       | address | lossy at first | an answer |
 
+  # Guards against parted regions whose entries reach one another's servers.
+  Scenario Outline: a relay loses what entries of <zone> send to a server of hall-b, <how>
+    Given a server of "hall-b" behind a relay, and this process as an entry of "<zone>"
+    When the regions are parted, "<how>"
+    Then what it sends to the server has <answer>
+    When the regions have healed
+    Then what it sends to the server has an answer
+
+    Examples:
+      | zone   | how   | answer    |
+      | hall-a | both  | no answer |
+      | hall-c | there | no answer |
+      | hall-a | back  | no answer |
+      | hall-b | both  | an answer |
+
   Scenario: the soak sees a server that was sent more than its limit allows
     Given a server with a limit of 1 that 12 requests of two entries reached in 4 seconds
     Then the soak finds that it got more than its limit allows
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import http.client
+import os
 import socket
 import threading
+from functools import partial
 from types import SimpleNamespace
 
 import msgspec
@@ -11,8 +13,10 @@
 
 from tests.soak.callers import Told
 from tests.soak.checks import broken_promises
+from tests.soak.crowds import MemoryPeaks
 from tests.soak.limits import over_limits
-from tests.soak.plan import Strike, StrikeKind, make_plan
+from tests.soak.plan import Family, Strike, StrikeKind, make_plan
+from tests.soak.regions import RegionWays
 from tests.soak.relay import LinkFault, Relay
 from tests.soak.run import run_seed
 from tests.standins.partition import (
@@ -25,6 +29,13 @@
 
 REQUEST = "s-1"
 LIFE = ("entry-0", 0)
+# Entries use 45 MB in runs without callers that don't read.
+HELD_MB = 64
+NOTICED = {
+    Family.READERS: lambda verdict: verdict.peak_mb > HELD_MB,
+    Family.SURGES: lambda verdict: verdict.events["surplus_refused"],
+    Family.PARTITIONS: lambda verdict: verdict.events["region_reachable"],
+}
 
 
 @when("faults of seed {seed:d} strike {entries:d} entries for {seconds:d} seconds")
@@ -37,7 +48,7 @@
     "{seconds:d} seconds"
 )
 def step(context, seed, entries, seconds):
-    context.verdict = run_seed(seed, entries, seconds, centres=True)
+    context.verdict = run_seed(seed, entries, seconds, families=[Family.CENTRES])
 
 
 @when(
@@ -45,7 +56,7 @@
     "{seconds:d} seconds"
 )
 def step(context, seed, entries, seconds):
-    context.verdict = run_seed(seed, entries, seconds, returns=True)
+    context.verdict = run_seed(seed, entries, seconds, families=[Family.RETURNS])
 
 
 @when(
@@ -53,7 +64,16 @@
     "{seconds:d} seconds"
 )
 def step(context, seed, entries, seconds):
-    context.verdict = run_seed(seed, entries, seconds, limits=True)
+    context.verdict = run_seed(seed, entries, seconds, families=[Family.LIMITS])
+
+
+@when(
+    'faults of seed {seed:d} and "{family}" strike {entries:d} entries for '
+    "{seconds:d} seconds"
+)
+def step(context, seed, family, entries, seconds):
+    context.family = Family(family)
+    context.verdict = run_seed(seed, entries, seconds, families=[context.family])
 
 
 @given(
@@ -139,6 +159,11 @@
     assert context.verdict.statuses.get(200), context.verdict
 
 
+@then("the entries have noticed these faults")
+def step(context):
+    assert NOTICED[context.family](context.verdict), context.verdict
+
+
 def told(kind, status, body, **more):
     """Return what a caller was told."""
     fields = {
@@ -281,6 +306,18 @@
     assert not context.relay.lost(sock.getsockname()[1])
 
 
+@given("a process that has used memory")
+def step(context):
+    context.peaks = MemoryPeaks(SimpleNamespace(lives={"entry-0": 0}))
+    context.peaks.note("entry-0", os.getpid())
+
+
+@then("the soak finds that it has used more than {limit:d} MB, and no more than it has")
+def step(context, limit):
+    assert context.peaks.beyond(limit)
+    assert not context.peaks.beyond(context.peaks.most + 1)
+
+
 @given('a network before an echo in the place of "{name}"')
 def step(context, name):
     listener = socket.create_server(("127.0.0.1", 0))
@@ -344,3 +381,39 @@
     except TimeoutError:
         return False
     return received == message
+
+
+@given('a server of "{zone}" behind a relay, and this process as an entry of "{own}"')
+def step(context, zone, own):
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+    threading.Thread(target=echo, args=(listener,), daemon=True).start()
+    site = SimpleNamespace(
+        fields={"entry-0": {"zone": own}},
+        entries={"entry-0": SimpleNamespace(popen=SimpleNamespace(pid=os.getpid()))},
+        network=SimpleNamespace(close_stuck=lambda: None),
+        store_relays={},
+        server_relays={},
+    )
+    context.ways = RegionWays(site)
+    server = SimpleNamespace(zone=zone, address="")
+    target = f"127.0.0.1:{listener.getsockname()[1]}"
+    context.relay = Relay(target, partial(context.ways.to_server, server))
+    context.add_cleanup(context.relay.close)
+    server.address = context.relay.address
+    site.server_relays["i-1"] = context.relay
+
+
+@when('the regions are parted, "{how}"')
+def step(context, how):
+    context.open_ways = context.ways.part(how)
+
+
+@when("the regions have healed")
+def step(context):
+    context.open_ways()
+
+
+@then("what it sends to the server has {answer}")
+def step(context, answer):
+    assert echoes(connect(context)) is (answer == "an answer")
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,6 +11,9 @@
   --plain         Strike no whole data centres, and have the store not come back from
                   copies, as the first seeds were run.
   --limits        Have servers name limits as well.
+  --readers       Have callers not read their answers as well.
+  --surges        Have a client account send eight times its demand as well.
+  --partitions    Lose what is sent between two regions as well.
   --keep DIR      Where the logs of failed runs are kept [default: out/soak].
 
 The exit code is 1 where a promise was broken. Ended are only processes that a run
@@ -24,9 +27,17 @@
 
 from docopt import docopt
 
+from tests.soak.plan import Family
 from tests.soak.run import run_seed
 
 
+def asked_for(arguments, family):
+    """Tell whether a family of faults strikes in the runs."""
+    if family in (Family.CENTRES, Family.RETURNS):
+        return not arguments["--plain"]
+    return arguments[f"--{family.value}"]
+
+
 def main(argv=None):
     """Run the seeds; return the exit code."""
     arguments = docopt(__doc__, argv)
@@ -35,6 +46,7 @@
     else:
         fresh = random.SystemRandom()
         seeds = [fresh.randrange(1 << 30) for _ in range(int(arguments["--seeds"]))]
+    families = [family for family in Family if asked_for(arguments, family)]
     failed = 0
     for seed in seeds:
         verdict = run_seed(
@@ -42,9 +54,7 @@
             int(arguments["--entries"]),
             float(arguments["--seconds"]),
             arguments["--keep"],
-            centres=not arguments["--plain"],
-            limits=arguments["--limits"],
-            returns=not arguments["--plain"],
+            families=families,
         )
         print(json.dumps(dataclasses.asdict(verdict)), flush=True)
         failed += bool(verdict.broken)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,7 +6,8 @@
 import random
 import threading
 import time
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from tests.standins.route_site import HOST, KEY, RouteSite
 
@@ -24,6 +25,27 @@
     "staged": ("ok", "ok", "cut"),
 }
 LEAVES_SHARE = 0.05
+PROBES_SHARE = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class CallerHabit:
+    """How callers call.
+
+    :ivar paths: the last parts of paths to choose from, by kind.
+    :ivar gap_seconds: the shortest time between the starts of two calls.
+    :ivar leaves: how many of them go away before the answer.
+    :ivar probes: how many of the calls show a version.
+    """
+
+    key: str = KEY
+    paths: Mapping[str, tuple[str, ...]] = field(default_factory=lambda: PATHS)
+    gap_seconds: float = 0.0
+    leaves: float = LEAVES_SHARE
+    probes: float = PROBES_SHARE
+
+
+USUAL = CallerHabit()
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,9 +81,10 @@
 
     numbers = itertools.count(1)
 
-    def __init__(self, site, seed, count):
+    def __init__(self, site, seed, count, habit=USUAL):
         """Take the site; ``start`` begins."""
         self.site = site
+        self.habit = habit
         self.told = []
         self.lock = threading.Lock()
         self.ending = threading.Event()
@@ -77,12 +100,16 @@
         for thread in self.threads:
             thread.start()
 
+    def end(self):
+        """Call no more; ``stop`` waits for it."""
+        self.ending.set()
+
     def stop(self):
         """Call no more and wait for the last answers.
 
         :returns: whether all callers ended in time.
         """
-        self.ending.set()
+        self.end()
         until = time.monotonic() + HANG_SECONDS + CALL_SECONDS
         for thread in self.threads:
             thread.join(max(0.0, until - time.monotonic()))
@@ -90,6 +117,9 @@
 
     def _run(self, rng):
         connection, entry = None, ""
+        # Callers with a gap would otherwise all call at once.
+        if self.habit.gap_seconds:
+            self.ending.wait(rng.uniform(0.0, self.habit.gap_seconds))
         while not self.ending.is_set():
             if connection is None:
                 entry = rng.choice(self.site.told_entries() or list(self.site.entries))
@@ -104,7 +134,8 @@
                 connection = None
             if told.status in (0, 503):
                 time.sleep(0.1)
-            time.sleep(rng.uniform(0.0, 0.08))
+            gap = told.sent_at + self.habit.gap_seconds - time.monotonic()
+            self.ending.wait(max(gap, rng.uniform(0.0, 0.08)))
 
     def _call(self, rng, connection, entry):
         kind, fault, version = self._pick(rng)
@@ -113,7 +144,7 @@
             "Host": HOST,
             "Request-Id": request_id,
             "Deadline-Ms": str(int(CALL_SECONDS * 1000)),
-            "Authorization": f"Bearer {KEY}",
+            "Authorization": f"Bearer {self.habit.key}",
         }
         if kind == "staged":
             headers |= {"Pieces": "2,1", "Piece-Key": f"key-{request_id}"}
@@ -127,7 +158,7 @@
                 connection.connect()
             port = connection.sock.getsockname()[1]
             connection.request("POST", f"{prefix}{fault}", b"hello", headers)
-            if rng.random() < LEAVES_SHARE:
+            if rng.random() < self.habit.leaves:
                 left = True
             else:
                 response = connection.getresponse()
@@ -157,7 +188,7 @@
 
     def _pick(self, rng):
         version = self.site.route_version
-        if version and rng.random() < 0.15:
+        if version and rng.random() < self.habit.probes:
             return "probe", "ok", version
-        kind = rng.choice(list(PATHS))
-        return kind, rng.choice(PATHS[kind]), 0
+        kind = rng.choice(list(self.habit.paths))
+        return kind, rng.choice(self.habit.paths[kind]), 0
--- /dev/null
+++ b/tests/soak/links.py
@@ -0,0 +1,140 @@
+"""What a soak's site consists of, with a relay on each link of its entries."""
+
+import threading
+from functools import partial
+
+from tests.soak.crowds import BUSY_KEY, MEMORY_MB, LimitedServer
+from tests.soak.regions import RegionWays
+from tests.soak.relay import Relay
+from tests.standins.partition import PartitionedNetwork
+from tests.standins.route_site import (
+    ADDRESS,
+    KEY,
+    ZONES,
+    RouteSite,
+    configuration,
+    route,
+)
+
+SPARE_KEY = "spare-key-of-a-caller-0123456789"
+
+
+class SoakLinks(RouteSite):
+    """A site whose links can be struck.
+
+    Callers, the store and the servers are reached through relays; entries reach one
+    another through those of a network that can be divided by pairs.
+    """
+
+    def __init__(self, entries, servers, newer=False):
+        """Make everything; ``start`` starts the entries.
+
+        :param newer: whether entries have a memory limit and fair shares, and servers
+            large answers and few slots.
+        """
+        self.newer = newer
+        super().__init__(entries, drains=True)
+        self.route_version = 0
+        self.version = 1
+        self.keys = (KEY, SPARE_KEY)
+        self.lock = threading.RLock()
+        self.ways = RegionWays(self)
+        self.server_relays = {}
+        for server in self.servers:
+            self._put_behind_relay(server)
+        kinds = sorted({server.kind for server in self.servers})
+        for number in range(servers - 2):
+            for kind in kinds:
+                self._add_server(kind, ZONES[(number + 2) % 3])
+        self.caller_relays = {
+            name: Relay(fields["listen"]["front"])
+            for name, fields in self.fields.items()
+        }
+        self.store_relays = {
+            name: Relay(self.store.address, partial(self.ways.to_store, name))
+            for name in self.fields
+        }
+        self.network = PartitionedNetwork(
+            {
+                name: int(fields["listen"]["control"].rpartition(":")[2])
+                for name, fields in self.fields.items()
+            },
+            self.ways.between_entries,
+        )
+        self._advertise()
+        if newer:
+            self._publish_routes()
+
+    def close(self):
+        """End everything."""
+        super().close()
+        self.network.close()
+        relays = [*self.caller_relays.values(), *self.store_relays.values()]
+        for relay in [*relays, *self.server_relays.values()]:
+            relay.close()
+
+    def caller_address(self, name):
+        """Return where callers connect to an entry."""
+        return self.caller_relays[name].address
+
+    def publish_next(self, revoke=False):
+        """Publish a version with one more route, or with a key fewer."""
+        with self.lock:
+            self.version += 1
+            if revoke:
+                self.keys = (KEY,)
+            self._publish_routes()
+            self.route_version = self.version
+
+    def _publish_routes(self):
+        versions = range(2, self.version + 1)
+        extra = [route(f"/v{n}/", "safe", "plain") for n in versions]
+        published = configuration(self.version, extra=extra, keys=self.keys)
+        if self.newer:
+            busy = {"name": "busy", "api_keys": [BUSY_KEY], "priority": 1}
+            published["tenants"].append(busy)
+            # Else stage servers have capacity for any surge.
+            published["services"][-1]["pieces"]["batch"] = 1
+        self.publish(published)
+
+    def make_server(self, kind, zone):
+        """Return a new server, which is not listed yet."""
+        if self.newer:
+            return LimitedServer(ADDRESS, kind, kind, zone, self.faults)
+        return super().make_server(kind, zone)
+
+    def _add_server(self, kind, zone):
+        server = self.make_server(kind, zone)
+        self._put_behind_relay(server)
+        self.servers.append(server)
+        self.list(server)
+
+    def _put_behind_relay(self, server):
+        relay = Relay(server.address, partial(self.ways.to_server, server))
+        server.address = relay.address
+        server.gone = False
+        self.server_relays[server.identity] = relay
+        self.list(server)
+
+    def _advertise(self):
+        """Have the entries reach the store and one another through the relays."""
+        ports = self.network.ports
+        seeds = [f"{ADDRESS}:{port}" for port in list(ports.values())[:3]]
+        for name, fields in self.fields.items():
+            fields["seeds"] = seeds
+            if self.newer:
+                fields["limits"]["memory_mb"] = MEMORY_MB
+            fields["platform"] = {"addr": self.store_relays[name].address}
+            self.write_settings(name)
+
+    def write_settings(self, name):
+        """Write an entry's settings, with the address that its relay has."""
+        super().write_settings(name)
+        if not hasattr(self, "network"):
+            return
+        path = self.settings_path(name)
+        advertised = f'entries_advertised = "{ADDRESS}:{self.network.ports[name]}"'
+        text = path.read_text().replace("[listen]", f"[listen]\n{advertised}")
+        if self.newer:
+            text += "\n[accounts]\nfair_shares = true\n"
+        path.write_text(text)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -10,6 +10,8 @@
 GAP_SECONDS = 0.7
 LONGEST_SECONDS = 4.0
 PEER_PAIRS = ("both", "one-way")
+# Which bytes between the regions are lost: all, or those in one direction.
+REGION_WAYS = ("both", "there", "back")
 STORE_TROUBLES = ("503", "429", "reset", "silent")
 
 
@@ -35,8 +37,28 @@
     CENTRE_COLD = auto()
     SERVER_LIMITED = auto()
     STORE_RETURNS = auto()
+    CALLERS_STOP_READING = auto()
+    ACCOUNT_SURGE = auto()
+    REGIONS_PARTED = auto()
 
 
+class Family(Enum):
+    """Faults that strike beside those of every run, each with draws of its own."""
+
+    CENTRES = "centres"
+    LIMITS = "limits"
+    RETURNS = "returns"
+    READERS = "readers"
+    SURGES = "surges"
+    PARTITIONS = "partitions"
+
+
+# The families that need entries with bounded memory, fair shares and two regions.
+NEWER = {
+    Family.READERS: StrikeKind.CALLERS_STOP_READING,
+    Family.SURGES: StrikeKind.ACCOUNT_SURGE,
+    Family.PARTITIONS: StrikeKind.REGIONS_PARTED,
+}
 WEIGHTS = {
     StrikeKind.CALLER_LINK: 3,
     StrikeKind.STORE_LINK: 3,
@@ -64,6 +86,9 @@
 LIMIT_STRIKES = 3
 # The store comes back from a copy beside the others; a copy is some seconds old.
 RETURN_GAP_SECONDS = 3.0
+NEWER_GAP_SECONDS = 2.5
+# Entries take a region for unreachable after 6.5 s without an answer.
+LONGEST_PARTED_SECONDS = 9.0
 LIMITS = ("0", "1", "2.5")
 
 
@@ -84,12 +109,10 @@
     target: int
 
 
-def make_plan(seed, seconds, centres=False, limits=False, returns=False):
+def make_plan(seed, seconds, families=()):
     """Return the strikes of a run, in the order of their times.
 
-    :param centres: whether whole data centres are struck as well.
-    :param limits: whether servers name limits as well.
-    :param returns: whether the store comes back from copies as well.
+    :param families: which faults strike beside the usual ones.
     """
     rng = random.Random(seed)
     strikes = []
@@ -101,12 +124,16 @@
         strikes.append(Strike(round(at, 2), lasts, kind, _variant(kind, rng), target))
         # Series of signals come close together.
         at += rng.choice((0.05, GAP_SECONDS, 2 * GAP_SECONDS)) * rng.uniform(0.5, 1.5)
-    if centres:
-        strikes += _centre_strikes(random.Random(f"centres {seed}"), seconds)
-    if limits:
-        strikes += _limit_strikes(random.Random(f"limits {seed}"), seconds)
-    if returns:
-        strikes += _return_strikes(random.Random(f"returns {seed}"), seconds)
+    for family in families:
+        rng = random.Random(f"{family.value} {seed}")
+        if family is Family.CENTRES:
+            strikes += _centre_strikes(rng, seconds)
+        elif family is Family.LIMITS:
+            strikes += _limit_strikes(rng, seconds)
+        elif family is Family.RETURNS:
+            strikes += _return_strikes(rng, seconds)
+        else:
+            strikes += _newer_strikes(rng, seconds, NEWER[family])
     return sorted(strikes, key=lambda strike: strike.at)
 
 
@@ -128,6 +155,17 @@
         at += RETURN_GAP_SECONDS * rng.uniform(0.3, 1.7)
 
 
+def _newer_strikes(rng, seconds, kind):
+    at = rng.uniform(0.5, NEWER_GAP_SECONDS)
+    while at < seconds:
+        parted = kind is StrikeKind.REGIONS_PARTED
+        longest = LONGEST_PARTED_SECONDS if parted else LONGEST_SECONDS
+        lasts = round(rng.uniform(0.5, longest), 2)
+        target = rng.randrange(1_000_000)
+        yield Strike(round(at, 2), lasts, kind, _variant(kind, rng), target)
+        at += NEWER_GAP_SECONDS * rng.uniform(0.5, 1.5)
+
+
 def _limit_strikes(rng, seconds):
     for number in range(LIMIT_STRIKES):
         at, target = round(rng.uniform(0.2, 1.0), 2), 7 * number + rng.randrange(7)
@@ -138,6 +176,8 @@
 def _variant(kind, rng):
     if kind is StrikeKind.PEER_LINK:
         return rng.choice(PEER_PAIRS)
+    if kind is StrikeKind.REGIONS_PARTED:
+        return rng.choice(REGION_WAYS)
     if kind is StrikeKind.STORE_DOWN:
         return rng.choice(STORE_TROUBLES)
     if kind in (StrikeKind.CALLER_LINK, StrikeKind.STORE_LINK, StrikeKind.SERVER_LINK):
--- /dev/null
+++ b/tests/soak/regions.py
@@ -0,0 +1,108 @@
+"""Loses what is sent between two regions of a soak's site, in one direction or both."""
+
+import contextlib
+import os
+import threading
+from collections import Counter
+from pathlib import Path
+
+from tests.soak.plan import REGION_WAYS
+from tests.standins.route_site import REGIONS
+
+SOCKETS = Path("/proc/net/tcp")
+# The store is in this region, as are two of the three data centres.
+STORE_REGION = "valley"
+OTHER_REGION = "hills"
+LOST_WAYS = {
+    REGION_WAYS[0]: ((STORE_REGION, OTHER_REGION), (OTHER_REGION, STORE_REGION)),
+    REGION_WAYS[1]: ((STORE_REGION, OTHER_REGION),),
+    REGION_WAYS[2]: ((OTHER_REGION, STORE_REGION),),
+}
+
+
+class RegionWays:
+    """Which ways between regions carry nothing; strikes may overlap.
+
+    The relays of the store and of the servers, and the network between entries, ask
+    it for each piece of data. As on a real line, a way that is lost takes questions
+    along in the one direction and answers in the other.
+    """
+
+    def __init__(self, site):
+        """Begin with all ways open."""
+        self._site = site
+        self._lost = Counter()
+        self._owners = {}
+        self._lock = threading.Lock()
+
+    def part(self, how):
+        """Lose the ways of a variant; return what opens them again."""
+        with self._lock:
+            self._lost.update(LOST_WAYS[how])
+        return lambda: self._open(LOST_WAYS[how])
+
+    def heal(self):
+        """Open all ways."""
+        self._open(list(self._lost.elements()))
+
+    def region(self, entry):
+        """Return the region of an entry."""
+        return REGIONS[self._site.fields[entry]["zone"]]
+
+    def between_entries(self, sender, receiver):
+        """Tell whether bytes of one entry to another are lost."""
+        return bool(self._lost) and self._loses(
+            self.region(sender), self.region(receiver)
+        )
+
+    def to_store(self, entry, _port, there):
+        """Tell whether bytes between an entry and the store are lost."""
+        return self._between(entry, STORE_REGION, there)
+
+    def to_server(self, server, port, there):
+        """Tell whether bytes on a connection to a server are lost."""
+        if not self._lost:
+            return False
+        server_port = int(server.address.rpartition(":")[2])
+        entry = self._owner(port, server_port)
+        return entry is not None and self._between(entry, REGIONS[server.zone], there)
+
+    def _between(self, entry, other, there):
+        own = self.region(entry)
+        return self._loses(own, other) if there else self._loses(other, own)
+
+    def _loses(self, sender, receiver):
+        return self._lost[sender, receiver] > 0
+
+    def _open(self, ways):
+        with self._lock:
+            self._lost.subtract(ways)
+            self._lost = +self._lost
+            if not self._lost:
+                self._owners.clear()
+        self._site.network.close_stuck()
+        relays = [*self._site.store_relays.values(), *self._site.server_relays.values()]
+        for relay in relays:
+            relay.reset_lost()
+
+    def _owner(self, port, server_port):
+        """Return the entry whose process has a connection, None if it has ended."""
+        key = (port, server_port)
+        if key not in self._owners:
+            self._owners[key] = self._find_owner(port, server_port)
+        return self._owners[key]
+
+    def _find_owner(self, port, server_port):
+        ends = f":{port:04X}", f":{server_port:04X}"
+        rows = (line.split() for line in SOCKETS.read_text().splitlines()[1:])
+        inodes = [
+            r[9] for r in rows if r[1].endswith(ends[0]) and r[2].endswith(ends[1])
+        ]
+        for name, process in self._site.entries.items():
+            folder = Path(f"/proc/{process.popen.pid}/fd")
+            with contextlib.suppress(OSError):
+                for link in folder.iterdir():
+                    with contextlib.suppress(OSError):
+                        if os.readlink(link) in [f"socket:[{i}]" for i in inodes]:
+                            return name
+        return None
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -34,10 +34,16 @@
 class Relay:
     """Passes connections on to one address."""
 
-    def __init__(self, target):
-        """Listen; ``target`` is ``address:port``."""
+    def __init__(self, target, loses=lambda port, there: False):
+        """Listen.
+
+        :param target: ``address:port``.
+        :param loses: tells whether bytes are lost on the way there, or back, on the
+            connection from a port of the connecting side, whatever the relay's fault.
+        """
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
+        self.loses = loses
         self._fault = None
         self._lock = threading.Lock()
         self._connections = set()
@@ -67,6 +73,11 @@
         """End the fault; what bytes were lost on is reset, as real links do."""
         with self._lock:
             self._fault = None
+        self.reset_lost()
+
+    def reset_lost(self):
+        """Reset the connections on which bytes were lost."""
+        with self._lock:
             lost = [c for c in self._connections if c.lost]
         for connection in lost:
             connection.close(reset=True)
@@ -152,7 +163,9 @@
                 fault = self.relay.fault
                 if fault is LinkFault.DELAY:
                     time.sleep(DELAY_SECONDS)
-                if self.stale or fault in (cut, LinkFault.SILENT):
+                there = cut is LinkFault.CUT_THERE
+                struck = self.stale or fault in (cut, LinkFault.SILENT)
+                if struck or self.relay.loses(self.port, there):
                     self.lost = True
                     self.relay.note_lost(self.port)
                 if not self.lost:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,83 +10,90 @@
 from pathlib import Path
 
 from tests.soak.callers import Callers
+from tests.soak.calm import broken_in_calm, recover
 from tests.soak.checks import broken_promises
+from tests.soak.crowds import MEMORY_MB, busy_callers
 from tests.soak.limits import over_limits
-from tests.soak.plan import make_plan
+from tests.soak.plan import NEWER, Family, make_plan
 from tests.soak.site import SoakSite
-from tests.standins.fleet import wait_until
-from tests.standins.route_site import DRAIN_BOUNDS, ZONES
 
 CALLERS_AN_ENTRY = 4
 SERVERS_A_KIND = 3
 LOOK_SECONDS = 0.05
-# After the last fault all entries serve again within this time.
-RECOVER_SECONDS = 30.0
-# A server that has left is reached no more after this time, where nothing else is in
-# the way.
-LEAVE_SECONDS = 5.0
-# The bound that the settings of the entries name for a drained data centre.
-DRAIN_SECONDS = DRAIN_BOUNDS["evacuate_ms"] / 1000
+# What shows in an entry's log that the newer faults have reached it.
+CAUSED = (
+    "memory_refused",
+    "slow_reader_abandoned",
+    "surplus_refused",
+    "region_unreachable",
+    "region_reachable",
+)
 
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
     """What a run showed.
 
+    :ivar statuses: how many requests of the usual callers ended with which status.
+    :ivar peak_mb: the most memory that an entry has used, of those with a limit.
+    :ivar events: how often entries logged what the newer faults should cause.
     :ivar broken: a line for each broken promise.
-    :ivar statuses: how many requests ended with which status.
     """
 
     seed: int
     strikes: int
     requests: int
     statuses: dict
+    peak_mb: int
+    events: dict
     broken: list
 
 
-def run_seed(
-    seed,
-    entries,
-    seconds,
-    keep=None,
-    plan=None,
-    centres=False,
-    limits=False,
-    returns=False,
-):
+def run_seed(seed, entries, seconds, keep=None, plan=None, families=()):
     """Run one seed.
 
     :param keep: the folder in which the logs of a failed run are kept; None for none.
     :param plan: strikes to run in place of the seed's own.
-    :param centres: whether whole data centres are struck as well.
-    :param limits: whether servers name limits as well.
-    :param returns: whether the store comes back from copies as well.
+    :param families: which faults strike beside the usual ones.
     """
-    site = SoakSite(entries, SERVERS_A_KIND)
+    newer = any(family in NEWER for family in families)
+    site = SoakSite(entries, SERVERS_A_KIND, newer)
     if plan is None:
-        plan = make_plan(seed, seconds, centres, limits, returns)
+        plan = make_plan(seed, seconds, families)
     callers = Callers(site, seed, CALLERS_AN_ENTRY * entries)
     broken = []
     try:
         site.start()
         callers.start()
+        if Family.SURGES in families:
+            site.crowds.begin(busy_callers(site, seed))
         strike_all(site, plan, seconds)
         site.heal()
         broken += recover(site)
-        if not callers.stop():
+        if not all([callers.stop(), site.crowds.stop()]):
             broken.append("a caller hangs")
-        broken += broken_promises(site, callers.told)
-        broken += over_limits(site, callers.told)
-        broken += reached_after_leaving(site)
-        if centres:
-            broken += reached_while_drained(site)
+        broken += over_limits(site, callers.told + site.crowds.told)
+        broken += broken_in_calm(site, families, seed)
+        # The calls of calm times are held to the same promises.
+        site.crowds.stop()
+        broken += broken_promises(site, callers.told + site.crowds.told)
+        if newer:
+            broken += site.peaks.beyond(MEMORY_MB)
+    except TimeoutError as error:
+        # An entry was not ready in time.
+        broken.append(str(error))
     finally:
-        callers.ending.set()
+        callers.end()
+        site.crowds.end()
+        told = callers.told + site.crowds.told
+        events = count_events(site)
         if broken and keep is not None:
-            keep_logs(site, seed, plan, broken, callers.told, Path(keep))
+            keep_logs(site, seed, plan, broken, told, Path(keep))
         site.close()
     statuses = dict(sorted(Counter(t.status for t in callers.told).items()))
-    return Verdict(seed, len(plan), len(callers.told), statuses, broken)
+    return Verdict(
+        seed, len(plan), len(told), statuses, site.peaks.most, events, broken
+    )
 
 
 def strike_all(site, plan, seconds):
@@ -109,61 +116,11 @@
         time.sleep(LOOK_SECONDS)
 
 
-def recover(site):
-    """Wait until all entries serve the newest version; return what did not."""
-    broken = []
-    site.publish_next()
-    until = time.monotonic() + RECOVER_SECONDS
-    for name in site.entries:
-
-        def recovered(name=name):
-            site.look_after()
-            # A relay that was struck may hold connections of the time before.
-            path = f"/v{site.version}/ok"
-            served = site.call(path, entry=name).status == 200
-            return served and len(site.directory(name)) == len(site.entries)
-
-        left = max(1.0, until - time.monotonic())
-        try:
-            wait_until(recovered, left, what=f"{name} serves and names all entries")
-        except TimeoutError as error:
-            broken.append(str(error))
-    return broken
-
-
-def reached_after_leaving(site):
-    """Return which servers that left were reached long after, with nothing in the way.
-
-    All entries serve the newest version here, and the last fault is over.
-    """
-    wait = max((at + LEAVE_SECONDS for _, at in site.drained), default=0.0)
-    time.sleep(max(0.0, wait - time.monotonic()))
-    before = {server.identity: sum(server.runs.values()) for server, _ in site.drained}
-    for name in site.entries:
-        for _ in range(10):
-            site.call("/safe/ok", entry=name)
-    return [
-        f"{server.identity} left and was reached"
-        for server, _ in site.drained
-        if sum(server.runs.values()) > before[server.identity]
-    ]
-
-
-def reached_while_drained(site):
-    """Return which servers of a drained data centre were reached, in calm times."""
-    site.drain(ZONES[0])
-    time.sleep(DRAIN_SECONDS)
-    drained = [server for server in site.servers if server.zone == ZONES[0]]
-    before = {server.identity: sum(server.runs.values()) for server in drained}
-    for name in site.entries:
-        for _ in range(10):
-            site.call("/safe/ok", entry=name)
-    site.drain()
-    return [
-        f"{server.identity} was reached in a drained data centre"
-        for server in drained
-        if sum(server.runs.values()) > before[server.identity]
-    ]
+def count_events(site):
+    """Return how often entries logged what the newer faults should cause."""
+    logs = [site.log(name) for name in site.entries]
+    counts = {name: sum(log.count(f'"{name}"') for log in logs) for name in CAUSED}
+    return {name: count for name, count in counts.items() if count}
 
 
 def keep_logs(site, seed, plan, broken, told, folder):
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -1,42 +1,26 @@
-"""The site of a soak: entries as processes, with a relay on each of their links."""
+"""The site of a soak: entries as processes, whose links and lives are struck."""
 
 import contextlib
 import signal
-import threading
 import time
+from http.client import HTTPException
 
+from tests.soak.crowds import Crowds, MemoryPeaks, SilentCallers, surge_callers
+from tests.soak.links import SoakLinks
 from tests.soak.plan import PEER_PAIRS, StrikeKind
-from tests.soak.relay import LinkFault, Relay
-from tests.standins.partition import PartitionedNetwork
-from tests.standins.route_server import RouteServer
-from tests.standins.route_site import (
-    ADDRESS,
-    KEY,
-    ZONES,
-    RouteSite,
-    configuration,
-    route,
-)
+from tests.soak.relay import LinkFault
+from tests.standins.route_site import ZONES
 
 RETURN_SECONDS = 0.3
-SPARE_KEY = "spare-key-of-a-caller-0123456789"
 
 
-class SoakSite(RouteSite):
-    """A site whose links and processes can be struck.
+class SoakSite(SoakLinks):
+    """A site whose links and processes can be struck."""
 
-    Callers, the store and the servers are reached through relays; entries reach one
-    another through those of a network that can be divided by pairs.
-    """
-
-    def __init__(self, entries, servers):
-        """Make everything; ``start`` starts the entries."""
-        super().__init__(entries, drains=True)
+    def __init__(self, entries, servers, newer=False):
+        """Make everything; see ``SoakLinks``."""
+        super().__init__(entries, servers, newer)
         self.lives = dict.fromkeys(self.entries, 0)
-        self.route_version = 0
-        self.version = 1
-        self.keys = (KEY, SPARE_KEY)
-        self.lock = threading.RLock()
         self.paused = {}
         # Servers that left, each with when it was said.
         self.drained = []
@@ -45,62 +29,20 @@
         self.stopping = set()
         # Lives of entries that were suspended or cut off.
         self.excused = set()
+        self.crowds = Crowds()
+        self.peaks = MemoryPeaks(self)
         # Servers that named a limit: the limit, when it was named, and until when.
         self.limited = []
-        self.server_relays = {}
-        for server in self.servers:
-            self._put_behind_relay(server)
-        kinds = sorted({server.kind for server in self.servers})
-        for number in range(servers - 2):
-            for kind in kinds:
-                self._add_server(kind, ZONES[(number + 2) % 3])
-        self.caller_relays = {
-            name: Relay(fields["listen"]["front"])
-            for name, fields in self.fields.items()
-        }
-        self.store_relays = {name: Relay(self.store.address) for name in self.fields}
-        self.network = PartitionedNetwork(
-            {
-                name: int(fields["listen"]["control"].rpartition(":")[2])
-                for name, fields in self.fields.items()
-            }
-        )
-        self._advertise()
-
-    def close(self):
-        """End everything."""
-        super().close()
-        self.network.close()
-        relays = [*self.caller_relays.values(), *self.store_relays.values()]
-        for relay in [*relays, *self.server_relays.values()]:
-            relay.close()
-
-    def caller_address(self, name):
-        """Return where callers connect to an entry."""
-        return self.caller_relays[name].address
 
     def told_entries(self):
         """Return the entries that one of the entries tells callers to use."""
         by_address = {f["listen"]["front"]: n for n, f in self.fields.items()}
         for name in self.entries:
-            with contextlib.suppress(OSError, ValueError, KeyError):
+            # A directory that is killed while it answers leaves half of it.
+            with contextlib.suppress(OSError, ValueError, KeyError, HTTPException):
                 return [by_address[a] for a in self.directory(name) if a in by_address]
         return []
 
-    def publish_next(self, revoke=False):
-        """Publish a version with one more route, or with a key fewer."""
-        with self.lock:
-            self.version += 1
-            if revoke:
-                self.keys = (KEY,)
-            self._publish_routes()
-            self.route_version = self.version
-
-    def _publish_routes(self):
-        versions = range(2, self.version + 1)
-        extra = [route(f"/v{n}/", "safe", "plain") for n in versions]
-        self.publish(configuration(self.version, extra=extra, keys=self.keys))
-
     def strike(self, strike):
         """Begin one fault; return what ends it, None where it ends by itself."""
         names = sorted(self.entries)
@@ -117,6 +59,12 @@
             return self._divide(names, name, strike)
         if kind is StrikeKind.PAUSE:
             return self._pause(name)
+        if kind is StrikeKind.REGIONS_PARTED:
+            return self.ways.part(strike.how)
+        if kind is StrikeKind.CALLERS_STOP_READING:
+            return self.crowds.begin(SilentCallers(self, name))
+        if kind is StrikeKind.ACCOUNT_SURGE:
+            return self.crowds.begin(surge_callers(self, strike.target))
         return self._strike_at_once(name, strike)
 
     def heal(self):
@@ -125,6 +73,7 @@
             relay.heal()
         for relay in self.server_relays.values():
             relay.heal()
+        self.ways.heal()
         self.network.heal()
         self.store.down = None
         self.drain()
@@ -146,6 +95,7 @@
             for name, process in self.entries.items():
                 code = process.popen.poll()
                 if code is None:
+                    self.peaks.note(name, process.popen.pid)
                     continue
                 if name not in self.stopping and code != -signal.SIGKILL:
                     self.own_ends.append((name, code))
@@ -292,35 +242,3 @@
             self.server_relays[server.identity].strike(LinkFault.RESET)
         time.sleep(RETURN_SECONDS)
         self._add_server(kind, zone)
-
-    def _add_server(self, kind, zone):
-        server = RouteServer(ADDRESS, kind, kind, zone, self.servers[0].struck)
-        self._put_behind_relay(server)
-        self.servers.append(server)
-        self.list(server)
-
-    def _put_behind_relay(self, server):
-        relay = Relay(server.address)
-        server.address = relay.address
-        server.gone = False
-        self.server_relays[server.identity] = relay
-        self.list(server)
-
-    def _advertise(self):
-        """Have the entries reach the store and one another through the relays."""
-        ports = self.network.ports
-        seeds = [f"{ADDRESS}:{port}" for port in list(ports.values())[:3]]
-        for name, fields in self.fields.items():
-            fields["seeds"] = seeds
-            fields["platform"] = {"addr": self.store_relays[name].address}
-            self.write_settings(name)
-
-    def write_settings(self, name):
-        """Write an entry's settings, with the address that its relay has."""
-        super().write_settings(name)
-        if not hasattr(self, "network"):
-            return
-        path = self.settings_path(name)
-        advertised = f'entries_advertised = "{ADDRESS}:{self.network.ports[name]}"'
-        text = path.read_text().replace("[listen]", f"[listen]\n{advertised}")
-        path.write_text(text)
--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -169,7 +169,7 @@
         self.store = RouteStore(ADDRESS)
         self.faults = set()
         self.servers = [
-            RouteServer(ADDRESS, kind, kind, zone, self.faults)
+            self.make_server(kind, zone)
             for kind in ("plain", "engine", "stage")
             for zone in ZONES[:2]
         ]
@@ -263,9 +263,13 @@
         """Publish a server's entry."""
         self.store.put(f"servers/{server.identity}", server.entry(state, cold_ms))
 
+    def make_server(self, kind, zone):
+        """Return a new server, which is not listed yet."""
+        return RouteServer(ADDRESS, kind, kind, zone, self.faults)
+
     def add_server(self, kind):
         """Add a server of a kind, and list it."""
-        server = RouteServer(ADDRESS, kind, kind, ZONES[0], self.faults)
+        server = self.make_server(kind, ZONES[0])
         server.when_back = self.list_again
         self.servers.append(server)
         self.list(server)
