Ask entries of other regions where the own region has lost its other entries

Cause: an entry that starts asks entries of its region for their address books until three agree. The list never shrinks, so that an entry whose region has only lost entries besides asked these alone. Ruled out: ranking of senders, ejection, region choice, permits, the 30 s of being cold. Change: only addresses of entries that are recorded as live count as the own region's. The scenario in regions_links failed before; all 18 pass.

--- a/boragestream/base/route_metrics.py
+++ b/boragestream/base/route_metrics.py
@@ -318,7 +318,7 @@
         self._pieces.labels(service).inc(pieces)
 
     def return_planned(self, service: str, seconds: float) -> None:
-        """Count a refused caller that is told when to return."""
+        """Count a refused caller by the time after which it should return."""
         self._returns.labels(self._service(service)).observe(seconds)
 
     def permit_ended(self, service: str, granted: bool) -> None:
--- a/boragestream/base/route_settings.py
+++ b/boragestream/base/route_settings.py
@@ -194,9 +194,9 @@
 
     :ivar until_deadline: whether a caller's last attempt is served from spare capacity
         up to its deadline.
-    :ivar planned_returns: whether refused callers of stages are told when capacity is
-        expected, and not only the present wait; absent to decide it by the other
-        settings, see ``daemon.late_parts``.
+    :ivar planned_returns: whether the Retry-After of refused stages is the time when
+        capacity is expected, and not only the present wait; absent to decide it by the
+        other settings, see ``daemon.late_parts``.
     """
 
     until_deadline: bool = False
--- a/boragestream/daemon/late_parts.py
+++ b/boragestream/daemon/late_parts.py
@@ -18,11 +18,11 @@
 
 
 def plans_returns(settings: RouteSettings) -> bool:
-    """Return whether refused callers of stages are told when capacity is expected.
+    """Return whether the return of refused callers of stages is planned.
 
-    Unless a setting decides it, they are where a burst hits only a part of the
+    Unless a setting decides it, it is where a burst often hits only a part of the
     callers: those of one region, or of client accounts beside one that exceeds its
-    share.
+    share. The others leave capacity for those that return later.
     """
     required = settings.late.planned_returns
     if required is None:
--- a/boragestream/entry/peers.py
+++ b/boragestream/entry/peers.py
@@ -105,11 +105,20 @@
         return self._region_by_address.get(address, "")
 
     def of_own_region(self, addresses: Iterable[str]) -> list[str]:
-        """Return the peer addresses that are not known to be in another region."""
+        """Return the peer addresses of live entries that are not in another region.
+
+        An address book keeps the addresses of lost entries. Without any other entry of
+        its region, an entry has to ask those of other regions.
+        """
         if self._region_links is None:
             return list(addresses)
         own = self._region_links.regions.own
-        return [a for a in addresses if self.region_at(a) in ("", own)]
+        return [
+            address
+            for address in addresses
+            if self.region_at(address) in ("", own)
+            and self._entries.recorded_state(address) is MemberState.LIVE
+        ]
 
     def region_reachable(self, region: str) -> bool:
         """Return whether any entry of another region answers this region."""
--- a/boragestream/policy/queue_admission.py
+++ b/boragestream/policy/queue_admission.py
@@ -126,7 +126,7 @@
     def refuse(
         self, claim: QueueClaim, per_second: float, now: float
     ) -> float | ReturnTime:
-        """Return what the caller of a refused claim is told.
+        """Return when the caller of a refused claim should return.
 
         A caller whose chain is offered by another region returns there, so that it is
         given the expected wait.
--- a/boragestream/policy/return_times.py
+++ b/boragestream/policy/return_times.py
@@ -1,15 +1,15 @@
 """Decides when a refused caller should return to a stage service's queue.
 
 Load pattern: for several seconds, a burst asks a stage service for two or three times
-what its servers do. A refused caller retries once, when its Retry-After says or as late
-as it can. If it is told the wait that the queue expects, mostly less than a second, it
-retries in the same burst and is refused for good, although the servers have capacity to
-spare a few seconds later.
+what its servers do. A refused caller retries once, after its Retry-After if that is at
+most a third of the time that it has left. With the wait that the queue expects, mostly
+less than a second, it retries in the same burst and is refused for good, although the
+servers have capacity to spare a few seconds later.
 
-The queue expects to serve its next caller once the callers that it has told to return
-have been served, from the capacity that the demand leaves. While the demand exceeds the
-capacity, nobody knows when that will be. The caller is then told to return as late as
-it can, since the burst has most likely ended by then.
+The queue expects to serve its next caller once the callers that are due to return have
+been served, from the capacity that the demand leaves. While the demand exceeds the
+capacity, that time is unknown. The caller should then return as late as it can, since
+the burst has most likely ended by then.
 
 This module leaves out how callers are recognized (``policy.returning_callers``) and
 which of them are refused (``policy.piece_queue``).
@@ -57,7 +57,7 @@
 
 
 class ReturnTimes:
-    """The callers that one queue has told to return; the owner must hold a lock."""
+    """The callers of one queue that are due to return; the owner must hold a lock."""
 
     def __init__(self) -> None:
         self._demand = DemandRate(DEMAND_SECONDS)
--- a/boragestream/serving/piece_bookings.py
+++ b/boragestream/serving/piece_bookings.py
@@ -126,12 +126,12 @@
             message.key,
             message.count,
             message.priority,
-            frozenset(message.regions),
-            seconds_or_unknown(message.lead_ms),
-            message.waited_ms / 1000,
-            message.region,
-            message.borrowed,
-            message.account,
+            regions=frozenset(message.regions),
+            lead_seconds=seconds_or_unknown(message.lead_ms),
+            waited_seconds=message.waited_ms / 1000,
+            region=message.region,
+            borrowed=message.borrowed,
+            account=message.account,
         )
         left = message.left_ms / 1000
         wait = self._batches.book(booking, message.start_ms / 1000, left)
--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -208,13 +208,13 @@
             message.priority,
             message.invested,
             message.near,
-            frozenset(message.regions),
             message.fingerprint,
-            seconds_or_unknown(message.lead_ms),
-            message.waited_ms / 1000,
-            message.region,
-            message.borrowed,
-            message.account,
+            regions=frozenset(message.regions),
+            lead_seconds=seconds_or_unknown(message.lead_ms),
+            waited_seconds=message.waited_ms / 1000,
+            region=message.region,
+            borrowed=message.borrowed,
+            account=message.account,
         )
         with self._lock:
             self._requesters[message.order_id] = envelope.sender
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -218,12 +218,12 @@
                 request.piece_key,
                 count,
                 run.priority,
-                run.regions or frozenset(),
-                self._lead_seconds[number],
-                self._waited_seconds,
-                self._place.region,
-                self._place.borrowed,
-                self._account,
+                regions=run.regions or frozenset(),
+                lead_seconds=self._lead_seconds[number],
+                waited_seconds=self._waited_seconds,
+                region=self._place.region,
+                borrowed=self._place.borrowed,
+                account=self._account,
             )
             start_by = self._start_by(number)
             deadline = run.scope.deadline
--- a/tests/features/regions_links.feature
+++ b/tests/features/regions_links.feature
@@ -123,3 +123,11 @@
     When it knows addresses of "coast" only
     And it requests whole address books until they agree
     Then it requests them from entries of "coast" only
+
+  # Guards against an entry that never agrees with others on the live entries, so that it
+  # sends nothing to cold servers, since it asks the lost entries of its region alone.
+  Scenario: an entry whose region has lost its other entries agrees with other regions
+    Given an entry of "valley" that knows addresses of both regions
+    And the other entries of "valley" have been lost
+    When it requests whole address books until they agree
+    Then it has agreed with entries of "coast"
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -86,6 +86,17 @@
       | hall-a | back  | no answer |
       | hall-b | both  | an answer |
 
+  # Guards against requests of callers long gone that reach a server after the heal, where
+  # they count as sent late.
+  Scenario: a relay delivers nothing of connections that ended while the regions were parted
+    Given a server of "hall-b" behind a relay, and this process as an entry of "hall-a"
+    When the regions are parted, "both"
+    And 50 connections send something to the server and end
+    And the regions have healed
+    Then the server has received nothing of them
+    And their owners were searched for a few times only
+    And what it sends to the server has an answer
+
   Scenario: the soak sees a server that was sent more than its limit allows
     Given a server with a limit of 1 that 12 requests of two entries reached in 4 seconds
     Then the soak finds that it got more than its limit allows
--- a/tests/features/steps/return_times.py
+++ b/tests/features/steps/return_times.py
@@ -14,7 +14,7 @@
 from boragestream.daemon.late_parts import plans_returns
 from boragestream.document.calls import Piece
 from boragestream.entry.piece_messages import PiecesAnswer
-from boragestream.policy.late_service import refuse_late, serve_until_deadline
+from boragestream.policy.late_service import serve_until_deadline
 from boragestream.policy.piece_queue import PieceOrder, QueuedOrder
 from boragestream.policy.return_times import RefusedOrder, ReturnTime, ReturnTimes
 from boragestream.policy.servers import Server
@@ -23,34 +23,12 @@
 from boragestream.serving.piece_failures import StageSaturated
 from boragestream.serving.piece_refusals import answer_refusal, wait_answer
 from boragestream.serving.stage_pieces import preferred_refusal
-from tests.features.steps.late_service import LIMITS, SECONDS, SEEDS, unserved
-from tests.standins.stage_load import play
+from tests.features.steps.late_service import LIMITS, shares, unserved
 
 CAPACITY = 100.0
 NOW = 1000.0
 
 
-def shares(context, late=refuse_late, planned=False):
-    """Return by kind the shares in time and never served, over some plays."""
-    plays = [
-        play(
-            context.kinds,
-            LIMITS,
-            context.servers,
-            SECONDS,
-            seed,
-            returning=True,
-            late=late,
-            planned=planned,
-        )
-        for seed in SEEDS
-    ]
-    return {
-        kind.name: [sum(p[kind.name][n] for p in plays) / len(SEEDS) for n in (0, 2)]
-        for kind in context.kinds
-    }
-
-
 @when("refused callers are told the expected wait, and when to return")
 def step(context):
     context.unplanned, context.planned = shares(context), shares(context, planned=True)
