Compute the capacity of a queue only in a shortage, and a full call's time once

Cause: reading the whole change again. Each order and booking computed the capacity that only shares need, and each first order counted its servers twice. The time of a full call was written out in five places, and whether there are several regions a second time. Change: the capacity and the count of servers are functions that are called where they are needed; PieceLimits.full_call_seconds and Regions.several serve all. Behaviour is the same.

--- a/boragestream/daemon/late_parts.py
+++ b/boragestream/daemon/late_parts.py
@@ -7,6 +7,7 @@
     refuse_late,
     serve_until_deadline,
 )
+from boragestream.policy.regions import Regions
 from boragestream.policy.return_times import ReturnTimes
 
 __all__ = ["make_late_service", "new_return_times", "plans_returns"]
@@ -26,8 +27,8 @@
     """
     required = settings.late.planned_returns
     if required is None:
-        several_regions = len(set(settings.regions.values())) > 1
-        return several_regions or shares_fairly(settings)
+        regions = Regions(settings.entry.data_centre, settings.regions)
+        return regions.several or shares_fairly(settings)
     return required
 
 
--- a/boragestream/document/routes.py
+++ b/boragestream/document/routes.py
@@ -108,6 +108,11 @@
     memory_mb: float
     result_seconds: float
 
+    @property
+    def full_call_seconds(self) -> float:
+        """The usual time of a call with as many pieces as it can have."""
+        return self.call_seconds + self.batch * self.piece_seconds
+
 
 @dataclass(frozen=True, slots=True)
 class EngineLimits:
--- a/boragestream/policy/piece_queue.py
+++ b/boragestream/policy/piece_queue.py
@@ -179,16 +179,15 @@
         return 0.0
     if servers == 0:
         return float("inf")
-    call = limits.call_seconds + limits.batch * limits.piece_seconds
     calls_ahead = pieces_ahead // limits.batch
     # The ends of the servers' calls are assumed to be evenly spread.
-    return call * (calls_ahead + 1) / servers
+    return limits.full_call_seconds * (calls_ahead + 1) / servers
 
 
 def pieces_per_second(limits: PieceLimits, servers: int) -> float:
     """Return how many pieces some servers do in a second with full batches."""
-    call = limits.call_seconds + limits.batch * limits.piece_seconds
-    return servers * limits.concurrent_calls * limits.batch / call
+    pieces = servers * limits.concurrent_calls * limits.batch
+    return pieces / limits.full_call_seconds
 
 
 def is_admitted(order: PieceOrder, wait: float, left: float) -> bool:
--- a/boragestream/policy/queue_admission.py
+++ b/boragestream/policy/queue_admission.py
@@ -80,13 +80,20 @@
         return self._late
 
     def judge_share(
-        self, claim: QueueClaim, capacity: float, queued: Callable[[], int], now: float
+        self,
+        claim: QueueClaim,
+        capacity: Callable[[], float],
+        queued: Callable[[], int],
+        now: float,
     ) -> Surplus | bool:
         """Return whether a claim is beyond its account's share, or its refusal.
 
-        :param capacity: the pieces a second that the servers can run.
+        :param capacity: returns the pieces a second that the servers can run. Like
+            ``queued``, it is called only in a shortage.
         :param queued: returns the number of all pieces that are queued or booked.
         """
+        if self._shares is None:
+            return False
         request = ShareRequest(
             claim.account,
             claim.count,
@@ -96,9 +103,9 @@
             claim.longest_wait,
             claim.spare_only,
         )
-        if self._shares is None or not self._shares.record(request, now):
+        if not self._shares.record(request, now):
             return False
-        return self._shares.judge(request, capacity, queued(), now)
+        return self._shares.judge(request, capacity(), queued(), now)
 
     def keeps_late(
         self,
--- a/boragestream/policy/queue_bookings.py
+++ b/boragestream/policy/queue_bookings.py
@@ -1,7 +1,6 @@
 """The bookings in a stage service's queue: places of orders that are expected later."""
 
-import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Self
 
@@ -56,7 +55,7 @@
     first: QueuedOrder,
     booked: Iterable[BookedOrder],
     limits: PieceLimits,
-    servers: float,
+    server_count: Callable[[], float],
 ) -> float:
     """Return the latest start of a chain's first order.
 
@@ -65,11 +64,14 @@
     has to begin earlier, or its booked order is late after the first stage has run.
 
     :param booked: the bookings of the queue.
-    :param servers: the number of servers; one whose calls are limited is a fraction.
+    :param server_count: returns the number of servers; one whose calls are limited is a
+        fraction. It is called only for chains with a booking in the same queue.
     """
-    if first.order.invested or not 0 < servers < 1:
+    if first.order.invested:
         return first.start_by
     request_id = first.order.pieces[0].request_id
     starts = [other.start_by for other in booked if other.request_id == request_id]
-    whole_call = limits.call_seconds + limits.batch * limits.piece_seconds
-    return min(first.start_by, min(starts, default=math.inf) - whole_call / servers)
+    servers = server_count() if starts else 0.0
+    if not 0 < servers < 1:
+        return first.start_by
+    return min(first.start_by, min(starts) - limits.full_call_seconds / servers)
--- a/boragestream/policy/service_queue.py
+++ b/boragestream/policy/service_queue.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
+from functools import partial
 
 from boragestream.document.calls import Piece, PieceResult
 from boragestream.document.routes import PieceLimits
@@ -101,11 +102,9 @@
         queued.returning = max(waited, order.waited_seconds) > 0
         queued.start_by -= max(0.0, waited - order.waited_seconds)
         eligible = _in_regions(usable, order.regions)
+        server_count = partial(self._servers.count, limits, eligible)
         queued.start_by = start_before_booked(
-            queued,
-            self._bookings.values(),
-            limits,
-            self._servers.count(limits, eligible),
+            queued, self._bookings.values(), limits, server_count
         )
         sort_key = queued.sort_key(now)
         if order.needs_spare_capacity:
@@ -326,7 +325,7 @@
         now: float,
     ) -> Surplus | bool:
         """Return whether a claim is beyond its account's share, or its refusal."""
-        capacity = self._servers.capacity(limits, usable)
+        capacity = partial(self._servers.capacity, limits, usable)
         return self._admission.judge_share(claim, capacity, self._pieces_queued, now)
 
     def _pieces_queued(self) -> int:
--- a/boragestream/policy/stage_servers.py
+++ b/boragestream/policy/stage_servers.py
@@ -150,13 +150,12 @@
 
     def count(self, limits: PieceLimits, usable: Sequence[Server]) -> float:
         """Return the number of servers; one whose calls are limited is a fraction."""
-        whole_call = limits.call_seconds + limits.batch * limits.piece_seconds
-        return sum(min(1.0, self._room(s).per_second * whole_call) for s in usable)
+        seconds = limits.full_call_seconds
+        return sum(min(1.0, self._room(s).per_second * seconds) for s in usable)
 
     def capacity(self, limits: PieceLimits, usable: Sequence[Server]) -> float:
         """Return the pieces a second that servers do with one full call each."""
-        whole_call = limits.call_seconds + limits.batch * limits.piece_seconds
-        return self.count(limits, usable) * limits.batch / whole_call
+        return self.count(limits, usable) * limits.batch / limits.full_call_seconds
 
     def drop_stale(self, listed: Iterable[Server], now: float) -> None:
         """Drop the state of servers that have left or restarted.
--- a/tests/features/steps/return_times.py
+++ b/tests/features/steps/return_times.py
@@ -212,6 +212,7 @@
 def step(context, regions, contracts, setting, planned):
     values = {"absent": None, "true": True, "false": False}
     settings = SimpleNamespace(
+        entry=SimpleNamespace(data_centre="hall-0"),
         regions={f"hall-{n}": f"region-{n}" for n in range(regions)},
         platform=PlatformSettings(tuple(contracts.split(","))),
         accounts=AccountSettings(),
