--- a/boragestream/document/calls.py
+++ b/boragestream/document/calls.py
@@ -52,6 +52,8 @@
     :ivar key: the caller's key; empty where there is none.
     :ivar wait_seconds: how long the caller waits, None where it does not say.
     :ivar last_event: the number of the last event that the caller has; None for none.
+    :ivar resumes: the request whose answer brought the first event of the stream that
+        the caller takes up again; empty if it does not say.
     :ivar prompt: the parts of its prompt in their order.
     :ivar output_tokens: the most tokens that it lets a model make.
     :ivar pieces: how many pieces of each stage it needs.
@@ -77,6 +79,7 @@
     piece_key: str
     headers: HeaderList
     delegation: str = field(default="", repr=False)
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/platform/published.py
+++ b/boragestream/platform/published.py
@@ -202,6 +202,7 @@
         started_ms=entry.born if born_known else 0,
         cold_seconds=max(0.0, entry.cold_left_ms / 1000),
         slots=max(0, entry.slots),
+        version=entry.version,
     )
 
 
--- a/boragestream/platform/wire.py
+++ b/boragestream/platform/wire.py
@@ -35,6 +35,8 @@
 # Milliseconds that are left, not a point in time.
 LEFT_MS = "Deadline-Ms"
 RESUME_AFTER = "Last-Event-Id"
+# The request whose answer brought the first event of the stream.
+RESUMED_REQUEST = "Resumes"
 PROMPT_PARTS = "Prompt-Prefix"
 # Tokens of the prompt, and the most tokens of the answer.
 TOKENS = "Token-Counts"
@@ -148,6 +150,7 @@
             key=_key(known.get(KEY.lower(), "")),
             wait_seconds=None if left_ms is None else float(left_ms) / 1000,
             last_event=None if resume is None else int(resume),
+            resumes=known.get(RESUMED_REQUEST.lower(), "").strip(),
             prompt=_prompt(known.get(PROMPT_PARTS.lower(), "")),
             output_tokens=_output_tokens(known.get(TOKENS.lower(), "")),
             pieces=_counts(known.get(PIECE_COUNTS.lower(), "")),
--- a/boragestream/policy/servers.py
+++ b/boragestream/policy/servers.py
@@ -37,6 +37,7 @@
         server's own clock; 0 if it is not known.
     :ivar slots: the calls that it works on at a time; 0 if it is not known.
     :ivar cold_seconds: for how much longer the server was cold when it was listed.
+    :ivar version: the version of its software; empty if it is not known.
     """
 
     name: str
@@ -49,6 +50,7 @@
     started_ms: int = 0
     cold_seconds: float = 0.0
     slots: int = 0
+    version: str = ""
 
     @property
     def identity(self) -> tuple[str, str, str]:
