--- /dev/null
+++ b/tests/features/steps/stream_versions.py
@@ -0,0 +1,353 @@
+"""Steps on streams while servers of several software versions serve."""
+
+import contextlib
+import http.client
+import re
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+from behave import given, then, when
+
+from tests.standins.route_server import EVENTS
+from tests.standins.route_site import HOST, KEY, ZONES, configuration
+
+EVENT = re.compile(rb"id: (\d+)\ndata: \d+ (\S+) w+\n\n")
+PAUSE_SECONDS = 0.04
+PART = 3
+NOT_RUN = 503
+# No wait for a server fits into this time.
+AT_ONCE_SECONDS = 0.8
+OTHER_KEY = "key-of-another-caller-9876543"
+STAGED = {"Pieces": "2,1", "Piece-Key": "k"}
+LATER_SECONDS = 1.0
+FROZEN_SECONDS = 4.0
+# Longer than the listing of a server takes to reach all entries.
+LISTED_SECONDS = 0.6
+UPGRADE_GAP_SECONDS = 0.5
+
+
+@dataclass
+class Tries:
+    """What a caller got of one stream, over all its tries."""
+
+    events: list = field(default_factory=list)
+    statuses: list = field(default_factory=list)
+    seconds: list = field(default_factory=list)
+    began: str = ""
+    entry: str = ""
+
+    @property
+    def versions(self):
+        """The versions of the servers that wrote its events."""
+        return {version for _, version in self.events}
+
+    @property
+    def whole(self):
+        """Whether each event came once and in order."""
+        return [number for number, _ in self.events] == list(range(1, EVENTS + 1))
+
+
+def read_stream(site, tries, entry, path, most=EVENTS, **headers):
+    """Read events of a stream as the caller's next try; close after ``most`` events."""
+    request_id = f"s-{next(site.numbers)}"
+    sent = {
+        "Host": HOST,
+        "Request-Id": request_id,
+        "Deadline-Ms": "6000",
+        "Authorization": f"Bearer {KEY}",
+        **(STAGED if path.startswith("/staged/") else {}),
+    }
+    if tries.events:
+        sent["Last-Event-Id"] = str(tries.events[-1][0])
+        sent["Resumes"] = tries.began
+    sent.update(headers)
+    address = site.fields[entry]["listen"]["front"]
+    connection = http.client.HTTPConnection(address, timeout=8)
+    began, data, got = time.monotonic(), b"", []
+    with contextlib.closing(connection):
+        try:
+            connection.request("POST", path, request_id.encode(), sent)
+            response = connection.getresponse()
+            tries.statuses.append(response.status)
+            while len(got) < most and (chunk := response.read1(4096)):
+                data += chunk
+                got = EVENT.findall(data)
+        except (http.client.HTTPException, OSError):
+            tries.statuses.append(0)
+    tries.seconds.append(time.monotonic() - began)
+    if got and not tries.events:
+        tries.began, tries.entry = request_id, entry
+    tries.events += [(int(n), version.decode()) for n, version in got[:most]]
+    return tries
+
+
+def run_all(context, count, work):
+    """Do some work for a number of streams at once; keep what callers got."""
+    with ThreadPoolExecutor(count) as pool:
+        context.tries = list(pool.map(work, range(count)))
+
+
+@given('engines of the versions "{versions}"')
+def step(context, versions):
+    site, names = context.site, versions.split()
+    engines = site.of_kind("engine")
+    while len(engines) < len(names):
+        server = site.make_server("engine", ZONES[len(engines) % 3])
+        server.when_back = site.list_again
+        site.servers.append(server)
+        engines.append(server)
+    for engine, version in zip(engines, names, strict=False):
+        engine.version, engine.event_seconds = version, PAUSE_SECONDS
+        site.list(engine)
+    time.sleep(LISTED_SECONDS)
+
+
+@when('{count:d} streams "{path}" are read at all entries')
+def step(context, count, path):
+    site, entries = context.site, list(context.site.entries)
+    run_all(
+        context,
+        count,
+        lambda n: read_stream(site, Tries(), entries[n % len(entries)], path),
+    )
+
+
+@then("no stream holds events of two versions")
+def step(context):
+    mixed = [t for t in context.tries if len(t.versions) > 1]
+    assert not mixed, (len(mixed), len(context.tries), mixed[0])
+
+
+@then("every stream is whole")
+def step(context):
+    broken = [t for t in context.tries if not t.whole]
+    assert not broken, (len(broken), broken[0])
+
+
+def take_up(context, count, times, entry_of, path="/chat/ok", wait=0.0):
+    """Have callers read parts of streams at entries chosen by number and try."""
+    site = context.site
+
+    def one(number):
+        tries = Tries()
+        for attempt in range(times):
+            read_stream(site, tries, entry_of(number, attempt), path, 1)
+            time.sleep(wait)
+        return read_stream(site, tries, entry_of(number, times), path)
+
+    run_all(context, count, one)
+
+
+@when(
+    "{count:d} callers read part of a stream and take it up at another entry, "
+    "{times:d} times"
+)
+def step(context, count, times):
+    names = list(context.site.entries)
+    take_up(context, count, times, lambda n, a: names[(n + a) % len(names)])
+
+
+@when(
+    "{count:d} callers read part of a stream and take it up at the same entry, "
+    "{times:d} times"
+)
+def step(context, count, times):
+    names = list(context.site.entries)
+    take_up(context, count, times, lambda n, a: names[n % len(names)])
+
+
+@when(
+    "{count:d} callers read part of a stream and take it up "
+    "at another entry after a second, {times:d} times"
+)
+def step(context, count, times):
+    names = list(context.site.entries)
+    take_up(
+        context,
+        count,
+        times,
+        lambda n, a: names[(n + a) % len(names)],
+        wait=LATER_SECONDS,
+    )
+
+
+@when(
+    "{count:d} callers read part of a stream and take it up "
+    "where its server breaks it again, {times:d} times"
+)
+def step(context, count, times):
+    names = list(context.site.entries)
+    take_up(
+        context, count, times, lambda n, a: names[(n + a) % len(names)], "/chat/cut"
+    )
+
+
+@then("at least {most:d} streams in ten went on")
+def step(context, most):
+    went_on = sum(t.whole for t in context.tries)
+    statuses = [t.statuses for t in context.tries if not t.whole]
+    assert went_on * 10 >= len(context.tries) * most, (went_on, statuses)
+
+
+@when(
+    "{count:d} callers read part of a stream at two entries that {fate}, "
+    "and take it up at others"
+)
+def step(context, count, fate):
+    site, names = context.site, list(context.site.entries)
+    lost, others = names[1:3], [names[0], *names[3:]]
+
+    def begin(number):
+        return read_stream(site, Tries(), lost[number % 2], "/chat/ok", PART)
+
+    def go_on(number):
+        entry = others[number % len(others)]
+        return read_stream(site, context.tries[number], entry, "/chat/ok")
+
+    run_all(context, count, begin)
+    for name in lost:
+        number = signal.SIGKILL if fate == "is killed" else signal.SIGSTOP
+        site.signal(name, number)
+    try:
+        run_all(context, count, go_on)
+    finally:
+        if fate != "is killed":
+            for name in lost:
+                site.signal(name, signal.SIGCONT)
+
+
+@when(
+    '{count:d} callers read part of a stream, all servers of "{version}" end, '
+    "and they take it up at other entries"
+)
+def step(context, count, version):
+    site, names = context.site, list(context.site.entries)
+    run_all(
+        context,
+        count,
+        lambda n: read_stream(site, Tries(), names[n % 3], "/chat/ok", PART),
+    )
+    for server in site.of_kind("engine"):
+        if server.version == version:
+            server.lose()
+            site.store.put(f"servers/{server.identity}", None)
+    time.sleep(LISTED_SECONDS)
+    run_all(
+        context,
+        count,
+        lambda n: read_stream(
+            site, context.tries[n], names[(n + 1) % len(names)], "/chat/ok"
+        ),
+    )
+
+
+@then('every stream of "{version}" is refused at once as not run')
+def step(context, version):
+    of_version = [t for t in context.tries if version in t.versions]
+    assert of_version
+    for tries in of_version:
+        assert tries.statuses[-1] == NOT_RUN, tries
+        assert tries.seconds[-1] < AT_ONCE_SECONDS, tries
+
+
+@then('every stream of "{version}" went on')
+def step(context, version):
+    of_version = [t for t in context.tries if version in t.versions]
+    assert of_version and all(t.whole for t in of_version), of_version
+
+
+@when(
+    "callers read streams and take them up while each engine in turn "
+    'becomes "{version}"'
+)
+def step(context, version):
+    site, names = context.site, list(context.site.entries)
+    ended, kept, lock = threading.Event(), [], threading.Lock()
+
+    def call(number):
+        while not ended.is_set():
+            tries = read_stream(site, Tries(), names[number % 3], "/chat/ok", PART)
+            read_stream(site, tries, names[(number + 1) % 3], "/chat/ok")
+            with lock:
+                kept.append(tries)
+
+    callers = [threading.Thread(target=call, args=(n,)) for n in range(9)]
+    for caller in callers:
+        caller.start()
+    for server in site.of_kind("engine"):
+        time.sleep(UPGRADE_GAP_SECONDS)
+        server.version = version
+        server.crash()
+    time.sleep(LISTED_SECONDS + UPGRADE_GAP_SECONDS)
+    ended.set()
+    for caller in callers:
+        caller.join()
+    context.tries = kept
+
+
+def take_up_unknown(context, **headers):
+    """Have a request take up a stream behind its second event at each entry."""
+    site = context.site
+    context.tries = []
+    for entry in site.entries:
+        tries = Tries(events=[(2, "none")], began="never-seen")
+        context.tries.append(read_stream(site, tries, entry, "/chat/ok", **headers))
+
+
+@when("a request takes up an unknown stream at each entry")
+def step(context):
+    take_up_unknown(context)
+
+
+@when("a request takes up a stream without naming a request at each entry")
+def step(context):
+    take_up_unknown(context, Resumes="")
+
+
+@when("a request takes up a stream of another account at each entry")
+def step(context):
+    site = context.site
+    published = configuration(2)
+    published["tenants"].append(
+        {"name": "other", "api_keys": [OTHER_KEY], "priority": 1}
+    )
+    site.publish(published)
+    time.sleep(LISTED_SECONDS)
+    began = read_stream(site, Tries(), "entry-0", "/chat/ok", PART)
+    assert began.began
+    take_up_unknown(context, Resumes=began.began, Authorization=f"Bearer {OTHER_KEY}")
+
+
+@then("each is refused as not run")
+def step(context):
+    for tries in context.tries:
+        assert tries.statuses == [NOT_RUN], tries
+        assert len(tries.events) == 1, tries
+
+
+@then("each goes on behind its last event")
+def step(context):
+    for tries in context.tries:
+        numbers = [number for number, _ in tries.events]
+        assert numbers == list(range(2, EVENTS + 1)), tries
+
+
+@when("streams are read at an entry that is cut off from all servers in between")
+def step(context):
+    site, cut = context.site, "entry-1"
+    for server in site.of_kind("engine"):
+        server.event_seconds = 5 * PAUSE_SECONDS
+    with ThreadPoolExecutor(60) as pool:
+        futures = []
+        for number in range(60):
+            tries = Tries()
+            futures.append(pool.submit(read_stream, site, tries, cut, "/chat/ok"))
+            time.sleep(0.05)
+            if number == 20:
+                site.cut_off([cut], "refused")
+        context.tries = [future.result() for future in futures]
+    site.heal()
+    assert "request_delegated" in site.log(cut)
--- /dev/null
+++ b/tests/features/stream_versions.feature
@@ -0,0 +1,93 @@
+Feature: a stream goes on only at the software version that began it
+
+  # Guards against streams whose events come from servers of two software versions after
+  # a server broke the stream and another one went on with it.
+  @fixture.route-site.3
+  Scenario Outline: a stream that its server breaks holds events of one version: <versions>, <path>
+    Given engines of the versions "<versions>"
+    When 30 streams "<path>" are read at all entries
+    Then no stream holds events of two versions
+    And every stream is whole
+
+    Examples:
+      | versions          | path                |
+      | v1 v1 v2 v2       | /chat/cut           |
+      | v1 v1 v2 v2       | /chat/half          |
+      | v1 v1 v2 v2       | /chat/unframed-half |
+      | v1 v1 v2 v2       | /staged/cut         |
+      | v1 v1 v2 v2 v3 v3 | /chat/cut           |
+
+  # Guards against streams of two versions after their callers took them up again, as new
+  # requests to any entry.
+  @fixture.route-site.6
+  Scenario Outline: streams that callers take up <where> hold events of one version and go on: <versions>
+    Given engines of the versions "<versions>"
+    When 30 callers read part of a stream and take it up <where>, <times> times
+    Then no stream holds events of two versions
+    And at least <most> streams in ten went on
+
+    Examples:
+      | where                            | versions          | times | most |
+      | at another entry                 | v1 v1 v2 v2       | 3     | 9    |
+      | at the same entry                | v1 v1 v2 v2       | 1     | 9    |
+      | at another entry after a second  | v1 v1 v2 v2       | 1     | 9    |
+      | at another entry                 | v1 v1 v2 v2 v3 v3 | 1     | 9    |
+      | where its server breaks it again | v1 v1 v2 v2       | 1     | 9    |
+
+  # Guards against the version of a stream being known to the entry that began it alone.
+  @fixture.route-site.6
+  Scenario Outline: streams whose entry <fate> go on at their version
+    Given engines of the versions "v1 v1 v2 v2"
+    When 30 callers read part of a stream at two entries that <fate>, and take it up at others
+    Then no stream holds events of two versions
+    And at least 9 streams in ten went on
+
+    Examples:
+      | fate      |
+      | is killed |
+      | hangs     |
+
+  # Guards against a stream that goes on at another version because none of its own is
+  # left, and against its caller waiting for one.
+  @fixture.route-site.3
+  Scenario: streams whose version has no server left are refused at once
+    Given engines of the versions "v1 v2 v2"
+    When 18 callers read part of a stream, all servers of "v1" end, and they take it up at other entries
+    Then no stream holds events of two versions
+    And every stream of "v1" is refused at once as not run
+    And every stream of "v2" went on
+
+  # Guards against a server that starts again at its address under another version and is
+  # taken for the one before.
+  @fixture.route-site.3
+  Scenario: a rolling upgrade at the same addresses leaves no stream of two versions
+    Given engines of the versions "v1 v1 v1 v1"
+    When callers read streams and take them up while each engine in turn becomes "v2"
+    Then no stream holds events of two versions
+
+  # Guards against an entry that goes on with a stream whose version it can't know.
+  @fixture.route-site.3
+  Scenario Outline: a request that takes up <what> is refused as not run
+    Given engines of the versions "v1 v1 v2 v2"
+    When a request takes up <what> at each entry
+    Then each is refused as not run
+
+    Examples:
+      | what                              |
+      | an unknown stream                 |
+      | a stream without naming a request |
+      | a stream of another account       |
+
+  @fixture.route-site.3
+  Scenario: with a single version streams go on that no entry knows
+    Given engines of the versions "v1 v1"
+    When a request takes up an unknown stream at each entry
+    Then each goes on behind its last event
+
+  # Guards against entries that are cut off from servers and have another entry go on with
+  # a stream, which does not know its version.
+  @fixture.route-site.6.cuts
+  Scenario: streams that pass to another entry hold events of one version
+    Given engines of the versions "v1 v1 v2 v2"
+    When streams are read at an entry that is cut off from all servers in between
+    Then no stream holds events of two versions
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -64,6 +64,8 @@
         """Listen at a free port of an address."""
         self.identity = f"i-{next(self.numbers)}"
         self.service, self.kind, self.zone = service, kind, zone
+        # The version of its software, which each event names.
+        self.version = "v1"
         # Which faults have struck which requests, shared by the servers of a site.
         self.struck = fault_book if fault_book is not None else set()
         self.runs = Counter()
@@ -125,7 +127,7 @@
                 "service": self.service,
                 "addr": self.address,
                 "zone": self.zone,
-                "version": "v1",
+                "version": self.version,
                 "slots": 8,
                 "state": state,
                 "cold_left_ms": cold_ms,
@@ -355,17 +357,22 @@
     def stream(self, sock, headers, fault):
         """Send events behind the caller's last one, or break off as the fault says."""
         first = int(headers.get("Last-Event-Id", 0)) + 1
-        head = [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
+        # The version with which this run began, also if the server is upgraded.
+        words = self.version.encode() + b" " + b"w" * 20
+        framed = fault != "unframed-half"
+        head = [("Content-Type", "text/event-stream")]
+        head += [("Transfer-Encoding", "chunked")] if framed else []
         self.send(sock, headers, 200, None, head)
         for number in range(first, EVENTS + 1):
-            event = b"id: %d\ndata: %d %s\n\n" % (number, number, b"w" * 20)
+            event = b"id: %d\ndata: %d %s\n\n" % (number, number, words)
             if fault == "gap" and number == first + 2:
                 continue
-            if fault == "half" and number == first + 2:
+            if fault in ("half", "unframed-half") and number == first + 2:
                 event = event[:7]
             self.wait_for_link(sock)
-            sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
-            if fault in ("cut", "half") and number == first + 2:
+            chunk = b"%x\r\n%s\r\n" % (len(event), event)
+            sock.sendall(chunk if framed else event)
+            if fault in ("cut", "half", "unframed-half") and number == first + 2:
                 raise OSError("cut")
             if fault == "before" and number == first:
                 raise OSError("cut")
