--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -35,6 +35,7 @@
 from boragestream.document.routes import CallKind
 from boragestream.policy.load import CallEnd
 from boragestream.policy.servers import Server
+from boragestream.serving.crash_checks import CrashChecks
 from boragestream.serving.delegation import DelegatedAttempt, Delegation
 from boragestream.serving.event_stream import EventSplitter, StreamBroken
 from boragestream.serving.forward_attempt import ForwardAttempt, ForwardParts
@@ -89,6 +90,7 @@
             parts.other_servers,
             was_cut=run.earlier_runs > 0,
         )
+        self._crashes = CrashChecks(parts, run, self._guard)
         self._delegation = Delegation(parts.delegation, parts.line.reach, run)
         # Whether a server could not be reached at all.
         self._unreached = False
@@ -140,7 +142,7 @@
             handles = tuple(result.handle for result in self._inputs)
             result = attempt.open(handles, self._splitter.last, self._possible_runs > 0)
             if isinstance(result, AttemptFailure):
-                self._check_for_crash(server, result)
+                self._crashes.check(server, result)
                 if not self._may_retry_after(result):
                     self._release_inputs()
                     return
@@ -202,7 +204,7 @@
         attempt.end(CallEnd.ANSWERED if whole and successful else CallEnd.CUT)
         if not whole:
             failed = body if isinstance(body, Failure) else _unverified(attempt.server)
-            self._check_for_crash(attempt.server, failed)
+            self._crashes.check(attempt.server, failed)
             self._note_failure(failed)
             return None
         self._guard.note_answered()
@@ -259,29 +261,6 @@
             failure=failure.describe(),
         )
 
-    def _check_for_crash(self, server: Server, failure: Failure) -> None:
-        """Check for a crash of the server if its answer was cut."""
-        seated = self._parts.seated
-        if seated is not None and seated.is_brittle(server.service):
-            # Rejections of other calls may have made the server crash.
-            return
-        if isinstance(failure, AnswerCut) and failure.ran is Ran.MAY_HAVE_RUN:
-            crashed = self._guard.check_for_crash(server)
-            if crashed and self._parts.outstanding is not None:
-                self._note_outstanding_at_crash(server)
-
-    def _note_outstanding_at_crash(self, server: Server) -> None:
-        bound = self._parts.outstanding.note_crash(server)
-        if bound is not None:
-            emit(
-                Event.SERVER_BOUNDED,
-                request=self._run.request.request_id,
-                server=server.name,
-                service=server.service,
-                bytes=bound.size,
-                tokens=bound.tokens,
-            )
-
     def _may_retry_after(self, failure: AttemptFailure) -> bool:
         """Record an attempt without an answer; return whether another may follow."""
         self._note_failure(
@@ -338,7 +317,7 @@
         # server resumes the stream.
         attempt.close()
         if isinstance(attempt, ForwardAttempt):
-            self._check_for_crash(attempt.server, failure)
+            self._crashes.check(attempt.server, failure)
         self._splitter.discard_partial()
         cancelled = isinstance(failure, AttemptCancelled)
         self._note_failure(failure.reason if cancelled else failure)
