Suspect a cut by the failures of one region's servers

Cause: failures at two servers of a service raise a suspicion. Where there are regions, the owner of a region's queue calls the servers of that region alone. Change: the servers of the region that has the fewest count, instead of all. Test: failures at one server raise a suspicion, by regions; it would fail for 'valley hills' and 'valley valley hills' with the count of all servers.

--- a/boragestream/daemon/parts.py
+++ b/boragestream/daemon/parts.py
@@ -18,7 +18,12 @@
 from boragestream.daemon.limits import SharedLimits, make_shared_limits
 from boragestream.daemon.listing import EntryListing
 from boragestream.daemon.peers import Peers, make_peers
-from boragestream.daemon.reach import ReachParts, make_reach, other_servers
+from boragestream.daemon.reach import (
+    ReachParts,
+    fewest_servers,
+    make_reach,
+    other_servers,
+)
 from boragestream.daemon.tasks import to_leaving_server
 from boragestream.entry.links import PeerLinks
 from boragestream.entry.messages import Sender
@@ -143,7 +148,7 @@
         rng,
         open_calls=lambda server: loads.get(server).in_progress,
     )
-    reach = ServerReach(clock, lambda service: len(servers.live(service)))
+    reach = ServerReach(clock, fewest_servers(servers))
     reach_parts = make_reach(
         entry_settings.name,
         entry_settings.data_centre,
--- a/boragestream/daemon/reach.py
+++ b/boragestream/daemon/reach.py
@@ -1,6 +1,7 @@
 """Builds the objects of an entry that concern which servers it reaches."""
 
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
@@ -22,7 +23,13 @@
 from boragestream.serving.delegation import DelegationParts, EncodeDelegated
 from boragestream.serving.reach_checks import Probe, ReachChecks
 
-__all__ = ["ReachParts", "make_delegation", "make_reach", "other_servers"]
+__all__ = [
+    "ReachParts",
+    "fewest_servers",
+    "make_delegation",
+    "make_reach",
+    "other_servers",
+]
 
 # Other servers with which one that seems to have crashed is compared.
 COMPARED_SERVERS = 2
@@ -134,6 +141,20 @@
     )
 
 
+def fewest_servers(servers: ServerTable) -> Callable[[str], int]:
+    """Return a function that counts a service's live servers in its smallest region.
+
+    The owner of a region's stage queue calls the servers of that region alone, so that
+    their failures must suffice for a suspicion.
+    """
+
+    def count(service: str) -> int:
+        by_region = Counter(server.region for server in servers.live(service))
+        return min(by_region.values(), default=0)
+
+    return count
+
+
 def other_servers(
     servers: ServerTable, rng: random.Random
 ) -> Callable[[Server], Sequence[Server]]:
--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -25,7 +25,12 @@
     make_publications,
 )
 from boragestream.daemon.published_servers import PublishedServers
-from boragestream.daemon.reach import make_delegation, make_reach, other_servers
+from boragestream.daemon.reach import (
+    fewest_servers,
+    make_delegation,
+    make_reach,
+    other_servers,
+)
 from boragestream.daemon.regional import make_regional
 from boragestream.daemon.response_hints import response_hints
 from boragestream.daemon.route_parts import RouteParts
@@ -176,7 +181,7 @@
     apply_response_hints = response_hints(
         servers, backoffs, limits.limits, limits.brittle
     )
-    reach = ServerReach(clock, lambda service: len(servers.live(service)))
+    reach = ServerReach(clock, fewest_servers(servers))
     line = CallLine(
         read_answer_head,
         connections,
--- a/tests/features/server_reach.feature
+++ b/tests/features/server_reach.feature
@@ -18,6 +18,21 @@
     When a check finds no other entry that was answered since
     Then the service is not suspect until calls fail anew
 
+  # Guards against owners of stage queues that never suspect that they are cut off: they
+  # call the servers of their own region alone, and there may be a single one.
+  Scenario Outline: failures at one server raise <what> suspicion: <regions>
+    Given servers of one service in the regions "<regions>"
+    When calls fail at one of them with no answer in between
+    Then that raises <what> suspicion
+
+    Examples:
+      | regions                   | what |
+      | valley hills              | a    |
+      | valley                    | a    |
+      | valley valley hills       | a    |
+      | valley valley hills hills | no   |
+      | valley valley             | no   |
+
   # Guards against connections that are opened in vain while kept ones still work.
   Scenario: kept connections are used while only new ones fail
     Given an entry that is cut off and is still answered on kept connections
--- a/tests/features/steps/server_reach.py
+++ b/tests/features/steps/server_reach.py
@@ -2,6 +2,7 @@
 
 import random
 import socket
+from dataclasses import replace
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -10,6 +11,7 @@
 from boragestream.backend.failures import AnswerCut, ConnectFailed, Ran
 from boragestream.base.liveness import detect_dead_peer
 from boragestream.base.outcomes import Failure
+from boragestream.daemon.reach import fewest_servers
 from boragestream.document.calls import RunClaim
 from boragestream.document.routes import CallKind
 from boragestream.entry.brittle import BrittlePart
@@ -27,7 +29,7 @@
 from boragestream.policy.granters import Granters
 from boragestream.policy.peers import ListedEntry
 from boragestream.policy.server_reach import ServerReach
-from boragestream.policy.servers import Server
+from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving import delegation, forwarder
 from boragestream.serving.forwarded_run import outcome_of
 from boragestream.serving.request import SentRecord
@@ -51,6 +53,29 @@
     context.reach = ServerReach(context.clock, lambda service: 2)
 
 
+@given('servers of one service in the regions "{regions}"')
+def step(context, regions):
+    context.clock = SetClock()
+    table = ServerTable()
+    table.take_list(
+        replace(server(number), region=region)
+        for number, region in enumerate(regions.split())
+    )
+    context.reach = ServerReach(context.clock, fewest_servers(table))
+
+
+@when("calls fail at one of them with no answer in between")
+def step(context):
+    for _ in range(3):
+        call = context.reach.begin(server(0), True)
+        context.reach.end(call, failed=True)
+
+
+@then("that raises {what} suspicion")
+def step(context, what):
+    assert context.reach.is_suspect(SERVICE) is (what == "a")
+
+
 def answer(context, number, fresh):
     """Have a server answer a call."""
     call = context.reach.begin(server(number), fresh)
