--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -279,6 +279,12 @@
         cut_entries = "Entries that are cut off from some service, this one included."
         gauge("cut_entries", cut_entries, lambda: len(reach.cut_entries.cut_off()))
 
+        streams = parts.streams
+        mixed = "Services whose servers have had several software versions lately."
+        gauge("mixed_services", mixed, lambda: streams.history.mixed_services)
+        records = "Records of where streams began, own ones and held ones."
+        gauge("stream_records", records, lambda: streams.records.count)
+
         table = parts.publications.servers.table
         era = "The era of the store that the server list goes by; -1 for none."
         gauge("list_era", era, lambda: table.era)
--- a/boragestream/entry/stream_records.py
+++ b/boragestream/entry/stream_records.py
@@ -79,6 +79,11 @@
         self._senders = ThreadPoolExecutor(SENDING_THREADS, "stream-record")
         self._requesters = ThreadPoolExecutor(REQUEST_THREADS, "stream-origin")
 
+    @property
+    def count(self) -> int:
+        """The number of records."""
+        return len(self._origins)
+
     def note_began(self, key: bytes, origin: StreamOrigin) -> None:
         """Record where a stream began, before its first event is passed on."""
         self._origins.note(key, origin)
--- a/boragestream/operator/explain.py
+++ b/boragestream/operator/explain.py
@@ -46,6 +46,13 @@
 IN_FORCE_BY_SERVER = ("server_limit_changed",)
 # What is told of all returns of a request, by its fingerprint.
 OF_ALL_RETURNS = ("server_crashed", "crashes_heard")
+# What is shown of other requests that brought parts of a stream.
+OF_ALL_TRIES = (
+    "server_chosen",
+    "stream_resumed",
+    "stream_not_resumed",
+    "request_ended",
+)
 # How long before a request's first line a change still counts as close to it.
 CLOSE_SECONDS = 3.0
 KEPT_BELIEFS = 50
@@ -70,6 +77,7 @@
 
     :ivar lines: its own lines, entry by entry.
     :ivar beliefs: the changes shortly before and during it, on the same entries.
+    :ivar tries: the lines of other requests that brought parts of the same stream.
     :ivar crashes: of servers that ran it, under whatever id, on all entries.
     :ivar cause: the failure that decided its end; empty where it was answered.
     :ivar damaged: lines that could not be read.
@@ -78,6 +86,7 @@
     request: str
     lines: tuple[Line, ...]
     beliefs: tuple[Line, ...]
+    tries: tuple[Line, ...]
     crashes: tuple[Line, ...]
     cause: str
     damaged: int
@@ -109,6 +118,7 @@
     own: list[Line] = []
     near: list[Line] = []
     returns: list[Line] = []
+    tries: list[Line] = []
     damaged = 0
     for source, text in texts:
         lines: list[Line] = []
@@ -118,12 +128,29 @@
             else:
                 lines.append(line)
         returns += [line for line in lines if line.name in OF_ALL_RETURNS]
+        tries += [line for line in lines if line.name in OF_ALL_TRIES]
         mine = [line for line in lines if line.fields.get("request") == request]
         if mine:
             own += mine
             near += _beliefs(lines, mine)
     crashes = _of_same_request(returns, own)
-    return Story(request, tuple(own), tuple(near), crashes, _cause(own), damaged)
+    same_stream = _of_same_stream(request, tries)
+    return Story(
+        request, tuple(own), tuple(near), same_stream, crashes, _cause(own), damaged
+    )
+
+
+def _of_same_stream(request: str, tries: list[Line]) -> tuple[Line, ...]:
+    """Return the lines of other requests that began the stream or took it up."""
+    began = {request}
+    for line in tries:
+        if line.fields.get("request") == request and line.fields.get("resumes"):
+            began.add(line.fields["resumes"])
+    names = began | {
+        line.fields["request"] for line in tries if line.fields.get("resumes") in began
+    }
+    same = [line for line in tries if line.fields.get("request") in names - {request}]
+    return tuple(sorted(same, key=lambda line: line.at))
 
 
 def _of_same_request(returns: list[Line], own: list[Line]) -> tuple[Line, ...]:
@@ -203,6 +230,11 @@
     if story.beliefs:
         rows += ["", "in force and changed around it:"]
         rows += [_row(line) for line in story.beliefs]
+    if story.tries:
+        rows += ["", "other requests of the same stream:"]
+        rows += [
+            f"{_row(line)} request={line.fields['request']}" for line in story.tries
+        ]
     if story.crashes:
         rows += ["", "servers that crashed while they ran it, under whatever id:"]
         rows += [_row(line) for line in story.crashes]
--- a/boragestream/policy/stream_origins.py
+++ b/boragestream/policy/stream_origins.py
@@ -37,7 +37,7 @@
 # Callers take up a stream within the deadline with which they began it.
 RETENTION_SECONDS = 60.0
 # At 35 streams a second and 70 records a second from other entries, more than are kept
-# for RETENTION_SECONDS; about 8 MB.
+# for RETENTION_SECONDS; about 14 MB.
 MAX_RECORDS = 32_768
 
 
@@ -187,6 +187,12 @@
         """Return whether a service has had several versions recently."""
         return len(self.versions(service)) > 1
 
+    @property
+    def mixed_services(self) -> int:
+        """The number of services that have had several versions recently."""
+        with self._lock:
+            return len(self._several(self._clock.now()))
+
     def _recent(self, service: str, now: float) -> set[str]:
         seen = self._last_listed.get(service, {})
         listed = self._listed.get(service, set())
--- a/tests/features/explaining.feature
+++ b/tests/features/explaining.feature
@@ -18,6 +18,12 @@
     Given logs of two entries, at one of which servers crashed under an earlier return
     Then the story of "r-5" at the other entry names both crashes and "request-quarantined"
 
+  # Guards against a stream whose parts came from several entries and can't be traced.
+  Scenario: a stream that was taken up is traced to the request that began it
+    When "r-9" is explained from the logs of the entries that served the stream
+    Then the request that began it and the server's version are told, with "r-8"
+    And the request that was refused is told, with "r-10"
+
   Scenario: damaged lines are skipped and counted, and lines of others left out
     Given a log with the request "r-1", a damaged line and another request
     Then the story of "r-1" has 2 lines, the version 7 in force and 1 damaged line
--- a/tests/features/steps/explaining.py
+++ b/tests/features/steps/explaining.py
@@ -59,6 +59,28 @@
 )
 
 
+# A stream that began at one entry, went on at another one and was refused by a third.
+STREAM_LOGS = (
+    (
+        {"name": "entry_started", "entry": "entry-a"},
+        {"name": "server_chosen", "request": "r-8", "server": "i-1", "software": "v1"},
+        {"name": "request_ended", "request": "r-8", "status": 200, "failure": "gone"},
+        {"name": "server_chosen", "request": "r-11", "server": "i-2"},
+    ),
+    (
+        {"name": "entry_started", "entry": "entry-b"},
+        {"name": "stream_resumed", "request": "r-9", "resumes": "r-8"},
+        {"name": "server_chosen", "request": "r-9", "resumes": "r-8", "server": "i-3"},
+        {"name": "request_ended", "request": "r-9", "status": 200},
+    ),
+    (
+        {"name": "entry_started", "entry": "entry-c"},
+        {"name": "stream_not_resumed", "request": "r-10", "resumes": "r-8"},
+        {"name": "request_ended", "request": "r-10", "status": 503},
+    ),
+)
+
+
 def explain(context, request_id):
     """Run the command on the logs of a site; return its JSON and exit code."""
     files = [str(process.log) for process in context.site.entries.values()]
@@ -374,3 +396,33 @@
     addresses = [f"{fields['ip']}:9464" for fields in context.site.fields.values()]
     picture, _ = run(["status", f"--metrics={','.join(addresses)}", "--json"])
     assert [e["limited_servers"] for e in picture["entries"]] == [count, count], picture
+
+
+@when('"{request_id}" is explained from the logs of the entries that served the stream')
+def step(context, request_id):
+    with tempfile.TemporaryDirectory() as folder:
+        files = []
+        for number, lines in enumerate(STREAM_LOGS):
+            path = os.path.join(folder, f"log-{number}")
+            with open(path, "w") as log:
+                log.writelines(json.dumps({"at": 1.0, **line}) + "\n" for line in lines)
+            files.append(path)
+        context.story, code = run(["explain", request_id, *files, "--json"])
+    assert code is ExitCode.OK
+
+
+@then(
+    'the request that began it and the server\'s version are told, with "{request_id}"'
+)
+def step(context, request_id):
+    tries = context.story["tries"]
+    began = [t["fields"] for t in tries if t["fields"]["request"] == request_id]
+    assert [fields.get("software") for fields in began][:1] == ["v1"], tries
+    assert "r-11" not in {t["fields"]["request"] for t in tries}
+
+
+@then('the request that was refused is told, with "{request_id}"')
+def step(context, request_id):
+    tries = context.story["tries"]
+    names = [t["name"] for t in tries if t["fields"]["request"] == request_id]
+    assert names == ["stream_not_resumed", "request_ended"], tries
