Log the prompt parts of requests under which a server crashed

Change: server_crashed names the parts of the prompt that other requests may share. Nothing is decided by them yet.

--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -103,6 +103,11 @@
         tokens = sum(part.tokens for part in self.request.prompt)
         return WorkSize(len(self.request.body), tokens)
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The parts of its prompt that other requests may share: all but the last."""
+        return tuple(part.identity for part in self.request.prompt[:-1])
+
     def note_not_run(self, server: Server) -> None:
         """Record that a server states that it did not run the request."""
         self.sent.note_not_run(server.name)
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -94,6 +94,7 @@
             run.fingerprint,
             parts.other_servers,
             was_cut=run.earlier_runs > 0,
+            parts=run.shared_parts,
         )
         self._crashes = CrashChecks(parts, run, self._guard)
         self._delegation = Delegation(parts.delegation, parts.line.reach, run)
--- a/boragestream/serving/request_guard.py
+++ b/boragestream/serving/request_guard.py
@@ -24,6 +24,7 @@
 # The host of an ended process refuses a connection within one round trip. The limit is
 # short because the caller waits for this check.
 CONNECT_TIMEOUT_SECONDS = 0.15
+LOGGED_PARTS = 16
 
 
 def has_crashed(
@@ -57,12 +58,17 @@
 
 
 def count_crash(
-    quarantine: Quarantine, record_at_send: CrashRecord, server: Server, request_id: str
+    quarantine: Quarantine,
+    record_at_send: CrashRecord,
+    server: Server,
+    request_id: str,
+    parts: Sequence[str] = (),
 ) -> None:
     """Count a crash against a request that the server ran, and log it.
 
     :param record_at_send: the request's crash record right before it was sent.
     :param request_id: empty if the server ran pieces of several requests.
+    :param parts: the parts of its prompt that other requests may share.
     """
     record = quarantine.note_crash(record_at_send)
     emit(
@@ -72,6 +78,7 @@
         server=server.name,
         service=server.service,
         crashes=record.crashes if record is not None else None,
+        parts=parts[:LOGGED_PARTS],
     )
 
 
@@ -82,6 +89,7 @@
     :param fingerprint: identifies the request across all its repeats.
     :param others: returns some other servers, see ``has_crashed``.
     :param was_cut: whether an earlier attempt at another entry was cut.
+    :param parts: the parts of its prompt that other requests may share.
     """
 
     def __init__(
@@ -92,7 +100,9 @@
         fingerprint: bytes,
         others: Callable[[Server], Sequence[Server]] = lambda server: (),
         was_cut: bool = False,
+        parts: Sequence[str] = (),
     ) -> None:
+        self._parts = parts
         self._others = others
         self._quarantine = quarantine
         self._connections = connections
@@ -144,7 +154,9 @@
             return False
         self._was_cut = True
         record_at_send = self._record_at_send or CrashRecord(self._fingerprint)
-        count_crash(self._quarantine, record_at_send, server, self._request_id)
+        count_crash(
+            self._quarantine, record_at_send, server, self._request_id, self._parts
+        )
         return True
 
     def note_answered(self) -> None:
--- a/tests/features/steps/server_reach.py
+++ b/tests/features/steps/server_reach.py
@@ -418,6 +418,7 @@
         delegated_by="",
         earlier_runs=runs,
         version=None,
+        shared_parts=(),
         fingerprint=b"",
     )
     parts = SimpleNamespace(
