Block parts of prompts that crash the servers that begin to answer them

Cause: an entry knew a request by its account, target and body. Ruled out: reports that come too late at other entries (0.1 to 0.6 s), and engines that end under load (one at a time, none before the first such request). Change: a crash is counted against the parts of each prompt that was there and whose answer had not begun, but the last part; an answer that began clears its parts, and those that were cleared within three seconds before the send are not suspected. Of suspected parts only those with the most crashes in a row are counted. The third crash in a row blocks a part at all entries, by the table and the messages of quarantined requests. Such a request is refused at once as not run, before any piece is made; after half a minute one entry tries one. Why it works: the part that crashes servers is never cleared, and all others that come with it are, by the sound requests that have them. Prompts of more than 256 parts are read whole.

--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -71,6 +71,8 @@
     SERVER_LIMIT_CHANGED = (3110, logging.WARNING)
     SERVICE_BRITTLE = (3112, logging.WARNING)
     SURPLUS_REFUSED = (3111, logging.INFO)
+    PART_CRASHED = (3113, logging.WARNING)
+    PART_REFUSED = (3114, logging.INFO)
     SERVER_BOUNDED = (3120, logging.WARNING)
     MEMORY_REFUSED = (3201, logging.WARNING)
     SLOW_READER_ABANDONED = (3202, logging.WARNING)
--- a/boragestream/daemon/peers.py
+++ b/boragestream/daemon/peers.py
@@ -19,7 +19,8 @@
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.membership import MemberState
 from boragestream.policy.peers import EntryTable
-from boragestream.policy.quarantine import Quarantine
+from boragestream.policy.prompt_parts import CRASHES_TO_BLOCK, PartCrashes
+from boragestream.policy.quarantine import CRASHES_TO_QUARANTINE, Quarantine
 from boragestream.policy.servers import ServerTable
 from boragestream.policy.watching import direct_read_seconds, is_watcher
 
@@ -27,6 +28,7 @@
     "InitialSync",
     "Peers",
     "WatchDuty",
+    "make_part_crashes",
     "make_quarantine",
     "entries_with_states",
     "make_peers",
@@ -154,22 +156,46 @@
 
 
 def make_quarantine(
-    own: str, members: EntryPeers, links: PeerLinks, clock: Clock
+    own: str,
+    members: EntryPeers,
+    links: PeerLinks,
+    clock: Clock,
+    of_parts: bool = False,
 ) -> tuple[Quarantine, QuarantinePart]:
     """Build the quarantine, which shares crashing requests among the entries.
 
     :param own: this entry's name.
+    :param of_parts: whether it is that of parts of prompts.
     """
 
     def usable_entries() -> list[str]:
         return [entry.name for entry in members.entries.usable()]
 
-    quarantine = Quarantine(own, usable_entries, clock, members.exchange.request_round)
-    part = QuarantinePart(quarantine, links, members.address, members.exchange.submit)
+    quarantine = Quarantine(
+        own,
+        usable_entries,
+        clock,
+        members.exchange.request_round,
+        CRASHES_TO_BLOCK if of_parts else CRASHES_TO_QUARANTINE,
+    )
+    part = QuarantinePart(
+        quarantine, links, members.address, members.exchange.submit, of_parts
+    )
     members.exchange.add_part(part)
     return quarantine, part
 
 
+def make_part_crashes(
+    own: str, members: EntryPeers, links: PeerLinks, clock: Clock
+) -> tuple[PartCrashes, QuarantinePart]:
+    """Build the records of the parts of prompts that crash servers.
+
+    :param own: this entry's name.
+    """
+    quarantine, part = make_quarantine(own, members, links, clock, of_parts=True)
+    return PartCrashes(quarantine, clock), part
+
+
 def entries_with_states(
     listed: Iterable[Instance], entries: EntryTable
 ) -> tuple[Instance, ...]:
--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -19,7 +19,7 @@
 from boragestream.daemon.limits import make_shared_limits
 from boragestream.daemon.memory import make_budget, make_outstanding
 from boragestream.daemon.operator_values import OperatorValues, offer_route_text
-from boragestream.daemon.peers import make_quarantine
+from boragestream.daemon.peers import make_part_crashes, make_quarantine
 from boragestream.daemon.publications import (
     AWAITED_KEYS,
     make_publications,
@@ -140,6 +140,7 @@
     )
     members.exchange.add_part(relay)
     quarantine, quarantine_part = make_quarantine(own, members, links, clock)
+    part_crashes, blocked_part = make_part_crashes(own, members, links, clock)
     members.exchange.add_part(book)
     sync = AddressSync(
         book, links, members.exchange.submit, clock, rng, members.of_own_region
@@ -213,10 +214,9 @@
     )
     compared_servers = other_servers(servers, rng)
 
-    bound = cold_bound(in_force, service_definition)
     cold = ColdServers(
         own,
-        bound,
+        cold_bound(in_force, service_definition),
         stage_owners.cold_senders,
         lambda: sync.has_converged,
         clock,
@@ -364,6 +364,7 @@
             delegation=delegation,
             other_servers=compared_servers,
             origins=streams.records,
+            part_crashes=part_crashes,
         )
     )
     return RouteParts(
@@ -376,7 +377,7 @@
         cold=cold,
         limits=limits,
         quarantine=quarantine,
-        quarantine_part=quarantine_part,
+        quarantine_parts=(quarantine_part, blocked_part),
         published_servers=published_servers,
         watchdog=watchdog,
         metrics=metrics,
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -265,6 +265,9 @@
         gauge("brittle_services", brittle, lambda: parts.limits.brittle.count)
         quarantined = "Requests that are sent to no server, since they crash it."
         gauge("quarantined", quarantined, lambda: parts.quarantine.count)
+        blocked = "Parts of prompts that are sent to no server, since they crash it."
+        crashes = parts.forwarder.parts.part_crashes
+        gauge("blocked_parts", blocked, lambda: crashes.blocked)
         drained = "Data centres that get no requests."
         gauge("drained_centres", drained, lambda: len(parts.servers.drained))
         malformed = partial(getattr, parts.published_servers, "malformed")
--- a/boragestream/daemon/route_parts.py
+++ b/boragestream/daemon/route_parts.py
@@ -22,9 +22,10 @@
     AddressesAsk,
     PublishedAsk,
     QuarantineAsk,
+    QuarantineReply,
 )
 from boragestream.entry.links import Handler
-from boragestream.entry.messages import DocumentAsk, Probe, Sender
+from boragestream.entry.messages import DocumentAsk, Envelope, Probe, Sender
 from boragestream.entry.peers import EntryPeers
 from boragestream.entry.piece_messages import (
     PiecesBook,
@@ -62,7 +63,8 @@
     :ivar cold: the servers that have just started.
     :ivar limits: the servers that have a limit on their requests.
     :ivar quarantine: the requests that crash servers.
-    :ivar quarantine_part: sends the quarantined requests to other entries.
+    :ivar quarantine_parts: send the quarantined requests, and the blocked parts of
+        prompts, to other entries.
     :ivar published_servers: applies the published list of servers.
     :ivar publications: the values of the platform's store that the entry follows.
     :ivar ended: set once the entry has ended.
@@ -86,7 +88,7 @@
     cold: ColdServers
     limits: SharedLimits
     quarantine: Quarantine
-    quarantine_part: QuarantinePart
+    quarantine_parts: tuple[QuarantinePart, QuarantinePart]
     published_servers: PublishedServers
     watchdog: Watchdog
     metrics: RouteMetrics
@@ -119,7 +121,7 @@
             DocumentAsk: self.relay.answer,
             AddressesAsk: self.address_sync.answer,
             PublishedAsk: self.publications.relay.answer,
-            QuarantineAsk: self.quarantine_part.answer,
+            QuarantineAsk: self._answer_quarantine,
             PiecesOrder: self.orders.answer_order,
             PiecesBook: self.bookings.answer_booking,
             PiecesDone: self.orders.answer_done,
@@ -127,6 +129,13 @@
             PiecesRelease: self.orders.answer_release,
         }
 
+    def _answer_quarantine(
+        self, envelope: Envelope, message: QuarantineAsk
+    ) -> QuarantineReply:
+        of_requests, of_parts = self.quarantine_parts
+        part = of_parts if message.parts else of_requests
+        return part.answer(envelope, message)
+
     def serving_entries(self) -> list[ListedEntry]:
         """Return the entries that serve callers, this one included.
 
--- a/boragestream/entry/knowledge_messages.py
+++ b/boragestream/entry/knowledge_messages.py
@@ -90,10 +90,15 @@
 
 
 class QuarantineAsk(msgspec.Struct, frozen=True, tag=True):
-    """Requests the quarantined requests."""
+    """Requests the quarantined requests.
+
+    :ivar parts: whether the blocked parts of prompts are requested instead.
+    """
+
+    parts: bool = False
 
 
 class QuarantineReply(msgspec.Struct, frozen=True, tag=True):
-    """The quarantined requests."""
+    """The quarantined requests, or the blocked parts of prompts."""
 
     records: tuple[PackedCrashes, ...] = ()
--- a/boragestream/entry/quarantine.py
+++ b/boragestream/entry/quarantine.py
@@ -1,5 +1,6 @@
 """Replicates crash records through the exchange between entries.
 
+The records of requests and those of parts of prompts are two parts of the exchange.
 A new record is offered a bounded number of times, and the next rounds of the exchange
 start early. Records that this misses, and those that a starting entry lacks, are found
 by comparing a digest of the records that quarantine a request. ``policy.quarantine``
@@ -29,6 +30,8 @@
 # The encoded size of one record, and of the rest of an offer, is at most this.
 MAX_RECORD_BYTES = 20
 OFFER_OVERHEAD_BYTES = 8
+# The names of the parts of the exchange.
+REQUESTS_NAME, PARTS_NAME = "q", "qp"
 
 
 class CrashesOffer(msgspec.Struct, frozen=True, array_like=True):
@@ -52,24 +55,36 @@
     :param links: sends requests to peers.
     :param address: returns a peer's address, given its name.
     :param submit: runs a callable, which sends a request, in the background.
+    :param of_parts: whether the records are of parts of prompts, not of requests.
     """
 
-    name = "q"
-
     def __init__(
         self,
         quarantine: Quarantine,
         links: PeerLinks,
         address: Callable[[str], str | None],
         submit: Callable[[Callable[[], None]], None],
+        of_parts: bool = False,
     ) -> None:
         self._quarantine = quarantine
+        self._of_parts = of_parts
         self._peer_requests = PeerRequests(
-            links, address, submit, QuarantineAsk, self._merge_reply
+            links,
+            address,
+            submit,
+            lambda: QuarantineAsk(parts=of_parts),
+            self._merge_reply,
         )
 
+    @property
+    def name(self) -> str:
+        """The name of this part in the messages of the exchange."""
+        return PARTS_NAME if self._of_parts else REQUESTS_NAME
+
     def offer(self, budget: int) -> bytes:
         """Return the encoded digest and as many new records as fit."""
+        if self._of_parts and self._quarantine.empty:
+            return b""
         room = max(0, budget - OFFER_OVERHEAD_BYTES) // MAX_RECORD_BYTES
         news = _pack(self._quarantine.next_offers(min(MAX_OFFERED_RECORDS, room)))
         data = _encoder.encode(CrashesOffer(self._quarantine.digest, news))
@@ -95,7 +110,7 @@
 
     def _merge(self, peer: str, packed: Iterable[PackedCrashes]) -> None:
         for fingerprint, freed, cleared, crashes, age_ms in packed:
-            record = CrashRecord(fingerprint, freed, cleared, crashes)
+            record = self._quarantine.new_record(fingerprint, freed, cleared, crashes)
             if len(fingerprint) != FINGERPRINT_BYTES or age_ms < 0:
                 emit(
                     Event.PEER_FRAME_REFUSED, peer=peer, reason="malformed crash record"
--- a/boragestream/operator/explain.py
+++ b/boragestream/operator/explain.py
@@ -45,7 +45,7 @@
 # The last for each server is in force until the next.
 IN_FORCE_BY_SERVER = ("server_limit_changed",)
 # What is told of all returns of a request, by its fingerprint.
-OF_ALL_RETURNS = ("server_crashed", "crashes_heard")
+OF_ALL_RETURNS = ("server_crashed", "part_crashed", "crashes_heard")
 # What is shown of other requests that brought parts of a stream.
 OF_ALL_TRIES = (
     "server_chosen",
--- a/boragestream/platform/wire.py
+++ b/boragestream/platform/wire.py
@@ -114,7 +114,8 @@
 SERVER_HEADERS = frozenset(
     name.lower() for name in (DID_NOT_RUN, LOAD, LEAVING, LIMIT, BRITTLE)
 )
-MAX_PROMPT_PARTS = 256
+# More than fit into a head of the default size.
+MAX_PROMPT_PARTS = 4096
 MAX_PIECES = 4096
 
 
--- a/boragestream/policy/quarantine.py
+++ b/boragestream/policy/quarantine.py
@@ -36,6 +36,7 @@
 from boragestream.base.outcomes import Failure
 
 __all__ = [
+    "CRASHES_TO_QUARANTINE",
     "CrashRecord",
     "Quarantine",
     "RequestQuarantined",
@@ -96,12 +97,14 @@
     :ivar sequences_ended: the number of crash sequences too short for a quarantine
         that an answer has ended since the last quarantine.
     :ivar crashes: the number of consecutive crashes since the last answer.
+    :ivar threshold: the number of consecutive crashes that lead to a quarantine.
     """
 
     fingerprint: bytes
     quarantines_ended: int = 0
     sequences_ended: int = 0
     crashes: int = 0
+    threshold: int = CRASHES_TO_QUARANTINE
 
     @property
     def rank(self) -> tuple[int, int, int]:
@@ -111,7 +114,7 @@
     @property
     def quarantined(self) -> bool:
         """Whether the request is in quarantine."""
-        return self.crashes >= CRASHES_TO_QUARANTINE
+        return self.crashes >= self.threshold
 
     @property
     def replicated(self) -> bool:
@@ -128,7 +131,8 @@
     def after_answer(self) -> "CrashRecord":
         """Return the record after an answer, which resets the crash count."""
         if self.quarantined:
-            return CrashRecord(self.fingerprint, self.quarantines_ended + 1)
+            ended = self.quarantines_ended + 1
+            return replace(self, quarantines_ended=ended, sequences_ended=0, crashes=0)
         return replace(self, sequences_ended=self.sequences_ended + 1, crashes=0)
 
 
@@ -148,12 +152,14 @@
     :ivar own: this entry's name.
     :ivar entries: returns the names of the entries in service.
     :ivar changed: called after each change, which other entries must get at once.
+    :ivar threshold: the number of consecutive crashes that lead to a quarantine.
     """
 
     own: str
     entries: Callable[[], Collection[str]]
     clock: Clock
     changed: Callable[[], None] = lambda: None
+    threshold: int = CRASHES_TO_QUARANTINE
     _records: dict[bytes, _StoredRecord] = field(default_factory=dict)
     _digest: int = 0
     _next_expiry_check: float = 0.0
@@ -172,7 +178,19 @@
     def record_for(self, fingerprint: bytes) -> CrashRecord:
         """Return the record of a request; an empty record if there is none."""
         stored = self._records.get(fingerprint)
-        return stored.record if stored is not None else CrashRecord(fingerprint)
+        return stored.record if stored is not None else self.new_record(fingerprint)
+
+    def new_record(
+        self,
+        fingerprint: bytes,
+        quarantines_ended: int = 0,
+        sequences_ended: int = 0,
+        crashes: int = 0,
+    ) -> CrashRecord:
+        """Return a record with the threshold of this table."""
+        return CrashRecord(
+            fingerprint, quarantines_ended, sequences_ended, crashes, self.threshold
+        )
 
     def admit(
         self, fingerprint: bytes, was_cut: bool = False
@@ -337,7 +355,7 @@
     if not record.quarantined:
         # The first turn belongs to the attempts that were cut.
         return SUSPECT_TURN_SECONDS
-    first = record.crashes == CRASHES_TO_QUARANTINE
+    first = record.crashes == record.threshold
     return FIRST_QUARANTINE_SECONDS if first else QUARANTINE_SECONDS
 
 
--- a/boragestream/serving/crash_checks.py
+++ b/boragestream/serving/crash_checks.py
@@ -10,9 +10,27 @@
 from boragestream.policy.servers import Server
 from boragestream.serving.forward_attempt import ForwardParts
 from boragestream.serving.forwarded_run import ForwardedRun
+from boragestream.serving.prompt_guard import PromptGuard
 from boragestream.serving.request_guard import RequestGuard
 
-__all__ = ["CrashChecks"]
+__all__ = ["CrashChecks", "make_guard"]
+
+
+def make_guard(parts: ForwardParts, run: ForwardedRun) -> RequestGuard:
+    """Return the guard of one request."""
+    request_id = run.request.request_id
+    prompt = PromptGuard(
+        parts.part_crashes, run.service, run.shared_parts, request_id, parts.clock
+    )
+    return RequestGuard(
+        parts.quarantine,
+        parts.line.connections,
+        request_id,
+        run.fingerprint,
+        parts.other_servers,
+        was_cut=run.earlier_runs > 0,
+        prompt=prompt,
+    )
 
 
 class CrashChecks:
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -33,6 +33,7 @@
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.load import CallEnd, LoadTable
 from boragestream.policy.outstanding import OutstandingWork
+from boragestream.policy.prompt_parts import PartCrashes
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.region_choice import RegionChoice
 from boragestream.policy.retry_window import RetryWindows
@@ -81,6 +82,7 @@
     :ivar other_servers: returns some servers other than the one given.
     :ivar origins: the records of where streams began; None to let each stream go on at
         any server.
+    :ivar part_crashes: the parts of prompts that crash servers; None to count none.
     """
 
     line: CallLine
@@ -106,6 +108,7 @@
     delegation: DelegationParts | None = None
     other_servers: Callable[[Server], Sequence[Server]] = lambda server: ()
     origins: OriginRecords | None = None
+    part_crashes: PartCrashes | None = None
 
 
 class ForwardAttempt:
--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -14,6 +14,7 @@
 from boragestream.document.calls import ForwardedRequest
 from boragestream.document.routes import Route
 from boragestream.policy.outstanding import WorkSize
+from boragestream.policy.prompt_parts import PartQuarantined
 from boragestream.policy.quarantine import RequestQuarantined, RequestSuspected
 from boragestream.policy.route_table import RouteTable
 from boragestream.policy.servers import Server
@@ -126,7 +127,7 @@
             Unknown(failure, "") if not run.route.repeatable else Failed(failure, 0.0)
         )
     retry_after = DEFAULT_RETRY_AFTER_SECONDS
-    if isinstance(failure, RequestSuspected):
+    if isinstance(failure, RequestSuspected | PartQuarantined):
         retry_after = min(MAX_RETRY_AFTER_SECONDS, failure.left_seconds)
     if isinstance(failure, DelegateRefused):
         return Refused(failure, failure.left_seconds or retry_after)
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -35,7 +35,7 @@
 from boragestream.document.routes import CallKind
 from boragestream.policy.load import CallEnd
 from boragestream.policy.servers import Server
-from boragestream.serving.crash_checks import CrashChecks
+from boragestream.serving.crash_checks import CrashChecks, make_guard
 from boragestream.serving.delegation import DelegatedAttempt, Delegation
 from boragestream.serving.event_stream import EventSplitter, StreamBroken
 from boragestream.serving.forward_attempt import ForwardAttempt, ForwardParts
@@ -47,7 +47,6 @@
     ServerDidNotRun,
 )
 from boragestream.serving.limited_servers import PermittedServer
-from boragestream.serving.request_guard import RequestGuard
 from boragestream.serving.stream_origin import locate_stream, note_stream_began
 
 __all__ = ["Forwarder"]
@@ -87,15 +86,7 @@
     def __init__(self, parts: ForwardParts, run: ForwardedRun) -> None:
         self._parts = parts
         self._run = run
-        self._guard = RequestGuard(
-            parts.quarantine,
-            parts.line.connections,
-            run.request.request_id,
-            run.fingerprint,
-            parts.other_servers,
-            was_cut=run.earlier_runs > 0,
-            parts=run.shared_parts,
-        )
+        self._guard = make_guard(parts, run)
         self._crashes = CrashChecks(parts, run, self._guard)
         self._delegation = Delegation(parts.delegation, parts.line.reach, run)
         # Whether a server could not be reached at all.
@@ -311,6 +302,7 @@
                 return None
             if events:
                 attempt.note_first_event()
+                self._guard.note_events()
                 self._release_inputs()
                 return events
         # A stream that ends without any event is a complete answer.
@@ -378,6 +370,7 @@
                 return True
             if events:
                 attempt.note_first_event()
+                self._guard.note_events()
                 self._release_inputs()
                 yield b"".join(events)
         unfinished = self._splitter.finish()
--- a/boragestream/serving/request_guard.py
+++ b/boragestream/serving/request_guard.py
@@ -11,6 +11,7 @@
 
 from boragestream.backend.connections import ConnectionKeeper
 from boragestream.base.events import Event, emit
+from boragestream.policy.prompt_parts import PartQuarantined
 from boragestream.policy.quarantine import (
     CrashRecord,
     Quarantine,
@@ -18,8 +19,11 @@
     RequestSuspected,
 )
 from boragestream.policy.servers import Server
+from boragestream.serving.prompt_guard import PromptGuard
 
-__all__ = ["RequestGuard", "count_crash", "has_crashed"]
+__all__ = ["QuarantineRefusal", "RequestGuard", "count_crash", "has_crashed"]
+
+QuarantineRefusal = RequestQuarantined | RequestSuspected | PartQuarantined
 
 # The host of an ended process refuses a connection within one round trip. The limit is
 # short because the caller waits for this check.
@@ -89,7 +93,7 @@
     :param fingerprint: identifies the request across all its repeats.
     :param others: returns some other servers, see ``has_crashed``.
     :param was_cut: whether an earlier attempt at another entry was cut.
-    :param parts: the parts of its prompt that other requests may share.
+    :param prompt: checks the parts of its prompt; None for a request without one.
     """
 
     def __init__(
@@ -100,9 +104,9 @@
         fingerprint: bytes,
         others: Callable[[Server], Sequence[Server]] = lambda server: (),
         was_cut: bool = False,
-        parts: Sequence[str] = (),
+        prompt: PromptGuard | None = None,
     ) -> None:
-        self._parts = parts
+        self._prompt = prompt
         self._others = others
         self._quarantine = quarantine
         self._connections = connections
@@ -118,8 +122,11 @@
             return False
         return self._quarantine.record_for(self._fingerprint).crashes > 0
 
-    def refusal(self) -> RequestQuarantined | RequestSuspected | None:
+    def refusal(self) -> QuarantineRefusal | None:
         """Return why the request may not be sent now; None if it may."""
+        refused = self._prompt.refusal() if self._prompt is not None else None
+        if refused is not None:
+            return refused
         self._record_at_send = None
         if self._quarantine.empty:
             return None
@@ -128,13 +135,16 @@
             self._record_at_send = self._quarantine.record_for(self._fingerprint)
         return refused
 
-    def check_before_send(self) -> RequestQuarantined | RequestSuspected | None:
+    def check_before_send(self) -> QuarantineRefusal | None:
         """Repeat the check right before the first byte is sent.
 
         A peer may have reported a crash since the request was admitted.
 
         :returns: why the request may not be sent; None if it may.
         """
+        refused = self._prompt.check_before_send() if self._prompt is not None else None
+        if refused is not None:
+            return refused
         if self._quarantine.empty:
             self._record_at_send = None
             return None
@@ -154,12 +164,20 @@
             return False
         self._was_cut = True
         record_at_send = self._record_at_send or CrashRecord(self._fingerprint)
-        count_crash(
-            self._quarantine, record_at_send, server, self._request_id, self._parts
-        )
+        parts = self._prompt.parts if self._prompt is not None else ()
+        count_crash(self._quarantine, record_at_send, server, self._request_id, parts)
+        if self._prompt is not None:
+            self._prompt.note_crash(server)
         return True
 
+    def note_events(self) -> None:
+        """Record that a server has sent events of a streamed answer."""
+        if self._prompt is not None:
+            self._prompt.note_events()
+
     def note_answered(self) -> None:
         """Record that a server answered the request completely."""
+        if self._prompt is not None:
+            self._prompt.note_answered()
         if not self._quarantine.empty:
             self._quarantine.note_answered(self._fingerprint)
--- a/tests/features/steps/server_reach.py
+++ b/tests/features/steps/server_reach.py
@@ -423,6 +423,8 @@
     )
     parts = SimpleNamespace(
         quarantine=None,
+        part_crashes=None,
+        clock=context.clock,
         line=SimpleNamespace(connections=None, reach=context.reach),
         other_servers=None,
         delegation=context.parts,
