A test that fails: a piece key that crashes stage server after stage server

The same cause elsewhere: pieces are known by the fingerprint of their request, so that requests which have only their piece key in common crash one stage server after the other.

--- a/tests/features/crashing_parts.feature
+++ b/tests/features/crashing_parts.feature
@@ -42,3 +42,13 @@
     Given 6 engines that crash under a part and are back after 1 s
     When 30 sound requests a second come while engines are killed one after the other for 8 s
     Then all sound requests of the last 4 s are served
+
+  # Guards against the same for pieces: requests that have only their piece key in common
+  # crash one stage server after the other.
+  @fixture.route-site.3
+  Scenario: a piece key that crashes stage servers reaches few, others are answered
+    Given 4 more "stage" servers
+    When staged requests with one piece key that crashes servers come 14 times, no two alike, each beside 3 with other keys
+    Then no more than 8 stage servers have crashed
+    And the last 5 requests with the key are refused at once as not run
+    And every innocent call is answered, of 42
--- a/tests/features/steps/crashing_parts.py
+++ b/tests/features/steps/crashing_parts.py
@@ -8,6 +8,7 @@
 
 from behave import given, then, when
 
+from tests.standins.route_server import DEADLY_KEY
 from tests.standins.route_site import ZONES
 
 CRASHING, OTHER_CRASHING = "dead", "beef"
@@ -253,3 +254,43 @@
     assert len(after) >= seconds * SOUND_RATE * 0.9, len(after)
     unserved = [c for c in after if not c.served]
     assert not unserved, (len(unserved), len(after), unserved[:2])
+
+
+@when(
+    "staged requests with one piece key that crashes servers come {count:d} times, "
+    "no two alike, each beside {beside:d} with other keys"
+)
+def step(context, count, beside):
+    site = context.site
+    entries = itertools.cycle(list(site.entries))
+
+    def ask(entry, key):
+        body = f"piece {next(NUMBERS)}".encode()
+        began = time.monotonic()
+        answer = site.call(
+            "/staged/ok", body=body, entry=entry, Pieces="2,1", Piece_Key=key
+        )
+        return answer, time.monotonic() - began
+
+    context.keyed, context.innocent = [], []
+    with ThreadPoolExecutor(beside) as pool:
+        for _ in range(count):
+            entry = next(entries)
+            keys = [f"key-{next(NUMBERS)}" for _ in range(beside)]
+            others = [pool.submit(ask, entry, key) for key in keys]
+            context.keyed.append(ask(entry, DEADLY_KEY))
+            context.innocent += [each.result()[0] for each in others]
+            time.sleep(LISTED_SECONDS)
+
+
+@then("no more than {most:d} stage servers have crashed")
+def step(context, most):
+    crashes = sum(server.crashes for server in context.site.of_kind("stage"))
+    assert crashes <= most, crashes
+
+
+@then("the last {last:d} requests with the key are refused at once as not run")
+def step(context, last):
+    for answer, seconds in context.keyed[-last:]:
+        assert answer.status == NOT_RUN, [a.status for a, _ in context.keyed]
+        assert seconds < AT_ONCE_SECONDS, seconds
