Block piece keys that crash stage servers

What callers saw: requests with one piece key crashed one stage server after the other, 29 crashes under 14 requests, no two alike, with three entries. Cause: pieces are known by the fingerprint of their request, the same as with parts of prompts. Change: the keys of a batch are counted and cleared like the parts of a prompt; a request whose key is blocked at the service of a first stage is refused at once as not run, and the owner of the queue sends no further piece with it. A suspected key is put into a batch with no other suspected one, like a suspected request.

--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -123,7 +123,6 @@
     servers = ServerTable(announce_leaving, awaits_orders=drains_centres)
     data_centre = settings.entry.data_centre
     regions, region_links = regional.regions, regional.links
-    until_deadline = settings.late.until_deadline
     members = EntryPeers(
         own, incarnation, data_centre, links, note_leaving, clock, rng, region_links
     )
@@ -149,8 +148,7 @@
     routes.add_listener(lambda table: members.exchange.request_round())
 
     accounts = make_account_parts(settings, own, incarnation, members, clock)
-    bounds = retry_bounds(in_force)
-    retries = RetryWindows(clock.now, bounds, lambda: len(book.entries))
+    retries = RetryWindows(clock.now, retry_bounds(in_force), lambda: len(book.entries))
     connections = ConnectionKeeper(CONNECT_SECONDS)
     servers.on_unused(connections.forget)
 
@@ -258,6 +256,7 @@
         other_servers=compared_servers,
         is_cut_off=reach.is_cut_off,
         is_brittle=limits.brittle.is_brittle,
+        part_crashes=part_crashes,
     )
     batches = PieceBatches(batch_parts, orders.report_results)
     orders.set_batches(batches)
@@ -349,9 +348,10 @@
                 StageDelays(clock.now),
                 engine_delays,
                 metrics,
-                until_deadline,
+                settings.late.until_deadline,
                 StageRegions(regions, region_links, has_servers),
                 accounts.active,
+                part_crashes,
             ),
             engine_delays=engine_delays,
             clock=clock,
--- a/boragestream/policy/prompt_parts.py
+++ b/boragestream/policy/prompt_parts.py
@@ -95,6 +95,10 @@
         """The number of blocked parts."""
         return self._quarantine.count
 
+    def crashes(self, part: bytes) -> int:
+        """Return the consecutive crashes that are recorded of a part."""
+        return self._quarantine.record_for(part).crashes
+
     def refused(self, parts: Sequence[bytes]) -> tuple[bytes, int, float] | None:
         """Return why a request may not be sent now; None if it may.
 
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -73,9 +73,7 @@
         queued = QueuedOrder(
             order, now + start_seconds, now + left_seconds, list(order.pieces)
         )
-        queued.suspected = (
-            self._parts.quarantine.record_for(order.fingerprint).crashes > 0
-        )
+        queued.suspected = self._records.crashes(order) > 0
         usable = self._servers.planned(order.queue)
         with self._lock:
             queue = self._queue(order.queue)
@@ -309,9 +307,8 @@
         :param ran: whether the call may have run.
         """
         service = queued.order.service
-        record = self._parts.quarantine.record_for(queued.order.fingerprint)
-        queued.suspected = record.crashes > 0
-        if record.quarantined:
+        queued.suspected = self._records.crashes(queued.order) > 0
+        if self._records.is_blocked(queued.order):
             return False
         if done is None:
             return not ran or self._parts.retries.spend(service)
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -43,6 +43,7 @@
     answer_is_lost,
     query_delay_seconds,
 )
+from boragestream.policy.prompt_parts import PartCrashes
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.queue_shares import QueueShares
 from boragestream.policy.retry_window import RetryWindows
@@ -94,6 +95,7 @@
     :ivar backoffs: which servers have asked not to be called for some time.
     :ivar limited: the servers that have a limit, and the permits to call them.
     :ivar quarantine: which requests crash servers.
+    :ivar part_crashes: which piece keys crash servers; None to count none.
     :ivar limits: returns the limits of a service's servers; None if unknown.
     :ivar used: called for each order and booking, because published values decide
         whether it is accepted.
@@ -130,6 +132,7 @@
     other_servers: Callable[[Server], Sequence[Server]] = lambda server: ()
     is_cut_off: Callable[[str], bool] = lambda service: False
     is_brittle: Callable[[str], bool] = lambda service: False
+    part_crashes: PartCrashes | None = None
 
 
 @dataclass(slots=True)
--- a/boragestream/serving/prompt_guard.py
+++ b/boragestream/serving/prompt_guard.py
@@ -1,7 +1,8 @@
 """Checks whether a request may be sent with the parts of its prompt.
 
 It counts the crashes of servers against these parts, and clears them once a server has
-begun to answer. ``policy.prompt_parts`` decides what is blocked.
+begun to answer. ``policy.prompt_parts`` decides what is blocked. The keys of pieces at
+stage servers are treated like parts of a prompt.
 """
 
 from collections.abc import Sequence
@@ -27,9 +28,9 @@
 class PromptGuard:
     """Checks and updates the records of the parts of one request's prompt.
 
-    :param crashes: the records; None if the service reads no prompts.
-    :param parts: the identities of all parts but the last.
-    :param request_id: identifies the request in the log.
+    :param crashes: the records; None if none are kept.
+    :param parts: the identities of all parts but the last, or the keys of pieces.
+    :param request_id: identifies the request in the log; empty for several requests.
     """
 
     def __init__(
@@ -87,10 +88,15 @@
             refused = self.refusal()
             if refused is not None:
                 return refused
-        self._at_send = self._crashes.at_send(parts)
-        self._first_event_at, self._began = None, False
+        self.note_sending()
         return None
 
+    def note_sending(self) -> None:
+        """Record that the request is sent now."""
+        if self._crashes is not None:
+            self._at_send = self._crashes.at_send(tuple(self._names))
+        self._first_event_at, self._began = None, False
+
     def note_crash(self, server: Server) -> None:
         """Count a crash of the server that ran the request."""
         if self._crashes is None or self._began:
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -19,6 +19,7 @@
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.fingerprints import stage_fingerprint
 from boragestream.policy.piece_queue import PieceBooking, PieceOrder
+from boragestream.policy.prompt_parts import PartCrashes
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.server_choice import stage_data_centre
 from boragestream.policy.stage_delays import StageDelays
@@ -32,6 +33,7 @@
     StageSaturated,
 )
 from boragestream.serving.piece_orders import OpenOrder, PieceOrders
+from boragestream.serving.prompt_guard import PromptGuard
 from boragestream.serving.stage_leads import lead_seconds, usual_seconds
 
 __all__ = ["StagePieces", "preferred_refusal"]
@@ -54,6 +56,7 @@
         owners of all stages, which then keep a last attempt although it is late.
     :ivar stage_regions: the regions in which the chains can run.
     :ivar fair_shares: whether owners divide a shortage between client accounts.
+    :ivar part_crashes: which piece keys crash servers; None to count none.
     """
 
     orders: PieceOrders
@@ -67,6 +70,7 @@
     until_deadline: bool = False
     stage_regions: StageRegions = field(default_factory=StageRegions)
     fair_shares: bool = False
+    part_crashes: PartCrashes | None = None
 
     def run(self, run: ForwardedRun, home: str = "") -> ChainResults | Failure:
         """Run all stages; return the results that the engine's call reads.
@@ -192,10 +196,22 @@
     def _quarantine_refusal(self) -> Failure | None:
         """Return the quarantine's refusal of any stage; None if all are admitted."""
         run = self._run
-        if self._stages.quarantine.empty:
-            return None
+        key = (run.request.piece_key,) if run.request.piece_key else ()
         for number, stage in enumerate(run.route.stages):
-            if self._piece_count(number):
+            if not self._piece_count(number):
+                continue
+            if not stage.after:
+                guard = PromptGuard(
+                    self._stages.part_crashes,
+                    stage.service,
+                    key,
+                    run.request.request_id,
+                    self._stages.clock,
+                )
+                refusal = guard.refusal()
+                if refusal is not None:
+                    return refusal
+            if not self._stages.quarantine.empty:
                 fingerprint = stage_fingerprint(run.fingerprint, stage.service)
                 refusal = self._stages.quarantine.admit(fingerprint, was_cut=True)
                 if refusal is not None:
--- a/tests/standins/queue_parts.py
+++ b/tests/standins/queue_parts.py
@@ -37,5 +37,6 @@
         "other_servers": lambda server: (),
         "is_cut_off": lambda service: False,
         "is_brittle": lambda service: False,
+        "part_crashes": None,
     }
     return SimpleNamespace(**{**parts, **more})
