Give the stand-in of a forwarded request a version

Cause: two scenarios on surplus made a request without the new field and failed in a run of all features: 'an entry whose servers are full refuses a surplus at once' and the one without shares.

--- a/tests/features/steps/account_services.py
+++ b/tests/features/steps/account_services.py
@@ -124,6 +124,7 @@
             priority=0,
             regions=None,
             request=SimpleNamespace(request_id=f"r-{number}"),
+            version=None,
         )
         choice = ForwardedChoice(context.parts, run)
         refusal = choice.refusal(has_results=False)
