Give the requests of the regions' stand-in the fields of streams that go on

Cause: 51 scenarios of region_choice failed in a run of all features, since the choice of a server logs two fields that the stand-in did not have.

--- a/tests/standins/regions.py
+++ b/tests/standins/regions.py
@@ -147,6 +147,8 @@
             prompt=prompt,
             body=body,
             pieces=tuple(1 for _ in stages),
+            last_event=None,
+            resumes="",
         )
         route = Route(
             "route",
