Send records of streams on after an error of a holder's link

Cause: an error that the link raises, rather than returns, ended the sending to that holder for good, without a line in the log. Found by reading. Change: it is logged, and the records that wait are sent. Test: records are sent to a holder after an error of its link; it timed out on the code before. stream_origins 26 passed.

--- a/boragestream/entry/stream_records.py
+++ b/boragestream/entry/stream_records.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Sequence
 from concurrent.futures import FIRST_COMPLETED, Future, ThreadPoolExecutor, wait
 
-from boragestream.base.events import Event, emit
+from boragestream.base.events import Event, describe_error, emit
 from boragestream.entry.links import PeerLinks
 from boragestream.entry.messages import Envelope, ProbeReply
 from boragestream.entry.stream_messages import (
@@ -221,12 +221,19 @@
             self._senders.submit(self._send_waiting, address)
 
     def _send_waiting(self, address: str) -> None:
-        while True:
-            with self._lock:
-                records = self._waiting.pop(address, [])
-                if not records:
-                    self._sending.discard(address)
-                    return
+        while records := self._take_waiting(address):
             # The newest ones matter longest, if a holder does not answer for a while.
             message = OriginsNote(tuple(records[-MAX_RECORDS_IN_MESSAGE:]))
-            self._links.ask(address, message, SEND_TIMEOUT_SECONDS)
+            try:
+                self._links.ask(address, message, SEND_TIMEOUT_SECONDS)
+            except Exception as error:
+                reason = describe_error(error)
+                emit(Event.TASK_FAILED, task="stream records", error=reason)
+
+    def _take_waiting(self, address: str) -> list[PackedOrigin]:
+        """Return the records to send to a holder now; if none, end the sending."""
+        with self._lock:
+            records = self._waiting.pop(address, [])
+            if not records:
+                self._sending.discard(address)
+            return records
--- a/tests/features/steps/stream_origins.py
+++ b/tests/features/steps/stream_origins.py
@@ -20,6 +20,7 @@
     stream_key,
 )
 from tests.standins.clock import SetClock
+from tests.standins.fleet import wait_until
 
 SERVICE = "engine"
 STREAMS = 200
@@ -269,3 +270,38 @@
 @then("no stream may be resumed there")
 def step(context):
     assert not context.records.shares_records(PEER, SERVICE)
+
+
+@given('a service with the versions "{versions}", and a peer whose link fails once')
+def step(context, versions):
+    clock = SetClock()
+    history = VersionHistory(clock)
+    history.take_list(listed_servers(versions))
+    context.held, errors = [], [OSError("broken")]
+
+    def reply(address, message):
+        if errors:
+            raise errors.pop()
+        context.held += [key for key, _, _ in message.records]
+
+    context.records = StreamRecords(
+        "own",
+        StreamOrigins(clock),
+        history,
+        lambda: [PEER],
+        FixedLinks(reply),
+        lambda: 0.0,
+    )
+
+
+@when("{count:d} streams begin one after the other, each sent")
+def step(context, count):
+    context.keys = [stream_key("account", f"r-{n}") for n in range(count)]
+    for key in context.keys:
+        context.records.note_began(key, StreamOrigin(SERVICE, "v1"))
+        wait_until(lambda: not context.records._sending, what="it was sent")
+
+
+@then("the peer holds the records of the last {count:d}")
+def step(context, count):
+    assert context.held == context.keys[-count:], context.held
--- a/tests/features/stream_origins.feature
+++ b/tests/features/stream_origins.feature
@@ -66,3 +66,9 @@
       | v1 v2    | does not answer          | no   |
       | v1 v2    | reports what it knows    | a    |
       | v1       | rejects unknown messages | a    |
+
+  # Guards against records that are never sent again after one that could not be sent.
+  Scenario: records are sent to a holder after an error of its link
+    Given a service with the versions "v1 v2", and a peer whose link fails once
+    When 3 streams begin one after the other, each sent
+    Then the peer holds the records of the last 2
