Clear the piece keys of a batch with the guard that its call began with

What was found by reading the change again: the end of each batch built a second guard of its piece keys, with a second look at their crash records, though the call already had one. Change: the end of a batch is given its call, whose guard clears the keys. Behaviour is as before. One step of account_owner passes a call in place of its batch; its checks are untouched.

--- a/boragestream/serving/batch_records.py
+++ b/boragestream/serving/batch_records.py
@@ -83,17 +83,16 @@
         if isinstance(result, AnswerCut):
             self._count_crashes(call)
 
-    def note_answered(self, batch: Batch, results: list[PieceResult] | None) -> None:
+    def note_answered(self, call: BegunCall, results: list[PieceResult] | None) -> None:
         """Record the requests whose pieces a server made without crashing."""
         if results is None:
             return
-        keys = self._guard_keys(batch)
-        if keys is not None:
-            keys.note_answered()
+        if call.keys is not None:
+            call.keys.note_answered()
         quarantine = self._parts.quarantine
         if quarantine.empty:
             return
-        made = zip(batch.pieces, results, strict=True)
+        made = zip(call.batch.pieces, results, strict=True)
         for fingerprint in {
             q.order.fingerprint for (q, _), done in made if done.handle
         }:
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -22,7 +22,7 @@
 from boragestream.policy.queue_owners import StageQueue
 from boragestream.policy.servers import Server
 from boragestream.policy.service_queue import Batch, QueueRefusal, ServiceQueue
-from boragestream.serving.batch_records import BatchRecords
+from boragestream.serving.batch_records import BatchRecords, BegunCall
 from boragestream.serving.piece_calls import BatchParts, PieceCalls, unreadable_results
 from boragestream.serving.queue_servers import PERMIT_WAIT_SECONDS, QueueServers
 from boragestream.serving.surplus import reported
@@ -237,7 +237,7 @@
             result = self._make_call(batch)
         finally:
             self._records.end(call, queue_id.service, result)
-            self._end_batch(queue_id, batch, result)
+            self._end_batch(queue_id, call, result)
         self._send_batches(queue_id)
 
     def _make_call(self, batch: Batch) -> list[PieceResult] | AttemptFailure:
@@ -257,13 +257,14 @@
     def _end_batch(
         self,
         queue_id: StageQueue,
-        batch: Batch,
+        call: BegunCall,
         result: list[PieceResult] | AttemptFailure,
     ) -> None:
         """Record a batch's results, requeue failed pieces and report the others.
 
         Results of orders that were dropped during the call are released.
         """
+        batch = call.batch
         results = result if isinstance(result, list) else None
         ran = True
         if isinstance(result, AttemptFailure):
@@ -292,7 +293,7 @@
                     reported.setdefault(order_id, []).append((piece.number, placed))
             for order_id, numbered in reported.items():
                 queue.record_reported(order_id, {number for number, _ in numbered})
-        self._records.note_answered(batch, results)
+        self._records.note_answered(call, results)
         for order_id, numbered in reported.items():
             self._on_results(order_id, numbered)
         if unwanted:
--- a/tests/features/steps/account_owner.py
+++ b/tests/features/steps/account_owner.py
@@ -15,6 +15,7 @@
 from boragestream.policy.queue_shares import QueueShares
 from boragestream.policy.servers import Server
 from boragestream.policy.stage_servers import Batch
+from boragestream.serving.batch_records import BegunCall
 from boragestream.serving.piece_batches import PieceBatches
 from boragestream.serving.piece_orders import PieceOrders
 from tests.standins.account_kinds import LIMITS, PIECES
@@ -76,7 +77,8 @@
         while ending and ending[0][0] <= now:
             context.clock.seconds, _, batch = heapq.heappop(ending)
             results = [PieceResult(f"h{next(numbers)}", None, "") for _ in batch.pieces]
-            context.batches._end_batch(StageQueue("service"), batch, results)
+            call = BegunCall(batch, 0.0, 0, [], None)
+            context.batches._end_batch(StageQueue("service"), call, results)
             context.batches.release([result.handle for result in results])
             context.batches._send_batches(StageQueue("service"))
             start_calls(context, ending, numbers)
