Upgrade the stand-in of a server with its new start, not before its end

What was seen: 'a rolling upgrade at the same addresses leaves no stream of two versions' failed once, 1 of 142 streams, with the events v1 v1 v1, then v2, v1, v1.

Cause: in the test. Its step set the version of the stand-in and then ended it, so that a stream which began in between wrote events of the next version in the life before. An entry that goes on at v1 can't be given events of v2 there: each call names the life that it is for. Ruled out: an entry that goes on at another version, as it would have gone on at v2 then, for the sixth event too.

Change: a new life is given its version when it starts. A connection that is accepted while a server ends was kept beyond the end; it is reset now. The check of the scenario is the same.

--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -284,8 +284,7 @@
         caller.start()
     for server in site.of_kind("engine"):
         time.sleep(UPGRADE_GAP_SECONDS)
-        server.version = version
-        server.crash()
+        server.crash(version=version)
     time.sleep(LISTED_SECONDS + UPGRADE_GAP_SECONDS)
     ended.set()
     for caller in callers:
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -148,26 +148,31 @@
             self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
-    def crash(self, seconds=BACK_SECONDS):
-        """End like a process that crashes, and start anew after a while."""
+    def crash(self, seconds=BACK_SECONDS, version=None):
+        """End like a process that crashes, and start anew after a while.
+
+        The new life has the given version of its software; None for that of before.
+        """
         with self.lock:
             self.crashes += 1
         self.lose()
-        threading.Timer(seconds, self.start_again).start()
+        again = [version or self.version]
+        threading.Timer(seconds, self.start_again, again).start()
 
     def lose(self):
         """End like a process that is killed, with all its connections."""
+        self.close()
         with self.lock:
             cut, self.open = self.open, set()
-        self.close()
         for sock in cut:
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                 sock.shutdown(socket.SHUT_RDWR)
 
-    def start_again(self):
+    def start_again(self, version):
         """Listen at the same address in a new life."""
         before, self.identity = self.identity, f"i-{next(self.numbers)}"
+        self.version = version
         host, _, port = self.address.rpartition(":")
         self.listener = socket.create_server((host, int(port)), backlog=256)
         threading.Thread(target=self.accept, daemon=True).start()
@@ -175,16 +180,22 @@
 
     def accept(self):
         """Serve each connection in a thread of its own."""
+        listener = self.listener
         while True:
             try:
-                sock, (caller, _) = self.listener.accept()
+                sock, (caller, _) = listener.accept()
             except OSError:
                 return
             if self.cuts.get(caller) == "reset":
                 reset(sock)
                 continue
             with self.lock:
-                self.open.add(sock)
+                ended = listener.fileno() < 0
+                if not ended:
+                    self.open.add(sock)
+            if ended:
+                reset(sock)
+                return
             threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
 
     def serve(self, sock):
