Hold a stream that is taken up to the single version that is listed

What callers saw: a stream could hold events of two versions although only one was listed when it was taken up.

Cause: with a single version in the list an entry put no restriction on the stream. The restriction is needed later, when the server is chosen: after the stages of the request, a wait for a place, or a first server that failed. A second version that is listed meanwhile was as good as the first. The same holds for an entry whose list lags behind that of the entry at which the stream began: it went on at the one version that it knew.

Change: the restriction is the single version. The rows 'is unrestricted' of stream_origins.feature became 'goes on at v1', which is stricter. Ruled out: a check right before the send, since it would need the versions that were listed when the stream began, which is what the records are.

--- a/boragestream/entry/stream_records.py
+++ b/boragestream/entry/stream_records.py
@@ -100,19 +100,23 @@
     def find(
         self, key: bytes, services: tuple[str, ...]
     ) -> StreamOrigin | OriginUnknown | None:
-        """Return where a stream began; None if it may go on at any version.
+        """Return where a stream goes on; None if it may go on at any version.
 
-        :param services: the services at which the stream may go on; at least one.
+        :param services: see ``resolve_origin``.
         """
         own = self._report(key, services)
-        if own.single and own.complete:
-            return None
-        if len(own.origins) == 1 and not own.single:
-            return next(iter(own.origins))
+        if own.origins:
+            return resolve_origin(services, [own], missing=0)
         holders = self._holders(key)[:REQUESTED_ENTRIES]
-        reports = self._request(key, services, holders)
+        if own.single and own.complete:
+            # Those who have listed a second version before this entry have the record.
+            reports = self._request(self._ask, key, services, holders[:HOLDERS], [own])
+            found = resolve_origin(services, reports, missing=0)
+            if not isinstance(found, OriginUnknown):
+                return found
+        reports = self._request(self._ask_twice, key, services, holders)
         missing = len(holders) - len(reports)
-        return resolve_origin(services[0], [own, *reports], missing)
+        return resolve_origin(services, [own, *reports], missing)
 
     def shares_records(self, entry: ListedEntry, service: str) -> bool:
         """Return whether an entry can go on with a stream of another one.
@@ -147,9 +151,14 @@
 
     def _report(self, key: bytes, services: tuple[str, ...]) -> OriginReport:
         current = self._list_age() < CURRENT_LIST_SECONDS
+        origins = self._origins.get(key)
+        recorded = {
+            service: {o.version for o in origins if o.service == service}
+            for service in services
+        }
         return OriginReport(
-            self._origins.get(key),
-            tuple(self._history.versions(service) for service in services),
+            origins,
+            tuple(self._history.versions(s) | recorded[s] for s in services),
             self._history.complete and current,
         )
 
@@ -157,18 +166,23 @@
         return record_holders(key, (e for e in self._entries() if e.name != self._own))
 
     def _request(
-        self, key: bytes, services: tuple[str, ...], entries: Sequence[ListedEntry]
+        self,
+        ask: Callable[[ListedEntry, bytes, tuple[str, ...]], OriginReport | None],
+        key: bytes,
+        services: tuple[str, ...],
+        entries: Sequence[ListedEntry],
+        known: Sequence[OriginReport] = (),
     ) -> list[OriginReport]:
-        """Return the reports of other entries, as far as they are needed.
+        """Return the known reports and those of other entries, as far as needed.
 
         The first record decides. As long as all reports name a single version, those
         that are late are not waited for.
         """
         submit = self._requesters.submit
         open_requests: set[Future[OriginReport | None]] = {
-            submit(self._ask_twice, entry, key, services) for entry in entries
+            submit(ask, entry, key, services) for entry in entries
         }
-        reports: list[OriginReport] = []
+        reports = list(known)
         while open_requests:
             single = bool(reports) and all(report.single for report in reports)
             ended, open_requests = wait(
--- a/boragestream/policy/stream_origins.py
+++ b/boragestream/policy/stream_origins.py
@@ -81,7 +81,7 @@
 
     :ivar origins: none, or one; several if different streams have the same key.
     :ivar versions: the versions of each service in question that were listed within
-        ``RETENTION_SECONDS``.
+        ``RETENTION_SECONDS``, and those of the recorded origins.
     :ivar complete: whether the entry has followed the server list for longer than
         streams last, and its list is current.
     """
@@ -120,15 +120,16 @@
 
 
 def resolve_origin(
-    service: str, reports: Sequence[OriginReport], missing: int
+    services: tuple[str, ...], reports: Sequence[OriginReport], missing: int
 ) -> StreamOrigin | OriginUnknown | None:
-    """Return where a stream began, or None if no version is excluded.
+    """Return where a stream goes on; None if its service has listed no server lately.
 
     An entry that started a moment ago has listed one version of those that may have
     served before. Any other entry that it reaches makes up for that, since entries
     rarely start all at once just after a version has gone.
 
-    :param service: the service on whose behalf the question is, for the failure.
+    :param services: those at which the stream may go on; where its origin does not
+        matter, it goes on at the first.
     :param reports: of this entry and of those that answered; at least one.
     :param missing: the number of entries that did not answer.
     """
@@ -140,8 +141,11 @@
         ),
         any(report.complete for report in reports),
     )
+    service = services[0]
     if combined.single and (combined.complete or not missing or len(reports) > 1):
-        return None
+        # A second version may be listed before the request is sent.
+        origins = [StreamOrigin(service, version) for version in combined.versions[0]]
+        return next(iter(origins), None)
     if len(combined.origins) > 1:
         return OriginUnknown(service, "streams of two versions have this name")
     if combined.origins:
--- a/boragestream/serving/stream_origin.py
+++ b/boragestream/serving/stream_origin.py
@@ -27,7 +27,10 @@
     def find(
         self, key: bytes, services: tuple[str, ...]
     ) -> StreamOrigin | OriginUnknown | None:
-        """Return where a stream began; None if it may go on at any version."""
+        """Return where a stream goes on; None if it may go on at any version.
+
+        :param services: where it may go on; the first is that of its next attempt.
+        """
 
 
 def is_resumed(request: ForwardedRequest) -> bool:
@@ -48,7 +51,8 @@
     resumable = run.route.kind is CallKind.STREAM and run.route.repeatable
     if records is None or not resumable or not (began or is_resumed(request)):
         return run
-    services = tuple(target.service for target in run.route.targets)
+    others = (target.service for target in run.route.targets)
+    services = tuple(dict.fromkeys((run.service, *others)))
     found = records.find(_key(run), services)
     if found is None:
         return run
--- a/tests/features/steps/stream_origins.py
+++ b/tests/features/steps/stream_origins.py
@@ -32,7 +32,7 @@
     recorded, versions, completeness = (part.strip() for part in text.split(","))
     names = [] if recorded == "none" else recorded.split()
     origins = frozenset(StreamOrigin(SERVICE, name) for name in names)
-    listed = (frozenset(versions.split()),)
+    listed = (frozenset(versions.replace("none", "").split()),)
     return OriginReport(origins, listed, completeness == "complete")
 
 
@@ -57,7 +57,7 @@
 
 @when("the origin of a stream is resolved, with {missing:d} entries not reached")
 def step(context, missing):
-    context.resolved = resolve_origin(SERVICE, context.reports, missing)
+    context.resolved = resolve_origin((SERVICE,), context.reports, missing)
 
 
 @then("the stream is unrestricted")
@@ -236,12 +236,31 @@
 ANSWERS = {
     "rejects unknown messages": lambda a, m: PeerRejected(a, "message-refused"),
     "does not answer": lambda a, m: PeerUnreachable(a, "Timeout"),
-    "reports what it knows": lambda a, m: OriginReply(
-        (), tuple(("v1", "v2") for _ in m.services), False
+    "reports what it knows": lambda a, m: OriginReply((), (("v1", "v2"),), False),
+    "has a record of v2 for the stream": lambda a, m: OriginReply(
+        ((SERVICE, "v2"),), (("v1", "v2"),), True
+    ),
+    "has listed v2 too, and has no record": lambda a, m: OriginReply(
+        (), (("v1", "v2"),), True
+    ),
+    "has no record and has listed v1 alone": lambda a, m: OriginReply(
+        (), (("v1",),), True
     ),
 }
 
 
+def stream_records(history, clock, reply):
+    """Return the records of an entry with one peer that gives an answer."""
+    return StreamRecords(
+        "own",
+        StreamOrigins(clock),
+        history,
+        lambda: [PEER],
+        FixedLinks(reply),
+        lambda: 0.0,
+    )
+
+
 @given('a service with the versions "{versions}", and a peer that {answer}')
 def step(context, versions, answer):
     clock = SetClock()
@@ -252,14 +271,43 @@
         assert isinstance(message, OriginAsk)
         return ANSWERS[answer](address, message)
 
-    context.records = StreamRecords(
-        "own",
-        StreamOrigins(clock),
-        history,
-        lambda: [PEER],
-        FixedLinks(reply),
-        lambda: 0.0,
-    )
+    context.records = stream_records(history, clock, reply)
+
+
+@given(
+    'an entry that has listed "{version}" alone for {seconds:d} s, '
+    "and whose peer {answer}"
+)
+def step(context, version, seconds, answer):
+    clock = SetClock()
+    history = VersionHistory(clock)
+    history.take_list(listed_servers(version))
+    clock.seconds += seconds
+    context.asked = []
+
+    def reply(address, message):
+        context.asked.append(message)
+        return ANSWERS[answer](address, message)
+
+    context.records = stream_records(history, clock, reply)
+
+
+@when("a stream of its caller is taken up there")
+def step(context):
+    key = stream_key("account", "r-1")
+    context.resolved = context.records.find(key, (SERVICE,))
+
+
+@when('a stream that it has begun at "{version}" is taken up there')
+def step(context, version):
+    key = stream_key("account", "r-1")
+    context.records.note_began(key, StreamOrigin(SERVICE, version))
+    context.resolved = context.records.find(key, (SERVICE,))
+
+
+@then("its peer is not asked")
+def step(context):
+    assert not context.asked, context.asked
 
 
 @then("a stream may be resumed there")
@@ -284,14 +332,7 @@
             raise errors.pop()
         context.held += [key for key, _, _ in message.records]
 
-    context.records = StreamRecords(
-        "own",
-        StreamOrigins(clock),
-        history,
-        lambda: [PEER],
-        FixedLinks(reply),
-        lambda: 0.0,
-    )
+    context.records = stream_records(history, clock, reply)
 
 
 @when("{count:d} streams begin one after the other, each sent")
--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -32,6 +32,8 @@
 # Longer than the listing of a server takes to reach all entries.
 LISTED_SECONDS = 0.6
 UPGRADE_GAP_SECONDS = 0.5
+# Within this time requests have arrived, and their stages are under way.
+UNDER_WAY_SECONDS = 0.1
 
 
 @dataclass
@@ -292,6 +294,40 @@
     context.tries = kept
 
 
+@given("stage servers that take {seconds:g} s")
+def step(context, seconds):
+    for server in context.site.of_kind("stage"):
+        server.piece_seconds = seconds
+
+
+@when(
+    "{count:d} callers read part of a stream with stages and take it up, "
+    'and during its stages {added:d} engines of "{version}" are listed'
+)
+def step(context, count, added, version):
+    site, names = context.site, list(context.site.entries)
+    run_all(
+        context,
+        count,
+        lambda n: read_stream(site, Tries(), names[n % 3], "/staged/ok", PART),
+    )
+
+    def go_on(number):
+        entry = names[(number + 1) % 3]
+        return read_stream(site, context.tries[number], entry, "/staged/ok")
+
+    def list_engines():
+        time.sleep(UNDER_WAY_SECONDS)
+        for _ in range(added):
+            server = site.add_server("engine", version=version)
+            server.event_seconds = PAUSE_SECONDS
+
+    listing = threading.Thread(target=list_engines)
+    listing.start()
+    run_all(context, count, go_on)
+    listing.join()
+
+
 def take_up_unknown(context, **headers):
     """Have a request take up a stream behind its second event at each entry."""
     site = context.site
--- a/tests/features/stream_origins.feature
+++ b/tests/features/stream_origins.feature
@@ -8,22 +8,46 @@
     # A report: the record, the listed versions, and whether they are complete.
     Examples:
       | own                  | others                                      | missing | goes            |
-      | none, v1, complete   |                                             | 0       | is unrestricted |
-      | none, v1, complete   |                                             | 2       | is unrestricted |
-      | none, v1, partial    | none, v1, complete                          | 1       | is unrestricted |
-      | none, v1, partial    | none, v1, partial                           | 0       | is unrestricted |
-      | none, v1, partial    | none, v1, partial                           | 1       | is unrestricted |
-      | none, v1, partial    |                                             | 0       | is unrestricted |
+      | none, none, complete |                                             | 0       | is unrestricted |
+      | none, v1, complete   |                                             | 0       | goes on at v1   |
+      | none, v1, complete   |                                             | 2       | goes on at v1   |
+      | none, v1, partial    | none, v1, complete                          | 1       | goes on at v1   |
+      | none, v1, partial    | none, v1, partial                           | 0       | goes on at v1   |
+      | none, v1, partial    | none, v1, partial                           | 1       | goes on at v1   |
+      | none, v1, partial    |                                             | 0       | goes on at v1   |
       | none, v1, partial    |                                             | 1       | is refused      |
       | none, v1, partial    | none, v1 v2, partial                        | 1       | is refused      |
       | none, v1, complete   | none, v1 v2, complete                       | 0       | is refused      |
       | none, v1, partial    | v2, v2, partial                             | 0       | goes on at v2   |
+      | none, v1, complete   | v2, v1 v2, complete                         | 1       | goes on at v2   |
       | none, v1 v2, partial | v1, v1 v2, complete                         | 3       | goes on at v1   |
       | none, v1 v2, partial | none, v1 v2, complete; v2, v1 v2, complete  | 0       | goes on at v2   |
       | none, v1 v2, partial | v1, v1 v2, complete; v2, v1 v2, complete    | 0       | is refused      |
       | v1 v2, v1 v2, partial | v1, v1 v2, complete                        | 0       | is refused      |
       | none, v1 v2, partial | none, v1 v2, complete                       | 0       | is refused      |
 
+  # Guards against an entry whose server list lags, and that goes on at the one version it
+  # knows with a stream that began at a newer one.
+  Scenario Outline: an entry that has listed v1 alone for 30 s, and whose peer <peer>
+    Given an entry that has listed "v1" alone for 30 s, and whose peer <peer>
+    When a stream of its caller is taken up there
+    Then the stream <goes>
+
+    Examples:
+      | peer                                  | goes          |
+      | has a record of v2 for the stream     | goes on at v2 |
+      | has listed v2 too, and has no record  | is refused    |
+      | has no record and has listed v1 alone | goes on at v1 |
+      | does not answer                       | goes on at v1 |
+      | rejects unknown messages              | goes on at v1 |
+
+  # Guards against messages for each stream that is taken up where it began.
+  Scenario: an entry that has begun a stream asks no other one where it goes on
+    Given an entry that has listed "v1" alone for 30 s, and whose peer does not answer
+    When a stream that it has begun at "v1" is taken up there
+    Then the stream goes on at v1
+    And its peer is not asked
+
   Scenario: two streams under one name go on at neither version
     Given the records of one entry
     When streams "r-1" and "r-1" begin at "v1" and "v2", and stream "r-2" twice at "v1"
--- a/tests/features/stream_versions.feature
+++ b/tests/features/stream_versions.feature
@@ -65,6 +65,16 @@
     When callers read streams and take them up while each engine in turn becomes "v2"
     Then no stream holds events of two versions
 
+  # Guards against a stream that goes on at a version which is listed only after the
+  # stream was taken up, as single versions were not held to.
+  @fixture.route-site.3
+  Scenario: streams taken up before a second version is listed go on at the first
+    Given engines of the versions "v1 v1"
+    And stage servers that take 0.4 s
+    When 8 callers read part of a stream with stages and take it up, and during its stages 6 engines of "v2" are listed
+    Then no stream holds events of two versions
+    And at least 9 streams in ten went on
+
   # Guards against an entry that goes on with a stream whose version it can't know.
   @fixture.route-site.3
   Scenario Outline: a request that takes up <what> is refused as not run
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -86,6 +86,8 @@
         self.cut_off = None
         # How long a plain call takes, and the pause between two events of a stream.
         self.work_seconds, self.event_seconds = 0.0, 0.005
+        # How long a call of a stage server takes.
+        self.piece_seconds = 0.05
         self.crashes = 0
         # Prompts with such a part, but the last, crash it as it begins to answer.
         self.crashing_parts = set()
@@ -445,7 +447,7 @@
         if fault == "refuse" or self.full:
             self.send(sock, headers, 503, b"", [("Not-Run", "1")], sealed=False)
             return
-        time.sleep(0.05)
+        time.sleep(self.piece_seconds)
         results = []
         with self.lock:
             for index, item in enumerate(call["items"]):
--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -309,12 +309,14 @@
         """Return a new server, which is not listed yet."""
         return RouteServer(ADDRESS, kind, kind, zone, self.faults)
 
-    def add_server(self, kind, zone=ZONES[0]):
-        """Add a server of a kind, and list it."""
+    def add_server(self, kind, zone=ZONES[0], version="v1"):
+        """Add a server of a kind, and list it; return it."""
         server = self.make_server(kind, zone)
+        server.version = version
         server.when_back = self.list_again
         self.servers.append(server)
         self.list(server)
+        return server
 
     def list_again(self, server, before):
         """Publish the new life of a server that crashed, in place of the one before."""
