Move one run of a request's stages to a module of its own

StageRun and what all runs share stand in serving/stage_run.py now, stage_pieces.py keeps what the forwarder calls. Names aside nothing was changed; the features of layering, return times, shares and regions of stages passed after it.

--- a/tests/features/steps/account_refusals.py
+++ b/tests/features/steps/account_refusals.py
@@ -24,7 +24,7 @@
     wait_answer,
     wait_refusal,
 )
-from boragestream.serving.stage_pieces import _StageRun
+from boragestream.serving.stage_run import StageRun
 from boragestream.serving.surplus import refuse_surplus
 from tests.standins.clock import SetClock
 
@@ -69,9 +69,9 @@
         order_numbers=itertools.count(),
         fair_shares=False,
     )
-    assert _StageRun(stages, run, "")._account == ""
+    assert StageRun(stages, run, "")._account == ""
     stages.fair_shares = True
-    assert _StageRun(stages, run, "")._account == "a"
+    assert StageRun(stages, run, "")._account == "a"
 
 
 @then("orders of the previous release have no account")
