Run stages once more if their results were lost with a stage server

Cause: the stage server that ended held the results of the first stages of other requests. Their second stage failed at each other server with 'a result that it needs is gone', or found no server where the region had lost its only one, and the entry then gave the request up.

Change: if a stage fails with one of these two faults after earlier ones were done, all stages run a second time, once a request, with the pieces that were made taken from the budget of repeats. Ruled out: making only what is lost, since what is left may lie in a region that can't finish the chain.

--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -151,7 +151,6 @@
     retries = RetryWindows(clock.now, retry_bounds(in_force), lambda: len(book.entries))
     connections = ConnectionKeeper(CONNECT_SECONDS)
     servers.on_unused(connections.forget)
-
     backoffs = ServerBackoffs(clock)
     memory = make_budget(settings.resources, clock)
 
@@ -352,6 +351,7 @@
                 StageRegions(regions, region_links, has_servers),
                 accounts.active,
                 part_crashes,
+                retries.spend,
             ),
             engine_delays=engine_delays,
             clock=clock,
--- a/boragestream/serving/piece_failures.py
+++ b/boragestream/serving/piece_failures.py
@@ -5,7 +5,13 @@
 from boragestream.base.outcomes import Failure
 from boragestream.document.calls import PieceFault
 
-__all__ = ["AnswerLost", "OfferUnanswered", "PieceFailed", "StageSaturated"]
+__all__ = [
+    "AnswerLost",
+    "OfferUnanswered",
+    "PieceFailed",
+    "StageSaturated",
+    "preferred_refusal",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,3 +60,15 @@
     """
 
     service: str
+
+
+def preferred_refusal(earlier: Failure | None, latest: StageSaturated) -> Failure:
+    """Return which of the refusals of two regions the caller gets.
+
+    A region that lends capacity plans no return, since the caller returns to its own.
+    """
+    if not isinstance(earlier, StageSaturated):
+        return latest
+    if earlier.planned and not latest.planned:
+        return earlier
+    return earlier if earlier.wait_ms <= latest.wait_ms else latest
--- a/boragestream/serving/stage_run.py
+++ b/boragestream/serving/stage_run.py
@@ -8,6 +8,7 @@
 
 import itertools
 import threading
+from collections import Counter
 from dataclasses import dataclass, field
 
 from boragestream.base.clock import Clock
@@ -31,15 +32,18 @@
     OfferUnanswered,
     PieceFailed,
     StageSaturated,
+    preferred_refusal,
 )
 from boragestream.serving.piece_orders import OpenOrder, PieceOrders
 from boragestream.serving.prompt_guard import PromptGuard
 from boragestream.serving.stage_leads import lead_seconds, usual_seconds
 
-__all__ = ["StageParts", "StageRun", "preferred_refusal"]
+__all__ = ["StageParts", "StageRun"]
 
 # Interval of the checks of cancellation, deadline and owners while no result arrives.
 POLL_SECONDS = 0.1
+# The faults of a stage whose inputs may have been lost with their server.
+RESULTS_LOST = frozenset({PieceFault.INPUT_GONE, PieceFault.NO_SERVER})
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +146,22 @@
         results = tuple(r for number in last for r in self._results[number])
         return ChainResults(results, self._place.region)
 
+    def has_lost_results(self, ended: ChainResults | Failure) -> bool:
+        """Return whether a stage failed since it lacks the results of earlier ones.
+
+        :param ended: what ``finish`` returned.
+        """
+        failed = isinstance(ended, PieceFailed) and ended.fault in RESULTS_LOST
+        return failed and any(self._results.values())
+
+    @property
+    def made_pieces(self) -> Counter[str]:
+        """The number of pieces that the stages which are done have had, by service."""
+        made: Counter[str] = Counter()
+        for number, results in self._results.items():
+            made[self._run.route.stages[number].service] += len(results)
+        return made
+
     def _start(self, refusal: Failure | None = None) -> Failure | None:
         """Book the later stages and order the first, in the next region that accepts.
 
@@ -369,15 +389,3 @@
 def _last_stages(route: Route) -> list[int]:
     needed = {n for stage in route.stages for n in stage.after}
     return [n for n in range(len(route.stages)) if n not in needed]
-
-
-def preferred_refusal(earlier: Failure | None, latest: StageSaturated) -> Failure:
-    """Return which of the refusals of two regions the caller gets.
-
-    A region that lends capacity plans no return, since the caller returns to its own.
-    """
-    if not isinstance(earlier, StageSaturated):
-        return latest
-    if earlier.planned and not latest.planned:
-        return earlier
-    return earlier if earlier.wait_ms <= latest.wait_ms else latest
--- a/tests/features/steps/return_times.py
+++ b/tests/features/steps/return_times.py
@@ -20,9 +20,8 @@
 from boragestream.policy.servers import Server
 from boragestream.policy.service_queue import ServiceQueue
 from boragestream.serving.forwarded_run import outcome_of
-from boragestream.serving.piece_failures import StageSaturated
+from boragestream.serving.piece_failures import StageSaturated, preferred_refusal
 from boragestream.serving.piece_refusals import answer_refusal, wait_answer
-from boragestream.serving.stage_run import preferred_refusal
 from tests.features.steps.late_service import LIMITS, shares, unserved
 
 CAPACITY = 100.0
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -59,6 +59,8 @@
     """One backend server; ``kind`` is plain, engine or stage."""
 
     numbers = itertools.count(1)
+    # The results of stage servers that have ended, by their handles.
+    ended_results = set()
 
     def __init__(self, address, service, kind, zone, fault_book=None):
         """Listen at a free port of an address."""
@@ -76,6 +78,8 @@
         self.pieces = Counter()
         self.piece_calls = 0
         self.piece_fault = None
+        # Whether a stage server has lost each result that a piece needs.
+        self.loses_results = False
         self.full = False
         self.held = {}
         # Every result ever made here, by its handle: request, stage, number.
@@ -166,6 +170,8 @@
         self.close()
         with self.lock:
             cut, self.open = self.open, set()
+            self.ended_results.update(self.held)
+            self.held = {}
         for sock in cut:
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
@@ -451,6 +457,12 @@
         results = []
         with self.lock:
             for index, item in enumerate(call["items"]):
+                inputs = item.get("inputs", ())
+                if self.ended_results.intersection(inputs) or (
+                    inputs and self.loses_results
+                ):
+                    results.append({"reason": "gone"})
+                    continue
                 self.pieces[item["id"], item["stage"], item["piece"]] += 1
                 if fault in ("error", "gone", "room", "late"):
                     results.append({"reason": fault})
