Hold calls of an entry that has just started until it has a document

What callers saw: 503 with no-configuration from an entry that was replaced, in 'every entry is replaced in turn under a steady trickle of calls' (1 of 1337 calls, once in a run of all features).

Cause: the entry of the project's own interface takes calls as soon as it listens. Its first document comes later, since it exchanges messages with its peers first and then reads the configuration service. Calls that came in between were refused, with a time to return. Evidence: each of six entries, called as soon as its port accepted connections, refused 10 of 18 calls.

Ruled out: listening later, since callers whose connect fails at all entries wait for longer than for a document.

--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -44,6 +44,7 @@
 from boragestream.policy.admitted import Candidate
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
 from boragestream.policy.fingerprints import fingerprint, stage_fingerprint
+from boragestream.policy.first_knowledge import StartupReadiness
 from boragestream.policy.quarantine import (
     Quarantine,
     RequestQuarantined,
@@ -64,6 +65,7 @@
 class Application:
     """The application; waitress calls it in a thread for each request.
 
+    :ivar first: whether the first document and instance list are pending.
     :ivar quarantine: records which requests have crashed servers.
     :ivar delegated: delegates requests to other entries.
     :ivar peer_keys: the keys with which other entries may delegate requests.
@@ -71,6 +73,7 @@
     """
 
     configuration: ConfigurationInForce
+    first: StartupReadiness
     quarantine: Quarantine
     admission: Admission
     pipelines: PipelineRunner
@@ -99,6 +102,8 @@
         self, environ: Environ, start_response: StartResponse, request_id: str
     ) -> Reply:
         path = environ["PATH_INFO"]
+        if path.startswith((PIPELINES, TICKETS_PATH, REQUESTS_PATH)):
+            self.first.wait_for_first_answers()
         if path.startswith(PIPELINES):
             name = path.removeprefix(PIPELINES)
             return self._pipeline(environ, start_response, request_id, name)
--- a/boragestream/daemon/listeners.py
+++ b/boragestream/daemon/listeners.py
@@ -68,6 +68,7 @@
     stage_pool = ThreadPoolExecutor(ATTEMPT_THREADS, "stage")
     return Application(
         configuration=parts.configuration,
+        first=parts.first,
         quarantine=parts.peers.quarantine,
         admission=parts.admission,
         pipelines=PipelineRunner(StageRunner(parts.serving), stage_pool),
--- a/boragestream/daemon/parts.py
+++ b/boragestream/daemon/parts.py
@@ -30,6 +30,7 @@
 from boragestream.entry.tls import PeerTls
 from boragestream.policy.admission import Admission
 from boragestream.policy.configuration import ConfigurationInForce
+from boragestream.policy.first_knowledge import StartupReadiness
 from boragestream.policy.load import LoadTable
 from boragestream.policy.routing import Location
 from boragestream.policy.server_reach import ServerReach
@@ -38,8 +39,12 @@
 from boragestream.serving.health_probe import HealthProbe
 from boragestream.serving.parts import ServingParts, make_parts
 
-__all__ = ["EntryParts", "make_entry_parts"]
+__all__ = ["DOCUMENT", "INSTANCES", "EntryParts", "make_entry_parts"]
 
+# What an entry needs to know before it can serve requests.
+DOCUMENT, INSTANCES = "document", "instances"
+# An entry exchanges messages with its peers before it reads its first document.
+START_HOLD_SECONDS = 1.0
 ATTEMPT_THREADS = 256
 # Threads beyond the limit of open requests answer refusals and small queries at once.
 SPARE_THREADS = 32
@@ -50,6 +55,7 @@
     """The components of one entry.
 
     :ivar incarnation: the incarnation of this entry.
+    :ivar first: whether the first document and instance list are pending.
     :ivar sender: signs the messages that this entry sends to peers.
     :ivar peers: the components that connect this entry to its peers.
     :ivar limits: the components that enforce the limits of servers.
@@ -63,6 +69,7 @@
     rng: random.Random
     incarnation: str
     configuration: ConfigurationInForce
+    first: StartupReadiness
     servers: ServerTable
     loads: LoadTable
     observations: Observations
@@ -89,6 +96,8 @@
     rng = random.Random()
     incarnation = new_incarnation()
     configuration = ConfigurationInForce(entry_settings.deployment)
+    first = StartupReadiness(clock, (DOCUMENT, INSTANCES), START_HOLD_SECONDS)
+    configuration.add_listener(lambda: first.note_known(DOCUMENT))
     loads = LoadTable(clock, rng)
     observations = _observations(settings, clock)
     demand = Demand.create(entry_settings.name, clock)
@@ -184,6 +193,7 @@
         rng=rng,
         incarnation=incarnation,
         configuration=configuration,
+        first=first,
         servers=servers,
         loads=loads,
         observations=observations,
--- a/boragestream/daemon/tasks.py
+++ b/boragestream/daemon/tasks.py
@@ -76,6 +76,7 @@
     stopping: threading.Event,
     rng: random.Random,
     schedule: WatchSchedule = ALWAYS_WATCH,
+    on_unreachable: Callable[[], None] = lambda: None,
 ) -> None:
     """Watch or read one value of the platform until the entry stops.
 
@@ -84,6 +85,7 @@
     :param take: called with each new value.
     :param unreachable: the event to log if the service gives no answer.
     :param schedule: decides when to watch the value and when to read it at intervals.
+    :param on_unreachable: called each time the service gives no answer.
     """
     latest = Reading(0, b"")
     digest = ""
@@ -92,6 +94,7 @@
         reading = read_platform(address, path, latest.index, wait, latest.era)
         if isinstance(reading, PlatformUnreachable):
             emit(unreachable, failure=reading.describe())
+            on_unreachable()
             # The service may be restored from a copy without a sign of it, and the
             # last index may then belong to another value.
             latest = Reading(0, b"")
--- a/boragestream/policy/first_knowledge.py
+++ b/boragestream/policy/first_knowledge.py
@@ -29,10 +29,17 @@
 
     :param clock: measures the time since the start.
     :param awaited: the names of the values required before requests can be served.
+    :param hold_seconds: how long a request waits for them at most.
     """
 
-    def __init__(self, clock: Clock, awaited: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        awaited: tuple[str, ...],
+        hold_seconds: float = HOLD_SECONDS,
+    ) -> None:
         self._clock = clock
+        self._hold_seconds = hold_seconds
         self._started_at = clock.now()
         self._awaited = set(awaited)
         self._settled = threading.Event()
@@ -52,8 +59,8 @@
         self._settled.set()
 
     def wait_for_first_answers(self) -> None:
-        """Wait for the first answers, for at most ``HOLD_SECONDS``."""
-        self._settled.wait(HOLD_SECONDS)
+        """Wait for the first answers, for a limited time."""
+        self._settled.wait(self._hold_seconds)
 
     def retry_delay_seconds(self) -> float:
         """Return the retry delay in seconds of a request that can't be served yet."""
--- a/tests/features/daemon_shutdown.feature
+++ b/tests/features/daemon_shutdown.feature
@@ -29,3 +29,10 @@
     When every entry is replaced in turn while callers call "caption" and "order-status"
     Then every call ended answered
     And every promise holds
+
+  # Guards against an entry that takes calls before it has a document, and refuses them.
+  Scenario: callers that reach an entry as it starts are answered
+    Given the entries that have ended are started again
+    When each entry is ended and started, and is called as soon as it takes connections
+    Then every call ended answered
+    And every promise holds
--- a/tests/features/steps/daemon_shutdown.py
+++ b/tests/features/steps/daemon_shutdown.py
@@ -142,3 +142,20 @@
     assert ended == 0, (name, ended)
     entry.start()
     fleet.wait_for_entry(entry)
+
+
+@when("each entry is ended and started, and is called as soon as it takes connections")
+def step(context):
+    context.calls = []
+    for entry in context.fleet.entries.values():
+        entry.signal(signal.SIGTERM)
+        assert entry.popen.wait(timeout=60) == 0
+        entry.start()
+        context.fleet.wait_for_port(entry)
+        calls = [
+            Call(pipeline, context.injected.text(), stream, DEADLINE_MS)
+            for pipeline, stream in PIPELINE_CALLS
+        ]
+        with ThreadPoolExecutor(len(calls)) as pool:
+            made = [pool.submit(call.make, entry.address) for call in calls]
+            context.calls += [each.result() for each in made]
