End processes of a fleet also if their parent ends while they start

Cause, found by reading: a child asks the kernel to be ended with its parent. A parent that ends between the fork and that request is gone by then, and the child stays for good. At a high load this time is long.

Change: the child looks at its parent once more after the request, and ends if it has another one.

--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -117,7 +117,7 @@
                 stdout=log,
                 stderr=log,
                 env=environment,
-                preexec_fn=_end_with_parent,
+                preexec_fn=end_with_parent(),
             )
 
     def events(self):
@@ -145,8 +145,17 @@
             self.popen.wait()
 
 
-def _end_with_parent():
-    LIBC.prctl(PARENT_DEATH_SIGNAL, signal.SIGKILL)
+def end_with_parent():
+    """Return what a child calls first, so that it ends when this process ends."""
+    parent = os.getpid()
+
+    def begin():
+        LIBC.prctl(PARENT_DEATH_SIGNAL, signal.SIGKILL)
+        if os.getppid() != parent:
+            # The parent ended before the kernel was asked.
+            os._exit(1)
+
+    return begin
 
 
 class Fleet:
