Have the soak replace engines by others of other software versions

The soak had servers of one version, and callers that began anew after each broken stream, so that it could not see a stream of two versions. Now its callers take up streams that broke, at whatever entry they are told of, and a family of faults replaces engines by others of three versions. It looks at who wrote the events of a stream over all tries of its caller.

A scenario has the check see a made-up stream of two versions.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -48,6 +48,7 @@
       | an account that sends eight times its demand      | 6    | surges     |
       | regions that are parted in one direction or both  | 7    | partitions |
       | entries that are cut off from all servers         | 8    | cuts       |
+      | engines that are replaced by other versions       | 9    | upgrades   |
 
   # Guards against a check of memory that no entry can fail.
   Scenario: the soak sees an entry that has used more than its memory
@@ -131,6 +132,15 @@
       | all entries are killed at once         | KILL_ALL    |           | 3       |
       | entries are stopped in turn            | TERM        |           | 4       |
 
+  Scenario Outline: the soak sees streams of two versions, over the tries of a caller
+    Given a soaked stream that began at "v1" and was taken up at "<version>"
+    Then the soak finds "<found>"
+
+    Examples:
+      | version | found                             |
+      | v1      |                                   |
+      | v2      | stream s-1 has events of ['v1', 'v2'] |
+
   Scenario Outline: the soak sees <what>
     Given a soaked request "<kind>" that ran <runs> times and was told <status> with "<body>"
     Then the soak finds "<found>"
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -27,6 +27,7 @@
     REQUEST_ID_BYTES,
     PartitionedNetwork,
 )
+from tests.standins.route_server import EVENTS
 from tests.standins.route_site import RouteSite
 
 REQUEST = "s-1"
@@ -38,6 +39,7 @@
     Family.SURGES: lambda verdict: verdict.events.get("surplus_refused"),
     Family.PARTITIONS: lambda verdict: verdict.events.get("region_unreachable"),
     Family.CUTS: lambda verdict: verdict.events.get("request_delegated"),
+    Family.UPGRADES: lambda verdict: verdict.events.get("stream_resumed"),
 }
 
 # A search of the owners of connections takes as long on a busy machine.
@@ -210,6 +212,21 @@
     context.found = broken_promises(soaked(runs), [told(kind, status, body.encode())])
 
 
+def event(number, version):
+    """Return an event as the stand-in of a server writes it."""
+    return b"id: %d\ndata: %d %s www\n\n" % (number, number, version.encode())
+
+
+@given('a soaked stream that began at "{first}" and was taken up at "{version}"')
+def step(context, first, version):
+    began = told("chat", 200, event(1, first), whole=False)
+    rest = b"".join(event(number, version) for number in range(2, EVENTS + 1))
+    again = told("chat", 200, rest, request_id="s-2", resumes=REQUEST, last_event=1)
+    site = soaked(1)
+    site.servers[0].runs["s-2"] = 1
+    context.found = broken_promises(site, [began, again])
+
+
 @given("an entry answered version {version:d} and {later:g} seconds later 404 to it")
 def step(context, version, later):
     body = f"i-1 {REQUEST} 5".encode()
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -15,6 +15,7 @@
   --surges        Have a client account send eight times its demand as well.
   --partitions    Lose what is sent between two regions as well.
   --cuts          Cut entries off from all servers as well.
+  --upgrades      Replace engines by others of two more software versions as well.
   --keep DIR      Where the logs of failed runs are kept [default: out/soak].
 
 The exit code is 1 where a promise was broken. Ended are only processes that a run
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,6 +4,7 @@
 import http.client
 import itertools
 import random
+import re
 import threading
 import time
 from collections.abc import Mapping
@@ -24,6 +25,10 @@
     "draft": ("ok", "cut", "before"),
     "staged": ("ok", "ok", "cut"),
 }
+# The kinds of streams that callers take up again.
+RESUMABLE = ("chat", "staged")
+# A whole event: its number, and the version of the server that wrote it.
+EVENT = re.compile(rb"id: (\d+)\ndata: \d+ (\S+) w+\n\n")
 LEAVES_SHARE = 0.05
 PROBES_SHARE = 0.15
 
@@ -59,6 +64,9 @@
     :ivar left: the caller went away on purpose.
     :ivar silenced: bytes were lost on its own connection, so that only its own time
         limit can end it.
+    :ivar resumes: the request that brought the first event of a stream that this one
+        takes up; empty for none.
+    :ivar last_event: the number of the last event that its caller had.
     """
 
     request_id: str
@@ -74,6 +82,18 @@
     whole: bool
     left: bool
     silenced: bool = False
+    resumes: str = ""
+    last_event: int = 0
+
+    @property
+    def events(self):
+        """The numbers of the whole events of a stream, each with its version."""
+        return [(int(n), v.decode()) for n, v in EVENT.findall(self.body)]
+
+    @property
+    def may_go_on(self):
+        """Whether its caller may take the stream up again."""
+        return self.kind in RESUMABLE and not self.whole and bool(self.events)
 
 
 class Callers:
@@ -116,7 +136,7 @@
         return not any(thread.is_alive() for thread in self.threads)
 
     def _run(self, rng):
-        connection, entry = None, ""
+        connection, entry, broken = None, "", None
         # Callers with a gap would otherwise all call at once.
         if self.habit.gap_seconds:
             self.ending.wait(rng.uniform(0.0, self.habit.gap_seconds))
@@ -126,7 +146,8 @@
                 connection = http.client.HTTPConnection(
                     self.site.caller_address(entry), timeout=HANG_SECONDS
                 )
-            told, kept = self._call(rng, connection, entry)
+            told, kept = self._call(rng, connection, entry, broken)
+            broken = told if told.may_go_on else None
             with self.lock:
                 self.told.append(told)
             if not kept or rng.random() < 0.02:
@@ -137,8 +158,13 @@
             gap = told.sent_at + self.habit.gap_seconds - time.monotonic()
             self.ending.wait(max(gap, rng.uniform(0.0, 0.08)))
 
-    def _call(self, rng, connection, entry):
+    def _call(self, rng, connection, entry, broken):
         kind, fault, version = self._pick(rng)
+        resumes, last_event = "", 0
+        if broken is not None:
+            kind, fault, version = broken.kind, "ok", 0
+            resumes = broken.resumes or broken.request_id
+            last_event = broken.events[-1][0]
         request_id = f"s-{next(self.numbers)}"
         headers = {
             "Host": HOST,
@@ -148,6 +174,8 @@
         }
         if kind == "staged":
             headers |= {"Pieces": "2,1", "Piece-Key": f"key-{request_id}"}
+        if resumes:
+            headers |= {"Resumes": resumes, "Last-Event-Id": str(last_event)}
         prefix = f"/v{version}/" if kind == "probe" else f"/{kind}/"
         life = (entry, self.site.lives[entry])
         status, sealed, body, whole, kept, left = 0, False, b"", False, False, False
@@ -183,6 +211,8 @@
             whole,
             left,
             self.site.caller_relays[entry].lost(port),
+            resumes,
+            last_event,
         )
         return told, kept
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -36,6 +36,7 @@
     for one in told:
         found += [f"{why}: {_story(one, runs)}" for why in _faults(one, runs)]
     found += _regressions(told)
+    found += _mixed_streams(told)
     found += _foreign_pieces(site)
     found += [f"ended by itself: {name} with {code}" for name, code in site.own_ends]
     for server in site.servers:
@@ -71,12 +72,26 @@
         yield "a success that no server ran"
     if one.kind in STREAMS:
         events = [int(n) for n in re.findall(rb"^id: (\d+)$", one.body, re.MULTILINE)]
-        if events != WHOLE_STREAM:
+        if events != WHOLE_STREAM[one.last_event :]:
             yield f"a stream with events {events}"
     elif not re.fullmatch(rb"i-\d+ %s \d+" % one.request_id.encode(), one.body):
         yield "an answer that is not its own or not whole"
 
 
+def _mixed_streams(told):
+    """Return the streams whose events are of servers of several versions."""
+    versions = {}
+    for one in told:
+        if one.kind in STREAMS:
+            known = versions.setdefault(one.resumes or one.request_id, set())
+            known.update(version for _, version in one.events)
+    return [
+        f"stream {request_id} has events of {sorted(known)}"
+        for request_id, known in versions.items()
+        if len(known) > 1
+    ]
+
+
 def _regressions(told):
     """Return where an entry forgot a version that it had in force."""
     seen = {}
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -104,8 +104,9 @@
             return LimitedServer(ADDRESS, kind, kind, zone, self.faults)
         return super().make_server(kind, zone)
 
-    def _add_server(self, kind, zone):
+    def _add_server(self, kind, zone, version="v1"):
         server = self.make_server(kind, zone)
+        server.version = version
         self._put_behind_relay(server)
         self.servers.append(server)
         self.list(server)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -41,6 +41,7 @@
     ACCOUNT_SURGE = auto()
     REGIONS_PARTED = auto()
     ENTRIES_CUT_OFF = auto()
+    SERVER_UPGRADED = auto()
 
 
 class Family(Enum):
@@ -53,6 +54,7 @@
     SURGES = "surges"
     PARTITIONS = "partitions"
     CUTS = "cuts"
+    UPGRADES = "upgrades"
 
 
 # The families that need entries with bounded memory, fair shares and two regions.
@@ -96,6 +98,8 @@
 LONGEST_CUT_SECONDS = 6.0
 # How entries are cut off from servers, see ``tests.standins.bound_entry``.
 CUT_WAYS = ("refused", "dark", "kept")
+UPGRADE_GAP_SECONDS = 1.2
+VERSIONS = ("v1", "v2", "v3")
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +144,8 @@
             strikes += _return_strikes(rng, seconds)
         elif family is Family.CUTS:
             strikes += _cut_strikes(rng, seconds)
+        elif family is Family.UPGRADES:
+            strikes += _upgrade_strikes(rng, seconds)
         else:
             strikes += _newer_strikes(rng, seconds, NEWER[family])
     return sorted(strikes, key=lambda strike: strike.at)
@@ -172,6 +178,14 @@
         at += CUT_GAP_SECONDS * rng.uniform(0.5, 1.5)
 
 
+def _upgrade_strikes(rng, seconds):
+    at = rng.uniform(0.2, UPGRADE_GAP_SECONDS)
+    while at < seconds:
+        how, target = rng.choice(VERSIONS), rng.randrange(1_000_000)
+        yield Strike(round(at, 2), 0.0, StrikeKind.SERVER_UPGRADED, how, target)
+        at += UPGRADE_GAP_SECONDS * rng.uniform(0.3, 1.7)
+
+
 def _newer_strikes(rng, seconds, kind):
     at = rng.uniform(0.5, NEWER_GAP_SECONDS)
     while at < seconds:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -30,6 +30,8 @@
     "cut_off_from_servers",
     "servers_reached_again",
     "request_delegated",
+    "stream_resumed",
+    "stream_not_resumed",
 )
 
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -148,8 +148,13 @@
         elif kind is StrikeKind.STORE_RETURNS:
             copy = self.store.copy()
             return lambda: self._return_store(copy, strike.how)
+        elif kind is StrikeKind.SERVER_UPGRADED:
+            engines = [s for s in self.of_kind("engine") if not s.gone]
+            engine = engines[strike.target % len(engines)]
+            self._replace_server(engine, drains=False, version=strike.how)
         else:
-            self._replace_server(strike)
+            drains = kind is StrikeKind.SERVER_DRAINS
+            self._replace_server(self._server(strike), drains)
         return None
 
     def _limit(self, strike):
@@ -239,12 +244,11 @@
         present = [s for s in self.servers if not s.gone]
         return present[strike.target % len(present)]
 
-    def _replace_server(self, strike):
-        """Have a server leave, and another come."""
-        server = self._server(strike)
+    def _replace_server(self, server, drains, version=None):
+        """Have a server drain or die, and another come, of its version or another."""
         server.gone = True
         kind, zone = server.kind, server.zone
-        if strike.kind is StrikeKind.SERVER_DRAINS:
+        if drains:
             self.list(server, "draining")
             self.drained.append((server, time.monotonic()))
         else:
@@ -252,4 +256,4 @@
             server.close()
             self.server_relays[server.identity].strike(LinkFault.RESET)
         time.sleep(RETURN_SECONDS)
-        self._add_server(kind, zone)
+        self._add_server(kind, zone, version or server.version)
