Take all pieces of a second run of stages from the budget of repeats

Found by reading: the pieces of the stage that failed for lost inputs have arrived at a server as well, so that its second order repeats them. Only those of the stages that were done were taken from the budget. Now all that had been ordered are, also where the stage found no server and nothing had arrived, which errs on the safe side.

--- a/boragestream/entry/stream_records.py
+++ b/boragestream/entry/stream_records.py
@@ -109,7 +109,7 @@
             return resolve_origin(services, [own], missing=0)
         holders = self._holders(key)[:REQUESTED_ENTRIES]
         if own.single and own.complete:
-            # Those who have listed a second version before this entry have the record.
+            # Peers that listed a second version before this entry hold the record.
             reports = self._request(self._ask, key, services, holders[:HOLDERS], [own])
             found = resolve_origin(services, reports, missing=0)
             if not isinstance(found, OriginUnknown):
--- a/boragestream/serving/stage_pieces.py
+++ b/boragestream/serving/stage_pieces.py
@@ -41,7 +41,7 @@
         ended = first.finish()
         if not first.has_lost_results(ended):
             return ended
-        made = first.made_pieces.items()
-        if not all(self.spend_repeats(service, count) for service, count in made):
+        ordered = first.ordered_pieces.items()
+        if not all(self.spend_repeats(service, count) for service, count in ordered):
             return ended
         return StageRun(self, run, home).finish()
--- a/boragestream/serving/stage_run.py
+++ b/boragestream/serving/stage_run.py
@@ -155,12 +155,13 @@
         return failed and any(self._results.values())
 
     @property
-    def made_pieces(self) -> Counter[str]:
-        """The number of pieces that the stages which are done have had, by service."""
-        made: Counter[str] = Counter()
-        for number, results in self._results.items():
-            made[self._run.route.stages[number].service] += len(results)
-        return made
+    def ordered_pieces(self) -> Counter[str]:
+        """The number of pieces of the stages that have begun, by service."""
+        ordered: Counter[str] = Counter()
+        for number in {*self._results, *self._open}:
+            service = self._run.route.stages[number].service
+            ordered[service] += self._piece_count(number)
+        return ordered
 
     def _start(self, refusal: Failure | None = None) -> Failure | None:
         """Book the later stages and order the first, in the next region that accepts.
