--- a/tests/standins/region_load.py
+++ b/tests/standins/region_load.py
@@ -187,7 +187,7 @@
                 self.come_after(after, region, account)
                 after += self.rng.expovariate(rate)
         event = SimpleNamespace(Event=lambda: Wake(self.scheduler))
-        module = "boragestream.serving.stage_pieces.threading"
+        module = "boragestream.serving.stage_run.threading"
         with unittest.mock.patch(module, event):
             self.scheduler.run(seconds)
 
