Share what two steps on streams of cut-off entries do alike

From reading the whole change once more: both steps set the pause of the engines, waited for the readers and ended the cuts with the same lines; two functions of the step file do that now. A comment says why the first document is noted in two places.

Looked at and left: the records of stream_origins and prompt_parts look alike in their imports and failures only; the two events of a stream that is taken up differ in their fields.

--- a/boragestream/daemon/parts.py
+++ b/boragestream/daemon/parts.py
@@ -97,6 +97,7 @@
     incarnation = new_incarnation()
     configuration = ConfigurationInForce(entry_settings.deployment)
     first = StartupReadiness(clock, (DOCUMENT, INSTANCES), START_HOLD_SECONDS)
+    # Another entry may send a document before the configuration service answers.
     configuration.add_listener(lambda: first.note_known(DOCUMENT))
     loads = LoadTable(clock, rng)
     observations = _observations(settings, clock)
--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -387,6 +387,20 @@
     return threads, kept
 
 
+def slowed_site(context):
+    """Return the site, with engines that take a long pause between two events."""
+    for server in context.site.of_kind("engine"):
+        server.event_seconds = LONG_PAUSE_SECONDS
+    return context.site
+
+
+def end_reading(site, threads):
+    """Wait until all streams have ended, and end all cuts."""
+    for thread in threads:
+        thread.join()
+    site.heal()
+
+
 def wait_cut_off(site, entry):
     """Call an entry until it knows that it is cut off."""
     wait_until(
@@ -402,16 +416,12 @@
     "and their servers break them"
 )
 def step(context):
-    site, cut = context.site, "entry-1"
-    for server in site.of_kind("engine"):
-        server.event_seconds = LONG_PAUSE_SECONDS
+    site, cut = slowed_site(context), "entry-1"
     threads, context.tries = read_later(site, PASSED_STREAMS, cut, "/chat/cut")
     time.sleep(LONG_PAUSE_SECONDS / 2)
     site.cut_off([cut], "kept")
     wait_cut_off(site, cut)
-    for thread in threads:
-        thread.join()
-    site.heal()
+    end_reading(site, threads)
 
 
 @when(
@@ -419,9 +429,7 @@
     "and the entry that serves them is lost"
 )
 def step(context):
-    site, cut = context.site, "entry-1"
-    for server in site.of_kind("engine"):
-        server.event_seconds = LONG_PAUSE_SECONDS
+    site, cut = slowed_site(context), "entry-1"
     site.cut_off([cut], "refused")
     wait_cut_off(site, cut)
     threads, context.tries = read_later(site, PASSED_STREAMS, cut, "/chat/ok")
@@ -431,9 +439,7 @@
     delegated = site.events(cut, "request_delegated")
     took_over = Counter(names[event["entry"]] for event in delegated)
     site.kill(took_over.most_common(1)[0][0])
-    for thread in threads:
-        thread.join()
-    site.heal()
+    end_reading(site, threads)
 
 
 @then("some of them went on at another entry")
