Deliver answers only if their heads are whole

What callers saw: status 200 with the server's proof of origin, an empty body and "Content-Length: 0", where a server had cut its answer inside the head.

Cause: http.client takes the end of the connection for the empty line that ends a head. A head without its framing then stands for a body without a length, and the nothing that follows for the whole body. The end may also be the entry's own shutdown at the deadline. Ruled out: that an answer without a length is read too early, and that the length is lost on the way to the caller; a server that sends each prefix of a head was answered for the cuts from the end of the status line on, never for a whole head.

Change: base.answer_reader reads the answers of servers, of other entries and of the platform in the place of HTTPResponse, for all who call them. A head counts with its empty line alone, so that neither what a server says of itself nor "not run" is taken from a cut one; the end of the connection inside a chunk or the trailers is an error too. Lines that are no headers make an answer malformed; they were skipped with all lines behind them, also the length.

--- a/boragestream/backend/answer.py
+++ b/boragestream/backend/answer.py
@@ -24,6 +24,7 @@
     AttemptFailure,
     Ran,
 )
+from boragestream.base.answer_reader import AnswerHeaders, AnswerReader
 from boragestream.base.clock import Clock
 from boragestream.base.event_buffer import EventBuffer
 from boragestream.base.failures import DeadlinePassed
@@ -67,7 +68,7 @@
         attempt_id: str,
         connection: http.client.HTTPConnection,
         sock: socket.socket,
-        response: http.client.HTTPResponse,
+        response: AnswerReader,
         connections: ConnectionKeeper,
         scope: CancelScope,
         clock: Clock,
@@ -90,7 +91,7 @@
         return self._server
 
     @property
-    def headers(self) -> http.client.HTTPMessage:
+    def headers(self) -> AnswerHeaders:
         """The answer's headers."""
         return self._response.headers
 
--- a/boragestream/backend/attempt.py
+++ b/boragestream/backend/attempt.py
@@ -39,6 +39,7 @@
     ServerLimited,
     ServerRefused,
 )
+from boragestream.base.answer_reader import AnswerHeaders, AnswerReader
 from boragestream.base.clock import Clock
 from boragestream.base.failures import DeadlinePassed
 from boragestream.document.calls import LimitMalformed
@@ -180,7 +181,7 @@
     )
 
 
-def says_leaving(headers: http.client.HTTPMessage) -> bool:
+def says_leaving(headers: AnswerHeaders) -> bool:
     """Tell whether a server says with its answer that it is leaving."""
     return headers.get(LEAVING_HEADER) is not None
 
@@ -196,7 +197,7 @@
 
 
 def _check_head(
-    call: StageCall, server: str, attempt_id: str, response: http.client.HTTPResponse
+    call: StageCall, server: str, attempt_id: str, response: AnswerReader
 ) -> AttemptFailure | None:
     echoed_request = response.headers.get(REQUEST_HEADER, "")
     echoed_attempt = response.headers.get(ATTEMPT_HEADER, "")
--- a/boragestream/backend/bounded_io.py
+++ b/boragestream/backend/bounded_io.py
@@ -5,7 +5,6 @@
 read only once its bytes are granted.
 """
 
-import http.client
 import select
 import socket
 from collections.abc import Sequence
@@ -18,6 +17,7 @@
     CallUnread,
     Ran,
 )
+from boragestream.base.answer_reader import AnswerReader
 from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
 
 __all__ = ["read_bounded", "send_bounded"]
@@ -65,7 +65,7 @@
 
 
 def read_bounded(
-    response: http.client.HTTPResponse,
+    response: AnswerReader,
     server: str,
     memory: MemoryBudget,
     scope: CancelScope,
--- a/boragestream/backend/connections.py
+++ b/boragestream/backend/connections.py
@@ -13,6 +13,8 @@
 import threading
 from dataclasses import dataclass
 
+from boragestream.base.answer_reader import AnswerConnection
+
 __all__ = ["ConnectionKeeper", "is_unreachable"]
 
 MOST_IDLE = 8
@@ -65,7 +67,7 @@
         """
         limit = max(0.001, min(seconds, self._connect_seconds))
         try:
-            connection = http.client.HTTPConnection(host, timeout=limit)
+            connection = AnswerConnection(host, timeout=limit)
         except http.client.InvalidURL as error:
             raise OSError(f"no address: {host!r}") from error
         connection.connect()
--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -22,6 +22,7 @@
     ConnectFailed,
     Ran,
 )
+from boragestream.base.answer_reader import AnswerReader
 from boragestream.base.clock import Clock
 from boragestream.base.failures import DeadlinePassed
 from boragestream.base.liveness import detect_dead_peer
@@ -51,7 +52,7 @@
 class ReadHead(Protocol):
     """Decodes the head of an answer."""
 
-    def __call__(self, response: http.client.HTTPResponse) -> AnswerHead:
+    def __call__(self, response: AnswerReader) -> AnswerHead:
         """Return the head as a record."""
 
 
@@ -112,7 +113,7 @@
         line: CallLine,
         server: Server,
         connection: http.client.HTTPConnection,
-        response: http.client.HTTPResponse,
+        response: AnswerReader,
         head: AnswerHead,
         scope: CancelScope,
         reusable: bool,
@@ -306,7 +307,7 @@
     except OSError:
         # A server may answer before it has read everything, and close.
         whole = False
-    response = http.client.HTTPResponse(sock, method=call.method)
+    response = AnswerReader(sock, method=call.method)
     try:
         response.begin()
     except (OSError, http.client.HTTPException, ValueError) as error:
--- a/boragestream/backend/load.py
+++ b/boragestream/backend/load.py
@@ -1,8 +1,8 @@
 """Reads a server's load off the headers of its answers."""
 
 import re
-from http.client import HTTPMessage
 
+from boragestream.base.answer_reader import AnswerHeaders
 from boragestream.policy.reports import LoadReport
 
 __all__ = ["LOAD_HEADER", "read_load"]
@@ -11,7 +11,7 @@
 _FORM = re.compile(r"(\d{1,6})/(\d{1,6})", re.ASCII)
 
 
-def read_load(headers: HTTPMessage) -> LoadReport | None:
+def read_load(headers: AnswerHeaders) -> LoadReport | None:
     """Return the load that an answer reports, ``in_progress/slots``; None for none."""
     found = _FORM.fullmatch(headers.get(LOAD_HEADER, ""))
     if found is None or int(found[2]) == 0:
--- /dev/null
+++ b/boragestream/base/answer_reader.py
@@ -0,0 +1,337 @@
+"""Reads HTTP/1.1 answers, and tells a whole answer from one that ended early.
+
+The answers of backend servers, of other entries and of the platform are read here. A
+head is whole once its empty line was read. A body is whole once all bytes of its
+length, or its last chunk and the end of its trailers, were read; a body without either
+ends with its connection. What an answer means is left to those who asked, and how long
+to wait to the socket.
+
+``AnswerReader`` takes the place of ``http.client.HTTPResponse``, which takes the end of
+a connection for the end of a head and of trailers.
+"""
+
+import http.client
+import re
+import socket
+from collections.abc import Iterable, Sequence
+
+__all__ = [
+    "AnswerConnection",
+    "AnswerCutError",
+    "AnswerHeaders",
+    "AnswerMalformedError",
+    "AnswerReader",
+]
+
+READ_BYTES = 65_536
+# An empty line, also with bare line feeds, which some servers send.
+HEAD_END = re.compile(rb"\n\r?\n")
+HEAD_END_OVERLAP = 2
+PROTOCOL = b"HTTP/1."
+STATUS_LINE = re.compile(
+    r"HTTP/1\.([0-9])[ \t]+([1-9][0-9]{2})(?:[ \t]+([^\r\n\0]*))?\r?"
+)
+# Line folding is left out: RFC 9112 lets a gateway reject it.
+HEADER_LINES = re.compile(r"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r?(?:\n|\Z))*")
+CONTENT_LENGTH = re.compile(r"[0-9]{1,18}")
+CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r?\n")
+LINE_ENDS = (b"\r\n", b"\n")
+NO_BODY = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
+
+
+class AnswerCutError(http.client.HTTPException):
+    """The connection ended before the answer was whole."""
+
+
+class AnswerMalformedError(http.client.HTTPException):
+    """The bytes are not an answer of the protocol."""
+
+
+class AnswerHeaders:
+    """The headers of an answer; their names are compared without case.
+
+    :param pairs: name and value of each header, in the order of the answer.
+    """
+
+    def __init__(self, pairs: Sequence[tuple[str, str]]) -> None:
+        self._pairs = pairs
+        self._values: dict[str, list[str]] = {}
+        for name, value in pairs:
+            self._values.setdefault(name.lower(), []).append(value)
+
+    def __getitem__(self, name: str) -> str | None:
+        return self.get(name)
+
+    def get(self, name: str, default: str | None = None) -> str | None:
+        """Return the first value of a header."""
+        values = self._values.get(name.lower())
+        return values[0] if values else default
+
+    def get_all(self, name: str, default: list[str] | None = None) -> list[str] | None:
+        """Return all values of a header."""
+        return self._values.get(name.lower(), default)
+
+    def items(self) -> Iterable[tuple[str, str]]:
+        """Return name and value of each header."""
+        return self._pairs
+
+
+class AnswerReader:
+    """Reads one answer from a connection; has the interface of ``HTTPResponse``.
+
+    :param sock: the connection; its timeout bounds each wait for bytes.
+    :param method: the method of the request, since some answers have no body.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        debuglevel: int = 0,
+        method: str | None = None,
+        url: str | None = None,
+    ) -> None:
+        self._sock = sock
+        # Holds the socket open if its connection object is closed before the body is
+        # read.
+        self._reference = sock.makefile("rb", buffering=0)
+        self._method = method
+        self._buffer = bytearray()
+        self._status = 0
+        self._reason = ""
+        self._headers = AnswerHeaders(())
+        self._chunked = False
+        self._length: int | None = None
+        self._will_close = True
+        self._chunk_left = 0
+        # Whether the line end behind a chunk's bytes has yet to be read.
+        self._chunk_open = False
+        self._whole = False
+
+    @property
+    def status(self) -> int:
+        """The status code."""
+        return self._status
+
+    @property
+    def reason(self) -> str:
+        """The reason phrase."""
+        return self._reason
+
+    @property
+    def headers(self) -> AnswerHeaders:
+        """The headers."""
+        return self._headers
+
+    @property
+    def chunked(self) -> bool:
+        """Whether the body comes in chunks."""
+        return self._chunked
+
+    @property
+    def length(self) -> int | None:
+        """The bytes of the body that are left to read; None if it names no length."""
+        return self._length
+
+    @property
+    def will_close(self) -> bool:
+        """Whether the peer closes the connection after the answer."""
+        return self._will_close
+
+    @property
+    def whole(self) -> bool:
+        """Whether the answer was read to its end."""
+        return self._whole
+
+    @property
+    def has_excess(self) -> bool:
+        """Whether bytes came that belong to no answer."""
+        return self._whole and bool(self._buffer)
+
+    def begin(self) -> None:
+        """Read the head.
+
+        :raises OSError: if the connection breaks.
+        :raises http.client.HTTPException: if the head isn't whole or can't be read.
+        """
+        minor = self._read_head()
+        while self._status == http.HTTPStatus.CONTINUE:
+            minor = self._read_head()
+        self._set_framing(minor)
+
+    def read(self, size: int | None = None) -> bytes:
+        """Return the rest of the body, or its next bytes.
+
+        :param size: the most bytes to return; None for all.
+        :raises OSError: if the connection breaks.
+        :raises http.client.HTTPException: if the answer isn't whole.
+        """
+        parts: list[bytes] = []
+        left = size
+        while left is None or left > 0:
+            data = self.read1(READ_BYTES if left is None else left)
+            if not data:
+                break
+            parts.append(data)
+            if left is not None:
+                left -= len(data)
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    def read1(self, size: int = READ_BYTES) -> bytes:
+        """Return bytes of the body as soon as there are any; none at its end.
+
+        :param size: the most bytes to return.
+        :raises OSError: if the connection breaks.
+        :raises http.client.HTTPException: if the answer isn't whole.
+        """
+        if self._whole:
+            return b""
+        if self._chunked:
+            return self._read_chunked(size)
+        if self._length is None:
+            data = self._take(size)
+            if not data:
+                self._finish()
+            return data
+        data = self._take_some(min(size, self._length), "body")
+        self._length -= len(data)
+        if not self._length:
+            self._finish()
+        return data
+
+    def isclosed(self) -> bool:
+        """Return whether there is nothing left to read."""
+        return self._reference.closed
+
+    def close(self) -> None:
+        """Give the connection up; nothing can be read any more."""
+        self._reference.close()
+
+    def _read_head(self) -> int:
+        """Read one head; return the minor version of its protocol."""
+        lines = self._take_head().decode("latin-1")
+        status_line, _, header_lines = lines.partition("\n")
+        found = STATUS_LINE.fullmatch(status_line)
+        if found is None or not HEADER_LINES.fullmatch(header_lines):
+            raise AnswerMalformedError("head")
+        self._status = int(found[2])
+        self._reason = (found[3] or "").strip()
+        split = (line.partition(":") for line in header_lines.split("\n") if line)
+        pairs = [(name, value.strip(" \t\r")) for name, _, value in split]
+        self._headers = AnswerHeaders(pairs)
+        return int(found[1])
+
+    def _take_head(self) -> bytes:
+        """Return a head without its empty line."""
+        buffer, searched = self._buffer, 0
+        while (end := HEAD_END.search(buffer, searched)) is None:
+            searched = max(0, len(buffer) - HEAD_END_OVERLAP)
+            begin = bytes(buffer[: len(PROTOCOL)])
+            if begin != PROTOCOL[: len(begin)]:
+                raise AnswerMalformedError("status line")
+            if not self._fill():
+                if not buffer:
+                    raise http.client.RemoteDisconnected("no answer")
+                raise AnswerCutError(f"head cut after {len(buffer)} bytes")
+        head = bytes(buffer[: end.start()])
+        del buffer[: end.end()]
+        return head
+
+    def _set_framing(self, minor: int) -> None:
+        headers = self._headers
+        connection = (headers.get("Connection") or "").lower()
+        if minor:
+            self._will_close = "close" in connection
+        else:
+            kept = headers.get("Keep-Alive") is not None or "keep-alive" in connection
+            self._will_close = not kept
+        coding = headers.get("Transfer-Encoding")
+        lengths = {
+            length.strip()
+            for value in headers.get_all("Content-Length", [])
+            for length in value.split(",")
+        }
+        if self._method == "HEAD" or self._status in NO_BODY:
+            self._length = 0
+        elif coding is not None:
+            if coding.lower() != "chunked":
+                raise AnswerMalformedError("transfer coding")
+            self._chunked = True
+        elif lengths:
+            length = lengths.pop()
+            if lengths or not CONTENT_LENGTH.fullmatch(length):
+                raise AnswerMalformedError("content length")
+            self._length = int(length)
+        else:
+            self._will_close = True
+        if self._length == 0:
+            self._finish()
+
+    def _read_chunked(self, size: int) -> bytes:
+        if not self._chunk_left:
+            self._begin_chunk()
+            if self._whole:
+                return b""
+        data = self._take_some(min(size, self._chunk_left), "chunk")
+        self._chunk_left -= len(data)
+        return data
+
+    def _begin_chunk(self) -> None:
+        """Read the line that begins a chunk; after the last one, the trailers."""
+        if self._chunk_open and self._take_line("chunk") not in LINE_ENDS:
+            raise AnswerMalformedError("end of a chunk")
+        found = CHUNK_SIZE.fullmatch(self._take_line("chunk size"))
+        if found is None:
+            raise AnswerMalformedError("chunk size")
+        self._chunk_left = int(found[1], 16)
+        self._chunk_open = True
+        if not self._chunk_left:
+            while self._take_line("trailers") not in LINE_ENDS:
+                pass
+            self._finish()
+
+    def _take_line(self, part: str) -> bytes:
+        """Return the next line with its end."""
+        buffer, searched = self._buffer, 0
+        while (end := buffer.find(b"\n", searched)) < 0:
+            searched = len(buffer)
+            if not self._fill():
+                raise AnswerCutError(f"{part} cut")
+        line = bytes(buffer[: end + 1])
+        del buffer[: end + 1]
+        return line
+
+    def _take_some(self, size: int, part: str) -> bytes:
+        """Return up to so many bytes, at least one."""
+        data = self._take(size)
+        if not data:
+            raise AnswerCutError(f"{part} cut")
+        return data
+
+    def _take(self, size: int) -> bytes:
+        """Return up to so many bytes; none at the end of the connection."""
+        if not self._buffer:
+            return self._receive(size)
+        data = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return data
+
+    def _fill(self) -> bool:
+        """Read more bytes into the buffer; return False at the connection's end."""
+        data = self._receive(READ_BYTES)
+        self._buffer += data
+        return bool(data)
+
+    def _receive(self, size: int) -> bytes:
+        if self._reference.closed:
+            raise AnswerCutError("closed here")
+        return self._sock.recv(size)
+
+    def _finish(self) -> None:
+        self._whole = True
+        self._reference.close()
+
+
+class AnswerConnection(http.client.HTTPConnection):
+    """A connection whose answers are read by ``AnswerReader``."""
+
+    response_class = AnswerReader
--- a/boragestream/caller/delegated_calls.py
+++ b/boragestream/caller/delegated_calls.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from boragestream.backend.connections import ConnectionKeeper
+from boragestream.base.answer_reader import AnswerReader
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, emit
 from boragestream.base.failures import DeadlinePassed, EntryCutOff
@@ -90,7 +91,7 @@
 class DelegatedStream:
     """The events of a stream that another entry serves, relayed as they arrive."""
 
-    def __init__(self, response: http.client.HTTPResponse, close: Callable[[], None]):
+    def __init__(self, response: AnswerReader, close: Callable[[], None]):
         self._response = response
         self._close = close
         self._tail = b""
@@ -187,7 +188,7 @@
 
     def _open(
         self, request: RequestRecord, reason: str, stream: bool
-    ) -> tuple[http.client.HTTPResponse, Callable[[], None]] | Failure:
+    ) -> tuple[AnswerReader, Callable[[], None]] | Failure:
         """Return the answer of the first entry that serves the request."""
         service = self._cut_service(request) or request.pipeline.stages[0].service
         failure: Failure = EntryCutOff(service)
@@ -216,7 +217,7 @@
 
     def _ask(
         self, request: RequestRecord, entry: ListedEntry, stream: bool
-    ) -> tuple[http.client.HTTPResponse, Callable[[], None]] | Failure:
+    ) -> tuple[AnswerReader, Callable[[], None]] | Failure:
         scope = request.scope
         left = scope.deadline - self.clock.now()
         if left <= 0:
@@ -272,7 +273,7 @@
 
     @staticmethod
     def _failure(
-        request: RequestRecord, entry: ListedEntry, response: http.client.HTTPResponse
+        request: RequestRecord, entry: ListedEntry, response: AnswerReader
     ) -> Failure:
         problem = _problems.decode(response.read())
         if problem.outcome == "refused":
--- a/boragestream/platform/reader.py
+++ b/boragestream/platform/reader.py
@@ -8,6 +8,7 @@
 import re
 from dataclasses import dataclass
 
+from boragestream.base.answer_reader import AnswerConnection, AnswerHeaders
 from boragestream.base.liveness import detect_dead_peer
 from boragestream.base.outcomes import Failure
 from boragestream.policy.publication import NO_ERA
@@ -68,7 +69,7 @@
     """
 
     status: int
-    headers: http.client.HTTPMessage
+    headers: AnswerHeaders
     value: bytes
 
 
@@ -85,7 +86,7 @@
     """
     place = address + target.partition("?")[0]
     limit = min(seconds, CONNECT_SECONDS)
-    connection = http.client.HTTPConnection(address, timeout=limit)
+    connection = AnswerConnection(address, timeout=limit)
     try:
         connection.connect()
         connection.sock.settimeout(seconds)
@@ -104,7 +105,7 @@
         connection.close()
 
 
-def read_era(headers: http.client.HTTPMessage, name: str) -> int:
+def read_era(headers: AnswerHeaders, name: str) -> int:
     """Return the era that an answer names; ``NO_ERA`` for none that can be read."""
     text = headers.get(name, "")
     return int(text) if ERA.fullmatch(text) else NO_ERA
--- a/boragestream/platform/wire.py
+++ b/boragestream/platform/wire.py
@@ -4,11 +4,11 @@
 that this module fills and reads.
 """
 
-import http.client
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from http import HTTPStatus
 
+from boragestream.base.answer_reader import AnswerReader
 from boragestream.document.calls import (
     AnswerHead,
     CallHead,
@@ -216,7 +216,7 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
-def read_entry_answer_head(response: http.client.HTTPResponse) -> AnswerHead:
+def read_entry_answer_head(response: AnswerReader) -> AnswerHead:
     """Decode the head of another entry's answer to a delegated request.
 
     An answer without a server's proof of origin is the entry's own.
@@ -233,7 +233,7 @@
     )
 
 
-def read_answer_head(response: http.client.HTTPResponse) -> AnswerHead:
+def read_answer_head(response: AnswerReader) -> AnswerHead:
     """Decode the head of a backend server's answer."""
     headers = response.headers
     not_run = headers.get(DID_NOT_RUN) is not None
@@ -311,7 +311,7 @@
     return counts
 
 
-def _backoff(response: http.client.HTTPResponse) -> float | None:
+def _backoff(response: AnswerReader) -> float | None:
     if response.status != HTTPStatus.SERVICE_UNAVAILABLE:
         return None
     return parse_backoff(response.headers.get(RETRY_AFTER))
--- a/tests/features/forwarded_path.feature
+++ b/tests/features/forwarded_path.feature
@@ -11,6 +11,7 @@
       | error          | 500    | 1    |
       | refuse         | 200    | 1    |
       | cut            | 502    | 1    |
+      | cut-head       | 502    | 1    |
       | unsealed       | 502    | 1    |
       | encoded        | 502    | 1    |
       | crossed        | 502    | 1    |
@@ -32,6 +33,7 @@
       | always-error   | 500    | 2    |
       | refuse         | 200    | 1    |
       | cut            | 200    | 2    |
+      | cut-head       | 200    | 2    |
       | unsealed       | 200    | 2    |
       | encoded        | 200    | 2    |
       | crossed        | 200    | 2    |
@@ -58,6 +60,7 @@
       | path         | events           | whole     | runs |
       | /chat/ok     | 1, 2, 3, 4, 5, 6 | whole     | 1    |
       | /chat/cut    | 1, 2, 3, 4, 5, 6 | whole     | 2    |
+      | /chat/cut-head | 1, 2, 3, 4, 5, 6 | whole   | 2    |
       | /chat/half   | 1, 2, 3, 4, 5, 6 | whole     | 2    |
       | /chat/before | 1, 2, 3, 4, 5, 6 | whole     | 2    |
       | /draft/ok    | 1, 2, 3, 4, 5, 6 | whole     | 1    |
@@ -66,6 +69,11 @@
       | /chat/gap    | 1, 2, 3, 4, 5, 6 | whole     | 2    |
       | /draft/gap   | 1, 2             | cut       | 1    |
 
+  # Guards against a stream cut inside its head that is taken for one without events.
+  Scenario: a stream that can't go on and is cut inside its head is no answer
+    When the request "POST" "/draft/cut-head" is sent
+    Then the answer is 502 and it ran 1 times
+
   Scenario: a server whose stream has a gap is left at once, before another goes on
     When the request "POST" "/chat/gap" is sent
     Then the events are "1, 2, 3, 4, 5, 6", whole, and it ran 2 times
--- /dev/null
+++ b/tests/features/steps/whole_answers.py
@@ -0,0 +1,139 @@
+"""Steps that read the answers of servers that send any bytes."""
+
+from behave import given, then, when
+
+from boragestream.backend.cancellation import CancelScope, Watchdog
+from boragestream.backend.connections import ConnectionKeeper
+from boragestream.backend.failures import AttemptCancelled, AttemptFailure
+from boragestream.backend.forwarded_call import (
+    CallLine,
+    OutgoingCall,
+    open_forwarded_call,
+)
+from boragestream.base.clock import SystemClock
+from boragestream.base.failures import DeadlinePassed
+from boragestream.base.memory_budget import MemoryBudget
+from boragestream.platform.wire import read_answer_head
+from boragestream.policy.servers import Server
+from tests.standins.background import in_background
+from tests.standins.scripted_server import ScriptedServer
+
+BUDGET_BYTES = 160 * 1_048_576
+SECONDS = 10.0
+SHORT_SECONDS = 0.4
+BODY = b"the whole body"
+CALL = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+STATUS = b"HTTP/1.1 200 OK\r\n"
+HEADERS = (
+    b"Request-Id: r-1\r\nServer-Seal: s\r\nServer-Limit: 12\r\nServer-Load: 1,20,30\r\n"
+)
+CHUNKS = b"9\r\nthe whole\r\n5\r\n body\r\n0\r\n\r\n"
+ANSWERS = {
+    "with a length": (b"Content-Length: %d\r\n\r\n" % len(BODY), BODY),
+    "in chunks": (b"Transfer-Encoding: chunked\r\n\r\n", CHUNKS),
+    "without a length": (b"\r\n", BODY),
+}
+ENDS = {"ends": "end", "is reset": "reset"}
+
+
+def prepare(context):
+    """Start a server and what its calls share."""
+    context.backend = ScriptedServer()
+    context.add_cleanup(context.backend.close)
+    context.heads = []
+    context.results = []
+    clock = SystemClock()
+    context.line = CallLine(
+        read_answer_head,
+        ConnectionKeeper(),
+        clock,
+        lambda service: 0,
+        note_head=lambda server, head, sent_at: context.heads.append(head),
+        memory=MemoryBudget(BUDGET_BYTES, clock),
+    )
+    watchdog = Watchdog(clock)
+    in_background(context, watchdog.run, watchdog.stop)
+    context.watchdog = watchdog
+
+
+def make_call(context, seconds=SECONDS, stream=False):
+    """Make a call; return the whole body or the failure."""
+    scope = CancelScope(context.line.clock.now() + seconds)
+    context.watchdog.open(scope)
+    server = Server("server", "service", context.backend.address, "hall")
+    call = OutgoingCall("GET", "r-1", lambda left: CALL)
+    try:
+        answer = open_forwarded_call(context.line, server, call, scope)
+        if isinstance(answer, AttemptFailure):
+            return answer
+        if not stream:
+            return answer.read()
+        *parts, last = [b"", *answer.parts()]
+        return last if isinstance(last, AttemptFailure) else b"".join([*parts, last])
+    finally:
+        context.watchdog.close(scope)
+
+
+@given("a server that sends an answer {framed}")
+def step(context, framed):
+    prepare(context)
+    framing, body = ANSWERS[framed]
+    context.head, context.body = STATUS + HEADERS + framing, body
+    context.backend.script(context.head + context.body)
+
+
+@given('a server whose answer has the line "{line}" in its head')
+def step(context, line):
+    prepare(context)
+    framing, body = ANSWERS["with a length"]
+    if line.startswith("Content-Length"):
+        framing = b"\r\n"
+    head = STATUS + line.encode() + b"\r\n" + HEADERS + framing
+    context.backend.script(head + body)
+
+
+@when("each cut of its head is sent, and the connection {ends}")
+def step(context, ends):
+    for size in range(len(context.head)):
+        context.backend.script(context.head[:size], then=ENDS[ends])
+        context.results += [make_call(context), make_call(context, stream=True)]
+
+
+@when("the last bytes of its head are not sent before the deadline")
+def step(context):
+    context.backend.script(context.head[:-1], then="hold")
+    context.results = [
+        make_call(context, SHORT_SECONDS),
+        make_call(context, SHORT_SECONDS, stream=True),
+    ]
+
+
+@when("the call is made")
+def step(context):
+    context.results = [make_call(context), make_call(context, stream=True)]
+
+
+@then("no call is answered, and nothing was taken from a head")
+def step(context):
+    answered = [r for r in context.results if not isinstance(r, AttemptFailure)]
+    assert context.results and not answered, (len(answered), len(context.results))
+    assert not context.heads, len(context.heads)
+
+
+@then("the call failed for its deadline, and nothing was taken from a head")
+def step(context):
+    for result in context.results:
+        assert isinstance(result, AttemptCancelled), result
+        assert isinstance(result.reason, DeadlinePassed), result
+    assert not context.heads, len(context.heads)
+
+
+@then("the call failed")
+def step(context):
+    for result in context.results:
+        assert isinstance(result, AttemptFailure), result
+
+
+@then("the call is answered with the whole body")
+def step(context):
+    assert context.results == [BODY, BODY], context.results
--- /dev/null
+++ b/tests/features/whole_answers.feature
@@ -0,0 +1,47 @@
+Feature: an answer counts only if its head and its body are known to be whole
+
+  # Guards against an answer cut inside its head that is delivered with an empty body.
+  Scenario Outline: an answer that ends inside its head is no answer
+    Given a server that sends an answer <framed>
+    When each cut of its head is sent, and the connection <ends>
+    Then no call is answered, and nothing was taken from a head
+
+    Examples:
+      | framed              | ends      |
+      | with a length       | ends      |
+      | with a length       | is reset  |
+      | in chunks           | ends      |
+      | without a length    | ends      |
+
+  # Guards against a head cut at the deadline that is delivered as a whole answer.
+  Scenario: a head that is still coming at the deadline is no answer
+    Given a server that sends an answer with a length
+    When the last bytes of its head are not sent before the deadline
+    Then the call failed for its deadline, and nothing was taken from a head
+
+  # Guards against header lines that are skipped together with the length behind them.
+  Scenario Outline: a head that can't be read is no answer
+    Given a server whose answer has the line "<line>" in its head
+    When the call is made
+    Then the call failed
+
+    Examples:
+      | line                       |
+      | no header                  |
+      | : no name                  |
+      | a name: value              |
+      | Content-Length: 5x         |
+      | Content-Length: -1         |
+      | Content-Length: 4, 5       |
+      | Transfer-Encoding: unknown |
+
+  Scenario Outline: a whole answer is read
+    Given a server that sends an answer <framed>
+    When the call is made
+    Then the call is answered with the whole body
+
+    Examples:
+      | framed           |
+      | with a length    |
+      | in chunks        |
+      | without a length |
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -22,6 +22,8 @@
 # Pieces with this key crash the stage server that begins to make them.
 DEADLY_KEY = "deadly"
 RESET = struct.pack("ii", 1, 0)
+# Cuts a head behind the seal and inside the framing.
+HEAD_CUT_BYTES = 8
 # A brittle server lets fewer calls wait from this long after it first says so.
 SHRINK_SECONDS = 3.0
 # One that fell over is back after so long.
@@ -362,6 +364,9 @@
         elif fault == "cut":
             self.send(sock, headers, 200, text, sent=len(text) // 2)
             raise OSError("cut")
+        elif fault == "cut-head":
+            self.send(sock, headers, 200, text, head_cut=HEAD_CUT_BYTES)
+            raise OSError("cut")
         elif fault == "unsealed":
             self.send(sock, headers, 200, text, sealed=False)
         elif fault == "encoded":
@@ -397,6 +402,9 @@
         framed = fault != "unframed-half"
         head = [("Content-Type", "text/event-stream")]
         head += [("Transfer-Encoding", "chunked")] if framed else []
+        if fault == "cut-head":
+            self.send(sock, headers, 200, None, head, head_cut=HEAD_CUT_BYTES)
+            raise OSError("cut")
         self.send(sock, headers, 200, None, head)
         for number in range(first, EVENTS + 1):
             event = b"id: %d\ndata: %d %s\n\n" % (number, number, words)
@@ -489,8 +497,13 @@
         sealed=True,
         framed=True,
         sent=None,
+        head_cut=0,
     ):
-        """Send a head, and a body where there is one."""
+        """Send a head, and a body where there is one.
+
+        ``sent`` bounds the bytes of the body; the last ``head_cut`` bytes of the head
+        are left out together with the body.
+        """
         lines = [f"HTTP/1.1 {status} Some"]
         if headers["Request-Id"]:
             lines.append(f"Request-Id: {headers['Request-Id']}")
@@ -507,4 +520,5 @@
         if body is not None and framed:
             lines.append(f"Content-Length: {len(body)}")
         content = b"" if body is None else body[:sent]
-        sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + content)
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        sock.sendall(head[:-head_cut] if head_cut else head + content)
--- /dev/null
+++ b/tests/standins/scripted_server.py
@@ -0,0 +1,80 @@
+"""A backend server that sends given bytes, whatever it is asked."""
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+
+RESET = struct.pack("ii", 1, 0)
+RECEIVE_BYTES = 65_536
+HOLD_SECONDS = 20.0
+# Several times what a caller may take before it closes an answer without end.
+MAX_REPEATED_BYTES = 256 * 1_048_576
+
+
+class ScriptedServer:
+    """Answers each connection with its script.
+
+    A script has the bytes that are sent first, bytes that are repeated without end, the
+    pause in seconds after each repeat, and what follows if nothing is repeated: "end",
+    "reset", or "hold" for a connection that stays open.
+    """
+
+    def __init__(self):
+        """Listen at a free port."""
+        self.first = b""
+        self.repeated = b""
+        self.pause = 0.0
+        self.then = "end"
+        self.calls = 0
+        self.repeats = 0
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.open = []
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def script(self, first, repeated=b"", pause=0.0, then="end"):
+        """Set what is sent from now on."""
+        self.first, self.repeated = first, repeated
+        self.pause, self.then = pause, then
+
+    def accept(self):
+        """Serve each connection in a thread of its own."""
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            self.open.append(sock)
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock):
+        """Send the script to the calls of one connection."""
+        with contextlib.suppress(OSError):
+            sock.settimeout(HOLD_SECONDS)
+            while sock.recv(RECEIVE_BYTES):
+                self.calls += 1
+                sock.sendall(self.first)
+                self.repeat(sock)
+                if self.then == "reset":
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                if self.then != "hold":
+                    break
+        sock.close()
+
+    def repeat(self, sock):
+        """Send bytes until the caller closes."""
+        left = MAX_REPEATED_BYTES
+        while self.repeated and left > 0:
+            sock.sendall(self.repeated)
+            self.repeats += 1
+            left -= len(self.repeated)
+            time.sleep(self.pause)
+
+    def close(self):
+        """Stop listening and end all connections."""
+        self.listener.close()
+        for sock in self.open:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
