Deliver answers without a length only if their servers ended them

What callers saw: status 200 with a part of the body and a "Content-Length" that counts it, where a server fell silent in the middle of an answer without a length.

Cause: a call is cancelled by a shutdown of its socket, which reads like the orderly end of a whole body. Streams looked at the scope after the last byte, whole answers did not. Ruled out: an end by the server when it goes on, since the parts came before that, and an end by the kernel, which is an error.

Change: the reader of answers takes the end of a connection for the end of a body only if this process has not shut it down; the scope has its reason before it does. Calls and streams share this check, and the one of streams is gone. A body that is cut by the deadline now fails with the deadline (504), as an answer without a head does, not as a cancelled attempt (502).

--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -167,24 +167,14 @@
 
     def parts(self) -> Iterator[bytes | AttemptFailure]:
         """Yield the bytes of the body as they come; a failure is the last item."""
-        left = self._response.length
         try:
             while data := self._response.read1(READ_BYTES):
-                if left is not None:
-                    left -= len(data)
                 if self._reached is not None:
                     self._line.reach.note_bytes(self._reached)
                 yield data
         except (OSError, http.client.HTTPException, ValueError) as error:
             yield self._fail(error)
             return
-        if left:
-            yield self._fail(http.client.IncompleteRead(b"", left))
-            return
-        if self._scope.reason is not None:
-            # A connection that was shut down here also reads as ended.
-            yield self._fail(OSError("shut down"))
-            return
         self._keep()
 
     def close(self) -> None:
@@ -307,7 +297,9 @@
     except OSError:
         # A server may answer before it has read everything, and close.
         whole = False
-    response = AnswerReader(sock, method=call.method)
+    response = AnswerReader(
+        sock, method=call.method, shut_down_here=lambda: scope.reason is not None
+    )
     try:
         response.begin()
     except (OSError, http.client.HTTPException, ValueError) as error:
--- a/boragestream/base/answer_reader.py
+++ b/boragestream/base/answer_reader.py
@@ -3,17 +3,17 @@
 The answers of backend servers, of other entries and of the platform are read here. A
 head is whole once its empty line was read. A body is whole once all bytes of its
 length, or its last chunk and the end of its trailers, were read; a body without either
-ends with its connection. What an answer means is left to those who asked, and how long
-to wait to the socket.
+ends with its connection, unless this process ended the connection itself. What an
+answer means is left to those who asked, and how long to wait to the socket.
 
 ``AnswerReader`` takes the place of ``http.client.HTTPResponse``, which takes the end of
-a connection for the end of a head and of trailers.
+a connection for the end of a head, of trailers, and of a body without a length.
 """
 
 import http.client
 import re
 import socket
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 __all__ = [
     "AnswerConnection",
@@ -81,6 +81,8 @@
 
     :param sock: the connection; its timeout bounds each wait for bytes.
     :param method: the method of the request, since some answers have no body.
+    :param shut_down_here: returns whether this process has shut the connection down, so
+        that its end says nothing about the answer.
     """
 
     def __init__(
@@ -89,12 +91,14 @@
         debuglevel: int = 0,
         method: str | None = None,
         url: str | None = None,
+        shut_down_here: Callable[[], bool] = lambda: False,
     ) -> None:
         self._sock = sock
         # Holds the socket open if its connection object is closed before the body is
         # read.
         self._reference = sock.makefile("rb", buffering=0)
         self._method = method
+        self._shut_down_here = shut_down_here
         self._buffer = bytearray()
         self._status = 0
         self._reason = ""
@@ -190,6 +194,8 @@
         if self._length is None:
             data = self._take(size)
             if not data:
+                if self._shut_down_here():
+                    raise AnswerCutError("body cut: the connection was shut down here")
                 self._finish()
             return data
         data = self._take_some(min(size, self._length), "body")
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -251,6 +251,8 @@
             self._inputs_ready = False
 
     def _note_failure(self, failure: Failure) -> None:
+        if isinstance(failure, AttemptCancelled):
+            failure = failure.reason
         self._failure = failure
         emit(
             Event.ATTEMPT_FAILED,
@@ -261,9 +263,7 @@
 
     def _may_retry_after(self, failure: AttemptFailure) -> bool:
         """Record an attempt without an answer; return whether another may follow."""
-        self._note_failure(
-            failure.reason if isinstance(failure, AttemptCancelled) else failure
-        )
+        self._note_failure(failure)
         abandoned = isinstance(failure, AttemptCancelled) and isinstance(
             failure.reason, EntryCutOff
         )
@@ -324,8 +324,7 @@
         if isinstance(attempt, ForwardAttempt):
             self._crashes.check(attempt.server, failure)
         self._splitter.discard_partial()
-        cancelled = isinstance(failure, AttemptCancelled)
-        self._note_failure(failure.reason if cancelled else failure)
+        self._note_failure(failure)
 
     def _events(
         self, attempt: OpenAttempt, first: list[bytes]
--- a/tests/features/forwarded_path.feature
+++ b/tests/features/forwarded_path.feature
@@ -20,6 +20,7 @@
       | late-extra     | 200    | 1    |
       | unframed       | 200    | 1    |
       | unframed-reset | 502    | 1    |
+      | unframed-stall | 504    | 1    |
       | silent         | 504    | 1    |
 
   Scenario Outline: what may be repeated is answered by another server
--- a/tests/features/steps/whole_answers.py
+++ b/tests/features/steps/whole_answers.py
@@ -1,5 +1,8 @@
 """Steps that read the answers of servers that send any bytes."""
 
+import threading
+import time
+
 from behave import given, then, when
 
 from boragestream.backend.cancellation import CancelScope, Watchdog
@@ -11,11 +14,12 @@
     open_forwarded_call,
 )
 from boragestream.base.clock import SystemClock
-from boragestream.base.failures import DeadlinePassed
+from boragestream.base.failures import CallerGone, DeadlinePassed, EntryCutOff
 from boragestream.base.memory_budget import MemoryBudget
 from boragestream.platform.wire import read_answer_head
 from boragestream.policy.servers import Server
 from tests.standins.background import in_background
+from tests.standins.fleet import wait_until
 from tests.standins.scripted_server import ScriptedServer
 
 BUDGET_BYTES = 160 * 1_048_576
@@ -27,13 +31,20 @@
 HEADERS = (
     b"Request-Id: r-1\r\nServer-Seal: s\r\nServer-Limit: 12\r\nServer-Load: 1,20,30\r\n"
 )
-CHUNKS = b"9\r\nthe whole\r\n5\r\n body\r\n0\r\n\r\n"
+CHUNKS = b"9\r\nthe whole\r\n5\r\n body\r\n0\r\nX-Sum: 1\r\n\r\n"
 ANSWERS = {
     "with a length": (b"Content-Length: %d\r\n\r\n" % len(BODY), BODY),
     "in chunks": (b"Transfer-Encoding: chunked\r\n\r\n", CHUNKS),
     "without a length": (b"\r\n", BODY),
 }
 ENDS = {"ends": "end", "is reset": "reset"}
+# How long a part of a body has been read when its call is cancelled.
+PART_SECONDS = 0.1
+CANCELLATIONS = {
+    "the deadline passes": DeadlinePassed("wait"),
+    "the caller leaves": CallerGone(),
+    "the entry turns out to be cut off": EntryCutOff("service"),
+}
 
 
 def prepare(context):
@@ -56,10 +67,17 @@
     context.watchdog = watchdog
 
 
-def make_call(context, seconds=SECONDS, stream=False):
-    """Make a call; return the whole body or the failure."""
+def make_call(context, seconds=SECONDS, stream=False, cancelled=None):
+    """Make a call; return the whole body or the failure.
+
+    ``cancelled`` is why the call is cancelled once the server has sent its script.
+    """
     scope = CancelScope(context.line.clock.now() + seconds)
     context.watchdog.open(scope)
+    if cancelled is not None:
+        calls = context.backend.calls
+        wait = (scope, calls, cancelled)
+        threading.Thread(target=cancel_later, args=(context, *wait)).start()
     server = Server("server", "service", context.backend.address, "hall")
     call = OutgoingCall("GET", "r-1", lambda left: CALL)
     try:
@@ -74,6 +92,13 @@
         context.watchdog.close(scope)
 
 
+def cancel_later(context, scope, calls, reason):
+    """Cancel a call some time after the server has taken it."""
+    wait_until(lambda: context.backend.calls > calls)
+    time.sleep(PART_SECONDS)
+    scope.cancel(reason)
+
+
 @given("a server that sends an answer {framed}")
 def step(context, framed):
     prepare(context)
@@ -99,6 +124,31 @@
         context.results += [make_call(context), make_call(context, stream=True)]
 
 
+@when("each cut of its body is sent, and the connection {ends}")
+def step(context, ends):
+    for size in range(len(context.body)):
+        context.backend.script(context.head + context.body[:size], then=ENDS[ends])
+        context.results += [make_call(context), make_call(context, stream=True)]
+
+
+@when("half of its body is sent, and the connection is reset")
+def step(context):
+    half = context.head + context.body[: len(context.body) // 2]
+    context.backend.script(half, then="reset")
+    context.results = [make_call(context), make_call(context, stream=True)]
+
+
+@when("half of its body is sent, and the {event}")
+def step(context, event):
+    half = context.head + context.body[: len(context.body) // 2]
+    context.backend.script(half, then="hold")
+    reason = CANCELLATIONS[f"the {event}"]
+    context.results = [
+        make_call(context, cancelled=reason),
+        make_call(context, stream=True, cancelled=reason),
+    ]
+
+
 @when("the last bytes of its head are not sent before the deadline")
 def step(context):
     context.backend.script(context.head[:-1], then="hold")
@@ -113,10 +163,21 @@
     context.results = [make_call(context), make_call(context, stream=True)]
 
 
-@then("no call is answered, and nothing was taken from a head")
+@then("no call is answered")
+@then("the call failed, and is not answered in part")
 def step(context):
+    check_none_answered(context)
+
+
+def check_none_answered(context):
+    """Check that each call failed."""
     answered = [r for r in context.results if not isinstance(r, AttemptFailure)]
     assert context.results and not answered, (len(answered), len(context.results))
+
+
+@then("no call is answered, and nothing was taken from a head")
+def step(context):
+    check_none_answered(context)
     assert not context.heads, len(context.heads)
 
 
--- a/tests/features/whole_answers.feature
+++ b/tests/features/whole_answers.feature
@@ -35,6 +35,30 @@
       | Content-Length: 4, 5       |
       | Transfer-Encoding: unknown |
 
+  # Guards against the entry's own end of a connection taken for the end of a body.
+  Scenario Outline: an answer without a length counts only if its server ended it
+    Given a server that sends an answer without a length
+    When half of its body is sent, and <event>
+    Then the call failed, and is not answered in part
+
+    Examples:
+      | event                                       |
+      | the deadline passes                         |
+      | the caller leaves                           |
+      | the entry turns out to be cut off           |
+      | the connection is reset                     |
+
+  # Guards against an answer in chunks that counts without the end of its trailers.
+  Scenario Outline: an answer in chunks counts only with its last chunk and trailers
+    Given a server that sends an answer in chunks
+    When each cut of its body is sent, and the connection <ends>
+    Then no call is answered
+
+    Examples:
+      | ends      |
+      | ends      |
+      | is reset  |
+
   Scenario Outline: a whole answer is read
     Given a server that sends an answer <framed>
     When the call is made
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -380,6 +380,10 @@
             self.send(sock, headers, 200, text)
             time.sleep(0.05)
             self.send(sock, headers, 200, b"late " + text)
+        elif fault == "unframed-stall":
+            self.send(sock, headers, 200, text, framed=False, sent=len(text) // 2)
+            time.sleep(3)
+            raise OSError("end")
         elif fault in ("unframed", "unframed-reset"):
             self.send(sock, headers, 200, text, framed=False)
             if fault == "unframed-reset":
