Take interim answers other than 100 for what they are

What callers saw: status 102 or 103 with an empty body, or a stream that ended as complete without an event, where a server sent such an interim answer before the real one.

Cause: only 100 was skipped; the other statuses below 200 counted as final answers without a body. Found by reading the path of cut heads.

Change: every head with a status below 200 is skipped. 101 makes the answer malformed, since no call asks to change the protocol.

Evidence: on two of the three rows and the scenario of status 101 fail; 100 passed. All pass now.

--- a/boragestream/base/answer_reader.py
+++ b/boragestream/base/answer_reader.py
@@ -158,7 +158,10 @@
         :raises http.client.HTTPException: if the head isn't whole or can't be read.
         """
         minor = self._read_head()
-        while self._status == http.HTTPStatus.CONTINUE:
+        while self._status < http.HTTPStatus.OK:
+            # No request of this process asks to change the protocol.
+            if self._status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+                raise AnswerMalformedError("status 101")
             minor = self._read_head()
         self._set_framing(minor)
 
--- a/tests/features/steps/whole_answers.py
+++ b/tests/features/steps/whole_answers.py
@@ -158,6 +158,16 @@
     ]
 
 
+@when('interim answers with the statuses "{statuses}" come before it')
+def step(context, statuses):
+    interim = b"".join(
+        b"HTTP/1.1 %d Interim\r\nX-Note: 1\r\n\r\n" % int(status)
+        for status in statuses.split(", ")
+    )
+    context.backend.script(interim + context.head + context.body)
+    context.results = [make_call(context), make_call(context, stream=True)]
+
+
 @when("the call is made")
 def step(context):
     context.results = [make_call(context), make_call(context, stream=True)]
--- a/tests/features/whole_answers.feature
+++ b/tests/features/whole_answers.feature
@@ -59,6 +59,23 @@
       | ends      |
       | is reset  |
 
+  # Guards against an interim answer that is delivered as the final one, without a body.
+  Scenario Outline: interim answers are not the final one
+    Given a server that sends an answer <framed>
+    When interim answers with the statuses "<statuses>" come before it
+    Then the call is answered with the whole body
+
+    Examples:
+      | framed           | statuses      |
+      | with a length    | 100           |
+      | in chunks        | 102, 102, 103 |
+      | without a length | 103           |
+
+  Scenario: a change of the protocol that nobody asked for is no answer
+    Given a server that sends an answer with a length
+    When interim answers with the statuses "101" come before it
+    Then the call failed
+
   Scenario Outline: a whole answer is read
     Given a server that sends an answer <framed>
     When the call is made
