Count a release of results as done only if its server took it

What operators saw: nothing. A stage server that answered the release of results with an error kept them until they expired, and no line said so; an answer cut inside its head counted in the same way.

Cause: calls other than batches returned the body of any answer, whatever its status, and an empty body is what a successful release has. A report with an error status was dropped only because its body could not be read.

--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -230,15 +230,23 @@
     def _call(
         self, server: Server, method: str, data: bytes, seconds: float
     ) -> bytes | AttemptFailure:
+        """Return the body of a successful answer, or why there is none."""
         parts = self._parts
         scope = CancelScope(parts.clock.now() + seconds)
         parts.watchdog.open(scope)
         try:
             call = OutgoingCall(method, "", lambda left: data)
             answer = open_forwarded_call(parts.line, server, call, scope)
-            return answer if isinstance(answer, AttemptFailure) else answer.read()
+            if isinstance(answer, AttemptFailure):
+                return answer
+            body, head = answer.read(), answer.head
         finally:
             parts.watchdog.close(scope)
+        if isinstance(body, bytes) and head.status != HTTPStatus.OK:
+            not_run = head.claim is not RunClaim.RAN
+            ran = Ran.NOT_RUN if not_run else Ran.MAY_HAVE_RUN
+            return ServerErred(server.name, ran, head.status)
+        return body
 
     def _exchange(
         self, batch: Batch, permit: Permit | None, scope: CancelScope
--- a/tests/features/forwarded_path.feature
+++ b/tests/features/forwarded_path.feature
@@ -105,6 +105,13 @@
       | gone   | 503    | 0    |
       | late   | 503    | 0    |
 
+  # Guards against a release of results that failed and counts as done.
+  Scenario: a release of results that a stage server fails is logged
+    Given stage servers that fail releases of results
+    When a request with pieces "2,3" goes to "/staged/ok"
+    Then the answer is 200 and it ran 1 times
+    And each release of results is logged as failed
+
   Scenario: stage servers that are full are asked again after a pause, not all the time
     Given all stage servers are full for half a second
     When a request with pieces "2,3" goes to "/staged/ok"
--- a/tests/features/steps/forwarded_path.py
+++ b/tests/features/steps/forwarded_path.py
@@ -274,3 +274,21 @@
 @then("it says when to come back")
 def step(context):
     assert 0 < float(context.answer.headers["Retry-After"]) < 5
+
+
+@given("stage servers that fail releases of results")
+def step(context):
+    for server in context.site.of_kind("stage"):
+        server.fails_releases = True
+        context.add_cleanup(setattr, server, "fails_releases", False)
+
+
+@then("each release of results is logged as failed")
+def step(context):
+    def failed():
+        events = context.site.events(kind="release_failed")
+        return {event["server"] for event in events if "500" in event["failure"]}
+
+    holders = {s.identity for s in context.site.of_kind("stage") if s.held}
+    assert holders
+    wait_until(lambda: failed() >= holders, what="the failed releases")
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -83,6 +83,8 @@
         # Whether a stage server has lost each result that a piece needs.
         self.loses_results = False
         self.full = False
+        # Whether it fails calls that release results.
+        self.fails_releases = False
         self.held = {}
         # Every result ever made here, by its handle: request, stage, number.
         self.made = {}
@@ -305,6 +307,8 @@
         elif target == "/boragestream/report":
             report = {"queued": 0, "busy": 0, "free_mb": 40.0}
             self.send(sock, headers, 200, json.dumps(report).encode())
+        elif target == "/boragestream/stage-free" and self.fails_releases:
+            self.send(sock, headers, 500, b"")
         elif target == "/boragestream/stage-free":
             for handle in json.loads(body)["handles"]:
                 self.held.pop(handle, None)
