Prove that nothing is taken from heads that are cut

What could go wrong: a pipeline's server whose head was cut inside "X-Request-Limit: 12" limited itself to one request a second, a cut "not run" was believed, a probe counted a cut head as an answer, and a read of the platform gave an empty value. Nobody reported it; it has the cause of the cut heads that were delivered.

A probe of a pipeline's server that is sent bytes that are no answer no longer counts as a lost connection: the server was reached.

--- a/boragestream/serving/health_probe.py
+++ b/boragestream/serving/health_probe.py
@@ -38,7 +38,8 @@
             connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
             hung = isinstance(error, TimeoutError)
-            self._reach.end(call, failed=not hung)
+            # Bytes that are no answer show that the server is reached.
+            self._reach.end(call, failed=isinstance(error, OSError) and not hung)
             return ProbeResult(answered=False, hung=hung)
         finally:
             connection.close()
--- a/tests/features/whole_answers.feature
+++ b/tests/features/whole_answers.feature
@@ -19,6 +19,19 @@
     When the last bytes of its head are not sent before the deadline
     Then the call failed for its deadline, and nothing was taken from a head
 
+  # Guards against statements of servers that are taken from a cut head.
+  Scenario Outline: <reader> takes nothing from an answer that ends inside its head
+    Given a server that says of itself what it can
+    When <reader> is sent each cut of its head
+    Then no cut counted as an answer, and the whole one did
+
+    Examples:
+      | reader                                    |
+      | a call of a pipeline                      |
+      | a read of the platform                    |
+      | a probe of a server                       |
+      | a probe of a pipeline's server            |
+
   # Guards against header lines that are skipped together with the length behind them.
   Scenario Outline: a head that can't be read is no answer
     Given a server whose answer has the line "<line>" in its head
