Take a stream that ends before its first event for a broken one

What callers saw: a stream that ended as complete without an event, where a server without framing ended its connection behind the head.

Cause: an end without an event counted as a whole stream. A body that is marked by neither a length nor chunks ends at any byte in the same way, and each stream has an event unless the caller has them all already.

Change: such a stream is broken if it is not framed and no event was passed on or named by the caller; it goes on at another server where it may. An empty stream with a last chunk is still whole, since its server says so.

--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -134,6 +134,11 @@
         """The answer's head."""
         return self._head
 
+    @property
+    def framed(self) -> bool:
+        """Whether the body ends otherwise than with its connection."""
+        return self._response.framed
+
     @property
     def server(self) -> Server:
         """The server that answers."""
--- a/boragestream/base/answer_reader.py
+++ b/boragestream/base/answer_reader.py
@@ -136,6 +136,11 @@
         """The bytes of the body that are left to read; None if it names no length."""
         return self._length
 
+    @property
+    def framed(self) -> bool:
+        """Whether the body's end is marked by a length or a last chunk."""
+        return self._chunked or self._length is not None
+
     @property
     def will_close(self) -> bool:
         """Whether the peer closes the connection after the answer."""
--- a/boragestream/serving/delegation.py
+++ b/boragestream/serving/delegation.py
@@ -118,6 +118,11 @@
         """The head of the answer; available after ``open`` has succeeded."""
         return self._answer.head
 
+    @property
+    def framed(self) -> bool:
+        """Whether the body of the answer ends otherwise than with its connection."""
+        return self._answer.framed
+
     def open(
         self, earlier_runs: int, last_event: int | None
     ) -> OpenForwardedAnswer | AttemptFailure:
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -154,6 +154,11 @@
         """The head of the server's answer; available after ``open`` has succeeded."""
         return self._answer.head
 
+    @property
+    def framed(self) -> bool:
+        """Whether the body of the answer ends otherwise than with its connection."""
+        return self._answer.framed
+
     def open(
         self, inputs: tuple[str, ...], last_event: int | None, repeat: bool
     ) -> OpenForwardedAnswer | AttemptFailure:
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -305,7 +305,12 @@
                 self._guard.note_events()
                 self._release_inputs()
                 return events
-        # A stream that ends without any event is a complete answer.
+        if not attempt.framed and self._splitter.last is None:
+            # The connection may have ended at any byte of the answer, and a stream has
+            # events unless the caller has them all.
+            self._handle_broken_stream(attempt, StreamBroken("no event"))
+            return None
+        # A caller that resumes a stream may have all of its events.
         attempt.note_first_event()
         self._release_inputs()
         return []
--- a/tests/features/entries_without_servers.feature
+++ b/tests/features/entries_without_servers.feature
@@ -51,3 +51,17 @@
       | refused | order-status          |
       | dark    | order-status          |
       | refused | order-status, tickets |
+
+  # Guards against an answer of another entry that ends early and looks whole.
+  @fixture.route-site.3.cuts
+  Scenario Outline: an answer is not whole if the entry that serves it is <struck>: <path>
+    Given an entry that is cut off from all servers
+    When "<path>" is called there, and the entry that serves it is <struck>
+    Then the caller is not given a whole answer, and nothing ran twice
+
+    Examples:
+      | path         | struck |
+      | /unsafe/slow | killed |
+      | /unsafe/slow | frozen |
+      | /draft/slow  | killed |
+      | /draft/slow  | frozen |
--- a/tests/features/forwarded_path.feature
+++ b/tests/features/forwarded_path.feature
@@ -69,12 +69,24 @@
       | /draft/half  | 1, 2             | cut       | 1    |
       | /chat/gap    | 1, 2, 3, 4, 5, 6 | whole     | 2    |
       | /draft/gap   | 1, 2             | cut       | 1    |
-
-  # Guards against a stream cut inside its head that is taken for one without events.
-  Scenario: a stream that can't go on and is cut inside its head is no answer
-    When the request "POST" "/draft/cut-head" is sent
+      | /chat/always-half | 1, 2, 3, 4  | cut       | 2    |
+      | /chat/unframed    | 1, 2, 3, 4, 5, 6 | whole | 1   |
+      | /draft/unframed   | 1, 2, 3, 4, 5, 6 | whole | 1   |
+      | /chat/unframed-stall   | 1, 2             | cut   | 1 |
+      | /draft/unframed-stall  | 1, 2             | cut   | 1 |
+      | /chat/always-unframed-half | 1, 2, 3, 4   | cut   | 2 |
+      | /chat/unframed-empty   | 1, 2, 3, 4, 5, 6 | whole | 2 |
+
+  # Guards against a stream cut before its first event that is taken for a whole one.
+  Scenario Outline: a stream that can't go on and ends without an event is no answer
+    When the request "POST" "/draft/<fault>" is sent
     Then the answer is 502 and it ran 1 times
 
+    Examples:
+      | fault          |
+      | cut-head       |
+      | unframed-empty |
+
   Scenario: a server whose stream has a gap is left at once, before another goes on
     When the request "POST" "/chat/gap" is sent
     Then the events are "1, 2, 3, 4, 5, 6", whole, and it ran 2 times
--- a/tests/features/steps/entries_without_servers.py
+++ b/tests/features/steps/entries_without_servers.py
@@ -1,17 +1,18 @@
 """Steps on entries that are cut off from backend servers."""
 
 import itertools
+import signal
 import threading
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
-from behave import then, when
+from behave import given, then, when
 
 from boragestream.operator.client import Client
 from boragestream.policy.queue_owners import owner_ranking
-from tests.standins.fleet import fetch
+from tests.standins.fleet import fetch, wait_until
 from tests.standins.sites import example_key
 
 # A cut is judged from this long after it began.
@@ -28,6 +29,9 @@
 # The service of the example document whose calls may run only once.
 ONCE_SERVICE = "member-ledger"
 TICKETS = 80
+STRUCK_REQUEST = "r-struck"
+# From the start of a run until the entry that relays its answer is struck.
+STRIKE_SECONDS = 0.3
 # Makes the input of each call a different one.
 MARKS = itertools.count()
 
@@ -292,3 +296,38 @@
             runs[body] += 1
     twice = {body: count for body, count in runs.items() if count > 1}
     assert runs and not twice, twice
+
+
+@given("an entry that is cut off from all servers")
+def step(context):
+    site = context.site
+    context.cut = next(iter(site.entries))
+    site.cut_off([context.cut], "refused")
+    attempt(site, context.cut, "/unsafe/ok", {})
+    wait_until(lambda: site.events(context.cut, "cut_off_from_servers"), what="the cut")
+
+
+@when('"{path}" is called there, and the entry that serves it is {struck}')
+def step(context, path, struck):
+    site = context.site
+    others = [name for name in site.entries if name != context.cut]
+    with ThreadPoolExecutor(1) as pool:
+        call = pool.submit(
+            site.call, path, entry=context.cut, request_id=STRUCK_REQUEST
+        )
+        # A run of its own, so that the answer is on its way.
+        wait_until(lambda: site.runs(STRUCK_REQUEST), what="the run")
+        time.sleep(STRIKE_SECONDS)
+        for name in others:
+            if struck == "frozen":
+                context.add_cleanup(site.signal, name, signal.SIGCONT)
+            site.signal(name, signal.SIGSTOP if struck == "frozen" else signal.SIGKILL)
+        context.answer = call.result()
+
+
+@then("the caller is not given a whole answer, and nothing ran twice")
+def step(context):
+    answer = context.answer
+    whole = answer.whole and "Server-Seal" in answer.headers
+    assert not whole, (answer.status, answer.body)
+    assert context.site.runs(STRUCK_REQUEST) == 1
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -407,14 +407,19 @@
         first = int(headers.get("Last-Event-Id", 0)) + 1
         # The version with which this run began, also if the server is upgraded.
         words = self.version.encode() + b" " + b"w" * 20
-        framed = fault != "unframed-half"
+        framed = not fault.startswith("unframed")
         head = [("Content-Type", "text/event-stream")]
         head += [("Transfer-Encoding", "chunked")] if framed else []
         if fault == "cut-head":
             self.send(sock, headers, 200, None, head, head_cut=HEAD_CUT_BYTES)
             raise OSError("cut")
         self.send(sock, headers, 200, None, head)
+        if fault == "unframed-empty":
+            raise OSError("end")
         for number in range(first, EVENTS + 1):
+            if fault == "unframed-stall" and number == first + 2:
+                wait_closed(sock)
+                raise OSError("end")
             event = b"id: %d\ndata: %d %s\n\n" % (number, number, words)
             if fault == "gap" and number == first + 2:
                 continue
@@ -433,6 +438,8 @@
                 # At work for much longer than its caller should wait.
                 self.cut_off = wait_closed(sock)
             time.sleep(self.event_seconds)
+        if not framed:
+            raise OSError("end")
         sock.sendall(b"0\r\n\r\n")
 
     def has_inputs(self, sock, headers):
