Bound each part of an answer

What callers saw: late or failed requests while a server sent bytes without end. One call with a deadline of 3 s took 3.03 s of processor time on while interim heads came, 3.12 s while chunks of one byte came, and 3.03 s while trailers came, after which it was answered with what came before them. A stream without a length passed 3.8 GB on.

Cause: http.client bounds lines and the lines of a head, and nothing else; the deadline was the only end. Ruled out: a slow parser and the memory budget, since long lines, long heads and large bodies ended within 0.05 s at bounds that existed.

Change: the reader of answers bounds all heads together, interim heads, trailers, the size line of a chunk, framing in proportion to the body, and the body, also of streams. A probe of a pipeline's server ends in time though its answer comes byte by byte. A stream of the project's own pipelines has at most 65,536 events.

--- a/boragestream/backend/answer.py
+++ b/boragestream/backend/answer.py
@@ -24,7 +24,11 @@
     AttemptFailure,
     Ran,
 )
-from boragestream.base.answer_reader import AnswerHeaders, AnswerReader
+from boragestream.base.answer_reader import (
+    AnswerBoundError,
+    AnswerHeaders,
+    AnswerReader,
+)
 from boragestream.base.clock import Clock
 from boragestream.base.event_buffer import EventBuffer
 from boragestream.base.failures import DeadlinePassed
@@ -37,22 +41,15 @@
 MAX_ANSWER_BYTES = 8 * 1_048_576
 READ_BYTES = 65536
 COMMENT = b":"
+# Above the tokens of the longest answers, with what keeps idle connections alive.
+MAX_EVENTS = 65_536
 PART = msgspec.json.Decoder(Completion)
 DRAIN_SECONDS = 0.05
 KERNEL_TIMEVAL = struct.Struct("ll")
 WATCHDOG_MARGIN_SECONDS = 2.0
 
 
-class _StreamTooLargeError(Exception):
-    """A streamed answer is longer than ``MAX_ANSWER_BYTES``."""
-
-
-_READ_ERRORS = (
-    OSError,
-    http.client.HTTPException,
-    msgspec.DecodeError,
-    _StreamTooLargeError,
-)
+_READ_ERRORS = (OSError, http.client.HTTPException, msgspec.DecodeError)
 
 
 class OpenAnswer:
@@ -139,13 +136,16 @@
     def _events(self) -> Iterator[bytes]:
         """Yield the data of each server-sent event as it comes."""
         buffer = EventBuffer()
-        total = 0
+        total = count = 0
         self._wait_in_kernel()
         while data := self._response.read1(READ_BYTES):
             total += len(data)
             if total > MAX_ANSWER_BYTES:
-                raise _StreamTooLargeError
+                raise AnswerBoundError(f"{MAX_ANSWER_BYTES} bytes")
             for event in buffer.take(data):
+                count += 1
+                if count > MAX_EVENTS:
+                    raise AnswerBoundError(f"{MAX_EVENTS} events")
                 # Engines send comments to keep an idle connection alive.
                 if not event.startswith(COMMENT):
                     yield event.removeprefix(DATA_PREFIX).strip()
@@ -225,8 +225,6 @@
         return self._server, Ran.MAY_HAVE_RUN
 
     def _broken(self, error: Exception) -> AttemptFailure:
-        if isinstance(error, _StreamTooLargeError):
-            return self._too_large()
         if isinstance(error, TooDeep):
             return AnswerTooLarge(*self._may_have_run(), f"{MAX_DEPTH} levels")
         return broken(self._server, self._scope, error)
@@ -239,4 +237,6 @@
     if isinstance(error, TimeoutError):
         passed = DeadlinePassed("answer")
         return AttemptCancelled(server, Ran.MAY_HAVE_RUN, passed)
+    if isinstance(error, AnswerBoundError):
+        return AnswerTooLarge(server, Ran.MAY_HAVE_RUN, error.bound)
     return AnswerCut(server, Ran.MAY_HAVE_RUN, repr(error))
--- a/boragestream/backend/bounded_io.py
+++ b/boragestream/backend/bounded_io.py
@@ -11,7 +11,6 @@
 
 from boragestream.backend.cancellation import CancelScope
 from boragestream.backend.failures import (
-    AnswerTooLarge,
     AnswerUnread,
     AttemptFailure,
     CallUnread,
@@ -69,7 +68,6 @@
     server: str,
     memory: MemoryBudget,
     scope: CancelScope,
-    limit: int,
 ) -> bytes | AttemptFailure:
     """Read the whole body of an answer once its bytes are granted.
 
@@ -77,17 +75,14 @@
     read.
 
     :param server: the server's name.
-    :param limit: the most bytes that an answer may have.
     :raises OSError: if the connection breaks.
-    :raises http.client.HTTPException: if the answer is cut.
+    :raises http.client.HTTPException: if the answer isn't whole, or is too long.
     """
     held = scope.held
     charge = held or MemoryCharge(memory, MemoryKind.ANSWER)
     try:
         length = response.length
         if length is not None:
-            if length > limit:
-                return _too_large(server, limit)
             if not _granted(charge, length, scope):
                 return AnswerUnread(server, Ran.MAY_HAVE_RUN, length)
             return response.read()
@@ -96,8 +91,6 @@
         while data := response.read1(CHUNK_BYTES):
             chunks.append(data)
             size += len(data)
-            if size > limit:
-                return _too_large(server, limit)
             if not _granted(charge, len(data), scope):
                 return AnswerUnread(server, Ran.MAY_HAVE_RUN, size)
         return b"".join(chunks)
@@ -112,10 +105,6 @@
     )
 
 
-def _too_large(server: str, limit: int) -> AnswerTooLarge:
-    return AnswerTooLarge(server, Ran.MAY_HAVE_RUN, f"{limit} bytes")
-
-
 def _has_input(sock: socket.socket) -> bool:
     poller = select.poll()
     poller.register(sock, select.POLLIN)
--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -34,12 +34,12 @@
 __all__ = [
     "CallLine",
     "NoteHead",
+    "NoteOversized",
     "OpenForwardedAnswer",
     "OutgoingCall",
     "open_forwarded_call",
 ]
 
-MAX_ANSWER_BYTES = 16 * 1_048_576
 # A call up to this size is sent as one piece of memory, and mostly as one packet.
 JOINED_BYTES = 65_536
 READ_BYTES = 65536
@@ -58,6 +58,8 @@
 
 # Takes the head of a server's answer, and when its call was sent.
 NoteHead = Callable[[Server, AnswerHead, float], None]
+# Takes a server and the bound that its answer went beyond.
+NoteOversized = Callable[[Server, str], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +74,8 @@
     :ivar memory: grants the bytes of whole answers; None where memory is not bounded.
         If it is there, a call that a server does not read is given up.
     :ivar reach: records which servers answer; None where that is not recorded.
+    :ivar note_oversized: takes the server and the bound of an answer that went beyond
+        it.
     """
 
     read_head: ReadHead
@@ -81,6 +85,16 @@
     note_head: NoteHead = lambda server, head, sent_at: None
     memory: MemoryBudget | None = None
     reach: ServerReach | None = None
+    note_oversized: NoteOversized = lambda server, bound: None
+
+    def failure(
+        self, server: Server, scope: CancelScope, error: Exception
+    ) -> AttemptFailure:
+        """Return the failure that an error in the middle of a call stands for."""
+        failure = broken(server.name, scope, error)
+        if isinstance(failure, AnswerTooLarge):
+            self.note_oversized(server, failure.limit)
+        return failure
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,17 +170,12 @@
                     self._server.name,
                     memory,
                     self._scope,
-                    MAX_ANSWER_BYTES,
                 )
         except (OSError, http.client.HTTPException, ValueError) as error:
             return self._fail(error)
         if isinstance(body, AttemptFailure):
             self.close()
             return body
-        if len(body) > MAX_ANSWER_BYTES:
-            self.close()
-            limit = f"{MAX_ANSWER_BYTES} bytes"
-            return AnswerTooLarge(self._server.name, Ran.MAY_HAVE_RUN, limit)
         self._keep()
         return body
 
@@ -222,7 +231,7 @@
     def _fail(self, error: Exception) -> AttemptFailure:
         self._end_reached(self._scope.reason is None and isinstance(error, OSError))
         self.close()
-        return broken(self._server.name, self._scope, error)
+        return self._line.failure(self._server, self._scope, error)
 
 
 def open_forwarded_call(
@@ -313,7 +322,7 @@
         response.close()
         scope.remove(sock)
         connection.close()
-        return broken(server.name, scope, error)
+        return line.failure(server, scope, error)
     if reached is not None:
         line.reach.note_answer(reached)
     head = line.read_head(response)
--- a/boragestream/base/answer_reader.py
+++ b/boragestream/base/answer_reader.py
@@ -6,6 +6,9 @@
 ends with its connection, unless this process ended the connection itself. What an
 answer means is left to those who asked, and how long to wait to the socket.
 
+A server in trouble may send bytes without end. Each part of an answer has a bound far
+above what sound servers send, so that such an answer costs little processor time.
+
 ``AnswerReader`` takes the place of ``http.client.HTTPResponse``, which takes the end of
 a connection for the end of a head, of trailers, and of a body without a length.
 """
@@ -13,9 +16,12 @@
 import http.client
 import re
 import socket
+import time
 from collections.abc import Callable, Iterable, Sequence
+from functools import partial
 
 __all__ = [
+    "AnswerBoundError",
     "AnswerConnection",
     "AnswerCutError",
     "AnswerHeaders",
@@ -24,6 +30,19 @@
 ]
 
 READ_BYTES = 65_536
+# All heads of an answer together, with the interim ones. Sound servers send some
+# hundred bytes; proxies take 8 to 64 KiB.
+MAX_HEAD_BYTES = 65_536
+MAX_HEAD_LINES = 128
+# Sound servers send one or two.
+MAX_INTERIM_HEADS = 16
+MAX_TRAILER_BYTES = 8_192
+# The size of a chunk with its extensions.
+MAX_CHUNK_LINE_BYTES = 1_024
+# Framing of chunks may have as many bytes as the body, and so many more: an event of a
+# stream in its own chunk has six or seven bytes of framing.
+FRAMING_SLACK_BYTES = 16_384
+MAX_BODY_BYTES = 16 * 1_048_576
 # An empty line, also with bare line feeds, which some servers send.
 HEAD_END = re.compile(rb"\n\r?\n")
 HEAD_END_OVERLAP = 2
@@ -47,6 +66,22 @@
     """The bytes are not an answer of the protocol."""
 
 
+class AnswerBoundError(http.client.HTTPException):
+    """A part of the answer is longer than any of a sound server.
+
+    :param bound: the bound that was reached, with its unit.
+    """
+
+    def __init__(self, bound: str) -> None:
+        super().__init__(bound)
+        self._bound = bound
+
+    @property
+    def bound(self) -> str:
+        """The bound that was reached."""
+        return self._bound
+
+
 class AnswerHeaders:
     """The headers of an answer; their names are compared without case.
 
@@ -83,6 +118,8 @@
     :param method: the method of the request, since some answers have no body.
     :param shut_down_here: returns whether this process has shut the connection down, so
         that its end says nothing about the answer.
+    :param expires_at: the monotonic clock's seconds after which no bytes are read; None
+        where something else ends a call that takes too long.
     """
 
     def __init__(
@@ -92,6 +129,7 @@
         method: str | None = None,
         url: str | None = None,
         shut_down_here: Callable[[], bool] = lambda: False,
+        expires_at: float | None = None,
     ) -> None:
         self._sock = sock
         # Holds the socket open if its connection object is closed before the body is
@@ -99,6 +137,7 @@
         self._reference = sock.makefile("rb", buffering=0)
         self._method = method
         self._shut_down_here = shut_down_here
+        self._expires_at = expires_at
         self._buffer = bytearray()
         self._status = 0
         self._reason = ""
@@ -106,6 +145,11 @@
         self._chunked = False
         self._length: int | None = None
         self._will_close = True
+        # The bytes and lines that heads may still have, and the bytes of the body.
+        self._head_left = MAX_HEAD_BYTES
+        self._lines_left = MAX_HEAD_LINES
+        self._body_left = MAX_BODY_BYTES
+        self._framing_left = FRAMING_SLACK_BYTES
         self._chunk_left = 0
         # Whether the line end behind a chunk's bytes has yet to be read.
         self._chunk_open = False
@@ -163,7 +207,11 @@
         :raises http.client.HTTPException: if the head isn't whole or can't be read.
         """
         minor = self._read_head()
+        interim = 0
         while self._status < http.HTTPStatus.OK:
+            interim += 1
+            if interim > MAX_INTERIM_HEADS:
+                raise AnswerBoundError(f"{MAX_INTERIM_HEADS} interim heads")
             # No request of this process asks to change the protocol.
             if self._status == http.HTTPStatus.SWITCHING_PROTOCOLS:
                 raise AnswerMalformedError("status 101")
@@ -201,6 +249,7 @@
             return self._read_chunked(size)
         if self._length is None:
             data = self._take(size)
+            self._count_body(len(data))
             if not data:
                 if self._shut_down_here():
                     raise AnswerCutError("body cut: the connection was shut down here")
@@ -223,6 +272,9 @@
     def _read_head(self) -> int:
         """Read one head; return the minor version of its protocol."""
         lines = self._take_head().decode("latin-1")
+        self._lines_left -= lines.count("\n") + 1
+        if self._lines_left < 0:
+            raise AnswerBoundError(f"{MAX_HEAD_LINES} lines of head")
         status_line, _, header_lines = lines.partition("\n")
         found = STATUS_LINE.fullmatch(status_line)
         if found is None or not HEADER_LINES.fullmatch(header_lines):
@@ -242,14 +294,21 @@
             begin = bytes(buffer[: len(PROTOCOL)])
             if begin != PROTOCOL[: len(begin)]:
                 raise AnswerMalformedError("status line")
+            self._check_head(len(buffer))
             if not self._fill():
                 if not buffer:
                     raise http.client.RemoteDisconnected("no answer")
                 raise AnswerCutError(f"head cut after {len(buffer)} bytes")
+        self._check_head(end.end())
+        self._head_left -= end.end()
         head = bytes(buffer[: end.start()])
         del buffer[: end.end()]
         return head
 
+    def _check_head(self, size: int) -> None:
+        if size > self._head_left:
+            raise AnswerBoundError(f"{MAX_HEAD_BYTES} bytes of head")
+
     def _set_framing(self, minor: int) -> None:
         headers = self._headers
         connection = (headers.get("Connection") or "").lower()
@@ -275,6 +334,8 @@
             if lengths or not CONTENT_LENGTH.fullmatch(length):
                 raise AnswerMalformedError("content length")
             self._length = int(length)
+            # An answer that will be too long isn't begun.
+            self._count_body(self._length)
         else:
             self._will_close = True
         if self._length == 0:
@@ -287,33 +348,58 @@
                 return b""
         data = self._take_some(min(size, self._chunk_left), "chunk")
         self._chunk_left -= len(data)
+        self._count_body(len(data))
+        self._framing_left += len(data)
         return data
 
     def _begin_chunk(self) -> None:
         """Read the line that begins a chunk; after the last one, the trailers."""
-        if self._chunk_open and self._take_line("chunk") not in LINE_ENDS:
+        if self._chunk_open and self._take_chunk_line() not in LINE_ENDS:
             raise AnswerMalformedError("end of a chunk")
-        found = CHUNK_SIZE.fullmatch(self._take_line("chunk size"))
+        found = CHUNK_SIZE.fullmatch(self._take_chunk_line())
         if found is None:
             raise AnswerMalformedError("chunk size")
         self._chunk_left = int(found[1], 16)
         self._chunk_open = True
         if not self._chunk_left:
-            while self._take_line("trailers") not in LINE_ENDS:
-                pass
+            self._read_trailers()
             self._finish()
 
-    def _take_line(self, part: str) -> bytes:
-        """Return the next line with its end."""
+    def _take_chunk_line(self) -> bytes:
+        bound = f"{MAX_CHUNK_LINE_BYTES} bytes of a chunk's size"
+        line = self._take_line(MAX_CHUNK_LINE_BYTES, bound)
+        self._framing_left -= len(line)
+        if self._framing_left < 0:
+            raise AnswerBoundError("more bytes of framing than of the body")
+        return line
+
+    def _read_trailers(self) -> None:
+        left, bound = MAX_TRAILER_BYTES, f"{MAX_TRAILER_BYTES} bytes of trailers"
+        while (line := self._take_line(left, bound)) not in LINE_ENDS:
+            left -= len(line)
+
+    def _take_line(self, limit: int, bound: str) -> bytes:
+        """Return the next line with its end.
+
+        :param limit: the most bytes that it may have.
+        :param bound: names the bound to which the limit belongs.
+        """
         buffer, searched = self._buffer, 0
-        while (end := buffer.find(b"\n", searched)) < 0:
+        while (end := buffer.find(b"\n", searched, limit)) < 0:
+            if len(buffer) >= limit:
+                raise AnswerBoundError(bound)
             searched = len(buffer)
             if not self._fill():
-                raise AnswerCutError(f"{part} cut")
+                raise AnswerCutError("chunks cut")
         line = bytes(buffer[: end + 1])
         del buffer[: end + 1]
         return line
 
+    def _count_body(self, size: int) -> None:
+        self._body_left -= size
+        if self._body_left < 0:
+            raise AnswerBoundError(f"{MAX_BODY_BYTES} bytes of body")
+
     def _take_some(self, size: int, part: str) -> bytes:
         """Return up to so many bytes, at least one."""
         data = self._take(size)
@@ -338,6 +424,11 @@
     def _receive(self, size: int) -> bytes:
         if self._reference.closed:
             raise AnswerCutError("closed here")
+        if self._expires_at is not None:
+            left = self._expires_at - time.monotonic()
+            if left <= 0:
+                raise TimeoutError("answer not whole in time")
+            self._sock.settimeout(left)
         return self._sock.recv(size)
 
     def _finish(self) -> None:
@@ -349,3 +440,8 @@
     """A connection whose answers are read by ``AnswerReader``."""
 
     response_class = AnswerReader
+
+    def limit_answer(self, seconds: float) -> None:
+        """Bound the time from now on until the next answer is whole."""
+        expires_at = time.monotonic() + seconds
+        self.response_class = partial(AnswerReader, expires_at=expires_at)
--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -73,6 +73,7 @@
     SURPLUS_REFUSED = (3111, logging.INFO)
     PART_CRASHED = (3113, logging.WARNING)
     PART_REFUSED = (3114, logging.INFO)
+    ANSWER_OVERSIZED = (3116, logging.WARNING)
     SERVER_BOUNDED = (3120, logging.WARNING)
     MEMORY_REFUSED = (3201, logging.WARNING)
     SLOW_READER_ABANDONED = (3202, logging.WARNING)
--- a/boragestream/base/observations.py
+++ b/boragestream/base/observations.py
@@ -101,6 +101,10 @@
             self._stage_latency.record(name, seconds)
             self._metrics.timing(f"attempt_time.{name}", seconds)
 
+    def answer_oversized(self) -> None:
+        """Take an answer that went beyond a bound."""
+        self._metrics.count("oversized_answers")
+
     def accounts(self) -> dict[str, AccountReport]:
         """Return a report of each client account that made a request."""
         latency = self._account_latency.snapshot()
--- a/boragestream/base/route_metrics.py
+++ b/boragestream/base/route_metrics.py
@@ -145,6 +145,12 @@
             ["service", "end"],
             registry=registry,
         )
+        self._oversized = Counter(
+            "boragestream_oversized_answers",
+            "Answers that went beyond a bound, by bound.",
+            ["bound"],
+            registry=registry,
+        )
         self._first = Histogram(
             "boragestream_first_seconds",
             "Time of an attempt to its whole answer or first event, by service.",
@@ -318,6 +324,10 @@
         if first is not None:
             self._first.labels(service).observe(first)
 
+    def answer_oversized(self, bound: str) -> None:
+        """Count an answer that went beyond a bound."""
+        self._oversized.labels(bound).inc()
+
     def stage_ended(self, service: str, seconds: float) -> None:
         """Count a stage whose results are there."""
         self._stages.labels(self._service(service)).observe(seconds)
--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -32,7 +32,7 @@
     other_servers,
 )
 from boragestream.daemon.regional import make_regional
-from boragestream.daemon.response_hints import response_hints
+from boragestream.daemon.response_hints import log_oversized, response_hints
 from boragestream.daemon.route_parts import RouteParts
 from boragestream.daemon.service_definitions import ServiceDefinitions
 from boragestream.daemon.settings_in_force import SettingsInForce
@@ -58,6 +58,7 @@
 from boragestream.policy.first_knowledge import StartupReadiness
 from boragestream.policy.leaving import LeavingServer
 from boragestream.policy.load import LoadTable
+from boragestream.policy.oversized_answers import OversizedAnswers
 from boragestream.policy.peers import ListedEntry
 from boragestream.policy.region_choice import RegionChoice
 from boragestream.policy.retry_window import RetryWindows
@@ -181,6 +182,7 @@
         servers, backoffs, limits.limits, limits.brittle
     )
     reach = ServerReach(clock, fewest_servers(servers))
+    oversized = OversizedAnswers(clock)
     line = CallLine(
         read_answer_head,
         connections,
@@ -189,6 +191,7 @@
         apply_response_hints,
         memory,
         reach,
+        log_oversized(metrics, oversized),
     )
     probe = ServerProbe(
         line,
@@ -311,6 +314,7 @@
         clock,
         lambda service: 0,
         memory=memory,
+        note_oversized=log_oversized(metrics),
     )
     delegation = make_delegation(
         listed,
@@ -365,6 +369,7 @@
             other_servers=compared_servers,
             origins=streams.records,
             part_crashes=part_crashes,
+            oversized=oversized,
         )
     )
     return RouteParts(
--- a/boragestream/serving/attempts.py
+++ b/boragestream/serving/attempts.py
@@ -24,7 +24,7 @@
     says_leaving,
 )
 from boragestream.backend.calls import StageCall
-from boragestream.backend.failures import AnswerCut, PlacesTaken
+from boragestream.backend.failures import AnswerCut, AnswerTooLarge, PlacesTaken
 from boragestream.backend.load import read_load
 from boragestream.base.events import Event, emit
 from boragestream.base.failures import DeadlinePassed, EntryCutOff
@@ -259,6 +259,10 @@
             request.sent.note_not_run(self._id)
         if self._lost_race:
             return
+        if isinstance(failure, AnswerTooLarge):
+            self._parts.observations.answer_oversized()
+            bound = failure.limit
+            emit(Event.ANSWER_OVERSIZED, server=self._server.name, bound=bound)
         if isinstance(failure, ServerErred | ServerRefused) and failure.leaving:
             self._parts.servers.note_leaving(self._server)
         if isinstance(failure, ServerRefused) and failure.backoff_seconds is not None:
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -33,6 +33,7 @@
 from boragestream.policy.engine_delays import EngineDelays
 from boragestream.policy.load import CallEnd, LoadTable
 from boragestream.policy.outstanding import OutstandingWork
+from boragestream.policy.oversized_answers import OversizedAnswers
 from boragestream.policy.prompt_parts import PartCrashes
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.region_choice import RegionChoice
@@ -83,6 +84,7 @@
     :ivar origins: the records of where streams began; None to let each stream go on at
         any server.
     :ivar part_crashes: the parts of prompts that crash servers; None to count none.
+    :ivar oversized: the servers whose answers went beyond a bound; None to avoid none.
     """
 
     line: CallLine
@@ -109,6 +111,7 @@
     other_servers: Callable[[Server], Sequence[Server]] = lambda server: ()
     origins: OriginRecords | None = None
     part_crashes: PartCrashes | None = None
+    oversized: OversizedAnswers | None = None
 
 
 class ForwardAttempt:
--- a/boragestream/serving/forwarded_choice.py
+++ b/boragestream/serving/forwarded_choice.py
@@ -290,7 +290,14 @@
             usable = self._region.servers if self._region is not None else ()
         else:
             usable = parts.cold.usable(parts.backoffs.usable(self._allowed()))
-        return self._below_bounds(usable)
+        return self._trusted(self._below_bounds(usable))
+
+    def _trusted(self, servers: Sequence[Server]) -> Sequence[Server]:
+        """Leave out servers at which a call that may run only once would be lost."""
+        oversized = self._parts.oversized
+        if oversized is None or self._run.route.repeatable:
+            return servers
+        return oversized.without_suspects(servers)
 
     def _below_bounds(self, servers: Sequence[Server]) -> Sequence[Server]:
         """Leave out servers that crash under what this entry leaves outstanding."""
--- a/boragestream/serving/health_probe.py
+++ b/boragestream/serving/health_probe.py
@@ -34,6 +34,8 @@
         call = self._reach.begin(server, fresh=True)
         try:
             connection.sock.settimeout(seconds)
+            # A server may send its answer byte by byte.
+            connection.limit_answer(seconds)
             connection.request("GET", HEALTH_PATH)
             connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
--- a/tests/features/steps/documentation.py
+++ b/tests/features/steps/documentation.py
@@ -122,6 +122,7 @@
     observations.request_ended("ACCOUNT", "PIPELINE", "OUTCOME", 0.1)
     observations.attempt_ended("PIPELINE", "STAGE", True, 0.1)
     observations.attempt_ended("PIPELINE", "STAGE", False, 0.1)
+    observations.answer_oversized()
     assert {row[0].strip("`") for row in rows} == metrics.names, metrics.names
     assert PREFIX in (ROOT / "docs" / "OPERATIONS.md").read_text()
 
--- a/tests/features/steps/whole_answers.py
+++ b/tests/features/steps/whole_answers.py
@@ -64,7 +64,7 @@
     """Start a server and what its calls share."""
     context.backend = ScriptedServer()
     context.add_cleanup(context.backend.close)
-    context.heads = []
+    context.heads, context.oversized = [], []
     context.results = []
     clock = SystemClock()
     context.line = CallLine(
@@ -74,6 +74,9 @@
         lambda service: 0,
         note_head=lambda server, head, sent_at: context.heads.append(head),
         memory=MemoryBudget(BUDGET_BYTES, clock),
+        note_oversized=lambda server, bound: context.oversized.append(
+            (server.name, bound)
+        ),
     )
     watchdog = Watchdog(clock)
     in_background(context, watchdog.run, watchdog.stop)
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -83,6 +83,9 @@
         # Whether a stage server has lost each result that a piece needs.
         self.loses_results = False
         self.full = False
+        # What it sends without end in the place of each answer, behind a head; None for
+        # proper answers.
+        self.endless = None
         # Whether it fails calls that release results.
         self.fails_releases = False
         self.held = {}
@@ -332,6 +335,9 @@
             self.send(sock, headers, 503, b"", [("Not-Run", "1")], sealed=False)
             return
         self.note_run(headers, body)
+        if self.endless is not None:
+            self.send_endless(sock, headers)
+            return
         if self.has_crashing_part(headers):
             self.part_arrivals.append(time.monotonic())
             time.sleep(self.crash_delay)
@@ -442,6 +448,18 @@
             raise OSError("end")
         sock.sendall(b"0\r\n\r\n")
 
+    def send_endless(self, sock, headers):
+        """Send a head, and then the same bytes until the other end closes."""
+        head, repeated = self.endless
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"Request-Id: {headers['Request-Id']}",
+            f"Server-Seal: seal-of-{self.identity}",
+        ]
+        sock.sendall("\r\n".join(lines).encode() + b"\r\n" + head)
+        while True:
+            sock.sendall(repeated)
+
     def has_inputs(self, sock, headers):
         """Check the results that a staged request must bring."""
         counts = [int(n) for n in headers.get("Pieces", "").split(",") if n]
--- a/tests/standins/scripted_server.py
+++ b/tests/standins/scripted_server.py
@@ -28,7 +28,9 @@
         self.pause = 0.0
         self.then = "end"
         self.calls = 0
+        # How often the repeated bytes were sent, and the connections that have ended.
         self.repeats = 0
+        self.ended = 0
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.open = []
@@ -62,6 +64,7 @@
                 if self.then != "hold":
                     break
         sock.close()
+        self.ended += 1
 
     def repeat(self, sock):
         """Send bytes until the caller closes."""
