Bound the events of a stream

What could go wrong: a server that sends events without end, blank ones, or ones that the caller has already, took the processor of the entry until the deadline, since only the bytes of a single event were bounded. Duplicates were dropped without a bound.

Change: a stream breaks at 65,536 events, 4,096 empty ones, or 16,384 that the caller has; the last two count anew at each server. The failure names the bound, which is logged and counted like that of other answers.

--- a/boragestream/serving/event_stream.py
+++ b/boragestream/serving/event_stream.py
@@ -2,6 +2,7 @@
 
 Only complete events are passed on, so that a stream can resume at another server after
 the last of them. Duplicate events are dropped; a gap in the numbers breaks the stream.
+A stream without end breaks at a bound on the number of its events.
 """
 
 import re
@@ -10,10 +11,17 @@
 from boragestream.base.event_buffer import EventBuffer
 from boragestream.base.outcomes import Failure
 
-__all__ = ["EventSplitter", "StreamBroken"]
+__all__ = ["EventSplitter", "StreamBroken", "StreamOversized"]
 
 EVENT_NUMBER = re.compile(rb"^id:[ ]?(\d+)[ ]*\r?$", re.MULTILINE)
 MAX_EVENT_BYTES = 1_048_576
+# Above the tokens of the longest answers.
+MAX_EVENTS = 65_536
+# A server that ignores from where it should resume a stream sends each event again.
+MAX_DUPLICATES = 16_384
+# Servers keep idle connections alive with a comment every few seconds.
+MAX_EMPTY_EVENTS = 4_096
+COMMENT = b":"
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +34,16 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class StreamOversized(Failure):
+    """A stream has more events of a kind than any sound server sends.
+
+    :ivar limit: the bound that it went beyond.
+    """
+
+    limit: str
+
+
 class EventSplitter:
     """Splits one stream into events, across all servers that send parts of it.
 
@@ -35,13 +53,16 @@
     def __init__(self, last: int | None) -> None:
         self._last = last
         self._buffer = EventBuffer()
+        self._events_left = MAX_EVENTS
+        self._duplicates_left = MAX_DUPLICATES
+        self._empty_left = MAX_EMPTY_EVENTS
 
     @property
     def last(self) -> int | None:
         """The number of the last event passed on; None if there is none."""
         return self._last
 
-    def feed(self, data: bytes) -> list[bytes] | StreamBroken:
+    def feed(self, data: bytes) -> list[bytes] | StreamBroken | StreamOversized:
         """Add bytes of the stream; return the events that are now complete."""
         events: list[bytes] = []
         for event in self._buffer.take(data):
@@ -49,20 +70,35 @@
             if match is not None:
                 event_number = int(match.group(1))
                 if self._last is not None and event_number <= self._last:
+                    self._duplicates_left -= 1
+                    if self._duplicates_left < 0:
+                        return StreamOversized(f"{MAX_DUPLICATES} duplicate events")
                     continue
                 if self._last is not None and event_number > self._last + 1:
                     return StreamBroken(
                         f"event {event_number} does not follow event {self._last}"
                     )
                 self._last = event_number
+            elif not event.strip() or event.startswith(COMMENT):
+                self._empty_left -= 1
+                if self._empty_left < 0:
+                    return StreamOversized(f"{MAX_EMPTY_EVENTS} empty events")
+            self._events_left -= 1
+            if self._events_left < 0:
+                return StreamOversized(f"{MAX_EVENTS} events")
             events.append(event)
         if len(self._buffer) > MAX_EVENT_BYTES:
             return StreamBroken("event exceeds 1 MiB")
         return events
 
     def discard_partial(self) -> None:
-        """Discard the incomplete event of a stream that broke."""
+        """Discard the incomplete event of a stream that broke.
+
+        What the broken stream repeated doesn't count against the next server.
+        """
         self._buffer.clear()
+        self._duplicates_left = MAX_DUPLICATES
+        self._empty_left = MAX_EMPTY_EVENTS
 
     def finish(self) -> StreamBroken | None:
         """End the stream; return a failure if an incomplete event remains."""
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -37,7 +37,11 @@
 from boragestream.policy.servers import Server
 from boragestream.serving.crash_checks import CrashChecks, make_guard
 from boragestream.serving.delegation import DelegatedAttempt, Delegation
-from boragestream.serving.event_stream import EventSplitter, StreamBroken
+from boragestream.serving.event_stream import (
+    EventSplitter,
+    StreamBroken,
+    StreamOversized,
+)
 from boragestream.serving.forward_attempt import ForwardAttempt, ForwardParts
 from boragestream.serving.forwarded_answer import StreamedAnswer, WholeAnswer
 from boragestream.serving.forwarded_choice import ForwardedChoice
@@ -326,6 +330,8 @@
         # Closing the connection stops the server's work on this request before another
         # server resumes the stream.
         attempt.close()
+        if isinstance(failure, StreamOversized):
+            self._parts.line.note_oversized(attempt.server, failure.limit)
         if isinstance(attempt, ForwardAttempt):
             self._crashes.check(attempt.server, failure)
         self._splitter.discard_partial()
--- a/tests/features/steps/event_stream.py
+++ b/tests/features/steps/event_stream.py
@@ -9,7 +9,11 @@
 from hypothesis import strategies as st
 
 from boragestream.base.event_buffer import EventBuffer
-from boragestream.serving.event_stream import EventSplitter, StreamBroken
+from boragestream.serving.event_stream import (
+    EventSplitter,
+    StreamBroken,
+    StreamOversized,
+)
 
 EVENT = b"id: %d\ndata: words\n\n"
 HALF_EVENT_BYTES = 9
@@ -54,6 +58,44 @@
     assert incomplete is (end == "ends with half an event")
 
 
+# How the n-th event of a stream without end looks.
+ENDLESS = {
+    "blank events": lambda n: b"\n\n",
+    "comments": lambda n: b": alive\n\n",
+    "duplicate events": lambda n: EVENT % 100,
+    "new events": lambda n: EVENT % (101 + n),
+    "unnumbered events": lambda n: b"data: words\n\n",
+}
+# Above each bound, so that the test ends.
+MOST_EVENTS = 200_000
+
+
+@when("{kind} come without end")
+def step(context, kind):
+    for number in range(MOST_EVENTS):
+        context.broken = context.splitter.feed(ENDLESS[kind](number))
+        if not isinstance(context.broken, list):
+            break
+
+
+@then('the stream breaks at the bound "{bound}"')
+def step(context, bound):
+    assert context.broken == StreamOversized(bound), context.broken
+
+
+@when("{count:d} duplicate events come from each of three servers")
+def step(context, count):
+    context.fed = []
+    for _ in range(3):
+        context.fed += [context.splitter.feed(EVENT % 100) for _ in range(count)]
+        context.splitter.discard_partial()
+
+
+@then("the stream has not broken")
+def step(context):
+    assert all(fed == [] for fed in context.fed)
+
+
 @when("{count:d} bytes of an event come in parts of {size:d} bytes")
 def step(context, count, size):
     splitter = EventSplitter(None)
