--- a/tests/features/steps/account_services.py
+++ b/tests/features/steps/account_services.py
@@ -98,6 +98,7 @@
     context.parts = SimpleNamespace(
         regions=SimpleNamespace(several=False),
         outstanding=None,
+        oversized=None,
         seated=None,
         servers=SimpleNamespace(live=lambda service: FORWARD_SERVERS),
         cold=SimpleNamespace(usable=lambda servers: servers),
--- a/tests/features/steps/leaving_before_the_send.py
+++ b/tests/features/steps/leaving_before_the_send.py
@@ -164,6 +164,7 @@
         clock=clock,
         metrics=RouteMetrics(),
         outstanding=None,
+        oversized=None,
         seated=context.seated,
     )
     run = SimpleNamespace(
--- a/tests/features/steps/server_reach.py
+++ b/tests/features/steps/server_reach.py
@@ -431,6 +431,7 @@
         regions=SimpleNamespace(several=False),
         shares=None,
         outstanding=None,
+        oversized=None,
     )
     state = forwarder._Forwarding(parts, run)
     state._unreached = True
