Have the soak spoil answers in their heads and repeat those of stage servers

Change: with the family "spoils", callers ask for answers that are cut inside their heads and for streams without framing that end without an event, and stage servers send each answer twice, the second time where the next one is expected. Cuts inside a body without framing are left out, since a server that dies meanwhile ends its connection like one that is done.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -49,6 +49,7 @@
       | regions that are parted in one direction or both  | 7    | partitions |
       | entries that are cut off from all servers         | 8    | cuts       |
       | engines that are replaced by other versions       | 9    | upgrades   |
+      | answers that are cut or sent twice                | 10   | spoils     |
 
   # Guards against a check of memory that no entry can fail.
   Scenario: the soak sees an entry that has used more than its memory
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -34,12 +34,14 @@
 LIFE = ("entry-0", 0)
 # Entries use 45 MB in runs without callers that don't read.
 HELD_MB = 64
+BAD_GATEWAY = 502
 NOTICED = {
     Family.READERS: lambda verdict: verdict.peak_mb > HELD_MB,
     Family.SURGES: lambda verdict: verdict.events.get("surplus_refused"),
     Family.PARTITIONS: lambda verdict: verdict.events.get("region_unreachable"),
     Family.CUTS: lambda verdict: verdict.events.get("request_delegated"),
     Family.UPGRADES: lambda verdict: verdict.events.get("stream_resumed"),
+    Family.SPOILS: lambda verdict: verdict.statuses.get(BAD_GATEWAY),
 }
 
 # A search of the owners of connections takes as long on a busy machine.
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,6 +16,8 @@
   --partitions    Lose what is sent between two regions as well.
   --cuts          Cut entries off from all servers as well.
   --upgrades      Replace engines by others of two more software versions as well.
+  --spoils        Have servers cut answers in their heads, and stage servers send
+                  answers twice, as well.
   --keep DIR      Where the logs of failed runs are kept [default: out/soak].
 
 The exit code is 1 where a promise was broken. Ended are only processes that a run
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -25,6 +25,16 @@
     "draft": ("ok", "cut", "before"),
     "staged": ("ok", "ok", "cut"),
 }
+# The same with servers that cut their answers before the first byte of the body. A cut
+# inside a body without framing is left out: a server that dies then ends its connection
+# like one that is done.
+SPOILED_PATHS = {
+    "safe": (*PATHS["safe"], "cut-head", "cut-head"),
+    "unsafe": (*PATHS["unsafe"], "cut-head", "cut-head"),
+    "chat": (*PATHS["chat"], "cut-head", "unframed-empty"),
+    "draft": (*PATHS["draft"], "cut-head", "unframed-empty"),
+    "staged": PATHS["staged"],
+}
 # The kinds of streams that callers take up again.
 RESUMABLE = ("chat", "staged")
 # A whole event: its number, and the version of the server that wrote it.
@@ -51,6 +61,7 @@
 
 
 USUAL = CallerHabit()
+SPOILING = CallerHabit(paths=SPOILED_PATHS)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -55,6 +55,8 @@
     PARTITIONS = "partitions"
     CUTS = "cuts"
     UPGRADES = "upgrades"
+    # Strikes nothing: what callers ask for spoils the answers of servers.
+    SPOILS = "spoils"
 
 
 # The families that need entries with bounded memory, fair shares and two regions.
@@ -146,6 +148,8 @@
             strikes += _cut_strikes(rng, seconds)
         elif family is Family.UPGRADES:
             strikes += _upgrade_strikes(rng, seconds)
+        elif family is Family.SPOILS:
+            continue
         else:
             strikes += _newer_strikes(rng, seconds, NEWER[family])
     return sorted(strikes, key=lambda strike: strike.at)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from tests.soak.callers import Callers
+from tests.soak.callers import SPOILING, USUAL, Callers
 from tests.soak.calm import broken_in_calm, recover
 from tests.soak.checks import broken_promises
 from tests.soak.crowds import MEMORY_MB, busy_callers
@@ -68,7 +68,11 @@
     site = SoakSite(entries, SERVERS_A_KIND, newer, Family.CUTS in families)
     if plan is None:
         plan = make_plan(seed, seconds, families)
-    callers = Callers(site, seed, CALLERS_AN_ENTRY * entries)
+    spoils = Family.SPOILS in families
+    habit = SPOILING if spoils else USUAL
+    callers = Callers(site, seed, CALLERS_AN_ENTRY * entries, habit)
+    for server in site.of_kind("stage"):
+        server.repeats_late = spoils
     broken, late = [], 0.0
     try:
         site.start()
