--- a/boragestream/backend/attempt.py
+++ b/boragestream/backend/attempt.py
@@ -39,7 +39,8 @@
     ServerLimited,
     ServerRefused,
 )
-from boragestream.base.answer_reader import AnswerHeaders, AnswerReader
+from boragestream.base.answer_head import AnswerHeaders
+from boragestream.base.answer_reader import AnswerReader
 from boragestream.base.clock import Clock
 from boragestream.base.failures import DeadlinePassed
 from boragestream.document.calls import LimitMalformed
--- a/boragestream/backend/load.py
+++ b/boragestream/backend/load.py
@@ -2,7 +2,7 @@
 
 import re
 
-from boragestream.base.answer_reader import AnswerHeaders
+from boragestream.base.answer_head import AnswerHeaders
 from boragestream.policy.reports import LoadReport
 
 __all__ = ["LOAD_HEADER", "read_load"]
--- a/boragestream/base/answer_reader.py
+++ b/boragestream/base/answer_reader.py
@@ -17,15 +17,22 @@
 import re
 import socket
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable
 from functools import partial
 
+from boragestream.base.answer_head import (
+    AnswerHeaders,
+    AnswerMalformedError,
+    BodyFraming,
+    ParsedHead,
+    body_framing,
+    parse_head,
+)
+
 __all__ = [
     "AnswerBoundError",
     "AnswerConnection",
     "AnswerCutError",
-    "AnswerHeaders",
-    "AnswerMalformedError",
     "AnswerReader",
 ]
 
@@ -47,25 +54,14 @@
 HEAD_END = re.compile(rb"\n\r?\n")
 HEAD_END_OVERLAP = 2
 PROTOCOL = b"HTTP/1."
-STATUS_LINE = re.compile(
-    r"HTTP/1\.([0-9])[ \t]+([1-9][0-9]{2})(?:[ \t]+([^\r\n\0]*))?\r?"
-)
-# Line folding is left out: RFC 9112 lets a gateway reject it.
-HEADER_LINES = re.compile(r"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r?(?:\n|\Z))*")
-CONTENT_LENGTH = re.compile(r"[0-9]{1,18}")
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r?\n")
 LINE_ENDS = (b"\r\n", b"\n")
-NO_BODY = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 
 
 class AnswerCutError(http.client.HTTPException):
     """The connection ended before the answer was whole."""
 
 
-class AnswerMalformedError(http.client.HTTPException):
-    """The bytes are not an answer of the protocol."""
-
-
 class AnswerBoundError(http.client.HTTPException):
     """A part of the answer is longer than any of a sound server.
 
@@ -82,35 +78,6 @@
         return self._bound
 
 
-class AnswerHeaders:
-    """The headers of an answer; their names are compared without case.
-
-    :param pairs: name and value of each header, in the order of the answer.
-    """
-
-    def __init__(self, pairs: Sequence[tuple[str, str]]) -> None:
-        self._pairs = pairs
-        self._values: dict[str, list[str]] = {}
-        for name, value in pairs:
-            self._values.setdefault(name.lower(), []).append(value)
-
-    def __getitem__(self, name: str) -> str | None:
-        return self.get(name)
-
-    def get(self, name: str, default: str | None = None) -> str | None:
-        """Return the first value of a header."""
-        values = self._values.get(name.lower())
-        return values[0] if values else default
-
-    def get_all(self, name: str, default: list[str] | None = None) -> list[str] | None:
-        """Return all values of a header."""
-        return self._values.get(name.lower(), default)
-
-    def items(self) -> Iterable[tuple[str, str]]:
-        """Return name and value of each header."""
-        return self._pairs
-
-
 class AnswerReader:
     """Reads one answer from a connection; has the interface of ``HTTPResponse``.
 
@@ -139,12 +106,10 @@
         self._shut_down_here = shut_down_here
         self._expires_at = expires_at
         self._buffer = bytearray()
-        self._status = 0
-        self._reason = ""
-        self._headers = AnswerHeaders(())
-        self._chunked = False
+        self._head = ParsedHead(1, 0, "", AnswerHeaders(()))
+        self._framing = BodyFraming(False, None, True)
+        # The bytes of the body that are left to read; None if it names no length.
         self._length: int | None = None
-        self._will_close = True
         # The bytes and lines that heads may still have, and the bytes of the body.
         self._head_left = MAX_HEAD_BYTES
         self._lines_left = MAX_HEAD_LINES
@@ -158,22 +123,22 @@
     @property
     def status(self) -> int:
         """The status code."""
-        return self._status
+        return self._head.status
 
     @property
     def reason(self) -> str:
         """The reason phrase."""
-        return self._reason
+        return self._head.reason
 
     @property
     def headers(self) -> AnswerHeaders:
         """The headers."""
-        return self._headers
+        return self._head.headers
 
     @property
     def chunked(self) -> bool:
         """Whether the body comes in chunks."""
-        return self._chunked
+        return self._framing.chunked
 
     @property
     def length(self) -> int | None:
@@ -183,12 +148,12 @@
     @property
     def framed(self) -> bool:
         """Whether the body's end is marked by a length or a last chunk."""
-        return self._chunked or self._length is not None
+        return self._framing.chunked or self._framing.length is not None
 
     @property
     def will_close(self) -> bool:
         """Whether the peer closes the connection after the answer."""
-        return self._will_close
+        return self._framing.will_close
 
     @property
     def whole(self) -> bool:
@@ -206,17 +171,23 @@
         :raises OSError: if the connection breaks.
         :raises http.client.HTTPException: if the head isn't whole or can't be read.
         """
-        minor = self._read_head()
+        self._head = self._read_head()
         interim = 0
-        while self._status < http.HTTPStatus.OK:
+        while self.status < http.HTTPStatus.OK:
             interim += 1
             if interim > MAX_INTERIM_HEADS:
                 raise AnswerBoundError(f"{MAX_INTERIM_HEADS} interim heads")
             # No request of this process asks to change the protocol.
-            if self._status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+            if self.status == http.HTTPStatus.SWITCHING_PROTOCOLS:
                 raise AnswerMalformedError("status 101")
-            minor = self._read_head()
-        self._set_framing(minor)
+            self._head = self._read_head()
+        self._framing = body_framing(self._head, self._method)
+        self._length = self._framing.length
+        if self._length is not None:
+            # An answer that will be too long isn't begun.
+            self._count_body(self._length)
+        if self._length == 0:
+            self._finish()
 
     def read(self, size: int | None = None) -> bytes:
         """Return the rest of the body, or its next bytes.
@@ -245,7 +216,7 @@
         """
         if self._whole:
             return b""
-        if self._chunked:
+        if self._framing.chunked:
             return self._read_chunked(size)
         if self._length is None:
             data = self._take(size)
@@ -269,22 +240,12 @@
         """Give the connection up; nothing can be read any more."""
         self._reference.close()
 
-    def _read_head(self) -> int:
-        """Read one head; return the minor version of its protocol."""
-        lines = self._take_head().decode("latin-1")
-        self._lines_left -= lines.count("\n") + 1
+    def _read_head(self) -> ParsedHead:
+        head = self._take_head()
+        self._lines_left -= head.count(b"\n") + 1
         if self._lines_left < 0:
             raise AnswerBoundError(f"{MAX_HEAD_LINES} lines of head")
-        status_line, _, header_lines = lines.partition("\n")
-        found = STATUS_LINE.fullmatch(status_line)
-        if found is None or not HEADER_LINES.fullmatch(header_lines):
-            raise AnswerMalformedError("head")
-        self._status = int(found[2])
-        self._reason = (found[3] or "").strip()
-        split = (line.partition(":") for line in header_lines.split("\n") if line)
-        pairs = [(name, value.strip(" \t\r")) for name, _, value in split]
-        self._headers = AnswerHeaders(pairs)
-        return int(found[1])
+        return parse_head(head)
 
     def _take_head(self) -> bytes:
         """Return a head without its empty line."""
@@ -309,38 +270,6 @@
         if size > self._head_left:
             raise AnswerBoundError(f"{MAX_HEAD_BYTES} bytes of head")
 
-    def _set_framing(self, minor: int) -> None:
-        headers = self._headers
-        connection = (headers.get("Connection") or "").lower()
-        if minor:
-            self._will_close = "close" in connection
-        else:
-            kept = headers.get("Keep-Alive") is not None or "keep-alive" in connection
-            self._will_close = not kept
-        coding = headers.get("Transfer-Encoding")
-        lengths = {
-            length.strip()
-            for value in headers.get_all("Content-Length", [])
-            for length in value.split(",")
-        }
-        if self._method == "HEAD" or self._status in NO_BODY:
-            self._length = 0
-        elif coding is not None:
-            if coding.lower() != "chunked":
-                raise AnswerMalformedError("transfer coding")
-            self._chunked = True
-        elif lengths:
-            length = lengths.pop()
-            if lengths or not CONTENT_LENGTH.fullmatch(length):
-                raise AnswerMalformedError("content length")
-            self._length = int(length)
-            # An answer that will be too long isn't begun.
-            self._count_body(self._length)
-        else:
-            self._will_close = True
-        if self._length == 0:
-            self._finish()
-
     def _read_chunked(self, size: int) -> bytes:
         if not self._chunk_left:
             self._begin_chunk()
--- a/boragestream/daemon/response_hints.py
+++ b/boragestream/daemon/response_hints.py
@@ -1,38 +1,19 @@
-"""Applies what responses of a backend server show of it, in their heads or sizes."""
+"""Applies the hints about a backend server from the headers of its responses."""
 
 from http import HTTPStatus
 
-from boragestream.backend.forwarded_call import NoteHead, NoteOversized
+from boragestream.backend.forwarded_call import NoteHead
 from boragestream.base.events import Event, emit
-from boragestream.base.route_metrics import RouteMetrics
 from boragestream.document.calls import AnswerHead, LimitMalformed, RunClaim
 from boragestream.entry.brittle import log_brittle_change
 from boragestream.entry.limits import log_limit_change
 from boragestream.policy.brittle_services import BrittleServices
-from boragestream.policy.oversized_answers import OversizedAnswers
 from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving.ejections import log_backoff
 
-__all__ = ["log_oversized", "response_hints"]
-
-
-def log_oversized(
-    metrics: RouteMetrics, suspects: OversizedAnswers | None = None
-) -> NoteOversized:
-    """Return a callback that logs and counts answers that go beyond a bound.
-
-    :param suspects: takes their servers; None for those of other entries.
-    """
-
-    def note_oversized(server: Server, bound: str) -> None:
-        metrics.answer_oversized(bound)
-        emit(Event.ANSWER_OVERSIZED, server=server.name, bound=bound)
-        if suspects is not None:
-            suspects.note(server)
-
-    return note_oversized
+__all__ = ["response_hints"]
 
 
 def response_hints(
--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -9,12 +9,16 @@
 
 from boragestream.backend.cancellation import Watchdog
 from boragestream.backend.connections import ConnectionKeeper
-from boragestream.backend.forwarded_call import CallLine
 from boragestream.base.clock import Clock
 from boragestream.base.identifiers import new_incarnation
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.daemon.account_parts import make_account_parts
 from boragestream.daemon.bounds import cold_bound, retry_bounds
+from boragestream.daemon.call_lines import (
+    CONNECT_SECONDS,
+    make_entry_line,
+    make_server_line,
+)
 from boragestream.daemon.late_parts import make_late_service, new_return_times
 from boragestream.daemon.limits import make_shared_limits
 from boragestream.daemon.memory import make_budget, make_outstanding
@@ -32,7 +36,7 @@
     other_servers,
 )
 from boragestream.daemon.regional import make_regional
-from boragestream.daemon.response_hints import log_oversized, response_hints
+from boragestream.daemon.response_hints import response_hints
 from boragestream.daemon.route_parts import RouteParts
 from boragestream.daemon.service_definitions import ServiceDefinitions
 from boragestream.daemon.settings_in_force import SettingsInForce
@@ -46,12 +50,7 @@
 from boragestream.entry.peers import EntryPeers
 from boragestream.entry.relay import ConfigurationRelay
 from boragestream.platform.pieces import PieceCallFormat, encode_probe
-from boragestream.platform.wire import (
-    encode_call,
-    encode_delegated_call,
-    read_answer_head,
-    read_entry_answer_head,
-)
+from boragestream.platform.wire import encode_call, encode_delegated_call
 from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.cut_entries import ALL_SERVICES
 from boragestream.policy.engine_delays import EngineDelays
@@ -85,7 +84,6 @@
 # Names the deployment in messages between entries, so that an entry refuses messages
 # of another deployment.
 DEPLOYMENT = "routes"
-CONNECT_SECONDS = 0.4
 
 
 def make_route_parts(in_force: SettingsInForce, clock: Clock) -> RouteParts:
@@ -183,15 +181,15 @@
     )
     reach = ServerReach(clock, fewest_servers(servers))
     oversized = OversizedAnswers(clock)
-    line = CallLine(
-        read_answer_head,
+    line = make_server_line(
         connections,
         clock,
         services.max_idle,
         apply_response_hints,
         memory,
         reach,
-        log_oversized(metrics, oversized),
+        metrics,
+        oversized,
     )
     probe = ServerProbe(
         line,
@@ -308,20 +306,12 @@
         regions,
     )
     members.exchange.add_part(publications.relay)
-    entry_line = CallLine(
-        read_entry_answer_head,
-        ConnectionKeeper(CONNECT_SECONDS),
-        clock,
-        lambda service: 0,
-        memory=memory,
-        note_oversized=log_oversized(metrics),
-    )
     delegation = make_delegation(
         listed,
         settings.peers.key.encode(),
         members,
         reach_parts.cut_entries,
-        entry_line,
+        make_entry_line(clock, memory, metrics),
         encode_delegated_call,
         regions,
         clock,
--- a/boragestream/platform/reader.py
+++ b/boragestream/platform/reader.py
@@ -8,7 +8,8 @@
 import re
 from dataclasses import dataclass
 
-from boragestream.base.answer_reader import AnswerConnection, AnswerHeaders
+from boragestream.base.answer_head import AnswerHeaders
+from boragestream.base.answer_reader import AnswerConnection
 from boragestream.base.liveness import detect_dead_peer
 from boragestream.base.outcomes import Failure
 from boragestream.policy.publication import NO_ERA
