Give each batch and report of a stage server a connection of its own

What callers saw: pieces made from results of other requests, and requests that ran with them, after a stage server had sent an answer once more where the next one is expected.

Calls to stage servers carry no id, and their connections were kept. Ruled out: wrong places of results in a batch, and handles that are used again, since servers that answer once never mix.

Change: batches and questions for reports use a new connection that isn't kept; releases keep theirs, which no other call uses. A connection with bytes behind a whole answer isn't kept.

--- a/boragestream/backend/answer.py
+++ b/boragestream/backend/answer.py
@@ -24,11 +24,8 @@
     AttemptFailure,
     Ran,
 )
-from boragestream.base.answer_reader import (
-    AnswerBoundError,
-    AnswerHeaders,
-    AnswerReader,
-)
+from boragestream.base.answer_head import AnswerHeaders
+from boragestream.base.answer_reader import AnswerBoundError, AnswerReader
 from boragestream.base.clock import Clock
 from boragestream.base.event_buffer import EventBuffer
 from boragestream.base.failures import DeadlinePassed
@@ -205,7 +202,9 @@
         """Keep the connection after a whole answer and close it after any other."""
         whole = not isinstance(result, AttemptFailure) and self._scope.reason is None
         # http.client drops its socket where the server closes the connection.
-        reusable = self._connection.sock is not None and self._response.isclosed()
+        response = self._response
+        reusable = self._connection.sock is not None and response.isclosed()
+        reusable = reusable and not response.has_excess
         self._call_ended(whole)
         # A scope that is being cancelled still holds the socket and shuts it down,
         # which must never strike the connection's next call.
--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -109,6 +109,8 @@
         repeated where a kept one turns out to be closed.
     :ivar abandon: cancels the call if its server turns out to be unreachable from this
         entry; None if it may not be sent again.
+    :ivar kept: whether its connection may be kept for another call; not if its answer
+        can't be told from that to another call.
     """
 
     method: str
@@ -117,6 +119,7 @@
     fresh: bool = False
     body: bytes = b""
     abandon: Callable[[], None] | None = None
+    kept: bool = True
 
 
 class OpenForwardedAnswer:
@@ -211,6 +214,7 @@
     def _keep(self) -> None:
         sock = self._connection.sock
         kept = self._open and sock is not None and self._reusable
+        kept = kept and not self._response.has_excess
         if not kept or self._head.closing or not self._scope.release(sock):
             self.close()
             return
@@ -327,7 +331,14 @@
         line.reach.note_answer(reached)
     head = line.read_head(response)
     answer = OpenForwardedAnswer(
-        line, server, connection, response, head, scope, whole, reached
+        line,
+        server,
+        connection,
+        response,
+        head,
+        scope,
+        whole and call.kept,
+        reached,
     )
     # An answer that carries another id is an extra or a late one of another call.
     if head.request_id and head.request_id != call.request_id:
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -204,7 +204,9 @@
         if not self.takes_messages(server):
             return
         data = self._parts.format.encode_release(server, handles)
-        failed = self._call(server, "POST", data, RELEASE_SECONDS)
+        # An answer to another release says the same.
+        call = OutgoingCall("POST", "", lambda left: data)
+        failed = self._call(server, call, RELEASE_SECONDS)
         if isinstance(failed, AttemptFailure):
             # The server deletes the results itself when they expire.
             emit(Event.RELEASE_FAILED, server=server.name, failure=failed.describe())
@@ -214,7 +216,8 @@
         if not self.takes_messages(server):
             return
         data = wire.encode_report_call(server)
-        body = self._call(server, "GET", data, REPORT_SECONDS)
+        question = _call_without_id("GET", lambda left: data)
+        body = self._call(server, question, REPORT_SECONDS)
         report = wire.read_stage_report(body) if isinstance(body, bytes) else None
         # Without a report the call goes on until it times out.
         if report is not None and answer_is_lost(report):
@@ -228,14 +231,13 @@
         return not drained and not limited and parts.backoffs.takes_calls(server)
 
     def _call(
-        self, server: Server, method: str, data: bytes, seconds: float
+        self, server: Server, call: OutgoingCall, seconds: float
     ) -> bytes | AttemptFailure:
         """Return the body of a successful answer, or why there is none."""
         parts = self._parts
         scope = CancelScope(parts.clock.now() + seconds)
         parts.watchdog.open(scope)
         try:
-            call = OutgoingCall(method, "", lambda left: data)
             answer = open_forwarded_call(parts.line, server, call, scope)
             if isinstance(answer, AttemptFailure):
                 return answer
@@ -270,7 +272,7 @@
 
         parts.watchdog.open(scope)
         try:
-            call = OutgoingCall("POST", "", encode)
+            call = _call_without_id("POST", encode)
             answer = open_forwarded_call(parts.line, server, call, scope)
             if isinstance(answer, AttemptFailure):
                 return answer
@@ -297,6 +299,17 @@
     return AnswerCut(server.name, Ran.MAY_HAVE_RUN, "no results that can be read")
 
 
+def _call_without_id(
+    method: str, encode: Callable[[float], bytes | AttemptFailure]
+) -> OutgoingCall:
+    """Return a call with a connection of its own.
+
+    Calls to stage servers carry no id, so that on a kept connection an extra answer
+    that arrives late would be taken for the answer to the next call.
+    """
+    return OutgoingCall(method, "", encode, fresh=True, kept=False)
+
+
 def _run_logged(work: Callable[..., None], *arguments: object) -> None:
     """Run a function and log the exception that it raises, if any."""
     try:
--- a/tests/features/forwarded_path.feature
+++ b/tests/features/forwarded_path.feature
@@ -117,6 +117,13 @@
       | gone   | 503    | 0    |
       | late   | 503    | 0    |
 
+  # Guards against results of another request that come with a late extra answer.
+  Scenario: an extra answer of a stage server that comes late gives no results away
+    Given stage servers that send each answer again where the next one is expected
+    When 40 requests with pieces "1,1" go to "/staged/ok", 8 at once
+    Then each that is answered was given the results of its own pieces alone
+    And all of them are answered whole
+
   # Guards against a release of results that failed and counts as done.
   Scenario: a release of results that a stage server fails is logged
     Given stage servers that fail releases of results
--- a/tests/features/steps/forwarded_path.py
+++ b/tests/features/steps/forwarded_path.py
@@ -292,3 +292,37 @@
     holders = {s.identity for s in context.site.of_kind("stage") if s.held}
     assert holders
     wait_until(lambda: failed() >= holders, what="the failed releases")
+
+
+@given("stage servers that send each answer again where the next one is expected")
+def step(context):
+    for server in context.site.of_kind("stage"):
+        server.repeats_late = True
+        context.add_cleanup(setattr, server, "repeats_late", False)
+
+
+@when('{count:d} requests with pieces "{pieces}" go to "{path}", {n:d} at once')
+def step(context, count, pieces, path, n):
+    def call_some(_):
+        more = {"Pieces": pieces, "Piece_Key": "k"}
+        return [context.site.call(path, **more) for _ in range(count // n)]
+
+    results = context.site.at_once(n, call_some)
+    context.answers = [answer for answers in results for answer in answers]
+
+
+@then("each that is answered was given the results of its own pieces alone")
+def step(context):
+    site = context.site
+    made = {h: piece for s in site.of_kind("stage") for h, piece in s.made.items()}
+    given = {id: i for s in site.of_kind("engine") for id, i in s.inputs.items()}
+    for answer in context.answers:
+        if answer.status == 200:
+            owners = {made[handle][:2] for handle in given[answer.request_id]}
+            assert owners == {(answer.request_id, 1)}, (answer.request_id, owners)
+
+
+@then("all of them are answered whole")
+def step(context):
+    ends = [(answer.status, answer.whole) for answer in context.answers]
+    assert set(ends) == {(200, True)}, ends
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -22,6 +22,8 @@
 # Pieces with this key crash the stage server that begins to make them.
 DEADLY_KEY = "deadly"
 RESET = struct.pack("ii", 1, 0)
+# Longer than the deadline of any call.
+STALL_SECONDS = 15
 # Cuts a head behind the seal and inside the framing.
 HEAD_CUT_BYTES = 8
 # A brittle server lets fewer calls wait from this long after it first says so.
@@ -30,9 +32,9 @@
 FALL_SECONDS = 3.0
 
 
-def wait_closed(sock):
+def wait_closed(sock, seconds=5):
     """Return whether the other end closes a connection within some time."""
-    sock.settimeout(5)
+    sock.settimeout(seconds)
     try:
         return not sock.recv(1)
     except TimeoutError:
@@ -83,6 +85,10 @@
         # Whether a stage server has lost each result that a piece needs.
         self.loses_results = False
         self.full = False
+        # Whether each answer with results is sent once more, where the next answer on
+        # its connection is expected; and the answers that are still to be sent so.
+        self.repeats_late = False
+        self.repeated = {}
         # What it sends without end in the place of each answer, behind a head; None for
         # proper answers.
         self.endless = None
@@ -225,6 +231,7 @@
                     self.run_early(sock, headers)
                 body = stream.read(length)
                 self.wait_for_link(sock)
+                sock.sendall(self.repeated.pop(sock, b""))
                 if not target.endswith("/early"):
                     self.take_call(sock, method, target, headers, body)
         except (OSError, ValueError):
@@ -232,6 +239,7 @@
         finally:
             with self.lock:
                 self.open.discard(sock)
+            self.repeated.pop(sock, None)
             sock.close()
 
     def wait_for_link(self, sock):
@@ -424,7 +432,7 @@
             raise OSError("end")
         for number in range(first, EVENTS + 1):
             if fault == "unframed-stall" and number == first + 2:
-                wait_closed(sock)
+                wait_closed(sock, STALL_SECONDS)
                 raise OSError("end")
             event = b"id: %d\ndata: %d %s\n\n" % (number, number, words)
             if fault == "gap" and number == first + 2:
@@ -512,7 +520,9 @@
                 self.held[handle] = (item["id"], item["stage"], item["piece"])
                 self.made[handle] = self.held[handle]
                 results.append({"handle": handle})
-        self.send(sock, headers, 200, json.dumps({"items": results}).encode())
+        sent = self.send(sock, headers, 200, json.dumps({"items": results}).encode())
+        if self.repeats_late:
+            self.repeated[sock] = sent
 
     def run_early(self, sock, headers):
         """Answer before the body is read."""
@@ -532,7 +542,7 @@
         sent=None,
         head_cut=0,
     ):
-        """Send a head, and a body where there is one.
+        """Send a head, and a body where there is one; return the bytes.
 
         ``sent`` bounds the bytes of the body; the last ``head_cut`` bytes of the head
         are left out together with the body.
@@ -554,4 +564,6 @@
             lines.append(f"Content-Length: {len(body)}")
         content = b"" if body is None else body[:sent]
         head = "\r\n".join(lines).encode() + b"\r\n\r\n"
-        sock.sendall(head[:-head_cut] if head_cut else head + content)
+        data = head[:-head_cut] if head_cut else head + content
+        sock.sendall(data)
+        return data
