--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -109,8 +109,8 @@
         repeated where a kept one turns out to be closed.
     :ivar abandon: cancels the call if its server turns out to be unreachable from this
         entry; None if it may not be sent again.
-    :ivar kept: whether its connection may be kept for another call; not if its answer
-        can't be told from that to another call.
+    :ivar kept: whether its connection may be kept for another call; False if nothing in
+        an answer says which call it belongs to.
     """
 
     method: str
--- a/boragestream/base/answer_reader.py
+++ b/boragestream/base/answer_reader.py
@@ -1,16 +1,16 @@
-"""Reads HTTP/1.1 answers, and tells a whole answer from one that ended early.
+"""Reads HTTP/1.1 answers; one that ends early, or never, is an error.
 
 The answers of backend servers, of other entries and of the platform are read here. A
 head is whole once its empty line was read. A body is whole once all bytes of its
 length, or its last chunk and the end of its trailers, were read; a body without either
-ends with its connection, unless this process ended the connection itself. What an
-answer means is left to those who asked, and how long to wait to the socket.
+ends with its connection, unless this process ended the connection itself.
 
-A server in trouble may send bytes without end. Each part of an answer has a bound far
-above what sound servers send, so that such an answer costs little processor time.
+Each part of an answer has a bound far above what sound servers send, so that a server
+that sends bytes without end costs little processor time.
 
-``AnswerReader`` takes the place of ``http.client.HTTPResponse``, which takes the end of
-a connection for the end of a head, of trailers, and of a body without a length.
+``AnswerReader`` replaces ``http.client.HTTPResponse``, which treats the end of a
+connection as the end of a head, of trailers, and of a body without a length. Parsing
+heads is left to ``base.answer_head``, and timeouts to the socket and its owner.
 """
 
 import http.client
@@ -41,13 +41,13 @@
 # hundred bytes; proxies take 8 to 64 KiB.
 MAX_HEAD_BYTES = 65_536
 MAX_HEAD_LINES = 128
-# Sound servers send one or two.
+# Sound servers send one or two before the final head.
 MAX_INTERIM_HEADS = 16
 MAX_TRAILER_BYTES = 8_192
 # The size of a chunk with its extensions.
 MAX_CHUNK_LINE_BYTES = 1_024
-# Framing of chunks may have as many bytes as the body, and so many more: an event of a
-# stream in its own chunk has six or seven bytes of framing.
+# The framing of chunks may have as many bytes as the body, and this many more. A chunk
+# with one event of a stream has six or seven bytes of framing.
 FRAMING_SLACK_BYTES = 16_384
 MAX_BODY_BYTES = 16 * 1_048_576
 # An empty line, also with bare line feeds, which some servers send.
@@ -99,8 +99,7 @@
         expires_at: float | None = None,
     ) -> None:
         self._sock = sock
-        # Holds the socket open if its connection object is closed before the body is
-        # read.
+        # Keeps the socket open if ``HTTPConnection`` closes it after the head.
         self._reference = sock.makefile("rb", buffering=0)
         self._method = method
         self._shut_down_here = shut_down_here
--- a/boragestream/serving/event_stream.py
+++ b/boragestream/serving/event_stream.py
@@ -17,7 +17,7 @@
 MAX_EVENT_BYTES = 1_048_576
 # Above the tokens of the longest answers.
 MAX_EVENTS = 65_536
-# A server that ignores from where it should resume a stream sends each event again.
+# A server that resumes a stream at its beginning sends each event again.
 MAX_DUPLICATES = 16_384
 # Servers keep idle connections alive with a comment every few seconds.
 MAX_EMPTY_EVENTS = 4_096
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -204,7 +204,7 @@
         if not self.takes_messages(server):
             return
         data = self._parts.format.encode_release(server, handles)
-        # An answer to another release says the same.
+        # Kept connections are safe here: all releases have the same answer.
         call = OutgoingCall("POST", "", lambda left: data)
         failed = self._call(server, call, RELEASE_SECONDS)
         if isinstance(failed, AttemptFailure):
