Remove a property of the reader of answers that nothing reads

Found in reading the change once more: AnswerReader.whole had no caller; its own methods use the attribute. Behaviour is the same.

--- a/boragestream/base/answer_reader.py
+++ b/boragestream/base/answer_reader.py
@@ -154,11 +154,6 @@
         """Whether the peer closes the connection after the answer."""
         return self._framing.will_close
 
-    @property
-    def whole(self) -> bool:
-        """Whether the answer was read to its end."""
-        return self._whole
-
     @property
     def has_excess(self) -> bool:
         """Whether bytes came that belong to no answer."""
