Compare the regions again before a request is refused for server limits

Callers got 503 "servers-limited" at once although a server in the other region had no limit and nothing to do.

Cause: the wait for a permit was read twice, to choose a region and to decide on the refusal. In between another request can take the permit, or time alone can pass, since the wait that a request can afford shrinks with it. The refusal did not look at the other regions again. A line written at each refusal showed the own region chosen with 1.437 s to wait of at most 0.315 s, and 0.358514 s of at most 0.358505 s; the other region was reachable, admitted by its link and in time.

Requests whose stages have not run are refused as before.

--- a/boragestream/base/failures.py
+++ b/boragestream/base/failures.py
@@ -143,11 +143,15 @@
     """Every server of the service has a limit, and none takes the call in time.
 
     :ivar service: the service's name.
-    :ivar left_seconds: until the first of them has room.
+    :ivar left_seconds: when the caller should return.
+    :ivar wait_seconds: the expected wait for the earliest permit.
+    :ivar region: the region of these servers; empty if it is not known.
     """
 
     service: str
     left_seconds: float
+    wait_seconds: float = 0.0
+    region: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/serving/forwarded_choice.py
+++ b/boragestream/serving/forwarded_choice.py
@@ -78,6 +78,8 @@
             has_results
         ):
             return None
+        if self._another_region_serves(has_results):
+            return None
         self.note_full()
         return limited.refusal(with_limit)
 
@@ -211,6 +213,22 @@
             return self._choose_unlimited(unlimited, inputs)
         return chosen
 
+    def _another_region_serves(self, has_results: bool) -> bool:
+        """Return whether a region other than the chosen one can serve the request.
+
+        The region was chosen for a wait that can have become too long since then, as
+        other requests take permits and the time left for the request becomes shorter.
+
+        :param has_results: whether a refusal would discard results of its stages.
+        """
+        if not self._regional or (self._run.has_stages and not has_results):
+            # Results of stages are read in the region where they are produced.
+            return False
+        refused = self._region
+        servers = self._servers(frozenset({refused.region}))
+        self._region = refused
+        return bool(servers)
+
     def _choose_elsewhere(
         self, refusal: ServersLimited, inputs: tuple[StageResult, ...]
     ) -> PermittedServer | ServersLimited:
--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -93,6 +93,11 @@
         restrictions = [r for r in (self.route.regions, self.account_regions) if r]
         return frozenset.intersection(*restrictions) if restrictions else None
 
+    @property
+    def has_stages(self) -> bool:
+        """Whether stage servers work on it before its server does."""
+        return bool(self.route.stages) and any(self.request.pieces)
+
     @property
     def objective_at(self) -> float:
         """The clock's time, in seconds, by which the answer should begin."""
--- a/boragestream/serving/limited_servers.py
+++ b/boragestream/serving/limited_servers.py
@@ -149,16 +149,17 @@
         """
         service = limited[0].service
         rate = sum(self._limits.rate(server) for server in limited)
+        wait = self.seconds_until_permit(limited)
         with self._lock:
             schedule = self._return_schedules.setdefault(
                 service, ReturnSchedule(self._rng)
             )
             seconds = schedule.retry_after(
                 self._clock.now(),
-                self.seconds_until_permit(limited),
+                wait,
                 rate / max(1, self._entries()),
             )
-        return ServersLimited(service, seconds)
+        return ServersLimited(service, seconds, wait, limited[0].region)
 
     def wait(self, permit: Permit | None, cancelled: Callable[[], bool]) -> bool:
         """Wait for a permit's start; return False if its request is cancelled.
--- a/boragestream/serving/region_options.py
+++ b/boragestream/serving/region_options.py
@@ -151,7 +151,7 @@
             longest_wait=longest_wait,
             slots=max(1, slots),
             own_allowed=run.regions is None or regions.own in run.regions,
-            staged=bool(run.route.stages) and any(request.pieces),
+            staged=run.has_stages,
             results_region=self._results_region(),
             refused_only=not run.sent.may_have_run,
         )
--- a/tests/features/region_choice.feature
+++ b/tests/features/region_choice.feature
@@ -125,6 +125,17 @@
     When the link admits no optional traffic
     Then the request is "refused, servers-limited"
 
+  Scenario: a permit that is taken while a request is checked does not refuse it
+    Guards against a refusal by the own region, chosen for a permit that is no longer in
+    time when the wait is read again. Seen as 503 in server_limits.feature.
+
+    Given an entry before 1 engines in its region and 1 in the other
+    When the last permit of its region is taken after each choice of a region
+    Then the request is "served far, not-in-time"
+    And a request with stages is "refused, servers-limited"
+    When the link admits no optional traffic
+    Then the request is "refused, servers-limited"
+
   Scenario: the wait for a permit adds to the time of an answer
     Guards against a permit that begins in time for an answer that does not.
 
--- a/tests/features/steps/region_choice.py
+++ b/tests/features/steps/region_choice.py
@@ -291,19 +291,44 @@
         context.entry.refused(servers[number % len(servers)])
 
 
-@when("the servers of its region take {limit:g} requests a second and had their burst")
-def step(context, limit):
-    entry = context.entry
-    for server in entry.of("near"):
-        limits = entry.limited.limits
-        limits.note_answer(server, limit, entry.clock.now(), True)
-    # The first permits of a limit are granted at once.
+def use_up_permits(entry):
+    """Take the permits of the own region that are free at once."""
     while not isinstance(
         entry.limited.acquire_earliest(entry.of("near"), 0.0, lambda s: None), Failure
     ):
         pass
 
 
+@when("the servers of its region take {limit:g} requests a second and had their burst")
+def step(context, limit):
+    entry = context.entry
+    for server in entry.of("near"):
+        entry.limited.limits.note_answer(server, limit, entry.clock.now(), True)
+    use_up_permits(entry)
+
+
+@when("the last permit of its region is taken after each choice of a region")
+def step(context):
+    entry = context.entry
+    for server in entry.of("near"):
+        entry.limited.limits.note_answer(server, 0.5, entry.clock.now(), True)
+    choose_region = entry.parts.regions.select
+
+    def select(*need_and_options):
+        selection = choose_region(*need_and_options)
+        use_up_permits(entry)
+        return selection
+
+    entry.parts.regions.select = select
+
+
+@then('a request with stages is "{expected}"')
+def step(context, expected):
+    choice, run = context.entry.choice(stages=(RouteStage("stage"),))
+    served = outcome(context, attempt(context, choice, run))
+    assert served == expected, served
+
+
 @when("the permits of its region are taken by other entries")
 def step(context):
     entry = context.entry
