--- a/boragestream/base/failures.py
+++ b/boragestream/base/failures.py
@@ -143,7 +143,7 @@
     """Every server of the service has a limit, and none takes the call in time.
 
     :ivar service: the service's name.
-    :ivar left_seconds: when the caller should return.
+    :ivar left_seconds: the seconds after which the caller should return.
     :ivar wait_seconds: the expected wait for the earliest permit.
     :ivar region: the region of these servers; empty if it is not known.
     """
