Keep oversized answers' servers in a record of back-offs

The record of servers that sent too much kept its own table of times, lock and filter, which were those of ServerBackoffs. It now holds one of these and adds the time and the share of servers that must be left. No behaviour changes.

The 22 scenarios of oversized_answers.feature and the 78 of forwarded_path.feature pass.

--- a/boragestream/policy/oversized_answers.py
+++ b/boragestream/policy/oversized_answers.py
@@ -8,10 +8,10 @@
 Ejection of servers after failures of any kind is left to ``policy.circuits``.
 """
 
-import threading
 from collections.abc import Sequence
 
 from boragestream.base.clock import Clock
+from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.servers import Server
 
 __all__ = ["OversizedAnswers"]
@@ -26,22 +26,13 @@
     """The servers that sent this entry more than any sound server does."""
 
     def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        # By the server's identity, since a restart may have mended it.
-        self._until: dict[tuple[str, str, str], float] = {}
-        self._lock = threading.Lock()
+        self._avoided = ServerBackoffs(clock)
 
     def note(self, server: Server) -> None:
         """Record that an answer of a server went beyond a bound."""
-        now = self._clock.now()
-        with self._lock:
-            self._until = {key: at for key, at in self._until.items() if at > now}
-            self._until[server.identity] = now + AVOID_SECONDS
+        self._avoided.note(server, AVOID_SECONDS)
 
     def without_suspects(self, servers: Sequence[Server]) -> Sequence[Server]:
         """Leave out servers that were noted lately, unless too few would be left."""
-        if not self._until:
-            return servers
-        now = self._clock.now()
-        left = [s for s in servers if self._until.get(s.identity, now) <= now]
+        left = self._avoided.usable(servers)
         return left if len(left) >= MIN_SHARE_LEFT * len(servers) else servers
