Share the bound on events and the mark of comments

Both readers of streams, that of the project's pipelines and that of forwarded requests, named the same bound of 65,536 events and the same mark. They stand beside the buffer that splits events now. No behaviour changes.

The 17 scenarios of event_stream.feature, 14 of backend_attempt.feature, 22 of oversized_answers.feature and those of layering.feature pass.

--- a/boragestream/backend/answer.py
+++ b/boragestream/backend/answer.py
@@ -27,7 +27,7 @@
 from boragestream.base.answer_head import AnswerHeaders
 from boragestream.base.answer_reader import AnswerBoundError, AnswerReader
 from boragestream.base.clock import Clock
-from boragestream.base.event_buffer import EventBuffer
+from boragestream.base.event_buffer import COMMENT, MAX_EVENTS, EventBuffer
 from boragestream.base.failures import DeadlinePassed
 from boragestream.base.nesting import MAX_DEPTH, TooDeep, decode_bounded
 
@@ -37,9 +37,6 @@
 DATA_PREFIX = b"data:"
 MAX_ANSWER_BYTES = 8 * 1_048_576
 READ_BYTES = 65536
-COMMENT = b":"
-# Above the tokens of the longest answers, with what keeps idle connections alive.
-MAX_EVENTS = 65_536
 PART = msgspec.json.Decoder(Completion)
 DRAIN_SECONDS = 0.05
 KERNEL_TIMEVAL = struct.Struct("ll")
--- a/boragestream/base/event_buffer.py
+++ b/boragestream/base/event_buffer.py
@@ -5,11 +5,15 @@
 
 import re
 
-__all__ = ["EventBuffer"]
+__all__ = ["COMMENT", "MAX_EVENTS", "EventBuffer"]
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 # An end can begin so many bytes before those that come next.
 END_OVERLAP = 3
+# Begins an event that only keeps an idle connection alive.
+COMMENT = b":"
+# Above the tokens of the longest answers, with what keeps idle connections alive.
+MAX_EVENTS = 65_536
 
 
 class EventBuffer:
--- a/boragestream/serving/event_stream.py
+++ b/boragestream/serving/event_stream.py
@@ -8,20 +8,17 @@
 import re
 from dataclasses import dataclass
 
-from boragestream.base.event_buffer import EventBuffer
+from boragestream.base.event_buffer import COMMENT, MAX_EVENTS, EventBuffer
 from boragestream.base.outcomes import Failure
 
 __all__ = ["EventSplitter", "StreamBroken", "StreamOversized"]
 
 EVENT_NUMBER = re.compile(rb"^id:[ ]?(\d+)[ ]*\r?$", re.MULTILINE)
 MAX_EVENT_BYTES = 1_048_576
-# Above the tokens of the longest answers.
-MAX_EVENTS = 65_536
 # A server that resumes a stream at its beginning sends each event again.
 MAX_DUPLICATES = 16_384
 # Servers keep idle connections alive with a comment every few seconds.
 MAX_EMPTY_EVENTS = 4_096
-COMMENT = b":"
 
 
 @dataclass(frozen=True, slots=True)
