Share what stand-ins and steps wrote again

The most arrivals in a window were counted in two places, and a fault of the stage servers was switched on in two; the watchdog of an attempt now runs like that of other steps.

--- a/tests/features/steps/backend_attempt.py
+++ b/tests/features/steps/backend_attempt.py
@@ -13,8 +13,10 @@
 from boragestream.backend.cancellation import CancelScope, Watchdog
 from boragestream.backend.connections import ConnectionKeeper
 from boragestream.base.failures import CallerGone, DeadlinePassed
+from tests.standins.background import in_background
 from tests.standins.clock import SetClock
 from tests.standins.fleet import wait_until
+from tests.standins.listener import Listener
 
 SECONDS = 30
 DEADLINE = 10.0
@@ -30,22 +32,10 @@
         """Listen and serve; ``answers`` names the way."""
         self.answers = answers
         self.calls = []
-        self.accepted = []
         self.go = threading.Event()
         self.sent = threading.Event()
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.host = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        """Serve each connection in a thread of its own."""
-        while True:
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:
-                return
-            self.accepted.append(sock)
-            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+        self.listener = Listener(self.serve)
+        self.host = self.listener.address
 
     def serve(self, sock):
         """Answer the calls of one connection until it is closed or reset."""
@@ -54,7 +44,7 @@
 
     def answer_calls(self, sock):
         """Answer the calls of one connection."""
-        number = len(self.accepted)
+        number = len(self.listener.accepted)
         stream = sock.makefile("rb")
         while line := stream.readline():
             assert line.startswith(b"POST"), line
@@ -226,7 +216,7 @@
 
 @then("the server has read nothing")
 def step(context):
-    wait_until(lambda: context.backend.accepted)
+    wait_until(lambda: context.backend.listener.accepted)
     assert not context.backend.calls
 
 
@@ -248,10 +238,7 @@
 
     faulty = CancelScope(DEADLINE, caller_gone=fail)
     context.watchdog.open(faulty)
-    thread = threading.Thread(target=context.watchdog.run)
-    thread.start()
-    context.add_cleanup(thread.join)
-    context.add_cleanup(context.watchdog.stop)
+    in_background(context, context.watchdog.run, context.watchdog.stop)
     assert checked.wait(SECONDS)
 
 
--- a/tests/features/steps/drained_entries.py
+++ b/tests/features/steps/drained_entries.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from tests.standins.arrivals import most_within
 from tests.standins.fleet import wait_until
 from tests.standins.route_site import ZONES, configuration
 
@@ -207,8 +208,8 @@
 
     answers = context.site.at_once(count, call)
     context.busiest_seconds = {
-        engine.identity: most_in_a_second(
-            [at for at, request_id in engine.calls if request_id and at >= began]
+        engine.identity: most_within(
+            [at for at, request_id in engine.calls if request_id and at >= began], 1.0
         )
         for engine in context.site.of_kind("engine")
     }
@@ -229,14 +230,6 @@
         yield entry, [e for e in events if e["event"] // 100 == 22]
 
 
-def most_in_a_second(moments):
-    """Return the most of some moments that lie within one second."""
-    return max(
-        (sum(first <= at < first + 1.0 for at in moments) for first in moments),
-        default=0,
-    )
-
-
 @then("no engine got more than {most:d} requests in any second")
 def step(context, most):
     busiest = context.busiest_seconds
--- a/tests/features/steps/forwarded_path.py
+++ b/tests/features/steps/forwarded_path.py
@@ -276,11 +276,16 @@
     assert 0 < float(context.answer.headers["Retry-After"]) < 5
 
 
+def spoil_stage_servers(context, switch):
+    """Switch a fault of the stage servers on until the end of the scenario."""
+    for server in context.site.of_kind("stage"):
+        setattr(server, switch, True)
+        context.add_cleanup(setattr, server, switch, False)
+
+
 @given("stage servers that fail releases of results")
 def step(context):
-    for server in context.site.of_kind("stage"):
-        server.fails_releases = True
-        context.add_cleanup(setattr, server, "fails_releases", False)
+    spoil_stage_servers(context, "fails_releases")
 
 
 @then("each release of results is logged as failed")
@@ -296,9 +301,7 @@
 
 @given("stage servers that send each answer again where the next one is expected")
 def step(context):
-    for server in context.site.of_kind("stage"):
-        server.repeats_late = True
-        context.add_cleanup(setattr, server, "repeats_late", False)
+    spoil_stage_servers(context, "repeats_late")
 
 
 @when('{count:d} requests with pieces "{pieces}" go to "{path}", {n:d} at once')
--- a/tests/features/steps/server_limits.py
+++ b/tests/features/steps/server_limits.py
@@ -9,6 +9,7 @@
 from boragestream.operator.client import Client, EntryUnreachable
 from tests.features.steps.crashing_requests import ask
 from tests.features.steps.server_words import send
+from tests.standins.arrivals import most_within
 from tests.standins.fleet import fetch, wait_until
 from tests.standins.sites import example_key
 
@@ -32,13 +33,7 @@
 def most_arrivals(arrivals, limited_at):
     """Return the most arrivals in a window since the entries know the limit."""
     at = [moment for moment in arrivals if moment >= limited_at + KNOWN_SECONDS]
-    return max(
-        (
-            sum(first <= moment < first + WINDOW_SECONDS for moment in at)
-            for first in at
-        ),
-        default=0,
-    )
+    return most_within(at, WINDOW_SECONDS)
 
 
 @given("entries that have known one another for {seconds:g} seconds")
--- a/tests/features/steps/whole_answers.py
+++ b/tests/features/steps/whole_answers.py
@@ -269,6 +269,7 @@
 
 
 @then("no call is answered")
+@then("the call failed")
 @then("the call failed, and is not answered in part")
 def step(context):
     check_none_answered(context)
@@ -294,12 +295,6 @@
     assert not context.heads, len(context.heads)
 
 
-@then("the call failed")
-def step(context):
-    for result in context.results:
-        assert isinstance(result, AttemptFailure), result
-
-
 @then("the call is answered with the whole body")
 def step(context):
     assert context.results == [BODY, BODY], context.results
--- a/tests/standins/scripted_server.py
+++ b/tests/standins/scripted_server.py
@@ -2,11 +2,11 @@
 
 import contextlib
 import socket
-import struct
-import threading
 import time
 
-RESET = struct.pack("ii", 1, 0)
+from tests.standins.listener import Listener
+from tests.standins.route_server import RESET
+
 RECEIVE_BYTES = 65_536
 HOLD_SECONDS = 20.0
 # Several times what a caller may take before it closes an answer without end.
@@ -31,26 +31,14 @@
         # How often the repeated bytes were sent, and the connections that have ended.
         self.repeats = 0
         self.ended = 0
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        self.open = []
-        threading.Thread(target=self.accept, daemon=True).start()
+        self.listener = Listener(self.serve)
+        self.address = self.listener.address
 
     def script(self, first, repeated=b"", pause=0.0, then="end"):
         """Set what is sent from now on."""
         self.first, self.repeated = first, repeated
         self.pause, self.then = pause, then
 
-    def accept(self):
-        """Serve each connection in a thread of its own."""
-        while True:
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:
-                return
-            self.open.append(sock)
-            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
-
     def serve(self, sock):
         """Send the script to the calls of one connection."""
         with contextlib.suppress(OSError):
@@ -78,6 +66,6 @@
     def close(self):
         """Stop listening and end all connections."""
         self.listener.close()
-        for sock in self.open:
+        for sock in self.listener.accepted:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
