Log the revision and source of the server list behind each call

A call to a leaving server could not be attributed: the line of a chosen server named the age of the list, but neither its revision nor the path by which it came; batches of pieces had no line, and keys that were kept as lapsed none either, so that a removal taken for a lapse and an old list looked alike.

server_chosen and the new batch_sent name revision, source and age of the list; instances_changed names its source; values_lapsed names keys that are taken for lapsed. The decision what lapsed moves to policy.lapses, unchanged.

--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -47,10 +47,11 @@
 
 @dataclass(frozen=True, slots=True)
 class _State:
-    """The position of a table and the keys of its held values."""
+    """The position of a table and the keys of its held and its lapsed values."""
 
     position: Position | None
     held: frozenset[str]
+    lapsed: frozenset[str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,7 +214,8 @@
 
     def _state(self) -> "_State":
         table = self.table
-        return _State(table.position, frozenset(held.key for held in table.held))
+        held = frozenset(held.key for held in table.held)
+        return _State(table.position, held, frozenset(table.lapsed_seconds))
 
     def _log_regained(self, answer: Snapshot | Changes) -> None:
         emit(
@@ -224,7 +226,11 @@
         )
 
     def _log_transition(self, before: "_State", source: str) -> None:
-        """Log a later era and the values that began or ceased to be held."""
+        """Log a later era and the values that began or ceased to be held.
+
+        :param before: the state before the values were applied.
+        :param source: see ``ValueSource``.
+        """
         now = self._state()
         if before.position is not None and now.position.era > before.position.era:
             emit(
@@ -248,6 +254,18 @@
                 count=len(held),
                 most_ms=int(max((h.seconds for h in held), default=0.0) * 1000),
             )
+        lapsed = sorted(now.lapsed - before.lapsed)
+        if lapsed:
+            left = self.table.lapsed_seconds
+            emit(
+                Event.VALUES_LAPSED,
+                prefix=self.prefix,
+                source=source,
+                keys=lapsed[:LOGGED_KEYS],
+                count=len(lapsed),
+                most_ms=int(max(left.get(k, 0.0) for k in lapsed) * 1000),
+                revision=now.position.revision,
+            )
         ended = before.held - now.held
         if ended:
             emit(
--- a/boragestream/daemon/published_servers.py
+++ b/boragestream/daemon/published_servers.py
@@ -16,10 +16,11 @@
 from boragestream.platform.published import PublishedMalformed, read_server
 from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.load import LoadTable
-from boragestream.policy.publication import NO_ERA, Position
+from boragestream.policy.publication import NO_ERA
+from boragestream.policy.published_table import PublishedTable
 from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.server_lives import ServerIncarnations
-from boragestream.policy.servers import Server, ServerState, ServerTable
+from boragestream.policy.servers import ListOrigin, Server, ServerState, ServerTable
 
 __all__ = ["PublishedServers"]
 
@@ -39,7 +40,7 @@
     :param regions: the region of each data centre, by the name of the data centre.
     :param changed: called after each change of the list.
     :param streams: records which software versions of each service are listed.
-    :param position: returns the position of the store up to which the list is complete.
+    :param table: the table of the published values that the list is decoded from.
     """
 
     def __init__(
@@ -53,7 +54,7 @@
         regions: Mapping[str, str],
         changed: Callable[[], None],
         streams: StreamParts,
-        position: Callable[[], Position | None] = lambda: None,
+        table: Callable[[], PublishedTable | None] = lambda: None,
     ) -> None:
         self._lives = lives
         self._members = members
@@ -64,7 +65,7 @@
         self._regions = regions
         self._changed = changed
         self._streams = streams
-        self._position = position
+        self._table = table
         self._values: dict[str, bytes] = {}
         self._decoded: dict[str, tuple[bytes, Server | PublishedMalformed]] = {}
         self._malformed: dict[str, bytes] = {}
@@ -99,13 +100,17 @@
             tuple(to_leaving_server(server) for server in listed)
         )
         self._limits.take_list(listed)
-        self._servers.take_list(listed)
+        table = self._table()
+        position = None if table is None else table.position
+        origin = ListOrigin()
+        if position is not None and table.last_source is not None:
+            origin = ListOrigin(position.revision, table.last_source.value)
+        self._servers.take_list(listed, origin)
         self._loads.take_list(listed)
         several = self._streams.history.take_list(listed)
         if several:
             self._streams.records.note_several(several)
         now = {server.identity: server.name for server in listed}
-        position = self._position()
         added = sorted(now[key] for key in now.keys() - before.keys())
         removed = sorted(before[key] for key in before.keys() - now.keys())
         emit(
@@ -116,7 +121,8 @@
             leaving=sorted(_leaving(listed) - leaving_before),
             cold=sorted(self._listed_cold),
             era=position.era if position else NO_ERA,
-            revision=position.revision if position else 0,
+            revision=origin.revision,
+            source=origin.source,
         )
         self._changed()
 
--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -249,6 +249,7 @@
         piece_limits=piece_limits,
         # Orders arrive only once the entry listens, when all objects are built.
         note_use=lambda: publications.confirming.note_use(),
+        list_age=lambda: publications.confirming.age(),
         late=make_late_service(settings),
         note_server_answer=regional.note_server_answer,
         shares=accounts.new_queue,
@@ -279,7 +280,7 @@
         settings.regions,
         batches.update_queues,
         streams,
-        lambda: publications.servers.table.position,
+        lambda: publications.servers.table,
     )
     operator_values = OperatorValues(
         lambda text: offer_route_text(
--- a/boragestream/policy/held_values.py
+++ b/boragestream/policy/held_values.py
@@ -105,6 +105,15 @@
             if key not in self._stored and override.used is not None
         }
 
+    @property
+    def lapsed_seconds(self) -> dict[str, float]:
+        """The remaining seconds of the keys that lapsed in an outage, by key."""
+        return {
+            key: seconds_left
+            for key, (_, seconds_left) in self.lapsed.items()
+            if not self._overrides[key].returned
+        }
+
     @property
     def held(self) -> tuple[Held, ...]:
         """The writes that override those of a restored store."""
--- a/boragestream/policy/operator_table.py
+++ b/boragestream/policy/operator_table.py
@@ -86,6 +86,11 @@
         """Always False, since operators' values don't lapse in an outage."""
         return False
 
+    @property
+    def lapsed_seconds(self) -> dict[str, float]:
+        """Always empty, since operators' values don't lapse in an outage."""
+        return {}
+
     @property
     def held(self) -> tuple[Held, ...]:
         """The values that override those of a restored store."""
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -15,6 +15,7 @@
 from enum import Enum
 
 from boragestream.policy.held_values import SERVER_RETENTION, HeldValues, Retention
+from boragestream.policy.lapses import LapseWindow
 from boragestream.policy.publication import (
     NO_ERA,
     Change,
@@ -26,11 +27,7 @@
     Write,
 )
 
-__all__ = ["PublishedTable", "AnswerStatus"]
-
-# Keys that lapsed during an outage are missing from the first answers after it. A later
-# removal is a new one, and its server gets no further work.
-LAPSE_DETECTION_SECONDS = 0.5
+__all__ = ["AnswerStatus", "PublishedTable", "ValueSource"]
 
 
 class AnswerStatus(Enum):
@@ -41,6 +38,15 @@
     UNCONNECTED = "changes of a later era, whose values must be read first"
 
 
+class ValueSource(Enum):
+    """What changed the values in use."""
+
+    PLATFORM = "platform"
+    PEER = "peer"
+    # The retention of values that the store lacks has ended.
+    TIME = "time"
+
+
 class PublishedTable:
     """The values under one prefix; thread-safe.
 
@@ -59,14 +65,11 @@
         retention: Retention = SERVER_RETENTION,
     ) -> None:
         self._now = now
-        self._lapse_retention_seconds = retention.missing_seconds
         self._stored: dict[str, Write] = {}
         self._held = HeldValues(now, retention, self._stored)
-        self._in_outage = False
-        self._outage_ended_at = float("-inf")
-        # The time of the first answer for this prefix since then; None before it.
-        self._first_answer_at: float | None = float("-inf")
+        self._lapses = LapseWindow(now, retention.missing_seconds)
         self._position: Position | None = None
+        self._last_source: ValueSource | None = None
         # The last known position of the previous era and the first of this one.
         self._previous_era_end: Position | None = None
         self._era_start = Position(NO_ERA, 0)
@@ -96,6 +99,17 @@
         """The era of the position; ``NO_ERA`` where none is known."""
         return NO_ERA if self._position is None else self._position.era
 
+    @property
+    def last_source(self) -> ValueSource | None:
+        """What changed the values in use last; None before the first ones."""
+        return self._last_source
+
+    @property
+    def lapsed_seconds(self) -> dict[str, float]:
+        """The remaining seconds of the keys that lapsed in an outage, by key."""
+        with self._lock:
+            return self._held.lapsed_seconds
+
     @property
     def held(self) -> tuple[Held, ...]:
         """The values that override those of a restored store."""
@@ -111,7 +125,7 @@
     @property
     def awaits_first_answer(self) -> bool:
         """Whether an outage has ended without an answer for this prefix since."""
-        return self._first_answer_at is None and not self._in_outage
+        return self._lapses.awaits_first_answer
 
     def answer_status(
         self, answer: Snapshot | Changes, asked: Position | None = None
@@ -139,14 +153,12 @@
     def note_answer(self) -> None:
         """Record that the store answered a request for this or another prefix."""
         with self._lock:
-            if self._in_outage:
-                self._outage_ended_at = self._now()
-                self._first_answer_at = None
-            self._in_outage = False
+            self._lapses.note_answer()
 
     def note_failure(self) -> None:
         """Record that the store gave no answer; keys may lapse during the outage."""
-        self._in_outage = True
+        with self._lock:
+            self._lapses.note_failure()
 
     def apply_answer(self, answer: Snapshot | Changes) -> bool:
         """Apply an answer of the store; return whether it changed the values.
@@ -156,9 +168,10 @@
         with self._lock:
             if self.answer_status(answer) is not AnswerStatus.USABLE:
                 return False
+            self._last_source = ValueSource.PLATFORM
             known = self._position
             position = Position(self._era_of(answer), answer.revision)
-            until = self._lapse_retention_end()
+            until = self._lapses.retention_end()
             if isinstance(answer, Changes):
                 return self._apply(answer.changes, position, lambda key: until)
             writes = answer.writes
@@ -173,6 +186,7 @@
     def apply_relayed(self, relayed: Relayed) -> bool:
         """Apply values relayed by another entry; return whether the values changed."""
         with self._lock:
+            self._last_source = ValueSource.PEER
             known = self._position
             position = Position(relayed.era, relayed.revision)
             if known is None or position > known:
@@ -230,24 +244,15 @@
         :returns: whether retention had ended for any key.
         """
         with self._lock:
-            return self._held.drop_expired()
+            expired = self._held.drop_expired()
+            if expired:
+                self._last_source = ValueSource.TIME
+            return expired
 
     def _era_of(self, answer: Snapshot | Changes) -> int:
         """Return an answer's era, or the known era if the answer names none."""
         return self.era if answer.era == NO_ERA else answer.era
 
-    def _lapse_retention_end(self) -> float | None:
-        """Return how long to keep a value that an answer received now removes.
-
-        :returns: the end in the clock's seconds; None to remove the value immediately.
-        """
-        now = self._now()
-        if self._first_answer_at is None:
-            self._first_answer_at = now
-        until = self._outage_ended_at + self._lapse_retention_seconds
-        lapsed = now - self._first_answer_at < LAPSE_DETECTION_SECONDS and now < until
-        return until if lapsed else None
-
     def _replace_all(
         self, stored: dict[str, Write], position: Position, era_began: float
     ) -> bool:
--- a/boragestream/policy/servers.py
+++ b/boragestream/policy/servers.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["Server", "ServerState", "ServerTable"]
+__all__ = ["ListOrigin", "Server", "ServerState", "ServerTable"]
 
 # Exceeds the number of servers replaced in a week in a large fleet.
 MAX_REMEMBERED_LEAVING = 8192
@@ -58,6 +58,20 @@
         return (self.name, self.host, self.incarnation)
 
 
+@dataclass(frozen=True, slots=True)
+class ListOrigin:
+    """How the server list in use became known.
+
+    :ivar revision: the store's revision up to which the list is complete; 0 if the
+        list has none.
+    :ivar source: what changed the list last: ``platform``, ``peer`` or ``time``; empty
+        if it is not known.
+    """
+
+    revision: int = 0
+    source: str = ""
+
+
 class ServerTable:
     """The servers by service; readers use a snapshot without a lock.
 
@@ -82,6 +96,7 @@
         self._identities: set[tuple[str, str, str]] = set()
         self._usable: dict[tuple[str, str, str], str] = {}
         self._drained: frozenset[str] = frozenset()
+        self._list_origin = ListOrigin()
         self._lock = threading.Lock()
 
     @property
@@ -89,6 +104,11 @@
         """The drained data centres, whose servers get no work."""
         return self._drained
 
+    @property
+    def list_origin(self) -> ListOrigin:
+        """How the list in use became known."""
+        return self._list_origin
+
     @property
     def all(self) -> tuple[Server, ...]:
         """Every listed server in any state."""
@@ -114,9 +134,12 @@
         """Set the callback for the host of each server that is no longer used."""
         self._on_unused = unused
 
-    def take_list(self, listed: Iterable[Server]) -> None:
+    def take_list(
+        self, listed: Iterable[Server], origin: ListOrigin = ListOrigin()
+    ) -> None:
         """Replace the listed servers with a published instance list."""
         with self._lock:
+            self._list_origin = origin
             self._listed = tuple(listed)
             self._identities = {server.identity for server in self._listed}
             self._forget_without_incarnation()
--- a/boragestream/serving/forwarded_choice.py
+++ b/boragestream/serving/forwarded_choice.py
@@ -364,7 +364,7 @@
 
     def _note_choice(self, server: Server, candidates: int, number: int) -> None:
         run, parts = self._run, self._parts
-        age = parts.list_age()
+        age, origin = parts.list_age(), parts.servers.list_origin
         parts.metrics.server_chosen(age)
         emit(
             Event.SERVER_CHOSEN,
@@ -379,6 +379,8 @@
             resumes=run.request.resumes or None,
             last_event=run.request.last_event,
             version=run.table.version,
+            list_revision=origin.revision,
+            list_source=origin.source,
             list_age_ms=int(age * 1000),
             left_ms=int((run.scope.deadline - parts.clock.now()) * 1000),
         )
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -99,6 +99,7 @@
     :ivar limits: returns the limits of a service's servers; None if unknown.
     :ivar used: called for each order and booking, because published values decide
         whether it is accepted.
+    :ivar list_age: returns the seconds since the server list was last confirmed.
     :ivar late: decides which orders are kept although they are late.
     :ivar note_server_answer: called with each server that answered a call.
     :ivar shares: returns what divides a new queue between client accounts; None to
@@ -125,6 +126,7 @@
     metrics: RouteMetrics
     piece_limits: Callable[[str], PieceLimits | None]
     note_use: Callable[[], None]
+    list_age: Callable[[], float] = lambda: 0.0
     late: LateService = refuse_late
     note_server_answer: Callable[[Server], None] = lambda server: None
     shares: Callable[[], QueueShares | None] = lambda: None
@@ -266,6 +268,7 @@
                 return ServerCold(server.name, Ran.NOT_SENT)
             if not parts.limited.permits.is_valid(server, permit):
                 return ServerLimited(server.name, Ran.NOT_SENT)
+            self._log_batch(server, len(batch.pieces))
             now = parts.clock.now()
             pieces = [(piece, q.expires - now) for q, piece in batch.pieces]
             return parts.format.encode_piece_call(server, pieces)
@@ -293,6 +296,18 @@
             return unreadable_results(server)
         return results
 
+    def _log_batch(self, server: Server, pieces: int) -> None:
+        origin = self._parts.servers.list_origin
+        emit(
+            Event.BATCH_SENT,
+            server=server.name,
+            service=server.service,
+            pieces=pieces,
+            list_revision=origin.revision,
+            list_source=origin.source,
+            list_age_ms=int(self._parts.list_age() * 1000),
+        )
+
 
 def unreadable_results(server: Server) -> AttemptFailure:
     """Return the failure for an answer without a readable list of results."""
