Keep missing servers in use only after an outage of the store

What callers saw: requests reached backend servers that had left, beyond the bound on leaving servers.

Cause: each entry took a failed call of its own for an outage of the store, in which keys lapse although their servers run, until its next own answer. Keys that this answer lacked stayed in use for 2.2 s and were relayed as lapsed. But a cut watch, a refusal or a lost call of one entry is no outage: with the history dropped, all watches are cut, and a server that was removed in the second before was kept; and an entry that does not watch took the store for unreachable until it asked again, long after others had been answered.

An outage is now a time in which no entry is known to have had an answer, by own answers and by the ages that entries exchange: longer than leases last, and with a failed call in it. An end that a peer reports counts from the moment of the answer. Where the silence was shorter than the bound, a missing key is kept no longer than its server could have left and the bound allow.

--- a/boragestream/daemon/publications.py
+++ b/boragestream/daemon/publications.py
@@ -128,7 +128,16 @@
     confirming = ConfirmationSchedule(
         clock, rng, prefixes, settings.bound_seconds, is_first
     )
-    servers_table = PublishedTable(clock.now, MAX_KEPT_CHANGES)
+    servers_table = PublishedTable(
+        clock.now, MAX_KEPT_CHANGES, bound_seconds=settings.leaving_ms / 1000
+    )
+
+    def note_answer() -> None:
+        # Each answer counts, whichever prefix it is for: a watch of the servers that
+        # stays open during an outage is answered only at the next change of a server,
+        # which can be a long time later.
+        servers_table.note_answer(clock.now(), confirming.last_answered_at)
+
     follow = partial(
         Publication,
         store=Store(settings.address),
@@ -136,10 +145,7 @@
         following=following,
         confirming=confirming,
         on_change=members.exchange.request_round,
-        # Each answer counts, whichever prefix it is for: a watch of the servers that
-        # stays open during an outage is answered only at the next change of a server,
-        # which can be a long time later.
-        before_answer=servers_table.note_answer,
+        before_answer=note_answer,
         stopping=stopping,
         clock=clock,
         on_failure=first.note_unreachable,
--- a/boragestream/policy/confirming.py
+++ b/boragestream/policy/confirming.py
@@ -82,6 +82,12 @@
         """Return whether the last read of a prefix got no answer."""
         return prefix in self._failed_prefixes
 
+    @property
+    def last_answered_at(self) -> float:
+        """The time of the platform's last known answer to any entry, for any prefix."""
+        with self._lock:
+            return max(self._relayed_at, *self._answered_at.values())
+
     @property
     def is_delayed(self) -> bool:
         """Whether reads are delayed because the last ones failed."""
--- a/boragestream/policy/lapses.py
+++ b/boragestream/policy/lapses.py
@@ -10,10 +10,16 @@
 values and guards this module's objects with its lock.
 """
 
+import math
 from collections.abc import Callable
 
 __all__ = ["LapseWindow"]
 
+# A server renews its key every 1.2 s. The key lapses after three intervals without a
+# renewal, the first of which may have passed before the outage.
+MIN_OUTAGE_SECONDS = 2.4
+# Time for the last calls to a missing server to reach it within the bound.
+SEND_MARGIN_SECONDS = 0.5
 # Keys that lapsed during an outage are missing from the first answers after it. A later
 # removal is a new one.
 LAPSE_DETECTION_SECONDS = 0.5
@@ -22,34 +28,59 @@
 class LapseWindow:
     """The time after an outage in which missing keys count as lapsed; not thread-safe.
 
+    An outage is a time in which the store is not known to have answered any entry. A
+    failed call of this entry alone is none: the store may have refused or cut off this
+    entry, or a single connection may have been lost.
+
     :param now: returns the clock's seconds.
     :param retention_seconds: how long after an outage the value of a lapsed key stays
         in use.
+    :param bound_seconds: the longest time until a removal must be in force.
     """
 
-    def __init__(self, now: Callable[[], float], retention_seconds: float) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float],
+        retention_seconds: float,
+        bound_seconds: float,
+    ) -> None:
         self._now = now
         self._retention_seconds = retention_seconds
-        self._in_outage = False
-        self._outage_ended_at = float("-inf")
+        self._bound = bound_seconds
+        self._failed_at = -math.inf
+        self._outage_ended_at = -math.inf
+        # The latest end of the retention of keys that lapsed in the last outage.
+        self._retained_until = -math.inf
         # The time of the first answer for this prefix since then; None before it.
-        self._first_answer_at: float | None = float("-inf")
+        self._first_answer_at: float | None = -math.inf
 
     @property
     def awaits_first_answer(self) -> bool:
         """Whether an outage has ended without an answer for this prefix since."""
-        return self._first_answer_at is None and not self._in_outage
+        ended_since = self._outage_ended_at > self._failed_at
+        return self._first_answer_at is None and ended_since
+
+    def note_answer(self, answered_at: float, previous_at: float) -> None:
+        """Record that the store answered this or another entry.
 
-    def note_answer(self) -> None:
-        """Record that the store answered a request for this or another prefix."""
-        if self._in_outage:
-            self._outage_ended_at = self._now()
-            self._first_answer_at = None
-        self._in_outage = False
+        :param answered_at: the time of the answer, in the clock's seconds.
+        :param previous_at: the time of the last answer to any entry before it.
+        """
+        failed_between = previous_at < self._failed_at < answered_at
+        silence = answered_at - previous_at
+        if not failed_between or silence < MIN_OUTAGE_SECONDS:
+            return
+        self._outage_ended_at = answered_at
+        self._first_answer_at = None
+        self._retained_until = answered_at + self._retention_seconds
+        if silence < self._bound:
+            # The server of a missing key may have left right after the previous answer.
+            promised = previous_at + self._bound - SEND_MARGIN_SECONDS
+            self._retained_until = min(self._retained_until, promised)
 
     def note_failure(self) -> None:
-        """Record that the store gave no answer."""
-        self._in_outage = True
+        """Record that the store gave no answer to this entry."""
+        self._failed_at = self._now()
 
     def retention_end(self) -> float | None:
         """Return how long to keep a value that an answer received now lacks.
@@ -59,6 +90,6 @@
         now = self._now()
         if self._first_answer_at is None:
             self._first_answer_at = now
-        until = self._outage_ended_at + self._retention_seconds
+        until = self._retained_until
         lapsed = now - self._first_answer_at < LAPSE_DETECTION_SECONDS and now < until
         return until if lapsed else None
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -9,6 +9,7 @@
 the values.
 """
 
+import math
 import threading
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -56,6 +57,7 @@
     :param kept_changes: the number of changes kept for other entries; an entry that is
         further behind receives all values.
     :param retention: how long values override those of a restored store.
+    :param bound_seconds: the longest time until a removal must be in force.
     """
 
     def __init__(
@@ -63,11 +65,12 @@
         now: Callable[[], float],
         kept_changes: int = 0,
         retention: Retention = SERVER_RETENTION,
+        bound_seconds: float = math.inf,
     ) -> None:
         self._now = now
         self._stored: dict[str, Write] = {}
         self._held = HeldValues(now, retention, self._stored)
-        self._lapses = LapseWindow(now, retention.missing_seconds)
+        self._lapses = LapseWindow(now, retention.missing_seconds, bound_seconds)
         self._position: Position | None = None
         self._last_source: ValueSource | None = None
         # The last known position of the previous era and the first of this one.
@@ -150,13 +153,17 @@
         connected = asked is None or asked.era == era
         return AnswerStatus.USABLE if connected else AnswerStatus.OUTDATED
 
-    def note_answer(self) -> None:
-        """Record that the store answered a request for this or another prefix."""
+    def note_answer(self, answered_at: float, previous_at: float) -> None:
+        """Record that the store answered a request of any entry, for any prefix.
+
+        :param answered_at: the time of the answer, in the clock's seconds.
+        :param previous_at: the time of the last answer that was known before it.
+        """
         with self._lock:
-            self._lapses.note_answer()
+            self._lapses.note_answer(answered_at, previous_at)
 
     def note_failure(self) -> None:
-        """Record that the store gave no answer; keys may lapse during the outage."""
+        """Record that the store gave no answer to a request of this entry."""
         with self._lock:
             self._lapses.note_failure()
 
--- a/tests/features/following.feature
+++ b/tests/features/following.feature
@@ -87,6 +87,41 @@
     When the entries run for 6 seconds
     Then no entry holds "b"
 
+  # Guards against a leaving server that stays in use since one entry's cut watch is taken
+  # for an outage of the store.
+  Scenario Outline: a removal right before the history is dropped is no lapse
+    Given <count> entries in <centres> data centres, each change to be known within <bound> s
+    And requests come to all of them
+    And "b" is published, and all have run for 20 seconds
+    When "b" is removed <seconds> s after a change, in a second in which watches hear nothing
+    And the history is dropped and the watches are cut
+    Then no entry uses "b" later than <bound> s after its removal
+
+    Examples:
+      | count | centres | bound | seconds |
+      | 6     | 3       | 2     | 0.1     |
+      | 6     | 3       | 2     | 0.5     |
+      | 86    | 4       | 3     | 0.1     |
+      | 86    | 4       | 3     | 0.5     |
+      | 86    | 4       | 3     | 1       |
+
+  # Guards against an entry that still takes the store for unreachable long after others
+  # were answered, and keeps in use what its own next answer lacks.
+  Scenario Outline: a removal some seconds after an outage is no lapse
+    Given <count> entries in <centres> data centres, each change to be known within 2 s
+    And requests come to all of them
+    And "b" is published, and all have run for 20 seconds
+    When the store is down for 8 seconds
+    And the entries run for 6 seconds
+    And the watchers are killed
+    And "b" is removed
+    Then no entry uses "b" later than 2 s after its removal
+
+    Examples:
+      | count | centres |
+      | 74    | 3       |
+      | 86    | 4       |
+
   Scenario: an entry that was turned away asks at once when its peers fall silent later
     Given 60 entries in 3 data centres, each change to be known within 4 s
     And they have run for 20 seconds
--- a/tests/features/route_decisions.feature
+++ b/tests/features/route_decisions.feature
@@ -57,6 +57,22 @@
       | outage, answer, wait 3, remove b                   | a    |
       | snapshot a                                         | a    |
 
+  # Guards against a removed server that stays in use because one entry's call failed.
+  Scenario Outline: a server that is removed while the store serves others is no lapse
+    Given a published table with "a, b"
+    When "<events>" happen
+    Then the table holds "<left>"
+
+    Examples:
+      | events                                     | left |
+      | refusal, answer, remove b                  | a    |
+      | refusal, answer, snapshot a                | a    |
+      | outage, heard, wait 6, answer, remove b    | a    |
+      | outage, heard, remove b                    | a, b |
+      | outage, heard, put a, wait 1, remove b     | a    |
+      | pause, answer, remove b                    | a    |
+      | outage, heard, wait 6, heard, refusal, answer, remove b | a |
+
   Scenario: engines are chosen by the part that requests share
     Given 9 engines of which none has work
     Then 200 prompts with the same shared part and other ends go to one engine
--- a/tests/features/steps/drained_centres.py
+++ b/tests/features/steps/drained_centres.py
@@ -329,6 +329,7 @@
     def __init__(self):
         """Create the recorder without any ages."""
         self.taken = []
+        self.last_answered_at = float("-inf")
 
     def note_relayed_age(self, age, trouble=None):
         """Record an age."""
--- a/tests/features/steps/following.py
+++ b/tests/features/steps/following.py
@@ -197,6 +197,40 @@
     context.site.store.forget()
 
 
+@when(
+    '"{key}" is removed {seconds:g} s after a change, in a second in which watches '
+    "hear nothing"
+)
+def step(context, key, seconds):
+    site = context.site
+    # Whoever waits hears of the change, and asks anew.
+    site.publish()
+    site.run(seconds)
+    site.store.silent = True
+    site.publish(key, None)
+    context.removed_at = site.clock.now()
+    site.run(1.0)
+
+
+@when("the history is dropped and the watches are cut")
+def step(context):
+    context.site.store.drop_history(context.site.running())
+
+
+@when('"{key}" is removed')
+def step(context, key):
+    context.site.publish(key, None)
+    context.removed_at = context.site.clock.now()
+
+
+@then('no entry uses "{key}" later than {bound:g} s after its removal')
+def step(context, key, bound):
+    site = context.site
+    left = bound - (site.clock.now() - context.removed_at)
+    site.run(left, lambda: site.gone_everywhere(key))
+    assert site.gone_everywhere(key)
+
+
 @when('"{key}" lapses while the store is down for {seconds:g} seconds')
 def step(context, key, seconds):
     site = context.site
--- a/tests/features/steps/route_decisions.py
+++ b/tests/features/steps/route_decisions.py
@@ -128,11 +128,16 @@
     assert sent == count, sent
 
 
+# How long no entry has an answer of the store. A refusal of this entry alone lasts for
+# less than a pause; servers lapse in an outage only.
+SILENCE_SECONDS = {"refusal": 0.6, "pause": 2.8, "outage": 8.0}
+
+
 @given('a published table with "{keys}"')
 def step(context, keys):
     context.clock = SetClock()
-    context.published = PublishedTable(context.clock.now)
-    context.published.note_answer()
+    context.published = PublishedTable(context.clock.now, bound_seconds=3.0)
+    context.answered_at = context.clock.now()
     values = {key: key.encode() for key in keys.split(", ")}
     context.published.apply_answer(Snapshot(1, values))
 
@@ -142,10 +147,14 @@
     table = context.published
     for event in events.split(", "):
         verb, _, key = event.partition(" ")
-        if verb == "outage":
+        if verb in SILENCE_SECONDS:
+            context.clock.seconds += SILENCE_SECONDS[verb] / 2
             table.note_failure()
-        elif verb == "answer":
-            table.note_answer()
+            context.clock.seconds += SILENCE_SECONDS[verb] / 2
+        elif verb in ("answer", "heard"):
+            # The answer to this entry, or word of another entry that had one.
+            table.note_answer(context.clock.now(), context.answered_at)
+            context.answered_at = context.clock.now()
         elif verb == "wait":
             context.clock.seconds += float(key)
             table.drop_expired()
--- a/tests/standins/following.py
+++ b/tests/standins/following.py
@@ -58,6 +58,8 @@
         self.refuses_watches = False
         self.down = False
         self.loses = False
+        # Whether watches are told nothing; they wait until they are cut.
+        self.silent = False
         self.turned_away = set()
         self.calls = 0
 
@@ -81,6 +83,15 @@
             return False
         return self.oldest <= revision <= self.revision
 
+    def drop_history(self, entries):
+        """Drop the history and cut all watches."""
+        self.silent = False
+        self.forget()
+        for entry in entries:
+            for prefix in list(entry.pending):
+                began, _ = entry.pending.pop(prefix)
+                entry.end_unanswered(prefix, began)
+
     def forget(self):
         """Drop the history."""
         self.oldest = self.revision
@@ -116,7 +127,9 @@
             site.bound,
             lambda: is_first_watcher(self.name, site.running()),
         )
-        self.table = PublishedTable(site.clock.now, KEPT_CHANGES)
+        self.table = PublishedTable(
+            site.clock.now, KEPT_CHANGES, bound_seconds=site.bound
+        )
         self.operators = OperatorTable(site.clock.now, DRAINED)
         self.configuration_known = False
         # Calls that are never answered, and when the entry gives them up.
@@ -168,14 +181,14 @@
             if not waits or not self.confirming.should_read(prefix):
                 continue
             self.site.store.calls += 1
-            if self.site.store.loses:
+            if self.site.store.loses or self.site.store.silent:
                 self.lost_question_until = now + UNANSWERED_SECONDS
                 self.lost_question = prefix
                 return
             if not self.site.store.serves(self.name):
                 self.note_unanswered(prefix)
                 return
-            self.table.note_answer()
+            self.table.note_answer(now, self.confirming.last_answered_at)
             if not self.take(prefix):
                 self.site.store.calls += 1
                 self.take(prefix)
@@ -197,7 +210,7 @@
                 del self.lost[prefix], self.pending[prefix]
                 self.end_unanswered(prefix, began)
             return
-        if store.loses:
+        if store.loses or (store.silent and not self.reads(prefix)):
             return
         if not store.serves(self.name):
             del self.pending[prefix]
@@ -207,7 +220,7 @@
             return
         del self.pending[prefix]
         of_watch = not self.reads(prefix)
-        self.table.note_answer()
+        self.table.note_answer(now, self.confirming.last_answered_at)
         if not self.take(prefix):
             self.following.note_unusable(prefix)
             return
@@ -321,6 +334,8 @@
             return
         self.following.note_relayed_age(age, trouble)
         if confirmed < MAX_AGE_SECONDS:
+            confirmed_at = self.site.clock.now() - confirmed
+            self.table.note_answer(confirmed_at, self.confirming.last_answered_at)
             self.confirming.note_relayed_age(confirmed)
 
     def lacks(self, other, position):
@@ -401,6 +416,10 @@
             if missing and self.store.serves(entry.name):
                 self.worst = max(self.worst, now - min(missing))
 
+    def gone_everywhere(self, key):
+        """Tell whether no running entry uses a value."""
+        return all(key not in entry.table.values for entry in self.running())
+
     def drained_everywhere(self):
         """Tell whether all running entries drain just what the store says."""
         drained = tuple(sorted(k for k in self.store.values if k.startswith(DRAINED)))
