Send no releases of results to servers that leave

What servers saw: a server that had said that it leaves, or was missing from the list, was still sent releases of results. Calls with work were checked right before the first byte, in three places with the same lines; releases and questions for reports had a check of their own, before the wait for a thread and the connect, and it did not look whether the server leaves.

A server that leaves is still asked about a call that it works on.

--- a/boragestream/serving/attempts.py
+++ b/boragestream/serving/attempts.py
@@ -37,6 +37,7 @@
 from boragestream.policy.load import CallEnd
 from boragestream.policy.servers import Server
 from boragestream.serving.attempt_observer import ReachObserver
+from boragestream.serving.call_gate import work_refusal
 from boragestream.serving.ejections import log_backoff
 from boragestream.serving.limited_servers import PermittedServer
 from boragestream.serving.parts import ServingParts
@@ -157,14 +158,9 @@
         return result
 
     def _check_before_send(self) -> AttemptFailure | None:
-        # The server's state may have changed since it was chosen, while this process
-        # connected or waited.
-        if not self._parts.servers.takes_work(self._server):
-            return ServerLeft(self._server.name, Ran.NOT_SENT)
-        if not self._parts.backoffs.takes_calls(self._server):
-            return ServerBackedOff(self._server.name, Ran.NOT_SENT)
-        if not self._parts.limited.permits.is_valid(self._server, self._permit):
-            return ServerLimited(self._server.name, Ran.NOT_SENT)
+        refusal = work_refusal(self._parts, self._server, self._permit)
+        if refusal is not None:
+            return refusal
         quarantined = self._run.guard.check_before_send()
         if quarantined is not None:
             return AttemptCancelled(self._server.name, Ran.NOT_SENT, quarantined)
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -42,6 +42,7 @@
 from boragestream.policy.server_choice import ServerChoice
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.service_shares import ServiceShares
+from boragestream.serving.call_gate import work_refusal
 from boragestream.serving.delegation import DelegationParts
 from boragestream.serving.ejections import log_ejection
 from boragestream.serving.forwarded_run import ForwardedRun
@@ -177,16 +178,10 @@
         request = run.request
 
         def encode(left: float) -> bytes | AttemptFailure:
-            # The server's state may have changed since it was chosen, while this
-            # process connected or waited.
-            if not self._parts.servers.takes_work(server):
-                return ServerLeft(server.name, Ran.NOT_SENT)
-            if not self._parts.backoffs.takes_calls(server):
-                return ServerBackedOff(server.name, Ran.NOT_SENT)
-            if not self._parts.cold.admit(server):
-                return ServerCold(server.name, Ran.NOT_SENT)
-            if not self._parts.limited.permits.is_valid(server, self._permit):
-                return ServerLimited(server.name, Ran.NOT_SENT)
+            parts = self._parts
+            refusal = work_refusal(parts, server, self._permit, parts.cold)
+            if refusal is not None:
+                return refusal
             quarantined = self._guard.check_before_send()
             if quarantined is not None:
                 return AttemptCancelled(server.name, Ran.NOT_SENT, quarantined)
--- a/boragestream/serving/piece_batches.py
+++ b/boragestream/serving/piece_batches.py
@@ -147,9 +147,9 @@
         with self._lock:
             for handle in handles:
                 queue_id, server = self._result_servers.get(handle, (None, None))
-                # A server that is drained, limited or backed off is sent no releases;
-                # its results take up room until they expire.
-                if server is None or not self._calls.takes_messages(server):
+                # A server that leaves, or is drained, limited or backed off is sent no
+                # releases; its results take up room until they expire.
+                if server is None or not self._calls.takes_releases(server):
                     continue
                 del self._result_servers[handle]
                 self._queues[queue_id].release(server, handle)
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -18,11 +18,7 @@
     AttemptFailure,
     ConnectFailed,
     Ran,
-    ServerBackedOff,
-    ServerCold,
     ServerErred,
-    ServerLeft,
-    ServerLimited,
 )
 from boragestream.backend.forwarded_call import (
     CallLine,
@@ -51,6 +47,11 @@
 from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.service_queue import Batch
+from boragestream.serving.call_gate import (
+    question_refusal,
+    release_refusal,
+    work_refusal,
+)
 from boragestream.serving.limited_servers import LimitedServers
 from boragestream.serving.piece_failures import AnswerLost
 
@@ -200,14 +201,18 @@
     def release(self, server: Server, handles: tuple[str, ...]) -> None:
         """Tell a server that results are no longer needed.
 
-        Servers in a drained data centre, in backoff or with a limit are sent nothing:
-        they delete the results themselves when these expire.
+        Servers that leave, are drained, are in backoff or have a limit are sent
+        nothing: they delete the results themselves when these expire.
         """
-        if not self.takes_messages(server):
+        if not self.takes_releases(server):
             return
-        data = self._parts.format.encode_release(server, handles)
+
+        def encode(left: float) -> bytes | AttemptFailure:
+            refusal = release_refusal(self._parts, server)
+            return refusal or self._parts.format.encode_release(server, handles)
+
         # Kept connections are safe here: all releases have the same answer.
-        call = OutgoingCall("POST", "", lambda left: data)
+        call = OutgoingCall("POST", "", encode)
         failed = self._call(server, call, RELEASE_SECONDS)
         if isinstance(failed, AttemptFailure):
             # The server deletes the results itself when they expire.
@@ -215,22 +220,23 @@
 
     def _ask(self, call: _OpenCall) -> None:
         server, wire = call.server, self._parts.format
-        if not self.takes_messages(server):
+        if question_refusal(self._parts, server) is not None:
             return
-        data = wire.encode_report_call(server)
-        question = _call_without_id("GET", lambda left: data)
+
+        def encode(left: float) -> bytes | AttemptFailure:
+            refusal = question_refusal(self._parts, server)
+            return refusal or wire.encode_report_call(server)
+
+        question = _call_without_id("GET", encode)
         body = self._call(server, question, REPORT_SECONDS)
         report = wire.read_stage_report(body) if isinstance(body, bytes) else None
         # Without a report the call goes on until it times out.
         if report is not None and answer_is_lost(report):
             call.scope.cancel(AnswerLost(server.name))
 
-    def takes_messages(self, server: Server) -> bool:
-        """Return whether a server may be sent calls other than batches."""
-        parts = self._parts
-        drained = server.data_centre in parts.servers.drained
-        limited = parts.limited.limits.limit(server) is not None
-        return not drained and not limited and parts.backoffs.takes_calls(server)
+    def takes_releases(self, server: Server) -> bool:
+        """Return whether a server may be sent releases of results."""
+        return release_refusal(self._parts, server) is None
 
     def _call(
         self, server: Server, call: OutgoingCall, seconds: float
@@ -258,16 +264,9 @@
         parts, server = self._parts, batch.server
 
         def encode(left: float) -> bytes | AttemptFailure:
-            # The server was chosen before the wait for a thread and the connect, so its
-            # state is checked again.
-            if not parts.servers.takes_work(server):
-                return ServerLeft(server.name, Ran.NOT_SENT)
-            if not parts.backoffs.takes_calls(server):
-                return ServerBackedOff(server.name, Ran.NOT_SENT)
-            if not parts.cold.admit(server):
-                return ServerCold(server.name, Ran.NOT_SENT)
-            if not parts.limited.permits.is_valid(server, permit):
-                return ServerLimited(server.name, Ran.NOT_SENT)
+            refusal = work_refusal(parts, server, permit, parts.cold)
+            if refusal is not None:
+                return refusal
             self._log_batch(server, len(batch.pieces))
             now = parts.clock.now()
             pieces = [(piece, q.expires - now) for q, piece in batch.pieces]
--- a/tests/features/leaving_before_the_send.feature
+++ b/tests/features/leaving_before_the_send.feature
@@ -61,6 +61,23 @@
       | a release of results     |
       | a question for a report  |
 
+  # Guards against a server that has said that it leaves and is still sent releases.
+  Scenario Outline: a server that <leaves> is sent no release of results
+    Given a server that has been chosen for a batch of pieces
+    When it <leaves> and a release of results is due
+    Then not a byte is sent
+
+    Examples:
+      | leaves                                  |
+      | is leaving                              |
+      | is missing from the list                |
+      | begins to leave while a release connects |
+
+  Scenario: a server that is leaving is still asked about a call that it works on
+    Given a server that has been chosen for a batch of pieces
+    When it is leaving and a question for a report is due
+    Then it is asked
+
   Scenario Outline: a limited server is sent nothing but calls for pieces
     Given a server that has been chosen for a batch of pieces
     When it has named a limit and <message> is due
--- a/tests/features/steps/leaving_before_the_send.py
+++ b/tests/features/steps/leaving_before_the_send.py
@@ -106,9 +106,20 @@
         """Return the encoded call."""
         return f"POST /{server.name} HTTP/1.1\r\n\r\n".encode()
 
+    def encode_release(self, server, handles):
+        """Return the encoded release."""
+        return f"POST /release/{server.name} HTTP/1.1\r\n\r\n".encode()
+
+    def encode_report_call(self, server):
+        """Return the encoded question."""
+        return f"GET /report/{server.name} HTTP/1.1\r\n\r\n".encode()
+
     def read_piece_results(self, body):
         """Return no results."""
 
+    def read_stage_report(self, body):
+        """Return no report."""
+
 
 def batch_parts(context):
     """Return the dependencies of calls to stage servers."""
@@ -353,6 +364,30 @@
     send_message(context, server, word)
 
 
+@when("it is leaving and {message} is due")
+def step(context, message):
+    server = context.listeners[0].server
+    context.server_table.note_leaving_identity(server.identity)
+    send_message(context, server, message)
+
+
+@when("it is missing from the list and {message} is due")
+def step(context, message):
+    context.server_table.take_list([])
+    send_message(context, context.listeners[0].server, message)
+
+
+@when("it begins to leave while a release connects and {message} is due")
+def step(context, message):
+    # The keeper makes it leave with each connection.
+    send_message(context, context.listeners[0].server, message)
+
+
+@then("it is asked")
+def step(context):
+    assert context.listeners[0].bytes
+
+
 @then("not a byte is sent")
 def step(context):
     assert not context.listeners[0].bytes
