--- a/tests/features/steps/account_owner.py
+++ b/tests/features/steps/account_owner.py
@@ -44,7 +44,7 @@
     context.submitted = []
     context.batches._calls = SimpleNamespace(
         submit=lambda work, *arguments: context.submitted.append(arguments),
-        takes_messages=lambda server: True,
+        takes_releases=lambda server: True,
         release=None,
         check_overdue_calls=lambda: None,
     )
--- a/tests/standins/stage_network.py
+++ b/tests/standins/stage_network.py
@@ -102,7 +102,7 @@
         """Remove released results."""
         self.network.stored.difference_update(handles)
 
-    def takes_messages(self, server):
+    def takes_releases(self, server):
         """Let each server take messages."""
         return True
 
