--- a/boragestream/policy/lapses.py
+++ b/boragestream/policy/lapses.py
@@ -1,4 +1,4 @@
-"""Tells keys that lapsed in an outage of the store from keys that were removed.
+"""Distinguishes keys that lapsed in an outage of the store from removed keys.
 
 Servers renew their keys, which lapse if the store can't be reached for a while although
 the servers run. The first answers after an outage lack such keys; their servers write
