--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -24,7 +24,11 @@
     Relayed,
     Snapshot,
 )
-from boragestream.policy.published_table import AnswerStatus, PublishedTable
+from boragestream.policy.published_table import (
+    AnswerStatus,
+    PublishedTable,
+    ValueSource,
+)
 from boragestream.policy.watching import StoreCallSchedule
 
 __all__ = ["Publication"]
@@ -163,7 +167,7 @@
         """Apply values that another entry relays."""
         before = self._state()
         changed = self.table.apply_relayed(relayed)
-        self._log_transition(before, "peer")
+        self._log_transition(before, ValueSource.PEER)
         if changed:
             self._publish()
         if self.table.revision is not None:
@@ -173,7 +177,7 @@
         """Release held values whose retention time has passed."""
         before = self._state()
         if self.table.drop_expired():
-            self._log_transition(before, "time")
+            self._log_transition(before, ValueSource.TIME)
             self._publish()
 
     def _classify(
@@ -206,7 +210,7 @@
         first = before.position is None
         self.before_answer()
         changed = self.table.apply_answer(answer) or first
-        self._log_transition(before, "platform")
+        self._log_transition(before, ValueSource.PLATFORM)
         # The values are applied before other entries are notified, since those may
         # request them at once.
         if changed:
@@ -227,18 +231,18 @@
             era=answer.era,
         )
 
-    def _log_transition(self, before: "_State", source: str) -> None:
+    def _log_transition(self, before: "_State", source: ValueSource) -> None:
         """Log a later era and the values that began or ceased to be held.
 
         :param before: the state before the values were applied.
-        :param source: see ``ValueSource``.
+        :param source: what the values come from.
         """
         now = self._state()
         if before.position is not None and now.position.era > before.position.era:
             emit(
                 Event.STORE_RETURNED,
                 prefix=self.prefix,
-                source=source,
+                source=source.value,
                 era_before=before.position.era,
                 revision_before=before.position.revision,
                 era=now.position.era,
@@ -250,7 +254,7 @@
             emit(
                 Event.VALUES_HELD,
                 prefix=self.prefix,
-                source=source,
+                source=source.value,
                 kept=[h.key for h in held if h.used is not None][:LOGGED_KEYS],
                 withheld=[h.key for h in held if h.used is None][:LOGGED_KEYS],
                 count=len(held),
@@ -262,7 +266,7 @@
             emit(
                 Event.VALUES_LAPSED,
                 prefix=self.prefix,
-                source=source,
+                source=source.value,
                 keys=lapsed[:LOGGED_KEYS],
                 count=len(lapsed),
                 most_ms=int(max(left.get(k, 0.0) for k in lapsed) * 1000),
@@ -273,7 +277,7 @@
             emit(
                 Event.VALUES_RELEASED,
                 prefix=self.prefix,
-                source=source,
+                source=source.value,
                 keys=sorted(ended)[:LOGGED_KEYS],
                 count=len(ended),
             )
