Keep a suspicion while another entry was answered since the first failure

Cause: an entry that is cut off asks others when they were last answered. An entry that was idle asks a server itself at once, so its answer is too close to the first failure to prove a cut. Three such checks ended the suspicion, as if the service answered nobody, and nothing was passed on until a later answer of another entry proved the cut after 0.8 to 1.3 s. Change: checks end a suspicion only if no other entry is known to have been answered since the first failure. The most checks and the proof of a cut are as before.

--- a/boragestream/policy/server_reach.py
+++ b/boragestream/policy/server_reach.py
@@ -285,6 +285,10 @@
         known = self._of(service)
         return max(known.fresh_answered_at, min(known.failing_since, self._clock.now()))
 
+    def silence(self, service: str) -> float:
+        """Return the seconds for which new connections have had no answer."""
+        return self._clock.now() - self.silent_since(service)
+
     def note_unconfirmed(
         self, service: str, again_in: float | None = None, refuted: bool = True
     ) -> None:
@@ -316,7 +320,7 @@
         with self._lock:
             if known.cut_at is not None:
                 return None
-            silent = now - self.silent_since(service)
+            silent = self.silence(service)
             if witness_age + MIN_LEAD_SECONDS > silent:
                 return None
             known.cut_at = now
--- a/boragestream/serving/reach_checks.py
+++ b/boragestream/serving/reach_checks.py
@@ -253,7 +253,9 @@
             self._unclear_checks.get(service, 0) + 1
         )
         if unclear < MAX_UNCLEAR_CHECKS:
-            refuted = unclear >= CHECKS_TO_REFUTE
+            # Another entry may have been answered since, if only shortly after.
+            answered = witness is not None and witness[1] < self._reach.silence(service)
+            refuted = unclear >= CHECKS_TO_REFUTE and not answered
             self._reach.note_unconfirmed(service, UNCLEAR_SECONDS, refuted)
             return True
         self._unclear_checks.pop(service, None)
--- a/tests/features/server_reach.feature
+++ b/tests/features/server_reach.feature
@@ -18,6 +18,18 @@
     When a check finds no other entry that was answered since
     Then the service is not suspect until calls fail anew
 
+  # Guards against a suspicion that is dropped although another entry was answered, in the
+  # moments after the links were lost: streams that break then would not go on elsewhere.
+  Scenario Outline: a suspicion <stays> if another entry was last answered <when> the first failure
+    Given an entry whose connects to 2 servers are refused
+    When 4 checks find that another entry was last answered <when> the first failure
+    Then the suspicion <stays>
+
+    Examples:
+      | when          | stays    |
+      | 0.01 s after  | stays    |
+      | 0.01 s before | is ended |
+
   # Guards against owners of stage queues that never suspect that they are cut off: they
   # call the servers of their own region alone, and there may be a single one.
   Scenario Outline: failures at one server raise <what> suspicion: <regions>
--- a/tests/features/steps/server_reach.py
+++ b/tests/features/steps/server_reach.py
@@ -22,6 +22,7 @@
 )
 from boragestream.entry.exchange import PeerExchange
 from boragestream.entry.reach import ReachPart
+from boragestream.entry.reach_messages import ReachReply
 from boragestream.entry.server_seats import Seat, ServerSeats
 from boragestream.policy.brittle_services import BrittleServices, parse_brittle
 from boragestream.policy.cut_entries import ALL_SERVICES, CutEntries, ReachRecord
@@ -32,6 +33,7 @@
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving import delegation, forwarder
 from boragestream.serving.forwarded_run import outcome_of
+from boragestream.serving.reach_checks import ProbeResult, ReachChecks
 from boragestream.serving.request import SentRecord
 from tests.standins.clock import SetClock
 
@@ -149,6 +151,42 @@
     context.reach.note_unconfirmed(SERVICE)
 
 
+@when(
+    "{count:d} checks find that another entry was last answered {seconds:g} s "
+    "{order} the first failure"
+)
+def step(context, count, seconds, order):
+    clock = context.clock
+    answered_at = clock.now() + (seconds if order == "after" else -seconds)
+    witness = ListedEntry(WITNESS, "hall-1", "10.9.1.1:80", "10.9.1.1:81")
+
+    def ask(address, message, timeout):
+        return ReachReply((round((clock.now() - answered_at) * 1000),))
+
+    checks = ReachChecks(
+        "own",
+        "hall-2",
+        context.reach,
+        CutEntries("own", "own-1", lambda name: "", clock),
+        lambda server, timeout: ProbeResult(answered=False),
+        lambda: [witness],
+        lambda service: [server(1), server(2)],
+        lambda: [SERVICE],
+        SimpleNamespace(ask=ask),
+        clock,
+        random.Random(1),
+    )
+    for _ in range(count):
+        clock.seconds += 0.25
+        checks._check()
+
+
+@then("the suspicion {result}")
+def step(context, result):
+    assert context.reach.is_suspect(SERVICE) is (result == "stays")
+    assert not context.reach.cut_services
+
+
 @then("the service is not suspect until calls fail anew")
 def step(context):
     assert not context.reach.is_suspect(SERVICE)
