--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -16,9 +16,7 @@
     ConnectFailed,
     Ran,
 )
-from boragestream.backend.forwarded_call import (
-    OpenForwardedAnswer,
-)
+from boragestream.backend.forwarded_call import OpenForwardedAnswer
 from boragestream.base.events import Event, emit
 from boragestream.base.failures import (
     EntryCutOff,
@@ -28,10 +26,7 @@
     ServersLimited,
 )
 from boragestream.base.outcomes import Failure
-from boragestream.document.calls import (
-    RunClaim,
-    StageResult,
-)
+from boragestream.document.calls import RunClaim, StageResult
 from boragestream.document.routes import CallKind
 from boragestream.policy.load import CallEnd
 from boragestream.policy.servers import Server
