Add a failing test of watchers that the store turns away

What callers would see: servers that leave stay in use beyond the bound at entries that do not watch, if the store turns away all watchers and serves the others. Cause: entries that do not watch take failures of the watchers for an outage and spread their calls over a quarter of a second for each entry. The call for one prefix is answered, then the call for the next prefix is put off in the same way. Why it was missed: the scenario of watchers that are turned away runs for 20 s first, in which the watches that each entry holds from its start are still pending.

--- a/tests/features/following.feature
+++ b/tests/features/following.feature
@@ -28,6 +28,17 @@
       | cut off from the other entries  |
       | turned away by the store        |
 
+  # Guards against entries that are answered for one prefix and put off their call for the
+  # other, since they take the failures of the watchers for an outage. The watches that
+  # each entry holds after its start have ended by then.
+  Scenario: a change is known in time though the store turns away all that watch
+    Given 62 entries in 2 data centres, each change to be known within 4 s
+    And requests come to all of them
+    And they have run for 60 seconds
+    When the watchers are turned away by the store
+    And a change is published
+    Then it is known everywhere within 4 s
+
   Scenario: an entry that is cut off from all others asks by itself in time
     Given 30 entries in 3 data centres, each change to be known within 4 s
     And they have run for 20 seconds
