Compute the silence of a service in one method

silent_since was left with a single caller once silence stood beside it; its formula is now part of silence.

Behaviour is as it was.

--- a/boragestream/policy/server_reach.py
+++ b/boragestream/policy/server_reach.py
@@ -280,14 +280,10 @@
                 and (known.silent or self._has_failures(service, known))
             ]
 
-    def silent_since(self, service: str) -> float:
-        """Return since when a suspected service has not answered new connections."""
-        known = self._of(service)
-        return max(known.fresh_answered_at, min(known.failing_since, self._clock.now()))
-
     def silence(self, service: str) -> float:
         """Return the seconds for which new connections have had no answer."""
-        return self._clock.now() - self.silent_since(service)
+        now, known = self._clock.now(), self._of(service)
+        return now - max(known.fresh_answered_at, min(known.failing_since, now))
 
     def note_unconfirmed(
         self, service: str, again_in: float | None = None, refuted: bool = True
