Read the lapsed keys once for each log line

The state after an answer held the keys, and their remaining seconds were read from the table a second time, with a default for keys that were gone meanwhile. The state holds both.

Behaviour is as it was.

--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -8,7 +8,7 @@
 """
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from boragestream.base.clock import Clock
@@ -51,11 +51,14 @@
 
 @dataclass(frozen=True, slots=True)
 class _State:
-    """The position of a table and the keys of its held and its lapsed values."""
+    """The position of a table, the keys of its held values, and its lapsed ones.
+
+    :ivar lapsed: the seconds left of each key that lapsed in an outage.
+    """
 
     position: Position | None
     held: frozenset[str]
-    lapsed: frozenset[str]
+    lapsed: Mapping[str, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,7 +224,7 @@
     def _state(self) -> "_State":
         table = self.table
         held = frozenset(held.key for held in table.held)
-        return _State(table.position, held, frozenset(table.lapsed_seconds))
+        return _State(table.position, held, table.lapsed_seconds)
 
     def _log_regained(self, answer: Snapshot | Changes) -> None:
         emit(
@@ -260,16 +263,15 @@
                 count=len(held),
                 most_ms=int(max((h.seconds for h in held), default=0.0) * 1000),
             )
-        lapsed = sorted(now.lapsed - before.lapsed)
+        lapsed = sorted(now.lapsed.keys() - before.lapsed.keys())
         if lapsed:
-            left = self.table.lapsed_seconds
             emit(
                 Event.VALUES_LAPSED,
                 prefix=self.prefix,
                 source=source.value,
                 keys=lapsed[:LOGGED_KEYS],
                 count=len(lapsed),
-                most_ms=int(max(left.get(k, 0.0) for k in lapsed) * 1000),
+                most_ms=int(max(now.lapsed[key] for key in lapsed) * 1000),
                 revision=now.position.revision,
             )
         ended = before.held - now.held
