Share the step that cuts an entry off while streams are read

Two steps of stream_versions repeated it with another path and mode. The assertions are as they were.

Behaviour is as it was.

--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -411,17 +411,23 @@
     )
 
 
+def cut_while_read(context, path, mode):
+    """Cut an entry off while streams are read there; return the threads that read."""
+    site, cut = slowed_site(context), "entry-1"
+    threads, context.tries = read_later(site, PASSED_STREAMS, cut, path)
+    time.sleep(LONG_PAUSE_SECONDS / 2)
+    site.cut_off([cut], mode)
+    return threads
+
+
 @when(
     "streams are read at an entry that is cut off from all servers, "
     "and their servers break them"
 )
 def step(context):
-    site, cut = slowed_site(context), "entry-1"
-    threads, context.tries = read_later(site, PASSED_STREAMS, cut, "/chat/cut")
-    time.sleep(LONG_PAUSE_SECONDS / 2)
-    site.cut_off([cut], "kept")
-    wait_cut_off(site, cut)
-    end_reading(site, threads)
+    threads = cut_while_read(context, "/chat/cut", "kept")
+    wait_cut_off(context.site, "entry-1")
+    end_reading(context.site, threads)
 
 
 @when(
@@ -429,11 +435,8 @@
     "and all its connections are reset"
 )
 def step(context):
-    site, cut = slowed_site(context), "entry-1"
-    threads, context.tries = read_later(site, PASSED_STREAMS, cut, "/chat/ok")
-    time.sleep(LONG_PAUSE_SECONDS / 2)
-    site.cut_off([cut], "refused")
-    end_reading(site, threads)
+    threads = cut_while_read(context, "/chat/ok", "refused")
+    end_reading(context.site, threads)
 
 
 @when(
