--- a/tests/store_hunt/run.py
+++ b/tests/store_hunt/run.py
@@ -19,7 +19,8 @@
 DRAINING = b"draining"
 # The watches that each entry holds from its start have ended by then.
 SETTLED_SECONDS = 60.0
-LAPSE_SECONDS = 15.0
+# A change is looked at for this long.
+WATCHED_SECONDS = 15.0
 MIN_DROP_GAP_SECONDS = 6.0
 
 
@@ -38,7 +39,8 @@
 class Change:
     """A change that has to be in force within the bound.
 
-    :ivar known: the starts of the entries that have used another value since.
+    :ivar known: the call schedules of the entries that have used another value since;
+        an entry has a new one after each start.
     """
 
     at: float
@@ -84,8 +86,9 @@
         self.change_often()
         self.strike_often()
         while self.now() - self.began < seconds and not self.late:
-            due = [item for item in self.agenda if item[0] <= self.now()]
-            self.agenda = [item for item in self.agenda if item not in due]
+            now = self.now()
+            due = [item for item in self.agenda if item[0] <= now]
+            self.agenda = [item for item in self.agenda if item[0] > now]
             for _, action in sorted(due, key=lambda item: item[0]):
                 action()
             self.site.run(TICK_SECONDS)
@@ -156,7 +159,7 @@
         self.later(seconds + self.well_seconds + self.rng.random(), self.change)
 
     def strike_kill(self):
-        """Kill some watchers and others; start them again."""
+        """Kill some watchers; start them again."""
         watching = self.site.watching()
         killed = self.rng.sample(watching, self.rng.randint(1, len(watching)))
         if len(killed) > len(self.site.running()) - 2:
@@ -218,16 +221,16 @@
     def check(self):
         """Look for old values in use."""
         now = self.now()
-        self.changes = [c for c in self.changes if now - c.at < LAPSE_SECONDS]
+        self.changes = [c for c in self.changes if now - c.at < WATCHED_SECONDS]
         for change in self.changes:
             due = now - change.at > self.bound + TICK_SECONDS and self.is_store_well()
             for entry in self.site.running():
-                start = (entry.name, id(entry.following))
+                schedule = entry.following
                 if entry.table.values.get(change.server) != change.old:
-                    change.known.add(start)
+                    change.known.add(schedule)
                     continue
                 well = now - self.entry_ill_at[entry.name] >= self.well_seconds
-                again = start in change.known
+                again = schedule in change.known
                 if again or (due and well):
                     self.note_late(change, entry, again)
 
