Log what a decision to go on with a stream rests on

The lines of a stream that went on named its version only.

stream_resumed names the basis, the number of entries whose reports decided, and for how long the one that has followed the server list longest has done so. Reports of other entries carry this time. Where streams go on is as before.

--- a/boragestream/entry/stream_messages.py
+++ b/boragestream/entry/stream_messages.py
@@ -34,8 +34,10 @@
     :ivar origins: service and version of each stream with this key.
     :ivar versions: the recently listed versions, in the order of the services.
     :ivar complete: whether these versions are all that have served recently.
+    :ivar followed_seconds: for how long the entry has followed the server list.
     """
 
     origins: tuple[tuple[str, str], ...]
     versions: tuple[tuple[str, ...], ...]
     complete: bool
+    followed_seconds: float = 0.0
--- a/boragestream/entry/stream_records.py
+++ b/boragestream/entry/stream_records.py
@@ -25,6 +25,7 @@
 from boragestream.policy.stream_origins import (
     OriginReport,
     OriginUnknown,
+    ResolvedOrigin,
     StreamOrigin,
     StreamOrigins,
     VersionHistory,
@@ -99,7 +100,7 @@
 
     def find(
         self, key: bytes, services: tuple[str, ...]
-    ) -> StreamOrigin | OriginUnknown | None:
+    ) -> ResolvedOrigin | OriginUnknown | None:
         """Return where a stream goes on; None if it may go on at any version.
 
         :param services: see ``resolve_origin``.
@@ -147,6 +148,7 @@
             tuple((o.service, o.version) for o in report.origins),
             tuple(tuple(sorted(versions)) for versions in report.versions),
             report.complete,
+            report.followed_seconds,
         )
 
     def _report(self, key: bytes, services: tuple[str, ...]) -> OriginReport:
@@ -160,6 +162,7 @@
             origins,
             tuple(self._history.versions(s) | recorded[s] for s in services),
             self._history.complete and current,
+            self._history.followed_seconds,
         )
 
     def _holders(self, key: bytes) -> list[ListedEntry]:
@@ -220,6 +223,7 @@
             frozenset(StreamOrigin(*each) for each in reply.origins),
             tuple(frozenset(versions) for versions in reply.versions),
             reply.complete,
+            reply.followed_seconds,
         )
 
     def _send(self, key: bytes, origin: StreamOrigin) -> None:
--- a/boragestream/policy/stream_origins.py
+++ b/boragestream/policy/stream_origins.py
@@ -13,6 +13,7 @@
 import threading
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
+from enum import Enum
 
 import xxhash
 
@@ -24,8 +25,10 @@
 
 __all__ = [
     "RETENTION_SECONDS",
+    "OriginBasis",
     "OriginReport",
     "OriginUnknown",
+    "ResolvedOrigin",
     "StreamOrigin",
     "StreamOrigins",
     "VersionHistory",
@@ -56,6 +59,28 @@
     version: str
 
 
+class OriginBasis(Enum):
+    """What shows where a stream began."""
+
+    RECORD = "record"
+    SINGLE_VERSION = "single version"
+
+
+@dataclass(frozen=True, slots=True)
+class ResolvedOrigin:
+    """Where a stream goes on, and what that rests on.
+
+    :ivar followed_seconds: for how long the entry that has followed the server list
+        longest has followed it, among those whose reports decided.
+    :ivar reports: the number of entries whose reports decided.
+    """
+
+    origin: StreamOrigin
+    basis: OriginBasis
+    followed_seconds: float
+    reports: int
+
+
 @dataclass(frozen=True, slots=True)
 class OriginUnknown(Failure):
     """A stream is taken up, and nothing shows which of several versions began it.
@@ -84,11 +109,14 @@
         ``RETENTION_SECONDS``, and those of the recorded origins.
     :ivar complete: whether the entry has followed the server list for longer than
         streams last, and its list is current.
+    :ivar followed_seconds: for how long it has followed the server list; 0 if it does
+        not say.
     """
 
     origins: frozenset[StreamOrigin]
     versions: tuple[frozenset[str], ...]
     complete: bool
+    followed_seconds: float = 0.0
 
     @property
     def single(self) -> bool:
@@ -121,7 +149,7 @@
 
 def resolve_origin(
     services: tuple[str, ...], reports: Sequence[OriginReport], missing: int
-) -> StreamOrigin | OriginUnknown | None:
+) -> ResolvedOrigin | OriginUnknown | None:
     """Return where a stream goes on; None if its service has listed no server lately.
 
     An entry that started a moment ago has listed one version of those that may have
@@ -140,16 +168,23 @@
             for versions in zip(*(r.versions for r in reports), strict=True)
         ),
         any(report.complete for report in reports),
+        max(report.followed_seconds for report in reports),
     )
     service = services[0]
+
+    def resolved(origin: StreamOrigin, basis: OriginBasis) -> ResolvedOrigin:
+        return ResolvedOrigin(origin, basis, combined.followed_seconds, len(reports))
+
     if combined.single and (combined.complete or not missing or len(reports) > 1):
         # A second version may be listed before the request is sent.
-        origins = [StreamOrigin(service, version) for version in combined.versions[0]]
-        return next(iter(origins), None)
+        for version in combined.versions[0]:
+            origin = StreamOrigin(service, version)
+            return resolved(origin, OriginBasis.SINGLE_VERSION)
+        return None
     if len(combined.origins) > 1:
         return OriginUnknown(service, "streams of two versions have this name")
     if combined.origins:
-        return next(iter(combined.origins))
+        return resolved(next(iter(combined.origins)), OriginBasis.RECORD)
     if missing:
         return OriginUnknown(service, f"no record, and {missing} entries not reached")
     return OriginUnknown(service, "no record")
@@ -166,11 +201,16 @@
         self._listed: dict[str, set[str]] = {}
         self._lock = threading.Lock()
 
+    @property
+    def followed_seconds(self) -> float:
+        """For how long lists have been followed; 0 before the first one."""
+        first = self._first_listed_at
+        return 0.0 if first is None else self._clock.now() - first
+
     @property
     def complete(self) -> bool:
         """Whether lists have been followed for ``HISTORY_SECONDS``."""
-        first = self._first_listed_at
-        return first is not None and self._clock.now() - first >= HISTORY_SECONDS
+        return self.followed_seconds >= HISTORY_SECONDS
 
     def take_list(self, servers: Iterable[Server]) -> list[str]:
         """Apply a server list; return the services that now have several versions."""
--- a/boragestream/serving/stream_origin.py
+++ b/boragestream/serving/stream_origin.py
@@ -12,7 +12,12 @@
 from boragestream.document.calls import ForwardedRequest
 from boragestream.document.routes import CallKind
 from boragestream.policy.servers import Server
-from boragestream.policy.stream_origins import OriginUnknown, StreamOrigin, stream_key
+from boragestream.policy.stream_origins import (
+    OriginUnknown,
+    ResolvedOrigin,
+    StreamOrigin,
+    stream_key,
+)
 from boragestream.serving.forwarded_run import ForwardedRun
 
 __all__ = ["OriginRecords", "is_resumed", "locate_stream", "note_stream_began"]
@@ -26,7 +31,7 @@
 
     def find(
         self, key: bytes, services: tuple[str, ...]
-    ) -> StreamOrigin | OriginUnknown | None:
+    ) -> ResolvedOrigin | OriginUnknown | None:
         """Return where a stream goes on; None if it may go on at any version.
 
         :param services: where it may go on; the first is that of its next attempt.
@@ -56,8 +61,9 @@
     found = records.find(_key(run), services)
     if found is None:
         return run
-    if isinstance(found, StreamOrigin) and found.service not in services:
-        found = OriginUnknown(found.service, "the route no longer leads to its service")
+    if isinstance(found, ResolvedOrigin) and found.origin.service not in services:
+        reason = "the route no longer leads to its service"
+        found = OriginUnknown(found.origin.service, reason)
     if isinstance(found, OriginUnknown):
         emit(
             Event.STREAM_NOT_RESUMED,
@@ -67,14 +73,18 @@
             reason=found.reason,
         )
         return found
+    origin = found.origin
     emit(
         Event.STREAM_RESUMED,
         request=request.request_id,
         resumes=request.resumes,
-        service=found.service,
-        software=found.version,
+        service=origin.service,
+        software=origin.version,
+        basis=found.basis.value,
+        reports=found.reports,
+        followed_ms=int(found.followed_seconds * 1000),
     )
-    return replace(run, service=found.service, version=found.version)
+    return replace(run, service=origin.service, version=origin.version)
 
 
 def note_stream_began(
--- a/tests/features/steps/stream_origins.py
+++ b/tests/features/steps/stream_origins.py
@@ -72,7 +72,7 @@
 
 @then("the stream goes on at {version}")
 def step(context, version):
-    assert context.resolved == StreamOrigin(SERVICE, version), context.resolved
+    assert context.resolved.origin == StreamOrigin(SERVICE, version), context.resolved
 
 
 @given("the records of one entry")
--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -375,6 +375,14 @@
         assert numbers == list(range(2, EVENTS + 1)), tries
 
 
+@then('the logs name "{basis}" as the basis of each')
+def step(context, basis):
+    site = context.site
+    resumed = [e for name in site.entries for e in site.events(name, "stream_resumed")]
+    assert resumed and {event["basis"] for event in resumed} == {basis}, resumed
+    assert all(e["reports"] >= 1 and e["followed_ms"] >= 0 for e in resumed), resumed
+
+
 def read_later(site, count, entry, path):
     """Begin to read streams at an entry; return the threads and what callers get."""
     kept = [Tries() for _ in range(count)]
