Have stand-in engines list the prompt parts that they hold

Engines answer GET /boragestream/kv-list, unless it is switched off, count its calls, and have a settable number of events. The store tells when each item was created.

--- a/tests/features/steps/route_entries.py
+++ b/tests/features/steps/route_entries.py
@@ -123,7 +123,7 @@
     # The entry gets a separate store with the same values, which then answers 503.
     site = context.site
     context.own_store = RouteStore(ADDRESS)
-    for key, (value, _) in site.store.items.items():
+    for key, (value, *_) in site.store.items.items():
         context.own_store.put(key, value)
     site.kill(name)
     site.fields[name]["platform"]["addr"] = context.own_store.address
--- a/tests/features/steps/standins_servers.py
+++ b/tests/features/steps/standins_servers.py
@@ -1,6 +1,8 @@
 """Steps on the stand-ins of backend servers, without entries."""
 
+import contextlib
 import http.client
+import json
 import re
 import socket
 import threading
@@ -9,7 +11,8 @@
 from behave import given, then, when
 
 from tests.standins.fleet import wait_until
-from tests.standins.route_server import RouteServer
+from tests.standins.route_server import KV_LIST, RouteServer
+from tests.standins.route_store import RouteStore
 
 ENDING_SECONDS = 0.3
 VERSION = re.compile(rb"^data: \d+ (\S+)", re.MULTILINE)
@@ -91,3 +94,118 @@
         pass
     finally:
         context.sock.close()
+
+
+@given('a stand-in engine of version "{version}"')
+def step(context, version):
+    context.server = RouteServer("127.0.0.1", "engine", "engine", "hall-a")
+    context.server.version = version
+
+
+def ask(server, method, path, body=None, **headers):
+    """Call a server; return the status and the body as far as it came."""
+    connection = http.client.HTTPConnection(server.address, timeout=5)
+    sent = {name.replace("_", "-"): value for name, value in headers.items()}
+    with contextlib.closing(connection):
+        connection.request(method, path, body, sent)
+        response = connection.getresponse()
+        try:
+            return response.status, response.read()
+        except http.client.IncompleteRead as error:
+            return response.status, error.partial
+
+
+@when(
+    '{count:d} events of a stream with the prompt "{prompt}" are written, '
+    "which is then cut"
+)
+def step(context, count, prompt):
+    context.status, body = ask(
+        context.server,
+        "POST",
+        "/chat/cut",
+        b"",
+        Request_Id="r",
+        Deadline_Ms="5000",
+        Model="m",
+        Prompt_Prefix=prompt,
+    )
+    assert body.count(b"data: ") == count, body
+
+
+def list_parts(server):
+    """Return what a server lists."""
+    status, body = ask(server, "GET", KV_LIST)
+    assert status == 200, status
+    return json.loads(body)
+
+
+def as_parts(listed):
+    """Return listed parts as a prompt names them."""
+    assert all(kind == "" and model == "m" for kind, _, _, model in listed["held"])
+    return ",".join(f"{part}:{tokens}" for _, part, tokens, _ in listed["held"])
+
+
+@then('it lists the parts "{parts}"')
+def step(context, parts):
+    context.listed = list_parts(context.server)
+    assert as_parts(context.listed) == parts, context.listed
+    assert list_parts(context.server) == context.listed
+
+
+@then("a list asked of another server is refused")
+def step(context):
+    status, _ = ask(context.server, "GET", KV_LIST, Expect_Instance="i-other")
+    assert status == 421, status
+
+
+@then("after a crash it lists no parts, in another epoch")
+def step(context):
+    server, before = context.server, context.server.identity
+    server.crash(0)
+    wait_until(lambda: server.identity != before, what="a new life")
+    listed = wait_until(lambda: list_parts(server), what="listening")
+    assert listed["held"] == [], listed
+    assert listed["epoch"] != context.listed["epoch"], listed
+
+
+@then("it was asked {count:d} times for its list")
+def step(context, count):
+    assert context.server.part_list_calls == count, context.server.part_list_calls
+
+
+@when("it does not support the list of prompt parts")
+def step(context):
+    context.server.lists_parts = False
+
+
+@then("its answer to the call has the status {status:d}")
+def step(context, status):
+    assert ask(context.server, "GET", KV_LIST)[0] == status
+
+
+@given("a stand-in store")
+def step(context):
+    context.store = RouteStore("127.0.0.1")
+    context.add_cleanup(context.store.close)
+
+
+@when('the values "{written}" are written there')
+def step(context, written):
+    for word in written.split():
+        key, _, value = word.partition("=")
+        context.store.put(key, value.encode() or None)
+
+
+@then('items and changes name the revisions of creation "{revisions}"')
+def step(context, revisions):
+    store = context.store
+    watch = "kv-watch?prefix=k/&after=0&wait_ms=100"
+    _, body = ask(store, "GET", f"/boragestream/{watch}")
+    # The last change of a key counts.
+    changes = {item["key"]: item.get("created") for item in json.loads(body)["events"]}
+    _, body = ask(store, "GET", "/boragestream/kv-range?prefix=k/")
+    items = {item["key"]: item["created"] for item in json.loads(body)["items"]}
+    expected = dict(word.split(":") for word in revisions.split())
+    expected = {key: int(revision) for key, revision in expected.items()}
+    assert items == changes == expected, (items, changes)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -175,8 +175,8 @@
         store = self.store
         store.down = trouble
         time.sleep(RETURN_SECONDS)
-        lost = {key: value for key, (value, _) in store.items.items()}
-        stands = {key: value for key, (value, _) in copy.items.items()}
+        lost = {key: value for key, (value, *_) in store.items.items()}
+        stands = {key: value for key, (value, *_) in copy.items.items()}
         store.return_from(copy)
         time.sleep(RETURN_SECONDS)
         for key in sorted(lost.keys() | stands.keys()):
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -16,6 +16,9 @@
 from collections import Counter
 
 EVENTS = 6
+# By how much the last part of a prompt grows with each event.
+EVENT_TOKENS = 4
+KV_LIST = "/boragestream/kv-list"
 SLOW_SECONDS = 0.8
 # A server that crashed is back after so long.
 BACK_SECONDS = 0.25
@@ -103,6 +106,15 @@
         self.cut_off = None
         # How long a plain call takes, and the pause between two events of a stream.
         self.work_seconds, self.event_seconds = 0.0, 0.005
+        # The number of the last event of a stream.
+        self.events = EVENTS
+        # The prompt parts that an engine holds: tokens by id and model, for each life.
+        self.held_parts = {}
+        # Changes of what it holds in this life, and which of its lives this is.
+        self.part_changes, self.epoch = 0, 1
+        # Whether it knows the call that lists them; and how often that call came.
+        self.lists_parts = True
+        self.part_list_calls = 0
         # How long a call of a stage server takes.
         self.piece_seconds = 0.05
         self.crashes = 0
@@ -194,6 +206,10 @@
         """Listen at the same address in a new life."""
         before, self.identity = self.identity, f"i-{next(self.numbers)}"
         self.version = version
+        with self.lock:
+            # A run of the life before still has the former parts.
+            self.held_parts, self.part_changes = {}, 0
+            self.epoch += 1
         host, _, port = self.address.rpartition(":")
         self.listener = socket.create_server((host, int(port)), backlog=256)
         threading.Thread(target=self.accept, daemon=True).start()
@@ -303,6 +319,10 @@
         """Answer one call."""
         self.arrivals.append(time.monotonic())
         self.calls.append((self.arrivals[-1], headers["Request-Id"]))
+        path = target.partition("?")[0]
+        if path == KV_LIST:
+            with self.lock:
+                self.part_list_calls += 1
         if self.pause is not None:
             more = [("Not-Run", "1"), ("Retry-After", self.pause)]
             self.send(sock, headers, 503, b"", more, sealed=False)
@@ -318,6 +338,8 @@
         elif target == "/boragestream/report":
             report = {"queued": 0, "busy": 0, "free_mb": 40.0}
             self.send(sock, headers, 200, json.dumps(report).encode())
+        elif path == KV_LIST:
+            self.list_parts(sock, headers)
         elif target == "/boragestream/stage-free" and self.fails_releases:
             self.send(sock, headers, 500, b"")
         elif target == "/boragestream/stage-free":
@@ -374,6 +396,41 @@
             self.keys_seen += [v for n, v in headers.items() if n == "Authorization"]
             self.left.append(int(headers["Deadline-Ms"]))
 
+    def list_parts(self, sock, headers):
+        """Answer which prompt parts an engine holds."""
+        if self.kind != "engine" or not self.lists_parts:
+            self.send(sock, headers, 404, b"", sealed=False)
+            return
+        with self.lock:
+            held = [
+                ["", part, tokens, model]
+                for (part, model), tokens in self.held_parts.items()
+            ]
+            listed = {"epoch": self.epoch, "next": self.part_changes + 1, "held": held}
+        more = [("Content-Type", "application/json")]
+        self.send(sock, headers, 200, json.dumps(listed).encode(), more, sealed=False)
+
+    def read_prompt(self, headers):
+        """Hold the parts of a prompt; return what grows its last part by events."""
+        model, held = headers.get("Model", ""), self.held_parts
+        listed = [part for part in headers.get("Prompt-Prefix", "").split(",") if part]
+        parts = [part.strip().split(":") for part in listed]
+
+        def hold(part, tokens):
+            with self.lock:
+                before = held.get((part, model), 0)
+                held[part, model] = max(before, tokens)
+                if held is self.held_parts and tokens > before:
+                    self.part_changes += 1
+
+        def grow(events):
+            if parts:
+                hold(parts[-1][0], int(parts[-1][1]) + EVENT_TOKENS * events)
+
+        for part, tokens in parts:
+            hold(part, int(tokens))
+        return grow
+
     def answer(self, sock, headers, fault, body):
         """Answer whole, or as the fault says."""
         text = f"{self.identity} {headers['Request-Id']} {len(body)}".encode()
@@ -422,6 +479,9 @@
         # The version with which this run began, also if the server is upgraded.
         words = self.version.encode() + b" " + b"w" * 20
         framed = not fault.startswith("unframed")
+        grow = self.read_prompt(headers)
+        # A run that goes on reads the events before it as well.
+        grow(first - 1)
         head = [("Content-Type", "text/event-stream")]
         head += [("Transfer-Encoding", "chunked")] if framed else []
         if fault == "cut-head":
@@ -430,7 +490,7 @@
         self.send(sock, headers, 200, None, head)
         if fault == "unframed-empty":
             raise OSError("end")
-        for number in range(first, EVENTS + 1):
+        for number in range(first, self.events + 1):
             if fault == "unframed-stall" and number == first + 2:
                 wait_closed(sock, STALL_SECONDS)
                 raise OSError("end")
@@ -440,6 +500,7 @@
             if fault in ("half", "unframed-half") and number == first + 2:
                 event = event[:7]
             self.wait_for_link(sock)
+            grow(number)
             chunk = b"%x\r\n%s\r\n" % (len(event), event)
             sock.sendall(chunk if framed else event)
             if fault in ("cut", "half", "unframed-half") and number == first + 2:
--- a/tests/standins/route_store.py
+++ b/tests/standins/route_store.py
@@ -74,11 +74,12 @@
         """Publish a value; None removes the key."""
         with self.lock:
             self.revision += 1
-            if value is None:
-                self.items.pop(key, None)
-            else:
-                self.items[key] = (value, self.revision)
-            self.history.append((self.revision, key, value))
+            before = self.items.pop(key, None)
+            created = None
+            if value is not None:
+                created = before[2] if before else self.revision
+                self.items[key] = (value, self.revision, created)
+            self.history.append((self.revision, key, value, created))
             self.lock.notify_all()
 
     def drop_history(self):
@@ -158,8 +159,8 @@
                 if gone or self.refuses_watches or returns != self.returns:
                     break
                 found = [
-                    self.item(key, value, revision)
-                    for revision, key, value in self.history
+                    self.item(key, value, revision, created)
+                    for revision, key, value, created in self.history
                     if revision > after and key.startswith(query["prefix"])
                 ]
                 left = until - time.monotonic()
@@ -176,9 +177,15 @@
             self.reply(handler, {"events": found, "store_revision": revision})
 
     @staticmethod
-    def item(key, value, revision):
+    def item(key, value, revision, created):
         """Return an item as the store tells it."""
         if value is None:
             return {"key": key, "rev": revision, "tombstone": True}
         text = base64.b64encode(value).decode()
-        return {"key": key, "value": text, "rev": revision, "created": 1, "lease": 0}
+        return {
+            "key": key,
+            "value": text,
+            "rev": revision,
+            "created": created,
+            "lease": 0,
+        }
