Keep streams at their version after all entries have restarted

Callers took up streams that had broken when all entries were killed at once, and got the rest from servers of another software version, with nothing in the answer to show it. Or, while two versions went on serving, none of these streams went on.

Cause: records of where streams began and the history of versions are kept by entries alone. An entry that started a moment ago reported the one version of its first list, and the reports of other entries that had all started a moment ago were taken for the knowledge of somebody who had been there: resolve_origin was content with one version in all reports and one other entry that answered. The absence of a memory was taken for the memory of an absence.

Change: one version in the reports counts only if an entry has followed the list for as long as streams last. Else an entry reads once which servers the store's history still names, and asks the engines that may have served the stream which prompts they have cached. Their caches outlast all entries. An engine that keeps the last part of the prompt, which belongs to the request alone, and behind it the tokens of all events that the caller has, has served the stream. With a single version in the history the prompt alone is enough, and where engines can't say what they keep, the history; with several versions the stream is refused then, at once and as not run. The history is no proof by itself, since the store may drop it early.

Three rows of stream_origins expected a stream to go on by the word of entries that started lately; they now expect that this is refused, and new scenarios say what it takes to go on.

--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -41,7 +41,7 @@
 from boragestream.daemon.service_definitions import ServiceDefinitions
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.stage_owners import StageOwners
-from boragestream.daemon.stream_parts import make_stream_parts
+from boragestream.daemon.stream_parts import make_prompt_caches, make_stream_parts
 from boragestream.daemon.tasks import to_leaving_server
 from boragestream.entry.address_sync import AddressSync
 from boragestream.entry.addresses import AddressBook
@@ -267,9 +267,7 @@
     def has_servers(service: str, region: str) -> bool:
         return any(server.region == region for server in servers.live(service))
 
-    streams = make_stream_parts(
-        own, members, links, clock, lambda: publications.confirming.age()
-    )
+    streams = make_stream_parts(own, members, links, clock, lambda: publications)
     published_servers = PublishedServers(
         ServerIncarnations(clock),
         members,
@@ -359,6 +357,7 @@
             delegation=delegation,
             other_servers=compared_servers,
             origins=streams.records,
+            prompt_caches=make_prompt_caches(line, watchdog, clock, batch_parts),
             part_crashes=part_crashes,
             oversized=oversized,
         )
--- a/boragestream/daemon/stream_parts.py
+++ b/boragestream/daemon/stream_parts.py
@@ -3,14 +3,22 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from boragestream.backend.cancellation import Watchdog
+from boragestream.backend.forwarded_call import CallLine
 from boragestream.base.clock import Clock
+from boragestream.daemon.past_servers import PastServers
+from boragestream.daemon.publications import Publications
 from boragestream.entry.links import Handler, PeerLinks
 from boragestream.entry.peers import EntryPeers
 from boragestream.entry.stream_messages import OriginAsk, OriginsNote
 from boragestream.entry.stream_records import StreamRecords
+from boragestream.platform.prompt_cache import PromptCacheFormat
+from boragestream.policy.servers import Server
 from boragestream.policy.stream_origins import StreamOrigins, VersionHistory
+from boragestream.serving.cached_prompts import CachedPrompts
+from boragestream.serving.call_gate import GateParts
 
-__all__ = ["StreamParts", "make_stream_parts"]
+__all__ = ["StreamParts", "make_prompt_caches", "make_stream_parts"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,15 +46,33 @@
     members: EntryPeers,
     links: PeerLinks,
     clock: Clock,
-    list_age: Callable[[], float],
+    publications: Callable[[], Publications],
 ) -> StreamParts:
     """Build the objects of an entry.
 
     :param own: this entry's name.
-    :param list_age: returns the seconds since the server list was last confirmed.
+    :param publications: returns what the entry follows of the platform's store.
     """
     history = VersionHistory(clock)
+
+    def add_past(servers: list[Server], complete: bool) -> None:
+        records.note_several(history.add_past(servers, complete))
+
+    past = PastServers(lambda: publications().servers, add_past, clock)
     records = StreamRecords(
-        own, StreamOrigins(clock), history, members.entries.usable, links, list_age
+        own,
+        StreamOrigins(clock),
+        history,
+        members.entries.usable,
+        links,
+        lambda: publications().confirming.age(),
+        past.read,
     )
     return StreamParts(history, records)
+
+
+def make_prompt_caches(
+    line: CallLine, watchdog: Watchdog, clock: Clock, gate: GateParts
+) -> CachedPrompts:
+    """Build what asks engines for the prompts that they have cached."""
+    return CachedPrompts(line, watchdog, clock, gate, PromptCacheFormat())
--- a/boragestream/document/calls.py
+++ b/boragestream/document/calls.py
@@ -81,6 +81,11 @@
     delegation: str = field(default="", repr=False)
     resumes: str = ""
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether its caller goes on with a stream that began in another attempt."""
+        return self.last_event is not None or bool(self.resumes)
+
 
 @dataclass(frozen=True, slots=True)
 class RequestMalformed(Failure):
--- a/boragestream/entry/stream_records.py
+++ b/boragestream/entry/stream_records.py
@@ -29,6 +29,7 @@
     StreamOrigin,
     StreamOrigins,
     VersionHistory,
+    combine_reports,
     record_holders,
     resolve_origin,
 )
@@ -58,6 +59,8 @@
     :param own: this entry's name.
     :param entries: returns the live entries, this one may be among them.
     :param list_age: returns the seconds since the server list was last confirmed.
+    :param read_past: adds to the history what the store retains of the time before the
+        first list; it does nothing once that has succeeded.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         entries: Callable[[], Sequence[ListedEntry]],
         links: PeerLinks,
         list_age: Callable[[], float],
+        read_past: Callable[[], None] = lambda: None,
     ) -> None:
         self._own = own
         self._origins = origins
@@ -75,6 +79,7 @@
         self._entries = entries
         self._links = links
         self._list_age = list_age
+        self._read_past = read_past
         # Records that wait for the message before them, by the holder's address.
         self._waiting: dict[str, list[PackedOrigin]] = {}
         self._sending: set[str] = set()
@@ -117,7 +122,12 @@
                 return found
         reports = self._request(self._ask_twice, key, services, holders)
         missing = len(holders) - len(reports)
-        return resolve_origin(services, [own, *reports], missing)
+        combined = combine_reports([own, *reports])
+        if combined.single and not combined.complete:
+            self._read_past()
+            own = self._report(key, services)
+        past_known = self._history.past_known
+        return resolve_origin(services, [own, *reports], missing, past_known)
 
     def shares_records(self, entry: ListedEntry, service: str) -> bool:
         """Return whether an entry can go on with a stream of another one.
--- a/boragestream/policy/server_choice.py
+++ b/boragestream/policy/server_choice.py
@@ -10,7 +10,7 @@
 
 import threading
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 import xxhash
@@ -24,6 +24,7 @@
 __all__ = [
     "OpenCalls",
     "ServerChoice",
+    "rank_engines",
     "reread_bytes",
     "results_data_centre",
     "shared_part",
@@ -113,8 +114,7 @@
             return min(usable, key=self._work, default=None)
         counts = [self.open_calls.count(server) for server in usable]
         bound = AFFINITY_BOUND * sum(counts) / len(counts) + AFFINITY_SLACK
-        ranked = sorted(usable, key=lambda s: _rank(part, s), reverse=True)
-        for server in ranked:
+        for server in rank_engines(part, usable):
             if self.open_calls.count(server) <= bound:
                 return server
         return min(usable, key=self._work)
@@ -137,6 +137,11 @@
         return self.open_calls.count(server) - near, tie
 
 
+def rank_engines(part: str, engines: Iterable[Server]) -> list[Server]:
+    """Return engines in the order in which they are chosen for a part of a prompt."""
+    return sorted(engines, key=lambda server: _rank(part, server), reverse=True)
+
+
 def shared_part(prompt: Sequence[PromptPart]) -> str:
     """Return the part of a prompt by which its engine is chosen; empty for none.
 
--- a/boragestream/policy/stream_origins.py
+++ b/boragestream/policy/stream_origins.py
@@ -5,9 +5,14 @@
 first that its caller received. The entry that passes this event on records the version,
 and while several versions serve it sends the record to a few other entries, which are
 ranked by the key of the stream. An entry at which a caller takes the stream up requests
-the record from these. Without a record the stream goes on only if a single version has
-served lately, as far as this entry or another one that it reaches has followed the
-list. ``entry.stream_records`` sends the messages.
+the record from these. Without a record the stream goes on if a single version has
+served for as long as streams last, as this entry or another one that it reaches has
+seen. ``entry.stream_records`` sends the messages.
+
+Entries that have started lately, maybe all at once, have not seen it. The store's
+history shows which servers were listed before; it can end early without a sign, so that
+a single version in it does not prove that no other one served. What engines have cached
+shows which of them served a stream, see ``policy.prompt_caches``.
 """
 
 import threading
@@ -25,6 +30,7 @@
 
 __all__ = [
     "RETENTION_SECONDS",
+    "OriginAmbiguous",
     "OriginBasis",
     "OriginReport",
     "OriginUnknown",
@@ -33,6 +39,7 @@
     "StreamOrigins",
     "VersionHistory",
     "VersionUnavailable",
+    "combine_reports",
     "record_holders",
     "resolve_origin",
     "stream_key",
@@ -64,6 +71,9 @@
 
     RECORD = "record"
     SINGLE_VERSION = "single version"
+    # A single version in what the store retains; no engine says what it has cached.
+    STORE_HISTORY = "store history"
+    CACHED_PROMPT = "cached prompt"
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +82,8 @@
 
     :ivar followed_seconds: for how long the entry that has followed the server list
         longest has followed it, among those whose reports decided.
-    :ivar reports: the number of entries whose reports decided.
+    :ivar reports: the number of entries whose reports decided; for a cached prompt,
+        the number of engines that have it.
     """
 
     origin: StreamOrigin
@@ -83,13 +94,24 @@
 
 @dataclass(frozen=True, slots=True)
 class OriginUnknown(Failure):
-    """A stream is taken up, and nothing shows which of several versions began it.
+    """A stream is taken up, and no entry can tell which version began it.
 
     :ivar reason: what is missing.
+    :ivar followed_seconds: for how long the entry that has followed the server list
+        longest has followed it, among those that were asked.
+    :ivar sole_version: the only version that is known to have served, from the lists of
+        these entries and from what the store retains; empty if there are several.
     """
 
     service: str
     reason: str
+    followed_seconds: float = 0.0
+    sole_version: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class OriginAmbiguous(OriginUnknown):
+    """Streams of several versions were recorded under one name."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,46 +170,56 @@
 
 
 def resolve_origin(
-    services: tuple[str, ...], reports: Sequence[OriginReport], missing: int
+    services: tuple[str, ...],
+    reports: Sequence[OriginReport],
+    missing: int,
+    past_known: bool = False,
 ) -> ResolvedOrigin | OriginUnknown | None:
     """Return where a stream goes on; None if its service has listed no server lately.
 
-    An entry that started a moment ago has listed one version of those that may have
-    served before. Any other entry that it reaches makes up for that, since entries
-    rarely start all at once just after a version has gone.
-
     :param services: those at which the stream may go on; where its origin does not
         matter, it goes on at the first.
     :param reports: of this entry and of those that answered; at least one.
     :param missing: the number of entries that did not answer.
+    :param past_known: whether one of the reports covers what the store retains of the
+        time before its entry followed the list.
     """
-    combined = OriginReport(
-        frozenset().union(*(report.origins for report in reports)),
-        tuple(
-            frozenset().union(*versions)
-            for versions in zip(*(r.versions for r in reports), strict=True)
-        ),
-        any(report.complete for report in reports),
-        max(report.followed_seconds for report in reports),
-    )
-    service = services[0]
+    combined = combine_reports(reports)
+    service, followed = services[0], combined.followed_seconds
 
     def resolved(origin: StreamOrigin, basis: OriginBasis) -> ResolvedOrigin:
-        return ResolvedOrigin(origin, basis, combined.followed_seconds, len(reports))
+        return ResolvedOrigin(origin, basis, followed, len(reports))
 
-    if combined.single and (combined.complete or not missing or len(reports) > 1):
-        # A second version may be listed before the request is sent.
-        for version in combined.versions[0]:
-            origin = StreamOrigin(service, version)
-            return resolved(origin, OriginBasis.SINGLE_VERSION)
+    sole = next(iter(combined.versions[0]), "") if combined.single else ""
+    if combined.single and not sole:
         return None
+    if combined.single and combined.complete:
+        # A second version may be listed before the request is sent.
+        return resolved(StreamOrigin(service, sole), OriginBasis.SINGLE_VERSION)
     if len(combined.origins) > 1:
-        return OriginUnknown(service, "streams of two versions have this name")
+        reason = "streams of two versions have this name"
+        return OriginAmbiguous(service, reason, followed)
     if combined.origins:
         return resolved(next(iter(combined.origins)), OriginBasis.RECORD)
+    reason = "no record"
     if missing:
-        return OriginUnknown(service, f"no record, and {missing} entries not reached")
-    return OriginUnknown(service, "no record")
+        reason += f", and {missing} entries not reached"
+    if sole:
+        reason += ", and no entry has followed the list for long"
+    return OriginUnknown(service, reason, followed, sole if past_known else "")
+
+
+def combine_reports(reports: Sequence[OriginReport]) -> OriginReport:
+    """Return what several entries have recorded together."""
+    return OriginReport(
+        frozenset().union(*(report.origins for report in reports)),
+        tuple(
+            frozenset().union(*versions)
+            for versions in zip(*(r.versions for r in reports), strict=True)
+        ),
+        any(report.complete for report in reports),
+        max(report.followed_seconds for report in reports),
+    )
 
 
 class VersionHistory:
@@ -199,8 +231,17 @@
         # When each version of a service was last listed.
         self._last_listed: dict[str, dict[str, float]] = {}
         self._listed: dict[str, set[str]] = {}
+        self._past_known = False
         self._lock = threading.Lock()
 
+    @property
+    def past_known(self) -> bool:
+        """Whether the versions include those before the first list, see ``add_past``.
+
+        What the store has dropped early is not among them.
+        """
+        return self._past_known
+
     @property
     def followed_seconds(self) -> float:
         """For how long lists have been followed; 0 before the first one."""
@@ -229,6 +270,22 @@
                 seen[server.version] = now
             return sorted(self._several(now) - before)
 
+    def add_past(self, servers: Iterable[Server], complete: bool) -> list[str]:
+        """Add servers that were listed before the first list was applied.
+
+        :param servers: in any of their states.
+        :param complete: whether they are all that the store retains.
+        :returns: the services that now have several versions.
+        """
+        now = self._clock.now()
+        with self._lock:
+            before = self._several(now)
+            for server in servers:
+                seen = self._last_listed.setdefault(server.service, {})
+                seen[server.version] = now
+            self._past_known = complete
+            return sorted(self._several(now) - before)
+
     def versions(self, service: str) -> frozenset[str]:
         """Return the versions that are listed, or were within the retention time."""
         now = self._clock.now()
--- a/boragestream/serving/delegation.py
+++ b/boragestream/serving/delegation.py
@@ -37,7 +37,6 @@
 from boragestream.serving.delegation_failures import DelegateFailed, DelegateRefused
 from boragestream.serving.forwarded_answer import WholeAnswer
 from boragestream.serving.forwarded_run import ForwardedRun
-from boragestream.serving.stream_origin import is_resumed
 
 __all__ = [
     "CUT_OFF",
@@ -274,7 +273,7 @@
                 self._failure = self._failure or EntryCutOff(service)
                 return
             self._tried.add(entry.name)
-            resumed = last_event() is not None or is_resumed(run.request)
+            resumed = last_event() is not None or run.request.takes_up_stream
             if resumed and not self._parts.resumes(entry, service):
                 continue
             attempt = DelegatedAttempt(self._parts, run, entry, reason)
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -50,7 +50,7 @@
 from boragestream.serving.request_guard import RequestGuard
 from boragestream.serving.seated_servers import SeatedServers
 from boragestream.serving.stage_pieces import StagePieces
-from boragestream.serving.stream_origin import OriginRecords
+from boragestream.serving.stream_origin import OriginRecords, PromptCaches
 
 __all__ = ["EncodeCall", "ForwardAttempt", "ForwardParts"]
 
@@ -84,6 +84,7 @@
     :ivar other_servers: returns some servers other than the one given.
     :ivar origins: the records of where streams began; None to let each stream go on at
         any server.
+    :ivar prompt_caches: what engines have cached; None to ask none.
     :ivar part_crashes: the parts of prompts that crash servers; None to count none.
     :ivar oversized: the servers whose answers went beyond a bound; None to avoid none.
     """
@@ -111,6 +112,7 @@
     delegation: DelegationParts | None = None
     other_servers: Callable[[Server], Sequence[Server]] = lambda server: ()
     origins: OriginRecords | None = None
+    prompt_caches: PromptCaches | None = None
     part_crashes: PartCrashes | None = None
     oversized: OversizedAnswers | None = None
 
--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -12,7 +12,7 @@
 )
 from boragestream.base.outcomes import Failed, Failure, Refused, Unknown
 from boragestream.document.calls import ForwardedRequest
-from boragestream.document.routes import Route
+from boragestream.document.routes import CallKind, Route
 from boragestream.policy.outstanding import WorkSize
 from boragestream.policy.prompt_parts import PartQuarantined
 from boragestream.policy.quarantine import RequestQuarantined, RequestSuspected
@@ -98,6 +98,12 @@
         """Whether stage servers work on it before its server does."""
         return bool(self.route.stages) and any(self.request.pieces)
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether its caller goes on with a stream that began in another attempt."""
+        resumable = self.route.kind is CallKind.STREAM and self.route.repeatable
+        return resumable and self.request.takes_up_stream
+
     @property
     def objective_at(self) -> float:
         """The clock's time, in seconds, by which the answer should begin."""
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -68,7 +68,7 @@
 
     def run(self, run: ForwardedRun) -> WholeAnswer | StreamedAnswer | Failure:
         """Run the request's stages, then forward it to a server."""
-        located = locate_stream(self.parts.origins, run)
+        located = locate_stream(self.parts, run)
         if isinstance(located, Failure):
             return located
         run = located
@@ -360,7 +360,7 @@
         """Return an attempt that resumes the stream; None if there is none."""
         if self._choice.version is None:
             # Another entry began the stream.
-            located = locate_stream(self._parts.origins, self._run, began=True)
+            located = locate_stream(self._parts, self._run, began=True)
             if isinstance(located, Failure):
                 self._note_failure(located)
                 return None
--- a/boragestream/serving/piece_calls.py
+++ b/boragestream/serving/piece_calls.py
@@ -54,6 +54,7 @@
 )
 from boragestream.serving.limited_servers import LimitedServers
 from boragestream.serving.piece_failures import AnswerLost
+from boragestream.serving.server_questions import ask_server, call_without_id
 
 __all__ = ["BatchParts", "PieceCalls", "PieceFormat", "unreadable_results"]
 
@@ -227,7 +228,7 @@
             refusal = question_refusal(self._parts, server)
             return refusal or wire.encode_report_call(server)
 
-        question = _call_without_id("GET", encode)
+        question = call_without_id("GET", encode)
         body = self._call(server, question, REPORT_SECONDS)
         report = wire.read_stage_report(body) if isinstance(body, bytes) else None
         # Without a report the call goes on until it times out.
@@ -241,22 +242,9 @@
     def _call(
         self, server: Server, call: OutgoingCall, seconds: float
     ) -> bytes | AttemptFailure:
-        """Return the body of a successful answer, or why there is none."""
         parts = self._parts
-        scope = CancelScope(parts.clock.now() + seconds)
-        parts.watchdog.open(scope)
-        try:
-            answer = open_forwarded_call(parts.line, server, call, scope)
-            if isinstance(answer, AttemptFailure):
-                return answer
-            body, head = answer.read(), answer.head
-        finally:
-            parts.watchdog.close(scope)
-        if isinstance(body, bytes) and head.status != HTTPStatus.OK:
-            not_run = head.claim is not RunClaim.RAN
-            ran = Ran.NOT_RUN if not_run else Ran.MAY_HAVE_RUN
-            return ServerErred(server.name, ran, head.status)
-        return body
+        line, watchdog = parts.line, parts.watchdog
+        return ask_server(line, watchdog, parts.clock, server, call, seconds)
 
     def _exchange(
         self, batch: Batch, permit: Permit | None, scope: CancelScope
@@ -274,7 +262,7 @@
 
         parts.watchdog.open(scope)
         try:
-            call = _call_without_id("POST", encode)
+            call = call_without_id("POST", encode)
             answer = open_forwarded_call(parts.line, server, call, scope)
             if isinstance(answer, AttemptFailure):
                 return answer
@@ -313,17 +301,6 @@
     return AnswerCut(server.name, Ran.MAY_HAVE_RUN, "no results that can be read")
 
 
-def _call_without_id(
-    method: str, encode: Callable[[float], bytes | AttemptFailure]
-) -> OutgoingCall:
-    """Return a call with a connection of its own.
-
-    Calls to stage servers carry no id, so that on a kept connection an extra answer
-    that arrives late would be taken for the answer to the next call.
-    """
-    return OutgoingCall(method, "", encode, fresh=True, kept=False)
-
-
 def _run_logged(work: Callable[..., None], *arguments: object) -> None:
     """Run a function and log the exception that it raises, if any."""
     try:
--- a/tests/features/restarted_entries.feature
+++ b/tests/features/restarted_entries.feature
@@ -13,6 +13,7 @@
     Then no stream holds events of two versions
     And at least half of the streams of "v1" that were taken up went on
     And at least half of the streams of "v2" that were taken up went on
+    And no engine is asked for its prompt parts more than 18 times
 
   @fixture.route-site.6
   Scenario Outline: streams hold events of one version after "v1" <fate> before the kill
--- a/tests/features/steps/restarted_entries.py
+++ b/tests/features/steps/restarted_entries.py
@@ -274,3 +274,15 @@
     went_on = sum(tries.whole for tries in taken)
     statuses = [tries.statuses for tries in taken if not tries.whole]
     assert 2 * went_on >= len(taken), (went_on, len(taken), statuses)
+
+
+@then("no engine is asked for its prompt parts more than {most:d} times")
+def step(context, most):
+    asked = [engine.part_list_calls for engine in context.site.of_kind("engine")]
+    assert max(asked) <= most, asked
+
+
+@then("no engine is asked for its prompt parts")
+def step(context):
+    asked = [engine.part_list_calls for engine in context.site.of_kind("engine")]
+    assert not any(asked), asked
--- a/tests/features/steps/stream_origins.py
+++ b/tests/features/steps/stream_origins.py
@@ -1,15 +1,24 @@
 """Steps on the records of which software version began a stream, without sockets."""
 
 from collections import Counter
+from types import SimpleNamespace
 
 from behave import given, then, when
 
+from boragestream.backend.cancellation import CancelScope
+from boragestream.document.routes import CallKind, Route, RouteTarget
 from boragestream.entry.links import PeerRejected, PeerUnreachable
 from boragestream.entry.stream_messages import OriginAsk, OriginReply
 from boragestream.entry.stream_records import StreamRecords
+from boragestream.platform.reader import PlatformUnreachable
+from boragestream.platform.wire import read_request
 from boragestream.policy.peers import ListedEntry
+from boragestream.policy.prompt_caches import CachedPart, resolve_by_caches
+from boragestream.policy.publication import Change, Changes, HistoryGone
+from boragestream.policy.retained_changes import read_retained
 from boragestream.policy.servers import Server
 from boragestream.policy.stream_origins import (
+    OriginAmbiguous,
     OriginReport,
     OriginUnknown,
     StreamOrigin,
@@ -19,6 +28,8 @@
     resolve_origin,
     stream_key,
 )
+from boragestream.serving.forwarded_run import ForwardedRun
+from boragestream.serving.request import SentRecord
 from tests.standins.clock import SetClock
 from tests.standins.fleet import wait_until
 
@@ -249,7 +260,7 @@
 }
 
 
-def stream_records(history, clock, reply):
+def stream_records(history, clock, reply, read_past=lambda: None):
     """Return the records of an entry with one peer that gives an answer."""
     return StreamRecords(
         "own",
@@ -258,6 +269,7 @@
         lambda: [PEER],
         FixedLinks(reply),
         lambda: 0.0,
+        read_past,
     )
 
 
@@ -346,3 +358,139 @@
 @then("the peer holds the records of the last {count:d}")
 def step(context, count):
     assert context.held == context.keys[-count:], context.held
+
+
+PASTS = {
+    'a past that names "v1"': ("v1", True),
+    'a past that names "v1, v2"': ("v1 v2", True),
+    "a past with an unnamed server": ("v1", False),
+    "a past that could not be read": None,
+}
+
+
+@given('entries that have listed "{version}" alone for {seconds:d} s, beside {past}')
+def step(context, version, seconds, past):
+    clock = SetClock()
+    history = VersionHistory(clock)
+    history.take_list(listed_servers(version))
+    clock.seconds += seconds
+    context.key = stream_key("account", "r-1")
+
+    def read_past():
+        if PASTS[past] is not None:
+            versions, complete = PASTS[past]
+            history.add_past(listed_servers(versions), complete)
+
+    def reply(address, message):
+        return OriginReply((), ((version,),), False, float(seconds))
+
+    context.records = stream_records(history, clock, reply, read_past)
+
+
+@given(
+    "engines of which {engines} a stream of {events:d} events "
+    "and a prompt of {tokens:d} tokens"
+)
+def step(context, engines, events, tokens):
+    context.events, context.tokens = events, tokens
+    context.cached = []
+    if engines.startswith("none can say"):
+        context.cached = None
+    elif engines.startswith('"'):
+        for engine in engines.split('"')[1].split(", "):
+            version, kept = engine.split()
+            origin = StreamOrigin(SERVICE, version)
+            context.cached.append(CachedPart(origin, int(kept)))
+
+
+@given('records of the stream at "{first}" and "{second}"')
+def step(context, first, second):
+    for version in (first, second):
+        context.records.note_began(context.key, StreamOrigin(SERVICE, version))
+
+
+@when("the stream is taken up")
+def step(context):
+    found = context.records.find(context.key, (SERVICE,))
+    if not isinstance(found, OriginAmbiguous):
+        assert isinstance(found, OriginUnknown), found
+        found = resolve_by_caches(found, context.cached, context.tokens, context.events)
+    context.resolved = found
+
+
+@given("a store at revision {revision:d} that retains the last {kept:d} changes")
+def step(context, revision, kept):
+    context.revision, context.calls = revision, 0
+
+    def watch(after):
+        context.calls += 1
+        if after < revision - kept:
+            return HistoryGone()
+        numbers = range(after + 1, revision + 1)
+        return Changes(revision, tuple(Change(f"s/{n}", n, b"") for n in numbers))
+
+    context.watch = watch
+
+
+@given("a store at revision {revision:d} that gives no answer")
+def step(context, revision):
+    context.revision = revision
+    context.watch = lambda after: PlatformUnreachable("store", "timeout")
+
+
+@when("the retained changes are read")
+def step(context):
+    context.retained = read_retained(context.watch, context.revision)
+
+
+@then("they are the last {kept:d}, read with at most {most:d} calls")
+def step(context, kept, most):
+    retained, revision = context.retained, context.revision
+    assert retained.start == revision - kept, retained.start
+    numbers = [change.revision for change in retained.changes]
+    assert numbers == list(range(revision - kept + 1, revision + 1)), numbers[:3]
+    assert context.calls <= most, context.calls
+
+
+@then("the failure is returned")
+def step(context):
+    assert isinstance(context.retained, PlatformUnreachable), context.retained
+
+
+TAKES = {
+    "a stream that is taken up": {"Last-Event-Id": "3", "Resumes": "r-0"},
+    "a stream that is named only": {"Resumes": "r-0"},
+    "a stream that begins": {},
+}
+
+
+@given(
+    "{what} on a {kind} route with an objective of {objective:d} s, and {left:d} s left"
+)
+def step(context, what, kind, objective, left):
+    headers = {"Host": "h", "Request-Id": "r-1", **TAKES[what]}
+    context.run = ForwardedRun(
+        request=read_request("POST", "/", headers.items(), b""),
+        route=Route(
+            "route",
+            "h",
+            "/",
+            CallKind.IDEMPOTENT if kind == "plain" else CallKind.STREAM,
+            (RouteTarget(SERVICE),),
+            20.0,
+            float(objective),
+            resumable=kind == "resumable",
+        ),
+        table=SimpleNamespace(services={}, version=1),
+        account="account",
+        priority=0,
+        service=SERVICE,
+        scope=CancelScope(1000.0 + left),
+        arrived=1000.0,
+        sent=SentRecord(),
+    )
+
+
+@then("it must begin within {seconds:d} s")
+def step(context, seconds):
+    assert context.run.objective_at == 1000.0 + seconds, context.run.objective_at
--- a/tests/features/stream_origins.feature
+++ b/tests/features/stream_origins.feature
@@ -12,9 +12,9 @@
       | none, v1, complete   |                                             | 0       | goes on at v1   |
       | none, v1, complete   |                                             | 2       | goes on at v1   |
       | none, v1, partial    | none, v1, complete                          | 1       | goes on at v1   |
-      | none, v1, partial    | none, v1, partial                           | 0       | goes on at v1   |
-      | none, v1, partial    | none, v1, partial                           | 1       | goes on at v1   |
-      | none, v1, partial    |                                             | 0       | goes on at v1   |
+      | none, v1, partial    | none, v1, partial                           | 0       | is refused      |
+      | none, v1, partial    | none, v1, partial                           | 1       | is refused      |
+      | none, v1, partial    |                                             | 0       | is refused      |
       | none, v1, partial    |                                             | 1       | is refused      |
       | none, v1, partial    | none, v1 v2, partial                        | 1       | is refused      |
       | none, v1, complete   | none, v1 v2, complete                       | 0       | is refused      |
@@ -26,6 +26,64 @@
       | v1 v2, v1 v2, partial | v1, v1 v2, complete                        | 0       | is refused      |
       | none, v1 v2, partial | none, v1 v2, complete                       | 0       | is refused      |
 
+  # Guards against entries that have all started lately, and take one version in all of
+  # their lists for the only one that has served.
+  Scenario Outline: engines <engines> show where a stream goes on of which no entry knows, beside <past>
+    Given entries that have listed "v1" alone for 2 s, beside <past>
+    And engines of which <engines> a stream of 5 events and a prompt of 100 tokens
+    When the stream is taken up
+    Then the stream <goes>
+
+    Examples:
+      | past                             | engines                                  | goes          |
+      | a past that names "v1"           | "v1 110" keep                            | goes on at v1 |
+      | a past that names "v1"           | "v1 100" keep                            | goes on at v1 |
+      | a past that names "v1"           | none keeps                               | is refused    |
+      | a past that names "v1"           | none can say whether it keeps            | goes on at v1 |
+      | a past that names "v1"           | "v1 110, v2 110" keep                    | is refused    |
+      | a past that names "v1"           | "v1 110, v2 100" keep                    | goes on at v1 |
+      | a past that names "v1, v2"       | "v1 110" keep                            | goes on at v1 |
+      | a past that names "v1, v2"       | "v2 105" keep                            | goes on at v2 |
+      | a past that names "v1, v2"       | "v2 104" keep                            | is refused    |
+      | a past that names "v1, v2"       | "v2 100" keep                            | is refused    |
+      | a past that names "v1, v2"       | none can say whether it keeps            | is refused    |
+      | a past with an unnamed server    | "v1 110" keep                            | goes on at v1 |
+      | a past with an unnamed server    | "v1 100" keep                            | is refused    |
+      | a past with an unnamed server    | none can say whether it keeps            | is refused    |
+      | a past that could not be read    | "v1 110" keep                            | goes on at v1 |
+      | a past that could not be read    | none can say whether it keeps            | is refused    |
+
+  # Guards against two streams under one name, of which the caches would show one.
+  Scenario: engines are not asked for a stream whose name two versions claim
+    Given entries that have listed "v1" alone for 2 s, beside a past that names "v1, v2"
+    And engines of which "v1 110" keep a stream of 5 events and a prompt of 100 tokens
+    And records of the stream at "v1" and "v2"
+    When the stream is taken up
+    Then the stream is refused
+
+  # Guards against changes of the store that are left out of a history, and against a
+  # call for each of them.
+  Scenario Outline: all changes are read that the store retains: <kept> of <all>
+    Given a store at revision <all> that retains the last <kept> changes
+    When the retained changes are read
+    Then they are the last <kept>, read with at most <most> calls
+
+    Examples:
+      | all     | kept   | most |
+      | 0       | 0      | 1    |
+      | 50      | 50     | 1    |
+      | 50      | 0      | 8    |
+      | 50      | 1      | 8    |
+      | 5000    | 64     | 16   |
+      | 5000    | 700    | 16   |
+      | 1000000 | 0      | 8    |
+      | 1000000 | 100000 | 24   |
+
+  Scenario: the past is unknown while the store gives no answer
+    Given a store at revision 50 that gives no answer
+    When the retained changes are read
+    Then the failure is returned
+
   # Guards against an entry whose server list lags, and that goes on at the one version it
   # knows with a stream that began at a newer one.
   Scenario Outline: an entry that has listed v1 alone for 30 s, and whose peer <peer>
--- a/tests/features/stream_versions.feature
+++ b/tests/features/stream_versions.feature
@@ -42,6 +42,7 @@
     Then no stream holds events of two versions
     And at least 9 streams in ten went on
     And the logs name "record" as the basis of each
+    And no engine is asked for its prompt parts
 
     Examples:
       | fate      |
@@ -94,7 +95,7 @@
     Given engines of the versions "v1 v1"
     When a request takes up an unknown stream at each entry
     Then each goes on behind its last event
-    And the logs name "single version" as the basis of each
+    And the logs name "store history" as the basis of each
 
   # Guards against streams that are refused while a single version serves, by entries that
   # have just started and don't reach all others.
--- a/tests/standins/regions.py
+++ b/tests/standins/regions.py
@@ -149,6 +149,7 @@
             pieces=tuple(1 for _ in stages),
             last_event=None,
             resumes="",
+            takes_up_stream=False,
         )
         route = Route(
             "route",
