Count the reports behind a decision that rests on the store's history

The line of a stream that went on by the store's history named 0 reports, though it rests on the versions that the entries reported as well.

--- a/boragestream/policy/prompt_caches.py
+++ b/boragestream/policy/prompt_caches.py
@@ -51,7 +51,10 @@
         if not unknown.sole_version:
             return unknown
         return ResolvedOrigin(
-            sole, OriginBasis.STORE_HISTORY, unknown.followed_seconds, 0
+            sole,
+            OriginBasis.STORE_HISTORY,
+            unknown.followed_seconds,
+            unknown.reports,
         )
     parts = list(cached)
     least = prompt_tokens + max(1, events)
--- a/boragestream/policy/stream_origins.py
+++ b/boragestream/policy/stream_origins.py
@@ -99,6 +99,7 @@
     :ivar reason: what is missing.
     :ivar followed_seconds: for how long the entry that has followed the server list
         longest has followed it, among those that were asked.
+    :ivar reports: the number of entries that reported what they know.
     :ivar sole_version: the only version that is known to have served, from the lists of
         these entries and from what the store retains; empty if there are several.
     """
@@ -106,6 +107,7 @@
     service: str
     reason: str
     followed_seconds: float = 0.0
+    reports: int = 0
     sole_version: str = ""
 
 
@@ -198,7 +200,7 @@
         return resolved(StreamOrigin(service, sole), OriginBasis.SINGLE_VERSION)
     if len(combined.origins) > 1:
         reason = "streams of two versions have this name"
-        return OriginAmbiguous(service, reason, followed)
+        return OriginAmbiguous(service, reason, followed, len(reports))
     if combined.origins:
         return resolved(next(iter(combined.origins)), OriginBasis.RECORD)
     reason = "no record"
@@ -206,7 +208,8 @@
         reason += f", and {missing} entries not reached"
     if sole:
         reason += ", and no entry has followed the list for long"
-    return OriginUnknown(service, reason, followed, sole if past_known else "")
+    sole_known = sole if past_known else ""
+    return OriginUnknown(service, reason, followed, len(reports), sole_known)
 
 
 def combine_reports(reports: Sequence[OriginReport]) -> OriginReport:
