Give streams that are taken up until their deadline to go on

Callers took up streams that had broken, and the queues of their stages refused them as late, though their deadlines were seconds away.

Cause: the time to the first event was counted anew for each try of a caller. One that takes a stream up has its first event. What counts from there is that the rest arrives before its deadline.

Change: such a stream has half of the time that its caller still waits to go on. It is queued by that time, like any other.

--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -106,8 +106,15 @@
 
     @property
     def objective_at(self) -> float:
-        """The clock's time, in seconds, by which the answer should begin."""
-        return self.arrived + self.route.objective_seconds
+        """The clock's time, in seconds, by which the answer should begin.
+
+        A caller that takes a stream up has its first event, so that only its deadline
+        counts. Half of the time until then is left for the rest of the stream.
+        """
+        objective_at = self.arrived + self.route.objective_seconds
+        if not self.takes_up_stream:
+            return objective_at
+        return max(objective_at, (self.arrived + self.scope.deadline) / 2)
 
     @property
     def work_size(self) -> WorkSize:
--- a/tests/features/stream_origins.feature
+++ b/tests/features/stream_origins.feature
@@ -154,3 +154,18 @@
     Given a service with the versions "v1 v2", and a peer whose link fails once
     When 3 streams begin one after the other, each sent
     Then the peer holds the records of the last 2
+
+  # Guards against streams that their callers take up and that the queues of their stages
+  # refuse as late, since the time to a first event is counted anew.
+  Scenario Outline: <what> must begin within <within> s: <route> route, <left> s left
+    Given <what> on a <route> route with an objective of 2 s, and <left> s left
+    Then it must begin within <within> s
+
+    Examples:
+      | what                        | route         | left | within |
+      | a stream that is taken up   | resumable     | 10   | 5      |
+      | a stream that is taken up   | resumable     | 3    | 2      |
+      | a stream that is named only | resumable     | 10   | 5      |
+      | a stream that begins        | resumable     | 10   | 2      |
+      | a stream that is taken up   | non-resumable | 10   | 2      |
+      | a stream that is taken up   | plain         | 10   | 2      |
