Refuse numbers in server entries that no server writes

Callers saw: nothing yet on most paths. An entry of another writer with slots, seq or born of 20 to 400 digits, or negative, was taken as a server's and its address was called. In a brittle service the question for a seat at that server could not be sent.

Cause: read_server decoded any integer that Python can hold, and any finite cold time.

Evidence: SeatAsk with 20 digits in slots raises "OverflowError: can't serialize ints < -2**63 or > 2**64 - 1", which the sender doesn't expect. A cold time of 1e308 ms kept a server cold for the life of the entry.

An entry beyond them is malformed like any other: it names no server and is logged, the other entries hold. Negative cold times still mean that the server is warm.

--- a/boragestream/platform/published.py
+++ b/boragestream/platform/published.py
@@ -4,6 +4,7 @@
 import re
 import socket
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -44,6 +45,12 @@
 # Addresses whose first byte is this or more belong to no single machine.
 FIRST_MULTICAST = 224
 MAX_VERSION_CHARACTERS = 64
+# Larger numbers in a server's entry are not a server's. Messages between entries carry
+# 64 bits, and the sum of larger numbers and floats raises.
+MAX_COUNT = 2**63 - 1
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 86_400_000.0
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 STATES = {"ready": ServerState.LIVE, "draining": ServerState.LEAVING}
 
 
@@ -146,14 +153,14 @@
     # Of its software.
     version: str
     # How many requests it works on at once.
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
     state: str
-    # How much longer it is cold, when it wrote this.
-    cold_left_ms: float
+    # How much longer it is cold, when it wrote this; negative once it is warm.
+    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_MS)]
     # The number of orders that it has accepted.
-    seq: int
+    seq: Count
     # The Unix millisecond of its start; not published on every platform.
-    born: int | msgspec.UnsetType = msgspec.UNSET
+    born: Count | msgspec.UnsetType = msgspec.UNSET
 
 
 _configs = msgspec.json.Decoder(_Config)
@@ -203,7 +210,7 @@
         state=state,
         started_ms=entry.born if born_known else 0,
         cold_seconds=max(0.0, entry.cold_left_ms / 1000),
-        slots=max(0, entry.slots),
+        slots=entry.slots,
         version=_version(entry.version),
     )
 
--- a/tests/features/published_servers.feature
+++ b/tests/features/published_servers.feature
@@ -37,6 +37,56 @@
       | born         | null                  |
       | born         | true                  |
 
+  # Guards against numbers that can be decoded and on which later arithmetic with floats,
+  # or a message to another entry, fails.
+  Scenario Outline: a number that no server writes names no server: <field>, <number>
+    Given the published servers "i-1, i-2"
+    When the number "<field>" of the entry of "i-1" is <number>
+    Then the servers to use are "i-2"
+    And one line in the log names "servers/i-1"
+    When the entry of "i-1" is as before
+    Then the servers to use are "i-1, i-2"
+
+    Examples:
+      | field        | number              |
+      | slots        | -1                  |
+      | slots        | 1000001             |
+      | slots        | 9 x 20              |
+      | slots        | 9 x 400             |
+      | slots        | 9 x 5000            |
+      | slots        | -9 x 400            |
+      | seq          | -1                  |
+      | seq          | 9 x 20              |
+      | seq          | 9 x 400             |
+      | seq          | 9 x 5000            |
+      | born         | -1                  |
+      | born         | 9 x 20              |
+      | born         | 9 x 400             |
+      | born         | -9 x 400            |
+      | born         | 9 x 5000            |
+      | cold_left_ms | 1e308               |
+      | cold_left_ms | 1e400               |
+      | cold_left_ms | 9 x 20              |
+      | cold_left_ms | 9 x 400             |
+      | cold_left_ms | NaN                 |
+      | cold_left_ms | Infinity            |
+
+  # Guards against a bound on numbers that leaves out servers as they are published.
+  Scenario Outline: a number that a server writes names it: <field>, <number>
+    Given the published servers "i-1, i-2"
+    When the number "<field>" of the entry of "i-1" is <number>
+    Then the servers to use are "i-1, i-2"
+
+    Examples:
+      | field        | number              |
+      | slots        | 0                   |
+      | slots        | 1000000             |
+      | seq          | 0                   |
+      | seq          | 9223372036854775807 |
+      | born         | 9223372036854775807 |
+      | cold_left_ms | -1                  |
+      | cold_left_ms | 86400000            |
+
   Scenario Outline: bytes and keys that can't be read name no server
     Given the published servers "i-1, i-2"
     When "<key>" holds the bytes "<value>"
--- a/tests/features/steps/published_servers.py
+++ b/tests/features/steps/published_servers.py
@@ -147,6 +147,20 @@
         context.site.take()
 
 
+@when('the number "{field}" of the entry of "{name}" is {number}')
+def step(context, field, name, number):
+    digit, _, count = number.partition(" x ")
+    if count:
+        sign, digit = ("-", digit[1:]) if digit.startswith("-") else ("", digit)
+        number = sign + digit * int(count)
+    known = json.loads(context.site.values[f"servers/{name}"])
+    # json writes neither that many digits nor "1e400".
+    marked = json.dumps({**known, field: "@"})
+    value = marked.replace('"@"', number)
+    context.site.values[f"servers/{name}"] = value.encode()
+    context.site.take()
+
+
 @when('the entry of "{name}" is as before')
 def step(context, name):
     context.site.values = dict(context.before)
