Read load and idle headers of servers with numbers of any length

Callers saw: 502 for calls that servers had answered with 200 and their seal; chains got 503. Each server that named a load of 5,000 digits, or a load or an idle time with a superscript digit, failed all of its calls that way.

Cause: the values were checked with str.isdigit, which accepts any length and digits such as the superscript two; int() refuses more than 4,300 digits and float() the superscript. The ValueError was raised where the head is read, outside the handling of failed attempts, so that no other server was tried.

Evidence: 10 of 10 calls on /safe, /unsafe, /chat, /draft and /staged through two entries: 502, and 503 for the chains; "ValueError at platform/wire.py:332" in their logs.

Why this works: a number of more than nine ASCII digits is none. The header is then ignored, like other malformed ones; nothing else depends on it.

--- a/boragestream/platform/wire.py
+++ b/boragestream/platform/wire.py
@@ -4,6 +4,7 @@
 that this module fills and reads.
 """
 
+import re
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from http import HTTPStatus
@@ -59,6 +60,8 @@
 BRITTLE = "Server-Brittle"
 RETRY_AFTER = "Retry-After"
 IDLE_TIMEOUT = "timeout="
+# Longer numbers are no counts. ``str.isdigit`` accepts digits that ``int`` refuses.
+COUNT = re.compile(r"[0-9]{1,9}", re.ASCII)
 OTHER_SERVER_STATUS = 421
 # Sent from one entry to another; not a header of the platform.
 DELEGATION = "Boragestream-Delegation"
@@ -321,12 +324,12 @@
     for part in value.split(","):
         if part.strip().lower().startswith(IDLE_TIMEOUT):
             digits = part.strip()[len(IDLE_TIMEOUT) :]
-            return float(digits) if digits.isdigit() else None
+            return float(digits) if COUNT.fullmatch(digits) else None
     return None
 
 
 def _load(value: str) -> tuple[int, int, int] | None:
-    parts = value.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    parts = [part.strip() for part in value.split(",")]
+    if len(parts) != 3 or not all(COUNT.fullmatch(part) for part in parts):
         return None
     return int(parts[0]), int(parts[1]), int(parts[2])
--- /dev/null
+++ b/tests/features/odd_answers.feature
@@ -0,0 +1,28 @@
+@fixture.route-site.2
+Feature: answers of servers with numbers that can't be are served or fail alone
+  No number of any length in an answer ends anything but the call that it answers.
+
+  # Guards against header values that raise where an answer's head is read: the call
+  # then fails although it was answered, and callers get 502.
+  Scenario Outline: servers that say "<header>: <value>" are answered from: <kind>
+    Given all "<kind>" servers say "<header>: <value>" in each answer
+    When the path of "<kind>" servers is called at all entries
+    Then every answer is whole and from a server
+
+    Examples:
+      | kind   | header       | value          |
+      | plain  | Server-Load  | 1,9 x 5000,1   |
+      | plain  | Server-Load  | 1,1,9 x 400    |
+      | plain  | Server-Load  | ²,1,1     |
+      | plain  | Server-Load  | -1,nan,inf     |
+      | plain  | Keep-Alive   | timeout=9 x 5000 |
+      | plain  | Keep-Alive   | timeout=² |
+      | plain  | Server-Limit | 9 x 5000       |
+      | plain  | Server-Limit | nan            |
+      | plain  | Retry-After  | 9 x 5000       |
+      | engine | Server-Load  | 1,9 x 5000,1   |
+      | engine | Keep-Alive   | timeout=² |
+      | engine | Server-Brittle | 9 x 5000     |
+      | stage  | Server-Load  | 1,9 x 5000,1   |
+      | stage  | Server-Load  | ²,1,1     |
+      | stage  | Keep-Alive   | timeout=² |
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -118,6 +118,8 @@
         self.pause = None
         # The requests a second that it names in each answer, as text; None for none.
         self.limit = None
+        # Headers that it adds to each answer, by name.
+        self.added_headers = {}
         # When it named a limit first.
         self.limited_at = None
         # When each call came, whatever it asked for.
@@ -553,6 +555,7 @@
         if sealed:
             lines.append(f"Server-Seal: seal-of-{self.identity}")
         lines += [f"{name}: {value}" for name, value in more]
+        lines += [f"{name}: {value}" for name, value in self.added_headers.items()]
         if self.leaving:
             lines.append("Server-Leaving: 1")
         if self.brittle is not None:
@@ -563,7 +566,7 @@
         if body is not None and framed:
             lines.append(f"Content-Length: {len(body)}")
         content = b"" if body is None else body[:sent]
-        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
         data = head[:-head_cut] if head_cut else head + content
         sock.sendall(data)
         return data
