Break a stream at an event number that can't be read

Callers saw: a resumable stream that ended without its end after two of six events, as its server had sent an event number of 5,000 digits. Another server could have gone on with it.

Cause: int() refuses more than 4,300 digits. The ValueError left the loop that hands the stream on to another server.

Evidence: events 1 and 2 of /chat/long-number, one run, cut.

Why this works: a number of more than 18 digits breaks the stream like a gap in the numbers does. Resumable streams go on at another server; others are cut there, as before.

Tests: odd_answers.feature, the scenario on /chat failed before and passes now; the one on /draft passed before.

--- a/boragestream/serving/event_stream.py
+++ b/boragestream/serving/event_stream.py
@@ -14,6 +14,8 @@
 __all__ = ["EventSplitter", "StreamBroken", "StreamOversized"]
 
 EVENT_NUMBER = re.compile(rb"^id:[ ]?(\d+)[ ]*\r?$", re.MULTILINE)
+# ``int`` refuses more than 4,300 digits.
+MAX_NUMBER_DIGITS = 18
 MAX_EVENT_BYTES = 1_048_576
 # A server that resumes a stream at its beginning sends each event again.
 MAX_DUPLICATES = 16_384
@@ -65,7 +67,10 @@
         for event in self._buffer.take(data):
             match = EVENT_NUMBER.search(event)
             if match is not None:
-                event_number = int(match.group(1))
+                digits = match.group(1)
+                if len(digits) > MAX_NUMBER_DIGITS:
+                    return StreamBroken(f"event number of {len(digits)} digits")
+                event_number = int(digits)
                 if self._last is not None and event_number <= self._last:
                     self._duplicates_left -= 1
                     if self._duplicates_left < 0:
--- a/tests/features/odd_answers.feature
+++ b/tests/features/odd_answers.feature
@@ -26,3 +26,14 @@
       | stage  | Server-Load  | 1,9 x 5000,1   |
       | stage  | Server-Load  | ²,1,1     |
       | stage  | Keep-Alive   | timeout=² |
+
+  # Guards against an event number that raises in the middle of a stream, which then
+  # ends without another server being asked.
+  Scenario Outline: a stream with an event number of 5,000 digits breaks there: <path>
+    When the request "POST" "<path>" is sent
+    Then the events are "<events>", <whole>, and it ran <runs> times
+
+    Examples:
+      | path               | events           | whole | runs |
+      | /chat/long-number  | 1, 2, 3, 4, 5, 6 | whole | 2    |
+      | /draft/long-number | 1, 2             | cut   | 1    |
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -439,6 +439,8 @@
             event = b"id: %d\ndata: %d %s\n\n" % (number, number, words)
             if fault == "gap" and number == first + 2:
                 continue
+            if fault == "long-number" and number == first + 2:
+                event = b"id: %s\ndata: %d %s\n\n" % (b"9" * 5000, number, words)
             if fault in ("half", "unframed-half") and number == first + 2:
                 event = event[:7]
             self.wait_for_link(sock)
