Outlast answers of the store that are nested deep or too large

Callers saw: 404 on new routes, and nothing of any later change, at an entry that alone followed the store; an entry that started then was never ready.

Cause: an answer of the store with a field nested 100,000 levels raises RecursionError in the decoder, which the reader did not expect: it ended the thread that follows the store, which isn't started again. And a revision of 400 digits was taken as the position of the values, so that all later answers were older.

Evidence: "task_failed", Publication.run, RecursionError at store.py:153. Route /new/ was not served within 20 s after the store answered properly again. With three entries all followed, as the others relayed the changes.

Why this works: RecursionError is a malformed answer like others, after which the entry asks again; revisions are bounded to 64 bits by the shape.

--- a/boragestream/platform/store.py
+++ b/boragestream/platform/store.py
@@ -6,6 +6,7 @@
 
 import base64
 from dataclasses import dataclass
+from typing import Annotated
 from urllib.parse import urlencode
 
 import msgspec
@@ -36,12 +37,14 @@
 # A read that takes longer finds the store slow or out of reach, and is tried again.
 READ_SECONDS = 3.0
 MAX_PAGES = 1000
+# Revisions are sent on to other entries, whose messages carry 64 bits.
+Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class _Item(msgspec.Struct, frozen=True):
     key: str
     # The revision of its last change.
-    rev: int = 0
+    rev: Revision = 0
     # Base64 with padding.
     value: str = ""
     # Whether the key was removed.
@@ -52,13 +55,13 @@
     items: tuple[_Item, ...]
     # Whether more items follow.
     truncated: bool
-    store_revision: int
+    store_revision: Revision
 
 
 class _Events(msgspec.Struct, frozen=True):
     events: tuple[_Item, ...]
     # The revision from which to go on.
-    store_revision: int
+    store_revision: Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,7 +154,7 @@
         try:
             era = read_era(answer.headers, ERA_HEADER)
             return _Answer(decoder.decode(answer.value), era)
-        except (msgspec.DecodeError, ValueError) as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             return PlatformUnreachable(self.address + path, repr(error))
 
 
--- a/tests/features/steps/route_entries.py
+++ b/tests/features/steps/route_entries.py
@@ -20,6 +20,28 @@
 
 EXAMPLE = Path(__file__).parents[3] / "examples" / "route-entry.toml"
 NAMES = ("entry-0", "entry-1", "entry-2")
+# An entry has asked the store by then.
+STARTING_SECONDS = 2.0
+LEVELS = b"[" * 100_000 + b"]" * 100_000
+
+
+def store_answer(revision, items=b"[]", more=b"0"):
+    """Return an answer that stands for a read and for a watch."""
+    return (
+        b'{"store_revision":%s,"items":%s,"events":%s,"truncated":false,"more":%s}'
+        % (revision, items, items, more)
+    )
+
+
+ODD_ANSWERS = {
+    "100,000 levels": LEVELS,
+    "100,000 levels in unknown fields": store_answer(b"1", more=LEVELS),
+    "a revision of 400 digits": store_answer(b"9" * 400),
+    "items of revisions of 400 digits": store_answer(
+        b"1", b'[{"key":"op/other","value":"e30=","rev":%s}]' % (b"9" * 400)
+    ),
+    "a revision of 5,000 digits": store_answer(b"9" * 5000),
+}
 
 
 @when('the entry "{name}" is killed')
@@ -79,7 +101,7 @@
 
 def wait_for_status(context, path, status):
     """Wait until each entry answers a path with a status, then check it once more."""
-    for name in NAMES:
+    for name in context.site.entries:
         wait_until(
             lambda n=name: context.site.call(path, "GET", None, n).status == status,
             what=f"{name} answers {status} to {path}",
@@ -103,6 +125,32 @@
     time.sleep(0.5)
 
 
+@when("the store answers with {odd} for {seconds:g} seconds")
+def step(context, odd, seconds):
+    store = context.site.store
+    store.odd_body = ODD_ANSWERS[odd]
+    # Ends the watches that wait.
+    store.put("op/other", None)
+    store.put("servers/other", None)
+    time.sleep(seconds)
+    store.odd_body = None
+
+
+@given('"{name}" ends')
+def step(context, name):
+    context.site.kill(name)
+
+
+@when('"{name}" starts while the store answers with {odd}')
+def step(context, name, odd):
+    site = context.site
+    site.store.odd_body = ODD_ANSWERS[odd]
+    site.entries[name].start()
+    time.sleep(STARTING_SECONDS)
+    site.store.odd_body = None
+    site.wait_ready(name)
+
+
 @when('the store is back and version {version:d} has the route "{prefix}"')
 def step(context, version, prefix):
     context.site.store.down = None
--- a/tests/standins/http.py
+++ b/tests/standins/http.py
@@ -28,7 +28,10 @@
 
     def reply(self, body, status=200, headers=()):
         """Answer with JSON."""
-        content = json.dumps(body).encode()
+        self.reply_bytes(json.dumps(body).encode(), status, headers)
+
+    def reply_bytes(self, content, status=200, headers=()):
+        """Answer with a body as it is."""
         self.send_response_only(status)
         for name, value in headers:
             self.send_header(name, value)
--- a/tests/standins/route_store.py
+++ b/tests/standins/route_store.py
@@ -46,6 +46,8 @@
         # Whether it comes back anew in the middle of each read.
         self.changes_era = False
         self.down = None
+        # What it answers in place of what it holds, as bytes; None for proper answers.
+        self.odd_body = None
         self.calls = 0
         self.lost = 0
         # How often it came back from a copy.
@@ -129,7 +131,9 @@
         if self.down is not None:
             self.reply(handler, {"error": self.down}, int(self.down))
             return
-        if path.endswith("kv-range"):
+        if self.odd_body is not None:
+            handler.reply_bytes(self.odd_body)
+        elif path.endswith("kv-range"):
             self.reply(handler, self.range(query))
         else:
             self.watch(handler, query)
