Refuse configurations with numbers that entries can't reckon with

Callers saw: 502 for each call of a service whose max_conns, slots, batch, call_ms or headroom_mb was too large, and 404 on all routes published after a version of 20 or 400 digits. Entries no longer heard from each other, as messages that name the version could not be packed.

Cause: read_route_document took integers of up to 4,300 digits and any finite float. Their sums and products with floats raise OverflowError.

Evidence, two entries: max_conns and pieces.slots of 400 digits, OverflowError at connection_shares.py:20 and piece_queue.py:190; call_ms of 1e308, OverflowError at forwarded_call.py:299; headroom_mb of 1e308, ValueError at piece_queue.py:158; a version of 20 digits, "task_failed", exchange, OverflowError at published_relay.py:188.

A configuration beyond them is malformed: it is logged and the one before stays in force.

--- a/boragestream/platform/published.py
+++ b/boragestream/platform/published.py
@@ -51,6 +51,10 @@
 MAX_SLOTS = 1_000_000
 MAX_COLD_MS = 86_400_000.0
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+# Bounds on the numbers of a configuration, within which the arithmetic of entries and
+# the timeouts of sockets hold. The largest time in milliseconds is 31 years.
+Whole = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+Real = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
 STATES = {"ready": ServerState.LIVE, "draining": ServerState.LEAVING}
 
 
@@ -66,14 +70,14 @@
 
 class _Target(msgspec.Struct, frozen=True):
     service: str
-    weight: float = 1.0
+    weight: Real = 1.0
 
 
 class _Stage(msgspec.Struct, frozen=True):
     service: str
-    after: tuple[int, ...] = ()
+    after: tuple[Whole, ...] = ()
     # The approximate size of one result.
-    bytes: float = 0.0
+    bytes: Real = 0.0
 
 
 class _Route(msgspec.Struct, frozen=True):
@@ -81,13 +85,13 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    goal_ms: float = 0.0
-    priority: int = 0
+    timeout_ms: Real
+    goal_ms: Real = 0.0
+    priority: Whole = 0
     service: str = ""
     # The services among which calls are divided, in place of ``service``.
     backends: tuple[_Target, ...] = ()
-    attempts: int = 1
+    attempts: Whole = 1
     stages: tuple[_Stage, ...] = ()
     public: bool = False
     resumable: bool = False
@@ -95,27 +99,27 @@
 
 
 class _Pieces(msgspec.Struct, frozen=True):
-    slots: int = 1
-    batch: int = 1
-    call_ms: float = 0.0
-    item_ms: float = 0.0
+    slots: Whole = 1
+    batch: Whole = 1
+    call_ms: Real = 0.0
+    item_ms: Real = 0.0
     # Room for results, not head room.
-    headroom_mb: float = 0.0
-    handle_s: float = 1.0
+    headroom_mb: Real = 0.0
+    handle_s: Real = 1.0
 
 
 class _Engine(msgspec.Struct, frozen=True):
-    slots: int = 1
-    kv_cap_tokens: float = 0.0
+    slots: Whole = 1
+    kv_cap_tokens: Real = 0.0
 
 
 class _Service(msgspec.Struct, frozen=True):
     name: str
-    max_conns: int = 64
+    max_conns: Whole = 64
     # How long a server is cold after its start, and the requests a second that it
     # tolerates meanwhile; 0 for any number.
-    cold_s: float = 0.0
-    cold_per_s: float = 0.0
+    cold_s: Real = 0.0
+    cold_per_s: Real = 0.0
     health_path: str = ""
     pieces: _Pieces | None = None
     engine: _Engine | None = None
@@ -124,19 +128,19 @@
 class _Tenant(msgspec.Struct, frozen=True):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: Whole | None = None
     home_regions: tuple[str, ...] = ()
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
+    max_header_bytes: Whole = 16384
+    max_body_bytes: Whole = 4194304
+    header_timeout_ms: Real = 3000.0
+    idle_timeout_ms: Real = 15000.0
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: int
+    version: Count
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
--- a/tests/features/odd_store_answers.feature
+++ b/tests/features/odd_store_answers.feature
@@ -29,3 +29,25 @@
       | 100,000 levels in unknown fields |
       | a revision of 400 digits         |
       | items of revisions of 400 digits |
+
+  # Guards against a configuration that is taken into force and then fails each call, as
+  # sums of its numbers and floats raise, or whose version no later one exceeds.
+  @fixture.route-site.2
+  Scenario Outline: a configuration with <number> as <field> is refused, the one before holds
+    When version 2 is published with <number> as <field>
+    Then an entry that follows the store refuses it, and none has it in force
+    And all entries serve "/safe/ok", "/chat/ok" and "/staged/ok"
+    When version 3 is published with the route "/new/"
+    Then all entries serve "/new/ok"
+
+    Examples:
+      | field                   | number   |
+      | version                 | 9 x 20   |
+      | version                 | 9 x 400  |
+      | version                 | 9 x 5000 |
+      | services.0.max_conns    | 9 x 400  |
+      | services.2.pieces.slots | 9 x 400  |
+      | services.2.pieces.batch | 9 x 400  |
+      | services.2.pieces.call_ms | 1e308  |
+      | services.2.pieces.headroom_mb | 1e308 |
+      | services.1.engine.slots | [ x 5000 |
--- a/tests/features/steps/odd_answers.py
+++ b/tests/features/steps/odd_answers.py
@@ -1,10 +1,16 @@
-"""Steps on servers whose answers have odd numbers and deep nesting."""
+"""Steps on servers and the store whose answers have odd numbers and deep nesting."""
 
+import json
 import re
+import time
 
 from behave import given, then, when
 
+from tests.standins.fleet import wait_until
+from tests.standins.route_site import configuration
+
 PATHS = {"plain": "/unsafe/ok", "engine": "/draft/ok", "stage": "/staged/ok"}
+RELAY_SECONDS = 1.0
 REPEATED = re.compile(r"(\S) x (\d+)")
 
 
@@ -37,3 +43,41 @@
         assert answer.status == 200 and answer.whole, got
         assert "Server-Seal" in answer.headers
         assert context.site.runs(answer.request_id) == 1
+
+
+@when("version {version:d} is published with {number} as {field}")
+def step(context, version, number, field):
+    published = configuration(version)
+    *path, last = field.split(".")
+    part = published
+    for name in path:
+        part = part[int(name)] if name.isdigit() else part[name]
+    part[last] = "@"
+    text = json.dumps(published).replace('"@"', spell_out(number))
+    context.site.store.put("op/config", text.encode())
+
+
+@then("an entry that follows the store refuses it, and none has it in force")
+def step(context):
+    site = context.site
+
+    def names(kind):
+        return [name for name in site.entries if site.events(name, kind)]
+
+    wait_until(lambda: names("configuration_invalid"), seconds=5, what="a refusal")
+    # What one entry has in force is with the others within this time.
+    time.sleep(RELAY_SECONDS)
+    for name in site.entries:
+        taken = site.events(name, "configuration_in_force")
+        assert {event["version"] for event in taken} == {1}, taken
+
+
+@then('all entries serve "{one}", "{two}" and "{three}"')
+def step(context, one, two, three):
+    for name in context.site.entries:
+        for path in (one, two, three):
+            headers = {}
+            if path.startswith("/staged"):
+                headers = {"Pieces": "2,1", "Piece_Key": "k"}
+            answer = context.site.call(path, entry=name, **headers)
+            assert answer.status == 200 and answer.whole, (path, answer.body)
