Test heads that servers cut through whole entries

Another operator's clients got a 200 with an empty or short body after a server had stopped in the middle of its answer's head. Cuts were tested at single calls only.

--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -120,6 +120,12 @@
         self.limit = None
         # Headers that it adds to each answer, by name.
         self.added_headers = {}
+        # How the head of the next answer with results is cut; None for whole ones.
+        self.piece_head_cut = None
+        # The bytes of the longest head of an answer with status 200.
+        self.longest_head = 0
+        # How many heads were cut at a byte that a caller or a test names.
+        self.cut_heads = 0
         # When it named a limit first.
         self.limited_at = None
         # When each call came, whatever it asked for.
@@ -524,6 +530,8 @@
                 self.held[handle] = (item["id"], item["stage"], item["piece"])
                 self.made[handle] = self.held[handle]
                 results.append({"handle": handle})
+        if self.piece_head_cut is not None:
+            headers["Cut-Head"], self.piece_head_cut = self.piece_head_cut, None
         sent = self.send(sock, headers, 200, json.dumps({"items": results}).encode())
         if self.repeats_late:
             self.repeated[sock] = sent
@@ -534,6 +542,29 @@
         self.send(sock, headers, 413, b"too long for me")
         time.sleep(0.1)
 
+    def cut_head(self, sock, headers, head):
+        """Send a part of a head alone, if the call's ``Cut-Head`` asks for it.
+
+        It names the number of bytes, how the connection ends, and "once" if only the
+        first run of the request is cut.
+        """
+        cut = headers.get("Cut-Head")
+        if cut is None:
+            return
+        count, end, often = cut.split()
+        struck = ("cut-head", headers["Request-Id"])
+        with self.lock:
+            if int(count) >= len(head) or (often == "once" and struck in self.struck):
+                return
+            self.struck.add(struck)
+            self.cut_heads += 1
+        sock.sendall(head[: int(count)])
+        if end == "silence":
+            wait_closed(sock, STALL_SECONDS)
+        elif end == "reset":
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        raise OSError("cut")
+
     def send(
         self,
         sock,
@@ -569,6 +600,9 @@
             lines.append(f"Content-Length: {len(body)}")
         content = b"" if body is None else body[:sent]
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+        if status == 200 and sealed:
+            self.longest_head = max(self.longest_head, len(head))
+            self.cut_head(sock, headers, head)
         data = head[:-head_cut] if head_cut else head + content
         sock.sendall(data)
         return data
