Take only handles that fit in a header for results of stages

Callers saw: 502 for a chain one of whose results had a handle with a letter outside latin-1, or of 100,000 characters. A handle with a line break added headers to the engine's call, such as another Tenant, and one with a comma a second input.

Cause: read_piece_results took any text for a handle, and encode_call put it into the Inputs header as it was.

Evidence: the engine was given the input "a" for the handles "a,b" and "a\r\nTenant: b"; UnicodeEncodeError at wire.py:219 for the third.

Why this works: a handle has 1 to 200 visible ASCII characters without a comma. A result with any other one counts as an error of its server, and the piece is made again.

Tests: the four new scenarios of odd_answers.feature failed before, all 21 of the feature pass now.

--- a/boragestream/platform/pieces.py
+++ b/boragestream/platform/pieces.py
@@ -1,5 +1,7 @@
 """Calls to stage servers, translated to and from the platform's form."""
 
+import re
+
 import msgspec
 
 from boragestream.document.calls import Piece, PieceFault, PieceResult, StageReport
@@ -19,6 +21,8 @@
 FREE_CALL = "/boragestream/stage-free"
 REPORT_CALL = "/boragestream/report"
 SERVER_ID = "Expect-Instance"
+# Handles are listed, with commas between them, in a header of the call that needs them.
+HANDLE = re.compile(r"[!-+\--~]{1,200}", re.ASCII)
 FAULTS = {
     "late": PieceFault.LATE,
     "gone": PieceFault.INPUT_GONE,
@@ -119,10 +123,13 @@
         items = _results.decode(body).items
     except (msgspec.DecodeError, RecursionError):
         return None
-    return [
-        PieceResult(item.handle, _fault(item.reason) if not item.handle else None)
-        for item in items
-    ]
+    return [_piece_result(item) for item in items]
+
+
+def _piece_result(item: _Result) -> PieceResult:
+    if HANDLE.fullmatch(item.handle):
+        return PieceResult(item.handle, None)
+    return PieceResult("", PieceFault.ERROR if item.handle else _fault(item.reason))
 
 
 def _fault(reason: str) -> PieceFault:
--- a/tests/features/odd_answers.feature
+++ b/tests/features/odd_answers.feature
@@ -37,3 +37,18 @@
       | path               | events           | whole | runs |
       | /chat/long-number  | 1, 2, 3, 4, 5, 6 | whole | 2    |
       | /draft/long-number | 1, 2             | cut   | 1    |
+
+  # Guards against a handle that breaks the head of the call that names it, or adds
+  # headers and inputs to it.
+  Scenario Outline: a result with the handle <handle> is no result
+    Given the next results of all stage servers have the handle <handle>
+    When the path of "stage" servers is called at all entries
+    Then every answer is whole and from a server
+    And no engine was given an odd handle
+
+    Examples:
+      | handle            |
+      | "a\r\nTenant: b"  |
+      | "a,b"             |
+      | "\u0142"         |
+      | "h x 100000"      |
--- a/tests/features/steps/odd_answers.py
+++ b/tests/features/steps/odd_answers.py
@@ -11,7 +11,7 @@
 
 PATHS = {"plain": "/unsafe/ok", "engine": "/draft/ok", "stage": "/staged/ok"}
 RELAY_SECONDS = 1.0
-REPEATED = re.compile(r"(\S) x (\d+)")
+REPEATED = re.compile(r'([^\s"]) x (\d+)')
 
 
 def spell_out(text):
@@ -81,3 +81,18 @@
                 headers = {"Pieces": "2,1", "Piece_Key": "k"}
             answer = context.site.call(path, entry=name, **headers)
             assert answer.status == 200 and answer.whole, (path, answer.body)
+
+
+@given("the next results of all stage servers have the handle {handle}")
+def step(context, handle):
+    for server in context.site.of_kind("stage"):
+        server.odd_handle = json.loads(spell_out(handle))
+
+
+@then("no engine was given an odd handle")
+def step(context):
+    made = {h for s in context.site.of_kind("stage") for h in s.made}
+    for engine in context.site.of_kind("engine"):
+        for handles in engine.inputs.values():
+            assert made.issuperset(handles), handles
+        assert set(engine.accounts) <= {"account"}, engine.accounts
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -82,6 +82,9 @@
         self.pieces = Counter()
         self.piece_calls = 0
         self.piece_fault = None
+        # What it calls the results of its next call that has inputs; None for proper
+        # handles.
+        self.odd_handle = None
         # Whether a stage server has lost each result that a piece needs.
         self.loses_results = False
         self.full = False
@@ -500,6 +503,9 @@
             self.piece_calls += 1
             number = self.piece_calls
             fault, self.piece_fault = self.piece_fault, None
+            odd_handle = None
+            if any(item.get("inputs") for item in call["items"]):
+                odd_handle, self.odd_handle = self.odd_handle, None
         if fault == "cut":
             raise OSError("cut")
         if fault == "crash":
@@ -526,6 +532,9 @@
                 if fault in ("error", "gone", "room", "late"):
                     results.append({"reason": fault})
                     continue
+                if odd_handle is not None:
+                    results.append({"handle": odd_handle})
+                    continue
                 handle = f"{self.address}/{number}-{index}"
                 self.held[handle] = (item["id"], item["stage"], item["piece"])
                 self.made[handle] = self.held[handle]
