Refuse a caller's deadline that is no finite number

Callers saw: 502 for a plain call with Deadline-Ms of nan, inf or beyond a float, and a stream that never ended though all its events had come.

Cause: the deadline was read as any float. The length of the wait, logged at the end of the request, can't be an integer then: ValueError at forwarding.py:323.

Evidence: calls of /unsafe got 502 with "entry-broken" and those of /chat 200 with six events, cut, for each of the three values.

Why this works: such a header is malformed like other numbers that can't be read, so that the request is refused with 400 and nothing runs.

Tests: 6 new examples in forwarded_path.feature failed before; all 84 of the feature pass now.

--- a/boragestream/platform/wire.py
+++ b/boragestream/platform/wire.py
@@ -4,6 +4,7 @@
 that this module fills and reads.
 """
 
+import math
 import re
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
@@ -152,7 +153,7 @@
             path=target.partition("?")[0],
             body=body,
             key=_key(known.get(KEY.lower(), "")),
-            wait_seconds=None if left_ms is None else float(left_ms) / 1000,
+            wait_seconds=None if left_ms is None else _finite(left_ms) / 1000,
             last_event=None if resume is None else int(resume),
             resumes=known.get(RESUMED_REQUEST.lower(), "").strip(),
             prompt=_prompt(known.get(PROMPT_PARTS.lower(), "")),
@@ -282,6 +283,13 @@
     return headers
 
 
+def _finite(value: str) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError("not finite")
+    return number
+
+
 def _key(value: str) -> str:
     return value[len(KEY_SCHEME) :].strip() if value[:7].lower() == KEY_SCHEME else ""
 
--- a/tests/features/forwarded_path.feature
+++ b/tests/features/forwarded_path.feature
@@ -148,6 +148,12 @@
       | /elsewhere/x | Authorization | same         | 404    |
       | /unsafe/ok   | Host          | b.example    | 404    |
       | /unsafe/ok   | Deadline-Ms   | soon         | 400    |
+      | /unsafe/ok   | Deadline-Ms   | nan          | 400    |
+      | /unsafe/ok   | Deadline-Ms   | inf          | 400    |
+      | /unsafe/ok   | Deadline-Ms   | 1e400        | 400    |
+      | /chat/ok     | Deadline-Ms   | nan          | 400    |
+      | /chat/ok     | Deadline-Ms   | inf          | 400    |
+      | /chat/ok     | Deadline-Ms   | 1e400        | 400    |
 
   Scenario: a public route needs no key, and a key is never passed on or logged
     When the request "GET" "/public/ok" is sent with "Authorization" as ""
