Leave odd instances of the pipelines' list out, one by one

Callers saw: servers that the list named as leaving or new were called or left out as before, and an entry that started then knew no server, as long as one instance in the list had a port out of range, a number too large or an unknown state. Odd peer ports and addresses were taken.

Cause: parse_instances refused the whole list for one instance. It bounded neither peer_port nor the address, which becomes part of request heads.

Evidence: entries didn't hold a server to be leaving within 40 s after it was listed so beside an instance with port 0; an address with a line break was in the list of servers.

Why this works: if the list as a whole is refused, each instance is decoded by itself. Malformed ones are logged and left out, as server entries are where calls are forwarded by routes. A list that isn't a list of instances is refused whole as before, and so is one with an instance nested beyond the decoder's depth, which can't be split.

--- a/boragestream/daemon/tasks.py
+++ b/boragestream/daemon/tasks.py
@@ -33,6 +33,8 @@
 
 RETRY_SECONDS = 0.5
 ROLE_CHECK_SECONDS = 0.5
+# A faulty writer can damage many instances of a list.
+LOGGED_FAULTS = 5
 
 OFFER_EVENTS = {
     Offer.TAKEN: Event.CONFIGURATION_IN_FORCE,
@@ -156,11 +158,18 @@
     take_servers: Callable[[tuple[LeavingServer, ...]], None],
 ) -> None:
     """Check a published instance list and apply it."""
-    instances, faults = parse_instances(value)
-    if instances is None:
+    parsed, faults = parse_instances(value)
+    if parsed is None:
         fault_texts = [fault.describe() for fault in faults]
         emit(Event.INSTANCES_INVALID, faults=fault_texts)
         return
+    if parsed.malformed:
+        emit(
+            Event.INSTANCES_INVALID,
+            faults=[f.describe() for f in parsed.malformed[:LOGGED_FAULTS]],
+            malformed=len(parsed.malformed),
+        )
+    instances = parsed.instances
     backends = [i for i in instances if i.service != ENTRY_SERVICE]
     take_servers(tuple(to_leaving_server(to_server(i)) for i in backends))
     listed = tuple(to_server(instance) for instance in backends)
--- a/boragestream/platform/instances.py
+++ b/boragestream/platform/instances.py
@@ -4,6 +4,7 @@
 ``policy.membership``.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Annotated, Literal
 
@@ -11,10 +12,14 @@
 
 from boragestream.base.shapes import Fault, build
 
-__all__ = ["ENTRY_SERVICE", "Instance", "parse_instances"]
+__all__ = ["ENTRY_SERVICE", "Instance", "ParsedInstances", "parse_instances"]
 
 ENTRY_SERVICE = "boragestream-entry"
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+# 0 for none.
+PeerPort = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+# An IP address or the name of a host; it becomes part of request heads.
+Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Za-z.:\[\]_-]{1,255}\Z")]
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,12 +33,12 @@
 
     name: str
     service: str
-    address: str
+    address: Address
     port: Port
     data_centre: str
     state: Literal["live", "leaving"] = "live"
     incarnation: str = ""
-    peer_port: int = 0
+    peer_port: PeerPort = 0
     region: str = ""
 
     @property
@@ -44,22 +49,64 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceList:
-    """The value that the platform publishes."""
+    """The value that the platform publishes.
+
+    :ivar instances: the instances that can be read.
+    """
 
     instances: tuple[Instance, ...]
 
 
-def parse_instances(value: bytes) -> tuple[tuple[Instance, ...] | None, list[Fault]]:
-    """Decode and check the instance list; a name that stands twice keeps the last.
+@dataclass(frozen=True, slots=True)
+class _UnreadList:
+    """The published value before its instances are decoded."""
+
+    instances: tuple[msgspec.Raw, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ParsedInstances:
+    """The readable part of an instance list.
+
+    :ivar instances: in the order of the list; a name that stands twice keeps the last.
+    :ivar malformed: the faults of the instances that are left out.
+    """
+
+    instances: tuple[Instance, ...]
+    malformed: tuple[Fault, ...] = ()
+
+
+def parse_instances(value: bytes) -> tuple[ParsedInstances | None, list[Fault]]:
+    """Decode the instance list and leave out the instances that are malformed.
 
     :param value: JSON, an object with the one field ``instances``.
-    :returns: the instances and no faults, or None and every fault found.
+    :returns: the instances and no faults, or None and every fault found if the list
+        itself can't be read.
     """
     try:
         listed = msgspec.json.decode(value, type=InstanceList)
+        return ParsedInstances(_latest(listed.instances)), []
+    except (msgspec.DecodeError, RecursionError):
+        return _parse_each(value)
+
+
+def _parse_each(value: bytes) -> tuple[ParsedInstances | None, list[Fault]]:
+    """Decode the instances one by one, after the list as a whole was refused."""
+    try:
+        unread = msgspec.json.decode(value, type=_UnreadList)
     except (msgspec.DecodeError, RecursionError):
         return None, _explain(value)
-    return tuple({i.name: i for i in listed.instances}.values()), []
+    instances, malformed = [], []
+    for number, raw in enumerate(unread.instances):
+        try:
+            instances.append(msgspec.json.decode(raw, type=Instance))
+        except (msgspec.DecodeError, RecursionError) as error:
+            malformed.append(Fault(f"instances[{number}]", str(error)))
+    return ParsedInstances(_latest(instances), tuple(malformed)), []
+
+
+def _latest(instances: Iterable[Instance]) -> tuple[Instance, ...]:
+    return tuple({instance.name: instance for instance in instances}.values())
 
 
 def _explain(value: bytes) -> list[Fault]:
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -355,15 +355,15 @@
         """Publish a configuration document."""
         self._publish("/v1/document", document, index)
 
-    def publish_instances(self, index=None):
-        """Publish the instance list as the fleet's processes say it."""
+    def publish_instances(self, index=None, more=()):
+        """Publish the instances of the fleet's processes, and more."""
         processes = [*self.servers.values(), *self.entries.values()]
         listed = [
             {"name": p.name, "address": ADDRESS, "port": p.port, **p.extra}
             for p in processes
             if p.extra["state"] != "gone"
         ]
-        self._publish("/v1/instances", {"instances": listed}, index)
+        self._publish("/v1/instances", {"instances": [*listed, *more]}, index)
 
     def _publish(self, path, value, index):
         body = {"path": path, "value": value, "index": index}
