Tell replies nested too deep as unreachable entries in the commands

Operators saw: status, entries and call ended with a traceback at an entry's reply that is nested 100,000 levels, without a word of the other entries.

Cause: the decoder raises RecursionError, which the exchange did not expect.

Evidence: RecursionError from boragestream.operator.command.main, status and entries, with such a reply.

Why this works: the error is handled like other replies that can't be read; the entry is listed as unreachable and the exit code is 3.

Tests: 3 of 4 new examples in operator_command.feature failed before; all 33 of the feature pass now.

--- a/boragestream/operator/exchange.py
+++ b/boragestream/operator/exchange.py
@@ -14,7 +14,7 @@
 
 from boragestream.base.outcomes import Failure
 
-__all__ = ["CallReply", "EntryUnreachable", "get_json", "post_call"]
+__all__ = ["UNREADABLE", "CallReply", "EntryUnreachable", "get_json", "post_call"]
 
 MARGIN_SECONDS = 2.0
 EVENT_NAME = b"event: "
@@ -22,6 +22,13 @@
 
 Headers = Mapping[str, str | bytes]
 Shape = TypeVar("Shape")
+# What a reply that can't be read or doesn't come whole raises.
+UNREADABLE = (
+    OSError,
+    http.client.HTTPException,
+    msgspec.DecodeError,
+    RecursionError,
+)
 Outcome = Literal["answered", "refused", "failed", "unknown"]
 
 
@@ -93,7 +100,7 @@
         if response.status != http.HTTPStatus.OK:
             return EntryUnreachable(address, True, _reason(response, content))
         return msgspec.json.decode(content, type=shape)
-    except (OSError, http.client.HTTPException, msgspec.DecodeError) as error:
+    except UNREADABLE as error:
         return EntryUnreachable(address, True, repr(error))
     finally:
         connection.close()
@@ -124,7 +131,7 @@
         if response.headers.get_content_type() == "text/event-stream":
             return _read_stream(address, response, began, on_token)
         return _read_whole(response, began)
-    except (OSError, http.client.HTTPException, msgspec.DecodeError) as error:
+    except UNREADABLE as error:
         return EntryUnreachable(address, sent, repr(error))
     finally:
         connection.close()
@@ -134,7 +141,7 @@
     """Return why an entry did not give what was asked for."""
     try:
         return msgspec.json.decode(content)["type"]
-    except (msgspec.DecodeError, KeyError, TypeError):
+    except (msgspec.DecodeError, RecursionError, KeyError, TypeError):
         return f"status {response.status}"
 
 
--- a/boragestream/operator/tickets.py
+++ b/boragestream/operator/tickets.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from boragestream.operator.client import CallReply, Client, EntryUnreachable
+from boragestream.operator.exchange import UNREADABLE
 
 __all__ = ["ask_state", "call_once", "fetch_ticket", "ticket_path"]
 
@@ -106,7 +107,7 @@
             page.state = page.outcome
             page.reply = msgspec.json.decode(content)
         return page
-    except (OSError, http.client.HTTPException, msgspec.DecodeError) as error:
+    except UNREADABLE as error:
         return EntryUnreachable(address, True, repr(error))
     finally:
         connection.close()
--- a/tests/features/operator_command.feature
+++ b/tests/features/operator_command.feature
@@ -100,3 +100,18 @@
       | member-ledger | none  | order-status | --once        | 0    | mark      |
       | member-ledger | reset | order-status |               | 6    | unknown   |
       | member-ledger | none  | order-status | --once --json | 6    | ask       |
+
+  # Guards against a reply that ends the command before it has told of other entries.
+  Scenario Outline: a reply of an entry that can't be read is told: <arguments>, <reply>
+    Given the key "any" in the environment
+    And a place that replies <reply>
+    When boragestream runs "<arguments>"
+    Then its exit code is 3
+    And its output holds "unreachable"
+
+    Examples:
+      | arguments                  | reply                 |
+      | status --entry=PLACE       | 100,000 levels        |
+      | status --entry=PLACE       | 5,000 digits          |
+      | entries --entry=PLACE      | 100,000 levels        |
+      | call caption x --entry=PLACE | 100,000 levels      |
--- a/tests/features/steps/operator_command.py
+++ b/tests/features/steps/operator_command.py
@@ -12,9 +12,15 @@
 from boragestream.operator.command import main
 from tests.standins.answers import expected_text
 from tests.standins.fleet import ADDRESS, OPERATOR_KEY
+from tests.standins.scripted_server import ScriptedServer
 from tests.standins.sites import example_key
 
 TOKENS = 8
+LEVELS = b"[" * 100_000 + b"]" * 100_000
+REPLIES = {
+    "100,000 levels": b'{"x":%s}' % LEVELS,
+    "5,000 digits": b'{"x":%s}' % (b"9" * 5000),
+}
 
 
 class Writes(io.StringIO):
@@ -40,6 +46,7 @@
         "ENTRY-LOGS": " ".join(str(e.log) for e in entries.values()),
         "KEYS": str(context.fleet.folder / "keys.toml"),
         "RESULTS": str(context.fleet.folder / "results.jsonl"),
+        "PLACE": getattr(context, "place", ""),
         "TRACE": str(context.fleet.folder / "trace.jsonl"),
     }
     for name, value in places.items():
@@ -65,6 +72,15 @@
     context.key = key
 
 
+@given("a place that replies {reply}")
+def step(context, reply):
+    server = ScriptedServer()
+    context.add_cleanup(server.close)
+    body = REPLIES[reply]
+    server.script(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    context.place = server.address
+
+
 @given('the next call of each "{service}" server meets "{fault}" {times:d} times')
 def step(context, service, fault, times):
     for name, server in context.fleet.servers.items():
