Test odd server entries through whole entries

Odd entries of another writer were tested at the decoder and with two entries. The scenario lists 36 of them in pages beside the proper ones, at entries that watch the store, at others to which the list is relayed, and at one that starts meanwhile: calls are served, a change of the configuration is followed and a new server is listed everywhere.

--- a/tests/features/odd_store_answers.feature
+++ b/tests/features/odd_store_answers.feature
@@ -51,3 +51,15 @@
       | services.2.pieces.call_ms | 1e308  |
       | services.2.pieces.headroom_mb | 1e308 |
       | services.1.engine.slots | [ x 5000 |
+
+  # Guards against entries of another writer that end what reads the list, at entries
+  # that watch the store, at those to which the list is relayed, and at one that starts;
+  # the stand-in's lists come in pages of three items.
+  @fixture.route-site.3
+  Scenario: odd server entries are left out by all entries, and the list is followed
+    When odd server entries are listed, and "entry-2" starts anew
+    Then all entries serve "/safe/ok", "/chat/ok" and "/staged/ok"
+    When version 2 is published with the route "/new/"
+    Then all entries serve "/new/ok"
+    When a new server of "plain" is listed
+    Then all entries list 7 servers, and no task has failed
--- a/tests/features/steps/odd_answers.py
+++ b/tests/features/steps/odd_answers.py
@@ -10,6 +10,20 @@
 from tests.standins.route_site import configuration
 
 PATHS = {"plain": "/unsafe/ok", "engine": "/draft/ok", "stage": "/staged/ok"}
+ODD_FIELDS = (
+    ("other", "[ x 100000"),
+    ("slots", "[ x 100000"),
+    ("slots", "9 x 400"),
+    ("slots", "9 x 5000"),
+    ("slots", "-1"),
+    ("seq", "9 x 400"),
+    ("born", "9 x 400"),
+    ("cold_left_ms", "1e308"),
+    ("cold_left_ms", "NaN"),
+    ("addr", '"127.0.0.1:0"'),
+    ("addr", '"127.0.0.1:65536"'),
+    ("addr", '"127.0.0.1:9 x 5000"'),
+)
 RELAY_SECONDS = 1.0
 REPEATED = re.compile(r'([^\s"]) x (\d+)')
 
@@ -96,3 +110,39 @@
         for handles in engine.inputs.values():
             assert made.issuperset(handles), handles
         assert set(engine.accounts) <= {"account"}, engine.accounts
+
+
+@when('odd server entries are listed, and "{name}" starts anew')
+def step(context, name):
+    site = context.site
+    for number, kind in enumerate(("plain", "engine", "stage")):
+        known = json.loads(site.of_kind(kind)[0].entry())
+        for field, value in ODD_FIELDS:
+            text = json.dumps({**known, field: "@"}).replace('"@"', spell_out(value))
+            key = f"servers/odd-{number}-{field}-{len(text)}"
+            site.store.put(key, text.encode())
+    site.kill(name)
+    site.entries[name].start()
+    site.wait_ready(name)
+
+
+@when('a new server of "{kind}" is listed')
+def step(context, kind):
+    context.site.add_server(kind)
+
+
+@then("all entries list {count:d} servers, and no task has failed")
+def step(context, count):
+    site = context.site
+    for name in site.entries:
+        wait_until(
+            lambda n=name: (
+                site.events(n, "instances_changed")[-1]["instances"] == count
+            ),
+            what=f"{name} lists {count} servers",
+        )
+        failed = [
+            *site.events(name, "task_failed"),
+            *site.events(name, "request_broken"),
+        ]
+        assert not failed, failed
