--- a/boragestream/platform/wire.py
+++ b/boragestream/platform/wire.py
@@ -4,6 +4,8 @@
 that this module fills and reads.
 """
 
+import math
+import re
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from http import HTTPStatus
@@ -59,6 +61,8 @@
 BRITTLE = "Server-Brittle"
 RETRY_AFTER = "Retry-After"
 IDLE_TIMEOUT = "timeout="
+# Longer numbers are no counts. ``str.isdigit`` accepts digits that ``int`` refuses.
+COUNT = re.compile(r"[0-9]{1,9}", re.ASCII)
 OTHER_SERVER_STATUS = 421
 # Sent from one entry to another; not a header of the platform.
 DELEGATION = "Boragestream-Delegation"
@@ -149,7 +153,7 @@
             path=target.partition("?")[0],
             body=body,
             key=_key(known.get(KEY.lower(), "")),
-            wait_seconds=None if left_ms is None else float(left_ms) / 1000,
+            wait_seconds=None if left_ms is None else _finite(left_ms) / 1000,
             last_event=None if resume is None else int(resume),
             resumes=known.get(RESUMED_REQUEST.lower(), "").strip(),
             prompt=_prompt(known.get(PROMPT_PARTS.lower(), "")),
@@ -279,6 +283,13 @@
     return headers
 
 
+def _finite(value: str) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError("not finite")
+    return number
+
+
 def _key(value: str) -> str:
     return value[len(KEY_SCHEME) :].strip() if value[:7].lower() == KEY_SCHEME else ""
 
@@ -321,12 +332,12 @@
     for part in value.split(","):
         if part.strip().lower().startswith(IDLE_TIMEOUT):
             digits = part.strip()[len(IDLE_TIMEOUT) :]
-            return float(digits) if digits.isdigit() else None
+            return float(digits) if COUNT.fullmatch(digits) else None
     return None
 
 
 def _load(value: str) -> tuple[int, int, int] | None:
-    parts = value.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    parts = [part.strip() for part in value.split(",")]
+    if len(parts) != 3 or not all(COUNT.fullmatch(part) for part in parts):
         return None
     return int(parts[0]), int(parts[1]), int(parts[2])
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -85,6 +85,9 @@
         self.pieces = Counter()
         self.piece_calls = 0
         self.piece_fault = None
+        # What it calls the results of its next call that has inputs; None for proper
+        # handles.
+        self.odd_handle = None
         # Whether a stage server has lost each result that a piece needs.
         self.loses_results = False
         self.full = False
@@ -130,6 +133,14 @@
         self.pause = None
         # The requests a second that it names in each answer, as text; None for none.
         self.limit = None
+        # Headers that it adds to each answer, by name.
+        self.added_headers = {}
+        # How the head of the next answer with results is cut; None for whole ones.
+        self.piece_head_cut = None
+        # The bytes of the longest head of an answer with status 200.
+        self.longest_head = 0
+        # How many heads were cut at a byte that a caller or a test names.
+        self.cut_heads = 0
         # When it named a limit first.
         self.limited_at = None
         # When each call came, whatever it asked for.
@@ -497,6 +508,8 @@
             event = b"id: %d\ndata: %d %s\n\n" % (number, number, words)
             if fault == "gap" and number == first + 2:
                 continue
+            if fault == "long-number" and number == first + 2:
+                event = b"id: %s\ndata: %d %s\n\n" % (b"9" * 5000, number, words)
             if fault in ("half", "unframed-half") and number == first + 2:
                 event = event[:7]
             self.wait_for_link(sock)
@@ -551,6 +564,9 @@
             self.piece_calls += 1
             number = self.piece_calls
             fault, self.piece_fault = self.piece_fault, None
+            odd_handle = None
+            if any(item.get("inputs") for item in call["items"]):
+                odd_handle, self.odd_handle = self.odd_handle, None
         if fault == "cut":
             raise OSError("cut")
         if fault == "crash":
@@ -577,10 +593,15 @@
                 if fault in ("error", "gone", "room", "late"):
                     results.append({"reason": fault})
                     continue
+                if odd_handle is not None:
+                    results.append({"handle": odd_handle})
+                    continue
                 handle = f"{self.address}/{number}-{index}"
                 self.held[handle] = (item["id"], item["stage"], item["piece"])
                 self.made[handle] = self.held[handle]
                 results.append({"handle": handle})
+        if self.piece_head_cut is not None:
+            headers["Cut-Head"], self.piece_head_cut = self.piece_head_cut, None
         sent = self.send(sock, headers, 200, json.dumps({"items": results}).encode())
         if self.repeats_late:
             self.repeated[sock] = sent
@@ -591,6 +612,29 @@
         self.send(sock, headers, 413, b"too long for me")
         time.sleep(0.1)
 
+    def cut_head(self, sock, headers, head):
+        """Send a part of a head alone, if the call's ``Cut-Head`` asks for it.
+
+        It names the number of bytes, how the connection ends, and "once" if only the
+        first run of the request is cut.
+        """
+        cut = headers.get("Cut-Head")
+        if cut is None:
+            return
+        count, end, often = cut.split()
+        struck = ("cut-head", headers["Request-Id"])
+        with self.lock:
+            if int(count) >= len(head) or (often == "once" and struck in self.struck):
+                return
+            self.struck.add(struck)
+            self.cut_heads += 1
+        sock.sendall(head[: int(count)])
+        if end == "silence":
+            wait_closed(sock, STALL_SECONDS)
+        elif end == "reset":
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        raise OSError("cut")
+
     def send(
         self,
         sock,
@@ -614,6 +658,7 @@
         if sealed:
             lines.append(f"Server-Seal: seal-of-{self.identity}")
         lines += [f"{name}: {value}" for name, value in more]
+        lines += [f"{name}: {value}" for name, value in self.added_headers.items()]
         if self.leaving:
             lines.append("Server-Leaving: 1")
         if self.brittle is not None:
@@ -624,7 +669,10 @@
         if body is not None and framed:
             lines.append(f"Content-Length: {len(body)}")
         content = b"" if body is None else body[:sent]
-        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+        if status == 200 and sealed:
+            self.longest_head = max(self.longest_head, len(head))
+            self.cut_head(sock, headers, head)
         data = head[:-head_cut] if head_cut else head + content
         sock.sendall(data)
         return data
