Count the calls beside a rejected one, however late its seat is returned

Seen: servers of a brittle service kept 1 place of 7 for good; 242 of 1080 calls were served in brittle_servers.feature (@1.3) at a load of 12 to 23.

Cause: the entry that grants the seats took the seats in use at the moment of the return for the calls that the server had room for. Calls that had ended before the return, and others that were rejected but not yet returned, made the number wrong. As the ceiling for later growth is that number plus one, the places stayed at 1.

Evidence: six of eight rows of a new scenario in server_reach.feature, in simulated time, failed on the code before, all with 1 place; two rows with prompt returns passed.

Why it works: each seat keeps the most calls that were beside it at one time, and a rejected call is taken out of the numbers of the seats that it was counted in. A rejection that comes after its seat has expired lowers the places by one. The figure is a lower bound of the calls at one time: with several rejected calls in the time of one seat it can be one too few.

--- a/boragestream/entry/server_seats.py
+++ b/boragestream/entry/server_seats.py
@@ -269,15 +269,17 @@
             granted = self._granted.get(server_key(server)) if server else None
             if granted is None:
                 return
-            granted.release(number, now, linger_seconds)
-            left = granted.in_use(now)
+            if rejected:
+                left = granted.release_rejected(number, now)
+            else:
+                granted.release(number, now, linger_seconds)
         if rejected:
             log_brittle_change(self._lower(server.service, left))
 
     def _lower(self, service: str, left: int | None) -> BrittleRecord | None:
         """Lower the places of a service after a rejection.
 
-        :param left: the calls that stayed at the server; None if another entry knows.
+        :param left: the calls that were beside the rejected one; None if unknown here.
         """
         if left is None:
             record = next(
--- a/boragestream/policy/brittle_services.py
+++ b/boragestream/policy/brittle_services.py
@@ -7,8 +7,8 @@
 number is that of the calls that the server works on at a time, without any that wait.
 
 A rejection shows that the room is smaller still: the number falls at once to the calls
-that were left. It rises again by one after a time without a rejection in which all
-places were taken, but never back to a number that was too high.
+that were beside the rejected one. It rises again by one after a time without a
+rejection in which all places were taken, but never back to a number that was too high.
 
 The state is one of the service, not of a server: a server that has crashed comes
 back in a new incarnation, and must not be overloaded before it can state this. A
@@ -155,7 +155,7 @@
     def note_rejected(self, service: str, left: int) -> BrittleRecord | None:
         """Record that a server rejected a call for want of room.
 
-        :param left: the number of calls that stayed at the server.
+        :param left: the number of calls that were beside the rejected one.
         :returns: the new record if it changes anything.
         """
         with self._lock:
--- a/tests/features/server_reach.feature
+++ b/tests/features/server_reach.feature
@@ -176,6 +176,24 @@
     When 2 seats are taken for 1 s and never returned
     Then no seat is free for 2 s, and one is free after that
 
+  # Guards against places that fall to 1 for good since the calls beside a rejected one
+  # had ended by the time its seat was returned.
+  Scenario Outline: a rejection counts the calls that were beside it, however late its seat is returned
+    Given an entry that grants the 7 places at a brittle server
+    When all 7 are taken and the <order> <rejected> are rejected and returned <when>
+    Then <places> calls may be at each server
+
+    Examples:
+      | order | rejected | when                                      | places |
+      | first | 1        | at once                                   | 6      |
+      | first | 1        | after the others                          | 6      |
+      | last  | 1        | after the others                          | 6      |
+      | first | 3        | at once                                   | 4      |
+      | first | 3        | after the others                          | 4      |
+      | last  | 3        | after the others                          | 4      |
+      | first | 3        | after the others and as many calls since  | 4      |
+      | last  | 3        | after the others and as many calls since  | 4      |
+
   # Guards against connections that end while their server pauses for a second or two,
   # and against ones that hang for long where it has gone.
   Scenario: a connection outlives a silence of two seconds and ends soon after three
--- a/tests/features/steps/server_reach.py
+++ b/tests/features/steps/server_reach.py
@@ -582,6 +582,31 @@
     assert isinstance(context.seats.acquire(server(1), 1.0), Seat)
 
 
+@when(
+    "all {places:d} are taken and the {order} {count:d} are rejected and returned "
+    "{when}"
+)
+def step(context, places, order, count, when):
+    context.services, clock = context.seats.services, context.clock
+    seats = [context.seats.acquire(server(1), 1.0) for _ in range(places)]
+    assert all(isinstance(seat, Seat) for seat in seats), seats
+    rejected = seats[:count] if order == "first" else seats[-count:]
+    others = [seat for seat in seats if seat not in rejected]
+    if when != "at once":
+        clock.seconds += 0.1
+        for seat in others:
+            context.seats.release(seat)
+    if when.endswith("as many calls since"):
+        later = [context.seats.acquire(server(1), 1.0) for _ in others]
+        assert all(isinstance(seat, Seat) for seat in later), later
+        clock.seconds += 0.1
+        for seat in later:
+            context.seats.release(seat)
+    for seat in rejected:
+        clock.seconds += 0.05
+        context.seats.release(seat, rejected=True)
+
+
 @given("a connection whose dead peer is to be detected")
 def step(context):
     listener = socket.create_server(("127.0.0.1", 0))
