--- a/boragestream/daemon/peers.py
+++ b/boragestream/daemon/peers.py
@@ -22,7 +22,8 @@
 from boragestream.policy.prompt_parts import CRASHES_TO_BLOCK, PartCrashes
 from boragestream.policy.quarantine import CRASHES_TO_QUARANTINE, Quarantine
 from boragestream.policy.servers import ServerTable
-from boragestream.policy.watching import direct_read_seconds, is_watcher
+from boragestream.policy.watchers import is_watcher
+from boragestream.policy.watching import direct_read_seconds
 
 __all__ = [
     "InitialSync",
--- a/boragestream/policy/confirming.py
+++ b/boragestream/policy/confirming.py
@@ -16,7 +16,7 @@
 idle for months, where each call is charged. With a change every five seconds, an entry
 in use makes 53 calls a minute if all of six entries watch (12 without these reads), 8
 calls with 59 entries (2) and 1.7 calls with 195 entries (0.7), in simulated time.
-``daemon.publication`` handles the watches; ``policy.watching`` selects the watchers.
+``daemon.publication`` handles the watches; ``policy.watchers`` selects the watchers.
 """
 
 import math
--- a/boragestream/policy/region_watching.py
+++ b/boragestream/policy/region_watching.py
@@ -9,11 +9,7 @@
 
 from boragestream.policy.peers import ListedEntry
 from boragestream.policy.regions import Regions
-from boragestream.policy.watching import (
-    is_first_watcher,
-    is_watcher,
-    watcher_ranking,
-)
+from boragestream.policy.watchers import is_first_watcher, is_watcher, watcher_ranking
 
 __all__ = ["confirms_watches", "select_region_watchers", "watches_store"]
 
--- a/boragestream/policy/watching.py
+++ b/boragestream/policy/watching.py
@@ -1,4 +1,4 @@
-"""Selection of the watcher entries and scheduling of calls to the platform's store.
+"""Scheduling of calls to the platform's store.
 
 The platform charges for each call, and a pending watch counts as one call. The number
 of calls must therefore not grow with the number of entries times the number of changes:
@@ -19,13 +19,10 @@
 import math
 import random
 import threading
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-import xxhash
-
 from boragestream.base.clock import Clock
-from boragestream.policy.peers import ListedEntry
 from boragestream.policy.store_times import (
     MAX_ANSWER_SECONDS,
     RESEND_SPREAD_SECONDS,
@@ -37,13 +34,8 @@
     "MAX_AGE_SECONDS",
     "StoreCallSchedule",
     "direct_read_seconds",
-    "is_first_watcher",
-    "is_watcher",
-    "select_watchers",
-    "watcher_ranking",
 ]
 
-WATCHERS_PER_DATA_CENTRE = 2
 # Total rate of direct reads by all entries that do not watch. These reads bypass a
 # relay that has stopped without being detected.
 DIRECT_READS_PER_SECOND = 2.0
@@ -70,35 +62,6 @@
 MIN_PAUSE_SECONDS = 0.02
 
 
-def watcher_ranking(names: Iterable[str]) -> list[str]:
-    """Return the names of entries ranked for watching, by rendezvous hashing."""
-    return sorted(names, key=_rendezvous_weight, reverse=True)
-
-
-def select_watchers(names: Iterable[str]) -> frozenset[str]:
-    """Return the watchers among a data centre's live entries."""
-    return frozenset(watcher_ranking(names)[:WATCHERS_PER_DATA_CENTRE])
-
-
-def is_watcher(name: str, data_centre: str, usable: Iterable[ListedEntry]) -> bool:
-    """Return whether an entry is one of its data centre's watchers.
-
-    :param usable: the live entries; the entry itself is added if they lack it.
-    """
-    names = {entry.name for entry in usable if entry.data_centre == data_centre}
-    return name in select_watchers(names | {name})
-
-
-def is_first_watcher(name: str, usable: Iterable[ListedEntry]) -> bool:
-    """Return whether an entry ranks first among the watchers of all data centres.
-
-    :param usable: the live entries; the entry itself is added if they lack it.
-    """
-    return (
-        max({name, *(entry.name for entry in usable)}, key=_rendezvous_weight) == name
-    )
-
-
 def direct_read_seconds(entries: int, rng: random.Random) -> float:
     """Return the delay before the next direct read of an entry that does not watch.
 
@@ -109,10 +72,6 @@
     return mean * (0.5 + rng.random())
 
 
-def _rendezvous_weight(name: str) -> int:
-    return xxhash.xxh64_intdigest(f"configuration {name}".encode())
-
-
 @dataclass(slots=True)
 class _PrefixState:
     """The state of this entry's own calls for one prefix.
--- a/tests/features/steps/entry_relay.py
+++ b/tests/features/steps/entry_relay.py
@@ -8,7 +8,7 @@
 
 from boragestream.entry.exchange import ROUND_SECONDS
 from boragestream.platform.reader import PlatformUnreachable, Reading, read_platform
-from boragestream.policy.watching import select_watchers
+from boragestream.policy.watchers import select_watchers
 from tests.standins.fleet import ADDRESS, fetch, wait_until
 from tests.standins.http import Handler, Server
 
--- a/tests/features/steps/following.py
+++ b/tests/features/steps/following.py
@@ -9,7 +9,7 @@
 
 from boragestream.policy.publication import Change, Changes, Snapshot
 from boragestream.policy.published_table import PublishedTable
-from boragestream.policy.watching import is_first_watcher
+from boragestream.policy.watchers import is_first_watcher
 from tests.standins.clock import SetClock
 from tests.standins.following import TICK_SECONDS, SimulatedSite
 
--- a/tests/features/steps/policy_membership.py
+++ b/tests/features/steps/policy_membership.py
@@ -16,7 +16,7 @@
     prevailing_record,
 )
 from boragestream.policy.peers import EntryTable, ListedEntry
-from boragestream.policy.watching import select_watchers
+from boragestream.policy.watchers import select_watchers
 
 EXAMPLES = 300
 NAMES = ("entry-1", "entry-2", "entry-3")
--- a/tests/features/steps/regions_control.py
+++ b/tests/features/steps/regions_control.py
@@ -17,7 +17,7 @@
 from boragestream.policy.region_window import INITIAL_WINDOW
 from boragestream.policy.regions import Regions
 from boragestream.policy.servers import Server
-from boragestream.policy.watching import is_first_watcher, is_watcher
+from boragestream.policy.watchers import is_first_watcher, is_watcher
 from tests.standins.clock import SetClock
 from tests.standins.region_crowd import RegionCrowd
 
--- a/tests/standins/following.py
+++ b/tests/standins/following.py
@@ -14,12 +14,8 @@
 from boragestream.policy.operator_table import OperatorTable
 from boragestream.policy.publication import Change, Changes, Position, Snapshot
 from boragestream.policy.published_table import AnswerStatus, PublishedTable
-from boragestream.policy.watching import (
-    MAX_AGE_SECONDS,
-    StoreCallSchedule,
-    is_first_watcher,
-    select_watchers,
-)
+from boragestream.policy.watchers import is_first_watcher, select_watchers
+from boragestream.policy.watching import MAX_AGE_SECONDS, StoreCallSchedule
 from tests.standins.clock import SetClock
 from tests.standins.copied_store import Copied
 
