Know a change in time though the store turns away all watchers

Cause: an entry whose probe was answered for the configuration put its call for the servers off once more, by up to a quarter second for each entry, as the failures that the watchers report count as recent trouble. Most entries make no call in an outage, as they put their probes off; one whose first call comes after the end took the missing keys for removed ones.

Fix: the failures that peers report are evidence of an outage as well (policy/lapses.py); an entry that was answered for one prefix in the last half second calls for the others at once, and probes begin at half of the bound where a recent failure is known (policy/watching.py). The silence that an outage needs is unchanged.

Two rows of the new scenario in route_decisions.feature fail when the failures of peers are ignored; the other three hold the limits that were there.

--- a/boragestream/entry/published_relay.py
+++ b/boragestream/entry/published_relay.py
@@ -277,6 +277,7 @@
         if offer.trouble_ms < MAX_AGE_MS:
             trouble = offer.trouble_ms / 1000 + elapsed
         self._following.note_relayed_age(offer.age_ms / 1000 + elapsed, trouble)
+        self._servers.note_peer_failure(received_at + elapsed - trouble)
         if offer.confirmed_ms < MAX_AGE_MS:
             confirmed_at = received_at - offer.confirmed_ms / 1000
             self._servers.note_answer(confirmed_at, self._confirming.last_answered_at)
--- a/boragestream/policy/lapses.py
+++ b/boragestream/policy/lapses.py
@@ -30,7 +30,8 @@
 
     An outage is a time in which the store is not known to have answered any entry. A
     failed call of this entry alone is none: the store may have refused or cut off this
-    entry, or a single connection may have been lost.
+    entry, or a single connection may have been lost. Failed calls that other entries
+    report count as well, since few entries call the store in an outage.
 
     :param now: returns the clock's seconds.
     :param retention_seconds: how long after an outage the value of a lapsed key stays
@@ -48,6 +49,7 @@
         self._retention_seconds = retention_seconds
         self._bound = bound_seconds
         self._failed_at = -math.inf
+        self._peer_failed_at = -math.inf
         self._outage_ended_at = -math.inf
         # The latest end of the retention of keys that lapsed in the last outage.
         self._retained_until = -math.inf
@@ -66,7 +68,8 @@
         :param answered_at: the time of the answer, in the clock's seconds.
         :param previous_at: the time of the last answer to any entry before it.
         """
-        failed_between = previous_at < self._failed_at < answered_at
+        failures = (self._failed_at, self._peer_failed_at)
+        failed_between = any(previous_at < at < answered_at for at in failures)
         silence = answered_at - previous_at
         if not failed_between or silence < MIN_OUTAGE_SECONDS:
             return
@@ -82,6 +85,13 @@
         """Record that the store gave no answer to this entry."""
         self._failed_at = self._now()
 
+    def note_peer_failure(self, failed_at: float) -> None:
+        """Record that the store gave no answer to another entry.
+
+        :param failed_at: the time of the failure, in the clock's seconds.
+        """
+        self._peer_failed_at = max(self._peer_failed_at, failed_at)
+
     def retention_end(self) -> float | None:
         """Return how long to keep a value that an answer received now lacks.
 
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -167,6 +167,11 @@
         with self._lock:
             self._lapses.note_failure()
 
+    def note_peer_failure(self, failed_at: float) -> None:
+        """Record when the store last gave no answer to a request of another entry."""
+        with self._lock:
+            self._lapses.note_peer_failure(failed_at)
+
     def apply_answer(self, answer: Snapshot | Changes) -> bool:
         """Apply an answer of the store; return whether it changed the values.
 
--- a/boragestream/policy/watching.py
+++ b/boragestream/policy/watching.py
@@ -55,6 +55,12 @@
 PROBES_PER_SECOND = 4.0
 # A failure older than this is no evidence of the platform's current state.
 FAILURE_RELEVANT_SECONDS = 3.0
+# An entry whose probe was answered for one prefix calls for the others at once within
+# this time.
+PROBE_ANSWER_SECONDS = 0.5
+# Probes begin once the relayed values are older than this share of the bound. The rest
+# leaves time for the first answer and its way to all other entries.
+PROBE_SHARE = 0.5
 # The highest age that is sent and logged; older values count as unknown.
 MAX_AGE_SECONDS = 3600.0
 # Interval at which an entry checks whether it has become a watcher.
@@ -160,7 +166,7 @@
                 return False
             if now < max(self._not_before, state.retry_at):
                 return False
-            if self._defer_probe(now):
+            if self._defer_probe(state, now):
                 return False
             if self._consecutive_failures:
                 # A call for one prefix shows whether the store answers; the others
@@ -197,7 +203,7 @@
         now = self._clock.now()
         with self._lock:
             not_before = max(self._not_before, self._prefixes[prefix].retry_at)
-            due_at = max(self._relayed_at + self._max_relay_age, not_before)
+            due_at = max(self._relayed_at + self._longest_relay_age(now), not_before)
             if due_at == -math.inf:
                 return CHECK_INTERVAL_SECONDS
             return min(CHECK_INTERVAL_SECONDS, max(MIN_PAUSE_SECONDS, due_at - now))
@@ -327,17 +333,33 @@
             confirmed_at = (
                 state.complete_until if not state.follows_answer else self._started_at
             )
-        return now - confirmed_at > self._max_relay_age
+        return now - confirmed_at > self._longest_relay_age(now)
 
-    def _defer_probe(self, now: float) -> bool:
+    def _longest_relay_age(self, now: float) -> float:
+        """Return the age of the relayed values at which this entry calls the store."""
+        if self._failed_recently(now):
+            return min(self._max_relay_age, PROBE_SHARE * self._bound)
+        return self._max_relay_age
+
+    def _defer_probe(self, state: _PrefixState, now: float) -> bool:
         """Schedule this entry's probe in an outage; return whether it was deferred."""
-        recent_failure = now - self._last_failure_at < FAILURE_RELEVANT_SECONDS
-        if self._probe_scheduled or not recent_failure or self._designated():
+        if self._probe_scheduled or not self._failed_recently(now):
+            return False
+        if self._designated() or self._answered_other(state, now):
             return False
         self._probe_scheduled = True
         self._not_before = now + self._rng.random() * self._mean_probe_interval()
         return True
 
+    def _failed_recently(self, now: float) -> bool:
+        return now - self._last_failure_at < FAILURE_RELEVANT_SECONDS
+
+    def _answered_other(self, state: _PrefixState, now: float) -> bool:
+        """Return whether the store has just answered this entry for another prefix."""
+        others = (s.complete_until for s in self._prefixes.values() if s is not state)
+        since = now - PROBE_ANSWER_SECONDS
+        return any(answered_at > since for answered_at in others)
+
     def _mean_probe_interval(self) -> float:
         return self._entries() / PROBES_PER_SECOND
 
--- a/tests/features/route_decisions.feature
+++ b/tests/features/route_decisions.feature
@@ -71,6 +71,21 @@
       | outage, heard, remove b                    | a, b |
       | outage, heard, put a, wait 1, remove b     | a    |
       | pause, answer, remove b                    | a    |
+
+  # Guards against servers that are dropped after an outage by an entry that made no call
+  # in it and knows of the failed calls from its peers.
+  Scenario Outline: an entry that made no call in an outage keeps what lapsed in it
+    Given a published table with "a, b"
+    When "<events>" happen
+    Then the table holds "<left>"
+
+    Examples:
+      | events                                          | left |
+      | outage-told, answer, remove b                   | a, b |
+      | outage-told, heard, remove b                    | a, b |
+      | outage-told, answer, put a, wait 1, remove b    | a    |
+      | refusal-told, answer, remove b                  | a    |
+      | pause-told, answer, remove b                    | a    |
       | outage, heard, wait 6, heard, refusal, answer, remove b | a |
 
   Scenario: engines are chosen by the part that requests share
--- a/tests/features/steps/route_decisions.py
+++ b/tests/features/steps/route_decisions.py
@@ -151,6 +151,10 @@
             context.clock.seconds += SILENCE_SECONDS[verb] / 2
             table.note_failure()
             context.clock.seconds += SILENCE_SECONDS[verb] / 2
+        elif verb.endswith("-told"):
+            seconds = SILENCE_SECONDS[verb.removesuffix("-told")]
+            context.clock.seconds += seconds
+            table.note_peer_failure(context.clock.now() - seconds / 2)
         elif verb in ("answer", "heard"):
             # The answer to this entry, or word of another entry that had one.
             table.note_answer(context.clock.now(), context.answered_at)
--- a/tests/standins/following.py
+++ b/tests/standins/following.py
@@ -328,6 +328,7 @@
         if self.table.era > position.era:
             return
         self.following.note_relayed_age(age, trouble)
+        self.table.note_peer_failure(self.site.clock.now() - trouble)
         if confirmed < MAX_AGE_SECONDS:
             confirmed_at = self.site.clock.now() - confirmed
             self.table.note_answer(confirmed_at, self.confirming.last_answered_at)
