--- a/boragestream/policy/watching.py
+++ b/boragestream/policy/watching.py
@@ -1,4 +1,4 @@
-"""Selection of the watcher entries and scheduling of calls to the platform's store.
+"""Scheduling of calls to the platform's store.
 
 The platform charges for each call, and a pending watch counts as one call. The number
 of calls must therefore not grow with the number of entries times the number of changes:
@@ -19,13 +19,10 @@
 import math
 import random
 import threading
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-import xxhash
-
 from boragestream.base.clock import Clock
-from boragestream.policy.peers import ListedEntry
 from boragestream.policy.store_times import (
     MAX_ANSWER_SECONDS,
     RESEND_SPREAD_SECONDS,
@@ -37,13 +34,8 @@
     "MAX_AGE_SECONDS",
     "StoreCallSchedule",
     "direct_read_seconds",
-    "is_first_watcher",
-    "is_watcher",
-    "select_watchers",
-    "watcher_ranking",
 ]
 
-WATCHERS_PER_DATA_CENTRE = 2
 # Total rate of direct reads by all entries that do not watch. These reads bypass a
 # relay that has stopped without being detected.
 DIRECT_READS_PER_SECOND = 2.0
@@ -63,6 +55,12 @@
 PROBES_PER_SECOND = 4.0
 # A failure older than this is no evidence of the platform's current state.
 FAILURE_RELEVANT_SECONDS = 3.0
+# An entry whose probe was answered for one prefix calls for the others at once within
+# this time.
+PROBE_ANSWER_SECONDS = 0.5
+# Probes begin once the relayed values are older than this share of the bound. The rest
+# leaves time for the first answer and its way to all other entries.
+PROBE_SHARE = 0.5
 # The highest age that is sent and logged; older values count as unknown.
 MAX_AGE_SECONDS = 3600.0
 # Interval at which an entry checks whether it has become a watcher.
@@ -70,35 +68,6 @@
 MIN_PAUSE_SECONDS = 0.02
 
 
-def watcher_ranking(names: Iterable[str]) -> list[str]:
-    """Return the names of entries ranked for watching, by rendezvous hashing."""
-    return sorted(names, key=_rendezvous_weight, reverse=True)
-
-
-def select_watchers(names: Iterable[str]) -> frozenset[str]:
-    """Return the watchers among a data centre's live entries."""
-    return frozenset(watcher_ranking(names)[:WATCHERS_PER_DATA_CENTRE])
-
-
-def is_watcher(name: str, data_centre: str, usable: Iterable[ListedEntry]) -> bool:
-    """Return whether an entry is one of its data centre's watchers.
-
-    :param usable: the live entries; the entry itself is added if they lack it.
-    """
-    names = {entry.name for entry in usable if entry.data_centre == data_centre}
-    return name in select_watchers(names | {name})
-
-
-def is_first_watcher(name: str, usable: Iterable[ListedEntry]) -> bool:
-    """Return whether an entry ranks first among the watchers of all data centres.
-
-    :param usable: the live entries; the entry itself is added if they lack it.
-    """
-    return (
-        max({name, *(entry.name for entry in usable)}, key=_rendezvous_weight) == name
-    )
-
-
 def direct_read_seconds(entries: int, rng: random.Random) -> float:
     """Return the delay before the next direct read of an entry that does not watch.
 
@@ -109,10 +78,6 @@
     return mean * (0.5 + rng.random())
 
 
-def _rendezvous_weight(name: str) -> int:
-    return xxhash.xxh64_intdigest(f"configuration {name}".encode())
-
-
 @dataclass(slots=True)
 class _PrefixState:
     """The state of this entry's own calls for one prefix.
@@ -201,7 +166,7 @@
                 return False
             if now < max(self._not_before, state.retry_at):
                 return False
-            if self._defer_probe(now):
+            if self._defer_probe(state, now):
                 return False
             if self._consecutive_failures:
                 # A call for one prefix shows whether the store answers; the others
@@ -238,7 +203,7 @@
         now = self._clock.now()
         with self._lock:
             not_before = max(self._not_before, self._prefixes[prefix].retry_at)
-            due_at = max(self._relayed_at + self._max_relay_age, not_before)
+            due_at = max(self._relayed_at + self._longest_relay_age(now), not_before)
             if due_at == -math.inf:
                 return CHECK_INTERVAL_SECONDS
             return min(CHECK_INTERVAL_SECONDS, max(MIN_PAUSE_SECONDS, due_at - now))
@@ -368,17 +333,33 @@
             confirmed_at = (
                 state.complete_until if not state.follows_answer else self._started_at
             )
-        return now - confirmed_at > self._max_relay_age
+        return now - confirmed_at > self._longest_relay_age(now)
 
-    def _defer_probe(self, now: float) -> bool:
+    def _longest_relay_age(self, now: float) -> float:
+        """Return the age of the relayed values at which this entry calls the store."""
+        if self._failed_recently(now):
+            return min(self._max_relay_age, PROBE_SHARE * self._bound)
+        return self._max_relay_age
+
+    def _defer_probe(self, state: _PrefixState, now: float) -> bool:
         """Schedule this entry's probe in an outage; return whether it was deferred."""
-        recent_failure = now - self._last_failure_at < FAILURE_RELEVANT_SECONDS
-        if self._probe_scheduled or not recent_failure or self._designated():
+        if self._probe_scheduled or not self._failed_recently(now):
+            return False
+        if self._designated() or self._answered_other(state, now):
             return False
         self._probe_scheduled = True
         self._not_before = now + self._rng.random() * self._mean_probe_interval()
         return True
 
+    def _failed_recently(self, now: float) -> bool:
+        return now - self._last_failure_at < FAILURE_RELEVANT_SECONDS
+
+    def _answered_other(self, state: _PrefixState, now: float) -> bool:
+        """Return whether the store has just answered this entry for another prefix."""
+        others = (s.complete_until for s in self._prefixes.values() if s is not state)
+        since = now - PROBE_ANSWER_SECONDS
+        return any(answered_at > since for answered_at in others)
+
     def _mean_probe_interval(self) -> float:
         return self._entries() / PROBES_PER_SECOND
 
--- a/tests/standins/following.py
+++ b/tests/standins/following.py
@@ -14,12 +14,8 @@
 from boragestream.policy.operator_table import OperatorTable
 from boragestream.policy.publication import Change, Changes, Position, Snapshot
 from boragestream.policy.published_table import AnswerStatus, PublishedTable
-from boragestream.policy.watching import (
-    MAX_AGE_SECONDS,
-    StoreCallSchedule,
-    is_first_watcher,
-    select_watchers,
-)
+from boragestream.policy.watchers import is_first_watcher, select_watchers
+from boragestream.policy.watching import MAX_AGE_SECONDS, StoreCallSchedule
 from tests.standins.clock import SetClock
 from tests.standins.copied_store import Copied
 
@@ -332,6 +328,7 @@
         if self.table.era > position.era:
             return
         self.following.note_relayed_age(age, trouble)
+        self.table.note_peer_failure(self.site.clock.now() - trouble)
         if confirmed < MAX_AGE_SECONDS:
             confirmed_at = self.site.clock.now() - confirmed
             self.table.note_answer(confirmed_at, self.confirming.last_answered_at)
