Number grants from a random start, so that none is confused after a restart

An entry that grants permits or seats numbered them from 1 in each run. After its restart, another entry that returned a permit of the earlier run freed the one that the running entry had granted under the same number. Callers would see a limited or brittle server called more often than it allows: an unused permit was granted twice, and a returned seat let one more call to a server that rejects none safely.

Cause: a number was taken for the run that granted it, without being tied to that run.

Evidence: restarted_entries.feature failed for permits and for seats; with simulated time, the next permit or seat was granted although all were taken.

--- a/boragestream/entry/server_permits.py
+++ b/boragestream/entry/server_permits.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass
 
 from boragestream.base.clock import Clock
+from boragestream.base.identifiers import grant_numbers
 from boragestream.base.outcomes import Failure
 from boragestream.entry.limits import log_limit_change, pack_limit, unpack_limit
 from boragestream.entry.links import PeerLinks
@@ -110,7 +111,7 @@
         self._on_acquired = ended
         self._settled = False
         self._owner_requests = OwnerRequests(links, clock)
-        self._numbers = itertools.count(1)
+        self._numbers = grant_numbers()
         self._grants: dict[int, _Grant] = {}
         self._lock = threading.Lock()
 
--- a/boragestream/entry/server_seats.py
+++ b/boragestream/entry/server_seats.py
@@ -7,7 +7,6 @@
 there are.
 """
 
-import itertools
 import math
 import threading
 from collections import Counter
@@ -15,6 +14,7 @@
 from dataclasses import dataclass
 
 from boragestream.base.clock import Clock
+from boragestream.base.identifiers import grant_numbers
 from boragestream.base.outcomes import Failure
 from boragestream.entry.brittle import (
     log_brittle_change,
@@ -104,7 +104,7 @@
         self._open_calls = open_calls
         self._settled = False
         self._requests = OwnerRequests(links, clock)
-        self._numbers = itertools.count(1)
+        self._numbers = grant_numbers()
         # The seats that this entry holds, by server, for its calls without a seat.
         self._held: Counter[bytes] = Counter()
         # Until when the places of a server are expected to be taken.
