Count no outage of the store for the time before an entry's start

An entry that started and whose first call of the store failed, as after a refusal, held the store for silent since ever. Its first answer then ended an outage that was none, and a server removed within the next half second counted as lapsed: the entry kept it in use for 2.2 s, and so did each entry that heard of the removal from it. Callers' requests were sent to servers that had been removed, later than the bound allows.

Cause: no known answer was taken for a store that answered nobody.

Three scenarios of restarted_entries.feature failed before.

Where no answer is known, the silence now counts from the entry's start. An entry that sees 2.4 s of silence itself still keeps what lapsed.

--- a/boragestream/policy/lapses.py
+++ b/boragestream/policy/lapses.py
@@ -30,7 +30,8 @@
 
     An outage is a time in which the store is not known to have answered any entry. A
     failed call of this entry alone is none: the store may have refused or cut off this
-    entry, or a single connection may have been lost.
+    entry, or a single connection may have been lost. The time before this entry started
+    is none either, since the store may have answered others then.
 
     :param now: returns the clock's seconds.
     :param retention_seconds: how long after an outage the value of a lapsed key stays
@@ -47,6 +48,7 @@
         self._now = now
         self._retention_seconds = retention_seconds
         self._bound = bound_seconds
+        self._began_at = now()
         self._failed_at = -math.inf
         self._outage_ended_at = -math.inf
         # The latest end of the retention of keys that lapsed in the last outage.
@@ -64,8 +66,11 @@
         """Record that the store answered this or another entry.
 
         :param answered_at: the time of the answer, in the clock's seconds.
-        :param previous_at: the time of the last answer to any entry before it.
+        :param previous_at: the time of the last answer to any entry before it; minus
+            infinity if none is known.
         """
+        if previous_at == -math.inf:
+            previous_at = self._began_at
         failed_between = previous_at < self._failed_at < answered_at
         silence = answered_at - previous_at
         if not failed_between or silence < MIN_OUTAGE_SECONDS:
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -157,7 +157,8 @@
         """Record that the store answered a request of any entry, for any prefix.
 
         :param answered_at: the time of the answer, in the clock's seconds.
-        :param previous_at: the time of the last answer that was known before it.
+        :param previous_at: the time of the last answer that was known before it; minus
+            infinity if none was.
         """
         with self._lock:
             self._lapses.note_answer(answered_at, previous_at)
--- a/tests/features/restarted_entries.feature
+++ b/tests/features/restarted_entries.feature
@@ -14,3 +14,20 @@
       | right  | count |
       | permit | 2     |
       | seat   | 4     |
+
+  # Guards against a removed server that stays in use everywhere because an entry that
+  # started a moment ago takes a call that failed for an outage of the store.
+  Scenario Outline: <who> of <count> entries that the store refuses at first keep no removed server
+    Given <count> entries in 3 data centres, each change to be known within 2 s
+    And requests come to all of them
+    And "b" is published, and all have run for 20 seconds
+    When <who> of the entries start anew, refused by the store for 0.3 s
+    And "b" is removed
+    Then no entry uses the old "b" later than 2 s after its removal
+
+    Examples:
+      | who         | count |
+      | one         | 6     |
+      | all but one | 6     |
+      | all         | 6     |
+      | all         | 74    |
--- a/tests/features/steps/restarted_entries.py
+++ b/tests/features/steps/restarted_entries.py
@@ -19,6 +19,7 @@
 # More than an entry grants at one moment.
 MANY = 20
 LIMIT_HUNDREDTHS = 100
+START_SECONDS = 3.0
 
 
 class PermitGranter:
@@ -97,3 +98,22 @@
 @then("the granting entry refuses the next {right}")
 def step(context, right):
     assert not context.granter.take()
+
+
+def choose_entries(site, who):
+    """Return some entries of a simulated site."""
+    counts = {"one": 1, "half": len(site.entries) // 2, "all": len(site.entries)}
+    count = counts.get(who, len(site.entries) - 1)
+    return site.entries[:count]
+
+
+@when("{who} of the entries start anew, refused by the store for {seconds:g} s")
+def step(context, who, seconds):
+    site = context.site
+    started = choose_entries(site, who)
+    for entry in started:
+        entry.starts()
+    site.store.turned_away = {entry.name for entry in started}
+    site.run(seconds)
+    site.store.turned_away = set()
+    site.run(START_SECONDS, lambda: all(e.table.revision is not None for e in started))
