Use little of the slack for repeats within a window after a start

Entries that were all started again sent the repeats of a window once more, so that a service got more repeats than the bound over all entries allows.

Cause: an entry without records of repeats took the whole slack of the window, though its predecessor had used it. Until it knew the other entries, it also divided the slack by those that it knew: itself and the seeds.

Evidence: in simulated time with 6 entries, a bound of 0.2 and 52 in 10 s, and each of 20 requests a second to be repeated, a window had 8 repeats beyond the bound when all entries started again 4 s after the first request, 36 when they did so twice within 3 s, and 6 when they did so one after the other; at 100 requests a second 6, 27 and none. Scenarios of restarted_entries.feature failed before.

Within a window after its start an entry now uses 0.15 of the slack in place of 0.7, so that two restarts of all entries fit in the rest, and none until other entries agree with it on who there is. The share of its own requests is used as before.

Repeats of a service with few requests are refused more often within a window of a start.

--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -147,7 +147,13 @@
     routes.add_listener(lambda table: members.exchange.request_round())
 
     accounts = make_account_parts(settings, own, incarnation, members, clock)
-    retries = RetryWindows(clock.now, retry_bounds(in_force), lambda: len(book.entries))
+    retries = RetryWindows(
+        clock.now,
+        retry_bounds(in_force),
+        lambda: len(book.entries),
+        clock.now(),
+        lambda: sync.has_converged,
+    )
     connections = ConnectionKeeper(CONNECT_SECONDS)
     servers.on_unused(connections.forget)
     backoffs = ServerBackoffs(clock)
--- a/boragestream/policy/retry_window.py
+++ b/boragestream/policy/retry_window.py
@@ -3,8 +3,13 @@
 In any window of a few seconds, a service may get repeats up to a share of its requests
 plus a fixed slack. Each entry enforces its part of this limit: the share of its own
 requests, and the slack divided by the number of entries that it knows.
+
+Load pattern: all entries start again at once, or one after the other, while a service
+fails. An entry does not know what its predecessor sent in the same window, nor at first
+how many other entries there are, so that it uses little of the slack until then.
 """
 
+import math
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -16,6 +21,9 @@
 # entry has no record of what its predecessor sent in the same window, and a request can
 # end just outside the window.
 USED_SHARE = 0.7
+# The part of the slack that is used within a window after the entry's start. Two
+# restarts of all entries in a window use up the rest of the slack.
+STARTING_SLACK_SHARE = (1 - USED_SHARE) / 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +52,9 @@
     :param now: returns the time of the clock in seconds.
     :param bounds: returns the limit in force.
     :param entries: returns the number of entries that share the limit.
+    :param started_at: when this entry started; by default long ago.
+    :param agreed: returns whether the other entries know the same entries; until then
+        an entry that has just started uses no slack.
     """
 
     def __init__(
@@ -51,10 +62,14 @@
         now: Callable[[], float],
         bounds: Callable[[], RetryBounds],
         entries: Callable[[], int],
+        started_at: float = -math.inf,
+        agreed: Callable[[], bool] = lambda: True,
     ) -> None:
         self._now = now
         self._bounds = bounds
         self._entries = entries
+        self._started_at = started_at
+        self._agreed = agreed
         self._counts: dict[str, _Counts] = {}
         self._lock = threading.Lock()
 
@@ -77,13 +92,20 @@
             oldest = self._now() - bounds.window_seconds
             _drop_older(counts.requests, oldest)
             _drop_older(counts.repeats, oldest)
-            slack = bounds.slack / max(1, self._entries())
-            allowed = USED_SHARE * (bounds.share * len(counts.requests) + slack)
+            allowed = USED_SHARE * bounds.share * len(counts.requests)
+            allowed += self._slack(bounds)
             if len(counts.repeats) + count > allowed:
                 return False
             counts.repeats.extend([self._now()] * count)
             return True
 
+    def _slack(self, bounds: RetryBounds) -> float:
+        """Return this entry's part of the slack."""
+        used = USED_SHARE
+        if self._now() - self._started_at < bounds.window_seconds:
+            used = STARTING_SLACK_SHARE if self._agreed() else 0.0
+        return used * bounds.slack / max(1, self._entries())
+
     def _counts_for(self, service: str) -> _Counts:
         counts = self._counts.get(service)
         if counts is None:
--- a/tests/features/restarted_entries.feature
+++ b/tests/features/restarted_entries.feature
@@ -31,3 +31,23 @@
       | all but one | 6     |
       | all         | 6     |
       | all         | 74    |
+
+  # Guards against entries that send the repeats of a window once more since they know
+  # nothing of those before their start, or take the whole slack since they know nobody.
+  Scenario Outline: <count> entries of which <who> start anew <times> within a window keep to the bound
+    Given <count> entries that may repeat 0.2 of the requests and 52 more in 10 s
+    When each of <rate> requests a second is to be repeated for 30 s, and <who> start anew <times>
+    Then no window has more repeats than the bound allows
+    And the entries sent <least> of the repeats that the bound allows
+
+    Examples:
+      | count | who         | times         | rate | least |
+      | 6     | none        | once          | 20   | 0.6   |
+      | 6     | one         | once          | 20   | 0.6   |
+      | 6     | all but one | once          | 20   | 0.5   |
+      | 6     | all         | once          | 20   | 0.5   |
+      | 6     | all         | twice         | 20   | 0.5   |
+      | 6     | all         | one by one    | 20   | 0.5   |
+      | 6     | all         | once          | 100  | 0.5   |
+      | 6     | all         | one by one    | 100  | 0.5   |
+      | 195   | all         | once          | 100  | 0.25  |
--- a/tests/features/steps/restarted_entries.py
+++ b/tests/features/steps/restarted_entries.py
@@ -1,5 +1,6 @@
 """Steps on entries that start anew, without a process."""
 
+import random
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -9,6 +10,7 @@
 from boragestream.entry.seat_messages import SeatAsk, SeatReturn
 from boragestream.policy.granters import SETTLED_SECONDS
 from boragestream.policy.limit_records import LimitRecord, server_key
+from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.servers import Server
 from tests.standins.clock import SetClock
 from tests.standins.limits import lone_limits, lone_seats
@@ -20,6 +22,10 @@
 MANY = 20
 LIMIT_HUNDREDTHS = 100
 START_SECONDS = 3.0
+# After its start an entry knows the others about as late.
+AGREED_SECONDS = 0.6
+# When entries start anew: they have just sent the repeats of a window.
+RESTART_AT = 4.0
 
 
 class PermitGranter:
@@ -117,3 +123,108 @@
     site.run(seconds)
     site.store.turned_away = set()
     site.run(START_SECONDS, lambda: all(e.table.revision is not None for e in started))
+
+
+class RepeatingEntries:
+    """Entries that repeat requests in simulated time, within a bound over all."""
+
+    def __init__(self, count, bounds):
+        """Start all entries long before the first request."""
+        self.clock, self.rng = SetClock(), random.Random(1)
+        self.bounds = bounds
+        self.names = range(count)
+        self.started_at = dict.fromkeys(self.names, float("-inf"))
+        self.windows = {}
+        self.requests, self.repeats = [], []
+        for name in self.names:
+            self.make(name)
+
+    def make(self, name):
+        """Make what an entry knows anew."""
+        self.windows[name] = RetryWindows(
+            self.clock.now,
+            lambda: self.bounds,
+            lambda: self.known(name),
+            self.started_at[name],
+            lambda: self.agrees(name),
+        )
+
+    def start(self, name):
+        """Start an entry anew."""
+        self.started_at[name] = self.clock.now()
+        self.make(name)
+
+    def agrees(self, name):
+        """Return whether an entry knows the others since its start."""
+        return self.clock.now() - self.started_at[name] >= AGREED_SECONDS
+
+    def known(self, name):
+        """Return how many entries one knows, itself included."""
+        return len(self.names) if self.agrees(name) else 1
+
+    def run(self, seconds, rate, starts):
+        """Have requests come that are to be repeated, and entries start anew.
+
+        ``starts`` are moments and entries, by time.
+        """
+        began, left = self.clock.now(), list(starts)
+        for number in range(int(seconds * rate)):
+            self.clock.seconds = began + number / rate
+            while left and left[0][0] <= number / rate:
+                self.start(left.pop(0)[1])
+            windows = self.windows[self.rng.choice(self.names)]
+            windows.note_request("service")
+            self.requests.append(self.clock.now())
+            if windows.spend("service"):
+                self.repeats.append(self.clock.now())
+
+    def allowed(self, until):
+        """Return the most repeats in the window that ends at a moment."""
+        requests = self.in_window(self.requests, until)
+        return self.bounds.share * requests + self.bounds.slack
+
+    def in_window(self, moments, until):
+        """Count the moments of a window."""
+        since = until - self.bounds.window_seconds
+        return sum(since <= at <= until for at in moments)
+
+
+@given(
+    "{count:d} entries that may repeat {share:g} of the requests and {slack:d} more in "
+    "{seconds:d} s"
+)
+def step(context, count, share, slack, seconds):
+    context.entries = RepeatingEntries(count, RetryBounds(share, seconds, slack))
+
+
+@when(
+    "each of {rate:d} requests a second is to be repeated for {seconds:d} s, and {who} "
+    "start anew {times}"
+)
+def step(context, rate, seconds, who, times):
+    names = list(context.entries.names)
+    few = {"none": 0, "one": 1, "all but one": len(names) - 1, "all": len(names)}
+    names = names[: few[who]]
+    starts = {
+        "once": [(RESTART_AT, name) for name in names],
+        "twice": [(at, n) for at in (RESTART_AT, RESTART_AT + 3.0) for n in names],
+        "one by one": [(RESTART_AT + 0.3 * n, name) for n, name in enumerate(names)],
+    }
+    context.entries.run(seconds, rate, starts[times])
+
+
+@then("no window has more repeats than the bound allows")
+def step(context):
+    entries = context.entries
+    for at in entries.repeats:
+        sent, allowed = entries.in_window(entries.repeats, at), entries.allowed(at)
+        assert sent <= allowed, (at, sent, allowed)
+
+
+@then("the entries sent {least:g} of the repeats that the bound allows")
+def step(context, least):
+    entries = context.entries
+    ends = [at for at in entries.requests if at >= entries.requests[0] + RESTART_AT]
+    allowed = sum(entries.allowed(at) for at in ends)
+    sent = sum(entries.in_window(entries.repeats, at) for at in ends)
+    assert sent >= least * allowed, sent / allowed
