Count seats of an earlier granter for which the calls still run

A brittle server crashes when it must reject calls. Three seconds after the entry that grants its seats had started anew, or another entry had become the granter, the server could get more calls than it has places, and crash: streams that had begun before went on there, and the new granter granted all places once more.

Cause: a granter counted the seats that it had granted itself, and the other entries reported only their calls without any seat, so that seats of an earlier granter were known to nobody who counts.

Evidence: with stand-ins, an entry that held 3 of 4 places got 4 more seats after the granter had started anew, after a third entry had become the granter, and after it had become the granter itself. The three scenarios failed before.

A request for a seat now names the seats that the asking entry has at the server, and those that the granter does not know count like calls without a seat.

Left: seats of an entry that asks for no other seat meanwhile are still unknown to the next granter, and what an entry reported counts for 5 s without a new report.

--- a/boragestream/entry/seat_messages.py
+++ b/boragestream/entry/seat_messages.py
@@ -19,6 +19,8 @@
     :ivar slots: the calls that the server works on at a time; 0 if unknown.
     :ivar hold_ms: for how long the seat is held at the most.
     :ivar unseated: calls of the sender at the server that have no seat.
+    :ivar held: the numbers of the sender's seats at the server, whichever entry granted
+        them; earlier releases do not send them.
     """
 
     server: str
@@ -30,6 +32,7 @@
     slots: int
     hold_ms: int
     unseated: int = 0
+    held: tuple[int, ...] = ()
 
 
 class SeatReply(msgspec.Struct, frozen=True, tag=True):
--- a/boragestream/entry/server_seats.py
+++ b/boragestream/entry/server_seats.py
@@ -1,16 +1,17 @@
 """Takes and grants seats at brittle servers, which bear no rejected calls.
 
 The entry that ranks first for a server grants its seats; while it does not answer, the
-second does. An entry that has just become the first does not know the seats that its
-predecessor granted, and grants only half of the places until these have been returned.
+second does. An entry that has just started, or become the first, does not know the
+seats that were granted before, and grants only half of the places at first. Each
+request for a seat names the seats that the asking entry has at the server, and those
+that the granting entry does not know count as calls without a seat.
 ``policy.server_places`` counts the seats, ``policy.brittle_services`` decides how many
 there are.
 """
 
 import math
 import threading
-from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from boragestream.base.clock import Clock
@@ -105,8 +106,8 @@
         self._settled = False
         self._requests = OwnerRequests(links, clock)
         self._numbers = grant_numbers()
-        # The seats that this entry holds, by server, for its calls without a seat.
-        self._held: Counter[bytes] = Counter()
+        # The numbers of the seats that this entry holds, by server.
+        self._held: dict[bytes, set[int]] = {}
         # Until when the places of a server are expected to be taken.
         self._full_until: dict[bytes, float] = {}
         self._granted: dict[bytes, ServerPlaces] = {}
@@ -132,7 +133,7 @@
         result = self._acquire(server, min(MAX_HOLD_SECONDS, seconds))
         if isinstance(result, Seat):
             with self._lock:
-                self._held[key] += 1
+                self._held.setdefault(key, set()).add(result.number)
         else:
             self._full_until[key] = self._clock.now() + result.left_seconds
         return result
@@ -145,9 +146,10 @@
         """
         key = server_key(seat.server)
         with self._lock:
-            self._held[key] -= 1
-            if self._held[key] <= 0:
-                del self._held[key]
+            held = self._held.get(key, set())
+            held.discard(seat.number)
+            if not held:
+                self._held.pop(key, None)
         linger = LINGER_SECONDS if cut else 0.0
         if seat.granted_by == self._own:
             self._release(seat.number, linger, rejected)
@@ -176,9 +178,8 @@
         )
         if not self._is_settled() or self._own not in self._granters.for_server(server):
             return SeatReply(0, int(UNSETTLED_RETRY_SECONDS * 1000))
-        number, wait = self._grant(
-            server, message.hold_ms / 1000, envelope.sender, message.unseated
-        )
+        hold, sender = message.hold_ms / 1000, envelope.sender
+        number, wait = self._grant(server, hold, sender, message.unseated, message.held)
         return SeatReply(number, math.ceil(wait * 1000))
 
     def answer_return(self, envelope: Envelope, message: SeatReturn) -> ProbeReply:
@@ -195,25 +196,30 @@
         if places is None or not self._is_settled():
             return SeatRefused(UNSETTLED_RETRY_SECONDS)
         hold = seconds + EXPIRY_MARGIN_SECONDS
-        unseated = self._unseated(server)
+        with self._lock:
+            held = tuple(self._held.get(server_key(server), ()))
+        unseated = max(0, self._open_calls(server) - len(held))
         for entry in self._granters.for_server(server):
             if entry == self._own:
-                number, wait = self._grant(server, hold, self._own, unseated)
+                number, wait = self._grant(server, hold, self._own, unseated, held)
             elif self._requests.is_skipped(entry):
                 continue
             else:
-                reply = self._ask(entry, server, places, hold, unseated)
+                reply = self._ask(entry, server, places, hold, unseated, held)
                 if reply is None:
                     continue
                 number, wait = reply.number, reply.wait_ms / 1000
             return Seat(server, entry, number) if number else SeatRefused(wait)
         return SeatRefused(UNSETTLED_RETRY_SECONDS)
 
-    def _unseated(self, server: Server) -> int:
-        return max(0, self._open_calls(server) - self._held[server_key(server)])
-
     def _ask(
-        self, entry: str, server: Server, places: int, hold: float, unseated: int
+        self,
+        entry: str,
+        server: Server,
+        places: int,
+        hold: float,
+        unseated: int,
+        held: tuple[int, ...],
     ) -> SeatReply | None:
         address = self._address(entry)
         if address is None:
@@ -232,13 +238,23 @@
             server.slots,
             int(hold * 1000),
             unseated,
+            held,
         )
         return self._requests.request(entry, address, message, SeatReply)
 
     def _grant(
-        self, server: Server, hold: float, entry: str, unseated: int
+        self,
+        server: Server,
+        hold: float,
+        entry: str,
+        unseated: int,
+        held: Collection[int],
     ) -> tuple[int, float]:
-        """Return a seat's number, 0 if refused, and the wait until one is free."""
+        """Return a seat's number, 0 if refused, and the wait until one is free.
+
+        :param unseated: the calls of the asking entry that have no seat.
+        :param held: the numbers of its seats, also of those that others granted.
+        """
         places = self._services.places(server)
         if places is None:
             # The service has just ceased to be brittle; the seat counts nothing.
@@ -248,7 +264,8 @@
         now = self._clock.now()
         with self._lock:
             granted = self._granted.setdefault(server_key(server), ServerPlaces())
-            granted.unseated[entry] = (unseated, now)
+            elsewhere = sum(number not in granted.taken for number in held)
+            granted.unseated[entry] = (unseated + elsewhere, now)
             number = next(self._numbers)
             if granted.take(number, places, now, hold):
                 self._servers[number] = server
--- a/tests/features/restarted_entries.feature
+++ b/tests/features/restarted_entries.feature
@@ -51,3 +51,18 @@
       | 6     | all         | once          | 100  | 0.5   |
       | 6     | all         | one by one    | 100  | 0.5   |
       | 195   | all         | once          | 100  | 0.25  |
+
+  # Guards against a granter that has just started, or become the first, and sends a
+  # brittle server calls beyond those that entries still have there by earlier seats.
+  Scenario Outline: seats that another run granted count while <who> grants
+    Given an entry that holds 3 of the 4 seats of a brittle server
+    When <who> grants the seats, and 4 seconds pass
+    Then the entry gets 1 more seats and no other
+    When its first calls have ended
+    Then the entry gets 3 more seats and no other
+
+    Examples:
+      | who                       |
+      | the same entry, anew,     |
+      | a third entry             |
+      | the entry itself          |
--- a/tests/features/steps/restarted_entries.py
+++ b/tests/features/steps/restarted_entries.py
@@ -8,7 +8,9 @@
 from boragestream.entry.limits import pack_limit
 from boragestream.entry.permit_messages import PermitAsk, PermitReturn
 from boragestream.entry.seat_messages import SeatAsk, SeatReturn
-from boragestream.policy.granters import SETTLED_SECONDS
+from boragestream.entry.server_seats import Seat, ServerSeats
+from boragestream.policy.brittle_services import BrittleServices
+from boragestream.policy.granters import SETTLED_SECONDS, Granters
 from boragestream.policy.limit_records import LimitRecord, server_key
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.servers import Server
@@ -21,6 +23,7 @@
 # More than an entry grants at one moment.
 MANY = 20
 LIMIT_HUNDREDTHS = 100
+LOOK_SECONDS = 0.5
 START_SECONDS = 3.0
 # After its start an entry knows the others about as late.
 AGREED_SECONDS = 0.6
@@ -228,3 +231,91 @@
     allowed = sum(entries.allowed(at) for at in ends)
     sent = sum(entries.in_window(entries.repeats, at) for at in ends)
     assert sent >= least * allowed, sent / allowed
+
+
+class SeatSite:
+    """Entries before one brittle server, of which one grants the seats."""
+
+    def __init__(self):
+        """Start all entries."""
+        self.clock = SetClock()
+        self.first = "a"
+        # The seats of entry "b" whose calls are at the server.
+        self.taken = []
+        self.granters, self.seats = {}, {}
+        for name in "abc":
+            self.start(name)
+
+    def start(self, name):
+        """Start an entry that knows of no seat."""
+        granters = Granters(lambda: [self.first], lambda s: s.name, self.clock)
+        services = BrittleServices(self.clock)
+        services.note_answer(SERVER, True, self.clock.now(), True)
+
+        def ask(address, message, seconds):
+            other, envelope = self.seats[address], SimpleNamespace(sender=name)
+            returned = isinstance(message, SeatReturn)
+            answer = other.answer_return if returned else other.answer
+            return answer(envelope, message)
+
+        self.granters[name] = granters
+        self.seats[name] = ServerSeats(
+            name,
+            services,
+            granters,
+            lambda entry: entry,
+            lambda: True,
+            SimpleNamespace(ask=ask),
+            lambda work: work(),
+            self.clock,
+            lambda server: len(self.taken) if name == "b" else 0,
+        )
+
+    def pass_time(self, seconds):
+        """Let time pass, in which all entries look who grants."""
+        for _ in range(round(seconds / LOOK_SECONDS)):
+            self.clock.seconds += LOOK_SECONDS
+            for granters in self.granters.values():
+                granters.refresh()
+
+    def take_all(self):
+        """Have entry "b" take the seats that it gets; return how many."""
+        before = len(self.taken)
+        for _ in range(MANY):
+            seat = self.seats["b"].acquire(SERVER, HOLD_MS / 1000)
+            if isinstance(seat, Seat):
+                self.taken.append(seat)
+        return len(self.taken) - before
+
+
+@given("an entry that holds {held:d} of the 4 seats of a brittle server")
+def step(context, held):
+    context.site = SeatSite()
+    context.site.pass_time(SETTLED_SECONDS + LOOK_SECONDS)
+    context.site.take_all()
+    for _ in range(len(context.site.taken) - held):
+        context.site.seats["b"].release(context.site.taken.pop())
+    assert len(context.site.taken) == held
+    context.first_calls = list(context.site.taken)
+
+
+@when("{who} grants the seats, and {seconds:d} seconds pass")
+def step(context, who, seconds):
+    site = context.site
+    site.first = {"a third entry": "c", "the entry itself": "b"}.get(who, "a")
+    if site.first == "a":
+        site.start("a")
+    site.pass_time(seconds)
+
+
+@then("the entry gets {count:d} more seats and no other")
+def step(context, count):
+    got = context.site.take_all()
+    assert got == count, got
+
+
+@when("its first calls have ended")
+def step(context):
+    for seat in context.first_calls:
+        context.site.taken.remove(seat)
+        context.site.seats["b"].release(seat)
