Keep lapsed servers that an entry from the end of an outage does not know

After an outage of the store in which all servers had lapsed, and at whose end entries were started, the entries that had run through it could drop all servers until these were published again, up to two seconds later. Callers were refused meanwhile.

Cause: which keys lapsed is told by the entry that relays the values. One that began at the end of the outage has never known them, names none, and what it did not list was taken for removed.

An entry now also says for how long it has known any values. If that is less than the time since the last answer that the receiver knows of, the receiver decides by its own knowledge of the outage, with the failures that other entries told it of. Earlier releases send no such time and are believed as before.

--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -169,7 +169,8 @@
     def take_relayed(self, relayed: Relayed) -> None:
         """Apply values that another entry relays."""
         before = self._state()
-        changed = self.table.apply_relayed(relayed)
+        trouble = self.following.seconds_since_failure()
+        changed = self.table.apply_relayed(relayed, trouble)
         self._log_transition(before, ValueSource.PEER)
         if changed:
             self._publish()
--- a/boragestream/entry/knowledge_messages.py
+++ b/boragestream/entry/knowledge_messages.py
@@ -77,6 +77,8 @@
     :ivar after_era: the era of the revision to which the changes apply.
     :ivar era_ms: the time since the era was first seen; None if unknown.
     :ivar held: the values that are used instead of those of a returned store.
+    :ivar followed_ms: the time since the sender has known any values; None if it is
+        long or unknown, also from an earlier release.
     """
 
     after: int | None = None
@@ -87,6 +89,7 @@
     after_era: int = NO_ERA
     era_ms: int | None = None
     held: tuple[PackedHeld, ...] = ()
+    followed_ms: int | None = None
 
 
 class QuarantineAsk(msgspec.Struct, frozen=True, tag=True):
--- a/boragestream/entry/published_relay.py
+++ b/boragestream/entry/published_relay.py
@@ -220,6 +220,7 @@
             relayed.after_era,
             _optional_milliseconds(relayed.era_seconds),
             tuple(_pack(held) for held in relayed.held),
+            _uncapped_milliseconds(relayed.followed_seconds),
         )
 
     def _request_changes(
@@ -291,6 +292,12 @@
     return None if seconds is None else _milliseconds(seconds)
 
 
+def _uncapped_milliseconds(seconds: float | None) -> int | None:
+    """Return seconds as milliseconds; None instead of a capped figure."""
+    milliseconds = _optional_milliseconds(seconds)
+    return None if milliseconds == MAX_AGE_MS else milliseconds
+
+
 def _optional_seconds(milliseconds: int | None) -> float | None:
     return None if milliseconds is None else milliseconds / 1000
 
@@ -356,4 +363,5 @@
         reply.after_era,
         _optional_seconds(reply.era_ms),
         tuple(_held(packed) for packed in reply.held),
+        _optional_seconds(reply.followed_ms),
     )
--- a/boragestream/policy/lapses.py
+++ b/boragestream/policy/lapses.py
@@ -51,6 +51,8 @@
         self._began_at = now()
         self._failed_at = -math.inf
         self._outage_ended_at = -math.inf
+        # The time of the last known answer to any entry.
+        self._last_answered_at = -math.inf
         # The latest end of the retention of keys that lapsed in the last outage.
         self._retained_until = -math.inf
         # The time of the first answer for this prefix since then; None before it.
@@ -69,6 +71,7 @@
         :param previous_at: the time of the last answer to any entry before it; minus
             infinity if none is known.
         """
+        self._last_answered_at = max(self._last_answered_at, answered_at)
         if previous_at == -math.inf:
             previous_at = self._began_at
         failed_between = previous_at < self._failed_at < answered_at
@@ -83,6 +86,28 @@
             promised = previous_at + self._bound - SEND_MARGIN_SECONDS
             self._retained_until = min(self._retained_until, promised)
 
+    def relayed_retention_end(
+        self, followed_seconds: float | None, trouble_seconds: float
+    ) -> float | None:
+        """Return how long to keep a value that another entry's values lack.
+
+        That entry says which keys have lapsed since it follows the store. If it began
+        after the last known answer, the key may have lapsed before, and its values
+        count as the store's answer.
+
+        :param followed_seconds: the time since that entry has known any values; None if
+            unknown.
+        :param trouble_seconds: the time since the store last failed to answer any
+            entry.
+        :returns: the end in the clock's seconds; None to remove the value immediately.
+        """
+        now, last = self._now(), self._last_answered_at
+        if followed_seconds is None or not now - followed_seconds > last > -math.inf:
+            return None
+        self._failed_at = max(self._failed_at, now - trouble_seconds)
+        self.note_answer(now, last)
+        return self.retention_end()
+
     def note_failure(self) -> None:
         """Record that the store gave no answer to this entry."""
         self._failed_at = self._now()
--- a/boragestream/policy/operator_table.py
+++ b/boragestream/policy/operator_table.py
@@ -12,6 +12,7 @@
 ``policy.cold_servers`` carry out the orders.
 """
 
+import math
 import threading
 from collections.abc import Callable, Iterable
 from dataclasses import replace
@@ -138,9 +139,12 @@
                 or changed
             )
 
-    def apply_relayed(self, relayed: Relayed) -> bool:
+    def apply_relayed(
+        self, relayed: Relayed, trouble_seconds: float = math.inf
+    ) -> bool:
         """Apply the complete set of drained data centres relayed by another entry.
 
+        :param trouble_seconds: not used, since operators' values don't lapse.
         :returns: whether the set changed or was unknown before.
         """
         with self._lock:
--- a/boragestream/policy/publication.py
+++ b/boragestream/policy/publication.py
@@ -150,6 +150,8 @@
     :ivar after_era: the era of ``after``.
     :ivar era_seconds: the time since any entry first saw the era; None if unknown.
     :ivar held: the writes that override those of the restored store.
+    :ivar followed_seconds: the time since the entry has known any values; None if
+        unknown.
     """
 
     after: int | None
@@ -160,3 +162,4 @@
     after_era: int = NO_ERA
     era_seconds: float | None = None
     held: tuple[Held, ...] = ()
+    followed_seconds: float | None = None
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -72,6 +72,8 @@
         self._held = HeldValues(now, retention, self._stored)
         self._lapses = LapseWindow(now, retention.missing_seconds, bound_seconds)
         self._position: Position | None = None
+        # When the first values became known.
+        self._followed_from: float | None = None
         self._last_source: ValueSource | None = None
         # The last known position of the previous era and the first of this one.
         self._previous_era_end: Position | None = None
@@ -191,14 +193,20 @@
             self._stored.update(writes)
             return changed
 
-    def apply_relayed(self, relayed: Relayed) -> bool:
-        """Apply values relayed by another entry; return whether the values changed."""
+    def apply_relayed(
+        self, relayed: Relayed, trouble_seconds: float = math.inf
+    ) -> bool:
+        """Apply values relayed by another entry; return whether the values changed.
+
+        :param trouble_seconds: the time since the store last failed to answer any
+            entry.
+        """
         with self._lock:
             self._last_source = ValueSource.PEER
             known = self._position
             position = Position(relayed.era, relayed.revision)
             if known is None or position > known:
-                applied = self._apply_newer_relayed(relayed, position)
+                applied = self._apply_newer_relayed(relayed, position, trouble_seconds)
                 if applied is None:
                     return False
             else:
@@ -244,6 +252,7 @@
                 after_era=NO_ERA if after is None else after.era,
                 era_seconds=self._held.era_seconds,
                 held=self._held.held,
+                followed_seconds=self._followed_seconds,
             )
 
     def drop_expired(self) -> bool:
@@ -257,6 +266,11 @@
                 self._last_source = ValueSource.TIME
             return expired
 
+    @property
+    def _followed_seconds(self) -> float | None:
+        since = self._followed_from
+        return None if since is None else self._now() - since
+
     def _era_of(self, answer: Snapshot | Changes) -> int:
         """Return an answer's era, or the known era if the answer names none."""
         return self.era if answer.era == NO_ERA else answer.era
@@ -276,6 +290,7 @@
         self._position = position
         self._era_start = position
         if known is None:
+            self._followed_from = self._now()
             self._changes_start = position
         else:
             for change in differences:
@@ -284,7 +299,9 @@
             self._held.begin_era(used, era_began)
         return self._held.values != before
 
-    def _apply_newer_relayed(self, relayed: Relayed, position: Position) -> bool | None:
+    def _apply_newer_relayed(
+        self, relayed: Relayed, position: Position, trouble_seconds: float
+    ) -> bool | None:
         """Apply relayed values or changes up to a later position.
 
         :returns: whether they changed the values; None if changes are missing between
@@ -313,6 +330,13 @@
             changed = self._replace_all(
                 stored, position, now - (relayed.era_seconds or 0.0)
             )
+        elif relayed.after is None:
+            until = self._lapses.relayed_retention_end(
+                relayed.followed_seconds, trouble_seconds
+            )
+            changed = self._apply(
+                changes, position, lambda key: retention_ends.get(key, until)
+            )
         else:
             changed = self._apply(changes, position, retention_ends.get)
         if relayed.after is None:
--- a/tests/features/restarted_entries.feature
+++ b/tests/features/restarted_entries.feature
@@ -66,3 +66,18 @@
       | the same entry, anew,     |
       | a third entry             |
       | the entry itself          |
+
+  # Guards against servers that lapsed in an outage and are dropped by entries that knew
+  # them, because an entry that started at its end lists them neither as lapsed nor at all.
+  Scenario Outline: lapsed servers stay in use at the others though <who> of <count> entries start at the store's return
+    When "b" lapses in an outage, at whose end <who> of <count> entries start, by 6 seeds
+    Then all entries that ran before still hold "b" 1.5 s later
+    And none holds it after 6 s
+
+    Examples:
+      | who         | count |
+      | one         | 6     |
+      | half        | 6     |
+      | all but one | 6     |
+      | half        | 74    |
+      | all but one | 74    |
--- a/tests/features/steps/restarted_entries.py
+++ b/tests/features/steps/restarted_entries.py
@@ -15,6 +15,7 @@
 from boragestream.policy.retry_window import RetryBounds, RetryWindows
 from boragestream.policy.servers import Server
 from tests.standins.clock import SetClock
+from tests.standins.following import SimulatedSite
 from tests.standins.limits import lone_limits, lone_seats
 
 SERVER = Server("s-1", "engine", "10.9.0.1:80", "hall", "1", slots=4)
@@ -24,6 +25,7 @@
 MANY = 20
 LIMIT_HUNDREDTHS = 100
 LOOK_SECONDS = 0.5
+OUTAGE_SECONDS = 6.9
 START_SECONDS = 3.0
 # After its start an entry knows the others about as late.
 AGREED_SECONDS = 0.6
@@ -319,3 +321,41 @@
     for seat in context.first_calls:
         context.site.taken.remove(seat)
         context.site.seats["b"].release(seat)
+
+
+@when(
+    '"{key}" lapses in an outage, at whose end {who} of {count:d} entries start, by '
+    "{seeds:d} seeds"
+)
+def step(context, key, who, count, seeds):
+    context.key, context.sites = key, []
+    for seed in range(1, seeds + 1):
+        site = SimulatedSite(count, 3, 4.0, seed)
+        site.used = True
+        site.publish(key, b"1")
+        site.run(20.0)
+        site.store.down = True
+        site.run(OUTAGE_SECONDS)
+        started = site.rng.sample(site.entries, len(choose_entries(site, who)))
+        for entry in started:
+            entry.starts()
+        site.run(LOOK_SECONDS / 5)
+        site.publish(key, None)
+        site.store.down = False
+        context.sites.append((site, [e for e in site.entries if e not in started]))
+
+
+@then('all entries that ran before still hold "{key}" {seconds:g} s later')
+def step(context, key, seconds):
+    counts = []
+    for site, others in context.sites:
+        site.run(seconds)
+        counts.append((sum(key in e.table.values for e in others), len(others)))
+    assert all(held == count for held, count in counts), counts
+
+
+@then("none holds it after {seconds:g} s")
+def step(context, seconds):
+    for site, _ in context.sites:
+        site.run(seconds)
+        assert site.unused_everywhere(context.key, b"1")
--- a/tests/standins/following.py
+++ b/tests/standins/following.py
@@ -327,7 +327,8 @@
         if self.lacks(other, position):
             self.configuration_known = True
             relayed = other.table.changes_since(self.table.revision, self.table.era)
-            if self.table.apply_relayed(relayed):
+            trouble = self.following.seconds_since_failure()
+            if self.table.apply_relayed(relayed, trouble):
                 self.note_news()
         if self.table.era > position.era:
             return
