--- a/boragestream/daemon/bounds.py
+++ b/boragestream/daemon/bounds.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Callable
 
+from boragestream.base.clock import Clock
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.document.routes import RouteService
+from boragestream.entry.address_sync import AddressSync
+from boragestream.entry.addresses import AddressBook
 from boragestream.policy.cold_servers import ColdBound
-from boragestream.policy.retry_window import RetryBounds
+from boragestream.policy.retry_window import RetryBounds, RetryWindows
 
-__all__ = ["cold_bound", "retry_bounds"]
+__all__ = ["cold_bound", "make_retries"]
 
 
 def cold_bound(
@@ -28,11 +31,23 @@
     return bound
 
 
-def retry_bounds(in_force: SettingsInForce) -> Callable[[], RetryBounds]:
-    """Return a function that returns the bounds on repeats."""
+def make_retries(
+    in_force: SettingsInForce, book: AddressBook, sync: AddressSync, clock: Clock
+) -> RetryWindows:
+    """Return the bound on the repeats of an entry that starts now.
+
+    :param book: the entries that share the bound.
+    :param sync: knows whether the other entries know the same entries.
+    """
 
     def bounds() -> RetryBounds:
         retries = in_force.current.retries
         return RetryBounds(retries.share, retries.window_seconds, retries.slack)
 
-    return bounds
+    return RetryWindows(
+        clock.now,
+        bounds,
+        lambda: len(book.entries),
+        clock.now(),
+        lambda: sync.has_converged,
+    )
--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -13,7 +13,7 @@
 from boragestream.base.identifiers import new_incarnation
 from boragestream.base.route_metrics import RouteMetrics
 from boragestream.daemon.account_parts import make_account_parts
-from boragestream.daemon.bounds import cold_bound, retry_bounds
+from boragestream.daemon.bounds import cold_bound, make_retries
 from boragestream.daemon.call_lines import (
     CONNECT_SECONDS,
     make_entry_line,
@@ -60,7 +60,6 @@
 from boragestream.policy.oversized_answers import OversizedAnswers
 from boragestream.policy.peers import ListedEntry
 from boragestream.policy.region_choice import RegionChoice
-from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.route_table import RoutesInForce
 from boragestream.policy.server_backoffs import ServerBackoffs
 from boragestream.policy.server_choice import ServerChoice
@@ -147,13 +146,7 @@
     routes.add_listener(lambda table: members.exchange.request_round())
 
     accounts = make_account_parts(settings, own, incarnation, members, clock)
-    retries = RetryWindows(
-        clock.now,
-        retry_bounds(in_force),
-        lambda: len(book.entries),
-        clock.now(),
-        lambda: sync.has_converged,
-    )
+    retries = make_retries(in_force, book, sync, clock)
     connections = ConnectionKeeper(CONNECT_SECONDS)
     servers.on_unused(connections.forget)
     backoffs = ServerBackoffs(clock)
--- a/boragestream/policy/publication.py
+++ b/boragestream/policy/publication.py
@@ -5,12 +5,14 @@
 """
 
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Protocol
 
 from boragestream.base.outcomes import Failure
 
 __all__ = [
     "NO_ERA",
+    "AnswerStatus",
     "Change",
     "Changes",
     "Held",
@@ -19,10 +21,28 @@
     "PublishedStore",
     "Relayed",
     "Snapshot",
+    "ValueSource",
     "Write",
 ]
 
 
+class AnswerStatus(Enum):
+    """Whether a table can apply an answer of the store."""
+
+    USABLE = "it can be taken"
+    OUTDATED = "it is older than what is known"
+    UNCONNECTED = "changes of a later era, whose values must be read first"
+
+
+class ValueSource(Enum):
+    """What changed the values in use."""
+
+    PLATFORM = "platform"
+    PEER = "peer"
+    # The retention of values that the store lacks has ended.
+    TIME = "time"
+
+
 # The era of answers that name none and of messages from an earlier release.
 NO_ERA = -1
 
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -13,41 +13,25 @@
 import threading
 from collections import deque
 from collections.abc import Callable, Iterable
-from enum import Enum
 
 from boragestream.policy.held_values import SERVER_RETENTION, HeldValues, Retention
 from boragestream.policy.lapses import LapseWindow
 from boragestream.policy.publication import (
     NO_ERA,
+    AnswerStatus,
     Change,
     Changes,
     Held,
     Position,
     Relayed,
     Snapshot,
+    ValueSource,
     Write,
 )
 
 __all__ = ["AnswerStatus", "PublishedTable", "ValueSource"]
 
 
-class AnswerStatus(Enum):
-    """Whether a table can apply an answer of the store."""
-
-    USABLE = "it can be taken"
-    OUTDATED = "it is older than what is known"
-    UNCONNECTED = "changes of a later era, whose values must be read first"
-
-
-class ValueSource(Enum):
-    """What changed the values in use."""
-
-    PLATFORM = "platform"
-    PEER = "peer"
-    # The retention of values that the store lacks has ended.
-    TIME = "time"
-
-
 class PublishedTable:
     """The values under one prefix; thread-safe.
 
@@ -233,7 +217,7 @@
             position = self._position
             if position is None:
                 return None
-            lapsed = self._held.lapsed
+            lapsed, since = self._held.lapsed, self._followed_from
             after = None
             if revision is not None:
                 after = Position(position.era if era is None else era, revision)
@@ -252,7 +236,7 @@
                 after_era=NO_ERA if after is None else after.era,
                 era_seconds=self._held.era_seconds,
                 held=self._held.held,
-                followed_seconds=self._followed_seconds,
+                followed_seconds=None if since is None else self._now() - since,
             )
 
     def drop_expired(self) -> bool:
@@ -266,11 +250,6 @@
                 self._last_source = ValueSource.TIME
             return expired
 
-    @property
-    def _followed_seconds(self) -> float | None:
-        since = self._followed_from
-        return None if since is None else self._now() - since
-
     def _era_of(self, answer: Snapshot | Changes) -> int:
         """Return an answer's era, or the known era if the answer names none."""
         return self.era if answer.era == NO_ERA else answer.era
