--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -5,49 +5,32 @@
 
 Load patterns: an outage in which all servers lapse; a restore of the store from a copy
 while servers leave and operators publish orders; two consecutive restores; entries that
-were cut off during a restore. ``platform`` reads the store; other modules choose among
-the values.
+were cut off during a restore. ``platform`` reads the store.
 """
 
 import math
 import threading
 from collections import deque
 from collections.abc import Callable, Iterable
-from enum import Enum
 
 from boragestream.policy.held_values import SERVER_RETENTION, HeldValues, Retention
 from boragestream.policy.lapses import LapseWindow
 from boragestream.policy.publication import (
     NO_ERA,
+    AnswerStatus,
     Change,
     Changes,
     Held,
     Position,
     Relayed,
     Snapshot,
+    ValueSource,
     Write,
 )
 
 __all__ = ["AnswerStatus", "PublishedTable", "ValueSource"]
 
 
-class AnswerStatus(Enum):
-    """Whether a table can apply an answer of the store."""
-
-    USABLE = "it can be taken"
-    OUTDATED = "it is older than what is known"
-    UNCONNECTED = "changes of a later era, whose values must be read first"
-
-
-class ValueSource(Enum):
-    """What changed the values in use."""
-
-    PLATFORM = "platform"
-    PEER = "peer"
-    # The retention of values that the store lacks has ended.
-    TIME = "time"
-
-
 class PublishedTable:
     """The values under one prefix; thread-safe.
 
@@ -72,6 +55,8 @@
         self._held = HeldValues(now, retention, self._stored)
         self._lapses = LapseWindow(now, retention.missing_seconds, bound_seconds)
         self._position: Position | None = None
+        # When the first values became known.
+        self._followed_from: float | None = None
         self._last_source: ValueSource | None = None
         # The last known position of the previous era and the first of this one.
         self._previous_era_end: Position | None = None
@@ -157,7 +142,7 @@
         """Record that the store answered a request of any entry, for any prefix.
 
         :param answered_at: the time of the answer, in the clock's seconds.
-        :param previous_at: the time of the last answer that was known before it.
+        :param previous_at: see ``LapseWindow.note_answer``.
         """
         with self._lock:
             self._lapses.note_answer(answered_at, previous_at)
@@ -195,14 +180,19 @@
             self._stored.update(writes)
             return changed
 
-    def apply_relayed(self, relayed: Relayed) -> bool:
-        """Apply values relayed by another entry; return whether the values changed."""
+    def apply_relayed(
+        self, relayed: Relayed, trouble_seconds: float = math.inf
+    ) -> bool:
+        """Apply values relayed by another entry; return whether the values changed.
+
+        :param trouble_seconds: see ``LapseWindow.relayed_retention_end``.
+        """
         with self._lock:
             self._last_source = ValueSource.PEER
             known = self._position
             position = Position(relayed.era, relayed.revision)
             if known is None or position > known:
-                applied = self._apply_newer_relayed(relayed, position)
+                applied = self._apply_newer_relayed(relayed, position, trouble_seconds)
                 if applied is None:
                     return False
             else:
@@ -229,7 +219,7 @@
             position = self._position
             if position is None:
                 return None
-            lapsed = self._held.lapsed
+            lapsed, since = self._held.lapsed, self._followed_from
             after = None
             if revision is not None:
                 after = Position(position.era if era is None else era, revision)
@@ -248,6 +238,7 @@
                 after_era=NO_ERA if after is None else after.era,
                 era_seconds=self._held.era_seconds,
                 held=self._held.held,
+                followed_seconds=None if since is None else self._now() - since,
             )
 
     def drop_expired(self) -> bool:
@@ -280,6 +271,7 @@
         self._position = position
         self._era_start = position
         if known is None:
+            self._followed_from = self._now()
             self._changes_start = position
         else:
             for change in differences:
@@ -288,7 +280,9 @@
             self._held.begin_era(used, era_began)
         return self._held.values != before
 
-    def _apply_newer_relayed(self, relayed: Relayed, position: Position) -> bool | None:
+    def _apply_newer_relayed(
+        self, relayed: Relayed, position: Position, trouble_seconds: float
+    ) -> bool | None:
         """Apply relayed values or changes up to a later position.
 
         :returns: whether they changed the values; None if changes are missing between
@@ -317,6 +311,13 @@
             changed = self._replace_all(
                 stored, position, now - (relayed.era_seconds or 0.0)
             )
+        elif relayed.after is None:
+            until = self._lapses.relayed_retention_end(
+                relayed.followed_seconds, trouble_seconds
+            )
+            changed = self._apply(
+                changes, position, lambda key: retention_ends.get(key, until)
+            )
         else:
             changed = self._apply(changes, position, retention_ends.get)
         if relayed.after is None:
--- a/tests/features/steps/server_reach.py
+++ b/tests/features/steps/server_reach.py
@@ -415,7 +415,12 @@
         service=SERVICE,
         scope=CancelScope(context.clock.now() + 5),
         request=SimpleNamespace(
-            request_id="r-1", method="POST", body=b"", last_event=None, resumes=""
+            request_id="r-1",
+            method="POST",
+            body=b"",
+            last_event=None,
+            resumes="",
+            takes_up_stream=False,
         ),
         route=SimpleNamespace(kind=CallKind.ONCE, repeatable=repeatable),
         sent=SentRecord(),
