--- a/tests/features/platform_wire.feature
+++ b/tests/features/platform_wire.feature
@@ -67,3 +67,22 @@
 
   Scenario: names of the platform stand in its folder alone
     Then no module outside of "platform" names a header, call or field of the wire
+
+  # Guards against an answer of an engine that ends the thread that reads it, or that
+  # counts as a list without parts.
+  Scenario Outline: what an engine has cached is read from its list: <list>
+    When an engine lists "<list>" as cached
+    Then it has cached "<parts>"
+
+    Examples:
+      | list                                      | parts      |
+      | {"held":[]}                               |            |
+      | {"held":[["","a",5,"m"],["","b",1,"m"]]}  | a 5, b 1   |
+      | {"held":[["","a",5,"m"],["","a",7,"m2"]]} | a 7        |
+      | {"epoch":1,"held":[["","a",5,"m"]]}       | a 5        |
+      | {}                                        | unreadable |
+      | {"held":"a"}                              | unreadable |
+      | {"held":[["","a","5","m"]]}               | unreadable |
+      | {"held":[["","a",5]]}                     | unreadable |
+      | [nested]                                  | unreadable |
+      | no list                                   | unreadable |
--- a/tests/features/steps/platform_wire.py
+++ b/tests/features/steps/platform_wire.py
@@ -9,6 +9,7 @@
 import boragestream
 from boragestream.document.calls import CallHead, RequestMalformed, RunClaim
 from boragestream.document.routes import CallKind, key_digest
+from boragestream.platform.prompt_cache import read_cached_parts
 from boragestream.platform.published import PublishedMalformed, read_route_document
 from boragestream.platform.wire import encode_call, read_answer_head, read_request
 from tests.standins.answered import answered
@@ -164,3 +165,23 @@
         if match
     ]
     assert not found, found
+
+
+@when('an engine lists "{text}" as cached')
+def step(context, text):
+    body = b"[" * 100_000 if text == "[nested]" else text.encode()
+    context.cached = read_cached_parts(body)
+
+
+@then('it has cached "{parts}"')
+def step(context, parts):
+    expected = None
+    if parts != "unreadable":
+        pairs = (part.split() for part in parts.split(", "))
+        expected = {identity: int(tokens) for identity, tokens in pairs}
+    assert context.cached == expected, context.cached
+
+
+@then('it has cached ""')
+def step(context):
+    assert context.cached == {}, context.cached
