State once which streams may be taken up

The kind and repeatability of a route were tested in two places; both use one property of the request now. The publication is looked up once for each read of the past, and an import stands on one line. Behaviour is as it was.

stream_origins, stream_versions and layering: 84 passed; lint passed.

--- a/boragestream/daemon/past_servers.py
+++ b/boragestream/daemon/past_servers.py
@@ -48,13 +48,13 @@
         with self._lock:
             if self._known or self._clock.now() < self._not_before:
                 return
-            store, table = self._publication().store, self._publication().table
-            found = store.watch(SERVERS_PREFIX, 0, 0.0, ANSWER_SECONDS)
+            publication = self._publication()
+            found = publication.store.watch(SERVERS_PREFIX, 0, 0.0, ANSWER_SECONDS)
             if not isinstance(found, Changes):
                 self._not_before = self._clock.now() + PAUSE_SECONDS
                 emit(Event.PAST_UNKNOWN, failure=found.describe())
                 return
-            if found.era != table.era:
+            if found.era != publication.table.era:
                 # The store has come back from a copy, which may lack changes.
                 return
             self._known = True
--- a/boragestream/serving/cached_prompts.py
+++ b/boragestream/serving/cached_prompts.py
@@ -14,11 +14,7 @@
 from typing import Protocol
 
 from boragestream.backend.cancellation import Watchdog
-from boragestream.backend.failures import (
-    AttemptFailure,
-    Ran,
-    ServerErred,
-)
+from boragestream.backend.failures import AttemptFailure, Ran, ServerErred
 from boragestream.backend.forwarded_call import CallLine
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, emit
--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -98,11 +98,15 @@
         """Whether stage servers work on it before its server does."""
         return bool(self.route.stages) and any(self.request.pieces)
 
+    @property
+    def may_be_taken_up(self) -> bool:
+        """Whether it is a stream that may go on in another attempt."""
+        return self.route.kind is CallKind.STREAM and self.route.repeatable
+
     @property
     def takes_up_stream(self) -> bool:
         """Whether its caller goes on with a stream that began in another attempt."""
-        resumable = self.route.kind is CallKind.STREAM and self.route.repeatable
-        return resumable and self.request.takes_up_stream
+        return self.may_be_taken_up and self.request.takes_up_stream
 
     @property
     def objective_at(self) -> float:
--- a/boragestream/serving/stream_origin.py
+++ b/boragestream/serving/stream_origin.py
@@ -12,7 +12,6 @@
 from boragestream.base.events import Event, emit
 from boragestream.base.outcomes import Failure
 from boragestream.document.calls import PromptPart
-from boragestream.document.routes import CallKind
 from boragestream.policy.prompt_caches import (
     CacheSurvey,
     KeptTokens,
@@ -91,8 +90,8 @@
         which the request names.
     """
     records, request = parts.origins, run.request
-    began = began and run.route.kind is CallKind.STREAM and run.route.repeatable
-    if records is None or not (began or run.takes_up_stream):
+    goes_on = run.takes_up_stream or (began and run.may_be_taken_up)
+    if records is None or not goes_on:
         return run
     others = (target.service for target in run.route.targets)
     services = tuple(dict.fromkeys((run.service, *others)))
