Test that silent peers are no proof of a single version; it fails

An entry whose list is up to 3 s old, and whose peers give no answer, went on at the one version that it knew with streams that had begun at a newer one. The row said 'goes on at v1', which took silence for the answer that there is no record; it now says 'is refused'.

--- a/tests/features/stream_origins.feature
+++ b/tests/features/stream_origins.feature
@@ -97,7 +97,7 @@
       | has a record of v2 for the stream     | goes on at v2 |
       | has listed v2 too, and has no record  | is refused    |
       | has no record and has listed v1 alone | goes on at v1 |
-      | does not answer                       | goes on at v1 |
+      | does not answer                       | is refused    |
       | rejects unknown messages              | goes on at v1 |
 
   # Guards against messages for each stream that is taken up where it began.
