--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -2,6 +2,7 @@
 
 from behave import fixture, use_fixture
 
+from tests.soak.links import SoakLinks
 from tests.standins.fleet import Fleet
 from tests.standins.partition import PartitionedNetwork
 from tests.standins.route_site import RouteSite
@@ -12,6 +13,7 @@
 PARTITIONED_TAG = "fixture.partitioned."
 ONE_CENTRE_TAG = "fixture.one-centre."
 ROUTE_SITE_TAG = "fixture.route-site."
+LINKED_SITE_TAG = "fixture.linked-site."
 # A watcher that falls silent leaves its waiting call behind, which can be counted.
 LONG_WATCHES = "watch_seconds = 30.0"
 LINGER_SETTINGS = "[stop]\nlinger_seconds = 4.0\n"
@@ -33,6 +35,7 @@
 ROOM = {"slots": 64}
 STOP_SETTINGS = "[stop]\nlinger_seconds = 0.1\nlimit_seconds = 6.0"
 KEEP_SECONDS = 0.3
+SERVERS_A_KIND = 2
 LONG_DEADLINE_MS = 30_000
 
 
@@ -103,6 +106,18 @@
         site.close()
 
 
+@fixture
+def linked_site(context, entries):
+    """Start a route site whose entries reach store and one another through relays."""
+    site = SoakLinks(int(entries), SERVERS_A_KIND)
+    try:
+        site.start()
+        context.site = site
+        yield site
+    finally:
+        site.close()
+
+
 def before_all(context):
     """Begin to count the faults that strike."""
     context.injected = Injected()
@@ -114,6 +129,8 @@
         use_fixture(fleet, context, tag.removeprefix(FLEET_TAG))
     if tag.startswith(ROUTE_SITE_TAG):
         use_fixture(route_site, context, tag.removeprefix(ROUTE_SITE_TAG))
+    if tag.startswith(LINKED_SITE_TAG):
+        use_fixture(linked_site, context, tag.removeprefix(LINKED_SITE_TAG))
     if tag.startswith(PARTITIONED_TAG):
         use_fixture(partitioned, context, tag.removeprefix(PARTITIONED_TAG))
     if tag.startswith(ONE_CENTRE_TAG):
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -78,6 +78,26 @@
         """Return where callers connect to an entry."""
         return self.caller_relays[name].address
 
+    def isolate(self, name, store=None, entries=False):
+        """Cut an entry off from the store, from all other entries, or both.
+
+        :param store: what its relay to the store does, None for nothing.
+        :returns: what ends the cut.
+        """
+        others = [other for other in self.fields if entries and other != name]
+        pairs = [(name, other) for other in others]
+        pairs += [(other, name) for other in others]
+        self.network.drop(*pairs)
+        if store is not None:
+            self.store_relays[name].strike(store)
+
+        def end():
+            self.network.restore(*pairs)
+            if store is not None:
+                self.store_relays[name].heal()
+
+        return end
+
     def publish_next(self, revoke=False):
         """Publish a version with one more route, or with a key fewer."""
         with self.lock:
