Let features of the tests run side by side

JOBS=N runs N features at a time, each in a process of its own, and adds their counts up. Tried with three features of which one fails: it is counted and named, and the exit code is 1.

--- a/tests/run.py
+++ b/tests/run.py
@@ -2,9 +2,16 @@
 
 KNOWN-RED.txt lists scenarios that may fail: ``scenario; cause; issue`` on a line.
 They still run and are printed, and only a failure outside the list fails the run.
+
+The variable ``JOBS`` says how many features run side by side, each in a process of its
+own; without it they run one after the other.
 """
 
+import os
+import re
+import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from behave.__main__ import run_behave
@@ -15,6 +22,7 @@
 FEATURES = ROOT / "tests" / "features"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MAX_KNOWN_RED = 6
+CLOSING_LINE = re.compile(r"^(\d+) passed, (\d+) failed$", re.MULTILINE)
 
 
 class CountingRunner(Runner):
@@ -49,11 +57,10 @@
     return "\n".join(lines)
 
 
-def main():
-    """Run the features; return the exit code."""
-    arguments = [str(FEATURES), "--no-capture", "--format=progress", "--summary"]
-    config = Configuration([*arguments, *sys.argv[1:]])
-    code = run_behave(config, CountingRunner)
+def run_features(paths):
+    """Run features in this process; return the exit code."""
+    arguments = [*paths, "--no-capture", "--format=progress", "--summary"]
+    code = run_behave(Configuration(arguments), CountingRunner)
     scenarios = [
         scenario
         for feature in CountingRunner.latest.features
@@ -76,5 +83,41 @@
     return 1 if unexpected or hooks_failed or not scenarios else 0
 
 
+def run_feature_apart(path):
+    """Run a feature in a process of its own, and print what it prints.
+
+    :returns: how many scenarios passed and failed, and the exit code.
+    """
+    command = [sys.executable, "-m", "tests.run", str(path)]
+    ended = subprocess.run(
+        command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, cwd=ROOT
+    )
+    print(ended.stdout, end="", flush=True)
+    counts = CLOSING_LINE.findall(ended.stdout)
+    passed, failed = map(int, counts[-1]) if counts else (0, 0)
+    return passed, failed, ended.returncode
+
+
+def run_side_by_side(paths, jobs):
+    """Run features, some at a time; return the exit code."""
+    with ThreadPoolExecutor(jobs) as pool:
+        results = list(pool.map(run_feature_apart, paths))
+    broken = [p.name for p, r in zip(paths, results, strict=True) if r[2]]
+    for name in broken:
+        print(f"failed: {name}")
+    passed, failed = (sum(result[n] for result in results) for n in (0, 1))
+    print(f"{passed} passed, {failed} failed")
+    return 1 if broken or not passed else 0
+
+
+def main():
+    """Run the features that are named, or all; return the exit code."""
+    arguments, jobs = sys.argv[1:], int(os.environ.get("JOBS", "1"))
+    named = any(not argument.startswith("-") for argument in arguments)
+    if arguments or jobs == 1:
+        return run_features(arguments if named else [str(FEATURES), *arguments])
+    return run_side_by_side(sorted(FEATURES.glob("*.feature")), jobs)
+
+
 if __name__ == "__main__":
     sys.exit(main())
