Send events again that were read together with a fault

What callers saw: a stream with status 200 and its end, whose first events were missing. Of a stream of six events whose server left out the third, callers got 3, 4, 5 and 6.

Cause: a fault in a read discarded the events before it in the same read, but their numbers already counted as passed on. The next server went on behind them. Faults are a gap in the numbers, a number or an event that is too long, and each bound on a stream.

Evidence: 8 streams at two entries whose first server sent events 1, 2, 4, 5 and 6 in one piece: events 3 to 6, complete (scenario burst-skip=3). With a piece for each event nothing was missing, so that the former scenarios of gaps passed. The five scenarios failed before the change.

Why the fix works: the number of the last event changes only when the events are handed on, so that the next server is asked for all that the caller lacks.

stream_order and event_stream pass, lint passes.

--- a/boragestream/serving/event_stream.py
+++ b/boragestream/serving/event_stream.py
@@ -62,8 +62,13 @@
         return self._last
 
     def feed(self, data: bytes) -> list[bytes] | StreamBroken | StreamOversized:
-        """Add bytes of the stream; return the events that are now complete."""
+        """Add bytes of the stream; return the events that are now complete.
+
+        After a failure none of them counts as passed on, so that the next server sends
+        those before the fault again.
+        """
         events: list[bytes] = []
+        last = self._last
         for event in self._buffer.take(data):
             match = EVENT_NUMBER.search(event)
             if match is not None:
@@ -71,16 +76,16 @@
                 if len(digits) > MAX_NUMBER_DIGITS:
                     return StreamBroken(f"event number of {len(digits)} digits")
                 event_number = int(digits)
-                if self._last is not None and event_number <= self._last:
+                if last is not None and event_number <= last:
                     self._duplicates_left -= 1
                     if self._duplicates_left < 0:
                         return StreamOversized(f"{MAX_DUPLICATES} duplicate events")
                     continue
-                if self._last is not None and event_number > self._last + 1:
+                if last is not None and event_number > last + 1:
                     return StreamBroken(
-                        f"event {event_number} does not follow event {self._last}"
+                        f"event {event_number} does not follow event {last}"
                     )
-                self._last = event_number
+                last = event_number
             elif not event.strip() or event.startswith(COMMENT):
                 self._empty_left -= 1
                 if self._empty_left < 0:
@@ -91,6 +96,7 @@
             events.append(event)
         if len(self._buffer) > MAX_EVENT_BYTES:
             return StreamBroken("event exceeds 1 MiB")
+        self._last = last
         return events
 
     def discard_partial(self) -> None:
--- /dev/null
+++ b/tests/features/steps/stream_order.py
@@ -0,0 +1,74 @@
+"""Steps on the order of a stream's events."""
+
+from behave import given, then, when
+
+from boragestream.base.outcomes import Failure
+from boragestream.serving.event_stream import MAX_EVENT_BYTES, EventSplitter
+from tests.standins.route_server import EVENTS
+
+EVENT = b"id: %d\ndata: %d words\n\n"
+
+
+def written(word):
+    """Return the bytes of an event that a scenario names."""
+    if word == "long":
+        return b"id: " + b"9" * 40 + b"\ndata: words\n\n"
+    if word == "endless":
+        return b"data: " + b"x" * MAX_EVENT_BYTES
+    if word.startswith("other"):
+        return EVENT.replace(b"words", b"other") % ((int(word[len("other") :]),) * 2)
+    return EVENT % (int(word), int(word))
+
+
+def feed(context, parts):
+    """Feed what one server sends; return whether its stream is whole."""
+    for part in parts.split(", "):
+        events = context.splitter.feed(b"".join(map(written, part.split())))
+        if isinstance(events, Failure):
+            context.splitter.discard_partial()
+            return False
+        context.passed += events
+    whole = context.splitter.finish() is None
+    context.splitter.discard_partial()
+    return whole
+
+
+@given('a stream of {count:d} events whose first server sends "{parts}"')
+def step(context, count, parts):
+    context.splitter, context.passed, context.count = EventSplitter(None), [], count
+    context.whole = feed(context, parts)
+    assert not context.whole
+
+
+@when("another server goes on properly")
+def step(context):
+    first = (context.splitter.last or 0) + 1
+    numbers = " ".join(str(n) for n in range(first, context.count + 1))
+    context.whole = feed(context, numbers)
+
+
+@then("the events come once and in order, and the stream is whole")
+def step(context):
+    assert context.passed == [written(str(n)) for n in range(1, context.count + 1)]
+    assert context.whole
+
+
+@when('{count:d} streams "{path}" are read at all entries, whole or not')
+def step(context, count, path):
+    site, entries = context.site, list(context.site.entries)
+    context.answers = site.at_once(
+        count, lambda n: site.call(path, entry=entries[n % len(entries)])
+    )
+
+
+def in_order(answer):
+    """Return whether an answer has events from the first one on, each once."""
+    return answer.events == list(range(1, len(answer.events) + 1))
+
+
+@then("the events of each come once and in order, and it is {whole}")
+def step(context, whole):
+    for answer in context.answers:
+        assert in_order(answer), answer.body
+        assert answer.whole is (whole == "whole"), answer.body
+        assert not answer.whole or len(answer.events) == EVENTS, answer.body
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -15,6 +15,8 @@
 import time
 from collections import Counter
 
+from tests.standins.stream_shapes import StreamShape, shift_events
+
 EVENTS = 6
 # By how much the last part of a prompt grows with each event.
 EVENT_TOKENS = 4
@@ -111,6 +113,8 @@
         self.work_seconds, self.event_seconds = 0.0, 0.005
         # The number of the last event of a stream.
         self.events = EVENTS
+        # How it goes on with a stream, see ``shift_events``.
+        self.goes_on = "proper"
         # The prompt parts that an engine holds: tokens by id and model, for each life.
         self.held_parts = {}
         # Changes of what it holds in this life, and which of its lives this is.
@@ -489,6 +493,12 @@
         first = int(headers.get("Last-Event-Id", 0)) + 1
         # The version with which this run began, also if the server is upgraded.
         words = self.version.encode() + b" " + b"w" * 20
+        shape = StreamShape.parse(fault)
+        if shape is None and "Last-Event-Id" in headers and self.goes_on != "proper":
+            shape = StreamShape()
+        if shape is not None:
+            self.stream_shape(sock, headers, first, shape, words)
+            return
         framed = not fault.startswith("unframed")
         grow = self.read_prompt(headers)
         # A run that goes on reads the events before it as well.
@@ -530,6 +540,15 @@
             raise OSError("end")
         sock.sendall(b"0\r\n\r\n")
 
+    def stream_shape(self, sock, headers, first, shape, words):
+        """Send a whole stream at once, in an odd shape."""
+        events = [(n, b"%d %b" % (n, words)) for n in range(1, self.events + 1)]
+        way = self.goes_on if "Last-Event-Id" in headers else "proper"
+        body = shape.body(shift_events(events, first, way))
+        head = [("Content-Type", "text/event-stream"), *shape.head(body)]
+        self.send(sock, headers, 200, None, head)
+        shape.write(sock, body)
+
     def send_endless(self, sock, headers):
         """Send a head, and then the same bytes until the other end closes."""
         head, repeated = self.endless
