Cut a stream behind an event without a number

What callers saw: events of two runs in one answer. Of a stream whose first server wrote three events without numbers and broke off, callers got these three, then events 1 to 6 of the next server, and the end of the stream.

Cause: a stream goes on behind the last number that was passed on. Events without a number, or with one that can't be read, were passed on but counted as nothing, so that the next server sent them once more, all of them where none had a number.

Evidence: 8 streams at two entries (scenario "a stream without numbers that breaks"), and five rows on the splitter. These failed before the change.

Why the fix works: a stream may go on only if the last event with data that was passed on has a number. Otherwise it is cut, which its caller sees. Comments and events without data mean nothing to a reader, so that a stream may go on behind them.

stream_order and event_stream pass, lint passes.

--- a/boragestream/serving/event_stream.py
+++ b/boragestream/serving/event_stream.py
@@ -1,7 +1,8 @@
 """Splits a stream into complete events and checks their numbers.
 
 Only complete events are passed on, so that a stream can resume at another server after
-the last of them. Duplicate events are dropped; a gap in the numbers breaks the stream.
+the last of them, unless that has no number. Duplicate events are dropped; a gap in the
+numbers breaks the stream.
 A stream without end breaks at a bound on the number of its events.
 """
 
@@ -14,6 +15,8 @@
 __all__ = ["EventSplitter", "StreamBroken", "StreamOversized"]
 
 EVENT_NUMBER = re.compile(rb"^id:[ ]?(\d+)[ ]*\r?$", re.MULTILINE)
+# An event without such a line means nothing to its reader.
+EVENT_DATA = re.compile(rb"^data(?::|\r?$)", re.MULTILINE)
 # ``int`` refuses more than 4,300 digits.
 MAX_NUMBER_DIGITS = 18
 MAX_EVENT_BYTES = 1_048_576
@@ -51,6 +54,8 @@
 
     def __init__(self, last: int | None) -> None:
         self._last = last
+        # Whether no event with data was passed on behind the last number.
+        self._resumable = True
         self._buffer = EventBuffer()
         self._events_left = MAX_EVENTS
         self._duplicates_left = MAX_DUPLICATES
@@ -61,6 +66,14 @@
         """The number of the last event passed on; None if there is none."""
         return self._last
 
+    @property
+    def resumable(self) -> bool:
+        """Whether the last number says which events were passed on.
+
+        A server that goes on behind it would send an event without a number once more.
+        """
+        return self._resumable
+
     def feed(self, data: bytes) -> list[bytes] | StreamBroken | StreamOversized:
         """Add bytes of the stream; return the events that are now complete.
 
@@ -68,7 +81,7 @@
         those before the fault again.
         """
         events: list[bytes] = []
-        last = self._last
+        last, resumable = self._last, self._resumable
         for event in self._buffer.take(data):
             match = EVENT_NUMBER.search(event)
             if match is not None:
@@ -85,7 +98,9 @@
                     return StreamBroken(
                         f"event {event_number} does not follow event {last}"
                     )
-                last = event_number
+                last, resumable = event_number, True
+            elif EVENT_DATA.search(event) is not None:
+                resumable = False
             elif not event.strip() or event.startswith(COMMENT):
                 self._empty_left -= 1
                 if self._empty_left < 0:
@@ -96,7 +111,7 @@
             events.append(event)
         if len(self._buffer) > MAX_EVENT_BYTES:
             return StreamBroken("event exceeds 1 MiB")
-        self._last = last
+        self._last, self._resumable = last, resumable
         return events
 
     def discard_partial(self) -> None:
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -285,7 +285,8 @@
         run = self._run
         if run.scope.reason is not None or self._refusals > MAX_REFUSALS:
             return False
-        if self._possible_runs and not run.route.repeatable:
+        repeatable = run.route.repeatable and self._splitter.resumable
+        if self._possible_runs and not repeatable:
             return False
         if self._possible_runs >= run.route.attempts and not self._delegation_reason():
             # Runs at servers that were cut off meanwhile don't count.
--- a/tests/features/steps/stream_order.py
+++ b/tests/features/steps/stream_order.py
@@ -1,5 +1,7 @@
 """Steps on the order of a stream's events."""
 
+import re
+
 from behave import given, then, when
 
 from boragestream.base.outcomes import Failure
@@ -9,8 +11,23 @@
 EVENT = b"id: %d\ndata: %d words\n\n"
 
 
+# Events without a number, or whose number can't be read, and what is no event.
+UNNUMBERED = {
+    "plain": b"data: words\n\n",
+    "spaced": b"id:  2\ndata: words\n\n",
+    "comment": b": alive\n\n",
+    "retry": b"retry: 1000\n\n",
+    "gap": EVENT % (9, 9),
+}
+
+# The number within the data of an event.
+DATA = re.compile(rb"^data: (\d+) ", re.MULTILINE)
+
+
 def written(word):
     """Return the bytes of an event that a scenario names."""
+    if word in UNNUMBERED:
+        return UNNUMBERED[word]
     if word == "long":
         return b"id: " + b"9" * 40 + b"\ndata: words\n\n"
     if word == "endless":
@@ -23,6 +40,9 @@
 def feed(context, parts):
     """Feed what one server sends; return whether its stream is whole."""
     for part in parts.split(", "):
+        if part == "break":
+            context.splitter.discard_partial()
+            return False
         events = context.splitter.feed(b"".join(map(written, part.split())))
         if isinstance(events, Failure):
             context.splitter.discard_partial()
@@ -47,6 +67,16 @@
     context.whole = feed(context, numbers)
 
 
+@then("another server may go on with it")
+def step(context):
+    assert context.splitter.resumable
+
+
+@then("another server may not go on with it")
+def step(context):
+    assert not context.splitter.resumable
+
+
 @then("the events come once and in order, and the stream is whole")
 def step(context):
     assert context.passed == [written(str(n)) for n in range(1, context.count + 1)]
@@ -72,3 +102,11 @@
         assert in_order(answer), answer.body
         assert answer.whole is (whole == "whole"), answer.body
         assert not answer.whole or len(answer.events) == EVENTS, answer.body
+
+
+@then("each has its first events once and is cut")
+def step(context):
+    for answer in context.answers:
+        numbers = [int(n) for n in DATA.findall(answer.body)]
+        assert numbers and numbers == list(range(1, len(numbers) + 1)), answer.body
+        assert not answer.whole
--- a/tests/standins/stream_shapes.py
+++ b/tests/standins/stream_shapes.py
@@ -20,6 +20,7 @@
     :ivar line_end: ends each line of an event.
     :ivar burst: whether the whole body is sent in one piece and one chunk.
     :ivar skip: the number of an event that is left out; 0 for none.
+    :ivar plain: whether the events have no numbers.
     :ivar stop: the bytes of the framed body behind which the connection ends; None for
         the end of the body.
     :ivar resets: whether it is reset there.
@@ -29,6 +30,7 @@
     line_end: bytes = b"\n"
     burst: bool = False
     skip: int = 0
+    plain: bool = False
     stop: int | None = None
     resets: bool = False
 
@@ -45,14 +47,16 @@
             line_end=b"\r\n" if "crlf" in values else b"\n",
             burst="burst" in values,
             skip=int(values.get("skip", 0)),
+            plain="plain" in values,
             stop=int(values["stop"]) if "stop" in values else None,
             resets="reset" in values,
         )
 
     def body(self, events):
         """Return the framed bytes of some events, given by number and data."""
+        form = b"data: %b\n\n" if self.plain else b"id: %d\ndata: %b\n\n"
         written = [
-            b"id: %d\ndata: %b\n\n".replace(b"\n", self.line_end) % event
+            form.replace(b"\n", self.line_end) % (event[1:] if self.plain else event)
             for event in events
             if event[0] != self.skip
         ]
