Fail a stream that breaks before the first event as a request

What callers saw: "500 Internal Server Error" of the HTTP library, without the id of the request, in place of 502, when they went on with a stream whose servers ended within the next event or before the last one that the caller had.

Cause: an end of the stream without a new event counted as whole before it was checked, as a caller may have all events. The check came once the answer was begun, with nothing sent yet, and the cut ended in the library's own answer.

Evidence: callers behind event 4 of streams whose servers go on "shortened" and "half-ended" (two rows that failed).

Why the fix works: the end is checked where the first events are read, so that the next server is tried, and the failure has its own answer.

stream_order, event_stream, forwarded_path and whole_answers pass, lint passes.

--- a/boragestream/serving/event_stream.py
+++ b/boragestream/serving/event_stream.py
@@ -105,13 +105,20 @@
         self._duplicates_left = MAX_DUPLICATES
         self._empty_left = MAX_EMPTY_EVENTS
 
-    def finish(self) -> StreamBroken | None:
-        """End the stream; return a failure if it is not whole."""
+    def finish(self, framed: bool = True) -> StreamBroken | None:
+        """End the stream; return a failure if it is not whole.
+
+        :param framed: whether the answer ends otherwise than with its connection, which
+            may end at any byte.
+        """
         if not self._buffer.blank:
             return StreamBroken("stream ended within an event")
         reached = self._reached
         if reached is not None and reached < self._last:
             return StreamBroken(f"stream ended at event {reached} of {self._last}")
+        if not framed and self._last is None and self._events_left == MAX_EVENTS:
+            # A stream has events unless the caller has them all.
+            return StreamBroken("no event")
         return None
 
     def _take(self, data: bytes) -> list[bytes] | StreamBroken | StreamOversized:
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -32,11 +32,7 @@
 from boragestream.policy.servers import Server
 from boragestream.serving.crash_checks import CrashChecks, make_guard
 from boragestream.serving.delegation import DelegatedAttempt, Delegation
-from boragestream.serving.event_stream import (
-    EventSplitter,
-    StreamBroken,
-    StreamOversized,
-)
+from boragestream.serving.event_stream import EventSplitter, StreamOversized
 from boragestream.serving.forward_attempt import ForwardAttempt, ForwardParts
 from boragestream.serving.forwarded_answer import StreamedAnswer, WholeAnswer
 from boragestream.serving.forwarded_choice import ForwardedChoice
@@ -310,10 +306,9 @@
                 self._guard.note_events()
                 self._release_inputs()
                 return events
-        if not attempt.framed and self._splitter.last is None:
-            # The connection may have ended at any byte of the answer, and a stream has
-            # events unless the caller has them all.
-            self._handle_broken_stream(attempt, StreamBroken("no event"))
+        unfinished = self._splitter.finish(attempt.framed)
+        if unfinished is not None:
+            self._handle_broken_stream(attempt, unfinished)
             return None
         # A caller that resumes a stream may have all of its events.
         attempt.note_first_event()
@@ -385,8 +380,8 @@
                 self._guard.note_events()
                 self._release_inputs()
                 yield b"".join(events)
-        unfinished = self._splitter.finish()
-        if isinstance(unfinished, StreamBroken):
+        unfinished = self._splitter.finish(attempt.framed)
+        if unfinished is not None:
             self._handle_broken_stream(attempt, unfinished)
             return True
         attempt.end(CallEnd.ANSWERED)
--- a/tests/features/steps/stream_order.py
+++ b/tests/features/steps/stream_order.py
@@ -140,3 +140,17 @@
     for answer in context.answers:
         numbers = [int(n) for n in DATA.findall(answer.body)]
         assert numbers == answer.events and b"other" not in answer.body, answer.body
+
+
+@when('callers go on with streams "{path}" behind event {last:d}')
+def step(context, path, last):
+    context.answers = context.site.at_once(
+        4, lambda n: context.site.call(path, Last_Event_Id=str(last))
+    )
+
+
+@then("each fails with {status:d} under its own id")
+def step(context, status):
+    for answer in context.answers:
+        assert answer.status == status, (answer.status, answer.body)
+        assert answer.headers["Request-Id"] == answer.request_id
--- a/tests/features/stream_order.feature
+++ b/tests/features/stream_order.feature
@@ -102,3 +102,16 @@
       | rewritten  | stop=150 | cut   |
       | shortened  | stop=150 | cut   |
       | early      | stop=150 | cut   |
+
+  # Guards against a stream that breaks before the first event of a caller that goes on,
+  # and is answered by the HTTP library, without the request's id.
+  @fixture.route-site.1
+  Scenario Outline: a stream that can't go on before its first event fails as a request does: <way>
+    Given engines that go on with streams <way>
+    When callers go on with streams "/chat/ok" behind event 4
+    Then each fails with 502 under its own id
+
+    Examples:
+      | way        |
+      | shortened  |
+      | half-ended |
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -544,7 +544,7 @@
         """Send a whole stream at once, in an odd shape."""
         events = [(n, b"%d %b" % (n, words)) for n in range(1, self.events + 1)]
         way = self.goes_on if "Last-Event-Id" in headers else "proper"
-        body = shape.body(shift_events(events, first, way))
+        body = shape.body(shift_events(events, first, way), whole=way != "half-ended")
         head = [("Content-Type", "text/event-stream"), *shape.head(body)]
         self.send(sock, headers, 200, None, head)
         shape.write(sock, body)
--- a/tests/standins/stream_shapes.py
+++ b/tests/standins/stream_shapes.py
@@ -52,14 +52,19 @@
             resets="reset" in values,
         )
 
-    def body(self, events):
-        """Return the framed bytes of some events, given by number and data."""
+    def body(self, events, whole=True):
+        """Return the framed bytes of some events, given by number and data.
+
+        The last one lacks its end unless it is ``whole``.
+        """
         form = b"data: %b\n\n" if self.plain else b"id: %d\ndata: %b\n\n"
         written = [
             form.replace(b"\n", self.line_end) % (event[1:] if self.plain else event)
             for event in events
             if event[0] != self.skip
         ]
+        if not whole:
+            written[-1] = written[-1].rstrip()
         if self.burst:
             written = [b"".join(written)]
         if self.framing == "chunked":
@@ -92,7 +97,8 @@
     :param first: the number of the event at which the server should go on.
     :param way: "proper"; "repeated" from the beginning; "renumbered" from 1 on;
         "rewritten", which repeats other data; "shortened", which repeats the beginning
-        alone; or "early", which goes on behind one event more.
+        alone; "early", which goes on behind one event more; or "half-ended", which ends
+        within the first event that it sends.
     """
     rest = events[first - 1 :]
     return {
@@ -102,4 +108,5 @@
         "rewritten": [(n, b"other " + data) for n, data in events],
         "shortened": events[: max(0, first - 2)],
         "early": rest[1:],
+        "half-ended": rest[:1],
     }[way]
