Ask a second server if a stream without framing ends at once

What callers saw: a stream with status 200 and its end, but without its last events. Callers who went on behind event 4 of six got none, and neither 5 nor 6 ever came.

Cause: a body without a length or chunks ends with its connection. One that ended before its first event was whole if its caller had events already, since that may be all. A server that dies before it goes on looks the same, and it has long to do so, as it reads the prompt and all events first.

Evidence: callers behind event 4 at a server that ends the connection behind its head (/chat/unframed-empty at two entries), and five rows on the splitter, which failed. The same without events before was covered.

Why the fix works: one such end is taken for a cut, so that another server is asked. If that one has nothing to send either, the caller has all events, and the stream is whole. A comment is no event here.

Left: where a route allows one attempt, a caller who has all events of such a stream gets 502. An end between two events that were sent can't be told from the end of the stream.

--- a/boragestream/serving/event_stream.py
+++ b/boragestream/serving/event_stream.py
@@ -26,6 +26,8 @@
 MAX_EVENT_BYTES = 1_048_576
 # A server that resumes a stream at its beginning sends each event again.
 MAX_DUPLICATES = 16_384
+# A server that dies before it goes on ends its connection like one with nothing left.
+MIN_SILENT_ENDS = 2
 # Servers keep idle connections alive with a comment every few seconds.
 MAX_EMPTY_EVENTS = 4_096
 
@@ -64,6 +66,10 @@
         self._digests = array("Q")
         # The highest number of the present server; None if it has sent none.
         self._reached: int | None = None
+        # Whether the present server has sent an event with data.
+        self._brought = False
+        # Servers whose connection ended without framing and without such an event.
+        self._silent_ends = 0
         self._buffer = EventBuffer()
         self._events_left = MAX_EVENTS
         self._duplicates_left = MAX_DUPLICATES
@@ -102,6 +108,7 @@
         """
         self._buffer.clear()
         self._reached = None
+        self._brought = False
         self._duplicates_left = MAX_DUPLICATES
         self._empty_left = MAX_EMPTY_EVENTS
 
@@ -116,9 +123,11 @@
         reached = self._reached
         if reached is not None and reached < self._last:
             return StreamBroken(f"stream ended at event {reached} of {self._last}")
-        if not framed and self._last is None and self._events_left == MAX_EVENTS:
-            # A stream has events unless the caller has them all.
-            return StreamBroken("no event")
+        if not framed and not self._brought:
+            # A stream has events unless the caller has them all, which two servers say.
+            self._silent_ends += 1
+            if self._last is None or self._silent_ends < MIN_SILENT_ENDS:
+                return StreamBroken("no event")
         return None
 
     def _take(self, data: bytes) -> list[bytes] | StreamBroken | StreamOversized:
@@ -130,6 +139,7 @@
                 if len(digits) > MAX_NUMBER_DIGITS:
                     return StreamBroken(f"event number of {len(digits)} digits")
                 number = int(digits)
+                self._brought = True
                 self._reached = max(number, self._reached or 0)
                 if self._last is not None and number <= self._last:
                     broken = self._check_duplicate(number, event)
@@ -144,6 +154,7 @@
                 self._digests.append(xxhash.xxh3_64_intdigest(event))
             elif EVENT_DATA.search(event) is not None:
                 self._resumable = False
+                self._brought = True
             elif not event.strip() or event.startswith(COMMENT):
                 self._empty_left -= 1
                 if self._empty_left < 0:
--- a/tests/features/steps/stream_order.py
+++ b/tests/features/steps/stream_order.py
@@ -20,6 +20,7 @@
     "gap": EVENT % (9, 9),
 }
 
+OK = 200
 # The number within the data of an event.
 DATA = re.compile(rb"^data: (\d+) ", re.MULTILINE)
 
@@ -37,7 +38,7 @@
     return EVENT % (int(word), int(word))
 
 
-def feed(context, parts):
+def feed(context, parts, framed=True):
     """Feed what one server sends; return whether its stream is whole."""
     for part in filter(None, parts.split(", ")):
         if part == "break":
@@ -48,7 +49,7 @@
             context.splitter.discard_partial()
             return False
         context.passed += events
-    whole = context.splitter.finish() is None
+    whole = context.splitter.finish(framed) is None
     context.splitter.discard_partial()
     return whole
 
@@ -87,10 +88,18 @@
     context.whole = feed(context, parts)
 
 
+@when('servers send "{parts}" without framing')
+def step(context, parts):
+    for sent in parts.split("; "):
+        word = "" if sent == "nothing" else sent
+        context.whole = feed(context, word, framed=False)
+
+
 @then('"{numbers}" is passed on, and the stream is {end}')
 @then('"" is passed on, and the stream is {end}')
 def step(context, end, numbers=""):
-    assert context.passed == [written(n) for n in numbers.split()], context.passed
+    passed = [event for event in context.passed if event != UNNUMBERED["comment"]]
+    assert passed == [written(n) for n in numbers.split()], context.passed
     assert context.whole is (end == "whole")
 
 
@@ -154,3 +163,13 @@
     for answer in context.answers:
         assert answer.status == status, (answer.status, answer.body)
         assert answer.headers["Request-Id"] == answer.request_id
+
+
+@then('each gets the events "{numbers}" and the end, in {runs:d} runs')
+@then('each gets the events "" and the end, in {runs:d} runs')
+def step(context, runs, numbers=""):
+    wanted = [int(n) for n in numbers.split(", ") if n]
+    for answer in context.answers:
+        assert answer.status == OK and answer.whole, answer.body
+        assert answer.events == wanted, answer.body
+        assert context.site.runs(answer.request_id) == runs
--- a/tests/features/stream_order.feature
+++ b/tests/features/stream_order.feature
@@ -67,6 +67,22 @@
       | 3       |        | is whole  |
       | 1, 2    |        | is broken |
 
+  # Guards against a server that dies before it goes on, whose end of the connection is
+  # taken for the end of the stream.
+  Scenario Outline: a caller behind event 3 whose servers send "<parts>" without framing: <end>
+    Given a caller that goes on behind event 3
+    When servers send "<parts>" without framing
+    Then "<passed>" is passed on, and the stream <end>
+
+    Examples:
+      | parts               | passed | end       |
+      | nothing             |        | is broken |
+      | nothing; nothing    |        | is whole  |
+      | comment             |        | is broken |
+      | nothing; 4, 5       | 4 5    | is whole  |
+      | 4; nothing          | 4      | is broken |
+      | 3                   |        | is whole  |
+
   # Guards against the same at real entries, where one read brings several events.
   @fixture.route-site.2
   Scenario Outline: a stream whose server breaks off goes on behind what its caller has: <shape>
@@ -115,3 +131,16 @@
       | way        |
       | shortened  |
       | half-ended |
+
+  # Guards against the same for callers that go on at real entries.
+  @fixture.route-site.2
+  Scenario Outline: callers go on with streams that have no framing: <path>, <last>
+    When callers go on with streams "<path>" behind event <last>
+    Then each gets the events "<events>" and the end, in <runs> runs
+
+    Examples:
+      | path                         | last | events | runs |
+      | /chat/unframed               | 4    | 5, 6   | 1    |
+      | /chat/unframed-empty         | 4    | 5, 6   | 2    |
+      | /chat/always-unframed-empty  | 6    |        | 2    |
+      | /chat/ok                     | 6    |        | 1    |
