Refuse numbers of last events that are no numbers

What callers saw: with "1_0" as the last event, status 200 and the end of the stream without an event; with "-1", an event 0 before event 1 where the server counts on from it, else a stream that broke at event 1, for which the server was blamed.

Cause: the header was read by "int", which takes signs, underscores and any length.

Evidence: "-1", "+5", "1_0" and a number of 30 digits at an entry (four rows that failed; "4.0" and "x" were refused before).

Why the fix works: 1 to 18 ASCII digits, as many as the numbers of servers may have, are a number. Anything else is refused with 400, like other malformed numbers, and reaches no server.

stream_order (one site for the whole feature now), platform_wire and layering pass, lint passes.

--- a/boragestream/platform/wire.py
+++ b/boragestream/platform/wire.py
@@ -63,6 +63,8 @@
 IDLE_TIMEOUT = "timeout="
 # Longer numbers are no counts. ``str.isdigit`` accepts digits that ``int`` refuses.
 COUNT = re.compile(r"[0-9]{1,9}", re.ASCII)
+# ``int`` accepts signs and underscores. No server counts beyond 18 digits.
+EVENT_NUMBER = re.compile(r"[0-9]{1,18}", re.ASCII)
 OTHER_SERVER_STATUS = 421
 # Sent from one entry to another; not a header of the platform.
 DELEGATION = "Boragestream-Delegation"
@@ -154,7 +156,7 @@
             body=body,
             key=_key(known.get(KEY.lower(), "")),
             wait_seconds=None if left_ms is None else _finite(left_ms) / 1000,
-            last_event=None if resume is None else int(resume),
+            last_event=None if resume is None else _event_number(resume),
             resumes=known.get(RESUMED_REQUEST.lower(), "").strip(),
             prompt=_prompt(known.get(PROMPT_PARTS.lower(), "")),
             output_tokens=_output_tokens(known.get(TOKENS.lower(), "")),
@@ -290,6 +292,12 @@
     return number
 
 
+def _event_number(value: str) -> int:
+    if not EVENT_NUMBER.fullmatch(value.strip()):
+        raise ValueError("not an event number")
+    return int(value)
+
+
 def _key(value: str) -> str:
     return value[len(KEY_SCHEME) :].strip() if value[:7].lower() == KEY_SCHEME else ""
 
--- a/tests/features/steps/stream_order.py
+++ b/tests/features/steps/stream_order.py
@@ -20,7 +20,7 @@
     "gap": EVENT % (9, 9),
 }
 
-OK = 200
+OK, MALFORMED = 200, 400
 # The number within the data of an event.
 DATA = re.compile(rb"^data: (\d+) ", re.MULTILINE)
 
@@ -119,8 +119,14 @@
 
 @given("engines that go on with streams {way}")
 def step(context, way):
-    for server in context.site.of_kind("engine"):
-        server.goes_on = "proper" if way == "properly" else way
+    engines = context.site.of_kind("engine")
+
+    def set_way(name):
+        for engine in engines:
+            engine.goes_on = name
+
+    set_way("proper" if way == "properly" else way)
+    context.add_cleanup(set_way, "proper")
 
 
 def in_order(answer):
@@ -173,3 +179,22 @@
         assert answer.status == OK and answer.whole, answer.body
         assert answer.events == wanted, answer.body
         assert context.site.runs(answer.request_id) == runs
+
+
+@when('a caller goes on with stream "{path}" behind event "{number}"')
+def step(context, path, number):
+    context.answer = context.site.call(path, Last_Event_Id=number)
+
+
+@then("it is told so, and no server is asked")
+def step(context):
+    assert context.answer.status == MALFORMED, context.answer.body
+    assert context.site.runs(context.answer.request_id) == 0
+
+
+@then('it gets the events "{numbers}"')
+@then('it gets the events ""')
+def step(context, numbers=""):
+    answer = context.answer
+    assert answer.status == OK and answer.whole
+    assert answer.events == [int(n) for n in numbers.split(", ") if n], answer.body
--- a/tests/features/stream_order.feature
+++ b/tests/features/stream_order.feature
@@ -1,3 +1,4 @@
+@fixture.route-site.2
 Feature: the events of a stream come once, in order, and to the last one
 
   # Guards against events that were read together with the one behind a gap, and that
@@ -84,7 +85,6 @@
       | 3                   |        | is whole  |
 
   # Guards against the same at real entries, where one read brings several events.
-  @fixture.route-site.2
   Scenario Outline: a stream whose server breaks off goes on behind what its caller has: <shape>
     When 8 streams "/chat/shape-<shape>" are read at all entries, whole or not
     Then the events of each come once and in order, and it is <whole>
@@ -95,14 +95,12 @@
       | skip=3       | whole |
 
   # Guards against a stream of events without numbers that begins anew within one answer.
-  @fixture.route-site.2
   Scenario: a stream without numbers that breaks is cut, and not begun anew
     When 8 streams "/chat/shape-plain-stop=120" are read at all entries, whole or not
     Then each has its first events once and is cut
 
   # Guards against a server that goes on with other numbers or other events, and whose
   # events are joined to those of the first one.
-  @fixture.route-site.2
   Scenario Outline: a stream never joins what does not go on behind its last event: <way>, <shape>
     Given engines that go on with streams <way>
     When 8 streams "/chat/shape-<shape>" are read at all entries, whole or not
@@ -121,7 +119,6 @@
 
   # Guards against a stream that breaks before the first event of a caller that goes on,
   # and is answered by the HTTP library, without the request's id.
-  @fixture.route-site.1
   Scenario Outline: a stream that can't go on before its first event fails as a request does: <way>
     Given engines that go on with streams <way>
     When callers go on with streams "/chat/ok" behind event 4
@@ -133,7 +130,6 @@
       | half-ended |
 
   # Guards against the same for callers that go on at real entries.
-  @fixture.route-site.2
   Scenario Outline: callers go on with streams that have no framing: <path>, <last>
     When callers go on with streams "<path>" behind event <last>
     Then each gets the events "<events>" and the end, in <runs> runs
@@ -144,3 +140,29 @@
       | /chat/unframed-empty         | 4    | 5, 6   | 2    |
       | /chat/always-unframed-empty  | 6    |        | 2    |
       | /chat/ok                     | 6    |        | 1    |
+
+  # Guards against a number that is read as another one, behind which nothing is left.
+  Scenario Outline: a caller that names "<number>" as its last event is told that it is malformed
+    When a caller goes on with stream "/chat/ok" behind event "<number>"
+    Then it is told so, and no server is asked
+
+    Examples:
+      | number                         |
+      | -1                             |
+      | +5                             |
+      | 1_0                            |
+      | 4.0                            |
+      | x                              |
+      | 999999999999999999999999999999 |
+
+  Scenario Outline: a caller that names "<number>" as its last event gets the events behind it
+    When a caller goes on with stream "/chat/ok" behind event "<number>"
+    Then it gets the events "<events>"
+
+    Examples:
+      | number | events           |
+      | 0      | 1, 2, 3, 4, 5, 6 |
+      | 4      | 5, 6             |
+      | 04     | 5, 6             |
+      | 6      |                  |
+      | 100    |                  |
