Reset connections of callers whose cut answer would look whole

What callers saw: over HTTP/1.0, a stream cut by the entry, or by the end of its process, ended like one that is whole.

Cause: an answer without chunks ends with its connection. The entry closed that in an orderly way whether the answer was whole or not, and so does the kernel for a process that is killed.

Evidence: /draft/half over HTTP/1.0 (2 of 6 events, then an orderly end), and an entry killed within a stream (three rows that failed). Over HTTP/1.1 the last chunk is missing.

Why the fix works: while such an answer is written, a close resets the connection, also that of the kernel. The end of the whole answer takes this back before the connection is closed.

--- a/boragestream/caller/connections.py
+++ b/boragestream/caller/connections.py
@@ -8,6 +8,7 @@
 """
 
 import array
+import contextlib
 import fcntl
 import socket
 import struct
@@ -54,6 +55,7 @@
 # A closed connection without activity for longer holds nothing in the kernel.
 KERNEL_SECONDS = 2.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 class CallerTask(WSGITask):
@@ -80,7 +82,16 @@
         """Return the response head; close the connection if the entry is leaving."""
         if self.channel.server.leaving:
             self.set_close_on_finish()
-        return super().build_response_header()
+        head = super().build_response_header()
+        if not self.chunked_response and self.content_length is None:
+            # The end of the connection will be the end of the answer.
+            self.channel.reset_on_close(True)
+        return head
+
+    def finish(self) -> None:
+        """End the answer, which is whole."""
+        super().finish()
+        self.channel.reset_on_close(False)
 
 
 class CallerConnection(StrictChannel):
@@ -93,6 +104,7 @@
 
     task_class = CallerTask
     _blocks_on_output = True
+    _resets = False
 
     def __init__(self, server: Any, *arguments: Any, **options: Any) -> None:
         self._memory: CallerMemory | None = getattr(server, "caller_memory", None)
@@ -221,11 +233,22 @@
         if self.will_close:
             self.handle_close()
 
+    def reset_on_close(self, resets: bool) -> None:
+        """Set whether a close resets the connection, also when the process ends."""
+        if self._resets is resets:
+            return
+        self._resets = resets
+        option = RESET_ON_CLOSE if resets else END_ON_CLOSE
+        sock = self.socket
+        # The event loop may be closing the connection.
+        with contextlib.suppress(OSError):
+            if sock is not None:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
     def abandon(self) -> None:
         """Close the connection with a reset, so that no cut answer looks complete."""
         if self.connected:
-            linger = socket.SO_LINGER
-            self.socket.setsockopt(socket.SOL_SOCKET, linger, RESET_ON_CLOSE)
+            self.reset_on_close(True)
             self.handle_close()
 
     def handle_close(self) -> None:
--- a/tests/features/steps/stream_order.py
+++ b/tests/features/steps/stream_order.py
@@ -1,12 +1,14 @@
 """Steps on the order of a stream's events."""
 
 import re
+import socket
 
 from behave import given, then, when
 
 from boragestream.base.outcomes import Failure
 from boragestream.serving.event_stream import MAX_EVENT_BYTES, EventSplitter
 from tests.standins.route_server import EVENTS
+from tests.standins.route_site import HOST, KEY
 
 EVENT = b"id: %d\ndata: %d words\n\n"
 
@@ -198,3 +200,51 @@
     answer = context.answer
     assert answer.status == OK and answer.whole
     assert answer.events == [int(n) for n in numbers.split(", ") if n], answer.body
+
+
+def read_raw(site, version, path, when_begun=lambda: None):
+    """Read a stream; return its events, and how the connection ended."""
+    host, _, port = site.fields["entry-0"]["listen"]["front"].partition(":")
+    lines = [
+        f"POST {path} HTTP/{version}",
+        f"Host: {HOST}",
+        f"Request-Id: h-{next(site.numbers)}",
+        "Deadline-Ms: 5000",
+        f"Authorization: Bearer {KEY}",
+        "Content-Length: 0",
+        "Connection: close",
+    ]
+    data = b""
+    with socket.create_connection((host, int(port)), timeout=10) as sock:
+        sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
+        try:
+            while read := sock.recv(4096):
+                data += read
+                if DATA.search(data):
+                    when_begun()
+        except ConnectionResetError:
+            return DATA.findall(data), "is reset"
+    return DATA.findall(data), "ends"
+
+
+@when('a caller of HTTP/{version} reads stream "{path}"')
+def step(context, version, path):
+    context.read = read_raw(context.site, version, path)
+
+
+@when('a caller of HTTP/1.0 reads stream "{path}", and its entry is killed')
+def step(context, path):
+    site = context.site
+    context.read = read_raw(site, "1.0", path, lambda: site.kill("entry-0"))
+
+
+@then("it gets {count:d} events, and the connection {ends}")
+def step(context, count, ends):
+    events, ended = context.read
+    assert (len(events), ended) == (count, ends), context.read
+
+
+@then("it gets some events, and the connection is reset")
+def step(context):
+    events, ended = context.read
+    assert events and ended == "is reset", context.read
--- a/tests/features/stream_order.feature
+++ b/tests/features/stream_order.feature
@@ -166,3 +166,22 @@
       | 04     | 5, 6             |
       | 6      |                  |
       | 100    |                  |
+
+  # Guards against a cut stream that looks whole, where the end of the connection is the
+  # end of the answer, as for callers of HTTP/1.0.
+  Scenario Outline: a caller of HTTP/<version> sees whether stream "<path>" is whole
+    When a caller of HTTP/<version> reads stream "<path>"
+    Then it gets <count> events, and the connection <ends>
+
+    Examples:
+      | version | path                 | count | ends     |
+      | 1.0     | /chat/ok             | 6     | ends     |
+      | 1.0     | /chat/half           | 6     | ends     |
+      | 1.0     | /draft/half          | 2     | is reset |
+      | 1.0     | /draft/unframed-half | 2     | is reset |
+      | 1.1     | /draft/half          | 2     | ends     |
+
+  @fixture.route-site.1
+  Scenario: a caller of HTTP/1.0 sees that its entry was killed within a stream
+    When a caller of HTTP/1.0 reads stream "/chat/slow", and its entry is killed
+    Then it gets some events, and the connection is reset
