Relay only whole events of a stream that another entry serves

What callers saw: a stream of the project's own interface that broke between two entries ended with neither "end" nor "error", as in 'event: tokeevent: error', or with an error event that held the part of a token, which no parser reads. A cut within the "end" event ended without an error.

Cause: the bytes of the other entry were relayed as they came. An error event was written behind the part of an event, which took its first line or its data; and the line "event: end" alone counted as the whole end.

Evidence: a stream of two tokens in chunks, and with a length, cut behind each of its bytes.

Why the fix works: events are relayed when they are whole, and the rest is dropped, so that the error event stands alone. The last whole event tells how the stream ended.

--- a/boragestream/caller/delegated_calls.py
+++ b/boragestream/caller/delegated_calls.py
@@ -16,6 +16,7 @@
 from boragestream.backend.connections import ConnectionKeeper
 from boragestream.base.answer_reader import AnswerReader
 from boragestream.base.clock import Clock
+from boragestream.base.event_buffer import EventBuffer
 from boragestream.base.events import Event, emit
 from boragestream.base.failures import DeadlinePassed, EntryCutOff
 from boragestream.base.liveness import detect_dead_peer
@@ -89,29 +90,35 @@
 
 
 class DelegatedStream:
-    """The events of a stream that another entry serves, relayed as they arrive."""
+    """The events of a stream that another entry serves, relayed as they arrive.
+
+    Only whole events are relayed, so that an event may follow where the stream is cut.
+    """
 
     def __init__(self, response: AnswerReader, close: Callable[[], None]):
         self._response = response
         self._close = close
-        self._tail = b""
+        self._buffer = EventBuffer()
+        self._last = b""
 
     @property
     def whole(self) -> bool:
         """Whether the event that ends a whole stream has been relayed."""
-        return END_EVENT in self._tail
+        return self._last.startswith(END_EVENT)
 
     @property
     def failed(self) -> bool:
         """Whether the other entry ended the stream with an error."""
-        return ERROR_EVENT in self._tail
+        return self._last.startswith(ERROR_EVENT)
 
     def chunks(self) -> Iterator[bytes]:
-        """Yield the bytes as they arrive; they end early if the entry is lost."""
+        """Yield the events as they arrive; they end early if the entry is lost."""
         try:
             while data := self._response.read1(READ_BYTES):
-                self._tail = (self._tail + data)[-READ_BYTES:]
-                yield data
+                events = self._buffer.take(data)
+                if events:
+                    self._last = events[-1]
+                    yield b"".join(events)
         except (OSError, http.client.HTTPException, ValueError):
             return
 
--- a/tests/features/steps/stream_order.py
+++ b/tests/features/steps/stream_order.py
@@ -2,10 +2,14 @@
 
 import re
 import socket
+from types import SimpleNamespace
 
 from behave import given, then, when
 
-from boragestream.base.outcomes import Failure
+from boragestream.base.answer_reader import AnswerReader
+from boragestream.base.outcomes import Answered, Failed, Failure
+from boragestream.caller.delegated_calls import DelegatedStream
+from boragestream.caller.streaming import RelayedReply
 from boragestream.serving.event_stream import MAX_EVENT_BYTES, EventSplitter
 from tests.standins.route_server import EVENTS
 from tests.standins.route_site import HOST, KEY
@@ -248,3 +252,62 @@
 def step(context):
     events, ended = context.read
     assert events and ended == "is reset", context.read
+
+
+RELAYED = [
+    b'event: token\ndata: {"text":"one"}\n\n',
+    b'event: token\ndata: {"text":"event: end"}\n\n',
+    b'event: end\ndata: {"tokens":2}\n\n',
+]
+
+
+@given("an entry that streams two tokens and their end, {framing}")
+def step(context, framing):
+    body, head = b"".join(RELAYED), b"Transfer-Encoding: chunked"
+    if framing == "with a length":
+        head = b"Content-Length: %d" % len(body)
+    else:
+        chunks = [b"%x\r\n%b\r\n" % (len(event), event) for event in RELAYED]
+        body = b"".join(chunks) + b"0\r\n\r\n"
+    context.relayed = b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\n", body
+
+
+def relay(head, body):
+    """Relay an answer; return what the caller gets, and how it ended."""
+    near, far = socket.socketpair()
+    with near, far:
+        far.sendall(head + body)
+        far.shutdown(socket.SHUT_WR)
+        reader = AnswerReader(near, method="POST")
+        reader.begin()
+        stream = DelegatedStream(reader, lambda: None)
+        request = SimpleNamespace(
+            scope=SimpleNamespace(reason=None),
+            request_id="r",
+            outcome_of=lambda failure, retry_after: Failed(failure, retry_after),
+        )
+        ends = []
+        reply = RelayedReply(stream, request, ends.append, lambda request: 0.0)
+        return b"".join(reply), ends[0]
+
+
+@when("its stream is relayed, cut behind each of its bytes")
+def step(context):
+    head, body = context.relayed
+    cuts = range(len(body) + 1)
+    context.relays = [(n == len(body), relay(head, body[:n])) for n in cuts]
+
+
+@then('each caller got whole events, which end with "end" only if it was not cut')
+def step(context):
+    for whole, (got, end) in context.relays:
+        events = got.split(b"\n\n")
+        assert events.pop() == b"", got
+        ended = events.pop()
+        assert [e + b"\n\n" for e in events] == RELAYED[: len(events)], got
+        if ended + b"\n\n" == RELAYED[-1]:
+            # The end of the framing alone may be missing.
+            assert len(events) == len(RELAYED) - 1 and isinstance(end, Answered), got
+            continue
+        assert ended.startswith(b"event: error\ndata: {"), got
+        assert not whole and isinstance(end, Failed), got
--- a/tests/features/stream_order.feature
+++ b/tests/features/stream_order.feature
@@ -185,3 +185,15 @@
   Scenario: a caller of HTTP/1.0 sees that its entry was killed within a stream
     When a caller of HTTP/1.0 reads stream "/chat/slow", and its entry is killed
     Then it gets some events, and the connection is reset
+
+  # Guards against a part of an event that is relayed between entries and swallows the
+  # event behind it, which tells the caller that the stream broke.
+  Scenario Outline: each cut of a stream that another entry serves leaves whole events: <framing>
+    Given an entry that streams two tokens and their end, <framing>
+    When its stream is relayed, cut behind each of its bytes
+    Then each caller got whole events, which end with "end" only if it was not cut
+
+    Examples:
+      | framing          |
+      | in chunks        |
+      | with a length    |
