Test the order of streams at each byte, and over tries that overlap

Streams whose first server breaks off behind each byte of its body (in chunks, with a length, without either, with LF and CRLF, in one piece or one an event), streams with stages, callers that take a stream up while their first try is still read, and streams of which each try breaks. The site of the feature allows many repeats, since its first requests nearly all break. "Answer.events" counts events whose lines end with CRLF as well.

--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -12,6 +12,8 @@
 PARTITIONED_TAG = "fixture.partitioned."
 ONE_CENTRE_TAG = "fixture.one-centre."
 ROUTE_SITE_TAG = "fixture.route-site."
+# For features in which most requests are repeated.
+MANY_REPEATS = 20_000
 # A watcher that falls silent leaves its waiting call behind, which can be counted.
 LONG_WATCHES = "watch_seconds = 30.0"
 LINGER_SETTINGS = "[stop]\nlinger_seconds = 4.0\n"
@@ -92,9 +94,10 @@
 
 @fixture
 def route_site(context, name):
-    """Start a site on the platform's forms; names with orders to drain, or cuts."""
+    """Start a site on the platform's forms; names with drains, cuts or many repeats."""
     entries, _, more = name.partition(".")
-    site = RouteSite(int(entries), more == "drains", more == "cuts")
+    slack = {"retry_slack": MANY_REPEATS} if more == "repeats" else {}
+    site = RouteSite(int(entries), more == "drains", more == "cuts", **slack)
     try:
         site.start()
         context.site = site
--- a/tests/features/steps/stream_order.py
+++ b/tests/features/steps/stream_order.py
@@ -2,6 +2,7 @@
 
 import re
 import socket
+from concurrent.futures import ThreadPoolExecutor
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -13,6 +14,8 @@
 from boragestream.serving.event_stream import MAX_EVENT_BYTES, EventSplitter
 from tests.standins.route_server import EVENTS
 from tests.standins.route_site import HOST, KEY
+from tests.standins.stream_caller import Tries, read_stream, run_all
+from tests.standins.stream_shapes import StreamShape
 
 EVENT = b"id: %d\ndata: %d words\n\n"
 
@@ -27,6 +30,11 @@
 }
 
 OK, MALFORMED = 200, 400
+# The data of an event whose server writes short ones.
+DATA_OF = b"%d v"
+HAD_EVENTS = 2
+SHORT_PAUSE_SECONDS = 0.05
+MAX_TRIES = 8
 # The number within the data of an event.
 DATA = re.compile(rb"^data: (\d+) ", re.MULTILINE)
 
@@ -123,16 +131,23 @@
     )
 
 
+def set_engines(context, name, value):
+    """Set an attribute of all engines until the scenario ends."""
+    engines = context.site.of_kind("engine")
+    for engine in engines:
+        context.add_cleanup(setattr, engine, name, getattr(engine, name))
+        setattr(engine, name, value)
+
+
 @given("engines that go on with streams {way}")
 def step(context, way):
-    engines = context.site.of_kind("engine")
+    set_engines(context, "goes_on", "proper" if way == "properly" else way)
 
-    def set_way(name):
-        for engine in engines:
-            engine.goes_on = name
 
-    set_way("proper" if way == "properly" else way)
-    context.add_cleanup(set_way, "proper")
+@given("engines whose streams have {count:d} events")
+def step(context, count):
+    context.count = count
+    set_engines(context, "events", count)
 
 
 def in_order(answer):
@@ -156,6 +171,13 @@
         assert not answer.whole
 
 
+@then("each has {count:d} events, once and in order, and is whole")
+def step(context, count):
+    for answer in context.answers:
+        assert answer.events == list(range(1, count + 1)), answer.body
+        assert answer.status == OK and answer.whole
+
+
 @then("no event has the data of another one")
 def step(context):
     for answer in context.answers:
@@ -311,3 +333,90 @@
             continue
         assert ended.startswith(b"event: error\ndata: {"), got
         assert not whole and isinstance(end, Failed), got
+
+
+@when('streams "{path}" are read, cut behind each byte')
+def step(context, path):
+    site, entries = context.site, list(context.site.entries)
+    shape = StreamShape.parse(path.rpartition("/")[2])
+    numbers = range(1, context.count + 1)
+    longest = len(shape.body([(n, DATA_OF % n) for n in numbers]))
+    paths = [f"{path}-stop={n}" for n in range(longest)]
+    with ThreadPoolExecutor(8) as pool:
+        context.answers = list(
+            pool.map(
+                lambda n: site.call(paths[n], entry=entries[n % 2]), range(longest)
+            )
+        )
+
+
+@when('{count:d} streams with stages "{path}" are read at all entries')
+def step(context, count, path):
+    site, entries = context.site, list(context.site.entries)
+    context.answers = site.at_once(
+        count,
+        lambda n: site.call(path, entry=entries[n % 2], Pieces="2,1", Piece_Key="k"),
+    )
+
+
+def begin_twice(context, count, second_entry):
+    """Have callers begin a stream and take it up elsewhere while they read on."""
+    site, entries = context.site, list(context.site.entries)
+    set_engines(context, "event_seconds", SHORT_PAUSE_SECONDS)
+
+    def one(number):
+        first, second, taken_up = Tries(), Tries(), []
+
+        def take_up(events):
+            if taken_up or len(events) < HAD_EVENTS:
+                return
+            second.events, second.began = events[:HAD_EVENTS], first.request_id
+            entry = entries[(number + second_entry) % len(entries)]
+            taken_up.append(pool.submit(read_stream, site, second, entry, "/chat/ok"))
+
+        read_stream(site, first, entries[number % 2], "/chat/ok", seen=take_up)
+        taken_up[0].result()
+        return first, second
+
+    with ThreadPoolExecutor(2 * count) as pool:
+        context.pairs = list(pool.map(one, range(count)))
+
+
+@when("{count:d} callers take a stream up at the same entry while they read on")
+def step(context, count):
+    begin_twice(context, count, 0)
+
+
+@when("{count:d} callers take a stream up at the other entry while they read on")
+def step(context, count):
+    begin_twice(context, count, 1)
+
+
+@then("both tries of each get every event behind their last one, once and in order")
+def step(context):
+    for pair in context.pairs:
+        assert all(tries.whole for tries in pair), pair
+
+
+@when(
+    '{count:d} callers take a stream "{path}" up at entries in turn until it is whole'
+)
+def step(context, count, path):
+    site, entries = context.site, list(context.site.entries)
+
+    def one(number):
+        tries = Tries()
+        for attempt in range(MAX_TRIES):
+            entry = entries[(number + attempt) % len(entries)]
+            read_stream(site, tries, entry, path)
+            if tries.statuses[-1] == OK:
+                break
+        return tries
+
+    run_all(context, count, one)
+
+
+@then("their events came once and in order, over more than one try")
+def step(context):
+    for tries in context.tries:
+        assert tries.whole and len(tries.seconds) > 1, tries
--- a/tests/features/stream_order.feature
+++ b/tests/features/stream_order.feature
@@ -1,4 +1,4 @@
-@fixture.route-site.2
+@fixture.route-site.2.repeats
 Feature: the events of a stream come once, in order, and to the last one
 
   # Guards against events that were read together with the one behind a gap, and that
@@ -197,3 +197,51 @@
       | framing          |
       | in chunks        |
       | with a length    |
+
+  # Guards against events that are lost or doubled where a server breaks off within an
+  # event, between its lines, between CR and LF, or within the framing.
+  Scenario Outline: streams go on wherever their server breaks off: <shape>
+    Given engines whose streams have 2 events
+    When streams "/chat/shape-<shape>" are read, cut behind each byte
+    Then each has 2 events, once and in order, and is whole
+    And no event has the data of another one
+
+    Examples:
+      | shape                |
+      | short                |
+      | short-crlf-burst     |
+      | short-length-crlf    |
+      | short-unframed-reset |
+
+  # Guards against the same for streams whose stages run again before they go on.
+  Scenario Outline: streams with stages go on where their server breaks off: <shape>
+    When 8 streams with stages "/staged/<shape>" are read at all entries
+    Then the events of each come once and in order, and it is whole
+
+    Examples:
+      | shape              |
+      | shape-stop=150     |
+      | shape-burst-skip=4 |
+      | cut                |
+
+  # Guards against a caller that takes a stream up while its first try is still read, so
+  # that two runs of one stream go on at once.
+  Scenario Outline: two tries of a caller that run at once each get their own events: <where>
+    When 8 callers take a stream up <where> while they read on
+    Then both tries of each get every event behind their last one, once and in order
+
+    Examples:
+      | where                |
+      | at the same entry    |
+      | at the other entry   |
+
+  # Guards against tries that break in turn: each goes on behind what the caller has.
+  Scenario Outline: a stream of which each try breaks comes whole over the tries: <path>
+    When 8 callers take a stream "<path>" up at entries in turn until it is whole
+    Then their events came once and in order, over more than one try
+
+    Examples:
+      | path                |
+      | /chat/always-half          |
+      | /chat/always-unframed-half |
+      | /chat/always-before        |
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -542,6 +542,7 @@
 
     def stream_shape(self, sock, headers, first, shape, words):
         """Send a whole stream at once, in an odd shape."""
+        words = b"v" if shape.short else words
         events = [(n, b"%d %b" % (n, words)) for n in range(1, self.events + 1)]
         way = self.goes_on if "Last-Event-Id" in headers else "proper"
         body = shape.body(shift_events(events, first, way), whole=way != "half-ended")
--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -151,7 +151,7 @@
     @property
     def events(self):
         """The numbers of the events, in their order."""
-        return [int(n) for n in re.findall(rb"^id: (\d+)$", self.body, re.MULTILINE)]
+        return [int(n) for n in re.findall(rb"^id: (\d+)\r?$", self.body, re.MULTILINE)]
 
 
 class RouteSite:
@@ -159,13 +159,13 @@
 
     numbers = iter(range(1, 1_000_000))
 
-    def __init__(self, entries=1, drains=False, cuts=False):
+    def __init__(self, entries=1, drains=False, cuts=False, retry_slack=500):
         """Make everything; ``start`` starts the entries.
 
         ``drains`` says whether the settings name the bounds of draining, ``cuts``
         whether entries can be cut off from servers.
         """
-        self.drains, self.cuts = drains, cuts
+        self.drains, self.cuts, self.retry_slack = drains, cuts, retry_slack
         # How entries are cut off, by the address from which they connect.
         self.cut_modes = {}
         self.folder = Path(tempfile.mkdtemp(prefix="route-site-"))
@@ -204,7 +204,7 @@
             "bounds": {
                 "retry_ratio": 0.2,
                 "retry_window_s": 10,
-                "retry_slack": 500,
+                "retry_slack": self.retry_slack,
                 "grace_s": 4,
                 "config_ms": 2000,
                 "drain_ms": 2000,
--- a/tests/standins/stream_caller.py
+++ b/tests/standins/stream_caller.py
@@ -23,6 +23,7 @@
     seconds: list = field(default_factory=list)
     began: str = ""
     entry: str = ""
+    request_id: str = ""
     # The number of the last event, and what each try sends besides.
     length: int = EVENTS
     headers: dict = field(default_factory=dict)
@@ -38,10 +39,15 @@
         return [number for number, _ in self.events] == list(range(1, self.length + 1))
 
 
-def read_stream(site, tries, entry, path, most=None, **headers):
-    """Read events of a stream as the caller's next try; close after ``most`` events."""
+def read_stream(
+    site, tries, entry, path, most=None, seen=lambda events: None, **headers
+):
+    """Read events of a stream as the caller's next try; close after ``most`` events.
+
+    ``seen`` is called with the events of the try after each read.
+    """
     most = most or tries.length
-    request_id = f"s-{next(site.numbers)}"
+    tries.request_id = request_id = f"s-{next(site.numbers)}"
     sent = {
         "Host": HOST,
         "Request-Id": request_id,
@@ -65,6 +71,7 @@
             while len(got) < most and (chunk := response.read1(4096)):
                 data += chunk
                 got = EVENT.findall(data)
+                seen([(int(n), version.decode()) for n, version in got])
         except (http.client.HTTPException, OSError):
             tries.statuses.append(0)
     tries.seconds.append(time.monotonic() - began)
--- a/tests/standins/stream_shapes.py
+++ b/tests/standins/stream_shapes.py
@@ -19,6 +19,7 @@
     :ivar framing: "chunked", "length" or "unframed".
     :ivar line_end: ends each line of an event.
     :ivar burst: whether the whole body is sent in one piece and one chunk.
+    :ivar short: whether the data of an event is its number and one letter.
     :ivar skip: the number of an event that is left out; 0 for none.
     :ivar plain: whether the events have no numbers.
     :ivar stop: the bytes of the framed body behind which the connection ends; None for
@@ -29,6 +30,7 @@
     framing: str = "chunked"
     line_end: bytes = b"\n"
     burst: bool = False
+    short: bool = False
     skip: int = 0
     plain: bool = False
     stop: int | None = None
@@ -46,6 +48,7 @@
             framing=framings.pop() if framings else "chunked",
             line_end=b"\r\n" if "crlf" in values else b"\n",
             burst="burst" in values,
+            short="short" in values,
             skip=int(values.get("skip", 0)),
             plain="plain" in values,
             stop=int(values["stop"]) if "stop" in values else None,
