Test the order of streams that pass between two entries

An entry that is cut off from all engines has others serve its streams, one of which is killed, stands still for a second, or loses its connections to its servers.

--- a/tests/features/steps/stream_order.py
+++ b/tests/features/steps/stream_order.py
@@ -1,7 +1,10 @@
 """Steps on the order of a stream's events."""
 
 import re
+import signal
 import socket
+import time
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from types import SimpleNamespace
 
@@ -12,6 +15,7 @@
 from boragestream.caller.delegated_calls import DelegatedStream
 from boragestream.caller.streaming import RelayedReply
 from boragestream.serving.event_stream import MAX_EVENT_BYTES, EventSplitter
+from tests.standins.fleet import wait_until
 from tests.standins.route_server import EVENTS
 from tests.standins.route_site import HOST, KEY
 from tests.standins.stream_caller import Tries, read_stream, run_all
@@ -34,6 +38,7 @@
 DATA_OF = b"%d v"
 HAD_EVENTS = 2
 SHORT_PAUSE_SECONDS = 0.05
+LONG_PAUSE_SECONDS = 0.3
 MAX_TRIES = 8
 # The number within the data of an event.
 DATA = re.compile(rb"^data: (\d+) ", re.MULTILINE)
@@ -420,3 +425,61 @@
 def step(context):
     for tries in context.tries:
         assert tries.whole and len(tries.seconds) > 1, tries
+
+
+@given("an entry that is cut off from all engines")
+def step(context):
+    site, cut = context.site, "entry-1"
+    site.cut_off([cut], "refused")
+    wait_until(
+        lambda: site.call("/draft/ok", entry=cut) and "cut_off_from" in site.log(cut),
+        what="cut off",
+    )
+    set_engines(context, "event_seconds", LONG_PAUSE_SECONDS)
+
+
+@when("{count:d} streams are read there, and the entry that serves most of them {fate}")
+def step(context, count, fate):
+    site, cut = context.site, "entry-1"
+    before = len(site.events(cut, "request_delegated"))
+    with ThreadPoolExecutor(count) as pool:
+        reading = [
+            pool.submit(read_stream, site, Tries(), cut, "/chat/ok")
+            for _ in range(count)
+        ]
+        time.sleep(2 * LONG_PAUSE_SECONDS)
+        delegated = site.events(cut, "request_delegated")[before:]
+        # Entries know one another by their addresses for peers.
+        names = {site.fields[n]["listen"]["control"]: n for n in site.entries}
+        busiest = Counter(names[event["entry"]] for event in delegated).most_common(1)
+        strike(site, busiest[0][0], fate)
+        context.tries = [each.result() for each in reading]
+    site.heal()
+
+
+def strike(site, name, fate):
+    """Have a fault strike an entry, or what its servers send it."""
+    if fate == "is killed":
+        site.kill(name)
+    elif fate == "loses its connections":
+        for server in site.of_kind("engine"):
+            server.drop(site.fields[name]["ip"])
+    else:
+        site.signal(name, signal.SIGSTOP)
+        time.sleep(1)
+        site.signal(name, signal.SIGCONT)
+
+
+@then("no stream is out of order, and none looks whole before its last event")
+def step(context):
+    for tries in context.tries:
+        numbers = [number for number, _ in tries.events]
+        assert numbers == list(range(1, len(numbers) + 1)), tries
+        assert tries.whole or tries.statuses[-1] != OK, tries
+
+
+@then("at least {most:d} in ten are whole")
+def step(context, most):
+    whole = sum(tries.whole for tries in context.tries)
+    statuses = [tries.statuses for tries in context.tries if not tries.whole]
+    assert whole * 10 >= len(context.tries) * most, (whole, statuses)
--- a/tests/features/stream_order.feature
+++ b/tests/features/stream_order.feature
@@ -245,3 +245,17 @@
       | /chat/always-half          |
       | /chat/always-unframed-half |
       | /chat/always-before        |
+
+  # Guards against events that are lost or doubled on the way between two entries.
+  @fixture.route-site.3.cuts
+  Scenario Outline: streams that pass between entries stay in order: the other entry <fate>
+    Given an entry that is cut off from all engines
+    When 12 streams are read there, and the entry that serves most of them <fate>
+    Then no stream is out of order, and none looks whole before its last event
+    And at least <most> in ten are whole
+
+    Examples:
+      | fate                  | most |
+      | is killed             | 9    |
+      | stands still for 1 s  | 9    |
+      | loses its connections | 9    |
