Send a suspected or quarantined copy only in the turn that admitted it

Seen by callers: streams and requests beside a probe were cut by the loss of a second server. A copy that was admitted in its entry's turn and sent after it, because its process was suspended or it waited for a connection, ran at the same time as the copy of the entry whose turn had begun.

Cause: the check right before the first byte compares the crash records that this entry has, and takes an unchanged record for proof that no other entry may send a copy. The permission of a turn had no end. Requests with a blocked part of a prompt were checked in the same way.

Evidence: with the set clock, a suspected copy was still sent 1.5 s and a quarantined one 3.5 s after the admission in turns of 1 s and 3 s; the new scenarios of quarantine.feature and prompt_parts.feature failed before.

Why the fix works: the guard keeps the number of the turn that it used. If that turn has ended, the request is admitted again, which gives it the current turn if that is this entry's, or refuses it as not run.

--- a/boragestream/policy/prompt_parts.py
+++ b/boragestream/policy/prompt_parts.py
@@ -126,6 +126,14 @@
         """Return the ranks of the records of the blocked parts."""
         return {p: self._quarantine.record_for(p).rank for p in self._blocked(parts)}
 
+    def turns(self, parts: Sequence[bytes]) -> dict[bytes, int]:
+        """Return the turn of this entry that each blocked part last used."""
+        return {p: self._quarantine.last_turn(p) for p in self._blocked(parts)}
+
+    def has_ended(self, turns: Mapping[bytes, int]) -> bool:
+        """Return whether any turn has ended in which a part was admitted."""
+        return any(self._quarantine.has_ended(p, turn) for p, turn in turns.items())
+
     def at_send(self, parts: Sequence[bytes]) -> PartsAtSend:
         """Return what is recorded of a prompt's parts right before it is sent."""
         records = {}
--- a/boragestream/policy/quarantine.py
+++ b/boragestream/policy/quarantine.py
@@ -227,6 +227,23 @@
             _, left = self._next_turn(stored)
             return _refusal(stored.record, left) if left > 0 else None
 
+    def last_turn(self, fingerprint: bytes) -> int:
+        """Return the number of the turn that this entry last used; -1 if none."""
+        stored = self._records.get(fingerprint)
+        return -1 if stored is None else stored.last_turn
+
+    def has_ended(self, fingerprint: bytes, turn: int) -> bool:
+        """Return whether a turn has ended in which a request was admitted.
+
+        :param turn: the turn's number; -1 if the request was admitted in none.
+        """
+        with self._lock:
+            stored = self._records.get(fingerprint)
+            if stored is None or turn < 0:
+                return False
+            length, elapsed = self._turn_timing(stored)
+        return elapsed >= (turn + 1) * length
+
     def note_crash(self, sent_with: CrashRecord) -> CrashRecord | None:
         """Record that a server crashed while it ran a request.
 
@@ -312,20 +329,23 @@
     def _next_turn(self, stored: _StoredRecord) -> tuple[int, float]:
         """Return this entry's next turn, and the seconds until it begins."""
         record = stored.record
-        length = PROBE_TURN_SECONDS if record.quarantined else SUSPECT_TURN_SECONDS
-        digests = sorted(_turn_digest(name, record) for name in self._all_entries())
+        length, elapsed = self._turn_timing(stored)
+        names = {*self.entries(), self.own}
+        digests = sorted(_turn_digest(name, record) for name in names)
         own, turns = digests.index(_turn_digest(self.own, record)), len(digests)
         if not record.quarantined:
             turns = min(turns, MAX_SUSPECT_TURNS)
-        elapsed = self.clock.now() - stored.crashed_at - _pause_seconds(record)
         turn = max(0, int(elapsed // length))
         turn += (own - turn) % turns
         if turn <= stored.last_turn:
             turn += turns
         return turn, max(0.0, turn * length - elapsed)
 
-    def _all_entries(self) -> set[str]:
-        return {*self.entries(), self.own}
+    def _turn_timing(self, stored: _StoredRecord) -> tuple[float, float]:
+        """Return the length of a turn, and the seconds since the first one began."""
+        record = stored.record
+        length = PROBE_TURN_SECONDS if record.quarantined else SUSPECT_TURN_SECONDS
+        return length, self.clock.now() - stored.crashed_at - _pause_seconds(record)
 
     def _drop_expired(self) -> None:
         now = self.clock.now()
--- a/boragestream/serving/prompt_guard.py
+++ b/boragestream/serving/prompt_guard.py
@@ -47,6 +47,7 @@
         self._request_id = request_id
         self._clock = clock
         self._admitted: dict[bytes, tuple[int, int, int]] = {}
+        self._turns: dict[bytes, int] = {}
         self._at_send = PartsAtSend()
         self._first_event_at: float | None = None
         self._began = False
@@ -63,6 +64,7 @@
         refused = self._crashes.refused(tuple(self._names))
         if refused is None:
             self._admitted = self._crashes.ranks(tuple(self._names))
+            self._turns = self._crashes.turns(tuple(self._names))
             return None
         part, crashes, left = refused
         emit(
@@ -79,12 +81,14 @@
     def check_before_send(self) -> PartQuarantined | None:
         """Repeat the check right before the first byte is sent.
 
-        A peer may have reported a crash since the request was admitted.
+        A peer may have reported a crash since the request was admitted, and the turn in
+        which it was admitted may have ended.
         """
         if self._crashes is None:
             return None
         parts = tuple(self._names)
-        if self._crashes.ranks(parts) != self._admitted:
+        changed = self._crashes.ranks(parts) != self._admitted
+        if changed or self._crashes.has_ended(self._turns):
             refused = self.refusal()
             if refused is not None:
                 return refused
--- a/boragestream/serving/request_guard.py
+++ b/boragestream/serving/request_guard.py
@@ -113,6 +113,8 @@
         self._request_id = request_id
         self._fingerprint = fingerprint
         self._record_at_send: CrashRecord | None = None
+        # The turn in which the request was admitted; -1 if it needed none.
+        self._turn = -1
         self._was_cut = was_cut
 
     @property
@@ -127,18 +129,23 @@
         refused = self._prompt.refusal() if self._prompt is not None else None
         if refused is not None:
             return refused
-        self._record_at_send = None
+        self._record_at_send, self._turn = None, -1
         if self._quarantine.empty:
             return None
         refused = self._quarantine.admit(self._fingerprint, self._was_cut)
         if refused is None:
-            self._record_at_send = self._quarantine.record_for(self._fingerprint)
+            record = self._quarantine.record_for(self._fingerprint)
+            self._record_at_send = record
+            if record.quarantined or not self._was_cut:
+                self._turn = self._quarantine.last_turn(self._fingerprint)
         return refused
 
     def check_before_send(self) -> QuarantineRefusal | None:
         """Repeat the check right before the first byte is sent.
 
-        A peer may have reported a crash since the request was admitted.
+        A peer may have reported a crash since the request was admitted. The turn in
+        which it was admitted may have ended while it waited or the process was
+        suspended, so that another entry may send a copy now.
 
         :returns: why the request may not be sent; None if it may.
         """
@@ -150,7 +157,8 @@
             return None
         known = self._quarantine.record_for(self._fingerprint)
         admitted = self._record_at_send or CrashRecord(self._fingerprint)
-        if admitted.rank < known.rank:
+        ended = self._quarantine.has_ended(self._fingerprint, self._turn)
+        if admitted.rank < known.rank or ended:
             return self.refusal()
         self._record_at_send = known
         return None
--- a/tests/features/prompt_parts.feature
+++ b/tests/features/prompt_parts.feature
@@ -45,6 +45,13 @@
     When it is answered there
     Then all of them send requests with it
 
+  # Guards against a request with a blocked part that is sent after its entry's turn, while
+  # another entry sends one.
+  Scenario: a request with a blocked part is sent in the turn in which it was admitted
+    Given 6 entries that know a blocked part
+    When one of them admits a request with it in its turn
+    Then the request may be sent 2.0 s later, and may not be sent 3.5 s later
+
   # Guards against releases that mend servers while a part stays blocked, and against
   # probes that crash a server every half a minute.
   Scenario: a part whose probe crashes a server is not tried again for ten minutes
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -75,6 +75,19 @@
       | 6     |
       | 195   |
 
+  # Guards against a copy that is sent after its entry's turn, while another entry sends
+  # one, because the process was suspended or the copy waited for a connection.
+  Scenario Outline: a copy admitted in a turn is sent in that turn, not <late> later
+    Given 6 entries that serve
+    When every entry knows that the request "a" is <state>
+    And one of them admits a copy in its turn
+    Then the copy may be sent <early> later, and may not be sent <late> later
+
+    Examples:
+      | state       | early   | late    |
+      | suspected   | 0.5 s   | 1.5 s   |
+      | quarantined | 2.0 s   | 3.5 s   |
+
   Scenario Outline: entries that hold a copy each lose no server each
     Given <count> entries that exchange crash records, by seed <seed>
     When <copies> of them hold a copy of the request "a" that crashes servers
--- a/tests/features/steps/prompt_parts.py
+++ b/tests/features/steps/prompt_parts.py
@@ -152,6 +152,24 @@
     )
 
 
+@when("one of them admits a request with it in its turn")
+def step(context):
+    crashes, _ = context.entries[0]
+    _, _, left = crashes.refused(context.part)
+    context.clock.seconds += left
+    context.guard = PromptGuard(crashes, SERVICE, ["x"], "r-1", context.clock)
+    assert context.guard.refusal() is None
+
+
+@then("the request may be sent {early:g} s later, and may not be sent {late:g} s later")
+def step(context, early, late):
+    context.clock.seconds += early
+    assert context.guard.check_before_send() is None
+    context.clock.seconds += late - early
+    refused = context.guard.check_before_send()
+    assert refused is not None and refused.left_seconds > 0
+
+
 @when("it is answered there")
 def step(context):
     crashes, table = context.sender
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -8,6 +8,7 @@
     CrashRecord,
     Quarantine,
 )
+from boragestream.serving.request_guard import RequestGuard
 from tests.standins.clock import SetClock
 from tests.standins.quarantines import CrashCrowd
 
@@ -106,18 +107,38 @@
 
 @given("{count:d} entries that serve")
 def step(context, count):
-    clock = SetClock()
+    context.clock = SetClock()
     names = [f"entry {number}" for number in range(count)]
-    context.tables = [Quarantine(name, lambda: names, clock) for name in names]
+    context.tables = [Quarantine(name, lambda: names, context.clock) for name in names]
 
 
-@when('every entry knows that the request "{name}" is quarantined')
-def step(context, name):
-    context.record = CrashRecord(fingerprint(name), crashes=CRASHES_TO_QUARANTINE)
+CRASHES = {"suspected": 1, "quarantined": CRASHES_TO_QUARANTINE}
+
+
+@when('every entry knows that the request "{name}" is {state}')
+def step(context, name, state):
+    context.record = CrashRecord(fingerprint(name), crashes=CRASHES[state])
     for table in context.tables:
         assert table.merge(context.record, 0.0)
 
 
+@when("one of them admits a copy in its turn")
+def step(context):
+    table = context.tables[0]
+    context.clock.seconds += table.refusal_of(context.record.fingerprint).left_seconds
+    context.guard = RequestGuard(table, None, "r-1", context.record.fingerprint)
+    assert context.guard.refusal() is None
+
+
+@then("the copy may be sent {early:g} s later, and may not be sent {late:g} s later")
+def step(context, early, late):
+    context.clock.seconds += early
+    assert context.guard.check_before_send() is None
+    context.clock.seconds += late - early
+    refused = context.guard.check_before_send()
+    assert refused is not None and refused.left_seconds > 0
+
+
 @then("no two of them probe within {seconds:d} seconds")
 def step(context, seconds):
     of = context.record.fingerprint
