Keep to the own turn for suspected requests at an entry that is cut off

Seen by callers: after a quarantine, calls at two servers were cut at the same moment by probes of one request.

Cause: turns were numbered among the entries that this one reaches. A peer that doesn't answer was taken for one that sends no copy: an entry that is cut off had every turn for itself, and the others closed ranks over its own.

Evidence: with six entries of which one or three don't reach the others, two entries were admitted in the same turn, suspected and quarantined alike; the new scenarios of quarantine.feature failed before.

Why the fix works: turns are numbered among all entries that may serve callers, the unreachable ones included. These names are the same on both sides of a cut. The wait for the own turn stays bounded by the same number of turns; a turn of an entry that has ended is left unused.

--- a/boragestream/daemon/peers.py
+++ b/boragestream/daemon/peers.py
@@ -169,12 +169,14 @@
     :param of_parts: whether it is that of parts of prompts.
     """
 
-    def usable_entries() -> list[str]:
-        return [entry.name for entry in members.entries.usable()]
+    def entries_with_turns() -> list[str]:
+        # An entry that is unreachable from here may serve its callers, and has turns.
+        states = (MemberState.LIVE, MemberState.SUSPECT)
+        return [entry.name for entry in members.entries.in_states(states)]
 
     quarantine = Quarantine(
         own,
-        usable_entries,
+        entries_with_turns,
         clock,
         members.exchange.request_round,
         CRASHES_TO_BLOCK if of_parts else CRASHES_TO_QUARANTINE,
--- a/boragestream/policy/quarantine.py
+++ b/boragestream/policy/quarantine.py
@@ -150,7 +150,8 @@
     """The crash records that one entry has.
 
     :ivar own: this entry's name.
-    :ivar entries: returns the names of the entries in service.
+    :ivar entries: returns the names of the entries that may serve callers, also of
+        those that can't be reached from here.
     :ivar changed: called after each change, which other entries must get at once.
     :ivar threshold: the number of consecutive crashes that lead to a quarantine.
     """
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -88,6 +88,19 @@
       | suspected   | 0.5 s   | 1.5 s   |
       | quarantined | 2.0 s   | 3.5 s   |
 
+  # Guards against an entry that takes the turns of entries that it does not reach, which
+  # use them themselves: two servers crash at once.
+  Scenario Outline: entries that don't reach one another keep to their own turns
+    Given 6 entries of which <apart> are cut off from the others
+    When every entry knows that the request "a" is <state>
+    Then no two of them probe within <turn> seconds
+
+    Examples:
+      | apart | state       | turn |
+      | 1     | suspected   | 1    |
+      | 1     | quarantined | 3    |
+      | 3     | quarantined | 3    |
+
   Scenario Outline: entries that hold a copy each lose no server each
     Given <count> entries that exchange crash records, by seed <seed>
     When <copies> of them hold a copy of the request "a" that crashes servers
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -1,8 +1,12 @@
 """Steps on requests that crash servers and on the exchange of crash records."""
 
+from types import SimpleNamespace
+
 from behave import given, then, when
 
+from boragestream.daemon.peers import make_quarantine
 from boragestream.policy.fingerprints import fingerprint
+from boragestream.policy.peers import EntryTable, ListedEntry
 from boragestream.policy.quarantine import (
     CRASHES_TO_QUARANTINE,
     CrashRecord,
@@ -112,6 +116,26 @@
     context.tables = [Quarantine(name, lambda: names, context.clock) for name in names]
 
 
+@given("{count:d} entries of which {apart:d} are cut off from the others")
+def step(context, count, apart):
+    context.clock = SetClock()
+    names = [f"entry {number}" for number in range(count)]
+    listed = [ListedEntry(name, name, name, "hall") for name in names]
+    context.tables = []
+    for own in names:
+        entries = EntryTable(own, "1", context.clock)
+        entries.apply_list(listed)
+        for other in names:
+            if (other in names[:apart]) is not (own in names[:apart]):
+                entries.note_unreachable(other)
+        exchange = SimpleNamespace(
+            add_part=lambda part: None, request_round=lambda: None, submit=None
+        )
+        members = SimpleNamespace(entries=entries, exchange=exchange, address=None)
+        quarantine, _ = make_quarantine(own, members, None, context.clock)
+        context.tables.append(quarantine)
+
+
 CRASHES = {"suspected": 1, "quarantined": CRASHES_TO_QUARANTINE}
 
 
