Count a crash only if another server accepts a connection

Seen by callers: a request that several connections had cut was refused as quarantined for 30 s, though no server had crashed.

Cause: a server that refuses connections right after it cut an answer counts as crashed unless all compared servers refuse as well. A compared server that gave no answer was taken for one that is reached. An entry that loses its links, some by refusals and some without an answer, thus counted crashes.

Evidence: beside others of which all hang, or one hangs and one refuses, a server that refuses counted as crashed; the new scenario of server_backoffs.feature failed before.

Why the fix works: only an accepted connection shows that the links of this entry carry any. So that a whole data centre that doesn't answer hides no crash, one compared server is in another data centre and one in the server's own; a third one is asked if neither accepts.

--- a/boragestream/daemon/reach.py
+++ b/boragestream/daemon/reach.py
@@ -32,7 +32,7 @@
 ]
 
 # Other servers with which one that seems to have crashed is compared.
-COMPARED_SERVERS = 2
+COMPARED_SERVERS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,12 +162,17 @@
 def other_servers(
     servers: ServerTable, rng: random.Random
 ) -> Callable[[Server], Sequence[Server]]:
-    """Return a function that returns some servers other than the one given."""
+    """Return a function that returns some servers other than the one given.
+
+    The first is in another data centre and the second in the server's own, as far as
+    there are such, since either data centre may be unreachable.
+    """
 
     def others(server: Server) -> Sequence[Server]:
-        live = [s for s in servers.all if s.identity != server.identity]
-        rng.shuffle(live)
-        elsewhere = [s for s in live if s.data_centre != server.data_centre]
-        return (elsewhere or live)[:COMPARED_SERVERS]
+        listed = [s for s in servers.all if s.identity != server.identity]
+        rng.shuffle(listed)
+        elsewhere = [s for s in listed if s.data_centre != server.data_centre]
+        near = [s for s in listed if s.data_centre == server.data_centre]
+        return [*elsewhere[:1], *near[:1], *elsewhere[1:], *near[1:]][:COMPARED_SERVERS]
 
     return others
--- a/boragestream/serving/request_guard.py
+++ b/boragestream/serving/request_guard.py
@@ -39,26 +39,27 @@
     """Return whether a server that has just cut an answer refuses connections.
 
     A server that does not answer in time may be busy or unreachable over the network,
-    so it does not count as crashed. If all others refuse connections as well, the links
-    of this entry are cut.
+    so it does not count as crashed. Unless another server accepts a connection, the
+    links of this entry may be cut.
 
-    :param others: returns some other servers.
+    :param others: returns some other servers; none where there are none to compare.
     """
-    if not _refuses(connections, server):
+    if _accepts(connections, server) is not False:
         return False
     compared = others(server)
-    return not compared or not all(_refuses(connections, s) for s in compared)
+    return not compared or any(_accepts(connections, other) for other in compared)
 
 
-def _refuses(connections: ConnectionKeeper, server: Server) -> bool:
+def _accepts(connections: ConnectionKeeper, server: Server) -> bool | None:
+    """Return whether a server accepts connections; None if it does not answer."""
     try:
         connection = connections.connect(server.host, CONNECT_TIMEOUT_SECONDS)
     except ConnectionRefusedError:
-        return True
-    except OSError:
         return False
+    except OSError:
+        return None
     connection.close()
-    return False
+    return True
 
 
 def count_crash(
--- a/tests/features/server_backoffs.feature
+++ b/tests/features/server_backoffs.feature
@@ -62,3 +62,20 @@
       | 0      | has crashed     |
       | 1      | has crashed     |
       | 2      | has not crashed |
+
+  # Guards against lost links that are taken for a crash because the other servers did not
+  # answer, and thus did not refuse either.
+  Scenario Outline: of other servers only those that accept a connection show a crash
+    Given a server that refuses connections
+    Then beside others that "<others>" it <counted>
+
+    Examples:
+      | others                | counted         |
+      | hang, hang            | has not crashed |
+      | refuse, hang          | has not crashed |
+      | hang, refuse, accept  | has crashed     |
+
+  # Guards against crashes that are not counted while another data centre is unreachable.
+  Scenario: a server is compared with some of its own data centre and of others
+    Given 4 servers in each of 2 data centres
+    Then each is compared with servers of both data centres
