Bound the repeats of requests at other entries that give no answer

Seen by callers: with little left of the bound on repeats, requests of an entry that is cut off were run up to three times by other entries, also where their route allows two attempts.

Cause: an entry to which a request was delegated, and that broke off or failed after it may have run the request, was followed by the next one as if it had refused it. Neither the attempts of the route nor the bound on repeats was looked at in between.

Why the fix works: after a delegation that may have run, the next one counts as a repeat: it needs an attempt left and is taken from the bound on repeats. One that was not run goes on to the next entry as before.

--- a/boragestream/serving/delegation.py
+++ b/boragestream/serving/delegation.py
@@ -32,6 +32,7 @@
 from boragestream.policy.delegates import Delegates
 from boragestream.policy.load import CallEnd
 from boragestream.policy.peers import ListedEntry
+from boragestream.policy.retry_window import RetryWindows
 from boragestream.policy.server_reach import ServerReach
 from boragestream.policy.servers import Server
 from boragestream.serving.delegation_failures import DelegateFailed, DelegateRefused
@@ -204,6 +205,7 @@
     """The delegation of one request to one or several other entries in turn.
 
     :param reach: what this entry knows of the services that it reaches.
+    :param retries: bounds the repeats of requests that may have run.
     """
 
     def __init__(
@@ -211,10 +213,12 @@
         parts: DelegationParts | None,
         reach: ServerReach | None,
         run: ForwardedRun,
+        retries: RetryWindows,
     ) -> None:
         self._parts = parts
         self._reach = reach
         self._run = run
+        self._retries = retries
         self._tried: set[str] = set()
         self._possible_runs = 0
         self._failure: Failure | None = None
@@ -286,15 +290,26 @@
                     return
                 if answer.ran is not Ran.NOT_SENT:
                     self._possible_runs += 1
-                    if not run.route.repeatable:
+                    if not self._may_repeat():
                         return
                 continue
+            before = self._possible_runs
             outcome = self._outcome(attempt)
             if outcome is not None:
+                # The consumer decides whether the request may be repeated.
                 yield outcome
+            elif self._possible_runs > before and not self._may_repeat():
+                return
             if self._possible_runs and not run.route.repeatable:
                 return
 
+    def _may_repeat(self) -> bool:
+        """Return whether a request may be repeated that may have run elsewhere."""
+        route = self._run.route
+        if not route.repeatable or self._possible_runs >= route.attempts:
+            return False
+        return self._retries.spend(self._run.service)
+
     def _outcome(
         self, attempt: DelegatedAttempt
     ) -> WholeAnswer | DelegatedAttempt | None:
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -87,7 +87,9 @@
         self._run = run
         self._guard = make_guard(parts, run)
         self._crashes = CrashChecks(parts, run, self._guard)
-        self._delegation = Delegation(parts.delegation, parts.line.reach, run)
+        self._delegation = Delegation(
+            parts.delegation, parts.line.reach, run, parts.retries
+        )
         # Whether a server could not be reached at all.
         self._unreached = False
         self._stream = run.route.kind is CallKind.STREAM
@@ -268,10 +270,8 @@
     def _may_retry_after(self, failure: AttemptFailure) -> bool:
         """Record an attempt without an answer; return whether another may follow."""
         self._note_failure(failure)
-        abandoned = isinstance(failure, AttemptCancelled) and isinstance(
-            failure.reason, EntryCutOff
-        )
-        if isinstance(failure, AttemptCancelled) and not abandoned:
+        cancelled = isinstance(failure, AttemptCancelled)
+        if cancelled and not isinstance(failure.reason, EntryCutOff):
             return False
         self._unreached = self._unreached or isinstance(failure, ConnectFailed)
         if failure.ran is not Ran.MAY_HAVE_RUN:
--- a/tests/features/server_reach.feature
+++ b/tests/features/server_reach.feature
@@ -115,6 +115,23 @@
       | may run once            | can't be reached      | 3     | refused |
       | another entry delegated | refuse it             | 0     | refused |
 
+  # Guards against repeats beyond the attempts of a route and the bound on repeats, when
+  # other entries that may have run the request give no answer.
+  Scenario Outline: a request of <attempts> attempts with <left> repeats left that other entries <answer> is sent to <times>
+    Given an entry that is cut off, with 4 other entries that <answer>
+    When a request with <attempts> attempts comes, while <left> repeats are left
+    Then it was sent to <times> entries and ends as <end>
+
+    Examples:
+      | attempts | left | answer           | times | end     |
+      | 3        | 2    | break off        | 3     | failed  |
+      | 2        | 9    | break off        | 2     | failed  |
+      | 3        | 1    | break off        | 2     | failed  |
+      | 3        | 0    | break off        | 1     | failed  |
+      | 3        | 0    | fail             | 1     | failed  |
+      | 3        | 0    | can't be reached | 3     | refused |
+      | 3        | 0    | refuse it        | 3     | refused |
+
   # Guards against requests that were cut by the crash of a server and are then refused by
   # another entry, which suspects them of it.
   Scenario Outline: a request of which <runs> attempts may have run is <done> on suspicion alone
--- a/tests/features/steps/server_reach.py
+++ b/tests/features/steps/server_reach.py
@@ -371,9 +371,11 @@
 class OtherEntry:
     """The answer of an entry to a delegated request."""
 
-    head = SimpleNamespace(
-        claim=RunClaim.NOT_RUN, sealed=False, status=503, backoff_seconds=0.2
-    )
+    def __init__(self, claim, status):
+        """Answer with a status of the entry's own."""
+        self.head = SimpleNamespace(
+            claim=claim, sealed=False, status=status, backoff_seconds=0.2
+        )
 
     def read(self):
         """Return the body."""
@@ -398,7 +400,9 @@
         call.encode(1.0)
         if answers == "break off":
             return AnswerCut(entry.name, Ran.MAY_HAVE_RUN, "reset")
-        return OtherEntry()
+        if answers == "fail":
+            return OtherEntry(RunClaim.RAN, 502)
+        return OtherEntry(RunClaim.NOT_RUN, 503)
 
     context.opened = delegation.open_forwarded_call
     delegation.open_forwarded_call = open_call
@@ -408,10 +412,9 @@
     )
 
 
-@when("a request that {what} comes")
-def step(context, what):
-    repeatable = what == "may be repeated"
-    context.run = SimpleNamespace(
+def delegable_run(context, route, delegated_by=""):
+    """Return a request that may be served by another entry."""
+    return SimpleNamespace(
         service=SERVICE,
         scope=CancelScope(context.clock.now() + 5),
         request=SimpleNamespace(
@@ -422,11 +425,24 @@
             resumes="",
             takes_up_stream=False,
         ),
-        route=SimpleNamespace(kind=CallKind.ONCE, repeatable=repeatable),
+        route=route,
         sent=SentRecord(),
-        delegated_by="e-9" if "delegated" in what else "",
+        delegated_by=delegated_by,
+        earlier_runs=0,
+        version=None,
+        shared_parts=(),
+        fingerprint=b"",
     )
-    asked = delegation.Delegation(context.parts, context.reach, context.run)
+
+
+@when("a request that {what} comes")
+def step(context, what):
+    repeatable = what == "may be repeated"
+    route = SimpleNamespace(kind=CallKind.ONCE, repeatable=repeatable, attempts=3)
+    by = "e-9" if "delegated" in what else ""
+    context.run = delegable_run(context, route, by)
+    retries = SimpleNamespace(spend=lambda service: True)
+    asked = delegation.Delegation(context.parts, context.reach, context.run, retries)
     reason = asked.reason(fresh=True, unreached=False)
     assert list(asked.outcomes(reason, 0, lambda: None)) == []
     context.failure = asked.failure
@@ -464,9 +480,15 @@
         shared_parts=(),
         fingerprint=b"",
     )
+    return new_forwarding(context, run)
+
+
+def new_forwarding(context, run, retries=None):
+    """Return the state of a request before its first attempt."""
     parts = SimpleNamespace(
         quarantine=None,
         part_crashes=None,
+        retries=retries,
         clock=context.clock,
         line=SimpleNamespace(connections=None, reach=context.reach),
         other_servers=None,
@@ -481,6 +503,19 @@
     return state
 
 
+@when("a request with {attempts:d} attempts comes, while {left:d} repeats are left")
+def step(context, attempts, left):
+    route = SimpleNamespace(
+        kind=CallKind.IDEMPOTENT, repeatable=True, attempts=attempts
+    )
+    context.run = delegable_run(context, route)
+    repeats = iter([True] * left)
+    retries = SimpleNamespace(spend=lambda service: next(repeats, False))
+    state = new_forwarding(context, context.run, retries)
+    assert list(state._delegate(state._delegation_reason())) == []
+    context.failure = state._failure
+
+
 @then("a request of which {runs:d} attempts may have run is {done}")
 def step(context, runs, done):
     route = SimpleNamespace(kind=CallKind.IDEMPOTENT, repeatable=True, attempts=2)
