Grant seats in place of the first entry only if it doesn't answer

Seen by callers: calls at a brittle server were cut when it fell over, under more calls than it has places.

Cause: an entry that got no answer from the granting entry asked the second in rank, which granted half of the places as if no seat were taken. The first, which the others still reached, granted all of them. One unanswered question of one entry was taken for a first entry that grants nothing.

Why the fix works: the second entry probes the first before it grants for another entry, and refuses while that answers. If it gets no answer either, it grants half as before. An entry that fails the probe is not asked again for two seconds, so that an ended first entry costs one probe.

--- a/boragestream/entry/owner_questions.py
+++ b/boragestream/entry/owner_questions.py
@@ -10,12 +10,14 @@
 from boragestream.base.events import Event, emit
 from boragestream.base.outcomes import Failure
 from boragestream.entry.links import PeerLinks
-from boragestream.entry.messages import Message
+from boragestream.entry.messages import Message, Probe, ProbeReply
 
 __all__ = ["OwnerRequests"]
 
 # A live entry answers at once.
 REPLY_TIMEOUT_SECONDS = 0.3
+# Shorter, since the entry that asks another one for its role waits as well.
+PROBE_TIMEOUT_SECONDS = 0.15
 SKIP_SECONDS = 2.0
 
 Reply = TypeVar("Reply")
@@ -48,6 +50,27 @@
         :param more_seconds: added to the time-out for an entry that is far away.
         """
         timeout = REPLY_TIMEOUT_SECONDS + more_seconds
+        return self._request(entry, address, message, reply_type, timeout)
+
+    def answers(self, entry: str, address: str) -> bool:
+        """Return whether an entry answers, and skip it for a time if it does not.
+
+        An entry that is skipped is not asked again.
+        """
+        if self.is_skipped(entry):
+            return False
+        timeout = PROBE_TIMEOUT_SECONDS
+        reply = self._request(entry, address, Probe(), ProbeReply, timeout)
+        return reply is not None
+
+    def _request(
+        self,
+        entry: str,
+        address: str,
+        message: Message,
+        reply_type: type[Reply],
+        timeout: float,
+    ) -> Reply | None:
         answer = self._links.ask(address, message, timeout)
         if isinstance(answer, reply_type):
             return answer
--- a/boragestream/entry/server_seats.py
+++ b/boragestream/entry/server_seats.py
@@ -1,7 +1,9 @@
 """Takes and grants seats at brittle servers, which bear no rejected calls.
 
 The entry that ranks first for a server grants its seats; while it does not answer, the
-second does. An entry that has just started, or become the first, does not know the
+second does. The second grants none while the first answers it: an asking entry that
+does not reach the first would otherwise get seats that the first grants to others as
+well. An entry that has just started, or become the first, does not know the
 seats that were granted before, and grants only half of the places at first. Each
 request for a seat names the seats that the asking entry has at the server, and those
 that the granting entry does not know count as calls without a seat.
@@ -176,7 +178,7 @@
             message.incarnation,
             slots=message.slots,
         )
-        if not self._is_settled() or self._own not in self._granters.for_server(server):
+        if not self._is_settled() or not self._may_grant(server):
             return SeatReply(0, int(UNSETTLED_RETRY_SECONDS * 1000))
         hold, sender = message.hold_ms / 1000, envelope.sender
         number, wait = self._grant(server, hold, sender, message.unseated, message.held)
@@ -191,6 +193,15 @@
         self._settled = self._settled or self._agreed()
         return self._settled
 
+    def _may_grant(self, server: Server) -> bool:
+        """Return whether this entry may grant the seats of a server to others."""
+        granting = self._granters.for_server(server)
+        if self._own not in granting:
+            return False
+        first = granting[0]
+        address = self._address(first) if first != self._own else None
+        return address is None or not self._requests.answers(first, address)
+
     def _acquire(self, server: Server, seconds: float) -> Seat | SeatRefused:
         places = self._services.places(server)
         if places is None or not self._is_settled():
