--- a/boragestream/serving/request_guard.py
+++ b/boragestream/serving/request_guard.py
@@ -39,26 +39,27 @@
     """Return whether a server that has just cut an answer refuses connections.
 
     A server that does not answer in time may be busy or unreachable over the network,
-    so it does not count as crashed. If all others refuse connections as well, the links
-    of this entry are cut.
+    so it does not count as crashed. Unless another server accepts a connection, the
+    links of this entry may be cut.
 
-    :param others: returns some other servers.
+    :param others: returns some other servers; none where there are none to compare.
     """
-    if not _refuses(connections, server):
+    if _accepts(connections, server) is not False:
         return False
     compared = others(server)
-    return not compared or not all(_refuses(connections, s) for s in compared)
+    return not compared or any(_accepts(connections, other) for other in compared)
 
 
-def _refuses(connections: ConnectionKeeper, server: Server) -> bool:
+def _accepts(connections: ConnectionKeeper, server: Server) -> bool | None:
+    """Return whether a server accepts connections; None if it does not answer."""
     try:
         connection = connections.connect(server.host, CONNECT_TIMEOUT_SECONDS)
     except ConnectionRefusedError:
-        return True
-    except OSError:
         return False
+    except OSError:
+        return None
     connection.close()
-    return False
+    return True
 
 
 def count_crash(
@@ -113,6 +114,8 @@
         self._request_id = request_id
         self._fingerprint = fingerprint
         self._record_at_send: CrashRecord | None = None
+        # The turn in which the request was admitted; -1 if it needed none.
+        self._turn = -1
         self._was_cut = was_cut
 
     @property
@@ -127,18 +130,23 @@
         refused = self._prompt.refusal() if self._prompt is not None else None
         if refused is not None:
             return refused
-        self._record_at_send = None
+        self._record_at_send, self._turn = None, -1
         if self._quarantine.empty:
             return None
         refused = self._quarantine.admit(self._fingerprint, self._was_cut)
         if refused is None:
-            self._record_at_send = self._quarantine.record_for(self._fingerprint)
+            record = self._quarantine.record_for(self._fingerprint)
+            self._record_at_send = record
+            if record.quarantined or not self._was_cut:
+                self._turn = self._quarantine.last_turn(self._fingerprint)
         return refused
 
     def check_before_send(self) -> QuarantineRefusal | None:
         """Repeat the check right before the first byte is sent.
 
-        A peer may have reported a crash since the request was admitted.
+        A peer may have reported a crash since the request was admitted. The turn in
+        which it was admitted may have ended while it waited or the process was
+        suspended, so that another entry may send a copy now.
 
         :returns: why the request may not be sent; None if it may.
         """
@@ -150,7 +158,8 @@
             return None
         known = self._quarantine.record_for(self._fingerprint)
         admitted = self._record_at_send or CrashRecord(self._fingerprint)
-        if admitted.rank < known.rank:
+        ended = self._quarantine.has_ended(self._fingerprint, self._turn)
+        if admitted.rank < known.rank or ended:
             return self.refusal()
         self._record_at_send = known
         return None
