Soak: put entries out of step while engines of other versions come

--out-of-step waits until all entries have followed the server list for 22 s, then cuts entries off from the store and all others, or pauses them, for 1 to 6 s, beside upgrades of engines and callers that leave streams after two events and take them up at any entry.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -168,6 +168,17 @@
     Given a soaked request that had none since its caller's connection had gone silent
     Then the soak finds ""
 
+  # Guards against a pause that excuses a hang of which it was no part.
+  Scenario Outline: a request that hangs counts beside a pause of its entry from <began> to <ended>
+    Given a soaked request that had no answer for 9.5 seconds, and whose entry was paused from second <began> to <ended>
+    Then the soak finds "<found>"
+
+    Examples:
+      | began | ended | found                  |
+      | -6    | 0     | left without an answer |
+      | -5    | 0.4   | left without an answer |
+      | 2     | 7     |                        |
+
   Scenario: a stale connection stays silent, a new one works, and the relay tells which
     Given a relay to an echo with an open connection
     When the relay's connections go stale and the fault is over
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,6 +16,9 @@
   --partitions    Lose what is sent between two regions as well.
   --cuts          Cut entries off from all servers as well.
   --upgrades      Replace engines by others of two more software versions as well.
+  --out-of-step   Let entries follow the server list for long, then pause them or cut
+                  them off from the store and all other entries, while engines are
+                  replaced by others of two more software versions.
   --spoils        Have servers cut answers in their heads, and stage servers send
                   answers twice, as well.
   --keep DIR      Where the logs of failed runs are kept [default: out/soak].
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -42,6 +42,7 @@
     REGIONS_PARTED = auto()
     ENTRIES_CUT_OFF = auto()
     SERVER_UPGRADED = auto()
+    ENTRY_OUT_OF_STEP = auto()
 
 
 class Family(Enum):
@@ -55,6 +56,7 @@
     PARTITIONS = "partitions"
     CUTS = "cuts"
     UPGRADES = "upgrades"
+    OUT_OF_STEP = "out-of-step"
     # Strikes nothing: what callers ask for spoils the answers of servers.
     SPOILS = "spoils"
 
@@ -102,6 +104,13 @@
 CUT_WAYS = ("refused", "dark", "kept")
 UPGRADE_GAP_SECONDS = 1.2
 VERSIONS = ("v1", "v2", "v3")
+OUT_OF_STEP_GAP_SECONDS = 2.0
+OUT_OF_STEP_SECONDS = (1.0, 6.0)
+# How the store and the other entries are lost to an entry.
+OUT_OF_STEP_WAYS = ("silent", "reset", "paused")
+# Upgrades while an entry is out of step, so soon after it fell out.
+OUT_OF_STEP_UPGRADES = 2
+UPGRADE_AFTER_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +157,8 @@
             strikes += _cut_strikes(rng, seconds)
         elif family is Family.UPGRADES:
             strikes += _upgrade_strikes(rng, seconds)
+        elif family is Family.OUT_OF_STEP:
+            strikes += _out_of_step_strikes(rng, seconds)
         elif family is Family.SPOILS:
             continue
         else:
@@ -190,6 +201,21 @@
         at += UPGRADE_GAP_SECONDS * rng.uniform(0.3, 1.7)
 
 
+def _out_of_step_strikes(rng, seconds):
+    # The first entry misses a second version, later ones a third or the first again.
+    at, versions = rng.uniform(0.1, 1.0), VERSIONS[1:]
+    while at < seconds:
+        lasts = round(rng.uniform(*OUT_OF_STEP_SECONDS), 2)
+        how, target = rng.choice(OUT_OF_STEP_WAYS), rng.randrange(1_000_000)
+        yield Strike(round(at, 2), lasts, StrikeKind.ENTRY_OUT_OF_STEP, how, target)
+        for _ in range(OUT_OF_STEP_UPGRADES):
+            later = round(at + rng.uniform(0.1, UPGRADE_AFTER_SECONDS), 2)
+            how, target = rng.choice(versions), rng.randrange(1_000_000)
+            yield Strike(later, 0.0, StrikeKind.SERVER_UPGRADED, how, target)
+        versions = VERSIONS
+        at += OUT_OF_STEP_GAP_SECONDS * rng.uniform(0.1, 1.9)
+
+
 def _newer_strikes(rng, seconds, kind):
     at = rng.uniform(0.5, NEWER_GAP_SECONDS)
     while at < seconds:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,7 +6,7 @@
 import signal
 import time
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from tests.soak.callers import SPOILING, USUAL, Callers
@@ -16,10 +16,14 @@
 from tests.soak.limits import over_limits
 from tests.soak.plan import NEWER, Family, make_plan
 from tests.soak.site import SoakSite
+from tests.standins.fleet import wait_until
 
 CALLERS_AN_ENTRY = 4
 SERVERS_A_KIND = 3
 LOOK_SECONDS = 0.05
+# Entries that have followed the server list for less long know no single version.
+FOLLOWED_SECONDS = 22.0
+PARTS_SHARE = 0.5
 # What shows in an entry's log that the newer faults have reached it.
 CAUSED = (
     "memory_refused",
@@ -70,6 +74,8 @@
         plan = make_plan(seed, seconds, families)
     spoils = Family.SPOILS in families
     habit = SPOILING if spoils else USUAL
+    if Family.OUT_OF_STEP in families:
+        habit = replace(habit, parts=PARTS_SHARE, everywhere=True)
     callers = Callers(site, seed, CALLERS_AN_ENTRY * entries, habit)
     for server in site.of_kind("stage"):
         server.repeats_late = spoils
@@ -77,6 +83,8 @@
     try:
         site.start()
         callers.start()
+        if Family.OUT_OF_STEP in families:
+            wait_followed(site)
         if Family.SURGES in families:
             site.crowds.begin(busy_callers(site, seed))
         late = strike_all(site, plan, seconds)
@@ -108,6 +116,18 @@
     )
 
 
+def wait_followed(site):
+    """Wait until all entries have followed the server list for long."""
+    for name in site.entries:
+        lists = wait_until(
+            lambda n=name: site.events(n, "instances_changed"),
+            what=f"{name} has a server list",
+        )
+        while time.time() - lists[0]["at"] < FOLLOWED_SECONDS:
+            site.look_after()
+            time.sleep(LOOK_SECONDS)
+
+
 def strike_all(site, plan, seconds):
     """Begin and end the strikes at their times; return how late they were at most."""
     began, late = time.monotonic(), 0.0
