--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -43,13 +43,14 @@
     And the entries have noticed these faults
 
     Examples:
-      | what                                              | seed | family     |
-      | callers that don't read their answers             | 5    | readers    |
-      | an account that sends eight times its demand      | 6    | surges     |
-      | regions that are parted in one direction or both  | 7    | partitions |
-      | entries that are cut off from all servers         | 8    | cuts       |
-      | engines that are replaced by other versions       | 9    | upgrades   |
-      | answers that are cut or sent twice                | 10   | spoils     |
+      | what                                              | seed | family      |
+      | callers that don't read their answers             | 5    | readers     |
+      | an account that sends eight times its demand      | 6    | surges      |
+      | regions that are parted in one direction or both  | 7    | partitions  |
+      | entries that are cut off from all servers         | 8    | cuts        |
+      | engines that are replaced by other versions       | 9    | upgrades    |
+      | entries that miss such replacements               | 31   | out-of-step |
+      | answers that are cut or sent twice                | 10   | spoils      |
 
   # Guards against a check of memory that no entry can fail.
   Scenario: the soak sees an entry that has used more than its memory
