--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -43,13 +43,14 @@
     And the entries have noticed these faults
 
     Examples:
-      | what                                              | seed | family     |
-      | callers that don't read their answers             | 5    | readers    |
-      | an account that sends eight times its demand      | 6    | surges     |
-      | regions that are parted in one direction or both  | 7    | partitions |
-      | entries that are cut off from all servers         | 8    | cuts       |
-      | engines that are replaced by other versions       | 9    | upgrades   |
-      | answers that are cut or sent twice                | 10   | spoils     |
+      | what                                              | seed | family      |
+      | callers that don't read their answers             | 5    | readers     |
+      | an account that sends eight times its demand      | 6    | surges      |
+      | regions that are parted in one direction or both  | 7    | partitions  |
+      | entries that are cut off from all servers         | 8    | cuts        |
+      | engines that are replaced by other versions       | 9    | upgrades    |
+      | entries that miss such replacements               | 31   | out-of-step |
+      | answers that are cut or sent twice                | 10   | spoils      |
 
   # Guards against a check of memory that no entry can fail.
   Scenario: the soak sees an entry that has used more than its memory
@@ -168,6 +169,17 @@
     Given a soaked request that had none since its caller's connection had gone silent
     Then the soak finds ""
 
+  # Guards against a pause that excuses a hang of which it was no part.
+  Scenario Outline: a request that hangs counts beside a pause of its entry from <began> to <ended>
+    Given a soaked request that had no answer for 9.5 seconds, and whose entry was paused from second <began> to <ended>
+    Then the soak finds "<found>"
+
+    Examples:
+      | began | ended | found                  |
+      | -6    | 0     | left without an answer |
+      | -5    | 0.4   | left without an answer |
+      | 2     | 7     |                        |
+
   Scenario: a stale connection stays silent, a new one works, and the relay tells which
     Given a relay to an echo with an open connection
     When the relay's connections go stale and the fault is over
