--- /dev/null
+++ b/boragestream/policy/kept_changes.py
@@ -0,0 +1,72 @@
+"""The latest changes of a published table, kept for entries that are behind.
+
+``policy.published_table`` guards this module's objects with its lock.
+"""
+
+from collections import deque
+
+from boragestream.policy.publication import NO_ERA, Change, Position
+
+__all__ = ["KeptChanges"]
+
+
+class KeptChanges:
+    """The latest changes and the positions between which they are complete.
+
+    :param maximum: the number of changes kept; an entry that is further behind needs
+        all values.
+    """
+
+    def __init__(self, maximum: int) -> None:
+        self._changes: deque[tuple[Position, Change]] = deque(maxlen=maximum)
+        # The position from which the changes are complete.
+        self._start = Position(NO_ERA, 0)
+        # The last known position of the previous era and the first of this one.
+        self._previous_era_end: Position | None = None
+        self._era_start = Position(NO_ERA, 0)
+
+    def begin(self, position: Position) -> None:
+        """Record the position of the first values."""
+        self._start = position
+        self._era_start = position
+
+    def begin_era(self, known: Position, position: Position) -> None:
+        """Record that a later era replaces the known one.
+
+        :param known: the last known position of the previous era.
+        :param position: the first known position of the later era.
+        """
+        self._previous_era_end = known
+        self._era_start = position
+
+    def add(self, position: Position, change: Change) -> None:
+        """Keep a change, and drop the oldest one if there are too many."""
+        full = len(self._changes) == self._changes.maxlen
+        if full and self._changes:
+            self._start = self._changes[0][0]
+        elif full:
+            self._start = position
+        self._changes.append((position, change))
+
+    def since(self, after: Position, known: Position) -> list[Change] | None:
+        """Return the changes after a position; None if some of them are missing.
+
+        :param known: the position up to which all changes were added.
+        """
+        if not self._has_since(after, known):
+            return None
+        return [change for at, change in self._changes if at > after]
+
+    def _has_since(self, after: Position, known: Position) -> bool:
+        if after < self._start:
+            return False
+        if after.era == known.era:
+            return after >= self._era_start
+        # An entry beyond the last position known here of an earlier era knows changes
+        # that are unknown here.
+        previous_end = self._previous_era_end
+        return (
+            previous_end is not None
+            and previous_end.era == after.era
+            and after <= previous_end
+        )
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -10,10 +10,10 @@
 
 import math
 import threading
-from collections import deque
 from collections.abc import Callable, Iterable
 
 from boragestream.policy.held_values import SERVER_RETENTION, HeldValues, Retention
+from boragestream.policy.kept_changes import KeptChanges
 from boragestream.policy.lapses import LapseWindow
 from boragestream.policy.publication import (
     NO_ERA,
@@ -58,12 +58,7 @@
         # When the first values became known.
         self._followed_from: float | None = None
         self._last_source: ValueSource | None = None
-        # The last known position of the previous era and the first of this one.
-        self._previous_era_end: Position | None = None
-        self._era_start = Position(NO_ERA, 0)
-        # The latest changes, and the position from which they are complete.
-        self._changes: deque[tuple[Position, Change]] = deque(maxlen=kept_changes)
-        self._changes_start = Position(NO_ERA, 0)
+        self._kept = KeptChanges(kept_changes)
         self._lock = threading.RLock()
 
     @property
@@ -223,12 +218,11 @@
             after = None
             if revision is not None:
                 after = Position(position.era if era is None else era, revision)
-            if after is None or not self._has_changes_since(after):
+            changes = None if after is None else self._kept.since(after, position)
+            if changes is None:
                 after = None
                 writes = {**self._stored, **{k: w for k, (w, _) in lapsed.items()}}
                 changes = [Change(k, w.revision, w.value) for k, w in writes.items()]
-            else:
-                changes = [change for at, change in self._changes if at > after]
             return Relayed(
                 after=None if after is None else after.revision,
                 revision=position.revision,
@@ -269,14 +263,13 @@
         self._stored.clear()
         self._stored.update(stored)
         self._position = position
-        self._era_start = position
         if known is None:
             self._followed_from = self._now()
-            self._changes_start = position
+            self._kept.begin(position)
         else:
             for change in differences:
-                self._record_change(position, change)
-            self._previous_era_end = known
+                self._kept.add(position, change)
+            self._kept.begin_era(known, position)
             self._held.begin_era(used, era_began)
         return self._held.values != before
 
@@ -372,29 +365,6 @@
             elif before is not None:
                 until = kept_until(change.key)
                 self._held.note_removed(change.key, before, until)
-            self._record_change(Position(position.era, change.revision), change)
+            self._kept.add(Position(position.era, change.revision), change)
         self._position = position if known is None else max(known, position)
         return changed
-
-    def _record_change(self, position: Position, change: Change) -> None:
-        full = len(self._changes) == self._changes.maxlen
-        if full and self._changes:
-            self._changes_start = self._changes[0][0]
-        elif full:
-            self._changes_start = position
-        self._changes.append((position, change))
-
-    def _has_changes_since(self, after: Position) -> bool:
-        """Return whether the kept changes are complete from a position on."""
-        if self._position is None or after < self._changes_start:
-            return False
-        if after.era == self._position.era:
-            return after >= self._era_start
-        # An entry beyond the last position known here of an earlier era knows changes
-        # that are unknown here.
-        previous_end = self._previous_era_end
-        return (
-            previous_end is not None
-            and previous_end.era == after.era
-            and after <= previous_end
-        )
