Count each version that an applied change lists

Cause: VersionHistory received the list as it was after an answer had been applied. A version listed and removed, or overwritten, within one answer of the store or one relayed message was missing, while the history counted as complete.

What callers saw: streams that had begun at such a version were taken up at an entry that had stood still or was cut off, and went on at the one version that it named, basis "single version".

Why it works: the table reports the changes to the history before its position covers them, while it is locked, so that no entry counts its list as current without them. This holds for answers, relayed messages and those of a restored store, whose changes are now relayed further as they came and not as the difference of the lists. Changes up to the known position are left out as before. Only changed values are decoded. The services that have several versions by them are returned with the next list, so that their records are sent.

--- a/boragestream/daemon/publications.py
+++ b/boragestream/daemon/publications.py
@@ -9,7 +9,7 @@
 
 import random
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
 
@@ -30,6 +30,7 @@
 from boragestream.policy.confirming import ConfirmationSchedule
 from boragestream.policy.first_knowledge import StartupReadiness
 from boragestream.policy.operator_table import OperatorTable
+from boragestream.policy.publication import Change
 from boragestream.policy.published_table import PublishedTable
 from boragestream.policy.region_watching import confirms_watches, watches_store
 from boragestream.policy.regions import Regions
@@ -98,12 +99,14 @@
     clock: Clock,
     rng: random.Random,
     regions: Regions | None = None,
+    note_servers: Callable[[Sequence[Change]], None] = lambda changes: None,
 ) -> Publications:
     """Build the objects that follow the store, without starting any.
 
     :param own: this entry's name among the entries.
     :param stopping: set once the entry ends.
     :param regions: if there are several, the watchers are selected by region.
+    :param note_servers: see ``note_changes`` of ``PublishedTable``.
     """
     if regions is None:
         regions = Regions(data_centre)
@@ -129,7 +132,10 @@
         clock, rng, prefixes, settings.bound_seconds, is_first
     )
     servers_table = PublishedTable(
-        clock.now, MAX_KEPT_CHANGES, bound_seconds=settings.leaving_ms / 1000
+        clock.now,
+        MAX_KEPT_CHANGES,
+        bound_seconds=settings.leaving_ms / 1000,
+        note_changes=note_servers,
     )
 
     def note_answer() -> None:
--- a/boragestream/daemon/published_servers.py
+++ b/boragestream/daemon/published_servers.py
@@ -6,7 +6,7 @@
 """
 
 import threading
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 
 from boragestream.base.events import Event, emit
@@ -16,7 +16,7 @@
 from boragestream.platform.published import PublishedMalformed, read_server
 from boragestream.policy.cold_servers import ColdServers
 from boragestream.policy.load import LoadTable
-from boragestream.policy.publication import NO_ERA
+from boragestream.policy.publication import NO_ERA, Change
 from boragestream.policy.published_table import PublishedTable
 from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.server_lives import ServerIncarnations
@@ -84,6 +84,16 @@
             self._values = values
             self._apply()
 
+    def note_changes(self, changes: Sequence[Change]) -> None:
+        """Record the versions of all servers that changes list, also of removed ones.
+
+        ``take`` receives only the values that are left after the changes.
+        """
+        values = [(c.key, c.value) for c in changes if c.value is not None]
+        read = [read_server(key, value) for key, value in values]
+        servers = [server for server in read if isinstance(server, Server)]
+        self._streams.history.note_listed(servers)
+
     def reapply(self) -> None:
         """Apply the list again if an earlier incarnation of a server is ignored."""
         if not self._lives.ignores_earlier:
--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -304,6 +304,7 @@
         clock,
         rng,
         regions,
+        published_servers.note_changes,
     )
     members.exchange.add_part(publications.relay)
     delegation = make_delegation(
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -10,7 +10,7 @@
 
 import math
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from boragestream.policy.held_values import SERVER_RETENTION, HeldValues, Retention
 from boragestream.policy.kept_changes import KeptChanges
@@ -41,6 +41,8 @@
         further behind receives all values.
     :param retention: how long values override those of a restored store.
     :param bound_seconds: the longest time until a removal must be in force.
+    :param note_changes: called with the changes that are applied to the first values,
+        before the position covers them. The table is locked meanwhile.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         kept_changes: int = 0,
         retention: Retention = SERVER_RETENTION,
         bound_seconds: float = math.inf,
+        note_changes: Callable[[Sequence[Change]], None] = lambda changes: None,
     ) -> None:
         self._now = now
         self._stored: dict[str, Write] = {}
@@ -59,6 +62,7 @@
         self._followed_from: float | None = None
         self._last_source: ValueSource | None = None
         self._kept = KeptChanges(kept_changes)
+        self._note_changes = note_changes
         self._lock = threading.RLock()
 
     @property
@@ -251,15 +255,23 @@
         return self.era if answer.era == NO_ERA else answer.era
 
     def _replace_all(
-        self, stored: dict[str, Write], position: Position, era_began: float
+        self,
+        stored: dict[str, Write],
+        position: Position,
+        era_began: float,
+        changes: Sequence[Change] | None = None,
     ) -> bool:
         """Replace all stored values by the first values or those of a later era.
 
+        :param changes: the changes that lead to these values, if all are known.
         :returns: whether any value in use has changed.
         """
         used, known = self._held.used, self._position
         before = self._held.values
-        differences = self._changes_to(stored, position.revision)
+        if changes is None:
+            changes = self._changes_to(stored, position.revision)
+        if known is not None:
+            self._note_changes(changes)
         self._stored.clear()
         self._stored.update(stored)
         self._position = position
@@ -267,7 +279,7 @@
             self._followed_from = self._now()
             self._kept.begin(position)
         else:
-            for change in differences:
+            for change in changes:
                 self._kept.add(position, change)
             self._kept.begin_era(known, position)
             self._held.begin_era(used, era_began)
@@ -282,7 +294,7 @@
             the known position and the one from which the relayed changes start.
         """
         known = self._position
-        changes: Iterable[Change] = relayed.changes
+        changes: Sequence[Change] = relayed.changes
         later_era = known is None or position.era > known.era
         if relayed.after is None:
             stored = {
@@ -302,7 +314,10 @@
         retention_ends = {key: now + seconds for key, seconds in relayed.lapsed.items()}
         if later_era:
             changed = self._replace_all(
-                stored, position, now - (relayed.era_seconds or 0.0)
+                stored,
+                position,
+                now - (relayed.era_seconds or 0.0),
+                changes=None if relayed.after is None else changes,
             )
         elif relayed.after is None:
             until = self._lapses.relayed_retention_end(
@@ -353,11 +368,11 @@
         :returns: whether any change was new.
         """
         known = self._position
-        changed = False
+        if known is not None:
+            changes = [c for c in changes if c.revision > known.revision]
+        changes = list(changes)
+        self._note_changes(changes)
         for change in changes:
-            if known is not None and change.revision <= known.revision:
-                continue
-            changed = True
             before = self._stored.pop(change.key, None)
             if change.value is not None:
                 self._held.note_written(change.key, before)
@@ -367,4 +382,4 @@
                 self._held.note_removed(change.key, before, until)
             self._kept.add(Position(position.era, change.revision), change)
         self._position = position if known is None else max(known, position)
-        return changed
+        return bool(changes)
--- a/boragestream/policy/stream_origins.py
+++ b/boragestream/policy/stream_origins.py
@@ -241,6 +241,8 @@
         # When each version of a service was last listed.
         self._last_listed: dict[str, dict[str, float]] = {}
         self._listed: dict[str, set[str]] = {}
+        # Services that have begun to have several versions since the last list.
+        self._new_several: set[str] = set()
         self._past_known = False
         self._lock = threading.Lock()
 
@@ -276,7 +278,20 @@
                 self._listed.setdefault(server.service, set()).add(server.version)
                 seen = self._last_listed.setdefault(server.service, {})
                 seen[server.version] = now
-            return sorted(self._several(now) - before)
+            new = self._new_several | (self._several(now) - before)
+            self._new_several = set()
+            return sorted(new)
+
+    def note_listed(self, servers: Iterable[Server]) -> None:
+        """Record servers that were listed since the last list, maybe briefly.
+
+        ``take_list`` returns the services that have several versions by them.
+        """
+        now = self._clock.now()
+        with self._lock:
+            before = self._several(now)
+            self._note_listed(servers, now)
+            self._new_several |= self._several(now) - before
 
     def add_past(self, servers: Iterable[Server]) -> list[str]:
         """Add all servers that were ever listed before the first list was applied.
@@ -286,9 +301,7 @@
         now = self._clock.now()
         with self._lock:
             before = self._several(now)
-            for server in servers:
-                seen = self._last_listed.setdefault(server.service, {})
-                seen[server.version] = now
+            self._note_listed(servers, now)
             self._past_known = True
             return sorted(self._several(now) - before)
 
@@ -308,6 +321,11 @@
         with self._lock:
             return len(self._several(self._clock.now()))
 
+    def _note_listed(self, servers: Iterable[Server], now: float) -> None:
+        for server in servers:
+            seen = self._last_listed.setdefault(server.service, {})
+            seen[server.version] = now
+
     def _recent(self, service: str, now: float) -> set[str]:
         seen = self._last_listed.get(service, {})
         listed = self._listed.get(service, set())
