Test that a whole list ends the time for which lists were followed

Third hypothesis, second part: a whole list says nothing of what was listed and removed since the known position, yet followed_seconds goes on from the first list.

An entry that has listed v1 for 30 s and confirmed its list 2.1 s ago receives the list of a store that has dropped its history, of a restored store, of a peer that started later, or changes of a peer that itself has received a whole list. A stream that no entry has recorded goes on at v1, basis "single version"; a past that was read before counts for the gap as well.

--- a/tests/features/steps/listed_versions.py
+++ b/tests/features/steps/listed_versions.py
@@ -4,9 +4,14 @@
 import signal
 import time
 
+import msgspec
 from behave import fixture, given, then, use_fixture, when
 
-from boragestream.policy.stream_origins import OriginUnknown
+from boragestream.policy.stream_origins import (
+    OriginBasis,
+    OriginUnknown,
+    VersionHistory,
+)
 from tests.standins.clock import SetClock
 from tests.standins.fleet import wait_until
 from tests.standins.listing_entries import SERVICE, ListingEntry, write_servers
@@ -21,6 +26,7 @@
 # An entry that goes on has confirmed its list within this time.
 CONFIRMED_SECONDS = 2.5
 STOPPED = "entry-0"
+SHORT_GAP_SECONDS = 1.0
 
 
 @fixture
@@ -41,10 +47,10 @@
 @given('{count:d} entries that have listed "{listed}" for {seconds:d} s')
 def step(context, count, listed, seconds):
     context.store = use_fixture(route_store, context)
-    context.clock, known = SetClock(), {}
+    context.clock, context.known = SetClock(), {}
     write_servers(context.store, listed)
     context.entries = [
-        ListingEntry(number + 1, context.clock, context.store, known)
+        ListingEntry(number + 1, context.clock, context.store, context.known)
         for number in range(count)
     ]
     settle(context)
@@ -124,6 +130,144 @@
     assert context.entries[0].sent == [SERVICE], context.entries[0].sent
 
 
+def receive_list(context):
+    """Have entry 1 receive the list of a store that has dropped its history."""
+    context.store.drop_history()
+    context.entries[0].ask()
+
+
+def receive_restored(context):
+    """Have entry 1 receive the list of a store whose copy lacks the last changes."""
+    context.store.return_from(context.copy)
+    context.entries[0].ask()
+
+
+def receive_from_new(context):
+    """Have entry 1 receive the list of a peer that lacks its position."""
+    new = ListingEntry(3, context.clock, context.store, context.known)
+    new.ask()
+    context.entries[0].hear(new)
+
+
+def receive_after_list(context):
+    """Have entry 1 receive the changes of a peer that has received a list."""
+    context.store.drop_history()
+    receive_changes(context)
+
+
+def receive_changes(context):
+    """Have entry 1 receive the changes of a peer."""
+    first, second = context.entries
+    second.ask()
+    first.hear(second)
+
+
+def receive_after_short_gap(context):
+    """Have entry 1 receive the changes of a peer that received a list in time."""
+    context.entries[1].ask()
+    context.clock.seconds += SHORT_GAP_SECONDS
+    write_servers(context.store, "a=v1")
+    receive_after_list(context)
+
+
+def receive_earlier(context):
+    """Have entry 1 receive changes that don't say whether some are missing."""
+    first, second = context.entries
+    second.relay = EarlierRelay(second.relay)
+    second.ask()
+    # The whole history would prove that one version has served.
+    context.store.drop_history()
+    first.hear(second)
+
+
+class EarlierRelay:
+    """The relay of an entry of an earlier release."""
+
+    def __init__(self, relay):
+        """Take the relay of this release."""
+        self.relay, self.offer = relay, relay.offer
+
+    def answer(self, envelope, message):
+        """Answer without the fields of this release."""
+        reply = self.relay.answer(envelope, message)
+        if not hasattr(reply, "unbroken"):
+            return reply
+        return msgspec.structs.replace(reply, unbroken=False)
+
+
+LISTS = {
+    "the list of a store without history": receive_list,
+    "the list of a restored store": receive_restored,
+    "the list of a peer that started later": receive_from_new,
+    "the changes of a peer that received a list": receive_after_list,
+    "the changes of a peer without a gap": receive_changes,
+    "the changes of a peer with a short gap": receive_after_short_gap,
+    "the changes of a peer of an earlier release": receive_earlier,
+}
+
+
+@when('"{written}" is published, and entry 1 receives {received} after {seconds:g} s')
+def step(context, written, received, seconds):
+    context.copy = context.store.copy()
+    write_servers(context.store, written)
+    context.clock.seconds += seconds
+    LISTS[received](context)
+
+
+@then("the history of entry 1 is complete after {seconds:d} s and not before")
+def step(context, seconds):
+    history = context.entries[0].history
+    for _ in range(seconds):
+        assert not history.complete
+        context.clock.seconds += 1
+        settle(context)
+    assert history.complete
+
+
+@when("the store drops its history every second for {seconds:d} s, each after a change")
+def step(context, seconds):
+    for _ in range(seconds):
+        write_servers(context.store, "a=v1")
+        context.store.drop_history()
+        context.clock.seconds += 1
+        first, second = context.entries
+        second.ask()
+        first.hear(second)
+
+
+@then("both entries have followed the list for {seconds:d} s")
+def step(context, seconds):
+    followed = [entry.history.followed_seconds for entry in context.entries]
+    assert followed == [seconds] * 2, followed
+
+
+@when("the past is read at entry 1")
+def step(context):
+    found = context.entries[0].find()
+    assert found.basis is OriginBasis.STORE_HISTORY, found
+
+
+@given("a history of versions that has followed lists for {seconds:d} s")
+def step(context, seconds):
+    context.clock = SetClock()
+    context.history = VersionHistory(context.clock)
+    context.history.take_list([])
+    context.clock.seconds += seconds
+
+
+@when("a past that was requested {seconds:d} s before a gap arrives after it")
+def step(context, seconds):
+    requested_at = context.clock.now()
+    context.clock.seconds += seconds
+    context.history.note_gap()
+    context.history.add_past([], requested_at)
+
+
+@then("the past of the history is not known")
+def step(context):
+    assert not context.history.past_known
+
+
 @when("the entries have followed the list for {seconds:d} s")
 def step(context, seconds):
     time.sleep(seconds)
