Start the time of followed lists anew after a whole list with a gap

Cause: a whole list tells only what is listed now. What was listed and removed since the position known before is missing, while followed_seconds went on from the first list and a past read from the store counted for the gap as well. Changes that a peer relays have the same gap if the peer itself received a whole list after their start.

What callers saw: a stream that had begun at a version listed and removed in the gap went on at the one version that the entry named, basis "single version" or "store history".

Why it works: the table decides on the gap while it is locked and before the position moves. A relayed message says whether its changes are unbroken. An entry of an earlier release does not, and its changes count as a whole list. After a gap the time starts anew, and a past that was requested before it no longer counts.

Left: an idle entry confirms its list less often than each 2 s, so that a dropped history can start its time anew. An answer that waited in the socket of a stopped entry counts as confirmed when it is read.

--- a/boragestream/daemon/past_servers.py
+++ b/boragestream/daemon/past_servers.py
@@ -27,13 +27,14 @@
     """Reads the past once; thread-safe.
 
     :param publication: returns the publication of the servers.
-    :param take: applies all servers that were ever listed.
+    :param take: applies all servers that were ever listed, and when they were
+        requested.
     """
 
     def __init__(
         self,
         publication: Callable[[], Publication],
-        take: Callable[[list[Server]], None],
+        take: Callable[[list[Server], float], None],
         clock: Clock,
     ) -> None:
         self._publication = publication
@@ -49,6 +50,10 @@
             if self._known or self._clock.now() < self._not_before:
                 return
             publication = self._publication()
+            if publication.table.eras_changed:
+                # The store has come back from a copy, which may lack changes.
+                return
+            requested_at = self._clock.now()
             found = publication.store.watch(SERVERS_PREFIX, 0, 0.0, ANSWER_SECONDS)
             if not isinstance(found, Changes):
                 self._not_before = self._clock.now() + PAUSE_SECONDS
@@ -62,4 +67,4 @@
             read = [read_server(change.key, change.value) for change in values]
             servers = [server for server in read if isinstance(server, Server)]
             emit(Event.PAST_READ, revision=found.revision, servers=len(servers))
-            self._take(servers)
+            self._take(servers, requested_at)
--- a/boragestream/daemon/publications.py
+++ b/boragestream/daemon/publications.py
@@ -100,6 +100,7 @@
     rng: random.Random,
     regions: Regions | None = None,
     note_servers: Callable[[Sequence[Change]], None] = lambda changes: None,
+    note_gap: Callable[[], None] = lambda: None,
 ) -> Publications:
     """Build the objects that follow the store, without starting any.
 
@@ -107,6 +108,7 @@
     :param stopping: set once the entry ends.
     :param regions: if there are several, the watchers are selected by region.
     :param note_servers: see ``note_changes`` of ``PublishedTable``.
+    :param note_gap: see ``PublishedTable``.
     """
     if regions is None:
         regions = Regions(data_centre)
@@ -131,11 +133,19 @@
     confirming = ConfirmationSchedule(
         clock, rng, prefixes, settings.bound_seconds, is_first
     )
+    leaving_seconds = settings.leaving_ms / 1000
+
+    def recently_confirmed() -> bool:
+        # A server that leaves in order stays listed for this time.
+        return confirming.confirmed_since(SERVERS_PREFIX, clock.now() - leaving_seconds)
+
     servers_table = PublishedTable(
         clock.now,
         MAX_KEPT_CHANGES,
-        bound_seconds=settings.leaving_ms / 1000,
+        bound_seconds=leaving_seconds,
         note_changes=note_servers,
+        note_gap=note_gap,
+        recently_confirmed=recently_confirmed,
     )
 
     def note_answer() -> None:
--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -305,6 +305,7 @@
         rng,
         regions,
         published_servers.note_changes,
+        streams.history.note_gap,
     )
     members.exchange.add_part(publications.relay)
     delegation = make_delegation(
--- a/boragestream/daemon/stream_parts.py
+++ b/boragestream/daemon/stream_parts.py
@@ -57,8 +57,8 @@
     """
     history = VersionHistory(clock, longest_stream)
 
-    def add_past(servers: list[Server]) -> None:
-        records.note_several(history.add_past(servers))
+    def add_past(servers: list[Server], requested_at: float) -> None:
+        records.note_several(history.add_past(servers, requested_at))
 
     past = PastServers(lambda: publications().servers, add_past, clock)
     records = StreamRecords(
--- a/boragestream/entry/knowledge_messages.py
+++ b/boragestream/entry/knowledge_messages.py
@@ -79,6 +79,8 @@
     :ivar held: the values that are used instead of those of a returned store.
     :ivar followed_ms: the time since the sender has known any values; None if it is
         long or unknown, also from an earlier release.
+    :ivar unbroken: whether the changes include those that others among them supersede;
+        earlier releases do not send it.
     """
 
     after: int | None = None
@@ -90,6 +92,7 @@
     era_ms: int | None = None
     held: tuple[PackedHeld, ...] = ()
     followed_ms: int | None = None
+    unbroken: bool = False
 
 
 class QuarantineAsk(msgspec.Struct, frozen=True, tag=True):
--- a/boragestream/entry/published_relay.py
+++ b/boragestream/entry/published_relay.py
@@ -221,6 +221,7 @@
             _optional_milliseconds(relayed.era_seconds),
             tuple(_pack(held) for held in relayed.held),
             _uncapped_milliseconds(relayed.followed_seconds),
+            relayed.unbroken,
         )
 
     def _request_changes(
@@ -365,4 +366,5 @@
         _optional_seconds(reply.era_ms),
         tuple(_held(packed) for packed in reply.held),
         _optional_seconds(reply.followed_ms),
+        reply.unbroken,
     )
--- a/boragestream/policy/kept_changes.py
+++ b/boragestream/policy/kept_changes.py
@@ -4,10 +4,27 @@
 """
 
 from collections import deque
+from collections.abc import Mapping
 
-from boragestream.policy.publication import NO_ERA, Change, Position
+from boragestream.policy.publication import NO_ERA, Change, Position, Write
 
-__all__ = ["KeptChanges"]
+__all__ = ["KeptChanges", "changes_between"]
+
+
+def changes_between(
+    known: Mapping[str, Write], stored: Mapping[str, Write], revision: int
+) -> list[Change]:
+    """Return the changes from the known values to others.
+
+    :param revision: that of the removals, whose own are unknown.
+    """
+    missing = known.keys() - stored.keys()
+    removed = [Change(key, revision, None) for key in sorted(missing)]
+    return removed + [
+        Change(key, write.revision, write.value)
+        for key, write in stored.items()
+        if key not in known or known[key].value != write.value
+    ]
 
 
 class KeptChanges:
@@ -24,6 +41,13 @@
         # The last known position of the previous era and the first of this one.
         self._previous_era_end: Position | None = None
         self._era_start = Position(NO_ERA, 0)
+        # The last position before which changes may be missing that were superseded.
+        self._gap_end = Position(NO_ERA, 0)
+
+    @property
+    def eras_changed(self) -> bool:
+        """Whether a later era has replaced the first one."""
+        return self._previous_era_end is not None
 
     def begin(self, position: Position) -> None:
         """Record the position of the first values."""
@@ -48,6 +72,14 @@
             self._start = position
         self._changes.append((position, change))
 
+    def note_gap(self, position: Position) -> None:
+        """Record that changes up to a position may be missing that were superseded."""
+        self._gap_end = position
+
+    def unbroken_since(self, after: Position) -> bool:
+        """Return whether the changes after a position include superseded ones."""
+        return after >= self._gap_end
+
     def since(self, after: Position, known: Position) -> list[Change] | None:
         """Return the changes after a position; None if some of them are missing.
 
--- a/boragestream/policy/publication.py
+++ b/boragestream/policy/publication.py
@@ -172,6 +172,7 @@
     :ivar held: the writes that override those of the restored store.
     :ivar followed_seconds: the time since the entry has known any values; None if
         unknown.
+    :ivar unbroken: whether the changes include those that others among them supersede.
     """
 
     after: int | None
@@ -183,3 +184,4 @@
     era_seconds: float | None = None
     held: tuple[Held, ...] = ()
     followed_seconds: float | None = None
+    unbroken: bool = False
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from boragestream.policy.held_values import SERVER_RETENTION, HeldValues, Retention
-from boragestream.policy.kept_changes import KeptChanges
+from boragestream.policy.kept_changes import KeptChanges, changes_between
 from boragestream.policy.lapses import LapseWindow
 from boragestream.policy.publication import (
     NO_ERA,
@@ -43,6 +43,9 @@
     :param bound_seconds: the longest time until a removal must be in force.
     :param note_changes: called with the changes that are applied to the first values,
         before the position covers them. The table is locked meanwhile.
+    :param note_gap: called likewise if superseded changes may be missing among them.
+    :param recently_confirmed: returns whether the position was confirmed so recently
+        that no server can have been listed and removed since then.
     """
 
     def __init__(
@@ -52,6 +55,8 @@
         retention: Retention = SERVER_RETENTION,
         bound_seconds: float = math.inf,
         note_changes: Callable[[Sequence[Change]], None] = lambda changes: None,
+        note_gap: Callable[[], None] = lambda: None,
+        recently_confirmed: Callable[[], bool] = lambda: False,
     ) -> None:
         self._now = now
         self._stored: dict[str, Write] = {}
@@ -63,6 +68,8 @@
         self._last_source: ValueSource | None = None
         self._kept = KeptChanges(kept_changes)
         self._note_changes = note_changes
+        self._note_gap = note_gap
+        self._recently_confirmed = recently_confirmed
         self._lock = threading.RLock()
 
     @property
@@ -86,6 +93,11 @@
         """The era of the position; ``NO_ERA`` where none is known."""
         return NO_ERA if self._position is None else self._position.era
 
+    @property
+    def eras_changed(self) -> bool:
+        """Whether the store was restored from a copy since the first values."""
+        return self._kept.eras_changed
+
     @property
     def last_source(self) -> ValueSource | None:
         """What changed the values in use last; None before the first ones."""
@@ -170,10 +182,11 @@
             until = self._lapses.retention_end()
             if isinstance(answer, Changes):
                 return self._apply(answer.changes, position, lambda key: until)
+            self._note_whole_list(position)
             writes = answer.writes
             if known is None or position.era > known.era:
                 return self._replace_all(writes, position, self._now())
-            changes = self._changes_to(writes, answer.revision)
+            changes = changes_between(self._stored, writes, answer.revision)
             changed = self._apply(changes, position, lambda key: until)
             # Some keys were rewritten with unchanged values.
             self._stored.update(writes)
@@ -237,6 +250,7 @@
                 era_seconds=self._held.era_seconds,
                 held=self._held.held,
                 followed_seconds=None if since is None else self._now() - since,
+                unbroken=after is not None and self._kept.unbroken_since(after),
             )
 
     def drop_expired(self) -> bool:
@@ -269,7 +283,7 @@
         used, known = self._held.used, self._position
         before = self._held.values
         if changes is None:
-            changes = self._changes_to(stored, position.revision)
+            changes = changes_between(self._stored, stored, position.revision)
         if known is not None:
             self._note_changes(changes)
         self._stored.clear()
@@ -302,7 +316,11 @@
                 for c in changes
                 if c.value is not None and c.key not in relayed.lapsed
             }
-            changes = () if later_era else self._changes_to(stored, position.revision)
+            changes = (
+                ()
+                if later_era
+                else changes_between(self._stored, stored, position.revision)
+            )
         else:
             after = Position(relayed.after_era, relayed.after)
             if known is None or after > known:
@@ -310,6 +328,8 @@
             if (later_era and after != known) or after.era < known.era:
                 return None
             stored = self._stored_after(changes) if later_era else {}
+        if not relayed.unbroken:
+            self._note_whole_list(position)
         now = self._now()
         retention_ends = {key: now + seconds for key, seconds in relayed.lapsed.items()}
         if later_era:
@@ -335,6 +355,14 @@
                     self._held.keep(change.key, write, retention_ends[change.key])
         return changed or bool(retention_ends)
 
+    def _note_whole_list(self, position: Position) -> None:
+        """Record that superseded changes up to a position are not received."""
+        known = self._position
+        if known is None or position <= known or self._recently_confirmed():
+            return
+        self._kept.note_gap(position)
+        self._note_gap()
+
     def _stored_after(self, changes: Iterable[Change]) -> dict[str, Write]:
         """Return the stored values with some changes applied."""
         stored = dict(self._stored)
@@ -344,17 +372,6 @@
                 stored[change.key] = Write(change.revision, change.value)
         return stored
 
-    def _changes_to(self, stored: dict[str, Write], revision: int) -> list[Change]:
-        """Return the changes from the current stored values to others."""
-        known = self._stored
-        missing = known.keys() - stored.keys()
-        removed = [Change(key, revision, None) for key in sorted(missing)]
-        return removed + [
-            Change(key, write.revision, write.value)
-            for key, write in stored.items()
-            if key not in known or known[key].value != write.value
-        ]
-
     def _apply(
         self,
         changes: Iterable[Change],
@@ -368,9 +385,7 @@
         :returns: whether any change was new.
         """
         known = self._position
-        if known is not None:
-            changes = [c for c in changes if c.revision > known.revision]
-        changes = list(changes)
+        changes = [c for c in changes if known is None or c.revision > known.revision]
         self._note_changes(changes)
         for change in changes:
             before = self._stored.pop(change.key, None)
--- a/boragestream/policy/version_history.py
+++ b/boragestream/policy/version_history.py
@@ -3,6 +3,7 @@
 ``policy.stream_origins`` uses it for streams of which there is no record.
 """
 
+import math
 import threading
 from collections.abc import Callable, Iterable
 
@@ -29,6 +30,7 @@
     ) -> None:
         self._clock = clock
         self._longest_stream = longest_stream
+        # The time of the first list, or of the first one after a gap.
         self._first_listed_at: float | None = None
         # When each version of a service was last listed.
         self._last_listed: dict[str, dict[str, float]] = {}
@@ -40,12 +42,12 @@
 
     @property
     def past_known(self) -> bool:
-        """Whether the versions include all those before the first list."""
+        """Whether the versions include all those before lists were followed."""
         return self._past_known
 
     @property
     def followed_seconds(self) -> float:
-        """For how long lists have been followed; 0 before the first one."""
+        """For how long lists have been followed without a gap; 0 before the first."""
         first = self._first_listed_at
         return 0.0 if first is None else self._clock.now() - first
 
@@ -85,16 +87,27 @@
             self._note_listed(servers, now)
             self._new_several |= self._several(now) - before
 
-    def add_past(self, servers: Iterable[Server]) -> list[str]:
-        """Add all servers that were ever listed before the first list was applied.
+    def note_gap(self) -> None:
+        """Record that servers may have been listed and removed since the last list."""
+        with self._lock:
+            if self._first_listed_at is not None:
+                self._first_listed_at = self._clock.now()
+            self._past_known = False
+
+    def add_past(
+        self, servers: Iterable[Server], requested_at: float = math.inf
+    ) -> list[str]:
+        """Add all servers that were ever listed before lists were followed.
 
+        :param requested_at: when they were requested. A gap since then is not covered.
         :returns: the services that now have several versions.
         """
         now = self._clock.now()
         with self._lock:
             before = self._several(now)
             self._note_listed(servers, now)
-            self._past_known = True
+            first = self._first_listed_at
+            self._past_known = first is None or requested_at >= first
             return sorted(self._several(now) - before)
 
     def versions(self, service: str) -> frozenset[str]:
