--- a/boragestream/daemon/stream_parts.py
+++ b/boragestream/daemon/stream_parts.py
@@ -69,8 +69,8 @@
     """
     history = VersionHistory(clock, longest_stream)
 
-    def add_past(servers: list[Server]) -> None:
-        records.note_several(history.add_past(servers))
+    def add_past(servers: list[Server], requested_at: float) -> None:
+        records.note_several(history.add_past(servers, requested_at))
 
     def refresh(answer_seconds: float) -> Failure | None:
         return publications().servers.refresh(answer_seconds)
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -10,10 +10,10 @@
 
 import math
 import threading
-from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from boragestream.policy.held_values import SERVER_RETENTION, HeldValues, Retention
+from boragestream.policy.kept_changes import KeptChanges, changes_between
 from boragestream.policy.lapses import LapseWindow
 from boragestream.policy.publication import (
     NO_ERA,
@@ -41,6 +41,11 @@
         further behind receives all values.
     :param retention: how long values override those of a restored store.
     :param bound_seconds: the longest time until a removal must be in force.
+    :param note_changes: called with the changes that are applied to the first values,
+        before the position covers them. The table is locked meanwhile.
+    :param note_gap: called likewise if superseded changes may be missing among them.
+    :param recently_confirmed: returns whether the position was confirmed so recently
+        that no server can have been listed and removed since then.
     """
 
     def __init__(
@@ -49,6 +54,9 @@
         kept_changes: int = 0,
         retention: Retention = SERVER_RETENTION,
         bound_seconds: float = math.inf,
+        note_changes: Callable[[Sequence[Change]], None] = lambda changes: None,
+        note_gap: Callable[[], None] = lambda: None,
+        recently_confirmed: Callable[[], bool] = lambda: False,
     ) -> None:
         self._now = now
         self._stored: dict[str, Write] = {}
@@ -58,12 +66,10 @@
         # When the first values became known.
         self._followed_from: float | None = None
         self._last_source: ValueSource | None = None
-        # The last known position of the previous era and the first of this one.
-        self._previous_era_end: Position | None = None
-        self._era_start = Position(NO_ERA, 0)
-        # The latest changes, and the position from which they are complete.
-        self._changes: deque[tuple[Position, Change]] = deque(maxlen=kept_changes)
-        self._changes_start = Position(NO_ERA, 0)
+        self._kept = KeptChanges(kept_changes)
+        self._note_changes = note_changes
+        self._note_gap = note_gap
+        self._recently_confirmed = recently_confirmed
         self._lock = threading.RLock()
 
     @property
@@ -87,6 +93,11 @@
         """The era of the position; ``NO_ERA`` where none is known."""
         return NO_ERA if self._position is None else self._position.era
 
+    @property
+    def eras_changed(self) -> bool:
+        """Whether the store was restored from a copy since the first values."""
+        return self._kept.eras_changed
+
     @property
     def last_source(self) -> ValueSource | None:
         """What changed the values in use last; None before the first ones."""
@@ -171,10 +182,11 @@
             until = self._lapses.retention_end()
             if isinstance(answer, Changes):
                 return self._apply(answer.changes, position, lambda key: until)
+            self._note_whole_list(position)
             writes = answer.writes
             if known is None or position.era > known.era:
                 return self._replace_all(writes, position, self._now())
-            changes = self._changes_to(writes, answer.revision)
+            changes = changes_between(self._stored, writes, answer.revision)
             changed = self._apply(changes, position, lambda key: until)
             # Some keys were rewritten with unchanged values.
             self._stored.update(writes)
@@ -223,12 +235,11 @@
             after = None
             if revision is not None:
                 after = Position(position.era if era is None else era, revision)
-            if after is None or not self._has_changes_since(after):
+            changes = None if after is None else self._kept.since(after, position)
+            if changes is None:
                 after = None
                 writes = {**self._stored, **{k: w for k, (w, _) in lapsed.items()}}
                 changes = [Change(k, w.revision, w.value) for k, w in writes.items()]
-            else:
-                changes = [change for at, change in self._changes if at > after]
             return Relayed(
                 after=None if after is None else after.revision,
                 revision=position.revision,
@@ -239,6 +250,7 @@
                 era_seconds=self._held.era_seconds,
                 held=self._held.held,
                 followed_seconds=None if since is None else self._now() - since,
+                unbroken=after is not None and self._kept.unbroken_since(after),
             )
 
     def drop_expired(self) -> bool:
@@ -257,26 +269,33 @@
         return self.era if answer.era == NO_ERA else answer.era
 
     def _replace_all(
-        self, stored: dict[str, Write], position: Position, era_began: float
+        self,
+        stored: dict[str, Write],
+        position: Position,
+        era_began: float,
+        changes: Sequence[Change] | None = None,
     ) -> bool:
         """Replace all stored values by the first values or those of a later era.
 
+        :param changes: the changes that lead to these values, if all are known.
         :returns: whether any value in use has changed.
         """
         used, known = self._held.used, self._position
         before = self._held.values
-        differences = self._changes_to(stored, position.revision)
+        if changes is None:
+            changes = changes_between(self._stored, stored, position.revision)
+        if known is not None:
+            self._note_changes(changes)
         self._stored.clear()
         self._stored.update(stored)
         self._position = position
-        self._era_start = position
         if known is None:
             self._followed_from = self._now()
-            self._changes_start = position
+            self._kept.begin(position)
         else:
-            for change in differences:
-                self._record_change(position, change)
-            self._previous_era_end = known
+            for change in changes:
+                self._kept.add(position, change)
+            self._kept.begin_era(known, position)
             self._held.begin_era(used, era_began)
         return self._held.values != before
 
@@ -289,7 +308,7 @@
             the known position and the one from which the relayed changes start.
         """
         known = self._position
-        changes: Iterable[Change] = relayed.changes
+        changes: Sequence[Change] = relayed.changes
         later_era = known is None or position.era > known.era
         if relayed.after is None:
             stored = {
@@ -297,7 +316,11 @@
                 for c in changes
                 if c.value is not None and c.key not in relayed.lapsed
             }
-            changes = () if later_era else self._changes_to(stored, position.revision)
+            changes = (
+                ()
+                if later_era
+                else changes_between(self._stored, stored, position.revision)
+            )
         else:
             after = Position(relayed.after_era, relayed.after)
             if known is None or after > known:
@@ -305,11 +328,16 @@
             if (later_era and after != known) or after.era < known.era:
                 return None
             stored = self._stored_after(changes) if later_era else {}
+        if not relayed.unbroken:
+            self._note_whole_list(position)
         now = self._now()
         retention_ends = {key: now + seconds for key, seconds in relayed.lapsed.items()}
         if later_era:
             changed = self._replace_all(
-                stored, position, now - (relayed.era_seconds or 0.0)
+                stored,
+                position,
+                now - (relayed.era_seconds or 0.0),
+                changes=None if relayed.after is None else changes,
             )
         elif relayed.after is None:
             until = self._lapses.relayed_retention_end(
@@ -327,6 +355,14 @@
                     self._held.keep(change.key, write, retention_ends[change.key])
         return changed or bool(retention_ends)
 
+    def _note_whole_list(self, position: Position) -> None:
+        """Record that superseded changes up to a position are not received."""
+        known = self._position
+        if known is None or position <= known or self._recently_confirmed():
+            return
+        self._kept.note_gap(position)
+        self._note_gap()
+
     def _stored_after(self, changes: Iterable[Change]) -> dict[str, Write]:
         """Return the stored values with some changes applied."""
         stored = dict(self._stored)
@@ -336,17 +372,6 @@
                 stored[change.key] = Write(change.revision, change.value)
         return stored
 
-    def _changes_to(self, stored: dict[str, Write], revision: int) -> list[Change]:
-        """Return the changes from the current stored values to others."""
-        known = self._stored
-        missing = known.keys() - stored.keys()
-        removed = [Change(key, revision, None) for key in sorted(missing)]
-        return removed + [
-            Change(key, write.revision, write.value)
-            for key, write in stored.items()
-            if key not in known or known[key].value != write.value
-        ]
-
     def _apply(
         self,
         changes: Iterable[Change],
@@ -360,11 +385,9 @@
         :returns: whether any change was new.
         """
         known = self._position
-        changed = False
+        changes = [c for c in changes if known is None or c.revision > known.revision]
+        self._note_changes(changes)
         for change in changes:
-            if known is not None and change.revision <= known.revision:
-                continue
-            changed = True
             before = self._stored.pop(change.key, None)
             if change.value is not None:
                 self._held.note_written(change.key, before)
@@ -372,29 +395,6 @@
             elif before is not None:
                 until = kept_until(change.key)
                 self._held.note_removed(change.key, before, until)
-            self._record_change(Position(position.era, change.revision), change)
+            self._kept.add(Position(position.era, change.revision), change)
         self._position = position if known is None else max(known, position)
-        return changed
-
-    def _record_change(self, position: Position, change: Change) -> None:
-        full = len(self._changes) == self._changes.maxlen
-        if full and self._changes:
-            self._changes_start = self._changes[0][0]
-        elif full:
-            self._changes_start = position
-        self._changes.append((position, change))
-
-    def _has_changes_since(self, after: Position) -> bool:
-        """Return whether the kept changes are complete from a position on."""
-        if self._position is None or after < self._changes_start:
-            return False
-        if after.era == self._position.era:
-            return after >= self._era_start
-        # An entry beyond the last position known here of an earlier era knows changes
-        # that are unknown here.
-        previous_end = self._previous_era_end
-        return (
-            previous_end is not None
-            and previous_end.era == after.era
-            and after <= previous_end
-        )
+        return bool(changes)
--- a/boragestream/policy/version_history.py
+++ b/boragestream/policy/version_history.py
@@ -1,9 +1,9 @@
 """Records which software versions of each service were listed recently.
 
-A stream that is taken up began at one of them, if the list has been followed for as
-long as streams last; see ``policy.stream_origins``.
+``policy.stream_origins`` uses it for streams of which there is no record.
 """
 
+import math
 import threading
 from collections.abc import Callable, Iterable
 
@@ -30,21 +30,24 @@
     ) -> None:
         self._clock = clock
         self._longest_stream = longest_stream
+        # The time of the first list, or of the first one after a gap.
         self._first_listed_at: float | None = None
         # When each version of a service was last listed.
         self._last_listed: dict[str, dict[str, float]] = {}
         self._listed: dict[str, set[str]] = {}
+        # Services that have begun to have several versions since the last list.
+        self._new_several: set[str] = set()
         self._past_known = False
         self._lock = threading.Lock()
 
     @property
     def past_known(self) -> bool:
-        """Whether the versions include all those before the first list."""
+        """Whether the versions include all those before lists were followed."""
         return self._past_known
 
     @property
     def followed_seconds(self) -> float:
-        """For how long lists have been followed; 0 before the first one."""
+        """For how long lists have been followed without a gap; 0 before the first."""
         first = self._first_listed_at
         return 0.0 if first is None else self._clock.now() - first
 
@@ -69,20 +72,42 @@
                 self._listed.setdefault(server.service, set()).add(server.version)
                 seen = self._last_listed.setdefault(server.service, {})
                 seen[server.version] = now
-            return sorted(self._several(now) - before)
+            new = self._new_several | (self._several(now) - before)
+            self._new_several = set()
+            return sorted(new)
 
-    def add_past(self, servers: Iterable[Server]) -> list[str]:
-        """Add all servers that were ever listed before the first list was applied.
+    def note_listed(self, servers: Iterable[Server]) -> None:
+        """Record servers that were listed since the last list, maybe briefly.
 
+        ``take_list`` returns the services that have several versions by them.
+        """
+        now = self._clock.now()
+        with self._lock:
+            before = self._several(now)
+            self._note_listed(servers, now)
+            self._new_several |= self._several(now) - before
+
+    def note_gap(self) -> None:
+        """Record that servers may have been listed and removed since the last list."""
+        with self._lock:
+            if self._first_listed_at is not None:
+                self._first_listed_at = self._clock.now()
+            self._past_known = False
+
+    def add_past(
+        self, servers: Iterable[Server], requested_at: float = math.inf
+    ) -> list[str]:
+        """Add all servers that were ever listed before lists were followed.
+
+        :param requested_at: when they were requested. A gap since then is not covered.
         :returns: the services that now have several versions.
         """
         now = self._clock.now()
         with self._lock:
             before = self._several(now)
-            for server in servers:
-                seen = self._last_listed.setdefault(server.service, {})
-                seen[server.version] = now
-            self._past_known = True
+            self._note_listed(servers, now)
+            first = self._first_listed_at
+            self._past_known = first is None or requested_at >= first
             return sorted(self._several(now) - before)
 
     def versions(self, service: str) -> frozenset[str]:
@@ -101,6 +126,11 @@
         with self._lock:
             return len(self._several(self._clock.now()))
 
+    def _note_listed(self, servers: Iterable[Server], now: float) -> None:
+        for server in servers:
+            seen = self._last_listed.setdefault(server.service, {})
+            seen[server.version] = now
+
     def _recent(self, service: str, now: float) -> set[str]:
         seen = self._last_listed.get(service, {})
         listed = self._listed.get(service, set())
