Keep the time-out of questions about streams that are taken up

Callers waited for seconds for a refusal where the entries that may know their stream were lost: a question to another region waits for the link's allowance, seconds longer than its 0.25 s, though a caller waits behind it. Questions about streams now count among the requests on behalf of callers, which have no allowance. The new scenario failed before.

--- a/boragestream/entry/link_meter.py
+++ b/boragestream/entry/link_meter.py
@@ -17,11 +17,13 @@
     PiecesOrder,
     PiecesRelease,
 )
+from boragestream.entry.stream_messages import OriginAsk
 from boragestream.policy.region_links import RegionLinks, TrafficKind
 
 __all__ = ["RegionMeter"]
 
 ORDER_MESSAGES = (
+    OriginAsk,
     PermitAsk,
     PermitReturn,
     PiecesBook,
--- a/tests/features/regions_links.feature
+++ b/tests/features/regions_links.feature
@@ -42,6 +42,14 @@
     Then the time-out of an exchange with "coast" is longer by 16 s
     And the time-out of an order to "coast" is longer by 0 s
 
+  # Guards against callers that wait for seconds to have their streams refused, as lost
+  # entries of another region are asked where these began.
+  Scenario: questions about streams that are taken up keep their time-out
+    Given the links of an entry of "valley"
+    When 6 answers of "coast" take 3 s each, one a second
+    And 2 answers of "coast" are missing
+    Then the time-out of a question about a stream to "coast" is longer by 0 s
+
   Scenario: requests that arrive do not make a region reachable, answers do
     Given the links of an entry of "valley"
     When 2 answers of "coast" take 0.024 s each, one a second
--- a/tests/features/steps/regions_links.py
+++ b/tests/features/steps/regions_links.py
@@ -19,6 +19,7 @@
 )
 from boragestream.entry.permit_messages import PermitReturn
 from boragestream.entry.region_part import RegionLinksPart
+from boragestream.entry.stream_messages import OriginAsk
 from boragestream.policy.cold_servers import senders
 from boragestream.policy.granters import Granters, RegionGranters
 from boragestream.policy.peers import ListedEntry
@@ -155,6 +156,12 @@
     assert meter.allowance_seconds(region, PermitReturn(1)) == seconds
 
 
+@then('the time-out of a question about a stream to "{region}" is longer by {more:g} s')
+def step(context, region, more):
+    message = OriginAsk(b"", ())
+    assert context.region_meter.allowance_seconds(region, message) == more
+
+
 @then('the time-out of a repair from "{region}" is longer by {seconds:g} s')
 def step(context, region, seconds):
     meter = context.region_meter
