Count a granting entry as new after it was suspended

Seen by callers: calls at a brittle server were cut when it fell over, after the entry that grants its seats had stood still for some seconds.

Cause: an entry's standing rests on how long its list of live entries has named it first. A list that did not change while the entry was suspended was taken for one that others agreed with. The others had given its place to the next entry meanwhile, which still granted half of the places, and the entry granted all of them beside it.

Evidence: with 4 places, the next entry granted 2 seats and the entry that went on after 10 s granted 4 more; the new scenario of server_seats.feature failed before.

Why the fix works: a ranking that was not refreshed for more than two seconds, while rounds of the exchange refresh it every second, begins anew. The entry is then new for three seconds, in which it grants half of the places, and the lower rate of permits, until the others have agreed with it or are seen to differ. An entry that knows no others is not affected.

The step on the loss of an owner in stage_owners moved the clock by 10 s without a refresh, which now means that all entries were suspended. It refreshes the rankings meanwhile, as running entries do; what it checks is unchanged.

--- a/boragestream/policy/granters.py
+++ b/boragestream/policy/granters.py
@@ -6,7 +6,8 @@
 
 Entries can disagree on the first entry for a short time after an entry has started or
 stopped, and for as long as some of them can't reach one another. An entry's standing
-states whether such a disagreement is possible now.
+states whether such a disagreement is possible now. An entry that was suspended goes on
+with an outdated ranking, so that it counts as first for a short time only.
 
 Where the settings name several regions, the entries of a server's region are ranked, so
 that both sides of a cut link between regions agree on them. ``RegionGranters`` keeps a
@@ -29,6 +30,10 @@
 REFRESH_SECONDS = 0.5
 # Within this time all entries learn that an entry has started or stopped.
 SETTLED_SECONDS = 3.0
+# An entry that has not refreshed its ranking for this long was suspended, and others
+# may have taken its place. Refreshes are less than two rounds of the exchange apart,
+# except at an entry that knows no others.
+SUSPENDED_SECONDS = 2.0
 
 
 class Standing(Enum):
@@ -95,7 +100,7 @@
         return len(self._entries)
 
     def refresh(self) -> None:
-        """Update the live entries; called periodically, even without look-ups."""
+        """Update the live entries; called every second, even without look-ups."""
         with self._lock:
             self._refresh()
 
@@ -125,9 +130,13 @@
 
     def _refresh(self) -> None:
         now = self._clock.now()
-        if now - self._refreshed_at < REFRESH_SECONDS:
+        elapsed = now - self._refreshed_at
+        if elapsed < REFRESH_SECONDS:
             return
         self._refreshed_at = now
+        if elapsed > SUSPENDED_SECONDS and len(self._entries) > 1:
+            self._changed_at = now
+            self._first.clear()
         live, version = sorted(self._live()), self._version()
         if live != self._entries or version != self._version_ranked:
             self._entries, self._version_ranked = live, version
--- a/tests/features/server_seats.feature
+++ b/tests/features/server_seats.feature
@@ -14,3 +14,13 @@
     Given three entries before a brittle server with 4 places
     When the first has ended
     Then the third gets 2 seats
+
+  # Guards against seats beyond the places of a server, which a suspended granting entry
+  # grants when it goes on, though another entry has taken its place.
+  Scenario: an entry that was suspended grants half of the seats at first
+    Given three entries before a brittle server with 4 places
+    When the first is suspended for 10 s, and the others go on without it
+    Then the third gets 2 seats
+    And the first gets 2 seats
+    When the others know the first again, and 4 s pass
+    Then the first gets no more than the 4 places leave
--- a/tests/features/steps/stage_owners.py
+++ b/tests/features/steps/stage_owners.py
@@ -84,7 +84,11 @@
     for granters in context.granters.values():
         for server in servers(STAGE):
             granters.standing(server, granters.for_server(server)[0])
-    context.clock.seconds += 10
+    # Entries that run refresh their rankings all the time.
+    for _ in range(round(10 / REFRESH_SECONDS)):
+        context.clock.seconds += REFRESH_SECONDS
+        for granters in context.granters.values():
+            granters.refresh()
     hills = next(server for server in servers(STAGE) if server.region == "hills")
     granters = next(iter(context.granters.values()))
     gone = granters.for_server(hills)[0]
