Keep a suspected cut while no other entry replies to a check

Seen by callers: at an entry that had lost its servers and its peers together, calls still failed after the peers were back, instead of being served by them.

Cause: a suspicion that an entry is cut off from a service is refuted after three checks in which no other entry names a later answer. Other entries that gave no reply were taken for ones that reach the service no better.

Evidence: after 4 and after 14 checks without any reply the suspicion was dropped; the new scenario of server_reach.feature failed before.

Why the fix works: only a reply refutes. Without one the checks go on as before, and the suspicion stands until a server or another entry answers. An entry that replies that no server has answered it still refutes.

--- a/boragestream/serving/reach_checks.py
+++ b/boragestream/serving/reach_checks.py
@@ -195,10 +195,11 @@
         checked = dict.fromkeys(due, PROBES_PER_SERVICE)
         asked = self._executor_of().submit(self._ask_peers, tuple(checked))
         results = self._probe_all(checked)
-        ages = asked.result()
+        ages, replied = asked.result()
         again = False
         for service in checked:
-            unclear = self._judge(service, results[service], ages.get(service))
+            witness = ages.get(service)
+            unclear = self._judge(service, results[service], witness, replied)
             again = again or unclear
         if not self._reach.cut_services.isdisjoint(checked):
             self._probe_others()
@@ -224,8 +225,13 @@
         service: str,
         results: Sequence[tuple[Server, ProbeResult]],
         witness: tuple[str, float] | None,
+        replied: bool,
     ) -> bool:
-        """Record what a check showed; return whether it should be repeated soon."""
+        """Record what a check showed; return whether it should be repeated soon.
+
+        :param witness: the entry that the service answered last, and how long ago.
+        :param replied: whether any other entry replied; nothing is refuted otherwise.
+        """
         if not results or any(result.answered for _, result in results):
             self._hung_checks.pop(service, None)
             self._unclear_checks.pop(service, None)
@@ -255,11 +261,11 @@
         if unclear < MAX_UNCLEAR_CHECKS:
             # Another entry may have been answered since, if only shortly after.
             answered = witness is not None and witness[1] < self._reach.silence(service)
-            refuted = unclear >= CHECKS_TO_REFUTE and not answered
+            refuted = unclear >= CHECKS_TO_REFUTE and replied and not answered
             self._reach.note_unconfirmed(service, UNCLEAR_SECONDS, refuted)
             return True
         self._unclear_checks.pop(service, None)
-        self._reach.note_unconfirmed(service)
+        self._reach.note_unconfirmed(service, refuted=replied)
         return False
 
     def _probe_all(
@@ -297,8 +303,13 @@
         rest = [server for server in servers if server not in first]
         return [*first, *rest][:count]
 
-    def _ask_peers(self, services: tuple[str, ...]) -> dict[str, tuple[str, float]]:
-        """Return the latest answer of each service to another entry, with its age."""
+    def _ask_peers(
+        self, services: tuple[str, ...]
+    ) -> tuple[dict[str, tuple[str, float]], bool]:
+        """Return the latest answer of each service to another entry, with its age.
+
+        :returns: also whether any other entry replied.
+        """
         peers = [
             entry
             for entry in self._peers()
@@ -318,16 +329,18 @@
             for peer in peers[:WITNESSES]
         ]
         latest: dict[str, tuple[str, float]] = {}
+        replied = False
         for name, future in asked:
             reply = future.result()
             if not isinstance(reply, ReachReply):
                 continue
+            replied = True
             for service, age_ms in zip(services, reply.ages_ms, strict=False):
                 age = age_ms / 1000
                 known = latest.get(service)
                 if age_ms != NEVER and (known is None or age < known[1]):
                     latest[service] = (name, age)
-        return latest
+        return latest, replied
 
     def _note_change(self, service: str) -> None:
         """Announce that the entry was cut off from a service, or reaches it again."""
--- a/tests/features/server_reach.feature
+++ b/tests/features/server_reach.feature
@@ -30,6 +30,19 @@
       | 0.01 s after  | stays    |
       | 0.01 s before | is ended |
 
+  # Guards against a suspicion that is dropped because no other entry could be asked:
+  # requests would not be delegated once the other entries are reached again.
+  Scenario Outline: a suspicion <stays> if the other entry <gives> in <count> checks
+    Given an entry whose connects to 2 servers are refused
+    When <count> checks find that the other entry <gives>
+    Then the suspicion <stays>
+
+    Examples:
+      | count | gives                  | stays    |
+      | 4     | gives no answer        | stays    |
+      | 14    | gives no answer        | stays    |
+      | 4     | was never answered     | is ended |
+
   # Guards against owners of stage queues that never suspect that they are cut off: they
   # call the servers of their own region alone, and there may be a single one.
   Scenario Outline: failures at one server raise <what> suspicion: <regions>
--- a/tests/features/steps/server_reach.py
+++ b/tests/features/steps/server_reach.py
@@ -22,7 +22,7 @@
 )
 from boragestream.entry.exchange import PeerExchange
 from boragestream.entry.reach import ReachPart
-from boragestream.entry.reach_messages import ReachReply
+from boragestream.entry.reach_messages import NEVER, ReachReply
 from boragestream.entry.server_seats import Seat, ServerSeats
 from boragestream.policy.brittle_services import BrittleServices, parse_brittle
 from boragestream.policy.cut_entries import ALL_SERVICES, CutEntries, ReachRecord
@@ -158,11 +158,26 @@
 def step(context, count, seconds, order):
     clock = context.clock
     answered_at = clock.now() + (seconds if order == "after" else -seconds)
-    witness = ListedEntry(WITNESS, "hall-1", "10.9.1.1:80", "10.9.1.1:81")
 
     def ask(address, message, timeout):
         return ReachReply((round((clock.now() - answered_at) * 1000),))
 
+    check_with(context, count, ask)
+
+
+@when("{count:d} checks find that the other entry {gives}")
+def step(context, count, gives):
+    replies = {
+        "gives no answer": SimpleNamespace(describe=lambda: "no answer"),
+        "was never answered": ReachReply((NEVER,)),
+    }
+    check_with(context, count, lambda *question: replies[gives])
+
+
+def check_with(context, count, ask):
+    """Make checks whose probes fail, and in which another entry is asked."""
+    clock = context.clock
+    witness = ListedEntry(WITNESS, "hall-1", "10.9.1.1:80", "10.9.1.1:81")
     checks = ReachChecks(
         "own",
         "hall-2",
