Cancel orders at owners that gave no answer

Seen by callers: requests of stages waited longer after an owner had stood still for a moment, behind pieces that it made for nobody.

Cause: an owner that gave no answer to an order within 0.3 s was taken for one that has not accepted it. The order went to the next entry, and at its end only that one was told, so that the first made pieces of a request that had ended.

Evidence: an order that the first owner left unanswered and the second accepted or refused was cancelled at the second at most; the new scenario of stage_owners.feature failed before.

Why the fix works: an order keeps the entries that gave no answer, and is cancelled there when it ends, however it ends. It is not cancelled before, since results that such an owner already makes are used if they come first. An owner that does not know the order ignores the message.

--- a/boragestream/serving/piece_orders.py
+++ b/boragestream/serving/piece_orders.py
@@ -57,6 +57,8 @@
     :ivar began_at: when the order was opened, in seconds of the clock.
     :ivar checked_at: when the order was last sent to an owner, in seconds of the clock.
     :ivar received: the results that have arrived, by piece number.
+    :ivar unanswered: the entries that were sent the order and gave no answer, and may
+        have accepted it.
     """
 
     order: PieceOrder
@@ -67,6 +69,7 @@
     owner: str = ""
     checked_at: float = 0.0
     received: dict[int, StageResult] = field(default_factory=dict)
+    unanswered: set[str] = field(default_factory=set)
     fault: PieceFault | None = None
 
     @property
@@ -151,7 +154,7 @@
             return
         if opened.owner == self._own:
             self._batches.cancel(opened.order.queue, opened.order.order_id)
-        elif opened.owner:
+        elif opened.owner and opened.owner not in opened.unanswered:
             self._owners.send(opened.owner, _cancel_message(opened.order))
         self.release([result.handle for result in opened.received.values()])
 
@@ -285,7 +288,9 @@
                 return wait_refusal(order.service, wait)
             reply = self._owners.ask(owner, _order_message(order, start, left))
             if reply is not None:
+                opened.unanswered.discard(owner)
                 return answer_refusal(order.service, order.account, reply)
+            opened.unanswered.add(owner)
         return StageSaturated(order.service, 0)
 
     def _offer(self, opened: OpenOrder, scope: CancelScope) -> Failure | None:
@@ -312,8 +317,11 @@
         return answer_refusal(order.service, order.account, reply)
 
     def _forget(self, opened: OpenOrder) -> None:
+        """Drop an order, and cancel it where it may have been accepted unheard."""
         with self._lock:
             self._open.pop(opened.order.order_id, None)
+        for entry in opened.unanswered:
+            self._owners.send(entry, _cancel_message(opened.order))
 
 
 def _order_message(order: PieceOrder, start: float, left: float) -> PiecesOrder:
--- a/tests/features/stage_owners.feature
+++ b/tests/features/stage_owners.feature
@@ -39,3 +39,16 @@
   Scenario: with one region, the first in rank for a service grants for its servers
     Given entries of one region with the capacities "2 2 1 0.5"
     Then for each stage server all entries name the first in rank for its service
+
+  # Guards against pieces that are made for nobody by an owner that has accepted an order,
+  # if its answer was lost and another entry got the order after it.
+  Scenario Outline: an order is cancelled at an owner that gave no answer once it <ends>
+    Given an entry whose orders are accepted by the second in rank only
+    When an order is sent and <ends>
+    Then it was cancelled at "<entries>"
+
+    Examples:
+      | ends         | entries |
+      | is done      | a       |
+      | is abandoned | a b     |
+      | is refused   | a       |
--- a/tests/features/steps/stage_owners.py
+++ b/tests/features/steps/stage_owners.py
@@ -1,18 +1,26 @@
 """Steps on the entries that own queues of stages, permits and cold servers."""
 
+import threading
 from types import SimpleNamespace
 
 from behave import given, then, when
 
+from boragestream.backend.cancellation import CancelScope
+from boragestream.base.outcomes import Failure
 from boragestream.daemon.stage_owners import StageOwners
+from boragestream.document.calls import Piece, PieceResult
 from boragestream.entry.permit_messages import PermitAsk
+from boragestream.entry.piece_messages import PiecesCancel
 from boragestream.entry.server_permits import Permit, ServerPermits
 from boragestream.policy.granters import REFRESH_SECONDS, Granters, Standing
 from boragestream.policy.peers import ListedEntry
+from boragestream.policy.piece_queue import PieceOrder
 from boragestream.policy.queue_owners import StageQueue, owner_ranking, queue_entries
 from boragestream.policy.regions import Regions
 from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.servers import Server
+from boragestream.serving.piece_orders import PieceOrders
+from boragestream.serving.piece_refusals import wait_answer
 from tests.standins.clock import SetClock
 
 STAGE, PLAIN = "embed", "plain"
@@ -171,3 +179,43 @@
         for name, granters in context.granters.items():
             assert granters.for_server(server) == ranked[:2], name
             assert context.owners[name].cold_senders(server) == ranked
+
+
+@given("an entry whose orders are accepted by the second in rank only")
+def step(context):
+    context.clock, context.cancelled = SetClock(), []
+    context.answers = {"b": wait_answer(None)}
+
+    def send(entry, message):
+        assert isinstance(message, PiecesCancel), message
+        context.cancelled.append(entry)
+
+    owners = SimpleNamespace(
+        own="c",
+        owners=lambda queue, current: ["a", "b"],
+        ask=lambda entry, message: context.answers.get(entry),
+        send=send,
+    )
+    context.orders = PieceOrders(owners, context.clock)
+
+
+@when("an order is sent and {ends}")
+def step(context, ends):
+    order = PieceOrder("o-1", STAGE, (Piece("r-1", 0, 0, "", ()),), 1, 0, 0, "")
+    scope, changed = CancelScope(context.clock.now() + 5.0), threading.Event()
+    start_by = context.clock.now() + 1.0
+    if ends == "is refused":
+        context.answers["b"] = wait_answer(0.5)
+    opened = context.orders.begin(order, start_by, scope, changed)
+    if ends == "is done":
+        results = [(0, PieceResult("h-1", None))]
+        context.orders.receive_results("b", "o-1", results)
+    if ends == "is refused":
+        assert isinstance(opened, Failure)
+    else:
+        context.orders.end(opened)
+
+
+@then('it was cancelled at "{entries}"')
+def step(context, entries):
+    assert sorted(context.cancelled) == entries.split(), context.cancelled
