Print what a server with a limit got, and each call that failed, when a scenario fails

Two listed scenarios of server_limits.feature fail under load, and their messages had only counts. They now print when each call came to the server and from which entry, and for each call that was not answered its time, its failure and its failed attempts.

--- a/tests/features/steps/server_limits.py
+++ b/tests/features/steps/server_limits.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 
 from behave import given, then, when
 
@@ -54,7 +54,7 @@
 def step(context, rate, path, which, seconds):
     names = list(context.site.entries)
     names = names[:1] if which == "one entry" else names
-    context.path, context.answers = path, []
+    context.path, context.answers, context.senders = path, [], {}
     began = time.monotonic()
     numbers = iter(range(int(rate * seconds)))
     lock = threading.Lock()
@@ -66,8 +66,9 @@
             if number is None:
                 return
             time.sleep(max(0.0, began + number / rate - time.monotonic()))
-            sent = time.monotonic()
-            answer = send(context, path, names[number % len(names)])
+            sent, entry = time.monotonic(), names[number % len(names)]
+            answer = send(context, path, entry)
+            context.senders[answer.request_id] = entry
             context.answers.append((answer, sent, time.monotonic() - sent))
 
     context.site.at_once(SENDERS, caller)
@@ -83,7 +84,25 @@
 def step(context):
     for server in context.limited:
         most = most_arrivals(server.arrivals, server.limited_at)
-        assert most <= allowed(server.limit), (most, allowed(server.limit))
+        assert most <= allowed(server.limit), (
+            most,
+            allowed(server.limit),
+            arrivals_by_entry(context, server),
+        )
+
+
+def arrivals_by_entry(context, server):
+    """Describe what came to a server after it named its limit, and from whom.
+
+    :returns: the seconds from the first answer with the limit to each arrival, by
+        entry; calls that serve no request, such as probes, have an empty name.
+    """
+    arrivals = defaultdict(list)
+    for at, request_id in server.calls:
+        if at >= server.limited_at:
+            entry = context.senders.get(request_id, "")
+            arrivals[entry].append(round(at - server.limited_at, 2))
+    return dict(arrivals)
 
 
 @then("all are answered")
@@ -169,7 +188,7 @@
 @when('{rate:d} {form}s of "{pipeline}" a second come for {seconds:g} seconds')
 def step(context, rate, form, pipeline, seconds):
     addresses = context.fleet.addresses()
-    context.outcomes, context.began = Counter(), time.monotonic()
+    context.replies, context.began = [], time.monotonic()
     numbers = iter(range(int(rate * seconds)))
     lock = threading.Lock()
 
@@ -185,8 +204,7 @@
             address = addresses[number % len(addresses)]
             reply = ask(client, form, pipeline, f"limit {number}", address)
             assert not isinstance(reply, EntryUnreachable), reply
-            with lock:
-                context.outcomes[reply.outcome] += 1
+            context.replies.append((reply, at - context.began))
 
     threads = [threading.Thread(target=caller) for _ in range(SENDERS)]
     for thread in threads:
@@ -205,11 +223,31 @@
 
 @then("the {form}s are {ending}")
 def step(context, form, ending):
-    outcomes = context.outcomes
+    outcomes = Counter(reply.outcome for reply, _ in context.replies)
     if ending == "answered":
-        assert set(outcomes) == {"answered"}, outcomes
+        assert set(outcomes) == {"answered"}, (outcomes, *shortfalls(context))
         return
-    # The door learns of a service's limits by the times of the stages: until then
-    # some requests find no room at a later stage, and have run at earlier ones.
+    # Admission learns of the wait for permits from the first refusal of a stage: until
+    # then some requests find no room at a later stage, and have run at earlier ones.
     promised = outcomes["answered"] + outcomes["refused"]
-    assert outcomes["refused"] and promised >= 0.9 * outcomes.total(), outcomes
+    assert outcomes["refused"] and promised >= 0.9 * outcomes.total(), "\n".join(
+        [str(outcomes), *shortfalls(context)]
+    )
+
+
+def shortfalls(context):
+    """Describe each call that was not answered, with its failed attempts."""
+    events = [
+        (name, event)
+        for name, entry in context.fleet.entries.items()
+        for event in entry.events()
+    ]
+    for reply, sent in context.replies:
+        if reply.outcome != "answered":
+            about = [
+                (name, event.get("failure"))
+                for name, event in events
+                if event.get("request") == reply.request_id
+            ]
+            code = reply.problem["type"].rpartition(":")[2]
+            yield f"{sent:.2f} s {reply.outcome} {code} {reply.seconds:.3f} s {about}"
