Book the next permit for a stage whose servers are all limited

Hypotheses: the door admits too much; the limits are not used; entries share the permits unequally. The failing scenario prints each call, which tells them apart.

Cause: a waiting call polled for a permit that is free now. A call at the granting entry asks every 10 ms without a round trip, others only after the time that they were told, so that they lose the race as long as calls wait there. None of them was told that it had no permit in time, and the window of admission was not cut before its deadline.

Fix: where all servers are limited, a call books the next permit and waits for it, as forwarded requests do, so that permits go to those that ask first. Without one in time it is refused at once, and the window is cut: ServersLimited counts as saturated as well.

Evidence: both scenarios of limited_servers.feature fail without the fix (service-saturated after 3.0 s), and the second without the cut alone.

--- a/boragestream/serving/pipeline.py
+++ b/boragestream/serving/pipeline.py
@@ -11,7 +11,7 @@
 
 from boragestream.backend.attempt import OpenAnswer
 from boragestream.backend.calls import StageInput
-from boragestream.base.failures import DeadlinePassed
+from boragestream.base.failures import DeadlinePassed, ServersLimited
 from boragestream.base.outcomes import Failure
 from boragestream.document import Stage
 from boragestream.document.waves import stage_needs, stage_waves
@@ -103,5 +103,5 @@
     # time of a stage with any other failure says nothing about the servers' speed.
     whole = not isinstance(result, Failure)
     timed = whole or isinstance(result, DeadlinePassed)
-    saturated = isinstance(result, ServiceSaturated)
+    saturated = isinstance(result, ServiceSaturated | ServersLimited)
     request.admitted.end_stage(stage.name, timed, whole, saturated)
--- a/boragestream/serving/stage.py
+++ b/boragestream/serving/stage.py
@@ -127,12 +127,60 @@
             and limited.seconds_until_permit(with_limit) > left
         ):
             return limited.refusal(with_limit)
+        if (
+            with_limit
+            and not without_limit
+            and not self.parts.seated.is_brittle(service)
+        ):
+            attempt = self._reserve_permitted(run, purpose, tried, with_limit, latest)
+            if attempt is not None:
+                return attempt
         return self.parts.call_queues.of(service).acquire(
             choose=lambda: self._choose_attempt(run, purpose, tried),
             latest=latest,
             cancelled=lambda: scope.reason is not None,
         )
 
+    def _reserve_permitted(
+        self,
+        run: StageRun,
+        purpose: Purpose,
+        tried: set[str],
+        limited: Sequence[Server],
+        latest: float,
+    ) -> AttemptRun | Failure | None:
+        """Reserve the earliest permit and wait for it, if all servers are limited.
+
+        A call that polled for a permit until its deadline would lose each of them to
+        the entry that grants it, whose own calls ask without a round trip.
+
+        :returns: None if the server has no room when the permit begins.
+        """
+        parts, scope = self.parts, run.request.scope
+        untried = [server for server in limited if server.name not in tried]
+        chosen = parts.limited.acquire_earliest(
+            untried or limited,
+            latest - parts.clock.now(),
+            lambda nearby: self._choose_server(run, nearby, tried),
+        )
+        if isinstance(chosen, Failure):
+            return chosen
+        if not parts.limited.wait(chosen.permit, lambda: scope.reason is not None):
+            return scope.reason
+
+        def choose() -> AttemptRun | None:
+            if self._choose_server(run, [chosen.server], set()) is None:
+                return None
+            return AttemptRun(parts, run, chosen, purpose)
+
+        attempt = parts.call_queues.of(run.stage.service).acquire(
+            choose, parts.clock.now(), lambda: True
+        )
+        if isinstance(attempt, AttemptRun):
+            return attempt
+        parts.limited.permits.release(chosen.permit)
+        return None
+
     def _choose_attempt(
         self, run: StageRun, purpose: Purpose, tried: set[str]
     ) -> AttemptRun | None:
