Refuse requests at the door whose permits come after their deadlines

Hypotheses: they arrived together; the window grew too far; they began although their permits were known to be too late. The printed calls tell: each had waited 1.1 to 1.7 s at the door, had less time left than the wait for a permit (1.8 to 2.2 s), and the next followed the refusal of the one before by 15 to 40 ms, which is the time of the stages before.

Cause: admission knew only measured durations of stages. A refusal ends a request, which frees a place in the window, and the next one in the queue begins and fails in the same way.

Fix: admission is told the wait for permits of each service whose usable servers are all limited, and refuses a request as not run if that is longer than its time, on arrival and when it would begin. The wait is the one this entry was told with the last refusal.

Evidence: the third scenario of limited_servers.feature; with the wait left out of the decision the first queued request begins.

--- a/boragestream/daemon/parts.py
+++ b/boragestream/daemon/parts.py
@@ -118,7 +118,17 @@
 
     slots = SlotShares(servers, loads, live_count, clock, call_rate)
     requests = max(1, settings.caller.threads - SPARE_THREADS)
-    admission = Admission(requests, clock, rng, demand.limits, slots.share)
+
+    def limited_wait(service: str) -> float:
+        if not limits.limits.count:
+            return 0.0
+        return limits.limited.service_wait(
+            serving.backoffs.usable(servers.live(service))
+        )
+
+    admission = Admission(
+        requests, clock, rng, demand.limits, slots.share, limited_wait
+    )
 
     def on_first_report(service: str) -> None:
         if slots.note_first_report(service):
--- a/boragestream/policy/admission.py
+++ b/boragestream/policy/admission.py
@@ -56,6 +56,8 @@
         each occupies a thread.
     :param gate: enforces the limits of the client accounts.
     :param share: returns this entry's share of a service's slots; 0 if unknown.
+    :param limited_wait: returns the seconds in which no server of a service can be
+        called, because all of them have a limit on their requests.
     """
 
     def __init__(
@@ -65,10 +67,12 @@
         rng: random.Random,
         gate: AccountGate | None = None,
         share: Callable[[str], float] = lambda service: 0.0,
+        limited_wait: Callable[[str], float] = lambda service: 0.0,
     ) -> None:
         self._limit = limit
         self._clock = clock
         self._gate = gate or OpenGate()
+        self._limited_wait = limited_wait
         self._expected = Expectations(rng)
         self._windows = ServiceWindows(self._expected.times, share)
         self._queue: FairQueue[QueuedRequest] = FairQueue()
@@ -172,7 +176,8 @@
         if self._windows_enforced:
             wait = self._expected_wait(candidate, now)
             left = self._slack(candidate, now)
-            if left < 0 or wait > self._max_wait(candidate, left):
+            too_long = left < 0 or wait > self._max_wait(candidate, left)
+            if too_long or self._permits_too_late(candidate, now):
                 return self._deadline_refusal(candidate, now, wait)
         if self._in_hand >= self._limit and not self._evict_for(candidate, now):
             failure = QueueFull(self._in_hand)
@@ -189,6 +194,7 @@
     ) -> Refused:
         left = candidate.deadline - now
         needed = wait + self._expected.needed(candidate.pipeline, now)
+        needed = max(needed, self._permit_wait(candidate.pipeline))
         failure = CannotMeetDeadline(int(left * 1000), int(needed * 1000))
         return Refused(failure, self._retry_after(candidate.pipeline, now))
 
@@ -253,7 +259,7 @@
         return admitted
 
     def _is_too_late(self, candidate: Candidate, now: float) -> bool:
-        return self._slack(candidate, now) < 0
+        return self._slack(candidate, now) < 0 or self._permits_too_late(candidate, now)
 
     def _can_begin(self, name: str) -> bool:
         pipeline = self._pipelines[name]
@@ -275,6 +281,17 @@
         needed = self._expected.needed(candidate.pipeline, now)
         return candidate.deadline - now - needed
 
+    def _permits_too_late(self, candidate: Candidate, now: float) -> bool:
+        """Return whether a stage can't call its servers before the deadline.
+
+        The measured durations lag behind the wait for permits. Requests that began in
+        the meantime would run their earlier stages in vain.
+        """
+        return candidate.deadline - now < self._permit_wait(candidate.pipeline)
+
+    def _permit_wait(self, pipeline: Pipeline) -> float:
+        return max(self._limited_wait(stage.service) for stage in pipeline.stages)
+
     def _max_wait(self, candidate: Candidate, left: float) -> float:
         """Return the longest expected wait with which a request is queued.
 
--- a/boragestream/serving/limited_servers.py
+++ b/boragestream/serving/limited_servers.py
@@ -142,6 +142,17 @@
         """Return the expected seconds until the earliest permit."""
         return min(self._limits.seconds_left(server) for server in limited)
 
+    def service_wait(self, servers: Sequence[Server]) -> float:
+        """Return the seconds in which no server of a service can be called.
+
+        :param servers: the usable servers of the service.
+        :returns: 0 if one of them has no limit.
+        """
+        unlimited, limited = self._limits.split(servers)
+        if unlimited or not limited:
+            return 0.0
+        return self.seconds_until_permit(limited)
+
     def refusal(self, limited: Sequence[Server]) -> ServersLimited:
         """Return the refusal of a request whose servers are all limited.
 
--- a/tests/features/limited_servers.feature
+++ b/tests/features/limited_servers.feature
@@ -17,3 +17,13 @@
     When a request with 3 seconds left comes to the stage
     Then it is refused within 1 second with "servers-limited"
     And the window of the service is cut
+
+  # Guards against requests that queue at admission, begin when a place in the window
+  # becomes free, and fail at a later stage because its permits are too late by then.
+  Scenario: requests do not begin if the wait for a permit is longer than their time
+    Given an admission with 2 requests in progress and 4 queued with 3 seconds left
+    When the only server of a later stage has a limit and no permit for 5 seconds
+    And one request ends
+    Then none of the queued requests has begun, and all are refused
+    And a request with 3 seconds left is refused with "cannot-meet-deadline"
+    But a request with 9 seconds left begins
--- a/tests/features/steps/limited_servers.py
+++ b/tests/features/steps/limited_servers.py
@@ -1,4 +1,4 @@
-"""Steps on stages while all servers of their service have a limit."""
+"""Steps on stages and admission while all servers of a service have a limit."""
 
 import random
 import time
@@ -10,32 +10,38 @@
 
 from boragestream.backend.cancellation import CancelScope
 from boragestream.base.clock import SystemClock
+from boragestream.base.outcomes import Refused
 from boragestream.document import check_document
 from boragestream.entry.permit_messages import PermitReply
 from boragestream.entry.server_permits import ServerPermits
 from boragestream.policy.admission import Admission
-from boragestream.policy.admitted import Candidate
+from boragestream.policy.admitted import Admitted, Candidate
 from boragestream.policy.granters import Granters
 from boragestream.policy.load import LoadTable
 from boragestream.policy.quarantine import Quarantine
 from boragestream.policy.routing import Location
 from boragestream.policy.server_limits import ServerLimits
 from boragestream.policy.server_reach import ServerReach
-from boragestream.policy.servers import ServerTable
+from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving.limited_servers import LimitedServers
 from boragestream.serving.parts import make_parts
 from boragestream.serving.pipeline import PipelineRunner
 from boragestream.serving.request import RequestRecord, SentRecord
 from boragestream.serving.stage import StageRunner
 from tests.features.steps.leaving_before_the_send import ADDRESS, Listener
-from tests.standins.limits import lone_seats
+from tests.standins.clock import SetClock
+from tests.standins.fleet import wait_until
+from tests.standins.limits import lone_limits, lone_seats
 from tests.standins.sites import example_document
 
 GRANTING = "granting"
 LIMIT = 1.0
 SERVICE = "counter-app"
 PIPELINE = "order-status"
+LATER_SERVICE = "member-ledger"
+SERVER = Server("ledger-1", LATER_SERVICE, "10.0.0.1:80", "hall", "1")
 DOCUMENT, _ = check_document(example_document("cooperative"))
+WAIT_SECONDS = 20
 
 
 class GrantingEntry:
@@ -149,3 +155,64 @@
 def step(context):
     limit, _ = context.admission.windows()[SERVICE]
     assert limit < context.window, (limit, context.window)
+
+
+@given(
+    "an admission with {begun:d} requests in progress "
+    "and {queued:d} queued with {left:g} seconds left"
+)
+def step(context, begun, queued, left):
+    context.clock = SetClock()
+    context.limited = lone_limits(context.clock)
+    servers = {LATER_SERVICE: [SERVER]}
+    context.admission = Admission(
+        16,
+        context.clock,
+        random.Random(1),
+        limited_wait=lambda name: context.limited.service_wait(servers.get(name, ())),
+    )
+    context.begun = [context.admission.enter(candidate(context, left))]
+    window = context.admission._windows._window(LATER_SERVICE, context.clock.now())
+    window._limit = begun
+    while len(context.begun) < begun:
+        context.begun.append(context.admission.enter(candidate(context, left)))
+    pool = ThreadPoolExecutor(queued)
+    context.add_cleanup(pool.shutdown)
+    context.queued = [
+        pool.submit(context.admission.enter, candidate(context, left))
+        for _ in range(queued)
+    ]
+    wait_until(lambda: context.admission.queued == queued, what="the queue")
+
+
+@when(
+    "the only server of a later stage has a limit and no permit for {seconds:g} seconds"
+)
+def step(context, seconds):
+    limits = context.limited.limits
+    limits.take_list([SERVER])
+    limits.note_answer(SERVER, LIMIT, context.clock.now(), True)
+    limits.note_unavailable(SERVER, seconds)
+
+
+@when("one request ends")
+def step(context):
+    context.admission.leave(context.begun.pop())
+
+
+@then("none of the queued requests has begun, and all are refused")
+def step(context):
+    verdicts = [future.result(WAIT_SECONDS) for future in context.queued]
+    assert all(isinstance(verdict, Refused) for verdict in verdicts), verdicts
+
+
+@then('a request with {left:g} seconds left is refused with "{code}"')
+def step(context, left, code):
+    verdict = context.admission.enter(candidate(context, left))
+    assert isinstance(verdict, Refused) and verdict.failure.code == code, verdict
+
+
+@then("a request with {left:g} seconds left begins")
+def step(context, left):
+    verdict = context.admission.enter(candidate(context, left))
+    assert isinstance(verdict, Admitted), verdict
