Probe servers that have a limit only with a permit

What callers saw: a server with a limit of 1.1 requests a second got 14 in four seconds (server_limits.feature:21, once, at a load of 12 to 14); 11.6 are allowed.

Hypotheses: entries learn of the limit too late; permits are granted by several entries; something is sent without a permit.

Cause: these are probes. When the servers are silent for 0.4 s each entry suspects its own links and probes up to three servers, and nothing asked for a permit. A starved machine silences the servers to all entries at once.

Servers without a limit are probed first. Probes that were left out show nothing: they don't clear a suspicion, and where a service has several servers, failures at two must be seen before the answer of another entry, maybe from a server that was not probed, confirms a cut.

Left: while all servers have limits and all permits are taken, a cut is confirmed later.

--- a/boragestream/daemon/parts.py
+++ b/boragestream/daemon/parts.py
@@ -179,6 +179,7 @@
         servers,
         loads,
         HealthProbe(reach, clock),
+        limits.limited,
         clock,
         rng,
     )
--- a/boragestream/daemon/reach.py
+++ b/boragestream/daemon/reach.py
@@ -21,6 +21,8 @@
 from boragestream.policy.server_reach import ServerReach
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving.delegation import DelegationParts, EncodeDelegated
+from boragestream.serving.limited_probes import LimitedProbe
+from boragestream.serving.limited_servers import LimitedServers
 from boragestream.serving.reach_checks import Probe, ReachChecks
 
 __all__ = [
@@ -68,12 +70,14 @@
     servers: ServerTable,
     loads: LoadTable,
     probe: Probe,
+    limited: LimitedServers,
     clock: Clock,
     rng: random.Random,
 ) -> ReachParts:
     """Connect this entry's own evidence with what the other entries see.
 
     :param own: this entry's name.
+    :param limited: the servers that have a limit, whose probes need a permit.
     """
 
     def incarnation_of(entry: str) -> str:
@@ -94,7 +98,7 @@
         data_centre,
         reach,
         cut_entries,
-        probe,
+        LimitedProbe(probe, limited),
         members.entries.usable,
         servers.live,
         services,
@@ -102,6 +106,7 @@
         clock,
         rng,
         returned,
+        lambda server: limited.limits.limit(server) is not None,
     )
     members.exchange.add_part(ReachPart(cut_entries, checks.note_cut_entry))
     return ReachParts(reach, cut_entries, checks)
--- a/boragestream/policy/server_reach.py
+++ b/boragestream/policy/server_reach.py
@@ -21,7 +21,7 @@
 from boragestream.base.clock import Clock
 from boragestream.policy.servers import Server
 
-__all__ = ["CutEvidence", "OpenServerCall", "ServerReach"]
+__all__ = ["FAILURES_TO_SUSPECT", "CutEvidence", "OpenServerCall", "ServerReach"]
 
 # Failures at this many servers with no answer in between raise a suspicion. The single
 # server of a service raises it alone.
--- a/boragestream/serving/reach_checks.py
+++ b/boragestream/serving/reach_checks.py
@@ -21,7 +21,7 @@
 from boragestream.entry.reach_messages import NEVER, ReachAsk, ReachReply
 from boragestream.policy.cut_entries import ALL_SERVICES, CutEntries
 from boragestream.policy.peers import ListedEntry
-from boragestream.policy.server_reach import ServerReach
+from boragestream.policy.server_reach import FAILURES_TO_SUSPECT, ServerReach
 from boragestream.policy.servers import Server
 
 __all__ = ["Probe", "ProbeResult", "ReachChecks"]
@@ -56,10 +56,12 @@
 
     :ivar answered: whether the server answered anything.
     :ivar hung: whether nothing came back in time, not even a refusal.
+    :ivar sent: whether the probe was allowed; if not, it shows nothing.
     """
 
     answered: bool
     hung: bool = False
+    sent: bool = True
 
 
 class Probe(Protocol):
@@ -78,6 +80,7 @@
     :param servers: returns the live servers of a service.
     :param services: returns the names of all services that have servers.
     :param returned: called with a service when the entry reaches it again.
+    :param spared: returns whether a server is probed only if there are too few others.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         clock: Clock,
         rng: random.Random,
         returned: Callable[[str], None] = lambda service: None,
+        spared: Callable[[Server], bool] = lambda server: False,
     ) -> None:
         self._own = own
         self._data_centre = data_centre
@@ -108,6 +112,7 @@
         self._clock = clock
         self._rng = rng
         self._on_returned = returned
+        self._is_spared = spared
         self._cut_at: dict[str, float] = {}
         self._hung_checks: dict[str, int] = {}
         self._unclear_checks: dict[str, int] = {}
@@ -226,14 +231,18 @@
         witness: tuple[str, float] | None,
     ) -> bool:
         """Record what a check showed; return whether it should be repeated soon."""
-        if not results or any(result.answered for _, result in results):
+        servers = len(self._servers(service))
+        if not servers or any(result.answered for _, result in results):
             self._hung_checks.pop(service, None)
             self._unclear_checks.pop(service, None)
             self._reach.note_unconfirmed(service)
             return False
         hung = any(result.hung for _, result in results)
-        checks = self._hung_checks[service] = self._hung_checks.get(service, 0) + 1
-        if witness is not None and (not hung or checks >= CHECKS_IF_HANGING):
+        # The answer of another entry can be that of a server which was not probed.
+        enough = len(results) >= min(FAILURES_TO_SUSPECT, servers)
+        checks = self._hung_checks[service] = self._hung_checks.get(service, 0) + enough
+        conclusive = enough and (not hung or checks >= CHECKS_IF_HANGING)
+        if witness is not None and conclusive:
             failed = [server.data_centre for server, _ in results]
             evidence = self._reach.confirm(service, failed, *witness)
             if evidence is not None:
@@ -255,7 +264,7 @@
         if unclear < MAX_UNCLEAR_CHECKS:
             # Another entry may have been answered since, if only shortly after.
             answered = witness is not None and witness[1] < self._reach.silence(service)
-            refuted = unclear >= CHECKS_TO_REFUTE and not answered
+            refuted = enough and unclear >= CHECKS_TO_REFUTE and not answered
             self._reach.note_unconfirmed(service, UNCLEAR_SECONDS, refuted)
             return True
         self._unclear_checks.pop(service, None)
@@ -279,7 +288,11 @@
             for service, servers in chosen.items()
         }
         results = {
-            service: [(server, future.result()) for server, future in sent]
+            service: [
+                (server, result)
+                for server, future in sent
+                if (result := future.result()).sent
+            ]
             for service, sent in probes.items()
         }
         for server, result in itertools.chain.from_iterable(results.values()):
@@ -295,7 +308,7 @@
             s for s in servers if not (s.data_centre in seen or seen.add(s.data_centre))
         ]
         rest = [server for server in servers if server not in first]
-        return [*first, *rest][:count]
+        return sorted([*first, *rest], key=self._is_spared)[:count]
 
     def _ask_peers(self, services: tuple[str, ...]) -> dict[str, tuple[str, float]]:
         """Return the latest answer of each service to another entry, with its age."""
