--- a/tests/features/entries_out_of_step.feature
+++ b/tests/features/entries_out_of_step.feature
@@ -29,7 +29,7 @@
     When "<entry>" <how>
     And engines of "v2" are listed, and callers read part of 60 streams <prompts> at the other entries and take them up at "<entry>"
     Then no stream holds events of two versions
-    And at least 5 streams in ten went on
+    And at least half of the streams of the other entries went on
     And all streams that have begun at "<entry>" went on
     When "<entry>" is in step again
     Then streams of the other entries go on at "<entry>" again
--- a/tests/features/steps/entries_out_of_step.py
+++ b/tests/features/steps/entries_out_of_step.py
@@ -213,6 +213,13 @@
             assert tries.seconds[-1] < AT_ONCE_SECONDS, tries
 
 
+@then("at least half of the streams of the other entries went on")
+def step(context):
+    went_on = sum(tries.whole for tries in context.others)
+    statuses = Counter(t.statuses[-1] for t in context.others if not t.whole)
+    assert 2 * went_on >= len(context.others), (went_on, statuses)
+
+
 @then('all streams that have begun at "{entry}" went on')
 def step(context, entry):
     broken = [tries for tries in context.own if not tries.whole]
