--- a/tests/features/steps/stream_order.py
+++ b/tests/features/steps/stream_order.py
@@ -483,5 +483,12 @@
 @then("at least {most:d} in ten are whole")
 def step(context, most):
     whole = sum(tries.whole for tries in context.tries)
-    statuses = [tries.statuses for tries in context.tries if not tries.whole]
-    assert whole * 10 >= len(context.tries) * most, (whole, statuses)
+    broken = [tries for tries in context.tries if not tries.whole]
+    names = ("attempt_failed", "stream_not_resumed")
+    reasons = [
+        (name, event.get("failure") or event.get("reason"))
+        for name in context.site.entries
+        for kind in names
+        for event in context.site.events(name, kind)
+    ]
+    assert whole * 10 >= len(context.tries) * most, (whole, broken, reasons)
