Probe brittle servers only with a seat

Found while the same cause as that of probes of limited servers was looked for: probes of links took a place at a brittle server without a seat. All entries probe at once when the servers pause for 0.4 s, and a server without room counts each as a rejection.

Fix: a probe of a brittle server takes a seat, returns it with its answer, and half a second later if it was not answered; it is left out without one.

Left: stage servers get their calls from the owner of their queue without seats, so that a seat of a probe there does not count these calls.

--- a/boragestream/daemon/parts.py
+++ b/boragestream/daemon/parts.py
@@ -179,7 +179,7 @@
         servers,
         loads,
         HealthProbe(reach, clock),
-        limits.limited,
+        limits,
         clock,
         rng,
     )
--- a/boragestream/daemon/reach.py
+++ b/boragestream/daemon/reach.py
@@ -8,6 +8,7 @@
 from boragestream.backend.forwarded_call import CallLine
 from boragestream.base.clock import Clock
 from boragestream.base.route_metrics import RouteMetrics
+from boragestream.daemon.limits import SharedLimits
 from boragestream.entry.delegation import prove_delegation
 from boragestream.entry.links import Handler, PeerLinks
 from boragestream.entry.peers import EntryPeers
@@ -22,8 +23,8 @@
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.serving.delegation import DelegationParts, EncodeDelegated
 from boragestream.serving.limited_probes import LimitedProbe
-from boragestream.serving.limited_servers import LimitedServers
 from boragestream.serving.reach_checks import Probe, ReachChecks
+from boragestream.serving.seated_probes import SeatedProbe
 
 __all__ = [
     "ReachParts",
@@ -70,14 +71,14 @@
     servers: ServerTable,
     loads: LoadTable,
     probe: Probe,
-    limited: LimitedServers,
+    limits: SharedLimits,
     clock: Clock,
     rng: random.Random,
 ) -> ReachParts:
     """Connect this entry's own evidence with what the other entries see.
 
     :param own: this entry's name.
-    :param limited: the servers that have a limit, whose probes need a permit.
+    :param limits: the servers whose probes need a permit or a seat.
     """
 
     def incarnation_of(entry: str) -> str:
@@ -98,7 +99,7 @@
         data_centre,
         reach,
         cut_entries,
-        LimitedProbe(probe, limited),
+        LimitedProbe(SeatedProbe(probe, limits.seated, loads), limits.limited),
         members.entries.usable,
         servers.live,
         services,
@@ -106,7 +107,7 @@
         clock,
         rng,
         returned,
-        lambda server: limited.limits.limit(server) is not None,
+        lambda server: limits.limits.limit(server) is not None,
     )
     members.exchange.add_part(ReachPart(cut_entries, checks.note_cut_entry))
     return ReachParts(reach, cut_entries, checks)
--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -206,7 +206,7 @@
         servers,
         loads,
         probe,
-        limits.limited,
+        limits,
         clock,
         rng,
     )
--- a/boragestream/serving/call_gate.py
+++ b/boragestream/serving/call_gate.py
@@ -5,7 +5,8 @@
 connection made: forwarded requests, streams and their resumption, hedged attempts,
 batches of pieces, releases of results and questions for reports. Requests that are
 delegated to another entry are checked there. Probes, which look whether a server
-answers at all, are not checked here; ``serving.limited_probes`` bounds them.
+answers at all, are not checked here but in ``serving.limited_probes`` and
+``serving.seated_probes``.
 
 Which server a call is sent to is decided elsewhere, as is whether its request may run.
 """
