Count the services to which a route has led for its streams

Callers saw streams of two services after a configuration had moved their route: at another entry than the one that began them they went on at the new service.

Cause: where a stream may have begun was taken from the route as it leads now. That the new service has a single version says nothing about the one before, and entries with the record were not asked. Versions of two services also counted as one if they were named alike.

Change: a table of routes keeps the targets of versions that were in force within 60 s; they count beside the present ones, and a single version is one of all these services together. While there are several, records are sent to their holders as for several versions, so that streams which begin after the move go on.

Left: an entry that started after the move does not know the former service, and one whose configuration is old takes the former one for the present one.

--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -92,7 +92,7 @@
     own = settings.listen.peer_name
     incarnation = new_incarnation()
     sender = Sender(DEPLOYMENT, own, incarnation, settings.peers.key.encode())
-    routes = RoutesInForce()
+    routes = RoutesInForce(clock)
     services = ServiceDefinitions(routes, lambda: len(book.entries))
     service_definition, piece_limits = services.definition, services.piece_limits
     loads = LoadTable(clock, rng)
--- a/boragestream/entry/stream_records.py
+++ b/boragestream/entry/stream_records.py
@@ -111,10 +111,16 @@
         """The number of records."""
         return len(self._origins)
 
-    def note_began(self, key: bytes, origin: StreamOrigin) -> None:
-        """Record where a stream began, before its first event is passed on."""
+    def note_began(
+        self, key: bytes, origin: StreamOrigin, services: tuple[str, ...] = ()
+    ) -> None:
+        """Record where a stream began, before its first event is passed on.
+
+        :param services: to which its route leads or has led recently.
+        """
         self._origins.note(key, origin)
-        if self._history.has_several(origin.service):
+        among = {origin.service, *services}
+        if sum(len(self._history.versions(service)) for service in among) > 1:
             self._send(key, origin)
 
     def note_several(self, services: Sequence[str]) -> None:
--- a/boragestream/policy/route_table.py
+++ b/boragestream/policy/route_table.py
@@ -8,8 +8,9 @@
 import threading
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from boragestream.base.clock import Clock
 from boragestream.base.outcomes import Failure
 from boragestream.document.digest import text_digest
 from boragestream.document.routes import (
@@ -20,6 +21,11 @@
     key_digest,
 )
 from boragestream.policy.configuration import KEPT_TEXTS, Offer
+from boragestream.policy.route_targets import (
+    ReplacedTargets,
+    find_services,
+    replace_targets,
+)
 from boragestream.policy.urgency import least_priority, urgency
 
 __all__ = [
@@ -50,6 +56,7 @@
     :ivar routes: the routes by host, the longest prefix first.
     :ivar accounts: the client accounts by the digest of each of their keys.
     :ivar least_priority: the priority of the most urgent client accounts.
+    :ivar replaced: the targets of versions that were in force lately.
     """
 
     document: RouteDocument
@@ -58,6 +65,7 @@
     accounts: dict[str, RouteAccount] = field(repr=False)
     services: dict[str, RouteService] = field(repr=False)
     least_priority: int = 0
+    replaced: tuple[ReplacedTargets, ...] = field(default=(), repr=False)
 
     @property
     def version(self) -> int:
@@ -71,6 +79,17 @@
                 return route
         return RouteUnknown()
 
+    def recent_services(self, host: str, path: str, now: float) -> tuple[str, ...]:
+        """Return the services to which a path leads or has led recently.
+
+        :param now: the clock's seconds.
+        """
+        route = self.route(host, path)
+        current = [] if isinstance(route, Failure) else route.targets
+        services = [target.service for target in current]
+        services += find_services(self.replaced, host, path, now)
+        return tuple(dict.fromkeys(services))
+
     def account(self, route: Route, key: str) -> RouteAccount | KeyUnknown | None:
         """Return the client account of a key.
 
@@ -111,7 +130,8 @@
 class RoutesInForce:
     """Holds the version in force and accepts or rejects offered versions."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._current: RouteTable | None = None
         self._texts: OrderedDict[str, bytes] = OrderedDict()
         self._listeners: list[Callable[[RouteTable], None]] = []
@@ -146,6 +166,11 @@
             while len(self._texts) > KEPT_TEXTS:
                 self._texts.popitem(last=False)
             table = make_table(document, digest)
+            if current is not None:
+                replaced = replace_targets(
+                    current.replaced, current.routes, table.routes, self._clock.now()
+                )
+                table = replace(table, replaced=replaced)
             self._current = table
         for listener in self._listeners:
             listener(table)
--- a/boragestream/policy/stream_origins.py
+++ b/boragestream/policy/stream_origins.py
@@ -147,8 +147,11 @@
 
     @property
     def single(self) -> bool:
-        """Whether the services in question have had one version or none."""
-        return len(frozenset().union(*self.versions)) <= 1
+        """Whether the services in question have had one version in all, or none.
+
+        Versions of different services have nothing in common.
+        """
+        return sum(map(len, self.versions)) <= 1
 
     @property
     def proves_single(self) -> bool:
@@ -187,7 +190,7 @@
 ) -> ResolvedOrigin | OriginUnknown:
     """Return where a stream goes on.
 
-    :param services: those at which the stream may go on.
+    :param services: those at which the stream may have begun.
     :param reports: of this entry and of those that answered; this entry's is the first.
     :param missing: the number of entries that did not answer.
     :param past_known: whether this entry's report covers the store's whole history.
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -319,7 +319,7 @@
         """Keep the stream at the version of the server whose events come first."""
         if isinstance(attempt, ForwardAttempt):
             self._choice.require_version(attempt.server.version)
-            note_stream_began(self._parts.origins, self._run, attempt.server)
+            note_stream_began(self._parts, self._run, attempt.server)
 
     def _handle_broken_stream(self, attempt: OpenAttempt, failure: Failure) -> None:
         attempt.end(CallEnd.CUT)
--- a/boragestream/serving/stream_origin.py
+++ b/boragestream/serving/stream_origin.py
@@ -40,15 +40,20 @@
 class OriginRecords(Protocol):
     """The records of where streams began."""
 
-    def note_began(self, key: bytes, origin: StreamOrigin) -> None:
-        """Record where a stream began, before its first event is passed on."""
+    def note_began(
+        self, key: bytes, origin: StreamOrigin, services: tuple[str, ...] = ()
+    ) -> None:
+        """Record where a stream began, before its first event is passed on.
+
+        :param services: to which its route leads or has led recently.
+        """
 
     def find(
         self, key: bytes, services: tuple[str, ...]
     ) -> ResolvedOrigin | OriginUnknown:
         """Return where a stream goes on.
 
-        :param services: where it may go on; the first is that of its next attempt.
+        :param services: where it may have begun; the first is that of its next attempt.
         """
 
 
@@ -97,13 +102,13 @@
     goes_on = run.takes_up_stream or (began and run.may_be_taken_up)
     if records is None or not goes_on:
         return run
-    others = (target.service for target in run.route.targets)
-    services = tuple(dict.fromkeys((run.service, *others)))
+    services = _services(parts, run)
     found = records.find(_key(run), services)
     if isinstance(found, OriginUnknown) and not isinstance(found, OriginAmbiguous):
         events = last_event if last_event is not None else request.last_event
         found = _ask_engines(parts, run, services, events or 0, found)
-    if isinstance(found, ResolvedOrigin) and found.origin.service not in services:
+    targets = [target.service for target in run.route.targets]
+    if isinstance(found, ResolvedOrigin) and found.origin.service not in targets:
         reason = "the route no longer leads to its service"
         found = OriginUnknown(found.origin.service, reason)
     list_revision = parts.servers.list_origin.revision
@@ -138,12 +143,11 @@
     return replace(run, service=origin.service, version=origin.version)
 
 
-def note_stream_began(
-    records: OriginRecords | None, run: ForwardedRun, server: Server
-) -> None:
+def note_stream_began(parts: OriginParts, run: ForwardedRun, server: Server) -> None:
     """Record which server's event is the first that the caller receives."""
-    if records is not None and run.route.repeatable:
-        records.note_began(_key(run), StreamOrigin(server.service, server.version))
+    if parts.origins is not None and run.route.repeatable:
+        origin = StreamOrigin(server.service, server.version)
+        parts.origins.note_began(_key(run), origin, _services(parts, run))
 
 
 def _ask_engines(
@@ -172,6 +176,14 @@
     return resolve_by_caches(unknown, survey, KeptTokens(tokens + max(1, events), most))
 
 
+def _services(parts: OriginParts, run: ForwardedRun) -> tuple[str, ...]:
+    """Return the services at which the stream may have begun."""
+    request, now = run.request, parts.clock.now()
+    recent = run.table.recent_services(request.host, request.path, now)
+    targets = (target.service for target in run.route.targets)
+    return tuple(dict.fromkeys((run.service, *targets, *recent)))
+
+
 def _key(run: ForwardedRun) -> bytes:
     """Return the key of the stream, which all tries of its caller share."""
     request = run.request
--- a/tests/features/steps/lost_questions.py
+++ b/tests/features/steps/lost_questions.py
@@ -279,7 +279,7 @@
             own,
             members,
             links,
-            RoutesInForce(),
+            RoutesInForce(clock),
             lambda values: None,
             lambda values: self.taken.append(sorted(values)),
             StartupReadiness(clock, AWAITED_KEYS),
--- a/tests/features/steps/route_decisions.py
+++ b/tests/features/steps/route_decisions.py
@@ -71,7 +71,7 @@
 
 @given('the versions "{offered}" are offered in this order')
 def step(context, offered):
-    context.routes = RoutesInForce()
+    context.routes = RoutesInForce(SetClock())
     for version in offered.split(", "):
         context.routes.offer(document(version=int(version)), version.encode())
 
--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -8,11 +8,13 @@
 from behave import given, then, when
 
 from tests.standins.fleet import wait_until
-from tests.standins.route_server import EVENTS
-from tests.standins.route_site import ZONES, configuration
+from tests.standins.route_server import EVENTS, RouteServer
+from tests.standins.route_site import ADDRESS, ZONES, configuration
 from tests.standins.stream_caller import Tries, read_stream, run_all
 
 PAUSE_SECONDS = 0.04
+OTHER_SERVICE = "engine-2"
+MOVED = "configuration_in_force"
 PART = 3
 NOT_RUN = 503
 # No wait for a server fits into this time.
@@ -45,6 +47,65 @@
     time.sleep(LISTED_SECONDS)
 
 
+def move_route(site, version, service):
+    """Publish a configuration whose route for chats leads to a service."""
+    published = configuration(version)
+    route = next(r for r in published["routes"] if r["prefix"] == "/chat/")
+    route["service"] = service
+    engine = next(s for s in published["services"] if s["name"] == "engine")
+    published["services"].append({**engine, "name": OTHER_SERVICE})
+    site.publish(published)
+
+
+@given('engines of "{versions}", and engines of another service of "{other}"')
+def step(context, versions, other):
+    context.execute_steps(f'Given engines of the versions "{versions}"')
+    site = context.site
+    move_route(site, 2, "engine")
+    for zone in ZONES[:2]:
+        server = RouteServer(ADDRESS, OTHER_SERVICE, "engine", zone, site.faults)
+        server.version, server.event_seconds = other, PAUSE_SECONDS
+        site.servers.append(server)
+        site.list(server)
+
+
+@when(
+    "{count:d} callers read part of a stream, its route moves to the other service, "
+    "and they take it up at other entries"
+)
+def step(context, count):
+    site, names = context.site, list(context.site.entries)
+    run_all(
+        context,
+        count,
+        lambda n: read_stream(site, Tries(), names[n % 3], "/chat/ok", PART),
+    )
+    move_route(site, 3, OTHER_SERVICE)
+    wait_until(
+        lambda: all(site.events(name, MOVED)[-1]["version"] == 3 for name in names),
+        what="the route has moved everywhere",
+    )
+
+    def go_on(number):
+        entry = names[(number + 1) % 3]
+        return read_stream(site, context.tries[number], entry, "/chat/ok")
+
+    run_all(context, count, go_on)
+
+
+@then("each ends with its first part, and is refused as not run")
+def step(context):
+    for tries in context.tries:
+        assert tries.statuses == [200, NOT_RUN], tries
+        assert len(tries.events) == PART, tries
+
+
+@when("a new stream of each caller is read in part and taken up at another entry")
+def step(context):
+    names = list(context.site.entries)
+    take_up(context, len(context.tries), 1, lambda n, a: names[(n + a) % len(names)])
+
+
 @when('{count:d} streams "{path}" are read at all entries')
 def step(context, count, path):
     site, entries = context.site, list(context.site.entries)
--- a/tests/features/stream_versions.feature
+++ b/tests/features/stream_versions.feature
@@ -67,6 +67,23 @@
     When callers read streams and take them up while each engine in turn becomes "v2"
     Then no stream holds events of two versions
 
+  # Guards against a stream that goes on at the service to which its route has moved
+  # since it began, as if that one had served it.
+  @fixture.route-site.3
+  Scenario Outline: streams whose route has moved to another service are refused: <version>
+    Given engines of "v1 v1", and engines of another service of "<version>"
+    When the entries have followed the list for 21 s
+    And 24 callers read part of a stream, its route moves to the other service, and they take it up at other entries
+    Then each ends with its first part, and is refused as not run
+    When a new stream of each caller is read in part and taken up at another entry
+    Then no stream holds events of two versions
+    And at least 9 streams in ten went on
+
+    Examples:
+      | version |
+      | v2      |
+      | v1      |
+
   # Guards against a stream that goes on at a version which is listed only after the
   # stream was taken up, as single versions were not held to.
   @fixture.route-site.3
