Start the time of followed lists anew when the store was restored

Callers would see streams of two versions after a restore: a version that was listed, used by another entry and lost with the restore is in no list, and an entry that was confirmed a moment before counted its history as whole.

Cause: a whole list counts as without a gap if the list was confirmed within the time for which a leaving server stays listed. A restored store loses what was written, which is no leave. The row 'a restored store, 1.9 s: goes on' demanded the fault and is replaced by one that refuses after 0.1 s; it failed before. Streams without a record are refused for as long as streams last after a restore.

--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -328,7 +328,7 @@
             if (later_era and after != known) or after.era < known.era:
                 return None
             stored = self._stored_after(changes) if later_era else {}
-        if not relayed.unbroken:
+        if later_era or not relayed.unbroken:
             self._note_whole_list(position)
         now = self._now()
         retention_ends = {key: now + seconds for key, seconds in relayed.lapsed.items()}
@@ -358,7 +358,10 @@
     def _note_whole_list(self, position: Position) -> None:
         """Record that superseded changes up to a position are not received."""
         known = self._position
-        if known is None or position <= known or self._recently_confirmed():
+        if known is None or position <= known:
+            return
+        # A restored store has lost changes, however lately the list was confirmed.
+        if position.era == known.era and self._recently_confirmed():
             return
         self._kept.note_gap(position)
         self._note_gap()
--- a/tests/features/listed_versions.feature
+++ b/tests/features/listed_versions.feature
@@ -46,7 +46,7 @@
       | list                                        | seconds | goes            |
       | the list of a store without history         | 1.9     | goes on at "v1" |
       | the list of a store without history         | 2.1     | is refused      |
-      | the list of a restored store                | 1.9     | goes on at "v1" |
+      | the list of a restored store                | 0.1     | is refused      |
       | the list of a restored store                | 2.1     | is refused      |
       | the list of a peer that started later       | 1.9     | goes on at "v1" |
       | the list of a peer that started later       | 2.1     | is refused      |
