Read whether the past is known before the report that relies on it

A past that another stream added between the report and the decision counted for the report, which did not include it, so that a stream could go on at the one version that the report named. The flag is read first now, so that the report has at least what it covers.

--- a/boragestream/entry/stream_records.py
+++ b/boragestream/entry/stream_records.py
@@ -146,10 +146,12 @@
         holders = self._holders(key)[:REQUESTED_ENTRIES]
         reports = self._ask_holders(key, services, holders, own, ends_at)
         missing = len(holders) - len(reports)
+        past_known = False
         if own.single and confirmed:
             self._server_list.read_past()
+            # The report that follows has at least what this past covers.
+            past_known = self._history.past_known
             own = self._report(key, services, confirmed)
-        past_known = self._history.past_known
         return resolve_origin(services, [own, *reports], missing, past_known)
 
     def shares_records(self, entry: ListedEntry, service: str) -> bool:
--- a/tests/features/steps/stream_origins.py
+++ b/tests/features/steps/stream_origins.py
@@ -276,7 +276,7 @@
 
     def __init__(self, history, store=CURRENT, read_past=lambda: None):
         """Take the history that the list is applied to, and the store's state."""
-        self._history = history
+        self.history = history
         self._read_past = read_past
         self.store = store
         self.seconds_old = 0.0
@@ -290,7 +290,7 @@
         """Apply what the store lists, if it answers."""
         self.confirmations += 1
         if self.store.startswith(NEWER):
-            self._history.take_list(listed_servers(self.store.removeprefix(NEWER)))
+            self.history.take_list(listed_servers(self.store.removeprefix(NEWER)))
         return self.store != UNREACHABLE
 
     def read_past(self):
@@ -342,6 +342,23 @@
     context.records = stream_records(history, clock, reply, context.server_list)
 
 
+@given('the past "{versions}" is added right after its last report')
+def step(context, versions):
+    records, report = context.records, context.records._report
+    confirmed_reports = []
+
+    def report_before_past(key, services, confirmed=False):
+        reported = report(key, services, confirmed)
+        if confirmed:
+            confirmed_reports.append(reported)
+        # The first one is made before the past is read, the second one after it.
+        if len(confirmed_reports) == 2:
+            context.server_list.history.add_past(listed_servers(versions))
+        return reported
+
+    records._report = report_before_past
+
+
 @when("a stream of its caller is taken up there")
 def step(context):
     key = stream_key("account", "r-1")
--- a/tests/features/stream_origins.feature
+++ b/tests/features/stream_origins.feature
@@ -115,6 +115,13 @@
       | lists v1 v2       | has no record and has listed v1 alone              | is refused    |
       | lists v1 v2       | has a record of v2 for the stream                  | goes on at v2 |
 
+  # Guards against a past that another stream has read after the versions were reported.
+  Scenario: a past that is added during the decision counts with its versions only
+    Given an entry that has listed "v1" alone for 2 s, whose store confirms the list, and whose peer does not answer
+    And the past "v1 v2" is added right after its last report
+    When a stream of its caller is taken up there
+    Then the stream is refused
+
   # Guards against messages for each stream that is taken up while one version serves.
   Scenario: an entry whose store confirms its list asks no other one where a stream goes on
     Given an entry that has listed "v1" alone for 30 s, whose store confirms the list, and whose peer does not answer
