Hold the ports of a test site until it ends, and print why an entry isn't ready

Fixtures of sites failed now and then ('entry-1 is ready did not hold within 20 s', once in a run of all features four at a time), without a trace. Ports were free when they were chosen, and nothing kept other sites from choosing the same ones before the entries had bound them. They are reserved as those of fleets are; that this was the cause is not shown. A site whose entry is not ready now says its exit code and last lines.

--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -17,7 +17,7 @@
 from collections import Counter
 from pathlib import Path
 
-from tests.standins.fleet import Process, free_ports, wait_until
+from tests.standins.fleet import Process, reserve_ports, wait_until
 from tests.standins.route_server import RouteServer
 from tests.standins.route_store import RouteStore
 
@@ -28,6 +28,8 @@
 KEY = "key-of-a-caller-0123456789"
 HOST = "site.example"
 ZONES = ("hall-a", "hall-b", "hall-c")
+# Of an entry that is not ready in time.
+LOGGED_LINES = 5
 REGIONS = {"hall-a": "valley", "hall-b": "hills", "hall-c": "valley"}
 # What settings name where data centres are drained and cold servers are bounded.
 DRAIN_BOUNDS = {"evacuate_ms": 5000, "cold_over": 1.5, "cold_slack": 5}
@@ -182,7 +184,9 @@
         for server in self.servers:
             server.when_back = self.list_again
             self.list(server)
-        ports = iter(free_ports(entries * 4))
+        # Held until the site ends, so that no other site gets the same ports.
+        self.reserved = reserve_ports(entries * 4)
+        ports = iter([sock.getsockname()[1] for sock in self.reserved])
         for number in range(entries):
             self.add_entry(f"entry-{number}", ZONES[number % 3], ports)
 
@@ -284,7 +288,12 @@
 
     def wait_ready(self, name):
         """Wait until an entry says that it is ready."""
-        wait_until(lambda: self.ready(name) == 200, what=f"{name} is ready")
+        try:
+            wait_until(lambda: self.ready(name) == 200, what=f"{name} is ready")
+        except TimeoutError as error:
+            code = self.entries[name].popen.poll()
+            lines = self.log(name).splitlines()[-LOGGED_LINES:]
+            raise TimeoutError(f"{error}; exit code {code}, log: {lines}") from error
 
     def close(self):
         """End everything."""
@@ -295,6 +304,8 @@
         for server in self.servers:
             server.close()
         self.store.close()
+        for sock in self.reserved:
+            sock.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def publish(self, published):
