--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -212,7 +212,7 @@
     def _read_changes(
         self, known: Position, answer_seconds: float
     ) -> Snapshot | Changes | HistoryGone | Failure:
-        """Read what has changed, without waiting; all values if that can't be told."""
+        """Read what has changed, without waiting; all values if changes are gone."""
         answer = self.store.watch(self.prefix, known.revision, 0.0, answer_seconds)
         if self._classify(answer, known) is AnswerStatus.UNCONNECTED:
             answer = self.store.read(self.prefix)
--- a/boragestream/platform/store.py
+++ b/boragestream/platform/store.py
@@ -35,7 +35,7 @@
 CONFIGURATION_KEY = "op/config"
 DRAINED_PREFIX = "op/evacuate/"
 SERVERS_PREFIX = "servers/"
-# No key begins so: a read of it tells the revision of the store and nothing else.
+# No key has this prefix: a read of it returns the revision of the store alone.
 EMPTY_PREFIX = "none/"
 RANGE_CALL = "/boragestream/kv-range"
 WATCH_CALL = "/boragestream/kv-watch"
--- a/boragestream/policy/kept_changes.py
+++ b/boragestream/policy/kept_changes.py
@@ -4,11 +4,11 @@
 """
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from boragestream.policy.publication import NO_ERA, Change, Position, Write
 
-__all__ = ["KeptChanges", "changes_between"]
+__all__ = ["KeptChanges", "changes_between", "stored_after"]
 
 
 def changes_between(
@@ -27,6 +27,18 @@
     ]
 
 
+def stored_after(
+    stored: Mapping[str, Write], changes: Iterable[Change]
+) -> dict[str, Write]:
+    """Return stored values with some changes applied."""
+    after = dict(stored)
+    for change in changes:
+        after.pop(change.key, None)
+        if change.value is not None:
+            after[change.key] = Write(change.revision, change.value)
+    return after
+
+
 class KeptChanges:
     """The latest changes and the positions between which they are complete.
 
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from boragestream.policy.held_values import SERVER_RETENTION, HeldValues, Retention
-from boragestream.policy.kept_changes import KeptChanges, changes_between
+from boragestream.policy.kept_changes import KeptChanges, changes_between, stored_after
 from boragestream.policy.lapses import LapseWindow
 from boragestream.policy.publication import (
     NO_ERA,
@@ -327,7 +327,7 @@
                 return None
             if (later_era and after != known) or after.era < known.era:
                 return None
-            stored = self._stored_after(changes) if later_era else {}
+            stored = stored_after(self._stored, changes) if later_era else {}
         if later_era or not relayed.unbroken:
             self._note_whole_list(position)
         now = self._now()
@@ -361,19 +361,9 @@
         if known is None or position <= known:
             return
         # A restored store has lost changes, however lately the list was confirmed.
-        if position.era == known.era and self._recently_confirmed():
-            return
-        self._kept.note_gap(position)
-        self._note_gap()
-
-    def _stored_after(self, changes: Iterable[Change]) -> dict[str, Write]:
-        """Return the stored values with some changes applied."""
-        stored = dict(self._stored)
-        for change in changes:
-            stored.pop(change.key, None)
-            if change.value is not None:
-                stored[change.key] = Write(change.revision, change.value)
-        return stored
+        if position.era > known.era or not self._recently_confirmed():
+            self._kept.note_gap(position)
+            self._note_gap()
 
     def _apply(
         self,
