Look a stream's route up once for its former services

The services at which a stream may have begun were found by a second search for its route, at the first event of each stream. The targets of the route that the request has are used, and only replaced versions are searched. No behaviour changes: layering, route_decisions, stream_origins and the two scenarios of moved routes passed, and lint.

--- a/boragestream/policy/route_table.py
+++ b/boragestream/policy/route_table.py
@@ -21,11 +21,7 @@
     key_digest,
 )
 from boragestream.policy.configuration import KEPT_TEXTS, Offer
-from boragestream.policy.route_targets import (
-    ReplacedTargets,
-    find_services,
-    replace_targets,
-)
+from boragestream.policy.route_targets import ReplacedTargets, replace_targets
 from boragestream.policy.urgency import least_priority, urgency
 
 __all__ = [
@@ -79,17 +75,6 @@
                 return route
         return RouteUnknown()
 
-    def recent_services(self, host: str, path: str, now: float) -> tuple[str, ...]:
-        """Return the services to which a path leads or has led recently.
-
-        :param now: the clock's seconds.
-        """
-        route = self.route(host, path)
-        current = [] if isinstance(route, Failure) else route.targets
-        services = [target.service for target in current]
-        services += find_services(self.replaced, host, path, now)
-        return tuple(dict.fromkeys(services))
-
     def account(self, route: Route, key: str) -> RouteAccount | KeyUnknown | None:
         """Return the client account of a key.
 
--- a/boragestream/serving/stream_origin.py
+++ b/boragestream/serving/stream_origin.py
@@ -18,6 +18,7 @@
     KeptTokens,
     resolve_by_caches,
 )
+from boragestream.policy.route_targets import find_services
 from boragestream.policy.servers import Server, ServerTable
 from boragestream.policy.stream_origins import (
     OriginAmbiguous,
@@ -179,9 +180,9 @@
 def _services(parts: OriginParts, run: ForwardedRun) -> tuple[str, ...]:
     """Return the services at which the stream may have begun."""
     request, now = run.request, parts.clock.now()
-    recent = run.table.recent_services(request.host, request.path, now)
+    former = find_services(run.table.replaced, request.host, request.path, now)
     targets = (target.service for target in run.route.targets)
-    return tuple(dict.fromkeys((run.service, *targets, *recent)))
+    return tuple(dict.fromkeys((run.service, *targets, *former)))
 
 
 def _key(run: ForwardedRun) -> bytes:
