Charge an answer to one holder from its first byte to its last

Callers saw: an entry ended for want of memory under callers that read most of their long answers and then nothing.

Cause: waitress keeps output in one buffer that is freed as a whole, while the charge fell with each byte sent: 4 MB that were read up to nine tenths counted as 0.4 MB. Besides, the charge of an answer ended before its output was charged, the body was held in parts and joined while it was read, and bytes in the kernel's send buffer were counted once a second.

Change: a body is read in blocks of 64 KB after they were granted, the blocks are handed over one by one, and each stays charged to the answer until the connection has charged it. Output is kept in blocks that are dropped when they were sent (caller.output_blocks). What the kernel holds unsent counts from the moment at which it is sent; the kernel is asked again each 64 KB. Bytes of a stream that were read and not passed on are charged too.

--- a/boragestream/backend/bounded_io.py
+++ b/boragestream/backend/bounded_io.py
@@ -26,7 +26,7 @@
 UNREAD_CALL_SECONDS = 2.0
 # Servers cut off an answer that remains unread for some seconds.
 WAIT_FOR_MEMORY_SECONDS = 2.0
-CHUNK_BYTES = 65_536
+BLOCK_BYTES = 65_536
 
 
 def send_bounded(
@@ -68,13 +68,14 @@
     server: str,
     memory: MemoryBudget,
     scope: CancelScope,
-) -> bytes | AttemptFailure:
+) -> list[bytes] | AttemptFailure:
     """Read the whole body of an answer once its bytes are granted.
 
     The bytes stay charged to the scope's charge, or, if it has none, while they are
     read.
 
     :param server: the server's name.
+    :returns: the body in blocks, so that each can be dropped once it was passed on.
     :raises OSError: if the connection breaks.
     :raises http.client.HTTPException: if the answer isn't whole, or is too long.
     """
@@ -82,23 +83,37 @@
     charge = held or MemoryCharge(memory, MemoryKind.ANSWER)
     try:
         length = response.length
-        if length is not None:
-            if not _granted(charge, length, scope):
-                return AnswerUnread(server, Ran.MAY_HAVE_RUN, length)
-            return response.read()
-        chunks: list[bytes] = []
-        size = 0
-        while data := response.read1(CHUNK_BYTES):
-            chunks.append(data)
-            size += len(data)
-            if not _granted(charge, len(data), scope):
-                return AnswerUnread(server, Ran.MAY_HAVE_RUN, size)
-        return b"".join(chunks)
+        if length is not None and not _granted(charge, length, scope):
+            return AnswerUnread(server, Ran.MAY_HAVE_RUN, length)
+        return _read_blocks(response, server, None if length else charge, scope)
     finally:
         if held is None:
             charge.release()
 
 
+def _read_blocks(
+    response: AnswerReader,
+    server: str,
+    charge: MemoryCharge | None,
+    scope: CancelScope,
+) -> list[bytes] | AttemptFailure:
+    """Read blocks up to the end of the body.
+
+    :param charge: is charged for each block before it is read, since the answer names
+        no length; None if all are charged.
+    """
+    blocks: list[bytes] = []
+    while True:
+        if charge is not None and not _granted(charge, BLOCK_BYTES, scope):
+            return AnswerUnread(server, Ran.MAY_HAVE_RUN, len(blocks) * BLOCK_BYTES)
+        block = response.read(BLOCK_BYTES)
+        if charge is not None:
+            charge.give(BLOCK_BYTES - len(block))
+        if not block:
+            return blocks
+        blocks.append(block)
+
+
 def _granted(charge: MemoryCharge, size: int, scope: CancelScope) -> bool:
     return charge.wait_and_reserve(
         size, WAIT_FOR_MEMORY_SECONDS, lambda: scope.reason is not None
--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -42,7 +42,8 @@
 
 # A call up to this size is sent as one piece of memory, and mostly as one packet.
 JOINED_BYTES = 65_536
-READ_BYTES = 65536
+# Part of a stream that is read at once, and charged only then.
+READ_BYTES = 16_384
 # A kept connection is used only well before its server closes it.
 IDLE_MARGIN_SECONDS = 1.0
 WATCHDOG_MARGIN_SECONDS = 1.0
@@ -123,7 +124,10 @@
 
 
 class OpenForwardedAnswer:
-    """An answer whose head is there; ``read`` or ``parts`` is called once."""
+    """An answer whose head is there.
+
+    One of ``read``, ``read_blocks`` and ``parts`` is called once.
+    """
 
     def __init__(
         self,
@@ -163,12 +167,17 @@
 
     def read(self) -> bytes | AttemptFailure:
         """Read the whole body, or tell why there is none."""
+        blocks = self.read_blocks()
+        return blocks if isinstance(blocks, AttemptFailure) else b"".join(blocks)
+
+    def read_blocks(self) -> list[bytes] | AttemptFailure:
+        """Read the whole body in blocks, or tell why there is none."""
         memory = self._line.memory
         try:
             if memory is None:
-                body = self._response.read()
+                blocks = [self._response.read()]
             else:
-                body = read_bounded(
+                blocks = read_bounded(
                     self._response,
                     self._server.name,
                     memory,
@@ -176,11 +185,11 @@
                 )
         except (OSError, http.client.HTTPException, ValueError) as error:
             return self._fail(error)
-        if isinstance(body, AttemptFailure):
+        if isinstance(blocks, AttemptFailure):
             self.close()
-            return body
+            return blocks
         self._keep()
-        return body
+        return blocks
 
     def parts(self) -> Iterator[bytes | AttemptFailure]:
         """Yield the bytes of the body as they come; a failure is the last item."""
--- a/boragestream/base/memory_budget.py
+++ b/boragestream/base/memory_budget.py
@@ -224,6 +224,13 @@
             self.release()
         return not ended
 
+    def give(self, size: int) -> None:
+        """Return some of the bytes, which another charge counts from now on."""
+        with self._lock:
+            size = min(size, self._size)
+            self._size -= size
+            self._budget.release(self._kind, size)
+
     def set(self, size: int) -> None:
         """Charge exactly this many bytes, which are held already."""
         with self._lock:
--- a/boragestream/caller/channel.py
+++ b/boragestream/caller/channel.py
@@ -2,13 +2,14 @@
 
 waitress copies all output through a buffer. A streamed token is small and the socket
 nearly always accepts it whole, so this channel sends it directly. Bytes that the socket
-does not accept go through the buffer as usual.
+does not accept are kept in blocks, each of which is dropped once it was sent.
 """
 
 import time
-from typing import Any
 
-from waitress.channel import HTTPChannel
+from waitress.channel import ClientDisconnected, HTTPChannel
+
+from boragestream.caller.output_blocks import OutputBlocks
 
 __all__ = ["DirectChannel"]
 
@@ -16,24 +17,39 @@
 class DirectChannel(HTTPChannel):
     """One connection of a caller."""
 
-    def write_soon(self, data: Any) -> int:
-        """Send data, buffering what the socket does not accept; return its length."""
-        rest = data
-        if isinstance(data, bytes) and data:
+    def __init__(self, *arguments: object, **options: object) -> None:
+        super().__init__(*arguments, **options)
+        self._blocks = OutputBlocks()
+        self.outbufs = [self._blocks]
+
+    def write_soon(self, data: bytes) -> int:
+        """Send data, keeping what the socket does not accept; return its length.
+
+        :raises ClientDisconnected: if the connection is closed.
+        """
+        if not self.connected:
+            raise ClientDisconnected
+        if not data:
+            return 0
+        with self.outbuf_lock:
+            self._flush_outbufs_below_high_watermark()
+            if not self.connected:
+                raise ClientDisconnected
             rest = data[self._send_now(data) :]
-        if rest or not data:
-            super().write_soon(rest)
+            if rest:
+                self._blocks.append(rest)
+                self.total_outbufs_len += len(rest)
+                self.server.pull_trigger()
         return len(data)
 
     def _send_now(self, data: bytes) -> int:
-        """Return how many bytes the socket accepted; 0 if buffered output precedes."""
-        with self.outbuf_lock:
-            if self.total_outbufs_len or not self.connected:
-                return 0
-            try:
-                sent = self.send(data, do_close=False)
-            except OSError:
-                # The buffered write raises the same error, and waitress handles it.
-                return 0
-            self.last_activity = time.time()
-            return sent
+        """Return how many bytes the socket accepted; 0 if other output precedes."""
+        if self.total_outbufs_len:
+            return 0
+        try:
+            sent = self.send(data, do_close=False)
+        except OSError:
+            # The event loop meets the same error when it writes, and closes.
+            return 0
+        self.last_activity = time.time()
+        return sent
--- a/boragestream/caller/connections.py
+++ b/boragestream/caller/connections.py
@@ -49,6 +49,8 @@
 # A body is read so often in one pass of the event loop, which takes milliseconds where
 # there are thousands of connections.
 READS_AT_ONCE = 8
+# The kernel is asked what it holds unsent after so many further bytes.
+UNSENT_STEP_BYTES = 65_536
 # Less unread output of one caller does not block writes even if memory is short.
 SMALL_OUTPUT_BYTES = 16_384
 BLOCKED_POLL_SECONDS = 0.05
@@ -108,7 +110,9 @@
 
     def __init__(self, server: Any, *arguments: Any, **options: Any) -> None:
         self._memory: CallerMemory | None = getattr(server, "caller_memory", None)
-        self._output = self._received = self._unsent = None
+        self._output = self._received = None
+        # At the most what the kernel holds unsent, and from what on it is asked.
+        self._kernel_unsent, self._ask_kernel_at = 0, UNSENT_STEP_BYTES
         self._discard_until: float | None = None
         self._discard_left: int | None = None
         self._receives_body = False
@@ -116,9 +120,8 @@
         self.deadline = self.progress_at = 0.0
         if self._memory is not None:
             self._output = self._memory.charge(MemoryKind.OUTPUT)
-            # What the kernel holds.
+            # What the kernel has received.
             self._received = self._memory.charge(MemoryKind.REQUEST)
-            self._unsent = self._memory.charge(MemoryKind.OUTPUT)
         super().__init__(server, *arguments, **options)
 
     @property
@@ -129,8 +132,7 @@
     @property
     def unread_bytes(self) -> int:
         """The bytes that are held because the caller has not read them."""
-        unsent = self._unsent.size if self._unsent is not None else 0
-        return self.total_outbufs_len + unsent
+        return self.total_outbufs_len + self._kernel_unsent
 
     @property
     def discards_too_long(self) -> bool:
@@ -260,41 +262,64 @@
             return
         self._output.release()
         self._received.release()
-        self._unsent.release()
         if self.request is not None:
             self.request.release()
 
     def write_soon(self, data: Any) -> int:
-        """Send data, and charge what the socket does not accept."""
+        """Send data, and charge it until the caller has acknowledged it."""
         if self._memory is None:
             return super().write_soon(data)
-        length = super().write_soon(data)
         with self.outbuf_lock:
+            length = super().write_soon(data)
             self._count_output()
         return length
 
+    def send(self, data: Any, do_close: bool = True) -> int:
+        """Send data to the kernel, which holds it until the caller reads."""
+        sent = super().send(data, do_close)
+        if self._memory is not None and sent:
+            self._kernel_unsent += sent
+            if self._kernel_unsent >= self._ask_kernel_at:
+                # The event loop may be closing the connection.
+                with contextlib.suppress(OSError):
+                    self._count_unsent()
+        return sent
+
     def count_kernel_bytes(self) -> None:
         """Charge what the kernel has received or not sent for the connection.
 
         What it holds can't change without activity unless it is being sent.
         """
         recent = time.time() - self.last_activity < KERNEL_SECONDS
-        held = self._received.size or self._unsent.size
+        held = self._received.size or self._kernel_unsent
         if self.socket is None or not (recent or self.busy or held):
             return
         try:
             self._received.set(self._kernel_bytes(termios.FIONREAD))
-            before, unsent = self._unsent.size, self._kernel_bytes(termios.TIOCOUTQ)
-            if not before or unsent < before:
-                self.progress_at = self._memory.now()
-            self._unsent.set(unsent)
+            with self.outbuf_lock:
+                before = self._kernel_unsent
+                self._count_unsent()
+                if not before or self._kernel_unsent < before:
+                    self.progress_at = self._memory.now()
+                self._count_output()
         except OSError:
             # The connection is being closed, which releases both.
             return
 
+    def _count_unsent(self) -> None:
+        self._kernel_unsent = self._kernel_bytes(termios.TIOCOUTQ)
+        self._ask_kernel_at = self._kernel_unsent + UNSENT_STEP_BYTES
+
     def _kernel_bytes(self, kind: int) -> int:
+        """Return a number of bytes from the kernel.
+
+        :raises OSError: if the connection is closed.
+        """
         size = array.array("i", [0])
-        fcntl.ioctl(self.socket, kind, size)
+        try:
+            fcntl.ioctl(self.socket, kind, size)
+        except ValueError as error:
+            raise OSError("closed") from error
         return size[0]
 
     def _discard_rest(self, left: int | None) -> None:
@@ -324,9 +349,9 @@
             return sent
 
     def _count_output(self) -> None:
-        if self.total_outbufs_len and not self._output.size:
+        if not self._output.size:
             self.progress_at = self._memory.now()
-        self._output.set(self.total_outbufs_len)
+        self._output.set(self._blocks.held + self._kernel_unsent)
 
     def _flush_outbufs_below_high_watermark(self) -> None:
         """Block until the caller reads or waiting stops; waitress has no bound."""
--- a/boragestream/caller/forwarded_stream.py
+++ b/boragestream/caller/forwarded_stream.py
@@ -1,6 +1,6 @@
-"""Sends the events of a forwarded stream to its caller.
+"""Hands answers of backend servers to the connection of their caller.
 
-``serving.forwarder`` chooses the servers and produces the events.
+``serving.forwarder`` chooses the servers, and produces the blocks and events.
 """
 
 from collections.abc import Iterator
@@ -8,10 +8,17 @@
 
 from boragestream.base.clock import Clock
 from boragestream.base.failures import CallerGone
+from boragestream.base.memory_budget import MemoryCharge
 from boragestream.base.outcomes import Failure
 from boragestream.serving.forwarded_run import ForwardedRun
 
-__all__ = ["ForwardedStream", "StreamCutError", "StreamOwner", "StreamTiming"]
+__all__ = [
+    "ForwardedBody",
+    "ForwardedStream",
+    "StreamCutError",
+    "StreamOwner",
+    "StreamTiming",
+]
 
 
 class StreamTiming:
@@ -60,6 +67,33 @@
         """Log and count how a request ended."""
 
 
+class ForwardedBody:
+    """The body of a whole answer, as waitress iterates over it.
+
+    :param blocks: are removed as they are handed over.
+    :param held: the charge for the blocks; None if they are not counted.
+    """
+
+    def __init__(self, blocks: list[bytes], held: MemoryCharge | None) -> None:
+        self._blocks = blocks
+        self._held = held
+
+    def __iter__(self) -> Iterator[bytes]:
+        self._blocks.reverse()
+        while self._blocks:
+            block = self._blocks.pop()
+            yield block
+            # The connection charges what it holds of it.
+            if self._held is not None:
+                self._held.give(len(block))
+
+    def close(self) -> None:
+        """Drop what was not handed over; waitress always calls this."""
+        self._blocks.clear()
+        if self._held is not None:
+            self._held.release()
+
+
 class ForwardedStream:
     """The events of a stream, as waitress iterates over them."""
 
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -33,7 +33,11 @@
     STOP_WAITING,
 )
 from boragestream.caller.failures import BodyTooLong
-from boragestream.caller.forwarded_stream import ForwardedStream, StreamTiming
+from boragestream.caller.forwarded_stream import (
+    ForwardedBody,
+    ForwardedStream,
+    StreamTiming,
+)
 from boragestream.caller.replies import StartResponse
 from boragestream.document.calls import ForwardedRequest, RequestMalformed
 from boragestream.entry.delegation import DelegatedBy
@@ -232,26 +236,22 @@
         return self.format.read_request(method, target, headers, body)
 
     def _forward(self, start_response: StartResponse, run: ForwardedRun) -> Reply:
-        self.watchdog.open(run.scope)
-        self.in_hand.begin()
-        streaming = False
-        try:
-            answer = self.forwarder.run(run)
-            streaming = isinstance(answer, StreamedAnswer)
-        finally:
-            if not streaming:
-                self.release(run)
+        answer = self._serve(run)
         request_id = run.request.request_id
-        if isinstance(answer, StreamedAnswer):
-            start_response(
-                _status(answer.head.status, answer.head.reason), _headers(answer)
-            )
-            return ForwardedStream(self, run, answer.events)
-        if isinstance(answer, WholeAnswer):
-            self.log_end(run, "answered", answer.head.status, None)
-            headers = [*_headers(answer), ("Content-Length", str(len(answer.body)))]
-            start_response(_status(answer.head.status, answer.head.reason), headers)
-            return [answer.body]
+        if isinstance(answer, StreamedAnswer | WholeAnswer):
+            head, headers = answer.head, _headers(answer)
+            if isinstance(answer, StreamedAnswer):
+                reply = ForwardedStream(self, run, answer.events)
+            else:
+                self.log_end(run, "answered", head.status, None)
+                headers.append(("Content-Length", str(answer.length)))
+                reply = ForwardedBody(answer.blocks, run.scope.held)
+            try:
+                start_response(_status(head.status, head.reason), headers)
+            except Exception:
+                reply.close()
+                raise
+            return reply
         outcome = outcome_of(run, answer)
         name, status = type(outcome).__name__.lower(), _error_status(outcome)
         self.log_end(run, name, int(status), answer)
@@ -278,16 +278,33 @@
         start_response(_status(status.value, status.phrase), headers)
         return [body]
 
-    def release(self, run: ForwardedRun) -> None:
-        """Release a request that is no longer being served."""
+    def _serve(self, run: ForwardedRun) -> WholeAnswer | StreamedAnswer | Failure:
+        """Return the answer; the bytes of a whole one stay charged."""
+        self.watchdog.open(run.scope)
+        self.in_hand.begin()
+        answer = None
+        try:
+            answer = self.forwarder.run(run)
+        finally:
+            if not isinstance(answer, StreamedAnswer):
+                self._end_service(run)
+            delivered = isinstance(answer, StreamedAnswer | WholeAnswer)
+            if not delivered and run.scope.held is not None:
+                run.scope.held.release()
+        return answer
+
+    def _end_service(self, run: ForwardedRun) -> None:
         self.watchdog.close(run.scope)
-        if run.scope.held is not None:
-            # From now on what is written counts as output.
-            run.scope.held.release()
         self.in_hand.end()
         if self.shares is not None:
             self.shares.end(run.account, self.clock.now() - run.arrived)
 
+    def release(self, run: ForwardedRun) -> None:
+        """Release a stream that is no longer being served."""
+        self._end_service(run)
+        if run.scope.held is not None:
+            run.scope.held.release()
+
     def log_end(
         self,
         run: ForwardedRun,
--- a/boragestream/serving/delegation.py
+++ b/boragestream/serving/delegation.py
@@ -174,9 +174,9 @@
         """Return the failure for an answer that is the other entry's own."""
         return DelegateFailed(self._entry.name, self._answer.head.status)
 
-    def read(self) -> bytes | AttemptFailure:
+    def read(self) -> list[bytes] | AttemptFailure:
         """Read the whole body of the answer; return the failure if there is none."""
-        return self._answer.read()
+        return self._answer.read_blocks()
 
     def chunks(self) -> Iterator[bytes | AttemptFailure]:
         """Return the iterator over the answer's chunks."""
@@ -322,7 +322,7 @@
         if stream and head.sealed and head.status in SUCCESS:
             return attempt
         body = attempt.read()
-        attempt.end(CallEnd.ANSWERED if isinstance(body, bytes) else CallEnd.CUT)
+        attempt.end(CallEnd.ANSWERED if isinstance(body, list) else CallEnd.CUT)
         if head.claim is not RunClaim.RAN:
             self._failure = attempt.refusal()
             return None
--- a/boragestream/serving/event_stream.py
+++ b/boragestream/serving/event_stream.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from boragestream.base.event_buffer import COMMENT, MAX_EVENTS, EventBuffer
+from boragestream.base.memory_budget import MemoryCharge
 from boragestream.base.outcomes import Failure
 
 __all__ = ["EventSplitter", "StreamBroken", "StreamOversized"]
@@ -56,10 +57,13 @@
     """Splits one stream into events, across all servers that send parts of it.
 
     :param last: the number of the last event that the caller has; None if it has none.
+    :param held: the charge for the bytes that were not passed on yet; None if they are
+        not counted.
     """
 
-    def __init__(self, last: int | None) -> None:
+    def __init__(self, last: int | None, held: MemoryCharge | None = None) -> None:
         self._last = last
+        self._held = held
         # Whether no event with data was passed on behind the last number.
         self._resumable = True
         # Of the numbered events that were passed on.
@@ -100,8 +104,15 @@
         if isinstance(events, Failure):
             self._last, self._resumable, self._reached = last, resumable, reached
             del self._digests[count:]
+        elif self._held is not None:
+            self._held.set(len(self._buffer) + sum(map(len, events)))
         return events
 
+    def note_passed_on(self) -> None:
+        """Record that the caller's connection holds all events."""
+        if self._held is not None:
+            self._held.set(len(self._buffer))
+
     def discard_partial(self) -> None:
         """Discard the incomplete event of a stream that broke.
 
--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -235,12 +235,12 @@
         engine = service is not None and service.engine is not None
         return min(self._run.priority, LOWEST_PRIORITY) if engine else None
 
-    def read(self) -> bytes | AttemptFailure:
+    def read(self) -> list[bytes] | AttemptFailure:
         """Read the whole body of the answer; return the failure if there is none."""
-        body = self._answer.read()
-        if isinstance(body, bytes):
-            self._region_call.note_received(len(body))
-        return body
+        blocks = self._answer.read_blocks()
+        if isinstance(blocks, list):
+            self._region_call.note_received(sum(map(len, blocks)))
+        return blocks
 
     def chunks(self) -> Iterator[bytes | AttemptFailure]:
         """Return the iterator over the answer's chunks; it is created once."""
--- a/boragestream/serving/forwarded_answer.py
+++ b/boragestream/serving/forwarded_answer.py
@@ -11,10 +11,19 @@
 
 @dataclass(frozen=True, slots=True)
 class WholeAnswer:
-    """A complete answer of a server."""
+    """A complete answer of a server.
+
+    :ivar blocks: its body. The blocks are handed over one by one, so that none is held
+        in two places.
+    """
 
     head: AnswerHead
-    body: bytes
+    blocks: list[bytes]
+
+    @property
+    def length(self) -> int:
+        """The bytes of the body that were not handed over yet."""
+        return sum(map(len, self.blocks))
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -96,7 +96,7 @@
         self._possible_runs = run.earlier_runs
         # Attempts that certainly did not run.
         self._refusals = 0
-        self._splitter = EventSplitter(run.request.last_event)
+        self._splitter = EventSplitter(run.request.last_event, run.scope.held)
         self._failure: Failure | None = None
         self._error: WholeAnswer | None = None
 
@@ -200,7 +200,7 @@
         if self._stream and 200 <= head.status < 300 and verified:
             return attempt
         body = attempt.read()
-        whole = isinstance(body, bytes) and verified
+        whole = isinstance(body, list) and verified
         attempt.end(CallEnd.ANSWERED if whole and successful else CallEnd.CUT)
         if not whole:
             failed = body if isinstance(body, Failure) else _unverified(attempt.server)
@@ -341,6 +341,7 @@
         try:
             if first:
                 yield b"".join(first)
+                self._splitter.note_passed_on()
             while current is not None:
                 broken = yield from self._relay(current)
                 if not broken:
@@ -380,6 +381,7 @@
                 self._guard.note_events()
                 self._release_inputs()
                 yield b"".join(events)
+                self._splitter.note_passed_on()
         unfinished = self._splitter.finish(attempt.framed)
         if unfinished is not None:
             self._handle_broken_stream(attempt, unfinished)
