Bound an entry whose settings name no memory by that of its machine

Callers saw: an entry without resources.memory_mb ended under callers that asked for long answers and read them slowly or not at all.

Cause: without the setting there was no budget; answers, requests, output and the kernel's buffers had no bound.

Change: the memory of the machine, or of the process's control group or one around it if that is less, takes the place of the setting, up to 1,024 MB (DEFAULT_MEMORY_MB). The platform's instances have 160 to 552 MB. Bounds on work at servers that crash stay on only where the setting is there.

--- a/boragestream/base/route_settings.py
+++ b/boragestream/base/route_settings.py
@@ -160,8 +160,8 @@
     :ivar link_mbps: the instance's own link, in megabits a second.
     :ivar threads: how many requests can be in hand at once, refusals included. More
         than a quarter of a gigabyte's worth of stacks would not fit an instance.
-    :ivar memory_mb: the memory above which the platform ends the process; absent where
-        it is not bounded.
+    :ivar memory_mb: the memory above which the platform ends the process; absent for
+        that of the machine, see ``daemon.memory``.
     """
 
     descriptors: Count = 1024
--- a/boragestream/daemon/memory.py
+++ b/boragestream/daemon/memory.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from boragestream.base.clock import Clock
+from boragestream.base.machine import machine_memory_mb
 from boragestream.base.memory_budget import MemoryBudget, MemoryKind, budget_bytes
 from boragestream.base.route_settings import ResourceSettings
 from boragestream.entry.links import Handler
@@ -19,6 +20,8 @@
     "return_freed_memory",
 ]
 
+# Without a setting, an entry shares its machine with others.
+DEFAULT_MEMORY_MB = 1024
 # Options of glibc's mallopt.
 MMAP_THRESHOLD = -3
 ARENA_MAX = -8
@@ -30,26 +33,28 @@
 ARENAS = 2
 
 
-def make_budget(resources: ResourceSettings, clock: Clock) -> MemoryBudget | None:
-    """Return the entry's budget; None where its memory is not bounded."""
-    if resources.memory_mb is None:
-        return None
-    return MemoryBudget(budget_bytes(resources.memory_mb), clock)
+def make_budget(memory_mb: int | None, clock: Clock) -> MemoryBudget:
+    """Return the entry's budget.
+
+    :param memory_mb: the memory above which the process is ended, if the settings name
+        it; by default what its machine has, up to ``DEFAULT_MEMORY_MB``.
+    """
+    if memory_mb is None:
+        memory_mb = min(DEFAULT_MEMORY_MB, machine_memory_mb())
+    return MemoryBudget(budget_bytes(memory_mb), clock)
 
 
 def make_outstanding(
     resources: ResourceSettings, clock: Clock
 ) -> OutstandingWork | None:
-    """Return the bounds on work at servers; None where memory is not bounded."""
+    """Return the bounds on work at servers; None if the settings name no memory."""
     return OutstandingWork(clock) if resources.memory_mb is not None else None
 
 
 def charged_handlers(
-    handlers: Mapping[type, Handler], budget: MemoryBudget | None
+    handlers: Mapping[type, Handler], budget: MemoryBudget
 ) -> Mapping[type, Handler]:
     """Return handlers that charge each message of a peer while it is handled."""
-    if budget is None:
-        return handlers
     return {kind: _charged(handler, budget) for kind, handler in handlers.items()}
 
 
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -211,18 +211,16 @@
         address, _, port = settings.listen.callers.rpartition(":")
         callers = CallerSettings(address, int(port), settings.resources.threads)
         arrivals = parts.watchdog.arrivals
-        memory = None
-        if self._budget is not None:
-            return_freed_memory()
-            metrics = parts.metrics
-            memory = CallerMemory(
-                self._budget,
-                _RequestFormat(),
-                self._clock,
-                metrics.memory_refused,
-                metrics.reader_abandoned,
-            )
-            metrics.set_memory(self._budget)
+        return_freed_memory()
+        metrics = parts.metrics
+        memory = CallerMemory(
+            self._budget,
+            _RequestFormat(),
+            self._clock,
+            metrics.memory_refused,
+            metrics.reader_abandoned,
+        )
+        metrics.set_memory(self._budget)
         server = create_server(application, callers, arrivals, sockets.callers, memory)
         connection_limit = settings.resources.descriptors - OTHER_DESCRIPTORS
         server.adj.connection_limit = max(connection_limit, settings.resources.threads)
--- a/tests/features/memory_budget.feature
+++ b/tests/features/memory_budget.feature
@@ -75,3 +75,16 @@
     And the same crash of "a" is reported again after its calls have ended
     And 2 requests of 1000 bytes are outstanding at "a" in its next life
     Then a request of 1000 bytes may be sent to "a, b"
+
+  Scenario Outline: settings that name no memory leave an entry that of its machine
+    Given a machine of <machine> MB and a control group of <group>
+    Then an entry whose settings name <named> may hold <budget> MB for others
+
+    Examples:
+      | machine | group     | named   | budget |
+      | 24000   | no limit  | nothing | 696    |
+      | 200     | no limit  | nothing | 78     |
+      | 24000   | 160 MB    | nothing | 48     |
+      | 24000   | 160 MB in | nothing | 48     |
+      | 24000   | 160 MB    | 300 MB  | 153    |
+      | 64      | no limit  | nothing | 4      |
--- a/tests/features/steps/memory_budget.py
+++ b/tests/features/steps/memory_budget.py
@@ -4,17 +4,24 @@
 service from being served.
 """
 
+import os
+import shutil
+import tempfile
 import threading
 from dataclasses import replace
+from pathlib import Path
+from unittest import mock
 
 from behave import given, then, when
 
 from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
+from boragestream.daemon.memory import make_budget
 from boragestream.policy.outstanding import OutstandingWork, WorkSize
 from boragestream.policy.servers import Server
 from tests.standins.clock import SetClock
 
 SECONDS = 10
+MEGABYTE = 1_048_576
 FINGERPRINT = b"request-%d"
 NEW = b"another request"
 
@@ -181,3 +188,41 @@
     servers = list(context.servers.values())
     usable = context.work.usable(servers, FINGERPRINT % 0, WorkSize(1))
     assert [server.name for server in usable] == names.split(", "), usable
+
+
+@given("a machine of {machine:d} MB and a control group of {group}")
+def step(context, machine, group):
+    folder = Path(tempfile.mkdtemp())
+    context.add_cleanup(shutil.rmtree, folder)
+    own = folder / "own"
+    own.write_text("4:cpu:/x\n0::/outer/inner\n")
+    inner = folder / "outer" / "inner"
+    inner.mkdir(parents=True)
+    limits = {inner: "max", inner.parent: "max"}
+    if group != "no limit":
+        # Written as "160 MB in" if it is that of the group around its own.
+        megabytes, _, outer = group.partition(" MB")
+        limits[inner.parent if outer else inner] = str(int(megabytes) * MEGABYTE)
+    for each, limit in limits.items():
+        (each / "memory.max").write_text(f"{limit}\n")
+    report = os.sysconf
+
+    def sysconf(name):
+        pages = machine * MEGABYTE // report("SC_PAGE_SIZE")
+        return pages if name == "SC_PHYS_PAGES" else report(name)
+
+    for part, value in (
+        ("boragestream.base.machine.CONTROL_GROUPS", folder),
+        ("boragestream.base.machine.OWN_GROUPS", own),
+        ("os.sysconf", sysconf),
+    ):
+        patched = mock.patch(part, value)
+        patched.start()
+        context.add_cleanup(patched.stop)
+
+
+@then("an entry whose settings name {named} may hold {budget:d} MB for others")
+def step(context, named, budget):
+    memory_mb = None if named == "nothing" else int(named.removesuffix(" MB"))
+    limit = make_budget(memory_mb, SetClock(0.0)).limit
+    assert limit // MEGABYTE == budget, limit
