Bound what an entry of JSON pipelines holds for its callers

Callers saw: an entry of JSON pipelines ended for want of memory under callers that read long answers in part or not at all, or whose bodies of 1 MB held 333,000 values.

Cause: only the forwarding entry had a budget. Answers of up to 8 MB were held as text, decoded, encoded for the next stage and for the caller, each uncounted; a decoded body takes up to 31 times its text.

Change: the entry gets a budget like the other one, from resources.memory_mb or its machine. Reports of kept answers are charged before they are rendered, forwarded posts and messages of peers too. What is not granted is refused as memory-exhausted, as a problem document; a caller whose answer could not be read is told that it may have run.

--- a/boragestream/backend/answer.py
+++ b/boragestream/backend/answer.py
@@ -13,6 +13,11 @@
 
 import msgspec
 
+from boragestream.backend.bounded_io import (
+    join_blocks,
+    read_bounded,
+    wait_for_bytes,
+)
 from boragestream.backend.calls import Completion
 from boragestream.backend.cancellation import CancelScope
 from boragestream.backend.connections import ConnectionKeeper
@@ -20,6 +25,7 @@
     AnswerCrossed,
     AnswerCut,
     AnswerTooLarge,
+    AnswerUnread,
     AttemptCancelled,
     AttemptFailure,
     Ran,
@@ -29,7 +35,12 @@
 from boragestream.base.clock import Clock
 from boragestream.base.event_buffer import COMMENT, MAX_EVENTS, EventBuffer
 from boragestream.base.failures import DeadlinePassed
-from boragestream.base.nesting import MAX_DEPTH, TooDeep, decode_bounded
+from boragestream.base.nesting import (
+    MAX_DEPTH,
+    TooDeep,
+    decode_bounded,
+    decoded_bytes,
+)
 
 __all__ = ["OpenAnswer", "broken"]
 
@@ -103,10 +114,21 @@
             return AnswerCut(*self._may_have_run(), "no length")
         if (response.length or 0) > MAX_ANSWER_BYTES:
             return self._too_large()
-        # Only a read without a limit notices that bytes of a known length lack.
-        body = response.read(MAX_ANSWER_BYTES + 1 if response.chunked else None)
+        held = self._scope.held
+        if held is None:
+            # Only a read without a limit notices that bytes of a known length lack.
+            body = response.read(MAX_ANSWER_BYTES + 1 if response.chunked else None)
+        else:
+            blocks = read_bounded(response, self._server, held.budget, self._scope)
+            if isinstance(blocks, AttemptFailure):
+                return blocks
+            body = join_blocks(blocks)
         if len(body) > MAX_ANSWER_BYTES:
             return self._too_large()
+        if held is not None:
+            size = decoded_bytes(body)
+            if not wait_for_bytes(held, size, self._scope):
+                return AnswerUnread(*self._may_have_run(), size)
         data = decode_bounded(body)
         return self._in_time() or data
 
--- a/boragestream/backend/bounded_io.py
+++ b/boragestream/backend/bounded_io.py
@@ -19,7 +19,7 @@
 from boragestream.base.answer_reader import AnswerReader
 from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
 
-__all__ = ["read_bounded", "send_bounded"]
+__all__ = ["join_blocks", "read_bounded", "send_bounded", "wait_for_bytes"]
 
 # A server that reads no byte for this long has stopped reading. The kernel ends such a
 # connection after 2.5 s (``base.liveness``) and does not tell it from a lost one.
@@ -83,7 +83,7 @@
     charge = held or MemoryCharge(memory, MemoryKind.ANSWER)
     try:
         length = response.length
-        if length is not None and not _granted(charge, length, scope):
+        if length is not None and not wait_for_bytes(charge, length, scope):
             return AnswerUnread(server, Ran.MAY_HAVE_RUN, length)
         return _read_blocks(response, server, None if length else charge, scope)
     finally:
@@ -91,6 +91,15 @@
             charge.release()
 
 
+def join_blocks(blocks: list[bytes]) -> bytearray:
+    """Return the blocks as one; each is dropped as soon as it was copied."""
+    joined = bytearray()
+    blocks.reverse()
+    while blocks:
+        joined += blocks.pop()
+    return joined
+
+
 def _read_blocks(
     response: AnswerReader,
     server: str,
@@ -104,7 +113,7 @@
     """
     blocks: list[bytes] = []
     while True:
-        if charge is not None and not _granted(charge, BLOCK_BYTES, scope):
+        if charge is not None and not wait_for_bytes(charge, BLOCK_BYTES, scope):
             return AnswerUnread(server, Ran.MAY_HAVE_RUN, len(blocks) * BLOCK_BYTES)
         block = response.read(BLOCK_BYTES)
         if charge is not None:
@@ -114,7 +123,8 @@
         blocks.append(block)
 
 
-def _granted(charge: MemoryCharge, size: int, scope: CancelScope) -> bool:
+def wait_for_bytes(charge: MemoryCharge, size: int, scope: CancelScope) -> bool:
+    """Charge bytes as soon as they are granted; return False if they are not."""
     return charge.wait_and_reserve(
         size, WAIT_FOR_MEMORY_SECONDS, lambda: scope.reason is not None
     )
--- a/boragestream/base/machine.py
+++ b/boragestream/base/machine.py
@@ -1,13 +1,16 @@
-"""What the machine lets this process use, for what the settings don't name."""
+"""What the machine lets a process use, and what an entry needs of it."""
 
 import contextlib
 import os
 import resource
 from pathlib import Path
 
-__all__ = ["descriptor_limit", "machine_memory_mb"]
+__all__ = ["LEAST_MEMORY_MB", "descriptor_limit", "machine_memory_mb"]
 
 MEGABYTE = 1_048_576
+# An entry with its libraries, threads and published values takes up about this much
+# before it holds anything for a caller.
+LEAST_MEMORY_MB = 96
 CONTROL_GROUPS = Path("/sys/fs/cgroup")
 OWN_GROUPS = Path("/proc/self/cgroup")
 # The files that hold a group's limit, by the version of control groups.
--- a/boragestream/base/memory_budget.py
+++ b/boragestream/base/memory_budget.py
@@ -224,6 +224,13 @@
             self.release()
         return not ended
 
+    def add(self, size: int) -> None:
+        """Charge further bytes, which are held already."""
+        with self._lock:
+            if not self._ended:
+                self._size += size
+                self._budget.charge(self._kind, size)
+
     def give(self, size: int) -> None:
         """Return some of the bytes, which another charge counts from now on."""
         with self._lock:
--- a/boragestream/base/nesting.py
+++ b/boragestream/base/nesting.py
@@ -8,12 +8,18 @@
 
 import msgspec
 
-__all__ = ["MAX_DEPTH", "TooDeep", "decode_bounded"]
+__all__ = ["MAX_DEPTH", "TooDeep", "decode_bounded", "decoded_bytes"]
 
 MAX_DEPTH = 64
 # A shorter text can't open and close that many levels.
 SHORT_BYTES = 2 * MAX_DEPTH
 CONTAINERS = (dict, list)
+# What the interpreter needs at the most for each value, besides the characters of a
+# string: the object and its place in its container; and for a container itself.
+VALUE_BYTES = 64
+LIST_BYTES, OBJECT_BYTES = 88, 232
+# A string with any character beyond the first 256 takes up to four bytes for each.
+WIDE_CHARACTER_BYTES = 4
 ANYTHING = msgspec.json.Decoder()
 
 
@@ -38,6 +44,18 @@
     return data
 
 
+def decoded_bytes(text: bytes) -> int:
+    """Return at the most how many bytes of memory the decoded JSON takes up."""
+    wide = not text.isascii() or b"\\u" in text
+    values = 1 + text.count(b",") + text.count(b":")
+    return (
+        len(text) * (WIDE_CHARACTER_BYTES if wide else 1)
+        + values * VALUE_BYTES
+        + text.count(b"[") * LIST_BYTES
+        + text.count(b"{") * OBJECT_BYTES
+    )
+
+
 def _count_brackets(text: bytes) -> int:
     return text.count(b"[") + text.count(b"{")
 
--- a/boragestream/base/route_settings.py
+++ b/boragestream/base/route_settings.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from boragestream.base.machine import LEAST_MEMORY_MB
 from boragestream.base.outcomes import Failure
 
 __all__ = [
@@ -35,9 +36,6 @@
 # The owner of a queue at 83 entries sends and receives some megabits a second, bursts
 # of them at once; a link of this speed carries them without a queue.
 FAST_MBPS = 50.0
-# An entry with its libraries, threads and published values takes up about this much
-# before it holds anything for a caller.
-LEAST_MEMORY_MB = 96
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/base/settings.py
+++ b/boragestream/base/settings.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from boragestream.base.machine import LEAST_MEMORY_MB
 from boragestream.base.shapes import Fault, build
 
 __all__ = ["Settings", "read_settings"]
@@ -117,6 +118,17 @@
     statsd_port: Port = 8125
 
 
+@dataclass(frozen=True, slots=True)
+class ResourceSettings:
+    """What the process may use.
+
+    :ivar memory_mb: the memory above which the process is ended; absent for that of
+        the machine, see ``daemon.memory``.
+    """
+
+    memory_mb: Annotated[int, msgspec.Meta(ge=LEAST_MEMORY_MB)] | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorSettings:
     """Who may read the status page.
@@ -139,6 +151,7 @@
     stop: StopSettings = field(default_factory=StopSettings)
     metrics: MetricsSettings = field(default_factory=MetricsSettings)
     operator: OperatorSettings = field(default_factory=OperatorSettings)
+    resources: ResourceSettings = field(default_factory=ResourceSettings)
 
 
 def read_settings(path: Path) -> tuple[Settings | None, list[Fault]]:
--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -17,6 +17,7 @@
 from boragestream.base.events import Event, describe_error, emit
 from boragestream.base.failures import EntryBroken, NoConfiguration
 from boragestream.base.identifiers import new_request_id
+from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
 from boragestream.base.observations import Observations
 from boragestream.base.outcomes import (
     Answered,
@@ -26,7 +27,7 @@
     Refused,
     Unknown,
 )
-from boragestream.caller.connections import ARRIVED, STOP_WAITING
+from boragestream.caller.connections import ARRIVED, NOTE_DEADLINE, STOP_WAITING
 from boragestream.caller.delegated_calls import (
     DelegatedCalls,
     DelegatedStream,
@@ -37,7 +38,7 @@
 from boragestream.caller.reading import CallerRequest, read_request
 from boragestream.caller.refusals import Refusals
 from boragestream.caller.replies import StartResponse, outcome_reply
-from boragestream.caller.streaming import RelayedReply, StreamedReply
+from boragestream.caller.streaming import ChargedReply, RelayedReply, StreamedReply
 from boragestream.caller.ticket_runs import Ending
 from boragestream.caller.tickets import REQUESTS_PATH, TICKETS_PATH, TicketCalls
 from boragestream.policy.admission import Admission
@@ -70,6 +71,7 @@
     :ivar delegated: delegates requests to other entries.
     :ivar peer_keys: the keys with which other entries may delegate requests.
     :ivar pages: answers requests for anything but pipelines and tickets.
+    :ivar memory: grants what requests make the entry hold.
     """
 
     configuration: ConfigurationInForce
@@ -86,30 +88,39 @@
     observations: Observations
     delegated: DelegatedCalls
     peer_keys: tuple[bytes, ...]
+    memory: MemoryBudget
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Reply:
         """Answer one HTTP request."""
         request_id = new_request_id()
+        held = MemoryCharge(self.memory, MemoryKind.ANSWER)
         try:
-            return self._answer(environ, start_response, request_id)
+            reply = self._answer(environ, start_response, request_id, held)
         except Exception as error:
             emit(Event.REQUEST_BROKEN, request=request_id, error=describe_error(error))
             # The request may have run before the error.
             outcome = Unknown(EntryBroken(), self.tickets.ask_path(request_id))
-            return outcome_reply(start_response, outcome, request_id)
+            reply = outcome_reply(start_response, outcome, request_id)
+        return ChargedReply(reply, held)
 
     def _answer(
-        self, environ: Environ, start_response: StartResponse, request_id: str
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        request_id: str,
+        held: MemoryCharge,
     ) -> Reply:
         path = environ["PATH_INFO"]
         if path.startswith((PIPELINES, TICKETS_PATH, REQUESTS_PATH)):
             self.first.wait_for_first_answers()
         if path.startswith(PIPELINES):
             name = path.removeprefix(PIPELINES)
-            return self._pipeline(environ, start_response, request_id, name)
+            return self._pipeline(environ, start_response, request_id, name, held)
         if path.startswith((TICKETS_PATH, REQUESTS_PATH)):
             in_force = self.configuration.current
-            return self.tickets.answer(environ, start_response, request_id, in_force)
+            return self.tickets.answer(
+                environ, start_response, request_id, in_force, held
+            )
         return self.pages.answer(environ, start_response, request_id)
 
     def _pipeline(
@@ -118,6 +129,7 @@
         start_response: StartResponse,
         request_id: str,
         name: str,
+        held: MemoryCharge,
     ) -> Reply:
         if environ["REQUEST_METHOD"] != "POST":
             wrong = MethodNotAllowed()
@@ -128,7 +140,13 @@
             return self.refusals.reply(start_response, request_id, NoConfiguration())
         if "HTTP_IDEMPOTENCY_KEY" in environ:
             return self.tickets.post(
-                environ, start_response, request_id, name, in_force, self.run_ticketed
+                environ,
+                start_response,
+                request_id,
+                name,
+                in_force,
+                self.run_ticketed,
+                held,
             )
         delegation = read_delegation(environ, self.peer_keys)
         by, account = "", ""
@@ -136,7 +154,9 @@
             by, account = delegation.entry, delegation.account
             request_id = delegation.request_id
             emit(Event.REQUEST_TAKEN_OVER, request=request_id, entry=by)
-        parsed = read_request(environ, name, in_force, self.max_body_bytes, account)
+        parsed = read_request(
+            environ, name, in_force, self.max_body_bytes, held, account
+        )
         if isinstance(parsed, Failure):
             return self.refusals.reply(start_response, request_id, parsed)
         ask = self.tickets.ask_path(request_id)
@@ -199,7 +219,11 @@
         if isinstance(admitted, Refused):
             self._log_end(request_id, parsed, arrived, admitted)
             return admitted
-        scope = CancelScope(deadline, caller_gone, watched.get(STOP_WAITING))
+        scope = CancelScope(
+            deadline, caller_gone, watched.get(STOP_WAITING), parsed.held
+        )
+        if NOTE_DEADLINE in watched:
+            watched[NOTE_DEADLINE](request_id, deadline)
         request = RequestRecord(
             request_id=request_id,
             account=parsed.account,
--- a/boragestream/caller/caller_memory.py
+++ b/boragestream/caller/caller_memory.py
@@ -38,10 +38,13 @@
     def request_id(self, headers: Mapping[str, str]) -> str:
         """Return a request's id, given its headers by upper-case name."""
 
-    def refusal_headers(
-        self, request_id: str, retry_after: float | None
-    ) -> list[tuple[str, str]]:
-        """Return the headers of an answer that the entry generates."""
+    def refusal(
+        self, request_id: str, failure: MemoryExhausted, retry_after: float
+    ) -> tuple[list[tuple[str, str]], bytes]:
+        """Return the headers and body of a refusal with status 503.
+
+        :param retry_after: the seconds after which to return.
+        """
 
 
 class UnreadOutput(Protocol):
@@ -62,17 +65,15 @@
 class MemoryRefusedError(Error):
     """An error of waitress: 503, not run, with the time to return."""
 
-    def __init__(self, headers: list[tuple[str, str]], failure: MemoryExhausted):
-        super().__init__(failure.code)
+    def __init__(self, headers: list[tuple[str, str]], body: bytes) -> None:
+        super().__init__("memory")
         self._headers = headers
-        self._failure = failure
+        self._body = body
 
     def to_response(self, ident: str | None = None) -> tuple[str, list, bytes]:
         """Return status, headers and body in the form that waitress expects."""
         status = HTTPStatus.SERVICE_UNAVAILABLE
-        headers = [("Content-Type", "text/plain"), *self._headers]
-        body = f"{self._failure.code}\n".encode()
-        return f"{status.value} {status.phrase}", headers, body
+        return f"{status.value} {status.phrase}", self._headers, self._body
 
 
 class CallerMemory:
@@ -140,9 +141,7 @@
             peer_bytes=budget.charged(MemoryKind.PEER),
         )
         failure = MemoryExhausted(size, budget.limit)
-        return MemoryRefusedError(
-            self._refusals.refusal_headers(request_id, wait), failure
-        )
+        return MemoryRefusedError(*self._refusals.refusal(request_id, failure, wait))
 
     def reserve(self, charge: MemoryCharge, size: int) -> bool:
         """Charge bytes of a request, and give up unread output for them if needed.
--- a/boragestream/caller/delegated_calls.py
+++ b/boragestream/caller/delegated_calls.py
@@ -13,14 +13,23 @@
 
 import msgspec
 
+from boragestream.backend.bounded_io import (
+    join_blocks,
+    read_bounded,
+    wait_for_bytes,
+)
 from boragestream.backend.connections import ConnectionKeeper
 from boragestream.base.answer_reader import AnswerReader
 from boragestream.base.clock import Clock
 from boragestream.base.event_buffer import EventBuffer
 from boragestream.base.events import Event, emit
-from boragestream.base.failures import DeadlinePassed, EntryCutOff
+from boragestream.base.failures import (
+    DeadlinePassed,
+    EntryCutOff,
+    MemoryExhausted,
+)
 from boragestream.base.liveness import detect_dead_peer
-from boragestream.base.nesting import TooDeep, decode_bounded
+from boragestream.base.nesting import TooDeep, decode_bounded, decoded_bytes
 from boragestream.base.outcomes import Failure
 from boragestream.entry.delegation import prove_delegation, verify_delegation
 from boragestream.policy.delegates import Delegates
@@ -167,8 +176,16 @@
         if isinstance(answer, Failure):
             return answer
         response, close = answer
+        held, scope = request.scope.held, request.scope
         try:
-            return decode_bounded(response.read(), _replies).result
+            blocks = read_bounded(response, "entry", held.budget, scope)
+            if isinstance(blocks, Failure):
+                return blocks
+            body = join_blocks(blocks)
+            size = decoded_bytes(body)
+            if not wait_for_bytes(held, size, scope):
+                return scope.reason or MemoryExhausted(size, held.budget.limit)
+            return decode_bounded(body, _replies).result
         except (
             OSError,
             http.client.HTTPException,
--- a/boragestream/caller/reading.py
+++ b/boragestream/caller/reading.py
@@ -7,8 +7,14 @@
 
 import msgspec
 
-from boragestream.base.failures import DeadlinePassed
-from boragestream.base.nesting import MAX_DEPTH, TooDeep, decode_bounded
+from boragestream.base.failures import DeadlinePassed, MemoryExhausted
+from boragestream.base.memory_budget import MemoryCharge
+from boragestream.base.nesting import (
+    MAX_DEPTH,
+    TooDeep,
+    decode_bounded,
+    decoded_bytes,
+)
 from boragestream.base.outcomes import Failure
 from boragestream.caller.failures import (
     BodyTooLong,
@@ -50,6 +56,7 @@
 
     :ivar deadline_ms: milliseconds left when the request arrived.
     :ivar stream: whether the caller wants the answer as server-sent events.
+    :ivar held: the charge for what the request makes the entry hold.
     """
 
     account: ClientAccount
@@ -57,6 +64,7 @@
     body: Any
     deadline_ms: int
     stream: bool
+    held: MemoryCharge
 
 
 def find_account(
@@ -96,10 +104,12 @@
     pipeline_name: str,
     in_force: DocumentInForce,
     max_body_bytes: int,
+    held: MemoryCharge,
     account_name: str = "",
 ) -> CallerRequest | Failure:
     """Parse and validate a request for a pipeline.
 
+    :param held: is charged for the decoded body before it is decoded.
     :param account_name: the client account that another entry has authenticated; empty
         if the request carries a key.
     """
@@ -115,7 +125,7 @@
     deadline_ms = _read_deadline(environ, pipeline)
     if isinstance(deadline_ms, Failure):
         return deadline_ms
-    body = _read_body(environ, max_body_bytes)
+    body = _read_body(environ, max_body_bytes, held)
     if isinstance(body, Failure):
         return body
     return CallerRequest(
@@ -124,6 +134,7 @@
         body=body,
         deadline_ms=deadline_ms,
         stream=EVENT_STREAM in environ.get("HTTP_ACCEPT", ""),
+        held=held,
     )
 
 
@@ -154,11 +165,16 @@
     return min(int(given), pipeline.deadline_ms)
 
 
-def _read_body(environ: dict[str, Any], limit: int) -> Any | Failure:
+def _read_body(
+    environ: dict[str, Any], limit: int, held: MemoryCharge
+) -> Any | Failure:
     stream: Callable[[int], bytes] = environ["wsgi.input"].read
     text = stream(limit + 1)
     if len(text) > limit:
         return BodyTooLong(limit)
+    size = decoded_bytes(text)
+    if not held.reserve(size):
+        return MemoryExhausted(size, held.budget.limit)
     try:
         return decode_bounded(text, BODY).input
     except TooDeep:
--- a/boragestream/caller/refusals.py
+++ b/boragestream/caller/refusals.py
@@ -6,7 +6,12 @@
 
 from dataclasses import dataclass
 
-from boragestream.base.failures import EntryLeaving, NoConfiguration, QueueFull
+from boragestream.base.failures import (
+    EntryLeaving,
+    MemoryExhausted,
+    NoConfiguration,
+    QueueFull,
+)
 from boragestream.base.outcomes import Failure, Refused
 from boragestream.caller.replies import StartResponse, outcome_reply
 from boragestream.document import Pipeline
@@ -15,7 +20,7 @@
 
 __all__ = ["Refusals"]
 
-TRANSIENT_FAILURES = NoConfiguration | EntryLeaving | TicketsExhausted
+TRANSIENT_FAILURES = NoConfiguration | EntryLeaving | MemoryExhausted | TicketsExhausted
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/caller/replies.py
+++ b/boragestream/caller/replies.py
@@ -1,13 +1,14 @@
 """Encodes outcomes as JSON answers and problem documents (RFC 9457)."""
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 from typing import Any
 
 import msgspec
 
 from boragestream.base.failures import AccountLimitReached, DeadlinePassed
+from boragestream.base.identifiers import new_request_id
 from boragestream.base.outcomes import Answered, Failed, Failure, Outcome, Refused
 from boragestream.caller.failures import (
     BodyTooLong,
@@ -32,9 +33,16 @@
     TicketReused,
 )
 
-__all__ = ["StartResponse", "json_reply", "outcome_reply", "problem"]
+__all__ = [
+    "JsonRefusals",
+    "StartResponse",
+    "json_reply",
+    "outcome_reply",
+    "problem",
+]
 
 StartResponse = Callable[..., Any]
+PROBLEM_TYPE = "application/problem+json"
 
 REFUSED_STATUS: dict[type[Failure], HTTPStatus] = {
     WrongKey: HTTPStatus.UNAUTHORIZED,
@@ -133,13 +141,35 @@
         body = {"request_id": request_id, "outcome": "answered", "result": outcome.body}
         return json_reply(start_response, body, headers=headers)
     report = problem(outcome, request_id)
-    if report.retry_after_ms is not None:
-        seconds = math.ceil(report.retry_after_ms / 1000)
-        headers.append(("Retry-After", str(seconds)))
-    return json_reply(
-        start_response,
-        report,
-        HTTPStatus(report.status),
-        headers,
-        "application/problem+json",
-    )
+    headers += _return_headers(report)
+    status = HTTPStatus(report.status)
+    return json_reply(start_response, report, status, headers, PROBLEM_TYPE)
+
+
+class JsonRefusals:
+    """Refuses requests with problem documents before they are read."""
+
+    def request_id(self, headers: Mapping[str, str]) -> str:
+        """Return a new id: callers of pipelines name none."""
+        return new_request_id()
+
+    def refusal(
+        self, request_id: str, failure: Failure, retry_after: float
+    ) -> tuple[list[tuple[str, str]], bytes]:
+        """Return the headers and body of a refusal.
+
+        :param retry_after: the seconds after which to return.
+        """
+        report = problem(Refused(failure, retry_after), request_id)
+        headers = [
+            ("Content-Type", PROBLEM_TYPE),
+            ("X-Request-Id", request_id),
+            *_return_headers(report),
+        ]
+        return headers, msgspec.json.encode(report, enc_hook=str)
+
+
+def _return_headers(report: Problem) -> list[tuple[str, str]]:
+    if report.retry_after_ms is None:
+        return []
+    return [("Retry-After", str(math.ceil(report.retry_after_ms / 1000)))]
--- a/boragestream/caller/streaming.py
+++ b/boragestream/caller/streaming.py
@@ -4,19 +4,20 @@
 event; a stream that closes without either was truncated.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
 
 import msgspec
 
 from boragestream.backend.attempt import AttemptCancelled, AttemptFailure
 from boragestream.base.failures import CallerGone
+from boragestream.base.memory_budget import MemoryCharge
 from boragestream.base.outcomes import Answered, Failure, Outcome
 from boragestream.caller.replies import problem
 from boragestream.serving.delegation_failures import DelegateFailed
 from boragestream.serving.request import RequestRecord
 
-__all__ = ["RelayedReply", "StreamedReply"]
+__all__ = ["ChargedReply", "RelayedReply", "StreamedReply"]
 
 
 class Token(msgspec.Struct):
@@ -38,6 +39,30 @@
     characters: int
 
 
+class ChargedReply:
+    """A reply that returns its charge when the caller's connection has taken it.
+
+    :param reply: what waitress sends.
+    :param held: the charge for what the request makes the entry hold.
+    """
+
+    def __init__(self, reply: Iterable[bytes], held: MemoryCharge) -> None:
+        self._reply = reply
+        self._held = held
+
+    def __iter__(self) -> Iterator[bytes]:
+        yield from self._reply
+
+    def close(self) -> None:
+        """Release the reply's resources; waitress always calls this."""
+        close = getattr(self._reply, "close", None)
+        try:
+            if close is not None:
+                close()
+        finally:
+            self._held.release()
+
+
 class ClosableAnswer(Protocol):
     """An open answer that ends the work on it when it is closed."""
 
--- a/boragestream/caller/ticket_runs.py
+++ b/boragestream/caller/ticket_runs.py
@@ -5,6 +5,7 @@
 methods.
 """
 
+import contextlib
 import hashlib
 import threading
 from collections.abc import Callable
@@ -15,7 +16,9 @@
 
 from boragestream.base.clock import Clock
 from boragestream.base.events import Event, emit
-from boragestream.base.failures import NoConfiguration
+from boragestream.base.failures import MemoryExhausted, NoConfiguration
+from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
+from boragestream.base.nesting import decoded_bytes
 from boragestream.base.outcomes import Answered, Failure, Outcome, Refused, Unknown
 from boragestream.caller.reading import (
     CallerRequest,
@@ -113,6 +116,7 @@
     configuration: ConfigurationInForce
     refusals: Refusals
     clock: Clock
+    budget: MemoryBudget
     pool: ThreadPoolExecutor = field(
         default_factory=lambda: ThreadPoolExecutor(FORWARDED_RUNS, "ticket")
     )
@@ -178,24 +182,27 @@
         if isinstance(ticket, Failure) or not self.book.is_issuer(ticket):
             return Rejected(IssuerGone("").code)
         in_force = self.configuration.current
-        parsed = _parse_post(message, in_force)
-        if isinstance(parsed, Failure):
-            reason = parsed
-            state = self.book.void_unused(
-                ticket, message.account, message.request_id, reason
-            )
-            return self._state(state, message.ticket, message.request_id)
-        content = _content_digest(parsed)
-        claimed = self.book.claim(ticket, message.account, message.request_id, content)
-        if not isinstance(claimed, Grant):
-            return self._state(claimed, message.ticket, message.request_id)
-        arguments = (claimed, message.ticket, message.request_id, parsed, in_force)
-        if not self.forwarded.acquire(blocking=False):
-            full = self.refusals.full(FORWARDED_RUNS, parsed.pipeline)
-            ended = self._finish(claimed, message.ticket, message.request_id, full)
-            return render(ended.outcome, ended.request_id)
-        self.pool.submit(self._run_forwarded, *arguments, arrived, run)
-        return CallState("", message.request_id)
+        text, request_id = message.ticket, message.request_id
+        held = MemoryCharge(self.budget, MemoryKind.ANSWER)
+        with contextlib.ExitStack() as not_started:
+            not_started.callback(held.release)
+            parsed = _parse_post(message, in_force, held)
+            if isinstance(parsed, Failure):
+                account = message.account
+                state = self.book.void_unused(ticket, account, request_id, parsed)
+                return self._state(state, text, request_id)
+            content = _content_digest(parsed)
+            claimed = self.book.claim(ticket, message.account, request_id, content)
+            if not isinstance(claimed, Grant):
+                return self._state(claimed, text, request_id)
+            if not self.forwarded.acquire(blocking=False):
+                full = self.refusals.full(FORWARDED_RUNS, parsed.pipeline)
+                ended = self._finish(claimed, text, request_id, full)
+                return render(ended.outcome, ended.request_id)
+            arguments = (claimed, text, request_id, parsed, in_force, arrived, run)
+            self.pool.submit(self._run_forwarded, *arguments)
+            not_started.pop_all()
+        return CallState("", request_id)
 
     def answer_ask(
         self, envelope: Envelope, message: TicketAsk
@@ -210,10 +217,18 @@
         """Return a request's state to another entry."""
         return self.ask_request(message.account, message.request_id)
 
-    def _run_forwarded(self, *arguments: object) -> None:
+    def _run_forwarded(
+        self,
+        grant: Grant,
+        text: str,
+        request_id: str,
+        parsed: CallerRequest,
+        *arguments: object,
+    ) -> None:
         try:
-            self._run(*arguments)
+            self._run(grant, text, request_id, parsed, *arguments)
         finally:
+            parsed.held.release()
             self.forwarded.release()
 
     def _run(
@@ -233,7 +248,11 @@
             emit(Event.REQUEST_BROKEN, request=request_id, error=repr(error))
             broken = Unknown(RequestBroken(), ask)
             ending = Ending(broken, broken)
-        self._finish(grant, text, request_id, _encoded(ending.recorded))
+        recorded = _encoded(ending.recorded)
+        if isinstance(recorded, Answered):
+            # The answer is kept, and rendered once more for its caller.
+            parsed.held.add(len(bytes(recorded.body)))
+        self._finish(grant, text, request_id, recorded)
         return render(ending.reported, request_id)
 
     def _finish(
@@ -276,7 +295,7 @@
 
 
 def _parse_post(
-    message: TicketPost, in_force: DocumentInForce | None
+    message: TicketPost, in_force: DocumentInForce | None, held: MemoryCharge
 ) -> CallerRequest | Failure:
     if in_force is None:
         return NoConfiguration()
@@ -286,5 +305,10 @@
     pipeline = find_pipeline(account, message.pipeline, in_force)
     if isinstance(pipeline, Failure):
         return pipeline
+    size = decoded_bytes(message.body)
+    if not held.reserve(size):
+        return MemoryExhausted(size, held.budget.limit)
     body = msgspec.json.decode(message.body)
-    return CallerRequest(account, pipeline, body, message.left_ms, stream=False)
+    return CallerRequest(
+        account, pipeline, body, message.left_ms, stream=False, held=held
+    )
--- a/boragestream/caller/tickets.py
+++ b/boragestream/caller/tickets.py
@@ -16,7 +16,12 @@
 import msgspec
 
 from boragestream.base.clock import Clock
-from boragestream.base.failures import EntryLeaving, NoConfiguration
+from boragestream.base.failures import (
+    EntryLeaving,
+    MemoryExhausted,
+    NoConfiguration,
+)
+from boragestream.base.memory_budget import MemoryBudget, MemoryCharge
 from boragestream.base.outcomes import Failure, Refused, Unknown
 from boragestream.base.settings import Settings
 from boragestream.caller.connections import ARRIVED
@@ -36,7 +41,7 @@
 from boragestream.entry.messages import CallState, RequestAsk, TicketAsk, TicketPost
 from boragestream.policy.configuration import ConfigurationInForce, DocumentInForce
 from boragestream.policy.request_memory import RequestMemory
-from boragestream.policy.ticket_book import TicketBook
+from boragestream.policy.ticket_book import MAX_ANSWER_BYTES, TicketBook
 from boragestream.policy.tickets import (
     Ticket,
     TicketForeign,
@@ -51,6 +56,8 @@
 REQUESTS_PATH = "/v1/requests/"
 MAX_FORWARDED_BYTES = 1_572_864
 FORWARDED_POSTS = 64
+# A kept answer is rendered, put into a report, and encoded.
+STATE_COPIES = 3
 KEY_BYTES = 32
 
 Environ = dict[str, Any]
@@ -110,8 +117,12 @@
         start_response: StartResponse,
         request_id: str,
         in_force: DocumentInForce | None,
+        held: MemoryCharge,
     ) -> Reply:
-        """Answer a request for a new ticket or for the state of a ticket or request."""
+        """Answer a request for a new ticket or for the state of a ticket or request.
+
+        :param held: is charged for the answer that is kept.
+        """
         path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
         expected_method = "POST" if path == TICKETS_PATH else "GET"
         if method != expected_method:
@@ -124,12 +135,19 @@
         if path == TICKETS_PATH:
             return self._issue(start_response, request_id, account, in_force)
         if path.startswith(REQUESTS_PATH):
-            state = self._ask_request(environ, account)
+            asked = path.removeprefix(REQUESTS_PATH)
+            exhausted = _reserve_state(held, self._request_bytes(environ, asked))
+            if exhausted is not None:
+                return self.refusals.reply(start_response, request_id, exhausted)
+            state = self._ask_request(environ, asked, account)
             return _state_reply(start_response, state)
         text = path.removeprefix(TICKET_STATE_PATH)
         ticket = _account_ticket(text, account)
         if isinstance(ticket, Failure):
             return self.refusals.reply(start_response, request_id, ticket)
+        exhausted = _reserve_state(held, self._ticket_bytes(ticket))
+        if exhausted is not None:
+            return self.refusals.reply(start_response, request_id, exhausted)
         return _state_reply(
             start_response, self._ask(ticket, text, account, request_id)
         )
@@ -142,10 +160,12 @@
         pipeline: str,
         in_force: DocumentInForce,
         run: RunRequest,
+        held: MemoryCharge,
     ) -> Reply:
         """Answer a post to a pipeline that carries a ticket.
 
         :param run: admits a request and runs it to its end.
+        :param held: is charged for what the request makes the entry hold.
         """
         arrived = environ.get(ARRIVED, self.clock.now())
         account = find_account(environ, in_force)
@@ -157,7 +177,7 @@
             ticket = MalformedHeader("Idempotency-Key")
         if isinstance(ticket, Failure):
             return self.refusals.reply(start_response, request_id, ticket)
-        parsed = read_request(environ, pipeline, in_force, self.max_body_bytes)
+        parsed = read_request(environ, pipeline, in_force, self.max_body_bytes, held)
         if isinstance(parsed, Failure):
             refused = Refused(parsed)
             state = self._refuse_unused(ticket, text, account, request_id, refused)
@@ -242,10 +262,27 @@
             return render(Unknown(state, TICKET_STATE_PATH + text), request_id)
         return state
 
-    def _ask_request(self, environ: Environ, account: ClientAccount) -> CallState:
-        request_id = environ["PATH_INFO"].removeprefix(REQUESTS_PATH)
+    def _ticket_bytes(self, ticket: Ticket) -> int:
+        """Return at the most how large the kept answer of a ticket is."""
+        if self.runs.book.is_issuer(ticket):
+            return self.runs.book.answer_bytes(ticket)
+        return MAX_ANSWER_BYTES
+
+    def _request_bytes(self, environ: Environ, request_id: str) -> int:
+        """Return at the most how large the kept answer of a request is."""
+        if self._keeper(environ) == self.name:
+            return self.runs.memory.answer_bytes(request_id)
+        return MAX_ANSWER_BYTES
+
+    def _keeper(self, environ: Environ) -> str:
+        """Return the entry that keeps the outcome for which a caller asks."""
         query = parse_qs(environ.get("QUERY_STRING", ""))
-        entry = query.get("entry", [self.name])[0]
+        return query.get("entry", [self.name])[0]
+
+    def _ask_request(
+        self, environ: Environ, request_id: str, account: ClientAccount
+    ) -> CallState:
+        entry = self._keeper(environ)
         if entry == self.name:
             return self.runs.ask_request(account.name, request_id)
         question = RequestAsk(account.name, request_id)
@@ -277,6 +314,7 @@
     configuration: ConfigurationInForce,
     refusals: Refusals,
     forwarder: Forwarder,
+    memory: MemoryBudget,
     is_leaving: Callable[[], bool],
     keep: Callable[[float], None],
 ) -> TicketCalls:
@@ -284,11 +322,18 @@
     name = settings.entry.name
     key = secrets.token_bytes(KEY_BYTES)
     book = TicketBook(name, incarnation, key, clock)
-    runs = TicketRuns(book, RequestMemory(clock), configuration, refusals, clock)
+    kept = RequestMemory(clock)
+    runs = TicketRuns(book, kept, configuration, refusals, clock, memory)
     limit = settings.caller.max_body_bytes
     return TicketCalls(name, runs, refusals, forwarder, clock, limit, is_leaving, keep)
 
 
+def _reserve_state(held: MemoryCharge, size: int) -> MemoryExhausted | None:
+    """Charge the report of a kept answer; return why it can't be made now."""
+    size *= STATE_COPIES
+    return None if held.reserve(size) else MemoryExhausted(size, held.budget.limit)
+
+
 def _account_ticket(text: str, account: ClientAccount) -> Ticket | Failure:
     ticket = read_ticket(text)
     if isinstance(ticket, Failure):
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -10,6 +10,8 @@
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, emit
 from boragestream.base.settings import Settings
+from boragestream.caller.caller_memory import CallerMemory
+from boragestream.caller.replies import JsonRefusals
 from boragestream.caller.server import (
     busy_connections,
     close_after_next_answers,
@@ -24,6 +26,7 @@
 from boragestream.daemon.background_tasks import BackgroundTasks
 from boragestream.daemon.exit_codes import ExitCode
 from boragestream.daemon.listeners import make_application, open_peer_listener
+from boragestream.daemon.memory import return_freed_memory
 from boragestream.daemon.parts import make_entry_parts
 from boragestream.daemon.shutdown import GracefulStop, KeptAnswers
 from boragestream.entry.links import LISTENER_TASKS
@@ -58,8 +61,12 @@
             self._parts, self._kept_answers, self._stop.begun.is_set
         )
         self._listener = open_peer_listener(self._parts, application, peer_tls)
+        return_freed_memory()
         self._server = create_server(
-            application, settings.caller, self._parts.watchdog.arrivals
+            application,
+            settings.caller,
+            self._parts.watchdog.arrivals,
+            memory=CallerMemory(self._parts.memory, JsonRefusals(), clock),
         )
 
     @property
--- a/boragestream/daemon/listeners.py
+++ b/boragestream/daemon/listeners.py
@@ -10,6 +10,7 @@
 from boragestream.caller.pages import Pages
 from boragestream.caller.refusals import Refusals
 from boragestream.caller.tickets import ticket_calls
+from boragestream.daemon.memory import charged_handlers
 from boragestream.daemon.parts import ATTEMPT_THREADS, EntryParts
 from boragestream.daemon.shutdown import KeptAnswers
 from boragestream.daemon.status import status_page
@@ -53,6 +54,7 @@
         parts.configuration,
         refusals,
         forwarder,
+        parts.memory,
         is_leaving,
         kept_answers.extend,
     )
@@ -83,6 +85,7 @@
         peer_keys=tuple(
             key.encode() for key in (settings.peer.key, *settings.peer.also_accepted)
         ),
+        memory=parts.memory,
     )
 
 
@@ -129,7 +132,9 @@
         RequestAsk: runs.answer_request_ask,
     }
     peer = parts.settings.peer
-    return PeerListener(parts.sender, f"{peer.address}:{peer.port}", handlers, peer_tls)
+    address = f"{peer.address}:{peer.port}"
+    charged = charged_handlers(handlers, parts.memory)
+    return PeerListener(parts.sender, address, charged, peer_tls)
 
 
 def _entries_for(
--- a/boragestream/daemon/parts.py
+++ b/boragestream/daemon/parts.py
@@ -11,12 +11,14 @@
 from boragestream.backend.cancellation import Watchdog
 from boragestream.base.clock import Clock
 from boragestream.base.identifiers import new_incarnation
+from boragestream.base.memory_budget import MemoryBudget
 from boragestream.base.metrics import open_metrics
 from boragestream.base.observations import Observations
 from boragestream.base.settings import Settings
 from boragestream.daemon.demand import Demand
 from boragestream.daemon.limits import SharedLimits, make_shared_limits
 from boragestream.daemon.listing import EntryListing
+from boragestream.daemon.memory import make_budget
 from boragestream.daemon.peers import Peers, make_peers
 from boragestream.daemon.reach import (
     ReachParts,
@@ -62,6 +64,7 @@
     :ivar listing: the entries of the published list.
     :ivar serving: the components that run stages.
     :ivar reach: which services this entry and the others reach.
+    :ivar memory: the bytes that the entry may hold for others.
     """
 
     settings: Settings
@@ -83,6 +86,7 @@
     listing: EntryListing
     serving: ServingParts
     reach: ReachParts
+    memory: MemoryBudget
 
 
 def make_entry_parts(
@@ -219,6 +223,7 @@
         listing=listing,
         serving=serving,
         reach=reach_parts,
+        memory=make_budget(settings.resources.memory_mb, clock),
     )
 
 
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -13,6 +13,7 @@
 
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, emit
+from boragestream.base.outcomes import Failure
 from boragestream.base.route_settings import RouteSettings
 from boragestream.base.settings import CallerSettings, StopSettings
 from boragestream.caller.caller_memory import CallerMemory
@@ -75,6 +76,15 @@
     refusal_headers = staticmethod(refusal_headers)
     request_id = staticmethod(request_id_of)
 
+    @staticmethod
+    def refusal(
+        request_id: str, failure: Failure, retry_after: float
+    ) -> tuple[list[tuple[str, str]], bytes]:
+        """Return the headers and body of a refusal."""
+        headers = [("Content-Type", "text/plain")]
+        headers += refusal_headers(request_id, retry_after)
+        return headers, f"{failure.code}\n".encode()
+
 
 class RouteEntry:
     """One forwarding entry daemon.
--- a/boragestream/policy/request_memory.py
+++ b/boragestream/policy/request_memory.py
@@ -57,6 +57,11 @@
             return RequestForgotten()
         return ended
 
+    def answer_bytes(self, request_id: str) -> int:
+        """Return the size of a request's kept answer; 0 if there is none."""
+        record = self._outcomes.get(request_id)
+        return _size(record[2]) if record is not None else 0
+
     def _must_evict(self) -> bool:
         if len(self._outcomes) > MAX_REQUESTS or self._kept_bytes > MAX_KEPT_BYTES:
             return True
--- a/boragestream/policy/ticket_book.py
+++ b/boragestream/policy/ticket_book.py
@@ -26,6 +26,7 @@
 )
 
 __all__ = [
+    "MAX_ANSWER_BYTES",
     "AnswerNotKept",
     "Ended",
     "Grant",
@@ -140,6 +141,11 @@
         """The total size of the kept answers in bytes."""
         return self._kept_bytes
 
+    def answer_bytes(self, ticket: Ticket) -> int:
+        """Return the size of a ticket's kept answer; 0 if there is none."""
+        record = self._records.get(ticket.sequence)
+        return record.kept_bytes if record is not None else 0
+
     def is_issuer(self, ticket: Ticket) -> bool:
         """Return whether the ticket names this entry and incarnation as its issuer."""
         named = (ticket.issuer, ticket.incarnation)
--- a/tests/features/steps/untrusted_input.py
+++ b/tests/features/steps/untrusted_input.py
@@ -13,6 +13,8 @@
 from hypothesis import settings, target
 from hypothesis import strategies as st
 
+from boragestream.base.clock import SystemClock
+from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
 from boragestream.base.outcomes import Failure
 from boragestream.base.shapes import Fault, build
 from boragestream.caller.reading import CallerRequest, check_operator, read_request
@@ -31,6 +33,7 @@
 from tests.standins.sites import example_document, example_key
 
 EXAMPLES = 200
+BUDGET_BYTES = 100_000_000
 quietly = settings(
     max_examples=EXAMPLES, derandomize=True, deadline=None, database=None
 )
@@ -131,6 +134,8 @@
 def step(context):
     header = st.text(st.characters(max_codepoint=255))
     own_key = f"Bearer {example_key('patan-counter')}"
+    budget = MemoryBudget(BUDGET_BYTES, SystemClock())
+    held = MemoryCharge(budget, MemoryKind.ANSWER)
     body = st.binary() | JSON.map(lambda v: json.dumps({"input": v}).encode())
     names = st.sampled_from(["caption", "order-status"]) | st.text()
     read = 0
@@ -146,13 +151,13 @@
             "HTTP_ACCEPT": accept,
             "wsgi.input": io.BytesIO(content),
         }
-        request = read_request(environ, name, context.in_force, 1000)
+        request = read_request(environ, name, context.in_force, 1000, held)
         assert isinstance(request, CallerRequest | Failure), request
         assert isinstance(check_operator(environ, ()), Failure)
         read += isinstance(request, CallerRequest)
         without = {k: v for k, v in environ.items() if k != "HTTP_X_DEADLINE_MS"}
         without["wsgi.input"] = io.BytesIO(content)
-        request = read_request(without, name, context.in_force, 1000)
+        request = read_request(without, name, context.in_force, 1000, held)
         assert isinstance(request, CallerRequest | Failure), request
         read += isinstance(request, CallerRequest)
 
