Give every server for callers a budget, and connections a channel of their own

Cause: since entries of JSON pipelines have a budget too, connections without one existed in tests alone, at the price of two ways through each method.

Change: create_server takes the memory, caller.charged_channel holds what is charged for a connection, caller.connections its requests and its end. Bytes read, written and received are counted (caller.pace), which nothing uses yet. The scenario of a caller that holds no thread past its deadline gets a budget in which 64 MB have room, and checks that the budget is kept.

--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -223,7 +223,7 @@
             deadline, caller_gone, watched.get(STOP_WAITING), parsed.held
         )
         if NOTE_DEADLINE in watched:
-            watched[NOTE_DEADLINE](request_id, deadline)
+            watched[NOTE_DEADLINE](request_id, deadline, parsed.account.name)
         request = RequestRecord(
             request_id=request_id,
             account=parsed.account,
--- /dev/null
+++ b/boragestream/caller/charged_channel.py
@@ -0,0 +1,212 @@
+"""A caller's connection whose bytes are charged, those in the kernel's buffers too.
+
+Output is charged from the moment at which it is written until the caller has
+acknowledged it. How fast the caller reads, and sends the rest of a request, shows for
+how long the connection will hold its bytes; ``caller.slow_connections`` chooses from
+that which connections are closed when others go short.
+"""
+
+import array
+import contextlib
+import fcntl
+import termios
+import time
+from typing import Any
+
+from boragestream.base.memory_budget import MemoryKind
+from boragestream.caller.caller_memory import CallerMemory
+from boragestream.caller.pace import Pace
+from boragestream.caller.protocol import StrictChannel
+
+__all__ = ["ChargedChannel"]
+
+# The kernel is asked what it holds unsent after so many further bytes.
+UNSENT_STEP_BYTES = 65_536
+# Less unread output of one caller does not block writes even if memory is short.
+SMALL_OUTPUT_BYTES = 16_384
+BLOCKED_POLL_SECONDS = 0.05
+# A closed connection without activity for longer holds nothing in the kernel.
+KERNEL_SECONDS = 2.0
+
+
+class ChargedChannel(StrictChannel):
+    """One connection of a caller.
+
+    :ivar request_id: the id of the latest request; empty if it has none.
+    :ivar account: the client account of that request; empty if it is not known.
+    :ivar deadline: the clock's seconds by which that request was to be answered.
+    :ivar progress_at: the clock's seconds when the caller last read output.
+    """
+
+    _blocks_on_output = True
+
+    def __init__(self, server: Any, *arguments: Any, **options: Any) -> None:
+        self._memory: CallerMemory = server.caller_memory
+        self._output = self._memory.charge(MemoryKind.OUTPUT)
+        # What the kernel has received.
+        self._received = self._memory.charge(MemoryKind.REQUEST)
+        # At the most what the kernel holds unsent, and from what on it is asked.
+        self._kernel_unsent, self._ask_kernel_at = 0, UNSENT_STEP_BYTES
+        self._bytes_written = self._bytes_received = 0
+        self._reading, self._sending = Pace(), Pace()
+        self.request_id = self.account = ""
+        self.deadline = self.progress_at = 0.0
+        super().__init__(server, *arguments, **options)
+
+    @property
+    def unread_bytes(self) -> int:
+        """The bytes that are held because the caller has not read them."""
+        return self.total_outbufs_len + self._kernel_unsent
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that are held until the caller reads or sends something."""
+        if self.unread_bytes:
+            return self._output.size
+        return self.request.charged_bytes if self.request is not None else 0
+
+    def note_deadline(self, request_id: str, deadline: float, account: str) -> None:
+        """Record the request whose answer is written next."""
+        self.request_id, self.deadline, self.account = request_id, deadline, account
+
+    def begin_waiting(self) -> None:
+        """Let writes block until the caller reads."""
+        self._blocks_on_output = True
+
+    def stop_waiting(self) -> None:
+        """Stop blocking writes until the caller reads, and wake a blocked one."""
+        self._blocks_on_output = False
+        with self.outbuf_lock:
+            self.outbuf_lock.notify_all()
+
+    def seconds_observed(self, now: float) -> float:
+        """Return for how long the caller has been seen to read or send slowly."""
+        pace = self._reading if self.unread_bytes else self._sending
+        return pace.seconds_observed(now)
+
+    def seconds_left(self, now: float) -> float:
+        """Return how long the connection will hold its bytes at the caller's pace."""
+        unread = self.unread_bytes
+        if unread:
+            gone = self._bytes_written - unread
+            return self._reading.seconds_for(unread, now, gone)
+        request = self.request
+        if request is None:
+            return 0.0
+        left = request.bytes_left or max(1, request.charged_bytes)
+        return self._sending.seconds_for(left, now, self._bytes_received)
+
+    def mark_progress(self, now: float) -> None:
+        """Note what has been read and received; called about once a second."""
+        unread = self.unread_bytes
+        if unread:
+            self._reading.mark(now, self._bytes_written - unread)
+        else:
+            self._reading.reset()
+        if self.request is not None:
+            self._sending.mark(now, self._bytes_received)
+        else:
+            self._sending.reset()
+
+    def write_soon(self, data: bytes) -> int:
+        """Send data, and charge it until the caller has acknowledged it."""
+        with self.outbuf_lock:
+            length = super().write_soon(data)
+            self._bytes_written += length
+            self._count_output()
+        return length
+
+    def send(self, data: Any, do_close: bool = True) -> int:
+        """Send data to the kernel, which holds it until the caller reads."""
+        sent = super().send(data, do_close)
+        if sent:
+            self._kernel_unsent += sent
+            if self._kernel_unsent >= self._ask_kernel_at:
+                # The event loop may be closing the connection.
+                with contextlib.suppress(OSError):
+                    self._count_unsent()
+        return sent
+
+    def recv(self, buffer_size: int) -> bytes:
+        """Return bytes that the caller has sent."""
+        data = super().recv(buffer_size)
+        self._bytes_received += len(data)
+        return data
+
+    def count_kernel_bytes(self) -> None:
+        """Charge what the kernel has received or not sent for the connection.
+
+        What it holds can't change without activity unless it is being sent.
+        """
+        recent = time.time() - self.last_activity < KERNEL_SECONDS
+        held = self._received.size or self._kernel_unsent
+        if self.socket is None or not (recent or self.busy or held):
+            return
+        try:
+            self._received.set(self._kernel_bytes(termios.FIONREAD))
+            with self.outbuf_lock:
+                before = self._kernel_unsent
+                self._count_unsent()
+                if not before or self._kernel_unsent < before:
+                    self.progress_at = self._memory.now()
+                self._count_output()
+        except OSError:
+            # The connection is being closed, which releases both.
+            return
+
+    def handle_close(self) -> None:
+        """Close the connection, and return what it held."""
+        super().handle_close()
+        with self.outbuf_lock:
+            self.outbuf_lock.notify_all()
+        self._output.release()
+        self._received.release()
+        if self.request is not None:
+            self.request.release()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read, run or answered."""
+        return bool(self.requests or self.request or self.total_outbufs_len)
+
+    def _flush_some(self, do_close: bool = True) -> bool:
+        with self.outbuf_lock:
+            sent = super()._flush_some(do_close)
+            if sent:
+                self.progress_at = self._memory.now()
+            self._count_output()
+            return sent
+
+    def _flush_outbufs_below_high_watermark(self) -> None:
+        """Block while memory is short and the caller has unread output."""
+        budget = self._memory.budget
+        with self.outbuf_lock:
+            while (
+                self.connected
+                and self._blocks_on_output
+                and self.total_outbufs_len > SMALL_OUTPUT_BYTES
+                and not budget.grants_unread
+            ):
+                self.server.pull_trigger()
+                self.outbuf_lock.wait(BLOCKED_POLL_SECONDS)
+
+    def _count_output(self) -> None:
+        if not self._output.size:
+            self.progress_at = self._memory.now()
+        self._output.set(self._blocks.held + self._kernel_unsent)
+
+    def _count_unsent(self) -> None:
+        self._kernel_unsent = self._kernel_bytes(termios.TIOCOUTQ)
+        self._ask_kernel_at = self._kernel_unsent + UNSENT_STEP_BYTES
+
+    def _kernel_bytes(self, kind: int) -> int:
+        """Return a number of bytes from the kernel.
+
+        :raises OSError: if the connection is closed.
+        """
+        size = array.array("i", [0])
+        try:
+            fcntl.ioctl(self.socket, kind, size)
+        except ValueError as error:
+            raise OSError("closed") from error
+        return size[0]
--- a/boragestream/caller/connections.py
+++ b/boragestream/caller/connections.py
@@ -1,27 +1,22 @@
-"""A caller's connection, built on the strict channel.
+"""A caller's connection: its requests, their deadlines, and how it is closed.
 
 It records when a request began to arrive, stops blocking on a caller that does not read
 once the request's deadline has passed, and closes keep-alive connections while the
-entry is leaving. If the server has a ``CallerMemory``, the bytes that the connection
-holds are charged to it: writes then block only while memory is short, and a request
-without memory is refused and its body dropped. ``caller.server`` configures the server.
+entry is leaving. A request for which there is no memory is refused and its body
+dropped. ``caller.server`` configures the server.
 """
 
-import array
 import contextlib
-import fcntl
 import socket
 import struct
 import termios
-import time
 from typing import Any
 
 from waitress.adjustments import Adjustments
 from waitress.task import WSGITask
 
-from boragestream.base.memory_budget import MemoryKind
-from boragestream.caller.caller_memory import CallerMemory
-from boragestream.caller.protocol import StrictChannel, StrictParser
+from boragestream.caller.charged_channel import ChargedChannel
+from boragestream.caller.protocol import StrictParser
 
 __all__ = [
     "ARRIVED",
@@ -49,13 +44,6 @@
 # A body is read so often in one pass of the event loop, which takes milliseconds where
 # there are thousands of connections.
 READS_AT_ONCE = 8
-# The kernel is asked what it holds unsent after so many further bytes.
-UNSENT_STEP_BYTES = 65_536
-# Less unread output of one caller does not block writes even if memory is short.
-SMALL_OUTPUT_BYTES = 16_384
-BLOCKED_POLL_SECONDS = 0.05
-# A closed connection without activity for longer holds nothing in the kernel.
-KERNEL_SECONDS = 2.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 END_ON_CLOSE = struct.pack("ii", 0, 0)
 
@@ -70,7 +58,7 @@
         in waitress' own queue counts. ``STOP_WAITING`` holds a function without
         arguments that is called when the deadline has passed. ``RAW_HEADERS`` holds
         the headers by name, in upper case with underscores. ``NOTE_DEADLINE`` holds a
-        function that is called with the request's id and its deadline.
+        function that is called with the request's id, deadline and client account.
         """
         environ = super().get_environment()
         environ[ARRIVED] = self.request.arrived
@@ -96,44 +84,18 @@
         self.channel.reset_on_close(False)
 
 
-class CallerConnection(StrictChannel):
-    """One connection of a caller.
-
-    :ivar request_id: the id of the latest request; empty if it has none.
-    :ivar deadline: the clock's seconds by which that request was to be answered.
-    :ivar progress_at: the clock's seconds when the caller last read output.
-    """
+class CallerConnection(ChargedChannel):
+    """One connection of a caller."""
 
     task_class = CallerTask
-    _blocks_on_output = True
     _resets = False
 
     def __init__(self, server: Any, *arguments: Any, **options: Any) -> None:
-        self._memory: CallerMemory | None = getattr(server, "caller_memory", None)
-        self._output = self._received = None
-        # At the most what the kernel holds unsent, and from what on it is asked.
-        self._kernel_unsent, self._ask_kernel_at = 0, UNSENT_STEP_BYTES
         self._discard_until: float | None = None
         self._discard_left: int | None = None
         self._receives_body = False
-        self.request_id = ""
-        self.deadline = self.progress_at = 0.0
-        if self._memory is not None:
-            self._output = self._memory.charge(MemoryKind.OUTPUT)
-            # What the kernel has received.
-            self._received = self._memory.charge(MemoryKind.REQUEST)
         super().__init__(server, *arguments, **options)
 
-    @property
-    def busy(self) -> bool:
-        """Whether a request is being read, run or answered."""
-        return bool(self.requests or self.request or self.total_outbufs_len)
-
-    @property
-    def unread_bytes(self) -> int:
-        """The bytes that are held because the caller has not read them."""
-        return self.total_outbufs_len + self._kernel_unsent
-
     @property
     def discards_too_long(self) -> bool:
         """Whether the body of a refused request has been dropped for long enough."""
@@ -146,20 +108,6 @@
         request.arrived = self.server.clock.now()
         return request
 
-    def note_deadline(self, request_id: str, deadline: float) -> None:
-        """Record the request whose answer is written next."""
-        self.request_id, self.deadline = request_id, deadline
-
-    def begin_waiting(self) -> None:
-        """Let writes block until the caller reads."""
-        self._blocks_on_output = True
-
-    def stop_waiting(self) -> None:
-        """Stop blocking writes until the caller reads, and wake a blocked one."""
-        self._blocks_on_output = False
-        with self.outbuf_lock:
-            self.outbuf_lock.notify_all()
-
     def service(self) -> None:
         """Run one request, and return what it held."""
         request = self.requests[0]
@@ -172,21 +120,14 @@
         """Return whether the event loop should read."""
         if self._discard_until is not None:
             return self.connected and not self.will_close
-        if self._memory is not None and not self.connected:
-            return False
-        return super().readable()
+        return self.connected and super().readable()
 
     def writable(self) -> bool:
         """Return whether the event loop should write or close."""
-        if self._memory is not None and self.socket is None:
-            return False
-        return super().writable()
+        return self.socket is not None and super().writable()
 
     def handle_read(self) -> None:
         """Read bytes; drop them after a request that was refused."""
-        if self._memory is None:
-            super().handle_read()
-            return
         for _ in range(READS_AT_ONCE):
             if self._discard_until is not None:
                 self._discard_some()
@@ -253,75 +194,6 @@
             self.reset_on_close(True)
             self.handle_close()
 
-    def handle_close(self) -> None:
-        """Close the connection, and return what it held."""
-        super().handle_close()
-        with self.outbuf_lock:
-            self.outbuf_lock.notify_all()
-        if self._memory is None:
-            return
-        self._output.release()
-        self._received.release()
-        if self.request is not None:
-            self.request.release()
-
-    def write_soon(self, data: Any) -> int:
-        """Send data, and charge it until the caller has acknowledged it."""
-        if self._memory is None:
-            return super().write_soon(data)
-        with self.outbuf_lock:
-            length = super().write_soon(data)
-            self._count_output()
-        return length
-
-    def send(self, data: Any, do_close: bool = True) -> int:
-        """Send data to the kernel, which holds it until the caller reads."""
-        sent = super().send(data, do_close)
-        if self._memory is not None and sent:
-            self._kernel_unsent += sent
-            if self._kernel_unsent >= self._ask_kernel_at:
-                # The event loop may be closing the connection.
-                with contextlib.suppress(OSError):
-                    self._count_unsent()
-        return sent
-
-    def count_kernel_bytes(self) -> None:
-        """Charge what the kernel has received or not sent for the connection.
-
-        What it holds can't change without activity unless it is being sent.
-        """
-        recent = time.time() - self.last_activity < KERNEL_SECONDS
-        held = self._received.size or self._kernel_unsent
-        if self.socket is None or not (recent or self.busy or held):
-            return
-        try:
-            self._received.set(self._kernel_bytes(termios.FIONREAD))
-            with self.outbuf_lock:
-                before = self._kernel_unsent
-                self._count_unsent()
-                if not before or self._kernel_unsent < before:
-                    self.progress_at = self._memory.now()
-                self._count_output()
-        except OSError:
-            # The connection is being closed, which releases both.
-            return
-
-    def _count_unsent(self) -> None:
-        self._kernel_unsent = self._kernel_bytes(termios.TIOCOUTQ)
-        self._ask_kernel_at = self._kernel_unsent + UNSENT_STEP_BYTES
-
-    def _kernel_bytes(self, kind: int) -> int:
-        """Return a number of bytes from the kernel.
-
-        :raises OSError: if the connection is closed.
-        """
-        size = array.array("i", [0])
-        try:
-            fcntl.ioctl(self.socket, kind, size)
-        except ValueError as error:
-            raise OSError("closed") from error
-        return size[0]
-
     def _discard_rest(self, left: int | None) -> None:
         self._discard_until = self._memory.now() + DISCARD_SECONDS
         self._discard_left = left
@@ -337,46 +209,3 @@
         left = self._discard_left
         if answered and (self.discards_too_long or (left is not None and left <= 0)):
             self.will_close = True
-
-    def _flush_some(self, do_close: bool = True) -> bool:
-        if self._memory is None:
-            return super()._flush_some(do_close)
-        with self.outbuf_lock:
-            sent = super()._flush_some(do_close)
-            if sent:
-                self.progress_at = self._memory.now()
-            self._count_output()
-            return sent
-
-    def _count_output(self) -> None:
-        if not self._output.size:
-            self.progress_at = self._memory.now()
-        self._output.set(self._blocks.held + self._kernel_unsent)
-
-    def _flush_outbufs_below_high_watermark(self) -> None:
-        """Block until the caller reads or waiting stops; waitress has no bound."""
-        if self._memory is not None:
-            self._wait_for_memory()
-            return
-        limit = self.adj.outbuf_high_watermark
-        with self.outbuf_lock:
-            while (
-                self.connected
-                and self._blocks_on_output
-                and self.total_outbufs_len > limit
-            ):
-                self.server.pull_trigger()
-                self.outbuf_lock.wait()
-
-    def _wait_for_memory(self) -> None:
-        """Block while memory is short and the caller has unread output."""
-        budget = self._memory.budget
-        with self.outbuf_lock:
-            while (
-                self.connected
-                and self._blocks_on_output
-                and self.total_outbufs_len > SMALL_OUTPUT_BYTES
-                and not budget.grants_unread
-            ):
-                self.server.pull_trigger()
-                self.outbuf_lock.wait(BLOCKED_POLL_SECONDS)
--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -181,9 +181,9 @@
         gone = environ.get("waitress.client_disconnected")
         held = MemoryCharge(self.memory, MemoryKind.ANSWER) if self.memory else None
         scope = CancelScope(arrived + wait, gone, environ.get(STOP_WAITING), held)
-        if NOTE_DEADLINE in environ:
-            environ[NOTE_DEADLINE](request.request_id, scope.deadline)
         name = account.name if account is not None else ""
+        if NOTE_DEADLINE in environ:
+            environ[NOTE_DEADLINE](request.request_id, scope.deadline, name)
         delegated = self.delegated_by(request)
         if delegated.entry:
             self.metrics.delegation_taken()
--- a/boragestream/caller/protocol.py
+++ b/boragestream/caller/protocol.py
@@ -3,8 +3,8 @@
 A request of ambiguous length is refused, because a proxy between the caller and the
 entry could interpret it differently. A request must arrive completely within a time
 limit, however slowly its bytes come. Errors contain nothing that a caller sent, since
-it could be a key. If the server has a ``CallerMemory``, a request is charged for its
-head and body, and refused where the budget does not grant them.
+it could be a key. A request is charged for its head and body, and refused where the
+budget does not grant them.
 """
 
 import re
@@ -58,7 +58,7 @@
 class StrictParser(HTTPRequestParser):
     """Refuses ambiguous requests and reports errors as problem documents.
 
-    :param memory: grants the bytes of the request; None for no limit.
+    :param memory: grants the bytes of the request.
     :param refused: called when the request is refused for memory, with the number of
         bytes of its body that are still to come; None if that is not known.
     """
@@ -66,18 +66,27 @@
     def __init__(
         self,
         adj: Any,
-        memory: CallerMemory | None = None,
+        memory: CallerMemory,
         refused: Callable[[int | None], None] = lambda left: None,
     ) -> None:
         super().__init__(adj)
         self._memory = memory
         self._note_refused = refused
-        self._charge = memory.charge(MemoryKind.REQUEST) if memory else None
+        self._charge = memory.charge(MemoryKind.REQUEST)
+
+    @property
+    def charged_bytes(self) -> int:
+        """The bytes that are charged for the request."""
+        return self._charge.size
+
+    @property
+    def bytes_left(self) -> int:
+        """The bytes of the body that are still to come; 0 if that is not known."""
+        known = self.body_rcv is not None and not self.chunked
+        return self.content_length - self.body_bytes_received if known else 0
 
     def received(self, data: bytes) -> int:
         """Parse bytes of a request; return how many were consumed."""
-        if self._charge is None:
-            return self._parse(data)
         if self.body_rcv is None:
             return self._receive_head(data)
         if not self.chunked:
@@ -110,8 +119,7 @@
 
     def release(self) -> None:
         """Return the request's bytes to the budget; a second call does nothing."""
-        if self._charge is not None:
-            self._charge.release()
+        self._charge.release()
 
     def close(self) -> None:
         """Drop the body."""
--- a/boragestream/caller/server.py
+++ b/boragestream/caller/server.py
@@ -26,14 +26,11 @@
 
 MAX_HEADER_BYTES = 16384
 SPARE_CONNECTIONS = 512
-# Unread output of a caller, in bytes, above which writes to its stream block.
-UNREAD_BYTES = 262_144
 BACKLOG = 1024
 CLEANUP_SECONDS = 1
 # Instances have no disks, so waitress must never spool to a file.
 NEVER_SPOOLED_BYTES = 1 << 40
-# With bounded memory, the kernel keeps about this much unsent for a caller that reads
-# nothing.
+# The kernel keeps about this much unsent for a caller that reads nothing.
 UNSENT_BYTES = 16_384
 # The event loop looks at every connection in each pass. With thousands of connections
 # of callers that do not read, one new connection and 8 KB of a body in each pass would
@@ -45,18 +42,18 @@
 def create_server(
     application: Any,
     settings: CallerSettings,
+    memory: CallerMemory,
     clock: Clock | None = None,
     listening: socket.socket | None = None,
-    memory: CallerMemory | None = None,
 ) -> BaseWSGIServer:
     """Return a server bound to the address of the settings, not yet running.
 
     Request lookahead is enabled, so that an application can detect that its caller has
     closed the connection.
 
+    :param memory: bounds what the connections hold.
     :param clock: gives the arrival times of requests.
     :param listening: a listening socket to use in place of the address.
-    :param memory: bounds what the connections hold; None for no bound.
     """
     place: dict[str, Any] = {"host": settings.address, "port": settings.port}
     if listening is not None:
@@ -76,7 +73,6 @@
         max_request_body_size=settings.max_body_bytes + 1,
         inbuf_overflow=NEVER_SPOOLED_BYTES,
         outbuf_overflow=NEVER_SPOOLED_BYTES,
-        outbuf_high_watermark=UNREAD_BYTES,
         ident="boragestream",
         clear_untrusted_proxy_headers=True,
         asyncore_use_poll=True,
@@ -86,11 +82,10 @@
     server.clock = clock or SystemClock()
     server.leaving = False
     server.caller_memory = memory
-    if memory is not None:
-        _bound_kernel_buffers(server)
-        server.adj.recv_bytes = READ_BYTES
-        server.handle_accept = partial(_accept_several, server, server.handle_accept)
-        memory.attach(server)
+    _bound_kernel_buffers(server)
+    server.adj.recv_bytes = READ_BYTES
+    server.handle_accept = partial(_accept_several, server, server.handle_accept)
+    memory.attach(server)
     return server
 
 
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -62,12 +62,9 @@
         )
         self._listener = open_peer_listener(self._parts, application, peer_tls)
         return_freed_memory()
-        self._server = create_server(
-            application,
-            settings.caller,
-            self._parts.watchdog.arrivals,
-            memory=CallerMemory(self._parts.memory, JsonRefusals(), clock),
-        )
+        memory = CallerMemory(self._parts.memory, JsonRefusals(), clock)
+        arrivals = self._parts.watchdog.arrivals
+        self._server = create_server(application, settings.caller, memory, arrivals)
 
     @property
     def incarnation(self) -> str:
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -231,7 +231,7 @@
             metrics.reader_abandoned,
         )
         metrics.set_memory(self._budget)
-        server = create_server(application, callers, arrivals, sockets.callers, memory)
+        server = create_server(application, callers, memory, arrivals, sockets.callers)
         connection_limit = settings.resources.descriptors - OTHER_DESCRIPTORS
         server.adj.connection_limit = max(connection_limit, settings.resources.threads)
         return server
--- a/tests/features/steps/caller_channel.py
+++ b/tests/features/steps/caller_channel.py
@@ -8,12 +8,15 @@
 
 from behave import given, then, when
 
+from boragestream.base.clock import SystemClock
 from boragestream.base.settings import CallerSettings
 from boragestream.caller.server import create_server
+from tests.standins.callers_memory import caller_memory
 from tests.standins.fleet import ADDRESS, free_ports
 
 SMALL_BUFFER = 4096
 READ_BYTES = 100_000
+MEMORY_BYTES = 100_000_000
 
 
 @given("a server whose reply is {count:d} chunks of {size:d} bytes")
@@ -25,7 +28,8 @@
         yield from context.chunks
 
     context.port = free_ports(1)[0]
-    server = create_server(application, CallerSettings(ADDRESS, context.port))
+    memory = caller_memory(SystemClock(), MEMORY_BYTES)
+    server = create_server(application, CallerSettings(ADDRESS, context.port), memory)
     threading.Thread(target=server.run, daemon=True).start()
     context.add_cleanup(server.close)
 
--- a/tests/features/steps/caller_connections.py
+++ b/tests/features/steps/caller_connections.py
@@ -8,19 +8,24 @@
 
 from boragestream.base.settings import CallerSettings
 from boragestream.caller.connections import ARRIVED, STOP_WAITING
-from boragestream.caller.server import UNREAD_BYTES, busy_connections, create_server
+from boragestream.caller.server import busy_connections, create_server
+from tests.standins.callers_memory import caller_memory
 from tests.standins.clock import SetClock
 from tests.standins.fleet import free_ports, wait_until
 
 PART = b"x" * 65536
 SECONDS = 30
+# Writes block while more than a share of it is held.
+MEMORY_BYTES = 100_000_000
+UNREAD_BYTES = 262_144
 
 
 def start(context, application, threads=2):
     """Run a server until the scenario ends."""
     context.clock = SetClock(0.0)
     settings = CallerSettings("127.0.0.1", free_ports(1)[0], threads)
-    context.server = create_server(application, settings, context.clock)
+    context.memory = caller_memory(context.clock, MEMORY_BYTES)
+    context.server = create_server(application, settings, context.memory, context.clock)
     context.address = ("127.0.0.1", settings.port)
     pool = ThreadPoolExecutor(1)
     future = pool.submit(context.server.run)
@@ -95,6 +100,7 @@
         lambda: any(c.total_outbufs_len > UNREAD_BYTES for c in channels.values())
     )
     assert not context.ended.is_set()
+    assert context.memory.budget.total <= MEMORY_BYTES
 
 
 @when("the deadline of the request passes")
