Close the slowest callers by their pace while others go short

Callers saw: while a crowd read a little of long answers or streams, or gave them late deadlines, everybody else was refused for as long as the crowd cared.

Cause: output was given up only past its deadline and after a second without any progress, so that a byte a second, or a long deadline, kept it. All threads could wait for memory or for callers that don't read, and large answers could fill what small requests need.

Change: the pace of each connection in the last one to three seconds says for how long it will hold its bytes (caller.pace). Connections that will hold them for more than 10 s are closed while others go short, the worst client account first, then the slowest (caller.slow_connections); the same holds for callers that send their requests slowly, event 3203 and a counter of their own. Half of the threads may wait; one more gives up at once. Answers above 64 KB are granted up to 0.65 of the budget and leave the rest to small ones, but a single one may be as large as before. The 10 s, the shares and the observed seconds are constants; no caller that reads its answers meets them.

--- a/boragestream/base/memory_budget.py
+++ b/boragestream/base/memory_budget.py
@@ -7,10 +7,11 @@
 Not counted are the interpreter's objects, which the budget leaves out beforehand.
 """
 
+import contextlib
 import enum
 import threading
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from boragestream.base.clock import Clock
 
@@ -32,12 +33,13 @@
 # Requests up to this size may use memory that larger ones leave free.
 SMALL_BYTES = 65_536
 # The shares of the budget up to which more bytes are granted. What was admitted must
-# still be answered, so that answers may use more than requests; and a few callers with
-# large bodies, or that read nothing, leave memory for the others. What is above the
-# share of answers is for bytes that are charged without being granted: the kernel's
-# buffers are counted once a second, and grow meanwhile under thousands of callers.
+# still be answered, so that answers may use more than requests; and callers with large
+# bodies or answers, or that read nothing, leave memory for the others. What is above
+# the share of answers is for bytes that are charged without being granted: what the
+# kernel has received is counted once a second, and grows under thousands of callers.
 LARGE_REQUEST_SHARE = 0.5
 UNREAD_SHARE = 0.6
+LARGE_ANSWER_SHARE = 0.65
 SMALL_REQUEST_SHARE = 0.8
 ANSWER_SHARE = 0.85
 # The releases of this many seconds predict when bytes become free.
@@ -47,6 +49,7 @@
 # an entry of the directory's choice, and those with a second left wait a third of it.
 MAX_RETRY_SECONDS = 0.3
 POLL_SECONDS = 0.05
+DEFAULT_MAX_WAITING = 64
 
 
 class MemoryKind(enum.Enum):
@@ -66,11 +69,17 @@
     """The bytes that an entry holds for others, by kind.
 
     :param limit: the bytes that may be held.
+    :param max_waiting: how many threads may wait for memory at once, so that others
+        are left for requests that need none.
     """
 
-    def __init__(self, limit: int, clock: Clock) -> None:
+    def __init__(
+        self, limit: int, clock: Clock, max_waiting: int = DEFAULT_MAX_WAITING
+    ) -> None:
         self._limit = limit
         self._clock = clock
+        self._max_waiting = max_waiting
+        self._waiting = 0
         self._charged: Counter[MemoryKind] = Counter()
         self._total = 0
         self._released: deque[tuple[float, int]] = deque()
@@ -121,20 +130,37 @@
         size: int,
         seconds: float,
         cancelled: Callable[[], bool],
+        whole: int = 0,
     ) -> bool:
         """Charge bytes as soon as the budget grants them.
 
         :param seconds: the longest time to wait.
         :param cancelled: whether to stop waiting.
+        :param whole: the size of what the bytes are a part of, if larger.
         """
+        if self.reserve(kind, size, whole):
+            return True
         end = self._clock.now() + seconds
-        while not self.reserve(kind, size):
-            if cancelled() or self._clock.now() >= end:
-                return False
-            self._on_short(kind, size)
+        with self.waiting() as may_wait:
+            while may_wait and not cancelled() and self._clock.now() < end:
+                self._on_short(kind, size)
+                with self._changed:
+                    self._changed.wait(POLL_SECONDS)
+                if self.reserve(kind, size, whole):
+                    return True
+        return False
+
+    @contextlib.contextmanager
+    def waiting(self) -> Iterator[bool]:
+        """Count a thread that waits for memory; tell whether it may."""
+        with self._changed:
+            may_wait = self._waiting < self._max_waiting
+            self._waiting += may_wait
+        try:
+            yield may_wait
+        finally:
             with self._changed:
-                self._changed.wait(POLL_SECONDS)
-        return True
+                self._waiting -= may_wait
 
     def charge(self, kind: MemoryKind, size: int) -> None:
         """Charge bytes that are held already, whether or not they are granted."""
@@ -169,12 +195,20 @@
         self._total += size
 
     def _ceiling(self, kind: MemoryKind, size: int) -> float:
-        share = ANSWER_SHARE
+        small = size <= SMALL_BYTES
         if kind is MemoryKind.REQUEST:
-            small = size <= SMALL_BYTES
             share = SMALL_REQUEST_SHARE if small else LARGE_REQUEST_SHARE
+        elif small or self._holds_no_answer:
+            share = ANSWER_SHARE
+        else:
+            share = LARGE_ANSWER_SHARE
         return self._limit * share
 
+    @property
+    def _holds_no_answer(self) -> bool:
+        held = self._charged[MemoryKind.ANSWER] + self._charged[MemoryKind.OUTPUT]
+        return held <= SMALL_BYTES
+
     def _drop_old_releases(self) -> None:
         oldest = self._clock.now() - RATE_SECONDS
         while self._released and self._released[0][0] < oldest:
@@ -215,7 +249,9 @@
         self, size: int, seconds: float, cancelled: Callable[[], bool]
     ) -> bool:
         """Charge further bytes as soon as the budget grants them."""
-        if not self._budget.wait_and_reserve(self._kind, size, seconds, cancelled):
+        whole = self._size + size
+        kind = self._kind
+        if not self._budget.wait_and_reserve(kind, size, seconds, cancelled, whole):
             return False
         with self._lock:
             self._size += size
--- a/boragestream/base/route_metrics.py
+++ b/boragestream/base/route_metrics.py
@@ -240,6 +240,11 @@
             "Connections closed because their callers did not read.",
             registry=registry,
         )
+        self._senders_abandoned = Counter(
+            "boragestream_slow_senders_abandoned",
+            "Connections closed because their callers sent too slowly or nothing.",
+            registry=registry,
+        )
 
         self._shares = Gauge(
             "boragestream_account_share",
@@ -280,9 +285,12 @@
         """Count a request that was refused for memory."""
         self._memory_refused.inc()
 
-    def reader_abandoned(self) -> None:
-        """Count a connection that was closed because its caller did not read."""
-        self._abandoned.inc()
+    def caller_abandoned(self, unread: bool) -> None:
+        """Count a connection that was closed because its caller was slow.
+
+        :param unread: whether it had not read its answer, or else not sent its request.
+        """
+        (self._abandoned if unread else self._senders_abandoned).inc()
 
     def request_ended(
         self, account: str, route: str, outcome: str, reason: str, seconds: float
--- a/boragestream/caller/caller_memory.py
+++ b/boragestream/caller/caller_memory.py
@@ -1,11 +1,12 @@
-"""Decides what callers' connections may hold, and whose unread output is given up.
+"""Decides what callers' connections may hold, and which of them are closed.
 
-It answers the load of many callers that send large bodies or read nothing: a request
-beyond the budget is refused before its body is read, and when memory is short, the
-output that its caller has not read for longest after its deadline is given up.
+It answers the load of many callers that send large bodies, or that read or send slowly:
+a request beyond the budget is refused before its body is read, and when others go
+short, the slowest connections are closed, see ``caller.slow_connections``.
 """
 
 import math
+from collections import deque
 from collections.abc import Callable, Mapping
 from functools import partial
 from http import HTTPStatus
@@ -17,11 +18,14 @@
 from boragestream.base.events import Event, emit
 from boragestream.base.failures import MemoryExhausted
 from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
+from boragestream.caller.slow_connections import (
+    CallersConnection,
+    is_slow,
+    slowest_first,
+)
 
-__all__ = ["CallerMemory", "RefusalFormat", "UnreadOutput", "read_body"]
+__all__ = ["CallerMemory", "RefusalFormat", "read_body"]
 
-# Output without progress for less time belongs to a caller that reads.
-STALLED_SECONDS = 1.0
 # A connection whose caller reads nothing for this long is closed even if memory is not
 # short, so that its descriptor is returned.
 UNREAD_SECONDS = 60.0
@@ -47,21 +51,6 @@
         """
 
 
-class UnreadOutput(Protocol):
-    """A caller's connection."""
-
-    unread_bytes: int
-    progress_at: float
-    deadline: float
-    request_id: str
-
-    def abandon(self) -> None:
-        """Close the connection so that its caller sees that the answer is cut."""
-
-    def count_kernel_bytes(self) -> None:
-        """Charge the bytes that the kernel holds for the connection."""
-
-
 class MemoryRefusedError(Error):
     """An error of waitress: 503, not run, with the time to return."""
 
@@ -81,8 +70,8 @@
 
     :param clock: the clock of requests' deadlines.
     :param refused: called for each request that is refused for memory.
-    :param abandoned: called for each connection that is given up because its caller
-        does not read.
+    :param abandoned: called for each connection that is closed because its caller is
+        slow; takes whether it had not read its answer.
     """
 
     def __init__(
@@ -91,7 +80,7 @@
         refusals: RefusalFormat,
         clock: Clock,
         refused: Callable[[], None] = lambda: None,
-        abandoned: Callable[[], None] = lambda: None,
+        abandoned: Callable[[bool], None] = lambda unread: None,
     ) -> None:
         self._budget = budget
         self._refusals = refusals
@@ -101,6 +90,7 @@
         self._count_abandoned = abandoned
         self._next_search = float("-inf")
         self._wanted: Callable[[], bool] | None = None
+        self._given_up: deque[CallersConnection] = deque()
         budget.on_short(self._free)
 
     @property
@@ -144,7 +134,7 @@
         return MemoryRefusedError(*self._refusals.refusal(request_id, failure, wait))
 
     def reserve(self, charge: MemoryCharge, size: int) -> bool:
-        """Charge bytes of a request, and give up unread output for them if needed.
+        """Charge bytes of a request, and close slow connections for them if needed.
 
         Only the event loop calls this, since it closes connections.
         """
@@ -153,63 +143,66 @@
         self._abandon_until(partial(self._budget.grants, MemoryKind.REQUEST, size))
         return charge.reserve(size)
 
+    def give_up(self, connection: CallersConnection) -> None:
+        """Have the event loop close a connection whose output has no memory."""
+        self._given_up.append(connection)
+        self._server.pull_trigger()
+
     def _free(self, kind: MemoryKind, size: int) -> None:
-        """Have the event loop give up unread output for bytes."""
+        """Have the event loop close slow connections for bytes."""
         self._wanted = partial(self._budget.grants, kind, size)
         if self._server is not None:
             self._server.pull_trigger()
 
     def _before_poll(self, readable: Callable[[], bool]) -> bool:
-        """Give up output if it is wanted; return whether the server accepts.
+        """Close slow connections if needed; return whether the server accepts.
 
         The event loop asks the server first of all whether to poll it. Only here, or
         after the server has accepted, can connections be closed without the risk that
         a new one gets the same descriptor and then the events of the closed one.
         """
+        while self._given_up:
+            self._abandon(self._given_up.popleft())
         wanted, self._wanted = self._wanted, None
         if wanted is not None:
             self._abandon_until(wanted)
         return readable()
 
     def _abandon_until(self, enough: Callable[[], bool]) -> None:
-        """Give up output past its deadline, the longest without progress first."""
+        """Close slow connections, the worst first, until others don't go short."""
         now = self._clock.now()
-        if now < self._next_search:
+        if now < self._next_search or enough():
             return
-        for output in self._stalled():
+        for connection in slowest_first(self._connections, now):
+            # The caller may have read since the kernel was last asked.
+            connection.count_kernel_bytes()
+            if is_slow(connection, now):
+                self._abandon(connection)
             if enough():
                 return
-            # The caller may have read since the kernel was last asked.
-            output.count_kernel_bytes()
-            if self._is_stalled(output):
-                self._abandon(output)
         self._next_search = now + SEARCH_SECONDS
 
-    def _stalled(self) -> list[UnreadOutput]:
-        """Return output past its deadline, the one without progress longest first."""
-        channels = list(self._server.active_channels.values())
-        stalled = [output for output in channels if self._is_stalled(output)]
-        return sorted(stalled, key=lambda output: output.progress_at)
+    @property
+    def _connections(self) -> list[CallersConnection]:
+        return list(self._server.active_channels.values())
 
-    def _is_stalled(self, output: UnreadOutput) -> bool:
+    def _abandon(self, connection: CallersConnection) -> None:
         now = self._clock.now()
-        return (
-            output.unread_bytes > 0
-            and now >= output.deadline
-            and now - output.progress_at >= STALLED_SECONDS
-        )
-
-    def _abandon(self, output: UnreadOutput) -> None:
-        self._count_abandoned()
+        left = connection.seconds_left(now)
+        unread = bool(connection.unread_bytes)
+        kind = Event.SLOW_READER_ABANDONED if unread else Event.SLOW_SENDER_ABANDONED
         emit(
-            Event.SLOW_READER_ABANDONED,
-            request=output.request_id,
-            bytes=output.unread_bytes,
-            seconds=round(self._clock.now() - output.progress_at, 1),
+            kind,
+            request=connection.request_id,
+            account=connection.account,
+            bytes=connection.unread_bytes or connection.held_bytes,
+            seconds=round(connection.seconds_observed(now), 1),
+            seconds_left=round(left, 1) if math.isfinite(left) else None,
             budget=self._budget.limit,
             held=self._budget.total,
         )
-        output.abandon()
+        self._count_abandoned(unread)
+        connection.abandon()
 
     def _maintain(self, now: float) -> None:
         """Close idle connections, and count what the kernel holds for the others.
@@ -222,8 +215,9 @@
         server = self._server
         cutoff = now - server.adj.channel_timeout
         unread_cutoff = now - max(UNREAD_SECONDS, server.adj.channel_timeout)
-        for channel in list(server.active_channels.values()):
+        for channel in self._connections:
             channel.count_kernel_bytes()
+            channel.mark_progress(self._clock.now())
             idle_since = math.inf if channel.requests else channel.last_activity
             if channel.unread_bytes:
                 if idle_since < unread_cutoff:
@@ -233,8 +227,9 @@
         self._abandon_until(lambda: self._budget.grants_unread)
         full = CONNECTIONS_SHARE * server.adj.connection_limit
         excess = len(server.active_channels) - full
-        for output in self._stalled()[: max(0, int(excess))]:
-            self._abandon(output)
+        slow = slowest_first(self._connections, self._clock.now())
+        for connection in slow[: max(0, int(excess))]:
+            self._abandon(connection)
 
 
 def read_body(stream: Any) -> bytes:
--- a/boragestream/caller/charged_channel.py
+++ b/boragestream/caller/charged_channel.py
@@ -13,6 +13,8 @@
 import time
 from typing import Any
 
+from waitress.channel import ClientDisconnected
+
 from boragestream.base.memory_budget import MemoryKind
 from boragestream.caller.caller_memory import CallerMemory
 from boragestream.caller.pace import Pace
@@ -65,6 +67,16 @@
             return self._output.size
         return self.request.charged_bytes if self.request is not None else 0
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read, run or answered."""
+        return bool(self.requests or self.request or self.total_outbufs_len)
+
+    @property
+    def serving(self) -> bool:
+        """Whether a request is run, or its answer is still being read."""
+        return bool(self.requests or self.unread_bytes)
+
     def note_deadline(self, request_id: str, deadline: float, account: str) -> None:
         """Record the request whose answer is written next."""
         self.request_id, self.deadline, self.account = request_id, deadline, account
@@ -164,11 +176,6 @@
         if self.request is not None:
             self.request.release()
 
-    @property
-    def busy(self) -> bool:
-        """Whether a request is being read, run or answered."""
-        return bool(self.requests or self.request or self.total_outbufs_len)
-
     def _flush_some(self, do_close: bool = True) -> bool:
         with self.outbuf_lock:
             sent = super()._flush_some(do_close)
@@ -178,17 +185,31 @@
             return sent
 
     def _flush_outbufs_below_high_watermark(self) -> None:
-        """Block while memory is short and the caller has unread output."""
+        """Block while memory is short and the caller has unread output.
+
+        :raises ClientDisconnected: if the output is given up, since too many threads
+            wait already, or there is no memory left for it after its deadline.
+        """
         budget = self._memory.budget
-        with self.outbuf_lock:
-            while (
-                self.connected
-                and self._blocks_on_output
-                and self.total_outbufs_len > SMALL_OUTPUT_BYTES
-                and not budget.grants_unread
-            ):
+        if not self._exceeds_memory():
+            return
+        with budget.waiting() as may_wait, self.outbuf_lock:
+            while may_wait and self._blocks_on_output and self._exceeds_memory():
                 self.server.pull_trigger()
                 self.outbuf_lock.wait(BLOCKED_POLL_SECONDS)
+        if self._exceeds_memory() and not (
+            may_wait and budget.total + SMALL_OUTPUT_BYTES <= budget.limit
+        ):
+            self._memory.give_up(self)
+            raise ClientDisconnected
+
+    def _exceeds_memory(self) -> bool:
+        """Return whether output that the caller does not read must not grow."""
+        return (
+            self.connected
+            and self.total_outbufs_len > SMALL_OUTPUT_BYTES
+            and not self._memory.budget.grants_unread
+        )
 
     def _count_output(self) -> None:
         if not self._output.size:
--- a/boragestream/caller/connections.py
+++ b/boragestream/caller/connections.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from waitress.adjustments import Adjustments
+from waitress.channel import ClientDisconnected
 from waitress.task import WSGITask
 
 from boragestream.caller.charged_channel import ChargedChannel
@@ -111,10 +112,12 @@
     def service(self) -> None:
         """Run one request, and return what it held."""
         request = self.requests[0]
-        try:
-            super().service()
-        finally:
-            request.release()
+        # The output may be given up between two requests.
+        with contextlib.suppress(ClientDisconnected):
+            try:
+                super().service()
+            finally:
+                request.release()
 
     def readable(self) -> bool:
         """Return whether the event loop should read."""
--- a/boragestream/daemon/memory.py
+++ b/boragestream/daemon/memory.py
@@ -22,6 +22,9 @@
 
 # Without a setting, an entry shares its machine with others.
 DEFAULT_MEMORY_MB = 1024
+# The share of the threads that may wait for memory; the others serve requests that need
+# little.
+WAITING_SHARE = 0.5
 # Options of glibc's mallopt.
 MMAP_THRESHOLD = -3
 ARENA_MAX = -8
@@ -33,15 +36,17 @@
 ARENAS = 2
 
 
-def make_budget(memory_mb: int | None, clock: Clock) -> MemoryBudget:
+def make_budget(memory_mb: int | None, threads: int, clock: Clock) -> MemoryBudget:
     """Return the entry's budget.
 
+    :param threads: how many requests can be in hand at once.
     :param memory_mb: the memory above which the process is ended, if the settings name
         it; by default what its machine has, up to ``DEFAULT_MEMORY_MB``.
     """
     if memory_mb is None:
         memory_mb = min(DEFAULT_MEMORY_MB, machine_memory_mb())
-    return MemoryBudget(budget_bytes(memory_mb), clock)
+    waiting = max(1, int(threads * WAITING_SHARE))
+    return MemoryBudget(budget_bytes(memory_mb), clock, waiting)
 
 
 def make_outstanding(
--- a/boragestream/daemon/parts.py
+++ b/boragestream/daemon/parts.py
@@ -223,7 +223,7 @@
         listing=listing,
         serving=serving,
         reach=reach_parts,
-        memory=make_budget(settings.resources.memory_mb, clock),
+        memory=make_budget(settings.resources.memory_mb, requests, clock),
     )
 
 
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -228,7 +228,7 @@
             _RequestFormat(),
             self._clock,
             metrics.memory_refused,
-            metrics.reader_abandoned,
+            metrics.caller_abandoned,
         )
         metrics.set_memory(self._budget)
         server = create_server(application, callers, memory, arrivals, sockets.callers)
