Parse only two requests of a connection at a time

Callers saw: no answer, for minutes, while 40 callers sent requests one after another without reading the answers; charges stayed for over a minute after they had gone.

Cause: everything that was read was parsed at once. 64 KB hold 2,400 requests, each of which became some kilobytes of objects charged as 27 bytes, and a task that was run even after its caller had left.

Change: the request that is served and the next one are parsed; the rest of what was read waits as bytes, is charged, and nothing more is read until it is gone. One pass of the event loop parses eight requests of a connection at the most, blank lines included.

The new scenario of caller_connections failed on the code before.

--- a/boragestream/caller/charged_channel.py
+++ b/boragestream/caller/charged_channel.py
@@ -45,7 +45,7 @@
     def __init__(self, server: Any, *arguments: Any, **options: Any) -> None:
         self._memory: CallerMemory = server.caller_memory
         self._output = self._memory.charge(MemoryKind.OUTPUT)
-        # What the kernel has received.
+        # What the kernel has received, and what waits behind other requests.
         self._received = self._memory.charge(MemoryKind.REQUEST)
         # At the most what the kernel holds unsent, and from what on it is asked.
         self._kernel_unsent, self._ask_kernel_at = 0, UNSENT_STEP_BYTES
@@ -151,11 +151,12 @@
         What it holds can't change without activity unless it is being sent.
         """
         recent = time.time() - self.last_activity < KERNEL_SECONDS
-        held = self._received.size or self._kernel_unsent
+        held = self._received.size or self._kernel_unsent or self._unparsed
         if self.socket is None or not (recent or self.busy or held):
             return
         try:
-            self._received.set(self._kernel_bytes(termios.FIONREAD))
+            waiting = self._kernel_bytes(termios.FIONREAD) + len(self._unparsed)
+            self._received.set(waiting)
             with self.outbuf_lock:
                 before = self._kernel_unsent
                 self._count_unsent()
--- a/boragestream/caller/protocol.py
+++ b/boragestream/caller/protocol.py
@@ -35,6 +35,9 @@
 HEADER_TOO_LONG = 431
 BODY_TOO_LONG = 413
 ENCODING_UNSUPPORTED = 501
+# Requests of one connection that are parsed in one pass of the event loop. A caller may
+# send blank lines between requests, which are parsed like requests.
+PARSED_AT_ONCE = 8
 
 
 class _ProblemError(Error):
@@ -162,14 +165,66 @@
 
 
 class StrictChannel(DirectChannel):
-    """A caller's connection; a request that is slow to arrive closes it."""
+    """A caller's connection; a request that is slow to arrive closes it.
+
+    Of requests that are sent one after another, the one that is served and the next one
+    are parsed. The bytes of the others wait, and nothing is read meanwhile.
+    """
 
     parser_class = StrictParser
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         self._request_start: float | None = None
+        # Bytes that were read and not parsed.
+        self._unparsed = b""
         super().__init__(*arguments, **options)
 
+    def readable(self) -> bool:
+        """Return whether the event loop should read; parse what waits if there is room.
+
+        The event loop asks this in each pass, also after a request was answered.
+        """
+        if self._unparsed and super().readable():
+            self.received(b"")
+        return not self._unparsed and super().readable()
+
+    def received(self, data: bytes) -> bool:
+        """Parse bytes as far as requests may be queued, and keep the rest."""
+        with self.requests_lock:
+            if self.will_close or self.close_when_flushed:
+                # Nothing that follows will be answered.
+                self._unparsed = b""
+                return False
+            rest = self._unparsed + data
+            for _ in range(PARSED_AT_ONCE):
+                if not rest or len(self.requests) > self.adj.channel_request_lookahead:
+                    break
+                rest = rest[self._parse_some(rest) :]
+            self._unparsed = rest
+        if rest:
+            self.server.pull_trigger()
+        return True
+
+    def _parse_some(self, data: bytes) -> int:
+        """Parse one request, or the part of it that is there; return its bytes."""
+        if self.request is None:
+            self.request = self.parser_class(self.adj)
+        request = self.request
+        used = request.received(data)
+        # Answers keep their order, so that a caller whose earlier request is being
+        # answered is asked for its body only afterwards.
+        continues = request.expect_continue and request.headers_finished
+        if continues and not self.requests and not self.sent_continue:
+            self.send_continue()
+        if request.completed:
+            self.sent_continue = False
+            self.request = None
+            if not request.empty:
+                self.requests.append(request)
+                if len(self.requests) == 1:
+                    self.server.add_task(self)
+        return used
+
     def handle_read(self) -> None:
         """Read the available bytes.
 
--- a/tests/features/caller_connections.feature
+++ b/tests/features/caller_connections.feature
@@ -20,6 +20,14 @@
     When a caller sends 5 requests at once
     Then it reads 5 answers, each with its own path
 
+  Scenario: of many requests behind one another only two are parsed at a time
+    Given a server whose application answers with the path
+    And its application waits to be let go
+    When a caller sends 2000 requests at once
+    Then 2 requests of it are parsed, and the others wait as bytes that are charged
+    When the application is let go
+    Then it reads 2000 answers, each with its own path
+
   Scenario: nothing that a caller sends or does not read goes to a disk
     Given a server whose application answers with the path
     Then no buffer of it overflows to a file
--- a/tests/features/steps/caller_connections.py
+++ b/tests/features/steps/caller_connections.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from boragestream.base.memory_budget import MemoryKind
 from boragestream.base.settings import CallerSettings
 from boragestream.caller.connections import ARRIVED, STOP_WAITING
 from boragestream.caller.server import busy_connections, create_server
@@ -64,7 +65,11 @@
 
 @given("a server whose application answers with the path")
 def step(context):
+    context.go = threading.Event()
+    context.go.set()
+
     def application(environ, start_response):
+        context.go.wait(SECONDS)
         body = environ["PATH_INFO"].encode()
         start_response("200 OK", [("Content-Length", str(len(body)))])
         return [body]
@@ -87,6 +92,31 @@
     context.sock = send(context, count)
 
 
+@given("its application waits to be let go")
+def step(context):
+    context.go.clear()
+
+
+@when("the application is let go")
+def step(context):
+    context.go.set()
+
+
+@then(
+    "{count:d} requests of it are parsed, and the others wait as bytes that are charged"
+)
+def step(context, count):
+    channels = context.server.active_channels
+
+    def parsed():
+        return max((len(channel.requests) for channel in channels.values()), default=0)
+
+    charged = context.memory.budget.charged
+    wait_until(lambda: parsed() == count)
+    wait_until(lambda: charged(MemoryKind.REQUEST) > len(PART) // 2)
+    assert parsed() == count
+
+
 @when("another caller sends a request")
 def step(context):
     send(context, 1)
