Charge headers for the objects that they become

Callers saw: 132 MB resident of 128, and no answer for ordinary callers, while 400 callers sent heads of 2,700 headers each.

Cause: a head counted as its 16 KB of text. Parsed, and copied on its way to a server, each header takes up to 768 bytes, so that such a head is 2 MB.

Change: 4 KB for a request and 768 bytes for each header are charged before the head is parsed; without them the request is refused as any other for memory, and named by its first 64 headers. A head of 15 headers counts as 16 KB.

--- a/boragestream/caller/protocol.py
+++ b/boragestream/caller/protocol.py
@@ -35,6 +35,12 @@
 HEADER_TOO_LONG = 431
 BODY_TOO_LONG = 413
 ENCODING_UNSUPPORTED = 501
+# What a request and each of its headers take up as objects, from its parsing up to the
+# call of a server.
+REQUEST_BYTES = 4_096
+HEADER_BYTES = 768
+# A request that is refused for its headers names itself in the first ones.
+REFUSED_HEADERS = 64
 # Requests of one connection that are parsed in one pass of the event loop. A caller may
 # send blank lines between requests, which are parsed like requests.
 PARSED_AT_ONCE = 8
@@ -58,6 +64,10 @@
         return status, headers, msgspec.json.encode(report, enc_hook=str)
 
 
+class _HeadersNotGrantedError(Exception):
+    """The headers of a request take up more memory than is granted."""
+
+
 class StrictParser(HTTPRequestParser):
     """Refuses ambiguous requests and reports errors as problem documents.
 
@@ -104,7 +114,10 @@
 
         Heads are short and parsed in any case, so that a refusal names the request.
         """
-        used = self._parse(data)
+        try:
+            used = self._parse(data)
+        except _HeadersNotGrantedError:
+            return self._refuse(len(self.header_plus) + len(data), data)
         if self.empty:
             # waitress drops blank lines between requests without closing them.
             return used
@@ -140,7 +153,7 @@
 
         :param left: the bytes of the body that are still to come, if known.
         """
-        if not self.headers_finished:
+        if not self.headers_finished and not self.headers:
             # The connection reads the version and headers of every request.
             super().parse_header(b"GET / HTTP/1.0\r\n")
         self.error = self._memory.refusal(self.headers, size)
@@ -154,7 +167,12 @@
         return len(data)
 
     def parse_header(self, header_plus: bytes) -> None:
-        """Parse the request line and the headers."""
+        """Parse the request line and the headers, once their objects are granted."""
+        count = header_plus.count(b"\n")
+        if not self._memory.reserve(self._charge, REQUEST_BYTES + count * HEADER_BYTES):
+            first = header_plus.split(b"\r\n", REFUSED_HEADERS)[:REFUSED_HEADERS]
+            super().parse_header(b"\r\n".join(first) + b"\r\n")
+            raise _HeadersNotGrantedError
         super().parse_header(header_plus)
         if FOLDED_LINE.search(header_plus):
             raise ParsingError("folded header")
--- a/tests/features/bounded_memory.feature
+++ b/tests/features/bounded_memory.feature
@@ -36,6 +36,13 @@
       | and waits                    |
       | and asks whether to continue |
 
+  Scenario: headers are charged for what they take up as objects
+    Given an entry of 96 MB
+    When 3 callers send 1000 headers each and a part of a body
+    Then the last of them is refused by its id, and the others are not answered
+    When the callers that do not read have gone
+    Then the entry holds nothing
+
   Scenario Outline: a chunked body is charged as it grows
     Given an entry of 96 MB
     When a caller sends a chunked body of <size> bytes
--- a/tests/features/steps/bounded_memory.py
+++ b/tests/features/steps/bounded_memory.py
@@ -5,6 +5,7 @@
 """
 
 import re
+import select
 import time
 
 from behave import given, then, when
@@ -28,6 +29,7 @@
 CHUNK_BYTES = 50_000
 EVENTS = 100
 GIVEN_UP = "slow_reader_abandoned"
+SECONDS = 30
 
 
 @given("an entry of {memory:d} MB")
@@ -148,6 +150,34 @@
     context.sock.sendall(head)
 
 
+@when("{count:d} callers send {headers:d} headers each and a part of a body")
+def step(context, count, headers):
+    more = {f"h{number}": "" for number in range(headers)}
+    for number in range(count):
+        sock = context.site.connect()
+        context.silent.append(sock)
+        head = context.site.head("/safe/ok", 10, request_id=f"m-{number}", **more)
+        sock.sendall(head + b"x")
+        wait_until(lambda n=number: context.site.held() > n * headers * 100)
+
+
+@then("the last of them is refused by its id, and the others are not answered")
+def step(context):
+    *others, last = context.silent
+    last.settimeout(SECONDS)
+    answer = last.recv(65536)
+    assert answer.startswith(b"HTTP/1.1 503 "), answer
+    assert b"m-2" in answer, answer
+    for sock in others:
+        sock.setblocking(False)
+        assert not readable(sock)
+
+
+def readable(sock):
+    """Return whether a connection has brought anything."""
+    return bool(select.select([sock], [], [], 0)[0])
+
+
 @then("it is refused with a time to return, and not run")
 def step(context):
     head = b""
