Close idle connections and unfinished requests for new callers

Callers saw: no answer for up to 17 s, and again, while 400 callers opened connections and sent nothing, a part of a head, or a body byte by byte.

Cause: at the limit of connections nothing more was accepted, and those that served nobody were kept until their time limits; callers that came back took each place at once.

Event 3204 has the count of each second.

--- a/boragestream/base/events.py
+++ b/boragestream/base/events.py
@@ -84,6 +84,7 @@
     MEMORY_REFUSED = (3201, logging.WARNING)
     SLOW_READER_ABANDONED = (3202, logging.WARNING)
     SLOW_SENDER_ABANDONED = (3203, logging.WARNING)
+    IDLE_CONNECTIONS_CLOSED = (3204, logging.WARNING)
     REQUEST_BROKEN = (3901, logging.ERROR)
     HTTP_COMPLAINT = (3902, logging.WARNING)
 
--- a/boragestream/caller/caller_memory.py
+++ b/boragestream/caller/caller_memory.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import time
 from collections import deque
 from collections.abc import Callable, Mapping
 from functools import partial
@@ -21,6 +22,7 @@
 from boragestream.caller.slow_connections import (
     CallersConnection,
     is_slow,
+    oldest_idle,
     slowest_first,
 )
 
@@ -29,7 +31,8 @@
 # A connection whose caller reads nothing for this long is closed even if memory is not
 # short, so that its descriptor is returned.
 UNREAD_SECONDS = 60.0
-# From this share of the allowed connections on, stalled ones are closed for others.
+# From this share of the allowed connections on, slow and idle ones are closed for
+# others.
 CONNECTIONS_SHARE = 0.85
 # A search of all connections takes milliseconds; one that found too little is repeated
 # after this long.
@@ -88,7 +91,9 @@
         self._server: Any = None
         self._count_refused = refused
         self._count_abandoned = abandoned
-        self._next_search = float("-inf")
+        self._next_search = self._next_room = float("-inf")
+        # Since this was last logged.
+        self._idle_closed = 0
         self._wanted: Callable[[], bool] | None = None
         self._given_up: deque[CallersConnection] = deque()
         budget.on_short(self._free)
@@ -166,8 +171,28 @@
         wanted, self._wanted = self._wanted, None
         if wanted is not None:
             self._abandon_until(wanted)
+        self._make_room()
         return readable()
 
+    def _make_room(self) -> None:
+        """Close idle connections, and those of unfinished requests, for new ones."""
+        excess = self._excess_connections
+        now = self._clock.now()
+        # Once no more are accepted, nothing else wakes the event loop.
+        full = len(self._server._map) >= self._server.adj.connection_limit
+        if excess <= 0 or (now < self._next_room and not full):
+            return
+        self._next_room = now + SEARCH_SECONDS
+        for connection in oldest_idle(self._connections, excess, time.time()):
+            connection.handle_close()
+            self._idle_closed += 1
+
+    @property
+    def _excess_connections(self) -> int:
+        server = self._server
+        room = int(CONNECTIONS_SHARE * server.adj.connection_limit)
+        return len(server.active_channels) - room
+
     def _abandon_until(self, enough: Callable[[], bool]) -> None:
         """Close slow connections, the worst first, until others don't go short."""
         now = self._clock.now()
@@ -225,11 +250,13 @@
             elif channel.discards_too_long or idle_since < cutoff:
                 channel.will_close = True
         self._abandon_until(lambda: self._budget.grants_unread)
-        full = CONNECTIONS_SHARE * server.adj.connection_limit
-        excess = len(server.active_channels) - full
         slow = slowest_first(self._connections, self._clock.now())
-        for connection in slow[: max(0, int(excess))]:
+        for connection in slow[: max(0, self._excess_connections)]:
             self._abandon(connection)
+        closed, self._idle_closed = self._idle_closed, 0
+        if closed:
+            limit = server.adj.connection_limit
+            emit(Event.IDLE_CONNECTIONS_CLOSED, count=closed, limit=limit)
 
 
 def read_body(stream: Any) -> bytes:
--- a/boragestream/caller/slow_connections.py
+++ b/boragestream/caller/slow_connections.py
@@ -63,6 +63,9 @@
     def abandon(self) -> None:
         """Close the connection so that its caller sees that the answer is cut."""
 
+    def handle_close(self) -> None:
+        """Close the connection."""
+
 
 def is_slow(connection: CallersConnection, now: float) -> bool:
     """Return whether a connection will hold its bytes for long.
