Give readiness, metrics and the directory a bounded server each

Callers and the platform saw: no answer from the directory, the readiness check and the metrics while 100 connections to one of their addresses sent nothing; 600 MB in files while 30 callers sent bodies there.

Cause: the three addresses shared one waitress server with its defaults: 100 connections, 120 s without activity, bodies of up to a gigabyte in files, 16 MB of unread output for each connection.

--- a/boragestream/daemon/route_assembly.py
+++ b/boragestream/daemon/route_assembly.py
@@ -150,9 +150,8 @@
     connections = ConnectionKeeper(CONNECT_SECONDS)
     servers.on_unused(connections.forget)
     backoffs = ServerBackoffs(clock)
-    memory = make_budget(
-        settings.resources.memory_mb, settings.resources.threads, clock
-    )
+    resources = settings.resources
+    memory = make_budget(resources.memory_mb, resources.threads, clock)
 
     stage_owners = StageOwners(
         listed,
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -8,7 +8,6 @@
 import time
 from functools import partial
 
-import waitress
 from waitress.server import BaseWSGIServer
 
 from boragestream.base.clock import Clock, SystemClock
@@ -18,7 +17,6 @@
 from boragestream.base.settings import CallerSettings, StopSettings
 from boragestream.caller.caller_memory import CallerMemory
 from boragestream.caller.directory import DirectoryApplication
-from boragestream.caller.dispatcher import GrowingDispatcher
 from boragestream.caller.forwarding import ForwardingApplication, RequestCounter
 from boragestream.caller.server import (
     busy_connections,
@@ -30,6 +28,7 @@
 from boragestream.daemon.exit_codes import ExitCode
 from boragestream.daemon.listening import ListeningSockets
 from boragestream.daemon.memory import charged_handlers, return_freed_memory
+from boragestream.daemon.page_servers import open_page_servers
 from boragestream.daemon.route_assembly import make_route_parts
 from boragestream.daemon.settings_in_force import SettingsInForce
 from boragestream.daemon.shutdown import GracefulStop
@@ -56,7 +55,6 @@
 LINGER_SHARE = 0.35
 # The process exits this long before the end of the grace period, when it is killed.
 END_MARGIN_SECONDS = 0.5
-DIRECTORY_THREADS = 4
 # Threads beyond the limit of open requests answer refusals at once.
 SPARE_THREADS = 24
 # Interval of the periodic upkeep. An entry that has just started also asks for the
@@ -64,7 +62,7 @@
 UPKEEP_SECONDS = 0.25
 # Upkeep rounds between two reads of the settings file: about two seconds.
 ROUNDS_PER_RELOAD = 8
-# Descriptors for files, peers, idle connections to servers and open calls.
+# Descriptors for files, pages, peers, idle connections to servers and open calls.
 OTHER_DESCRIPTORS = 1200
 IDLE_MARGIN_SECONDS = 2.0
 
@@ -118,7 +116,7 @@
         self._budget = self._parts.forwarder.parts.line.memory
         self._add_gauges()
         self._server = self._open_callers(sockets)
-        self._directory = self._open_directory(sockets)
+        self._pages = self._open_pages(sockets)
         self._listener = PeerListener(
             self._parts.sender,
             settings.listen.entries,
@@ -141,7 +139,8 @@
         for _ in range(LISTENER_TASKS):
             start(self._listener.run)
         start(self._server.run)
-        start(self._directory.run)
+        for page in self._pages:
+            start(page.run)
         name = self._settings.entry.name
         # CPU time of the start; the rest of the elapsed time was spent waiting.
         cpu_ms = int(time.process_time() * 1000)
@@ -242,7 +241,7 @@
             return DelegatedBy()
         return verify_delegation(key, request.delegation, request.request_id)
 
-    def _open_directory(self, sockets: ListeningSockets) -> BaseWSGIServer:
+    def _open_pages(self, sockets: ListeningSockets) -> list[BaseWSGIServer]:
         listen = self._settings.listen
         several = self._parts.region_links.regions.several
         application = DirectoryApplication(
@@ -254,13 +253,8 @@
             metrics=self._parts.metrics.text,
             metrics_path=listen.metrics_path if listen.metrics else "",
         )
-        return waitress.create_server(
-            application,
-            sockets=list(sockets.pages),
-            _dispatcher=GrowingDispatcher(DIRECTORY_THREADS),
-            ident="boragestream",
-            asyncore_use_poll=True,
-        )
+        refusals = _RequestFormat()
+        return open_page_servers(application, sockets.pages, refusals, self._clock)
 
     def _add_gauges(self) -> None:
         parts, gauge = self._parts, self._parts.metrics.gauge
