Spend less processor time on charges of short writes

Change: output is charged in steps of 4 KB, events below 4 KB are not charged while they are passed on, sent and received bytes are counted where they are handled anyway, a head is charged once, short answers are read in one call, and slow connections are looked for only when there are too many. Progress that was noted before a connection fell idle is forgotten.

The crowds and the features of connections, channels, protocol, streams, memory and the forwarded path pass.

--- a/boragestream/backend/bounded_io.py
+++ b/boragestream/backend/bounded_io.py
@@ -85,6 +85,8 @@
         length = response.length
         if length is not None and not wait_for_bytes(charge, length, scope):
             return AnswerUnread(server, Ran.MAY_HAVE_RUN, length)
+        if length is not None and length <= BLOCK_BYTES:
+            return [response.read()] if length else []
         return _read_blocks(response, server, None if length else charge, scope)
     finally:
         if held is None:
--- a/boragestream/caller/caller_memory.py
+++ b/boragestream/caller/caller_memory.py
@@ -229,20 +229,19 @@
         self._count_abandoned(unread)
         connection.abandon()
 
-    def _maintain(self, now: float) -> None:
+    def _maintain(self, wall_time: float) -> None:
         """Close idle connections, and count what the kernel holds for the others.
 
         The event loop calls this about once a second in place of waitress' own
         function, which also closes connections whose callers pause while they read.
 
-        :param now: the system's time in seconds.
+        :param wall_time: the system's time in seconds.
         """
         server = self._server
-        cutoff = now - server.adj.channel_timeout
-        unread_cutoff = now - max(UNREAD_SECONDS, server.adj.channel_timeout)
+        cutoff = wall_time - server.adj.channel_timeout
+        unread_cutoff = wall_time - max(UNREAD_SECONDS, server.adj.channel_timeout)
         for channel in self._connections:
-            channel.count_kernel_bytes()
-            channel.mark_progress(self._clock.now())
+            channel.follow()
             idle_since = math.inf if channel.requests else channel.last_activity
             if channel.unread_bytes:
                 if idle_since < unread_cutoff:
@@ -250,9 +249,11 @@
             elif channel.discards_too_long or idle_since < cutoff:
                 channel.will_close = True
         self._abandon_until(lambda: self._budget.grants_unread)
-        slow = slowest_first(self._connections, self._clock.now())
-        for connection in slow[: max(0, self._excess_connections)]:
-            self._abandon(connection)
+        excess = self._excess_connections
+        if excess > 0:
+            now = self._clock.now()
+            for connection in slowest_first(self._connections, now)[:excess]:
+                self._abandon(connection)
         closed, self._idle_closed = self._idle_closed, 0
         if closed:
             limit = server.adj.connection_limit
--- a/boragestream/caller/channel.py
+++ b/boragestream/caller/channel.py
@@ -31,16 +31,25 @@
             raise ClientDisconnected
         if not data:
             return 0
+        length = len(data)
         with self.outbuf_lock:
-            self._flush_outbufs_below_high_watermark()
-            if not self.connected:
-                raise ClientDisconnected
-            rest = data[self._send_now(data) :]
-            if rest:
-                self._blocks.append(rest)
-                self.total_outbufs_len += len(rest)
+            if self.total_outbufs_len:
+                self._flush_outbufs_below_high_watermark()
+                if not self.connected:
+                    raise ClientDisconnected
+            sent = self._send_now(data)
+            if sent < length:
+                self._blocks.append(data[sent:])
+                self.total_outbufs_len += length - sent
                 self.server.pull_trigger()
-        return len(data)
+            self._count_written(length, sent)
+        return length
+
+    def _count_written(self, written: int, sent: int) -> None:
+        """Take how many bytes were written, and how many the socket accepted of them.
+
+        The output is locked meanwhile.
+        """
 
     def _send_now(self, data: bytes) -> int:
         """Return how many bytes the socket accepted; 0 if other output precedes."""
--- a/boragestream/caller/charged_channel.py
+++ b/boragestream/caller/charged_channel.py
@@ -24,6 +24,8 @@
 
 # The kernel is asked what it holds unsent after so many further bytes.
 UNSENT_STEP_BYTES = 65_536
+# Output is charged in steps, since a stream is written in many short pieces.
+OUTPUT_STEP_BYTES = 4_096
 # Less unread output of one caller does not block writes even if memory is short.
 SMALL_OUTPUT_BYTES = 16_384
 BLOCKED_POLL_SECONDS = 0.05
@@ -108,9 +110,9 @@
         left = request.bytes_left or max(1, request.charged_bytes)
         return self._sending.seconds_for(left, now, self._bytes_received)
 
-    def mark_progress(self, now: float) -> None:
-        """Note what has been read and received; called about once a second."""
-        unread = self.unread_bytes
+    def _mark_progress(self) -> None:
+        """Note what has been read and received up to now."""
+        now, unread = self._memory.now(), self.unread_bytes
         if unread:
             self._reading.mark(now, self._bytes_written - unread)
         else:
@@ -120,40 +122,25 @@
         else:
             self._sending.reset()
 
-    def write_soon(self, data: bytes) -> int:
-        """Send data, and charge it until the caller has acknowledged it."""
-        with self.outbuf_lock:
-            length = super().write_soon(data)
-            self._bytes_written += length
-            self._count_output()
-        return length
-
-    def send(self, data: Any, do_close: bool = True) -> int:
-        """Send data to the kernel, which holds it until the caller reads."""
-        sent = super().send(data, do_close)
-        if sent:
-            self._kernel_unsent += sent
-            if self._kernel_unsent >= self._ask_kernel_at:
-                # The event loop may be closing the connection.
-                with contextlib.suppress(OSError):
-                    self._count_unsent()
-        return sent
-
-    def recv(self, buffer_size: int) -> bytes:
-        """Return bytes that the caller has sent."""
-        data = super().recv(buffer_size)
-        self._bytes_received += len(data)
-        return data
+    def follow(self) -> None:
+        """Charge what the kernel holds, and note the progress, once a second."""
+        if self.count_kernel_bytes():
+            self._mark_progress()
+        else:
+            self._reading.reset()
+            self._sending.reset()
 
-    def count_kernel_bytes(self) -> None:
+    def count_kernel_bytes(self) -> bool:
         """Charge what the kernel has received or not sent for the connection.
 
         What it holds can't change without activity unless it is being sent.
+
+        :returns: whether it may hold anything.
         """
         recent = time.time() - self.last_activity < KERNEL_SECONDS
         held = self._received.size or self._kernel_unsent or self._unparsed
         if self.socket is None or not (recent or self.busy or held):
-            return
+            return False
         try:
             waiting = self._kernel_bytes(termios.FIONREAD) + len(self._unparsed)
             self._received.set(waiting)
@@ -165,7 +152,8 @@
                 self._count_output()
         except OSError:
             # The connection is being closed, which releases both.
-            return
+            return False
+        return True
 
     def handle_close(self) -> None:
         """Close the connection, and return what it held."""
@@ -177,13 +165,38 @@
         if self.request is not None:
             self.request.release()
 
+    def received(self, data: bytes) -> bool:
+        """Parse bytes that the caller has sent."""
+        self._bytes_received += len(data)
+        return super().received(data)
+
+    def _count_written(self, written: int, sent: int) -> None:
+        self._bytes_written += written
+        self._count_sent(sent)
+        held = self._blocks.held + self._kernel_unsent
+        if held > self._output.size:
+            if not self._output.size:
+                self.progress_at = self._memory.now()
+            # Further short writes are charged already.
+            self._output.set(held + OUTPUT_STEP_BYTES)
+
     def _flush_some(self, do_close: bool = True) -> bool:
         with self.outbuf_lock:
-            sent = super()._flush_some(do_close)
-            if sent:
+            before = self.total_outbufs_len
+            progressed = super()._flush_some(do_close)
+            if progressed:
                 self.progress_at = self._memory.now()
-            self._count_output()
-            return sent
+                self._count_sent(before - self.total_outbufs_len)
+                self._count_output()
+            return progressed
+
+    def _count_sent(self, sent: int) -> None:
+        """Count bytes that the kernel holds until the caller reads them."""
+        self._kernel_unsent += sent
+        if self._kernel_unsent >= self._ask_kernel_at:
+            # The event loop may be closing the connection.
+            with contextlib.suppress(OSError):
+                self._count_unsent()
 
     def _flush_outbufs_below_high_watermark(self) -> None:
         """Block while memory is short and the caller has unread output.
@@ -213,8 +226,6 @@
         )
 
     def _count_output(self) -> None:
-        if not self._output.size:
-            self.progress_at = self._memory.now()
         self._output.set(self._blocks.held + self._kernel_unsent)
 
     def _count_unsent(self) -> None:
--- a/boragestream/caller/protocol.py
+++ b/boragestream/caller/protocol.py
@@ -128,7 +128,7 @@
             if self._memory.reserve(self._charge, used):
                 return used
             return self._refuse(self._charge.size + used, data)
-        if self._memory.reserve(self._charge, used + stated):
+        if not stated or self._memory.reserve(self._charge, stated):
             return used
         left = None if self.chunked else stated - (len(data) - used)
         return self._refuse(stated or used, data, left)
@@ -169,7 +169,8 @@
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the request line and the headers, once their objects are granted."""
         count = header_plus.count(b"\n")
-        if not self._memory.reserve(self._charge, REQUEST_BYTES + count * HEADER_BYTES):
+        size = REQUEST_BYTES + len(header_plus) + count * HEADER_BYTES
+        if not self._memory.reserve(self._charge, size):
             first = header_plus.split(b"\r\n", REFUSED_HEADERS)[:REFUSED_HEADERS]
             super().parse_header(b"\r\n".join(first) + b"\r\n")
             raise _HeadersNotGrantedError
@@ -202,7 +203,9 @@
 
         The event loop asks this in each pass, also after a request was answered.
         """
-        if self._unparsed and super().readable():
+        if not self._unparsed:
+            return super().readable()
+        if super().readable():
             self.received(b"")
         return not self._unparsed and super().readable()
 
--- a/boragestream/serving/event_stream.py
+++ b/boragestream/serving/event_stream.py
@@ -25,6 +25,8 @@
 # ``int`` refuses more than 4,300 digits.
 MAX_NUMBER_DIGITS = 18
 MAX_EVENT_BYTES = 1_048_576
+# Less is not charged while it is passed on.
+CHARGED_BYTES = 4_096
 # A server that resumes a stream at its beginning sends each event again.
 MAX_DUPLICATES = 16_384
 # A server that dies before it goes on ends its connection like one with nothing left.
@@ -105,13 +107,18 @@
             self._last, self._resumable, self._reached = last, resumable, reached
             del self._digests[count:]
         elif self._held is not None:
-            self._held.set(len(self._buffer) + sum(map(len, events)))
+            self._charge(len(self._buffer) + sum(map(len, events)))
         return events
 
     def note_passed_on(self) -> None:
         """Record that the caller's connection holds all events."""
         if self._held is not None:
-            self._held.set(len(self._buffer))
+            self._charge(len(self._buffer))
+
+    def _charge(self, size: int) -> None:
+        # Most events are short, and frequent.
+        if size >= CHARGED_BYTES or self._held.size:
+            self._held.set(size if size >= CHARGED_BYTES else 0)
 
     def discard_partial(self) -> None:
         """Discard the incomplete event of a stream that broke.
