Keep threads and the event loop from waiting for each other

Callers saw: no answer from an entry at all, for as long as the process lived, after 120 callers had asked for streams of 20,000 events and read nothing.

Cause: a thread that writes wakes the event loop through a pipe, while it holds the lock of its connection's output, and once a second the loop takes that lock to count what the kernel holds. The pipe takes 64 KB: with as many events written in one pass of the loop, each waited for the other. Stacks of the process: 24 threads in os.write to the pipe, the loop in count_kernel_bytes. Short of that, the loop stood still for seconds behind a thread that took the lock again at once.

Change: the pipe gets one byte until the loop has read it (caller.wakeup), and the loop does not wait for an output lock that a thread holds; such a thread counts by itself.

Evidence: the two new scenarios of caller_channel failed before (a thread that wakes a standing loop 200,000 times did not end; the count waited for a locked output) and pass.

--- a/boragestream/caller/charged_channel.py
+++ b/boragestream/caller/charged_channel.py
@@ -144,17 +144,25 @@
         try:
             waiting = self._kernel_bytes(termios.FIONREAD) + len(self._unparsed)
             self._received.set(waiting)
-            with self.outbuf_lock:
-                before = self._kernel_unsent
-                self._count_unsent()
-                if not before or self._kernel_unsent < before:
-                    self.progress_at = self._memory.now()
-                self._count_output()
+            # A thread that writes counts by itself, and may keep the lock for long.
+            if self.outbuf_lock.acquire(blocking=False):
+                try:
+                    self._count_again()
+                finally:
+                    self.outbuf_lock.release()
         except OSError:
             # The connection is being closed, which releases both.
             return False
         return True
 
+    def _count_again(self) -> None:
+        """Charge what the kernel holds unsent, and note whether that became less."""
+        before = self._kernel_unsent
+        self._count_unsent()
+        if not before or self._kernel_unsent < before:
+            self.progress_at = self._memory.now()
+        self._count_output()
+
     def handle_close(self) -> None:
         """Close the connection, and return what it held."""
         super().handle_close()
--- a/boragestream/caller/server.py
+++ b/boragestream/caller/server.py
@@ -16,6 +16,7 @@
 from boragestream.caller.caller_memory import CallerMemory
 from boragestream.caller.connections import RECEIVE_BUFFER_BYTES, CallerConnection
 from boragestream.caller.dispatcher import GrowingDispatcher
+from boragestream.caller.wakeup import OnceTrigger
 
 __all__ = [
     "busy_connections",
@@ -78,6 +79,8 @@
         asyncore_use_poll=True,
         _dispatcher=GrowingDispatcher(settings.threads),
     )
+    server.trigger.close()
+    server.trigger = OnceTrigger(server._map)
     server.channel_class = CallerConnection
     server.clock = clock or SystemClock()
     server.leaving = False
--- a/tests/features/caller_channel.feature
+++ b/tests/features/caller_channel.feature
@@ -9,3 +9,15 @@
       | count | size   |
       | 400   | 60     |
       | 40    | 300000 |
+
+  # Guards against threads and the event loop that wait for each other for ever.
+  Scenario: a thread that wakes the event loop never waits for it
+    Given a server whose event loop stands still
+    When a thread wakes the loop 200000 times
+    Then the thread ends, and the loop runs what was passed to it
+
+  # Guards against an event loop that stands still while one thread writes a stream.
+  Scenario: the event loop does not wait for a thread that writes
+    Given a connection whose output a thread has locked
+    When the event loop counts what the kernel holds for it
+    Then it has ended before the thread unlocks the output
--- a/tests/features/steps/caller_channel.py
+++ b/tests/features/steps/caller_channel.py
@@ -10,6 +10,7 @@
 
 from boragestream.base.clock import SystemClock
 from boragestream.base.settings import CallerSettings
+from boragestream.caller.connections import CallerConnection
 from boragestream.caller.server import create_server
 from tests.standins.callers_memory import caller_memory
 from tests.standins.fleet import ADDRESS, free_ports
@@ -17,6 +18,7 @@
 SMALL_BUFFER = 4096
 READ_BYTES = 100_000
 MEMORY_BYTES = 100_000_000
+END_SECONDS = 20
 
 
 @given("a server whose reply is {count:d} chunks of {size:d} bytes")
@@ -53,3 +55,74 @@
 def step(context):
     expected = hashlib.sha256(b"".join(context.chunks)).hexdigest()
     assert context.digest.hexdigest() == expected
+
+
+def unused(environ, start_response):
+    """Stand in for an application that is not called."""
+
+
+@given("a server whose event loop stands still")
+def step(context):
+    memory = caller_memory(SystemClock(), MEMORY_BYTES)
+    settings = CallerSettings(ADDRESS, free_ports(1)[0])
+    context.server = create_server(unused, settings, memory)
+    context.add_cleanup(context.server.close)
+
+
+@when("a thread wakes the loop {count:d} times")
+def step(context, count):
+    context.ran = threading.Event()
+
+    def wake():
+        for _ in range(count):
+            context.server.pull_trigger()
+        context.server.trigger.pull_trigger(context.ran.set)
+
+    context.thread = threading.Thread(target=wake, daemon=True)
+    context.thread.start()
+
+
+@then("the thread ends, and the loop runs what was passed to it")
+def step(context):
+    context.thread.join(END_SECONDS)
+    assert not context.thread.is_alive(), "the thread waits for the event loop"
+    threading.Thread(target=context.server.run, daemon=True).start()
+    assert context.ran.wait(END_SECONDS), "the loop was not woken"
+
+
+@given("a connection whose output a thread has locked")
+def step(context):
+    memory = caller_memory(SystemClock(), MEMORY_BYTES)
+    settings = CallerSettings(ADDRESS, free_ports(1)[0])
+    server = create_server(unused, settings, memory)
+    context.add_cleanup(server.close)
+    ours, theirs = socket.socketpair()
+    context.add_cleanup(theirs.close)
+    context.channel = CallerConnection(server, ours, ADDRESS, server.adj, map={})
+    context.add_cleanup(context.channel.handle_close)
+    context.unlocks = threading.Event()
+    locked = threading.Event()
+
+    def write():
+        with context.channel.outbuf_lock:
+            locked.set()
+            context.unlocks.wait()
+
+    context.thread = threading.Thread(target=write, daemon=True)
+    context.thread.start()
+    locked.wait()
+
+
+@when("the event loop counts what the kernel holds for it")
+def step(context):
+    context.loop = threading.Thread(target=context.channel.follow, daemon=True)
+    context.loop.start()
+
+
+@then("it has ended before the thread unlocks the output")
+def step(context):
+    context.loop.join(END_SECONDS)
+    waits = context.loop.is_alive()
+    context.unlocks.set()
+    context.thread.join()
+    assert not waits, "the event loop waits for the thread"
