Close slow callers with some memory to spare while output waits

Callers saw: streams that stood still for seconds, one after the other, while others read nothing.

Cause: slow connections were closed for output that waits only once a second, and only until the share was reached at which output waits: the next few writes reached it again. One or two connections were closed each second, and the streams that waited kept their places at servers.

Change: a thread whose output waits has slow connections closed at once, down to half of the budget (FREED_SHARE). Which connections are slow stays as it is.

Evidence: the new scenario of slow_connections failed before.

--- a/boragestream/base/memory_budget.py
+++ b/boragestream/base/memory_budget.py
@@ -39,6 +39,9 @@
 # kernel has received is counted once a second, and grows under thousands of callers.
 LARGE_REQUEST_SHARE = 0.5
 UNREAD_SHARE = 0.6
+# Beyond that share, unread output is closed down to this one, so that callers who read
+# don't wait again at once.
+FREED_SHARE = 0.5
 LARGE_ANSWER_SHARE = 0.65
 SMALL_REQUEST_SHARE = 0.8
 ANSWER_SHARE = 0.85
@@ -101,6 +104,11 @@
         """Whether output may grow that its caller does not read."""
         return self._total <= self._limit * UNREAD_SHARE
 
+    @property
+    def frees_enough(self) -> bool:
+        """Whether enough unread output has been closed."""
+        return self._total <= self._limit * FREED_SHARE
+
     def charged(self, kind: MemoryKind) -> int:
         """Return the bytes that are held for one purpose."""
         return self._charged[kind]
--- a/boragestream/caller/caller_memory.py
+++ b/boragestream/caller/caller_memory.py
@@ -153,6 +153,11 @@
         self._given_up.append(connection)
         self._server.pull_trigger()
 
+    def free_unread(self) -> None:
+        """Have the event loop close slow connections for output that waits."""
+        self._wanted = lambda: self._budget.frees_enough
+        self._server.pull_trigger()
+
     def _free(self, kind: MemoryKind, size: int) -> None:
         """Have the event loop close slow connections for bytes."""
         self._wanted = partial(self._budget.grants, kind, size)
@@ -248,7 +253,8 @@
                     self._abandon(channel)
             elif channel.discards_too_long or idle_since < cutoff:
                 channel.will_close = True
-        self._abandon_until(lambda: self._budget.grants_unread)
+        if not self._budget.grants_unread:
+            self._abandon_until(lambda: self._budget.frees_enough)
         excess = self._excess_connections
         if excess > 0:
             now = self._clock.now()
--- a/boragestream/caller/charged_channel.py
+++ b/boragestream/caller/charged_channel.py
@@ -217,7 +217,7 @@
             return
         with budget.waiting() as may_wait, self.outbuf_lock:
             while may_wait and self._blocks_on_output and self._exceeds_memory():
-                self.server.pull_trigger()
+                self._memory.free_unread()
                 self.outbuf_lock.wait(BLOCKED_POLL_SECONDS)
         if self._exceeds_memory() and not (
             may_wait and budget.total + SMALL_OUTPUT_BYTES <= budget.limit
--- a/tests/features/slow_connections.feature
+++ b/tests/features/slow_connections.feature
@@ -31,3 +31,9 @@
   Scenario: connections without a request are closed by their last activity
     Given connections that were last active 5, 0.2, 30 and 8 s ago, the third one in use
     Then the 2 to close are those of 8 and 5 s ago
+
+  # Guards against streams that wait for memory, one after the other, for seconds each.
+  Scenario: while output waits for memory, slow connections are closed with some to spare
+    Given 9 slow callers, each of which holds a tenth of the memory
+    When a thread has output that waits for memory
+    Then slow callers hold half of the memory
--- a/tests/features/steps/slow_connections.py
+++ b/tests/features/steps/slow_connections.py
@@ -1,13 +1,18 @@
 """Steps on the choice of connections that are closed when others go short."""
 
 from dataclasses import dataclass
+from types import SimpleNamespace
 
-from behave import given, then
+from behave import given, then, when
 
+from boragestream.base.memory_budget import MemoryKind
 from boragestream.caller.pace import Pace
 from boragestream.caller.slow_connections import is_slow, oldest_idle, slowest_first
+from tests.standins.callers_memory import caller_memory
+from tests.standins.clock import SetClock
 
 NOW = 1000.0
+MEMORY_BYTES = 1_000_000
 
 
 @dataclass
@@ -18,6 +23,7 @@
     read: int = 0
     seconds: float = 0.0
     name: str = ""
+    request_id: str = ""
     account: str = ""
     deadline: float = 0.0
     progress_at: float = 0.0
@@ -64,7 +70,11 @@
 def step(context, seconds):
     context.connections = [
         Connection(
-            int(row["unread"]), int(row["read"]), seconds, row["name"], row["account"]
+            int(row["unread"]),
+            int(row["read"]),
+            seconds,
+            row["name"],
+            account=row["account"],
         )
         for row in context.table
     ]
@@ -91,3 +101,46 @@
         NOW - each.last_activity for each in oldest_idle(context.connections, 2, NOW)
     ]
     assert [round(age, 3) for age in chosen] == [first, second], chosen
+
+
+class HoldingConnection(Connection):
+    """A connection whose caller reads nothing, and whose output is charged."""
+
+    def hold(self, memory, size):
+        """Charge the output."""
+        self.unread_bytes, self.seconds = size, 3.0
+        self.output = memory.charge(MemoryKind.OUTPUT)
+        self.output.set(size)
+
+    def count_kernel_bytes(self):
+        """Do nothing: all is counted."""
+
+    def abandon(self):
+        """Return what is held."""
+        self.output.release()
+
+
+@given("{count:d} slow callers, each of which holds a tenth of the memory")
+def step(context, count):
+    context.memory = memory = caller_memory(SetClock(NOW), MEMORY_BYTES)
+    connections = {number: HoldingConnection() for number in range(count)}
+    for connection in connections.values():
+        connection.hold(memory, MEMORY_BYTES // 10)
+    server = SimpleNamespace(
+        active_channels=connections,
+        adj=SimpleNamespace(connection_limit=10 * count),
+        _map=connections,
+        readable=lambda: True,
+    )
+    server.pull_trigger = lambda: server.readable()
+    memory.attach(server)
+
+
+@when("a thread has output that waits for memory")
+def step(context):
+    context.memory.free_unread()
+
+
+@then("slow callers hold half of the memory")
+def step(context):
+    assert context.memory.budget.total == MEMORY_BYTES // 2
