Never wait for the reader of a log, and end whatever it does

Callers saw: none. Operators saw a process that stood for minutes after SIGTERM, and an entry of JSON pipelines that did not serve while nobody read its log.

Cause: a pipe that nobody reads is full after 64 KB, and a write to it blocks; without a reader it raises, which ended the thread that writes log lines and the main thread before the process was left. The other threads kept the process.

Change: output goes through base.bounded_output, which asks the kernel whether the descriptor accepts anything and waits 0.2 s at the most (0.5 s at the end). Both programs log through base.line_writer, bounded in lines and now in bytes; what it drops or loses is counted in the log and, for forwarding entries, in metrics. A reload that fails leaves the thread of signals alive, a task that fails is run again after a second, and a failure of the entry itself ends the process with exit code 6.

Tests changed: a step passes the log writer a descriptor in place of a stream; the step of a log that nobody reads sets the process's stream in place of replacing subprocess.Popen. What they check is the same.

--- a/bench/log_lines.py
+++ b/bench/log_lines.py
@@ -12,7 +12,7 @@
 as many in the metrics. Times are of the processor, of one thread.
 """
 
-import io
+import os
 import time
 
 from docopt import docopt
@@ -105,7 +105,12 @@
     """Run the measurement and write its result."""
     arguments = docopt(__doc__, argv)
     requests = int(arguments["--requests"])
-    writer, metrics = log_lines_to(io.StringIO()), RouteMetrics()
+    with open(os.devnull, "w") as stream:
+        measure(log_lines_to(stream.fileno()), RouteMetrics(), requests, arguments)
+
+
+def measure(writer, metrics, requests, arguments):
+    """Time the rounds, and write their result."""
     time_round(writer, metrics, requests)
     rounds = [
         time_round(writer, metrics, requests) for _ in range(int(arguments["--rounds"]))
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -109,6 +109,7 @@
         return code
 
     def _close(self) -> None:
+        self._tasks.close()
         self._ended.set()
         self._parts.reach.checks.close()
         self._parts.admission.close()
--- a/boragestream/daemon/exit_codes.py
+++ b/boragestream/daemon/exit_codes.py
@@ -13,3 +13,4 @@
     FORCED = 3
     LIMIT = 4
     ADDRESS = 5
+    FAILED = 6
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -12,6 +12,7 @@
 
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, emit
+from boragestream.base.line_writer import LineWriter
 from boragestream.base.outcomes import Failure
 from boragestream.base.route_settings import RouteSettings
 from boragestream.base.settings import CallerSettings, StopSettings
@@ -89,6 +90,7 @@
 
     :param in_force: the settings in force.
     :param sockets: the listening sockets for callers and for page requests.
+    :param writer: writes the log lines, and counts those that it can't write.
     :param clock: the clock used for all decisions; by default the system clock.
     :raises pynng.NNGException: if the address for peers can't be listened on.
     """
@@ -97,6 +99,7 @@
         self,
         in_force: SettingsInForce,
         sockets: ListeningSockets,
+        writer: LineWriter,
         clock: Clock | None = None,
     ) -> None:
         clock = clock or SystemClock()
@@ -114,7 +117,7 @@
         self._in_hand = RequestCounter()
         self._tasks = BackgroundTasks()
         self._budget = self._parts.forwarder.parts.line.memory
-        self._add_gauges()
+        self._add_gauges(writer)
         self._server = self._open_callers(sockets)
         self._pages = self._open_pages(sockets)
         self._listener = PeerListener(
@@ -189,6 +192,7 @@
             self._refuse,
             partial(busy_connections, self._server),
         )
+        self._tasks.close()
         self._parts.ended.set()
         self._parts.reach.checks.close()
         emit(Event.ENTRY_STOPPED, exit_code=int(code))
@@ -256,8 +260,12 @@
         refusals = _RequestFormat()
         return open_page_servers(application, sockets.pages, refusals, self._clock)
 
-    def _add_gauges(self) -> None:
+    def _add_gauges(self, writer: LineWriter) -> None:
         parts, gauge = self._parts, self._parts.metrics.gauge
+        dropped = "Log lines dropped because the buffer was full."
+        gauge("log_lines_dropped", dropped, lambda: writer.dropped)
+        lost = "Log lines that could not be written, since the reader has gone."
+        gauge("log_lines_lost", lost, lambda: writer.lost)
         gauge("in_hand", "Requests in hand.", lambda: self._in_hand.count)
         gauge("servers", "Servers listed.", lambda: len(parts.servers.all))
         gauge("cold_servers", "Servers that started lately.", lambda: parts.cold.count)
--- a/boragestream/daemon/route_process.py
+++ b/boragestream/daemon/route_process.py
@@ -4,18 +4,19 @@
 that come before, such as opening the listening sockets.
 """
 
-import os
 import signal
-import sys
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pynng
 
-from boragestream.base.line_writer import LineWriter, log_lines_to
+from boragestream.base.bounded_output import STANDARD_OUTPUT, complain
+from boragestream.base.events import Event, describe_error, emit
+from boragestream.base.line_writer import log_lines_to
 from boragestream.base.route_settings import RouteSettings
 from boragestream.daemon.exit_codes import ExitCode
 from boragestream.daemon.listening import ListeningSockets
+from boragestream.daemon.process_end import run_and_exit
 from boragestream.daemon.route_entry import RouteEntry
 from boragestream.daemon.settings_in_force import SettingsInForce
 
@@ -35,27 +36,25 @@
         one, so that none interrupts a thread holding a lock that the shutdown needs.
     :returns: an exit code, only if the entry can't start.
     """
-    writer = log_lines_to(sys.stdout)
+    writer = log_lines_to(STANDARD_OUTPUT)
     try:
-        entry = RouteEntry(SettingsInForce(path, settings), sockets)
+        entry = RouteEntry(SettingsInForce(path, settings), sockets, writer)
     except pynng.NNGException as error:
-        print(f"can't listen: {error}", file=sys.stderr)
+        complain(f"can't listen: {error}")
         return ExitCode.ADDRESS
     ThreadPoolExecutor(1, "signals").submit(_handle_signals, entry, handled_signals)
     ThreadPoolExecutor(1, "log").submit(writer.run)
-    _exit_process(writer, entry.run())
-
-
-def _exit_process(writer: LineWriter, code: ExitCode) -> None:
-    # Threads blocked in a watch hold no resources; joining them would only delay the
-    # exit.
-    writer.write_out()
-    os._exit(code)
+    run_and_exit(entry.run, writer)
 
 
 def _handle_signals(entry: RouteEntry, signals: tuple[signal.Signals, ...]) -> None:
     while True:
-        if signal.sigwait(signals) == signal.SIGHUP:
-            entry.reload()
-        else:
+        number = signal.sigwait(signals)
+        if number != signal.SIGHUP:
             entry.stop()
+            continue
+        try:
+            entry.reload()
+        except Exception as error:
+            # This thread must go on, since it is the one that stops the entry.
+            emit(Event.TASK_FAILED, task="reload", error=describe_error(error))
--- a/tests/features/steps/client_crowds.py
+++ b/tests/features/steps/client_crowds.py
@@ -58,20 +58,7 @@
 @given("an entry with little memory, whose log nobody reads")
 def step(context):
     site = CrowdSite()
-    process = site.entries["entry-0"]
-    start_process = subprocess.Popen
-
-    def start_piped(*arguments, **options):
-        return start_process(*arguments, **{**options, "stdout": subprocess.PIPE})
-
-    def start_unread():
-        subprocess.Popen = start_piped
-        try:
-            type(process).start(process)
-        finally:
-            subprocess.Popen = start_process
-
-    process.start = start_unread
+    site.entries["entry-0"].streams = {"stdout": subprocess.PIPE}
     start(context, site)
 
 
--- a/tests/features/steps/explaining.py
+++ b/tests/features/steps/explaining.py
@@ -267,7 +267,7 @@
 def step(context):
     context.reader, writer = os.pipe()
     context.stream = os.fdopen(writer, "w")
-    context.writer = LineWriter(context.stream)
+    context.writer = LineWriter(context.stream.fileno())
     context.thread = threading.Thread(target=context.writer.run, daemon=True)
     context.thread.start()
 
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -101,6 +101,8 @@
     log: Path
     popen: subprocess.Popen = None
     extra: dict = field(default_factory=dict)
+    # What takes the place of the log as standard output or standard error.
+    streams: dict = field(default_factory=dict)
 
     @property
     def address(self):
@@ -114,8 +116,7 @@
             self.popen = subprocess.Popen(
                 self.command,
                 stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
+                **{"stdout": log, "stderr": log, **self.streams},
                 env=environment,
                 preexec_fn=end_with_parent(),
             )
