Postmortem of callers outside the limits; five further crowds

Cause: kinds of callers that were still untried: half-closed connections, resets amid answers and streams, expectations without a body, unknown keys without a pause, tickets without a pause.

Change: a row each in client_crowds.feature, the crowds' manners reset and half-close connections.

--- a/tests/features/client_crowds.feature
+++ b/tests/features/client_crowds.feature
@@ -33,6 +33,10 @@
       | chunks whose first lines never end       |
       | requests with thousands of pieces        |
       | long identifiers                         |
+      | answers to half-closed connections       |
+      | resets amid answers and streams          |
+      | expectations without a body              |
+      | unknown keys without a pause             |
 
   Scenario Outline: callers at the addresses of pages: <crowd>
     Given an entry with little memory
@@ -139,4 +143,5 @@
       | streams, not read           |
       | bodies of many values       |
       | requests without a pause    |
+      | tickets without a pause     |
       | nothing                     |
--- a/tests/standins/crowd_fleet.py
+++ b/tests/standins/crowd_fleet.py
@@ -136,6 +136,18 @@
     return Manners(lambda number: request * AT_ONCE, endless=True)
 
 
+def tickets_without_pause(fleet):
+    """Return callers that ask for tickets without end and read nothing."""
+    lines = [
+        "POST /v1/tickets HTTP/1.1",
+        f"Host: {ADDRESS}",
+        f"Authorization: Bearer {KEY}",
+        "Content-Length: 0",
+    ]
+    request = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    return Manners(lambda number: request * AT_ONCE, endless=True)
+
+
 # By name: the number of callers and their manners.
 PIPELINE_CROWDS = {
     "answers, read in large part": (
@@ -150,5 +162,6 @@
     "streams, not read": (120, long_streams),
     "bodies of many values": (60, bodies_of_many_values),
     "requests without a pause": (40, requests_without_pause),
+    "tickets without a pause": (40, tickets_without_pause),
     "nothing": (900, lambda fleet: Manners(lambda number: b"")),
 }
--- a/tests/standins/crowd_kinds.py
+++ b/tests/standins/crowd_kinds.py
@@ -6,8 +6,9 @@
 from itertools import product
 from string import ascii_lowercase
 
-from tests.standins.crowd_site import BODY_BYTES, LONG_BYTES
+from tests.standins.crowd_site import BODY_BYTES, EVENT_BYTES, LONG_BYTES
 from tests.standins.crowds import LARGE_BUFFER_BYTES, Manners
+from tests.standins.route_site import KEY
 
 # The deadlines of crowds that give their requests little or much time.
 SHORT_MS, LONG_MS = 1_500, 50_000
@@ -165,6 +166,45 @@
     return Manners(sends)
 
 
+def half_closed(site):
+    """Return callers that close their sending direction and read nothing."""
+
+    def sends(number):
+        return site.request("/safe/long", number, 0, wait_ms=LONG_MS)
+
+    return Manners(sends, half_closes=True)
+
+
+def resetting(site):
+    """Return callers that reset their connections amid long answers and streams."""
+
+    def sends(number):
+        path = ("/safe/long", "/chat/long")[number % 2]
+        return site.request(path, number, 0, wait_ms=LONG_MS)
+
+    return Manners(sends, reads_in_step=EVENT_BYTES, resets_after=STEPS_TO_LEAVE)
+
+
+def expecting_callers(site):
+    """Return callers that ask whether to send a body, and send none."""
+
+    def sends(number):
+        more = ("Expect: 100-continue",)
+        return site.request("/safe/ok", number, SMALL_BODY_BYTES, more=more)
+
+    return Manners(sends)
+
+
+def unknown_callers(site):
+    """Return callers without a known key, which send much and read nothing."""
+
+    def sends(number):
+        head = site.request("/safe/ok", number, 0)
+        return head.replace(KEY.encode(), b"key-%d" % number) * AT_ONCE
+
+    return Manners(sends, endless=True)
+
+
 def page_requests(path):
     """Return callers that ask for a page without end and read nothing."""
     request = f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
@@ -222,6 +262,10 @@
     "chunks whose first lines never end": ("callers", 40, endless_chunk_lines),
     "requests with thousands of pieces": ("callers", 20, many_pieces),
     "long identifiers": ("callers", 40, long_identifiers),
+    "answers to half-closed connections": ("callers", 60, half_closed),
+    "resets amid answers and streams": ("callers", 60, resetting),
+    "expectations without a body": ("callers", 400, expecting_callers),
+    "unknown keys without a pause": ("callers", 40, unknown_callers),
 }
 PAGE_CROWDS = {
     "nothing to the directory": ("directory", 400, silent_callers),
--- a/tests/standins/crowds.py
+++ b/tests/standins/crowds.py
@@ -6,6 +6,7 @@
 
 import itertools
 import socket
+import struct
 import threading
 from dataclasses import dataclass
 
@@ -15,6 +16,7 @@
 READ_BYTES = 262_144
 # A caller connects again this many steps after its connection ended.
 PAUSE_STEPS = 20
+RESET = struct.pack("ii", 1, 0)
 
 
 @dataclass(frozen=True)
@@ -36,6 +38,10 @@
     # The steps after which a caller leaves its connection unread, and opens another
     # one; None to stay.
     leaves_after: int | None = None
+    # The steps after which a caller resets its connection; None for never.
+    resets_after: int | None = None
+    # Whether a caller closes its sending direction once everything is sent.
+    half_closes: bool = False
 
 
 class CrowdCaller:
@@ -70,6 +76,9 @@
         if manners.leaves_after is not None and self.steps >= manners.leaves_after:
             self.left.append(self.sock)
             self.sock = None
+        if manners.resets_after is not None and self.steps >= manners.resets_after:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            self.end()
 
     def connect(self):
         """Open the next connection; return whether there is one."""
@@ -98,6 +107,8 @@
             return
         self.bytes_sent += sent
         self.rest = self.rest[sent:]
+        if manners.half_closes and not self.rest:
+            self.sock.shutdown(socket.SHUT_WR)
 
     def read(self, manners):
         """Read some of the answers."""
