--- a/boragestream/daemon/page_servers.py
+++ b/boragestream/daemon/page_servers.py
@@ -1,6 +1,6 @@
 """Opens the servers for readiness, metrics and the directory, one for each address.
 
-They share nothing with the server for forwarded calls or with one another: whoever
+They share nothing with the server for forwarded calls or with one another: a crowd that
 takes up the connections or the memory of one of them leaves the others as they are.
 """
 
--- a/tests/features/steps/region_traffic.py
+++ b/tests/features/steps/region_traffic.py
@@ -86,7 +86,7 @@
         # A caller that leaves after the first event does not undo the measurement.
         sent.end(CallEnd.CANCELLED)
     else:
-        assert sent.read() == context.body
+        assert b"".join(sent.read()) == context.body
         sent.end(CallEnd.ANSWERED if how == "whole" else CallEnd.REFUSED)
     context.sent_bytes, context.received_bytes = len(head) + 3, size
 
--- a/tests/features/steps/server_reach.py
+++ b/tests/features/steps/server_reach.py
@@ -392,9 +392,9 @@
             claim=claim, sealed=False, status=status, backoff_seconds=0.2
         )
 
-    def read(self):
+    def read_blocks(self):
         """Return the body."""
-        return b"queue-full\n"
+        return [b"queue-full\n"]
 
 
 @given("an entry that is cut off, with {count:d} other entries that {answers}")
@@ -487,6 +487,7 @@
     """Return the state of a request that could not be sent to a server."""
     run = SimpleNamespace(
         service=SERVICE,
+        scope=CancelScope(context.clock.now() + 5),
         request=SimpleNamespace(request_id="r-1", last_event=last_event),
         route=route,
         delegated_by="",
--- a/tests/standins/crowd_site.py
+++ b/tests/standins/crowd_site.py
@@ -31,23 +31,29 @@
 
 
 class LongServer(RouteServer):
-    """A plain server or engine; a path that ends in ``long`` asks for a long answer."""
+    """A plain server or engine; some paths ask for a long answer or stream.
+
+    ``long_path`` is the last part of such a path.
+    """
+
+    long_path = "long"
+    long_bytes, long_events = LONG_BYTES, EVENTS
 
     def answer(self, sock, headers, fault, body):
         """Send a long answer where the path asks for it."""
-        if fault == "long":
-            self.send(sock, headers, 200, b"x" * LONG_BYTES)
+        if fault == self.long_path:
+            self.send(sock, headers, 200, b"x" * self.long_bytes)
         else:
             super().answer(sock, headers, fault, body)
 
     def stream(self, sock, headers, fault):
         """Send a long stream where the path asks for it."""
-        if fault != "long":
+        if fault != self.long_path:
             super().stream(sock, headers, fault)
             return
         head = [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
         self.send(sock, headers, 200, None, head)
-        for number in range(1, EVENTS + 1):
+        for number in range(1, self.long_events + 1):
             event = b"id: %d\ndata: %s\n\n" % (number, b"w" * EVENT_BYTES)
             sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
         sock.sendall(b"0\r\n\r\n")
--- a/tests/standins/memory_site.py
+++ b/tests/standins/memory_site.py
@@ -6,14 +6,13 @@
 import threading
 from pathlib import Path
 
-from tests.standins.route_server import RouteServer
+from tests.standins.crowd_site import LongServer
 from tests.standins.route_site import ADDRESS, HOST, KEY, ZONES, RouteSite
 from tests.standins.route_site import configuration as base_configuration
 
 BODY_BYTES = 8 * 1_048_576
 # More than the kernel keeps of a connection on both sides.
 LARGE_BYTES = 400_000
-EVENT_BYTES = 8_000
 EVENTS = 100
 SMALL_BUFFER = 4096
 # Longer than a server may leave a call unread.
@@ -22,13 +21,16 @@
 SAMPLE = re.compile(r"^(boragestream_memory\w+|\w+abandoned_total)(\S*) (\S+)$", re.M)
 
 
-class MemoryServer(RouteServer):
+class MemoryServer(LongServer):
     """A plain server or engine with large answers, or one that does not read calls.
 
     The last part of the path ``large`` asks for a large answer, ``unread`` for a server
     that stops reading the call, once for each request.
     """
 
+    long_path = "large"
+    long_bytes, long_events = LARGE_BYTES, EVENTS
+
     def __init__(self, *arguments):
         """Start the server."""
         self.let_go = threading.Event()
@@ -50,25 +52,6 @@
                 return
         super().serve(sock)
 
-    def answer(self, sock, headers, fault, body):
-        """Send a large answer where the path asks for it."""
-        if fault == "large":
-            self.send(sock, headers, 200, b"x" * LARGE_BYTES)
-        else:
-            super().answer(sock, headers, fault, body)
-
-    def stream(self, sock, headers, fault):
-        """Send a large stream where the path asks for it."""
-        if fault != "large":
-            super().stream(sock, headers, fault)
-            return
-        head = [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
-        self.send(sock, headers, 200, None, head)
-        for number in range(1, EVENTS + 1):
-            event = b"id: %d\ndata: %s\n\n" % (number, b"w" * EVENT_BYTES)
-            sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
-        sock.sendall(b"0\r\n\r\n")
-
 
 class MemorySite(RouteSite):
     """One entry with a memory limit."""
