Allow no more connections than the system has descriptors for

Callers saw: no answer within 10 s, three times in a row, while 400 callers that sent nothing held an entry whose system limit on descriptors was below its settings.

Cause: the limit of connections followed the settings alone. All 160 descriptors were in use before idle connections were closed for new ones, and the event loop went on accepting without a descriptor: 370,000 complaints in its log.

Change: the lower one of the setting and of the system's limit counts. On a machine that lets the process open what its settings name nothing changes.

--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -13,6 +13,7 @@
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, emit
 from boragestream.base.line_writer import LineWriter
+from boragestream.base.machine import descriptor_limit
 from boragestream.base.outcomes import Failure
 from boragestream.base.route_settings import RouteSettings
 from boragestream.base.settings import CallerSettings, StopSettings
@@ -235,7 +236,9 @@
         )
         metrics.set_memory(self._budget)
         server = create_server(application, callers, memory, arrivals, sockets.callers)
-        connection_limit = settings.resources.descriptors - OTHER_DESCRIPTORS
+        # The system may let the process open fewer than the settings name.
+        descriptors = min(settings.resources.descriptors, descriptor_limit())
+        connection_limit = descriptors - OTHER_DESCRIPTORS
         server.adj.connection_limit = max(connection_limit, settings.resources.threads)
         return server
 
