Make the server of two steps in one place

Cause: found on reading the change again: two steps of caller_channel built the same server, whose event loop does not run.

Steps and assertions are as they were.

--- a/tests/features/steps/caller_channel.py
+++ b/tests/features/steps/caller_channel.py
@@ -61,12 +61,18 @@
     """Stand in for an application that is not called."""
 
 
-@given("a server whose event loop stands still")
-def step(context):
+def standing_server(context):
+    """Return a server whose event loop does not run."""
     memory = caller_memory(SystemClock(), MEMORY_BYTES)
     settings = CallerSettings(ADDRESS, free_ports(1)[0])
-    context.server = create_server(unused, settings, memory)
-    context.add_cleanup(context.server.close)
+    server = create_server(unused, settings, memory)
+    context.add_cleanup(server.close)
+    return server
+
+
+@given("a server whose event loop stands still")
+def step(context):
+    context.server = standing_server(context)
 
 
 @when("a thread wakes the loop {count:d} times")
@@ -92,10 +98,7 @@
 
 @given("a connection whose output a thread has locked")
 def step(context):
-    memory = caller_memory(SystemClock(), MEMORY_BYTES)
-    settings = CallerSettings(ADDRESS, free_ports(1)[0])
-    server = create_server(unused, settings, memory)
-    context.add_cleanup(server.close)
+    server = standing_server(context)
     ours, theirs = socket.socketpair()
     context.add_cleanup(theirs.close)
     context.channel = CallerConnection(server, ours, ADDRESS, server.adj, map={})
