Let streams use the free slots that servers report

Callers saw a request wait behind streams of the same service although its servers had free slots: among 120 long streams, 24 to 27 were open at three servers of 256 slots each, the others waited in the queue of the service, and an ordinary request behind them had no answer within 10 s.

Cause: an entry has at most 8 calls open at a server until answers that ended raise that limit, by one divided by the limit. Streams that last don't end, so that the limit stayed at 8.

Change: a stream that begins while its server reports free slots raises the limit by 1, if the limit is used at least by half. Reports of other calls count as before, and calls that queue at a server lower the limit as before.

Evidence: the new outline has 8 streams on each server without the change, whatever the servers report; with it 9, 34 and 256 for 6, 30 and 500 slots.

--- a/boragestream/policy/concurrency.py
+++ b/boragestream/policy/concurrency.py
@@ -1,7 +1,9 @@
 """Adaptive limit of the calls that an entry may have in progress on one server.
 
 The limit increases additively while the server's times stay close to the minimum, and
-decreases multiplicatively when calls queue at the server. Entries do not know each
+decreases multiplicatively when calls queue at the server. Calls that last, such as
+streams, increase it while they run, if the server reports free slots: otherwise no
+further call would start until one of them ends. Entries do not know each
 other's calls: each entry adapts its limit to the times that it measures and to the load
 that the servers report. Waiting for a server below its limit is left to
 ``policy.waiting``.
@@ -9,7 +11,7 @@
 
 from boragestream.policy.reports import LoadReport
 
-__all__ = ["INITIAL_LIMIT", "is_full", "is_queueing", "next_limit"]
+__all__ = ["INITIAL_LIMIT", "is_full", "is_queueing", "limit_with_report", "next_limit"]
 
 INITIAL_LIMIT = 8.0
 MIN_LIMIT = 1.0
@@ -52,6 +54,16 @@
     return min(MAX_LIMIT, limit + 1.0 / limit)
 
 
+def limit_with_report(limit: float, in_progress: int, report: LoadReport) -> float:
+    """Return the limit after the report of a server that has begun a lasting call.
+
+    :param in_progress: this entry's calls in progress, including that one.
+    """
+    if in_progress * 2 < limit or report.in_progress >= report.slots:
+        return limit
+    return min(MAX_LIMIT, limit + 1.0)
+
+
 def is_full(calls: float, slots: int) -> bool:
     """Return whether a server has reached the most calls allowed for its slots.
 
--- a/boragestream/policy/load.py
+++ b/boragestream/policy/load.py
@@ -22,7 +22,12 @@
     is_open,
     probing,
 )
-from boragestream.policy.concurrency import INITIAL_LIMIT, is_queueing, next_limit
+from boragestream.policy.concurrency import (
+    INITIAL_LIMIT,
+    is_queueing,
+    limit_with_report,
+    next_limit,
+)
 from boragestream.policy.reports import LoadReport, expected_calls_of_others
 from boragestream.policy.servers import Server
 
@@ -175,14 +180,21 @@
             load.circuit = probing(load.circuit)
         return number
 
-    def note_report(self, server: Server, report: LoadReport) -> None:
-        """Record a server's report of its load."""
+    def note_report(
+        self, server: Server, report: LoadReport, lasting: bool = False
+    ) -> None:
+        """Record a server's report of its load.
+
+        :param lasting: whether it came at the beginning of a call that goes on.
+        """
         with self._lock:
             load = self._loads.setdefault(server.identity, ServerLoad())
             first = load.report is None
             load.report = report
             load.report_at = self._clock.now()
             load.own_at_report = load.in_progress
+            if lasting:
+                load.limit = limit_with_report(load.limit, load.in_progress, report)
         if first:
             self._first_report(server.service)
 
--- a/boragestream/serving/attempts.py
+++ b/boragestream/serving/attempts.py
@@ -190,7 +190,8 @@
     def _record_load(self, answer: OpenAnswer) -> None:
         report = read_load(answer.headers)
         if report is not None:
-            self._parts.loads.note_report(self._server, report)
+            lasting = self._run.call.stream
+            self._parts.loads.note_report(self._server, report, lasting)
 
     def _on_answer_end(self, whole: bool) -> None:
         if whole:
--- a/tests/features/policy_routing.feature
+++ b/tests/features/policy_routing.feature
@@ -7,6 +7,17 @@
     When 40 calls begin and none ends
     Then no server has more than 7 calls
 
+  # Guards against streams that wait until others end, although there are free slots.
+  Scenario Outline: streams that last don't keep others from free slots
+    When streams begin as long as there is room, on servers that report <slots> slots
+    Then each server has <streams> streams
+
+    Examples:
+      | slots | streams |
+      | 6     | 9       |
+      | 30    | 34      |
+      | 500   | 256     |
+
   Scenario: a straggler gets few calls
     When 400 calls run one by one and "s-0" takes 10 times as long
     Then "s-0" got less than 20 of them
--- a/tests/features/steps/policy_routing.py
+++ b/tests/features/steps/policy_routing.py
@@ -74,6 +74,20 @@
         context.loads.begin(choose(context))
 
 
+@when("streams begin as long as there is room, on servers that report {slots:d} slots")
+def step(context, slots):
+    while (server := choose(context)) is not None:
+        context.loads.begin(server)
+        busy = context.loads.get(server).in_progress
+        context.loads.note_report(server, LoadReport(busy, slots), lasting=True)
+
+
+@then("each server has {streams:d} streams")
+def step(context, streams):
+    begun = [context.loads.get(server).in_progress for server in context.servers]
+    assert begun == [streams] * len(context.servers), begun
+
+
 @when('a call on "{name}" has been open for {seconds:g} s')
 def step(context, name, seconds):
     context.loads.begin(named(context, name))
