Keep streams of JSON pipelines near their callers

Callers saw no answer for about 12 s after a crowd of 120 callers had gone that read nothing of streams of 20,000 events, and waited for up to 10 s and more among it.

Cause: each stream was written as fast as its server sent it, up to the share of the budget for unread output. Profiles of the entry show up to 115 threads that wrote for callers who read nothing, and that waited for each other at the lock of the budget. The event loop needs output locks that these threads hold, and the budget's lock, to close each connection. When the crowd had gone, the memory that was returned let the remaining threads go on writing.

Change: the thread of a stream waits while more than 64 KB of it are unread. It goes on when the caller has read, when the deadline has passed, or while a call waits for a place at the service, since the stream holds one. Whole answers and streams of the forwarding entry are not paced.

Two new scenarios of caller_channel check that a stream stays near its caller, goes on where its place is wanted, and arrives whole.

--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -27,7 +27,7 @@
     Refused,
     Unknown,
 )
-from boragestream.caller.connections import ARRIVED, NOTE_DEADLINE, STOP_WAITING
+from boragestream.caller.connections import ARRIVED, NOTE_DEADLINE, PACE, STOP_WAITING
 from boragestream.caller.delegated_calls import (
     DelegatedCalls,
     DelegatedStream,
@@ -57,6 +57,8 @@
 __all__ = ["Application"]
 
 PIPELINES = "/v1/pipelines/"
+# A stream runs ahead of its caller by about this much, more than most have in all.
+MOST_UNREAD_BYTES = 65_536
 
 Environ = dict[str, Any]
 Reply = Iterable[bytes]
@@ -166,6 +168,7 @@
         if isinstance(request, Refused | Failed):
             return outcome_reply(start_response, request, request_id)
         if parsed.stream and request.is_streamable:
+            self._pace(environ, request)
             return self._stream(start_response, request, parsed, arrived)
         ending = self._run(request, parsed, arrived)
         self.tickets.runs.remember(parsed.account.name, request_id, ending)
@@ -286,6 +289,20 @@
                 return answer
         return self.delegated.open_stream(request, reason)
 
+    def _pace(self, environ: Environ, request: RequestRecord) -> None:
+        """Read the stream of a request as fast as its caller does.
+
+        While others wait for the place that it takes at its server, it is read as fast
+        as it comes.
+        """
+        service = request.pipeline.stages[-1].service
+
+        def place_is_wanted() -> bool:
+            return bool(self.admission.queued or self.pipelines.waiting(service))
+
+        if PACE in environ:
+            environ[PACE](MOST_UNREAD_BYTES, place_is_wanted)
+
     def _stream(
         self,
         start_response: StartResponse,
--- a/boragestream/caller/charged_channel.py
+++ b/boragestream/caller/charged_channel.py
@@ -3,14 +3,17 @@
 Output is charged from the moment at which it is written until the caller has
 acknowledged it. How fast the caller reads, and sends the rest of a request, shows for
 how long the connection will hold its bytes; ``caller.slow_connections`` chooses from
-that which connections are closed when others go short.
+that which connections are closed when others go short. An answer can be paced, so that
+it is written only as fast as the caller reads.
 """
 
 import array
 import contextlib
 import fcntl
+import math
 import termios
 import time
+from collections.abc import Callable
 from typing import Any
 
 from waitress.channel import ClientDisconnected
@@ -29,6 +32,7 @@
 # Less unread output of one caller does not block writes even if memory is short.
 SMALL_OUTPUT_BYTES = 16_384
 BLOCKED_POLL_SECONDS = 0.05
+READER_POLL_SECONDS = 0.25
 # A closed connection without activity for longer holds nothing in the kernel.
 KERNEL_SECONDS = 2.0
 
@@ -55,6 +59,8 @@
         self._reading, self._sending = Pace(), Pace()
         self.request_id = self.account = ""
         self.deadline = self.progress_at = 0.0
+        self._most_unread = math.inf
+        self._stops_pacing: Callable[[], bool] = lambda: False
         super().__init__(server, *arguments, **options)
 
     @property
@@ -86,6 +92,15 @@
     def begin_waiting(self) -> None:
         """Let writes block until the caller reads."""
         self._blocks_on_output = True
+        self._most_unread = math.inf
+
+    def pace(self, most_unread: int, unless: Callable[[], bool]) -> None:
+        """Let writes of the present request block while its caller is behind.
+
+        :param most_unread: the bytes of unread output beyond which they block.
+        :param unless: returns whether they go on all the same.
+        """
+        self._most_unread, self._stops_pacing = most_unread, unless
 
     def stop_waiting(self) -> None:
         """Stop blocking writes until the caller reads, and wake a blocked one."""
@@ -207,11 +222,14 @@
                 self._count_unsent()
 
     def _flush_outbufs_below_high_watermark(self) -> None:
-        """Block while memory is short and the caller has unread output.
+        """Block while the caller has unread output and is behind, or memory is short.
 
         :raises ClientDisconnected: if the output is given up, since too many threads
             wait already, or there is no memory left for it after its deadline.
         """
+        with self.outbuf_lock:
+            while self._is_ahead_of_caller():
+                self.outbuf_lock.wait(READER_POLL_SECONDS)
         budget = self._memory.budget
         if not self._exceeds_memory():
             return
@@ -225,6 +243,14 @@
             self._memory.give_up(self)
             raise ClientDisconnected
 
+    def _is_ahead_of_caller(self) -> bool:
+        return (
+            self.connected
+            and self._blocks_on_output
+            and self.total_outbufs_len > self._most_unread
+            and not self._stops_pacing()
+        )
+
     def _exceeds_memory(self) -> bool:
         """Return whether output that the caller does not read must not grow."""
         return (
--- a/boragestream/caller/connections.py
+++ b/boragestream/caller/connections.py
@@ -22,6 +22,7 @@
 __all__ = [
     "ARRIVED",
     "NOTE_DEADLINE",
+    "PACE",
     "RAW_HEADERS",
     "RECEIVE_BUFFER_BYTES",
     "STOP_WAITING",
@@ -32,6 +33,7 @@
 STOP_WAITING = "boragestream.stop_waiting"
 RAW_HEADERS = "boragestream.headers"
 NOTE_DEADLINE = "boragestream.note_deadline"
+PACE = "boragestream.pace"
 
 # How long the body of a refused request is read and dropped, so that a caller that is
 # still sending gets the answer and not a connection reset.
@@ -53,19 +55,22 @@
     """One request of a connection."""
 
     def get_environment(self) -> dict[str, Any]:
-        """Return the WSGI environment, extended by four keys for the application.
+        """Return the WSGI environment, extended by five keys for the application.
 
         ``ARRIVED`` holds the clock's seconds at the request's first byte, so that time
         in waitress' own queue counts. ``STOP_WAITING`` holds a function without
         arguments that is called when the deadline has passed. ``RAW_HEADERS`` holds
         the headers by name, in upper case with underscores. ``NOTE_DEADLINE`` holds a
         function that is called with the request's id, deadline and client account.
+        ``PACE`` holds a function that keeps the answer from running ahead of its
+        caller, see ``ChargedChannel.pace``.
         """
         environ = super().get_environment()
         environ[ARRIVED] = self.request.arrived
         environ[STOP_WAITING] = self.channel.stop_waiting
         environ[RAW_HEADERS] = self.request.headers
         environ[NOTE_DEADLINE] = self.channel.note_deadline
+        environ[PACE] = self.channel.pace
         self.channel.begin_waiting()
         return environ
 
--- a/tests/features/caller_channel.feature
+++ b/tests/features/caller_channel.feature
@@ -21,3 +21,22 @@
     Given a connection whose output a thread has locked
     When the event loop counts what the kernel holds for it
     Then it has ended before the thread unlocks the output
+
+  # Guards against streams that take processor time and memory for nobody, and against
+  # those that keep a place at a server from others.
+  Scenario: a stream does not run ahead of a caller that does not read
+    Given a server whose streams run at most 65536 bytes ahead
+    When a caller with a small receive buffer asks for 2000000 bytes and reads nothing
+    Then less than 500000 bytes are written and the rest waits
+    When the place of the stream is wanted
+    Then the stream is written to its end
+    When the caller reads
+    Then it has every byte in order
+
+  Scenario: a stream goes on as its caller reads
+    Given a server whose streams run at most 65536 bytes ahead
+    When a caller with a small receive buffer asks for 2000000 bytes and reads nothing
+    Then less than 500000 bytes are written and the rest waits
+    When the caller reads
+    Then it has every byte in order
+    And the stream is written to its end
--- a/tests/features/steps/caller_channel.py
+++ b/tests/features/steps/caller_channel.py
@@ -10,15 +10,18 @@
 
 from boragestream.base.clock import SystemClock
 from boragestream.base.settings import CallerSettings
-from boragestream.caller.connections import CallerConnection
+from boragestream.caller.connections import PACE, CallerConnection
 from boragestream.caller.server import create_server
 from tests.standins.callers_memory import caller_memory
-from tests.standins.fleet import ADDRESS, free_ports
+from tests.standins.fleet import ADDRESS, free_ports, wait_until
 
 SMALL_BUFFER = 4096
 READ_BYTES = 100_000
 MEMORY_BYTES = 100_000_000
 END_SECONDS = 20
+CHUNK_BYTES = 50
+# Enough to write megabytes in.
+AHEAD_SECONDS = 0.5
 
 
 @given("a server whose reply is {count:d} chunks of {size:d} bytes")
@@ -29,6 +32,11 @@
         start_response("200 OK", [("Content-Type", "text/event-stream")])
         yield from context.chunks
 
+    serve(context, application)
+
+
+def serve(context, application):
+    """Run a server with an application until the scenario ends."""
     context.port = free_ports(1)[0]
     memory = caller_memory(SystemClock(), MEMORY_BYTES)
     server = create_server(application, CallerSettings(ADDRESS, context.port), memory)
@@ -36,13 +44,68 @@
     context.add_cleanup(server.close)
 
 
-@when("a caller with a small receive buffer reads the reply slowly")
+@given("a server whose streams run at most {most:d} bytes ahead")
+def step(context, most):
+    context.wanted = threading.Event()
+    context.chunks, context.written, context.ended = [], 0, threading.Event()
+
+    def application(environ, start_response):
+        environ[PACE](most, context.wanted.is_set)
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        for chunk in context.chunks:
+            yield chunk
+            context.written += len(chunk)
+        context.ended.set()
+
+    serve(context, application)
+
+
+@when("a caller with a small receive buffer asks for {size:d} bytes and reads nothing")
+def step(context, size):
+    context.chunks = [b"%050d" % i for i in range(size // CHUNK_BYTES)]
+    context.connection = ask_with_small_buffer(context)
+
+
+@then("less than {most:d} bytes are written and the rest waits")
+def step(context, most):
+    wait_until(lambda: context.written, what="the stream begins")
+    time.sleep(AHEAD_SECONDS)
+    assert not context.ended.is_set()
+    assert context.written < most, context.written
+
+
+@when("the place of the stream is wanted")
 def step(context):
+    context.wanted.set()
+
+
+@then("the stream is written to its end")
+def step(context):
+    assert context.ended.wait(END_SECONDS), context.written
+
+
+def ask_with_small_buffer(context):
+    """Return a connection with a small receive buffer that has sent a request."""
     connection = http.client.HTTPConnection(ADDRESS, context.port, timeout=30)
     connection.sock = socket.socket()
     connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
     connection.sock.connect((ADDRESS, context.port))
     connection.request("GET", "/")
+    return connection
+
+
+@when("a caller with a small receive buffer reads the reply slowly")
+def step(context):
+    read_slowly(context, ask_with_small_buffer(context))
+
+
+@when("the caller reads")
+def step(context):
+    read_slowly(context, context.connection)
+
+
+def read_slowly(context, connection):
+    """Read an answer to its end."""
     response = connection.getresponse()
     context.digest = hashlib.sha256()
     while part := response.read(READ_BYTES):
