Allow fewer connections where descriptors run out below the limit

Callers, readiness checks and metrics got no answer from an entry whose descriptors were used up below its limit on connections, for example by the rest of the machine.

Cause: the limit follows the settings and the limit of the process at the start. Where a new connection finds no descriptor, waitress logs a complaint and tries again at once, for ever; no connection is closed, and the requests of those that are open find no descriptor for their calls.

Without such a failure nothing changes.

--- a/boragestream/caller/caller_memory.py
+++ b/boragestream/caller/caller_memory.py
@@ -19,6 +19,7 @@
 from boragestream.base.events import Event, emit
 from boragestream.base.failures import MemoryExhausted
 from boragestream.base.memory_budget import MemoryBudget, MemoryCharge, MemoryKind
+from boragestream.caller.connection_room import ConnectionRoom
 from boragestream.caller.slow_connections import (
     CallersConnection,
     is_slow,
@@ -89,6 +90,7 @@
         self._refusals = refusals
         self._clock = clock
         self._server: Any = None
+        self._room: ConnectionRoom | None = None
         self._count_refused = refused
         self._count_abandoned = abandoned
         self._next_search = self._next_room = float("-inf")
@@ -110,6 +112,8 @@
     def attach(self, server: Any) -> None:
         """Set the waitress server whose connections are managed."""
         self._server = server
+        self._room = room = ConnectionRoom(server, self._clock)
+        server.accept = partial(room.accept, server.accept)
         server.maintenance = self._maintain
         server.readable = partial(self._before_poll, server.readable)
 
@@ -177,7 +181,7 @@
         if wanted is not None:
             self._abandon_until(wanted)
         self._make_room()
-        return readable()
+        return readable() and self._room.may_accept
 
     def _make_room(self) -> None:
         """Close idle connections, and those of unfinished requests, for new ones."""
@@ -243,6 +247,7 @@
         :param wall_time: the system's time in seconds.
         """
         server = self._server
+        self._room.maintain()
         cutoff = wall_time - server.adj.channel_timeout
         unread_cutoff = wall_time - max(UNREAD_SECONDS, server.adj.channel_timeout)
         for channel in self._connections:
--- a/tests/features/client_crowds.feature
+++ b/tests/features/client_crowds.feature
@@ -85,6 +85,23 @@
       | nothing                     |
       | answers, read in large part |
 
+  # Guards against an event loop that does nothing but accept in vain.
+  Scenario Outline: an entry whose descriptors others have taken: <crowd>
+    Given an entry with little memory
+    And the system lets it open only 40 more descriptors
+    When a crowd comes: <crowd>
+    Then the entry lives, within its memory and its descriptors
+    And its directory, its readiness check and its metrics answer
+    And an ordinary request is answered
+    When the crowd has gone
+    Then an ordinary request is answered
+    And the entry lives, and has logged at most 2000 lines
+
+    Examples:
+      | crowd             |
+      | nothing           |
+      | answers, not read |
+
   Scenario Outline: callers of an entry that has another one serve them: <crowd>
     Given two entries with little memory, the first of which reaches no server
     When a crowd comes: <crowd>
--- a/tests/features/steps/client_crowds.py
+++ b/tests/features/steps/client_crowds.py
@@ -5,6 +5,8 @@
 """
 
 import json
+import os
+import resource
 import signal
 import subprocess
 
@@ -62,6 +64,15 @@
     start(context, site)
 
 
+@given("the system lets it open only {count:d} more descriptors")
+def step(context, count):
+    context.site.serve_ordinary()
+    process = context.site.entries["entry-0"].popen
+    open_now = len(os.listdir(f"/proc/{process.pid}/fd"))
+    _, most = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (open_now + count, most))
+
+
 @when("a crowd comes: {name}")
 def step(context, name):
     kind, count, manners = {**CROWDS, **PAGE_CROWDS}[name]
@@ -104,6 +115,13 @@
     assert_within(context, "entry-0")
 
 
+@then("the entry lives, and has logged at most {count:d} lines")
+def step(context, count):
+    assert_within(context, "entry-0")
+    lines = context.site.log("entry-0").splitlines()
+    assert len(lines) <= count, (len(lines), lines[-3:])
+
+
 @then("each entry lives, within its memory and its descriptors")
 def step(context):
     for name in context.site.entries:
