State lost and dropped log lines on the status page of JSON pipelines

Operators of entries of JSON pipelines could not see that log lines were not written, since only the forwarding entry has metrics of them.

Change: the status page has log_lines_dropped and log_lines_lost, with the numbers that the writer of the log counts.

Evidence: the new scenario finds no such field without the change; the 17 scenarios of log_readers and the five of caller_status pass.

--- a/boragestream/caller/status.py
+++ b/boragestream/caller/status.py
@@ -50,6 +50,8 @@
     :ivar version: version of the document in force, 0 for none.
     :ivar digest: digest of the document in force, empty for none.
     :ivar leaving: whether the entry is stopping.
+    :ivar log_lines_dropped: number of log lines for which there was no room.
+    :ivar log_lines_lost: number of log lines that could not be written.
     :ivar in_hand: number of admitted requests that have not ended.
     :ivar queued: number of admitted requests that have not begun.
     :ivar windows: maximum and current number of requests in progress, by service.
@@ -65,6 +67,8 @@
     version: int
     digest: str
     leaving: bool
+    log_lines_dropped: int
+    log_lines_lost: int
     in_hand: int
     queued: int
     windows: dict[str, tuple[int, int]]
--- a/boragestream/daemon/command.py
+++ b/boragestream/daemon/command.py
@@ -54,7 +54,7 @@
     # a signal never interrupts a thread holding a lock that the shutdown needs.
     signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
     try:
-        entry = Entry(settings, peer_tls)
+        entry = Entry(settings, writer, peer_tls)
     except (OSError, pynng.NNGException) as error:
         complain(f"can't listen: {error}")
         return ExitCode.ADDRESS
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -9,6 +9,7 @@
 
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, emit
+from boragestream.base.line_writer import LineWriter
 from boragestream.base.settings import Settings
 from boragestream.caller.caller_memory import CallerMemory
 from boragestream.caller.replies import JsonRefusals
@@ -39,6 +40,7 @@
     """One entry daemon.
 
     :param settings: the settings of the entry.
+    :param writer: writes the log, and is run by the caller.
     :param peer_tls: TLS for connections to other entries; None for plaintext.
     :param clock: the clock used for all decisions; by default the system clock.
     :raises OSError, pynng.NNGException: if an address can't be listened on.
@@ -47,6 +49,7 @@
     def __init__(
         self,
         settings: Settings,
+        writer: LineWriter,
         peer_tls: PeerTls | None = None,
         clock: Clock | None = None,
     ) -> None:
@@ -58,7 +61,7 @@
         self._kept_answers = KeptAnswers(clock)
         self._tasks = BackgroundTasks()
         application = make_application(
-            self._parts, self._kept_answers, self._stop.begun.is_set
+            self._parts, self._kept_answers, self._stop.begun.is_set, writer
         )
         self._listener = open_peer_listener(self._parts, application, peer_tls)
         return_freed_memory()
--- a/boragestream/daemon/listeners.py
+++ b/boragestream/daemon/listeners.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 from boragestream.backend.connections import ConnectionKeeper
+from boragestream.base.line_writer import LineWriter
 from boragestream.caller.application import Application
 from boragestream.caller.delegated_calls import DelegatedCalls
 from boragestream.caller.pages import Pages
@@ -38,11 +39,13 @@
     parts: EntryParts,
     kept_answers: KeptAnswers,
     is_leaving: Callable[[], bool],
+    writer: LineWriter,
 ) -> Application:
     """Return the HTTP application that serves callers.
 
     :param kept_answers: records until when callers may use entry lists and tickets.
     :param is_leaving: returns whether the entry is stopping.
+    :param writer: writes the log, whose losses the status page states.
     """
     settings = parts.settings
     forwarder = Forwarder(parts.links, parts.listing.peer_address, parts.clock)
@@ -62,7 +65,7 @@
         configuration=parts.configuration,
         refusals=refusals,
         entries_for=partial(_entries_for, parts, kept_answers),
-        status=lambda: status_page(parts, is_leaving()),
+        status=lambda: status_page(parts, writer, is_leaving()),
         operator_digests=settings.operator.key_digests,
     )
     # Parallel stages block while their attempts run. Separate pools keep the stages
--- a/boragestream/daemon/status.py
+++ b/boragestream/daemon/status.py
@@ -1,5 +1,6 @@
 """Builds the status page of an entry from its components."""
 
+from boragestream.base.line_writer import LineWriter
 from boragestream.caller.status import PeerReport, ServerReport, StatusPage
 from boragestream.daemon.parts import EntryParts
 from boragestream.policy.load import LoadTable, ServerLoad
@@ -10,8 +11,11 @@
 __all__ = ["status_page"]
 
 
-def status_page(parts: EntryParts, leaving: bool) -> StatusPage:
-    """Return the status page; components are read once each, at different moments."""
+def status_page(parts: EntryParts, writer: LineWriter, leaving: bool) -> StatusPage:
+    """Return the status page; components are read once each, at different moments.
+
+    :param writer: writes the log.
+    """
     entry_settings = parts.settings.entry
     current = parts.configuration.current
     entries = parts.peers.members.entries
@@ -23,6 +27,8 @@
         version=current.version if current else 0,
         digest=current.digest if current else "",
         leaving=leaving,
+        log_lines_dropped=writer.dropped,
+        log_lines_lost=writer.lost,
         in_hand=parts.admission.in_hand,
         queued=parts.admission.queued,
         windows=parts.admission.windows(),
--- a/tests/features/log_readers.feature
+++ b/tests/features/log_readers.feature
@@ -38,6 +38,11 @@
     When the entry is told to end
     Then it ends by itself with the exit code 0
 
+  Scenario: an entry of JSON pipelines states how many lines were lost
+    Given an entry of JSON pipelines whose log has a reader that has gone
+    When requests to its pipelines are served
+    Then its status page counts lost lines, and none as dropped
+
   Scenario: a second signal ends an entry whose log nobody reads
     Given a forwarding entry whose log has a reader that does not read
     When the entry is told to end, and again once it is leaving
--- a/tests/features/steps/log_readers.py
+++ b/tests/features/steps/log_readers.py
@@ -104,6 +104,21 @@
     wait_until(lambda: lost_lines(context), what="lost lines are counted")
 
 
+@when("requests to its pipelines are served")
+def step(context):
+    for _ in range(REQUESTS):
+        assert context.fleet.serve_ordinary()
+
+
+@then("its status page counts lost lines, and none as dropped")
+def step(context):
+    def status():
+        return context.fleet.status("entry-1")
+
+    wait_until(lambda: status()["log_lines_lost"] >= REQUESTS, what="lost lines")
+    assert status()["log_lines_dropped"] == 0
+
+
 @when("a reader has come back, and requests are served")
 def step(context):
     context.reader.come()
