Have readers of logs go, stall and come back in the soak

The soak judged entries whose logs go to files only; what happens to a process whose log's reader goes, stalls and comes back beside other faults was not seen.

The status of lines that were lost counts as the sign that these faults reached the entries.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -51,6 +51,7 @@
       | engines that are replaced by other versions       | 9    | upgrades    |
       | entries that miss such replacements               | 31   | out-of-step |
       | answers that are cut or sent twice                | 10   | spoils      |
+      | readers of logs that go, stall and come back      | 11   | logs        |
 
   # Guards against a check of memory that no entry can fail.
   Scenario: the soak sees an entry that has used more than its memory
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -42,6 +42,7 @@
     Family.CUTS: lambda verdict: verdict.events.get("request_delegated"),
     Family.UPGRADES: lambda verdict: verdict.events.get("stream_resumed"),
     Family.OUT_OF_STEP: lambda verdict: verdict.events.get("stream_resumed"),
+    Family.LOGS: lambda verdict: verdict.events.get("lines_lost"),
     Family.SPOILS: lambda verdict: verdict.statuses.get(BAD_GATEWAY),
 }
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -19,6 +19,7 @@
   --out-of-step   Let entries follow the server list for long, then pause them or cut
                   them off from the store and all other entries, while engines are
                   replaced by others of two more software versions.
+  --logs          Have the readers of the entries' logs go, stall and come back as well.
   --spoils        Have servers cut answers in their heads, and stage servers send
                   answers twice, as well.
   --keep DIR      Where the logs of failed runs are kept [default: out/soak].
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -43,6 +43,7 @@
     ENTRIES_CUT_OFF = auto()
     SERVER_UPGRADED = auto()
     ENTRY_OUT_OF_STEP = auto()
+    LOG_READER = auto()
 
 
 class Family(Enum):
@@ -57,6 +58,7 @@
     CUTS = "cuts"
     UPGRADES = "upgrades"
     OUT_OF_STEP = "out-of-step"
+    LOGS = "logs"
     # Strikes nothing: what callers ask for spoils the answers of servers.
     SPOILS = "spoils"
 
@@ -104,6 +106,8 @@
 CUT_WAYS = ("refused", "dark", "kept")
 UPGRADE_GAP_SECONDS = 1.2
 VERSIONS = ("v1", "v2", "v3")
+LOG_GAP_SECONDS = 0.7
+LOG_WAYS = ("gone", "stalled")
 OUT_OF_STEP_GAP_SECONDS = 2.0
 OUT_OF_STEP_SECONDS = (1.0, 6.0)
 # How the store and the other entries are lost to an entry.
@@ -157,6 +161,8 @@
             strikes += _cut_strikes(rng, seconds)
         elif family is Family.UPGRADES:
             strikes += _upgrade_strikes(rng, seconds)
+        elif family is Family.LOGS:
+            strikes += _log_strikes(rng, seconds)
         elif family is Family.OUT_OF_STEP:
             strikes += _out_of_step_strikes(rng, seconds)
         elif family is Family.SPOILS:
@@ -201,6 +207,15 @@
         at += UPGRADE_GAP_SECONDS * rng.uniform(0.3, 1.7)
 
 
+def _log_strikes(rng, seconds):
+    at = rng.uniform(0.1, LOG_GAP_SECONDS)
+    while at < seconds:
+        lasts = round(rng.uniform(0.2, LONGEST_SECONDS), 2)
+        how, target = rng.choice(LOG_WAYS), rng.randrange(1_000_000)
+        yield Strike(round(at, 2), lasts, StrikeKind.LOG_READER, how, target)
+        at += LOG_GAP_SECONDS * rng.uniform(0.5, 1.5)
+
+
 def _out_of_step_strikes(rng, seconds):
     # The first entry misses a second version, later ones a third or the first again.
     at, versions = rng.uniform(0.1, 1.0), VERSIONS[1:]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -36,6 +36,7 @@
     "request_delegated",
     "stream_resumed",
     "stream_not_resumed",
+    "lines_lost",
 )
 
 
@@ -69,7 +70,8 @@
     :param families: which faults strike beside the usual ones.
     """
     newer = any(family in NEWER for family in families)
-    site = SoakSite(entries, SERVERS_A_KIND, newer, Family.CUTS in families)
+    cuts, logs = Family.CUTS in families, Family.LOGS in families
+    site = SoakSite(entries, SERVERS_A_KIND, newer, cuts, logs)
     if plan is None:
         plan = make_plan(seed, seconds, families)
     spoils = Family.SPOILS in families
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -7,6 +7,7 @@
 
 from tests.soak.crowds import Crowds, MemoryPeaks, SilentCallers, surge_callers
 from tests.soak.links import SoakLinks
+from tests.soak.log_copies import LogCopy
 from tests.soak.plan import LONGEST_SECONDS, PEER_PAIRS, StrikeKind
 from tests.soak.relay import LinkFault
 from tests.standins.route_site import ZONES
@@ -17,9 +18,18 @@
 class SoakSite(SoakLinks):
     """A site whose links and processes can be struck."""
 
-    def __init__(self, entries, servers, newer=False, cuts=False):
-        """Make everything; see ``SoakLinks``."""
+    def __init__(self, entries, servers, newer=False, cuts=False, logs=False):
+        """Make everything; see ``SoakLinks``.
+
+        :param logs: whether the readers of the entries' logs can be struck.
+        """
         super().__init__(entries, servers, newer, cuts)
+        self.log_copies = {}
+        if logs:
+            self.log_copies = {
+                name: LogCopy(process, self.folder / f"{name}-log")
+                for name, process in self.entries.items()
+            }
         self.lives = dict.fromkeys(self.entries, 0)
         self.paused = {}
         # Pauses longer than the slack of callers allows for: entry, beginning and end.
@@ -63,6 +73,8 @@
             return self._pause(name)
         if kind is StrikeKind.ENTRY_OUT_OF_STEP:
             return self._put_out_of_step(name, strike.how)
+        if kind is StrikeKind.LOG_READER:
+            return self.log_copies[name].strike(strike.how)
         if kind is StrikeKind.ENTRIES_CUT_OFF:
             return self._cut_off(names, strike)
         if kind is StrikeKind.REGIONS_PARTED:
@@ -90,6 +102,8 @@
 
     def heal(self):
         """End all faults, wake and start all entries."""
+        for copy in self.log_copies.values():
+            copy.heal()
         self.end_cuts(self.entries)
         self.lost_to_store.clear()
         self.lost_to_entries.clear()
@@ -106,6 +120,12 @@
         for name in self.entries:
             self.wait_started(name)
 
+    def close(self):
+        """End everything."""
+        for copy in self.log_copies.values():
+            copy.close()
+        super().close()
+
     def wait_started(self, name):
         """Start an entry again where it has ended."""
         with self.lock:
