Test tickets whose callers leave while long answers are made

Ticket answers that are kept for callers who left were only suspected to hold an entry within its memory.

Change: a row of client_crowds has 60 callers that post under tickets for answers of 500 KB and reset their connections. Crowds choose how long the answers of the last stage are; those of before get the same ones.

--- a/tests/features/client_crowds.feature
+++ b/tests/features/client_crowds.feature
@@ -161,4 +161,5 @@
       | bodies of many values       |
       | requests without a pause    |
       | tickets without a pause     |
+      | tickets whose callers leave |
       | nothing                     |
--- a/tests/standins/answers.py
+++ b/tests/standins/answers.py
@@ -8,7 +8,7 @@
 
 WRONG_LENGTHS = {"short-length": -2, "long-length": 2, "long-length-closed": 2}
 # The bytes by which an answer is longer than usual.
-PADDING_BYTES = {"oversize": 9 * 1_048_576, "long": 4_000_000}
+PADDING_BYTES = {"oversize": 9 * 1_048_576, "long": 4_000_000, "half": 500_000}
 # Deeper than a JSON decoder goes, and so deep that what decodes can't be encoded.
 DEPTHS = {"deep": 5000, "nested": 960}
 
--- a/tests/standins/crowd_fleet.py
+++ b/tests/standins/crowd_fleet.py
@@ -13,7 +13,7 @@
 SITE = "cooperative"
 MEMORY_MB = 192
 DESCRIPTORS = 1024
-# The last stage of the first pipeline gives long answers; the other one is ordinary.
+# The last stage of the first pipeline can give long answers; the other one is ordinary.
 LONG_PIPELINE, LONG_SERVICE = "order-status", "member-ledger"
 ORDINARY_PIPELINE = "caption"
 STREAM_PIPELINE, TOKENS = "name-chat", 20_000
@@ -22,6 +22,8 @@
 DEADLINE_MS = 30_000
 BODY_BYTES = 1_000_000
 AT_ONCE = 500
+TICKETS = 2_000
+LEAVING_STEPS = 30
 KEY = example_key("patan-counter")
 # Enough for as many calls as an entry makes.
 ROOM = {"slots": 256, "service_ms": 0.0, "token_ms": 0.0, "tokens": TOKENS}
@@ -48,9 +50,6 @@
         ports = [server.port for server in self.servers.values()]
         pid, port = process.popen.pid, process.port
         self.followed["entry-1"] = HeldMemory(pid, [port], ports)
-        for name, server in self.servers.items():
-            if server.extra["service"] == LONG_SERVICE:
-                self.inject(name, {"fault": "long", "times": LONG_ANSWERS})
         return self
 
     def __exit__(self, *error):
@@ -72,6 +71,12 @@
         ]
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + content
 
+    def lengthen_answers(self, fault):
+        """Have the last stage of the first pipeline give long answers from now on."""
+        for name, server in self.servers.items():
+            if server.extra["service"] == LONG_SERVICE:
+                self.inject(name, {"fault": fault, "times": LONG_ANSWERS})
+
     def serve_ordinary(self):
         """Return whether a caller is answered that comes back when it is told to."""
         port = self.entries["entry-1"].port
@@ -101,6 +106,7 @@
 
 def long_answers(fleet, **reading):
     """Return callers that ask for long answers."""
+    fleet.lengthen_answers("long")
 
     def sends(number):
         content = json.dumps({"input": f"crowd {number}"}).encode()
@@ -148,6 +154,27 @@
     return Manners(lambda number: request * AT_ONCE, endless=True)
 
 
+def ticketed_answers(fleet):
+    """Return callers that leave while their tickets' long answers are made."""
+    fleet.lengthen_answers("half")
+    address = fleet.entries["entry-1"].address
+    connection = http.client.HTTPConnection(address, timeout=10)
+    tickets = []
+    for _ in range(TICKETS):
+        connection.request(
+            "POST", "/v1/tickets", headers={"Authorization": f"Bearer {KEY}"}
+        )
+        tickets.append(json.loads(connection.getresponse().read())["ticket"])
+    connection.close()
+
+    def sends(number):
+        content = json.dumps({"input": f"crowd {number}"}).encode()
+        more = (f"Idempotency-Key: {tickets[number % TICKETS]}",)
+        return fleet.request(LONG_PIPELINE, content, more)
+
+    return Manners(sends, resets_after=LEAVING_STEPS)
+
+
 # By name: the number of callers and their manners.
 PIPELINE_CROWDS = {
     "answers, read in large part": (
@@ -163,5 +190,6 @@
     "bodies of many values": (60, bodies_of_many_values),
     "requests without a pause": (40, requests_without_pause),
     "tickets without a pause": (40, tickets_without_pause),
+    "tickets whose callers leave": (60, ticketed_answers),
     "nothing": (900, lambda fleet: Manners(lambda number: b"")),
 }
