Close slow callers whose streams keep threads or places from others

With 300 callers that read nothing of long streams, an ordinary request to an entry of JSON pipelines with 192 threads was refused twelve times (queue-full), or had no answer within 10 s.

Cause: since a stream waits in its thread until its caller has read. With more such callers than threads nothing ended them before their deadlines of 30 s, and while calls waited for a place at a server all streams went on at once, so that their threads pressed on the event loop as before.

Change: streams wait in any case. While more than 0.9 of the requests are in progress that are allowed, or calls wait for a place, as many connections as that are closed each second, the slowest first: only ones whose streams wait for their callers, and that are slow by the rule for memory. While more than half of the requests are in progress, streams stay 16 KB ahead of their callers in place of 64 KB.

The new outline of slow_connections closes none, two and three of three streams.

--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -57,8 +57,9 @@
 __all__ = ["Application"]
 
 PIPELINES = "/v1/pipelines/"
-# A stream runs ahead of its caller by about this much, more than most have in all.
-MOST_UNREAD_BYTES = 65_536
+# A stream is read from its server at most about this far ahead of its caller, and less
+# far while many requests are in progress.
+MOST_UNREAD_BYTES, MOST_UNREAD_BYTES_BUSY = 65_536, 16_384
 
 Environ = dict[str, Any]
 Reply = Iterable[bytes]
@@ -168,7 +169,7 @@
         if isinstance(request, Refused | Failed):
             return outcome_reply(start_response, request, request_id)
         if parsed.stream and request.is_streamable:
-            self._pace(environ, request)
+            self._pace(environ)
             return self._stream(start_response, request, parsed, arrived)
         ending = self._run(request, parsed, arrived)
         self.tickets.runs.remember(parsed.account.name, request_id, ending)
@@ -289,19 +290,15 @@
                 return answer
         return self.delegated.open_stream(request, reason)
 
-    def _pace(self, environ: Environ, request: RequestRecord) -> None:
-        """Read the stream of a request as fast as its caller does.
+    def _pace(self, environ: Environ) -> None:
+        """Have a stream read from its server as fast as its caller reads it."""
 
-        While others wait for the place that it takes at its server, it is read as fast
-        as it comes.
-        """
-        service = request.pipeline.stages[-1].service
-
-        def place_is_wanted() -> bool:
-            return bool(self.admission.queued or self.pipelines.waiting(service))
+        def most_unread() -> int:
+            busy = self.admission.busy
+            return MOST_UNREAD_BYTES_BUSY if busy else MOST_UNREAD_BYTES
 
         if PACE in environ:
-            environ[PACE](MOST_UNREAD_BYTES, place_is_wanted)
+            environ[PACE](most_unread)
 
     def _stream(
         self,
--- a/boragestream/caller/caller_memory.py
+++ b/boragestream/caller/caller_memory.py
@@ -8,7 +8,7 @@
 import math
 import time
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -74,6 +74,8 @@
 
     :param clock: the clock of requests' deadlines.
     :param refused: called for each request that is refused for memory.
+    :param excess_requests: returns how many requests have to end for others.
+    :param excess_requests: returns how many requests have to end for others to begin.
     :param abandoned: called for each connection that is closed because its caller is
         slow; takes whether it had not read its answer.
     """
@@ -85,6 +87,7 @@
         clock: Clock,
         refused: Callable[[], None] = lambda: None,
         abandoned: Callable[[bool], None] = lambda unread: None,
+        excess_requests: Callable[[], int] = lambda: 0,
     ) -> None:
         self._budget = budget
         self._refusals = refusals
@@ -93,6 +96,7 @@
         self._room: ConnectionRoom | None = None
         self._count_refused = refused
         self._count_abandoned = abandoned
+        self._excess_requests = excess_requests
         self._next_search = self._next_room = float("-inf")
         # Since this was last logged.
         self._idle_closed = 0
@@ -216,6 +220,14 @@
                 return
         self._next_search = now + SEARCH_SECONDS
 
+    def _abandon_slowest(
+        self, connections: Sequence[CallersConnection], most: int
+    ) -> None:
+        """Close the slow ones of some connections, the worst first."""
+        if most > 0:
+            for connection in slowest_first(connections, self._clock.now())[:most]:
+                self._abandon(connection)
+
     @property
     def _connections(self) -> list[CallersConnection]:
         return list(self._server.active_channels.values())
@@ -260,11 +272,9 @@
                 channel.will_close = True
         if not self._budget.grants_unread:
             self._abandon_until(lambda: self._budget.frees_enough)
-        excess = self._excess_connections
-        if excess > 0:
-            now = self._clock.now()
-            for connection in slowest_first(self._connections, now)[:excess]:
-                self._abandon(connection)
+        self._abandon_slowest(self._connections, self._excess_connections)
+        held_up = [each for each in self._connections if each.held_up]
+        self._abandon_slowest(held_up, self._excess_requests())
         closed, self._idle_closed = self._idle_closed, 0
         if closed:
             limit = server.adj.connection_limit
--- a/boragestream/caller/channel.py
+++ b/boragestream/caller/channel.py
@@ -33,7 +33,7 @@
             return 0
         length = len(data)
         with self.outbuf_lock:
-            if self.total_outbufs_len:
+            if self._has_unread():
                 self._flush_outbufs_below_high_watermark()
                 if not self.connected:
                     raise ClientDisconnected
@@ -45,6 +45,10 @@
             self._count_written(length, sent)
         return length
 
+    def _has_unread(self) -> bool:
+        """Return whether output may have to wait until the caller has read."""
+        return self.total_outbufs_len > 0
+
     def _count_written(self, written: int, sent: int) -> None:
         """Take how many bytes were written, and how many the socket accepted of them.
 
--- a/boragestream/caller/charged_channel.py
+++ b/boragestream/caller/charged_channel.py
@@ -32,11 +32,15 @@
 # Less unread output of one caller does not block writes even if memory is short.
 SMALL_OUTPUT_BYTES = 16_384
 BLOCKED_POLL_SECONDS = 0.05
-READER_POLL_SECONDS = 0.25
+READER_POLL_SECONDS = 0.1
 # A closed connection without activity for longer holds nothing in the kernel.
 KERNEL_SECONDS = 2.0
 
 
+def _unbounded() -> float:
+    return math.inf
+
+
 class ChargedChannel(StrictChannel):
     """One connection of a caller.
 
@@ -59,8 +63,8 @@
         self._reading, self._sending = Pace(), Pace()
         self.request_id = self.account = ""
         self.deadline = self.progress_at = 0.0
-        self._most_unread = math.inf
-        self._stops_pacing: Callable[[], bool] = lambda: False
+        self._most_unread: Callable[[], float] = _unbounded
+        self._held_up = False
         super().__init__(server, *arguments, **options)
 
     @property
@@ -80,6 +84,11 @@
         """Whether a request is being read, run or answered."""
         return bool(self.requests or self.request or self.total_outbufs_len)
 
+    @property
+    def held_up(self) -> bool:
+        """Whether a request waits in its thread until its caller has read."""
+        return self._held_up
+
     @property
     def serving(self) -> bool:
         """Whether a request is run, or its answer is still being read."""
@@ -92,15 +101,14 @@
     def begin_waiting(self) -> None:
         """Let writes block until the caller reads."""
         self._blocks_on_output = True
-        self._most_unread = math.inf
+        self._most_unread = _unbounded
 
-    def pace(self, most_unread: int, unless: Callable[[], bool]) -> None:
+    def pace(self, most_unread: Callable[[], float]) -> None:
         """Let writes of the present request block while its caller is behind.
 
-        :param most_unread: the bytes of unread output beyond which they block.
-        :param unless: returns whether they go on all the same.
+        :param most_unread: returns the bytes of unread output beyond which they block.
         """
-        self._most_unread, self._stops_pacing = most_unread, unless
+        self._most_unread = most_unread
 
     def stop_waiting(self) -> None:
         """Stop blocking writes until the caller reads, and wake a blocked one."""
@@ -229,7 +237,9 @@
         """
         with self.outbuf_lock:
             while self._is_ahead_of_caller():
+                self._held_up = True
                 self.outbuf_lock.wait(READER_POLL_SECONDS)
+            self._held_up = False
         budget = self._memory.budget
         if not self._exceeds_memory():
             return
@@ -243,13 +253,17 @@
             self._memory.give_up(self)
             raise ClientDisconnected
 
+    def _has_unread(self) -> bool:
+        return super()._has_unread() or self._kernel_unsent > self._most_unread()
+
     def _is_ahead_of_caller(self) -> bool:
-        return (
-            self.connected
-            and self._blocks_on_output
-            and self.total_outbufs_len > self._most_unread
-            and not self._stops_pacing()
-        )
+        most = self._most_unread()
+        if self.unread_bytes <= most:
+            return False
+        # The caller may have read since the kernel was last asked.
+        with contextlib.suppress(OSError):
+            self._count_unsent()
+        return self.connected and self._blocks_on_output and self.unread_bytes > most
 
     def _exceeds_memory(self) -> bool:
         """Return whether output that the caller does not read must not grow."""
--- a/boragestream/caller/slow_connections.py
+++ b/boragestream/caller/slow_connections.py
@@ -47,6 +47,10 @@
     def unread_bytes(self) -> int:
         """The bytes that are held because the caller has not read them."""
 
+    @property
+    def held_up(self) -> bool:
+        """Whether a request waits in its thread until its caller has read."""
+
     @property
     def serving(self) -> bool:
         """Whether a request is run, or its answer is still being read."""
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -65,7 +65,13 @@
         )
         self._listener = open_peer_listener(self._parts, application, peer_tls)
         return_freed_memory()
-        memory = CallerMemory(self._parts.memory, JsonRefusals(), clock)
+        admission, queues = self._parts.admission, self._parts.serving.call_queues
+        memory = CallerMemory(
+            self._parts.memory,
+            JsonRefusals(),
+            clock,
+            excess_requests=lambda: max(admission.excess, queues.waiting),
+        )
         arrivals = self._parts.watchdog.arrivals
         self._server = create_server(application, settings.caller, memory, arrivals)
 
--- a/boragestream/policy/admission.py
+++ b/boragestream/policy/admission.py
@@ -35,6 +35,9 @@
 WAIT_SHARE = 0.5
 BURST_QUEUE_LENGTH = 3
 MAX_WAIT_SECONDS = 2.0
+# Of the requests in progress that are allowed, the shares above which the entry is
+# busy, and above which others go short.
+BUSY_SHARE, SHORT_SHARE = 0.5, 0.9
 
 
 @dataclass(slots=True, eq=False)
@@ -92,6 +95,16 @@
         """The number of requests in progress, waiting ones included."""
         return self._in_hand
 
+    @property
+    def busy(self) -> bool:
+        """Whether many requests are in progress."""
+        return self._in_hand > self._limit * BUSY_SHARE
+
+    @property
+    def excess(self) -> int:
+        """By how many requests others go short of room; 0 if they don't."""
+        return max(0, self._in_hand - int(self._limit * SHORT_SHARE))
+
     @property
     def queued(self) -> int:
         """The number of requests that wait."""
--- a/boragestream/policy/waiting.py
+++ b/boragestream/policy/waiting.py
@@ -174,6 +174,11 @@
         self._queues: dict[str, CallQueue] = {}
         self._lock = threading.Lock()
 
+    @property
+    def waiting(self) -> int:
+        """The number of calls that wait, of all services."""
+        return sum(queue.waiting for queue in list(self._queues.values()))
+
     def of(self, service: str) -> CallQueue:
         """Return the queue of a service."""
         queue = self._queues.get(service)
--- a/boragestream/serving/pipeline.py
+++ b/boragestream/serving/pipeline.py
@@ -33,10 +33,6 @@
     stages: StageRunner
     executor: ThreadPoolExecutor
 
-    def waiting(self, service: str) -> int:
-        """Return how many calls wait for room on the servers of a service."""
-        return self.stages.parts.call_queues.of(service).waiting
-
     def run(self, request: RequestRecord) -> Any | Failure:
         """Run all stages and return the last one's result, or the first failure."""
         results = self._run_waves(request, stage_waves(request.pipeline))
--- a/tests/features/client_crowds.feature
+++ b/tests/features/client_crowds.feature
@@ -158,6 +158,7 @@
       | answers, read in large part |
       | answers, not read           |
       | streams, not read           |
+      | streams of more callers than threads |
       | bodies of many values       |
       | requests without a pause    |
       | tickets without a pause     |
--- a/tests/features/slow_connections.feature
+++ b/tests/features/slow_connections.feature
@@ -37,3 +37,17 @@
     Given 9 slow callers, each of which holds a tenth of the memory
     When a thread has output that waits for memory
     Then slow callers hold half of the memory
+
+  # Guards against entries whose threads, or places at servers, are kept by streams that
+  # nobody reads.
+  Scenario Outline: while others wait, streams that wait for slow callers are closed
+    Given 4 slow callers, each of which holds a tenth of the memory
+    And the streams of 3 of them wait until they read
+    When <wanted> requests have to end for others to begin
+    Then <closed> of the 3 streams are closed, and no other connection
+
+    Examples:
+      | wanted | closed |
+      | 0      | 0      |
+      | 2      | 2      |
+      | 9      | 3      |
--- a/tests/standins/crowd_fleet.py
+++ b/tests/standins/crowd_fleet.py
@@ -187,6 +187,7 @@
     ),
     "answers, not read": (60, long_answers),
     "streams, not read": (120, long_streams),
+    "streams of more callers than threads": (300, long_streams),
     "bodies of many values": (60, bodies_of_many_values),
     "requests without a pause": (40, requests_without_pause),
     "tickets without a pause": (40, tickets_without_pause),
