Wait for log lines before the versions that entries took are compared

Cause: since entries of JSON pipelines write their log lines a moment after what they tell. The line of version 12 came after the test had counted the lines. The check at the end could also miss lines that were still to come.

Change: the test waits until the log of each entry has the version in force, before it counts and before it checks. What it checks is as it was.

--- a/tests/features/steps/entry_relay.py
+++ b/tests/features/steps/entry_relay.py
@@ -52,6 +52,20 @@
     context.fleet.platform_mode(down=[])
     publish_next(context)
     wait_for_version(context, context.fleet.entries)
+    wait_for_log(context)
+
+
+def wait_for_log(context):
+    """Wait until all entries have logged that the newest version is in force."""
+    for process in context.fleet.entries.values():
+        # Lines are written out a moment after what they tell.
+        wait_until(lambda p=process: newest(context) in logged_versions(p))
+
+
+def logged_versions(process):
+    """Return the versions of which an entry has logged that they are in force."""
+    events = process.events()
+    return {e["version"] for e in events if e["name"] == "configuration_in_force"}
 
 
 @then("it is in force on every entry")
@@ -87,6 +101,7 @@
 
 @then("since then no entry took an older version")
 def step(context):
+    wait_for_log(context)
     for name, logged in context.logged.items():
         for event in context.fleet.entries[name].events()[logged:]:
             if event["name"] == "configuration_in_force":
