--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -191,12 +191,30 @@
 
 
 def _cut_strikes(rng, seconds):
-    at = rng.uniform(0.5, CUT_GAP_SECONDS)
+    lengths = (0.3, LONGEST_CUT_SECONDS)
+    kind = StrikeKind.ENTRIES_CUT_OFF
+    return _spaced_strikes(rng, seconds, 0.5, CUT_GAP_SECONDS, lengths, kind, CUT_WAYS)
+
+
+def _log_strikes(rng, seconds):
+    lengths = (0.2, LONGEST_SECONDS)
+    kind = StrikeKind.LOG_READER
+    return _spaced_strikes(rng, seconds, 0.1, LOG_GAP_SECONDS, lengths, kind, LOG_WAYS)
+
+
+def _spaced_strikes(rng, seconds, first, gap, lengths, kind, ways):
+    """Yield strikes of one kind.
+
+    :param first: the earliest time of the first one, in seconds.
+    :param gap: seconds from one to the next, on average.
+    :param lengths: the seconds that a strike lasts at least and at most.
+    """
+    at = rng.uniform(first, gap)
     while at < seconds:
-        lasts = round(rng.uniform(0.3, LONGEST_CUT_SECONDS), 2)
-        how, target = rng.choice(CUT_WAYS), rng.randrange(1_000_000)
-        yield Strike(round(at, 2), lasts, StrikeKind.ENTRIES_CUT_OFF, how, target)
-        at += CUT_GAP_SECONDS * rng.uniform(0.5, 1.5)
+        lasts = round(rng.uniform(*lengths), 2)
+        how, target = rng.choice(ways), rng.randrange(1_000_000)
+        yield Strike(round(at, 2), lasts, kind, how, target)
+        at += gap * rng.uniform(0.5, 1.5)
 
 
 def _upgrade_strikes(rng, seconds):
@@ -207,15 +225,6 @@
         at += UPGRADE_GAP_SECONDS * rng.uniform(0.3, 1.7)
 
 
-def _log_strikes(rng, seconds):
-    at = rng.uniform(0.1, LOG_GAP_SECONDS)
-    while at < seconds:
-        lasts = round(rng.uniform(0.2, LONGEST_SECONDS), 2)
-        how, target = rng.choice(LOG_WAYS), rng.randrange(1_000_000)
-        yield Strike(round(at, 2), lasts, StrikeKind.LOG_READER, how, target)
-        at += LOG_GAP_SECONDS * rng.uniform(0.5, 1.5)
-
-
 def _out_of_step_strikes(rng, seconds):
     # The first entry misses a second version, later ones a third or the first again.
     at, versions = rng.uniform(0.1, 1.0), VERSIONS[1:]
