--- a/boragestream/caller/application.py
+++ b/boragestream/caller/application.py
@@ -57,9 +57,10 @@
 __all__ = ["Application"]
 
 PIPELINES = "/v1/pipelines/"
-# A stream is read from its server at most about this far ahead of its caller, and less
-# far while many requests are in progress.
-MOST_UNREAD_BYTES, MOST_UNREAD_BYTES_BUSY = 65_536, 16_384
+# A stream is read from its server at most about this far ahead of its caller.
+MOST_UNREAD_BYTES = 65_536
+# The same while many requests are in progress.
+MOST_UNREAD_BYTES_BUSY = 16_384
 
 Environ = dict[str, Any]
 Reply = Iterable[bytes]
--- a/boragestream/caller/caller_memory.py
+++ b/boragestream/caller/caller_memory.py
@@ -74,7 +74,6 @@
 
     :param clock: the clock of requests' deadlines.
     :param refused: called for each request that is refused for memory.
-    :param excess_requests: returns how many requests have to end for others.
     :param excess_requests: returns how many requests have to end for others to begin.
     :param abandoned: called for each connection that is closed because its caller is
         slow; takes whether it had not read its answer.
