Take each log line under one lock, that of logging

Nothing changes for operators. LineWriter.emit took the handler's lock, which logging.Handler.handle holds around it already, and formatted a line in a branch for that. The inner lock and the branch go; the one test that called emit itself calls handle, as loggers do, with the same assertions.

--- a/boragestream/base/line_writer.py
+++ b/boragestream/base/line_writer.py
@@ -86,20 +86,16 @@
         return self._lost_total
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Take a line, or drop it if the buffer is full."""
+        """Take a line, or drop it if the buffer is full; ``handle`` holds the lock."""
         share = 1.0 if record.levelno >= logging.WARNING else 1.0 - KEPT_SHARE
-        full = len(self._lines) >= MAX_LINES * share or self._bytes >= MAX_BYTES * share
-        line = b""
-        if not full:
-            text = self._format_line(record)
-            line = text.encode(errors="backslashreplace") + b"\n"
-        with self.lock:
-            if full:
-                self._dropped += 1
-                self._dropped_total += 1
-                return
-            self._lines.append(line)
-            self._bytes += len(line)
+        if len(self._lines) >= MAX_LINES * share or self._bytes >= MAX_BYTES * share:
+            self._dropped += 1
+            self._dropped_total += 1
+            return
+        text = self._format_line(record)
+        line = text.encode(errors="backslashreplace") + b"\n"
+        self._lines.append(line)
+        self._bytes += len(line)
 
     def run(self) -> None:
         """Write lines until ``close``; the task of one thread."""
--- a/tests/features/steps/explaining.py
+++ b/tests/features/steps/explaining.py
@@ -281,7 +281,7 @@
     for level in levels:
         text = json.dumps({"name": "event", "level": level, "pad": "x" * 60})
         record = logging.LogRecord("absl", level, "", 0, text, None, None)
-        context.writer.emit(record)
+        context.writer.handle(record)
 
 
 @then("logging took no longer than its buffer, and what was dropped is counted")
