review: case 6, superseded configurations fill the memory of all entries

Each request keeps the routes of its whole version, so that storms during long streams take entries beyond their memory.

--- a/review/harness/small_site.py
+++ b/review/harness/small_site.py
@@ -17,6 +17,7 @@
     "HISTORY_SECONDS",
     "KEY",
     "LEFT_KEY",
+    "LIMITS",
     "STABLE_SECONDS",
     "Record",
     "SmallSite",
@@ -49,6 +50,7 @@
     "link_mbps": 1000.0,
     "memory_mb": 300,
 }
+ONE_AREA = dict.fromkeys(("hall-a", "hall-b", "hall-c"), "valley")
 # The key of a client that is taken away in the course of a case.
 LEFT_KEY = "key-that-is-taken-away-0123"
 
@@ -97,19 +99,20 @@
 
 
 class SmallSite(RouteSite):
-    """Entries with the settings of a small deployment, all in one region.
+    """Entries with the settings of a small deployment.
 
     :param zones: the zone of each entry.
+    :param areas: the area of each zone; one area by default.
     """
 
-    def __init__(self, zones, **options):
+    def __init__(self, zones, areas=ONE_AREA, **options):
         super().__init__(entries=len(zones), **options)
         self.store.era = None
         self._published_at = []
         for name, zone in zip(self.entries, zones, strict=True):
             fields = self.fields[name]
             fields["zone"] = zone
-            fields["zones"] = dict.fromkeys(("hall-a", "hall-b", "hall-c"), "valley")
+            fields["zones"] = dict(areas)
             fields["bounds"].update(BOUNDS)
             fields["limits"] = dict(LIMITS)
             self.write_settings(name)
@@ -148,12 +151,16 @@
         )
 
 
-def configuration_text(version, keys, routes):
+def configuration_text(version, keys, routes, stream_timeout_ms=6_000):
     """Return a configuration with further routes, as it is written to the store.
 
     :param keys: the keys of the one tenant.
     :param routes: how many routes there are besides the usual ones.
+    :param stream_timeout_ms: the longest that a stream may take.
     """
     extra = [route(f"/grown-{n:05d}/", "safe", "plain") for n in range(routes)]
     made = configuration(version, extra=extra, keys=keys)
+    for each in made["routes"]:
+        if each["kind"] == "stream":
+            each["timeout_ms"] = stream_timeout_ms
     return json.dumps(made).encode()
