State positions to other entries only once their values are in use

Cause: an answer of the store was applied in two steps, the position of the table first and, after decoding, the version in force. PublishedRelay.offer read both from another thread, and stated in between that the old version is the latest up to the new position. The receiver adopted the position and dropped the change when the store sent it.

Change: tables keep a second position, up to which their values are in use; statements to other entries and confirmations go by it. The message reads it before the version. An answer that changes nothing waits until values that another thread decodes are in use, since it confirms them. The gauge configuration_revision shows what an entry states. drained_centres fills its tables without the publication, so it now marks them as in use.

--- a/boragestream/daemon/publication.py
+++ b/boragestream/daemon/publication.py
@@ -86,6 +86,7 @@
     :ivar before_answer: called for each answer of the store, before it is applied.
     :ivar gap_seconds: how long to wait after a change, so that the changes that follow
         arrive in one answer; the wait doubles while changes keep coming.
+    :ivar lock: held while values are put in use.
     :ivar on_answer: called after each answer or relayed message, even if nothing has
         changed.
     :ivar on_failure: called each time that the store gives no answer.
@@ -204,8 +205,10 @@
         return None
 
     def _reaches(self, position: Position) -> bool:
-        """Return whether all changes up to a position of the store are known."""
-        known = self.table.position
+        """Return whether all changes up to a position of the store are in use."""
+        known = self.table.applied_position
+        if known is None:
+            return False
         era = known.era if position.era == NO_ERA else position.era
         return known.era == era and known.revision >= position.revision
 
@@ -229,8 +232,9 @@
         trouble = self.following.seconds_since_failure()
         changed = self.table.apply_relayed(relayed, trouble)
         self._log_transition(before, ValueSource.PEER)
-        if changed:
-            self._publish()
+        # Messages come in the thread of the exchange, which does not wait for a
+        # configuration that another thread decodes. The next answer catches up.
+        self._put_in_use(changed, wait=changed)
         if self.table.revision is not None:
             self.on_answer()
 
@@ -239,7 +243,7 @@
         before = self._state()
         if self.table.drop_expired():
             self._log_transition(before, ValueSource.TIME)
-            self._publish()
+            self._put_in_use(changed=True)
 
     def _classify(
         self, answer: Snapshot | Changes | Failure, sent_position: Position | None
@@ -272,10 +276,9 @@
         self.before_answer()
         changed = self.table.apply_answer(answer) or first
         self._log_transition(before, ValueSource.PLATFORM)
-        # The values are applied before other entries are notified, since those may
-        # request them at once.
-        if changed:
-            self._publish()
+        # Also an answer that changes nothing waits until the values are in use, since
+        # it confirms them.
+        self._put_in_use(changed)
         self.on_answer()
         return changed
 
@@ -342,10 +345,26 @@
                 count=len(ended),
             )
 
-    def _publish(self) -> None:
-        with self.lock:
-            self.take(self.table.values)
-        self.on_change()
+    def _put_in_use(self, changed: bool, wait: bool = True) -> None:
+        """Have the known values used, and other entries notified of a change.
+
+        :param changed: whether the calling thread has changed the values.
+        :param wait: whether to wait for a thread that puts values in use.
+        """
+        if not self.lock.acquire(blocking=wait):
+            return
+        try:
+            # Read before the values, which may be newer by then.
+            state = self.table.state
+            if not self.table.is_applied(state):
+                self.take(self.table.values)
+            self.table.note_applied(state)
+        finally:
+            self.lock.release()
+        # The values are in use before other entries are notified, since those may
+        # request them at once.
+        if changed:
+            self.on_change()
 
     def _record_unanswered(
         self, failure: Failure, sent_at: float, failing: bool
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -306,6 +306,14 @@
         gauge("list_era", era, lambda: table.era)
         revision = "The revision of the store that the server list goes by."
         gauge("list_revision", revision, lambda: table.revision or 0)
+        operators = parts.publications.operators.table
+
+        def configuration_revision() -> float:
+            position = operators.applied_configuration_position
+            return position.revision if position is not None else 0
+
+        upto = "The revision of the store up to which the version is the latest one."
+        gauge("configuration_revision", upto, configuration_revision)
         held = "Values that are used against what a store says that came back."
         gauge("held_values", held, parts.publications.held_count)
 
--- a/boragestream/entry/published_relay.py
+++ b/boragestream/entry/published_relay.py
@@ -161,10 +161,13 @@
         # Ages are read before the data: a change in between makes them too high,
         # never too low.
         age, confirmed = self._following.age(), self._confirming.age()
+        # Likewise the position is read before the version: one that takes effect in
+        # between is newer than the position.
+        configuration = self._operators.applied_configuration_position
+        configuration = configuration or Position(NO_ERA, 0)
         in_force, servers = self._in_force(), self._servers.position
         if in_force is None or servers is None:
             return b""
-        configuration = self._operators.configuration_position or Position(NO_ERA, 0)
         drained = self._operators.drained_centres() or Relayed(None, 0, (), {})
         withheld = {held.key for held in drained.held if held.used is None}
         orders = [c for c in drained.changes if c.key not in withheld]
@@ -254,7 +257,7 @@
 
     def _adopt_ages(self, offer: PublishedOffer, received_at: float) -> None:
         """Adopt the ages in a peer's offer if this entry has all the data it covers."""
-        own_position, in_force = self._servers.position, self._in_force()
+        own_position, in_force = self._servers.applied_position, self._in_force()
         if own_position is None or own_position < offer.position or in_force is None:
             return
         if own_position.era > offer.era:
--- a/boragestream/policy/kept_changes.py
+++ b/boragestream/policy/kept_changes.py
@@ -4,11 +4,17 @@
 """
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
-from boragestream.policy.publication import NO_ERA, Change, Position, Write
+from boragestream.policy.publication import (
+    NO_ERA,
+    Change,
+    Position,
+    Relayed,
+    Write,
+)
 
-__all__ = ["KeptChanges", "changes_between", "stored_after"]
+__all__ = ["KeptChanges", "changes_between", "connect_relayed"]
 
 
 def changes_between(
@@ -39,6 +45,37 @@
     return after
 
 
+def connect_relayed(
+    stored: Mapping[str, Write], known: Position | None, relayed: Relayed
+) -> tuple[dict[str, Write], Sequence[Change]] | None:
+    """Return what relayed values or changes up to a later position make of the known.
+
+    :param stored: the known values by key.
+    :param known: their position.
+    :returns: the values of a later era by key and the changes that lead to them, the
+        latter empty for the first values; None if changes are missing between the known
+        position and the one from which the relayed changes start.
+    """
+    position = Position(relayed.era, relayed.revision)
+    later_era = known is None or position.era > known.era
+    if relayed.after is None:
+        writes = {
+            change.key: Write(change.revision, change.value)
+            for change in relayed.changes
+            if change.value is not None and change.key not in relayed.lapsed
+        }
+        if later_era:
+            return writes, ()
+        return writes, changes_between(stored, writes, position.revision)
+    after = Position(relayed.after_era, relayed.after)
+    if known is None or after > known:
+        return None
+    if (later_era and after != known) or after.era < known.era:
+        return None
+    writes = stored_after(stored, relayed.changes) if later_era else {}
+    return writes, relayed.changes
+
+
 class KeptChanges:
     """The latest changes and the positions between which they are complete.
 
--- a/boragestream/policy/operator_table.py
+++ b/boragestream/policy/operator_table.py
@@ -15,8 +15,9 @@
 import math
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
+from boragestream.policy.applied_state import TableState
 from boragestream.policy.held_values import OPERATOR_RETENTION
 from boragestream.policy.publication import (
     NO_ERA,
@@ -29,13 +30,21 @@
 )
 from boragestream.policy.published_table import AnswerStatus, PublishedTable
 
-__all__ = ["DRAIN_ORDER_VALUE", "OperatorTable"]
+__all__ = ["DRAIN_ORDER_VALUE", "OperatorState", "OperatorTable"]
 
 # The value kept for each drain key. The presence of the key is the order, whatever its
 # value.
 DRAIN_ORDER_VALUE = b""
 
 
+@dataclass(frozen=True, slots=True)
+class OperatorState:
+    """What an ``OperatorTable`` holds at one moment."""
+
+    configuration: TableState
+    drained: TableState
+
+
 class OperatorTable:
     """The operators' values by key; thread-safe.
 
@@ -59,11 +68,19 @@
     @property
     def position(self) -> Position | None:
         """The position up to which both are known; None before the first answer."""
-        configuration, drained = self._configuration.position, self._drained.position
-        return (
-            None
-            if configuration is None or drained is None
-            else min(configuration, drained)
+        return _earlier(self._configuration.position, self._drained.position)
+
+    @property
+    def state(self) -> OperatorState:
+        """What the table holds now."""
+        with self._lock:
+            return OperatorState(self._configuration.state, self._drained.state)
+
+    @property
+    def applied_position(self) -> Position | None:
+        """The position up to which this entry uses both."""
+        return _earlier(
+            self._configuration.applied_position, self._drained.applied_position
         )
 
     @property
@@ -77,6 +94,11 @@
         """The position up to which the configuration is known."""
         return self._configuration.position
 
+    @property
+    def applied_configuration_position(self) -> Position | None:
+        """The position up to which the configuration in force is the latest one."""
+        return self._configuration.applied_position
+
     @property
     def configuration_revision(self) -> int | None:
         """The revision up to which the configuration is known."""
@@ -157,6 +179,18 @@
         """Record that the configuration has not changed up to a revision."""
         self._configuration.advance_position(Position(era, revision))
 
+    def is_applied(self, state: OperatorState) -> bool:
+        """Return whether this entry uses the values of a state already."""
+        return self._configuration.is_applied(
+            state.configuration
+        ) and self._drained.is_applied(state.drained)
+
+    def note_applied(self, state: OperatorState) -> None:
+        """Record that this entry uses the values of a state, or later ones."""
+        with self._lock:
+            self._configuration.note_applied(state.configuration)
+            self._drained.note_applied(state.drained)
+
     def drop_expired(self) -> bool:
         """Use the stored values again where retention has ended.
 
@@ -192,3 +226,8 @@
 
     def _is_drain_key(self, key: str) -> bool:
         return key.startswith(self._prefix)
+
+
+def _earlier(first: Position | None, second: Position | None) -> Position | None:
+    """Return the earlier of two positions; None if either is unknown."""
+    return None if first is None or second is None else min(first, second)
--- a/boragestream/policy/publication.py
+++ b/boragestream/policy/publication.py
@@ -23,6 +23,7 @@
     "Snapshot",
     "ValueSource",
     "Write",
+    "answer_status",
 ]
 
 
@@ -191,3 +192,26 @@
     held: tuple[Held, ...] = ()
     followed_seconds: float | None = None
     unbroken: bool = False
+
+
+def answer_status(
+    answer: Snapshot | Changes, known: Position | None, asked: Position | None = None
+) -> AnswerStatus:
+    """Return whether a table can apply an answer of the store.
+
+    :param known: the position of the table; an answer without an era is of its era.
+    :param asked: the position from which changes were requested; None for ``known``.
+    """
+    if known is None:
+        return AnswerStatus.USABLE
+    era = known.era if answer.era == NO_ERA else answer.era
+    if era < known.era:
+        return AnswerStatus.OUTDATED
+    if isinstance(answer, Snapshot):
+        outdated = Position(era, answer.revision) < known
+        return AnswerStatus.OUTDATED if outdated else AnswerStatus.USABLE
+    if era > known.era:
+        return AnswerStatus.UNCONNECTED
+    # A request made in the previous era can reach the store after its restore.
+    connected = asked is None or asked.era == era
+    return AnswerStatus.USABLE if connected else AnswerStatus.OUTDATED
--- a/boragestream/policy/published_table.py
+++ b/boragestream/policy/published_table.py
@@ -12,8 +12,13 @@
 import threading
 from collections.abc import Callable, Iterable, Sequence
 
+from boragestream.policy.applied_state import AppliedState, TableState
 from boragestream.policy.held_values import SERVER_RETENTION, HeldValues, Retention
-from boragestream.policy.kept_changes import KeptChanges, changes_between, stored_after
+from boragestream.policy.kept_changes import (
+    KeptChanges,
+    changes_between,
+    connect_relayed,
+)
 from boragestream.policy.lapses import LapseWindow
 from boragestream.policy.publication import (
     NO_ERA,
@@ -26,6 +31,7 @@
     Snapshot,
     ValueSource,
     Write,
+    answer_status,
 )
 
 __all__ = ["AnswerStatus", "PublishedTable", "ValueSource"]
@@ -63,6 +69,8 @@
         self._held = HeldValues(now, retention, self._stored)
         self._lapses = LapseWindow(now, retention.missing_seconds, bound_seconds)
         self._position: Position | None = None
+        self._changes = 0
+        self._applied = AppliedState()
         # When the first values became known.
         self._followed_from: float | None = None
         self._last_source: ValueSource | None = None
@@ -83,6 +91,17 @@
         """The position up to which the values are complete; None without values."""
         return self._position
 
+    @property
+    def state(self) -> TableState:
+        """What the table holds now."""
+        with self._lock:
+            return TableState(self._position, self._changes)
+
+    @property
+    def applied_position(self) -> Position | None:
+        """The position up to which this entry uses the values; None for none yet."""
+        return self._applied.position
+
     @property
     def revision(self) -> int | None:
         """The revision of the position."""
@@ -129,25 +148,8 @@
     def answer_status(
         self, answer: Snapshot | Changes, asked: Position | None = None
     ) -> AnswerStatus:
-        """Return whether this table can apply an answer of the store.
-
-        :param asked: the position from which changes were requested; None for the
-            position that is known now.
-        """
-        known = self._position
-        if known is None:
-            return AnswerStatus.USABLE
-        era = self._era_of(answer)
-        if era < known.era:
-            return AnswerStatus.OUTDATED
-        if isinstance(answer, Snapshot):
-            outdated = Position(era, answer.revision) < known
-            return AnswerStatus.OUTDATED if outdated else AnswerStatus.USABLE
-        if era > known.era:
-            return AnswerStatus.UNCONNECTED
-        # A request made in the previous era can reach the store after its restore.
-        connected = asked is None or asked.era == era
-        return AnswerStatus.USABLE if connected else AnswerStatus.OUTDATED
+        """Return whether this table can apply an answer; see ``answer_status``."""
+        return answer_status(answer, self._position, asked)
 
     def note_answer(self, answered_at: float, previous_at: float) -> None:
         """Record that the store answered a request of any entry, for any prefix.
@@ -176,21 +178,7 @@
         with self._lock:
             if self.answer_status(answer) is not AnswerStatus.USABLE:
                 return False
-            self._last_source = ValueSource.PLATFORM
-            known = self._position
-            position = Position(self._era_of(answer), answer.revision)
-            until = self._lapses.retention_end()
-            if isinstance(answer, Changes):
-                return self._apply(answer.changes, position, lambda key: until)
-            self._note_whole_list(position)
-            writes = answer.writes
-            if known is None or position.era > known.era:
-                return self._replace_all(writes, position, self._now())
-            changes = changes_between(self._stored, writes, answer.revision)
-            changed = self._apply(changes, position, lambda key: until)
-            # Some keys were rewritten with unchanged values.
-            self._stored.update(writes)
-            return changed
+            return self._count(self._apply_usable(answer))
 
     def apply_relayed(
         self, relayed: Relayed, trouble_seconds: float = math.inf
@@ -201,23 +189,22 @@
         """
         with self._lock:
             self._last_source = ValueSource.PEER
-            known = self._position
-            position = Position(relayed.era, relayed.revision)
-            if known is None or position > known:
-                applied = self._apply_newer_relayed(relayed, position, trouble_seconds)
-                if applied is None:
-                    return False
-            else:
-                applied = False
-            if position != self._position:
-                return applied
-            return self._held.adopt(relayed) or applied
+            return self._count(self._take_relayed(relayed, trouble_seconds))
 
     def advance_position(self, position: Position) -> None:
         """Record another entry's statement that nothing changed up to a position."""
         with self._lock:
             if self._position is not None:
                 self._position = max(self._position, position)
+            self._applied.advance(position)
+
+    def is_applied(self, state: TableState) -> bool:
+        """Return whether this entry uses the values of a state already."""
+        return self._applied.covers(state)
+
+    def note_applied(self, state: TableState) -> None:
+        """Record that this entry uses the values of a state, or later ones."""
+        self._applied.note(state)
 
     def changes_since(
         self, revision: int | None, era: int | None = None
@@ -225,14 +212,12 @@
         """Return the changes since a revision, or None if no values are known here.
 
         :param revision: None for all values.
-        :param era: the revision's era; None for the era that is known here.
+        :param era: the revision's era; None for the known one.
         """
         with self._lock:
-            position = self._position
-            if position is None:
+            if (position := self._position) is None:
                 return None
-            lapsed, since = self._held.lapsed, self._followed_from
-            after = None
+            lapsed, since, after = self._held.lapsed, self._followed_from, None
             if revision is not None:
                 after = Position(position.era if era is None else era, revision)
             changes = None if after is None else self._kept.since(after, position)
@@ -262,10 +247,45 @@
             expired = self._held.drop_expired()
             if expired:
                 self._last_source = ValueSource.TIME
-            return expired
+            return self._count(expired)
+
+    def _count(self, changed: bool) -> bool:
+        """Count a change of the values in use; return whether there is one."""
+        self._changes += changed
+        return changed
+
+    def _apply_usable(self, answer: Snapshot | Changes) -> bool:
+        """Apply a usable answer; return whether it changed the values."""
+        self._last_source = ValueSource.PLATFORM
+        known = self._position
+        position = Position(self._era_of(answer), answer.revision)
+        until = self._lapses.retention_end()
+        if isinstance(answer, Changes):
+            return self._apply(answer.changes, position, lambda key: until)
+        self._note_whole_list(position)
+        if known is None or position.era > known.era:
+            return self._replace_all(answer.writes, position, self._now())
+        changes = changes_between(self._stored, answer.writes, answer.revision)
+        changed = self._apply(changes, position, lambda key: until)
+        # Some keys were rewritten with unchanged values.
+        self._stored.update(answer.writes)
+        return changed
+
+    def _take_relayed(self, relayed: Relayed, trouble_seconds: float) -> bool:
+        """Apply relayed values; return whether they changed the values."""
+        known = self._position
+        position = Position(relayed.era, relayed.revision)
+        applied: bool | None = False
+        if known is None or position > known:
+            applied = self._apply_newer_relayed(relayed, position, trouble_seconds)
+        if applied is None:
+            return False
+        if position != self._position:
+            return applied
+        return self._held.adopt(relayed) or applied
 
     def _era_of(self, answer: Snapshot | Changes) -> int:
-        """Return an answer's era, or the known era if the answer names none."""
+        """Return an answer's era, or the known era if it names none."""
         return self.era if answer.era == NO_ERA else answer.era
 
     def _replace_all(
@@ -290,6 +310,8 @@
         self._stored.update(stored)
         self._position = position
         if known is None:
+            # The first values are a change, even if there are none.
+            self._changes += 1
             self._followed_from = self._now()
             self._kept.begin(position)
         else:
@@ -308,30 +330,15 @@
             the known position and the one from which the relayed changes start.
         """
         known = self._position
-        changes: Sequence[Change] = relayed.changes
+        connected = connect_relayed(self._stored, known, relayed)
+        if connected is None:
+            return None
+        stored, changes = connected
         later_era = known is None or position.era > known.era
-        if relayed.after is None:
-            stored = {
-                c.key: Write(c.revision, c.value)
-                for c in changes
-                if c.value is not None and c.key not in relayed.lapsed
-            }
-            changes = (
-                ()
-                if later_era
-                else changes_between(self._stored, stored, position.revision)
-            )
-        else:
-            after = Position(relayed.after_era, relayed.after)
-            if known is None or after > known:
-                return None
-            if (later_era and after != known) or after.era < known.era:
-                return None
-            stored = stored_after(self._stored, changes) if later_era else {}
         if later_era or not relayed.unbroken:
             self._note_whole_list(position)
         now = self._now()
-        retention_ends = {key: now + seconds for key, seconds in relayed.lapsed.items()}
+        retention_ends = {key: now + left for key, left in relayed.lapsed.items()}
         if later_era:
             changed = self._replace_all(
                 stored,
--- a/tests/features/steps/drained_centres.py
+++ b/tests/features/steps/drained_centres.py
@@ -341,8 +341,10 @@
     clock = SetClock()
     servers = PublishedTable(clock.now)
     servers.apply_answer(Snapshot(20, {}))
+    servers.note_applied(servers.state)
     operators = OperatorTable(clock.now, PREFIX)
     operators.apply_answer(Snapshot(revision, {"op/config": b"{}"}))
+    operators.note_applied(operators.state)
     context.operators = operators
     context.following, context.confirming = Ages(), Ages()
 
