Delegate requests with home regions only to entries at home

Cause: Delegates.choose preferred entries of the own region and fell back to any other. The home regions of route and client account restricted the choice of servers and of regions for chains, not that of entries.

Change: the choice of the entry takes the regions of the request; there is no other place where an entry is chosen for one. It applies to delegation on suspicion, after a confirmed cut and after the break of a stream. Without an entry at home the request is refused as not run, without an attempt. Event 3031 has the data centre of the chosen entry and the homes.

--- a/boragestream/caller/delegated_calls.py
+++ b/boragestream/caller/delegated_calls.py
@@ -220,7 +220,8 @@
         if request.delegated_by:
             return failure
         for _ in range(MAX_ENTRIES if reason == CUT_OFF else 1):
-            entry = self.delegates.choose(service, tried)
+            # Pipelines of this interface have no home regions.
+            entry = self.delegates.choose(service, tried, homes=None)
             if entry is None or request.scope.reason is not None:
                 break
             tried.add(entry.name)
--- a/boragestream/policy/delegates.py
+++ b/boragestream/policy/delegates.py
@@ -2,7 +2,8 @@
 
 The nearest entries come first: those of the own data centre, then of the own region.
 Among these the entry with the most free capacity is chosen. Entries that are cut off
-themselves, or that failed a moment ago, are left out.
+themselves, that failed a moment ago, or that are outside the home regions of the
+request are left out.
 """
 
 import threading
@@ -53,11 +54,14 @@
         self._skipped_until: dict[str, float] = {}
         self._lock = threading.Lock()
 
-    def choose(self, service: str, tried: Collection[str]) -> ListedEntry | None:
+    def choose(
+        self, service: str, tried: Collection[str], homes: Collection[str] | None
+    ) -> ListedEntry | None:
         """Return the entry to which to delegate a request; None if there is none.
 
         :param service: the service whose servers the request needs.
         :param tried: the names of the entries that have been asked already.
+        :param homes: the only regions to which the request may be sent; None for any.
         """
         now = self._clock.now()
         usable = [
@@ -65,6 +69,7 @@
             for entry in self._entries()
             if entry.name != self._own
             and entry.name not in tried
+            and (homes is None or self._region_of(entry.data_centre) in homes)
             and self._skipped_until.get(entry.name, 0.0) <= now
             and not self._cut_entries.is_cut_off(entry.name, service)
         ]
--- a/boragestream/serving/delegation.py
+++ b/boragestream/serving/delegation.py
@@ -2,8 +2,9 @@
 
 The other entry serves the request like any request of a caller, with its own choice of
 servers, permits, shares and queues; it only does not delegate it again. Its answer is
-relayed byte for byte. ``policy.delegates`` chooses the entry, ``serving.forwarder``
-decides when a request is delegated.
+relayed byte for byte. A request with home regions is sent to entries of these alone,
+and refused if none of them can serve it. ``policy.delegates`` chooses the entry,
+``serving.forwarder`` decides when a request is delegated.
 """
 
 from collections.abc import Callable, Iterator
@@ -139,6 +140,8 @@
             entry=self._entry.name,
             service=run.service,
             reason=self._reason,
+            data_centre=self._entry.data_centre,
+            homes=None if run.regions is None else sorted(run.regions),
         )
 
         def encode(left: float) -> bytes:
@@ -249,7 +252,7 @@
         # Until a check has confirmed the cut, one other entry is tried.
         if not suspect or self._tried or self._run.delegated_by or self._parts is None:
             return ""
-        return UNREACHED if self._parts.delegates.choose(service, ()) else ""
+        return UNREACHED if self._choose() else ""
 
     def outcomes(
         self, reason: str, earlier_runs: int, last_event: Callable[[], int | None]
@@ -268,7 +271,7 @@
         while True:
             entry = None
             if self._parts is not None and not run.delegated_by:
-                entry = self._parts.delegates.choose(service, self._tried)
+                entry = self._choose()
             if (
                 entry is None
                 or len(self._tried) >= most
@@ -303,6 +306,11 @@
             if self._possible_runs and not run.route.repeatable:
                 return
 
+    def _choose(self) -> ListedEntry | None:
+        """Return the next entry to ask; None if the request may be sent to none."""
+        run = self._run
+        return self._parts.delegates.choose(run.service, self._tried, run.regions)
+
     def _may_repeat(self) -> bool:
         """Return whether a request may be repeated that may have run elsewhere."""
         route = self._run.route
--- a/tests/features/steps/drained_entries.py
+++ b/tests/features/steps/drained_entries.py
@@ -246,9 +246,9 @@
     return [{**t, "home_regions": regions} for t in configuration()["tenants"]]
 
 
-@when('a configuration binds the routes to "{region}"')
-def step(context, region):
-    publish(context, routes=bound([region]))
+@when('a configuration binds the routes to "{regions}"')
+def step(context, regions):
+    publish(context, routes=bound(regions.split(", ")))
 
 
 @when('a configuration binds the account to "{region}"')
--- a/tests/features/steps/server_reach.py
+++ b/tests/features/steps/server_reach.py
@@ -445,6 +445,7 @@
         delegated_by=delegated_by,
         earlier_runs=0,
         version=None,
+        regions=None,
         shared_parts=(),
         fingerprint=b"",
     )
@@ -493,6 +494,7 @@
         delegated_by="",
         earlier_runs=runs,
         version=None,
+        regions=None,
         shared_parts=(),
         fingerprint=b"",
     )
