--- a/tests/features/steps/entries_out_of_step.py
+++ b/tests/features/steps/entries_out_of_step.py
@@ -67,8 +67,9 @@
 
 
 def followed_seconds(site, entry):
-    """Return how long ago an entry took its first server list."""
-    return time.time() - site.events(entry, "instances_changed")[0]["at"]
+    """Return how long ago an entry took its first server list; 0 if it logged none."""
+    taken = site.events(entry, "instances_changed")
+    return time.time() - taken[0]["at"] if taken else 0.0
 
 
 def known_revision(site, entry):
