Keep no routes of replaced versions with each request

Cause: each request kept the whole RouteTable of its version until it ended, to look its services up; as many versions stayed in memory as were put in force meanwhile. The targets of replaced versions, which are kept for a minute, have the same form if a target changes.

Change: ServiceTable is the part of a version that requests keep: its number, services and replaced targets. Replaced targets share what is equal in the versions before.

--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -195,7 +195,7 @@
         run = ForwardedRun(
             request=request,
             route=route,
-            table=table,
+            table=table.service_table,
             account=name,
             priority=table.urgency(route, account),
             service=choose_service(route, self.forwarder.parts.rng),
--- a/boragestream/policy/route_table.py
+++ b/boragestream/policy/route_table.py
@@ -7,8 +7,8 @@
 import random
 import threading
 from collections import OrderedDict
-from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 
 from boragestream.base.clock import Clock
 from boragestream.base.outcomes import Failure
@@ -29,6 +29,7 @@
     "RouteTable",
     "RouteUnknown",
     "RoutesInForce",
+    "ServiceTable",
     "choose_service",
     "make_table",
 ]
@@ -44,6 +45,22 @@
     """The request's key is missing or belongs to no client account."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceTable:
+    """What requests need of their version until they end.
+
+    It holds neither routes nor accounts: there may be thousands of these, and a long
+    request would keep those of a version that was replaced soon after it began.
+
+    :ivar services: the services by name.
+    :ivar replaced: the targets of versions that were in force lately.
+    """
+
+    version: int
+    services: Mapping[str, RouteService] = field(repr=False)
+    replaced: tuple[ReplacedTargets, ...] = field(default=(), repr=False)
+
+
 @dataclass(frozen=True, slots=True)
 class RouteTable:
     """A version of the routes with its lookup tables.
@@ -51,23 +68,27 @@
     :ivar digest: the digest of the published text.
     :ivar routes: the routes by host, the longest prefix first.
     :ivar accounts: the client accounts by the digest of each of their keys.
+    :ivar service_table: the part that requests keep.
     :ivar least_priority: the priority of the most urgent client accounts.
-    :ivar replaced: the targets of versions that were in force lately.
     """
 
     document: RouteDocument
     digest: str
     routes: dict[str, tuple[Route, ...]] = field(repr=False)
     accounts: dict[str, RouteAccount] = field(repr=False)
-    services: dict[str, RouteService] = field(repr=False)
+    service_table: ServiceTable = field(repr=False)
     least_priority: int = 0
-    replaced: tuple[ReplacedTargets, ...] = field(default=(), repr=False)
 
     @property
     def version(self) -> int:
         """The document's version."""
         return self.document.version
 
+    @property
+    def services(self) -> Mapping[str, RouteService]:
+        """The services by name."""
+        return self.service_table.services
+
     def route(self, host: str, path: str) -> Route | RouteUnknown:
         """Return the route with the longest prefix that matches the path."""
         for route in self.routes.get(host, ()):
@@ -94,20 +115,35 @@
         return urgency(route.priority, account_priority, self.least_priority)
 
 
-def make_table(document: RouteDocument, digest: str) -> RouteTable:
-    """Return a document with its lookup tables."""
+def make_table(
+    document: RouteDocument,
+    digest: str,
+    before: RouteTable | None = None,
+    now: float = 0.0,
+) -> RouteTable:
+    """Return a document with its lookup tables.
+
+    :param before: the version that it replaces.
+    :param now: the clock's time, in seconds.
+    """
     by_host: dict[str, list[Route]] = {}
     for route in document.routes:
         by_host.setdefault(route.host, []).append(route)
+    routes = {
+        host: tuple(sorted(of_host, key=lambda r: -len(r.prefix)))
+        for host, of_host in by_host.items()
+    }
+    replaced: tuple[ReplacedTargets, ...] = ()
+    if before is not None:
+        known = before.service_table.replaced
+        replaced = replace_targets(known, before.routes, routes, now)
+    services = {service.name: service for service in document.services}
     return RouteTable(
         document=document,
         digest=digest,
-        routes={
-            host: tuple(sorted(routes, key=lambda r: -len(r.prefix)))
-            for host, routes in by_host.items()
-        },
+        routes=routes,
         accounts={d: a for a in document.accounts for d in a.key_digests},
-        services={service.name: service for service in document.services},
+        service_table=ServiceTable(document.version, services, replaced),
         least_priority=least_priority(document.accounts),
     )
 
@@ -150,12 +186,7 @@
             self._texts[digest] = text
             while len(self._texts) > KEPT_TEXTS:
                 self._texts.popitem(last=False)
-            table = make_table(document, digest)
-            if current is not None:
-                replaced = replace_targets(
-                    current.replaced, current.routes, table.routes, self._clock.now()
-                )
-                table = replace(table, replaced=replaced)
+            table = make_table(document, digest, current, self._clock.now())
             self._current = table
         for listener in self._listeners:
             listener(table)
--- a/boragestream/policy/route_targets.py
+++ b/boragestream/policy/route_targets.py
@@ -29,12 +29,20 @@
     until: float
 
 
-def collect_targets(routes: Mapping[str, tuple[Route, ...]]) -> RouteTargets:
-    """Return the services of each route."""
-    return {
-        host: tuple((r.prefix, tuple(t.service for t in r.targets)) for r in of_host)
-        for host, of_host in routes.items()
-    }
+def collect_targets(
+    routes: Mapping[str, tuple[Route, ...]], known: RouteTargets | None = None
+) -> RouteTargets:
+    """Return the services of each route.
+
+    :param known: the targets of another version, whose equal parts are used again.
+    """
+    parts = {part: part for of_host in (known or {}).values() for part in of_host}
+
+    def collect(route: Route) -> tuple[str, tuple[str, ...]]:
+        part = (route.prefix, tuple(target.service for target in route.targets))
+        return parts.get(part, part)
+
+    return {host: tuple(map(collect, of_host)) for host, of_host in routes.items()}
 
 
 def replace_targets(
@@ -49,7 +57,7 @@
     :param before: the routes of the version that is replaced, by host.
     """
     recent = [r for r in replaced if now - r.until < RETENTION_SECONDS]
-    targets = collect_targets(before)
+    targets = collect_targets(before, recent[-1].targets if recent else None)
     if targets != collect_targets(after):
         recent.append(ReplacedTargets(targets, now))
     return tuple(recent[-MAX_REPLACED:])
--- a/boragestream/serving/forwarded_run.py
+++ b/boragestream/serving/forwarded_run.py
@@ -16,7 +16,7 @@
 from boragestream.policy.outstanding import WorkSize
 from boragestream.policy.prompt_parts import PartQuarantined
 from boragestream.policy.quarantine import RequestQuarantined, RequestSuspected
-from boragestream.policy.route_table import RouteTable
+from boragestream.policy.route_table import ServiceTable
 from boragestream.policy.servers import Server
 from boragestream.serving.delegation_failures import DelegateRefused
 from boragestream.serving.piece_failures import StageSaturated
@@ -54,7 +54,7 @@
 class ForwardedRun:
     """One request.
 
-    :ivar table: the version of the routes that applies to the whole request.
+    :ivar table: the services of the version that applies to the whole request.
     :ivar account: the client account's name; empty if there is none.
     :ivar priority: set by client account and route; 0 is the most urgent.
     :ivar service: the service chosen from the route's targets.
@@ -71,7 +71,7 @@
 
     request: ForwardedRequest
     route: Route
-    table: RouteTable
+    table: ServiceTable
     account: str
     priority: int
     service: str
