Take an answer without a length as cut if its call was not sent whole

Callers saw: a part of an answer as a complete 200, where a server answered a long upload at once, without a length, and reset the connection while the upload was still being sent.

Cause: the reset failed the send, which consumed the connection's error, so that the read that followed saw an ordinary end and took it for the end of the body.

Change: AnswerReader asks whether the end of the connection is known to mean anything; it does not after a failed send, as before after a shutdown by this process.

--- a/boragestream/backend/forwarded_call.py
+++ b/boragestream/backend/forwarded_call.py
@@ -309,7 +309,7 @@
     parts = [data, call.body]
     if len(data) + len(call.body) <= JOINED_BYTES or line.memory is None:
         parts = [data + call.body]
-    whole = True
+    sent = True
     try:
         if line.memory is None:
             sock.sendall(parts[0])
@@ -323,9 +323,11 @@
                 return unread
     except OSError:
         # A server may answer before it has read everything, and close.
-        whole = False
+        sent = False
     response = AnswerReader(
-        sock, method=call.method, shut_down_here=lambda: scope.reason is not None
+        sock,
+        method=call.method,
+        end_is_unknown=lambda: not sent or scope.reason is not None,
     )
     try:
         response.begin()
@@ -346,7 +348,7 @@
         response,
         head,
         scope,
-        whole and call.kept,
+        sent and call.kept,
         reached,
     )
     # An answer that carries another id is an extra or a late one of another call.
--- a/boragestream/base/answer_reader.py
+++ b/boragestream/base/answer_reader.py
@@ -3,7 +3,8 @@
 The answers of backend servers, of other entries and of the platform are read here. A
 head is whole once its empty line was read. A body is whole once all bytes of its
 length, or its last chunk and the end of its trailers, were read; a body without either
-ends with its connection, unless this process ended the connection itself.
+ends with its connection, unless this process ended the connection itself or could not
+send the whole call.
 
 Each part of an answer has a bound far above what sound servers send, so that a server
 that sends bytes without end costs little processor time.
@@ -83,8 +84,9 @@
 
     :param sock: the connection; its timeout bounds each wait for bytes.
     :param method: the method of the request, since some answers have no body.
-    :param shut_down_here: returns whether this process has shut the connection down, so
-        that its end says nothing about the answer.
+    :param end_is_unknown: returns whether the end of the connection says nothing about
+        the answer: this process shut it down, or a failed send has consumed the error
+        that a read would raise.
     :param expires_at: the monotonic clock's seconds after which no bytes are read; None
         where something else ends a call that takes too long.
     """
@@ -95,14 +97,14 @@
         debuglevel: int = 0,
         method: str | None = None,
         url: str | None = None,
-        shut_down_here: Callable[[], bool] = lambda: False,
+        end_is_unknown: Callable[[], bool] = lambda: False,
         expires_at: float | None = None,
     ) -> None:
         self._sock = sock
         # Keeps the socket open if ``HTTPConnection`` closes it after the head.
         self._reference = sock.makefile("rb", buffering=0)
         self._method = method
-        self._shut_down_here = shut_down_here
+        self._end_is_unknown = end_is_unknown
         self._expires_at = expires_at
         self._buffer = bytearray()
         self._head = ParsedHead(1, 0, "", AnswerHeaders(()))
@@ -216,8 +218,8 @@
             data = self._take(size)
             self._count_body(len(data))
             if not data:
-                if self._shut_down_here():
-                    raise AnswerCutError("body cut: the connection was shut down here")
+                if self._end_is_unknown():
+                    raise AnswerCutError("body cut: the connection may have been reset")
                 self._finish()
             return data
         data = self._take_some(min(size, self._length), "body")
--- a/tests/features/steps/whole_answers.py
+++ b/tests/features/steps/whole_answers.py
@@ -37,6 +37,7 @@
 SECONDS = 10.0
 SHORT_SECONDS = 0.4
 BODY = b"the whole body"
+UPLOAD = bytes(32 * 1_048_576)
 CALL = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 STATUS = b"HTTP/1.1 200 OK\r\n"
 HEADERS = (
@@ -88,10 +89,11 @@
     return Server("server", "service", context.backend.address, "hall")
 
 
-def make_call(context, seconds=SECONDS, stream=False, cancelled=None):
+def make_call(context, seconds=SECONDS, stream=False, cancelled=None, body=b""):
     """Make a call; return the whole body or the failure.
 
-    ``cancelled`` is why the call is cancelled once the server has sent its script.
+    ``cancelled`` is why the call is cancelled once the server has sent its script, and
+    ``body`` is what the call uploads.
     """
     scope = CancelScope(context.line.clock.now() + seconds)
     context.watchdog.open(scope)
@@ -100,7 +102,7 @@
         wait = (scope, calls, cancelled)
         threading.Thread(target=cancel_later, args=(context, *wait)).start()
     server = backend_server(context)
-    call = OutgoingCall("GET", "r-1", lambda left: CALL)
+    call = OutgoingCall("GET", "r-1", lambda left: CALL, body=body)
     try:
         answer = open_forwarded_call(context.line, server, call, scope)
         if isinstance(answer, AttemptFailure):
@@ -244,6 +246,31 @@
     ]
 
 
+@when("a long call is made, and after {part} the connection {ends}")
+def step(context, part, ends):
+    sent = {
+        "its head": context.head,
+        "half of its body": context.head + context.body[: len(context.body) // 2],
+    }
+    context.backend.script(sent[part], then=ENDS[ends])
+    make_long_calls(context)
+
+
+@when("a long call is made to a server that {reads} of it")
+def step(context, reads):
+    if reads == "reads all":
+        context.backend.reads = len(CALL) + len(UPLOAD)
+    make_long_calls(context)
+
+
+def make_long_calls(context):
+    """Make calls whose upload does not fit into the buffers of a connection."""
+    context.results = [
+        make_call(context, body=UPLOAD),
+        make_call(context, stream=True, body=UPLOAD),
+    ]
+
+
 @when("the last bytes of its head are not sent before the deadline")
 def step(context):
     context.backend.script(context.head[:-1], then="hold")
--- a/tests/features/whole_answers.feature
+++ b/tests/features/whole_answers.feature
@@ -61,6 +61,32 @@
       | the entry turns out to be cut off           |
       | the connection is reset                     |
 
+  # Guards against a part of an answer that counts as whole, since the failed send of a
+  # long call has consumed the error that tells a reset from an end.
+  Scenario Outline: an answer without a length does not count if its call was not sent whole: <part>, <ends>
+    Given a server that sends an answer without a length
+    When a long call is made, and after <part> the connection <ends>
+    Then the call failed, and is not answered in part
+
+    Examples:
+      | part             | ends     |
+      | its head         | is reset |
+      | half of its body | is reset |
+      | half of its body | ends     |
+
+  Scenario Outline: the answer to a long call counts if its end is marked or the call was read: <framed>, <reads>
+    Given a server that sends an answer <framed>
+    When a long call is made to a server that <reads> of it
+    Then the call is answered with the whole body
+
+    Examples:
+      | framed           | reads       |
+      | with a length    | reads all   |
+      | with a length    | reads a bit |
+      | in chunks        | reads all   |
+      | in chunks        | reads a bit |
+      | without a length | reads all   |
+
   # Guards against an answer in chunks that counts without the end of its trailers.
   Scenario Outline: an answer in chunks counts only with its last chunk and trailers
     Given a server that sends an answer in chunks
--- a/tests/standins/scripted_server.py
+++ b/tests/standins/scripted_server.py
@@ -27,6 +27,8 @@
         self.repeated = b""
         self.pause = 0.0
         self.then = "end"
+        # How many bytes of a call are read before the script is sent.
+        self.reads = 0
         self.calls = 0
         # How often the repeated bytes were sent, and the connections that have ended.
         self.repeats = 0
@@ -45,6 +47,7 @@
             sock.settimeout(HOLD_SECONDS)
             while sock.recv(RECEIVE_BYTES):
                 self.calls += 1
+                self.read_on(sock)
                 sock.sendall(self.first)
                 self.repeat(sock)
                 if self.then == "reset":
@@ -54,6 +57,12 @@
         sock.close()
         self.ended += 1
 
+    def read_on(self, sock):
+        """Read the bytes of a call that are to be read before it is answered."""
+        left = self.reads - RECEIVE_BYTES
+        while left > 0 and (data := sock.recv(RECEIVE_BYTES)):
+            left -= len(data)
+
     def repeat(self, sock):
         """Send bytes until the caller closes."""
         left = MAX_REPEATED_BYTES
