Refuse control characters, statuses above 599 and bytes for trailers in answers

Callers could get: an answer with a control character in its reason or in the value of a header, with a status above 599, or behind whose body came bytes that are no trailers.

Cause: the patterns for heads excluded line ends and NUL alone, the status had no upper bound, and the lines behind the last chunk were read up to an empty one and not parsed.

--- a/boragestream/base/answer_head.py
+++ b/boragestream/base/answer_head.py
@@ -14,14 +14,21 @@
     "BodyFraming",
     "ParsedHead",
     "body_framing",
+    "check_trailer",
     "parse_head",
 ]
 
+# Text without control characters, as RFC 9110 defines field values (5.5) and RFC 9112
+# reason phrases (4).
+TEXT = r"[\t\x20-\x7e\x80-\xff]*"
+# Statuses above 599 are invalid (RFC 9110, 15).
 STATUS_LINE = re.compile(
-    r"HTTP/1\.([0-9])[ \t]+([1-9][0-9]{2})(?:[ \t]+([^\r\n\0]*))?\r?"
+    rf"HTTP/1\.([0-9])[ \t]+([1-5][0-9]{{2}})(?:[ \t]+({TEXT}))?\r?"
 )
 # Line folding is left out: RFC 9112 lets a gateway reject it.
-HEADER_LINES = re.compile(r"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r?(?:\n|\Z))*")
+HEADER_LINES = re.compile(
+    rf"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:{TEXT}\r?(?:\n|\Z))*", re.ASCII
+)
 CONTENT_LENGTH = re.compile(r"[0-9]{1,18}")
 NO_BODY = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 
@@ -101,6 +108,15 @@
     return ParsedHead(int(found[1]), int(found[2]), reason, AnswerHeaders(pairs))
 
 
+def check_trailer(line: bytes) -> None:
+    """Check a line behind the last chunk of a body.
+
+    :raises AnswerMalformedError: if it is no header.
+    """
+    if not HEADER_LINES.fullmatch(line.decode("latin-1")):
+        raise AnswerMalformedError("trailer")
+
+
 def body_framing(head: ParsedHead, method: str | None) -> BodyFraming:
     """Return how the body behind a head is framed.
 
--- a/boragestream/base/answer_reader.py
+++ b/boragestream/base/answer_reader.py
@@ -27,6 +27,7 @@
     BodyFraming,
     ParsedHead,
     body_framing,
+    check_trailer,
     parse_head,
 )
 
@@ -301,6 +302,7 @@
     def _read_trailers(self) -> None:
         left, bound = MAX_TRAILER_BYTES, f"{MAX_TRAILER_BYTES} bytes of trailers"
         while (line := self._take_line(left, bound)) not in LINE_ENDS:
+            check_trailer(line)
             left -= len(line)
 
     def _take_line(self, limit: int, bound: str) -> bytes:
--- a/tests/features/steps/whole_answers.py
+++ b/tests/features/steps/whole_answers.py
@@ -143,10 +143,31 @@
     framing, body = ANSWERS["with a length"]
     if line.startswith("Content-Length"):
         framing = b"\r\n"
-    head = STATUS + line.encode() + b"\r\n" + HEADERS + framing
+    head = STATUS + unescape(line) + b"\r\n" + HEADERS + framing
     context.backend.script(head + body)
 
 
+def unescape(text):
+    """Return the bytes of a text in which control characters are escaped."""
+    return text.encode().decode("unicode_escape").encode("latin-1")
+
+
+@given('a server whose answer has the status line "{line}"')
+def step(context, line):
+    prepare(context)
+    framing, body = ANSWERS["with a length"]
+    head = unescape(line) + b"\r\n" + HEADERS + framing
+    context.backend.script(head + body)
+
+
+@given('a server whose answer has the trailer "{line}"')
+def step(context, line):
+    prepare(context)
+    framing, _ = ANSWERS["in chunks"]
+    body = CHUNKS.replace(b"X-Sum: 1", unescape(line))
+    context.backend.script(STATUS + HEADERS + framing + body)
+
+
 @when("each cut of its head is sent, and the connection {ends}")
 def step(context, ends):
     for size in range(len(context.head)):
--- a/tests/features/whole_answers.feature
+++ b/tests/features/whole_answers.feature
@@ -43,11 +43,54 @@
       | no header                  |
       | : no name                  |
       | a name: value              |
+      | a\x01name: value           |
+      | X-Note: a\x07value         |
+      | X-Note: a\x7fvalue         |
+      | X-Note: a\rvalue           |
       | Content-Length: 5x         |
       | Content-Length: -1         |
       | Content-Length: 4, 5       |
       | Transfer-Encoding: unknown |
 
+  # Guards against an answer that is delivered with a status that the protocol lacks.
+  Scenario Outline: a status line that can't be read is no answer
+    Given a server whose answer has the status line "<line>"
+    When the call is made
+    Then the call failed
+
+    Examples:
+      | line                  |
+      | HTTP/1.1 000 None     |
+      | HTTP/1.1 99 Short     |
+      | HTTP/1.1 600 Beyond   |
+      | HTTP/1.1 2000 Long    |
+      | HTTP/1.1 200 O\x07K    |
+      | HTTP/2 200 OK         |
+
+  # Guards against bytes behind a body that are read as trailers and are none.
+  Scenario Outline: an answer whose trailers can't be read is no answer
+    Given a server whose answer has the trailer "<line>"
+    When the call is made
+    Then the call failed
+
+    Examples:
+      | line               |
+      | no header          |
+      | a name: value      |
+      | X-Sum: a\x07value  |
+
+  Scenario Outline: heads and trailers may have any text of the protocol: <line>
+    Given a server whose answer has the <part> "<line>"
+    When the call is made
+    Then the call is answered with the whole body
+
+    Examples:
+      | part        | line                          |
+      | status line | HTTP/1.1 200                  |
+      | status line | HTTP/1.1 299 Caf\xe9 au\tlait |
+      | trailer     | X-Sum: \xe9\t~               |
+      | trailer     | X-Empty:                      |
+
   # Guards against the entry's own end of a connection taken for the end of a body.
   Scenario Outline: an answer without a length counts only if its server ended it
     Given a server that sends an answer without a length
