Read the present values if a history is too long for one answer

Cause: the answer to a watch has every change since the entry's position with its whole value. Beyond 4 MiB it counted as no answer, and the entry asked for it again and again.

Change: ValueTooLong tells a service that answers with too much from one that does not answer. Store.watch returns HistoryGone for it, which leads to a read of the present values, in pages. An announced length beyond the bound is refused before the body is read.

--- a/boragestream/platform/reader.py
+++ b/boragestream/platform/reader.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from boragestream.base.answer_head import AnswerHeaders
-from boragestream.base.answer_reader import AnswerConnection
+from boragestream.base.answer_reader import AnswerBoundError, AnswerConnection
 from boragestream.base.liveness import detect_dead_peer
 from boragestream.base.outcomes import Failure
 from boragestream.policy.publication import NO_ERA
@@ -18,6 +18,7 @@
     "PlatformAnswer",
     "PlatformUnreachable",
     "Reading",
+    "ValueTooLong",
     "get_value",
     "read_era",
     "read_platform",
@@ -62,6 +63,11 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class ValueTooLong(PlatformUnreachable):
+    """The value that a platform service answered with is longer than the bound."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformAnswer:
     """The answer to one HTTP call, whole.
@@ -84,6 +90,7 @@
     :param seconds: the longest to wait for each part of the answer.
     :param known: the index of the value that is known already, which need not be sent
         again; 0 for none.
+    :returns: ``ValueTooLong`` for a service that answers, but with too much to read.
     """
     place = address + target.partition("?")[0]
     limit = min(seconds, CONNECT_SECONDS)
@@ -96,10 +103,14 @@
         headers = {"If-None-Match": f'"{known}"'} if known else {}
         connection.request("GET", target, headers=headers)
         response = connection.getresponse()
+        if (response.length or 0) > MAX_VALUE_BYTES:
+            return ValueTooLong(place, f"{response.length} bytes")
         value = response.read(MAX_VALUE_BYTES + 1)
-        if len(value) > MAX_VALUE_BYTES or response.length:
-            return PlatformUnreachable(place, "value too long or cut")
+        if len(value) > MAX_VALUE_BYTES:
+            return ValueTooLong(place, f"more than {MAX_VALUE_BYTES} bytes")
         return PlatformAnswer(response.status, response.headers, value)
+    except AnswerBoundError as error:
+        return ValueTooLong(place, error.bound)
     except (OSError, http.client.HTTPException, ValueError) as error:
         return PlatformUnreachable(place, repr(error))
     finally:
--- a/boragestream/platform/store.py
+++ b/boragestream/platform/store.py
@@ -11,7 +11,12 @@
 
 import msgspec
 
-from boragestream.platform.reader import PlatformUnreachable, get_value, read_era
+from boragestream.platform.reader import (
+    PlatformUnreachable,
+    ValueTooLong,
+    get_value,
+    read_era,
+)
 from boragestream.policy.publication import (
     Change,
     Changes,
@@ -142,6 +147,9 @@
 
         :param wait_seconds: the longest that the store may wait for one.
         :param answer_seconds: how long each part of the answer may take after that.
+        :returns: ``HistoryGone`` also if the changes are too long for one answer, as
+            those of an outage can be: each has its whole value, so that the present
+            values are much shorter.
         """
         query = {
             "prefix": prefix,
@@ -150,6 +158,8 @@
         }
         limit = wait_seconds + answer_seconds
         answer = self._call(WATCH_CALL, query, limit, _events)
+        if isinstance(answer, ValueTooLong):
+            return HistoryGone()
         if not isinstance(answer, _Answer):
             return answer
         changes = tuple(_change(item) for item in answer.body.events)
--- a/tests/features/odd_store_answers.feature
+++ b/tests/features/odd_store_answers.feature
@@ -17,6 +17,19 @@
       | items of revisions of 400 digits |
       | a revision of 5,000 digits       |
 
+  # Guards against a history that is too long for one answer, and stops an entry from
+  # following the store until the store has dropped it.
+  @fixture.route-site.2
+  Scenario Outline: an entry follows a store that was unreachable while <what> of 6 MB came
+    When the store is unreachable while <what> of 6 MB are published
+    Then all entries serve "/safe/ok"
+    And all entries follow the last of the <what>
+
+    Examples:
+      | what           |
+      | configurations |
+      | server entries |
+
   # Guards against the same when the entry has just started and knows nothing yet.
   @fixture.route-site.1
   Scenario Outline: an entry that starts while the store answers with <odd> serves later
