Let the scripted server read a call to its last byte

Both calls ended with a reset where the whole body was expected.

Cause: the stand-in counted its first read as 65,536 bytes, however many it had returned. If the first read was shorter, it answered and closed while up to 65,536 bytes of the call were unread, and the kernel resets such a connection.

The new scenario keeps the last byte back: the old stand-in answers before it, this one after it.

--- a/tests/features/standins_servers.feature
+++ b/tests/features/standins_servers.feature
@@ -32,3 +32,11 @@
     Given a stand-in store
     When the values "k/a=1 k/b=1 k/a=2 k/b= k/b=2" are written there
     Then items and changes name the revisions of creation "k/a:1 k/b:5"
+
+  # Guards against a scripted server that answers before it has read all of a call in
+  # pieces, so that its close resets the connection and a whole answer is lost.
+  Scenario: a scripted server reads all of a call in pieces before it answers
+    Given a scripted server that reads 100000 bytes before its answer
+    When 100 bytes of a call are sent, and after a while all but the last byte
+    Then the server has not answered
+    And once the last byte is sent, its whole answer is read
--- a/tests/features/steps/standins_servers.py
+++ b/tests/features/steps/standins_servers.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import re
+import select
 import socket
 import threading
 import time
@@ -13,8 +14,11 @@
 from tests.standins.fleet import wait_until
 from tests.standins.route_server import KV_LIST, RouteServer
 from tests.standins.route_store import RouteStore
+from tests.standins.scripted_server import ScriptedServer
 
 ENDING_SECONDS = 0.3
+# How long a server has to take what was sent.
+TAKING_SECONDS = 0.2
 VERSION = re.compile(rb"^data: \d+ (\S+)", re.MULTILINE)
 
 
@@ -209,3 +213,35 @@
     expected = dict(word.split(":") for word in revisions.split())
     expected = {key: int(revision) for key, revision in expected.items()}
     assert items == changes == expected, (items, changes)
+
+
+@given("a scripted server that reads {size:d} bytes before its answer")
+def step(context, size):
+    context.server = ScriptedServer()
+    context.add_cleanup(context.server.close)
+    context.server.script(b"the answer")
+    context.server.reads = size
+
+
+@when("{size:d} bytes of a call are sent, and after a while all but the last byte")
+def step(context, size):
+    server = context.server
+    host, _, port = server.address.rpartition(":")
+    context.client = socket.create_connection((host, int(port)), timeout=5)
+    context.add_cleanup(context.client.close)
+    context.client.sendall(bytes(size))
+    wait_until(lambda: server.calls == 1, what="the first read of the call")
+    context.client.sendall(bytes(server.reads - size - 1))
+
+
+@then("the server has not answered")
+def step(context):
+    readable, _, _ = select.select([context.client], [], [], TAKING_SECONDS)
+    assert not readable, "answered before the call was read"
+
+
+@then("once the last byte is sent, its whole answer is read")
+def step(context):
+    context.client.sendall(b"x")
+    with context.client.makefile("rb") as answer:
+        assert answer.read() == b"the answer"
--- a/tests/standins/scripted_server.py
+++ b/tests/standins/scripted_server.py
@@ -45,9 +45,9 @@
         """Send the script to the calls of one connection."""
         with contextlib.suppress(OSError):
             sock.settimeout(HOLD_SECONDS)
-            while sock.recv(RECEIVE_BYTES):
+            while data := sock.recv(RECEIVE_BYTES):
                 self.calls += 1
-                self.read_on(sock)
+                self.read_on(sock, self.reads - len(data))
                 sock.sendall(self.first)
                 self.repeat(sock)
                 if self.then == "reset":
@@ -57,9 +57,8 @@
         sock.close()
         self.ended += 1
 
-    def read_on(self, sock):
-        """Read the bytes of a call that are to be read before it is answered."""
-        left = self.reads - RECEIVE_BYTES
+    def read_on(self, sock, left):
+        """Read the ``left`` bytes of a call that must be read before its answer."""
         while left > 0 and (data := sock.recv(RECEIVE_BYTES)):
             left -= len(data)
 
