Answer what is still open when a stop reaches its limit

Cause: at the time limit GracefulStop returned and the process ended with its open requests; nothing cancelled them, so nothing answered them.

Change: the watchdog cancels every open scope at the limit. Requests that no server may have run are refused, others end as failed or unknown, and the entry exits once they are answered, at most 0.25 s later.

--- a/boragestream/backend/cancellation.py
+++ b/boragestream/backend/cancellation.py
@@ -133,6 +133,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._scopes: set[CancelScope] = set()
+        self._ended: Failure | None = None
         self._lock = threading.Lock()
         self._stopped = threading.Event()
         self._arrivals = PauseMeter(clock)
@@ -143,15 +144,26 @@
         return self._arrivals
 
     def open(self, scope: CancelScope) -> None:
-        """Begin to look after a scope."""
+        """Begin to look after a scope; cancel it at once after ``cancel_all``."""
         with self._lock:
             self._scopes.add(scope)
+            ended = self._ended
+        if ended is not None:
+            scope.cancel(ended)
 
     def close(self, scope: CancelScope) -> None:
         """Stop looking after a scope."""
         with self._lock:
             self._scopes.discard(scope)
 
+    def cancel_all(self, reason: Failure) -> None:
+        """Cancel every scope that is open, and those that are opened from now on."""
+        with self._lock:
+            self._ended = reason
+            scopes = list(self._scopes)
+        for scope in scopes:
+            scope.cancel(reason)
+
     def stop(self) -> None:
         """End ``run``."""
         self._stopped.set()
--- a/boragestream/daemon/entry.py
+++ b/boragestream/daemon/entry.py
@@ -9,6 +9,7 @@
 
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, emit
+from boragestream.base.failures import EntryLeaving
 from boragestream.base.line_writer import LineWriter
 from boragestream.base.settings import Settings
 from boragestream.caller.caller_memory import CallerMemory
@@ -112,6 +113,7 @@
             self._stop.linger_until(self._kept_answers.until, keep),
             partial(stop_listening, self._server),
             self._in_progress,
+            partial(self._parts.watchdog.cancel_all, EntryLeaving()),
         )
         self._close()
         emit(Event.ENTRY_STOPPED, exit_code=int(code))
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -12,6 +12,7 @@
 
 from boragestream.base.clock import Clock, SystemClock
 from boragestream.base.events import Event, emit
+from boragestream.base.failures import EntryLeaving
 from boragestream.base.line_writer import LineWriter
 from boragestream.base.machine import descriptor_limit
 from boragestream.base.outcomes import Failure
@@ -33,7 +34,7 @@
 from boragestream.daemon.page_servers import open_page_servers
 from boragestream.daemon.route_assembly import make_route_parts
 from boragestream.daemon.settings_in_force import SettingsInForce
-from boragestream.daemon.shutdown import GracefulStop
+from boragestream.daemon.shutdown import ANSWER_SECONDS, GracefulStop
 from boragestream.document.calls import ForwardedRequest
 from boragestream.entry.delegation import DelegatedBy, verify_delegation
 from boragestream.entry.links import LISTENER_TASKS, PeerListener
@@ -111,7 +112,8 @@
         self._parts = make_route_parts(in_force, clock)
         grace = settings.stop.grace_seconds
         self._linger_seconds = grace * LINGER_SHARE
-        drain_seconds = grace - self._linger_seconds - END_MARGIN_SECONDS
+        end_seconds = ANSWER_SECONDS + END_MARGIN_SECONDS
+        drain_seconds = grace - self._linger_seconds - end_seconds
         stop = StopSettings(self._linger_seconds, max(0.1, drain_seconds))
         self._stop = GracefulStop(stop, clock)
         self._refusing = threading.Event()
@@ -192,6 +194,7 @@
             self._clock.now() + self._linger_seconds,
             self._refuse,
             partial(busy_connections, self._server),
+            partial(self._parts.watchdog.cancel_all, EntryLeaving()),
         )
         self._tasks.close()
         self._parts.ended.set()
--- a/boragestream/daemon/shutdown.py
+++ b/boragestream/daemon/shutdown.py
@@ -13,11 +13,13 @@
 from boragestream.base.settings import StopSettings
 from boragestream.daemon.exit_codes import ExitCode
 
-__all__ = ["GracefulStop", "KeptAnswers"]
+__all__ = ["ANSWER_SECONDS", "GracefulStop", "KeptAnswers"]
 
 CHECK_SECONDS = 0.05
 # Other entries may list a leaving entry until the news reaches them.
 LEAVE_PROPAGATION_SECONDS = 2.0
+# How long requests that are cancelled at the time limit have to be answered.
+ANSWER_SECONDS = 0.25
 # A request between two steps can be missed by one check, but not by two in a row.
 IDLE_CHECKS = 3
 
@@ -81,26 +83,39 @@
         linger_until: float,
         stop_listening: Callable[[], None],
         in_progress: Callable[[], int],
+        cancel_open: Callable[[], None],
     ) -> ExitCode:
         """Wait until the entry may end; return its exit code.
 
+        This takes up to ``ANSWER_SECONDS`` beyond the time limit.
+
         :param linger_until: the clock time until which to serve new requests.
         :param stop_listening: called at that time.
         :param in_progress: returns the number of requests not yet fully answered.
+        :param cancel_open: called at the time limit; ends each open request with an
+            answer that says so.
         """
         self._wait(lambda: self._clock.now() >= linger_until)
         stop_listening()
         limit = self._clock.now() + self._settings.limit_seconds
+        if self._drained(in_progress, limit):
+            return ExitCode.WHOLE
+        if self._forced.is_set():
+            return self._end_early(Event.STOP_FORCED, ExitCode.FORCED, in_progress())
+        code = self._end_early(Event.STOP_LIMIT_REACHED, ExitCode.LIMIT, in_progress())
+        cancel_open()
+        self._drained(in_progress, self._clock.now() + ANSWER_SECONDS)
+        return code
+
+    def _drained(self, in_progress: Callable[[], int], until: float) -> bool:
+        """Wait until no request is open; return False on a signal or at ``until``."""
         idle_checks = 0
         while idle_checks < IDLE_CHECKS:
-            count = in_progress()
-            idle_checks = 0 if count else idle_checks + 1
-            if self._forced.is_set():
-                return self._end_early(Event.STOP_FORCED, ExitCode.FORCED, count)
-            if self._clock.now() >= limit:
-                return self._end_early(Event.STOP_LIMIT_REACHED, ExitCode.LIMIT, count)
+            idle_checks = 0 if in_progress() else idle_checks + 1
+            if self._forced.is_set() or self._clock.now() >= until:
+                return False
             self._forced.wait(CHECK_SECONDS)
-        return ExitCode.WHOLE
+        return True
 
     def _wait(self, done: Callable[[], bool]) -> None:
         while not done() and not self._forced.wait(CHECK_SECONDS):
--- a/tests/features/daemon_shutdown.feature
+++ b/tests/features/daemon_shutdown.feature
@@ -18,11 +18,13 @@
     Then "entry-2" ends with exit code 3
     And the log of "entry-2" has the event "stop_forced" that counts 3 cut
 
+  # Guards against callers who are not answered when the limit is reached.
   Scenario: the stop limit ends it and says how many it cut
     Given "entry-3" has a streamed "caption", a whole "caption" and an "order-status" in progress for 20 s
     When "entry-3" is told to stop
     Then "entry-3" ends with exit code 4
     And the log of "entry-3" has the event "stop_limit_reached" that counts 3 cut
+    And what was in progress ends as "failed, failed, unknown"
 
   Scenario: every entry is replaced in turn under a steady trickle of calls
     Given the entries that have ended are started again
--- a/tests/features/steps/daemon_shutdown.py
+++ b/tests/features/steps/daemon_shutdown.py
@@ -81,6 +81,12 @@
     assert outcomes == ["answered"] * len(outcomes), context.calls
 
 
+@then('what was in progress ends as "{outcomes}"')
+def step(context, outcomes):
+    ended = [future.result().outcome for future in context.futures]
+    assert ended == outcomes.split(", "), context.calls
+
+
 @then('"{name}" ends with exit code {code:d}')
 def step(context, name, code):
     entry = context.fleet.entries[name]
