--- a/tests/features/oversized_answers.feature
+++ b/tests/features/oversized_answers.feature
@@ -33,6 +33,26 @@
     When a probe of a pipeline's server has 0.5 s
     Then it has ended as one that hangs before the server's 40th byte
 
+  # Guards against a probe or a read of the platform that takes in what a faulty server
+  # sends for as long as it sends it.
+  Scenario Outline: <reader> ends at a bound though its answer has <what> without end
+    Given a server whose answers have <what> without end
+    When <reader> reads its answer
+    Then at most 20 MB were sent before its connection was closed
+
+    Examples:
+      | reader                         | what                      |
+      | a read of the platform         | a header                  |
+      | a read of the platform         | a body that has no length |
+      | a read of the platform         | large chunks              |
+      | a read of the platform         | trailers                  |
+      | a probe of a server            | a header                  |
+      | a probe of a server            | a body that has no length |
+      | a probe of a server            | large chunks              |
+      | a probe of a pipeline's server | a header                  |
+      | a probe of a pipeline's server | a body that has no length |
+      | a probe of a pipeline's server | large chunks              |
+
   Scenario Outline: the bounds leave room for <what>
     Given a server whose answers have <what>
     When it is called, and its answer is read whole and as a stream
--- a/tests/features/steps/oversized_answers.py
+++ b/tests/features/steps/oversized_answers.py
@@ -11,6 +11,7 @@
 from tests.features.steps.whole_answers import (
     BODY,
     HEADERS,
+    READERS,
     STATUS,
     backend_server,
     make_call,
@@ -60,6 +61,7 @@
     ),
     "15 MiB without a length": (HEAD + b"\r\n" + LARGE, LARGE),
 }
+MEGABYTE = 1_048_576
 BYTE_SECONDS = 0.05
 SERVERS = [Server(f"s-{n}", "service", f"host-{n}", "hall") for n in range(6)]
 
@@ -97,6 +99,19 @@
     wait_until(lambda: context.backend.ended == 2, what="the end of the connections")
 
 
+@when("{reader} reads its answer")
+def step(context, reader):
+    READERS[reader](context)
+
+
+@then("at most {megabytes:d} MB were sent before its connection was closed")
+def step(context, megabytes):
+    backend = context.backend
+    wait_until(lambda: backend.ended == 1, what="the end of the connection")
+    sent = backend.repeats * len(backend.repeated)
+    assert sent <= megabytes * MEGABYTE, sent
+
+
 @then("the bound was noted for the server")
 def step(context):
     bounds = [result.limit for result in context.results]
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -100,6 +100,10 @@
         # What it sends without end in the place of each answer, behind a head; None for
         # proper answers.
         self.endless = None
+        # The same for calls that are no callers' requests, by their targets.
+        self.endless_calls = {}
+        # How many answers without end it began.
+        self.endless_answers = 0
         # Whether it fails calls that release results.
         self.fails_releases = False
         self.held = {}
@@ -345,6 +349,8 @@
             self.others_asked += 1
             own = [("Instance-Id", self.identity)]
             self.send(sock, headers, 421, b"other", own, sealed=False)
+        elif path in self.endless_calls:
+            self.send_endless(sock, headers, self.endless_calls[path])
         elif target == "/boragestream/stage-run":
             self.make_pieces(sock, headers, json.loads(body))
         elif target == "/health":
@@ -381,7 +387,7 @@
             return
         self.note_run(headers, body)
         if self.endless is not None:
-            self.send_endless(sock, headers)
+            self.send_endless(sock, headers, self.endless)
             return
         if self.has_crashing_part(headers):
             self.part_arrivals.append(time.monotonic())
@@ -550,14 +556,15 @@
         self.send(sock, headers, 200, None, head)
         shape.write(sock, body)
 
-    def send_endless(self, sock, headers):
+    def send_endless(self, sock, headers, endless):
         """Send a head, and then the same bytes until the other end closes."""
-        head, repeated = self.endless
+        head, repeated = endless
         lines = [
             "HTTP/1.1 200 OK",
             f"Request-Id: {headers['Request-Id']}",
             f"Server-Seal: seal-of-{self.identity}",
         ]
+        self.endless_answers += 1
         sock.sendall("\r\n".join(lines).encode() + b"\r\n" + head)
         while True:
             sock.sendall(repeated)
--- a/tests/standins/route_store.py
+++ b/tests/standins/route_store.py
@@ -8,6 +8,7 @@
 """
 
 import base64
+import contextlib
 import threading
 import time
 from dataclasses import dataclass
@@ -48,6 +49,10 @@
         self.down = None
         # What it answers in place of what it holds, as bytes; None for proper answers.
         self.odd_body = None
+        # A head and what it sends without end behind it; None for proper answers.
+        self.endless = None
+        # How many answers without end it began.
+        self.endless_answers = 0
         self.calls = 0
         self.lost = 0
         # How often it came back from a copy.
@@ -132,13 +137,25 @@
         if self.down is not None:
             self.reply(handler, {"error": self.down}, int(self.down))
             return
-        if self.odd_body is not None:
+        if self.endless is not None:
+            self.send_endless(handler)
+        elif self.odd_body is not None:
             handler.reply_bytes(self.odd_body)
         elif path.endswith("kv-range"):
             self.reply(handler, self.range(query))
         else:
             self.watch(handler, query)
 
+    def send_endless(self, handler):
+        """Send a head, and then the same bytes until the other end closes."""
+        head, repeated = self.endless
+        self.endless_answers += 1
+        with contextlib.suppress(OSError):
+            handler.wfile.write(head)
+            while not self.closing.is_set():
+                handler.wfile.write(repeated)
+        handler.close_connection = True
+
     def range(self, query):
         """Return the items under a prefix, a few a page."""
         with self.lock:
