Count the attempts of other entries towards the bound of the route

What callers saw: nothing wrong in their answers. Servers saw requests of entries that were cut off from their servers up to four times, although their routes allow two attempts.

Cause: an entry that serves a delegated request makes as many attempts as the route allows, and the entry that delegated it counted them as one; it then asked another entry, or its own servers. While an entry was cut off, the bound was not applied to attempts at other entries either.

Why it works: answers to delegated requests state the attempts that may have run, in a header and, within streams, in a comment after each change of servers, which the delegating entry removes. It counts all of them; only its own attempts before the cut don't count.

The stubs of server_reach.feature gained the members that forwarding now reads. StageInputs is moved out of the forwarder, without a change.

--- a/boragestream/caller/forwarding.py
+++ b/boragestream/caller/forwarding.py
@@ -86,6 +86,9 @@
     ) -> list[tuple[str, str]]:
         """Return the headers of an answer that the entry generates."""
 
+    def runs_headers(self, runs: int) -> list[tuple[str, str]]:
+        """Return the headers that state the attempts to an entry that delegates."""
+
 
 class RequestCounter:
     """Counts the requests that are being served."""
@@ -239,7 +242,8 @@
         answer = self._serve(run)
         request_id = run.request.request_id
         if isinstance(answer, StreamedAnswer | WholeAnswer):
-            head, headers = answer.head, _headers(answer)
+            head = answer.head
+            headers = [*head.headers, *self._runs_headers(run)]
             if isinstance(answer, StreamedAnswer):
                 reply = ForwardedStream(self, run, answer.events)
             else:
@@ -255,13 +259,18 @@
         outcome = outcome_of(run, answer)
         name, status = type(outcome).__name__.lower(), _error_status(outcome)
         self.log_end(run, name, int(status), answer)
-        return self._error_reply(start_response, request_id, outcome)
+        more = self._runs_headers(run)
+        return self._error_reply(start_response, request_id, outcome, more)
+
+    def _runs_headers(self, run: ForwardedRun) -> list[tuple[str, str]]:
+        return self.format.runs_headers(run.sent.runs) if run.delegated_by else []
 
     def _error_reply(
         self,
         start_response: StartResponse,
         request_id: str,
         outcome: Refused | Failed | Unknown,
+        more: Iterable[tuple[str, str]] = (),
     ) -> Reply:
         status = _error_status(outcome)
         wait = getattr(outcome, "retry_after", None)
@@ -274,6 +283,7 @@
         headers += [
             ("Content-Type", "text/plain"),
             ("Content-Length", str(len(body))),
+            *more,
         ]
         start_response(_status(status.value, status.phrase), headers)
         return [body]
@@ -356,7 +366,3 @@
 
 def _status(code: int, reason: str) -> str:
     return f"{code} {reason or 'Status'}"
-
-
-def _headers(answer: WholeAnswer | StreamedAnswer) -> list[tuple[str, str]]:
-    return list(answer.head.headers)
--- a/boragestream/daemon/route_entry.py
+++ b/boragestream/daemon/route_entry.py
@@ -43,6 +43,7 @@
     read_request,
     refusal_headers,
     request_id_of,
+    runs_headers,
 )
 from boragestream.policy.directory_choice import RandomEntries, RankedEntries
 from boragestream.policy.peers import ListedEntry
@@ -76,6 +77,7 @@
     read_request = staticmethod(read_request)
     refusal_headers = staticmethod(refusal_headers)
     request_id = staticmethod(request_id_of)
+    runs_headers = staticmethod(runs_headers)
 
     @staticmethod
     def refusal(
--- a/boragestream/document/calls.py
+++ b/boragestream/document/calls.py
@@ -147,6 +147,8 @@
     :ivar idle_seconds: how long the server keeps the connection; None if not said.
     :ivar load: calls running and waiting and the places of the server, where it says.
     :ivar headers: what the caller is given.
+    :ivar runs: the servers that may have run the request so far, where another entry
+        answers.
     """
 
     status: int
@@ -163,6 +165,7 @@
     load: tuple[int, int, int] | None
     headers: HeaderList
     brittle: bool = False
+    runs: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragestream/platform/wire.py
+++ b/boragestream/platform/wire.py
@@ -31,6 +31,7 @@
     "read_request",
     "refusal_headers",
     "request_id_of",
+    "runs_headers",
 ]
 
 REQUEST_ID = "Request-Id"
@@ -68,6 +69,8 @@
 OTHER_SERVER_STATUS = 421
 # Sent from one entry to another; not a header of the platform.
 DELEGATION = "Boragestream-Delegation"
+# The reverse: the attempts of the answering entry that may have run.
+RUNS = "Boragestream-Runs"
 # Statuses by which an entry promises that a request did not run and never will.
 PROMISES = frozenset(
     {
@@ -116,9 +119,9 @@
         "Kv-From",
     )
 )
-# What a backend server says to the system alone.
+# What a backend server or another entry says to the system alone.
 SERVER_HEADERS = frozenset(
-    name.lower() for name in (DID_NOT_RUN, LOAD, LEAVING, LIMIT, BRITTLE)
+    name.lower() for name in (DID_NOT_RUN, LOAD, LEAVING, LIMIT, BRITTLE, RUNS)
 )
 # More than fit into a head of the default size.
 MAX_PROMPT_PARTS = 4096
@@ -231,9 +234,11 @@
     headers = tuple((n, v) for n, v in head.headers if n.lower() not in ENTRY_HEADERS)
     refused = not head.sealed and response.status in PROMISES
     claim = RunClaim.NOT_RUN if refused else RunClaim.RAN
+    runs = response.headers.get(RUNS, "")
     return replace(
         head,
         claim=claim,
+        runs=max(1, int(runs)) if COUNT.fullmatch(runs) else 1,
         headers=headers,
         backoff_seconds=parse_backoff(response.headers.get(RETRY_AFTER)),
     )
@@ -285,6 +290,14 @@
     return headers
 
 
+def runs_headers(runs: int) -> list[tuple[str, str]]:
+    """Return the headers that state to another entry what was done for its request.
+
+    :param runs: the attempts of this entry that may have run.
+    """
+    return [(RUNS, str(runs))]
+
+
 def _finite(value: str) -> float:
     number = float(value)
     if not math.isfinite(number):
--- a/boragestream/serving/delegation.py
+++ b/boragestream/serving/delegation.py
@@ -39,6 +39,7 @@
 from boragestream.serving.delegation_failures import DelegateFailed, DelegateRefused
 from boragestream.serving.forwarded_answer import WholeAnswer
 from boragestream.serving.forwarded_run import ForwardedRun
+from boragestream.serving.run_reports import split_run_reports
 
 __all__ = [
     "CUT_OFF",
@@ -106,6 +107,7 @@
         self._scope: CancelScope = run.scope.child()
         self._answer: OpenForwardedAnswer | None = None
         self._is_open = True
+        self._possible_runs = 0
         self._server = Server(entry.name, run.service, entry.host, entry.data_centre)
         parts.delegates.begin(entry.name)
 
@@ -119,6 +121,14 @@
         """The head of the answer; available after ``open`` has succeeded."""
         return self._answer.head
 
+    @property
+    def possible_runs(self) -> int:
+        """The number of servers of the other entry that may have run the request.
+
+        An entry that is lost may have made more attempts than it has stated.
+        """
+        return self._possible_runs
+
     @property
     def framed(self) -> bool:
         """Whether the body of the answer ends otherwise than with its connection."""
@@ -161,8 +171,12 @@
         if isinstance(answer, AttemptFailure):
             unreached = isinstance(answer, ConnectFailed)
             self.end(CallEnd.UNREACHED if unreached else CallEnd.CUT)
+            if answer.ran is not Ran.NOT_SENT:
+                self._possible_runs = 1
             return answer
         self._answer = answer
+        if answer.head.claim is RunClaim.RAN:
+            self._possible_runs = answer.head.runs
         return answer
 
     def refusal(self) -> DelegateRefused:
@@ -185,6 +199,12 @@
         """Return the iterator over the answer's chunks."""
         return self._answer.parts()
 
+    def without_reports(self, events: list[bytes]) -> list[bytes]:
+        """Return the events without the reports of further attempts, which count."""
+        events, runs = split_run_reports(events)
+        self._possible_runs = max(self._possible_runs, runs)
+        return events
+
     def note_first_event(self) -> None:
         """Do nothing: the other entry records the delays of its servers."""
 
@@ -223,7 +243,7 @@
         self._run = run
         self._retries = retries
         self._tried: set[str] = set()
-        self._possible_runs = 0
+        self._attempts: list[DelegatedAttempt] = []
         self._failure: Failure | None = None
 
     @property
@@ -233,8 +253,8 @@
 
     @property
     def possible_runs(self) -> int:
-        """The number of entries that may have run the request."""
-        return self._possible_runs
+        """The number of servers of other entries that may have run the request."""
+        return sum(attempt.possible_runs for attempt in self._attempts)
 
     def reason(self, fresh: bool, unreached: bool) -> str:
         """Return why the request should be served by another entry; empty if not.
@@ -284,26 +304,24 @@
             if resumed and not self._parts.resumes(entry, service):
                 continue
             attempt = DelegatedAttempt(self._parts, run, entry, reason)
-            runs = earlier_runs + self._possible_runs
+            runs = earlier_runs + self.possible_runs
+            self._attempts.append(attempt)
             answer = attempt.open(runs, last_event())
             if isinstance(answer, AttemptFailure):
                 cancelled = isinstance(answer, AttemptCancelled)
                 self._failure = answer.reason if cancelled else answer
                 if cancelled:
                     return
-                if answer.ran is not Ran.NOT_SENT:
-                    self._possible_runs += 1
-                    if not self._may_repeat():
-                        return
+                if attempt.possible_runs and not self._may_repeat():
+                    return
                 continue
-            before = self._possible_runs
             outcome = self._outcome(attempt)
             if outcome is not None:
                 # The consumer decides whether the request may be repeated.
                 yield outcome
-            elif self._possible_runs > before and not self._may_repeat():
+            elif attempt.possible_runs and not self._may_repeat():
                 return
-            if self._possible_runs and not run.route.repeatable:
+            if self.possible_runs and not run.route.repeatable:
                 return
 
     def _choose(self) -> ListedEntry | None:
@@ -314,7 +332,7 @@
     def _may_repeat(self) -> bool:
         """Return whether a request may be repeated that may have run elsewhere."""
         route = self._run.route
-        if not route.repeatable or self._possible_runs >= route.attempts:
+        if not route.repeatable or self.possible_runs >= route.attempts:
             return False
         return self._retries.spend(self._run.service)
 
@@ -324,8 +342,6 @@
         """Return what to deliver of an answer; None after a failure."""
         head = attempt.head
         self._failure = None
-        if head.claim is RunClaim.RAN:
-            self._possible_runs += 1
         stream = self._run.route.kind is CallKind.STREAM
         if stream and head.sealed and head.status in SUCCESS:
             return attempt
--- a/boragestream/serving/forwarder.py
+++ b/boragestream/serving/forwarder.py
@@ -26,7 +26,7 @@
     ServersLimited,
 )
 from boragestream.base.outcomes import Failure
-from boragestream.document.calls import RunClaim, StageResult
+from boragestream.document.calls import RunClaim
 from boragestream.document.routes import CallKind
 from boragestream.policy.load import CallEnd
 from boragestream.policy.servers import Server
@@ -42,6 +42,8 @@
     ServerDidNotRun,
 )
 from boragestream.serving.limited_servers import PermittedServer
+from boragestream.serving.run_reports import encode_run_report
+from boragestream.serving.stage_inputs import StageInputs
 from boragestream.serving.stream_origin import locate_stream, note_stream_began
 
 __all__ = ["Forwarder"]
@@ -89,17 +91,20 @@
         # Whether a server could not be reached at all.
         self._unreached = False
         self._stream = run.route.kind is CallKind.STREAM
-        self._inputs: tuple[StageResult, ...] = ()
-        self._inputs_ready = False
+        self._inputs = StageInputs(parts.stages, run)
         self._choice = ForwardedChoice(parts, run)
-        # Attempts that may have run.
-        self._possible_runs = run.earlier_runs
         # Attempts that certainly did not run.
         self._refusals = 0
         self._splitter = EventSplitter(run.request.last_event, run.scope.held)
         self._failure: Failure | None = None
         self._error: WholeAnswer | None = None
 
+    @property
+    def _possible_runs(self) -> int:
+        """The number of servers that may have run the request, at any entry."""
+        run = self._run
+        return run.earlier_runs + run.sent.runs + self._delegation.possible_runs
+
     def answer(self) -> WholeAnswer | StreamedAnswer | Failure:
         """Return the answer or the failure."""
         for opened in self._attempts():
@@ -117,7 +122,7 @@
             quarantined = self._guard.refusal()
             if quarantined is not None:
                 self._failure = quarantined
-                self._release_inputs()
+                self._inputs.release()
                 return
             reason = self._delegation_reason()
             if reason:
@@ -130,23 +135,24 @@
                 )
                 if self._failure is None or has_retry_time:
                     self._failure = chosen
-                self._release_inputs()
+                self._inputs.release()
                 return
             server = chosen.server
             attempt = ForwardAttempt(self._parts, self._run, self._guard, chosen)
-            handles = tuple(result.handle for result in self._inputs)
-            result = attempt.open(handles, self._splitter.last, self._possible_runs > 0)
+            result = attempt.open(
+                self._inputs.handles, self._splitter.last, self._possible_runs > 0
+            )
             if isinstance(result, AttemptFailure):
                 self._crashes.check(server, result)
                 if not self._may_retry_after(result):
-                    self._release_inputs()
+                    self._inputs.release()
                     return
                 continue
             outcome = self._handle_answer(attempt, result)
             if outcome is not None:
                 yield outcome
             if not self._may_retry():
-                self._release_inputs()
+                self._inputs.release()
                 return
 
     def _delegation_reason(self) -> str:
@@ -161,11 +167,11 @@
 
     def _delegate(self, reason: str) -> Iterator[WholeAnswer | DelegatedAttempt]:
         """Yield the outcome at each entry to which the request is delegated."""
-        self._release_inputs()
-        delegation = self._delegation
-        earlier, last_event = self._possible_runs, lambda: self._splitter.last
-        for outcome in delegation.outcomes(reason, earlier, last_event):
-            self._possible_runs = earlier + delegation.possible_runs
+        self._inputs.release()
+        delegation, earlier = self._delegation, self._run.sent.runs
+        for outcome in delegation.outcomes(
+            reason, earlier, lambda: self._splitter.last
+        ):
             yield outcome
             if not self._may_retry():
                 return
@@ -174,11 +180,13 @@
 
     def _choose(self) -> PermittedServer | Failure:
         """Run the stages if necessary; return the server of the next attempt."""
-        failure = self._choice.refusal(self._inputs_ready) or self._run_stages()
+        choice, inputs = self._choice, self._inputs
+        failure = choice.refusal(inputs.ready)
+        failure = failure or inputs.prepare(choice.engine_data_centre)
         if failure is not None:
             return failure
         number = self._possible_runs + self._refusals + 1
-        chosen = self._choice.choose(self._inputs, number)
+        chosen = choice.choose(inputs.results, number)
         return chosen or NoLiveServer(self._run.service)
 
     def _handle_answer(
@@ -193,7 +201,7 @@
         if head.claim is not RunClaim.RAN:
             self._handle_refusal(attempt, answer)
             return None
-        self._possible_runs += 1
+        self._run.sent.note_run()
         self._choice.note_served()
         successful = head.status < SERVER_ERROR
         verified = head.sealed and not head.encoded
@@ -208,7 +216,7 @@
             self._note_failure(failed)
             return None
         self._guard.note_answered()
-        self._release_inputs()
+        self._inputs.release()
         if successful or not self._run.route.repeatable:
             return WholeAnswer(head, body)
         # ``answer`` returns the server's error answer if no later attempt succeeds.
@@ -230,28 +238,12 @@
             if head.status != INPUTS_GONE:
                 self._choice.note_full()
         if head.status == INPUTS_GONE:
-            self._inputs_ready = False
+            self._inputs.note_gone()
             self._note_failure(InputsGone(server.name))
             self._choice.allow_again(server)
             return
         self._note_failure(ServerDidNotRun(server.name, head.status))
 
-    def _run_stages(self) -> Failure | None:
-        if self._inputs_ready or not self._run.route.stages:
-            return None
-        chain = self._parts.stages.run(self._run, self._choice.engine_data_centre())
-        if isinstance(chain, Failure):
-            return chain
-        self._inputs = chain.results
-        self._inputs_ready = True
-        return None
-
-    def _release_inputs(self) -> None:
-        if self._inputs_ready:
-            self._parts.stages.release(self._inputs)
-            self._inputs = ()
-            self._inputs_ready = False
-
     def _note_failure(self, failure: Failure) -> None:
         if isinstance(failure, AttemptCancelled):
             failure = failure.reason
@@ -274,7 +266,7 @@
             # The request was not run, so the next attempt is not a repeat.
             self._refusals += 1
             return self._refusals <= MAX_REFUSALS
-        self._possible_runs += 1
+        self._run.sent.note_run()
         return self._may_retry()
 
     def _may_retry(self) -> bool:
@@ -284,8 +276,11 @@
         repeatable = run.route.repeatable and self._splitter.resumable
         if self._possible_runs and not repeatable:
             return False
-        if self._possible_runs >= run.route.attempts and not self._delegation_reason():
+        counted = self._possible_runs
+        if self._delegation_reason():
             # Runs at servers that were cut off meanwhile don't count.
+            counted = self._delegation.possible_runs
+        if counted >= run.route.attempts:
             return False
         if self._parts.clock.now() >= run.scope.deadline:
             return False
@@ -294,17 +289,14 @@
     def _first_events(self, attempt: OpenAttempt) -> list[bytes] | None:
         """Return the first complete events; None if the stream breaks before them."""
         for chunk in attempt.chunks():
-            if isinstance(chunk, Failure):
-                self._handle_broken_stream(attempt, chunk)
-                return None
-            events = self._splitter.feed(chunk)
+            events = self._feed(attempt, chunk)
             if isinstance(events, Failure):
                 self._handle_broken_stream(attempt, events)
                 return None
             if events:
                 attempt.note_first_event()
                 self._guard.note_events()
-                self._release_inputs()
+                self._inputs.release()
                 return events
         unfinished = self._splitter.finish(attempt.framed)
         if unfinished is not None:
@@ -312,9 +304,18 @@
             return None
         # A caller that resumes a stream may have all of its events.
         attempt.note_first_event()
-        self._release_inputs()
+        self._inputs.release()
         return []
 
+    def _feed(
+        self, attempt: OpenAttempt, chunk: bytes | Failure
+    ) -> list[bytes] | Failure:
+        """Return the events that are complete with a chunk, or why there are none."""
+        events = chunk if isinstance(chunk, Failure) else self._splitter.feed(chunk)
+        if isinstance(attempt, DelegatedAttempt) and not isinstance(events, Failure):
+            events = attempt.without_reports(events)
+        return events
+
     def _note_began(self, attempt: OpenAttempt) -> None:
         """Keep the stream at the version of the server whose events come first."""
         if isinstance(attempt, ForwardAttempt):
@@ -347,11 +348,13 @@
                 if not broken:
                     return
                 current = self._resume() if self._may_retry() else None
+                if self._run.delegated_by:
+                    yield encode_run_report(self._run.sent.runs)
             yield self._failure
         finally:
             if current is not None:
                 current.close()
-            self._release_inputs()
+            self._inputs.release()
 
     def _resume(self) -> OpenAttempt | None:
         """Return an attempt that resumes the stream; None if there is none."""
@@ -372,14 +375,14 @@
     def _relay(self, attempt: OpenAttempt) -> Iterator[bytes]:
         """Yield the events of one server's stream; return whether the stream broke."""
         for chunk in attempt.chunks():
-            events = chunk if isinstance(chunk, Failure) else self._splitter.feed(chunk)
+            events = self._feed(attempt, chunk)
             if isinstance(events, Failure):
                 self._handle_broken_stream(attempt, events)
                 return True
             if events:
                 attempt.note_first_event()
                 self._guard.note_events()
-                self._release_inputs()
+                self._inputs.release()
                 yield b"".join(events)
                 self._splitter.note_passed_on()
         unfinished = self._splitter.finish(attempt.framed)
--- a/boragestream/serving/request.py
+++ b/boragestream/serving/request.py
@@ -40,8 +40,14 @@
         self._delegated_once = False
         self._unrepeatable: set[str] = set()
         self._possibly_run: set[str] = set()
+        self._runs = 0
         self._lock = threading.Lock()
 
+    @property
+    def runs(self) -> int:
+        """The number of servers to which the whole request went and may have run."""
+        return self._runs
+
     @property
     def any(self) -> bool:
         """Whether any byte was sent to a backend server, maybe by another entry."""
@@ -81,6 +87,11 @@
             if not repeatable:
                 self._unrepeatable.add(attempt_id)
 
+    def note_run(self) -> None:
+        """Record that a server to which the whole request went may have run it."""
+        with self._lock:
+            self._runs += 1
+
     def note_not_run(self, attempt_id: str) -> None:
         """Record that an attempt has certainly not run; other attempts may have."""
         with self._lock:
--- a/tests/features/server_reach.feature
+++ b/tests/features/server_reach.feature
@@ -129,7 +129,7 @@
       | another entry delegated | refuse it             | 0     | refused |
 
   # Guards against repeats beyond the attempts of a route and the bound on repeats, when
-  # other entries that may have run the request give no answer.
+  # other entries that may have run the request give no answer or fail.
   Scenario Outline: a request of <attempts> attempts with <left> repeats left that other entries <answer> is sent to <times>
     Given an entry that is cut off, with 4 other entries that <answer>
     When a request with <attempts> attempts comes, while <left> repeats are left
@@ -142,6 +142,9 @@
       | 3        | 1    | break off        | 2     | failed  |
       | 3        | 0    | break off        | 1     | failed  |
       | 3        | 0    | fail             | 1     | failed  |
+      | 2        | 9    | fail             | 2     | failed  |
+      | 2        | 9    | fail twice       | 1     | failed  |
+      | 3        | 9    | fail twice       | 2     | failed  |
       | 3        | 0    | can't be reached | 3     | refused |
       | 3        | 0    | refuse it        | 3     | refused |
 
--- a/tests/features/steps/server_reach.py
+++ b/tests/features/steps/server_reach.py
@@ -386,10 +386,13 @@
 class OtherEntry:
     """The answer of an entry to a delegated request."""
 
-    def __init__(self, claim, status):
-        """Answer with a status of the entry's own."""
+    def __init__(self, claim, status, runs=1):
+        """Answer with a status of the entry's own.
+
+        :param runs: the attempts that it states.
+        """
         self.head = SimpleNamespace(
-            claim=claim, sealed=False, status=status, backoff_seconds=0.2
+            claim=claim, sealed=False, status=status, backoff_seconds=0.2, runs=runs
         )
 
     def read_blocks(self):
@@ -417,6 +420,8 @@
             return AnswerCut(entry.name, Ran.MAY_HAVE_RUN, "reset")
         if answers == "fail":
             return OtherEntry(RunClaim.RAN, 502)
+        if answers == "fail twice":
+            return OtherEntry(RunClaim.RAN, 502, 2)
         return OtherEntry(RunClaim.NOT_RUN, 503)
 
     context.opened = delegation.open_forwarded_call
@@ -491,6 +496,7 @@
         scope=CancelScope(context.clock.now() + 5),
         request=SimpleNamespace(request_id="r-1", last_event=last_event),
         route=route,
+        sent=SentRecord(),
         delegated_by="",
         earlier_runs=runs,
         version=None,
@@ -506,6 +512,7 @@
     parts = SimpleNamespace(
         quarantine=None,
         part_crashes=None,
+        stages=None,
         retries=retries,
         clock=context.clock,
         line=SimpleNamespace(connections=None, reach=context.reach),
