Don't send a request to servers that its entry no longer reaches

Cause: the cut was looked at before the stages ran, not after them. A request whose stages took longer than it took to confirm the cut was sent to an engine behind it, and waited for the answer until its deadline.

Why it works: the attempt looks at the cut right before it sends, when the request has certainly not run at the engine, so that it is delegated, or refused for the entry that delegated it, which asks another one.

--- a/boragestream/serving/forward_attempt.py
+++ b/boragestream/serving/forward_attempt.py
@@ -209,7 +209,9 @@
             request.method, request.request_id, encode, fresh, request.body, abandon
         )
         try:
-            answer = open_forwarded_call(self._parts.line, server, call, self._scope)
+            answer = self._cut_off(fresh) or open_forwarded_call(
+                self._parts.line, server, call, self._scope
+            )
         except BaseException:
             self.end(CallEnd.CANCELLED)
             raise
@@ -226,6 +228,17 @@
         seated = self._parts.seated
         return seated is not None and seated.is_brittle(self._server.service)
 
+    def _cut_off(self, fresh: bool) -> AttemptCancelled | None:
+        """Return why the call can't be sent if this entry reaches no server.
+
+        The request may have waited for long, for its stages or a permit, since it was
+        decided that this entry serves it.
+        """
+        reach, service = self._parts.line.reach, self._run.service
+        if reach is None or not reach.is_cut_off(service, fresh):
+            return None
+        return AttemptCancelled(self._server.name, Ran.NOT_SENT, EntryCutOff(service))
+
     def _abandon(self) -> None:
         """Cancel the call because this entry does not reach its server any more."""
         self._scope.cancel(EntryCutOff(self._run.service))
--- /dev/null
+++ b/tests/features/steps/cuts_during_chains.py
@@ -0,0 +1,103 @@
+"""Steps on entries that are cut off from the engines while stages of chains run."""
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+
+from tests.standins.fleet import wait_until
+
+CHAINS = 4
+# Longer than it takes to confirm a cut; both stages of a chain take so long.
+PIECE_SECONDS = 2.5
+SHORT_PIECE_SECONDS = 0.05
+# The pause between two streams at one entry.
+GAP_SECONDS = 0.1
+STREAMS = 64
+
+
+@given("stages that take long, and steady streams at all entries")
+def step(context):
+    site, ended = context.site, threading.Event()
+    pool = ThreadPoolExecutor(STREAMS)
+
+    def stream(name):
+        try:
+            site.call("/chat/ok", entry=name, Deadline_Ms="1000")
+        except OSError:
+            # The entry may be cut off.
+            return
+
+    def call_all():
+        while not ended.wait(GAP_SECONDS):
+            for name in site.entries:
+                pool.submit(stream, name)
+
+    for server in site.of_kind("stage"):
+        server.piece_seconds = PIECE_SECONDS
+    calling = threading.Thread(target=call_all, daemon=True)
+    calling.start()
+    context.add_cleanup(pool.shutdown)
+    context.add_cleanup(calling.join)
+    context.add_cleanup(ended.set)
+
+
+def cut_off(site, name, how):
+    """Cut an entry off from the engines, and wait until it knows."""
+    site.cut_off([name], how, site.of_kind("engine"))
+
+    def confirmed():
+        events = site.events(name, "cut_off_from_servers")
+        return [event for event in events if event["service"] == "engine"]
+
+    wait_until(confirmed, what=f"the cut of {name}")
+
+
+@given('"{name}" is cut off from all engines, "{how}"')
+def step(context, name, how):
+    cut_off(context.site, name, how)
+
+
+@when('chains are called at "{name}", which is then cut off from all engines, "{how}"')
+def step(context, name, how):
+    call_chains(context, name, name, how)
+
+
+@when('chains are called at "{name}", and "{other}" is then cut off as well, "{how}"')
+def step(context, name, other, how):
+    call_chains(context, name, other, how)
+
+
+def call_chains(context, name, cut, how):
+    """Call chains at an entry, and cut one off once their stages run."""
+    site = context.site
+    context.ids = [f"chain-{number}" for number in range(CHAINS)]
+    more = {"Pieces": "2,1", "Piece_Key": "k", "Deadline_Ms": "6000"}
+    began = sum(server.piece_calls for server in site.of_kind("stage"))
+    with ThreadPoolExecutor(CHAINS) as pool:
+        calls = [
+            pool.submit(site.call, "/staged/ok", entry=name, request_id=each, **more)
+            for each in context.ids
+        ]
+        wait_until(
+            lambda: sum(s.piece_calls for s in site.of_kind("stage")) > began,
+            what="a stage",
+        )
+        cut_off(site, cut, how)
+        # The entries that serve them now have the rest of the time.
+        for server in site.of_kind("stage"):
+            server.piece_seconds = SHORT_PIECE_SECONDS
+        context.answers = [call.result() for call in calls]
+
+
+@then("all chains are served, by other entries")
+def step(context):
+    site = context.site
+    ends = [(a.status, a.whole, a.body[:40]) for a in context.answers]
+    assert all(status == 200 and whole for status, whole, _ in ends), ends
+
+    def delegated():
+        events = site.events("entry-0", "request_delegated")
+        return set(context.ids) <= {event["request"] for event in events}
+
+    wait_until(delegated, what="the delegation of all chains")
--- a/tests/standins/route_server.py
+++ b/tests/standins/route_server.py
@@ -15,6 +15,7 @@
 import time
 from collections import Counter
 
+from tests.standins.link_cuts import LinkCuts
 from tests.standins.stream_shapes import StreamShape, shift_events
 
 EVENTS = 6
@@ -156,7 +157,7 @@
         # The same with the ids of requests, where they have one.
         self.calls = []
         # How entries are cut off, by the address from which they connect.
-        self.cuts = {}
+        self.cuts = LinkCuts()
         # What it names in each answer while its service is brittle, as text; else None.
         self.brittle = None
         # How many calls it takes at once, and how many once it has been brittle for
@@ -242,7 +243,7 @@
                 sock, (caller, _) = listener.accept()
             except OSError:
                 return
-            if self.cuts.get(caller) == "reset":
+            if self.cuts.mode(caller) == "reset":
                 reset(sock)
                 continue
             with self.lock:
@@ -279,9 +280,7 @@
 
     def wait_for_link(self, sock):
         """Wait while the other end is behind a cut that swallows what it sends."""
-        caller = sock.getpeername()[0]
-        while self.cuts.get(caller) in ("silent", "dark"):
-            time.sleep(0.02)
+        self.cuts.wait(sock.getpeername()[0])
 
     def drop(self, caller):
         """Reset the connections of an address."""
--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -252,7 +252,7 @@
                 addresses = " ".join(server.address for server in servers)
                 self.cut_path(name).write_text(f"{mode} {addresses}")
             for server in servers:
-                server.cuts[caller] = mode
+                server.cuts.begin(caller, mode)
                 if mode in ("refused", "reset"):
                     server.drop(caller)
 
@@ -265,7 +265,7 @@
         for name in names:
             self.cut_path(name).write_text("")
             for server in self.servers:
-                server.cuts.pop(self.fields[name]["ip"], None)
+                server.cuts.end(self.fields[name]["ip"])
 
     def settings_path(self, name):
         """Return where an entry's settings lie."""
