Give up calls that were sent before a cut was confirmed

Cause: at the confirmation only calls were given up that were sent, or had their last byte, before all calls began to fail. Those sent later, and those that had been silent for less than 0.4 s, waited on.

Why it works: a call that has had no byte since it was sent can't be answered once its entry is known to be cut off, unless its connection is from before the cut and such connections answer. It is given up then, or by the periodic check as soon as it has been silent for 0.4 s, and delegated within the bound on repeats.

The records of calls moved to reach_records.py, without a change.

--- a/boragestream/policy/server_reach.py
+++ b/boragestream/policy/server_reach.py
@@ -15,10 +15,11 @@
 
 import math
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from boragestream.base.clock import Clock
+from boragestream.policy.reach_records import CutEvidence, OpenServerCall
 from boragestream.policy.servers import Server
 
 __all__ = ["FAILURES_TO_SUSPECT", "CutEvidence", "OpenServerCall", "ServerReach"]
@@ -47,40 +48,6 @@
 FLAPPING_SECONDS = 10.0
 
 
-@dataclass(frozen=True, slots=True)
-class CutEvidence:
-    """Why an entry counts as cut off from a service.
-
-    :ivar failed: the data centres in which calls failed.
-    :ivar silent_seconds: the time since the service last answered this entry.
-    :ivar witness: an entry that the service answered since.
-    :ivar witness_age: the seconds since that answer.
-    """
-
-    service: str
-    failed: tuple[str, ...]
-    silent_seconds: float
-    witness: str
-    witness_age: float
-
-
-@dataclass(slots=True, eq=False)
-class OpenServerCall:
-    """A call that was sent and has not ended.
-
-    :ivar heard_at: when it was sent, or when its last bytes arrived.
-    :ivar answered: whether the head of its answer has arrived.
-    :ivar abandon: cancels the call; None if it may not be sent again elsewhere.
-    """
-
-    server: Server
-    fresh: bool
-    sent_at: float
-    heard_at: float
-    answered: bool = False
-    abandon: Callable[[], None] | None = None
-
-
 @dataclass(slots=True)
 class _Service:
     """What the calls of one service have shown.
@@ -241,7 +208,12 @@
             self._on_suspected()
 
     def check_silence(self) -> None:
-        """Raise a suspicion for services whose calls are all silent."""
+        """Raise a suspicion for services whose calls are all silent.
+
+        Calls that are silent behind a cut are abandoned.
+        """
+        if self._cut:
+            self._abandon_silent()
         now = self._clock.now()
         suspected = False
         with self._lock:
@@ -329,20 +301,47 @@
             known.answers_since_cut = 0
             self._cut = self._cut | {service}
             centres = tuple(sorted({*known.failed.values(), *failed}))
-            since = max(known.answered_at, known.failing_since)
+            since = max(known.answered_at, known.failing_since) + MIN_LEAD_SECONDS
             silent_calls = [
                 call
-                for call in self._open
-                if call.server.service == service
-                and call.abandon is not None
-                and call.heard_at <= since + MIN_LEAD_SECONDS
-                and now - call.heard_at >= MIN_SILENCE_SECONDS
+                for call in self._silent_calls({service})
+                if call.heard_at <= since or self._is_lost(call, known)
             ]
         for call in silent_calls:
             call.abandon()
         self._on_changed(service)
         return CutEvidence(service, centres, silent, witness, witness_age)
 
+    def _silent_calls(self, services: Collection[str]) -> list[OpenServerCall]:
+        """Return the calls that have had no byte lately and may be abandoned."""
+        now = self._clock.now()
+        return [
+            call
+            for call in self._open
+            if call.server.service in services
+            and call.abandon is not None
+            and now - call.heard_at >= MIN_SILENCE_SECONDS
+        ]
+
+    def _is_lost(self, call: OpenServerCall, known: _Service) -> bool:
+        """Return whether a call of a service that is cut off won't be answered.
+
+        Connections that were open before the cut may still carry answers.
+        """
+        kept_fail = self._clock.now() - known.answered_at > KEPT_SECONDS
+        return call.heard_at == call.sent_at and (call.fresh or kept_fail)
+
+    def _abandon_silent(self) -> None:
+        """Abandon the calls that were too young when their service was cut off."""
+        with self._lock:
+            silent_calls = [
+                call
+                for call in self._silent_calls(self._cut)
+                if self._is_lost(call, self._services[call.server.service])
+            ]
+        for call in silent_calls:
+            call.abandon()
+
     def _note_fresh_answer(self, known: _Service, service: str, now: float) -> None:
         known.fresh_answered_at = now
         if not known.failed and known.cut_at is None:
--- a/tests/features/cuts_during_chains.feature
+++ b/tests/features/cuts_during_requests.feature
@@ -1,4 +1,4 @@
-Feature: chains are served although their entry is cut off from the engines while stages run
+Feature: requests are served although their entry is cut off from servers while they wait
 
   # Guards against an entry that sends a request to an engine that it no longer reaches,
   # once its stages are done, and waits for the answer until the deadline.
@@ -28,3 +28,17 @@
       | how     |
       | silent  |
       | refused |
+
+  # Guards against calls that were sent before a cut was confirmed and are not given up then.
+  @fixture.route-site.3.repeats.cuts
+  Scenario Outline: what is sent between a cut and its confirmation is served elsewhere: <how>, <path>
+    Given steady streams at all entries
+    When "<path>" is called at "entry-0" again and again while a cut, "<how>", is confirmed
+    Then all of these calls are served
+
+    Examples:
+      | how    | path       |
+      | silent | /chat/ok   |
+      | silent | /safe/ok   |
+      | silent | /staged/ok |
+      | dark   | /chat/ok   |
--- a/tests/features/steps/cuts_during_chains.py
+++ b/tests/features/steps/cuts_during_requests.py
@@ -1,6 +1,7 @@
-"""Steps on entries that are cut off from the engines while stages of chains run."""
+"""Steps on entries that are cut off from servers while requests wait there."""
 
 import threading
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
@@ -14,10 +15,24 @@
 # The pause between two streams at one entry.
 GAP_SECONDS = 0.1
 STREAMS = 64
+# The services that answer the routes of the site.
+SERVICES = {"chat": "engine", "safe": "plain", "staged": "engine"}
 
 
 @given("stages that take long, and steady streams at all entries")
 def step(context):
+    for server in context.site.of_kind("stage"):
+        server.piece_seconds = PIECE_SECONDS
+    call_steadily(context)
+
+
+@given("steady streams at all entries")
+def step(context):
+    call_steadily(context)
+
+
+def call_steadily(context):
+    """Call streams at all entries until the scenario ends."""
     site, ended = context.site, threading.Event()
     pool = ThreadPoolExecutor(STREAMS)
 
@@ -33,8 +48,6 @@
             for name in site.entries:
                 pool.submit(stream, name)
 
-    for server in site.of_kind("stage"):
-        server.piece_seconds = PIECE_SECONDS
     calling = threading.Thread(target=call_all, daemon=True)
     calling.start()
     context.add_cleanup(pool.shutdown)
@@ -90,6 +103,38 @@
         context.answers = [call.result() for call in calls]
 
 
+@when(
+    '"{path}" is called at "{name}" again and again while a cut, "{how}", is confirmed'
+)
+def step(context, path, name, how):
+    site, calls = context.site, []
+    more = {"Pieces": "2,1", "Piece_Key": "k"} if path.startswith("/staged/") else {}
+    # Measured times and kept connections are there before the cut.
+    for _ in range(CHAINS):
+        site.call(path, entry=name, **more)
+    site.cut_off([name], how)
+
+    def confirmed():
+        events = site.events(name, "cut_off_from_servers")
+        return {SERVICES[path.split("/")[1]]} <= {e["service"] for e in events}
+
+    with ThreadPoolExecutor(STREAMS) as pool:
+
+        def call_until_confirmed():
+            calls.append(pool.submit(site.call, path, entry=name, **more))
+            return confirmed()
+
+        wait_until(call_until_confirmed, what="the confirmed cut")
+        context.answers = [call.result() for call in calls]
+
+
+@then("all of these calls are served")
+def step(context):
+    ends = Counter((a.status, a.whole, a.body[:4]) for a in context.answers)
+    served = sum(a.status == 200 and a.whole for a in context.answers)
+    assert served == len(context.answers), ends
+
+
 @then("all chains are served, by other entries")
 def step(context):
     site = context.site
