Share the headers of staged calls and the return of refused callers

The steps of endless answers, delegated attempts, cuts during requests and stop limits had written again what other steps have: the headers of a staged call stood in nine files, and the loop that comes back after a refusal in two. RouteSite has both now, and the steps that named exactly these headers use them. The two waits for a confirmed cut are one.

--- a/tests/features/steps/bounded_memory.py
+++ b/tests/features/steps/bounded_memory.py
@@ -25,7 +25,6 @@
 # their output counts as not read afterwards.
 WAIT_MS = 1500
 STALLED_SECONDS = 1.2
-RETURNS = 20
 CHUNK_BYTES = 50_000
 EVENTS = 100
 GIVEN_UP = "slow_reader_abandoned"
@@ -92,13 +91,8 @@
 @then("{count:d} other callers are answered at once or when they return")
 def step(context, count):
     for _ in range(count):
-        for _ in range(RETURNS):
-            answer = context.site.call("/safe/ok")
-            if answer.status == 200:
-                break
-            assert answer.status == 503, answer.status
-            time.sleep(float(answer.headers["Retry-After"]))
-        assert answer.status == 200
+        answer = context.site.call_again("/safe/ok")
+        assert answer.status == 200, answer.status
 
 
 @when("{count:d} callers send a body of {size:d} bytes at once")
--- a/tests/features/steps/crashing_parts.py
+++ b/tests/features/steps/crashing_parts.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from tests.standins.route_server import DEADLY_KEY
-from tests.standins.route_site import ZONES
+from tests.standins.route_site import STAGED, ZONES
 
 CRASHING, OTHER_CRASHING = "dead", "beef"
 SOUND = ("c0de", "cafe")
@@ -210,16 +210,15 @@
 def step(context):
     site = context.site
     entries = itertools.cycle(list(site.entries))
-    staged = {"Pieces": "2,1", "Piece_Key": "k"}
     for _ in range(MOST_STAGED):
-        answer = call(site, next(entries), prompt(4, 2), "/staged/ok", **staged)
+        answer = call(site, next(entries), prompt(4, 2), "/staged/ok", **STAGED)
         if answer.status == NOT_RUN:
             break
         time.sleep(1.2)
     context.pieces_before = sum(site.piece_counts().values())
     time.sleep(LISTED_SECONDS)
     context.calls = [
-        call(site, name, prompt(4, 2), "/staged/ok", **staged) for name in site.entries
+        call(site, name, prompt(4, 2), "/staged/ok", **STAGED) for name in site.entries
     ]
 
 
--- a/tests/features/steps/cuts_during_requests.py
+++ b/tests/features/steps/cuts_during_requests.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from tests.standins.fleet import wait_until
+from tests.standins.route_site import STAGED
 
 CHAINS = 4
 # Longer than it takes to confirm a cut; both stages of a chain take so long.
@@ -59,11 +60,13 @@
     """Cut an entry off from the engines, and wait until it knows."""
     site.cut_off([name], how, site.of_kind("engine"))
 
-    def confirmed():
-        events = site.events(name, "cut_off_from_servers")
-        return [event for event in events if event["service"] == "engine"]
+    wait_until(lambda: is_cut_off(site, name, "engine"), what=f"the cut of {name}")
 
-    wait_until(confirmed, what=f"the cut of {name}")
+
+def is_cut_off(site, name, service):
+    """Return whether an entry knows that it is cut off from a service."""
+    events = site.events(name, "cut_off_from_servers")
+    return service in {event["service"] for event in events}
 
 
 @given('"{name}" is cut off from all engines, "{how}"')
@@ -85,7 +88,7 @@
     """Call chains at an entry, and cut one off once their stages run."""
     site = context.site
     context.ids = [f"chain-{number}" for number in range(CHAINS)]
-    more = {"Pieces": "2,1", "Piece_Key": "k", "Deadline_Ms": "6000"}
+    more = STAGED | {"Deadline_Ms": "6000"}
     began = sum(server.piece_calls for server in site.of_kind("stage"))
     with ThreadPoolExecutor(CHAINS) as pool:
         calls = [
@@ -108,21 +111,17 @@
 )
 def step(context, path, name, how):
     site, calls = context.site, []
-    more = {"Pieces": "2,1", "Piece_Key": "k"} if path.startswith("/staged/") else {}
+    more = STAGED if path.startswith("/staged/") else {}
     # Measured times and kept connections are there before the cut.
     for _ in range(CHAINS):
         site.call(path, entry=name, **more)
     site.cut_off([name], how)
 
-    def confirmed():
-        events = site.events(name, "cut_off_from_servers")
-        return {SERVICES[path.split("/")[1]]} <= {e["service"] for e in events}
-
     with ThreadPoolExecutor(STREAMS) as pool:
 
         def call_until_confirmed():
             calls.append(pool.submit(site.call, path, entry=name, **more))
-            return confirmed()
+            return is_cut_off(site, name, SERVICES[path.split("/")[1]])
 
         wait_until(call_until_confirmed, what="the confirmed cut")
         context.answers = [call.result() for call in calls]
--- a/tests/features/steps/delegated_attempts.py
+++ b/tests/features/steps/delegated_attempts.py
@@ -9,7 +9,10 @@
 from boragestream.platform.wire import read_entry_answer_head
 from boragestream.serving.run_reports import split_run_reports
 from tests.standins.fleet import wait_until
+from tests.standins.route_site import STAGED
 
+# The one that is cut off.
+ENTRY = "entry-0"
 CALLS, ROUNDS = 8, 3
 # Of all routes of the site that may be repeated.
 MOST_RUNS = 2
@@ -17,20 +20,19 @@
 EVENT = re.compile(rb"id: \d+\ndata: \d+ v1 w+\n\n")
 
 
-def call(site, path, number):
+def call(site, path, request_id):
     """Make one call; return the answer, or None if there was none."""
-    more = {"Pieces": "2,1", "Piece_Key": "k"} if path.startswith("/staged/") else {}
+    more = STAGED if path.startswith("/staged/") else {}
     try:
-        return site.call(path, entry=site.delegating, request_id=number, **more)
+        return site.call(path, entry=ENTRY, request_id=request_id, **more)
     except OSError:
         return None
 
 
-def call_several(context, path, rounds):
+def call_several(context, path):
     """Make several calls at a time, again and again; keep the answers by request."""
     site, context.answers = context.site, {}
-    site.delegating = next(iter(site.entries))
-    for _ in range(rounds):
+    for _ in range(ROUNDS):
         ids = [f"d-{next(site.numbers)}" for _ in range(CALLS)]
         answers = site.at_once(CALLS, lambda i, ids=ids: call(site, path, ids[i]))
         context.answers.update(zip(ids, answers, strict=True))
@@ -38,14 +40,14 @@
 
 @when('"{path}" is called there, several at a time')
 def step(context, path):
-    call_several(context, path, ROUNDS)
+    call_several(context, path)
 
 
 @when('an entry is cut off from all servers and "{path}" is called there at once')
 def step(context, path):
     site = context.site
-    site.cut_off([next(iter(site.entries))], "refused")
-    call_several(context, path, ROUNDS)
+    site.cut_off([ENTRY], "refused")
+    call_several(context, path)
 
 
 @then("each request ran at most twice, and some ran twice")
@@ -54,7 +56,7 @@
     runs = {each: site.runs(each) for each in context.answers}
 
     def delegated():
-        events = site.events(site.delegating, "request_delegated")
+        events = site.events(ENTRY, "request_delegated")
         return {event["request"] for event in events} & set(runs)
 
     wait_until(delegated, what="a delegated request")
--- a/tests/features/steps/endless_answers.py
+++ b/tests/features/steps/endless_answers.py
@@ -8,9 +8,8 @@
 from behave import given, then, when
 
 from tests.features.steps.oversized_answers import ENDLESS, HEAD
+from tests.standins.route_site import STAGED
 
-STAGED = {"Pieces": "2,1", "Piece_Key": "k"}
-RETURNS = 20
 # Longer than a call of a stage server should take.
 LONG_SECONDS = 2.0
 
@@ -21,21 +20,11 @@
     return first.removeprefix(HEAD), repeated
 
 
-def ask(context, path):
-    """Send a request; return its answer."""
+def ask(call, path):
+    """Make a call of a path; return its answer."""
     method, body = ("GET", None) if path.startswith("/safe/") else ("POST", b"hello")
     more = STAGED if path.startswith("/staged/") else {}
-    return context.site.call(path, method, body, **more)
-
-
-def ask_again(context, path):
-    """Send a request again while it is refused; return the last answer."""
-    for _ in range(RETURNS):
-        answer = ask(context, path)
-        if answer.status != 503:
-            break
-        time.sleep(float(answer.headers["Retry-After"]))
-    return answer
+    return call(path, method, body, **more)
 
 
 @given('"{kind}" servers whose answers have {what} without end')
@@ -61,11 +50,13 @@
 
     def call_others():
         for _ in range(others):
-            context.others.append(ask_again(context, other))
+            context.others.append(ask(context.site.call_again, other))
 
     caller = threading.Thread(target=call_others)
     caller.start()
-    context.answers = context.site.at_once(count, lambda _: ask(context, path))
+    context.answers = context.site.at_once(
+        count, lambda _: ask(context.site.call, path)
+    )
     caller.join()
 
 
@@ -101,7 +92,7 @@
 
     def call(_):
         while time.monotonic() < until:
-            ask(context, path)
+            ask(site.call, path)
 
     site.at_once(20, call)
 
@@ -121,5 +112,5 @@
     for server in context.site.servers:
         server.endless_calls.clear()
         server.piece_seconds = 0.0
-    answer = ask_again(context, path)
+    answer = ask(context.site.call_again, path)
     assert answer.status == 200 and answer.whole, answer.status
--- a/tests/features/steps/entries_without_servers.py
+++ b/tests/features/steps/entries_without_servers.py
@@ -13,6 +13,7 @@
 from boragestream.operator.client import Client
 from boragestream.policy.queue_owners import owner_ranking
 from tests.standins.fleet import fetch, wait_until
+from tests.standins.route_site import STAGED
 from tests.standins.sites import example_key
 
 # A cut is judged from this long after it began.
@@ -65,7 +66,7 @@
     """Call each entry steadily, each call in time, until told to end."""
     more = {"Deadline_Ms": "2500"}
     if path.startswith("/staged/"):
-        more = {"Deadline_Ms": "5000", "Pieces": "2,1", "Piece_Key": "k"}
+        more = STAGED | {"Deadline_Ms": "5000"}
     tries, pool = [], ThreadPoolExecutor(160)
     futures = []
     while not ended.is_set():
@@ -87,7 +88,7 @@
     context.cut, context.path = cut, path
     # Kept connections and measured times are there before the cut.
     for entry in site.entries:
-        attempt(site, entry, path, {"Pieces": "2,1", "Piece_Key": "k"})
+        attempt(site, entry, path, STAGED)
     calling.start()
     time.sleep(1)
     context.began = time.monotonic()
--- a/tests/features/steps/heads_cut_in_entries.py
+++ b/tests/features/steps/heads_cut_in_entries.py
@@ -2,6 +2,8 @@
 
 from behave import then, when
 
+from tests.standins.route_site import STAGED
+
 ENTRY = "entry-0"
 AT_ONCE = 6
 # Shorter than a silence of the server.
@@ -15,7 +17,7 @@
     """Call a path at the entry."""
     method = "GET" if path.startswith("/safe") else "POST"
     if path.startswith("/staged"):
-        headers |= {"Pieces": "2,1", "Piece_Key": "k"}
+        headers |= STAGED
     body = None if method == "GET" else b"hello"
     return context.site.call(path, method, body, ENTRY, **headers)
 
--- a/tests/features/steps/homes_without_servers.py
+++ b/tests/features/steps/homes_without_servers.py
@@ -13,7 +13,7 @@
     slowed_site,
 )
 from tests.standins.fleet import wait_until
-from tests.standins.route_site import REGIONS
+from tests.standins.route_site import REGIONS, STAGED
 from tests.standins.stream_caller import read_stream
 
 HOME, AWAY = "valley", "hills"
@@ -49,7 +49,7 @@
 
 def call(site, entry, path, cut_at=0.0):
     """Call an entry once."""
-    more = {"Pieces": "2,1", "Piece_Key": "k"} if path.startswith("/staged") else {}
+    more = STAGED if path.startswith("/staged") else {}
     request_id = f"h-{next(site.numbers)}"
     status, whole, retry_after = 0, False, None
     after = time.monotonic() - cut_at
--- a/tests/features/steps/odd_answers.py
+++ b/tests/features/steps/odd_answers.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from tests.standins.fleet import wait_until
-from tests.standins.route_site import configuration
+from tests.standins.route_site import STAGED, configuration
 
 PATHS = {"plain": "/unsafe/ok", "engine": "/draft/ok", "stage": "/staged/ok"}
 ODD_FIELDS = (
@@ -42,7 +42,7 @@
 
 @when('the path of "{kind}" servers is called at all entries')
 def step(context, kind):
-    headers = {"Pieces": "2,1", "Piece_Key": "k"} if kind == "stage" else {}
+    headers = STAGED if kind == "stage" else {}
     context.answers = [
         context.site.call(PATHS[kind], entry=name, **headers)
         for name in context.site.entries
@@ -92,7 +92,7 @@
         for path in (one, two, three):
             headers = {}
             if path.startswith("/staged"):
-                headers = {"Pieces": "2,1", "Piece_Key": "k"}
+                headers = STAGED
             answer = context.site.call(path, entry=name, **headers)
             assert answer.status == 200 and answer.whole, (path, answer.body)
 
--- a/tests/features/steps/stop_limit.py
+++ b/tests/features/steps/stop_limit.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from tests.standins.fleet import wait_until
-from tests.standins.route_site import HOST, KEY, configuration, route, staged
+from tests.standins.route_site import HOST, KEY, STAGED, configuration, route, staged
 
 TIMEOUT_MS = 20_000
 WORK_SECONDS = 15.0
@@ -67,7 +67,7 @@
     """Send requests to an entry, each in a thread of its own."""
     context.answers = []
     method, body = ("GET", None) if path.startswith("/long/") else ("POST", b"hello")
-    more = {"Pieces": "2,1", "Piece_Key": "k"} if path.startswith("/pieces/") else {}
+    more = STAGED if path.startswith("/pieces/") else {}
 
     def call():
         deadline = {"Deadline_Ms": str(TIMEOUT_MS)}
--- a/tests/standins/route_site.py
+++ b/tests/standins/route_site.py
@@ -27,6 +27,10 @@
 SECTION = re.compile(r"\{\{#([a-z_.0-9]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 KEY = "key-of-a-caller-0123456789"
 HOST = "site.example"
+# The headers of a caller that needs two pieces of the first stage, one of the second.
+STAGED = {"Pieces": "2,1", "Piece_Key": "k"}
+# How often a caller that is refused comes back.
+RETURNS = 20
 ZONES = ("hall-a", "hall-b", "hall-c")
 # Of an entry that is not ready in time.
 LOGGED_LINES = 5
@@ -392,6 +396,15 @@
         answer.request_id = request_id
         return answer
 
+    def call_again(self, path, *request, **headers):
+        """Send a request again while it is refused; return the last answer."""
+        for _ in range(RETURNS):
+            answer = self.call(path, *request, **headers)
+            if answer.status != 503:
+                break
+            time.sleep(float(answer.headers["Retry-After"]))
+        return answer
+
     @staticmethod
     def read(response):
         """Return a body as far as it came, and whether it is whole.
